--- /dev/null
+++ b/src/kelproad/cli/loadreport.py
@@ -0,0 +1,102 @@
+"""What a run of load measured: counts, and histograms by length class."""
+
+import collections
+import types
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+__all__ = ['CLASS_LIMITS', 'Report', 'format_table', 'name_class']
+
+#: Upper bounds, in tokens, of the length classes that are told apart.
+CLASS_LIMITS = types.MappingProxyType(
+    {
+        '1k': 3_000,
+        '10k': 30_000,
+        '100k': 300_000,
+        '1M': float('inf'),
+    }
+)
+_LOWEST_MICROSECONDS = 1
+_HIGHEST_MICROSECONDS = 3_600_000_000
+_DIGITS = 3
+_MICROSECONDS = 1_000_000
+_PERCENTILES = (50, 95, 99)
+
+
+def name_class(prompt_tokens: int) -> str:
+    """Name the length class of a prompt."""
+    for name, limit in CLASS_LIMITS.items():
+        if prompt_tokens < limit:
+            return name
+    raise ValueError(f'not a length: {prompt_tokens}')
+
+
+def _create_histogram() -> HdrHistogram:
+    return HdrHistogram(_LOWEST_MICROSECONDS, _HIGHEST_MICROSECONDS, _DIGITS)
+
+
+@attrs.define
+class Report:
+    """Results of a run."""
+
+    sent: int = 0
+    outcomes: collections.Counter[str] = attrs.field(
+        factory=collections.Counter,
+    )
+    first_token: dict[str, HdrHistogram] = attrs.field(
+        factory=lambda: collections.defaultdict(_create_histogram),
+    )
+    between_tokens: HdrHistogram = attrs.field(factory=_create_histogram)
+
+    def note_first_token(self, prompt_tokens: int, seconds: float) -> None:
+        """Enter a time to first token."""
+        histogram = self.first_token[name_class(prompt_tokens)]
+        histogram.record_value(max(1, round(seconds * _MICROSECONDS)))
+
+    def note_between_tokens(self, seconds: float) -> None:
+        """Enter the time between two tokens of an answer."""
+        self.between_tokens.record_value(max(1, round(seconds * _MICROSECONDS)))
+
+    def to_fields(self) -> dict[str, object]:
+        """Return the results as plain fields, times in seconds."""
+        return {
+            'sent': self.sent,
+            'outcomes': dict(self.outcomes),
+            'first_token': {
+                name: _summarize(self.first_token[name])
+                for name in CLASS_LIMITS
+                if name in self.first_token
+            },
+            'between_tokens': _summarize(self.between_tokens),
+        }
+
+
+def format_table(report: Report) -> str:
+    """Format the results for reading."""
+    fields = report.to_fields()
+    lines = [
+        f'sent {report.sent}: '
+        + ', '.join(f'{n} {name}' for name, n in report.outcomes.most_common()),
+        f'{"":22}{"count":>8}{"p50 s":>10}{"p95 s":>10}{"p99 s":>10}',
+    ]
+    rows = {
+        f'first token, {name}': row
+        for name, row in fields['first_token'].items()
+    }
+    rows['between tokens'] = fields['between_tokens']
+    for title, row in rows.items():
+        times = ''.join(f'{row[f"p{level}"]:10.3f}' for level in _PERCENTILES)
+        lines.append(f'{title:22}{row["count"]:>8}{times}')
+    return '\n'.join(lines)
+
+
+def _summarize(histogram: HdrHistogram) -> dict[str, float]:
+    return {
+        'count': histogram.get_total_count(),
+        **{
+            f'p{level}': histogram.get_value_at_percentile(level)
+            / _MICROSECONDS
+            for level in _PERCENTILES
+        },
+    }
--- /dev/null
+++ b/src/kelproad/cli/logs.py
@@ -0,0 +1,44 @@
+"""Log lines in a structured form, with the instance on each."""
+
+import json
+import logging
+
+from ..protocol.settings import LogFormat, Settings
+
+__all__ = ['configure_logging']
+
+
+class _JsonFormatter(logging.Formatter):
+    """One JSON object a line."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Format a record with its time, level, instance and message."""
+        fields = {
+            'time': self.formatTime(record),
+            'level': record.levelname,
+            'instance': getattr(record, 'instance', ''),
+            'logger': record.name,
+            'message': record.getMessage(),
+        }
+        if record.exc_info:
+            fields['exception'] = self.formatException(record.exc_info)
+        return json.dumps(fields)
+
+
+def configure_logging(settings: Settings) -> None:
+    """Write log lines to standard error as the settings say."""
+    handler = logging.StreamHandler()
+    if settings.log_format is LogFormat.JSON:
+        handler.setFormatter(_JsonFormatter())
+    else:
+        line = '%(asctime)s %(levelname)s %(instance)s %(name)s: %(message)s'
+        handler.setFormatter(logging.Formatter(line))
+
+    def add_instance(record: logging.LogRecord) -> bool:
+        record.instance = settings.instance
+        return True
+
+    handler.addFilter(add_instance)
+    logging.basicConfig(level=settings.log_level, handlers=[handler])
+    # The service library logs each start and stop of every small service.
+    logging.getLogger('mode').setLevel(logging.WARNING)
--- /dev/null
+++ b/src/kelproad/cli/main.py
@@ -0,0 +1,32 @@
+"""The commands, joined into one program.
+
+Modules are imported when their command runs: an instance has 64 MB for its
+control, and an operator's verb should answer at once.
+"""
+
+import typer
+
+from . import operators, serve, standins, workload
+
+__all__ = ['app']
+
+app = typer.Typer(
+    help='A serving layer between callers and model engines.',
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+)
+app.command()(serve.serve)
+app.command()(operators.check)
+app.command()(operators.apply)
+app.command()(operators.diff)
+app.command()(operators.get)
+app.command()(operators.status)
+app.command()(operators.dump)
+app.command()(operators.explain)
+app.command()(operators.drain)
+app.command()(workload.load)
+app.add_typer(
+    standins.app,
+    name='stand-in',
+    help='Small substitutes for outside systems, for demos and tests.',
+)
--- /dev/null
+++ b/src/kelproad/coordination/drain.py
@@ -0,0 +1,56 @@
+"""A planned stop: nothing in progress is cut.
+
+First the instance says that it is leaving and goes on taking what a lagging
+balancer still sends; then it refuses; then it waits for what is in progress,
+each request bounded by its own deadline.
+"""
+
+import asyncio
+import enum
+
+from ..state.requests import RequestTable
+from ..transport.deadlines import monotonic
+
+__all__ = ['DrainPhase', 'Drain']
+
+_CHECK_PERIOD = 0.05
+
+
+class DrainPhase(enum.StrEnum):
+    """How far a planned stop has come."""
+
+    SERVING = 'serving'
+    LEAVING = 'leaving'
+    REFUSING = 'refusing'
+
+
+class Drain:
+    """The planned stop of this process."""
+
+    def __init__(
+        self,
+        requests: RequestTable,
+        grace: float,
+        limit: float,
+    ) -> None:
+        """Wait for the requests of a table, by the settings' seconds."""
+        self._requests = requests
+        self._grace = grace
+        self._limit = limit
+        self.phase = DrainPhase.SERVING
+        self.started = asyncio.Event()
+
+    def start(self) -> None:
+        """Begin the stop; beginning it again changes nothing."""
+        if self.phase is DrainPhase.SERVING:
+            self.phase = DrainPhase.LEAVING
+            self.started.set()
+
+    async def finish(self) -> int:
+        """Go through the stop; return how many requests were left."""
+        await asyncio.sleep(self._grace)
+        self.phase = DrainPhase.REFUSING
+        limit = monotonic() + self._limit
+        while len(self._requests) and monotonic() < limit:
+            await asyncio.sleep(_CHECK_PERIOD)
+        return len(self._requests)
--- /dev/null
+++ b/src/kelproad/coordination/dump.py
@@ -0,0 +1,103 @@
+"""The state of this process, for people; it holds no secrets."""
+
+import math
+
+import attrs
+
+from ..state import invariants
+from ..state.configuration import SnapshotHolder
+from ..state.endpoints import Endpoint, EndpointTable
+from ..state.identity import Identity
+from ..state.members import MemberTable
+from ..state.requests import RequestTable
+from ..transport.deadlines import monotonic
+from .configuration import ConfigurationFollower
+from .membership import Membership
+from .reclamation import Canceller
+
+__all__ = ['Dump']
+
+Fields = dict[str, object]
+
+
+@attrs.frozen
+class Dump:
+    """Views of the parts of an instance."""
+
+    identity: Identity
+    holder: SnapshotHolder
+    table: EndpointTable
+    members: MemberTable
+    requests: RequestTable
+    follower: ConfigurationFollower
+    membership: Membership
+    canceller: Canceller
+
+    def summarize(self) -> Fields:
+        """Describe the site as this instance sees it, briefly."""
+        now = monotonic()
+        snapshot = self.holder.current
+        return {
+            'instance': self.identity.instance,
+            'zone': self.identity.zone,
+            'revision': snapshot.revision,
+            'configuration_age': _finite(self.follower.age),
+            'draining': self.membership.draining,
+            'members': [
+                {
+                    'name': member.name,
+                    'zone': member.zone,
+                    'revision': member.revision,
+                    'draining': member.draining,
+                    'heard_ago': now - self.members.heard_at(member.name),
+                }
+                for member in self.members.live(now)
+            ],
+            'endpoints': [
+                _describe_endpoint(endpoint, now)
+                for endpoint in self.table.all().values()
+            ],
+        }
+
+    def describe(self) -> Fields:
+        """Describe the whole state of the process."""
+        now = monotonic()
+        return {
+            **self.summarize(),
+            'incarnation': self.identity.incarnation,
+            'requests': [
+                {
+                    'request_id': request.request_id,
+                    'workspace': request.workspace.name,
+                    'service': request.service.name,
+                    'revision': request.snapshot.revision,
+                    'phase': request.phase,
+                    'attempts': request.attempts,
+                    'prompt_tokens': request.prompt_tokens,
+                    'remaining': request.remaining(now),
+                }
+                for request in self.requests.all()
+            ],
+            'cancels_open': self.canceller.describe(),
+            'invariant_violations': dict(invariants.violations),
+        }
+
+
+def _describe_endpoint(endpoint: Endpoint, now: float) -> Fields:
+    report = endpoint.report
+    return {
+        'name': endpoint.name,
+        'group': endpoint.group.name,
+        'zone': endpoint.declaration.zone,
+        'address': endpoint.declaration.address,
+        'leaving': endpoint.leaving,
+        'own_requests': endpoint.own_requests,
+        'own_tokens': endpoint.own_tokens,
+        'peer_tokens': endpoint.peer_tokens,
+        'report': attrs.asdict(report) if report else None,
+        'report_age': _finite(now - endpoint.reported_at),
+    }
+
+
+def _finite(seconds: float) -> float | None:
+    return seconds if math.isfinite(seconds) else None
--- /dev/null
+++ b/src/kelproad/coordination/instance.py
@@ -0,0 +1,248 @@
+"""One entry instance: its parts, how they are joined, how they stop."""
+
+import logging
+import random
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+from aiohttp import web
+from aioprometheus import render
+
+from ..protocol import callers
+from ..protocol.engines import EngineClient, trace_connections
+from ..protocol.plain import PlainClient
+from ..protocol.platform import PlatformClient
+from ..protocol.settings import Settings
+from ..state import invariants
+from ..state.configuration import SnapshotHolder
+from ..state.counters import Counters
+from ..state.endpoints import EndpointTable
+from ..state.identity import Identity
+from ..state.members import MemberTable
+from ..state.refusals import Refusal, RefusalCode, Step
+from ..state.requests import DecisionLog, RequestTable
+from ..transport.addresses import Address
+from ..transport.http import HttpServer, create_fresh_session, create_session
+from ..transport.services import BackgroundService
+from .attempts import Attempts
+from .claims import Claims
+from .configuration import ConfigurationFollower, ConfigurationWriter
+from .drain import Drain, DrainPhase
+from .dump import Dump
+from .entry import Entry
+from .membership import Membership
+from .operators import OperatorApi
+from .plain import PlainCalls
+from .reclamation import Canceller
+from .watch import Watch
+
+__all__ = ['Instance']
+
+_logger = logging.getLogger(__name__)
+#: Seconds that a stopping instance waits for engines to confirm cancels.
+_CANCEL_LIMIT = 5.0
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class Instance(BackgroundService):
+    """The services of one process, started and stopped together."""
+
+    abstract = False
+
+    def __init__(self, settings: Settings) -> None:
+        """Keep the settings; the parts are built when it starts."""
+        super().__init__()
+        invariants.set_strict(settings.assert_invariants)
+        self._settings = settings
+        self._holder = SnapshotHolder()
+        self._requests = RequestTable()
+        self._counters = Counters()
+        self._sessions: list[aiohttp.ClientSession] = []
+        self._drain = Drain(
+            self._requests,
+            settings.drain_grace,
+            settings.drain_limit,
+        )
+
+    async def on_first_start(self) -> None:
+        """Build the parts and join them."""
+        settings = self._settings
+        identity = Identity.from_start(settings.instance, settings.zone)
+        table = EndpointTable()
+        members = MemberTable()
+        decisions = DecisionLog()
+        generator = random.Random(identity.owner)  # noqa: S311  no secret
+        engines = EngineClient(self._open_session())
+        platform = PlatformClient(
+            Address.from_text(settings.platform_address),
+            self._open_session(),
+            self._counters,
+        )
+        self._canceller = Canceller(engines, self._counters)
+        self._follower = ConfigurationFollower(
+            settings,
+            self._holder,
+            table,
+            platform,
+            self._counters,
+        )
+        self._membership = Membership(
+            settings,
+            identity,
+            members,
+            table,
+            self._holder,
+            self._follower,
+            platform,
+            self._counters,
+            generator,
+        )
+        entry = Entry(
+            identity,
+            self._holder,
+            self._requests,
+            decisions,
+            Attempts(
+                identity,
+                table,
+                engines,
+                self._canceller,
+                self._counters,
+                generator,
+            ),
+            PlainCalls(
+                identity,
+                table,
+                PlainClient(self._open_session(fresh=True)),
+                self._counters,
+                generator,
+            ),
+            Claims(identity, platform, self._counters),
+            self._counters,
+        )
+        operators = OperatorApi(
+            settings,
+            ConfigurationWriter(self._holder, self._follower, platform),
+            Dump(
+                identity,
+                self._holder,
+                table,
+                members,
+                self._requests,
+                self._follower,
+                self._membership,
+                self._canceller,
+            ),
+            decisions,
+            self._counters,
+            self._drain.start,
+        )
+        for service in (
+            self._canceller,
+            self._follower,
+            self._membership,
+            Watch(identity, table, members, engines),
+            entry,
+        ):
+            await self.add_runtime_dependency(service)
+        await self._serve(entry, operators)
+
+    async def on_shutdown(self) -> None:
+        """Close the client sessions after everything else has stopped."""
+        for session in self._sessions:
+            await session.close()
+
+    def start_drain(self) -> None:
+        """Begin a planned stop."""
+        self._drain.start()
+
+    async def run_until_drained(self) -> int:
+        """Serve until a planned stop has been asked for and is done.
+
+        Returns
+        -------
+        int
+            Requests that were cut, which is 0 unless the limit passed.
+        """
+        await self._drain.started.wait()
+        _logger.info('leaving, %d requests in progress', len(self._requests))
+        self._membership.draining = True
+        self._membership.announce()
+        left = await self._drain.finish()
+        await self._canceller.finish(_CANCEL_LIMIT)
+        _logger.info('drained, %d requests left', left)
+        return left
+
+    async def _serve(self, entry: Entry, operators: OperatorApi) -> None:
+        caller_side = web.Application(middlewares=[self._refuse_when_leaving])
+        caller_side.add_routes(
+            [
+                *entry.routes(),
+                web.get('/healthz', _answer_alive),
+                web.get('/readyz', self._answer_ready),
+                web.get('/metrics', self._answer_metrics),
+            ],
+        )
+        operator_side = web.Application()
+        operator_side.add_routes(operators.routes())
+        for application, address in (
+            (caller_side, self._settings.caller_address),
+            (operator_side, self._settings.operator_address),
+        ):
+            server = HttpServer(application, Address.from_text(address))
+            await self.add_runtime_dependency(server)
+
+    def _open_session(self, fresh: bool = False) -> aiohttp.ClientSession:
+        create = create_fresh_session if fresh else create_session
+        session = create(trace_configs=[trace_connections()])
+        self._sessions.append(session)
+        return session
+
+    @web.middleware
+    async def _refuse_when_leaving(
+        self,
+        http_request: web.Request,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        is_work = not http_request.path.endswith(('/healthz', '/metrics'))
+        if self._drain.phase is DrainPhase.REFUSING and is_work:
+            return callers.answer_refusal(_refuse_leaving(), '')
+        return await handler(http_request)
+
+    async def _answer_ready(self, _http_request: web.Request) -> web.Response:
+        if self._drain.phase is not DrainPhase.SERVING:
+            return callers.answer_refusal(_refuse_leaving(), '')
+        if self._holder.current.revision == 0:
+            return callers.answer_refusal(_refuse_unready(), '')
+        return web.Response(text='ready\n')
+
+    async def _answer_metrics(self, http_request: web.Request) -> web.Response:
+        body, headers = render(
+            self._counters.registry,
+            http_request.headers.getall('Accept', []),
+        )
+        return web.Response(body=body, headers=headers)
+
+
+async def _answer_alive(_http_request: web.Request) -> web.Response:
+    return web.Response(text='alive\n')
+
+
+def _refuse_leaving() -> Refusal:
+    return Refusal(
+        RefusalCode.NOT_READY,
+        'this instance is leaving; another one takes the request',
+        Step.ADMIT,
+        retry_after=0,
+    )
+
+
+def _refuse_unready() -> Refusal:
+    return Refusal(
+        RefusalCode.NOT_READY,
+        'this instance has no configuration: neither the platform nor a peer '
+        'has given it one',
+        Step.CONFIGURE,
+        retry_after=1,
+    )
--- /dev/null
+++ b/src/kelproad/coordination/plain.py
@@ -0,0 +1,108 @@
+"""Answering calls to plain services by one of their endpoints."""
+
+import random
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from ..protocol.plain import PlainAnswer, PlainCall, PlainClient
+from ..state.counters import Counters
+from ..state.endpoints import Endpoint, EndpointTable
+from ..state.identity import Identity
+from ..state.refusals import Ran, Refusal, RefusalCode
+from ..state.requests import Decision, Phase, Request
+from ..transport.addresses import Address
+from ..transport.deadlines import monotonic
+from . import routing
+
+__all__ = ['PlainCalls']
+
+_SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
+_MAX_ATTEMPTS = 3
+
+
+class PlainCalls:
+    """Sends calls to plain endpoints and decides on repeating them."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        table: EndpointTable,
+        client: PlainClient,
+        counters: Counters,
+        generator: random.Random,
+    ) -> None:
+        """Call the endpoints of a table through a client."""
+        self._identity = identity
+        self._table = table
+        self._client = client
+        self._counters = counters
+        self._generator = generator
+
+    async def answer(
+        self,
+        request: Request,
+        call: PlainCall,
+        decision: Decision,
+    ) -> Result[PlainAnswer, Refusal]:
+        """Call one endpoint after another as long as that is allowed."""
+        tried: frozenset[str] = frozenset()
+        outcome: Result[PlainAnswer, Refusal] | None = None
+        while len(tried) < _MAX_ATTEMPTS:
+            choice = routing.choose_endpoint(
+                request,
+                self._table,
+                self._identity.zone,
+                monotonic(),
+                self._generator,
+                tried,
+            )
+            if isinstance(choice, Failure):
+                return outcome or choice
+            endpoint = choice.unwrap().endpoint
+            tried |= {endpoint.name}
+            decision.note('routed', endpoint=endpoint.name)
+            outcome = await self._attempt(request, call, endpoint)
+            if isinstance(outcome, Success):
+                return outcome
+            decision.note('attempt failed', **attrs.asdict(outcome.failure()))
+            if not _may_repeat(request, call, outcome.failure()):
+                return outcome
+        return outcome
+
+    async def _attempt(
+        self,
+        request: Request,
+        call: PlainCall,
+        endpoint: Endpoint,
+    ) -> Result[PlainAnswer, Refusal]:
+        endpoint.own_requests += 1
+        request.phase = Phase.DISPATCHED
+        url = Address.from_text(endpoint.declaration.address).url
+        headers = call.headers.copy()
+        headers['X-Request-Id'] = request.request_id
+        headers['X-Workspace'] = request.workspace.name
+        label = 'abandoned'
+        try:
+            answered = await self._client.call(
+                url,
+                attrs.evolve(call, headers=headers),
+            )
+            label = 'complete' if isinstance(answered, Success) else 'failed'
+        finally:
+            endpoint.own_requests -= 1
+            self._counters.attempts.inc(
+                {'group': endpoint.group.name, 'outcome': label},
+            )
+        return answered
+
+
+def _may_repeat(request: Request, call: PlainCall, refusal: Refusal) -> bool:
+    """Tell whether another endpoint may be given the call."""
+    if refusal.code is RefusalCode.DEADLINE_EXCEEDED:
+        return False
+    if request.remaining(monotonic()) <= 0:
+        return False
+    if refusal.ran is Ran.NO:
+        return True
+    return call.method in _SAFE_METHODS or request.repeatable
--- /dev/null
+++ b/src/kelproad/protocol/callers.py
@@ -0,0 +1,217 @@
+"""What callers send and get: completions, and the one shape of refusals.
+
+The completion calls follow the OpenAI HTTP API so that existing clients work
+unchanged.  A body is parsed once and shallowly: the prompt, which may be
+megabytes, stays a view into the received bytes.
+"""
+
+import codecs
+import hashlib
+import math
+from typing import Self
+
+import attrs
+import msgspec
+from aiohttp import web
+from returns.result import Failure, Result, Success
+
+from ..state.refusals import Ran, Refusal, RefusalCode, Step
+
+__all__ = [
+    'DEADLINE_HEADER',
+    'KEY_HEADER',
+    'REQUEST_ID_HEADER',
+    'CompletionBody',
+    'answer_refusal',
+    'digest_key',
+    'encode_refusal',
+    'parse_deadline',
+    'parse_key',
+    'read_body',
+    'read_bearer',
+]
+
+DEADLINE_HEADER = 'X-Deadline-Seconds'
+KEY_HEADER = 'Idempotency-Key'
+REQUEST_ID_HEADER = 'X-Request-Id'
+MAX_KEY_LENGTH = 255
+
+RawFields = dict[str, msgspec.Raw]
+
+
+@attrs.frozen
+class CompletionBody:
+    """A completion call, parsed no deeper than the system needs.
+
+    Attributes
+    ----------
+    fields
+        Every field of the body as raw JSON.
+    model
+        Model that the caller asks for.
+    stream
+        Whether the caller wants server-sent events.
+    prompt
+        View of the raw JSON of the prompt or the messages.
+    """
+
+    fields: RawFields
+    model: str
+    stream: bool
+    prompt: memoryview
+
+    @classmethod
+    def from_bytes(cls, body: bytes, field: str) -> Result[Self, Refusal]:
+        """Parse a body whose prompt stands under ``field``."""
+        try:
+            fields = msgspec.json.decode(body, type=RawFields)
+            model = msgspec.json.decode(fields[_MODEL], type=str)
+            stream = msgspec.json.decode(
+                fields.get(_STREAM, _RAW_FALSE),
+                type=bool | None,
+            )
+            prompt = memoryview(fields[field])
+        except KeyError as missing:
+            return _refuse_body(f'the body has no field {missing}')
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return _refuse_body(f'malformed body: {error}')
+        return Success(cls(fields, model, bool(stream), prompt))
+
+    def estimate_tokens(self, bytes_per_token: float) -> int:
+        """Estimate the prompt's tokens from its bytes.
+
+        The divisor is declared per service.  For English text at the default
+        of 4 the estimate is within a quarter of the true count; text in other
+        scripts needs its own divisor.
+        """
+        return max(1, math.ceil(self.prompt.nbytes / bytes_per_token))
+
+    def encode_streaming(self) -> bytes:
+        """Encode the body for an engine: the same fields, streamed."""
+        return msgspec.json.encode({**self.fields, _STREAM: _RAW_TRUE})
+
+
+_MODEL = 'model'
+_STREAM = 'stream'
+_RAW_TRUE = msgspec.Raw(b'true')
+_RAW_FALSE = msgspec.Raw(b'false')
+
+
+async def read_body(
+    http_request: web.BaseRequest,
+    limit: int,
+) -> Result[bytes, Refusal]:
+    """Read a body of at most ``limit`` bytes of UTF-8.
+
+    A declared length over the limit is refused before anything is read.  The
+    text is checked as it arrives, so that no second copy of it is made.
+    """
+    declared = http_request.content_length
+    if declared is not None and declared > limit:
+        return Failure(_too_large(limit))
+    check_text = codecs.getincrementaldecoder('utf-8')()
+    received = bytearray()
+    async for chunk in http_request.content.iter_any():
+        received += chunk
+        if len(received) > limit:
+            return Failure(_too_large(limit))
+        try:
+            check_text.decode(chunk)
+        except UnicodeDecodeError:
+            return _refuse_body('the body is not UTF-8')
+    return Success(bytes(received))
+
+
+def parse_deadline(
+    text: str | None,
+    default: float,
+    maximum: float,
+) -> Result[float, Refusal]:
+    """Parse the seconds a caller gives a request, bounded by the service."""
+    if text is None:
+        return Success(default)
+    try:
+        seconds = float(text)
+    except ValueError:
+        return _refuse_body(f'{DEADLINE_HEADER} is not a number of seconds')
+    if not 0 < seconds < math.inf:
+        return _refuse_body(f'{DEADLINE_HEADER} must be above zero and finite')
+    return Success(min(seconds, maximum))
+
+
+def parse_key(text: str | None) -> Result[str, Refusal]:
+    """Check an idempotency key; no key gives an empty one."""
+    if text is None:
+        return Success('')
+    if not text or len(text) > MAX_KEY_LENGTH or not text.isprintable():
+        return _refuse_body(
+            f'{KEY_HEADER} must have 1 to {MAX_KEY_LENGTH} printable '
+            'characters',
+        )
+    return Success(text)
+
+
+def read_bearer(http_request: web.BaseRequest) -> str:
+    """Return the bearer token of a call, empty when there is none."""
+    scheme, _, token = http_request.headers.get(
+        'Authorization',
+        '',
+    ).partition(' ')
+    return token.strip() if scheme.lower() == 'bearer' else ''
+
+
+def digest_key(key: str) -> str:
+    """Digest an API key or operator token as configuration stores it.
+
+    Keys are long random strings, so a plain digest cannot be guessed back,
+    and looking a digest up takes no time that depends on a stored secret.
+    """
+    return hashlib.sha256(key.encode('utf-8', 'surrogateescape')).hexdigest()
+
+
+# Refusals
+
+
+def encode_refusal(refusal: Refusal, request_id: str) -> bytes:
+    """Encode a refusal in the one JSON shape that callers get."""
+    return msgspec.json.encode(
+        {
+            'error': {
+                'code': refusal.code,
+                'type': refusal.code,
+                'message': refusal.message,
+                'request_id': request_id,
+                'step': refusal.step,
+                'peer': refusal.peer,
+                'ran': refusal.ran,
+                'retry_after': refusal.retry_after,
+            },
+        },
+    )
+
+
+def answer_refusal(refusal: Refusal, request_id: str) -> web.Response:
+    """Build the HTTP answer of a refusal."""
+    headers = {REQUEST_ID_HEADER: request_id}
+    if refusal.retry_after is not None:
+        headers['Retry-After'] = str(math.ceil(refusal.retry_after))
+    return web.Response(
+        status=refusal.code.status,
+        body=encode_refusal(refusal, request_id),
+        content_type='application/json',
+        headers=headers,
+    )
+
+
+def _refuse_body(message: str) -> Result[object, Refusal]:
+    return Failure(
+        Refusal(RefusalCode.BAD_REQUEST, message, Step.RECEIVE, ran=Ran.NO),
+    )
+
+
+def _too_large(limit: int) -> Refusal:
+    return Refusal(
+        RefusalCode.TOO_LARGE,
+        f'the body is larger than {limit} bytes',
+        Step.RECEIVE,
+    )
--- /dev/null
+++ b/src/kelproad/protocol/platform.py
@@ -0,0 +1,309 @@
+"""The platform's service: tables, objects and the list of instances.
+
+The platform has a transactional table with conditional writes, an object
+store and a lagging list of instances and endpoints.  All calls are bounded in
+time.  A write whose answer is lost may have taken effect; that case is told
+apart from a write that certainly did not, because callers must settle it by
+reading back.
+"""
+
+import asyncio
+import enum
+from typing import TypeVar
+
+import aiohttp
+import attrs
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..state.counters import Counters
+from ..transport.addresses import Address
+from ..transport.deadlines import monotonic, within
+
+__all__ = [
+    'ABSENT',
+    'ListedInstance',
+    'Listing',
+    'PlatformClient',
+    'Row',
+    'StoreError',
+    'StoreErrorKind',
+    'Write',
+]
+
+T = TypeVar('T')
+
+#: Version that a row must have to be written when it must not exist yet.
+ABSENT = 0
+_OK = 200
+_NOT_FOUND = 404
+_CONFLICT = 409
+_MOST_SHOWN = 200
+
+
+class StoreErrorKind(enum.StrEnum):
+    """What is known about a call that did not succeed."""
+
+    #: A condition did not hold; nothing was written.
+    CONFLICT = 'conflict'
+    #: The platform refused or could not be reached; nothing was written.
+    UNAVAILABLE = 'unavailable'
+    #: No answer arrived; the write may have taken effect, or may yet.
+    UNKNOWN = 'unknown'
+
+
+@attrs.frozen
+class StoreError:
+    """A call to the platform that did not succeed."""
+
+    kind: StoreErrorKind
+    operation: str
+    peer: str
+    message: str
+
+
+@attrs.frozen
+class Row:
+    """A row of a table; its version grows with each write, from 1."""
+
+    key: str
+    version: int
+    body: str
+
+
+@attrs.frozen
+class Write:
+    """One conditional write of a transaction.
+
+    Attributes
+    ----------
+    expect
+        Version that the row must have; ``ABSENT`` when it must not exist and
+        ``None`` for any.
+    body
+        New body; ``None`` deletes the row.
+    """
+
+    table: str
+    key: str
+    body: str | None
+    expect: int | None = None
+
+
+@attrs.frozen
+class ListedInstance:
+    """An instance as the platform's lagging list shows it."""
+
+    name: str
+    zone: str
+    peer_address: str
+    leaving: bool = False
+
+
+@attrs.frozen
+class Listing:
+    """The platform's list of instances, and the endpoints it takes away."""
+
+    instances: list[ListedInstance]
+    leaving_endpoints: list[str] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class _Transaction:
+    writes: list[Write]
+
+
+@attrs.frozen
+class _Rows:
+    rows: list[Row]
+
+
+class PlatformClient:
+    """Calls to the platform, each bounded by a timeout in seconds."""
+
+    def __init__(
+        self,
+        address: Address,
+        session: aiohttp.ClientSession,
+        counters: Counters,
+    ) -> None:
+        """Call the platform at an address over a session."""
+        self._address = address
+        self._session = session
+        self._counters = counters
+
+    async def transact(
+        self,
+        writes: list[Write],
+        timeout: float,
+    ) -> Result[None, StoreError]:
+        """Write all rows or none.
+
+        A lost answer gives ``UNKNOWN``: the caller reads the rows back and
+        compares what it finds with what it meant to write.
+        """
+        answer = await self._call(
+            'transact',
+            'POST',
+            '/tables/transact',
+            timeout,
+            msgspec.json.encode(_Transaction(writes)),
+        )
+        return answer.map(lambda _body: None)
+
+    async def read_row(
+        self,
+        table: str,
+        key: str,
+        timeout: float,
+    ) -> Result[Row | None, StoreError]:
+        """Read one row; ``None`` when there is none."""
+        answer = await self._call(
+            'read_row',
+            'GET',
+            f'/tables/{table}/row',
+            timeout,
+            query={'key': key},
+        )
+        return answer.bind(lambda body: self._decode(body, _Rows)).map(
+            lambda found: found.rows[0] if found.rows else None,
+        )
+
+    async def scan_rows(
+        self,
+        table: str,
+        timeout: float,
+        prefix: str = '',
+        after: str = '',
+        limit: int = 500,
+    ) -> Result[list[Row], StoreError]:
+        """Read rows in order of their keys, those after a key."""
+        answer = await self._call(
+            'scan_rows',
+            'GET',
+            f'/tables/{table}/rows',
+            timeout,
+            query={'prefix': prefix, 'after': after, 'limit': str(limit)},
+        )
+        return answer.bind(lambda body: self._decode(body, _Rows)).map(
+            lambda found: found.rows,
+        )
+
+    async def put_object(
+        self,
+        key: str,
+        body: bytes,
+        timeout: float,
+    ) -> Result[None, StoreError]:
+        """Store an object; storing the same one again is harmless."""
+        answer = await self._call(
+            'put_object',
+            'PUT',
+            f'/objects/{key}',
+            timeout,
+            body,
+        )
+        return answer.map(lambda _body: None)
+
+    async def get_object(
+        self,
+        key: str,
+        timeout: float,
+    ) -> Result[bytes, StoreError]:
+        """Fetch an object; one that is missing counts as unavailable."""
+        return await self._call('get_object', 'GET', f'/objects/{key}', timeout)
+
+    async def list_instances(
+        self,
+        timeout: float,
+    ) -> Result[Listing, StoreError]:
+        """Ask for the lagging list of instances."""
+        answer = await self._call('list_instances', 'GET', '/members', timeout)
+        return answer.bind(lambda body: self._decode(body, Listing))
+
+    async def _call(
+        self,
+        operation: str,
+        method: str,
+        path: str,
+        timeout: float,
+        body: bytes | None = None,
+        query: dict[str, str] | None = None,
+    ) -> Result[bytes, StoreError]:
+        try:
+            async with within(monotonic() + timeout):
+                outcome = await self._exchange(
+                    operation,
+                    method,
+                    path,
+                    body,
+                    query,
+                )
+        except aiohttp.ClientConnectorError as error:
+            # The connection was never made, so nothing was sent.
+            outcome = self._fail(
+                StoreErrorKind.UNAVAILABLE,
+                operation,
+                str(error),
+            )
+        except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
+            # A read may be tried again at will; only a write stays unknown.
+            kind = (
+                StoreErrorKind.UNAVAILABLE
+                if method == 'GET'
+                else StoreErrorKind.UNKNOWN
+            )
+            outcome = self._fail(kind, operation, repr(error))
+        label = 'ok' if isinstance(outcome, Success) else outcome.failure().kind
+        self._counters.store_calls.inc(
+            {'operation': operation, 'outcome': str(label)},
+        )
+        return outcome
+
+    async def _exchange(
+        self,
+        operation: str,
+        method: str,
+        path: str,
+        body: bytes | None,
+        query: dict[str, str] | None,
+    ) -> Result[bytes, StoreError]:
+        async with self._session.request(
+            method,
+            self._address.url + path,
+            data=body,
+            params=query,
+            allow_redirects=False,
+        ) as response:
+            received = await response.read()
+        if response.status == _OK:
+            return Success(received)
+        if response.status == _CONFLICT:
+            kind = StoreErrorKind.CONFLICT
+        else:
+            kind = StoreErrorKind.UNAVAILABLE
+        return self._fail(
+            kind,
+            operation,
+            f'answered {response.status}: {received[:_MOST_SHOWN]!r}',
+        )
+
+    def _decode(self, body: bytes, kind: type[T]) -> Result[T, StoreError]:
+        try:
+            return Success(msgspec.json.decode(body, type=kind))
+        except msgspec.DecodeError as error:
+            return self._fail(
+                StoreErrorKind.UNAVAILABLE,
+                'decode',
+                f'malformed answer: {error}',
+            )
+
+    def _fail(
+        self,
+        kind: StoreErrorKind,
+        operation: str,
+        message: str,
+    ) -> Result[T, StoreError]:
+        return Failure(
+            StoreError(kind, operation, self._address.authority, message),
+        )
--- /dev/null
+++ b/src/kelproad/protocol/settings.py
@@ -0,0 +1,136 @@
+"""Settings of one instance: its addresses, zone, keys and logs.
+
+Settings say who this process is; what it serves comes from the configuration
+that operators apply.  A variable ``KELPROAD_<NAME>`` in the environment takes
+the place of the file's value, which keeps secrets out of files.
+"""
+
+import enum
+import pathlib
+from collections.abc import Mapping
+
+import attrs
+import yaml
+from returns.result import Failure, Result, Success
+
+from ..transport.addresses import Address, AddressError
+from .documents import Document, Problem, read_document, structure
+
+__all__ = ['LogFormat', 'Settings', 'load_settings']
+
+_ENVIRONMENT_PREFIX = 'KELPROAD_'
+_MINIMUM_KEY_LENGTH = 16
+
+
+class LogFormat(enum.StrEnum):
+    """How log lines are written."""
+
+    PLAIN = 'plain'
+    JSON = 'json'
+
+
+@attrs.frozen
+class Settings:
+    """Settings of one instance.
+
+    Attributes
+    ----------
+    caller_address, operator_address, peer_address
+        ``IP:port`` on which callers, operators and other instances connect.
+    platform_address
+        ``IP:port`` of the platform's service.
+    peer_key
+        Secret shared by the instances of the site.
+    operator_digests
+        SHA-256 digest, in hexadecimal, of each operator's token, by name.
+    seeds
+        Peer addresses tried while the platform cannot be asked.
+    drain_grace
+        Seconds during which a stopping instance still takes the requests that
+        a lagging balancer sends.
+    drain_limit
+        Seconds after which a stopping instance no longer waits for requests.
+    """
+
+    instance: str
+    zone: str
+    caller_address: str
+    operator_address: str
+    peer_address: str
+    platform_address: str
+    peer_key: str
+    operator_digests: dict[str, str]
+    seeds: list[str] = attrs.field(factory=list)
+    drain_grace: float = 5.0
+    drain_limit: float = 600.0
+    log_format: LogFormat = LogFormat.PLAIN
+    log_level: str = 'INFO'
+    assert_invariants: bool = False
+
+
+def load_settings(
+    path: pathlib.Path,
+    environment: Mapping[str, str],
+) -> Result[Settings, list[Problem]]:
+    """Read, override and check a settings file."""
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure([Problem(str(path), 1, '$', f'unreadable: {error}')])
+    document = read_document(text, str(path))
+    return document.bind(lambda read: _settle(read, environment))
+
+
+def _settle(
+    document: Document,
+    environment: Mapping[str, str],
+) -> Result[Settings, list[Problem]]:
+    if not isinstance(document.content, dict):
+        return Failure([document.report('$', 'expected a mapping')])
+    document.content.update(_read_overrides(environment))
+    return structure(document, Settings).bind(
+        lambda settings: _check(settings, document),
+    )
+
+
+def _read_overrides(environment: Mapping[str, str]) -> dict[str, object]:
+    overrides = {}
+    for field in attrs.fields(Settings):
+        text = environment.get(_ENVIRONMENT_PREFIX + field.name.upper())
+        if text is not None:
+            is_text = field.type is str
+            overrides[field.name] = text if is_text else yaml.safe_load(text)
+    return overrides
+
+
+def _check(
+    settings: Settings,
+    document: Document,
+) -> Result[Settings, list[Problem]]:
+    problems = []
+    for name in (
+        'caller_address',
+        'operator_address',
+        'peer_address',
+        'platform_address',
+    ):
+        address = getattr(settings, name)
+        problems.extend(_check_address(document, f'$.{name}', address))
+    for index, seed in enumerate(settings.seeds):
+        problems.extend(_check_address(document, f'$.seeds[{index}]', seed))
+    if len(settings.peer_key) < _MINIMUM_KEY_LENGTH:
+        message = f'must have {_MINIMUM_KEY_LENGTH} characters or more'
+        problems.append(document.report('$.peer_key', message))
+    return Failure(problems) if problems else Success(settings)
+
+
+def _check_address(
+    document: Document,
+    path: str,
+    text: str,
+) -> list[Problem]:
+    try:
+        Address.from_text(text)
+    except AddressError as error:
+        return [document.report(path, str(error))]
+    return []
--- /dev/null
+++ b/src/kelproad/standins/platform.py
@@ -0,0 +1,255 @@
+"""Stand-in for the platform: tables, objects, weights, list of instances.
+
+Switches under ``/control`` bring about outages, slowness and answers that are
+lost after the write took effect.
+"""
+
+import asyncio
+import collections
+from collections.abc import Awaitable, Callable
+
+import attrs
+import msgspec
+from aiohttp import web
+
+from ..protocol.platform import ABSENT, ListedInstance, Listing, Row, Write
+from ..transport.deadlines import monotonic
+
+__all__ = ['Faults', 'PlatformStandIn']
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+_MAX_OBJECT = 32 * 1024 * 1024
+_HANG = 3600.0
+
+
+@attrs.define
+class Faults:
+    """What goes wrong at present.
+
+    Attributes
+    ----------
+    down
+        Every call is refused at once.
+    hang
+        No call is answered.
+    delay
+        Seconds by which every call is late.
+    lose_answers
+        Number of writes still to come that take effect without an answer.
+    lose_writes
+        Number of writes still to come that neither take effect nor answer.
+    """
+
+    down: bool = False
+    hang: bool = False
+    delay: float = 0
+    lose_answers: int = 0
+    lose_writes: int = 0
+
+
+@attrs.frozen
+class _Transaction:
+    writes: list[Write]
+
+
+class PlatformStandIn:
+    """Tables with conditional transactions, objects and a lagging list."""
+
+    def __init__(self, lag: float = 1.0, weight_loads: int = 2) -> None:
+        """Start empty; ``weight_loads`` may be fetched at the same time."""
+        self._tables: dict[str, dict[str, Row]] = collections.defaultdict(dict)
+        self._blobs: dict[str, bytes] = {}
+        self._instances: dict[str, ListedInstance] = {}
+        self._leaving: set[str] = set()
+        self._lag = lag
+        self._listings: list[tuple[float, Listing]] = [
+            (float('-inf'), Listing([])),
+        ]
+        self._weights = asyncio.Semaphore(weight_loads)
+        self.faults = Faults()
+        self.calls: collections.Counter[str] = collections.Counter()
+
+    def create_application(self) -> web.Application:
+        """Build the application to serve."""
+        application = web.Application(
+            client_max_size=_MAX_OBJECT,
+            middlewares=[self._apply_faults],
+        )
+        application.add_routes(
+            [
+                web.post('/tables/transact', self._transact),
+                web.get('/tables/{table}/row', self._read_row),
+                web.get('/tables/{table}/rows', self._scan_rows),
+                web.put('/objects/{key:.+}', self._put_object),
+                web.get('/objects/{key:.+}', self._get_object),
+                web.get('/members', self._list_instances),
+                web.get('/weights/{model}/{version}', self._fetch_weights),
+                web.put('/control/members/{name}', self._put_member),
+                web.delete('/control/members/{name}', self._drop_member),
+                web.put('/control/leaving/{name}', self._put_leaving),
+                web.put('/control/faults', self._put_faults),
+                web.get('/control/calls', self._show_calls),
+                web.get('/control/rows/{table}', self._show_rows),
+            ],
+        )
+        return application
+
+    @web.middleware
+    async def _apply_faults(
+        self,
+        http_request: web.Request,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        if http_request.path.startswith('/control'):
+            return await handler(http_request)
+        self.calls[f'{http_request.method} {http_request.path}'] += 1
+        faults = self.faults
+        if faults.down:
+            return web.Response(status=503, text='outage')
+        if faults.hang:
+            await asyncio.sleep(_HANG)
+        if faults.delay:
+            await asyncio.sleep(faults.delay)
+        if http_request.method == 'GET':
+            return await handler(http_request)
+        return await self._write_with_faults(http_request, handler)
+
+    async def _write_with_faults(
+        self,
+        http_request: web.Request,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        faults = self.faults
+        if faults.lose_writes > 0:
+            faults.lose_writes -= 1
+            http_request.transport.abort()
+        answer = await handler(http_request)
+        if faults.lose_answers > 0:
+            faults.lose_answers -= 1
+            http_request.transport.abort()
+        return answer
+
+    # Tables
+
+    async def _transact(self, http_request: web.Request) -> web.Response:
+        transaction = msgspec.json.decode(
+            await http_request.read(),
+            type=_Transaction,
+        )
+        conflicts = [
+            write.key for write in transaction.writes if not self._holds(write)
+        ]
+        if conflicts:
+            return web.json_response({'conflicts': conflicts}, status=409)
+        for write in transaction.writes:
+            self._write(write)
+        return web.json_response({})
+
+    def _holds(self, write: Write) -> bool:
+        row = self._tables[write.table].get(write.key)
+        version = row.version if row else ABSENT
+        return write.expect is None or write.expect == version
+
+    def _write(self, write: Write) -> None:
+        table = self._tables[write.table]
+        if write.body is None:
+            table.pop(write.key, None)
+            return
+        row = table.get(write.key)
+        version = row.version + 1 if row else 1
+        table[write.key] = Row(write.key, version, write.body)
+
+    async def _read_row(self, http_request: web.Request) -> web.Response:
+        table = self._tables[http_request.match_info['table']]
+        row = table.get(http_request.query['key'])
+        return _answer_rows([row] if row else [])
+
+    async def _scan_rows(self, http_request: web.Request) -> web.Response:
+        query = http_request.query
+        prefix, after = query.get('prefix', ''), query.get('after', '')
+        table = self._tables[http_request.match_info['table']]
+        keys = sorted(
+            key for key in table if key.startswith(prefix) and key > after
+        )
+        wanted = keys[: int(query.get('limit', '500'))]
+        return _answer_rows([table[key] for key in wanted])
+
+    # Objects and weights
+
+    async def _put_object(self, http_request: web.Request) -> web.Response:
+        key = http_request.match_info['key']
+        self._blobs[key] = await http_request.read()
+        return web.json_response({})
+
+    async def _get_object(self, http_request: web.Request) -> web.Response:
+        body = self._blobs.get(http_request.match_info['key'])
+        if body is None:
+            return web.Response(status=404)
+        return web.Response(body=body)
+
+    async def _fetch_weights(self, http_request: web.Request) -> web.Response:
+        if self._weights.locked():
+            return web.Response(status=429, headers={'Retry-After': '1'})
+        async with self._weights:
+            await asyncio.sleep(float(http_request.query.get('seconds', '0.2')))
+        return web.json_response({})
+
+    # Instances
+
+    async def _list_instances(self, _http_request: web.Request) -> web.Response:
+        visible = monotonic() - self._lag
+        shown = [
+            listing for since, listing in self._listings if since <= visible
+        ]
+        return _answer(shown[-1])
+
+    async def _put_member(self, http_request: web.Request) -> web.Response:
+        instance = msgspec.json.decode(
+            await http_request.read(),
+            type=ListedInstance,
+        )
+        self._instances[instance.name] = instance
+        return self._change_listing()
+
+    async def _drop_member(self, http_request: web.Request) -> web.Response:
+        self._instances.pop(http_request.match_info['name'], None)
+        return self._change_listing()
+
+    async def _put_leaving(self, http_request: web.Request) -> web.Response:
+        self._leaving.add(http_request.match_info['name'])
+        return self._change_listing()
+
+    def _change_listing(self) -> web.Response:
+        listing = Listing(
+            list(self._instances.values()),
+            sorted(self._leaving),
+        )
+        self._listings.append((monotonic(), listing))
+        return web.json_response({})
+
+    # Switches
+
+    async def _put_faults(self, http_request: web.Request) -> web.Response:
+        self.faults = msgspec.json.decode(
+            await http_request.read(),
+            type=Faults,
+        )
+        return web.json_response({})
+
+    async def _show_calls(self, _http_request: web.Request) -> web.Response:
+        return web.json_response(dict(self.calls))
+
+    async def _show_rows(self, http_request: web.Request) -> web.Response:
+        table = self._tables[http_request.match_info['table']]
+        return _answer_rows(list(table.values()))
+
+
+def _answer_rows(rows: list[Row]) -> web.Response:
+    return _answer({'rows': rows})
+
+
+def _answer(content: object) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(content),
+        content_type='application/json',
+    )
--- /dev/null
+++ b/src/kelproad/standins/service.py
@@ -0,0 +1,79 @@
+"""Stand-in for a plain service, such as the book of logged test runs.
+
+It counts the effects of each call by the caller's own reference, so that a
+test can see whether work ran twice.
+"""
+
+import asyncio
+import collections
+
+import attrs
+import msgspec
+from aiohttp import web
+
+__all__ = ['ServiceStandIn']
+
+
+@attrs.define
+class _Faults:
+    """What goes wrong at present.
+
+    Attributes
+    ----------
+    delay
+        Seconds between the effect and the answer.
+    lose_answers
+        Number of calls still to come that take effect without an answer.
+    refuse
+        Number of calls still to come that are refused before any effect.
+    """
+
+    delay: float = 0
+    lose_answers: int = 0
+    refuse: int = 0
+
+
+class ServiceStandIn:
+    """Books entries and tells how often each was booked."""
+
+    def __init__(self) -> None:
+        """Start with an empty book."""
+        self._effects: collections.Counter[str] = collections.Counter()
+        self._faults = _Faults()
+
+    def create_application(self) -> web.Application:
+        """Build the application to serve."""
+        application = web.Application()
+        application.add_routes(
+            [
+                web.get('/entries', self._list_entries),
+                web.post('/entries', self._book),
+                web.put('/entries/{name}', self._book),
+                web.put('/control/faults', self._put_faults),
+            ],
+        )
+        return application
+
+    async def _list_entries(self, _http_request: web.Request) -> web.Response:
+        return web.json_response(dict(self._effects))
+
+    async def _book(self, http_request: web.Request) -> web.Response:
+        faults = self._faults
+        if faults.refuse > 0:
+            faults.refuse -= 1
+            return web.json_response({'booked': False}, status=503)
+        body = msgspec.json.decode(await http_request.read(), type=dict)
+        reference = str(body['reference'])
+        self._effects[reference] += 1
+        if faults.lose_answers > 0:
+            faults.lose_answers -= 1
+            http_request.transport.abort()
+        await asyncio.sleep(faults.delay)
+        return web.json_response({'booked': True, 'reference': reference})
+
+    async def _put_faults(self, http_request: web.Request) -> web.Response:
+        self._faults = msgspec.json.decode(
+            await http_request.read(),
+            type=_Faults,
+        )
+        return web.json_response({})
--- /dev/null
+++ b/src/kelproad/state/configuration.py
@@ -0,0 +1,329 @@
+"""The configuration that operators declare, and the snapshot in force.
+
+An operator's file is the unit of change.  A snapshot is the union of all
+files at one revision; it is immutable, so a request keeps the one that
+admitted it until the request ends.
+"""
+
+import enum
+from typing import Self
+
+import attrs
+
+from . import invariants
+
+__all__ = [
+    'AppliedFile',
+    'Deadline',
+    'Delivery',
+    'Deployment',
+    'EndpointDeclaration',
+    'EndpointGroup',
+    'EndpointKind',
+    'Fencing',
+    'FileContent',
+    'Limits',
+    'Objective',
+    'Service',
+    'ServiceKind',
+    'Snapshot',
+    'SnapshotHolder',
+    'Workspace',
+]
+
+
+class ServiceKind(enum.StrEnum):
+    """What stands behind a service."""
+
+    MODEL = 'model'
+    PLAIN = 'plain'
+
+
+class EndpointKind(enum.StrEnum):
+    """What an endpoint speaks."""
+
+    ENGINE = 'engine'
+    PLAIN = 'plain'
+
+
+class Delivery(enum.StrEnum):
+    """How an answer reaches the caller."""
+
+    STREAM = 'stream'
+    WHOLE = 'whole'
+
+
+class Fencing(enum.StrEnum):
+    """What an engine does with an order that has an old fencing token."""
+
+    ENFORCED = 'enforced'
+    IGNORED = 'ignored'
+
+
+@attrs.frozen
+class Deadline:
+    """Bounds on a request's time, in seconds."""
+
+    default: float = 60.0
+    maximum: float = 600.0
+
+
+@attrs.frozen
+class Objective:
+    """Relative weights of the two measures that routing trades.
+
+    Attributes
+    ----------
+    slowdown
+        Weight of the slowdown of short requests by long ones.
+    first_token
+        Weight of the time to first token of every request.
+    """
+
+    slowdown: float = 0.5
+    first_token: float = 0.5
+
+
+@attrs.frozen
+class Deployment:
+    """What holds for the whole site."""
+
+    name: str
+    zones: list[str]
+    objective: Objective = attrs.field(factory=Objective)
+
+
+@attrs.frozen
+class Service:
+    """Something that callers ask for by name.
+
+    Attributes
+    ----------
+    kind
+        Model engines or plain HTTP endpoints.
+    model
+        Model that the engines must serve; empty for plain services.
+    version
+        Version of the model that the engines are to run; empty for any.
+    idempotent
+        Whether a call may be repeated; left out, a model service's may and a
+        plain service's may not.  GET and HEAD always may.
+    bytes_per_token
+        Divisor of the prompt-length estimate for this model.
+    """
+
+    name: str
+    kind: ServiceKind
+    endpoint_groups: list[str]
+    model: str = ''
+    version: str = ''
+    idempotent: bool | None = None
+    delivery: Delivery = Delivery.STREAM
+    deadline: Deadline = attrs.field(factory=Deadline)
+    bytes_per_token: float = 4.0
+    max_body_bytes: int = 16_777_216
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether work that may have run may be run again."""
+        if self.idempotent is None:
+            return self.kind is ServiceKind.MODEL
+        return self.idempotent
+
+
+@attrs.frozen
+class Limits:
+    """Bounds on a workspace's use; ``None`` means unlimited."""
+
+    requests_per_second: float | None = None
+    tokens_per_second: float | None = None
+    tokens_in_flight: int | None = None
+
+
+@attrs.frozen
+class Workspace:
+    """A customer of the site.
+
+    Attributes
+    ----------
+    key_digests
+        SHA-256 digests, in hexadecimal, of the API keys that belong to it.
+    weight
+        Relative share of the site under contention.
+    """
+
+    name: str
+    key_digests: list[str]
+    services: list[str]
+    limits: Limits = attrs.field(factory=Limits)
+    weight: float = 1.0
+
+
+@attrs.frozen
+class EndpointDeclaration:
+    """One back end at a fixed address (``IP:port``)."""
+
+    name: str
+    zone: str
+    address: str
+    leaving: bool = False
+
+
+@attrs.frozen
+class EndpointGroup:
+    """Endpoints that are alike.
+
+    Attributes
+    ----------
+    honours_priorities
+        Whether the engines schedule by the priority that is sent to them.
+    memory_tokens
+        Tokens of KV cache that one engine holds; the largest prompt it can
+        serve.
+    """
+
+    name: str
+    kind: EndpointKind
+    endpoints: list[EndpointDeclaration]
+    fencing: Fencing = Fencing.ENFORCED
+    honours_priorities: bool = True
+    memory_tokens: int = 400_000
+    prefill_tokens_per_second: float = 15_000.0
+
+
+@attrs.frozen
+class FileContent:
+    """What one operator's file declares."""
+
+    name: str
+    deployment: Deployment | None = None
+    services: list[Service] = attrs.field(factory=list)
+    workspaces: list[Workspace] = attrs.field(factory=list)
+    endpoint_groups: list[EndpointGroup] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class AppliedFile:
+    """A file as accepted, with the generation and revision it got.
+
+    A removed file stays as one without text or content, so that instances
+    that are behind hear of the removal.
+    """
+
+    name: str
+    generation: int
+    revision: int
+    digest: str
+    text: str
+    content: FileContent | None
+
+
+@attrs.frozen
+class Snapshot:
+    """All files in force at one revision, indexed for the request path."""
+
+    revision: int
+    files: dict[str, AppliedFile]
+    deployment: Deployment | None
+    services: dict[str, Service]
+    models: dict[str, Service]
+    workspaces: dict[str, Workspace]
+    workspaces_by_digest: dict[str, Workspace]
+    groups: dict[str, EndpointGroup]
+
+    @classmethod
+    def from_files(
+        cls,
+        revision: int,
+        files: dict[str, AppliedFile],
+    ) -> Self:
+        """Index the declarations of all files."""
+        contents = [
+            applied.content for applied in files.values() if applied.content
+        ]
+        services = {
+            service.name: service
+            for content in contents
+            for service in content.services
+        }
+        workspaces = {
+            workspace.name: workspace
+            for content in contents
+            for workspace in content.workspaces
+        }
+        deployments = [
+            content.deployment for content in contents if content.deployment
+        ]
+        return cls(
+            revision=revision,
+            files=files,
+            deployment=deployments[0] if deployments else None,
+            services=services,
+            models={
+                service.model: service
+                for service in services.values()
+                if service.kind is ServiceKind.MODEL
+            },
+            workspaces=workspaces,
+            workspaces_by_digest={
+                digest: workspace
+                for workspace in workspaces.values()
+                for digest in workspace.key_digests
+            },
+            groups={
+                group.name: group
+                for content in contents
+                for group in content.endpoint_groups
+            },
+        )
+
+    @classmethod
+    def empty(cls) -> Self:
+        """Build the snapshot of an instance that has adopted nothing yet."""
+        return cls.from_files(0, {})
+
+    def changed_after(self, revision: int) -> list[AppliedFile]:
+        """List the files whose newest version is above a revision."""
+        return [
+            applied
+            for applied in self.files.values()
+            if applied.revision > revision
+        ]
+
+    def contents(self) -> dict[str, FileContent]:
+        """Return the content of every file in force by file name."""
+        return {
+            name: applied.content
+            for name, applied in self.files.items()
+            if applied.content
+        }
+
+    def groups_of(self, service: Service) -> list[EndpointGroup]:
+        """List the endpoint groups behind a service."""
+        return [self.groups[name] for name in service.endpoint_groups]
+
+
+class SnapshotHolder:
+    """The snapshot in force in this process."""
+
+    def __init__(self) -> None:
+        """Start with nothing adopted."""
+        self.current = Snapshot.empty()
+
+    def adopt(self, snapshot: Snapshot) -> bool:
+        """Put a newer snapshot in force; refuse an older or equal one.
+
+        A late message, a slow store reply or a peer that was cut off may offer
+        a revision that is not above the one in force.  Adopting it would
+        revert an accepted configuration, so only a higher one is taken.
+        """
+        if snapshot.revision <= self.current.revision:
+            return False
+        previous = self.current.revision
+        self.current = snapshot
+        invariants.check(
+            self.current.revision > previous,
+            'configuration_never_reverts',
+            f'{previous} -> {snapshot.revision}',
+        )
+        return True
--- /dev/null
+++ b/src/kelproad/state/counters.py
@@ -0,0 +1,75 @@
+"""Counters of this process, kept in one registry.
+
+Counters come before log lines: what happens often is counted here and only a
+change of state is logged.
+"""
+
+from aioprometheus import Counter, Gauge, Registry
+
+__all__ = ['Counters']
+
+
+class Counters:
+    """Every counter and gauge that the process publishes."""
+
+    def __init__(self) -> None:
+        """Register all metrics."""
+        self.registry = Registry()
+        self.requests = self._counter(
+            'kelproad_requests_total',
+            'Requests that got a final answer, by service and outcome.',
+        )
+        self.refusals = self._counter(
+            'kelproad_refusals_total',
+            'Requests refused, by step, code and whether they ran.',
+        )
+        self.attempts = self._counter(
+            'kelproad_attempts_total',
+            'Dispatches to endpoints, by endpoint group and outcome.',
+        )
+        self.events_dropped = self._counter(
+            'kelproad_events_dropped_total',
+            'Stream events not passed on, by reason.',
+        )
+        self.streams_resumed = self._counter(
+            'kelproad_streams_resumed_total',
+            'Broken streams taken up again, by way.',
+        )
+        self.claims = self._counter(
+            'kelproad_claims_total',
+            'Idempotency claims, by outcome.',
+        )
+        self.store_calls = self._counter(
+            'kelproad_store_calls_total',
+            'Calls to the platform, by operation and outcome.',
+        )
+        self.peer_messages = self._counter(
+            'kelproad_peer_messages_total',
+            'Messages between instances, by direction and outcome.',
+        )
+        self.peer_bytes = self._counter(
+            'kelproad_peer_bytes_total',
+            'Bytes of messages between instances, by direction.',
+        )
+        self.adoptions = self._counter(
+            'kelproad_configuration_adoptions_total',
+            'Configuration revisions offered, by source and outcome.',
+        )
+        self.cancels = self._counter(
+            'kelproad_cancels_total',
+            'Releases of engine memory, by reason and outcome.',
+        )
+        self.operator_calls = self._counter(
+            'kelproad_operator_calls_total',
+            'Calls of the operator API, by outcome.',
+        )
+        self.in_progress = self._gauge(
+            'kelproad_requests_in_progress',
+            'Requests admitted that have no final answer yet.',
+        )
+
+    def _counter(self, name: str, doc: str) -> Counter:
+        return Counter(name, doc, registry=self.registry)
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        return Gauge(name, doc, registry=self.registry)
--- /dev/null
+++ b/src/kelproad/state/refusals.py
@@ -0,0 +1,116 @@
+"""Refusals: the expected errors that a caller, operator or layer is told.
+
+A refusal says at which step and at which peer it arose, and, for a request,
+whether the work was run.  ``Ran.NO`` is a promise: the work has not been run
+and never will be by this process.
+"""
+
+import enum
+import types
+
+import attrs
+
+__all__ = ['Ran', 'Refusal', 'RefusalCode', 'Step']
+
+
+class Ran(enum.StrEnum):
+    """Whether the refused request was executed by an endpoint."""
+
+    NO = 'no'  # noqa: WPS110  the answer to a question
+    YES = 'yes'
+    UNKNOWN = 'unknown'
+
+
+class Step(enum.StrEnum):
+    """The step of a request, or of a control action, that failed."""
+
+    RECEIVE = 'receive'
+    AUTHENTICATE = 'authenticate'
+    ADMIT = 'admit'
+    CLAIM = 'claim'
+    ROUTE = 'route'
+    CONNECT = 'connect'
+    DISPATCH = 'dispatch'
+    RELAY = 'relay'
+    STORE = 'store'
+    CONFIGURE = 'configure'
+    ORDER = 'order'
+
+
+class RefusalCode(enum.StrEnum):
+    """Machine-readable reason; each maps to one HTTP status."""
+
+    BAD_REQUEST = 'bad_request'
+    UNAUTHENTICATED = 'unauthenticated'
+    FORBIDDEN = 'forbidden'
+    NOT_FOUND = 'not_found'
+    TOO_LARGE = 'too_large'
+    LIMIT_EXCEEDED = 'limit_exceeded'
+    NO_CAPACITY = 'no_capacity'
+    NOT_READY = 'not_ready'
+    CLAIM_UNRECORDED = 'claim_unrecorded'
+    KEY_IN_PROGRESS = 'key_in_progress'
+    KEY_REUSED = 'key_reused'
+    OUTCOME_UNKNOWN = 'outcome_unknown'
+    ENDPOINT_FAILED = 'endpoint_failed'
+    DEADLINE_EXCEEDED = 'deadline_exceeded'
+    CONFLICT = 'conflict'
+    UNAVAILABLE = 'unavailable'
+    INVALID = 'invalid'
+
+    @property
+    def status(self) -> int:
+        """HTTP status code with which the refusal is answered."""
+        return _STATUS[self]
+
+
+_STATUS = types.MappingProxyType(
+    {
+        RefusalCode.BAD_REQUEST: 400,
+        RefusalCode.UNAUTHENTICATED: 401,
+        RefusalCode.FORBIDDEN: 403,
+        RefusalCode.NOT_FOUND: 404,
+        RefusalCode.TOO_LARGE: 413,
+        RefusalCode.LIMIT_EXCEEDED: 429,
+        RefusalCode.NO_CAPACITY: 503,
+        RefusalCode.NOT_READY: 503,
+        RefusalCode.CLAIM_UNRECORDED: 503,
+        RefusalCode.KEY_IN_PROGRESS: 409,
+        RefusalCode.KEY_REUSED: 422,
+        RefusalCode.OUTCOME_UNKNOWN: 409,
+        RefusalCode.ENDPOINT_FAILED: 502,
+        RefusalCode.DEADLINE_EXCEEDED: 504,
+        RefusalCode.CONFLICT: 409,
+        RefusalCode.UNAVAILABLE: 503,
+        RefusalCode.INVALID: 400,
+    }
+)
+
+
+@attrs.frozen
+class Refusal:
+    """An expected error, with where it arose.
+
+    Attributes
+    ----------
+    code
+        Machine-readable reason.
+    message
+        One sentence for a person.
+    step
+        The step that failed.
+    peer
+        Name or address of the other side, empty when there was none.
+    ran
+        Whether the request's work was executed.
+    retry_after
+        Seconds after which trying again makes sense; ``None`` when it never
+        does.
+    """
+
+    code: RefusalCode
+    message: str
+    step: Step
+    peer: str = ''
+    ran: Ran = Ran.NO
+    retry_after: float | None = None
--- /dev/null
+++ b/src/kelproad/state/requests.py
@@ -0,0 +1,133 @@
+"""Requests in progress, and the recent decisions about them."""
+
+import collections
+import enum
+from typing import Self
+
+import attrs
+
+from .configuration import Service, Snapshot, Workspace
+
+__all__ = ['Decision', 'DecisionLog', 'Phase', 'Request', 'RequestTable']
+
+#: Number of ended requests that ``explain`` can still tell about.
+DECISIONS_KEPT = 2000
+
+
+class Phase(enum.StrEnum):
+    """How far a request has come."""
+
+    ADMITTED = 'admitted'
+    DISPATCHED = 'dispatched'
+    ANSWERING = 'answering'
+    ENDED = 'ended'
+
+
+@attrs.define
+class Request:
+    """One caller's request while it is in progress.
+
+    Attributes
+    ----------
+    deadline
+        Monotonic time by which the caller must have its final answer.
+    prompt_tokens
+        Estimated length of the prompt.
+    attempts
+        Number of dispatches so far.
+    """
+
+    request_id: str
+    workspace: Workspace
+    service: Service
+    snapshot: Snapshot
+    prompt_tokens: int
+    deadline: float
+    arrived: float
+    phase: Phase = Phase.ADMITTED
+    attempts: int = 0
+    idempotency_key: str = ''
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether work that may have run may be dispatched once more."""
+        return self.service.may_repeat and not self.idempotency_key
+
+    def next_attempt_id(self) -> str:
+        """Give a new dispatch an id that no other one has."""
+        self.attempts += 1
+        return f'{self.request_id}-{self.attempts}'
+
+    def remaining(self, now: float) -> float:
+        """Return the seconds left until the deadline, negative if past."""
+        return self.deadline - now
+
+
+@attrs.define
+class Decision:
+    """Why a request went where it went, or was refused."""
+
+    request_id: str
+    workspace: str
+    service: str
+    prompt_tokens: int = 0
+    steps: list[dict[str, object]] = attrs.field(factory=list)
+
+    @classmethod
+    def from_request(cls, request: Request) -> Self:
+        """Open the record of a request."""
+        return cls(
+            request_id=request.request_id,
+            workspace=request.workspace.name,
+            service=request.service.name,
+            prompt_tokens=request.prompt_tokens,
+        )
+
+    def note(self, step: str, **details: object) -> None:
+        """Add what was decided at a step."""
+        self.steps.append({'step': step, **details})
+
+
+class DecisionLog:
+    """The last decisions, oldest dropped first."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._decisions: collections.OrderedDict[str, Decision] = (
+            collections.OrderedDict()
+        )
+
+    def open(self, decision: Decision) -> None:
+        """Remember a decision from now on."""
+        self._decisions[decision.request_id] = decision
+        while len(self._decisions) > DECISIONS_KEPT:
+            self._decisions.popitem(last=False)
+
+    def get(self, request_id: str) -> Decision | None:
+        """Find the decision about a request."""
+        return self._decisions.get(request_id)
+
+
+class RequestTable:
+    """Requests in progress in this process."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._requests: dict[str, Request] = {}
+
+    def __len__(self) -> int:
+        """Count the requests in progress."""
+        return len(self._requests)
+
+    def add(self, request: Request) -> None:
+        """Enter a request that was admitted."""
+        self._requests[request.request_id] = request
+
+    def remove(self, request: Request) -> None:
+        """Drop a request that has its final answer."""
+        request.phase = Phase.ENDED
+        self._requests.pop(request.request_id, None)
+
+    def all(self) -> list[Request]:
+        """List the requests in progress."""
+        return list(self._requests.values())
--- /dev/null
+++ b/src/kelproad/transport/addresses.py
@@ -0,0 +1,58 @@
+"""Network addresses as settings and configuration write them.
+
+Peers and endpoints are reached by IP number, never by name, so that no
+resolver stands between the instances of a site.
+"""
+
+import ipaddress
+from typing import Self
+
+import attrs
+
+__all__ = ['Address', 'AddressError']
+
+_HIGHEST_PORT = 65535
+
+
+class AddressError(ValueError):
+    """The text is not ``IP:port``."""
+
+
+@attrs.frozen
+class Address:
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def from_text(cls, text: str) -> Self:
+        """Parse ``IP:port`` or ``[IPv6]:port``.
+
+        Raises
+        ------
+        AddressError
+            When the host is not an IP number or the port not in 1 to 65535.
+        """
+        host, separator, port = text.rpartition(':')
+        host = host.removeprefix('[').removesuffix(']')
+        if not separator or not port.isascii() or not port.isdigit():
+            raise AddressError(f'{text!r} is not IP:port')
+        if not 1 <= int(port) <= _HIGHEST_PORT:
+            raise AddressError(f'{text!r} has a port outside 1 to 65535')
+        try:
+            ipaddress.ip_address(host)
+        except ValueError:
+            raise AddressError(f'{text!r} does not start with an IP number')
+        return cls(host=host, port=int(port))
+
+    @property
+    def authority(self) -> str:
+        """The address as it stands in a URL."""
+        host = f'[{self.host}]' if ':' in self.host else self.host
+        return f'{host}:{self.port}'
+
+    @property
+    def url(self) -> str:
+        """The address as the base of an HTTP URL."""
+        return f'http://{self.authority}'
--- /dev/null
+++ b/src/kelproad/transport/deadlines.py
@@ -0,0 +1,22 @@
+"""Bounding a wait by a deadline on the monotonic clock."""
+
+import asyncio
+import time
+
+__all__ = ['monotonic', 'within']
+
+#: The clock of all deadlines; unaffected by changes of the wall clock.
+monotonic = time.monotonic
+
+
+def within(deadline: float) -> asyncio.Timeout:
+    """Bound the waits of an ``async with`` block.
+
+    Parameters
+    ----------
+    deadline
+        Monotonic time, in seconds, at which the block is interrupted with
+        ``TimeoutError``.
+    """
+    loop = asyncio.get_running_loop()
+    return asyncio.timeout_at(loop.time() + max(0, deadline - monotonic()))
--- /dev/null
+++ b/src/kelproad/transport/http.py
@@ -0,0 +1,104 @@
+"""HTTP servers and client sessions, by aiohttp.
+
+One place sets what every connection of the system has in common: no
+redirects followed, no proxy taken from the environment, bounded headers.
+"""
+
+import socket
+
+import aiohttp
+from aiohttp import web
+
+from .addresses import Address
+from .services import BackgroundService
+
+__all__ = ['HttpServer', 'create_fresh_session', 'create_session']
+
+#: A caller's header block and request line may not be larger than this.
+MAX_HEADER_BYTES = 16_384
+_KEEPALIVE_SECONDS = 30.0
+_BACKLOG = 1024
+
+
+class HttpServer(BackgroundService):
+    """An HTTP server on one address, started and stopped with its owner."""
+
+    abstract = False
+
+    def __init__(self, application: web.Application, address: Address) -> None:
+        """Prepare to serve an application; nothing listens until started."""
+        super().__init__()
+        self._application = application
+        self._address = address
+        self._runner: web.AppRunner | None = None
+
+    async def on_start(self) -> None:
+        """Listen; connections are accepted from here on."""
+        self._runner = web.AppRunner(
+            self._application,
+            access_log=None,
+            # A caller that goes away must free the engine it occupies.
+            handler_cancellation=True,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            keepalive_timeout=_KEEPALIVE_SECONDS,
+            shutdown_timeout=1.0,
+        )
+        await self._runner.setup()
+        site = web.SockSite(
+            self._runner,
+            _listen(self._address),
+            backlog=_BACKLOG,
+        )
+        await site.start()
+
+    async def on_stop(self) -> None:
+        """Close the listening socket and the connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+
+def create_session(**options: object) -> aiohttp.ClientSession:
+    """Open a client session that keeps connections between requests."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0,
+            use_dns_cache=False,
+            keepalive_timeout=_KEEPALIVE_SECONDS,
+        ),
+        timeout=aiohttp.ClientTimeout(total=None),
+        auto_decompress=False,
+        trust_env=False,
+        **options,
+    )
+
+
+def create_fresh_session(**options: object) -> aiohttp.ClientSession:
+    """Open a client session that uses each connection once.
+
+    aiohttp sends a PUT or DELETE again by itself when a kept connection turns
+    out to be closed.  The first sending may have been executed, so work that
+    must not be repeated never goes over a kept connection.
+    """
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0,
+            use_dns_cache=False,
+            force_close=True,
+        ),
+        timeout=aiohttp.ClientTimeout(total=None),
+        auto_decompress=False,
+        trust_env=False,
+        **options,
+    )
+
+
+def _listen(address: Address) -> socket.socket:
+    family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Several processes of one instance may share the address; the platform's
+    # process manager starts them, never this program.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    listener.bind((address.host, address.port))
+    return listener
--- /dev/null
+++ b/testbed/processes.py
@@ -0,0 +1,109 @@
+"""Starting, signalling and ending one process of the site."""
+
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+from urllib import error, request
+
+__all__ = ['Process', 'find_free_address', 'wait_until_answering']
+
+_STOP_SECONDS = 30.0
+_POLL_SECONDS = 0.05
+
+
+def find_free_address() -> str:
+    """Find a loopback address that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        host, port = probe.getsockname()
+    return f'{host}:{port}'
+
+
+def wait_until_answering(url: str, seconds: float = 20.0) -> None:
+    """Wait until a URL answers with success.
+
+    Raises
+    ------
+    TimeoutError
+        When it does not within the time.
+    """
+    opener = request.build_opener(request.ProxyHandler({}))
+    limit = time.monotonic() + seconds
+    last: Exception | None = None
+    while time.monotonic() < limit:
+        try:
+            with opener.open(url, timeout=2):
+                return
+        except (OSError, error.HTTPError) as failure:
+            last = failure
+        time.sleep(_POLL_SECONDS)
+    raise TimeoutError(f'{url} does not answer: {last}')
+
+
+class Process:
+    """One process of the command line."""
+
+    def __init__(
+        self,
+        name: str,
+        arguments: list[str],
+        directory: pathlib.Path,
+        environment: dict[str, str] | None = None,
+    ) -> None:
+        """Start it; its output goes to a file in the directory."""
+        self.name = name
+        self.log = directory / f'{name}.log'
+        with self.log.open('ab') as output:
+            self._process = subprocess.Popen(
+                [sys.executable, '-m', 'kelproad', *arguments],
+                stdout=output,
+                stderr=output,
+                stdin=subprocess.DEVNULL,
+                env={**os.environ, **(environment or {})},
+            )
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self._process.pid
+
+    @property
+    def running(self) -> bool:
+        """Whether it has not ended."""
+        return self._process.poll() is None
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to it."""
+        self._process.send_signal(number)
+
+    def freeze(self) -> None:
+        """Stop it from running, as a long pause does."""
+        self.send_signal(signal.SIGSTOP)
+
+    def wake(self) -> None:
+        """Let a frozen process run on."""
+        self.send_signal(signal.SIGCONT)
+
+    def kill(self) -> None:
+        """End it without any warning."""
+        self._process.kill()
+        self._process.wait()
+
+    def wait(self, seconds: float) -> int:
+        """Wait for its end and return the exit code."""
+        return self._process.wait(seconds)
+
+    def stop(self) -> None:
+        """End it in the ordinary way, by force if that takes too long."""
+        if not self.running:
+            return
+        self.wake()
+        self._process.terminate()
+        try:
+            self._process.wait(_STOP_SECONDS)
+        except subprocess.TimeoutExpired:
+            self.kill()
--- /dev/null
+++ b/testbed/site.py
@@ -0,0 +1,319 @@
+"""A site on loopback: platform, endpoints and instances of three zones."""
+
+import collections
+import contextlib
+import hashlib
+import json
+import pathlib
+from collections.abc import Iterator
+from typing import Self
+from urllib import error, request
+
+import attrs
+import yaml
+
+from .processes import Process, find_free_address, wait_until_answering
+
+__all__ = ['CallError', 'InstanceProcess', 'Site', 'SitePlan', 'start_site']
+
+PEER_KEY = 'a-shared-key-of-the-test-site'
+OPERATOR_TOKEN = 'operator-token-of-the-test-site'
+_APPLY_SECONDS = 20
+
+
+class CallError(Exception):
+    """A call was answered with an error status."""
+
+    def __init__(self, status: int, body: str) -> None:
+        """Keep the status and the answer's text."""
+        super().__init__(f'{status}: {body}')
+        self.status = status
+        self.body = body
+
+
+@attrs.frozen
+class SitePlan:
+    """What to start.
+
+    Attributes
+    ----------
+    example
+        Folder with the operators' files; their addresses are replaced by
+        free loopback ones.
+    instances_per_zone
+        Entry instances in each zone.
+    endpoints_per_group
+        How many endpoints of each group to keep; ``None`` for all.
+    engine_settings
+        Settings of every stand-in engine.
+    instance_settings
+        Settings laid over those of every instance.
+    """
+
+    example: pathlib.Path
+    instances_per_zone: int = 1
+    endpoints_per_group: int | None = None
+    engine_settings: dict[str, object] = attrs.field(factory=dict)
+    instance_settings: dict[str, object] = attrs.field(factory=dict)
+    lag: float = 0.5
+
+
+@attrs.define
+class InstanceProcess:
+    """An entry instance and where it listens."""
+
+    name: str
+    zone: str
+    caller: str
+    operator: str
+    peer: str
+    settings: pathlib.Path
+    process: Process | None = None
+
+
+@attrs.define
+class Site:
+    """The running processes of a site."""
+
+    directory: pathlib.Path
+    platform_address: str
+    plan: SitePlan
+    platform: Process | None = None
+    instances: list[InstanceProcess] = attrs.field(factory=list)
+    endpoints: dict[str, Process] = attrs.field(factory=dict)
+    addresses: dict[str, str] = attrs.field(factory=dict)
+    files: list[pathlib.Path] = attrs.field(factory=list)
+
+    @classmethod
+    def from_plan(cls, plan: SitePlan, directory: pathlib.Path) -> Self:
+        """Plan a site whose files go into a directory."""
+        return cls(directory, find_free_address(), plan)
+
+    @property
+    def callers(self) -> list[str]:
+        """Addresses on which the instances take callers."""
+        return [instance.caller for instance in self.instances]
+
+    def start(self) -> None:
+        """Start everything and apply the operators' files."""
+        self.platform = Process(
+            'platform',
+            [
+                'stand-in',
+                'platform',
+                '--address',
+                self.platform_address,
+                '--lag',
+                str(self.plan.lag),
+            ],
+            self.directory,
+        )
+        wait_until_answering(f'http://{self.platform_address}/members')
+        contents = self._write_files()
+        self._start_endpoints(contents)
+        for zone in _find_zones(contents):
+            for number in range(1, self.plan.instances_per_zone + 1):
+                self.add_instance(f'{zone}-{number}', zone)
+        for instance in self.instances:
+            wait_until_answering(f'http://{instance.caller}/healthz')
+        for path in self.files:
+            self.apply(path)
+        self.wait_ready()
+
+    def add_instance(self, name: str, zone: str) -> InstanceProcess:
+        """Start an entry instance and enter it into the platform's list."""
+        instance = InstanceProcess(
+            name,
+            zone,
+            find_free_address(),
+            find_free_address(),
+            find_free_address(),
+            self.directory / f'{name}.yaml',
+        )
+        settings = {
+            'instance': name,
+            'zone': zone,
+            'caller_address': instance.caller,
+            'operator_address': instance.operator,
+            'peer_address': instance.peer,
+            'platform_address': self.platform_address,
+            'peer_key': PEER_KEY,
+            'operator_digests': {'ops': _digest(OPERATOR_TOKEN)},
+            'assert_invariants': True,
+            'drain_grace': 0.5,
+            **self.plan.instance_settings,
+        }
+        instance.settings.write_text(yaml.safe_dump(settings))
+        self.instances.append(instance)
+        self.start_instance(instance)
+        listed = {'name': name, 'zone': zone, 'peer_address': instance.peer}
+        self.control(
+            self.platform_address,
+            'PUT',
+            f'/control/members/{name}',
+            listed,
+        )
+        return instance
+
+    def start_instance(self, instance: InstanceProcess) -> None:
+        """Start an instance, or start it again after it ended."""
+        instance.process = Process(
+            instance.name,
+            ['serve', '--settings', str(instance.settings)],
+            self.directory,
+        )
+
+    def start_endpoint(self, name: str, group: dict[str, object]) -> None:
+        """Start an endpoint, or start it again after it ended."""
+        address = self.addresses[name]
+        arguments = ['stand-in', 'service', '--address', address]
+        if group['kind'] == 'engine':
+            arguments = [
+                'stand-in',
+                'engine',
+                '--address',
+                address,
+                '--settings',
+                str(self.directory / 'engine.yaml'),
+                *_repeat_option('--model', self._models_of(group['name'])),
+            ]
+        self.endpoints[name] = Process(name, arguments, self.directory)
+
+    def apply(self, path: pathlib.Path) -> dict[str, object]:
+        """Apply an operators' file through the first instance."""
+        text = path.read_text()
+        name = yaml.safe_load(text)['name']
+        operator = self.instances[0].operator
+        files = self.control(operator, 'GET', '/operator/files')['files']
+        held = {item['name']: item['generation'] for item in files}
+        return self.control(
+            operator,
+            'POST',
+            '/operator/apply',
+            {
+                'text': text,
+                'source': path.name,
+                'base_generation': held.get(name, 0),
+                'apply_id': f'{name}-{held.get(name, 0)}',
+            },
+        )
+
+    def wait_ready(self) -> None:
+        """Wait until every instance has the newest configuration."""
+        for instance in self.instances:
+            wait_until_answering(f'http://{instance.caller}/readyz')
+
+    def control(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: object = None,
+    ) -> dict[str, object]:
+        """Call an operator side, or the switches of a stand-in."""
+        call = request.Request(
+            f'http://{address}{path}',
+            data=None if body is None else json.dumps(body).encode(),
+            headers={'Authorization': f'Bearer {OPERATOR_TOKEN}'},
+            method=method,
+        )
+        opener = request.build_opener(request.ProxyHandler({}))
+        try:
+            with opener.open(call, timeout=_APPLY_SECONDS) as response:
+                return json.load(response)
+        except error.HTTPError as failure:
+            raise CallError(failure.code, failure.read().decode()) from failure
+
+    def stop(self) -> None:
+        """End every process that was started."""
+        for instance in self.instances:
+            if instance.process is not None:
+                instance.process.stop()
+        for process in self.endpoints.values():
+            process.stop()
+        if self.platform is not None:
+            self.platform.stop()
+
+    # Files
+
+    def _write_files(self) -> list[dict[str, object]]:
+        contents = []
+        for path in sorted(self.plan.example.glob('*.yaml')):
+            content = yaml.safe_load(path.read_text())
+            self._settle_content(content)
+            target = self.directory / path.name
+            target.write_text(yaml.safe_dump(content, sort_keys=False))
+            self.files.append(target)
+            contents.append(content)
+        settings = self.directory / 'engine.yaml'
+        settings.write_text(yaml.safe_dump(self.plan.engine_settings))
+        return contents
+
+    def _settle_content(self, content: dict[str, object]) -> None:
+        for group in content.get('endpoint_groups', []):
+            limit = self.plan.endpoints_per_group
+            group['endpoints'] = group['endpoints'][:limit]
+            for endpoint in group['endpoints']:
+                endpoint['address'] = find_free_address()
+                self.addresses[endpoint['name']] = endpoint['address']
+
+    def _start_endpoints(self, contents: list[dict[str, object]]) -> None:
+        self._contents = contents
+        for content in contents:
+            for group in content.get('endpoint_groups', []):
+                for endpoint in group['endpoints']:
+                    self.start_endpoint(endpoint['name'], group)
+        for name, address in self.addresses.items():
+            kind = 'entries' if self._is_plain(name) else 'v1/load'
+            wait_until_answering(f'http://{address}/{kind}')
+
+    def _is_plain(self, name: str) -> bool:
+        groups = [
+            group
+            for content in self._contents
+            for group in content.get('endpoint_groups', [])
+        ]
+        return any(
+            group['kind'] == 'plain'
+            for group in groups
+            for endpoint in group['endpoints']
+            if endpoint['name'] == name
+        )
+
+    def _models_of(self, group: str) -> list[str]:
+        return [
+            service['model']
+            for content in self._contents
+            for service in content.get('services', [])
+            if group in service['endpoint_groups'] and 'model' in service
+        ]
+
+    _contents: list[dict[str, object]] = attrs.field(factory=list)
+
+
+@contextlib.contextmanager
+def start_site(plan: SitePlan, directory: pathlib.Path) -> Iterator[Site]:
+    """Run a site for the length of a ``with`` block."""
+    site = Site.from_plan(plan, directory)
+    try:
+        site.start()
+        yield site
+    finally:
+        site.stop()
+
+
+def _find_zones(contents: list[dict[str, object]]) -> list[str]:
+    zones: dict[str, None] = collections.OrderedDict()
+    for content in contents:
+        zones.update(
+            dict.fromkeys(content.get('deployment', {}).get('zones', [])),
+        )
+    return list(zones)
+
+
+def _repeat_option(option: str, values: list[str]) -> list[str]:
+    return [part for value in values for part in (option, value)]
+
+
+def _digest(secret: str) -> str:
+    return hashlib.sha256(secret.encode()).hexdigest()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, each of a failure opening with its story."""
