--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and the measurements behind docs/CAPACITY.md."""
