Let tests cut zones from each other and from the platform

Cause: the promises about cut-off zones cannot be proved while every process reaches every other on one loopback address. Change: a stand-in network that passes bytes between zones and can delay, hold or break them, told apart by source IP; outgoing connections of an instance leave from its own IP number; settings know an advertised peer address. Conclusion: cuts can be brought about in tests.

--- a/src/kelproad/cli/standins.py
+++ b/src/kelproad/cli/standins.py
@@ -51,6 +51,21 @@
     _run(ServiceStandIn().create_application(), address)
 
 
+@app.command()
+def network(
+    address: AddressOption,
+    zone: Annotated[
+        list[str],
+        typer.Option(help='NAME=PREFIX of the IP numbers of a zone.'),
+    ],
+) -> None:
+    """Stand in for the network between zones; ADDRESS takes the switches."""
+    from ..standins.network import NetworkStandIn
+
+    zones = dict(item.split('=', 1) for item in zone)
+    _run(NetworkStandIn(zones).create_application(), address)
+
+
 def _run(application: object, address: str) -> None:
     asyncio.run(_serve(application, address))
 
--- a/src/kelproad/coordination/configuration.py
+++ b/src/kelproad/coordination/configuration.py
@@ -169,7 +169,7 @@
             return
         wanted = ChangesWanted(
             sender=self._settings.instance,
-            reply_to=self._settings.peer_address,
+            reply_to=self._settings.reachable_peer_address,
             after=current,
         )
         self.ask_peer(peer_address, wanted)
--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -195,7 +195,8 @@
 
     def _open_session(self, fresh: bool = False) -> aiohttp.ClientSession:
         create = create_fresh_session if fresh else create_session
-        session = create(trace_configs=[trace_connections()])
+        origin = Address.from_text(self._settings.caller_address)
+        session = create(origin, trace_configs=[trace_connections()])
         self._sessions.append(session)
         return session
 
--- a/src/kelproad/coordination/membership.py
+++ b/src/kelproad/coordination/membership.py
@@ -91,7 +91,10 @@
         """Send a message to the instance at a peer address."""
         encoded = encode_message(message, self._key)
         if address not in self._links:
-            self._links[address] = PeerLink(Address.from_text(address))
+            self._links[address] = PeerLink(
+                Address.from_text(address),
+                Address.from_text(self._settings.peer_address),
+            )
         self._links[address].send(encoded)
         self._counters.peer_messages.inc({'direction': 'sent'})
         self._counters.peer_bytes.add({'direction': 'sent'}, len(encoded))
@@ -149,7 +152,7 @@
         return Member(
             name=self._identity.instance,
             zone=self._identity.zone,
-            peer_address=self._settings.peer_address,
+            peer_address=self._settings.reachable_peer_address,
             incarnation=self._identity.incarnation,
             version=self._version,
             revision=self._holder.current.revision,
@@ -181,7 +184,7 @@
         """Choose a few peers of the zone and one of every other zone."""
         by_zone: dict[str, list[str]] = {}
         for address, zone in self._list_addresses().items():
-            if address != self._settings.peer_address:
+            if address != self._settings.reachable_peer_address:
                 by_zone.setdefault(zone, []).append(address)
         chosen = []
         for zone, addresses in by_zone.items():
--- a/src/kelproad/protocol/settings.py
+++ b/src/kelproad/protocol/settings.py
@@ -43,6 +43,8 @@
         Secret shared by the instances of the site.
     operator_digests
         SHA-256 digest, in hexadecimal, of each operator's token, by name.
+    peer_advertised
+        Peer address as other instances reach it; left out, ``peer_address``.
     seeds
         Peer addresses tried while the platform cannot be asked.
     drain_grace
@@ -60,6 +62,7 @@
     platform_address: str
     peer_key: str
     operator_digests: dict[str, str]
+    peer_advertised: str = ''
     seeds: list[str] = attrs.field(factory=list)
     drain_grace: float = 5.0
     drain_limit: float = 600.0
@@ -67,6 +70,11 @@
     log_level: str = 'INFO'
     assert_invariants: bool = False
 
+    @property
+    def reachable_peer_address(self) -> str:
+        """Address under which other instances send to this one."""
+        return self.peer_advertised or self.peer_address
+
 
 def load_settings(
     path: pathlib.Path,
@@ -116,6 +124,10 @@
     ):
         address = getattr(settings, name)
         problems.extend(_check_address(document, f'$.{name}', address))
+    if settings.peer_advertised:
+        advertised = settings.peer_advertised
+        path = '$.peer_advertised'
+        problems.extend(_check_address(document, path, advertised))
     for index, seed in enumerate(settings.seeds):
         problems.extend(_check_address(document, f'$.seeds[{index}]', seed))
     if len(settings.peer_key) < _MINIMUM_KEY_LENGTH:
--- a/src/kelproad/transport/http.py
+++ b/src/kelproad/transport/http.py
@@ -58,12 +58,19 @@
             await self._runner.cleanup()
 
 
-def create_session(**options: object) -> aiohttp.ClientSession:
-    """Open a client session that keeps connections between requests."""
+def create_session(
+    origin: Address | None = None,
+    **options: object,
+) -> aiohttp.ClientSession:
+    """Open a client session that keeps connections between requests.
+
+    Connections leave from the IP number of ``origin``, if one is given.
+    """
     return aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(
             limit=0,
             use_dns_cache=False,
+            local_addr=(origin.host, 0) if origin else None,
             keepalive_timeout=_KEEPALIVE_SECONDS,
         ),
         timeout=aiohttp.ClientTimeout(total=None),
@@ -73,7 +80,10 @@
     )
 
 
-def create_fresh_session(**options: object) -> aiohttp.ClientSession:
+def create_fresh_session(
+    origin: Address | None = None,
+    **options: object,
+) -> aiohttp.ClientSession:
     """Open a client session that uses each connection once.
 
     aiohttp sends a PUT or DELETE again by itself when a kept connection turns
@@ -84,6 +94,7 @@
         connector=aiohttp.TCPConnector(
             limit=0,
             use_dns_cache=False,
+            local_addr=(origin.host, 0) if origin else None,
             force_close=True,
         ),
         timeout=aiohttp.ClientTimeout(total=None),
--- a/src/kelproad/transport/peers.py
+++ b/src/kelproad/transport/peers.py
@@ -67,15 +67,19 @@
     that a newer one makes up for the one it displaced.
     """
 
-    def __init__(self, address: Address) -> None:
-        """Dial in the background; the peer need not be up."""
+    def __init__(self, address: Address, origin: Address) -> None:
+        """Dial in the background from the IP number of an origin.
+
+        The peer need not be up.
+        """
         self._socket = pynng.Push0(
             send_timeout=_SEND_TIMEOUT_MS,
             send_buffer_size=4,
             reconnect_time_min=_RECONNECT_MIN_MS,
             reconnect_time_max=_RECONNECT_MAX_MS,
         )
-        self._socket.dial(f'tcp://{address.authority}', block=False)
+        dialed = f'tcp://{origin.host};{address.authority}'
+        self._socket.dial(dialed, block=False)
         self._waiting: asyncio.Queue[bytes] = asyncio.Queue(maxsize=8)
         self._task = asyncio.create_task(self._send_all())
         self.sent = 0
--- a/testbed/processes.py
+++ b/testbed/processes.py
@@ -15,11 +15,11 @@
 _POLL_SECONDS = 0.05
 
 
-def find_free_address() -> str:
+def find_free_address(host: str = '127.0.0.1') -> str:
     """Find a loopback address that nothing listens on."""
     with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        host, port = probe.getsockname()
+        probe.bind((host, 0))
+        _, port = probe.getsockname()
     return f'{host}:{port}'
 
 
--- a/testbed/site.py
+++ b/testbed/site.py
@@ -3,32 +3,26 @@
 import collections
 import contextlib
 import hashlib
-import json
 import pathlib
 from collections.abc import Iterator
 from typing import Self
-from urllib import error, request
 
 import attrs
 import yaml
 
+from .calls import OPERATOR_TOKEN, call_control
+from .network import PLATFORM, SiteNetwork
 from .processes import Process, find_free_address, wait_until_answering
 
-__all__ = ['CallError', 'InstanceProcess', 'Site', 'SitePlan', 'start_site']
+__all__ = [
+    'InstanceProcess',
+    'Site',
+    'SitePlan',
+    'start_site',
+]
 
 PEER_KEY = 'a-shared-key-of-the-test-site'
-OPERATOR_TOKEN = 'operator-token-of-the-test-site'
-_APPLY_SECONDS = 20
-
-
-class CallError(Exception):
-    """A call was answered with an error status."""
-
-    def __init__(self, status: int, body: str) -> None:
-        """Keep the status and the answer's text."""
-        super().__init__(f'{status}: {body}')
-        self.status = status
-        self.body = body
+_LOOPBACK = '127.0.0.1'
 
 
 @attrs.frozen
@@ -48,6 +42,9 @@
         Settings of every stand-in engine.
     instance_settings
         Settings laid over those of every instance.
+    network
+        Put the stand-in network between zones, endpoints and the platform,
+        so that zones can be cut off.
     """
 
     example: pathlib.Path
@@ -56,6 +53,7 @@
     engine_settings: dict[str, object] = attrs.field(factory=dict)
     instance_settings: dict[str, object] = attrs.field(factory=dict)
     lag: float = 0.5
+    network: bool = False
 
 
 @attrs.define
@@ -83,6 +81,9 @@
     endpoints: dict[str, Process] = attrs.field(factory=dict)
     addresses: dict[str, str] = attrs.field(factory=dict)
     files: list[pathlib.Path] = attrs.field(factory=list)
+    zones: list[str] = attrs.field(factory=list)
+    network: SiteNetwork | None = None
+    _contents: list[dict[str, object]] = attrs.field(factory=list)
 
     @classmethod
     def from_plan(cls, plan: SitePlan, directory: pathlib.Path) -> Self:
@@ -109,9 +110,16 @@
             self.directory,
         )
         wait_until_answering(f'http://{self.platform_address}/members')
-        contents = self._write_files()
+        contents = [
+            yaml.safe_load(path.read_text())
+            for path in sorted(self.plan.example.glob('*.yaml'))
+        ]
+        self.zones = _find_zones(contents)
+        if self.plan.network:
+            self.network = SiteNetwork(self.zones, self.directory)
+        self._write_files(contents)
         self._start_endpoints(contents)
-        for zone in _find_zones(contents):
+        for zone in self.zones:
             for number in range(1, self.plan.instances_per_zone + 1):
                 self.add_instance(f'{zone}-{number}', zone)
         for instance in self.instances:
@@ -122,21 +130,24 @@
 
     def add_instance(self, name: str, zone: str) -> InstanceProcess:
         """Start an entry instance and enter it into the platform's list."""
+        host = self._host_of(zone)
         instance = InstanceProcess(
             name,
             zone,
-            find_free_address(),
-            find_free_address(),
-            find_free_address(),
+            find_free_address(host),
+            find_free_address(host),
+            find_free_address(host),
             self.directory / f'{name}.yaml',
         )
+        advertised = self._front(instance.peer, zone)
         settings = {
             'instance': name,
             'zone': zone,
             'caller_address': instance.caller,
             'operator_address': instance.operator,
             'peer_address': instance.peer,
-            'platform_address': self.platform_address,
+            'peer_advertised': advertised,
+            'platform_address': self._front(self.platform_address, PLATFORM),
             'peer_key': PEER_KEY,
             'operator_digests': {'ops': _digest(OPERATOR_TOKEN)},
             'assert_invariants': True,
@@ -146,7 +157,7 @@
         instance.settings.write_text(yaml.safe_dump(settings))
         self.instances.append(instance)
         self.start_instance(instance)
-        listed = {'name': name, 'zone': zone, 'peer_address': instance.peer}
+        listed = {'name': name, 'zone': zone, 'peer_address': advertised}
         self.control(
             self.platform_address,
             'PUT',
@@ -211,18 +222,11 @@
         body: object = None,
     ) -> dict[str, object]:
         """Call an operator side, or the switches of a stand-in."""
-        call = request.Request(
-            f'http://{address}{path}',
-            data=None if body is None else json.dumps(body).encode(),
-            headers={'Authorization': f'Bearer {OPERATOR_TOKEN}'},
-            method=method,
-        )
-        opener = request.build_opener(request.ProxyHandler({}))
-        try:
-            with opener.open(call, timeout=_APPLY_SECONDS) as response:
-                return json.load(response)
-        except error.HTTPError as failure:
-            raise CallError(failure.code, failure.read().decode()) from failure
+        return call_control(address, method, path, body)
+
+    def set_faults(self, address: str, **faults: object) -> None:
+        """Set the faults of a stand-in; those not named are off."""
+        self.control(address, 'PUT', '/control/faults', faults)
 
     def stop(self) -> None:
         """End every process that was started."""
@@ -233,29 +237,29 @@
             process.stop()
         if self.platform is not None:
             self.platform.stop()
+        if self.network is not None:
+            self.network.process.stop()
 
     # Files
 
-    def _write_files(self) -> list[dict[str, object]]:
-        contents = []
-        for path in sorted(self.plan.example.glob('*.yaml')):
-            content = yaml.safe_load(path.read_text())
+    def _write_files(self, contents: list[dict[str, object]]) -> None:
+        for number, content in enumerate(contents):
             self._settle_content(content)
-            target = self.directory / path.name
+            target = self.directory / f'{number}-{content["name"]}.yaml'
             target.write_text(yaml.safe_dump(content, sort_keys=False))
             self.files.append(target)
-            contents.append(content)
         settings = self.directory / 'engine.yaml'
         settings.write_text(yaml.safe_dump(self.plan.engine_settings))
-        return contents
 
     def _settle_content(self, content: dict[str, object]) -> None:
         for group in content.get('endpoint_groups', []):
             limit = self.plan.endpoints_per_group
             group['endpoints'] = group['endpoints'][:limit]
             for endpoint in group['endpoints']:
-                endpoint['address'] = find_free_address()
-                self.addresses[endpoint['name']] = endpoint['address']
+                zone = endpoint['zone']
+                address = find_free_address(self._host_of(zone))
+                self.addresses[endpoint['name']] = address
+                endpoint['address'] = self._front(address, zone)
 
     def _start_endpoints(self, contents: list[dict[str, object]]) -> None:
         self._contents = contents
@@ -267,6 +271,12 @@
             kind = 'entries' if self._is_plain(name) else 'v1/load'
             wait_until_answering(f'http://{address}/{kind}')
 
+    def _host_of(self, zone: str) -> str:
+        return self.network.host_of(zone) if self.network else _LOOPBACK
+
+    def _front(self, address: str, zone: str) -> str:
+        return self.network.front(address, zone) if self.network else address
+
     def _is_plain(self, name: str) -> bool:
         groups = [
             group
@@ -288,8 +298,6 @@
             if group in service['endpoint_groups'] and 'model' in service
         ]
 
-    _contents: list[dict[str, object]] = attrs.field(factory=list)
-
 
 @contextlib.contextmanager
 def start_site(plan: SitePlan, directory: pathlib.Path) -> Iterator[Site]:
@@ -305,9 +313,8 @@
 def _find_zones(contents: list[dict[str, object]]) -> list[str]:
     zones: dict[str, None] = collections.OrderedDict()
     for content in contents:
-        zones.update(
-            dict.fromkeys(content.get('deployment', {}).get('zones', [])),
-        )
+        deployment = content.get('deployment', {})
+        zones.update(dict.fromkeys(deployment.get('zones', [])))
     return list(zones)
 
 
