Stay in the own zone while it serves in time, and doubt silent engines

Ruled out: the stand-in network (requests inside the zone were answered). Change: endpoints of the own zone are chosen while the predicted first token is within 0.5 s; engines without a report for 3 s are left out while others remain. Sites of tests now stop their instances at the same time.

--- a/src/kelproad/coordination/routing.py
+++ b/src/kelproad/coordination/routing.py
@@ -21,6 +21,10 @@
 
 #: Cost, in seconds, of leaving the instance's own availability zone.
 ZONE_CROSSING_SECONDS = 0.01
+#: Predicted seconds up to which an endpoint of the own zone is good enough.
+_STAY_SECONDS = 0.5
+#: Seconds without a report after which an engine is doubted.
+_SILENT_AFTER = 3.0
 #: Seconds after which a refused caller may find capacity, at the least.
 MINIMUM_RETRY_AFTER = 0.5
 
@@ -101,6 +105,39 @@
     ]
     if not candidates:
         return Failure(_refuse_none(request))
+    preferred = _prefer_fresh(candidates, now)
+    near = [
+        endpoint for endpoint in preferred if endpoint.declaration.zone == zone
+    ]
+    choice = _sample_best(near, request, zone, generator)
+    if choice is None or choice.predicted > _STAY_SECONDS:
+        choice = _sample_best(preferred, request, zone, generator)
+    return Success(choice)
+
+
+def _prefer_fresh(candidates: list[Endpoint], now: float) -> list[Endpoint]:
+    """Leave out engines of which nothing was heard lately, if others remain.
+
+    Silence means that the engine is dead or that its zone is cut off; work
+    sent there would wait until its deadline.  Plain services report nothing.
+    """
+    fresh = [
+        endpoint
+        for endpoint in candidates
+        if endpoint.group.kind is EndpointKind.PLAIN
+        or now - endpoint.reported_at <= _SILENT_AFTER
+    ]
+    return fresh or candidates
+
+
+def _sample_best(
+    candidates: list[Endpoint],
+    request: Request,
+    zone: str,
+    generator: random.Random,
+) -> Choice | None:
+    if not candidates:
+        return None
     size = _SAMPLE_SIZES[classify_length(request.prompt_tokens)]
     sampled = generator.sample(candidates, min(size, len(candidates)))
     weighed = {
@@ -108,7 +145,7 @@
         for endpoint in sampled
     }
     best = min(sampled, key=lambda endpoint: weighed[endpoint.name])
-    return Success(Choice(best, weighed[best.name], weighed))
+    return Choice(best, weighed[best.name], weighed)
 
 
 def predict_first_token(
--- a/testbed/processes.py
+++ b/testbed/processes.py
@@ -97,12 +97,17 @@
         """Wait for its end and return the exit code."""
         return self._process.wait(seconds)
 
+    def ask_to_stop(self) -> None:
+        """Begin its ordinary end, and do not wait for it."""
+        if self.running:
+            self.wake()
+            self._process.terminate()
+
     def stop(self) -> None:
         """End it in the ordinary way, by force if that takes too long."""
         if not self.running:
             return
-        self.wake()
-        self._process.terminate()
+        self.ask_to_stop()
         try:
             self._process.wait(_STOP_SECONDS)
         except subprocess.TimeoutExpired:
--- a/testbed/site.py
+++ b/testbed/site.py
@@ -230,15 +230,19 @@
 
     def stop(self) -> None:
         """End every process that was started."""
+        processes = [
+            *(instance.process for instance in self.instances),
+            *self.endpoints.values(),
+            self.platform,
+            self.network.process if self.network else None,
+        ]
+        started = [process for process in processes if process is not None]
+        # Instances first, so that they can still reach what they release.
         for instance in self.instances:
             if instance.process is not None:
-                instance.process.stop()
-        for process in self.endpoints.values():
+                instance.process.ask_to_stop()
+        for process in started:
             process.stop()
-        if self.platform is not None:
-            self.platform.stop()
-        if self.network is not None:
-            self.network.process.stop()
 
     # Files
 
