--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -7,6 +7,7 @@
 import argparse
 import sys
 
+from .slopes_gossip import measure_gossip
 from .slopes_members import measure_members
 from .slopes_streams import measure_idle, measure_streams
 from .slopes_tables import measure_endpoints, measure_workspaces
@@ -14,6 +15,8 @@
 __all__ = ['main']
 
 _MEMBERS = (3, 9, 24, 48)
+_WATCHED = (1, 11, 23)
+_KNOWN = (9, 48, 205, 410)
 _ENDPOINTS = (25, 250, 1000, 4600)
 _WORKSPACES = (10, 100, 500, 2100)
 _STREAMS = (1, 40, 400, 2000)
@@ -22,9 +25,10 @@
 def main() -> int:
     """Measure the parts asked for and print one line a figure."""
     parts = {
-        'idle': measure_idle,
+        'idle': lambda: measure_idle(list(_WATCHED)),
         'endpoints': lambda: measure_endpoints(list(_ENDPOINTS)),
         'workspaces': lambda: measure_workspaces(list(_WORKSPACES)),
+        'gossip': lambda: measure_gossip(list(_KNOWN)),
         'members': lambda: measure_members(list(_MEMBERS)),
         'streams': lambda: measure_streams(list(_STREAMS)),
     }
--- /dev/null
+++ b/bench/slopes_gossip.py
@@ -0,0 +1,83 @@
+"""Choosing peers and packing records, with the table of members at full size.
+
+No message is sent; it shows how a round's processor time and the memory grow
+with the number of members known.
+"""
+
+import random
+import time
+import tracemalloc
+
+from kelproad.coordination.gossip import PERIOD, Gossiper, Place
+from kelproad.state.members import EndpointReport, Member, MemberTable
+
+from .slopes_usage import Row
+
+__all__ = ['measure_gossip']
+
+_ZONES = 8
+_REPORTS = 11
+_ROUNDS = 40
+_ROOM = 700
+_INCARNATION = 1_764_720_000_000_000_000
+
+
+def measure_gossip(sizes: list[int]) -> list[Row]:
+    """Measure rounds without sending at several numbers of members."""
+    return [row for size in sizes for row in _measure(size)]
+
+
+def _measure(size: int) -> list[Row]:
+    generator = random.Random(size)
+    tracemalloc.start()
+    table = MemberTable('zone-0')
+    for index in range(1, size):
+        table.merge(_create_member(index, 1, generator), 0)
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    own = _create_member(0, 1, generator)
+    place = Place(own.name, own.zone, '', own.peer_address)
+    gossiper = Gossiper(place, table, generator)
+    seconds = float(0)
+    for number in range(_ROUNDS):
+        now = number * PERIOD
+        for heard in range(1, size):
+            table.merge(_create_member(heard, number + 2, generator), now)
+        started = time.process_time()
+        for address in gossiper.choose_targets(now, {}):
+            gossiper.pack(address, own, now, _ROOM)
+        seconds += time.process_time() - started
+    core = 100 * seconds / (_ROUNDS * PERIOD)
+    return [
+        Row('gossip', size, '% of a core, choosing and packing', core),
+        Row('gossip', size, 'bytes a member with its load', held / size),
+    ]
+
+
+def _create_member(
+    index: int,
+    version: int,
+    generator: random.Random,
+) -> Member:
+    reports = [
+        EndpointReport(
+            f'engine-{index * _REPORTS + number}',
+            str(_INCARNATION + index),
+            waiting_tokens=generator.randrange(100_000),
+            running=20,
+            used_tokens=200_000,
+            models=['model-1'],
+            age=0.1,
+        )
+        for number in range(_REPORTS)
+    ]
+    return Member(
+        f'zone-{index % _ZONES}-{index}',
+        f'zone-{index % _ZONES}',
+        f'10.0.{index // 200}.{index % 200}:8082',
+        _INCARNATION + index,
+        version=version,
+        load_version=version,
+        reports=reports,
+        dispatched={'engine-1': 1000},
+    )
--- a/bench/slopes_source.py
+++ b/bench/slopes_source.py
@@ -91,6 +91,7 @@
     parser = argparse.ArgumentParser()
     parser.add_argument('role', choices=['source', 'relay'])
     parser.add_argument('--port', type=int, required=True)
+    parser.add_argument('--hosts', type=int, default=1)
     parser.add_argument('--target', default='')
     parser.add_argument('--interval', type=float, default=1)
     parser.add_argument('--seconds', type=float, default=1)
@@ -101,7 +102,7 @@
         application = create_relay(options.target)
     web.run_app(
         application,
-        host='127.0.0.1',
+        host=[f'127.0.0.{number + 1}' for number in range(options.hosts)],
         port=options.port,
         print=None,
         access_log=None,
--- a/bench/slopes_streams.py
+++ b/bench/slopes_streams.py
@@ -51,6 +51,7 @@
 @contextlib.contextmanager
 def _run_instance(
     source: str,
+    endpoints: int = 1,
 ) -> Iterator[tuple[str, Process, str]]:
     """Run platform and one instance; give caller address, process, store."""
     platform = find_free_address()
@@ -90,7 +91,7 @@
         )
         try:
             wait_until_answering(f'http://{caller}/healthz')
-            _apply(operator, source)
+            _apply(operator, source, endpoints)
             wait_until_answering(f'http://{caller}/readyz')
             yield caller, started[1], platform
         finally:
@@ -98,8 +99,16 @@
                 process.stop()
 
 
-def _apply(operator: str, source: str) -> None:
-    endpoint = {'name': 'engine-1', 'zone': 'a', 'address': source}
+def _apply(operator: str, source: str, endpoints: int) -> None:
+    port = source.rpartition(':')[2]
+    declared = [
+        {
+            'name': f'engine-{number}',
+            'zone': 'a',
+            'address': f'127.0.0.{number + 1}:{port}',
+        }
+        for number in range(endpoints)
+    ]
     content = {
         'name': 'slopes',
         'deployment': {'name': 'slopes', 'zones': ['a']},
@@ -108,7 +117,7 @@
                 'name': 'engines',
                 'kind': 'engine',
                 'memory_tokens': 100_000_000,
-                'endpoints': [endpoint],
+                'endpoints': declared,
             },
         ],
         'services': [
@@ -229,10 +238,14 @@
     return (after.cpu - before.cpu) / tokens, after.resident, tally.first
 
 
-def measure_idle() -> list[Row]:
-    """Measure an instance that has one endpoint and nothing to do."""
-    with _run_helper('source') as (source, _):
-        with _run_instance(source) as (_, process, platform):
+def measure_idle(sizes: list[int]) -> list[Row]:
+    """Measure an instance without callers that watches some engines."""
+    return [row for size in sizes for row in _measure_idle(size)]
+
+
+def _measure_idle(size: int) -> list[Row]:
+    with _run_helper('source', '--hosts', str(size)) as (source, _):
+        with _run_instance(source, size) as (_, process, platform):
             time.sleep(2)
             before = read_usage(process.pid)
             time.sleep(_IDLE_SECONDS)
@@ -240,14 +253,14 @@
             calls = call_control(platform, 'GET', '/control/calls')
     core = 100 * (after.cpu - before.cpu) / _IDLE_SECONDS
     rows = [
-        Row('idle', 1, '% of a core', core),
-        Row('idle', 1, 'MB resident', after.resident / 1e6),
-        Row('idle', 1, 'MB private', after.private / 1e6),
+        Row('idle', size, '% of a core', core),
+        Row('idle', size, 'MB resident', after.resident / 1e6),
+        Row('idle', size, 'MB private', after.private / 1e6),
+    ]
+    rows += [
+        Row('idle', size, f'platform calls in 12 s: {name}'[:_WIDTH], count)
+        for name, count in calls.items()
     ]
-    for name, count in calls.items():
-        if isinstance(count, int):
-            shown = f'platform calls in 12 s: {name}'[:_WIDTH]
-            rows.append(Row('idle', 1, shown, count))
     return rows
 
 
--- a/src/kelproad/coordination/gossip.py
+++ b/src/kelproad/coordination/gossip.py
@@ -9,6 +9,7 @@
 rendezvous hash.
 """
 
+import functools
 import hashlib
 import random
 from collections.abc import Iterable
@@ -33,6 +34,8 @@
 _HEARTBEAT_BYTES = 48
 _REPORT_BYTES = 40
 _DISPATCHED_BYTES = 14
+#: Choices and hashes remembered, which change only as members come and go.
+_CHOICES_KEPT = 1024
 
 #: Versions of which one is sent beyond a stride's own records.
 _SPARE_INTERVAL = 3
@@ -208,22 +211,22 @@
             side = f'region {member.region}' if far_region else member.zone
             if side != place.zone:
                 by_zone.setdefault(side, []).append(member)
-        own_zone = {place.name} | {
+        own_zone = frozenset((place.name,)) | {
             member.name for member in live if member.zone == place.zone
         }
-        own_region = {place.name} | {
+        own_region = frozenset((place.name,)) | {
             member.name for member in live if member.region == place.region
         }
         chosen = []
         for side, there in by_zone.items():
             here = own_region if side.startswith('region ') else own_zone
-            if place.name in choose_owners(side, here, _BRIDGES):
+            if place.name in _choose_bridges(side, here):
                 chosen.append(self._choose_across(place.name, there))
         return chosen
 
     def _choose_across(self, name: str, there: list[Member]) -> str:
         addresses = {member.name: member.peer_address for member in there}
-        owners = choose_owners(name, addresses, _BRIDGES)
+        owners = _choose_bridges(name, frozenset(addresses))
         return addresses[self._generator.choice(owners)]
 
     def _choose_probes(self, now: float, listed: dict[str, str]) -> list[str]:
@@ -342,6 +345,12 @@
                 known.load_order = max(known.load_order, member.load_order)
 
 
+@functools.lru_cache(maxsize=_CHOICES_KEPT)
+def _choose_bridges(side: str, names: frozenset[str]) -> list[str]:
+    return choose_owners(side, names, _BRIDGES)
+
+
+@functools.lru_cache(maxsize=_CHOICES_KEPT)
 def _hash_name(item: tuple[str, str]) -> bytes:
     return hashlib.blake2b(item[0].encode(), digest_size=8).digest()
 
--- a/src/kelproad/state/members.py
+++ b/src/kelproad/state/members.py
@@ -127,6 +127,7 @@
         self._members: dict[str, Member] = {}
         self._heard: dict[str, float] = {}
         self._load_heard: dict[str, float] = {}
+        self._far = 0
 
     def merge(self, member: Member, now: float) -> bool:
         """Take what is newer in a record than in the one held.
@@ -146,6 +147,7 @@
             self._members[member.name] = member
             self._heard[member.name] = now
             self._load_heard[member.name] = now
+            self._far += self._is_far(member)
             return True
         newer_load = member.load_version > 0 and (
             member.load_order > held.load_order
@@ -162,8 +164,7 @@
     @property
     def far_interval(self) -> int:
         """Heartbeats of which only one is passed on from zone to zone."""
-        far = sum(map(self._is_far, self._members.values()))
-        return max(_FAR_INTERVAL, math.ceil(far / _FAR_NEWS))
+        return max(_FAR_INTERVAL, math.ceil(self._far / _FAR_NEWS))
 
     def live(self, now: float) -> list[Member]:
         """List the members heard of recently, suspected ones included."""
@@ -205,7 +206,7 @@
             if now - heard > FORGET_AFTER
         ]
         for name in gone:
-            self._members.pop(name)
+            self._far -= self._is_far(self._members.pop(name))
             self._heard.pop(name)
             self._load_heard.pop(name)
 
