--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,10 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format binary clean
+.PHONY: demo test soak lint format binary clean
+
+SECONDS := 60
+SEED := 1
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(PYTHON) || python3.11 -m venv $(VENV)
@@ -17,6 +20,9 @@
 test: $(STAMP)
 	$(PYTHON) -m pytest
 
+soak: $(STAMP)
+	$(PYTHON) -m testbed.soak.run --seconds $(SECONDS) --seed $(SEED)
+
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check src tests demo bench testbed
 	$(VENV)/bin/ruff check src tests demo bench testbed
--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -19,7 +19,7 @@
 from ..state.endpoints import EndpointTable
 from ..state.identity import Identity
 from ..state.members import MemberTable
-from ..state.refusals import Refusal, RefusalCode, Step
+from ..state.refusals import Ran, Refusal, RefusalCode, Step
 from ..state.requests import DecisionLog, RequestTable
 from ..transport.addresses import Address
 from ..transport.http import HttpServer, create_fresh_session, create_session
@@ -175,7 +175,9 @@
         return left
 
     async def _serve(self, entry: Entry, operators: OperatorApi) -> None:
-        caller_side = web.Application(middlewares=[self._refuse_when_leaving])
+        caller_side = web.Application(
+            middlewares=[self._refuse_on_error, self._refuse_when_leaving],
+        )
         caller_side.add_routes(
             [
                 *entry.routes(),
@@ -211,6 +213,21 @@
             return callers.answer_refusal(_refuse_leaving(), '')
         return await handler(http_request)
 
+    @web.middleware
+    async def _refuse_on_error(
+        self,
+        http_request: web.Request,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        """Answer in the one shape also when this program has a fault."""
+        try:
+            return await handler(http_request)
+        except web.HTTPException as answered:
+            return callers.answer_refusal(_refuse_http(answered), '')
+        except Exception:
+            _logger.exception('unexpected error in %s', http_request.path)
+            return callers.answer_refusal(_refuse_fault(), '')
+
     async def _answer_ready(self, _http_request: web.Request) -> web.Response:
         if self._drain.phase is not DrainPhase.SERVING:
             return callers.answer_refusal(_refuse_leaving(), '')
@@ -239,6 +256,25 @@
     )
 
 
+def _refuse_http(answered: web.HTTPException) -> Refusal:
+    """Turn the HTTP library's own answer, such as 404, into a refusal."""
+    known = {code.status: code for code in reversed(RefusalCode)}
+    return Refusal(
+        known.get(answered.status, RefusalCode.BAD_REQUEST),
+        answered.reason,
+        Step.RECEIVE,
+    )
+
+
+def _refuse_fault() -> Refusal:
+    return Refusal(
+        RefusalCode.INTERNAL,
+        'a fault of this program; whether the work ran is not known',
+        Step.RELAY,
+        ran=Ran.UNKNOWN,
+    )
+
+
 def _refuse_unready() -> Refusal:
     return Refusal(
         RefusalCode.NOT_READY,
--- a/src/kelproad/state/refusals.py
+++ b/src/kelproad/state/refusals.py
@@ -57,6 +57,7 @@
     CONFLICT = 'conflict'
     UNAVAILABLE = 'unavailable'
     INVALID = 'invalid'
+    INTERNAL = 'internal'
 
     @property
     def status(self) -> int:
@@ -83,6 +84,7 @@
         RefusalCode.CONFLICT: 409,
         RefusalCode.UNAVAILABLE: 503,
         RefusalCode.INVALID: 400,
+        RefusalCode.INTERNAL: 500,
     }
 )
 
--- a/src/kelproad/state/requests.py
+++ b/src/kelproad/state/requests.py
@@ -83,9 +83,9 @@
             prompt_tokens=request.prompt_tokens,
         )
 
-    def note(self, step: str, **details: object) -> None:
-        """Add what was decided at a step."""
-        self.steps.append({'step': step, **details})
+    def note(self, event: str, /, **details: object) -> None:
+        """Add what happened, with whatever explains it."""
+        self.steps.append({'event': event, **details})
 
 
 class DecisionLog:
--- a/testbed/site.py
+++ b/testbed/site.py
@@ -190,6 +190,13 @@
             ]
         self.endpoints[name] = Process(name, arguments, self.directory)
 
+    def start_endpoint_again(self, name: str) -> None:
+        """Start an endpoint that was ended, as it was declared."""
+        for content in self._contents:
+            for group in content.get('endpoint_groups', []):
+                if any(item['name'] == name for item in group['endpoints']):
+                    self.start_endpoint(name, group)
+
     def apply(self, path: pathlib.Path) -> dict[str, object]:
         """Apply an operators' file through the first instance."""
         text = path.read_text()
--- /dev/null
+++ b/testbed/soak/accounts.py
@@ -0,0 +1,119 @@
+"""The accounts after a run: what was told against what was done."""
+
+import collections
+import time
+from collections.abc import Callable
+
+from testbed.site import Site
+
+from .callers import Outcome, Told, is_late
+
+__all__ = ['check_accounts']
+
+#: Seconds after which engines hold nothing and all instances agree.
+SETTLE_SECONDS = 30.0
+_POLL_SECONDS = 0.5
+_MOST_SHOWN = 3000
+
+
+def check_accounts(
+    site: Site,
+    told: list[Told],
+    revision: int,
+) -> list[str]:
+    """Compare the callers' accounts with those of services and engines.
+
+    Returns
+    -------
+    list of str
+        Every promise that was broken, empty when all held.
+    """
+    effects = _count_effects(site)
+    broken = [line for item in told for line in _check_work(item, effects)]
+    return [
+        *broken,
+        *_check_logs(site),
+        *_wait_for(lambda: _check_memory(site)),
+        *_wait_for(lambda: _check_instances(site, revision)),
+    ]
+
+
+def _count_effects(site: Site) -> collections.Counter[str]:
+    effects: collections.Counter[str] = collections.Counter()
+    for name, address in site.addresses.items():
+        if name.startswith('run-book'):
+            effects.update(site.control(address, 'GET', '/entries'))
+    return effects
+
+
+def _check_work(
+    item: Told,
+    effects: collections.Counter[str],
+) -> list[str]:
+    label = f'{item.kind} {item.reference} ({", ".join(item.outcomes)})'
+    broken = []
+    if item.wrong:
+        broken.append(f'{label}: {item.wrong}')
+    if is_late(item):
+        broken.append(f'{label}: a try lasted {item.longest:.1f} s')
+    if item.kind == 'completion':
+        return broken
+    times = effects[item.reference]
+    if times > 1:
+        broken.append(f'{label}: ran {times} times')
+    if Outcome.ANSWERED in item.outcomes and times != 1:
+        broken.append(f'{label}: answered, but ran {times} times')
+    if times and set(item.outcomes) <= {Outcome.NOT_RUN}:
+        broken.append(f'{label}: told not run, but it ran')
+    return broken
+
+
+def _check_logs(site: Site) -> list[str]:
+    """Find exceptions that nobody expected."""
+    broken = []
+    for instance in site.instances:
+        text = instance.process.log.read_text()
+        parts = text.split('Traceback (most recent call last)')[1:]
+        broken += [
+            f'{instance.name} raised: {part[:_MOST_SHOWN]}' for part in parts
+        ]
+    return broken
+
+
+def _check_memory(site: Site) -> list[str]:
+    broken = []
+    for name, address in site.addresses.items():
+        if name.startswith('run-book'):
+            continue
+        holds = site.control(address, 'GET', '/v1/held')
+        if holds['used_tokens'] or holds['held']:
+            broken.append(f'{name} still holds {holds}')
+    return broken
+
+
+def _check_instances(site: Site, revision: int) -> list[str]:
+    broken = []
+    for instance in site.instances:
+        dump = site.control(instance.operator, 'GET', '/operator/dump')
+        if dump['revision'] != revision:
+            broken.append(
+                f'{instance.name} has revision {dump["revision"]}, '
+                f'accepted is {revision}',
+            )
+        if dump['invariant_violations']:
+            violations = dump['invariant_violations']
+            broken.append(f'{instance.name} violated {violations}')
+        if dump['requests']:
+            left = len(dump['requests'])
+            broken.append(f'{instance.name} has {left} requests left')
+    return broken
+
+
+def _wait_for(check: Callable[[], list[str]]) -> list[str]:
+    """Repeat a check until nothing is broken or the time is up."""
+    limit = time.monotonic() + SETTLE_SECONDS
+    broken = check()
+    while broken and time.monotonic() < limit:
+        time.sleep(_POLL_SECONDS)
+        broken = check()
+    return broken
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -116,6 +116,12 @@
         assert refusal['request_id']
 
 
+def test_unknown_path_is_refused_in_the_same_shape(roadgrip: Site) -> None:
+    answer = call(roadgrip.callers[0], '/v1/nothing')
+    assert answer.status == 404
+    assert answer.refusal()['ran'] == 'no'
+
+
 def test_too_large_body_is_refused_unread(roadgrip: Site) -> None:
     answer = call(
         roadgrip.callers[0],
@@ -140,7 +146,7 @@
         'GET',
         f'/operator/explain/{request_id}',
     )
-    assert [step['step'] for step in told['steps']] == ['routed', 'ended']
+    assert [step['event'] for step in told['steps']] == ['routed', 'ended']
     dump = roadgrip.control(instance.operator, 'GET', '/operator/dump')
     assert dump['revision'] == 4
     assert not dump['invariant_violations']
