Check the shipped binary in its surroundings, and demo both examples

Cause: nothing showed that the one file runs as one process without a disk. Ruled out: PyInstaller one-file, whose boot loader starts a child. Change: make binary takes locked versions; make binary-check serves a site with the binary and lists its children, its files open for writing and io_uring; make demo EXAMPLE=lagosta.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test soak lint format binary clean
+.PHONY: demo test soak lint format binary binary-check clean
 
+EXAMPLE := roadgrip
 SECONDS := 60
 SEED := 1
 
@@ -15,7 +16,7 @@
 	touch $@
 
 demo: $(STAMP)
-	$(PYTHON) demo/run.py
+	$(PYTHON) demo/run.py $(EXAMPLE)
 
 test: $(STAMP)
 	$(PYTHON) -m pytest
@@ -35,7 +36,11 @@
 
 binary: $(STAMP)
 	mkdir -p dist
-	$(VENV)/bin/shiv --quiet --compressed -c kelproad -o dist/kelproad .
+	$(VENV)/bin/shiv --compressed --console-script kelproad \
+	  --output-file dist/kelproad --constraint requirements.lock --quiet .
+
+binary-check: binary
+	$(PYTHON) -m testbed.binary dist/kelproad
 
 clean:
 	rm -rf $(VENV) build dist
--- a/demo/run.py
+++ b/demo/run.py
@@ -1,24 +1,34 @@
-"""The demo: a whole site on loopback under a mixed load, then its results."""
+"""The demo: a whole site on loopback under a mixed load, then its results.
+
+``demo/run.py lagosta`` takes the other user's example in place of Roadgrip's.
+"""
 
 import os
 import pathlib
 import subprocess
 import sys
 import tempfile
+import types
 
 REPOSITORY = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(REPOSITORY))
 
 from testbed.site import Site, SitePlan, start_site  # noqa: E402
 
+_CALLERS = types.MappingProxyType(
+    {
+        'roadgrip': ('roadgrip-report', 'example-key-crews-colombo'),
+        'lagosta': ('lagosta-keeper', 'example-key-pounds-fortaleza'),
+    },
+)
 _SECONDS = '20'
 _RATE = '24'
 
 
-def main() -> int:
-    """Run the demo and return the exit code."""
+def main(example: str = 'roadgrip') -> int:
+    """Run the demo of an example and return the exit code."""
     plan = SitePlan(
-        example=REPOSITORY / 'examples' / 'roadgrip',
+        example=REPOSITORY / 'examples' / example,
         instances_per_zone=3,
         engine_settings={'time_scale': 10.0},
     )
@@ -30,12 +40,12 @@
                 f'before {len(site.endpoints)} endpoints; '
                 f'sending a mixed load for {_SECONDS} s',
             )
-            code = _run_load(site)
+            code = _run_load(site, *_CALLERS[example])
     print('everything stopped')
     return code
 
 
-def _run_load(site: Site) -> int:
+def _run_load(site: Site, model: str, key: str) -> int:
     servers = [part for at in site.callers for part in ('--server', at)]
     return subprocess.run(
         [
@@ -45,16 +55,16 @@
             'load',
             *servers,
             '--model',
-            'roadgrip-report',
+            model,
             '--seconds',
             _SECONDS,
             '--rate',
             _RATE,
         ],
         check=False,
-        env={**os.environ, 'KELPROAD_KEY': 'example-key-crews-colombo'},
+        env={**os.environ, 'KELPROAD_KEY': key},
     ).returncode
 
 
 if __name__ == '__main__':
-    sys.exit(main())
+    sys.exit(main(*sys.argv[1:]))
--- a/testbed/processes.py
+++ b/testbed/processes.py
@@ -13,6 +13,7 @@
 
 _STOP_SECONDS = 30.0
 _POLL_SECONDS = 0.05
+_FROM_SOURCE = (sys.executable, '-m', 'kelproad')
 
 
 def find_free_address(host: str = '127.0.0.1') -> str:
@@ -53,13 +54,14 @@
         arguments: list[str],
         directory: pathlib.Path,
         environment: dict[str, str] | None = None,
+        program: list[str] | None = None,
     ) -> None:
         """Start it; its output goes to a file in the directory."""
         self.name = name
         self.log = directory / f'{name}.log'
         with self.log.open('ab') as output:
             self._process = subprocess.Popen(
-                [sys.executable, '-m', 'kelproad', *arguments],
+                [*(program or _FROM_SOURCE), *arguments],
                 stdout=output,
                 stderr=output,
                 stdin=subprocess.DEVNULL,
