--- a/src/kelproad/coordination/attempts.py
+++ b/src/kelproad/coordination/attempts.py
@@ -109,7 +109,8 @@
             if isinstance(outcome, Success):
                 return outcome
             refusal = outcome.failure()
-            decision.note('attempt failed', **attrs.asdict(refusal))
+            request.note_ran(refusal.ran)
+            decision.note('attempt failed', refusal=attrs.asdict(refusal))
             if not _may_repeat(request, placement, refusal):
                 return outcome
         return outcome
--- a/src/kelproad/coordination/claims.py
+++ b/src/kelproad/coordination/claims.py
@@ -1,12 +1,16 @@
 """At most once: a key is claimed in the platform's table before dispatch.
 
-The row is inserted on the condition that it does not exist.  It never
-expires: a paused owner could still dispatch, so no time that passes makes it
-safe to let another process run the work.
+A claim never expires: a paused owner could still dispatch, so no time that
+passes makes it safe to let another process run the work.  Nor is a row ever
+removed.  Its version only grows, so a write that was given up and arrives
+late finds another version than it expects and changes nothing.
 """
 
+import asyncio
 import hashlib
+import time
 import uuid
+from collections.abc import Awaitable, Callable, Coroutine
 
 import attrs
 import msgspec
@@ -20,34 +24,84 @@
     StoreErrorKind,
     Write,
 )
+from ..state import invariants
 from ..state.claims import ClaimRecord, ClaimState, RecordedAnswer
 from ..state.counters import Counters
 from ..state.identity import Identity
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
+from ..transport.deadlines import monotonic
+from .grouping import WRITE_TIMEOUT, GroupedWrites
 
 __all__ = ['Claim', 'Claims', 'digest_request']
 
 _TABLE = 'claims'
 #: Largest answer that is kept in the row, in bytes.
 MAX_RECORDED_BYTES = 65_536
-_STORE_TIMEOUT = 2.0
-_ASK_AGAIN = 2.0
+#: Seconds for which a recorded answer is repeated; the row itself stays.
+ANSWER_KEPT = 86_400.0
+#: Seconds that claiming may take, if the request's deadline allows them.
+CLAIM_LIMIT = 2.0
+#: Seconds that an answer waits for its record, at the most.
+RECORD_WAIT = 0.25
+#: Seconds after the owner's deadline in which it may still be settling.
+_SETTLE_MARGIN = 1.0
+_MAX_TRIES = 4
+_SHORTEST_RETRY = 0.1
+_LONGEST_RETRY = 2.0
+_SOONEST_ASK = 0.5
+_LATEST_ASK = 3600.0
+_LONGEST_OUTAGE_ASK = 30.0
 _DIGEST_BYTES = 16
 
+Acquired = Result['Claim | RecordedAnswer', Refusal]
 
-@attrs.frozen
+
+@attrs.define
 class Claim:
-    """A claim that this process holds; only it may dispatch the work."""
+    """A claim that this process holds; only it may dispatch the work.
+
+    Attributes
+    ----------
+    settled
+        Its outcome is decided, so nothing more may be dispatched under it.
+    """
 
     key: str
     record: ClaimRecord
     version: int
+    settled: bool = False
+
+
+@attrs.define
+class _Trial:
+    """The tries to write one claim.
+
+    Attributes
+    ----------
+    expect
+        Version of the row that the next try replaces.
+    unsure
+        A try was not answered, so that the row may stand or come yet.
+    error
+        Why the last try failed.
+    """
+
+    key: str
+    mine: ClaimRecord
+    expect: int = ABSENT
+    unsure: bool = False
+    error: StoreError | None = None
+
+    def write(self) -> Write:
+        """Build the write of the next try."""
+        return Write(_TABLE, self.key, _encode(self.mine), self.expect)
 
 
 def digest_request(method: str, path: str, body: bytes) -> str:
     """Digest what makes two requests under one key the same."""
     digest = hashlib.blake2b(
-        f'{method} {path}\n'.encode(), digest_size=_DIGEST_BYTES
+        f'{method} {path}\n'.encode('utf-8', 'surrogateescape'),
+        digest_size=_DIGEST_BYTES,
     )
     digest.update(body)
     return digest.hexdigest()
@@ -66,94 +120,249 @@
         self._identity = identity
         self._platform = platform
         self._counters = counters
+        self._writes = GroupedWrites(platform)
+        self._settling: set[asyncio.Task[None]] = set()
+
+    @property
+    def unsettled(self) -> int:
+        """Number of claims whose outcome is still to be written."""
+        return len(self._settling)
 
     async def acquire(
         self,
         workspace: str,
         key: str,
         request_digest: str,
-    ) -> Result[Claim | RecordedAnswer, Refusal]:
+        deadline: float,
+    ) -> Acquired:
         """Claim a key, or find out what became of it.
 
+        Parameters
+        ----------
+        workspace, key
+            Together they name the row.
+        request_digest
+            Digest of the request that uses the key.
+        deadline
+            Monotonic time, in seconds, of the request's deadline.
+
         Returns
         -------
         Result
             A claim that permits one dispatch; the recorded answer when the
             work is done; else a refusal.
         """
-        row_key = f'{workspace}/{key}'
-        record = ClaimRecord(
+        mine = ClaimRecord(
             token=uuid.uuid4().hex,
             owner=self._identity.owner,
             request_digest=request_digest,
             state=ClaimState.OPEN,
+            answer_due=time.time() + deadline - monotonic(),
         )
-        written = await self._platform.transact(
-            [Write(_TABLE, row_key, _encode(record), ABSENT)],
-            _STORE_TIMEOUT,
-        )
-        outcome = await self._settle_insert(row_key, record, written)
+        limit = min(deadline, monotonic() + CLAIM_LIMIT)
+        trial = _Trial(f'{workspace}/{key}', mine)
+        outcome = await self._insert(trial, limit)
         self._count(outcome)
         return outcome
 
-    async def record(self, claim: Claim, answer: RecordedAnswer) -> None:
-        """Record that the work ran, with its answer."""
-        body = answer.body
-        if body is not None and len(body.encode()) > MAX_RECORDED_BYTES:
+    async def record(
+        self,
+        claim: Claim,
+        answer: RecordedAnswer,
+        deadline: float,
+    ) -> None:
+        """Record that the work ran, with its answer.
+
+        Waits a little, so that whoever has the answer usually finds it
+        recorded; a slow store does not keep the caller from its answer, and
+        the writing goes on behind it.
+        """
+        if answer.body is not None and len(answer.body) > MAX_RECORDED_BYTES:
             answer = attrs.evolve(answer, body=None)
-        record = attrs.evolve(
-            claim.record,
-            state=ClaimState.DONE,
-            answer=answer,
-        )
-        await self._overwrite(claim, record)
+        settling = self._settle(claim, ClaimState.DONE, answer)
+        wait = min(RECORD_WAIT, max(0, deadline - monotonic()))
+        await asyncio.wait([settling], timeout=wait)
 
-    async def leave_unknown(self, claim: Claim) -> None:
-        """Record that the work was dispatched with an unknown outcome."""
-        await self._overwrite(
-            claim,
-            attrs.evolve(claim.record, state=ClaimState.UNKNOWN),
-        )
+    def leave_unknown(self, claim: Claim) -> None:
+        """Record, later, that the work may or may not have run."""
+        self._settle(claim, ClaimState.UNKNOWN)
 
-    async def release(self, claim: Claim) -> None:
-        """Give a key back.
+    def release(self, claim: Claim) -> None:
+        """Give a key back, later.
 
         Only the holder may do so, and only when it knows that it did not
         dispatch and never will.
         """
-        await self._platform.transact(
-            [Write(_TABLE, claim.key, None, claim.version)],
-            _STORE_TIMEOUT,
-        )
+        self._settle(claim, ClaimState.FREE)
+
+    async def finish(self, timeout: float) -> int:
+        """Wait until all outcomes are written, at most some seconds.
+
+        Returns
+        -------
+        int
+            Claims left open; later callers hear that those are unknown.
+        """
+        if self._settling:
+            await asyncio.wait(set(self._settling), timeout=timeout)
+        return len(self._settling)
+
+    # Claiming
 
-    async def _settle_insert(
+    async def _insert(self, trial: _Trial, limit: float) -> Acquired:
+        for _ in range(_MAX_TRIES):
+            acquired = await self._try_insert(trial, limit)
+            if acquired is not None:
+                return acquired
+        return self._give_up(trial)
+
+    async def _try_insert(
         self,
-        row_key: str,
-        record: ClaimRecord,
-        written: Result[None, StoreError],
-    ) -> Result[Claim | RecordedAnswer, Refusal]:
+        trial: _Trial,
+        limit: float,
+    ) -> Acquired | None:
+        """Write the claim once; ``None`` asks for another try."""
+        written = await self._writes.write(trial.write(), limit)
         if isinstance(written, Success):
-            return Success(Claim(row_key, record, 1))
-        error = written.failure()
-        if error.kind is StoreErrorKind.UNAVAILABLE:
-            return Failure(_refuse_unrecorded(error))
-        # Either another row stands there, or the answer to our own insert was
-        # lost; the row's token tells which.
-        found = await self._platform.read_row(_TABLE, row_key, _STORE_TIMEOUT)
+            return Success(Claim(trial.key, trial.mine, trial.expect + 1))
+        trial.error = written.failure()
+        match trial.error.kind:
+            case StoreErrorKind.CONFLICT:
+                return await self._look(trial, limit)
+            case StoreErrorKind.UNKNOWN:
+                # The row may stand there, or appear later.  Writing the same
+                # row again tells: it conflicts with the first, or makes the
+                # first conflict with it.
+                trial.unsure = True
+                return None
+        return self._give_up(trial)
+
+    async def _look(self, trial: _Trial, limit: float) -> Acquired | None:
+        """Find out which row the claim conflicted with."""
+        found = await self._read(trial.key, limit)
         if isinstance(found, Failure):
-            return Failure(_refuse_unrecorded(found.failure()))
-        return _judge(found.unwrap(), row_key, record, error)
+            trial.error = found.failure()
+            return self._give_up(trial)
+        row = found.unwrap()
+        standing = _decode(row)
+        if standing.state is ClaimState.FREE:
+            trial.expect = row.version
+            return None
+        return _judge(row, standing, trial.mine)
 
-    async def _overwrite(self, claim: Claim, record: ClaimRecord) -> None:
-        await self._platform.transact(
-            [Write(_TABLE, claim.key, _encode(record), claim.version)],
-            _STORE_TIMEOUT,
+    def _give_up(self, trial: _Trial) -> Acquired:
+        if trial.unsure:
+            self._start(self._take_back(trial))
+        return Failure(self._refuse_unrecorded(trial.error))
+
+    async def _read(
+        self,
+        row_key: str,
+        limit: float,
+    ) -> Result[Row, StoreError]:
+        remaining = max(0, limit - monotonic())
+        found = await self._platform.read_row(_TABLE, row_key, remaining)
+        return found.bind(lambda row: _require(row, row_key))
+
+    # Settling
+
+    def _settle(
+        self,
+        claim: Claim,
+        state: ClaimState,
+        answer: RecordedAnswer | None = None,
+    ) -> asyncio.Task[None]:
+        invariants.check(not claim.settled, 'claim-settled-once', claim.key)
+        record = attrs.evolve(
+            claim.record,
+            state=state,
+            answer=answer,
+            settled_at=time.time(),
         )
+        write = Write(_TABLE, claim.key, _encode(record), claim.version)
+        claim.settled = True
+        return self._start(self._overwrite(write, state))
 
-    def _count(
+    def _start(
         self,
-        outcome: Result[Claim | RecordedAnswer, Refusal],
-    ) -> None:
+        work: Coroutine[None, None, None],
+    ) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        self._settling.add(task)
+        task.add_done_callback(self._settling.discard)
+        return task
+
+    async def _overwrite(self, write: Write, state: ClaimState) -> None:
+        """Write an outcome until the platform has it.
+
+        The caller has its answer already.  Giving up would leave the key in
+        progress for ever although the outcome is known here.  Only the holder
+        writes to an open row, so a conflict means that an earlier try, whose
+        answer was lost, took effect.
+        """
+        errors = set()
+
+        async def try_once() -> bool:
+            written = await self._writes.write(write, _background_limit())
+            if isinstance(written, Failure):
+                errors.add(written.failure().kind)
+            conflict = StoreErrorKind.CONFLICT in errors
+            return conflict or isinstance(written, Success)
+
+        await _repeat(try_once)
+        invariants.check(
+            StoreErrorKind.CONFLICT not in errors
+            or StoreErrorKind.UNKNOWN in errors,
+            'only-holder-writes-open-claim',
+            write.key,
+        )
+        self._counters.claims.inc({'outcome': f'settled_{state}'})
+
+    async def _take_back(self, trial: _Trial) -> None:
+        """Free a key after a claim that was given up.
+
+        Its caller has heard that nothing was run, and this process will not
+        dispatch.  The row may stand, or arrive later, and would then leave
+        the key in progress for ever.  A free row at the version that the
+        claim expected makes a late arrival conflict.
+        """
+        free = attrs.evolve(
+            trial.mine,
+            state=ClaimState.FREE,
+            settled_at=time.time(),
+        )
+
+        async def try_once() -> bool:
+            write = Write(_TABLE, trial.key, _encode(free), trial.expect)
+            written = await self._writes.write(write, _background_limit())
+            if isinstance(written, Success):
+                return True
+            if written.failure().kind is not StoreErrorKind.CONFLICT:
+                return False
+            found = await self._read(trial.key, _background_limit())
+            row = found.value_or(None)
+            if row is None:
+                return False
+            trial.expect = row.version
+            return not _is_open_row(row, trial.mine)
+
+        await _repeat(try_once)
+        self._counters.claims.inc({'outcome': 'taken_back'})
+
+    # Telling
+
+    def _refuse_unrecorded(self, error: StoreError) -> Refusal:
+        """Refuse; the longer the platform is silent, the later to ask."""
+        silent = self._writes.silent_seconds
+        return Refusal(
+            RefusalCode.CLAIM_UNRECORDED,
+            f'the claim could not be recorded: {error.message}',
+            Step.CLAIM,
+            peer=error.peer,
+            retry_after=_clamp(silent, _SOONEST_ASK, _LONGEST_OUTAGE_ASK),
+        )
+
+    def _count(self, outcome: Acquired) -> None:
         if isinstance(outcome, Failure):
             label = str(outcome.failure().code)
         else:
@@ -162,59 +371,105 @@
         self._counters.claims.inc({'outcome': label})
 
 
-def _judge(
-    row: Row | None,
-    row_key: str,
-    mine: ClaimRecord,
-    error: StoreError,
-) -> Result[Claim | RecordedAnswer, Refusal]:
+def _judge(row: Row, standing: ClaimRecord, mine: ClaimRecord) -> Acquired:
     """Decide what the row that stands under a key means for a request."""
-    if row is None:
-        # The insert may still take effect later.  This process will not
-        # dispatch, so the row would only make the key unusable, never run.
-        return Failure(_refuse_unrecorded(error))
-    record = msgspec.json.decode(row.body, type=ClaimRecord)
-    if record.token == mine.token:
-        return Success(Claim(row_key, mine, row.version))
-    if record.request_digest != mine.request_digest:
+    if standing.token == mine.token:
+        return Success(Claim(row.key, mine, row.version))
+    if standing.request_digest != mine.request_digest:
         return Failure(
             Refusal(
                 RefusalCode.KEY_REUSED,
                 'the idempotency key belongs to another request',
                 Step.CLAIM,
-                peer=record.owner,
+                peer=standing.owner,
             ),
         )
-    if record.state is ClaimState.DONE and record.answer is not None:
-        return Success(record.answer)
-    return Failure(_refuse_unresolved(record))
+    if standing.state is ClaimState.DONE:
+        return _repeat_answer(standing)
+    return Failure(_refuse_unresolved(standing, time.time()))
+
+
+def _repeat_answer(standing: ClaimRecord) -> Acquired:
+    age = time.time() - standing.settled_at
+    if standing.answer.body is None:
+        message = f'its answer exceeds the {MAX_RECORDED_BYTES} bytes kept'
+    elif age > ANSWER_KEPT:
+        message = f'its answer was kept for {ANSWER_KEPT:.0f} s only'
+    else:
+        return Success(standing.answer)
+    return Failure(
+        Refusal(
+            RefusalCode.CONFLICT,
+            f'the work under this key ran; {message}',
+            Step.CLAIM,
+            peer=standing.owner,
+            ran=Ran.YES,
+        ),
+    )
 
 
-def _refuse_unresolved(record: ClaimRecord) -> Refusal:
-    in_progress = record.state is ClaimState.OPEN
+def _refuse_unresolved(standing: ClaimRecord, now: float) -> Refusal:
+    """Tell what is known of a claim that somebody else holds.
+
+    While the owner has time left, it may answer by then.  Past that, the
+    longer a claim has been unresolved, the less likely it still is to be.
+    """
+    remaining = standing.answer_due + _SETTLE_MARGIN - now
+    if standing.state is ClaimState.OPEN and remaining > 0:
+        code = RefusalCode.KEY_IN_PROGRESS
+        message = 'the key is in progress elsewhere'
+    else:
+        code = RefusalCode.OUTCOME_UNKNOWN
+        message = 'the work under this key may have run; nobody knows'
     return Refusal(
-        RefusalCode.KEY_IN_PROGRESS
-        if in_progress
-        else RefusalCode.OUTCOME_UNKNOWN,
-        'the key is in progress elsewhere'
-        if in_progress
-        else 'the work under this key was dispatched; its outcome is unknown',
+        code,
+        message,
         Step.CLAIM,
-        peer=record.owner,
+        peer=standing.owner,
         ran=Ran.UNKNOWN,
-        retry_after=_ASK_AGAIN,
+        retry_after=_clamp(abs(remaining), _SOONEST_ASK, _LATEST_ASK),
     )
 
 
-def _refuse_unrecorded(error: StoreError) -> Refusal:
-    return Refusal(
-        RefusalCode.CLAIM_UNRECORDED,
-        f'the claim could not be recorded: {error.message}',
-        Step.CLAIM,
-        peer=error.peer,
-        retry_after=_ASK_AGAIN,
+def _require(row: Row | None, row_key: str) -> Result[Row, StoreError]:
+    """Insist on the row that a write has just conflicted with."""
+    if row is not None:
+        return Success(row)
+    return Failure(
+        StoreError(
+            StoreErrorKind.UNAVAILABLE,
+            'read_row',
+            '',
+            f'the row of {row_key!r} vanished',
+        ),
     )
 
 
+def _is_open_row(row: Row, mine: ClaimRecord) -> bool:
+    standing = _decode(row)
+    return standing.token == mine.token and standing.state is ClaimState.OPEN
+
+
+async def _repeat(try_once: Callable[[], Awaitable[bool]]) -> None:
+    """Try, with growing pauses, until it is done."""
+    pause = _SHORTEST_RETRY
+    while not await try_once():
+        await asyncio.sleep(pause)
+        pause = min(2 * pause, _LONGEST_RETRY)
+
+
+def _background_limit() -> float:
+    """Return when a write that nobody waits for is given up and repeated."""
+    return monotonic() + 2 * WRITE_TIMEOUT
+
+
+def _clamp(seconds: float, least: float, most: float) -> float:
+    return min(max(seconds, least), most)
+
+
 def _encode(record: ClaimRecord) -> str:
     return msgspec.json.encode(record).decode()
+
+
+def _decode(row: Row) -> ClaimRecord:
+    return msgspec.json.decode(row.body, type=ClaimRecord)
--- a/src/kelproad/coordination/drain.py
+++ b/src/kelproad/coordination/drain.py
@@ -7,8 +7,8 @@
 
 import asyncio
 import enum
+from collections.abc import Callable
 
-from ..state.requests import RequestTable
 from ..transport.deadlines import monotonic
 
 __all__ = ['DrainPhase', 'Drain']
@@ -29,12 +29,12 @@
 
     def __init__(
         self,
-        requests: RequestTable,
+        count_unfinished: Callable[[], int],
         grace: float,
         limit: float,
     ) -> None:
-        """Wait for the requests of a table, by the settings' seconds."""
-        self._requests = requests
+        """Wait for the calls that are counted, by the settings' seconds."""
+        self._count_unfinished = count_unfinished
         self._grace = grace
         self._limit = limit
         self.phase = DrainPhase.SERVING
@@ -51,6 +51,6 @@
         await asyncio.sleep(self._grace)
         self.phase = DrainPhase.REFUSING
         limit = monotonic() + self._limit
-        while len(self._requests) and monotonic() < limit:
+        while self._count_unfinished() and monotonic() < limit:
             await asyncio.sleep(_CHECK_PERIOD)
-        return len(self._requests)
+        return self._count_unfinished()
--- a/src/kelproad/coordination/entry.py
+++ b/src/kelproad/coordination/entry.py
@@ -6,10 +6,10 @@
 
 import asyncio
 import types
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 
-import attrs
 from aiohttp import web
+from multidict import CIMultiDict
 from returns.result import Failure, Result, Success
 
 from ..protocol import callers
@@ -18,10 +18,7 @@
 from ..state.claims import RecordedAnswer
 from ..state.configuration import (
     Delivery,
-    Service,
-    Snapshot,
     SnapshotHolder,
-    Workspace,
 )
 from ..state.counters import Counters
 from ..state.identity import Identity
@@ -40,13 +37,21 @@
 from .claims import Claim, Claims, digest_request
 from .delivery import StreamDelivery, WholeDelivery
 from .plain import PlainCalls
+from .reception import (
+    RECEIVE_TIMEOUT,
+    Arrival,
+    Call,
+    admit_completion,
+    admit_plain,
+    receive,
+)
+from .sending import send_bounded, send_whole
 
 __all__ = ['Entry']
 
-#: Seconds that a caller has to send its whole request.
-RECEIVE_TIMEOUT = 30.0
-#: Bound on a body before the service, and so its own bound, is known.
-_DEFAULT_BODY_LIMIT = 16_777_216
+#: Seconds past the deadline after which attempts are interrupted.  They end
+#: by themselves at the deadline, and then know whether anything was written.
+_INTERRUPT_MARGIN = 0.05
 _COMPLETION_FIELDS = types.MappingProxyType(
     {
         '/v1/completions': 'prompt',
@@ -55,17 +60,7 @@
 )
 
 
-@attrs.frozen
-class _Arrival:
-    """A call with its body, from a known workspace."""
-
-    http_request: web.Request
-    request_id: str
-    arrived: float
-    snapshot: Snapshot
-    workspace: Workspace
-    key: str
-    body: bytes
+Handler = Callable[[Call], Awaitable[web.StreamResponse]]
 
 
 class Entry(BackgroundService):
@@ -95,6 +90,15 @@
         self._claims = key_claims
         self._counters = counters
         self._detached: set[asyncio.Task[web.StreamResponse]] = set()
+        self._open_calls = 0
+
+    @property
+    def unfinished(self) -> int:
+        """Number of calls in hand, from their headers to their last byte.
+
+        Claimed work goes on without its caller and counts as well.
+        """
+        return self._open_calls + len(self._detached)
 
     def routes(self) -> list[web.RouteDef]:
         """List the paths that callers may call."""
@@ -132,18 +136,50 @@
         http_request: web.Request,
     ) -> web.StreamResponse:
         """Answer a completion call."""
-        request_id = self._identity.next_request_id()
-        received = await self._receive(http_request, request_id)
+        return await self._handle(http_request, self._answer_completion)
+
+    async def answer_plain(
+        self,
+        http_request: web.Request,
+    ) -> web.StreamResponse:
+        """Answer a call to a plain service."""
+        return await self._handle(http_request, self._answer_plain)
+
+    # Handling
+
+    async def _handle(
+        self,
+        http_request: web.Request,
+        answer: Handler,
+    ) -> web.StreamResponse:
+        """Answer a call, counted from its arrival until it is sent."""
+        arrived = monotonic()
+        call = Call(
+            http_request,
+            self._identity.next_request_id(),
+            arrived,
+            arrived + RECEIVE_TIMEOUT,
+        )
+        self._open_calls += 1
+        try:
+            response = await answer(call)
+            await send_whole(call, response)
+        finally:
+            self._open_calls -= 1
+        return response
+
+    async def _answer_completion(self, call: Call) -> web.StreamResponse:
+        received = await receive(call, self._holder.current, text=True)
         if isinstance(received, Failure):
-            return self._refuse(received.failure(), request_id)
+            return self._refuse(received.failure(), call.request_id)
         arrival = received.unwrap()
         parsed = CompletionBody.from_bytes(
             arrival.body,
-            _COMPLETION_FIELDS[http_request.path],
+            _COMPLETION_FIELDS[call.http_request.path],
         )
-        admitted = parsed.bind(lambda body: _admit_completion(arrival, body))
+        admitted = parsed.bind(lambda body: admit_completion(arrival, body))
         if isinstance(admitted, Failure):
-            return self._refuse(admitted.failure(), request_id)
+            return self._refuse(admitted.failure(), call.request_id)
         request = admitted.unwrap()
         if request.idempotency_key:
             return await self._finish_detached(
@@ -151,16 +187,11 @@
             )
         return await self._complete(arrival, request, parsed.unwrap())
 
-    async def answer_plain(
-        self,
-        http_request: web.Request,
-    ) -> web.StreamResponse:
-        """Answer a call to a plain service."""
-        request_id = self._identity.next_request_id()
-        received = await self._receive(http_request, request_id)
-        admitted = received.bind(_admit_plain)
+    async def _answer_plain(self, call: Call) -> web.StreamResponse:
+        received = await receive(call, self._holder.current, text=False)
+        admitted = received.bind(admit_plain)
         if isinstance(admitted, Failure):
-            return self._refuse(admitted.failure(), request_id)
+            return self._refuse(admitted.failure(), call.request_id)
         arrival, request = received.unwrap(), admitted.unwrap()
         if request.idempotency_key:
             return await self._finish_detached(
@@ -168,43 +199,6 @@
             )
         return await self._call_plain(arrival, request)
 
-    # Receiving
-
-    async def _receive(
-        self,
-        http_request: web.Request,
-        request_id: str,
-    ) -> Result[_Arrival, Refusal]:
-        arrived = monotonic()
-        snapshot = self._holder.current
-        found = admission.authenticate_workspace(
-            snapshot,
-            callers.read_bearer(http_request),
-        )
-        key = callers.parse_key(http_request.headers.get(callers.KEY_HEADER))
-        for checked in (found, key):
-            if isinstance(checked, Failure):
-                return checked
-        try:
-            async with within(arrived + RECEIVE_TIMEOUT):
-                body = await callers.read_body(
-                    http_request,
-                    _largest_body(snapshot),
-                )
-        except TimeoutError:
-            return Failure(_refuse_slow_caller())
-        return body.map(
-            lambda content: _Arrival(
-                http_request,
-                request_id,
-                arrived,
-                snapshot,
-                found.unwrap(),
-                key.unwrap(),
-                content,
-            ),
-        )
-
     # Claimed requests
 
     async def _finish_detached(
@@ -223,7 +217,7 @@
 
     async def _claim(
         self,
-        arrival: _Arrival,
+        arrival: Arrival,
         request: Request,
         body: CompletionBody | None,
     ) -> web.StreamResponse:
@@ -237,35 +231,44 @@
                 http_request.path_qs,
                 arrival.body,
             ),
+            request.deadline,
         )
         if isinstance(acquired, Failure):
             return self._refuse(acquired.failure(), request.request_id)
         claim = acquired.unwrap()
         if isinstance(claim, RecordedAnswer):
             return _repeat_answer(claim, request.request_id)
-        if body is None:
-            return await self._call_plain(arrival, request, claim)
-        return await self._complete(arrival, request, body, claim)
+        try:
+            if body is None:
+                return await self._call_plain(arrival, request, claim)
+            return await self._complete(arrival, request, body, claim)
+        finally:
+            # An unexpected error may have come after the dispatch.
+            if not claim.settled:
+                self._claims.leave_unknown(claim)
 
     async def _settle_claim(
         self,
         claim: Claim | None,
+        request: Request,
         outcome: Result[web.StreamResponse, Refusal],
     ) -> None:
+        """Have the outcome written; a refused caller does not wait for it."""
         if claim is None:
             return
         if isinstance(outcome, Success):
-            await self._claims.record(claim, _record_answer(outcome.unwrap()))
+            answer = _record_answer(outcome.unwrap())
+            await self._claims.record(claim, answer, request.deadline)
         elif outcome.failure().ran is Ran.NO:
-            await self._claims.release(claim)
+            self._claims.release(claim)
         else:
-            await self._claims.leave_unknown(claim)
+            self._claims.leave_unknown(claim)
 
     # Completions
 
     async def _complete(
         self,
-        arrival: _Arrival,
+        arrival: Arrival,
         request: Request,
         body: CompletionBody,
         claim: Claim | None = None,
@@ -277,25 +280,33 @@
             delivery = WholeDelivery(body.stream, request.request_id)
         outcome = await self._run_attempts(arrival, request, body, delivery)
         if isinstance(outcome, Success):
-            response = await delivery.finish()
-            await self._settle_claim(claim, Success(response))
+            response = await send_bounded(arrival.call, delivery.finish())
+            await self._settle_claim(claim, request, Success(response))
         else:
             refusal = self._count_refusal(outcome.failure())
-            response = await delivery.refuse(refusal)
-            await self._settle_claim(claim, outcome)
+            await self._settle_claim(claim, request, outcome)
+            response = await send_bounded(
+                arrival.call,
+                delivery.refuse(refusal),
+            )
         return response
 
     async def _run_attempts(
         self,
-        arrival: _Arrival,
+        arrival: Arrival,
         request: Request,
         body: CompletionBody,
         delivery: StreamDelivery | WholeDelivery,
     ) -> Result[None, Refusal]:
         decision = self._begin(request)
         outcome: Result[None, Refusal] = Failure(_refuse_late(request))
+        if request.remaining(monotonic()) <= 0:
+            # An owner that was paused after its claim wakes too late.  The
+            # caller has given up, so the work must not be begun any more.
+            self._end(request, decision, outcome)
+            return outcome
         try:
-            async with within(request.deadline):
+            async with within(request.deadline + _INTERRUPT_MARGIN):
                 outcome = await self._attempts.answer(
                     request,
                     arrival.http_request.path,
@@ -303,19 +314,19 @@
                     decision,
                     delivery.deliver,
                 )
-        except TimeoutError:
+        except asyncio.TimeoutError:
             outcome = Failure(_refuse_late(request))
         except CallerGoneError:
             outcome = Failure(_refuse_gone())
         finally:
             self._end(request, decision, outcome)
-        return outcome
+        return outcome.alt(request.complete_refusal)
 
     # Plain services
 
     async def _call_plain(
         self,
-        arrival: _Arrival,
+        arrival: Arrival,
         request: Request,
         claim: Claim | None = None,
     ) -> web.StreamResponse:
@@ -340,7 +351,8 @@
             )
         finally:
             self._end(request, decision, outcome)
-        await self._settle_claim(claim, outcome)
+        outcome = outcome.alt(request.complete_refusal)
+        await self._settle_claim(claim, request, outcome)
         if isinstance(outcome, Failure):
             return self._refuse(outcome.failure(), request.request_id)
         response = outcome.unwrap()
@@ -386,72 +398,7 @@
         return refusal
 
 
-# Admitting
-
-
-def _admit_completion(
-    arrival: _Arrival,
-    body: CompletionBody,
-) -> Result[Request, Refusal]:
-    found = admission.find_model(
-        arrival.snapshot,
-        arrival.workspace,
-        body.model,
-    )
-    if isinstance(found, Failure):
-        return found
-    service = found.unwrap()
-    tokens = body.estimate_tokens(service.bytes_per_token)
-    fits = admission.check_size(tokens, arrival.snapshot.groups_of(service))
-    return fits.bind(lambda _: _create_request(arrival, service, tokens))
-
-
-def _admit_plain(arrival: _Arrival) -> Result[Request, Refusal]:
-    found = admission.find_service(
-        arrival.snapshot,
-        arrival.workspace,
-        arrival.http_request.match_info['service'],
-    )
-    return found.bind(lambda service: _create_request(arrival, service, 0))
-
-
-def _create_request(
-    arrival: _Arrival,
-    service: Service,
-    tokens: int,
-) -> Result[Request, Refusal]:
-    if len(arrival.body) > service.max_body_bytes:
-        return Failure(
-            Refusal(
-                RefusalCode.TOO_LARGE,
-                f'the body is larger than {service.max_body_bytes} bytes',
-                Step.ADMIT,
-            ),
-        )
-    seconds = callers.parse_deadline(
-        arrival.http_request.headers.get(callers.DEADLINE_HEADER),
-        service.deadline.default,
-        service.deadline.maximum,
-    )
-    return seconds.map(
-        lambda allowed: Request(
-            request_id=arrival.request_id,
-            workspace=arrival.workspace,
-            service=service,
-            snapshot=arrival.snapshot,
-            prompt_tokens=tokens,
-            deadline=arrival.arrived + allowed,
-            arrived=arrival.arrived,
-            idempotency_key=arrival.key,
-        ),
-    )
-
-
-def _largest_body(snapshot: Snapshot) -> int:
-    return max(
-        (service.max_body_bytes for service in snapshot.services.values()),
-        default=_DEFAULT_BODY_LIMIT,
-    )
+# Answers
 
 
 def _plain_path(http_request: web.Request) -> str:
@@ -460,37 +407,24 @@
     return f'/{rest}'
 
 
-# Answers
-
-
 def _record_answer(response: web.StreamResponse) -> RecordedAnswer:
     body = response.body if isinstance(response, web.Response) else b''
-    try:
-        text = bytes(body).decode()
-    except UnicodeDecodeError:
-        text = None
-    return RecordedAnswer(response.status, response.content_type, text)
+    headers = [
+        (str(name), text)
+        for name, text in response.headers.items()
+        if name != callers.REQUEST_ID_HEADER
+    ]
+    return RecordedAnswer(response.status, headers, bytes(body or b''))
 
 
 def _repeat_answer(answer: RecordedAnswer, request_id: str) -> web.Response:
-    if answer.body is None:
-        return callers.answer_refusal(
-            Refusal(
-                RefusalCode.CONFLICT,
-                'the work under this key ran; its answer was too large to keep',
-                Step.CLAIM,
-                ran=Ran.YES,
-            ),
-            request_id,
-        )
+    headers = CIMultiDict(answer.headers)
+    headers[callers.REQUEST_ID_HEADER] = request_id
+    headers[callers.REPLAYED_HEADER] = 'true'
     return web.Response(
         status=answer.status,
-        text=answer.body,
-        content_type=answer.content_type,
-        headers={
-            callers.REQUEST_ID_HEADER: request_id,
-            'Idempotency-Replayed': 'true',
-        },
+        body=answer.body,
+        headers=headers,
     )
 
 
@@ -511,11 +445,3 @@
         Step.RELAY,
         ran=Ran.UNKNOWN,
     )
-
-
-def _refuse_slow_caller() -> Refusal:
-    return Refusal(
-        RefusalCode.BAD_REQUEST,
-        f'the body did not arrive within {RECEIVE_TIMEOUT:.0f} s',
-        Step.RECEIVE,
-    )
--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -41,6 +41,8 @@
 _logger = logging.getLogger(__name__)
 #: Seconds that a stopping instance waits for engines to confirm cancels.
 _CANCEL_LIMIT = 5.0
+#: Seconds that it waits for outcomes to be written, when the platform is down.
+_CLAIM_LIMIT = 5.0
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -60,7 +62,7 @@
         self._counters = Counters()
         self._sessions: list[aiohttp.ClientSession] = []
         self._drain = Drain(
-            self._requests,
+            lambda: self._entry.unfinished,
             settings.drain_grace,
             settings.drain_limit,
         )
@@ -98,7 +100,8 @@
             self._counters,
             generator,
         )
-        entry = Entry(
+        self._claims = Claims(identity, platform, self._counters)
+        self._entry = Entry(
             identity,
             self._holder,
             self._requests,
@@ -118,7 +121,7 @@
                 self._counters,
                 generator,
             ),
-            Claims(identity, platform, self._counters),
+            self._claims,
             self._counters,
         )
         operators = OperatorApi(
@@ -143,10 +146,10 @@
             self._follower,
             self._membership,
             Watch(identity, table, members, engines),
-            entry,
+            self._entry,
         ):
             await self.add_runtime_dependency(service)
-        await self._serve(entry, operators)
+        await self._serve(self._entry, operators)
 
     async def on_shutdown(self) -> None:
         """Close the client sessions after everything else has stopped."""
@@ -171,7 +174,12 @@
         self._membership.announce()
         left = await self._drain.finish()
         await self._canceller.finish(_CANCEL_LIMIT)
-        _logger.info('drained, %d requests left', left)
+        unsettled = await self._claims.finish(_CLAIM_LIMIT)
+        _logger.info(
+            'drained, %d requests left, %d claims left unsettled',
+            left,
+            unsettled,
+        )
         return left
 
     async def _serve(self, entry: Entry, operators: OperatorApi) -> None:
--- a/src/kelproad/coordination/plain.py
+++ b/src/kelproad/coordination/plain.py
@@ -65,8 +65,10 @@
             outcome = await self._attempt(request, call, endpoint)
             if isinstance(outcome, Success):
                 return outcome
-            decision.note('attempt failed', **attrs.asdict(outcome.failure()))
-            if not _may_repeat(request, call, outcome.failure()):
+            refusal = outcome.failure()
+            request.note_ran(refusal.ran)
+            decision.note('attempt failed', refusal=attrs.asdict(refusal))
+            if not _may_repeat(request, call, refusal):
                 return outcome
         return outcome
 
@@ -79,14 +81,15 @@
         endpoint.own_requests += 1
         request.phase = Phase.DISPATCHED
         url = Address.from_text(endpoint.declaration.address).url
-        headers = call.headers.copy()
-        headers['X-Request-Id'] = request.request_id
-        headers['X-Workspace'] = request.workspace.name
+        system_headers = {
+            'X-Request-Id': request.request_id,
+            'X-Workspace': request.workspace.name,
+        }
         label = 'abandoned'
         try:
             answered = await self._client.call(
                 url,
-                attrs.evolve(call, headers=headers),
+                attrs.evolve(call, system_headers=system_headers),
             )
             label = 'complete' if isinstance(answered, Success) else 'failed'
         finally:
--- /dev/null
+++ b/src/kelproad/coordination/reception.py
@@ -0,0 +1,199 @@
+"""Receiving a call: who sends it, its body, the request it becomes.
+
+Nothing here waits longer than the caller's own deadline, and nothing of a
+call that is refused here has reached an endpoint.
+"""
+
+import asyncio
+
+import attrs
+from aiohttp import web
+from returns.result import Failure, Result
+
+from ..protocol import callers
+from ..protocol.callers import CompletionBody
+from ..state.configuration import Service, Snapshot, Workspace
+from ..state.refusals import Refusal, RefusalCode, Step
+from ..state.requests import Request
+from ..transport.deadlines import within
+from . import admission
+
+__all__ = [
+    'Arrival',
+    'Call',
+    'admit_completion',
+    'admit_plain',
+    'receive',
+]
+
+#: Seconds that a caller has to send its whole body, if its own deadline
+#: leaves it as many.
+RECEIVE_TIMEOUT = 30.0
+#: Bound on a body before the service, and so its own bound, is known.
+_DEFAULT_BODY_LIMIT = 16_777_216
+
+
+@attrs.define
+class Call:
+    """A caller's HTTP request from the moment its headers are there.
+
+    Attributes
+    ----------
+    deadline
+        Monotonic time, in seconds, by which the caller must have its answer.
+    """
+
+    http_request: web.Request
+    request_id: str
+    arrived: float
+    deadline: float
+
+
+@attrs.frozen
+class Arrival:
+    """A call with its body, from a known workspace."""
+
+    call: Call
+    snapshot: Snapshot
+    workspace: Workspace
+    key: str
+    body: bytes
+
+    @property
+    def http_request(self) -> web.Request:
+        """The call as it came."""
+        return self.call.http_request
+
+
+async def receive(
+    call: Call,
+    snapshot: Snapshot,
+    text: bool,
+) -> Result[Arrival, Refusal]:
+    """Check a call's headers, then read its body.
+
+    Parameters
+    ----------
+    call
+        The call; its deadline is set by what the headers say.
+    snapshot
+        The configuration in force.
+    text
+        Whether the body must be UTF-8.
+    """
+    headers = call.http_request.headers
+    found = admission.authenticate_workspace(
+        snapshot,
+        callers.read_bearer(call.http_request),
+    )
+    key = callers.parse_key(headers.get(callers.KEY_HEADER))
+    seconds = callers.parse_deadline(
+        headers.get(callers.DEADLINE_HEADER),
+        RECEIVE_TIMEOUT,
+        RECEIVE_TIMEOUT,
+    )
+    for checked in (found, key, seconds):
+        if isinstance(checked, Failure):
+            return checked
+    call.deadline = call.arrived + seconds.unwrap()
+    limit = _largest_body(snapshot)
+    try:
+        async with within(call.deadline):
+            body = await callers.read_body(call.http_request, limit, text)
+    except asyncio.TimeoutError:
+        return Failure(_refuse_slow_caller(seconds.unwrap()))
+    return body.map(
+        lambda content: Arrival(
+            call,
+            snapshot,
+            found.unwrap(),
+            key.unwrap(),
+            content,
+        ),
+    )
+
+
+def admit_completion(
+    arrival: Arrival,
+    body: CompletionBody,
+) -> Result[Request, Refusal]:
+    """Make a request of a completion call that its workspace may make."""
+    found = admission.find_model(
+        arrival.snapshot,
+        arrival.workspace,
+        body.model,
+    )
+    if isinstance(found, Failure):
+        return found
+    service = found.unwrap()
+    tokens = body.estimate_tokens(service.bytes_per_token)
+    fits = admission.check_size(tokens, arrival.snapshot.groups_of(service))
+    return fits.bind(lambda _: _create_request(arrival, service, tokens))
+
+
+def admit_plain(arrival: Arrival) -> Result[Request, Refusal]:
+    """Make a request of a call to a plain service."""
+    found = admission.find_service(
+        arrival.snapshot,
+        arrival.workspace,
+        arrival.http_request.match_info['service'],
+    )
+    return found.bind(lambda service: _create_request(arrival, service, 0))
+
+
+def _create_request(
+    arrival: Arrival,
+    service: Service,
+    tokens: int,
+) -> Result[Request, Refusal]:
+    if len(arrival.body) > service.max_body_bytes:
+        return Failure(
+            Refusal(
+                RefusalCode.TOO_LARGE,
+                f'the body is larger than {service.max_body_bytes} bytes',
+                Step.ADMIT,
+            ),
+        )
+    seconds = callers.parse_deadline(
+        arrival.http_request.headers.get(callers.DEADLINE_HEADER),
+        service.deadline.default,
+        service.deadline.maximum,
+    )
+    return seconds.map(
+        lambda allowed: _start_request(arrival, service, tokens, allowed),
+    )
+
+
+def _start_request(
+    arrival: Arrival,
+    service: Service,
+    tokens: int,
+    allowed: float,
+) -> Request:
+    call = arrival.call
+    call.deadline = call.arrived + allowed
+    return Request(
+        request_id=call.request_id,
+        workspace=arrival.workspace,
+        service=service,
+        snapshot=arrival.snapshot,
+        prompt_tokens=tokens,
+        deadline=call.deadline,
+        arrived=call.arrived,
+        idempotency_key=arrival.key,
+    )
+
+
+def _largest_body(snapshot: Snapshot) -> int:
+    return max(
+        (service.max_body_bytes for service in snapshot.services.values()),
+        default=_DEFAULT_BODY_LIMIT,
+    )
+
+
+def _refuse_slow_caller(seconds: float) -> Refusal:
+    return Refusal(
+        RefusalCode.BAD_REQUEST,
+        f'the body did not arrive within {seconds:.1f} s',
+        Step.RECEIVE,
+    )
--- /dev/null
+++ b/src/kelproad/coordination/sending.py
@@ -0,0 +1,46 @@
+"""Sending final answers in bounded time, whoever reads them."""
+
+import asyncio
+from collections.abc import Awaitable
+
+from aiohttp import web
+
+from ..transport.deadlines import monotonic, within
+from .reception import Call
+
+__all__ = ['SEND_MARGIN', 'send_bounded', 'send_whole']
+
+#: Seconds by which the sending of a final answer may pass the deadline.
+SEND_MARGIN = 0.4
+_CALLER_GONE = 499
+
+
+async def send_whole(call: Call, response: web.StreamResponse) -> None:
+    """Send an answer of known length.
+
+    aiohttp would send it after the handler, and wait for as long as a caller
+    that does not read keeps its connection open.
+    """
+    if not response.prepared:
+        await send_bounded(call, _send(call, response))
+
+
+async def send_bounded(
+    call: Call,
+    sending: Awaitable[web.StreamResponse],
+) -> web.StreamResponse:
+    """Bound the end of an answer; cut the caller off when it is too slow."""
+    try:
+        async with within(max(call.deadline, monotonic()) + SEND_MARGIN):
+            return await sending
+    except (asyncio.TimeoutError, ConnectionError):
+        transport = call.http_request.transport
+        if transport is not None:
+            transport.abort()
+        return web.Response(status=_CALLER_GONE)
+
+
+async def _send(call: Call, response: web.StreamResponse) -> web.StreamResponse:
+    await response.prepare(call.http_request)
+    await response.write_eof()
+    return response
--- a/src/kelproad/protocol/callers.py
+++ b/src/kelproad/protocol/callers.py
@@ -20,6 +20,7 @@
 __all__ = [
     'DEADLINE_HEADER',
     'KEY_HEADER',
+    'REPLAYED_HEADER',
     'REQUEST_ID_HEADER',
     'CompletionBody',
     'answer_refusal',
@@ -34,6 +35,7 @@
 DEADLINE_HEADER = 'X-Deadline-Seconds'
 KEY_HEADER = 'Idempotency-Key'
 REQUEST_ID_HEADER = 'X-Request-Id'
+REPLAYED_HEADER = 'Idempotency-Replayed'
 MAX_KEY_LENGTH = 255
 
 RawFields = dict[str, msgspec.Raw]
@@ -100,11 +102,13 @@
 async def read_body(
     http_request: web.BaseRequest,
     limit: int,
+    text: bool = True,
 ) -> Result[bytes, Refusal]:
-    """Read a body of at most ``limit`` bytes of UTF-8.
+    """Read a body of at most ``limit`` bytes.
 
-    A declared length over the limit is refused before anything is read.  The
-    text is checked as it arrives, so that no second copy of it is made.
+    A declared length over the limit is refused before anything is read.  Text
+    must be UTF-8; it is checked as it arrives, so that no second copy of it
+    is made.
     """
     declared = http_request.content_length
     if declared is not None and declared > limit:
@@ -116,7 +120,7 @@
         if len(received) > limit:
             return Failure(_too_large(limit))
         try:
-            check_text.decode(chunk)
+            check_text.decode(chunk if text else b'')
         except UnicodeDecodeError:
             return _refuse_body('the body is not UTF-8')
     return Success(bytes(received))
--- a/src/kelproad/protocol/plain.py
+++ b/src/kelproad/protocol/plain.py
@@ -8,40 +8,67 @@
 from returns.result import Failure, Result, Success
 
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
-from ..transport.deadlines import within
+from ..transport.deadlines import monotonic, within
 from .engines import CONNECT_TIMEOUT, ConnectionProgress
 
 __all__ = ['PlainAnswer', 'PlainCall', 'PlainClient']
 
 #: Largest answer of a plain service that is passed on.
 MAX_ANSWER_BYTES = 16_777_216
-#: Headers that concern one connection, or that the system sets itself.
-_NOT_FORWARDED = frozenset(
+#: Headers that concern one connection.
+_OF_CONNECTION = frozenset(
     (
-        'authorization',
         'connection',
         'content-length',
+        'expect',
         'host',
         'keep-alive',
         'proxy-authenticate',
         'proxy-authorization',
+        'proxy-connection',
         'te',
         'trailer',
         'transfer-encoding',
         'upgrade',
     ),
 )
+#: Headers by which an endpoint knows whom it serves and for whom it holds
+#: memory.  Only the system sets them; a caller could pose as somebody else.
+_OF_SYSTEM = frozenset(
+    (
+        'x-attempt-id',
+        'x-deadline-seconds',
+        'x-owner',
+        'x-priority',
+        'x-request-id',
+        'x-workspace',
+    ),
+)
+#: The body reaches the endpoint decoded, and the API key stays here.
+_OF_CALLER = frozenset(('authorization', 'content-encoding'))
+#: Headers of an answer that only the system sets.
+_OF_ANSWER = frozenset(('idempotency-replayed', 'x-request-id'))
+_DISPATCH_LATE = 'the deadline passed before the call was sent'
 
 
 @attrs.frozen
 class PlainCall:
-    """One call as the endpoint gets it."""
+    """One call as the endpoint gets it.
+
+    Attributes
+    ----------
+    headers
+        The caller's headers; what an endpoint may not see is left out.
+    system_headers
+        Headers that only the system sets.
+    """
 
     method: str
     path: str
     headers: CIMultiDict[str]
     body: bytes
     deadline: float
+    system_headers: dict[str, str] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -67,6 +94,8 @@
     ) -> Result[PlainAnswer, Refusal]:
         """Make one call and read its whole answer."""
         progress = ConnectionProgress()
+        if monotonic() >= call.deadline:
+            return Failure(_refuse(url, progress, _DISPATCH_LATE, late=True))
         try:
             async with within(call.deadline):
                 return await self._exchange(url, call, progress)
@@ -86,7 +115,11 @@
         async with self._session.request(
             call.method,
             url + call.path,
-            headers=filter_headers(call.headers),
+            headers={
+                **filter_request_headers(call.headers),
+                **call.system_headers,
+                'X-Deadline-Seconds': f'{call.deadline - monotonic():.3f}',
+            },
             data=call.body,
             allow_redirects=False,
             timeout=aiohttp.ClientTimeout(
@@ -100,16 +133,34 @@
                 received += await response.content.read(MAX_ANSWER_BYTES)
                 if len(received) > MAX_ANSWER_BYTES:
                     return Failure(_refuse_long(url))
-            headers = filter_headers(response.headers)
+            headers = filter_answer_headers(response.headers)
         return Success(PlainAnswer(response.status, headers, received))
 
 
-def filter_headers(headers: CIMultiDict[str]) -> CIMultiDict[str]:
-    """Copy the headers that may cross from one connection to another."""
+def filter_request_headers(headers: CIMultiDict[str]) -> CIMultiDict[str]:
+    """Copy the headers of a caller that an endpoint may see."""
+    return _leave_out(headers, _OF_SYSTEM | _OF_CALLER)
+
+
+def filter_answer_headers(headers: CIMultiDict[str]) -> CIMultiDict[str]:
+    """Copy the headers of an endpoint's answer that the caller may see."""
+    return _leave_out(headers, _OF_ANSWER)
+
+
+def _leave_out(
+    headers: CIMultiDict[str],
+    unwanted: frozenset[str],
+) -> CIMultiDict[str]:
+    """Copy headers without unwanted ones and those of the connection.
+
+    ``Connection`` may name further headers that concern it alone.
+    """
+    named = ','.join(headers.getall('Connection', ())).lower().split(',')
+    dropped = unwanted | _OF_CONNECTION | {name.strip() for name in named}
     return CIMultiDict(
         (name, text)
         for name, text in headers.items()
-        if name.lower() not in _NOT_FORWARDED
+        if name.lower() not in dropped
     )
 
 
--- a/src/kelproad/protocol/platform.py
+++ b/src/kelproad/protocol/platform.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import enum
+from collections.abc import Sequence
 from typing import TypeVar
 
 import aiohttp
@@ -38,6 +39,7 @@
 _OK = 200
 _NOT_FOUND = 404
 _CONFLICT = 409
+_DOUBTFUL = frozenset((500, 502, 504))
 _MOST_SHOWN = 200
 
 
@@ -54,12 +56,19 @@
 
 @attrs.frozen
 class StoreError:
-    """A call to the platform that did not succeed."""
+    """A call to the platform that did not succeed.
+
+    Attributes
+    ----------
+    conflicts
+        Keys of the rows whose condition did not hold.
+    """
 
     kind: StoreErrorKind
     operation: str
     peer: str
     message: str
+    conflicts: list[str] = attrs.field(factory=list)
 
 
 @attrs.frozen
@@ -113,6 +122,11 @@
     writes: list[Write]
 
 
+@attrs.frozen
+class _Conflicts:
+    conflicts: list[str]
+
+
 @attrs.frozen
 class _Rows:
     rows: list[Row]
@@ -278,14 +292,11 @@
             received = await response.read()
         if response.status == _OK:
             return Success(received)
-        if response.status == _CONFLICT:
-            kind = StoreErrorKind.CONFLICT
-        else:
-            kind = StoreErrorKind.UNAVAILABLE
         return self._fail(
-            kind,
+            _classify_status(response.status, method),
             operation,
             f'answered {response.status}: {received[:_MOST_SHOWN]!r}',
+            _read_conflicts(received) if response.status == _CONFLICT else [],
         )
 
     def _decode(self, body: bytes, kind: type[T]) -> Result[T, StoreError]:
@@ -303,7 +314,34 @@
         kind: StoreErrorKind,
         operation: str,
         message: str,
+        conflicts: Sequence[str] = (),
     ) -> Result[T, StoreError]:
         return Failure(
-            StoreError(kind, operation, self._address.authority, message),
+            StoreError(
+                kind,
+                operation,
+                self._address.authority,
+                message,
+                list(conflicts),
+            ),
         )
+
+
+def _classify_status(status: int, method: str) -> StoreErrorKind:
+    """Tell what an error status says of a call.
+
+    A server or gateway that answers 500, 502 or 504 may have written before
+    it failed; only a write that was refused is certainly not there.
+    """
+    if status == _CONFLICT:
+        return StoreErrorKind.CONFLICT
+    if method != 'GET' and status in _DOUBTFUL:
+        return StoreErrorKind.UNKNOWN
+    return StoreErrorKind.UNAVAILABLE
+
+
+def _read_conflicts(body: bytes) -> list[str]:
+    try:
+        return msgspec.json.decode(body, type=_Conflicts).conflicts
+    except msgspec.DecodeError:
+        return []
--- a/src/kelproad/state/claims.py
+++ b/src/kelproad/state/claims.py
@@ -12,6 +12,8 @@
 
     #: Somebody may be dispatching it, now or after a pause.
     OPEN = 'open'
+    #: Its owner did not dispatch it and never will; the key may be claimed.
+    FREE = 'free'
     #: It ran and its answer is recorded.
     DONE = 'done'
     #: It was dispatched and nobody knows whether it ran.
@@ -24,13 +26,15 @@
 
     Attributes
     ----------
+    headers
+        Names and texts, in order.
     body
-        Text of the answer; ``None`` when it was too large to keep.
+        The answer's bytes; ``None`` when they were too many to keep.
     """
 
     status: int
-    content_type: str
-    body: str | None
+    headers: list[tuple[str, str]]
+    body: bytes | None
 
 
 @attrs.frozen
@@ -46,6 +50,12 @@
         Instance and incarnation of the writer.
     request_digest
         Digest of the request; another request may not use the key.
+    answer_due
+        Wall-clock time, in seconds, by which the owner answers its caller.
+        It only tells later callers when to ask again: clocks differ, and a
+        paused owner may act after it.
+    settled_at
+        Wall-clock time, in seconds, of the last change of state.
     """
 
     token: str
@@ -53,3 +63,5 @@
     request_digest: str
     state: ClaimState
     answer: RecordedAnswer | None = None
+    answer_due: float = 0
+    settled_at: float = 0
--- a/src/kelproad/state/requests.py
+++ b/src/kelproad/state/requests.py
@@ -7,6 +7,7 @@
 import attrs
 
 from .configuration import Service, Snapshot, Workspace
+from .refusals import Ran, Refusal
 
 __all__ = ['Decision', 'DecisionLog', 'Phase', 'Request', 'RequestTable']
 
@@ -35,6 +36,8 @@
         Estimated length of the prompt.
     attempts
         Number of dispatches so far.
+    ran
+        Whether any dispatch so far was, or may have been, executed.
     """
 
     request_id: str
@@ -47,6 +50,7 @@
     phase: Phase = Phase.ADMITTED
     attempts: int = 0
     idempotency_key: str = ''
+    ran: Ran = Ran.NO
 
     @property
     def repeatable(self) -> bool:
@@ -58,6 +62,20 @@
         self.attempts += 1
         return f'{self.request_id}-{self.attempts}'
 
+    def note_ran(self, ran: Ran) -> None:
+        """Take in whether a dispatch that failed was executed."""
+        if self.ran is not Ran.YES and ran is not Ran.NO:
+            self.ran = ran
+
+    def complete_refusal(self, refusal: Refusal) -> Refusal:
+        """Let a refusal speak for all dispatches, not only for the last.
+
+        A repeatable request may run at one endpoint, lose its answer and be
+        refused unrun by the next one; it may have run all the same.
+        """
+        self.note_ran(refusal.ran)
+        return attrs.evolve(refusal, ran=self.ran)
+
     def remaining(self, now: float) -> float:
         """Return the seconds left until the deadline, negative if past."""
         return self.deadline - now
@@ -83,7 +101,7 @@
             prompt_tokens=request.prompt_tokens,
         )
 
-    def note(self, step: str, **details: object) -> None:
+    def note(self, step: str, /, **details: object) -> None:
         """Add what was decided at a step."""
         self.steps.append({'step': step, **details})
 
--- a/tests/clients.py
+++ b/tests/clients.py
@@ -69,13 +69,17 @@
     address: str,
     reference: str,
     key: str = '',
+    deadline: float | None = None,
     **options: object,
 ) -> Answer:
     """Log a test run, under an idempotency key if one is given."""
+    headers = {'Idempotency-Key': key} if key else {}
+    if deadline is not None:
+        headers['X-Deadline-Seconds'] = str(deadline)
     return call(
         address,
         '/services/test-runs/entries',
         {'reference': reference},
-        headers={'Idempotency-Key': key} if key else {},
+        headers=headers,
         **options,
     )
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,361 @@
+"""At most once, with real processes: effects are counted at the endpoints."""
+
+import functools
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from testbed.network import PLATFORM
+from testbed.site import Site, SitePlan, start_site
+from tests.clients import Answer, book, complete
+from tests.conftest import ROADGRIP
+
+#: Seconds by which an answer may miss its deadline on a busy test machine.
+MARGIN = 0.5
+#: Seconds that the tests give the background settling of claims.
+SETTLING = 10.0
+
+
+@pytest.fixture(scope='module')
+def shared(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Site]:
+    """Run a site whose zones can be cut off."""
+    plan = SitePlan(
+        example=ROADGRIP,
+        endpoints_per_group=1,
+        network=True,
+        engine_settings={'default_max_tokens': 4},
+    )
+    with start_site(plan, tmp_path_factory.mktemp('claims')) as site:
+        yield site
+
+
+@pytest.fixture
+def site(shared: Site) -> Iterator[Site]:
+    """Give the site, whole again after each test."""
+    yield shared
+    shared.set_faults(shared.platform_address)
+    for address in shared.addresses.values():
+        shared.set_faults(address)
+    shared.network.heal()
+    for instance in shared.instances:
+        if instance.process.running:
+            instance.process.wake()
+        else:
+            shared.start_instance(instance)
+    shared.wait_ready()
+    for caller in shared.callers:
+        wait_for(functools.partial(can_claim, caller))
+
+
+@pytest.fixture
+def pool() -> Iterator[ThreadPoolExecutor]:
+    """Make calls at the same time."""
+    with ThreadPoolExecutor(32) as executor:
+        yield executor
+
+
+def test_same_key_at_all_zones_at_once(
+    site: Site,
+    pool: ThreadPoolExecutor,
+) -> None:
+    """Callers send one key to every instance in the same moment.
+
+    One of them books; the others are told so, or get the recorded answer.
+    """
+    keys = [f'run-race-{number}' for number in range(8)]
+    calls = [
+        pool.submit(book, caller, key, key)
+        for key in keys
+        for caller in (*site.callers, *site.callers)
+    ]
+    answers = [call.result() for call in calls]
+    assert {answer.status for answer in answers} <= {200, 409}
+    assert [count_effects(site, key) for key in keys] == [1 for _ in keys]
+
+
+def test_same_key_of_a_completion_runs_once(
+    site: Site,
+    pool: ThreadPoolExecutor,
+) -> None:
+    """Callers send one keyed prompt to every instance in the same moment."""
+    before = count_runs(site)
+    headers = {'Idempotency-Key': 'prompt-race'}
+    calls = [
+        pool.submit(complete, caller, headers=headers)
+        for caller in (*site.callers, *site.callers)
+    ]
+    answers = [call.result() for call in calls]
+    assert {answer.status for answer in answers} <= {200, 409}
+    assert count_runs(site) - before == 1
+
+
+def test_hanging_store_refuses_in_time(site: Site) -> None:
+    """The store takes calls and never answers.
+
+    Each keyed caller hears before its deadline that nothing was run, and
+    nothing runs when the store comes back; the key stays usable.
+    """
+    site.set_faults(site.platform_address, hang=True)
+    for number in range(3):
+        answer, taken = timed_book(site, f'hang-{number}', seconds=1)
+        assert answer.refusal()['ran'] == 'no'
+        assert answer.refusal()['retry_after'] > 0
+        assert taken < 1 + MARGIN
+    site.set_faults(site.platform_address)
+    assert [count_effects(site, f'hang-{n}') for n in range(3)] == [0, 0, 0]
+    wait_for(lambda: book(site.callers[1], 'hang-0', 'hang-0').status == 200)
+    assert count_effects(site, 'hang-0') == 1
+
+
+def test_store_down_refuses_at_once(site: Site) -> None:
+    site.set_faults(site.platform_address, down=True)
+    answer, taken = timed_book(site, 'down', seconds=10)
+    assert answer.status == 503
+    assert answer.refusal()['ran'] == 'no'
+    assert taken < 1
+    site.set_faults(site.platform_address)
+    assert book(site.callers[0], 'down', 'down').status == 200
+    assert count_effects(site, 'down') == 1
+
+
+@pytest.mark.parametrize('lost', ['lose_answers', 'lose_writes'])
+def test_lost_claim_is_taken_up_again(site: Site, lost: str) -> None:
+    """The answer to the claim is lost, before or after it took effect.
+
+    The caller notices nothing: the same row is written again, and found if
+    it stands there already.
+    """
+    site.set_faults(site.platform_address, **{lost: 1})
+    assert book(site.callers[0], lost, lost).status == 200
+    assert book(site.callers[1], lost, lost).status == 200
+    assert count_effects(site, lost) == 1
+
+
+@pytest.mark.parametrize('fault', ['down', 'hang'])
+def test_outcome_is_recorded_after_an_outage(
+    site: Site,
+    pool: ThreadPoolExecutor,
+    fault: str,
+) -> None:
+    """The store fails while a claimed call is at its endpoint.
+
+    The caller gets the answer in time all the same, and when the store is
+    back the key repeats that answer instead of staying in progress for ever.
+    """
+    reference = f'outage-{fault}'
+    slow_books(site, 1.0)
+    started = time.monotonic()
+    call = pool.submit(book_within, site, reference, 3)
+    wait_for(lambda: count_effects(site, reference) == 1)
+    site.set_faults(site.platform_address, **{fault: True})
+    assert call.result().status == 200
+    assert time.monotonic() - started < 3 + MARGIN
+    site.set_faults(site.platform_address)
+    slow_books(site, 0)
+    wait_for(
+        lambda: book(site.callers[1], reference, reference).status == 200,
+    )
+    assert count_effects(site, reference) == 1
+
+
+def test_claim_held_back_by_a_cut_frees_its_key(site: Site) -> None:
+    """A cut holds a claim back; the caller is refused; the cut heals.
+
+    The claim then reaches the store although its writer has given up.  The
+    key must not stay in progress for ever: the writer takes the row back.
+    """
+    zone = site.zones[0]
+    site.network.cut((zone, PLATFORM))
+    refused, _ = timed_book(site, 'held-back', seconds=1)
+    assert refused.refusal()['ran'] == 'no'
+    site.network.heal()
+    wait_for(
+        lambda: book(site.callers[1], 'held-back', 'held-back').status == 200,
+    )
+    assert count_effects(site, 'held-back') == 1
+
+
+def test_other_zone_runs_it_during_a_cut(site: Site) -> None:
+    """Refused in a cut zone, a caller goes to another zone and is served."""
+    site.network.cut((site.zones[0], PLATFORM))
+    refused, _ = timed_book(site, 'moved', seconds=1)
+    assert refused.refusal()['ran'] == 'no'
+    assert book(site.callers[1], 'moved', 'moved').status == 200
+    site.network.heal()
+    wait_for(lambda: book(site.callers[0], 'moved', 'moved').status == 200)
+    assert count_effects(site, 'moved') == 1
+
+
+def test_owner_frozen_before_dispatch(
+    site: Site,
+    pool: ThreadPoolExecutor,
+) -> None:
+    """An instance is paused after its claim was sent, and woken too late.
+
+    Nobody else may run the work meanwhile, for the owner could still do so;
+    woken past the deadline the owner must not, and gives the key back.
+    """
+    owner = site.instances[0].process
+    site.set_faults(site.platform_address, delay=1.0)
+    call = pool.submit(book_within, site, 'frozen', 2)
+    time.sleep(0.5)
+    owner.freeze()
+    time.sleep(1)
+    site.set_faults(site.platform_address)
+    meanwhile = book(site.callers[1], 'frozen', 'frozen')
+    assert meanwhile.status == 409
+    assert meanwhile.refusal()['ran'] == 'unknown'
+    time.sleep(2)
+    later = book(site.callers[1], 'frozen', 'frozen')
+    assert later.refusal()['code'] == 'outcome_unknown'
+    owner.wake()
+    assert call.result().refusal()['ran'] == 'no'
+    assert count_effects(site, 'frozen') == 0
+    wait_for(lambda: book(site.callers[1], 'frozen', 'frozen').status == 200)
+    assert count_effects(site, 'frozen') == 1
+
+
+@pytest.mark.parametrize('dispatched', [False, True])
+def test_owner_killed(
+    site: Site,
+    pool: ThreadPoolExecutor,
+    dispatched: bool,
+) -> None:
+    """An instance dies between claim and dispatch, or after the dispatch.
+
+    Nobody can tell any more whether it ran, so every later caller hears
+    that it is unknown, and no instance runs it again.
+    """
+    reference = f'killed-{dispatched}'
+    if dispatched:
+        slow_books(site, 5.0)
+    else:
+        # The claim stands after half a second, its owner hears it after one.
+        site.set_faults(site.platform_address, delay=0.5, lose_answers=1)
+    pool.submit(book_within, site, reference, 2)
+    time.sleep(0.8)
+    site.instances[0].process.kill()
+    time.sleep(1)
+    site.set_faults(site.platform_address)
+    for seconds in (0, 2):
+        time.sleep(seconds)
+        answer = book(site.callers[1], reference, reference)
+        assert answer.status == 409
+        assert answer.refusal()['ran'] == 'unknown'
+        assert answer.refusal()['retry_after'] > 0
+    assert count_effects(site, reference) == int(dispatched)
+
+
+def test_lost_answer_of_a_service_is_unknown(site: Site) -> None:
+    """A service books and its answer is lost: never told as not run."""
+    for address in list_books(site):
+        site.set_faults(address, lose_answers=1)
+    first = book(site.callers[0], 'lost', 'lost')
+    assert (first.status, first.refusal()['ran']) == (502, 'unknown')
+    for _ in range(3):
+        again = book(site.callers[1], 'lost', 'lost')
+        assert (again.status, again.refusal()['ran']) == (409, 'unknown')
+    unkeyed = book(site.callers[2], 'lost-unkeyed')
+    assert unkeyed.status in {200, 502}
+    assert count_effects(site, 'lost') == 1
+    assert count_effects(site, 'lost-unkeyed') == 1
+
+
+def test_service_error_is_an_answer(site: Site) -> None:
+    """What the service itself answers stands, also when it is an error."""
+    for address in list_books(site):
+        site.set_faults(address, refuse=1)
+    first = book(site.callers[0], 'error', 'error')
+    again = book(site.callers[1], 'error', 'error')
+    assert first.status == again.status == 503
+    assert first.body == again.body == b'{"booked": false}'
+
+
+def test_frozen_engine_leaves_its_key_unknown(site: Site) -> None:
+    """Engines freeze, keyed prompts reach their deadline without an answer."""
+    before = count_runs(site)
+    engines = [
+        process
+        for name, process in site.endpoints.items()
+        if name.startswith('report')
+    ]
+    for engine in engines:
+        engine.freeze()
+    headers = {'Idempotency-Key': 'frozen-prompt', 'X-Deadline-Seconds': '1'}
+    first = complete(site.callers[0], headers=headers)
+    for engine in engines:
+        engine.wake()
+    assert (first.status, first.refusal()['ran']) == (504, 'unknown')
+    for caller in site.callers:
+        again = complete(caller, headers=headers)
+        assert (again.status, again.refusal()['ran']) == (409, 'unknown')
+    assert count_runs(site) - before <= 1
+
+
+def book_within(site: Site, reference: str, seconds: float) -> Answer:
+    """Book under a key of the same name at the first instance."""
+    return book(
+        site.callers[0],
+        reference,
+        reference,
+        deadline=seconds,
+    )
+
+
+def timed_book(
+    site: Site,
+    reference: str,
+    seconds: float,
+) -> tuple[Answer, float]:
+    """Book and tell how long the answer took."""
+    started = time.monotonic()
+    answer = book_within(site, reference, seconds)
+    return answer, time.monotonic() - started
+
+
+def can_claim(caller: str) -> bool:
+    """Tell whether an instance can claim a key that nobody has used."""
+    key = f'fresh-{time.monotonic_ns()}'
+    return book(caller, key, key).status == 200
+
+
+def list_books(site: Site) -> list[str]:
+    """List the addresses of the services that book runs."""
+    return [
+        address
+        for name, address in site.addresses.items()
+        if name.startswith('run-book')
+    ]
+
+
+def slow_books(site: Site, delay: float) -> None:
+    """Let the services answer late, after the effect."""
+    for address in list_books(site):
+        site.set_faults(address, delay=delay)
+
+
+def count_effects(site: Site, reference: str) -> int:
+    """Count over all books how often a reference was booked."""
+    entries = [
+        site.control(address, 'GET', '/entries') for address in list_books(site)
+    ]
+    return sum(int(found.get(reference, 0)) for found in entries)
+
+
+def count_runs(site: Site) -> int:
+    """Count the attempts that engines have run."""
+    return sum(
+        len(site.control(address, 'GET', '/control/ran'))
+        for address in site.addresses.values()
+        if address not in list_books(site)
+    )
+
+
+def wait_for(holds: Callable[[], bool], seconds: float = SETTLING) -> None:
+    """Wait until something holds."""
+    limit = time.monotonic() + seconds
+    while not holds():
+        assert time.monotonic() < limit
+        time.sleep(0.1)
--- /dev/null
+++ b/tests/test_grouping.py
@@ -0,0 +1,197 @@
+"""Claims and their grouped writes, against the stand-in platform."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+
+import attrs
+import pytest
+from aiohttp.test_utils import TestServer
+from returns.result import Failure, Result, Success
+
+from kelproad.coordination.claims import Claim, Claims
+from kelproad.coordination.grouping import GroupedWrites
+from kelproad.protocol.platform import (
+    ABSENT,
+    PlatformClient,
+    StoreErrorKind,
+    Write,
+)
+from kelproad.standins.platform import Faults, PlatformStandIn
+from kelproad.state.claims import ClaimState, RecordedAnswer
+from kelproad.state.counters import Counters
+from kelproad.state.identity import Identity
+from kelproad.state.refusals import Ran
+from kelproad.transport.addresses import Address
+from kelproad.transport.deadlines import monotonic
+from kelproad.transport.http import create_session
+
+LONG = 30.0
+DIGEST = 'the digest of a request'
+ANSWER = RecordedAnswer(200, [('Content-Type', 'image/png')], b'\x89PNG\xff')
+
+
+@attrs.frozen
+class Store:
+    """The stand-in platform and a client of it."""
+
+    platform: PlatformStandIn
+    client: PlatformClient
+
+    def row(self, key: str) -> dict[str, object]:
+        """Return the claim that stands under a key of the workspace."""
+        return json.loads(self.platform._tables['claims'][f'w/{key}'].body)
+
+    @property
+    def transactions(self) -> int:
+        """Number of transactions so far."""
+        return self.platform.calls['POST /tables/transact']
+
+
+@pytest.fixture
+async def store() -> AsyncIterator[Store]:
+    """Run a platform inside the test."""
+    platform = PlatformStandIn()
+    server = TestServer(platform.create_application(), host='127.0.0.1')
+    await server.start_server()
+    session = create_session()
+    address = Address('127.0.0.1', server.port)
+    try:
+        yield Store(platform, PlatformClient(address, session, Counters()))
+    finally:
+        await session.close()
+        await server.close()
+
+
+def create_claims(store: Store, name: str = 'i-1') -> Claims:
+    """Build the claims of an instance of its own."""
+    identity = Identity.from_start(name, 'zone')
+    return Claims(identity, store.client, Counters())
+
+
+async def acquire(
+    claims: Claims,
+    key: str,
+    seconds: float = LONG,
+) -> Result[Claim | RecordedAnswer, object]:
+    """Claim a key of the workspace ``w``."""
+    return await claims.acquire('w', key, DIGEST, monotonic() + seconds)
+
+
+async def test_same_key_twice_in_one_group(store: Store) -> None:
+    """Two callers send one key to one instance in the same moment.
+
+    Both claims wait for the same transaction, whose conditions all hold; if
+    it took both, both callers would be told to dispatch.
+    """
+    claims = create_claims(store)
+    found = await asyncio.gather(*(acquire(claims, 'k') for _ in range(5)))
+    assert sum(isinstance(one, Success) for one in found) == 1
+
+
+async def test_conflict_fails_only_its_own_row(store: Store) -> None:
+    """One key of a group is taken; the others are claimed all the same."""
+    await acquire(create_claims(store, 'i-2'), 'k-3')
+    claims = create_claims(store)
+    before = store.transactions
+    found = await asyncio.gather(
+        *(acquire(claims, f'k-{number}') for number in range(6)),
+    )
+    held = [isinstance(one, Success) for one in found]
+    assert held == [True, True, True, False, True, True]
+    assert store.transactions - before == 2
+
+
+async def test_unsent_row_is_never_sent(store: Store) -> None:
+    """A row whose writer gave up while it waited must not be written later."""
+    writes = GroupedWrites(store.client)
+    store.platform.faults = Faults(delay=0.3)
+    first = asyncio.create_task(
+        writes.write(Write('claims', 'a', '{}', ABSENT), monotonic() + LONG),
+    )
+    await asyncio.sleep(0.1)
+    second = await writes.write(
+        Write('claims', 'b', '{}', ABSENT),
+        monotonic() + 0.05,
+    )
+    assert second.failure().kind is StoreErrorKind.UNAVAILABLE
+    assert isinstance(await first, Success)
+    await asyncio.sleep(0.5)
+    assert list(store.platform._tables['claims']) == ['a']
+
+
+async def test_claim_that_lands_late_is_taken_back(store: Store) -> None:
+    """A slow store writes a claim after its caller was refused."""
+    claims = create_claims(store)
+    store.platform.faults = Faults(delay=0.3)
+    refused = await acquire(claims, 'k', 0.1)
+    assert refused.failure().ran is Ran.NO
+    assert await claims.finish(LONG) == 0
+    assert store.row('k')['state'] == ClaimState.FREE
+    assert isinstance(await acquire(create_claims(store, 'i-2'), 'k'), Success)
+
+
+async def test_late_release_frees_nobody_elses_claim(store: Store) -> None:
+    """A release is repeated, and its first sending arrives very late.
+
+    By then another instance holds the key; freeing it would let a third
+    instance run the work a second time.
+    """
+    first = (await acquire(create_claims(store), 'k')).unwrap()
+    claims = create_claims(store)
+    claims.release(first)
+    await claims.finish(LONG)
+    second = (await acquire(create_claims(store, 'i-2'), 'k')).unwrap()
+    late = Write('claims', 'w/k', '{}', first.version)
+    arrived = await store.client.transact([late], 1)
+    assert arrived.failure().kind is StoreErrorKind.CONFLICT
+    assert store.row('k')['token'] == second.record.token
+
+
+@pytest.mark.parametrize('fault', ['lose_answers', 'lose_writes'])
+async def test_lost_record_is_written_again(store: Store, fault: str) -> None:
+    claims = create_claims(store)
+    claim = (await acquire(claims, 'k')).unwrap()
+    store.platform.faults = Faults(**{fault: 2})
+    await claims.record(claim, ANSWER, monotonic() + LONG)
+    assert await claims.finish(LONG) == 0
+    repeated = await acquire(create_claims(store, 'i-2'), 'k')
+    assert repeated.unwrap() == ANSWER
+
+
+async def test_too_large_answer_is_told_as_run(store: Store) -> None:
+    claims = create_claims(store)
+    claim = (await acquire(claims, 'k')).unwrap()
+    large = attrs.evolve(ANSWER, body=bytes(100_000))
+    await claims.record(claim, large, monotonic() + LONG)
+    refused = await acquire(claims, 'k')
+    assert refused.failure().ran is Ran.YES
+
+
+async def test_old_answer_is_told_as_run(
+    store: Store,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """After the keeping time nothing runs again, and the caller hears why."""
+    claims = create_claims(store)
+    claim = (await acquire(claims, 'k')).unwrap()
+    await claims.record(claim, ANSWER, monotonic() + LONG)
+    monkeypatch.setattr('kelproad.coordination.claims.ANSWER_KEPT', -1)
+    refused = await acquire(claims, 'k')
+    assert refused.failure().ran is Ran.YES
+
+
+async def test_silent_store_refuses_at_once(store: Store) -> None:
+    """While a hanging store is being tried, others do not wait for it."""
+    claims = create_claims(store)
+    store.platform.faults = Faults(hang=True)
+    assert isinstance(await acquire(claims, 'k-0', 1.2), Failure)
+    started = monotonic()
+    found = await asyncio.gather(
+        *(acquire(claims, f'k-{number}') for number in range(1, 50)),
+    )
+    assert monotonic() - started < 1
+    assert {one.failure().ran for one in found} == {Ran.NO}
+    store.platform.faults = Faults()
+    assert await claims.finish(LONG) == 0
+    assert isinstance(await acquire(claims, 'k-1'), Success)
