--- a/src/kelproad/coordination/claims.py
+++ b/src/kelproad/coordination/claims.py
@@ -28,49 +28,28 @@
 from ..state.claims import ClaimRecord, ClaimState, RecordedAnswer
 from ..state.counters import Counters
 from ..state.identity import Identity
-from ..state.refusals import Ran, Refusal, RefusalCode, Step
 from ..transport.deadlines import monotonic
 from .grouping import WRITE_TIMEOUT, GroupedWrites
+from .verdicts import (
+    MAX_RECORDED_BYTES,
+    Acquired,
+    Claim,
+    judge,
+    refuse_unrecorded,
+)
 
 __all__ = ['Claim', 'Claims', 'digest_request']
 
 _TABLE = 'claims'
-#: Largest answer that is kept in the row, in bytes.
-MAX_RECORDED_BYTES = 65_536
-#: Seconds for which a recorded answer is repeated; the row itself stays.
-ANSWER_KEPT = 86_400.0
 #: Seconds that claiming may take, if the request's deadline allows them.
 CLAIM_LIMIT = 2.0
 #: Seconds that an answer waits for its record, at the most.
 RECORD_WAIT = 0.25
-#: Seconds after the owner's deadline in which it may still be settling.
-_SETTLE_MARGIN = 1.0
 _MAX_TRIES = 4
 _SHORTEST_RETRY = 0.1
 _LONGEST_RETRY = 2.0
-_SOONEST_ASK = 0.5
-_LATEST_ASK = 3600.0
-_LONGEST_OUTAGE_ASK = 30.0
 _DIGEST_BYTES = 16
 
-Acquired = Result['Claim | RecordedAnswer', Refusal]
-
-
-@attrs.define
-class Claim:
-    """A claim that this process holds; only it may dispatch the work.
-
-    Attributes
-    ----------
-    settled
-        Its outcome is decided, so nothing more may be dispatched under it.
-    """
-
-    key: str
-    record: ClaimRecord
-    version: int
-    settled: bool = False
-
 
 @attrs.define
 class _Trial:
@@ -248,12 +227,13 @@
         if standing.state is ClaimState.FREE:
             trial.expect = row.version
             return None
-        return _judge(row, standing, trial.mine)
+        return judge(row, standing, trial.mine)
 
     def _give_up(self, trial: _Trial) -> Acquired:
         if trial.unsure:
             self._start(self._take_back(trial))
-        return Failure(self._refuse_unrecorded(trial.error))
+        silent = self._writes.silent_seconds
+        return Failure(refuse_unrecorded(trial.error, silent))
 
     async def _read(
         self,
@@ -351,17 +331,6 @@
 
     # Telling
 
-    def _refuse_unrecorded(self, error: StoreError) -> Refusal:
-        """Refuse; the longer the platform is silent, the later to ask."""
-        silent = self._writes.silent_seconds
-        return Refusal(
-            RefusalCode.CLAIM_UNRECORDED,
-            f'the claim could not be recorded: {error.message}',
-            Step.CLAIM,
-            peer=error.peer,
-            retry_after=_clamp(silent, _SOONEST_ASK, _LONGEST_OUTAGE_ASK),
-        )
-
     def _count(self, outcome: Acquired) -> None:
         if isinstance(outcome, Failure):
             label = str(outcome.failure().code)
@@ -371,66 +340,6 @@
         self._counters.claims.inc({'outcome': label})
 
 
-def _judge(row: Row, standing: ClaimRecord, mine: ClaimRecord) -> Acquired:
-    """Decide what the row that stands under a key means for a request."""
-    if standing.token == mine.token:
-        return Success(Claim(row.key, mine, row.version))
-    if standing.request_digest != mine.request_digest:
-        return Failure(
-            Refusal(
-                RefusalCode.KEY_REUSED,
-                'the idempotency key belongs to another request',
-                Step.CLAIM,
-                peer=standing.owner,
-            ),
-        )
-    if standing.state is ClaimState.DONE:
-        return _repeat_answer(standing)
-    return Failure(_refuse_unresolved(standing, time.time()))
-
-
-def _repeat_answer(standing: ClaimRecord) -> Acquired:
-    age = time.time() - standing.settled_at
-    if standing.answer.body is None:
-        message = f'its answer exceeds the {MAX_RECORDED_BYTES} bytes kept'
-    elif age > ANSWER_KEPT:
-        message = f'its answer was kept for {ANSWER_KEPT:.0f} s only'
-    else:
-        return Success(standing.answer)
-    return Failure(
-        Refusal(
-            RefusalCode.CONFLICT,
-            f'the work under this key ran; {message}',
-            Step.CLAIM,
-            peer=standing.owner,
-            ran=Ran.YES,
-        ),
-    )
-
-
-def _refuse_unresolved(standing: ClaimRecord, now: float) -> Refusal:
-    """Tell what is known of a claim that somebody else holds.
-
-    While the owner has time left, it may answer by then.  Past that, the
-    longer a claim has been unresolved, the less likely it still is to be.
-    """
-    remaining = standing.answer_due + _SETTLE_MARGIN - now
-    if standing.state is ClaimState.OPEN and remaining > 0:
-        code = RefusalCode.KEY_IN_PROGRESS
-        message = 'the key is in progress elsewhere'
-    else:
-        code = RefusalCode.OUTCOME_UNKNOWN
-        message = 'the work under this key may have run; nobody knows'
-    return Refusal(
-        code,
-        message,
-        Step.CLAIM,
-        peer=standing.owner,
-        ran=Ran.UNKNOWN,
-        retry_after=_clamp(abs(remaining), _SOONEST_ASK, _LATEST_ASK),
-    )
-
-
 def _require(row: Row | None, row_key: str) -> Result[Row, StoreError]:
     """Insist on the row that a write has just conflicted with."""
     if row is not None:
@@ -463,10 +372,6 @@
     return monotonic() + 2 * WRITE_TIMEOUT
 
 
-def _clamp(seconds: float, least: float, most: float) -> float:
-    return min(max(seconds, least), most)
-
-
 def _encode(record: ClaimRecord) -> str:
     return msgspec.json.encode(record).decode()
 
--- a/src/kelproad/coordination/grouping.py
+++ b/src/kelproad/coordination/grouping.py
@@ -1,7 +1,7 @@
 """Writing rows in groups: one transaction of the platform for many rows.
 
 A row that comes alone is written at once.  Rows that come while a transaction
-is on its way, or shortly after one began, wait and share the next one.
+is on its way, or after many have just begun, wait and share the next one.
 """
 
 import asyncio
@@ -21,8 +21,11 @@
 
 __all__ = ['GroupedWrites']
 
-#: Seconds between the beginnings of two transactions of one process.
+#: Seconds between the beginnings of two transactions of one process, on the
+#: average.
 GROUP_PERIOD = 0.02
+#: Transactions that may begin without a pause after a quiet time.
+GROUP_BURST = 4
 #: Most rows of one transaction.
 MAX_ROWS = 100
 #: Seconds that a transaction may take.
@@ -56,7 +59,7 @@
         self._platform = platform
         self._waiting: list[_Waiting] = []
         self._runner: asyncio.Task[None] | None = None
-        self._began = float('-inf')
+        self._due = float('-inf')
         self._silent_since: float | None = None
 
     @property
@@ -105,12 +108,21 @@
 
     async def _run(self) -> None:
         while self._waiting:
-            await asyncio.sleep(self._began + GROUP_PERIOD - monotonic())
-            self._began = monotonic()
+            await self._pace()
             group = _take_group(self._waiting)
             if group:
                 await self._commit(group)
 
+    async def _pace(self) -> None:
+        """Wait until the next transaction may begin.
+
+        At a low rate that is at once, at a high one rows gather meanwhile.
+        """
+        now = monotonic()
+        due = max(self._due, now - GROUP_BURST * GROUP_PERIOD)
+        self._due = due + GROUP_PERIOD
+        await asyncio.sleep(due - now)
+
     async def _commit(self, group: list[_Waiting]) -> None:
         """Write a group; without the rows in conflict where there are some."""
         while group:
--- a/tests/test_grouping.py
+++ b/tests/test_grouping.py
@@ -176,7 +176,7 @@
     claims = create_claims(store)
     claim = (await acquire(claims, 'k')).unwrap()
     await claims.record(claim, ANSWER, monotonic() + LONG)
-    monkeypatch.setattr('kelproad.coordination.claims.ANSWER_KEPT', -1)
+    monkeypatch.setattr('kelproad.coordination.verdicts.ANSWER_KEPT', -1)
     refused = await acquire(claims, 'k')
     assert refused.failure().ran is Ran.YES
 
