Send a call to a plain service once, whatever its method

Cause: aiohttp sends a PUT, DELETE or GET again when its connection breaks without an answer, also when the connection was new. The comment on create_fresh_session took it that a new connection prevents that. A service that booked a PUT and lost its answer booked it twice, and the caller heard 200.

Ruled out: the session's private switch for it. Change: a client middleware turns the error into one that aiohttp does not repeat.

Before: tests/test_plain_calls.py, 2 failed of 4 (the lost PUT was answered, after a second sending). After: 4 passed.

--- a/src/kelproad/transport/http.py
+++ b/src/kelproad/transport/http.py
@@ -12,7 +12,12 @@
 from .addresses import Address
 from .services import BackgroundService
 
-__all__ = ['HttpServer', 'create_fresh_session', 'create_session']
+__all__ = [
+    'ConnectionLostError',
+    'HttpServer',
+    'create_fresh_session',
+    'create_session',
+]
 
 #: A caller's header block and request line may not be larger than this.
 MAX_HEADER_BYTES = 16_384
@@ -20,6 +25,10 @@
 _BACKLOG = 1024
 
 
+class ConnectionLostError(aiohttp.ClientError):
+    """The connection broke after a request may have been sent."""
+
+
 class HttpServer(BackgroundService):
     """An HTTP server on one address, started and stopped with its owner."""
 
@@ -84,11 +93,10 @@
     origin: Address | None = None,
     **options: object,
 ) -> aiohttp.ClientSession:
-    """Open a client session that uses each connection once.
+    """Open a client session that sends each request once.
 
-    aiohttp sends a PUT or DELETE again by itself when a kept connection turns
-    out to be closed.  The first sending may have been executed, so work that
-    must not be repeated never goes over a kept connection.
+    A kept connection may turn out to be closed, which leaves it open whether
+    the request was executed, so each connection is used once.
     """
     return aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(
@@ -97,6 +105,7 @@
             local_addr=(origin.host, 0) if origin else None,
             force_close=True,
         ),
+        middlewares=(_send_once,),
         timeout=aiohttp.ClientTimeout(total=None),
         auto_decompress=False,
         trust_env=False,
@@ -104,6 +113,25 @@
     )
 
 
+async def _send_once(
+    http_request: aiohttp.ClientRequest,
+    send: aiohttp.ClientHandlerType,
+) -> aiohttp.ClientResponse:
+    """Keep aiohttp from sending a request a second time.
+
+    It does so by itself when the connection of a PUT, a DELETE or a GET breaks
+    without an answer, also when that connection was new.  The first sending
+    may have been executed: a stock entry would be booked twice.  It does not
+    for errors that it does not know.
+    """
+    try:
+        return await send(http_request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise ConnectionLostError(repr(error)) from error
+
+
 def _listen(address: Address) -> socket.socket:
     family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
     listener = socket.socket(family, socket.SOCK_STREAM)
--- /dev/null
+++ b/tests/test_plain_calls.py
@@ -0,0 +1,93 @@
+"""Calls to plain services, made in process against the stand-in service."""
+
+import json
+from collections.abc import AsyncIterator
+
+import pytest
+from aiohttp.test_utils import TestServer
+from multidict import CIMultiDict
+
+from kelproad.protocol.engines import trace_connections
+from kelproad.protocol.plain import PlainCall, PlainClient
+from kelproad.standins.service import ServiceStandIn
+from kelproad.state.refusals import Ran
+from kelproad.transport.deadlines import monotonic
+from kelproad.transport.http import create_fresh_session
+
+
+@pytest.fixture
+async def service() -> AsyncIterator[TestServer]:
+    """Run a service inside the test."""
+    server = TestServer(ServiceStandIn().create_application())
+    await server.start_server()
+    yield server
+    await server.close()
+
+
+@pytest.fixture
+async def client() -> AsyncIterator[PlainClient]:
+    """Give a client as instances use it."""
+    session = create_fresh_session(trace_configs=[trace_connections()])
+    yield PlainClient(session)
+    await session.close()
+
+
+def put_entry(seconds: float = 5.0, **headers: str) -> PlainCall:
+    """Build the call that books an entry by PUT."""
+    return PlainCall(
+        method='PUT',
+        path='/entries/run',
+        headers=CIMultiDict(headers),
+        body=b'{"reference": "run"}',
+        deadline=monotonic() + seconds,
+    )
+
+
+def base_url(server: TestServer) -> str:
+    """Return the URL of a service without a path."""
+    return str(server.make_url('')).rstrip('/')
+
+
+async def count_effects(server: TestServer, client: PlainClient) -> int:
+    """Count how often the entry was booked."""
+    listing = PlainCall('GET', '/entries', CIMultiDict(), b'', monotonic() + 5)
+    answer = (await client.call(base_url(server), listing)).unwrap()
+    return json.loads(answer.body).get('run', 0)
+
+
+@pytest.mark.parametrize('lost', [1, 2])
+async def test_put_whose_answer_is_lost_is_sent_once(
+    service: TestServer,
+    client: PlainClient,
+    lost: int,
+) -> None:
+    """A service books a PUT and breaks the connection without an answer.
+
+    The HTTP library sends such calls again by itself, because PUT counts as
+    idempotent in general; a stock entry is not, and would be booked twice.
+    """
+    faults = PlainCall(
+        'PUT',
+        '/control/faults',
+        CIMultiDict(),
+        b'{"lose_answers": %d}' % lost,
+        monotonic() + 5,
+    )
+    await client.call(base_url(service), faults)
+    refused = await client.call(base_url(service), put_entry())
+    assert refused.failure().ran is Ran.UNKNOWN
+    assert await count_effects(service, client) == 1
+
+
+async def test_late_call_is_not_sent(
+    service: TestServer,
+    client: PlainClient,
+) -> None:
+    refused = await client.call(base_url(service), put_entry(-1.0))
+    assert refused.failure().ran is Ran.NO
+    assert await count_effects(service, client) == 0
+
+
+async def test_refused_connection_is_not_run(client: PlainClient) -> None:
+    refused = await client.call('http://127.0.0.1:9', put_entry())
+    assert refused.failure().ran is Ran.NO
