--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -1,5 +1,6 @@
 """One entry instance: its parts, how they are joined, how they stop."""
 
+import functools
 import logging
 import random
 from collections.abc import Awaitable, Callable
@@ -194,11 +195,18 @@
         )
         operator_side = web.Application()
         operator_side.add_routes(operators.routes())
-        for application, address in (
-            (caller_side, self._settings.caller_address),
-            (operator_side, self._settings.operator_address),
+        for side, application, address in (
+            ('callers', caller_side, self._settings.caller_address),
+            ('operators', operator_side, self._settings.operator_address),
         ):
-            server = HttpServer(application, Address.from_text(address))
+            server = HttpServer(
+                application,
+                Address.from_text(address),
+                functools.partial(
+                    self._counters.malformed.inc,
+                    {'side': side},
+                ),
+            )
             await self.add_runtime_dependency(server)
 
     def _open_session(self, fresh: bool = False) -> aiohttp.ClientSession:
--- a/src/kelproad/protocol/callers.py
+++ b/src/kelproad/protocol/callers.py
@@ -8,11 +8,13 @@
 import codecs
 import hashlib
 import math
+import re
 from typing import Self
 
 import attrs
 import msgspec
 from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
 from returns.result import Failure, Result, Success
 
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
@@ -37,6 +39,7 @@
 REQUEST_ID_HEADER = 'X-Request-Id'
 REPLAYED_HEADER = 'Idempotency-Replayed'
 MAX_KEY_LENGTH = 255
+_DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 
 RawFields = dict[str, msgspec.Raw]
 
@@ -75,7 +78,12 @@
             prompt = memoryview(fields[field])
         except KeyError as missing:
             return _refuse_body(f'the body has no field {missing}')
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except (
+            msgspec.DecodeError,
+            UnicodeDecodeError,
+            # A body of nothing but opening brackets.
+            RecursionError,
+        ) as error:
             return _refuse_body(f'malformed body: {error}')
         return Success(cls(fields, model, bool(stream), prompt))
 
@@ -115,14 +123,18 @@
         return Failure(_too_large(limit))
     check_text = codecs.getincrementaldecoder('utf-8')()
     received = bytearray()
-    async for chunk in http_request.content.iter_any():
-        received += chunk
-        if len(received) > limit:
-            return Failure(_too_large(limit))
-        try:
+    try:
+        async for chunk in http_request.content.iter_any():
+            received += chunk
+            if len(received) > limit:
+                return Failure(_too_large(limit))
             check_text.decode(chunk if text else b'')
-        except UnicodeDecodeError:
-            return _refuse_body('the body is not UTF-8')
+        check_text.decode(b'', final=True)
+    except UnicodeDecodeError:
+        return _refuse_body('the body is not UTF-8')
+    except (web.RequestPayloadError, HttpProcessingError):
+        # Wrong chunk sizes, or a content encoding that does not decode.
+        return _refuse_body('the body is not encoded as its headers say')
     return Success(bytes(received))
 
 
@@ -134,20 +146,20 @@
     """Parse the seconds a caller gives a request, bounded by the service."""
     if text is None:
         return Success(default)
-    try:
-        seconds = float(text)
-    except ValueError:
-        return _refuse_body(f'{DEADLINE_HEADER} is not a number of seconds')
-    if not 0 < seconds < math.inf:
-        return _refuse_body(f'{DEADLINE_HEADER} must be above zero and finite')
-    return Success(min(seconds, maximum))
+    # float() takes more than a caller can mean: nan, 1e400, 1_0, digits of
+    # other scripts.
+    if not _DECIMAL.fullmatch(text) or not float(text):
+        return _refuse_body(
+            f'{DEADLINE_HEADER} must be a decimal number of seconds above zero',
+        )
+    return Success(min(float(text), maximum))
 
 
 def parse_key(text: str | None) -> Result[str, Refusal]:
     """Check an idempotency key; no key gives an empty one."""
     if text is None:
         return Success('')
-    if not text or len(text) > MAX_KEY_LENGTH or not text.isprintable():
+    if not text.strip() or not _is_fit(text):
         return _refuse_body(
             f'{KEY_HEADER} must have 1 to {MAX_KEY_LENGTH} printable '
             'characters',
@@ -155,6 +167,11 @@
     return Success(text)
 
 
+def _is_fit(key: str) -> bool:
+    # Bytes that are not UTF-8 arrive as surrogates, which are not printable.
+    return len(key) <= MAX_KEY_LENGTH and key.isprintable()
+
+
 def read_bearer(http_request: web.BaseRequest) -> str:
     """Return the bearer token of a call, empty when there is none."""
     scheme, _, token = http_request.headers.get(
--- a/src/kelproad/protocol/plain.py
+++ b/src/kelproad/protocol/plain.py
@@ -48,6 +48,8 @@
 _OF_CALLER = frozenset(('authorization', 'content-encoding'))
 #: Headers of an answer that only the system sets.
 _OF_ANSWER = frozenset(('idempotency-replayed', 'x-request-id'))
+#: Headers that the HTTP library would add where the caller sent none.
+_NOT_ADDED = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
 _DISPATCH_LATE = 'the deadline passed before the call was sent'
 
 
@@ -120,7 +122,8 @@
                 **call.system_headers,
                 'X-Deadline-Seconds': f'{call.deadline - monotonic():.3f}',
             },
-            data=call.body,
+            data=call.body or None,
+            skip_auto_headers=_NOT_ADDED,
             allow_redirects=False,
             timeout=aiohttp.ClientTimeout(
                 total=None,
--- a/src/kelproad/standins/service.py
+++ b/src/kelproad/standins/service.py
@@ -47,6 +47,7 @@
         application.add_routes(
             [
                 web.get('/entries', self._list_entries),
+                web.get('/headers', self._show_headers),
                 web.post('/entries', self._book),
                 web.put('/entries/{name}', self._book),
                 web.put('/control/faults', self._put_faults),
@@ -57,6 +58,9 @@
     async def _list_entries(self, _http_request: web.Request) -> web.Response:
         return web.json_response(dict(self._effects))
 
+    async def _show_headers(self, http_request: web.Request) -> web.Response:
+        return web.json_response(dict(http_request.headers))
+
     async def _book(self, http_request: web.Request) -> web.Response:
         faults = self._faults
         if faults.refuse > 0:
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -63,6 +63,10 @@
             'kelproad_operator_calls_total',
             'Calls of the operator API, by outcome.',
         )
+        self.malformed = self._counter(
+            'kelproad_malformed_input_total',
+            'Input on a listening address that is not HTTP, by side.',
+        )
         self.in_progress = self._gauge(
             'kelproad_requests_in_progress',
             'Requests admitted that have no final answer yet.',
--- a/src/kelproad/transport/http.py
+++ b/src/kelproad/transport/http.py
@@ -4,10 +4,14 @@
 redirects followed, no proxy taken from the environment, bounded headers.
 """
 
+import asyncio
+import logging
 import socket
+from collections.abc import Awaitable, Callable
 
 import aiohttp
 from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
 
 from .addresses import Address
 from .services import BackgroundService
@@ -21,10 +25,20 @@
 
 #: A caller's header block and request line may not be larger than this.
 MAX_HEADER_BYTES = 16_384
+#: Seconds that a new connection has until its first headers are there.
+HEAD_TIMEOUT = 10.0
 _KEEPALIVE_SECONDS = 30.0
+_MALFORMED = (HttpProcessingError, web.RequestPayloadError)
 _BACKLOG = 1024
 
 
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def _ignore() -> None:
+    """Take no note."""
+
+
 class ConnectionLostError(aiohttp.ClientError):
     """The connection broke after a request may have been sent."""
 
@@ -34,18 +48,31 @@
 
     abstract = False
 
-    def __init__(self, application: web.Application, address: Address) -> None:
-        """Prepare to serve an application; nothing listens until started."""
+    def __init__(
+        self,
+        application: web.Application,
+        address: Address,
+        note_malformed: Callable[[], None] = _ignore,
+    ) -> None:
+        """Prepare to serve an application; nothing listens until started.
+
+        ``note_malformed`` is called for input that is not HTTP.
+        """
         super().__init__()
         self._application = application
         self._address = address
+        self._note_malformed = note_malformed
         self._runner: web.AppRunner | None = None
+        self._listener: asyncio.Server | None = None
+        self._heard: set[asyncio.BaseProtocol] = set()
+        application.middlewares.insert(0, self._note_heard)
 
     async def on_start(self) -> None:
         """Listen; connections are accepted from here on."""
         self._runner = web.AppRunner(
             self._application,
             access_log=None,
+            logger=self._create_logger(),
             # A caller that goes away must free the engine it occupies.
             handler_cancellation=True,
             max_line_size=MAX_HEADER_BYTES,
@@ -54,18 +81,64 @@
             shutdown_timeout=1.0,
         )
         await self._runner.setup()
-        site = web.SockSite(
-            self._runner,
-            _listen(self._address),
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self._accept,
+            sock=_listen(self._address),
             backlog=_BACKLOG,
         )
-        await site.start()
 
     async def on_stop(self) -> None:
         """Close the listening socket and the connections."""
+        if self._listener is not None:
+            self._listener.close()
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def _accept(self) -> asyncio.BaseProtocol:
+        """Serve a connection, which must bring its first request in time.
+
+        aiohttp waits for the first headers without a bound, so callers that
+        send them byte by byte could hold all connections.
+        """
+        protocol = self._runner.server()
+        loop = asyncio.get_running_loop()
+        loop.call_later(HEAD_TIMEOUT, self._expire, protocol)
+        return protocol
+
+    def _expire(self, protocol: web.RequestHandler) -> None:
+        heard = protocol in self._heard
+        self._heard.discard(protocol)
+        if not heard and protocol.transport is not None:
+            protocol.transport.abort()
+
+    @web.middleware
+    async def _note_heard(
+        self,
+        http_request: web.Request,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        self._heard.add(http_request.protocol)
+        return await handler(http_request)
+
+    def _create_logger(self) -> logging.Logger:
+        """Create the logger of aiohttp's server.
+
+        It logs a trace for whatever is not HTTP, so that any caller could
+        flood the log; such input is counted instead.
+        """
+        logger = logging.Logger(f'{__name__}:{self._address.authority}')
+        logger.parent = logging.getLogger('aiohttp.server')
+        logger.addFilter(self._filter_malformed)
+        return logger
+
+    def _filter_malformed(self, record: logging.LogRecord) -> bool:
+        error = record.exc_info[1] if record.exc_info else None
+        if not isinstance(error, _MALFORMED):
+            return True
+        self._note_malformed()
+        return False
+
 
 def create_session(
     origin: Address | None = None,
