--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -1,5 +1,6 @@
 """One entry instance: its parts, how they are joined, how they stop."""
 
+import functools
 import logging
 import random
 from collections.abc import Awaitable, Callable
@@ -41,6 +42,8 @@
 _logger = logging.getLogger(__name__)
 #: Seconds that a stopping instance waits for engines to confirm cancels.
 _CANCEL_LIMIT = 5.0
+#: Seconds that it waits for outcomes to be written, when the platform is down.
+_CLAIM_LIMIT = 5.0
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -60,7 +63,7 @@
         self._counters = Counters()
         self._sessions: list[aiohttp.ClientSession] = []
         self._drain = Drain(
-            self._requests,
+            lambda: self._entry.unfinished,
             settings.drain_grace,
             settings.drain_limit,
         )
@@ -98,7 +101,8 @@
             self._counters,
             generator,
         )
-        entry = Entry(
+        self._claims = Claims(identity, platform, self._counters)
+        self._entry = Entry(
             identity,
             self._holder,
             self._requests,
@@ -118,7 +122,7 @@
                 self._counters,
                 generator,
             ),
-            Claims(identity, platform, self._counters),
+            self._claims,
             self._counters,
         )
         operators = OperatorApi(
@@ -143,10 +147,10 @@
             self._follower,
             self._membership,
             Watch(identity, table, members, engines),
-            entry,
+            self._entry,
         ):
             await self.add_runtime_dependency(service)
-        await self._serve(entry, operators)
+        await self._serve(self._entry, operators)
 
     async def on_shutdown(self) -> None:
         """Close the client sessions after everything else has stopped."""
@@ -171,7 +175,12 @@
         self._membership.announce()
         left = await self._drain.finish()
         await self._canceller.finish(_CANCEL_LIMIT)
-        _logger.info('drained, %d requests left', left)
+        unsettled = await self._claims.finish(_CLAIM_LIMIT)
+        _logger.info(
+            'drained, %d requests left, %d claims left unsettled',
+            left,
+            unsettled,
+        )
         return left
 
     async def _serve(self, entry: Entry, operators: OperatorApi) -> None:
@@ -188,11 +197,18 @@
         )
         operator_side = web.Application()
         operator_side.add_routes(operators.routes())
-        for application, address in (
-            (caller_side, self._settings.caller_address),
-            (operator_side, self._settings.operator_address),
+        for side, application, address in (
+            ('callers', caller_side, self._settings.caller_address),
+            ('operators', operator_side, self._settings.operator_address),
         ):
-            server = HttpServer(application, Address.from_text(address))
+            server = HttpServer(
+                application,
+                Address.from_text(address),
+                functools.partial(
+                    self._counters.malformed.inc,
+                    {'side': side},
+                ),
+            )
             await self.add_runtime_dependency(server)
 
     def _open_session(self, fresh: bool = False) -> aiohttp.ClientSession:
