--- /dev/null
+++ b/src/kelproad/coordination/answers.py
@@ -0,0 +1,155 @@
+"""The answer to one request, over all attempts at it.
+
+What has reached the caller decides what may follow a broken attempt: nothing
+yet, then another attempt may answer from the start; some of it, then another
+engine may only go on behind it.
+"""
+
+from typing import Protocol
+
+import attrs
+import msgspec
+
+from ..protocol.callers import CompletionBody
+from ..protocol.continuations import (
+    Continuation,
+    is_deterministic,
+    read_text,
+)
+from ..protocol.events import Event
+from ..state.buffers import BufferBudget, Reservation
+from ..state.refusals import Refusal
+from ..state.requests import Request
+
+__all__ = ['Answer', 'CallerGoneError', 'DeliveryError', 'Sink']
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection; nobody waits for the answer."""
+
+
+class DeliveryError(Exception):
+    """The answer cannot be handed over, though its engine gives it."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        """Keep what the caller is to be told."""
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+class Sink(Protocol):
+    """Where the events of an answer go.
+
+    Attributes
+    ----------
+    buffered
+        Whether nothing reaches the caller before the answer is whole.
+    """
+
+    buffered: bool
+
+    @property
+    def restartable(self) -> bool:
+        """Whether nothing has reached the caller yet."""
+
+    async def deliver(self, events: list[Event]) -> None:
+        """Take checked events, in order, as they arrive."""
+
+    def restart(self) -> None:
+        """Forget what was taken; only while ``restartable``."""
+
+
+@attrs.define(eq=False)
+class Answer:
+    """An answer in the making.
+
+    Attributes
+    ----------
+    continuable
+        Whether another engine could still go on behind what the caller has.
+        False as soon as what it has is no longer kept.
+    continuation
+        What the present attempt continues; ``None`` if it starts afresh.
+    """
+
+    request: Request
+    path: str
+    body: CompletionBody
+    sink: Sink
+    budget: BufferBudget
+    continuable: bool = False
+    continuation: Continuation | None = None
+    _kept: list[bytes] = attrs.field(factory=list)
+    _reservation: Reservation = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Decide whether events are kept for a continuation."""
+        self._reservation = self.budget.reserve_for(self)
+        self.continuable = (
+            self.request.repeatable
+            and not self.sink.buffered
+            and any(
+                group.honours_continuation
+                for group in self.request.snapshot.groups_of(
+                    self.request.service,
+                )
+            )
+            and is_deterministic(self.body.fields)
+        )
+
+    @property
+    def movable(self) -> bool:
+        """Whether another endpoint may take over work that may have run."""
+        if not self.request.repeatable:
+            return False
+        return self.sink.restartable or self.continuable
+
+    async def pass_on(self, events: list[Event]) -> None:
+        """Hand events to the caller, and keep them if that may help."""
+        if self.continuation is not None:
+            events = [_adapt(event, self.continuation) for event in events]
+        if self.continuable:
+            self._keep(events)
+        await self.sink.deliver(events)
+
+    def prepare_next(self) -> bool:
+        """Make ready for another attempt; false if none could be whole."""
+        if self.sink.restartable:
+            self.sink.restart()
+            self._forget()
+            self.continuation = None
+            return True
+        text = read_text(self._kept) if self.continuable else None
+        if text is None:
+            return False
+        first = msgspec.json.decode(
+            self._kept[0],
+            type=dict[str, msgspec.Raw],
+        )
+        self.continuation = Continuation(text, first)
+        return True
+
+    def encode_body(self) -> bytes:
+        """Encode the body of the next dispatch."""
+        if self.continuation is None:
+            return self.body.encode_streaming()
+        return self.continuation.encode_body(self.body)
+
+    def _keep(self, events: list[Event]) -> None:
+        """Keep events, or stop keeping when a bound is reached."""
+        for event in events:
+            if not self._reservation.take(len(event.payload)):
+                self.continuable = False
+                self._forget()
+                return
+            self._kept.append(event.payload)
+
+    def _forget(self) -> None:
+        self._kept = []
+        self._reservation.release()
+
+
+def _adapt(event: Event, continuation: Continuation) -> Event:
+    if event.terminal:
+        return event
+    return attrs.evolve(event, payload=continuation.adapt(event.payload))
--- a/src/kelproad/coordination/attempts.py
+++ b/src/kelproad/coordination/attempts.py
@@ -1,51 +1,55 @@
 """The attempts at answering one completion, as a single stream of events.
 
-An attempt is dispatched, its events are checked, a broken connection is taken
-up again on the same engine, and only work that may be repeated moves to
-another endpoint, before anything reached the caller.
+An attempt is dispatched and relayed.  When it fails, another endpoint may be
+given the request if the work may be repeated and the caller's answer can
+still become whole: from the start while nothing has reached the caller, else
+behind what it has.
 """
 
 import random
-from collections.abc import Awaitable, Callable
 
-import aiohttp
 import attrs
 from returns.result import Failure, Result, Success
 
-from ..protocol.engines import Attempt, EngineClient, EngineStream
-from ..protocol.events import Event, EventSequence, SequenceError
+from ..protocol.callers import CompletionBody
+from ..protocol.engines import Attempt, EngineClient
+from ..state.buffers import BufferBudget
 from ..state.counters import Counters
 from ..state.endpoints import Endpoint, EndpointTable
+from ..state.holdings import Holding
 from ..state.identity import Identity
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
 from ..state.requests import Decision, Phase, Request
 from ..transport.addresses import Address
 from ..transport.deadlines import monotonic
 from . import routing
+from .answers import Answer, CallerGoneError, DeliveryError, Sink
 from .reclamation import Canceller
+from .relays import Patience, Relay
 
-__all__ = ['Attempts', 'CallerGoneError', 'Deliver']
+__all__ = ['Attempts', 'CallerGoneError']
 
 _MAX_ATTEMPTS = 3
-_MAX_RESUMES = 3
-
-#: Passes checked events on to the caller, in order, as they arrive.
-Deliver = Callable[[list[Event]], Awaitable[None]]
-
-
-class CallerGoneError(Exception):
-    """The caller closed its connection; nobody waits for the answer."""
+#: Bytes of events kept for continuing streams elsewhere, for one answer and
+#: for all; an answer beyond them is delivered, but no more continued.
+_KEPT_PER_ANSWER = 1_048_576
+_KEPT_IN_ALL = 33_554_432
+#: What another endpoint would end with as well: the time is over, or this
+#: process has no memory for the answer.
+_FINAL_CODES = (
+    RefusalCode.DEADLINE_EXCEEDED,
+    RefusalCode.ANSWER_TOO_LARGE,
+    RefusalCode.NO_CAPACITY,
+)
 
 
 @attrs.define
 class _Placement:
-    """An attempt and the endpoint it was sent to."""
+    """An attempt and the endpoint it is sent to."""
 
     attempt: Attempt
     endpoint: Endpoint
-    sequence: EventSequence
-    deliver: Deliver
-    finished: bool = False
+    predicted: float
     first_token: bool = False
 
     @property
@@ -72,14 +76,15 @@
         self._canceller = canceller
         self._counters = counters
         self._generator = generator
+        self._budget = BufferBudget(_KEPT_IN_ALL, _KEPT_PER_ANSWER)
 
     async def answer(
         self,
         request: Request,
         path: str,
-        body: bytes,
+        body: CompletionBody,
         decision: Decision,
-        deliver: Deliver,
+        sink: Sink,
     ) -> Result[None, Refusal]:
         """Deliver the events of the answer, the terminal one last.
 
@@ -94,40 +99,41 @@
         Raises
         ------
         CallerGoneError
-            As ``deliver`` does.
+            As the sink does.
         """
+        answer = Answer(request, path, body, sink, self._budget)
         tried: frozenset[str] = frozenset()
         outcome: Result[None, Refusal] = Failure(_no_attempt_left())
         while len(tried) < _MAX_ATTEMPTS:
-            placed = self._place(request, tried, decision, deliver)
+            placed = self._place(answer, tried, decision)
             if isinstance(placed, Failure):
                 # Without another endpoint, the last attempt's refusal stands.
                 return outcome if tried else placed
             placement = placed.unwrap()
             tried |= {placement.endpoint.name}
-            outcome = await self._attempt(request, placement, path, body)
+            outcome = await self._attempt(answer, placement)
             if isinstance(outcome, Success):
                 return outcome
             refusal = outcome.failure()
-            decision.note('attempt failed', **attrs.asdict(refusal))
-            if not _may_repeat(request, placement, refusal):
+            decision.note('attempt failed', refusal=attrs.asdict(refusal))
+            if not (_may_repeat(request, refusal) and answer.prepare_next()):
                 return outcome
         return outcome
 
     def _place(
         self,
-        request: Request,
+        answer: Answer,
         tried: frozenset[str],
         decision: Decision,
-        deliver: Deliver,
     ) -> Result[_Placement, Refusal]:
+        request = answer.request
         choice = routing.choose_endpoint(
             request,
             self._table,
             self._identity.zone,
             monotonic(),
             self._generator,
-            tried,
+            tried | self._list_unfit(answer),
         )
         if isinstance(choice, Failure):
             return choice
@@ -137,6 +143,7 @@
             endpoint=chosen.endpoint.name,
             predicted=chosen.predicted,
             considered=chosen.considered,
+            **_describe_continuation(answer),
         )
         attempt = Attempt(
             attempt_id=request.next_attempt_id(),
@@ -144,35 +151,70 @@
             priority=routing.classify_length(request.prompt_tokens),
             deadline=request.deadline,
         )
-        sequence = EventSequence(attempt.attempt_id)
         return Success(
-            _Placement(attempt, chosen.endpoint, sequence, deliver),
+            _Placement(attempt, chosen.endpoint, chosen.predicted),
+        )
+
+    def _list_unfit(self, answer: Answer) -> frozenset[str]:
+        """List the endpoints that cannot go on behind what was delivered."""
+        if answer.continuation is None:
+            return frozenset()
+        return frozenset(
+            name
+            for name, endpoint in self._table.all().items()
+            if not endpoint.group.honours_continuation
         )
 
     async def _attempt(
         self,
-        request: Request,
+        answer: Answer,
         placement: _Placement,
-        path: str,
-        body: bytes,
     ) -> Result[None, Refusal]:
-        endpoint = placement.endpoint
+        request, endpoint = answer.request, placement.endpoint
         endpoint.own_tokens += request.prompt_tokens
         endpoint.own_requests += 1
         request.phase = Phase.DISPATCHED
+        relay = self._create_relay(answer, placement)
         outcome: Result[None, Refusal] | None = None
         try:
-            outcome = await self._relay(request, placement, path, body)
+            outcome = await relay.run()
+        except DeliveryError as error:
+            outcome = Failure(error.refusal)
         finally:
             # Also when the caller left or the deadline passed, which end the
             # relay by an exception.
-            self._settle(request, placement, outcome)
+            self._settle(request, placement, relay, outcome)
         return outcome
 
+    def _create_relay(self, answer: Answer, placement: _Placement) -> Relay:
+        request = answer.request
+        attempt = placement.attempt
+        self._canceller.hold(
+            Holding(
+                placement.url,
+                attempt.attempt_id,
+                attempt.owner,
+                attempt.deadline,
+            ),
+        )
+        return Relay(
+            self._engines,
+            self._counters,
+            placement.url,
+            attempt,
+            answer,
+            Patience.from_prediction(
+                placement.predicted,
+                request.remaining(monotonic()),
+            ),
+            lambda: _note_first_token(request, placement),
+        )
+
     def _settle(
         self,
         request: Request,
         placement: _Placement,
+        relay: Relay,
         outcome: Result[None, Refusal] | None,
     ) -> None:
         """Take an ended attempt out of the accounts, on every path."""
@@ -181,96 +223,34 @@
         if not placement.first_token:
             endpoint.own_tokens -= request.prompt_tokens
         label = _label_outcome(outcome)
-        if not (placement.finished or _never_ran(outcome)):
+        attempt_id = placement.attempt.attempt_id
+        if relay.finished or _never_ran(outcome):
+            self._canceller.drop(attempt_id)
+        else:
             # The engine may hold the stream's memory, and nobody else knows
             # of it yet.
-            self._canceller.cancel(
-                placement.url,
-                placement.attempt.attempt_id,
-                label,
-            )
+            self._canceller.cancel(attempt_id, label)
         self._counters.attempts.inc(
             {'group': endpoint.group.name, 'outcome': label},
         )
-        sequence = placement.sequence
+        sequence = relay.sequence
         dropped = self._counters.events_dropped
         dropped.add({'reason': 'crossed'}, sequence.crossed)
         dropped.add({'reason': 'repeated'}, sequence.repeated)
 
-    async def _relay(
-        self,
-        request: Request,
-        placement: _Placement,
-        path: str,
-        body: bytes,
-    ) -> Result[None, Refusal]:
-        """Dispatch, and read on where the stream broke until it is whole."""
-        opened = await self._engines.open_stream(
-            placement.url,
-            path,
-            placement.attempt,
-            body,
-        )
-        for _ in range(_MAX_RESUMES):
-            if isinstance(opened, Failure):
-                return opened
-            await self._read(request, placement, opened.unwrap())
-            if placement.finished:
-                return Success(None)
-            opened = await self._resume(placement)
-        return Failure(_refuse_broken(placement))
-
-    async def _resume(
-        self,
-        placement: _Placement,
-    ) -> Result[EngineStream, Refusal]:
-        placement.sequence.restart()
-        resumed = await self._engines.resume_stream(
-            placement.url,
-            placement.attempt,
-            placement.sequence.next_number,
-        )
-        if isinstance(resumed, Success):
-            self._counters.streams_resumed.inc({'way': 'same engine'})
-            return resumed
-        # The dispatch was accepted, so whatever the engine says of this try,
-        # the request may have run.
-        return Failure(_refuse_broken(placement))
-
-    async def _read(
-        self,
-        request: Request,
-        placement: _Placement,
-        stream: EngineStream,
-    ) -> None:
-        """Deliver checked events until the terminal one or a break."""
-        try:
-            async for received in stream.read():
-                events = placement.sequence.feed(received)
-                if not events:
-                    continue
-                self._note_first_token(request, placement)
-                placement.finished = events[-1].terminal
-                await placement.deliver(events)
-                if placement.finished:
-                    return
-        except SequenceError:
-            self._counters.events_dropped.inc({'reason': 'gap'})
-        except (aiohttp.ClientError, OSError):
-            self._counters.events_dropped.inc({'reason': 'broken'})
-        finally:
-            stream.close()
 
-    def _note_first_token(
-        self,
-        request: Request,
-        placement: _Placement,
-    ) -> None:
-        if placement.first_token:
-            return
-        placement.first_token = True
-        placement.endpoint.own_tokens -= request.prompt_tokens
-        request.phase = Phase.ANSWERING
+def _note_first_token(request: Request, placement: _Placement) -> None:
+    if placement.first_token:
+        return
+    placement.first_token = True
+    placement.endpoint.own_tokens -= request.prompt_tokens
+    request.phase = Phase.ANSWERING
+
+
+def _describe_continuation(answer: Answer) -> dict[str, object]:
+    if answer.continuation is None:
+        return {}
+    return {'continues_bytes': answer.continuation.size}
 
 
 def _label_outcome(outcome: Result[None, Refusal] | None) -> str:
@@ -283,34 +263,18 @@
     return isinstance(outcome, Failure) and outcome.failure().ran is Ran.NO
 
 
-def _may_repeat(
-    request: Request,
-    placement: _Placement,
-    refusal: Refusal,
-) -> bool:
+def _may_repeat(request: Request, refusal: Refusal) -> bool:
     """Tell whether another endpoint may be given the request.
 
-    Once a token was passed on, another attempt would answer from the start;
-    work that may have run is repeated only if it is idempotent.
+    Work that may have run is repeated only if it is idempotent.
     """
-    if placement.first_token or refusal.code is RefusalCode.DEADLINE_EXCEEDED:
+    if refusal.code in _FINAL_CODES:
         return False
     if request.remaining(monotonic()) <= 0:
         return False
     return refusal.ran is Ran.NO or request.repeatable
 
 
-def _refuse_broken(placement: _Placement) -> Refusal:
-    return Refusal(
-        RefusalCode.ENDPOINT_FAILED,
-        'the engine broke off its answer',
-        Step.RELAY,
-        peer=placement.endpoint.name,
-        ran=Ran.UNKNOWN,
-        retry_after=routing.MINIMUM_RETRY_AFTER,
-    )
-
-
 def _no_attempt_left() -> Refusal:
     return Refusal(
         RefusalCode.NO_CAPACITY,
--- a/src/kelproad/coordination/entry.py
+++ b/src/kelproad/coordination/entry.py
@@ -38,7 +38,11 @@
 from . import admission
 from .attempts import Attempts, CallerGoneError
 from .claims import Claim, Claims, digest_request
-from .delivery import StreamDelivery, WholeDelivery
+from .delivery import (
+    StreamDelivery,
+    WholeDelivery,
+    create_answer_buffers,
+)
 from .plain import PlainCalls
 
 __all__ = ['Entry']
@@ -94,6 +98,7 @@
         self._plain_calls = plain_calls
         self._claims = key_claims
         self._counters = counters
+        self._buffers = create_answer_buffers()
         self._detached: set[asyncio.Task[web.StreamResponse]] = set()
 
     def routes(self) -> list[web.RouteDef]:
@@ -274,7 +279,11 @@
         if body.stream and claim is None and not whole:
             delivery = StreamDelivery(arrival.http_request, request.request_id)
         else:
-            delivery = WholeDelivery(body.stream, request.request_id)
+            delivery = WholeDelivery(
+                body.stream,
+                request.request_id,
+                self._buffers,
+            )
         outcome = await self._run_attempts(arrival, request, body, delivery)
         if isinstance(outcome, Success):
             response = await delivery.finish()
@@ -299,9 +308,9 @@
                 outcome = await self._attempts.answer(
                     request,
                     arrival.http_request.path,
-                    body.encode_streaming(),
+                    body,
                     decision,
-                    delivery.deliver,
+                    delivery,
                 )
         except TimeoutError:
             outcome = Failure(_refuse_late(request))
--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -9,7 +9,8 @@
 from aioprometheus import render
 
 from ..protocol import callers
-from ..protocol.engines import EngineClient, trace_connections
+from ..protocol.connections import trace_connections
+from ..protocol.engines import EngineClient
 from ..protocol.plain import PlainClient
 from ..protocol.platform import PlatformClient
 from ..protocol.settings import Settings
--- a/src/kelproad/coordination/plain.py
+++ b/src/kelproad/coordination/plain.py
@@ -65,7 +65,8 @@
             outcome = await self._attempt(request, call, endpoint)
             if isinstance(outcome, Success):
                 return outcome
-            decision.note('attempt failed', **attrs.asdict(outcome.failure()))
+            refusal = attrs.asdict(outcome.failure())
+            decision.note('attempt failed', refusal=refusal)
             if not _may_repeat(request, call, outcome.failure()):
                 return outcome
         return outcome
--- a/src/kelproad/protocol/completions.py
+++ b/src/kelproad/protocol/completions.py
@@ -7,7 +7,17 @@
 
 from .events import DONE
 
-__all__ = ['assemble_answer', 'encode_events', 'encode_refused_event']
+__all__ = [
+    'MalformedAnswerError',
+    'assemble_answer',
+    'encode_events',
+    'encode_refused_event',
+]
+
+
+class MalformedAnswerError(Exception):
+    """The events of an answer do not join into one."""
+
 
 Fields = dict[str, object]
 
@@ -19,6 +29,10 @@
 )
 
 
+#: How a payload that is no part of a completion shows while joining.
+_MALFORMED = (msgspec.DecodeError, AttributeError, KeyError, TypeError)
+
+
 def encode_events(payloads: Iterable[bytes]) -> bytes:
     """Encode event payloads as server-sent events without ids."""
     return b''.join([b'data: %b\n\n' % payload for payload in payloads])
@@ -37,9 +51,16 @@
 
     Raises
     ------
-    msgspec.DecodeError
-        When a payload is not a JSON object.
+    MalformedAnswerError
+        When a payload is no part of a completion.
     """
+    try:
+        return msgspec.json.encode(_join_chunks(payloads))
+    except _MALFORMED as error:
+        raise MalformedAnswerError(repr(error)) from error
+
+
+def _join_chunks(payloads: Iterable[bytes]) -> Fields:
     answer: Fields = {}
     choices: dict[int, Fields] = {}
     for payload in payloads:
@@ -52,7 +73,7 @@
     kind = str(answer.get('object', ''))
     answer['object'] = _WHOLE_OBJECTS.get(kind, kind)
     answer['choices'] = [choices[index] for index in sorted(choices)]
-    return msgspec.json.encode(answer)
+    return answer
 
 
 def _join_choice(joined: Fields, part: Fields) -> None:
--- a/src/kelproad/protocol/engines.py
+++ b/src/kelproad/protocol/engines.py
@@ -13,23 +13,21 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from ..state.holdings import HeldItem
 from ..state.members import EndpointReport
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
 from ..transport.deadlines import monotonic, within
+from .connections import CONNECT_TIMEOUT, ConnectionProgress
 
 __all__ = [
-    'CONNECT_TIMEOUT',
     'Attempt',
-    'ConnectionProgress',
     'EngineClient',
     'EngineStream',
-    'HeldItem',
-    'trace_connections',
 ]
 
 _OK = 200
-#: Seconds for connecting to an engine within a site.
-CONNECT_TIMEOUT = 2.0
+_INCARNATION = 'X-Engine-Incarnation'
+_CONTINUED = 'X-Continued-Bytes'
 _READ_SIZE = 65_536
 
 
@@ -64,50 +62,28 @@
         }
 
 
-@attrs.frozen
-class HeldItem:
-    """Something that an engine keeps in memory on somebody's behalf.
-
-    Attributes
-    ----------
-    kind
-        ``stream``, ``export`` or ``pin``.
-    remaining
-        Seconds until the deadline that came with it, negative if past.
-    """
-
-    kind: str
-    item_id: str
-    owner: str
-    tokens: int
-    remaining: float
-
-
 @attrs.frozen
 class _HeldItems:
     held: list[HeldItem]
 
 
-@attrs.define
-class ConnectionProgress:
-    """What has happened on a connection, for telling whether work ran.
+class EngineStream:
+    """An open stream of one attempt; close it on every path.
 
     Attributes
     ----------
-    connected
-        A connection was given to the request, so that bytes of it may have
-        been written.
+    incarnation
+        Changes when the engine restarts; empty when the engine does not say.
+    continued_bytes
+        Bytes of the text that the engine confirms to continue.
     """
 
-    connected: bool = False
-
-
-class EngineStream:
-    """An open stream of one attempt; close it on every path."""
-
     def __init__(self, response: aiohttp.ClientResponse) -> None:
         """Wrap a response whose body has not been read."""
         self._response = response
+        self.incarnation = response.headers.get(_INCARNATION, '')
+        confirmed = response.headers.get(_CONTINUED, '')
+        self.continued_bytes = int(confirmed) if confirmed.isdecimal() else 0
 
     async def read(self) -> AsyncIterator[bytes]:
         """Yield bytes as they arrive until the connection's end."""
@@ -132,43 +108,58 @@
         path: str,
         attempt: Attempt,
         body: bytes,
+        until: float,
     ) -> Result[EngineStream, Refusal]:
-        """Dispatch a completion and wait for the head of its answer."""
-        return await self._open(
-            'POST',
-            url,
-            path,
-            attempt.deadline,
-            attempt.headers(),
-            body,
-        )
+        """Dispatch a completion; its answer must begin ``until`` then."""
+        opened = await self._open('POST', url, path, attempt, until, body)
+        if isinstance(opened, Failure):
+            return opened
+        response = opened.unwrap()
+        if response.status == _OK:
+            return Success(EngineStream(response))
+        return Failure(await _refuse_answered(url, response, until))
 
     async def resume_stream(
         self,
         url: str,
         attempt: Attempt,
         next_number: int,
+        until: float,
     ) -> Result[EngineStream, Refusal]:
-        """Take up a broken stream at an event number."""
-        return await self._open(
-            'GET',
-            url,
-            f'/v1/streams/{attempt.attempt_id}?from={next_number}',
-            attempt.deadline,
-            attempt.headers(),
-            None,
+        """Take up a broken stream at an event number.
+
+        The code ``NOT_FOUND`` says that the engine holds the stream no more,
+        so that asking again is of no use.
+        """
+        path = f'/v1/streams/{attempt.attempt_id}?from={next_number}'
+        opened = await self._open('GET', url, path, attempt, until, None)
+        if isinstance(opened, Failure):
+            return opened
+        response = opened.unwrap()
+        if response.status == _OK:
+            return Success(EngineStream(response))
+        response.close()
+        return Failure(
+            Refusal(
+                RefusalCode.NOT_FOUND,
+                f'the engine answered {response.status} to a resume',
+                Step.RELAY,
+                peer=url,
+                ran=Ran.UNKNOWN,
+            ),
         )
 
-    async def cancel(
+    async def release(
         self,
         url: str,
-        attempt_id: str,
+        kind: str,
+        item_id: str,
         timeout: float,
     ) -> bool:
-        """Release all that the engine holds for an attempt.
+        """Release something that the engine holds.
 
-        Cancelling is idempotent, and an engine that has not seen the attempt
-        yet will refuse it when it arrives.
+        It is idempotent, and an engine that has not seen an attempt yet will
+        refuse it when it arrives.
 
         Returns
         -------
@@ -177,7 +168,7 @@
         """
         body = await self._fetch(
             'DELETE',
-            f'{url}/v1/streams/{attempt_id}',
+            f'{url}/v1/{kind}s/{item_id}',
             timeout,
         )
         return body is not None
@@ -238,17 +229,17 @@
         method: str,
         url: str,
         path: str,
-        deadline: float,
-        headers: dict[str, str],
+        attempt: Attempt,
+        until: float,
         body: bytes | None,
-    ) -> Result[EngineStream, Refusal]:
+    ) -> Result[aiohttp.ClientResponse, Refusal]:
         progress = ConnectionProgress()
         try:
-            async with within(deadline):
+            async with within(until):
                 response = await self._session.request(
                     method,
                     url + path,
-                    headers=headers,
+                    headers=attempt.headers(),
                     data=body,
                     allow_redirects=False,
                     timeout=aiohttp.ClientTimeout(
@@ -258,17 +249,19 @@
                     trace_request_ctx=progress,
                 )
         except asyncio.TimeoutError:
-            return Failure(_refuse_timeout(url, progress.connected))
+            return Failure(_refuse_timeout(url, attempt, progress.connected))
         except (aiohttp.ClientError, OSError) as error:
             return Failure(_refuse_broken(url, progress.connected, error))
-        if response.status == _OK:
-            return Success(EngineStream(response))
-        return Failure(await _refuse_answered(url, response, deadline))
+        return Success(response)
 
 
-def _refuse_timeout(url: str, connected: bool) -> Refusal:
+def _refuse_timeout(url: str, attempt: Attempt, connected: bool) -> Refusal:
+    """Refuse for the deadline, or before it, for an engine that is silent."""
+    is_late = monotonic() >= attempt.deadline
     return Refusal(
-        RefusalCode.DEADLINE_EXCEEDED,
+        RefusalCode.DEADLINE_EXCEEDED
+        if is_late
+        else RefusalCode.ENDPOINT_FAILED,
         'the engine did not begin its answer in time',
         Step.DISPATCH if connected else Step.CONNECT,
         peer=url,
@@ -313,25 +306,3 @@
         peer=url,
         ran=ran,
     )
-
-
-def trace_connections() -> aiohttp.TraceConfig:
-    """Build the trace that notes when a request has a connection.
-
-    Until then no byte of it can have been written, so a failure before means
-    that the work was not run; after, it may have been.
-    """
-    config = aiohttp.TraceConfig()
-
-    async def note_connected(
-        _session: aiohttp.ClientSession,
-        context: object,
-        _details: object,
-    ) -> None:
-        progress = context.trace_request_ctx
-        if isinstance(progress, ConnectionProgress):
-            progress.connected = True
-
-    config.on_connection_create_end.append(note_connected)
-    config.on_connection_reuseconn.append(note_connected)
-    return config
--- a/src/kelproad/protocol/events.py
+++ b/src/kelproad/protocol/events.py
@@ -9,11 +9,9 @@
 checked without decoding their JSON.
 """
 
-import enum
-
 import attrs
 
-__all__ = ['DONE', 'Event', 'EventSequence', 'SequenceError', 'StreamEnd']
+__all__ = ['DONE', 'Event', 'EventSequence', 'SequenceError']
 
 #: Data of the terminal event.  Only this ends a stream.
 DONE = b'[DONE]'
@@ -22,14 +20,8 @@
 #: An event larger than this is no event of an engine.
 MAX_EVENT_BYTES = 1_048_576
 _MOST_SHOWN = 80
-
-
-class StreamEnd(enum.StrEnum):
-    """How the stream of one connection came to its end."""
-
-    COMPLETE = 'complete'
-    BROKEN = 'broken'
-    MALFORMED = 'malformed'
+#: How the data of an engine's own error begins.
+_ERROR_STARTS = (b'{"error"', b'{"object":"error"', b'{"object": "error"')
 
 
 class SequenceError(Exception):
@@ -48,13 +40,22 @@
         """Whether the answer is complete with this event."""
         return self.payload == DONE
 
+    @property
+    def failed(self) -> bool:
+        """Whether the engine tells of an error in place of a token.
+
+        Engines end such a stream with ``[DONE]`` all the same.
+        """
+        return self.payload.startswith(_ERROR_STARTS)
+
 
 class EventSequence:
     """Cuts a byte stream into events and lets through only the next ones.
 
     Events of another attempt (crossed answers) and events that were already
-    let through (doubled or late ones) are dropped and counted; a missing event
-    is an error, because what follows it must not reach the caller.
+    let through (doubled or late ones), or come after the end, are dropped and
+    counted; a missing event is an error, because what follows it must not
+    reach the caller.
     """
 
     def __init__(self, attempt_id: str, next_number: int = 0) -> None:
@@ -62,6 +63,7 @@
         self._prefix = f'id: {attempt_id}.'.encode()
         self._buffer = b''
         self.next_number = next_number
+        self.ended = False
         self.crossed = 0
         self.repeated = 0
 
@@ -92,7 +94,7 @@
         if not separator or not digits.isdigit():
             raise SequenceError(f'not an event: {block[:_MOST_SHOWN]!r}')
         number = int(digits)
-        if number < self.next_number:
+        if number < self.next_number or self.ended:
             self.repeated += 1
             return None
         if number > self.next_number:
@@ -100,6 +102,7 @@
                 f'event {number} came in place of {self.next_number}',
             )
         self.next_number += 1
+        self.ended = payload == DONE
         return Event(number, payload)
 
     def _drop_crossed(self, block: bytes) -> None:
--- a/src/kelproad/protocol/plain.py
+++ b/src/kelproad/protocol/plain.py
@@ -9,7 +9,7 @@
 
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
 from ..transport.deadlines import within
-from .engines import CONNECT_TIMEOUT, ConnectionProgress
+from .connections import CONNECT_TIMEOUT, ConnectionProgress
 
 __all__ = ['PlainAnswer', 'PlainCall', 'PlainClient']
 
--- a/src/kelproad/standins/batch.py
+++ b/src/kelproad/standins/batch.py
@@ -7,111 +7,13 @@
 
 import asyncio
 import collections
-import hashlib
 import heapq
 import itertools
-import pathlib
-import sys
-from typing import Self
 
-import attrs
-from returns.result import Failure
+from .settings import EngineSettings
+from .streams import BLOCK_TOKENS, Stream
 
-from ..protocol.documents import read_document, structure
-
-__all__ = [
-    'Batch',
-    'EngineSettings',
-    'Stream',
-    'count_tokens',
-    'digest_blocks',
-]
-
-#: Bytes of prompt that count as one token.
-_BYTES_PER_TOKEN = 4
-#: Tokens of one block of the prefix cache.
-_BLOCK_TOKENS = 1024
-
-
-@attrs.frozen
-class EngineSettings:
-    """Rates and sizes of the engine.
-
-    Attributes
-    ----------
-    time_scale
-        Factor by which the engine runs faster than the rates say, so that a
-        demo lasts seconds.
-    event_lag, load_lag
-        Seconds by which cache events and load reports are late.
-    event_gap
-        Every how many cache events one is lost; 0 for never.
-    """
-
-    prefill_tokens_per_second: float = 15_000.0
-    chunk_tokens: int = 4096
-    decode_seconds: float = 0.028
-    memory_tokens: int = 400_000
-    cache_tokens: int = 200_000
-    honours_priorities: bool = True
-    enforces_fencing: bool = True
-    time_scale: float = 10.0
-    load_lag: float = 0.5
-    event_lag: float = 1.0
-    event_gap: int = 0
-    default_max_tokens: int = 16
-
-    @classmethod
-    def from_file(cls, path: pathlib.Path | None) -> Self:
-        """Read the settings, or take the defaults."""
-        if path is None:
-            return cls()
-        document = read_document(path.read_text(), str(path))
-        read = document.bind(lambda content: structure(content, cls))
-        if isinstance(read, Failure):
-            sys.exit('\n'.join(str(item) for item in read.failure()))
-        return read.unwrap()
-
-
-@attrs.define(eq=False)
-class Stream:
-    """One completion in the engine.
-
-    Attributes
-    ----------
-    to_prefill
-        Prompt tokens that are not computed yet.
-    events
-        Data of the events produced so far, the terminal one included.
-    """
-
-    attempt_id: str
-    owner: str
-    priority: int
-    deadline: float
-    prompt_tokens: int
-    max_tokens: int
-    model: str
-    chat: bool
-    blocks: list[str]
-    to_prefill: int = 0
-    produced: int = 0
-    admitted: bool = False
-    done: bool = False
-    cancelled: bool = False
-    events: list[bytes] = attrs.field(factory=list)
-    changed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
-
-    async def wait_beyond(self, number: int) -> None:
-        """Wait until there are more events than a number, or no more."""
-        async with self.changed:
-            while len(self.events) <= number and not self.cancelled:
-                await self.changed.wait()
-
-    @property
-    def memory(self) -> int:
-        """Tokens of KV cache that the stream needs."""
-        return self.prompt_tokens + self.max_tokens
+__all__ = ['Batch']
 
 
 class Batch:
@@ -203,7 +105,7 @@
             heapq.heappop(self._waiting)
             stream.admitted = True
             self.used_tokens += stream.memory
-            cached = self._count_cached(stream) * _BLOCK_TOKENS
+            cached = self._count_cached(stream) * BLOCK_TOKENS
             stream.to_prefill = max(1, stream.prompt_tokens - cached)
             self._prefilling = stream
 
@@ -220,7 +122,7 @@
         stream.produced += 1
         last = stream.produced >= stream.max_tokens
         async with stream.changed:
-            stream.events.append(_encode_token(stream, last))
+            stream.events.append(stream.encode_token(last))
             if last:
                 stream.events.append(b'[DONE]')
                 stream.done = True
@@ -244,39 +146,7 @@
                 self.cache_events.append(('stored', block))
             self._cache[block] = None
             self._cache.move_to_end(block)
-        limit = self._settings.cache_tokens // _BLOCK_TOKENS
+        limit = self._settings.cache_tokens // BLOCK_TOKENS
         while len(self._cache) > limit:
             block, _ = self._cache.popitem(last=False)
             self.cache_events.append(('evicted', block))
-
-
-def count_tokens(prompt: bytes) -> int:
-    """Count a prompt's tokens as the model would."""
-    return max(1, len(prompt) // _BYTES_PER_TOKEN)
-
-
-def digest_blocks(prompt: bytes) -> list[str]:
-    """Digest the prompt's blocks, each together with all before it."""
-    size = _BLOCK_TOKENS * _BYTES_PER_TOKEN
-    running = hashlib.blake2b(digest_size=8)
-    digests = []
-    for start in range(0, len(prompt) - size + 1, size):
-        running.update(prompt[start : start + size])
-        digests.append(running.hexdigest())
-    return digests
-
-
-def _encode_token(stream: Stream, last: bool) -> bytes:
-    text = f'{stream.attempt_id}#{stream.produced} '
-    part = (
-        f'"delta": {{"role": "assistant", "content": "{text}"}}'
-        if stream.chat
-        else f'"text": "{text}"'
-    )
-    kind = 'chat.completion.chunk' if stream.chat else 'text_completion'
-    reason = '"stop"' if last else 'null'
-    return (
-        f'{{"id": "{stream.attempt_id}", "object": "{kind}", "created": 0, '
-        f'"model": "{stream.model}", "choices": [{{"index": 0, {part}, '
-        f'"finish_reason": {reason}}}]}}'
-    ).encode()
--- a/src/kelproad/standins/engine.py
+++ b/src/kelproad/standins/engine.py
@@ -7,18 +7,15 @@
 import asyncio
 import time
 
-import attrs
 import msgspec
 from aiohttp import web
 
 from ..transport.deadlines import monotonic
-from .batch import (
-    Batch,
-    EngineSettings,
-    Stream,
-    count_tokens,
-    digest_blocks,
-)
+from .batch import Batch
+from .faults import Faults, FaultyConnection
+from .holdings import Holdings, describe_holding
+from .settings import EngineSettings
+from .streams import RawFields, Stream, count_tokens
 
 __all__ = ['EngineSettings', 'EngineStandIn']
 
@@ -26,37 +23,6 @@
 _TOMBSTONES_KEPT = 10_000
 
 
-@attrs.define
-class _Faults:
-    """What goes wrong at present.
-
-    Attributes
-    ----------
-    cut_after
-        Connections break after this many events; 0 for never.
-    clean_cut
-        A connection that breaks ends as if the answer were complete.
-    crossed, doubled, skipped
-        Every so many events, one of another attempt comes in between, one
-        comes twice, or one is left out; 0 for never.
-    slowness
-        Factor by which every step takes longer.
-    lose_cancels
-        Number of cancels still to come that are not heard.
-    refuse
-        Completions are refused before anything runs.
-    """
-
-    cut_after: int = 0
-    clean_cut: bool = False
-    crossed: int = 0
-    doubled: int = 0
-    skipped: int = 0
-    slowness: float = 1.0
-    lose_cancels: int = 0
-    refuse: bool = False
-
-
 class EngineStandIn:
     """The engine as callers of its HTTP interface see it."""
 
@@ -67,11 +33,14 @@
         self._batch = Batch(settings)
         self._streams: dict[str, Stream] = {}
         self._cancelled: dict[str, None] = {}
-        self._faults = _Faults()
+        self._faults = Faults()
+        self._holdings = Holdings(self._batch)
         self._leaving = False
+        self._refuses = False
         self._incarnation = str(time.time_ns())
         self._loads: list[tuple[float, dict[str, object]]] = []
         self._ran: list[str] = []
+        self._times: list[float] = []
         self._tasks: list[asyncio.Task[None]] = []
 
     def create_application(self) -> web.Application:
@@ -89,6 +58,8 @@
                 web.put('/control/faults', self._put_faults),
                 web.put('/control/leaving', self._put_leaving),
                 web.get('/control/ran', self._show_ran),
+                web.get('/control/times', self._show_times),
+                *self._holdings.routes(),
             ],
         )
         application.on_startup.append(self._start)
@@ -110,65 +81,58 @@
     async def _complete(self, http_request: web.Request) -> web.StreamResponse:
         attempt_id = http_request.headers['X-Attempt-Id']
         body = await http_request.read()
-        fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+        await asyncio.sleep(self._faults.delay_dispatch)
+        fields = msgspec.json.decode(body, type=RawFields)
         refused = self._check(attempt_id, fields)
         if refused is not None:
             return refused
-        stream = self._create_stream(http_request, attempt_id, fields)
+        stream = Stream.from_request(
+            http_request.headers,
+            fields,
+            self._settings,
+        )
+        continued = self._continue(stream, fields)
         self._streams[attempt_id] = stream
         self._ran.append(attempt_id)
+        self._times.append(time.time())
         self._batch.add(stream)
-        return await self._send(http_request, stream, 0)
+        await asyncio.sleep(self._faults.delay_head)
+        return await self._send(http_request, stream, 0, continued)
+
+    def _continue(self, stream: Stream, fields: RawFields) -> int:
+        """Set a stream behind the text it continues; return its bytes."""
+        if not self._settings.continues or 'continue_from' not in fields:
+            return 0
+        text = msgspec.json.decode(fields['continue_from'], type=str)
+        return len(text.encode()) if stream.continue_from(text) else 0
 
     def _check(
         self,
         attempt_id: str,
-        fields: dict[str, msgspec.Raw],
+        fields: RawFields,
     ) -> web.Response | None:
         prompt = fields.get('prompt') or fields.get('messages')
         if prompt is None:
             return _refuse('bad_request', 'no prompt')
         if attempt_id in self._cancelled or attempt_id in self._streams:
             return _refuse('conflict', 'the attempt was cancelled or is here')
-        if self._faults.refuse or self._leaving:
+        if self._faults.refuse or self._refuses:
             return _refuse('unavailable', 'no new work is taken')
         if count_tokens(bytes(prompt)) >= self._settings.memory_tokens:
             return _refuse('too_large', 'the prompt exceeds the memory', 413)
         return None
 
-    def _create_stream(
-        self,
-        http_request: web.Request,
-        attempt_id: str,
-        fields: dict[str, msgspec.Raw],
-    ) -> Stream:
-        headers = http_request.headers
-        chat = 'messages' in fields
-        prompt = bytes(fields['messages' if chat else 'prompt'])
-        limit = fields.get('max_tokens')
-        return Stream(
-            attempt_id=attempt_id,
-            owner=headers.get('X-Owner', ''),
-            priority=int(headers.get('X-Priority', '0')),
-            deadline=monotonic() + float(headers['X-Deadline-Seconds']),
-            prompt_tokens=count_tokens(prompt),
-            max_tokens=msgspec.json.decode(limit, type=int)
-            if limit
-            else self._settings.default_max_tokens,
-            model=msgspec.json.decode(fields['model'], type=str),
-            chat=chat,
-            blocks=digest_blocks(prompt),
-        )
-
     async def _resume(self, http_request: web.Request) -> web.StreamResponse:
-        stream = self._streams.get(http_request.match_info['attempt'])
+        attempt_id = http_request.match_info['attempt']
+        stream = self._streams.get(attempt_id)
+        number = int(http_request.query.get('from', '0'))
+        if stream is None and self._faults.forge_resumes:
+            stream = Stream.forge(attempt_id, self._models[0], number)
+            self._streams[attempt_id] = stream
+            self._batch.add(stream)
         if stream is None or stream.cancelled:
             return web.json_response({'message': 'not held'}, status=404)
-        return await self._send(
-            http_request,
-            stream,
-            int(http_request.query.get('from', '0')),
-        )
+        return await self._send(http_request, stream, number)
 
     async def _cancel(self, http_request: web.Request) -> web.Response:
         if self._faults.lose_cancels > 0:
@@ -196,71 +160,70 @@
         http_request: web.Request,
         stream: Stream,
         number: int,
+        continued: int = 0,
     ) -> web.StreamResponse:
         """Send events from a number on; free the memory after the last."""
-        response = web.StreamResponse(
-            headers={'Content-Type': 'text/event-stream'},
-        )
+        headers = {
+            'Content-Type': 'text/event-stream',
+            'X-Engine-Incarnation': self._incarnation,
+        }
+        if continued:
+            headers['X-Continued-Bytes'] = str(continued)
+        response = web.StreamResponse(headers=headers)
         await response.prepare(http_request)
-        sent = 0
+        connection = FaultyConnection(
+            http_request,
+            response,
+            stream.attempt_id,
+            self._faults,
+        )
+        stream.connections += 1
+        try:
+            await self._send_events(connection, stream, number)
+        finally:
+            stream.connections -= 1
+        if self._faults.forget and not stream.done:
+            await self._forget()
+        if stream.cancelled and not stream.done:
+            http_request.transport.abort()
+        return response
+
+    async def _send_events(
+        self,
+        connection: FaultyConnection,
+        stream: Stream,
+        number: int,
+    ) -> None:
         while not stream.cancelled:
             await stream.wait_beyond(number)
             for payload in stream.events[number:]:
-                if self._faults.cut_after and sent >= self._faults.cut_after:
-                    return await self._cut(http_request, response)
-                await self._send_event(response, stream, number, payload)
+                if not await connection.send(number, payload):
+                    return
                 number += 1
-                sent += 1
             if stream.done and number >= len(stream.events):
                 await self._release(stream)
-                await response.write_eof()
-                return response
-        http_request.transport.abort()
-        return response
+                await connection.end()
 
-    async def _send_event(
-        self,
-        response: web.StreamResponse,
-        stream: Stream,
-        number: int,
-        payload: bytes,
-    ) -> None:
-        faults = self._faults
-        event = _encode_event(stream.attempt_id, number, payload)
-        position = number + 1
-        if faults.crossed and position % faults.crossed == 0:
-            await response.write(_encode_event('stranger', number, payload))
-        if faults.skipped and position % faults.skipped == 0:
-            return
-        await response.write(event)
-        if faults.doubled and position % faults.doubled == 0:
-            await response.write(event)
-
-    async def _cut(
-        self,
-        http_request: web.Request,
-        response: web.StreamResponse,
-    ) -> web.StreamResponse:
-        if self._faults.clean_cut:
-            await response.write_eof()
-        else:
-            http_request.transport.abort()
-        return response
+    async def _forget(self) -> None:
+        self._incarnation = str(time.time_ns())
+        for stream in list(self._streams.values()):
+            await self._release(stream)
 
     # Reports
 
     async def _list_held(self, _http_request: web.Request) -> web.Response:
-        now = monotonic()
         held = [
-            {
-                'kind': 'stream',
-                'item_id': stream.attempt_id,
-                'owner': stream.owner,
-                'tokens': stream.memory,
-                'remaining': stream.deadline - now,
-            }
+            describe_holding(
+                'stream',
+                stream.attempt_id,
+                stream.owner,
+                stream.memory,
+                stream.deadline,
+                stream.connections > 0,
+            )
             for stream in self._streams.values()
         ]
+        held += self._holdings.describe()
         return web.json_response(
             {'held': held, 'used_tokens': self._batch.used_tokens},
         )
@@ -304,21 +267,23 @@
     async def _put_faults(self, http_request: web.Request) -> web.Response:
         self._faults = msgspec.json.decode(
             await http_request.read(),
-            type=_Faults,
+            type=Faults,
         )
         self._batch.slowness = self._faults.slowness
         return web.json_response({})
 
-    async def _put_leaving(self, _http_request: web.Request) -> web.Response:
+    async def _put_leaving(self, http_request: web.Request) -> web.Response:
+        """Say from now on that it is leaving; what is sent is still taken."""
         self._leaving = True
+        self._refuses = http_request.query.get('refuse') == 'yes'
         return web.json_response({})
 
     async def _show_ran(self, _http_request: web.Request) -> web.Response:
         return web.json_response(self._ran)
 
-
-def _encode_event(attempt_id: str, number: int, payload: bytes) -> bytes:
-    return b'id: %b.%d\ndata: %b\n\n' % (attempt_id.encode(), number, payload)
+    async def _show_times(self, _http_request: web.Request) -> web.Response:
+        """Tell when each attempt that ran was taken, by the wall clock."""
+        return web.json_response(self._times)
 
 
 def _refuse(code: str, message: str, status: int = 503) -> web.Response:
--- /dev/null
+++ b/src/kelproad/standins/holdings.py
@@ -0,0 +1,119 @@
+"""What a stand-in engine keeps beside its streams: KV exports and pins.
+
+Both take memory until they are deleted, whatever became of their owner.
+"""
+
+import attrs
+import msgspec
+from aiohttp import web
+
+from ..transport.deadlines import monotonic
+from .batch import Batch
+
+__all__ = ['Holdings', 'HoldingWanted', 'describe_holding']
+
+
+@attrs.frozen
+class HoldingWanted:
+    """The body that makes an engine hold an export or a pin."""
+
+    owner: str
+    tokens: int
+    seconds: float
+
+
+@attrs.frozen
+class _Holding:
+    kind: str
+    item_id: str
+    owner: str
+    tokens: int
+    deadline: float
+
+
+class Holdings:
+    """Exports and pins by kind and id."""
+
+    def __init__(self, batch: Batch) -> None:
+        """Take memory from an engine's batch."""
+        self._batch = batch
+        self._items: dict[tuple[str, str], _Holding] = {}
+
+    def routes(self) -> list[web.RouteDef]:
+        """List the paths of exports, imports and pins."""
+        return [
+            web.put('/v1/{kind:exports|pins}/{item}', self._put),
+            web.get('/v1/exports/{item}', self._export),
+            web.post('/v1/imports/{item}', self._import),
+            web.delete('/v1/{kind:exports|pins}/{item}', self._delete),
+        ]
+
+    def describe(self) -> list[dict[str, object]]:
+        """List what is held."""
+        return [
+            describe_holding(
+                item.kind,
+                item.item_id,
+                item.owner,
+                item.tokens,
+                item.deadline,
+                attached=False,
+            )
+            for item in self._items.values()
+        ]
+
+    async def _put(self, http_request: web.Request) -> web.Response:
+        wanted = msgspec.json.decode(
+            await http_request.read(),
+            type=HoldingWanted,
+        )
+        kind = http_request.match_info['kind'].removesuffix('s')
+        item_id = http_request.match_info['item']
+        if (kind, item_id) not in self._items:
+            self._batch.used_tokens += wanted.tokens
+            self._items[kind, item_id] = _Holding(
+                kind,
+                item_id,
+                wanted.owner,
+                wanted.tokens,
+                monotonic() + wanted.seconds,
+            )
+        return web.json_response({})
+
+    async def _export(self, http_request: web.Request) -> web.Response:
+        item = self._items.get(('export', http_request.match_info['item']))
+        if item is None:
+            return web.json_response({'message': 'not held'}, status=404)
+        return web.json_response({'tokens': item.tokens})
+
+    async def _import(self, http_request: web.Request) -> web.Response:
+        """Import KV cache into the prefix cache, which gives way by itself."""
+        await http_request.read()
+        return web.json_response({})
+
+    async def _delete(self, http_request: web.Request) -> web.Response:
+        kind = http_request.match_info['kind'].removesuffix('s')
+        key = (kind, http_request.match_info['item'])
+        item = self._items.pop(key, None)
+        if item is not None:
+            self._batch.used_tokens -= item.tokens
+        return web.json_response({'released': item is not None})
+
+
+def describe_holding(
+    kind: str,
+    item_id: str,
+    owner: str,
+    tokens: int,
+    deadline: float,
+    attached: bool,
+) -> dict[str, object]:
+    """Describe something held as ``/v1/held`` lists it."""
+    return {
+        'kind': kind,
+        'item_id': item_id,
+        'owner': owner,
+        'tokens': tokens,
+        'remaining': deadline - monotonic(),
+        'attached': attached,
+    }
--- a/src/kelproad/state/configuration.py
+++ b/src/kelproad/state/configuration.py
@@ -180,6 +180,9 @@
     memory_tokens
         Tokens of KV cache that one engine holds; the largest prompt it can
         serve.
+    honours_continuation
+        Whether the engines go on behind the text that comes with a request,
+        so that an answer another engine broke off can be continued.
     """
 
     name: str
@@ -189,6 +192,7 @@
     honours_priorities: bool = True
     memory_tokens: int = 400_000
     prefill_tokens_per_second: float = 15_000.0
+    honours_continuation: bool = False
 
 
 @attrs.frozen
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -35,6 +35,10 @@
             'kelproad_streams_resumed_total',
             'Broken streams taken up again, by way.',
         )
+        self.streams_broken = self._counter(
+            'kelproad_streams_broken_total',
+            'Connections of engines that did not bring the end, by ending.',
+        )
         self.claims = self._counter(
             'kelproad_claims_total',
             'Idempotency claims, by outcome.',
--- a/src/kelproad/state/refusals.py
+++ b/src/kelproad/state/refusals.py
@@ -53,6 +53,7 @@
     KEY_REUSED = 'key_reused'
     OUTCOME_UNKNOWN = 'outcome_unknown'
     ENDPOINT_FAILED = 'endpoint_failed'
+    ANSWER_TOO_LARGE = 'answer_too_large'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
     CONFLICT = 'conflict'
     UNAVAILABLE = 'unavailable'
@@ -79,6 +80,7 @@
         RefusalCode.KEY_REUSED: 422,
         RefusalCode.OUTCOME_UNKNOWN: 409,
         RefusalCode.ENDPOINT_FAILED: 502,
+        RefusalCode.ANSWER_TOO_LARGE: 502,
         RefusalCode.DEADLINE_EXCEEDED: 504,
         RefusalCode.CONFLICT: 409,
         RefusalCode.UNAVAILABLE: 503,
--- a/src/kelproad/state/requests.py
+++ b/src/kelproad/state/requests.py
@@ -83,7 +83,7 @@
             prompt_tokens=request.prompt_tokens,
         )
 
-    def note(self, step: str, **details: object) -> None:
+    def note(self, step: str, /, **details: object) -> None:
         """Add what was decided at a step."""
         self.steps.append({'step': step, **details})
 
--- a/testbed/site.py
+++ b/testbed/site.py
@@ -42,6 +42,8 @@
         Settings of every stand-in engine.
     instance_settings
         Settings laid over those of every instance.
+    group_settings
+        Settings laid over those of every group of engines.
     network
         Put the stand-in network between zones, endpoints and the platform,
         so that zones can be cut off.
@@ -52,6 +54,7 @@
     endpoints_per_group: int | None = None
     engine_settings: dict[str, object] = attrs.field(factory=dict)
     instance_settings: dict[str, object] = attrs.field(factory=dict)
+    group_settings: dict[str, object] = attrs.field(factory=dict)
     lag: float = 0.5
     network: bool = False
 
@@ -228,6 +231,18 @@
         """Set the faults of a stand-in; those not named are off."""
         self.control(address, 'PUT', '/control/faults', faults)
 
+    def restart_endpoint(self, name: str) -> None:
+        """Start an endpoint again that has ended."""
+        groups = [
+            group
+            for content in self._contents
+            for group in content.get('endpoint_groups', [])
+        ]
+        for group in groups:
+            if name in {item['name'] for item in group['endpoints']}:
+                self.start_endpoint(name, group)
+        wait_until_answering(f'http://{self.addresses[name]}/v1/load')
+
     def stop(self) -> None:
         """End every process that was started."""
         processes = [
@@ -258,6 +273,8 @@
     def _settle_content(self, content: dict[str, object]) -> None:
         for group in content.get('endpoint_groups', []):
             limit = self.plan.endpoints_per_group
+            if group['kind'] == 'engine':
+                group.update(self.plan.group_settings)
             group['endpoints'] = group['endpoints'][:limit]
             for endpoint in group['endpoints']:
                 zone = endpoint['zone']
--- /dev/null
+++ b/tests/engines.py
@@ -0,0 +1,131 @@
+"""Stand-in engines of a site, as tests set and read them."""
+
+import json
+import time
+from http.client import HTTPConnection, IncompleteRead
+
+from testbed.site import Site
+from tests.clients import KEY, MODEL
+
+_POLL = 0.1
+
+
+def list_engines(site: Site) -> list[str]:
+    """List the names of the report engines."""
+    return [name for name in site.addresses if name.startswith('report-')]
+
+
+def set_engines(
+    site: Site,
+    names: list[str] | None = None,
+    **faults: object,
+) -> None:
+    """Set the faults of some engines, and put the others right."""
+    for name in list_engines(site):
+        chosen = names is None or name in names
+        site.set_faults(site.addresses[name], **(faults if chosen else {}))
+
+
+def list_held(site: Site) -> dict[str, dict[str, object]]:
+    """Read what every report engine holds."""
+    return {
+        name: site.control(site.addresses[name], 'GET', '/v1/held')
+        for name in list_engines(site)
+    }
+
+
+def wait_until_free(site: Site, seconds: float) -> dict[str, object]:
+    """Wait until no engine holds anything; return what is left."""
+    limit = time.monotonic() + seconds
+    while True:
+        left = {
+            name: held
+            for name, held in list_held(site).items()
+            if held['held'] or held['used_tokens']
+        }
+        if not left or time.monotonic() > limit:
+            return left
+        time.sleep(_POLL)
+
+
+class OpenStream:
+    """A streamed completion that is read piece by piece."""
+
+    def __init__(
+        self,
+        address: str,
+        prompt: str,
+        deadline: float = 20,
+        **fields: object,
+    ) -> None:
+        """Ask for it and wait for the head of the answer."""
+        self._connection = HTTPConnection(address, timeout=30)
+        body = {'model': MODEL, 'prompt': prompt, 'stream': True, **fields}
+        self._connection.request(
+            'POST',
+            '/v1/completions',
+            json.dumps(body),
+            {
+                'Authorization': f'Bearer {KEY}',
+                'X-Deadline-Seconds': str(deadline),
+            },
+        )
+        self.response = self._connection.getresponse()
+        self._rest = b''
+        self.payloads: list[str] = []
+        self.incomplete = False
+
+    def read(self, events: int | None = None) -> None:
+        """Read so many events more, or all there are."""
+        while events is None or events > 0:
+            line = self._read_line()
+            if not line:
+                return
+            if line.startswith(b'data: '):
+                self.payloads.append(line[6:].decode().strip())
+                events = None if events is None else events - 1
+
+    def close(self) -> None:
+        """Go away."""
+        self.response.close()
+        self._connection.close()
+
+    @property
+    def done(self) -> bool:
+        """Whether the answer ended in the ordinary way."""
+        return self.payloads[-1:] == ['[DONE]']
+
+    @property
+    def text(self) -> str:
+        """The text of all events so far."""
+        chunks = [
+            json.loads(payload)
+            for payload in self.payloads
+            if payload != '[DONE]'
+        ]
+        return ''.join(
+            choice['text']
+            for chunk in chunks
+            for choice in chunk.get('choices', [])
+        )
+
+    @property
+    def error(self) -> dict[str, object] | None:
+        """The refusal that ended the stream."""
+        last = json.loads(self.payloads[-1])
+        return last.get('error')
+
+    def _read_line(self) -> bytes:
+        """Read one line; ``readline`` would hide an incomplete body."""
+        while b'\n' not in self._rest:
+            try:
+                received = self.response.read1()
+            except IncompleteRead:
+                self.incomplete = True
+                return b''
+            if not received:
+                return b''
+            self._rest += received
+        line, _, rest = self._rest.partition(b'\n')
+        self._rest = rest
+        return line or b' '
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,245 @@
+"""Each caller gets the whole answer to its own request, or sees an error."""
+
+import json
+import time
+from collections.abc import Iterator
+
+import openai
+import pytest
+
+from kelproad.standins.texts import compose_answer
+from testbed.site import Site, SitePlan, start_site
+from tests.clients import KEY, MODEL, complete
+from tests.conftest import ROADGRIP
+from tests.engines import (
+    OpenStream,
+    list_engines,
+    set_engines,
+    wait_until_free,
+)
+
+TOKENS = 12
+#: Seconds within which engines have nothing left in memory.
+FREE_WITHIN = 5
+
+
+@pytest.fixture(scope='module')
+def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Site]:
+    plan = SitePlan(
+        example=ROADGRIP,
+        endpoints_per_group=3,
+        group_settings={'honours_continuation': True},
+        engine_settings={'time_scale': 2.0, 'memory_tokens': 400_000},
+    )
+    with start_site(plan, tmp_path_factory.mktemp('answers')) as started:
+        yield started
+
+
+@pytest.fixture(autouse=True)
+def sound_engines(site: Site) -> Iterator[None]:
+    set_engines(site)
+    yield
+    set_engines(site)
+    assert wait_until_free(site, FREE_WITHIN) == {}
+
+
+def ask(site: Site, prompt: str, **fields: object) -> OpenStream:
+    stream = OpenStream(
+        site.callers[0],
+        prompt,
+        **{'max_tokens': TOKENS, **fields},
+    )
+    stream.read()
+    stream.close()
+    return stream
+
+
+@pytest.mark.parametrize(
+    'faults',
+    [
+        {'crossed': 2},
+        {'doubled': 2},
+        {'crossed': 3, 'doubled': 2, 'cut_after': 4},
+        {'cut_after': 5},
+        {'cut_after': 5, 'clean_cut': True},
+        {'cut_after': 1},
+    ],
+    ids=str,
+)
+def test_faulty_connections_give_whole_answers(
+    site: Site,
+    faults: dict[str, object],
+) -> None:
+    """Engines mix, repeat and cut; their streams can be taken up again.
+
+    Also a connection that ends cleanly in mid-answer is no end.  The caller
+    gets every token of its own answer once.
+    """
+    set_engines(site, **faults)
+    for prompt in ('first', 'second'):
+        stream = ask(site, prompt)
+        assert stream.text == compose_answer(prompt, TOKENS)
+        assert stream.done and not stream.incomplete
+
+
+BREAKS = (
+    {'skipped': 4},
+    {'fail_after': 3},
+    {'cut_after': 3, 'forget': True},
+    {'cut_after': 3, 'forget': True, 'forge_resumes': True},
+    {'cut_after': 3, 'clean_cut': True, 'forget': True},
+)
+
+
+@pytest.mark.parametrize('faults', BREAKS, ids=str)
+def test_broken_answer_is_never_an_end(
+    site: Site,
+    faults: dict[str, object],
+) -> None:
+    """Every engine fails in mid-answer and cannot go on with it.
+
+    Events are missing, the engine tells of an error and still says [DONE],
+    or is restarted and offers another stream under the same id.  The answer
+    is drawn at random, so nobody else can go on with it.  The caller sees an
+    error event, no [DONE], and an incomplete HTTP body.
+    """
+    set_engines(site, **faults)
+    stream = ask(site, 'broken')
+    whole = compose_answer('broken', TOKENS)
+    assert stream.text and whole.startswith(stream.text)
+    assert stream.error['code'] == 'endpoint_failed'
+    assert stream.error['ran'] == 'unknown'
+    assert '[DONE]' not in stream.payloads
+    assert stream.incomplete
+
+
+@pytest.mark.parametrize('faults', BREAKS, ids=str)
+def test_another_engine_continues_a_greedy_answer(
+    site: Site,
+    faults: dict[str, object],
+) -> None:
+    """Two of three engines fail in mid-answer, the caller has some of it.
+
+    At temperature 0 the rest follows from the text, so another engine goes on
+    behind it.  The caller sees one answer with neither gap nor repetition.
+    """
+    set_engines(site, list_engines(site)[:2], **faults)
+    for number in range(4):
+        prompt = f'continued {number}'
+        stream = ask(site, prompt, temperature=0)
+        assert stream.text == compose_answer(prompt, TOKENS)
+        assert stream.done and not stream.incomplete
+        ids = {json.loads(payload)['id'] for payload in stream.payloads[:-1]}
+        assert len(ids) == 1
+
+
+@pytest.mark.parametrize('faults', BREAKS, ids=str)
+@pytest.mark.parametrize('model', [MODEL, 'roadgrip-corridor'])
+def test_whole_answers_start_again_elsewhere(
+    site: Site,
+    faults: dict[str, object],
+    model: str,
+) -> None:
+    """Two of three engines fail in mid-answer; nothing was delivered yet.
+
+    An answer as JSON, or delivered whole, is made again from the start on
+    another engine, however it is drawn.
+    """
+    set_engines(site, list_engines(site)[:2], **faults)
+    for number in range(3):
+        prompt = f'whole {number}'
+        answer = complete(
+            site.callers[0],
+            prompt,
+            model=model,
+            max_tokens=TOKENS,
+        )
+        assert answer.status == 200
+        text = answer.fields()['choices'][0]['text']
+        assert text == compose_answer(prompt, TOKENS)
+
+
+def test_published_client_sees_a_broken_answer(site: Site) -> None:
+    """The OpenAI client iterates over a stream that breaks off.
+
+    It must raise, not come to an end as if the answer were short; also when
+    the answer is JSON.
+    """
+    set_engines(site, skipped=4)
+    client = openai.OpenAI(
+        api_key=KEY,
+        base_url=f'http://{site.callers[0]}/v1',
+        max_retries=0,
+    )
+    chat = [{'role': 'user', 'content': 'broken'}]
+    stream = client.chat.completions.create(
+        model=MODEL,
+        messages=chat,
+        stream=True,
+    )
+    with pytest.raises(openai.APIError) as raised:
+        list(stream)
+    assert raised.value.body['ran'] == 'unknown'
+    with pytest.raises(openai.InternalServerError):
+        client.chat.completions.create(model=MODEL, messages=chat)
+
+
+@pytest.mark.parametrize('events', [0, 4])
+def test_frozen_engine_is_left_in_time(site: Site, events: int) -> None:
+    """An engine freezes, before its first token or in mid-answer.
+
+    Its connection stays open and nothing comes any more.  The caller has
+    given 30 seconds; long before, the work moves to another engine.
+    """
+    prompt = f'frozen after {events}'
+    set_engines(site, slowness=20.0 if events else 1.0)
+    frozen = [] if events else list_engines(site)[:2]
+    for name in frozen:
+        site.endpoints[name].freeze()
+    began = time.monotonic()
+    try:
+        stream = OpenStream(
+            site.callers[0],
+            prompt,
+            deadline=30,
+            max_tokens=TOKENS,
+            temperature=0,
+        )
+        stream.read(events)
+        if events:
+            frozen = [find_busy(site)]
+            site.endpoints[frozen[0]].freeze()
+        stream.read()
+        assert stream.text == compose_answer(prompt, TOKENS)
+        assert stream.done
+        assert time.monotonic() - began < 25
+    finally:
+        for name in frozen:
+            site.endpoints[name].wake()
+
+
+def test_dead_engine_is_replaced(site: Site) -> None:
+    """An engine's process ends in mid-answer, and is started again later.
+
+    A greedy answer goes on elsewhere.
+    """
+    set_engines(site, slowness=10.0)
+    stream = OpenStream(
+        site.callers[0], 'dead', max_tokens=TOKENS, temperature=0
+    )
+    stream.read(3)
+    name = find_busy(site)
+    site.endpoints[name].kill()
+    stream.read()
+    site.restart_endpoint(name)
+    assert stream.text == compose_answer('dead', TOKENS)
+    assert stream.done
+
+
+def find_busy(site: Site) -> str:
+    """Find the engine that has a stream."""
+    for name in list_engines(site):
+        held = site.control(site.addresses[name], 'GET', '/v1/held')
+        if held['held']:
+            return name
+    raise AssertionError('no engine has a stream')
