Release what engines hold for owners that are gone

Cause: only the owner itself cancelled; a killed instance's streams, and every export and pin of a dead owner, stayed in the engines for good. Ruled out: silence alone as evidence; a cut zone is as silent as a dead one.

--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -33,6 +33,7 @@
 from .entry import Entry
 from .membership import Membership
 from .operators import OperatorApi
+from .orphans import OrphanWatch
 from .plain import PlainCalls
 from .reclamation import Canceller
 from .watch import Watch
@@ -144,6 +145,16 @@
             self._follower,
             self._membership,
             Watch(identity, table, members, engines),
+            OrphanWatch(
+                identity,
+                self._holder,
+                table,
+                members,
+                engines,
+                self._canceller.holdings,
+                self._counters,
+                settings.forgotten_after,
+            ),
             entry,
         ):
             await self.add_runtime_dependency(service)
--- a/src/kelproad/coordination/membership.py
+++ b/src/kelproad/coordination/membership.py
@@ -142,6 +142,10 @@
             instance.peer_address: instance.zone
             for instance in listing.instances
         }
+        self._members.note_listing(
+            frozenset(instance.name for instance in listing.instances),
+            monotonic(),
+        )
         leaving = set(listing.leaving_endpoints)
         for name, endpoint in self._table.all().items():
             endpoint.listed_leaving = name in leaving
--- a/src/kelproad/protocol/settings.py
+++ b/src/kelproad/protocol/settings.py
@@ -52,6 +52,9 @@
         a lagging balancer sends.
     drain_limit
         Seconds after which a stopping instance no longer waits for requests.
+    forgotten_after
+        Seconds of silence after which an instance that the platform no longer
+        lists counts as gone, and what engines hold for it is released.
     """
 
     instance: str
@@ -66,6 +69,7 @@
     seeds: list[str] = attrs.field(factory=list)
     drain_grace: float = 5.0
     drain_limit: float = 600.0
+    forgotten_after: float = 30.0
     log_format: LogFormat = LogFormat.PLAIN
     log_level: str = 'INFO'
     assert_invariants: bool = False
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -63,6 +63,10 @@
             'kelproad_cancels_total',
             'Releases of engine memory, by reason and outcome.',
         )
+        self.orphans = self._counter(
+            'kelproad_orphans_total',
+            'Holdings of engines without an owner, by evidence and outcome.',
+        )
         self.operator_calls = self._counter(
             'kelproad_operator_calls_total',
             'Calls of the operator API, by outcome.',
--- a/src/kelproad/state/members.py
+++ b/src/kelproad/state/members.py
@@ -74,6 +74,9 @@
         """Start with no members."""
         self._members: dict[str, Member] = {}
         self._heard: dict[str, float] = {}
+        #: Instances on the platform's list, and when it was read last.
+        self.listed: frozenset[str] = frozenset()
+        self.listed_at = float('-inf')
 
     def merge(self, member: Member, now: float) -> bool:
         """Take a record if it is newer than the one held.
@@ -89,6 +92,11 @@
         self._heard[member.name] = now
         return True
 
+    def note_listing(self, names: frozenset[str], now: float) -> None:
+        """Remember whom the platform lists."""
+        self.listed = names
+        self.listed_at = now
+
     def live(self, now: float) -> list[Member]:
         """List the members heard of recently."""
         return [
--- /dev/null
+++ b/tests/test_reclamation.py
@@ -0,0 +1,323 @@
+"""No engine loses memory for good, and no live stream is cut for it."""
+
+import pathlib
+import signal
+import time
+from collections.abc import Iterator
+
+import attrs
+import pytest
+
+from kelproad.coordination.orphans import Evidence, Ownership, judge_held
+from kelproad.standins.texts import compose_answer
+from kelproad.state.holdings import HeldItem, Holding, HoldingTable
+from testbed.site import Site, SitePlan, start_site
+from tests.conftest import ROADGRIP
+from tests.engines import (
+    OpenStream,
+    list_engines,
+    list_held,
+    set_engines,
+    wait_until_free,
+)
+
+#: Seconds within which an engine is free after an ordinary end.
+FREE_WITHIN = 4
+#: The same after an owner's death: two looks, and one for its watcher's.
+ORPHANS_WITHIN = 12
+MARGIN = 5
+FORGOTTEN_AFTER = 2.0
+
+
+@pytest.fixture(scope='module')
+def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Site]:
+    plan = SitePlan(
+        example=ROADGRIP,
+        instances_per_zone=2,
+        endpoints_per_group=2,
+        instance_settings={'forgotten_after': FORGOTTEN_AFTER},
+        engine_settings={'time_scale': 1.0},
+    )
+    with start_site(plan, tmp_path_factory.mktemp('memory')) as started:
+        yield started
+
+
+@pytest.fixture(autouse=True)
+def sound_engines(request: pytest.FixtureRequest) -> Iterator[None]:
+    yield
+    if 'site' in request.fixturenames:
+        site = request.getfixturevalue('site')
+        set_engines(site)
+        assert wait_until_free(site, ORPHANS_WITHIN) == {}
+
+
+def open_long(site: Site, caller: int = 0, **fields: object) -> OpenStream:
+    """Open a stream that lasts much longer than the test."""
+    return OpenStream(
+        site.callers[caller],
+        'long',
+        **{'deadline': 100, 'max_tokens': 5000, **fields},
+    )
+
+
+def wait_until_held(site: Site) -> None:
+    while not any(held['held'] for held in list_held(site).values()):
+        time.sleep(0.05)
+
+
+@pytest.mark.parametrize('lost', [0, 3], ids=['heard', 'lost cancels'])
+@pytest.mark.parametrize('events', [0, 3])
+def test_caller_goes_away(site: Site, events: int, lost: int) -> None:
+    """The caller closes its connection before or after the first token.
+
+    The engine does not notice; the instance cancels, and again as long as
+    cancels are lost.
+    """
+    set_engines(site, lose_cancels=lost, delay_head=0 if events else 3)
+    stream = open_long(site, wait=events > 0)
+    if events:
+        stream.read(events)
+    else:
+        wait_until_held(site)
+    stream.close()
+    assert wait_until_free(site, FREE_WITHIN) == {}
+
+
+def test_cancel_overtakes_its_dispatch(site: Site) -> None:
+    """The dispatch is under way for a second, the caller leaves before.
+
+    The cancel is there first; when the dispatch arrives, the engine must not
+    begin what nobody would ever cancel.
+    """
+    set_engines(site, delay_dispatch=1.0)
+    before = count_ran(site)
+    stream = open_long(site, wait=False)
+    time.sleep(0.4)
+    stream.close()
+    time.sleep(1.2)
+    assert wait_until_free(site, FREE_WITHIN) == {}
+    assert count_ran(site) == before
+
+
+def test_deadline_passes(site: Site) -> None:
+    """The answer is not complete in time; the engine is told to stop."""
+    stream = open_long(site, deadline=1)
+    stream.read()
+    assert stream.error['code'] == 'deadline_exceeded'
+    assert wait_until_free(site, FREE_WITHIN) == {}
+
+
+def test_killed_instance_is_replaced(site: Site) -> None:
+    """An instance is killed with open streams and started again.
+
+    Its new life is heard of long before the deadline of the streams.
+    """
+    instance = site.instances[0]
+    streams = [open_long(site) for _ in range(3)]
+    instance.process.kill()
+    site.start_instance(instance)
+    site.wait_ready()
+    assert wait_until_free(site, ORPHANS_WITHIN) == {}
+    for stream in streams:
+        stream.close()
+
+
+def test_killed_instance_stays_away(site: Site) -> None:
+    """An instance is killed for good, and taken off the platform's list."""
+    instance = site.instances[1]
+    stream = open_long(site, 1)
+    instance.process.kill()
+    site.control(
+        site.platform_address,
+        'DELETE',
+        f'/control/members/{instance.name}',
+    )
+    assert wait_until_free(site, ORPHANS_WITHIN + FORGOTTEN_AFTER) == {}
+    stream.close()
+    site.start_instance(instance)
+    site.wait_ready()
+
+
+def test_killed_instance_still_listed(site: Site) -> None:
+    """An instance is killed, and the platform does not notice.
+
+    Nothing proves its end, so its stream lasts until its deadline.
+    """
+    instance = site.instances[0]
+    stream = open_long(site, deadline=1)
+    instance.process.kill()
+    assert wait_until_free(site, 1 + MARGIN + ORPHANS_WITHIN) == {}
+    stream.close()
+    site.start_instance(instance)
+    site.wait_ready()
+
+
+def test_frozen_instance_is_not_robbed(site: Site) -> None:
+    """An instance is paused with a stream, off the list, and woken again.
+
+    Nobody hears of it for longer than it takes to be forgotten, yet its
+    connection is open and its caller waits: the answer must come whole.
+    """
+    instance = site.instances[2]
+    stream = OpenStream(site.callers[2], 'frozen', 60, max_tokens=300)
+    stream.read(3)
+    instance.process.freeze()
+    listed = {
+        'name': instance.name,
+        'zone': instance.zone,
+        'peer_address': instance.peer,
+    }
+    member = f'/control/members/{instance.name}'
+    site.control(site.platform_address, 'DELETE', member)
+    time.sleep(FORGOTTEN_AFTER + 4)
+    instance.process.wake()
+    site.control(site.platform_address, 'PUT', member, listed)
+    stream.read()
+    stream.close()
+    assert stream.text == compose_answer('frozen', 300)
+    assert stream.done
+
+
+def test_planned_stop_releases(site: Site) -> None:
+    """A caller leaves, and its instance is stopped in the same moment."""
+    instance = site.instances[3]
+    set_engines(site, lose_cancels=1)
+    stream = open_long(site, 3)
+    stream.close()
+    instance.process.send_signal(signal.SIGTERM)
+    assert instance.process.wait(20) == 0
+    assert wait_until_free(site, 1) == {}
+    site.start_instance(instance)
+    site.wait_ready()
+
+
+def test_exports_and_pins_have_an_end(site: Site) -> None:
+    """Exports and pins stay in the engine, and their owners are gone.
+
+    Past the deadline, or when the owner lives again, they are released; those
+    of somebody else who uses the engine are not.
+    """
+    address = site.addresses[list_engines(site)[0]]
+    name = site.instances[0].name
+    wanted = {
+        'late': (f'{name}:{time.time_ns()}0', 1),
+        'replaced': (f'{name}:1', 100),
+        'foreign': ('somebody', 1),
+    }
+    for item, (owner, seconds) in wanted.items():
+        body = {'owner': owner, 'tokens': 100, 'seconds': seconds}
+        for kind in ('exports', 'pins'):
+            site.control(address, 'PUT', f'/v1/{kind}/{item}', body)
+    limit = time.monotonic() + 1 + MARGIN + ORPHANS_WITHIN
+    foreign = [('export', 'foreign'), ('pin', 'foreign')]
+    left = []
+    while left != foreign and time.monotonic() < limit:
+        time.sleep(0.2)
+        held = site.control(address, 'GET', '/v1/held')
+        left = [(item['kind'], item['item_id']) for item in held['held']]
+    assert left == foreign
+    assert held['used_tokens'] == 200
+    for kind in ('exports', 'pins'):
+        site.control(address, 'DELETE', f'/v1/{kind}/foreign')
+
+
+def test_streams_of_a_zone_cut_off(tmp_path: pathlib.Path) -> None:
+    """A zone is cut off, and the platform takes its instances off the list.
+
+    A stream inside the zone goes on and comes whole.  One that crosses the
+    cut is not cancelled from outside: when the network heals, it comes whole
+    as well.
+    """
+    plan = SitePlan(
+        example=ROADGRIP,
+        endpoints_per_group=1,
+        network=True,
+        instance_settings={'forgotten_after': 2.0},
+        engine_settings={'time_scale': 1.0},
+    )
+    with start_site(plan, tmp_path) as site:
+        tokens = 300
+        inside, across = (
+            OpenStream(site.callers[number], 'cut', 60, max_tokens=tokens)
+            for number in (0, 1)
+        )
+        inside.read(3)
+        across.read(3)
+        cut = site.zones[0]
+        site.network.isolate(cut)
+        for instance in site.instances:
+            site.control(
+                site.platform_address,
+                'DELETE',
+                f'/control/members/{instance.name}',
+            )
+        time.sleep(6)
+        site.network.heal()
+        for stream in (inside, across):
+            stream.read()
+            assert stream.text == compose_answer('cut', tokens)
+            assert stream.done
+        assert wait_until_free(site, FREE_WITHIN) == {}
+
+
+OWNERSHIP = Ownership(
+    own='me:5',
+    recorded=HoldingTable(),
+    incarnations={'me': 5, 'other': 7, 'gone': 3},
+    silent={'other': 0.5, 'gone': 40},
+    watched_for=100,
+    listed=frozenset(('other', 'unheard')),
+    zones_heard=True,
+    forgotten_after=30,
+)
+
+
+@pytest.mark.parametrize(
+    ('owner', 'changes', 'expected'),
+    [
+        ('other:7', {}, None),
+        ('other:7', {'remaining': -4}, None),
+        ('other:7', {'remaining': -6}, Evidence.PAST_DEADLINE),
+        ('other:6', {'attached': True}, Evidence.REPLACED),
+        ('other:8', {}, None),
+        ('gone:3', {}, Evidence.FORGOTTEN),
+        ('gone:3', {'attached': True}, None),
+        ('unheard:1', {}, None),
+        ('stranger:1', {}, Evidence.FORGOTTEN),
+        ('somebody', {'remaining': -100}, None),
+        ('me:5', {'item_id': 'recorded'}, None),
+        ('me:5', {'item_id': 'lost'}, Evidence.UNRECORDED),
+        ('me:5', {'item_id': 'lost', 'kind': 'pin'}, None),
+        ('me:4', {}, Evidence.REPLACED),
+    ],
+)
+def test_evidence(
+    owner: str,
+    changes: dict[str, object],
+    expected: Evidence | None,
+) -> None:
+    recorded = HoldingTable()
+    recorded.add(Holding('url', 'recorded', 'me:5', 0))
+    item = attrs.evolve(
+        HeldItem('stream', 'x', owner, 1, 10, attached=False),
+        **changes,
+    )
+    known = attrs.evolve(OWNERSHIP, recorded=recorded)
+    assert judge_held(item, known) is expected
+
+
+def test_silence_proves_nothing_in_a_cut() -> None:
+    """A zone is cut off; seen from here, all its instances are forgotten."""
+    item = HeldItem('stream', 'x', 'gone:3', 1, 10, attached=False)
+    for doubt in ({'zones_heard': False}, {'listed': None}):
+        assert judge_held(item, attrs.evolve(OWNERSHIP, **doubt)) is None
+    started = attrs.evolve(OWNERSHIP, watched_for=5, silent={})
+    assert judge_held(item, started) is None
+
+
+def count_ran(site: Site) -> int:
+    """Count the attempts that the report engines have begun."""
+    return sum(
+        len(site.control(site.addresses[name], 'GET', '/control/ran'))
+        for name in list_engines(site)
+    )
