--- a/src/kelproad/coordination/attempts.py
+++ b/src/kelproad/coordination/attempts.py
@@ -115,7 +115,7 @@
             if isinstance(outcome, Success):
                 return outcome
             refusal = outcome.failure()
-            decision.note('attempt failed', refusal=attrs.asdict(refusal))
+            decision.note('attempt failed', **attrs.asdict(refusal))
             if not (_may_repeat(request, refusal) and answer.prepare_next()):
                 return outcome
         return outcome
--- a/src/kelproad/coordination/plain.py
+++ b/src/kelproad/coordination/plain.py
@@ -65,8 +65,7 @@
             outcome = await self._attempt(request, call, endpoint)
             if isinstance(outcome, Success):
                 return outcome
-            refusal = attrs.asdict(outcome.failure())
-            decision.note('attempt failed', refusal=refusal)
+            decision.note('attempt failed', **attrs.asdict(outcome.failure()))
             if not _may_repeat(request, call, outcome.failure()):
                 return outcome
         return outcome
