--- a/src/kelproad/coordination/entry.py
+++ b/src/kelproad/coordination/entry.py
@@ -35,7 +35,11 @@
 from . import admission
 from .attempts import Attempts, CallerGoneError
 from .claims import Claim, Claims, digest_request
-from .delivery import StreamDelivery, WholeDelivery
+from .delivery import (
+    StreamDelivery,
+    WholeDelivery,
+    create_answer_buffers,
+)
 from .plain import PlainCalls
 from .reception import (
     RECEIVE_TIMEOUT,
@@ -89,6 +93,7 @@
         self._plain_calls = plain_calls
         self._claims = key_claims
         self._counters = counters
+        self._buffers = create_answer_buffers()
         self._detached: set[asyncio.Task[web.StreamResponse]] = set()
         self._open_calls = 0
 
@@ -277,7 +282,11 @@
         if body.stream and claim is None and not whole:
             delivery = StreamDelivery(arrival.http_request, request.request_id)
         else:
-            delivery = WholeDelivery(body.stream, request.request_id)
+            delivery = WholeDelivery(
+                body.stream,
+                request.request_id,
+                self._buffers,
+            )
         outcome = await self._run_attempts(arrival, request, body, delivery)
         if isinstance(outcome, Success):
             response = await send_bounded(arrival.call, delivery.finish())
@@ -310,9 +319,9 @@
                 outcome = await self._attempts.answer(
                     request,
                     arrival.http_request.path,
-                    body.encode_streaming(),
+                    body,
                     decision,
-                    delivery.deliver,
+                    delivery,
                 )
         except asyncio.TimeoutError:
             outcome = Failure(_refuse_late(request))
