--- /dev/null
+++ b/src/kelproad/cli/client.py
@@ -0,0 +1,97 @@
+"""Calls of the operators' verbs to an instance."""
+
+import json
+from typing import Annotated
+from urllib import error, request
+from urllib.parse import quote
+
+import typer
+
+__all__ = [
+    'Fields',
+    'Server',
+    'Token',
+    'call_instance',
+    'quote_name',
+    'show_problems',
+]
+
+_EXIT_REFUSED = 1
+_EXIT_INVALID = 2
+_NOT_FOUND = 404
+_TIMEOUT = 15.0
+
+Fields = dict[str, object]
+Server = Annotated[
+    str,
+    typer.Option(
+        envvar='KELPROAD_SERVER',
+        help='IP:port of the operator side of any instance.',
+    ),
+]
+Token = Annotated[
+    str,
+    typer.Option(envvar='KELPROAD_TOKEN', help="The operator's token."),
+]
+
+
+def call_instance(
+    server: str,
+    token: str,
+    method: str,
+    path: str,
+    body: Fields | None = None,
+    accepts_missing: bool = False,
+) -> Fields:
+    """Call an instance; a refusal ends the program with its message."""
+    call = request.Request(  # noqa: S310  the scheme is fixed here
+        f'http://{server}{path}',
+        data=None if body is None else json.dumps(body).encode(),
+        headers={'Authorization': f'Bearer {token}'},
+        method=method,
+    )
+    opener = request.build_opener(request.ProxyHandler({}))
+    try:
+        with opener.open(call, timeout=_TIMEOUT) as response:
+            return json.load(response)
+    except error.HTTPError as failure:
+        answer = json.load(failure)
+        if failure.code == _NOT_FOUND and accepts_missing:
+            return answer
+        _show_refusal(answer)
+    except OSError as failure:
+        typer.echo(f'{server} cannot be reached: {failure}', err=True)
+        if method == 'POST':
+            typer.echo('the outcome is unknown; ask again', err=True)
+    raise typer.Exit(_EXIT_REFUSED)
+
+
+def quote_name(name: str) -> str:
+    """Quote a name for use in a path."""
+    return quote(name, safe='')
+
+
+def show_problems(problems: list[str]) -> None:
+    """Print problems and end the program."""
+    for problem in problems:
+        typer.echo(problem, err=True)
+    raise typer.Exit(_EXIT_INVALID)
+
+
+def _show_refusal(answer: Fields) -> None:
+    problems = answer.get('problems')
+    if problems:
+        show_problems(problems)
+    refused = answer['error']
+    typer.echo(
+        f'refused ({refused["code"]}): {refused["message"]}',
+        err=True,
+    )
+    for row in answer.get('meanwhile', []):
+        typer.echo(
+            f'  generation {row["generation"]} by {row["author"]} '
+            f'at {row["time"]}, apply id {row["apply_id"]}',
+            err=True,
+        )
+    if answer.get('difference'):
+        typer.echo(answer['difference'], err=True, nl=False)
--- a/src/kelproad/cli/main.py
+++ b/src/kelproad/cli/main.py
@@ -6,7 +6,7 @@
 
 import typer
 
-from . import operators, serve, standins, workload
+from . import files, operators, serve, standins, workload
 
 __all__ = ['app']
 
@@ -16,10 +16,13 @@
     pretty_exceptions_enable=False,
 )
 app.command()(serve.serve)
-app.command()(operators.check)
-app.command()(operators.apply)
-app.command()(operators.diff)
-app.command()(operators.get)
+app.command()(files.check)
+app.command()(files.apply)
+app.command()(files.diff)
+app.command()(files.get)
+app.command()(files.history)
+app.command()(files.remove)
+app.command()(files.rollback)
 app.command()(operators.status)
 app.command()(operators.dump)
 app.command()(operators.explain)
--- a/src/kelproad/coordination/dump.py
+++ b/src/kelproad/coordination/dump.py
@@ -8,10 +8,11 @@
 from ..state.configuration import SnapshotHolder
 from ..state.endpoints import Endpoint, EndpointTable
 from ..state.identity import Identity
-from ..state.members import MemberTable
+from ..state.members import Member, MemberTable
 from ..state.requests import RequestTable
 from ..transport.deadlines import monotonic
 from .configuration import ConfigurationFollower
+from .lag import describe_lag, summarize_zones
 from .membership import Membership
 from .reclamation import Canceller
 
@@ -37,22 +38,23 @@
         """Describe the site as this instance sees it, briefly."""
         now = monotonic()
         snapshot = self.holder.current
+        lags = describe_lag(
+            self._describe_self(),
+            self.members,
+            snapshot,
+            now,
+        )
         return {
             'instance': self.identity.instance,
             'zone': self.identity.zone,
             'revision': snapshot.revision,
             'configuration_age': _finite(self.follower.age),
             'draining': self.membership.draining,
-            'members': [
-                {
-                    'name': member.name,
-                    'zone': member.zone,
-                    'revision': member.revision,
-                    'draining': member.draining,
-                    'heard_ago': now - self.members.heard_at(member.name),
-                }
-                for member in self.members.live(now)
+            'pending': [
+                attrs.asdict(item) for item in snapshot.pending.values()
             ],
+            'zones': [attrs.asdict(zone) for zone in summarize_zones(lags)],
+            'members': [attrs.asdict(lag) for lag in lags],
             'endpoints': [
                 _describe_endpoint(endpoint, now)
                 for endpoint in self.table.all().values()
@@ -82,6 +84,20 @@
             'invariant_violations': dict(invariants.violations),
         }
 
+    def _describe_self(self) -> Member:
+        snapshot = self.holder.current
+        return Member(
+            self.identity.instance,
+            self.identity.zone,
+            '',
+            self.identity.incarnation,
+            revision=snapshot.revision,
+            draining=self.membership.draining,
+            configuration_age=self.follower.finite_age,
+            configuration_fault=self.follower.fault,
+            pending_files=list(snapshot.pending),
+        )
+
 
 def _describe_endpoint(endpoint: Endpoint, now: float) -> Fields:
     report = endpoint.report
--- /dev/null
+++ b/src/kelproad/coordination/fileapi.py
@@ -0,0 +1,207 @@
+"""The operators' API of files: apply, read, and their history."""
+
+import attrs
+import msgspec
+from aiohttp import web
+from returns.result import Failure, Result
+
+from ..protocol import callers
+from ..protocol.documents import Problem
+from ..protocol.platform import StoreError
+from ..state.configuration import SnapshotHolder
+from ..state.refusals import Refusal, RefusalCode, Step
+from .acceptance import ConfigurationWriter, Submission
+from .history import STORE_TIMEOUT, list_generations, read_generation, read_text
+from .races import Raced
+
+__all__ = ['FileApi', 'answer_json']
+
+
+@attrs.frozen
+class _ApplyBody:
+    base_generation: int
+    apply_id: str
+    text: str = ''
+    source: str = ''
+    dry_run: bool = False
+    remove: str = ''
+
+
+class FileApi:
+    """Answers operators about files; the caller is authenticated already."""
+
+    def __init__(
+        self,
+        writer: ConfigurationWriter,
+        holder: SnapshotHolder,
+    ) -> None:
+        """Accept by a writer and show what is in force in a holder."""
+        self._writer = writer
+        self._holder = holder
+
+    async def apply(
+        self,
+        http_request: web.Request,
+        operator: str,
+    ) -> web.Response:
+        """Take a file, or the removal of one."""
+        try:
+            body = msgspec.json.decode(
+                await http_request.read(),
+                type=_ApplyBody,
+            )
+        except msgspec.DecodeError as error:
+            return _answer_refusal(RefusalCode.BAD_REQUEST, str(error))
+        submission = Submission(
+            body.text,
+            body.source,
+            body.base_generation,
+            operator,
+            body.apply_id,
+            body.remove,
+        )
+        outcome = await self._writer.apply(submission, body.dry_run)
+        if isinstance(outcome, Failure):
+            return _answer_failed(outcome.failure())
+        return answer_json(outcome.unwrap())
+
+    async def get_file(
+        self,
+        http_request: web.Request,
+        _operator: str,
+    ) -> web.Response:
+        """Show a file in force; a removed one only by its generation."""
+        name = http_request.match_info['name']
+        snapshot = self._holder.current
+        applied = snapshot.files.get(name)
+        if applied is None or not applied.digest:
+            generation = snapshot.accepted_generation(name)
+            return _answer_refusal(
+                RefusalCode.NOT_FOUND,
+                f'no file {name!r} is in force',
+                {'generation': generation},
+            )
+        return answer_json(
+            {
+                'name': name,
+                'generation': applied.generation,
+                'revision': applied.revision,
+                'text': applied.text,
+            },
+        )
+
+    async def list_files(
+        self,
+        _http_request: web.Request,
+        _operator: str,
+    ) -> web.Response:
+        """List the files in force and those that cannot be read here."""
+        snapshot = self._holder.current
+        return answer_json(
+            {
+                'revision': snapshot.revision,
+                'files': [
+                    {
+                        'name': applied.name,
+                        'generation': applied.generation,
+                        'revision': applied.revision,
+                    }
+                    for applied in snapshot.files.values()
+                    if applied.digest
+                ],
+                'pending': list(snapshot.pending.values()),
+            },
+        )
+
+    async def list_history(
+        self,
+        http_request: web.Request,
+        _operator: str,
+    ) -> web.Response:
+        """List every accepted change of a file, oldest first."""
+        name = http_request.match_info['name']
+        listed = await list_generations(self._writer.platform, name)
+        if isinstance(listed, Failure):
+            return _answer_store(listed)
+        return answer_json({'name': name, 'history': listed.unwrap()})
+
+    async def get_generation(
+        self,
+        http_request: web.Request,
+        _operator: str,
+    ) -> web.Response:
+        """Show the text of one generation of a file."""
+        name = http_request.match_info['name']
+        number = http_request.match_info['generation']
+        platform = self._writer.platform
+        found = await read_generation(platform, name, int(number))
+        if isinstance(found, Failure):
+            return _answer_store(found)
+        row = found.unwrap()
+        if row is None:
+            return _answer_refusal(
+                RefusalCode.NOT_FOUND,
+                f'{name!r} has no generation {number}',
+            )
+        text = ''
+        if row.digest:
+            read = await read_text(platform, row.digest)
+            if isinstance(read, Failure):
+                return _answer_store(read)
+            text = read.unwrap()
+        return answer_json({'row': row, 'text': text})
+
+
+def answer_json(
+    content: object,
+    status: int = 200,
+) -> web.Response:
+    """Build an answer of JSON."""
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode(content),
+        content_type='application/json',
+    )
+
+
+def _answer_failed(failed: Refusal | list[Problem] | Raced) -> web.Response:
+    if isinstance(failed, Refusal):
+        return callers.answer_refusal(failed, '')
+    if isinstance(failed, Raced):
+        return _answer_refusal(
+            failed.refusal.code,
+            failed.refusal.message,
+            {
+                'meanwhile': failed.meanwhile,
+                'difference': failed.difference,
+            },
+        )
+    return _answer_refusal(
+        RefusalCode.INVALID,
+        f'nothing was applied: {len(failed)} problems',
+        {'problems': [str(problem) for problem in failed]},
+    )
+
+
+def _answer_refusal(
+    code: RefusalCode,
+    message: str,
+    details: dict[str, object] | None = None,
+) -> web.Response:
+    refusal = Refusal(code, message, Step.CONFIGURE)
+    body = msgspec.json.decode(callers.encode_refusal(refusal, ''))
+    return answer_json({**body, **(details or {})}, code.status)
+
+
+def _answer_store(failed: Result[object, StoreError]) -> web.Response:
+    error = failed.failure()
+    return callers.answer_refusal(
+        Refusal(
+            RefusalCode.UNAVAILABLE,
+            f'{error.operation}: {error.message}',
+            Step.STORE,
+            peer=error.peer,
+            retry_after=STORE_TIMEOUT,
+        ),
+        '',
+    )
--- /dev/null
+++ b/src/kelproad/coordination/history.py
@@ -0,0 +1,250 @@
+"""The platform's record of accepted files.
+
+One transaction writes a file's newest row, the same row under its revision,
+under its generation and under its apply id, and the head.  The head's revision
+therefore orders all changes of the site, and an apply id is found by one read.
+"""
+
+import hashlib
+
+import attrs
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..protocol.platform import (
+    ABSENT,
+    PlatformClient,
+    Row,
+    StoreError,
+    StoreErrorKind,
+    Write,
+)
+
+__all__ = [
+    'STORE_TIMEOUT',
+    'FileRow',
+    'Head',
+    'digest_text',
+    'find_apply',
+    'list_files',
+    'list_generations',
+    'list_revisions',
+    'list_writes',
+    'read_generation',
+    'read_head',
+    'read_text',
+    'store_text',
+]
+
+STORE_TIMEOUT = 2.0
+_TABLE = 'configuration'
+_REVISIONS = 'configuration-history'
+_GENERATIONS = 'configuration-generations'
+_APPLIES = 'configuration-applies'
+_HEAD = 'head'
+_FILE_PREFIX = 'file/'
+_PAGE = 200
+
+
+@attrs.frozen
+class FileRow:
+    """One accepted change of a file, as the table holds it.
+
+    Attributes
+    ----------
+    digest
+        SHA-256 of the text, the key of its object; empty when removed.
+    apply_id
+        Chosen by the operator's client, so that it recognises its own apply.
+    """
+
+    name: str
+    generation: int
+    revision: int
+    digest: str
+    author: str
+    time: str
+    apply_id: str
+
+
+@attrs.frozen
+class Head:
+    """The newest revision, and the version of the row that holds it."""
+
+    version: int
+    revision: int
+
+
+@attrs.frozen
+class _HeadBody:
+    revision: int
+
+
+# Writing
+
+
+def list_writes(row: FileRow, head: Head) -> list[Write]:
+    """List the writes that accept a change on top of a head.
+
+    The condition on the head makes a write that lands late fail once anything
+    else was accepted; the condition on the apply id makes the same apply
+    count once.
+    """
+    body = msgspec.json.encode(row).decode()
+    head_body = msgspec.json.encode(_HeadBody(row.revision)).decode()
+    generation_key = _encode_generation_key(row.name, row.generation)
+    return [
+        Write(_TABLE, _HEAD, head_body, head.version),
+        Write(_TABLE, _FILE_PREFIX + row.name, body),
+        Write(_REVISIONS, _encode_number(row.revision), body, ABSENT),
+        Write(_GENERATIONS, generation_key, body, ABSENT),
+        Write(_APPLIES, row.apply_id, body, ABSENT),
+    ]
+
+
+def digest_text(text: str) -> str:
+    """Compute the digest under which a text is stored."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+async def store_text(
+    platform: PlatformClient,
+    text: str,
+) -> Result[str, StoreError]:
+    """Store a text as an object and return its digest."""
+    digest = digest_text(text)
+    stored = await platform.put_object(
+        f'configuration/{digest}',
+        text.encode(),
+        STORE_TIMEOUT,
+    )
+    return stored.map(lambda _nothing: digest)
+
+
+# Reading rows
+
+
+async def read_head(platform: PlatformClient) -> Result[Head, StoreError]:
+    """Read the head, zeros when nothing was ever accepted."""
+    found = await platform.read_row(_TABLE, _HEAD, STORE_TIMEOUT)
+    return found.map(_decode_head)
+
+
+async def find_apply(
+    platform: PlatformClient,
+    apply_id: str,
+) -> Result[FileRow | None, StoreError]:
+    """Find what an apply id accepted, ``None`` when it accepted nothing."""
+    found = await platform.read_row(_APPLIES, apply_id, STORE_TIMEOUT)
+    return found.map(_decode_row)
+
+
+async def read_generation(
+    platform: PlatformClient,
+    name: str,
+    generation: int,
+) -> Result[FileRow | None, StoreError]:
+    """Read the row of one generation of a file."""
+    found = await platform.read_row(
+        _GENERATIONS,
+        _encode_generation_key(name, generation),
+        STORE_TIMEOUT,
+    )
+    return found.map(_decode_row)
+
+
+async def list_generations(
+    platform: PlatformClient,
+    name: str,
+    after: int = 0,
+) -> Result[list[FileRow], StoreError]:
+    """List the accepted changes of a file after a generation."""
+    return await _scan(
+        platform,
+        _GENERATIONS,
+        prefix=f'{name}/',
+        after=_encode_generation_key(name, after),
+    )
+
+
+async def list_revisions(
+    platform: PlatformClient,
+    after: int,
+) -> Result[list[FileRow], StoreError]:
+    """List the accepted changes of the whole site after a revision."""
+    return await _scan(platform, _REVISIONS, after=_encode_number(after))
+
+
+async def list_files(
+    platform: PlatformClient,
+) -> Result[list[FileRow], StoreError]:
+    """List the newest row of every file; not read at one instant."""
+    return await _scan(platform, _TABLE, prefix=_FILE_PREFIX)
+
+
+async def read_text(
+    platform: PlatformClient,
+    digest: str,
+) -> Result[str, StoreError]:
+    """Fetch the text with a digest; one that does not match is an error."""
+    fetched = await platform.get_object(
+        f'configuration/{digest}',
+        STORE_TIMEOUT,
+    )
+    return fetched.bind(lambda body: _verify(body, digest))
+
+
+async def _scan(
+    platform: PlatformClient,
+    table: str,
+    prefix: str = '',
+    after: str = '',
+) -> Result[list[FileRow], StoreError]:
+    """Read all rows after a key, however many pages they fill."""
+    rows: list[Row] = []
+    while True:
+        page = await platform.scan_rows(
+            table,
+            STORE_TIMEOUT,
+            prefix=prefix,
+            after=rows[-1].key if rows else after,
+            limit=_PAGE,
+        )
+        if isinstance(page, Failure):
+            return page
+        rows += page.unwrap()
+        if len(page.unwrap()) < _PAGE:
+            return Success([_decode_row(row) for row in rows])
+
+
+def _verify(body: bytes, digest: str) -> Result[str, StoreError]:
+    if hashlib.sha256(body).hexdigest() == digest:
+        return Success(body.decode())
+    return Failure(
+        StoreError(
+            StoreErrorKind.DAMAGED,
+            'get_object',
+            'objects',
+            f'object {digest} does not match its digest',
+        ),
+    )
+
+
+def _decode_head(row: Row | None) -> Head:
+    if row is None:
+        return Head(ABSENT, 0)
+    body = msgspec.json.decode(row.body, type=_HeadBody)
+    return Head(row.version, body.revision)
+
+
+def _decode_row(row: Row | None) -> FileRow | None:
+    return msgspec.json.decode(row.body, type=FileRow) if row else None
+
+
+def _encode_number(number: int) -> str:
+    """Encode a number so that keys sort as numbers do."""
+    return f'{number:012d}'
+
+
+def _encode_generation_key(name: str, generation: int) -> str:
+    return f'{name}/{_encode_number(generation)}'
--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -24,9 +24,10 @@
 from ..transport.addresses import Address
 from ..transport.http import HttpServer, create_fresh_session, create_session
 from ..transport.services import BackgroundService
+from .acceptance import ConfigurationWriter
 from .attempts import Attempts
 from .claims import Claims
-from .configuration import ConfigurationFollower, ConfigurationWriter
+from .configuration import ConfigurationFollower
 from .drain import Drain, DrainPhase
 from .dump import Dump
 from .entry import Entry
@@ -41,6 +42,8 @@
 _logger = logging.getLogger(__name__)
 #: Seconds that a stopping instance waits for engines to confirm cancels.
 _CANCEL_LIMIT = 5.0
+#: Bytes of the largest file that an operator may apply.
+_LARGEST_FILE = 3 * 1024 * 1024
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -84,6 +87,7 @@
             settings,
             self._holder,
             table,
+            members,
             platform,
             self._counters,
         )
@@ -184,7 +188,7 @@
                 web.get('/metrics', self._answer_metrics),
             ],
         )
-        operator_side = web.Application()
+        operator_side = web.Application(client_max_size=_LARGEST_FILE)
         operator_side.add_routes(operators.routes())
         for application, address in (
             (caller_side, self._settings.caller_address),
@@ -215,7 +219,7 @@
         if self._drain.phase is not DrainPhase.SERVING:
             return callers.answer_refusal(_refuse_leaving(), '')
         if self._holder.current.revision == 0:
-            return callers.answer_refusal(_refuse_unready(), '')
+            return callers.answer_refusal(_refuse_unready(self._follower), '')
         return web.Response(text='ready\n')
 
     async def _answer_metrics(self, http_request: web.Request) -> web.Response:
@@ -239,11 +243,10 @@
     )
 
 
-def _refuse_unready() -> Refusal:
+def _refuse_unready(follower: ConfigurationFollower) -> Refusal:
     return Refusal(
         RefusalCode.NOT_READY,
-        'this instance has no configuration: neither the platform nor a peer '
-        'has given it one',
+        follower.explain_missing(),
         Step.CONFIGURE,
         retry_after=1,
     )
--- /dev/null
+++ b/src/kelproad/coordination/lag.py
@@ -0,0 +1,124 @@
+"""Lag: which revision every instance and zone has, and why some are behind."""
+
+import attrs
+
+from ..state.configuration import Snapshot
+from ..state.members import Member, MemberTable
+
+__all__ = ['InstanceLag', 'ZoneLag', 'describe_lag', 'summarize_zones']
+
+#: Seconds without confirmation after which a revision is doubted.
+STALE_AFTER = 15.0
+
+
+@attrs.frozen
+class InstanceLag:
+    """What one instance has in force, as far as is known here.
+
+    Attributes
+    ----------
+    behind
+        Revisions below the highest one known here.
+    age
+        Seconds since the instance's revision was confirmed by the platform,
+        directly or through peers; ``None`` when it never was.
+    reason
+        Why it is behind or in doubt; empty when it is neither.
+    """
+
+    name: str
+    zone: str
+    revision: int
+    behind: int
+    age: float | None
+    heard_ago: float
+    draining: bool
+    reason: str
+
+
+@attrs.frozen
+class ZoneLag:
+    """What the instances of a zone have in force at least."""
+
+    zone: str
+    instances: int
+    lowest_revision: int
+    highest_revision: int
+    lagging: list[str]
+
+
+def describe_lag(
+    own: Member,
+    members: MemberTable,
+    snapshot: Snapshot,
+    now: float,
+) -> list[InstanceLag]:
+    """Describe every instance ever heard of, this one first."""
+    known = [own, *(item for item in members.known() if item.name != own.name)]
+    live = {member.name for member in members.live(now)} | {own.name}
+    highest = max(snapshot.revision, *(member.revision for member in known))
+    described = []
+    for member in known:
+        is_own = member is own
+        heard_ago = 0 if is_own else now - members.heard_at(member.name)
+        behind = highest - member.revision
+        age = member.configuration_age
+        age = None if age is None else age + heard_ago
+        described.append(
+            InstanceLag(
+                name=member.name,
+                zone=member.zone,
+                revision=member.revision,
+                behind=behind,
+                age=age,
+                heard_ago=heard_ago,
+                draining=member.draining,
+                reason=_explain(
+                    member,
+                    behind,
+                    age,
+                    '' if member.name in live else f'{heard_ago:.0f} s',
+                ),
+            ),
+        )
+    return described
+
+
+def summarize_zones(instances: list[InstanceLag]) -> list[ZoneLag]:
+    """Summarize instances by zone."""
+    by_zone: dict[str, list[InstanceLag]] = {}
+    for instance in instances:
+        by_zone.setdefault(instance.zone, []).append(instance)
+    return [
+        ZoneLag(
+            zone,
+            len(inside),
+            min(instance.revision for instance in inside),
+            max(instance.revision for instance in inside),
+            [instance.name for instance in inside if instance.reason],
+        )
+        for zone, inside in sorted(by_zone.items())
+    ]
+
+
+def _explain(
+    member: Member,
+    behind: int,
+    age: float | None,
+    silent_for: str,
+) -> str:
+    if silent_for:
+        return (
+            f'nothing heard for {silent_for}: it ended, or it is cut off '
+            'from here'
+        )
+    if member.pending_files:
+        return f'cannot read: {", ".join(member.pending_files)}'
+    is_stale = age is None or age > STALE_AFTER
+    if not behind and not is_stale:
+        return ''
+    if member.configuration_fault:
+        return member.configuration_fault
+    if behind:
+        return 'the changes are on their way'
+    return 'no reader of its zone has confirmed the revision lately'
--- /dev/null
+++ b/src/kelproad/coordination/loading.py
@@ -0,0 +1,173 @@
+"""Loading: snapshots from the platform's record, each file verified."""
+
+import asyncio
+
+from returns.result import Failure, Result, Success
+
+from ..protocol.documents import Problem
+from ..protocol.files import parse_file
+from ..protocol.platform import PlatformClient, StoreError, StoreErrorKind
+from ..state.configuration import (
+    AppliedFile,
+    FileContent,
+    PendingFile,
+    Snapshot,
+    extend,
+)
+from .history import (
+    FileRow,
+    digest_text,
+    list_files,
+    list_revisions,
+    read_head,
+    read_text,
+)
+
+__all__ = ['build_file', 'read_all', 'read_changes']
+
+#: Objects that are fetched at the same time.
+_FETCHES = 8
+#: Texts above this many characters are parsed beside the event loop.
+_LARGE_TEXT = 16_384
+
+
+async def read_all(
+    platform: PlatformClient,
+) -> Result[Snapshot, StoreError]:
+    """Read the whole configuration.
+
+    The rows of files are not read in one transaction.  The head is read
+    first, so that every change up to its revision is in the rows, and the
+    history after it is then laid over them.
+    """
+    head = await read_head(platform)
+    if isinstance(head, Failure):
+        return head
+    revision = head.unwrap().revision
+    rows = await list_files(platform)
+    if isinstance(rows, Failure):
+        return rows
+    seen = [row for row in rows.unwrap() if row.revision <= revision]
+    offered = await _fetch_files(platform, seen)
+    if isinstance(offered, Failure):
+        return offered
+    base = extend(Snapshot.empty(), offered.unwrap(), revision)
+    return await read_changes(platform, base)
+
+
+async def read_changes(
+    platform: PlatformClient,
+    base: Snapshot,
+) -> Result[Snapshot, StoreError]:
+    """Read the changes after a snapshot and lay them over it.
+
+    Files of the base that could not be used are tried again, so that an
+    object which was repaired comes into force without another change.
+    """
+    scanned = await list_revisions(platform, base.revision)
+    if isinstance(scanned, Failure):
+        return scanned
+    rows = scanned.unwrap()
+    if not rows and not base.pending:
+        return Success(base)
+    waiting = {
+        item.name: FileRow(
+            item.name,
+            item.generation,
+            item.revision,
+            item.digest,
+            author='',
+            time='',
+            apply_id='',
+        )
+        for item in base.pending.values()
+    }
+    newest = {**waiting, **{row.name: row for row in rows}}
+    offered = await _fetch_files(platform, list(newest.values()))
+    revision = rows[-1].revision if rows else base.revision
+    return offered.map(lambda files: extend(base, files, revision))
+
+
+async def build_file(
+    name: str,
+    generation: int,
+    revision: int,
+    digest: str,
+    text: str,
+) -> AppliedFile | PendingFile:
+    """Parse an accepted file again, which was checked when it was accepted.
+
+    It may still be unreadable here: its object was damaged, or a newer version
+    of this program accepted it.  Then only this file keeps its earlier
+    version; the others must not wait for it.
+    """
+    content: FileContent | None = None
+    if digest:
+        if digest_text(text) != digest:
+            reason = 'its text does not match its digest'
+            return PendingFile(name, generation, revision, digest, reason)
+        parsed = await _parse(text, name)
+        if isinstance(parsed, Failure):
+            reason = f'this version cannot read it: {parsed.failure()[0]}'
+            return PendingFile(name, generation, revision, digest, reason)
+        content = parsed.unwrap()
+    return AppliedFile(name, generation, revision, digest, text, content)
+
+
+async def _parse(text: str, name: str) -> Result[FileContent, list[Problem]]:
+    if len(text) <= _LARGE_TEXT:
+        return parse_file(text, name, {}, alone=True)
+    # A file with thousands of workspaces takes part of a second to parse,
+    # which streams being relayed would show as a pause between tokens.
+    return await asyncio.to_thread(parse_file, text, name, {}, alone=True)
+
+
+async def _fetch_files(
+    platform: PlatformClient,
+    rows: list[FileRow],
+) -> Result[list[AppliedFile | PendingFile], StoreError]:
+    built: list[AppliedFile | PendingFile] = []
+    for start in range(0, len(rows), _FETCHES):
+        outcomes = await asyncio.gather(
+            *(
+                _fetch_file(platform, row)
+                for row in rows[start : start + _FETCHES]
+            ),
+        )
+        for outcome in outcomes:
+            if isinstance(outcome, Failure):
+                return outcome
+            built.append(outcome.unwrap())
+    return Success(built)
+
+
+async def _fetch_file(
+    platform: PlatformClient,
+    row: FileRow,
+) -> Result[AppliedFile | PendingFile, StoreError]:
+    text = ''
+    if row.digest:
+        fetched = await read_text(platform, row.digest)
+        if isinstance(fetched, Failure):
+            error = fetched.failure()
+            if error.kind is not StoreErrorKind.DAMAGED:
+                return fetched
+            return Success(
+                PendingFile(
+                    row.name,
+                    row.generation,
+                    row.revision,
+                    row.digest,
+                    error.message,
+                ),
+            )
+        text = fetched.unwrap()
+    return Success(
+        await build_file(
+            row.name,
+            row.generation,
+            row.revision,
+            row.digest,
+            text,
+        ),
+    )
--- a/src/kelproad/coordination/membership.py
+++ b/src/kelproad/coordination/membership.py
@@ -30,7 +30,7 @@
 from ..transport.deadlines import monotonic
 from ..transport.peers import PeerLink, PeerListener
 from ..transport.services import BackgroundService
-from .configuration import ConfigurationFollower
+from .configuration import ConfigurationFollower, list_changes
 from .watch import list_watched
 
 __all__ = ['Membership']
@@ -113,7 +113,7 @@
             case ChangesWanted() as wanted:
                 self._answer_wanted(wanted)
             case Changes() as changes:
-                self._follower.take_changes(changes)
+                await self._follower.take_changes(changes)
 
     def announce(self) -> None:
         """Send the current records to this period's peers."""
@@ -157,6 +157,9 @@
             version=self._version,
             revision=self._holder.current.revision,
             draining=self.draining,
+            configuration_age=self._follower.finite_age,
+            configuration_fault=self._follower.fault,
+            pending_files=list(self._holder.current.pending),
             dispatched={
                 name: endpoint.own_tokens
                 for name, endpoint in self._table.all().items()
@@ -209,10 +212,7 @@
                 continue
             if self._members.merge(member, now):
                 self._take_reports(member.reports, now)
-                self._follower.hear_revision(
-                    member.revision,
-                    member.peer_address,
-                )
+                self._follower.hear_member(member)
         self._sum_dispatched()
 
     def _take_reports(self, reports: list[EndpointReport], now: float) -> None:
@@ -229,6 +229,10 @@
             )
 
     def _answer_wanted(self, wanted: ChangesWanted) -> None:
-        changes = self._follower.list_changes(wanted.after)
+        changes = list_changes(
+            self._holder.current,
+            self._settings,
+            wanted.after,
+        )
         if changes is not None:
             self.send(wanted.reply_to, changes)
--- a/src/kelproad/coordination/operators.py
+++ b/src/kelproad/coordination/operators.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Awaitable, Callable
 
-import attrs
-import msgspec
 from aiohttp import web
 from returns.result import Failure
 
@@ -13,22 +11,13 @@
 from ..state.refusals import Refusal, RefusalCode, Step
 from ..state.requests import DecisionLog
 from . import admission
-from .configuration import ConfigurationWriter, Submission
+from .acceptance import ConfigurationWriter
 from .dump import Dump
+from .fileapi import FileApi, answer_json
 
 __all__ = ['OperatorApi']
 
 Handler = Callable[[web.Request, str], Awaitable[web.Response]]
-_JSON = 'application/json'
-
-
-@attrs.frozen
-class _ApplyBody:
-    text: str
-    source: str
-    base_generation: int
-    apply_id: str
-    dry_run: bool = False
 
 
 class OperatorApi:
@@ -45,7 +34,7 @@
     ) -> None:
         """Answer from the parts of this instance."""
         self._settings = settings
-        self._writer = writer
+        self._files = FileApi(writer, dump.holder)
         self._dump = dump
         self._decisions = decisions
         self._counters = counters
@@ -53,10 +42,19 @@
 
     def routes(self) -> list[web.RouteDef]:
         """List the paths that operators may call."""
+        files = self._files
         return [
-            web.post('/operator/apply', self._guard(self._apply)),
-            web.get('/operator/files/{name}', self._guard(self._get_file)),
-            web.get('/operator/files', self._guard(self._list_files)),
+            web.post('/operator/apply', self._guard(files.apply)),
+            web.get('/operator/files/{name}', self._guard(files.get_file)),
+            web.get('/operator/files', self._guard(files.list_files)),
+            web.get(
+                '/operator/history/{name}',
+                self._guard(files.list_history),
+            ),
+            web.get(
+                r'/operator/history/{name}/{generation:\d{1,9}}',
+                self._guard(files.get_generation),
+            ),
             web.get('/operator/status', self._guard(self._show_status)),
             web.get('/operator/dump', self._guard(self._show_dump)),
             web.get(
@@ -84,101 +82,19 @@
 
         return authenticate_first
 
-    async def _apply(
-        self,
-        http_request: web.Request,
-        operator: str,
-    ) -> web.Response:
-        try:
-            body = msgspec.json.decode(
-                await http_request.read(),
-                type=_ApplyBody,
-            )
-        except msgspec.DecodeError as error:
-            return callers.answer_refusal(
-                Refusal(RefusalCode.BAD_REQUEST, str(error), Step.RECEIVE),
-                '',
-            )
-        submission = Submission(
-            body.text,
-            body.source,
-            body.base_generation,
-            operator,
-            body.apply_id,
-        )
-        outcome = await self._writer.apply(submission, body.dry_run)
-        if not isinstance(outcome, Failure):
-            return _answer(outcome.unwrap())
-        failed = outcome.failure()
-        if isinstance(failed, Refusal):
-            return callers.answer_refusal(failed, '')
-        return _answer(
-            {
-                'error': {'code': RefusalCode.INVALID, 'step': Step.CONFIGURE},
-                'problems': [str(problem) for problem in failed],
-            },
-            RefusalCode.INVALID.status,
-        )
-
-    async def _get_file(
-        self,
-        http_request: web.Request,
-        _operator: str,
-    ) -> web.Response:
-        name = http_request.match_info['name']
-        applied = self._dump.holder.current.files.get(name)
-        if applied is None or not applied.digest:
-            return callers.answer_refusal(
-                Refusal(
-                    RefusalCode.NOT_FOUND,
-                    f'no file {name!r} is in force',
-                    Step.CONFIGURE,
-                ),
-                '',
-            )
-        return _answer(
-            {
-                'name': name,
-                'generation': applied.generation,
-                'revision': applied.revision,
-                'text': applied.text,
-            },
-        )
-
-    async def _list_files(
-        self,
-        _http_request: web.Request,
-        _operator: str,
-    ) -> web.Response:
-        snapshot = self._dump.holder.current
-        return _answer(
-            {
-                'revision': snapshot.revision,
-                'files': [
-                    {
-                        'name': applied.name,
-                        'generation': applied.generation,
-                        'revision': applied.revision,
-                    }
-                    for applied in snapshot.files.values()
-                    if applied.digest
-                ],
-            },
-        )
-
     async def _show_status(
         self,
         _http_request: web.Request,
         _operator: str,
     ) -> web.Response:
-        return _answer(self._dump.summarize())
+        return answer_json(self._dump.summarize())
 
     async def _show_dump(
         self,
         _http_request: web.Request,
         _operator: str,
     ) -> web.Response:
-        return _answer(self._dump.describe())
+        return answer_json(self._dump.describe())
 
     async def _explain(
         self,
@@ -196,7 +112,7 @@
                 ),
                 request_id,
             )
-        return _answer(decision)
+        return answer_json(decision)
 
     async def _drain(
         self,
@@ -204,12 +120,4 @@
         _operator: str,
     ) -> web.Response:
         self._start_drain()
-        return _answer({'draining': True})
-
-
-def _answer(content: object, status: int = 200) -> web.Response:
-    return web.Response(
-        status=status,
-        body=msgspec.json.encode(content),
-        content_type=_JSON,
-    )
+        return answer_json({'draining': True})
--- /dev/null
+++ b/src/kelproad/coordination/races.py
@@ -0,0 +1,64 @@
+"""Races between operators: what the one who lost is told."""
+
+import difflib
+
+import attrs
+
+from ..protocol.platform import PlatformClient
+from ..state.refusals import Refusal, RefusalCode, Step
+from .history import FileRow, list_generations, read_generation, read_text
+
+__all__ = ['Raced', 'describe_race']
+
+
+@attrs.frozen
+class Raced:
+    """A submission whose base is no longer the newest.
+
+    Attributes
+    ----------
+    meanwhile
+        What was accepted after the base, oldest first.
+    difference
+        Unified difference from the base's text to the newest one; empty when
+        the store could not give them.
+    """
+
+    refusal: Refusal
+    meanwhile: list[FileRow]
+    difference: str
+
+
+async def describe_race(
+    platform: PlatformClient,
+    name: str,
+    base: int,
+    newest: int,
+) -> Raced:
+    """Collect what was accepted since the generation the operator saw."""
+    listed = await list_generations(platform, name, base)
+    rows = listed.value_or([])
+    first = await read_generation(platform, name, base)
+    difference = difflib.unified_diff(
+        await _read_lines(platform, first.value_or(None)),
+        await _read_lines(platform, rows[-1] if rows else None),
+        f'{name} (generation {base})',
+        f'{name} (generation {newest})',
+    )
+    refusal = Refusal(
+        RefusalCode.CONFLICT,
+        f'nothing was applied: {name!r} is at generation {newest}, but the '
+        f'file was edited from generation {base}',
+        Step.CONFIGURE,
+    )
+    return Raced(refusal, rows, ''.join(difference))
+
+
+async def _read_lines(
+    platform: PlatformClient,
+    row: FileRow | None,
+) -> list[str]:
+    if row is None or not row.digest:
+        return []
+    read = await read_text(platform, row.digest)
+    return read.value_or('').splitlines(keepends=True)
--- a/src/kelproad/protocol/documents.py
+++ b/src/kelproad/protocol/documents.py
@@ -24,6 +24,8 @@
 T = TypeVar('T')
 Plain = object
 _MOST_SHOWN = 80
+#: The reader in C is several times as fast; not every build of PyYAML has it.
+_FastLoader = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
 
 
 @attrs.frozen
@@ -65,10 +67,24 @@
 ) -> Result[Document, list[Problem]]:
     """Parse YAML text; duplicate keys and aliases are problems."""
     try:
-        loader = yaml.SafeLoader(text)
-        root = loader.get_single_node()
-    except (yaml.YAMLError, ValueError) as error:
-        return Failure([_report_syntax(error, source)])
+        return _read(text, source, _FastLoader)
+    except (yaml.YAMLError, ValueError):
+        # The reader in C tells the line after the mistake; the other one
+        # tells where it begins.
+        return _read_slowly(text, source)
+    except RecursionError:
+        # A few kilobytes of opening brackets are nested deeper than Python
+        # recurses; unguarded, the operator would see an internal error.
+        return Failure([_report_nesting(source)])
+
+
+def _read(
+    text: str,
+    source: str,
+    loader_kind: type[yaml.SafeLoader],
+) -> Result[Document, list[Problem]]:
+    loader = loader_kind(text)
+    root = loader.get_single_node()
     builder = _Builder(loader, source)
     content = None if root is None else builder.build(root, '$')
     if builder.problems:
@@ -76,6 +92,18 @@
     return Success(Document(source, content, builder.lines))
 
 
+def _read_slowly(
+    text: str,
+    source: str,
+) -> Result[Document, list[Problem]]:
+    try:
+        return _read(text, source, yaml.SafeLoader)
+    except (yaml.YAMLError, ValueError) as error:
+        return Failure([_report_syntax(error, source)])
+    except RecursionError:
+        return Failure([_report_nesting(source)])
+
+
 def structure(
     document: Document,
     kind: type[T],
@@ -142,6 +170,10 @@
         self.problems.append(Problem(self._source, line, path, message))
 
 
+def _report_nesting(source: str) -> Problem:
+    return Problem(source, 1, '$', 'nested too deeply')
+
+
 def _report_syntax(error: Exception, source: str) -> Problem:
     mark = getattr(error, 'problem_mark', None)
     line = mark.line + 1 if mark else 1
--- a/src/kelproad/protocol/files.py
+++ b/src/kelproad/protocol/files.py
@@ -4,15 +4,14 @@
 the other files in force (names that stand twice, references to nothing).
 """
 
-import collections
 import re
-from collections.abc import Iterable, Iterator, Mapping
+import types
+from collections.abc import Iterator, Mapping
 
 from returns.result import Failure, Result, Success
 
 from ..state.configuration import (
     EndpointGroup,
-    EndpointKind,
     FileContent,
     Service,
     ServiceKind,
@@ -20,8 +19,11 @@
 )
 from ..transport.addresses import Address, AddressError
 from .documents import Document, Problem, read_document, structure
+from .references import Finding, check_together
 
-__all__ = ['check_together', 'parse_file']
+__all__ = ['check_removal', 'parse_file']
+
+_NO_TEXTS: Mapping[str, str] = types.MappingProxyType({})
 
 _NAME = re.compile(r'[a-z0-9]([a-z0-9.-]{0,62}[a-z0-9])?')
 _DIGEST = re.compile('[0-9a-f]{64}')
@@ -32,6 +34,7 @@
     source: str,
     others: Mapping[str, FileContent],
     alone: bool = False,
+    texts: Mapping[str, str] = _NO_TEXTS,
 ) -> Result[FileContent, list[Problem]]:
     """Parse a file and check it against the other files in force.
 
@@ -46,6 +49,9 @@
         be replaced and is left out.
     alone
         Leave out the checks against other files.
+    texts
+        Texts of the other files by name, to tell the line of a problem that
+        this file brings about in another one.
 
     Returns
     -------
@@ -55,42 +61,49 @@
     document = read_document(text, source)
     if alone:
         return document.bind(lambda read: structure(read, FileContent))
-    return document.bind(lambda read: _parse(read, others))
-
-
-def check_together(contents: Iterable[FileContent]) -> list[tuple[str, str]]:
-    """Find what is wrong between files, as pairs of path and message."""
-    everything = list(contents)
-    return [
-        *_find_doubled_names(everything),
-        *_find_dangling_references(everything),
-    ]
+    return document.bind(
+        lambda read: structure(read, FileContent).bind(
+            lambda content: _check(read, content, others, texts),
+        ),
+    )
 
 
-def _parse(
-    document: Document,
+def check_removal(
+    name: str,
     others: Mapping[str, FileContent],
-) -> Result[FileContent, list[Problem]]:
-    return structure(document, FileContent).bind(
-        lambda content: _check(document, content, others),
-    )
+    texts: Mapping[str, str],
+) -> list[Problem]:
+    """Find what would be wrong with the other files without this one."""
+    if name not in others:
+        return [Problem(name, 1, '$', 'no such file is in force')]
+    remaining = [content for other, content in others.items() if other != name]
+    return [_locate(found, texts) for found in check_together(remaining)]
 
 
 def _check(
     document: Document,
     content: FileContent,
     others: Mapping[str, FileContent],
+    texts: Mapping[str, str],
 ) -> Result[FileContent, list[Problem]]:
     remaining = [
         other for name, other in others.items() if name != content.name
     ]
-    found = [
-        *_check_alone(content),
-        *check_together([*remaining, content]),
-    ]
-    if found:
-        return Failure([document.report(*pair) for pair in found])
-    return Success(content)
+    problems = [document.report(*pair) for pair in _check_alone(content)]
+    for found in check_together([*remaining, content]):
+        if found.file == content.name:
+            problems.append(document.report(found.path, found.message))
+        else:
+            problems.append(_locate(found, texts))
+    return Failure(problems) if problems else Success(content)
+
+
+def _locate(found: Finding, texts: Mapping[str, str]) -> Problem:
+    """Point at the line of another file, which is read again for that."""
+    source = f'{found.file} (in force)'
+    document = read_document(texts.get(found.file, ''), source)
+    unread = Document(source, None, {})
+    return document.value_or(unread).report(found.path, found.message)
 
 
 # One file
@@ -173,105 +186,3 @@
 def _require_positive(number: float, path: str) -> Iterator[tuple[str, str]]:
     if not 0 < number < float('inf'):
         yield path, 'must be greater than zero and finite'
-
-
-# Files together
-
-
-def _find_doubled_names(
-    contents: list[FileContent],
-) -> Iterator[tuple[str, str]]:
-    for section, names in _list_names(contents).items():
-        counted = collections.Counter(names)
-        for name, times in counted.items():
-            if times > 1:
-                yield f'$.{section}', f'{name!r} is declared {times} times'
-
-
-def _list_names(contents: list[FileContent]) -> dict[str, list[str]]:
-    services = [item for content in contents for item in content.services]
-    workspaces = [item for content in contents for item in content.workspaces]
-    groups = [item for content in contents for item in content.endpoint_groups]
-    endpoints = [endpoint for group in groups for endpoint in group.endpoints]
-    return {
-        'deployment': [
-            'deployment' for content in contents if content.deployment
-        ],
-        'services': [service.name for service in services],
-        'services.model': [item.model for item in services if item.model],
-        'workspaces': [workspace.name for workspace in workspaces],
-        'workspaces.key_digests': [
-            digest for item in workspaces for digest in item.key_digests
-        ],
-        'endpoint_groups': [group.name for group in groups],
-        'endpoint_groups.endpoints': [item.name for item in endpoints],
-        'endpoint_groups.endpoints.address': [
-            item.address for item in endpoints
-        ],
-    }
-
-
-def _find_dangling_references(
-    contents: list[FileContent],
-) -> Iterator[tuple[str, str]]:
-    groups = {
-        group.name: group
-        for content in contents
-        for group in content.endpoint_groups
-    }
-    services = {
-        service.name: service
-        for content in contents
-        for service in content.services
-    }
-    for service in services.values():
-        yield from _check_service_groups(service, groups)
-    for content in contents:
-        for workspace in content.workspaces:
-            for name in workspace.services:
-                if name not in services:
-                    yield (
-                        '$.workspaces',
-                        f'{workspace.name!r} uses no known service: {name!r}',
-                    )
-    yield from _check_zones(contents)
-
-
-def _check_service_groups(
-    service: Service,
-    groups: Mapping[str, EndpointGroup],
-) -> Iterator[tuple[str, str]]:
-    wanted = (
-        EndpointKind.ENGINE
-        if service.kind is ServiceKind.MODEL
-        else EndpointKind.PLAIN
-    )
-    for name in service.endpoint_groups:
-        group = groups.get(name)
-        if group is None:
-            message = f'{service.name!r} uses no known endpoint group: {name!r}'
-            yield '$.services', message
-        elif group.kind is not wanted:
-            message = (
-                f'{service.name!r} is a {service.kind} service, but group '
-                f'{name!r} has {group.kind} endpoints'
-            )
-            yield '$.services', message
-
-
-def _check_zones(contents: list[FileContent]) -> Iterator[tuple[str, str]]:
-    zones = {
-        zone
-        for content in contents
-        if content.deployment
-        for zone in content.deployment.zones
-    }
-    for content in contents:
-        for group in content.endpoint_groups:
-            for endpoint in group.endpoints:
-                if zones and endpoint.zone not in zones:
-                    yield (
-                        '$.endpoint_groups',
-                        f'{endpoint.name!r} is in a zone that the deployment '
-                        f'does not have: {endpoint.zone!r}',
-                    )
--- a/src/kelproad/protocol/messages.py
+++ b/src/kelproad/protocol/messages.py
@@ -64,12 +64,25 @@
     """The newest version of each file changed after a revision.
 
     Applying them to the snapshot of ``after`` gives that of ``revision``.
+
+    Attributes
+    ----------
+    files
+        In order of their revisions.  One with a digest but no text is a
+        version that the sender itself could not read.
+    reply_to
+        Peer address of which the rest is asked.
+    complete
+        Whether these are all the changes; otherwise the rest is asked for
+        after the revision of the last one.
     """
 
     sender: str
     after: int
     revision: int
     files: list[FileChange]
+    complete: bool = True
+    reply_to: str = ''
 
 
 PeerMessage = Gossip | ChangesWanted | Changes
--- a/src/kelproad/protocol/platform.py
+++ b/src/kelproad/protocol/platform.py
@@ -50,6 +50,8 @@
     UNAVAILABLE = 'unavailable'
     #: No answer arrived; the write may have taken effect, or may yet.
     UNKNOWN = 'unknown'
+    #: The object that was asked for is missing or not what it should be.
+    DAMAGED = 'damaged'
 
 
 @attrs.frozen
@@ -210,7 +212,7 @@
         key: str,
         timeout: float,
     ) -> Result[bytes, StoreError]:
-        """Fetch an object; one that is missing counts as unavailable."""
+        """Fetch an object; one that is missing counts as damaged."""
         return await self._call('get_object', 'GET', f'/objects/{key}', timeout)
 
     async def list_instances(
@@ -280,6 +282,8 @@
             return Success(received)
         if response.status == _CONFLICT:
             kind = StoreErrorKind.CONFLICT
+        elif response.status == _NOT_FOUND and path.startswith('/objects/'):
+            kind = StoreErrorKind.DAMAGED
         else:
             kind = StoreErrorKind.UNAVAILABLE
         return self._fail(
--- a/src/kelproad/standins/platform.py
+++ b/src/kelproad/standins/platform.py
@@ -38,6 +38,11 @@
         Number of writes still to come that take effect without an answer.
     lose_writes
         Number of writes still to come that neither take effect nor answer.
+    late_writes
+        Number of writes still to come that take effect ``lateness`` seconds
+        after their connection broke.
+    only
+        Start of the paths whose writes are lost or late; empty for all.
     """
 
     down: bool = False
@@ -45,6 +50,9 @@
     delay: float = 0
     lose_answers: int = 0
     lose_writes: int = 0
+    late_writes: int = 0
+    lateness: float = 0.3
+    only: str = ''
 
 
 @attrs.frozen
@@ -120,9 +128,17 @@
         handler: Handler,
     ) -> web.StreamResponse:
         faults = self.faults
+        if not http_request.path.startswith(faults.only):
+            return await handler(http_request)
         if faults.lose_writes > 0:
             faults.lose_writes -= 1
             http_request.transport.abort()
+            return web.Response()
+        if faults.late_writes > 0:
+            faults.late_writes -= 1
+            await http_request.read()
+            http_request.transport.abort()
+            await asyncio.sleep(faults.lateness)
         answer = await handler(http_request)
         if faults.lose_answers > 0:
             faults.lose_answers -= 1
--- a/src/kelproad/state/configuration.py
+++ b/src/kelproad/state/configuration.py
@@ -24,11 +24,13 @@
     'FileContent',
     'Limits',
     'Objective',
+    'PendingFile',
     'Service',
     'ServiceKind',
     'Snapshot',
     'SnapshotHolder',
     'Workspace',
+    'extend',
 ]
 
 
@@ -218,9 +220,29 @@
     content: FileContent | None
 
 
+@attrs.frozen
+class PendingFile:
+    """An accepted version of a file that cannot be put in force here.
+
+    The file keeps the version that was in force before, if there was one.
+    """
+
+    name: str
+    generation: int
+    revision: int
+    digest: str
+    reason: str
+
+
 @attrs.frozen
 class Snapshot:
-    """All files in force at one revision, indexed for the request path."""
+    """All files in force at one revision, indexed for the request path.
+
+    Attributes
+    ----------
+    pending
+        By name, files whose accepted version could not be read here.
+    """
 
     revision: int
     files: dict[str, AppliedFile]
@@ -230,12 +252,14 @@
     workspaces: dict[str, Workspace]
     workspaces_by_digest: dict[str, Workspace]
     groups: dict[str, EndpointGroup]
+    pending: dict[str, PendingFile] = attrs.field(factory=dict)
 
     @classmethod
     def from_files(
         cls,
         revision: int,
         files: dict[str, AppliedFile],
+        pending: dict[str, PendingFile] | None = None,
     ) -> Self:
         """Index the declarations of all files."""
         contents = [
@@ -275,6 +299,7 @@
                 for content in contents
                 for group in content.endpoint_groups
             },
+            pending=pending or {},
         )
 
     @classmethod
@@ -298,9 +323,49 @@
             if applied.content
         }
 
+    def accepted_generation(self, name: str) -> int:
+        """Return the newest generation accepted of a file, 0 for none."""
+        held = self.files.get(name)
+        waiting = self.pending.get(name)
+        return max(
+            held.generation if held else 0,
+            waiting.generation if waiting else 0,
+        )
+
     def groups_of(self, service: Service) -> list[EndpointGroup]:
-        """List the endpoint groups behind a service."""
-        return [self.groups[name] for name in service.endpoint_groups]
+        """List the endpoint groups behind a service.
+
+        A group can be missing only while its file is pending; the service
+        then has fewer endpoints, or none, until the file can be read.
+        """
+        return [
+            self.groups[name]
+            for name in service.endpoint_groups
+            if name in self.groups
+        ]
+
+
+def extend(
+    base: Snapshot,
+    offered: list[AppliedFile | PendingFile],
+    revision: int,
+) -> Snapshot:
+    """Lay newer versions of files over a snapshot."""
+    files = dict(base.files)
+    pending = dict(base.pending)
+    for item in offered:
+        known = max(
+            files[item.name].generation if item.name in files else 0,
+            pending[item.name].generation if item.name in pending else 0,
+        )
+        if item.generation < known:
+            continue
+        if isinstance(item, AppliedFile):
+            files[item.name] = item
+            pending.pop(item.name, None)
+        elif base.accepted_generation(item.name) < item.generation:
+            pending[item.name] = item
+    return Snapshot.from_files(revision, files, pending)
 
 
 class SnapshotHolder:
@@ -315,15 +380,31 @@
 
         A late message, a slow store reply or a peer that was cut off may offer
         a revision that is not above the one in force.  Adopting it would
-        revert an accepted configuration, so only a higher one is taken.
+        revert an accepted configuration, so only a higher one is taken, or
+        the same one with fewer files pending.
         """
-        if snapshot.revision <= self.current.revision:
+        current = self.current
+        completes = len(snapshot.pending) < len(current.pending)
+        is_same = snapshot.revision == current.revision
+        if snapshot.revision <= current.revision and not (
+            is_same and completes
+        ):
             return False
-        previous = self.current.revision
-        self.current = snapshot
+        keeps = _keeps_generations(current, snapshot)
         invariants.check(
-            self.current.revision > previous,
+            keeps,
             'configuration_never_reverts',
-            f'{previous} -> {snapshot.revision}',
+            f'{current.revision} -> {snapshot.revision}',
         )
-        return True
+        if keeps:
+            self.current = snapshot
+        return keeps
+
+
+def _keeps_generations(current: Snapshot, following: Snapshot) -> bool:
+    """Tell whether no file disappears or goes back to an older version."""
+    return following.revision >= current.revision and all(
+        name in following.files
+        and following.files[name].generation >= held.generation
+        for name, held in current.files.items()
+    )
--- a/src/kelproad/state/members.py
+++ b/src/kelproad/state/members.py
@@ -49,6 +49,13 @@
         Grows with every heartbeat of an incarnation.
     dispatched
         Prompt tokens that this instance has in flight, by endpoint.
+    configuration_age
+        Seconds since its revision was last confirmed, at the time of sending;
+        ``None`` while it never was.
+    configuration_fault
+        Why it could not read the store, empty when it could.
+    pending_files
+        Files whose accepted version it cannot read.
     """
 
     name: str
@@ -60,6 +67,9 @@
     draining: bool = False
     dispatched: dict[str, int] = attrs.field(factory=dict)
     reports: list[EndpointReport] = attrs.field(factory=list)
+    configuration_age: float | None = None
+    configuration_fault: str = ''
+    pending_files: list[str] = attrs.field(factory=list)
 
     @property
     def order(self) -> tuple[int, int]:
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,405 @@
+"""Accepting files and putting them in force, under races and faults.
+
+Several instances run in this process against the stand-in platform; every
+call to it is delayed by seeded amounts, so that the calls interleave.
+"""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+
+import aiohttp
+import attrs
+import pytest
+from aiohttp.test_utils import TestServer
+from returns.result import Failure, Success
+
+from kelproad.coordination.acceptance import (
+    Accepted,
+    ConfigurationWriter,
+    Submission,
+)
+from kelproad.coordination.configuration import (
+    ConfigurationFollower,
+    is_reader,
+    list_changes,
+)
+from kelproad.coordination.history import list_generations
+from kelproad.coordination.races import Raced
+from kelproad.protocol.documents import Problem
+from kelproad.protocol.messages import Changes, ChangesWanted
+from kelproad.protocol.platform import PlatformClient
+from kelproad.protocol.settings import Settings
+from kelproad.standins.platform import Faults, PlatformStandIn
+from kelproad.state.configuration import Snapshot, SnapshotHolder
+from kelproad.state.counters import Counters
+from kelproad.state.endpoints import EndpointTable
+from kelproad.state.members import Member, MemberTable
+from kelproad.state.refusals import RefusalCode
+from kelproad.transport.addresses import Address
+
+
+class JitteryPlatform(PlatformClient):
+    """Delays every call and every answer by seeded amounts."""
+
+    generator = random.Random(0)
+    longest = 0
+
+    async def _call(self, *args: object, **options: object) -> object:
+        await asyncio.sleep(self.generator.random() * self.longest)
+        answer = await super()._call(*args, **options)
+        await asyncio.sleep(self.generator.random() * self.longest)
+        return answer
+
+
+@attrs.define
+class Peer:
+    """The configuration parts of one instance."""
+
+    name: str
+    holder: SnapshotHolder
+    follower: ConfigurationFollower
+    writer: ConfigurationWriter
+    settings: Settings
+    asked: list[ChangesWanted] = attrs.field(factory=list)
+
+    async def apply(
+        self,
+        text: str,
+        base: int,
+        apply_id: str,
+        **options: str,
+    ) -> object:
+        submission = Submission(text, 'f', base, 'ops', apply_id, **options)
+        return await self.writer.apply(submission)
+
+    @property
+    def snapshot(self) -> Snapshot:
+        return self.holder.current
+
+
+@attrs.define
+class Bench:
+    """The stand-in platform and instances before it."""
+
+    standin: PlatformStandIn
+    server: TestServer
+    session: aiohttp.ClientSession
+
+    def create_peer(self, name: str, longest: float = 0.004) -> Peer:
+        address = f'{self.server.host}:{self.server.port}'
+        settings = Settings(name, 'a', address, address, name, '', '', {})
+        holder, counters = SnapshotHolder(), Counters()
+        platform = JitteryPlatform(
+            Address.from_text(address),
+            self.session,
+            counters,
+        )
+        platform.longest = longest
+        follower = ConfigurationFollower(
+            settings,
+            holder,
+            EndpointTable(),
+            MemberTable(),
+            platform,
+            counters,
+        )
+        writer = ConfigurationWriter(holder, follower, platform)
+        peer = Peer(name, holder, follower, writer, settings)
+        follower.ask_peer = lambda _address, wanted: peer.asked.append(wanted)
+        return peer
+
+
+@pytest.fixture
+async def bench() -> AsyncIterator[Bench]:
+    standin = PlatformStandIn()
+    async with TestServer(standin.create_application()) as server:
+        async with aiohttp.ClientSession() as session:
+            yield Bench(standin, server, session)
+
+
+def declare(weight: int, name: str = 'w', file: str = 'f') -> str:
+    return (
+        f'name: {file}\nworkspaces:\n'
+        f'  - {{name: {name}, key_digests: [], services: [], '
+        f'weight: {weight}}}\n'
+    )
+
+
+@pytest.mark.parametrize('seed', range(8))
+async def test_two_operators_from_one_base(bench: Bench, seed: int) -> None:
+    """Two operators edit generation 1 and apply through two instances.
+
+    Whoever commits second must not overwrite what the first one did: they
+    are refused and shown what was accepted meanwhile.
+    """
+    JitteryPlatform.generator = random.Random(seed)
+    first, second = bench.create_peer('i-1'), bench.create_peer('i-2')
+    assert isinstance(await first.apply(declare(1), 0, 'base'), Success)
+    outcomes = await asyncio.gather(
+        first.apply(declare(2), 1, 'one'),
+        second.apply(declare(3), 1, 'two'),
+    )
+    won = [item.unwrap() for item in outcomes if isinstance(item, Success)]
+    lost = [item.failure() for item in outcomes if isinstance(item, Failure)]
+    assert won == [Accepted('f', 2, 2)]
+    assert isinstance(lost[0], Raced), lost
+    assert [row.generation for row in lost[0].meanwhile] == [2]
+    assert '-  - {name: w, key_digests: [], services: [], weight: 1}' in (
+        lost[0].difference
+    )
+    rows = await list_generations(first.writer.platform, 'f')
+    assert [row.apply_id for row in rows.unwrap()][0] == 'base'
+    assert len(rows.unwrap()) == 2
+
+
+@pytest.mark.parametrize('seed', range(4))
+async def test_operators_of_unlike_files_do_not_disturb(
+    bench: Bench,
+    seed: int,
+) -> None:
+    """Four operators apply four new files at the same moment.
+
+    They compete for the head; each is checked again on top of the others,
+    and all four are accepted in some order.
+    """
+    JitteryPlatform.generator = random.Random(seed)
+    peers = [bench.create_peer(f'i-{number}') for number in range(4)]
+    outcomes = await asyncio.gather(
+        *(
+            peer.apply(declare(1, peer.name, peer.name), 0, peer.name)
+            for peer in peers
+        ),
+    )
+    revisions = sorted(item.unwrap().revision for item in outcomes)
+    assert revisions == [1, 2, 3, 4]
+
+
+async def test_answer_lost_after_commit(bench: Bench) -> None:
+    """The platform commits an apply, but its answer is lost.
+
+    Reading back by the apply id shows that it was accepted, and repeating it
+    later, from the same base and after others, gives the same result.
+    """
+    peer = bench.create_peer('i-1')
+    bench.standin.faults = Faults(lose_answers=1, only='/tables')
+    assert await peer.apply(declare(1), 0, 'a') == Success(Accepted('f', 1, 1))
+    await peer.apply(declare(2), 1, 'b')
+    assert await peer.apply(declare(1), 0, 'a') == Success(Accepted('f', 1, 1))
+    reused = (await peer.apply(declare(9), 2, 'a')).failure()
+    assert reused.code is RefusalCode.CONFLICT
+    assert peer.snapshot.workspaces['w'].weight == 2
+
+
+@pytest.mark.parametrize('is_overtaken', [True, False])
+async def test_write_that_lands_late(bench: Bench, is_overtaken: bool) -> None:
+    """An apply's connection breaks and its write lands 0.3 s later.
+
+    Meanwhile the operator is told that the outcome is unknown.  If another
+    apply overtakes the write, it never takes effect; repeating the apply
+    settles it either way, and never does it twice.
+    """
+    peer = bench.create_peer('i-1')
+    bench.standin.faults = Faults(late_writes=1, only='/tables')
+    unknown = (await peer.apply(declare(1), 0, 'late')).failure()
+    assert unknown.code is RefusalCode.OUTCOME_UNKNOWN
+    if is_overtaken:
+        assert isinstance(await peer.apply(declare(5), 0, 'b'), Success)
+    await asyncio.sleep(0.5)
+    repeated = await peer.apply(declare(1), 0, 'late')
+    if is_overtaken:
+        assert isinstance(repeated.failure(), Raced)
+    else:
+        assert repeated == Success(Accepted('f', 1, 1))
+    rows = await list_generations(peer.writer.platform, 'f')
+    assert len(rows.unwrap()) == 1
+
+
+async def test_store_down(bench: Bench) -> None:
+    """The store is down while an operator applies.
+
+    The refusal says that this try applied nothing, and nothing was.
+    """
+    peer = bench.create_peer('i-1')
+    bench.standin.faults = Faults(down=True)
+    refused = (await peer.apply(declare(1), 0, 'a')).failure()
+    assert refused.code is RefusalCode.UNAVAILABLE
+    assert peer.follower.fault == '' and peer.snapshot.revision == 0
+    bench.standin.faults = Faults()
+    assert isinstance(await peer.apply(declare(1), 0, 'a'), Success)
+
+
+@pytest.mark.parametrize('seed', range(5))
+async def test_nothing_reverts(bench: Bench, seed: int) -> None:
+    """Late messages, slow store replies and a restarted instance meet.
+
+    Changes are kept back, doubled, split and delivered in any order to
+    instances that also read a slow store.  At every moment what an instance
+    has in force must be exactly what was accepted at that revision, and its
+    revision may only grow; in the end all have the newest one.
+    """
+    generator = random.Random(seed)
+    JitteryPlatform.generator = generator
+    writer = bench.create_peer('writer')
+    peers = [bench.create_peer(f'i-{number}', 0.1) for number in range(3)]
+    truth = {0: Snapshot.empty().files}
+    kept: list[Changes] = []
+    readings: list[asyncio.Future[object]] = []
+    for step in range(30):
+        file = generator.choice('fghklm')
+        base = writer.snapshot.accepted_generation(file)
+        text = declare(step + 1, file, file)
+        await writer.apply(text, base, f'{step}')
+        truth[step + 1] = writer.snapshot.files
+        for peer in peers:
+            source = generator.choice([writer, *peers]).snapshot
+            after = generator.choice([peer.snapshot.revision, step // 2])
+            offered = list_changes(source, writer.settings, after, limit=150)
+            kept += [offered] if offered else []
+            if generator.randrange(4) == 0:
+                readings.append(asyncio.ensure_future(peer.follower.catch_up()))
+            await offer(peer, generator.sample(kept[-9:], min(2, len(kept))))
+            assert peer.snapshot.files == truth[peer.snapshot.revision]
+    await asyncio.gather(*readings)
+    peers[0] = bench.create_peer('i-0')
+    for peer in peers:
+        await peer.follower.catch_up()
+        await offer(peer, kept)
+        assert peer.snapshot.files == writer.snapshot.files
+        assert peer.snapshot.revision == 30
+
+
+async def offer(peer: Peer, messages: list[Changes]) -> None:
+    for changes in messages:
+        before = peer.snapshot.revision
+        await peer.follower.take_changes(changes)
+        assert peer.snapshot.revision >= before
+
+
+async def test_large_transfer_while_its_source_changes(bench: Bench) -> None:
+    """A fresh instance takes forty files from a peer, a few a message.
+
+    In the middle the source accepts a new version of a file that was sent
+    already and the rest comes from it; the result must be its snapshot, not a
+    mixture.
+    """
+    writer, fresh = bench.create_peer('writer'), bench.create_peer('fresh')
+    for number in range(40):
+        name = f'f{number}'
+        await writer.apply(declare(1, name, name), 0, name)
+    fresh.follower.hear_member(Member('writer', 'a', 'writer', 1, 1, 40))
+    answers = 0
+    while fresh.asked:
+        wanted = fresh.asked.pop()
+        if answers == 3:
+            await writer.apply(declare(7, 'f0', 'f0'), 1, 'again')
+        answers += 1
+        changes = list_changes(
+            writer.snapshot, writer.settings, wanted.after, 500
+        )
+        await fresh.follower.take_changes(changes)
+    assert answers > 5
+    assert fresh.snapshot.files == writer.snapshot.files
+    assert fresh.snapshot.workspaces['f0'].weight == 7
+
+
+@pytest.mark.parametrize('damage', [b'name: f', b'\xff', None])
+async def test_damaged_object(bench: Bench, damage: bytes | None) -> None:
+    """The object of an accepted file is damaged or gone.
+
+    It is never put in force; files accepted later are, the status says which
+    one is not and why, and once the object is mended it comes into force.
+    """
+    writer, other = bench.create_peer('writer'), bench.create_peer('i-1')
+    await writer.apply(declare(1), 0, 'a')
+    await other.follower.catch_up()
+    await writer.apply(declare(2), 1, 'b')
+    key = f'configuration/{writer.snapshot.files["f"].digest}'
+    blobs = bench.standin._blobs
+    sound = blobs.pop(key)
+    if damage is not None:
+        blobs[key] = damage
+    await writer.apply(declare(1, 'x', 'g'), 0, 'c')
+    await other.follower.catch_up()
+    assert other.snapshot.revision == 3
+    assert other.snapshot.workspaces['w'].weight == 1
+    assert 'x' in other.snapshot.workspaces
+    assert other.snapshot.pending['f'].generation == 2
+    refused = (await other.apply(declare(3, 'x', 'g'), 1, 'd')).failure()
+    assert refused.code is RefusalCode.CONFLICT
+    blobs[key] = sound
+    await other.follower.catch_up()
+    assert not other.snapshot.pending
+    assert other.snapshot.workspaces['w'].weight == 2
+
+
+async def test_file_of_a_newer_version(bench: Bench) -> None:
+    """A newer version of the program accepted a key that this one lacks."""
+    writer, other = bench.create_peer('writer'), bench.create_peer('i-1')
+    await writer.apply(declare(1), 0, 'a')
+    newest = list_changes(writer.snapshot, writer.settings, 0)
+    text = 'name: f\nfuture: 1\n'
+    digest = '30e9a5d1a5'
+    file = attrs.evolve(
+        newest.files[0], generation=2, revision=2, text=text, digest=digest
+    )
+    await other.follower.take_changes(newest)
+    await other.follower.take_changes(
+        attrs.evolve(newest, after=1, revision=2, files=[file]),
+    )
+    assert other.snapshot.pending['f'].generation == 2
+    assert other.snapshot.workspaces['w'].weight == 1
+
+
+async def test_far_behind(bench: Bench) -> None:
+    """An instance that missed 230 changes has them all after one reading."""
+    writer, other = bench.create_peer('writer', 0), bench.create_peer('i-1')
+    await writer.apply(declare(1), 0, 'first')
+    await other.follower.catch_up()
+    for number in range(1, 231):
+        await writer.apply(declare(number), number, f'{number}')
+    await other.follower.catch_up()
+    assert other.snapshot.revision == 231
+
+
+async def test_removal_and_references(bench: Bench) -> None:
+    """A file that others refer to cannot go; the line of the reference is told.
+
+    Afterwards it goes, its workspace's key is unknown, and it may come back
+    from its next generation only.
+    """
+    peer = bench.create_peer('i-1')
+    group = (
+        'name: g\nendpoint_groups:\n  - {name: e, kind: engine, endpoints: []}'
+    )
+    service = (
+        'name: s\nservices:\n  - name: m\n    kind: model\n    model: x\n'
+        '    endpoint_groups:\n      - e\n'
+    )
+    await peer.apply(group, 0, 'g')
+    await peer.apply(service, 0, 's')
+    problems = (await peer.apply('', 1, 'r', remove='g')).failure()
+    assert isinstance(problems[0], Problem)
+    assert str(problems[0]).startswith(
+        's (in force):7: $.services[0].endpoint_groups[0]: ',
+    )
+    assert isinstance(await peer.apply('', 1, 'r1', remove='s'), Success)
+    assert isinstance(await peer.apply('', 1, 'r2', remove='g'), Success)
+    assert not peer.snapshot.services and not peer.snapshot.groups
+    assert isinstance((await peer.apply(group, 0, 'g0')).failure(), Raced)
+    assert isinstance(await peer.apply(group, 2, 'g2'), Success)
+
+
+def test_two_readers_a_zone() -> None:
+    """The store is read by two instances a zone, whatever their number."""
+    names = [f'i-{number}' for number in range(7)]
+    members = MemberTable()
+    for name in names:
+        members.merge(Member(name, 'a', name, 1), 10)
+    members.merge(Member('leaving', 'a', 'l', 1, draining=True), 10)
+    readers = [
+        name
+        for name in names
+        if is_reader(Settings(name, 'a', '', '', '', '', '', {}), members, 10)
+    ]
+    assert len(readers) == 2
