--- /dev/null
+++ b/bench/adoption.py
@@ -0,0 +1,77 @@
+"""CPU and bytes of one configuration change, by number of workspaces.
+
+Run as ``python -m bench.adoption``.  One file is changed among files of one
+workspace each, and one file that holds all workspaces.
+"""
+
+import asyncio
+import time
+
+from kelproad.coordination.configuration import list_changes
+from kelproad.coordination.history import digest_text
+from kelproad.coordination.loading import build_file
+from kelproad.protocol.files import parse_file
+from kelproad.protocol.messages import encode_message
+from kelproad.protocol.settings import Settings
+from kelproad.state.configuration import AppliedFile, Snapshot, extend
+
+_SIZES = (10, 500, 2100)
+_SETTINGS = Settings('i', 'z', '', '', '', '', '', {})
+_REPEATS = 5
+
+
+def declare(first: int, count: int) -> str:
+    """Declare some workspaces in one file."""
+    items = ''.join(
+        f'  - name: w{number}\n    key_digests:\n      - a{number:063x}\n'
+        '    services: [reports, crew]\n    weight: 1\n'
+        '    limits: {requests_per_second: 20, tokens_per_second: 200000}\n'
+        for number in range(first, first + count)
+    )
+    return f'name: f{first}\nworkspaces:\n{items}'
+
+
+def build_snapshot(workspaces: int, in_file: int) -> Snapshot:
+    """Build a snapshot with so many workspaces to a file."""
+    files = {}
+    for first in range(0, workspaces, in_file):
+        text = declare(first, in_file)
+        parsed = parse_file(text, 'f', {}, alone=True).unwrap()
+        revision = len(files) + 1
+        files[parsed.name] = AppliedFile(
+            parsed.name, 1, revision, 'd', text, parsed
+        )
+    return Snapshot.from_files(len(files), files)
+
+
+def measure(workspaces: int, in_file: int) -> None:
+    """Print what adopting one changed file takes, and its message's bytes."""
+    snapshot = build_snapshot(workspaces, in_file)
+    text = declare(0, in_file)
+    best = float('inf')
+    for _ in range(_REPEATS):
+        started = time.process_time()
+        built = asyncio.run(build_file('f0', 2, 9999, digest_text(text), text))
+        changed = AppliedFile('f0', 2, 9999, 'd', text, None)
+        extend(snapshot, [built], 9999)
+        best = min(best, time.process_time() - started)
+    newer = extend(snapshot, [changed], 9999)
+    message = list_changes(newer, _SETTINGS, snapshot.revision)
+    whole = sum(len(item.text) for item in snapshot.files.values())
+    print(
+        f'{workspaces:5} workspaces, {in_file:5} to a file: '
+        f'{best * 1000:7.2f} ms of CPU to adopt one changed file, '
+        f'{len(encode_message(message, b"k")):7} bytes of changes, '
+        f'{whole:7} bytes whole',
+    )
+
+
+def main() -> None:
+    """Measure all sizes."""
+    for workspaces in _SIZES:
+        for in_file in (1, min(50, workspaces), workspaces):
+            measure(workspaces, in_file)
+
+
+if __name__ == '__main__':
+    main()
