--- a/src/kelproad/protocol/platform.py
+++ b/src/kelproad/protocol/platform.py
@@ -41,6 +41,7 @@
 _CONFLICT = 409
 _DOUBTFUL = frozenset((500, 502, 504))
 _MOST_SHOWN = 200
+_OBJECT_PATH = '/objects/'
 
 
 class StoreErrorKind(enum.StrEnum):
@@ -52,6 +53,8 @@
     UNAVAILABLE = 'unavailable'
     #: No answer arrived; the write may have taken effect, or may yet.
     UNKNOWN = 'unknown'
+    #: The object that was asked for is missing or not what it should be.
+    DAMAGED = 'damaged'
 
 
 @attrs.frozen
@@ -213,7 +216,7 @@
         answer = await self._call(
             'put_object',
             'PUT',
-            f'/objects/{key}',
+            f'{_OBJECT_PATH}{key}',
             timeout,
             body,
         )
@@ -224,8 +227,10 @@
         key: str,
         timeout: float,
     ) -> Result[bytes, StoreError]:
-        """Fetch an object; one that is missing counts as unavailable."""
-        return await self._call('get_object', 'GET', f'/objects/{key}', timeout)
+        """Fetch an object; one that is missing counts as damaged."""
+        return await self._call(
+            'get_object', 'GET', f'{_OBJECT_PATH}{key}', timeout
+        )
 
     async def list_instances(
         self,
@@ -293,7 +298,7 @@
         if response.status == _OK:
             return Success(received)
         return self._fail(
-            _classify_status(response.status, method),
+            _classify_status(response.status, method, path),
             operation,
             f'answered {response.status}: {received[:_MOST_SHOWN]!r}',
             _read_conflicts(received) if response.status == _CONFLICT else [],
@@ -327,7 +332,7 @@
         )
 
 
-def _classify_status(status: int, method: str) -> StoreErrorKind:
+def _classify_status(status: int, method: str, path: str) -> StoreErrorKind:
     """Tell what an error status says of a call.
 
     A server or gateway that answers 500, 502 or 504 may have written before
@@ -337,6 +342,8 @@
         return StoreErrorKind.CONFLICT
     if method != 'GET' and status in _DOUBTFUL:
         return StoreErrorKind.UNKNOWN
+    if status == _NOT_FOUND and path.startswith(_OBJECT_PATH):
+        return StoreErrorKind.DAMAGED
     return StoreErrorKind.UNAVAILABLE
 
 
