--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,11 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format binary slopes clean
+.PHONY: demo test soak lint format binary binary-check slopes clean
+
+EXAMPLE := roadgrip
+SECONDS := 60
+SEED := 1
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(PYTHON) || python3.11 -m venv $(VENV)
@@ -12,11 +16,14 @@
 	touch $@
 
 demo: $(STAMP)
-	$(PYTHON) demo/run.py
+	$(PYTHON) demo/run.py $(EXAMPLE)
 
 test: $(STAMP)
 	$(PYTHON) -m pytest
 
+soak: $(STAMP)
+	$(PYTHON) -m testbed.soak.run --seconds $(SECONDS) --seed $(SEED)
+
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check src tests demo bench testbed
 	$(VENV)/bin/ruff check src tests demo bench testbed
@@ -33,7 +40,11 @@
 
 binary: $(STAMP)
 	mkdir -p dist
-	$(VENV)/bin/shiv --quiet --compressed -c kelproad -o dist/kelproad .
+	$(VENV)/bin/shiv --compressed --console-script kelproad \
+	  --output-file dist/kelproad --constraint requirements.lock --quiet .
+
+binary-check: binary
+	$(PYTHON) -m testbed.binary dist/kelproad
 
 clean:
 	rm -rf $(VENV) build dist
--- a/bench/slopes_members.py
+++ b/bench/slopes_members.py
@@ -87,6 +87,7 @@
             settings,
             holder,
             self.table,
+            self.members,
             platform,
             self.counters,
         )
--- a/bench/slopes_tables.py
+++ b/bench/slopes_tables.py
@@ -1,5 +1,6 @@
 """Tables at full size: memory an entry, processor time a decision."""
 
+import asyncio
 import hashlib
 import random
 import time
@@ -9,7 +10,7 @@
 
 import yaml
 
-from kelproad.coordination.configuration import build_applied, extend
+from kelproad.coordination.loading import build_file
 from kelproad.coordination.routing import choose_endpoint
 from kelproad.protocol.messages import Changes, FileChange, encode_message
 from kelproad.state.configuration import (
@@ -22,6 +23,7 @@
     ServiceKind,
     Snapshot,
     Workspace,
+    extend,
 )
 from kelproad.state.endpoints import EndpointTable
 from kelproad.state.members import EndpointReport
@@ -189,8 +191,12 @@
 
 
 def _build_files(texts: list[str]) -> list[AppliedFile]:
+    return asyncio.run(_parse_files(texts))
+
+
+async def _parse_files(texts: list[str]) -> list[AppliedFile]:
     return [
-        build_applied(
+        await build_file(
             f'workspace-{number}',
             1,
             number + 1,
--- a/src/kelproad/coordination/gossip.py
+++ b/src/kelproad/coordination/gossip.py
@@ -130,7 +130,8 @@
         room -= _weigh_load(own) + _HEARTBEAT_BYTES
         most = int(room * _HEARTBEAT_SHARE / _HEARTBEAT_BYTES)
         for member in self._list_news(address, seen, now)[: max(0, most)]:
-            packed[member.name] = member.without_load()
+            heartbeat = self._members.age_record(member, now)
+            packed[member.name] = heartbeat.without_load()
             room -= _HEARTBEAT_BYTES
         for member in self._list_loads(address, seen, now):
             cost = _weigh_load(member)
@@ -321,7 +322,8 @@
 
     def _age_load(self, member: Member, now: float) -> Member:
         waited = now - self._members.load_heard_at(member.name)
-        return attrs.evolve(member, held=member.held + waited)
+        aged = self._members.age_record(member, now)
+        return attrs.evolve(aged, held=round(member.held + waited, 2))
 
     def _accuse(
         self,
--- a/src/kelproad/coordination/membership.py
+++ b/src/kelproad/coordination/membership.py
@@ -33,7 +33,7 @@
 from ..transport.deadlines import monotonic
 from ..transport.peers import PeerLink, PeerListener
 from ..transport.services import BackgroundService
-from .configuration import ConfigurationFollower
+from .configuration import ConfigurationFollower, list_changes
 from .gossip import PERIOD, Gossiper, Place
 
 __all__ = ['Membership']
@@ -139,7 +139,7 @@
             case ChangesWanted() as wanted:
                 self._answer_wanted(wanted)
             case Changes() as changes:
-                self._follower.take_changes(changes)
+                await self._follower.take_changes(changes)
 
     def leave(self) -> None:
         """Tell every peer that this instance has ended on purpose.
@@ -181,6 +181,10 @@
             instance.peer_address: instance.zone
             for instance in listing.instances
         }
+        self._members.note_listing(
+            frozenset(instance.name for instance in listing.instances),
+            self._clock(),
+        )
         leaving = set(listing.leaving_endpoints)
         for name, endpoint in self._table.all().items():
             endpoint.listed_leaving = name in leaving
@@ -203,6 +207,9 @@
             load_version=version,
             revision=self._holder.current.revision,
             draining=self.draining,
+            configuration_age=self._follower.finite_age,
+            configuration_fault=self._follower.fault,
+            pending_files=list(self._holder.current.pending),
             dispatched={
                 name: endpoint.own_tokens
                 for name, endpoint in self._table.all().items()
@@ -269,10 +276,7 @@
                 continue
             if self._members.merge(member, now):
                 self._take_reports(member, now)
-                self._follower.hear_revision(
-                    member.revision,
-                    member.peer_address,
-                )
+                self._follower.hear_member(member)
         self._sum_dispatched()
 
     def _answer_own(self, heard: Member, sender: Member) -> None:
@@ -313,6 +317,10 @@
         self._busy = set(totals)
 
     def _answer_wanted(self, wanted: ChangesWanted) -> None:
-        changes = self._follower.list_changes(wanted.after)
+        changes = list_changes(
+            self._holder.current,
+            self._settings,
+            wanted.after,
+        )
         if changes is not None:
             self.send(wanted.reply_to, changes)
--- a/src/kelproad/protocol/platform.py
+++ b/src/kelproad/protocol/platform.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import enum
+from collections.abc import Sequence
 from typing import TypeVar
 
 import aiohttp
@@ -38,7 +39,9 @@
 _OK = 200
 _NOT_FOUND = 404
 _CONFLICT = 409
+_DOUBTFUL = frozenset((500, 502, 504))
 _MOST_SHOWN = 200
+_OBJECT_PATH = '/objects/'
 
 
 class StoreErrorKind(enum.StrEnum):
@@ -50,16 +53,25 @@
     UNAVAILABLE = 'unavailable'
     #: No answer arrived; the write may have taken effect, or may yet.
     UNKNOWN = 'unknown'
+    #: The object that was asked for is missing or not what it should be.
+    DAMAGED = 'damaged'
 
 
 @attrs.frozen
 class StoreError:
-    """A call to the platform that did not succeed."""
+    """A call to the platform that did not succeed.
+
+    Attributes
+    ----------
+    conflicts
+        Keys of the rows whose condition did not hold.
+    """
 
     kind: StoreErrorKind
     operation: str
     peer: str
     message: str
+    conflicts: list[str] = attrs.field(factory=list)
 
 
 @attrs.frozen
@@ -113,6 +125,11 @@
     writes: list[Write]
 
 
+@attrs.frozen
+class _Conflicts:
+    conflicts: list[str]
+
+
 @attrs.frozen
 class _Rows:
     rows: list[Row]
@@ -199,7 +216,7 @@
         answer = await self._call(
             'put_object',
             'PUT',
-            f'/objects/{key}',
+            f'{_OBJECT_PATH}{key}',
             timeout,
             body,
         )
@@ -210,8 +227,10 @@
         key: str,
         timeout: float,
     ) -> Result[bytes, StoreError]:
-        """Fetch an object; one that is missing counts as unavailable."""
-        return await self._call('get_object', 'GET', f'/objects/{key}', timeout)
+        """Fetch an object; one that is missing counts as damaged."""
+        return await self._call(
+            'get_object', 'GET', f'{_OBJECT_PATH}{key}', timeout
+        )
 
     async def list_instances(
         self,
@@ -278,14 +297,11 @@
             received = await response.read()
         if response.status == _OK:
             return Success(received)
-        if response.status == _CONFLICT:
-            kind = StoreErrorKind.CONFLICT
-        else:
-            kind = StoreErrorKind.UNAVAILABLE
         return self._fail(
-            kind,
+            _classify_status(response.status, method, path),
             operation,
             f'answered {response.status}: {received[:_MOST_SHOWN]!r}',
+            _read_conflicts(received) if response.status == _CONFLICT else [],
         )
 
     def _decode(self, body: bytes, kind: type[T]) -> Result[T, StoreError]:
@@ -303,7 +319,36 @@
         kind: StoreErrorKind,
         operation: str,
         message: str,
+        conflicts: Sequence[str] = (),
     ) -> Result[T, StoreError]:
         return Failure(
-            StoreError(kind, operation, self._address.authority, message),
+            StoreError(
+                kind,
+                operation,
+                self._address.authority,
+                message,
+                list(conflicts),
+            ),
         )
+
+
+def _classify_status(status: int, method: str, path: str) -> StoreErrorKind:
+    """Tell what an error status says of a call.
+
+    A server or gateway that answers 500, 502 or 504 may have written before
+    it failed; only a write that was refused is certainly not there.
+    """
+    if status == _CONFLICT:
+        return StoreErrorKind.CONFLICT
+    if method != 'GET' and status in _DOUBTFUL:
+        return StoreErrorKind.UNKNOWN
+    if status == _NOT_FOUND and path.startswith(_OBJECT_PATH):
+        return StoreErrorKind.DAMAGED
+    return StoreErrorKind.UNAVAILABLE
+
+
+def _read_conflicts(body: bytes) -> list[str]:
+    try:
+        return msgspec.json.decode(body, type=_Conflicts).conflicts
+    except msgspec.DecodeError:
+        return []
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -35,6 +35,10 @@
             'kelproad_streams_resumed_total',
             'Broken streams taken up again, by way.',
         )
+        self.streams_broken = self._counter(
+            'kelproad_streams_broken_total',
+            'Connections of engines that did not bring the end, by ending.',
+        )
         self.claims = self._counter(
             'kelproad_claims_total',
             'Idempotency claims, by outcome.',
@@ -59,10 +63,18 @@
             'kelproad_cancels_total',
             'Releases of engine memory, by reason and outcome.',
         )
+        self.orphans = self._counter(
+            'kelproad_orphans_total',
+            'Holdings of engines without an owner, by evidence and outcome.',
+        )
         self.operator_calls = self._counter(
             'kelproad_operator_calls_total',
             'Calls of the operator API, by outcome.',
         )
+        self.malformed = self._counter(
+            'kelproad_malformed_input_total',
+            'Input on a listening address that is not HTTP, by side.',
+        )
         self.in_progress = self._gauge(
             'kelproad_requests_in_progress',
             'Requests admitted that have no final answer yet.',
--- a/src/kelproad/state/members.py
+++ b/src/kelproad/state/members.py
@@ -68,6 +68,13 @@
         The instance has ended on purpose.
     held
         Seconds that the load waited at the instances that passed it on.
+    configuration_age
+        Seconds since its revision was last confirmed, at the time of sending;
+        ``None`` while it never was.
+    configuration_fault
+        Why it could not read the store, empty when it could.
+    pending_files
+        Files whose accepted version it cannot read.
     """
 
     name: str
@@ -84,6 +91,9 @@
     left: bool = False
     held: float = 0
     region: str = ''
+    configuration_age: float | None = None
+    configuration_fault: str = ''
+    pending_files: list[str] = attrs.field(factory=list)
 
     @property
     def life(self) -> tuple[int, int]:
@@ -128,6 +138,10 @@
         self._heard: dict[str, float] = {}
         self._load_heard: dict[str, float] = {}
         self._far = 0
+        self._arrived: dict[str, float] = {}
+        #: Instances on the platform's list, and when it was read last.
+        self.listed: frozenset[str] = frozenset()
+        self.listed_at = float('-inf')
 
     def merge(self, member: Member, now: float) -> bool:
         """Take what is newer in a record than in the one held.
@@ -146,6 +160,7 @@
         if held is None:
             self._members[member.name] = member
             self._heard[member.name] = now
+            self._arrived[member.name] = now
             self._load_heard[member.name] = now
             self._far += self._is_far(member)
             return True
@@ -156,6 +171,7 @@
             self._load_heard[member.name] = now
         if member.order > held.order:
             self._heard[member.name] = now
+            self._arrived[member.name] = now
         elif not newer_load:
             return False
         self._members[member.name] = _join(held, member, newer_load)
@@ -166,6 +182,11 @@
         """Heartbeats of which only one is passed on from zone to zone."""
         return max(_FAR_INTERVAL, math.ceil(self._far / _FAR_NEWS))
 
+    def note_listing(self, names: frozenset[str], now: float) -> None:
+        """Remember whom the platform lists."""
+        self.listed = names
+        self.listed_at = now
+
     def live(self, now: float) -> list[Member]:
         """List the members heard of recently, suspected ones included."""
         return self._list_heard(now, 0, REMOVE_AFTER)
@@ -194,6 +215,16 @@
         """Tell when a member's newest record arrived."""
         return self._heard[name]
 
+    def age_record(self, member: Member, now: float) -> Member:
+        """Add to a record's ages the seconds that it waited here."""
+        if member.configuration_age is None:
+            return member
+        waited = now - self._arrived[member.name]
+        return attrs.evolve(
+            member,
+            configuration_age=round(member.configuration_age + waited, 1),
+        )
+
     def load_heard_at(self, name: str) -> float:
         """Tell when a member's newest load arrived."""
         return self._load_heard[name]
@@ -208,6 +239,7 @@
         for name in gone:
             self._far -= self._is_far(self._members.pop(name))
             self._heard.pop(name)
+            self._arrived.pop(name)
             self._load_heard.pop(name)
 
     def excuse(self, seconds: float) -> None:
--- a/testbed/members.py
+++ b/testbed/members.py
@@ -270,6 +270,7 @@
                 settings,
                 holder,
                 endpoints,
+                table,
                 platform,
                 counters,
             ),
