--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -7,6 +7,7 @@
 import argparse
 import sys
 
+from .slopes_detection import measure_detection
 from .slopes_gossip import measure_gossip
 from .slopes_members import measure_members
 from .slopes_streams import measure_idle, measure_streams
@@ -15,6 +16,7 @@
 __all__ = ['main']
 
 _MEMBERS = (3, 9, 24, 48)
+_DETECTING = (9, 24, 48)
 _WATCHED = (1, 11, 23)
 _KNOWN = (9, 48, 205, 410)
 _ENDPOINTS = (25, 250, 1000, 4600)
@@ -30,6 +32,7 @@
         'workspaces': lambda: measure_workspaces(list(_WORKSPACES)),
         'gossip': lambda: measure_gossip(list(_KNOWN)),
         'members': lambda: measure_members(list(_MEMBERS)),
+        'detection': lambda: measure_detection(list(_DETECTING)),
         'streams': lambda: measure_streams(list(_STREAMS)),
     }
     parser = argparse.ArgumentParser(description=__doc__)
--- a/src/kelproad/coordination/gossip.py
+++ b/src/kelproad/coordination/gossip.py
@@ -32,7 +32,7 @@
 _BURST_SECONDS = 1.0
 #: Bytes that parts of a record take in a compressed message, about.
 _HEARTBEAT_BYTES = 48
-_REPORT_BYTES = 40
+_REPORT_BYTES = 24
 _DISPATCHED_BYTES = 14
 #: Choices and hashes remembered, which change only as members come and go.
 _CHOICES_KEPT = 1024
--- a/src/kelproad/coordination/lag.py
+++ b/src/kelproad/coordination/lag.py
@@ -53,8 +53,13 @@
     snapshot: Snapshot,
     now: float,
 ) -> list[InstanceLag]:
-    """Describe every instance ever heard of, this one first."""
-    known = [own, *(item for item in members.known() if item.name != own.name)]
+    """Describe every instance heard of that has not left, this one first."""
+    others = [
+        member
+        for member in members.known()
+        if member.name != own.name and not member.left
+    ]
+    known = [own, *others]
     live = {member.name for member in members.live(now)} | {own.name}
     highest = max(snapshot.revision, *(member.revision for member in known))
     described = []
--- a/src/kelproad/coordination/membership.py
+++ b/src/kelproad/coordination/membership.py
@@ -44,6 +44,8 @@
 _PAUSE_AFTER = 1.5
 #: Seconds that a stopping instance waits for its last message to leave.
 _FAREWELL = 0.1
+#: Steps of a second in which the age of a report is told.
+_AGE_STEPS = 32
 #: Seconds between two answers to suspicions.
 _ANSWER_GAP = 0.2
 #: Seconds for which a watcher repeats what it last read from an engine.
@@ -218,7 +220,7 @@
             reports=[
                 attrs.evolve(
                     endpoint.report,
-                    age=round(now - endpoint.reported_at, 2),
+                    age=_round_age(now - endpoint.reported_at),
                 )
                 for endpoint in self._table.all().values()
                 if endpoint.read_here
@@ -324,3 +326,8 @@
         )
         if changes is not None:
             self.send(wanted.reply_to, changes)
+
+
+def _round_age(seconds: float) -> float:
+    """Round an age to few binary digits, which compress well."""
+    return round(seconds * _AGE_STEPS) / _AGE_STEPS
--- a/src/kelproad/protocol/messages.py
+++ b/src/kelproad/protocol/messages.py
@@ -6,14 +6,16 @@
 
 import hashlib
 import hmac
+import itertools
 import types
 import zlib
+from typing import Self
 
 import attrs
 import msgspec
 from returns.result import Failure, Result, Success
 
-from ..state.members import Member
+from ..state.members import EndpointReport, Member
 from ..transport.peers import MAX_MESSAGE_BYTES
 
 __all__ = [
@@ -91,8 +93,79 @@
 
 
 PeerMessage = Gossip | ChangesWanted | Changes
+_REPORT_FIELDS = tuple(field.name for field in attrs.fields(EndpointReport))
+
+
+@attrs.frozen
+class _PackedGossip:
+    """A gossip with the reports of all members as one list a field.
+
+    Field by field, compression finds more alike, and a report takes 22 bytes
+    in place of 37; reports are most of what instances send each other.
+
+    Attributes
+    ----------
+    members
+        Records without their reports.
+    counts
+        Number of reports of each member.
+    columns
+        Values of all reports, by field.
+    """
+
+    members: list[Member]
+    counts: list[int]
+    columns: dict[str, list[object]]
+
+    @classmethod
+    def from_gossip(cls, gossip: Gossip) -> Self:
+        """Lay the reports out by field."""
+        reports = [
+            report for member in gossip.members for report in member.reports
+        ]
+        return cls(
+            [attrs.evolve(member, reports=[]) for member in gossip.members],
+            [len(member.reports) for member in gossip.members],
+            {
+                name: [getattr(report, name) for report in reports]
+                for name in _REPORT_FIELDS
+            },
+        )
+
+    def unpack(self) -> Gossip:
+        """Give every member its reports again.
+
+        Raises
+        ------
+        ValueError
+            When the lists differ in length.
+        """
+        rows = zip(*self.columns.values(), strict=True)
+        fields = [dict(zip(self.columns, row, strict=True)) for row in rows]
+        if sum(self.counts) != len(fields) or min(self.counts, default=0) < 0:
+            raise ValueError('the counts do not match the reports')
+        reports = iter(msgspec.convert(fields, type=list[EndpointReport]))
+        return Gossip(
+            [
+                attrs.evolve(
+                    member,
+                    reports=list(itertools.islice(reports, count)),
+                )
+                for member, count in zip(
+                    self.members,
+                    self.counts,
+                    strict=True,
+                )
+            ],
+        )
+
+
 _KINDS = types.MappingProxyType(
-    {kind.__name__: kind for kind in (Gossip, ChangesWanted, Changes)},
+    {
+        'Gossip': _PackedGossip,
+        'ChangesWanted': ChangesWanted,
+        'Changes': Changes,
+    },
 )
 
 
@@ -104,7 +177,12 @@
 
 def encode_message(message: PeerMessage, key: bytes) -> bytes:
     """Encode a message with its tag in front."""
-    body = msgspec.msgpack.encode(message)
+    packed_body = (
+        _PackedGossip.from_gossip(message)
+        if isinstance(message, Gossip)
+        else message
+    )
+    body = msgspec.msgpack.encode(packed_body)
     envelope = msgspec.msgpack.encode(
         _Envelope(type(message).__name__, msgspec.Raw(body)),
     )
@@ -125,10 +203,12 @@
         envelope = zlib.decompressobj().decompress(packed, _MAX_UNPACKED)
         opened = msgspec.msgpack.decode(envelope, type=_Envelope)
         kind = _KINDS[opened.kind]
-        return Success(msgspec.msgpack.decode(opened.body, type=kind))
+        body = msgspec.msgpack.decode(opened.body, type=kind)
+        is_packed = isinstance(body, _PackedGossip)
+        return Success(body.unpack() if is_packed else body)
     except KeyError:
         return Failure(MessageError('unknown kind of message'))
-    except (msgspec.DecodeError, zlib.error) as error:
+    except (ValueError, zlib.error) as error:
         return Failure(MessageError(str(error)))
 
 
