--- /dev/null
+++ b/src/kelproad/coordination/segments.py
@@ -0,0 +1,266 @@
+"""Answering a prompt that is larger than any engine's memory, in parts.
+
+A service may opt in.  The prompt is cut at declared record boundaries into
+parts that fit, each part is answered as an idempotent request of its own, and
+a declared combining prompt turns the parts' answers into one.  All parts share
+the caller's deadline; one part that fails ends the whole request.
+"""
+
+import asyncio
+
+import attrs
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..protocol.callers import CompletionBody
+from ..protocol.completions import assemble_answer
+from ..protocol.events import Event
+from ..state.configuration import Segmenting
+from ..state.refusals import Ran, Refusal, RefusalCode, Step
+from ..state.requests import Decision, Request
+from .attempts import Attempts, Deliver
+
+__all__ = ['Parts', 'answer_in_parts', 'split_prompt']
+
+_PATH = '/v1/completions'
+
+
+@attrs.frozen
+class Parts:
+    """A prompt cut up.
+
+    Attributes
+    ----------
+    heading
+        What stands before the records, such as instructions; it is repeated
+        in every part.
+    records
+        Runs of whole records, each of which fits into one part.
+    """
+
+    heading: str
+    records: list[str]
+
+
+class _PartRefusedError(Exception):
+    """A part failed, and with it the request."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+def split_prompt(
+    prompt: str,
+    segmenting: Segmenting,
+    bytes_per_token: float,
+) -> Result[Parts, Refusal]:
+    """Cut a prompt at record boundaries into parts of a bounded size.
+
+    Parameters
+    ----------
+    prompt
+        The whole prompt.
+    segmenting
+        Where to cut and how large a part may be, in tokens.
+    bytes_per_token
+        Divisor of the length estimate, as declared by the service.
+
+    Returns
+    -------
+    Result
+        The parts in their order, or a refusal when a record alone is too
+        large for a part, or when there would be too many parts.
+    """
+    heading, records = _separate_heading(prompt, segmenting)
+    size = len(heading.encode())
+    limit = int(segmenting.tokens * bytes_per_token) - size
+    packed: list[list[str]] = [[]]
+    room = limit
+    for record in records.split(segmenting.boundary):
+        length = len(record.encode()) + len(segmenting.boundary.encode())
+        if length > limit:
+            return Failure(_refuse_record(length, segmenting))
+        if length > room:
+            packed.append([])
+            room = limit
+        packed[-1].append(record)
+        room -= length
+    if len(packed) > segmenting.most_parts:
+        return Failure(_refuse_parts(len(packed), segmenting))
+    joined = [segmenting.boundary.join(part) for part in packed]
+    return Success(Parts(heading, joined))
+
+
+async def answer_in_parts(
+    attempts: Attempts,
+    request: Request,
+    body: CompletionBody,
+    parts: Parts,
+    decision: Decision,
+    deliver: Deliver,
+) -> Result[None, Refusal]:
+    """Answer every part, then deliver the answer that combines them.
+
+    The caller of this function bounds it by the request's deadline.
+    """
+    decision.note('segmented', parts=len(parts.records))
+    answered = await _answer_all(attempts, request, body, parts)
+    if isinstance(answered, Failure):
+        return answered
+    segmenting = request.service.segments
+    combined = segmenting.boundary.join(
+        [parts.heading + segmenting.combine, *answered.unwrap()],
+    )
+    request.prompt_tokens = _estimate(combined, request)
+    return await attempts.answer(
+        request,
+        _PATH,
+        _write_prompt(body, combined),
+        decision,
+        deliver,
+    )
+
+
+# Parts
+
+
+async def _answer_all(
+    attempts: Attempts,
+    request: Request,
+    body: CompletionBody,
+    parts: Parts,
+) -> Result[list[str], Refusal]:
+    """Answer all parts; the first that fails cancels the others."""
+    segmenting = request.service.segments
+    gate = asyncio.Semaphore(segmenting.parallel)
+    try:
+        async with asyncio.TaskGroup() as group:
+            tasks = [
+                group.create_task(
+                    _answer_part(
+                        attempts,
+                        _create_part(request, number),
+                        _write_part(body, parts.heading + records, segmenting),
+                        gate,
+                    ),
+                )
+                for number, records in enumerate(parts.records, 1)
+            ]
+    except ExceptionGroup as failed:
+        refused, others = failed.split(_PartRefusedError)
+        if others is not None:
+            raise
+        return Failure(_refuse_part(refused.exceptions[0].refusal))
+    return Success([task.result() for task in tasks])
+
+
+async def _answer_part(
+    attempts: Attempts,
+    part: Request,
+    body: bytes,
+    gate: asyncio.Semaphore,
+) -> str:
+    payloads: list[bytes] = []
+
+    async def collect(events: list[Event]) -> None:
+        payloads.extend(event.payload for event in events)
+
+    async with gate:
+        outcome = await attempts.answer(
+            part,
+            _PATH,
+            body,
+            Decision.from_request(part),
+            collect,
+        )
+    if isinstance(outcome, Failure):
+        raise _PartRefusedError(outcome.failure())
+    answer = msgspec.json.decode(assemble_answer(payloads), type=_Answer)
+    return answer.choices[0].text
+
+
+@attrs.frozen
+class _Choice:
+    text: str
+
+
+@attrs.frozen
+class _Answer:
+    choices: list[_Choice]
+
+
+def _create_part(request: Request, number: int) -> Request:
+    """Derive a part's request; it may be repeated, whatever the key says.
+
+    The key's claim covers the request as a whole, and the service declared by
+    opting in that its parts are idempotent.
+    """
+    return attrs.evolve(
+        request,
+        request_id=f'{request.request_id}:part{number}',
+        prompt_tokens=request.service.segments.tokens,
+        attempts=0,
+        idempotency_key='',
+    )
+
+
+def _write_part(
+    body: CompletionBody,
+    prompt: str,
+    segmenting: Segmenting,
+) -> bytes:
+    limit = msgspec.Raw(str(segmenting.answer_tokens).encode())
+    fields = {**body.fields, 'max_tokens': limit}
+    return _write_prompt(attrs.evolve(body, fields=fields), prompt)
+
+
+def _write_prompt(body: CompletionBody, prompt: str) -> bytes:
+    encoded = msgspec.Raw(msgspec.json.encode(prompt))
+    fields = {**body.fields, 'prompt': encoded}
+    return attrs.evolve(body, fields=fields).encode_streaming()
+
+
+def _separate_heading(
+    prompt: str,
+    segmenting: Segmenting,
+) -> tuple[str, str]:
+    """Separate what stands before the records from the records."""
+    if not segmenting.heading_end:
+        return '', prompt
+    heading, end, records = prompt.partition(segmenting.heading_end)
+    return (heading + end, records) if end else ('', prompt)
+
+
+def _estimate(prompt: str, request: Request) -> int:
+    return int(len(prompt.encode()) / request.service.bytes_per_token) + 1
+
+
+# Refusals
+
+
+def _refuse_record(length: int, segmenting: Segmenting) -> Refusal:
+    return Refusal(
+        RefusalCode.TOO_LARGE,
+        f'a record of {length} bytes does not fit into a part of '
+        f'{segmenting.tokens} tokens',
+        Step.ADMIT,
+    )
+
+
+def _refuse_parts(count: int, segmenting: Segmenting) -> Refusal:
+    return Refusal(
+        RefusalCode.TOO_LARGE,
+        f'the prompt makes {count} parts; at most {segmenting.most_parts} '
+        'are served',
+        Step.ADMIT,
+    )
+
+
+def _refuse_part(refusal: Refusal) -> Refusal:
+    """Refuse the whole; other parts may have run, so "no" would be untrue."""
+    return attrs.evolve(
+        refusal,
+        message=f'a part failed: {refusal.message}',
+        ran=Ran.UNKNOWN,
+    )
--- a/src/kelproad/protocol/files.py
+++ b/src/kelproad/protocol/files.py
@@ -126,11 +126,24 @@
         service.max_body_bytes,
         f'{path}.max_body_bytes',
     )
+    if service.segments is not None:
+        yield from _check_segments(service, f'{path}.segments')
     deadline = service.deadline
     if not 0 < deadline.default <= deadline.maximum:
         yield f'{path}.deadline', 'must be: 0 < default <= maximum'
 
 
+def _check_segments(service: Service, path: str) -> Iterator[tuple[str, str]]:
+    segmenting = service.segments
+    if service.kind is not ServiceKind.MODEL or not service.may_repeat:
+        yield path, 'only idempotent model services answer in parts'
+    if not segmenting.boundary:
+        yield f'{path}.boundary', 'must not be empty'
+    for name in ('tokens', 'answer_tokens', 'most_parts', 'parallel'):
+        number = getattr(segmenting, name)
+        yield from _require_positive(number, f'{path}.{name}')
+
+
 def _check_workspace(
     workspace: Workspace,
     path: str,
--- a/src/kelproad/state/configuration.py
+++ b/src/kelproad/state/configuration.py
@@ -24,6 +24,7 @@
     'FileContent',
     'Limits',
     'Objective',
+    'Segmenting',
     'Service',
     'ServiceKind',
     'Snapshot',
@@ -93,6 +94,36 @@
     objective: Objective = attrs.field(factory=Objective)
 
 
+@attrs.frozen
+class Segmenting:
+    """How a prompt larger than any engine's memory is answered in parts.
+
+    Attributes
+    ----------
+    tokens
+        Estimated tokens of a part, its heading included.
+    combine
+        Prompt that turns the parts' answers, which follow it, into one.
+    boundary
+        Text between records; a prompt is cut only there.
+    heading_end
+        Text that ends what stands before the records and is repeated in every
+        part; empty when there is no heading.
+    answer_tokens
+        Bound on the answer to a part.
+    most_parts, parallel
+        Bounds on the parts of a prompt and on those answered at a time.
+    """
+
+    tokens: int
+    combine: str
+    boundary: str = '\n'
+    heading_end: str = '\n\n'
+    answer_tokens: int = 512
+    most_parts: int = 32
+    parallel: int = 4
+
+
 @attrs.frozen
 class Service:
     """Something that callers ask for by name.
@@ -110,6 +141,8 @@
         plain service's may not.  GET and HEAD always may.
     bytes_per_token
         Divisor of the prompt-length estimate for this model.
+    segments
+        How larger prompts are answered in parts; left out, they are refused.
     """
 
     name: str
@@ -122,6 +155,7 @@
     deadline: Deadline = attrs.field(factory=Deadline)
     bytes_per_token: float = 4.0
     max_body_bytes: int = 16_777_216
+    segments: Segmenting | None = None
 
     @property
     def may_repeat(self) -> bool:
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -10,15 +10,18 @@
 from tests.conftest import LAGOSTA, REPOSITORY, ROADGRIP
 
 
-@pytest.mark.parametrize('example', [ROADGRIP, LAGOSTA])
-def test_examples_are_valid_together(example: pathlib.Path) -> None:
+@pytest.mark.parametrize(('example', 'count'), [(ROADGRIP, 5), (LAGOSTA, 4)])
+def test_examples_are_valid_together(
+    example: pathlib.Path,
+    count: int,
+) -> None:
     held = {}
     for path in sorted(example.glob('*.yaml')):
         parsed = parse_file(path.read_text(), path.name, held)
         assert isinstance(parsed, Success), parsed
         held[parsed.unwrap().name] = parsed.unwrap()
     services = [item for file in held.values() for item in file.services]
-    assert len(services) == 4
+    assert len(services) == count
 
 
 @pytest.mark.parametrize(
