Count calls from arrival to their last byte, and bound their sending

Cause: a planned stop waited only for requests that were admitted and not yet answered: a body on its way when the stop began was cut, an outcome being recorded could be. A whole answer was sent after the handler, without a bound in time, and counted as sent with up to 64 KB still in the process.

--- /dev/null
+++ b/tests/test_deadlines.py
@@ -0,0 +1,174 @@
+"""A request finishes or fails within its time."""
+
+import asyncio
+import contextlib
+import pathlib
+import socket
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+
+import pytest
+from aiohttp import web
+
+from kelproad.coordination.reception import Call
+from kelproad.coordination.sending import SEND_MARGIN, send_whole
+from kelproad.transport import http
+from kelproad.transport.addresses import Address
+from kelproad.transport.deadlines import monotonic
+from testbed.processes import find_free_address
+from testbed.site import Site, SitePlan, start_site
+from tests.clients import Answer, book, complete
+from tests.conftest import ROADGRIP
+
+#: Seconds by which an answer may miss its deadline on a busy test machine.
+MARGIN = 0.5
+Serve = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+@pytest.fixture(scope='module')
+def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Site]:
+    """Run a site all of whose endpoints are frozen."""
+    plan = SitePlan(example=ROADGRIP, endpoints_per_group=1)
+    directory: pathlib.Path = tmp_path_factory.mktemp('deadlines')
+    with start_site(plan, directory) as started:
+        for endpoint in started.endpoints.values():
+            endpoint.freeze()
+        yield started
+        for endpoint in started.endpoints.values():
+            endpoint.wake()
+
+
+def timed(make_call: Callable[[], Answer]) -> tuple[Answer, float]:
+    """Make a call and tell how long it took."""
+    started = time.monotonic()
+    answer = make_call()
+    return answer, time.monotonic() - started
+
+
+@pytest.mark.parametrize('model', ['roadgrip-report', 'roadgrip-corridor'])
+@pytest.mark.parametrize('stream', [False, True])
+def test_frozen_engine(site: Site, model: str, stream: bool) -> None:
+    """An engine takes a prompt and never answers; the caller hears in time."""
+    headers = {'X-Deadline-Seconds': '1'}
+    answer, taken = timed(
+        lambda: complete(
+            site.callers[0],
+            headers=headers,
+            model=model,
+            stream=stream,
+        ),
+    )
+    assert (answer.status, answer.refusal()['ran']) == (504, 'unknown')
+    assert taken < 1 + MARGIN
+
+
+@pytest.mark.parametrize('key', ['', 'frozen-book'])
+def test_frozen_service(site: Site, key: str) -> None:
+    answer, taken = timed(
+        lambda: book(site.callers[0], 'frozen', key, deadline=1),
+    )
+    assert (answer.status, answer.refusal()['ran']) == (504, 'unknown')
+    assert taken < 1 + MARGIN
+
+
+@pytest.fixture
+async def start_server() -> AsyncIterator[Callable[[Serve], Awaitable[int]]]:
+    """Serve a handler as an instance does, on a port of its own."""
+    servers: list[http.HttpServer] = []
+
+    async def start(handler: Serve) -> int:
+        application = web.Application()
+        application.add_routes([web.get('/', handler)])
+        address = Address.from_text(find_free_address())
+        server = http.HttpServer(application, address)
+        servers.append(server)
+        await server.start()
+        return address.port
+
+    yield start
+    for server in servers:
+        await server.stop()
+
+
+async def test_caller_that_does_not_read(
+    start_server: Callable[[Serve], Awaitable[int]],
+) -> None:
+    """A caller asks for a large answer and reads nothing of it.
+
+    The sending must end with the deadline and a small margin, or such callers
+    would occupy instances, and a planned stop would never end.
+    """
+    sent: list[float] = []
+
+    async def answer(http_request: web.Request) -> web.Response:
+        began = monotonic()
+        call = Call(http_request, 'id', began, began + 0.3)
+        response = web.Response(body=bytes(50_000_000))
+        await send_whole(call, response)
+        sent.append(monotonic() - began)
+        return response
+
+    port = await start_server(answer)
+    _, writer = await asyncio.open_connection('127.0.0.1', port, limit=1024)
+    writer.write(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+    await asyncio.sleep(0.3 + SEND_MARGIN + MARGIN)
+    writer.close()
+    assert len(sent) == 1
+    assert sent[0] < 0.3 + MARGIN
+
+
+async def test_sent_means_handed_to_the_network(
+    start_server: Callable[[Serve], Awaitable[int]],
+) -> None:
+    """A caller reads slowly; its answer is counted until all of it is gone.
+
+    A planned stop that ended earlier would cut what still waits in memory.
+    """
+    left: list[int] = []
+
+    async def answer(http_request: web.Request) -> web.Response:
+        call = Call(http_request, 'id', monotonic(), monotonic() + 10)
+        transport = http_request.transport
+        raw = transport.get_extra_info('socket')
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        response = web.Response(body=bytes(50_000))
+        await send_whole(call, response)
+        left.append(transport.get_write_buffer_size())
+        return response
+
+    port = await start_server(answer)
+    raw = socket.socket()
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    raw.connect(('127.0.0.1', port))
+    reader, writer = await asyncio.open_connection(sock=raw, limit=1024)
+    writer.write(b'GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n')
+    await asyncio.sleep(0.3)
+    assert not left
+    assert len(await reader.read()) > 50_000
+    writer.close()
+    assert left == [0]
+
+
+async def test_slow_headers_are_cut_off(
+    start_server: Callable[[Serve], Awaitable[int]],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A caller sends its headers byte by byte and holds the connection."""
+    monkeypatch.setattr(http, 'HEAD_TIMEOUT', 0.5)
+
+    async def answer(_http_request: web.Request) -> web.Response:
+        await asyncio.sleep(1)
+        return web.Response(text='slow but heard')
+
+    port = await start_server(answer)
+    reader, slow = await asyncio.open_connection('127.0.0.1', port)
+    heard, ordinary = await asyncio.open_connection('127.0.0.1', port)
+    ordinary.write(b'GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n')
+    for byte in b'GET / HTTP/1.1':
+        slow.write(bytes([byte]))
+        await asyncio.sleep(0.01)
+    with contextlib.suppress(ConnectionError):
+        assert not await asyncio.wait_for(reader.read(), 1)
+    assert b'slow but heard' in await heard.read()
+    slow.close()
+    ordinary.close()
