Try another endpoint when connecting to one gets no answer

Cause: the bound of 2 s on connecting was told as a missed deadline, which ends a request, although nothing was sent and time was left. Also, the server kept every connection that lived beyond its first 10 s in a set.

Change: late is what the deadline says; the set holds connections that have not been heard yet, and loses them at their first request.

Before: tests/test_plain_calls.py 1 failed, 4 passed. After: 5 passed; a store that is 0.7 s slow is waited for (tests/test_claims.py).

--- a/src/kelproad/protocol/plain.py
+++ b/src/kelproad/protocol/plain.py
@@ -102,9 +102,10 @@
             async with within(call.deadline):
                 return await self._exchange(url, call, progress)
         except asyncio.TimeoutError:
-            return Failure(
-                _refuse(url, progress, 'no answer in time', late=True)
-            )
+            # Connecting has a bound of its own; when that passed first, there
+            # is time left for another endpoint.
+            late = monotonic() >= call.deadline
+            return Failure(_refuse(url, progress, 'no answer in time', late))
         except (aiohttp.ClientError, OSError) as error:
             return Failure(_refuse(url, progress, repr(error), late=False))
 
--- a/src/kelproad/transport/http.py
+++ b/src/kelproad/transport/http.py
@@ -64,7 +64,7 @@
         self._note_malformed = note_malformed
         self._runner: web.AppRunner | None = None
         self._listener: asyncio.Server | None = None
-        self._heard: set[asyncio.BaseProtocol] = set()
+        self._unheard: set[asyncio.BaseProtocol] = set()
         application.middlewares.insert(0, self._note_heard)
 
     async def on_start(self) -> None:
@@ -102,14 +102,15 @@
         send them byte by byte could hold all connections.
         """
         protocol = self._runner.server()
+        self._unheard.add(protocol)
         loop = asyncio.get_running_loop()
         loop.call_later(HEAD_TIMEOUT, self._expire, protocol)
         return protocol
 
     def _expire(self, protocol: web.RequestHandler) -> None:
-        heard = protocol in self._heard
-        self._heard.discard(protocol)
-        if not heard and protocol.transport is not None:
+        unheard = protocol in self._unheard
+        self._unheard.discard(protocol)
+        if unheard and protocol.transport is not None:
             protocol.transport.abort()
 
     @web.middleware
@@ -118,7 +119,7 @@
         http_request: web.Request,
         handler: Handler,
     ) -> web.StreamResponse:
-        self._heard.add(http_request.protocol)
+        self._unheard.discard(http_request.protocol)
         return await handler(http_request)
 
     def _create_logger(self) -> logging.Logger:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -120,6 +120,17 @@
     assert count_effects(site, 'down') == 1
 
 
+def test_slow_store_is_waited_for(site: Site) -> None:
+    site.set_faults(site.platform_address, delay=0.7)
+    first, taken = timed_book(site, 'slow', seconds=5)
+    assert first.status == 200
+    # The claim is waited for, its outcome only for a moment.
+    assert taken < 0.7 + 0.25 + MARGIN
+    site.set_faults(site.platform_address)
+    wait_for(lambda: book(site.callers[1], 'slow', 'slow').status == 200)
+    assert count_effects(site, 'slow') == 1
+
+
 @pytest.mark.parametrize('lost', ['lose_answers', 'lose_writes'])
 def test_lost_claim_is_taken_up_again(site: Site, lost: str) -> None:
     """The answer to the claim is lost, before or after it took effect.
--- a/tests/test_plain_calls.py
+++ b/tests/test_plain_calls.py
@@ -1,6 +1,8 @@
 """Calls to plain services, made in process against the stand-in service."""
 
+import contextlib
 import json
+import socket
 from collections.abc import AsyncIterator
 
 import pytest
@@ -10,7 +12,7 @@
 from kelproad.protocol.engines import trace_connections
 from kelproad.protocol.plain import PlainCall, PlainClient
 from kelproad.standins.service import ServiceStandIn
-from kelproad.state.refusals import Ran
+from kelproad.state.refusals import Ran, RefusalCode
 from kelproad.transport.deadlines import monotonic
 from kelproad.transport.http import create_fresh_session
 
@@ -91,3 +93,28 @@
 async def test_refused_connection_is_not_run(client: PlainClient) -> None:
     refused = await client.call('http://127.0.0.1:9', put_entry())
     assert refused.failure().ran is Ran.NO
+
+
+async def test_silent_connection_leaves_time_for_another(
+    client: PlainClient,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An endpoint's zone is cut off, so that connecting gets no answer.
+
+    The bound on connecting passes long before the deadline.  Told as a missed
+    deadline, the call was given up although another endpoint could serve it.
+    """
+    monkeypatch.setattr('kelproad.protocol.plain.CONNECT_TIMEOUT', 0.2)
+    with contextlib.ExitStack() as sockets:
+        # The system drops further connections once the queue is full.
+        listener = sockets.enter_context(socket.create_server(('127.0.0.1', 0)))
+        listener.listen(0)
+        address = listener.getsockname()
+        for _ in range(4):
+            waiting = sockets.enter_context(socket.socket())
+            waiting.setblocking(False)
+            waiting.connect_ex(address)
+        url = f'http://127.0.0.1:{address[1]}'
+        refused = await client.call(url, put_entry())
+    assert refused.failure().ran is Ran.NO
+    assert refused.failure().code is RefusalCode.ENDPOINT_FAILED
