--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -10,7 +10,8 @@
 from aioprometheus import render
 
 from ..protocol import callers
-from ..protocol.engines import EngineClient, trace_connections
+from ..protocol.connections import trace_connections
+from ..protocol.engines import EngineClient
 from ..protocol.plain import PlainClient
 from ..protocol.platform import PlatformClient
 from ..protocol.settings import Settings
@@ -33,6 +34,7 @@
 from .entry import Entry
 from .membership import Membership
 from .operators import OperatorApi
+from .orphans import OrphanWatch
 from .plain import PlainCalls
 from .reclamation import Canceller
 from .watch import Watch
@@ -147,6 +149,16 @@
             self._follower,
             self._membership,
             Watch(identity, table, members, engines),
+            OrphanWatch(
+                identity,
+                self._holder,
+                table,
+                members,
+                engines,
+                self._canceller.holdings,
+                self._counters,
+                settings.forgotten_after,
+            ),
             self._entry,
         ):
             await self.add_runtime_dependency(service)
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -35,6 +35,10 @@
             'kelproad_streams_resumed_total',
             'Broken streams taken up again, by way.',
         )
+        self.streams_broken = self._counter(
+            'kelproad_streams_broken_total',
+            'Connections of engines that did not bring the end, by ending.',
+        )
         self.claims = self._counter(
             'kelproad_claims_total',
             'Idempotency claims, by outcome.',
@@ -59,6 +63,10 @@
             'kelproad_cancels_total',
             'Releases of engine memory, by reason and outcome.',
         )
+        self.orphans = self._counter(
+            'kelproad_orphans_total',
+            'Holdings of engines without an owner, by evidence and outcome.',
+        )
         self.operator_calls = self._counter(
             'kelproad_operator_calls_total',
             'Calls of the operator API, by outcome.',
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -115,6 +115,13 @@
     assert answer.status == 503
     assert answer.refusal()['ran'] == 'no'
     assert taken < 1
+    request_id = answer.refusal()['request_id']
+    told = site.control(
+        site.instances[0].operator,
+        'GET',
+        f'/operator/explain/{request_id}',
+    )
+    assert told['steps'][-1]['outcome'] == 'claim_unrecorded'
     site.set_faults(site.platform_address)
     assert book(site.callers[0], 'down', 'down').status == 200
     assert count_effects(site, 'down') == 1
