Ask callers to leave kept connections during a planned stop

Cause: a call that arrives on a kept connection in the moment of the exit is reset, and its sender cannot tell whether it ran.

Change: answers of a leaving instance say Connection: close. Endings of requests move out of entry.py.

Before: test_stream_goes_on_and_late_calls_are_served failed with its new check. After: tests/test_drain.py and tests/test_path.py, 18 passed.

--- a/src/kelproad/coordination/entry.py
+++ b/src/kelproad/coordination/entry.py
@@ -9,7 +9,6 @@
 from collections.abc import Awaitable, Callable, Coroutine
 
 from aiohttp import web
-from multidict import CIMultiDict
 from returns.result import Failure, Result, Success
 
 from ..protocol import callers
@@ -22,11 +21,10 @@
 )
 from ..state.counters import Counters
 from ..state.identity import Identity
-from ..state.refusals import Ran, Refusal, RefusalCode, Step
+from ..state.refusals import Ran, Refusal
 from ..state.requests import (
     Decision,
     DecisionLog,
-    Phase,
     Request,
     RequestTable,
 )
@@ -40,6 +38,12 @@
     WholeDelivery,
     create_answer_buffers,
 )
+from .outcomes import (
+    record_answer,
+    refuse_gone,
+    refuse_late,
+    repeat_answer,
+)
 from .plain import PlainCalls
 from .reception import (
     RECEIVE_TIMEOUT,
@@ -244,7 +248,7 @@
         claim = acquired.unwrap()
         if isinstance(claim, RecordedAnswer):
             self._end(request, self._begin(request), acquired)
-            return _repeat_answer(claim, request.request_id)
+            return repeat_answer(claim, request.request_id)
         try:
             if body is None:
                 return await self._call_plain(arrival, request, claim)
@@ -264,7 +268,7 @@
         if claim is None:
             return
         if isinstance(outcome, Success):
-            answer = _record_answer(outcome.unwrap())
+            answer = record_answer(outcome.unwrap())
             await self._claims.record(claim, answer, request.deadline)
         elif outcome.failure().ran is Ran.NO:
             self._claims.release(claim)
@@ -310,7 +314,7 @@
         delivery: StreamDelivery | WholeDelivery,
     ) -> Result[None, Refusal]:
         decision = self._begin(request)
-        outcome: Result[None, Refusal] = Failure(_refuse_late(request))
+        outcome: Result[None, Refusal] = Failure(refuse_late(request))
         if request.remaining(monotonic()) <= 0:
             # An owner that was paused after its claim wakes too late.  The
             # caller has given up, so the work must not be begun any more.
@@ -326,9 +330,9 @@
                     delivery,
                 )
         except asyncio.TimeoutError:
-            outcome = Failure(_refuse_late(request))
+            outcome = Failure(refuse_late(request))
         except CallerGoneError:
-            outcome = Failure(_refuse_gone())
+            outcome = Failure(refuse_gone())
         finally:
             self._end(request, decision, outcome)
         return outcome.alt(request.complete_refusal)
@@ -350,7 +354,7 @@
             body=arrival.body,
             deadline=request.deadline,
         )
-        outcome: Result[web.Response, Refusal] = Failure(_refuse_late(request))
+        outcome: Result[web.Response, Refusal] = Failure(refuse_late(request))
         try:
             answered = await self._plain_calls.answer(request, call, decision)
             outcome = answered.map(
@@ -416,43 +420,3 @@
     """Return the part of the raw path that the service itself sees."""
     _, _, rest = http_request.raw_path.removeprefix('/services/').partition('/')
     return f'/{rest}'
-
-
-def _record_answer(response: web.StreamResponse) -> RecordedAnswer:
-    body = response.body if isinstance(response, web.Response) else b''
-    headers = [
-        (str(name), text)
-        for name, text in response.headers.items()
-        if name != callers.REQUEST_ID_HEADER
-    ]
-    return RecordedAnswer(response.status, headers, bytes(body or b''))
-
-
-def _repeat_answer(answer: RecordedAnswer, request_id: str) -> web.Response:
-    headers = CIMultiDict(answer.headers)
-    headers[callers.REQUEST_ID_HEADER] = request_id
-    headers[callers.REPLAYED_HEADER] = 'true'
-    return web.Response(
-        status=answer.status,
-        body=answer.body,
-        headers=headers,
-    )
-
-
-def _refuse_late(request: Request) -> Refusal:
-    dispatched = request.phase is not Phase.ADMITTED
-    return Refusal(
-        RefusalCode.DEADLINE_EXCEEDED,
-        'the answer was not complete by the deadline',
-        Step.RELAY if dispatched else Step.ROUTE,
-        ran=Ran.UNKNOWN if dispatched else Ran.NO,
-    )
-
-
-def _refuse_gone() -> Refusal:
-    return Refusal(
-        RefusalCode.DEADLINE_EXCEEDED,
-        'the caller closed its connection',
-        Step.RELAY,
-        ran=Ran.UNKNOWN,
-    )
--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -199,6 +199,7 @@
         caller_side = web.Application(
             middlewares=[self._refuse_on_error, self._refuse_when_leaving],
         )
+        caller_side.on_response_prepare.append(self._close_when_leaving)
         caller_side.add_routes(
             [
                 *entry.routes(),
@@ -256,6 +257,20 @@
             _logger.exception('unexpected error in %s', http_request.path)
             return callers.answer_refusal(_refuse_fault(), '')
 
+    async def _close_when_leaving(
+        self,
+        _http_request: web.Request,
+        response: web.StreamResponse,
+    ) -> None:
+        """Have callers leave kept connections while they are told so.
+
+        A call that arrives on a kept connection in the moment of the exit is
+        reset, and its sender cannot tell whether it ran.
+        """
+        if self._drain.phase is not DrainPhase.SERVING:
+            response.headers['Connection'] = 'close'
+            response.force_close()
+
     async def _answer_ready(self, _http_request: web.Request) -> web.Response:
         if self._drain.phase is not DrainPhase.SERVING:
             return callers.answer_refusal(_refuse_leaving(), '')
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
+from http import client
 
 import pytest
 
@@ -64,6 +65,16 @@
     instance.process.send_signal(signal.SIGTERM)
 
 
+def is_closing(instance: InstanceProcess) -> bool:
+    """Tell whether callers are asked to leave their kept connections."""
+    kept = client.HTTPConnection(instance.caller, timeout=ENDED)
+    with contextlib.closing(kept):
+        kept.request('GET', '/healthz')
+        answer = kept.getresponse()
+        answer.read()
+        return answer.getheader('Connection') == 'close'
+
+
 def slow_books(site: Site, delay: float) -> None:
     """Let the services answer late, after the effect."""
     for address in list_books(site):
@@ -88,9 +99,11 @@
         max_tokens=1200,
     )
     time.sleep(0.5)
+    assert not is_closing(instance)
     begin_stop(instance)
     time.sleep(0.2)
     assert call(instance.caller, '/readyz').status == 503
+    assert is_closing(instance)
     assert complete(instance.caller).status == 200
     begin_stop(instance)
     time.sleep(GRACE)
