Order engines towards what the files declare, under a lease

Cause: nothing carried a declared version to the engines.

Change: desired state per managed engine (append-only fields managed, role, max_loading, adapters); a holder a zone by a lease with a fencing token in the platform's table (one row a zone, four renewals a lease, no clocks compared); each pass reads what engines report and orders the difference. Withheld engines are told to all by gossip, drained, then ordered; never the last ready one; a version that fails twice stops and the engines that failed go back.

Found while testing: a renewal that conflicts with an earlier one of ours whose answer was lost must count from the earlier one; counted from the later, holder and successor could overlap by up to a renewal period. The stand-in's late write never landed, because the server cancels the handler of a broken connection, so test_write_that_lands_late had not tried what it says: it now lands in a task of its own, and the test asserts the landing.

--- a/src/kelproad/coordination/dump.py
+++ b/src/kelproad/coordination/dump.py
@@ -14,6 +14,7 @@
 from .configuration import ConfigurationFollower
 from .lag import describe_lag, summarize_zones
 from .membership import Membership
+from .orders import OrderKeeper
 from .reclamation import Canceller
 
 __all__ = ['Dump']
@@ -33,6 +34,7 @@
     follower: ConfigurationFollower
     membership: Membership
     canceller: Canceller
+    orders: OrderKeeper
 
     def summarize(self) -> Fields:
         """Describe the site as this instance sees it, briefly."""
@@ -53,6 +55,7 @@
             'pending': [
                 attrs.asdict(item) for item in snapshot.pending.values()
             ],
+            'orders': self.orders.describe(),
             'zones': [attrs.asdict(zone) for zone in summarize_zones(lags)],
             'members': [attrs.asdict(lag) for lag in lags],
             'endpoints': [
--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -10,6 +10,7 @@
 
 from ..protocol import callers
 from ..protocol.engines import EngineClient, trace_connections
+from ..protocol.orders import OrderClient
 from ..protocol.plain import PlainClient
 from ..protocol.platform import PlatformClient
 from ..protocol.settings import Settings
@@ -33,6 +34,7 @@
 from .entry import Entry
 from .membership import Membership
 from .operators import OperatorApi
+from .orders import OrderKeeper
 from .plain import PlainCalls
 from .reclamation import Canceller
 from .watch import Watch
@@ -102,6 +104,17 @@
             self._counters,
             generator,
         )
+        orders = OrderKeeper(
+            identity,
+            self._holder,
+            table,
+            members,
+            self._follower,
+            platform,
+            OrderClient(self._open_session(fresh=True)),
+            self._counters,
+            settings.lease_seconds,
+        )
         entry = Entry(
             identity,
             self._holder,
@@ -137,6 +150,7 @@
                 self._follower,
                 self._membership,
                 self._canceller,
+                orders,
             ),
             decisions,
             self._counters,
@@ -147,6 +161,7 @@
             self._follower,
             self._membership,
             Watch(identity, table, members, engines),
+            orders,
             entry,
         ):
             await self.add_runtime_dependency(service)
--- /dev/null
+++ b/src/kelproad/coordination/leases.py
@@ -0,0 +1,208 @@
+"""Leases in the platform's table, each with a fencing token.
+
+A lease is a row that its holder rewrites in time.  No clocks are compared: a
+contender takes the row over once it has seen the same version of it for longer
+than the lease lasts, by its own monotonic clock.  The holder counts its lease
+from before it sent the renewal, so it stops no later than anyone may begin.
+"""
+
+from collections.abc import Callable
+
+import attrs
+import msgspec
+from returns.result import Failure, Success
+
+from ..protocol.platform import (
+    ABSENT,
+    PlatformClient,
+    StoreErrorKind,
+    Write,
+)
+from ..transport.deadlines import monotonic
+
+__all__ = ['LEASE_SECONDS', 'Lease', 'LeaseBody']
+
+_TABLE = 'leases'
+LEASE_SECONDS = 10.0
+#: Renewals in the time of a lease; two may fail without harm.
+_RENEWALS = 4
+#: Part of a second by which clocks of two machines may run apart in a lease.
+_CLOCK_MARGIN = 0.5
+_STORE_TIMEOUT = 2.0
+
+
+@attrs.frozen
+class LeaseBody:
+    """What the row of a lease holds.
+
+    Attributes
+    ----------
+    holder
+        Instance and incarnation; empty after it was given back.
+    token
+        Fencing token, which grows with every change of the holder.
+    note
+        What the holder leaves to its successor.
+    """
+
+    holder: str
+    token: int
+    note: str = ''
+
+
+class Lease:
+    """One lease, as held or contended for by this process."""
+
+    def __init__(
+        self,
+        name: str,
+        holder: str,
+        platform: PlatformClient,
+        seconds: float = LEASE_SECONDS,
+        now: Callable[[], float] = monotonic,
+    ) -> None:
+        """Prepare to contend for a lease; nothing is held yet."""
+        self._seconds = seconds
+        self._name = name
+        self._holder = holder
+        self._platform = platform
+        self._now = now
+        self._version = ABSENT
+        self._seen_at = float('-inf')
+        self._valid_until = float('-inf')
+        self._renewed_at = float('-inf')
+        #: When the first write on top of the known version was sent.
+        self._tried_at: float | None = None
+        self.body = LeaseBody('', 0)
+        self.note = ''
+        #: When this process became the holder.
+        self.taken_at = float('-inf')
+        self.writes = 0
+
+    @property
+    def is_held(self) -> bool:
+        """Whether this process holds it at this very moment."""
+        return self.remaining > 0
+
+    @property
+    def remaining(self) -> float:
+        """Seconds for which it is still held; zero or less when it is not."""
+        return self._valid_until - self._now()
+
+    async def keep(self) -> bool:
+        """Renew it, or take it if it is free; tell whether it is held."""
+        if self.is_held:
+            since = self._now() - self._renewed_at
+            is_due = since >= self._seconds / _RENEWALS
+            if is_due or self.note != self.body.note:
+                await self._write(attrs.evolve(self.body, note=self.note))
+            return self.is_held
+        await self._look()
+        if self._is_free():
+            body = LeaseBody(self._holder, self.body.token + 1, self.body.note)
+            await self._write(body)
+        return self.is_held
+
+    async def give_back(self) -> None:
+        """Let the next holder begin at once."""
+        if self.is_held:
+            body = attrs.evolve(self.body, holder='')
+            self._valid_until = float('-inf')
+            await self._platform.transact(
+                [self._encode(body)],
+                _STORE_TIMEOUT,
+            )
+
+    def drop(self) -> None:
+        """Stop acting as the holder, because a newer one was met."""
+        self._valid_until = float('-inf')
+
+    def _is_free(self) -> bool:
+        if not self.body.holder:
+            return self._seen_at > float('-inf')
+        unchanged_for = self._now() - self._seen_at
+        return unchanged_for > self._seconds + _CLOCK_MARGIN
+
+    async def _look(self) -> None:
+        """Read the row; a version not seen before starts the wait anew."""
+        found = await self._platform.read_row(
+            _TABLE,
+            self._name,
+            _STORE_TIMEOUT,
+        )
+        if isinstance(found, Failure):
+            # What happened meanwhile is unknown: the wait starts anew.
+            self._seen_at = self._now()
+            return
+        row = found.unwrap()
+        version = row.version if row else ABSENT
+        is_first = self._seen_at == float('-inf')
+        if is_first or version != self._version:
+            self._version = version
+            self._tried_at = None
+            self._seen_at = self._now()
+            self.body = (
+                msgspec.json.decode(row.body, type=LeaseBody)
+                if row
+                else LeaseBody('', 0)
+            )
+            self.note = self.body.note
+
+    async def _write(self, body: LeaseBody) -> None:
+        sent_at = self._now()
+        if self._tried_at is None:
+            self._tried_at = sent_at
+        written = await self._platform.transact(
+            [self._encode(body)],
+            _STORE_TIMEOUT,
+        )
+        self.writes += 1
+        if isinstance(written, Success):
+            self._take(body, sent_at)
+        elif written.failure().kind is not StoreErrorKind.UNAVAILABLE:
+            await self._settle(body)
+
+    async def _settle(self, body: LeaseBody) -> None:
+        """Read back after a conflict or a lost answer.
+
+        The holder and token that were to be written, at the next version,
+        mean that a write of ours took effect.  It may have been an earlier
+        one whose answer was lost, so the lease counts from before the first
+        of them was sent.
+        """
+        found = await self._platform.read_row(
+            _TABLE,
+            self._name,
+            _STORE_TIMEOUT,
+        )
+        row = found.value_or(None)
+        if row is None:
+            return
+        standing = msgspec.json.decode(row.body, type=LeaseBody)
+        is_ours = (standing.holder, standing.token) == (
+            self._holder,
+            body.token,
+        )
+        if is_ours and row.version == self._version + 1:
+            self._take(standing, self._tried_at or float('-inf'))
+        elif not is_ours and row.version != self._version:
+            self.drop()
+            self._version = row.version
+            self._tried_at = None
+            self._seen_at = self._now()
+            self.body = standing
+
+    def _take(self, body: LeaseBody, sent_at: float) -> None:
+        if body.token != self.body.token:
+            self.taken_at = self._now()
+        self._version += 1
+        self._tried_at = None
+        self.body = body
+        self.note = self.note or body.note
+        self._renewed_at = sent_at
+        self._seen_at = sent_at
+        self._valid_until = sent_at + self._seconds
+
+    def _encode(self, body: LeaseBody) -> Write:
+        encoded = msgspec.json.encode(body).decode()
+        return Write(_TABLE, self._name, encoded, self._version)
--- a/src/kelproad/coordination/membership.py
+++ b/src/kelproad/coordination/membership.py
@@ -160,6 +160,7 @@
             configuration_age=self._follower.finite_age,
             configuration_fault=self._follower.fault,
             pending_files=list(self._holder.current.pending),
+            withheld=sorted(self._table.withheld_here),
             dispatched={
                 name: endpoint.own_tokens
                 for name, endpoint in self._table.all().items()
--- /dev/null
+++ b/src/kelproad/coordination/rollout.py
@@ -0,0 +1,276 @@
+"""Rollout: which orders an engine fleet needs next, decided without any I/O.
+
+An engine whose model must be replaced is first withheld from new requests,
+then drained, then ordered.  That happens to few engines at a time, and never
+to the last one that is ready for a model in its zone.
+"""
+
+from collections.abc import Mapping
+
+import attrs
+
+from ..state.orders import (
+    DesiredModel,
+    DesiredState,
+    EngineState,
+    ModelPhase,
+    ModelState,
+    Order,
+    OrderKind,
+    find_model,
+)
+
+__all__ = ['Failed', 'Plan', 'Situation', 'plan_orders']
+
+#: Seconds for which an engine is withheld before its streams are counted, so
+#: that every instance has heard of it and none sends it another request.
+SPREAD_SECONDS = 3.0
+
+
+@attrs.frozen
+class Failed:
+    """A version of a model whose rollout stopped because it failed."""
+
+    model: str
+    version: str
+    generation: int
+
+
+@attrs.frozen
+class Situation:
+    """Everything that decides the next orders of one zone.
+
+    Attributes
+    ----------
+    observed
+        What each engine reported just now; an engine that did not answer is
+        left out.
+    withheld
+        Engines withheld, with the monotonic time since when.
+    not_before
+        Engines that the weight store turned away, with the monotonic time
+        from which they may try again.
+    """
+
+    desired: Mapping[str, DesiredState]
+    observed: Mapping[str, EngineState]
+    withheld: Mapping[str, float]
+    stopped: frozenset[Failed]
+    not_before: Mapping[str, float]
+    token: int
+    now: float
+
+
+@attrs.define
+class Plan:
+    """The next orders, the engines to withhold, and what to tell people."""
+
+    orders: list[tuple[str, Order]] = attrs.field(factory=list)
+    withheld: dict[str, float] = attrs.field(factory=dict)
+    notes: dict[str, str] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class _Difference:
+    """An order that is needed, and whether it takes something away."""
+
+    order: Order
+    is_disruptive: bool
+
+
+def plan_orders(situation: Situation) -> Plan:
+    """Plan the next orders of a zone."""
+    plan = Plan()
+    busy = _count_busy(situation)
+    for endpoint in sorted(situation.desired):
+        state = situation.observed.get(endpoint)
+        if state is None:
+            plan.notes[endpoint] = 'does not answer'
+            continue
+        found = _find_differences(situation, endpoint, state)
+        if found:
+            group = situation.desired[endpoint].group
+            inside = busy.setdefault(group.name, set())
+            _plan_in_turn(situation, plan, endpoint, found, inside)
+        else:
+            _note_loading(situation, plan, endpoint)
+    return plan
+
+
+def _plan_in_turn(
+    situation: Situation,
+    plan: Plan,
+    endpoint: str,
+    found: list[_Difference],
+    busy: set[str],
+) -> None:
+    limit = situation.desired[endpoint].group.max_loading
+    if endpoint not in busy and len(busy) >= limit:
+        plan.notes[endpoint] = 'waits for others to load'
+    elif _plan_endpoint(situation, plan, endpoint, found):
+        busy.add(endpoint)
+
+
+def _plan_endpoint(
+    situation: Situation,
+    plan: Plan,
+    endpoint: str,
+    found: list[_Difference],
+) -> bool:
+    """Plan for one engine; tell whether it now counts as loading."""
+    not_before = situation.not_before.get(endpoint, situation.now)
+    if situation.now < not_before:
+        plan.notes[endpoint] = 'waits for the weight store'
+        _keep_withheld(situation, plan, endpoint)
+        return False
+    if any(difference.is_disruptive for difference in found):
+        only = _find_only_ready(situation, plan, endpoint)
+        if only:
+            plan.notes[endpoint] = f'is the last one ready for {only}'
+            return False
+        since = situation.withheld.get(endpoint, situation.now)
+        plan.withheld[endpoint] = since
+        running = situation.observed[endpoint].running
+        if situation.now - since < SPREAD_SECONDS or running:
+            plan.notes[endpoint] = f'draining, {running} streams'
+            return True
+    _keep_withheld(situation, plan, endpoint)
+    plan.notes[endpoint] = 'ordered'
+    plan.orders += [(endpoint, difference.order) for difference in found]
+    return True
+
+
+def _keep_withheld(situation: Situation, plan: Plan, endpoint: str) -> None:
+    since = situation.withheld.get(endpoint)
+    if since is not None:
+        plan.withheld[endpoint] = since
+
+
+def _count_busy(situation: Situation) -> dict[str, set[str]]:
+    """Collect by group the engines that are loading or withheld."""
+    busy: dict[str, set[str]] = {}
+    for endpoint, desired in situation.desired.items():
+        state = situation.observed.get(endpoint)
+        is_loading = state is not None and any(
+            item.phase is ModelPhase.LOADING for item in state.models
+        )
+        if is_loading or endpoint in situation.withheld:
+            busy.setdefault(desired.group.name, set()).add(endpoint)
+    return busy
+
+
+def _find_differences(
+    situation: Situation,
+    endpoint: str,
+    state: EngineState,
+) -> list[_Difference]:
+    desired = situation.desired[endpoint]
+    found = []
+    for wanted in desired.models:
+        difference = _compare(
+            _choose_version(situation, desired, wanted),
+            find_model(state, wanted.model),
+            situation.token,
+        )
+        if difference is not None:
+            found.append(difference)
+    names = {wanted.model for wanted in desired.models}
+    for held in state.models:
+        if held.model not in names:
+            order = Order(
+                OrderKind.UNLOAD,
+                situation.token,
+                desired.generation,
+                held.model,
+            )
+            found.append(_Difference(order, is_disruptive=True))
+    if state.role is not desired.group.role:
+        order = Order(
+            OrderKind.ROLE,
+            situation.token,
+            desired.generation,
+            role=desired.group.role,
+        )
+        found.append(_Difference(order, is_disruptive=True))
+    return found
+
+
+def _compare(
+    wanted: DesiredModel,
+    held: ModelState | None,
+    token: int,
+) -> _Difference | None:
+    order = Order(
+        OrderKind.LOAD,
+        token,
+        wanted.generation,
+        wanted.model,
+        wanted.version,
+        wanted.adapters,
+    )
+    if held is None:
+        return _Difference(order, is_disruptive=False)
+    is_version = wanted.version in {'', held.version}
+    is_same = is_version and sorted(held.adapters) == wanted.adapters
+    if is_same and held.phase is not ModelPhase.FAILED:
+        return None
+    is_ready = held.phase is ModelPhase.READY
+    # Adapters are exchanged beside the streams; only a version is not.
+    return _Difference(order, is_disruptive=is_ready and not is_version)
+
+
+def _choose_version(
+    situation: Situation,
+    desired: DesiredState,
+    wanted: DesiredModel,
+) -> DesiredModel:
+    """Choose the version wanted, or while that failed the one that works.
+
+    The engines that were not changed still run the earlier version; those on
+    which the new one failed go back to it.
+    """
+    failed = Failed(wanted.model, wanted.version, wanted.generation)
+    if failed not in situation.stopped:
+        return wanted
+    versions = [
+        held.version
+        for endpoint, state in situation.observed.items()
+        if situation.desired[endpoint].group.name == desired.group.name
+        and (held := find_model(state, wanted.model))
+        and held.phase is ModelPhase.READY
+        and held.version != wanted.version
+    ]
+    if not versions:
+        return wanted
+    common = max(sorted(set(versions)), key=versions.count)
+    return attrs.evolve(wanted, version=common)
+
+
+def _find_only_ready(
+    situation: Situation,
+    plan: Plan,
+    endpoint: str,
+) -> str:
+    """Find a model for which no other engine of the zone is ready."""
+    withheld = {*situation.withheld, *plan.withheld}
+    for wanted in situation.desired[endpoint].models:
+        ready = {
+            name
+            for name, state in situation.observed.items()
+            if (held := find_model(state, wanted.model))
+            and held.phase is ModelPhase.READY
+        }
+        if endpoint in ready and not ready - withheld - {endpoint}:
+            return wanted.model
+    return ''
+
+
+def _note_loading(situation: Situation, plan: Plan, endpoint: str) -> None:
+    loading = [
+        f'{item.model} {item.version}'
+        for item in situation.observed[endpoint].models
+        if item.phase is ModelPhase.LOADING
+    ]
+    if loading:
+        plan.notes[endpoint] = f'loading {", ".join(loading)}'
+        _keep_withheld(situation, plan, endpoint)
--- a/src/kelproad/protocol/files.py
+++ b/src/kelproad/protocol/files.py
@@ -170,6 +170,7 @@
 def _check_group(group: EndpointGroup, path: str) -> Iterator[tuple[str, str]]:
     yield from _check_name(group.name, f'{path}.name')
     yield from _require_positive(group.memory_tokens, f'{path}.memory_tokens')
+    yield from _require_positive(group.max_loading, f'{path}.max_loading')
     yield from _require_positive(
         group.prefill_tokens_per_second,
         f'{path}.prefill_tokens_per_second',
--- /dev/null
+++ b/src/kelproad/protocol/orders.py
@@ -0,0 +1,76 @@
+"""The orders API of a model engine: its state, and orders to change it."""
+
+import asyncio
+import enum
+
+import aiohttp
+import msgspec
+
+from ..state.orders import EngineState, Order
+from ..transport.deadlines import monotonic, within
+
+__all__ = ['ORDER_TIMEOUT', 'OrderClient', 'OrderOutcome']
+
+_OK = 200
+_CONFLICT = 409
+#: Seconds after which an order that was not answered is given up.
+ORDER_TIMEOUT = 1.0
+
+
+class OrderOutcome(enum.StrEnum):
+    """What is known of an order after it was given."""
+
+    ACCEPTED = 'accepted'
+    #: The engine has seen a higher fencing token.
+    FENCED = 'fenced'
+    REFUSED = 'refused'
+    #: No answer; the engine may have taken it, or may yet.
+    UNKNOWN = 'unknown'
+
+
+class OrderClient:
+    """Calls the orders API of engines.
+
+    The session must not send again by itself: a repeated order could arrive
+    after the lease under which it was given.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        """Call over a session that uses each connection once."""
+        self._session = session
+
+    async def read_state(self, url: str, timeout: float) -> EngineState | None:
+        """Ask an engine for its state, ``None`` when it does not answer."""
+        try:
+            async with within(monotonic() + timeout):
+                async with self._session.get(
+                    f'{url}/v1/state',
+                    allow_redirects=False,
+                ) as response:
+                    body = await response.read()
+        except (aiohttp.ClientError, OSError, asyncio.TimeoutError):
+            return None
+        if response.status != _OK:
+            return None
+        try:
+            return msgspec.json.decode(body, type=EngineState)
+        except msgspec.DecodeError:
+            return None
+
+    async def give(self, url: str, order: Order) -> OrderOutcome:
+        """Give an order; it asks for a state, so it may be repeated."""
+        try:
+            async with within(monotonic() + ORDER_TIMEOUT):
+                async with self._session.post(
+                    f'{url}/v1/orders',
+                    data=msgspec.json.encode(order),
+                    allow_redirects=False,
+                ) as response:
+                    await response.read()
+        except (aiohttp.ClientError, OSError, asyncio.TimeoutError):
+            return OrderOutcome.UNKNOWN
+        if response.status == _OK:
+            return OrderOutcome.ACCEPTED
+        if response.status == _CONFLICT:
+            return OrderOutcome.FENCED
+        return OrderOutcome.REFUSED
--- a/src/kelproad/protocol/settings.py
+++ b/src/kelproad/protocol/settings.py
@@ -52,6 +52,9 @@
         a lagging balancer sends.
     drain_limit
         Seconds after which a stopping instance no longer waits for requests.
+    lease_seconds
+        Seconds for which the holder of a zone's orders may give them without
+        renewing its lease; the same at every instance.
     """
 
     instance: str
@@ -69,6 +72,7 @@
     log_format: LogFormat = LogFormat.PLAIN
     log_level: str = 'INFO'
     assert_invariants: bool = False
+    lease_seconds: float = 10.0
 
     @property
     def reachable_peer_address(self) -> str:
--- a/src/kelproad/standins/batch.py
+++ b/src/kelproad/standins/batch.py
@@ -46,6 +46,9 @@
         Seconds by which cache events and load reports are late.
     event_gap
         Every how many cache events one is lost; 0 for never.
+    weights_address
+        ``IP:port`` of the platform's weight store; without it, loads fetch
+        nothing.
     """
 
     prefill_tokens_per_second: float = 15_000.0
@@ -60,6 +63,7 @@
     event_lag: float = 1.0
     event_gap: int = 0
     default_max_tokens: int = 16
+    weights_address: str = ''
 
     @classmethod
     def from_file(cls, path: pathlib.Path | None) -> Self:
--- a/src/kelproad/standins/engine.py
+++ b/src/kelproad/standins/engine.py
@@ -19,6 +19,7 @@
     count_tokens,
     digest_blocks,
 )
+from .orders import OrderedModels, fetch_weights, skip_weights
 
 __all__ = ['EngineSettings', 'EngineStandIn']
 
@@ -63,13 +64,20 @@
     def __init__(self, settings: EngineSettings, models: list[str]) -> None:
         """Serve models from empty memory."""
         self._settings = settings
-        self._models = models
         self._batch = Batch(settings)
         self._streams: dict[str, Stream] = {}
         self._cancelled: dict[str, None] = {}
         self._faults = _Faults()
         self._leaving = False
         self._incarnation = str(time.time_ns())
+        weights = settings.weights_address
+        self._orders = OrderedModels(
+            models,
+            self._incarnation,
+            settings.enforces_fencing,
+            fetch_weights(weights) if weights else skip_weights,
+            lambda: len(self._streams),
+        )
         self._loads: list[tuple[float, dict[str, object]]] = []
         self._ran: list[str] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -91,6 +99,8 @@
                 web.get('/control/ran', self._show_ran),
             ],
         )
+        application.add_routes(self._orders.routes())
+        application.on_cleanup.append(self._orders.stop)
         application.on_startup.append(self._start)
         application.on_cleanup.append(self._stop)
         return application
@@ -283,7 +293,7 @@
             'waiting_tokens': self._batch.waiting_tokens,
             'running': self._batch.running,
             'used_tokens': self._batch.used_tokens,
-            'models': self._models,
+            'models': self._orders.list_ready(),
         }
 
     async def _list_cache_events(
--- a/src/kelproad/standins/platform.py
+++ b/src/kelproad/standins/platform.py
@@ -75,6 +75,7 @@
         ]
         self._weights = asyncio.Semaphore(weight_loads)
         self.faults = Faults()
+        self._landings: set[asyncio.Task[None]] = set()
         self.calls: collections.Counter[str] = collections.Counter()
 
     def create_application(self) -> web.Application:
@@ -137,14 +138,26 @@
         if faults.late_writes > 0:
             faults.late_writes -= 1
             await http_request.read()
+            # A task of its own: the server cancels the handler of a connection
+            # that is gone.
+            landing = asyncio.create_task(self._land(http_request, handler))
+            self._landings.add(landing)
             http_request.transport.abort()
-            await asyncio.sleep(faults.lateness)
+            return web.Response()
         answer = await handler(http_request)
         if faults.lose_answers > 0:
             faults.lose_answers -= 1
             http_request.transport.abort()
         return answer
 
+    async def _land(
+        self,
+        http_request: web.Request,
+        handler: Handler,
+    ) -> None:
+        await asyncio.sleep(self.faults.lateness)
+        await handler(http_request)
+
     # Tables
 
     async def _transact(self, http_request: web.Request) -> web.Response:
--- a/src/kelproad/state/configuration.py
+++ b/src/kelproad/state/configuration.py
@@ -20,6 +20,7 @@
     'EndpointDeclaration',
     'EndpointGroup',
     'EndpointKind',
+    'EngineRole',
     'Fencing',
     'FileContent',
     'Limits',
@@ -62,6 +63,14 @@
     IGNORED = 'ignored'
 
 
+class EngineRole(enum.StrEnum):
+    """Which part of a request an engine computes."""
+
+    BOTH = 'both'
+    PREFILL = 'prefill'
+    DECODE = 'decode'
+
+
 @attrs.frozen
 class Deadline:
     """Bounds on a request's time, in seconds."""
@@ -112,6 +121,8 @@
         plain service's may not.  GET and HEAD always may.
     bytes_per_token
         Divisor of the prompt-length estimate for this model.
+    adapters
+        Adapters that the engines are to hold with the model.
     """
 
     name: str
@@ -124,6 +135,7 @@
     deadline: Deadline = attrs.field(factory=Deadline)
     bytes_per_token: float = 4.0
     max_body_bytes: int = 16_777_216
+    adapters: list[str] = attrs.field(factory=list)
 
     @property
     def may_repeat(self) -> bool:
@@ -182,6 +194,12 @@
     memory_tokens
         Tokens of KV cache that one engine holds; the largest prompt it can
         serve.
+    managed
+        Whether the engines are ordered to run what the services declare.
+    role
+        Role that managed engines are to have.
+    max_loading
+        Managed engines of a zone that may be drained or loading at once.
     """
 
     name: str
@@ -191,6 +209,9 @@
     honours_priorities: bool = True
     memory_tokens: int = 400_000
     prefill_tokens_per_second: float = 15_000.0
+    managed: bool = False
+    role: EngineRole = EngineRole.BOTH
+    max_loading: int = 1
 
 
 @attrs.frozen
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -63,6 +63,14 @@
             'kelproad_operator_calls_total',
             'Calls of the operator API, by outcome.',
         )
+        self.orders = self._counter(
+            'kelproad_orders_total',
+            'Orders to engines, by kind and outcome.',
+        )
+        self.lease_writes = self._counter(
+            'kelproad_lease_writes_total',
+            'Writes of the lease of the orders of a zone.',
+        )
         self.in_progress = self._gauge(
             'kelproad_requests_in_progress',
             'Requests admitted that have no final answer yet.',
--- a/src/kelproad/state/endpoints.py
+++ b/src/kelproad/state/endpoints.py
@@ -34,6 +34,7 @@
     consecutive_failures: int = 0
     ejected_until: float = float('-inf')
     listed_leaving: bool = False
+    withheld: bool = False
 
     @property
     def name(self) -> str:
@@ -44,7 +45,12 @@
     def leaving(self) -> bool:
         """Whether it must get no new work, by any source's word."""
         said_so = self.report is not None and self.report.leaving
-        return self.declaration.leaving or self.listed_leaving or said_so
+        return (
+            self.declaration.leaving
+            or self.listed_leaving
+            or self.withheld
+            or said_so
+        )
 
     def accept_report(self, report: EndpointReport, read_at: float) -> bool:
         """Take a report if it is newer than the one held."""
@@ -62,6 +68,8 @@
         """Start empty."""
         self._endpoints: dict[str, Endpoint] = {}
         self._by_group: dict[str, list[Endpoint]] = {}
+        #: Endpoints that this instance withholds, as holder of their orders.
+        self.withheld_here: frozenset[str] = frozenset()
 
     def follow(self, snapshot: Snapshot) -> None:
         """Add, replace and remove endpoints as a new snapshot declares.
@@ -89,6 +97,11 @@
         """Return every endpoint by name."""
         return self._endpoints
 
+    def withhold(self, names: frozenset[str]) -> None:
+        """Withhold exactly these endpoints from new requests."""
+        for name, endpoint in self._endpoints.items():
+            endpoint.withheld = name in names
+
     def _declare(
         self,
         declaration: EndpointDeclaration,
--- a/src/kelproad/state/members.py
+++ b/src/kelproad/state/members.py
@@ -56,6 +56,8 @@
         Why it could not read the store, empty when it could.
     pending_files
         Files whose accepted version it cannot read.
+    withheld
+        Endpoints that get no new requests while their models are exchanged.
     """
 
     name: str
@@ -70,6 +72,7 @@
     configuration_age: float | None = None
     configuration_fault: str = ''
     pending_files: list[str] = attrs.field(factory=list)
+    withheld: list[str] = attrs.field(factory=list)
 
     @property
     def order(self) -> tuple[int, int]:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,12 +1,16 @@
 """What the tests share: small sites on loopback."""
 
 import pathlib
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
 
+import aiohttp
 import pytest
+from aiohttp.test_utils import TestServer
 
+from kelproad.standins.platform import PlatformStandIn
 from kelproad.state import invariants
 from testbed.site import Site, SitePlan, start_site
+from tests.fakes import Bench
 
 REPOSITORY = pathlib.Path(__file__).resolve().parent.parent
 ROADGRIP = REPOSITORY / 'examples' / 'roadgrip'
@@ -28,3 +32,12 @@
     plan = SitePlan(example=ROADGRIP, endpoints_per_group=3)
     with start_site(plan, tmp_path_factory.mktemp('roadgrip')) as site:
         yield site
+
+
+@pytest.fixture
+async def bench() -> AsyncIterator[Bench]:
+    """Serve a stand-in platform for instances in this process."""
+    standin = PlatformStandIn()
+    async with TestServer(standin.create_application()) as server:
+        async with aiohttp.ClientSession() as session:
+            yield Bench(standin, server, session)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -6,124 +6,23 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator
 
-import aiohttp
 import attrs
 import pytest
-from aiohttp.test_utils import TestServer
 from returns.result import Failure, Success
 
-from kelproad.coordination.acceptance import (
-    Accepted,
-    ConfigurationWriter,
-    Submission,
-)
-from kelproad.coordination.configuration import (
-    ConfigurationFollower,
-    is_reader,
-    list_changes,
-)
-from kelproad.coordination.history import list_generations
+from kelproad.coordination.acceptance import Accepted
+from kelproad.coordination.configuration import is_reader, list_changes
+from kelproad.coordination.history import find_apply, list_generations
 from kelproad.coordination.races import Raced
 from kelproad.protocol.documents import Problem
-from kelproad.protocol.messages import Changes, ChangesWanted
-from kelproad.protocol.platform import PlatformClient
+from kelproad.protocol.messages import Changes
 from kelproad.protocol.settings import Settings
-from kelproad.standins.platform import Faults, PlatformStandIn
-from kelproad.state.configuration import Snapshot, SnapshotHolder
-from kelproad.state.counters import Counters
-from kelproad.state.endpoints import EndpointTable
+from kelproad.standins.platform import Faults
+from kelproad.state.configuration import Snapshot
 from kelproad.state.members import Member, MemberTable
 from kelproad.state.refusals import RefusalCode
-from kelproad.transport.addresses import Address
-
-
-class JitteryPlatform(PlatformClient):
-    """Delays every call and every answer by seeded amounts."""
-
-    generator = random.Random(0)
-    longest = 0
-
-    async def _call(self, *args: object, **options: object) -> object:
-        await asyncio.sleep(self.generator.random() * self.longest)
-        answer = await super()._call(*args, **options)
-        await asyncio.sleep(self.generator.random() * self.longest)
-        return answer
-
-
-@attrs.define
-class Peer:
-    """The configuration parts of one instance."""
-
-    name: str
-    holder: SnapshotHolder
-    follower: ConfigurationFollower
-    writer: ConfigurationWriter
-    settings: Settings
-    asked: list[ChangesWanted] = attrs.field(factory=list)
-
-    async def apply(
-        self,
-        text: str,
-        base: int,
-        apply_id: str,
-        **options: str,
-    ) -> object:
-        submission = Submission(text, 'f', base, 'ops', apply_id, **options)
-        return await self.writer.apply(submission)
-
-    @property
-    def snapshot(self) -> Snapshot:
-        return self.holder.current
-
-
-@attrs.define
-class Bench:
-    """The stand-in platform and instances before it."""
-
-    standin: PlatformStandIn
-    server: TestServer
-    session: aiohttp.ClientSession
-
-    def create_peer(self, name: str, longest: float = 0.004) -> Peer:
-        address = f'{self.server.host}:{self.server.port}'
-        settings = Settings(name, 'a', address, address, name, '', '', {})
-        holder, counters = SnapshotHolder(), Counters()
-        platform = JitteryPlatform(
-            Address.from_text(address),
-            self.session,
-            counters,
-        )
-        platform.longest = longest
-        follower = ConfigurationFollower(
-            settings,
-            holder,
-            EndpointTable(),
-            MemberTable(),
-            platform,
-            counters,
-        )
-        writer = ConfigurationWriter(holder, follower, platform)
-        peer = Peer(name, holder, follower, writer, settings)
-        follower.ask_peer = lambda _address, wanted: peer.asked.append(wanted)
-        return peer
-
-
-@pytest.fixture
-async def bench() -> AsyncIterator[Bench]:
-    standin = PlatformStandIn()
-    async with TestServer(standin.create_application()) as server:
-        async with aiohttp.ClientSession() as session:
-            yield Bench(standin, server, session)
-
-
-def declare(weight: int, name: str = 'w', file: str = 'f') -> str:
-    return (
-        f'name: {file}\nworkspaces:\n'
-        f'  - {{name: {name}, key_digests: [], services: [], '
-        f'weight: {weight}}}\n'
-    )
+from tests.fakes import Bench, JitteryPlatform, Peer, declare
 
 
 @pytest.mark.parametrize('seed', range(8))
@@ -206,6 +105,8 @@
     if is_overtaken:
         assert isinstance(await peer.apply(declare(5), 0, 'b'), Success)
     await asyncio.sleep(0.5)
+    landed = await find_apply(peer.writer.platform, 'late')
+    assert (landed.unwrap() is None) is is_overtaken
     repeated = await peer.apply(declare(1), 0, 'late')
     if is_overtaken:
         assert isinstance(repeated.failure(), Raced)
