--- a/src/kelproad/coordination/orders.py
+++ b/src/kelproad/coordination/orders.py
@@ -88,7 +88,7 @@
         self._not_before: dict[str, float] = {}
         self._counted: dict[tuple[str, str], tuple[str, int]] = {}
         self._failures: collections.Counter[Failed] = collections.Counter()
-        self._stopped: frozenset[Failed] = frozenset()
+        self._halted: frozenset[Failed] = frozenset()
         self._notes: dict[str, str] = {}
 
     async def on_stop(self) -> None:
@@ -114,7 +114,7 @@
             if self._lease.is_held
             else None,
             'engines': dict(self._notes),
-            'stopped': [attrs.asdict(item) for item in self._stopped],
+            'stopped': [attrs.asdict(item) for item in self._halted],
         }
 
     @Service.task
@@ -138,7 +138,7 @@
             if isinstance(caught_up, Failure):
                 return False
             self._token_caught_up = token
-            self._stopped = _decode_stopped(self._lease.note)
+            self._halted = _decode_stopped(self._lease.note)
             self.log.info('holder of %s with token %d', self._name, token)
         return is_held
 
@@ -162,7 +162,7 @@
                 desired,
                 observed,
                 self._withheld,
-                self._stopped,
+                self._halted,
                 self._not_before,
                 self._lease.body.token,
                 monotonic(),
@@ -180,9 +180,9 @@
             for item in desired.values()
             for model in item.models
         }
-        self._stopped = frozenset(
+        self._halted = frozenset(
             item
-            for item in self._stopped
+            for item in self._halted
             if (item.model, item.generation) in wanted
         )
 
@@ -256,8 +256,8 @@
         failed = Failed(held.model, held.version, wanted.generation)
         self._failures[failed] += 1
         if self._failures[failed] >= FAILURES_TO_STOP:
-            self._stopped |= {failed}
-            self._lease.note = _encode_stopped(self._stopped)
+            self._halted |= {failed}
+            self._lease.note = _encode_stopped(self._halted)
             self.log.error(
                 'rollout of %s %s stopped, it fails: %s',
                 held.model,
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -311,7 +311,7 @@
     for engine in fleet.engines:
         engine.models.faults.failing = ['2']
     await fleet.want('2')
-    await fleet.reconcile_until(lambda: bool(keeper._stopped), keeper)
+    await fleet.reconcile_until(lambda: bool(keeper._halted), keeper)
     await fleet.reconcile_until(lambda: fleet.all_run('1'), keeper)
     assert [engine.versions for engine in fleet.engines] == [
         ['2', '2', '1'],
@@ -377,6 +377,6 @@
         engine.fetch = turn_away_twice
     await fleet.want('2')
     await fleet.reconcile_until(lambda: fleet.all_run('2'), keeper)
-    assert not keeper._stopped
+    assert not keeper._halted
     pauses = [later - sooner for sooner, later in itertools.pairwise(fetched)]
     assert sum(pauses[:2]) >= 2 * PAUSE
