--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
-from kelproad.coordination import orders, rollout
+from kelproad.coordination import leases, orders, rollout
 from kelproad.coordination.orders import OrderKeeper
 from kelproad.protocol.orders import OrderClient, OrderOutcome
 from kelproad.standins.orders import OrderedModels, skip_weights
@@ -161,6 +161,7 @@
 ) -> AsyncIterator[Fleet]:
     monkeypatch.setattr(rollout, 'SPREAD_SECONDS', 0.15)
     monkeypatch.setattr(orders, 'ORDER_TIMEOUT', 0.2)
+    monkeypatch.setattr(leases, '_CLOCK_MARGIN', 0.1)
     monkeypatch.setattr(orders, '_FAILURE_PAUSE', 0.2)
     enforces = getattr(request, 'param', True)
     engines = [Engine(f'e{number}', enforces) for number in range(3)]
@@ -245,6 +246,25 @@
         assert not old._lease.is_held
 
 
+async def test_successor_that_lags(fleet: Fleet) -> None:
+    """The next holder has not heard of the version that the last one ordered.
+
+    Were it to order by the revision in force there, the engines would go back
+    and forth again; it reads the store before its first order.
+    """
+    old, new = fleet.add_keeper(), fleet.add_keeper()
+    await fleet.want('1')
+    lagging = fleet.peers.pop()
+    await fleet.want('2')
+    await fleet.reconcile_until(lambda: fleet.all_run('2'), old)
+    await old.on_stop()
+    assert lagging.snapshot.services['s'].version == '1'
+    await fleet.reconcile_until(lambda: new._lease.is_held, new)
+    for _ in range(4):
+        await new.reconcile()
+    assert [engine.versions for engine in fleet.engines] == [['2']] * 3
+
+
 async def test_answer_of_an_order_lost(fleet: Fleet) -> None:
     """An engine takes an order, but its answer is lost: nothing runs twice."""
     keeper = fleet.add_keeper()
