--- a/src/kelproad/state/configuration.py
+++ b/src/kelproad/state/configuration.py
@@ -20,6 +20,7 @@
     'EndpointDeclaration',
     'EndpointGroup',
     'EndpointKind',
+    'EngineRole',
     'Fencing',
     'FileContent',
     'Limits',
@@ -63,6 +64,14 @@
     IGNORED = 'ignored'
 
 
+class EngineRole(enum.StrEnum):
+    """Which part of a request an engine computes."""
+
+    BOTH = 'both'
+    PREFILL = 'prefill'
+    DECODE = 'decode'
+
+
 @attrs.frozen
 class Deadline:
     """Bounds on a request's time, in seconds."""
@@ -145,6 +154,8 @@
         Divisor of the prompt-length estimate for this model.
     segments
         How larger prompts are answered in parts; left out, they are refused.
+    adapters
+        Adapters that the engines are to hold with the model.
     """
 
     name: str
@@ -158,6 +169,7 @@
     bytes_per_token: float = 4.0
     max_body_bytes: int = 16_777_216
     segments: Segmenting | None = None
+    adapters: list[str] = attrs.field(factory=list)
 
     @property
     def may_repeat(self) -> bool:
@@ -216,6 +228,12 @@
     memory_tokens
         Tokens of KV cache that one engine holds; the largest prompt it can
         serve.
+    managed
+        Whether the engines are ordered to run what the services declare.
+    role
+        Role that managed engines are to have.
+    max_loading
+        Managed engines of a zone that may be drained or loading at once.
     honours_continuation
         Whether the engines go on behind the text that comes with a request,
         so that an answer another engine broke off can be continued.
@@ -228,6 +246,9 @@
     honours_priorities: bool = True
     memory_tokens: int = 400_000
     prefill_tokens_per_second: float = 15_000.0
+    managed: bool = False
+    role: EngineRole = EngineRole.BOTH
+    max_loading: int = 1
     honours_continuation: bool = False
 
 
