Measure routing policies side by side on a small site

Cause: choices of endpoints were not measured, so nothing told a good one from a bad one.

Change: make bench starts a site of 6 stand-in engines and 3 instances, puts one policy after another in force by configuration (Deployment.policy) and sends each the same arrivals, short prompts alone and then all lengths. Baselines are policies of the code: round robin, least requests, least tokens (as plain proxies: no priorities), round robin with priorities. Bounds are ratios within the run. The stand-in engine can pick the prompt anew between chunks (interrupts_prefill, off by default), as engines do whose scheduler runs at every step; the bench switches it on.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format binary clean
+.PHONY: demo test bench lint format binary clean
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(PYTHON) || python3.11 -m venv $(VENV)
@@ -17,6 +17,9 @@
 test: $(STAMP)
 	$(PYTHON) -m pytest
 
+bench: $(STAMP)
+	$(PYTHON) bench/run.py
+
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check src tests demo bench testbed
 	$(VENV)/bin/ruff check src tests demo bench testbed
--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,85 @@
+"""The bench of policies: one site, the policies in turn, ratios checked.
+
+Every policy meets the same arrivals, in short rounds that alternate, so that
+the machine's mood falls on all of them alike.
+"""
+
+import json
+import os
+import pathlib
+import sys
+import tempfile
+from typing import Annotated
+
+import typer
+
+REPOSITORY = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(REPOSITORY))
+
+from bench.figures import (  # noqa: E402
+    SHORT_TOKENS,
+    Case,
+    check_bounds,
+    draw_plot,
+    format_cases,
+)
+from bench.fleet import Fleet, Load, plan_site  # noqa: E402
+from testbed.site import start_site  # noqa: E402
+
+BOUNDS = REPOSITORY / 'bench' / 'bounds.yaml'
+_ALL = 'round_robin,least_requests,least_tokens,predicted'
+_OUTPUT = pathlib.Path('build/bench')
+
+
+def main(
+    policy: Annotated[str, typer.Option(help='Joined by commas.')] = _ALL,
+    share: Annotated[float, typer.Option(help='Load on the engines.')] = 0.8,
+    seconds: Annotated[float, typer.Option(help='Of one round.')] = 20.0,
+    rounds: Annotated[int, typer.Option()] = 2,
+    engines: Annotated[int, typer.Option()] = 6,
+    time_scale: Annotated[float, typer.Option()] = 10.0,
+    interrupts: Annotated[bool, typer.Option()] = True,
+    priorities: Annotated[bool, typer.Option()] = True,
+    fault: Annotated[str, typer.Option(help='none, slow or third.')] = 'none',
+    output: Annotated[pathlib.Path, typer.Option()] = _OUTPUT,
+) -> None:
+    """Run the bench, write result.json and plot.png, check the bounds."""
+    plan = plan_site(time_scale, engines, priorities, interrupts)
+    cases = {name: Case(name) for name in policy.split(',')}
+    with tempfile.TemporaryDirectory() as directory:
+        with start_site(plan, pathlib.Path(directory)) as site:
+            fleet = Fleet(site, time_scale)
+            fleet.bring_about(fault)
+            for number in range(rounds):
+                load = Load(share, seconds, seed=number + 1)
+                for case in cases.values():
+                    _run_round(fleet, case, load)
+    figures = {name: case.to_fields() for name, case in cases.items()}
+    output.mkdir(parents=True, exist_ok=True)
+    (output / 'result.json').write_text(json.dumps(figures, indent=2))
+    draw_plot(figures, output / 'plot.png')
+    print(format_cases(figures))
+    key = f'load-{round(share * 100)}' if fault == 'none' else fault
+    verdicts = check_bounds(BOUNDS, key, figures)
+    print('\n'.join(verdicts))
+    if any(line.startswith('FAILED') for line in verdicts):
+        sys.exit(1)
+
+
+def _run_round(fleet: Fleet, case: Case, load: Load) -> None:
+    fleet.put_policy(case.policy)
+    alone = fleet.send(load, SHORT_TOKENS)
+    before = fleet.count_attempts()
+    mixed = fleet.send(load)
+    dispatched = fleet.count_attempts() - before
+    case.take(alone, mixed, dispatched)
+    busy, _, _ = os.getloadavg()
+    print(
+        f'{case.policy}: seed {load.seed}, {mixed.sent} sent, '
+        f'{dict(mixed.outcomes)}, load average of the machine {busy:.1f}',
+        flush=True,
+    )
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- a/src/kelproad/cli/loadreport.py
+++ b/src/kelproad/cli/loadreport.py
@@ -6,7 +6,7 @@
 import attrs
 from hdrh.histogram import HdrHistogram
 
-__all__ = ['CLASS_LIMITS', 'Report', 'format_table', 'name_class']
+__all__ = ['CLASS_LIMITS', 'Report', 'Sample', 'format_table', 'name_class']
 
 #: Upper bounds, in tokens, of the length classes that are told apart.
 CLASS_LIMITS = types.MappingProxyType(
@@ -36,6 +36,15 @@
     return HdrHistogram(_LOWEST_MICROSECONDS, _HIGHEST_MICROSECONDS, _DIGITS)
 
 
+@attrs.frozen
+class Sample:
+    """One answer's time to first token."""
+
+    prompt_tokens: int
+    seconds: float
+    workspace: int
+
+
 @attrs.define
 class Report:
     """Results of a run."""
@@ -48,9 +57,19 @@
         factory=lambda: collections.defaultdict(_create_histogram),
     )
     between_tokens: HdrHistogram = attrs.field(factory=_create_histogram)
+    samples: list[Sample] = attrs.field(factory=list)
+    outcomes_by_workspace: dict[int, collections.Counter[str]] = attrs.field(
+        factory=lambda: collections.defaultdict(collections.Counter),
+    )
 
-    def note_first_token(self, prompt_tokens: int, seconds: float) -> None:
+    def note_first_token(
+        self,
+        prompt_tokens: int,
+        seconds: float,
+        workspace: int = 0,
+    ) -> None:
         """Enter a time to first token."""
+        self.samples.append(Sample(prompt_tokens, seconds, workspace))
         histogram = self.first_token[name_class(prompt_tokens)]
         histogram.record_value(max(1, round(seconds * _MICROSECONDS)))
 
--- a/src/kelproad/coordination/attempts.py
+++ b/src/kelproad/coordination/attempts.py
@@ -141,7 +141,7 @@
         attempt = Attempt(
             attempt_id=request.next_attempt_id(),
             owner=self._identity.owner,
-            priority=routing.classify_length(request.prompt_tokens),
+            priority=routing.choose_priority(request),
             deadline=request.deadline,
         )
         sequence = EventSequence(attempt.attempt_id)
--- /dev/null
+++ b/src/kelproad/coordination/policies.py
@@ -0,0 +1,85 @@
+"""Baselines that routing is measured against, selectable by configuration.
+
+They do what plain proxies do.  Requests in flight are this instance's own, as
+a proxy counts them; tokens in flight are those of all instances, which is more
+than a proxy knows.
+"""
+
+import types
+from collections.abc import Callable
+
+import attrs
+
+from ..state.configuration import Policy
+from ..state.endpoints import Endpoint
+from .candidates import Search, list_usable
+
+__all__ = ['BASELINES', 'Choice']
+
+
+@attrs.frozen
+class Choice:
+    """The chosen endpoint with what was weighed.
+
+    Attributes
+    ----------
+    predicted
+        What the policy minimizes: seconds to the first token, or a baseline's
+        own measure.
+    considered
+        The same for each candidate, by its name.
+    chosen_at
+        Monotonic time of the decision.
+    """
+
+    endpoint: Endpoint
+    predicted: float
+    considered: dict[str, float]
+    chosen_at: float = 0
+
+
+Choose = Callable[[Search], Choice | None]
+
+
+def _choose_in_turn(search: Search) -> Choice | None:
+    usable = list_usable(search, None)
+    if not usable:
+        return None
+    turn = search.table.take_turn(search.request.service.name)
+    endpoint = usable[turn % len(usable)]
+    return Choice(endpoint, 0, {endpoint.name: 0}, search.now)
+
+
+def _choose_least(
+    measure: Callable[[Endpoint], float],
+) -> Choose:
+    def choose(search: Search) -> Choice | None:
+        usable = list_usable(search, None)
+        if not usable:
+            return None
+        # Shuffled, so that equal ones are not always taken in one order.
+        search.generator.shuffle(usable)
+        weighed = {endpoint.name: measure(endpoint) for endpoint in usable}
+        best = min(usable, key=lambda endpoint: weighed[endpoint.name])
+        return Choice(best, weighed[best.name], weighed, search.now)
+
+    return choose
+
+
+def _count_requests(endpoint: Endpoint) -> float:
+    return endpoint.own_requests
+
+
+def _count_tokens(endpoint: Endpoint) -> float:
+    reported = endpoint.report.waiting_tokens if endpoint.report else 0
+    return max(reported, endpoint.own_tokens + endpoint.peer_tokens)
+
+
+BASELINES: types.MappingProxyType[Policy, Choose] = types.MappingProxyType(
+    {
+        Policy.ROUND_ROBIN: _choose_in_turn,
+        Policy.ROUND_ROBIN_PRIORITY: _choose_in_turn,
+        Policy.LEAST_REQUESTS: _choose_least(_count_requests),
+        Policy.LEAST_TOKENS: _choose_least(_count_tokens),
+    }
+)
--- a/src/kelproad/standins/batch.py
+++ b/src/kelproad/standins/batch.py
@@ -44,6 +44,9 @@
         demo lasts seconds.
     event_lag, load_lag
         Seconds by which cache events and load reports are late.
+    interrupts_prefill
+        Whether a prompt of higher priority goes between the chunks of another,
+        as in engines whose scheduler picks the prompt anew at every step.
     event_gap
         Every how many cache events one is lost; 0 for never.
     """
@@ -60,6 +63,7 @@
     event_lag: float = 1.0
     event_gap: int = 0
     default_max_tokens: int = 16
+    interrupts_prefill: bool = False
 
     @classmethod
     def from_file(cls, path: pathlib.Path | None) -> Self:
@@ -124,6 +128,7 @@
         self._order = itertools.count()
         self._running: list[Stream] = []
         self._prefilling: Stream | None = None
+        self._put_aside: list[Stream] = []
         self._woken = asyncio.Event()
         self._cache: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
@@ -140,9 +145,10 @@
             for _, _, stream in self._waiting
             if not stream.cancelled
         )
-        if self._prefilling is None:
-            return waiting
-        return waiting + self._prefilling.to_prefill
+        begun = self._put_aside.copy()
+        if self._prefilling is not None:
+            begun.append(self._prefilling)
+        return waiting + sum(stream.to_prefill for stream in begun)
 
     @property
     def running(self) -> int:
@@ -168,7 +174,10 @@
     async def run(self) -> None:
         """Run the engine for ever."""
         while True:
+            if self._settings.interrupts_prefill:
+                self._put_prefill_aside()
             self._admit_next()
+            self._take_prefill_up()
             if self._prefilling is None and not self._running:
                 self._woken.clear()
                 await self._woken.wait()
@@ -194,10 +203,12 @@
     def _admit_next(self) -> None:
         """Take the first waiting stream if its memory is free."""
         while self._prefilling is None and self._waiting:
-            stream = self._waiting[0][-1]
+            priority, _, stream = self._waiting[0]
             if stream.cancelled:
                 heapq.heappop(self._waiting)
                 continue
+            if self._put_aside and priority >= self._put_aside[-1].priority:
+                return
             if self.used_tokens + stream.memory > self._settings.memory_tokens:
                 return
             heapq.heappop(self._waiting)
@@ -207,6 +218,28 @@
             stream.to_prefill = max(1, stream.prompt_tokens - cached)
             self._prefilling = stream
 
+    def _put_prefill_aside(self) -> None:
+        """Let a prompt of higher priority go first, if its memory is free."""
+        begun = self._prefilling
+        if begun is None or not self._waiting:
+            return
+        priority, _, head = self._waiting[0]
+        fits = self.used_tokens + head.memory <= self._settings.memory_tokens
+        if fits and priority < begun.priority:
+            self._put_aside.append(begun)
+            self._prefilling = None
+
+    def _take_prefill_up(self) -> None:
+        """Go on with the prompt put aside last, when nothing goes before it.
+
+        What was put aside has its memory already, so a waiting prompt that
+        does not fit never keeps it from going on.
+        """
+        while self._prefilling is None and self._put_aside:
+            stream = self._put_aside.pop()
+            if not stream.cancelled:
+                self._prefilling = stream
+
     def _finish_prefill(self, stream: Stream) -> None:
         self._prefilling = None
         if stream.cancelled:
--- a/src/kelproad/state/configuration.py
+++ b/src/kelproad/state/configuration.py
@@ -24,6 +24,7 @@
     'FileContent',
     'Limits',
     'Objective',
+    'Policy',
     'Service',
     'ServiceKind',
     'Snapshot',
@@ -60,6 +61,19 @@
     IGNORED = 'ignored'
 
 
+class Policy(enum.StrEnum):
+    """How an endpoint is chosen; all but ``predicted`` are baselines.
+
+    The first three do what plain proxies do and send no priorities.
+    """
+
+    ROUND_ROBIN = 'round_robin'
+    LEAST_REQUESTS = 'least_requests'
+    LEAST_TOKENS = 'least_tokens'
+    ROUND_ROBIN_PRIORITY = 'round_robin_priority'
+    PREDICTED = 'predicted'
+
+
 @attrs.frozen
 class Deadline:
     """Bounds on a request's time, in seconds."""
@@ -91,6 +105,7 @@
     name: str
     zones: list[str]
     objective: Objective = attrs.field(factory=Objective)
+    policy: Policy = Policy.PREDICTED
 
 
 @attrs.frozen
--- a/src/kelproad/state/endpoints.py
+++ b/src/kelproad/state/endpoints.py
@@ -62,6 +62,8 @@
         """Start empty."""
         self._endpoints: dict[str, Endpoint] = {}
         self._by_group: dict[str, list[Endpoint]] = {}
+        self._by_zone: dict[tuple[str, str], list[Endpoint]] = {}
+        self._turns: dict[str, int] = {}
 
     def follow(self, snapshot: Snapshot) -> None:
         """Add, replace and remove endpoints as a new snapshot declares.
@@ -71,9 +73,13 @@
         """
         kept: dict[str, Endpoint] = {}
         self._by_group = {}
+        self._by_zone = {}
         for group in snapshot.groups.values():
             members = [self._declare(item, group) for item in group.endpoints]
             self._by_group[group.name] = members
+            for member in members:
+                place = (group.name, member.declaration.zone)
+                self._by_zone.setdefault(place, []).append(member)
             kept.update({member.name: member for member in members})
         self._endpoints = kept
 
@@ -81,6 +87,16 @@
         """List the endpoints of a group."""
         return self._by_group.get(group, [])
 
+    def in_zone(self, group: str, zone: str) -> list[Endpoint]:
+        """List the endpoints of a group that stand in a zone."""
+        return self._by_zone.get((group, zone), [])
+
+    def take_turn(self, service: str) -> int:
+        """Return how many turns a service has had, and count one more."""
+        turn = self._turns.get(service, 0)
+        self._turns[service] = turn + 1
+        return turn
+
     def get(self, name: str) -> Endpoint | None:
         """Find an endpoint by its name."""
         return self._endpoints.get(name)
--- /dev/null
+++ b/src/kelproad/state/lengths.py
@@ -0,0 +1,26 @@
+"""Classes of prompt length, which decide on priority and sampling."""
+
+import enum
+
+__all__ = ['LengthClass', 'classify_length']
+
+
+class LengthClass(enum.IntEnum):
+    """Classes of prompt length; the value is the priority at the engine."""
+
+    SHORT = 0
+    MIDDLE = 1
+    LONG = 2
+
+
+_SHORT_LIMIT = 10_000
+_MIDDLE_LIMIT = 100_000
+
+
+def classify_length(prompt_tokens: int) -> LengthClass:
+    """Put a prompt into its length class."""
+    if prompt_tokens < _SHORT_LIMIT:
+        return LengthClass.SHORT
+    if prompt_tokens < _MIDDLE_LIMIT:
+        return LengthClass.MIDDLE
+    return LengthClass.LONG
