Predict the first token by class of work ahead, learned rates and prefixes

Cause: the prediction took every token in flight as ahead, and the declared rate as true; it knew of no chunk in progress, memory or cached prefix.

Change: work ahead is that of the prompt's own and higher classes where engines honour priorities (own accounts, peers' Member.dispatched_by_class); a fresh report bounds what instances tell, and adds what nobody told of. The rate is learned by a geometric average of own first tokens. The rest of a chunk, memory that must be freed, prefixes that an endpoint computed for this instance, and the objective's weight of the harm to short prompts enter the score. Candidates are drawn from lists by group and zone, without a scan.

--- a/bench/run.py
+++ b/bench/run.py
@@ -37,7 +37,7 @@
     seconds: Annotated[float, typer.Option(help='Of one round.')] = 20.0,
     rounds: Annotated[int, typer.Option()] = 2,
     engines: Annotated[int, typer.Option()] = 6,
-    time_scale: Annotated[float, typer.Option()] = 10.0,
+    time_scale: Annotated[float, typer.Option()] = 4.0,
     interrupts: Annotated[bool, typer.Option()] = True,
     priorities: Annotated[bool, typer.Option()] = True,
     fault: Annotated[str, typer.Option(help='none, slow or third.')] = 'none',
--- a/src/kelproad/coordination/attempts.py
+++ b/src/kelproad/coordination/attempts.py
@@ -45,6 +45,7 @@
     endpoint: Endpoint
     sequence: EventSequence
     deliver: Deliver
+    choice: routing.Choice
     finished: bool = False
     first_token: bool = False
 
@@ -134,9 +135,7 @@
         chosen = choice.unwrap()
         decision.note(
             'routed',
-            endpoint=chosen.endpoint.name,
-            predicted=chosen.predicted,
-            considered=chosen.considered,
+            **chosen.describe(),
         )
         attempt = Attempt(
             attempt_id=request.next_attempt_id(),
@@ -146,7 +145,7 @@
         )
         sequence = EventSequence(attempt.attempt_id)
         return Success(
-            _Placement(attempt, chosen.endpoint, sequence, deliver),
+            _Placement(attempt, chosen.endpoint, sequence, deliver, chosen),
         )
 
     async def _attempt(
@@ -157,7 +156,8 @@
         body: bytes,
     ) -> Result[None, Refusal]:
         endpoint = placement.endpoint
-        endpoint.own_tokens += request.prompt_tokens
+        endpoint.begin_prefill(request.prompt_tokens, monotonic())
+        self._table.note_sent(request.prompt_tokens)
         endpoint.own_requests += 1
         request.phase = Phase.DISPATCHED
         outcome: Result[None, Refusal] | None = None
@@ -179,7 +179,7 @@
         endpoint = placement.endpoint
         endpoint.own_requests -= 1
         if not placement.first_token:
-            endpoint.own_tokens -= request.prompt_tokens
+            endpoint.end_prefill(request.prompt_tokens)
         label = _label_outcome(outcome)
         if not (placement.finished or _never_ran(outcome)):
             # The engine may hold the stream's memory, and nobody else knows
@@ -269,7 +269,12 @@
         if placement.first_token:
             return
         placement.first_token = True
-        placement.endpoint.own_tokens -= request.prompt_tokens
+        routing.note_first_token(
+            self._table,
+            placement.choice,
+            request,
+            monotonic(),
+        )
         request.phase = Phase.ANSWERING
 
 
--- a/src/kelproad/coordination/entry.py
+++ b/src/kelproad/coordination/entry.py
@@ -25,6 +25,7 @@
 )
 from ..state.counters import Counters
 from ..state.identity import Identity
+from ..state.prefixes import digest_prefix
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
 from ..state.requests import (
     Decision,
@@ -403,7 +404,10 @@
     service = found.unwrap()
     tokens = body.estimate_tokens(service.bytes_per_token)
     fits = admission.check_size(tokens, arrival.snapshot.groups_of(service))
-    return fits.bind(lambda _: _create_request(arrival, service, tokens))
+    if isinstance(fits, Failure):
+        return fits
+    prefix = digest_prefix(body.prompt, service.bytes_per_token)
+    return _create_request(arrival, service, tokens, prefix)
 
 
 def _admit_plain(arrival: _Arrival) -> Result[Request, Refusal]:
@@ -419,6 +423,7 @@
     arrival: _Arrival,
     service: Service,
     tokens: int,
+    prefix: tuple[bytes, ...] = (),
 ) -> Result[Request, Refusal]:
     if len(arrival.body) > service.max_body_bytes:
         return Failure(
@@ -443,6 +448,7 @@
             deadline=arrival.arrived + allowed,
             arrived=arrival.arrived,
             idempotency_key=arrival.key,
+            prefix=prefix,
         ),
     )
 
--- a/src/kelproad/coordination/membership.py
+++ b/src/kelproad/coordination/membership.py
@@ -25,6 +25,7 @@
 from ..state.counters import Counters
 from ..state.endpoints import EndpointTable
 from ..state.identity import Identity
+from ..state.lengths import LengthClass
 from ..state.members import EndpointReport, Member, MemberTable
 from ..transport.addresses import Address
 from ..transport.deadlines import monotonic
@@ -175,6 +176,11 @@
                 )
                 if endpoint.report is not None
             ],
+            dispatched_by_class={
+                name: endpoint.own_by_class.copy()
+                for name, endpoint in self._table.all().items()
+                if endpoint.own_tokens
+            },
         )
 
     def _list_others(self) -> list[Member]:
@@ -223,10 +229,19 @@
 
     def _sum_dispatched(self) -> None:
         live = self._members.live(monotonic())
+        self._table.instances = len(live) + 1
         for name, endpoint in self._table.all().items():
             endpoint.peer_tokens = sum(
                 member.dispatched.get(name, 0) for member in live
             )
+            by_class = [
+                member.dispatched_by_class[name]
+                for member in live
+                if name in member.dispatched_by_class
+            ]
+            endpoint.peer_by_class = [
+                sum(counts[rank] for counts in by_class) for rank in LengthClass
+            ]
 
     def _answer_wanted(self, wanted: ChangesWanted) -> None:
         changes = self._follower.list_changes(wanted.after)
--- a/src/kelproad/coordination/policies.py
+++ b/src/kelproad/coordination/policies.py
@@ -13,6 +13,7 @@
 from ..state.configuration import Policy
 from ..state.endpoints import Endpoint
 from .candidates import Search, list_usable
+from .prediction import Candidate
 
 __all__ = ['BASELINES', 'Choice']
 
@@ -23,19 +24,38 @@
 
     Attributes
     ----------
-    predicted
-        What the policy minimizes: seconds to the first token, or a baseline's
-        own measure.
+    best
+        The chosen one.
     considered
-        The same for each candidate, by its name.
+        All candidates that were weighed, the chosen one among them.
     chosen_at
         Monotonic time of the decision.
     """
 
-    endpoint: Endpoint
-    predicted: float
-    considered: dict[str, float]
-    chosen_at: float = 0
+    best: Candidate
+    considered: list[Candidate]
+    chosen_at: float
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """The chosen endpoint."""
+        return self.best.endpoint
+
+    def describe(self) -> dict[str, object]:
+        """Describe the choice for people who ask why."""
+        return {
+            'endpoint': self.endpoint.name,
+            'predicted': self.best.predicted,
+            'considered': {
+                candidate.endpoint.name: {
+                    'predicted': candidate.predicted,
+                    'score': candidate.score,
+                    'ahead': candidate.ahead,
+                    'cached': candidate.cached,
+                }
+                for candidate in self.considered
+            },
+        }
 
 
 Choose = Callable[[Search], Choice | None]
@@ -46,8 +66,8 @@
     if not usable:
         return None
     turn = search.table.take_turn(search.request.service.name)
-    endpoint = usable[turn % len(usable)]
-    return Choice(endpoint, 0, {endpoint.name: 0}, search.now)
+    best = Candidate(usable[turn % len(usable)], predicted=0, score=0)
+    return Choice(best, [best], search.now)
 
 
 def _choose_least(
@@ -59,9 +79,12 @@
             return None
         # Shuffled, so that equal ones are not always taken in one order.
         search.generator.shuffle(usable)
-        weighed = {endpoint.name: measure(endpoint) for endpoint in usable}
-        best = min(usable, key=lambda endpoint: weighed[endpoint.name])
-        return Choice(best, weighed[best.name], weighed, search.now)
+        weighed = [
+            Candidate(endpoint, predicted=0, score=measure(endpoint))
+            for endpoint in usable
+        ]
+        best = min(weighed, key=lambda candidate: candidate.score)
+        return Choice(best, weighed, search.now)
 
     return choose
 
--- a/src/kelproad/coordination/routing.py
+++ b/src/kelproad/coordination/routing.py
@@ -16,6 +16,7 @@
 from ..state.requests import Request
 from .candidates import Search, draw
 from .policies import BASELINES, Choice
+from .prediction import Candidate, learn_rate, weigh_endpoint
 
 __all__ = [
     'Choice',
@@ -23,12 +24,13 @@
     'choose_endpoint',
     'choose_priority',
     'classify_length',
+    'note_first_token',
 ]
 
-#: Cost, in seconds, of leaving the instance's own availability zone.
-ZONE_CROSSING_SECONDS = 0.01
-#: Predicted seconds up to which an endpoint of the own zone is good enough.
-_STAY_SECONDS = 0.5
+#: Seconds of waiting up to which an endpoint of the own zone is good enough.
+_SOON_SECONDS = 0.01
+#: How much better an endpoint of another zone must be.
+_STAY_RATIO = 1.25
 #: Seconds after which a refused caller may find capacity, at the least.
 MINIMUM_RETRY_AFTER = 0.5
 
@@ -88,49 +90,85 @@
     return Failure(_refuse_none(request)) if choice is None else Success(choice)
 
 
+def note_first_token(
+    table: EndpointTable,
+    choice: Choice,
+    request: Request,
+    now: float,
+) -> None:
+    """Learn from a first token: the endpoint's rate, the prefix it holds."""
+    endpoint = choice.endpoint
+    endpoint.end_prefill(request.prompt_tokens)
+    learn_rate(choice.best, request.prompt_tokens, now - choice.chosen_at)
+    if endpoint.report is not None:
+        table.prefixes.remember(
+            request.prefix,
+            endpoint.name,
+            endpoint.report.incarnation,
+            endpoint.computed_tokens,
+        )
+
+
 def _policy_of(snapshot: Snapshot) -> Policy:
     deployment = snapshot.deployment
     return deployment.policy if deployment else Policy.PREDICTED
 
 
 def _choose_predicted(search: Search) -> Choice | None:
-    """Choose the earliest predicted first token, the own zone first."""
-    choice = _sample_best(search, search.zone)
-    if choice is None or choice.predicted > _STAY_SECONDS:
-        return _sample_best(search, None)
-    return choice
+    """Choose the best of a few, the own zone first.
+
+    Another zone must be better by more than the error of the prediction, since
+    crossing costs more than time.
+    """
+    near = _weigh_sample(search, search.zone)
+    best_near = _find_best(near)
+    if best_near is not None and best_near.waiting <= _SOON_SECONDS:
+        return Choice(best_near, near, search.now)
+    everywhere = _weigh_sample(search, None)
+    best = _find_best(near + everywhere)
+    if best is None:
+        return None
+    if best_near is not None and best_near.score <= best.score * _STAY_RATIO:
+        best = best_near
+    return Choice(best, near + everywhere, search.now)
 
 
-def _sample_best(search: Search, zone: str | None) -> Choice | None:
+def _weigh_sample(search: Search, zone: str | None) -> list[Candidate]:
     size = _SAMPLE_SIZES[classify_length(search.request.prompt_tokens)]
     sampled = draw(search, zone, size)
-    if not sampled:
-        return None
-    weighed = {
-        endpoint.name: predict_first_token(
-            endpoint,
-            search.request,
-            search.zone,
-        )
-        for endpoint in sampled
-    }
-    best = min(sampled, key=lambda endpoint: weighed[endpoint.name])
-    return Choice(best, weighed[best.name], weighed, search.now)
+    names = {endpoint.name for endpoint in sampled}
+    sampled += [
+        endpoint
+        for endpoint in _list_with_prefix(search)
+        if endpoint.name not in names
+    ]
+    return [weigh_endpoint(search, endpoint) for endpoint in sampled]
 
 
-def predict_first_token(
-    endpoint: Endpoint,
-    request: Request,
-    zone: str,
-) -> float:
-    """Predict the seconds until an endpoint's first token."""
-    reported = endpoint.report.waiting_tokens if endpoint.report else 0
-    ahead = max(reported, endpoint.own_tokens + endpoint.peer_tokens)
-    rate = endpoint.group.prefill_tokens_per_second
-    crossing = endpoint.declaration.zone != zone
-    return (
-        ahead + request.prompt_tokens
-    ) / rate + crossing * ZONE_CROSSING_SECONDS
+def _list_with_prefix(search: Search) -> list[Endpoint]:
+    """List the endpoints that may have computed the prompt's beginning.
+
+    They are weighed with all others, so a queue that is longer than the
+    prefix is worth sends the prompt elsewhere.
+    """
+    table = search.table
+    found = map(table.get, table.prefixes.list_endpoints(search.request.prefix))
+    return [
+        endpoint
+        for endpoint in found
+        if endpoint is not None
+        and endpoint.group.name in search.request.service.endpoint_groups
+        and search.is_usable(endpoint)
+        and not search.is_silent(endpoint)
+    ]
+
+
+def _find_best(candidates: list[Candidate]) -> Candidate | None:
+    return min(
+        candidates,
+        key=lambda candidate: candidate.score,
+        default=None,
+    )
 
 
 def _refuse_none(request: Request) -> Refusal:
--- a/src/kelproad/state/configuration.py
+++ b/src/kelproad/state/configuration.py
@@ -195,6 +195,10 @@
     memory_tokens
         Tokens of KV cache that one engine holds; the largest prompt it can
         serve.
+    prefill_tokens_per_second
+        Rate assumed until one is learned.
+    cache_tokens
+        Tokens of computed prefixes that one engine keeps.
     """
 
     name: str
@@ -204,6 +208,7 @@
     honours_priorities: bool = True
     memory_tokens: int = 400_000
     prefill_tokens_per_second: float = 15_000.0
+    cache_tokens: int = 200_000
 
 
 @attrs.frozen
--- a/src/kelproad/state/endpoints.py
+++ b/src/kelproad/state/endpoints.py
@@ -1,14 +1,26 @@
 """Endpoints as this instance sees them: load reported, work sent."""
 
+import collections
 from collections.abc import Mapping
 
 import attrs
 
+from . import invariants
 from .configuration import EndpointDeclaration, EndpointGroup, Snapshot
+from .lengths import LengthClass, classify_length
 from .members import EndpointReport
+from .prefixes import PrefixHistory
+from .rates import LearnedRate
 
 __all__ = ['Endpoint', 'EndpointTable']
 
+#: Seconds before it was read that a report may describe.
+REPORT_LAG = 0.5
+
+
+def _count_none() -> list[int]:
+    return [0 for _ in LengthClass]
+
 
 @attrs.define
 class Endpoint:
@@ -20,8 +32,14 @@
         Prompt tokens that this instance has in flight there.
     peer_tokens
         Prompt tokens that other instances said they have in flight there.
+    own_by_class, peer_by_class
+        The same by length class, which is the priority at the engine.
     reported_at
         Monotonic time to which ``report`` refers.
+    rate
+        Prefill tokens a second, learned from own requests.
+    computed_tokens
+        Prompt tokens that this instance ever had computed there.
     """
 
     declaration: EndpointDeclaration
@@ -34,6 +52,13 @@
     consecutive_failures: int = 0
     ejected_until: float = float('-inf')
     listed_leaving: bool = False
+    own_by_class: list[int] = attrs.field(factory=_count_none)
+    peer_by_class: list[int] = attrs.field(factory=_count_none)
+    rate: LearnedRate = attrs.field(factory=LearnedRate)
+    computed_tokens: int = 0
+    _unreported: collections.deque[tuple[float, int]] = attrs.field(
+        factory=collections.deque,
+    )
 
     @property
     def name(self) -> str:
@@ -46,17 +71,66 @@
         said_so = self.report is not None and self.report.leaving
         return self.declaration.leaving or self.listed_leaving or said_so
 
+    @property
+    def tokens_per_second(self) -> float:
+        """Prefill rate as learned, or as declared before anything is."""
+        return self.rate.value or self.group.prefill_tokens_per_second
+
+    @property
+    def known_tokens(self) -> int:
+        """Prompt tokens in flight there that an instance told of."""
+        return self.own_tokens + self.peer_tokens
+
+    @property
+    def unreported_tokens(self) -> int:
+        """Prompt tokens sent there that no report can contain yet."""
+        return sum(tokens for _, tokens in self._unreported)
+
     def accept_report(self, report: EndpointReport, read_at: float) -> bool:
         """Take a report if it is newer than the one held."""
         if read_at <= self.reported_at:
             return False
         self.report = report
         self.reported_at = read_at
+        while self._unreported and self._is_reported(self._unreported[0][0]):
+            self._unreported.popleft()
         return True
 
+    def begin_prefill(self, tokens: int, now: float) -> None:
+        """Enter a prompt that is sent there."""
+        self.own_tokens += tokens
+        self.own_by_class[classify_length(tokens)] += tokens
+        self._unreported.append((now, tokens))
+
+    def end_prefill(self, tokens: int) -> None:
+        """Take a prompt out that is computed or given up."""
+        self.own_tokens -= tokens
+        self.own_by_class[classify_length(tokens)] -= tokens
+        self.computed_tokens += tokens
+        if not self.own_tokens:
+            self._unreported.clear()
+        invariants.check(
+            min(self.own_by_class) >= 0,
+            'prefill_accounts_never_negative',
+            self.name,
+        )
+
+    def _is_reported(self, sent_at: float) -> bool:
+        return sent_at < self.reported_at - REPORT_LAG
+
 
 class EndpointTable:
-    """Endpoints by name, kept in step with the configuration."""
+    """Endpoints by name, kept in step with the configuration.
+
+    Attributes
+    ----------
+    prefixes
+        Which endpoint computed which prompt prefixes lately.
+    sent_by_class
+        Prompt tokens sent by length class, older ones counting less.
+    instances
+        Live instances, this one included.
+    """
 
     def __init__(self) -> None:
         """Start empty."""
@@ -64,6 +138,9 @@
         self._by_group: dict[str, list[Endpoint]] = {}
         self._by_zone: dict[tuple[str, str], list[Endpoint]] = {}
         self._turns: dict[str, int] = {}
+        self.prefixes = PrefixHistory()
+        self.sent_by_class = [float(0) for _ in LengthClass]
+        self.instances = 1
 
     def follow(self, snapshot: Snapshot) -> None:
         """Add, replace and remove endpoints as a new snapshot declares.
@@ -97,6 +174,12 @@
         self._turns[service] = turn + 1
         return turn
 
+    def note_sent(self, tokens: int) -> None:
+        """Count a prompt into the mix of lengths; halve it when it is old."""
+        self.sent_by_class[classify_length(tokens)] += tokens
+        if sum(self.sent_by_class) > _MIX_TOKENS:
+            self.sent_by_class = [sent / 2 for sent in self.sent_by_class]
+
     def get(self, name: str) -> Endpoint | None:
         """Find an endpoint by its name."""
         return self._endpoints.get(name)
@@ -116,3 +199,7 @@
         endpoint.declaration = declaration
         endpoint.group = group
         return endpoint
+
+
+#: Tokens over which the mix of lengths is measured.
+_MIX_TOKENS = 20_000_000
--- a/src/kelproad/state/members.py
+++ b/src/kelproad/state/members.py
@@ -49,6 +49,8 @@
         Grows with every heartbeat of an incarnation.
     dispatched
         Prompt tokens that this instance has in flight, by endpoint.
+    dispatched_by_class
+        The same for each length class.
     """
 
     name: str
@@ -60,6 +62,7 @@
     draining: bool = False
     dispatched: dict[str, int] = attrs.field(factory=dict)
     reports: list[EndpointReport] = attrs.field(factory=list)
+    dispatched_by_class: dict[str, list[int]] = attrs.field(factory=dict)
 
     @property
     def order(self) -> tuple[int, int]:
--- a/src/kelproad/state/requests.py
+++ b/src/kelproad/state/requests.py
@@ -35,6 +35,8 @@
         Estimated length of the prompt.
     attempts
         Number of dispatches so far.
+    prefix
+        Digests of the prompt's beginnings, each twice as long as the last.
     """
 
     request_id: str
@@ -47,6 +49,7 @@
     phase: Phase = Phase.ADMITTED
     attempts: int = 0
     idempotency_key: str = ''
+    prefix: tuple[bytes, ...] = ()
 
     @property
     def repeatable(self) -> bool:
