Bound retries by a budget and take failing endpoints out

Cause: a failed attempt was repeated up to twice whatever else failed, and the failing endpoint was chosen again by the next request.

Change: retries are paid from a budget (10% of a service's requests, burst 10), pause at random and never go past the deadline. Three failures in a row take an endpoint out for 5 s, twice as long each time, at most half of a group; one repeatable request at a time probes it, and it starts slowly. Passed deadlines and bad requests blame no endpoint, since callers could empty a group with them. Learned rates fade towards the group's with each report, so an engine that was slow is tried again.

Not measured: an engine that flaps.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -4,6 +4,7 @@
 import math
 import pathlib
 import time
+from urllib import request
 
 import attrs
 import yaml
@@ -26,6 +27,7 @@
     'example-key-crews-matara',
 )
 _ENGINES = 'report-lk'
+_ATTEMPTS = 'kelproad_attempts_total{'
 _RATE = 15_000.0
 _CHUNK = 4096
 _DECODE_SECONDS = 0.028
@@ -123,11 +125,12 @@
             self._set_fault(self.engines[:failing], refuse=True)
 
     def count_attempts(self) -> int:
-        """Count all dispatches that the engines took."""
-        path = '/control/ran'
+        """Count all dispatches that the instances made, refused ones too."""
         return sum(
-            len(self.site.control(self.site.addresses[name], 'GET', path))
-            for name in self.engines
+            round(float(line.rsplit(' ', 1)[-1]))
+            for instance in self.site.instances
+            for line in _read_metrics(instance.caller)
+            if line.startswith(_ATTEMPTS)
         )
 
     def _set_fault(self, engines: list[str], **faults: object) -> None:
@@ -157,6 +160,12 @@
         ]
 
 
+def _read_metrics(address: str) -> list[str]:
+    opener = request.build_opener(request.ProxyHandler({}))
+    with opener.open(f'http://{address}/metrics') as response:
+        return response.read().decode().splitlines()
+
+
 def plan_site(
     time_scale: float,
     engines: int,
--- a/src/kelproad/coordination/attempts.py
+++ b/src/kelproad/coordination/attempts.py
@@ -22,12 +22,18 @@
 from ..transport.addresses import Address
 from ..transport.deadlines import monotonic
 from . import routing
+from .ejection import note_outcome
 from .reclamation import Canceller
+from .retries import Retries
 
 __all__ = ['Attempts', 'CallerGoneError', 'Deliver']
 
 _MAX_ATTEMPTS = 3
 _MAX_RESUMES = 3
+#: Refusals that another endpoint would only repeat, or come too late for.
+_FINAL_CODES = frozenset(
+    (RefusalCode.DEADLINE_EXCEEDED, RefusalCode.BAD_REQUEST),
+)
 
 #: Passes checked events on to the caller, in order, as they arrive.
 Deliver = Callable[[list[Event]], Awaitable[None]]
@@ -73,6 +79,7 @@
         self._canceller = canceller
         self._counters = counters
         self._generator = generator
+        self._retries = Retries(counters, generator)
 
     async def answer(
         self,
@@ -97,6 +104,7 @@
         CallerGoneError
             As ``deliver`` does.
         """
+        self._retries.count_request(request)
         tried: frozenset[str] = frozenset()
         outcome: Result[None, Refusal] = Failure(_no_attempt_left())
         while len(tried) < _MAX_ATTEMPTS:
@@ -110,9 +118,11 @@
             if isinstance(outcome, Success):
                 return outcome
             refusal = outcome.failure()
-            decision.note('attempt failed', **attrs.asdict(refusal))
+            decision.note('attempt failed', refusal=attrs.asdict(refusal))
             if not _may_repeat(request, placement, refusal):
                 return outcome
+            if not await self._retries.permit(request, decision):
+                return outcome
         return outcome
 
     def _place(
@@ -181,6 +191,11 @@
         if not placement.first_token:
             endpoint.end_prefill(request.prompt_tokens)
         label = _label_outcome(outcome)
+        if outcome is not None:
+            refusal = outcome.swap().value_or(None)
+            now = monotonic()
+            counters = self._counters
+            note_outcome(self._table, endpoint, refusal, now, counters)
         if not (placement.finished or _never_ran(outcome)):
             # The engine may hold the stream's memory, and nobody else knows
             # of it yet.
@@ -298,7 +313,7 @@
     Once a token was passed on, another attempt would answer from the start;
     work that may have run is repeated only if it is idempotent.
     """
-    if placement.first_token or refusal.code is RefusalCode.DEADLINE_EXCEEDED:
+    if placement.first_token or refusal.code in _FINAL_CODES:
         return False
     if request.remaining(monotonic()) <= 0:
         return False
--- a/src/kelproad/coordination/candidates.py
+++ b/src/kelproad/coordination/candidates.py
@@ -48,6 +48,9 @@
             return False
         if endpoint.ejected_until > self.now:
             return False
+        if endpoint.on_probation and endpoint.own_requests:
+            # One request at a time probes an endpoint that was taken out.
+            return False
         if endpoint.group.kind is EndpointKind.PLAIN:
             return True
         if endpoint.group.memory_tokens <= self.request.prompt_tokens:
@@ -55,13 +58,15 @@
         report = endpoint.report
         return report is None or self.request.service.model in report.models
 
-    def is_silent(self, endpoint: Endpoint) -> bool:
-        """Tell whether nothing was heard of an engine lately.
+    def is_doubtful(self, endpoint: Endpoint) -> bool:
+        """Tell whether an endpoint is only to be used if there is no other.
 
         Silence means that the engine is dead or that its zone is cut off;
         work sent there would wait until its deadline.  Plain services report
-        nothing.
+        nothing.  Work that may not be repeated is no probe.
         """
+        if endpoint.on_probation and not self.request.repeatable:
+            return True
         if endpoint.group.kind is EndpointKind.PLAIN:
             return False
         return self.now - endpoint.reported_at > SILENT_AFTER
@@ -75,7 +80,7 @@
 
 
 def draw(search: Search, zone: str | None, size: int) -> list[Endpoint]:
-    """Draw a few usable endpoints at random, silent ones only if need be.
+    """Draw a few usable endpoints at random, doubtful ones only if need be.
 
     Sampling keeps instances that hold the same stale report from all picking
     the same engine.
@@ -84,29 +89,31 @@
     total = sum(map(len, pools))
     looks = min(total, size * _LOOKS_PER_DRAW)
     fresh: list[Endpoint] = []
-    silent: list[Endpoint] = []
+    doubtful: list[Endpoint] = []
     for index in search.generator.sample(range(total), looks):
         endpoint = _pick(pools, index)
         if search.is_usable(endpoint):
-            heard = silent if search.is_silent(endpoint) else fresh
+            heard = doubtful if search.is_doubtful(endpoint) else fresh
             heard.append(endpoint)
         if len(fresh) == size:
             return fresh
     if fresh or looks == total:
-        return fresh or silent[:size]
+        return fresh or doubtful[:size]
     # Nearly all are unusable: a few blind looks must not miss the last one.
     usable = list_usable(search, zone)
     return search.generator.sample(usable, min(size, len(usable)))
 
 
 def list_usable(search: Search, zone: str | None) -> list[Endpoint]:
-    """List all usable endpoints, silent ones only if there are no others."""
+    """List all usable endpoints, doubtful ones only if there are no others."""
     usable = [
         endpoint
         for endpoint in itertools.chain.from_iterable(search.pools(zone))
         if search.is_usable(endpoint)
     ]
-    fresh = [endpoint for endpoint in usable if not search.is_silent(endpoint)]
+    fresh = [
+        endpoint for endpoint in usable if not search.is_doubtful(endpoint)
+    ]
     return fresh or usable
 
 
--- a/src/kelproad/coordination/plain.py
+++ b/src/kelproad/coordination/plain.py
@@ -14,6 +14,8 @@
 from ..transport.addresses import Address
 from ..transport.deadlines import monotonic
 from . import routing
+from .ejection import note_outcome
+from .retries import Retries
 
 __all__ = ['PlainCalls']
 
@@ -38,6 +40,7 @@
         self._client = client
         self._counters = counters
         self._generator = generator
+        self._retries = Retries(counters, generator)
 
     async def answer(
         self,
@@ -46,6 +49,7 @@
         decision: Decision,
     ) -> Result[PlainAnswer, Refusal]:
         """Call one endpoint after another as long as that is allowed."""
+        self._retries.count_request(request)
         tried: frozenset[str] = frozenset()
         outcome: Result[PlainAnswer, Refusal] | None = None
         while len(tried) < _MAX_ATTEMPTS:
@@ -65,8 +69,11 @@
             outcome = await self._attempt(request, call, endpoint)
             if isinstance(outcome, Success):
                 return outcome
-            decision.note('attempt failed', **attrs.asdict(outcome.failure()))
-            if not _may_repeat(request, call, outcome.failure()):
+            refusal = outcome.failure()
+            decision.note('attempt failed', refusal=attrs.asdict(refusal))
+            if not _may_repeat(request, call, refusal):
+                return outcome
+            if not await self._retries.permit(request, decision):
                 return outcome
         return outcome
 
@@ -89,6 +96,10 @@
                 attrs.evolve(call, headers=headers),
             )
             label = 'complete' if isinstance(answered, Success) else 'failed'
+            refusal = answered.swap().value_or(None)
+            now = monotonic()
+            counters = self._counters
+            note_outcome(self._table, endpoint, refusal, now, counters)
         finally:
             endpoint.own_requests -= 1
             self._counters.attempts.inc(
--- a/src/kelproad/coordination/prediction.py
+++ b/src/kelproad/coordination/prediction.py
@@ -26,6 +26,9 @@
 _PLAIN_CALL_SECONDS = 0.01
 #: Weight of the first token that keeps the ratio of weights finite.
 _LEAST_WEIGHT = 0.01
+#: How long an endpoint that came back looks worse, and by how much at first.
+_SLOW_START_SECONDS = 10.0
+_SLOW_START_PENALTY = 4.0
 _EVEN = Objective()
 
 
@@ -74,10 +77,11 @@
     )
     waiting = before / endpoint.tokens_per_second
     predicted = waiting + to_compute / endpoint.tokens_per_second + apart
+    started = _count_slow_start(endpoint, search.now)
     return Candidate(
         endpoint,
         predicted,
-        predicted + _weigh_harm(endpoint, request),
+        predicted * started + _weigh_harm(endpoint, request),
         waiting,
         ahead,
         cached,
@@ -115,7 +119,7 @@
         return
     tokens = candidate.ahead + prompt_tokens - candidate.cached
     if tokens >= _LEAST_OBSERVED and seconds > 0:
-        candidate.endpoint.rate.observe(tokens / seconds)
+        candidate.endpoint.observe_rate(tokens / seconds)
 
 
 def _count_chunk_rest(endpoint: Endpoint, request: Request) -> float:
@@ -129,6 +133,17 @@
     return _CHUNK_TOKENS / 2 if _has_longer(endpoint, request) else 0
 
 
+def _count_slow_start(endpoint: Endpoint, now: float) -> float:
+    """Return the factor by which an endpoint that came back looks worse.
+
+    Its caches are empty and what made it fail may last; work sent at once by
+    every instance would fail with it.
+    """
+    since = now - endpoint.restored_at
+    left = max(0, 1 - since / _SLOW_START_SECONDS)
+    return 1 + _SLOW_START_PENALTY * left
+
+
 def _has_longer(endpoint: Endpoint, request: Request) -> bool:
     rank = classify_length(request.prompt_tokens) + 1
     own = any(endpoint.own_by_class[rank:])
--- a/src/kelproad/coordination/routing.py
+++ b/src/kelproad/coordination/routing.py
@@ -87,7 +87,12 @@
     search = Search(request, table, zone, now, generator, tried)
     choose = BASELINES.get(_policy_of(request.snapshot), _choose_predicted)
     choice = choose(search)
-    return Failure(_refuse_none(request)) if choice is None else Success(choice)
+    if choice is None:
+        return Failure(_refuse_none(request))
+    best = choice.best
+    computing = best.predicted - best.waiting
+    table.note_contention(request.prompt_tokens, best.waiting, computing, now)
+    return Success(choice)
 
 
 def note_first_token(
@@ -159,7 +164,7 @@
         if endpoint is not None
         and endpoint.group.name in search.request.service.endpoint_groups
         and search.is_usable(endpoint)
-        and not search.is_silent(endpoint)
+        and not search.is_doubtful(endpoint)
     ]
 
 
--- a/src/kelproad/protocol/engines.py
+++ b/src/kelproad/protocol/engines.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import types
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -31,6 +32,13 @@
 #: Seconds for connecting to an engine within a site.
 CONNECT_TIMEOUT = 2.0
 _READ_SIZE = 65_536
+#: Refusals of an engine that are the request's fault, not its own.
+_CALLERS_FAULTS = types.MappingProxyType(
+    {
+        code.value: code
+        for code in (RefusalCode.TOO_LARGE, RefusalCode.BAD_REQUEST)
+    }
+)
 
 
 @attrs.frozen
@@ -305,9 +313,8 @@
     finally:
         response.close()
     ran = Ran.NO if said.get('ran') == 'no' else Ran.UNKNOWN
-    too_large = said.get('code') == RefusalCode.TOO_LARGE
     return Refusal(
-        RefusalCode.TOO_LARGE if too_large else RefusalCode.ENDPOINT_FAILED,
+        _CALLERS_FAULTS.get(said.get('code'), RefusalCode.ENDPOINT_FAILED),
         f'the engine answered {response.status}: {said.get("message", "")}',
         Step.DISPATCH,
         peer=url,
--- a/src/kelproad/state/configuration.py
+++ b/src/kelproad/state/configuration.py
@@ -100,12 +100,19 @@
 
 @attrs.frozen
 class Deployment:
-    """What holds for the whole site."""
+    """What holds for the whole site.
+
+    Attributes
+    ----------
+    retry_budget_percent
+        Retries that an instance allows for a hundred requests of a service.
+    """
 
     name: str
     zones: list[str]
     objective: Objective = attrs.field(factory=Objective)
     policy: Policy = Policy.PREDICTED
+    retry_budget_percent: float = 10.0
 
 
 @attrs.frozen
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -63,6 +63,18 @@
             'kelproad_operator_calls_total',
             'Calls of the operator API, by outcome.',
         )
+        self.retries = self._counter(
+            'kelproad_retries_total',
+            'Failed attempts that might be repeated, by what was decided.',
+        )
+        self.ejections = self._counter(
+            'kelproad_ejections_total',
+            'Failing endpoints taken out, or left in as too many were out.',
+        )
+        self.limited = self._counter(
+            'kelproad_limited_total',
+            'Requests refused for a limit of their workspace, by limit.',
+        )
         self.in_progress = self._gauge(
             'kelproad_requests_in_progress',
             'Requests admitted that have no final answer yet.',
--- a/src/kelproad/state/endpoints.py
+++ b/src/kelproad/state/endpoints.py
@@ -12,7 +12,7 @@
 from .prefixes import PrefixHistory
 from .rates import LearnedRate
 
-__all__ = ['Endpoint', 'EndpointTable']
+__all__ = ['Contention', 'Endpoint', 'EndpointTable']
 
 #: Seconds before it was read that a report may describe.
 REPORT_LAG = 0.5
@@ -38,8 +38,16 @@
         Monotonic time to which ``report`` refers.
     rate
         Prefill tokens a second, learned from own requests.
+    group_rate
+        The same learned over all endpoints of the group.
     computed_tokens
         Prompt tokens that this instance ever had computed there.
+    on_probation
+        It was taken out for failing and has not done well since.
+    restored_at
+        Monotonic time at which it was let back in.
+    ejections
+        How often in a row it was taken out.
     """
 
     declaration: EndpointDeclaration
@@ -55,7 +63,11 @@
     own_by_class: list[int] = attrs.field(factory=_count_none)
     peer_by_class: list[int] = attrs.field(factory=_count_none)
     rate: LearnedRate = attrs.field(factory=LearnedRate)
+    group_rate: LearnedRate = attrs.field(factory=LearnedRate)
     computed_tokens: int = 0
+    on_probation: bool = False
+    restored_at: float = float('-inf')
+    ejections: int = 0
     _unreported: collections.deque[tuple[float, int]] = attrs.field(
         factory=collections.deque,
     )
@@ -74,7 +86,13 @@
     @property
     def tokens_per_second(self) -> float:
         """Prefill rate as learned, or as declared before anything is."""
-        return self.rate.value or self.group.prefill_tokens_per_second
+        declared = self.group.prefill_tokens_per_second
+        return self.rate.value or self.group_rate.value or declared
+
+    def observe_rate(self, rate: float) -> None:
+        """Learn from one observed prefill rate."""
+        self.rate.observe(rate)
+        self.group_rate.observe(rate)
 
     @property
     def known_tokens(self) -> int:
@@ -92,6 +110,9 @@
             return False
         self.report = report
         self.reported_at = read_at
+        # An engine that was slow gets no work, so nothing would ever tell
+        # that it has recovered; what was learned fades with each report.
+        self.rate.fade(self.group_rate)
         while self._unreported and self._is_reported(self._unreported[0][0]):
             self._unreported.popleft()
         return True
@@ -119,6 +140,23 @@
         return sent_at < self.reported_at - REPORT_LAG
 
 
+@attrs.frozen
+class Contention:
+    """How long prompts of a class wait at present.
+
+    Attributes
+    ----------
+    seconds
+        Predicted wait of the last one placed, fading with time.
+    slowdown
+        The same in multiples of the prompt's own time.
+    """
+
+    seconds: float = 0
+    slowdown: float = 0
+    noted_at: float = float('-inf')
+
+
 class EndpointTable:
     """Endpoints by name, kept in step with the configuration.
 
@@ -138,9 +176,11 @@
         self._by_group: dict[str, list[Endpoint]] = {}
         self._by_zone: dict[tuple[str, str], list[Endpoint]] = {}
         self._turns: dict[str, int] = {}
+        self._group_rates: dict[str, LearnedRate] = {}
         self.prefixes = PrefixHistory()
         self.sent_by_class = [float(0) for _ in LengthClass]
         self.instances = 1
+        self._contention: dict[LengthClass, Contention] = {}
 
     def follow(self, snapshot: Snapshot) -> None:
         """Add, replace and remove endpoints as a new snapshot declares.
@@ -180,6 +220,31 @@
         if sum(self.sent_by_class) > _MIX_TOKENS:
             self.sent_by_class = [sent / 2 for sent in self.sent_by_class]
 
+    def note_contention(
+        self,
+        tokens: int,
+        seconds: float,
+        computing: float,
+        now: float,
+    ) -> None:
+        """Note the predicted wait of a prompt and its own time."""
+        slowdown = seconds / (computing + _LEAST_COMPUTING)
+        self._contention[classify_length(tokens)] = Contention(
+            seconds,
+            slowdown,
+            now,
+        )
+
+    def measure_contention(self, tokens: int, now: float) -> Contention:
+        """Return how long prompts like one wait, fading while none comes."""
+        noted = self._contention.get(classify_length(tokens))
+        if noted is None:
+            return Contention()
+        # Queues drain while nothing is placed, a second each second.
+        left = max(0, noted.seconds - (now - noted.noted_at))
+        share = left / noted.seconds if noted.seconds else 0
+        return Contention(left, noted.slowdown * share, now)
+
     def get(self, name: str) -> Endpoint | None:
         """Find an endpoint by its name."""
         return self._endpoints.get(name)
@@ -195,11 +260,14 @@
     ) -> Endpoint:
         endpoint = self._endpoints.get(declaration.name)
         if endpoint is None:
-            return Endpoint(declaration=declaration, group=group)
+            rate = self._group_rates.setdefault(group.name, LearnedRate())
+            return Endpoint(declaration, group, group_rate=rate)
         endpoint.declaration = declaration
         endpoint.group = group
         return endpoint
 
 
+#: Seconds that a prompt takes at the least, however short it is.
+_LEAST_COMPUTING = 0.05
 #: Tokens over which the mix of lengths is measured.
 _MIX_TOKENS = 20_000_000
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,124 @@
+"""Retry budgets, and taking failing endpoints out and back in."""
+
+import attrs
+
+from kelproad.coordination.ejection import note_outcome
+from kelproad.coordination.retries import Retries
+from kelproad.state.budgets import RetryBudget
+from kelproad.state.counters import Counters
+from kelproad.state.refusals import Refusal, RefusalCode, Step
+from kelproad.state.requests import Decision
+from kelproad.transport.deadlines import monotonic
+from tests.test_routing import NOW, SHORT, Fleet
+
+FAILED = Refusal(RefusalCode.ENDPOINT_FAILED, '', Step.DISPATCH)
+LATE = Refusal(RefusalCode.DEADLINE_EXCEEDED, '', Step.RELAY)
+
+
+def fail(fleet: Fleet, name: str, times: int, now: float = NOW) -> None:
+    """Let attempts at an endpoint fail."""
+    endpoint = fleet.table.get(name)
+    for _ in range(times):
+        note_outcome(fleet.table, endpoint, FAILED, now, Counters())
+
+
+def test_budget_bounds_retries_when_everything_fails() -> None:
+    budget = RetryBudget(percent=10, burst=10)
+    retried = 0
+    for _ in range(1000):
+        budget.earn()
+        retried += budget.spend()
+    assert 100 <= retried <= 110
+
+
+async def test_no_retry_is_permitted_past_the_deadline() -> None:
+    fleet = Fleet()
+    retries = Retries(Counters(), fleet.random)
+    request = attrs.evolve(fleet.request(SHORT), deadline=monotonic())
+    retries.count_request(request)
+    assert not await retries.permit(request, Decision.from_request(request))
+
+
+async def test_retries_end_with_the_budget() -> None:
+    """A third of the engines fail and the rest drown in retries.
+
+    Every failed request goes to another engine, the load on those left
+    doubles, they grow slow, more fail.  Cause: retries in proportion to
+    failures instead of to requests.
+    """
+    fleet = Fleet()
+    retries = Retries(Counters(), fleet.random)
+    permitted = 0
+    for _ in range(100):
+        request = attrs.evolve(fleet.request(SHORT), deadline=monotonic() + 60)
+        retries.count_request(request)
+        decision = Decision.from_request(request)
+        permitted += await retries.permit(request, decision)
+    assert permitted <= 20
+
+
+def test_failing_endpoint_is_taken_out_and_probed() -> None:
+    fleet = Fleet()
+    fail(fleet, 'e0', 3)
+    request = fleet.request(SHORT)
+    assert 'e0' not in {fleet.choose(request) for _ in range(100)}
+    endpoint = fleet.table.get('e0')
+    endpoint.ejected_until = NOW - 1
+    others = frozenset(fleet.table.all()) - {'e0'}
+    assert fleet.choose(request, tried=others) == 'e0'
+    endpoint.own_requests = 1
+    assert 'e0' not in {fleet.choose(request) for _ in range(100)}
+
+
+def test_failed_probe_keeps_it_out_for_longer() -> None:
+    fleet = Fleet()
+    fail(fleet, 'e0', 3)
+    first = fleet.table.get('e0').ejected_until - NOW
+    fail(fleet, 'e0', 1, NOW + 50)
+    assert fleet.table.get('e0').ejected_until - NOW - 50 >= 2 * first
+
+
+def test_restored_endpoint_starts_slowly() -> None:
+    fleet = Fleet()
+    fail(fleet, 'e0', 3)
+    endpoint = fleet.table.get('e0')
+    endpoint.ejected_until = NOW - 1
+    note_outcome(fleet.table, endpoint, None, NOW, Counters())
+    request = fleet.request(SHORT)
+    chosen = [fleet.choose(request) for _ in range(200)]
+    assert chosen.count('e0') < 10
+
+
+def test_most_endpoints_failing_takes_only_half_out() -> None:
+    fleet = Fleet()
+    for name in fleet.table.all():
+        fail(fleet, name, 5)
+    out = [e for e in fleet.table.all().values() if e.ejected_until > NOW]
+    assert len(out) == len(fleet.table.all()) / 2
+
+
+def test_callers_cannot_take_an_endpoint_out_by_short_deadlines() -> None:
+    fleet = Fleet()
+    endpoint = fleet.table.get('e0')
+    for _ in range(10):
+        note_outcome(fleet.table, endpoint, LATE, NOW, Counters())
+    assert endpoint.ejected_until < NOW
+
+
+def test_slow_endpoint_is_avoided_and_tried_again_when_reports_go_on() -> None:
+    """An engine ten times slower gets work for as long as nobody learns it.
+
+    Its rate is learned and it is left alone; but then nothing would tell that
+    it recovered.  What was learned fades with each report.
+    """
+    fleet = Fleet()
+    for endpoint in fleet.table.all().values():
+        for _ in range(20):
+            slow = endpoint.name == 'e0'
+            endpoint.observe_rate(1_500 if slow else 15_000)
+    request = fleet.request(SHORT)
+    assert 'e0' not in {fleet.choose(request) for _ in range(100)}
+    slow = fleet.table.get('e0')
+    for number in range(200):
+        fleet.report(slow, 0, NOW + number / 1000)
+    assert slow.tokens_per_second > 5 * 1_500
