Keep workspaces within limits and fair shares without asking a store

Cause: the limits of a workspace were declared and not applied, and a workspace could fill every queue.

Change: each instance applies its share of a limit, by the part of the demand that arrives there (Member.demand, told in gossip, the 32 busiest workspaces), a fifth spread evenly.

--- a/src/kelproad/coordination/entry.py
+++ b/src/kelproad/coordination/entry.py
@@ -40,6 +40,7 @@
 from .attempts import Attempts, CallerGoneError
 from .claims import Claim, Claims, digest_request
 from .delivery import StreamDelivery, WholeDelivery
+from .limits import WorkspaceLimits
 from .plain import PlainCalls
 
 __all__ = ['Entry']
@@ -84,6 +85,7 @@
         plain_calls: PlainCalls,
         key_claims: Claims,
         counters: Counters,
+        limits: WorkspaceLimits,
     ) -> None:
         """Answer with the parts of this instance."""
         super().__init__()
@@ -95,6 +97,7 @@
         self._plain_calls = plain_calls
         self._claims = key_claims
         self._counters = counters
+        self._limits = limits
         self._detached: set[asyncio.Task[web.StreamResponse]] = set()
 
     def routes(self) -> list[web.RouteDef]:
@@ -142,7 +145,9 @@
             arrival.body,
             _COMPLETION_FIELDS[http_request.path],
         )
-        admitted = parsed.bind(lambda body: _admit_completion(arrival, body))
+        admitted = parsed.bind(
+            lambda body: _admit_completion(arrival, body),
+        ).bind(self._limits.admit)
         if isinstance(admitted, Failure):
             return self._refuse(admitted.failure(), request_id)
         request = admitted.unwrap()
@@ -159,7 +164,7 @@
         """Answer a call to a plain service."""
         request_id = self._identity.next_request_id()
         received = await self._receive(http_request, request_id)
-        admitted = received.bind(_admit_plain)
+        admitted = received.bind(_admit_plain).bind(self._limits.admit)
         if isinstance(admitted, Failure):
             return self._refuse(admitted.failure(), request_id)
         arrival, request = received.unwrap(), admitted.unwrap()
@@ -354,6 +359,7 @@
         decision = Decision.from_request(request)
         self._decisions.open(decision)
         self._requests.add(request)
+        self._limits.begin(request)
         self._counters.in_progress.set({}, len(self._requests))
         return decision
 
@@ -364,6 +370,7 @@
         outcome: Result[object, Refusal],
     ) -> None:
         self._requests.remove(request)
+        self._limits.end(request)
         self._counters.in_progress.set({}, len(self._requests))
         answered = isinstance(outcome, Success)
         label = 'answered' if answered else str(outcome.failure().code)
--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -30,6 +30,7 @@
 from .drain import Drain, DrainPhase
 from .dump import Dump
 from .entry import Entry
+from .limits import WorkspaceLimits
 from .membership import Membership
 from .operators import OperatorApi
 from .plain import PlainCalls
@@ -98,6 +99,8 @@
             self._counters,
             generator,
         )
+        limits = WorkspaceLimits(members, table, self._counters)
+        self._membership.describe_demand = limits.describe_demand
         entry = Entry(
             identity,
             self._holder,
@@ -120,6 +123,7 @@
             ),
             Claims(identity, platform, self._counters),
             self._counters,
+            limits,
         )
         operators = OperatorApi(
             settings,
--- a/src/kelproad/coordination/membership.py
+++ b/src/kelproad/coordination/membership.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Callable
 
 import attrs
 from mode import Service
@@ -26,6 +27,7 @@
 from ..state.endpoints import EndpointTable
 from ..state.identity import Identity
 from ..state.lengths import LengthClass
+from ..state.limits import Demand
 from ..state.members import EndpointReport, Member, MemberTable
 from ..transport.addresses import Address
 from ..transport.deadlines import monotonic
@@ -75,6 +77,7 @@
         self._zones: dict[str, str] = {}
         self._links: dict[str, PeerLink] = {}
         self.draining = False
+        self.describe_demand: Callable[[], dict[str, Demand]] = dict
         follower.ask_peer = self.send
         self._listener = self.add_dependency(
             PeerListener(
@@ -176,6 +179,7 @@
                 )
                 if endpoint.report is not None
             ],
+            demand=self.describe_demand(),
             dispatched_by_class={
                 name: endpoint.own_by_class.copy()
                 for name, endpoint in self._table.all().items()
--- a/src/kelproad/state/members.py
+++ b/src/kelproad/state/members.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from .limits import Demand
+
 __all__ = ['EndpointReport', 'Member', 'MemberTable']
 
 #: Seconds without news after which a member is no longer counted as live.
@@ -51,6 +53,8 @@
         Prompt tokens that this instance has in flight, by endpoint.
     dispatched_by_class
         The same for each length class.
+    demand
+        What the busiest workspaces ask of this instance.
     """
 
     name: str
@@ -63,6 +67,7 @@
     dispatched: dict[str, int] = attrs.field(factory=dict)
     reports: list[EndpointReport] = attrs.field(factory=list)
     dispatched_by_class: dict[str, list[int]] = attrs.field(factory=dict)
+    demand: dict[str, Demand] = attrs.field(factory=dict)
 
     @property
     def order(self) -> tuple[int, int]:
