Refuse at once what cannot finish within its deadline

Cause: a request was dispatched although every queue was longer than its deadline; it was computed and thrown away.

Change: the predicted first token, times what predictions for its length class are exceeded by (learned), is compared with the remaining time.

Known: shares of the engines' time that higher classes take later are in the learned factor only.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -34,7 +34,6 @@
 _MEMORY_TOKENS = 400_000
 #: Over twice one engine's memory: such prompts are refused.
 _LONGEST = 900_000
-_DEADLINE = 20.0
 _SLOWNESS = 10.0
 _ADOPTION_SECONDS = 15.0
 _SETTLE_SECONDS = 2.0
@@ -57,6 +56,7 @@
     share: float
     seconds: float
     seed: int = 1
+    deadline: float = 20.0
     repeated: float = 0.3
 
 
@@ -105,7 +105,7 @@
             rate=1,
             seed=load.seed,
             longest=_LONGEST,
-            deadline=_DEADLINE,
+            deadline=load.deadline,
             more_keys=others,
             repeated=load.repeated,
         )
--- a/src/kelproad/cli/loadgen.py
+++ b/src/kelproad/cli/loadgen.py
@@ -155,6 +155,8 @@
         outcome = await _ask_and_read(session, plan, arrival, report)
     except (aiohttp.ClientError, OSError) as error:
         outcome = type(error).__name__
+    if outcome == 'answered':
+        report.answered_tokens += arrival.prompt_tokens
     report.outcomes[outcome] += 1
     report.outcomes_by_workspace[arrival.workspace][outcome] += 1
 
--- a/src/kelproad/cli/loadreport.py
+++ b/src/kelproad/cli/loadreport.py
@@ -57,6 +57,7 @@
         factory=lambda: collections.defaultdict(_create_histogram),
     )
     between_tokens: HdrHistogram = attrs.field(factory=_create_histogram)
+    answered_tokens: int = 0
     samples: list[Sample] = attrs.field(factory=list)
     outcomes_by_workspace: dict[int, collections.Counter[str]] = attrs.field(
         factory=lambda: collections.defaultdict(collections.Counter),
--- a/src/kelproad/coordination/routing.py
+++ b/src/kelproad/coordination/routing.py
@@ -15,6 +15,7 @@
 from ..state.refusals import Refusal, RefusalCode, Step
 from ..state.requests import Request
 from .candidates import Search, draw
+from .feasibility import learn_stretch, measure_lateness, refuse_hopeless
 from .policies import BASELINES, Choice
 from .prediction import Candidate, learn_rate, weigh_endpoint
 
@@ -92,6 +93,9 @@
     best = choice.best
     computing = best.predicted - best.waiting
     table.note_contention(request.prompt_tokens, best.waiting, computing, now)
+    late = measure_lateness(table, best, request, now)
+    if late > 0:
+        return Failure(refuse_hopeless(request, best, late))
     return Success(choice)
 
 
@@ -105,6 +109,7 @@
     endpoint = choice.endpoint
     endpoint.end_prefill(request.prompt_tokens)
     learn_rate(choice.best, request.prompt_tokens, now - choice.chosen_at)
+    learn_stretch(table, choice, request.prompt_tokens, now)
     if endpoint.report is not None:
         table.prefixes.remember(
             request.prefix,
--- a/src/kelproad/state/endpoints.py
+++ b/src/kelproad/state/endpoints.py
@@ -168,6 +168,9 @@
         Prompt tokens sent by length class, older ones counting less.
     instances
         Live instances, this one included.
+    stretch
+        Observed over predicted time to first token, by length class: what
+        comes later with a higher priority is in no prediction.
     """
 
     def __init__(self) -> None:
@@ -180,6 +183,7 @@
         self.prefixes = PrefixHistory()
         self.sent_by_class = [float(0) for _ in LengthClass]
         self.instances = 1
+        self.stretch = [LearnedRate() for _ in LengthClass]
         self._contention: dict[LengthClass, Contention] = {}
 
     def follow(self, snapshot: Snapshot) -> None:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -25,6 +25,7 @@
 from kelproad.state.endpoints import Endpoint, EndpointTable
 from kelproad.state.members import EndpointReport
 from kelproad.state.prefixes import digest_prefix
+from kelproad.state.refusals import Ran
 from kelproad.state.requests import Request
 
 NOW = 100.0
@@ -242,3 +243,40 @@
     assert fleet.weigh(endpoint, SHORT) == fleet.weigh(
         fleet.table.get('e2'), SHORT
     )
+
+
+def learn_predictions_are_right(fleet: Fleet) -> None:
+    """Let predictions have come true often."""
+    for stretch in fleet.table.stretch:
+        for _ in range(20):
+            stretch.observe(1)
+
+
+def test_hopeless_request_is_refused_with_when_to_come_back() -> None:
+    """A caller waits its whole deadline for an answer that cannot come.
+
+    All queues are longer than the deadline; the request is dispatched,
+    computed and thrown away.  Cause: nobody compares prediction and deadline.
+    """
+    fleet = Fleet()
+    learn_predictions_are_right(fleet)
+    for endpoint in fleet.table.all().values():
+        endpoint.begin_prefill(9_000, NOW)
+    request = attrs.evolve(fleet.request(SHORT), deadline=NOW + 0.5)
+    refused = routing.choose_endpoint(
+        request, fleet.table, 'a', NOW, fleet.random
+    ).failure()
+    assert refused.ran is Ran.NO
+    for endpoint in fleet.table.all().values():
+        endpoint.end_prefill(9_000)
+        endpoint.begin_prefill(9_000 - round(refused.retry_after * 15_000), NOW)
+    assert fleet.choose(request)
+
+
+def test_nothing_is_refused_below_overload() -> None:
+    fleet = Fleet()
+    learn_predictions_are_right(fleet)
+    for tokens in (SHORT, LONG, 399_000):
+        # Without a queue even a deadline that looks too short is tried.
+        request = attrs.evolve(fleet.request(tokens), deadline=NOW + 0.2)
+        assert fleet.choose(request)
