--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,11 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test bench lint format binary clean
+.PHONY: demo test bench soak lint format binary binary-check clean
+
+EXAMPLE := roadgrip
+SECONDS := 60
+SEED := 1
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(PYTHON) || python3.11 -m venv $(VENV)
@@ -12,7 +16,7 @@
 	touch $@
 
 demo: $(STAMP)
-	$(PYTHON) demo/run.py
+	$(PYTHON) demo/run.py $(EXAMPLE)
 
 test: $(STAMP)
 	$(PYTHON) -m pytest
@@ -20,6 +24,9 @@
 bench: $(STAMP)
 	$(PYTHON) bench/run.py
 
+soak: $(STAMP)
+	$(PYTHON) -m testbed.soak.run --seconds $(SECONDS) --seed $(SEED)
+
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check src tests demo bench testbed
 	$(VENV)/bin/ruff check src tests demo bench testbed
@@ -32,7 +39,11 @@
 
 binary: $(STAMP)
 	mkdir -p dist
-	$(VENV)/bin/shiv --quiet --compressed -c kelproad -o dist/kelproad .
+	$(VENV)/bin/shiv --compressed --console-script kelproad \
+	  --output-file dist/kelproad --constraint requirements.lock --quiet .
+
+binary-check: binary
+	$(PYTHON) -m testbed.binary dist/kelproad
 
 clean:
 	rm -rf $(VENV) build dist
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -54,11 +54,11 @@
     with tempfile.TemporaryDirectory() as directory:
         with start_site(plan, pathlib.Path(directory)) as site:
             fleet = Fleet(site, time_scale)
-            # The engines' rates are learned first.  No prompt repeats, so that no
-            # cached prefix makes the load lower than it says.
+            # Rates are learned first.  No prompt repeats, so that no cached
+            # prefix makes the load lower than it says.
             fleet.send(Load(_SHARES[0] / 2, seconds / 4))
             for share in _SHARES:
-                load = Load(share, seconds, deadline=deadline, repeated=0)
+                load = Load(share, seconds, 1, deadline, repeated=0)
                 measured.append(_measure(fleet, load))
                 print(measured[-1], flush=True)
     output.mkdir(parents=True, exist_ok=True)
--- a/src/kelproad/coordination/attempts.py
+++ b/src/kelproad/coordination/attempts.py
@@ -110,6 +110,8 @@
         while len(tried) < _MAX_ATTEMPTS:
             placed = self._place(request, tried, decision, deliver)
             if isinstance(placed, Failure):
+                refused = attrs.asdict(placed.failure())
+                decision.note('not routed', refusal=refused)
                 # Without another endpoint, the last attempt's refusal stands.
                 return outcome if tried else placed
             placement = placed.unwrap()
@@ -118,6 +120,7 @@
             if isinstance(outcome, Success):
                 return outcome
             refusal = outcome.failure()
+            request.note_ran(refusal.ran)
             decision.note('attempt failed', refusal=attrs.asdict(refusal))
             if not _may_repeat(request, placement, refusal):
                 return outcome
--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -1,5 +1,6 @@
 """One entry instance: its parts, how they are joined, how they stop."""
 
+import functools
 import logging
 import random
 from collections.abc import Awaitable, Callable
@@ -19,7 +20,7 @@
 from ..state.endpoints import EndpointTable
 from ..state.identity import Identity
 from ..state.members import MemberTable
-from ..state.refusals import Refusal, RefusalCode, Step
+from ..state.refusals import Ran, Refusal, RefusalCode, Step
 from ..state.requests import DecisionLog, RequestTable
 from ..transport.addresses import Address
 from ..transport.http import HttpServer, create_fresh_session, create_session
@@ -42,6 +43,8 @@
 _logger = logging.getLogger(__name__)
 #: Seconds that a stopping instance waits for engines to confirm cancels.
 _CANCEL_LIMIT = 5.0
+#: Seconds that it waits for outcomes to be written, when the platform is down.
+_CLAIM_LIMIT = 5.0
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -61,7 +64,7 @@
         self._counters = Counters()
         self._sessions: list[aiohttp.ClientSession] = []
         self._drain = Drain(
-            self._requests,
+            lambda: self._entry.unfinished,
             settings.drain_grace,
             settings.drain_limit,
         )
@@ -99,9 +102,10 @@
             self._counters,
             generator,
         )
+        self._claims = Claims(identity, platform, self._counters)
         limits = WorkspaceLimits(members, table, self._counters)
         self._membership.describe_demand = limits.describe_demand
-        entry = Entry(
+        self._entry = Entry(
             identity,
             self._holder,
             self._requests,
@@ -121,7 +125,7 @@
                 self._counters,
                 generator,
             ),
-            Claims(identity, platform, self._counters),
+            self._claims,
             self._counters,
             limits,
         )
@@ -147,10 +151,10 @@
             self._follower,
             self._membership,
             Watch(identity, table, members, engines),
-            entry,
+            self._entry,
         ):
             await self.add_runtime_dependency(service)
-        await self._serve(entry, operators)
+        await self._serve(self._entry, operators)
 
     async def on_shutdown(self) -> None:
         """Close the client sessions after everything else has stopped."""
@@ -175,11 +179,18 @@
         self._membership.announce()
         left = await self._drain.finish()
         await self._canceller.finish(_CANCEL_LIMIT)
-        _logger.info('drained, %d requests left', left)
+        unsettled = await self._claims.finish(_CLAIM_LIMIT)
+        _logger.info(
+            'drained, %d requests left, %d claims left unsettled',
+            left,
+            unsettled,
+        )
         return left
 
     async def _serve(self, entry: Entry, operators: OperatorApi) -> None:
-        caller_side = web.Application(middlewares=[self._refuse_when_leaving])
+        caller_side = web.Application(
+            middlewares=[self._refuse_on_error, self._refuse_when_leaving],
+        )
         caller_side.add_routes(
             [
                 *entry.routes(),
@@ -190,11 +201,18 @@
         )
         operator_side = web.Application()
         operator_side.add_routes(operators.routes())
-        for application, address in (
-            (caller_side, self._settings.caller_address),
-            (operator_side, self._settings.operator_address),
+        for side, application, address in (
+            ('callers', caller_side, self._settings.caller_address),
+            ('operators', operator_side, self._settings.operator_address),
         ):
-            server = HttpServer(application, Address.from_text(address))
+            server = HttpServer(
+                application,
+                Address.from_text(address),
+                functools.partial(
+                    self._counters.malformed.inc,
+                    {'side': side},
+                ),
+            )
             await self.add_runtime_dependency(server)
 
     def _open_session(self, fresh: bool = False) -> aiohttp.ClientSession:
@@ -215,6 +233,21 @@
             return callers.answer_refusal(_refuse_leaving(), '')
         return await handler(http_request)
 
+    @web.middleware
+    async def _refuse_on_error(
+        self,
+        http_request: web.Request,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        """Answer in the one shape also when this program has a fault."""
+        try:
+            return await handler(http_request)
+        except web.HTTPException as answered:
+            return callers.answer_refusal(_refuse_http(answered), '')
+        except Exception:
+            _logger.exception('unexpected error in %s', http_request.path)
+            return callers.answer_refusal(_refuse_fault(), '')
+
     async def _answer_ready(self, _http_request: web.Request) -> web.Response:
         if self._drain.phase is not DrainPhase.SERVING:
             return callers.answer_refusal(_refuse_leaving(), '')
@@ -243,6 +276,25 @@
     )
 
 
+def _refuse_http(answered: web.HTTPException) -> Refusal:
+    """Turn the HTTP library's own answer, such as 404, into a refusal."""
+    known = {code.status: code for code in reversed(RefusalCode)}
+    return Refusal(
+        known.get(answered.status, RefusalCode.BAD_REQUEST),
+        answered.reason,
+        Step.RECEIVE,
+    )
+
+
+def _refuse_fault() -> Refusal:
+    return Refusal(
+        RefusalCode.INTERNAL,
+        'a fault of this program; whether the work ran is not known',
+        Step.RELAY,
+        ran=Ran.UNKNOWN,
+    )
+
+
 def _refuse_unready() -> Refusal:
     return Refusal(
         RefusalCode.NOT_READY,
--- a/src/kelproad/coordination/plain.py
+++ b/src/kelproad/coordination/plain.py
@@ -70,6 +70,7 @@
             if isinstance(outcome, Success):
                 return outcome
             refusal = outcome.failure()
+            request.note_ran(refusal.ran)
             decision.note('attempt failed', refusal=attrs.asdict(refusal))
             if not _may_repeat(request, call, refusal):
                 return outcome
@@ -86,14 +87,15 @@
         endpoint.own_requests += 1
         request.phase = Phase.DISPATCHED
         url = Address.from_text(endpoint.declaration.address).url
-        headers = call.headers.copy()
-        headers['X-Request-Id'] = request.request_id
-        headers['X-Workspace'] = request.workspace.name
+        system_headers = {
+            'X-Request-Id': request.request_id,
+            'X-Workspace': request.workspace.name,
+        }
         label = 'abandoned'
         try:
             answered = await self._client.call(
                 url,
-                attrs.evolve(call, headers=headers),
+                attrs.evolve(call, system_headers=system_headers),
             )
             label = 'complete' if isinstance(answered, Success) else 'failed'
             refusal = answered.swap().value_or(None)
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -75,6 +75,10 @@
             'kelproad_limited_total',
             'Requests refused for a limit of their workspace, by limit.',
         )
+        self.malformed = self._counter(
+            'kelproad_malformed_input_total',
+            'Input on a listening address that is not HTTP, by side.',
+        )
         self.in_progress = self._gauge(
             'kelproad_requests_in_progress',
             'Requests admitted that have no final answer yet.',
--- a/src/kelproad/state/requests.py
+++ b/src/kelproad/state/requests.py
@@ -7,6 +7,7 @@
 import attrs
 
 from .configuration import Service, Snapshot, Workspace
+from .refusals import Ran, Refusal
 
 __all__ = ['Decision', 'DecisionLog', 'Phase', 'Request', 'RequestTable']
 
@@ -37,6 +38,8 @@
         Number of dispatches so far.
     prefix
         Digests of the prompt's beginnings, each twice as long as the last.
+    ran
+        Whether any dispatch so far was, or may have been, executed.
     """
 
     request_id: str
@@ -50,6 +53,7 @@
     attempts: int = 0
     idempotency_key: str = ''
     prefix: tuple[bytes, ...] = ()
+    ran: Ran = Ran.NO
 
     @property
     def repeatable(self) -> bool:
@@ -61,6 +65,20 @@
         self.attempts += 1
         return f'{self.request_id}-{self.attempts}'
 
+    def note_ran(self, ran: Ran) -> None:
+        """Take in whether a dispatch that failed was executed."""
+        if self.ran is not Ran.YES and ran is not Ran.NO:
+            self.ran = ran
+
+    def complete_refusal(self, refusal: Refusal) -> Refusal:
+        """Let a refusal speak for all dispatches, not only for the last.
+
+        A repeatable request may run at one endpoint, lose its answer and be
+        refused unrun by the next one; it may have run all the same.
+        """
+        self.note_ran(refusal.ran)
+        return attrs.evolve(refusal, ran=self.ran)
+
     def remaining(self, now: float) -> float:
         """Return the seconds left until the deadline, negative if past."""
         return self.deadline - now
@@ -86,9 +104,9 @@
             prompt_tokens=request.prompt_tokens,
         )
 
-    def note(self, step: str, **details: object) -> None:
-        """Add what was decided at a step."""
-        self.steps.append({'step': step, **details})
+    def note(self, event: str, /, **details: object) -> None:
+        """Add what happened, with whatever explains it."""
+        self.steps.append({'event': event, **details})
 
 
 class DecisionLog:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,5 +1,6 @@
 """Limits of workspaces and fair shares, called as functions over state."""
 
+import json
 from collections.abc import Iterator
 
 import attrs
@@ -13,6 +14,8 @@
 from kelproad.state.limits import Demand
 from kelproad.state.members import SUSPECT_AFTER, Member, MemberTable
 from kelproad.state.requests import Request
+from testbed.site import Site
+from tests.clients import Answer, call, complete
 from tests.test_routing import SHORT, Fleet
 
 
@@ -195,3 +198,29 @@
     told = site.each[0].describe_demand()
     assert len(told) == limits.MOST_TOLD
     assert told['w199'].tokens > Demand().tokens
+
+
+def test_limited_workspace_is_told_when_to_come_back(roadgrip: Site) -> None:
+    answers = [_ask_as_trials(at) for _ in range(40) for at in roadgrip.callers]
+    refused = [answer for answer in answers if answer.status == 429]
+    assert refused
+    assert len(refused) < len(answers)
+    assert all(answer.refusal()['ran'] == 'no' for answer in refused)
+    assert all(answer.refusal()['retry_after'] > 0 for answer in refused)
+    assert complete(roadgrip.callers[0]).status == 200
+    told = roadgrip.control(
+        roadgrip.instances[-1].operator,
+        'GET',
+        f'/operator/explain/{_last_refused(answers[2::3])}',
+    )
+    assert 'requests per second' in json.dumps(told)
+
+
+def _ask_as_trials(address: str) -> Answer:
+    body = {'model': 'roadgrip-crew', 'prompt': 'x', 'max_tokens': 1}
+    return call(address, '/v1/completions', body, key='example-key-trials')
+
+
+def _last_refused(answers: list[Answer]) -> str:
+    refused = [answer for answer in answers if answer.status == 429]
+    return refused[-1].headers['X-Request-Id']
