Let only a probe end probation, and bound what a flapping engine costs

Cause: a request sent before an ejection that ended well afterwards let the endpoint back in without a probe.

Change: success counts as the probe's only after the time out is over.

--- a/src/kelproad/coordination/ejection.py
+++ b/src/kelproad/coordination/ejection.py
@@ -41,7 +41,8 @@
 
 def _note_success(endpoint: Endpoint, now: float) -> None:
     endpoint.consecutive_failures = 0
-    if endpoint.on_probation:
+    # A request from before the ejection that ends well is no probe.
+    if endpoint.on_probation and endpoint.ejected_until <= now:
         endpoint.on_probation = False
         endpoint.restored_at = now
     if now - endpoint.restored_at > _LONGEST_SECONDS:
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from kelproad.coordination import routing
 from kelproad.coordination.ejection import note_outcome
 from kelproad.coordination.retries import Retries
 from kelproad.state.budgets import RetryBudget
@@ -122,3 +123,39 @@
     for number in range(200):
         fleet.report(slow, 0, NOW + number / 1000)
     assert slow.tokens_per_second > 5 * 1_500
+
+
+def test_work_from_before_the_ejection_is_no_probe() -> None:
+    fleet = Fleet()
+    fail(fleet, 'e0', 3)
+    endpoint = fleet.table.get('e0')
+    note_outcome(fleet.table, endpoint, None, NOW + 1, Counters())
+    assert endpoint.on_probation
+
+
+def test_flapping_engine_costs_a_bounded_share_of_requests() -> None:
+    """An engine fails every second request and is never out for long.
+
+    Each time it comes back it takes requests that fail.  Cause: a success in
+    between makes failures forgotten; the time out must still grow.
+    """
+    fleet = Fleet()
+    request = fleet.request(SHORT)
+    flapping = fleet.table.get('e0')
+    failed, sent = 0, 12_000
+    for number in range(sent):
+        now = NOW + number / 20
+        for endpoint in fleet.table.all().values():
+            endpoint.reported_at = now
+        chosen = routing.choose_endpoint(
+            request,
+            fleet.table,
+            'a',
+            now,
+            fleet.random,
+        ).unwrap()
+        fails = chosen.endpoint is flapping and fleet.random.choice((0, 1))
+        failed += bool(fails)
+        refusal = FAILED if fails else None
+        note_outcome(fleet.table, chosen.endpoint, refusal, now, Counters())
+    assert failed * 100 < sent
