--- a/src/kelproad/coordination/policies.py
+++ b/src/kelproad/coordination/policies.py
@@ -41,11 +41,16 @@
         """The chosen endpoint."""
         return self.best.endpoint
 
+    @property
+    def predicted(self) -> float:
+        """Predicted seconds to the first token; 0 by a baseline."""
+        return self.best.predicted
+
     def describe(self) -> dict[str, object]:
         """Describe the choice for people who ask why."""
         return {
             'endpoint': self.endpoint.name,
-            'predicted': self.best.predicted,
+            'predicted': self.predicted,
             'considered': {
                 candidate.endpoint.name: {
                     'predicted': candidate.predicted,
