--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -3,14 +3,12 @@
 import functools
 import logging
 import random
-from collections.abc import Awaitable, Callable
 
 import aiohttp
 from aiohttp import web
-from aioprometheus import render
 
-from ..protocol import callers
-from ..protocol.engines import EngineClient, trace_connections
+from ..protocol.connections import trace_connections
+from ..protocol.engines import EngineClient
 from ..protocol.plain import PlainClient
 from ..protocol.platform import PlatformClient
 from ..protocol.settings import Settings
@@ -20,22 +18,24 @@
 from ..state.endpoints import EndpointTable
 from ..state.identity import Identity
 from ..state.members import MemberTable
-from ..state.refusals import Ran, Refusal, RefusalCode, Step
 from ..state.requests import DecisionLog, RequestTable
 from ..transport.addresses import Address
 from ..transport.http import HttpServer, create_fresh_session, create_session
 from ..transport.services import BackgroundService
+from .acceptance import ConfigurationWriter
 from .attempts import Attempts
 from .claims import Claims
-from .configuration import ConfigurationFollower, ConfigurationWriter
-from .drain import Drain, DrainPhase
+from .configuration import ConfigurationFollower
+from .drain import Drain
 from .dump import Dump
 from .entry import Entry
 from .limits import WorkspaceLimits
 from .membership import Membership
 from .operators import OperatorApi
+from .orphans import OrphanWatch
 from .plain import PlainCalls
 from .reclamation import Canceller
+from .sides import CallerSide
 from .watch import Watch
 
 __all__ = ['Instance']
@@ -45,8 +45,8 @@
 _CANCEL_LIMIT = 5.0
 #: Seconds that it waits for outcomes to be written, when the platform is down.
 _CLAIM_LIMIT = 5.0
-
-Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+#: Bytes of the largest file that an operator may apply.
+_LARGEST_FILE = 3 * 1024 * 1024
 
 
 class Instance(BackgroundService):
@@ -88,6 +88,7 @@
             settings,
             self._holder,
             table,
+            members,
             platform,
             self._counters,
         )
@@ -151,10 +152,20 @@
             self._follower,
             self._membership,
             Watch(identity, table, members, engines),
+            OrphanWatch(
+                identity,
+                self._holder,
+                table,
+                members,
+                engines,
+                self._canceller.holdings,
+                self._counters,
+                settings.forgotten_after,
+            ),
             self._entry,
         ):
             await self.add_runtime_dependency(service)
-        await self._serve(self._entry, operators)
+        await self._serve(operators)
 
     async def on_shutdown(self) -> None:
         """Close the client sessions after everything else has stopped."""
@@ -187,23 +198,24 @@
         )
         return left
 
-    async def _serve(self, entry: Entry, operators: OperatorApi) -> None:
-        caller_side = web.Application(
-            middlewares=[self._refuse_on_error, self._refuse_when_leaving],
-        )
-        caller_side.add_routes(
-            [
-                *entry.routes(),
-                web.get('/healthz', _answer_alive),
-                web.get('/readyz', self._answer_ready),
-                web.get('/metrics', self._answer_metrics),
-            ],
+    async def _serve(self, operators: OperatorApi) -> None:
+        caller_side = CallerSide(
+            self._entry,
+            self._drain,
+            self._holder,
+            self._follower,
+            self._counters,
         )
-        operator_side = web.Application()
+        operator_side = web.Application(client_max_size=_LARGEST_FILE)
         operator_side.add_routes(operators.routes())
+        settings = self._settings
         for side, application, address in (
-            ('callers', caller_side, self._settings.caller_address),
-            ('operators', operator_side, self._settings.operator_address),
+            (
+                'callers',
+                caller_side.create_application(),
+                settings.caller_address,
+            ),
+            ('operators', operator_side, settings.operator_address),
         ):
             server = HttpServer(
                 application,
@@ -221,85 +233,3 @@
         session = create(origin, trace_configs=[trace_connections()])
         self._sessions.append(session)
         return session
-
-    @web.middleware
-    async def _refuse_when_leaving(
-        self,
-        http_request: web.Request,
-        handler: Handler,
-    ) -> web.StreamResponse:
-        is_work = not http_request.path.endswith(('/healthz', '/metrics'))
-        if self._drain.phase is DrainPhase.REFUSING and is_work:
-            return callers.answer_refusal(_refuse_leaving(), '')
-        return await handler(http_request)
-
-    @web.middleware
-    async def _refuse_on_error(
-        self,
-        http_request: web.Request,
-        handler: Handler,
-    ) -> web.StreamResponse:
-        """Answer in the one shape also when this program has a fault."""
-        try:
-            return await handler(http_request)
-        except web.HTTPException as answered:
-            return callers.answer_refusal(_refuse_http(answered), '')
-        except Exception:
-            _logger.exception('unexpected error in %s', http_request.path)
-            return callers.answer_refusal(_refuse_fault(), '')
-
-    async def _answer_ready(self, _http_request: web.Request) -> web.Response:
-        if self._drain.phase is not DrainPhase.SERVING:
-            return callers.answer_refusal(_refuse_leaving(), '')
-        if self._holder.current.revision == 0:
-            return callers.answer_refusal(_refuse_unready(), '')
-        return web.Response(text='ready\n')
-
-    async def _answer_metrics(self, http_request: web.Request) -> web.Response:
-        body, headers = render(
-            self._counters.registry,
-            http_request.headers.getall('Accept', []),
-        )
-        return web.Response(body=body, headers=headers)
-
-
-async def _answer_alive(_http_request: web.Request) -> web.Response:
-    return web.Response(text='alive\n')
-
-
-def _refuse_leaving() -> Refusal:
-    return Refusal(
-        RefusalCode.NOT_READY,
-        'this instance is leaving; another one takes the request',
-        Step.ADMIT,
-        retry_after=0,
-    )
-
-
-def _refuse_http(answered: web.HTTPException) -> Refusal:
-    """Turn the HTTP library's own answer, such as 404, into a refusal."""
-    known = {code.status: code for code in reversed(RefusalCode)}
-    return Refusal(
-        known.get(answered.status, RefusalCode.BAD_REQUEST),
-        answered.reason,
-        Step.RECEIVE,
-    )
-
-
-def _refuse_fault() -> Refusal:
-    return Refusal(
-        RefusalCode.INTERNAL,
-        'a fault of this program; whether the work ran is not known',
-        Step.RELAY,
-        ran=Ran.UNKNOWN,
-    )
-
-
-def _refuse_unready() -> Refusal:
-    return Refusal(
-        RefusalCode.NOT_READY,
-        'this instance has no configuration: neither the platform nor a peer '
-        'has given it one',
-        Step.CONFIGURE,
-        retry_after=1,
-    )
--- a/src/kelproad/state/members.py
+++ b/src/kelproad/state/members.py
@@ -55,6 +55,13 @@
         The same for each length class.
     demand
         What the busiest workspaces ask of this instance.
+    configuration_age
+        Seconds since its revision was last confirmed, at the time of sending;
+        ``None`` while it never was.
+    configuration_fault
+        Why it could not read the store, empty when it could.
+    pending_files
+        Files whose accepted version it cannot read.
     """
 
     name: str
@@ -66,6 +73,9 @@
     draining: bool = False
     dispatched: dict[str, int] = attrs.field(factory=dict)
     reports: list[EndpointReport] = attrs.field(factory=list)
+    configuration_age: float | None = None
+    configuration_fault: str = ''
+    pending_files: list[str] = attrs.field(factory=list)
     dispatched_by_class: dict[str, list[int]] = attrs.field(factory=dict)
     demand: dict[str, Demand] = attrs.field(factory=dict)
 
@@ -82,6 +92,9 @@
         """Start with no members."""
         self._members: dict[str, Member] = {}
         self._heard: dict[str, float] = {}
+        #: Instances on the platform's list, and when it was read last.
+        self.listed: frozenset[str] = frozenset()
+        self.listed_at = float('-inf')
 
     def merge(self, member: Member, now: float) -> bool:
         """Take a record if it is newer than the one held.
@@ -97,6 +110,11 @@
         self._heard[member.name] = now
         return True
 
+    def note_listing(self, names: frozenset[str], now: float) -> None:
+        """Remember whom the platform lists."""
+        self.listed = names
+        self.listed_at = now
+
     def live(self, now: float) -> list[Member]:
         """List the members heard of recently."""
         return [
--- a/tests/test_plain_calls.py
+++ b/tests/test_plain_calls.py
@@ -7,7 +7,7 @@
 from aiohttp.test_utils import TestServer
 from multidict import CIMultiDict
 
-from kelproad.protocol.engines import trace_connections
+from kelproad.protocol.connections import trace_connections
 from kelproad.protocol.plain import PlainCall, PlainClient
 from kelproad.standins.service import ServiceStandIn
 from kelproad.state.refusals import Ran
