Take late engines for slow, not for failing

Cause: since relays give up on an engine that is later than predicted, such an attempt ended like a failure. Under overload every engine is late, and three late answers would take engines out and overload the rest.

Change: an attempt without a token after more than a second is a stall; an engine that still reports is taken to be slow and the time is learned, a silent one fails.

--- a/src/kelproad/coordination/attempts.py
+++ b/src/kelproad/coordination/attempts.py
@@ -24,7 +24,7 @@
 from ..transport.deadlines import monotonic
 from . import routing
 from .answers import Answer, CallerGoneError, DeliveryError, Sink
-from .ejection import note_outcome
+from .ejection import note_outcome, note_stall
 from .reclamation import Canceller
 from .relays import Patience, Relay
 from .retries import Retries
@@ -32,6 +32,8 @@
 __all__ = ['Attempts', 'CallerGoneError']
 
 _MAX_ATTEMPTS = 3
+#: Seconds after which an attempt without a token has stalled, not failed.
+_STALL_SECONDS = 1.0
 #: Bytes of events kept for continuing streams elsewhere, for one answer and
 #: for all; an answer beyond them is delivered, but no more continued.
 _KEPT_PER_ANSWER = 1_048_576
@@ -233,10 +235,7 @@
             endpoint.end_prefill(request.prompt_tokens)
         label = _label_outcome(outcome)
         if outcome is not None:
-            refusal = outcome.swap().value_or(None)
-            now = monotonic()
-            counters = self._counters
-            note_outcome(self._table, endpoint, refusal, now, counters)
+            self._note_outcome(request, placement, outcome)
         attempt_id = placement.attempt.attempt_id
         if relay.finished or _never_ran(outcome):
             self._canceller.drop(attempt_id)
@@ -252,6 +251,25 @@
         dropped.add({'reason': 'crossed'}, sequence.crossed)
         dropped.add({'reason': 'repeated'}, sequence.repeated)
 
+    def _note_outcome(
+        self,
+        request: Request,
+        placement: _Placement,
+        outcome: Result[None, Refusal],
+    ) -> None:
+        """Let the endpoint's record know how the attempt ended."""
+        now = monotonic()
+        choice = placement.choice
+        refusal = outcome.swap().value_or(None)
+        stalled = now - choice.chosen_at > _STALL_SECONDS
+        if refusal is None or placement.first_token or not stalled:
+            endpoint = placement.endpoint
+            counters = self._counters
+            note_outcome(self._table, endpoint, refusal, now, counters)
+        elif refusal.code is RefusalCode.ENDPOINT_FAILED:
+            tokens = request.prompt_tokens
+            note_stall(self._table, choice, tokens, now, self._counters)
+
     def _note_first_token(
         self,
         request: Request,
--- a/src/kelproad/coordination/ejection.py
+++ b/src/kelproad/coordination/ejection.py
@@ -10,8 +10,11 @@
 from ..state.counters import Counters
 from ..state.endpoints import Endpoint, EndpointTable
 from ..state.refusals import Refusal, RefusalCode
+from .candidates import SILENT_AFTER
+from .policies import Choice
+from .prediction import learn_rate
 
-__all__ = ['note_outcome']
+__all__ = ['note_outcome', 'note_stall']
 
 #: Failures in a row that take an endpoint out.
 _FAILURES = 3
@@ -39,6 +42,26 @@
         _note_failure(table, endpoint, now, counters)
 
 
+def note_stall(
+    table: EndpointTable,
+    choice: Choice,
+    prompt_tokens: int,
+    now: float,
+    counters: Counters,
+) -> None:
+    """Enter that an engine was given up on before its first token.
+
+    Under overload every engine is later than predicted.  Counting that as
+    failing would take engines out and overload the rest; so an engine that
+    still reports is taken to be slow, and the time it took is learned.
+    """
+    endpoint = choice.endpoint
+    if now - endpoint.reported_at > SILENT_AFTER:
+        _note_failure(table, endpoint, now, counters)
+    else:
+        learn_rate(choice.best, prompt_tokens, now - choice.chosen_at)
+
+
 def _note_success(endpoint: Endpoint, now: float) -> None:
     endpoint.consecutive_failures = 0
     # A request from before the ejection that ends well is no probe.
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -3,7 +3,7 @@
 import attrs
 
 from kelproad.coordination import routing
-from kelproad.coordination.ejection import note_outcome
+from kelproad.coordination.ejection import note_outcome, note_stall
 from kelproad.coordination.retries import Retries
 from kelproad.state.budgets import RetryBudget
 from kelproad.state.counters import Counters
@@ -159,3 +159,30 @@
         refusal = FAILED if fails else None
         note_outcome(fleet.table, chosen.endpoint, refusal, now, Counters())
     assert failed * 100 < sent
+
+
+def test_late_engines_are_slow_not_failing_unless_silent() -> None:
+    """Under overload healthy engines are taken out one after another.
+
+    Each is later than predicted and given up on; counted as a failure that
+    takes it out, and the rest get its load.  Cause: lateness seen as failure.
+    """
+    for silent in (False, True):
+        fleet = Fleet()
+        request = fleet.request(SHORT)
+        others = frozenset(fleet.table.all()) - {'e0'}
+        chosen = routing.choose_endpoint(
+            request,
+            fleet.table,
+            'a',
+            NOW,
+            fleet.random,
+            others,
+        ).unwrap()
+        now = NOW + 5
+        endpoint = fleet.table.get('e0')
+        endpoint.reported_at = NOW if silent else now
+        for _ in range(3):
+            note_stall(fleet.table, chosen, SHORT, now, Counters())
+        assert (endpoint.ejected_until > now) is silent
+        assert (endpoint.tokens_per_second < 1_000) is not silent
