--- a/src/kelproad/coordination/entry.py
+++ b/src/kelproad/coordination/entry.py
@@ -8,6 +8,7 @@
 import types
 from collections.abc import Awaitable, Callable, Coroutine
 
+import attrs
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
@@ -21,7 +22,7 @@
 )
 from ..state.counters import Counters
 from ..state.identity import Identity
-from ..state.refusals import Ran, Refusal
+from ..state.refusals import Ran, Refusal, Step
 from ..state.requests import (
     Decision,
     DecisionLog,
@@ -38,6 +39,7 @@
     WholeDelivery,
     create_answer_buffers,
 )
+from .limits import WorkspaceLimits
 from .outcomes import (
     record_answer,
     refuse_gone,
@@ -87,6 +89,7 @@
         plain_calls: PlainCalls,
         key_claims: Claims,
         counters: Counters,
+        limits: WorkspaceLimits,
     ) -> None:
         """Answer with the parts of this instance."""
         super().__init__()
@@ -98,6 +101,7 @@
         self._plain_calls = plain_calls
         self._claims = key_claims
         self._counters = counters
+        self._limits = limits
         self._buffers = create_answer_buffers()
         self._detached: set[asyncio.Task[web.StreamResponse]] = set()
         self._open_calls = 0
@@ -187,7 +191,9 @@
             arrival.body,
             _COMPLETION_FIELDS[call.http_request.path],
         )
-        admitted = parsed.bind(lambda body: admit_completion(arrival, body))
+        admitted = parsed.bind(
+            lambda body: admit_completion(arrival, body),
+        ).bind(self._limits.admit)
         if isinstance(admitted, Failure):
             return self._refuse(admitted.failure(), call.request_id)
         request = admitted.unwrap()
@@ -199,7 +205,7 @@
 
     async def _answer_plain(self, call: Call) -> web.StreamResponse:
         received = await receive(call, self._holder.current, text=False)
-        admitted = received.bind(admit_plain)
+        admitted = received.bind(admit_plain).bind(self._limits.admit)
         if isinstance(admitted, Failure):
             return self._refuse(admitted.failure(), call.request_id)
         arrival, request = received.unwrap(), admitted.unwrap()
@@ -413,6 +419,7 @@
         decision = Decision.from_request(request)
         self._decisions.open(decision)
         self._requests.add(request)
+        self._limits.begin(request)
         self._counters.in_progress.set({}, len(self._requests))
         return decision
 
@@ -423,6 +430,7 @@
         outcome: Result[object, Refusal],
     ) -> None:
         self._requests.remove(request)
+        self._limits.end(request)
         self._counters.in_progress.set({}, len(self._requests))
         answered = isinstance(outcome, Success)
         label = 'answered' if answered else str(outcome.failure().code)
@@ -433,6 +441,11 @@
 
     def _refuse(self, refusal: Refusal, request_id: str) -> web.Response:
         self._count_refusal(refusal)
+        if refusal.step is Step.ADMIT:
+            # Refused before there was a request; people ask why all the same.
+            decision = Decision(request_id, workspace='', service='')
+            decision.note('refused', refusal=attrs.asdict(refusal))
+            self._decisions.open(decision)
         return callers.answer_refusal(refusal, request_id)
 
     def _count_refusal(self, refusal: Refusal) -> Refusal:
--- a/src/kelproad/coordination/reception.py
+++ b/src/kelproad/coordination/reception.py
@@ -13,6 +13,7 @@
 from ..protocol import callers
 from ..protocol.callers import CompletionBody
 from ..state.configuration import Service, Snapshot, Workspace
+from ..state.prefixes import digest_prefix
 from ..state.refusals import Refusal, RefusalCode, Step
 from ..state.requests import Parts, Request
 from ..transport.deadlines import within
@@ -129,8 +130,11 @@
     service = found.unwrap()
     tokens = body.estimate_tokens(service.bytes_per_token)
     fits = admission.check_size(tokens, arrival.snapshot.groups_of(service))
-    if isinstance(fits, Success) or service.segments is None:
-        return fits.bind(lambda _: _create_request(arrival, service, tokens))
+    if isinstance(fits, Success):
+        prefix = digest_prefix(body.prompt, service.bytes_per_token)
+        return _create_request(arrival, service, tokens, prefix=prefix)
+    if service.segments is None:
+        return fits
     return split_body(body, service).bind(
         lambda parts: _create_request(arrival, service, tokens, parts),
     )
@@ -151,6 +155,7 @@
     service: Service,
     tokens: int,
     parts: Parts | None = None,
+    prefix: tuple[bytes, ...] = (),
 ) -> Result[Request, Refusal]:
     if len(arrival.body) > service.max_body_bytes:
         return Failure(
@@ -166,12 +171,10 @@
         service.deadline.maximum,
     )
     return seconds.map(
-        lambda allowed: _start_request(
-            arrival,
-            service,
-            tokens,
-            allowed,
-            parts,
+        lambda allowed: attrs.evolve(
+            _start_request(arrival, service, tokens, allowed),
+            parts=parts,
+            prefix=prefix,
         ),
     )
 
@@ -181,7 +184,6 @@
     service: Service,
     tokens: int,
     allowed: float,
-    parts: Parts | None,
 ) -> Request:
     call = arrival.call
     call.deadline = call.arrived + allowed
@@ -194,7 +196,6 @@
         deadline=call.deadline,
         arrived=call.arrived,
         idempotency_key=arrival.key,
-        parts=parts,
     )
 
 
--- a/src/kelproad/state/configuration.py
+++ b/src/kelproad/state/configuration.py
@@ -27,6 +27,7 @@
     'Objective',
     'PendingFile',
     'Segmenting',
+    'Policy',
     'Service',
     'ServiceKind',
     'Snapshot',
@@ -72,6 +73,19 @@
     DECODE = 'decode'
 
 
+class Policy(enum.StrEnum):
+    """How an endpoint is chosen; all but ``predicted`` are baselines.
+
+    The first three do what plain proxies do and send no priorities.
+    """
+
+    ROUND_ROBIN = 'round_robin'
+    LEAST_REQUESTS = 'least_requests'
+    LEAST_TOKENS = 'least_tokens'
+    ROUND_ROBIN_PRIORITY = 'round_robin_priority'
+    PREDICTED = 'predicted'
+
+
 @attrs.frozen
 class Deadline:
     """Bounds on a request's time, in seconds."""
@@ -98,11 +112,19 @@
 
 @attrs.frozen
 class Deployment:
-    """What holds for the whole site."""
+    """What holds for the whole site.
+
+    Attributes
+    ----------
+    retry_budget_percent
+        Retries that an instance allows for a hundred requests of a service.
+    """
 
     name: str
     zones: list[str]
     objective: Objective = attrs.field(factory=Objective)
+    policy: Policy = Policy.PREDICTED
+    retry_budget_percent: float = 10.0
 
 
 @attrs.frozen
@@ -234,6 +256,10 @@
         Role that managed engines are to have.
     max_loading
         Managed engines of a zone that may be drained or loading at once.
+    prefill_tokens_per_second
+        Rate assumed until one is learned.
+    cache_tokens
+        Tokens of computed prefixes that one engine keeps.
     honours_continuation
         Whether the engines go on behind the text that comes with a request,
         so that an answer another engine broke off can be continued.
@@ -249,6 +275,7 @@
     managed: bool = False
     role: EngineRole = EngineRole.BOTH
     max_loading: int = 1
+    cache_tokens: int = 200_000
     honours_continuation: bool = False
 
 
--- a/src/kelproad/state/members.py
+++ b/src/kelproad/state/members.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from .limits import Demand
+
 __all__ = ['EndpointReport', 'Member', 'MemberTable']
 
 #: Seconds without news after which a member is no longer counted as live.
@@ -49,6 +51,10 @@
         Grows with every heartbeat of an incarnation.
     dispatched
         Prompt tokens that this instance has in flight, by endpoint.
+    dispatched_by_class
+        The same for each length class.
+    demand
+        What the busiest workspaces ask of this instance.
     configuration_age
         Seconds since its revision was last confirmed, at the time of sending;
         ``None`` while it never was.
@@ -73,6 +79,8 @@
     configuration_fault: str = ''
     pending_files: list[str] = attrs.field(factory=list)
     withheld: list[str] = attrs.field(factory=list)
+    dispatched_by_class: dict[str, list[int]] = attrs.field(factory=dict)
+    demand: dict[str, Demand] = attrs.field(factory=dict)
 
     @property
     def order(self) -> tuple[int, int]:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -262,7 +262,8 @@
     await fleet.reconcile_until(lambda: new._lease.is_held, new)
     for _ in range(4):
         await new.reconcile()
-    assert [engine.versions for engine in fleet.engines] == [['2']] * 3
+    assert len(fleet.engines) == 3
+    assert all(engine.versions == ['2'] for engine in fleet.engines)
 
 
 async def test_answer_of_an_order_lost(fleet: Fleet) -> None:
