Give the last attempt all the time that is left

Change: the attempt after which none can follow waits until the deadline. Figures: tests/test_deadlines.py and test_answers.py 39 passed, before 4 failed.

--- a/src/kelproad/coordination/attempts.py
+++ b/src/kelproad/coordination/attempts.py
@@ -214,13 +214,29 @@
             placement.url,
             attempt,
             answer,
-            Patience.from_prediction(
-                placement.choice.predicted,
-                request.remaining(monotonic()),
-            ),
+            self._decide_patience(request, placement),
             lambda: self._note_first_token(request, placement),
         )
 
+    def _decide_patience(
+        self,
+        request: Request,
+        placement: _Placement,
+    ) -> Patience:
+        """Decide how long to wait for a silent engine.
+
+        Leaving it helps only if another attempt could follow; the last one
+        is given all the time that is left.
+        """
+        remaining = request.remaining(monotonic())
+        declared = sum(
+            len(self._table.in_group(group.name))
+            for group in request.snapshot.groups_of(request.service)
+        )
+        if request.attempts >= min(declared, _MAX_ATTEMPTS):
+            return Patience.until_deadline(remaining)
+        return Patience.from_prediction(placement.choice.predicted, remaining)
+
     def _settle(
         self,
         request: Request,
