--- a/src/kelproad/coordination/entry.py
+++ b/src/kelproad/coordination/entry.py
@@ -53,6 +53,7 @@
     admit_plain,
     receive,
 )
+from .segments import answer_in_parts
 from .sending import send_bounded, send_whole
 
 __all__ = ['Entry']
@@ -285,13 +286,19 @@
         claim: Claim | None = None,
     ) -> web.StreamResponse:
         whole = request.service.delivery is Delivery.WHOLE
+        parts = len(request.parts.records) if request.parts else 0
         if body.stream and claim is None and not whole:
-            delivery = StreamDelivery(arrival.http_request, request.request_id)
+            delivery = StreamDelivery(
+                arrival.http_request,
+                request.request_id,
+                parts,
+            )
         else:
             delivery = WholeDelivery(
                 body.stream,
                 request.request_id,
                 self._buffers,
+                parts,
             )
         outcome = await self._run_attempts(arrival, request, body, delivery)
         if isinstance(outcome, Success):
@@ -322,9 +329,9 @@
             return outcome
         try:
             async with within(request.deadline + _INTERRUPT_MARGIN):
-                outcome = await self._attempts.answer(
+                outcome = await self._answer(
+                    arrival,
                     request,
-                    arrival.http_request.path,
                     body,
                     decision,
                     delivery,
@@ -337,6 +344,32 @@
             self._end(request, decision, outcome)
         return outcome.alt(request.complete_refusal)
 
+    async def _answer(
+        self,
+        arrival: Arrival,
+        request: Request,
+        body: CompletionBody,
+        decision: Decision,
+        delivery: StreamDelivery | WholeDelivery,
+    ) -> Result[None, Refusal]:
+        """Have the request answered whole, or in parts if it is too large."""
+        if request.parts is None:
+            return await self._attempts.answer(
+                request,
+                arrival.http_request.path,
+                body,
+                decision,
+                delivery,
+            )
+        return await answer_in_parts(
+            self._attempts,
+            request,
+            body,
+            decision,
+            delivery,
+            self._buffers,
+        )
+
     # Plain services
 
     async def _call_plain(
--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -9,6 +9,7 @@
 
 from ..protocol.connections import trace_connections
 from ..protocol.engines import EngineClient
+from ..protocol.orders import OrderClient
 from ..protocol.plain import PlainClient
 from ..protocol.platform import PlatformClient
 from ..protocol.settings import Settings
@@ -31,6 +32,7 @@
 from .entry import Entry
 from .membership import Membership
 from .operators import OperatorApi
+from .orders import OrderKeeper
 from .orphans import OrphanWatch
 from .plain import PlainCalls
 from .reclamation import Canceller
@@ -102,6 +104,17 @@
             self._counters,
             generator,
         )
+        orders = OrderKeeper(
+            identity,
+            self._holder,
+            table,
+            members,
+            self._follower,
+            platform,
+            OrderClient(self._open_session(fresh=True)),
+            self._counters,
+            settings.lease_seconds,
+        )
         self._claims = Claims(identity, platform, self._counters)
         self._entry = Entry(
             identity,
@@ -138,6 +151,7 @@
                 self._follower,
                 self._membership,
                 self._canceller,
+                orders,
             ),
             decisions,
             self._counters,
@@ -148,6 +162,7 @@
             self._follower,
             self._membership,
             Watch(identity, table, members, engines),
+            orders,
             OrphanWatch(
                 identity,
                 self._holder,
--- a/src/kelproad/coordination/reception.py
+++ b/src/kelproad/coordination/reception.py
@@ -8,15 +8,16 @@
 
 import attrs
 from aiohttp import web
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from ..protocol import callers
 from ..protocol.callers import CompletionBody
 from ..state.configuration import Service, Snapshot, Workspace
 from ..state.refusals import Refusal, RefusalCode, Step
-from ..state.requests import Request
+from ..state.requests import Parts, Request
 from ..transport.deadlines import within
 from . import admission
+from .segments import split_body
 
 __all__ = [
     'Arrival',
@@ -128,7 +129,11 @@
     service = found.unwrap()
     tokens = body.estimate_tokens(service.bytes_per_token)
     fits = admission.check_size(tokens, arrival.snapshot.groups_of(service))
-    return fits.bind(lambda _: _create_request(arrival, service, tokens))
+    if isinstance(fits, Success) or service.segments is None:
+        return fits.bind(lambda _: _create_request(arrival, service, tokens))
+    return split_body(body, service).bind(
+        lambda parts: _create_request(arrival, service, tokens, parts),
+    )
 
 
 def admit_plain(arrival: Arrival) -> Result[Request, Refusal]:
@@ -145,6 +150,7 @@
     arrival: Arrival,
     service: Service,
     tokens: int,
+    parts: Parts | None = None,
 ) -> Result[Request, Refusal]:
     if len(arrival.body) > service.max_body_bytes:
         return Failure(
@@ -160,7 +166,13 @@
         service.deadline.maximum,
     )
     return seconds.map(
-        lambda allowed: _start_request(arrival, service, tokens, allowed),
+        lambda allowed: _start_request(
+            arrival,
+            service,
+            tokens,
+            allowed,
+            parts,
+        ),
     )
 
 
@@ -169,6 +181,7 @@
     service: Service,
     tokens: int,
     allowed: float,
+    parts: Parts | None,
 ) -> Request:
     call = arrival.call
     call.deadline = call.arrived + allowed
@@ -181,6 +194,7 @@
         deadline=call.deadline,
         arrived=call.arrived,
         idempotency_key=arrival.key,
+        parts=parts,
     )
 
 
--- a/src/kelproad/standins/settings.py
+++ b/src/kelproad/standins/settings.py
@@ -29,6 +29,9 @@
         Whether an answer is continued from a text that another engine began.
     fingerprint
         Tells which build of the model answers.
+    weights_address
+        ``IP:port`` of the platform's weight store; without it, loads fetch
+        nothing.
     """
 
     prefill_tokens_per_second: float = 15_000.0
@@ -45,6 +48,7 @@
     default_max_tokens: int = 16
     continues: bool = True
     fingerprint: str = 'stand-in-1'
+    weights_address: str = ''
 
     @classmethod
     def from_file(cls, path: pathlib.Path | None) -> Self:
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -71,6 +71,14 @@
             'kelproad_operator_calls_total',
             'Calls of the operator API, by outcome.',
         )
+        self.orders = self._counter(
+            'kelproad_orders_total',
+            'Orders to engines, by kind and outcome.',
+        )
+        self.lease_writes = self._counter(
+            'kelproad_lease_writes_total',
+            'Writes of the lease of the orders of a zone.',
+        )
         self.malformed = self._counter(
             'kelproad_malformed_input_total',
             'Input on a listening address that is not HTTP, by side.',
