--- /dev/null
+++ b/src/kelproad/coordination/claimrows.py
@@ -0,0 +1,86 @@
+"""Rows of claims in the platform's table: writing, reading, comparing."""
+
+import attrs
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..protocol.platform import (
+    ABSENT,
+    PlatformClient,
+    Row,
+    StoreError,
+    StoreErrorKind,
+    Write,
+)
+from ..state.claims import ClaimRecord, ClaimState
+from ..transport.deadlines import monotonic
+
+__all__ = ['Trial', 'build_write', 'decode_row', 'is_open_row', 'read_row']
+
+_TABLE = 'claims'
+
+
+@attrs.define
+class Trial:
+    """The tries to write one claim.
+
+    Attributes
+    ----------
+    expect
+        Version of the row that the next try replaces.
+    unsure
+        A try was not answered, so that the row may stand or come yet.
+    error
+        Why the last try failed.
+    """
+
+    key: str
+    mine: ClaimRecord
+    expect: int = ABSENT
+    unsure: bool = False
+    error: StoreError | None = None
+
+    def write(self) -> Write:
+        """Build the write of the next try."""
+        return build_write(self.key, self.mine, self.expect)
+
+
+def build_write(key: str, record: ClaimRecord, expect: int) -> Write:
+    """Build the write of a record over the version that is expected."""
+    encoded = msgspec.json.encode(record).decode()
+    return Write(_TABLE, key, encoded, expect)
+
+
+async def read_row(
+    platform: PlatformClient,
+    key: str,
+    limit: float,
+) -> Result[Row, StoreError]:
+    """Read the row that a write has just conflicted with, by a deadline."""
+    remaining = max(0, limit - monotonic())
+    found = await platform.read_row(_TABLE, key, remaining)
+    return found.bind(lambda row: _require(row, key))
+
+
+def decode_row(row: Row) -> ClaimRecord:
+    """Decode the claim that stands in a row."""
+    return msgspec.json.decode(row.body, type=ClaimRecord)
+
+
+def is_open_row(row: Row, mine: ClaimRecord) -> bool:
+    """Tell whether a row is the open claim of a writer."""
+    standing = decode_row(row)
+    return standing.token == mine.token and standing.state is ClaimState.OPEN
+
+
+def _require(row: Row | None, row_key: str) -> Result[Row, StoreError]:
+    if row is not None:
+        return Success(row)
+    return Failure(
+        StoreError(
+            StoreErrorKind.UNAVAILABLE,
+            'read_row',
+            '',
+            f'the row of {row_key!r} vanished',
+        ),
+    )
--- /dev/null
+++ b/src/kelproad/coordination/settlements.py
@@ -0,0 +1,160 @@
+"""Writing what became of claims, for as long as that takes.
+
+Nobody waits for these writes.  They go on until the platform has them, or the
+process ends; what is not written by then stays open, and later callers hear
+that it is unknown.
+"""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable, Coroutine
+
+import attrs
+from returns.result import Failure, Success
+
+from ..protocol.platform import PlatformClient, StoreErrorKind, Write
+from ..state import invariants
+from ..state.claims import ClaimState, RecordedAnswer
+from ..state.counters import Counters
+from ..transport.deadlines import monotonic
+from .claimrows import Trial, build_write, is_open_row, read_row
+from .grouping import WRITE_TIMEOUT, GroupedWrites
+from .verdicts import Claim
+
+__all__ = ['Settlements']
+
+_SHORTEST_RETRY = 0.1
+_LONGEST_RETRY = 2.0
+
+
+class Settlements:
+    """Outcomes of this process's claims that are still to be written."""
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        writes: GroupedWrites,
+        counters: Counters,
+    ) -> None:
+        """Write with the other writes of the process, in groups."""
+        self._platform = platform
+        self._writes = writes
+        self._counters = counters
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def settle(
+        self,
+        claim: Claim,
+        state: ClaimState,
+        answer: RecordedAnswer | None = None,
+    ) -> asyncio.Task[None]:
+        """Begin to write the outcome of a claim."""
+        invariants.check(not claim.settled, 'claim-settled-once', claim.key)
+        record = attrs.evolve(
+            claim.record,
+            state=state,
+            answer=answer,
+            settled_at=time.time(),
+        )
+        write = build_write(claim.key, record, claim.version)
+        claim.settled = True
+        return self._start(self._overwrite(write, state))
+
+    def take_back(self, trial: Trial) -> None:
+        """Begin to free the key of a claim that was given up."""
+        self._start(self._take_back(trial))
+
+    async def finish(self, timeout: float) -> int:
+        """Wait until all outcomes are written, at most some seconds.
+
+        Returns
+        -------
+        int
+            Claims left open; later callers hear that those are unknown.
+        """
+        if self._tasks:
+            await asyncio.wait(set(self._tasks), timeout=timeout)
+        return len(self._tasks)
+
+    def _start(
+        self,
+        work: Coroutine[None, None, None],
+    ) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _overwrite(self, write: Write, state: ClaimState) -> None:
+        """Write an outcome until the platform has it.
+
+        The caller has its answer already.  Giving up would leave the key in
+        progress for ever although the outcome is known here.  Only the holder
+        writes to an open row, so a conflict means that an earlier try, whose
+        answer was lost, took effect.
+        """
+        errors = set()
+
+        async def try_once() -> bool:
+            written = await self._writes.write(write, _background_limit())
+            if isinstance(written, Failure):
+                errors.add(written.failure().kind)
+            conflict = StoreErrorKind.CONFLICT in errors
+            return conflict or isinstance(written, Success)
+
+        await _repeat(try_once)
+        invariants.check(
+            StoreErrorKind.CONFLICT not in errors
+            or StoreErrorKind.UNKNOWN in errors,
+            'only-holder-writes-open-claim',
+            write.key,
+        )
+        self._counters.claims.inc({'outcome': f'settled_{state}'})
+
+    async def _take_back(self, trial: Trial) -> None:
+        """Free a key after a claim that was given up.
+
+        Its caller has heard that nothing was run, and this process will not
+        dispatch.  The row may stand, or arrive later, and would then leave
+        the key in progress for ever.  A free row at the version that the
+        claim expected makes a late arrival conflict.
+        """
+        free = attrs.evolve(
+            trial.mine,
+            state=ClaimState.FREE,
+            settled_at=time.time(),
+        )
+
+        async def try_once() -> bool:
+            write = build_write(trial.key, free, trial.expect)
+            written = await self._writes.write(write, _background_limit())
+            if isinstance(written, Success):
+                return True
+            if written.failure().kind is not StoreErrorKind.CONFLICT:
+                return False
+            found = await read_row(
+                self._platform,
+                trial.key,
+                _background_limit(),
+            )
+            row = found.value_or(None)
+            if row is None:
+                return False
+            trial.expect = row.version
+            return not is_open_row(row, trial.mine)
+
+        await _repeat(try_once)
+        self._counters.claims.inc({'outcome': 'taken_back'})
+
+
+async def _repeat(try_once: Callable[[], Awaitable[bool]]) -> None:
+    """Try, with growing pauses, until it is done."""
+    pause = _SHORTEST_RETRY
+    while not await try_once():
+        await asyncio.sleep(pause)
+        pause = min(2 * pause, _LONGEST_RETRY)
+
+
+def _background_limit() -> float:
+    """Return when a write that nobody waits for is given up and repeated."""
+    return monotonic() + 2 * WRITE_TIMEOUT
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -109,6 +109,8 @@
     time.sleep(GRACE)
     refused = complete(instance.caller)
     assert (refused.status, refused.refusal()['ran']) == (503, 'no')
+    # A service's own path is work, though it ends as one of the instance's.
+    assert call(instance.caller, '/services/test-runs/metrics').status == 503
     answer = streaming.result()
     assert answer.body.endswith(b'data: [DONE]\n\n')
     assert answer.body.count(b'data: ') == 1201
