Show that a refused connection moves a claimed call on

Six keyed calls with one of two services dead: 6 answered, 1 effect each. On a site with the stand-in network all 6 ended as 502, `ran: unknown`: the network takes the connection before it finds the service dead, so bytes may have been taken; that is true as told, and the test uses a site without it.

--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,6 +1,7 @@
 """At most once, with real processes: effects are counted at the endpoints."""
 
 import functools
+import pathlib
 import time
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
@@ -312,6 +313,26 @@
     assert count_runs(site) - before <= 1
 
 
+def test_refused_connection_moves_on(tmp_path: pathlib.Path) -> None:
+    """A service has died; calls to it are refused before a byte is sent.
+
+    Each of them goes on to another endpoint under the same claim, and is
+    booked there once.
+    """
+    # No stand-in network: it would take the connection itself.
+    plan = SitePlan(example=ROADGRIP, endpoints_per_group=2)
+    with start_site(plan, tmp_path) as site:
+        dead, left = (
+            name for name in site.addresses if name.startswith('run-book')
+        )
+        site.endpoints[dead].kill()
+        keys = [f'moved-on-{number}' for number in range(6)]
+        answers = [book(site.callers[0], key, key) for key in keys]
+        entries = site.control(site.addresses[left], 'GET', '/entries')
+    assert {answer.status for answer in answers} == {200}
+    assert [entries.get(key, 0) for key in keys] == [1 for _ in keys]
+
+
 def book_within(site: Site, reference: str, seconds: float) -> Answer:
     """Book under a key of the same name at the first instance."""
     return book(
