--- a/src/kelproad/coordination/sides.py
+++ b/src/kelproad/coordination/sides.py
@@ -30,6 +30,8 @@
 #: Bytes of the largest file that an operator may apply.
 _LARGEST_FILE = 3 * 1024 * 1024
 
+_SERVED_TO_THE_END = frozenset(('/healthz', '/metrics'))
+
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -65,7 +67,7 @@
         http_request: web.Request,
         handler: Handler,
     ) -> web.StreamResponse:
-        is_work = not http_request.path.endswith(('/healthz', '/metrics'))
+        is_work = http_request.path not in _SERVED_TO_THE_END
         if self._drain.phase is DrainPhase.REFUSING and is_work:
             return callers.answer_refusal(_refuse_leaving(), '')
         return await handler(http_request)
