--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -50,8 +50,8 @@
 def test_frozen_engine(site: Site, model: str, stream: bool) -> None:
     """An engine takes a prompt and never answers; the caller hears in time.
 
-    A prompt that may be repeated is given up before its deadline when no
-    other engine is there to take it, which is a failure of the endpoint.
+    No other engine is there to take the prompt, so this one is given all the
+    time there is.
     """
     headers = {'X-Deadline-Seconds': '1'}
     answer, taken = timed(
@@ -62,8 +62,7 @@
             stream=stream,
         ),
     )
-    assert answer.status in {502, 504}
-    assert answer.refusal()['ran'] == 'unknown'
+    assert (answer.status, answer.refusal()['ran']) == (504, 'unknown')
     assert taken < 1 + MARGIN
 
 
