--- a/src/kelproad/cli/operators.py
+++ b/src/kelproad/cli/operators.py
@@ -37,6 +37,7 @@
             f'  file     {item["name"]:20} generation {item["generation"]} '
             f'is not in force here: {item["reason"]}',
         )
+    _show_orders(seen['orders'])
     for endpoint in seen['endpoints']:
         typer.echo(
             f'  endpoint {endpoint["name"]:20} {endpoint["zone"]:12} '
@@ -86,3 +87,18 @@
     if not member['reason']:
         return ''
     return f': {member["behind"]} behind, {member["reason"]}'
+
+
+def _show_orders(orders: Fields) -> None:
+    if not orders['holder']:
+        return
+    held = orders['held_here_for']
+    where = 'here' if held else f'by {orders["holder"]}, as last seen'
+    typer.echo(f'  orders   given {where}, token {orders["token"]}')
+    for endpoint, note in orders['engines'].items():
+        typer.echo(f'  orders   {endpoint:20} {note}')
+    for item in orders['stopped']:
+        typer.echo(
+            f'  orders   rollout of {item["model"]} {item["version"]} '
+            f'stopped, it fails (file of revision {item["generation"]})',
+        )
