Let engines that check tokens know the new holder at once

Cause: a new holder orders only differences, so an engine that was right never saw its token and took a paused predecessor's stale order (test_stale_order_where_nothing_changes[True]: took version 2; red). Change: first an order that changes nothing to each such engine whose token is older.

--- a/src/kelproad/coordination/orders.py
+++ b/src/kelproad/coordination/orders.py
@@ -26,6 +26,7 @@
     ModelPhase,
     ModelState,
     Order,
+    OrderKind,
     derive_desired,
 )
 from ..state.placement import choose_owners
@@ -157,6 +158,7 @@
         for endpoint, state in observed.items():
             for item in state.models:
                 self._note_failure(desired[endpoint], state, item)
+        await self._raise_tokens(desired, observed)
         plan = plan_orders(
             Situation(
                 desired,
@@ -219,6 +221,30 @@
         if outcome is OrderOutcome.FENCED:
             self._lease.drop()
 
+    async def _raise_tokens(
+        self,
+        desired: dict[str, DesiredState],
+        observed: dict[str, EngineState],
+    ) -> None:
+        """Make engines that check tokens know this holder's.
+
+        An engine that is right gets no order, so it would not hear of a new
+        holder, and would take a stale order of the last one.  An order to have
+        the role that it has changes nothing but that.
+        """
+        for endpoint, state in observed.items():
+            item = desired[endpoint]
+            is_enforced = item.group.fencing is Fencing.ENFORCED
+            token = self._lease.body.token
+            if is_enforced and state.token < token:
+                order = Order(
+                    OrderKind.ROLE,
+                    token,
+                    item.generation,
+                    role=state.role,
+                )
+                await self._give(item, order)
+
     def _may_order(self, fencing: Fencing) -> bool:
         """Check the lease right before an order.
 
