--- a/tests/test_configuration_site.py
+++ b/tests/test_configuration_site.py
@@ -1,5 +1,6 @@
 """Accepted configuration in force at real instances, under failure."""
 
+import pathlib
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -7,8 +8,10 @@
 import attrs
 import pytest
 import yaml
+from typer.testing import CliRunner
 
-from testbed.calls import CallError
+from kelproad.cli import app
+from testbed.calls import OPERATOR_TOKEN, CallError
 from testbed.processes import wait_until_answering
 from testbed.site import InstanceProcess, Site, SitePlan, start_site
 from tests.clients import Answer, call, complete
@@ -156,3 +159,66 @@
     site.start_instance(instance)
     wait_until_answering(f'http://{instance.caller}/readyz')
     wait_for_revision(site, revision)
+
+
+def run_cli(site: Site, *arguments: str) -> str:
+    environment = {
+        'KELPROAD_SERVER': site.instances[0].operator,
+        'KELPROAD_TOKEN': OPERATOR_TOKEN,
+    }
+    finished = CliRunner().invoke(app, arguments, env=environment)
+    return f'{finished.exit_code} {finished.output}'
+
+
+def test_operators_verbs(site: Site, tmp_path: pathlib.Path) -> None:
+    """A file is applied, changed, rolled back, removed and applied again."""
+    path = tmp_path / 'extra.yaml'
+    path.write_text('name: extra\n')
+    option = f'--file={path}'
+    assert 'accepted as generation 1' in run_cli(site, 'apply', option)
+    path.write_text(
+        'name: extra\nworkspaces:\n  - name: x\n    key_digests: []\n'
+        '    services: [crew]\n',
+    )
+    assert '+workspaces:' in run_cli(site, 'diff', option)
+    dry_run = run_cli(site, 'apply', option, '--dry-run')
+    assert 'would become generation 2' in dry_run
+    assert 'accepted as generation 2' in run_cli(site, 'apply', option)
+    assert '0 name: extra\n' == run_cli(
+        site, 'get', 'extra', '--generation', '1'
+    )
+    assert 'generation 3' in run_cli(site, 'rollback', 'extra', '--to', '1')
+    assert 'generation 4' in run_cli(site, 'remove', 'extra')
+    assert run_cli(site, 'get', 'extra').startswith('1 refused (not_found)')
+    assert 'generation 5' in run_cli(site, 'apply', option)
+    listed = run_cli(site, 'history', 'extra')
+    assert listed.count('by ops') == 5
+    assert ', removed' in listed
+    raced = run_cli(site, 'apply', option, '--base', '4')
+    assert raced.startswith('1 ')
+    assert '+workspaces:' in raced
+    held = run_cli(site, 'remove', 'roadgrip-services')
+    assert held.startswith('2 ')
+    assert 'extra (in force):5: $.workspaces[0].services[0]: ' in held
+    assert 'zone     lk-west-a' in run_cli(site, 'status')
+
+
+def test_check_of_a_folder(tmp_path: pathlib.Path) -> None:
+    """Files of a folder are checked together, every problem at its line."""
+    (tmp_path / '1.yaml').write_text(
+        'name: a\nworkspaces:\n  - name: w\n    key_digests: []\n'
+        '    services:\n      - unknown\n',
+    )
+    (tmp_path / '2.yaml').write_text(
+        'name: b\nworkspaces:\n  - name: w\n    key_digests: []\n'
+        '    services: []\n    weight: 0\n',
+    )
+    checked = CliRunner().invoke(app, ['check', '-f', str(tmp_path)])
+    assert checked.exit_code == 2
+    assert '1.yaml:6: $.workspaces[0].services[0]' in checked.output
+    assert '2.yaml:6: $.workspaces[0].weight' in checked.output
+    assert "2.yaml:3: $.workspaces[0].name: workspace 'w'" in checked.output
+    nested = '[' * 2000 + ']' * 2000
+    (tmp_path / '1.yaml').write_text(nested)
+    checked = CliRunner().invoke(app, ['check', '-f', str(tmp_path)])
+    assert 'nested too deeply' in checked.output
