--- a/src/kelproad/state/requests.py
+++ b/src/kelproad/state/requests.py
@@ -9,7 +9,14 @@
 from .configuration import Service, Snapshot, Workspace
 from .refusals import Ran, Refusal
 
-__all__ = ['Decision', 'DecisionLog', 'Phase', 'Request', 'RequestTable']
+__all__ = [
+    'Decision',
+    'DecisionLog',
+    'Parts',
+    'Phase',
+    'Request',
+    'RequestTable',
+]
 
 #: Number of ended requests that ``explain`` can still tell about.
 DECISIONS_KEPT = 2000
@@ -24,6 +31,23 @@
     ENDED = 'ended'
 
 
+@attrs.frozen
+class Parts:
+    """A prompt cut up, because no engine could hold it whole.
+
+    Attributes
+    ----------
+    heading
+        What stands before the records, such as instructions; it is repeated
+        in every part.
+    records
+        Runs of whole records, each of which fits into one part.
+    """
+
+    heading: str
+    records: list[str]
+
+
 @attrs.define
 class Request:
     """One caller's request while it is in progress.
@@ -38,6 +62,8 @@
         Number of dispatches so far.
     ran
         Whether any dispatch so far was, or may have been, executed.
+    parts
+        The prompt in parts, if it is to be answered so.
     """
 
     request_id: str
@@ -51,6 +77,7 @@
     attempts: int = 0
     idempotency_key: str = ''
     ran: Ran = Ran.NO
+    parts: Parts | None = None
 
     @property
     def repeatable(self) -> bool:
