--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -204,6 +204,29 @@
     assert fresh.snapshot.workspaces['f0'].weight == 7
 
 
+async def test_transfer_continued_by_one_who_knows_less(bench: Bench) -> None:
+    """A transfer's second message comes from a peer that is behind the first.
+
+    The first sender left out a file that changed lately, to send it last; the
+    second one takes it as sent already.  Adopted, the file would be missing.
+    """
+    writer, fresh = bench.create_peer('writer'), bench.create_peer('fresh')
+    for number in range(10):
+        name = f'f{number}'
+        await writer.apply(declare(1, name, name), 0, name)
+    behind = writer.snapshot
+    await writer.apply(declare(2, 'f0', 'f0'), 1, 'again')
+    settings = writer.settings
+    first = list_changes(writer.snapshot, settings, 0, limit=300)
+    await fresh.follower.take_changes(first)
+    after = first.files[-1].revision
+    await fresh.follower.take_changes(list_changes(behind, settings, after))
+    assert fresh.snapshot.revision == 0
+    rest = list_changes(writer.snapshot, settings, after)
+    await fresh.follower.take_changes(rest)
+    assert fresh.snapshot.files == writer.snapshot.files
+
+
 @pytest.mark.parametrize('damage', [b'name: f', b'\xff', None])
 async def test_damaged_object(bench: Bench, damage: bytes | None) -> None:
     """The object of an accepted file is damaged or gone.
