Keep reading the store behind a row that cannot be read

Now both are a store error that status shows and that is tried again; the same for the lease's row. The stand-in engine refuses, as not run, a model that is not ready.

--- a/src/kelproad/coordination/history.py
+++ b/src/kelproad/coordination/history.py
@@ -6,6 +6,7 @@
 """
 
 import hashlib
+from typing import TypeVar
 
 import attrs
 import msgspec
@@ -20,6 +21,8 @@
     Write,
 )
 
+T = TypeVar('T')
+
 __all__ = [
     'STORE_TIMEOUT',
     'FileRow',
@@ -127,7 +130,7 @@
 async def read_head(platform: PlatformClient) -> Result[Head, StoreError]:
     """Read the head, zeros when nothing was ever accepted."""
     found = await platform.read_row(_TABLE, _HEAD, STORE_TIMEOUT)
-    return found.map(_decode_head)
+    return found.bind(_decode_head)
 
 
 async def find_apply(
@@ -136,7 +139,7 @@
 ) -> Result[FileRow | None, StoreError]:
     """Find what an apply id accepted, ``None`` when it accepted nothing."""
     found = await platform.read_row(_APPLIES, apply_id, STORE_TIMEOUT)
-    return found.map(_decode_row)
+    return found.bind(lambda row: _decode_row(row, _APPLIES))
 
 
 async def read_generation(
@@ -150,7 +153,7 @@
         _encode_generation_key(name, generation),
         STORE_TIMEOUT,
     )
-    return found.map(_decode_row)
+    return found.bind(lambda row: _decode_row(row, _GENERATIONS))
 
 
 async def list_generations(
@@ -172,7 +175,8 @@
     after: int,
 ) -> Result[list[FileRow], StoreError]:
     """List the accepted changes of the whole site after a revision."""
-    return await _scan(platform, _REVISIONS, after=_encode_number(after))
+    rows = await _scan(platform, _REVISIONS, after=_encode_number(after))
+    return rows.bind(lambda read: _check_gaps(read, after))
 
 
 async def list_files(
@@ -214,31 +218,64 @@
             return page
         rows += page.unwrap()
         if len(page.unwrap()) < _PAGE:
-            return Success([_decode_row(row) for row in rows])
+            return _decode_rows(rows, table)
 
 
 def _verify(body: bytes, digest: str) -> Result[str, StoreError]:
     if hashlib.sha256(body).hexdigest() == digest:
         return Success(body.decode())
-    return Failure(
-        StoreError(
-            StoreErrorKind.DAMAGED,
-            'get_object',
-            'objects',
-            f'object {digest} does not match its digest',
-        ),
-    )
+    message = f'object {digest} does not match its digest'
+    return Failure(_damage('objects', message))
 
 
-def _decode_head(row: Row | None) -> Head:
+def _decode_head(row: Row | None) -> Result[Head, StoreError]:
     if row is None:
-        return Head(ABSENT, 0)
-    body = msgspec.json.decode(row.body, type=_HeadBody)
-    return Head(row.version, body.revision)
+        return Success(Head(ABSENT, 0))
+    decoded = _decode(row, _TABLE, _HeadBody)
+    return decoded.map(lambda body: Head(row.version, body.revision))
+
+
+def _decode_row(
+    row: Row | None,
+    table: str,
+) -> Result[FileRow | None, StoreError]:
+    return _decode(row, table, FileRow) if row else Success(None)
+
+
+def _decode_rows(
+    rows: list[Row],
+    table: str,
+) -> Result[list[FileRow], StoreError]:
+    decoded = []
+    for row in rows:
+        one = _decode(row, table, FileRow)
+        if isinstance(one, Failure):
+            return one
+        decoded.append(one.unwrap())
+    return Success(decoded)
+
+
+def _decode(row: Row, table: str, kind: type[T]) -> Result[T, StoreError]:
+    """Decode a row; an exception would end the task that reads the store."""
+    try:
+        return Success(msgspec.json.decode(row.body, type=kind))
+    except msgspec.DecodeError as error:
+        return Failure(_damage(table, f'row {row.key}: {error}'))
+
+
+def _check_gaps(
+    rows: list[FileRow],
+    after: int,
+) -> Result[list[FileRow], StoreError]:
+    """Refuse a history that lacks a revision: its change would be lost."""
+    for expected, row in enumerate(rows, after + 1):
+        if row.revision != expected:
+            return Failure(_damage(_REVISIONS, f'no revision {expected}'))
+    return Success(rows)
 
 
-def _decode_row(row: Row | None) -> FileRow | None:
-    return msgspec.json.decode(row.body, type=FileRow) if row else None
+def _damage(place: str, message: str) -> StoreError:
+    return StoreError(StoreErrorKind.DAMAGED, 'read', place, message)
 
 
 def _encode_number(number: int) -> str:
--- a/src/kelproad/coordination/leases.py
+++ b/src/kelproad/coordination/leases.py
@@ -10,11 +10,13 @@
 
 import attrs
 import msgspec
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from ..protocol.platform import (
     ABSENT,
     PlatformClient,
+    Row,
+    StoreError,
     StoreErrorKind,
     Write,
 )
@@ -130,7 +132,8 @@
             self._name,
             _STORE_TIMEOUT,
         )
-        if isinstance(found, Failure):
+        standing = found.bind(_decode)
+        if isinstance(standing, Failure):
             # What happened meanwhile is unknown: the wait starts anew.
             self._seen_at = self._now()
             return
@@ -141,11 +144,7 @@
             self._version = version
             self._tried_at = None
             self._seen_at = self._now()
-            self.body = (
-                msgspec.json.decode(row.body, type=LeaseBody)
-                if row
-                else LeaseBody('', 0)
-            )
+            self.body = standing.unwrap()
             self.note = self.body.note
 
     async def _write(self, body: LeaseBody) -> None:
@@ -176,9 +175,10 @@
             _STORE_TIMEOUT,
         )
         row = found.value_or(None)
-        if row is None:
+        decoded = found.bind(_decode)
+        if row is None or isinstance(decoded, Failure):
             return
-        standing = msgspec.json.decode(row.body, type=LeaseBody)
+        standing = decoded.unwrap()
         is_ours = (standing.holder, standing.token) == (
             self._holder,
             body.token,
@@ -206,3 +206,20 @@
     def _encode(self, body: LeaseBody) -> Write:
         encoded = msgspec.json.encode(body).decode()
         return Write(_TABLE, self._name, encoded, self._version)
+
+
+def _decode(row: Row | None) -> Result[LeaseBody, StoreError]:
+    """Decode the row; one that cannot be read counts as not answered."""
+    if row is None:
+        return Success(LeaseBody('', 0))
+    try:
+        return Success(msgspec.json.decode(row.body, type=LeaseBody))
+    except msgspec.DecodeError as error:
+        return Failure(
+            StoreError(
+                StoreErrorKind.DAMAGED,
+                'read',
+                _TABLE,
+                f'row {row.key}: {error}',
+            ),
+        )
--- a/src/kelproad/standins/engine.py
+++ b/src/kelproad/standins/engine.py
@@ -129,6 +129,9 @@
             return _refuse('conflict', 'the attempt was cancelled or is here')
         if self._faults.refuse or self._refuses:
             return _refuse('unavailable', 'no new work is taken')
+        model = msgspec.json.decode(fields['model'], type=str)
+        if model not in self._orders.list_ready():
+            return _refuse('unavailable', 'the model is not ready')
         if count_tokens(bytes(prompt)) >= self._settings.memory_tokens:
             return _refuse('too_large', 'the prompt exceeds the memory', 413)
         return None
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -275,6 +275,32 @@
     assert other.snapshot.workspaces['w'].weight == 1
 
 
+@pytest.mark.parametrize('body', ['{"name": 1}', 'x', None])
+async def test_damaged_history(bench: Bench, body: str | None) -> None:
+    """A row of the history is unreadable or gone, so a change is not known.
+
+    The instance keeps what it has, says why, and goes on once it is mended;
+    an exception would end the reading for good.
+    """
+    writer, other = bench.create_peer('writer'), bench.create_peer('i-1')
+    await writer.apply(declare(1), 0, 'a')
+    await other.follower.catch_up()
+    await writer.apply(declare(2), 1, 'b')
+    await writer.apply(declare(3), 2, 'c')
+    rows = bench.standin._tables['configuration-history']
+    key, sound = list(rows.items())[1]
+    rows.pop(key)
+    if body is not None:
+        rows[key] = attrs.evolve(sound, body=body)
+    await other.follower.catch_up()
+    assert other.snapshot.revision == 1
+    assert 'configuration-history' in other.follower.fault
+    rows[key] = sound
+    await other.follower.catch_up()
+    assert other.snapshot.revision == 3
+    assert not other.follower.fault
+
+
 async def test_far_behind(bench: Bench) -> None:
     """An instance that missed 230 changes has them all after one reading."""
     writer, other = bench.create_peer('writer', 0), bench.create_peer('i-1')
