--- a/src/kelproad/coordination/orders.py
+++ b/src/kelproad/coordination/orders.py
@@ -91,6 +91,9 @@
         self._failures: collections.Counter[Failed] = collections.Counter()
         self._halted: frozenset[Failed] = frozenset()
         self._notes: dict[str, str] = {}
+        #: Endpoints last withheld, and the snapshot whose endpoints they were.
+        self._spread: frozenset[str] = frozenset()
+        self._spread_in = holder.current
 
     async def on_stop(self) -> None:
         """Let another instance begin at once."""
@@ -98,7 +101,11 @@
 
     async def reconcile(self) -> None:
         """Compare the engines with what is wanted, and order the difference."""
-        desired = derive_desired(self._holder.current, self._identity.zone)
+        desired: dict[str, DesiredState] = {}
+        if self._is_candidate():
+            desired = derive_desired(self._holder.current, self._identity.zone)
+        else:
+            await self._lease.give_back()
         if desired and await self._become_holder():
             await self._reconcile(desired)
         else:
@@ -125,9 +132,6 @@
             await self.sleep(_PERIOD)
 
     async def _become_holder(self) -> bool:
-        if not self._is_candidate():
-            await self._lease.give_back()
-            return False
         before = self._lease.writes
         is_held = await self._lease.keep()
         self._counters.lease_writes.add({}, self._lease.writes - before)
@@ -294,14 +298,14 @@
     def _spread_withheld(self) -> None:
         """Withhold what any holder withholds, from the requests of here."""
         self._table.withheld_here = frozenset(self._withheld)
-        self._table.withhold(
-            self._table.withheld_here.union(
-                *(
-                    member.withheld
-                    for member in self._members.live(monotonic())
-                ),
-            ),
+        names = self._table.withheld_here.union(
+            *(member.withheld for member in self._members.live(monotonic())),
         )
+        snapshot = self._holder.current
+        if names != self._spread or snapshot is not self._spread_in:
+            self._spread = names
+            self._spread_in = snapshot
+            self._table.withhold(names)
 
 
 def _build_url(desired: DesiredState) -> str:
