Pass the platform's word on leaving endpoints on to peers

Cause: a zone that cannot ask the platform never heard which endpoints it takes away. Change: a member's record carries what the platform told it in the last 5 s; receivers mark the union of that and their own last list. Ruled out: asking the engine at each dispatch; relying on its refusal.

--- a/src/kelproad/coordination/attempts.py
+++ b/src/kelproad/coordination/attempts.py
@@ -49,7 +49,7 @@
 
     attempt: Attempt
     endpoint: Endpoint
-    predicted: float
+    choice: routing.Choice
     first_token: bool = False
 
     @property
@@ -152,7 +152,7 @@
             deadline=request.deadline,
         )
         return Success(
-            _Placement(attempt, chosen.endpoint, chosen.predicted),
+            _Placement(attempt, chosen.endpoint, chosen),
         )
 
     def _list_unfit(self, answer: Answer) -> frozenset[str]:
@@ -204,7 +204,7 @@
             attempt,
             answer,
             Patience.from_prediction(
-                placement.predicted,
+                placement.choice.predicted,
                 request.remaining(monotonic()),
             ),
             lambda: _note_first_token(request, placement),
--- a/src/kelproad/coordination/membership.py
+++ b/src/kelproad/coordination/membership.py
@@ -31,6 +31,7 @@
 from ..transport.peers import PeerLink, PeerListener
 from ..transport.services import BackgroundService
 from .configuration import ConfigurationFollower
+from .leaving import list_own_words, mark_leaving
 from .watch import list_watched
 
 __all__ = ['Membership']
@@ -144,11 +145,10 @@
         }
         self._members.note_listing(
             frozenset(instance.name for instance in listing.instances),
+            frozenset(listing.leaving_endpoints),
             monotonic(),
         )
-        leaving = set(listing.leaving_endpoints)
-        for name, endpoint in self._table.all().items():
-            endpoint.listed_leaving = name in leaving
+        mark_leaving(self._table, self._members, monotonic())
 
     def _describe_self(self) -> Member:
         self._version += 1
@@ -179,6 +179,7 @@
                 )
                 if endpoint.report is not None
             ],
+            leaving=list_own_words(self._members, now),
         )
 
     def _list_others(self) -> list[Member]:
@@ -218,6 +219,7 @@
                     member.peer_address,
                 )
         self._sum_dispatched()
+        mark_leaving(self._table, self._members, now)
 
     def _take_reports(self, reports: list[EndpointReport], now: float) -> None:
         for report in reports:
--- a/src/kelproad/state/members.py
+++ b/src/kelproad/state/members.py
@@ -49,6 +49,8 @@
         Grows with every heartbeat of an incarnation.
     dispatched
         Prompt tokens that this instance has in flight, by endpoint.
+    leaving
+        Endpoints that the platform has just told this instance to leave.
     """
 
     name: str
@@ -60,6 +62,7 @@
     draining: bool = False
     dispatched: dict[str, int] = attrs.field(factory=dict)
     reports: list[EndpointReport] = attrs.field(factory=list)
+    leaving: list[str] = attrs.field(factory=list)
 
     @property
     def order(self) -> tuple[int, int]:
@@ -74,8 +77,10 @@
         """Start with no members."""
         self._members: dict[str, Member] = {}
         self._heard: dict[str, float] = {}
-        #: Instances on the platform's list, and when it was read last.
+        #: Instances on the platform's list, the endpoints that it takes away,
+        #: and when it was read last.
         self.listed: frozenset[str] = frozenset()
+        self.listed_leaving: frozenset[str] = frozenset()
         self.listed_at = float('-inf')
 
     def merge(self, member: Member, now: float) -> bool:
@@ -92,9 +97,15 @@
         self._heard[member.name] = now
         return True
 
-    def note_listing(self, names: frozenset[str], now: float) -> None:
-        """Remember whom the platform lists."""
+    def note_listing(
+        self,
+        names: frozenset[str],
+        leaving: frozenset[str],
+        now: float,
+    ) -> None:
+        """Remember whom the platform lists, and which endpoints leave."""
         self.listed = names
+        self.listed_leaving = leaving
         self.listed_at = now
 
     def live(self, now: float) -> list[Member]:
