--- a/src/kelproad/coordination/attempts.py
+++ b/src/kelproad/coordination/attempts.py
@@ -115,6 +115,7 @@
             if isinstance(outcome, Success):
                 return outcome
             refusal = outcome.failure()
+            request.note_ran(refusal.ran)
             decision.note('attempt failed', **attrs.asdict(refusal))
             if not (_may_repeat(request, refusal) and answer.prepare_next()):
                 return outcome
--- a/src/kelproad/state/members.py
+++ b/src/kelproad/state/members.py
@@ -51,6 +51,13 @@
         Prompt tokens that this instance has in flight, by endpoint.
     leaving
         Endpoints that the platform has just told this instance to leave.
+    configuration_age
+        Seconds since its revision was last confirmed, at the time of sending;
+        ``None`` while it never was.
+    configuration_fault
+        Why it could not read the store, empty when it could.
+    pending_files
+        Files whose accepted version it cannot read.
     """
 
     name: str
@@ -63,6 +70,9 @@
     dispatched: dict[str, int] = attrs.field(factory=dict)
     reports: list[EndpointReport] = attrs.field(factory=list)
     leaving: list[str] = attrs.field(factory=list)
+    configuration_age: float | None = None
+    configuration_fault: str = ''
+    pending_files: list[str] = attrs.field(factory=list)
 
     @property
     def order(self) -> tuple[int, int]:
