Leave a replaced owner's streams alone while a connection reads them

Cause: an instance whose replacement starts while it still finishes its requests has a higher incarnation beside it; its live streams counted as orphans. Change: the engine's word that a connection reads a stream goes before the incarnation; a broken answer's connection is aborted 30 s after its close.

--- a/src/kelproad/coordination/delivery.py
+++ b/src/kelproad/coordination/delivery.py
@@ -4,6 +4,8 @@
 terminal event; a caller can never mistake a broken answer for a short one.
 """
 
+import asyncio
+
 from aiohttp import web
 
 from ..protocol import callers, completions
@@ -24,6 +26,8 @@
 _ROOM_SOON = 2.0
 #: Seconds that a caller has to take the last bytes of a broken answer.
 _FAREWELL_SECONDS = 1.0
+#: Seconds for which a closed connection may still be read.
+_LINGER_SECONDS = 30.0
 _DELIVERY_KEY = web.ResponseKey('delivery', object)
 _EVENT_STREAM = 'text/event-stream'
 _JSON = 'application/json'
@@ -86,8 +90,13 @@
         await self._say_farewell(completions.encode_refused_event(encoded))
         # Closing without the last chunk makes the HTTP body incomplete, so
         # that a client which overlooks the event sees the cut as well.
-        if self._http_request.transport is not None:
-            self._http_request.transport.close()
+        transport = self._http_request.transport
+        if transport is not None:
+            transport.close()
+            # A caller that never reads would keep the closing connection and
+            # its buffer for ever.
+            loop = asyncio.get_running_loop()
+            loop.call_later(_LINGER_SECONDS, transport.abort)
         return self._response
 
     async def _say_farewell(self, event: bytes) -> None:
--- a/src/kelproad/coordination/orphans.py
+++ b/src/kelproad/coordination/orphans.py
@@ -185,11 +185,12 @@
     """Say why something held has no owner any more, or ``None``.
 
     Past its deadline nobody waits for it: the owner has told its caller so.
-    A higher incarnation of the owner proves that the life which held it is
-    over, because one name belongs to one process at a time.  What this very
-    process does not have on record, it has given up, since the record is made
-    before the dispatch.  An owner that neither platform nor peers know of is
-    gone, unless a connection still reads the stream: then it is only cut off.
+    A higher incarnation of the owner means that the life which held it is
+    over, unless a connection still reads it: then the old process is being
+    replaced and finishes what it has.  What this very process does not have on
+    record, it has given up, since the record is made before the dispatch.  An
+    owner that neither platform nor peers know of is gone if the engine says
+    that no connection reads the stream; else it may only be cut off.
     """
     instance, _, text = item.owner.rpartition(':')
     if not instance or not text.isdecimal():
@@ -197,11 +198,12 @@
         return None
     if item.remaining < -DEADLINE_MARGIN:
         return Evidence.PAST_DEADLINE
-    if int(text) < ownership.incarnations.get(instance, 0):
+    replaced = int(text) < ownership.incarnations.get(instance, 0)
+    if replaced and not item.attached:
         return Evidence.REPLACED
     if item.owner == ownership.own:
         return _judge_own(item, ownership.recorded)
-    if ownership.is_forgotten(instance) and not item.attached:
+    if ownership.is_forgotten(instance) and item.attached is False:
         return Evidence.FORGOTTEN
     return None
 
--- a/src/kelproad/state/holdings.py
+++ b/src/kelproad/state/holdings.py
@@ -23,8 +23,7 @@
     remaining
         Seconds until the deadline that came with it, negative if past.
     attached
-        Whether somebody is connected and reads it.  An engine that does not
-        say is taken to mean yes, the case in which nothing is cancelled.
+        Whether a connection reads it; ``None`` when the engine does not say.
     """
 
     kind: str
@@ -32,7 +31,7 @@
     owner: str
     tokens: int
     remaining: float
-    attached: bool = True
+    attached: bool | None = None
 
 
 @attrs.frozen
--- a/tests/engines.py
+++ b/tests/engines.py
@@ -34,6 +34,17 @@
     }
 
 
+def list_cancels(site: Site) -> list[object]:
+    """List what running instances still want engines to release."""
+    return [
+        cancel
+        for instance in site.instances
+        for cancel in site.control(instance.operator, 'GET', '/operator/dump')[
+            'cancels_open'
+        ]
+    ]
+
+
 def wait_until_free(site: Site, seconds: float) -> dict[str, object]:
     """Wait until no engine holds anything; return what is left."""
     limit = time.monotonic() + seconds
@@ -48,6 +59,14 @@
         time.sleep(_POLL)
 
 
+def wait_until_confirmed(site: Site, seconds: float) -> list[object]:
+    """Wait until every cancel is confirmed; return what is left."""
+    limit = time.monotonic() + seconds
+    while list_cancels(site) and time.monotonic() < limit:
+        time.sleep(_POLL)
+    return list_cancels(site)
+
+
 class OpenStream:
     """A streamed completion that is read piece by piece."""
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -15,6 +15,7 @@
     OpenStream,
     list_engines,
     set_engines,
+    wait_until_confirmed,
     wait_until_free,
 )
 
@@ -41,6 +42,7 @@
     yield
     set_engines(site)
     assert wait_until_free(site, FREE_WITHIN) == {}
+    assert not wait_until_confirmed(site, FREE_WITHIN)
 
 
 def ask(site: Site, prompt: str, **fields: object) -> OpenStream:
@@ -159,6 +161,27 @@
         assert text == compose_answer(prompt, TOKENS)
 
 
+def test_chat_answer_is_continued(site: Site) -> None:
+    """The same for a chat answer, read by the published client."""
+    set_engines(site, list_engines(site)[:2], skipped=4)
+    client = openai.OpenAI(
+        api_key=KEY,
+        base_url=f'http://{site.callers[0]}/v1',
+        max_retries=0,
+    )
+    for number in range(3):
+        chat = [{'role': 'user', 'content': f'chat {number}'}]
+        parts = client.chat.completions.create(
+            model=MODEL,
+            messages=chat,
+            max_tokens=TOKENS,
+            seed=7,
+            stream=True,
+        )
+        text = ''.join(part.choices[0].delta.content for part in parts)
+        assert text == compose_answer(chat, TOKENS)
+
+
 def test_published_client_sees_a_broken_answer(site: Site) -> None:
     """The OpenAI client iterates over a stream that breaks off.
 
