Wait for a silent engine when nobody else can take the work

Cause: a silent engine was left for another one also when there was none, or no attempt was left; a single engine behind a cut that heals lost its stream. Change: an attempt notes at its start whether an alternative exists.

--- a/src/kelproad/coordination/answers.py
+++ b/src/kelproad/coordination/answers.py
@@ -68,6 +68,9 @@
     continuable
         Whether another engine could still go on behind what the caller has.
         False as soon as what it has is no longer kept.
+    has_alternative
+        Whether there was another endpoint when the present attempt began.
+        Without one, a silent engine that wakes again is the only hope.
     continuation
         What the present attempt continues; ``None`` if it starts afresh.
     """
@@ -78,6 +81,7 @@
     sink: Sink
     budget: BufferBudget
     continuable: bool = False
+    has_alternative: bool = False
     continuation: Continuation | None = None
     _kept: list[bytes] = attrs.field(factory=list)
     _reservation: Reservation = attrs.field(init=False)
@@ -100,7 +104,7 @@
     @property
     def movable(self) -> bool:
         """Whether another endpoint may take over work that may have run."""
-        if not self.request.repeatable:
+        if not (self.request.repeatable and self.has_alternative):
             return False
         return self.sink.restartable or self.continuable
 
--- a/src/kelproad/coordination/attempts.py
+++ b/src/kelproad/coordination/attempts.py
@@ -111,6 +111,7 @@
                 return outcome if tried else placed
             placement = placed.unwrap()
             tried |= {placement.endpoint.name}
+            answer.has_alternative = self._has_alternative(answer, tried)
             outcome = await self._attempt(answer, placement)
             if isinstance(outcome, Success):
                 return outcome
@@ -128,14 +129,7 @@
         decision: Decision,
     ) -> Result[_Placement, Refusal]:
         request = answer.request
-        choice = routing.choose_endpoint(
-            request,
-            self._table,
-            self._identity.zone,
-            monotonic(),
-            self._generator,
-            tried | self._list_unfit(answer),
-        )
+        choice = self._choose(answer, tried)
         if isinstance(choice, Failure):
             return choice
         chosen = choice.unwrap()
@@ -156,6 +150,30 @@
             _Placement(attempt, chosen.endpoint, chosen),
         )
 
+    def _choose(
+        self,
+        answer: Answer,
+        tried: frozenset[str],
+    ) -> Result[routing.Choice, Refusal]:
+        return routing.choose_endpoint(
+            answer.request,
+            self._table,
+            self._identity.zone,
+            monotonic(),
+            self._generator,
+            tried | self._list_unfit(answer),
+        )
+
+    def _has_alternative(
+        self,
+        answer: Answer,
+        tried: frozenset[str],
+    ) -> bool:
+        """Tell whether another attempt could follow the present one."""
+        if len(tried) >= _MAX_ATTEMPTS:
+            return False
+        return isinstance(self._choose(answer, tried), Success)
+
     def _list_unfit(self, answer: Answer) -> frozenset[str]:
         """List the endpoints that cannot go on behind what was delivered."""
         if answer.continuation is None:
--- a/tests/test_reclamation.py
+++ b/tests/test_reclamation.py
@@ -217,19 +217,27 @@
 
     A stream inside the zone goes on and comes whole.  One that crosses the
     cut is not cancelled from outside: when the network heals, it comes whole
-    as well.
+    as well.  Its engine is silent for longer than an engine may be, but there
+    is no other one that the work could move to.
     """
     plan = SitePlan(
         example=ROADGRIP,
         endpoints_per_group=1,
         network=True,
         instance_settings={'forgotten_after': 2.0},
+        group_settings={'honours_continuation': True},
         engine_settings={'time_scale': 1.0},
     )
     with start_site(plan, tmp_path) as site:
         tokens = 300
         inside, across = (
-            OpenStream(site.callers[number], 'cut', 60, max_tokens=tokens)
+            OpenStream(
+                site.callers[number],
+                'cut',
+                60,
+                max_tokens=tokens,
+                temperature=0,
+            )
             for number in (0, 1)
         )
         inside.read(3)
