--- a/src/kelproad/state/members.py
+++ b/src/kelproad/state/members.py
@@ -55,6 +55,8 @@
         The same for each length class.
     demand
         What the busiest workspaces ask of this instance.
+    leaving
+        Endpoints that the platform has just told this instance to leave.
     configuration_age
         Seconds since its revision was last confirmed, at the time of sending;
         ``None`` while it never was.
@@ -75,6 +77,7 @@
     draining: bool = False
     dispatched: dict[str, int] = attrs.field(factory=dict)
     reports: list[EndpointReport] = attrs.field(factory=list)
+    leaving: list[str] = attrs.field(factory=list)
     configuration_age: float | None = None
     configuration_fault: str = ''
     pending_files: list[str] = attrs.field(factory=list)
@@ -95,8 +98,10 @@
         """Start with no members."""
         self._members: dict[str, Member] = {}
         self._heard: dict[str, float] = {}
-        #: Instances on the platform's list, and when it was read last.
+        #: Instances on the platform's list, the endpoints that it takes away,
+        #: and when it was read last.
         self.listed: frozenset[str] = frozenset()
+        self.listed_leaving: frozenset[str] = frozenset()
         self.listed_at = float('-inf')
 
     def merge(self, member: Member, now: float) -> bool:
@@ -113,9 +118,15 @@
         self._heard[member.name] = now
         return True
 
-    def note_listing(self, names: frozenset[str], now: float) -> None:
-        """Remember whom the platform lists."""
+    def note_listing(
+        self,
+        names: frozenset[str],
+        leaving: frozenset[str],
+        now: float,
+    ) -> None:
+        """Remember whom the platform lists, and which endpoints leave."""
         self.listed = names
+        self.listed_leaving = leaving
         self.listed_at = now
 
     def live(self, now: float) -> list[Member]:
