--- a/src/kelproad/coordination/delivery.py
+++ b/src/kelproad/coordination/delivery.py
@@ -4,6 +4,8 @@
 terminal event; a caller can never mistake a broken answer for a short one.
 """
 
+import asyncio
+
 from aiohttp import web
 
 from ..protocol import callers, completions
@@ -24,6 +26,8 @@
 _ROOM_SOON = 2.0
 #: Seconds that a caller has to take the last bytes of a broken answer.
 _FAREWELL_SECONDS = 1.0
+#: Seconds for which a closed connection may still be read.
+_LINGER_SECONDS = 30.0
 _DELIVERY_KEY = web.ResponseKey('delivery', object)
 _EVENT_STREAM = 'text/event-stream'
 _JSON = 'application/json'
@@ -39,10 +43,16 @@
 
     buffered = False
 
-    def __init__(self, http_request: web.Request, request_id: str) -> None:
+    def __init__(
+        self,
+        http_request: web.Request,
+        request_id: str,
+        parts: int = 0,
+    ) -> None:
         """Answer a call; nothing is sent before the first event."""
         self._http_request = http_request
         self._request_id = request_id
+        self._parts = parts
         self._response: web.StreamResponse | None = None
 
     @property
@@ -86,8 +96,13 @@
         await self._say_farewell(completions.encode_refused_event(encoded))
         # Closing without the last chunk makes the HTTP body incomplete, so
         # that a client which overlooks the event sees the cut as well.
-        if self._http_request.transport is not None:
-            self._http_request.transport.close()
+        transport = self._http_request.transport
+        if transport is not None:
+            transport.close()
+            # A caller that never reads would keep the closing connection and
+            # its buffer for ever.
+            loop = asyncio.get_running_loop()
+            loop.call_later(_LINGER_SECONDS, transport.abort)
         return self._response
 
     async def _say_farewell(self, event: bytes) -> None:
@@ -107,7 +122,7 @@
             headers={
                 'Content-Type': _EVENT_STREAM,
                 'Cache-Control': 'no-store',
-                callers.REQUEST_ID_HEADER: self._request_id,
+                **_create_headers(self._request_id, self._parts),
             },
         )
         await response.prepare(self._http_request)
@@ -129,10 +144,12 @@
         stream: bool,
         request_id: str,
         budget: BufferBudget,
+        parts: int = 0,
     ) -> None:
         """Collect for a caller that wants an event stream, or JSON."""
         self._stream = stream
         self._request_id = request_id
+        self._parts = parts
         self._reservation = budget.reserve_for(self)
         self._payloads: list[bytes] = []
         self._body = b''
@@ -164,7 +181,7 @@
         response = web.Response(
             body=self._body,
             content_type=_EVENT_STREAM if self._stream else _JSON,
-            headers={callers.REQUEST_ID_HEADER: self._request_id},
+            headers=_create_headers(self._request_id, self._parts),
         )
         # The reservation lasts as long as this object, and this object as
         # long as the response: a slow caller's answer still counts.
@@ -188,6 +205,13 @@
             raise DeliveryError(_refuse_malformed(error)) from error
 
 
+def _create_headers(request_id: str, parts: int) -> dict[str, str]:
+    headers = {callers.REQUEST_ID_HEADER: request_id}
+    if parts:
+        headers[callers.SEGMENTS_HEADER] = str(parts)
+    return headers
+
+
 def _refuse_full(fits_answer: bool) -> Refusal:
     """Refuse an answer beyond its own bound, or beyond that of all."""
     if not fits_answer:
--- a/src/kelproad/coordination/gossip.py
+++ b/src/kelproad/coordination/gossip.py
@@ -34,6 +34,7 @@
 _HEARTBEAT_BYTES = 48
 _REPORT_BYTES = 24
 _DISPATCHED_BYTES = 14
+_DEMAND_BYTES = 32
 #: Choices and hashes remembered, which change only as members come and go.
 _CHOICES_KEPT = 1024
 
@@ -296,7 +297,7 @@
         for member in self._members.live(now):
             known = seen.get(member.name, _Seen()).load_order
             order = member.load_order
-            if member.load_version > 0 and self._is_due(
+            if member.has_load and self._is_due(
                 address,
                 member,
                 order,
@@ -356,7 +357,7 @@
         for member in members:
             known = seen.setdefault(member.name, _Seen())
             known.order = max(known.order, member.order)
-            if member.load_version:
+            if member.has_load:
                 known.load_order = max(known.load_order, member.load_order)
 
 
@@ -378,4 +379,6 @@
     return (
         len(member.reports) * _REPORT_BYTES
         + len(member.dispatched) * _DISPATCHED_BYTES
+        + len(member.dispatched_by_class) * _DISPATCHED_BYTES
+        + len(member.demand) * _DEMAND_BYTES
     )
--- a/src/kelproad/coordination/membership.py
+++ b/src/kelproad/coordination/membership.py
@@ -28,6 +28,8 @@
 from ..state.counters import Counters
 from ..state.endpoints import EndpointTable
 from ..state.identity import Identity
+from ..state.lengths import LengthClass
+from ..state.limits import Demand
 from ..state.members import Member, MemberTable
 from ..transport.addresses import Address
 from ..transport.deadlines import monotonic
@@ -35,6 +37,7 @@
 from ..transport.services import BackgroundService
 from .configuration import ConfigurationFollower, list_changes
 from .gossip import PERIOD, Gossiper, Place
+from .leaving import list_own_words, mark_leaving
 
 __all__ = ['Membership']
 
@@ -99,6 +102,7 @@
         self._zones: dict[str, str] = {}
         self._links: dict[str, PeerLink] = {}
         self.draining = False
+        self.describe_demand: Callable[[], dict[str, Demand]] = dict
         follower.ask_peer = self.send
         self._listener = self.add_dependency(
             PeerListener(
@@ -185,11 +189,10 @@
         }
         self._members.note_listing(
             frozenset(instance.name for instance in listing.instances),
+            frozenset(listing.leaving_endpoints),
             self._clock(),
         )
-        leaving = set(listing.leaving_endpoints)
-        for name, endpoint in self._table.all().items():
-            endpoint.listed_leaving = name in leaving
+        mark_leaving(self._table, self._members, self._clock())
 
     def _build_record(self) -> Member:
         return Member(
@@ -206,12 +209,12 @@
         return attrs.evolve(
             self._own,
             version=version,
-            load_version=version,
             revision=self._holder.current.revision,
             draining=self.draining,
             configuration_age=self._follower.finite_age,
             configuration_fault=self._follower.fault,
             pending_files=list(self._holder.current.pending),
+            withheld=sorted(self._table.withheld_here),
             dispatched={
                 name: endpoint.own_tokens
                 for name, endpoint in self._table.all().items()
@@ -226,6 +229,13 @@
                 if endpoint.read_here
                 and now - endpoint.reported_at <= _REPORT_KEPT
             ],
+            demand=self.describe_demand(),
+            dispatched_by_class={
+                name: endpoint.own_by_class.copy()
+                for name, endpoint in self._table.all().items()
+                if endpoint.own_tokens
+            },
+            leaving=list_own_words(self._members, now),
         )
 
     def _send_records(self, addresses: list[str]) -> None:
@@ -280,6 +290,7 @@
                 self._take_reports(member, now)
                 self._follower.hear_member(member)
         self._sum_dispatched()
+        mark_leaving(self._table, self._members, now)
 
     def _answer_own(self, heard: Member, sender: Member) -> None:
         """Answer a record of this instance that others take for the newest.
@@ -308,14 +319,17 @@
                 endpoint.accept_report(report, now - report.age - member.held)
 
     def _sum_dispatched(self) -> None:
+        live = self._members.live(self._clock())
+        self._table.instances = len(live) + 1
         totals: collections.Counter[str] = collections.Counter()
-        for member in self._members.live(self._clock()):
+        for member in live:
             totals.update(member.dispatched)
         # Only endpoints with work are visited: there are thousands without.
         for name in self._busy | totals.keys():
             endpoint = self._table.get(name)
             if endpoint is not None:
                 endpoint.peer_tokens = totals[name]
+                endpoint.peer_by_class = _sum_classes(name, live)
         self._busy = set(totals)
 
     def _answer_wanted(self, wanted: ChangesWanted) -> None:
@@ -328,6 +342,16 @@
             self.send(wanted.reply_to, changes)
 
 
+def _sum_classes(endpoint: str, live: list[Member]) -> list[int]:
+    """Sum what the members have in flight at an endpoint, by class."""
+    by_class = [
+        member.dispatched_by_class[endpoint]
+        for member in live
+        if endpoint in member.dispatched_by_class
+    ]
+    return [sum(counts[rank] for counts in by_class) for rank in LengthClass]
+
+
 def _round_age(seconds: float) -> float:
     """Round an age to few binary digits, which compress well."""
     return round(seconds * _AGE_STEPS) / _AGE_STEPS
--- a/src/kelproad/state/members.py
+++ b/src/kelproad/state/members.py
@@ -5,18 +5,21 @@
 
 import attrs
 
+from .limits import Demand
+
 __all__ = ['EndpointReport', 'Member', 'MemberTable']
 
 #: Seconds without news after which a member is suspected and asked directly.
-SUSPECT_AFTER = 4.0
+SUSPECT_AFTER = 2.5
 #: Seconds without news after which a member is no longer counted as live.
-REMOVE_AFTER = 6.0
+REMOVE_AFTER = 4.0
 #: Seconds after which the record of a dead member is dropped.  Until then its
 #: incarnation and version reject late and replayed records.
 FORGET_AFTER = 600.0
 #: Members of other zones of whom a zone passes on news in every period.
 _FAR_NEWS = 8
-_FAR_INTERVAL = 2
+#: Members of a zone beyond which its news take longer to come round.
+_SMALL_ZONE = 8
 
 
 @attrs.frozen
@@ -62,12 +65,19 @@
         Raised by the instance itself when it hears of a record of its own
         name that would be taken for a newer one.
     load_version
-        Version whose ``dispatched`` and ``reports`` these are; 0 when the
-        record was sent without them.
+        Version whose load these are (``dispatched``, ``reports``,
+        ``dispatched_by_class``, ``demand``); 0 when it was sent without,
+        ``None`` when it is the record's own version.
     left
         The instance has ended on purpose.
     held
         Seconds that the load waited at the instances that passed it on.
+    dispatched_by_class
+        The same for each length class.
+    demand
+        What the busiest workspaces ask of this instance.
+    leaving
+        Endpoints that the platform has just told this instance to leave.
     configuration_age
         Seconds since its revision was last confirmed, at the time of sending;
         ``None`` while it never was.
@@ -75,6 +85,8 @@
         Why it could not read the store, empty when it could.
     pending_files
         Files whose accepted version it cannot read.
+    withheld
+        Endpoints that get no new requests while their models are exchanged.
     """
 
     name: str
@@ -87,13 +99,17 @@
     dispatched: dict[str, int] = attrs.field(factory=dict)
     reports: list[EndpointReport] = attrs.field(factory=list)
     epoch: int = 0
-    load_version: int = 0
+    load_version: int | None = None
     left: bool = False
     held: float = 0
     region: str = ''
+    leaving: list[str] = attrs.field(factory=list)
     configuration_age: float | None = None
     configuration_fault: str = ''
     pending_files: list[str] = attrs.field(factory=list)
+    withheld: list[str] = attrs.field(factory=list)
+    dispatched_by_class: dict[str, list[int]] = attrs.field(factory=dict)
+    demand: dict[str, Demand] = attrs.field(factory=dict)
 
     @property
     def life(self) -> tuple[int, int]:
@@ -108,7 +124,15 @@
     @property
     def load_order(self) -> tuple[int, int, int]:
         """Position of this record's load among those of the same instance."""
-        return (self.epoch, self.incarnation, self.load_version)
+        version = self.version
+        if self.load_version is not None:
+            version = self.load_version
+        return (self.epoch, self.incarnation, version)
+
+    @property
+    def has_load(self) -> bool:
+        """Whether the record was sent with its load."""
+        return self.load_version != 0
 
     def without_load(self) -> 'Member':
         """Return the heartbeat alone."""
@@ -116,6 +140,8 @@
             self,
             dispatched={},
             reports=[],
+            dispatched_by_class={},
+            demand={},
             load_version=0,
             held=0,
         )
@@ -139,8 +165,10 @@
         self._load_heard: dict[str, float] = {}
         self._far = 0
         self._arrived: dict[str, float] = {}
-        #: Instances on the platform's list, and when it was read last.
+        #: Instances on the platform's list, the endpoints that it takes away,
+        #: and when it was read last.
         self.listed: frozenset[str] = frozenset()
+        self.listed_leaving: frozenset[str] = frozenset()
         self.listed_at = float('-inf')
 
     def merge(self, member: Member, now: float) -> bool:
@@ -164,9 +192,7 @@
             self._load_heard[member.name] = now
             self._far += self._is_far(member)
             return True
-        newer_load = member.load_version > 0 and (
-            member.load_order > held.load_order
-        )
+        newer_load = member.has_load and (member.load_order > held.load_order)
         if newer_load:
             self._load_heard[member.name] = now
         if member.order > held.order:
@@ -180,11 +206,17 @@
     @property
     def far_interval(self) -> int:
         """Heartbeats of which only one is passed on from zone to zone."""
-        return max(_FAR_INTERVAL, math.ceil(self._far / _FAR_NEWS))
+        return max(1, math.ceil(self._far / _FAR_NEWS))
 
-    def note_listing(self, names: frozenset[str], now: float) -> None:
-        """Remember whom the platform lists."""
+    def note_listing(
+        self,
+        names: frozenset[str],
+        leaving: frozenset[str],
+        now: float,
+    ) -> None:
+        """Remember whom the platform lists, and which endpoints leave."""
         self.listed = names
+        self.listed_leaving = leaving
         self.listed_at = now
 
     def live(self, now: float) -> list[Member]:
@@ -261,10 +293,14 @@
         after: float,
         until: float,
     ) -> list[Member]:
-        stretch = self.far_interval
+        near = len(self._members) - self._far
+        # In a zone of 16 one and a half times as long, of 32 twice as long.
+        doublings = math.log2(max(1, near / _SMALL_ZONE))
+        near_stretch = 1 + doublings / 2
+        stretch = max(near_stretch, self.far_interval)
         listed = []
         for name, member in self._members.items():
-            factor = stretch if self._is_far(member) else 1
+            factor = stretch if self._is_far(member) else near_stretch
             silence = (now - self._heard[name]) / factor
             if after <= silence <= until and not member.left:
                 listed.append(member)
@@ -282,6 +318,8 @@
         newest,
         dispatched=source.dispatched,
         reports=source.reports,
-        load_version=source.load_version,
+        dispatched_by_class=source.dispatched_by_class,
+        demand=source.demand,
+        load_version=source.load_order[-1],
         held=source.held,
     )
--- a/testbed/processes.py
+++ b/testbed/processes.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import secrets
 import signal
 import socket
 import subprocess
@@ -13,15 +14,36 @@
 
 _STOP_SECONDS = 30.0
 _POLL_SECONDS = 0.05
+_LOWEST_PORT = 10_000
+_HIGHEST_PORT = 32_000
+_PORTS = range(_LOWEST_PORT, _HIGHEST_PORT)
 _FROM_SOURCE = (sys.executable, '-m', 'kelproad')
 
+#: Ports that this process has found; each is given out once.
+_given: set[int] = set()
+
 
 def find_free_address(host: str = '127.0.0.1') -> str:
-    """Find a loopback address that nothing listens on."""
+    """Find a loopback address that nothing listens on.
+
+    The system gives ports above the range drawn from here to outgoing
+    connections.  One of those could take a port between its being found and
+    its being listened on, and the process would fail to start.
+    """
+    while True:
+        port = secrets.choice(_PORTS)
+        if port not in _given and _is_free(host, port):
+            _given.add(port)
+            return f'{host}:{port}'
+
+
+def _is_free(host: str, port: int) -> bool:
     with socket.socket() as probe:
-        probe.bind((host, 0))
-        _, port = probe.getsockname()
-    return f'{host}:{port}'
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
 
 
 def wait_until_answering(url: str, seconds: float = 20.0) -> None:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,6 +1,7 @@
 """At most once, with real processes: effects are counted at the endpoints."""
 
 import functools
+import pathlib
 import time
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
@@ -115,11 +116,29 @@
     assert answer.status == 503
     assert answer.refusal()['ran'] == 'no'
     assert taken < 1
+    request_id = answer.refusal()['request_id']
+    told = site.control(
+        site.instances[0].operator,
+        'GET',
+        f'/operator/explain/{request_id}',
+    )
+    assert told['steps'][-1]['outcome'] == 'claim_unrecorded'
     site.set_faults(site.platform_address)
     assert book(site.callers[0], 'down', 'down').status == 200
     assert count_effects(site, 'down') == 1
 
 
+def test_slow_store_is_waited_for(site: Site) -> None:
+    site.set_faults(site.platform_address, delay=0.7)
+    first, taken = timed_book(site, 'slow', seconds=5)
+    assert first.status == 200
+    # The claim is waited for, its outcome only for a moment.
+    assert taken < 0.7 + 0.25 + MARGIN
+    site.set_faults(site.platform_address)
+    wait_for(lambda: book(site.callers[1], 'slow', 'slow').status == 200)
+    assert count_effects(site, 'slow') == 1
+
+
 @pytest.mark.parametrize('lost', ['lose_answers', 'lose_writes'])
 def test_lost_claim_is_taken_up_again(site: Site, lost: str) -> None:
     """The answer to the claim is lost, before or after it took effect.
@@ -294,6 +313,26 @@
     assert count_runs(site) - before <= 1
 
 
+def test_refused_connection_moves_on(tmp_path: pathlib.Path) -> None:
+    """A service has died; calls to it are refused before a byte is sent.
+
+    Each of them goes on to another endpoint under the same claim, and is
+    booked there once.
+    """
+    # No stand-in network: it would take the connection itself.
+    plan = SitePlan(example=ROADGRIP, endpoints_per_group=2)
+    with start_site(plan, tmp_path) as site:
+        dead, left = (
+            name for name in site.addresses if name.startswith('run-book')
+        )
+        site.endpoints[dead].kill()
+        keys = [f'moved-on-{number}' for number in range(6)]
+        answers = [book(site.callers[0], key, key) for key in keys]
+        entries = site.control(site.addresses[left], 'GET', '/entries')
+    assert {answer.status for answer in answers} == {200}
+    assert [entries.get(key, 0) for key in keys] == [1 for _ in keys]
+
+
 def book_within(site: Site, reference: str, seconds: float) -> Answer:
     """Book under a key of the same name at the first instance."""
     return book(
