Answer every suspecting peer, and not one in five a second

Cause: with eight peers suspecting at once, the answers went to some again and again, and others removed a member that had answered: the test of the refuted suspicion failed. Change: the distance between answers is kept for each peer.

--- a/src/kelproad/coordination/membership.py
+++ b/src/kelproad/coordination/membership.py
@@ -49,7 +49,7 @@
 _FAREWELL = 0.1
 #: Steps of a second in which the age of a report is told.
 _AGE_STEPS = 32
-#: Seconds between two answers to suspicions.
+#: Seconds between two answers to the suspicions of one peer.
 _ANSWER_GAP = 0.2
 #: Seconds for which a watcher repeats what it last read from an engine.
 _REPORT_KEPT = 3.0
@@ -98,7 +98,7 @@
         self._own = self._build_record()
         self._rounded_at: float | None = None
         self._busy: set[str] = set()
-        self._answered_at = float('-inf')
+        self._answered: dict[str, float] = {}
         self._zones: dict[str, str] = {}
         self._links: dict[str, PeerLink] = {}
         self.draining = False
@@ -273,6 +273,7 @@
         address; a link kept for each would dial a dead address for ever.
         """
         self._members.forget(now)
+        self._answered.clear()
         kept = set(self._list_addresses(now))
         kept |= {member.peer_address for member in self._members.known()}
         self._gossiper.keep_peers(kept)
@@ -299,16 +300,17 @@
         incarnation than the life before, and its records would be refused as
         old ones.  It puts itself above by raising its epoch.  An older record
         is a suspicion, because no other message carries the receiver's own; a
-        newer one sent at once refutes it.  Answers keep a distance, so that
-        replayed suspicions do not make this instance send without end.
+        newer one sent at once refutes it.  Answers to one peer keep a
+        distance, so that replayed suspicions do not make this instance send
+        without end.
         """
         now = self._clock()
         if heard.order > self._own.order:
             self._own = attrs.evolve(self._own, epoch=heard.epoch + 1)
             self.log.info('a record newer than the own one, epoch raised')
-        elif now - self._answered_at < _ANSWER_GAP:
+        elif now - self._answered.get(sender.name, 0) < _ANSWER_GAP:
             return
-        self._answered_at = now
+        self._answered[sender.name] = now
         self._own = self._next_version()
         self._send_records([sender.peer_address])
 
