--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -134,7 +134,7 @@
 
 
 def test_no_engine_goes_unread_when_a_watcher_dies() -> None:
-    """A watcher is killed; for six seconds the others count it as live.
+    """A watcher is killed; for four seconds the others count it as live.
 
     Its engines must be read by their second watcher as soon as its reports
     stop, and by one watcher only while they come.
