--- a/src/kelproad/coordination/claims.py
+++ b/src/kelproad/coordination/claims.py
@@ -121,6 +121,11 @@
         wait = min(RECORD_WAIT, max(0, deadline - monotonic()))
         await asyncio.wait([settling], timeout=wait)
 
+    def record_run(self, claim: Claim) -> None:
+        """Record, later, that the work ran and its answer was not kept."""
+        unkept = RecordedAnswer(status=0, headers=[], body=None)
+        self._settlements.settle(claim, ClaimState.DONE, unkept)
+
     def leave_unknown(self, claim: Claim) -> None:
         """Record, later, that the work may or may not have run."""
         self._settlements.settle(claim, ClaimState.UNKNOWN)
--- a/src/kelproad/coordination/entry.py
+++ b/src/kelproad/coordination/entry.py
@@ -271,10 +271,13 @@
         if isinstance(outcome, Success):
             answer = record_answer(outcome.unwrap())
             await self._claims.record(claim, answer, request.deadline)
-        elif outcome.failure().ran is Ran.NO:
-            self._claims.release(claim)
-        else:
-            self._claims.leave_unknown(claim)
+            return
+        settle = {
+            Ran.NO: self._claims.release,
+            Ran.YES: self._claims.record_run,
+            Ran.UNKNOWN: self._claims.leave_unknown,
+        }
+        settle[outcome.failure().ran](claim)
 
     # Completions
 
--- a/tests/test_grouping.py
+++ b/tests/test_grouping.py
@@ -168,6 +168,15 @@
     assert refused.failure().ran is Ran.YES
 
 
+async def test_run_without_an_answer_is_told_as_run(store: Store) -> None:
+    """An answer was too long to pass on; the work is known to have run."""
+    claims = create_claims(store)
+    claims.record_run((await acquire(claims, 'k')).unwrap())
+    assert await claims.finish(LONG) == 0
+    refused = await acquire(claims, 'k')
+    assert refused.failure().ran is Ran.YES
+
+
 async def test_old_answer_is_told_as_run(
     store: Store,
     monkeypatch: pytest.MonkeyPatch,
