--- a/src/kelproad/coordination/sides.py
+++ b/src/kelproad/coordination/sides.py
@@ -1,5 +1,10 @@
-"""The HTTP side that callers see: entry, readiness, metrics, fault answers."""
+"""The HTTP sides of an instance: callers' and operators'.
 
+The callers' side also tells the platform's balancer whether the instance is
+ready, publishes metrics, and answers its own faults in the one shape.
+"""
+
+import functools
 import logging
 from collections.abc import Awaitable, Callable
 
@@ -8,16 +13,22 @@
 from aioprometheus import render
 
 from ..protocol import callers
+from ..protocol.settings import Settings
 from ..state.configuration import SnapshotHolder
 from ..state.counters import Counters
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
+from ..transport.addresses import Address
+from ..transport.http import HttpServer
 from .configuration import ConfigurationFollower
 from .drain import Drain, DrainPhase
 from .entry import Entry
+from .operators import OperatorApi
 
-__all__ = ['CallerSide']
+__all__ = ['CallerSide', 'create_servers']
 
 _logger = logging.getLogger(__name__)
+#: Bytes of the largest file that an operator may apply.
+_LARGEST_FILE = 3 * 1024 * 1024
 
 _SERVED_TO_THE_END = frozenset(('/healthz', '/metrics'))
 
@@ -105,6 +116,33 @@
         return web.Response(body=body, headers=headers)
 
 
+def create_servers(
+    settings: Settings,
+    caller_side: CallerSide,
+    operators: OperatorApi,
+    counters: Counters,
+) -> list[HttpServer]:
+    """Create the servers of both sides; none listens before it is started."""
+    operator_side = web.Application(client_max_size=_LARGEST_FILE)
+    operator_side.add_routes(operators.routes())
+    sides = (
+        (
+            'callers',
+            caller_side.create_application(),
+            settings.caller_address,
+        ),
+        ('operators', operator_side, settings.operator_address),
+    )
+    return [
+        HttpServer(
+            application,
+            Address.from_text(address),
+            functools.partial(counters.malformed.inc, {'side': side}),
+        )
+        for side, application, address in sides
+    ]
+
+
 async def _answer_alive(_http_request: web.Request) -> web.Response:
     return web.Response(text='alive\n')
 
