--- a/src/kelproad/coordination/settlements.py
+++ b/src/kelproad/coordination/settlements.py
@@ -82,9 +82,17 @@
     ) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._count_unsettled()
+        task.add_done_callback(self._drop)
         return task
 
+    def _drop(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        self._count_unsettled()
+
+    def _count_unsettled(self) -> None:
+        self._counters.claims_unsettled.set({}, len(self._tasks))
+
     async def _overwrite(self, write: Write, state: ClaimState) -> None:
         """Write an outcome until the platform has it.
 
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -95,6 +95,10 @@
             'kelproad_malformed_input_total',
             'Input on a listening address that is not HTTP, by side.',
         )
+        self.claims_unsettled = self._gauge(
+            'kelproad_claims_unsettled',
+            'Claims whose outcome the platform does not have yet.',
+        )
         self.in_progress = self._gauge(
             'kelproad_requests_in_progress',
             'Requests admitted that have no final answer yet.',
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -2,6 +2,7 @@
 
 import functools
 import pathlib
+import re
 import time
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
@@ -11,6 +12,7 @@
 from testbed.network import PLATFORM
 from testbed.site import Site, SitePlan, start_site
 from tests.clients import Answer, book, complete
+from tests.clients import call as http_call
 from tests.conftest import ROADGRIP
 
 #: Seconds by which an answer may miss its deadline on a busy test machine.
@@ -171,12 +173,14 @@
     site.set_faults(site.platform_address, **{fault: True})
     assert call.result().status == 200
     assert time.monotonic() - started < 3 + MARGIN
+    assert count_unsettled(site) == 1
     site.set_faults(site.platform_address)
     slow_books(site, 0)
     wait_for(
         lambda: book(site.callers[1], reference, reference).status == 200,
     )
     assert count_effects(site, reference) == 1
+    assert count_unsettled(site) == 0
 
 
 def test_claim_held_back_by_a_cut_frees_its_key(site: Site) -> None:
@@ -375,6 +379,13 @@
         site.set_faults(address, delay=delay)
 
 
+def count_unsettled(site: Site) -> int:
+    """Read the first instance's gauge of unsettled claims."""
+    metrics = http_call(site.callers[0], '/metrics').body.decode()
+    gauge = re.search('^kelproad_claims_unsettled (.+)$', metrics, re.MULTILINE)
+    return int(gauge.group(1))
+
+
 def count_effects(site: Site, reference: str) -> int:
     """Count over all books how often a reference was booked."""
     entries = [
