Bound the wait for an answer's head also at the last engine

Change: work that may be repeated waits for a head as long as for a first event, twice that at the last engine; work that may not waits to its deadline.

--- a/src/kelproad/coordination/relays.py
+++ b/src/kelproad/coordination/relays.py
@@ -45,6 +45,8 @@
 #: A wait that ends later than this leaves another engine no time.
 _LATEST_SHARE = 0.5
 _LEAST_FACTOR = 1.5
+#: How much longer the head is waited for when no other engine is left.
+_LAST_FACTOR = 2.0
 
 
 class _Ending(enum.StrEnum):
@@ -141,14 +143,12 @@
         return Failure(self._refuse('the engine broke off its answer'))
 
     async def _open(self) -> Result[EngineStream, Refusal]:
-        deadline = self._attempt.deadline
-        until = monotonic() + self._patience.first
         opened = await self._engines.open_stream(
             self._url,
             self._answer.path,
             self._attempt,
             self._answer.encode_body(),
-            min(until, deadline) if self._answer.movable else deadline,
+            self._decide_head_limit(),
         )
         if isinstance(opened, Failure):
             return opened
@@ -162,6 +162,20 @@
             return Failure(self._refuse('the engine does not continue a text'))
         return opened
 
+    def _decide_head_limit(self) -> float:
+        """Decide until when the head of the answer may be waited for.
+
+        An engine without even a head may be behind a cut.  Without another
+        one here, the caller of work that may be repeated still has other
+        instances, and hears so before its deadline.
+        """
+        answer = self._answer
+        if not answer.request.repeatable:
+            return self._attempt.deadline
+        factor = 1 if answer.has_alternative else _LAST_FACTOR
+        until = monotonic() + factor * self._patience.first
+        return min(until, self._attempt.deadline)
+
     async def _resume(self) -> Result[EngineStream, Refusal]:
         """Take the stream up again; a short outage is waited out."""
         self.sequence.restart()
