--- a/src/kelproad/coordination/attempts.py
+++ b/src/kelproad/coordination/attempts.py
@@ -24,20 +24,25 @@
 from ..transport.deadlines import monotonic
 from . import routing
 from .answers import Answer, CallerGoneError, DeliveryError, Sink
+from .ejection import note_outcome, note_stall
 from .reclamation import Canceller
 from .relays import Patience, Relay
+from .retries import Retries
 
 __all__ = ['Attempts', 'CallerGoneError']
 
 _MAX_ATTEMPTS = 3
+#: Seconds after which an attempt without a token has stalled, not failed.
+_STALL_SECONDS = 1.0
 #: Bytes of events kept for continuing streams elsewhere, for one answer and
 #: for all; an answer beyond them is delivered, but no more continued.
 _KEPT_PER_ANSWER = 1_048_576
 _KEPT_IN_ALL = 33_554_432
-#: What another endpoint would end with as well: the time is over, or this
-#: process has no memory for the answer.
+#: What another endpoint would end with as well: the time is over, the request
+#: is at fault, or this process has no memory for the answer.
 _FINAL_CODES = (
     RefusalCode.DEADLINE_EXCEEDED,
+    RefusalCode.BAD_REQUEST,
     RefusalCode.ANSWER_TOO_LARGE,
     RefusalCode.NO_CAPACITY,
 )
@@ -76,6 +81,7 @@
         self._canceller = canceller
         self._counters = counters
         self._generator = generator
+        self._retries = Retries(counters, generator)
         self._budget = BufferBudget(_KEPT_IN_ALL, _KEPT_PER_ANSWER)
 
     async def answer(
@@ -101,12 +107,15 @@
         CallerGoneError
             As the sink does.
         """
+        self._retries.count_request(request)
         answer = Answer(request, path, body, sink, self._budget)
         tried: frozenset[str] = frozenset()
         outcome: Result[None, Refusal] = Failure(_no_attempt_left())
         while len(tried) < _MAX_ATTEMPTS:
             placed = self._place(answer, tried, decision)
             if isinstance(placed, Failure):
+                refused = attrs.asdict(placed.failure())
+                decision.note('not routed', refusal=refused)
                 # Without another endpoint, the last attempt's refusal stands.
                 return outcome if tried else placed
             placement = placed.unwrap()
@@ -117,9 +126,11 @@
                 return outcome
             refusal = outcome.failure()
             request.note_ran(refusal.ran)
-            decision.note('attempt failed', **attrs.asdict(refusal))
+            decision.note('attempt failed', refusal=attrs.asdict(refusal))
             if not (_may_repeat(request, refusal) and answer.prepare_next()):
                 return outcome
+            if not await self._retries.permit(request, decision):
+                return outcome
         return outcome
 
     def _place(
@@ -135,15 +146,13 @@
         chosen = choice.unwrap()
         decision.note(
             'routed',
-            endpoint=chosen.endpoint.name,
-            predicted=chosen.predicted,
-            considered=chosen.considered,
+            **chosen.describe(),
             **_describe_continuation(answer),
         )
         attempt = Attempt(
             attempt_id=request.next_attempt_id(),
             owner=self._identity.owner,
-            priority=routing.classify_length(request.prompt_tokens),
+            priority=routing.choose_priority(request),
             deadline=request.deadline,
         )
         return Success(
@@ -190,7 +199,8 @@
         placement: _Placement,
     ) -> Result[None, Refusal]:
         request, endpoint = answer.request, placement.endpoint
-        endpoint.own_tokens += request.prompt_tokens
+        endpoint.begin_prefill(request.prompt_tokens, monotonic())
+        self._table.note_sent(request.prompt_tokens)
         endpoint.own_requests += 1
         request.phase = Phase.DISPATCHED
         relay = self._create_relay(answer, placement)
@@ -222,13 +232,29 @@
             placement.url,
             attempt,
             answer,
-            Patience.from_prediction(
-                placement.choice.predicted,
-                request.remaining(monotonic()),
-            ),
-            lambda: _note_first_token(request, placement),
+            self._decide_patience(request, placement),
+            lambda: self._note_first_token(request, placement),
         )
 
+    def _decide_patience(
+        self,
+        request: Request,
+        placement: _Placement,
+    ) -> Patience:
+        """Decide how long to wait for a silent engine.
+
+        Leaving it helps only if another attempt could follow; the last one
+        is given all the time that is left.
+        """
+        remaining = request.remaining(monotonic())
+        declared = sum(
+            len(self._table.in_group(group.name))
+            for group in request.snapshot.groups_of(request.service)
+        )
+        if request.attempts >= min(declared, _MAX_ATTEMPTS):
+            return Patience.until_deadline(remaining)
+        return Patience.from_prediction(placement.choice.predicted, remaining)
+
     def _settle(
         self,
         request: Request,
@@ -240,8 +266,10 @@
         endpoint = placement.endpoint
         endpoint.own_requests -= 1
         if not placement.first_token:
-            endpoint.own_tokens -= request.prompt_tokens
+            endpoint.end_prefill(request.prompt_tokens)
         label = _label_outcome(outcome)
+        if outcome is not None:
+            self._note_outcome(request, placement, outcome)
         attempt_id = placement.attempt.attempt_id
         if relay.finished or _never_ran(outcome):
             self._canceller.drop(attempt_id)
@@ -257,13 +285,40 @@
         dropped.add({'reason': 'crossed'}, sequence.crossed)
         dropped.add({'reason': 'repeated'}, sequence.repeated)
 
-
-def _note_first_token(request: Request, placement: _Placement) -> None:
-    if placement.first_token:
-        return
-    placement.first_token = True
-    placement.endpoint.own_tokens -= request.prompt_tokens
-    request.phase = Phase.ANSWERING
+    def _note_outcome(
+        self,
+        request: Request,
+        placement: _Placement,
+        outcome: Result[None, Refusal],
+    ) -> None:
+        """Let the endpoint's record know how the attempt ended."""
+        now = monotonic()
+        choice = placement.choice
+        refusal = outcome.swap().value_or(None)
+        stalled = now - choice.chosen_at > _STALL_SECONDS
+        if refusal is None or placement.first_token or not stalled:
+            endpoint = placement.endpoint
+            counters = self._counters
+            note_outcome(self._table, endpoint, refusal, now, counters)
+        elif refusal.code is RefusalCode.ENDPOINT_FAILED:
+            tokens = request.prompt_tokens
+            note_stall(self._table, choice, tokens, now, self._counters)
+
+    def _note_first_token(
+        self,
+        request: Request,
+        placement: _Placement,
+    ) -> None:
+        if placement.first_token:
+            return
+        placement.first_token = True
+        routing.note_first_token(
+            self._table,
+            placement.choice,
+            request,
+            monotonic(),
+        )
+        request.phase = Phase.ANSWERING
 
 
 def _describe_continuation(answer: Answer) -> dict[str, object]:
--- a/src/kelproad/coordination/delivery.py
+++ b/src/kelproad/coordination/delivery.py
@@ -43,10 +43,16 @@
 
     buffered = False
 
-    def __init__(self, http_request: web.Request, request_id: str) -> None:
+    def __init__(
+        self,
+        http_request: web.Request,
+        request_id: str,
+        parts: int = 0,
+    ) -> None:
         """Answer a call; nothing is sent before the first event."""
         self._http_request = http_request
         self._request_id = request_id
+        self._parts = parts
         self._response: web.StreamResponse | None = None
 
     @property
@@ -116,7 +122,7 @@
             headers={
                 'Content-Type': _EVENT_STREAM,
                 'Cache-Control': 'no-store',
-                callers.REQUEST_ID_HEADER: self._request_id,
+                **_create_headers(self._request_id, self._parts),
             },
         )
         await response.prepare(self._http_request)
@@ -138,10 +144,12 @@
         stream: bool,
         request_id: str,
         budget: BufferBudget,
+        parts: int = 0,
     ) -> None:
         """Collect for a caller that wants an event stream, or JSON."""
         self._stream = stream
         self._request_id = request_id
+        self._parts = parts
         self._reservation = budget.reserve_for(self)
         self._payloads: list[bytes] = []
         self._body = b''
@@ -173,7 +181,7 @@
         response = web.Response(
             body=self._body,
             content_type=_EVENT_STREAM if self._stream else _JSON,
-            headers={callers.REQUEST_ID_HEADER: self._request_id},
+            headers=_create_headers(self._request_id, self._parts),
         )
         # The reservation lasts as long as this object, and this object as
         # long as the response: a slow caller's answer still counts.
@@ -197,6 +205,13 @@
             raise DeliveryError(_refuse_malformed(error)) from error
 
 
+def _create_headers(request_id: str, parts: int) -> dict[str, str]:
+    headers = {callers.REQUEST_ID_HEADER: request_id}
+    if parts:
+        headers[callers.SEGMENTS_HEADER] = str(parts)
+    return headers
+
+
 def _refuse_full(fits_answer: bool) -> Refusal:
     """Refuse an answer beyond its own bound, or beyond that of all."""
     if not fits_answer:
--- a/src/kelproad/coordination/membership.py
+++ b/src/kelproad/coordination/membership.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Callable
 
 import attrs
 from mode import Service
@@ -25,6 +26,8 @@
 from ..state.counters import Counters
 from ..state.endpoints import EndpointTable
 from ..state.identity import Identity
+from ..state.lengths import LengthClass
+from ..state.limits import Demand
 from ..state.members import EndpointReport, Member, MemberTable
 from ..transport.addresses import Address
 from ..transport.deadlines import monotonic
@@ -75,6 +78,7 @@
         self._zones: dict[str, str] = {}
         self._links: dict[str, PeerLink] = {}
         self.draining = False
+        self.describe_demand: Callable[[], dict[str, Demand]] = dict
         follower.ask_peer = self.send
         self._listener = self.add_dependency(
             PeerListener(
@@ -164,6 +168,7 @@
             configuration_age=self._follower.finite_age,
             configuration_fault=self._follower.fault,
             pending_files=list(self._holder.current.pending),
+            withheld=sorted(self._table.withheld_here),
             dispatched={
                 name: endpoint.own_tokens
                 for name, endpoint in self._table.all().items()
@@ -182,6 +187,12 @@
                 )
                 if endpoint.report is not None
             ],
+            demand=self.describe_demand(),
+            dispatched_by_class={
+                name: endpoint.own_by_class.copy()
+                for name, endpoint in self._table.all().items()
+                if endpoint.own_tokens
+            },
             leaving=list_own_words(self._members, now),
         )
 
@@ -229,10 +240,19 @@
 
     def _sum_dispatched(self) -> None:
         live = self._members.live(monotonic())
+        self._table.instances = len(live) + 1
         for name, endpoint in self._table.all().items():
             endpoint.peer_tokens = sum(
                 member.dispatched.get(name, 0) for member in live
             )
+            by_class = [
+                member.dispatched_by_class[name]
+                for member in live
+                if name in member.dispatched_by_class
+            ]
+            endpoint.peer_by_class = [
+                sum(counts[rank] for counts in by_class) for rank in LengthClass
+            ]
 
     def _answer_wanted(self, wanted: ChangesWanted) -> None:
         changes = list_changes(
--- a/src/kelproad/coordination/reception.py
+++ b/src/kelproad/coordination/reception.py
@@ -8,15 +8,17 @@
 
 import attrs
 from aiohttp import web
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from ..protocol import callers
 from ..protocol.callers import CompletionBody
 from ..state.configuration import Service, Snapshot, Workspace
+from ..state.prefixes import digest_prefix
 from ..state.refusals import Refusal, RefusalCode, Step
-from ..state.requests import Request
+from ..state.requests import Parts, Request
 from ..transport.deadlines import within
 from . import admission
+from .segments import split_body
 
 __all__ = [
     'Arrival',
@@ -128,7 +130,14 @@
     service = found.unwrap()
     tokens = body.estimate_tokens(service.bytes_per_token)
     fits = admission.check_size(tokens, arrival.snapshot.groups_of(service))
-    return fits.bind(lambda _: _create_request(arrival, service, tokens))
+    if isinstance(fits, Success):
+        prefix = digest_prefix(body.prompt, service.bytes_per_token)
+        return _create_request(arrival, service, tokens, prefix=prefix)
+    if service.segments is None:
+        return fits
+    return split_body(body, service).bind(
+        lambda parts: _create_request(arrival, service, tokens, parts),
+    )
 
 
 def admit_plain(arrival: Arrival) -> Result[Request, Refusal]:
@@ -145,6 +154,8 @@
     arrival: Arrival,
     service: Service,
     tokens: int,
+    parts: Parts | None = None,
+    prefix: tuple[bytes, ...] = (),
 ) -> Result[Request, Refusal]:
     if len(arrival.body) > service.max_body_bytes:
         return Failure(
@@ -160,7 +171,11 @@
         service.deadline.maximum,
     )
     return seconds.map(
-        lambda allowed: _start_request(arrival, service, tokens, allowed),
+        lambda allowed: attrs.evolve(
+            _start_request(arrival, service, tokens, allowed),
+            parts=parts,
+            prefix=prefix,
+        ),
     )
 
 
--- a/src/kelproad/coordination/sides.py
+++ b/src/kelproad/coordination/sides.py
@@ -1,5 +1,10 @@
-"""The HTTP side that callers see: entry, readiness, metrics, fault answers."""
+"""The HTTP sides of an instance: callers' and operators'.
 
+The callers' side also tells the platform's balancer whether the instance is
+ready, publishes metrics, and answers its own faults in the one shape.
+"""
+
+import functools
 import logging
 from collections.abc import Awaitable, Callable
 
@@ -8,16 +13,24 @@
 from aioprometheus import render
 
 from ..protocol import callers
+from ..protocol.settings import Settings
 from ..state.configuration import SnapshotHolder
 from ..state.counters import Counters
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
+from ..transport.addresses import Address
+from ..transport.http import HttpServer
 from .configuration import ConfigurationFollower
 from .drain import Drain, DrainPhase
 from .entry import Entry
+from .operators import OperatorApi
 
-__all__ = ['CallerSide']
+__all__ = ['CallerSide', 'create_servers']
 
 _logger = logging.getLogger(__name__)
+#: Bytes of the largest file that an operator may apply.
+_LARGEST_FILE = 3 * 1024 * 1024
+
+_SERVED_TO_THE_END = frozenset(('/healthz', '/metrics'))
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -37,6 +50,7 @@
         application = web.Application(
             middlewares=[self._refuse_on_error, self._refuse_when_leaving],
         )
+        application.on_response_prepare.append(self._close_when_leaving)
         application.add_routes(
             [
                 *self._entry.routes(),
@@ -53,7 +67,7 @@
         http_request: web.Request,
         handler: Handler,
     ) -> web.StreamResponse:
-        is_work = not http_request.path.endswith(('/healthz', '/metrics'))
+        is_work = http_request.path not in _SERVED_TO_THE_END
         if self._drain.phase is DrainPhase.REFUSING and is_work:
             return callers.answer_refusal(_refuse_leaving(), '')
         return await handler(http_request)
@@ -73,6 +87,20 @@
             _logger.exception('unexpected error in %s', http_request.path)
             return callers.answer_refusal(_refuse_fault(), '')
 
+    async def _close_when_leaving(
+        self,
+        _http_request: web.Request,
+        response: web.StreamResponse,
+    ) -> None:
+        """Have callers leave kept connections while they are told so.
+
+        A call that arrives on a kept connection in the moment of the exit is
+        reset, and its sender cannot tell whether it ran.
+        """
+        if self._drain.phase is not DrainPhase.SERVING:
+            response.headers['Connection'] = 'close'
+            response.force_close()
+
     async def _answer_ready(self, _http_request: web.Request) -> web.Response:
         if self._drain.phase is not DrainPhase.SERVING:
             return callers.answer_refusal(_refuse_leaving(), '')
@@ -88,6 +116,33 @@
         return web.Response(body=body, headers=headers)
 
 
+def create_servers(
+    settings: Settings,
+    caller_side: CallerSide,
+    operators: OperatorApi,
+    counters: Counters,
+) -> list[HttpServer]:
+    """Create the servers of both sides; none listens before it is started."""
+    operator_side = web.Application(client_max_size=_LARGEST_FILE)
+    operator_side.add_routes(operators.routes())
+    sides = (
+        (
+            'callers',
+            caller_side.create_application(),
+            settings.caller_address,
+        ),
+        ('operators', operator_side, settings.operator_address),
+    )
+    return [
+        HttpServer(
+            application,
+            Address.from_text(address),
+            functools.partial(counters.malformed.inc, {'side': side}),
+        )
+        for side, application, address in sides
+    ]
+
+
 async def _answer_alive(_http_request: web.Request) -> web.Response:
     return web.Response(text='alive\n')
 
--- a/src/kelproad/protocol/settings.py
+++ b/src/kelproad/protocol/settings.py
@@ -52,6 +52,9 @@
         a lagging balancer sends.
     drain_limit
         Seconds after which a stopping instance no longer waits for requests.
+    lease_seconds
+        Seconds for which the holder of a zone's orders may give them without
+        renewing its lease; the same at every instance.
     forgotten_after
         Seconds of silence after which an instance that the platform no longer
         lists counts as gone, and what engines hold for it is released.
@@ -73,6 +76,7 @@
     log_format: LogFormat = LogFormat.PLAIN
     log_level: str = 'INFO'
     assert_invariants: bool = False
+    lease_seconds: float = 10.0
 
     @property
     def reachable_peer_address(self) -> str:
--- a/src/kelproad/standins/settings.py
+++ b/src/kelproad/standins/settings.py
@@ -23,12 +23,18 @@
         demo lasts seconds.
     event_lag, load_lag
         Seconds by which cache events and load reports are late.
+    interrupts_prefill
+        Whether a prompt of higher priority goes between the chunks of another,
+        as in engines whose scheduler picks the prompt anew at every step.
     event_gap
         Every how many cache events one is lost; 0 for never.
     continues
         Whether an answer is continued from a text that another engine began.
     fingerprint
         Tells which build of the model answers.
+    weights_address
+        ``IP:port`` of the platform's weight store; without it, loads fetch
+        nothing.
     """
 
     prefill_tokens_per_second: float = 15_000.0
@@ -43,8 +49,10 @@
     event_lag: float = 1.0
     event_gap: int = 0
     default_max_tokens: int = 16
+    interrupts_prefill: bool = False
     continues: bool = True
     fingerprint: str = 'stand-in-1'
+    weights_address: str = ''
 
     @classmethod
     def from_file(cls, path: pathlib.Path | None) -> Self:
--- a/src/kelproad/state/configuration.py
+++ b/src/kelproad/state/configuration.py
@@ -20,11 +20,14 @@
     'EndpointDeclaration',
     'EndpointGroup',
     'EndpointKind',
+    'EngineRole',
     'Fencing',
     'FileContent',
     'Limits',
     'Objective',
     'PendingFile',
+    'Segmenting',
+    'Policy',
     'Service',
     'ServiceKind',
     'Snapshot',
@@ -62,6 +65,27 @@
     IGNORED = 'ignored'
 
 
+class EngineRole(enum.StrEnum):
+    """Which part of a request an engine computes."""
+
+    BOTH = 'both'
+    PREFILL = 'prefill'
+    DECODE = 'decode'
+
+
+class Policy(enum.StrEnum):
+    """How an endpoint is chosen; all but ``predicted`` are baselines.
+
+    The first three do what plain proxies do and send no priorities.
+    """
+
+    ROUND_ROBIN = 'round_robin'
+    LEAST_REQUESTS = 'least_requests'
+    LEAST_TOKENS = 'least_tokens'
+    ROUND_ROBIN_PRIORITY = 'round_robin_priority'
+    PREDICTED = 'predicted'
+
+
 @attrs.frozen
 class Deadline:
     """Bounds on a request's time, in seconds."""
@@ -88,11 +112,49 @@
 
 @attrs.frozen
 class Deployment:
-    """What holds for the whole site."""
+    """What holds for the whole site.
+
+    Attributes
+    ----------
+    retry_budget_percent
+        Retries that an instance allows for a hundred requests of a service.
+    """
 
     name: str
     zones: list[str]
     objective: Objective = attrs.field(factory=Objective)
+    policy: Policy = Policy.PREDICTED
+    retry_budget_percent: float = 10.0
+
+
+@attrs.frozen
+class Segmenting:
+    """How a prompt larger than any engine's memory is answered in parts.
+
+    Attributes
+    ----------
+    tokens
+        Estimated tokens of a part, its heading included.
+    combine
+        Prompt that turns the parts' answers, which follow it, into one.
+    boundary
+        Text between records; a prompt is cut only there.
+    heading_end
+        Text that ends what stands before the records and is repeated in every
+        part; empty when there is no heading.
+    answer_tokens
+        Bound on the answer to a part.
+    most_parts, parallel
+        Bounds on the parts of a prompt and on those answered at a time.
+    """
+
+    tokens: int
+    combine: str
+    boundary: str = '\n'
+    heading_end: str = '\n\n'
+    answer_tokens: int = 512
+    most_parts: int = 32
+    parallel: int = 4
 
 
 @attrs.frozen
@@ -112,6 +174,10 @@
         plain service's may not.  GET and HEAD always may.
     bytes_per_token
         Divisor of the prompt-length estimate for this model.
+    segments
+        How larger prompts are answered in parts; left out, they are refused.
+    adapters
+        Adapters that the engines are to hold with the model.
     """
 
     name: str
@@ -124,6 +190,8 @@
     deadline: Deadline = attrs.field(factory=Deadline)
     bytes_per_token: float = 4.0
     max_body_bytes: int = 16_777_216
+    segments: Segmenting | None = None
+    adapters: list[str] = attrs.field(factory=list)
 
     @property
     def may_repeat(self) -> bool:
@@ -182,6 +250,16 @@
     memory_tokens
         Tokens of KV cache that one engine holds; the largest prompt it can
         serve.
+    managed
+        Whether the engines are ordered to run what the services declare.
+    role
+        Role that managed engines are to have.
+    max_loading
+        Managed engines of a zone that may be drained or loading at once.
+    prefill_tokens_per_second
+        Rate assumed until one is learned.
+    cache_tokens
+        Tokens of computed prefixes that one engine keeps.
     honours_continuation
         Whether the engines go on behind the text that comes with a request,
         so that an answer another engine broke off can be continued.
@@ -194,6 +272,10 @@
     honours_priorities: bool = True
     memory_tokens: int = 400_000
     prefill_tokens_per_second: float = 15_000.0
+    managed: bool = False
+    role: EngineRole = EngineRole.BOTH
+    max_loading: int = 1
+    cache_tokens: int = 200_000
     honours_continuation: bool = False
 
 
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -71,6 +71,26 @@
             'kelproad_operator_calls_total',
             'Calls of the operator API, by outcome.',
         )
+        self.orders = self._counter(
+            'kelproad_orders_total',
+            'Orders to engines, by kind and outcome.',
+        )
+        self.lease_writes = self._counter(
+            'kelproad_lease_writes_total',
+            'Writes of the lease of the orders of a zone.',
+        )
+        self.retries = self._counter(
+            'kelproad_retries_total',
+            'Failed attempts that might be repeated, by what was decided.',
+        )
+        self.ejections = self._counter(
+            'kelproad_ejections_total',
+            'Failing endpoints taken out, or left in as too many were out.',
+        )
+        self.limited = self._counter(
+            'kelproad_limited_total',
+            'Requests refused for a limit of their workspace, by limit.',
+        )
         self.malformed = self._counter(
             'kelproad_malformed_input_total',
             'Input on a listening address that is not HTTP, by side.',
--- a/src/kelproad/state/members.py
+++ b/src/kelproad/state/members.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from .limits import Demand
+
 __all__ = ['EndpointReport', 'Member', 'MemberTable']
 
 #: Seconds without news after which a member is no longer counted as live.
@@ -49,6 +51,10 @@
         Grows with every heartbeat of an incarnation.
     dispatched
         Prompt tokens that this instance has in flight, by endpoint.
+    dispatched_by_class
+        The same for each length class.
+    demand
+        What the busiest workspaces ask of this instance.
     leaving
         Endpoints that the platform has just told this instance to leave.
     configuration_age
@@ -58,6 +64,8 @@
         Why it could not read the store, empty when it could.
     pending_files
         Files whose accepted version it cannot read.
+    withheld
+        Endpoints that get no new requests while their models are exchanged.
     """
 
     name: str
@@ -73,6 +81,9 @@
     configuration_age: float | None = None
     configuration_fault: str = ''
     pending_files: list[str] = attrs.field(factory=list)
+    withheld: list[str] = attrs.field(factory=list)
+    dispatched_by_class: dict[str, list[int]] = attrs.field(factory=dict)
+    demand: dict[str, Demand] = attrs.field(factory=dict)
 
     @property
     def order(self) -> tuple[int, int]:
