Keep a silent engine while the retry budget is spent

Cause: with the budget of retries spent, a silent engine was still left for another one; the retry was then refused and a request ended that its engine might yet have answered. Found by reading the merged code; no site test. Change: an alternative exists only if the budget affords a retry.

--- a/src/kelproad/coordination/attempts.py
+++ b/src/kelproad/coordination/attempts.py
@@ -178,8 +178,13 @@
         answer: Answer,
         tried: frozenset[str],
     ) -> bool:
-        """Tell whether another attempt could follow the present one."""
-        if len(tried) >= _MAX_ATTEMPTS:
+        """Tell whether another attempt could follow the present one.
+
+        A silent engine is left for another one.  With the budget of retries
+        spent that would end the request, and it might yet be answered here.
+        """
+        affordable = self._retries.affords(answer.request)
+        if len(tried) >= _MAX_ATTEMPTS or not affordable:
             return False
         return isinstance(self._choose(answer, tried), Success)
 
--- a/src/kelproad/coordination/retries.py
+++ b/src/kelproad/coordination/retries.py
@@ -43,6 +43,10 @@
         budget.percent = deployment.retry_budget_percent
         budget.earn()
 
+    def affords(self, request: Request) -> bool:
+        """Tell whether a retry would be permitted as far as the budget goes."""
+        return self._budgets[request.service.name].affords_one
+
     async def permit(self, request: Request, decision: Decision) -> bool:
         """Wait a little and permit a retry, or refuse one at once.
 
--- a/src/kelproad/state/budgets.py
+++ b/src/kelproad/state/budgets.py
@@ -29,9 +29,14 @@
         """Count a request."""
         self._credit = min(self.burst, self._credit + self.percent / 100)
 
+    @property
+    def affords_one(self) -> bool:
+        """Whether there is credit for a retry."""
+        return self._credit >= 1
+
     def spend(self) -> bool:
         """Take one retry out, if there is one."""
-        if self._credit < 1:
+        if not self.affords_one:
             return False
         self._credit -= 1
         return True
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -30,6 +30,7 @@
         budget.earn()
         retried += budget.spend()
     assert 100 <= retried <= 110
+    assert not budget.affords_one
 
 
 async def test_no_retry_is_permitted_past_the_deadline() -> None:
