--- a/src/kelproad/coordination/routing.py
+++ b/src/kelproad/coordination/routing.py
@@ -1,45 +1,41 @@
 """Choosing the endpoint of an attempt.
 
 A prompt's length class sets its priority at the engine and how many endpoints
-are sampled.  Sampling keeps instances that hold the same stale report from all
-picking the same engine.
+are sampled.
 """
 
-import enum
 import random
 import types
 
-import attrs
 from returns.result import Failure, Result, Success
 
-from ..state.configuration import EndpointKind
+from ..state.configuration import Policy, Snapshot
 from ..state.endpoints import Endpoint, EndpointTable
+from ..state.lengths import LengthClass, classify_length
 from ..state.refusals import Refusal, RefusalCode, Step
 from ..state.requests import Request
-
-__all__ = ['Choice', 'LengthClass', 'choose_endpoint', 'classify_length']
-
-#: Cost, in seconds, of leaving the instance's own availability zone.
-ZONE_CROSSING_SECONDS = 0.01
-#: Predicted seconds up to which an endpoint of the own zone is good enough.
-_STAY_SECONDS = 0.5
-#: Seconds without a report after which an engine is doubted.
-_SILENT_AFTER = 3.0
+from .candidates import Search, draw
+from .feasibility import learn_stretch, measure_lateness, refuse_hopeless
+from .policies import BASELINES, Choice
+from .prediction import Candidate, learn_rate, weigh_endpoint
+
+__all__ = [
+    'Choice',
+    'LengthClass',
+    'choose_endpoint',
+    'choose_priority',
+    'classify_length',
+    'note_first_token',
+]
+
+#: Seconds of waiting up to which an endpoint of the own zone is good enough.
+_SOON_SECONDS = 0.01
+#: How much better an endpoint of another zone must be.
+_STAY_RATIO = 1.25
 #: Seconds after which a refused caller may find capacity, at the least.
 MINIMUM_RETRY_AFTER = 0.5
 
-
-class LengthClass(enum.IntEnum):
-    """Classes of prompt length; the value is the priority at the engine."""
-
-    SHORT = 0
-    MIDDLE = 1
-    LONG = 2
-
-
 _NONE: frozenset[str] = frozenset()
-_SHORT_LIMIT = 10_000
-_MIDDLE_LIMIT = 100_000
 _SAMPLE_SIZES = types.MappingProxyType(
     {
         LengthClass.SHORT: 2,
@@ -47,24 +43,16 @@
         LengthClass.LONG: 8,
     }
 )
+_WITHOUT_PRIORITY = frozenset(
+    (Policy.ROUND_ROBIN, Policy.LEAST_REQUESTS, Policy.LEAST_TOKENS),
+)
 
 
-@attrs.frozen
-class Choice:
-    """The chosen endpoint with what was weighed."""
-
-    endpoint: Endpoint
-    predicted: float
-    considered: dict[str, float]
-
-
-def classify_length(prompt_tokens: int) -> LengthClass:
-    """Put a prompt into its length class."""
-    if prompt_tokens < _SHORT_LIMIT:
+def choose_priority(request: Request) -> int:
+    """Choose the priority of a request at the engine; lower goes first."""
+    if _policy_of(request.snapshot) in _WITHOUT_PRIORITY:
         return LengthClass.SHORT
-    if prompt_tokens < _MIDDLE_LIMIT:
-        return LengthClass.MIDDLE
-    return LengthClass.LONG
+    return classify_length(request.prompt_tokens)
 
 
 def choose_endpoint(
@@ -75,7 +63,7 @@
     generator: random.Random,
     tried: frozenset[str] = _NONE,
 ) -> Result[Choice, Refusal]:
-    """Choose the endpoint with the earliest predicted first token.
+    """Choose an endpoint by the policy of the deployment.
 
     Parameters
     ----------
@@ -97,81 +85,100 @@
     Result
         The choice, or a refusal that says when to come back.
     """
-    candidates = [
-        endpoint
-        for group in request.snapshot.groups_of(request.service)
-        for endpoint in table.in_group(group.name)
-        if endpoint.name not in tried and _is_usable(endpoint, request, now)
-    ]
-    if not candidates:
+    search = Search(request, table, zone, now, generator, tried)
+    choose = BASELINES.get(_policy_of(request.snapshot), _choose_predicted)
+    choice = choose(search)
+    if choice is None:
         return Failure(_refuse_none(request))
-    preferred = _prefer_fresh(candidates, now)
-    near = [
-        endpoint for endpoint in preferred if endpoint.declaration.zone == zone
-    ]
-    choice = _sample_best(near, request, zone, generator)
-    if choice is None or choice.predicted > _STAY_SECONDS:
-        choice = _sample_best(preferred, request, zone, generator)
+    best = choice.best
+    computing = best.predicted - best.waiting
+    table.note_contention(request.prompt_tokens, best.waiting, computing, now)
+    late = measure_lateness(table, best, request, now)
+    if late > 0:
+        return Failure(refuse_hopeless(request, best, late))
     return Success(choice)
 
 
-def _prefer_fresh(candidates: list[Endpoint], now: float) -> list[Endpoint]:
-    """Leave out engines of which nothing was heard lately, if others remain.
-
-    Silence means that the engine is dead or that its zone is cut off; work
-    sent there would wait until its deadline.  Plain services report nothing.
+def note_first_token(
+    table: EndpointTable,
+    choice: Choice,
+    request: Request,
+    now: float,
+) -> None:
+    """Learn from a first token: the endpoint's rate, the prefix it holds."""
+    endpoint = choice.endpoint
+    endpoint.end_prefill(request.prompt_tokens)
+    learn_rate(choice.best, request.prompt_tokens, now - choice.chosen_at)
+    learn_stretch(table, choice, request.prompt_tokens, now)
+    if endpoint.report is not None:
+        table.prefixes.remember(
+            request.prefix,
+            endpoint.name,
+            endpoint.report.incarnation,
+            endpoint.computed_tokens,
+        )
+
+
+def _policy_of(snapshot: Snapshot) -> Policy:
+    deployment = snapshot.deployment
+    return deployment.policy if deployment else Policy.PREDICTED
+
+
+def _choose_predicted(search: Search) -> Choice | None:
+    """Choose the best of a few, the own zone first.
+
+    Another zone must be better by more than the error of the prediction, since
+    crossing costs more than time.
     """
-    fresh = [
+    near = _weigh_sample(search, search.zone)
+    best_near = _find_best(near)
+    if best_near is not None and best_near.waiting <= _SOON_SECONDS:
+        return Choice(best_near, near, search.now)
+    everywhere = _weigh_sample(search, None)
+    best = _find_best(near + everywhere)
+    if best is None:
+        return None
+    if best_near is not None and best_near.score <= best.score * _STAY_RATIO:
+        best = best_near
+    return Choice(best, near + everywhere, search.now)
+
+
+def _weigh_sample(search: Search, zone: str | None) -> list[Candidate]:
+    size = _SAMPLE_SIZES[classify_length(search.request.prompt_tokens)]
+    sampled = draw(search, zone, size)
+    names = {endpoint.name for endpoint in sampled}
+    sampled += [
         endpoint
-        for endpoint in candidates
-        if endpoint.group.kind is EndpointKind.PLAIN
-        or now - endpoint.reported_at <= _SILENT_AFTER
+        for endpoint in _list_with_prefix(search)
+        if endpoint.name not in names
     ]
-    return fresh or candidates
+    return [weigh_endpoint(search, endpoint) for endpoint in sampled]
 
 
-def _sample_best(
-    candidates: list[Endpoint],
-    request: Request,
-    zone: str,
-    generator: random.Random,
-) -> Choice | None:
-    if not candidates:
-        return None
-    size = _SAMPLE_SIZES[classify_length(request.prompt_tokens)]
-    sampled = generator.sample(candidates, min(size, len(candidates)))
-    weighed = {
-        endpoint.name: predict_first_token(endpoint, request, zone)
-        for endpoint in sampled
-    }
-    best = min(sampled, key=lambda endpoint: weighed[endpoint.name])
-    return Choice(best, weighed[best.name], weighed)
+def _list_with_prefix(search: Search) -> list[Endpoint]:
+    """List the endpoints that may have computed the prompt's beginning.
+
+    They are weighed with all others, so a queue that is longer than the
+    prefix is worth sends the prompt elsewhere.
+    """
+    table = search.table
+    found = map(table.get, table.prefixes.list_endpoints(search.request.prefix))
+    return [
+        endpoint
+        for endpoint in found
+        if endpoint is not None
+        and endpoint.group.name in search.request.service.endpoint_groups
+        and search.is_usable(endpoint)
+        and not search.is_doubtful(endpoint)
+    ]
 
 
-def predict_first_token(
-    endpoint: Endpoint,
-    request: Request,
-    zone: str,
-) -> float:
-    """Predict the seconds until an endpoint's first token."""
-    reported = endpoint.report.waiting_tokens if endpoint.report else 0
-    ahead = max(reported, endpoint.own_tokens + endpoint.peer_tokens)
-    rate = endpoint.group.prefill_tokens_per_second
-    crossing = endpoint.declaration.zone != zone
-    return (
-        ahead + request.prompt_tokens
-    ) / rate + crossing * ZONE_CROSSING_SECONDS
-
-
-def _is_usable(endpoint: Endpoint, request: Request, now: float) -> bool:
-    if endpoint.leaving or endpoint.ejected_until > now:
-        return False
-    if endpoint.group.kind is EndpointKind.PLAIN:
-        return True
-    if endpoint.group.memory_tokens <= request.prompt_tokens:
-        return False
-    report = endpoint.report
-    return report is None or request.service.model in report.models
+def _find_best(candidates: list[Candidate]) -> Candidate | None:
+    return min(
+        candidates,
+        key=lambda candidate: candidate.score,
+        default=None,
+    )
 
 
 def _refuse_none(request: Request) -> Refusal:
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -79,6 +79,18 @@
             'kelproad_lease_writes_total',
             'Writes of the lease of the orders of a zone.',
         )
+        self.retries = self._counter(
+            'kelproad_retries_total',
+            'Failed attempts that might be repeated, by what was decided.',
+        )
+        self.ejections = self._counter(
+            'kelproad_ejections_total',
+            'Failing endpoints taken out, or left in as too many were out.',
+        )
+        self.limited = self._counter(
+            'kelproad_limited_total',
+            'Requests refused for a limit of their workspace, by limit.',
+        )
         self.malformed = self._counter(
             'kelproad_malformed_input_total',
             'Input on a listening address that is not HTTP, by side.',
--- a/src/kelproad/state/requests.py
+++ b/src/kelproad/state/requests.py
@@ -60,6 +60,8 @@
         Estimated length of the prompt.
     attempts
         Number of dispatches so far.
+    prefix
+        Digests of the prompt's beginnings, each twice as long as the last.
     ran
         Whether any dispatch so far was, or may have been, executed.
     parts
@@ -76,6 +78,7 @@
     phase: Phase = Phase.ADMITTED
     attempts: int = 0
     idempotency_key: str = ''
+    prefix: tuple[bytes, ...] = ()
     ran: Ran = Ran.NO
     parts: Parts | None = None
 
--- a/testbed/site.py
+++ b/testbed/site.py
@@ -44,6 +44,8 @@
         Settings laid over those of every instance.
     group_settings
         Settings laid over those of every group of engines.
+    deployment_settings
+        Settings laid over those of the deployment.
     network
         Put the stand-in network between zones, endpoints and the platform,
         so that zones can be cut off.
@@ -55,6 +57,7 @@
     engine_settings: dict[str, object] = attrs.field(factory=dict)
     instance_settings: dict[str, object] = attrs.field(factory=dict)
     group_settings: dict[str, object] = attrs.field(factory=dict)
+    deployment_settings: dict[str, object] = attrs.field(factory=dict)
     lag: float = 0.5
     network: bool = False
 
@@ -278,6 +281,7 @@
         settings.write_text(yaml.safe_dump(self.plan.engine_settings))
 
     def _settle_content(self, content: dict[str, object]) -> None:
+        content.get('deployment', {}).update(self.plan.deployment_settings)
         for group in content.get('endpoint_groups', []):
             limit = self.plan.endpoints_per_group
             if group['kind'] == 'engine':
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -29,6 +29,9 @@
         example=ROADGRIP,
         endpoints_per_group=3,
         group_settings={'honours_continuation': True},
+        # Nearly every answer here is broken on purpose.  The budget that
+        # keeps retries few has tests of its own.
+        deployment_settings={'retry_budget_percent': 300},
         engine_settings={'time_scale': 4.0, 'memory_tokens': 400_000},
     )
     with start_site(plan, tmp_path_factory.mktemp('answers')) as started:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -306,6 +306,7 @@
     for _ in range(8):
         await new.reconcile()
         await asyncio.sleep(0.05)
+    assert len(fleet.engines) == 3
     assert all(engine.versions == ['2'] for engine in fleet.engines)
 
 
