--- a/src/kelproad/coordination/orders.py
+++ b/src/kelproad/coordination/orders.py
@@ -6,10 +6,8 @@
 """
 
 import asyncio
-import collections
 
 import attrs
-import msgspec
 from mode import Service
 from returns.result import Failure
 
@@ -23,7 +21,6 @@
 from ..state.orders import (
     DesiredState,
     EngineState,
-    ModelPhase,
     ModelState,
     Order,
     OrderKind,
@@ -34,21 +31,18 @@
 from ..transport.deadlines import monotonic
 from ..transport.services import BackgroundService
 from .configuration import ConfigurationFollower
+from .failures import LoadFailures
 from .leases import Lease
-from .rollout import Failed, Situation, plan_orders
+from .rollout import Situation, plan_orders
 
 __all__ = ['OrderKeeper']
 
 #: Instances of a zone that contend for its lease.
 CANDIDATES = 2
-#: Failed loads after which a version is rolled out no further.
-FAILURES_TO_STOP = 2
 _PERIOD = 1.0
 _READ_TIMEOUT = 1.0
 #: Seconds added wherever the end of a lease or of an order is waited for.
 _MARGIN = 0.25
-#: Seconds for which an engine rests after a failed load.
-_FAILURE_PAUSE = 2.0
 
 
 class OrderKeeper(BackgroundService):
@@ -86,10 +80,7 @@
         )
         self._token_caught_up = 0
         self._withheld: dict[str, float] = {}
-        self._not_before: dict[str, float] = {}
-        self._counted: dict[tuple[str, str], tuple[str, int]] = {}
-        self._failures: collections.Counter[Failed] = collections.Counter()
-        self._halted: frozenset[Failed] = frozenset()
+        self._failures = LoadFailures()
         self._notes: dict[str, str] = {}
         #: Endpoints last withheld, and the snapshot whose endpoints they were.
         self._spread: frozenset[str] = frozenset()
@@ -122,7 +113,7 @@
             if self._lease.is_held
             else None,
             'engines': dict(self._notes),
-            'stopped': [attrs.asdict(item) for item in self._halted],
+            'stopped': [attrs.asdict(item) for item in self._failures.stopped],
         }
 
     @Service.task
@@ -143,7 +134,7 @@
             if isinstance(caught_up, Failure):
                 return False
             self._token_caught_up = token
-            self._halted = _decode_stopped(self._lease.note)
+            self._failures.restore(self._lease.note)
             self.log.info('holder of %s with token %d', self._name, token)
         return is_held
 
@@ -157,7 +148,7 @@
         return self._identity.instance in owners
 
     async def _reconcile(self, desired: dict[str, DesiredState]) -> None:
-        self._forget_stopped(desired)
+        self._failures.forget(desired)
         observed = await self._observe(desired)
         for endpoint, state in observed.items():
             for item in state.models:
@@ -168,8 +159,8 @@
                 desired,
                 observed,
                 self._withheld,
-                self._halted,
-                self._not_before,
+                self._failures.stopped,
+                self._failures.not_before,
                 self._lease.body.token,
                 monotonic(),
             ),
@@ -179,18 +170,20 @@
         for endpoint, order in plan.orders:
             await self._give(desired[endpoint], order)
 
-    def _forget_stopped(self, desired: dict[str, DesiredState]) -> None:
-        """Give a version that was applied again another chance."""
-        wanted = {
-            (model.model, model.generation)
-            for item in desired.values()
-            for model in item.models
-        }
-        self._halted = frozenset(
-            item
-            for item in self._halted
-            if (item.model, item.generation) in wanted
-        )
+    def _note_failure(
+        self,
+        desired: DesiredState,
+        state: EngineState,
+        held: ModelState,
+    ) -> None:
+        if self._failures.note(desired, state, held, monotonic()):
+            self._lease.note = self._failures.encode()
+            self.log.error(
+                'rollout of %s %s stopped, it fails: %s',
+                held.model,
+                held.version,
+                held.reason,
+            )
 
     async def _observe(
         self,
@@ -265,36 +258,6 @@
             return True
         return monotonic() - self._lease.taken_at >= limit
 
-    def _note_failure(
-        self,
-        desired: DesiredState,
-        state: EngineState,
-        held: ModelState,
-    ) -> None:
-        """Count each failed load once, and stop a version that fails again."""
-        key = (desired.endpoint, held.model)
-        counted = (state.incarnation, held.attempt)
-        is_new = self._counted.get(key) != counted
-        if held.phase is not ModelPhase.FAILED or not is_new:
-            return
-        self._counted[key] = counted
-        pause = held.retry_after or _FAILURE_PAUSE
-        self._not_before[desired.endpoint] = monotonic() + pause
-        wanted = {item.model: item for item in desired.models}.get(held.model)
-        if held.retry_after or wanted is None:
-            return
-        failed = Failed(held.model, held.version, wanted.generation)
-        self._failures[failed] += 1
-        if self._failures[failed] >= FAILURES_TO_STOP:
-            self._halted |= {failed}
-            self._lease.note = _encode_stopped(self._halted)
-            self.log.error(
-                'rollout of %s %s stopped, it fails: %s',
-                held.model,
-                held.version,
-                held.reason,
-            )
-
     def _spread_withheld(self) -> None:
         """Withhold what any holder withholds, from the requests of here."""
         self._table.withheld_here = frozenset(self._withheld)
@@ -310,14 +273,3 @@
 
 def _build_url(desired: DesiredState) -> str:
     return Address.from_text(desired.address).url
-
-
-def _encode_stopped(stopped: frozenset[Failed]) -> str:
-    ordered = sorted(stopped, key=attrs.astuple)
-    return msgspec.json.encode(ordered).decode()
-
-
-def _decode_stopped(note: str) -> frozenset[Failed]:
-    if not note:
-        return frozenset()
-    return frozenset(msgspec.json.decode(note, type=list[Failed]))
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
-from kelproad.coordination import leases, orders, rollout
+from kelproad.coordination import failures, leases, orders, rollout
 from kelproad.coordination.orders import OrderKeeper
 from kelproad.protocol.orders import OrderClient, OrderOutcome
 from kelproad.standins.orders import OrderedModels, skip_weights
@@ -173,7 +173,7 @@
     monkeypatch.setattr(orders, 'ORDER_TIMEOUT', 0.1)
     monkeypatch.setattr(orders, '_MARGIN', 0.1)
     monkeypatch.setattr(leases, '_CLOCK_MARGIN', 0.1)
-    monkeypatch.setattr(orders, '_FAILURE_PAUSE', 0.1)
+    monkeypatch.setattr(failures, '_PAUSE', 0.1)
     enforces = getattr(request, 'param', True)
     engines = [Engine(f'e{number}', enforces) for number in range(3)]
     for engine in engines:
@@ -377,7 +377,7 @@
     for engine in fleet.engines:
         engine.models.faults.failing = ['2']
     await fleet.want('2')
-    await fleet.reconcile_until(lambda: bool(keeper._halted), keeper)
+    await fleet.reconcile_until(lambda: bool(keeper._failures.stopped), keeper)
     await fleet.reconcile_until(lambda: fleet.all_run('1'), keeper)
     assert [engine.versions for engine in fleet.engines] == [
         ['2', '2', '1'],
@@ -446,7 +446,7 @@
         engine.fetch = turn_away_twice
     await fleet.want('2')
     await fleet.reconcile_until(lambda: fleet.all_run('2'), keeper)
-    assert not keeper._halted
+    assert not keeper._failures.stopped
     pauses = [later - sooner for sooner, later in itertools.pairwise(fetched)]
     assert sum(pauses[:2]) >= 2 * PAUSE
 
