--- a/src/kelproad/coordination/attempts.py
+++ b/src/kelproad/coordination/attempts.py
@@ -120,6 +120,7 @@
                 return outcome if tried else placed
             placement = placed.unwrap()
             tried |= {placement.endpoint.name}
+            answer.has_alternative = self._has_alternative(answer, tried)
             outcome = await self._attempt(answer, placement)
             if isinstance(outcome, Success):
                 return outcome
@@ -139,14 +140,7 @@
         decision: Decision,
     ) -> Result[_Placement, Refusal]:
         request = answer.request
-        choice = routing.choose_endpoint(
-            request,
-            self._table,
-            self._identity.zone,
-            monotonic(),
-            self._generator,
-            tried | self._list_unfit(answer),
-        )
+        choice = self._choose(answer, tried)
         if isinstance(choice, Failure):
             return choice
         chosen = choice.unwrap()
@@ -165,6 +159,30 @@
             _Placement(attempt, chosen.endpoint, chosen),
         )
 
+    def _choose(
+        self,
+        answer: Answer,
+        tried: frozenset[str],
+    ) -> Result[routing.Choice, Refusal]:
+        return routing.choose_endpoint(
+            answer.request,
+            self._table,
+            self._identity.zone,
+            monotonic(),
+            self._generator,
+            tried | self._list_unfit(answer),
+        )
+
+    def _has_alternative(
+        self,
+        answer: Answer,
+        tried: frozenset[str],
+    ) -> bool:
+        """Tell whether another attempt could follow the present one."""
+        if len(tried) >= _MAX_ATTEMPTS:
+            return False
+        return isinstance(self._choose(answer, tried), Success)
+
     def _list_unfit(self, answer: Answer) -> frozenset[str]:
         """List the endpoints that cannot go on behind what was delivered."""
         if answer.continuation is None:
@@ -214,13 +232,29 @@
             placement.url,
             attempt,
             answer,
-            Patience.from_prediction(
-                placement.choice.predicted,
-                request.remaining(monotonic()),
-            ),
+            self._decide_patience(request, placement),
             lambda: self._note_first_token(request, placement),
         )
 
+    def _decide_patience(
+        self,
+        request: Request,
+        placement: _Placement,
+    ) -> Patience:
+        """Decide how long to wait for a silent engine.
+
+        Leaving it helps only if another attempt could follow; the last one
+        is given all the time that is left.
+        """
+        remaining = request.remaining(monotonic())
+        declared = sum(
+            len(self._table.in_group(group.name))
+            for group in request.snapshot.groups_of(request.service)
+        )
+        if request.attempts >= min(declared, _MAX_ATTEMPTS):
+            return Patience.until_deadline(remaining)
+        return Patience.from_prediction(placement.choice.predicted, remaining)
+
     def _settle(
         self,
         request: Request,
