--- a/tests/test_configuration_site.py
+++ b/tests/test_configuration_site.py
@@ -96,13 +96,15 @@
     before = read_status(site, cut)['revision']
     site.network.isolate(cut.zone)
     revision = change_workspaces(site, 5)
-    time.sleep(5)
+
+    def list_reasons() -> dict[str, str]:
+        members = read_status(site, site.instances[0])['members']
+        return {member['name']: member['reason'] for member in members}
+
+    wait_for(lambda: 'nothing heard' in list_reasons()[cut.name], 15)
+    assert not list_reasons()[site.instances[1].name]
     assert read_status(site, cut)['revision'] == before
     assert complete(cut.caller).status == 200
-    members = read_status(site, site.instances[0])['members']
-    reasons = {member['name']: member['reason'] for member in members}
-    assert 'nothing heard' in reasons[cut.name]
-    assert not reasons[site.instances[1].name]
     site.network.heal()
     wait_for_revision(site, revision)
 
