Give small services retries, and call a service contended only by deadlines

Change: time earns a retry a second; a service is contended when the wait also takes a tenth of the request's time.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -72,13 +72,24 @@
         """Names of the engines under load."""
         return [name for name in self.site.addresses if _ENGINES in name]
 
-    def put_policy(self, policy: str, **objective: float) -> None:
-        """Put a policy, and weights if given, in force at every instance."""
+    def declare_priorities(self, honours: bool) -> None:
+        """Declare whether the engines schedule by priority."""
+        path = self.site.files[1]
+        content = yaml.safe_load(path.read_text())
+        for group in content['endpoint_groups']:
+            group['honours_priorities'] = honours
+        path.write_text(yaml.safe_dump(content, sort_keys=False))
+        self.site.apply(path)
+
+    def put_policy(self, policy: str, slowdown: float) -> None:
+        """Put a policy and the weight of slowdown in force everywhere."""
         path = self.site.files[0]
         content = yaml.safe_load(path.read_text())
         content['deployment']['policy'] = policy
-        if objective:
-            content['deployment']['objective'] = objective
+        content['deployment']['objective'] = {
+            'slowdown': slowdown,
+            'first_token': 1 - slowdown,
+        }
         path.write_text(yaml.safe_dump(content, sort_keys=False))
         revision = self.site.apply(path)['revision']
         limit = time.monotonic() + _ADOPTION_SECONDS
--- a/bench/run.py
+++ b/bench/run.py
@@ -28,11 +28,15 @@
 
 BOUNDS = REPOSITORY / 'bench' / 'bounds.yaml'
 _ALL = 'round_robin,least_requests,least_tokens,predicted'
+_ROADGRIP_WEIGHT = 0.7
 _OUTPUT = pathlib.Path('build/bench')
 
 
 def main(
-    policy: Annotated[str, typer.Option(help='Joined by commas.')] = _ALL,
+    policy: Annotated[
+        str,
+        typer.Option(help='Joined by commas, each with :WEIGHT of slowdown.'),
+    ] = _ALL,
     share: Annotated[float, typer.Option(help='Load on the engines.')] = 0.8,
     seconds: Annotated[float, typer.Option(help='Of one round.')] = 20.0,
     rounds: Annotated[int, typer.Option()] = 2,
@@ -49,6 +53,7 @@
     with tempfile.TemporaryDirectory() as directory:
         with start_site(plan, pathlib.Path(directory)) as site:
             fleet = Fleet(site, time_scale)
+            fleet.declare_priorities(priorities)
             fleet.bring_about(fault)
             for number in range(rounds):
                 load = Load(share, seconds, seed=number + 1)
@@ -67,7 +72,8 @@
 
 
 def _run_round(fleet: Fleet, case: Case, load: Load) -> None:
-    fleet.put_policy(case.policy)
+    policy, _, slowdown = case.policy.partition(':')
+    fleet.put_policy(policy, float(slowdown or _ROADGRIP_WEIGHT))
     alone = fleet.send(load, SHORT_TOKENS)
     before = fleet.count_attempts()
     mixed = fleet.send(load)
--- a/src/kelproad/coordination/limits.py
+++ b/src/kelproad/coordination/limits.py
@@ -40,6 +40,8 @@
 _LONGEST_WAIT = 60.0
 #: Wait, in multiples of a prompt's own time, from which a service is contended.
 _CONTENDED = 4.0
+#: And the part of its remaining time that the wait must take up.
+_WAIT_PART = 0.1
 
 
 @attrs.define
@@ -78,7 +80,9 @@
             self._counters.limited.inc({'limit': limit})
             return Failure(_refuse_limited(workspace, limit, wait))
         contention = self._table.measure_contention(request.prompt_tokens, now)
-        contended = contention.slowdown > _CONTENDED
+        threshold = request.remaining(now) * _WAIT_PART
+        long_enough = contention.seconds > threshold
+        contended = long_enough and contention.slowdown > _CONTENDED
         if contended and self._is_above_fair_share(request):
             self._counters.limited.inc({'limit': 'fair share'})
             return Failure(_refuse_unfair(workspace, contention.seconds))
--- a/src/kelproad/coordination/retries.py
+++ b/src/kelproad/coordination/retries.py
@@ -19,6 +19,8 @@
 
 #: Retries of one service that can be saved up.
 _BURST = 10
+#: Retries a second that every service has, however few its requests.
+_LEAST_PER_SECOND = 1.0
 #: Bound on the first pause, in seconds; each further one may be twice as long.
 _FIRST_PAUSE = 0.02
 _FALLBACK = Deployment('', [])
@@ -38,10 +40,14 @@
         deployment = request.snapshot.deployment or _FALLBACK
         budget = self._budgets.setdefault(
             request.service.name,
-            RetryBudget(deployment.retry_budget_percent, _BURST),
+            RetryBudget(
+                deployment.retry_budget_percent,
+                _BURST,
+                _LEAST_PER_SECOND,
+            ),
         )
         budget.percent = deployment.retry_budget_percent
-        budget.earn()
+        budget.earn(monotonic())
 
     async def permit(self, request: Request, decision: Decision) -> bool:
         """Wait a little and permit a retry, or refuse one at once.
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -82,7 +82,8 @@
         """Make a request of a workspace."""
         asked = self.fleet.request(tokens)
         changed = attrs.evolve(self.workspace, name=workspace)
-        return attrs.evolve(asked, workspace=changed)
+        deadline = self.clock.now + 20
+        return attrs.evolve(asked, workspace=changed, deadline=deadline)
 
     def run(
         self,
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -27,7 +27,7 @@
     budget = RetryBudget(percent=10, burst=10)
     retried = 0
     for _ in range(1000):
-        budget.earn()
+        budget.earn(now=0)
         retried += budget.spend()
     assert 100 <= retried <= 110
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -280,3 +280,27 @@
         # Without a queue even a deadline that looks too short is tried.
         request = attrs.evolve(fleet.request(tokens), deadline=NOW + 0.2)
         assert fleet.choose(request)
+
+
+def test_decision_looks_at_few_of_many_endpoints(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    looked = []
+    is_usable = Search.is_usable
+
+    def look(search: Search, endpoint: Endpoint) -> bool:
+        looked.append(endpoint)
+        return is_usable(search, endpoint)
+
+    fleet = Fleet(engines=4_600)
+    monkeypatch.setattr(Search, 'is_usable', look)
+    for tokens in (SHORT, LONG):
+        looked.clear()
+        fleet.choose(fleet.request(tokens))
+        assert len(looked) <= 64
+
+
+def test_last_usable_endpoint_is_found_among_many() -> None:
+    fleet = Fleet(engines=400)
+    last = frozenset(fleet.table.all()) - {'e398'}
+    assert fleet.choose(fleet.request(SHORT), tried=last) == 'e398'
