--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -9,6 +9,7 @@
 
 from ..protocol.connections import trace_connections
 from ..protocol.engines import EngineClient
+from ..protocol.orders import OrderClient
 from ..protocol.plain import PlainClient
 from ..protocol.platform import PlatformClient
 from ..protocol.settings import Settings
@@ -29,9 +30,9 @@
 from .drain import Drain
 from .dump import Dump
 from .entry import Entry
-from .limits import WorkspaceLimits
 from .membership import Membership
 from .operators import OperatorApi
+from .orders import OrderKeeper
 from .orphans import OrphanWatch
 from .plain import PlainCalls
 from .reclamation import Canceller
@@ -103,9 +104,18 @@
             self._counters,
             generator,
         )
+        orders = OrderKeeper(
+            identity,
+            self._holder,
+            table,
+            members,
+            self._follower,
+            platform,
+            OrderClient(self._open_session(fresh=True)),
+            self._counters,
+            settings.lease_seconds,
+        )
         self._claims = Claims(identity, platform, self._counters)
-        limits = WorkspaceLimits(members, table, self._counters)
-        self._membership.describe_demand = limits.describe_demand
         self._entry = Entry(
             identity,
             self._holder,
@@ -128,7 +138,7 @@
             ),
             self._claims,
             self._counters,
-            limits,
+            self._membership.limits,
         )
         operators = OperatorApi(
             settings,
@@ -142,6 +152,7 @@
                 self._follower,
                 self._membership,
                 self._canceller,
+                orders,
             ),
             decisions,
             self._counters,
@@ -152,6 +163,7 @@
             self._follower,
             self._membership,
             Watch(identity, table, members, engines),
+            orders,
             OrphanWatch(
                 identity,
                 self._holder,
--- a/src/kelproad/coordination/limits.py
+++ b/src/kelproad/coordination/limits.py
@@ -66,6 +66,7 @@
         self._table = table
         self._counters = counters
         self._usage: dict[str, Usage] = {}
+        self._held: dict[str, int] = {}
         self._shares: dict[str, _Share] = {}
 
     def admit(self, request: Request) -> Result[Request, Refusal]:
@@ -92,15 +93,18 @@
     def begin(self, request: Request) -> None:
         """Count a request's tokens as in flight."""
         usage = self._usage.setdefault(request.workspace.name, Usage())
+        # A request in segments changes its length before it ends.
+        self._held[request.request_id] = request.prompt_tokens
         usage.in_flight += request.prompt_tokens
         usage.in_progress += 1
 
     def end(self, request: Request) -> None:
         """Take a request that has its final answer out of the count."""
         usage = self._usage[request.workspace.name]
-        usage.in_flight -= request.prompt_tokens
+        tokens = self._held.pop(request.request_id)
+        usage.in_flight -= tokens
         usage.in_progress -= 1
-        usage.note_finished(request.prompt_tokens, monotonic())
+        usage.note_finished(tokens, monotonic())
         invariants.check(
             usage.in_flight >= 0 and usage.in_progress >= 0,
             'workspace_accounts_never_negative',
--- a/src/kelproad/coordination/membership.py
+++ b/src/kelproad/coordination/membership.py
@@ -6,7 +6,6 @@
 """
 
 import random
-from collections.abc import Callable
 
 import attrs
 from mode import Service
@@ -27,13 +26,13 @@
 from ..state.endpoints import EndpointTable
 from ..state.identity import Identity
 from ..state.lengths import LengthClass
-from ..state.limits import Demand
 from ..state.members import EndpointReport, Member, MemberTable
 from ..transport.addresses import Address
 from ..transport.deadlines import monotonic
 from ..transport.peers import PeerLink, PeerListener
 from ..transport.services import BackgroundService
 from .configuration import ConfigurationFollower, list_changes
+from .limits import WorkspaceLimits
 from .watch import list_watched
 
 __all__ = ['Membership']
@@ -77,7 +76,7 @@
         self._zones: dict[str, str] = {}
         self._links: dict[str, PeerLink] = {}
         self.draining = False
-        self.describe_demand: Callable[[], dict[str, Demand]] = dict
+        self.limits = WorkspaceLimits(members, table, counters)
         follower.ask_peer = self.send
         self._listener = self.add_dependency(
             PeerListener(
@@ -168,6 +167,7 @@
             configuration_age=self._follower.finite_age,
             configuration_fault=self._follower.fault,
             pending_files=list(self._holder.current.pending),
+            withheld=sorted(self._table.withheld_here),
             dispatched={
                 name: endpoint.own_tokens
                 for name, endpoint in self._table.all().items()
@@ -186,7 +186,7 @@
                 )
                 if endpoint.report is not None
             ],
-            demand=self.describe_demand(),
+            demand=self.limits.describe_demand(),
             dispatched_by_class={
                 name: endpoint.own_by_class.copy()
                 for name, endpoint in self._table.all().items()
--- a/src/kelproad/coordination/reception.py
+++ b/src/kelproad/coordination/reception.py
@@ -8,16 +8,17 @@
 
 import attrs
 from aiohttp import web
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from ..protocol import callers
 from ..protocol.callers import CompletionBody
 from ..state.configuration import Service, Snapshot, Workspace
 from ..state.prefixes import digest_prefix
 from ..state.refusals import Refusal, RefusalCode, Step
-from ..state.requests import Request
+from ..state.requests import Parts, Request
 from ..transport.deadlines import within
 from . import admission
+from .segments import split_body
 
 __all__ = [
     'Arrival',
@@ -129,10 +130,14 @@
     service = found.unwrap()
     tokens = body.estimate_tokens(service.bytes_per_token)
     fits = admission.check_size(tokens, arrival.snapshot.groups_of(service))
-    if isinstance(fits, Failure):
+    if isinstance(fits, Success):
+        prefix = digest_prefix(body.prompt, service.bytes_per_token)
+        return _create_request(arrival, service, tokens, prefix=prefix)
+    if service.segments is None:
         return fits
-    prefix = digest_prefix(body.prompt, service.bytes_per_token)
-    return _create_request(arrival, service, tokens, prefix)
+    return split_body(body, service).bind(
+        lambda parts: _create_request(arrival, service, tokens, parts),
+    )
 
 
 def admit_plain(arrival: Arrival) -> Result[Request, Refusal]:
@@ -149,6 +154,7 @@
     arrival: Arrival,
     service: Service,
     tokens: int,
+    parts: Parts | None = None,
     prefix: tuple[bytes, ...] = (),
 ) -> Result[Request, Refusal]:
     if len(arrival.body) > service.max_body_bytes:
@@ -166,7 +172,7 @@
     )
     return seconds.map(
         lambda allowed: attrs.evolve(
-            _start_request(arrival, service, tokens, allowed),
+            _start_request(arrival, service, tokens, allowed, parts),
             prefix=prefix,
         ),
     )
@@ -177,6 +183,7 @@
     service: Service,
     tokens: int,
     allowed: float,
+    parts: Parts | None,
 ) -> Request:
     call = arrival.call
     call.deadline = call.arrived + allowed
@@ -189,6 +196,7 @@
         deadline=call.deadline,
         arrived=call.arrived,
         idempotency_key=arrival.key,
+        parts=parts,
     )
 
 
--- a/src/kelproad/protocol/callers.py
+++ b/src/kelproad/protocol/callers.py
@@ -24,6 +24,7 @@
     'KEY_HEADER',
     'REPLAYED_HEADER',
     'REQUEST_ID_HEADER',
+    'SEGMENTS_HEADER',
     'CompletionBody',
     'answer_refusal',
     'digest_key',
@@ -38,6 +39,7 @@
 KEY_HEADER = 'Idempotency-Key'
 REQUEST_ID_HEADER = 'X-Request-Id'
 REPLAYED_HEADER = 'Idempotency-Replayed'
+SEGMENTS_HEADER = 'X-Segments'
 MAX_KEY_LENGTH = 255
 _DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 
--- a/src/kelproad/standins/settings.py
+++ b/src/kelproad/standins/settings.py
@@ -32,6 +32,9 @@
         Whether an answer is continued from a text that another engine began.
     fingerprint
         Tells which build of the model answers.
+    weights_address
+        ``IP:port`` of the platform's weight store; without it, loads fetch
+        nothing.
     """
 
     prefill_tokens_per_second: float = 15_000.0
@@ -49,6 +52,7 @@
     interrupts_prefill: bool = False
     continues: bool = True
     fingerprint: str = 'stand-in-1'
+    weights_address: str = ''
 
     @classmethod
     def from_file(cls, path: pathlib.Path | None) -> Self:
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -83,6 +83,14 @@
             'kelproad_limited_total',
             'Requests refused for a limit of their workspace, by limit.',
         )
+        self.orders = self._counter(
+            'kelproad_orders_total',
+            'Orders to engines, by kind and outcome.',
+        )
+        self.lease_writes = self._counter(
+            'kelproad_lease_writes_total',
+            'Writes of the lease of the orders of a zone.',
+        )
         self.malformed = self._counter(
             'kelproad_malformed_input_total',
             'Input on a listening address that is not HTTP, by side.',
--- a/src/kelproad/state/endpoints.py
+++ b/src/kelproad/state/endpoints.py
@@ -60,6 +60,7 @@
     consecutive_failures: int = 0
     ejected_until: float = float('-inf')
     listed_leaving: bool = False
+    withheld: bool = False
     own_by_class: list[int] = attrs.field(factory=_count_none)
     peer_by_class: list[int] = attrs.field(factory=_count_none)
     rate: LearnedRate = attrs.field(factory=LearnedRate)
@@ -81,7 +82,12 @@
     def leaving(self) -> bool:
         """Whether it must get no new work, by any source's word."""
         said_so = self.report is not None and self.report.leaving
-        return self.declaration.leaving or self.listed_leaving or said_so
+        return (
+            self.declaration.leaving
+            or self.listed_leaving
+            or self.withheld
+            or said_so
+        )
 
     @property
     def tokens_per_second(self) -> float:
@@ -185,6 +191,8 @@
         self.instances = 1
         self.stretch = [LearnedRate() for _ in LengthClass]
         self._contention: dict[LengthClass, Contention] = {}
+        #: Endpoints that this instance withholds, as holder of their orders.
+        self.withheld_here: frozenset[str] = frozenset()
 
     def follow(self, snapshot: Snapshot) -> None:
         """Add, replace and remove endpoints as a new snapshot declares.
@@ -257,6 +265,11 @@
         """Return every endpoint by name."""
         return self._endpoints
 
+    def withhold(self, names: frozenset[str]) -> None:
+        """Withhold exactly these endpoints from new requests."""
+        for name, endpoint in self._endpoints.items():
+            endpoint.withheld = name in names
+
     def _declare(
         self,
         declaration: EndpointDeclaration,
--- a/src/kelproad/state/members.py
+++ b/src/kelproad/state/members.py
@@ -62,6 +62,8 @@
         Why it could not read the store, empty when it could.
     pending_files
         Files whose accepted version it cannot read.
+    withheld
+        Endpoints that get no new requests while their models are exchanged.
     """
 
     name: str
@@ -78,6 +80,7 @@
     pending_files: list[str] = attrs.field(factory=list)
     dispatched_by_class: dict[str, list[int]] = attrs.field(factory=dict)
     demand: dict[str, Demand] = attrs.field(factory=dict)
+    withheld: list[str] = attrs.field(factory=list)
 
     @property
     def order(self) -> tuple[int, int]:
