Sum the demand that members told once for all requests

Cause: each workspace's share was summed over all members by itself.

Change: one sum for all workspaces, twice a second.

--- a/src/kelproad/coordination/limits.py
+++ b/src/kelproad/coordination/limits.py
@@ -12,6 +12,7 @@
 otherwise what demand moved within the time that gossip takes.
 """
 
+import collections
 import heapq
 
 import attrs
@@ -22,7 +23,7 @@
 from ..state.counters import Counters
 from ..state.endpoints import EndpointTable
 from ..state.limits import Demand, Usage
-from ..state.members import Member, MemberTable
+from ..state.members import MemberTable
 from ..state.refusals import Refusal, RefusalCode, Step
 from ..state.requests import Request
 from ..transport.deadlines import monotonic
@@ -31,8 +32,8 @@
 
 #: Part of every limit that is spread evenly over the instances.
 _EVEN_PART = 0.2
-#: Seconds for which a share is used before it is computed again.
-_SHARE_SECONDS = 0.25
+#: Seconds for which the members' demand is used before it is summed again.
+_SUM_SECONDS = 0.5
 #: Workspaces whose demand is told to other instances, the busiest first.
 MOST_TOLD = 32
 #: Bounds, in seconds, of what a refused caller is told to wait.
@@ -45,11 +46,19 @@
 
 
 @attrs.define
-class _Share:
-    """The part of a workspace's limits that this instance applies."""
+class _Told:
+    """What the members told, summed once for all requests of a period.
 
-    part: float = 1
-    computed_at: float = float('-inf')
+    Attributes
+    ----------
+    enough
+        At least half of the members known are heard.
+    """
+
+    instances: int = 1
+    enough: bool = True
+    demand: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    summed_at: float = float('-inf')
 
 
 class WorkspaceLimits:
@@ -67,7 +76,8 @@
         self._counters = counters
         self._usage: dict[str, Usage] = {}
         self._held: dict[str, int] = {}
-        self._shares: dict[str, _Share] = {}
+        self._parts: dict[str, float] = {}
+        self._told = _Told()
 
     def admit(self, request: Request) -> Result[Request, Refusal]:
         """Let a request through, or refuse it with when to come back."""
@@ -75,7 +85,7 @@
         workspace = request.workspace
         usage = self._usage.setdefault(workspace.name, Usage())
         usage.note_asked(request.prompt_tokens, now)
-        part = self._find_share(workspace.name, usage, now)
+        part = self._find_part(workspace.name, usage, now)
         wait, limit = _find_wait(workspace, usage, part, request, now)
         if wait > 0:
             self._counters.limited.inc({'limit': limit})
@@ -154,17 +164,24 @@
                 held[name] = held.get(name, 0) + demand.in_flight
         return {name: tokens for name, tokens in held.items() if tokens}
 
-    def _find_share(self, name: str, usage: Usage, now: float) -> float:
-        share = self._shares.setdefault(name, _Share())
-        if now - share.computed_at < _SHARE_SECONDS:
-            return share.part
-        known = list(self._members.known())
+    def _find_part(self, name: str, usage: Usage, now: float) -> float:
+        """Find the part of a workspace's limits that this instance applies."""
+        if now - self._told.summed_at >= _SUM_SECONDS:
+            self._told = self._sum_told(now)
+        if self._told.enough or name not in self._parts:
+            own = _weigh_demand(usage.measure_demand(now))
+            self._parts[name] = _compute_part(own, name, self._told)
+        return self._parts[name]
+
+    def _sum_told(self, now: float) -> _Told:
         live = self._members.live(now)
-        first = share.computed_at == float('-inf')
-        if first or (len(live) + 1) * 2 >= len(known) + 1:
-            share.part = _compute_part(name, usage.measure_demand(now), live)
-        share.computed_at = now
-        return share.part
+        known = list(self._members.known())
+        demand: collections.Counter[str] = collections.Counter()
+        for member in live:
+            for name, told in member.demand.items():
+                demand[name] += _weigh_demand(told)
+        instances = len(live) + 1
+        return _Told(instances, instances * 2 >= len(known) + 1, demand, now)
 
 
 def _sum_weights(snapshot: Snapshot, names: set[str]) -> float:
@@ -173,11 +190,10 @@
     return sum(workspace.weight if workspace else 1 for workspace in found)
 
 
-def _compute_part(name: str, own: Demand, live: list[Member]) -> float:
-    told = [member.demand.get(name, Demand()) for member in live]
-    total = _weigh_demand(own) + sum(map(_weigh_demand, told))
-    by_demand = _weigh_demand(own) / total if total else 1
-    return _EVEN_PART / (len(live) + 1) + (1 - _EVEN_PART) * by_demand
+def _compute_part(own: float, name: str, told: _Told) -> float:
+    total = own + told.demand[name]
+    by_demand = own / total if total else 1
+    return _EVEN_PART / told.instances + (1 - _EVEN_PART) * by_demand
 
 
 def _weigh_demand(demand: Demand) -> float:
