--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -1,11 +1,9 @@
 """One entry instance: its parts, how they are joined, how they stop."""
 
-import functools
 import logging
 import random
 
 import aiohttp
-from aiohttp import web
 
 from ..protocol.connections import trace_connections
 from ..protocol.engines import EngineClient
@@ -21,7 +19,7 @@
 from ..state.members import MemberTable
 from ..state.requests import DecisionLog, RequestTable
 from ..transport.addresses import Address
-from ..transport.http import HttpServer, create_fresh_session, create_session
+from ..transport.http import create_fresh_session, create_session
 from ..transport.services import BackgroundService
 from .acceptance import ConfigurationWriter
 from .attempts import Attempts
@@ -36,7 +34,7 @@
 from .orphans import OrphanWatch
 from .plain import PlainCalls
 from .reclamation import Canceller
-from .sides import CallerSide
+from .sides import CallerSide, create_servers
 from .watch import Watch
 
 __all__ = ['Instance']
@@ -46,8 +44,6 @@
 _CANCEL_LIMIT = 5.0
 #: Seconds that it waits for outcomes to be written, when the platform is down.
 _CLAIM_LIMIT = 5.0
-#: Bytes of the largest file that an operator may apply.
-_LARGEST_FILE = 3 * 1024 * 1024
 
 
 class Instance(BackgroundService):
@@ -218,25 +214,12 @@
             self._follower,
             self._counters,
         )
-        operator_side = web.Application(client_max_size=_LARGEST_FILE)
-        operator_side.add_routes(operators.routes())
-        settings = self._settings
-        for side, application, address in (
-            (
-                'callers',
-                caller_side.create_application(),
-                settings.caller_address,
-            ),
-            ('operators', operator_side, settings.operator_address),
+        for server in create_servers(
+            self._settings,
+            caller_side,
+            operators,
+            self._counters,
         ):
-            server = HttpServer(
-                application,
-                Address.from_text(address),
-                functools.partial(
-                    self._counters.malformed.inc,
-                    {'side': side},
-                ),
-            )
             await self.add_runtime_dependency(server)
 
     def _open_session(self, fresh: bool = False) -> aiohttp.ClientSession:
--- a/src/kelproad/coordination/reception.py
+++ b/src/kelproad/coordination/reception.py
@@ -172,7 +172,8 @@
     )
     return seconds.map(
         lambda allowed: attrs.evolve(
-            _start_request(arrival, service, tokens, allowed, parts),
+            _start_request(arrival, service, tokens, allowed),
+            parts=parts,
             prefix=prefix,
         ),
     )
@@ -183,7 +184,6 @@
     service: Service,
     tokens: int,
     allowed: float,
-    parts: Parts | None,
 ) -> Request:
     call = arrival.call
     call.deadline = call.arrived + allowed
@@ -196,7 +196,6 @@
         deadline=call.deadline,
         arrived=call.arrived,
         idempotency_key=arrival.key,
-        parts=parts,
     )
 
 
--- a/src/kelproad/state/configuration.py
+++ b/src/kelproad/state/configuration.py
@@ -26,8 +26,8 @@
     'Limits',
     'Objective',
     'PendingFile',
-    'Policy',
     'Segmenting',
+    'Policy',
     'Service',
     'ServiceKind',
     'Snapshot',
@@ -65,6 +65,14 @@
     IGNORED = 'ignored'
 
 
+class EngineRole(enum.StrEnum):
+    """Which part of a request an engine computes."""
+
+    BOTH = 'both'
+    PREFILL = 'prefill'
+    DECODE = 'decode'
+
+
 class Policy(enum.StrEnum):
     """How an endpoint is chosen; all but ``predicted`` are baselines.
 
@@ -78,14 +86,6 @@
     PREDICTED = 'predicted'
 
 
-class EngineRole(enum.StrEnum):
-    """Which part of a request an engine computes."""
-
-    BOTH = 'both'
-    PREFILL = 'prefill'
-    DECODE = 'decode'
-
-
 @attrs.frozen
 class Deadline:
     """Bounds on a request's time, in seconds."""
@@ -250,16 +250,16 @@
     memory_tokens
         Tokens of KV cache that one engine holds; the largest prompt it can
         serve.
-    prefill_tokens_per_second
-        Rate assumed until one is learned.
-    cache_tokens
-        Tokens of computed prefixes that one engine keeps.
     managed
         Whether the engines are ordered to run what the services declare.
     role
         Role that managed engines are to have.
     max_loading
         Managed engines of a zone that may be drained or loading at once.
+    prefill_tokens_per_second
+        Rate assumed until one is learned.
+    cache_tokens
+        Tokens of computed prefixes that one engine keeps.
     honours_continuation
         Whether the engines go on behind the text that comes with a request,
         so that an answer another engine broke off can be continued.
@@ -272,10 +272,10 @@
     honours_priorities: bool = True
     memory_tokens: int = 400_000
     prefill_tokens_per_second: float = 15_000.0
-    cache_tokens: int = 200_000
     managed: bool = False
     role: EngineRole = EngineRole.BOTH
     max_loading: int = 1
+    cache_tokens: int = 200_000
     honours_continuation: bool = False
 
 
--- a/src/kelproad/state/endpoints.py
+++ b/src/kelproad/state/endpoints.py
@@ -183,6 +183,8 @@
         """Start empty."""
         self._endpoints: dict[str, Endpoint] = {}
         self._by_group: dict[str, list[Endpoint]] = {}
+        #: Endpoints that this instance withholds, as holder of their orders.
+        self.withheld_here: frozenset[str] = frozenset()
         self._by_zone: dict[tuple[str, str], list[Endpoint]] = {}
         self._turns: dict[str, int] = {}
         self._group_rates: dict[str, LearnedRate] = {}
@@ -191,8 +193,6 @@
         self.instances = 1
         self.stretch = [LearnedRate() for _ in LengthClass]
         self._contention: dict[LengthClass, Contention] = {}
-        #: Endpoints that this instance withholds, as holder of their orders.
-        self.withheld_here: frozenset[str] = frozenset()
 
     def follow(self, snapshot: Snapshot) -> None:
         """Add, replace and remove endpoints as a new snapshot declares.
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -48,7 +48,11 @@
 @pytest.mark.parametrize('model', ['roadgrip-report', 'roadgrip-corridor'])
 @pytest.mark.parametrize('stream', [False, True])
 def test_frozen_engine(site: Site, model: str, stream: bool) -> None:
-    """An engine takes a prompt and never answers; the caller hears in time."""
+    """An engine takes a prompt and never answers; the caller hears in time.
+
+    No other engine is there to take the prompt, so this one is given all the
+    time there is.
+    """
     headers = {'X-Deadline-Seconds': '1'}
     answer, taken = timed(
         lambda: complete(
