--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -82,7 +82,8 @@
         """Make a request of a workspace."""
         asked = self.fleet.request(tokens)
         changed = attrs.evolve(self.workspace, name=workspace)
-        return attrs.evolve(asked, workspace=changed)
+        deadline = self.clock.now + 20
+        return attrs.evolve(asked, workspace=changed, deadline=deadline)
 
     def run(
         self,
@@ -165,7 +166,7 @@
     rates = [120, 120, 120, 120]
     site.run(5, rates)
     site.run(SUSPECT_AFTER + 2, rates, {0, 1, 2})
-    parts = [each._shares['w'].part for each in site.each]
+    parts = [each._parts['w'] for each in site.each]
     assert parts[3] == pytest.approx(0.25, abs=0.03)
     assert sum(parts[:3]) == pytest.approx(1, abs=0.03)
 
