--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -28,7 +28,6 @@
 from .drain import Drain
 from .dump import Dump
 from .entry import Entry
-from .limits import WorkspaceLimits
 from .membership import Membership
 from .operators import OperatorApi
 from .orders import OrderKeeper
@@ -113,8 +112,6 @@
             settings.lease_seconds,
         )
         self._claims = Claims(identity, platform, self._counters)
-        limits = WorkspaceLimits(members, table, self._counters)
-        self._membership.describe_demand = limits.describe_demand
         self._entry = Entry(
             identity,
             self._holder,
@@ -137,7 +134,7 @@
             ),
             self._claims,
             self._counters,
-            limits,
+            self._membership.limits,
         )
         operators = OperatorApi(
             settings,
--- a/src/kelproad/coordination/membership.py
+++ b/src/kelproad/coordination/membership.py
@@ -29,7 +29,6 @@
 from ..state.endpoints import EndpointTable
 from ..state.identity import Identity
 from ..state.lengths import LengthClass
-from ..state.limits import Demand
 from ..state.members import Member, MemberTable
 from ..transport.addresses import Address
 from ..transport.deadlines import monotonic
@@ -38,6 +37,7 @@
 from .configuration import ConfigurationFollower, list_changes
 from .gossip import PERIOD, Gossiper, Place
 from .leaving import list_own_words, mark_leaving
+from .limits import WorkspaceLimits
 
 __all__ = ['Membership']
 
@@ -102,7 +102,7 @@
         self._zones: dict[str, str] = {}
         self._links: dict[str, PeerLink] = {}
         self.draining = False
-        self.describe_demand: Callable[[], dict[str, Demand]] = dict
+        self.limits = WorkspaceLimits(members, table, counters)
         follower.ask_peer = self.send
         self._listener = self.add_dependency(
             PeerListener(
@@ -229,7 +229,7 @@
                 if endpoint.read_here
                 and now - endpoint.reported_at <= _REPORT_KEPT
             ],
-            demand=self.describe_demand(),
+            demand=self.limits.describe_demand(),
             dispatched_by_class={
                 name: endpoint.own_by_class.copy()
                 for name, endpoint in self._table.all().items()
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -27,9 +27,10 @@
     budget = RetryBudget(percent=10, burst=10)
     retried = 0
     for _ in range(1000):
-        budget.earn()
+        budget.earn(now=0)
         retried += budget.spend()
     assert 100 <= retried <= 110
+    assert not budget.affords_one
 
 
 async def test_no_retry_is_permitted_past_the_deadline() -> None:
