--- a/src/kelproad/coordination/entry.py
+++ b/src/kelproad/coordination/entry.py
@@ -20,6 +20,7 @@
     Delivery,
     SnapshotHolder,
 )
+from ..state.context import current_request
 from ..state.counters import Counters
 from ..state.identity import Identity
 from ..state.refusals import Ran, Refusal, Step
@@ -174,6 +175,7 @@
             arrived,
             arrived + RECEIVE_TIMEOUT,
         )
+        current_request.set(call.request_id)
         self._open_calls += 1
         try:
             response = await answer(call)
--- a/src/kelproad/protocol/callers.py
+++ b/src/kelproad/protocol/callers.py
@@ -99,7 +99,11 @@
         return max(1, math.ceil(self.prompt.nbytes / bytes_per_token))
 
     def encode_streaming(self) -> bytes:
-        """Encode the body for an engine: the same fields, streamed."""
+        """Encode the body for an engine: the same fields, streamed.
+
+        The body never goes on as it came: of a key that stands twice, this
+        program checked the last value, and an engine might take the first.
+        """
         return msgspec.json.encode({**self.fields, _STREAM: _RAW_TRUE})
 
 
--- a/src/kelproad/protocol/engines.py
+++ b/src/kelproad/protocol/engines.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import io
 import types
 from collections.abc import AsyncIterator
 
@@ -30,6 +31,8 @@
 _INCARNATION = 'X-Engine-Incarnation'
 _CONTINUED = 'X-Continued-Bytes'
 _READ_SIZE = 65_536
+#: Bytes of a body that are written at once.
+_PIECE_BYTES = 65_536
 #: Refusals of an engine that are the request's fault, not its own.
 _CALLERS_FAULTS = types.MappingProxyType(
     {
@@ -248,7 +251,7 @@
                     method,
                     url + path,
                     headers=attempt.headers(),
-                    data=body,
+                    data=_wrap_body(body),
                     allow_redirects=False,
                     timeout=aiohttp.ClientTimeout(
                         total=None,
@@ -263,6 +266,17 @@
         return Success(response)
 
 
+def _wrap_body(body: bytes | None) -> bytes | io.BytesIO | None:
+    """Have a large body written piece by piece.
+
+    Written at once, all of it that the socket does not take would be copied
+    into the connection's buffer, and the event loop would stand still.
+    """
+    if body is None or len(body) <= _PIECE_BYTES:
+        return body
+    return io.BytesIO(body)
+
+
 def _refuse_timeout(url: str, attempt: Attempt, connected: bool) -> Refusal:
     """Refuse for the deadline, or before it, for an engine that is silent."""
     is_late = monotonic() >= attempt.deadline
