Divide the entry by job, and the building of an instance into steps

Change: completions.py has completion calls answered, accounts.py keeps the books of requests, outcomes.py settles claims; Instance builds its parts in named steps. No behaviour changes.

--- /dev/null
+++ b/src/kelproad/coordination/completions.py
@@ -0,0 +1,166 @@
+"""Answering completion calls by the attempts at model engines.
+
+The answer reaches the caller as events or whole, within its deadline, and a
+claim on its key learns what became of it.
+"""
+
+import asyncio
+
+from aiohttp import web
+from returns.result import Failure, Result, Success
+
+from ..protocol.callers import CompletionBody
+from ..state.configuration import Delivery
+from ..state.refusals import Refusal
+from ..state.requests import Decision, Request
+from ..transport.deadlines import monotonic, within
+from .accounts import Accounts
+from .attempts import Attempts, CallerGoneError
+from .claims import Claim, Claims
+from .delivery import (
+    StreamDelivery,
+    WholeDelivery,
+    create_answer_buffers,
+)
+from .outcomes import refuse_gone, refuse_late, settle_outcome
+from .reception import Arrival
+from .segments import answer_in_parts
+from .sending import send_bounded
+
+__all__ = ['Completions']
+
+#: Seconds past the deadline after which attempts are interrupted.  They end
+#: by themselves at the deadline, and then know whether anything was written.
+_INTERRUPT_MARGIN = 0.05
+
+
+class Completions:
+    """Has completion calls answered, and their claims settled."""
+
+    def __init__(
+        self,
+        attempts: Attempts,
+        accounts: Accounts,
+        claims: Claims,
+    ) -> None:
+        """Answer by attempts, on the books of the instance."""
+        self._attempts = attempts
+        self._accounts = accounts
+        self._claims = claims
+        self._buffers = create_answer_buffers()
+
+    async def answer(
+        self,
+        arrival: Arrival,
+        request: Request,
+        body: CompletionBody,
+        claim: Claim | None = None,
+    ) -> web.StreamResponse:
+        """Answer a completion call, as events or whole.
+
+        Parameters
+        ----------
+        arrival
+            The call as it came.
+        request
+            The request it became.
+        body
+            The parsed body.
+        claim
+            The claim on its idempotency key, if it has one; its answer is
+            then collected whole, so that it can be recorded.
+        """
+        delivery = self._create_delivery(arrival, request, body, claim)
+        outcome = await self._run_attempts(arrival, request, body, delivery)
+        if isinstance(outcome, Success):
+            response = await send_bounded(arrival.call, delivery.finish())
+            await settle_outcome(
+                self._claims, claim, request, Success(response)
+            )
+        else:
+            refusal = self._accounts.count_refusal(outcome.failure())
+            await settle_outcome(self._claims, claim, request, outcome)
+            response = await send_bounded(
+                arrival.call,
+                delivery.refuse(refusal),
+            )
+        return response
+
+    def _create_delivery(
+        self,
+        arrival: Arrival,
+        request: Request,
+        body: CompletionBody,
+        claim: Claim | None,
+    ) -> StreamDelivery | WholeDelivery:
+        whole = request.service.delivery is Delivery.WHOLE
+        parts = len(request.parts.records) if request.parts else 0
+        if body.stream and claim is None and not whole:
+            return StreamDelivery(
+                arrival.http_request,
+                request.request_id,
+                parts,
+            )
+        return WholeDelivery(
+            body.stream,
+            request.request_id,
+            self._buffers,
+            parts,
+        )
+
+    async def _run_attempts(
+        self,
+        arrival: Arrival,
+        request: Request,
+        body: CompletionBody,
+        delivery: StreamDelivery | WholeDelivery,
+    ) -> Result[None, Refusal]:
+        decision = self._accounts.begin(request)
+        outcome: Result[None, Refusal] = Failure(refuse_late(request))
+        if request.remaining(monotonic()) <= 0:
+            # An owner that was paused after its claim wakes too late.  The
+            # caller has given up, so the work must not be begun any more.
+            self._accounts.end(request, decision, outcome)
+            return outcome
+        try:
+            async with within(request.deadline + _INTERRUPT_MARGIN):
+                outcome = await self._dispatch(
+                    arrival,
+                    request,
+                    body,
+                    decision,
+                    delivery,
+                )
+        except asyncio.TimeoutError:
+            outcome = Failure(refuse_late(request))
+        except CallerGoneError:
+            outcome = Failure(refuse_gone())
+        finally:
+            self._accounts.end(request, decision, outcome)
+        return outcome.alt(request.complete_refusal)
+
+    async def _dispatch(
+        self,
+        arrival: Arrival,
+        request: Request,
+        body: CompletionBody,
+        decision: Decision,
+        delivery: StreamDelivery | WholeDelivery,
+    ) -> Result[None, Refusal]:
+        """Have the request answered whole, or in parts if it is too large."""
+        if request.parts is None:
+            return await self._attempts.answer(
+                request,
+                arrival.http_request.path,
+                body,
+                decision,
+                delivery,
+            )
+        return await answer_in_parts(
+            self._attempts,
+            request,
+            body,
+            decision,
+            delivery,
+            self._buffers,
+        )
--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -22,8 +22,10 @@
 from ..transport.http import create_fresh_session, create_session
 from ..transport.services import BackgroundService
 from .acceptance import ConfigurationWriter
+from .accounts import Accounts
 from .attempts import Attempts
 from .claims import Claims
+from .completions import Completions
 from .configuration import ConfigurationFollower
 from .drain import Drain
 from .dump import Dump
@@ -56,9 +58,16 @@
         super().__init__()
         invariants.set_strict(settings.assert_invariants)
         self._settings = settings
+        self._identity = Identity.from_start(settings.instance, settings.zone)
         self._holder = SnapshotHolder()
+        self._table = EndpointTable()
+        self._members = MemberTable(settings.zone)
         self._requests = RequestTable()
+        self._decisions = DecisionLog()
         self._counters = Counters()
+        self._generator = random.Random(  # noqa: S311  no secret
+            self._identity.owner,
+        )
         self._sessions: list[aiohttp.ClientSession] = []
         self._drain = Drain(
             lambda: self._entry.unfinished,
@@ -67,113 +76,21 @@
         )
 
     async def on_first_start(self) -> None:
-        """Build the parts and join them."""
-        settings = self._settings
-        identity = Identity.from_start(settings.instance, settings.zone)
-        table = EndpointTable()
-        members = MemberTable(settings.zone)
-        decisions = DecisionLog()
-        generator = random.Random(identity.owner)  # noqa: S311  no secret
-        engines = EngineClient(self._open_session())
-        platform = PlatformClient(
-            Address.from_text(settings.platform_address),
-            self._open_session(),
-            self._counters,
-        )
-        self._canceller = Canceller(engines, self._counters)
-        self._follower = ConfigurationFollower(
-            settings,
-            self._holder,
-            table,
-            members,
-            platform,
-            self._counters,
-        )
-        self._membership = Membership(
-            settings,
-            identity,
-            members,
-            table,
-            self._holder,
-            self._follower,
-            platform,
-            self._counters,
-            generator,
-        )
-        orders = OrderKeeper(
-            identity,
-            self._holder,
-            table,
-            members,
-            self._follower,
-            platform,
-            OrderClient(self._open_session(fresh=True)),
-            self._counters,
-            settings.lease_seconds,
-        )
-        self._claims = Claims(identity, platform, self._counters)
-        self._entry = Entry(
-            identity,
-            self._holder,
-            self._requests,
-            decisions,
-            Attempts(
-                identity,
-                table,
-                engines,
-                self._canceller,
-                self._counters,
-                generator,
-            ),
-            PlainCalls(
-                identity,
-                table,
-                PlainClient(self._open_session(fresh=True)),
-                self._counters,
-                generator,
-            ),
-            self._claims,
-            self._counters,
-            self._membership.limits,
-        )
-        operators = OperatorApi(
-            settings,
-            ConfigurationWriter(self._holder, self._follower, platform),
-            Dump(
-                identity,
-                self._holder,
-                table,
-                members,
-                self._requests,
-                self._follower,
-                self._membership,
-                self._canceller,
-                orders,
-            ),
-            decisions,
-            self._counters,
-            self._drain.start,
-        )
+        """Build the parts, start them, and listen last of all."""
+        self._open_clients()
+        self._create_control()
+        self._create_entry()
         for service in (
             self._canceller,
             self._follower,
             self._membership,
-            Watch(identity, table, members, engines),
-            orders,
-            OrphanWatch(
-                identity,
-                self._holder,
-                table,
-                members,
-                engines,
-                self._canceller.holdings,
-                self._counters,
-                settings.forgotten_after,
-            ),
+            self._create_watch(),
+            self._orders,
+            self._create_orphan_watch(),
             self._entry,
         ):
             await self.add_runtime_dependency(service)
-        await self._serve(operators)
+        await self._serve(self._create_operator_api())
 
     async def on_shutdown(self) -> None:
         """Close the client sessions after everything else has stopped."""
@@ -206,6 +123,124 @@
         )
         return left
 
+    # Building
+
+    def _open_clients(self) -> None:
+        self._engines = EngineClient(self._open_session())
+        self._platform = PlatformClient(
+            Address.from_text(self._settings.platform_address),
+            self._open_session(),
+            self._counters,
+        )
+
+    def _create_control(self) -> None:
+        """Build what goes on whether or not there are requests."""
+        self._canceller = Canceller(self._engines, self._counters)
+        self._follower = ConfigurationFollower(
+            self._settings,
+            self._holder,
+            self._table,
+            self._members,
+            self._platform,
+            self._counters,
+        )
+        self._membership = Membership(
+            self._settings,
+            self._identity,
+            self._members,
+            self._table,
+            self._holder,
+            self._follower,
+            self._platform,
+            self._counters,
+            self._generator,
+        )
+        self._orders = OrderKeeper(
+            self._identity,
+            self._holder,
+            self._table,
+            self._members,
+            self._follower,
+            self._platform,
+            OrderClient(self._open_session(fresh=True)),
+            self._counters,
+            self._settings.lease_seconds,
+        )
+
+    def _create_watch(self) -> Watch:
+        return Watch(
+            self._identity,
+            self._table,
+            self._members,
+            self._engines,
+        )
+
+    def _create_orphan_watch(self) -> OrphanWatch:
+        return OrphanWatch(
+            self._identity,
+            self._holder,
+            self._table,
+            self._members,
+            self._engines,
+            self._canceller.holdings,
+            self._counters,
+            self._settings.forgotten_after,
+        )
+
+    def _create_entry(self) -> None:
+        """Build the way of a request."""
+        limits = self._membership.limits
+        accounts = Accounts(
+            self._requests,
+            self._decisions,
+            limits,
+            self._counters,
+        )
+        attempts = Attempts(
+            self._identity,
+            self._table,
+            self._engines,
+            self._canceller,
+            self._counters,
+            self._generator,
+        )
+        self._claims = Claims(self._identity, self._platform, self._counters)
+        self._entry = Entry(
+            self._identity,
+            self._holder,
+            accounts,
+            Completions(attempts, accounts, self._claims),
+            PlainCalls(
+                self._identity,
+                self._table,
+                PlainClient(self._open_session(fresh=True)),
+                self._counters,
+                self._generator,
+            ),
+            self._claims,
+            limits,
+        )
+
+    def _create_operator_api(self) -> OperatorApi:
+        return OperatorApi(
+            self._settings,
+            ConfigurationWriter(self._holder, self._follower, self._platform),
+            Dump(
+                self._identity,
+                self._holder,
+                self._table,
+                self._members,
+                self._requests,
+                self._follower,
+                self._membership,
+                self._canceller,
+                self._orders,
+            ),
+            self._decisions,
+            self._counters,
+            self._drain.start,
+        )
+
     async def _serve(self, operators: OperatorApi) -> None:
         caller_side = CallerSide(
             self._entry,
--- a/src/kelproad/coordination/outcomes.py
+++ b/src/kelproad/coordination/outcomes.py
@@ -2,16 +2,23 @@
 
 from aiohttp import web
 from multidict import CIMultiDict
+from returns.result import Result, Success
 
 from ..protocol import callers
 from ..state.claims import RecordedAnswer
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
 from ..state.requests import Phase, Request
+from .claims import Claim, Claims
 
-__all__ = ['record_answer', 'refuse_gone', 'refuse_late', 'repeat_answer']
+__all__ = [
+    'refuse_gone',
+    'refuse_late',
+    'repeat_answer',
+    'settle_outcome',
+]
 
 
-def record_answer(response: web.StreamResponse) -> RecordedAnswer:
+def _record_answer(response: web.StreamResponse) -> RecordedAnswer:
     """Take down an answer as later callers with its key are to get it."""
     body = response.body if isinstance(response, web.Response) else b''
     headers = [
@@ -34,6 +41,27 @@
     )
 
 
+async def settle_outcome(
+    claims: Claims,
+    claim: Claim | None,
+    request: Request,
+    outcome: Result[web.StreamResponse, Refusal],
+) -> None:
+    """Have an outcome written; a refused caller does not wait for it."""
+    if claim is None:
+        return
+    if isinstance(outcome, Success):
+        answer = _record_answer(outcome.unwrap())
+        await claims.record(claim, answer, request.deadline)
+        return
+    settle = {
+        Ran.NO: claims.release,
+        Ran.YES: claims.record_run,
+        Ran.UNKNOWN: claims.leave_unknown,
+    }
+    settle[outcome.failure().ran](claim)
+
+
 def refuse_late(request: Request) -> Refusal:
     """Refuse a request whose deadline ended it from outside."""
     dispatched = request.phase is not Phase.ADMITTED
