--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -12,6 +12,9 @@
 from kelproad.coordination import routing  # noqa: E402
 from kelproad.state.configuration import (  # noqa: E402
     AppliedFile,
+    Snapshot,
+)
+from kelproad.state.declarations import (  # noqa: E402
     Deployment,
     EndpointDeclaration,
     EndpointGroup,
@@ -20,7 +23,6 @@
     Policy,
     Service,
     ServiceKind,
-    Snapshot,
     Workspace,
 )
 from kelproad.state.endpoints import EndpointTable  # noqa: E402
--- a/bench/slopes_members.py
+++ b/bench/slopes_members.py
@@ -19,16 +19,14 @@
     PlatformClient,
 )
 from kelproad.protocol.settings import Settings
-from kelproad.state.configuration import (
-    AppliedFile,
+from kelproad.state.configuration import AppliedFile, Snapshot, SnapshotHolder
+from kelproad.state.counters import Counters
+from kelproad.state.declarations import (
     EndpointDeclaration,
     EndpointGroup,
     EndpointKind,
     FileContent,
-    Snapshot,
-    SnapshotHolder,
 )
-from kelproad.state.counters import Counters
 from kelproad.state.endpoints import EndpointTable
 from kelproad.state.identity import Identity
 from kelproad.state.members import EndpointReport, MemberTable
--- a/bench/slopes_tables.py
+++ b/bench/slopes_tables.py
@@ -13,17 +13,15 @@
 from kelproad.coordination.loading import build_file
 from kelproad.coordination.routing import choose_endpoint
 from kelproad.protocol.messages import Changes, FileChange, encode_message
-from kelproad.state.configuration import (
-    AppliedFile,
+from kelproad.state.configuration import AppliedFile, Snapshot, extend
+from kelproad.state.declarations import (
     EndpointDeclaration,
     EndpointGroup,
     EndpointKind,
     FileContent,
     Service,
     ServiceKind,
-    Snapshot,
     Workspace,
-    extend,
 )
 from kelproad.state.endpoints import EndpointTable
 from kelproad.state.members import EndpointReport
--- a/src/kelproad/coordination/admission.py
+++ b/src/kelproad/coordination/admission.py
@@ -6,12 +6,8 @@
 from returns.result import Failure, Result, Success
 
 from ..protocol.callers import digest_key
-from ..state.configuration import (
-    EndpointGroup,
-    Service,
-    Snapshot,
-    Workspace,
-)
+from ..state.configuration import Snapshot
+from ..state.declarations import EndpointGroup, Service, Workspace
 from ..state.refusals import Refusal, RefusalCode, Step
 
 __all__ = [
--- a/src/kelproad/coordination/candidates.py
+++ b/src/kelproad/coordination/candidates.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from ..state.configuration import EndpointKind
+from ..state.declarations import EndpointKind
 from ..state.endpoints import Endpoint, EndpointTable
 from ..state.requests import Request
 
--- a/src/kelproad/coordination/completions.py
+++ b/src/kelproad/coordination/completions.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from ..protocol.callers import CompletionBody
-from ..state.configuration import Delivery
+from ..state.declarations import Delivery
 from ..state.refusals import Refusal
 from ..state.requests import Decision, Request
 from ..transport.deadlines import monotonic, within
--- a/src/kelproad/coordination/entry.py
+++ b/src/kelproad/coordination/entry.py
@@ -15,9 +15,7 @@
 from ..protocol.callers import CompletionBody
 from ..protocol.plain import PlainCall
 from ..state.claims import RecordedAnswer
-from ..state.configuration import (
-    SnapshotHolder,
-)
+from ..state.configuration import SnapshotHolder
 from ..state.context import current_request
 from ..state.identity import Identity
 from ..state.refusals import Refusal
--- a/src/kelproad/coordination/limits.py
+++ b/src/kelproad/coordination/limits.py
@@ -19,8 +19,9 @@
 from returns.result import Failure, Result, Success
 
 from ..state import invariants
-from ..state.configuration import Snapshot, Workspace
+from ..state.configuration import Snapshot
 from ..state.counters import Counters
+from ..state.declarations import Workspace
 from ..state.endpoints import EndpointTable
 from ..state.limits import Demand, Usage
 from ..state.members import MemberTable
--- a/src/kelproad/coordination/loading.py
+++ b/src/kelproad/coordination/loading.py
@@ -7,13 +7,8 @@
 from ..protocol.documents import Problem
 from ..protocol.files import parse_file
 from ..protocol.platform import PlatformClient, StoreError, StoreErrorKind
-from ..state.configuration import (
-    AppliedFile,
-    FileContent,
-    PendingFile,
-    Snapshot,
-    extend,
-)
+from ..state.configuration import AppliedFile, PendingFile, Snapshot, extend
+from ..state.declarations import FileContent
 from .history import (
     FileRow,
     digest_text,
--- a/src/kelproad/coordination/orders.py
+++ b/src/kelproad/coordination/orders.py
@@ -13,8 +13,9 @@
 
 from ..protocol.orders import ORDER_TIMEOUT, OrderClient, OrderOutcome
 from ..protocol.platform import PlatformClient
-from ..state.configuration import Fencing, SnapshotHolder
+from ..state.configuration import SnapshotHolder
 from ..state.counters import Counters
+from ..state.declarations import Fencing
 from ..state.endpoints import EndpointTable
 from ..state.identity import Identity
 from ..state.members import MemberTable
--- a/src/kelproad/coordination/policies.py
+++ b/src/kelproad/coordination/policies.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from ..state.configuration import Policy
+from ..state.declarations import Policy
 from ..state.endpoints import Endpoint
 from .candidates import Search, list_usable
 from .prediction import Candidate
--- a/src/kelproad/coordination/prediction.py
+++ b/src/kelproad/coordination/prediction.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from ..state.configuration import EndpointKind, Objective
+from ..state.declarations import EndpointKind, Objective
 from ..state.endpoints import Endpoint
 from ..state.lengths import LengthClass, classify_length
 from ..state.requests import Request
--- a/src/kelproad/coordination/reception.py
+++ b/src/kelproad/coordination/reception.py
@@ -12,7 +12,8 @@
 
 from ..protocol import callers
 from ..protocol.callers import CompletionBody
-from ..state.configuration import Service, Snapshot, Workspace
+from ..state.configuration import Snapshot
+from ..state.declarations import Service, Workspace
 from ..state.prefixes import digest_prefix
 from ..state.refusals import Refusal, RefusalCode, Step
 from ..state.requests import Parts, Request
--- a/src/kelproad/coordination/retries.py
+++ b/src/kelproad/coordination/retries.py
@@ -10,8 +10,8 @@
 import random
 
 from ..state.budgets import RetryBudget
-from ..state.configuration import Deployment
 from ..state.counters import Counters
+from ..state.declarations import Deployment
 from ..state.requests import Decision, Request
 from ..transport.deadlines import monotonic
 
--- a/src/kelproad/coordination/routing.py
+++ b/src/kelproad/coordination/routing.py
@@ -9,7 +9,8 @@
 
 from returns.result import Failure, Result, Success
 
-from ..state.configuration import Policy, Snapshot
+from ..state.configuration import Snapshot
+from ..state.declarations import Policy
 from ..state.endpoints import Endpoint, EndpointTable
 from ..state.lengths import LengthClass, classify_length
 from ..state.refusals import Refusal, RefusalCode, Step
--- a/src/kelproad/coordination/segments.py
+++ b/src/kelproad/coordination/segments.py
@@ -14,7 +14,7 @@
 
 from ..protocol.callers import CompletionBody
 from ..state.buffers import BufferBudget
-from ..state.configuration import Segmenting, Service
+from ..state.declarations import Segmenting, Service
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
 from ..state.requests import Decision, Parts, Request
 from .answers import Sink
--- a/src/kelproad/coordination/watch.py
+++ b/src/kelproad/coordination/watch.py
@@ -12,7 +12,7 @@
 from mode import Service
 
 from ..protocol.engines import EngineClient
-from ..state.configuration import EndpointKind
+from ..state.declarations import EndpointKind
 from ..state.endpoints import Endpoint, EndpointTable
 from ..state.identity import Identity
 from ..state.members import MemberTable
--- a/src/kelproad/protocol/files.py
+++ b/src/kelproad/protocol/files.py
@@ -10,7 +10,7 @@
 
 from returns.result import Failure, Result, Success
 
-from ..state.configuration import (
+from ..state.declarations import (
     EndpointGroup,
     FileContent,
     Service,
--- a/src/kelproad/protocol/references.py
+++ b/src/kelproad/protocol/references.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from ..state.configuration import (
+from ..state.declarations import (
     EndpointGroup,
     EndpointKind,
     FileContent,
--- a/src/kelproad/standins/orders.py
+++ b/src/kelproad/standins/orders.py
@@ -8,7 +8,7 @@
 import msgspec
 from aiohttp import web
 
-from ..state.configuration import EngineRole
+from ..state.declarations import EngineRole
 from ..state.orders import (
     EngineState,
     ModelPhase,
--- /dev/null
+++ b/src/kelproad/state/declarations.py
@@ -0,0 +1,281 @@
+"""What operators declare: services, workspaces, endpoints, the deployment.
+
+These are the records that an operator's file is read into.  They are
+immutable and say nothing of how or when they came into force.
+"""
+
+import enum
+
+import attrs
+
+__all__ = [
+    'Deadline',
+    'Delivery',
+    'Deployment',
+    'EndpointDeclaration',
+    'EndpointGroup',
+    'EndpointKind',
+    'EngineRole',
+    'Fencing',
+    'FileContent',
+    'Limits',
+    'Objective',
+    'Policy',
+    'Segmenting',
+    'Service',
+    'ServiceKind',
+    'Workspace',
+]
+
+
+class ServiceKind(enum.StrEnum):
+    """What stands behind a service."""
+
+    MODEL = 'model'
+    PLAIN = 'plain'
+
+
+class EndpointKind(enum.StrEnum):
+    """What an endpoint speaks."""
+
+    ENGINE = 'engine'
+    PLAIN = 'plain'
+
+
+class Delivery(enum.StrEnum):
+    """How an answer reaches the caller."""
+
+    STREAM = 'stream'
+    WHOLE = 'whole'
+
+
+class Fencing(enum.StrEnum):
+    """What an engine does with an order that has an old fencing token."""
+
+    ENFORCED = 'enforced'
+    IGNORED = 'ignored'
+
+
+class EngineRole(enum.StrEnum):
+    """Which part of a request an engine computes."""
+
+    BOTH = 'both'
+    PREFILL = 'prefill'
+    DECODE = 'decode'
+
+
+class Policy(enum.StrEnum):
+    """How an endpoint is chosen; all but ``predicted`` are baselines.
+
+    The first three do what plain proxies do and send no priorities.
+    """
+
+    ROUND_ROBIN = 'round_robin'
+    LEAST_REQUESTS = 'least_requests'
+    LEAST_TOKENS = 'least_tokens'
+    ROUND_ROBIN_PRIORITY = 'round_robin_priority'
+    PREDICTED = 'predicted'
+
+
+@attrs.frozen
+class Deadline:
+    """Bounds on a request's time, in seconds."""
+
+    default: float = 60.0
+    maximum: float = 600.0
+
+
+@attrs.frozen
+class Objective:
+    """Relative weights of the two measures that routing trades.
+
+    Attributes
+    ----------
+    slowdown
+        Weight of the slowdown of short requests by long ones.
+    first_token
+        Weight of the time to first token of every request.
+    """
+
+    slowdown: float = 0.5
+    first_token: float = 0.5
+
+
+@attrs.frozen
+class Deployment:
+    """What holds for the whole site.
+
+    Attributes
+    ----------
+    retry_budget_percent
+        Retries that an instance allows for a hundred requests of a service.
+    """
+
+    name: str
+    zones: list[str]
+    objective: Objective = attrs.field(factory=Objective)
+    policy: Policy = Policy.PREDICTED
+    retry_budget_percent: float = 10.0
+
+
+@attrs.frozen
+class Segmenting:
+    """How a prompt larger than any engine's memory is answered in parts.
+
+    Attributes
+    ----------
+    tokens
+        Estimated tokens of a part, its heading included.
+    combine
+        Prompt that turns the parts' answers, which follow it, into one.
+    boundary
+        Text between records; a prompt is cut only there.
+    heading_end
+        Text that ends what stands before the records and is repeated in every
+        part; empty when there is no heading.
+    answer_tokens
+        Bound on the answer to a part.
+    most_parts, parallel
+        Bounds on the parts of a prompt and on those answered at a time.
+    """
+
+    tokens: int
+    combine: str
+    boundary: str = '\n'
+    heading_end: str = '\n\n'
+    answer_tokens: int = 512
+    most_parts: int = 32
+    parallel: int = 4
+
+
+@attrs.frozen
+class Service:
+    """Something that callers ask for by name.
+
+    Attributes
+    ----------
+    kind
+        Model engines or plain HTTP endpoints.
+    model
+        Model that the engines must serve; empty for plain services.
+    version
+        Version of the model that the engines are to run; empty for any.
+    idempotent
+        Whether a call may be repeated; left out, a model service's may and a
+        plain service's may not.  GET and HEAD always may.
+    bytes_per_token
+        Divisor of the prompt-length estimate for this model.
+    segments
+        How larger prompts are answered in parts; left out, they are refused.
+    adapters
+        Adapters that the engines are to hold with the model.
+    """
+
+    name: str
+    kind: ServiceKind
+    endpoint_groups: list[str]
+    model: str = ''
+    version: str = ''
+    idempotent: bool | None = None
+    delivery: Delivery = Delivery.STREAM
+    deadline: Deadline = attrs.field(factory=Deadline)
+    bytes_per_token: float = 4.0
+    max_body_bytes: int = 16_777_216
+    segments: Segmenting | None = None
+    adapters: list[str] = attrs.field(factory=list)
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether work that may have run may be run again."""
+        if self.idempotent is None:
+            return self.kind is ServiceKind.MODEL
+        return self.idempotent
+
+
+@attrs.frozen
+class Limits:
+    """Bounds on a workspace's use; ``None`` means unlimited."""
+
+    requests_per_second: float | None = None
+    tokens_per_second: float | None = None
+    tokens_in_flight: int | None = None
+
+
+@attrs.frozen
+class Workspace:
+    """A customer of the site.
+
+    Attributes
+    ----------
+    key_digests
+        SHA-256 digests, in hexadecimal, of the API keys that belong to it.
+    weight
+        Relative share of the site under contention.
+    """
+
+    name: str
+    key_digests: list[str]
+    services: list[str]
+    limits: Limits = attrs.field(factory=Limits)
+    weight: float = 1.0
+
+
+@attrs.frozen
+class EndpointDeclaration:
+    """One back end at a fixed address (``IP:port``)."""
+
+    name: str
+    zone: str
+    address: str
+    leaving: bool = False
+
+
+@attrs.frozen
+class EndpointGroup:
+    """Endpoints that are alike.
+
+    Attributes
+    ----------
+    honours_priorities
+        Whether the engines schedule by the priority that is sent to them.
+    memory_tokens
+        Tokens of KV cache that one engine holds; the largest prompt it can
+        serve.
+    managed
+        Whether the engines are ordered to run what the services declare.
+    role
+        Role that managed engines are to have.
+    max_loading
+        Managed engines of a zone that may be drained or loading at once.
+    prefill_tokens_per_second
+        Rate assumed until one is learned.
+    cache_tokens
+        Tokens of computed prefixes that one engine keeps.
+    honours_continuation
+        Whether the engines go on behind the text that comes with a request,
+        so that an answer another engine broke off can be continued.
+    """
+
+    name: str
+    kind: EndpointKind
+    endpoints: list[EndpointDeclaration]
+    fencing: Fencing = Fencing.ENFORCED
+    honours_priorities: bool = True
+    memory_tokens: int = 400_000
+    prefill_tokens_per_second: float = 15_000.0
+    managed: bool = False
+    role: EngineRole = EngineRole.BOTH
+    max_loading: int = 1
+    cache_tokens: int = 200_000
+    honours_continuation: bool = False
+
+
+@attrs.frozen
+class FileContent:
+    """What one operator's file declares."""
+
+    name: str
+    deployment: Deployment | None = None
+    services: list[Service] = attrs.field(factory=list)
+    workspaces: list[Workspace] = attrs.field(factory=list)
+    endpoint_groups: list[EndpointGroup] = attrs.field(factory=list)
--- a/src/kelproad/state/endpoints.py
+++ b/src/kelproad/state/endpoints.py
@@ -6,7 +6,8 @@
 import attrs
 
 from . import invariants
-from .configuration import EndpointDeclaration, EndpointGroup, Snapshot
+from .configuration import Snapshot
+from .declarations import EndpointDeclaration, EndpointGroup
 from .lengths import LengthClass, classify_length
 from .members import EndpointReport
 from .prefixes import PrefixHistory
--- a/src/kelproad/state/orders.py
+++ b/src/kelproad/state/orders.py
@@ -4,13 +4,8 @@
 
 import attrs
 
-from .configuration import (
-    EndpointGroup,
-    EndpointKind,
-    EngineRole,
-    Service,
-    Snapshot,
-)
+from .configuration import Snapshot
+from .declarations import EndpointGroup, EndpointKind, EngineRole, Service
 
 __all__ = [
     'DesiredModel',
--- a/src/kelproad/state/requests.py
+++ b/src/kelproad/state/requests.py
@@ -6,7 +6,8 @@
 
 import attrs
 
-from .configuration import Service, Snapshot, Workspace
+from .configuration import Snapshot
+from .declarations import Service, Workspace
 from .refusals import Ran, Refusal
 
 __all__ = [
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -9,8 +9,8 @@
 
 from kelproad.coordination import limits
 from kelproad.coordination.limits import WorkspaceLimits
-from kelproad.state.configuration import Limits, Workspace
 from kelproad.state.counters import Counters
+from kelproad.state.declarations import Limits, Workspace
 from kelproad.state.limits import Demand
 from kelproad.state.members import SUSPECT_AFTER, Member, MemberTable
 from kelproad.state.requests import Request
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -13,13 +13,12 @@
     decode_message,
     encode_message,
 )
-from kelproad.state.configuration import (
-    AppliedFile,
+from kelproad.state.configuration import AppliedFile, Snapshot
+from kelproad.state.declarations import (
     EndpointDeclaration,
     EndpointGroup,
     EndpointKind,
     FileContent,
-    Snapshot,
 )
 from kelproad.state.endpoints import EndpointTable
 from kelproad.state.identity import Identity
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -15,7 +15,7 @@
 from kelproad.protocol.orders import OrderClient, OrderOutcome
 from kelproad.standins.orders import OrderedModels, skip_weights
 from kelproad.standins.platform import Faults
-from kelproad.state.configuration import Fencing
+from kelproad.state.declarations import Fencing
 from kelproad.state.endpoints import EndpointTable
 from kelproad.state.identity import Identity
 from kelproad.state.members import MemberTable
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -8,8 +8,8 @@
 from kelproad.coordination import routing
 from kelproad.coordination.candidates import Search
 from kelproad.coordination.prediction import count_ahead, weigh_endpoint
-from kelproad.state.configuration import (
-    AppliedFile,
+from kelproad.state.configuration import AppliedFile, Snapshot
+from kelproad.state.declarations import (
     Deployment,
     EndpointDeclaration,
     EndpointGroup,
@@ -19,7 +19,6 @@
     Policy,
     Service,
     ServiceKind,
-    Snapshot,
     Workspace,
 )
 from kelproad.state.endpoints import Endpoint, EndpointTable
--- a/tests/test_segments.py
+++ b/tests/test_segments.py
@@ -9,7 +9,7 @@
 from returns.result import Success
 
 from kelproad.coordination.segments import split_prompt
-from kelproad.state.configuration import Segmenting
+from kelproad.state.declarations import Segmenting
 from testbed.site import Site, SitePlan, start_site
 from tests.clients import complete
 from tests.conftest import ROADGRIP
