--- a/bench/slopes_source.py
+++ b/bench/slopes_source.py
@@ -79,7 +79,10 @@
             )
             await response.prepare(http_request)
             async for chunk in upstream.content.iter_any():
-                await response.write(chunk)
+                try:
+                    await response.write(chunk)
+                except ConnectionError:
+                    return response
         return response
 
     application = web.Application()
--- a/bench/slopes_tables.py
+++ b/bench/slopes_tables.py
@@ -51,6 +51,7 @@
     table, held = _measure_memory(lambda: _fill_table(snapshot))
     request = _create_request(snapshot)
     generator = random.Random(size)
+    assert choose_endpoint(request, table, 'zone-0', 10, generator).unwrap()
     seconds = _time(
         lambda: choose_endpoint(
             request,
