Decide in one place whether a silent engine is left

Change: routing.has_usable draws one usable endpoint and chooses none; the rule by declared endpoints is gone.

--- a/src/kelproad/coordination/attempts.py
+++ b/src/kelproad/coordination/attempts.py
@@ -140,7 +140,14 @@
         decision: Decision,
     ) -> Result[_Placement, Refusal]:
         request = answer.request
-        choice = self._choose(answer, tried)
+        choice = routing.choose_endpoint(
+            request,
+            self._table,
+            self._identity.zone,
+            monotonic(),
+            self._generator,
+            tried | self._list_unfit(answer),
+        )
         if isinstance(choice, Failure):
             return choice
         chosen = choice.unwrap()
@@ -159,20 +166,6 @@
             _Placement(attempt, chosen.endpoint, chosen),
         )
 
-    def _choose(
-        self,
-        answer: Answer,
-        tried: frozenset[str],
-    ) -> Result[routing.Choice, Refusal]:
-        return routing.choose_endpoint(
-            answer.request,
-            self._table,
-            self._identity.zone,
-            monotonic(),
-            self._generator,
-            tried | self._list_unfit(answer),
-        )
-
     def _has_alternative(
         self,
         answer: Answer,
@@ -186,7 +179,14 @@
         affordable = self._retries.affords(answer.request)
         if len(tried) >= _MAX_ATTEMPTS or not affordable:
             return False
-        return isinstance(self._choose(answer, tried), Success)
+        return routing.has_usable(
+            answer.request,
+            self._table,
+            self._identity.zone,
+            monotonic(),
+            self._generator,
+            tried | self._list_unfit(answer),
+        )
 
     def _list_unfit(self, answer: Answer) -> frozenset[str]:
         """List the endpoints that cannot go on behind what was delivered."""
@@ -237,29 +237,13 @@
             placement.url,
             attempt,
             answer,
-            self._decide_patience(request, placement),
+            Patience.from_prediction(
+                placement.choice.predicted,
+                request.remaining(monotonic()),
+            ),
             lambda: self._note_first_token(request, placement),
         )
 
-    def _decide_patience(
-        self,
-        request: Request,
-        placement: _Placement,
-    ) -> Patience:
-        """Decide how long to wait for a silent engine.
-
-        Leaving it helps only if another attempt could follow; the last one
-        is given all the time that is left.
-        """
-        remaining = request.remaining(monotonic())
-        declared = sum(
-            len(self._table.in_group(group.name))
-            for group in request.snapshot.groups_of(request.service)
-        )
-        if request.attempts >= min(declared, _MAX_ATTEMPTS):
-            return Patience.until_deadline(remaining)
-        return Patience.from_prediction(placement.choice.predicted, remaining)
-
     def _settle(
         self,
         request: Request,
--- a/src/kelproad/coordination/relays.py
+++ b/src/kelproad/coordination/relays.py
@@ -96,11 +96,6 @@
         latest = _LATEST_SHARE * remaining
         return cls(max(_LEAST_FACTOR * predicted, min(generous, latest)))
 
-    @classmethod
-    def until_deadline(cls, remaining: float) -> Self:
-        """Wait for as long as there is time, since nobody else can answer."""
-        return cls(first=remaining, gap=remaining)
-
 
 class Relay:
     """The way of one attempt's events from its engine to the answer."""
--- a/src/kelproad/coordination/routing.py
+++ b/src/kelproad/coordination/routing.py
@@ -26,6 +26,7 @@
     'choose_endpoint',
     'choose_priority',
     'classify_length',
+    'has_usable',
     'note_first_token',
 ]
 
@@ -100,6 +101,22 @@
     return Success(choice)
 
 
+def has_usable(
+    request: Request,
+    table: EndpointTable,
+    zone: str,
+    now: float,
+    generator: random.Random,
+    tried: frozenset[str],
+) -> bool:
+    """Tell whether any endpoint could take a request, and choose none.
+
+    The parameters are those of ``choose_endpoint``.
+    """
+    search = Search(request, table, zone, now, generator, tried)
+    return bool(draw(search, None, 1))
+
+
 def note_first_token(
     table: EndpointTable,
     choice: Choice,
