Run test files side by side, with ports reserved across processes

Cause: the tests took 316 s on a machine whose load was below 1: they wait for processes. Side by side, two runs could be given the same port between its being found and listened on. Change: pytest-xdist, four workers, a file stays with its worker; a port is reserved by a lock on a file while the test process lives.

--- a/Makefile
+++ b/Makefile
@@ -18,8 +18,9 @@
 demo: $(STAMP)
 	$(PYTHON) demo/run.py $(EXAMPLE)
 
+# Most tests wait for processes, so files run side by side.
 test: $(STAMP)
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest --numprocesses 4 --dist loadfile
 
 bench: $(STAMP)
 	$(PYTHON) bench/run.py
--- a/testbed/processes.py
+++ b/testbed/processes.py
@@ -1,5 +1,6 @@
 """Starting, signalling and ending one process of the site."""
 
+import fcntl
 import os
 import pathlib
 import secrets
@@ -7,7 +8,9 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
+from typing import IO
 from urllib import error, request
 
 __all__ = ['Process', 'find_free_address', 'wait_until_answering']
@@ -19,8 +22,9 @@
 _PORTS = range(_LOWEST_PORT, _HIGHEST_PORT)
 _FROM_SOURCE = (sys.executable, '-m', 'kelproad')
 
-#: Ports that this process has found; each is given out once.
-_given: set[int] = set()
+_RESERVATIONS = pathlib.Path(tempfile.gettempdir()) / 'kelproad-ports'
+#: Files whose locks keep the ports that this process was given.
+_held: list[IO[str]] = []
 
 
 def find_free_address(host: str = '127.0.0.1') -> str:
@@ -32,11 +36,26 @@
     """
     while True:
         port = secrets.choice(_PORTS)
-        if port not in _given and _is_free(host, port):
-            _given.add(port)
+        if _reserve(port) and _is_free(host, port):
             return f'{host}:{port}'
 
 
+def _reserve(port: int) -> bool:
+    """Keep a port from other processes that start sites on this machine.
+
+    Between its being found and its being listened on nothing else would.
+    """
+    _RESERVATIONS.mkdir(exist_ok=True)
+    reservation = (_RESERVATIONS / str(port)).open('w')
+    try:
+        fcntl.flock(reservation, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        reservation.close()
+        return False
+    _held.append(reservation)
+    return True
+
+
 def _is_free(host: str, port: int) -> bool:
     with socket.socket() as probe:
         try:
