--- a/bench/slopes_members.py
+++ b/bench/slopes_members.py
@@ -13,12 +13,9 @@
 
 from kelproad.coordination.configuration import ConfigurationFollower
 from kelproad.coordination.membership import Membership
-from kelproad.protocol.platform import (
-    ListedInstance,
-    Listing,
-    PlatformClient,
-)
+from kelproad.protocol.platform import PlatformClient
 from kelproad.protocol.settings import Settings
+from kelproad.protocol.store import ListedInstance, Listing
 from kelproad.state.configuration import AppliedFile, Snapshot, SnapshotHolder
 from kelproad.state.counters import Counters
 from kelproad.state.declarations import (
--- a/src/kelproad/coordination/claims.py
+++ b/src/kelproad/coordination/claims.py
@@ -14,7 +14,8 @@
 import attrs
 from returns.result import Failure, Success
 
-from ..protocol.platform import PlatformClient, StoreErrorKind
+from ..protocol.platform import PlatformClient
+from ..protocol.store import StoreErrorKind
 from ..state.claims import ClaimRecord, ClaimState, RecordedAnswer
 from ..state.counters import Counters
 from ..state.identity import Identity
--- a/src/kelproad/coordination/configuration.py
+++ b/src/kelproad/coordination/configuration.py
@@ -19,8 +19,9 @@
     FileChange,
     PeerMessage,
 )
-from ..protocol.platform import PlatformClient, StoreError
+from ..protocol.platform import PlatformClient
 from ..protocol.settings import Settings
+from ..protocol.store import StoreError
 from ..state.configuration import (
     AppliedFile,
     PendingFile,
--- a/src/kelproad/coordination/fileapi.py
+++ b/src/kelproad/coordination/fileapi.py
@@ -7,7 +7,7 @@
 
 from ..protocol import callers
 from ..protocol.documents import Problem
-from ..protocol.platform import StoreError
+from ..protocol.store import StoreError
 from ..state.configuration import SnapshotHolder
 from ..state.refusals import Refusal, RefusalCode, Step
 from .acceptance import ConfigurationWriter, Submission
--- a/src/kelproad/coordination/grouping.py
+++ b/src/kelproad/coordination/grouping.py
@@ -10,12 +10,8 @@
 import attrs
 from returns.result import Failure, Result
 
-from ..protocol.platform import (
-    PlatformClient,
-    StoreError,
-    StoreErrorKind,
-    Write,
-)
+from ..protocol.platform import PlatformClient
+from ..protocol.store import StoreError, StoreErrorKind, Write
 from ..state import invariants
 from ..transport.deadlines import monotonic, within
 
--- a/src/kelproad/coordination/history.py
+++ b/src/kelproad/coordination/history.py
@@ -12,14 +12,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from ..protocol.platform import (
-    ABSENT,
-    PlatformClient,
-    Row,
-    StoreError,
-    StoreErrorKind,
-    Write,
-)
+from ..protocol.platform import PlatformClient
+from ..protocol.store import ABSENT, Row, StoreError, StoreErrorKind, Write
 
 T = TypeVar('T')
 
--- a/src/kelproad/coordination/loading.py
+++ b/src/kelproad/coordination/loading.py
@@ -6,7 +6,8 @@
 
 from ..protocol.documents import Problem
 from ..protocol.files import parse_file
-from ..protocol.platform import PlatformClient, StoreError, StoreErrorKind
+from ..protocol.platform import PlatformClient
+from ..protocol.store import StoreError, StoreErrorKind
 from ..state.configuration import AppliedFile, PendingFile, Snapshot, extend
 from ..state.declarations import FileContent
 from .history import (
--- a/src/kelproad/coordination/settlements.py
+++ b/src/kelproad/coordination/settlements.py
@@ -12,7 +12,8 @@
 import attrs
 from returns.result import Failure, Success
 
-from ..protocol.platform import PlatformClient, StoreErrorKind, Write
+from ..protocol.platform import PlatformClient
+from ..protocol.store import StoreErrorKind, Write
 from ..state import invariants
 from ..state.claims import ClaimState, RecordedAnswer
 from ..state.counters import Counters
--- a/src/kelproad/coordination/verdicts.py
+++ b/src/kelproad/coordination/verdicts.py
@@ -9,7 +9,7 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from ..protocol.platform import Row, StoreError
+from ..protocol.store import Row, StoreError
 from ..state.claims import ClaimRecord, ClaimState, RecordedAnswer
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
 
--- a/src/kelproad/coordination/watch.py
+++ b/src/kelproad/coordination/watch.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import functools
+from collections.abc import Iterator
 
 from mode import Service
 
@@ -83,13 +84,8 @@
     now: float,
 ) -> list[Endpoint]:
     """List the engines that this instance watches, as first or second."""
-    names = _list_watchers(identity, members, now)
-    return [
-        endpoint
-        for endpoint in table.all().values()
-        if _is_near_engine(endpoint, identity.zone)
-        and identity.instance in _choose_watchers(endpoint.name, names)
-    ]
+    ranked = _rank_watched(identity, table, members, now)
+    return [endpoint for endpoint, _rank in ranked]
 
 
 def list_wanted(
@@ -99,15 +95,29 @@
     now: float,
 ) -> list[Endpoint]:
     """List the engines that this instance is to read now."""
-    names = _list_watchers(identity, members, now)
     return [
         endpoint
-        for endpoint in list_watched(identity, table, members, now)
-        if _choose_watchers(endpoint.name, names)[0] == identity.instance
-        or now - endpoint.reported_at > _STALE_AFTER
+        for endpoint, rank in _rank_watched(identity, table, members, now)
+        if rank == 0 or now - endpoint.reported_at > _STALE_AFTER
     ]
 
 
+def _rank_watched(
+    identity: Identity,
+    table: EndpointTable,
+    members: MemberTable,
+    now: float,
+) -> Iterator[tuple[Endpoint, int]]:
+    """Yield watched engines with this instance's place among the watchers."""
+    names = _list_watchers(identity, members, now)
+    for endpoint in table.all().values():
+        if not _is_near_engine(endpoint, identity.zone):
+            continue
+        watchers = _choose_watchers(endpoint.name, names)
+        if identity.instance in watchers:
+            yield endpoint, watchers.index(identity.instance)
+
+
 def _list_watchers(
     identity: Identity,
     members: MemberTable,
--- a/src/kelproad/protocol/platform.py
+++ b/src/kelproad/protocol/platform.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import enum
 from collections.abc import Sequence
 from typing import TypeVar
 
@@ -20,22 +19,12 @@
 from ..state.counters import Counters
 from ..transport.addresses import Address
 from ..transport.deadlines import monotonic, within
+from .store import Listing, Row, StoreError, StoreErrorKind, Write
 
-__all__ = [
-    'ABSENT',
-    'ListedInstance',
-    'Listing',
-    'PlatformClient',
-    'Row',
-    'StoreError',
-    'StoreErrorKind',
-    'Write',
-]
+__all__ = ['PlatformClient']
 
 T = TypeVar('T')
 
-#: Version that a row must have to be written when it must not exist yet.
-ABSENT = 0
 _OK = 200
 _NOT_FOUND = 404
 _CONFLICT = 409
@@ -44,82 +33,6 @@
 _OBJECT_PATH = '/objects/'
 
 
-class StoreErrorKind(enum.StrEnum):
-    """What is known about a call that did not succeed."""
-
-    #: A condition did not hold; nothing was written.
-    CONFLICT = 'conflict'
-    #: The platform refused or could not be reached; nothing was written.
-    UNAVAILABLE = 'unavailable'
-    #: No answer arrived; the write may have taken effect, or may yet.
-    UNKNOWN = 'unknown'
-    #: The object that was asked for is missing or not what it should be.
-    DAMAGED = 'damaged'
-
-
-@attrs.frozen
-class StoreError:
-    """A call to the platform that did not succeed.
-
-    Attributes
-    ----------
-    conflicts
-        Keys of the rows whose condition did not hold.
-    """
-
-    kind: StoreErrorKind
-    operation: str
-    peer: str
-    message: str
-    conflicts: list[str] = attrs.field(factory=list)
-
-
-@attrs.frozen
-class Row:
-    """A row of a table; its version grows with each write, from 1."""
-
-    key: str
-    version: int
-    body: str
-
-
-@attrs.frozen
-class Write:
-    """One conditional write of a transaction.
-
-    Attributes
-    ----------
-    expect
-        Version that the row must have; ``ABSENT`` when it must not exist and
-        ``None`` for any.
-    body
-        New body; ``None`` deletes the row.
-    """
-
-    table: str
-    key: str
-    body: str | None
-    expect: int | None = None
-
-
-@attrs.frozen
-class ListedInstance:
-    """An instance as the platform's lagging list shows it."""
-
-    name: str
-    zone: str
-    peer_address: str
-    leaving: bool = False
-
-
-@attrs.frozen
-class Listing:
-    """The platform's list of instances, and the endpoints it takes away."""
-
-    instances: list[ListedInstance]
-    leaving_endpoints: list[str] = attrs.field(factory=list)
-
-
 @attrs.frozen
 class _Transaction:
     writes: list[Write]
--- a/src/kelproad/standins/platform.py
+++ b/src/kelproad/standins/platform.py
@@ -12,7 +12,7 @@
 import msgspec
 from aiohttp import web
 
-from ..protocol.platform import ABSENT, ListedInstance, Listing, Row, Write
+from ..protocol.store import ABSENT, ListedInstance, Listing, Row, Write
 from ..transport.deadlines import monotonic
 
 __all__ = ['Faults', 'PlatformStandIn']
--- a/testbed/members.py
+++ b/testbed/members.py
@@ -17,8 +17,9 @@
 from kelproad.coordination.gossip import PERIOD
 from kelproad.coordination.membership import Membership
 from kelproad.protocol.messages import PeerMessage, encode_message
-from kelproad.protocol.platform import Listing, PlatformClient
+from kelproad.protocol.platform import PlatformClient
 from kelproad.protocol.settings import Settings
+from kelproad.protocol.store import Listing
 from kelproad.state.configuration import SnapshotHolder
 from kelproad.state.counters import Counters
 from kelproad.state.endpoints import EndpointTable
--- a/tests/test_grouping.py
+++ b/tests/test_grouping.py
@@ -11,12 +11,8 @@
 
 from kelproad.coordination.claims import Claim, Claims
 from kelproad.coordination.grouping import GroupedWrites
-from kelproad.protocol.platform import (
-    ABSENT,
-    PlatformClient,
-    StoreErrorKind,
-    Write,
-)
+from kelproad.protocol.platform import PlatformClient
+from kelproad.protocol.store import ABSENT, StoreErrorKind, Write
 from kelproad.standins.platform import Faults, PlatformStandIn
 from kelproad.state.claims import ClaimState, RecordedAnswer
 from kelproad.state.counters import Counters
