Let the stand-in's cache events be late, as its settings said

Cause: event_lag was read and never used. Change: each event has its time and is told after the lag; tests/test_standins.py shows lateness and gaps.

--- a/src/kelproad/standins/batch.py
+++ b/src/kelproad/standins/batch.py
@@ -10,12 +10,30 @@
 import heapq
 import itertools
 
+import attrs
+
+from ..transport.deadlines import monotonic
 from .settings import EngineSettings
 from .streams import BLOCK_TOKENS, Stream
 
 __all__ = ['Batch']
 
 
+@attrs.frozen
+class CacheEvent:
+    """A block that came into the prefix cache or went out of it.
+
+    Attributes
+    ----------
+    at
+        Monotonic time, in seconds, at which it did.
+    """
+
+    at: float
+    kind: str
+    block: str
+
+
 class Batch:
     """The engine's loop, its memory and its prefix cache."""
 
@@ -31,7 +49,7 @@
         self._cache: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
-        self.cache_events: list[tuple[str, str]] = []
+        self.cache_events: list[CacheEvent] = []
         self.used_tokens = 0
         self.slowness = 1.0
 
@@ -172,10 +190,13 @@
     def _store_blocks(self, stream: Stream) -> None:
         for block in stream.blocks:
             if block not in self._cache:
-                self.cache_events.append(('stored', block))
+                self._note_cache('stored', block)
             self._cache[block] = None
             self._cache.move_to_end(block)
         limit = self._settings.cache_tokens // BLOCK_TOKENS
         while len(self._cache) > limit:
             block, _ = self._cache.popitem(last=False)
-            self.cache_events.append(('evicted', block))
+            self._note_cache('evicted', block)
+
+    def _note_cache(self, kind: str, block: str) -> None:
+        self.cache_events.append(CacheEvent(monotonic(), kind, block))
--- a/src/kelproad/standins/engine.py
+++ b/src/kelproad/standins/engine.py
@@ -269,10 +269,13 @@
     ) -> web.Response:
         after = int(http_request.query.get('after', '0'))
         gap = self._settings.event_gap
+        visible = monotonic() - self._settings.event_lag
         events = [
-            {'number': number, 'kind': kind, 'block': block}
-            for number, (kind, block) in enumerate(self._batch.cache_events, 1)
-            if number > after and not (gap and number % gap == 0)
+            {'number': number, 'kind': event.kind, 'block': event.block}
+            for number, event in enumerate(self._batch.cache_events, 1)
+            if number > after
+            and event.at <= visible
+            and not (gap and number % gap == 0)
         ]
         return web.json_response({'events': events})
 
--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,41 @@
+"""Stand-ins behave as what they stand for, as far as tests rely on it."""
+
+import asyncio
+
+from aiohttp.test_utils import TestClient, TestServer
+
+from kelproad.standins.engine import EngineSettings, EngineStandIn
+
+LAG = 1.0
+
+
+async def test_cache_events_come_late_and_with_gaps() -> None:
+    """What an engine says of its cache is late, and some of it is lost.
+
+    Whoever builds an index of prefixes from it must bear both.
+    """
+    settings = EngineSettings(
+        time_scale=1000.0,
+        event_lag=LAG,
+        event_gap=2,
+    )
+    application = EngineStandIn(settings, ['m']).create_application()
+    async with TestClient(TestServer(application)) as client:
+        body = {'model': 'm', 'prompt': 'x' * 13_000, 'max_tokens': 1}
+        answer = await client.post(
+            '/v1/completions',
+            json=body,
+            headers={'X-Attempt-Id': 'a-1', 'X-Deadline-Seconds': '5'},
+        )
+        await answer.read()
+        early = await list_numbers(client)
+        await asyncio.sleep(1.5 * LAG)
+        late = await list_numbers(client)
+    assert early == []
+    assert late == [1, 3]
+
+
+async def list_numbers(client: TestClient) -> list[int]:
+    """List the numbers of the cache events that an engine tells of."""
+    listed = await client.get('/v1/cache-events')
+    return [event['number'] for event in (await listed.json())['events']]
