Forget the use of workspaces that ask for nothing any more

Ruled out: forgetting by time alone; a bucket in debt would have been forgotten, and a huge prompt would have cost nothing (the test tells).

--- a/src/kelproad/coordination/limits.py
+++ b/src/kelproad/coordination/limits.py
@@ -14,6 +14,7 @@
 
 import collections
 import heapq
+from collections.abc import Mapping
 
 import attrs
 from returns.result import Failure, Result, Success
@@ -129,6 +130,7 @@
             name: usage.measure_demand(now)
             for name, usage in self._usage.items()
         }
+        self._forget_idle(demands)
         busiest = heapq.nlargest(
             MOST_TOLD,
             demands,
@@ -140,6 +142,17 @@
             if demands[name].requests or demands[name].in_flight
         }
 
+    def _forget_idle(self, demands: Mapping[str, Demand]) -> None:
+        """Drop the workspaces that ask for nothing here any more.
+
+        A balancer brings every workspace to every instance sooner or later;
+        without this each would describe all of them for ever.
+        """
+        for name, demand in demands.items():
+            if self._usage[name].is_idle(demand):
+                self._usage.pop(name)
+                self._parts.pop(name, None)
+
     def _is_above_fair_share(self, request: Request) -> bool:
         """Tell whether a workspace has more in flight than its weight gives.
 
--- a/src/kelproad/state/limits.py
+++ b/src/kelproad/state/limits.py
@@ -89,6 +89,19 @@
             self.in_flight,
         )
 
+    def is_idle(self, demand: Demand) -> bool:
+        """Tell whether forgetting this use would change nothing.
+
+        A bucket in debt is remembered: a new one would start with credit, and
+        a large prompt would have cost nothing.
+        """
+        if (
+            self.in_progress
+            or min(self.requests.credit, self.tokens.credit) < 0
+        ):
+            return False
+        return not (demand.requests or demand.tokens)
+
     def _decay(self, now: float) -> None:
         factor = math.exp((self._asked_at - now) / _DEMAND_SECONDS)
         self._asked_requests *= factor
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -11,7 +11,7 @@
 from kelproad.coordination.limits import WorkspaceLimits
 from kelproad.state.counters import Counters
 from kelproad.state.declarations import Limits, Workspace
-from kelproad.state.limits import Demand
+from kelproad.state.limits import Demand, Usage
 from kelproad.state.members import SUSPECT_AFTER, Member, MemberTable
 from kelproad.state.requests import Request
 from testbed.site import Site
@@ -225,3 +225,18 @@
 def _last_refused(answers: list[Answer]) -> str:
     refused = [answer for answer in answers if answer.status == 429]
     return refused[-1].headers['X-Request-Id']
+
+
+def test_idle_use_is_forgotten_and_debt_is_not() -> None:
+    """A workspace sends one huge prompt, waits, and sends the next one.
+
+    If its use were forgotten while its bucket is in debt, the next prompt
+    would find a full bucket and the limit would never hold.
+    """
+    idle, indebted = Usage(), Usage()
+    for usage in (idle, indebted):
+        usage.note_asked(1_000_000, 0)
+    indebted.tokens.credit = -1_000_000
+    assert not idle.is_idle(idle.measure_demand(1))
+    assert idle.is_idle(idle.measure_demand(60))
+    assert not indebted.is_idle(indebted.measure_demand(60))
