Tell callers whose request failed when queues will have drained

Cause: 502 answers carried a constant half second and 504 answers nothing, so that callers came back while their prompts would still wait. Change: a completion that failed carries the present wait of prompts of its length, half a second at the least.

--- a/src/kelproad/coordination/attempts.py
+++ b/src/kelproad/coordination/attempts.py
@@ -133,6 +133,16 @@
                 return outcome
         return outcome
 
+    def suggest_pause(self, request: Request) -> float:
+        """Return the seconds after which another try is likely to be served.
+
+        Prompts of that length wait so long at present.  Without a queue there
+        is still a shortest pause, in which the word of a failure spreads.
+        """
+        now = monotonic()
+        contention = self._table.measure_contention(request.prompt_tokens, now)
+        return max(routing.MINIMUM_RETRY_AFTER, contention.seconds)
+
     def _place(
         self,
         answer: Answer,
--- a/src/kelproad/coordination/completions.py
+++ b/src/kelproad/coordination/completions.py
@@ -6,12 +6,13 @@
 
 import asyncio
 
+import attrs
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
 from ..protocol.callers import CompletionBody
 from ..state.declarations import Delivery
-from ..state.refusals import Refusal
+from ..state.refusals import Refusal, RefusalCode
 from ..state.requests import Decision, Request
 from ..transport.deadlines import monotonic, within
 from .accounts import Accounts
@@ -33,6 +34,15 @@
 #: by themselves at the deadline, and then know whether anything was written.
 _INTERRUPT_MARGIN = 0.05
 
+#: Failures after which the same request may well be answered.
+_PASSING = frozenset(
+    (
+        RefusalCode.DEADLINE_EXCEEDED,
+        RefusalCode.ENDPOINT_FAILED,
+        RefusalCode.NO_CAPACITY,
+    ),
+)
+
 
 class Completions:
     """Has completion calls answered, and their claims settled."""
@@ -137,7 +147,16 @@
             outcome = Failure(refuse_gone())
         finally:
             self._accounts.end(request, decision, outcome)
-        return outcome.alt(request.complete_refusal)
+        return outcome.alt(request.complete_refusal).alt(
+            lambda refusal: self._add_pause(request, refusal),
+        )
+
+    def _add_pause(self, request: Request, refusal: Refusal) -> Refusal:
+        """Tell a caller whose request failed when to come back."""
+        if refusal.retry_after is not None or refusal.code not in _PASSING:
+            return refusal
+        pause = self._attempts.suggest_pause(request)
+        return attrs.evolve(refusal, retry_after=pause)
 
     async def _dispatch(
         self,
--- a/src/kelproad/coordination/relays.py
+++ b/src/kelproad/coordination/relays.py
@@ -272,5 +272,4 @@
             Step.RELAY,
             peer=self._url,
             ran=Ran.UNKNOWN,
-            retry_after=0.5,
         )
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -63,6 +63,7 @@
         ),
     )
     assert (answer.status, answer.refusal()['ran']) == (504, 'unknown')
+    assert int(answer.headers['Retry-After']) >= 1
     assert taken < 1 + MARGIN
 
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -3,10 +3,12 @@
 import attrs
 
 from kelproad.coordination import routing
+from kelproad.coordination.attempts import Attempts
 from kelproad.coordination.ejection import note_outcome, note_stall
 from kelproad.coordination.retries import Retries
 from kelproad.state.budgets import RetryBudget
 from kelproad.state.counters import Counters
+from kelproad.state.identity import Identity
 from kelproad.state.refusals import Refusal, RefusalCode, Step
 from kelproad.state.requests import Decision
 from kelproad.transport.deadlines import monotonic
@@ -23,6 +25,28 @@
         note_outcome(fleet.table, endpoint, FAILED, now, Counters())
 
 
+def test_caller_is_told_to_come_back_when_queues_have_drained() -> None:
+    """A request fails while prompts of its length wait for half a minute.
+
+    A caller told to come back after a constant half second would only make
+    the queue longer.
+    """
+    fleet = Fleet()
+    attempts = Attempts(
+        Identity.from_start('i', 'z'),
+        fleet.table,
+        engines=None,
+        canceller=None,
+        counters=Counters(),
+        generator=fleet.random,
+    )
+    request = fleet.request(SHORT)
+    idle = attempts.suggest_pause(request)
+    fleet.table.note_contention(SHORT, 30, 1, monotonic())
+    assert idle == routing.MINIMUM_RETRY_AFTER
+    assert 29 < attempts.suggest_pause(request) <= 30
+
+
 def test_budget_bounds_retries_when_everything_fails() -> None:
     budget = RetryBudget(percent=10, burst=10)
     retried = 0
