Let the stand-in engine import what another one exported

Cause: an import was acknowledged and changed nothing, which is no import. Change: an export names its prefix blocks; importing puts them into the cache.

--- a/src/kelproad/standins/batch.py
+++ b/src/kelproad/standins/batch.py
@@ -87,6 +87,18 @@
             self.used_tokens -= stream.memory
         self._woken.set()
 
+    def store_blocks(self, blocks: list[str]) -> None:
+        """Keep computed or imported blocks; the oldest ones give way."""
+        for block in blocks:
+            if block not in self._cache:
+                self._note_cache('stored', block)
+            self._cache[block] = None
+            self._cache.move_to_end(block)
+        limit = self._settings.cache_tokens // BLOCK_TOKENS
+        while len(self._cache) > limit:
+            block, _ = self._cache.popitem(last=False)
+            self._note_cache('evicted', block)
+
     async def run(self) -> None:
         """Run the engine for ever."""
         while True:
@@ -160,7 +172,7 @@
         self._prefilling = None
         if stream.cancelled:
             return
-        self._store_blocks(stream)
+        self.store_blocks(stream.blocks)
         self._running.append(stream)
 
     async def _decode(self, stream: Stream) -> None:
@@ -187,16 +199,5 @@
             count += 1
         return count
 
-    def _store_blocks(self, stream: Stream) -> None:
-        for block in stream.blocks:
-            if block not in self._cache:
-                self._note_cache('stored', block)
-            self._cache[block] = None
-            self._cache.move_to_end(block)
-        limit = self._settings.cache_tokens // BLOCK_TOKENS
-        while len(self._cache) > limit:
-            block, _ = self._cache.popitem(last=False)
-            self._note_cache('evicted', block)
-
     def _note_cache(self, kind: str, block: str) -> None:
         self.cache_events.append(CacheEvent(monotonic(), kind, block))
--- a/src/kelproad/standins/holdings.py
+++ b/src/kelproad/standins/holdings.py
@@ -15,11 +15,26 @@
 
 @attrs.frozen
 class HoldingWanted:
-    """The body that makes an engine hold an export or a pin."""
+    """The body that makes an engine hold an export or a pin.
+
+    Attributes
+    ----------
+    blocks
+        Digests of the prefix blocks that an export is made of.
+    """
 
     owner: str
     tokens: int
     seconds: float
+    blocks: list[str] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class _Exported:
+    """An export as another engine imports it."""
+
+    tokens: int
+    blocks: list[str]
 
 
 @attrs.frozen
@@ -29,6 +44,7 @@
     owner: str
     tokens: int
     deadline: float
+    blocks: list[str]
 
 
 class Holdings:
@@ -77,6 +93,7 @@
                 wanted.owner,
                 wanted.tokens,
                 monotonic() + wanted.seconds,
+                wanted.blocks,
             )
         return web.json_response({})
 
@@ -84,11 +101,19 @@
         item = self._items.get(('export', http_request.match_info['item']))
         if item is None:
             return web.json_response({'message': 'not held'}, status=404)
-        return web.json_response({'tokens': item.tokens})
+        exported = _Exported(item.tokens, item.blocks)
+        return web.Response(
+            body=msgspec.json.encode(exported),
+            content_type='application/json',
+        )
 
     async def _import(self, http_request: web.Request) -> web.Response:
         """Import KV cache into the prefix cache, which gives way by itself."""
-        await http_request.read()
+        imported = msgspec.json.decode(
+            await http_request.read(),
+            type=_Exported,
+        )
+        self._batch.store_blocks(imported.blocks)
         return web.json_response({})
 
     async def _delete(self, http_request: web.Request) -> web.Response:
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -19,8 +19,7 @@
         event_lag=LAG,
         event_gap=2,
     )
-    application = EngineStandIn(settings, ['m']).create_application()
-    async with TestClient(TestServer(application)) as client:
+    async with start_engine(settings) as client:
         body = {'model': 'm', 'prompt': 'x' * 13_000, 'max_tokens': 1}
         answer = await client.post(
             '/v1/completions',
@@ -39,3 +38,26 @@
     """List the numbers of the cache events that an engine tells of."""
     listed = await client.get('/v1/cache-events')
     return [event['number'] for event in (await listed.json())['events']]
+
+
+async def test_export_of_one_engine_is_imported_by_another() -> None:
+    """What one engine computed is in the other's cache after the import."""
+    settings = EngineSettings(event_lag=0)
+    wanted = {
+        'owner': 'i:1',
+        'tokens': 2048,
+        'seconds': 5,
+        'blocks': ['b', 'c'],
+    }
+    async with start_engine(settings) as first, start_engine(settings) as other:
+        await first.put('/v1/exports/e', json=wanted)
+        exported = await (await first.get('/v1/exports/e')).json()
+        await other.post('/v1/imports/e', json=exported)
+        assert await list_numbers(first) == []
+        assert await list_numbers(other) == [1, 2]
+
+
+def start_engine(settings: EngineSettings) -> TestClient:
+    """Create a client whose engine runs while it is open."""
+    application = EngineStandIn(settings, ['m']).create_application()
+    return TestClient(TestServer(application))
