Drop a method nobody calls, and look for no alternative that is not used

Cause: reading the whole change again. Change: the method is gone; such requests skip the search. Behaviour is the same.

--- a/src/kelproad/coordination/attempts.py
+++ b/src/kelproad/coordination/attempts.py
@@ -186,11 +186,13 @@
         A silent engine is left for another one.  With the budget of retries
         spent that would end the request, and it might yet be answered here.
         """
-        affordable = self._retries.affords(answer.request)
-        if len(tried) >= _MAX_ATTEMPTS or not affordable:
+        request = answer.request
+        if len(tried) >= _MAX_ATTEMPTS or not request.repeatable:
+            return False
+        if not self._retries.affords(request):
             return False
         return routing.has_usable(
-            answer.request,
+            request,
             self._table,
             self._identity.zone,
             monotonic(),
--- a/src/kelproad/state/configuration.py
+++ b/src/kelproad/state/configuration.py
@@ -131,14 +131,6 @@
         """Build the snapshot of an instance that has adopted nothing yet."""
         return cls.from_files(0, {})
 
-    def changed_after(self, revision: int) -> list[AppliedFile]:
-        """List the files whose newest version is above a revision."""
-        return [
-            applied
-            for applied in self.files.values()
-            if applied.revision > revision
-        ]
-
     def contents(self) -> dict[str, FileContent]:
         """Return the content of every file in force by file name."""
         return {
