Refuse at once what a stopping instance would cut at its end

Ruled out: kept connections (it came on a new one), the engine (it was at work). Change: a call whose predicted length, counted high, goes beyond the end of the stop is refused before anything is sent, with the time to come back. The test fails before (200, broken after 3 events).

--- a/src/kelproad/coordination/drain.py
+++ b/src/kelproad/coordination/drain.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import enum
+import math
 from collections.abc import Callable
 
 from ..transport.deadlines import monotonic
@@ -39,18 +40,26 @@
         self._limit = limit
         self.phase = DrainPhase.SERVING
         self.started = asyncio.Event()
+        self._ends_at = math.inf
+
+    def measure_left(self) -> float:
+        """Return the seconds until the stop gives up what is unfinished.
+
+        Infinite while no stop was asked for.
+        """
+        return self._ends_at - monotonic()
 
     def start(self) -> None:
         """Begin the stop; beginning it again changes nothing."""
         if self.phase is DrainPhase.SERVING:
             self.phase = DrainPhase.LEAVING
+            self._ends_at = monotonic() + self._grace + self._limit
             self.started.set()
 
     async def finish(self) -> int:
         """Go through the stop; return how many requests were left."""
         await asyncio.sleep(self._grace)
         self.phase = DrainPhase.REFUSING
-        limit = monotonic() + self._limit
-        while self._count_unfinished() and monotonic() < limit:
+        while self._count_unfinished() and self.measure_left() > 0:
             await asyncio.sleep(_CHECK_PERIOD)
         return self._count_unfinished()
--- a/src/kelproad/coordination/ingress/choosing.py
+++ b/src/kelproad/coordination/ingress/choosing.py
@@ -4,7 +4,6 @@
 
 from ...state.calls import Call
 from ...state.endpoints import Endpoint, EndpointTable
-from ...state.engines import EngineProfile
 from ...state.work import WorkLedger
 from .holder import ConfigurationHolder
 from .placement import Candidate, Need, Placement
@@ -55,7 +54,7 @@
             When none can take it now.
         """
         candidates = self._list_candidates(call, tried, now)
-        profile = self._find_profile(call)
+        profile = self._holder.current.find_profile(call.service)
         if profile is None:
             return choose_plain(candidates, self._generator, _PLAIN_SECONDS)
         need = Need(
@@ -66,10 +65,6 @@
         )
         return choose_engines(candidates, need, profile, self._generator)
 
-    def _find_profile(self, call: Call) -> EngineProfile | None:
-        service = self._holder.current.services.get(call.service)
-        return service.engine if service else None
-
     def _list_candidates(
         self,
         call: Call,
--- a/src/kelproad/coordination/ingress/entrance.py
+++ b/src/kelproad/coordination/ingress/entrance.py
@@ -22,6 +22,7 @@
 from .dispatching import Dispatcher
 from .holder import ConfigurationHolder
 from .settings import Bounds
+from .stopping import predict_seconds
 
 __all__ = ['Entrance']
 
@@ -52,6 +53,7 @@
         holder: ConfigurationHolder,
         measure_age: Callable[[], float],
         is_confirmed_elsewhere: Callable[[float], bool],
+        measure_stop_left: Callable[[], float],
         dispatcher: Dispatcher,
         read_bounds: Callable[[], Bounds],
         counters: Counters,
@@ -59,13 +61,15 @@
     ) -> None:
         """Answer with the configuration in force.
 
-        ``measure_age`` tells how many seconds old it may be, and
-        ``is_confirmed_elsewhere`` whether another instance knows better.
+        ``measure_age`` tells how many seconds old it may be,
+        ``is_confirmed_elsewhere`` whether another instance knows better, and
+        ``measure_stop_left`` the seconds until this one stops.
         """
         self._dialect = dialect
         self._holder = holder
         self._measure_age = measure_age
         self._is_confirmed_elsewhere = is_confirmed_elsewhere
+        self._measure_stop_left = measure_stop_left
         self._dispatcher = dispatcher
         self._read_bounds = read_bounds
         self._counters = counters
@@ -134,13 +138,17 @@
         identified = self._identify(configuration, route, head)
         if isinstance(identified, Failure):
             return identified
+        service = self._choose_service(route)
+        profile = configuration.find_profile(service)
+        if predict_seconds(head, route, profile) > self._measure_stop_left():
+            return Failure(_refuse_stopping())
         deadline = _choose_deadline(route, head, arrived)
         body = await _receive(http_request, configuration, deadline)
         return body.map(
             lambda received: Call(
                 head,
                 route,
-                self._choose_service(route),
+                service,
                 identified.unwrap(),
                 received,
                 arrived,
@@ -257,6 +265,15 @@
     return len(http_request.raw_path) + fields
 
 
+def _refuse_stopping() -> Refusal:
+    return Refusal(
+        RefusalCode.NOT_READY,
+        'the instance stops before the answer would be whole',
+        Step.RECEIVE,
+        retry_after=_ELSEWHERE_RETRY,
+    )
+
+
 def _refuse_long_head() -> Refusal:
     return Refusal(
         RefusalCode.BAD_REQUEST,
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -240,6 +240,7 @@
             self._holder,
             self._configuration.measure_age,
             self._exchange.is_confirmed_elsewhere,
+            self._drain.measure_left,
             dispatcher,
             self._read_bounds,
             self._counters,
--- a/src/kelproad/state/routes.py
+++ b/src/kelproad/state/routes.py
@@ -178,6 +178,11 @@
             return 0
         return self.zone_delays.get(frozenset((zone, other)), ASSUMED_DELAY)
 
+    def find_profile(self, service: str) -> EngineProfile | None:
+        """Return the speeds of a service's engines; ``None`` if it has none."""
+        found = self.services.get(service)
+        return found.engine if found else None
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Find the route of a host whose prefix is the longest that fits."""
         name, _, _ = host.lower().partition(':')
--- a/tests/ingress/test_store_site.py
+++ b/tests/ingress/test_store_site.py
@@ -237,6 +237,35 @@
     assert instance.process.wait(8) == 0
 
 
+def test_a_stop_refuses_what_it_would_cut(site: RoutedSite) -> None:
+    """A balancer goes on sending to an instance that stops.
+
+    No other instance of the zone is in rotation, so a long stream comes five
+    seconds after SIGTERM; it was taken, and cut in its midst at the kill.  Now
+    the caller hears at once that it has not run, and goes to another one.
+    """
+    instance = site.instances[0]
+    for name in ('engine-1', 'engine-2', 'engine-3'):
+        site.break_endpoint(name, pace=0.9, events=5)
+    results: list[Answer] = []
+    thread = run_aside(
+        lambda: stream(instance, X_Kelproad_Deadline_Ms='9000'),
+        results,
+    )
+    time.sleep(0.3)
+    instance.process.send_signal(signal.SIGTERM)
+    time.sleep(3.5)
+    late = stream(instance, tokens='100,3000')
+    assert late.status == 503
+    assert late.seconds < SLACK
+    assert float(late.headers['Retry-After']) < SLACK
+    assert site.count_runs(late.request_id) == 0
+    assert call(instance, '/open/x').status == 200
+    thread.join()
+    assert count_events(results[0]) == [1, 2, 3, 4, 5]
+    assert instance.process.wait(8) == 0
+
+
 def test_a_reload_signal_ends_nothing(site: RoutedSite) -> None:
     """The settings change and SIGHUP says so; calls go on."""
     instance = site.instances[0]
