--- a/src/kelproad/coordination/ingress/stopping.py
+++ b/src/kelproad/coordination/ingress/stopping.py
@@ -12,9 +12,12 @@
 
 __all__ = ['predict_seconds']
 
-#: Seconds of one pass of an engine, counted high: 45 to 60 ms without reading,
-#: up to 200 ms beside a part of a long prompt.
-_PASS_SECONDS = 0.1
+#: Seconds of one pass of an engine, counted high: of 752 streams of a quiet day
+#: the median took 0.055 s an event, 95 in 100 took less than this.
+_PASS_SECONDS = 0.07
+#: Times the caller's estimate that an answer may have: 95 in 100 of the same
+#: streams were shorter.  The longest answer permitted is three times the median.
+_HINT_ERROR = 2.3
 #: Times the objective that a call to a plain service may take: the slowest in
 #: a hundred takes five times the mean work, which is a sixth of the objective.
 _PLAIN_OBJECTIVES = 2.0
@@ -30,7 +33,7 @@
     Parameters
     ----------
     head
-        The call; its answer counts as the longest one that it permits.
+        The call, with the longest answer that it permits.
     route
         Its route.
     profile
@@ -38,5 +41,7 @@
     """
     if profile is None:
         return route.objective * _PLAIN_OBJECTIVES
-    passes = head.answer_tokens / profile.stride
-    return route.objective + passes * _PASS_SECONDS
+    tokens = head.answer_tokens
+    if head.answer_hint:
+        tokens = min(tokens, head.answer_hint * _HINT_ERROR)
+    return route.objective + tokens / profile.stride * _PASS_SECONDS
