--- a/src/kelproad/coordination/ingress/exchange.py
+++ b/src/kelproad/coordination/ingress/exchange.py
@@ -21,6 +21,7 @@
 from ...transport.deadlines import monotonic
 from ...transport.services import BackgroundService
 from .reach import ZoneReach
+from .readers import Reader
 from .settings import NodeSettings
 
 __all__ = ['WorkExchange']
@@ -77,11 +78,13 @@
     """An instance that datagrams go to.
 
     ``order`` is that of the last datagram taken, as they may overtake;
-    ``confirmed_at`` is when its configuration was last confirmed.
+    ``confirmed_at`` is when its configuration was last confirmed.  ``zone`` is
+    empty until it was heard.
     """
 
     address: Address
     heard_at: float
+    zone: str = ''
     order: tuple[int, int] = (0, 0)
     confirmed_at: float = float('-inf')
 
@@ -151,6 +154,15 @@
         newest = max(peer.confirmed_at for peer in live)
         return now - newest < CONFIRMED_SECONDS
 
+    def list_zone(self, now: float) -> list[Reader]:
+        """List the other instances of this zone that were heard lately."""
+        return [
+            Reader(name, peer.address.host)
+            for name, peer in self._peers.items()
+            if peer.zone == self._settings.zone
+            and now - peer.heard_at < _LIVE_SECONDS
+        ]
+
     def introduce(self, instance: str, host: str) -> None:
         """Send to an instance from now on."""
         if host == self._settings.ip or instance == self._settings.instance:
@@ -190,6 +202,7 @@
         if silent:
             record(_logger, 'peer_heard', peer=news.instance, zone=news.zone)
         peer.heard_at = now
+        peer.zone = news.zone
         if news.unconfirmed_for is not None:
             peer.confirmed_at = now - news.unconfirmed_for
         self._reach.note_peer(news.zone, now)
--- a/src/kelproad/coordination/ingress/following.py
+++ b/src/kelproad/coordination/ingress/following.py
@@ -2,12 +2,14 @@
 
 A follower reads the table once, then waits for changes.  Each sound answer
 also says how fresh the table is here, which is what permits to trust an API key
-or to leave an endpoint for good.
+or to leave an endpoint for good.  Another instance may be asked in place of the
+store; when none can tell, the store is.
 """
 
 import asyncio
 import enum
 import logging
+import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -34,6 +36,9 @@
 #: back together.
 _SHORTEST_PAUSE = 0.05
 _LONGEST_PAUSE = 0.5
+#: Seconds between two questions to another instance: short, as they cost the
+#: store nothing, and what is told here grows by them in age.
+_ASK_PERIOD = 0.3
 
 
 class StoreProblemKind(enum.StrEnum):
@@ -74,11 +79,17 @@
         Newest version of the store when it answered; changes follow it.
     whole
         Whether these are all rows, or those that changed.
+    age
+        Seconds since another instance read this, when it told it.
+    back_for
+        Seconds since the store came back there, if it was away.
     """
 
     version: int
     rows: list[StoredRow]
     whole: bool
+    age: float = 0
+    back_for: float = math.inf
 
 
 @attrs.frozen
@@ -93,6 +104,9 @@
     ]
 
 
+AskPeer = Callable[[int | None], Awaitable[TableState | None]]
+
+
 class TableFollower(BackgroundService):
     """Keeps one table current here, as long as the store can be reached.
 
@@ -105,6 +119,8 @@
         the monotonic clock.
     back_at
         Monotonic time of the first sound answer after a failure.
+    direct
+        Whether the last sound answer was the store's own.
     """
 
     abstract = False
@@ -116,6 +132,7 @@
         patience: float,
         pause: float,
         generator: random.Random,
+        ask_peer: AskPeer,
     ) -> None:
         """Follow a source.
 
@@ -132,6 +149,9 @@
             several changes come in one answer.
         generator
             Source of the pauses after failures.
+        ask_peer
+            Asks another instance what changed since a version, or for all
+            rows; gives nothing when none can tell.
         """
         super().__init__()
         self._source = source
@@ -139,8 +159,10 @@
         self._patience = patience
         self._pause = pause
         self._generator = generator
+        self._ask_peer = ask_peer
         self._version: int | None = None
         self._failures = 0
+        self.direct = False
         self.sound_at = float('-inf')
         self.back_at = float('-inf')
 
@@ -148,6 +170,10 @@
         """Return how many seconds old the table may be."""
         return read_boottime() - self.sound_at
 
+    def measure_back(self) -> float:
+        """Return the seconds since the store came back; infinite if never."""
+        return monotonic() - self.back_at
+
     @property
     def failing(self) -> bool:
         """Whether the last call failed."""
@@ -157,22 +183,29 @@
     async def _follow(self) -> None:
         while not self.should_stop:
             sent_at = read_boottime()
-            answered = await self._ask()
+            told = await self._ask_peer(self._version)
+            if told is not None:
+                self._accept(told, sent_at, direct=False)
+                await asyncio.sleep(_ASK_PERIOD)
+                continue
+            answered = await self._ask_store()
             if isinstance(answered, Failure):
                 await self._bear(answered.failure())
                 continue
-            self._accept(answered.unwrap(), sent_at)
+            self._accept(answered.unwrap(), sent_at, direct=True)
             await asyncio.sleep(self._pause)
 
-    async def _ask(self) -> Result[TableState, StoreProblem]:
+    async def _ask_store(self) -> Result[TableState, StoreProblem]:
         if self._version is None:
             return await self._source.read()
         # After a failure an answer is wanted at once, to know whether the
-        # store is back, and not when something changes.
-        patience = 0 if self._failures else self._patience
+        # store is back, and not when something changes; so it is when another
+        # instance has just failed to tell.
+        waits = self.direct and not self._failures
+        patience = self._patience if waits else 0
         return await self._source.await_changes(self._version, patience)
 
-    def _accept(self, state: TableState, sent_at: float) -> None:
+    def _accept(self, state: TableState, sent_at: float, direct: bool) -> None:
         if self._failures:
             self.back_at = monotonic()
             record(
@@ -183,6 +216,8 @@
                 age=round(self.measure_age(), 3),
             )
         self._failures = 0
+        self.back_at = max(self.back_at, monotonic() - state.back_for)
+        self._note_direct(direct)
         # The store's counter never goes back; an answer that does is that of
         # a stale reader, and following it would lose no change but repeat old
         # ones over newer ones.
@@ -190,7 +225,16 @@
             return
         self._version = state.version
         self._adopt(state)
-        self.sound_at = sent_at
+        self.sound_at = max(self.sound_at, sent_at - state.age)
+
+    def _note_direct(self, direct: bool) -> None:
+        if direct is not self.direct:
+            record(
+                _logger,
+                'table_read_directly' if direct else 'table_told_by_peer',
+                table=self._source.name,
+            )
+        self.direct = direct
 
     async def _bear(self, problem: StoreProblem) -> None:
         """Note a failure and wait a little."""
--- /dev/null
+++ b/src/kelproad/coordination/ingress/mirror.py
@@ -0,0 +1,76 @@
+"""A table of the store as one instance has it, ready for its peers.
+
+Peers ask for what changed since a version, as they would ask the store.  A
+change that tells nobody anything, such as the next report of an endpoint that
+is as it was, is left out: endpoints report every second or so, and handing
+each report on would make up nearly all that is sent.
+"""
+
+from collections.abc import Callable
+
+from .following import StoredRow, TableState
+
+__all__ = ['TableMirror']
+
+#: Dropped rows that are remembered, so that a peer hears of the dropping.
+#: Endpoints come and go by tens a minute; a peer asks several times a second.
+_MOST_DROPPED = 1_000
+
+
+class TableMirror:
+    """Rows of one table, and which of them changed since a version."""
+
+    def __init__(
+        self,
+        tells_same: Callable[[StoredRow, StoredRow], bool],
+    ) -> None:
+        """Start empty.
+
+        ``tells_same`` tells whether a row says the same as the one before it.
+        """
+        self._tells_same = tells_same
+        self._rows: dict[str, StoredRow] = {}
+        self._version: int | None = None
+        #: Changes behind this version are all known, those before are not.
+        self._complete_since = 0
+
+    def take(self, state: TableState) -> None:
+        """Take in rows that were read, or those that changed."""
+        if state.whole:
+            self._rows = {}
+            self._complete_since = state.version
+        for row in state.rows:
+            known = self._rows.get(row.key)
+            if known is None or not self._is_same(known, row):
+                self._rows[row.key] = row
+        self._version = state.version
+        self._forget_dropped()
+
+    def list_changes(self, after: int | None) -> TableState | None:
+        """List what changed since a version, or all rows.
+
+        Returns
+        -------
+        TableState | None
+            Nothing while no state of the table is known.
+        """
+        if self._version is None:
+            return None
+        if after is None or after < self._complete_since:
+            rows = [row for row in self._rows.values() if row.encoded]
+            return TableState(self._version, rows, whole=True)
+        rows = [row for row in self._rows.values() if row.version > after]
+        return TableState(self._version, rows, whole=False)
+
+    def _is_same(self, known: StoredRow, row: StoredRow) -> bool:
+        if known.encoded is None or row.encoded is None:
+            return False
+        return self._tells_same(known, row)
+
+    def _forget_dropped(self) -> None:
+        dropped = [row for row in self._rows.values() if row.encoded is None]
+        if len(dropped) <= _MOST_DROPPED:
+            return
+        for row in dropped:
+            self._rows.pop(row.key)
+        self._complete_since = self._version
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -21,10 +21,8 @@
 from .choosing import Chooser
 from .dialect import Dialect
 from .dispatching import Dispatcher
-from .endpoints import EndpointRegistry
 from .entrance import Entrance
 from .exchange import CONFIRMED_SECONDS, WorkExchange
-from .following import TableFollower, TableState
 from .holder import ConfigurationHolder
 from .memory import MemoryKeeper
 from .reach import ZoneReach
@@ -33,26 +31,14 @@
 from .sending import Sender
 from .settings import Bounds
 from .sharing import SharedRetries
-from .store import NodeStore, OpenStore
+from .store import OpenStore
 from .surfaces import Surfaces, describe_endpoints, describe_work
+from .tables import FollowedTables
 from .verdicts import Verdicts
 
 __all__ = ['Node']
 
 _logger = logging.getLogger(__name__)
-#: Seconds that a call to the store waits for a configuration.  It bounds how
-#: old what is in force may be, and half of what must be applied in 2 s.
-_CONFIGURATION_PATIENCE = 0.8
-#: Seconds that a call waits for a change of the endpoints, and the pause after
-#: one: some endpoint writes every 50 ms, so a shorter pause only makes more
-#: calls (0.3 s: 3.3 calls a second of each instance, 0.6 s: 2.5), and one that
-#: leaves must get nothing after 2 s.
-_ENDPOINT_PATIENCE = 1.0
-_ENDPOINT_PAUSE = 0.6
-#: Largest share of the time in which a change must be in force, or an endpoint
-#: that leaves be left, for which calls wait or pause.
-_WAIT_SHARE = 0.4
-_PAUSE_SHARE = 0.3
 #: Seconds between two looks at entries that lapsed.
 _LAPSE_PERIOD = 0.25
 #: Seconds for which a stopping instance takes what a balancer still sends,
@@ -111,13 +97,22 @@
     async def on_first_start(self) -> None:
         """Build the parts, start them, and listen last of all."""
         store = self._open_store(self._open_kept_session(), self._counters)
-        self._create_followers(store)
+        self._tables = FollowedTables(
+            self._settings,
+            store,
+            self._holder,
+            self._table,
+            lambda now: self._exchange.list_zone(now),
+            self._open_kept_session(),
+            self._counters,
+            self._generator,
+        )
         self._exchange = WorkExchange(
             self._settings,
             self._started_at,
             self._ledger,
             self._reach,
-            self._configuration.measure_age,
+            self._tables.configuration.measure_age,
         )
         roster = Roster(
             self._settings,
@@ -127,8 +122,8 @@
         )
         self._create_entrance()
         for service in (
-            self._configuration,
-            self._endpoints,
+            self._tables.configuration,
+            self._tables.endpoints,
             self._exchange,
             roster,
             SettingsWatch(self._settings_holder),
@@ -179,33 +174,6 @@
 
     # Building
 
-    def _create_followers(self, store: NodeStore) -> None:
-        bounds = self._settings.bounds
-        self._configuration = TableFollower(
-            store.configuration,
-            self._adopt_configuration,
-            min(
-                _CONFIGURATION_PATIENCE,
-                bounds.apply_configuration * _WAIT_SHARE,
-            ),
-            0,
-            self._generator,
-        )
-        self._endpoints = TableFollower(
-            store.endpoints,
-            self._adopt_endpoints,
-            _ENDPOINT_PATIENCE,
-            min(_ENDPOINT_PAUSE, bounds.leave_endpoint * _PAUSE_SHARE),
-            self._generator,
-        )
-        self._store = store
-        self._registry = EndpointRegistry(
-            self._table,
-            store.decode_endpoint,
-            lambda: self._endpoints.back_at,
-            bounds.leave_endpoint,
-        )
-
     def _create_entrance(self) -> None:
         retries = SharedRetries(
             self._read_bounds,
@@ -238,7 +206,7 @@
         self._entrance = Entrance(
             self._dialect,
             self._holder,
-            self._configuration.measure_age,
+            self._tables.configuration.measure_age,
             self._exchange.is_confirmed_elsewhere,
             self._drain.measure_left,
             dispatcher,
@@ -256,10 +224,12 @@
             self._drain,
             self._counters,
             self._describe,
+            self._tables.tell,
         )
         self._caller_server = surfaces.create_caller_server()
         for server in (
             self._caller_server,
+            surfaces.create_peer_server(),
             surfaces.create_ready_server(),
             surfaces.create_metrics_server(),
         ):
@@ -281,23 +251,11 @@
     def _read_bounds(self) -> Bounds:
         return self._settings_holder.current.bounds
 
-    # Adopting
-
-    def _adopt_configuration(self, state: TableState) -> None:
-        for row in state.rows:
-            if row.key != self._store.configuration_key:
-                continue
-            if self._holder.offer(self._store.decode_configuration(row)):
-                self._registry.adopt_configuration(self._holder.current)
-
-    def _adopt_endpoints(self, state: TableState) -> None:
-        self._registry.adopt(state)
-
     @Service.task
     async def _drop_lapsed(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(_LAPSE_PERIOD)
-            self._registry.publish()
+            self._tables.registry.publish()
 
     # Stopping and telling
 
@@ -312,12 +270,12 @@
 
     def _explain_unready(self) -> str:
         """Say why no calls should come here; empty when they should."""
-        age = self._configuration.measure_age()
+        age = self._tables.configuration.measure_age()
         if self._drain.phase is not DrainPhase.SERVING:
             return 'stopping'
         if self._holder.current is None:
             return 'no configuration'
-        if not len(self._registry):
+        if not len(self._tables.registry):
             return 'no endpoints'
         if age > CONFIRMED_SECONDS and (
             self._exchange.is_confirmed_elsewhere(monotonic())
@@ -336,8 +294,8 @@
             'zone': self._settings.zone,
             'unready': self._explain_unready(),
             'version': configuration.version if configuration else None,
-            'age': self._configuration.measure_age(),
-            'endpoint_age': self._endpoints.measure_age(),
+            'age': self._tables.configuration.measure_age(),
+            'endpoint_age': self._tables.endpoints.measure_age(),
             'live_instances': self._exchange.count_live(now),
             'unfinished': self._entrance.unfinished,
             'own_work': describe_work(self._ledger),
--- a/src/kelproad/coordination/ingress/stopping.py
+++ b/src/kelproad/coordination/ingress/stopping.py
@@ -12,11 +12,11 @@
 
 __all__ = ['predict_seconds']
 
-#: Seconds of one pass of an engine, counted high: of 752 streams of a quiet day
-#: the median took 0.055 s an event, 95 in 100 took less than this.
+#: Seconds of one pass of an engine, counted high: of 752 streams of a quiet
+#: day the median took 0.055 s an event, 95 in 100 less than this.
 _PASS_SECONDS = 0.07
 #: Times the caller's estimate that an answer may have: 95 in 100 of the same
-#: streams were shorter.  The longest answer permitted is three times the median.
+#: streams were shorter; the longest answer permitted is three times the median.
 _HINT_ERROR = 2.3
 #: Times the objective that a call to a plain service may take: the slowest in
 #: a hundred takes five times the mean work, which is a sixth of the objective.
--- a/src/kelproad/coordination/ingress/surfaces.py
+++ b/src/kelproad/coordination/ingress/surfaces.py
@@ -13,6 +13,8 @@
 from ...transport.http import HttpServer
 from ..drain import Drain, DrainPhase
 from .dialect import Dialect
+from .following import TableState
+from .relaying import TABLE_PATH, build_answer, read_after
 from .settings import NodeSettings
 
 __all__ = ['Surfaces', 'describe_endpoints', 'describe_work']
@@ -45,6 +47,7 @@
     _drain: Drain
     _counters: Counters
     _describe: Callable[[], dict[str, object]]
+    _list_changes: Callable[[str, int | None], TableState | None]
 
     def create_caller_server(self) -> HttpServer:
         """Create the server that takes calls."""
@@ -78,6 +81,13 @@
         )
         return HttpServer(metrics, Address(self._settings.ip, METRICS_PORT))
 
+    def create_peer_server(self) -> HttpServer:
+        """Create the server that hands tables on to other instances."""
+        peers = web.Application()
+        peers.add_routes([web.get(f'{TABLE_PATH}{{table}}', self._tell_table)])
+        own = Address(self._settings.ip, self._settings.peer_port)
+        return HttpServer(peers, own)
+
     async def _answer_call(
         self,
         http_request: web.Request,
@@ -94,6 +104,12 @@
             response.headers['Connection'] = 'close'
             response.force_close()
 
+    async def _tell_table(self, http_request: web.Request) -> web.Response:
+        table = http_request.match_info['table']
+        return build_answer(
+            self._list_changes(table, read_after(http_request)),
+        )
+
     async def _tell_ready(self, _http_request: web.Request) -> web.Response:
         reason = self._explain_unready()
         return web.Response(
--- a/tests/ingress/test_following.py
+++ b/tests/ingress/test_following.py
@@ -25,6 +25,11 @@
         self.asked: list[tuple[int | None, float]] = []
         self.follower: TableFollower | None = None
         self.adopted: list[TableState] = []
+        self.told: list[TableState] = []
+
+    async def ask_peer(self, _version: int | None) -> TableState | None:
+        """Answer as another instance would; without one, not at all."""
+        return self.told.pop(0) if self.told else None
 
     async def read(self) -> Result[TableState, StoreProblem]:
         """Answer a reading of the whole table."""
@@ -58,6 +63,7 @@
         0.8,
         0,
         random.Random(1),
+        script.ask_peer,
     )
     script.follower = follower
     await TableFollower._follow.fun(follower)
