Soak the routed interface behind a loopback proxy

Instances are killed, frozen, stopped and reloaded, endpoints killed and broken, the store fails in five ways, links delay, fall silent, lose one direction or reset, keys and routes change, three at a time from a seed. Afterwards what callers were told is compared with what endpoints ran, and nothing may be held.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test bench soak lint format binary binary-check slopes clean
+.PHONY: demo test bench soak soak-routed lint format binary binary-check slopes clean
 
 EXAMPLE := roadgrip
 SECONDS := 60
@@ -32,6 +32,10 @@
 soak: $(STAMP)
 	$(PYTHON) -m testbed.soak.run --seconds $(SECONDS) --seed $(SEED)
 
+# The routed interface, behind proxies that harm connections.
+soak-routed: $(STAMP)
+	$(PYTHON) -m testbed.soak.routed --seconds $(SECONDS) --seed $(SEED)
+
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check src tests demo bench testbed
 	$(VENV)/bin/ruff check src tests demo bench testbed
--- a/testbed/routed.py
+++ b/testbed/routed.py
@@ -76,6 +76,9 @@
     store: str
     store_process: Process
     endpoints: dict[str, str] = attrs.field(factory=dict)
+    #: Addresses under which endpoints list themselves, where a proxy stands
+    #: before them.
+    listed_at: dict[str, str] = attrs.field(factory=dict)
     endpoint_processes: dict[str, Process] = attrs.field(factory=dict)
     instances: list[RoutedInstance] = attrs.field(factory=list)
     version: int = 0
@@ -128,7 +131,7 @@
             name,
             {
                 'service': service,
-                'address': self.endpoints[name],
+                'address': self.listed_at.get(name, self.endpoints[name]),
                 'zone': zone,
                 'version': 'v1',
                 'slots': 8,
@@ -166,18 +169,31 @@
 
     def start_endpoint(self, name: str, service: str) -> None:
         """Start an endpoint and list it."""
-        address = find_free_address()
-        self.endpoints[name] = address
+        self.endpoints[name] = find_free_address()
+        self.restart_endpoint(name)
+        self.list_endpoint(name, service)
+
+    def restart_endpoint(self, name: str) -> None:
+        """Start the process of an endpoint, which knows nothing of before."""
+        address = self.endpoints[name]
         self.endpoint_processes[name] = Process(
             name,
             ['stand-in', 'endpoint', '--address', address, '--name', name],
             self.directory,
         )
         wait_until_answering(f'http://{address}/control/runs')
-        self.list_endpoint(name, service)
 
-    def start_instance(self, name: str, zone: str = 'zone-a') -> None:
-        """Start an instance and wait until it is ready."""
+    def start_instance(
+        self,
+        name: str,
+        zone: str = 'zone-a',
+        store: str | None = None,
+    ) -> None:
+        """Start an instance and wait until it is ready.
+
+        It reaches the store at another address than the store's own where a
+        proxy stands between them.
+        """
         host = f'127.{_draw_byte()}.{_draw_byte()}.9'
         caller = find_free_address(host)
         ready = find_free_address(host)
@@ -191,7 +207,7 @@
                     f'listen.frontend={caller}',
                     f'listen.ready={ready}',
                     'internal_port_range=7340,7355',
-                    f'platform.address={self.store}',
+                    f'platform.address={store or self.store}',
                     *_BOUNDS,
                 ),
             ),
--- /dev/null
+++ b/testbed/soak/routed.py
@@ -0,0 +1,122 @@
+"""A long run of the routed interface under failures drawn from a seed.
+
+Real programs as separate processes, a proxy before every endpoint and before
+the store of every instance, callers on kept connections.  Exit code 1 when a
+promise was broken; logs stay in the folder that is named then.
+"""
+
+import argparse
+import asyncio
+import collections
+import contextlib
+import pathlib
+import shutil
+import sys
+import tempfile
+from collections.abc import AsyncIterator
+
+from testbed.routed import RoutedSite, start_routed_site
+
+from .links import Link
+from .routed_callers import RoutedCallers
+from .routed_checks import check_calls, check_calm
+from .routed_faults import RoutedFaults, wait_for_all
+
+__all__ = ['main', 'soak']
+
+_INSTANCES = 3
+_SECONDS = 30.0
+#: Seconds in which endpoints that were left alone are tried again, and entries
+#: and configuration reach all instances.
+_CALM_SECONDS = 7.0
+
+
+async def soak(site: RoutedSite, seconds: float, seed: int) -> list[str]:
+    """Run callers and failures together, mend all, then check.
+
+    Returns
+    -------
+    list of str
+        Every promise that was broken.
+    """
+    async with _open_links(site) as links:
+        callers = RoutedCallers(site, seed)
+        callers.key = 'first-key'
+        await asyncio.to_thread(site.put_configuration, ('first-key',))
+        await asyncio.sleep(1)
+        faults = RoutedFaults(site, links, callers, seed)
+        await asyncio.gather(callers.run(seconds), faults.run(seconds))
+        await asyncio.to_thread(wait_for_all, site)
+        await asyncio.sleep(_CALM_SECONDS)
+        last = await callers.call_once()
+        _show(callers, faults)
+        calm = await asyncio.to_thread(check_calm, site, last)
+        calls = await asyncio.to_thread(
+            check_calls,
+            site,
+            callers.told,
+            faults,
+        )
+    return calls + calm
+
+
+@contextlib.asynccontextmanager
+async def _open_links(site: RoutedSite) -> AsyncIterator[dict[str, Link]]:
+    """Put proxies before endpoints and store, and start the instances."""
+    links: dict[str, Link] = {}
+    for name, address in site.endpoints.items():
+        links[name] = Link(name, address)
+        await links[name].open()
+        site.listed_at[name] = links[name].address
+        service = 'book' if name.startswith('book') else 'writer'
+        await asyncio.to_thread(site.list_endpoint, name, service)
+    for number in range(1, _INSTANCES + 1):
+        link = Link(f'store of edge-{number}', site.store)
+        await link.open()
+        links[link.name] = link
+        await asyncio.to_thread(
+            site.start_instance,
+            f'edge-{number}',
+            f'zone-{number % 2}',
+            link.address,
+        )
+    try:
+        yield links
+    finally:
+        for link in links.values():
+            link.close()
+
+
+def _show(callers: RoutedCallers, faults: RoutedFaults) -> None:
+    for span in faults.spans:
+        lasted = span.ended - span.began
+        print(f'  {span.name}: {span.subject}, {lasted:.1f} s')
+    outcomes = collections.Counter(
+        f'{item.kind} {item.status}{"" if item.whole else " broken"}'
+        for item in callers.told
+    )
+    for label, count in sorted(outcomes.items()):
+        print(f'{count:6} {label}')
+
+
+def main() -> int:
+    """Read the options and run."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--seconds', type=float, default=_SECONDS)
+    parser.add_argument('--seed', type=int, default=1)
+    options = parser.parse_args()
+    directory = pathlib.Path(tempfile.mkdtemp(prefix='kelproad-soak-'))
+    with start_routed_site(directory, 0) as site:
+        broken = asyncio.run(soak(site, options.seconds, options.seed))
+    for line in broken:
+        print(f'BROKEN: {line}')
+    print(f'seed {options.seed}: {len(broken)} promises broken')
+    if broken:
+        print(f'logs: {directory}')
+    else:
+        shutil.rmtree(directory)
+    return 1 if broken else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
