--- a/src/kelproad/platform/engines.py
+++ b/src/kelproad/platform/engines.py
@@ -1,13 +1,11 @@
 """Orders to engines: reserving and releasing memory."""
 
-import asyncio
-
 import aiohttp
 import attrs
 import msgspec
 from returns.result import Failure, Result, Success
 
-from ..transport.deadlines import monotonic, within
+from ..transport.exchanges import Reply, exchange
 
 __all__ = ['OrderClient']
 
@@ -15,6 +13,8 @@
 #: prompt that waits for memory has some seconds.
 _ORDER_TIMEOUT = 0.3
 _DONE = 200
+#: Bytes of an engine's refusal that go to the log.
+_MOST_SHOWN = 100
 
 
 class _Reserve(msgspec.Struct):
@@ -62,24 +62,18 @@
         address: str,
         order: msgspec.Struct,
     ) -> Result[None, str]:
-        try:
-            async with within(monotonic() + _ORDER_TIMEOUT):
-                return await self._exchange(address, order)
-        except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
-            return Failure(repr(error))
-
-    async def _exchange(
-        self,
-        address: str,
-        order: msgspec.Struct,
-    ) -> Result[None, str]:
-        async with self._session.post(
+        answered = await exchange(
+            self._session,
+            'POST',
             f'http://{address}/-/order',
-            data=msgspec.json.encode(order),
+            _ORDER_TIMEOUT,
+            msgspec.json.encode(order),
             headers={'Content-Type': 'application/json'},
-            allow_redirects=False,
-        ) as response:
-            received = await response.read()
-        if response.status == _DONE:
-            return Success(None)
-        return Failure(f'status {response.status}: {received[:100]!r}')
+        )
+        return answered.alt(lambda failure: failure.reason).bind(_sort_reply)
+
+
+def _sort_reply(reply: Reply) -> Result[None, str]:
+    if reply.status == _DONE:
+        return Success(None)
+    return Failure(f'status {reply.status}: {reply.body[:_MOST_SHOWN]!r}')
--- a/src/kelproad/platform/store.py
+++ b/src/kelproad/platform/store.py
@@ -5,7 +5,6 @@
 say nothing about calls that were lost; only reading back does.
 """
 
-import asyncio
 import base64
 import binascii
 import types
@@ -24,7 +23,7 @@
 )
 from ..state.counters import Counters
 from ..transport.addresses import Address
-from ..transport.deadlines import monotonic, within
+from ..transport.exchanges import ExchangeFailure, Reply, exchange
 
 __all__ = ['StoreClient']
 
@@ -160,39 +159,21 @@
         body: bytes | None,
         seconds: float,
     ) -> Result[bytes, StoreProblem]:
-        try:
-            async with within(monotonic() + seconds):
-                answered = await self._exchange(method, name, query, body)
-        except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
-            answered = Failure(
-                StoreProblem(StoreProblemKind.UNREACHABLE, repr(error)),
-            )
-        outcome = 'ok'
-        if isinstance(answered, Failure):
-            outcome = answered.failure().kind.value
-        self._counters.store_calls.inc({'operation': name, 'outcome': outcome})
-        return answered
-
-    async def _exchange(
-        self,
-        method: str,
-        name: str,
-        query: dict[str, str],
-        body: bytes | None,
-    ) -> Result[bytes, StoreProblem]:
-        async with self._session.request(
+        answered = await exchange(
+            self._session,
             method,
             f'{self._read_address().url}/-/{name}',
-            params=query,
-            data=body,
-            headers={'Content-Type': 'application/json'} if body else {},
-            allow_redirects=False,
-        ) as response:
-            received = await response.read()
-        if response.status == _SUCCESS:
-            return Success(received)
-        kind = _KINDS.get(response.status, StoreProblemKind.REFUSED)
-        return Failure(StoreProblem(kind, f'status {response.status}'))
+            seconds,
+            body,
+            query,
+            {'Content-Type': 'application/json'} if body else {},
+        )
+        sorted_out = answered.alt(_explain_unreached).bind(_sort_reply)
+        outcome = 'ok'
+        if isinstance(sorted_out, Failure):
+            outcome = sorted_out.failure().kind.value
+        self._counters.store_calls.inc({'operation': name, 'outcome': outcome})
+        return sorted_out
 
 
 _KINDS = types.MappingProxyType(
@@ -204,6 +185,17 @@
 )
 
 
+def _explain_unreached(failure: ExchangeFailure) -> StoreProblem:
+    return StoreProblem(StoreProblemKind.UNREACHABLE, failure.reason)
+
+
+def _sort_reply(reply: Reply) -> Result[bytes, StoreProblem]:
+    if reply.status == _SUCCESS:
+        return Success(reply.body)
+    kind = _KINDS.get(reply.status, StoreProblemKind.REFUSED)
+    return Failure(StoreProblem(kind, f'status {reply.status}'))
+
+
 def _decode_page(received: bytes) -> Result[_WireRows, StoreProblem]:
     try:
         return Success(_decode_rows(received))
--- a/src/kelproad/protocol/platform.py
+++ b/src/kelproad/protocol/platform.py
@@ -7,7 +7,6 @@
 reading back.
 """
 
-import asyncio
 from collections.abc import Sequence
 from typing import TypeVar
 
@@ -18,7 +17,7 @@
 
 from ..state.counters import Counters
 from ..transport.addresses import Address
-from ..transport.deadlines import monotonic, within
+from ..transport.exchanges import Reply, exchange
 from .store import Listing, Row, StoreError, StoreErrorKind, Write
 
 __all__ = ['PlatformClient']
@@ -162,59 +161,48 @@
         body: bytes | None = None,
         query: dict[str, str] | None = None,
     ) -> Result[bytes, StoreError]:
-        try:
-            async with within(monotonic() + timeout):
-                outcome = await self._exchange(
-                    operation,
-                    method,
-                    path,
-                    body,
-                    query,
-                )
-        except aiohttp.ClientConnectorError as error:
-            # The connection was never made, so nothing was sent.
+        answered = await exchange(
+            self._session,
+            method,
+            self._address.url + path,
+            timeout,
+            body,
+            query,
+        )
+        if isinstance(answered, Failure):
+            failure = answered.failure()
+            # A read may be tried again at will; only a write that was sent
+            # stays unknown.
+            doubtful = failure.sent and method != 'GET'
             outcome = self._fail(
-                StoreErrorKind.UNAVAILABLE,
+                StoreErrorKind.UNKNOWN
+                if doubtful
+                else StoreErrorKind.UNAVAILABLE,
                 operation,
-                str(error),
-            )
-        except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
-            # A read may be tried again at will; only a write stays unknown.
-            kind = (
-                StoreErrorKind.UNAVAILABLE
-                if method == 'GET'
-                else StoreErrorKind.UNKNOWN
+                failure.reason,
             )
-            outcome = self._fail(kind, operation, repr(error))
+        else:
+            outcome = self._sort(answered.unwrap(), operation, method, path)
         label = 'ok' if isinstance(outcome, Success) else outcome.failure().kind
         self._counters.store_calls.inc(
             {'operation': operation, 'outcome': str(label)},
         )
         return outcome
 
-    async def _exchange(
+    def _sort(
         self,
+        reply: Reply,
         operation: str,
         method: str,
         path: str,
-        body: bytes | None,
-        query: dict[str, str] | None,
     ) -> Result[bytes, StoreError]:
-        async with self._session.request(
-            method,
-            self._address.url + path,
-            data=body,
-            params=query,
-            allow_redirects=False,
-        ) as response:
-            received = await response.read()
-        if response.status == _OK:
-            return Success(received)
+        if reply.status == _OK:
+            return Success(reply.body)
         return self._fail(
-            _classify_status(response.status, method, path),
+            _classify_status(reply.status, method, path),
             operation,
-            f'answered {response.status}: {received[:_MOST_SHOWN]!r}',
-            _read_conflicts(received) if response.status == _CONFLICT else [],
+            f'answered {reply.status}: {reply.body[:_MOST_SHOWN]!r}',
+            _read_conflicts(reply.body) if reply.status == _CONFLICT else [],
         )
 
     def _decode(self, body: bytes, kind: type[T]) -> Result[T, StoreError]:
--- /dev/null
+++ b/src/kelproad/transport/exchanges.py
@@ -0,0 +1,70 @@
+"""One HTTP exchange: bounded in time, answered whole, or failed and why."""
+
+import asyncio
+import types
+from collections.abc import Mapping
+
+import aiohttp
+import attrs
+from returns.result import Failure, Result, Success
+
+from .deadlines import monotonic, within
+
+__all__ = ['ExchangeFailure', 'Reply', 'exchange']
+
+_NO_HEADERS: Mapping[str, str] = types.MappingProxyType({})
+
+
+@attrs.frozen
+class Reply:
+    """An answer with its whole body, whatever its status."""
+
+    status: int
+    body: bytes
+
+
+@attrs.frozen
+class ExchangeFailure:
+    """An exchange that brought no whole answer.
+
+    Attributes
+    ----------
+    sent
+        Whether the request may have been sent, and so may have taken effect.
+        It was not when no connection was made.
+    """
+
+    reason: str
+    sent: bool
+
+
+async def exchange(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    seconds: float,
+    body: bytes | None = None,
+    query: Mapping[str, str] | None = None,
+    headers: Mapping[str, str] = _NO_HEADERS,
+) -> Result[Reply, ExchangeFailure]:
+    """Send a request and read its answer, within some seconds.
+
+    Redirects are not followed.
+    """
+    try:
+        async with (
+            within(monotonic() + seconds),
+            session.request(
+                method,
+                url,
+                params=query,
+                data=body,
+                headers=headers,
+                allow_redirects=False,
+            ) as response,
+        ):
+            return Success(Reply(response.status, await response.read()))
+    except aiohttp.ClientConnectorError as error:
+        return Failure(ExchangeFailure(str(error), sent=False))
+    except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
+        return Failure(ExchangeFailure(repr(error), sent=True))
