Let only readers look often for a store that is down

Ruled out: longer pauses for all (callers with keys are refused until the store is found back). Change: an instance with a reader asks that one every 0.3 s, and the store itself every 0.05 to 3 s; a reader that is behind is asked again and no longer left alone for 3 s.

--- a/src/kelproad/coordination/ingress/following.py
+++ b/src/kelproad/coordination/ingress/following.py
@@ -22,6 +22,7 @@
 from ...transport.services import BackgroundService
 
 __all__ = [
+    'PeerTable',
     'StoreProblem',
     'StoreProblemKind',
     'StoredRow',
@@ -36,6 +37,10 @@
 #: back together.
 _SHORTEST_PAUSE = 0.05
 _LONGEST_PAUSE = 0.5
+#: Longest pause of an instance that has a reader to ask, which then looks for
+#: the store more often.  64 instances that all do make 500 calls a second to a
+#: store that is down, more than it permits writes in good times.
+_LONGEST_PAUSE_TOLD = 3.0
 #: Seconds between two questions to another instance: short, as they cost the
 #: store nothing, and what is told here grows by them in age.
 _ASK_PERIOD = 0.3
@@ -104,7 +109,22 @@
     ]
 
 
-AskPeer = Callable[[int | None], Awaitable[TableState | None]]
+@attrs.frozen
+class PeerTable:
+    """A table as another instance tells it.
+
+    Attributes
+    ----------
+    ask
+        Asks what changed since a version, or for all rows; gives nothing when
+        no instance can tell.
+    is_read_here
+        Tells whether this instance is one that reads the store for others, or
+        has nobody to ask.
+    """
+
+    ask: Callable[[int | None], Awaitable[TableState | None]]
+    is_read_here: Callable[[], bool]
 
 
 class TableFollower(BackgroundService):
@@ -132,7 +152,7 @@
         patience: float,
         pause: float,
         generator: random.Random,
-        ask_peer: AskPeer,
+        peers: PeerTable,
     ) -> None:
         """Follow a source.
 
@@ -149,9 +169,8 @@
             several changes come in one answer.
         generator
             Source of the pauses after failures.
-        ask_peer
-            Asks another instance what changed since a version, or for all
-            rows; gives nothing when none can tell.
+        peers
+            The same table as other instances tell it.
         """
         super().__init__()
         self._source = source
@@ -159,7 +178,8 @@
         self._patience = patience
         self._pause = pause
         self._generator = generator
-        self._ask_peer = ask_peer
+        self._peers = peers
+        self._store_due = float('-inf')
         self._version: int | None = None
         self._failures = 0
         self.direct = False
@@ -183,14 +203,18 @@
     async def _follow(self) -> None:
         while not self.should_stop:
             sent_at = read_boottime()
-            told = await self._ask_peer(self._version)
+            told = await self._peers.ask(self._version)
             if told is not None:
                 self._accept(told, sent_at, direct=False)
                 await asyncio.sleep(_ASK_PERIOD)
                 continue
+            until_due = self._store_due - monotonic()
+            if until_due > 0:
+                await asyncio.sleep(min(until_due, _ASK_PERIOD))
+                continue
             answered = await self._ask_store()
             if isinstance(answered, Failure):
-                await self._bear(answered.failure())
+                self._bear(answered.failure())
                 continue
             self._accept(answered.unwrap(), sent_at, direct=True)
             await asyncio.sleep(self._pause)
@@ -236,8 +260,8 @@
             )
         self.direct = direct
 
-    async def _bear(self, problem: StoreProblem) -> None:
-        """Note a failure and wait a little."""
+    def _bear(self, problem: StoreProblem) -> None:
+        """Note a failure, and when the store is asked again."""
         if problem.kind is StoreProblemKind.HISTORY_LOST:
             # Changes were missed; only the whole table tells what holds.
             self._version = None
@@ -252,5 +276,8 @@
                 problem=problem.kind.value,
                 message=problem.message,
             )
-        bound = min(_SHORTEST_PAUSE * 2**self._failures, _LONGEST_PAUSE)
-        await asyncio.sleep(self._generator.uniform(_SHORTEST_PAUSE, bound))
+        read_here = self._peers.is_read_here()
+        longest = _LONGEST_PAUSE if read_here else _LONGEST_PAUSE_TOLD
+        bound = min(_SHORTEST_PAUSE * 2**self._failures, longest)
+        pause = self._generator.uniform(_SHORTEST_PAUSE, bound)
+        self._store_due = monotonic() + pause
--- a/src/kelproad/coordination/ingress/readers.py
+++ b/src/kelproad/coordination/ingress/readers.py
@@ -49,17 +49,9 @@
 
     def choose(self, now: float) -> Reader | None:
         """Choose whom to ask; ``None`` when the store is to be read here."""
-        ranked = sorted(
-            self._list_zone(now),
-            key=lambda reader: reader.instance,
-        )
-        count = -(-(len(ranked) + 1) // _INSTANCES_PER_READER)
-        ahead = sum(reader.instance < self._instance for reader in ranked)
-        if ahead < count:
-            return None
         readers = [
             reader
-            for reader in ranked[:count]
+            for reader in self._list_readers(now)
             if self._avoided_until.get(reader.instance, now) <= now
         ]
         if not readers:
@@ -68,6 +60,10 @@
         drawn = zlib.crc32(self._instance.encode())
         return readers[drawn % len(readers)]
 
+    def is_reader(self, now: float) -> bool:
+        """Tell whether this instance reads for others, or is alone."""
+        return not self._list_readers(now)
+
     def avoid(self, reader: Reader, now: float) -> None:
         """Ask somebody else for a while."""
         self._avoided_until[reader.instance] = now + _AVOIDED_SECONDS
@@ -76,3 +72,13 @@
             for name, until in self._avoided_until.items()
             if until > now
         }
+
+    def _list_readers(self, now: float) -> list[Reader]:
+        """List those that read for the zone; none if this instance does."""
+        ranked = sorted(
+            self._list_zone(now),
+            key=lambda reader: reader.instance,
+        )
+        count = -(-(len(ranked) + 1) // _INSTANCES_PER_READER)
+        ahead = sum(reader.instance < self._instance for reader in ranked)
+        return ranked[:count] if ahead >= count else []
--- a/src/kelproad/coordination/ingress/relaying.py
+++ b/src/kelproad/coordination/ingress/relaying.py
@@ -6,7 +6,6 @@
 lines, can make nobody trust what is old.
 """
 
-import asyncio
 import functools
 import logging
 import math
@@ -21,7 +20,8 @@
 from ...state.counters import Counters
 from ...state.records import record
 from ...transport.addresses import Address
-from ...transport.deadlines import monotonic, within
+from ...transport.deadlines import monotonic
+from ...transport.exchanges import Reply, exchange
 from .following import StoredRow, TableState
 from .readers import Reader, ReaderChoice
 
@@ -91,40 +91,45 @@
         self._counters.store_calls.inc(
             {'operation': 'ask_peer', 'outcome': outcome},
         )
-        if isinstance(told, Failure):
-            self._readers.avoid(reader, monotonic())
-            record(
-                _logger,
-                'reader_avoided',
-                table=self._table,
-                reader=reader.instance,
-                reason=told.failure(),
-            )
-            return None
-        return told.unwrap()
+        if not isinstance(told, Failure):
+            return _leave_out_old(told.unwrap())
+        self._readers.avoid(reader, monotonic())
+        record(
+            _logger,
+            'reader_avoided',
+            table=self._table,
+            reader=reader.instance,
+            reason=told.failure(),
+        )
+        return None
+
+    def is_read_here(self) -> bool:
+        """Tell whether nobody else reads the table for this instance."""
+        return self._readers.is_reader(monotonic())
 
     async def _ask(
         self,
         reader: Reader,
         after: int | None,
     ) -> Result[TableState, str]:
-        query = {} if after is None else {_AFTER: str(after)}
         address = Address(reader.host, self._port)
-        try:
-            async with (
-                within(monotonic() + _ASK_TIMEOUT),
-                self._session.get(
-                    f'{address.url}{TABLE_PATH}{self._table}',
-                    params=query,
-                    allow_redirects=False,
-                ) as response,
-            ):
-                received = await response.read()
-        except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
-            return Failure(repr(error))
-        if response.status != _OK:
-            return Failure(f'status {response.status}')
-        return _read_told(received)
+        answered = await exchange(
+            self._session,
+            'GET',
+            f'{address.url}{TABLE_PATH}{self._table}',
+            _ASK_TIMEOUT,
+            query={} if after is None else {_AFTER: str(after)},
+        )
+        return answered.alt(lambda failure: failure.reason).bind(_read_reply)
+
+
+def _leave_out_old(told: TableState) -> TableState | None:
+    """Leave out what is so old that the store itself had better be asked.
+
+    The reader is well, and asked again: it may be the first to notice that the
+    store is back.
+    """
+    return told if told.age <= _OLDEST else None
 
 
 def build_answer(state: TableState | None) -> web.Response:
@@ -153,14 +158,18 @@
     return zlib.compress(encoded, _COMPRESSION)
 
 
+def _read_reply(reply: Reply) -> Result[TableState, str]:
+    if reply.status != _OK:
+        return Failure(f'status {reply.status}')
+    return _read_told(reply.body)
+
+
 def _read_told(received: bytes) -> Result[TableState, str]:
     try:
         told = _decode(received)
         rows = _decode_rows(zlib.decompress(told.packed_rows))
     except (msgspec.DecodeError, zlib.error) as error:
         return Failure(f'unreadable: {error}')
-    if told.age > _OLDEST:
-        return Failure(f'{told.age:.3f} s behind')
     return Success(
         TableState(
             told.version,
--- a/src/kelproad/coordination/ingress/tables.py
+++ b/src/kelproad/coordination/ingress/tables.py
@@ -14,7 +14,13 @@
 from ...state.counters import Counters
 from ...state.endpoints import EndpointTable
 from .endpoints import EndpointRegistry, ListedEndpoint
-from .following import StoredRow, TableFollower, TableSource, TableState
+from .following import (
+    PeerTable,
+    StoredRow,
+    TableFollower,
+    TableSource,
+    TableState,
+)
 from .holder import ConfigurationHolder
 from .mirror import TableMirror
 from .readers import Reader, ReaderChoice
@@ -94,7 +100,7 @@
                 patience,
                 pause,
                 generator,
-                relay.ask,
+                PeerTable(relay.ask, relay.is_read_here),
             )
 
         bounds = settings.bounds
--- a/tests/ingress/test_following.py
+++ b/tests/ingress/test_following.py
@@ -1,5 +1,6 @@
 """Following a table: what counts as fresh, and what changes nothing."""
 
+import asyncio
 import random
 
 import pytest
@@ -7,6 +8,7 @@
 
 from kelproad.coordination.ingress import following as following_module
 from kelproad.coordination.ingress.following import (
+    PeerTable,
     StoredRow,
     StoreProblem,
     StoreProblemKind,
@@ -26,6 +28,7 @@
         self.follower: TableFollower | None = None
         self.adopted: list[TableState] = []
         self.told: list[TableState] = []
+        self.is_read_here = True
 
     async def ask_peer(self, _version: int | None) -> TableState | None:
         """Answer as another instance would; without one, not at all."""
@@ -63,7 +66,7 @@
         0.8,
         0,
         random.Random(1),
-        script.ask_peer,
+        PeerTable(script.ask_peer, lambda: script.is_read_here),
     )
     script.follower = follower
     await TableFollower._follow.fun(follower)
@@ -138,3 +141,34 @@
     follower = await follow(Script(state(9, whole=True)))
     monkeypatch.setattr(following_module, 'read_boottime', lambda: 160)
     assert follower.measure_age() == 60
+
+
+@pytest.mark.parametrize(('is_read_here', 'most'), [(True, 10), (False, 3)])
+async def test_a_store_that_is_down_is_not_stormed(
+    is_read_here: bool,
+    most: int,
+) -> None:
+    """The store is down, and 64 instances ask it again and again.
+
+    Only those that read for their zone keep looking; the others hear from them
+    that it is back, and ask it by themselves now and then.
+    """
+    down = [fail(StoreProblemKind.UNREACHABLE) for _ in range(40)]
+    script = Script(state(5, whole=True), *down)
+    script.is_read_here = is_read_here
+    follower = TableFollower(
+        TableSource('op', script.read, script.await_changes),
+        script.adopted.append,
+        0.8,
+        0,
+        random.Random(1),
+        PeerTable(script.ask_peer, lambda: script.is_read_here),
+    )
+    following = asyncio.create_task(TableFollower._follow.fun(follower))
+    await asyncio.sleep(1)
+    for _ in range(5):
+        follower._bear(StoreProblem(StoreProblemKind.UNREACHABLE, 'still'))
+    before = len(script.asked)
+    await asyncio.sleep(2)
+    following.cancel()
+    assert len(script.asked) - before <= most
--- a/tests/ingress/test_relaying.py
+++ b/tests/ingress/test_relaying.py
@@ -166,10 +166,15 @@
 
 def test_a_reader_that_is_behind_is_not_relied_on() -> None:
     """The store turns just the reader away, and serves all others."""
-    told = build_answer(TableState(1, [], whole=True, age=1.6))
-    assert not isinstance(relaying_module._read_told(told.body), Success)
-    told = build_answer(TableState(1, [row('a', 1)], whole=True, age=1.4))
-    assert relaying_module._read_told(told.body).unwrap().rows == [row('a', 1)]
+    old = relaying_module._read_told(
+        build_answer(TableState(1, [], whole=True, age=1.6)).body,
+    )
+    assert relaying_module._leave_out_old(old.unwrap()) is None
+    fresh = relaying_module._read_told(
+        build_answer(TableState(1, [row('a', 1)], whole=True, age=1.4)).body,
+    )
+    kept = relaying_module._leave_out_old(fresh.unwrap())
+    assert kept.rows == [row('a', 1)]
 
 
 # With processes
