Tell new work to other instances at once, not at the next tick

Change: the first change is told at once, the next after the pause, in place of looking every 20 ms; an idle instance wakes 4 times a second, not 50.

--- a/src/kelproad/coordination/ingress/exchange.py
+++ b/src/kelproad/coordination/ingress/exchange.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import contextlib
 import logging
 import math
 from collections.abc import Callable, Iterable
@@ -30,7 +31,10 @@
 
 _logger = logging.getLogger(__name__)
 #: Seconds between two datagrams to the same peers at the least: half of the
-#: shortest time between two calls of today's sites.
+#: shortest time between two calls of today's sites.  The first change is told
+#: at once.  Told up to 20 ms late, two long prompts that came 20 ms apart at two
+#: instances were read by the same engines: of 653 short streams of a quiet
+#: day 17 paused 0.34 s by that.
 _SEND_PERIOD = 0.02
 #: Seconds after which unchanged work is told again, as a datagram may be lost.
 _REPEAT_PERIOD = 0.25
@@ -148,6 +152,8 @@
         self._socket = DatagramSocket(self.receive)
         self._peers: dict[str, _Peer] = {}
         self._sequence = 0
+        self._changed = asyncio.Event()
+        ledger.on_change = self._changed.set
         self.leaving = False
 
     async def on_start(self) -> None:
@@ -248,7 +254,6 @@
     async def _tell(self) -> None:
         near_told, far_told = _LastTold(), _LastTold()
         while not self.should_stop:
-            await asyncio.sleep(_SEND_PERIOD)
             now = monotonic()
             changes = self._ledger.changes
             near, far = self._part_peers()
@@ -256,6 +261,16 @@
                 self._send(near)
             if far_told.take_due(changes, now, *_choose_far_periods(len(far))):
                 self._send(far)
+            await asyncio.sleep(_SEND_PERIOD)
+            if far_told.changes == self._ledger.changes:
+                await self._await_change()
+
+    async def _await_change(self) -> None:
+        """Wait until the own work changes, or is to be told again."""
+        self._changed.clear()
+        with contextlib.suppress(asyncio.TimeoutError):
+            async with asyncio.timeout(_REPEAT_PERIOD - _SEND_PERIOD):
+                await self._changed.wait()
 
     def _part_peers(self) -> tuple[list[_Peer], list[_Peer]]:
         """Part peers into those of this zone or not heard yet, and others."""
--- a/src/kelproad/state/work.py
+++ b/src/kelproad/state/work.py
@@ -4,7 +4,7 @@
 what instances tell each other of the work they sent is newer.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -58,6 +58,10 @@
     heard_at: float
 
 
+def _ignore() -> None:
+    """Take no note."""
+
+
 class WorkLedger:
     """Who has what in flight where."""
 
@@ -67,11 +71,13 @@
         self._peers: dict[str, PeerWork] = {}
         #: Grows with every change of the own work.
         self.changes = 0
+        #: Is called at each of them.
+        self.on_change: Callable[[], None] = _ignore
 
     def begin(self, endpoint: str, work: EndpointWork) -> None:
         """Enter work that is about to be sent."""
         self.own.setdefault(endpoint, EndpointWork()).add(work)
-        self.changes += 1
+        self._note_change()
 
     def end(self, endpoint: str, work: EndpointWork) -> None:
         """Take out work that is done or given up."""
@@ -80,7 +86,7 @@
         if held.idle:
             # Rounding must not leave a trace of seconds behind.
             self.own.pop(endpoint)
-        self.changes += 1
+        self._note_change()
 
     def accept_peer(
         self,
@@ -105,6 +111,10 @@
             total.add(work)
         return total
 
+    def _note_change(self) -> None:
+        self.changes += 1
+        self.on_change()
+
     def _fresh(self, endpoint: str, now: float) -> Iterable[EndpointWork]:
         for peer in self._peers.values():
             work = peer.by_endpoint.get(endpoint)
--- a/tests/ingress/test_exchange.py
+++ b/tests/ingress/test_exchange.py
@@ -1,5 +1,7 @@
 """What instances tell each other, and what follows from silence."""
 
+import asyncio
+
 import pytest
 
 from kelproad.coordination.ingress import exchange as exchange_module
@@ -211,3 +213,20 @@
     assert not told.take_due(2, 100.05, 0.1, 0.5)
     assert told.take_due(2, 100.2, 0.1, 0.5)
     assert told.take_due(2, 100.7, 0.1, 0.5)
+
+
+async def test_new_work_is_told_at_once(clock: Clock) -> None:
+    """Two long prompts come 20 ms apart, at instances of two zones.
+
+    The second instance had not heard of the first prompt yet and had the same
+    engines read both: each stream there paused for 0.34 s.
+    """
+    instance = Instance('a', 'zone-a')
+    instance.exchange.introduce('bb', '10.0.0.2')
+    telling = asyncio.create_task(WorkExchange._tell.fun(instance.exchange))
+    await asyncio.sleep(0.1)
+    before = len(instance.wire.datagrams)
+    instance.ledger.begin('engine', EndpointWork(calls=1))
+    await asyncio.sleep(0.005)
+    telling.cancel()
+    assert len(instance.wire.datagrams) == before + 1
