--- a/src/kelproad/coordination/ingress/exchange.py
+++ b/src/kelproad/coordination/ingress/exchange.py
@@ -32,8 +32,8 @@
 _logger = logging.getLogger(__name__)
 #: Seconds between two datagrams to the same peers at the least: half of the
 #: shortest time between two calls of today's sites.  The first change is told
-#: at once.  Told up to 20 ms late, two long prompts that came 20 ms apart at two
-#: instances were read by the same engines: of 653 short streams of a quiet
+#: at once.  Told up to 20 ms late, two long prompts that came 20 ms apart at
+#: two instances were read by the same engines: of 653 short streams of a quiet
 #: day 17 paused 0.34 s by that.
 _SEND_PERIOD = 0.02
 #: Seconds after which unchanged work is told again, as a datagram may be lost.
