--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -4,6 +4,7 @@
 import logging
 import random
 import time
+from collections.abc import Callable
 
 import aiohttp
 from mode import Service
@@ -26,6 +27,8 @@
 from .holder import ConfigurationHolder
 from .memory import MemoryKeeper
 from .reach import ZoneReach
+from .readers import ReaderChoice
+from .relaying import TableRelay
 from .reloading import SettingsHolder, SettingsWatch
 from .rostering import Roster
 from .sending import Sender
@@ -98,13 +101,11 @@
         """Build the parts, start them, and listen last of all."""
         store = self._open_store(self._open_kept_session(), self._counters)
         self._tables = FollowedTables(
-            self._settings,
+            self._settings.bounds,
             store,
             self._holder,
             self._table,
-            lambda now: self._exchange.list_zone(now),
-            self._open_kept_session(),
-            self._counters,
+            self._create_relays(),
             self._generator,
         )
         self._exchange = WorkExchange(
@@ -174,6 +175,22 @@
 
     # Building
 
+    def _create_relays(self) -> Callable[[str], TableRelay]:
+        """Prepare to ask the readers of this zone for tables, by name."""
+        readers = ReaderChoice(
+            self._settings.instance,
+            # The exchange is built later, as it tells how old the tables are.
+            lambda now: self._exchange.list_zone(now),
+        )
+        session = self._open_kept_session()
+        return lambda table: TableRelay(
+            table,
+            readers,
+            session,
+            self._settings.peer_port,
+            self._counters,
+        )
+
     def _create_entrance(self) -> None:
         retries = SharedRetries(
             self._read_bounds,
--- a/src/kelproad/coordination/ingress/tables.py
+++ b/src/kelproad/coordination/ingress/tables.py
@@ -7,11 +7,9 @@
 import random
 from collections.abc import Callable
 
-import aiohttp
 import attrs
 from returns.result import Failure
 
-from ...state.counters import Counters
 from ...state.endpoints import EndpointTable
 from .endpoints import EndpointRegistry, ListedEndpoint
 from .following import (
@@ -23,9 +21,8 @@
 )
 from .holder import ConfigurationHolder
 from .mirror import TableMirror
-from .readers import Reader, ReaderChoice
 from .relaying import TableRelay
-from .settings import NodeSettings
+from .settings import Bounds
 from .store import NodeStore
 
 __all__ = ['FollowedTables']
@@ -47,6 +44,14 @@
 _PAUSE_SHARE = 0.3
 
 
+@attrs.frozen
+class _Followed:
+    """A table that is kept current here, and told on from here."""
+
+    follower: TableFollower
+    mirror: TableMirror
+
+
 class FollowedTables:
     """Keeps configuration and endpoints current, and tells peers of them.
 
@@ -60,66 +65,25 @@
 
     def __init__(
         self,
-        settings: NodeSettings,
+        bounds: Bounds,
         store: NodeStore,
         holder: ConfigurationHolder,
         table: EndpointTable,
-        list_zone: Callable[[float], list[Reader]],
-        session: aiohttp.ClientSession,
-        counters: Counters,
+        open_relay: Callable[[str], TableRelay],
         generator: random.Random,
     ) -> None:
         """Put what the store says into a holder and a table.
 
-        ``list_zone`` lists the instances of this zone that may be asked in
-        place of the store, over a session.
+        ``open_relay`` gives the way to ask other instances for a table.
         """
         self._store = store
         self._holder = holder
-        self._mirrors = {
-            store.configuration.name: TableMirror(_tells_same_text),
-            store.endpoints.name: TableMirror(self._tells_same_endpoint),
+        self._open_relay = open_relay
+        self._generator = generator
+        self._followed = {
+            store.configuration.name: self._follow_configuration(bounds),
+            store.endpoints.name: self._follow_endpoints(bounds),
         }
-        readers = ReaderChoice(settings.instance, list_zone)
-
-        def follow(  # noqa: WPS430  closure
-            source: TableSource,
-            adopt: Callable[[TableState], None],
-            patience: float,
-            pause: float,
-        ) -> TableFollower:
-            relay = TableRelay(
-                source.name,
-                readers,
-                session,
-                settings.peer_port,
-                counters,
-            )
-            return TableFollower(
-                source,
-                adopt,
-                patience,
-                pause,
-                generator,
-                PeerTable(relay.ask, relay.is_read_here),
-            )
-
-        bounds = settings.bounds
-        self.configuration = follow(
-            store.configuration,
-            self._adopt_configuration,
-            min(
-                _CONFIGURATION_PATIENCE,
-                bounds.apply_configuration * _WAIT_SHARE,
-            ),
-            0,
-        )
-        self.endpoints = follow(
-            store.endpoints,
-            self._adopt_endpoints,
-            _ENDPOINT_PATIENCE,
-            min(_ENDPOINT_PAUSE, bounds.leave_endpoint * _PAUSE_SHARE),
-        )
         self.registry = EndpointRegistry(
             table,
             store.decode_endpoint,
@@ -127,6 +91,16 @@
             bounds.leave_endpoint,
         )
 
+    @property
+    def configuration(self) -> TableFollower:
+        """What keeps the configuration current."""
+        return self._followed[self._store.configuration.name].follower
+
+    @property
+    def endpoints(self) -> TableFollower:
+        """What keeps the endpoints current."""
+        return self._followed[self._store.endpoints.name].follower
+
     def tell(self, name: str, after: int | None) -> TableState | None:
         """Tell a peer what changed in a table since a version.
 
@@ -136,27 +110,65 @@
             Nothing when the table is not read from the store here: what
             others tell is not told on, lest two instances ask each other.
         """
-        follower = self._find(name)
-        if follower is None or not follower.direct:
+        followed = self._followed.get(name)
+        if followed is None or not followed.follower.direct:
             return None
-        changes = self._mirrors[name].list_changes(after)
+        changes = followed.mirror.list_changes(after)
         if changes is None:
             return None
         return attrs.evolve(
             changes,
-            age=follower.measure_age(),
-            back_for=follower.measure_back(),
+            age=followed.follower.measure_age(),
+            back_for=followed.follower.measure_back(),
         )
 
-    def _find(self, name: str) -> TableFollower | None:
-        followers = {
-            self._store.configuration.name: self.configuration,
-            self._store.endpoints.name: self.endpoints,
-        }
-        return followers.get(name)
+    def _follow_configuration(self, bounds: Bounds) -> _Followed:
+        patience = min(
+            _CONFIGURATION_PATIENCE,
+            bounds.apply_configuration * _WAIT_SHARE,
+        )
+        return self._follow(
+            self._store.configuration,
+            TableMirror(_tells_same_text),
+            self._adopt_configuration,
+            patience,
+            0,
+        )
+
+    def _follow_endpoints(self, bounds: Bounds) -> _Followed:
+        pause = min(_ENDPOINT_PAUSE, bounds.leave_endpoint * _PAUSE_SHARE)
+        return self._follow(
+            self._store.endpoints,
+            TableMirror(self._tells_same_endpoint),
+            self._adopt_endpoints,
+            _ENDPOINT_PATIENCE,
+            pause,
+        )
+
+    def _follow(
+        self,
+        source: TableSource,
+        mirror: TableMirror,
+        adopt: Callable[[TableState], None],
+        patience: float,
+        pause: float,
+    ) -> _Followed:
+        def take(state: TableState) -> None:  # noqa: WPS430  closure
+            mirror.take(state)
+            adopt(state)
+
+        relay = self._open_relay(source.name)
+        follower = TableFollower(
+            source,
+            take,
+            patience,
+            pause,
+            self._generator,
+            PeerTable(relay.ask, relay.is_read_here),
+        )
+        return _Followed(follower, mirror)
 
     def _adopt_configuration(self, state: TableState) -> None:
-        self._mirrors[self._store.configuration.name].take(state)
         for row in state.rows:
             if row.key != self._store.configuration_key:
                 continue
@@ -164,7 +176,6 @@
                 self.registry.adopt_configuration(self._holder.current)
 
     def _adopt_endpoints(self, state: TableState) -> None:
-        self._mirrors[self._store.endpoints.name].take(state)
         self.registry.adopt(state)
 
     def _tells_same_endpoint(self, known: StoredRow, row: StoredRow) -> bool:
