--- a/src/kelproad/coordination/ingress/exchange.py
+++ b/src/kelproad/coordination/ingress/exchange.py
@@ -14,15 +14,16 @@
 from collections.abc import Callable, Iterable
 
 import attrs
-import msgspec
 from mode import Service
+from returns.result import Failure
 
 from ...state.records import record
-from ...state.work import EndpointWork, WorkLedger
+from ...state.work import WorkLedger
 from ...transport.addresses import Address
 from ...transport.datagrams import DatagramSocket
 from ...transport.deadlines import monotonic
 from ...transport.services import BackgroundService
+from .news import News, decode_news, encode_news, read_work, tell_work
 from .reach import ZoneReach
 from .readers import Reader
 from .settings import NodeSettings
@@ -54,39 +55,6 @@
 _DROP_SECONDS = 30.0
 
 
-class _EndpointWork(msgspec.Struct, array_like=True):
-    """Work at one endpoint, as told to peers."""
-
-    endpoint: str
-    calls: int
-    context_tokens: int
-    reading_seconds: float
-    helping: int
-    patient_calls: int = 0
-
-
-class _News(msgspec.Struct, array_like=True):
-    """What an instance tells of itself.
-
-    ``sequence`` orders the datagrams of one life, ``started_at`` the lives.
-    ``unconfirmed_for`` are the seconds since the sender's configuration was
-    last confirmed, ``None`` when it never was.
-    """
-
-    instance: str
-    host: str
-    zone: str
-    started_at: int
-    sequence: int
-    leaving: bool
-    unconfirmed_for: float | None
-    work: list[_EndpointWork]
-
-
-_encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(_News).decode
-
-
 @attrs.define
 class _Peer:
     """An instance that datagrams go to.
@@ -219,11 +187,11 @@
 
     def receive(self, datagram: bytes) -> None:
         """Take in what a peer tells."""
-        try:
-            news = _decode(datagram)
-        except msgspec.DecodeError as error:
-            record(_logger, 'peer_news_unreadable', reason=str(error))
+        decoded = decode_news(datagram)
+        if isinstance(decoded, Failure):
+            record(_logger, 'peer_news_unreadable', reason=decoded.failure())
             return
+        news = decoded.unwrap()
         if news.instance == self._settings.instance:
             return
         now = monotonic()
@@ -249,7 +217,7 @@
             self._ledger.forget_peer(news.instance)
             peer.heard_at = float('-inf')
             return
-        self._ledger.accept_peer(news.instance, _read_work(news), now)
+        self._ledger.accept_peer(news.instance, read_work(news), now)
 
     @Service.task
     async def _tell(self) -> None:
@@ -284,13 +252,13 @@
 
     def _send(self, peers: Iterable[_Peer]) -> None:
         self._sequence += 1
-        datagram = _encode(self._build_news())
+        datagram = encode_news(self._build_news())
         for peer in peers:
             self._socket.send(datagram, peer.address)
 
-    def _build_news(self) -> _News:
+    def _build_news(self) -> News:
         age = self._measure_age()
-        return _News(
+        return News(
             self._settings.instance,
             self._settings.ip,
             self._settings.zone,
@@ -298,17 +266,7 @@
             self._sequence,
             self.leaving,
             round(age, 3) if math.isfinite(age) else None,
-            [
-                _EndpointWork(
-                    name,
-                    work.calls,
-                    work.context_tokens,
-                    round(work.reading_seconds, 4),
-                    work.helping,
-                    work.patient_calls,
-                )
-                for name, work in self._ledger.own.items()
-            ],
+            tell_work(self._ledger.own),
         )
 
 
@@ -321,16 +279,3 @@
             min(_LONGEST_FAR_REPEAT, peers * _FAR_REPEAT_PERIOD),
         ),
     )
-
-
-def _read_work(news: _News) -> dict[str, EndpointWork]:
-    return {
-        work.endpoint: EndpointWork(
-            work.calls,
-            work.context_tokens,
-            work.reading_seconds,
-            work.helping,
-            work.patient_calls,
-        )
-        for work in news.work
-    }
--- /dev/null
+++ b/src/kelproad/coordination/ingress/news.py
@@ -0,0 +1,82 @@
+"""What instances tell each other of themselves, as datagrams hold it."""
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ...state.work import EndpointWork
+
+__all__ = ['News', 'decode_news', 'encode_news', 'read_work', 'tell_work']
+
+
+class ToldWork(msgspec.Struct, array_like=True):
+    """Work at one endpoint, as told to peers.
+
+    New fields go to the end and have a default, as instances of two versions
+    run side by side while a release goes on.
+    """
+
+    endpoint: str
+    calls: int
+    context_tokens: int
+    reading_seconds: float
+    helping: int
+    patient_calls: int = 0
+
+
+class News(msgspec.Struct, array_like=True):
+    """What an instance tells of itself.
+
+    ``sequence`` orders the datagrams of one life, ``started_at`` the lives.
+    ``unconfirmed_for`` are the seconds since the sender's configuration was
+    last confirmed, ``None`` when it never was.
+    """
+
+    instance: str
+    host: str
+    zone: str
+    started_at: int
+    sequence: int
+    leaving: bool
+    unconfirmed_for: float | None
+    work: list[ToldWork]
+
+
+encode_news = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(News).decode
+
+
+def decode_news(datagram: bytes) -> Result[News, str]:
+    """Decode a datagram, or say why it can't be."""
+    try:
+        return Success(_decode(datagram))
+    except msgspec.DecodeError as error:
+        return Failure(str(error))
+
+
+def tell_work(by_endpoint: dict[str, EndpointWork]) -> list[ToldWork]:
+    """List work as peers are told it."""
+    return [
+        ToldWork(
+            name,
+            work.calls,
+            work.context_tokens,
+            round(work.reading_seconds, 4),
+            work.helping,
+            work.patient_calls,
+        )
+        for name, work in by_endpoint.items()
+    ]
+
+
+def read_work(news: News) -> dict[str, EndpointWork]:
+    """Read the work that a peer tells of, by endpoint."""
+    return {
+        work.endpoint: EndpointWork(
+            work.calls,
+            work.context_tokens,
+            work.reading_seconds,
+            work.helping,
+            work.patient_calls,
+        )
+        for work in news.work
+    }
