Give a silent lookup up only while another sending is permitted

Cause, found by reading: under a load that makes all plain endpoints late, leaving each after 1.5 objectives spends the retry budget within seconds, and calls were then answered 502 though their answers were on the way. Change: with no retry left, or at the last endpoint, the call keeps its deadline.

--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -214,6 +214,7 @@
                 EndpointClient(session, self._dialect),
                 self._memory,
                 self._ledger,
+                retries,
             ),
             Verdicts(self._table, retries, self._reach, self._counters),
             retries,
--- a/src/kelproad/coordination/ingress/sending.py
+++ b/src/kelproad/coordination/ingress/sending.py
@@ -26,6 +26,7 @@
 from .delivery import StreamDelivery
 from .memory import MemoryKeeper, Reservation
 from .placement import Placement
+from .sharing import SharedRetries
 
 __all__ = ['Sender']
 
@@ -58,12 +59,15 @@
         client: EndpointClient,
         memory: MemoryKeeper,
         ledger: WorkLedger,
+        retries: SharedRetries,
     ) -> None:
         """Send by a client, with memory reserved where that is needed.
 
-        The ledger tells what engines are busy with.
+        The ledger tells what engines are busy with, the retries whether a call
+        could go on elsewhere.
         """
         self._client = client
+        self._retries = retries
         self._ledger = ledger
         self._memory = memory
 
@@ -158,7 +162,7 @@
             received,
             placement.first,
             _build_forwarding(call, placement, reservations, delivery),
-            _choose_head_deadline(call, placement),
+            self._choose_head_deadline(call, placement),
             _choose_blame(call),
         )
         if isinstance(opened, Failure):
@@ -178,6 +182,33 @@
         finally:
             answer.close()
 
+    def _choose_head_deadline(self, call: Call, placement: Placement) -> float:
+        """Choose until when the head of the answer may take.
+
+        What may be repeated is tried elsewhere when its endpoint stays silent,
+        a plain call only if it can be; all else has until its deadline, as it
+        may be running.
+        """
+        if call.kind is CallKind.RESUMABLE_STREAM:
+            patience = _choose_patience(placement)
+        elif self._may_go_elsewhere(call):
+            patience = call.route.objective * _SILENT_OBJECTIVES
+        else:
+            return call.deadline
+        return min(call.deadline, monotonic() + patience)
+
+    def _may_go_elsewhere(self, call: Call) -> bool:
+        """Tell whether a call that gets no answer could be sent once more.
+
+        Under a load that makes every endpoint late the retries are soon spent;
+        to give an attempt up then would turn late answers into none.
+        """
+        return (
+            call.kind.repeatable
+            and call.attempts < call.route.most_endpoints
+            and self._retries.affords(call.service)
+        )
+
 
 async def _relay(
     call: Call,
@@ -205,21 +236,6 @@
         )
 
 
-def _choose_head_deadline(call: Call, placement: Placement) -> float:
-    """Choose until when the head of the answer may take.
-
-    What may be repeated is tried elsewhere when its endpoint stays silent; all
-    else has until its deadline, as it may be running.
-    """
-    if call.kind is CallKind.RESUMABLE_STREAM:
-        patience = _choose_patience(placement)
-    elif call.kind.repeatable and call.attempts < call.route.most_endpoints:
-        patience = call.route.objective * _SILENT_OBJECTIVES
-    else:
-        return call.deadline
-    return min(call.deadline, monotonic() + patience)
-
-
 def _choose_blame(call: Call) -> float:
     """Choose the seconds of silence that say something of the endpoint.
 
--- a/src/kelproad/coordination/ingress/sharing.py
+++ b/src/kelproad/coordination/ingress/sharing.py
@@ -36,6 +36,10 @@
         """Let a call earn its share of a retry."""
         self._find(service).earn(now)
 
+    def affords(self, service: str) -> bool:
+        """Tell whether a retry would be permitted now."""
+        return self._find(service).affords_one
+
     def spend(self, service: str) -> bool:
         """Take a retry out, if there is one."""
         return self._find(service).spend()
--- a/tests/ingress/test_calls_site.py
+++ b/tests/ingress/test_calls_site.py
@@ -204,6 +204,23 @@
     assert sum(answer.seconds > BRISK for answer in answers) <= 3
 
 
+def test_late_lookups_are_waited_for_once_retries_are_spent(
+    site: RoutedSite,
+) -> None:
+    """Every book is later than it should be, as under a burst.
+
+    Leaving each for another one soon spends the retries that are permitted,
+    and lookups were then given up though their answers were on the way.
+    """
+    for name in BOOKS:
+        site.break_endpoint(name, pace=0.45)
+    answers = [
+        call(site.instances[0], '/brisk/x', X_Kelproad_Deadline_Ms='1500')
+        for _ in range(30)
+    ]
+    assert {answer.status for answer in answers} == {200}
+
+
 def test_bookings_leave_an_endpoint_that_falls_silent(site: RoutedSite) -> None:
     """A book hangs, and each booking sent there is lost for its caller.
 
