Stop holding memory for an engine that went dark

Ruled out: lost releases (none was tried). Change: while memory is reserved its user is asked for its report before each renewal; without an answer twice in a row (2.1 s at the most) the attempt ends, the memory is released and the prompt is read elsewhere.

--- a/src/kelproad/coordination/ingress/memory.py
+++ b/src/kelproad/coordination/ingress/memory.py
@@ -27,6 +27,9 @@
 #: Share of a reservation's time after which it is renewed: two renewals may be
 #: lost in a row.
 _RENEW_SHARE = 0.3
+#: Rounds in a row without an answer after which the engine that a prompt was
+#: sent to counts as gone, so that one lost packet does not end a stream.
+_SILENT_ROUNDS = 2
 #: Times that a release is tried before the reservation is left to lapse.
 _RELEASE_TRIES = 2
 
@@ -41,10 +44,13 @@
         Reserve tokens under an id for some seconds, or renew that.
     release
         Release what is reserved under an id.
+    is_alive
+        Tell whether the engine at an address answers, within 0.3 s.
     """
 
     reserve: Callable[[str, str, int, float], Awaitable[Result[None, str]]]
     release: Callable[[str, str], Awaitable[Result[None, str]]]
+    is_alive: Callable[[str], Awaitable[bool]]
 
 
 @attrs.frozen
@@ -105,18 +111,27 @@
                 return Failure(reservation.endpoint)
         return Success(wanted)
 
-    async def keep(self, reservations: tuple[Reservation, ...]) -> None:
-        """Renew reservations until cancelled."""
-        while True:
+    async def keep(
+        self,
+        reservations: tuple[Reservation, ...],
+        user: Endpoint,
+    ) -> None:
+        """Renew reservations until cancelled, or until their user is gone.
+
+        An engine that loses power resets nothing: the attempt would wait for
+        its first event as long as a long prompt may take, and the memory of
+        its helpers would be held for nobody all that time (for 8 s in a play,
+        where it counts as lost after 4 s).
+        """
+        silent = 0
+        while silent < _SILENT_ROUNDS:
             await asyncio.sleep(self._choose_hold() * _RENEW_SHARE)
-            answers = await asyncio.gather(*map(self._reserve, reservations))
-            failures = [
-                answered.failure()
-                for answered in answers
-                if isinstance(answered, Failure)
-            ]
-            if failures:
-                record(_logger, 'memory_not_renewed', reasons=failures)
+            if await self._orders.is_alive(user.declaration.address):
+                silent = 0
+                await self._renew(reservations)
+            else:
+                silent += 1
+        record(_logger, 'memory_user_gone', endpoint=user.name)
 
     def release(self, reservations: tuple[Reservation, ...]) -> None:
         """Release reservations in the background."""
@@ -130,6 +145,16 @@
         if self._releases:
             await asyncio.wait(self._releases, timeout=seconds)
 
+    async def _renew(self, reservations: tuple[Reservation, ...]) -> None:
+        answers = await asyncio.gather(*map(self._reserve, reservations))
+        failures = [
+            answered.failure()
+            for answered in answers
+            if isinstance(answered, Failure)
+        ]
+        if failures:
+            record(_logger, 'memory_not_renewed', reasons=failures)
+
     def _reserve(
         self,
         reservation: Reservation,
--- a/src/kelproad/coordination/ingress/sending.py
+++ b/src/kelproad/coordination/ingress/sending.py
@@ -1,9 +1,8 @@
 """One attempt from the reservation of memory to the last event."""
 
 import asyncio
-import contextlib
 import math
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 
 import aiohttp
 from aiohttp import web
@@ -104,28 +103,44 @@
                     avoid=reserved.failure().name,
                 ),
             )
-        async with self._hold(reserved.unwrap()):
-            return await self._exchange(
+        reservations = reserved.unwrap()
+        exchange = asyncio.create_task(
+            self._exchange(
                 call,
                 placement,
-                reserved.unwrap(),
+                reservations,
                 delivery,
                 received,
                 account,
-            )
+            ),
+        )
+        try:
+            return await self._keep_during(exchange, placement, reservations)
+        finally:
+            exchange.cancel()
+            await asyncio.wait((exchange,))
+            self._memory.release(reservations)
 
-    @contextlib.asynccontextmanager
-    async def _hold(
+    async def _keep_during(
         self,
+        exchange: asyncio.Task[Outcome],
+        placement: Placement,
         reservations: tuple[Reservation, ...],
-    ) -> AsyncIterator[None]:
-        """Keep reservations for the time of a block, then release them."""
-        keeping = asyncio.create_task(self._memory.keep(reservations))
+    ) -> Outcome:
+        """Keep reservations until the exchange ends or its engine is gone."""
+        keeping = asyncio.create_task(
+            self._memory.keep(reservations, placement.first),
+        )
         try:
-            yield
+            await asyncio.wait(
+                (exchange, keeping),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
         finally:
             keeping.cancel()
-            self._memory.release(reservations)
+        if exchange.done():
+            return exchange.result()
+        return Failure(AttemptFailure('the engine is gone', Ran.UNKNOWN))
 
     def _watch_patience(
         self,
--- a/src/kelproad/platform/engines.py
+++ b/src/kelproad/platform/engines.py
@@ -57,6 +57,16 @@
         """End a reservation."""
         return await self._give(address, _Release(ticket))
 
+    async def is_alive(self, address: str) -> bool:
+        """Tell whether an engine answers at all, by asking for its report."""
+        answered = await exchange(
+            self._session,
+            'GET',
+            f'http://{address}/-/report',
+            _ORDER_TIMEOUT,
+        )
+        return not isinstance(answered, Failure)
+
     async def _give(
         self,
         address: str,
--- a/src/kelproad/standins/routed.py
+++ b/src/kelproad/standins/routed.py
@@ -88,6 +88,7 @@
                 web.put('/control/faults', self._put_faults),
                 web.get('/control/runs', self._show_runs),
                 web.post('/-/order', self._take_order),
+                web.get('/-/report', self._report),
                 web.route('*', '/{path:.*}', self._answer),
             ],
         )
@@ -129,6 +130,9 @@
         )
         return web.json_response({'free': self._count_free()})
 
+    async def _report(self, _http_request: web.Request) -> web.Response:
+        return web.json_response({'kv_total': self._memory})
+
     def _drop_lapsed(self) -> None:
         now = monotonic()
         for name, ticket in list(self._tickets.items()):
--- a/tests/ingress/test_memory_site.py
+++ b/tests/ingress/test_memory_site.py
@@ -39,15 +39,21 @@
         stream(instance, tokens=LARGE)
 
 
-def list_tickets(site: RoutedSite) -> list[str]:
-    """List what is reserved, at all engines."""
+def list_tickets(site: RoutedSite, dark: str = '') -> list[str]:
+    """List what is reserved, at all engines but one that is dark."""
     return [
         ticket
         for name in ENGINES
+        if name != dark
         for ticket in site.show_endpoint(name)['tickets']
     ]
 
 
+def list_running(site: RoutedSite) -> list[str]:
+    """List the engines that a call was sent to."""
+    return [name for name in ENGINES if site.show_endpoint(name)['runs']]
+
+
 @pytest.mark.parametrize('sign', [signal.SIGKILL, signal.SIGSTOP])
 def test_memory_of_a_dead_holder_is_free_again(
     site: RoutedSite,
@@ -71,6 +77,32 @@
     assert time.monotonic() - began < FREE_SECONDS
 
 
+def test_memory_is_free_when_the_engine_that_used_it_is_dark(
+    site: RoutedSite,
+) -> None:
+    """An engine loses power before the first event of a review.
+
+    Nothing is reset, and a review may take long: its instance went on waiting
+    and renewing what the helpers held, for eight seconds in a play.
+    """
+    threading.Thread(
+        target=stream_unheard,
+        args=(site.instances[0],),
+        daemon=True,
+    ).start()
+    wait_for(lambda: bool(list_tickets(site)), 'memory is reserved')
+    held = set(list_tickets(site))
+    wait_for(lambda: bool(list_running(site)), 'the review is sent')
+    dark = site.endpoint_processes[list_running(site)[0]]
+    dark.freeze()
+    began = time.monotonic()
+    try:
+        wait_for(lambda: not held & set(list_tickets(site, dark.name)), 'free')
+        assert time.monotonic() - began < FREE_SECONDS
+    finally:
+        dark.wake()
+
+
 def test_memory_is_kept_while_it_is_used(site: RoutedSite) -> None:
     """An engine writes for longer than one lease lasts.
 
