--- a/tests/ingress/test_memory_site.py
+++ b/tests/ingress/test_memory_site.py
@@ -36,7 +36,7 @@
 def stream_unheard(instance: RoutedInstance) -> None:
     """Ask for a stream whose end does not matter."""
     with contextlib.suppress(OSError, client.HTTPException):
-        stream(instance, tokens=LARGE)
+        stream(instance, tokens=LARGE, X_Kelproad_Deadline_Ms='9000')
 
 
 def list_tickets(site: RoutedSite, dark: str = '') -> list[str]:
