Let one piece each bound connecting, name added headers and promising statuses

Found on reading the change again: plain calls of both interfaces and calls to engines wrote the same time limit on connecting, two of them the same headers that must not be added, and adapter and verdicts the same statuses that promise a call has not run. The registry is built before its follower, which saves a wrapper.

--- a/src/kelproad/coordination/ingress/attempts.py
+++ b/src/kelproad/coordination/ingress/attempts.py
@@ -15,7 +15,11 @@
 from multidict import CIMultiDict
 from returns.result import Failure, Result, Success
 
-from ...protocol.connections import ConnectionProgress
+from ...protocol.connections import (
+    NEVER_ADDED,
+    ConnectionProgress,
+    limit_connecting,
+)
 from ...protocol.plain import MAX_ANSWER_BYTES
 from ...state.calls import AnswerHead, Call, Forwarding, Outcome
 from ...state.endpoints import Endpoint
@@ -34,8 +38,6 @@
 #: Seconds for connecting: a cross-zone connection takes some 12 ms, and an
 #: engine without power never answers.
 CONNECT_TIMEOUT = 0.3
-#: Headers that the HTTP library would add where the caller sent none.
-_NOT_ADDED = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
 #: Seconds after which it is looked whether a silent answer is still waited
 #: for, as more may be known of its endpoint by then.
 _LOOK_PERIOD = 0.1
@@ -203,12 +205,9 @@
             yarl.URL(f'http://{address}{call.head.target}', encoded=True),
             headers=self._dialect.encode_call(call, received, forwarding),
             data=call.body or None,
-            skip_auto_headers=_NOT_ADDED,
+            skip_auto_headers=NEVER_ADDED,
             allow_redirects=False,
-            timeout=aiohttp.ClientTimeout(
-                total=None,
-                sock_connect=CONNECT_TIMEOUT,
-            ),
+            timeout=limit_connecting(CONNECT_TIMEOUT),
             trace_request_ctx=progress,
         )
 
--- a/src/kelproad/coordination/ingress/tables.py
+++ b/src/kelproad/coordination/ingress/tables.py
@@ -80,16 +80,17 @@
         self._holder = holder
         self._open_relay = open_relay
         self._generator = generator
-        self._followed = {
-            store.configuration.name: self._follow_configuration(bounds),
-            store.endpoints.name: self._follow_endpoints(bounds),
-        }
         self.registry = EndpointRegistry(
             table,
             store.decode_endpoint,
+            # The follower is built later, as it brings what is registered.
             lambda: self.endpoints.back_at,
             bounds.leave_endpoint,
         )
+        self._followed = {
+            store.configuration.name: self._follow_configuration(bounds),
+            store.endpoints.name: self._follow_endpoints(bounds),
+        }
 
     @property
     def configuration(self) -> TableFollower:
@@ -140,7 +141,7 @@
         return self._follow(
             self._store.endpoints,
             TableMirror(self._tells_same_endpoint),
-            self._adopt_endpoints,
+            self.registry.adopt,
             _ENDPOINT_PATIENCE,
             pause,
         )
@@ -175,9 +176,6 @@
             if self._holder.offer(self._store.decode_configuration(row)):
                 self.registry.adopt_configuration(self._holder.current)
 
-    def _adopt_endpoints(self, state: TableState) -> None:
-        self.registry.adopt(state)
-
     def _tells_same_endpoint(self, known: StoredRow, row: StoredRow) -> bool:
         """Tell whether two reports differ in nothing but their count."""
         before = self._store.decode_endpoint(known)
--- a/src/kelproad/coordination/ingress/verdicts.py
+++ b/src/kelproad/coordination/ingress/verdicts.py
@@ -8,7 +8,7 @@
 from ...state.counters import Counters
 from ...state.endpoints import Endpoint, EndpointTable
 from ...state.records import record
-from ...state.refusals import Ran, Refusal, RefusalCode, Step
+from ...state.refusals import PROMISING, Ran, Refusal, RefusalCode, Step
 from ...transport.deadlines import monotonic
 from ..ejection import note_outcome
 from .attempts import AttemptFailure, WholeAnswer
@@ -25,8 +25,6 @@
 #: Seconds after which a refused caller should come back when nothing better
 #: is known: about as long as an engine takes for a few short streams.
 RETRY_AFTER = 0.5
-#: Statuses that tell a caller that its call has not run.
-_PROMISING = frozenset((408, 421, 429, 503))
 
 
 @attrs.define
@@ -73,7 +71,7 @@
         if self.fallback is None:
             return False
         return (
-            call.kind.repeatable or self.fallback.head.status not in _PROMISING
+            call.kind.repeatable or self.fallback.head.status not in PROMISING
         )
 
     def complete(self, refusal: Refusal) -> Refusal:
--- a/src/kelproad/platform/headers.py
+++ b/src/kelproad/platform/headers.py
@@ -9,7 +9,7 @@
 
 from ..protocol.plain import leave_out
 from ..state.calls import AnswerHead, Call, CallHead, Forwarding, Outcome
-from ..state.refusals import Ran, Refusal, RefusalCode, Step
+from ..state.refusals import PROMISING, Ran, Refusal, RefusalCode, Step
 
 __all__ = [
     'answer_own',
@@ -59,8 +59,6 @@
 _NUMBER = re.compile('[0-9]{1,15}')
 _MISDIRECTED = 421
 _FIRST_ERROR = 500
-#: Statuses that promise the caller that its call has not run.
-_PROMISES = frozenset((408, 421, 429, 503))
 
 
 def read_call_head(
@@ -136,7 +134,7 @@
     if refusal.retry_after is not None:
         headers[_RETRY_AFTER] = f'{refusal.retry_after:.2f}'
     status = refusal.code.status
-    if refusal.ran is not Ran.NO and status in _PROMISES:
+    if refusal.ran is not Ran.NO and status in PROMISING:
         status = RefusalCode.ENDPOINT_FAILED.status
     return web.Response(
         status=status,
@@ -154,7 +152,7 @@
     # the id that engines repeat tells them apart.
     if response.headers.get(_REQUEST_ID) != request_id:
         return Outcome.CROSSED
-    if response.status >= _FIRST_ERROR or response.status in _PROMISES:
+    if response.status >= _FIRST_ERROR or response.status in PROMISING:
         return Outcome.ERROR
     return Outcome.ANSWERED
 
--- a/src/kelproad/protocol/connections.py
+++ b/src/kelproad/protocol/connections.py
@@ -3,10 +3,18 @@
 import aiohttp
 import attrs
 
-__all__ = ['CONNECT_TIMEOUT', 'ConnectionProgress', 'trace_connections']
+__all__ = [
+    'CONNECT_TIMEOUT',
+    'NEVER_ADDED',
+    'ConnectionProgress',
+    'limit_connecting',
+    'trace_connections',
+]
 
 #: Seconds for connecting to an endpoint within a site.
 CONNECT_TIMEOUT = 2.0
+#: Headers that the HTTP library would add where the caller sent none.
+NEVER_ADDED = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
 
 
 @attrs.define
@@ -23,6 +31,11 @@
     connected: bool = False
 
 
+def limit_connecting(seconds: float) -> aiohttp.ClientTimeout:
+    """Bound connecting alone; the deadline of the call bounds all else."""
+    return aiohttp.ClientTimeout(total=None, sock_connect=seconds)
+
+
 def trace_connections() -> aiohttp.TraceConfig:
     """Build the trace that notes when a request has a connection.
 
--- a/src/kelproad/protocol/engines.py
+++ b/src/kelproad/protocol/engines.py
@@ -19,7 +19,11 @@
 from ..state.members import EndpointReport
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
 from ..transport.deadlines import monotonic, within
-from .connections import CONNECT_TIMEOUT, ConnectionProgress
+from .connections import (
+    CONNECT_TIMEOUT,
+    ConnectionProgress,
+    limit_connecting,
+)
 
 __all__ = [
     'Attempt',
@@ -253,10 +257,7 @@
                     headers=attempt.headers(),
                     data=_wrap_body(body),
                     allow_redirects=False,
-                    timeout=aiohttp.ClientTimeout(
-                        total=None,
-                        sock_connect=CONNECT_TIMEOUT,
-                    ),
+                    timeout=limit_connecting(CONNECT_TIMEOUT),
                     trace_request_ctx=progress,
                 )
         except asyncio.TimeoutError:
--- a/src/kelproad/protocol/plain.py
+++ b/src/kelproad/protocol/plain.py
@@ -9,7 +9,12 @@
 
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
 from ..transport.deadlines import monotonic, within
-from .connections import CONNECT_TIMEOUT, ConnectionProgress
+from .connections import (
+    CONNECT_TIMEOUT,
+    NEVER_ADDED,
+    ConnectionProgress,
+    limit_connecting,
+)
 
 __all__ = ['PlainAnswer', 'PlainCall', 'PlainClient', 'leave_out']
 
@@ -48,8 +53,6 @@
 _OF_CALLER = frozenset(('authorization', 'content-encoding'))
 #: Headers of an answer that only the system sets.
 _OF_ANSWER = frozenset(('idempotency-replayed', 'x-request-id'))
-#: Headers that the HTTP library would add where the caller sent none.
-_NOT_ADDED = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
 _DISPATCH_LATE = 'the deadline passed before the call was sent'
 
 
@@ -124,12 +127,9 @@
                 'X-Deadline-Seconds': f'{call.deadline - monotonic():.3f}',
             },
             data=call.body or None,
-            skip_auto_headers=_NOT_ADDED,
+            skip_auto_headers=NEVER_ADDED,
             allow_redirects=False,
-            timeout=aiohttp.ClientTimeout(
-                total=None,
-                sock_connect=CONNECT_TIMEOUT,
-            ),
+            timeout=limit_connecting(CONNECT_TIMEOUT),
             trace_request_ctx=progress,
         ) as response:
             received = await response.content.read(MAX_ANSWER_BYTES + 1)
--- a/src/kelproad/state/refusals.py
+++ b/src/kelproad/state/refusals.py
@@ -10,7 +10,10 @@
 
 import attrs
 
-__all__ = ['Ran', 'Refusal', 'RefusalCode', 'Step']
+__all__ = ['PROMISING', 'Ran', 'Refusal', 'RefusalCode', 'Step']
+
+#: Statuses that promise the caller that its call has not run and never will.
+PROMISING = frozenset((408, 421, 429, 503))
 
 
 class Ran(enum.StrEnum):
