--- a/tests/ingress/callers.py
+++ b/tests/ingress/callers.py
@@ -2,7 +2,9 @@
 
 import itertools
 import socket
+import threading
 import time
+from collections.abc import Callable
 from http import client
 
 import attrs
@@ -103,6 +105,15 @@
     )
 
 
+def run_aside(
+    target: Callable[[], Answer], results: list[Answer]
+) -> threading.Thread:
+    """Run a call in a thread; its answer goes to a list."""
+    thread = threading.Thread(target=lambda: results.append(target()))
+    thread.start()
+    return thread
+
+
 def count_events(answer: Answer) -> list[int]:
     """List the numbers of the events of an answer."""
     return [
--- /dev/null
+++ b/tests/ingress/test_stops_site.py
@@ -0,0 +1,131 @@
+"""Planned stops of an instance: what callers see until the process is gone."""
+
+import contextlib
+import signal
+import socket
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from testbed.calls import CallError, call_control
+from testbed.routed import RoutedSite, start_routed_site
+from tests.ingress.callers import (
+    Answer,
+    call,
+    count_events,
+    make_headers,
+    next_id,
+    run_aside,
+    stream,
+)
+
+ENGINES = ('engine-1', 'engine-2', 'engine-3')
+SLACK = 0.2
+
+
+@pytest.fixture
+def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[RoutedSite]:
+    """Run a site of two instances that the test may break."""
+    with start_routed_site(tmp_path_factory.mktemp('site'), 2) as running:
+        yield running
+
+
+def test_a_planned_stop_cuts_nothing(site: RoutedSite) -> None:
+    """An instance is told to stop while it hands on a stream.
+
+    The stream comes whole, callers on kept connections are told to leave, and
+    the balancer hears at once that no more should come.
+    """
+    instance = site.instances[0]
+    for name in ENGINES:
+        site.break_endpoint(name, pace=0.4, events=6)
+    results: list[Answer] = []
+    thread = run_aside(lambda: stream(instance), results)
+    time.sleep(0.5)
+    instance.process.send_signal(signal.SIGTERM)
+    time.sleep(0.2)
+    with pytest.raises(CallError):
+        call_control(instance.ready, 'GET', '/-/readyz')
+    late = call(instance, '/open/x')
+    assert late.status == 200
+    assert late.headers['Connection'] == 'close'
+    thread.join()
+    assert count_events(results[0]) == [1, 2, 3, 4, 5, 6]
+    assert not results[0].broken
+    assert instance.process.wait(8) == 0
+
+
+def test_a_stop_refuses_what_it_would_cut(site: RoutedSite) -> None:
+    """A balancer goes on sending to an instance that stops.
+
+    No other instance of the zone is in rotation, so a long stream comes five
+    seconds after SIGTERM; it was taken, and cut in its midst at the kill.  Now
+    the caller hears at once that it has not run, and goes to another one.
+    """
+    instance = site.instances[0]
+    for name in ENGINES:
+        site.break_endpoint(name, pace=0.9, events=5)
+    results: list[Answer] = []
+    thread = run_aside(
+        lambda: stream(instance, X_Kelproad_Deadline_Ms='9000'),
+        results,
+    )
+    time.sleep(0.3)
+    instance.process.send_signal(signal.SIGTERM)
+    time.sleep(3.5)
+    late = stream(instance, tokens='100,3000')
+    assert late.status == 503
+    assert late.seconds < SLACK
+    assert float(late.headers['Retry-After']) < SLACK
+    assert site.count_runs(late.request_id) == 0
+    assert call(instance, '/open/x').status == 200
+    thread.join()
+    assert count_events(results[0]) == [1, 2, 3, 4, 5]
+    assert instance.process.wait(8) == 0
+
+
+def test_a_stop_takes_what_new_connections_bring(site: RoutedSite) -> None:
+    """A caller's new connection is there before its request, during a stop.
+
+    The instance closed whatever had no call just then, also connections that
+    had not brought one yet: callers saw them end without an answer, some only
+    seconds later, when the process was gone.
+    """
+    instance = site.instances[0]
+    host, port = instance.caller.split(':')
+    with contextlib.ExitStack() as opened:
+        connections = [
+            opened.enter_context(socket.create_connection((host, int(port))))
+            for _ in range(20)
+        ]
+        instance.process.send_signal(signal.SIGTERM)
+        for connection in connections:
+            time.sleep(0.05)
+            head = ''.join(
+                f'{name}: {text}\r\n'
+                for name, text in make_headers(next_id()).items()
+            )
+            connection.sendall(f'GET /open/x HTTP/1.1\r\n{head}\r\n'.encode())
+        heads = [connection.recv(4096) for connection in connections]
+    assert all(head.startswith(b'HTTP/1.1 200') for head in heads)
+    assert all(b'Connection: close' in head for head in heads)
+    assert instance.process.wait(8) == 0
+
+
+def test_a_stop_closes_kept_connections(site: RoutedSite) -> None:
+    """A caller keeps a connection open while its instance begins to stop.
+
+    The HTTP library marked it as closed and left it open: the caller's next
+    call on it was ignored, and it waited until the process was gone.
+    """
+    instance = site.instances[0]
+    host, port = instance.caller.split(':')
+    head = ''.join(
+        f'{name}: {text}\r\n' for name, text in make_headers(next_id()).items()
+    )
+    with socket.create_connection((host, int(port)), timeout=2) as connection:
+        connection.sendall(f'GET /open/x HTTP/1.1\r\n{head}\r\n'.encode())
+        assert connection.recv(4096).startswith(b'HTTP/1.1 200')
+        instance.process.send_signal(signal.SIGTERM)
+        assert not connection.recv(4096)
