--- /dev/null
+++ b/src/kelproad/coordination/ingress/admitting.py
@@ -0,0 +1,215 @@
+"""Admitting calls: route, workspace, time left before a stop, body, deadline.
+
+Whatever is not admitted has not run and never will.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from aiohttp import web
+from returns.result import Failure, Result, Success
+
+from ...protocol.callers import read_body
+from ...state.calls import Call, CallHead
+from ...state.refusals import Refusal, RefusalCode, Step
+from ...state.routes import Route, RoutedWorkspace, RoutingConfiguration
+from ...transport.deadlines import monotonic, within
+from .holder import ConfigurationHolder
+from .settings import Bounds
+from .stopping import predict_seconds
+
+__all__ = ['Admitter']
+
+#: Seconds for a call whose caller names no deadline and whose route has none.
+_DEFAULT_SECONDS = 60.0
+#: Seconds before the caller's own deadline at which it gets an answer: the
+#: way back takes 3 ms, and the call was sent before it arrived here.
+_CALLER_MARGIN = 0.04
+#: Share of the time in which a key must be revoked for which a configuration
+#: that was not confirmed is trusted; the rest is for the call's own way.
+_TRUSTED_SHARE = 0.7
+#: Seconds after which a caller should come back while no instance has a current
+#: configuration: most outages of the store last some seconds.
+_UNCONFIRMED_RETRY = 1.0
+#: Bytes of a header field beside its name and text.
+_FIELD_BYTES = 4
+#: Seconds after which it should come back when another instance has one.
+_ELSEWHERE_RETRY = 0.02
+
+
+class Admitter:
+    """Admits calls by the configuration in force."""
+
+    def __init__(
+        self,
+        holder: ConfigurationHolder,
+        measure_age: Callable[[], float],
+        is_confirmed_elsewhere: Callable[[float], bool],
+        measure_stop_left: Callable[[], float],
+        read_bounds: Callable[[], Bounds],
+        generator: random.Random,
+    ) -> None:
+        """Admit by the configuration in force.
+
+        ``measure_age`` tells how many seconds old it may be,
+        ``is_confirmed_elsewhere`` whether another instance knows better, and
+        ``measure_stop_left`` the seconds until this one stops.
+        """
+        self._holder = holder
+        self._measure_age = measure_age
+        self._is_confirmed_elsewhere = is_confirmed_elsewhere
+        self._measure_stop_left = measure_stop_left
+        self._read_bounds = read_bounds
+        self._generator = generator
+
+    @property
+    def trusted(self) -> bool:
+        """Whether the keys known here may still be relied on.
+
+        A key that was taken away must not work anywhere after a bound, also
+        where the store cannot be reached.
+        """
+        trusted_for = self._read_bounds().revoke_key * _TRUSTED_SHARE
+        return self._measure_age() < trusted_for
+
+    async def admit(
+        self,
+        head: CallHead,
+        http_request: web.Request,
+        arrived: float,
+    ) -> Result[Call, Refusal]:
+        """Find route and workspace, and read the body."""
+        configuration = self._holder.current
+        if configuration is None:
+            return Failure(self._refuse_unconfirmed('no configuration yet'))
+        if _measure_head(http_request) > configuration.limits.max_header_bytes:
+            return Failure(_refuse_long_head())
+        route = configuration.find_route(head.host, head.path)
+        if route is None:
+            return Failure(self._refuse_unknown(RefusalCode.NOT_FOUND))
+        identified = self._identify(configuration, route, head)
+        if isinstance(identified, Failure):
+            return identified
+        service = self._choose_service(route)
+        profile = configuration.find_profile(service)
+        if predict_seconds(head, route, profile) > self._measure_stop_left():
+            return Failure(_refuse_stopping())
+        deadline = _choose_deadline(route, head, arrived)
+        body = await _receive(http_request, configuration, deadline)
+        return body.map(
+            lambda received: Call(
+                head,
+                route,
+                service,
+                identified.unwrap(),
+                received,
+                arrived,
+                deadline,
+            ),
+        )
+
+    def _identify(
+        self,
+        configuration: RoutingConfiguration,
+        route: Route,
+        head: CallHead,
+    ) -> Result[RoutedWorkspace | None, Refusal]:
+        """Find the workspace that holds the call's key."""
+        if route.anonymous or not configuration.workspaces_by_key:
+            return Success(None)
+        if not self.trusted:
+            return Failure(self._refuse_unconfirmed('keys are not confirmed'))
+        workspace = configuration.workspaces_by_key.get(head.api_key)
+        if workspace is None:
+            return Failure(self._refuse_unknown(RefusalCode.UNAUTHENTICATED))
+        return Success(workspace)
+
+    def _refuse_unknown(self, code: RefusalCode) -> Refusal:
+        """Refuse what the configuration doesn't have, if it is a fresh one.
+
+        A newer configuration may have it; only one that was confirmed lately
+        permits to say no for good.
+        """
+        age = self._measure_age()
+        if age > self._read_bounds().apply_configuration:
+            return self._refuse_unconfirmed(
+                'the configuration is not confirmed'
+            )
+        return Refusal(code, 'not configured', Step.AUTHENTICATE)
+
+    def _refuse_unconfirmed(self, message: str) -> Refusal:
+        """Refuse for want of a current configuration.
+
+        Callers come back by another instance, so where one knows better they
+        should do so at once, within their objective.
+        """
+        elsewhere = self._is_confirmed_elsewhere(monotonic())
+        return Refusal(
+            RefusalCode.NOT_READY,
+            message,
+            Step.CONFIGURE,
+            retry_after=_ELSEWHERE_RETRY if elsewhere else _UNCONFIRMED_RETRY,
+        )
+
+    def _choose_service(self, route: Route) -> str:
+        """Draw the service by the weights of the route."""
+        chosen = self._generator.choices(
+            route.services,
+            weights=[service.weight for service in route.services],
+        )
+        return chosen[0].name
+
+
+def _measure_head(http_request: web.Request) -> int:
+    """Measure the bytes of the head as it was sent, about."""
+    fields = sum(
+        len(name) + len(text) + _FIELD_BYTES
+        for name, text in http_request.raw_headers
+    )
+    return len(http_request.raw_path) + fields
+
+
+def _refuse_stopping() -> Refusal:
+    return Refusal(
+        RefusalCode.NOT_READY,
+        'the instance stops before the answer would be whole',
+        Step.RECEIVE,
+        retry_after=_ELSEWHERE_RETRY,
+    )
+
+
+def _refuse_long_head() -> Refusal:
+    return Refusal(
+        RefusalCode.BAD_REQUEST,
+        'the head is longer than operators permit',
+        Step.RECEIVE,
+    )
+
+
+def _choose_deadline(route: Route, head: CallHead, arrived: float) -> float:
+    allowed = head.time_allowed
+    longest = route.timeout or _DEFAULT_SECONDS
+    if allowed is not None:
+        longest = min(longest, allowed - _CALLER_MARGIN)
+    return arrived + longest
+
+
+async def _receive(
+    http_request: web.Request,
+    configuration: RoutingConfiguration,
+    deadline: float,
+) -> Result[bytes, Refusal]:
+    """Read the body whole, before anything is sent on."""
+    limit = configuration.limits.max_body_bytes
+    try:
+        async with within(deadline):
+            return await read_body(http_request, limit, text=False)
+    except asyncio.TimeoutError:
+        return Failure(
+            Refusal(
+                RefusalCode.NO_CAPACITY,
+                'the body did not come in time',
+                Step.RECEIVE,
+            ),
+        )
--- /dev/null
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -0,0 +1,129 @@
+"""Joining the parts that answer calls, from the entrance to the sender."""
+
+import random
+from collections.abc import Callable
+from typing import Self
+
+import aiohttp
+import attrs
+
+from ...state.counters import Counters
+from ...state.endpoints import EndpointTable
+from ...state.work import WorkLedger
+from ...transport.deadlines import monotonic
+from ..drain import Drain
+from .admitting import Admitter
+from .attempts import EndpointClient
+from .choosing import Chooser
+from .dialect import Dialect
+from .dispatching import Dispatcher
+from .entrance import Entrance
+from .exchange import WorkExchange
+from .holder import ConfigurationHolder
+from .memory import MemoryKeeper
+from .reach import ZoneReach
+from .sending import Sender
+from .settings import Bounds
+from .sharing import SharedRetries
+from .verdicts import Verdicts
+
+__all__ = ['CallPath', 'SharedState']
+
+
+@attrs.frozen
+class SharedState:
+    """What the parts of an instance share.
+
+    Attributes
+    ----------
+    zone
+        Availability zone of the instance.
+    measure_age
+        Tells how many seconds old the configuration may be.
+    read_bounds
+        Tells what operators permit at present.
+    """
+
+    zone: str
+    dialect: Dialect
+    holder: ConfigurationHolder
+    table: EndpointTable
+    ledger: WorkLedger
+    reach: ZoneReach
+    drain: Drain
+    counters: Counters
+    generator: random.Random
+    measure_age: Callable[[], float]
+    read_bounds: Callable[[], Bounds]
+
+
+@attrs.frozen
+class CallPath:
+    """What answers calls, and the memory that it holds at engines."""
+
+    entrance: Entrance
+    memory: MemoryKeeper
+
+    @classmethod
+    def from_state(
+        cls,
+        shared: SharedState,
+        exchange: WorkExchange,
+        session: aiohttp.ClientSession,
+    ) -> Self:
+        """Join the parts; calls to endpoints go by the session."""
+        memory = MemoryKeeper(
+            shared.dialect.open_orders(session),
+            shared.read_bounds,
+        )
+        admitter = Admitter(
+            shared.holder,
+            shared.measure_age,
+            exchange.is_confirmed_elsewhere,
+            shared.drain.measure_left,
+            shared.read_bounds,
+            shared.generator,
+        )
+        entrance = Entrance(
+            shared.dialect,
+            shared.holder,
+            shared.measure_age,
+            admitter,
+            _create_dispatcher(shared, exchange, session, memory),
+            shared.counters,
+        )
+        return cls(entrance, memory)
+
+
+def _create_dispatcher(
+    shared: SharedState,
+    exchange: WorkExchange,
+    session: aiohttp.ClientSession,
+    memory: MemoryKeeper,
+) -> Dispatcher:
+    retries = SharedRetries(
+        shared.read_bounds,
+        lambda: exchange.count_live(monotonic()),
+    )
+    chooser = Chooser(
+        shared.zone,
+        shared.holder,
+        shared.table,
+        shared.ledger,
+        shared.reach,
+        shared.generator,
+    )
+    sender = Sender(
+        EndpointClient(session, shared.dialect),
+        memory,
+        shared.ledger,
+        retries,
+    )
+    return Dispatcher(
+        chooser,
+        sender,
+        Verdicts(shared.table, retries, shared.reach, shared.counters),
+        retries,
+        shared.ledger,
+        shared.counters,
+    )
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -18,26 +18,19 @@
 from ...transport.http import create_fresh_session, create_session
 from ...transport.services import BackgroundService
 from ..drain import Drain, DrainPhase
-from .attempts import EndpointClient
-from .choosing import Chooser
+from .assembly import CallPath, SharedState
 from .dialect import Dialect
-from .dispatching import Dispatcher
-from .entrance import Entrance
 from .exchange import CONFIRMED_SECONDS, WorkExchange
 from .holder import ConfigurationHolder
-from .memory import MemoryKeeper
 from .reach import ZoneReach
 from .readers import ReaderChoice
 from .relaying import TableRelay
 from .reloading import SettingsHolder, SettingsWatch
 from .rostering import Roster
-from .sending import Sender
 from .settings import Bounds
-from .sharing import SharedRetries
 from .store import OpenStore
 from .surfaces import Surfaces, describe_endpoints, describe_work
 from .tables import FollowedTables
-from .verdicts import Verdicts
 
 __all__ = ['Node']
 
@@ -92,7 +85,7 @@
         grace = settings.bounds.stop_grace
         still_sent = min(_STILL_SENT_SECONDS, grace * _STILL_SENT_SHARE)
         self._drain = Drain(
-            lambda: self._entrance.unfinished,
+            lambda: self._path.entrance.unfinished,
             still_sent,
             grace - still_sent - _STOP_MARGIN,
         )
@@ -121,7 +114,7 @@
             self._exchange,
             self._generator,
         )
-        self._create_entrance()
+        self._path = self._create_call_path()
         for service in (
             self._tables.configuration,
             self._tables.endpoints,
@@ -164,12 +157,12 @@
         record(
             _logger,
             'instance_stopping',
-            unfinished=self._entrance.unfinished,
+            unfinished=self._path.entrance.unfinished,
         )
         closing = asyncio.create_task(self._close_idle())
         left = await self._drain.finish()
         closing.cancel()
-        await self._memory.finish(_RELEASE_SECONDS)
+        await self._path.memory.finish(_RELEASE_SECONDS)
         record(_logger, 'instance_stopped', unfinished=left)
         return left
 
@@ -191,53 +184,31 @@
             self._counters,
         )
 
-    def _create_entrance(self) -> None:
-        retries = SharedRetries(
-            self._read_bounds,
-            lambda: self._exchange.count_live(monotonic()),
-        )
-        session = self._open_session()
-        self._memory = MemoryKeeper(
-            self._dialect.open_orders(session),
-            self._read_bounds,
-        )
-        dispatcher = Dispatcher(
-            Chooser(
-                self._settings.zone,
-                self._holder,
-                self._table,
-                self._ledger,
-                self._reach,
-                self._generator,
-            ),
-            Sender(
-                EndpointClient(session, self._dialect),
-                self._memory,
-                self._ledger,
-                retries,
-            ),
-            Verdicts(self._table, retries, self._reach, self._counters),
-            retries,
-            self._ledger,
-            self._counters,
-        )
-        self._entrance = Entrance(
+    def _create_call_path(self) -> CallPath:
+        shared = SharedState(
+            self._settings.zone,
             self._dialect,
             self._holder,
-            self._tables.configuration.measure_age,
-            self._exchange.is_confirmed_elsewhere,
-            self._drain.measure_left,
-            dispatcher,
-            self._read_bounds,
+            self._table,
+            self._ledger,
+            self._reach,
+            self._drain,
             self._counters,
             self._generator,
+            self._tables.configuration.measure_age,
+            self._read_bounds,
+        )
+        return CallPath.from_state(
+            shared,
+            self._exchange,
+            self._open_session(),
         )
 
     async def _serve(self) -> None:
         surfaces = Surfaces(
             self._settings,
             self._dialect,
-            self._entrance.answer,
+            self._path.entrance.answer,
             self._explain_unready,
             self._drain,
             self._counters,
@@ -315,7 +286,7 @@
             'age': self._tables.configuration.measure_age(),
             'endpoint_age': self._tables.endpoints.measure_age(),
             'live_instances': self._exchange.count_live(now),
-            'unfinished': self._entrance.unfinished,
+            'unfinished': self._path.entrance.unfinished,
             'own_work': describe_work(self._ledger),
             'endpoints': describe_endpoints(self._table, now),
         }
