Log what a stopping instance weighs, and which calls its end cuts

Cause: two hypotheses about cut streams (taken without weighing the time left, or weighed too low) could not be told apart by logs: nothing was said when a call was taken during a stop, and what the end of a stop cut was logged as 'caller left'. Ruled out: reading it from placed and ended lines, which lack the time left. Change: weighed_while_stopping for each call that comes during a stop (a stop takes seconds, so the volume is bounded by its calls), and the outcome 'cut by the stop'. The test fails before (outcome 'caller left').

--- a/src/kelproad/coordination/ingress/admitting.py
+++ b/src/kelproad/coordination/ingress/admitting.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+import logging
+import math
 import random
 from collections.abc import Callable
 
@@ -12,6 +14,8 @@
 
 from ...protocol.callers import read_body
 from ...state.calls import Call, CallHead
+from ...state.engines import EngineProfile
+from ...state.records import record
 from ...state.refusals import Refusal, RefusalCode, Step
 from ...state.routes import Route, RoutedWorkspace, RoutingConfiguration
 from ...transport.deadlines import monotonic, within
@@ -21,6 +25,7 @@
 
 __all__ = ['Admitter']
 
+_logger = logging.getLogger(__name__)
 #: Seconds for a call whose caller names no deadline and whose route has none.
 _DEFAULT_SECONDS = 60.0
 #: Seconds before the caller's own deadline at which it gets an answer: the
@@ -93,7 +98,7 @@
             return identified
         service = self._choose_service(route)
         profile = configuration.find_profile(service)
-        if predict_seconds(head, route, profile) > self._measure_stop_left():
+        if not self._fits_before_stop(head, route, profile):
             return Failure(_refuse_stopping())
         deadline = _choose_deadline(route, head, arrived)
         body = await _receive(http_request, configuration, deadline)
@@ -109,6 +114,28 @@
             ),
         )
 
+    def _fits_before_stop(
+        self,
+        head: CallHead,
+        route: Route,
+        profile: EngineProfile | None,
+    ) -> bool:
+        """Tell whether a call can be answered before this instance stops."""
+        left = self._measure_stop_left()
+        if math.isinf(left):
+            return True
+        predicted = predict_seconds(head, route, profile)
+        record(
+            _logger,
+            'weighed_while_stopping',
+            request=head.request_id,
+            route=route.name,
+            predicted=round(predicted, 3),
+            left=round(left, 3),
+            taken=predicted <= left,
+        )
+        return predicted <= left
+
     def _identify(
         self,
         configuration: RoutingConfiguration,
--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -88,6 +88,7 @@
             shared.dialect,
             shared.holder,
             shared.measure_age,
+            shared.drain.measure_left,
             admitter,
             _create_dispatcher(shared, exchange, session, memory),
             shared.counters,
--- a/src/kelproad/coordination/ingress/entrance.py
+++ b/src/kelproad/coordination/ingress/entrance.py
@@ -33,17 +33,20 @@
         dialect: Dialect,
         holder: ConfigurationHolder,
         measure_age: Callable[[], float],
+        measure_stop_left: Callable[[], float],
         admitter: Admitter,
         dispatcher: Dispatcher,
         counters: Counters,
     ) -> None:
         """Answer what is admitted, refuse the rest.
 
-        ``measure_age`` tells how many seconds old the configuration may be.
+        ``measure_age`` tells how many seconds old the configuration may be,
+        ``measure_stop_left`` the seconds until this instance stops.
         """
         self._dialect = dialect
         self._holder = holder
         self._measure_age = measure_age
+        self._measure_stop_left = measure_stop_left
         self._admitter = admitter
         self._dispatcher = dispatcher
         self._counters = counters
@@ -76,13 +79,18 @@
         try:
             answered = await self._dispatcher.answer(call, http_request)
         except (CallerLeftError, asyncio.CancelledError):
-            self._note_end(call, 'caller left')
+            self._note_end(call, self._explain_break())
             raise
         if isinstance(answered, Failure):
             return self._refuse(answered.failure(), head.request_id, arrived)
         self._note_end(call, 'answered')
         return answered.unwrap()
 
+    def _explain_break(self) -> str:
+        """Say why a call ends that is not answered."""
+        stopped = self._measure_stop_left() <= 0
+        return 'cut by the stop' if stopped else 'caller left'
+
     def _refuse(
         self,
         refusal: Refusal,
--- a/tests/ingress/test_stops_site.py
+++ b/tests/ingress/test_stops_site.py
@@ -9,7 +9,12 @@
 import pytest
 
 from testbed.calls import CallError, call_control
-from testbed.routed import RoutedSite, start_routed_site
+from testbed.routed import (
+    RoutedInstance,
+    RoutedSite,
+    start_routed_site,
+    wait_for,
+)
 from tests.ingress.callers import (
     Answer,
     call,
@@ -31,6 +36,26 @@
         yield running
 
 
+def find_line(
+    instance: RoutedInstance,
+    event: str,
+    request_id: str,
+) -> dict[str, object]:
+    """Wait for the line of an instance's log that tells of a call."""
+    found: list[dict[str, object]] = []
+
+    def look() -> bool:
+        found.extend(
+            line
+            for line in instance.log_lines
+            if line['event'] == event and line.get('request') == request_id
+        )
+        return bool(found)
+
+    wait_for(look, f'{event} of {request_id}')
+    return found[0]
+
+
 def test_a_planned_stop_cuts_nothing(site: RoutedSite) -> None:
     """An instance is told to stop while it hands on a stream.
 
@@ -85,6 +110,42 @@
     assert instance.process.wait(8) == 0
 
 
+def test_a_log_names_what_a_stop_cut(site: RoutedSite) -> None:
+    """A caller complains that its stream ended in the midst, at a stop.
+
+    The instance had reached the end of its time with the stream in hand.  Its
+    log must say so under the call's id, and what it weighed when it took or
+    refused calls on the way there; it said that the caller had left.
+    """
+    site.put_configuration(
+        long={
+            'route_type': 'streaming',
+            'stream_resume': True,
+            'timeout_ms': 20_000,
+        },
+    )
+    instance = site.instances[0]
+    wait_for(lambda: stream(instance, '/long/x').status == 200, 'the route')
+    for name in ENGINES:
+        site.break_endpoint(name, pace=0.9, events=12)
+    results: list[Answer] = []
+    thread = run_aside(
+        lambda: stream(instance, '/long/x', X_Kelproad_Deadline_Ms='15000'),
+        results,
+    )
+    time.sleep(0.3)
+    instance.process.send_signal(signal.SIGTERM)
+    time.sleep(0.2)
+    late = call(instance, '/open/x')
+    thread.join()
+    assert results[0].broken
+    ended = find_line(instance, 'ended', results[0].request_id)
+    assert ended['outcome'] == 'cut by the stop'
+    weighed = find_line(instance, 'weighed_while_stopping', late.request_id)
+    assert weighed['taken']
+    assert weighed['predicted'] < weighed['left'] < 7
+
+
 def test_a_stop_takes_what_new_connections_bring(site: RoutedSite) -> None:
     """A caller's new connection is there before its request, during a stop.
 
