Show a stream that a stopping instance takes late and cuts

What callers see: a stream that was sent 3.6 s after SIGTERM gets 200 and breaks off 3.8 s later, at the end of the stop.

--- a/tests/ingress/test_stops_site.py
+++ b/tests/ingress/test_stops_site.py
@@ -110,6 +110,39 @@
     assert instance.process.wait(8) == 0
 
 
+def test_a_stop_takes_no_stream_that_it_may_cut(site: RoutedSite) -> None:
+    """A caller's stream, sent seconds after SIGTERM, ends in its midst.
+
+    A balancer goes on sending to an instance that stops when a zone has few
+    others.  The instance weighed the time that it had left against a guess of
+    the stream's length by the caller's estimate and usual passes; the stream
+    took longer, as its engine was slower than usual.
+    """
+    instance = site.instances[0]
+    for name in ENGINES:
+        site.break_endpoint(name, pace=0.9, events=5)
+    results: list[Answer] = []
+    thread = run_aside(
+        lambda: stream(instance, X_Kelproad_Deadline_Ms='9000'),
+        results,
+    )
+    time.sleep(0.3)
+    instance.process.send_signal(signal.SIGTERM)
+    time.sleep(3.3)
+    late = stream(instance, X_Kelproad_Deadline_Ms='9000')
+    assert not late.broken
+    assert late.status == 503
+    assert late.seconds < SLACK
+    assert float(late.headers['Retry-After']) < SLACK
+    assert site.count_runs(late.request_id) == 0
+    # What ends before the stop does, whatever happens, is still taken.
+    brief = stream(instance, X_Kelproad_Deadline_Ms='2500')
+    assert brief.status == 200
+    thread.join()
+    assert count_events(results[0]) == [1, 2, 3, 4, 5]
+    assert instance.process.wait(8) == 0
+
+
 def test_a_log_names_what_a_stop_cut(site: RoutedSite) -> None:
     """A caller complains that its stream ended in the midst, at a stop.
 
