Answer what a stop can't finish, in place of closing its connection

What callers saw: a call whose answer had not begun when a stop ended (a booking at an endpoint that hangs, a stream before its first event, a body still on its way) lost its connection without an answer, and nothing said whether it had run. Cause: the end of a stop left what was in hand to the closing of the server, which cancels it. Memory reserved for it was not released either, as releases were awaited before. Ruled out: answering at the calls' own deadlines, which lie beyond the kill. Change: at its end a stop ends what is in hand, and each call whose answer has not begun is answered: 503 and when to come back if it was sent nowhere, 502 if it may have run. A stream that has begun can only be broken off, and its log line says so. An answer counts as begun before its head is written, so that an interruption there can't bring a second one.

--- a/src/kelproad/coordination/drain.py
+++ b/src/kelproad/coordination/drain.py
@@ -60,6 +60,11 @@
         """Go through the stop; return how many requests were left."""
         await asyncio.sleep(self._grace)
         self.phase = DrainPhase.REFUSING
-        while self._count_unfinished() and self.measure_left() > 0:
-            await asyncio.sleep(_CHECK_PERIOD)
+        await self.settle(self.measure_left())
         return self._count_unfinished()
+
+    async def settle(self, seconds: float) -> None:
+        """Wait until no call is unfinished, so many seconds at the most."""
+        limit = monotonic() + seconds
+        while self._count_unfinished() and monotonic() < limit:
+            await asyncio.sleep(_CHECK_PERIOD)
--- a/src/kelproad/coordination/ingress/admitting.py
+++ b/src/kelproad/coordination/ingress/admitting.py
@@ -17,7 +17,12 @@
 from ...transport.deadlines import monotonic, within
 from .holder import ConfigurationHolder
 from .settings import Bounds
-from .stopping import StopGuard
+from .stopping import (
+    ELSEWHERE_RETRY,
+    StopEndedError,
+    StopGuard,
+    refuse_stopping,
+)
 
 __all__ = ['Admitter']
 
@@ -34,8 +39,6 @@
 _UNCONFIRMED_RETRY = 1.0
 #: Bytes of a header field beside its name and text.
 _FIELD_BYTES = 4
-#: Seconds after which it should come back when another instance has one.
-_ELSEWHERE_RETRY = 0.02
 
 
 class Admitter:
@@ -94,8 +97,12 @@
         profile = configuration.find_profile(service)
         deadline = _choose_deadline(route, head, arrived)
         if not self._stop_guard.permits(head, route, profile, deadline):
-            return Failure(_refuse_stopping())
-        body = await _receive(http_request, configuration, deadline)
+            return Failure(refuse_stopping())
+        try:
+            async with self._stop_guard.until_end():
+                body = await _receive(http_request, configuration, deadline)
+        except StopEndedError:
+            return Failure(refuse_stopping())
         return body.map(
             lambda received: Call(
                 head,
@@ -148,7 +155,7 @@
             RefusalCode.NOT_READY,
             message,
             Step.CONFIGURE,
-            retry_after=_ELSEWHERE_RETRY if elsewhere else _UNCONFIRMED_RETRY,
+            retry_after=ELSEWHERE_RETRY if elsewhere else _UNCONFIRMED_RETRY,
         )
 
     def _choose_service(self, route: Route) -> str:
@@ -169,15 +176,6 @@
     return len(http_request.raw_path) + fields
 
 
-def _refuse_stopping() -> Refusal:
-    return Refusal(
-        RefusalCode.NOT_READY,
-        'the instance stops before the answer would be whole',
-        Step.RECEIVE,
-        retry_after=_ELSEWHERE_RETRY,
-    )
-
-
 def _refuse_long_head() -> Refusal:
     return Refusal(
         RefusalCode.BAD_REQUEST,
--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -60,10 +60,11 @@
 
 @attrs.frozen
 class CallPath:
-    """What answers calls, and the memory that it holds at engines."""
+    """What answers calls, and what a planned stop needs of it."""
 
     entrance: Entrance
     memory: MemoryKeeper
+    stop_guard: StopGuard
 
     @classmethod
     def from_state(
@@ -77,11 +78,12 @@
             shared.dialect.open_orders(session),
             shared.read_bounds,
         )
+        stop_guard = StopGuard(shared.drain)
         admitter = Admitter(
             shared.holder,
             shared.measure_age,
             exchange.is_confirmed_elsewhere,
-            StopGuard(shared.drain),
+            stop_guard,
             shared.read_bounds,
             shared.generator,
         )
@@ -89,12 +91,11 @@
             shared.dialect,
             shared.holder,
             shared.measure_age,
-            shared.drain.measure_left,
             admitter,
-            _create_dispatcher(shared, exchange, session, memory),
+            _create_dispatcher(shared, exchange, session, memory, stop_guard),
             shared.counters,
         )
-        return cls(entrance, memory)
+        return cls(entrance, memory, stop_guard)
 
 
 def _create_dispatcher(
@@ -102,6 +103,7 @@
     exchange: WorkExchange,
     session: aiohttp.ClientSession,
     memory: MemoryKeeper,
+    stop_guard: StopGuard,
 ) -> Dispatcher:
     retries = SharedRetries(
         shared.read_bounds,
@@ -127,5 +129,6 @@
         Verdicts(shared.table, retries, shared.reach, shared.counters),
         retries,
         shared.ledger,
+        stop_guard,
         shared.counters,
     )
--- a/src/kelproad/coordination/ingress/delivery.py
+++ b/src/kelproad/coordination/ingress/delivery.py
@@ -60,7 +60,7 @@
         self._note_event(monotonic())
         try:
             if self._response is None:
-                self._response = await self._prepare(answer.head)
+                await self._prepare(answer.head)
             await self._response.write(
                 b''.join(event.encoded for event in events),
             )
@@ -74,7 +74,7 @@
             raise SequenceError('the stream ends within an event')
         try:
             if self._response is None:
-                self._response = await self._prepare(answer.head)
+                await self._prepare(answer.head)
             await self._response.write_eof()
         except ConnectionError as error:
             raise CallerLeftError from error
@@ -95,10 +95,14 @@
             self.gap_ended_at = now
         self._last_at = now
 
-    async def _prepare(self, head: AnswerHead) -> web.StreamResponse:
-        response = web.StreamResponse(
+    async def _prepare(self, head: AnswerHead) -> None:
+        """Begin the answer.
+
+        It counts as begun before its head is written: what is interrupted
+        after that must not be answered a second time.
+        """
+        self._response = web.StreamResponse(
             status=head.status,
             headers=CIMultiDict(head.headers),
         )
-        await response.prepare(self._http_request)
-        return response
+        await self._response.prepare(self._http_request)
--- a/src/kelproad/coordination/ingress/dispatching.py
+++ b/src/kelproad/coordination/ingress/dispatching.py
@@ -13,7 +13,7 @@
 from multidict import CIMultiDict
 from returns.result import Failure, Result, Success
 
-from ...state.calls import Call
+from ...state.calls import Call, CallEnd
 from ...state.counters import Counters
 from ...state.records import record
 from ...state.refusals import Refusal, RefusalCode, Step
@@ -26,6 +26,7 @@
 from .placement import Placement, Unplaced
 from .sending import Sender
 from .sharing import SharedRetries
+from .stopping import StopEndedError, StopGuard, refuse_stopping
 from .verdicts import ANSWER_MARGIN, Progress, Verdicts
 
 __all__ = ['Dispatcher']
@@ -46,6 +47,7 @@
         verdicts: Verdicts,
         retries: SharedRetries,
         ledger: WorkLedger,
+        stop_guard: StopGuard,
         counters: Counters,
     ) -> None:
         """Choose, send and judge with these parts."""
@@ -54,6 +56,7 @@
         self._verdicts = verdicts
         self._retries = retries
         self._ledger = ledger
+        self._stop_guard = stop_guard
         self._counters = counters
 
     async def answer(
@@ -61,7 +64,7 @@
         call: Call,
         http_request: web.BaseRequest,
     ) -> Result[web.StreamResponse, Refusal]:
-        """Have a call answered within its deadline.
+        """Have a call answered within its deadline, and before a stop ends.
 
         Raises
         ------
@@ -71,6 +74,26 @@
         self._retries.count_call(call.service, monotonic())
         progress = Progress()
         delivery = StreamDelivery(http_request, call)
+        try:
+            async with self._stop_guard.until_end():
+                return await self._work(call, progress, delivery, http_request)
+        except StopEndedError:
+            return _give_up(
+                call,
+                progress,
+                delivery,
+                refuse_stopping(),
+                CallEnd.CUT_BY_STOP,
+            )
+
+    async def _work(
+        self,
+        call: Call,
+        progress: Progress,
+        delivery: StreamDelivery,
+        http_request: web.BaseRequest,
+    ) -> Result[web.StreamResponse, Refusal]:
+        """Send a call to one endpoint after another while that is permitted."""
         while True:
             placed = await self._place(call, progress)
             if isinstance(placed, Failure):
@@ -119,7 +142,7 @@
     ) -> Result[web.StreamResponse, AttemptFailure]:
         """Send a call to one endpoint and hand its answer on."""
         endpoint = placement.first
-        progress.tried.add(endpoint.name)
+        progress.begin(endpoint.name)
         call.attempts += 1
         _record_placement(call, placement)
         endpoint.own_requests += 1
@@ -169,9 +192,14 @@
     progress: Progress,
     delivery: StreamDelivery,
     refusal: Refusal,
+    end: CallEnd = CallEnd.BROKEN_OFF,
 ) -> Result[web.StreamResponse, Refusal]:
-    """End a call that got no whole answer."""
+    """End a call that got no whole answer.
+
+    ``end`` says how it ended if its answer had begun.
+    """
     if delivery.begun:
+        call.end = end
         record(
             _logger,
             'stream_broken_off',
--- a/src/kelproad/coordination/ingress/entrance.py
+++ b/src/kelproad/coordination/ingress/entrance.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from returns.result import Failure
 
-from ...state.calls import Call
+from ...state.calls import Call, CallEnd
 from ...state.context import current_request
 from ...state.counters import Counters
 from ...state.records import record
@@ -33,20 +33,17 @@
         dialect: Dialect,
         holder: ConfigurationHolder,
         measure_age: Callable[[], float],
-        measure_stop_left: Callable[[], float],
         admitter: Admitter,
         dispatcher: Dispatcher,
         counters: Counters,
     ) -> None:
         """Answer what is admitted, refuse the rest.
 
-        ``measure_age`` tells how many seconds old the configuration may be,
-        ``measure_stop_left`` the seconds until this instance stops.
+        ``measure_age`` tells how many seconds old the configuration may be.
         """
         self._dialect = dialect
         self._holder = holder
         self._measure_age = measure_age
-        self._measure_stop_left = measure_stop_left
         self._admitter = admitter
         self._dispatcher = dispatcher
         self._counters = counters
@@ -79,18 +76,14 @@
         try:
             answered = await self._dispatcher.answer(call, http_request)
         except (CallerLeftError, asyncio.CancelledError):
-            self._note_end(call, self._explain_break())
+            call.end = CallEnd.CALLER_LEFT
+            self._note_end(call)
             raise
         if isinstance(answered, Failure):
             return self._refuse(answered.failure(), head.request_id, arrived)
-        self._note_end(call, 'answered')
+        self._note_end(call)
         return answered.unwrap()
 
-    def _explain_break(self) -> str:
-        """Say why a call ends that is not answered."""
-        stopped = self._measure_stop_left() <= 0
-        return 'cut by the stop' if stopped else 'caller left'
-
     def _refuse(
         self,
         refusal: Refusal,
@@ -119,10 +112,10 @@
         )
         return self._dialect.answer_own(refusal, request_id)
 
-    def _note_end(self, call: Call, outcome: str) -> None:
+    def _note_end(self, call: Call) -> None:
         now = monotonic()
         self._counters.requests.inc(
-            {'service': call.service, 'outcome': outcome},
+            {'service': call.service, 'outcome': call.end.value},
         )
         self._counters.latencies.answers.observe(
             {'service': call.service},
@@ -134,7 +127,7 @@
             request=call.request_id,
             route=call.route.name,
             service=call.service,
-            outcome=outcome,
+            outcome=call.end.value,
             attempts=call.attempts,
             elapsed=round(now - call.arrived, 4),
         )
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -47,6 +47,8 @@
 #: the last sixth of the usual 8 s, in which a call may be cut.
 _STOP_MARGIN = 1.1
 _CLOSE_PERIOD = 0.25
+#: Seconds in which calls that the end of a stop interrupts are answered.
+_ANSWER_SECONDS = 0.2
 #: Seconds that releases of memory have at the end.
 _RELEASE_SECONDS = 0.3
 #: Share of the time in which a key must be revoked after which an instance
@@ -161,6 +163,8 @@
         )
         closing = asyncio.create_task(self._close_idle())
         left = await self._drain.finish()
+        self._path.stop_guard.end()
+        await self._drain.settle(_ANSWER_SECONDS)
         closing.cancel()
         await self._path.memory.finish(_RELEASE_SECONDS)
         record(_logger, 'instance_stopped', unfinished=left)
--- a/src/kelproad/coordination/ingress/stopping.py
+++ b/src/kelproad/coordination/ingress/stopping.py
@@ -6,17 +6,27 @@
 and another instance answers it within its objective.
 """
 
+import asyncio
+import contextlib
 import logging
 import math
+from collections.abc import AsyncIterator, Iterator
 
 from ...state.calls import CallHead
 from ...state.engines import EngineProfile
 from ...state.records import record
+from ...state.refusals import Refusal, RefusalCode, Step
 from ...state.routes import Route
 from ...transport.deadlines import monotonic
 from ..drain import Drain, DrainPhase
 
-__all__ = ['StopGuard', 'predict_seconds']
+__all__ = [
+    'ELSEWHERE_RETRY',
+    'StopEndedError',
+    'StopGuard',
+    'predict_seconds',
+    'refuse_stopping',
+]
 
 _logger = logging.getLogger(__name__)
 #: Seconds of one pass of an engine, counted high: of 752 streams of a quiet
@@ -28,6 +38,13 @@
 #: Times the objective that a call to a plain service may take: the slowest in
 #: a hundred takes five times the mean work, which is a sixth of the objective.
 _PLAIN_OBJECTIVES = 2.0
+#: Seconds after which a caller should come back, by another instance: at once,
+#: but not before this answer has reached it.
+ELSEWHERE_RETRY = 0.02
+
+
+class StopEndedError(Exception):
+    """The time of a planned stop ran out with a call in hand."""
 
 
 class StopGuard:
@@ -49,6 +66,7 @@
     def __init__(self, drain: Drain) -> None:
         """Weigh by one planned stop."""
         self._drain = drain
+        self._open: set[asyncio.Timeout] = set()
 
     def permits(
         self,
@@ -90,6 +108,52 @@
         )
         return needed <= left
 
+    @contextlib.asynccontextmanager
+    async def until_end(self) -> AsyncIterator[None]:
+        """Go on with a call until it is done, or the stop has ended.
+
+        Raises
+        ------
+        StopEndedError
+            When the stop has ended.
+        """
+        try:
+            async with asyncio.timeout(None) as bound:
+                with self._keep(bound):
+                    yield
+        except asyncio.TimeoutError:
+            if bound.expired():
+                raise StopEndedError from None
+            raise
+
+    def end(self) -> None:
+        """End what is in hand, so that each call can still be answered.
+
+        Otherwise the end of the process closes connections on which callers
+        wait for the first byte of an answer.
+        """
+        now = asyncio.get_running_loop().time()
+        for bound in self._open:
+            bound.reschedule(now)
+
+    @contextlib.contextmanager
+    def _keep(self, bound: asyncio.Timeout) -> Iterator[None]:
+        self._open.add(bound)
+        try:
+            yield
+        finally:
+            self._open.discard(bound)
+
+
+def refuse_stopping() -> Refusal:
+    """Refuse a call that the end of a stop would cut."""
+    return Refusal(
+        RefusalCode.NOT_READY,
+        'the instance stops before the answer would be whole',
+        Step.RECEIVE,
+        retry_after=ELSEWHERE_RETRY,
+    )
+
 
 def predict_seconds(
     head: CallHead,
--- a/src/kelproad/coordination/ingress/verdicts.py
+++ b/src/kelproad/coordination/ingress/verdicts.py
@@ -42,7 +42,9 @@
     arrivals
         Attempts that reached an endpoint.
     last
-        The last attempt.
+        The last attempt that ended.
+    in_flight
+        Whether an attempt is under way, so that the call may be running.
     """
 
     ran: Ran = Ran.NO
@@ -50,10 +52,17 @@
     fallback: WholeAnswer | None = None
     arrivals: int = 0
     last: AttemptFailure | None = None
+    in_flight: bool = False
+
+    def begin(self, endpoint: str) -> None:
+        """Enter an attempt that begins."""
+        self.tried.add(endpoint)
+        self.in_flight = True
 
     def note(self, failure: AttemptFailure) -> None:
         """Take in an attempt that failed."""
         self.last = failure
+        self.in_flight = False
         self.arrivals += failure.arrived
         if failure.ran is not Ran.NO and self.ran is not Ran.YES:
             self.ran = failure.ran
@@ -76,17 +85,15 @@
 
     def complete(self, refusal: Refusal) -> Refusal:
         """Let a refusal speak for all attempts, not only for the last."""
+        ran = self.ran
+        if self.in_flight and ran is Ran.NO:
+            ran = Ran.UNKNOWN
+        if ran is Ran.NO:
+            return _promise_not_run(refusal)
         code = refusal.code
-        if self.ran is not Ran.NO and code is RefusalCode.NO_CAPACITY:
+        if code.status in PROMISING:
             code = RefusalCode.ENDPOINT_FAILED
-        if self.ran is Ran.NO and code is RefusalCode.DEADLINE_EXCEEDED:
-            code = RefusalCode.NO_CAPACITY
-        return attrs.evolve(
-            refusal,
-            code=code,
-            ran=self.ran,
-            retry_after=RETRY_AFTER if self.ran is Ran.NO else None,
-        )
+        return attrs.evolve(refusal, code=code, ran=ran, retry_after=None)
 
 
 @attrs.frozen
@@ -187,6 +194,22 @@
         )
 
 
+def _promise_not_run(refusal: Refusal) -> Refusal:
+    """Let a refusal say that the call has not run, and when to come back."""
+    code = refusal.code
+    if code is RefusalCode.DEADLINE_EXCEEDED:
+        code = RefusalCode.NO_CAPACITY
+    retry_after = refusal.retry_after
+    if retry_after is None:
+        retry_after = RETRY_AFTER
+    return attrs.evolve(
+        refusal,
+        code=code,
+        ran=Ran.NO,
+        retry_after=retry_after,
+    )
+
+
 def _find_blamed(placement: Placement, failure: AttemptFailure) -> Endpoint:
     """Find the helper that the answering engine blames, or take itself."""
     for helper in placement.helpers:
--- a/src/kelproad/state/calls.py
+++ b/src/kelproad/state/calls.py
@@ -6,7 +6,23 @@
 
 from .routes import CallKind, Route, RoutedWorkspace
 
-__all__ = ['AnswerHead', 'Call', 'CallHead', 'Forwarding', 'Outcome']
+__all__ = [
+    'AnswerHead',
+    'Call',
+    'CallEnd',
+    'CallHead',
+    'Forwarding',
+    'Outcome',
+]
+
+
+class CallEnd(enum.StrEnum):
+    """How a call ended that was not refused."""
+
+    ANSWERED = 'answered'
+    BROKEN_OFF = 'broken off'
+    CUT_BY_STOP = 'cut by the stop'
+    CALLER_LEFT = 'caller left'
 
 
 @attrs.frozen
@@ -59,6 +75,8 @@
         Monotonic times of its arrival and of its last permitted answer.
     attempts
         Endpoints to which it was sent so far.
+    end
+        How it ended, unless it was refused.
     """
 
     head: CallHead
@@ -69,6 +87,7 @@
     arrived: float
     deadline: float
     attempts: int = 0
+    end: CallEnd = CallEnd.ANSWERED
 
     @property
     def request_id(self) -> str:
--- a/tests/ingress/test_stops_site.py
+++ b/tests/ingress/test_stops_site.py
@@ -145,6 +145,51 @@
     assert instance.process.wait(8) == 0
 
 
+def test_a_stop_answers_what_it_can_not_finish(site: RoutedSite) -> None:
+    """A caller waits for the first byte of an answer when a stop ends.
+
+    A booking hangs at its endpoint, an engine writes nothing, and a body is
+    still on its way when the instance reaches the end of its time.  The
+    connections ended without an answer, and the callers could not tell whether
+    anything had run.  Cause: the end of a stop cancelled what was in hand.
+    """
+    long = {'timeout_ms': 20_000, 'route_type': 'non_idempotent'}
+    site.put_configuration(
+        entries={**long, 'service': 'book'},
+        prose={**long, 'route_type': 'streaming'},
+    )
+    instance = site.instances[0]
+    wait_for(lambda: call(instance, '/entries/x').status == 200, 'the route')
+    for name in site.endpoints:
+        site.break_endpoint(name, hang=True)
+    deadline = {'X_Kelproad_Deadline_Ms': '15000'}
+    sent: list[Answer] = []
+    threads = (
+        run_aside(lambda: call(instance, '/entries/x', **deadline), sent),
+        run_aside(lambda: stream(instance, '/prose/x', **deadline), sent),
+    )
+    head = ''.join(
+        f'{name}: {text}\r\n'
+        for name, text in make_headers(next_id(), **deadline).items()
+    )
+    host, port = instance.caller.split(':')
+    with socket.create_connection((host, int(port)), timeout=10) as slow:
+        slow.sendall(
+            f'POST /entries/x HTTP/1.1\r\n{head}Content-Length: 9\r\n\r\n'
+            'half'.encode(),
+        )
+        time.sleep(0.3)
+        instance.process.send_signal(signal.SIGTERM)
+        unsent = slow.recv(4096)
+    for thread in threads:
+        thread.join()
+    # What was sent on may have run; what had not come whole has not.
+    assert [answer.status for answer in sent] == [502, 502]
+    assert all('Retry-After' not in answer.headers for answer in sent)
+    assert unsent.startswith(b'HTTP/1.1 503')
+    assert instance.process.wait(8) == 1
+
+
 def test_a_log_names_what_a_stop_cut(site: RoutedSite) -> None:
     """A caller complains that its stream ended in the midst, at a stop.
 
