Weigh the time that a stop leaves also when a call is sent, not only when it comes

What callers saw: a stream taken 2.2 s after SIGTERM was sent to a second engine when the first stayed silent, began there, and broke off at the end of the stop. Cause: the same as of streams that came late; between the coming of a call and its sending lie waiting for an engine, a slow body and silent endpoints. Ruled out: the first engine (nothing of it had reached the caller). Change: once a stop is late, a call whose answer has not begun is sent only if its deadline falls before the end. Streams that have begun go on.

--- a/src/kelproad/coordination/ingress/dispatching.py
+++ b/src/kelproad/coordination/ingress/dispatching.py
@@ -95,7 +95,7 @@
     ) -> Result[web.StreamResponse, Refusal]:
         """Send a call to one endpoint after another while that is permitted."""
         while True:
-            placed = await self._place(call, progress)
+            placed = await self._place(call, progress, delivery)
             if isinstance(placed, Failure):
                 return _give_up(call, progress, delivery, placed.failure())
             outcome = await self._attempt(
@@ -119,9 +119,12 @@
         self,
         call: Call,
         progress: Progress,
+        delivery: StreamDelivery,
     ) -> Result[Placement, Refusal]:
         """Choose endpoints, waiting for free ones while that makes sense."""
         while True:
+            if not (delivery.begun or self._stop_guard.may_begin(call)):
+                return Failure(refuse_stopping())
             now = monotonic()
             try:
                 return Success(self._chooser.choose(call, progress.tried, now))
--- a/src/kelproad/coordination/ingress/stopping.py
+++ b/src/kelproad/coordination/ingress/stopping.py
@@ -12,7 +12,7 @@
 import math
 from collections.abc import AsyncIterator, Iterator
 
-from ...state.calls import CallHead
+from ...state.calls import Call, CallHead
 from ...state.engines import EngineProfile
 from ...state.records import record
 from ...state.refusals import Refusal, RefusalCode, Step
@@ -91,7 +91,7 @@
         left = self._drain.measure_left()
         if math.isinf(left):
             return True
-        is_late = self._drain.phase is DrainPhase.REFUSING
+        is_late = self._is_late
         if is_late and route.kind.streams:
             needed = deadline - monotonic()
         else:
@@ -108,6 +108,17 @@
         )
         return needed <= left
 
+    def may_begin(self, call: Call) -> bool:
+        """Tell whether the answer of a call in hand may still begin.
+
+        A call that was taken early in a stop may be sent late in it: it waited
+        for an engine, its body came slowly, or the endpoint before stayed
+        silent.  Its stream would be cut like one that came late.
+        """
+        if not (self._is_late and call.kind.streams):
+            return True
+        return call.remaining(monotonic()) <= self._drain.measure_left()
+
     @contextlib.asynccontextmanager
     async def until_end(self) -> AsyncIterator[None]:
         """Go on with a call until it is done, or the stop has ended.
@@ -136,6 +147,11 @@
         for bound in self._open:
             bound.reschedule(now)
 
+    @property
+    def _is_late(self) -> bool:
+        """Whether balancers have had the time to notice the stop."""
+        return self._drain.phase is DrainPhase.REFUSING
+
     @contextlib.contextmanager
     def _keep(self, bound: asyncio.Timeout) -> Iterator[None]:
         self._open.add(bound)
--- a/tests/ingress/test_stops_site.py
+++ b/tests/ingress/test_stops_site.py
@@ -190,6 +190,36 @@
     assert instance.process.wait(8) == 1
 
 
+def test_a_stop_sends_no_stream_on_that_it_may_cut(site: RoutedSite) -> None:
+    """A caller's stream, taken right after SIGTERM, ends in its midst.
+
+    The engine that it was sent to stayed silent, so it was sent to another one
+    five seconds after SIGTERM, began there, and was cut by the end of the stop.
+    Cause: the time left was weighed when the call came, not when it was sent.
+    """
+    instance = site.instances[0]
+    for name in ENGINES:
+        site.break_endpoint(name, hang=True)
+    results: list[Answer] = []
+    instance.process.send_signal(signal.SIGTERM)
+    time.sleep(2.2)
+    thread = run_aside(
+        lambda: stream(instance, X_Kelproad_Deadline_Ms='9000'),
+        results,
+    )
+    time.sleep(0.6)
+    for name in ENGINES:
+        site.break_endpoint(name, pace=0.9, events=5)
+    thread.join()
+    answer = results[0]
+    assert not answer.broken
+    # The silent engine may have run it, which is not the caller's answer yet.
+    assert answer.status == 502
+    assert answer.seconds < 3
+    assert site.count_runs(answer.request_id) == 1
+    assert instance.process.wait(8) == 0
+
+
 def test_a_log_names_what_a_stop_cut(site: RoutedSite) -> None:
     """A caller complains that its stream ended in the midst, at a stop.
 
