--- a/tests/ingress/test_stops_site.py
+++ b/tests/ingress/test_stops_site.py
@@ -3,6 +3,7 @@
 import contextlib
 import signal
 import socket
+import threading
 import time
 from collections.abc import Iterator
 
@@ -56,6 +57,23 @@
     return found[0]
 
 
+def begin_stop(
+    site: RoutedSite,
+    instance: RoutedInstance,
+    results: list[Answer],
+) -> threading.Thread:
+    """Stop an instance that a stream of 4.5 s keeps from ending at once."""
+    for name in ENGINES:
+        site.break_endpoint(name, pace=0.9, events=5)
+    thread = run_aside(
+        lambda: stream(instance, X_Kelproad_Deadline_Ms='9000'),
+        results,
+    )
+    time.sleep(0.3)
+    instance.process.send_signal(signal.SIGTERM)
+    return thread
+
+
 def test_a_planned_stop_cuts_nothing(site: RoutedSite) -> None:
     """An instance is told to stop while it hands on a stream.
 
@@ -89,15 +107,8 @@
     the caller hears at once that it has not run, and goes to another one.
     """
     instance = site.instances[0]
-    for name in ENGINES:
-        site.break_endpoint(name, pace=0.9, events=5)
     results: list[Answer] = []
-    thread = run_aside(
-        lambda: stream(instance, X_Kelproad_Deadline_Ms='9000'),
-        results,
-    )
-    time.sleep(0.3)
-    instance.process.send_signal(signal.SIGTERM)
+    thread = begin_stop(site, instance, results)
     time.sleep(3.5)
     late = stream(instance, tokens='100,3000')
     assert late.status == 503
@@ -121,15 +132,8 @@
     were at work; here the stream took 4.5 s where 1.1 s were expected.
     """
     instance = site.instances[0]
-    for name in ENGINES:
-        site.break_endpoint(name, pace=0.9, events=5)
     results: list[Answer] = []
-    thread = run_aside(
-        lambda: stream(instance, X_Kelproad_Deadline_Ms='9000'),
-        results,
-    )
-    time.sleep(0.3)
-    instance.process.send_signal(signal.SIGTERM)
+    thread = begin_stop(site, instance, results)
     time.sleep(3.3)
     late = stream(instance, X_Kelproad_Deadline_Ms='9000')
     assert not late.broken
