Let the routed soak see what a stopping instance cuts

Cause: an instance that was told to stop took streams 4 and 5 s later and cut them 7 s after SIGTERM, and no run of the soak could have seen it. Its streams lasted 0.05 s, stops came one at a time, a stream with status 200 that was not whole was not looked at, and the whole stop counted as disturbed when a kill ended it.

Ruled out: a lack of calls to stopping instances; callers did go on calling.

Change: twelve more callers ask for streams of 0.5 to 7 s, whose lengths lie around the callers' estimates as real ones do, with 10 s to wait; three calls in ten come on a connection of their own. Stops also come in series (every 0, 1, 1.5 or 2 s), with a second SIGTERM or SIGHUP; `--stops` brings nothing else about. A stop lasts 8 s at the most, then the instance is killed and the stop counts as broken. An answer that breaks off needs an explanation: its deadline, a failure of an endpoint that ran it, of that endpoint's link, a killed endpoint or a killed or frozen instance. One that came within 3 s of SIGTERM may be cut from 6.67 s on; that is counted and printed. An exit code other than 0 is a broken promise, also 1 when no caller had a call cut.

Wider: runs of endpoints that are killed are kept, and the kill during a stop excuses only calls around the kill.

--- a/src/kelproad/standins/routed.py
+++ b/src/kelproad/standins/routed.py
@@ -1,8 +1,9 @@
 """Stand-in for an endpoint of the routed interface: engine or plain service.
 
 It answers any path, says what it ran, reserves memory, and fails as it is told
-under ``/control``.  An engine writes numbered events at a fixed pace; how long
-engines really take is the placing's matter, not this one's.
+under ``/control``.  An engine writes numbered events at a fixed pace, as many
+and as slowly as the query asks for; how long engines really take is the
+placing's matter, not this one's.
 """
 
 import asyncio
@@ -198,14 +199,16 @@
         )
         await response.prepare(http_request)
         last = int(http_request.headers.get('Last-Event-Id', 0))
-        for number in range(last + 1, self._faults.events + 1):
+        events = int(http_request.query.get('events', self._faults.events))
+        asked_pace = float(http_request.query.get('pace', 0))
+        for number in range(last + 1, events + 1):
             if number - last == self._faults.break_after + 1:
                 await response.write(f'id: {number}\ndata: bro'.encode())
                 http_request.transport.close()
                 return response
             event = f'id: {number}\ndata: piece {number}\n\n'
             await response.write(event.encode())
-            await asyncio.sleep(self._faults.pace)
+            await asyncio.sleep(max(self._faults.pace, asked_pace))
         return response
 
     def _head(self, http_request: web.Request) -> dict[str, str]:
--- a/testbed/routed.py
+++ b/testbed/routed.py
@@ -267,6 +267,12 @@
             },
             'reports': {'route_type': 'streaming', 'stream_resume': True},
             'fragile': {'route_type': 'streaming'},
+            'long-reports': {
+                'route_type': 'streaming',
+                'stream_resume': True,
+                'timeout_ms': 12_000,
+            },
+            'long-fragile': {'route_type': 'streaming', 'timeout_ms': 12_000},
         },
     )
 )
--- a/testbed/soak/routed.py
+++ b/testbed/soak/routed.py
@@ -18,9 +18,11 @@
 from testbed.routed import RoutedSite, start_routed_site
 
 from .links import Link
-from .routed_callers import RoutedCallers
+from .routed_callers import RoutedCallers, RoutedTold
 from .routed_checks import check_calls, check_calm
+from .routed_cuts import is_cut_by_end, is_unanswered
 from .routed_faults import RoutedFaults, wait_for_all
+from .routed_stops import PlannedStop
 
 __all__ = ['main', 'soak']
 
@@ -31,9 +33,16 @@
 _CALM_SECONDS = 7.0
 
 
-async def soak(site: RoutedSite, seconds: float, seed: int) -> list[str]:
+async def soak(
+    site: RoutedSite,
+    seconds: float,
+    seed: int,
+    only_stops: bool = False,
+) -> list[str]:
     """Run callers and failures together, mend all, then check.
 
+    With ``only_stops`` planned stops are the only failures.
+
     Returns
     -------
     list of str
@@ -44,7 +53,7 @@
         callers.key = 'first-key'
         await asyncio.to_thread(site.put_configuration, ('first-key',))
         await asyncio.sleep(1)
-        faults = RoutedFaults(site, links, callers, seed)
+        faults = RoutedFaults(site, links, callers, seed, only_stops)
         await asyncio.gather(callers.run(seconds), faults.run(seconds))
         await asyncio.to_thread(wait_for_all, site)
         await asyncio.sleep(_CALM_SECONDS)
@@ -90,13 +99,33 @@
 def _show(callers: RoutedCallers, faults: RoutedFaults) -> None:
     for span in faults.spans:
         lasted = span.ended - span.began
-        print(f'  {span.name}: {span.subject}, {lasted:.1f} s')
+        print(
+            f'  {span.began:.2f} {span.name}: {span.subject}, {lasted:.1f} s',
+        )
     outcomes = collections.Counter(
         f'{item.kind} {item.status}{"" if item.whole else " broken"}'
         for item in callers.told
     )
     for label, count in sorted(outcomes.items()):
         print(f'{count:6} {label}')
+    for stop in faults.stops:
+        _show_stop(stop, callers.told)
+
+
+def _show_stop(stop: PlannedStop, told: list[RoutedTold]) -> None:
+    """Show a stop, with calls that it cut at its end or left unanswered."""
+    cut = sum(is_cut_by_end(item, stop) for item in told)
+    unanswered = [
+        f'{item.sent_at - stop.asked_at:.2f} s, {item.connection}'
+        for item in told
+        if is_unanswered(item, stop)
+    ]
+    lasted = stop.ended_at - stop.asked_at
+    print(
+        f'  {stop.asked_at:.2f} stop of {stop.instance}: {lasted:.2f} s,',
+        f'exit code {stop.code}, {cut} cut at its end,',
+        f'no answer: {"; ".join(unanswered) or "none"}',
+    )
 
 
 def main() -> int:
@@ -104,10 +133,17 @@
     parser = argparse.ArgumentParser()
     parser.add_argument('--seconds', type=float, default=_SECONDS)
     parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument(
+        '--stops',
+        action='store_true',
+        help='Bring nothing but planned stops about.',
+    )
     options = parser.parse_args()
     directory = pathlib.Path(tempfile.mkdtemp(prefix='kelproad-soak-'))
     with start_routed_site(directory, 0) as site:
-        broken = asyncio.run(soak(site, options.seconds, options.seed))
+        broken = asyncio.run(
+            soak(site, options.seconds, options.seed, options.stops),
+        )
     for line in broken:
         print(f'BROKEN: {line}')
     print(f'seed {options.seed}: {len(broken)} promises broken')
--- a/testbed/soak/routed_checks.py
+++ b/testbed/soak/routed_checks.py
@@ -1,11 +1,12 @@
 """What a routed site promised, against what callers and endpoints saw."""
 
-import collections
+import math
 
 from testbed.calls import CallError
 from testbed.routed import RoutedSite, wait_for
 
-from .routed_callers import DEADLINE, RoutedTold
+from .routed_callers import RoutedTold
+from .routed_cuts import CROSSING, find_cut, find_failed_stop, is_cut_by_end
 from .routed_faults import RoutedFaults, Span
 
 __all__ = ['check_calls', 'check_calm']
@@ -13,7 +14,7 @@
 #: Statuses that promise that a call has not run.
 _PROMISES = frozenset((408, 421, 429, 503))
 _UNKNOWN_KEY = 401
-_ONCE = frozenset(('bookings', 'fragile'))
+_ONCE = frozenset(('bookings', 'fragile', 'long-fragile'))
 #: Seconds after which a key that was taken away runs nothing, and for a call
 #: to get from its caller to an endpoint.
 _REVOKED_WITHIN = 5.0
@@ -24,8 +25,6 @@
 _LATE = 1.0
 #: Seconds around a failure of an instance in which it may cut calls.
 _AROUND = 0.5
-#: Seconds in which a call may cross the closing of its connection unread.
-_CROSSING = 0.2
 _BREAKS_INSTANCE = frozenset(('instance killed', 'instance frozen'))
 
 
@@ -35,7 +34,7 @@
     faults: RoutedFaults,
 ) -> list[str]:
     """List every promise that was broken to callers."""
-    runs = _count_runs(site)
+    runs = _list_runs(site, faults)
     known = {item.request_id for item in told}
     broken = [
         f'{request_id}: run though nobody sent it'
@@ -43,27 +42,38 @@
         if request_id not in known
     ]
     for item in told:
-        faulty = _find_broken(item, runs[item.request_id], faults)
+        faulty = _find_broken(item, runs.get(item.request_id, []), faults)
         if faulty:
             broken.append(f'{item.request_id} {item.kind}: {faulty}; {item}')
+    for stop in faults.stops:
+        failed = find_failed_stop(stop, told, runs)
+        if failed:
+            broken.append(f'{stop.instance}: {failed}; {stop}')
     return broken
 
 
-def _count_runs(site: RoutedSite) -> collections.Counter[str]:
-    """Count runs by request, of endpoints that were not killed since."""
-    return collections.Counter(
-        run['X-Kelproad-Request-Id']
-        for name in site.endpoints
-        for run in site.show_endpoint(name)['runs']
-    )
+def _list_runs(site: RoutedSite, faults: RoutedFaults) -> dict[str, list[str]]:
+    """List the endpoints that ran each request, as often as they did."""
+    runs: dict[str, list[str]] = {}
+    for name in site.endpoints:
+        forgotten = faults.forgotten_runs.get(name, [])
+        for run in (*forgotten, *site.show_endpoint(name)['runs']):
+            runs.setdefault(run['X-Kelproad-Request-Id'], []).append(name)
+    return runs
 
 
-def _find_broken(item: RoutedTold, runs: int, faults: RoutedFaults) -> str:
+def _find_broken(
+    item: RoutedTold,
+    endpoints: list[str],
+    faults: RoutedFaults,
+) -> str:
     """Say which promise a call broke; empty when none."""
+    runs = len(endpoints)
     broken = item.find_fault() or _find_untrue(item, runs, faults)
-    if broken or _is_disturbed(item, faults.spans):
+    if broken or _is_disturbed(item, faults):
         return broken
-    return _find_unserved(item, runs, faults)
+    cut = find_cut(item, endpoints, faults)
+    return cut or _find_unserved(item, runs, faults)
 
 
 def _find_untrue(item: RoutedTold, runs: int, faults: RoutedFaults) -> str:
@@ -86,25 +96,35 @@
         if item.key not in faults.revoked_at:
             return 'a key that is there was refused for good'
     lasted = item.ended_at - item.sent_at
-    if lasted > DEADLINE + _LATE:
+    if lasted > item.deadline + _LATE:
         return f'answered after {lasted:.1f} s'
-    crossed = not runs and lasted < _CROSSING
-    if not (item.status or item.refused or crossed):
+    crossed = not runs and lasted < CROSSING
+    # Its engine may be silent until the instance gives up what is in hand.
+    cut = any(is_cut_by_end(item, stop) for stop in faults.stops)
+    if not (item.status or item.refused or crossed or cut):
         return 'closed without an answer'
     return ''
 
 
-def _is_disturbed(item: RoutedTold, spans: list[Span]) -> bool:
+def _is_disturbed(item: RoutedTold, faults: RoutedFaults) -> bool:
     """Tell whether its instance was killed or frozen meanwhile.
 
-    A stop is no excuse but for the kill that may follow it.
+    A stop is no excuse but for a kill before its time was over.
     """
+    breaks = [
+        span
+        for span in faults.spans
+        if span.subject == item.instance and span.name in _BREAKS_INSTANCE
+    ]
+    breaks += [
+        Span('killed', stop.instance, stop.killed_at, stop.back_at)
+        for stop in faults.stops
+        if stop.instance == item.instance and stop.killed_at < math.inf
+    ]
     return any(
-        span.subject.startswith(item.instance)
-        and (span.name in _BREAKS_INSTANCE or 'exit code -' in span.subject)
-        and item.sent_at < span.ended + _AROUND
+        item.sent_at < span.ended + _AROUND
         and span.began - _AROUND < item.ended_at
-        for span in spans
+        for span in breaks
     )
 
 
--- a/testbed/soak/routed_faults.py
+++ b/testbed/soak/routed_faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import secrets
 import signal
@@ -15,6 +16,7 @@
 
 from .links import Harm, Link
 from .routed_callers import RoutedCallers
+from .routed_stops import PlannedStop, PlannedStops
 
 __all__ = ['RoutedFaults', 'Span']
 
@@ -22,8 +24,12 @@
 _LONGEST = 4.0
 _CALM_SECONDS = 0.5
 _CHAINS = 3
-#: Seconds after which a process must be gone that was asked to stop.
-_STOP_SECONDS = 10.0
+#: Series of stops at a time where these are the only failures: a second one
+#: takes instances that have just come back.
+_STOP_CHAINS = 2
+_SERIES = 'instances stopped in series'
+#: Seconds between two stops of a series: at once, or as replacing goes on.
+_SERIES_PERIODS = (0, 1.0, 1.5, 2.0)
 _DELAY = 0.4
 
 
@@ -46,13 +52,19 @@
         links: dict[str, Link],
         callers: RoutedCallers,
         seed: int,
+        only_stops: bool = False,
     ) -> None:
-        """Draw failures from a seed; links stand before endpoints and store."""
+        """Draw failures from a seed; links stand before endpoints and store.
+
+        With ``only_stops`` nothing but planned stops is brought about.
+        """
         self._site = site
         self._links = links
         self._callers = callers
         self._random = random.Random(seed)
+        self._stops = PlannedStops(site, self._random)
         self._kinds: dict[str, Callable[[float], Awaitable[str]]] = {
+            _SERIES: self._stop_series,
             'instance killed': self._kill,
             'instance frozen': self._freeze,
             'instance stopped': self._stop,
@@ -64,16 +76,27 @@
             'keys replaced': self._replace_key,
             'configuration changed': self._change_configuration,
         }
+        self._chains = _CHAINS
+        if only_stops:
+            self._kinds = {_SERIES: self._stop_series}
+            self._chains = _STOP_CHAINS
         self._busy: set[str] = set()
         self.spans: list[Span] = []
+        #: What endpoints had run when they were killed, by name.
+        self.forgotten_runs: dict[str, list[dict[str, str]]] = {}
         #: Times at which a key was given out, and taken away, by key.
         self.given_at: dict[str, float] = {}
         self.revoked_at: dict[str, float] = {}
 
+    @property
+    def stops(self) -> list[PlannedStop]:
+        """Planned stops that are over."""
+        return self._stops.done
+
     async def run(self, seconds: float) -> None:
         """Bring failures about for a time; all are mended at the end."""
         end = time.monotonic() + seconds
-        await asyncio.gather(*(self._chain(end) for _ in range(_CHAINS)))
+        await asyncio.gather(*(self._chain(end) for _ in range(self._chains)))
 
     async def _chain(self, end: float) -> None:
         while time.monotonic() < end:
@@ -120,13 +143,28 @@
         with self._take_instance() as instance:
             if instance is None:
                 return ''
-            instance.process.send_signal(signal.SIGTERM)
-            if not self._random.randrange(4):
-                await asyncio.sleep(_SHORTEST)
-                instance.process.kill()
-            code = await asyncio.to_thread(instance.process.wait, _STOP_SECONDS)
-            await asyncio.to_thread(self._site.restart_instance, instance)
-            return f'{instance.name}, exit code {code}'
+            kill_after = math.inf if self._random.randrange(4) else _SHORTEST
+            stop = await self._stops.stop(instance, kill_after)
+            return f'{instance.name}, exit code {stop.code}'
+
+    async def _stop_series(self, _lasts: float) -> str:
+        """Stop one instance after another, the next before the last is gone."""
+        period = self._random.choice(_SERIES_PERIODS)
+        stopped = await asyncio.gather(
+            *(
+                self._stop_later(period * place)
+                for place in range(len(self._site.instances))
+            ),
+        )
+        return f'every {period} s: {", ".join(filter(None, stopped))}'
+
+    async def _stop_later(self, seconds: float) -> str:
+        await asyncio.sleep(seconds)
+        with self._take_instance() as instance:
+            if instance is None:
+                return ''
+            stop = await self._stops.stop(instance)
+            return f'{instance.name} exit code {stop.code}'
 
     async def _reload(self, _lasts: float) -> str:
         with self._take_instance() as instance:
@@ -153,6 +191,8 @@
         with self._take(list(self._site.endpoints)) as name:
             if not name:
                 return ''
+            shown = await asyncio.to_thread(self._site.show_endpoint, name)
+            self.forgotten_runs.setdefault(name, []).extend(shown['runs'])
             self._site.endpoint_processes[name].kill()
             await asyncio.sleep(lasts)
             await asyncio.to_thread(self._site.restart_endpoint, name)
