List five faults of stops that the routed soak found, each with its test

- calls on idle kept connections ignored for 20 ms: `close_idle` marks them as closed at once and closes them 20 ms later.

--- /dev/null
+++ b/tests/ingress/test_stops.py
@@ -0,0 +1,161 @@
+"""Planned stops of an instance, at moments that the soak has found."""
+
+import contextlib
+import select
+import signal
+import socket
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from http import client
+
+import pytest
+
+from kelproad.coordination.drain import Drain
+from testbed.routed import RoutedInstance, RoutedSite, start_routed_site
+from tests.ingress.callers import call, make_headers, next_id, stream
+
+GRACE = 8.0
+#: Seconds between two signals; a process has 50 ms from the end of its loop.
+INSISTING_PERIOD = 0.02
+#: Seconds after SIGTERM, of the 0.02 in which nothing is read.
+WITHIN_STOP = 0.01
+CONNECTIONS = 20
+PAGE = 4096
+#: A stream that ends 6.9 s after it begins, and 20 to 50 ms.
+JUST_IN_TIME = '/long-reports/x?events=23&pace=0.3'
+#: Status of a call that may have run.
+FAILED = 502
+
+
+@pytest.fixture
+def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[RoutedSite]:
+    """Run a site of one instance that is to be stopped."""
+    with start_routed_site(tmp_path_factory.mktemp('site')) as running:
+        yield running
+
+
+@pytest.mark.parametrize('name', ['SIGTERM', 'SIGHUP'])
+def test_a_stop_bears_further_signals(site: RoutedSite, name: str) -> None:
+    """A stop that cut nothing is reported as a crash, exit code -15 or -1.
+
+    A platform repeats SIGTERM, or an operator reloads all instances, while one
+    is stopping.  When its event loop is closed its signal handlers are gone,
+    so what comes in the 50 ms until the process ends kills it.
+    """
+    process = site.instances[0].process
+    process.send_signal(signal.SIGTERM)
+    limit = time.monotonic() + GRACE
+    while process.running and time.monotonic() < limit:
+        time.sleep(INSISTING_PERIOD)
+        process.send_signal(signal.Signals[name])
+    assert process.wait(0) == 0
+
+
+def test_a_stream_that_ends_just_in_time_was_not_cut(site: RoutedSite) -> None:
+    """Exit code 1 tells operators of a cut, and every caller had its answer.
+
+    A stream was in hand when the stop gave up what was unfinished, 6.9 s after
+    SIGTERM; that was counted, and the stream ended in the 0.1 s in which its
+    server was closing.
+    """
+    instance = site.instances[0]
+    instance.process.send_signal(signal.SIGTERM)
+    answer = stream(
+        instance,
+        JUST_IN_TIME,
+        X_Kelproad_Deadline_Ms='10000',
+    )
+    assert instance.process.wait(GRACE) == int(answer.broken)
+
+
+async def test_a_stop_that_has_ended_leaves_no_time() -> None:
+    """A call on a kept connection gets no answer at a stop.
+
+    The instance had nothing in hand 5.3 s after SIGTERM and ended its stop
+    before its time was over.  The call came then, while it was closing, was
+    taken as there seemed to be 1.5 s left, and was cut 0.2 s later.
+    """
+    drain = Drain(int, grace=0, limit=GRACE)
+    drain.start()
+    assert not await drain.finish()
+    assert drain.measure_left() <= 0
+
+
+def test_an_open_connection_of_a_stop_is_read(site: RoutedSite) -> None:
+    """A booking on a kept connection gets no answer, 10 ms after SIGTERM.
+
+    The instance marks idle connections as closed when it begins to stop, and
+    closes them 20 ms later.  What callers send on them meanwhile is ignored,
+    and they can't know that it has not run.
+    """
+    instance = site.instances[0]
+    host, port = instance.caller.split(':')
+    with contextlib.ExitStack() as opened:
+        connections = [
+            opened.enter_context(socket.create_connection((host, int(port))))
+            for _ in range(CONNECTIONS)
+        ]
+        answers = [ask_on(connection) for connection in connections]
+        assert all(answers)
+        instance.process.send_signal(signal.SIGTERM)
+        time.sleep(WITHIN_STOP)
+        still_open = [kept for kept in connections if not is_closed(kept)]
+        for kept in still_open:
+            kept.sendall(build_head())
+        assert all(kept.recv(PAGE) for kept in still_open)
+
+
+def ask_on(connection: socket.socket) -> bytes:
+    """Make one call on a connection that is to be kept."""
+    connection.sendall(build_head())
+    return connection.recv(PAGE)
+
+
+def build_head() -> bytes:
+    """Build a call without a body."""
+    lines = [
+        f'{name}: {text}' for name, text in make_headers(next_id()).items()
+    ]
+    return '\r\n'.join(('GET /open/x HTTP/1.1', *lines, '', '')).encode()
+
+
+def is_closed(connection: socket.socket) -> bool:
+    """Tell whether its end has come."""
+    readable, _, _ = select.select([connection], [], [], 0)
+    return bool(readable)
+
+
+def test_a_late_call_is_answered_when_its_endpoint_is_silent(
+    site: RoutedSite,
+) -> None:
+    """A booking that came 4.5 s after SIGTERM ends without any answer.
+
+    It would have been done in time, but its endpoint got silent.  At its own
+    end the instance closed the connection, though nothing was sent on it yet:
+    the caller could have been told that the booking may have run.
+    """
+    for name in ('book-1', 'book-2'):
+        site.break_endpoint(name, hang=True)
+    instance = site.instances[0]
+    instance.process.send_signal(signal.SIGTERM)
+    with ThreadPoolExecutor() as callers:
+        time.sleep(2.5)
+        holding = callers.submit(book, instance)
+        time.sleep(2)
+        late = callers.submit(book, instance)
+    assert late.result() == FAILED, holding.result()
+
+
+def book(instance: RoutedInstance) -> int:
+    """Make a booking; return its status, 0 when there was no answer."""
+    try:
+        answer = call(
+            instance,
+            '/brisk-bookings/x',
+            'POST',
+            X_Kelproad_Deadline_Ms='10000',
+        )
+    except client.RemoteDisconnected:
+        return 0
+    return answer.status
