--- a/Makefile
+++ b/Makefile
@@ -32,9 +32,10 @@
 soak: $(STAMP)
 	$(PYTHON) -m testbed.soak.run --seconds $(SECONDS) --seed $(SEED)
 
-# The routed interface, behind proxies that harm connections.
+# The routed interface, behind proxies that harm connections; STOPS=--stops for
+# a run in which planned stops are the only failures.
 soak-routed: $(STAMP)
-	$(PYTHON) -m testbed.soak.routed --seconds $(SECONDS) --seed $(SEED)
+	$(PYTHON) -m testbed.soak.routed --seconds $(SECONDS) --seed $(SEED) $(STOPS)
 
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check src tests demo bench testbed
