Close idle connections in one step, and none that is being read

Cause: idle connections were marked as closed, which has aiohttp ignore what comes on them, and closed 20 ms later, so that calls being read just then could be served. Ruled out: closing at once (it loses a call that was read and has not reached its handler), leaving them open (aiohttp's mark can't be taken back, and callers would go on sending to an instance that stops). Change: nothing more is read from them, five turns of the event loop pass, in which a call that was read reaches its handler, then those without one are closed. What still crosses the closing is unread and gets a reset.

--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -247,7 +247,7 @@
         Later it would be in the midst of the next call.
         """
         while True:
-            self._caller_server.close_idle()
+            await self._caller_server.close_idle()
             await asyncio.sleep(_CLOSE_PERIOD)
 
     def _explain_unready(self) -> str:
--- a/src/kelproad/transport/http.py
+++ b/src/kelproad/transport/http.py
@@ -31,9 +31,9 @@
 _KEEPALIVE_SECONDS = 30.0
 _MALFORMED = (HttpProcessingError, web.RequestPayloadError)
 _BACKLOG = 1024
-#: Seconds in which a call that has been read reaches its handler; less than
-#: the time for which a caller may be left without an answer.
-_CLOSE_SECONDS = 0.02
+#: Turns of the event loop in which a call that has been read reaches its
+#: handler: aiohttp wakes the connection's task, which starts another one.
+_READING_TURNS = 5
 #: Ended connections that may be remembered before they are looked through.
 _KEPT_SLACK = 64
 
@@ -128,31 +128,43 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    def close_idle(self) -> None:
+    async def close_idle(self) -> None:
         """Close kept connections that have no call at the moment.
 
         One that has not brought its first call is left alone, as that call is
         probably on its way.
+
+        Nothing more is read first, then a call that was being read gets the
+        time to reach its handler, then what has none is closed.  To close at
+        once would lose a call that has been read; to mark a connection as
+        closed and end it later (aiohttp ignores what comes on it then) lost
+        every call of the 20 ms between.  Now only what crosses the closing is
+        lost, unread.
         """
         if self._runner is None or self._runner.server is None:
             return
-        loop = asyncio.get_running_loop()
-        for connection in self._runner.server.connections:
-            if connection in self._kept and connection not in self._busy:
-                connection.close()
-                loop.call_later(_CLOSE_SECONDS, self._end_idle, connection)
+        idle = [
+            connection
+            for connection in self._runner.server.connections
+            if connection in self._kept and connection not in self._busy
+        ]
+        for connection in idle:
+            connection.transport.pause_reading()
+        for _ in range(_READING_TURNS):
+            await asyncio.sleep(0)
+        for connection in idle:
+            self._end_idle(connection)
 
     def _end_idle(self, connection: web.RequestHandler) -> None:
-        """Close the transport of a connection that stayed without a call.
-
-        aiohttp leaves it open and ignores what comes on it, so that callers
-        would wait for an answer until the process is gone.  A call that was
-        just being read when the connection was closed is in hand by now, and
-        aiohttp closes the connection behind its answer.
-        """
+        """Close a connection unless it has a call by now."""
         transport = connection.transport
-        if connection not in self._busy and transport is not None:
-            transport.close()
+        if transport is None:
+            return
+        if connection in self._busy:
+            transport.resume_reading()
+            return
+        connection.close()
+        transport.close()
 
     def _accept(self) -> asyncio.BaseProtocol:
         """Serve a connection, which must bring its first request in time.
