Drop the mark of a busy endpoint, which only a test read

Cause: AttemptFailure.busy was set for an answer that says the call was not run; nothing in the product read it.

Ruled out: having it used, by not blaming an endpoint that is full. The same word comes from an engine that refuses for other reasons, and being counted as failing is what has the placing weigh a full endpoint less; that changes behaviour and wants plays on the platform, which are not to be had here.

Change: the field is gone; `misdirected` beside it, which is read, is described. The test that read it now has the attempt judged: nothing ran, the endpoint was reached, work that may run once only goes to another one, the refusal isn't handed on, the endpoint stays in use. Were the answer taken for an error, a crossed or a misdirected one, one of these fails.

Conclusion: behaviour unchanged.

--- a/src/kelproad/coordination/ingress/attempts.py
+++ b/src/kelproad/coordination/ingress/attempts.py
@@ -60,8 +60,8 @@
         It says nothing of the endpoint, such as a deadline that passed.
     avoid
         Name of another endpoint that should not take part next time.
-    busy
-        The endpoint is well and has no room.
+    misdirected
+        Another endpoint has its address now.
     answer
         An error that the endpoint answered with.
     """
@@ -72,7 +72,6 @@
     fault: str = ''
     blameless: bool = False
     avoid: str = ''
-    busy: bool = False
     misdirected: bool = False
     answer: 'WholeAnswer | None' = None
 
@@ -232,7 +231,6 @@
                 f'not run: status {head.status}',
                 Ran.NO,
                 fault=head.at_fault,
-                busy=head.outcome is Outcome.NOT_RUN,
                 misdirected=head.outcome is Outcome.MISDIRECTED,
             ),
         )
--- a/tests/ingress/test_attempts.py
+++ b/tests/ingress/test_attempts.py
@@ -12,6 +12,11 @@
 
 from kelproad.coordination.ingress.attempts import EndpointClient, collect
 from kelproad.coordination.ingress.dialect import Dialect
+from kelproad.coordination.ingress.placement import Placement
+from kelproad.coordination.ingress.reach import ZoneReach
+from kelproad.coordination.ingress.settings import Bounds
+from kelproad.coordination.ingress.sharing import SharedRetries
+from kelproad.coordination.ingress.verdicts import Progress, Verdicts
 from kelproad.platform.headers import (
     answer_own,
     encode_call,
@@ -20,12 +25,13 @@
 )
 from kelproad.protocol.connections import trace_connections
 from kelproad.state.calls import Call, CallHead, Forwarding
+from kelproad.state.counters import Counters
 from kelproad.state.declarations import (
     EndpointDeclaration,
     EndpointGroup,
     EndpointKind,
 )
-from kelproad.state.endpoints import Endpoint
+from kelproad.state.endpoints import Endpoint, EndpointTable
 from kelproad.state.refusals import Ran
 from kelproad.state.routes import CallKind, Route, WeightedService
 from kelproad.transport.deadlines import monotonic
@@ -49,6 +55,7 @@
         (WeightedService('book', 1),),
         timeout=5,
         objective=1,
+        most_endpoints=2,
     )
     head = CallHead(REQUEST_ID, 'GET', 'h.example', '/r/x?y=%2F', 'key')
     return Call(head, route, 'book', None, b'', now, now + 5)
@@ -86,6 +93,17 @@
         yield EndpointClient(session, dialect)
 
 
+@pytest.fixture
+def verdicts() -> Verdicts:
+    """Judge attempts as one instance alone does."""
+    return Verdicts(
+        EndpointTable(),
+        SharedRetries(Bounds, lambda: 1),
+        ZoneReach(),
+        Counters(),
+    )
+
+
 async def send(client: EndpointClient, endpoint: Endpoint) -> object:
     """Send a call and read its whole answer."""
     call = build_call()
@@ -224,8 +242,13 @@
 
 async def test_an_endpoint_that_did_not_run_it_says_so(
     client: EndpointClient,
+    verdicts: Verdicts,
 ) -> None:
-    """A full endpoint refuses; the promise that nothing ran is its own."""
+    """A full endpoint refuses; the promise that nothing ran is its own.
+
+    Work that may run once only goes to another one by that word, and the
+    endpoint stays in use, other than one whose address somebody else has.
+    """
 
     async def shed(
         reader: asyncio.StreamReader,
@@ -239,8 +262,16 @@
 
     async with serve(shed) as endpoint:
         outcome = await send(client, endpoint)
-    assert outcome.failure().ran is Ran.NO
-    assert outcome.failure().busy
+    failure = outcome.failure()
+    assert failure.ran is Ran.NO
+    assert failure.arrived
+    call = build_call(CallKind.NON_IDEMPOTENT)
+    progress = Progress()
+    progress.note(failure)
+    verdicts.note(call, Placement(endpoint), failure)
+    assert verdicts.explain_stop(call, progress) is None
+    assert not progress.may_hand_on_error(call)
+    assert not endpoint.leaving
 
 
 async def test_one_connection_a_call(client: EndpointClient) -> None:
