Hold what belongs to one attempt in one record

Cause: Sender.send handed six arguments on to _exchange in two places, and most of them again to what relays the stream and builds the forwarding.

Change: _Attempt holds call, placement, delivery, headers, account and reservations, and builds what the endpoint is told beside the call. send keeps its signature.

--- a/src/kelproad/coordination/ingress/sending.py
+++ b/src/kelproad/coordination/ingress/sending.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import aiohttp
+import attrs
 from aiohttp import web
 from multidict import CIMultiDict
 from returns.result import Failure, Result, Success
@@ -51,6 +52,48 @@
 Outcome = Result[web.StreamResponse, AttemptFailure]
 
 
+@attrs.frozen
+class _Attempt:
+    """A call on its way to one endpoint.
+
+    Attributes
+    ----------
+    delivery
+        Hands a stream on to the caller.
+    received
+        Headers that the caller sent.
+    account
+        Its work in the ledger.
+    reservations
+        Memory that is reserved for it at helpers.
+    """
+
+    call: Call
+    placement: Placement
+    delivery: StreamDelivery
+    received: CIMultiDict[str]
+    account: AttemptAccount
+    reservations: tuple[Reservation, ...] = ()
+
+    def build_forwarding(self) -> Forwarding:
+        """Build what the endpoint is told beside the call itself."""
+        call = self.call
+        tickets = {
+            reservation.endpoint.name: reservation.ticket
+            for reservation in self.reservations
+        }
+        return Forwarding(
+            endpoint=self.placement.first.name,
+            time_left=call.remaining(monotonic()),
+            workspace=call.workspace.name if call.workspace else '',
+            helpers=tuple(
+                (helper.declaration.address, tickets.get(helper.name, ''))
+                for helper in self.placement.helpers
+            ),
+            resume_after=self.delivery.cutter.last_number,
+        )
+
+
 class Sender:
     """Carries out attempts."""
 
@@ -80,15 +123,9 @@
         account: AttemptAccount,
     ) -> Outcome:
         """Send a call and hand its answer on."""
+        attempt = _Attempt(call, placement, delivery, received, account)
         if not placement.shares:
-            return await self._exchange(
-                call,
-                placement,
-                (),
-                delivery,
-                received,
-                account,
-            )
+            return await self._exchange(attempt)
         reserved = await self._memory.reserve(
             f'{call.request_id}-{call.attempts}',
             placement.shares,
@@ -103,33 +140,23 @@
                     avoid=reserved.failure().name,
                 ),
             )
-        reservations = reserved.unwrap()
-        exchange = asyncio.create_task(
-            self._exchange(
-                call,
-                placement,
-                reservations,
-                delivery,
-                received,
-                account,
-            ),
-        )
+        attempt = attrs.evolve(attempt, reservations=reserved.unwrap())
+        exchange = asyncio.create_task(self._exchange(attempt))
         try:
-            return await self._keep_during(exchange, placement, reservations)
+            return await self._keep_during(exchange, attempt)
         finally:
             exchange.cancel()
             await asyncio.wait((exchange,))
-            self._memory.release(reservations)
+            self._memory.release(attempt.reservations)
 
     async def _keep_during(
         self,
         exchange: asyncio.Task[Outcome],
-        placement: Placement,
-        reservations: tuple[Reservation, ...],
+        attempt: _Attempt,
     ) -> Outcome:
         """Keep reservations until the exchange ends or its engine is gone."""
         keeping = asyncio.create_task(
-            self._memory.keep(reservations, placement.first),
+            self._memory.keep(attempt.reservations, attempt.placement.first),
         )
         try:
             await asyncio.wait(
@@ -144,18 +171,17 @@
 
     def _watch_patience(
         self,
-        call: Call,
-        placement: Placement,
+        attempt: _Attempt,
     ) -> Callable[[], float] | None:
         """Prepare to tell how long the silence of an engine is borne.
 
         One that reads a long prompt is silent for that long; leaving it would
         have the prompts of all its streams read again elsewhere.
         """
-        if call.kind is not CallKind.RESUMABLE_STREAM:
+        if attempt.call.kind is not CallKind.RESUMABLE_STREAM:
             return None
-        least = _choose_patience(placement)
-        endpoint = placement.first.name
+        least = _choose_patience(attempt.placement)
+        endpoint = attempt.placement.first.name
 
         def choose() -> float:
             work = self._ledger.sum_at(endpoint, monotonic())
@@ -164,21 +190,14 @@
 
         return choose
 
-    async def _exchange(
-        self,
-        call: Call,
-        placement: Placement,
-        reservations: tuple[Reservation, ...],
-        delivery: StreamDelivery,
-        received: CIMultiDict[str],
-        account: AttemptAccount,
-    ) -> Outcome:
+    async def _exchange(self, attempt: _Attempt) -> Outcome:
+        call = attempt.call
         opened = await self._client.open(
             call,
-            received,
-            placement.first,
-            _build_forwarding(call, placement, reservations, delivery),
-            self._choose_head_deadline(call, placement),
+            attempt.received,
+            attempt.placement.first,
+            attempt.build_forwarding(),
+            self._choose_head_deadline(attempt),
             _choose_blame(call),
         )
         if isinstance(opened, Failure):
@@ -186,27 +205,23 @@
         answer = opened.unwrap()
         try:
             if call.kind.streams:
-                return await _relay(
-                    call,
-                    answer,
-                    delivery,
-                    account,
-                    self._watch_patience(call, placement),
-                )
+                patience = self._watch_patience(attempt)
+                return await _relay(attempt, answer, patience)
             collected = await collect(answer, call.deadline)
             return collected.map(lambda whole: whole.build_response())
         finally:
             answer.close()
 
-    def _choose_head_deadline(self, call: Call, placement: Placement) -> float:
+    def _choose_head_deadline(self, attempt: _Attempt) -> float:
         """Choose until when the head of the answer may take.
 
         What may be repeated is tried elsewhere when its endpoint stays silent,
         a plain call only if it can be; all else has until its deadline, as it
         may be running.
         """
+        call = attempt.call
         if call.kind is CallKind.RESUMABLE_STREAM:
-            patience = _choose_patience(placement)
+            patience = _choose_patience(attempt.placement)
         elif self._may_go_elsewhere(call):
             patience = call.route.objective * _SILENT_OBJECTIVES
         else:
@@ -227,19 +242,18 @@
 
 
 async def _relay(
-    call: Call,
+    attempt: _Attempt,
     answer: OpenAnswer,
-    delivery: StreamDelivery,
-    account: AttemptAccount,
     patience: Callable[[], float] | None,
 ) -> Outcome:
     """Hand a stream on, event by event, to its end."""
+    call, delivery = attempt.call, attempt.delivery
     delivery.cutter.restart()
     try:
         async with asyncio.timeout(call.remaining(monotonic())):
             async for chunk in answer.read_chunks(patience):
                 if await delivery.relay(answer, chunk):
-                    account.end_reading()
+                    attempt.account.end_reading()
             return Success(await delivery.finish(answer))
     except asyncio.TimeoutError:
         late = call.remaining(monotonic()) <= 0
@@ -269,25 +283,3 @@
         _STALL_SECONDS,
         _FIRST_EVENT_SECONDS + _FIRST_EVENT_RATIO * placement.predicted,
     )
-
-
-def _build_forwarding(
-    call: Call,
-    placement: Placement,
-    reservations: tuple[Reservation, ...],
-    delivery: StreamDelivery,
-) -> Forwarding:
-    tickets = {
-        reservation.endpoint.name: reservation.ticket
-        for reservation in reservations
-    }
-    return Forwarding(
-        endpoint=placement.first.name,
-        time_left=call.remaining(monotonic()),
-        workspace=call.workspace.name if call.workspace else '',
-        helpers=tuple(
-            (helper.declaration.address, tickets.get(helper.name, ''))
-            for helper in placement.helpers
-        ),
-        resume_after=delivery.cutter.last_number,
-    )
