Let one function hold calls up at the stand-ins of both stores

Cause: the fault middlewares of the row store and of the platform wrote the same waiting for a hang and a delay, with the same constant and the same handler type.

Ruled out: one middleware for both. The platform refuses before it waits and then loses or delays writes; the row store waits first and refuses late, and only counts paths. Tests rely on either order.

Change: storefaults.hold_up and Handler, used by both; the constant stands once.

Conclusion: behaviour unchanged.

--- a/src/kelproad/standins/platform.py
+++ b/src/kelproad/standins/platform.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import collections
-from collections.abc import Awaitable, Callable
 
 import attrs
 import msgspec
@@ -14,12 +13,11 @@
 
 from ..protocol.store import ABSENT, ListedInstance, Listing, Row, Write
 from ..transport.deadlines import monotonic
+from .storefaults import Handler, hold_up
 
 __all__ = ['Faults', 'PlatformStandIn']
 
-Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 _MAX_OBJECT = 32 * 1024 * 1024
-_HANG = 3600.0
 
 
 @attrs.define
@@ -115,10 +113,7 @@
         faults = self.faults
         if faults.down:
             return web.Response(status=503, text='outage')
-        if faults.hang:
-            await asyncio.sleep(_HANG)
-        if faults.delay:
-            await asyncio.sleep(faults.delay)
+        await hold_up(faults.hang, faults.delay)
         if http_request.method == 'GET':
             return await handler(http_request)
         return await self._write_with_faults(http_request, handler)
--- a/src/kelproad/standins/rowstore.py
+++ b/src/kelproad/standins/rowstore.py
@@ -8,19 +8,17 @@
 import base64
 import collections
 import itertools
-from collections.abc import Awaitable, Callable
 
 import attrs
 import msgspec
 from aiohttp import web
 
 from ..transport.deadlines import monotonic
+from .storefaults import Handler, hold_up
 
 __all__ = ['RowStoreStandIn']
 
-Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 Place = tuple[str, str, str]
-_HANG = 3600.0
 _MOST_ROWS = 500
 _MILLISECONDS = 1000
 _PROTECTED = frozenset(('op', 'servers'))
@@ -103,10 +101,7 @@
         if http_request.path.startswith('/control'):
             return await handler(http_request)
         self._calls[http_request.path] += 1
-        if self._faults.hang:
-            await asyncio.sleep(_HANG)
-        if self._faults.delay:
-            await asyncio.sleep(self._faults.delay)
+        await hold_up(self._faults.hang, self._faults.delay)
         if self._faults.status:
             return web.Response(status=self._faults.status)
         return await handler(http_request)
