Use an endpoint again that goes on living where another one answered

Cause: a 421 means that another engine has the address ("any other engine responds with 421" to a call with the expected id). Whoever heard one marked the endpoint as leaving, and only a new start in its entry, or its entry's vanishing, took that back. One 421 by mistake had an engine get nothing more from that instance as long as it lived. So had a move: an engine that starts again elsewhere and doesn't say when it was born counts as the same life, and its new address was never asked.

Ruled out: use it again with its next report. Peers aren't told of reports that say nothing new, so they would never; and one that was under way when the address changed hands would bring a dead engine back each second. Ejection with a probe: calls that may run once only are no probe, so a service of such calls would never try it, and the mark is passed over when no other endpoint is sound.

Change: an endpoint is left alone for 5 s, in which whoever is gone loses its entry; a new address or a new life ends that at once. A 421 no more counts as a failure of the endpoint, which did not answer. What it costs: while the store is away a dead engine whose address is reused gets an attempt that isn't run every 5 s. The dump shows it as leaving no more; the log has the attempt with its status.

Conclusion: a fault, mended. That entries lapse within 5 s is taken from their reports each second or so, not measured.

--- a/src/kelproad/coordination/ingress/choosing.py
+++ b/src/kelproad/coordination/ingress/choosing.py
@@ -75,7 +75,7 @@
         usable = [
             endpoint
             for endpoint in self._table.in_group(call.service)
-            if not endpoint.leaving and endpoint.name not in tried
+            if _may_be_used(endpoint, now) and endpoint.name not in tried
         ]
         avoided = self._list_doubtful_zones(usable, call, now)
         sound = [
@@ -113,6 +113,11 @@
         )
 
 
+def _may_be_used(endpoint: Endpoint, now: float) -> bool:
+    """Tell whether an endpoint may get calls at all, sound or not."""
+    return not endpoint.leaving and endpoint.disowned_until <= now
+
+
 def _is_sound(endpoint: Endpoint, repeatable: bool, now: float) -> bool:
     """Tell whether an endpoint may be used, or probed with this call."""
     if endpoint.ejected_until > now:
--- a/src/kelproad/coordination/ingress/verdicts.py
+++ b/src/kelproad/coordination/ingress/verdicts.py
@@ -25,6 +25,12 @@
 #: Seconds after which a refused caller should come back when nothing better
 #: is known: about as long as an engine takes for a few short streams.
 RETRY_AFTER = 0.5
+#: Seconds for which an endpoint is left alone when another one answered at its
+#: address.  Who is gone has no entry by then, as endpoints report every second
+#: or so; who is still listed has probably reported since.  That is told by the
+#: time, since peers don't hear of reports that say nothing new, and one that
+#: was under way with the answer proves nothing.
+_DISOWNED_SECONDS = 5.0
 
 
 @attrs.define
@@ -155,9 +161,9 @@
         now: float,
     ) -> None:
         if failure.misdirected:
-            # Its address serves somebody else; until its entry is gone, it
-            # is left alone by whoever heard this.
-            endpoint.listed_leaving = True
+            # Somebody else answered, which says nothing of how it does.
+            endpoint.disowned_until = now + _DISOWNED_SECONDS
+            return
         note_outcome(
             self._table,
             endpoint,
--- a/src/kelproad/state/endpoints.py
+++ b/src/kelproad/state/endpoints.py
@@ -53,6 +53,9 @@
         How often in a row it was taken out.
     failures
         Share of the latest attempts there that failed.
+    disowned_until
+        Monotonic time until which its address counts as somebody else's, as
+        another endpoint answered there.
     """
 
     declaration: EndpointDeclaration
@@ -76,6 +79,7 @@
     restored_at: float = float('-inf')
     ejections: int = 0
     failures: FailureShare = attrs.field(factory=FailureShare)
+    disowned_until: float = float('-inf')
     _unreported: collections.deque[tuple[float, int]] = attrs.field(
         factory=collections.deque,
     )
@@ -299,6 +303,9 @@
             # One that started again has nothing of what was counted before.
             rate = self._group_rates.setdefault(group.name, LearnedRate())
             return Endpoint(declaration, group, group_rate=rate)
+        if declaration.address != endpoint.declaration.address:
+            # Who answered at the former address says nothing of this one.
+            endpoint.disowned_until = float('-inf')
         endpoint.declaration = declaration
         endpoint.group = group
         return endpoint
--- a/tests/ingress/test_attempts.py
+++ b/tests/ingress/test_attempts.py
@@ -272,6 +272,7 @@
     assert verdicts.explain_stop(call, progress) is None
     assert not progress.may_hand_on_error(call)
     assert not endpoint.leaving
+    assert endpoint.disowned_until < monotonic()
 
 
 async def test_one_connection_a_call(client: EndpointClient) -> None:
