Take a 421 for another endpoint's word, whatever else it says

Cause: an answer that says the call was not run was judged by that word before its status. Another engine at the address that marks its 421 so passed for a full endpoint: the one that is gone went on getting calls, and counted as failing.

Ruled out: nothing further; both outcomes say that nothing ran. Whether engines mark a 421 is not known here, the text has only the status.

Change: the status goes first.

Before: test_another_one_at_the_address_says_so failed with the mark and passed without; after, both pass. tests/ingress and test_standins: 168 passed in 84 s (-n 4); lint clean.

Conclusion: the text's status decides.

--- a/src/kelproad/platform/headers.py
+++ b/src/kelproad/platform/headers.py
@@ -144,10 +144,11 @@
 
 
 def _judge(response: aiohttp.ClientResponse, request_id: str) -> Outcome:
-    if _NOT_EXECUTED in response.headers:
-        return Outcome.NOT_RUN
+    # First, as another endpoint may say as well that it did not run the call.
     if response.status == _MISDIRECTED:
         return Outcome.MISDIRECTED
+    if _NOT_EXECUTED in response.headers:
+        return Outcome.NOT_RUN
     # An extra answer may lie on a connection where the next one is due; only
     # the id that engines repeat tells them apart.
     if response.headers.get(_REQUEST_ID) != request_id:
--- a/tests/ingress/test_attempts.py
+++ b/tests/ingress/test_attempts.py
@@ -275,6 +275,35 @@
     assert endpoint.disowned_until < monotonic()
 
 
+@pytest.mark.parametrize('mark', ['', 'X-Kelproad-Not-Executed: 1\r\n'])
+async def test_another_one_at_the_address_says_so(
+    client: EndpointClient,
+    verdicts: Verdicts,
+    mark: str,
+) -> None:
+    """An engine is gone, and its address serves another one.
+
+    That one answers 421, and may say as well that it did not run the call.  By
+    that word it passed for a full endpoint, and went on getting calls that were
+    meant for the one that is gone.
+    """
+
+    async def misdirect(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        head = f'HTTP/1.1 421 Other\r\n{mark}Content-Length: 0\r\n\r\n'
+        writer.write(head.encode())
+
+    async with serve(misdirect) as endpoint:
+        outcome = await send(client, endpoint)
+    verdicts.note(build_call(), Placement(endpoint), outcome.failure())
+    assert outcome.failure().ran is Ran.NO
+    assert endpoint.disowned_until > monotonic()
+    assert not endpoint.consecutive_failures
+
+
 async def test_one_connection_a_call(client: EndpointClient) -> None:
     """A call that breaks without an answer is not sent again by a library."""
     heads: list[bytes] = []
