--- a/tests/ingress/test_endpoints.py
+++ b/tests/ingress/test_endpoints.py
@@ -1,15 +1,19 @@
 """Entries of endpoints that change, vanish and come back."""
 
+import operator
+
 import msgspec
 import pytest
 
 from kelproad.coordination.ingress import endpoints as registry_module
+from kelproad.coordination.ingress.decoding import DecodedState
 from kelproad.coordination.ingress.endpoints import (
     RETURN_SECONDS,
     TOGETHER_SECONDS,
     EndpointRegistry,
 )
 from kelproad.coordination.ingress.following import StoredRow, TableState
+from kelproad.coordination.ingress.mirror import TableMirror
 from kelproad.platform.rows import decode_endpoint
 from kelproad.state.endpoints import EndpointTable
 from kelproad.state.routes import (
@@ -47,7 +51,7 @@
 @pytest.fixture
 def registry(clock: Clock, table: EndpointTable) -> EndpointRegistry:
     """Register for one service."""
-    made = EndpointRegistry(table, decode_endpoint, lambda: clock.back_at, 2)
+    made = EndpointRegistry(table, lambda: clock.back_at, 2)
     made.adopt_configuration(
         RoutingConfiguration.from_declarations(
             1,
@@ -75,9 +79,14 @@
     return StoredRow(name, msgspec.json.encode(entry), 1)
 
 
-def change(*rows: StoredRow) -> TableState:
+def decode(state: TableState) -> DecodedState:
+    """Decode a state of the table as an instance does."""
+    return DecodedState.from_state(state, decode_endpoint)
+
+
+def change(*rows: StoredRow) -> DecodedState:
     """Build a change of the table."""
-    return TableState(1, list(rows), whole=False)
+    return decode(TableState(1, list(rows), whole=False))
 
 
 def drop(name: str) -> StoredRow:
@@ -107,7 +116,7 @@
     """
     registry.adopt(change(write('i-1'), write('i-2')))
     clock.back_at = clock.now
-    registry.adopt(TableState(9, [], whole=True))
+    registry.adopt(decode(TableState(9, [], whole=True)))
     assert set(table.all()) == {'i-1', 'i-2'}
     clock.now += 1
     registry.adopt(change(write('i-1', sequence=2)))
@@ -182,6 +191,30 @@
     assert set(table.all()) == {'i-2'}
 
 
+@pytest.mark.parametrize('whole', [True, False])
+def test_a_spoilt_entry_is_left_however_it_is_told(
+    registry: EndpointRegistry,
+    table: EndpointTable,
+    clock: Clock,
+    whole: bool,
+) -> None:
+    """An entry is spoilt just after the store came back.
+
+    One instance reads the change from the store, another is told the whole
+    table by it.  A dropped entry would be kept until it had time to come back;
+    this one is there, and names no endpoint, for either of them.
+    """
+    clock.back_at = clock.now
+    first = change(write('i-1'), write('i-2'))
+    registry.adopt(first)
+    mirror = TableMirror(operator.eq)
+    mirror.take(first)
+    spoilt = TableState(2, [StoredRow('i-1', b'', 2)], whole=False)
+    mirror.take(decode(spoilt))
+    registry.adopt(decode(mirror.list_changes(None if whole else 1)))
+    assert set(table.all()) == {'i-2'}
+
+
 def test_services_that_are_not_configured_get_no_calls(
     registry: EndpointRegistry,
     table: EndpointTable,
