Refuse what a stop's limit would cut, and answer what it cuts

What callers saw: a booking or a stream that came while an instance was leaving was taken although its deadline lay behind drain_grace + drain_limit, and its connection ended without an answer; so did those of calls that the limit found in hand. Cause: the time left was not weighed when a call came, and the end of a stop left what was in hand to the closing of the server, which cancels it. Ruled out: calls after the grace (all refused, as before); sites whose drain_limit is at least the longest deadline, where nothing is refused or cut by this. Change: a call whose deadline falls behind the end hears 503, ran no, Retry-After 0. At the limit what is in hand is ended: 503 if it was sent nowhere, 502, ran unknown, if it may have run; an answer that has begun is broken off. It ends before cancels are confirmed and outcomes written, so these see it too. Conclusion: with a limit below the longest deadline callers hear the truth; an answer that has begun is still lost then.

--- a/src/kelproad/coordination/drain.py
+++ b/src/kelproad/coordination/drain.py
@@ -6,19 +6,24 @@
 """
 
 import asyncio
+import contextlib
 import enum
 import math
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 
 import attrs
 
 from ..transport.deadlines import monotonic
 
-__all__ = ['Drain', 'DrainPhase', 'StopTimes']
+__all__ = ['Drain', 'DrainPhase', 'StopEndedError', 'StopTimes']
 
 _CHECK_PERIOD = 0.05
 
 
+class StopEndedError(Exception):
+    """The time of a planned stop ran out with a call in hand."""
+
+
 class DrainPhase(enum.StrEnum):
     """How far a planned stop has come."""
 
@@ -63,6 +68,8 @@
         self.phase = DrainPhase.SERVING
         self.started = asyncio.Event()
         self._ends_at = math.inf
+        self._has_ended = False
+        self._bounds: set[asyncio.Timeout] = set()
 
     def measure_left(self) -> float:
         """Return the seconds until the stop gives up what is unfinished.
@@ -92,3 +99,42 @@
         limit = monotonic() + seconds
         while self._count_unfinished() and monotonic() < limit:
             await asyncio.sleep(_CHECK_PERIOD)
+
+    @contextlib.asynccontextmanager
+    async def until_end(self) -> AsyncIterator[None]:
+        """Go on with a call until it is done, or the stop has ended.
+
+        Raises
+        ------
+        StopEndedError
+            When the stop has ended, also before the call went on at all.
+        """
+        if self._has_ended:
+            raise StopEndedError
+        try:
+            async with asyncio.timeout(None) as bound:
+                with self._keep(bound):
+                    yield
+        except asyncio.TimeoutError:
+            if bound.expired():
+                raise StopEndedError from None
+            raise
+
+    def end(self) -> None:
+        """End what is in hand, so that each call can still be answered.
+
+        Otherwise the end of the process closes connections on which callers
+        wait for the first byte of an answer.
+        """
+        self._has_ended = True
+        now = asyncio.get_running_loop().time()
+        for bound in self._bounds:
+            bound.reschedule(now)
+
+    @contextlib.contextmanager
+    def _keep(self, bound: asyncio.Timeout) -> Iterator[None]:
+        self._bounds.add(bound)
+        try:
+            yield
+        finally:
+            self._bounds.discard(bound)
--- a/src/kelproad/coordination/entry.py
+++ b/src/kelproad/coordination/entry.py
@@ -5,11 +5,12 @@
 """
 
 import asyncio
+import logging
 import types
 from collections.abc import Awaitable, Callable, Coroutine
 
 from aiohttp import web
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from ..protocol import callers
 from ..protocol.callers import CompletionBody
@@ -18,16 +19,15 @@
 from ..state.configuration import SnapshotHolder
 from ..state.context import current_request
 from ..state.identity import Identity
-from ..state.refusals import Refusal
-from ..state.requests import (
-    Request,
-)
+from ..state.refusals import Ran, Refusal, RefusalCode, Step
+from ..state.requests import Phase, Request
 from ..transport.deadlines import monotonic
 from ..transport.services import BackgroundService
 from . import admission
 from .accounts import Accounts
 from .claims import Claim, Claims, digest_request
 from .completions import Completions
+from .drain import Drain, StopEndedError
 from .limits import WorkspaceLimits
 from .outcomes import refuse_late, repeat_answer, settle_outcome
 from .plain import PlainCalls
@@ -38,10 +38,17 @@
     admit_completion,
     admit_plain,
     receive,
+    refuse_leaving,
 )
 from .sending import send_whole
 
-__all__ = ['Entry']
+__all__ = ['ANSWER_BEGUN', 'Entry']
+
+_logger = logging.getLogger(__name__)
+#: Set on a call whose answer has begun, so that it can't get another one.
+ANSWER_BEGUN = web.RequestKey('answer_begun', bool)
+#: What a connection that was closed is said to have been answered with.
+_BROKEN_OFF = 499
 
 _COMPLETION_FIELDS = types.MappingProxyType(
     {
@@ -68,6 +75,7 @@
         plain_calls: PlainCalls,
         key_claims: Claims,
         limits: WorkspaceLimits,
+        drain: Drain,
     ) -> None:
         """Answer with the parts of this instance."""
         super().__init__()
@@ -78,6 +86,7 @@
         self._plain_calls = plain_calls
         self._claims = key_claims
         self._limits = limits
+        self._drain = drain
         self._detached: set[asyncio.Task[web.StreamResponse]] = set()
         self._open_calls = 0
 
@@ -159,7 +168,7 @@
         return response
 
     async def _answer_completion(self, call: Call) -> web.StreamResponse:
-        received = await receive(call, self._holder.current, text=True)
+        received = await self._receive(call, text=True)
         if isinstance(received, Failure):
             return self._accounts.refuse(received.failure(), call.request_id)
         arrival = received.unwrap()
@@ -167,9 +176,11 @@
             arrival.body,
             _COMPLETION_FIELDS[call.http_request.path],
         )
-        admitted = parsed.bind(
-            lambda body: admit_completion(arrival, body),
-        ).bind(self._limits.admit)
+        admitted = (
+            parsed.bind(lambda body: admit_completion(arrival, body))
+            .bind(self._weigh_stop)
+            .bind(self._limits.admit)
+        )
         if isinstance(admitted, Failure):
             return self._accounts.refuse(admitted.failure(), call.request_id)
         request = admitted.unwrap()
@@ -177,15 +188,15 @@
             return await self._finish_detached(
                 self._claim(arrival, request, parsed.unwrap()),
             )
-        return await self._completions.answer(
-            arrival,
-            request,
-            parsed.unwrap(),
-        )
+        return await self._complete(arrival, request, parsed.unwrap())
 
     async def _answer_plain(self, call: Call) -> web.StreamResponse:
-        received = await receive(call, self._holder.current, text=False)
-        admitted = received.bind(admit_plain).bind(self._limits.admit)
+        received = await self._receive(call, text=False)
+        admitted = (
+            received.bind(admit_plain)
+            .bind(self._weigh_stop)
+            .bind(self._limits.admit)
+        )
         if isinstance(admitted, Failure):
             return self._accounts.refuse(admitted.failure(), call.request_id)
         arrival, request = received.unwrap(), admitted.unwrap()
@@ -195,6 +206,52 @@
             )
         return await self._call_plain(arrival, request)
 
+    async def _receive(
+        self,
+        call: Call,
+        text: bool,
+    ) -> Result[Arrival, Refusal]:
+        """Receive a call, unless a stop ends before its body is there."""
+        try:
+            async with self._drain.until_end():
+                return await receive(call, self._holder.current, text)
+        except StopEndedError:
+            return Failure(refuse_leaving())
+
+    def _weigh_stop(self, request: Request) -> Result[Request, Refusal]:
+        """Refuse a request that the end of a stop could cut.
+
+        By its deadline it has ended, whatever its endpoint does; a stream that
+        has begun can't be refused any more.
+        """
+        if request.remaining(monotonic()) > self._drain.measure_left():
+            return Failure(refuse_leaving())
+        return Success(request)
+
+    async def _complete(
+        self,
+        arrival: Arrival,
+        request: Request,
+        body: CompletionBody,
+        claim: Claim | None = None,
+    ) -> web.StreamResponse:
+        """Answer a completion call before a stop ends."""
+        try:
+            async with self._drain.until_end():
+                return await self._completions.answer(
+                    arrival,
+                    request,
+                    body,
+                    claim,
+                )
+        except StopEndedError:
+            refusal = _refuse_cut(_may_have_run(request))
+        if arrival.http_request.get(ANSWER_BEGUN, False):
+            return _break_off(arrival)
+        if claim is not None and not claim.settled:
+            await settle_outcome(self._claims, claim, request, Failure(refusal))
+        return self._accounts.refuse(refusal, request.request_id)
+
     # Claimed requests
 
     async def _finish_detached(
@@ -239,12 +296,7 @@
         try:
             if body is None:
                 return await self._call_plain(arrival, request, claim)
-            return await self._completions.answer(
-                arrival,
-                request,
-                body,
-                claim,
-            )
+            return await self._complete(arrival, request, body, claim)
         finally:
             # An unexpected error may have come after the dispatch.
             if not claim.settled:
@@ -269,7 +321,12 @@
         )
         outcome: Result[web.Response, Refusal] = Failure(refuse_late(request))
         try:
-            answered = await self._plain_calls.answer(request, call, decision)
+            async with self._drain.until_end():
+                answered = await self._plain_calls.answer(
+                    request,
+                    call,
+                    decision,
+                )
             outcome = answered.map(
                 lambda answer: web.Response(
                     status=answer.status,
@@ -277,6 +334,8 @@
                     body=answer.body,
                 ),
             )
+        except StopEndedError:
+            outcome = Failure(_refuse_cut(request.phase is not Phase.ADMITTED))
         finally:
             self._accounts.end(request, decision, outcome)
         outcome = outcome.alt(request.complete_refusal)
@@ -291,6 +350,38 @@
 # Answers
 
 
+def _may_have_run(request: Request) -> bool:
+    """Tell whether a completion that was interrupted may have run.
+
+    Its phase tells no more, as it has ended by now.  Parts are attempted as
+    requests of their own.
+    """
+    if request.parts is not None or request.ran is not Ran.NO:
+        return True
+    return request.attempts > 0
+
+
+def _refuse_cut(may_have_run: bool) -> Refusal:
+    """Refuse what was in hand when a stop ended."""
+    if not may_have_run:
+        return refuse_leaving()
+    return Refusal(
+        RefusalCode.ENDPOINT_FAILED,
+        'this instance stopped before the answer was whole',
+        Step.RELAY,
+        ran=Ran.UNKNOWN,
+    )
+
+
+def _break_off(arrival: Arrival) -> web.Response:
+    """Close a connection so that the answer on it can't look complete."""
+    _logger.warning('the end of the stop breaks an answer off')
+    transport = arrival.http_request.transport
+    if transport is not None:
+        transport.abort()
+    return web.Response(status=_BROKEN_OFF)
+
+
 def _plain_path(http_request: web.Request) -> str:
     """Return the part of the raw path that the service itself sees."""
     _, _, rest = http_request.raw_path.removeprefix('/services/').partition('/')
--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -42,6 +42,9 @@
 __all__ = ['Instance']
 
 _logger = logging.getLogger(__name__)
+#: Seconds in which calls that the limit of a stop interrupts are answered:
+#: what they have to write to callers is short.
+_ANSWER_LIMIT = 1.0
 #: Seconds that a stopping instance waits for engines to confirm cancels.
 _CANCEL_LIMIT = 5.0
 #: Seconds that it waits for outcomes to be written, when the platform is down.
@@ -113,6 +116,8 @@
         self._membership.draining = True
         self._membership.announce()
         left = await self._drain.finish()
+        self._drain.end()
+        await self._drain.settle(_ANSWER_LIMIT)
         await self._canceller.finish(_CANCEL_LIMIT)
         unsettled = await self._claims.finish(_CLAIM_LIMIT)
         _logger.info(
@@ -218,6 +223,7 @@
             ),
             self._claims,
             limits,
+            self._drain,
         )
 
     def _create_operator_api(self) -> OperatorApi:
--- a/src/kelproad/coordination/reception.py
+++ b/src/kelproad/coordination/reception.py
@@ -27,6 +27,7 @@
     'admit_completion',
     'admit_plain',
     'receive',
+    'refuse_leaving',
 ]
 
 #: Seconds that a caller has to send its whole body, if its own deadline
@@ -151,6 +152,16 @@
     return found.bind(lambda service: _create_request(arrival, service, 0))
 
 
+def refuse_leaving() -> Refusal:
+    """Refuse a call that the end of a planned stop would cut."""
+    return Refusal(
+        RefusalCode.NOT_READY,
+        'this instance is leaving; another one takes the request',
+        Step.ADMIT,
+        retry_after=0,
+    )
+
+
 def _create_request(
     arrival: Arrival,
     service: Service,
--- a/src/kelproad/coordination/sides.py
+++ b/src/kelproad/coordination/sides.py
@@ -21,8 +21,9 @@
 from ..transport.http import HttpServer
 from .configuration import ConfigurationFollower
 from .drain import Drain, DrainPhase
-from .entry import Entry
+from .entry import ANSWER_BEGUN, Entry
 from .operators import OperatorApi
+from .reception import refuse_leaving
 
 __all__ = ['CallerSide', 'create_servers']
 
@@ -51,6 +52,7 @@
             middlewares=[self._refuse_on_error, self._refuse_when_leaving],
         )
         application.on_response_prepare.append(self._close_when_leaving)
+        application.on_response_prepare.append(_note_begun)
         application.add_routes(
             [
                 *self._entry.routes(),
@@ -69,7 +71,7 @@
     ) -> web.StreamResponse:
         is_work = http_request.path not in _SERVED_TO_THE_END
         if self._drain.phase is DrainPhase.REFUSING and is_work:
-            return callers.answer_refusal(_refuse_leaving(), '')
+            return callers.answer_refusal(refuse_leaving(), '')
         return await handler(http_request)
 
     @web.middleware
@@ -103,7 +105,7 @@
 
     async def _answer_ready(self, _http_request: web.Request) -> web.Response:
         if self._drain.phase is not DrainPhase.SERVING:
-            return callers.answer_refusal(_refuse_leaving(), '')
+            return callers.answer_refusal(refuse_leaving(), '')
         if self._holder.current.revision == 0:
             return callers.answer_refusal(_refuse_unready(self._follower), '')
         return web.Response(text='ready\n')
@@ -143,17 +145,16 @@
     ]
 
 
-async def _answer_alive(_http_request: web.Request) -> web.Response:
-    return web.Response(text='alive\n')
+async def _note_begun(
+    http_request: web.Request,
+    _response: web.StreamResponse,
+) -> None:
+    """Note that the answer of a call has begun: it can have no other one."""
+    http_request[ANSWER_BEGUN] = True
 
 
-def _refuse_leaving() -> Refusal:
-    return Refusal(
-        RefusalCode.NOT_READY,
-        'this instance is leaving; another one takes the request',
-        Step.ADMIT,
-        retry_after=0,
-    )
+async def _answer_alive(_http_request: web.Request) -> web.Response:
+    return web.Response(text='alive\n')
 
 
 def _refuse_http(answered: web.HTTPException) -> Refusal:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -16,6 +16,8 @@
 from tests.conftest import ROADGRIP
 
 GRACE = 1.0
+#: Seconds for which a stop of the site with brief stops waits behind the grace.
+BRIEF_LIMIT = 1.5
 #: Seconds within which a stop ends when nothing keeps it.
 ENDED = 15.0
 
@@ -44,6 +46,18 @@
     shared.wait_ready()
 
 
+@pytest.fixture
+def brief(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Site]:
+    """Run a site whose stops end before the longest deadlines of calls."""
+    plan = SitePlan(
+        example=ROADGRIP,
+        endpoints_per_group=1,
+        instance_settings={'drain_grace': GRACE, 'drain_limit': BRIEF_LIMIT},
+    )
+    with start_site(plan, tmp_path_factory.mktemp('brief')) as site:
+        yield site
+
+
 @pytest.fixture
 def pool() -> Iterator[ThreadPoolExecutor]:
     """Make calls at the same time."""
@@ -175,3 +189,83 @@
     site.set_faults(site.platform_address)
     again = book(site.callers[0], 'outage', 'outage')
     assert (again.status, again.refusal()['ran']) == (409, 'unknown')
+
+
+def test_calls_that_the_limit_would_cut_are_refused(
+    brief: Site,
+    pool: ThreadPoolExecutor,
+) -> None:
+    """A balancer sends a booking and a stream right after SIGTERM.
+
+    Their deadlines lie behind the end of the stop.  The instance took both, and
+    the process was gone before they ended: the booking without an answer, the
+    stream in its midst.  Cause: the time left was not weighed.
+    """
+    instance = brief.instances[0]
+    slow_books(brief, 6.0)
+    # Keeps the stop at work until its end.
+    begun = pool.submit(
+        complete,
+        instance.caller,
+        stream=True,
+        max_tokens=12_000,
+    )
+    time.sleep(0.5)
+    begin_stop(instance)
+    time.sleep(0.2)
+    for refused in (
+        book(instance.caller, 'late', deadline=20),
+        complete(instance.caller, stream=True, max_tokens=1200),
+    ):
+        assert (refused.status, refused.refusal()['ran']) == (503, 'no')
+        assert refused.headers['Retry-After'] == '0'
+    slow_books(brief, 0)
+    # What ends before the stop does, whatever happens, is still taken.
+    assert book(instance.caller, 'in-time', deadline=1).status == 200
+    listed = call(brief.callers[1], '/services/test-runs/entries')
+    assert listed.fields() == {'in-time': 1}
+    with pytest.raises(client.IncompleteRead):
+        begun.result()
+    assert instance.process.wait(ENDED) == 1
+
+
+def test_what_the_limit_cuts_is_answered(
+    brief: Site,
+    pool: ThreadPoolExecutor,
+) -> None:
+    """A caller waits for the first byte of an answer when a stop ends.
+
+    A booking and one with a key hang at their service, a stream's engine has
+    not begun, a body is on its way.  Their connections ended without an
+    answer, and none of the callers knew whether anything had run.  Cause: the
+    limit left what was in hand to the closing of the server, which cancels it.
+    """
+    instance = brief.instances[0]
+    slow_books(brief, 20.0)
+    for name, address in brief.addresses.items():
+        if name.startswith(('report', 'crew')):
+            brief.set_faults(address, delay_head=20.0)
+    sent = [
+        pool.submit(book, instance.caller, 'hangs', deadline=20),
+        pool.submit(book, instance.caller, 'claimed', 'claimed', deadline=20),
+        pool.submit(complete, instance.caller, stream=True),
+    ]
+    head = (
+        'POST /services/test-runs/entries HTTP/1.1\r\nHost: x\r\n'
+        f'Authorization: Bearer {KEY}\r\nContent-Length: 9\r\n\r\nhalf'
+    )
+    host, _, port = instance.caller.rpartition(':')
+    with socket.create_connection((host, int(port)), timeout=ENDED) as raw:
+        raw.sendall(head.encode())
+        time.sleep(0.5)
+        begin_stop(instance)
+        unsent = raw.recv(65536)
+    answers = [waiting.result() for waiting in sent]
+    # What was sent on may have run; what had not come whole has not.
+    assert [answer.status for answer in answers] == [502, 502, 502]
+    assert {answer.refusal()['ran'] for answer in answers} == {'unknown'}
+    assert unsent.startswith(b'HTTP/1.1 503')
+    assert b'"ran":"no"' in unsent
+    assert instance.process.wait(ENDED) == 1
+    again = book(brief.callers[1], 'claimed', 'claimed')
+    assert (again.status, again.refusal()['ran']) == (409, 'unknown')
