--- a/src/kelproad/coordination/drain.py
+++ b/src/kelproad/coordination/drain.py
@@ -124,16 +124,24 @@
                 raise StopEndedError from None
             raise
 
-    def end(self) -> None:
+    def end(self) -> int:
         """End what is in hand, so that each call can still be answered.
 
         Otherwise the end of the process closes connections on which callers
         wait for the first byte of an answer.
+
+        Returns
+        -------
+        int
+            Calls that are not finished.  One whose whole answer is only being
+            written is finished: counted, it would tell operators of a cut
+            that no caller has seen.
         """
         self._has_ended = True
         now = asyncio.get_running_loop().time()
         for bound in self._bounds:
             bound.reschedule(now)
+        return len(self._bounds)
 
     @contextlib.contextmanager
     def _keep(self, bound: asyncio.Timeout) -> Iterator[None]:
--- a/src/kelproad/coordination/ingress/admitting.py
+++ b/src/kelproad/coordination/ingress/admitting.py
@@ -15,14 +15,10 @@
 from ...state.refusals import Refusal, RefusalCode, Step
 from ...state.routes import Route, RoutedWorkspace, RoutingConfiguration
 from ...transport.deadlines import monotonic, within
+from ..drain import StopEndedError
 from .holder import ConfigurationHolder
 from .settings import Bounds
-from .stopping import (
-    ELSEWHERE_RETRY,
-    StopEndedError,
-    StopGuard,
-    refuse_stopping,
-)
+from .stopping import ELSEWHERE_RETRY, StopGuard, refuse_stopping
 
 __all__ = ['Admitter']
 
--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -60,11 +60,10 @@
 
 @attrs.frozen
 class CallPath:
-    """What answers calls, and what a planned stop needs of it."""
+    """What answers calls, and the memory that it holds at engines."""
 
     entrance: Entrance
     memory: MemoryKeeper
-    stop_guard: StopGuard
 
     @classmethod
     def from_state(
@@ -95,7 +94,7 @@
             _create_dispatcher(shared, exchange, session, memory, stop_guard),
             shared.counters,
         )
-        return cls(entrance, memory, stop_guard)
+        return cls(entrance, memory)
 
 
 def _create_dispatcher(
--- a/src/kelproad/coordination/ingress/dispatching.py
+++ b/src/kelproad/coordination/ingress/dispatching.py
@@ -19,6 +19,7 @@
 from ...state.refusals import Refusal, RefusalCode, Step
 from ...state.work import WorkLedger
 from ...transport.deadlines import monotonic
+from ..drain import StopEndedError
 from .accounting import AttemptAccount
 from .attempts import AttemptFailure
 from .choosing import Chooser
@@ -26,7 +27,7 @@
 from .placement import Placement, Unplaced
 from .sending import Sender
 from .sharing import SharedRetries
-from .stopping import StopEndedError, StopGuard, refuse_stopping
+from .stopping import StopGuard, refuse_stopping
 from .verdicts import ANSWER_MARGIN, Progress, Verdicts
 
 __all__ = ['Dispatcher']
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -152,7 +152,7 @@
         )
         closing = asyncio.create_task(self._close_idle())
         await self._drain.finish()
-        left = self._path.stop_guard.end()
+        left = self._drain.end()
         await self._drain.settle(_ANSWER_SECONDS)
         closing.cancel()
         await self._path.memory.finish(_RELEASE_SECONDS)
--- a/src/kelproad/coordination/ingress/stopping.py
+++ b/src/kelproad/coordination/ingress/stopping.py
@@ -6,11 +6,9 @@
 and another instance answers it within its objective.
 """
 
-import asyncio
 import contextlib
 import logging
 import math
-from collections.abc import AsyncIterator, Iterator
 
 from ...state.calls import Call, CallHead
 from ...state.engines import EngineProfile
@@ -22,7 +20,6 @@
 
 __all__ = [
     'ELSEWHERE_RETRY',
-    'StopEndedError',
     'StopGuard',
     'plan_stop',
     'predict_seconds',
@@ -56,10 +53,6 @@
 ELSEWHERE_RETRY = 0.02
 
 
-class StopEndedError(Exception):
-    """The time of a planned stop ran out with a call in hand."""
-
-
 class StopGuard:
     """Tells whether a call may be taken, by the time that a stop leaves.
 
@@ -79,7 +72,6 @@
     def __init__(self, drain: Drain) -> None:
         """Weigh by one planned stop."""
         self._drain = drain
-        self._open: set[asyncio.Timeout] = set()
 
     def permits(
         self,
@@ -132,8 +124,7 @@
             return True
         return call.remaining(monotonic()) <= self._drain.measure_left()
 
-    @contextlib.asynccontextmanager
-    async def until_end(self) -> AsyncIterator[None]:
+    def until_end(self) -> contextlib.AbstractAsyncContextManager[None]:
         """Go on with a call until it is done, or the stop has ended.
 
         Raises
@@ -141,46 +132,13 @@
         StopEndedError
             When the stop has ended.
         """
-        try:
-            async with asyncio.timeout(None) as bound:
-                with self._keep(bound):
-                    yield
-        except asyncio.TimeoutError:
-            if bound.expired():
-                raise StopEndedError from None
-            raise
-
-    def end(self) -> int:
-        """End what is in hand, so that each call can still be answered.
-
-        Otherwise the end of the process closes connections on which callers
-        wait for the first byte of an answer.
-
-        Returns
-        -------
-        int
-            Calls that are not finished.  One whose whole answer is only being
-            written is finished: counted, it would tell operators of a cut
-            that no caller has seen.
-        """
-        now = asyncio.get_running_loop().time()
-        for bound in self._open:
-            bound.reschedule(now)
-        return len(self._open)
+        return self._drain.until_end()
 
     @property
     def _is_late(self) -> bool:
         """Whether balancers have had the time to notice the stop."""
         return self._drain.phase is DrainPhase.REFUSING
 
-    @contextlib.contextmanager
-    def _keep(self, bound: asyncio.Timeout) -> Iterator[None]:
-        self._open.add(bound)
-        try:
-            yield
-        finally:
-            self._open.discard(bound)
-
 
 def plan_stop(kill_after: float) -> StopTimes:
     """Plan the phases of a stop that a kill follows after some seconds."""
