--- a/src/kelproad/coordination/ingress/stopping.py
+++ b/src/kelproad/coordination/ingress/stopping.py
@@ -57,8 +57,9 @@
     """Tells whether a call may be taken, by the time that a stop leaves.
 
     Calls that come while a balancer can't know of the stop yet are weighed by
-    the time that they probably take: most of them are finished, and to refuse
-    them all would send two in a hundred callers away.
+    the time that they probably take: nearly all of them are finished, and
+    weighing by the longest answer permitted sent two in a hundred callers of
+    days with stops away.
 
     Streams that come later are weighed by their deadline.  A stream that has
     begun can't be refused any more, and how long it lasts is its engine's
