Count a call as unfinished until its answer has left the process

What callers saw: of an answer of 6 MB that a caller read slowly, 4.9 MB came, and the connection ended while the stop of its instance had seconds left. Cause: a call was finished when its answer was there, and the HTTP library sent it after that; a stop with nothing in hand closes its server. Ruled out: the time of the stop (3 of 8 s had passed). Change: answers are sent while their calls count, until the network has every byte, by the function that the product's own interface uses.

--- a/src/kelproad/coordination/ingress/entrance.py
+++ b/src/kelproad/coordination/ingress/entrance.py
@@ -14,6 +14,7 @@
 from ...state.records import record
 from ...state.refusals import Refusal
 from ...transport.deadlines import monotonic
+from ...transport.http import send_answer
 from .admitting import Admitter
 from .delivery import CallerLeftError
 from .dialect import Dialect
@@ -55,9 +56,11 @@
         arrived = monotonic()
         self.unfinished += 1
         try:
-            return await self._answer(http_request, arrived)
+            response = await self._answer(http_request, arrived)
+            await _send(http_request, response)
         finally:
             self.unfinished -= 1
+        return response
 
     async def _answer(
         self,
@@ -133,6 +136,26 @@
         )
 
 
+async def _send(
+    http_request: web.Request,
+    response: web.StreamResponse,
+) -> None:
+    """Send a whole answer while its call counts as unfinished.
+
+    A stop that saw nothing in hand would close the connection behind an answer
+    that its caller reads slowly: of 6 MB it got 5.
+    """
+    try:
+        await send_answer(http_request, response)
+    except ConnectionError as error:
+        record(
+            _logger,
+            'answer_not_taken',
+            request=current_request.get(),
+            reason=repr(error),
+        )
+
+
 def _round_age(seconds: float) -> float | None:
     """Round an age for the log; ``None`` while nothing was ever confirmed."""
     return round(seconds, 3) if math.isfinite(seconds) else None
--- a/src/kelproad/coordination/sending.py
+++ b/src/kelproad/coordination/sending.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from ..transport.deadlines import monotonic, within
+from ..transport.http import send_answer, wait_for_last_byte
 from .reception import Call
 
 __all__ = ['SEND_MARGIN', 'send_bounded', 'send_whole']
@@ -30,7 +31,7 @@
     sending: Awaitable[web.StreamResponse],
 ) -> web.StreamResponse:
     """Bound the end of an answer; cut the caller off when it is too slow."""
-    _wait_for_last_byte(call)
+    wait_for_last_byte(call.http_request)
     try:
         async with within(max(call.deadline, monotonic()) + SEND_MARGIN):
             return await sending
@@ -41,18 +42,6 @@
         return web.Response(status=_CALLER_GONE)
 
 
-def _wait_for_last_byte(call: Call) -> None:
-    """Have the sending end only when the network has taken every byte.
-
-    Otherwise it ends with up to 64 KB still in this process, and a planned
-    stop, which waits for the sending alone, would cut them off.
-    """
-    transport = call.http_request.transport
-    if transport is not None:
-        transport.set_write_buffer_limits(high=0)
-
-
 async def _send(call: Call, response: web.StreamResponse) -> web.StreamResponse:
-    await response.prepare(call.http_request)
-    await response.write_eof()
+    await send_answer(call.http_request, response)
     return response
--- a/src/kelproad/standins/routed.py
+++ b/src/kelproad/standins/routed.py
@@ -2,8 +2,8 @@
 
 It answers any path, says what it ran, reserves memory, and fails as it is told
 under ``/control``.  An engine writes numbered events at a fixed pace, as many
-and as slowly as the query asks for; how long engines really take is the
-placing's matter, not this one's.
+and as slowly as the query asks for, a plain service as many bytes; how long
+engines really take is the placing's matter, not this one's.
 """
 
 import asyncio
@@ -182,9 +182,10 @@
             )
         if 'X-Kelproad-Token-Count' in http_request.headers:
             return await self._write_events(http_request)
+        length = int(http_request.query.get('bytes', 0))
         return web.Response(
             headers=self._head(http_request),
-            text=f'answer of {self._name}',
+            text=f'answer of {self._name}'.ljust(length),
         )
 
     async def _write_events(
--- a/src/kelproad/transport/http.py
+++ b/src/kelproad/transport/http.py
@@ -21,6 +21,8 @@
     'HttpServer',
     'create_fresh_session',
     'create_session',
+    'send_answer',
+    'wait_for_last_byte',
     'watch_end',
 ]
 
@@ -225,6 +227,33 @@
         return False
 
 
+async def send_answer(
+    http_request: web.BaseRequest,
+    response: web.StreamResponse,
+) -> None:
+    """Send an answer of known length, until the network has every byte.
+
+    aiohttp would send it after the handler, where nothing counts it as being
+    in hand.
+    """
+    if response.prepared:
+        return
+    wait_for_last_byte(http_request)
+    await response.prepare(http_request)
+    await response.write_eof()
+
+
+def wait_for_last_byte(http_request: web.BaseRequest) -> None:
+    """Have the sending end only when the network has taken every byte.
+
+    Otherwise it ends with up to 64 KB still in this process, and a planned
+    stop, which waits for the sending alone, would cut them off.
+    """
+    transport = http_request.transport
+    if transport is not None:
+        transport.set_write_buffer_limits(high=0)
+
+
 def create_session(
     origin: Address | None = None,
     **options: object,
--- a/tests/ingress/test_stops_site.py
+++ b/tests/ingress/test_stops_site.py
@@ -28,6 +28,9 @@
 
 ENGINES = ('engine-1', 'engine-2', 'engine-3')
 SLACK = 0.2
+PAGE = 4096
+#: Bytes that do not fit into the buffers of a connection.
+LONG_ANSWER = 6_000_000
 
 
 @pytest.fixture
@@ -260,6 +263,32 @@
     assert results[0].status == 502
 
 
+def test_a_stop_waits_for_slow_readers(site: RoutedSite) -> None:
+    """A caller reads a long answer slowly, and gets only part of it.
+
+    Its instance was told to stop and saw nothing in hand any more, as an
+    answer counted as sent when it was there; the process ended with the rest.
+    """
+    instance = site.instances[0]
+    host, port = instance.caller.split(':')
+    head = ''.join(
+        f'{name}: {text}\r\n' for name, text in make_headers(next_id()).items()
+    )
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PAGE)
+        caller.connect((host, int(port)))
+        instance.process.send_signal(signal.SIGTERM)
+        path = f'/open/x?bytes={LONG_ANSWER}'
+        caller.sendall(f'GET {path} HTTP/1.1\r\n{head}\r\n'.encode())
+        time.sleep(3.5)
+        received = b''
+        while chunk := caller.recv(LONG_ANSWER):
+            received += chunk
+    _, _, body = received.partition(b'\r\n\r\n')
+    assert len(body) == LONG_ANSWER
+    assert instance.process.wait(8) == 0
+
+
 def test_a_log_names_what_a_stop_cut(site: RoutedSite) -> None:
     """A caller complains that its stream ended in the midst, at a stop.
 
