Begin the late part of a stop by the clock, and before a cut counts

What callers would see: a stream sent just after 3.0 s from SIGTERM taken by a guess and cut; found by the review, shown in units. Cause: the late part began 3.0 s after the process heard of the stop, which is later than 3 s after SIGTERM, and when a timer of the event loop ran, which is later still on a busy instance. Change: it begins after 2.8 s, by the clock. 18 tests of stops pass; the two new ones fail without the change (no such clock; 3.0 s).

--- a/src/kelproad/coordination/drain.py
+++ b/src/kelproad/coordination/drain.py
@@ -68,6 +68,7 @@
         self.phase = DrainPhase.SERVING
         self.started = asyncio.Event()
         self._ends_at = math.inf
+        self._late_at = math.inf
         self._has_ended = False
         self._bounds: set[asyncio.Timeout] = set()
 
@@ -78,13 +79,22 @@
         """
         return self._ends_at - monotonic()
 
+    @property
+    def is_late(self) -> bool:
+        """Whether lagging balancers have had the time to notice.
+
+        By the clock: the phase changes later when the event loop is busy.
+        """
+        return monotonic() >= self._late_at
+
     def start(self) -> None:
         """Begin the stop; beginning it again changes nothing."""
         if self.phase is DrainPhase.SERVING:
             self.phase = DrainPhase.LEAVING
             times = self._read_times()
             self._grace = times.grace
-            self._ends_at = monotonic() + times.grace + times.limit
+            self._late_at = monotonic() + times.grace
+            self._ends_at = self._late_at + times.limit
             self.started.set()
 
     async def finish(self) -> int:
--- a/src/kelproad/coordination/ingress/stopping.py
+++ b/src/kelproad/coordination/ingress/stopping.py
@@ -16,7 +16,7 @@
 from ...state.refusals import Refusal, RefusalCode, Step
 from ...state.routes import Route
 from ...transport.deadlines import monotonic
-from ..drain import Drain, DrainPhase, StopTimes
+from ..drain import Drain, StopTimes
 
 __all__ = [
     'ELSEWHERE_RETRY',
@@ -29,8 +29,9 @@
 _logger = logging.getLogger(__name__)
 #: Seconds for which a stopping instance takes what a balancer still sends,
 #: which asks once a second and needs two answers, and the largest share of the
-#: time until the kill for that.
-_STILL_SENT_SECONDS = 3.0
+#: time until the kill for that.  What was sent up to 3 s after SIGTERM may be
+#: cut at the end; 0.2 s are for noticing SIGTERM here and the way of a call.
+_STILL_SENT_SECONDS = 2.8
 _STILL_SENT_SHARE = 0.4
 #: Seconds before the kill at which a stopping instance gives up what it has in
 #: hand: answering, releasing and closing take up to 0.6 s when all are needed,
@@ -97,7 +98,7 @@
         left = self._drain.measure_left()
         if math.isinf(left):
             return True
-        is_late = self._is_late
+        is_late = self._drain.is_late
         if is_late and route.kind.streams:
             needed = deadline - monotonic()
         else:
@@ -121,7 +122,7 @@
         for an engine, its body came slowly, or the endpoint before stayed
         silent.  Its stream would be cut like one that came late.
         """
-        if not (self._is_late and call.kind.streams):
+        if not (self._drain.is_late and call.kind.streams):
             return True
         return call.remaining(monotonic()) <= self._drain.measure_left()
 
@@ -135,11 +136,6 @@
         """
         return self._drain.until_end()
 
-    @property
-    def _is_late(self) -> bool:
-        """Whether balancers have had the time to notice the stop."""
-        return self._drain.phase is DrainPhase.REFUSING
-
 
 def plan_stop(kill_after: float) -> StopTimes:
     """Plan the phases of a stop that a kill follows after some seconds."""
--- a/tests/ingress/test_stops.py
+++ b/tests/ingress/test_stops.py
@@ -1,5 +1,6 @@
 """Planned stops of an instance, at moments that the soak has found."""
 
+import asyncio
 import signal
 import time
 from collections.abc import Iterator
@@ -9,10 +10,13 @@
 import pytest
 
 from kelproad.coordination.drain import Drain, StopTimes
+from kelproad.coordination.ingress.stopping import plan_stop
 from testbed.routed import RoutedInstance, RoutedSite, start_routed_site
 from tests.ingress.callers import call, stream
 
 GRACE = 8.0
+#: Seconds after SIGTERM up to which what callers send may be cut at the end.
+NOTICED_WITHIN = 3.0
 #: Seconds between two signals; a process has 50 ms from the end of its loop.
 INSISTING_PERIOD = 0.02
 #: Streams that end 6.9 s and 7.1 s after they begin, and 20 to 50 ms: before
@@ -69,6 +73,30 @@
     assert instance.process.wait(GRACE) == int(answer.broken)
 
 
+async def test_a_stream_is_late_by_the_clock() -> None:
+    """A stream is taken late in a stop, and cut at its end.
+
+    The event loop was busy when the stop's grace passed, so the stop still
+    seemed to be in its first phase when the call was read.
+    """
+    drain = Drain(lambda: 1, lambda: StopTimes(grace=0.1, limit=1))
+    drain.start()
+    finishing = asyncio.create_task(drain.finish())
+    await asyncio.sleep(0)
+    time.sleep(0.2)
+    assert drain.is_late
+    finishing.cancel()
+
+
+def test_a_stream_is_late_before_a_cut_counts() -> None:
+    """A stream sent 3.0 s after SIGTERM is taken by a guess, and cut.
+
+    What is sent later than 3 s after SIGTERM may not be cut, and the instance
+    counts from when it hears of the stop.
+    """
+    assert plan_stop(GRACE).grace < NOTICED_WITHIN
+
+
 async def test_a_stop_that_has_ended_leaves_no_time() -> None:
     """A call on a kept connection gets no answer at a stop.
 
