Read the settings once more when a stop begins

Cause: the file is looked at once a second, and on SIGHUP. Change: it is read when the stop begins. The test fails before in its second case.

--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -133,7 +133,11 @@
         self._settings_holder.refresh()
 
     def start_drain(self) -> None:
-        """Begin a planned stop."""
+        """Begin a planned stop, by the settings as they are now.
+
+        They may have been written just before, and nothing has looked since.
+        """
+        self.reload()
         self._drain.start()
 
     async def run_until_drained(self) -> int:
--- a/tests/ingress/test_stops_site.py
+++ b/tests/ingress/test_stops_site.py
@@ -227,23 +227,19 @@
     assert instance.process.wait(8) == 0
 
 
-def test_a_stop_ends_within_the_grace_in_force(site: RoutedSite) -> None:
+@pytest.mark.parametrize('announced', [True, False])
+def test_a_stop_ends_within_the_grace_in_force(
+    site: RoutedSite,
+    announced: bool,
+) -> None:
     """Operators shorten the time between SIGTERM and the kill, then stop.
 
     The instance went on for as long as its first settings said, so the kill
     came with calls in hand and callers got no answer.  Cause: the time of a
-    stop was read once, at the start of the process.
+    stop was read once, at the start of the process; later only when SIGHUP or
+    a look once a second had come before SIGTERM.
     """
     instance = site.instances[0]
-    text = instance.settings.read_text()
-    instance.settings.write_text(text.replace('grace_s=8', 'grace_s=4'))
-    instance.process.send_signal(signal.SIGHUP)
-    wait_for(
-        lambda: any(
-            line['event'] == 'settings_reloaded' for line in instance.log_lines
-        ),
-        'the settings are read',
-    )
     long = {'timeout_ms': 20_000, 'route_type': 'non_idempotent'}
     site.put_configuration(entries={**long, 'service': 'book'})
     wait_for(lambda: call(instance, '/entries/x').status == 200, 'the route')
@@ -255,6 +251,14 @@
         results,
     )
     time.sleep(0.2)
+    text = instance.settings.read_text()
+    instance.settings.write_text(text.replace('grace_s=8', 'grace_s=4'))
+    if announced:
+        instance.process.send_signal(signal.SIGHUP)
+        wait_for(
+            lambda: 'settings_reloaded' in instance.process.log.read_text(),
+            'the settings are read',
+        )
     began = time.monotonic()
     instance.process.send_signal(signal.SIGTERM)
     assert instance.process.wait(8) == 1
