Let an answered failure at the end of a stop explain exit code one

A call that broke off counts only if an answer had begun or an endpoint ran it, which is stricter than before.

--- a/testbed/soak/routed_cuts.py
+++ b/testbed/soak/routed_cuts.py
@@ -29,6 +29,8 @@
 _NEAR_DEADLINE = 0.1
 #: Seconds that the end of a process takes to be seen here.
 _AROUND = 0.5
+#: Statuses with which a stop ends what has not begun to be answered.
+_FAILED = frozenset((502, 503))
 _BREAKS_ENDPOINT = frozenset(('endpoint fails', 'link harmed'))
 
 
@@ -62,9 +64,8 @@
 
 def is_cut_by_end(item: RoutedTold, stop: PlannedStop) -> bool:
     """Tell whether a call came in time and was cut at the end of a stop."""
-    return item.sent_at <= stop.asked_at + _NOTICED_WITHIN and (
-        _ends_with(item, stop)
-    )
+    in_time = item.sent_at <= stop.asked_at + _NOTICED_WITHIN
+    return in_time and not item.whole and _ends_with(item, stop)
 
 
 def is_unanswered(item: RoutedTold, stop: PlannedStop) -> bool:
@@ -83,28 +84,36 @@
 ) -> str:
     """Say what was wrong with the end of a process that was stopped.
 
-    Exit code 1 says that calls were cut, so callers must have seen one.
+    Exit code 1 says that calls were given up, so callers must have seen one:
+    an answer that broke off, or a failure at the end of the stop.
     """
     if stop.overdue:
         return f'alive {GRACE} s after SIGTERM'
     if not stop.code or stop.killed_at <= stop.ended_at:
         return ''
-    cut = any(
-        _ends_with(item, stop)
-        and (
-            _is_cut(item, runs.get(item.request_id, []))
-            or item.ended_at - item.sent_at > CROSSING
-        )
+    given_up = any(
+        _is_given_up(item, runs.get(item.request_id, []))
+        and _ends_with(item, stop)
         for item in told
     )
-    return '' if stop.code == 1 and cut else f'exit code {stop.code}'
+    return '' if stop.code == 1 and given_up else f'exit code {stop.code}'
+
+
+def _is_given_up(item: RoutedTold, endpoints: list[str]) -> bool:
+    """Tell whether a call ended as those do that a stop gives up.
+
+    One that is refused when it comes was not in hand.
+    """
+    if item.whole:
+        lasted = item.ended_at - item.sent_at
+        return item.status in _FAILED and lasted > CROSSING
+    return _is_cut(item, endpoints)
 
 
 def _ends_with(item: RoutedTold, stop: PlannedStop) -> bool:
-    """Tell whether a call was cut in the last sixth of a stop."""
+    """Tell whether a call ended in the last sixth of a stop."""
     return (
-        not item.whole
-        and item.instance == stop.instance
+        item.instance == stop.instance
         and stop.asked_at + _MAY_CUT_AFTER <= item.ended_at
         and item.ended_at <= stop.ended_at + _AROUND
     )
