Take orders for memory back whose caller leaves meanwhile

What would be seen: an engine holds memory for nobody until its lease lapses; found by the review in reading. Cause: a call that is cancelled while its reservations are under way left them alone. Change: all of them are released. The test, an engine that carries an order out whose caller leaves, fails before.

--- a/src/kelproad/coordination/ingress/memory.py
+++ b/src/kelproad/coordination/ingress/memory.py
@@ -95,7 +95,13 @@
             Reservation(share.endpoint, f'{attempt_id}.{index}', share.tokens)
             for index, share in enumerate(shares)
         )
-        answers = await asyncio.gather(*map(self._reserve, wanted))
+        try:
+            answers = await asyncio.gather(*map(self._reserve, wanted))
+        except asyncio.CancelledError:
+            # The caller left, or a stop ended, with orders under way that
+            # engines may carry out: memory would be held until it lapses.
+            self.release(wanted)
+            raise
         for reservation, answered in zip(wanted, answers, strict=True):
             if isinstance(answered, Failure):
                 record(
--- /dev/null
+++ b/tests/ingress/test_memory.py
@@ -0,0 +1,59 @@
+"""Reserving memory when its user goes away meanwhile."""
+
+import asyncio
+
+from returns.result import Result, Success
+
+from kelproad.coordination.ingress.memory import EngineOrders, MemoryKeeper
+from kelproad.coordination.ingress.placement import Share
+from kelproad.coordination.ingress.settings import Bounds
+from kelproad.state.declarations import (
+    EndpointDeclaration,
+    EndpointGroup,
+    EndpointKind,
+)
+from kelproad.state.endpoints import Endpoint
+
+TOKENS = 400_000
+
+
+def build_share() -> Share:
+    """Build what an engine is to reserve."""
+    declaration = EndpointDeclaration('i-1', 'zone-a', '10.0.0.1:80')
+    group = EndpointGroup('writer', EndpointKind.ENGINE, [declaration])
+    return Share(Endpoint(declaration, group), TOKENS)
+
+
+async def test_orders_under_way_are_taken_back() -> None:
+    """An engine holds memory that nobody has asked for any more.
+
+    A caller leaves while memory is being reserved for its prompt; the order
+    was on its way, the engine carried it out, and nobody released it.
+    """
+    held: set[str] = set()
+
+    async def reserve(
+        _address: str,
+        ticket: str,
+        _tokens: int,
+        _seconds: float,
+    ) -> Result[None, str]:
+        held.add(ticket)
+        await asyncio.sleep(1)
+        return Success(None)
+
+    async def release(_address: str, ticket: str) -> Result[None, str]:
+        held.discard(ticket)
+        return Success(None)
+
+    async def is_alive(_address: str) -> bool:
+        return True
+
+    keeper = MemoryKeeper(EngineOrders(reserve, release, is_alive), Bounds)
+    reserving = asyncio.create_task(keeper.reserve('a-1', (build_share(),)))
+    await asyncio.sleep(0.01)
+    assert held
+    reserving.cancel()
+    await asyncio.wait((reserving,))
+    await keeper.finish(1)
+    assert not held
