--- a/src/kelproad/cli/standins.py
+++ b/src/kelproad/cli/standins.py
@@ -100,7 +100,7 @@
     decode_bodies: bool,
 ) -> None:
     from ..transport.addresses import Address
-    from ..transport.http import HttpServer
+    from ..transport.servers import HttpServer
 
     server = HttpServer(
         application,
--- a/src/kelproad/coordination/entry.py
+++ b/src/kelproad/coordination/entry.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import logging
 import types
 from collections.abc import Awaitable, Callable, Coroutine
 
@@ -19,7 +18,7 @@
 from ..state.configuration import SnapshotHolder
 from ..state.context import current_request
 from ..state.identity import Identity
-from ..state.refusals import Ran, Refusal, RefusalCode, Step
+from ..state.refusals import Refusal
 from ..state.requests import Phase, Request
 from ..transport.deadlines import monotonic
 from ..transport.services import BackgroundService
@@ -28,6 +27,7 @@
 from .claims import Claim, Claims, digest_request
 from .completions import Completions
 from .drain import Drain, StopEndedError
+from .endings import break_off, may_have_run, refuse_cut
 from .limits import WorkspaceLimits
 from .outcomes import refuse_late, repeat_answer, settle_outcome
 from .plain import PlainCalls
@@ -44,11 +44,8 @@
 
 __all__ = ['ANSWER_BEGUN', 'Entry']
 
-_logger = logging.getLogger(__name__)
 #: Set on a call whose answer has begun, so that it can't get another one.
 ANSWER_BEGUN = web.RequestKey('answer_begun', bool)
-#: What a connection that was closed is said to have been answered with.
-_BROKEN_OFF = 499
 
 _COMPLETION_FIELDS = types.MappingProxyType(
     {
@@ -245,9 +242,9 @@
                     claim,
                 )
         except StopEndedError:
-            refusal = _refuse_cut(_may_have_run(request))
+            refusal = refuse_cut(may_have_run(request))
         if arrival.http_request.get(ANSWER_BEGUN, False):
-            return _break_off(arrival)
+            return break_off(arrival)
         if claim is not None and not claim.settled:
             await settle_outcome(self._claims, claim, request, Failure(refusal))
         return self._accounts.refuse(refusal, request.request_id)
@@ -335,7 +332,7 @@
                 ),
             )
         except StopEndedError:
-            outcome = Failure(_refuse_cut(request.phase is not Phase.ADMITTED))
+            outcome = Failure(refuse_cut(request.phase is not Phase.ADMITTED))
         finally:
             self._accounts.end(request, decision, outcome)
         outcome = outcome.alt(request.complete_refusal)
@@ -350,38 +347,6 @@
 # Answers
 
 
-def _may_have_run(request: Request) -> bool:
-    """Tell whether a completion that was interrupted may have run.
-
-    Its phase tells no more, as it has ended by now.  Parts are attempted as
-    requests of their own.
-    """
-    if request.parts is not None or request.ran is not Ran.NO:
-        return True
-    return request.attempts > 0
-
-
-def _refuse_cut(may_have_run: bool) -> Refusal:
-    """Refuse what was in hand when a stop ended."""
-    if not may_have_run:
-        return refuse_leaving()
-    return Refusal(
-        RefusalCode.ENDPOINT_FAILED,
-        'this instance stopped before the answer was whole',
-        Step.RELAY,
-        ran=Ran.UNKNOWN,
-    )
-
-
-def _break_off(arrival: Arrival) -> web.Response:
-    """Close a connection so that the answer on it can't look complete."""
-    _logger.warning('the end of the stop breaks an answer off')
-    transport = arrival.http_request.transport
-    if transport is not None:
-        transport.abort()
-    return web.Response(status=_BROKEN_OFF)
-
-
 def _plain_path(http_request: web.Request) -> str:
     """Return the part of the raw path that the service itself sees."""
     _, _, rest = http_request.raw_path.removeprefix('/services/').partition('/')
--- a/src/kelproad/coordination/ingress/delivery.py
+++ b/src/kelproad/coordination/ingress/delivery.py
@@ -7,7 +7,7 @@
 from ...protocol.eventstreams import EventCutter
 from ...state.calls import AnswerHead, Call
 from ...transport.deadlines import monotonic
-from ...transport.http import wait_for_last_byte
+from ...transport.servers import wait_for_last_byte
 from .attempts import OpenAnswer
 
 __all__ = ['CallerLeftError', 'StreamDelivery']
--- a/src/kelproad/coordination/ingress/entrance.py
+++ b/src/kelproad/coordination/ingress/entrance.py
@@ -14,7 +14,7 @@
 from ...state.records import record
 from ...state.refusals import Refusal
 from ...transport.deadlines import monotonic
-from ...transport.http import send_answer
+from ...transport.servers import send_answer
 from .admitting import Admitter
 from .delivery import CallerLeftError
 from .dialect import Dialect
--- a/src/kelproad/coordination/ingress/surfaces.py
+++ b/src/kelproad/coordination/ingress/surfaces.py
@@ -10,7 +10,7 @@
 from ...state.endpoints import EndpointTable
 from ...state.work import WorkLedger
 from ...transport.addresses import Address
-from ...transport.http import HttpServer
+from ...transport.servers import HttpServer
 from ..drain import Drain, DrainPhase
 from .dialect import Dialect
 from .following import TableState
--- a/src/kelproad/coordination/sending.py
+++ b/src/kelproad/coordination/sending.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 
 from ..transport.deadlines import monotonic, within
-from ..transport.http import send_answer, wait_for_last_byte
+from ..transport.servers import send_answer, wait_for_last_byte
 from .reception import Call
 
 __all__ = ['SEND_MARGIN', 'send_bounded', 'send_whole']
--- a/src/kelproad/coordination/sides.py
+++ b/src/kelproad/coordination/sides.py
@@ -18,7 +18,7 @@
 from ..state.counters import Counters
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
 from ..transport.addresses import Address
-from ..transport.http import HttpServer
+from ..transport.servers import HttpServer
 from .configuration import ConfigurationFollower
 from .drain import Drain, DrainPhase
 from .entry import ANSWER_BEGUN, Entry
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -12,7 +12,7 @@
 
 from kelproad.coordination.reception import Call
 from kelproad.coordination.sending import SEND_MARGIN, send_whole
-from kelproad.transport import http
+from kelproad.transport import servers as http_servers
 from kelproad.transport.addresses import Address
 from kelproad.transport.deadlines import monotonic
 from testbed.processes import find_free_address
@@ -79,13 +79,13 @@
 @pytest.fixture
 async def start_server() -> AsyncIterator[Callable[[Serve], Awaitable[int]]]:
     """Serve a handler as an instance does, on a port of its own."""
-    servers: list[http.HttpServer] = []
+    servers: list[http_servers.HttpServer] = []
 
     async def start(handler: Serve) -> int:
         application = web.Application()
         application.add_routes([web.get('/', handler)])
         address = Address.from_text(find_free_address())
-        server = http.HttpServer(application, address)
+        server = http_servers.HttpServer(application, address)
         servers.append(server)
         await server.start()
         return address.port
@@ -159,7 +159,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A caller sends its headers byte by byte and holds the connection."""
-    monkeypatch.setattr(http, 'HEAD_TIMEOUT', 0.5)
+    monkeypatch.setattr(http_servers, 'HEAD_TIMEOUT', 0.5)
 
     async def answer(_http_request: web.Request) -> web.Response:
         await asyncio.sleep(1)
--- a/tests/test_http.py
+++ b/tests/test_servers.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from kelproad.transport.addresses import Address
-from kelproad.transport.http import HttpServer
+from kelproad.transport.servers import HttpServer
 from testbed.processes import find_free_address
 
 CALL = b'GET /x HTTP/1.1\r\nHost: x\r\n\r\n'
