Say at once that a stream was refused, in the test of leaving engines

Cause: the site counted as started while one instance lacked the last file, the one with the workspaces.

No fault of the product: an instance serves what it has in force, within the promised time.

Change: the statuses are looked at when the streams are opened, which is stricter and names the failure; the waiting has a test, which fails without it (DID NOT RAISE).

--- a/tests/test_configuration_site.py
+++ b/tests/test_configuration_site.py
@@ -1,5 +1,6 @@
 """Accepted configuration in force at real instances, under failure."""
 
+import hashlib
 import pathlib
 import threading
 import time
@@ -11,6 +12,7 @@
 from typer.testing import CliRunner
 
 from kelproad.cli.main import app
+from testbed import site as sites
 from testbed.calls import OPERATOR_TOKEN, CallError
 from testbed.processes import wait_until_answering
 from testbed.site import InstanceProcess, Site, SitePlan, start_site
@@ -20,6 +22,9 @@
 #: Seconds within which an accepted change must be in force everywhere.
 PROMISE = 5
 BOARD = 'example-key-board'
+LATE = 'key-of-a-late-workspace'
+#: Seconds of waiting that an instance cut off outlasts.
+IN_VAIN = 0.5
 
 
 @pytest.fixture(scope='module')
@@ -59,6 +64,17 @@
     return site.apply(path)['revision']
 
 
+def add_workspace(site: Site) -> None:
+    path = site.files[3]
+    content = yaml.safe_load(path.read_text())
+    digest = hashlib.sha256(LATE.encode()).hexdigest()
+    services = content['workspaces'][0]['services'].copy()
+    added = {'name': 'late', 'key_digests': [digest], 'services': services}
+    content['workspaces'].append(added)
+    path.write_text(yaml.safe_dump(content, sort_keys=False))
+    site.apply(path)
+
+
 def test_removed_workspace(site: Site) -> None:
     """An operator removes a workspace while it has a request in progress.
 
@@ -109,6 +125,34 @@
     wait_for_revision(site, revision)
 
 
+def test_started_site_has_the_last_file(
+    site: Site,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A stream of a test has no end, and only beside load.
+
+    A site counted as started while one of its instances lacked the last file,
+    the one that declares the workspaces.  It refused the first stream (401);
+    the test went on with others and saw seconds later that one had no end.
+    """
+    lagging = site.instances[2]
+    site.network.isolate(lagging.zone)
+    add_workspace(site)
+    body = {'model': 'roadgrip-report', 'prompt': 'x', 'stream': True}
+    refused = call(lagging.caller, '/v1/completions', body, key=LATE)
+    assert refused.status == 401
+    assert b'[DONE]' not in refused.body
+    with monkeypatch.context() as patched:
+        patched.setattr(sites, '_ADOPT_SECONDS', IN_VAIN)
+        with pytest.raises(TimeoutError):
+            site.wait_adopted()
+    site.network.heal()
+    site.wait_adopted()
+    answered = call(lagging.caller, '/v1/completions', body, key=LATE)
+    assert answered.status == 200
+    assert b'[DONE]' in answered.body
+
+
 def test_racing_operators_over_http(site: Site) -> None:
     """The loser of a race sees what was accepted meanwhile."""
     path = site.files[3]
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -108,6 +108,7 @@
             OpenStream(caller, 'leaving', max_tokens=TOKENS)
             for caller in site.callers
         ]
+    assert {stream.response.status for stream in streams} == {200}
     told = {}
     with SteadyLoad(site.callers) as load:
         time.sleep(1)
