Renew a lapsed lease late, as long as nobody took it

Fault: a holder that stood still, or could not reach the store, for longer than its lease loses more than it must. Awake, it treated its own row like a stranger's: it waited until that had been unchanged for the lease and half a second, took it with another token, read the configuration again and told every engine the token, though nobody else had held it.

Change: the write that renews holds only on top of the holder's own last one, so it may come late; the token stays. Not after the lease was given back or a newer holder was met. What was withheld is withheld anew, since other instances heard nothing meanwhile. Only a pass does so, never the renewing beside it: a plan that was made before the lapse must not be carried out after it.

Found on the way, by reading, and tested: a taking whose answer was lost is met in the row as one's own, and renewed late it would count from no time, so that the wait for the last holder's orders would fall away; and a row that was lost begins with the first token again.

--- a/src/kelproad/coordination/leases.py
+++ b/src/kelproad/coordination/leases.py
@@ -79,8 +79,10 @@
         self._lock = asyncio.Lock()
         self.body = LeaseBody('', 0)
         self.note = ''
-        #: When this process became the holder.
+        #: When this process became the holder, and with which token.  A taking
+        #: whose answer was lost may be met in the row before it counts here.
         self.taken_at = float('-inf')
+        self._token_taken = 0
         self.writes = 0
 
     @property
@@ -132,6 +134,10 @@
         if self.is_held:
             if self._is_due():
                 await self._renew()
+        elif self._is_lapsed():
+            await self._renew()
+            if not self.is_held:
+                await self._look()
         else:
             await self._contend()
 
@@ -148,6 +154,18 @@
         since = self._now() - self._renewed_at
         return since >= self.share or self.note != self.body.note
 
+    def _is_lapsed(self) -> bool:
+        """Tell whether it ran out here, and nobody is known to have taken it.
+
+        A holder that stood still, or could not reach the store, for longer
+        than the lease would otherwise wait that long once more, like any
+        contender, and then tell every engine a new token: for so long the zone
+        gets no orders.  Renewing late is safe, since the write holds only on
+        top of the holder's own last one: whoever took over has changed that.
+        """
+        is_own = self.body.holder == self._holder
+        return is_own and not self._given_up
+
     def _is_free(self) -> bool:
         if not self.body.holder:
             return self._seen_at > float('-inf')
@@ -223,7 +241,9 @@
             self.body = standing
 
     def _take(self, body: LeaseBody, sent_at: float) -> None:
-        if body.token != self.body.token:
+        # A row that was lost begins with the first token again.
+        if body.token != self._token_taken or self._version == ABSENT:
+            self._token_taken = body.token
             self.taken_at = self._now()
             self._given_up = False
         self._version += 1
--- a/src/kelproad/coordination/orders.py
+++ b/src/kelproad/coordination/orders.py
@@ -96,6 +96,9 @@
 
     async def reconcile(self) -> None:
         """Compare the engines with what is wanted, and order the difference."""
+        if not self._lease.is_held:
+            # While it was not, requests may have gone to engines withheld.
+            self._withheld = {}
         desired: dict[str, DesiredState] = {}
         if self._is_candidate():
             desired = derive_desired(self._holder.current, self._identity.zone)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -24,12 +24,16 @@
         Time until which calls are neither carried out nor answered.
     lost
         Number of calls still to come that are not either.
+    landing
+        Number of writes still to come that take effect, though neither they
+        nor the reading back are answered.
     """
 
     now: float = 100.0
     row: Row | None = None
     silent_until: float = 0
     lost: int = 0
+    landing: int = 0
 
     def is_silent(self) -> bool:
         self.lost -= 1
@@ -57,7 +61,11 @@
         if write.expect != version:
             return _fail(StoreErrorKind.CONFLICT)
         self.row = Row(write.key, version + 1, write.body)
-        return Success(None)
+        self.landing -= 1
+        if self.landing < 0:
+            return Success(None)
+        self.lost = 1
+        return self.wait_in_vain(timeout, StoreErrorKind.UNKNOWN)
 
     def wait_in_vain(
         self,
@@ -123,6 +131,100 @@
     assert lease.body.token == 1
 
 
+@pytest.mark.parametrize('lapsed_for', [0.1, 5, 600])
+async def test_late_renewal_of_an_untaken_lease(
+    store: Store,
+    lapsed_for: float,
+) -> None:
+    """A holder stands still for longer than its lease; nobody takes over.
+
+    Awake, it saw its own row unchanged, waited like any contender for that to
+    last for a lease, and took it with a new token that every engine had to
+    hear of.  Meanwhile the zone got no orders, though it had one holder only.
+    """
+    lease = await store.take('a:1', 3)
+    taken_at = lease.taken_at
+    store.now += 3 + lapsed_for
+    assert not lease.is_held
+    assert await lease.keep()
+    assert (lease.body.token, lease.taken_at) == (1, taken_at)
+    assert lease.remaining == 3
+
+
+async def test_late_renewal_of_a_taken_lease(store: Store) -> None:
+    """Another one took over meanwhile: renewing late must not undo that."""
+    old = await store.take('a:1', 3)
+    new = store.create_lease('b:1', 3)
+    await new.keep()
+    store.now += 4
+    assert await new.keep()
+    for _ in range(3):
+        assert not await old.keep()
+        store.now += 1
+        assert await new.keep()
+    assert old.body.holder == 'b:1'
+    assert new.body.token == 2
+
+
+async def test_taking_whose_answer_was_lost(store: Store) -> None:
+    """An engine that ignores tokens is given orders by two holders.
+
+    A contender's taking lands without an answer.  It meets the row as its own
+    and renews it late; counted from no time at all, its first order would not
+    wait for those of the last holder that are still under way.
+    """
+    await store.take('b:1', 10)
+    lease = store.create_lease('a:1', 10)
+    await lease.keep()
+    store.now += 11
+    store.landing = 1
+    assert not await lease.keep()
+    begins = store.now
+    while not await lease.keep():
+        store.now += LOOK
+    assert lease.taken_at >= begins
+
+
+async def test_late_renewal_after_a_newer_holder_was_met(
+    store: Store,
+) -> None:
+    """An engine knows a newer token, though the row does not.
+
+    Renewed late, the old token would be refused for ever.
+    """
+    lease = await store.take('a:1', 3)
+    lease.drop()
+    await lease.renew()
+    assert not await lease.keep()
+    store.now += 4
+    assert await lease.keep()
+    assert lease.body.token == 2
+
+
+@pytest.mark.parametrize('given_up', [False, True])
+async def test_late_renewal_of_a_lost_row(store: Store, given_up: bool) -> None:
+    """The row is gone: the lease is taken anew, not renewed for ever.
+
+    It has the first token again, which must not pass for the one held before.
+    """
+    lease = await store.take('a:1', 3)
+    if given_up:
+        lease.drop()
+    store.now += 4
+    store.row = None
+    await lease.keep()
+    assert await lease.keep()
+    assert (lease.body.token, lease.taken_at) == (1, store.now)
+
+
+async def test_renewing_late_after_giving_back(store: Store) -> None:
+    """One that stops with its lease lapsed does not take it up again."""
+    lease = await store.take('a:1', 3)
+    store.now += 3
+    await lease.give_back()
+    assert not await lease.keep()
+
+
 async def test_renewing_after_giving_back(store: Store) -> None:
     """A stopping holder's renewal does not take back what it gave."""
     lease = await store.take('a:1', 3)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -355,6 +355,26 @@
     await keeper.stop()
 
 
+async def test_withheld_anew_after_a_lapse(fleet: Fleet) -> None:
+    """A holder stood still while it had an engine drained, and goes on.
+
+    The other instances heard nothing of it meanwhile, so they may have sent
+    requests there again; its model must not be changed under them at once.
+    """
+    keeper = fleet.add_keeper()
+    await fleet.want('1')
+    fleet.engines[0].streams = 1
+    await fleet.reconcile_until(lambda: keeper._lease.is_held, keeper)
+    await fleet.want('2')
+    await fleet.reconcile_until(lambda: bool(keeper._withheld), keeper)
+    since = keeper._withheld['e0']
+    token = keeper._lease.body.token
+    keeper._lease._valid_until = float('-inf')
+    await keeper.reconcile()
+    assert keeper._lease.body.token == token
+    assert keeper._withheld['e0'] > since
+
+
 async def test_store_down(fleet: Fleet) -> None:
     """The store is down: with the lease gone nothing new is ordered."""
     keeper = fleet.add_keeper()
