Test that a drop during a renewal of the lease lasts

The guard came with the renewing beside the passes and had no test; with the guard taken out this one fails.

--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,5 +1,7 @@
 """Leases on a clock of the test's own, in a store that may be silent."""
 
+from collections.abc import Callable
+
 import attrs
 import pytest
 from returns.result import Failure, Result, Success
@@ -14,6 +16,10 @@
 MAY_FAIL = 2
 
 
+def _do_nothing() -> None:
+    """Go on."""
+
+
 @attrs.define
 class Store:
     """One row, and a clock that goes on only by waiting.
@@ -27,6 +33,8 @@
     landing
         Number of writes still to come that take effect, though neither they
         nor the reading back are answered.
+    meanwhile
+        Done while a write is under way.
     """
 
     now: float = 100.0
@@ -34,6 +42,7 @@
     silent_until: float = 0
     lost: int = 0
     landing: int = 0
+    meanwhile: Callable[[], None] = _do_nothing
 
     def is_silent(self) -> bool:
         self.lost -= 1
@@ -61,6 +70,7 @@
         if write.expect != version:
             return _fail(StoreErrorKind.CONFLICT)
         self.row = Row(write.key, version + 1, write.body)
+        self.meanwhile()
         self.landing -= 1
         if self.landing < 0:
             return Success(None)
@@ -201,6 +211,18 @@
     assert lease.body.token == 2
 
 
+async def test_newer_holder_met_during_a_renewal(store: Store) -> None:
+    """An order is refused for its token while the lease is being renewed.
+
+    The renewal's success must not make it the holder again.
+    """
+    lease = await store.take('a:1', 3)
+    store.now += 1
+    store.meanwhile = lease.drop
+    await lease.renew()
+    assert not lease.is_held
+
+
 @pytest.mark.parametrize('given_up', [False, True])
 async def test_late_renewal_of_a_lost_row(store: Store, given_up: bool) -> None:
     """The row is gone: the lease is taken anew, not renewed for ever.
