State the promise of a successor's lease in the test of a frozen holder

Cause: the test took "holds the lease at this moment" for a promise. A lease is a right that lapses unless renewed, and a process that stands still for longer than that has none when it wakes, until its next pass. Ruled out: being taken over (the other instance was frozen), a refused token (the engines met no newer one), losing candidacy (two instances, two candidates).

Change: the successor's token must stay, from the takeover to the end, and it must hold within the length of the lease; the woken holder must never hold, in 20 looks and at the end. The successor stands still for 3.2 s in every run, so what load does by chance is always tried.

--- a/tests/test_orders_site.py
+++ b/tests/test_orders_site.py
@@ -12,6 +12,9 @@
 
 KEY = 'key-of-the-rollout-test'
 MODEL = 'm'
+LEASE = 3.0
+#: Seconds by which the successor stands still for longer than its lease.
+OVERDUE = 0.2
 
 
 def write_example(folder: pathlib.Path) -> pathlib.Path:
@@ -77,11 +80,15 @@
     Meanwhile the other instance takes over, and the operator wants another
     version.  All the time requests are answered.  The engines, which ignore
     the token, end with the latest version and stay there.
+
+    A process that stands still for longer than its lease has none when it
+    wakes, until its next pass.  The successor does so once, as it may beside
+    load at any time: nobody took over, so it goes on with the same token.
     """
     plan = SitePlan(
         example=write_example(tmp_path / 'example'),
         instances_per_zone=2,
-        instance_settings={'lease_seconds': 3.0},
+        instance_settings={'lease_seconds': LEASE},
     )
     with start_site(plan, tmp_path) as site:
         check_frozen_holder(site)
@@ -95,6 +102,11 @@
             if read_orders(site, instance)['held_here_for']
         ]
 
+    def is_held_by_successor() -> bool:
+        seen = read_orders(site, new)
+        assert seen['token'] == first_token + 1
+        return bool(seen['held_here_for'])
+
     statuses: list[int] = []
 
     def serve(instance: InstanceProcess) -> None:
@@ -105,6 +117,7 @@
     wait_for(lambda: len(find_holders()) == 1)
     old = find_holders()[0]
     new = next(item for item in site.instances if item is not old)
+    first_token = read_orders(site, old)['token']
     want(site, old, '1')
     wait_for(lambda: '1' in str(list_versions(site)))
     old.process.freeze()
@@ -115,14 +128,20 @@
         return list_versions(site) == [['2 ready'], ['2 ready']]
 
     wait_for(is_done)
-    assert read_orders(site, new)['held_here_for']
+    wait_for(is_held_by_successor, LEASE)
+    new.process.freeze()
+    time.sleep(LEASE + OVERDUE)
+    new.process.wake()
+    wait_for(is_held_by_successor, LEASE)
     old.process.wake()
     for _ in range(20):
         serve(old)
         serve(new)
+        assert not read_orders(site, old)['held_here_for']
         time.sleep(0.1)
     wait_for(is_done)
-    assert [item.name for item in find_holders()] == [new.name]
+    wait_for(is_held_by_successor, LEASE)
+    assert not read_orders(site, old)['held_here_for']
     assert set(statuses) == {200}
     taken = site.control(site.addresses['e1'], 'GET', '/control/orders')
     assert len(taken) <= 3
