--- a/src/kelproad/coordination/drain.py
+++ b/src/kelproad/coordination/drain.py
@@ -70,6 +70,7 @@
         self._ends_at = math.inf
         self._late_at = math.inf
         self._has_ended = False
+        #: Bounds of the calls in hand, moved to the present at the end.
         self._bounds: set[asyncio.Timeout] = set()
 
     def measure_left(self) -> float:
@@ -143,9 +144,9 @@
         Returns
         -------
         int
-            Calls that are not finished.  One whose whole answer is only being
-            written is finished: counted, it would tell operators of a cut
-            that no caller has seen.
+            Calls that are interrupted.  One whose whole answer is only being
+            written is not: counted, it would tell operators of a cut that no
+            caller has seen.
         """
         self._has_ended = True
         now = asyncio.get_running_loop().time()
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -38,6 +38,7 @@
 _logger = logging.getLogger(__name__)
 #: Seconds between two looks at entries that lapsed.
 _LAPSE_PERIOD = 0.25
+#: Seconds between two closings of idle connections during a stop.
 _CLOSE_PERIOD = 0.25
 #: Seconds in which calls that the end of a stop interrupts are answered.
 _ANSWER_SECONDS = 0.2
@@ -156,8 +157,10 @@
         )
         closing = asyncio.create_task(self._close_idle())
         await self._drain.finish()
-        left = self._drain.end()
+        interrupted = self._drain.end()
         await self._drain.settle(_ANSWER_SECONDS)
+        # Answers that callers read slowly are cut by the closing.
+        left = max(interrupted, self._path.entrance.unfinished)
         closing.cancel()
         await self._path.memory.finish(_RELEASE_SECONDS)
         record(_logger, 'instance_stopped', unfinished=left)
