Close idle connections past one that its caller has just closed

Cause: aiohttp lists a connection that its caller has closed until its task has ended, without a transport. Closing idle connections stopped there with an error that nobody saw, after it had stopped reading those before it. Ruled out: a dropped log line (none dropped), a call that was read and lost (the reset shows unread bytes). Change: such connections are passed over, and an error in closing is logged and the next round goes on.

--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -254,7 +254,11 @@
         Later it would be in the midst of the next call.
         """
         while True:
-            await self._caller_server.close_idle()
+            try:
+                await self._caller_server.close_idle()
+            except Exception:
+                # The next round closes what this one could not.
+                _logger.exception('idle connections could not be closed')
             await asyncio.sleep(_CLOSE_PERIOD)
 
     def _explain_unready(self) -> str:
--- a/src/kelproad/transport/servers.py
+++ b/src/kelproad/transport/servers.py
@@ -114,6 +114,12 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def list_connections(self) -> list[web.RequestHandler]:
+        """List the connections that are open, none before the start."""
+        if self._runner is None or self._runner.server is None:
+            return []
+        return self._runner.server.connections
+
     async def close_idle(self) -> None:
         """Close kept connections that have no call at the moment.
 
@@ -127,15 +133,17 @@
         every call of the 20 ms between.  Now only what crosses the closing is
         lost, unread.
         """
-        if self._runner is None or self._runner.server is None:
-            return
         idle = [
             connection
-            for connection in self._runner.server.connections
+            for connection in self.list_connections()
             if connection in self._kept and connection not in self._busy
         ]
         for connection in idle:
-            connection.transport.pause_reading()
+            # aiohttp lists one that its caller has just closed until its task
+            # has ended.  An error there left those before it unread until the
+            # end of the stop.
+            if connection.transport is not None:
+                connection.transport.pause_reading()
         for _ in range(_READING_TURNS):
             await asyncio.sleep(0)
         for connection in idle:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -74,6 +74,22 @@
         assert all(reader.at_eof() for reader, _ in kept.connections)
 
 
+async def test_a_connection_that_was_just_closed_hinders_no_other() -> None:
+    """Calls on kept connections hang until the end of a stop, 5 s later.
+
+    A caller has just closed a connection, and aiohttp lists it until its task
+    has ended.  The closing of idle ones stopped at it with an error: those
+    before it were not read any more and not closed either.
+    """
+    async with keep_connections() as kept:
+        closed_here, *_, closed_before = kept.server.list_connections()
+        closed_before.force_close()
+        closed_here.force_close()
+        await kept.server.close_idle()
+        await asyncio.sleep(LEARNED)
+        assert all(reader.at_eof() for reader, _ in kept.connections)
+
+
 @pytest.mark.parametrize('turns', MOMENTS)
 async def test_a_call_that_was_read_is_answered(turns: int) -> None:
     """A call comes just as its connection is closed for want of calls.
