Draw three bytes of the hosts of test sites, not two

The port of the metrics is fixed, and hosts were drawn from 40,000 without reserving them, so two sites that run at once could draw the same one. Drawn from 8 million now; that this was the cause is not shown.

--- a/testbed/routed.py
+++ b/testbed/routed.py
@@ -194,7 +194,7 @@
         It reaches the store at another address than the store's own where a
         proxy stands between them.
         """
-        host = f'127.{_draw_byte()}.{_draw_byte()}.9'
+        host = '.'.join(('127', *(str(_draw_byte()) for _ in range(3))))
         caller = find_free_address(host)
         ready = find_free_address(host)
         settings = self.directory / f'{name}.settings'
