--- a/src/kelproad/coordination/drain.py
+++ b/src/kelproad/coordination/drain.py
@@ -70,8 +70,8 @@
         self._ends_at = math.inf
         self._late_at = math.inf
         self._has_ended = False
-        #: Bounds of the calls in hand, moved to the present at the end.
-        self._bounds: set[asyncio.Timeout] = set()
+        #: Timeouts of the calls in hand; all expire when the stop ends.
+        self._timeouts: set[asyncio.Timeout] = set()
 
     def measure_left(self) -> float:
         """Return the seconds until the stop gives up what is unfinished.
@@ -127,11 +127,11 @@
         if self._has_ended:
             raise StopEndedError
         try:
-            async with asyncio.timeout(None) as bound:
-                with self._keep(bound):
+            async with asyncio.timeout(None) as timeout:
+                with self._keep(timeout):
                     yield
         except asyncio.TimeoutError:
-            if bound.expired():
+            if timeout.expired():
                 raise StopEndedError from None
             raise
 
@@ -150,14 +150,14 @@
         """
         self._has_ended = True
         now = asyncio.get_running_loop().time()
-        for bound in self._bounds:
-            bound.reschedule(now)
-        return len(self._bounds)
+        for timeout in self._timeouts:
+            timeout.reschedule(now)
+        return len(self._timeouts)
 
     @contextlib.contextmanager
-    def _keep(self, bound: asyncio.Timeout) -> Iterator[None]:
-        self._bounds.add(bound)
+    def _keep(self, timeout: asyncio.Timeout) -> Iterator[None]:
+        self._timeouts.add(timeout)
         try:
             yield
         finally:
-            self._bounds.discard(bound)
+            self._timeouts.discard(timeout)
--- a/src/kelproad/coordination/endings.py
+++ b/src/kelproad/coordination/endings.py
@@ -26,9 +26,12 @@
     return request.attempts > 0
 
 
-def refuse_cut(may_have_run: bool) -> Refusal:
-    """Refuse what was in hand when a stop ended."""
-    if not may_have_run:
+def refuse_cut(was_sent: bool) -> Refusal:
+    """Refuse what was in hand when a stop ended.
+
+    What was sent to an endpoint may have run there.
+    """
+    if not was_sent:
         return refuse_leaving()
     return Refusal(
         RefusalCode.ENDPOINT_FAILED,
