Keep the sums of work in flight as updates come, not anew for each choice

Cause: a choice summed what each of n instances had told for each of m engines, so it grew with n x m: 4.5 ms at 195 instances and 195 engines, 206 ms at 410 and 4,600 (five engines an update, this machine), again every 10 ms while a call waited. Change: the ledger keeps the sum of what peers told by engine, adds the difference when an update differs, and takes a silent peer's work out when its time is over. What nobody tells any more leaves no rounding behind. Before and after, all sums of one choice: 9 and 16: 0.059 to 0.028 ms; 80 and 54: 0.72 to 0.09; 195 and 195: 4.5 to 0.35; 410 and 4,600: 206 to 7.1 ms. Taking in an update that changes five engines: 1.1 to 14 us, one that repeats what was told 1.4 us.

--- a/src/kelproad/state/work.py
+++ b/src/kelproad/state/work.py
@@ -4,7 +4,9 @@
 what instances tell each other of the work they sent is newer.
 """
 
-from collections.abc import Callable, Iterable
+import collections
+import math
+from collections.abc import Callable
 
 import attrs
 
@@ -73,12 +75,21 @@
 
 
 class WorkLedger:
-    """Who has what in flight where."""
+    """Who has what in flight where.
+
+    The sums of what peers told are kept as it comes, so that looking one up
+    takes as long with hundreds of peers as with one.
+    """
 
     def __init__(self) -> None:
         """Start with nothing in flight."""
         self.own: dict[str, EndpointWork] = {}
         self._peers: dict[str, PeerWork] = {}
+        #: What all peers told, summed by endpoint, and how many of them did.
+        self._told: dict[str, EndpointWork] = {}
+        self._tellers: collections.Counter[str] = collections.Counter()
+        #: No peer has been silent for too long before this time.
+        self._silent_from = math.inf
         #: Grows with every change of the own work.
         self.changes = 0
         #: Is called at each of them.
@@ -105,28 +116,58 @@
         now: float,
     ) -> None:
         """Take in the whole work of a peer, in place of what it told before."""
+        known = self._peers.get(instance)
+        if known is not None and known.by_endpoint == by_endpoint:
+            self._peers[instance] = PeerWork(by_endpoint, now)
+            return
+        self.forget_peer(instance)
+        if not by_endpoint:
+            return
         self._peers[instance] = PeerWork(by_endpoint, now)
+        self._silent_from = min(self._silent_from, now + FORGET_AFTER)
+        for endpoint, work in by_endpoint.items():
+            self._told.setdefault(endpoint, EndpointWork()).add(work)
+            self._tellers[endpoint] += 1
 
     def forget_peer(self, instance: str) -> None:
         """Drop the work of a peer that has ended."""
-        self._peers.pop(instance, None)
+        peer = self._peers.pop(instance, None)
+        if peer is None:
+            return
+        for endpoint, work in peer.by_endpoint.items():
+            self._told[endpoint].add(work, -1)
+            self._tellers[endpoint] -= 1
+            if not self._tellers[endpoint]:
+                # Rounding must not leave a trace of seconds behind.
+                self._told.pop(endpoint)
+                self._tellers.pop(endpoint)
 
     def sum_at(self, endpoint: str, now: float) -> EndpointWork:
         """Sum what all instances have in flight at an endpoint."""
+        if now >= self._silent_from:
+            self._forget_silent(now)
         total = EndpointWork()
-        own = self.own.get(endpoint)
-        if own is not None:
-            total.add(own)
-        for work in self._fresh(endpoint, now):
-            total.add(work)
+        for works in (self.own, self._told):
+            work = works.get(endpoint)
+            if work is not None:
+                total.add(work)
         return total
 
     def _note_change(self) -> None:
         self.changes += 1
         self.on_change()
 
-    def _fresh(self, endpoint: str, now: float) -> Iterable[EndpointWork]:
-        for peer in self._peers.values():
-            work = peer.by_endpoint.get(endpoint)
-            if work is not None and now - peer.heard_at < FORGET_AFTER:
-                yield work
+    def _forget_silent(self, now: float) -> None:
+        """Drop the work of peers that have been silent for too long."""
+        silent = [
+            name
+            for name, peer in self._peers.items()
+            if now - peer.heard_at >= FORGET_AFTER
+        ]
+        for name in silent:
+            self.forget_peer(name)
+        oldest = min(
+            (peer.heard_at for peer in self._peers.values()),
+            default=math.inf,
+        )
+        self._silent_from = oldest + FORGET_AFTER
