Read the store once for the fleet, and tell what did not change by datagram

One reader a zone made four calls a second, each zone had one, each start took seven calls, and every instance that lost its reader went to the store by itself. Ruled out: longer waits alone; they age what is known everywhere. Change: - one instance reads for all zones; in each other zone one asks it and tells its own zone. Instances say in their updates where their tables come from, and the first by zone and name that can tell is asked: no agreement, and whoever finds nobody reads the store. What a zone was told goes no further. - whether a table changed is asked by datagram (two of some tens of bytes), and only a change is fetched by HTTP; age counts from before the question. - those that were told until now take turns to look for the store, four a second of a zone, in place of all of them at once. - an instance's row is written once and the rows read once at the start: of two that start together, one finds the other, and a datagram tells that one. - a table counts as fresh for 2.0 s (1.5): one more telling; keys are trusted for 3.5 s as before. Endpoints are read every 0.4 s where they must be left within 2 s (0.6), to make up for that telling.

--- a/src/kelproad/coordination/ingress/caching.py
+++ b/src/kelproad/coordination/ingress/caching.py
@@ -30,6 +30,8 @@
         self._tells_same = tells_same
         self._rows: dict[str, DecodedRow[Said]] = {}
         self._version: int | None = None
+        #: Version of the newest change that told anything.
+        self.changed_at = 0
         #: Changes behind this version are all known, those before are not.
         self._complete_since = 0
 
@@ -38,13 +40,21 @@
         if state.whole:
             self._rows = {}
             self._complete_since = state.version
+            # Rows that are no more in it have no version of their own.
+            self.changed_at = state.version
         for decoded in state.rows:
             known = self._rows.get(decoded.row.key)
             if known is None or not self._is_same(known, decoded):
                 self._rows[decoded.row.key] = decoded
+                self.changed_at = max(self.changed_at, decoded.row.version)
         self._version = state.version
         self._forget_dropped()
 
+    @property
+    def version(self) -> int | None:
+        """Newest version of the store that was read, if any was."""
+        return self._version
+
     def list_changes(self, after: int | None) -> TableState | None:
         """List what changed since a version, or all rows.
 
--- a/src/kelproad/coordination/ingress/exchange.py
+++ b/src/kelproad/coordination/ingress/exchange.py
@@ -24,8 +24,9 @@
 from ...transport.datagrams import DatagramSocket
 from ...transport.deadlines import monotonic
 from ...transport.services import BackgroundService
+from .following import Provenance
 from .reach import ZoneReach
-from .readers import Reader
+from .readers import OLDEST_TOLD, Reader
 from .settings import NodeSettings
 from .updates import (
     PeerUpdate,
@@ -51,9 +52,9 @@
 _LONGEST_FAR_REPEAT = 0.5
 #: Seconds without a datagram after which a peer no longer counts as live.
 _LIVE_SECONDS = 3.0
-#: Seconds since its confirmation for which the configuration of a peer counts
-#: as known: one call to the store that waits, and a slow answer.
-CONFIRMED_SECONDS = 1.5
+#: Seconds since its confirmation for which the configuration of an instance
+#: counts as known: as long as it may be told on.
+CONFIRMED_SECONDS = OLDEST_TOLD
 #: Seconds after which a silent peer that the store doesn't list is dropped.
 _DROP_SECONDS = 30.0
 
@@ -72,18 +73,19 @@
     zone: str = ''
     order: tuple[int, int] = (0, 0)
     confirmed_at: float = float('-inf')
+    provenance: Provenance | None = None
 
 
 @attrs.define
 class _LastTold:
     """What some peers were last told, and when."""
 
-    changes: int = -1
+    changes: object = None
     at: float = float('-inf')
 
     def take_due(
         self,
-        changes: int,
+        changes: object,
         now: float,
         period: float,
         repeat: float,
@@ -110,11 +112,12 @@
         reach: ZoneReach,
         observations: EngineObservations,
         measure_age: Callable[[], float],
+        read_provenance: Callable[[], Provenance | None],
     ) -> None:
         """Tell of a ledger's own work; enter that of peers and their signs.
 
         ``measure_age`` tells how many seconds ago the configuration here was
-        confirmed.
+        confirmed, ``read_provenance`` where the tables come from.
         """
         super().__init__()
         self._settings = settings
@@ -123,6 +126,7 @@
         self._reach = reach
         self._observations = observations
         self._measure_age = measure_age
+        self._read_provenance = read_provenance
         self._socket = DatagramSocket(self.receive)
         self._peers: dict[str, _Peer] = {}
         self._sequence = 0
@@ -168,15 +172,23 @@
             return True
         return self._is_zone_parted(heard, now)
 
-    def list_zone(self, now: float) -> list[Reader]:
-        """List the other instances of this zone that were heard lately."""
+    def list_heard(self, now: float) -> list[Reader]:
+        """List the other instances that were heard lately."""
         return [
-            Reader(name, peer.address.host)
+            Reader(name, peer.address.host, peer.zone, peer.provenance)
             for name, peer in self._peers.items()
-            if peer.zone == self._settings.zone
-            and now - peer.heard_at < _LIVE_SECONDS
+            if now - peer.heard_at < _LIVE_SECONDS
         ]
 
+    def describe_own(self) -> Reader:
+        """Describe this instance as peers hear of it."""
+        return Reader(
+            self._settings.instance,
+            self._settings.ip,
+            self._settings.zone,
+            self._read_provenance(),
+        )
+
     def introduce(self, instance: str, host: str) -> None:
         """Send to an instance from now on."""
         if host == self._settings.ip or instance == self._settings.instance:
@@ -219,6 +231,7 @@
             )
         peer.heard_at = now
         peer.zone = update.zone
+        peer.provenance = update.provenance
         if update.unconfirmed_for is not None:
             peer.confirmed_at = now - update.unconfirmed_for
         self._reach.note_peer(update.zone, now)
@@ -235,14 +248,14 @@
         near_told, far_told = _LastTold(), _LastTold()
         while not self.should_stop:
             now = monotonic()
-            changes = self._ledger.changes
+            changes = (self._ledger.changes, self._read_provenance())
             near, far = self._part_peers()
             if near_told.take_due(changes, now, 0, _REPEAT_PERIOD):
                 self._send(near)
             if far_told.take_due(changes, now, *_choose_far_periods(len(far))):
                 self._send(far)
             await asyncio.sleep(_SEND_PERIOD)
-            if far_told.changes == self._ledger.changes:
+            if far_told.changes == changes:
                 await self._await_change()
 
     async def _await_change(self) -> None:
@@ -288,6 +301,7 @@
             tell_work(self._ledger.own),
             self._observations.list_refusing(now),
             self._observations.list_slow(now),
+            self._read_provenance(),
         )
 
 
--- a/src/kelproad/coordination/ingress/following.py
+++ b/src/kelproad/coordination/ingress/following.py
@@ -23,6 +23,7 @@
 
 __all__ = [
     'PeerTable',
+    'Provenance',
     'StoreProblem',
     'StoreProblemKind',
     'StoredRow',
@@ -37,14 +38,19 @@
 #: back together.
 _SHORTEST_PAUSE = 0.05
 _LONGEST_PAUSE = 0.5
-#: Longest pause in seconds of an instance that has a reader to ask, which then
-#: looks for the store more often.
-_LONGEST_PAUSE_TOLD = 3.0
 #: Seconds between two questions to another instance: short, as they cost the
 #: store nothing, and what is told here grows by them in age.
 _ASK_PERIOD = 0.2
 
 
+class Provenance(enum.IntEnum):
+    """Where a state of a table comes from, the least direct way first."""
+
+    SAME_ZONE = 0
+    OTHER_ZONE = 1
+    STORE = 2
+
+
 class StoreProblemKind(enum.StrEnum):
     """Why a call to the store brought nothing."""
 
@@ -87,6 +93,8 @@
         Seconds since another instance read this, when it told it.
     back_for
         Seconds since the store came back there, if it was away.
+    provenance
+        Whether the store said so, or an instance of which zone.
     """
 
     version: int
@@ -94,6 +102,7 @@
     whole: bool
     age: float = 0
     back_for: float = math.inf
+    provenance: Provenance = Provenance.STORE
 
 
 @attrs.frozen
@@ -117,13 +126,13 @@
     ask
         Asks what changed since a version, or for all rows; gives nothing when
         no instance can tell.
-    is_read_here
-        Tells whether this instance is one that reads the store for others, or
-        has nobody to ask.
+    measure_turn
+        Tells for how many seconds at the most this instance leaves it to others
+        to find the store: none if others are told by it, or there are none.
     """
 
     ask: Callable[[int | None], Awaitable[TableState | None]]
-    is_read_here: Callable[[], bool]
+    measure_turn: Callable[[], float]
 
 
 class TableFollower(BackgroundService):
@@ -138,8 +147,8 @@
         the monotonic clock.
     back_at
         Monotonic time of the first sound answer after a failure.
-    direct
-        Whether the last sound answer was the store's own.
+    provenance
+        Where the last sound answer came from, ``None`` before the first.
     """
 
     abstract = False
@@ -178,10 +187,11 @@
         self._pause = pause
         self._generator = generator
         self._peers = peers
-        self._store_due = float('-inf')
+        #: When the store is to be asked; ``None`` while others tell.
+        self._store_due: float | None = None
         self._version: int | None = None
         self._failures = 0
-        self.direct = False
+        self.provenance: Provenance | None = None
         self.sound_at = float('-inf')
         self.back_at = float('-inf')
 
@@ -204,10 +214,11 @@
             sent_at = read_boottime()
             told = await self._peers.ask(self._version)
             if told is not None:
-                self._accept(told, sent_at, direct=False)
+                self._store_due = None
+                self._accept(told, sent_at)
                 await asyncio.sleep(_ASK_PERIOD)
                 continue
-            until_due = self._store_due - monotonic()
+            until_due = self._take_turn() - monotonic()
             if until_due > 0:
                 await asyncio.sleep(min(until_due, _ASK_PERIOD))
                 continue
@@ -215,20 +226,35 @@
             if isinstance(answered, Failure):
                 self._bear(answered.failure())
                 continue
-            self._accept(answered.unwrap(), sent_at, direct=True)
+            self._store_due = None
+            self._accept(answered.unwrap(), sent_at)
             await asyncio.sleep(self._pause)
 
+    def _take_turn(self) -> float:
+        """Choose when to ask the store, if that is not chosen yet.
+
+        Whoever knows nothing asks at once.  Of those that were told until now
+        the first to find the store tells the others, so that not all of them
+        come to it together.
+        """
+        if self._store_due is None:
+            known = self._version is not None
+            turn = self._peers.measure_turn() if known else 0
+            self._store_due = monotonic() + self._generator.uniform(0, turn)
+        return self._store_due
+
     async def _ask_store(self) -> Result[TableState, StoreProblem]:
         if self._version is None:
             return await self._source.read()
         # After a failure an answer is wanted at once, to know whether the
         # store is back, and not when something changes; so it is when another
         # instance has just failed to tell.
-        waits = self.direct and not self._failures
+        direct = self.provenance is Provenance.STORE
+        waits = direct and not self._failures
         patience = self._patience if waits else 0
         return await self._source.await_changes(self._version, patience)
 
-    def _accept(self, state: TableState, sent_at: float, direct: bool) -> None:
+    def _accept(self, state: TableState, sent_at: float) -> None:
         if self._failures:
             self.back_at = monotonic()
             record(
@@ -240,7 +266,7 @@
             )
         self._failures = 0
         self.back_at = max(self.back_at, monotonic() - state.back_for)
-        self._note_direct(direct)
+        self._note_provenance(state.provenance)
         # The store's counter never goes back; an answer that does is that of
         # a stale reader, and following it would lose no change but repeat old
         # ones over newer ones.
@@ -250,14 +276,16 @@
         self._adopt(state)
         self.sound_at = max(self.sound_at, sent_at - state.age)
 
-    def _note_direct(self, direct: bool) -> None:
-        if direct is not self.direct:
+    def _note_provenance(self, provenance: Provenance) -> None:
+        if provenance is not self.provenance:
+            direct = provenance is Provenance.STORE
             record(
                 _logger,
                 'table_read_directly' if direct else 'table_told_by_peer',
                 table=self._source.name,
+                provenance=provenance.name.lower(),
             )
-        self.direct = direct
+        self.provenance = provenance
 
     def _bear(self, problem: StoreProblem) -> None:
         """Note a failure, and when the store is asked again."""
@@ -275,8 +303,9 @@
                 problem=problem.kind.value,
                 message=problem.message,
             )
-        read_here = self._peers.is_read_here()
-        longest = _LONGEST_PAUSE if read_here else _LONGEST_PAUSE_TOLD
-        bound = min(_SHORTEST_PAUSE * 2**self._failures, longest)
+        bound = self._peers.measure_turn() or min(
+            _SHORTEST_PAUSE * 2**self._failures,
+            _LONGEST_PAUSE,
+        )
         pause = self._generator.uniform(_SHORTEST_PAUSE, bound)
         self._store_due = monotonic() + pause
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -22,9 +22,11 @@
 from .assembly import CallPath, SharedState
 from .dialect import Dialect
 from .exchange import CONFIRMED_SECONDS, WorkExchange
+from .following import PeerTable
 from .holder import ConfigurationHolder
+from .probing import Freshness, TableProbe
 from .reach import ZoneReach
-from .readers import ReaderChoice
+from .readers import Reader, ReaderChoice
 from .relaying import TableRelay
 from .reloading import SettingsHolder, SettingsWatch
 from .rostering import Roster
@@ -92,9 +94,10 @@
             store,
             self._holder,
             self._table,
-            self._create_relays(),
+            self._prepare_peer_tables(),
             self._generator,
         )
+        self._probe = TableProbe(self._settings, self._tables)
         self._exchange = WorkExchange(
             self._settings,
             self._started_at,
@@ -102,6 +105,7 @@
             self._reach,
             self._observations,
             self._tables.configuration.measure_age,
+            lambda: self._tables.provenance,
         )
         roster = Roster(
             self._settings,
@@ -114,6 +118,7 @@
             self._tables.configuration,
             self._tables.endpoints,
             self._exchange,
+            self._probe,
             roster,
             SettingsWatch(self._settings_holder),
         ):
@@ -171,21 +176,36 @@
 
     # Building
 
-    def _create_relays(self) -> Callable[[str], TableRelay]:
-        """Prepare to ask the readers of this zone for tables, by name."""
+    def _prepare_peer_tables(self) -> Callable[[str], PeerTable]:
+        """Prepare to ask other instances for tables, by name.
+
+        Exchange and probe are built later, as they tell of the tables.
+        """
         readers = ReaderChoice(
-            self._settings.instance,
-            # The exchange is built later, as it tells how old the tables are.
-            lambda now: self._exchange.list_zone(now),
+            lambda: self._exchange.describe_own(),
+            lambda now: self._exchange.list_heard(now),
         )
         session = self._open_kept_session()
-        return lambda table: TableRelay(
-            table,
-            readers,
-            session,
-            self._settings.peer_port,
-            self._counters,
-        )
+
+        async def probe(reader: Reader) -> Freshness | None:
+            return await self._probe.ask(reader)
+
+        def open_peer_table(table: str) -> PeerTable:
+            relay = TableRelay(
+                table,
+                self._settings.zone,
+                readers,
+                probe,
+                session,
+                self._settings.peer_port,
+                self._counters,
+            )
+            return PeerTable(
+                relay.ask,
+                lambda: readers.measure_turn(monotonic()),
+            )
+
+        return open_peer_table
 
     def _create_call_path(self) -> CallPath:
         shared = SharedState(
--- a/src/kelproad/coordination/ingress/relaying.py
+++ b/src/kelproad/coordination/ingress/relaying.py
@@ -10,6 +10,7 @@
 import logging
 import math
 import zlib
+from collections.abc import Awaitable, Callable
 
 import aiohttp
 import attrs
@@ -20,23 +21,28 @@
 from ...state.counters import Counters
 from ...state.records import record
 from ...transport.addresses import Address
-from ...transport.deadlines import monotonic
+from ...transport.deadlines import monotonic, read_boottime
 from ...transport.exchanges import Reply, exchange
-from .following import StoredRow, TableState
-from .readers import Reader, ReaderChoice
-
-__all__ = ['TABLE_PATH', 'TableRelay', 'build_answer', 'read_after']
+from .following import Provenance, StoredRow, TableState
+from .probing import Freshness
+from .readers import OLDEST_TOLD, Reader, ReaderChoice
+
+__all__ = [
+    'TABLE_PATH',
+    'TableRelay',
+    'build_answer',
+    'read_after',
+    'read_zone',
+]
 
 _logger = logging.getLogger(__name__)
 #: Path under which an instance hands a table on, with the name of the table.
 TABLE_PATH = '/tables/'
 _AFTER = 'after'
+_ZONE = 'zone'
 #: Seconds for a question: the way takes 0.2 ms within a zone, and an instance
 #: that has a burst of calls may be some 0.1 s behind.
 _ASK_TIMEOUT = 0.3
-#: Seconds of age from which the store is asked here instead: the reader of a
-#: sound store is at most 1.2 s behind, and keys are trusted for 3.5 s.
-_OLDEST = 1.5
 _OK = 200
 _CONFLICT = 409
 
@@ -69,7 +75,9 @@
     """Asks other instances for one table."""
 
     _table: str
+    _zone: str
     _readers: ReaderChoice
+    _probe: Callable[[Reader], Awaitable[Freshness | None]]
     _session: aiohttp.ClientSession
     _port: int
     _counters: Counters
@@ -90,36 +98,76 @@
         self._counters.store_calls.inc(
             {'operation': 'ask_peer', 'outcome': outcome},
         )
-        if not isinstance(told, Failure):
-            return _leave_out_old(told.unwrap())
-        self._readers.avoid(reader, monotonic())
-        record(
-            _logger,
-            'reader_avoided',
-            table=self._table,
-            reader=reader.instance,
-            reason=told.failure(),
+        if isinstance(told, Failure):
+            record(
+                _logger,
+                'reader_avoided',
+                table=self._table,
+                reader=reader.instance,
+                reason=told.failure(),
+            )
+            return None
+        within_zone = reader.zone == self._zone
+        return _leave_out_old(
+            attrs.evolve(
+                told.unwrap(),
+                provenance=(
+                    Provenance.SAME_ZONE
+                    if within_zone
+                    else Provenance.OTHER_ZONE
+                ),
+            ),
         )
-        return None
-
-    def is_read_here(self) -> bool:
-        """Tell whether nobody else reads the table for this instance."""
-        return self._readers.is_reader(monotonic())
 
     async def _ask(
         self,
         reader: Reader,
         after: int | None,
     ) -> Result[TableState, str]:
+        """Fetch what changed, if anything did."""
+        asked_at = read_boottime()
+        freshness = await self._probe(reader)
+        if freshness is None:
+            self._readers.avoid(reader, monotonic())
+            return Failure('no answer')
+        table = freshness.tables.get(self._table)
+        if table is None:
+            self._readers.note_refusal(reader, monotonic())
+            return Failure('not told here')
+        if after is None or after < table.changed_at:
+            return await self._fetch(reader, after)
+        return Success(
+            TableState(
+                table.version,
+                [],
+                whole=False,
+                # An answer that another table's question brought is older
+                # than this one's.
+                age=table.age + max(0, asked_at - freshness.asked_at),
+                back_for=_read_back_for(table.back_for),
+            ),
+        )
+
+    async def _fetch(
+        self,
+        reader: Reader,
+        after: int | None,
+    ) -> Result[TableState, str]:
+        query = {_ZONE: self._zone}
+        if after is not None:
+            query[_AFTER] = str(after)
         address = Address(reader.host, self._port)
         answered = await exchange(
             self._session,
             'GET',
             f'{address.url}{TABLE_PATH}{self._table}',
             _ASK_TIMEOUT,
-            query={} if after is None else {_AFTER: str(after)},
+            query=query,
         )
-        return answered.alt(lambda failure: failure.reason).bind(_read_reply)
+        told = answered.alt(lambda failure: failure.reason).bind(_read_reply)
+        if isinstance(told, Failure):
+            self._readers.avoid(reader, monotonic())
+        return told
 
 
 def _leave_out_old(told: TableState) -> TableState | None:
@@ -128,7 +176,7 @@
     The reader is well, and asked again: it may be the first to notice that the
     store is back.
     """
-    return told if told.age <= _OLDEST else None
+    return told if told.age <= OLDEST_TOLD else None
 
 
 def build_answer(state: TableState | None) -> web.Response:
@@ -150,6 +198,11 @@
     return int(text) if text.isdecimal() else None
 
 
+def read_zone(http_request: web.Request) -> str:
+    """Read the zone of the peer that asks."""
+    return http_request.query.get(_ZONE, '')
+
+
 @functools.lru_cache(maxsize=4)
 def _pack_rows(rows: tuple[StoredRow, ...]) -> bytes:
     """Pack rows once for all peers that ask for the same."""
@@ -175,6 +228,10 @@
             [StoredRow(*row) for row in rows],
             told.whole,
             told.age,
-            math.inf if told.back_for is None else told.back_for,
+            _read_back_for(told.back_for),
         ),
     )
+
+
+def _read_back_for(back_for: float | None) -> float:
+    return math.inf if back_for is None else back_for
--- a/src/kelproad/coordination/ingress/rostering.py
+++ b/src/kelproad/coordination/ingress/rostering.py
@@ -32,9 +32,6 @@
 _READ_PERIODS = (8.0, 12.0)
 _SMALL_SITE = 8
 _RETRY_PERIOD = 0.5
-#: Seconds between the first readings: all instances of a site start within
-#: 0.3 s, so a first reading misses some.
-_FIRST_PERIODS = (1.0, 3.0)
 
 
 class _Row(msgspec.Struct):
@@ -75,17 +72,18 @@
     @Service.task
     async def _keep(self) -> None:
         await self._enter()
-        for period in _FIRST_PERIODS:
-            await self._read()
-            await asyncio.sleep(period)
+        # Of two instances that start together, at least the one that reads
+        # after the other has written finds it, and a datagram tells the other.
+        while not (self.should_stop or await self._read()):
+            await asyncio.sleep(_RETRY_PERIOD)
         while not self.should_stop:
-            await self._read()
             # Drawn at random, so that the instances don't all read at once.
             live = self._exchange.count_live(monotonic())
             await asyncio.sleep(
                 self._generator.uniform(*_READ_PERIODS)
                 * max(1, live / _SMALL_SITE),
             )
+            await self._read()
 
     async def _enter(self) -> None:
         row = _Row(self._settings.ip, self._settings.zone, time.time_ns())
@@ -97,16 +95,18 @@
                 return
             await asyncio.sleep(_RETRY_PERIOD)
 
-    async def _read(self) -> None:
+    async def _read(self) -> bool:
+        """Introduce the instances that have rows; tell whether that worked."""
         found = await self._store.read()
         if isinstance(found, Failure):
             # The followers of the store log that it is away.
             _logger.debug('instances not read: %s', found.failure().message)
-            return
+            return False
         rows = found.unwrap().rows
         for row in rows:
             self._introduce(row)
         self._exchange.keep_listed({row.key for row in rows}, monotonic())
+        return True
 
     def _introduce(self, row: StoredRow) -> None:
         try:
--- a/src/kelproad/coordination/ingress/settings.py
+++ b/src/kelproad/coordination/ingress/settings.py
@@ -48,7 +48,8 @@
     ready_address
         Where the platform's balancer asks whether the instance is ready.
     peer_port
-        Port at which instances send each other datagrams.
+        Port at which instances send each other datagrams of their work, and
+        answer each other's calls.  The next one is that of probes.
     store_address
         Address of the platform's store.
     seed_hosts
@@ -64,3 +65,8 @@
     store_address: Address
     seed_hosts: tuple[str, ...] = ()
     bounds: Bounds = attrs.field(factory=Bounds)
+
+    @property
+    def probe_port(self) -> int:
+        """Port at which instances ask each other how fresh tables are."""
+        return self.peer_port + 1
--- a/src/kelproad/coordination/ingress/surfaces.py
+++ b/src/kelproad/coordination/ingress/surfaces.py
@@ -14,7 +14,7 @@
 from ..drain import Drain, DrainPhase
 from .dialect import Dialect
 from .following import TableState
-from .relaying import TABLE_PATH, build_answer, read_after
+from .relaying import TABLE_PATH, build_answer, read_after, read_zone
 from .settings import NodeSettings
 
 __all__ = ['Surfaces', 'describe_endpoints', 'describe_work']
@@ -47,7 +47,7 @@
     _drain: Drain
     _counters: Counters
     _describe: Callable[[], dict[str, object]]
-    _list_changes: Callable[[str, int | None], TableState | None]
+    _list_changes: Callable[[str, int | None, bool], TableState | None]
 
     def create_caller_server(self) -> HttpServer:
         """Create the server that takes calls."""
@@ -106,8 +106,9 @@
 
     async def _tell_table(self, http_request: web.Request) -> web.Response:
         table = http_request.match_info['table']
+        within_zone = read_zone(http_request) == self._settings.zone
         return build_answer(
-            self._list_changes(table, read_after(http_request)),
+            self._list_changes(table, read_after(http_request), within_zone),
         )
 
     async def _tell_ready(self, _http_request: web.Request) -> web.Response:
--- a/src/kelproad/coordination/ingress/tables.py
+++ b/src/kelproad/coordination/ingress/tables.py
@@ -4,11 +4,13 @@
 of the zone are told of it.
 """
 
+import math
 import operator
 import random
 from collections.abc import Callable
 
 import attrs
+import msgspec
 from returns.result import Failure, Result
 
 from ...state.endpoints import EndpointTable
@@ -17,17 +19,18 @@
 from .endpoints import EndpointRegistry, ListedEndpoint
 from .following import (
     PeerTable,
+    Provenance,
     StoredRow,
     TableFollower,
     TableSource,
     TableState,
 )
 from .holder import ConfigurationHolder
-from .relaying import TableRelay
+from .readers import OLDEST_TOLD
 from .settings import Bounds
 from .store import NodeStore
 
-__all__ = ['FollowedTables']
+__all__ = ['FollowedTables', 'TableFreshness']
 
 #: Seconds that a call to the store waits for a configuration.  Those that are
 #: told of it are twice that behind, which must stay below the time from which
@@ -40,7 +43,28 @@
 #: Largest share of the time in which a change must be in force, or an endpoint
 #: that leaves be left, for which calls wait or pause.
 _WAIT_SHARE = 0.2
-_PAUSE_SHARE = 0.3
+_PAUSE_SHARE = 0.2
+
+
+class TableFreshness(msgspec.Struct, array_like=True):
+    """How fresh a table is at an instance.
+
+    Attributes
+    ----------
+    version
+        Newest version of the store when it was read.
+    changed_at
+        Version at which the table last changed.
+    age
+        Seconds since the store said so.
+    back_for
+        Seconds since the store came back, ``None`` if it never was away.
+    """
+
+    version: int
+    changed_at: int
+    age: float
+    back_for: float | None
 
 
 @attrs.frozen
@@ -50,6 +74,28 @@
     follower: TableFollower
     cache: TableCache
 
+    def may_tell(self, within_zone: bool) -> bool:
+        """Tell whether a peer of this zone, or of another one, may be told.
+
+        What the own zone told is told to nobody, and what another zone told
+        only to the own one, lest two instances ask each other.
+        """
+        provenance = self.follower.provenance
+        if provenance is None:
+            return False
+        least = Provenance.OTHER_ZONE if within_zone else Provenance.STORE
+        return provenance >= least
+
+    def describe_freshness(self) -> TableFreshness:
+        """Describe how fresh the table is."""
+        back_for = self.follower.measure_back()
+        return TableFreshness(
+            self.cache.version,
+            self.cache.changed_at,
+            self.follower.measure_age(),
+            back_for if math.isfinite(back_for) else None,
+        )
+
 
 class FollowedTables:
     """Keeps configuration and endpoints current, and tells peers of them.
@@ -68,16 +114,16 @@
         store: NodeStore,
         holder: ConfigurationHolder,
         table: EndpointTable,
-        open_relay: Callable[[str], TableRelay],
+        open_peer_table: Callable[[str], PeerTable],
         generator: random.Random,
     ) -> None:
         """Put what the store says into a holder and a table.
 
-        ``open_relay`` gives the way to ask other instances for a table.
+        ``open_peer_table`` gives the way to ask other instances for a table.
         """
         self._store = store
         self._holder = holder
-        self._open_relay = open_relay
+        self._open_peer_table = open_peer_table
         self._generator = generator
         self.registry = EndpointRegistry(
             table,
@@ -100,17 +146,36 @@
         """What keeps the endpoints current."""
         return self._followed[self._store.endpoints.name].follower
 
-    def tell(self, name: str, after: int | None) -> TableState | None:
+    @property
+    def provenance(self) -> Provenance | None:
+        """Where the tables come from, the least direct of them.
+
+        There is none while one of them is too old to be told on.
+        """
+        followers = [followed.follower for followed in self._followed.values()]
+        known = [
+            follower.provenance
+            for follower in followers
+            if follower.provenance is not None
+            and follower.measure_age() <= OLDEST_TOLD
+        ]
+        return min(known) if len(known) == len(followers) else None
+
+    def tell(
+        self,
+        name: str,
+        after: int | None,
+        within_zone: bool,
+    ) -> TableState | None:
         """Tell a peer what changed in a table since a version.
 
         Returns
         -------
         TableState | None
-            Nothing when the table is not read from the store here: what
-            others tell is not told on, lest two instances ask each other.
+            Nothing when the peer had better ask somebody else.
         """
         followed = self._followed.get(name)
-        if followed is None or not followed.follower.direct:
+        if followed is None or not followed.may_tell(within_zone):
             return None
         changes = followed.cache.list_changes(after)
         if changes is None:
@@ -121,6 +186,18 @@
             back_for=followed.follower.measure_back(),
         )
 
+    def describe_freshness(
+        self,
+        within_zone: bool,
+    ) -> dict[str, TableFreshness]:
+        """Describe how fresh the tables are that a peer may be told."""
+        return {
+            name: followed.describe_freshness()
+            for name, followed in self._followed.items()
+            if followed.may_tell(within_zone)
+            and followed.cache.version is not None
+        }
+
     def _follow_configuration(self, bounds: Bounds) -> _Followed:
         patience = min(
             _CONFIGURATION_PATIENCE,
@@ -160,14 +237,13 @@
             cache.take(decoded)
             adopt(decoded)
 
-        relay = self._open_relay(source.name)
         follower = TableFollower(
             source,
             take,
             patience,
             pause,
             self._generator,
-            PeerTable(relay.ask, relay.is_read_here),
+            self._open_peer_table(source.name),
         )
         return _Followed(follower, cache)
 
--- a/src/kelproad/coordination/ingress/updates.py
+++ b/src/kelproad/coordination/ingress/updates.py
@@ -4,6 +4,7 @@
 from returns.result import Failure, Result, Success
 
 from ...state.work import EndpointWork
+from .following import Provenance
 
 __all__ = [
     'PeerUpdate',
@@ -36,7 +37,8 @@
     ``unconfirmed_for`` are the seconds since the sender's configuration was
     last confirmed, ``None`` when it never was.  ``refusing`` names engines that
     refused to read a part of a prompt for it, ``slow`` those that said how many
-    times the published seconds they take.
+    times the published seconds they take.  ``provenance`` says where the
+    sender's tables come from, ``None`` when they are too old to be told on.
     """
 
     instance: str
@@ -49,6 +51,7 @@
     work: list[ToldWork]
     refusing: list[str] = []
     slow: dict[str, float] = {}
+    provenance: Provenance | None = None
 
 
 encode_update = msgspec.msgpack.Encoder().encode
--- a/tests/ingress/test_exchange.py
+++ b/tests/ingress/test_exchange.py
@@ -67,6 +67,7 @@
             self.reach,
             self.observations,
             lambda: self.age,
+            lambda: None,
         )
         self.wire = Wire()
         self.exchange._socket = self.wire
