Join tables, exchange and inquiries in a module of their own

Moved without a change of what is decided: the parts that need each other stand in peering.py, and the node starts them. The time that tells one life of a process from another is taken there.

--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -4,7 +4,6 @@
 import logging
 import random
 import time
-from collections.abc import Callable
 
 import aiohttp
 from mode import Service
@@ -20,24 +19,17 @@
 from ...transport.services import BackgroundService
 from ..drain import Drain, DrainPhase
 from .assembly import CallPath, SharedState
-from .borrowing import answer_work
 from .dialect import Dialect
-from .exchange import WorkExchange
-from .following import PeerTable
 from .holder import ConfigurationHolder
-from .inquiring import Answer, Inquirer, Question, TablesAnswer, WorkQuestion
+from .peering import Peering
 from .peers import CONFIRMED_SECONDS
-from .probing import Freshness, TableProbe
 from .reach import ZoneReach
-from .readers import Reader, ReaderChoice
-from .relaying import TableRelay
 from .reloading import SettingsHolder, SettingsWatch
 from .rostering import Roster
 from .settings import Bounds
 from .stopping import plan_stop
 from .store import OpenStore
 from .surfaces import Surfaces, describe_endpoints, describe_work
-from .tables import FollowedTables
 
 __all__ = ['Node']
 
@@ -73,9 +65,8 @@
         self._settings = settings
         self._dialect = dialect
         self._open_store = open_store
-        self._started_at = time.time_ns()
         self._generator = random.Random(  # noqa: S311  no secret
-            f'{settings.instance}:{self._started_at}',
+            f'{settings.instance}:{time.time_ns()}',
         )
         self._counters = Counters()
         self._holder = ConfigurationHolder()
@@ -92,26 +83,20 @@
     async def on_first_start(self) -> None:
         """Build the parts, start them, and listen last of all."""
         store = self._open_store(self._open_kept_session(), self._counters)
-        self._tables = FollowedTables(
-            self._settings.bounds,
+        self._peering = Peering(
+            self._settings,
             store,
             self._holder,
             self._table,
-            self._prepare_peer_tables(),
-            self._generator,
-        )
-        self._inquirer = Inquirer(self._settings, self._answer_inquiry)
-        self._probe = TableProbe(self._inquirer)
-        self._exchange = WorkExchange(
-            self._settings,
-            self._started_at,
             self._ledger,
             self._reach,
             self._observations,
-            self._tables.configuration.measure_age,
-            lambda: self._tables.provenance,
-            self._table.find_zone,
+            self._open_kept_session(),
+            self._counters,
+            self._generator,
         )
+        self._tables = self._peering.tables
+        self._exchange = self._peering.exchange
         roster = Roster(
             self._settings,
             store.roster,
@@ -120,10 +105,7 @@
         )
         self._path = self._create_call_path()
         for service in (
-            self._tables.configuration,
-            self._tables.endpoints,
-            self._exchange,
-            self._inquirer,
+            *self._peering.list_services(),
             roster,
             SettingsWatch(self._settings_holder),
         ):
@@ -181,37 +163,6 @@
 
     # Building
 
-    def _prepare_peer_tables(self) -> Callable[[str], PeerTable]:
-        """Prepare to ask other instances for tables, by name.
-
-        Exchange and probe are built later, as they tell of the tables.
-        """
-        readers = ReaderChoice(
-            lambda: self._exchange.describe_own(),
-            lambda now: self._exchange.peers.list_heard(now),
-        )
-        session = self._open_kept_session()
-
-        async def probe(reader: Reader) -> Freshness | None:
-            return await self._probe.ask(reader)
-
-        def open_peer_table(table: str) -> PeerTable:
-            relay = TableRelay(
-                table,
-                self._settings.zone,
-                readers,
-                probe,
-                session,
-                self._settings.peer_port,
-                self._counters,
-            )
-            return PeerTable(
-                relay.ask,
-                lambda: readers.measure_turn(monotonic()),
-            )
-
-        return open_peer_table
-
     def _create_call_path(self) -> CallPath:
         shared = SharedState(
             self._settings.instance,
@@ -225,7 +176,7 @@
             self._drain,
             self._counters,
             self._generator,
-            self._inquirer,
+            self._peering.inquirer,
             self._tables.configuration.measure_age,
             self._read_bounds,
         )
@@ -235,21 +186,6 @@
             self._open_session(),
         )
 
-    def _answer_inquiry(self, question: Question) -> Answer:
-        """Answer what another instance asks by datagram."""
-        if isinstance(question, WorkQuestion):
-            return answer_work(
-                question,
-                self._settings.zone,
-                self._table,
-                self._ledger,
-                self._exchange.peers,
-                self._observations,
-            )
-        within_zone = question.zone == self._settings.zone
-        tables = self._tables.describe_freshness(within_zone)
-        return TablesAnswer(question.token, tables)
-
     async def _serve(self) -> None:
         surfaces = Surfaces(
             self._settings,
--- /dev/null
+++ b/src/kelproad/coordination/ingress/peering.py
@@ -0,0 +1,135 @@
+"""What an instance hears from the store and from other instances, joined.
+
+Each of these parts needs another one: tables are asked of instances that the
+exchange hears of, and the exchange tells where the tables come from.
+"""
+
+import random
+import time
+
+import aiohttp
+from mode import Service
+
+from ...state.counters import Counters
+from ...state.endpoints import EndpointTable
+from ...state.observations import EngineObservations
+from ...state.work import WorkLedger
+from ...transport.deadlines import monotonic
+from .borrowing import answer_work
+from .exchange import WorkExchange
+from .following import PeerTable
+from .holder import ConfigurationHolder
+from .inquiring import Answer, Inquirer, Question, TablesAnswer, WorkQuestion
+from .probing import TableProbe
+from .reach import ZoneReach
+from .readers import ReaderChoice
+from .relaying import TableRelay
+from .settings import NodeSettings
+from .store import NodeStore
+from .tables import FollowedTables
+
+__all__ = ['Peering']
+
+
+class Peering:
+    """The tables, the exchange of work, and questions between instances.
+
+    Attributes
+    ----------
+    tables
+        Tables of the store that are kept current here.
+    exchange
+        Work in flight, told by datagram.
+    inquirer
+        Questions to other instances, and answers to theirs.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        store: NodeStore,
+        holder: ConfigurationHolder,
+        table: EndpointTable,
+        ledger: WorkLedger,
+        reach: ZoneReach,
+        observations: EngineObservations,
+        session: aiohttp.ClientSession,
+        counters: Counters,
+        generator: random.Random,
+    ) -> None:
+        """Put what is heard into a holder, a table and a ledger.
+
+        ``session`` carries the calls to other instances.
+        """
+        self._settings = settings
+        self._table = table
+        self._ledger = ledger
+        self._observations = observations
+        self._session = session
+        self._counters = counters
+        self.inquirer = Inquirer(settings, self._answer)
+        self._probe = TableProbe(self.inquirer)
+        self._readers = ReaderChoice(
+            # The exchange is built last, as it tells of the tables.
+            lambda: self.exchange.describe_own(),
+            lambda now: self.exchange.peers.list_heard(now),
+        )
+        self.tables = FollowedTables(
+            settings.bounds,
+            store,
+            holder,
+            table,
+            self._open_peer_table,
+            generator,
+        )
+        self.exchange = WorkExchange(
+            settings,
+            # Tells this life of the process from earlier ones.
+            time.time_ns(),
+            ledger,
+            reach,
+            observations,
+            self.tables.configuration.measure_age,
+            lambda: self.tables.provenance,
+            table.find_zone,
+        )
+
+    def list_services(self) -> list[Service]:
+        """List what is to be started, in this order."""
+        return [
+            self.tables.configuration,
+            self.tables.endpoints,
+            self.exchange,
+            self.inquirer,
+        ]
+
+    def _open_peer_table(self, name: str) -> PeerTable:
+        """Prepare to ask other instances for a table."""
+        relay = TableRelay(
+            name,
+            self._settings.zone,
+            self._readers,
+            self._probe.ask,
+            self._session,
+            self._settings.peer_port,
+            self._counters,
+        )
+        return PeerTable(
+            relay.ask,
+            lambda: self._readers.measure_turn(monotonic()),
+        )
+
+    def _answer(self, question: Question) -> Answer:
+        """Answer what another instance asks by datagram."""
+        if isinstance(question, WorkQuestion):
+            return answer_work(
+                question,
+                self._settings.zone,
+                self._table,
+                self._ledger,
+                self.exchange.peers,
+                self._observations,
+            )
+        within_zone = question.zone == self._settings.zone
+        tables = self.tables.describe_freshness(within_zone)
+        return TablesAnswer(question.token, tables)
--- a/tests/ingress/test_exchange.py
+++ b/tests/ingress/test_exchange.py
@@ -364,7 +364,7 @@
     here: Instance,
     clock: Clock,
 ) -> None:
-    """A zone that falls silent is doubted after 0.7 s, so none may by chance."""
+    """A zone that is silent for 0.7 s is doubted, so none may be by chance."""
     heard: dict[str, int] = {}
     for rank in range(MATES):
         instance = Instance(f'edge-a-{rank:02}', 'zone-a')
