--- a/src/kelproad/coordination/ingress/choosing.py
+++ b/src/kelproad/coordination/ingress/choosing.py
@@ -61,7 +61,13 @@
         if self._borrower.is_needed and self._is_engine_call(call):
             near = self._table.in_zone(call.service, self._zone)
             with contextlib.suppress(Unplaced):
-                return self.choose_among(near, call, progress, monotonic())
+                return self.choose_among(
+                    near,
+                    call,
+                    progress,
+                    monotonic(),
+                    sound_only=True,
+                )
             await self._borrower.refresh()
         now = monotonic()
         zones = self._list_known_zones(call, now)
@@ -78,6 +84,7 @@
         call: Call,
         progress: Progress,
         now: float,
+        sound_only: bool = False,
     ) -> Placement:
         """Choose for a call among some endpoints.
 
@@ -89,13 +96,25 @@
             What became of it so far: where it may not go again.
         now
             Monotonic time, in seconds.
+        sound_only
+            Whether to leave failing endpoints also where no other is left.
 
         Raises
         ------
         Unplaced
             When none can take it now.
         """
-        candidates = self._list_candidates(endpoints, call, progress, now)
+        sound, usable = self._part_sound(endpoints, call, progress, now)
+        left = sound if sound_only else sound or usable
+        most = call.route.most_endpoints
+        candidates = [
+            self._describe(
+                endpoint,
+                progress.may_answer(endpoint.name, most),
+                now,
+            )
+            for endpoint in self._draw(left)
+        ]
         profile = self._holder.current.find_profile(call.service)
         if profile is None:
             work_seconds = call.route.objective * _PLAIN_SHARE
@@ -128,14 +147,14 @@
     def _is_engine_call(self, call: Call) -> bool:
         return self._holder.current.find_profile(call.service) is not None
 
-    def _list_candidates(
+    def _part_sound(
         self,
         endpoints: list[Endpoint],
         call: Call,
         progress: Progress,
         now: float,
-    ) -> list[Candidate]:
-        """List sound endpoints, or all that are left when none is sound."""
+    ) -> tuple[list[Endpoint], list[Endpoint]]:
+        """List the sound endpoints, and all that may be used."""
         usable = [
             endpoint
             for endpoint in endpoints
@@ -150,16 +169,7 @@
             and not self._observations.is_silent(endpoint.name, now)
             and _is_sound(endpoint, call.kind.repeatable, now)
         ]
-        chosen = self._draw(sound or usable)
-        most = call.route.most_endpoints
-        return [
-            self._describe(
-                endpoint,
-                progress.may_answer(endpoint.name, most),
-                now,
-            )
-            for endpoint in chosen
-        ]
+        return sound, usable
 
     def _draw(self, endpoints: list[Endpoint]) -> list[Endpoint]:
         """Draw some of many endpoints, those of the own zone first."""
--- a/src/kelproad/coordination/ingress/parts.py
+++ b/src/kelproad/coordination/ingress/parts.py
@@ -4,8 +4,11 @@
 Where none do, those are taken that the fewest streams are on.
 """
 
-import operator
+import heapq
 import random
+from typing import Self
+
+import attrs
 
 from ...state.engines import EngineProfile
 from .passes import (
@@ -76,51 +79,77 @@
     in time, or where more callers would be late than the prompt is worth.
     """
     reading = profile.predict_prefill(need.prompt_tokens)
+    longest = need.left * FORCED_SHARE
+    disturbances = [
+        _Disturbance.from_candidate(candidate, profile) for candidate in helpers
+    ]
     least = need.prompt_tokens / TOKENS_PER_STREAM
     best: list[Candidate] = []
     for count in range(1, min(MOST_PARTS, len(helpers)) + 1):
         part = reading / count
-        chosen = _rank_disturbed(helpers, need, part, profile)[:count]
-        disturbed = sum(streams for streams, _, _ in chosen)
-        if len(chosen) == count and disturbed <= least:
+        chosen = heapq.nsmallest(
+            count,
+            _rank_in_time(disturbances, part, longest, profile),
+        )
+        if len(chosen) < count:
+            continue
+        disturbed = sum(streams for (streams, _), _ in chosen)
+        if disturbed <= least:
             least = disturbed - 1
-            best = [candidate for _, _, candidate in chosen]
+            best = [helpers[place] for _, place in chosen]
     return best
 
 
-def _rank_disturbed(
-    helpers: list[Candidate],
-    need: Need,
+def _rank_in_time(
+    disturbances: list['_Disturbance'],
     part: float,
+    longest: float,
     profile: EngineProfile,
-) -> list[tuple[int, float, Candidate]]:
-    """Rank the engines that read a part in time, least harm first.
-
-    Returns
-    -------
-    list[tuple[int, float, Candidate]]
-        Streams disturbed, predicted seconds to the first token, and engine.
+) -> list[tuple[tuple[int, float], int]]:
+    """Rank the engines that read a part in time, each with its place."""
+    return [
+        (disturbance.rank(part, profile), place)
+        for place, disturbance in enumerate(disturbances)
+        if disturbance.predict(part) <= longest
+    ]
+
+
+@attrs.frozen
+class _Disturbance:
+    """What a part of a prompt would do to the streams of an engine.
+
+    Attributes
+    ----------
+    first_token
+        Predicted seconds to a first token there without the part.
     """
-    longest = need.left * FORCED_SHARE
-    ranked = []
-    for candidate in helpers:
-        predicted = predict_first_token(candidate, part, profile)
-        if predicted <= longest:
-            disturbed = _count_disturbed(candidate, part, profile)
-            ranked.append((disturbed, predicted, candidate))
-    return sorted(ranked, key=operator.itemgetter(0, 1))
-
 
-def _count_disturbed(
-    candidate: Candidate,
-    part: float,
-    profile: EngineProfile,
-) -> int:
-    """Count the streams that a part makes pause too long, by their worth."""
-    work = candidate.work
-    if part * candidate.slowdown < profile.pauses.loose:
-        return work.tight_calls
-    return work.tight_calls + work.patient_calls * STREAMS_PER_PATIENT_ONE
+    candidate: Candidate
+    first_token: float
+
+    @classmethod
+    def from_candidate(
+        cls,
+        candidate: Candidate,
+        profile: EngineProfile,
+    ) -> Self:
+        """Predict an engine once, for parts of any length."""
+        return cls(candidate, predict_first_token(candidate, 0, profile))
+
+    def predict(self, part: float) -> float:
+        """Predict the seconds to the first token behind a part."""
+        return self.first_token + part * self.candidate.slowdown
+
+    def count_streams(self, part: float, profile: EngineProfile) -> int:
+        """Count the streams that pause too long, by their worth."""
+        work = self.candidate.work
+        if part * self.candidate.slowdown < profile.pauses.loose:
+            return work.tight_calls
+        return work.tight_calls + work.patient_calls * STREAMS_PER_PATIENT_ONE
+
+    def rank(self, part: float, profile: EngineProfile) -> tuple[int, float]:
+        """Rank the least harm first, then the earliest first token."""
+        return self.count_streams(part, profile), self.predict(part)
 
 
 def place_parts(
--- a/tests/ingress/test_borrowing.py
+++ b/tests/ingress/test_borrowing.py
@@ -2,16 +2,22 @@
 
 import asyncio
 import random
+import types
 
 import pytest
 
 from kelproad.coordination.ingress import borrowing as borrowing_module
+from kelproad.coordination.ingress import choosing as choosing_module
 from kelproad.coordination.ingress.borrowing import ZoneBorrower, answer_work
+from kelproad.coordination.ingress.choosing import Chooser
 from kelproad.coordination.ingress.exchange import MOST_TOLD_ALL
+from kelproad.coordination.ingress.holder import ConfigurationHolder
 from kelproad.coordination.ingress.inquiring import WorkAnswer, WorkQuestion
 from kelproad.coordination.ingress.peers import PeerRegister
+from kelproad.coordination.ingress.progress import Progress
 from kelproad.coordination.ingress.reach import ZoneReach
 from kelproad.coordination.ingress.settings import NodeSettings
+from kelproad.state.calls import Call, CallHead
 from kelproad.state.declarations import (
     EndpointDeclaration,
     EndpointGroup,
@@ -19,8 +25,10 @@
 )
 from kelproad.state.endpoints import EndpointTable
 from kelproad.state.observations import EngineObservations
+from kelproad.state.routes import CallKind, Route, WeightedService
 from kelproad.state.work import EndpointWork, WorkLedger
 from kelproad.transport.addresses import Address
+from tests.ingress.test_placing import PROFILE
 
 NOW = 1000.0
 
@@ -120,6 +128,7 @@
     """Put a clock of the test's own in the place of the real one."""
     own = [NOW]
     monkeypatch.setattr(borrowing_module, 'monotonic', lambda: own[0])
+    monkeypatch.setattr(choosing_module, 'monotonic', lambda: own[0])
     return own
 
 
@@ -162,3 +171,88 @@
     here = Here(others=MOST_TOLD_ALL)
     assert not here.borrower.is_needed
     assert here.borrower.knows('zone-b', NOW)
+
+
+# Where calls are placed
+
+
+class Placer:
+    """Chooses for calls of an instance of zone a in a large fleet."""
+
+    def __init__(self) -> None:
+        """Know two engines in zone a, and those of zone b when asked."""
+        self.here = Here(others=MOST_TOLD_ALL + 1)
+        self.table = EndpointTable()
+        declarations = [
+            EndpointDeclaration(name, zone, '10.0.0.1:80', slots=2)
+            for name, zone in ENGINES.items()
+        ]
+        group = EndpointGroup('writer', EndpointKind.ENGINE, declarations)
+        self.table.declare([group])
+        holder = ConfigurationHolder()
+        holder.current = types.SimpleNamespace(
+            find_profile=lambda _service: PROFILE,
+            find_delay=lambda origin, target: 0 if origin == target else 0.005,
+        )
+        self.chooser = Chooser(
+            'zone-a',
+            holder,
+            self.table,
+            self.here.ledger,
+            ZoneReach(),
+            EngineObservations(),
+            self.here.borrower,
+            random.Random(1),
+        )
+
+    async def place(self) -> str:
+        """Place a short prompt; return its engine."""
+        placement = await self.chooser.choose(build_call(), Progress())
+        return placement.first.name
+
+
+ENGINES = types.MappingProxyType(
+    {'i-a': 'zone-a', 'i-a2': 'zone-a', 'i-b': 'zone-b'},
+)
+
+
+def build_call() -> Call:
+    """Build a call with a short prompt."""
+    route = Route(
+        name='chat',
+        host='example',
+        prefix='/',
+        kind=CallKind.RESUMABLE_STREAM,
+        services=(WeightedService('writer', 1),),
+        timeout=10,
+        objective=0.3,
+        gap_objective=0.25,
+    )
+    head = CallHead('1', 'POST', 'example', '/', 'key', 10, 5_000, 1_000)
+    return Call(head, route, 'writer', None, b'', NOW, NOW + 10)
+
+
+async def test_a_call_stays_in_its_zone_while_that_can_take_it() -> None:
+    """Only the own zone's engines are known exactly, and cost no bytes."""
+    placer = Placer()
+    assert await placer.place() in {'i-a', 'i-a2'}
+    assert not placer.here.line.asked
+
+
+async def test_a_call_goes_to_another_zone_when_its_own_is_full() -> None:
+    """A burst in one zone waited while engines elsewhere were idle."""
+    placer = Placer()
+    for name in ('i-a', 'i-a2'):
+        placer.here.ledger.begin(name, EndpointWork(2, 10_000))
+    placer.here.line.there.ledger.end('i-b', EndpointWork(2, 9000, 0.2, 1))
+    assert await placer.place() == 'i-b'
+    assert placer.here.line.asked == 1
+
+
+async def test_a_failing_engine_is_not_preferred_for_being_near() -> None:
+    """All engines of a zone fail at once; the sound ones are elsewhere."""
+    placer = Placer()
+    for name in ('i-a', 'i-a2'):
+        placer.table.get(name).ejected_until = float('inf')
+    placer.here.line.there.ledger.end('i-b', EndpointWork(2, 9000, 0.2, 1))
+    assert await placer.place() == 'i-b'
