Say in one log line what a reload of the settings changed

Settings files change under running instances on the large site; the log said that they had been reloaded and not what was different. Each changed setting now stands there with its old and new value, bounds by their names.

--- a/src/kelproad/coordination/ingress/reloading.py
+++ b/src/kelproad/coordination/ingress/reloading.py
@@ -65,8 +65,9 @@
                 ],
             )
         if adopted != self.current:
+            changed = _describe_changes(self.current, adopted)
             self.current = adopted
-            record(_logger, 'settings_reloaded')
+            record(_logger, 'settings_reloaded', changed=changed)
 
     def _note_refused(self, problems: list[Problem]) -> None:
         """Log what is wrong with the file, once."""
@@ -94,3 +95,22 @@
         while not self.should_stop:
             await asyncio.sleep(_LOOK_PERIOD)
             self._holder.refresh()
+
+
+def _describe_changes(
+    before: NodeSettings,
+    after: NodeSettings,
+) -> dict[str, list[object]]:
+    """Describe which settings changed, each with its old and new value."""
+    old, new = _flatten(before), _flatten(after)
+    return {
+        name: [old[name], new[name]] for name in old if old[name] != new[name]
+    }
+
+
+def _flatten(settings: NodeSettings) -> dict[str, object]:
+    """Put settings and their bounds side by side, as the log writes them."""
+    nested = attrs.asdict(settings)
+    bounds = nested.pop('bounds')
+    flat = {name: str(value) for name, value in nested.items()}
+    return flat | {f'bounds.{name}': value for name, value in bounds.items()}
--- a/tests/ingress/test_settings.py
+++ b/tests/ingress/test_settings.py
@@ -1,7 +1,9 @@
 """The platform's settings file: read, checked, read again."""
 
+import logging
 import pathlib
 
+import pytest
 from returns.result import Failure
 
 from kelproad.coordination.ingress.reloading import SettingsHolder
@@ -79,3 +81,26 @@
     holder.refresh()
     assert holder.current.bounds.stop_grace == 6
     assert holder.current.caller_address.port == 8227
+
+
+def test_a_log_line_says_what_a_reload_changed(
+    tmp_path: pathlib.Path,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """A file changes under a running instance, and nobody can tell what did."""
+    path = tmp_path / 'settings'
+    path.write_text(TEXT)
+    holder = SettingsHolder(
+        load_node_settings(path).unwrap(),
+        lambda: load_node_settings(path),
+    )
+    path.write_text(TEXT.replace('grace_s=8', 'grace_s=4'))
+    with caplog.at_level(logging.INFO):
+        holder.refresh()
+        holder.refresh()
+    reloaded = [
+        record.event_fields['changed']
+        for record in caplog.records
+        if record.getMessage() == 'settings_reloaded'
+    ]
+    assert reloaded == [{'bounds.stop_grace': [8, 4]}]
