Count live instances one by one where each of them is heard

Where other zones say little of each instance, those that the store lists count as live while their zone is heard. At small fleets that would have counted dead ones, and halved nobody's retries but made them fewer than permitted. The line between both is one property of the register now, which exchange and borrower ask.

--- a/src/kelproad/coordination/ingress/borrowing.py
+++ b/src/kelproad/coordination/ingress/borrowing.py
@@ -14,7 +14,6 @@
 from ...state.observations import EngineObservations
 from ...state.work import WorkLedger
 from ...transport.deadlines import monotonic
-from .exchange import MOST_TOLD_ALL
 from .inquiring import Inquirer, WorkAnswer, WorkQuestion
 from .peers import PeerRegister
 from .reach import ZoneReach
@@ -58,7 +57,7 @@
     @property
     def is_needed(self) -> bool:
         """Whether other zones don't tell this one of their work anyway."""
-        return self._peers.count_far() > MOST_TOLD_ALL
+        return not self._peers.all_told
 
     def knows(self, zone: str, now: float) -> bool:
         """Tell whether the work at the engines of a zone is known here."""
--- a/src/kelproad/coordination/ingress/exchange.py
+++ b/src/kelproad/coordination/ingress/exchange.py
@@ -63,8 +63,6 @@
 #: the most.
 _FAR_SEND_PERIOD = 0.0025
 _LONGEST_FAR_SEND = 0.25
-#: Instances of other zones up to which each of them is told everything.
-MOST_TOLD_ALL = 60
 
 
 @attrs.define
@@ -190,12 +188,14 @@
         repeat = _choose_near_repeat(len(near), idle=not works)
         if self._near_told.take_due(changes, now, 0, repeat):
             self._send(near, works)
-        count = self.peers.count_far()
-        if count > MOST_TOLD_ALL:
+        if self.peers.all_told:
+            others = list(itertools.chain(*far.values()))
+            periods = _choose_far_periods(len(others))
+            if self._far_told.take_due(changes, now, *periods):
+                self._send(others, works)
+        else:
             self._far_told.changes = changes
             self._tell_zones(far, works, now)
-        elif self._far_told.take_due(changes, now, *_choose_far_periods(count)):
-            self._send(itertools.chain(*far.values()), works)
 
     def _tell_zones(
         self,
@@ -253,7 +253,7 @@
 
         Where all instances hear each other, each says that of itself.
         """
-        if self.peers.count_far() <= MOST_TOLD_ALL:
+        if self.peers.all_told:
             return None
         mates = self.peers.list_mates(now)
         telling = [
--- a/src/kelproad/coordination/ingress/peers.py
+++ b/src/kelproad/coordination/ingress/peers.py
@@ -15,9 +15,11 @@
 from .settings import NodeSettings
 from .updates import PeerUpdate
 
-__all__ = ['CONFIRMED_SECONDS', 'Peer', 'PeerRegister']
+__all__ = ['CONFIRMED_SECONDS', 'MOST_TOLD_ALL', 'Peer', 'PeerRegister']
 
 _logger = logging.getLogger(__name__)
+#: Instances of other zones up to which each of them is told everything.
+MOST_TOLD_ALL = 60
 #: Seconds without a datagram after which a peer no longer counts as live.
 _LIVE_SECONDS = 3.0
 #: Seconds since its confirmation for which the configuration of an instance
@@ -141,10 +143,11 @@
         before = sum(mate.instance < self._settings.instance for mate in mates)
         return before, len(mates) + 1
 
-    def count_far(self) -> int:
-        """Count the instances of other zones."""
+    @property
+    def all_told(self) -> bool:
+        """Whether there are so few that each of them is told everything."""
         _, far = self.part()
-        return sum(map(len, far.values()))
+        return sum(map(len, far.values())) <= MOST_TOLD_ALL
 
     def list_far_hosts(self) -> dict[str, list[str]]:
         """List the IP numbers of the instances of other zones, by zone."""
@@ -169,8 +172,8 @@
     def count_live(self, now: float) -> int:
         """Count the instances that are probably live, this one included.
 
-        Of zones that are heard, those count that the store lists: not each of
-        them sends here.
+        Where not each of a zone sends here, those count that the store lists,
+        as long as the zone is heard.
         """
         return 1 + sum(
             self._is_probably_live(peer, now) for peer in self._peers.values()
@@ -217,6 +220,6 @@
         )
 
     def _is_probably_live(self, peer: Peer, now: float) -> bool:
-        if peer.zone in {'', self._settings.zone}:
+        if self.all_told or peer.zone in {'', self._settings.zone}:
             return peer.is_live(now)
         return self._reach.is_heard(peer.zone, now)
--- a/tests/ingress/test_borrowing.py
+++ b/tests/ingress/test_borrowing.py
@@ -10,10 +10,9 @@
 from kelproad.coordination.ingress import choosing as choosing_module
 from kelproad.coordination.ingress.borrowing import ZoneBorrower, answer_work
 from kelproad.coordination.ingress.choosing import Chooser
-from kelproad.coordination.ingress.exchange import MOST_TOLD_ALL
 from kelproad.coordination.ingress.holder import ConfigurationHolder
 from kelproad.coordination.ingress.inquiring import WorkAnswer, WorkQuestion
-from kelproad.coordination.ingress.peers import PeerRegister
+from kelproad.coordination.ingress.peers import MOST_TOLD_ALL, PeerRegister
 from kelproad.coordination.ingress.progress import Progress
 from kelproad.coordination.ingress.reach import ZoneReach
 from kelproad.coordination.ingress.settings import NodeSettings
--- a/tests/ingress/test_exchange.py
+++ b/tests/ingress/test_exchange.py
@@ -7,6 +7,7 @@
 from kelproad.coordination.ingress import exchange as exchange_module
 from kelproad.coordination.ingress.exchange import WorkExchange
 from kelproad.coordination.ingress.following import Provenance
+from kelproad.coordination.ingress.peers import MOST_TOLD_ALL
 from kelproad.coordination.ingress.reach import SILENT_SECONDS, ZoneReach
 from kelproad.coordination.ingress.settings import NodeSettings
 from kelproad.coordination.ingress.updates import (
@@ -379,7 +380,7 @@
                 f'10.1.1.{number}',
                 'zone-b',
             )
-        for number in range(exchange_module.MOST_TOLD_ALL):
+        for number in range(MOST_TOLD_ALL):
             instance.exchange.peers.introduce(
                 f'edge-c-{number:02}',
                 f'10.2.1.{number}',
@@ -406,7 +407,7 @@
     Only one instance of another zone sends here, and mostly not that one.
     """
     there = Instance('edge-1-07', 'zone-1')
-    for number in range(exchange_module.MOST_TOLD_ALL + 1):
+    for number in range(MOST_TOLD_ALL + 1):
         there.exchange.peers.introduce(
             f'edge-a-{number}',
             f'10.0.1.{number}',
