--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -15,19 +15,19 @@
 from ..drain import Drain
 from .admitting import Admitter
 from .attempts import EndpointClient
-from .borrowing import ZoneBorrower
 from .choosing import Chooser
 from .dialect import Dialect
 from .dispatching import Dispatcher
 from .entrance import Entrance
 from .exchange import WorkExchange
 from .holder import ConfigurationHolder
-from .inquiring import Inquirer
 from .memory import MemoryKeeper
+from .queries import PeerQueries
 from .reach import ZoneReach
 from .sending import Sender
 from .settings import Bounds
 from .sharing import SharedRetries
+from .spillover import ZoneSpillover
 from .stopping import StopGuard
 from .verdicts import Verdicts
 from .watching import EngineWatch
@@ -62,7 +62,7 @@
     drain: Drain
     counters: Counters
     generator: random.Random
-    inquirer: Inquirer
+    queries: PeerQueries
     measure_age: Callable[[], float]
     read_bounds: Callable[[], Bounds]
 
@@ -130,9 +130,9 @@
         shared.read_bounds,
         lambda: exchange.peers.count_live(monotonic()),
     )
-    borrower = ZoneBorrower(
+    spillover = ZoneSpillover(
         shared.zone,
-        shared.inquirer,
+        shared.queries,
         exchange.peers,
         shared.reach,
         shared.ledger,
@@ -146,7 +146,7 @@
         shared.ledger,
         shared.reach,
         shared.observations,
-        borrower,
+        spillover,
         shared.generator,
     )
     sender = Sender(client, memory, shared.ledger, retries, watch)
--- a/src/kelproad/coordination/ingress/choosing.py
+++ b/src/kelproad/coordination/ingress/choosing.py
@@ -10,12 +10,12 @@
 from ...state.observations import EngineObservations
 from ...state.work import WorkLedger
 from ...transport.deadlines import monotonic
-from .borrowing import ZoneBorrower
 from .holder import ConfigurationHolder
 from .placement import Candidate, Need, Placement, Unplaced
 from .placing import choose_engines, choose_plain
 from .progress import Progress
 from .reach import ZoneReach
+from .spillover import ZoneSpillover
 
 __all__ = ['Chooser']
 
@@ -37,7 +37,7 @@
         ledger: WorkLedger,
         reach: ZoneReach,
         observations: EngineObservations,
-        borrower: ZoneBorrower,
+        spillover: ZoneSpillover,
         generator: random.Random,
     ) -> None:
         """Choose for an instance that stands in a zone."""
@@ -47,7 +47,7 @@
         self._ledger = ledger
         self._reach = reach
         self._observations = observations
-        self._borrower = borrower
+        self._spillover = spillover
         self._generator = generator
 
     async def choose(self, call: Call, progress: Progress) -> Placement:
@@ -58,7 +58,7 @@
         Unplaced
             When none can take it now.
         """
-        if self._borrower.is_needed and self._is_engine_call(call):
+        if self._spillover.is_needed and self._is_engine_call(call):
             near = self._table.in_zone(call.service, self._zone)
             with contextlib.suppress(Unplaced):
                 return self.choose_among(
@@ -68,7 +68,7 @@
                     monotonic(),
                     sound_only=True,
                 )
-            await self._borrower.refresh()
+            await self._spillover.refresh()
         now = monotonic()
         zones = self._list_known_zones(call, now)
         known = [
@@ -142,7 +142,7 @@
         }
         if not self._is_engine_call(call):
             return zones
-        return {zone for zone in zones if self._borrower.knows(zone, now)}
+        return {zone for zone in zones if self._spillover.knows(zone, now)}
 
     def _is_engine_call(self, call: Call) -> bool:
         return self._holder.current.find_profile(call.service) is not None
--- a/src/kelproad/coordination/ingress/exchange.py
+++ b/src/kelproad/coordination/ingress/exchange.py
@@ -8,7 +8,7 @@
 more there are.  Where they have many, telling each of them everything would
 make up most of what an instance does, and of the bytes between zones: they
 are told only of work at their own engines, so each zone knows its engines
-exactly, and asks another zone (``borrowing.py``) when it needs that one's.
+exactly, and asks another zone (``spillover.py``) when it needs that one's.
 """
 
 import asyncio
@@ -36,8 +36,8 @@
 from .settings import NodeSettings
 from .updates import (
     PeerUpdate,
-    Teller,
     ToldWork,
+    ZoneReader,
     decode_update,
     encode_update,
     read_work,
@@ -245,26 +245,26 @@
             self._observations.list_refusing(now),
             self._observations.list_slow(now),
             self._read_provenance(),
-            self._find_teller(now),
+            self._find_zone_reader(now),
         )
 
-    def _find_teller(self, now: float) -> Teller | None:
+    def _find_zone_reader(self, now: float) -> ZoneReader | None:
         """Find who tells this zone its tables, for the other zones.
 
         Where all instances hear each other, each says that of itself.
         """
         if self.peers.all_told:
             return None
-        mates = self.peers.list_mates(now)
+        others = self.peers.list_zone_peers(now)
         telling = [
             reader
-            for reader in (self.describe_own(), *mates)
-            if reader.tells_zone
+            for reader in (self.describe_own(), *others)
+            if reader.serves_zone
         ]
         first = min(telling, key=lambda reader: reader.rank, default=None)
         if first is None:
             return None
-        return Teller(first.instance, first.host, first.provenance)
+        return ZoneReader(first.instance, first.host, first.provenance)
 
 
 def _choose_near_repeat(peers: int, idle: bool) -> float:
--- a/src/kelproad/coordination/ingress/following.py
+++ b/src/kelproad/coordination/ingress/following.py
@@ -126,13 +126,13 @@
     ask
         Asks what changed since a version, or for all rows; gives nothing when
         no instance can tell.
-    measure_turn
+    measure_backoff
         Tells for how many seconds at the most this instance leaves it to others
         to find the store: none if others are told by it, or there are none.
     """
 
     ask: Callable[[int | None], Awaitable[TableState | None]]
-    measure_turn: Callable[[], float]
+    measure_backoff: Callable[[], float]
 
 
 class TableFollower(BackgroundService):
@@ -218,7 +218,7 @@
                 self._accept(told, sent_at)
                 await asyncio.sleep(_ASK_PERIOD)
                 continue
-            until_due = self._take_turn() - monotonic()
+            until_due = self._schedule_store() - monotonic()
             if until_due > 0:
                 await asyncio.sleep(min(until_due, _ASK_PERIOD))
                 continue
@@ -230,7 +230,7 @@
             self._accept(answered.unwrap(), sent_at)
             await asyncio.sleep(self._pause)
 
-    def _take_turn(self) -> float:
+    def _schedule_store(self) -> float:
         """Choose when to ask the store, if that is not chosen yet.
 
         Whoever knows nothing asks at once.  Of those that were told until now
@@ -239,8 +239,8 @@
         """
         if self._store_due is None:
             known = self._version is not None
-            turn = self._peers.measure_turn() if known else 0
-            self._store_due = monotonic() + self._generator.uniform(0, turn)
+            longest = self._peers.measure_backoff() if known else 0
+            self._store_due = monotonic() + self._generator.uniform(0, longest)
         return self._store_due
 
     async def _ask_store(self) -> Result[TableState, StoreProblem]:
@@ -303,7 +303,7 @@
                 problem=problem.kind.value,
                 message=problem.message,
             )
-        bound = self._peers.measure_turn() or min(
+        bound = self._peers.measure_backoff() or min(
             _SHORTEST_PAUSE * 2**self._failures,
             _LONGEST_PAUSE,
         )
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -176,7 +176,7 @@
             self._drain,
             self._counters,
             self._generator,
-            self._peering.inquirer,
+            self._peering.queries,
             self._tables.configuration.measure_age,
             self._read_bounds,
         )
--- a/src/kelproad/coordination/ingress/peering.py
+++ b/src/kelproad/coordination/ingress/peering.py
@@ -15,16 +15,16 @@
 from ...state.observations import EngineObservations
 from ...state.work import WorkLedger
 from ...transport.deadlines import monotonic
-from .borrowing import answer_work
 from .exchange import WorkExchange
 from .following import PeerTable
 from .holder import ConfigurationHolder
-from .inquiring import Answer, Inquirer, Question, TablesAnswer, WorkQuestion
 from .probing import TableProbe
+from .queries import PeerQueries, Query, Reply, TablesReply, WorkQuery
 from .reach import ZoneReach
 from .readers import ReaderChoice
 from .relaying import TableRelay
 from .settings import NodeSettings
+from .spillover import answer_work
 from .store import NodeStore
 from .tables import FollowedTables
 
@@ -32,7 +32,7 @@
 
 
 class Peering:
-    """The tables, the exchange of work, and questions between instances.
+    """The tables, the exchange of work, and queries between instances.
 
     Attributes
     ----------
@@ -40,8 +40,8 @@
         Tables of the store that are kept current here.
     exchange
         Work in flight, told by datagram.
-    inquirer
-        Questions to other instances, and answers to theirs.
+    queries
+        Queries to other instances, and replies to theirs.
     """
 
     def __init__(
@@ -67,8 +67,8 @@
         self._observations = observations
         self._session = session
         self._counters = counters
-        self.inquirer = Inquirer(settings, self._answer)
-        self._probe = TableProbe(self.inquirer)
+        self.queries = PeerQueries(settings, self._answer)
+        self._probe = TableProbe(self.queries)
         self._readers = ReaderChoice(
             # The exchange is built last, as it tells of the tables.
             lambda: self.exchange.describe_own(),
@@ -100,7 +100,7 @@
             self.tables.configuration,
             self.tables.endpoints,
             self.exchange,
-            self.inquirer,
+            self.queries,
         ]
 
     def _open_peer_table(self, name: str) -> PeerTable:
@@ -116,20 +116,20 @@
         )
         return PeerTable(
             relay.ask,
-            lambda: self._readers.measure_turn(monotonic()),
+            lambda: self._readers.measure_backoff(monotonic()),
         )
 
-    def _answer(self, question: Question) -> Answer:
-        """Answer what another instance asks by datagram."""
-        if isinstance(question, WorkQuestion):
+    def _answer(self, query: Query) -> Reply:
+        """Reply what another instance asks by datagram."""
+        if isinstance(query, WorkQuery):
             return answer_work(
-                question,
+                query,
                 self._settings.zone,
                 self._table,
                 self._ledger,
                 self.exchange.peers,
                 self._observations,
             )
-        within_zone = question.zone == self._settings.zone
+        within_zone = query.zone == self._settings.zone
         tables = self.tables.describe_freshness(within_zone)
-        return TablesAnswer(question.token, tables)
+        return TablesReply(query.token, tables)
--- a/src/kelproad/coordination/ingress/peers.py
+++ b/src/kelproad/coordination/ingress/peers.py
@@ -60,8 +60,8 @@
         self._peers: dict[str, Peer] = {}
         #: Peers by zone, until one comes, goes or moves.
         self._parted: dict[str, list[Peer]] | None = None
-        #: Who tells another zone its tables, as an instance there said.
-        self._tellers: dict[str, tuple[Reader, float]] = {}
+        #: Who reads the store for another zone, as an instance there said.
+        self._zone_readers: dict[str, tuple[Reader, float]] = {}
 
     def introduce(self, instance: str, host: str, zone: str = '') -> None:
         """Send to an instance from now on."""
@@ -105,14 +105,14 @@
         peer.provenance = update.provenance
         if update.unconfirmed_for is not None:
             peer.confirmed_at = now - update.unconfirmed_for
-        if update.teller is not None:
-            teller = Reader(
-                update.teller.instance,
-                update.teller.host,
+        if update.zone_reader is not None:
+            reader = Reader(
+                update.zone_reader.instance,
+                update.zone_reader.host,
                 update.zone,
-                update.teller.provenance,
+                update.zone_reader.provenance,
             )
-            self._tellers[update.zone] = (teller, now)
+            self._zone_readers[update.zone] = (reader, now)
         return peer
 
     def part(self) -> tuple[list[Peer], dict[str, list[Peer]]]:
@@ -139,9 +139,11 @@
         tuple[int, int]
             How many go before it, and how many there are.
         """
-        mates = self.list_mates(now)
-        before = sum(mate.instance < self._settings.instance for mate in mates)
-        return before, len(mates) + 1
+        others = self.list_zone_peers(now)
+        before = sum(
+            other.instance < self._settings.instance for other in others
+        )
+        return before, len(others) + 1
 
     @property
     def all_told(self) -> bool:
@@ -157,7 +159,7 @@
             for zone, members in far.items()
         }
 
-    def list_mates(self, now: float) -> list[Reader]:
+    def list_zone_peers(self, now: float) -> list[Reader]:
         """List the other instances of this zone that were heard lately."""
         return [
             Reader(name, peer.address.host, peer.zone, peer.provenance)
@@ -200,9 +202,9 @@
 
     def list_heard(self, now: float) -> list[Reader]:
         """List the other instances that were heard, or heard of, lately."""
-        tellers = {
-            teller.instance: teller
-            for teller, said_at in self._tellers.values()
+        told_of = {
+            reader.instance: reader
+            for reader, said_at in self._zone_readers.values()
             if now - said_at < _LIVE_SECONDS
         }
         heard = {
@@ -210,7 +212,7 @@
             for name, peer in self._peers.items()
             if peer.is_live(now)
         }
-        return list((tellers | heard).values())
+        return list((told_of | heard).values())
 
     def _is_zone_parted(self, heard: Iterable[Peer], now: float) -> bool:
         """Tell whether nothing is heard of any other zone any more."""
--- a/src/kelproad/coordination/ingress/probing.py
+++ b/src/kelproad/coordination/ingress/probing.py
@@ -11,7 +11,7 @@
 import attrs
 
 from ...transport.deadlines import read_boottime
-from .inquiring import Inquirer, TablesAnswer, TablesQuestion
+from .queries import PeerQueries, TablesQuery, TablesReply
 from .readers import Reader
 from .tables import TableFreshness
 
@@ -43,9 +43,9 @@
 class TableProbe:
     """Asks how fresh the tables of other instances are."""
 
-    def __init__(self, inquirer: Inquirer) -> None:
-        """Ask by an inquirer."""
-        self._inquirer = inquirer
+    def __init__(self, queries: PeerQueries) -> None:
+        """Ask by an queries."""
+        self._queries = queries
         self._latest: dict[str, Freshness] = {}
         self._asking: dict[str, asyncio.Task[Freshness | None]] = {}
 
@@ -70,12 +70,12 @@
     async def _ask(self, reader: Reader) -> Freshness | None:
         for _ in range(_TRIES):
             asked_at = read_boottime()
-            answer = await self._inquirer.ask(
-                TablesQuestion,
+            answer = await self._queries.ask(
+                TablesQuery,
                 reader.host,
                 _ANSWER_SECONDS,
             )
-            if isinstance(answer, TablesAnswer):
+            if isinstance(answer, TablesReply):
                 freshness = Freshness(answer.tables, asked_at)
                 self._latest = {reader.instance: freshness}
                 return freshness
--- a/src/kelproad/coordination/ingress/inquiring.py
+++ b/src/kelproad/coordination/ingress/queries.py
@@ -1,6 +1,6 @@
-"""Questions between instances, and their answers, by datagram.
+"""Queries from one instance to another, and the replies, by datagram.
 
-A question that gets no answer in time is asked again, as datagrams get lost.
+Either may get lost: who asks waits for a short time, and asks again if it must.
 """
 
 import asyncio
@@ -20,19 +20,19 @@
 from .updates import ToldWork
 
 __all__ = [
-    'Answer',
-    'Inquirer',
-    'Question',
-    'TablesAnswer',
-    'TablesQuestion',
-    'WorkAnswer',
-    'WorkQuestion',
+    'Reply',
+    'PeerQueries',
+    'Query',
+    'TablesReply',
+    'TablesQuery',
+    'WorkReply',
+    'WorkQuery',
 ]
 
 _logger = logging.getLogger(__name__)
 
 
-class TablesQuestion(msgspec.Struct, array_like=True, tag=0):
+class TablesQuery(msgspec.Struct, array_like=True, tag=0):
     """Asks how fresh the tables of the store are at another instance."""
 
     token: int
@@ -40,14 +40,14 @@
     zone: str
 
 
-class TablesAnswer(msgspec.Struct, array_like=True, tag=1):
+class TablesReply(msgspec.Struct, array_like=True, tag=1):
     """Tells how fresh the tables are that may be told, by name."""
 
     token: int
     tables: dict[str, TableFreshness]
 
 
-class WorkQuestion(msgspec.Struct, array_like=True, tag=2):
+class WorkQuery(msgspec.Struct, array_like=True, tag=2):
     """Asks what is in flight at the engines of another zone."""
 
     token: int
@@ -55,7 +55,7 @@
     zone: str
 
 
-class WorkAnswer(msgspec.Struct, array_like=True, tag=3):
+class WorkReply(msgspec.Struct, array_like=True, tag=3):
     """Tells what is in flight at the engines of a zone.
 
     Work that instances of the asker's zone sent there is left out, as the
@@ -68,15 +68,15 @@
     slow: dict[str, float]
 
 
-Question = TablesQuestion | WorkQuestion
-Answer = TablesAnswer | WorkAnswer
-Message = Question | Answer
+Query = TablesQuery | WorkQuery
+Reply = TablesReply | WorkReply
+Message = Query | Reply
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Message).decode
 
 
-class Inquirer(BackgroundService):
+class PeerQueries(BackgroundService):
     """Asks other instances, and answers them."""
 
     abstract = False
@@ -84,20 +84,20 @@
     def __init__(
         self,
         settings: NodeSettings,
-        answer: Callable[[Question], Answer],
+        answer: Callable[[Query], Reply],
     ) -> None:
-        """Answer questions by a function."""
+        """Answer queries by a function."""
         super().__init__()
         self._settings = settings
         self._answer = answer
         self._socket = DatagramSocket(self.receive)
         self._tokens = itertools.count(1)
-        self._waiting: dict[int, asyncio.Future[Answer]] = {}
+        self._waiting: dict[int, asyncio.Future[Reply]] = {}
 
     async def on_start(self) -> None:
         """Open the socket."""
         await self._socket.open(
-            Address(self._settings.ip, self._settings.inquiry_port),
+            Address(self._settings.ip, self._settings.query_port),
         )
 
     async def on_stop(self) -> None:
@@ -106,32 +106,32 @@
 
     async def ask(
         self,
-        kind: type[Question],
+        kind: type[Query],
         host: str,
         seconds: float,
-    ) -> Answer | None:
+    ) -> Reply | None:
         """Ask an instance once; nothing when it doesn't answer in time."""
         token = next(self._tokens)
-        answered = asyncio.get_running_loop().create_future()
-        self._waiting[token] = answered
-        question = kind(token, self._settings.ip, self._settings.zone)
-        self._send(question, host)
+        reply = asyncio.get_running_loop().create_future()
+        self._waiting[token] = reply
+        query = kind(token, self._settings.ip, self._settings.zone)
+        self._send(query, host)
         try:
             with contextlib.suppress(asyncio.TimeoutError):
                 async with asyncio.timeout(seconds):
-                    return await answered
+                    return await reply
         finally:
             self._waiting.pop(token, None)
         return None
 
     def receive(self, datagram: bytes) -> None:
-        """Answer a question, or take an answer in."""
+        """Answer a query, or take a reply in."""
         try:
             message = _decode(datagram)
         except msgspec.DecodeError as error:
-            record(_logger, 'inquiry_unreadable', reason=str(error))
+            record(_logger, 'query_unreadable', reason=str(error))
             return
-        if isinstance(message, Question):
+        if isinstance(message, Query):
             self._send(self._answer(message), message.host)
             return
         waiting = self._waiting.get(message.token)
@@ -139,5 +139,5 @@
             waiting.set_result(message)
 
     def _send(self, message: Message, host: str) -> None:
-        address = Address(host, self._settings.inquiry_port)
+        address = Address(host, self._settings.query_port)
         self._socket.send(_encode(message), address)
--- a/src/kelproad/coordination/ingress/readers.py
+++ b/src/kelproad/coordination/ingress/readers.py
@@ -27,7 +27,7 @@
 _REFUSED_SECONDS = 0.3
 #: Seconds, for each instance of a zone, in which those that were told until now
 #: look for the store once: four looks a second of the whole zone.
-_TURN_SECONDS = 0.25
+_BACKOFF_SECONDS = 0.25
 
 
 @attrs.frozen
@@ -51,7 +51,7 @@
         return self.zone, self.instance
 
     @property
-    def tells_zone(self) -> bool:
+    def serves_zone(self) -> bool:
         """Whether it tells the other instances of its zone."""
         return self.provenance in {Provenance.OTHER_ZONE, Provenance.STORE}
 
@@ -83,20 +83,20 @@
         chosen = _find_in_zone(own, able) or _find_elsewhere(own, able)
         return min(chosen, key=lambda reader: reader.rank, default=None)
 
-    def measure_turn(self, now: float) -> float:
+    def measure_backoff(self, now: float) -> float:
         """Measure the seconds in which each of the zone looks for the store.
 
         There are none for an instance that tells others, or is alone.
         """
         own = self._describe_own()
-        if own.tells_zone:
+        if own.serves_zone:
             return 0
-        mates = [
+        others = [
             reader
             for reader in self._list_heard(now)
             if reader.zone == own.zone
         ]
-        return len(mates) * _TURN_SECONDS
+        return len(others) * _BACKOFF_SECONDS
 
     def avoid(self, reader: Reader, now: float) -> None:
         """Ask somebody else for a while, as this one did not answer."""
@@ -120,9 +120,9 @@
     telling = [
         reader
         for reader in heard
-        if reader.zone == own.zone and reader.tells_zone
+        if reader.zone == own.zone and reader.serves_zone
     ]
-    if own.tells_zone:
+    if own.serves_zone:
         return [reader for reader in telling if reader.rank < own.rank]
     return telling
 
--- a/src/kelproad/coordination/ingress/settings.py
+++ b/src/kelproad/coordination/ingress/settings.py
@@ -67,6 +67,6 @@
     bounds: Bounds = attrs.field(factory=Bounds)
 
     @property
-    def inquiry_port(self) -> int:
+    def query_port(self) -> int:
         """Port at which instances ask each other by datagram."""
         return self.peer_port + 1
--- a/src/kelproad/coordination/ingress/borrowing.py
+++ b/src/kelproad/coordination/ingress/spillover.py
@@ -14,12 +14,12 @@
 from ...state.observations import EngineObservations
 from ...state.work import WorkLedger
 from ...transport.deadlines import monotonic
-from .inquiring import Inquirer, WorkAnswer, WorkQuestion
 from .peers import PeerRegister
+from .queries import PeerQueries, WorkQuery, WorkReply
 from .reach import ZoneReach
 from .updates import read_work, tell_work
 
-__all__ = ['ZoneBorrower', 'answer_work']
+__all__ = ['ZoneSpillover', 'answer_work']
 
 #: Seconds for an answer.  Without one the zone is not used this time.
 _ANSWER_SECONDS = 0.05
@@ -29,13 +29,13 @@
 _KNOWN_SECONDS = 0.25
 
 
-class ZoneBorrower:
+class ZoneSpillover:
     """Knows what is in flight at the engines of other zones when needed."""
 
     def __init__(
         self,
         zone: str,
-        inquirer: Inquirer,
+        queries: PeerQueries,
         peers: PeerRegister,
         reach: ZoneReach,
         ledger: WorkLedger,
@@ -44,7 +44,7 @@
     ) -> None:
         """Ask for an instance of a zone, and enter what is told."""
         self._zone = zone
-        self._inquirer = inquirer
+        self._queries = queries
         self._peers = peers
         self._reach = reach
         self._ledger = ledger
@@ -88,8 +88,8 @@
 
     async def _ask(self, zone: str, hosts: list[str]) -> None:
         host = self._generator.choice(hosts)
-        answer = await self._inquirer.ask(WorkQuestion, host, _ANSWER_SECONDS)
-        if not isinstance(answer, WorkAnswer):
+        answer = await self._queries.ask(WorkQuery, host, _ANSWER_SECONDS)
+        if not isinstance(answer, WorkReply):
             return
         now = monotonic()
         self._known_at[zone] = now
@@ -100,24 +100,24 @@
 
 
 def answer_work(
-    question: WorkQuestion,
+    query: WorkQuery,
     zone: str,
     table: EndpointTable,
     ledger: WorkLedger,
     peers: PeerRegister,
     observations: EngineObservations,
-) -> WorkAnswer:
-    """Answer what is in flight at the engines of a zone."""
+) -> WorkReply:
+    """Reply what is in flight at the engines of a zone."""
     now = monotonic()
-    known = ledger.sum_without(peers.list_in_zone(question.zone), now)
+    known = ledger.sum_without(peers.list_in_zone(query.zone), now)
     here = {
         name: work
         for name, work in known.items()
         if table.find_zone(name) == zone
     }
     slowdowns = {name: observations.find_slowdown(name, now) for name in here}
-    return WorkAnswer(
-        question.token,
+    return WorkReply(
+        query.token,
         tell_work(here),
         [name for name in here if observations.refuses_help(name, now)],
         {name: factor for name, factor in slowdowns.items() if factor > 1},
--- a/src/kelproad/coordination/ingress/updates.py
+++ b/src/kelproad/coordination/ingress/updates.py
@@ -8,7 +8,7 @@
 
 __all__ = [
     'PeerUpdate',
-    'Teller',
+    'ZoneReader',
     'ToldWork',
     'decode_update',
     'encode_update',
@@ -32,7 +32,7 @@
     patient_calls: int = 0
 
 
-class Teller(msgspec.Struct, array_like=True):
+class ZoneReader(msgspec.Struct, array_like=True):
     """The instance that tells the others of its zone what the store holds."""
 
     instance: str
@@ -49,7 +49,7 @@
     refused to read a part of a prompt for it, ``slow`` those that said how many
     times the published seconds they take.  ``provenance`` says where the
     sender's tables come from, ``None`` when they are too old to be told on.
-    ``teller`` is who tells the sender's zone.
+    ``zone_reader`` is who tells the sender's zone.
     """
 
     instance: str
@@ -63,7 +63,7 @@
     refusing: list[str] = []
     slow: dict[str, float] = {}
     provenance: Provenance | None = None
-    teller: Teller | None = None
+    zone_reader: ZoneReader | None = None
 
 
 encode_update = msgspec.msgpack.Encoder().encode
--- a/src/kelproad/state/work.py
+++ b/src/kelproad/state/work.py
@@ -87,7 +87,7 @@
         self._peers: dict[str, PeerWork] = {}
         #: What all peers told, summed by endpoint, and how many of them did.
         self._told: dict[str, EndpointWork] = {}
-        self._tellers: collections.Counter[str] = collections.Counter()
+        self._told_by: collections.Counter[str] = collections.Counter()
         #: No peer has been silent for too long before this time.
         self._silent_from = math.inf
         #: Grows with every change of the own work.
@@ -127,7 +127,7 @@
         self._silent_from = min(self._silent_from, now + FORGET_AFTER)
         for endpoint, work in by_endpoint.items():
             self._told.setdefault(endpoint, EndpointWork()).add(work)
-            self._tellers[endpoint] += 1
+            self._told_by[endpoint] += 1
 
     def forget_peer(self, instance: str) -> None:
         """Drop the work of a peer that has ended."""
@@ -136,11 +136,11 @@
             return
         for endpoint, work in peer.by_endpoint.items():
             self._told[endpoint].add(work, -1)
-            self._tellers[endpoint] -= 1
-            if not self._tellers[endpoint]:
+            self._told_by[endpoint] -= 1
+            if not self._told_by[endpoint]:
                 # Rounding must not leave a trace of seconds behind.
                 self._told.pop(endpoint)
-                self._tellers.pop(endpoint)
+                self._told_by.pop(endpoint)
 
     def sum_at(self, endpoint: str, now: float) -> EndpointWork:
         """Sum what all instances have in flight at an endpoint."""
--- a/tests/ingress/test_exchange.py
+++ b/tests/ingress/test_exchange.py
@@ -414,11 +414,11 @@
             'zone-a',
         )
     there.exchange.peers.introduce('edge-1-00', '10.1.1.0', 'zone-1')
-    teller = there.exchange.peers._peers['edge-1-00']
-    teller.heard_at = clock.now
-    teller.provenance = Provenance.STORE
+    reader = there.exchange.peers._peers['edge-1-00']
+    reader.heard_at = clock.now
+    reader.provenance = Provenance.STORE
     clock.now += 5
-    teller.heard_at = clock.now
+    reader.heard_at = clock.now
     large.exchange.receive(there.tell())
     known = {
         reader.instance: reader.provenance
--- a/tests/ingress/test_probing.py
+++ b/tests/ingress/test_probing.py
@@ -7,8 +7,8 @@
 from kelproad.coordination.ingress import probing as probing_module
 from kelproad.coordination.ingress import relaying as relaying_module
 from kelproad.coordination.ingress.following import Provenance
-from kelproad.coordination.ingress.inquiring import Inquirer, TablesAnswer
 from kelproad.coordination.ingress.probing import TableProbe
+from kelproad.coordination.ingress.queries import PeerQueries, TablesReply
 from kelproad.coordination.ingress.readers import Reader, ReaderChoice
 from kelproad.coordination.ingress.relaying import TableRelay
 from kelproad.coordination.ingress.settings import NodeSettings
@@ -26,7 +26,7 @@
 
     def __init__(self) -> None:
         """Start with nobody on it."""
-        self.inquirers: dict[str, Inquirer] = {}
+        self.queries: dict[str, PeerQueries] = {}
         self.sent = 0
         self.lost: set[int] = set()
 
@@ -41,23 +41,23 @@
             peer_port=7340,
             store_address=Address(host, 3),
         )
-        inquirer = Inquirer(
+        queries = PeerQueries(
             settings,
-            lambda question: TablesAnswer(
-                question.token,
-                {TABLE: FRESH} if question.zone == zone else {},
+            lambda query: TablesReply(
+                query.token,
+                {TABLE: FRESH} if query.zone == zone else {},
             ),
         )
-        inquirer._socket = self
-        self.inquirers[host] = inquirer
-        return TableProbe(inquirer)
+        queries._socket = self
+        self.queries[host] = queries
+        return TableProbe(queries)
 
     def send(self, datagram: bytes, address: Address) -> None:
         """Hand a datagram on, unless it gets lost."""
         self.sent += 1
-        inquirer = self.inquirers.get(address.host)
-        if inquirer is not None and self.sent not in self.lost:
-            asyncio.get_running_loop().call_soon(inquirer.receive, datagram)
+        queries = self.queries.get(address.host)
+        if queries is not None and self.sent not in self.lost:
+            asyncio.get_running_loop().call_soon(queries.receive, datagram)
 
 
 def describe(host: str, zone: str) -> Reader:
@@ -153,5 +153,5 @@
     """Anybody may send to the port."""
     network = Network()
     network.join('10.0.0.1', 'zone-a')
-    network.inquirers['10.0.0.1'].receive(datagram)
+    network.queries['10.0.0.1'].receive(datagram)
     assert not network.sent
--- a/tests/ingress/test_relaying.py
+++ b/tests/ingress/test_relaying.py
@@ -218,11 +218,11 @@
     fleet = Fleet(1, 39)
     fleet.play()
     turns = [
-        choice.measure_turn(fleet.now) for choice in fleet.choices.values()
+        choice.measure_backoff(fleet.now) for choice in fleet.choices.values()
     ]
     assert not turns[0]
     assert min(turns[1:]) >= 38 * 0.25
-    assert not Fleet(1, 1).choices['edge-0-00'].measure_turn(1000)
+    assert not Fleet(1, 1).choices['edge-0-00'].measure_backoff(1000)
 
 
 def test_an_instance_that_failed_is_left_alone() -> None:
--- a/tests/ingress/test_borrowing.py
+++ b/tests/ingress/test_spillover.py
@@ -6,16 +6,16 @@
 
 import pytest
 
-from kelproad.coordination.ingress import borrowing as borrowing_module
 from kelproad.coordination.ingress import choosing as choosing_module
-from kelproad.coordination.ingress.borrowing import ZoneBorrower, answer_work
+from kelproad.coordination.ingress import spillover as spillover_module
 from kelproad.coordination.ingress.choosing import Chooser
 from kelproad.coordination.ingress.holder import ConfigurationHolder
-from kelproad.coordination.ingress.inquiring import WorkAnswer, WorkQuestion
 from kelproad.coordination.ingress.peers import MOST_TOLD_ALL, PeerRegister
 from kelproad.coordination.ingress.progress import Progress
+from kelproad.coordination.ingress.queries import WorkQuery, WorkReply
 from kelproad.coordination.ingress.reach import ZoneReach
 from kelproad.coordination.ingress.settings import NodeSettings
+from kelproad.coordination.ingress.spillover import ZoneSpillover, answer_work
 from kelproad.state.calls import Call, CallHead
 from kelproad.state.declarations import (
     EndpointDeclaration,
@@ -53,7 +53,7 @@
         from_a = {'i-b': EndpointWork(1, 5000, 0.1, 1)}
         self.ledger.accept_peer('edge-a', from_a, NOW)
 
-    def answer(self, question: WorkQuestion) -> WorkAnswer:
+    def answer(self, question: WorkQuery) -> WorkReply:
         """Answer what is in flight in zone b."""
         return answer_work(
             question,
@@ -66,7 +66,7 @@
 
 
 class Line:
-    """Stands in for the inquirer, with an instance at the other end."""
+    """Stands in for the queries, with an instance at the other end."""
 
     def __init__(self, there: There) -> None:
         """Reach an instance."""
@@ -76,10 +76,10 @@
 
     async def ask(
         self,
-        kind: type[WorkQuestion],
+        kind: type[WorkQuery],
         host: str,
         _seconds: float,
-    ) -> WorkAnswer | None:
+    ) -> WorkReply | None:
         """Hand a question on, and its answer back."""
         self.asked += 1
         if self.silent:
@@ -97,7 +97,7 @@
         peers = register('edge-a', 'zone-a')
         for number in range(others):
             peers.introduce(f'edge-b-{number}', f'10.0.1.{number}', 'zone-b')
-        self.borrower = ZoneBorrower(
+        self.spillover = ZoneSpillover(
             'zone-a',
             self.line,
             peers,
@@ -126,16 +126,16 @@
 def clock(monkeypatch: pytest.MonkeyPatch) -> list[float]:
     """Put a clock of the test's own in the place of the real one."""
     own = [NOW]
-    monkeypatch.setattr(borrowing_module, 'monotonic', lambda: own[0])
+    monkeypatch.setattr(spillover_module, 'monotonic', lambda: own[0])
     monkeypatch.setattr(choosing_module, 'monotonic', lambda: own[0])
     return own
 
 
-async def test_work_at_borrowed_engines_counts_once() -> None:
+async def test_work_at_far_engines_counts_once() -> None:
     """What the own zone sent there is heard from its instances already."""
     here = Here(others=MOST_TOLD_ALL + 1)
     here.ledger.accept_peer('mate', {'i-b': EndpointWork(1, 5000, 0.1, 1)}, NOW)
-    await here.borrower.refresh()
+    await here.spillover.refresh()
     known = here.ledger.sum_at('i-b', NOW)
     assert (known.calls, known.context_tokens) == (3, 14_000)
     # Of other zones' engines the zone knows less than they do.
@@ -147,29 +147,29 @@
 ) -> None:
     """Each waiting call looks for engines every 10 ms."""
     here = Here(others=MOST_TOLD_ALL + 1)
-    assert not here.borrower.knows('zone-b', clock[0])
+    assert not here.spillover.knows('zone-b', clock[0])
     for _ in range(5):
-        await asyncio.gather(*(here.borrower.refresh() for _ in range(4)))
+        await asyncio.gather(*(here.spillover.refresh() for _ in range(4)))
         clock[0] += 0.01
     assert here.line.asked == 1
-    assert here.borrower.knows('zone-b', clock[0])
-    assert not here.borrower.knows('zone-b', clock[0] + 1)
+    assert here.spillover.knows('zone-b', clock[0])
+    assert not here.spillover.knows('zone-b', clock[0] + 1)
 
 
 async def test_a_zone_that_does_not_answer_is_not_used() -> None:
     """Nothing is known of its engines: each would look idle, and be full."""
     here = Here(others=MOST_TOLD_ALL + 1)
     here.line.silent = True
-    await here.borrower.refresh()
-    assert not here.borrower.knows('zone-b', NOW)
-    assert here.borrower.knows('zone-a', NOW)
+    await here.spillover.refresh()
+    assert not here.spillover.knows('zone-b', NOW)
+    assert here.spillover.knows('zone-a', NOW)
 
 
 def test_a_small_fleet_knows_all_engines_anyway() -> None:
     """There each instance tells each other one of all its work."""
     here = Here(others=MOST_TOLD_ALL)
-    assert not here.borrower.is_needed
-    assert here.borrower.knows('zone-b', NOW)
+    assert not here.spillover.is_needed
+    assert here.spillover.knows('zone-b', NOW)
 
 
 # Where calls are placed
@@ -200,7 +200,7 @@
             self.here.ledger,
             ZoneReach(),
             EngineObservations(),
-            self.here.borrower,
+            self.here.spillover,
             random.Random(1),
         )
 
--- a/tests/ingress/test_tables.py
+++ b/tests/ingress/test_tables.py
@@ -29,7 +29,7 @@
     """Give nothing, as there is nobody else to ask."""
 
 
-def take_no_turn() -> float:
+def back_off_never() -> float:
     """Leave nothing to others."""
     return 0
 
@@ -76,7 +76,7 @@
         store,
         ConfigurationHolder(),
         EndpointTable(),
-        lambda _table: PeerTable(ask_nobody, take_no_turn),
+        lambda _table: PeerTable(ask_nobody, back_off_never),
         random.Random(1),
     )
     script.follower = tables.endpoints
