--- a/src/kelproad/coordination/ingress/peers.py
+++ b/src/kelproad/coordination/ingress/peers.py
@@ -177,9 +177,16 @@
         Where not each of a zone sends here, those count that the store lists,
         as long as the zone is heard.
         """
-        return 1 + sum(
-            self._is_probably_live(peer, now) for peer in self._peers.values()
+        if self.all_told:
+            return 1 + sum(peer.is_live(now) for peer in self._peers.values())
+        near, far = self.part()
+        live = sum(peer.is_live(now) for peer in near)
+        heard = sum(
+            len(members)
+            for zone, members in far.items()
+            if self._reach.is_heard(zone, now)
         )
+        return 1 + live + heard
 
     def is_confirmed_elsewhere(self, now: float) -> bool:
         """Tell whether another instance probably knows what holds.
@@ -220,8 +227,3 @@
         return bool(others) and all(
             self._reach.is_doubtful(zone, now) for zone in others
         )
-
-    def _is_probably_live(self, peer: Peer, now: float) -> bool:
-        if self.all_told or peer.zone in {'', self._settings.zone}:
-            return peer.is_live(now)
-        return self._reach.is_heard(peer.zone, now)
--- a/tests/ingress/test_exchange.py
+++ b/tests/ingress/test_exchange.py
@@ -425,3 +425,14 @@
         for reader in large.exchange.peers.list_heard(clock.now)
     }
     assert known == {'edge-1-00': Provenance.STORE, 'edge-1-07': None}
+
+
+def test_instances_of_zones_that_are_heard_count_as_live(
+    large: Instance,
+    clock: Clock,
+) -> None:
+    """Each takes its part of the retries permitted to all: few hear few."""
+    own_zone = 1 + MATES
+    assert large.exchange.peers.count_live(clock.now) == own_zone
+    large.reach.note_peer('zone-1', clock.now)
+    assert large.exchange.peers.count_live(clock.now) == own_zone + MATES
