--- a/src/kelproad/coordination/ingress/choosing.py
+++ b/src/kelproad/coordination/ingress/choosing.py
@@ -1,6 +1,6 @@
 """Which endpoints a call may go to at present, and the choice among them."""
 
-import contextlib
+import logging
 import random
 
 import attrs
@@ -19,6 +19,7 @@
 
 __all__ = ['Chooser']
 
+_logger = logging.getLogger(__name__)
 #: Endpoints that are weighed for one call at the most, drawn at random where
 #: there are more: a choice must not take longer the more engines there are.
 _MOST_CANDIDATES = 96
@@ -59,15 +60,9 @@
             When none can take it now.
         """
         if self._spillover.is_needed and self._is_engine_call(call):
-            near = self._table.in_zone(call.service, self._zone)
-            with contextlib.suppress(Unplaced):
-                return self.choose_among(
-                    near,
-                    call,
-                    progress,
-                    monotonic(),
-                    sound_only=True,
-                )
+            placement = self._choose_near(call, progress)
+            if placement is not None:
+                return placement
             await self._spillover.refresh()
         now = monotonic()
         zones = self._list_known_zones(call, now)
@@ -90,6 +85,8 @@
 
         Parameters
         ----------
+        endpoints
+            Those that may be weighed.
         call
             The call.
         progress
@@ -130,6 +127,21 @@
         patient = profile.pauses.is_patient(call.route.gap_objective)
         return attrs.evolve(placement, patient=patient)
 
+    def _choose_near(self, call: Call, progress: Progress) -> Placement | None:
+        """Choose among the engines of the own zone, if one can take a call."""
+        near = self._table.in_zone(call.service, self._zone)
+        try:
+            return self.choose_among(
+                near,
+                call,
+                progress,
+                monotonic(),
+                sound_only=True,
+            )
+        except Unplaced as unplaced:
+            _logger.debug('not placed in the own zone: %s', unplaced.reason)
+            return None
+
     def _list_known_zones(self, call: Call, now: float) -> set[str]:
         """List the zones whose endpoints may be weighed.
 
