Do once what the exchange, the choice and the follower did twice

Found on reading the change again; no decision changes. - A choice listed the zones of all endpoints and filtered by them also where no zone needs to be asked, which is every call of a small site. - The exchange ranked its instance by name at each look, up to fifty times a second, also when nobody was to be told; and wrote into what other zones were told only to have its loop wait. It says now whether all have been told. - The next call to the store is left open in one place, where an answer is taken. - A peer describes itself as a reader; whether an update was taken in is a bool. - Two doc comments that a rename had spoilt.

--- a/src/kelproad/coordination/ingress/choosing.py
+++ b/src/kelproad/coordination/ingress/choosing.py
@@ -59,19 +59,16 @@
         Unplaced
             When none can take it now.
         """
+        endpoints = self._table.in_group(call.service)
+        # Plain endpoints are few, and each instance sends there: what it knows
+        # by itself, and by its zone, is enough.
         if self._spillover.is_needed and self._is_engine_call(call):
             placement = self._choose_near(call, progress)
             if placement is not None:
                 return placement
             await self._spillover.refresh()
-        now = monotonic()
-        zones = self._list_known_zones(call, now)
-        known = [
-            endpoint
-            for endpoint in self._table.in_group(call.service)
-            if endpoint.declaration.zone in zones
-        ]
-        return self.choose_among(known, call, progress, now)
+            endpoints = self._leave_out_unknown(endpoints)
+        return self.choose_among(endpoints, call, progress, monotonic())
 
     def choose_among(
         self,
@@ -142,19 +139,16 @@
             _logger.debug('not placed in the own zone: %s', unplaced.reason)
             return None
 
-    def _list_known_zones(self, call: Call, now: float) -> set[str]:
-        """List the zones whose endpoints may be weighed.
-
-        Plain endpoints are few, and each instance sends there: what it knows
-        by itself, and by its zone, is enough.
-        """
-        zones = {
-            endpoint.declaration.zone
-            for endpoint in self._table.in_group(call.service)
-        }
-        if not self._is_engine_call(call):
-            return zones
-        return {zone for zone in zones if self._spillover.knows(zone, now)}
+    def _leave_out_unknown(self, endpoints: list[Endpoint]) -> list[Endpoint]:
+        """Leave out engines of zones that did not say what they are at."""
+        now = monotonic()
+        zones = {endpoint.declaration.zone for endpoint in endpoints}
+        known = {zone for zone in zones if self._spillover.knows(zone, now)}
+        return [
+            endpoint
+            for endpoint in endpoints
+            if endpoint.declaration.zone in known
+        ]
 
     def _is_engine_call(self, call: Call) -> bool:
         return self._holder.current.find_profile(call.service) is not None
--- a/src/kelproad/coordination/ingress/exchange.py
+++ b/src/kelproad/coordination/ingress/exchange.py
@@ -162,7 +162,7 @@
         if update.instance == self._settings.instance:
             return
         now = monotonic()
-        if self.peers.accept(update, now) is None:
+        if not self.peers.accept(update, now):
             return
         self._reach.note_peer(update.zone, now)
         if update.leaving:
@@ -176,26 +176,32 @@
     async def _tell(self) -> None:
         while not self.should_stop:
             changes = (self._ledger.changes, self._read_provenance())
-            self._tell_due(changes, monotonic())
+            all_know = self._tell_due(changes, monotonic())
             await asyncio.sleep(_SEND_PERIOD)
-            if self._far_told.changes == changes:
+            if all_know:
                 await self._await_change()
 
-    def _tell_due(self, changes: object, now: float) -> None:
-        """Tell those who are to be told something now."""
+    def _tell_due(self, changes: object, now: float) -> bool:
+        """Tell those who are to be told something now.
+
+        Returns
+        -------
+        bool
+            Whether everybody has been told of the changes.
+        """
         near, far = self.peers.part()
         works = tell_work(self._ledger.own)
         repeat = _choose_near_repeat(len(near), idle=not works)
         if self._near_told.take_due(changes, now, 0, repeat):
             self._send(near, works)
-        if self.peers.all_told:
-            others = list(itertools.chain(*far.values()))
-            periods = _choose_far_periods(len(others))
-            if self._far_told.take_due(changes, now, *periods):
-                self._send(others, works)
-        else:
-            self._far_told.changes = changes
+        if not self.peers.all_told:
             self._tell_zones(far, works, now)
+            return True
+        others = list(itertools.chain(*far.values()))
+        periods = _choose_far_periods(len(others))
+        if self._far_told.take_due(changes, now, *periods):
+            self._send(others, works)
+        return self._far_told.changes == changes
 
     def _tell_zones(
         self,
@@ -204,7 +210,6 @@
         now: float,
     ) -> None:
         """Tell each zone of work at its engines, and that this one is alive."""
-        rank, count = self.peers.rank_own(now)
         for zone, members in far.items():
             told = [
                 work for work in works if self._find_zone(work.endpoint) == zone
@@ -212,10 +217,14 @@
             last = self._zones_told.setdefault(zone, _LastTold([]))
             # The end of all work is told to each of them as well.
             concerned = bool(told or last.changes)
-            if last.take_due(told, now, 0, _REPEAT_PERIOD):
-                # Otherwise the instances of this zone share those of the other
-                # one out, so that each of them hears from one here.
-                self._send(members if concerned else members[rank::count], told)
+            if not last.take_due(told, now, 0, _REPEAT_PERIOD):
+                continue
+            if not concerned:
+                # The instances of this zone share those of the other one out,
+                # so that each of them hears from one here.
+                rank, count = self.peers.rank_own(now)
+                members = members[rank::count]
+            self._send(members, told)
 
     async def _await_change(self) -> None:
         """Wait until the own work changes, or is to be told again."""
--- a/src/kelproad/coordination/ingress/following.py
+++ b/src/kelproad/coordination/ingress/following.py
@@ -187,7 +187,7 @@
         self._pause = pause
         self._generator = generator
         self._peers = peers
-        #: When the store is to be asked; ``None`` while others tell.
+        #: When the store is to be asked next; ``None`` until that is chosen.
         self._store_due: float | None = None
         self._version: int | None = None
         self._failures = 0
@@ -214,7 +214,6 @@
             sent_at = read_boottime()
             told = await self._peers.ask(self._version)
             if told is not None:
-                self._store_due = None
                 self._accept(told, sent_at)
                 await asyncio.sleep(_ASK_PERIOD)
                 continue
@@ -226,7 +225,6 @@
             if isinstance(answered, Failure):
                 self._bear(answered.failure())
                 continue
-            self._store_due = None
             self._accept(answered.unwrap(), sent_at)
             await asyncio.sleep(self._pause)
 
@@ -265,6 +263,7 @@
                 age=round(self.measure_age(), 3),
             )
         self._failures = 0
+        self._store_due = None
         self.back_at = max(self.back_at, monotonic() - state.back_for)
         self._note_provenance(state.provenance)
         # The store's counter never goes back; an answer that does is that of
--- a/src/kelproad/coordination/ingress/peering.py
+++ b/src/kelproad/coordination/ingress/peering.py
@@ -120,7 +120,7 @@
         )
 
     def _answer(self, query: Query) -> Reply:
-        """Reply what another instance asks by datagram."""
+        """Answer what another instance asks by datagram."""
         if isinstance(query, WorkQuery):
             return answer_work(
                 query,
--- a/src/kelproad/coordination/ingress/peers.py
+++ b/src/kelproad/coordination/ingress/peers.py
@@ -49,6 +49,10 @@
         """Tell whether it was heard lately."""
         return now - self.heard_at < _LIVE_SECONDS
 
+    def describe(self, name: str) -> Reader:
+        """Describe it as one that may tell what the store holds."""
+        return Reader(name, self.address.host, self.zone, self.provenance)
+
 
 class PeerRegister:
     """The other instances, by name."""
@@ -80,8 +84,14 @@
                 self._peers.pop(name)
                 self._parted = None
 
-    def accept(self, update: PeerUpdate, now: float) -> Peer | None:
-        """Take in what a peer says of itself; nothing if it is outdated."""
+    def accept(self, update: PeerUpdate, now: float) -> bool:
+        """Take in what a peer says of itself, unless that is outdated.
+
+        Returns
+        -------
+        bool
+            Whether it was taken in.
+        """
         self.introduce(update.instance, update.host)
         # A seed is known by its host until it says its name.
         if self._peers.pop(update.host, None):
@@ -92,7 +102,7 @@
         # life; after such a pause no datagram of the old one is under way.
         silent = not peer.is_live(now)
         if order <= peer.order and not silent:
-            return None
+            return False
         peer.order = order
         if silent:
             record(
@@ -113,7 +123,7 @@
                 update.zone_reader.provenance,
             )
             self._zone_readers[update.zone] = (reader, now)
-        return peer
+        return True
 
     def part(self) -> tuple[list[Peer], dict[str, list[Peer]]]:
         """Part peers into those of this zone or an unknown one, and others.
@@ -162,7 +172,7 @@
     def list_zone_peers(self, now: float) -> list[Reader]:
         """List the other instances of this zone that were heard lately."""
         return [
-            Reader(name, peer.address.host, peer.zone, peer.provenance)
+            peer.describe(name)
             for name, peer in self._peers.items()
             if peer.zone == self._settings.zone and peer.is_live(now)
         ]
@@ -215,7 +225,7 @@
             if now - said_at < _LIVE_SECONDS
         }
         heard = {
-            name: Reader(name, peer.address.host, peer.zone, peer.provenance)
+            name: peer.describe(name)
             for name, peer in self._peers.items()
             if peer.is_live(now)
         }
--- a/src/kelproad/coordination/ingress/probing.py
+++ b/src/kelproad/coordination/ingress/probing.py
@@ -44,7 +44,7 @@
     """Asks how fresh the tables of other instances are."""
 
     def __init__(self, queries: PeerQueries) -> None:
-        """Ask by an queries."""
+        """Ask by datagram."""
         self._queries = queries
         self._latest: dict[str, Freshness] = {}
         self._asking: dict[str, asyncio.Task[Freshness | None]] = {}
