--- a/src/kelproad/coordination/ingress/caching.py
+++ b/src/kelproad/coordination/ingress/caching.py
@@ -10,7 +10,7 @@
 from typing import Generic
 
 from .decoding import DecodedRow, DecodedState, Said
-from .following import TableState
+from .tablestates import TableState
 
 __all__ = ['TableCache']
 
--- a/src/kelproad/coordination/ingress/decoding.py
+++ b/src/kelproad/coordination/ingress/decoding.py
@@ -1,10 +1,8 @@
 """States of a table with what their rows say, decoded once for all users.
 
 Whoever reads the store compares each report of an endpoint with the last one
-that told something new, and enters it; at large sites that is 65 reports a
-second.  A report takes 12 us of processor time (least of 21 timings, 65
-endpoints), half of it for decoding; it takes 21 us when cache and registry
-decode it by themselves.
+that told something new, and enters it.  At large sites that is many reports a
+second, and half of what one takes is its decoding.
 """
 
 from collections.abc import Callable
@@ -12,7 +10,7 @@
 
 import attrs
 
-from .following import StoredRow, TableState
+from .tablestates import StoredRow, TableState
 
 __all__ = ['DecodedRow', 'DecodedState']
 
--- a/src/kelproad/coordination/ingress/exchange.py
+++ b/src/kelproad/coordination/ingress/exchange.py
@@ -29,11 +29,11 @@
 from ...transport.datagrams import DatagramSocket
 from ...transport.deadlines import monotonic
 from ...transport.services import BackgroundService
-from .following import Provenance
 from .peers import Peer, PeerRegister
 from .reach import ZoneReach
 from .readers import Reader
 from .settings import NodeSettings
+from .tablestates import Provenance
 from .updates import (
     PeerUpdate,
     ToldWork,
--- a/src/kelproad/coordination/ingress/following.py
+++ b/src/kelproad/coordination/ingress/following.py
@@ -7,9 +7,7 @@
 """
 
 import asyncio
-import enum
 import logging
-import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -20,16 +18,17 @@
 from ...state.records import record
 from ...transport.deadlines import monotonic, read_boottime
 from ...transport.services import BackgroundService
+from .tablestates import (
+    Provenance,
+    StoreProblem,
+    StoreProblemKind,
+    TableState,
+)
 
 __all__ = [
     'PeerTable',
-    'Provenance',
-    'StoreProblem',
-    'StoreProblemKind',
-    'StoredRow',
     'TableFollower',
     'TableSource',
-    'TableState',
 ]
 
 _logger = logging.getLogger(__name__)
@@ -43,68 +42,6 @@
 _ASK_PERIOD = 0.2
 
 
-class Provenance(enum.IntEnum):
-    """Where a state of a table comes from, the least direct way first."""
-
-    SAME_ZONE = 0
-    OTHER_ZONE = 1
-    STORE = 2
-
-
-class StoreProblemKind(enum.StrEnum):
-    """Why a call to the store brought nothing."""
-
-    UNREACHABLE = 'unreachable'
-    REFUSED = 'refused'
-    TOO_MANY_CALLS = 'too_many_calls'
-    HISTORY_LOST = 'history_lost'
-    CONDITION_FAILED = 'condition_failed'
-    UNREADABLE = 'unreadable'
-
-
-@attrs.frozen
-class StoreProblem:
-    """A call to the store that brought nothing."""
-
-    kind: StoreProblemKind
-    message: str
-
-
-@attrs.frozen
-class StoredRow:
-    """A row of the store; ``None`` as its value when it was dropped."""
-
-    key: str
-    encoded: bytes | None
-    version: int
-
-
-@attrs.frozen
-class TableState:
-    """Rows of a table.
-
-    Attributes
-    ----------
-    version
-        Newest version of the store when it answered; changes follow it.
-    whole
-        Whether these are all rows, or those that changed.
-    age
-        Seconds since another instance read this, when it told it.
-    back_for
-        Seconds since the store came back there, if it was away.
-    provenance
-        Whether the store said so, or an instance of which zone.
-    """
-
-    version: int
-    rows: list[StoredRow]
-    whole: bool
-    age: float = 0
-    back_for: float = math.inf
-    provenance: Provenance = Provenance.STORE
-
-
 @attrs.frozen
 class TableSource:
     """How to read a table and to wait for its changes."""
--- a/src/kelproad/coordination/ingress/peers.py
+++ b/src/kelproad/coordination/ingress/peers.py
@@ -9,10 +9,10 @@
 
 from ...state.records import record
 from ...transport.addresses import Address
-from .following import Provenance
 from .reach import ZoneReach
 from .readers import OLDEST_TOLD, Reader
 from .settings import NodeSettings
+from .tablestates import Provenance
 from .updates import PeerUpdate
 
 __all__ = ['CONFIRMED_SECONDS', 'MOST_TOLD_ALL', 'Peer', 'PeerRegister']
--- a/src/kelproad/coordination/ingress/readers.py
+++ b/src/kelproad/coordination/ingress/readers.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from .following import Provenance
+from .tablestates import Provenance
 
 __all__ = ['OLDEST_TOLD', 'Reader', 'ReaderChoice']
 
--- a/src/kelproad/coordination/ingress/relaying.py
+++ b/src/kelproad/coordination/ingress/relaying.py
@@ -23,9 +23,9 @@
 from ...transport.addresses import Address
 from ...transport.deadlines import monotonic, read_boottime
 from ...transport.exchanges import Reply, exchange
-from .following import Provenance, StoredRow, TableState
 from .probing import Freshness
 from .readers import OLDEST_TOLD, Reader, ReaderChoice
+from .tablestates import Provenance, StoredRow, TableState
 
 __all__ = [
     'TABLE_PATH',
--- a/src/kelproad/coordination/ingress/rostering.py
+++ b/src/kelproad/coordination/ingress/rostering.py
@@ -19,8 +19,8 @@
 from ...transport.deadlines import monotonic
 from ...transport.services import BackgroundService
 from .exchange import WorkExchange
-from .following import StoredRow, StoreProblem, TableState
 from .settings import NodeSettings
+from .tablestates import StoredRow, StoreProblem, TableState
 
 __all__ = ['Roster', 'RosterStore']
 
--- a/src/kelproad/coordination/ingress/store.py
+++ b/src/kelproad/coordination/ingress/store.py
@@ -9,8 +9,9 @@
 from ...state.counters import Counters
 from ...state.routes import RoutingConfiguration
 from .endpoints import ListedEndpoint
-from .following import StoredRow, TableSource
+from .following import TableSource
 from .rostering import RosterStore
+from .tablestates import StoredRow
 
 __all__ = ['NodeStore', 'OpenStore']
 
--- a/src/kelproad/coordination/ingress/surfaces.py
+++ b/src/kelproad/coordination/ingress/surfaces.py
@@ -13,9 +13,9 @@
 from ...transport.servers import HttpServer
 from ..drain import Drain, DrainPhase
 from .dialect import Dialect
-from .following import TableState
 from .relaying import TABLE_PATH, build_answer, read_after, read_zone
 from .settings import NodeSettings
+from .tablestates import TableState
 
 __all__ = ['Surfaces', 'describe_endpoints', 'describe_work']
 
--- a/src/kelproad/coordination/ingress/tables.py
+++ b/src/kelproad/coordination/ingress/tables.py
@@ -17,18 +17,12 @@
 from .caching import TableCache
 from .decoding import DecodedState, Said
 from .endpoints import EndpointRegistry, ListedEndpoint
-from .following import (
-    PeerTable,
-    Provenance,
-    StoredRow,
-    TableFollower,
-    TableSource,
-    TableState,
-)
+from .following import PeerTable, TableFollower, TableSource
 from .holder import ConfigurationHolder
 from .readers import OLDEST_TOLD
 from .settings import Bounds
 from .store import NodeStore
+from .tablestates import Provenance, StoredRow, TableState
 
 __all__ = ['FollowedTables', 'TableFreshness']
 
--- a/src/kelproad/coordination/ingress/updates.py
+++ b/src/kelproad/coordination/ingress/updates.py
@@ -4,7 +4,7 @@
 from returns.result import Failure, Result, Success
 
 from ...state.work import EndpointWork
-from .following import Provenance
+from .tablestates import Provenance
 
 __all__ = [
     'PeerUpdate',
--- a/src/kelproad/platform/rows.py
+++ b/src/kelproad/platform/rows.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from ..coordination.ingress.endpoints import ListedEndpoint
-from ..coordination.ingress.following import StoredRow
+from ..coordination.ingress.tablestates import StoredRow
 from ..state.engines import EngineProfile
 from ..state.routes import (
     CallKind,
--- a/tests/ingress/test_attempts.py
+++ b/tests/ingress/test_attempts.py
@@ -8,9 +8,14 @@
 
 import pytest
 from multidict import CIMultiDict
-from returns.result import Failure
+from returns.result import Failure, Result
 
-from kelproad.coordination.ingress.attempts import EndpointClient, collect
+from kelproad.coordination.ingress.attempts import (
+    AttemptFailure,
+    EndpointClient,
+    OpenAnswer,
+    collect,
+)
 from kelproad.coordination.ingress.dialect import Dialect
 from kelproad.coordination.ingress.opening import abandon
 from kelproad.coordination.ingress.placement import Placement
@@ -108,10 +113,13 @@
     )
 
 
-async def send(client: EndpointClient, endpoint: Endpoint) -> object:
-    """Send a call and read its whole answer."""
-    call = build_call()
-    opened = await client.open(
+async def open_answer(
+    client: EndpointClient,
+    endpoint: Endpoint,
+    call: Call,
+) -> Result[OpenAnswer, AttemptFailure]:
+    """Send a call and wait for the head of its answer."""
+    return await client.open(
         call,
         CIMultiDict(),
         endpoint,
@@ -119,6 +127,12 @@
         call.deadline,
         SILENCE,
     )
+
+
+async def send(client: EndpointClient, endpoint: Endpoint) -> object:
+    """Send a call and read its whole answer."""
+    call = build_call()
+    opened = await open_answer(client, endpoint, call)
     if isinstance(opened, Failure):
         return opened
     return await collect(opened.unwrap(), call.deadline)
@@ -338,16 +352,8 @@
         writer.write(f'{HEAD}Content-Length: 9\r\n\r\n'.encode())
 
     async with serve(answer) as endpoint:
-        call = build_call()
         opening = asyncio.create_task(
-            client.open(
-                call,
-                CIMultiDict(),
-                endpoint,
-                Forwarding('i-1', 5),
-                call.deadline,
-                SILENCE,
-            ),
+            open_answer(client, endpoint, build_call()),
         )
         await asyncio.wait((opening,))
         opened = opening.result().unwrap()
--- a/tests/ingress/test_endpoints.py
+++ b/tests/ingress/test_endpoints.py
@@ -13,7 +13,7 @@
     TOGETHER_SECONDS,
     EndpointRegistry,
 )
-from kelproad.coordination.ingress.following import StoredRow, TableState
+from kelproad.coordination.ingress.tablestates import StoredRow, TableState
 from kelproad.platform.rows import decode_endpoint
 from kelproad.state.endpoints import EndpointTable
 from kelproad.state.routes import (
--- a/tests/ingress/test_exchange.py
+++ b/tests/ingress/test_exchange.py
@@ -6,10 +6,10 @@
 
 from kelproad.coordination.ingress import exchange as exchange_module
 from kelproad.coordination.ingress.exchange import WorkExchange
-from kelproad.coordination.ingress.following import Provenance
 from kelproad.coordination.ingress.peers import MOST_TOLD_ALL
 from kelproad.coordination.ingress.reach import SILENT_SECONDS, ZoneReach
 from kelproad.coordination.ingress.settings import NodeSettings
+from kelproad.coordination.ingress.tablestates import Provenance
 from kelproad.coordination.ingress.updates import (
     PeerUpdate,
     decode_update,
--- a/tests/ingress/test_following.py
+++ b/tests/ingress/test_following.py
@@ -9,11 +9,13 @@
 from kelproad.coordination.ingress import following as following_module
 from kelproad.coordination.ingress.following import (
     PeerTable,
+    TableFollower,
+    TableSource,
+)
+from kelproad.coordination.ingress.tablestates import (
     StoredRow,
     StoreProblem,
     StoreProblemKind,
-    TableFollower,
-    TableSource,
     TableState,
 )
 
--- a/tests/ingress/test_misdirected.py
+++ b/tests/ingress/test_misdirected.py
@@ -10,13 +10,13 @@
 from kelproad.coordination.ingress.choosing import Chooser
 from kelproad.coordination.ingress.decoding import DecodedState
 from kelproad.coordination.ingress.endpoints import EndpointRegistry
-from kelproad.coordination.ingress.following import StoredRow, TableState
 from kelproad.coordination.ingress.holder import ConfigurationHolder
 from kelproad.coordination.ingress.placement import Placement
 from kelproad.coordination.ingress.progress import Progress
 from kelproad.coordination.ingress.reach import SILENT_SECONDS, ZoneReach
 from kelproad.coordination.ingress.settings import Bounds
 from kelproad.coordination.ingress.sharing import SharedRetries
+from kelproad.coordination.ingress.tablestates import StoredRow, TableState
 from kelproad.coordination.ingress.verdicts import Verdicts
 from kelproad.platform.rows import decode_endpoint
 from kelproad.state.counters import Counters
--- a/tests/ingress/test_probing.py
+++ b/tests/ingress/test_probing.py
@@ -6,13 +6,13 @@
 
 from kelproad.coordination.ingress import probing as probing_module
 from kelproad.coordination.ingress import relaying as relaying_module
-from kelproad.coordination.ingress.following import Provenance
 from kelproad.coordination.ingress.probing import TableProbe
 from kelproad.coordination.ingress.queries import PeerQueries, TablesReply
 from kelproad.coordination.ingress.readers import Reader, ReaderChoice
 from kelproad.coordination.ingress.relaying import TableRelay
 from kelproad.coordination.ingress.settings import NodeSettings
 from kelproad.coordination.ingress.tables import TableFreshness
+from kelproad.coordination.ingress.tablestates import Provenance
 from kelproad.state.counters import Counters
 from kelproad.transport.addresses import Address
 from kelproad.transport.deadlines import monotonic
--- a/tests/ingress/test_relaying.py
+++ b/tests/ingress/test_relaying.py
@@ -17,14 +17,14 @@
 from kelproad.coordination.ingress import relaying as relaying_module
 from kelproad.coordination.ingress.caching import TableCache
 from kelproad.coordination.ingress.decoding import DecodedState
-from kelproad.coordination.ingress.following import (
+from kelproad.coordination.ingress.readers import Reader, ReaderChoice
+from kelproad.coordination.ingress.relaying import build_answer
+from kelproad.coordination.ingress.tables import _Followed
+from kelproad.coordination.ingress.tablestates import (
     Provenance,
     StoredRow,
     TableState,
 )
-from kelproad.coordination.ingress.readers import Reader, ReaderChoice
-from kelproad.coordination.ingress.relaying import build_answer
-from kelproad.coordination.ingress.tables import _Followed
 from testbed.calls import call_control
 from testbed.routed import KEY, RoutedSite, start_routed_site, wait_for
 from tests.ingress.callers import call
--- a/tests/ingress/test_tables.py
+++ b/tests/ingress/test_tables.py
@@ -9,15 +9,14 @@
 from kelproad.coordination.ingress.endpoints import ListedEndpoint
 from kelproad.coordination.ingress.following import (
     PeerTable,
-    StoredRow,
     TableFollower,
     TableSource,
-    TableState,
 )
 from kelproad.coordination.ingress.holder import ConfigurationHolder
 from kelproad.coordination.ingress.settings import Bounds
 from kelproad.coordination.ingress.store import NodeStore
 from kelproad.coordination.ingress.tables import FollowedTables
+from kelproad.coordination.ingress.tablestates import StoredRow, TableState
 from kelproad.platform.rows import decode_configuration, decode_endpoint
 from kelproad.state.endpoints import EndpointTable
 from tests.ingress.test_following import Script
