Let a failed check of a stream print its status, request id, events and rest

The entry of the leaving test says only that a stream ended without [DONE]: the message of the check named neither status nor what came, so that a refusal, a cut and a missing end looked alike. The checks themselves are unchanged.

--- a/tests/engines.py
+++ b/tests/engines.py
@@ -8,6 +8,8 @@
 from tests.clients import KEY, MODEL
 
 _POLL = 0.1
+#: Characters of the last payload that a failed check prints.
+_PAYLOAD_SHOWN = 120
 
 
 def list_engines(site: Site) -> list[str]:
@@ -95,6 +97,19 @@
         self.payloads: list[str] = []
         self.incomplete = False
 
+    def __repr__(self) -> str:
+        """Say how the answer stands, for the message of a failed check."""
+        if self.response is None:
+            return '<OpenStream without an answer>'
+        headers = self.response.headers
+        last = self.payloads[-1] if self.payloads else self._rest.decode()
+        return (
+            f'<OpenStream {headers.get("X-Request-Id")}: '
+            f'status {self.response.status}, {len(self.payloads)} events, '
+            f'incomplete={self.incomplete}, rest of {len(self._rest)} bytes, '
+            f'last {last[-_PAYLOAD_SHOWN:]}>'
+        )
+
     def read(self, events: int | None = None) -> None:
         """Read so many events more, or all there are."""
         while events is None or events > 0:
