Read the store before a caller hears that its key, model or service is unknown

What callers saw: a valid key of an accepted workspace got a final 401 ("no workspace has this API key", retry_after null) from an instance that did not have the last file yet, for up to a second after it was accepted, longer beside load. A stream refused so has no events: the test of leaving engines saw a stream without [DONE].

The log of that instance: revision 3 in force 12:07:22.467 from a peer, 4 (the workspaces) 12:07:23.216 from the store; its first instance had 4 at 22.446. So for 0.77 s it refused a key that was accepted.

Cause: an instance answers from what is in force here, which is up to a second or more behind what is accepted, and called its no final. It can't know by itself that it is behind: the failing one had been confirmed less than a second before.

Change: before a final 401, 403 or 404 that rests on the configuration, the instance reads the store, unless a reading began after the call came; it adopts what it finds and asks again. If the store does not answer, or a file is accepted that can't be read here, the answer is 503 not_ready with Retry-After. Wrong keys share readings, which begin 0.5 s apart at the least: 2 a second for an instance, as many as a reader of its zone makes twice over; a call waits 2 s at the most. Revoked keys are as before: a key that is in force here is not asked about.

Elsewhere: models, services and permissions of the same interface, done here. The routed interface says "not ready" already when its table is older than the bound in which changes apply, and waits for changes at the store; left as it is.

--- a/src/kelproad/coordination/admission.py
+++ b/src/kelproad/coordination/admission.py
@@ -16,6 +16,7 @@
     'check_size',
     'find_model',
     'find_service',
+    'list_models',
 ]
 
 #: Seconds after which a starting instance is usually ready.
@@ -48,6 +49,20 @@
     return Success(workspace)
 
 
+def list_models(
+    snapshot: Snapshot,
+    key: str,
+) -> Result[dict[str, Service], Refusal]:
+    """List the models that the workspace of an API key may use."""
+    return authenticate_workspace(snapshot, key).map(
+        lambda workspace: {
+            model: service
+            for model, service in snapshot.models.items()
+            if service.name in workspace.services
+        },
+    )
+
+
 def authenticate_operator(
     digests: Mapping[str, str],
     token: str,
--- a/src/kelproad/coordination/configuration.py
+++ b/src/kelproad/coordination/configuration.py
@@ -96,6 +96,8 @@
         self._asked_at = float('-inf')
         self._next_fallback = float('-inf')
         self.confirmed_at = float('-inf')
+        #: When the last reading of the store that succeeded here began.
+        self.read_at = float('-inf')
         #: Why the last reading of the store failed, empty when it succeeded.
         self.fault = ''
         #: Sends a message to a peer; set by membership, which owns the links.
@@ -123,6 +125,7 @@
             self.fault = ''
             self._adopt(loaded.unwrap(), 'store')
             self.confirmed_at = max(self.confirmed_at, asked_at)
+            self.read_at = max(self.read_at, asked_at)
         else:
             error = loaded.failure()
             self.fault = f'{error.operation} at {error.peer}: {error.message}'
--- a/src/kelproad/coordination/entry.py
+++ b/src/kelproad/coordination/entry.py
@@ -26,6 +26,8 @@
 from .accounts import Accounts
 from .claims import Claim, Claims, digest_request
 from .completions import Completions
+from .configuration import ConfigurationFollower
+from .confirmation import Confirmation
 from .drain import Drain, StopEndedError
 from .endings import break_off, may_have_run, refuse_cut
 from .limits import WorkspaceLimits
@@ -37,6 +39,7 @@
     Call,
     admit_completion,
     admit_plain,
+    move_to,
     receive,
     refuse_leaving,
 )
@@ -67,6 +70,7 @@
         self,
         identity: Identity,
         holder: SnapshotHolder,
+        follower: ConfigurationFollower,
         accounts: Accounts,
         completions: Completions,
         plain_calls: PlainCalls,
@@ -78,6 +82,7 @@
         super().__init__()
         self._identity = identity
         self._holder = holder
+        self._confirmation = Confirmation(holder, follower)
         self._accounts = accounts
         self._completions = completions
         self._plain_calls = plain_calls
@@ -112,17 +117,20 @@
 
     async def list_models(self, http_request: web.Request) -> web.Response:
         """Answer which models the caller's workspace may use."""
-        found = admission.authenticate_workspace(
+        arrived = monotonic()
+        key = callers.read_bearer(http_request)
+        found = await self._confirmation.ask(
+            lambda snapshot: admission.list_models(snapshot, key),
             self._holder.current,
-            callers.read_bearer(http_request),
+            arrived,
+            arrived + RECEIVE_TIMEOUT,
         )
         request_id = self._identity.next_request_id()
         if isinstance(found, Failure):
             return self._accounts.refuse(found.failure(), request_id)
         models = [
             {'id': model, 'object': 'model', 'owned_by': service.name}
-            for model, service in self._holder.current.models.items()
-            if service.name in found.unwrap().services
+            for model, service in found.unwrap().items()
         ]
         return web.json_response({'object': 'list', 'data': models})
 
@@ -173,10 +181,11 @@
             arrival.body,
             _COMPLETION_FIELDS[call.http_request.path],
         )
-        admitted = (
-            parsed.bind(lambda body: admit_completion(arrival, body))
-            .bind(self._weigh_stop)
-            .bind(self._limits.admit)
+        admitted = await self._admit(
+            arrival,
+            lambda moved: parsed.bind(
+                lambda body: admit_completion(moved, body)
+            ),
         )
         if isinstance(admitted, Failure):
             return self._accounts.refuse(admitted.failure(), call.request_id)
@@ -189,14 +198,13 @@
 
     async def _answer_plain(self, call: Call) -> web.StreamResponse:
         received = await self._receive(call, text=False)
-        admitted = (
-            received.bind(admit_plain)
-            .bind(self._weigh_stop)
-            .bind(self._limits.admit)
-        )
+        if isinstance(received, Failure):
+            return self._accounts.refuse(received.failure(), call.request_id)
+        arrival = received.unwrap()
+        admitted = await self._admit(arrival, admit_plain)
         if isinstance(admitted, Failure):
             return self._accounts.refuse(admitted.failure(), call.request_id)
-        arrival, request = received.unwrap(), admitted.unwrap()
+        request = admitted.unwrap()
         if request.idempotency_key:
             return await self._finish_detached(
                 self._claim(arrival, request, None),
@@ -211,10 +219,30 @@
         """Receive a call, unless a stop ends before its body is there."""
         try:
             async with self._drain.until_end():
-                return await receive(call, self._holder.current, text)
+                return await receive(
+                    call,
+                    self._holder.current,
+                    self._confirmation,
+                    text,
+                )
         except StopEndedError:
             return Failure(refuse_leaving())
 
+    async def _admit(
+        self,
+        arrival: Arrival,
+        admit: Callable[[Arrival], Result[Request, Refusal]],
+    ) -> Result[Request, Refusal]:
+        """Make a request of a call, if it may be made and taken now."""
+        call = arrival.call
+        found = await self._confirmation.ask(
+            lambda snapshot: move_to(snapshot, arrival).bind(admit),
+            arrival.snapshot,
+            call.arrived,
+            call.deadline,
+        )
+        return found.bind(self._weigh_stop).bind(self._limits.admit)
+
     def _weigh_stop(self, request: Request) -> Result[Request, Refusal]:
         """Refuse a request that the end of a stop could cut.
 
--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -212,6 +212,7 @@
         self._entry = Entry(
             self._identity,
             self._holder,
+            self._follower,
             accounts,
             Completions(attempts, accounts, self._claims),
             PlainCalls(
--- a/src/kelproad/coordination/reception.py
+++ b/src/kelproad/coordination/reception.py
@@ -19,6 +19,7 @@
 from ..state.requests import Parts, Request
 from ..transport.deadlines import within
 from . import admission
+from .confirmation import Confirmation
 from .segments import split_body
 
 __all__ = [
@@ -26,6 +27,7 @@
     'Call',
     'admit_completion',
     'admit_plain',
+    'move_to',
     'receive',
     'refuse_leaving',
 ]
@@ -69,9 +71,18 @@
         return self.call.http_request
 
 
+@attrs.frozen
+class _Known:
+    """A workspace, and the snapshot that declares it."""
+
+    snapshot: Snapshot
+    workspace: Workspace
+
+
 async def receive(
     call: Call,
     snapshot: Snapshot,
+    confirmation: Confirmation,
     text: bool,
 ) -> Result[Arrival, Refusal]:
     """Check a call's headers, then read its body.
@@ -82,25 +93,30 @@
         The call; its deadline is set by what the headers say.
     snapshot
         The configuration in force.
+    confirmation
+        Asked before a key is refused that is not known.
     text
         Whether the body must be UTF-8.
     """
     headers = call.http_request.headers
-    found = admission.authenticate_workspace(
-        snapshot,
-        callers.read_bearer(call.http_request),
-    )
     key = callers.parse_key(headers.get(callers.KEY_HEADER))
     seconds = callers.parse_deadline(
         headers.get(callers.DEADLINE_HEADER),
         RECEIVE_TIMEOUT,
         RECEIVE_TIMEOUT,
     )
+    call.deadline = call.arrived + seconds.value_or(RECEIVE_TIMEOUT)
+    found = await confirmation.ask(
+        lambda asked: _authenticate(asked, call),
+        snapshot,
+        call.arrived,
+        call.deadline,
+    )
     for checked in (found, key, seconds):
         if isinstance(checked, Failure):
             return checked
-    call.deadline = call.arrived + seconds.unwrap()
-    limit = _largest_body(snapshot)
+    known = found.unwrap()
+    limit = _largest_body(known.snapshot)
     try:
         async with within(call.deadline):
             body = await callers.read_body(call.http_request, limit, text)
@@ -109,14 +125,27 @@
     return body.map(
         lambda content: Arrival(
             call,
-            snapshot,
-            found.unwrap(),
+            known.snapshot,
+            known.workspace,
             key.unwrap(),
             content,
         ),
     )
 
 
+def move_to(snapshot: Snapshot, arrival: Arrival) -> Result[Arrival, Refusal]:
+    """Take an arrival to a newer snapshot, if that still has its key."""
+    if snapshot is arrival.snapshot:
+        return Success(arrival)
+    return _authenticate(snapshot, arrival.call).map(
+        lambda found: attrs.evolve(
+            arrival,
+            snapshot=found.snapshot,
+            workspace=found.workspace,
+        ),
+    )
+
+
 def admit_completion(
     arrival: Arrival,
     body: CompletionBody,
@@ -162,6 +191,13 @@
     )
 
 
+def _authenticate(snapshot: Snapshot, call: Call) -> Result[_Known, Refusal]:
+    return admission.authenticate_workspace(
+        snapshot,
+        callers.read_bearer(call.http_request),
+    ).map(lambda workspace: _Known(snapshot, workspace))
+
+
 def _create_request(
     arrival: Arrival,
     service: Service,
--- /dev/null
+++ b/tests/test_confirmation.py
@@ -0,0 +1,102 @@
+"""What a caller hears while an instance may lack what was accepted."""
+
+import asyncio
+
+import pytest
+from returns.result import Failure, Result
+
+from kelproad.coordination import admission
+from kelproad.coordination.confirmation import Confirmation
+from kelproad.protocol.callers import digest_key
+from kelproad.state.declarations import Workspace
+from kelproad.state.refusals import Refusal, RefusalCode
+from kelproad.transport.deadlines import monotonic
+from tests.fakes import Bench, Peer
+
+KEY = 'key-of-a-late-workspace'
+DEADLINE = 10.0
+#: Readings of the store, each half a second after the last, that calls which
+#: come within half a second may cause.
+FEW = 3
+
+
+async def apply(peer: Peer, name: str, digest: str) -> None:
+    text = (
+        f'name: {name}\nworkspaces:\n'
+        f'  - {{name: {name}, key_digests: [{digest}], services: []}}\n'
+    )
+    accepted = await peer.apply(text, 0, name)
+    assert not isinstance(accepted, Failure)
+
+
+async def find(
+    confirmation: Confirmation,
+    peer: Peer,
+    key: str,
+) -> Result[Workspace, Refusal]:
+    return await confirmation.ask(
+        lambda snapshot: admission.authenticate_workspace(snapshot, key),
+        peer.holder.current,
+        monotonic(),
+        monotonic() + DEADLINE,
+    )
+
+
+@pytest.fixture
+async def lagging(bench: Bench) -> Peer:
+    """Give an instance that has the first of two accepted files."""
+    writer, reader = bench.create_peer('writer'), bench.create_peer('reader')
+    await apply(writer, 'first', digest_key('another'))
+    await reader.follower.catch_up()
+    await apply(writer, 'second', digest_key(KEY))
+    return reader
+
+
+async def test_key_accepted_elsewhere(lagging: Peer) -> None:
+    """Guards against 401 for a key whose file is not in force here yet."""
+    confirmation = Confirmation(lagging.holder, lagging.follower)
+    found = await find(confirmation, lagging, KEY)
+    assert found.unwrap().name == 'second'
+
+
+async def test_unknown_key_is_refused_for_good(lagging: Peer) -> None:
+    """Guards against sending callers with a wrong key round for ever."""
+    confirmation = Confirmation(lagging.holder, lagging.follower)
+    found = await find(confirmation, lagging, 'nobody')
+    assert found.failure().code is RefusalCode.UNAUTHENTICATED
+    assert found.failure().retry_after is None
+
+
+async def test_store_out_of_reach(bench: Bench, lagging: Peer) -> None:
+    """Guards against a final 401 that the store could not confirm."""
+    confirmation = Confirmation(lagging.holder, lagging.follower)
+    await bench.server.close()
+    began = monotonic()
+    found = await find(confirmation, lagging, KEY)
+    assert found.failure().code is RefusalCode.NOT_READY
+    assert found.failure().retry_after > 0
+    assert monotonic() - began < 1
+
+
+async def test_wrong_keys_share_readings(
+    lagging: Peer,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a reading of the store for each wrong key."""
+    confirmation = Confirmation(lagging.holder, lagging.follower)
+    readings = []
+    catch_up = lagging.follower.catch_up
+
+    async def count_reading() -> object:
+        readings.append(monotonic())
+        return await catch_up()
+
+    monkeypatch.setattr(lagging.follower, 'catch_up', count_reading)
+    calls = []
+    for _ in range(200):
+        calls.append(asyncio.create_task(find(confirmation, lagging, 'nobody')))
+        await asyncio.sleep(0.002)
+    answers = await asyncio.gather(*calls)
+    codes = {answer.failure().code for answer in answers}
+    assert codes == {RefusalCode.UNAUTHENTICATED}
+    assert len(readings) <= FEW
