Wait for the revision that was accepted, not for that of the first instance

The site of the tests took the first instance's revision for the newest. That instance commits a file and then reads it back; when the reading fails or is late, the apply is answered all the same, the first instance is behind, and the wait ends at once, with every other instance behind as well.

Seen by reading, shown by test_started_site_has_what_its_first_instance_lacks, which fails before (DID NOT RAISE) with the first instance cut off; the revision that the last apply returned is waited for now. The reading that fails is no longer silent: the follower logs when the store can't be read any more, and when it can again.

--- a/src/kelproad/coordination/configuration.py
+++ b/src/kelproad/coordination/configuration.py
@@ -122,13 +122,15 @@
         else:
             loaded = await read_changes(self._platform, current)
         if isinstance(loaded, Success):
-            self.fault = ''
+            self._note_fault('')
             self._adopt(loaded.unwrap(), 'store')
             self.confirmed_at = max(self.confirmed_at, asked_at)
             self.read_at = max(self.read_at, asked_at)
         else:
             error = loaded.failure()
-            self.fault = f'{error.operation} at {error.peer}: {error.message}'
+            self._note_fault(
+                f'{error.operation} at {error.peer}: {error.message}',
+            )
         return loaded.map(lambda _snapshot: None)
 
     def hear_member(self, member: Member) -> None:
@@ -208,6 +210,13 @@
         self._next_fallback = now + _FALLBACK_PERIOD * spread
         return True
 
+    def _note_fault(self, fault: str) -> None:
+        if fault and not self.fault:
+            self.log.warning('the store cannot be read: %s', fault)
+        if self.fault and not fault:
+            self.log.info('the store is read again')
+        self.fault = fault
+
     def _choose_after(self, now: float) -> int:
         """Choose the revision after which to ask a peer for changes."""
         transfer = self._transfer
--- a/testbed/site.py
+++ b/testbed/site.py
@@ -93,6 +93,8 @@
     files: list[pathlib.Path] = attrs.field(factory=list)
     zones: list[str] = attrs.field(factory=list)
     network: SiteNetwork | None = None
+    #: Newest revision that an apply was answered with.
+    accepted: int = 0
     _contents: list[dict[str, object]] = attrs.field(factory=list)
 
     @classmethod
@@ -208,14 +210,14 @@
                 if any(item['name'] == name for item in group['endpoints']):
                     self.start_endpoint(name, group)
 
-    def apply(self, path: pathlib.Path) -> dict[str, object]:
-        """Apply an operators' file through the first instance."""
+    def apply(self, path: pathlib.Path, through: int = 0) -> dict[str, object]:
+        """Apply an operators' file through one of the instances."""
         text = path.read_text()
         name = yaml.safe_load(text)['name']
-        operator = self.instances[0].operator
+        operator = self.instances[through].operator
         files = self.control(operator, 'GET', '/operator/files')['files']
         held = {item['name']: item['generation'] for item in files}
-        return self.control(
+        answered = self.control(
             operator,
             'POST',
             '/operator/apply',
@@ -226,6 +228,8 @@
                 'apply_id': f'{name}-{held.get(name, 0)}',
             },
         )
+        self.accepted = max(self.accepted, answered['revision'])
+        return answered
 
     def wait_ready(self) -> None:
         """Wait until every instance has a configuration."""
@@ -233,17 +237,17 @@
             wait_until_answering(f'http://{instance.caller}/readyz')
 
     def wait_adopted(self) -> None:
-        """Wait until every instance has the configuration of the first one.
+        """Wait until every instance has the newest accepted configuration.
 
-        An instance is ready with any of them; beside load it may lack the last
-        file for a while, and refuse workspaces that are declared there.
+        An instance is ready with any of them; beside load each may lack the
+        last file for a while, also the one that accepted it.
 
         Raises
         ------
         TimeoutError
             When one lags for too long.
         """
-        newest = self._read_revision(self.instances[0])
+        newest = self.accepted
         limit = time.monotonic() + _ADOPT_SECONDS
         while any(
             self._read_revision(instance) < newest
--- a/tests/test_configuration_site.py
+++ b/tests/test_configuration_site.py
@@ -64,7 +64,7 @@
     return site.apply(path)['revision']
 
 
-def add_workspace(site: Site, key: str = LATE) -> None:
+def add_workspace(site: Site, key: str = LATE, through: int = 0) -> None:
     path = site.files[3]
     content = yaml.safe_load(path.read_text())
     digest = hashlib.sha256(key.encode()).hexdigest()
@@ -72,7 +72,7 @@
     added = {'name': key, 'key_digests': [digest], 'services': services}
     content['workspaces'].append(added)
     path.write_text(yaml.safe_dump(content, sort_keys=False))
-    site.apply(path)
+    site.apply(path, through)
 
 
 def test_removed_workspace(site: Site) -> None:
@@ -156,6 +156,21 @@
     assert b'[DONE]' in answered.body
 
 
+def test_started_site_has_what_its_first_instance_lacks(
+    site: Site,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against taking the first instance's revision for the newest."""
+    site.network.isolate(site.zones[0])
+    add_workspace(site, 'key-accepted-elsewhere', through=1)
+    with monkeypatch.context() as patched:
+        patched.setattr(sites, '_ADOPT_SECONDS', IN_VAIN)
+        with pytest.raises(TimeoutError):
+            site.wait_adopted()
+    site.network.heal()
+    site.wait_adopted()
+
+
 @pytest.mark.parametrize('number', range(3))
 def test_accepted_key_is_known_at_once(site: Site, number: int) -> None:
     """Guards against a final 401 for a key that was accepted a moment ago."""
