End the process of a stop with the last line of its log, and bound the closing

What operators saw: beside load a stop took 4.03 to 4.5 s where 4 s were given, so that the kill came first, with answers sent and nothing left to do.

Ruled out: closing of surfaces and sessions (0.01 to 0.03 s), last datagrams, the writer of the log (under 1 ms), the reading of the settings.

Change: once everything is closed and the log is written, the process ends at once. Second, by reading: answering (0.2 s) and releasing (0.3 s) after the end of a stop add up, with 0.05 s of polling each, to more than the 0.56 s of a grace of 4 s. Both are now bounded by what is left until the kill, less 0.15 s for the closing. The last two records of a stop say how much that was (`until_kill`).

The margin itself, and so what a stop cuts and when, is unchanged.

--- a/src/kelproad/cli/serve.py
+++ b/src/kelproad/cli/serve.py
@@ -1,11 +1,13 @@
 """``kelproad serve``: one entry instance until it is told to stop."""
 
 import asyncio
+import logging
 import os
 import pathlib
 import signal
+import sys
 from collections.abc import Sequence
-from typing import Annotated
+from typing import Annotated, NoReturn
 
 import typer
 from returns.result import Failure, Result
@@ -34,7 +36,7 @@
         raise typer.Exit(_EXIT_INVALID)
     else:
         left = _serve_own(settings)
-    raise typer.Exit(1 if left else 0)
+    _end_process(1 if left else 0)
 
 
 def _serve_own(settings: pathlib.Path) -> int:
@@ -98,6 +100,19 @@
         signal.signal(number, signal.SIG_IGN)
 
 
+def _end_process(status: int) -> NoReturn:
+    """End at once, after the last lines of the log.
+
+    Everything is closed by now.  The interpreter would still take itself apart
+    for 0.2 s, on a busy machine for over a second, and a stop that was in time
+    would end by the kill.
+    """
+    logging.shutdown()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(status)  # noqa: WPS437  the only way past the interpreter's end
+
+
 async def _run_node(node: object) -> int:
     """Run an instance that also follows changes of its settings file."""
     loop = asyncio.get_running_loop()
--- a/src/kelproad/coordination/drain.py
+++ b/src/kelproad/coordination/drain.py
@@ -18,6 +18,9 @@
 __all__ = ['Drain', 'DrainPhase', 'StopEndedError', 'StopTimes']
 
 _CHECK_PERIOD = 0.05
+#: Seconds kept before the kill for closing servers and sessions, and for the
+#: last lines of the log.
+_CLOSING_SECONDS = 0.15
 
 
 class StopEndedError(Exception):
@@ -42,10 +45,14 @@
         For so long it takes what a lagging balancer still sends.
     limit
         For so long after that it waits for what is in progress.
+    closing
+        For so long after that it may answer, release and close before the
+        kill.
     """
 
     grace: float
     limit: float
+    closing: float = math.inf
 
 
 class Drain:
@@ -69,6 +76,7 @@
         self.started = asyncio.Event()
         self._ends_at = math.inf
         self._late_at = math.inf
+        self._kill_at = math.inf
         self._has_ended = False
         #: Timeouts of the calls in hand; all expire when the stop ends.
         self._timeouts: set[asyncio.Timeout] = set()
@@ -80,6 +88,19 @@
         """
         return self._ends_at - monotonic()
 
+    def measure_until_kill(self) -> float:
+        """Return the seconds until the kill, infinite if none is known."""
+        return self._kill_at - monotonic()
+
+    def bound_closing(self, seconds: float) -> float:
+        """Bound a step after the end, so that the closing still has its time.
+
+        Fixed times for all steps add up to more than is left before the kill
+        when each of them is used to the full on a busy machine.
+        """
+        left = self.measure_until_kill() - _CLOSING_SECONDS
+        return max(0, min(seconds, left))
+
     @property
     def is_late(self) -> bool:
         """Whether lagging balancers have had the time to notice.
@@ -96,6 +117,7 @@
             self._grace = times.grace
             self._late_at = monotonic() + times.grace
             self._ends_at = self._late_at + times.limit
+            self._kill_at = self._ends_at + times.closing
             self.started.set()
 
     async def finish(self) -> int:
@@ -113,7 +135,8 @@
         """Wait until no call is unfinished, so many seconds at the most."""
         limit = monotonic() + seconds
         while self._count_unfinished() and monotonic() < limit:
-            await asyncio.sleep(_CHECK_PERIOD)
+            left = limit - monotonic()
+            await asyncio.sleep(min(_CHECK_PERIOD, left))
 
     @contextlib.asynccontextmanager
     async def until_end(self) -> AsyncIterator[None]:
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -123,6 +123,7 @@
         """Close the client sessions after everything else has stopped."""
         for session in self._sessions:
             await session.close()
+        self._record_stop('instance_closed')
 
     def reload(self) -> None:
         """Read the settings file again."""
@@ -153,12 +154,14 @@
         closing = asyncio.create_task(self._close_idle())
         await self._drain.finish()
         interrupted = self._drain.end()
-        await self._drain.settle(_ANSWER_SECONDS)
+        await self._drain.settle(self._drain.bound_closing(_ANSWER_SECONDS))
         # Answers that callers read slowly are cut by the closing.
         left = max(interrupted, self._path.entrance.unfinished)
         closing.cancel()
-        await self._path.memory.finish(_RELEASE_SECONDS)
-        record(_logger, 'instance_stopped', unfinished=left)
+        await self._path.memory.finish(
+            self._drain.bound_closing(_RELEASE_SECONDS),
+        )
+        self._record_stop('instance_stopped', unfinished=left)
         return left
 
     # Building
@@ -243,6 +246,11 @@
                 _logger.exception('idle connections could not be closed')
             await asyncio.sleep(_CLOSE_PERIOD)
 
+    def _record_stop(self, event: str, **fields: object) -> None:
+        """Tell how far a stop has come, and what is left until the kill."""
+        until_kill = round(self._drain.measure_until_kill(), 3)
+        record(_logger, event, until_kill=until_kill, **fields)
+
     def _explain_unready(self) -> str:
         """Say why no calls should come here; empty when they should."""
         age = self._tables.configuration.measure_age()
--- a/src/kelproad/coordination/ingress/stopping.py
+++ b/src/kelproad/coordination/ingress/stopping.py
@@ -138,7 +138,7 @@
     """Plan the phases of a stop that a kill follows after some seconds."""
     still_sent = min(_STILL_SENT_SECONDS, kill_after * _STILL_SENT_SHARE)
     margin = min(_STOP_MARGIN, kill_after * _STOP_MARGIN_SHARE)
-    return StopTimes(still_sent, kill_after - still_sent - margin)
+    return StopTimes(still_sent, kill_after - still_sent - margin, margin)
 
 
 def refuse_stopping() -> Refusal:
--- a/tests/ingress/test_stops.py
+++ b/tests/ingress/test_stops.py
@@ -19,6 +19,8 @@
 NOTICED_WITHIN = 3.0
 #: Seconds between two signals; a process has 50 ms from the end of its loop.
 INSISTING_PERIOD = 0.02
+#: Seconds of one step of a closing that waits in vain.
+HANGING = 0.4
 #: Streams that end 6.9 s and 7.1 s after they begin, and 20 to 50 ms: before
 #: and when a stop gives up what is in hand.
 JUST_IN_TIME = (
@@ -97,6 +99,25 @@
     assert plan_stop(GRACE).grace < NOTICED_WITHIN
 
 
+@pytest.mark.parametrize('kill_after', [2, 4, 8, 30])
+def test_a_planned_stop_adds_up_to_the_kill(kill_after: float) -> None:
+    """Guards against phases of a stop that reach beyond the kill."""
+    times = plan_stop(kill_after)
+    planned = times.grace + times.limit + times.closing
+    assert planned == pytest.approx(kill_after)
+
+
+async def test_closing_keeps_its_time_before_the_kill() -> None:
+    """Guards against a kill while releases that hang are waited for."""
+    times = StopTimes(grace=0, limit=0, closing=1)
+    drain = Drain(lambda: 1, lambda: times)
+    drain.start()
+    for _ in range(4):
+        await asyncio.sleep(drain.bound_closing(HANGING))
+    assert 0 < drain.measure_until_kill() < HANGING
+    assert drain.bound_closing(HANGING) < drain.measure_until_kill()
+
+
 async def test_a_stop_that_has_ended_leaves_no_time() -> None:
     """A call on a kept connection gets no answer at a stop.
 
--- a/tests/ingress/test_stops_site.py
+++ b/tests/ingress/test_stops_site.py
@@ -3,6 +3,7 @@
 import contextlib
 import signal
 import socket
+import sys
 import threading
 import time
 from collections.abc import Iterator
@@ -10,6 +11,7 @@
 import pytest
 
 from testbed.calls import CallError, call_control
+from testbed.processes import Process, wait_until_answering
 from testbed.routed import (
     RoutedInstance,
     RoutedSite,
@@ -267,6 +269,25 @@
     assert results[0].status == 502
 
 
+def test_a_stop_ends_with_the_last_line_of_its_log(site: RoutedSite) -> None:
+    """Guards against a kill while the interpreter takes itself apart."""
+    instance = site.instances[0]
+    instance.process.kill()
+    slow_end = 'import atexit, time; atexit.register(time.sleep, 30)'
+    program = f'{slow_end}; from kelproad.cli.main import app; app()'
+    instance.process = Process(
+        'slow-end',
+        ['serve', '--platform', '--settings', str(instance.settings)],
+        site.directory,
+        program=[sys.executable, '-c', program],
+    )
+    wait_until_answering(f'http://{instance.ready}/-/readyz')
+    instance.process.send_signal(signal.SIGTERM)
+    assert instance.process.wait(8) == 0
+    assert instance.log_lines[-1]['event'] == 'instance_closed'
+    assert instance.log_lines[-1]['until_kill'] > 0
+
+
 def test_a_stop_waits_for_slow_readers(site: RoutedSite) -> None:
     """A caller reads a long answer slowly, and gets only part of it.
 
