Freeze the owner of a claim when its claim is there, not after half a second

Seen once, on the landed code beside 8 busy processes and another lane (load 18; 1 of 6 runs of `pytest tests/test_leaving.py tests/test_claims.py -n 4`): test_owner_frozen_before_dispatch, `assert 200 == 409` for the call at the second instance.

Cause, shown by a trial: the test froze the owner 0.5 s after the call was sent, and took for granted that its claim had reached the platform by then. Frozen at once instead, 1 of 2 runs fails with the same two values; the booking was made once, and the owner, woken, repeated the second instance's recorded answer (Idempotency-Replayed), so the product kept its promise. That the run above had just this order is inferred, as neither the platform nor the instance logs when a claim came.

Change: the stand-in platform can delay the answers to writes that have taken effect (`delay_answers`), and the test freezes the owner when its row stands there.

--- a/src/kelproad/standins/platform.py
+++ b/src/kelproad/standins/platform.py
@@ -32,6 +32,8 @@
         No call is answered.
     delay
         Seconds by which every call is late.
+    delay_answers
+        Seconds after which writes are answered that have taken effect.
     lose_answers
         Number of writes still to come that take effect without an answer.
     lose_writes
@@ -46,6 +48,7 @@
     down: bool = False
     hang: bool = False
     delay: float = 0
+    delay_answers: float = 0
     lose_answers: int = 0
     lose_writes: int = 0
     late_writes: int = 0
@@ -140,6 +143,7 @@
             http_request.transport.abort()
             return web.Response()
         answer = await handler(http_request)
+        await asyncio.sleep(faults.delay_answers)
         if faults.lose_answers > 0:
             faults.lose_answers -= 1
             http_request.transport.abort()
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -223,9 +223,10 @@
     woken past the deadline the owner must not, and gives the key back.
     """
     owner = site.instances[0].process
-    site.set_faults(site.platform_address, delay=1.0)
+    site.set_faults(site.platform_address, delay_answers=1.0)
     call = pool.submit(book_within, site, 'frozen', 2)
-    time.sleep(0.5)
+    # Frozen before its claim is there, it would rightly lose the key.
+    wait_for(lambda: is_claimed(site, 'frozen'))
     owner.freeze()
     time.sleep(1)
     site.set_faults(site.platform_address)
@@ -360,6 +361,12 @@
     return answer, time.monotonic() - started
 
 
+def is_claimed(site: Site, key: str) -> bool:
+    """Tell whether a claim on a key has reached the platform."""
+    told = site.control(site.platform_address, 'GET', '/control/rows/claims')
+    return any(row['key'].endswith(f'/{key}') for row in told['rows'])
+
+
 def can_claim(caller: str) -> bool:
     """Tell whether an instance can claim a key that nobody has used."""
     key = f'fresh-{time.monotonic_ns()}'
