Admit the calls of the own interface in a module of its own

No decision changed. test_confirmation, test_path, test_drain, test_plain_calls, test_limits, test_segments: 46 passed.

--- /dev/null
+++ b/src/kelproad/coordination/admitting.py
@@ -0,0 +1,97 @@
+"""Admitting calls by the configuration in force, and before a stop ends.
+
+Whatever is not admitted has not run and never will.
+"""
+
+from collections.abc import Callable
+
+from returns.result import Failure, Result, Success
+
+from ..state.configuration import SnapshotHolder
+from ..state.declarations import Service
+from ..state.refusals import Refusal
+from ..state.requests import Request
+from ..transport.deadlines import monotonic
+from . import admission
+from .configuration import ConfigurationFollower
+from .confirmation import Confirmation
+from .drain import Drain, StopEndedError
+from .limits import WorkspaceLimits
+from .reception import (
+    RECEIVE_TIMEOUT,
+    Arrival,
+    Call,
+    move_to,
+    receive,
+    refuse_leaving,
+)
+
+__all__ = ['Admitter']
+
+
+class Admitter:
+    """Receives calls and makes requests of those that may be made."""
+
+    def __init__(
+        self,
+        holder: SnapshotHolder,
+        follower: ConfigurationFollower,
+        limits: WorkspaceLimits,
+        drain: Drain,
+    ) -> None:
+        """Admit within limits, until a planned stop is too near its end."""
+        self._holder = holder
+        self._confirmation = Confirmation(holder, follower)
+        self._limits = limits
+        self._drain = drain
+
+    async def list_models(
+        self,
+        key: str,
+    ) -> Result[dict[str, Service], Refusal]:
+        """List the models that the workspace of an API key may use."""
+        arrived = monotonic()
+        return await self._confirmation.ask(
+            lambda snapshot: admission.list_models(snapshot, key),
+            self._holder.current,
+            arrived,
+            arrived + RECEIVE_TIMEOUT,
+        )
+
+    async def receive(self, call: Call, text: bool) -> Result[Arrival, Refusal]:
+        """Receive a call, unless a stop ends before its body is there."""
+        try:
+            async with self._drain.until_end():
+                return await receive(
+                    call,
+                    self._holder.current,
+                    self._confirmation,
+                    text,
+                )
+        except StopEndedError:
+            return Failure(refuse_leaving())
+
+    async def admit(
+        self,
+        arrival: Arrival,
+        admit: Callable[[Arrival], Result[Request, Refusal]],
+    ) -> Result[Request, Refusal]:
+        """Make a request of a call, if it may be made and taken now."""
+        call = arrival.call
+        found = await self._confirmation.ask(
+            lambda snapshot: move_to(snapshot, arrival).bind(admit),
+            arrival.snapshot,
+            call.arrived,
+            call.deadline,
+        )
+        return found.bind(self._weigh_stop).bind(self._limits.admit)
+
+    def _weigh_stop(self, request: Request) -> Result[Request, Refusal]:
+        """Refuse a request that the end of a stop could cut.
+
+        By its deadline it has ended, whatever its endpoint does; a stream that
+        has begun can't be refused any more.
+        """
+        if request.remaining(monotonic()) > self._drain.measure_left():
+            return Failure(refuse_leaving())
+        return Success(request)
--- a/src/kelproad/coordination/entry.py
+++ b/src/kelproad/coordination/entry.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 
 from aiohttp import web
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
 from ..protocol import callers
 from ..protocol.callers import CompletionBody
@@ -22,12 +22,11 @@
 from ..state.requests import Phase, Request
 from ..transport.deadlines import monotonic
 from ..transport.services import BackgroundService
-from . import admission
 from .accounts import Accounts
+from .admitting import Admitter
 from .claims import Claim, Claims, digest_request
 from .completions import Completions
 from .configuration import ConfigurationFollower
-from .confirmation import Confirmation
 from .drain import Drain, StopEndedError
 from .endings import break_off, may_have_run, refuse_cut
 from .limits import WorkspaceLimits
@@ -39,9 +38,6 @@
     Call,
     admit_completion,
     admit_plain,
-    move_to,
-    receive,
-    refuse_leaving,
 )
 from .sending import send_whole
 
@@ -81,13 +77,11 @@
         """Answer with the parts of this instance."""
         super().__init__()
         self._identity = identity
-        self._holder = holder
-        self._confirmation = Confirmation(holder, follower)
+        self._admitter = Admitter(holder, follower, limits, drain)
         self._accounts = accounts
         self._completions = completions
         self._plain_calls = plain_calls
         self._claims = key_claims
-        self._limits = limits
         self._drain = drain
         self._detached: set[asyncio.Task[web.StreamResponse]] = set()
         self._open_calls = 0
@@ -117,14 +111,8 @@
 
     async def list_models(self, http_request: web.Request) -> web.Response:
         """Answer which models the caller's workspace may use."""
-        arrived = monotonic()
         key = callers.read_bearer(http_request)
-        found = await self._confirmation.ask(
-            lambda snapshot: admission.list_models(snapshot, key),
-            self._holder.current,
-            arrived,
-            arrived + RECEIVE_TIMEOUT,
-        )
+        found = await self._admitter.list_models(key)
         request_id = self._identity.next_request_id()
         if isinstance(found, Failure):
             return self._accounts.refuse(found.failure(), request_id)
@@ -173,7 +161,7 @@
         return response
 
     async def _answer_completion(self, call: Call) -> web.StreamResponse:
-        received = await self._receive(call, text=True)
+        received = await self._admitter.receive(call, text=True)
         if isinstance(received, Failure):
             return self._accounts.refuse(received.failure(), call.request_id)
         arrival = received.unwrap()
@@ -181,7 +169,7 @@
             arrival.body,
             _COMPLETION_FIELDS[call.http_request.path],
         )
-        admitted = await self._admit(
+        admitted = await self._admitter.admit(
             arrival,
             lambda moved: parsed.bind(
                 lambda body: admit_completion(moved, body)
@@ -197,11 +185,11 @@
         return await self._complete(arrival, request, parsed.unwrap())
 
     async def _answer_plain(self, call: Call) -> web.StreamResponse:
-        received = await self._receive(call, text=False)
+        received = await self._admitter.receive(call, text=False)
         if isinstance(received, Failure):
             return self._accounts.refuse(received.failure(), call.request_id)
         arrival = received.unwrap()
-        admitted = await self._admit(arrival, admit_plain)
+        admitted = await self._admitter.admit(arrival, admit_plain)
         if isinstance(admitted, Failure):
             return self._accounts.refuse(admitted.failure(), call.request_id)
         request = admitted.unwrap()
@@ -211,48 +199,6 @@
             )
         return await self._call_plain(arrival, request)
 
-    async def _receive(
-        self,
-        call: Call,
-        text: bool,
-    ) -> Result[Arrival, Refusal]:
-        """Receive a call, unless a stop ends before its body is there."""
-        try:
-            async with self._drain.until_end():
-                return await receive(
-                    call,
-                    self._holder.current,
-                    self._confirmation,
-                    text,
-                )
-        except StopEndedError:
-            return Failure(refuse_leaving())
-
-    async def _admit(
-        self,
-        arrival: Arrival,
-        admit: Callable[[Arrival], Result[Request, Refusal]],
-    ) -> Result[Request, Refusal]:
-        """Make a request of a call, if it may be made and taken now."""
-        call = arrival.call
-        found = await self._confirmation.ask(
-            lambda snapshot: move_to(snapshot, arrival).bind(admit),
-            arrival.snapshot,
-            call.arrived,
-            call.deadline,
-        )
-        return found.bind(self._weigh_stop).bind(self._limits.admit)
-
-    def _weigh_stop(self, request: Request) -> Result[Request, Refusal]:
-        """Refuse a request that the end of a stop could cut.
-
-        By its deadline it has ended, whatever its endpoint does; a stream that
-        has begun can't be refused any more.
-        """
-        if request.remaining(monotonic()) > self._drain.measure_left():
-            return Failure(refuse_leaving())
-        return Success(request)
-
     async def _complete(
         self,
         arrival: Arrival,
--- a/tests/test_configuration_site.py
+++ b/tests/test_configuration_site.py
@@ -75,6 +75,14 @@
     site.apply(path, through)
 
 
+def wait_in_vain(site: Site, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Wait briefly for an instance that can't adopt what was accepted."""
+    with monkeypatch.context() as patched:
+        patched.setattr(sites, '_ADOPT_SECONDS', IN_VAIN)
+        with pytest.raises(TimeoutError):
+            site.wait_adopted()
+
+
 def test_removed_workspace(site: Site) -> None:
     """An operator removes a workspace while it has a request in progress.
 
@@ -145,10 +153,7 @@
     assert refused.refusal()['ran'] == 'no'
     assert refused.refusal()['retry_after'] > 0
     assert b'[DONE]' not in refused.body
-    with monkeypatch.context() as patched:
-        patched.setattr(sites, '_ADOPT_SECONDS', IN_VAIN)
-        with pytest.raises(TimeoutError):
-            site.wait_adopted()
+    wait_in_vain(site, monkeypatch)
     site.network.heal()
     site.wait_adopted()
     answered = call(lagging.caller, '/v1/completions', body, key=LATE)
@@ -163,10 +168,7 @@
     """Guards against taking the first instance's revision for the newest."""
     site.network.isolate(site.zones[0])
     add_workspace(site, 'key-accepted-elsewhere', through=1)
-    with monkeypatch.context() as patched:
-        patched.setattr(sites, '_ADOPT_SECONDS', IN_VAIN)
-        with pytest.raises(TimeoutError):
-            site.wait_adopted()
+    wait_in_vain(site, monkeypatch)
     site.network.heal()
     site.wait_adopted()
 
