Do not wait for the store beyond the end of a stop

Seen by reading: a call that waits for the confirming reading, up to 2 s, was bound by its deadline only. In the last second of a stop its connection could have closed without an answer; a listing of models was not even counted as in hand.

Change: every wait of the admission ends with the stop, with 503 and a time to come back of 0 s, and listings are counted like other calls.

--- a/src/kelproad/coordination/admitting.py
+++ b/src/kelproad/coordination/admitting.py
@@ -3,10 +3,12 @@
 Whatever is not admitted has not run and never will.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from returns.result import Failure, Result, Success
 
+from ..protocol import callers
 from ..state.configuration import SnapshotHolder
 from ..state.declarations import Service
 from ..state.refusals import Refusal
@@ -17,14 +19,9 @@
 from .confirmation import Confirmation
 from .drain import Drain, StopEndedError
 from .limits import WorkspaceLimits
-from .reception import (
-    RECEIVE_TIMEOUT,
-    Arrival,
-    Call,
-    move_to,
-    receive,
-    refuse_leaving,
-)
+from .reception import Arrival, Call, move_to, receive, refuse_leaving
+
+T = TypeVar('T')
 
 __all__ = ['Admitter']
 
@@ -47,29 +44,25 @@
 
     async def list_models(
         self,
-        key: str,
+        call: Call,
     ) -> Result[dict[str, Service], Refusal]:
-        """List the models that the workspace of an API key may use."""
-        arrived = monotonic()
-        return await self._confirmation.ask(
-            lambda snapshot: admission.list_models(snapshot, key),
-            self._holder.current,
-            arrived,
-            arrived + RECEIVE_TIMEOUT,
+        """List the models that the sender of a call may use."""
+        key = callers.read_bearer(call.http_request)
+        return await self._until_end(
+            lambda: self._confirmation.ask(
+                lambda snapshot: admission.list_models(snapshot, key),
+                self._holder.current,
+                call.arrived,
+                call.deadline,
+            ),
         )
 
     async def receive(self, call: Call, text: bool) -> Result[Arrival, Refusal]:
         """Receive a call, unless a stop ends before its body is there."""
-        try:
-            async with self._drain.until_end():
-                return await receive(
-                    call,
-                    self._holder.current,
-                    self._confirmation,
-                    text,
-                )
-        except StopEndedError:
-            return Failure(refuse_leaving())
+        snapshot = self._holder.current
+        return await self._until_end(
+            lambda: receive(call, snapshot, self._confirmation, text),
+        )
 
     async def admit(
         self,
@@ -78,14 +71,27 @@
     ) -> Result[Request, Refusal]:
         """Make a request of a call, if it may be made and taken now."""
         call = arrival.call
-        found = await self._confirmation.ask(
-            lambda snapshot: move_to(snapshot, arrival).bind(admit),
-            arrival.snapshot,
-            call.arrived,
-            call.deadline,
+        found = await self._until_end(
+            lambda: self._confirmation.ask(
+                lambda snapshot: move_to(snapshot, arrival).bind(admit),
+                arrival.snapshot,
+                call.arrived,
+                call.deadline,
+            ),
         )
         return found.bind(self._weigh_stop).bind(self._limits.admit)
 
+    async def _until_end(
+        self,
+        answer: Callable[[], Awaitable[Result[T, Refusal]]],
+    ) -> Result[T, Refusal]:
+        """Wait for an answer, until the stop ends."""
+        try:
+            async with self._drain.until_end():
+                return await answer()
+        except StopEndedError:
+            return Failure(refuse_leaving())
+
     def _weigh_stop(self, request: Request) -> Result[Request, Refusal]:
         """Refuse a request that the end of a stop could cut.
 
--- a/src/kelproad/coordination/entry.py
+++ b/src/kelproad/coordination/entry.py
@@ -111,16 +111,7 @@
 
     async def list_models(self, http_request: web.Request) -> web.Response:
         """Answer which models the caller's workspace may use."""
-        key = callers.read_bearer(http_request)
-        found = await self._admitter.list_models(key)
-        request_id = self._identity.next_request_id()
-        if isinstance(found, Failure):
-            return self._accounts.refuse(found.failure(), request_id)
-        models = [
-            {'id': model, 'object': 'model', 'owned_by': service.name}
-            for model, service in found.unwrap().items()
-        ]
-        return web.json_response({'object': 'list', 'data': models})
+        return await self._handle(http_request, self._list_models)
 
     async def answer_completion(
         self,
@@ -160,6 +151,16 @@
             self._open_calls -= 1
         return response
 
+    async def _list_models(self, call: Call) -> web.StreamResponse:
+        found = await self._admitter.list_models(call)
+        if isinstance(found, Failure):
+            return self._accounts.refuse(found.failure(), call.request_id)
+        models = [
+            {'id': model, 'object': 'model', 'owned_by': service.name}
+            for model, service in found.unwrap().items()
+        ]
+        return web.json_response({'object': 'list', 'data': models})
+
     async def _answer_completion(self, call: Call) -> web.StreamResponse:
         received = await self._admitter.receive(call, text=True)
         if isinstance(received, Failure):
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -3,18 +3,28 @@
 import asyncio
 
 import pytest
+from aiohttp.test_utils import make_mocked_request
 from returns.result import Failure, Result
 
 from kelproad.coordination import admission
+from kelproad.coordination.admitting import Admitter
 from kelproad.coordination.confirmation import Confirmation
+from kelproad.coordination.drain import Drain, StopTimes
+from kelproad.coordination.limits import WorkspaceLimits
+from kelproad.coordination.reception import Call
 from kelproad.protocol.callers import digest_key
+from kelproad.state.counters import Counters
 from kelproad.state.declarations import Workspace
+from kelproad.state.endpoints import EndpointTable
+from kelproad.state.members import MemberTable
 from kelproad.state.refusals import Refusal, RefusalCode
 from kelproad.transport.deadlines import monotonic
 from tests.fakes import Bench, Peer
 
 KEY = 'key-of-a-late-workspace'
 DEADLINE = 10.0
+#: Seconds in which nothing else may happen.
+BRIEF = 0.2
 #: Readings of the store, each half a second after the last, that calls which
 #: come within half a second may cause.
 FEW = 3
@@ -78,6 +88,28 @@
     assert monotonic() - began < 1
 
 
+async def test_stop_ends_the_wait_for_a_reading(
+    bench: Bench,
+    lagging: Peer,
+) -> None:
+    """Guards against a stop that cuts who waits for the store."""
+    drain = Drain(lambda: 1, lambda: StopTimes(grace=0, limit=DEADLINE))
+    table = EndpointTable()
+    limits = WorkspaceLimits(MemberTable(), table, Counters())
+    admitter = Admitter(lagging.holder, lagging.follower, limits, drain)
+    head = make_mocked_request('GET', '/v1/models')
+    call = Call(head, 'r1', monotonic(), monotonic() + DEADLINE)
+    bench.standin.faults.hang = True
+    listing = asyncio.create_task(admitter.list_models(call))
+    await asyncio.sleep(BRIEF)
+    assert not listing.done()
+    drain.start()
+    drain.end()
+    listed = await asyncio.wait_for(listing, BRIEF)
+    assert listed.failure().code is RefusalCode.NOT_READY
+    assert listed.failure().retry_after == 0
+
+
 async def test_wrong_keys_share_readings(
     lagging: Peer,
     monkeypatch: pytest.MonkeyPatch,
