--- a/tests/ingress/test_stops.py
+++ b/tests/ingress/test_stops.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from kelproad.coordination import drain as drains
 from kelproad.coordination.drain import Drain, StopTimes
 from kelproad.coordination.ingress.stopping import plan_stop
 from testbed.routed import RoutedInstance, RoutedSite, start_routed_site
@@ -107,13 +108,17 @@
     assert planned == pytest.approx(kill_after)
 
 
-async def test_closing_keeps_its_time_before_the_kill() -> None:
+def test_closing_keeps_its_time_before_the_kill(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Guards against a kill while releases that hang are waited for."""
+    now = [1000]
+    monkeypatch.setattr(drains, 'monotonic', lambda: now[0])
     times = StopTimes(grace=0, limit=0, closing=1)
     drain = Drain(lambda: 1, lambda: times)
     drain.start()
     for _ in range(4):
-        await asyncio.sleep(drain.bound_closing(HANGING))
+        now[0] += drain.bound_closing(HANGING)
     assert 0 < drain.measure_until_kill() < HANGING
     assert drain.bound_closing(HANGING) < drain.measure_until_kill()
 
