Tell that the store has not answered yet, and order the test of releases by signals

test_fresh_instance_with_the_store_down: callers and operators were told 'nothing was accepted there yet' by an instance whose first read of the store was still under way. Cause: an empty fault was taken for an answer. The reason now says that the store has not answered, and a question for readiness waits for the end of the first read, two seconds at the most. The test is unchanged; test_unanswered_store_is_not_called_empty failed before.

test_deadline_ends_what_no_owner_releases: a watcher's look between putting and the first listing released the holdings of the earlier incarnation, so that 5 were listed in place of 7. All instances are frozen by SIGSTOP now until everything was listed, so no look can come between. The assertion is stricter: exactly the six items and one stream, where seven or more of anything passed.

--- a/src/kelproad/coordination/configuration.py
+++ b/src/kelproad/coordination/configuration.py
@@ -5,6 +5,8 @@
 instance whose revision no peer confirms queries the platform at a low rate.
 """
 
+import asyncio
+import contextlib
 import math
 import random
 from collections.abc import Callable
@@ -104,6 +106,7 @@
         self.read_at = float('-inf')
         #: Why the last read of the store failed, empty when it succeeded.
         self.fault = ''
+        self._first_read_ended = asyncio.Event()
         #: Sends a message to a peer; set by membership, which owns the links.
         self.ask_peer: Callable[[str, PeerMessage], None] | None = None
 
@@ -135,8 +138,18 @@
             self._record_fault(
                 f'{error.operation} at {error.peer}: {error.message}',
             )
+        self._first_read_ended.set()
         return loaded.map(lambda _snapshot: None)
 
+    async def wait_for_first_read(self, timeout: float) -> None:
+        """Wait until a read of the store has ended, well or not.
+
+        ``timeout`` is the maximum in seconds.
+        """
+        with contextlib.suppress(asyncio.TimeoutError):
+            async with asyncio.timeout(timeout):
+                await self._first_read_ended.wait()
+
     def observe_member(self, member: Member) -> None:
         """Compare the local revision with the one in a member's record.
 
@@ -191,13 +204,20 @@
         """Explain why no configuration is in force here yet."""
         live = self._members.live(monotonic())
         configured = [member.name for member in live if member.revision]
-        store_state = self.fault or 'nothing was accepted there yet'
+        store_state = self._explain_store()
         names = ', '.join(configured) or 'none has one'
         return (
             f'no configuration yet; the platform: {store_state}; '
             f'peers heard: {len(live)}, with a configuration: {names}'
         )
 
+    def _explain_store(self) -> str:
+        if self.fault:
+            return self.fault
+        if not self._first_read_ended.is_set():
+            return 'it has not answered yet'
+        return 'nothing was accepted there yet'
+
     @Service.task
     async def _poll_store(self) -> None:
         while not self.should_stop:
--- a/src/kelproad/coordination/sides.py
+++ b/src/kelproad/coordination/sides.py
@@ -30,6 +30,8 @@
 _logger = logging.getLogger(__name__)
 #: Bytes of the largest file that an operator may apply.
 _MAX_FILE_BYTES = 3 * 1024 * 1024
+#: Seconds that a question for readiness waits for the first read of the store.
+_FIRST_READ_TIMEOUT = 2.0
 
 #: Paths that are served even while calls are refused.
 _ALWAYS_SERVED = frozenset(('/healthz', '/metrics'))
@@ -105,6 +107,8 @@
             response.force_close()
 
     async def _answer_ready(self, _http_request: web.Request) -> web.Response:
+        if self._holder.current.revision == 0:
+            await self._follower.wait_for_first_read(_FIRST_READ_TIMEOUT)
         if self._drain.phase is not DrainPhase.SERVING:
             return callers.build_refusal_response(refuse_stopping(), '')
         if self._holder.current.revision == 0:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -390,3 +390,13 @@
         if is_reader(Settings(name, 'a', '', '', '', '', '', {}), members, 10)
     ]
     assert len(readers) == 2
+
+
+async def test_unanswered_store_is_not_called_empty(
+    bench: ConfigurationSite,
+) -> None:
+    """Guards against reporting as known what the store was not yet heard on."""
+    follower = bench.create_peer('i-1').follower
+    assert 'it has not answered yet' in follower.explain_missing()
+    await follower.catch_up()
+    assert 'nothing was accepted there yet' in follower.explain_missing()
--- a/tests/test_reclamation.py
+++ b/tests/test_reclamation.py
@@ -193,8 +193,13 @@
     deadline; so are exports and pins, except those of an earlier incarnation.
     Holdings of other users of the engine are left alone.
     """
-    instance = site.instances[0]
+    instance, *others = site.instances
     address = site.addresses[list_engines(site)[0]]
+    # No watcher may release anything before everything was listed once.
+    for other in others:
+        other.process.freeze()
+    stream = open_long_stream(site, deadline=1)
+    instance.process.freeze()
     wanted = {
         'late': (f'{instance.name}:{time.time_ns()}0', 1),
         'replaced': (f'{instance.name}:1', 100),
@@ -204,12 +209,17 @@
         body = {'owner': owner, 'tokens': 100, 'seconds': seconds}
         for kind in ('exports', 'pins'):
             site.control(address, 'PUT', f'/v1/{kind}/{item}', body)
-    stream = open_long_stream(site, deadline=1)
+    left = list_items(site)
     instance.process.kill()
+    for other in others:
+        other.process.resume()
     limit = time.monotonic() + 1 + MARGIN + ORPHANS_WITHIN
     foreign = {('export', 'foreign'), ('pin', 'foreign')}
-    left = list_items(site)
-    assert len(left) >= 7
+    assert left >= {
+        (kind, item) for kind in ('export', 'pin') for item in wanted
+    }
+    assert [kind for kind, _ in left].count('stream') == 1
+    assert len(left) == 7
     while left != foreign and time.monotonic() < limit:
         time.sleep(0.2)
         left = list_items(site)
