Tell other zones of their own engines only from 21 instances there on

Cause: at 85 instances 54 to 60 of other zones were told everything, as the bound was 60, and handling datagrams was about half of what an instance does.

Change: the bound is 20. Small sites (7 at the most in other zones) keep the full mesh; the grown and the shifted ones (43 and more) ask other zones when they need them.

--- a/src/kelproad/coordination/ingress/peers.py
+++ b/src/kelproad/coordination/ingress/peers.py
@@ -20,7 +20,7 @@
 _logger = logging.getLogger(__name__)
 #: Number of instances of other zones up to which each of them is sent
 #: everything.
-MAX_FULL_MESH_PEERS = 60
+MAX_FULL_MESH_PEERS = 20
 #: Seconds without a datagram after which a peer no longer counts as live.
 _LIVE_SECONDS = 3.0
 #: Seconds after its confirmation for which the configuration of an instance
@@ -109,7 +109,7 @@
         if order <= peer.order and not silent:
             return False
         peer.order = order
-        if silent:
+        if silent and self._reports_regularly(update.zone):
             record(
                 _logger, 'peer_heard', peer=update.instance, zone=update.zone
             )
@@ -237,6 +237,10 @@
         }
         return list((named | live).values())
 
+    def _reports_regularly(self, zone: str) -> bool:
+        """Return whether each instance of a zone is expected to report."""
+        return zone == self._settings.zone or self.is_full_mesh
+
     def _is_zone_isolated(self, received: Iterable[Peer], now: float) -> bool:
         """Return whether all other zones have fallen silent."""
         others = {peer.zone for peer in received} - {'', self._settings.zone}
