Serve calls sooner after a start: the first table from who has it, calls wait for it

What callers saw: after the kill of all instances the first configuration was in force 0.62 s after an instance listened, and until then each call got 503 'no configuration yet' with a Retry-After of 0.02 s, as some other instance had one.

Cause, by the log: the store sends the table uncompressed, and a configuration of 1,640 routes takes an instance with a link of 20 Mbit/s 0.61 to 0.65 s, one with 200 Mbit/s 0.15 s, the same with 84 peers telling everything or 28, so it is not datagrams. Decoding takes 15 ms (ruled out). An instance asked its peers only before it had heard any.

Change: while the store sends a whole table, who has it is looked for every 20 ms and asked (compressed); the first answer counts. A call that comes before the first configuration waits up to 0.25 s, not while the store is known to fail.

--- a/src/kelproad/coordination/ingress/admitting.py
+++ b/src/kelproad/coordination/ingress/admitting.py
@@ -33,6 +33,9 @@
 #: Seconds after which a caller should retry while no instance has a current
 #: configuration: most outages of the store last some seconds.
 _UNCONFIRMED_RETRY = 1.0
+#: Seconds that a call waits for the first configuration of an instance that has
+#: just started: sent back, most callers would meet others that start as well.
+_FIRST_CONFIGURATION_WAIT = 0.25
 #: Bytes of a header field in addition to name and text: separators, line end.
 _FIELD_BYTES = 4
 
@@ -45,6 +48,7 @@
         holder: ConfigurationHolder,
         measure_age: Callable[[], float],
         is_confirmed_elsewhere: Callable[[float], bool],
+        is_store_failing: Callable[[], bool],
         stop_guard: StopGuard,
         read_bounds: Callable[[], Bounds],
         generator: random.Random,
@@ -52,11 +56,13 @@
         """Admit by the configuration in force.
 
         ``measure_age`` returns its possible age in seconds, and
-        ``is_confirmed_elsewhere`` whether another instance has a current one.
+        ``is_confirmed_elsewhere`` whether another instance has a current one,
+        ``is_store_failing`` whether the last attempt to read it failed.
         """
         self._holder = holder
         self._measure_age = measure_age
         self._is_confirmed_elsewhere = is_confirmed_elsewhere
+        self._is_store_failing = is_store_failing
         self._stop_guard = stop_guard
         self._read_bounds = read_bounds
         self._generator = generator
@@ -78,7 +84,7 @@
         arrived: float,
     ) -> Result[Call, Refusal]:
         """Find route and workspace, check the time left and read the body."""
-        configuration = self._holder.current
+        configuration = self._holder.current or await self._await_first()
         if configuration is None:
             return Failure(self._refuse_unconfirmed('no configuration yet'))
         if _measure_head(http_request) > configuration.limits.max_header_bytes:
@@ -111,6 +117,12 @@
             ),
         )
 
+    async def _await_first(self) -> RoutingConfiguration | None:
+        """Wait for the first configuration, unless the store has failed."""
+        if self._is_store_failing():
+            return None
+        return await self._holder.await_first(_FIRST_CONFIGURATION_WAIT)
+
     def _find_workspace(
         self,
         configuration: RoutingConfiguration,
--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -47,6 +47,8 @@
         Availability zone of the instance.
     measure_age
         Returns how many seconds old the configuration may be.
+    is_store_failing
+        Returns whether the last call to the store for it failed.
     read_bounds
         Returns the limits that operators set at present.
     """
@@ -64,6 +66,7 @@
     generator: random.Random
     queries: PeerQueries
     measure_age: Callable[[], float]
+    is_store_failing: Callable[[], bool]
     read_bounds: Callable[[], Bounds]
 
 
@@ -96,6 +99,7 @@
             shared.holder,
             shared.measure_age,
             exchange.peers.is_confirmed_elsewhere,
+            shared.is_store_failing,
             stop_guard,
             shared.read_bounds,
             shared.generator,
--- a/src/kelproad/coordination/ingress/following.py
+++ b/src/kelproad/coordination/ingress/following.py
@@ -13,7 +13,7 @@
 
 import attrs
 from mode import Service
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from ...state.records import record
 from ...transport.deadlines import monotonic, read_boottime
@@ -40,6 +40,9 @@
 #: Seconds between two queries to another instance: short, as they don't load
 #: the store, and tables relayed to this instance are older by this interval.
 _PEER_QUERY_PERIOD = 0.2
+#: Seconds between two looks for another instance that has the table, while the
+#: store sends all of it.
+_FIRST_QUERY_PERIOD = 0.02
 
 
 @attrs.frozen
@@ -180,7 +183,7 @@
 
     async def _query_store(self) -> Result[TableState, StoreProblem]:
         if self._version is None:
-            return await self._source.read()
+            return await self._read_whole()
         # After a failure the answer is needed at once, not at the next change,
         # to know whether the store is back; likewise when another instance has
         # just failed to answer.
@@ -189,6 +192,25 @@
         wait_seconds = self._wait_seconds if waits else 0
         return await self._source.await_changes(self._version, wait_seconds)
 
+    async def _read_whole(self) -> Result[TableState, StoreProblem]:
+        """Read the table from the store, or from who has it sooner.
+
+        The store sends it uncompressed, over a slow link for half a second in
+        which an instance that has just started can serve nobody.
+        """
+        reading = asyncio.create_task(self._source.read())
+        try:
+            while not reading.done():
+                await asyncio.wait((reading,), timeout=_FIRST_QUERY_PERIOD)
+                relayed = (
+                    None if reading.done() else await self._peers.query(None)
+                )
+                if relayed is not None:
+                    return Success(relayed)
+            return reading.result()
+        finally:
+            reading.cancel()
+
     def _accept(self, state: TableState, sent_at: float) -> None:
         if self._failures:
             self.recovered_at = monotonic()
--- a/src/kelproad/coordination/ingress/holder.py
+++ b/src/kelproad/coordination/ingress/holder.py
@@ -1,5 +1,7 @@
 """The configuration in force, which only a newer one replaces."""
 
+import asyncio
+import contextlib
 import logging
 
 from returns.result import Failure, Result
@@ -18,6 +20,14 @@
     def __init__(self) -> None:
         """Start without a configuration."""
         self.current: RoutingConfiguration | None = None
+        self._adopted = asyncio.Event()
+
+    async def await_first(self, seconds: float) -> RoutingConfiguration | None:
+        """Wait for the first configuration, ``None`` if it takes too long."""
+        with contextlib.suppress(asyncio.TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._adopted.wait()
+        return self.current
 
     def offer(
         self,
@@ -40,6 +50,7 @@
         if offered.version <= held:
             return False
         self.current = offered
+        self._adopted.set()
         record(
             _logger,
             'configuration_adopted',
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -183,6 +183,7 @@
             self._generator,
             self._peering.queries,
             self._tables.configuration.measure_age,
+            lambda: self._tables.configuration.failing,
             self._read_bounds,
         )
         return CallPipeline.from_state(
--- /dev/null
+++ b/tests/ingress/test_admitting.py
@@ -0,0 +1,72 @@
+"""Calls that arrive at an instance before its first configuration."""
+
+import asyncio
+import random
+import types
+
+from returns.result import Failure, Result, Success
+
+from kelproad.coordination.drain import Drain
+from kelproad.coordination.ingress import admitting as admitting_module
+from kelproad.coordination.ingress.admitting import Admitter
+from kelproad.coordination.ingress.holder import ConfigurationHolder
+from kelproad.coordination.ingress.stopping import StopGuard, plan_stop
+from kelproad.state.refusals import Refusal, RefusalCode
+from kelproad.state.routes import IngressLimits, RoutingConfiguration
+from kelproad.transport.deadlines import monotonic
+
+#: Seconds after which the configuration arrives.
+ARRIVES_AFTER = 0.05
+HEAD = types.SimpleNamespace(host='example', path='/unknown/')
+REQUEST = types.SimpleNamespace(raw_headers=(), raw_path='/unknown/')
+
+
+def create_admitter(
+    holder: ConfigurationHolder, store_failing: bool = False
+) -> Admitter:
+    """Build the admitter of an instance whose configuration is fresh."""
+    return Admitter(
+        holder,
+        int,
+        lambda _now: False,
+        lambda: store_failing,
+        StopGuard(Drain(int, lambda: plan_stop(8))),
+        lambda: types.SimpleNamespace(apply_configuration=3),
+        random.Random(1),
+    )
+
+
+async def admit(admitter: Admitter) -> Result[object, Refusal]:
+    return await admitter.admit(HEAD, REQUEST, monotonic())
+
+
+async def test_a_call_waits_for_the_first_configuration() -> None:
+    """Guards against sending callers from one starting instance to the next."""
+    holder = ConfigurationHolder()
+    call = asyncio.create_task(admit(create_admitter(holder)))
+    await asyncio.sleep(ARRIVES_AFTER)
+    assert not call.done()
+    configuration = RoutingConfiguration(1, {}, {}, {}, IngressLimits())
+    assert holder.offer(Success(configuration))
+    refused = (await call).failure()
+    assert refused.code is RefusalCode.NOT_FOUND
+
+
+async def test_a_call_is_refused_when_the_wait_ends() -> None:
+    """Guards against holding a call that nobody here can serve."""
+    began = monotonic()
+    refused = await admit(create_admitter(ConfigurationHolder()))
+    assert isinstance(refused, Failure)
+    assert refused.failure().code is RefusalCode.NOT_READY
+    waited = monotonic() - began
+    assert waited >= admitting_module._FIRST_CONFIGURATION_WAIT
+
+
+async def test_a_call_is_refused_at_once_while_the_store_fails() -> None:
+    """Guards against holding a call although the store is known to be down."""
+    admitter = create_admitter(ConfigurationHolder(), store_failing=True)
+    call = asyncio.create_task(admit(admitter))
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert call.done()
+    assert call.result().failure().code is RefusalCode.NOT_READY
--- a/tests/ingress/test_following.py
+++ b/tests/ingress/test_following.py
@@ -179,3 +179,39 @@
     await asyncio.sleep(2)
     following.cancel()
     assert len(script.asked) - before <= max_queries
+
+
+class SlowStore(Script):
+    """A store that never sends all of a table, beside a peer that has it."""
+
+    def __init__(self) -> None:
+        """Have the peer ready at the third question."""
+        super().__init__()
+        self.questions = 0
+        self.abandoned = False
+
+    async def ask_peer(self, _version: int | None) -> TableState | None:
+        """Answer once the peer has the table, and end the test."""
+        self.questions += 1
+        if self.questions < 3:
+            return None
+        self.follower._stopped.set()
+        return state(5, 'a', whole=True).unwrap()
+
+    async def read(self) -> Result[TableState, StoreProblem]:
+        """Send nothing, and record whether the reader gave up."""
+        try:
+            return await asyncio.get_running_loop().create_future()
+        except asyncio.CancelledError:
+            self.abandoned = True
+            raise
+
+
+async def test_first_table_comes_from_who_has_it_sooner() -> None:
+    """Guards against refusing callers while a slow link fills up."""
+    script = SlowStore()
+    async with asyncio.timeout(1):
+        await follow(script)
+        await asyncio.sleep(0)
+    assert [adopted.version for adopted in script.adopted] == [5]
+    assert script.abandoned
