Build the endpoints anew only when one of them has changed

Cause: the table of endpoints is asked for changes five times a second, and each answer, mostly without any, had all endpoints built anew for routing.

Change: the registry publishes when an entry is new, gone or differs in more than its count of reports; the comparison of the relayed table is the same one now.

--- a/src/kelproad/coordination/ingress/endpoints.py
+++ b/src/kelproad/coordination/ingress/endpoints.py
@@ -9,6 +9,7 @@
 
 import collections
 import logging
+import operator
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -77,7 +78,14 @@
         """Order of its reports, across incarnations."""
         return self.born, self.sequence
 
+    def is_same_endpoint(self, other: 'ListedEndpoint') -> bool:
+        """Return whether the two differ only in what each report changes."""
+        return _read_description(self) == _read_description(other)
 
+
+_read_description = operator.attrgetter(
+    'name', 'service', 'address', 'zone', 'slots', 'leaving', 'born'
+)
 _Entries = DecodedState[Result[ListedEndpoint, str]]
 
 
@@ -111,6 +119,8 @@
         #: Monotonic time until which each missing entry is kept.
         self._missing: dict[str, float] = {}
         self._configuration: RoutingConfiguration | None = None
+        #: Whether the published table lacks something.
+        self._changed = False
 
     def __len__(self) -> int:
         """Return the number of entries, missing ones included."""
@@ -119,6 +129,7 @@
     def adopt_configuration(self, configuration: RoutingConfiguration) -> None:
         """Group endpoints by the services of a configuration."""
         self._configuration = configuration
+        self._changed = True
         self._publish()
 
     def adopt(self, state: _Entries) -> None:
@@ -140,6 +151,7 @@
             return
         due = [name for name, until in self._missing.items() if until <= now]
         for name in due:
+            self._changed = True
             self._missing.pop(name)
             self._listed.pop(name, None)
             record(_logger, 'endpoint_gone', endpoint=name)
@@ -161,6 +173,7 @@
             )
             self._listed.pop(name, None)
             self._missing.pop(name, None)
+            self._changed = True
             return
         entry = payload.unwrap()
         if known is not None and entry.report_order < known.report_order:
@@ -170,6 +183,8 @@
             return
         self._missing.pop(name, None)
         self._listed[name] = entry
+        if known is None or not entry.is_same_endpoint(known):
+            self._changed = True
         _record_change(known, entry)
 
     def _list_vanished(self, state: _Entries) -> set[str]:
@@ -186,6 +201,8 @@
 
     def _record_missing(self, names: set[str]) -> None:
         """Record entries that vanished, and until when they are kept."""
+        if not names:
+            return
         now = monotonic()
         totals = collections.Counter(
             entry.service for entry in self._listed.values()
@@ -202,8 +219,14 @@
             self._missing.setdefault(name, now + grace)
 
     def _publish(self) -> None:
-        if self._configuration is None:
+        """Publish the entries, unless they are what the table has already.
+
+        Most reports hold nothing new, and building all endpoints anew several
+        times a second would dominate an instance's load before thousands.
+        """
+        if self._configuration is None or not self._changed:
             return
+        self._changed = False
         self._table.replace_groups(
             _build_groups(self._configuration, self._listed.values()),
         )
--- a/src/kelproad/coordination/ingress/tables.py
+++ b/src/kelproad/coordination/ingress/tables.py
@@ -262,9 +262,4 @@
     """Return whether two reports differ only in what each report changes."""
     if isinstance(known, Failure) or isinstance(entry, Failure):
         return False
-    return _clear_count(known.unwrap()) == _clear_count(entry.unwrap())
-
-
-def _clear_count(entry: ListedEndpoint) -> ListedEndpoint:
-    """Clear what every report changes: its count, the time since start."""
-    return attrs.evolve(entry, sequence=0, slow_for=0)
+    return entry.unwrap().is_same_endpoint(known.unwrap())
--- a/tests/ingress/test_endpoints.py
+++ b/tests/ingress/test_endpoints.py
@@ -22,6 +22,15 @@
     RoutingConfiguration,
 )
 
+#: Changes of one row, and whether routing has to learn of each.
+CHANGES = (
+    ({'sequence': 2}, False),
+    ({'sequence': 3, 'warmup_left_ms': 5}, False),
+    ({'sequence': 4, 'slots': 3}, True),
+    ({'sequence': 5, 'slots': 3, 'state': 'draining'}, True),
+    ({'sequence': 6, 'slots': 3, 'state': 'draining'}, False),
+    ({'sequence': 1, 'born': 6}, True),
+)
 LONG_AGO = float('-inf')
 
 
@@ -223,3 +232,26 @@
     """An entry names a service that is not in the configuration."""
     registry.adopt(change(write('i-1', service='other')))
     assert not table.all()
+
+
+def test_reports_without_news_rebuild_no_endpoint(
+    registry: EndpointRegistry,
+    table: EndpointTable,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against load that grows with the reports of thousands."""
+    registry.adopt(change(write('i-1')))
+    published = []
+    replace = table.replace_groups
+    monkeypatch.setattr(
+        table,
+        'replace_groups',
+        lambda groups: (published.append(1), replace(groups)),
+    )
+    for fields, is_news in CHANGES:
+        published.clear()
+        registry.adopt(change(write('i-1', **fields)))
+        assert bool(published) is is_news, fields
+    endpoint = table.get('i-1')
+    assert endpoint.declaration.slots == 0
+    assert endpoint.declaration.incarnation == '6'
