Name the reader of a zone to other zones only

Cause: since most sites send other zones their own engines' work only, each report, also within the zone, looked through all peers for the instance that serves tables there, to name it.

Change: it is looked for and named only in reports to other zones; peers of the zone hear all others themselves.

--- a/src/kelproad/coordination/ingress/exchange.py
+++ b/src/kelproad/coordination/ingress/exchange.py
@@ -215,6 +215,7 @@
         now: float,
     ) -> None:
         """Report to each zone the work at its engines, or a keep-alive."""
+        reader = self._find_zone_reader(now)
         for zone, members in remote.items():
             reported = [
                 work for work in works if self._find_zone(work.endpoint) == zone
@@ -229,7 +230,7 @@
                 # themselves, so that each receives from one sender.
                 rank, count = self.peers.rank_self(now)
                 members = members[rank::count]
-            self._send(members, reported)
+            self._send(members, reported, reader)
 
     async def _await_change(self) -> None:
         """Wait until the local work changes, or a repetition is due."""
@@ -238,13 +239,22 @@
             async with asyncio.timeout(_MIN_REPEAT_PERIOD - _SEND_PERIOD):
                 await self._changed.wait()
 
-    def _send(self, peers: Iterable[Peer], works: list[ReportedWork]) -> None:
+    def _send(
+        self,
+        peers: Iterable[Peer],
+        works: list[ReportedWork],
+        reader: ZoneReader | None = None,
+    ) -> None:
         self._sequence += 1
-        datagram = encode_update(self._build_update(works))
+        datagram = encode_update(self._build_update(works, reader))
         for peer in peers:
             self._socket.send(datagram, peer.address)
 
-    def _build_update(self, works: list[ReportedWork]) -> PeerUpdate:
+    def _build_update(
+        self,
+        works: list[ReportedWork],
+        reader: ZoneReader | None = None,
+    ) -> PeerUpdate:
         now = monotonic()
         age = self._measure_age()
         return PeerUpdate(
@@ -259,17 +269,14 @@
             self._observations.list_refusing(now),
             self._observations.list_slow(now),
             self._read_provenance(),
-            self._find_zone_reader(now),
+            reader,
         )
 
     def _find_zone_reader(self, now: float) -> ZoneReader | None:
         """Find the instance that serves tables here, to name it to other zones.
 
-        Not needed where all instances report to each other, as each then
-        advertises its own provenance.
+        Peers of the zone need no such name: each of them hears all others.
         """
-        if self.peers.is_full_mesh:
-            return None
         others = self.peers.list_zone_peers(now)
         serving = [
             reader
--- a/tests/ingress/test_exchange.py
+++ b/tests/ingress/test_exchange.py
@@ -88,7 +88,8 @@
         """Return the next datagram that it would send."""
         self.exchange.peers.add('somebody', '10.9.9.9')
         works = pack_work(self.ledger.local)
-        self.exchange._send(self.exchange.peers._peers.values(), works)
+        reader = self.exchange._find_zone_reader(exchange_module.monotonic())
+        self.exchange._send(self.exchange.peers._peers.values(), works, reader)
         return self.socket.datagrams[-1]
 
 
