Group the modules of the routed interface in folders

admission, retrying, placing, streams, tables and membership in place of 41 modules in one folder; tables.py is tables/followed.py, as it holds FollowedTables. Moves and imports only, made by a script that resolves each import and writes it anew; no other line changed but the docstrings of the packages.

--- a/src/kelproad/coordination/ingress/__init__.py
+++ b/src/kelproad/coordination/ingress/__init__.py
@@ -1,8 +1,8 @@
 """The routed interface: opaque calls, routed by host and path to services.
 
-``entrance`` receives a call, ``dispatching`` has it answered, ``selection``
-chooses endpoints, ``attempts`` makes one attempt.  ``following`` reads
-configuration and endpoints from the store, ``relaying`` from other instances,
-``exchange`` reports work in flight to peers, ``node`` composes the components.
-The encoding on the wire is supplied from outside, as functions (``dialect``).
+``admission`` receives a call, ``retrying`` has it answered, ``placing`` chooses
+endpoints, ``streams`` makes one attempt.  ``tables`` follows configuration and
+endpoints in the store or at other instances, ``membership`` exchanges work in
+flight with them, ``node`` composes the components.  The encoding on the wire is
+supplied from outside, as functions (``admission.dialect``).
 """
--- /dev/null
+++ b/src/kelproad/coordination/ingress/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Calls as they arrive: their head, admission, and planned stops."""
--- a/src/kelproad/coordination/ingress/admitting.py
+++ b/src/kelproad/coordination/ingress/admission/admitting.py
@@ -10,14 +10,14 @@
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
-from ...protocol.callers import read_body
-from ...state.calls import Call, CallHead
-from ...state.refusals import Refusal, RefusalCode, Step
-from ...state.routes import Route, RoutedWorkspace, RoutingConfiguration
-from ...transport.deadlines import monotonic, within
-from ..drain import StopEndedError
-from .holder import ConfigurationHolder
-from .settings import Bounds
+from ....protocol.callers import read_body
+from ....state.calls import Call, CallHead
+from ....state.refusals import Refusal, RefusalCode, Step
+from ....state.routes import Route, RoutedWorkspace, RoutingConfiguration
+from ....transport.deadlines import monotonic, within
+from ...drain import StopEndedError
+from ..settings import Bounds
+from ..tables.holder import ConfigurationHolder
 from .stopping import ELSEWHERE_RETRY, StopGuard, refuse_stopping
 
 __all__ = ['Admitter']
--- a/src/kelproad/coordination/ingress/dialect.py
+++ b/src/kelproad/coordination/ingress/admission/dialect.py
@@ -12,9 +12,9 @@
 from multidict import CIMultiDict
 from returns.result import Result
 
-from ...state.calls import AnswerHead, Call, CallHead, Forwarding
-from ...state.refusals import Refusal
-from .memory import EngineOperations
+from ....state.calls import AnswerHead, Call, CallHead, Forwarding
+from ....state.refusals import Refusal
+from ..placing.memory import EngineOperations
 
 __all__ = ['Dialect']
 
--- a/src/kelproad/coordination/ingress/entrance.py
+++ b/src/kelproad/coordination/ingress/admission/entrance.py
@@ -8,18 +8,18 @@
 from aiohttp import web
 from returns.result import Failure
 
-from ...state.calls import Call, CallEnd
-from ...state.context import current_request
-from ...state.counters import Counters
-from ...state.records import record
-from ...state.refusals import Refusal
-from ...transport.deadlines import monotonic
-from ...transport.servers import send_answer
+from ....state.calls import Call, CallEnd
+from ....state.context import current_request
+from ....state.counters import Counters
+from ....state.records import record
+from ....state.refusals import Refusal
+from ....transport.deadlines import monotonic
+from ....transport.servers import send_answer
+from ..retrying.dispatching import Dispatcher
+from ..streams.delivery import CallerDisconnectedError
+from ..tables.holder import ConfigurationHolder
 from .admitting import Admitter
-from .delivery import CallerDisconnectedError
 from .dialect import Dialect
-from .dispatching import Dispatcher
-from .holder import ConfigurationHolder
 
 __all__ = ['CallHandler']
 
--- a/src/kelproad/coordination/ingress/stopping.py
+++ b/src/kelproad/coordination/ingress/admission/stopping.py
@@ -10,13 +10,13 @@
 import logging
 import math
 
-from ...state.calls import Call, CallHead
-from ...state.engines import EngineProfile
-from ...state.records import record
-from ...state.refusals import Refusal, RefusalCode, Step
-from ...state.routes import Route
-from ...transport.deadlines import monotonic
-from ..drain import Drain, StopTimes
+from ....state.calls import Call, CallHead
+from ....state.engines import EngineProfile
+from ....state.records import record
+from ....state.refusals import Refusal, RefusalCode, Step
+from ....state.routes import Route
+from ....transport.deadlines import monotonic
+from ...drain import Drain, StopTimes
 
 __all__ = [
     'ELSEWHERE_RETRY',
--- /dev/null
+++ b/src/kelproad/coordination/ingress/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Other instances: their work in flight, queries, reachable zones."""
--- a/src/kelproad/coordination/ingress/exchange.py
+++ b/src/kelproad/coordination/ingress/membership/exchange.py
@@ -23,18 +23,18 @@
 from mode import Service
 from returns.result import Failure
 
-from ...state.observations import EngineObservations
-from ...state.records import record
-from ...state.work import WorkLedger
-from ...transport.addresses import Address
-from ...transport.datagrams import DatagramSocket
-from ...transport.deadlines import monotonic
-from ...transport.services import BackgroundService
+from ....state.observations import EngineObservations
+from ....state.records import record
+from ....state.work import WorkLedger
+from ....transport.addresses import Address
+from ....transport.datagrams import DatagramSocket
+from ....transport.deadlines import monotonic
+from ....transport.services import BackgroundService
+from ..settings import NodeSettings
+from ..tables.readers import Reader
+from ..tables.tablestates import Provenance
 from .peers import Peer, PeerRegister
 from .reachability import ZoneReachability
-from .readers import Reader
-from .settings import NodeSettings
-from .tablestates import Provenance
 from .updates import (
     PeerUpdate,
     ReportedWork,
--- a/src/kelproad/coordination/ingress/peering.py
+++ b/src/kelproad/coordination/ingress/membership/peering.py
@@ -10,23 +10,23 @@
 import aiohttp
 from mode import Service
 
-from ...state.counters import Counters
-from ...state.endpoints import EndpointTable
-from ...state.observations import EngineObservations
-from ...state.work import WorkLedger
-from ...transport.deadlines import monotonic
+from ....state.counters import Counters
+from ....state.endpoints import EndpointTable
+from ....state.observations import EngineObservations
+from ....state.work import WorkLedger
+from ....transport.deadlines import monotonic
+from ..settings import NodeSettings
+from ..tables.followed import FollowedTables
+from ..tables.following import PeerTable
+from ..tables.holder import ConfigurationHolder
+from ..tables.probing import TableProbe
+from ..tables.readers import ReaderSelector
+from ..tables.relaying import TableRelay
+from ..tables.store import NodeStore
 from .exchange import WorkExchange
-from .following import PeerTable
-from .holder import ConfigurationHolder
-from .probing import TableProbe
 from .queries import PeerQueries, Query, Reply, TablesReply, WorkQuery
 from .reachability import ZoneReachability
-from .readers import ReaderSelector
-from .relaying import TableRelay
-from .settings import NodeSettings
 from .spillover import answer_work_query
-from .store import NodeStore
-from .tables import FollowedTables
 
 __all__ = ['Peering']
 
--- a/src/kelproad/coordination/ingress/peers.py
+++ b/src/kelproad/coordination/ingress/membership/peers.py
@@ -7,12 +7,12 @@
 
 import attrs
 
-from ...state.records import record
-from ...transport.addresses import Address
+from ....state.records import record
+from ....transport.addresses import Address
+from ..settings import NodeSettings
+from ..tables.readers import MAX_RELAYED_AGE, Reader
+from ..tables.tablestates import Provenance
 from .reachability import ZoneReachability
-from .readers import MAX_RELAYED_AGE, Reader
-from .settings import NodeSettings
-from .tablestates import Provenance
 from .updates import PeerUpdate
 
 __all__ = ['CONFIRMED_SECONDS', 'MAX_FULL_MESH_PEERS', 'Peer', 'PeerRegister']
--- a/src/kelproad/coordination/ingress/queries.py
+++ b/src/kelproad/coordination/ingress/membership/queries.py
@@ -12,12 +12,12 @@
 
 import msgspec
 
-from ...state.records import record
-from ...transport.addresses import Address
-from ...transport.datagrams import DatagramSocket
-from ...transport.services import BackgroundService
-from .settings import NodeSettings
-from .tables import TableFreshness
+from ....state.records import record
+from ....transport.addresses import Address
+from ....transport.datagrams import DatagramSocket
+from ....transport.services import BackgroundService
+from ..settings import NodeSettings
+from ..tables.followed import TableFreshness
 from .updates import ReportedWork
 
 __all__ = [
--- a/src/kelproad/coordination/ingress/rostering.py
+++ b/src/kelproad/coordination/ingress/membership/rostering.py
@@ -15,12 +15,12 @@
 from mode import Service
 from returns.result import Failure, Result
 
-from ...state.records import record
-from ...transport.deadlines import monotonic
-from ...transport.services import BackgroundService
+from ....state.records import record
+from ....transport.deadlines import monotonic
+from ....transport.services import BackgroundService
+from ..settings import NodeSettings
+from ..tables.tablestates import StoredRow, StoreProblem, TableState
 from .exchange import WorkExchange
-from .settings import NodeSettings
-from .tablestates import StoredRow, StoreProblem, TableState
 
 __all__ = ['Roster', 'RosterStore']
 
--- a/src/kelproad/coordination/ingress/spillover.py
+++ b/src/kelproad/coordination/ingress/membership/spillover.py
@@ -10,10 +10,10 @@
 import asyncio
 import random
 
-from ...state.endpoints import EndpointTable
-from ...state.observations import EngineObservations
-from ...state.work import WorkLedger
-from ...transport.deadlines import monotonic
+from ....state.endpoints import EndpointTable
+from ....state.observations import EngineObservations
+from ....state.work import WorkLedger
+from ....transport.deadlines import monotonic
 from .peers import PeerRegister
 from .queries import PeerQueries, WorkQuery, WorkReply
 from .reachability import ZoneReachability
--- a/src/kelproad/coordination/ingress/updates.py
+++ b/src/kelproad/coordination/ingress/membership/updates.py
@@ -3,8 +3,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from ...state.work import EndpointWork
-from .tablestates import Provenance
+from ....state.work import EndpointWork
+from ..tables.tablestates import Provenance
 
 __all__ = [
     'PeerUpdate',
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -18,18 +18,18 @@
 from ...transport.http import create_session, create_single_use_session
 from ...transport.services import BackgroundService
 from ..drain import Drain, DrainPhase
+from .admission.dialect import Dialect
+from .admission.stopping import plan_stop
 from .assembly import CallPipeline, SharedState
-from .dialect import Dialect
-from .holder import ConfigurationHolder
-from .peering import Peering
-from .peers import CONFIRMED_SECONDS
-from .reachability import ZoneReachability
+from .membership.peering import Peering
+from .membership.peers import CONFIRMED_SECONDS
+from .membership.reachability import ZoneReachability
+from .membership.rostering import Roster
 from .reloading import SettingsHolder, SettingsWatch
-from .rostering import Roster
 from .servers import NodeServers, describe_endpoints, describe_work
 from .settings import Bounds
-from .stopping import plan_stop
-from .store import OpenStore
+from .tables.holder import ConfigurationHolder
+from .tables.store import OpenStore
 
 __all__ = ['Node']
 
--- /dev/null
+++ b/src/kelproad/coordination/ingress/placing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of endpoints for a call, and the memory and speed of engines."""
--- a/src/kelproad/coordination/ingress/choosing.py
+++ b/src/kelproad/coordination/ingress/placing/choosing.py
@@ -5,17 +5,17 @@
 
 import attrs
 
-from ...state.calls import Call
-from ...state.endpoints import Endpoint, EndpointTable
-from ...state.observations import EngineObservations
-from ...state.work import WorkLedger
-from ...transport.deadlines import monotonic
-from .holder import ConfigurationHolder
+from ....state.calls import Call
+from ....state.endpoints import Endpoint, EndpointTable
+from ....state.observations import EngineObservations
+from ....state.work import WorkLedger
+from ....transport.deadlines import monotonic
+from ..membership.reachability import ZoneReachability
+from ..membership.spillover import ZoneSpillover
+from ..streams.progress import Progress
+from ..tables.holder import ConfigurationHolder
 from .placement import CallRequirements, Candidate, NoPlacementError, Placement
-from .progress import Progress
-from .reachability import ZoneReachability
 from .selection import choose_engines, choose_plain
-from .spillover import ZoneSpillover
 
 __all__ = ['Chooser']
 
--- a/src/kelproad/coordination/ingress/memory.py
+++ b/src/kelproad/coordination/ingress/placing/memory.py
@@ -12,10 +12,10 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from ...state.endpoints import Endpoint
-from ...state.records import record
+from ....state.endpoints import Endpoint
+from ....state.records import record
+from ..settings import Bounds
 from .placement import MemoryShare
-from .settings import Bounds
 
 __all__ = ['EngineOperations', 'MemoryReserver', 'Reservation']
 
--- a/src/kelproad/coordination/ingress/parts.py
+++ b/src/kelproad/coordination/ingress/placing/parts.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from ...state.engines import EngineProfile
+from ....state.engines import EngineProfile
 from .placement import (
     CallRequirements,
     Candidate,
--- a/src/kelproad/coordination/ingress/placement.py
+++ b/src/kelproad/coordination/ingress/placing/placement.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from ...state.endpoints import Endpoint
-from ...state.work import EndpointWork
+from ....state.endpoints import Endpoint
+from ....state.work import EndpointWork
 
 __all__ = [
     'Candidate',
--- a/src/kelproad/coordination/ingress/predictions.py
+++ b/src/kelproad/coordination/ingress/placing/predictions.py
@@ -7,8 +7,8 @@
 import random
 from collections.abc import Callable
 
-from ...state.engines import EngineProfile
-from ...state.work import EndpointWork
+from ....state.engines import EngineProfile
+from ....state.work import EndpointWork
 from .placement import CallRequirements, Candidate
 
 __all__ = [
--- a/src/kelproad/coordination/ingress/selection.py
+++ b/src/kelproad/coordination/ingress/placing/selection.py
@@ -24,7 +24,7 @@
 import random
 from collections.abc import Callable
 
-from ...state.engines import EngineProfile
+from ....state.engines import EngineProfile
 from .parts import (
     choose_least_disruptive,
     choose_non_disruptive,
--- a/src/kelproad/coordination/ingress/watching.py
+++ b/src/kelproad/coordination/ingress/placing/watching.py
@@ -12,12 +12,12 @@
 
 from returns.result import Failure, Result
 
-from ...state.endpoints import Endpoint
-from ...state.observations import EngineObservations
-from ...state.records import record
-from ...state.work import WorkLedger
-from ...transport.deadlines import monotonic
-from .holder import ConfigurationHolder
+from ....state.endpoints import Endpoint
+from ....state.observations import EngineObservations
+from ....state.records import record
+from ....state.work import WorkLedger
+from ....transport.deadlines import monotonic
+from ..tables.holder import ConfigurationHolder
 from .predictions import predict_pass
 
 __all__ = ['EngineSpeedMonitor']
--- /dev/null
+++ b/src/kelproad/coordination/ingress/retrying/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts one after the other: evaluation of failures, retry budgets."""
--- a/src/kelproad/coordination/ingress/dispatching.py
+++ b/src/kelproad/coordination/ingress/retrying/dispatching.py
@@ -13,22 +13,22 @@
 from multidict import CIMultiDict
 from returns.result import Failure, Result, Success
 
-from ...state.calls import Call, CallEnd
-from ...state.counters import Counters
-from ...state.records import record
-from ...state.refusals import Refusal, RefusalCode, Step
-from ...state.work import WorkLedger
-from ...transport.deadlines import monotonic
-from ..drain import StopEndedError
-from .accounting import AttemptAccount
-from .attempts import AttemptFailure
-from .choosing import Chooser
-from .delivery import StreamDelivery
-from .placement import NoPlacementError, Placement
-from .progress import Progress
+from ....state.calls import Call, CallEnd
+from ....state.counters import Counters
+from ....state.records import record
+from ....state.refusals import Refusal, RefusalCode, Step
+from ....state.work import WorkLedger
+from ....transport.deadlines import monotonic
+from ...drain import StopEndedError
+from ..admission.stopping import StopGuard, refuse_stopping
+from ..placing.choosing import Chooser
+from ..placing.placement import NoPlacementError, Placement
+from ..streams.accounting import AttemptAccount
+from ..streams.attempts import AttemptFailure
+from ..streams.delivery import StreamDelivery
+from ..streams.progress import Progress
+from ..streams.sending import Sender
 from .retries import RetryBudgets
-from .sending import Sender
-from .stopping import StopGuard, refuse_stopping
 from .verdicts import ANSWER_MARGIN, AttemptEvaluator, find_faulty_endpoint
 
 __all__ = ['Dispatcher']
--- a/src/kelproad/coordination/ingress/retries.py
+++ b/src/kelproad/coordination/ingress/retrying/retries.py
@@ -7,8 +7,8 @@
 
 from collections.abc import Callable
 
-from ...state.budgets import RetryBudget
-from .settings import Bounds
+from ....state.budgets import RetryBudget
+from ..settings import Bounds
 
 __all__ = ['RetryBudgets']
 
--- a/src/kelproad/coordination/ingress/verdicts.py
+++ b/src/kelproad/coordination/ingress/retrying/verdicts.py
@@ -4,18 +4,18 @@
 
 import attrs
 
-from ...state.calls import Call
-from ...state.counters import Counters
-from ...state.endpoints import Endpoint, EndpointTable
-from ...state.observations import EngineObservations
-from ...state.records import record
-from ...state.refusals import Ran, Refusal, RefusalCode, Step
-from ...transport.deadlines import monotonic
-from ..ejection import record_outcome
-from .attempts import AttemptFailure
-from .placement import Placement
-from .progress import Progress
-from .reachability import ZoneReachability
+from ....state.calls import Call
+from ....state.counters import Counters
+from ....state.endpoints import Endpoint, EndpointTable
+from ....state.observations import EngineObservations
+from ....state.records import record
+from ....state.refusals import Ran, Refusal, RefusalCode, Step
+from ....transport.deadlines import monotonic
+from ...ejection import record_outcome
+from ..membership.reachability import ZoneReachability
+from ..placing.placement import Placement
+from ..streams.attempts import AttemptFailure
+from ..streams.progress import Progress
 from .retries import RetryBudgets
 
 __all__ = ['AttemptEvaluator', 'find_faulty_endpoint']
--- a/src/kelproad/coordination/ingress/servers.py
+++ b/src/kelproad/coordination/ingress/servers.py
@@ -12,10 +12,10 @@
 from ...transport.addresses import Address
 from ...transport.servers import HttpServer
 from ..drain import Drain, DrainPhase
-from .dialect import Dialect
-from .relaying import TABLE_PATH, build_answer, read_after, read_zone
+from .admission.dialect import Dialect
 from .settings import NodeSettings
-from .tablestates import TableState
+from .tables.relaying import TABLE_PATH, build_answer, read_after, read_zone
+from .tables.tablestates import TableState
 
 __all__ = ['NodeServers', 'describe_endpoints', 'describe_work']
 
--- a/src/kelproad/coordination/ingress/accounting.py
+++ b/src/kelproad/coordination/ingress/streams/accounting.py
@@ -1,8 +1,8 @@
 """Work of one attempt in the ledger, for as long as it is in flight."""
 
-from ...state.calls import Call
-from ...state.work import EndpointWork, WorkLedger
-from .placement import Placement
+from ....state.calls import Call
+from ....state.work import EndpointWork, WorkLedger
+from ..placing.placement import Placement
 
 __all__ = ['AttemptAccount']
 
--- a/src/kelproad/coordination/ingress/attempts.py
+++ b/src/kelproad/coordination/ingress/streams/attempts.py
@@ -15,18 +15,18 @@
 from multidict import CIMultiDict
 from returns.result import Failure, Result, Success
 
-from ...protocol.connections import (
+from ....protocol.connections import (
     SKIPPED_AUTO_HEADERS,
     ConnectionProgress,
     build_connect_timeout,
 )
-from ...protocol.plain import MAX_ANSWER_BYTES
-from ...state.calls import AnswerHead, Call, Forwarding, Outcome
-from ...state.endpoints import Endpoint
-from ...state.refusals import Ran
-from ...transport.deadlines import monotonic, within
-from ...transport.http import ConnectionLostError, create_end_check
-from .dialect import Dialect
+from ....protocol.plain import MAX_ANSWER_BYTES
+from ....state.calls import AnswerHead, Call, Forwarding, Outcome
+from ....state.endpoints import Endpoint
+from ....state.refusals import Ran
+from ....transport.deadlines import monotonic, within
+from ....transport.http import ConnectionLostError, create_end_check
+from ..admission.dialect import Dialect
 
 __all__ = [
     'AttemptFailure',
--- a/src/kelproad/coordination/ingress/delivery.py
+++ b/src/kelproad/coordination/ingress/streams/delivery.py
@@ -3,11 +3,11 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from ...protocol.events import SequenceError
-from ...protocol.eventstreams import EventSplitter
-from ...state.calls import AnswerHead, Call
-from ...transport.deadlines import monotonic
-from ...transport.servers import finish_answer
+from ....protocol.events import SequenceError
+from ....protocol.eventstreams import EventSplitter
+from ....state.calls import AnswerHead, Call
+from ....transport.deadlines import monotonic
+from ....transport.servers import finish_answer
 from .attempts import OpenAnswer
 
 __all__ = ['CallerDisconnectedError', 'StreamDelivery']
--- a/src/kelproad/coordination/ingress/opening.py
+++ b/src/kelproad/coordination/ingress/streams/opening.py
@@ -5,8 +5,8 @@
 
 from returns.result import Failure, Result
 
-from ...state.refusals import Ran
-from ...transport.deadlines import monotonic
+from ....state.refusals import Ran
+from ....transport.deadlines import monotonic
 from .attempts import AttemptFailure, OpenAnswer
 
 __all__ = ['abandon', 'await_head']
--- a/src/kelproad/coordination/ingress/progress.py
+++ b/src/kelproad/coordination/ingress/streams/progress.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from ...state.calls import Call
-from ...state.refusals import NOT_RUN_STATUSES, Ran, Refusal, RefusalCode
+from ....state.calls import Call
+from ....state.refusals import NOT_RUN_STATUSES, Ran, Refusal, RefusalCode
 from .attempts import AttemptFailure, CompleteAnswer
 
 __all__ = ['Progress']
--- a/src/kelproad/coordination/ingress/sending.py
+++ b/src/kelproad/coordination/ingress/streams/sending.py
@@ -9,12 +9,16 @@
 from multidict import CIMultiDict
 from returns.result import Failure, Result, Success
 
-from ...protocol.events import SequenceError
-from ...state.calls import Call, Forwarding
-from ...state.refusals import Ran
-from ...state.routes import CallKind
-from ...state.work import WorkLedger
-from ...transport.deadlines import monotonic
+from ....protocol.events import SequenceError
+from ....state.calls import Call, Forwarding
+from ....state.refusals import Ran
+from ....state.routes import CallKind
+from ....state.work import WorkLedger
+from ....transport.deadlines import monotonic
+from ..placing.memory import MemoryReserver, Reservation
+from ..placing.placement import Placement
+from ..placing.watching import EngineSpeedMonitor
+from ..retrying.retries import RetryBudgets
 from .accounting import AttemptAccount
 from .attempts import (
     AttemptFailure,
@@ -23,17 +27,13 @@
     collect,
 )
 from .delivery import StreamDelivery
-from .memory import MemoryReserver, Reservation
 from .opening import await_head
-from .placement import Placement
-from .retries import RetryBudgets
 from .timeouts import (
     choose_fault_threshold,
     choose_first_event_timeout,
     choose_plain_timeout,
     choose_stall_timeout,
 )
-from .watching import EngineSpeedMonitor
 
 __all__ = ['Sender']
 
--- a/src/kelproad/coordination/ingress/timeouts.py
+++ b/src/kelproad/coordination/ingress/streams/timeouts.py
@@ -2,9 +2,9 @@
 
 import math
 
-from ...state.calls import Call
-from ...state.work import EndpointWork
-from .placement import Placement
+from ....state.calls import Call
+from ....state.work import EndpointWork
+from ..placing.placement import Placement
 
 __all__ = [
     'choose_fault_threshold',
--- /dev/null
+++ b/src/kelproad/coordination/ingress/tables/__init__.py
@@ -0,0 +1,1 @@
+"""The store's tables: following, relaying and decoding them."""
--- a/src/kelproad/coordination/ingress/endpoints.py
+++ b/src/kelproad/coordination/ingress/tables/endpoints.py
@@ -15,15 +15,15 @@
 import attrs
 from returns.result import Failure, Result
 
-from ...state.declarations import (
+from ....state.declarations import (
     EndpointDeclaration,
     EndpointGroup,
     EndpointKind,
 )
-from ...state.endpoints import EndpointTable
-from ...state.records import record
-from ...state.routes import RoutingConfiguration
-from ...transport.deadlines import monotonic
+from ....state.endpoints import EndpointTable
+from ....state.records import record
+from ....state.routes import RoutingConfiguration
+from ....transport.deadlines import monotonic
 from .decoding import DecodedState
 
 __all__ = ['EndpointRegistry', 'ListedEndpoint']
--- a/src/kelproad/coordination/ingress/tables.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -13,14 +13,14 @@
 import msgspec
 from returns.result import Failure, Result
 
-from ...state.endpoints import EndpointTable
+from ....state.endpoints import EndpointTable
+from ..settings import Bounds
 from .caching import TableCache
 from .decoding import DecodedState, Payload
 from .endpoints import EndpointRegistry, ListedEndpoint
 from .following import PeerTable, TableFollower, TableSource
 from .holder import ConfigurationHolder
 from .readers import MAX_RELAYED_AGE
-from .settings import Bounds
 from .store import NodeStore
 from .tablestates import Provenance, StoredRow, TableState
 
--- a/src/kelproad/coordination/ingress/following.py
+++ b/src/kelproad/coordination/ingress/tables/following.py
@@ -15,9 +15,9 @@
 from mode import Service
 from returns.result import Failure, Result, Success
 
-from ...state.records import record
-from ...transport.deadlines import monotonic, read_boottime
-from ...transport.services import BackgroundService
+from ....state.records import record
+from ....transport.deadlines import monotonic, read_boottime
+from ....transport.services import BackgroundService
 from .tablestates import (
     Provenance,
     StoreProblem,
--- a/src/kelproad/coordination/ingress/holder.py
+++ b/src/kelproad/coordination/ingress/tables/holder.py
@@ -6,8 +6,8 @@
 
 from returns.result import Failure, Result
 
-from ...state.records import record
-from ...state.routes import RoutingConfiguration
+from ....state.records import record
+from ....state.routes import RoutingConfiguration
 
 __all__ = ['ConfigurationHolder']
 
--- a/src/kelproad/coordination/ingress/probing.py
+++ b/src/kelproad/coordination/ingress/tables/probing.py
@@ -10,10 +10,10 @@
 
 import attrs
 
-from ...transport.deadlines import read_boottime
-from .queries import PeerQueries, TablesQuery, TablesReply
+from ....transport.deadlines import read_boottime
+from ..membership.queries import PeerQueries, TablesQuery, TablesReply
+from .followed import TableFreshness
 from .readers import Reader
-from .tables import TableFreshness
 
 __all__ = ['Freshness', 'TableProbe']
 
--- a/src/kelproad/coordination/ingress/relaying.py
+++ b/src/kelproad/coordination/ingress/tables/relaying.py
@@ -18,11 +18,11 @@
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
-from ...state.counters import Counters
-from ...state.records import record
-from ...transport.addresses import Address
-from ...transport.deadlines import monotonic, read_boottime
-from ...transport.exchanges import Reply, exchange
+from ....state.counters import Counters
+from ....state.records import record
+from ....transport.addresses import Address
+from ....transport.deadlines import monotonic, read_boottime
+from ....transport.exchanges import Reply, exchange
 from .probing import Freshness
 from .readers import MAX_RELAYED_AGE, Reader, ReaderSelector
 from .tablestates import Provenance, StoredRow, TableState
--- a/src/kelproad/coordination/ingress/store.py
+++ b/src/kelproad/coordination/ingress/tables/store.py
@@ -6,11 +6,11 @@
 import attrs
 from returns.result import Result
 
-from ...state.counters import Counters
-from ...state.routes import RoutingConfiguration
+from ....state.counters import Counters
+from ....state.routes import RoutingConfiguration
+from ..membership.rostering import RosterStore
 from .endpoints import ListedEndpoint
 from .following import TableSource
-from .rostering import RosterStore
 from .tablestates import StoredRow
 
 __all__ = ['NodeStore', 'OpenStore']
--- a/src/kelproad/platform/node.py
+++ b/src/kelproad/platform/node.py
@@ -5,13 +5,13 @@
 
 import aiohttp
 
-from ..coordination.ingress.dialect import Dialect
-from ..coordination.ingress.following import TableSource
-from ..coordination.ingress.memory import EngineOperations
+from ..coordination.ingress.admission.dialect import Dialect
+from ..coordination.ingress.membership.rostering import RosterStore
 from ..coordination.ingress.node import Node
+from ..coordination.ingress.placing.memory import EngineOperations
 from ..coordination.ingress.reloading import SettingsHolder
-from ..coordination.ingress.rostering import RosterStore
-from ..coordination.ingress.store import NodeStore
+from ..coordination.ingress.tables.following import TableSource
+from ..coordination.ingress.tables.store import NodeStore
 from ..state.counters import Counters
 from ..transport.addresses import Address
 from . import headers, rows
--- a/src/kelproad/platform/rows.py
+++ b/src/kelproad/platform/rows.py
@@ -5,8 +5,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from ..coordination.ingress.endpoints import ListedEndpoint
-from ..coordination.ingress.tablestates import StoredRow
+from ..coordination.ingress.tables.endpoints import ListedEndpoint
+from ..coordination.ingress.tables.tablestates import StoredRow
 from ..state.engines import EngineProfile
 from ..state.routes import (
     CallKind,
--- a/src/kelproad/platform/store.py
+++ b/src/kelproad/platform/store.py
@@ -15,7 +15,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from ..coordination.ingress.tablestates import (
+from ..coordination.ingress.tables.tablestates import (
     StoredRow,
     StoreProblem,
     StoreProblemKind,
--- a/tests/ingress/test_admitting.py
+++ b/tests/ingress/test_admitting.py
@@ -7,10 +7,15 @@
 from returns.result import Failure, Result, Success
 
 from kelproad.coordination.drain import Drain
-from kelproad.coordination.ingress import admitting as admitting_module
-from kelproad.coordination.ingress.admitting import Admitter
-from kelproad.coordination.ingress.holder import ConfigurationHolder
-from kelproad.coordination.ingress.stopping import StopGuard, plan_stop
+from kelproad.coordination.ingress.admission import (
+    admitting as admitting_module,
+)
+from kelproad.coordination.ingress.admission.admitting import Admitter
+from kelproad.coordination.ingress.admission.stopping import (
+    StopGuard,
+    plan_stop,
+)
+from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
 from kelproad.state.refusals import Refusal, RefusalCode
 from kelproad.state.routes import IngressLimits, RoutingConfiguration
 from kelproad.transport.deadlines import monotonic
--- a/tests/ingress/test_attempts.py
+++ b/tests/ingress/test_attempts.py
@@ -10,20 +10,22 @@
 from multidict import CIMultiDict
 from returns.result import Failure, Result
 
-from kelproad.coordination.ingress.attempts import (
+from kelproad.coordination.ingress.admission.dialect import Dialect
+from kelproad.coordination.ingress.membership.reachability import (
+    ZoneReachability,
+)
+from kelproad.coordination.ingress.placing.placement import Placement
+from kelproad.coordination.ingress.retrying.retries import RetryBudgets
+from kelproad.coordination.ingress.retrying.verdicts import AttemptEvaluator
+from kelproad.coordination.ingress.settings import Bounds
+from kelproad.coordination.ingress.streams.attempts import (
     AttemptFailure,
     EndpointClient,
     OpenAnswer,
     collect,
 )
-from kelproad.coordination.ingress.dialect import Dialect
-from kelproad.coordination.ingress.opening import abandon
-from kelproad.coordination.ingress.placement import Placement
-from kelproad.coordination.ingress.progress import Progress
-from kelproad.coordination.ingress.reachability import ZoneReachability
-from kelproad.coordination.ingress.retries import RetryBudgets
-from kelproad.coordination.ingress.settings import Bounds
-from kelproad.coordination.ingress.verdicts import AttemptEvaluator
+from kelproad.coordination.ingress.streams.opening import abandon
+from kelproad.coordination.ingress.streams.progress import Progress
 from kelproad.platform.headers import (
     build_refusal,
     encode_call,
--- a/tests/ingress/test_endpoints.py
+++ b/tests/ingress/test_endpoints.py
@@ -5,15 +5,18 @@
 import msgspec
 import pytest
 
-from kelproad.coordination.ingress import endpoints as registry_module
-from kelproad.coordination.ingress.caching import TableCache
-from kelproad.coordination.ingress.decoding import DecodedState
-from kelproad.coordination.ingress.endpoints import (
+from kelproad.coordination.ingress.tables import endpoints as registry_module
+from kelproad.coordination.ingress.tables.caching import TableCache
+from kelproad.coordination.ingress.tables.decoding import DecodedState
+from kelproad.coordination.ingress.tables.endpoints import (
     MASS_LAPSE_SECONDS,
     RECOVERY_GRACE_SECONDS,
     EndpointRegistry,
 )
-from kelproad.coordination.ingress.tablestates import StoredRow, TableState
+from kelproad.coordination.ingress.tables.tablestates import (
+    StoredRow,
+    TableState,
+)
 from kelproad.platform.rows import decode_endpoint
 from kelproad.state.endpoints import EndpointTable
 from kelproad.state.routes import (
--- a/tests/ingress/test_exchange.py
+++ b/tests/ingress/test_exchange.py
@@ -4,20 +4,20 @@
 
 import pytest
 
-from kelproad.coordination.ingress import exchange as exchange_module
-from kelproad.coordination.ingress.exchange import WorkExchange
-from kelproad.coordination.ingress.peers import MAX_FULL_MESH_PEERS
-from kelproad.coordination.ingress.reachability import (
+from kelproad.coordination.ingress.membership import exchange as exchange_module
+from kelproad.coordination.ingress.membership.exchange import WorkExchange
+from kelproad.coordination.ingress.membership.peers import MAX_FULL_MESH_PEERS
+from kelproad.coordination.ingress.membership.reachability import (
     SILENT_SECONDS,
     ZoneReachability,
 )
-from kelproad.coordination.ingress.settings import NodeSettings
-from kelproad.coordination.ingress.tablestates import Provenance
-from kelproad.coordination.ingress.updates import (
+from kelproad.coordination.ingress.membership.updates import (
     PeerUpdate,
     decode_update,
     pack_work,
 )
+from kelproad.coordination.ingress.settings import NodeSettings
+from kelproad.coordination.ingress.tables.tablestates import Provenance
 from kelproad.state.observations import EngineObservations
 from kelproad.state.work import FORGET_AFTER, EndpointWork, WorkLedger
 from kelproad.transport.addresses import Address
--- a/tests/ingress/test_following.py
+++ b/tests/ingress/test_following.py
@@ -6,13 +6,13 @@
 import pytest
 from returns.result import Failure, Result, Success
 
-from kelproad.coordination.ingress import following as following_module
-from kelproad.coordination.ingress.following import (
+from kelproad.coordination.ingress.tables import following as following_module
+from kelproad.coordination.ingress.tables.following import (
     PeerTable,
     TableFollower,
     TableSource,
 )
-from kelproad.coordination.ingress.tablestates import (
+from kelproad.coordination.ingress.tables.tablestates import (
     StoredRow,
     StoreProblem,
     StoreProblemKind,
--- a/tests/ingress/test_fuzz.py
+++ b/tests/ingress/test_fuzz.py
@@ -10,7 +10,7 @@
 from multidict import CIMultiDict
 from returns.result import Failure, Success
 
-from kelproad.coordination.ingress.tablestates import StoredRow
+from kelproad.coordination.ingress.tables.tablestates import StoredRow
 from kelproad.platform.headers import read_call_head
 from kelproad.platform.rows import decode_configuration, decode_endpoint
 from kelproad.platform.settings import parse_node_settings
--- a/tests/ingress/test_memory.py
+++ b/tests/ingress/test_memory.py
@@ -4,11 +4,11 @@
 
 from returns.result import Result, Success
 
-from kelproad.coordination.ingress.memory import (
+from kelproad.coordination.ingress.placing.memory import (
     EngineOperations,
     MemoryReserver,
 )
-from kelproad.coordination.ingress.placement import MemoryShare
+from kelproad.coordination.ingress.placing.placement import MemoryShare
 from kelproad.coordination.ingress.settings import Bounds
 from kelproad.state.declarations import (
     EndpointDeclaration,
--- a/tests/ingress/test_misdirected.py
+++ b/tests/ingress/test_misdirected.py
@@ -5,22 +5,25 @@
 import msgspec
 import pytest
 
-from kelproad.coordination.ingress import verdicts as verdicts_module
-from kelproad.coordination.ingress.attempts import AttemptFailure
-from kelproad.coordination.ingress.choosing import Chooser
-from kelproad.coordination.ingress.decoding import DecodedState
-from kelproad.coordination.ingress.endpoints import EndpointRegistry
-from kelproad.coordination.ingress.holder import ConfigurationHolder
-from kelproad.coordination.ingress.placement import Placement
-from kelproad.coordination.ingress.progress import Progress
-from kelproad.coordination.ingress.reachability import (
+from kelproad.coordination.ingress.membership.reachability import (
     SILENT_SECONDS,
     ZoneReachability,
 )
-from kelproad.coordination.ingress.retries import RetryBudgets
+from kelproad.coordination.ingress.placing.choosing import Chooser
+from kelproad.coordination.ingress.placing.placement import Placement
+from kelproad.coordination.ingress.retrying import verdicts as verdicts_module
+from kelproad.coordination.ingress.retrying.retries import RetryBudgets
+from kelproad.coordination.ingress.retrying.verdicts import AttemptEvaluator
 from kelproad.coordination.ingress.settings import Bounds
-from kelproad.coordination.ingress.tablestates import StoredRow, TableState
-from kelproad.coordination.ingress.verdicts import AttemptEvaluator
+from kelproad.coordination.ingress.streams.attempts import AttemptFailure
+from kelproad.coordination.ingress.streams.progress import Progress
+from kelproad.coordination.ingress.tables.decoding import DecodedState
+from kelproad.coordination.ingress.tables.endpoints import EndpointRegistry
+from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
+from kelproad.coordination.ingress.tables.tablestates import (
+    StoredRow,
+    TableState,
+)
 from kelproad.platform.rows import decode_endpoint
 from kelproad.state.counters import Counters
 from kelproad.state.endpoints import EndpointTable
--- a/tests/ingress/test_placing.py
+++ b/tests/ingress/test_placing.py
@@ -6,19 +6,24 @@
 import attrs
 import pytest
 
-from kelproad.coordination.ingress.parts import (
+from kelproad.coordination.ingress.placing.parts import (
     MAX_PARTS,
     SPARE_TOKENS,
     TOKENS_PER_STREAM,
 )
-from kelproad.coordination.ingress.placement import (
+from kelproad.coordination.ingress.placing.placement import (
     CallRequirements,
     Candidate,
     NoPlacementError,
     Placement,
 )
-from kelproad.coordination.ingress.predictions import predict_first_token
-from kelproad.coordination.ingress.selection import choose_engines, choose_plain
+from kelproad.coordination.ingress.placing.predictions import (
+    predict_first_token,
+)
+from kelproad.coordination.ingress.placing.selection import (
+    choose_engines,
+    choose_plain,
+)
 from kelproad.standins.passes import EmulatedCall, Emulation
 from kelproad.state.declarations import (
     EndpointDeclaration,
--- a/tests/ingress/test_probing.py
+++ b/tests/ingress/test_probing.py
@@ -4,15 +4,18 @@
 
 import pytest
 
-from kelproad.coordination.ingress import probing as probing_module
-from kelproad.coordination.ingress import relaying as relaying_module
-from kelproad.coordination.ingress.probing import TableProbe
-from kelproad.coordination.ingress.queries import PeerQueries, TablesReply
-from kelproad.coordination.ingress.readers import Reader, ReaderSelector
-from kelproad.coordination.ingress.relaying import TableRelay
+from kelproad.coordination.ingress.membership.queries import (
+    PeerQueries,
+    TablesReply,
+)
 from kelproad.coordination.ingress.settings import NodeSettings
-from kelproad.coordination.ingress.tables import TableFreshness
-from kelproad.coordination.ingress.tablestates import Provenance
+from kelproad.coordination.ingress.tables import probing as probing_module
+from kelproad.coordination.ingress.tables import relaying as relaying_module
+from kelproad.coordination.ingress.tables.followed import TableFreshness
+from kelproad.coordination.ingress.tables.probing import TableProbe
+from kelproad.coordination.ingress.tables.readers import Reader, ReaderSelector
+from kelproad.coordination.ingress.tables.relaying import TableRelay
+from kelproad.coordination.ingress.tables.tablestates import Provenance
 from kelproad.state.counters import Counters
 from kelproad.transport.addresses import Address
 from kelproad.transport.deadlines import monotonic
--- a/tests/ingress/test_progress.py
+++ b/tests/ingress/test_progress.py
@@ -1,7 +1,7 @@
 """Where a call may go after attempts that failed."""
 
-from kelproad.coordination.ingress.attempts import AttemptFailure
-from kelproad.coordination.ingress.progress import Progress
+from kelproad.coordination.ingress.streams.attempts import AttemptFailure
+from kelproad.coordination.ingress.streams.progress import Progress
 from kelproad.state.refusals import Ran
 
 REFUSED = AttemptFailure('not run: status 503', Ran.NO)
--- a/tests/ingress/test_spillover.py
+++ b/tests/ingress/test_spillover.py
@@ -6,22 +6,29 @@
 
 import pytest
 
-from kelproad.coordination.ingress import choosing as choosing_module
-from kelproad.coordination.ingress import spillover as spillover_module
-from kelproad.coordination.ingress.choosing import Chooser
-from kelproad.coordination.ingress.holder import ConfigurationHolder
-from kelproad.coordination.ingress.peers import (
+from kelproad.coordination.ingress.membership import (
+    spillover as spillover_module,
+)
+from kelproad.coordination.ingress.membership.peers import (
     MAX_FULL_MESH_PEERS,
     PeerRegister,
 )
-from kelproad.coordination.ingress.progress import Progress
-from kelproad.coordination.ingress.queries import WorkQuery, WorkReply
-from kelproad.coordination.ingress.reachability import ZoneReachability
-from kelproad.coordination.ingress.settings import NodeSettings
-from kelproad.coordination.ingress.spillover import (
+from kelproad.coordination.ingress.membership.queries import (
+    WorkQuery,
+    WorkReply,
+)
+from kelproad.coordination.ingress.membership.reachability import (
+    ZoneReachability,
+)
+from kelproad.coordination.ingress.membership.spillover import (
     ZoneSpillover,
     answer_work_query,
 )
+from kelproad.coordination.ingress.placing import choosing as choosing_module
+from kelproad.coordination.ingress.placing.choosing import Chooser
+from kelproad.coordination.ingress.settings import NodeSettings
+from kelproad.coordination.ingress.streams.progress import Progress
+from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
 from kelproad.state.calls import Call, CallHead
 from kelproad.state.declarations import (
     EndpointDeclaration,
--- a/tests/ingress/test_stops.py
+++ b/tests/ingress/test_stops.py
@@ -11,7 +11,7 @@
 
 from kelproad.coordination import drain as drain_module
 from kelproad.coordination.drain import Drain, StopTimes
-from kelproad.coordination.ingress.stopping import plan_stop
+from kelproad.coordination.ingress.admission.stopping import plan_stop
 from testbed.routed import RoutedInstance, RoutedSite, start_routed_site
 from tests.ingress.callers import call, stream
 
--- a/tests/ingress/test_tables.py
+++ b/tests/ingress/test_tables.py
@@ -6,17 +6,20 @@
 import msgspec
 from returns.result import Result, Success
 
-from kelproad.coordination.ingress.endpoints import ListedEndpoint
-from kelproad.coordination.ingress.following import (
+from kelproad.coordination.ingress.settings import Bounds
+from kelproad.coordination.ingress.tables.endpoints import ListedEndpoint
+from kelproad.coordination.ingress.tables.followed import FollowedTables
+from kelproad.coordination.ingress.tables.following import (
     PeerTable,
     TableFollower,
     TableSource,
 )
-from kelproad.coordination.ingress.holder import ConfigurationHolder
-from kelproad.coordination.ingress.settings import Bounds
-from kelproad.coordination.ingress.store import NodeStore
-from kelproad.coordination.ingress.tables import FollowedTables
-from kelproad.coordination.ingress.tablestates import StoredRow, TableState
+from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
+from kelproad.coordination.ingress.tables.store import NodeStore
+from kelproad.coordination.ingress.tables.tablestates import (
+    StoredRow,
+    TableState,
+)
 from kelproad.platform.rows import decode_configuration, decode_endpoint
 from kelproad.state.endpoints import EndpointTable
 from tests.ingress.test_following import Script
--- a/tests/ingress/test_watching.py
+++ b/tests/ingress/test_watching.py
@@ -7,8 +7,8 @@
 import pytest
 from returns.result import Failure, Result, Success
 
-from kelproad.coordination.ingress import watching as watching_module
-from kelproad.coordination.ingress.watching import EngineSpeedMonitor
+from kelproad.coordination.ingress.placing import watching as watching_module
+from kelproad.coordination.ingress.placing.watching import EngineSpeedMonitor
 from kelproad.platform.engines import _read_report
 from kelproad.state.declarations import (
     EndpointDeclaration,
