--- a/src/kelproad/coordination/ingress/admission/admitting.py
+++ b/src/kelproad/coordination/ingress/admission/admitting.py
@@ -55,9 +55,9 @@
     ) -> None:
         """Admit by the configuration in force.
 
-        ``measure_age`` returns its possible age in seconds, and
+        ``measure_age`` returns its possible age in seconds,
         ``is_confirmed_elsewhere`` whether another instance has a current one,
-        ``is_store_failing`` whether the last attempt to read it failed.
+        and ``is_store_failing`` whether the last attempt to read it failed.
         """
         self._holder = holder
         self._measure_age = measure_age
--- a/src/kelproad/coordination/ingress/tables/following.py
+++ b/src/kelproad/coordination/ingress/tables/following.py
@@ -193,10 +193,10 @@
         return await self._source.await_changes(self._version, wait_seconds)
 
     async def _read_whole(self) -> Result[TableState, StoreProblem]:
-        """Read the table from the store, or from who has it sooner.
+        """Read the table from the store, or from whoever has it sooner.
 
-        The store sends it uncompressed, over a slow link for half a second in
-        which an instance that has just started can serve nobody.
+        The store sends it uncompressed.  Over a slow link that may take half a
+        second, in which an instance that has just started can serve nobody.
         """
         reading = asyncio.create_task(self._source.read())
         try:
