Read, log and publish the request limits that endpoints state; obey none yet

Cause to be told apart: nothing recorded what an instance knows of an endpoint's limit, so the three hypotheses of the incident (never read; kept by each instance for itself; exceeded by what is sent anyway) look alike in logs and metrics.

Change: the adapter decodes the field (decimal numbers, the lowest of several; anything else is logged and changes nothing), the latest notice of each endpoint is kept until an answer of a call that it ran comes without one, or another incarnation. The field goes on to callers as before. No decision uses it.

The stand-in of an endpoint states a limit and lists when calls arrived.

--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -17,6 +17,7 @@
 from .admission.dialect import Dialect
 from .admission.entrance import CallHandler
 from .admission.stopping import StopGuard
+from .limiting.observing import LimitObserver
 from .membership.exchange import WorkExchange
 from .membership.queries import PeerQueries
 from .membership.reachability import ZoneReachability
@@ -61,6 +62,7 @@
     ledger: WorkLedger
     reachability: ZoneReachability
     observations: EngineObservations
+    limit_observer: LimitObserver
     drain: Drain
     counters: Counters
     generator: random.Random
@@ -112,7 +114,7 @@
             _create_dispatcher(
                 shared,
                 exchange,
-                EndpointClient(session, shared.dialect),
+                EndpointClient(session, shared.dialect, shared.limit_observer),
                 memory,
                 speed_monitor,
                 stop_guard,
@@ -167,5 +169,6 @@
         retries,
         shared.ledger,
         stop_guard,
+        shared.limit_observer,
         shared.counters,
     )
--- /dev/null
+++ b/src/kelproad/coordination/ingress/limiting/__init__.py
@@ -0,0 +1,1 @@
+"""Request limits that endpoints set: observation, sharing, obedience."""
--- /dev/null
+++ b/src/kelproad/coordination/ingress/limiting/observing.py
@@ -0,0 +1,102 @@
+"""Observation of the request limits that endpoints state in their answers."""
+
+import logging
+
+import attrs
+
+from ....state.calls import AnswerHead, Outcome
+from ....state.counters import LimitMetrics
+from ....state.endpoints import Endpoint, EndpointTable
+from ....state.records import record
+from ....state.requestlimits import LimitChange, LimitNotice, RequestLimits
+from ....transport.deadlines import monotonic
+
+__all__ = ['LimitObserver']
+
+_logger = logging.getLogger(__name__)
+#: Outcomes whose answer is another endpoint's, or belongs to another call.
+_FOREIGN = frozenset((Outcome.MISDIRECTED, Outcome.MISMATCHED))
+#: Outcomes of calls that the endpoint ran.  Only their answers end a limit by
+#: not stating it: a refusal before the call was read may say less.
+_RUN = frozenset((Outcome.ANSWERED, Outcome.ERROR))
+#: Digits of the seconds in the log.
+_DIGITS = 3
+
+
+@attrs.frozen
+class LimitObserver:
+    """Keeps the stated limits, logs their changes and publishes them."""
+
+    limits: RequestLimits
+    _table: EndpointTable
+    _metrics: LimitMetrics
+
+    def observe_answer(self, endpoint: Endpoint, head: AnswerHead) -> None:
+        """Record what an answer of an endpoint states about its limit."""
+        if head.outcome in _FOREIGN:
+            return
+        if head.unreadable_limit:
+            record(
+                _logger,
+                'request_limit_unreadable',
+                endpoint=endpoint.name,
+                stated=head.unreadable_limit,
+            )
+        if head.request_limit is None:
+            if head.unreadable_limit or head.outcome not in _RUN:
+                return
+        incarnation = endpoint.declaration.incarnation
+        notice = LimitNotice(head.request_limit, incarnation, monotonic())
+        self.accept(endpoint.name, notice)
+
+    def accept(self, endpoint: str, notice: LimitNotice) -> None:
+        """Record a notice, unless a newer one is known."""
+        before = self.limits.get(endpoint)
+        change = self.limits.accept(endpoint, notice)
+        if change is None:
+            return
+        record(
+            _logger,
+            change.value,
+            endpoint=endpoint,
+            rate=notice.rate,
+            before=before.rate if before else None,
+            source=notice.source or 'own answer',
+            age=round(monotonic() - notice.observed_at, _DIGITS),
+        )
+        self._publish(endpoint, notice.rate)
+
+    def find_rate(self, endpoint: Endpoint) -> float | None:
+        """Return the limit in requests per second, ``None`` without one."""
+        notice = self.limits.find(
+            endpoint.name, endpoint.declaration.incarnation
+        )
+        return notice.rate if notice else None
+
+    def forget_unlisted(self) -> None:
+        """Forget the limits of endpoints that have long been gone."""
+        listed = frozenset(self._table.all())
+        for name in self.limits.forget_unlisted(listed, monotonic()):
+            record(
+                _logger,
+                LimitChange.ENDED.value,
+                endpoint=name,
+                source='no longer listed',
+            )
+            self._publish(name, None)
+
+    def describe(self) -> dict[str, object]:
+        """Describe the limits for operators, by endpoint."""
+        now = monotonic()
+        return {
+            name: {
+                'rate': notice.rate,
+                'source': notice.source or 'own answer',
+                'age': round(now - notice.observed_at, _DIGITS),
+            }
+            for name, notice in self.limits.list_limited().items()
+        }
+
+    def _publish(self, endpoint: str, rate: float | None) -> None:
+        stated = -1 if rate is None else rate
+        self._metrics.limits.set({'endpoint': endpoint}, stated)
--- a/src/kelproad/coordination/ingress/retrying/dispatching.py
+++ b/src/kelproad/coordination/ingress/retrying/dispatching.py
@@ -21,6 +21,7 @@
 from ....transport.deadlines import monotonic
 from ...drain import StopEndedError
 from ..admission.stopping import StopGuard, refuse_stopping
+from ..limiting.observing import LimitObserver
 from ..placing.choosing import Chooser
 from ..placing.placement import NoPlacementError, Placement
 from ..streams.accounting import AttemptAccount
@@ -50,6 +51,7 @@
         retry_budgets: RetryBudgets,
         ledger: WorkLedger,
         stop_guard: StopGuard,
+        limit_observer: LimitObserver,
         counters: Counters,
     ) -> None:
         """Combine the choice, the sending and the evaluation of attempts."""
@@ -59,6 +61,7 @@
         self._retry_budgets = retry_budgets
         self._ledger = ledger
         self._stop_guard = stop_guard
+        self._limit_observer = limit_observer
         self._counters = counters
 
     async def answer(
@@ -150,7 +153,9 @@
         endpoint = placement.primary
         progress.begin()
         call.attempts += 1
-        _record_placement(call, placement)
+        _record_placement(
+            call, placement, self._limit_observer.find_rate(endpoint)
+        )
         endpoint.own_requests += 1
         try:
             with AttemptAccount(self._ledger, call, placement) as account:
@@ -229,7 +234,11 @@
     progress.note(failure, placement.primary.name, at_fault.name)
 
 
-def _record_placement(call: Call, placement: Placement) -> None:
+def _record_placement(
+    call: Call,
+    placement: Placement,
+    request_limit: float | None,
+) -> None:
     record(
         _logger,
         'placed',
@@ -242,6 +251,7 @@
         predicted=round(placement.predicted, 4),
         considered=placement.considered,
         attempt=call.attempts,
+        request_limit=request_limit,
         waited=round(monotonic() - call.arrived, 4),
     )
 
--- a/src/kelproad/coordination/ingress/streams/attempts.py
+++ b/src/kelproad/coordination/ingress/streams/attempts.py
@@ -27,6 +27,7 @@
 from ....transport.deadlines import monotonic, within
 from ....transport.http import ConnectionLostError, create_end_check
 from ..admission.dialect import Dialect
+from ..limiting.observing import LimitObserver
 
 __all__ = [
     'AttemptFailure',
@@ -156,6 +157,7 @@
 
     _session: aiohttp.ClientSession
     _dialect: Dialect
+    _limit_observer: LimitObserver
 
     async def open(
         self,
@@ -189,6 +191,7 @@
         except (aiohttp.ClientError, OSError) as error:
             return Failure(_fail(progress, repr(error), blameless=False))
         head = self._dialect.read_answer_head(response, call.request_id)
+        self._limit_observer.observe_answer(endpoint, head)
         answer = OpenAnswer(head, response, create_end_check(response))
         return await self._classify(answer, deadline)
 
--- a/src/kelproad/platform/headers.py
+++ b/src/kelproad/platform/headers.py
@@ -37,6 +37,8 @@
 #: Address of the engine whose fault made another engine refuse.
 _AT_FAULT = 'At-Server'
 _RETRY_AFTER = 'Retry-After'
+#: Requests per second that the endpoint accepts from all instances together.
+_REQUEST_LIMIT = 'Server-Limit'
 
 _MILLISECONDS = 1000.0
 #: Longest deadline that a caller may request, in milliseconds: a day.  An
@@ -58,7 +60,10 @@
 )
 _NO_FIELDS: frozenset[str] = frozenset()
 _NUMBER = re.compile('[0-9]{1,15}')
+_DECIMAL = re.compile(r'[0-9]{1,15}(\.[0-9]{0,15})?|\.[0-9]{1,15}')
 _MISDIRECTED = 421
+#: Characters of an unreadable field that are shown.
+_MAX_SHOWN = 40
 _MIN_ERROR_STATUS = 500
 
 
@@ -120,12 +125,16 @@
 ) -> AnswerHead:
     """Decode the head of an endpoint's answer."""
     headers = response.headers
+    limits, unreadable = _parse_limits(headers.getall(_REQUEST_LIMIT, []))
     return AnswerHead(
         outcome=_classify_answer(response, request_id),
         status=response.status,
         headers=tuple(filter_headers(headers, _NO_FIELDS).items()),
         at_fault=headers.get(_AT_FAULT, ''),
         length=response.content_length,
+        # Of several limits the lowest one satisfies all.
+        request_limit=min(limits, default=None),
+        unreadable_limit=', '.join(unreadable),
     )
 
 
@@ -179,6 +188,19 @@
     return _parse_count(prompt) or 0, _parse_count(answer) or 0
 
 
+def _parse_limits(fields: list[str]) -> tuple[list[float], list[str]]:
+    """Parse the limits of one or more fields; return unreadable ones too."""
+    limits: list[float] = []
+    unreadable: list[str] = []
+    for text in ','.join(fields).split(',') if fields else ():
+        text = text.strip()
+        if _DECIMAL.fullmatch(text):
+            limits.append(float(text))
+        else:
+            unreadable.append(repr(text[:_MAX_SHOWN]))
+    return limits, unreadable
+
+
 def _parse_count(text: str) -> int | None:
     text = text.strip()
     return int(text) if _NUMBER.fullmatch(text) else None
--- a/src/kelproad/standins/routed.py
+++ b/src/kelproad/standins/routed.py
@@ -51,6 +51,9 @@
         Seconds before each answer, and between two events.
     events
         Number of events of a stream, unless the query says otherwise.
+    request_limit
+        Requests per second that every answer states as the most from all
+        instances together; empty for no limit.
     """
 
     shed: bool = False
@@ -61,6 +64,7 @@
     crossed: bool = False
     pace: float = 0.01
     events: int = 5
+    request_limit: str = ''
 
 
 @attrs.define
@@ -81,6 +85,8 @@
         self._tickets: dict[str, _Ticket] = {}
         self._faults = EndpointFaults()
         self._runs: list[dict[str, str]] = []
+        #: Monotonic times at which calls arrived, rejected ones included.
+        self._arrivals: list[float] = []
         self._disconnected: list[str] = []
         self._orders: collections.Counter[str] = collections.Counter()
 
@@ -109,6 +115,7 @@
         return web.json_response(
             {
                 'runs': self._runs,
+                'arrivals': self._arrivals,
                 'left': self._disconnected,
                 'orders': self._orders,
                 'tickets': list(self._tickets),
@@ -150,11 +157,15 @@
     # Calls
 
     async def _answer(self, http_request: web.Request) -> web.StreamResponse:
+        self._arrivals.append(monotonic())
         expected = http_request.headers.get(_EXPECTED, self._name)
         if expected != self._name:
             return web.Response(status=_MISDIRECTED)
         if self._faults.shed:
-            return web.Response(status=_FULL, headers=_NOT_EXECUTED)
+            return web.Response(
+                status=_FULL,
+                headers={**_NOT_EXECUTED, **self._state_limit()},
+            )
         body = await http_request.read()
         self._runs.append(
             {
@@ -220,4 +231,9 @@
         return {
             _REQUEST_ID: 'ffff' if self._faults.crossed else request_id,
             'X-Kelproad-Server-Stamp': f'stamp.{self._name}.{request_id}',
+            **self._state_limit(),
         }
+
+    def _state_limit(self) -> dict[str, str]:
+        limit = self._faults.request_limit
+        return {'Server-Limit': limit} if limit else {}
--- a/src/kelproad/state/calls.py
+++ b/src/kelproad/state/calls.py
@@ -158,6 +158,11 @@
         Headers for the caller, without those of one connection only.
     length
         Size of the body in bytes, ``None`` when not given.
+    request_limit
+        Requests per second that the endpoint accepts from all instances
+        together, ``None`` when it states no limit.
+    unreadable_limit
+        Stated limits that are no numbers; empty for none.
     """
 
     outcome: Outcome
@@ -165,3 +170,5 @@
     headers: tuple[tuple[str, str], ...]
     at_fault: str = ''
     length: int | None = None
+    request_limit: float | None = None
+    unreadable_limit: str = ''
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -5,7 +5,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
-__all__ = ['Counters', 'Latencies']
+__all__ = ['Counters', 'Latencies', 'LimitMetrics']
 
 #: Upper bounds of the histograms in seconds: the objectives of the sites are
 #: between 0.2 and 3, deadlines 10 and 15.
@@ -31,6 +31,18 @@
         )
 
 
+class LimitMetrics:
+    """Metrics of the request limits that endpoints set."""
+
+    def __init__(self, registry: Registry) -> None:
+        """Register the metrics."""
+        self.limits = Gauge(
+            'kelproad_endpoint_request_limit',
+            'Requests a second that an endpoint accepts; -1 for no limit.',
+            registry=registry,
+        )
+
+
 class Counters:
     """Every counter and gauge that the process publishes."""
 
--- /dev/null
+++ b/src/kelproad/state/requestlimits.py
@@ -0,0 +1,125 @@
+"""Request limits that endpoints set for themselves.
+
+An endpoint in need states in its answers how many requests per second it
+accepts from all instances together.  The limit holds until an answer comes
+without it: an endpoint that gets no requests sends no answers, so silence does
+not end it.
+"""
+
+import enum
+
+import attrs
+
+__all__ = ['LimitChange', 'LimitNotice', 'RequestLimits']
+
+#: Seconds for which an own observation is reported to peers, and the most
+#: endpoints in one report, so that it fits into a datagram.
+_REPORT_SECONDS = 10.0
+_MAX_REPORTED = 32
+#: Seconds without an answer after which the limit of an endpoint that is not
+#: listed is forgotten.
+_UNLISTED_SECONDS = 30.0
+
+
+class LimitChange(enum.StrEnum):
+    """What a notice changed in the limit of an endpoint."""
+
+    BEGUN = 'request_limit_begun'
+    CHANGED = 'request_limit_changed'
+    ENDED = 'request_limit_ended'
+
+
+@attrs.frozen
+class LimitNotice:
+    """What an endpoint stated about its request limit.
+
+    Attributes
+    ----------
+    rate
+        Requests per second from all instances together; ``None`` for no limit.
+    incarnation
+        Incarnation of the endpoint that stated it.
+    observed_at
+        Monotonic time of the answer.
+    source
+        Peer that reported it; empty for an answer to this instance.
+    """
+
+    rate: float | None
+    incarnation: str
+    observed_at: float
+    source: str = ''
+
+
+class RequestLimits:
+    """The latest notice of each endpoint that stated a limit."""
+
+    def __init__(self) -> None:
+        """Start without limits."""
+        self._notices: dict[str, LimitNotice] = {}
+
+    def accept(self, endpoint: str, notice: LimitNotice) -> LimitChange | None:
+        """Replace an older notice; return what that changed, if anything."""
+        known = self._notices.get(endpoint)
+        if known is None and notice.rate is None:
+            return None
+        if known is not None and known.observed_at >= notice.observed_at:
+            return None
+        self._notices[endpoint] = notice
+        return _compare(known, notice)
+
+    def get(self, endpoint: str) -> LimitNotice | None:
+        """Return the latest notice of an endpoint, in any incarnation."""
+        return self._notices.get(endpoint)
+
+    def find(self, endpoint: str, incarnation: str) -> LimitNotice | None:
+        """Return the limit of an endpoint in its current incarnation."""
+        notice = self._notices.get(endpoint)
+        if notice is None or notice.rate is None:
+            return None
+        return notice if notice.incarnation == incarnation else None
+
+    def list_limited(self) -> dict[str, LimitNotice]:
+        """List the limits, by endpoint."""
+        return {
+            name: notice
+            for name, notice in self._notices.items()
+            if notice.rate is not None
+        }
+
+    def list_reported(self, now: float) -> dict[str, LimitNotice]:
+        """List the notices to report to peers: the latest own ones."""
+        own = [
+            (notice.observed_at, name)
+            for name, notice in self._notices.items()
+            if not notice.source and now - notice.observed_at < _REPORT_SECONDS
+        ]
+        own.sort(reverse=True)
+        return {name: self._notices[name] for _, name in own[:_MAX_REPORTED]}
+
+    def forget_unlisted(self, listed: frozenset[str], now: float) -> list[str]:
+        """Forget endpoints that are no longer listed; return their names."""
+        forgotten = [
+            name
+            for name in self._notices.keys() - listed
+            if now - self._notices[name].observed_at > _UNLISTED_SECONDS
+        ]
+        for name in forgotten:
+            self._notices.pop(name)
+        return forgotten
+
+
+def _compare(
+    known: LimitNotice | None,
+    notice: LimitNotice,
+) -> LimitChange | None:
+    """Compare a notice with the earlier one of the same endpoint."""
+    same_life = known is not None and known.incarnation == notice.incarnation
+    before = known.rate if same_life else None
+    if before == notice.rate:
+        return None
+    if before is None:
+        return LimitChange.BEGUN
+    if notice.rate is None:
+        return LimitChange.ENDED
+    return LimitChange.CHANGED
--- a/tests/ingress/test_attempts.py
+++ b/tests/ingress/test_attempts.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result
 
 from kelproad.coordination.ingress.admission.dialect import Dialect
+from kelproad.coordination.ingress.limiting.observing import LimitObserver
 from kelproad.coordination.ingress.membership.reachability import (
     ZoneReachability,
 )
@@ -34,7 +35,7 @@
 )
 from kelproad.protocol.connections import build_connection_trace
 from kelproad.state.calls import Call, CallHead, Forwarding
-from kelproad.state.counters import Counters
+from kelproad.state.counters import Counters, LimitMetrics
 from kelproad.state.declarations import (
     EndpointDeclaration,
     EndpointGroup,
@@ -43,6 +44,7 @@
 from kelproad.state.endpoints import Endpoint, EndpointTable
 from kelproad.state.observations import EngineObservations
 from kelproad.state.refusals import Ran
+from kelproad.state.requestlimits import RequestLimits
 from kelproad.state.routes import CallKind, Route, WeightedService
 from kelproad.transport.deadlines import monotonic
 from kelproad.transport.http import create_single_use_session
@@ -103,7 +105,10 @@
     async with create_single_use_session(
         trace_configs=[build_connection_trace()],
     ) as session:
-        yield EndpointClient(session, dialect)
+        observer = LimitObserver(
+            RequestLimits(), EndpointTable(), LimitMetrics(Counters().registry)
+        )
+        yield EndpointClient(session, dialect, observer)
 
 
 @pytest.fixture
