Obey the request limits of endpoints, all instances together

Cause: no decision used the limit. Ruled out: shares added up (each instance for itself) and retries (all first attempts); both would have followed a simpler mend.

Change, one gate that every attempt passes (first ones, retries, resumed streams): - One instance of the endpoint's zone grants the starts there (rendezvous by name over the live ones, no election), evenly spaced, with at most one second's starts made up for. A start may be reserved within the call's longest wait. An instance of another zone may know only one there, which relays the query. - A coordinator that does not reply: each instance has an equal part of the limit of its own until it replies or its silence shows. A zone without instances: the other zones share its limits. When all limits are reached the call is refused at once as not run, with a Retry-After at random.

--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -17,7 +17,7 @@
 from .admission.dialect import Dialect
 from .admission.entrance import CallHandler
 from .admission.stopping import StopGuard
-from .limiting.observing import LimitObserver
+from .limiting.gate import StartGate
 from .membership.exchange import WorkExchange
 from .membership.queries import PeerQueries
 from .membership.reachability import ZoneReachability
@@ -62,11 +62,11 @@
     ledger: WorkLedger
     reachability: ZoneReachability
     observations: EngineObservations
-    limit_observer: LimitObserver
     drain: Drain
     counters: Counters
     generator: random.Random
     queries: PeerQueries
+    gate: StartGate
     measure_age: Callable[[], float]
     is_store_failing: Callable[[], bool]
     read_bounds: Callable[[], Bounds]
@@ -88,13 +88,14 @@
     ) -> Self:
         """Build the components; calls to endpoints use the session."""
         orders = shared.dialect.open_orders(session)
-        memory = MemoryReserver(orders, shared.read_bounds)
+        memory = MemoryReserver(orders, shared.read_bounds, shared.gate.charge)
         speed_monitor = EngineSpeedMonitor(
             shared.instance,
             shared.holder,
             shared.ledger,
             shared.observations,
             orders.read_slowdown,
+            shared.gate.charge,
         )
         stop_guard = StopGuard(shared.drain)
         admitter = Admitter(
@@ -114,7 +115,7 @@
             _create_dispatcher(
                 shared,
                 exchange,
-                EndpointClient(session, shared.dialect, shared.limit_observer),
+                EndpointClient(session, shared.dialect, shared.gate.observer),
                 memory,
                 speed_monitor,
                 stop_guard,
@@ -143,6 +144,7 @@
         shared.reachability,
         shared.ledger,
         shared.observations,
+        shared.gate.observer,
         shared.generator,
     )
     chooser = Chooser(
@@ -153,6 +155,7 @@
         shared.reachability,
         shared.observations,
         spillover,
+        shared.gate,
         shared.generator,
     )
     sender = Sender(client, memory, shared.ledger, retries, speed_monitor)
@@ -169,6 +172,6 @@
         retries,
         shared.ledger,
         stop_guard,
-        shared.limit_observer,
+        shared.gate,
         shared.counters,
     )
--- /dev/null
+++ b/src/kelproad/coordination/ingress/limiting/coordinators.py
@@ -0,0 +1,66 @@
+"""Selection of the instance that grants starts at a limited endpoint.
+
+One instance of the endpoint's zone grants all starts there, so that the limit
+holds for all instances together, however many there are.  Every instance
+computes which one from the peers that it knows to be live; there is no
+election.  Where two views differ for a moment, each of the two grants starts
+for that moment; an instance that has exited is replaced once its silence shows.
+"""
+
+import zlib
+from collections.abc import Callable
+
+import attrs
+
+from ..membership.peers import PeerRegister
+from ..tables.readers import Reader
+
+__all__ = ['Coordinator', 'CoordinatorSelector']
+
+
+@attrs.frozen
+class Coordinator:
+    """The instance that grants starts at an endpoint.
+
+    Attributes
+    ----------
+    host
+        Its IP number; empty for this instance.
+    share
+        Share of the endpoint's limit that it may grant.
+    """
+
+    host: str
+    share: float = 1
+
+
+@attrs.frozen
+class CoordinatorSelector:
+    """Selects coordinators from the live instances."""
+
+    _describe_self: Callable[[], Reader]
+    _peers: PeerRegister
+
+    def select(self, endpoint: str, zone: str, now: float) -> Coordinator:
+        """Select the coordinator of an endpoint in a zone.
+
+        Without a live instance in that zone, each other zone grants an equal
+        share of the limit.
+        """
+        own = self._describe_self()
+        live = [own, *self._peers.list_live(now)]
+        candidates = [reader for reader in live if reader.zone == zone]
+        share = 1.0
+        if not candidates:
+            share = 1 / len({reader.zone for reader in live if reader.zone})
+            candidates = [reader for reader in live if reader.zone == own.zone]
+        chosen = min(
+            candidates, key=lambda reader: _rank(reader.instance, endpoint)
+        )
+        is_self = chosen.instance == own.instance
+        return Coordinator('' if is_self else chosen.host, share)
+
+
+def _rank(instance: str, endpoint: str) -> tuple[int, str]:
+    """Rank instances in another order for each endpoint, to spread the load."""
+    return zlib.crc32(f'{instance} {endpoint}'.encode()), instance
--- /dev/null
+++ b/src/kelproad/coordination/ingress/limiting/gate.py
@@ -0,0 +1,208 @@
+"""Gate before endpoints that limit their requests.
+
+Every call to such an endpoint passes it: first attempts, retries and streams
+that are resumed.  The limit holds for all instances together, so the endpoint's
+coordinator grants the starts.
+"""
+
+import asyncio
+import functools
+import logging
+import math
+import random
+
+from ....state.endpoints import Endpoint
+from ....state.records import record
+from ....state.requestlimits import LimitNotice
+from ....state.startschedules import (
+    StartGrant,
+    StartSchedule,
+    choose_spacing,
+)
+from ....transport.deadlines import monotonic
+from ..membership.peers import PeerRegister
+from ..membership.queries import PeerQueries, StartQuery, StartReply
+from ..membership.updates import pack_limits, unpack_limit
+from .coordinators import Coordinator, CoordinatorSelector
+from .granting import StartGranter
+from .observing import LimitObserver
+
+__all__ = ['StartGate']
+
+_logger = logging.getLogger(__name__)
+#: Seconds for a reply of the coordinator, which may be in another zone.
+_REPLY_TIMEOUT = 0.1
+#: Seconds for which a coordinator that did not reply is not queried again.
+_SILENT_SECONDS = 0.5
+#: Seconds by which a start may be later than predicted when an endpoint was
+#: chosen; beyond that, another endpoint may be the better choice.
+_SURPRISE_SECONDS = 0.05
+
+
+class StartGate:
+    """Lets calls pass to limited endpoints as their limits permit."""
+
+    def __init__(
+        self,
+        observer: LimitObserver,
+        granter: StartGranter,
+        selector: CoordinatorSelector,
+        queries: PeerQueries,
+        peers: PeerRegister,
+        generator: random.Random,
+    ) -> None:
+        """Grant starts that this instance coordinates, query others."""
+        self.observer = observer
+        self._granter = granter
+        self._selector = selector
+        self._queries = queries
+        self._peers = peers
+        self._generator = generator
+        #: Monotonic times before which no start is expected, by endpoint.
+        self._expected_at: dict[str, float] = {}
+        #: Monotonic times until which coordinators are not queried, by host.
+        self._silent_until: dict[str, float] = {}
+        #: This instance's part of limits while their coordinator is silent.
+        self._own_parts: dict[str, StartSchedule] = {}
+
+    def predict_wait(self, endpoint: Endpoint, now: float) -> float | None:
+        """Predict the seconds until a call may start at an endpoint.
+
+        ``None`` means that the endpoint does not limit its requests.
+        """
+        if self._find_notice(endpoint) is None:
+            return None
+        return max(0, self._expected_at.get(endpoint.name, now) - now)
+
+    def find_rate(self, endpoint: Endpoint) -> float | None:
+        """Return an endpoint's limit in requests per second, if it has one."""
+        notice = self._find_notice(endpoint)
+        return notice.rate if notice else None
+
+    async def admit(self, endpoint: Endpoint, longest_wait: float) -> bool:
+        """Wait for a start at an endpoint; return false if there is none.
+
+        A refused start raises the prediction for the endpoint.
+        """
+        notice = self._find_notice(endpoint)
+        if notice is None:
+            return True
+        predicted = self.predict_wait(endpoint, monotonic()) or 0
+        longest = min(longest_wait, predicted + _SURPRISE_SECONDS)
+        grant = await self._request(endpoint, notice, longest)
+        self._expected_at[endpoint.name] = monotonic() + grant.next_wait
+        outcome = 'granted' if grant.granted else 'denied'
+        self.observer.metrics.starts.inc({'outcome': outcome})
+        if not grant.granted:
+            return False
+        if grant.wait:
+            await asyncio.sleep(grant.wait)
+        return True
+
+    def charge(self, endpoint: Endpoint) -> None:
+        """Count a request to an endpoint that nothing may delay."""
+        notice = self._find_notice(endpoint)
+        if notice is None:
+            return
+        coordinator = self._select(endpoint)
+        if coordinator.host:
+            query = self._build_query(endpoint, notice, math.inf)
+            self._queries.announce(query, coordinator.host)
+        else:
+            self._granter.grant(
+                endpoint.name, notice.rate, coordinator.share, math.inf
+            )
+
+    def describe(self) -> dict[str, object]:
+        """Describe the limits and their use for operators, by endpoint."""
+        use = self._granter.measure_use()
+        return {
+            name: {**limit, 'granted_here': use.get(name, 0)}
+            for name, limit in self.observer.describe().items()
+        }
+
+    def _find_notice(self, endpoint: Endpoint) -> LimitNotice | None:
+        return self.observer.limits.find(
+            endpoint.name, endpoint.declaration.incarnation
+        )
+
+    def _select(self, endpoint: Endpoint) -> Coordinator:
+        return self._selector.select(
+            endpoint.name, endpoint.declaration.zone, monotonic()
+        )
+
+    async def _request(
+        self,
+        endpoint: Endpoint,
+        notice: LimitNotice,
+        longest_wait: float,
+    ) -> StartGrant:
+        """Request a start from the coordinator."""
+        coordinator = self._select(endpoint)
+        if not coordinator.host:
+            return self._granter.grant(
+                endpoint.name, notice.rate, coordinator.share, longest_wait
+            )
+        if self._silent_until.get(coordinator.host, 0) > monotonic():
+            return self._take_own_part(endpoint, notice, longest_wait)
+        reply = await self._queries.query(
+            self._build_query(endpoint, notice, longest_wait),
+            coordinator.host,
+            _REPLY_TIMEOUT,
+        )
+        if not isinstance(reply, StartReply):
+            self._record_silence(endpoint, coordinator)
+            return self._take_own_part(endpoint, notice, longest_wait)
+        self.observer.accept(
+            endpoint.name,
+            unpack_limit(reply.limit, coordinator.host, monotonic()),
+        )
+        self._own_parts.pop(endpoint.name, None)
+        return StartGrant(reply.granted, reply.wait, reply.next_wait)
+
+    def _take_own_part(
+        self,
+        endpoint: Endpoint,
+        notice: LimitNotice,
+        longest_wait: float,
+    ) -> StartGrant:
+        """Take a start from an equal part of the limit.
+
+        The parts of all live instances are no more than the limit, and none
+        needs another instance.
+        """
+        now = monotonic()
+        instances = self._peers.count_live(now)
+        spacing = choose_spacing(notice.rate) * instances
+        schedule = self._own_parts.get(endpoint.name)
+        if schedule is None:
+            # At random, as the instances would otherwise all start at once.
+            first_at = now + self._generator.uniform(0, spacing)
+            schedule = StartSchedule(spacing, first_at)
+            self._own_parts[endpoint.name] = schedule
+        return schedule.reserve(spacing, longest_wait, now)
+
+    def _record_silence(
+        self,
+        endpoint: Endpoint,
+        coordinator: Coordinator,
+    ) -> None:
+        record(
+            _logger,
+            'start_unanswered',
+            endpoint=endpoint.name,
+            coordinator=coordinator.host,
+        )
+        self.observer.metrics.starts.inc({'outcome': 'unanswered'})
+        self._silent_until[coordinator.host] = monotonic() + _SILENT_SECONDS
+
+    def _build_query(
+        self,
+        endpoint: Endpoint,
+        notice: LimitNotice,
+        longest_wait: float,
+    ) -> functools.partial[StartQuery]:
+        limit = pack_limits({endpoint.name: notice}, monotonic())[0]
+        return functools.partial(
+            StartQuery, limit=limit, longest_wait=longest_wait
+        )
--- /dev/null
+++ b/src/kelproad/coordination/ingress/limiting/granting.py
@@ -0,0 +1,92 @@
+"""Granting of starts at limited endpoints, to this instance and to others."""
+
+import attrs
+import msgspec
+
+from ....state.endpoints import EndpointTable
+from ....state.startschedules import (
+    StartGrant,
+    StartSchedule,
+    choose_spacing,
+)
+from ....transport.deadlines import monotonic
+from ..membership.queries import PeerQueries, StartQuery, StartReply
+from ..membership.updates import pack_limits, unpack_limit
+from .coordinators import CoordinatorSelector
+from .observing import LimitObserver
+
+__all__ = ['StartGranter']
+
+#: Schedules that are kept at most; the limits of endpoints that are gone are
+#: forgotten, and with them nobody queries for starts any more.
+_MAX_SCHEDULES = 10_000
+
+
+@attrs.define
+class StartGranter:
+    """Grants starts at the endpoints that this instance coordinates."""
+
+    _observer: LimitObserver
+    _selector: CoordinatorSelector
+    _table: EndpointTable
+    _schedules: dict[str, StartSchedule] = attrs.field(factory=dict)
+
+    def grant(
+        self,
+        endpoint: str,
+        rate: float,
+        share: float,
+        longest_wait: float,
+    ) -> StartGrant:
+        """Grant a start by the schedule of an endpoint."""
+        now = monotonic()
+        spacing = choose_spacing(rate) / share
+        schedule = self._schedules.get(endpoint)
+        if schedule is None:
+            if len(self._schedules) >= _MAX_SCHEDULES:
+                self._schedules.clear()
+            schedule = StartSchedule(spacing, now)
+            self._schedules[endpoint] = schedule
+        return schedule.reserve(spacing, longest_wait, now)
+
+    def answer(
+        self,
+        query: StartQuery,
+        queries: PeerQueries,
+    ) -> StartReply | None:
+        """Answer a query, or relay it to the instance that coordinates.
+
+        An instance of another zone may know only one instance of this zone.
+        """
+        name = query.limit.endpoint
+        notice = unpack_limit(query.limit, query.host, monotonic())
+        self._observer.accept(name, notice)
+        zone = self._table.find_zone(name)
+        coordinator = self._selector.select(name, zone, monotonic())
+        if coordinator.host and not query.relayed:
+            relayed = msgspec.structs.replace(query, relayed=True)
+            queries.relay(relayed, coordinator.host)
+            return None
+        return self._reply(query, coordinator.share)
+
+    def measure_use(self) -> dict[str, float]:
+        """Return the starts per second that were granted, by endpoint."""
+        now = monotonic()
+        return {
+            name: schedule.measure_use(now)
+            for name, schedule in self._schedules.items()
+        }
+
+    def _reply(self, query: StartQuery, share: float) -> StartReply:
+        """Grant or deny a start by what is known of the limit here."""
+        name = query.limit.endpoint
+        known = self._observer.limits.get(name)
+        limit = query.limit
+        if known is not None:
+            limit = pack_limits({name: known}, monotonic())[0]
+        if limit.rate is None:
+            return StartReply(query.token, True, 0, 0, limit)
+        grant = self.grant(name, limit.rate, share, query.longest_wait)
+        return StartReply(
+            query.token, grant.granted, grant.wait, grant.next_wait, limit
+        )
--- a/src/kelproad/coordination/ingress/limiting/observing.py
+++ b/src/kelproad/coordination/ingress/limiting/observing.py
@@ -28,8 +28,8 @@
     """Keeps the stated limits, logs their changes and publishes them."""
 
     limits: RequestLimits
+    metrics: LimitMetrics
     _table: EndpointTable
-    _metrics: LimitMetrics
 
     def observe_answer(self, endpoint: Endpoint, head: AnswerHead) -> None:
         """Record what an answer of an endpoint states about its limit."""
@@ -66,13 +66,6 @@
         )
         self._publish(endpoint, notice.rate)
 
-    def find_rate(self, endpoint: Endpoint) -> float | None:
-        """Return the limit in requests per second, ``None`` without one."""
-        notice = self.limits.find(
-            endpoint.name, endpoint.declaration.incarnation
-        )
-        return notice.rate if notice else None
-
     def forget_unlisted(self) -> None:
         """Forget the limits of endpoints that have long been gone."""
         listed = frozenset(self._table.all())
@@ -99,4 +92,4 @@
 
     def _publish(self, endpoint: str, rate: float | None) -> None:
         stated = -1 if rate is None else rate
-        self._metrics.limits.set({'endpoint': endpoint}, stated)
+        self.metrics.limits.set({'endpoint': endpoint}, stated)
--- a/src/kelproad/coordination/ingress/membership/exchange.py
+++ b/src/kelproad/coordination/ingress/membership/exchange.py
@@ -30,6 +30,7 @@
 from ....transport.datagrams import DatagramSocket
 from ....transport.deadlines import monotonic
 from ....transport.services import BackgroundService
+from ..limiting.observing import LimitObserver
 from ..settings import NodeSettings
 from ..tables.readers import Reader
 from ..tables.tablestates import Provenance
@@ -41,7 +42,9 @@
     ZoneReader,
     decode_update,
     encode_update,
+    pack_limits,
     pack_work,
+    unpack_limit,
     unpack_work,
 )
 
@@ -105,6 +108,7 @@
         ledger: WorkLedger,
         reachability: ZoneReachability,
         observations: EngineObservations,
+        limit_observer: LimitObserver,
         measure_age: Callable[[], float],
         read_provenance: Callable[[], Provenance | None],
         find_zone: Callable[[str], str],
@@ -121,6 +125,7 @@
         self._ledger = ledger
         self._reachability = reachability
         self._observations = observations
+        self._limit_observer = limit_observer
         self._measure_age = measure_age
         self._read_provenance = read_provenance
         self._find_zone = find_zone
@@ -176,6 +181,9 @@
         self._ledger.accept_peer(update.instance, unpack_work(update.work), now)
         self._observations.accept_refusing(update.refusing, now)
         self._observations.accept_slow(update.slow, update.instance, now)
+        for limit in update.limits:
+            notice = unpack_limit(limit, update.instance, now)
+            self._limit_observer.accept(limit.endpoint, notice)
 
     @Service.task
     async def _report_changes(self) -> None:
@@ -270,6 +278,7 @@
             self._observations.list_slow(now),
             self._read_provenance(),
             reader,
+            pack_limits(self._limit_observer.limits.list_reported(now), now),
         )
 
     def _find_zone_reader(self, now: float) -> ZoneReader | None:
--- a/src/kelproad/coordination/ingress/membership/peering.py
+++ b/src/kelproad/coordination/ingress/membership/peering.py
@@ -10,11 +10,16 @@
 import aiohttp
 from mode import Service
 
-from ....state.counters import Counters
+from ....state.counters import Counters, LimitMetrics
 from ....state.endpoints import EndpointTable
 from ....state.observations import EngineObservations
+from ....state.requestlimits import RequestLimits
 from ....state.work import WorkLedger
 from ....transport.deadlines import monotonic
+from ..limiting.coordinators import CoordinatorSelector
+from ..limiting.gate import StartGate
+from ..limiting.granting import StartGranter
+from ..limiting.observing import LimitObserver
 from ..settings import NodeSettings
 from ..tables.followed import FollowedTables
 from ..tables.following import PeerTable
@@ -24,7 +29,14 @@
 from ..tables.relaying import TableRelay
 from ..tables.store import NodeStore
 from .exchange import WorkExchange
-from .queries import PeerQueries, Query, Reply, TablesReply, WorkQuery
+from .queries import (
+    PeerQueries,
+    Query,
+    Reply,
+    StartQuery,
+    TablesReply,
+    WorkQuery,
+)
 from .reachability import ZoneReachability
 from .spillover import answer_work_query
 
@@ -42,6 +54,10 @@
         Exchange of work in flight, by datagram.
     queries
         Queries to other instances, and replies to theirs.
+    limit_observer
+        Request limits that endpoints stated, to this instance or to others.
+    gate
+        Gate before endpoints that limit their requests.
     """
 
     def __init__(
@@ -65,6 +81,9 @@
         self._table = table
         self._ledger = ledger
         self._observations = observations
+        self.limit_observer = LimitObserver(
+            RequestLimits(), LimitMetrics(counters.registry), table
+        )
         self._session = session
         self._counters = counters
         self.queries = PeerQueries(settings, self._answer)
@@ -89,10 +108,23 @@
             ledger,
             reachability,
             observations,
+            self.limit_observer,
             self.tables.configuration.measure_age,
             lambda: self.tables.provenance,
             table.find_zone,
         )
+        selector = CoordinatorSelector(
+            self.exchange.describe_self, self.exchange.peers
+        )
+        self._granter = StartGranter(self.limit_observer, selector, table)
+        self.gate = StartGate(
+            self.limit_observer,
+            self._granter,
+            selector,
+            self.queries,
+            self.exchange.peers,
+            generator,
+        )
 
     def list_services(self) -> list[Service]:
         """List the services to be started, in this order."""
@@ -119,8 +151,10 @@
             lambda: self._selector.measure_backoff(monotonic()),
         )
 
-    def _answer(self, query: Query) -> Reply:
+    def _answer(self, query: Query) -> Reply | None:
         """Answer a query that another instance sent by datagram."""
+        if isinstance(query, StartQuery):
+            return self._granter.answer(query, self.queries)
         if isinstance(query, WorkQuery):
             return answer_work_query(
                 query,
@@ -129,6 +163,7 @@
                 self._ledger,
                 self.exchange.peers,
                 self._observations,
+                self.limit_observer.limits,
             )
         within_zone = query.zone == self._settings.zone
         tables = self.tables.describe_freshness(within_zone)
--- a/src/kelproad/coordination/ingress/membership/queries.py
+++ b/src/kelproad/coordination/ingress/membership/queries.py
@@ -18,12 +18,14 @@
 from ....transport.services import BackgroundService
 from ..settings import NodeSettings
 from ..tables.followed import TableFreshness
-from .updates import ReportedWork
+from .updates import ReportedLimit, ReportedWork
 
 __all__ = [
     'Reply',
     'PeerQueries',
     'Query',
+    'StartQuery',
+    'StartReply',
     'TablesReply',
     'TablesQuery',
     'WorkReply',
@@ -67,10 +69,37 @@
     work: list[ReportedWork]
     refusing: list[str]
     slow: dict[str, float]
+    limits: list[ReportedLimit] = []
 
 
-Query = TablesQuery | WorkQuery
-Reply = TablesReply | WorkReply
+class StartQuery(msgspec.Struct, array_like=True, tag=4):
+    """Query whether a request may start at an endpoint that limits them.
+
+    ``limit`` is what the sender knows of its limit.  A start more than
+    ``longest_wait`` seconds away is useless to the sender; infinity announces
+    a start that nothing can delay.  ``relayed`` queries are not relayed again.
+    """
+
+    token: int
+    host: str
+    zone: str
+    limit: ReportedLimit
+    longest_wait: float
+    relayed: bool = False
+
+
+class StartReply(msgspec.Struct, array_like=True, tag=5):
+    """Whether a start is reserved, with the fields of ``StartGrant``."""
+
+    token: int
+    granted: bool
+    wait: float
+    next_wait: float
+    limit: ReportedLimit
+
+
+Query = TablesQuery | WorkQuery | StartQuery
+Reply = TablesReply | WorkReply | StartReply
 Message = Query | Reply
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -85,9 +114,12 @@
     def __init__(
         self,
         settings: NodeSettings,
-        answer: Callable[[Query], Reply],
+        answer: Callable[[Query], Reply | None],
     ) -> None:
-        """Reply to received queries with the result of ``answer``."""
+        """Reply to received queries with the result of ``answer``.
+
+        ``None`` sends no reply, because another instance does.
+        """
         super().__init__()
         self._settings = settings
         self._answer = answer
@@ -108,11 +140,14 @@
 
     async def query(
         self,
-        kind: type[Query],
+        kind: Callable[[int, str, str], Query],
         host: str,
         seconds: float,
     ) -> Reply | None:
-        """Send a query once; ``None`` when no reply comes in time."""
+        """Send a query once; ``None`` when no reply comes in time.
+
+        ``kind`` builds it from a token, and this instance's host and zone.
+        """
         token = next(self._tokens)
         reply = asyncio.get_running_loop().create_future()
         self._waiting[token] = reply
@@ -126,6 +161,18 @@
             self._waiting.pop(token, None)
         return None
 
+    def announce(
+        self,
+        kind: Callable[[int, str, str], Query],
+        host: str,
+    ) -> None:
+        """Send a query whose reply is not waited for."""
+        self._send(kind(0, self._settings.ip, self._settings.zone), host)
+
+    def relay(self, query: Query, host: str) -> None:
+        """Send on the query of another instance, which gets the reply."""
+        self._send(query, host)
+
     def receive(self, datagram: bytes) -> None:
         """Reply to a query, or resolve the query that a reply belongs to."""
         try:
@@ -134,7 +181,9 @@
             record(_logger, 'query_unreadable', reason=str(error))
             return
         if isinstance(message, Query):
-            self._send(self._answer(message), message.host)
+            reply = self._answer(message)
+            if reply is not None:
+                self._send(reply, message.host)
             return
         waiting = self._waiting.get(message.token)
         if waiting is not None and not waiting.done():
--- a/src/kelproad/coordination/ingress/membership/spillover.py
+++ b/src/kelproad/coordination/ingress/membership/spillover.py
@@ -12,12 +12,14 @@
 
 from ....state.endpoints import EndpointTable
 from ....state.observations import EngineObservations
+from ....state.requestlimits import RequestLimits
 from ....state.work import WorkLedger
 from ....transport.deadlines import monotonic
+from ..limiting.observing import LimitObserver
 from .peers import PeerRegister
 from .queries import PeerQueries, WorkQuery, WorkReply
 from .reachability import ZoneReachability
-from .updates import pack_work, unpack_work
+from .updates import pack_limits, pack_work, unpack_limit, unpack_work
 
 __all__ = ['ZoneSpillover', 'answer_work_query']
 
@@ -40,6 +42,7 @@
         reachability: ZoneReachability,
         ledger: WorkLedger,
         observations: EngineObservations,
+        limit_observer: LimitObserver,
         generator: random.Random,
     ) -> None:
         """Query other zones for an instance that runs in ``zone``."""
@@ -49,6 +52,7 @@
         self._reachability = reachability
         self._ledger = ledger
         self._observations = observations
+        self._limit_observer = limit_observer
         self._generator = generator
         self._queried_at = float('-inf')
         self._known_at: dict[str, float] = {}
@@ -97,6 +101,9 @@
         self._ledger.accept_peer(f'zone {zone}', unpack_work(answer.work), now)
         self._observations.accept_refusing(answer.refusing, now)
         self._observations.accept_slow(answer.slow, zone, now)
+        for limit in answer.limits:
+            notice = unpack_limit(limit, zone, now)
+            self._limit_observer.accept(limit.endpoint, notice)
 
 
 def answer_work_query(
@@ -106,6 +113,7 @@
     ledger: WorkLedger,
     peers: PeerRegister,
     observations: EngineObservations,
+    limits: RequestLimits,
 ) -> WorkReply:
     """Build the reply with the work in flight at the engines of a zone."""
     now = monotonic()
@@ -115,10 +123,16 @@
         for name, work in known.items()
         if table.find_zone(name) == zone
     }
+    limited = {
+        name: notice
+        for name, notice in limits.list_limited().items()
+        if table.find_zone(name) == zone
+    }
     slowdowns = {name: observations.find_slowdown(name, now) for name in here}
     return WorkReply(
         query.token,
         pack_work(here),
         [name for name in here if observations.refuses_help(name, now)],
         {name: factor for name, factor in slowdowns.items() if factor > 1},
+        pack_limits(limited, now),
     )
--- a/src/kelproad/coordination/ingress/membership/updates.py
+++ b/src/kelproad/coordination/ingress/membership/updates.py
@@ -1,19 +1,25 @@
 """Reports that instances send each other of themselves, as datagrams."""
 
+from collections.abc import Mapping
+
 import msgspec
 from returns.result import Failure, Result, Success
 
+from ....state.requestlimits import LimitNotice
 from ....state.work import EndpointWork
 from ..tables.tablestates import Provenance
 
 __all__ = [
     'PeerUpdate',
     'ZoneReader',
+    'ReportedLimit',
     'ReportedWork',
     'decode_update',
     'encode_update',
-    'unpack_work',
+    'pack_limits',
     'pack_work',
+    'unpack_limit',
+    'unpack_work',
 ]
 
 
@@ -32,6 +38,18 @@
     patient_calls: int = 0
 
 
+class ReportedLimit(msgspec.Struct, array_like=True):
+    """What an endpoint stated about its request limit, ``age`` seconds ago.
+
+    ``rate`` is in requests per second, ``None`` for no limit.
+    """
+
+    endpoint: str
+    incarnation: str
+    rate: float | None
+    age: float
+
+
 class ZoneReader(msgspec.Struct, array_like=True):
     """The instance that serves the store's tables to the others of its zone."""
 
@@ -50,7 +68,8 @@
     those that reported how many times their published durations they take.
     ``provenance`` is the source of the sender's tables, ``None`` when they are
     too old to be relayed.  ``zone_reader`` is the instance that serves tables
-    to the sender's zone.
+    to the sender's zone.  ``limits`` are the request limits that endpoints
+    stated to the sender.
     """
 
     instance: str
@@ -65,6 +84,7 @@
     slow: dict[str, float] = {}
     provenance: Provenance | None = None
     zone_reader: ZoneReader | None = None
+    limits: list[ReportedLimit] = []
 
 
 encode_update = msgspec.msgpack.Encoder().encode
@@ -94,6 +114,27 @@
     ]
 
 
+def pack_limits(
+    notices: Mapping[str, LimitNotice],
+    now: float,
+) -> list[ReportedLimit]:
+    """Convert notices of limits to their form in datagrams."""
+    return [
+        ReportedLimit(
+            name, notice.incarnation, notice.rate, now - notice.observed_at
+        )
+        for name, notice in notices.items()
+    ]
+
+
+def unpack_limit(
+    reported: ReportedLimit, source: str, now: float
+) -> LimitNotice:
+    """Convert a reported limit from its form in datagrams."""
+    observed_at = now - reported.age
+    return LimitNotice(reported.rate, reported.incarnation, observed_at, source)
+
+
 def unpack_work(reported: list[ReportedWork]) -> dict[str, EndpointWork]:
     """Convert reported work from its form in datagrams, by endpoint."""
     return {
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -9,11 +9,10 @@
 from mode import Service
 
 from ...protocol.connections import build_connection_trace
-from ...state.counters import Counters, LimitMetrics
+from ...state.counters import Counters
 from ...state.endpoints import EndpointTable
 from ...state.observations import EngineObservations
 from ...state.records import record
-from ...state.requestlimits import RequestLimits
 from ...state.work import WorkLedger
 from ...transport.deadlines import monotonic
 from ...transport.http import create_session, create_single_use_session
@@ -22,7 +21,6 @@
 from .admission.dialect import Dialect
 from .admission.stopping import plan_stop
 from .assembly import CallPipeline, SharedState
-from .limiting.observing import LimitObserver
 from .membership.peering import Peering
 from .membership.peers import CONFIRMED_SECONDS
 from .membership.reachability import ZoneReachability
@@ -76,11 +74,6 @@
         self._ledger = WorkLedger()
         self._reachability = ZoneReachability()
         self._observations = EngineObservations()
-        self._limit_observer = LimitObserver(
-            RequestLimits(),
-            self._table,
-            LimitMetrics(self._counters.registry),
-        )
         self._sessions: list[aiohttp.ClientSession] = []
         self._drain = Drain(
             lambda: self._pipeline.handler.unfinished,
@@ -185,11 +178,11 @@
             self._ledger,
             self._reachability,
             self._observations,
-            self._limit_observer,
             self._drain,
             self._counters,
             self._generator,
             self._peering.queries,
+            self._peering.gate,
             self._tables.configuration.measure_age,
             lambda: self._tables.configuration.failing,
             self._read_bounds,
@@ -241,7 +234,7 @@
         while not self.should_stop:
             await asyncio.sleep(_LAPSE_PERIOD)
             self._tables.registry.publish_expired()
-            self._limit_observer.forget_unlisted()
+            self._peering.limit_observer.forget_unlisted()
 
     # Stop and reporting
 
@@ -295,5 +288,5 @@
             'unfinished': self._pipeline.handler.unfinished,
             'own_work': describe_work(self._ledger),
             'endpoints': describe_endpoints(self._table, now),
-            'request_limits': self._limit_observer.describe(),
+            'request_limits': self._peering.gate.describe(),
         }
--- a/src/kelproad/coordination/ingress/placing/choosing.py
+++ b/src/kelproad/coordination/ingress/placing/choosing.py
@@ -10,6 +10,8 @@
 from ....state.observations import EngineObservations
 from ....state.work import WorkLedger
 from ....transport.deadlines import monotonic
+from ..limiting.gate import StartGate
+from ..limiting.waits import choose_longest_wait, choose_return
 from ..membership.reachability import ZoneReachability
 from ..membership.spillover import ZoneSpillover
 from ..streams.progress import Progress
@@ -40,6 +42,7 @@
         reach: ZoneReachability,
         observations: EngineObservations,
         spillover: ZoneSpillover,
+        gate: StartGate,
         generator: random.Random,
     ) -> None:
         """Select endpoints for an instance that runs in ``zone``."""
@@ -50,6 +53,7 @@
         self._reachability = reach
         self._observations = observations
         self._spillover = spillover
+        self._gate = gate
         self._generator = generator
 
     async def choose(self, call: Call, progress: Progress) -> Placement:
@@ -110,6 +114,7 @@
             )
             for endpoint in self._sample(left)
         ]
+        candidates = self._exclude_limited(candidates, call, now)
         profile = self._holder.current.find_profile(call.service)
         if profile is None:
             work_seconds = call.route.objective * _PLAIN_WORK_SHARE
@@ -129,6 +134,17 @@
         )
         return attrs.evolve(placement, gap_tolerant=gap_tolerant)
 
+    def is_usable(self, placement: Placement) -> bool:
+        """Return whether the chosen endpoint may still get a call."""
+        now = monotonic()
+        endpoint = placement.primary
+        current = self._table.get(endpoint.name)
+        return (
+            current is endpoint
+            and _is_eligible(endpoint, now)
+            and endpoint.ejected_until <= now
+        )
+
     def _choose_local(self, call: Call, progress: Progress) -> Placement | None:
         """Choose among the healthy engines of the local zone, if one can."""
         local_endpoints = self._table.in_zone(call.service, self._zone)
@@ -162,6 +178,36 @@
             if endpoint.declaration.zone in known
         ]
 
+    def _exclude_limited(
+        self,
+        candidates: list[Candidate],
+        call: Call,
+        now: float,
+    ) -> list[Candidate]:
+        """Exclude endpoints whose limits permit the call too late.
+
+        Raises
+        ------
+        NoPlacementError
+            When that excludes all of them.
+        """
+        longest = choose_longest_wait(call, now)
+        permitted = [
+            candidate
+            for candidate in candidates
+            if candidate.start_wait <= longest
+        ]
+        if candidates and not permitted:
+            next_wait = min(candidate.start_wait for candidate in candidates)
+            raise NoPlacementError(
+                'all endpoints have reached their request limits',
+                worth_waiting=False,
+                retry_after=choose_return(
+                    call, next_wait, now, self._generator
+                ),
+            )
+        return permitted
+
     def _is_engine_call(self, call: Call) -> bool:
         return self._holder.current.find_profile(call.service) is not None
 
@@ -228,7 +274,8 @@
         zone = endpoint.declaration.zone
         # A prompt fails if any of its parts fails, so a suspect zone is probed
         # with undivided prompts only.
-        may_help = not (
+        start_wait = self._gate.predict_wait(endpoint, now)
+        may_help = start_wait is None and not (
             self._reachability.is_suspect(zone, now)
             or self._observations.refuses_help(endpoint.name, now)
         )
@@ -240,6 +287,7 @@
             may_answer,
             may_help,
             self._observations.find_slowdown(endpoint.name, now),
+            start_wait or 0,
         )
 
 
--- a/src/kelproad/coordination/ingress/placing/memory.py
+++ b/src/kelproad/coordination/ingress/placing/memory.py
@@ -73,10 +73,15 @@
         self,
         orders: EngineOperations,
         read_bounds: Callable[[], Bounds],
+        charge: Callable[[Endpoint], None],
     ) -> None:
-        """Reserve with operations of engines, within the operators' bounds."""
+        """Reserve with operations of engines, within the operators' bounds.
+
+        ``charge`` counts an operation against the engine's request limit.
+        """
         self._operations = orders
         self._read_bounds = read_bounds
+        self._charge = charge
         self._releases: set[asyncio.Task[None]] = set()
 
     async def reserve(
@@ -132,6 +137,7 @@
         while unanswered < _MAX_UNANSWERED:
             await asyncio.sleep(self._choose_hold() * _RENEW_SHARE)
             address = user.declaration.address
+            self._charge(user)
             if isinstance(
                 await self._operations.read_slowdown(address), Failure
             ):
@@ -167,6 +173,7 @@
         self,
         reservation: Reservation,
     ) -> Awaitable[Result[None, str]]:
+        self._charge(reservation.endpoint)
         return self._operations.reserve(
             reservation.endpoint.declaration.address,
             reservation.ticket,
@@ -185,6 +192,7 @@
 
     async def _release(self, reservation: Reservation) -> None:
         for _ in range(_RELEASE_TRIES):
+            self._charge(reservation.endpoint)
             answered = await self._operations.release(
                 reservation.endpoint.declaration.address,
                 reservation.ticket,
--- a/src/kelproad/coordination/ingress/placing/placement.py
+++ b/src/kelproad/coordination/ingress/placing/placement.py
@@ -37,6 +37,8 @@
         Whether it may prefill a part of the prompt for another engine.
     slowdown
         Factor by which it takes longer than published, at present.
+    start_wait
+        Predicted seconds until its request limit permits another call.
     """
 
     endpoint: Endpoint
@@ -46,6 +48,7 @@
     may_answer: bool = True
     may_help: bool = True
     slowdown: float = 1
+    start_wait: float = 0
 
 
 @attrs.frozen
@@ -137,10 +140,18 @@
     ----------
     worth_waiting
         Whether one may become free while the call has time to wait.
+    retry_after
+        Seconds after which the caller is to come back, where known.
     """
 
-    def __init__(self, reason: str, worth_waiting: bool) -> None:
+    def __init__(
+        self,
+        reason: str,
+        worth_waiting: bool,
+        retry_after: float | None = None,
+    ) -> None:
         """Give the reason for the refusal and the log."""
         super().__init__(reason)
         self.reason = reason
         self.worth_waiting = worth_waiting
+        self.retry_after = retry_after
--- a/src/kelproad/coordination/ingress/placing/predictions.py
+++ b/src/kelproad/coordination/ingress/placing/predictions.py
@@ -51,7 +51,8 @@
         )
     )
     return (
-        2 * candidate.delay
+        candidate.start_wait
+        + 2 * candidate.delay
         + published * candidate.slowdown
         + candidate.failing * FAILURE_SECONDS
     )
--- a/src/kelproad/coordination/ingress/placing/selection.py
+++ b/src/kelproad/coordination/ingress/placing/selection.py
@@ -84,7 +84,8 @@
         slots = candidate.endpoint.declaration.slots or 1
         queued = max(0, candidate.work.calls + 1 - slots) / slots
         return (
-            2 * candidate.delay
+            candidate.start_wait
+            + 2 * candidate.delay
             + (queued + candidate.work.calls / slots / 2) * work_seconds
             + candidate.failing * FAILURE_SECONDS
         )
--- a/src/kelproad/coordination/ingress/placing/watching.py
+++ b/src/kelproad/coordination/ingress/placing/watching.py
@@ -47,17 +47,20 @@
         ledger: WorkLedger,
         observations: EngineObservations,
         read_slowdown: Callable[[str], Awaitable[Result[float, str]]],
+        charge: Callable[[Endpoint], None],
     ) -> None:
         """Record the slowdowns of engines in ``observations``.
 
         ``read_slowdown`` queries the engine at an address for the factor by
-        which it takes longer than published.
+        which it takes longer than published; ``charge`` counts such a query
+        against its request limit.
         """
         self._instance = instance
         self._holder = holder
         self._ledger = ledger
         self._observations = observations
         self._read_slowdown = read_slowdown
+        self._charge = charge
         self._polls: dict[str, asyncio.Task[None]] = {}
 
     def check_stall(
@@ -97,6 +100,7 @@
         unanswered = 0
         try:
             while unanswered < _MAX_QUERIES:
+                self._charge(endpoint)
                 answered = await self._read_slowdown(
                     endpoint.declaration.address,
                 )
--- a/src/kelproad/coordination/ingress/retrying/dispatching.py
+++ b/src/kelproad/coordination/ingress/retrying/dispatching.py
@@ -21,7 +21,8 @@
 from ....transport.deadlines import monotonic
 from ...drain import StopEndedError
 from ..admission.stopping import StopGuard, refuse_stopping
-from ..limiting.observing import LimitObserver
+from ..limiting.gate import StartGate
+from ..limiting.waits import choose_longest_wait
 from ..placing.choosing import Chooser
 from ..placing.placement import NoPlacementError, Placement
 from ..streams.accounting import AttemptAccount
@@ -51,7 +52,7 @@
         retry_budgets: RetryBudgets,
         ledger: WorkLedger,
         stop_guard: StopGuard,
-        limit_observer: LimitObserver,
+        gate: StartGate,
         counters: Counters,
     ) -> None:
         """Combine the choice, the sending and the evaluation of attempts."""
@@ -61,7 +62,7 @@
         self._retry_budgets = retry_budgets
         self._ledger = ledger
         self._stop_guard = stop_guard
-        self._limit_observer = limit_observer
+        self._gate = gate
         self._counters = counters
 
     async def answer(
@@ -129,17 +130,41 @@
         delivery: StreamDelivery,
     ) -> Result[Placement, Refusal]:
         """Choose endpoints, waiting for free ones while there is time."""
-        while True:
-            if not (delivery.begun or self._stop_guard.may_begin_answer(call)):
-                return Failure(refuse_stopping())
+        while delivery.begun or self._stop_guard.may_begin_answer(call):
             try:
-                return Success(await self._chooser.choose(call, progress))
+                placement = await self._chooser.choose(call, progress)
             except NoPlacementError as error:
-                reason = error.reason
-                may_wait = error.worth_waiting
-            if not may_wait or call.remaining(monotonic()) < ANSWER_MARGIN:
-                return Failure(_refuse_unplaced(reason))
+                late = call.remaining(monotonic()) < ANSWER_MARGIN
+                if late or not error.worth_waiting:
+                    return Failure(_refuse_unplaced(error))
+            else:
+                if await self._may_start(call, placement, delivery):
+                    return Success(placement)
             await asyncio.sleep(_PLACEMENT_PERIOD)
+        return Failure(refuse_stopping())
+
+    async def _may_start(
+        self,
+        call: Call,
+        placement: Placement,
+        delivery: StreamDelivery,
+    ) -> bool:
+        """Wait until the chosen endpoint's limit permits the call.
+
+        Returns
+        -------
+        bool
+            Whether the call may be sent there; while it waited, the endpoint
+            may have become unusable, or a stop have begun.
+        """
+        longest_wait = choose_longest_wait(call, monotonic())
+        started_at = monotonic()
+        if not await self._gate.admit(placement.primary, longest_wait):
+            return False
+        if monotonic() - started_at < _PLACEMENT_PERIOD:
+            return True
+        may_begin = delivery.begun or self._stop_guard.may_begin_answer(call)
+        return may_begin and self._chooser.is_usable(placement)
 
     async def _attempt(
         self,
@@ -153,9 +178,7 @@
         endpoint = placement.primary
         progress.begin()
         call.attempts += 1
-        _record_placement(
-            call, placement, self._limit_observer.find_rate(endpoint)
-        )
+        _record_placement(call, placement, self._gate.find_rate(endpoint))
         endpoint.own_requests += 1
         try:
             with AttemptAccount(self._ledger, call, placement) as account:
@@ -256,5 +279,10 @@
     )
 
 
-def _refuse_unplaced(message: str) -> Refusal:
-    return Refusal(RefusalCode.NO_CAPACITY, message, Step.ROUTE)
+def _refuse_unplaced(error: NoPlacementError) -> Refusal:
+    return Refusal(
+        RefusalCode.NO_CAPACITY,
+        error.reason,
+        Step.ROUTE,
+        retry_after=error.retry_after,
+    )
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -41,6 +41,11 @@
             'Requests a second that an endpoint accepts; -1 for no limit.',
             registry=registry,
         )
+        self.starts = Counter(
+            'kelproad_limited_starts_total',
+            'Starts requested at endpoints with a limit, by outcome.',
+            registry=registry,
+        )
 
 
 class Counters:
--- a/tests/ingress/test_exchange.py
+++ b/tests/ingress/test_exchange.py
@@ -21,6 +21,7 @@
 from kelproad.state.observations import EngineObservations
 from kelproad.state.work import FORGET_AFTER, EndpointWork, WorkLedger
 from kelproad.transport.addresses import Address
+from tests.ingress.limits import build_observer
 
 
 class Clock:
@@ -59,6 +60,7 @@
         self.ledger = WorkLedger()
         self.reachability = ZoneReachability()
         self.observations = EngineObservations()
+        self.observer = build_observer()
         self.age = age
         self.zones: dict[str, str] = {}
         number = len(name)
@@ -77,6 +79,7 @@
             self.ledger,
             self.reachability,
             self.observations,
+            self.observer,
             lambda: self.age,
             lambda: None,
             lambda endpoint: self.zones.get(endpoint, ''),
--- /dev/null
+++ b/tests/ingress/test_limited_placement.py
@@ -0,0 +1,136 @@
+"""Placement beside request limits, and when refused callers return."""
+
+import random
+import types
+
+import attrs
+import pytest
+
+from kelproad.coordination.ingress.limiting.waits import (
+    choose_longest_wait,
+    choose_return,
+)
+from kelproad.coordination.ingress.membership.reachability import (
+    ZoneReachability,
+)
+from kelproad.coordination.ingress.placing.choosing import Chooser
+from kelproad.coordination.ingress.placing.placement import (
+    NoPlacementError,
+    Placement,
+)
+from kelproad.coordination.ingress.streams.progress import Progress
+from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
+from kelproad.state.declarations import (
+    EndpointDeclaration,
+    EndpointGroup,
+    EndpointKind,
+)
+from kelproad.state.endpoints import Endpoint, EndpointTable
+from kelproad.state.observations import EngineObservations
+from kelproad.state.routes import CallKind
+from kelproad.state.work import WorkLedger
+from tests.ingress.test_attempts import build_call
+from tests.ingress.test_placing import PROFILE
+
+#: Objective of prompts, in seconds.
+OBJECTIVE = 2.5
+#: Tokens of a prompt that two engines prefill.
+LONG_PROMPT = 150_000
+ENGINES = ('i-1', 'i-2', 'i-3')
+
+
+class Site:
+    """A chooser over three engines whose limits are set by the test."""
+
+    def __init__(self) -> None:
+        """Start without limits."""
+        self.waits: dict[str, float] = {}
+        self.table = EndpointTable()
+        declarations = [
+            EndpointDeclaration(name, 'a', '10.0.0.1:80', slots=8)
+            for name in ENGINES
+        ]
+        group = EndpointGroup('book', EndpointKind.ENGINE, declarations)
+        self.table.replace_groups([group])
+        holder = ConfigurationHolder()
+        holder.current = types.SimpleNamespace(
+            find_profile=lambda _service: PROFILE,
+            find_delay=lambda origin, target: 0,
+        )
+        self.chooser = Chooser(
+            'a',
+            holder,
+            self.table,
+            WorkLedger(),
+            ZoneReachability(),
+            EngineObservations(),
+            types.SimpleNamespace(is_needed=False),
+            types.SimpleNamespace(predict_wait=self.predict_wait),
+            random.Random(1),
+        )
+
+    def predict_wait(self, endpoint: Endpoint, _now: float) -> float | None:
+        """Return the wait that the test has set."""
+        return self.waits.get(endpoint.name)
+
+    async def place(self, tokens: int = 500) -> Placement:
+        """Place a prompt."""
+        call = build_call(CallKind.RESUMABLE_STREAM)
+        call.head = attrs.evolve(call.head, prompt_tokens=tokens)
+        call.route = attrs.evolve(call.route, objective=OBJECTIVE)
+        return await self.chooser.choose(call, Progress())
+
+
+async def test_others_take_what_a_limit_delays() -> None:
+    """An engine with a limit is chosen like one that is as slow."""
+    site = Site()
+    site.waits = {'i-1': 0.2, 'i-3': 0.2}
+    chosen = {(await site.place()).primary.name for _ in range(20)}
+    assert chosen == {'i-2'}
+
+
+async def test_a_limited_engine_prefills_no_parts() -> None:
+    """Parts for other engines would be requests beyond its limit."""
+    site = Site()
+    assert (await site.place(LONG_PROMPT)).helpers
+    for limited in ENGINES:
+        site.waits = {limited: 0}
+        for _ in range(10):
+            placement = await site.place(LONG_PROMPT)
+            assert placement.helpers
+            assert limited not in [one.name for one in placement.helpers]
+
+
+async def test_a_call_is_refused_when_all_limits_are_reached() -> None:
+    """Held until its deadline, it would be refused as well, but too late."""
+    site = Site()
+    site.waits = dict.fromkeys(ENGINES, 30)
+    with pytest.raises(NoPlacementError) as raised:
+        await site.place()
+    assert not raised.value.worth_waiting
+    assert raised.value.retry_after > 0
+
+
+def test_a_call_waits_within_its_objective_or_a_little() -> None:
+    """A queue as long as the deadline would make every answer late."""
+    call = build_call()
+    assert choose_longest_wait(call, call.arrived) == 1
+    late = choose_longest_wait(call, call.arrived + 3)
+    assert late == pytest.approx(1 / 5)
+    assert choose_longest_wait(call, call.deadline + 1) == 0
+
+
+def test_returns_of_refused_callers_are_spread() -> None:
+    """Callers that are told the same time come back as a herd."""
+    call = build_call()
+    generator = random.Random(1)
+    returns = sorted(
+        choose_return(call, 1.5, call.arrived, generator) for _ in range(300)
+    )
+    assert returns[0] >= 1 / 2
+    assert returns[-1] <= 5 / 3
+    widest = max(
+        after - before
+        for before, after in zip(returns, returns[1:], strict=False)
+    )
+    assert widest < 1 / 10
--- a/tests/ingress/test_memory.py
+++ b/tests/ingress/test_memory.py
@@ -53,7 +53,9 @@
         return Success(1)
 
     reserver = MemoryReserver(
-        EngineOperations(reserve, release, read_slowdown), Bounds
+        EngineOperations(reserve, release, read_slowdown),
+        Bounds,
+        lambda endpoint: None,
     )
     reserving = asyncio.create_task(reserver.reserve('a-1', (build_share(),)))
     await asyncio.sleep(0.01)
--- a/tests/ingress/test_misdirected.py
+++ b/tests/ingress/test_misdirected.py
@@ -35,6 +35,7 @@
     RoutingConfiguration,
 )
 from kelproad.state.work import WorkLedger
+from tests.ingress.limits import build_open_gate
 from tests.ingress.test_attempts import build_call
 
 #: Monotonic time of the 421.
@@ -78,6 +79,7 @@
             reachability,
             EngineObservations(),
             None,
+            build_open_gate(),
             random.Random(1),
         )
         self.report('i-1', 1)
--- a/tests/ingress/test_spillover.py
+++ b/tests/ingress/test_spillover.py
@@ -37,9 +37,11 @@
 )
 from kelproad.state.endpoints import EndpointTable
 from kelproad.state.observations import EngineObservations
+from kelproad.state.requestlimits import LimitNotice, RequestLimits
 from kelproad.state.routes import CallKind, Route, WeightedService
 from kelproad.state.work import EndpointWork, WorkLedger
 from kelproad.transport.addresses import Address
+from tests.ingress.limits import build_observer, build_open_gate
 from tests.ingress.test_placing import PROFILE
 
 NOW = 1000.0
@@ -59,6 +61,7 @@
         self.table.replace_groups([group])
         self.ledger = WorkLedger()
         self.observations = EngineObservations()
+        self.limits = RequestLimits()
         self.peers = register('edge-b', 'zone-b')
         self.peers.add('edge-a', '10.0.0.1', 'zone-a')
         self.ledger.begin('i-b', EndpointWork(2, 9000, 0.2, 1))
@@ -75,6 +78,7 @@
             self.ledger,
             self.peers,
             self.observations,
+            self.limits,
         )
 
 
@@ -107,6 +111,7 @@
         """Register this many instances of zone b."""
         self.queries = FakeQueries(RemoteInstance())
         self.ledger = WorkLedger()
+        self.observer = build_observer()
         peers = register('edge-a', 'zone-a')
         for number in range(remote_peers):
             peers.add(f'edge-b-{number}', f'10.0.1.{number}', 'zone-b')
@@ -117,6 +122,7 @@
             ZoneReachability(),
             self.ledger,
             EngineObservations(),
+            self.observer,
             random.Random(1),
         )
 
@@ -144,6 +150,17 @@
     return current
 
 
+async def test_limits_of_remote_engines_are_learned() -> None:
+    """Zones that don't report to this one must be queried for them too."""
+    here = LocalInstance(remote_peers=MAX_FULL_MESH_PEERS + 1)
+    notice = LimitNotice(2, '1', NOW - 1)
+    here.queries.remote.limits.accept('i-b', notice)
+    here.queries.remote.limits.accept('i-a', notice)
+    await here.spillover.refresh()
+    learned = here.observer.limits.list_limited()
+    assert {name: item.rate for name, item in learned.items()} == {'i-b': 2}
+
+
 async def test_work_at_remote_engines_counts_once() -> None:
     """Work from the local zone is already reported by its instances."""
     here = LocalInstance(remote_peers=MAX_FULL_MESH_PEERS + 1)
@@ -214,6 +231,7 @@
             ZoneReachability(),
             EngineObservations(),
             self.here.spillover,
+            build_open_gate(),
             random.Random(1),
         )
 
--- a/tests/ingress/test_watching.py
+++ b/tests/ingress/test_watching.py
@@ -57,6 +57,7 @@
             self.ledger,
             self.observations,
             self.answer,
+            lambda endpoint: None,
         )
         declaration = EndpointDeclaration('i-1', 'zone-a', '10.0.0.1:80')
         group = EndpointGroup('writer', EndpointKind.ENGINE, [declaration])
