Soak: endpoints state request limits, and what they then get is checked

Counted from 3 s on, in any 4 s, but for instances killed, frozen or stopped within 3 s.

Also: limits in reports between instances, and what operators and callers see of one.

--- a/src/kelproad/standins/routed.py
+++ b/src/kelproad/standins/routed.py
@@ -51,9 +51,6 @@
         Seconds before each answer, and between two events.
     events
         Number of events of a stream, unless the query says otherwise.
-    request_limit
-        Requests per second that every answer states as the most from all
-        instances together; empty for no limit.
     """
 
     shed: bool = False
@@ -64,7 +61,6 @@
     crossed: bool = False
     pace: float = 0.01
     events: int = 5
-    request_limit: str = ''
 
 
 @attrs.define
@@ -85,8 +81,11 @@
         self._tickets: dict[str, _Ticket] = {}
         self._faults = EndpointFaults()
         self._runs: list[dict[str, str]] = []
-        #: Monotonic times at which calls arrived, rejected ones included.
-        self._arrivals: list[float] = []
+        #: Requests per second that every answer states as the most from all
+        #: instances together; empty for no limit.
+        self._request_limit = ''
+        #: Monotonic time and id of each request, rejected ones included.
+        self._arrivals: list[dict[str, float | str]] = []
         self._disconnected: list[str] = []
         self._orders: collections.Counter[str] = collections.Counter()
 
@@ -96,6 +95,7 @@
         application.add_routes(
             [
                 web.put('/control/faults', self._put_faults),
+                web.put('/control/limit', self._put_limit),
                 web.get('/control/runs', self._show_runs),
                 web.post('/-/order', self._handle_order),
                 web.get('/-/report', self._report),
@@ -110,6 +110,11 @@
         self._faults = EndpointFaults(**await http_request.json())
         return web.json_response({})
 
+    async def _put_limit(self, http_request: web.Request) -> web.Response:
+        stated = await http_request.json()
+        self._request_limit = stated['limit']
+        return web.json_response({})
+
     async def _show_runs(self, _http_request: web.Request) -> web.Response:
         self._drop_expired()
         return web.json_response(
@@ -157,7 +162,12 @@
     # Calls
 
     async def _answer(self, http_request: web.Request) -> web.StreamResponse:
-        self._arrivals.append(monotonic())
+        self._arrivals.append(
+            {
+                'at': monotonic(),
+                'request': http_request.headers.get(_REQUEST_ID, ''),
+            },
+        )
         expected = http_request.headers.get(_EXPECTED, self._name)
         if expected != self._name:
             return web.Response(status=_MISDIRECTED)
@@ -235,5 +245,5 @@
         }
 
     def _state_limit(self) -> dict[str, str]:
-        limit = self._faults.request_limit
+        limit = self._request_limit
         return {'Server-Limit': limit} if limit else {}
--- a/testbed/routed.py
+++ b/testbed/routed.py
@@ -158,6 +158,11 @@
         address = self.endpoints[name]
         call_control(address, 'PUT', '/control/faults', faults)
 
+    def set_request_limit(self, name: str, limit: str) -> None:
+        """Let an endpoint state a request limit; an empty one ends it."""
+        address = self.endpoints[name]
+        call_control(address, 'PUT', '/control/limit', {'limit': limit})
+
     def show_endpoint(self, name: str) -> dict[str, object]:
         """Return the runs and reservations of an endpoint."""
         return call_control(self.endpoints[name], 'GET', '/control/runs')
--- a/testbed/soak/routed.py
+++ b/testbed/soak/routed.py
@@ -1,9 +1,9 @@
 """A long run of the routed interface under random faults from a seed.
 
 All programs run as separate processes, with a proxy in front of every endpoint
-and between the store and each instance; callers reuse connections.  The exit
-code is 1 if a guarantee was violated; the logs are then kept in the folder that
-is printed.
+and between the store and each instance; callers reuse connections, endpoints
+state request limits.  The exit code is 1 if a guarantee was violated; the logs
+are then kept in the folder that is printed.
 """
 
 import argparse
@@ -23,6 +23,7 @@
 from .routed_checks import check_calls, check_recovery
 from .routed_cuts import is_cut_by_end, is_unanswered
 from .routed_faults import RoutedFaults, wait_for_all
+from .routed_limits import StatedLimit, StatedLimits, check_limits
 from .routed_stops import PlannedStop
 
 __all__ = ['main', 'soak']
@@ -55,11 +56,14 @@
         await asyncio.to_thread(site.put_configuration, ('first-key',))
         await asyncio.sleep(1)
         faults = RoutedFaults(site, links, callers, seed, only_stops)
-        await asyncio.gather(callers.run(seconds), faults.run(seconds))
+        limits = StatedLimits(site, seed)
+        await asyncio.gather(
+            callers.run(seconds), faults.run(seconds), limits.run(seconds)
+        )
         await asyncio.to_thread(wait_for_all, site)
         await asyncio.sleep(_RECOVERY_SECONDS)
         final_calls = await callers.call_once()
-        _print_summary(callers, faults)
+        _print_summary(callers, faults, limits.limits)
         recovery = await asyncio.to_thread(check_recovery, site, final_calls)
         calls = await asyncio.to_thread(
             check_calls,
@@ -67,7 +71,14 @@
             callers.records,
             faults,
         )
-    return calls + recovery
+        exceeded = await asyncio.to_thread(
+            check_limits,
+            site,
+            callers.records,
+            faults,
+            limits.limits,
+        )
+    return calls + recovery + exceeded
 
 
 @contextlib.asynccontextmanager
@@ -97,7 +108,11 @@
             link.close()
 
 
-def _print_summary(callers: RoutedCallers, faults: RoutedFaults) -> None:
+def _print_summary(
+    callers: RoutedCallers,
+    faults: RoutedFaults,
+    limits: list[StatedLimit],
+) -> None:
     for span in faults.spans:
         duration = span.ended - span.began
         print(
@@ -109,6 +124,8 @@
     )
     for label, count in sorted(outcomes.items()):
         print(f'{count:6} {label}')
+    for limit in limits:
+        print(f'  {limit.began:.2f} {limit.endpoint} limits to {limit.rate}/s')
     for stop in faults.stops:
         _print_stop(stop, callers.records)
 
--- a/tests/ingress/test_exchange.py
+++ b/tests/ingress/test_exchange.py
@@ -19,6 +19,7 @@
 from kelproad.coordination.ingress.settings import NodeSettings
 from kelproad.coordination.ingress.tables.tablestates import Provenance
 from kelproad.state.observations import EngineObservations
+from kelproad.state.requestlimits import LimitNotice
 from kelproad.state.work import FORGET_AFTER, EndpointWork, WorkLedger
 from kelproad.transport.addresses import Address
 from tests.ingress.limits import build_observer
@@ -119,6 +120,25 @@
     assert here.ledger.sum_at('i-1', 1000).idle
 
 
+def test_limits_are_reported_with_their_age(
+    clock: Clock,
+    here: Instance,
+    there: Instance,
+) -> None:
+    """A report on the way for long must not undo a newer answer."""
+    there.observer.accept('i-1', LimitNotice(2, '1', 999))
+    late = there.build_report()
+    here.exchange.receive(late)
+    assert here.observer.limits.find('i-1', '1').rate == 2
+    assert here.observer.limits.find('i-1', '1').source == 'bb'
+    assert not here.observer.limits.list_reported(1000)
+    clock.now = 1001
+    there.observer.accept('i-1', LimitNotice(None, '1', 1001))
+    here.exchange.receive(there.build_report())
+    here.exchange.receive(late)
+    assert here.observer.limits.find('i-1', '1') is None
+
+
 def test_reordered_datagrams_are_ignored(
     here: Instance,
     there: Instance,
--- a/tests/ingress/test_request_limits_site.py
+++ b/tests/ingress/test_request_limits_site.py
@@ -45,7 +45,7 @@
     """Yield the site; then end the limits with an answer without any."""
     yield running
     for name in running.endpoints:
-        running.set_endpoint_faults(name)
+        running.set_request_limit(name, '')
     apply_load(running, 2, LOOKUPS)
     apply_load(running, 2, REPORTS)
 
@@ -75,12 +75,22 @@
         return Load(began, [item.result() for item in waiting])
 
 
+def list_sources(site: RoutedSite, event: str, **fields: object) -> list[str]:
+    """List the sources of an event with some fields, from all logs."""
+    return [
+        line['source']
+        for instance in site.instances
+        for line in instance.log_lines
+        if line['event'] == event and fields.items() <= line.items()
+    ]
+
+
 def list_arrivals(site: RoutedSite, name: str, load: Load) -> list[float]:
     """List the arrivals at an endpoint from when its limit binds."""
     return [
-        at
-        for at in site.show_endpoint(name)['arrivals']
-        if at >= load.began + SETTLING_SECONDS
+        arrival['at']
+        for arrival in site.show_endpoint(name)['arrivals']
+        if arrival['at'] >= load.began + SETTLING_SECONDS
     ]
 
 
@@ -111,7 +121,7 @@
     name: str,
 ) -> None:
     """Its limit was not obeyed: it got what it gets without one."""
-    site.set_endpoint_faults(name, request_limit='1')
+    site.set_request_limit(name, '1')
     load = apply_load(site, LOAD_SECONDS, path)
     assert not load.list_refused()
     assert count_most(list_arrivals(site, name, load)) <= count_allowed(1)
@@ -130,7 +140,7 @@
 ) -> None:
     """All are limited: the rest is refused at once as not run, not sent."""
     for name in names:
-        site.set_endpoint_faults(name, request_limit=str(limit))
+        site.set_request_limit(name, str(limit))
     load = apply_load(site, LOAD_SECONDS, path)
     for name in names:
         arrivals = list_arrivals(site, name, load)
@@ -143,3 +153,30 @@
     delays = {float(answer.headers['Retry-After']) for answer in refused}
     assert len(delays) > len(refused) / 2
     assert all(not site.count_runs(answer.request_id) for answer in refused)
+
+
+def test_operators_and_callers_see_a_limit(site: RoutedSite) -> None:
+    """Without that nobody could tell why an endpoint gets so little."""
+    site.set_request_limit('book-2', '2.5')
+    answers = apply_load(site, 2, LOOKUPS).answers
+    assert '2.5' in {answer.headers.get('Server-Limit') for answer in answers}
+    described = [
+        instance.dump()['request_limits']['book-2']
+        for instance in site.instances
+    ]
+    assert {limit['rate'] for limit in described} == {2.5}
+    assert sum(bool(limit['granted_here']) for limit in described) == 1
+    sources = list_sources(
+        site, 'request_limit_begun', endpoint='book-2', rate=2.5
+    )
+    assert len(sources) == INSTANCES
+    assert 'own answer' in sources
+    assert set(sources) - {'own answer'}
+    site.set_request_limit('book-2', '')
+    apply_load(site, 2, LOOKUPS)
+    assert all(
+        not instance.dump()['request_limits'] for instance in site.instances
+    )
+    assert list_sources(
+        site, 'request_limit_ended', endpoint='book-2', before=2.5
+    )
--- a/tests/ingress/test_soak_checks.py
+++ b/tests/ingress/test_soak_checks.py
@@ -1,11 +1,14 @@
 """Violations that the soak of the routed interface reports."""
 
+import types
+
 import attrs
 import pytest
 
 from testbed.soak.routed_callers import CallRecord
 from testbed.soak.routed_checks import check_calls
 from testbed.soak.routed_faults import Span
+from testbed.soak.routed_limits import StatedLimit, check_limits
 from testbed.soak.routed_stops import PlannedStop
 
 #: Time of SIGTERM.
@@ -239,3 +242,50 @@
         arrived=CUT - 0.1, status=503, whole=True, ran_at='', stops=stops
     )
     assert check(arrived=2.5, cut=5, status=502, whole=True, stops=stops)
+
+
+def repeat(at: float) -> list[float]:
+    """Return many arrivals at one time."""
+    return [at for _ in range(50)]
+
+
+def check_arrivals(arrivals: list[float], *spans: Span) -> list[str]:
+    """Check arrivals from edge-1, in seconds after a limit of 1 a second."""
+    requests = [
+        CallRecord(f'{number}', 'reports', 'key', 'edge-1', at)
+        for number, at in enumerate(arrivals)
+    ]
+
+    site = types.SimpleNamespace(
+        show_endpoint=lambda _name: {
+            'arrivals': [
+                {'at': item.sent_at, 'request': item.request_id}
+                for item in requests
+            ],
+        },
+    )
+    limit = StatedLimit('engine-1', 1, began=0, ended=20)
+    faults = Faults(spans=list(spans), stops=[])
+    return check_limits(site, requests, faults, [limit])
+
+
+def test_an_exceeded_limit_is_reported() -> None:
+    """One and a half times the limit and 5 more are allowed in 4 s."""
+    evenly = [4 + number * 0.37 for number in range(30)]
+    assert not check_arrivals(evenly)
+    assert check_arrivals([*evenly, evenly[-1]])
+
+
+def test_a_limit_binds_after_some_seconds() -> None:
+    """What arrives before that, or after its end, is not counted."""
+    assert not check_arrivals(repeat(2.9))
+    assert not check_arrivals(repeat(20.1))
+    assert check_arrivals(repeat(3.1))
+
+
+def test_a_killed_instance_excuses_its_requests() -> None:
+    """It knows nothing of limits when it is back."""
+    killed = Span('instance killed', 'edge-1', 5, 6)
+    assert not check_arrivals(repeat(8), killed)
+    assert check_arrivals(repeat(9.1), killed)
+    assert check_arrivals(repeat(8), Span('instance killed', 'edge-2', 5, 6))
