Let limited engines prefill parts, a start each, where a prompt needs them

Engines without a limit help first; where that places nothing, the others do, and each part takes a start, as the primary does.

--- a/src/kelproad/coordination/ingress/limiting/gate.py
+++ b/src/kelproad/coordination/ingress/limiting/gate.py
@@ -1,8 +1,8 @@
 """Gate before endpoints that limit their requests.
 
-Every call to such an endpoint passes it: first attempts, retries and streams
-that are resumed.  The limit holds for all instances together, so the endpoint's
-coordinator grants the starts.
+Every call to such an endpoint passes it: first attempts, retries, streams that
+are resumed and parts of prompts.  The limit holds for all instances together,
+so the endpoint's coordinator grants the starts.
 """
 
 import asyncio
@@ -10,6 +10,7 @@
 import logging
 import math
 import random
+from collections.abc import Iterable
 
 from ....state.endpoints import Endpoint
 from ....state.records import record
@@ -79,24 +80,27 @@
         notice = self._find_notice(endpoint)
         return notice.rate if notice else None
 
-    async def admit(self, endpoint: Endpoint, longest_wait: float) -> bool:
-        """Wait for a start at an endpoint; return false if there is none.
+    async def admit(
+        self,
+        endpoints: Iterable[Endpoint],
+        longest_wait: float,
+    ) -> bool:
+        """Wait for a start at each endpoint; return false if one has none.
 
-        A refused start raises the prediction for the endpoint.
+        A refused start raises the prediction for its endpoint.
         """
-        notice = self._find_notice(endpoint)
-        if notice is None:
-            return True
-        predicted = self.predict_wait(endpoint, monotonic()) or 0
-        longest = min(longest_wait, predicted + _SURPRISE_SECONDS)
-        grant = await self._request(endpoint, notice, longest)
-        self._expected_at[endpoint.name] = monotonic() + grant.next_wait
-        outcome = 'granted' if grant.granted else 'denied'
-        self.observer.metrics.starts.inc({'outcome': outcome})
-        if not grant.granted:
+        grants = await asyncio.gather(
+            *(
+                self._request_one(endpoint, notice, longest_wait)
+                for endpoint in endpoints
+                if (notice := self._find_notice(endpoint)) is not None
+            ),
+        )
+        if not all(grant.granted for grant in grants):
             return False
-        if grant.wait:
-            await asyncio.sleep(grant.wait)
+        wait = max((grant.wait for grant in grants), default=0)
+        if wait:
+            await asyncio.sleep(wait)
         return True
 
     def charge(self, endpoint: Endpoint) -> None:
@@ -113,6 +117,13 @@
                 endpoint.name, notice.rate, coordinator.share, math.inf
             )
 
+    def forget_unlisted(self) -> None:
+        """Forget what is known of endpoints that have long been gone."""
+        for name in self.observer.forget_unlisted():
+            self._granter.forget(name)
+            self._expected_at.pop(name, None)
+            self._own_parts.pop(name, None)
+
     def describe(self) -> dict[str, object]:
         """Describe the limits and their use for operators, by endpoint."""
         use = self._granter.measure_use()
@@ -131,6 +142,21 @@
             endpoint.name, endpoint.declaration.zone, monotonic()
         )
 
+    async def _request_one(
+        self,
+        endpoint: Endpoint,
+        notice: LimitNotice,
+        longest_wait: float,
+    ) -> StartGrant:
+        """Request a start, and keep what the reply says of the next one."""
+        predicted = self.predict_wait(endpoint, monotonic()) or 0
+        longest = min(longest_wait, predicted + _SURPRISE_SECONDS)
+        grant = await self._request(endpoint, notice, longest)
+        self._expected_at[endpoint.name] = monotonic() + grant.next_wait
+        outcome = 'granted' if grant.granted else 'denied'
+        self.observer.metrics.starts.inc({'outcome': outcome})
+        return grant
+
     async def _request(
         self,
         endpoint: Endpoint,
--- a/src/kelproad/coordination/ingress/limiting/granting.py
+++ b/src/kelproad/coordination/ingress/limiting/granting.py
@@ -17,10 +17,6 @@
 
 __all__ = ['StartGranter']
 
-#: Schedules that are kept at most; the limits of endpoints that are gone are
-#: forgotten, and with them nobody queries for starts any more.
-_MAX_SCHEDULES = 10_000
-
 
 @attrs.define
 class StartGranter:
@@ -43,8 +39,6 @@
         spacing = choose_spacing(rate) / share
         schedule = self._schedules.get(endpoint)
         if schedule is None:
-            if len(self._schedules) >= _MAX_SCHEDULES:
-                self._schedules.clear()
             schedule = StartSchedule(spacing, now)
             self._schedules[endpoint] = schedule
         return schedule.reserve(spacing, longest_wait, now)
@@ -69,6 +63,10 @@
             return None
         return self._reply(query, coordinator.share)
 
+    def forget(self, endpoint: str) -> None:
+        """Forget the schedule of an endpoint."""
+        self._schedules.pop(endpoint, None)
+
     def measure_use(self) -> dict[str, float]:
         """Return the starts per second that were granted, by endpoint."""
         now = monotonic()
--- a/src/kelproad/coordination/ingress/limiting/observing.py
+++ b/src/kelproad/coordination/ingress/limiting/observing.py
@@ -66,10 +66,11 @@
         )
         self._publish(endpoint, notice.rate)
 
-    def forget_unlisted(self) -> None:
-        """Forget the limits of endpoints that have long been gone."""
+    def forget_unlisted(self) -> list[str]:
+        """Forget endpoints that have long been gone; return their names."""
         listed = frozenset(self._table.all())
-        for name in self.limits.forget_unlisted(listed, monotonic()):
+        forgotten = self.limits.forget_unlisted(listed, monotonic())
+        for name in forgotten:
             record(
                 _logger,
                 LimitChange.ENDED.value,
@@ -77,6 +78,7 @@
                 source='no longer listed',
             )
             self._publish(name, None)
+        return forgotten
 
     def describe(self) -> dict[str, object]:
         """Describe the limits for operators, by endpoint."""
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -234,7 +234,7 @@
         while not self.should_stop:
             await asyncio.sleep(_LAPSE_PERIOD)
             self._tables.registry.publish_expired()
-            self._peering.limit_observer.forget_unlisted()
+            self._peering.gate.forget_unlisted()
 
     # Stop and reporting
 
--- a/src/kelproad/coordination/ingress/placing/choosing.py
+++ b/src/kelproad/coordination/ingress/placing/choosing.py
@@ -135,14 +135,13 @@
         return attrs.evolve(placement, gap_tolerant=gap_tolerant)
 
     def is_usable(self, placement: Placement) -> bool:
-        """Return whether the chosen endpoint may still get a call."""
+        """Return whether the chosen endpoints may still get a call."""
         now = monotonic()
-        endpoint = placement.primary
-        current = self._table.get(endpoint.name)
-        return (
-            current is endpoint
+        return all(
+            self._table.get(endpoint.name) is endpoint
             and _is_eligible(endpoint, now)
             and endpoint.ejected_until <= now
+            for endpoint in placement.endpoints
         )
 
     def _choose_local(self, call: Call, progress: Progress) -> Placement | None:
@@ -275,7 +274,7 @@
         # A prompt fails if any of its parts fails, so a suspect zone is probed
         # with undivided prompts only.
         start_wait = self._gate.predict_wait(endpoint, now)
-        may_help = start_wait is None and not (
+        may_help = not (
             self._reachability.is_suspect(zone, now)
             or self._observations.refuses_help(endpoint.name, now)
         )
@@ -287,6 +286,7 @@
             may_answer,
             may_help,
             self._observations.find_slowdown(endpoint.name, now),
+            start_wait is not None,
             start_wait or 0,
         )
 
--- a/src/kelproad/coordination/ingress/placing/placement.py
+++ b/src/kelproad/coordination/ingress/placing/placement.py
@@ -37,8 +37,10 @@
         Whether it may prefill a part of the prompt for another engine.
     slowdown
         Factor by which it takes longer than published, at present.
+    limited
+        Whether it limits its requests.
     start_wait
-        Predicted seconds until its request limit permits another call.
+        Predicted seconds until its limit permits another request.
     """
 
     endpoint: Endpoint
@@ -48,6 +50,7 @@
     may_answer: bool = True
     may_help: bool = True
     slowdown: float = 1
+    limited: bool = False
     start_wait: float = 0
 
 
@@ -132,6 +135,11 @@
     considered: int = 0
     gap_tolerant: bool = False
 
+    @property
+    def endpoints(self) -> tuple[Endpoint, ...]:
+        """The endpoints that get requests for the call."""
+        return (self.primary, *self.helpers)
+
 
 class NoPlacementError(Exception):
     """No endpoint can accept the call now.
--- a/src/kelproad/coordination/ingress/placing/selection.py
+++ b/src/kelproad/coordination/ingress/placing/selection.py
@@ -159,6 +159,31 @@
         for candidate in candidates
         if candidate.may_help and candidate.work.helping < profile.slots
     ]
+    # Each part takes a start from the limit of an engine that has one.
+    unlimited = [candidate for candidate in helpers if not candidate.limited]
+    able = with_room or with_slot
+    try:
+        return _place_split(able, unlimited, requirements, profile, generator)
+    except NoPlacementError:
+        if len(unlimited) == len(helpers):
+            raise
+    return _place_split(able, helpers, requirements, profile, generator)
+
+
+def _place_split(
+    able: list[Candidate],
+    helpers: list[Candidate],
+    requirements: CallRequirements,
+    profile: EngineProfile,
+    generator: random.Random,
+) -> Placement:
+    """Place a prompt that several of the helpers prefill.
+
+    Raises
+    ------
+    NoPlacementError
+        When it is to wait, or can't be served in time.
+    """
     chosen: list[Candidate] = []
     for share in PREFILL_SHARES:
         chosen = chosen or choose_non_disruptive(
@@ -171,7 +196,7 @@
         chosen = _choose_disruptive(helpers, requirements, profile)
     return place_parts(
         chosen,
-        with_room or with_slot,
+        able,
         helpers,
         requirements,
         profile,
--- a/src/kelproad/coordination/ingress/retrying/dispatching.py
+++ b/src/kelproad/coordination/ingress/retrying/dispatching.py
@@ -149,17 +149,17 @@
         placement: Placement,
         delivery: StreamDelivery,
     ) -> bool:
-        """Wait until the chosen endpoint's limit permits the call.
+        """Wait until the limits of the chosen endpoints permit the call.
 
         Returns
         -------
         bool
-            Whether the call may be sent there; while it waited, the endpoint
+            Whether the call may be sent there; while it waited, an endpoint
             may have become unusable, or a stop have begun.
         """
         longest_wait = choose_longest_wait(call, monotonic())
         started_at = monotonic()
-        if not await self._gate.admit(placement.primary, longest_wait):
+        if not await self._gate.admit(placement.endpoints, longest_wait):
             return False
         if monotonic() - started_at < _PLACEMENT_PERIOD:
             return True
--- a/src/kelproad/state/requestlimits.py
+++ b/src/kelproad/state/requestlimits.py
@@ -16,6 +16,9 @@
 #: endpoints in one report, so that it fits into a datagram.
 _REPORT_SECONDS = 10.0
 _MAX_REPORTED = 32
+#: Seconds by which a peer's notice must be newer: its age is counted from its
+#: receipt, and an own observation that comes back would seem newer.
+_TRANSIT_SECONDS = 0.05
 #: Seconds without an answer after which the limit of an endpoint that is not
 #: listed is forgotten.
 _UNLISTED_SECONDS = 30.0
@@ -63,7 +66,10 @@
         known = self._notices.get(endpoint)
         if known is None and notice.rate is None:
             return None
-        if known is not None and known.observed_at >= notice.observed_at:
+        margin = _TRANSIT_SECONDS if notice.source else 0
+        if known is not None and (
+            notice.observed_at <= known.observed_at + margin
+        ):
             return None
         self._notices[endpoint] = notice
         return _compare(known, notice)
--- a/tests/ingress/test_limit_sharing.py
+++ b/tests/ingress/test_limit_sharing.py
@@ -198,6 +198,24 @@
     assert await others[0].start('b')
 
 
+async def test_each_part_of_a_prompt_takes_a_start(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Engines that prefill parts for others get requests as well."""
+    fleet = Fleet(monkeypatch, {'a': 2, 'b': 2})
+    first, *others = fleet.instances.values()
+    for instance in fleet.instances.values():
+        instance.learn('a', 1)
+        instance.learn('b', 1)
+    both = [fleet.get_endpoint('a'), fleet.get_endpoint('b')]
+    assert await first.gate.admit(both, 0)
+    for zone in 'ab':
+        assert not any([await one.start(zone) for one in others])
+    fleet.now += 1
+    assert await others[0].start('b')
+    assert not await first.gate.admit(both, 0)
+
+
 async def test_a_call_waits_for_its_turn(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/ingress/test_request_limits.py
+++ b/tests/ingress/test_request_limits.py
@@ -90,6 +90,16 @@
     assert limits.find('i', '1') is None
 
 
+def test_a_report_that_comes_back_is_not_newer() -> None:
+    """It would revive a limit, or hide an own observation from peers."""
+    limits = RequestLimits()
+    limits.accept('i', notice(2, age=1))
+    limits.accept('i', notice(2, age=0.98, source='peer'))
+    assert 'i' in limits.list_reported(NOW)
+    limits.accept('i', notice(None, age=0.97))
+    assert limits.accept('i', notice(2, age=0.96, source='peer')) is None
+
+
 def test_a_limit_ends_with_its_incarnation() -> None:
     """An endpoint that was started again holds nothing of before."""
     limits = RequestLimits()
