--- a/src/kelproad/coordination/ingress/limiting/gate.py
+++ b/src/kelproad/coordination/ingress/limiting/gate.py
@@ -89,16 +89,17 @@
 
         A refused start raises the prediction for its endpoint.
         """
-        grants = await asyncio.gather(
-            *(
-                self._request_one(endpoint, notice, longest_wait)
-                for endpoint in endpoints
-                if (notice := self._find_notice(endpoint)) is not None
-            ),
-        )
+        requests = [
+            self._request_one(endpoint, notice, longest_wait)
+            for endpoint in endpoints
+            if (notice := self._find_notice(endpoint)) is not None
+        ]
+        if not requests:
+            return True
+        grants = await asyncio.gather(*requests)
         if not all(grant.granted for grant in grants):
             return False
-        wait = max((grant.wait for grant in grants), default=0)
+        wait = max(grant.wait for grant in grants)
         if wait:
             await asyncio.sleep(wait)
         return True
