--- a/src/kelproad/coordination/ingress/limiting/gate.py
+++ b/src/kelproad/coordination/ingress/limiting/gate.py
@@ -115,7 +115,7 @@
             self._queries.announce(query, coordinator.host)
         else:
             self._granter.grant(
-                endpoint.name, notice.rate, coordinator.share, math.inf
+                endpoint.name, notice.permitted, coordinator.share, math.inf
             )
 
     def forget_unlisted(self) -> None:
@@ -168,7 +168,7 @@
         coordinator = self._select(endpoint)
         if not coordinator.host:
             return self._granter.grant(
-                endpoint.name, notice.rate, coordinator.share, longest_wait
+                endpoint.name, notice.permitted, coordinator.share, longest_wait
             )
         if self._silent_until.get(coordinator.host, 0) > monotonic():
             return self._take_own_part(endpoint, notice, longest_wait)
@@ -200,7 +200,7 @@
         """
         now = monotonic()
         instances = self._peers.count_live(now)
-        spacing = choose_spacing(notice.rate) * instances
+        spacing = choose_spacing(notice.permitted) * instances
         schedule = self._own_parts.get(endpoint.name)
         if schedule is None:
             # At random, as the instances would otherwise all start at once.
--- a/src/kelproad/coordination/ingress/limiting/observing.py
+++ b/src/kelproad/coordination/ingress/limiting/observing.py
@@ -16,9 +16,6 @@
 _logger = logging.getLogger(__name__)
 #: Outcomes whose answer is another endpoint's, or belongs to another call.
 _FOREIGN = frozenset((Outcome.MISDIRECTED, Outcome.MISMATCHED))
-#: Outcomes of calls that the endpoint ran.  Only their answers end a limit by
-#: not stating it: a refusal before the call was read may say less.
-_RUN = frozenset((Outcome.ANSWERED, Outcome.ERROR))
 #: Digits of the seconds in the log.
 _DIGITS = 3
 
@@ -42,9 +39,8 @@
                 endpoint=endpoint.name,
                 stated=head.unreadable_limit,
             )
-        if head.request_limit is None:
-            if head.unreadable_limit or head.outcome not in _RUN:
-                return
+        if head.request_limit is None and not _ends_limit(head):
+            return
         incarnation = endpoint.declaration.incarnation
         notice = LimitNotice(head.request_limit, incarnation, monotonic())
         self.accept(endpoint.name, notice)
@@ -80,7 +76,7 @@
             self._publish(name, None)
         return forgotten
 
-    def describe(self) -> dict[str, object]:
+    def describe(self) -> dict[str, dict[str, object]]:
         """Describe the limits for operators, by endpoint."""
         now = monotonic()
         return {
@@ -95,3 +91,11 @@
     def _publish(self, endpoint: str, rate: float | None) -> None:
         stated = -1 if rate is None else rate
         self.metrics.limits.set({'endpoint': endpoint}, stated)
+
+
+def _ends_limit(head: AnswerHead) -> bool:
+    """Return whether an answer that states no limit ends an earlier one.
+
+    A refusal or an error may say less than an answer.
+    """
+    return head.outcome is Outcome.ANSWERED and not head.unreadable_limit
--- a/src/kelproad/state/requestlimits.py
+++ b/src/kelproad/state/requestlimits.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+import math
 
 import attrs
 
@@ -53,6 +54,11 @@
     observed_at: float
     source: str = ''
 
+    @property
+    def permitted(self) -> float:
+        """Requests per second, infinity without a limit."""
+        return math.inf if self.rate is None else self.rate
+
 
 class RequestLimits:
     """The latest notice of each endpoint that stated a limit."""
@@ -120,8 +126,9 @@
     notice: LimitNotice,
 ) -> LimitChange | None:
     """Compare a notice with the earlier one of the same endpoint."""
-    same_life = known is not None and known.incarnation == notice.incarnation
-    before = known.rate if same_life else None
+    before = None
+    if known is not None and known.incarnation == notice.incarnation:
+        before = known.rate
     if before == notice.rate:
         return None
     if before is None:
--- a/tests/ingress/test_request_limits.py
+++ b/tests/ingress/test_request_limits.py
@@ -6,11 +6,19 @@
 from multidict import CIMultiDict
 
 from kelproad.platform.headers import read_answer_head
+from kelproad.state.calls import AnswerHead, Outcome
+from kelproad.state.declarations import (
+    EndpointDeclaration,
+    EndpointGroup,
+    EndpointKind,
+)
+from kelproad.state.endpoints import Endpoint
 from kelproad.state.requestlimits import (
     LimitChange,
     LimitNotice,
     RequestLimits,
 )
+from tests.ingress.limits import build_observer
 
 NOW = 1000.0
 
@@ -130,3 +138,32 @@
     assert not limits.forget_unlisted(frozenset(), NOW)
     assert limits.forget_unlisted(frozenset(('i',)), NOW + 5) == []
     assert limits.forget_unlisted(frozenset(), NOW + 5) == ['i']
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'ended'),
+    [
+        (Outcome.ANSWERED, True),
+        (Outcome.ERROR, False),
+        (Outcome.NOT_RUN, False),
+        (Outcome.MISDIRECTED, False),
+        (Outcome.MISMATCHED, False),
+    ],
+)
+def test_only_an_answer_without_a_limit_ends_it(
+    outcome: Outcome,
+    ended: bool,
+) -> None:
+    """A refusal, an error or another endpoint's answer may say less."""
+    observer = build_observer()
+    declaration = EndpointDeclaration('i', 'a', '10.0.0.1:80', incarnation='1')
+    group = EndpointGroup('book', EndpointKind.PLAIN, [declaration])
+    endpoint = Endpoint(declaration, group)
+    stating = AnswerHead(Outcome.NOT_RUN, 503, (), request_limit=2)
+    observer.observe_answer(endpoint, stating)
+    assert observer.limits.find('i', '1').rate == 2
+    unreadable = AnswerHead(Outcome.ANSWERED, 200, (), unreadable_limit='x')
+    observer.observe_answer(endpoint, unreadable)
+    assert observer.limits.find('i', '1')
+    observer.observe_answer(endpoint, AnswerHead(outcome, 200, ()))
+    assert (observer.limits.find('i', '1') is None) is ended
