A lowered limit must not block an endpoint; bound the spacing of starts

An engine that goes from 100 requests a second to 1 would have got none for up to 99 s: the schedule kept the evenly spaced time of the next start, which lies ahead by what may be made up for, and rescaled that with the spacing as if it were reserved starts. Found while testing that no rate from a datagram breaks a schedule (infinity made the spacing 0 and the next change a division by zero). The schedule now keeps the time of the next start itself; only reserved starts are rescaled, and they delay later ones by 4 s at the most.

--- a/src/kelproad/state/startschedules.py
+++ b/src/kelproad/state/startschedules.py
@@ -13,9 +13,12 @@
 
 #: Seconds whose unused starts may be made up for at once.
 _BURST_SECONDS = 1.0
-#: Most seconds between two starts, however low the limit: only an answer to a
-#: request shows that a limit has ended.
+#: Least and most seconds between two starts, however high or low the limit:
+#: only an answer to a request shows that a limit has ended.
+_MIN_SPACING = 0.000001
 _MAX_SPACING = 10.0
+#: Most seconds that starts granted by a higher limit delay later ones.
+_MAX_DEBT_SECONDS = 4.0
 #: Seconds over which used starts are counted.
 _USE_SECONDS = 4.0
 
@@ -49,8 +52,9 @@
     def __init__(self, spacing: float, first_at: float) -> None:
         """Reserve the first start at ``first_at`` at the earliest."""
         self._spacing = spacing
-        #: Monotonic time of the next start if all were evenly spaced.
-        self._next_at = first_at + self._burst_seconds
+        #: Monotonic time of the next start; in the past while starts are left
+        #: to be made up for.
+        self._next_at = first_at
         self._starts: collections.deque[float] = collections.deque()
 
     def reserve(
@@ -74,7 +78,8 @@
         wait = self._measure_wait(now)
         if wait > longest_wait:
             return StartGrant(granted=False, wait=0, next_wait=wait)
-        self._next_at = max(self._next_at, now) + spacing
+        earliest = now - max(0, _BURST_SECONDS - spacing)
+        self._next_at = max(self._next_at, earliest) + spacing
         self._starts.append(now + wait)
         self._drop_old(now)
         return StartGrant(
@@ -88,19 +93,19 @@
         return started / _USE_SECONDS
 
     def _measure_wait(self, now: float) -> float:
-        return max(0, self._next_at - self._burst_seconds - now)
-
-    @property
-    def _burst_seconds(self) -> float:
-        """Seconds by which a start may precede its evenly spaced time."""
-        return max(0, _BURST_SECONDS - self._spacing)
+        return max(0, self._next_at - now)
 
     def _adapt(self, spacing: float, now: float) -> None:
-        """Change the spacing, also of the starts that are reserved already."""
-        if spacing != self._spacing:
-            reserved = max(0, self._next_at - now)
-            self._next_at = now + reserved * spacing / self._spacing
-            self._spacing = spacing
+        """Change the spacing, also of the starts that are reserved already.
+
+        Those come as they were granted, and a lower limit waits for some of
+        the time that they would take by it.
+        """
+        ahead = self._next_at - now
+        if ahead > 0 and spacing != self._spacing:
+            adapted = ahead * spacing / self._spacing
+            self._next_at = now + min(adapted, ahead + _MAX_DEBT_SECONDS)
+        self._spacing = spacing
 
     def _drop_old(self, now: float) -> None:
         while self._starts and self._starts[0] < now - _USE_SECONDS:
@@ -109,4 +114,6 @@
 
 def choose_spacing(rate: float) -> float:
     """Return the seconds between two starts at a rate per second."""
-    return min(_MAX_SPACING, 1 / rate) if rate > 0 else _MAX_SPACING
+    if not rate > 0:
+        return _MAX_SPACING
+    return max(_MIN_SPACING, min(_MAX_SPACING, 1 / rate))
--- a/tests/ingress/test_limit_sharing.py
+++ b/tests/ingress/test_limit_sharing.py
@@ -1,6 +1,7 @@
 """Request limits hold for all instances together, whatever each one knows."""
 
 import collections
+import math
 import random
 
 import pytest
@@ -83,6 +84,15 @@
     assert schedule.reserve(choose_spacing(10), 0.2, NOW + 0.01).granted
 
 
+def test_a_lowered_limit_does_not_block() -> None:
+    """What a high limit had to make up for delayed a low one for minutes."""
+    schedule = StartSchedule(choose_spacing(100), NOW)
+    assert schedule.reserve(choose_spacing(100), 0, NOW).granted
+    grant = schedule.reserve(choose_spacing(1), 0, NOW + 0.001)
+    assert not grant.granted
+    assert grant.next_wait <= 1
+
+
 def test_an_endpoint_that_accepts_nothing_is_probed() -> None:
     """Only an answer to a request shows that a limit of 0 has ended."""
     schedule = StartSchedule(choose_spacing(0), NOW)
@@ -94,6 +104,17 @@
     assert starts == [0, 10, 20, 30, 40, 50]
 
 
+@pytest.mark.parametrize(
+    'rate', [math.inf, math.nan, -1, 1e300, 1e-300, 999999999999999]
+)
+def test_no_rate_breaks_a_schedule(rate: float) -> None:
+    """Anybody may send a datagram with a rate that no endpoint states."""
+    schedule = StartSchedule(choose_spacing(rate), NOW)
+    for spacing in (choose_spacing(rate), choose_spacing(2)):
+        assert 0 < spacing <= 10
+        assert schedule.reserve(spacing, 10, NOW).granted
+
+
 @pytest.mark.parametrize('rate', [1, 3])
 @pytest.mark.parametrize(
     'zones',
