--- a/bench/slopes_gossip.py
+++ b/bench/slopes_gossip.py
@@ -7,7 +7,8 @@
 import time
 import tracemalloc
 
-from kelproad.coordination.gossip import PERIOD, Gossiper, Location
+from kelproad.coordination.gossip import PERIOD, Gossiper
+from kelproad.coordination.gossippeers import Location
 from kelproad.state.members import EndpointReport, Member, MemberTable
 
 from .slopes_usage import Row
@@ -46,7 +47,7 @@
         for received in range(1, size):
             table.merge(_create_member(received, number + 2, generator), now)
         started = time.process_time()
-        for address in gossiper.choose_targets(now, {}):
+        for address in gossiper.peers.choose(now, {}):
             gossiper.pack(address, local_member, now, _RECORD_BUDGET)
         seconds += time.process_time() - started
     cpu_percent = 100 * seconds / (_ROUNDS * PERIOD)
--- a/src/kelproad/coordination/membership.py
+++ b/src/kelproad/coordination/membership.py
@@ -1,8 +1,9 @@
 """Membership: the live instances, their load and their configuration.
 
 In every round an instance sends its own record, and received records that the
-peer lacks, to a few peers; ``gossip.py`` selects the peers and the records.
-The platform's list of instances lags and only provides addresses to try.
+peer lacks, to a few peers; ``gossippeers.py`` selects the peers, ``gossip.py``
+the records.  The platform's list of instances lags and only provides addresses
+to try.
 """
 
 import asyncio
@@ -35,7 +36,8 @@
 from ..transport.peers import PeerLink, PeerListener
 from ..transport.services import BackgroundService
 from .configuration import ConfigurationFollower, list_changes
-from .gossip import PERIOD, Gossiper, Location
+from .gossip import PERIOD, Gossiper
+from .gossippeers import Location
 from .leaving import list_advertised_leaving, mark_leaving
 from .limits import WorkspaceLimits
 
@@ -163,10 +165,10 @@
         """Send the current records to the peers of this round."""
         now = self._clock()
         self._account_for_pause(now)
-        if self._gossiper.needs_version(now):
+        if self._gossiper.peers.needs_version(now):
             self._local_record = self._next_version()
         listed = self._list_addresses(now)
-        self._send_records(self._gossiper.choose_targets(now, listed))
+        self._send_records(self._gossiper.peers.choose(now, listed))
 
     @Service.task
     async def _announce_periodically(self) -> None:
