--- a/src/kelproad/coordination/membership.py
+++ b/src/kelproad/coordination/membership.py
@@ -7,11 +7,9 @@
 """
 
 import asyncio
-import collections
 import random
 from collections.abc import Callable
 
-import attrs
 from mode import Service
 from returns.result import Failure
 
@@ -29,7 +27,6 @@
 from ..state.counters import Counters
 from ..state.endpoints import EndpointTable
 from ..state.identity import Identity
-from ..state.lengths import LengthClass
 from ..state.members import Member, MemberTable
 from ..transport.addresses import Address
 from ..transport.deadlines import monotonic
@@ -38,8 +35,10 @@
 from .configuration import ConfigurationFollower, list_changes
 from .gossip import PERIOD, Gossiper
 from .gossippeers import Location
-from .leaving import list_advertised_leaving, mark_leaving
+from .leaving import mark_leaving
 from .limits import WorkspaceLimits
+from .localrecord import LocalRecord
+from .peerwork import PeerWork
 
 __all__ = ['Membership']
 
@@ -52,12 +51,8 @@
 _PAUSE_THRESHOLD = 1.5
 #: Seconds that a stopping instance waits for its departure message to be sent.
 _DEPARTURE_WAIT = 0.1
-#: Steps per second to which the ages of reports are rounded.
-_AGE_STEPS = 32
 #: Minimum seconds between two replies to the suspicions of one peer.
 _REPLY_INTERVAL = 0.2
-#: Seconds for which a watcher keeps advertising its last report of an engine.
-_REPORT_RETENTION = 3.0
 
 
 class Membership(BackgroundService):
@@ -100,14 +95,16 @@
             members,
             generator,
         )
-        self._local_record = self._build_record()
         self._last_round_at: float | None = None
-        self._loaded_endpoints: set[str] = set()
+        self._peer_work = PeerWork(table)
         self._replied_at: dict[str, float] = {}
         self._listed_zones: dict[str, str] = {}
         self._links: dict[str, PeerLink] = {}
         self.draining = False
         self.limits = WorkspaceLimits(members, table, counters)
+        self._local_record = LocalRecord(
+            settings, identity, members, table, holder, follower, self.limits
+        )
         follower.ask_peer = self.send
         self._listener = self.add_dependency(
             PeerListener(
@@ -158,7 +155,7 @@
         Without it peers would count this instance as live until its heartbeat
         times out, and the engines it watched would go unreported for as long.
         """
-        self._local_record = attrs.evolve(self._next_version(), left=True)
+        self._local_record.advance(self._clock(), self.draining, left=True)
         self._send_records(list(self._list_addresses(self._clock())))
 
     def announce(self) -> None:
@@ -166,7 +163,7 @@
         now = self._clock()
         self._account_for_pause(now)
         if self._gossiper.peers.needs_version(now):
-            self._local_record = self._next_version()
+            self._local_record.advance(now, self.draining)
         listed = self._list_addresses(now)
         self._send_records(self._gossiper.peers.choose(now, listed))
 
@@ -199,57 +196,13 @@
         )
         mark_leaving(self._table, self._members, self._clock())
 
-    def _build_record(self) -> Member:
-        return Member(
-            name=self._identity.instance,
-            zone=self._identity.zone,
-            peer_address=self._settings.reachable_peer_address,
-            incarnation=self._identity.incarnation,
-            region=self._settings.region,
-        )
-
-    def _next_version(self) -> Member:
-        now = self._clock()
-        version = self._local_record.version + 1
-        return attrs.evolve(
-            self._local_record,
-            version=version,
-            revision=self._holder.current.revision,
-            draining=self.draining,
-            configuration_age=self._follower.finite_age,
-            configuration_fault=self._follower.fault,
-            pending_files=list(self._holder.current.pending),
-            withheld=sorted(self._table.withheld_locally),
-            dispatched={
-                name: endpoint.own_tokens
-                for name, endpoint in self._table.all().items()
-                if endpoint.own_tokens
-            },
-            reports=[
-                attrs.evolve(
-                    endpoint.report,
-                    age=_round_age(now - endpoint.reported_at),
-                )
-                for endpoint in self._table.all().values()
-                if endpoint.read_locally
-                and now - endpoint.reported_at <= _REPORT_RETENTION
-            ],
-            demand=self.limits.describe_demand(),
-            dispatched_by_class={
-                name: endpoint.local_by_class.copy()
-                for name, endpoint in self._table.all().items()
-                if endpoint.own_tokens
-            },
-            leaving=list_advertised_leaving(self._members, now),
-        )
-
     def _send_records(self, addresses: list[str]) -> None:
         now = self._clock()
         budget = self._gossiper.refill(now) / max(1, len(addresses))
         for address in addresses:
             packed = self._gossiper.pack(
                 address,
-                self._local_record,
+                self._local_record.current,
                 now,
                 budget,
             )
@@ -300,7 +253,7 @@
             if self._members.merge(member, now):
                 self._accept_reports(member, now)
                 self._follower.observe_member(member)
-        self._sum_dispatched()
+        self._peer_work.sum(self._members.live(self._clock()))
         mark_leaving(self._table, self._members, now)
 
     def _reply_about_self(self, received: Member, sender: Member) -> None:
@@ -314,11 +267,8 @@
         replayed suspicions cannot make this instance send endlessly.
         """
         now = self._clock()
-        if received.order > self._local_record.order:
-            self._local_record = attrs.evolve(
-                self._local_record,
-                epoch=received.epoch + 1,
-            )
+        if received.order > self._local_record.current.order:
+            self._local_record.raise_epoch(received)
             self.log.info(
                 'received a record of this instance newer than its own; '
                 'epoch raised',
@@ -326,7 +276,7 @@
         elif now - self._replied_at.get(sender.name, 0) < _REPLY_INTERVAL:
             return
         self._replied_at[sender.name] = now
-        self._local_record = self._next_version()
+        self._local_record.advance(now, self.draining)
         self._send_records([sender.peer_address])
 
     def _accept_reports(self, member: Member, now: float) -> None:
@@ -335,20 +285,6 @@
             if endpoint is not None:
                 endpoint.accept_report(report, now - report.age - member.held)
 
-    def _sum_dispatched(self) -> None:
-        live = self._members.live(self._clock())
-        self._table.instances = len(live) + 1
-        totals: collections.Counter[str] = collections.Counter()
-        for member in live:
-            totals.update(member.dispatched)
-        # Visit only endpoints with work: there are thousands without.
-        for name in self._loaded_endpoints | totals.keys():
-            endpoint = self._table.get(name)
-            if endpoint is not None:
-                endpoint.peer_tokens = totals[name]
-                endpoint.peer_by_class = _sum_classes(name, live)
-        self._loaded_endpoints = set(totals)
-
     def _send_changes(self, wanted: ChangesWanted) -> None:
         changes = list_changes(
             self._holder.current,
@@ -357,18 +293,3 @@
         )
         if changes is not None:
             self.send(wanted.reply_to, changes)
-
-
-def _sum_classes(endpoint: str, live: list[Member]) -> list[int]:
-    """Sum the members' prompt tokens in flight at an endpoint, by class."""
-    by_class = [
-        member.dispatched_by_class[endpoint]
-        for member in live
-        if endpoint in member.dispatched_by_class
-    ]
-    return [sum(counts[rank] for counts in by_class) for rank in LengthClass]
-
-
-def _round_age(seconds: float) -> float:
-    """Round an age to few binary digits, which compress well."""
-    return round(seconds * _AGE_STEPS) / _AGE_STEPS
