Let a call that was sent before wait longer for a start

A stream that had to be resumed while all engines are limited broke off after a tenth of the time that it had left (0.3 s of 3), though its caller waits 2 s and more for the next event; a refusal of a call that has run can't promise anything. Found by reading. test_a_call_that_was_sent_before_waits_longer fails before (0.3 for 1).

--- a/src/kelproad/coordination/ingress/limiting/waits.py
+++ b/src/kelproad/coordination/ingress/limiting/waits.py
@@ -12,6 +12,8 @@
 #: Share of the time left that a call waits once it will be late in any case:
 #: with a longer queue, every answer would be late.
 _LATE_WAIT_SHARE = 0.1
+#: Share of the caller's silence timeout that a call sent before waits.
+_RESENT_WAIT_SHARE = 0.5
 #: Share of the time left for which callers wait before they return.
 _RETURN_SHARE = 1 / 3
 #: Least seconds until a return, and least seconds over which returns spread.
@@ -22,13 +24,17 @@
 def choose_longest_wait(call: Call, now: float) -> float:
     """Choose the most seconds that a call waits for a start.
 
-    It is what its objective leaves, as long as there is time for the answer.
+    It is what its objective leaves, as long as there is time for the answer.  A
+    call that was sent before waits longer: refused, its stream would break off,
+    or work that has run be lost.
     """
     left = max(0, call.remaining(now))
     objective_left = call.arrived + call.route.objective - now
-    return min(
-        left * _MAX_WAIT_SHARE, max(objective_left, left * _LATE_WAIT_SHARE)
-    )
+    longest = max(objective_left, left * _LATE_WAIT_SHARE)
+    if call.attempts:
+        resent_wait = call.route.silence_timeout * _RESENT_WAIT_SHARE
+        longest = max(longest, resent_wait)
+    return min(left * _MAX_WAIT_SHARE, longest)
 
 
 def choose_return(
--- a/tests/ingress/test_limited_placement.py
+++ b/tests/ingress/test_limited_placement.py
@@ -132,6 +132,16 @@
     assert choose_longest_wait(call, call.deadline + 1) == 0
 
 
+def test_a_call_that_was_sent_before_waits_longer() -> None:
+    """Its stream broke off after a tenth of the time that it had left."""
+    call = build_call(CallKind.RESUMABLE_STREAM)
+    call.route = attrs.evolve(call.route, silence_timeout=2)
+    call.attempts = 1
+    late = call.arrived + 2
+    assert choose_longest_wait(call, late) == 1
+    assert choose_longest_wait(call, call.deadline - 1) == pytest.approx(1 / 2)
+
+
 def test_returns_of_refused_callers_are_spread() -> None:
     """Callers that are told the same time come back as a herd."""
     call = build_call()
