Log once each field in endpoints' answers that this system does not know

The class of the incident: a field on the wire that is meant for us goes on to callers, and nobody hears of it. Names only, once since the start, 100 at the most. test_an_unknown_field_is_logged_once.

--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -7,8 +7,9 @@
 import aiohttp
 import attrs
 
+from ...state.calls import AnswerHead
 from ...state.counters import Counters
-from ...state.endpoints import EndpointTable
+from ...state.endpoints import Endpoint, EndpointTable
 from ...state.observations import EngineObservations
 from ...state.work import WorkLedger
 from ...transport.deadlines import monotonic
@@ -18,6 +19,7 @@
 from .admission.entrance import CallHandler
 from .admission.stopping import StopGuard
 from .limiting.gate import StartGate
+from .limiting.observing import LimitObserver
 from .membership.exchange import WorkExchange
 from .membership.queries import PeerQueries
 from .membership.reachability import ZoneReachability
@@ -31,6 +33,7 @@
 from .settings import Bounds
 from .streams.attempts import EndpointClient
 from .streams.sending import Sender
+from .streams.unknownfields import UnknownFields
 from .tables.holder import ConfigurationHolder
 
 __all__ = ['CallPipeline', 'SharedState']
@@ -115,7 +118,11 @@
             _create_dispatcher(
                 shared,
                 exchange,
-                EndpointClient(session, shared.dialect, shared.gate.observer),
+                EndpointClient(
+                    session,
+                    shared.dialect,
+                    _build_answer_observer(shared.gate.observer),
+                ),
                 memory,
                 speed_monitor,
                 stop_guard,
@@ -125,6 +132,19 @@
         return cls(handler, memory)
 
 
+def _build_answer_observer(
+    limit_observer: LimitObserver,
+) -> Callable[[Endpoint, AnswerHead], None]:
+    """Build the function that gets the head of each endpoint's answer."""
+    unknown_fields = UnknownFields()
+
+    def observe(endpoint: Endpoint, head: AnswerHead) -> None:
+        limit_observer.observe_answer(endpoint, head)
+        unknown_fields.record(endpoint, head)
+
+    return observe
+
+
 def _create_dispatcher(
     shared: SharedState,
     exchange: WorkExchange,
--- a/src/kelproad/coordination/ingress/streams/attempts.py
+++ b/src/kelproad/coordination/ingress/streams/attempts.py
@@ -27,7 +27,6 @@
 from ....transport.deadlines import monotonic, within
 from ....transport.http import ConnectionLostError, create_end_check
 from ..admission.dialect import Dialect
-from ..limiting.observing import LimitObserver
 
 __all__ = [
     'AttemptFailure',
@@ -157,7 +156,7 @@
 
     _session: aiohttp.ClientSession
     _dialect: Dialect
-    _limit_observer: LimitObserver
+    _observe_answer: Callable[[Endpoint, AnswerHead], None]
 
     async def open(
         self,
@@ -191,7 +190,7 @@
         except (aiohttp.ClientError, OSError) as error:
             return Failure(_fail(progress, repr(error), blameless=False))
         head = self._dialect.read_answer_head(response, call.request_id)
-        self._limit_observer.observe_answer(endpoint, head)
+        self._observe_answer(endpoint, head)
         answer = OpenAnswer(head, response, create_end_check(response))
         return await self._classify(answer, deadline)
 
--- a/src/kelproad/platform/headers.py
+++ b/src/kelproad/platform/headers.py
@@ -59,6 +59,35 @@
     )
 )
 _NO_FIELDS: frozenset[str] = frozenset()
+#: Fields of answers that this system reads, or that only callers need.
+_KNOWN_ANSWER_FIELDS = frozenset(
+    name.lower()
+    for name in (
+        _REQUEST_ID,
+        _NOT_EXECUTED,
+        _STAMP,
+        _AT_FAULT,
+        _RETRY_AFTER,
+        _REQUEST_LIMIT,
+        'X-Kelproad-Instance-Id',
+        'X-Kelproad-Weight-Versions',
+        'Cache-Control',
+        'Connection',
+        'Content-Encoding',
+        'Content-Language',
+        'Content-Length',
+        'Content-Type',
+        'Date',
+        'ETag',
+        'Expires',
+        'Keep-Alive',
+        'Last-Modified',
+        'Location',
+        'Server',
+        'Transfer-Encoding',
+        'Vary',
+    )
+)
 _NUMBER = re.compile('[0-9]{1,15}')
 _DECIMAL = re.compile(r'[0-9]{1,15}(\.[0-9]{0,15})?|\.[0-9]{1,15}')
 _MISDIRECTED = 421
@@ -135,6 +164,8 @@
         # Of several limits the lowest one satisfies all.
         request_limit=min(limits, default=None),
         unreadable_limit=', '.join(unreadable),
+        unknown_fields=frozenset(map(str.lower, headers))
+        - _KNOWN_ANSWER_FIELDS,
     )
 
 
--- a/src/kelproad/state/calls.py
+++ b/src/kelproad/state/calls.py
@@ -163,6 +163,8 @@
         together, ``None`` when it states no limit.
     unreadable_limit
         Stated limits that are no numbers; empty for none.
+    unknown_fields
+        Names of fields, in lower case, that no decision can use.
     """
 
     outcome: Outcome
@@ -172,3 +174,4 @@
     length: int | None = None
     request_limit: float | None = None
     unreadable_limit: str = ''
+    unknown_fields: frozenset[str] = frozenset()
--- a/tests/ingress/test_attempts.py
+++ b/tests/ingress/test_attempts.py
@@ -11,7 +11,6 @@
 from returns.result import Failure, Result
 
 from kelproad.coordination.ingress.admission.dialect import Dialect
-from kelproad.coordination.ingress.limiting.observing import LimitObserver
 from kelproad.coordination.ingress.membership.reachability import (
     ZoneReachability,
 )
@@ -35,7 +34,7 @@
 )
 from kelproad.protocol.connections import build_connection_trace
 from kelproad.state.calls import Call, CallHead, Forwarding
-from kelproad.state.counters import Counters, LimitMetrics
+from kelproad.state.counters import Counters
 from kelproad.state.declarations import (
     EndpointDeclaration,
     EndpointGroup,
@@ -44,7 +43,6 @@
 from kelproad.state.endpoints import Endpoint, EndpointTable
 from kelproad.state.observations import EngineObservations
 from kelproad.state.refusals import Ran
-from kelproad.state.requestlimits import RequestLimits
 from kelproad.state.routes import CallKind, Route, WeightedService
 from kelproad.transport.deadlines import monotonic
 from kelproad.transport.http import create_single_use_session
@@ -105,10 +103,7 @@
     async with create_single_use_session(
         trace_configs=[build_connection_trace()],
     ) as session:
-        observer = LimitObserver(
-            RequestLimits(), EndpointTable(), LimitMetrics(Counters().registry)
-        )
-        yield EndpointClient(session, dialect, observer)
+        yield EndpointClient(session, dialect, lambda endpoint, head: None)
 
 
 @pytest.fixture
--- a/tests/ingress/test_request_limits.py
+++ b/tests/ingress/test_request_limits.py
@@ -5,6 +5,7 @@
 import pytest
 from multidict import CIMultiDict
 
+from kelproad.coordination.ingress.streams.unknownfields import UnknownFields
 from kelproad.platform.headers import read_answer_head
 from kelproad.state.calls import AnswerHead, Outcome
 from kelproad.state.declarations import (
@@ -73,6 +74,13 @@
     assert unreadable
 
 
+def build_endpoint() -> Endpoint:
+    """Build a plain endpoint."""
+    declaration = EndpointDeclaration('i', 'a', '10.0.0.1:80', incarnation='1')
+    group = EndpointGroup('book', EndpointKind.PLAIN, [declaration])
+    return Endpoint(declaration, group)
+
+
 def notice(rate: float | None, age: float = 0, **more: str) -> LimitNotice:
     """Build a notice that was observed ``age`` seconds ago."""
     return LimitNotice(rate, more.pop('incarnation', '1'), NOW - age, **more)
@@ -156,9 +164,7 @@
 ) -> None:
     """A refusal, an error or another endpoint's answer may say less."""
     observer = build_observer()
-    declaration = EndpointDeclaration('i', 'a', '10.0.0.1:80', incarnation='1')
-    group = EndpointGroup('book', EndpointKind.PLAIN, [declaration])
-    endpoint = Endpoint(declaration, group)
+    endpoint = build_endpoint()
     stating = AnswerHead(Outcome.NOT_RUN, 503, (), request_limit=2)
     observer.observe_answer(endpoint, stating)
     assert observer.limits.find('i', '1').rate == 2
@@ -167,3 +173,34 @@
     assert observer.limits.find('i', '1')
     observer.observe_answer(endpoint, AnswerHead(outcome, 200, ()))
     assert (observer.limits.find('i', '1') is None) is ended
+
+
+def test_an_unknown_field_is_logged_once(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """A limit was handed on to callers for weeks, and nobody knew."""
+    caplog.set_level('INFO')
+    response = types.SimpleNamespace(
+        status=200,
+        headers=CIMultiDict(
+            {'Content-Type': 'a', 'Server-Limit': '1', 'X-New': 'b'}
+        ),
+        content_length=0,
+    )
+    head = read_answer_head(response, 'r')
+    assert head.unknown_fields == {'x-new'}
+    fields = UnknownFields()
+    endpoint = build_endpoint()
+    fields.record(endpoint, head)
+    fields.record(endpoint, head)
+    many = AnswerHead(
+        Outcome.ANSWERED,
+        200,
+        (),
+        unknown_fields=frozenset(f'x-{number}' for number in range(1000)),
+    )
+    fields.record(endpoint, many)
+    fields.record(endpoint, many)
+    logged = [line.event_fields['field'] for line in caplog.records]
+    assert logged[0] == 'x-new'
+    assert len(logged) == 100
