End a call without a start at its deadline

Where others take each start of the limited endpoints, a call was placed and denied again every 10 ms without an end: the check of the time left stood only where no endpoint was found. Found by reading; its caller would have left at the deadline, and the task gone with the connection, but an idle proxy before us would have kept it. test_a_call_without_a_start_ends_with_its_deadline hangs before, passes after.

--- a/src/kelproad/coordination/ingress/retrying/dispatching.py
+++ b/src/kelproad/coordination/ingress/retrying/dispatching.py
@@ -133,38 +133,44 @@
         while delivery.begun or self._stop_guard.may_begin_answer(call):
             try:
                 placement = await self._chooser.choose(call, progress)
+                await self._await_start(call, placement, delivery)
             except NoPlacementError as error:
                 late = call.remaining(monotonic()) < ANSWER_MARGIN
                 if late or not error.worth_waiting:
                     return Failure(_refuse_unplaced(error))
             else:
-                if await self._may_start(call, placement, delivery):
-                    return Success(placement)
+                return Success(placement)
             await asyncio.sleep(_PLACEMENT_PERIOD)
         return Failure(refuse_stopping())
 
-    async def _may_start(
+    async def _await_start(
         self,
         call: Call,
         placement: Placement,
         delivery: StreamDelivery,
-    ) -> bool:
+    ) -> None:
         """Wait until the limits of the chosen endpoints permit the call.
 
-        Returns
-        -------
-        bool
-            Whether the call may be sent there; while it waited, an endpoint
-            may have become unusable, or a stop have begun.
+        Raises
+        ------
+        NoPlacementError
+            When they don't in time, or when meanwhile an endpoint has become
+            unusable or a stop has begun.
         """
-        longest_wait = choose_longest_wait(call, monotonic())
         started_at = monotonic()
+        longest_wait = choose_longest_wait(call, started_at)
         if not await self._gate.admit(placement.endpoints, longest_wait):
-            return False
+            raise NoPlacementError(
+                'the request limit of an endpoint is reached',
+                worth_waiting=True,
+            )
         if monotonic() - started_at < _PLACEMENT_PERIOD:
-            return True
+            return
         may_begin = delivery.begun or self._stop_guard.may_begin_answer(call)
-        return may_begin and self._chooser.is_usable(placement)
+        if not (may_begin and self._chooser.is_usable(placement)):
+            raise NoPlacementError(
+                'an endpoint was lost before the start', worth_waiting=True
+            )
 
     async def _attempt(
         self,
--- a/tests/ingress/test_limited_placement.py
+++ b/tests/ingress/test_limited_placement.py
@@ -1,5 +1,6 @@
 """Placement beside request limits, and when refused callers return."""
 
+import asyncio
 import random
 import types
 
@@ -18,6 +19,7 @@
     NoPlacementError,
     Placement,
 )
+from kelproad.coordination.ingress.retrying.dispatching import Dispatcher
 from kelproad.coordination.ingress.streams.progress import Progress
 from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
 from kelproad.state.declarations import (
@@ -27,6 +29,7 @@
 )
 from kelproad.state.endpoints import Endpoint, EndpointTable
 from kelproad.state.observations import EngineObservations
+from kelproad.state.refusals import Ran
 from kelproad.state.routes import CallKind
 from kelproad.state.work import WorkLedger
 from tests.ingress.test_attempts import build_call
@@ -123,6 +126,33 @@
     assert raised.value.retry_after > 0
 
 
+async def test_a_call_without_a_start_ends_with_its_deadline() -> None:
+    """Others took each start, and it was tried again without an end."""
+
+    async def choose(*_call: object) -> Placement:
+        return types.SimpleNamespace(endpoints=())
+
+    async def admit(*_endpoints: object) -> bool:
+        return False
+
+    dispatcher = Dispatcher(
+        types.SimpleNamespace(choose=choose),
+        None,
+        None,
+        None,
+        None,
+        types.SimpleNamespace(may_begin_answer=lambda _call: True),
+        types.SimpleNamespace(admit=admit),
+        None,
+    )
+    call = build_call()
+    call.deadline = call.arrived + 1 / 5
+    delivery = types.SimpleNamespace(begun=False)
+    async with asyncio.timeout(2):
+        placed = await dispatcher._place(call, Progress(), delivery)
+    assert placed.failure().ran is Ran.NO
+
+
 def test_a_call_waits_within_its_objective_or_a_little() -> None:
     """A queue as long as the deadline would make every answer late."""
     call = build_call()
