Send to an ejected endpoint after a wait if it was chosen so

Where no healthy endpoint is left, an ejected one is chosen; after a wait for its limit the check that it is still usable refused it for its ejection, the call was placed there again, and each turn took a start. Found by reading; the check is for endpoints that leave or are gone. test_only_a_lost_endpoint_is_unusable_after_a_wait fails before.

--- a/src/kelproad/coordination/ingress/placing/choosing.py
+++ b/src/kelproad/coordination/ingress/placing/choosing.py
@@ -140,7 +140,6 @@
         return all(
             self._table.get(endpoint.name) is endpoint
             and is_eligible(endpoint, now)
-            and endpoint.ejected_until <= now
             for endpoint in placement.endpoints
         )
 
--- a/tests/ingress/test_limited_placement.py
+++ b/tests/ingress/test_limited_placement.py
@@ -1,6 +1,7 @@
 """Placement beside request limits, and when refused callers return."""
 
 import asyncio
+import math
 import random
 import types
 
@@ -126,6 +127,20 @@
     assert raised.value.retry_after > 0
 
 
+async def test_only_a_lost_endpoint_is_unusable_after_a_wait() -> None:
+    """An ejected one, chosen as no other was left, was never sent to."""
+    site = Site()
+    placement = await site.place()
+    endpoint = placement.primary
+    endpoint.ejected_until = math.inf
+    assert site.chooser.is_usable(placement)
+    endpoint.listed_leaving = True
+    assert not site.chooser.is_usable(placement)
+    endpoint.listed_leaving = False
+    site.table.replace_groups([])
+    assert not site.chooser.is_usable(placement)
+
+
 async def test_a_call_without_a_start_ends_with_its_deadline() -> None:
     """Others took each start, and it was tried again without an end."""
 
