An own answer without a limit refutes a peer's older notice

Traced: edge-3 knew limits of engine-1 and engine-3 for 12 s that had ended (it was told by a report of edge-2 before a restart of the others); edge-1 and edge-2, started since, got answers without a limit, but kept nothing of them, so edge-3's query revived the limit at its coordinator (request_limit_begun at 3091.129, age 12.1, 0.3 s after that instance's own answer of the engine).

Own answers without a limit are kept now, so an older notice is refused and the reply tells the asker that the limit has ended. And where a prompt can not be placed without engines that their limits exclude, the refusal says so, with a time of its own, in place of one for all. test_an_own_answer_without_a_limit_refutes_an_older_report, test_a_limit_that_ended_unseen_ends_with_a_query and test_a_prompt_that_needs_limited_engines_is_told_when fail before.

--- a/src/kelproad/coordination/ingress/placing/choosing.py
+++ b/src/kelproad/coordination/ingress/placing/choosing.py
@@ -15,7 +15,12 @@
 from ..membership.spillover import ZoneSpillover
 from ..streams.progress import Progress
 from ..tables.holder import ConfigurationHolder
-from .eligibility import exclude_limited, is_eligible, is_healthy
+from .eligibility import (
+    exclude_limited,
+    is_eligible,
+    is_healthy,
+    refuse_for_limits,
+)
 from .placement import CallRequirements, Candidate, NoPlacementError, Placement
 from .selection import choose_engines, choose_plain
 
@@ -114,7 +119,34 @@
             )
             for endpoint in self._sample(left)
         ]
-        candidates = exclude_limited(candidates, call, now, self._generator)
+        permitted = exclude_limited(candidates, call, now, self._generator)
+        try:
+            return self._score(permitted, call, now)
+        except NoPlacementError as error:
+            if error.worth_waiting or len(permitted) == len(candidates):
+                raise
+        # With those that were excluded it could be placed.
+        delayed = [
+            candidate for candidate in candidates if candidate.start_wait
+        ]
+        raise refuse_for_limits(delayed, call, now, self._generator)
+
+    def is_usable(self, placement: Placement) -> bool:
+        """Return whether the chosen endpoints may still get a call."""
+        now = monotonic()
+        return all(
+            self._table.get(endpoint.name) is endpoint
+            and is_eligible(endpoint, now)
+            for endpoint in placement.endpoints
+        )
+
+    def _score(
+        self,
+        candidates: list[Candidate],
+        call: Call,
+        now: float,
+    ) -> Placement:
+        """Choose the best of the candidates."""
         profile = self._holder.current.find_profile(call.service)
         if profile is None:
             work_seconds = call.route.objective * _PLAIN_WORK_SHARE
@@ -134,15 +166,6 @@
         )
         return attrs.evolve(placement, gap_tolerant=gap_tolerant)
 
-    def is_usable(self, placement: Placement) -> bool:
-        """Return whether the chosen endpoints may still get a call."""
-        now = monotonic()
-        return all(
-            self._table.get(endpoint.name) is endpoint
-            and is_eligible(endpoint, now)
-            for endpoint in placement.endpoints
-        )
-
     def _choose_local(self, call: Call, progress: Progress) -> Placement | None:
         """Choose among the healthy engines of the local zone, if one can."""
         local_endpoints = self._table.in_zone(call.service, self._zone)
--- a/src/kelproad/coordination/ingress/placing/eligibility.py
+++ b/src/kelproad/coordination/ingress/placing/eligibility.py
@@ -7,7 +7,12 @@
 from ..limiting.waits import choose_longest_wait, choose_return
 from .placement import Candidate, NoPlacementError
 
-__all__ = ['exclude_limited', 'is_eligible', 'is_healthy']
+__all__ = [
+    'exclude_limited',
+    'is_eligible',
+    'is_healthy',
+    'refuse_for_limits',
+]
 
 
 def is_eligible(endpoint: Endpoint, now: float) -> bool:
@@ -44,10 +49,20 @@
         candidate for candidate in candidates if candidate.start_wait <= longest
     ]
     if candidates and not permitted:
-        next_wait = min(candidate.start_wait for candidate in candidates)
-        raise NoPlacementError(
-            'all endpoints have reached their request limits',
-            worth_waiting=False,
-            retry_after=choose_return(call, next_wait, now, generator),
-        )
+        raise refuse_for_limits(candidates, call, now, generator)
     return permitted
+
+
+def refuse_for_limits(
+    delayed: list[Candidate],
+    call: Call,
+    now: float,
+    generator: random.Random,
+) -> NoPlacementError:
+    """Build the refusal of a call that needs endpoints with limits."""
+    next_wait = min(candidate.start_wait for candidate in delayed)
+    return NoPlacementError(
+        'all endpoints have reached their request limits',
+        worth_waiting=False,
+        retry_after=choose_return(call, next_wait, now, generator),
+    )
--- a/src/kelproad/state/requestlimits.py
+++ b/src/kelproad/state/requestlimits.py
@@ -66,23 +66,29 @@
     def __init__(self) -> None:
         """Start without limits."""
         self._notices: dict[str, LimitNotice] = {}
+        #: Latest own answers of endpoints that never stated a limit here: a
+        #: peer may know of one that has ended meanwhile.
+        self._unlimited: dict[str, LimitNotice] = {}
 
     def accept(self, endpoint: str, notice: LimitNotice) -> LimitChange | None:
         """Replace an older notice; return what that changed, if anything."""
-        known = self._notices.get(endpoint)
-        if known is None and notice.rate is None:
-            return None
+        known = self.get(endpoint)
         margin = _TRANSIT_SECONDS if notice.source else 0
         if known is not None and (
             notice.observed_at <= known.observed_at + margin
         ):
             return None
+        if notice.rate is None and endpoint not in self._notices:
+            if not notice.source:
+                self._unlimited[endpoint] = notice
+            return None
+        self._unlimited.pop(endpoint, None)
         self._notices[endpoint] = notice
         return _compare(known, notice)
 
     def get(self, endpoint: str) -> LimitNotice | None:
         """Return the latest notice of an endpoint, in any incarnation."""
-        return self._notices.get(endpoint)
+        return self._notices.get(endpoint) or self._unlimited.get(endpoint)
 
     def find(self, endpoint: str, incarnation: str) -> LimitNotice | None:
         """Return the limit of an endpoint in its current incarnation."""
@@ -111,6 +117,8 @@
 
     def forget_unlisted(self, listed: frozenset[str], now: float) -> list[str]:
         """Forget endpoints that are no longer listed; return their names."""
+        for name in self._unlimited.keys() - listed:
+            self._unlimited.pop(name)
         forgotten = [
             name
             for name in self._notices.keys() - listed
--- a/tests/ingress/test_limit_sharing.py
+++ b/tests/ingress/test_limit_sharing.py
@@ -266,3 +266,21 @@
     )
     assert instance.gate.find_rate(endpoint) is None
     assert instance.gate.predict_wait(endpoint, fleet.now) is None
+
+
+async def test_a_limit_that_ended_unseen_ends_with_a_query(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """One instance knew a limit for 12 s that the others had never heard of."""
+    fleet = Fleet(monkeypatch, {'a': 4})
+    late, *others = fleet.instances.values()
+    late.learn('a', 1)
+    fleet.now += 12
+    for instance in others:
+        instance.learn('a', None)
+    fleet.now += 0.3
+    assert await late.start('a')
+    coordinator = late.selector.select('engine-a', 'a', fleet.now).host
+    knows = bool(late.observer.limits.list_limited())
+    assert knows is (not coordinator)
+    assert not any(one.observer.limits.list_limited() for one in others)
--- a/tests/ingress/test_limited_placement.py
+++ b/tests/ingress/test_limited_placement.py
@@ -127,6 +127,16 @@
     assert raised.value.retry_after > 0
 
 
+async def test_a_prompt_that_needs_limited_engines_is_told_when() -> None:
+    """It was called larger than the engines, and told the same time as all."""
+    site = Site()
+    site.waits = {'i-1': 30, 'i-2': 30}
+    with pytest.raises(NoPlacementError) as raised:
+        await site.place(HUGE_PROMPT)
+    assert 'limits' in raised.value.reason
+    assert raised.value.retry_after > 0
+
+
 async def test_only_a_lost_endpoint_is_unusable_after_a_wait() -> None:
     """An ejected one, chosen as no other was left, was never sent to."""
     site = Site()
--- a/tests/ingress/test_request_limits.py
+++ b/tests/ingress/test_request_limits.py
@@ -116,6 +116,18 @@
     assert limits.accept('i', notice(2, age=0.96, source='peer')) is None
 
 
+def test_an_own_answer_without_a_limit_refutes_an_older_report() -> None:
+    """A peer that had not been there for long revived a limit everywhere."""
+    limits = RequestLimits()
+    limits.accept('i', notice(None, age=1))
+    assert limits.accept('i', notice(2, age=12, source='peer')) is None
+    assert limits.find('i', '1') is None
+    assert limits.get('i').rate is None
+    assert not limits.list_reported(NOW)
+    assert limits.accept('i', notice(2, age=0.5, source='peer'))
+    assert limits.find('i', '1').rate == 2
+
+
 def test_a_limit_ends_with_its_incarnation() -> None:
     """An endpoint that was started again holds nothing of before."""
     limits = RequestLimits()
