--- a/tests/ingress/test_soak.py
+++ b/tests/ingress/test_soak.py
@@ -7,19 +7,20 @@
 from testbed.routed import start_routed_site
 from testbed.soak.routed import soak
 
-#: Duration of a run with all kinds of failures, in seconds.
-SECONDS = 6.0
-#: Seeds of these runs; seeds that failed stay, with their causes.
-SEEDS = (1,)
+#: Seeds of runs with all kinds of failures, and their durations in seconds.
+#: Seeds that failed stay: 101 for a prompt that needed limited engines, 320 for
+#: a limit that had ended and was revived.
+RUNS = ((1, 6.0), (101, 15.0), (320, 15.0))
 #: Duration of a run with planned stops only, in seconds.
 STOP_SECONDS = 12.0
 #: Seeds of runs in which planned stops are the only failures.
 STOP_SEEDS = (1,)
 
 
-@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize(('seed', 'seconds'), RUNS)
 async def test_promises_hold_under_failures(
     seed: int,
+    seconds: float,
     tmp_path: pathlib.Path,
 ) -> None:
     """Instances, endpoints, links and the store fail in turn and at once.
@@ -28,7 +29,7 @@
     failures are over, every call is answered and no claim is left.
     """
     with start_routed_site(tmp_path, 0) as site:
-        assert not await soak(site, SECONDS, seed)
+        assert not await soak(site, seconds, seed)
 
 
 @pytest.mark.parametrize('seed', STOP_SEEDS)
