Log when an instance connects to no endpoint, and whether peers have calls there

The logs of the incident could not tell an instance that reaches no engine from engines that are down, nor whether a neighbour reached them. Now one line begins an outage (endpoints_unconnected: endpoints that failed since the last connection, its age, calls of peers at the last one), one ends it, and /dump shows the outcome by address. No decision uses it yet.

--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -9,6 +9,7 @@
 
 from ...state.calls import AnswerHead
 from ...state.counters import Counters
+from ...state.directpaths import DirectPaths
 from ...state.endpoints import Endpoint, EndpointTable
 from ...state.observations import EngineObservations
 from ...state.work import WorkLedger
@@ -65,6 +66,7 @@
     ledger: WorkLedger
     reachability: ZoneReachability
     observations: EngineObservations
+    paths: DirectPaths
     drain: Drain
     counters: Counters
     generator: random.Random
@@ -188,6 +190,8 @@
             shared.reachability,
             shared.observations,
             shared.counters,
+            shared.paths,
+            lambda endpoint: shared.ledger.count_peer_calls(endpoint.name),
         ),
         retries,
         shared.ledger,
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -10,6 +10,7 @@
 
 from ...protocol.connections import build_connection_trace
 from ...state.counters import Counters
+from ...state.directpaths import DirectPaths
 from ...state.endpoints import EndpointTable
 from ...state.observations import EngineObservations
 from ...state.records import record
@@ -74,6 +75,7 @@
         self._ledger = WorkLedger()
         self._reachability = ZoneReachability()
         self._observations = EngineObservations()
+        self._paths = DirectPaths()
         self._sessions: list[aiohttp.ClientSession] = []
         self._drain = Drain(
             lambda: self._pipeline.handler.unfinished,
@@ -178,6 +180,7 @@
             self._ledger,
             self._reachability,
             self._observations,
+            self._paths,
             self._drain,
             self._counters,
             self._generator,
@@ -288,5 +291,6 @@
             'unfinished': self._pipeline.handler.unfinished,
             'own_work': describe_work(self._ledger),
             'endpoints': describe_endpoints(self._table, now),
+            'direct_paths': self._paths.describe(now),
             'request_limits': self._peering.gate.describe(),
         }
--- a/src/kelproad/coordination/ingress/retrying/verdicts.py
+++ b/src/kelproad/coordination/ingress/retrying/verdicts.py
@@ -1,11 +1,14 @@
 """Evaluation of attempts: endpoint failures, and permission to retry."""
 
 import logging
+import math
+from collections.abc import Callable
 
 import attrs
 
 from ....state.calls import Call
 from ....state.counters import Counters
+from ....state.directpaths import DirectPaths
 from ....state.endpoints import Endpoint, EndpointTable
 from ....state.observations import EngineObservations
 from ....state.records import record
@@ -32,15 +35,24 @@
 _MISDIRECTED_SECONDS = 5.0
 
 
+def _count_none(_endpoint: Endpoint) -> int:
+    return 0
+
+
 @attrs.frozen
 class AttemptEvaluator:
-    """Evaluates attempts that have ended."""
+    """Evaluates attempts that have ended.
+
+    ``_count_peer_calls`` counts the calls that peers have at an endpoint.
+    """
 
     _table: EndpointTable
     _retry_budgets: RetryBudgets
     _reachability: ZoneReachability
     _observations: EngineObservations
     _counters: Counters
+    _paths: DirectPaths = attrs.field(factory=DirectPaths)
+    _count_peer_calls: Callable[[Endpoint], int] = _count_none
 
     def note(
         self,
@@ -58,6 +70,7 @@
             },
         )
         zone = endpoint.declaration.zone
+        self._record_connection(endpoint, failure, now)
         if failure is None or failure.arrived:
             self._reachability.record_answer(zone, now)
         if failure is None:
@@ -94,6 +107,28 @@
         self._counters.retries.inc({'outcome': 'permitted'})
         return None
 
+    def _record_connection(
+        self,
+        endpoint: Endpoint,
+        failure: AttemptFailure | None,
+        now: float,
+    ) -> None:
+        """Record whether a connection was made; log outages of all of them."""
+        address = endpoint.declaration.address
+        unconnected_for = now - self._paths.connected_at
+        if failure is None or failure.arrived:
+            if self._paths.record_connected(address, now):
+                record(_logger, 'endpoints_connected', endpoint=endpoint.name)
+        elif not failure.blameless:
+            if self._paths.record_failed(address, now):
+                record(
+                    _logger,
+                    'endpoints_unconnected',
+                    failing=len(self._paths.failed),
+                    connected_age=_round_age(unconnected_for),
+                    peer_calls=self._count_peer_calls(endpoint),
+                )
+
     def _record_fault(
         self,
         placement: Placement,
@@ -146,5 +181,9 @@
     return placement.primary
 
 
+def _round_age(seconds: float) -> float | None:
+    return round(seconds, 3) if math.isfinite(seconds) else None
+
+
 def _refuse(code: RefusalCode, message: str) -> Refusal:
     return Refusal(code, message, Step.ROUTE)
--- a/src/kelproad/state/work.py
+++ b/src/kelproad/state/work.py
@@ -153,6 +153,11 @@
                 total.add(work)
         return total
 
+    def count_peer_calls(self, endpoint: str) -> int:
+        """Count the calls that peers report at an endpoint."""
+        work = self._peer_sums.get(endpoint)
+        return work.calls if work else 0
+
     def sum_excluding(
         self,
         instances: Iterable[str],
