--- a/testbed/soak/links.py
+++ b/testbed/soak/links.py
@@ -2,11 +2,36 @@
 
 import asyncio
 import contextlib
+import ctypes
 import enum
+import ipaddress
+import socket
+import struct
 
-__all__ = ['LinkFault', 'Link']
+__all__ = ['Cut', 'LinkFault', 'Link']
 
 _CHUNK = 65_536
+#: Socket options of Linux that set and remove a packet filter.
+_SO_ATTACH_FILTER = 26
+_SO_DETACH_FILTER = 27
+#: Instructions of a packet filter: load a word, compare it, return.
+_LOAD = 0x20
+_JUMP_IF_EQUAL = 0x15
+_RETURN = 0x6
+#: Offset of the source address in the IP header, marked as such an offset.
+_SOURCE_OFFSET = 0xFFF0000C
+_ACCEPT_ALL = 0xFFFFFFFF
+
+
+class Cut(enum.StrEnum):
+    """How a link is cut for some of the hosts that connect to it."""
+
+    #: Packets are lost: connections hang, open ones fall silent.
+    HANG = 'hang'
+    #: Open connections and new ones are reset.
+    RESET = 'reset'
+    #: Open connections go on, new ones hang.
+    NEW_HANG = 'new-hang'
 
 
 class LinkFault(enum.StrEnum):
@@ -33,7 +58,11 @@
         self._target = target
         self._fault = LinkFault.NONE
         self._delay = float(0)
+        self._cut: Cut | None = None
+        self._cut_hosts: frozenset[str] = frozenset()
         self._writers: set[asyncio.StreamWriter] = set()
+        #: Writers to the hosts that connected, by writer.
+        self._sources: dict[asyncio.StreamWriter, str] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
 
@@ -57,15 +86,42 @@
         if harm is LinkFault.RESET:
             self._abort_connections()
 
+    def cut_from(self, hosts: frozenset[str], cut: Cut) -> None:
+        """Cut the link for connections from some hosts."""
+        self._cut = cut
+        self._cut_hosts = hosts
+        if cut is not Cut.RESET:
+            _drop_from(self._server.sockets[0], hosts)
+        for writer, source in self._sources.items():
+            if source in hosts and cut is Cut.RESET:
+                _reset(writer)
+            elif source in hosts and cut is Cut.HANG:
+                _drop_from(writer.get_extra_info('socket'), hosts)
+
     def heal(self) -> None:
         """End the fault; connections that lost bytes stay silent."""
         self.harm(LinkFault.NONE)
+        self._cut = None
+        self._cut_hosts = frozenset()
+        for accepted in (self._server.sockets[0], *self._list_accepted()):
+            _accept_from_all(accepted)
+
+    def _list_accepted(self) -> list[socket.socket]:
+        return [
+            writer.get_extra_info('socket')
+            for writer in self._sources
+            if not writer.is_closing()
+        ]
 
     async def _handle_connection(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        source, _ = writer.get_extra_info('peername')
+        if self._cut is Cut.RESET and source in self._cut_hosts:
+            _reset(writer)
+            return
         if self._fault is LinkFault.RESET:
             writer.transport.abort()
             return
@@ -78,12 +134,13 @@
             writer.transport.abort()
             return
         self._writers |= {writer, target_writer}
+        self._sources[writer] = source
         tasks = (
             asyncio.create_task(
-                self._forward(reader, target_writer, is_request=True)
+                self._forward(reader, target_writer, source, is_request=True)
             ),
             asyncio.create_task(
-                self._forward(target_reader, writer, is_request=False)
+                self._forward(target_reader, writer, source, is_request=False)
             ),
         )
         self._tasks.update(tasks)
@@ -92,11 +149,13 @@
             await asyncio.wait(tasks)
         self._tasks.difference_update(tasks)
         self._writers -= {writer, target_writer}
+        self._sources.pop(writer, None)
 
     async def _forward(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        source: str,
         is_request: bool,
     ) -> None:
         """Forward bytes in one direction until the end of the stream."""
@@ -104,7 +163,7 @@
         try:
             while chunk := await reader.read(_CHUNK):
                 # A connection that has lost bytes can't be resumed.
-                is_dropping = is_dropping or self._drops(is_request)
+                is_dropping = is_dropping or self._drops(source, is_request)
                 if is_dropping:
                     continue
                 if self._fault is LinkFault.DELAYED:
@@ -116,7 +175,9 @@
         finally:
             writer.close()
 
-    def _drops(self, is_request: bool) -> bool:
+    def _drops(self, source: str, is_request: bool) -> bool:
+        if self._cut is Cut.HANG and source in self._cut_hosts:
+            return True
         if self._fault is LinkFault.SILENT:
             return True
         return self._fault is LinkFault.ONE_WAY and not is_request
@@ -124,3 +185,39 @@
     def _abort_connections(self) -> None:
         for writer in self._writers:
             writer.transport.abort()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection so that its other end gets a reset."""
+    linger = struct.pack('ii', 1, 0)
+    accepted = writer.get_extra_info('socket')
+    accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+def _drop_from(receiver: socket.socket, hosts: frozenset[str]) -> None:
+    """Let the kernel drop the packets of some hosts to a socket.
+
+    A connection from them then hangs, as it does to a machine without power; a
+    proxy can only accept it or have it refused for everybody.
+    """
+    load = (_LOAD, 0, 0, _SOURCE_OFFSET)
+    comparisons = [
+        (_JUMP_IF_EQUAL, len(hosts) - index, 0, int(ipaddress.ip_address(host)))
+        for index, host in enumerate(sorted(hosts))
+    ]
+    returns = ((_RETURN, 0, 0, _ACCEPT_ALL), (_RETURN, 0, 0, 0))
+    instructions = (load, *comparisons, *returns)
+    encoded = b''.join(struct.pack('HBBI', *item) for item in instructions)
+    program = ctypes.create_string_buffer(encoded)
+    receiver.setsockopt(
+        socket.SOL_SOCKET,
+        _SO_ATTACH_FILTER,
+        struct.pack('HL', len(instructions), ctypes.addressof(program)),
+    )
+
+
+def _accept_from_all(receiver: socket.socket) -> None:
+    """Remove the packet filter of a socket, if it has one."""
+    with contextlib.suppress(FileNotFoundError):
+        receiver.setsockopt(socket.SOL_SOCKET, _SO_DETACH_FILTER, 0)
