Connect to endpoints through peers where this instance can't by itself

Cause: an instance's own connection was its only way to an endpoint, and its failure was taken for the endpoint's.

Ruled out: readiness (zones with under half of their instances ready get calls all the same, kept connections stay), and faster search among the endpoints (none is in reach).

Change: a direct connection and tunnels through peers are tried side by side, the direct one 50 ms ahead or at the same time where it is in doubt; the first that is made is used, and only then is the call sent. A peer forwards bytes and nothing else, to listed endpoints, for listed instances, one step. The instance that took the call keeps placement, deadline, retries, limits and accounts. Failures that the path explains are not held against endpoints. Connections that are made and bring no answer count as mute when that happens at several endpoints; one repeatable call in 0.5 s probes them.

--- a/src/kelproad/coordination/ingress/admission/entrance.py
+++ b/src/kelproad/coordination/ingress/admission/entrance.py
@@ -132,6 +132,7 @@
             service=call.service,
             outcome=call.end.value,
             attempts=call.attempts,
+            via=call.via,
             elapsed=round(now - call.arrived, 4),
         )
 
--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -36,6 +36,7 @@
 from .streams.sending import Sender
 from .streams.unknownfields import UnknownFields
 from .tables.holder import ConfigurationHolder
+from .tunnels.peerchoice import TunnelPeers
 
 __all__ = ['CallPipeline', 'SharedState']
 
@@ -67,6 +68,7 @@
     reachability: ZoneReachability
     observations: EngineObservations
     paths: DirectPaths
+    tunnel_peers: TunnelPeers
     drain: Drain
     counters: Counters
     generator: random.Random
@@ -191,7 +193,7 @@
             shared.observations,
             shared.counters,
             shared.paths,
-            lambda endpoint: shared.ledger.count_peer_calls(endpoint.name),
+            shared.tunnel_peers.record_failure,
         ),
         retries,
         shared.ledger,
--- a/src/kelproad/coordination/ingress/membership/exchange.py
+++ b/src/kelproad/coordination/ingress/membership/exchange.py
@@ -23,6 +23,7 @@
 from mode import Service
 from returns.result import Failure
 
+from ....state.directpaths import DirectPaths
 from ....state.observations import EngineObservations
 from ....state.records import record
 from ....state.work import WorkLedger
@@ -102,12 +103,14 @@
         measure_age: Callable[[], float],
         read_provenance: Callable[[], Provenance | None],
         find_zone: Callable[[str], str],
+        paths: DirectPaths,
     ) -> None:
         """Report a ledger's local work; record the reports of peers.
 
         ``measure_age`` returns how many seconds ago the configuration here was
         confirmed, ``read_provenance`` the source of the tables, ``find_zone``
-        the zone in which an endpoint is located.
+        the zone in which an endpoint is located; ``paths`` knows which
+        endpoints this instance can't connect to.
         """
         super().__init__()
         self._settings = settings
@@ -119,6 +122,7 @@
         self._measure_age = measure_age
         self._read_provenance = read_provenance
         self._find_zone = find_zone
+        self._paths = paths
         self._socket = DatagramSocket(self.receive)
         self.peers = PeerRegister(settings, reachability)
         self._sequence = 0
@@ -180,7 +184,11 @@
         while not self.should_stop:
             # Before the changes are read, so that none after that is missed.
             self._changed.clear()
-            changes = (self._ledger.changes, self._read_provenance())
+            changes = (
+                self._ledger.changes,
+                self._read_provenance(),
+                self._paths.count_lost(monotonic()),
+            )
             all_sent = self._send_due_reports(changes, monotonic())
             await asyncio.sleep(SEND_PERIOD)
             if all_sent:
@@ -270,6 +278,7 @@
             self._read_provenance(),
             reader,
             pack_limits(self._limit_observer.limits.list_reported(now), now),
+            self._paths.count_lost(now),
         )
 
     def _find_zone_reader(self, now: float) -> ZoneReader | None:
--- a/src/kelproad/coordination/ingress/membership/peering.py
+++ b/src/kelproad/coordination/ingress/membership/peering.py
@@ -11,6 +11,7 @@
 from mode import Service
 
 from ....state.counters import Counters, LimitMetrics
+from ....state.directpaths import DirectPaths
 from ....state.endpoints import EndpointTable
 from ....state.observations import EngineObservations
 from ....state.requestlimits import RequestLimits
@@ -56,6 +57,8 @@
         Queries to other instances, and replies to theirs.
     limit_observer
         Request limits that endpoints stated, to this instance or to others.
+    paths
+        Direct connections to endpoints, as they succeed and fail.
     gate
         Gate before endpoints that limit their requests.
     """
@@ -84,6 +87,7 @@
         self.limit_observer = LimitObserver(
             RequestLimits(), LimitMetrics(counters.registry), table
         )
+        self.paths = DirectPaths()
         self._session = session
         self._counters = counters
         self.queries = PeerQueries(settings, self._answer)
@@ -112,6 +116,7 @@
             self.tables.configuration.measure_age,
             lambda: self.tables.provenance,
             table.find_zone,
+            self.paths,
         )
         selector = CoordinatorSelector(
             self.exchange.describe_self, self.exchange.peers
--- a/src/kelproad/coordination/ingress/membership/peers.py
+++ b/src/kelproad/coordination/ingress/membership/peers.py
@@ -3,7 +3,7 @@
 import collections
 import logging
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import attrs
 
@@ -37,6 +37,7 @@
     ``order`` is that of the last datagram accepted, as datagrams may overtake
     each other; ``confirmed_at`` is when its configuration was last confirmed.
     ``zone`` is empty until the instance, or its row in the store, states it.
+    ``lost_paths`` is the number of endpoints that it can't connect to.
     """
 
     address: Address
@@ -45,6 +46,7 @@
     order: tuple[int, int] = (0, 0)
     confirmed_at: float = float('-inf')
     provenance: Provenance | None = None
+    lost_paths: int = 0
 
     def is_live(self, now: float) -> bool:
         """Return whether a datagram from it was received lately."""
@@ -118,6 +120,7 @@
             peer.zone = update.zone
             self._by_zone = None
         peer.provenance = update.provenance
+        peer.lost_paths = update.lost_paths
         if update.unconfirmed_for is not None:
             peer.confirmed_at = now - update.unconfirmed_for
         if update.zone_reader is not None:
@@ -183,6 +186,12 @@
             if peer.zone == self._settings.zone and peer.is_live(now)
         ]
 
+    def iterate_live(self, now: float) -> Iterator[tuple[str, Peer]]:
+        """Iterate over the live peers and their names."""
+        for name, peer in self._peers.items():
+            if peer.is_live(now):
+                yield name, peer
+
     def list_in_zone(self, zone: str) -> list[str]:
         """List the names of the instances of a zone."""
         return [name for name, peer in self._peers.items() if peer.zone == zone]
--- a/src/kelproad/coordination/ingress/membership/rostering.py
+++ b/src/kelproad/coordination/ingress/membership/rostering.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+import math
 import random
 import time
 from collections.abc import Awaitable, Callable
@@ -32,6 +33,8 @@
 _READ_PERIODS = (8.0, 12.0)
 _SMALL_SITE = 8
 _RETRY_PERIOD = 0.5
+#: Seconds between two reads for the sake of unknown IP numbers.
+_CONFIRM_PERIOD = 1.0
 
 
 class _Row(msgspec.Struct):
@@ -68,6 +71,23 @@
         self._store = store
         self._exchange = exchange
         self._generator = generator
+        #: IP numbers of the instances that have rows.
+        self._hosts: frozenset[str] = frozenset()
+        self._confirmed_at = -math.inf
+
+    async def is_instance(self, host: str) -> bool:
+        """Return whether an IP number is that of an instance with a row.
+
+        The rows are read again for an unknown one, which may have just started.
+        """
+        now = monotonic()
+        if (
+            host not in self._hosts
+            and now - self._confirmed_at > _CONFIRM_PERIOD
+        ):
+            self._confirmed_at = now
+            await self._read()
+        return host in self._hosts
 
     @Service.task
     async def _maintain(self) -> None:
@@ -105,14 +125,15 @@
             )
             return False
         rows = found.unwrap().rows
-        for row in rows:
-            self._add(row)
+        added = [self._add(row) for row in rows]
+        self._hosts = frozenset(host for host in added if host)
         self._exchange.peers.drop_unlisted(
             {row.key for row in rows}, monotonic()
         )
         return True
 
-    def _add(self, row: StoredRow) -> None:
+    def _add(self, row: StoredRow) -> str:
+        """Add the instance of a row; return its IP number if it is readable."""
         try:
             decoded = msgspec.json.decode(row.encoded or b'', type=_Row)
         except msgspec.DecodeError as error:
@@ -122,5 +143,6 @@
                 instance=row.key,
                 reason=str(error),
             )
-            return
+            return ''
         self._exchange.peers.add(row.key, decoded.host, decoded.zone)
+        return decoded.host
--- a/src/kelproad/coordination/ingress/membership/updates.py
+++ b/src/kelproad/coordination/ingress/membership/updates.py
@@ -69,7 +69,8 @@
     ``provenance`` is the source of the sender's tables, ``None`` when they are
     too old to be relayed.  ``zone_reader`` is the instance that serves tables
     to the sender's zone.  ``limits`` are the request limits that endpoints
-    stated to the sender.
+    stated to the sender.  ``lost_paths`` is the number of endpoints that the
+    sender can't connect to, although peers can.
     """
 
     instance: str
@@ -85,6 +86,7 @@
     provenance: Provenance | None = None
     zone_reader: ZoneReader | None = None
     limits: list[ReportedLimit] = []
+    lost_paths: int = 0
 
 
 encode_update = msgspec.msgpack.Encoder().encode
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -10,11 +10,11 @@
 
 from ...protocol.connections import build_connection_trace
 from ...state.counters import Counters
-from ...state.directpaths import DirectPaths
 from ...state.endpoints import EndpointTable
 from ...state.observations import EngineObservations
 from ...state.records import record
 from ...state.work import WorkLedger
+from ...transport.addresses import Address
 from ...transport.deadlines import monotonic
 from ...transport.http import create_session, create_single_use_session
 from ...transport.services import BackgroundService
@@ -31,6 +31,9 @@
 from .settings import Bounds
 from .tables.holder import ConfigurationHolder
 from .tables.store import OpenStore
+from .tunnels.connecting import EndpointConnector
+from .tunnels.peerchoice import TunnelPeers
+from .tunnels.serving import TunnelServer
 
 __all__ = ['Node']
 
@@ -75,10 +78,9 @@
         self._ledger = WorkLedger()
         self._reachability = ZoneReachability()
         self._observations = EngineObservations()
-        self._paths = DirectPaths()
         self._sessions: list[aiohttp.ClientSession] = []
         self._drain = Drain(
-            lambda: self._pipeline.handler.unfinished,
+            self._count_unfinished,
             lambda: plan_stop(self._read_bounds().stop_grace),
         )
 
@@ -99,16 +101,29 @@
         )
         self._tables = self._peering.tables
         self._exchange = self._peering.exchange
+        self._paths = self._peering.paths
+        self._tunnel_peers = TunnelPeers(
+            self._settings, self._exchange.peers, self._generator
+        )
+        self._connector = EndpointConnector(
+            self._settings.ip,
+            self._paths,
+            self._tunnel_peers,
+            self._ledger.count_peer_calls,
+            self._counters,
+        )
         roster = Roster(
             self._settings,
             store.roster,
             self._exchange,
             self._generator,
         )
+        self._tunnels = self._create_tunnel_server(roster)
         self._pipeline = self._create_pipeline()
         for service in (
             *self._peering.list_services(),
             roster,
+            self._tunnels,
             SettingsWatch(self._settings_holder),
         ):
             await self.add_runtime_dependency(service)
@@ -138,6 +153,7 @@
         """
         self.reload()
         self._drain.start()
+        self._tunnels.leaving = True
 
     async def run_until_drained(self) -> int:
         """Serve until a planned stop has been requested and is done.
@@ -170,6 +186,17 @@
 
     # Composition
 
+    def _create_tunnel_server(self, roster: Roster) -> TunnelServer:
+        return TunnelServer(
+            Address(self._settings.ip, self._settings.tunnel_port),
+            roster.is_instance,
+            self._table.serves_at,
+            self._connector.connect_directly,
+            lambda outcome: self._counters.tunnels.inc(
+                {'side': 'opened', 'outcome': outcome}
+            ),
+        )
+
     def _create_pipeline(self) -> CallPipeline:
         shared = SharedState(
             self._settings.instance,
@@ -181,6 +208,7 @@
             self._reachability,
             self._observations,
             self._paths,
+            self._tunnel_peers,
             self._drain,
             self._counters,
             self._generator,
@@ -218,7 +246,7 @@
 
     def _open_session(self) -> aiohttp.ClientSession:
         session = create_single_use_session(
-            self._settings.caller_address,
+            open_socket=self._connector.connect,
             trace_configs=[build_connection_trace()],
         )
         self._sessions.append(session)
@@ -229,6 +257,10 @@
         self._sessions.append(session)
         return session
 
+    def _count_unfinished(self) -> int:
+        """Count the calls here, and those of peers that use tunnels."""
+        return self._pipeline.handler.unfinished + self._tunnels.unfinished
+
     def _read_bounds(self) -> Bounds:
         return self._settings_holder.current.bounds
 
@@ -291,6 +323,7 @@
             'unfinished': self._pipeline.handler.unfinished,
             'own_work': describe_work(self._ledger),
             'endpoints': describe_endpoints(self._table, now),
+            'tunnels': self._tunnels.unfinished,
             'direct_paths': self._paths.describe(now),
             'request_limits': self._peering.gate.describe(),
         }
--- a/src/kelproad/coordination/ingress/retrying/verdicts.py
+++ b/src/kelproad/coordination/ingress/retrying/verdicts.py
@@ -1,7 +1,6 @@
 """Evaluation of attempts: endpoint failures, and permission to retry."""
 
 import logging
-import math
 from collections.abc import Callable
 
 import attrs
@@ -35,15 +34,12 @@
 _MISDIRECTED_SECONDS = 5.0
 
 
-def _count_none(_endpoint: Endpoint) -> int:
-    return 0
-
-
 @attrs.frozen
 class AttemptEvaluator:
     """Evaluates attempts that have ended.
 
-    ``_count_peer_calls`` counts the calls that peers have at an endpoint.
+    ``_record_peer_failure`` gets the name of an instance through which a call
+    was sent and brought no answer.
     """
 
     _table: EndpointTable
@@ -51,8 +47,8 @@
     _reachability: ZoneReachability
     _observations: EngineObservations
     _counters: Counters
-    _paths: DirectPaths = attrs.field(factory=DirectPaths)
-    _count_peer_calls: Callable[[Endpoint], int] = _count_none
+    _paths: DirectPaths
+    _record_peer_failure: Callable[[str, float], None]
 
     def note(
         self,
@@ -70,17 +66,18 @@
             },
         )
         zone = endpoint.declaration.zone
-        self._record_connection(endpoint, failure, now)
         if failure is None or failure.arrived:
             self._reachability.record_answer(zone, now)
+        self._record_path(call, endpoint, failure, now)
         if failure is None:
             record_outcome(self._table, endpoint, None, now, self._counters)
             return
         self._log_failure(call, endpoint, failure, now)
-        if not (failure.arrived or failure.blameless):
+        if failure.blameless or self._is_explained(call, endpoint, failure):
+            return
+        if not failure.arrived:
             self._reachability.record_connect_failure(zone, now)
-        if not failure.blameless:
-            self._record_fault(placement, failure, now)
+        self._record_fault(placement, failure, now)
 
     def check_retry(
         self,
@@ -107,27 +104,39 @@
         self._counters.retries.inc({'outcome': 'permitted'})
         return None
 
-    def _record_connection(
+    def _record_path(
         self,
+        call: Call,
         endpoint: Endpoint,
         failure: AttemptFailure | None,
         now: float,
     ) -> None:
-        """Record whether a connection was made; log outages of all of them."""
+        """Record whether a connection that was made brought an answer."""
+        answered = failure is None or failure.answered
+        if not answered and (failure.blameless or not failure.arrived):
+            return
+        if call.via and not answered:
+            self._record_peer_failure(call.via, now)
+        elif not call.via and answered:
+            self._paths.record_answered()
+        elif not call.via:
+            self._paths.record_unanswered(endpoint.declaration.address, now)
+            call.avoids_direct = True
+
+    def _is_explained(
+        self, call: Call, endpoint: Endpoint, failure: AttemptFailure
+    ) -> bool:
+        """Return whether the path, not the endpoint, explains a failure.
+
+        Endpoints must not be ejected because an instance is cut off from them,
+        or because the instance that helps it stops.
+        """
+        if failure.answered:
+            return False
+        now = monotonic()
         address = endpoint.declaration.address
-        unconnected_for = now - self._paths.connected_at
-        if failure is None or failure.arrived:
-            if self._paths.record_connected(address, now):
-                record(_logger, 'endpoints_connected', endpoint=endpoint.name)
-        elif not failure.blameless:
-            if self._paths.record_failed(address, now):
-                record(
-                    _logger,
-                    'endpoints_unconnected',
-                    failing=len(self._paths.failed),
-                    connected_age=_round_age(unconnected_for),
-                    peer_calls=self._count_peer_calls(endpoint),
-                )
+        in_doubt = self._paths.is_doubtful(address, now)
+        return bool(call.via) or in_doubt or self._paths.is_mute(now)
 
     def _record_fault(
         self,
@@ -165,6 +174,7 @@
             reason=failure.reason,
             ran=failure.ran.value,
             arrived=failure.arrived,
+            via=call.via,
             blameless=failure.blameless,
             fault=failure.fault,
             elapsed=round(now - call.arrived, 4),
@@ -181,9 +191,5 @@
     return placement.primary
 
 
-def _round_age(seconds: float) -> float | None:
-    return round(seconds, 3) if math.isfinite(seconds) else None
-
-
 def _refuse(code: RefusalCode, message: str) -> Refusal:
     return Refusal(code, message, Step.ROUTE)
--- a/src/kelproad/coordination/ingress/settings.py
+++ b/src/kelproad/coordination/ingress/settings.py
@@ -71,3 +71,8 @@
     def query_port(self) -> int:
         """UDP port at which instances receive each other's queries."""
         return self.peer_port + 1
+
+    @property
+    def tunnel_port(self) -> int:
+        """TCP port at which instances ask each other for tunnels."""
+        return self.peer_port + 1
--- a/src/kelproad/coordination/ingress/streams/attempts.py
+++ b/src/kelproad/coordination/ingress/streams/attempts.py
@@ -76,6 +76,12 @@
     misdirected: bool = False
     answer: 'CompleteAnswer | None' = None
 
+    @property
+    def answered(self) -> bool:
+        """Whether the endpoint sent an answer, if only a refusal."""
+        refused = self.arrived and self.ran is Ran.NO
+        return refused or self.answer is not None
+
 
 @attrs.frozen
 class CompleteAnswer:
@@ -172,7 +178,10 @@
         A silence until the deadline is attributed to the endpoint if it lasted
         ``fault_threshold`` seconds or longer.
         """
-        progress = ConnectionProgress()
+        progress = ConnectionProgress(
+            may_probe=call.kind.repeatable, avoids_direct=call.avoids_direct
+        )
+        call.via = ''
         sent_at = monotonic()
         try:
             async with within(deadline):
@@ -189,6 +198,8 @@
             return Failure(_fail(progress, 'no answer in time', blameless))
         except (aiohttp.ClientError, OSError) as error:
             return Failure(_fail(progress, repr(error), blameless=False))
+        finally:
+            call.via = progress.via
         head = self._dialect.read_answer_head(response, call.request_id)
         self._observe_answer(endpoint, head)
         answer = OpenAnswer(head, response, create_end_check(response))
--- /dev/null
+++ b/src/kelproad/coordination/ingress/tunnels/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to endpoints, through another instance where needed."""
--- /dev/null
+++ b/src/kelproad/coordination/ingress/tunnels/connecting.py
@@ -0,0 +1,229 @@
+"""Connections to endpoints: direct ones, or tunnels where those fail.
+
+A direct connection and tunnels through peers are tried side by side, and the
+first that is made is used; the call is sent only then, so it is sent once.  The
+direct one begins first.  Its outcome is recorded even where a tunnel is used,
+which shows at once when direct connections work again.
+"""
+
+import asyncio
+import collections
+import logging
+import math
+import socket
+from collections.abc import Callable
+
+import attrs
+
+from ....protocol.connections import ConnectionProgress, current_progress
+from ....state.counters import Counters
+from ....state.directpaths import DirectPaths, PathChange
+from ....state.records import record
+from ....transport.addresses import Address
+from ....transport.deadlines import monotonic
+from ....transport.sockets import connect_socket
+from .opening import TunnelError, open_tunnel
+from .peerchoice import TunnelPeer, TunnelPeers
+
+__all__ = ['EndpointConnector']
+
+_logger = logging.getLogger(__name__)
+#: Seconds for a direct connection: an engine without power never answers.
+_DIRECT_TIMEOUT = 0.15
+#: Seconds after which a tunnel is tried beside what has not succeeded yet; most
+#: connections are made within a fraction of that.
+_TUNNEL_DELAY = 0.05
+#: Peers at which a tunnel is tried for one connection.
+_MAX_PEERS = 2
+
+_SocketTask = asyncio.Task[socket.socket]
+
+
+@attrs.define
+class _Race:
+    """Connections to one endpoint that are tried side by side.
+
+    Attributes
+    ----------
+    tasks
+        The peer of each, ``None`` for the direct one.
+    used
+        The one that is used, once one has been made.
+    """
+
+    tasks: dict[_SocketTask, TunnelPeer | None] = attrs.field(factory=dict)
+    used: _SocketTask | None = None
+
+    def select_made(self, done: set[_SocketTask]) -> _SocketTask | None:
+        """Select one that was made, the direct one first."""
+        made = [task for task in done if task.exception() is None]
+        made.sort(key=lambda task: self.tasks[task] is not None)
+        return made[0] if made else None
+
+
+class EndpointConnector:
+    """Opens connections to endpoints for this instance."""
+
+    def __init__(
+        self,
+        origin: str,
+        paths: DirectPaths,
+        peers: TunnelPeers,
+        count_peer_calls: Callable[[], int],
+        counters: Counters,
+    ) -> None:
+        """Connect from the IP number ``origin``.
+
+        ``count_peer_calls`` counts the calls that peers report to have at
+        endpoints, which tells an instance that is cut off from endpoints that
+        are down.
+        """
+        self._origin = origin
+        self._paths = paths
+        self._peers = peers
+        self._count_peer_calls = count_peer_calls
+        self._counters = counters
+        #: Direct connections that are still tried after a tunnel was used.
+        self._background: set[_SocketTask] = set()
+
+    async def connect(self, endpoint: Address) -> socket.socket:
+        """Connect to an endpoint, directly or by a tunnel.
+
+        Raises
+        ------
+        OSError
+            When neither is possible.
+        """
+        race = _Race()
+        try:
+            return (await self._await_first(endpoint, race)).result()
+        finally:
+            self._discard_others(race)
+
+    async def connect_directly(self, endpoint: Address) -> socket.socket:
+        """Connect to an endpoint for a peer, directly.
+
+        Raises
+        ------
+        OSError
+            When that is not possible.
+        """
+        address = endpoint.authority
+        now = monotonic()
+        if self._paths.is_lost(address, now) or self._paths.is_mute(now):
+            raise ConnectionError(f'only peers connect to {address}')
+        return await self._try_direct(endpoint)
+
+    async def _await_first(self, endpoint: Address, race: _Race) -> _SocketTask:
+        """Wait for the first connection that is made.
+
+        Another one is tried whenever nothing has succeeded for some time, and
+        when all that was tried has failed.
+        """
+        now = monotonic()
+        entrants = collections.deque(self._plan(now))
+        waiting: set[_SocketTask] = set()
+        doubtful = self._paths.is_doubtful(endpoint.authority, now)
+        delay: float | None = 0 if doubtful else _TUNNEL_DELAY
+        while entrants or waiting:
+            if entrants:
+                waiting.add(self._start(race, entrants.popleft(), endpoint))
+            else:
+                delay = None
+            done, waiting = await asyncio.wait(
+                waiting, timeout=delay, return_when=asyncio.FIRST_COMPLETED
+            )
+            delay = _TUNNEL_DELAY
+            race.used = race.select_made(done)
+            if race.used is not None:
+                self._record_use(endpoint, race.tasks[race.used])
+                return race.used
+            for task in done:
+                self._record_failure(race.tasks[task], task.exception())
+        raise OSError(f'no connection to {endpoint.authority}')
+
+    def _plan(self, now: float) -> list[TunnelPeer | None]:
+        """List the connections to try, in order; ``None`` is the direct one."""
+        progress = current_progress.get() or ConnectionProgress()
+        peers = self._peers.choose(now)[:_MAX_PEERS]
+        if progress.avoids_direct:
+            return [*peers, None]
+        if not self._paths.is_mute(now):
+            return [None, *peers]
+        if progress.may_probe and self._paths.take_probe(now):
+            return [None]
+        return [*peers, None]
+
+    def _start(
+        self, race: _Race, peer: TunnelPeer | None, endpoint: Address
+    ) -> _SocketTask:
+        """Begin to connect through a peer, or directly."""
+        opening = (
+            self._try_direct(endpoint)
+            if peer is None
+            else open_tunnel(peer.address, endpoint, self._origin)
+        )
+        task = asyncio.create_task(opening)
+        race.tasks[task] = peer
+        return task
+
+    def _discard_others(self, race: _Race) -> None:
+        """Close what is not used; a direct connection may end first."""
+        for task, peer in race.tasks.items():
+            if task is race.used:
+                continue
+            if peer is None:
+                self._background.add(task)
+                task.add_done_callback(self._background.discard)
+            else:
+                task.cancel()
+            task.add_done_callback(_close_result)
+
+    async def _try_direct(self, endpoint: Address) -> socket.socket:
+        """Connect directly, and record the outcome."""
+        address = endpoint.authority
+        try:
+            async with asyncio.timeout(_DIRECT_TIMEOUT):
+                connected = await connect_socket(endpoint, self._origin)
+        except OSError:
+            self._log(self._paths.record_failed(address, monotonic()))
+            raise
+        self._log(self._paths.record_connected(address, monotonic()))
+        return connected
+
+    def _record_use(self, endpoint: Address, peer: TunnelPeer | None) -> None:
+        """Record which connection is used, for paths, metrics and logs."""
+        if peer is None:
+            return
+        self._paths.record_tunneled(endpoint.authority, monotonic())
+        self._counters.tunnels.inc({'side': 'used', 'outcome': 'open'})
+        progress = current_progress.get()
+        if progress is not None:
+            progress.via = peer.instance
+
+    def _record_failure(
+        self, peer: TunnelPeer | None, error: BaseException | None
+    ) -> None:
+        if peer is None or not isinstance(error, TunnelError):
+            return
+        outcome = error.reply.name.lower() if error.reply else 'no reply'
+        self._counters.tunnels.inc({'side': 'used', 'outcome': outcome})
+        self._peers.record_failure(peer.instance, monotonic())
+
+    def _log(self, change: PathChange | None) -> None:
+        if change is None:
+            return
+        age = change.connected_age
+        record(
+            _logger,
+            'direct_paths_lost' if change.begins else 'direct_paths_regained',
+            failing=change.failing,
+            connected_age=round(age, 3) if math.isfinite(age) else None,
+            peer_calls=self._count_peer_calls(),
+        )
+
+
+def _close_result(task: _SocketTask) -> None:
+    """Close a connection that was made but is not used."""
+    if not task.cancelled() and task.exception() is None:
+        task.result().close()
--- a/src/kelproad/protocol/connections.py
+++ b/src/kelproad/protocol/connections.py
@@ -1,5 +1,7 @@
 """Connection time-outs and traces, which show whether a request was sent."""
 
+import contextvars
+
 import aiohttp
 import attrs
 
@@ -9,6 +11,7 @@
     'ConnectionProgress',
     'build_connect_timeout',
     'build_connection_trace',
+    'current_progress',
 ]
 
 #: Seconds for connecting to an endpoint within a site.
@@ -31,9 +34,24 @@
     connected
         Whether the request has got a connection, so that bytes of it may have
         been written.
+    via
+        Instance through which the connection was made; empty for a direct one.
+    may_probe
+        Whether the request may be lost on a connection that is in doubt.
+    avoids_direct
+        Whether a connection through an instance is tried before a direct one.
     """
 
     connected: bool = False
+    via: str = ''
+    may_probe: bool = False
+    avoids_direct: bool = False
+
+
+#: Progress of the request for which a connection is being made.
+current_progress: contextvars.ContextVar[ConnectionProgress | None] = (
+    contextvars.ContextVar('current_progress', default=None)
+)
 
 
 def build_connect_timeout(seconds: float) -> aiohttp.ClientTimeout:
@@ -58,6 +76,16 @@
         if isinstance(progress, ConnectionProgress):
             progress.connected = True
 
+    async def record_started(
+        _session: aiohttp.ClientSession,
+        context: object,
+        _details: object,
+    ) -> None:
+        progress = context.trace_request_ctx
+        is_progress = isinstance(progress, ConnectionProgress)
+        current_progress.set(progress if is_progress else None)
+
+    config.on_connection_create_start.append(record_started)
     config.on_connection_create_end.append(record_connected)
     config.on_connection_reuseconn.append(record_connected)
     return config
--- a/src/kelproad/state/calls.py
+++ b/src/kelproad/state/calls.py
@@ -79,6 +79,11 @@
         Number of endpoints to which it was sent so far.
     end
         Outcome, unless it was refused.
+    via
+        Instance through which the last attempt was sent; empty if directly.
+    avoids_direct
+        Whether a direct attempt brought no answer, so that the next one is
+        sent through another instance if possible.
     """
 
     head: CallHead
@@ -90,6 +95,8 @@
     deadline: float
     attempts: int = 0
     end: CallEnd = CallEnd.ANSWERED
+    via: str = ''
+    avoids_direct: bool = False
 
     @property
     def request_id(self) -> str:
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -134,6 +134,10 @@
             'kelproad_malformed_input_total',
             'Input on a listening address that is not HTTP, by side.',
         )
+        self.tunnels = self._counter(
+            'kelproad_tunnels_total',
+            'Tunnels to endpoints, by side (used, opened for peers), outcome.',
+        )
         self.claims_unsettled = self._gauge(
             'kelproad_claims_unsettled',
             'Claims whose outcome the platform does not have yet.',
--- a/src/kelproad/state/directpaths.py
+++ b/src/kelproad/state/directpaths.py
@@ -1,16 +1,46 @@
-"""Outcomes of the direct connections of this instance to endpoints."""
+"""Direct connections of this instance to endpoints, as they succeed and fail.
+
+A connection that fails shows that the endpoint is down or that this instance is
+cut off from it.  A peer that connects to the endpoint meanwhile decides: then
+the path of this instance is lost, and nothing is known against the endpoint.
+
+Connections may also be made and bring no answer.  That happens at endpoints
+that fail; where it happens at several and none answers meanwhile, the paths
+count as mute until a probe is answered.
+"""
 
 import math
 
 import attrs
 
-__all__ = ['DirectPaths']
+__all__ = ['DirectPaths', 'PathChange']
+
+#: Addresses that must have failed since the last direct connection before this
+#: is an outage of the instance, or of all endpoints, and not of one.
+_OUTAGE_ADDRESSES = 2
+#: Seconds after which a failure, and a peer's connection, are forgotten.
+_EVIDENCE_SECONDS = 2.0
+#: Seconds between two probes of mute paths.
+_PROBE_PERIOD = 0.5
+
+
+@attrs.frozen
+class PathChange:
+    """The begin or the end of an outage of direct connections.
+
+    Attributes
+    ----------
+    begins
+        Whether it begins or ends.
+    failing
+        Number of addresses that fail.
+    connected_age
+        Seconds since a connection was made before; infinite for never.
+    """
 
-#: Endpoints that must have failed since the last direct connection before this
-#: is an outage of the instance, or of all of them, and not of one endpoint.
-_OUTAGE_ENDPOINTS = 2
-#: Seconds after which a failure is forgotten.
-_FAILURE_SECONDS = 30.0
+    begins: bool
+    failing: int
+    connected_age: float
 
 
 @attrs.define
@@ -19,46 +49,101 @@
 
     Attributes
     ----------
-    connected_at
-        Monotonic time of the last connection that was made, to any endpoint.
-    failed
-        Monotonic time of the last failure at each address to which none has
-        been made since.
     in_outage
         Whether several addresses failed and none was connected to since.
     """
 
-    connected_at: float = -math.inf
-    failed: dict[str, float] = attrs.field(factory=dict)
     in_outage: bool = False
+    _connected_at: float = -math.inf
+    #: Monotonic time of the last failure at each address to which none has
+    #: been made since, and of the last connection of a peer to it.
+    _failed: dict[str, float] = attrs.field(factory=dict)
+    _tunneled: dict[str, float] = attrs.field(factory=dict)
+    #: Monotonic time of the last call without an answer at each address, since
+    #: the last answer from any.
+    _unanswered: dict[str, float] = attrs.field(factory=dict)
+    _probed_at: float = -math.inf
 
-    def record_connected(self, address: str, now: float) -> bool:
-        """Record a connection; return whether it ends an outage."""
-        self.connected_at = now
-        self.failed.pop(address, None)
-        ended = self.in_outage
+    def record_connected(self, address: str, now: float) -> PathChange | None:
+        """Record a direct connection; return whether it ends an outage."""
+        age = now - self._connected_at
+        self._connected_at = now
+        self._failed.pop(address, None)
+        self._tunneled.pop(address, None)
+        if not self.in_outage:
+            return None
         self.in_outage = False
-        return ended
+        return PathChange(False, len(self._failed), age)
 
-    def record_failed(self, address: str, now: float) -> bool:
+    def record_failed(self, address: str, now: float) -> PathChange | None:
         """Record that none was made; return whether an outage begins."""
-        self.failed[address] = now
-        self.failed = {
-            name: at
-            for name, at in self.failed.items()
-            if now - at < _FAILURE_SECONDS
-        }
-        since = sum(at > self.connected_at for at in self.failed.values())
-        if self.in_outage or since < _OUTAGE_ENDPOINTS:
-            return False
+        self._forget_old(now)
+        self._failed[address] = now
+        since = sum(at > self._connected_at for at in self._failed.values())
+        if self.in_outage or since < _OUTAGE_ADDRESSES:
+            return None
         self.in_outage = True
+        return PathChange(True, since, now - self._connected_at)
+
+    def record_tunneled(self, address: str, now: float) -> None:
+        """Record that a peer connected to an address for this instance."""
+        self._tunneled[address] = now
+
+    def record_answered(self) -> None:
+        """Record that a call on a direct connection was answered."""
+        self._unanswered.clear()
+
+    def record_unanswered(self, address: str, now: float) -> None:
+        """Record a call on a direct connection that brought no answer."""
+        self._unanswered[address] = now
+
+    def is_mute(self, now: float) -> bool:
+        """Return whether direct connections are made but bring no answers."""
+        oldest = now - _EVIDENCE_SECONDS
+        recent = sum(at > oldest for at in self._unanswered.values())
+        return recent >= _OUTAGE_ADDRESSES
+
+    def take_probe(self, now: float) -> bool:
+        """Permit a call to probe mute paths, one in each period."""
+        if now - self._probed_at < _PROBE_PERIOD:
+            return False
+        self._probed_at = now
         return True
 
+    def is_lost(self, address: str, now: float) -> bool:
+        """Return whether only peers connect to an address at present."""
+        oldest = now - _EVIDENCE_SECONDS
+        failed_at = self._failed.get(address, -math.inf)
+        tunneled_at = self._tunneled.get(address, -math.inf)
+        return min(failed_at, tunneled_at) > oldest
+
+    def is_doubtful(self, address: str, now: float) -> bool:
+        """Return whether a direct connection to an address will likely fail."""
+        return self.in_outage or self.is_lost(address, now)
+
+    def count_lost(self, now: float) -> int:
+        """Count the addresses that this instance can't use by itself."""
+        self._forget_old(now)
+        lost = self._failed.keys() & self._tunneled.keys()
+        return len(lost) + len(self._unanswered) * self.is_mute(now)
+
     def describe(self, now: float) -> dict[str, object]:
         """Describe the outcomes for operators, with ages in seconds."""
-        age = now - self.connected_at
+        age = now - self._connected_at
         return {
             'connected_age': age if math.isfinite(age) else None,
-            'failing': {name: now - at for name, at in self.failed.items()},
+            'failing': {name: now - at for name, at in self._failed.items()},
+            'lost': self.count_lost(now),
             'in_outage': self.in_outage,
+            'mute': self.is_mute(now),
         }
+
+    def _forget_old(self, now: float) -> None:
+        oldest = now - _EVIDENCE_SECONDS
+        self._failed = _select_after(self._failed, oldest)
+        self._tunneled = _select_after(self._tunneled, oldest)
+        self._unanswered = _select_after(self._unanswered, oldest)
+
+
+def _select_after(times: dict[str, float], oldest: float) -> dict[str, float]:
+    return {name: at for name, at in times.items() if at > oldest}
--- a/src/kelproad/state/endpoints.py
+++ b/src/kelproad/state/endpoints.py
@@ -286,6 +286,13 @@
         """Find an endpoint by its name."""
         return self._endpoints.get(name)
 
+    def serves_at(self, address: str) -> bool:
+        """Return whether an endpoint at an address may get calls."""
+        return any(
+            endpoint.declaration.address == address and not endpoint.leaving
+            for endpoint in self._endpoints.values()
+        )
+
     def find_zone(self, name: str) -> str:
         """Find the zone of an endpoint; empty for an unknown endpoint."""
         endpoint = self._endpoints.get(name)
--- a/src/kelproad/state/work.py
+++ b/src/kelproad/state/work.py
@@ -153,10 +153,9 @@
                 total.add(work)
         return total
 
-    def count_peer_calls(self, endpoint: str) -> int:
-        """Count the calls that peers report at an endpoint."""
-        work = self._peer_sums.get(endpoint)
-        return work.calls if work else 0
+    def count_peer_calls(self) -> int:
+        """Count the calls that peers report to have in flight."""
+        return sum(work.calls for work in self._peer_sums.values())
 
     def sum_excluding(
         self,
--- a/src/kelproad/transport/http.py
+++ b/src/kelproad/transport/http.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from .addresses import Address
+from .sockets import OpenSocket, SocketConnector
 
 __all__ = [
     'ConnectionLostError',
@@ -49,20 +50,28 @@
 
 def create_single_use_session(
     origin: Address | None = None,
+    open_socket: OpenSocket | None = None,
     **options: object,
 ) -> aiohttp.ClientSession:
     """Open a client session that sends each request once, on a new connection.
 
     A reused connection may turn out to be closed, and then it is unknown
-    whether the request was executed.
+    whether the request was executed.  Connections are opened by
+    ``open_socket``, or without it by aiohttp from the IP address of ``origin``.
     """
-    return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
+    local_address = (origin.host, 0) if origin else None
+    connector = (
+        SocketConnector(open_socket, limit=0, force_close=True)
+        if open_socket
+        else aiohttp.TCPConnector(
             limit=0,
             use_dns_cache=False,
-            local_addr=(origin.host, 0) if origin else None,
+            local_addr=local_address,
             force_close=True,
-        ),
+        )
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
         middlewares=(_send_once,),
         timeout=aiohttp.ClientTimeout(total=None),
         auto_decompress=False,
--- a/tests/ingress/test_attempts.py
+++ b/tests/ingress/test_attempts.py
@@ -40,6 +40,7 @@
     EndpointGroup,
     EndpointKind,
 )
+from kelproad.state.directpaths import DirectPaths
 from kelproad.state.endpoints import Endpoint, EndpointTable
 from kelproad.state.observations import EngineObservations
 from kelproad.state.refusals import Ran
@@ -115,6 +116,8 @@
         ZoneReachability(),
         EngineObservations(),
         Counters(),
+        DirectPaths(),
+        lambda peer, now: None,
     )
 
 
--- a/tests/ingress/test_exchange.py
+++ b/tests/ingress/test_exchange.py
@@ -22,6 +22,7 @@
 )
 from kelproad.coordination.ingress.settings import NodeSettings
 from kelproad.coordination.ingress.tables.tablestates import Provenance
+from kelproad.state.directpaths import DirectPaths
 from kelproad.state.observations import EngineObservations
 from kelproad.state.requestlimits import LimitNotice
 from kelproad.state.work import FORGET_AFTER, EndpointWork, WorkLedger
@@ -88,6 +89,7 @@
             lambda: self.age,
             lambda: None,
             lambda endpoint: self.zones.get(endpoint, ''),
+            DirectPaths(),
         )
         self.socket = RecordingSocket()
         self.exchange._socket = self.socket
--- a/tests/ingress/test_misdirected.py
+++ b/tests/ingress/test_misdirected.py
@@ -26,6 +26,7 @@
 )
 from kelproad.platform.rows import decode_endpoint
 from kelproad.state.counters import Counters
+from kelproad.state.directpaths import DirectPaths
 from kelproad.state.endpoints import EndpointTable
 from kelproad.state.observations import EngineObservations
 from kelproad.state.refusals import Ran
@@ -70,6 +71,8 @@
             reachability,
             EngineObservations(),
             Counters(),
+            DirectPaths(),
+            lambda peer, now: None,
         )
         self.chooser = Chooser(
             'a',
