Move silent calls off lost paths, refuse at once what nobody can connect to

- Calls that were under way when the path was lost waited for the usual silence (1.2 s for a stream).
A repeatable call whose direct connection has been silent for 0.4 s and twice its prediction is sent once more, if the path of its endpoint is in doubt; streams with events go on.
- With every instance cut, a call tried endpoint after endpoint for 0.15 s each.
An address that neither this instance nor a peer could connect to counts as unreachable for a second; where all are, one call in 0.2 s tries and the others are refused at once as not run, with returns at random.

The three share the files and so the commit.

--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -180,9 +180,17 @@
         shared.observations,
         spillover,
         shared.gate,
+        shared.paths,
         shared.generator,
     )
-    sender = Sender(client, memory, shared.ledger, retries, speed_monitor)
+    sender = Sender(
+        client,
+        memory,
+        shared.ledger,
+        retries,
+        speed_monitor,
+        shared.paths,
+    )
     return Dispatcher(
         chooser,
         sender,
--- a/src/kelproad/coordination/ingress/placing/choosing.py
+++ b/src/kelproad/coordination/ingress/placing/choosing.py
@@ -6,6 +6,7 @@
 import attrs
 
 from ....state.calls import Call
+from ....state.directpaths import DirectPaths
 from ....state.endpoints import Endpoint, EndpointTable
 from ....state.observations import EngineObservations
 from ....state.work import WorkLedger
@@ -17,6 +18,7 @@
 from ..tables.holder import ConfigurationHolder
 from .eligibility import (
     exclude_limited,
+    exclude_unreachable,
     is_eligible,
     is_healthy,
     refuse_for_limits,
@@ -48,6 +50,7 @@
         observations: EngineObservations,
         spillover: ZoneSpillover,
         gate: StartGate,
+        paths: DirectPaths,
         generator: random.Random,
     ) -> None:
         """Select endpoints for an instance that runs in ``zone``."""
@@ -59,6 +62,7 @@
         self._observations = observations
         self._spillover = spillover
         self._gate = gate
+        self._paths = paths
         self._generator = generator
 
     async def choose(self, call: Call, progress: Progress) -> Placement:
@@ -210,12 +214,13 @@
         now: float,
     ) -> tuple[list[Endpoint], list[Endpoint]]:
         """Return the healthy endpoints, and all that are eligible."""
-        usable = [
+        untried = [
             endpoint
             for endpoint in endpoints
             if is_eligible(endpoint, now)
             and endpoint.name not in progress.tried
         ]
+        usable = exclude_unreachable(untried, self._paths, now, self._generator)
         excluded_zones = self._list_suspect_zones(usable, call, now)
         healthy = [
             endpoint
--- a/src/kelproad/coordination/ingress/streams/attempts.py
+++ b/src/kelproad/coordination/ingress/streams/attempts.py
@@ -33,6 +33,7 @@
     'EndpointClient',
     'OpenAnswer',
     'CompleteAnswer',
+    'fail_unanswered',
 ]
 
 #: Seconds for connecting: an engine without power never answers, and a short
@@ -172,16 +173,14 @@
         forwarding: Forwarding,
         deadline: float,
         fault_threshold: float,
+        progress: ConnectionProgress,
     ) -> Result[OpenAnswer, AttemptFailure]:
         """Send a call and read the head of its answer, until a deadline.
 
         A silence until the deadline is attributed to the endpoint if it lasted
-        ``fault_threshold`` seconds or longer.
+        ``fault_threshold`` seconds or longer.  ``progress`` is that of the
+        connection.
         """
-        progress = ConnectionProgress(
-            may_probe=call.kind.repeatable, avoids_direct=call.avoids_direct
-        )
-        call.via = ''
         sent_at = monotonic()
         try:
             async with within(deadline):
@@ -195,11 +194,11 @@
         except asyncio.TimeoutError:
             now = monotonic()
             blameless = now >= deadline and now - sent_at < fault_threshold
-            return Failure(_fail(progress, 'no answer in time', blameless))
+            return Failure(
+                fail_unanswered(progress, 'no answer in time', blameless)
+            )
         except (aiohttp.ClientError, OSError) as error:
-            return Failure(_fail(progress, repr(error), blameless=False))
-        finally:
-            call.via = progress.via
+            return Failure(fail_unanswered(progress, repr(error)))
         head = self._dialect.read_answer_head(response, call.request_id)
         self._observe_answer(endpoint, head)
         answer = OpenAnswer(head, response, create_end_check(response))
@@ -296,11 +295,12 @@
     )
 
 
-def _fail(
+def fail_unanswered(
     progress: ConnectionProgress,
     reason: str,
-    blameless: bool,
+    blameless: bool = False,
 ) -> AttemptFailure:
+    """Build the failure of an attempt that ended before its answer began."""
     return AttemptFailure(
         reason,
         Ran.UNKNOWN if progress.connected else Ran.NO,
--- a/src/kelproad/coordination/ingress/streams/opening.py
+++ b/src/kelproad/coordination/ingress/streams/opening.py
@@ -5,9 +5,9 @@
 
 from returns.result import Failure, Result
 
-from ....state.refusals import Ran
+from ....protocol.connections import ConnectionProgress
 from ....transport.deadlines import monotonic
-from .attempts import AttemptFailure, OpenAnswer
+from .attempts import AttemptFailure, OpenAnswer, fail_unanswered
 
 __all__ = ['abandon', 'await_head']
 
@@ -20,6 +20,7 @@
 async def await_head(
     opening: Coroutine[None, None, _Opened],
     is_lost: Callable[[float], bool],
+    progress: ConnectionProgress,
 ) -> _Opened:
     """Wait for the head of an answer, or until its engine is lost.
 
@@ -29,6 +30,8 @@
         Sends the call and reads the head of its answer.
     is_lost
         Returns whether the engine is lost, given the seconds waited so far.
+    progress
+        Shows whether a connection was made; without one, nothing has run.
     """
     task = asyncio.create_task(opening)
     started_at = monotonic()
@@ -36,9 +39,8 @@
         while not (await asyncio.wait((task,), timeout=_CHECK_PERIOD))[0]:
             if is_lost(monotonic() - started_at):
                 abandon(task)
-                return Failure(
-                    AttemptFailure('the engine does not respond', Ran.UNKNOWN),
-                )
+                reason = 'the engine does not respond'
+                return Failure(fail_unanswered(progress, reason))
     except asyncio.CancelledError:
         abandon(task)
         raise
--- a/src/kelproad/coordination/ingress/streams/sending.py
+++ b/src/kelproad/coordination/ingress/streams/sending.py
@@ -9,8 +9,10 @@
 from multidict import CIMultiDict
 from returns.result import Failure, Result, Success
 
+from ....protocol.connections import ConnectionProgress
 from ....protocol.events import SequenceError
 from ....state.calls import Call, Forwarding
+from ....state.directpaths import DirectPaths
 from ....state.refusals import Ran
 from ....state.routes import CallKind
 from ....state.work import WorkLedger
@@ -37,6 +39,9 @@
 
 __all__ = ['Sender']
 
+#: Seconds of silence from which on an attempt may have lost its path.
+_LOST_SILENCE = 0.4
+
 _SendResult = Result[web.StreamResponse, AttemptFailure]
 
 
@@ -92,15 +97,18 @@
         ledger: WorkLedger,
         retry_budgets: RetryBudgets,
         speed_monitor: EngineSpeedMonitor,
+        paths: DirectPaths,
     ) -> None:
         """Send with a client, and reserve memory where a placement needs it.
 
         The ledger holds the work of engines, ``retry_budgets`` whether a call
         could be sent again; ``speed_monitor`` gets slow answers and stalls.
+        ``paths`` knows which endpoints this instance is cut off from.
         """
         self._client = client
         self._retry_budgets = retry_budgets
         self._speed_monitor = speed_monitor
+        self._paths = paths
         self._ledger = ledger
         self._reserver = reserver
 
@@ -196,6 +204,8 @@
             )
             if self._speed_monitor.is_silent(endpoint):
                 return True
+            if self._is_path_lost(attempt, silence):
+                return True
             work = self._ledger.sum_at(endpoint.name, monotonic())
             return silence >= choose_stall_timeout(placement, work)
 
@@ -222,6 +232,12 @@
     ) -> Result[OpenAnswer, AttemptFailure]:
         """Send a call, and wait for the head while its engine responds."""
         call = attempt.call
+        call.via = ''
+        progress = ConnectionProgress(
+            record_via=call.record_via,
+            may_probe=call.kind.repeatable,
+            avoids_direct=call.avoids_direct,
+        )
         opening = self._client.open(
             call,
             attempt.received,
@@ -229,14 +245,22 @@
             attempt.build_forwarding(),
             self._choose_head_deadline(attempt),
             choose_fault_threshold(call),
+            progress,
         )
         return await await_head(
             opening,
             lambda waited: self._is_engine_lost(attempt, waited),
+            progress,
         )
 
     def _is_engine_lost(self, attempt: _Attempt, waited: float) -> bool:
-        """Return whether a resumable stream must be sent to another engine."""
+        """Return whether a repeatable call must be sent once more."""
+        if not attempt.call.kind.repeatable:
+            return False
+        if self._is_path_lost(attempt, waited) and self._may_be_retried(
+            attempt.call
+        ):
+            return True
         if attempt.call.kind is not CallKind.RESUMABLE_STREAM:
             return False
         placement = attempt.placement
@@ -245,6 +269,19 @@
         )
         return self._speed_monitor.is_silent(placement.primary)
 
+    def _is_path_lost(self, attempt: _Attempt, silence: float) -> bool:
+        """Return whether a direct attempt is silent as its path was lost.
+
+        A connection that outlives the loss of its path has its events, and
+        goes on.
+        """
+        address = attempt.placement.primary.declaration.address
+        return (
+            not attempt.call.via
+            and silence > max(_LOST_SILENCE, 2 * attempt.placement.predicted)
+            and self._paths.is_doubtful(address, monotonic())
+        )
+
     def _choose_head_deadline(self, attempt: _Attempt) -> float:
         """Choose the monotonic time until which to wait for the head.
 
--- a/src/kelproad/coordination/ingress/tunnels/connecting.py
+++ b/src/kelproad/coordination/ingress/tunnels/connecting.py
@@ -140,6 +140,7 @@
                 return race.used
             for task in done:
                 self._record_failure(race.tasks[task], task.exception())
+        self._paths.record_unreachable(endpoint.authority, monotonic())
         raise OSError(f'no connection to {endpoint.authority}')
 
     def _plan(self, now: float) -> list[TunnelPeer | None]:
@@ -199,7 +200,7 @@
         self._counters.tunnels.inc({'side': 'used', 'outcome': 'open'})
         progress = current_progress.get()
         if progress is not None:
-            progress.via = peer.instance
+            progress.record_via(peer.instance)
 
     def _record_failure(
         self, peer: TunnelPeer | None, error: BaseException | None
--- a/src/kelproad/protocol/connections.py
+++ b/src/kelproad/protocol/connections.py
@@ -1,6 +1,7 @@
 """Connection time-outs and traces, which show whether a request was sent."""
 
 import contextvars
+from collections.abc import Callable
 
 import aiohttp
 import attrs
@@ -25,6 +26,10 @@
 )
 
 
+def _ignore(_instance: str) -> None:
+    """Ignore through which instance a connection was made."""
+
+
 @attrs.define
 class ConnectionProgress:
     """Progress of a request, which shows whether its work may have run.
@@ -34,8 +39,8 @@
     connected
         Whether the request has got a connection, so that bytes of it may have
         been written.
-    via
-        Instance through which the connection was made; empty for a direct one.
+    record_via
+        Gets the instance through which the connection was made, if any.
     may_probe
         Whether the request may be lost on a connection that is in doubt.
     avoids_direct
@@ -43,7 +48,7 @@
     """
 
     connected: bool = False
-    via: str = ''
+    record_via: Callable[[str], None] = _ignore
     may_probe: bool = False
     avoids_direct: bool = False
 
--- a/src/kelproad/state/calls.py
+++ b/src/kelproad/state/calls.py
@@ -108,6 +108,10 @@
         """Kind of its route, which determines whether it may be repeated."""
         return self.route.kind
 
+    def record_via(self, instance: str) -> None:
+        """Record the instance through which the last attempt is sent."""
+        self.via = instance
+
     def remaining(self, now: float) -> float:
         """Return the seconds left, negative when the deadline is past."""
         return self.deadline - now
--- a/src/kelproad/state/directpaths.py
+++ b/src/kelproad/state/directpaths.py
@@ -22,6 +22,10 @@
 _EVIDENCE_SECONDS = 2.0
 #: Seconds between two probes of mute paths.
 _PROBE_PERIOD = 0.5
+#: Seconds for which an address counts as unreachable that neither this instance
+#: nor its peers could connect to, and between two calls that try all the same.
+_UNREACHABLE_SECONDS = 1.0
+_RETRY_PERIOD = 0.2
 
 
 @attrs.frozen
@@ -63,6 +67,9 @@
     #: the last answer from any.
     _unanswered: dict[str, float] = attrs.field(factory=dict)
     _probed_at: float = -math.inf
+    #: Monotonic time at which neither this instance nor a peer could connect.
+    _unreachable: dict[str, float] = attrs.field(factory=dict)
+    _retried_at: float = -math.inf
 
     def record_connected(self, address: str, now: float) -> PathChange | None:
         """Record a direct connection; return whether it ends an outage."""
@@ -70,6 +77,7 @@
         self._connected_at = now
         self._failed.pop(address, None)
         self._tunneled.pop(address, None)
+        self._unreachable.pop(address, None)
         if not self.in_outage:
             return None
         self.in_outage = False
@@ -88,6 +96,7 @@
     def record_tunneled(self, address: str, now: float) -> None:
         """Record that a peer connected to an address for this instance."""
         self._tunneled[address] = now
+        self._unreachable.pop(address, None)
 
     def record_answered(self) -> None:
         """Record that a call on a direct connection was answered."""
@@ -110,6 +119,22 @@
         self._probed_at = now
         return True
 
+    def record_unreachable(self, address: str, now: float) -> None:
+        """Record that neither this instance nor a peer could connect."""
+        self._unreachable[address] = now
+
+    def is_unreachable(self, address: str, now: float) -> bool:
+        """Return whether a call to an address would probably not arrive."""
+        found_at = self._unreachable.get(address, -math.inf)
+        return now - found_at < _UNREACHABLE_SECONDS
+
+    def take_retry(self, now: float) -> bool:
+        """Permit a call to try unreachable addresses, one in each period."""
+        if now - self._retried_at < _RETRY_PERIOD:
+            return False
+        self._retried_at = now
+        return True
+
     def is_lost(self, address: str, now: float) -> bool:
         """Return whether only peers connect to an address at present."""
         oldest = now - _EVIDENCE_SECONDS
@@ -143,6 +168,7 @@
         self._failed = _select_after(self._failed, oldest)
         self._tunneled = _select_after(self._tunneled, oldest)
         self._unanswered = _select_after(self._unanswered, oldest)
+        self._unreachable = _select_after(self._unreachable, oldest)
 
 
 def _select_after(times: dict[str, float], oldest: float) -> dict[str, float]:
--- a/tests/ingress/test_attempts.py
+++ b/tests/ingress/test_attempts.py
@@ -24,7 +24,7 @@
     OpenAnswer,
     collect,
 )
-from kelproad.coordination.ingress.streams.opening import abandon
+from kelproad.coordination.ingress.streams.opening import abandon, await_head
 from kelproad.coordination.ingress.streams.progress import Progress
 from kelproad.platform.headers import (
     build_refusal,
@@ -32,7 +32,10 @@
     read_answer_head,
     read_call_head,
 )
-from kelproad.protocol.connections import build_connection_trace
+from kelproad.protocol.connections import (
+    ConnectionProgress,
+    build_connection_trace,
+)
 from kelproad.state.calls import Call, CallHead, Forwarding
 from kelproad.state.counters import Counters
 from kelproad.state.declarations import (
@@ -134,6 +137,7 @@
         Forwarding('i-1', 5),
         call.deadline,
         SILENCE,
+        ConnectionProgress(),
     )
 
 
@@ -240,6 +244,7 @@
             Forwarding('i-1', 5, 'crews'),
             call.deadline,
             SILENCE,
+            ConnectionProgress(),
         )
         opened.unwrap().close()
     text = heads[0].decode()
@@ -369,3 +374,20 @@
         abandon(opening)
         await asyncio.sleep(0)
         assert opened.response.closed
+
+
+@pytest.mark.parametrize(
+    ('connected', 'ran'), [(False, Ran.NO), (True, Ran.UNKNOWN)]
+)
+async def test_a_lost_engine_without_a_connection_has_not_run_a_call(
+    connected: bool, ran: Ran
+) -> None:
+    """A caller is not told that work may have run that was never sent."""
+    opened = await await_head(
+        asyncio.sleep(10),
+        lambda waited: True,
+        ConnectionProgress(connected=connected),
+    )
+    failure = opened.failure()
+    assert failure.ran is ran
+    assert failure.arrived is connected
--- a/tests/ingress/test_limited_placement.py
+++ b/tests/ingress/test_limited_placement.py
@@ -28,6 +28,7 @@
     EndpointGroup,
     EndpointKind,
 )
+from kelproad.state.directpaths import DirectPaths
 from kelproad.state.endpoints import Endpoint, EndpointTable
 from kelproad.state.observations import EngineObservations
 from kelproad.state.refusals import Ran
@@ -72,6 +73,7 @@
             EngineObservations(),
             types.SimpleNamespace(is_needed=False),
             types.SimpleNamespace(predict_wait=self.predict_wait),
+            DirectPaths(),
             random.Random(1),
         )
 
--- a/tests/ingress/test_misdirected.py
+++ b/tests/ingress/test_misdirected.py
@@ -83,6 +83,7 @@
             EngineObservations(),
             None,
             build_open_gate(),
+            DirectPaths(),
             random.Random(1),
         )
         self.report('i-1', 1)
--- a/tests/ingress/test_spillover.py
+++ b/tests/ingress/test_spillover.py
@@ -35,6 +35,7 @@
     EndpointGroup,
     EndpointKind,
 )
+from kelproad.state.directpaths import DirectPaths
 from kelproad.state.endpoints import EndpointTable
 from kelproad.state.observations import EngineObservations
 from kelproad.state.requestlimits import LimitNotice, RequestLimits
@@ -232,6 +233,7 @@
             EngineObservations(),
             self.here.spillover,
             build_open_gate(),
+            DirectPaths(),
             random.Random(1),
         )
 
