Tests of tunnels, and of what an instance concludes from its connections

A link of the testbed passes a reset on as a reset now: its orderly end in place of one hid the first failure of that test.

--- a/testbed/soak/links.py
+++ b/testbed/soak/links.py
@@ -171,7 +171,7 @@
                 writer.write(chunk)
                 await writer.drain()
         except OSError:
-            writer.transport.abort()
+            _reset(writer)
         finally:
             writer.close()
 
@@ -191,7 +191,9 @@
     """Close a connection so that its other end gets a reset."""
     linger = struct.pack('ii', 1, 0)
     accepted = writer.get_extra_info('socket')
-    accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    # It may be closed already.
+    with contextlib.suppress(OSError):
+        accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     writer.transport.abort()
 
 
--- a/tests/test_direct_paths.py
+++ b/tests/test_direct_paths.py
@@ -23,7 +23,8 @@
     assert paths.record_failed('10.0.0.2:80', NOW + 1)
     assert not paths.record_failed('10.0.0.3:80', NOW + 1)
     assert paths.describe(NOW + 2)['connected_age'] == 2
-    assert paths.record_connected('10.0.0.2:80', NOW + 2)
+    ended = paths.record_connected('10.0.0.2:80', NOW + 2)
+    assert not ended.begins
     assert not paths.in_outage
 
 
@@ -33,3 +34,38 @@
     paths.record_failed('10.0.0.1:80', NOW)
     paths.record_connected('10.0.0.2:80', NOW + 1)
     assert not paths.record_failed('10.0.0.3:80', NOW + 2)
+
+
+def test_only_a_peer_that_connects_shows_a_lost_path() -> None:
+    """An endpoint that is down is not taken for a path that is lost."""
+    paths = DirectPaths()
+    paths.record_failed('10.0.0.1:80', NOW)
+    assert not paths.is_lost('10.0.0.1:80', NOW)
+    paths.record_tunneled('10.0.0.1:80', NOW)
+    assert paths.is_lost('10.0.0.1:80', NOW + 1)
+    assert paths.count_lost(NOW + 1) == 1
+    assert not paths.is_lost('10.0.0.1:80', NOW + 3)
+    assert paths.count_lost(NOW + 3) == 0
+
+
+def test_an_instance_that_started_during_a_cut_knows_its_paths() -> None:
+    """Without any connection before it would blame the endpoints."""
+    paths = DirectPaths()
+    paths.record_failed('10.0.0.1:80', NOW)
+    change = paths.record_failed('10.0.0.2:80', NOW)
+    assert change.begins
+    assert paths.is_doubtful('10.0.0.3:80', NOW)
+
+
+def test_calls_without_answers_are_probed_until_one_is_answered() -> None:
+    """Connections that are made and bring nothing would be used for ever."""
+    paths = DirectPaths()
+    paths.record_unanswered('10.0.0.1:80', NOW)
+    assert not paths.is_mute(NOW)
+    paths.record_unanswered('10.0.0.2:80', NOW)
+    assert paths.is_mute(NOW + 1)
+    assert paths.take_probe(NOW + 1)
+    assert not paths.take_probe(NOW + 1.4)
+    assert paths.take_probe(NOW + 1.5)
+    paths.record_answered()
+    assert not paths.is_mute(NOW + 1.5)
