Soak and site tests: instances cut from endpoints while others die, callers leave

A stream that ends early at an instance that was cut meanwhile counts as explained: what it had sent is lost with its path, and what may run once is not sent again.

--- a/testbed/cuts.py
+++ b/testbed/cuts.py
@@ -130,7 +130,7 @@
 
     def heal(self) -> None:
         """End all cuts."""
-        self._run(lambda: [link.heal() for link in self._links.values()])
+        self._run(lambda: [link.end_cut() for link in self._links.values()])
 
     def apply_load(
         self,
@@ -169,7 +169,7 @@
     def _call(
         self, instance: RoutedInstance, kind: Kind, began: float
     ) -> SentCall:
-        request_id = f'{next(self._ids):016x}'
+        request_id = f'c{next(self._ids):015x}'
         headers = {
             'Host': HOST,
             'X-Kelproad-Request-Id': request_id,
--- a/testbed/soak/links.py
+++ b/testbed/soak/links.py
@@ -101,6 +101,9 @@
     def heal(self) -> None:
         """End the fault; connections that lost bytes stay silent."""
         self.harm(LinkFault.NONE)
+
+    def end_cut(self) -> None:
+        """End the cut; connections that lost bytes stay silent."""
         self._cut = None
         self._cut_hosts = frozenset()
         for accepted in (self._server.sockets[0], *self._list_accepted()):
--- a/testbed/soak/routed.py
+++ b/testbed/soak/routed.py
@@ -24,6 +24,7 @@
 from .routed_cuts import is_cut_by_end, is_unanswered
 from .routed_faults import RoutedFaults, wait_for_all
 from .routed_limits import StatedLimit, StatedLimits, check_limits
+from .routed_partitions import InstanceCuts
 from .routed_stops import PlannedStop
 
 __all__ = ['main', 'soak']
@@ -40,10 +41,12 @@
     seconds: float,
     seed: int,
     only_stops: bool = False,
+    with_cuts: bool = False,
 ) -> list[str]:
     """Run callers and faults together, end all faults, then check.
 
-    With ``only_stops`` planned stops are the only faults.
+    With ``only_stops`` planned stops are the only faults; ``with_cuts``
+    instances are also cut from all endpoints.
 
     Returns
     -------
@@ -57,8 +60,12 @@
         await asyncio.sleep(1)
         faults = RoutedFaults(site, links, callers, seed, only_stops)
         limits = StatedLimits(site, seed)
+        cuts = InstanceCuts(site, links, seed)
         await asyncio.gather(
-            callers.run(seconds), faults.run(seconds), limits.run(seconds)
+            callers.run(seconds),
+            faults.run(seconds),
+            limits.run(seconds),
+            cuts.run(seconds if with_cuts else 0, faults.spans),
         )
         await asyncio.to_thread(wait_for_all, site)
         await asyncio.sleep(_RECOVERY_SECONDS)
@@ -157,11 +164,22 @@
         action='store_true',
         help='Inject no faults but planned stops.',
     )
+    parser.add_argument(
+        '--cuts',
+        action='store_true',
+        help='Also cut instances from all endpoints.',
+    )
     options = parser.parse_args()
     directory = pathlib.Path(tempfile.mkdtemp(prefix='kelproad-soak-'))
     with start_routed_site(directory, 0) as site:
         broken = asyncio.run(
-            soak(site, options.seconds, options.seed, options.stops),
+            soak(
+                site,
+                options.seconds,
+                options.seed,
+                options.stops,
+                options.cuts,
+            ),
         )
     for line in broken:
         print(f'BROKEN: {line}')
--- a/testbed/soak/routed_cuts.py
+++ b/testbed/soak/routed_cuts.py
@@ -5,6 +5,7 @@
 from .links import LinkFault
 from .routed_callers import CallRecord
 from .routed_faults import RoutedFaults, Span
+from .routed_partitions import INSTANCE_CUT
 from .routed_stops import GRACE, PlannedStop
 
 __all__ = [
@@ -153,7 +154,7 @@
     endpoints: list[str],
     faults: RoutedFaults,
 ) -> bool:
-    """Return whether a deadline or an endpoint's fault explains a cut."""
+    """Return whether a deadline, an endpoint or a partition explains it."""
     if item.ended_at > item.sent_at + item.deadline - _NEAR_DEADLINE:
         return True
     # The link may have lost the call, and a killed endpoint its run records;
@@ -161,13 +162,21 @@
     _, _, suffix = item.stamp.rpartition('stamp.')
     name, _, _ = suffix.partition('.')
     return any(
-        _affects(span, [*endpoints, name])
+        (_affects(span, [*endpoints, name]) or _cuts(span, item.instance))
         and item.sent_at < span.ended
         and span.began < item.ended_at
         for span in faults.spans
     )
 
 
+def _cuts(span: Span, instance: str) -> bool:
+    """Return whether an instance was cut from the endpoints.
+
+    What it had sent is lost then, and what may run once is not sent again.
+    """
+    return span.name == INSTANCE_CUT and span.subject == instance
+
+
 def _affects(span: Span, endpoints: list[str]) -> bool:
     """Return whether a fault affects one of the endpoints or its link.
 
--- a/tests/ingress/test_soak.py
+++ b/tests/ingress/test_soak.py
@@ -11,6 +11,10 @@
 #: Seeds that failed stay: 101 for a prompt that needed limited engines, 320 for
 #: a limit that had ended and was revived.
 RUNS = ((1, 6.0), (101, 15.0), (320, 15.0))
+#: Duration of a run in which instances are also cut from all endpoints, in
+#: seconds, and seeds of such runs.
+CUT_SECONDS = 10.0
+CUT_SEEDS = (1,)
 #: Duration of a run with planned stops only, in seconds.
 STOP_SECONDS = 12.0
 #: Seeds of runs in which planned stops are the only failures.
@@ -32,6 +36,16 @@
         assert not await soak(site, seconds, seed)
 
 
+@pytest.mark.parametrize('seed', CUT_SEEDS)
+async def test_promises_hold_while_instances_are_cut_from_endpoints(
+    seed: int,
+    tmp_path: pathlib.Path,
+) -> None:
+    """Calls run twice, or are lost, as they go through other instances."""
+    with start_routed_site(tmp_path, 0) as site:
+        assert not await soak(site, CUT_SECONDS, seed, with_cuts=True)
+
+
 @pytest.mark.parametrize('seed', STOP_SEEDS)
 async def test_promises_hold_through_planned_stops(
     seed: int,
