--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,8 @@
 	$(PYTHON) -m testbed.soak.run --seconds $(SECONDS) --seed $(SEED)
 
 # The routed interface, behind proxies that harm connections; STOPS=--stops for
-# a run in which planned stops are the only failures.
+# a run in which planned stops are the only failures, or --cuts for one in which
+# instances are also cut from all endpoints.
 soak-routed: $(STAMP)
 	$(PYTHON) -m testbed.soak.routed --seconds $(SECONDS) --seed $(SEED) $(STOPS)
 
