A call must not depend on a peer because one endpoint failed

Its first engine had reset it; the retry went through a peer, as it does after a direct attempt without an answer, and the peer was cut off 0.6 s later. Both permitted engines were used up then.

- A retry avoids the direct path only if no direct answer came in the last 0.2 s: with one, the endpoint is at fault, not the path.
- A tunnel that breaks does not exclude the last endpoint that a call may have: the endpoint may be sound.

--- a/src/kelproad/coordination/ingress/retrying/dispatching.py
+++ b/src/kelproad/coordination/ingress/retrying/dispatching.py
@@ -116,7 +116,7 @@
             if not isinstance(outcome, Failure):
                 self._record_stream(call, placed.unwrap(), delivery)
                 return outcome
-            _record_failure(progress, placed.unwrap(), outcome.failure())
+            _record_failure(call, progress, placed.unwrap(), outcome.failure())
             stop = self._evaluator.check_retry(call, progress)
             if stop is not None:
                 return _give_up(call, progress, delivery, stop)
@@ -255,11 +255,19 @@
 
 
 def _record_failure(
+    call: Call,
     progress: Progress,
     placement: Placement,
     failure: AttemptFailure,
 ) -> None:
     at_fault = find_faulty_endpoint(placement, failure)
+    is_tunnel_broken = call.via and failure.arrived and not failure.answered
+    if is_tunnel_broken and progress.is_last_chance(
+        placement.primary.name, call.route.max_endpoints
+    ):
+        # The endpoint behind the tunnel may well be sound.
+        progress.note(failure, placement.primary.name, '')
+        return
     progress.note(failure, placement.primary.name, at_fault.name)
 
 
--- a/src/kelproad/coordination/ingress/retrying/verdicts.py
+++ b/src/kelproad/coordination/ingress/retrying/verdicts.py
@@ -114,7 +114,7 @@
         """Record whether a connection that was made brought an answer."""
         if failure is None or failure.answered:
             if not call.via:
-                self._paths.record_answered()
+                self._paths.record_answered(now)
         elif failure.arrived and not failure.blameless:
             self._record_unanswered(call, endpoint, failure, now)
 
@@ -129,7 +129,7 @@
         if call.via:
             self._record_peer_failure(call.via, now)
             return
-        call.avoids_direct = True
+        call.avoids_direct = not self._paths.answered_lately(now)
         if failure.ran is Ran.UNKNOWN:
             address = endpoint.declaration.address
             self._paths.record_unanswered(address, now)
--- a/src/kelproad/coordination/ingress/streams/progress.py
+++ b/src/kelproad/coordination/ingress/streams/progress.py
@@ -57,11 +57,14 @@
             Endpoint that it was sent to.
         at_fault
             Endpoint at fault: ``primary`` or one of its helpers.  With that
-            helper excluded, the call may be sent to ``primary`` again.
+            helper excluded, the call may be sent to ``primary`` again; empty if
+            none is at fault.
         """
         self.last = failure
         self.in_flight = False
-        self.tried.add(failure.exclude or at_fault)
+        excluded = failure.exclude or at_fault
+        if excluded:
+            self.tried.add(excluded)
         if failure.arrived:
             self.reached.add(primary)
         if failure.ran is not Ran.NO and self.ran is not Ran.YES:
@@ -77,6 +80,12 @@
         """Return whether the call may be sent to no endpoint any more."""
         return len(self.reached) >= max_endpoints and self.reached <= self.tried
 
+    def is_last_chance(self, endpoint: str, max_endpoints: int) -> bool:
+        """Return whether a first failure there leaves no other endpoint."""
+        if endpoint in self.reached:
+            return False
+        return len(self.reached) + 1 >= max_endpoints
+
     def may_forward_error(self, call: Call) -> bool:
         """Return whether an endpoint's error may be forwarded unchanged.
 
--- a/src/kelproad/state/directpaths.py
+++ b/src/kelproad/state/directpaths.py
@@ -22,6 +22,9 @@
 _EVIDENCE_SECONDS = 2.0
 #: Seconds between two probes of mute paths.
 _PROBE_PERIOD = 0.5
+#: Seconds after an answer for which a call without one shows a fault of its
+#: endpoint, not of the path.
+_ANSWERED_SECONDS = 0.2
 #: Seconds for which an address counts as unreachable that neither this instance
 #: nor its peers could connect to, and between two calls that try all the same.
 _UNREACHABLE_SECONDS = 1.0
@@ -67,6 +70,7 @@
     #: the last answer from any.
     _unanswered: dict[str, float] = attrs.field(factory=dict)
     _probed_at: float = -math.inf
+    _answered_at: float = -math.inf
     #: Monotonic time at which neither this instance nor a peer could connect.
     _unreachable: dict[str, float] = attrs.field(factory=dict)
     _retried_at: float = -math.inf
@@ -98,10 +102,15 @@
         self._tunneled[address] = now
         self._unreachable.pop(address, None)
 
-    def record_answered(self) -> None:
+    def record_answered(self, now: float) -> None:
         """Record that a call on a direct connection was answered."""
+        self._answered_at = now
         self._unanswered.clear()
 
+    def answered_lately(self, now: float) -> bool:
+        """Return whether direct connections have just brought an answer."""
+        return now - self._answered_at < _ANSWERED_SECONDS
+
     def record_unanswered(self, address: str, now: float) -> None:
         """Record a call on a direct connection that brought no answer."""
         self._unanswered[address] = now
--- a/tests/ingress/test_progress.py
+++ b/tests/ingress/test_progress.py
@@ -38,3 +38,17 @@
     )
     progress.note(failure, 'first', 'first')
     assert progress.tried == {'full'}
+
+
+def test_a_broken_tunnel_does_not_use_up_the_last_endpoint() -> None:
+    """A stream ended early as the peer it went through was cut off."""
+    broken = AttemptFailure('the stream stalled', Ran.UNKNOWN)
+    progress = Progress()
+    progress.note(broken, 'first', 'first')
+    assert progress.is_last_chance('second', max_endpoints=2)
+    progress.note(broken, 'second', '')
+    assert not progress.is_exhausted(max_endpoints=2)
+    assert progress.may_answer('second', max_endpoints=2)
+    assert not progress.is_last_chance('second', max_endpoints=2)
+    progress.note(broken, 'second', 'second')
+    assert progress.is_exhausted(max_endpoints=2)
--- a/tests/test_direct_paths.py
+++ b/tests/test_direct_paths.py
@@ -67,5 +67,7 @@
     assert paths.take_probe(NOW + 1)
     assert not paths.take_probe(NOW + 1.4)
     assert paths.take_probe(NOW + 1.5)
-    paths.record_answered()
+    paths.record_answered(NOW + 1.5)
     assert not paths.is_mute(NOW + 1.5)
+    assert paths.answered_lately(NOW + 1.6)
+    assert not paths.answered_lately(NOW + 2)
