Choose peers for a tunnel only once one is due

Every connection listed and sorted all live peers first, though nearly none needs a tunnel: at 412 instances a list of 400 for each attempt (by reading, not measured).

--- a/src/kelproad/coordination/ingress/tunnels/connecting.py
+++ b/src/kelproad/coordination/ingress/tunnels/connecting.py
@@ -7,11 +7,10 @@
 """
 
 import asyncio
-import collections
 import logging
 import math
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -40,6 +39,13 @@
 _SocketTask = asyncio.Task[socket.socket]
 
 
+@attrs.frozen
+class _Entrant:
+    """A connection to try, through a peer or directly without one."""
+
+    peer: TunnelPeer | None = None
+
+
 @attrs.define
 class _Race:
     """Connections to one endpoint that are tried side by side.
@@ -121,20 +127,19 @@
         Another one is tried whenever nothing has succeeded for some time, and
         when all that was tried has failed.
         """
-        now = monotonic()
-        entrants = collections.deque(self._plan(now))
+        entrants = self._iterate_entrants(monotonic())
         waiting: set[_SocketTask] = set()
-        doubtful = self._paths.is_doubtful(endpoint.authority, now)
-        delay: float | None = 0 if doubtful else _TUNNEL_DELAY
-        while entrants or waiting:
-            if entrants:
-                waiting.add(self._start(race, entrants.popleft(), endpoint))
-            else:
-                delay = None
+        while True:
+            started = self._start_next(race, entrants, endpoint)
+            if started is not None:
+                waiting.add(started)
+            if not waiting:
+                break
             done, waiting = await asyncio.wait(
-                waiting, timeout=delay, return_when=asyncio.FIRST_COMPLETED
+                waiting,
+                timeout=self._choose_delay(race, started, endpoint),
+                return_when=asyncio.FIRST_COMPLETED,
             )
-            delay = _TUNNEL_DELAY
             race.used = race.select_made(done)
             if race.used is not None:
                 self._record_use(endpoint, race.tasks[race.used])
@@ -144,22 +149,48 @@
         self._paths.record_unreachable(endpoint.authority, monotonic())
         raise OSError(f'no connection to {endpoint.authority}')
 
-    def _plan(self, now: float) -> list[TunnelPeer | None]:
-        """List the connections to try, in order; ``None`` is the direct one."""
+    def _choose_delay(
+        self, race: _Race, started: _SocketTask | None, endpoint: Address
+    ) -> float | None:
+        """Choose the seconds until the next connection is tried.
+
+        ``None`` when there is no other one.
+        """
+        if started is None:
+            return None
+        is_direct = race.tasks[started] is None
+        address = endpoint.authority
+        if is_direct and self._paths.is_doubtful(address, monotonic()):
+            return 0
+        return _TUNNEL_DELAY
+
+    def _iterate_entrants(self, now: float) -> Iterator[_Entrant]:
+        """Iterate over the connections to try, in order.
+
+        Peers are chosen only once a tunnel is due, as most calls need none.
+        """
         progress = current_progress.get() or ConnectionProgress()
-        peers = self._peers.choose(now)[:_MAX_PEERS]
-        if progress.avoids_direct:
-            return [*peers, None]
-        if not self._paths.is_mute(now):
-            return [None, *peers]
-        if progress.may_probe and self._paths.take_probe(now):
-            return [None]
-        return [*peers, None]
-
-    def _start(
-        self, race: _Race, peer: TunnelPeer | None, endpoint: Address
-    ) -> _SocketTask:
-        """Begin to connect through a peer, or directly."""
+        mute = self._paths.is_mute(now)
+        avoids_direct = mute or progress.avoids_direct
+        if mute and not progress.avoids_direct and progress.may_probe:
+            if self._paths.take_probe(now):
+                yield _Entrant()
+                return
+        if not avoids_direct:
+            yield _Entrant()
+        for peer in self._peers.choose(monotonic())[:_MAX_PEERS]:
+            yield _Entrant(peer)
+        if avoids_direct:
+            yield _Entrant()
+
+    def _start_next(
+        self, race: _Race, entrants: Iterator[_Entrant], endpoint: Address
+    ) -> _SocketTask | None:
+        """Begin with the next connection; ``None`` when there is none."""
+        entrant = next(entrants, None)
+        if entrant is None:
+            return None
+        peer = entrant.peer
         opening = (
             self._try_direct(endpoint)
             if peer is None
