Let one call of a service at a time try endpoints that nobody connects to

Cause: each address counted as unreachable for one second by itself. With a few addresses one of them was always due again, and every call that came while that attempt ran went there as well; the permitted trials (one in 0.3 s) came on top. The share refused at once so depended on the number of endpoints, and fell with it: it was no matter of load.

Ruled out: slow refusals by load (p50 of those refused at once is 3 ms).

Also seen by reading: the choice within the own zone could use up the permitted trial and then not be taken, after which the same call was refused.

Change: what nobody connects to is unreachable until somebody does, or until nothing has failed for 2 s. One call of a service in 0.5 s tries again, oldest failures first; the first connection ends it for all addresses. The choice within the zone takes no trial.

test_tunnels.py names the new place of what it checks; its check is the same.

--- a/src/kelproad/coordination/ingress/placing/choosing.py
+++ b/src/kelproad/coordination/ingress/placing/choosing.py
@@ -16,11 +16,12 @@
 from ..membership.spillover import ZoneSpillover
 from ..streams.progress import Progress
 from ..tables.holder import ConfigurationHolder
+from .connectable import add_trials, refuse_unreachable, select_connectable
 from .eligibility import (
     exclude_limited,
-    exclude_unreachable,
     is_eligible,
     is_healthy,
+    list_untried,
     refuse_for_limits,
 )
 from .placement import CallRequirements, Candidate, NoPlacementError, Placement
@@ -112,7 +113,10 @@
         NoPlacementError
             When no endpoint can accept the call now.
         """
-        healthy, usable = self._filter_healthy(endpoints, call, progress, now)
+        usable = self._filter_usable(
+            endpoints, call, progress, now, may_try=not healthy_only
+        )
+        healthy = self._filter_healthy(usable, call, now)
         left = healthy if healthy_only else healthy or usable
         max_endpoints = call.route.max_endpoints
         candidates = [
@@ -206,30 +210,47 @@
     def _is_engine_call(self, call: Call) -> bool:
         return self._holder.current.find_profile(call.service) is not None
 
-    def _filter_healthy(
+    def _filter_usable(
         self,
         endpoints: list[Endpoint],
         call: Call,
         progress: Progress,
         now: float,
-    ) -> tuple[list[Endpoint], list[Endpoint]]:
-        """Return the healthy endpoints, and all that are eligible."""
-        untried = [
-            endpoint
-            for endpoint in endpoints
-            if is_eligible(endpoint, now)
-            and endpoint.name not in progress.tried
-        ]
-        usable = exclude_unreachable(untried, self._paths, now, self._generator)
+        may_try: bool,
+    ) -> list[Endpoint]:
+        """List the endpoints that may get a call, healthy or not.
+
+        ``may_try`` says whether the call may be one that tries endpoints again
+        to which nobody could connect.
+
+        Raises
+        ------
+        NoPlacementError
+            When nobody could connect to any.
+        """
+        untried = list_untried(endpoints, progress, now)
+        unreachable = self._paths.unreachable
+        usable = select_connectable(untried, unreachable, now)
+        if may_try and len(usable) < len(untried):
+            usable = add_trials(usable, untried, call.service, unreachable, now)
+        if untried and not usable:
+            raise refuse_unreachable(self._generator)
+        return usable
+
+    def _filter_healthy(
+        self,
+        usable: list[Endpoint],
+        call: Call,
+        now: float,
+    ) -> list[Endpoint]:
         excluded_zones = self._list_suspect_zones(usable, call, now)
-        healthy = [
+        return [
             endpoint
             for endpoint in usable
             if endpoint.declaration.zone not in excluded_zones
             and not self._observations.is_silent(endpoint.name, now)
             and is_healthy(endpoint, call.kind.repeatable, now)
         ]
-        return healthy, usable
 
     def _sample(self, endpoints: list[Endpoint]) -> list[Endpoint]:
         """Sample from many endpoints, those of the local zone first."""
--- a/src/kelproad/coordination/ingress/placing/eligibility.py
+++ b/src/kelproad/coordination/ingress/placing/eligibility.py
@@ -3,23 +3,19 @@
 import random
 
 from ....state.calls import Call
-from ....state.directpaths import DirectPaths
 from ....state.endpoints import Endpoint
 from ..limiting.waits import choose_longest_wait, choose_return
+from ..streams.progress import Progress
 from .placement import Candidate, NoPlacementError
 
 __all__ = [
     'exclude_limited',
-    'exclude_unreachable',
     'is_eligible',
     'is_healthy',
+    'list_untried',
     'refuse_for_limits',
 ]
 
-#: Bounds of the seconds after which callers retry when no endpoint can be
-#: connected to; at random, so that they don't all come at once.
-_UNREACHABLE_RETRIES = (0.5, 1.5)
-
 
 def is_eligible(endpoint: Endpoint, now: float) -> bool:
     """Return whether an endpoint may get calls at all, healthy or not."""
@@ -37,31 +33,15 @@
     return repeatable and not endpoint.own_requests
 
 
-def exclude_unreachable(
-    endpoints: list[Endpoint],
-    paths: DirectPaths,
-    now: float,
-    generator: random.Random,
+def list_untried(
+    endpoints: list[Endpoint], progress: Progress, now: float
 ) -> list[Endpoint]:
-    """Exclude endpoints that neither this instance nor a peer connects to.
-
-    Raises
-    ------
-    NoPlacementError
-        When that excludes all of them, and another call tries them already.
-    """
-    reachable = [
+    """List the endpoints that may get a call and have not had it yet."""
+    return [
         endpoint
         for endpoint in endpoints
-        if not paths.is_unreachable(endpoint.declaration.address, now)
+        if is_eligible(endpoint, now) and endpoint.name not in progress.tried
     ]
-    if reachable or not endpoints or paths.take_retry(now):
-        return reachable or endpoints
-    raise NoPlacementError(
-        'no endpoint can be connected to',
-        worth_waiting=False,
-        retry_after=generator.uniform(*_UNREACHABLE_RETRIES),
-    )
 
 
 def exclude_limited(
--- a/src/kelproad/coordination/ingress/tunnels/connecting.py
+++ b/src/kelproad/coordination/ingress/tunnels/connecting.py
@@ -146,7 +146,7 @@
                 return race.used
             for task in done:
                 self._record_failure(race.tasks[task], task.exception())
-        self._paths.record_unreachable(endpoint.authority, monotonic())
+        self._paths.unreachable.record_failed(endpoint.authority, monotonic())
         raise OSError(f'no connection to {endpoint.authority}')
 
     def _choose_delay(
--- a/src/kelproad/state/directpaths.py
+++ b/src/kelproad/state/directpaths.py
@@ -13,6 +13,8 @@
 
 import attrs
 
+from .unreachable import UnreachableAddresses
+
 __all__ = ['DirectPaths', 'PathChange']
 
 #: Addresses that must have failed since the last direct connection before this
@@ -25,10 +27,6 @@
 #: Seconds after an answer for which a call without one shows a fault of its
 #: endpoint, not of the path.
 _ANSWERED_SECONDS = 0.2
-#: Seconds for which an address counts as unreachable that neither this instance
-#: nor its peers could connect to, and between two calls that try all the same.
-_UNREACHABLE_SECONDS = 1.0
-_RETRY_PERIOD = 0.3
 
 
 @attrs.frozen
@@ -58,9 +56,14 @@
     ----------
     in_outage
         Whether several addresses failed and none was connected to since.
+    unreachable
+        Addresses to which peers can't connect either.
     """
 
     in_outage: bool = False
+    unreachable: UnreachableAddresses = attrs.field(
+        factory=UnreachableAddresses
+    )
     _connected_at: float = -math.inf
     #: Monotonic time of the last failure at each address to which none has
     #: been made since, and of the last connection of a peer to it.
@@ -71,9 +74,6 @@
     _unanswered: dict[str, float] = attrs.field(factory=dict)
     _probed_at: float = -math.inf
     _answered_at: float = -math.inf
-    #: Monotonic time at which neither this instance nor a peer could connect.
-    _unreachable: dict[str, float] = attrs.field(factory=dict)
-    _retried_at: float = -math.inf
 
     def record_connected(self, address: str, now: float) -> PathChange | None:
         """Record a direct connection; return whether it ends an outage."""
@@ -81,7 +81,7 @@
         self._connected_at = now
         self._failed.pop(address, None)
         self._tunneled.pop(address, None)
-        self._unreachable.pop(address, None)
+        self.unreachable.record_connected(address)
         if not self.in_outage:
             return None
         self.in_outage = False
@@ -100,7 +100,7 @@
     def record_tunneled(self, address: str, now: float) -> None:
         """Record that a peer connected to an address for this instance."""
         self._tunneled[address] = now
-        self._unreachable.pop(address, None)
+        self.unreachable.record_connected(address)
 
     def record_answered(self, now: float) -> None:
         """Record that a call on a direct connection was answered."""
@@ -128,22 +128,6 @@
         self._probed_at = now
         return True
 
-    def record_unreachable(self, address: str, now: float) -> None:
-        """Record that neither this instance nor a peer could connect."""
-        self._unreachable[address] = now
-
-    def is_unreachable(self, address: str, now: float) -> bool:
-        """Return whether a call to an address would probably not arrive."""
-        found_at = self._unreachable.get(address, -math.inf)
-        return now - found_at < _UNREACHABLE_SECONDS
-
-    def take_retry(self, now: float) -> bool:
-        """Permit a call to try unreachable addresses, one in each period."""
-        if now - self._retried_at < _RETRY_PERIOD:
-            return False
-        self._retried_at = now
-        return True
-
     def is_lost(self, address: str, now: float) -> bool:
         """Return whether only peers connect to an address at present."""
         oldest = now - _EVIDENCE_SECONDS
@@ -179,7 +163,6 @@
         self._failed = _select_after(self._failed, oldest)
         self._tunneled = _select_after(self._tunneled, oldest)
         self._unanswered = _select_after(self._unanswered, oldest)
-        self._unreachable = _select_after(self._unreachable, oldest)
 
 
 def _select_after(times: dict[str, float], oldest: float) -> dict[str, float]:
--- a/tests/ingress/test_tunnels.py
+++ b/tests/ingress/test_tunnels.py
@@ -215,7 +215,7 @@
     now = monotonic()
     address = site.address.authority
     assert not site.here.paths.is_lost(address, now)
-    assert site.here.paths.is_unreachable(address, now)
+    assert site.here.paths.unreachable.includes(address, now)
 
 
 async def test_the_direct_path_is_used_again_at_once(site: Site) -> None:
