Obey the operators' times for headers and idle connections

What callers saw: header_timeout_ms and idle_timeout_ms of the configuration were decoded and changed nothing; idle connections stayed for 120 s and headers had 10 s whatever operators wrote.

Change: each connection gets its timers from the configuration in force, when it is accepted and when a call ends. An idle one is closed as at a stop, without losing a call that was read. What servers.py knew of connections moves to callerconnections.py.

Before, by the new tests: no way to say the times to a server. After: test_servers.py three times, test_store_site.py, test_deadlines.py pass.

--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -234,6 +234,7 @@
             self._counters,
             self._describe,
             self._tables.list_changes_for_peer,
+            self._holder.read_limits,
         )
         self._caller_server = servers.create_caller_server()
         for server in (
--- a/src/kelproad/coordination/ingress/servers.py
+++ b/src/kelproad/coordination/ingress/servers.py
@@ -8,8 +8,10 @@
 
 from ...state.counters import Counters
 from ...state.endpoints import EndpointTable
+from ...state.routes import IngressLimits
 from ...state.work import WorkLedger
 from ...transport.addresses import Address
+from ...transport.callerconnections import ConnectionTimeouts
 from ...transport.servers import HttpServer
 from ..drain import Drain, DrainPhase
 from .admission.dialect import Dialect
@@ -19,9 +21,6 @@
 
 __all__ = ['NodeServers', 'describe_endpoints', 'describe_work']
 
-#: Seconds that idle connections of callers are kept: longer than the idle time
-#: up to which operators let callers reuse one.
-_CALLER_KEEPALIVE = 120.0
 #: Largest header field in bytes that is read at all; operators limit the size
 #: of all headers, to 16 KiB at present, in the configuration.
 _HEADER_BYTES = 65_536
@@ -48,6 +47,7 @@
     _counters: Counters
     _describe: Callable[[], dict[str, object]]
     _list_changes: Callable[[str, int | None, bool], TableState | None]
+    _read_limits: Callable[[], IngressLimits]
 
     def create_caller_server(self) -> HttpServer:
         """Create the server for calls."""
@@ -58,7 +58,7 @@
             callers,
             self._settings.caller_address,
             lambda: self._counters.malformed.inc({'side': 'callers'}),
-            keepalive=_CALLER_KEEPALIVE,
+            read_timeouts=self._read_timeouts,
             decode_bodies=False,
             shutdown_timeout=_SHUTDOWN_SECONDS,
             header_bytes=_HEADER_BYTES,
@@ -94,6 +94,10 @@
     ) -> web.StreamResponse:
         return await self._answer(http_request)
 
+    def _read_timeouts(self) -> ConnectionTimeouts:
+        limits = self._read_limits()
+        return ConnectionTimeouts(limits.header_timeout, limits.idle_timeout)
+
     async def _close_when_leaving(
         self,
         _http_request: web.Request,
--- a/src/kelproad/coordination/ingress/tables/holder.py
+++ b/src/kelproad/coordination/ingress/tables/holder.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Result
 
 from ....state.records import record
-from ....state.routes import RoutingConfiguration
+from ....state.routes import IngressLimits, RoutingConfiguration
 
 __all__ = ['ConfigurationHolder']
 
@@ -22,6 +22,10 @@
         self.current: RoutingConfiguration | None = None
         self._adopted = asyncio.Event()
 
+    def read_limits(self) -> IngressLimits:
+        """Return the limits for callers, the defaults without any in force."""
+        return self.current.limits if self.current else IngressLimits()
+
     async def await_first(self, seconds: float) -> RoutingConfiguration | None:
         """Wait for the first configuration, ``None`` if it takes too long."""
         with contextlib.suppress(asyncio.TimeoutError):
--- a/src/kelproad/transport/servers.py
+++ b/src/kelproad/transport/servers.py
@@ -1,4 +1,4 @@
-"""HTTP servers on aiohttp, with bounds on headers and idle connections."""
+"""HTTP servers on aiohttp."""
 
 import asyncio
 import logging
@@ -9,6 +9,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from .addresses import Address
+from .callerconnections import CallerConnections, ConnectionTimeouts
 from .services import BackgroundService
 
 __all__ = [
@@ -24,13 +25,10 @@
 HEAD_TIMEOUT = 10.0
 #: Default seconds for which a connection may stay idle.
 _KEEPALIVE_SECONDS = 30.0
+#: Seconds after which aiohttp closes idle connections by itself.
+_LONGEST_IDLE_SECONDS = 3600.0
 _MALFORMED = (HttpProcessingError, web.RequestPayloadError)
 _BACKLOG = 1024
-#: Iterations of the event loop in which a call that has been read reaches its
-#: handler: aiohttp resumes the connection's task, which starts another one.
-_READING_ITERATIONS = 5
-#: Closed connections that may be in the set before it is cleaned up.
-_CLEANUP_SLACK = 64
 
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -40,6 +38,10 @@
     """Ignore malformed input."""
 
 
+def _choose_timeouts() -> ConnectionTimeouts:
+    return ConnectionTimeouts(HEAD_TIMEOUT, _KEEPALIVE_SECONDS)
+
+
 class HttpServer(BackgroundService):
     """An HTTP server on one address, started and stopped with its parent."""
 
@@ -50,7 +52,7 @@
         application: web.Application,
         address: Address,
         on_malformed: Callable[[], None] = _ignore,
-        keepalive: float = _KEEPALIVE_SECONDS,
+        read_timeouts: Callable[[], ConnectionTimeouts] = _choose_timeouts,
         decode_bodies: bool = True,
         shutdown_timeout: float = 1.0,
         header_bytes: int = MAX_HEADER_BYTES,
@@ -65,8 +67,8 @@
             Address to listen on.
         on_malformed
             Called for input that is not HTTP.
-        keepalive
-            Seconds for which a connection may stay idle.
+        read_timeouts
+            Returns how long callers may take at present, and stay idle.
         decode_bodies
             Whether content encodings of bodies are decoded; a body that is
             forwarded unread must stay encoded.
@@ -82,10 +84,9 @@
         self._on_malformed = on_malformed
         self._runner: web.AppRunner | None = None
         self._listener: asyncio.Server | None = None
-        self._awaiting_first: set[asyncio.BaseProtocol] = set()
-        self._busy: set[asyncio.BaseProtocol] = set()
-        self._used: set[asyncio.BaseProtocol] = set()
-        self._keepalive = keepalive
+        self._connections = CallerConnections(
+            self.list_connections, read_timeouts
+        )
         self._decode_bodies = decode_bodies
         self._shutdown_timeout = shutdown_timeout
         self._header_bytes = header_bytes
@@ -101,7 +102,7 @@
             handler_cancellation=True,
             max_line_size=self._header_bytes,
             max_field_size=self._header_bytes,
-            keepalive_timeout=self._keepalive,
+            keepalive_timeout=_LONGEST_IDLE_SECONDS,
             auto_decompress=self._decode_bodies,
             shutdown_timeout=self._shutdown_timeout,
         )
@@ -119,6 +120,7 @@
             self._listener.close()
         if self._runner is not None:
             await self._runner.cleanup()
+        self._connections.end()
 
     def list_connections(self) -> list[web.RequestHandler]:
         """List the open connections; before the start there are none."""
@@ -127,62 +129,14 @@
         return self._runner.server.connections
 
     async def close_idle(self) -> None:
-        """Close the connections that have had a call and have none now.
-
-        A connection without a first call is left open, as that call is
-        probably on its way.
-
-        First, reading is paused; then a call that was being read gets the time
-        to reach its handler; then connections without a call are closed.  To
-        close at once would lose a call that has been read; to mark a
-        connection as closed and end it later (aiohttp ignores further input on
-        it) lost every call of the 20 ms between.  Now only a call that arrives
-        during the close is lost, unread.
-        """
-        idle = [
-            connection
-            for connection in self.list_connections()
-            if connection in self._used and connection not in self._busy
-        ]
-        for connection in idle:
-            # aiohttp lists a connection that its caller has just closed until
-            # its task has ended.  An exception at such a connection left those
-            # before it paused until the end of the stop.
-            if connection.transport is not None:
-                connection.transport.pause_reading()
-        for _ in range(_READING_ITERATIONS):
-            await asyncio.sleep(0)
-        for connection in idle:
-            self._close_unless_busy(connection)
-
-    def _close_unless_busy(self, connection: web.RequestHandler) -> None:
-        """Close a connection unless it has a call meanwhile."""
-        transport = connection.transport
-        if transport is None:
-            return
-        if connection in self._busy:
-            transport.resume_reading()
-            return
-        connection.close()
-        transport.close()
+        """Close the connections that have had a call and have none now."""
+        await self._connections.close_idle()
 
     def _accept(self) -> asyncio.BaseProtocol:
-        """Serve a connection, with a time-out for its first request.
-
-        aiohttp waits for the first headers without a time-out, so callers that
-        send them byte by byte could occupy all connections.
-        """
-        protocol = self._runner.server()
-        self._awaiting_first.add(protocol)
-        loop = asyncio.get_running_loop()
-        loop.call_later(HEAD_TIMEOUT, self._abort_unless_used, protocol)
-        return protocol
-
-    def _abort_unless_used(self, protocol: web.RequestHandler) -> None:
-        is_awaiting = protocol in self._awaiting_first
-        self._awaiting_first.discard(protocol)
-        if is_awaiting and protocol.transport is not None:
-            protocol.transport.abort()
+        """Serve a connection, with a time-out for its first request."""
+        connection = self._runner.server()
+        self._connections.begin(connection)
+        return connection
 
     @web.middleware
     async def _track_call(
@@ -190,21 +144,12 @@
         http_request: web.Request,
         handler: Handler,
     ) -> web.StreamResponse:
-        protocol = http_request.protocol
-        self._awaiting_first.discard(protocol)
-        self._busy.add(protocol)
+        connection = http_request.protocol
+        self._connections.begin_call(connection)
         try:
             return await handler(http_request)
         finally:
-            self._busy.discard(protocol)
-            self._record_used(protocol)
-
-    def _record_used(self, protocol: asyncio.BaseProtocol) -> None:
-        """Record a connection that has had a call; remove closed ones."""
-        self._used.add(protocol)
-        live = self._runner.server.connections
-        if len(self._used) > 2 * len(live) + _CLEANUP_SLACK:
-            self._used.intersection_update(live)
+            self._connections.end_call(connection)
 
     def _create_logger(self) -> logging.Logger:
         """Create the logger of aiohttp's server.
--- a/testbed/routed.py
+++ b/testbed/routed.py
@@ -82,6 +82,10 @@
     endpoint_processes: dict[str, Process] = attrs.field(factory=dict)
     instances: list[RoutedInstance] = attrs.field(factory=list)
     version: int = 0
+    #: Limits for callers, in the configurations that are written.
+    limits: dict[str, object] = attrs.field(
+        factory=lambda: {'max_body_bytes': 65_536},
+    )
     _sequences: itertools.count = attrs.field(
         factory=lambda: itertools.count(1),
     )
@@ -108,7 +112,7 @@
                 {'name': 'writer', 'engine': dict(_ENGINE)},
                 {'name': 'book'},
             ],
-            'limits': {'max_body_bytes': 65_536},
+            'limits': dict(self.limits),
             'tenants': [{'name': 'crews', 'api_keys': list(keys)}],
         }
         self.put_row('op', 'config', document)
--- a/tests/ingress/test_store_site.py
+++ b/tests/ingress/test_store_site.py
@@ -1,6 +1,7 @@
 """Configuration, keys and endpoints from the store, also during outages."""
 
 import signal
+import socket
 import time
 from collections.abc import Iterator
 
@@ -13,6 +14,8 @@
 BOOKS = ('book-1', 'book-2')
 #: Timeout of a route in seconds.
 TIMEOUT = 0.5
+#: Seconds for which callers' connections may stay idle.
+IDLE = 1.2
 UNAUTHENTICATED = 401
 #: Tolerance of measured times in seconds.
 SLACK = 0.2
@@ -194,6 +197,24 @@
     assert TIMEOUT - SLACK < answer.seconds < TIMEOUT + SLACK
 
 
+def test_the_operators_time_for_idle_connections_is_obeyed(
+    site: RoutedSite,
+) -> None:
+    """Connections would be kept as long as the code says, not the operators."""
+    instance = site.instances[0]
+    site.limits['idle_timeout_ms'] = int(IDLE * 1000)
+    version = site.put_configuration()
+    wait_for(lambda: instance.dump()['version'] == version, 'the limit')
+    host, port = instance.caller.split(':')
+    with socket.create_connection((host, int(port)), timeout=5) as kept:
+        kept.sendall(b'GET /lookups/x HTTP/1.1\r\nHost: x\r\n\r\n')
+        assert b'HTTP/1.1 ' in kept.recv(4096)
+        answered = time.monotonic()
+        while kept.recv(4096):
+            answered = time.monotonic()
+        assert IDLE - SLACK < time.monotonic() - answered < IDLE + SLACK
+
+
 # Processes
 
 
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import attrs
 import pytest
 from aiohttp import web
 
 from kelproad.transport.addresses import Address
+from kelproad.transport.callerconnections import ConnectionTimeouts
 from kelproad.transport.servers import HttpServer, send_answer
 from testbed.processes import find_free_address
 
@@ -17,8 +18,16 @@
 PAGE = 4096
 #: Seconds until the event loop has noticed that a connection was closed.
 CLOSE_NOTICED_SECONDS = 0.01
+#: Seconds within which a connection must be closed, or a call be answered.
+CLOSED_WITHIN = 2.0
 #: Iterations of the event loop between sending a call and closing.
 TURNS = range(12)
+LONG = ConnectionTimeouts(head=10, idle=30)
+
+
+def choose_long() -> ConnectionTimeouts:
+    """Choose time-outs that never expire in a test."""
+    return LONG
 
 
 @attrs.define
@@ -33,7 +42,9 @@
 
 
 @contextlib.asynccontextmanager
-async def keep_connections() -> AsyncIterator[KeepAliveServer]:
+async def keep_connections(
+    read_timeouts: Callable[[], ConnectionTimeouts] = choose_long,
+) -> AsyncIterator[KeepAliveServer]:
     """Run a server with connections that have had one call each."""
     address = Address.from_text(find_free_address())
 
@@ -43,7 +54,8 @@
 
     application = web.Application()
     application.add_routes([web.get('/x', answer)])
-    kept = KeepAliveServer(HttpServer(application, address))
+    server = HttpServer(application, address, read_timeouts=read_timeouts)
+    kept = KeepAliveServer(server)
     await kept.server.start()
     try:
         for _ in range(CONNECTIONS):
@@ -61,6 +73,62 @@
         await kept.server.stop()
 
 
+async def call_on(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> bytes:
+    """Send a call on a kept connection and read its answer."""
+    writer.write(CALL)
+    return await asyncio.wait_for(reader.read(PAGE), CLOSED_WITHIN)
+
+
+async def test_an_idle_connection_is_closed_by_the_time_in_force() -> None:
+    """Callers' idle connections would be kept far beyond the operators' limit.
+
+    The limit changes while connections are open.
+    """
+    timeouts = ConnectionTimeouts(head=10, idle=30)
+    async with keep_connections(lambda: timeouts) as kept:
+        reader, writer = kept.connections[0]
+        timeouts = ConnectionTimeouts(head=10, idle=1)
+        assert b'answer' in await call_on(reader, writer)
+        await asyncio.sleep(0.8)
+        assert b'answer' in await call_on(reader, writer)
+        await asyncio.sleep(0.8)
+        assert not reader.at_eof()
+        assert not await asyncio.wait_for(reader.read(), CLOSED_WITHIN)
+        assert not any(other.at_eof() for other, _ in kept.connections[1:])
+
+
+async def test_a_call_at_the_end_of_the_idle_time_is_answered() -> None:
+    """A call that has been read would be lost with its connection."""
+    timeouts = ConnectionTimeouts(head=10, idle=1)
+    async with keep_connections(lambda: timeouts) as kept:
+        before = kept.handled
+        await asyncio.sleep(1 - CONNECTIONS * 0.002)
+        answers = []
+        for reader, writer in kept.connections:
+            with contextlib.suppress(ConnectionError):
+                writer.write(CALL)
+            await asyncio.sleep(0.004)
+            answers.append(await read_rest(reader))
+        answered = sum(answer.endswith(b'answer') for answer in answers)
+        assert answered == kept.handled - before
+
+
+async def test_slow_first_headers_end_by_the_time_in_force() -> None:
+    """Callers could hold connections without a call beyond the limit."""
+    timeouts = ConnectionTimeouts(head=0.3, idle=30)
+    async with keep_connections(lambda: timeouts) as kept:
+        host, port = kept.server.list_connections()[0].transport.get_extra_info(
+            'sockname'
+        )
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(CALL[:5])
+        with contextlib.suppress(ConnectionError):
+            assert not await asyncio.wait_for(reader.read(), CLOSED_WITHIN)
+        assert b'answer' in await call_on(*kept.connections[0])
+
+
 async def test_no_open_connection_goes_unread() -> None:
     """A call on a keep-alive connection gets no answer, 10 ms after SIGTERM.
 
