Log which request limits a call is refused for; soak keeps the dumps

The refusal now carries the waits and is logged once, with the call; the soak writes each instance's /dump beside the logs after the final calls. What a call's way logs moves to retrying/events.py, unchanged.

--- a/src/kelproad/coordination/ingress/placing/eligibility.py
+++ b/src/kelproad/coordination/ingress/placing/eligibility.py
@@ -78,4 +78,5 @@
         'all endpoints have reached their request limits',
         worth_waiting=False,
         retry_after=choose_return(call, next_wait, now, generator),
+        waits={item.endpoint.name: item.start_wait for item in delayed},
     )
--- a/src/kelproad/coordination/ingress/placing/placement.py
+++ b/src/kelproad/coordination/ingress/placing/placement.py
@@ -1,6 +1,8 @@
 """Data of a placement decision: candidates, requirements and result."""
 
 import math
+import types
+from collections.abc import Mapping
 
 import attrs
 
@@ -19,6 +21,7 @@
 #: share of the caller's silence timeout for one that misses it in any case.
 WAIT_SHARE = 0.5
 LATE_WAIT_SHARE = 0.7
+_NO_WAITS: Mapping[str, float] = types.MappingProxyType({})
 
 
 @attrs.frozen
@@ -150,6 +153,8 @@
         Whether one may become free while the call has time to wait.
     retry_after
         Seconds after which the caller is to come back, where known.
+    waits
+        Seconds until the next starts at endpoints whose limits were the reason.
     """
 
     def __init__(
@@ -157,9 +162,11 @@
         reason: str,
         worth_waiting: bool,
         retry_after: float | None = None,
+        waits: Mapping[str, float] = _NO_WAITS,
     ) -> None:
         """Give the reason for the refusal and the log."""
         super().__init__(reason)
         self.reason = reason
         self.worth_waiting = worth_waiting
         self.retry_after = retry_after
+        self.waits = waits
--- a/src/kelproad/coordination/ingress/retrying/dispatching.py
+++ b/src/kelproad/coordination/ingress/retrying/dispatching.py
@@ -30,6 +30,7 @@
 from ..streams.delivery import StreamDelivery
 from ..streams.progress import Progress
 from ..streams.sending import Sender
+from .events import record_limits, record_placement, record_stream
 from .retries import RetryBudgets
 from .verdicts import ANSWER_MARGIN, AttemptEvaluator, find_faulty_endpoint
 
@@ -114,7 +115,7 @@
                 http_request.headers,
             )
             if not isinstance(outcome, Failure):
-                self._record_stream(call, placed.unwrap(), delivery)
+                record_stream(call, placed.unwrap(), delivery, self._counters)
                 return outcome
             _record_failure(call, progress, placed.unwrap(), outcome.failure())
             stop = self._evaluator.check_retry(call, progress)
@@ -137,6 +138,7 @@
             except NoPlacementError as error:
                 late = call.remaining(monotonic()) < ANSWER_MARGIN
                 if late or not error.worth_waiting:
+                    record_limits(call, error)
                     return Failure(_refuse_unplaced(error))
             else:
                 return Success(placement)
@@ -184,7 +186,7 @@
         endpoint = placement.primary
         progress.begin()
         call.attempts += 1
-        _record_placement(call, placement, self._gate.find_rate(endpoint))
+        record_placement(call, placement, self._gate.find_rate(endpoint))
         endpoint.own_requests += 1
         try:
             with AttemptAccount(self._ledger, call, placement) as account:
@@ -201,31 +203,6 @@
         self._evaluator.note(call, placement, failure)
         return outcome
 
-    def _record_stream(
-        self,
-        call: Call,
-        placement: Placement,
-        delivery: StreamDelivery,
-    ) -> None:
-        """Record the timing of a complete stream in the metrics and the log."""
-        if delivery.first_at is None:
-            return
-        first_event = delivery.first_at - call.arrived
-        self._counters.latencies.first_events.observe(
-            {'service': call.service},
-            first_event,
-        )
-        record(
-            _logger,
-            'streamed',
-            request=call.request_id,
-            endpoint=placement.primary.name,
-            predicted=round(placement.predicted, 4),
-            first_event=round(first_event, 4),
-            longest_gap=round(delivery.longest_gap, 4),
-            gap_ended=round(delivery.gap_ended_at - call.arrived, 4),
-        )
-
 
 def _give_up(
     call: Call,
@@ -271,28 +248,6 @@
     progress.note(failure, placement.primary.name, at_fault.name)
 
 
-def _record_placement(
-    call: Call,
-    placement: Placement,
-    request_limit: float | None,
-) -> None:
-    record(
-        _logger,
-        'placed',
-        request=call.request_id,
-        service=call.service,
-        endpoint=placement.primary.name,
-        helpers=[helper.name for helper in placement.helpers],
-        reserved=sum(share.tokens for share in placement.shares),
-        prompt_tokens=call.head.prompt_tokens,
-        predicted=round(placement.predicted, 4),
-        considered=placement.considered,
-        attempt=call.attempts,
-        request_limit=request_limit,
-        waited=round(monotonic() - call.arrived, 4),
-    )
-
-
 def _refuse_unplaced(error: NoPlacementError) -> Refusal:
     return Refusal(
         RefusalCode.NO_CAPACITY,
--- /dev/null
+++ b/src/kelproad/coordination/ingress/retrying/events.py
@@ -0,0 +1,81 @@
+"""Log lines and metrics of a call's way to its endpoint."""
+
+import logging
+
+from ....state.calls import Call
+from ....state.counters import Counters
+from ....state.records import record
+from ....transport.deadlines import monotonic
+from ..placing.placement import NoPlacementError, Placement
+from ..streams.delivery import StreamDelivery
+
+__all__ = ['record_limits', 'record_placement', 'record_stream']
+
+_logger = logging.getLogger(__name__)
+#: Digits of seconds in the log.
+_DIGITS = 4
+
+
+def record_placement(
+    call: Call,
+    placement: Placement,
+    request_limit: float | None,
+) -> None:
+    """Record where a call is sent, and what that was decided by."""
+    record(
+        _logger,
+        'placed',
+        request=call.request_id,
+        service=call.service,
+        endpoint=placement.primary.name,
+        helpers=[helper.name for helper in placement.helpers],
+        reserved=sum(share.tokens for share in placement.shares),
+        prompt_tokens=call.head.prompt_tokens,
+        predicted=round(placement.predicted, _DIGITS),
+        considered=placement.considered,
+        attempt=call.attempts,
+        request_limit=request_limit,
+        waited=round(monotonic() - call.arrived, _DIGITS),
+    )
+
+
+def record_limits(call: Call, error: NoPlacementError) -> None:
+    """Record the request limits for which a call is refused, if any."""
+    if not error.waits:
+        return
+    record(
+        _logger,
+        'refused_for_limits',
+        request=call.request_id,
+        attempts=call.attempts,
+        waits={
+            endpoint: round(wait, _DIGITS)
+            for endpoint, wait in error.waits.items()
+        },
+    )
+
+
+def record_stream(
+    call: Call,
+    placement: Placement,
+    delivery: StreamDelivery,
+    counters: Counters,
+) -> None:
+    """Record the timing of a complete stream in the metrics and the log."""
+    if delivery.first_at is None:
+        return
+    first_event = delivery.first_at - call.arrived
+    counters.latencies.first_events.observe(
+        {'service': call.service},
+        first_event,
+    )
+    record(
+        _logger,
+        'streamed',
+        request=call.request_id,
+        endpoint=placement.primary.name,
+        predicted=round(placement.predicted, _DIGITS),
+        first_event=round(first_event, _DIGITS),
+        longest_gap=round(delivery.longest_gap, _DIGITS),
+        gap_ended=round(delivery.gap_ended_at - call.arrived, _DIGITS),
+    )
--- a/testbed/soak/routed.py
+++ b/testbed/soak/routed.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import contextlib
+import json
 import pathlib
 import shutil
 import sys
@@ -71,6 +72,7 @@
         await asyncio.sleep(_RECOVERY_SECONDS)
         final_calls = await callers.call_once()
         _print_summary(callers, faults, limits.limits)
+        await asyncio.to_thread(_write_dumps, site)
         recovery = await asyncio.to_thread(check_recovery, site, final_calls)
         calls = await asyncio.to_thread(
             check_calls,
@@ -115,6 +117,13 @@
             link.close()
 
 
+def _write_dumps(site: RoutedSite) -> None:
+    """Write what the instances know after the final calls beside the logs."""
+    for instance in site.instances:
+        path = site.directory / f'{instance.name}.dump.json'
+        path.write_text(json.dumps(instance.dump(), indent=1))
+
+
 def _print_summary(
     callers: RoutedCallers,
     faults: RoutedFaults,
