Send the operators' priorities to endpoints

A call now carries its workspace's rank, else its route's, bounded to 0 to 9; without either the endpoint decides. What callers send in that field is dropped as before.

Our own waiting calls have no order by rank yet.

--- a/src/kelproad/coordination/ingress/streams/sending.py
+++ b/src/kelproad/coordination/ingress/streams/sending.py
@@ -72,6 +72,7 @@
                 for helper in self.placement.helpers
             ),
             resume_after=self.delivery.cutter.last_number,
+            priority=call.priority,
         )
 
 
--- a/src/kelproad/platform/headers.py
+++ b/src/kelproad/platform/headers.py
@@ -27,6 +27,8 @@
 _EXPECTED_ENDPOINT = 'X-Kelproad-Expect-Instance'
 _HELPERS = 'X-Kelproad-Helpers'
 _PRIORITY = 'X-Kelproad-Request-Priority'
+#: The least urgent of its values; 0 is the most urgent.
+_LAST_PRIORITY = 9
 _EXPECTED_VERSION = 'X-Kelproad-Expect-Version'
 #: Prompt tokens and the limit of output tokens, despite its singular name.
 _TOKEN_COUNT = 'X-Kelproad-Token-Count'  # noqa: S105  no secret
@@ -140,6 +142,8 @@
         headers[_WORKSPACE] = forwarding.workspace
     if forwarding.resume_after is not None:
         headers[_LAST_EVENT] = str(forwarding.resume_after)
+    if forwarding.priority is not None:
+        headers[_PRIORITY] = str(_bound_priority(forwarding.priority))
     if forwarding.helpers:
         headers[_HELPERS] = ','.join(
             f'{address}/{reservation}' if reservation else address
@@ -148,6 +152,11 @@
     return headers
 
 
+def _bound_priority(priority: int) -> int:
+    """Bound a rank to those that endpoints know."""
+    return max(0, min(_LAST_PRIORITY, priority))
+
+
 def read_answer_head(
     response: aiohttp.ClientResponse,
     request_id: str,
--- a/src/kelproad/platform/rows.py
+++ b/src/kelproad/platform/rows.py
@@ -61,7 +61,7 @@
     target_latency_ms: float = math.inf
     #: Longest gap between two events.
     target_gap_ms: float = math.inf
-    priority: int = 0
+    priority: int | None = None
     #: One service, or else several with weights.
     service: str = ''
     weighted_services: list[_WeightedService] = []
--- a/src/kelproad/state/calls.py
+++ b/src/kelproad/state/calls.py
@@ -108,6 +108,16 @@
         """Kind of its route, which determines whether it may be repeated."""
         return self.route.kind
 
+    @property
+    def priority(self) -> int | None:
+        """Rank that operators gave it, 0 first; ``None`` for none.
+
+        That of a workspace takes precedence over that of a route.
+        """
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
+
     def record_via(self, instance: str) -> None:
         """Record the instance through which the last attempt is sent."""
         self.via = instance
@@ -134,6 +144,8 @@
         reservation or an empty string.
     resume_after
         Number of the last event that the caller has.
+    priority
+        Rank of the call, 0 first; ``None`` leaves it to the endpoint.
     """
 
     endpoint: str
@@ -141,6 +153,7 @@
     workspace: str = ''
     helpers: tuple[tuple[str, str], ...] = ()
     resume_after: int | None = None
+    priority: int | None = None
 
 
 class Outcome(enum.StrEnum):
--- a/src/kelproad/state/routes.py
+++ b/src/kelproad/state/routes.py
@@ -80,7 +80,7 @@
     silence_timeout
         Seconds without an event after which callers abandon a stream.
     priority
-        Rank among the routes; 0 is served first.
+        Rank among the routes, 0 first; ``None`` for none.
     max_endpoints
         Maximum number of endpoints to which one call may be sent.
     anonymous
@@ -96,7 +96,7 @@
     objective: float
     gap_objective: float = float('inf')
     silence_timeout: float = float('inf')
-    priority: int = 0
+    priority: int | None = None
     max_endpoints: int = 1
     anonymous: bool = False
 
--- a/tests/ingress/test_attempts.py
+++ b/tests/ingress/test_attempts.py
@@ -6,6 +6,7 @@
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 
+import attrs
 import pytest
 from multidict import CIMultiDict
 from returns.result import Failure, Result
@@ -47,7 +48,12 @@
 from kelproad.state.endpoints import Endpoint, EndpointTable
 from kelproad.state.observations import EngineObservations
 from kelproad.state.refusals import Ran
-from kelproad.state.routes import CallKind, Route, WeightedService
+from kelproad.state.routes import (
+    CallKind,
+    Route,
+    RoutedWorkspace,
+    WeightedService,
+)
 from kelproad.transport.deadlines import monotonic
 from kelproad.transport.http import create_single_use_session
 
@@ -254,6 +260,32 @@
     assert 'X-Kelproad-Tenant: crews' in text
 
 
+@pytest.mark.parametrize(
+    ('route', 'workspace', 'sent'),
+    [
+        (None, None, None),
+        (2, None, '2'),
+        (2, 7, '7'),
+        (2, 0, '0'),
+        (None, 12, '9'),
+        (-1, None, '0'),
+    ],
+)
+def test_the_operators_priority_reaches_the_endpoint(
+    route: int | None, workspace: int | None, sent: str | None
+) -> None:
+    """Endpoints would take all calls for equally urgent."""
+    call = build_call()
+    call.route = attrs.evolve(call.route, priority=route)
+    call.workspace = RoutedWorkspace('crews', workspace)
+    encoded = encode_call(
+        call,
+        CIMultiDict({'X-Kelproad-Request-Priority': '0'}),
+        Forwarding('i-1', 5, priority=call.priority),
+    )
+    assert encoded.get('X-Kelproad-Request-Priority') == sent
+
+
 async def test_a_refused_connection_proves_that_nothing_ran(
     client: EndpointClient,
 ) -> None:
