Let engines on probation help calls that may run only once

What callers saw: a prompt that needs the memory or the prefill of two engines and may run only once was refused with "all endpoints have reached their request limits", or waited, while an engine without a limit stood idle on probation.

Cause: engines on probation were left out for such calls altogether, and with them their memory; the rest was then too little, for which the engine with a limit was blamed. Nothing ends a probation but a call.

Evidence: the new test raises just this refusal on the code before, with one free engine, one at its limit and one on probation.

A call is refused for limits when all engines that may answer it are at theirs.

Before: 2 of the 3 new tests fail. After: they pass, with test_placing.py, test_misdirected.py, test_spillover.py.

--- a/src/kelproad/coordination/ingress/placing/choosing.py
+++ b/src/kelproad/coordination/ingress/placing/choosing.py
@@ -21,6 +21,7 @@
     exclude_limited,
     is_eligible,
     is_healthy,
+    is_trusted,
     list_untried,
     refuse_for_limits,
 )
@@ -117,12 +118,14 @@
             endpoints, call, progress, now, may_try=not healthy_only
         )
         healthy = self._filter_healthy(usable, call, now)
-        left = healthy if healthy_only else healthy or usable
+        trusted = {one.name for one in healthy if is_trusted(one, call)}
+        left = healthy if trusted or healthy_only else usable
         max_endpoints = call.route.max_endpoints
         candidates = [
             self._describe(
                 endpoint,
-                progress.may_answer(endpoint.name, max_endpoints),
+                (endpoint.name in trusted or left is usable)
+                and progress.may_answer(endpoint.name, max_endpoints),
                 now,
             )
             for endpoint in self._sample(left)
@@ -249,7 +252,7 @@
             for endpoint in usable
             if endpoint.declaration.zone not in excluded_zones
             and not self._observations.is_silent(endpoint.name, now)
-            and is_healthy(endpoint, call.kind.repeatable, now)
+            and is_healthy(endpoint, now)
         ]
 
     def _sample(self, endpoints: list[Endpoint]) -> list[Endpoint]:
--- a/src/kelproad/coordination/ingress/placing/eligibility.py
+++ b/src/kelproad/coordination/ingress/placing/eligibility.py
@@ -12,6 +12,7 @@
     'exclude_limited',
     'is_eligible',
     'is_healthy',
+    'is_trusted',
     'list_untried',
     'refuse_for_limits',
 ]
@@ -22,15 +23,20 @@
     return not endpoint.leaving and endpoint.misdirected_until <= now
 
 
-def is_healthy(endpoint: Endpoint, repeatable: bool, now: float) -> bool:
-    """Return whether an endpoint may be used, or probed with this call."""
+def is_healthy(endpoint: Endpoint, now: float) -> bool:
+    """Return whether an endpoint may be used, one on probation for one call."""
     if endpoint.ejected_until > now:
         return False
-    if not endpoint.on_probation:
-        return True
-    # An endpoint on probation gets one call at a time, and none that may run
-    # only once.
-    return repeatable and not endpoint.own_requests
+    return not (endpoint.on_probation and endpoint.own_requests)
+
+
+def is_trusted(endpoint: Endpoint, call: Call) -> bool:
+    """Return whether a healthy endpoint may answer a call.
+
+    A call that may run only once is lost with an endpoint on probation that
+    still fails; as a helper it can do no harm, as nothing has run then.
+    """
+    return call.kind.repeatable or not endpoint.on_probation
 
 
 def list_untried(
@@ -61,8 +67,9 @@
     permitted = [
         candidate for candidate in candidates if candidate.start_wait <= longest
     ]
-    if candidates and not permitted:
-        raise refuse_for_limits(candidates, call, now, generator)
+    answering = [candidate for candidate in candidates if candidate.may_answer]
+    if answering and not any(one.start_wait <= longest for one in answering):
+        raise refuse_for_limits(answering, call, now, generator)
     return permitted
 
 
--- a/tests/ingress/test_limited_placement.py
+++ b/tests/ingress/test_limited_placement.py
@@ -81,11 +81,16 @@
         """Return the wait that the test has set."""
         return self.waits.get(endpoint.name)
 
-    async def place(self, tokens: int = 500) -> Placement:
+    async def place(
+        self,
+        tokens: int = 500,
+        kind: CallKind = CallKind.RESUMABLE_STREAM,
+        objective: float = OBJECTIVE,
+    ) -> Placement:
         """Place a prompt."""
-        call = build_call(CallKind.RESUMABLE_STREAM)
+        call = build_call(kind)
         call.head = attrs.evolve(call.head, prompt_tokens=tokens)
-        call.route = attrs.evolve(call.route, objective=OBJECTIVE)
+        call.route = attrs.evolve(call.route, objective=objective)
         return await self.chooser.choose(call, Progress())
 
 
@@ -139,6 +144,47 @@
     assert raised.value.retry_after > 0
 
 
+async def test_an_engine_on_probation_helps_a_call_that_may_run_once() -> None:
+    """A prompt that needs two engines was refused for the limit of a third.
+
+    Nobody else could end the probation, and nobody called.
+    """
+    site = Site()
+    site.waits = {'i-2': 30}
+    site.table.get('i-3').on_probation = True
+    for _ in range(10):
+        placement = await site.place(
+            HUGE_PROMPT, CallKind.STREAM, 4 * OBJECTIVE
+        )
+        assert placement.primary.name == 'i-1'
+        assert [share.endpoint.name for share in placement.shares] == ['i-3']
+
+
+async def test_a_call_that_may_run_once_runs_at_no_engine_on_probation() -> (
+    None
+):
+    """It would be lost with an engine that still fails."""
+    site = Site()
+    for probed in ENGINES[1:]:
+        site.table.get(probed).on_probation = True
+    for tokens in (500, LONG_PROMPT, HUGE_PROMPT):
+        for _ in range(10):
+            placement = await site.place(tokens, CallKind.STREAM)
+            assert placement.primary.name == 'i-1'
+
+
+async def test_a_limit_is_told_though_engines_on_probation_have_none() -> None:
+    """A call that may run once waited for engines that may not answer it."""
+    site = Site()
+    site.waits = {'i-1': 30}
+    for probed in ENGINES[1:]:
+        site.table.get(probed).on_probation = True
+    with pytest.raises(NoPlacementError) as raised:
+        await site.place(kind=CallKind.STREAM)
+    assert not raised.value.worth_waiting
+    assert raised.value.waits == {'i-1': 30}
+
+
 async def test_only_a_lost_endpoint_is_unusable_after_a_wait() -> None:
     """An ejected one, chosen as no other was left, was never sent to."""
     site = Site()
