--- a/src/kelproad/coordination/ingress/placing/choosing.py
+++ b/src/kelproad/coordination/ingress/placing/choosing.py
@@ -16,15 +16,13 @@
 from ..membership.spillover import ZoneSpillover
 from ..streams.progress import Progress
 from ..tables.holder import ConfigurationHolder
-from .connectable import add_trials, refuse_unreachable, select_connectable
 from .eligibility import (
     exclude_limited,
     is_eligible,
-    is_healthy,
     is_trusted,
-    list_untried,
     refuse_for_limits,
 )
+from .filtering import EndpointFilter
 from .placement import CallRequirements, Candidate, NoPlacementError, Placement
 from .selection import choose_engines, choose_plain
 
@@ -64,7 +62,7 @@
         self._observations = observations
         self._spillover = spillover
         self._gate = gate
-        self._paths = paths
+        self._filter = EndpointFilter(reach, observations, paths, generator)
         self._generator = generator
 
     async def choose(self, call: Call, progress: Progress) -> Placement:
@@ -114,10 +112,10 @@
         NoPlacementError
             When no endpoint can accept the call now.
         """
-        usable = self._filter_usable(
+        usable = self._filter.list_usable(
             endpoints, call, progress, now, may_try=not healthy_only
         )
-        healthy = self._filter_healthy(usable, call, now)
+        healthy = self._filter.list_healthy(usable, call, now)
         trusted = {one.name for one in healthy if is_trusted(one, call)}
         left = healthy if trusted or healthy_only else usable
         max_endpoints = call.route.max_endpoints
@@ -213,48 +211,6 @@
     def _is_engine_call(self, call: Call) -> bool:
         return self._holder.current.find_profile(call.service) is not None
 
-    def _filter_usable(
-        self,
-        endpoints: list[Endpoint],
-        call: Call,
-        progress: Progress,
-        now: float,
-        may_try: bool,
-    ) -> list[Endpoint]:
-        """List the endpoints that may get a call, healthy or not.
-
-        ``may_try`` says whether the call may be one that tries endpoints again
-        to which nobody could connect.
-
-        Raises
-        ------
-        NoPlacementError
-            When nobody could connect to any.
-        """
-        untried = list_untried(endpoints, progress, now)
-        unreachable = self._paths.unreachable
-        usable = select_connectable(untried, unreachable, now)
-        if may_try and len(usable) < len(untried):
-            usable = add_trials(usable, untried, call.service, unreachable, now)
-        if untried and not usable:
-            raise refuse_unreachable(self._generator)
-        return usable
-
-    def _filter_healthy(
-        self,
-        usable: list[Endpoint],
-        call: Call,
-        now: float,
-    ) -> list[Endpoint]:
-        excluded_zones = self._list_suspect_zones(usable, call, now)
-        return [
-            endpoint
-            for endpoint in usable
-            if endpoint.declaration.zone not in excluded_zones
-            and not self._observations.is_silent(endpoint.name, now)
-            and is_healthy(endpoint, now)
-        ]
-
     def _sample(self, endpoints: list[Endpoint]) -> list[Endpoint]:
         """Sample from many endpoints, those of the local zone first."""
         if len(endpoints) <= _MAX_CANDIDATES:
@@ -265,25 +221,6 @@
         )
         return endpoints[:_MAX_CANDIDATES]
 
-    def _list_suspect_zones(
-        self,
-        usable: list[Endpoint],
-        call: Call,
-        now: float,
-    ) -> set[str]:
-        """List zones that are probably unreachable and not due for a probe."""
-        zones = {endpoint.declaration.zone for endpoint in usable}
-        suspect = {
-            zone for zone in zones if self._reachability.is_suspect(zone, now)
-        }
-        if not call.kind.repeatable:
-            return suspect
-        return {
-            zone
-            for zone in suspect
-            if not self._reachability.take_probe(zone, now)
-        }
-
     def _describe(
         self,
         endpoint: Endpoint,
--- /dev/null
+++ b/src/kelproad/coordination/ingress/placing/filtering.py
@@ -0,0 +1,88 @@
+"""Endpoints that a call may be sent to, and those of them that are healthy."""
+
+import random
+
+import attrs
+
+from ....state.calls import Call
+from ....state.directpaths import DirectPaths
+from ....state.endpoints import Endpoint
+from ....state.observations import EngineObservations
+from ..membership.reachability import ZoneReachability
+from ..streams.progress import Progress
+from .connectable import add_trials, refuse_unreachable, select_connectable
+from .eligibility import is_healthy, list_untried
+
+__all__ = ['EndpointFilter']
+
+
+@attrs.frozen
+class EndpointFilter:
+    """Filters endpoints by what this instance observed of them."""
+
+    _reachability: ZoneReachability
+    _observations: EngineObservations
+    _paths: DirectPaths
+    _generator: random.Random
+
+    def list_usable(
+        self,
+        endpoints: list[Endpoint],
+        call: Call,
+        progress: Progress,
+        now: float,
+        may_try: bool,
+    ) -> list[Endpoint]:
+        """List the endpoints that may get a call, healthy or not.
+
+        ``may_try`` says whether the call may be one that tries endpoints again
+        to which nobody could connect.
+
+        Raises
+        ------
+        NoPlacementError
+            When nobody could connect to any.
+        """
+        untried = list_untried(endpoints, progress, now)
+        unreachable = self._paths.unreachable
+        usable = select_connectable(untried, unreachable, now)
+        if may_try and len(usable) < len(untried):
+            usable = add_trials(usable, untried, call.service, unreachable, now)
+        if untried and not usable:
+            raise refuse_unreachable(self._generator)
+        return usable
+
+    def list_healthy(
+        self,
+        usable: list[Endpoint],
+        call: Call,
+        now: float,
+    ) -> list[Endpoint]:
+        """List the usable endpoints from which an answer can be expected."""
+        excluded_zones = self._list_suspect_zones(usable, call, now)
+        return [
+            endpoint
+            for endpoint in usable
+            if endpoint.declaration.zone not in excluded_zones
+            and not self._observations.is_silent(endpoint.name, now)
+            and is_healthy(endpoint, now)
+        ]
+
+    def _list_suspect_zones(
+        self,
+        usable: list[Endpoint],
+        call: Call,
+        now: float,
+    ) -> set[str]:
+        """List zones that are probably unreachable and not due for a probe."""
+        zones = {endpoint.declaration.zone for endpoint in usable}
+        suspect = {
+            zone for zone in zones if self._reachability.is_suspect(zone, now)
+        }
+        if not call.kind.repeatable:
+            return suspect
+        return {
+            zone
+            for zone in suspect
+            if not self._reachability.take_probe(zone, now)
+        }
