Split endpoints, attempts, assembly and node by what they do

Moves alone, no decision changed: EndpointTable to state/endpointtable.py, answers of endpoints to streams/answers.py, what the heads of answers tell to streams/observing.py, readiness to readiness.py, client sessions to sessions.py.

--- a/src/kelproad/coordination/attempts.py
+++ b/src/kelproad/coordination/attempts.py
@@ -15,7 +15,8 @@
 from ..protocol.engines import Attempt, EngineClient
 from ..state.buffers import BufferBudget
 from ..state.counters import Counters
-from ..state.endpoints import Endpoint, EndpointTable
+from ..state.endpoints import Endpoint
+from ..state.endpointtable import EndpointTable
 from ..state.holdings import Holding
 from ..state.identity import Identity
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
--- a/src/kelproad/coordination/candidates.py
+++ b/src/kelproad/coordination/candidates.py
@@ -11,7 +11,8 @@
 import attrs
 
 from ..state.declarations import EndpointKind
-from ..state.endpoints import Endpoint, EndpointTable
+from ..state.endpoints import Endpoint
+from ..state.endpointtable import EndpointTable
 from ..state.requests import Request
 
 __all__ = ['Search', 'sample_usable', 'list_usable']
--- a/src/kelproad/coordination/configuration.py
+++ b/src/kelproad/coordination/configuration.py
@@ -32,7 +32,7 @@
     extend_snapshot,
 )
 from ..state.counters import Counters
-from ..state.endpoints import EndpointTable
+from ..state.endpointtable import EndpointTable
 from ..state.members import Member, MemberTable
 from ..state.placement import choose_owners
 from ..transport.deadlines import monotonic
--- a/src/kelproad/coordination/dump.py
+++ b/src/kelproad/coordination/dump.py
@@ -6,7 +6,8 @@
 
 from ..state import invariants
 from ..state.configuration import SnapshotHolder
-from ..state.endpoints import Endpoint, EndpointTable
+from ..state.endpoints import Endpoint
+from ..state.endpointtable import EndpointTable
 from ..state.identity import Identity
 from ..state.members import Member, MemberTable
 from ..state.requests import RequestTable
--- a/src/kelproad/coordination/ejection.py
+++ b/src/kelproad/coordination/ejection.py
@@ -9,7 +9,8 @@
 """
 
 from ..state.counters import Counters
-from ..state.endpoints import Endpoint, EndpointTable
+from ..state.endpoints import Endpoint
+from ..state.endpointtable import EndpointTable
 from ..state.refusals import Refusal, RefusalCode
 from .candidates import REPORT_TIMEOUT
 from .policies import Choice
--- a/src/kelproad/coordination/feasibility.py
+++ b/src/kelproad/coordination/feasibility.py
@@ -6,7 +6,7 @@
 anything is dispatched.
 """
 
-from ..state.endpoints import EndpointTable
+from ..state.endpointtable import EndpointTable
 from ..state.lengths import classify_length
 from ..state.refusals import Refusal, RefusalCode, Step
 from ..state.requests import Request
--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -7,10 +7,9 @@
 import aiohttp
 import attrs
 
-from ...state.calls import AnswerHead
 from ...state.counters import Counters
 from ...state.directpaths import DirectPaths
-from ...state.endpoints import Endpoint, EndpointTable
+from ...state.endpointtable import EndpointTable
 from ...state.observations import EngineObservations
 from ...state.work import WorkLedger
 from ...transport.deadlines import monotonic
@@ -20,7 +19,6 @@
 from .admission.entrance import CallHandler
 from .admission.stopping import StopGuard
 from .limiting.gate import StartGate
-from .limiting.observing import LimitObserver
 from .membership.exchange import WorkExchange
 from .membership.queries import PeerQueries
 from .membership.reachability import ZoneReachability
@@ -33,9 +31,9 @@
 from .retrying.verdicts import AttemptEvaluator
 from .settings import Bounds
 from .streams.attempts import EndpointClient
+from .streams.observing import build_answer_observer
 from .streams.sending import Sender
 from .streams.silence import SilenceMonitor
-from .streams.unknownfields import UnknownFields
 from .tables.holder import ConfigurationHolder
 from .tunnels.peerchoice import TunnelPeers
 
@@ -126,7 +124,7 @@
                 EndpointClient(
                     session,
                     shared.dialect,
-                    _build_answer_observer(shared.gate.observer),
+                    build_answer_observer(shared.gate.observer),
                 ),
                 memory,
                 speed_monitor,
@@ -137,19 +135,6 @@
         return cls(handler, memory)
 
 
-def _build_answer_observer(
-    limit_observer: LimitObserver,
-) -> Callable[[Endpoint, AnswerHead], None]:
-    """Build the function that gets the head of each endpoint's answer."""
-    unknown_fields = UnknownFields()
-
-    def observe(endpoint: Endpoint, head: AnswerHead) -> None:
-        limit_observer.observe_answer(endpoint, head)
-        unknown_fields.record(endpoint, head)
-
-    return observe
-
-
 def _create_dispatcher(
     shared: SharedState,
     exchange: WorkExchange,
--- a/src/kelproad/coordination/ingress/limiting/granting.py
+++ b/src/kelproad/coordination/ingress/limiting/granting.py
@@ -3,7 +3,7 @@
 import attrs
 import msgspec
 
-from ....state.endpoints import EndpointTable
+from ....state.endpointtable import EndpointTable
 from ....state.startschedules import (
     StartGrant,
     StartSchedule,
--- a/src/kelproad/coordination/ingress/limiting/observing.py
+++ b/src/kelproad/coordination/ingress/limiting/observing.py
@@ -7,7 +7,8 @@
 
 from ....state.calls import AnswerHead, Outcome
 from ....state.counters import LimitMetrics
-from ....state.endpoints import Endpoint, EndpointTable
+from ....state.endpoints import Endpoint
+from ....state.endpointtable import EndpointTable
 from ....state.records import record
 from ....state.requestlimits import LimitChange, LimitNotice, RequestLimits
 from ....transport.deadlines import monotonic
--- a/src/kelproad/coordination/ingress/membership/peering.py
+++ b/src/kelproad/coordination/ingress/membership/peering.py
@@ -12,7 +12,7 @@
 
 from ....state.counters import Counters, LimitMetrics
 from ....state.directpaths import DirectPaths
-from ....state.endpoints import EndpointTable
+from ....state.endpointtable import EndpointTable
 from ....state.observations import EngineObservations
 from ....state.requestlimits import RequestLimits
 from ....state.work import WorkLedger
--- a/src/kelproad/coordination/ingress/membership/spillover.py
+++ b/src/kelproad/coordination/ingress/membership/spillover.py
@@ -10,7 +10,7 @@
 import asyncio
 import random
 
-from ....state.endpoints import EndpointTable
+from ....state.endpointtable import EndpointTable
 from ....state.observations import EngineObservations
 from ....state.requestlimits import RequestLimits
 from ....state.work import WorkLedger
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -5,29 +5,27 @@
 import random
 import time
 
-import aiohttp
 from mode import Service
 
-from ...protocol.connections import build_connection_trace
 from ...state.counters import Counters
-from ...state.endpoints import EndpointTable
+from ...state.endpointtable import EndpointTable
 from ...state.observations import EngineObservations
 from ...state.records import record
 from ...state.work import WorkLedger
 from ...transport.addresses import Address
 from ...transport.deadlines import monotonic
-from ...transport.http import create_session, create_single_use_session
 from ...transport.services import BackgroundService
-from ..drain import Drain, DrainPhase
+from ..drain import Drain
 from .admission.dialect import Dialect
 from .admission.stopping import plan_stop
 from .assembly import CallPipeline, SharedState
 from .membership.peering import Peering
-from .membership.peers import CONFIRMED_SECONDS
 from .membership.reachability import ZoneReachability
 from .membership.rostering import Roster
+from .readiness import Readiness
 from .reloading import SettingsHolder, SettingsWatch
 from .servers import NodeServers, describe_endpoints, describe_work
+from .sessions import NodeSessions
 from .settings import Bounds
 from .tables.holder import ConfigurationHolder
 from .tables.store import OpenStore
@@ -46,9 +44,6 @@
 _ANSWER_SECONDS = 0.2
 #: Seconds for releasing memory at the end.
 _RELEASE_SECONDS = 0.3
-#: Share of the time limit for revoking a key after which an instance without an
-#: answer from the store reports itself unready, so that callers go to others.
-_UNREADY_SHARE = 0.45
 
 
 class Node(BackgroundService):
@@ -78,7 +73,7 @@
         self._ledger = WorkLedger()
         self._reachability = ZoneReachability()
         self._observations = EngineObservations()
-        self._sessions: list[aiohttp.ClientSession] = []
+        self._sessions = NodeSessions(settings.caller_address)
         self._drain = Drain(
             self._count_unfinished,
             lambda: plan_stop(self._read_bounds().stop_grace),
@@ -86,7 +81,7 @@
 
     async def on_first_start(self) -> None:
         """Build the components, start them, and listen last of all."""
-        store = self._open_store(self._open_pooled_session(), self._counters)
+        store = self._open_store(self._sessions.open_pooled(), self._counters)
         self._peering = Peering(
             self._settings,
             store,
@@ -95,23 +90,29 @@
             self._ledger,
             self._reachability,
             self._observations,
-            self._open_pooled_session(),
+            self._sessions.open_pooled(),
             self._counters,
             self._generator,
         )
         self._tables = self._peering.tables
         self._exchange = self._peering.exchange
-        self._paths = self._peering.paths
         self._tunnel_peers = TunnelPeers(
             self._settings, self._exchange.peers, self._generator
         )
         self._connector = EndpointConnector(
             self._settings.ip,
-            self._paths,
+            self._peering.paths,
             self._tunnel_peers,
             self._ledger.count_peer_calls,
             self._counters,
         )
+        self._readiness = Readiness(
+            self._drain,
+            self._holder,
+            self._tables,
+            self._exchange.peers,
+            self._read_bounds,
+        )
         roster = Roster(
             self._settings,
             store.roster,
@@ -138,8 +139,7 @@
 
     async def on_shutdown(self) -> None:
         """Close the client sessions after everything else has stopped."""
-        for session in self._sessions:
-            await session.close()
+        await self._sessions.close()
         self._record_stop('instance_closed')
 
     def reload(self) -> None:
@@ -207,7 +207,7 @@
             self._ledger,
             self._reachability,
             self._observations,
-            self._paths,
+            self._peering.paths,
             self._tunnel_peers,
             self._drain,
             self._counters,
@@ -221,7 +221,7 @@
         return CallPipeline.from_state(
             shared,
             self._exchange,
-            self._open_session(),
+            self._sessions.open_single_use(self._connector.connect),
         )
 
     async def _serve(self) -> None:
@@ -229,7 +229,7 @@
             self._settings,
             self._dialect,
             self._pipeline.handler.answer,
-            self._explain_unready,
+            self._readiness.explain_unready,
             self._drain,
             self._counters,
             self._describe,
@@ -245,19 +245,6 @@
         ):
             await self.add_runtime_dependency(server)
 
-    def _open_session(self) -> aiohttp.ClientSession:
-        session = create_single_use_session(
-            open_socket=self._connector.connect,
-            trace_configs=[build_connection_trace()],
-        )
-        self._sessions.append(session)
-        return session
-
-    def _open_pooled_session(self) -> aiohttp.ClientSession:
-        session = create_session(self._settings.caller_address)
-        self._sessions.append(session)
-        return session
-
     def _count_unfinished(self) -> int:
         """Count the calls here, and those of peers that use tunnels."""
         return self._pipeline.handler.unfinished + self._tunnels.unfinished
@@ -292,23 +279,6 @@
         until_kill = round(self._drain.seconds_until_kill(), 3)
         record(_logger, event, until_kill=until_kill, **fields)
 
-    def _explain_unready(self) -> str:
-        """Return why no calls should be sent here; empty if they should."""
-        age = self._tables.configuration.measure_age()
-        if self._drain.phase is not DrainPhase.SERVING:
-            return 'stopping'
-        if self._holder.current is None:
-            return 'no configuration'
-        if not len(self._tables.registry):
-            return 'no endpoints'
-        if age > CONFIRMED_SECONDS and (
-            self._exchange.peers.is_confirmed_elsewhere(monotonic())
-        ):
-            return 'other instances reach the store'
-        if age > self._read_bounds().revoke_key * _UNREADY_SHARE:
-            return 'the store is out of reach'
-        return ''
-
     def _describe(self) -> dict[str, object]:
         """Describe the state of this process for operators."""
         configuration = self._holder.current
@@ -316,7 +286,7 @@
         return {
             'instance': self._settings.instance,
             'zone': self._settings.zone,
-            'unready': self._explain_unready(),
+            'unready': self._readiness.explain_unready(),
             'version': configuration.version if configuration else None,
             'age': self._tables.configuration.measure_age(),
             'endpoint_age': self._tables.endpoints.measure_age(),
@@ -325,6 +295,6 @@
             'own_work': describe_work(self._ledger),
             'endpoints': describe_endpoints(self._table, now),
             'tunnels': self._tunnels.unfinished,
-            'direct_paths': self._paths.describe(now),
+            'direct_paths': self._peering.paths.describe(now),
             'request_limits': self._peering.gate.describe(),
         }
--- a/src/kelproad/coordination/ingress/placing/choosing.py
+++ b/src/kelproad/coordination/ingress/placing/choosing.py
@@ -7,7 +7,8 @@
 
 from ....state.calls import Call
 from ....state.directpaths import DirectPaths
-from ....state.endpoints import Endpoint, EndpointTable
+from ....state.endpoints import Endpoint
+from ....state.endpointtable import EndpointTable
 from ....state.observations import EngineObservations
 from ....state.work import WorkLedger
 from ....transport.deadlines import monotonic
--- /dev/null
+++ b/src/kelproad/coordination/ingress/readiness.py
@@ -0,0 +1,46 @@
+"""Whether an instance should get calls, as it tells the balancer."""
+
+from collections.abc import Callable
+
+import attrs
+
+from ...transport.deadlines import monotonic
+from ..drain import Drain, DrainPhase
+from .membership.peers import CONFIRMED_SECONDS, PeerRegister
+from .settings import Bounds
+from .tables.followed import FollowedTables
+from .tables.holder import ConfigurationHolder
+
+__all__ = ['Readiness']
+
+#: Share of the time limit for revoking a key after which an instance without an
+#: answer from the store reports itself unready, so that callers go to others.
+_UNREADY_SHARE = 0.45
+
+
+@attrs.frozen
+class Readiness:
+    """Judges the readiness of an instance by what it knows."""
+
+    _drain: Drain
+    _holder: ConfigurationHolder
+    _tables: FollowedTables
+    _peers: PeerRegister
+    _read_bounds: Callable[[], Bounds]
+
+    def explain_unready(self) -> str:
+        """Return why no calls should be sent here; empty if they should."""
+        if self._drain.phase is not DrainPhase.SERVING:
+            return 'stopping'
+        if self._holder.current is None:
+            return 'no configuration'
+        if not len(self._tables.registry):
+            return 'no endpoints'
+        age = self._tables.configuration.measure_age()
+        if age > CONFIRMED_SECONDS and (
+            self._peers.is_confirmed_elsewhere(monotonic())
+        ):
+            return 'other instances reach the store'
+        if age > self._read_bounds().revoke_key * _UNREADY_SHARE:
+            return 'the store is out of reach'
+        return ''
--- a/src/kelproad/coordination/ingress/retrying/dispatching.py
+++ b/src/kelproad/coordination/ingress/retrying/dispatching.py
@@ -26,7 +26,7 @@
 from ..placing.choosing import Chooser
 from ..placing.placement import NoPlacementError, Placement
 from ..streams.accounting import AttemptAccount
-from ..streams.attempts import AttemptFailure
+from ..streams.answers import AttemptFailure
 from ..streams.delivery import StreamDelivery
 from ..streams.progress import Progress
 from ..streams.sending import Sender
--- a/src/kelproad/coordination/ingress/retrying/verdicts.py
+++ b/src/kelproad/coordination/ingress/retrying/verdicts.py
@@ -8,7 +8,8 @@
 from ....state.calls import Call
 from ....state.counters import Counters
 from ....state.directpaths import DirectPaths
-from ....state.endpoints import Endpoint, EndpointTable
+from ....state.endpoints import Endpoint
+from ....state.endpointtable import EndpointTable
 from ....state.observations import EngineObservations
 from ....state.records import record
 from ....state.refusals import Ran, Refusal, RefusalCode, Step
@@ -16,7 +17,7 @@
 from ...ejection import record_outcome
 from ..membership.reachability import ZoneReachability
 from ..placing.placement import Placement
-from ..streams.attempts import AttemptFailure
+from ..streams.answers import AttemptFailure
 from ..streams.progress import Progress
 from .retries import RetryBudgets
 
--- a/src/kelproad/coordination/ingress/servers.py
+++ b/src/kelproad/coordination/ingress/servers.py
@@ -7,7 +7,7 @@
 from aioprometheus import render
 
 from ...state.counters import Counters
-from ...state.endpoints import EndpointTable
+from ...state.endpointtable import EndpointTable
 from ...state.routes import IngressLimits
 from ...state.work import WorkLedger
 from ...transport.addresses import Address
--- /dev/null
+++ b/src/kelproad/coordination/ingress/streams/answers.py
@@ -0,0 +1,185 @@
+"""Answers of endpoints as they are read, and attempts that brought none."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+
+import aiohttp
+import attrs
+from aiohttp import web
+from multidict import CIMultiDict
+from returns.result import Failure, Result, Success
+
+from ....protocol.connections import ConnectionProgress
+from ....protocol.plain import MAX_ANSWER_BYTES
+from ....state.calls import AnswerHead
+from ....state.refusals import Ran
+from ....transport.deadlines import monotonic, within
+from ....transport.http import ConnectionLostError
+
+__all__ = [
+    'AttemptFailure',
+    'CompleteAnswer',
+    'OpenAnswer',
+    'collect',
+    'fail_unanswered',
+]
+
+#: Seconds between two checks whether to go on waiting for a silent answer, as
+#: more may be known of its endpoint by then.
+_CHECK_PERIOD = 0.1
+_BODILESS_STATUSES = frozenset((204, 304))
+
+
+@attrs.frozen
+class AttemptFailure:
+    """An attempt without an answer to forward.
+
+    Attributes
+    ----------
+    ran
+        Whether the endpoint executed the call.
+    arrived
+        Whether a connection was made, so that the endpoint may have read it.
+    fault
+        Address of the endpoint at fault, if the answer named another one.
+    blameless
+        Whether the failure is not attributed to the endpoint, such as an
+        expired deadline.
+    exclude
+        Name of another endpoint to exclude from the next attempt.
+    misdirected
+        Whether another endpoint has the address now.
+    answer
+        The error that the endpoint answered with.
+    """
+
+    reason: str
+    ran: Ran
+    arrived: bool = True
+    fault: str = ''
+    blameless: bool = False
+    exclude: str = ''
+    misdirected: bool = False
+    answer: 'CompleteAnswer | None' = None
+
+    @property
+    def answered(self) -> bool:
+        """Whether the endpoint sent an answer, if only a refusal."""
+        refused = self.arrived and self.ran is Ran.NO
+        return refused or self.answer is not None
+
+
+@attrs.frozen
+class CompleteAnswer:
+    """An answer with its complete body."""
+
+    head: AnswerHead
+    body: bytes
+
+    def build_response(self) -> web.Response:
+        """Build the response to the caller, with status and body unchanged."""
+        return web.Response(
+            status=self.head.status,
+            headers=CIMultiDict(self.head.headers),
+            body=None if self.head.status in _BODILESS_STATUSES else self.body,
+        )
+
+
+@attrs.frozen
+class OpenAnswer:
+    """An answer whose head has been read and whose body has not."""
+
+    head: AnswerHead
+    response: aiohttp.ClientResponse
+    ended_properly: Callable[[], bool]
+
+    async def read_chunks(
+        self,
+        is_stalled: Callable[[float], bool] | None = None,
+    ) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives.
+
+        Parameters
+        ----------
+        is_stalled
+            Returns whether to stop waiting after the given seconds without a
+            byte; without it, there is no limit.
+
+        Raises
+        ------
+        TimeoutError
+            When ``is_stalled`` returns true.
+        aiohttp.ClientError
+            When the connection broke before the end.
+        """
+        while True:
+            chunk = await self._read_next(is_stalled)
+            if not chunk and self.response.content.at_eof():
+                break
+            yield chunk
+        if not self.ended_properly():
+            raise ConnectionLostError(
+                'connection reset before the end of the body'
+            )
+
+    def close(self) -> None:
+        """Close the connection, on which the endpoint aborts the work."""
+        self.response.close()
+
+    async def _read_next(
+        self,
+        is_stalled: Callable[[float], bool] | None,
+    ) -> bytes:
+        if is_stalled is None:
+            return await self.response.content.readany()
+        started_at = monotonic()
+        while True:
+            try:
+                async with asyncio.timeout(_CHECK_PERIOD):
+                    return await self.response.content.readany()
+            except asyncio.TimeoutError:
+                if is_stalled(monotonic() - started_at):
+                    raise
+
+
+async def collect(
+    answer: OpenAnswer,
+    deadline: float,
+) -> Result[CompleteAnswer, AttemptFailure]:
+    """Read the complete body of an answer, and close the answer."""
+    received = bytearray()
+    try:
+        async with within(deadline):
+            async for chunk in answer.read_chunks():
+                received += chunk
+                if len(received) > MAX_ANSWER_BYTES:
+                    return _fail_executed('the answer is too long')
+    except asyncio.TimeoutError:
+        return Failure(
+            AttemptFailure(
+                'the body did not arrive in time', Ran.UNKNOWN, blameless=True
+            )
+        )
+    except (aiohttp.ClientError, OSError) as error:
+        return _fail_executed(f'the body was truncated: {error!r}')
+    finally:
+        answer.close()
+    return Success(CompleteAnswer(answer.head, bytes(received)))
+
+
+def _fail_executed(reason: str) -> Result[CompleteAnswer, AttemptFailure]:
+    return Failure(AttemptFailure(reason, Ran.YES))
+
+
+def fail_unanswered(
+    progress: ConnectionProgress,
+    reason: str,
+    blameless: bool = False,
+) -> AttemptFailure:
+    """Build the failure of an attempt that ended before its answer began."""
+    return AttemptFailure(
+        reason,
+        Ran.UNKNOWN if progress.connected else Ran.NO,
+        arrived=progress.connected,
+        blameless=blameless,
+    )
--- a/src/kelproad/coordination/ingress/streams/delivery.py
+++ b/src/kelproad/coordination/ingress/streams/delivery.py
@@ -8,7 +8,7 @@
 from ....state.calls import AnswerHead, Call
 from ....transport.deadlines import monotonic
 from ....transport.servers import finish_answer
-from .attempts import OpenAnswer
+from .answers import OpenAnswer
 
 __all__ = ['CallerDisconnectedError', 'StreamDelivery']
 
--- a/src/kelproad/coordination/ingress/streams/opening.py
+++ b/src/kelproad/coordination/ingress/streams/opening.py
@@ -7,7 +7,7 @@
 
 from ....protocol.connections import ConnectionProgress
 from ....transport.deadlines import monotonic
-from .attempts import AttemptFailure, OpenAnswer, fail_unanswered
+from .answers import AttemptFailure, OpenAnswer, fail_unanswered
 
 __all__ = ['abandon', 'await_head']
 
--- a/src/kelproad/coordination/ingress/streams/progress.py
+++ b/src/kelproad/coordination/ingress/streams/progress.py
@@ -4,7 +4,7 @@
 
 from ....state.calls import Call
 from ....state.refusals import NOT_RUN_STATUSES, Ran, Refusal, RefusalCode
-from .attempts import AttemptFailure, CompleteAnswer
+from .answers import AttemptFailure, CompleteAnswer
 
 __all__ = ['Progress']
 
--- a/src/kelproad/coordination/ingress/streams/sending.py
+++ b/src/kelproad/coordination/ingress/streams/sending.py
@@ -17,12 +17,8 @@
 from ..placing.memory import MemoryReserver, Reservation
 from ..placing.placement import Placement
 from .accounting import AttemptAccount
-from .attempts import (
-    AttemptFailure,
-    EndpointClient,
-    OpenAnswer,
-    collect,
-)
+from .answers import AttemptFailure, OpenAnswer, collect
+from .attempts import EndpointClient
 from .delivery import StreamDelivery
 from .opening import await_head
 from .silence import SilenceMonitor
--- a/src/kelproad/coordination/ingress/tables/endpoints.py
+++ b/src/kelproad/coordination/ingress/tables/endpoints.py
@@ -20,7 +20,7 @@
     EndpointGroup,
     EndpointKind,
 )
-from ....state.endpoints import EndpointTable
+from ....state.endpointtable import EndpointTable
 from ....state.records import record
 from ....state.routes import RoutingConfiguration
 from ....transport.deadlines import monotonic
--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -13,7 +13,7 @@
 import msgspec
 from returns.result import Failure, Result
 
-from ....state.endpoints import EndpointTable
+from ....state.endpointtable import EndpointTable
 from ..settings import Bounds
 from .caching import TableCache
 from .decoding import DecodedState, Payload
--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -14,7 +14,7 @@
 from ..state import invariants
 from ..state.configuration import SnapshotHolder
 from ..state.counters import Counters
-from ..state.endpoints import EndpointTable
+from ..state.endpointtable import EndpointTable
 from ..state.identity import Identity
 from ..state.members import MemberTable
 from ..state.requests import DecisionLog, RequestTable
--- a/src/kelproad/coordination/leaving.py
+++ b/src/kelproad/coordination/leaving.py
@@ -5,7 +5,7 @@
 are advertised to peers, for instances that cannot query the platform.
 """
 
-from ..state.endpoints import EndpointTable
+from ..state.endpointtable import EndpointTable
 from ..state.members import MemberTable
 
 __all__ = ['list_advertised_leaving', 'mark_leaving']
--- a/src/kelproad/coordination/limits.py
+++ b/src/kelproad/coordination/limits.py
@@ -25,7 +25,7 @@
 from ..state.configuration import Snapshot
 from ..state.counters import Counters
 from ..state.declarations import Workspace
-from ..state.endpoints import EndpointTable
+from ..state.endpointtable import EndpointTable
 from ..state.limits import Demand, Usage
 from ..state.members import MemberTable
 from ..state.refusals import Refusal, RefusalCode, Step
--- a/src/kelproad/coordination/localrecord.py
+++ b/src/kelproad/coordination/localrecord.py
@@ -4,7 +4,7 @@
 
 from ..protocol.settings import Settings
 from ..state.configuration import SnapshotHolder
-from ..state.endpoints import EndpointTable
+from ..state.endpointtable import EndpointTable
 from ..state.identity import Identity
 from ..state.members import Member, MemberTable
 from .configuration import ConfigurationFollower
--- a/src/kelproad/coordination/membership.py
+++ b/src/kelproad/coordination/membership.py
@@ -25,7 +25,7 @@
 from ..protocol.settings import Settings
 from ..state.configuration import SnapshotHolder
 from ..state.counters import Counters
-from ..state.endpoints import EndpointTable
+from ..state.endpointtable import EndpointTable
 from ..state.identity import Identity
 from ..state.members import Member, MemberTable
 from ..transport.addresses import Address
--- a/src/kelproad/coordination/orders.py
+++ b/src/kelproad/coordination/orders.py
@@ -16,7 +16,7 @@
 from ..state.configuration import SnapshotHolder
 from ..state.counters import Counters
 from ..state.declarations import Fencing
-from ..state.endpoints import EndpointTable
+from ..state.endpointtable import EndpointTable
 from ..state.identity import Identity
 from ..state.members import MemberTable
 from ..state.orders import (
--- a/src/kelproad/coordination/orphans.py
+++ b/src/kelproad/coordination/orphans.py
@@ -15,7 +15,8 @@
 from ..protocol.engines import EngineClient
 from ..state.configuration import SnapshotHolder
 from ..state.counters import Counters
-from ..state.endpoints import Endpoint, EndpointTable
+from ..state.endpoints import Endpoint
+from ..state.endpointtable import EndpointTable
 from ..state.holdings import STREAM, HeldItem, HoldingTable
 from ..state.identity import Identity
 from ..state.members import MemberTable
--- a/src/kelproad/coordination/peerwork.py
+++ b/src/kelproad/coordination/peerwork.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from ..state.endpoints import EndpointTable
+from ..state.endpointtable import EndpointTable
 from ..state.lengths import LengthClass
 from ..state.members import Member
 
--- a/src/kelproad/coordination/plain.py
+++ b/src/kelproad/coordination/plain.py
@@ -7,7 +7,8 @@
 
 from ..protocol.plain import PlainAnswer, PlainCall, PlainClient
 from ..state.counters import Counters
-from ..state.endpoints import Endpoint, EndpointTable
+from ..state.endpoints import Endpoint
+from ..state.endpointtable import EndpointTable
 from ..state.identity import Identity
 from ..state.refusals import Ran, Refusal, RefusalCode
 from ..state.requests import Decision, Phase, Request
--- a/src/kelproad/coordination/routing.py
+++ b/src/kelproad/coordination/routing.py
@@ -11,7 +11,8 @@
 
 from ..state.configuration import Snapshot
 from ..state.declarations import Policy
-from ..state.endpoints import Endpoint, EndpointTable
+from ..state.endpoints import Endpoint
+from ..state.endpointtable import EndpointTable
 from ..state.lengths import LengthClass, classify_length
 from ..state.refusals import Refusal, RefusalCode, Step
 from ..state.requests import Request
--- a/src/kelproad/coordination/watch.py
+++ b/src/kelproad/coordination/watch.py
@@ -14,7 +14,8 @@
 
 from ..protocol.engines import EngineClient
 from ..state.declarations import EndpointKind
-from ..state.endpoints import Endpoint, EndpointTable
+from ..state.endpoints import Endpoint
+from ..state.endpointtable import EndpointTable
 from ..state.identity import Identity
 from ..state.members import MemberTable
 from ..state.placement import choose_owners
--- a/src/kelproad/state/endpoints.py
+++ b/src/kelproad/state/endpoints.py
@@ -1,19 +1,16 @@
 """Endpoints as this instance knows them: load reported, work sent."""
 
 import collections
-from collections.abc import Iterable, Mapping
 
 import attrs
 
 from . import invariants
-from .configuration import Snapshot
 from .declarations import EndpointDeclaration, EndpointGroup
 from .lengths import LengthClass, classify_length
 from .members import EndpointReport
-from .prefixes import PrefixHistory
 from .rates import FailureShare, LearnedRate
 
-__all__ = ['Contention', 'Endpoint', 'EndpointTable']
+__all__ = ['Endpoint']
 
 #: Seconds by which the state in a report may be older than its reading.
 REPORT_LAG = 0.5
@@ -163,172 +160,3 @@
 
     def _is_reported(self, sent_at: float) -> bool:
         return sent_at < self.reported_at - REPORT_LAG
-
-
-@attrs.frozen
-class Contention:
-    """Predicted wait of the prompts of one length class.
-
-    Attributes
-    ----------
-    seconds
-        Predicted wait of the prompt placed last, decreasing with time.
-    slowdown
-        The same in multiples of the prompt's own prefill time.
-    """
-
-    seconds: float = 0
-    slowdown: float = 0
-    recorded_at: float = float('-inf')
-
-
-class EndpointTable:
-    """Endpoints by name, updated with the configuration.
-
-    Attributes
-    ----------
-    prefixes
-        Endpoints that recently computed each prompt prefix.
-    sent_by_class
-        Prompt tokens sent by length class; older ones have less weight.
-    instances
-        Number of live instances, this one included.
-    first_token_ratios
-        Ratio of observed to predicted time to first token, by length class;
-        no prediction includes the prompts that arrive later with a higher
-        priority.
-    """
-
-    def __init__(self) -> None:
-        """Start with no endpoints."""
-        self._endpoints: dict[str, Endpoint] = {}
-        self._by_group: dict[str, list[Endpoint]] = {}
-        #: Endpoints that this instance withholds as the holder of the lease
-        #: of the orders.
-        self.withheld_locally: frozenset[str] = frozenset()
-        self._by_zone: dict[tuple[str, str], list[Endpoint]] = {}
-        self._turns: dict[str, int] = {}
-        self._group_rates: dict[str, LearnedRate] = {}
-        self.prefixes = PrefixHistory()
-        self.sent_by_class = [float(0) for _ in LengthClass]
-        self.instances = 1
-        self.first_token_ratios = [LearnedRate() for _ in LengthClass]
-        self._contention: dict[LengthClass, Contention] = {}
-
-    def apply_snapshot(self, snapshot: Snapshot) -> None:
-        """Add, update and remove endpoints as a new snapshot declares.
-
-        Counts of work in flight survive a changed declaration, because the
-        work goes on.
-        """
-        self.replace_groups(snapshot.groups.values())
-
-    def replace_groups(self, groups: Iterable[EndpointGroup]) -> None:
-        """Set the endpoints to exactly those of the groups."""
-        kept: dict[str, Endpoint] = {}
-        self._by_group = {}
-        self._by_zone = {}
-        for group in groups:
-            members = [self._declare(item, group) for item in group.endpoints]
-            self._by_group[group.name] = members
-            for member in members:
-                location = (group.name, member.declaration.zone)
-                self._by_zone.setdefault(location, []).append(member)
-            kept.update({member.name: member for member in members})
-        self._endpoints = kept
-
-    def in_group(self, group: str) -> list[Endpoint]:
-        """List the endpoints of a group."""
-        return self._by_group.get(group, [])
-
-    def in_zone(self, group: str, zone: str) -> list[Endpoint]:
-        """List the endpoints of a group that run in a zone."""
-        return self._by_zone.get((group, zone), [])
-
-    def next_turn(self, service: str) -> int:
-        """Return a service's turn in its rotation, and advance it by one."""
-        turn = self._turns.get(service, 0)
-        self._turns[service] = turn + 1
-        return turn
-
-    def record_sent(self, tokens: int) -> None:
-        """Add a prompt to the length mix, halved when it gets large."""
-        self.sent_by_class[classify_length(tokens)] += tokens
-        if sum(self.sent_by_class) > _MAX_MIX_TOKENS:
-            self.sent_by_class = [sent / 2 for sent in self.sent_by_class]
-
-    def record_contention(
-        self,
-        tokens: int,
-        seconds: float,
-        prefill_seconds: float,
-        now: float,
-    ) -> None:
-        """Record the predicted wait of a prompt and its own prefill time."""
-        slowdown = seconds / (prefill_seconds + _MIN_PREFILL_SECONDS)
-        self._contention[classify_length(tokens)] = Contention(
-            seconds,
-            slowdown,
-            now,
-        )
-
-    def measure_contention(self, tokens: int, now: float) -> Contention:
-        """Return the wait of a length class; it falls while none is placed."""
-        latest = self._contention.get(classify_length(tokens))
-        if latest is None:
-            return Contention()
-        # While nothing is placed, queues shrink by a second per second.
-        left = max(0, latest.seconds - (now - latest.recorded_at))
-        share = left / latest.seconds if latest.seconds else 0
-        return Contention(left, latest.slowdown * share, now)
-
-    def get(self, name: str) -> Endpoint | None:
-        """Find an endpoint by its name."""
-        return self._endpoints.get(name)
-
-    def serves_at(self, address: str) -> bool:
-        """Return whether an endpoint at an address may get calls."""
-        return any(
-            endpoint.declaration.address == address and not endpoint.leaving
-            for endpoint in self._endpoints.values()
-        )
-
-    def find_zone(self, name: str) -> str:
-        """Find the zone of an endpoint; empty for an unknown endpoint."""
-        endpoint = self._endpoints.get(name)
-        return endpoint.declaration.zone if endpoint else ''
-
-    def all(self) -> Mapping[str, Endpoint]:
-        """Return every endpoint by name."""
-        return self._endpoints
-
-    def withhold(self, names: frozenset[str]) -> None:
-        """Exclude exactly these endpoints from new requests."""
-        for name, endpoint in self._endpoints.items():
-            endpoint.withheld = name in names
-
-    def _declare(
-        self,
-        declaration: EndpointDeclaration,
-        group: EndpointGroup,
-    ) -> Endpoint:
-        endpoint = self._endpoints.get(declaration.name)
-        if endpoint is None or endpoint.declaration.incarnation != (
-            declaration.incarnation
-        ):
-            # A restarted endpoint has none of the work that was counted.
-            rate = self._group_rates.setdefault(group.name, LearnedRate())
-            return Endpoint(declaration, group, group_rate=rate)
-        if declaration.address != endpoint.declaration.address:
-            # Another endpoint answered at the former address, not at this.
-            endpoint.misdirected_until = float('-inf')
-        endpoint.declaration = declaration
-        endpoint.group = group
-        return endpoint
-
-
-#: Seconds that a prompt takes in addition, however short it is.
-_MIN_PREFILL_SECONDS = 0.05
-#: Sum of prompt tokens above which the length mix is halved, so that older
-#: prompts have less weight.
-_MAX_MIX_TOKENS = 20_000_000
--- a/testbed/members.py
+++ b/testbed/members.py
@@ -23,7 +23,7 @@
 from kelproad.protocol.store import Listing
 from kelproad.state.configuration import SnapshotHolder
 from kelproad.state.counters import Counters
-from kelproad.state.endpoints import EndpointTable
+from kelproad.state.endpointtable import EndpointTable
 from kelproad.state.identity import Identity
 from kelproad.state.members import MemberTable
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -15,7 +15,7 @@
 from kelproad.standins.platform import PlatformStandIn
 from kelproad.state.configuration import Snapshot, SnapshotHolder
 from kelproad.state.counters import Counters
-from kelproad.state.endpoints import EndpointTable
+from kelproad.state.endpointtable import EndpointTable
 from kelproad.state.members import MemberTable
 from kelproad.transport.addresses import Address
 
--- a/tests/ingress/limits.py
+++ b/tests/ingress/limits.py
@@ -31,7 +31,8 @@
     EndpointGroup,
     EndpointKind,
 )
-from kelproad.state.endpoints import Endpoint, EndpointTable
+from kelproad.state.endpoints import Endpoint
+from kelproad.state.endpointtable import EndpointTable
 from kelproad.state.requestlimits import LimitNotice, RequestLimits
 from kelproad.transport.addresses import Address
 
--- a/tests/ingress/test_attempts.py
+++ b/tests/ingress/test_attempts.py
@@ -19,12 +19,12 @@
 from kelproad.coordination.ingress.retrying.retries import RetryBudgets
 from kelproad.coordination.ingress.retrying.verdicts import AttemptEvaluator
 from kelproad.coordination.ingress.settings import Bounds
-from kelproad.coordination.ingress.streams.attempts import (
+from kelproad.coordination.ingress.streams.answers import (
     AttemptFailure,
-    EndpointClient,
     OpenAnswer,
     collect,
 )
+from kelproad.coordination.ingress.streams.attempts import EndpointClient
 from kelproad.coordination.ingress.streams.opening import abandon, await_head
 from kelproad.coordination.ingress.streams.progress import Progress
 from kelproad.platform.headers import (
@@ -45,7 +45,8 @@
     EndpointKind,
 )
 from kelproad.state.directpaths import DirectPaths
-from kelproad.state.endpoints import Endpoint, EndpointTable
+from kelproad.state.endpoints import Endpoint
+from kelproad.state.endpointtable import EndpointTable
 from kelproad.state.observations import EngineObservations
 from kelproad.state.refusals import Ran
 from kelproad.state.routes import (
--- a/tests/ingress/test_endpoints.py
+++ b/tests/ingress/test_endpoints.py
@@ -18,7 +18,7 @@
     TableState,
 )
 from kelproad.platform.rows import decode_endpoint
-from kelproad.state.endpoints import EndpointTable
+from kelproad.state.endpointtable import EndpointTable
 from kelproad.state.routes import (
     IngressLimits,
     RoutedService,
--- a/tests/ingress/test_limited_placement.py
+++ b/tests/ingress/test_limited_placement.py
@@ -29,7 +29,8 @@
     EndpointKind,
 )
 from kelproad.state.directpaths import DirectPaths
-from kelproad.state.endpoints import Endpoint, EndpointTable
+from kelproad.state.endpoints import Endpoint
+from kelproad.state.endpointtable import EndpointTable
 from kelproad.state.observations import EngineObservations
 from kelproad.state.refusals import Ran
 from kelproad.state.routes import CallKind
--- a/tests/ingress/test_misdirected.py
+++ b/tests/ingress/test_misdirected.py
@@ -15,7 +15,7 @@
 from kelproad.coordination.ingress.retrying.retries import RetryBudgets
 from kelproad.coordination.ingress.retrying.verdicts import AttemptEvaluator
 from kelproad.coordination.ingress.settings import Bounds
-from kelproad.coordination.ingress.streams.attempts import AttemptFailure
+from kelproad.coordination.ingress.streams.answers import AttemptFailure
 from kelproad.coordination.ingress.streams.progress import Progress
 from kelproad.coordination.ingress.tables.decoding import DecodedState
 from kelproad.coordination.ingress.tables.endpoints import EndpointRegistry
@@ -27,7 +27,7 @@
 from kelproad.platform.rows import decode_endpoint
 from kelproad.state.counters import Counters
 from kelproad.state.directpaths import DirectPaths
-from kelproad.state.endpoints import EndpointTable
+from kelproad.state.endpointtable import EndpointTable
 from kelproad.state.observations import EngineObservations
 from kelproad.state.refusals import Ran
 from kelproad.state.routes import (
--- a/tests/ingress/test_progress.py
+++ b/tests/ingress/test_progress.py
@@ -1,6 +1,6 @@
 """Where a call may go after attempts that failed."""
 
-from kelproad.coordination.ingress.streams.attempts import AttemptFailure
+from kelproad.coordination.ingress.streams.answers import AttemptFailure
 from kelproad.coordination.ingress.streams.progress import Progress
 from kelproad.state.refusals import Ran
 
--- a/tests/ingress/test_spillover.py
+++ b/tests/ingress/test_spillover.py
@@ -36,7 +36,7 @@
     EndpointKind,
 )
 from kelproad.state.directpaths import DirectPaths
-from kelproad.state.endpoints import EndpointTable
+from kelproad.state.endpointtable import EndpointTable
 from kelproad.state.observations import EngineObservations
 from kelproad.state.requestlimits import LimitNotice, RequestLimits
 from kelproad.state.routes import CallKind, Route, WeightedService
--- a/tests/ingress/test_tables.py
+++ b/tests/ingress/test_tables.py
@@ -21,7 +21,7 @@
     TableState,
 )
 from kelproad.platform.rows import decode_configuration, decode_endpoint
-from kelproad.state.endpoints import EndpointTable
+from kelproad.state.endpointtable import EndpointTable
 from tests.ingress.test_following import Script
 
 ENDPOINTS = 'servers'
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -17,7 +17,7 @@
 from kelproad.protocol.callers import digest_key
 from kelproad.state.counters import Counters
 from kelproad.state.declarations import Workspace
-from kelproad.state.endpoints import EndpointTable
+from kelproad.state.endpointtable import EndpointTable
 from kelproad.state.members import MemberTable
 from kelproad.state.refusals import Refusal, RefusalCode
 from kelproad.transport.deadlines import monotonic
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -20,7 +20,7 @@
     EndpointKind,
     FileContent,
 )
-from kelproad.state.endpoints import EndpointTable
+from kelproad.state.endpointtable import EndpointTable
 from kelproad.state.identity import Identity
 from kelproad.state.members import EndpointReport, Member, MemberTable
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -16,7 +16,7 @@
 from kelproad.standins.orders import ManagedModels, skip_weights
 from kelproad.standins.platform import Faults
 from kelproad.state.declarations import Fencing
-from kelproad.state.endpoints import EndpointTable
+from kelproad.state.endpointtable import EndpointTable
 from kelproad.state.identity import Identity
 from kelproad.state.members import MemberTable
 from kelproad.state.orders import Order, OrderKind
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -21,7 +21,8 @@
     ServiceKind,
     Workspace,
 )
-from kelproad.state.endpoints import Endpoint, EndpointTable
+from kelproad.state.endpoints import Endpoint
+from kelproad.state.endpointtable import EndpointTable
 from kelproad.state.members import EndpointReport
 from kelproad.state.prefixes import digest_prefix
 from kelproad.state.refusals import Ran
