Count what waited in a frozen process as older in place of discarding it

Discarded, the reports of peers would have left an instance alone for up to half a second after a freeze of over 3 s: with no live peers it would grant the whole of request limits by itself.

test_a_report_that_waited_undoes_no_newer_one fails without the added age: a limit that had ended is taken up again.

--- a/src/kelproad/coordination/ingress/membership/exchange.py
+++ b/src/kelproad/coordination/ingress/membership/exchange.py
@@ -47,6 +47,7 @@
     PeerUpdate,
     ReportedWork,
     ZoneReader,
+    add_age,
     decode_update,
     encode_update,
     pack_limits,
@@ -123,7 +124,7 @@
         self._read_provenance = read_provenance
         self._find_zone = find_zone
         self._paths = paths
-        self._socket = DatagramSocket(self.receive)
+        self._socket = DatagramSocket(self.receive, self.receive)
         self.peers = PeerRegister(settings, reachability)
         self._sequence = 0
         self._local_report = _LastReport()
@@ -156,8 +157,11 @@
             self._read_provenance(),
         )
 
-    def receive(self, datagram: bytes) -> None:
-        """Record a peer's report, unless it is unreadable or outdated."""
+    def receive(self, datagram: bytes, waited: float = 0) -> None:
+        """Record a peer's report, unless it is unreadable or replaced.
+
+        What it says is up to ``waited`` seconds older than it states.
+        """
         decoded = decode_update(datagram)
         if isinstance(decoded, Failure):
             record(_logger, 'peer_update_unreadable', reason=decoded.failure())
@@ -165,6 +169,7 @@
         update = decoded.unwrap()
         if update.instance == self._settings.instance:
             return
+        add_age(update, waited)
         now = monotonic()
         if not self.peers.accept(update, now):
             return
@@ -173,8 +178,9 @@
             self._ledger.forget_peer(update.instance)
             return
         self._ledger.accept_peer(update.instance, unpack_work(update.work), now)
-        self._observations.accept_refusing(update.refusing, now)
-        self._observations.accept_slow(update.slow, update.instance, now)
+        seen_at = now - waited
+        self._observations.accept_refusing(update.refusing, seen_at)
+        self._observations.accept_slow(update.slow, update.instance, seen_at)
         self._limit_observer.accept_all(
             unpack_limits(update.limits, update.instance, now)
         )
--- a/src/kelproad/coordination/ingress/membership/updates.py
+++ b/src/kelproad/coordination/ingress/membership/updates.py
@@ -14,6 +14,7 @@
     'ZoneReader',
     'ReportedLimit',
     'ReportedWork',
+    'add_age',
     'decode_update',
     'encode_update',
     'pack_limits',
@@ -101,6 +102,14 @@
         return Failure(str(error))
 
 
+def add_age(update: PeerUpdate, seconds: float) -> None:
+    """Add the seconds that a report has waited to the ages in it."""
+    if update.unconfirmed_for is not None:
+        update.unconfirmed_for += seconds
+    for limit in update.limits:
+        limit.age += seconds
+
+
 def pack_work(by_endpoint: dict[str, EndpointWork]) -> list[ReportedWork]:
     """Convert work to its form in datagrams, seconds rounded to 0.1 ms."""
     return [
--- a/src/kelproad/transport/datagrams.py
+++ b/src/kelproad/transport/datagrams.py
@@ -6,11 +6,13 @@
 socket 490 us for both ends together; instances report work to each other up to
 50 times a second.
 
-What has waited while the process was frozen is discarded: receivers count ages
-from the receipt, so outdated reports would seem newer than current ones.
+Receivers count ages from the receipt, so what has waited while the process was
+frozen would seem newer than it is.  It is discarded, or received apart with the
+time that it may have waited.
 """
 
 import asyncio
+import contextlib
 import logging
 import math
 import socket
@@ -27,16 +29,26 @@
 #: which the process counts as having been frozen.
 _RUNNING_PERIOD = 0.25
 _FROZEN_SECONDS = 1.0
-#: Datagrams that may wait in the socket's buffer.
+#: Largest datagram in bytes, and how many may wait in the socket's buffer.
+_MAX_BYTES = 65_536
 _MAX_WAITING = 4096
 
 
 class DatagramSocket(asyncio.DatagramProtocol):
     """One UDP socket for sending to and receiving from all peers."""
 
-    def __init__(self, receive: Callable[[bytes], None]) -> None:
-        """Set the function that gets each datagram; open no socket yet."""
+    def __init__(
+        self,
+        receive: Callable[[bytes], None],
+        receive_outdated: Callable[[bytes, float], None] | None = None,
+    ) -> None:
+        """Set the functions that get each datagram; open no socket yet.
+
+        ``receive_outdated`` also gets the seconds for which it waited at most;
+        without it, outdated datagrams are discarded.
+        """
         self._receive = receive
+        self._receive_outdated = receive_outdated
         self._socket: socket.socket | None = None
         self._transport: asyncio.DatagramTransport | None = None
         #: Monotonic time at which the event loop has run last.
@@ -76,12 +88,17 @@
             self._receive(data)
             return
         self._running_at = monotonic()
+        outdated = [data, *self._list_waiting()]
         record(
             _logger,
-            'outdated_datagrams_discarded',
-            datagrams=1 + self._discard_waiting(),
+            'datagrams_outdated',
+            datagrams=len(outdated),
             frozen_for=round(frozen_for, 3),
         )
+        if self._receive_outdated is None:
+            return
+        for datagram in outdated:
+            self._receive_outdated(datagram, frozen_for)
 
     def error_received(self, exc: Exception) -> None:
         """Log that a peer's host reported a closed port or a similar error."""
@@ -94,14 +111,13 @@
             _RUNNING_PERIOD, self._record_running
         )
 
-    def _discard_waiting(self) -> int:
-        """Discard the datagrams that have arrived; return their number."""
-        for number in range(_MAX_WAITING):
-            try:
-                self._socket.recv(1)
-            except OSError:
-                return number
-        return _MAX_WAITING
+    def _list_waiting(self) -> list[bytes]:
+        """List the datagrams that have arrived."""
+        waiting: list[bytes] = []
+        with contextlib.suppress(BlockingIOError):
+            while len(waiting) < _MAX_WAITING:
+                waiting.append(self._socket.recv(_MAX_BYTES))
+        return waiting
 
 
 def _bind_socket(address: Address) -> socket.socket:
--- a/tests/ingress/test_exchange.py
+++ b/tests/ingress/test_exchange.py
@@ -145,6 +145,22 @@
     assert here.observer.limits.find('i-1', '1') is None
 
 
+def test_a_report_that_waited_undoes_no_newer_one(
+    clock: Clock,
+    here: Instance,
+    there: Instance,
+) -> None:
+    """A process that wakes up would take up a limit that has ended again."""
+    there.observer.accept('i-1', LimitNotice(2, '1', 999))
+    waiting = there.build_report()
+    clock.now = 1003
+    here.observer.accept('i-1', LimitNotice(2, '1', 999))
+    here.observer.accept('i-1', LimitNotice(None, '1', 1001))
+    here.exchange.receive(waiting, waited=3)
+    assert here.observer.limits.find('i-1', '1') is None
+    assert here.exchange.peers.count_live(clock.now) == 2
+
+
 def test_reordered_datagrams_are_ignored(
     here: Instance,
     there: Instance,
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -14,17 +14,20 @@
 #: Seconds without a turn of the event loop, of a process that was frozen and of
 #: one that is busy.
 FROZEN = 1.3
+#: Datagrams that wait meanwhile.
+WAITING = 5
 BUSY = 0.5
 
 
 async def open_pair(
     receive: Callable[[bytes], None],
+    receive_outdated: Callable[[bytes, float], None] | None = None,
 ) -> tuple[DatagramSocket, DatagramSocket, Address]:
     """Open a sender, and a receiver at the address that is returned."""
     address = Address.from_text(find_free_address())
     sender = DatagramSocket(lambda _datagram: None)
     await sender.open(Address('127.0.0.1', 0))
-    receiver = DatagramSocket(receive)
+    receiver = DatagramSocket(receive, receive_outdated)
     await receiver.open(address)
     return sender, receiver, address
 
@@ -61,21 +64,31 @@
     sender.close()
 
 
-async def test_what_waited_while_the_process_was_frozen_is_discarded() -> None:
-    """Ages in reports count from receipt: old limits and work seemed current.
-
-    What is sent after that is received.
-    """
+@pytest.mark.parametrize('apart', [False, True])
+async def test_what_waited_while_the_process_was_frozen_is_told_apart(
+    apart: bool,
+) -> None:
+    """Ages in reports count from receipt: what is outdated seemed current."""
     received: list[bytes] = []
-    sender, receiver, address = await open_pair(received.append)
+    outdated: list[tuple[bytes, float]] = []
+
+    def keep_apart(datagram: bytes, waited: float) -> None:
+        outdated.append((datagram, waited))
+
+    sender, receiver, address = await open_pair(
+        received.append, keep_apart if apart else None
+    )
     sender.send(b'before', address)
     await asyncio.sleep(0.05)
-    sender.send(b'outdated', address)
+    for _ in range(WAITING):
+        sender.send(b'outdated', address)
     time.sleep(FROZEN)
     await asyncio.sleep(0.05)
     sender.send(b'after', address)
     await asyncio.sleep(0.05)
     assert received == [b'before', b'after']
+    assert len(outdated) == WAITING * apart
+    assert all(waited > 1 for _, waited in outdated)
     sender.close()
     receiver.close()
 
