--- a/tests/ingress/test_unreachable.py
+++ b/tests/ingress/test_unreachable.py
@@ -4,10 +4,16 @@
 
 import pytest
 
+from kelproad.coordination.ingress.membership.reachability import (
+    ZoneReachability,
+)
 from kelproad.coordination.ingress.placing.connectable import (
     add_trials,
     select_connectable,
 )
+from kelproad.coordination.ingress.placing.filtering import EndpointFilter
+from kelproad.coordination.ingress.placing.placement import NoPlacementError
+from kelproad.coordination.ingress.streams.progress import Progress
 from kelproad.state.declarations import (
     EndpointDeclaration,
     EndpointGroup,
@@ -15,6 +21,8 @@
 )
 from kelproad.state.directpaths import DirectPaths
 from kelproad.state.endpoints import Endpoint
+from kelproad.state.observations import EngineObservations
+from tests.ingress.test_attempts import build_call
 
 SERVICE = 'book'
 NOW = 1000.0
@@ -129,3 +137,28 @@
     assert caller.choose() == caller.endpoints[1:]
     caller.now += BACK_WITHIN
     assert len(caller.choose()) == len(caller.endpoints)
+
+
+def test_a_choice_within_the_zone_uses_up_no_trial() -> None:
+    """The same call would be refused when it is placed among all zones."""
+    endpoints = build_endpoints(2)
+    paths = DirectPaths()
+    for endpoint in endpoints:
+        paths.unreachable.record_failed(endpoint.declaration.address, NOW)
+    endpoint_filter = EndpointFilter(
+        ZoneReachability(), EngineObservations(), paths, random.Random(1)
+    )
+    call = build_call()
+    with pytest.raises(NoPlacementError) as raised:
+        endpoint_filter.list_usable(
+            endpoints, call, Progress(), NOW, may_try=False
+        )
+    assert not raised.value.worth_waiting
+    assert raised.value.retry_after > 0
+    assert endpoint_filter.list_usable(
+        endpoints, call, Progress(), NOW, may_try=True
+    )
+    with pytest.raises(NoPlacementError):
+        endpoint_filter.list_usable(
+            endpoints, call, Progress(), NOW, may_try=True
+        )
