Keep paths mute until a direct connection is answered

What callers saw: while connections of an instance to endpoints were made and brought nothing, every two seconds its calls went directly again and waited for their deadlines: from the second second on 47 of 50, 87 of 100 and 131 of 150 first attempts were served (one, two, three of four instances cut), 504 for the rest, where the other instances served all.

Cause: evidence for mute paths had to come from two endpoints within 2 s, and a probe, one call in half a second, renews it at one endpoint. Found by measuring what the postmortem had left without a figure; hangs and resets were not affected (their states come from connections, not from answers).

Change: a failed probe at any endpoint renews the state, an answer on a direct connection ends it at once, 5 s without either end it as well. Attempts that are silent on a mute path are given up after 0.4 s, like those on a lost one.

--- a/src/kelproad/coordination/ingress/streams/silence.py
+++ b/src/kelproad/coordination/ingress/streams/silence.py
@@ -107,9 +107,8 @@
         A connection that outlives the loss of its path has its events, and
         goes on.
         """
+        if call.via or silence <= max(_LOST_SILENCE, 2 * placement.predicted):
+            return False
+        now = monotonic()
         address = placement.primary.declaration.address
-        return (
-            not call.via
-            and silence > max(_LOST_SILENCE, 2 * placement.predicted)
-            and self._paths.is_doubtful(address, monotonic())
-        )
+        return self._paths.is_doubtful(address, now) or self._paths.is_mute(now)
--- a/src/kelproad/state/directpaths.py
+++ b/src/kelproad/state/directpaths.py
@@ -22,6 +22,9 @@
 _OUTAGE_ADDRESSES = 2
 #: Seconds after which a failure, and a peer's connection, are forgotten.
 _EVIDENCE_SECONDS = 2.0
+#: Seconds for which paths count as mute without a further call that shows it:
+#: longer than it takes to find that a probe brought no answer.
+_MUTE_SECONDS = 5.0
 #: Seconds between two probes of mute paths.
 _PROBE_PERIOD = 0.5
 #: Seconds after an answer for which a call without one shows a fault of its
@@ -72,6 +75,10 @@
     #: Monotonic time of the last call without an answer at each address, since
     #: the last answer from any.
     _unanswered: dict[str, float] = attrs.field(factory=dict)
+    #: Whether such calls have shown that the paths are mute, and until when
+    #: that counts without a further one.
+    _muted: bool = False
+    _muted_until: float = -math.inf
     _probed_at: float = -math.inf
     _answered_at: float = -math.inf
 
@@ -106,6 +113,7 @@
         """Record that a call on a direct connection was answered."""
         self._answered_at = now
         self._unanswered.clear()
+        self._muted = False
 
     def answered_lately(self, now: float) -> bool:
         """Return whether direct connections have just brought an answer."""
@@ -113,13 +121,17 @@
 
     def record_unanswered(self, address: str, now: float) -> None:
         """Record a call on a direct connection that brought no answer."""
+        self._muted = self.is_mute(now)
+        self._unanswered = _select_after(
+            self._unanswered, now - _EVIDENCE_SECONDS
+        )
         self._unanswered[address] = now
+        self._muted |= len(self._unanswered) >= _OUTAGE_ADDRESSES
+        self._muted_until = now + _MUTE_SECONDS
 
     def is_mute(self, now: float) -> bool:
         """Return whether direct connections are made but bring no answers."""
-        oldest = now - _EVIDENCE_SECONDS
-        recent = sum(at > oldest for at in self._unanswered.values())
-        return recent >= _OUTAGE_ADDRESSES
+        return self._muted and now < self._muted_until
 
     def take_probe(self, now: float) -> bool:
         """Permit a call to probe mute paths, one in each period."""
--- a/testbed/soak/links.py
+++ b/testbed/soak/links.py
@@ -32,6 +32,14 @@
     RESET = 'reset'
     #: Open connections go on, new ones hang.
     NEW_HANG = 'new-hang'
+    #: Connections are made, and bring nothing.
+    MUTE = 'mute'
+
+
+#: Those in which no packet of a new connection arrives, and those in which
+#: bytes of connections are dropped.
+_CUTS_OF_NEW = frozenset((Cut.HANG, Cut.NEW_HANG))
+_DROPPING_CUTS = frozenset((Cut.HANG, Cut.MUTE))
 
 
 class LinkFault(enum.StrEnum):
@@ -90,7 +98,7 @@
         """Cut the link for connections from some hosts."""
         self._cut = cut
         self._cut_hosts = hosts
-        if cut is not Cut.RESET:
+        if cut in _CUTS_OF_NEW:
             _drop_from(self._server.sockets[0], hosts)
         for writer, source in self._sources.items():
             if source in hosts and cut is Cut.RESET:
@@ -181,7 +189,7 @@
             writer.close()
 
     def _drops(self, source: str, is_request: bool) -> bool:
-        if self._cut is Cut.HANG and source in self._cut_hosts:
+        if self._cut in _DROPPING_CUTS and source in self._cut_hosts:
             return True
         if self._fault is LinkFault.SILENT:
             return True
--- a/testbed/soak/routed.py
+++ b/testbed/soak/routed.py
@@ -43,11 +43,13 @@
     seed: int,
     only_stops: bool = False,
     with_cuts: bool = False,
+    with_mute: bool = False,
 ) -> list[str]:
     """Run callers and faults together, end all faults, then check.
 
     With ``only_stops`` planned stops are the only faults; ``with_cuts``
-    instances are also cut from all endpoints.
+    instances are also cut from all endpoints, ``with_mute`` so that connections
+    are made and bring nothing, too.
 
     Returns
     -------
@@ -61,12 +63,12 @@
         await asyncio.sleep(1)
         faults = RoutedFaults(site, links, callers, seed, only_stops)
         limits = StatedLimits(site, seed)
-        cuts = InstanceCuts(site, links, seed)
+        cuts = InstanceCuts(site, links, seed, with_mute)
         await asyncio.gather(
             callers.run(seconds),
             faults.run(seconds),
             limits.run(seconds),
-            cuts.run(seconds if with_cuts else 0, faults.spans),
+            cuts.run(seconds if with_cuts or with_mute else 0, faults.spans),
         )
         await asyncio.to_thread(wait_for_all, site)
         await asyncio.sleep(_RECOVERY_SECONDS)
@@ -178,6 +180,11 @@
         action='store_true',
         help='Also cut instances from all endpoints.',
     )
+    parser.add_argument(
+        '--mute',
+        action='store_true',
+        help='Cut instances, also so that connections bring nothing.',
+    )
     options = parser.parse_args()
     directory = pathlib.Path(tempfile.mkdtemp(prefix='kelproad-soak-'))
     with start_routed_site(directory, 0) as site:
@@ -188,6 +195,7 @@
                 options.seed,
                 options.stops,
                 options.cuts,
+                options.mute,
             ),
         )
     for line in broken:
--- a/testbed/soak/routed_partitions.py
+++ b/testbed/soak/routed_partitions.py
@@ -15,15 +15,22 @@
 _MIN_SECONDS = 0.5
 _MAX_SECONDS = 5.0
 _MAX_PAUSE_SECONDS = 2.0
+#: Kinds of cuts; a further one would change what known seeds play.
+_CUTS = (Cut.HANG, Cut.RESET, Cut.NEW_HANG)
 
 
 class InstanceCuts:
     """Cuts some or all instances from all endpoints, again and again."""
 
     def __init__(
-        self, site: RoutedSite, links: dict[str, Link], seed: int
+        self,
+        site: RoutedSite,
+        links: dict[str, Link],
+        seed: int,
+        with_mute: bool = False,
     ) -> None:
         """Choose instances, cuts and times from a seed."""
+        self._cuts = (*_CUTS, Cut.MUTE) if with_mute else _CUTS
         self._site = site
         self._links = [links[name] for name in site.endpoints]
         self._random = random.Random(seed)
@@ -36,7 +43,7 @@
             instances = self._site.instances
             count = self._random.randint(1, len(instances))
             chosen = self._random.sample(instances, count)
-            cut = self._random.choice(list(Cut))
+            cut = self._random.choice(self._cuts)
             duration = self._random.uniform(_MIN_SECONDS, _MAX_SECONDS)
             began = time.monotonic()
             hosts = frozenset(one.caller.split(':')[0] for one in chosen)
--- a/tests/test_direct_paths.py
+++ b/tests/test_direct_paths.py
@@ -57,6 +57,19 @@
     assert paths.is_doubtful('10.0.0.3:80', NOW)
 
 
+def test_paths_stay_mute_while_probes_fail_at_one_endpoint() -> None:
+    """Calls would use the paths again every two seconds, and get no answer."""
+    paths = DirectPaths()
+    paths.record_unanswered('10.0.0.1:80', NOW)
+    paths.record_unanswered('10.0.0.2:80', NOW)
+    for probed_at in (NOW + 1.5, NOW + 3, NOW + 4.5, NOW + 6):
+        paths.record_unanswered('10.0.0.1:80', probed_at)
+        assert paths.is_mute(probed_at + 1.4)
+    assert not paths.is_mute(NOW + 20)
+    paths.record_unanswered('10.0.0.1:80', NOW + 20)
+    assert not paths.is_mute(NOW + 20)
+
+
 def test_calls_without_answers_are_probed_until_one_is_answered() -> None:
     """Connections that are made and bring nothing would be used for ever."""
     paths = DirectPaths()
