Report lost paths while they are mute; read on after errors of peers

From reading the diff: with the state of mute paths renewed by one probe, an instance whose probes had been silent for 2 s reported no lost path, so peers preferred it for tunnels that it would refuse (test_direct_paths.py failed with the check added). What waited in a frozen process is read on after an error of a peer's host. Endpoints are not filtered while nothing has failed lately.

--- a/src/kelproad/coordination/ingress/placing/connectable.py
+++ b/src/kelproad/coordination/ingress/placing/connectable.py
@@ -18,6 +18,8 @@
     endpoints: list[Endpoint], unreachable: UnreachableAddresses, now: float
 ) -> list[Endpoint]:
     """Select the endpoints that are not known to be unreachable."""
+    if not unreachable.is_current(now):
+        return endpoints
     return [
         endpoint
         for endpoint in endpoints
--- a/src/kelproad/coordination/ingress/placing/eligibility.py
+++ b/src/kelproad/coordination/ingress/placing/eligibility.py
@@ -61,7 +61,7 @@
     Raises
     ------
     NoPlacementError
-        When that excludes all of them.
+        When that excludes all that may answer.
     """
     longest = choose_longest_wait(call, now)
     permitted = [
--- a/src/kelproad/state/directpaths.py
+++ b/src/kelproad/state/directpaths.py
@@ -157,7 +157,8 @@
         if self.in_outage:
             return max(1, len(self._failed))
         lost = self._failed.keys() & self._tunneled.keys()
-        return len(lost) + len(self._unanswered) * self.is_mute(now)
+        mute = max(1, len(self._unanswered)) if self.is_mute(now) else 0
+        return len(lost) + mute
 
     def describe(self, now: float) -> dict[str, object]:
         """Describe the outcomes for operators, with ages in seconds."""
--- a/src/kelproad/state/unreachable.py
+++ b/src/kelproad/state/unreachable.py
@@ -31,7 +31,7 @@
 
     def record_failed(self, address: str, now: float) -> None:
         """Record that nobody could connect to an address."""
-        if not self._is_current(now):
+        if not self.is_current(now):
             self._failed_at.clear()
         self._failed_at[address] = now
         self._latest_at = now
@@ -45,9 +45,13 @@
             self._failed_at.clear()
             self._tried_at.clear()
 
+    def is_current(self, now: float) -> bool:
+        """Return whether anything has failed lately."""
+        return now - self._latest_at < _EVIDENCE_SECONDS
+
     def includes(self, address: str, now: float) -> bool:
         """Return whether no connection was made since a failure."""
-        return self._is_current(now) and address in self._failed_at
+        return self.is_current(now) and address in self._failed_at
 
     def is_avoided(self, address: str, now: float) -> bool:
         """Return whether calls avoid an address while there are others."""
@@ -64,6 +68,3 @@
             return False
         self._tried_at[service] = now
         return True
-
-    def _is_current(self, now: float) -> bool:
-        return now - self._latest_at < _EVIDENCE_SECONDS
--- a/src/kelproad/transport/datagrams.py
+++ b/src/kelproad/transport/datagrams.py
@@ -12,7 +12,6 @@
 """
 
 import asyncio
-import contextlib
 import logging
 import math
 import socket
@@ -114,9 +113,13 @@
     def _list_waiting(self) -> list[bytes]:
         """List the datagrams that have arrived."""
         waiting: list[bytes] = []
-        with contextlib.suppress(BlockingIOError):
-            while len(waiting) < _MAX_WAITING:
+        for _ in range(_MAX_WAITING):
+            try:
                 waiting.append(self._socket.recv(_MAX_BYTES))
+            except BlockingIOError:
+                break
+            except OSError as error:
+                self.error_received(error)
         return waiting
 
 
--- a/tests/test_direct_paths.py
+++ b/tests/test_direct_paths.py
@@ -65,6 +65,8 @@
     for probed_at in (NOW + 1.5, NOW + 3, NOW + 4.5, NOW + 6):
         paths.record_unanswered('10.0.0.1:80', probed_at)
         assert paths.is_mute(probed_at + 1.4)
+    # Peers would otherwise ask this instance for tunnels.
+    assert paths.count_lost(NOW + 9)
     assert not paths.is_mute(NOW + 20)
     paths.record_unanswered('10.0.0.1:80', NOW + 20)
     assert not paths.is_mute(NOW + 20)
