Let retries avoid a path that brought no answer, and log mute paths

What callers saw: in the first second in which connections are made and bring nothing, a lookup was given up after 0.38 s, sent directly again and answered 504 at its deadline, though a peer could have passed it on.

Cause, by the log of one such call: only a failure that is held against the endpoint made the retry avoid the path, and 0.38 s is too short for that. Ruled out: the retry budget and the number of endpoints (the retry was sent).

Change: the retry avoids the direct path whatever the blame, unless it was answered in the last 0.2 s; so short a silence is still no evidence for other calls. The begin of an answer on a direct connection ends the state of mute paths, no longer its end. Both changes of the state have a log line; without them neither could be told from the logs.

The new tests fail without the change.

--- a/src/kelproad/coordination/ingress/retrying/verdicts.py
+++ b/src/kelproad/coordination/ingress/retrying/verdicts.py
@@ -19,6 +19,7 @@
 from ..placing.placement import Placement
 from ..streams.answers import AttemptFailure
 from ..streams.progress import Progress
+from ..tunnels.muteness import record_answer, record_no_answer
 from .retries import RetryBudgets
 
 __all__ = ['AttemptEvaluator', 'find_faulty_endpoint']
@@ -115,8 +116,8 @@
         """Record whether a connection that was made brought an answer."""
         if failure is None or failure.answered:
             if not call.via:
-                self._paths.record_answered(now)
-        elif failure.arrived and not failure.blameless:
+                record_answer(self._paths)
+        elif failure.arrived:
             self._record_unanswered(call, endpoint, failure, now)
 
     def _record_unanswered(
@@ -128,12 +129,12 @@
     ) -> None:
         """Record a connection that brought no answer, or no end of it."""
         if call.via:
-            self._record_peer_failure(call.via, now)
+            if not failure.blameless:
+                self._record_peer_failure(call.via, now)
             return
         call.avoids_direct = not self._paths.answered_lately(now)
-        if failure.ran is Ran.UNKNOWN:
-            address = endpoint.declaration.address
-            self._paths.record_unanswered(address, now)
+        if failure.ran is Ran.UNKNOWN and not failure.blameless:
+            record_no_answer(self._paths, endpoint.declaration.address)
 
     def _is_explained(
         self, call: Call, endpoint: Endpoint, failure: AttemptFailure
--- a/src/kelproad/coordination/ingress/streams/sending.py
+++ b/src/kelproad/coordination/ingress/streams/sending.py
@@ -170,6 +170,7 @@
         opened = await self._open(attempt)
         if isinstance(opened, Failure):
             return opened
+        self._silence_monitor.record_answer(call)
         answer = opened.unwrap()
         try:
             if call.kind.streams:
--- a/src/kelproad/coordination/ingress/streams/silence.py
+++ b/src/kelproad/coordination/ingress/streams/silence.py
@@ -12,6 +12,7 @@
 from ..placing.placement import Placement
 from ..placing.watching import EngineSpeedMonitor
 from ..retrying.retries import RetryBudgets
+from ..tunnels.muteness import record_answer
 from .timeouts import (
     choose_first_event_timeout,
     choose_plain_timeout,
@@ -72,6 +73,11 @@
         self._speed_monitor.check_wait(endpoint, waited, placement.predicted)
         return self._speed_monitor.is_silent(endpoint)
 
+    def record_answer(self, call: Call) -> None:
+        """Record that an answer begins, so that its path is not mute."""
+        if not call.via:
+            record_answer(self._paths)
+
     def choose_head_deadline(self, call: Call, placement: Placement) -> float:
         """Choose the monotonic time until which to wait for the head.
 
--- a/src/kelproad/state/directpaths.py
+++ b/src/kelproad/state/directpaths.py
@@ -109,25 +109,40 @@
         self._tunneled[address] = now
         self.unreachable.record_connected(address)
 
-    def record_answered(self, now: float) -> None:
-        """Record that a call on a direct connection was answered."""
+    def record_answered(self, now: float) -> bool:
+        """Record an answer on a direct connection.
+
+        Returns
+        -------
+        bool
+            Whether the paths were mute until now.
+        """
+        was_mute = self.is_mute(now)
         self._answered_at = now
         self._unanswered.clear()
         self._muted = False
+        return was_mute
 
     def answered_lately(self, now: float) -> bool:
         """Return whether direct connections have just brought an answer."""
         return now - self._answered_at < _ANSWERED_SECONDS
 
-    def record_unanswered(self, address: str, now: float) -> None:
-        """Record a call on a direct connection that brought no answer."""
-        self._muted = self.is_mute(now)
+    def record_unanswered(self, address: str, now: float) -> bool:
+        """Record a call on a direct connection that brought no answer.
+
+        Returns
+        -------
+        bool
+            Whether the paths count as mute from now on.
+        """
+        was_mute = self.is_mute(now)
         self._unanswered = _select_after(
             self._unanswered, now - _EVIDENCE_SECONDS
         )
         self._unanswered[address] = now
-        self._muted |= len(self._unanswered) >= _OUTAGE_ADDRESSES
+        self._muted = was_mute or len(self._unanswered) >= _OUTAGE_ADDRESSES
         self._muted_until = now + _MUTE_SECONDS
+        return self._muted and not was_mute
 
     def is_mute(self, now: float) -> bool:
         """Return whether direct connections are made but bring no answers."""
--- a/tests/ingress/test_attempts.py
+++ b/tests/ingress/test_attempts.py
@@ -424,3 +424,21 @@
     failure = opened.failure()
     assert failure.ran is ran
     assert failure.arrived is connected
+
+
+def test_a_retry_avoids_the_path_that_brought_no_answer(
+    evaluator: AttemptEvaluator,
+) -> None:
+    """A plain call that was given up early went directly again, in vain.
+
+    So short a silence shows nothing of the path to other calls.
+    """
+    call = build_call()
+    failure = AttemptFailure('no answer', Ran.UNKNOWN, blameless=True)
+    for address in ('10.0.0.1:80', '10.0.0.2:80'):
+        declaration = EndpointDeclaration('i', 'a', address)
+        group = EndpointGroup('book', EndpointKind.PLAIN, [declaration])
+        endpoint = Endpoint(declaration, group)
+        evaluator.note(call, Placement(endpoint), failure)
+    assert call.avoids_direct
+    assert not evaluator._paths.is_mute(monotonic())
--- a/tests/ingress/test_tunnels.py
+++ b/tests/ingress/test_tunnels.py
@@ -16,6 +16,7 @@
 )
 from kelproad.coordination.ingress.membership.updates import PeerUpdate
 from kelproad.coordination.ingress.settings import NodeSettings
+from kelproad.coordination.ingress.streams.silence import SilenceMonitor
 from kelproad.coordination.ingress.tunnels import serving as serving_module
 from kelproad.coordination.ingress.tunnels.connecting import EndpointConnector
 from kelproad.coordination.ingress.tunnels.peerchoice import TunnelPeers
@@ -30,6 +31,7 @@
 from kelproad.transport.addresses import Address
 from kelproad.transport.deadlines import monotonic
 from testbed.soak.links import Cut, Link
+from tests.ingress.test_attempts import build_call
 
 NOBODY = Address('127.0.0.1', 9)
 BASE_PORT = 7340
@@ -218,6 +220,18 @@
     assert site.here.paths.unreachable.includes(address, now)
 
 
+@pytest.mark.parametrize('via', ['', 'edge-2'])
+async def test_the_begin_of_a_direct_answer_ends_mute_paths(via: str) -> None:
+    """Calls would go through peers until a long stream has ended."""
+    paths = DirectPaths()
+    for address in ('10.0.0.1:80', '10.0.0.2:80'):
+        paths.record_unanswered(address, monotonic())
+    call = build_call()
+    call.via = via
+    SilenceMonitor(None, None, None, paths).record_answer(call)
+    assert paths.is_mute(monotonic()) == bool(via)
+
+
 async def test_the_direct_path_is_used_again_at_once(site: Site) -> None:
     """Calls would go through peers long after the cut has ended."""
     site.cut(site.here)
--- a/tests/test_direct_paths.py
+++ b/tests/test_direct_paths.py
@@ -60,10 +60,10 @@
 def test_paths_stay_mute_while_probes_fail_at_one_endpoint() -> None:
     """Calls would use the paths again every two seconds, and get no answer."""
     paths = DirectPaths()
-    paths.record_unanswered('10.0.0.1:80', NOW)
-    paths.record_unanswered('10.0.0.2:80', NOW)
+    assert not paths.record_unanswered('10.0.0.1:80', NOW)
+    assert paths.record_unanswered('10.0.0.2:80', NOW)
     for probed_at in (NOW + 1.5, NOW + 3, NOW + 4.5, NOW + 6):
-        paths.record_unanswered('10.0.0.1:80', probed_at)
+        assert not paths.record_unanswered('10.0.0.1:80', probed_at)
         assert paths.is_mute(probed_at + 1.4)
     # Peers would otherwise ask this instance for tunnels.
     assert paths.count_lost(NOW + 9)
@@ -82,7 +82,8 @@
     assert paths.take_probe(NOW + 1)
     assert not paths.take_probe(NOW + 1.4)
     assert paths.take_probe(NOW + 1.5)
-    paths.record_answered(NOW + 1.5)
+    assert paths.record_answered(NOW + 1.5)
+    assert not paths.record_answered(NOW + 1.5)
     assert not paths.is_mute(NOW + 1.5)
     assert paths.answered_lately(NOW + 1.6)
     assert not paths.answered_lately(NOW + 2)
