--- a/tests/ingress/test_attempts.py
+++ b/tests/ingress/test_attempts.py
@@ -429,10 +429,7 @@
 def test_a_retry_avoids_the_path_that_brought_no_answer(
     evaluator: AttemptEvaluator,
 ) -> None:
-    """A plain call that was given up early went directly again, in vain.
-
-    So short a silence shows nothing of the path to other calls.
-    """
+    """A plain call that was given up early went directly again, in vain."""
     call = build_call()
     failure = AttemptFailure('no answer', Ran.UNKNOWN, blameless=True)
     for address in ('10.0.0.1:80', '10.0.0.2:80'):
--- a/tests/ingress/test_limited_placement.py
+++ b/tests/ingress/test_limited_placement.py
@@ -146,10 +146,7 @@
 
 
 async def test_an_engine_on_probation_helps_a_call_that_may_run_once() -> None:
-    """A prompt that needs two engines was refused for the limit of a third.
-
-    Nobody else could end the probation, and nobody called.
-    """
+    """A prompt that needs two engines was refused for the limit of a third."""
     site = Site()
     site.waits = {'i-2': 30}
     site.table.get('i-3').on_probation = True
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -82,10 +82,7 @@
 
 
 async def test_an_idle_connection_is_closed_by_the_time_in_force() -> None:
-    """Callers' idle connections would be kept far beyond the operators' limit.
-
-    The limit changes while connections are open.
-    """
+    """Idle connections would be kept far beyond the operators' limit."""
     timeouts = ConnectionTimeouts(head=10, idle=30)
     async with keep_connections(lambda: timeouts) as kept:
         reader, writer = kept.connections[0]
