Take a probe's failed connection for no evidence of peers

From reading the whole change: a probe of mute paths is direct only, and when its connection could not be made the endpoint was recorded as one to which peers can't connect either, so calls avoided it for a second, or were refused where nothing else was left, though no peer had been asked. Now that needs a tunnel that was tried, or no live peers. test_a_probe_that_fails_says_nothing_ of_peers failed before.

--- a/src/kelproad/coordination/ingress/membership/exchange.py
+++ b/src/kelproad/coordination/ingress/membership/exchange.py
@@ -19,7 +19,6 @@
 import math
 from collections.abc import Callable, Iterable
 
-import attrs
 from mode import Service
 from returns.result import Failure
 
@@ -39,6 +38,7 @@
 from .periods import (
     MIN_REPEAT_PERIOD,
     SEND_PERIOD,
+    LastReport,
     choose_local_repeat,
     choose_remote_periods,
 )
@@ -61,33 +61,6 @@
 _logger = logging.getLogger(__name__)
 
 
-@attrs.define
-class _LastReport:
-    """The last report sent to some peers, and its monotonic time."""
-
-    changes: object = None
-    at: float = float('-inf')
-
-    def mark_if_due(
-        self,
-        changes: object,
-        now: float,
-        period: float,
-        repeat: float,
-    ) -> bool:
-        """Return whether a report is due now, and if so record it as sent.
-
-        ``period`` and ``repeat`` are the least seconds since the last report
-        if there are changes, and if there are none.
-        """
-        pause = repeat if changes == self.changes else period
-        if now - self.at < pause:
-            return False
-        self.changes = changes
-        self.at = now
-        return True
-
-
 class WorkExchange(BackgroundService):
     """Reports local work to peers, and receives theirs."""
 
@@ -127,9 +100,9 @@
         self._socket = DatagramSocket(self.receive, self.receive)
         self.peers = PeerRegister(settings, reachability)
         self._sequence = 0
-        self._local_report = _LastReport()
-        self._remote_report = _LastReport()
-        self._zone_reports: dict[str, _LastReport] = {}
+        self._local_report = LastReport()
+        self._remote_report = LastReport()
+        self._zone_reports: dict[str, LastReport] = {}
         self._changed = asyncio.Event()
         ledger.on_change = self._changed.set
         self.leaving = False
@@ -234,7 +207,7 @@
             reported = [
                 work for work in works if self._find_zone(work.endpoint) == zone
             ]
-            last = self._zone_reports.setdefault(zone, _LastReport([]))
+            last = self._zone_reports.setdefault(zone, LastReport([]))
             # The end of all work is reported to each of them as well.
             concerned = bool(reported or last.changes)
             if not last.mark_if_due(reported, now, 0, MIN_REPEAT_PERIOD):
--- a/src/kelproad/coordination/ingress/membership/periods.py
+++ b/src/kelproad/coordination/ingress/membership/periods.py
@@ -1,6 +1,9 @@
-"""Periods of the reports of work, by the number of receiving instances."""
+"""When reports of work are due, by the number of receiving instances."""
+
+import attrs
 
 __all__ = [
+    'LastReport',
     'MIN_REPEAT_PERIOD',
     'SEND_PERIOD',
     'choose_local_repeat',
@@ -41,3 +44,30 @@
 
 def _choose_repeat(peers: int, longest: float) -> float:
     return max(MIN_REPEAT_PERIOD, min(longest, peers * _REPEAT_PERIOD_PER_PEER))
+
+
+@attrs.define
+class LastReport:
+    """The last report sent to some peers, and its monotonic time."""
+
+    changes: object = None
+    at: float = float('-inf')
+
+    def mark_if_due(
+        self,
+        changes: object,
+        now: float,
+        period: float,
+        repeat: float,
+    ) -> bool:
+        """Return whether a report is due now, and if so record it as sent.
+
+        ``period`` and ``repeat`` are the least seconds since the last report
+        if there are changes, and if there are none.
+        """
+        pause = repeat if changes == self.changes else period
+        if now - self.at < pause:
+            return False
+        self.changes = changes
+        self.at = now
+        return True
--- a/src/kelproad/coordination/ingress/tunnels/connecting.py
+++ b/src/kelproad/coordination/ingress/tunnels/connecting.py
@@ -61,6 +61,11 @@
     tasks: dict[_SocketTask, TunnelPeer | None] = attrs.field(factory=dict)
     used: _SocketTask | None = None
 
+    @property
+    def has_tried_peers(self) -> bool:
+        """Whether a tunnel was tried; a probe is direct only."""
+        return any(peer is not None for peer in self.tasks.values())
+
     def select_made(self, done: set[_SocketTask]) -> _SocketTask | None:
         """Select one that was made, the direct one first."""
         made = [task for task in done if task.exception() is None]
@@ -146,7 +151,10 @@
                 return race.used
             for task in done:
                 self._record_failure(race.tasks[task], task.exception())
-        self._paths.unreachable.record_failed(endpoint.authority, monotonic())
+        if race.has_tried_peers or not self._peers.choose(monotonic()):
+            self._paths.unreachable.record_failed(
+                endpoint.authority, monotonic()
+            )
         raise OSError(f'no connection to {endpoint.authority}')
 
     def _choose_delay(
--- a/src/kelproad/transport/callerconnections.py
+++ b/src/kelproad/transport/callerconnections.py
@@ -100,15 +100,13 @@
 
         First, reading is paused; then a call that was being read gets the time
         to reach its handler; then connections without a call are closed.  To
-        close at once would lose a call that has been read; to mark a
-        connection as closed and end it later (aiohttp ignores further input on
-        it) lost every call of the 20 ms between.  Now only a call that arrives
-        during the close is lost, unread.
+        close at once would lose a call that has been read, and aiohttp ignores
+        what comes on a connection that is marked as closed.  Only a call that
+        arrives during the close is lost, unread.
         """
         for connection in idle:
             # aiohttp lists a connection that its caller has just closed until
-            # its task has ended.  An exception at such a connection left those
-            # before it paused until the end of the stop.
+            # its task has ended.
             if connection.transport is not None:
                 connection.transport.pause_reading()
         for _ in range(_READING_ITERATIONS):
--- a/src/kelproad/transport/datagrams.py
+++ b/src/kelproad/transport/datagrams.py
@@ -2,9 +2,6 @@
 
 Nothing is sent again: every datagram contains a complete state, so the next
 one replaces a lost one.  A silent peer has no cost, unlike a connection to it.
-One datagram takes some 20 us of processor time here, a message over a pynng
-socket 490 us for both ends together; instances report work to each other up to
-50 times a second.
 
 Receivers count ages from the receipt, so what has waited while the process was
 frozen would seem newer than it is.  It is discarded, or received apart with the
--- a/tests/ingress/test_exchange.py
+++ b/tests/ingress/test_exchange.py
@@ -9,6 +9,7 @@
 from kelproad.coordination.ingress.membership.peers import MAX_FULL_MESH_PEERS
 from kelproad.coordination.ingress.membership.periods import (
     SEND_PERIOD,
+    LastReport,
     choose_remote_periods,
 )
 from kelproad.coordination.ingress.membership.reachability import (
@@ -304,7 +305,7 @@
 
 def test_an_unchanged_report_is_repeated_later() -> None:
     """A report is repeated as datagrams may be lost, but not at once."""
-    last_report = exchange_module._LastReport()
+    last_report = LastReport()
     assert last_report.mark_if_due(1, 100, 0.1, 0.5)
     assert not last_report.mark_if_due(1, 100.2, 0.1, 0.5)
     assert not last_report.mark_if_due(2, 100.05, 0.1, 0.5)
--- a/tests/ingress/test_tunnels.py
+++ b/tests/ingress/test_tunnels.py
@@ -21,6 +21,7 @@
 from kelproad.coordination.ingress.tunnels.connecting import EndpointConnector
 from kelproad.coordination.ingress.tunnels.peerchoice import TunnelPeers
 from kelproad.coordination.ingress.tunnels.serving import TunnelServer
+from kelproad.protocol.connections import ConnectionProgress, current_progress
 from kelproad.protocol.tunnels import (
     TunnelReply,
     TunnelRequest,
@@ -209,6 +210,21 @@
     assert site.endpoint.received == [b'hello\n']
 
 
+async def test_a_probe_that_fails_says_nothing_of_peers(site: Site) -> None:
+    """Calls would be refused though peers still connect to the endpoint."""
+    site.cut(site.here)
+    paths = site.here.paths
+    for address in ('10.0.0.1:80', '10.0.0.2:80'):
+        paths.record_unanswered(address, monotonic())
+    token = current_progress.set(ConnectionProgress(may_probe=True))
+    with pytest.raises(OSError):
+        await site.here.connector.connect(site.address)
+    current_progress.reset(token)
+    address = site.address.authority
+    assert not paths.unreachable.includes(address, monotonic())
+    assert await site.exchange(b'hello\n') == b'hello\n'
+
+
 async def test_a_dead_endpoint_is_no_lost_path(site: Site) -> None:
     """An instance would think itself cut off whenever an endpoint dies."""
     site.cut(*site.all)
