Force the order in which tunnels are tried where tests check it

By the code there is one way to it: the first tunnel took over 50 ms, after which a second one is due by design, as a busy peer must not be waited for. So the tests took for granted that a reply takes less.

--- a/tests/ingress/test_tunnels.py
+++ b/tests/ingress/test_tunnels.py
@@ -17,6 +17,9 @@
 from kelproad.coordination.ingress.membership.updates import PeerUpdate
 from kelproad.coordination.ingress.settings import NodeSettings
 from kelproad.coordination.ingress.streams.silence import SilenceMonitor
+from kelproad.coordination.ingress.tunnels import (
+    connecting as connecting_module,
+)
 from kelproad.coordination.ingress.tunnels import serving as serving_module
 from kelproad.coordination.ingress.tunnels.connecting import EndpointConnector
 from kelproad.coordination.ingress.tunnels.peerchoice import TunnelPeers
@@ -36,6 +39,10 @@
 
 NOBODY = Address('127.0.0.1', 9)
 BASE_PORT = 7340
+#: Seconds for which no other connection is tried beside one, and that a peer
+#: takes to reply for which a call must not wait.
+LONG = 5.0
+SLOW = 0.15
 _hosts = itertools.count(secrets.randbelow(60_000) + 256)
 
 
@@ -60,6 +67,8 @@
         self.instances: set[str] = set()
         self.endpoints: set[str] = set()
         self.outcomes: list[str] = []
+        #: Seconds until it replies to a request.
+        self.delay = float(0)
         self.server = TunnelServer(
             Address(self.host, self.settings.tunnel_port),
             self.is_instance,
@@ -70,6 +79,7 @@
 
     async def is_instance(self, host: str) -> bool:
         """Return whether an IP number is that of a known instance."""
+        await asyncio.sleep(self.delay)
         return host in self.instances
 
     def hear(self, peer: 'Instance', lost_paths: int = 0) -> None:
@@ -164,6 +174,12 @@
     server.close()
 
 
+@pytest.fixture
+def one_at_a_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have a connection tried only once the one before it has failed."""
+    monkeypatch.setattr(connecting_module, '_TUNNEL_DELAY', LONG)
+
+
 async def wait_until(condition: Callable[[], bool]) -> None:
     """Wait until a condition holds, for two seconds at most."""
     async with asyncio.timeout(2):
@@ -171,7 +187,9 @@
             await asyncio.sleep(0.01)
 
 
-async def test_a_sound_endpoint_is_connected_to_directly(site: Site) -> None:
+async def test_a_sound_endpoint_is_connected_to_directly(
+    site: Site, one_at_a_time: None
+) -> None:
     """A tunnel for every call would double the traffic."""
     assert await site.exchange(b'hello\n') == b'hello\n'
     assert not site.here.outcomes
@@ -180,7 +198,7 @@
 
 @pytest.mark.parametrize('cut', [Cut.HANG, Cut.NEW_HANG])
 async def test_a_cut_instance_connects_through_its_zone(
-    site: Site, cut: Cut
+    site: Site, cut: Cut, one_at_a_time: None
 ) -> None:
     """A call at an instance that is cut off finds no way to an endpoint."""
     site.cut(site.here, cut=cut)
@@ -190,6 +208,15 @@
     assert site.endpoint.received == [b'hello\n']
 
 
+async def test_a_slow_peer_is_not_waited_for(site: Site) -> None:
+    """A busy peer would keep the calls of a cut instance."""
+    site.cut(site.here)
+    site.near.delay = SLOW
+    assert await site.exchange(b'hello\n') == b'hello\n'
+    assert site.far.outcomes == ['open']
+    assert site.endpoint.received == [b'hello\n']
+
+
 async def test_a_peer_that_does_not_answer_is_not_waited_for(
     site: Site,
 ) -> None:
@@ -248,7 +275,9 @@
     assert paths.is_mute(monotonic()) == bool(via)
 
 
-async def test_the_direct_path_is_used_again_at_once(site: Site) -> None:
+async def test_the_direct_path_is_used_again_at_once(
+    site: Site, one_at_a_time: None
+) -> None:
     """Calls would go through peers long after the cut has ended."""
     site.cut(site.here)
     await site.exchange(b'one\n')
@@ -285,7 +314,7 @@
 
 
 async def test_a_caller_that_leaves_ends_the_work_behind_a_tunnel(
-    site: Site,
+    site: Site, one_at_a_time: None
 ) -> None:
     """An endpoint would go on with work that nobody waits for."""
     site.cut(site.here)
@@ -296,7 +325,9 @@
     assert not site.near.server.unfinished
 
 
-async def test_a_stopping_instance_opens_no_tunnel(site: Site) -> None:
+async def test_a_stopping_instance_opens_no_tunnel(
+    site: Site, one_at_a_time: None
+) -> None:
     """A planned stop would cut the calls of another instance."""
     site.cut(site.here)
     site.near.server.leaving = True
@@ -304,7 +335,9 @@
     assert site.near.outcomes == ['refused']
 
 
-async def test_the_end_of_a_peer_is_no_orderly_end(site: Site) -> None:
+async def test_the_end_of_a_peer_is_no_orderly_end(
+    site: Site, one_at_a_time: None
+) -> None:
     """A body without a length would look complete when its peer exits."""
     site.cut(site.here)
     connected = await site.here.connector.connect(site.address)
