Log the shared parts of prompts with failed attempts

No log or metric told requests of one kind from others, nor one life of an engine from the next, so the hypotheses of the incident could not be told apart. The adapter decodes X-Kelproad-Prompt-Prefix (bounded: 64 parts, 64 characters an id), attempt_failed names the parts and the incarnation of the endpoint. No decision uses them.

--- a/src/kelproad/coordination/ingress/retrying/verdicts.py
+++ b/src/kelproad/coordination/ingress/retrying/verdicts.py
@@ -184,6 +184,8 @@
             'attempt_failed',
             request=call.request_id,
             endpoint=endpoint.name,
+            incarnation=endpoint.declaration.incarnation,
+            parts=call.head.shared_parts,
             reason=failure.reason,
             ran=failure.ran.value,
             arrived=failure.arrived,
--- a/src/kelproad/platform/headers.py
+++ b/src/kelproad/platform/headers.py
@@ -33,6 +33,8 @@
 #: Prompt tokens and the limit of output tokens, despite its singular name.
 _TOKEN_COUNT = 'X-Kelproad-Token-Count'  # noqa: S105  no secret
 _LENGTH_HINT = 'X-Kelproad-Length-Hint'
+#: Parts of the prompt in order, each as ID:TOKENS.
+_PROMPT_PARTS = 'X-Kelproad-Prompt-Prefix'
 _LAST_EVENT = 'Last-Event-Id'
 _NOT_EXECUTED = 'X-Kelproad-Not-Executed'
 _STAMP = 'X-Kelproad-Server-Stamp'
@@ -46,6 +48,10 @@
 #: Longest deadline that a caller may request, in milliseconds: a day.  An
 #: absurd number must not overflow the clock.
 _MAX_DEADLINE = 86_400_000
+#: Parts of one prompt that are kept, and characters of their ids: callers
+#: choose both.
+_MAX_PARTS = 64
+_MAX_PART_LENGTH = 64
 #: Fields that only the system may set; those of a caller are dropped, as an
 #: endpoint could not tell them from the system's.
 _SYSTEM_FIELDS = frozenset(
@@ -124,6 +130,7 @@
             answer_tokens=answer,
             answer_hint=_parse_count(headers.get(_LENGTH_HINT, '')) or 0,
             resume_after=_parse_count(headers.get(_LAST_EVENT, '')),
+            shared_parts=_parse_shared_parts(headers.getall(_PROMPT_PARTS, [])),
         ),
     )
 
@@ -228,6 +235,15 @@
     return _parse_count(prompt) or 0, _parse_count(answer) or 0
 
 
+def _parse_shared_parts(fields: list[str]) -> tuple[str, ...]:
+    """Parse the ids of all parts but the last, which is the call's own."""
+    ids = [
+        entry.partition(':')[0].strip()[:_MAX_PART_LENGTH]
+        for entry in ','.join(fields).split(',')[:-1]
+    ]
+    return tuple(dict.fromkeys(filter(None, ids)))[:_MAX_PARTS]
+
+
 def _parse_limits(fields: list[str]) -> tuple[list[float], list[str]]:
     """Parse the limits of one or more fields; return unreadable ones too."""
     limits: list[float] = []
--- a/src/kelproad/state/calls.py
+++ b/src/kelproad/state/calls.py
@@ -45,6 +45,8 @@
     resume_after
         Number of the last event that the caller has; ``None`` when it has
         none.
+    shared_parts
+        Ids of the parts of the prompt that other calls may share, in order.
     """
 
     request_id: str
@@ -57,6 +59,7 @@
     answer_tokens: int = 0
     answer_hint: int = 0
     resume_after: int | None = None
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
