--- a/src/kelproad/standins/routed.py
+++ b/src/kelproad/standins/routed.py
@@ -9,6 +9,8 @@
 
 import asyncio
 import collections
+import json
+import os
 import types
 
 import attrs
@@ -21,6 +23,8 @@
 _REQUEST_ID = 'X-Kelproad-Request-Id'
 _EXPECTED = 'X-Kelproad-Expect-Instance'
 _NOT_EXECUTED = types.MappingProxyType({'X-Kelproad-Not-Executed': '1'})
+_PROMPT_PARTS = 'X-Kelproad-Prompt-Prefix'
+_CRASH_CODE = 70
 _MILLISECONDS = 1000.0
 _MISDIRECTED = 421
 _CONFLICT = 409
@@ -51,6 +55,12 @@
         Seconds before each answer, and between two events.
     events
         Number of events of a stream, unless the query says otherwise.
+    crash_parts
+        Parts of prompts on which the engine crashes once it answers.
+    crash_after
+        Number of events of the answer after which it crashes.
+    crash_silently
+        Whether it falls silent, in place of ending its process.
     """
 
     shed: bool = False
@@ -61,6 +71,9 @@
     crossed: bool = False
     pace: float = 0.01
     events: int = 5
+    crash_parts: list[str] = attrs.field(factory=list)
+    crash_after: int = 0
+    crash_silently: bool = False
 
 
 @attrs.define
@@ -87,6 +100,10 @@
         #: Monotonic time and id of each request, rejected ones included.
         self._arrivals: list[dict[str, float | str]] = []
         self._disconnected: list[str] = []
+        #: Whether it has fallen silent.
+        self._silent = False
+        #: Unix time of its start in milliseconds, as in its entry.
+        self._born = 1
         self._orders: collections.Counter[str] = collections.Counter()
 
     def create_application(self) -> web.Application:
@@ -96,6 +113,7 @@
             [
                 web.put('/control/faults', self._put_faults),
                 web.put('/control/limit', self._put_limit),
+                web.put('/control/born', self._put_born),
                 web.get('/control/runs', self._show_runs),
                 web.post('/-/order', self._handle_order),
                 web.get('/-/report', self._report),
@@ -115,6 +133,10 @@
         self._request_limit = stated['limit']
         return web.json_response({})
 
+    async def _put_born(self, http_request: web.Request) -> web.Response:
+        self._born = (await http_request.json())['born']
+        return web.json_response({})
+
     async def _show_runs(self, _http_request: web.Request) -> web.Response:
         self._drop_expired()
         return web.json_response(
@@ -147,7 +169,8 @@
         return web.json_response({'free': self._count_free()})
 
     async def _report(self, _http_request: web.Request) -> web.Response:
-        return web.json_response({'kv_total': self._memory})
+        await self._hang_if_silent()
+        return web.json_response({'kv_total': self._memory, 'born': self._born})
 
     def _drop_expired(self) -> None:
         now = monotonic()
@@ -161,7 +184,12 @@
 
     # Calls
 
+    async def _hang_if_silent(self) -> None:
+        if self._silent:
+            await asyncio.Event().wait()
+
     async def _answer(self, http_request: web.Request) -> web.StreamResponse:
+        await self._hang_if_silent()
         self._arrivals.append(
             {
                 'at': monotonic(),
@@ -171,6 +199,8 @@
         expected = http_request.headers.get(_EXPECTED, self._name)
         if expected != self._name:
             return web.Response(status=_MISDIRECTED)
+        if self._is_poisoned(http_request):
+            _print_event('poisoned', http_request)
         if self._faults.shed:
             return web.Response(
                 status=_FULL,
@@ -226,7 +256,11 @@
         last = int(http_request.headers.get('Last-Event-Id', 0))
         events = int(http_request.query.get('events', self._faults.events))
         requested_pace = float(http_request.query.get('pace', 0))
+        crashes = self._is_poisoned(http_request)
         for number in range(last + 1, events + 1):
+            if crashes and number - last > self._faults.crash_after:
+                await self._crash(http_request)
+            await self._hang_if_silent()
             if number - last == self._faults.break_after + 1:
                 await response.write(f'id: {number}\ndata: bro'.encode())
                 http_request.transport.close()
@@ -236,6 +270,20 @@
             await asyncio.sleep(max(self._faults.pace, requested_pace))
         return response
 
+    def _is_poisoned(self, http_request: web.Request) -> bool:
+        parts = {
+            entry.partition(':')[0]
+            for entry in http_request.headers.get(_PROMPT_PARTS, '').split(',')
+        }
+        return not parts.isdisjoint(self._faults.crash_parts)
+
+    async def _crash(self, http_request: web.Request) -> None:
+        """End this process, or let it fall silent; tell of it before."""
+        _print_event('crashed', http_request)
+        if not self._faults.crash_silently:
+            os._exit(_CRASH_CODE)  # noqa: WPS437  no cleanup, as in a crash
+        self._silent = True
+
     def _build_headers(self, http_request: web.Request) -> dict[str, str]:
         request_id = http_request.headers.get(_REQUEST_ID, '')
         return {
@@ -247,3 +295,13 @@
     def _state_limit(self) -> dict[str, str]:
         limit = self._request_limit
         return {'Server-Limit': limit} if limit else {}
+
+
+def _print_event(event: str, http_request: web.Request) -> None:
+    """Print an event of a request, for tests to read after a crash."""
+    fields = {
+        'event': event,
+        'at': monotonic(),
+        'request': http_request.headers.get(_REQUEST_ID, ''),
+    }
+    print(json.dumps(fields), flush=True)  # noqa: WPS421  standard output
--- /dev/null
+++ b/testbed/crashes.py
@@ -0,0 +1,273 @@
+"""A routed site whose engines crash, are restarted, and crash again."""
+
+import contextlib
+import itertools
+import json
+import pathlib
+import random
+import threading
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from http import client
+
+import attrs
+
+from testbed.calls import call_control
+from testbed.routed import HOST, KEY, RoutedSite, start_routed_site
+
+__all__ = ['CrashingSite', 'Crashes', 'Stream', 'start_crashing_site']
+
+_CALLERS = 96
+_OK = 200
+_DEADLINE = 4.0
+#: Seconds after a crash after which an engine is back, under a new id.
+_RESTART_SECONDS = 3.0
+_POLL_SECONDS = 0.05
+_SERVICE = 'writer'
+
+
+@attrs.frozen
+class Stream:
+    """A kind of streams: the path, and the shared parts of each prompt.
+
+    ``make_parts`` gets a number that is different for each call.
+    """
+
+    path: str
+    make_parts: Callable[[int], tuple[str, ...]]
+    rate: float
+    poisoned: bool = False
+    key: str = KEY
+
+
+@attrs.frozen
+class SentStream:
+    """One stream and its end, at monotonic times; 0 for no status."""
+
+    kind: Stream
+    request_id: str
+    instance: str
+    at: float
+    ended_at: float
+    status: int
+    whole: bool
+    retry_after: str = ''
+
+    @property
+    def served(self) -> bool:
+        """Whether it was answered whole."""
+        return self.whole and self.status == _OK
+
+
+@attrs.frozen
+class Crashes:
+    """What engines reported: monotonic times of crashes and arrivals.
+
+    ``arrivals`` are those of poisoned requests, by request id.
+    """
+
+    crashed_at: list[float]
+    arrivals: list[tuple[float, str]]
+
+    def count_arrivals(self, since: float) -> int:
+        """Count the poisoned requests that reached engines from a time on."""
+        return sum(at >= since for at, _ in self.arrivals)
+
+
+class CrashingSite:
+    """A site with engines that are restarted after they crash.
+
+    Attributes
+    ----------
+    faults
+        Faults that each engine has from its start.
+    """
+
+    def __init__(self, site: RoutedSite) -> None:
+        """Watch the engines of a site; ``start`` begins with that."""
+        self.site = site
+        self.faults: dict[str, object] = {}
+        self._lives = itertools.count(1)
+        self._ids = itertools.count(1)
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._restart_crashed)
+        self._logs: list[pathlib.Path] = []
+        #: Engines that are down, and the monotonic times of their restarts.
+        self._down: dict[str, float] = {}
+
+    def start(self, engines: int) -> None:
+        """Start engines, and restart them after crashes from now on."""
+        for _ in range(engines):
+            self._start_engine()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Restart no engine any more."""
+        self._stopped.set()
+        self._thread.join()
+
+    def apply_faults(self, **faults: object) -> None:
+        """Set the faults of all engines, of later ones too."""
+        self.faults = faults
+        for name in self._list_running():
+            self.site.set_endpoint_faults(name, **faults)
+
+    def kill_engine(self, generator: random.Random) -> None:
+        """Kill an engine, as one that crashes by itself."""
+        name = generator.choice(self._list_running())
+        self.site.endpoint_processes[name].kill()
+
+    def await_all(self) -> None:
+        """Wait until no engine is down."""
+        time.sleep(2 * _POLL_SECONDS)
+        while self._down:
+            time.sleep(_POLL_SECONDS)
+
+    def read_crashes(self, since: float) -> Crashes:
+        """Read what engines reported since a monotonic time."""
+        lines = [
+            json.loads(line)
+            for log in self._logs
+            for line in log.read_text().splitlines()
+            if line.startswith('{"event"')
+        ]
+        recent = [line for line in lines if line['at'] >= since]
+        return Crashes(
+            sorted(line['at'] for line in recent if line['event'] == 'crashed'),
+            sorted(
+                (line['at'], line['request'])
+                for line in recent
+                if line['event'] == 'poisoned'
+            ),
+        )
+
+    def apply_load(
+        self,
+        seconds: float,
+        kinds: tuple[Stream, ...],
+        actions: dict[float, Callable[[], None]] | None = None,
+    ) -> list[SentStream]:
+        """Send streams of some kinds at their rates to all instances in turn.
+
+        ``actions`` are done meanwhile, by seconds from the begin.
+        """
+        began = time.monotonic()
+        due = sorted(
+            (number / kind.rate, order, kind)
+            for order, kind in enumerate(kinds)
+            for number in range(int(seconds * kind.rate))
+        )
+        pending = sorted((actions or {}).items())
+        with ThreadPoolExecutor(_CALLERS) as pool:
+            waiting = []
+            for at, _, kind in due:
+                while pending and pending[0][0] <= at:
+                    pool.submit(pending.pop(0)[1])
+                time.sleep(max(0, began + at - time.monotonic()))
+                waiting.append(pool.submit(self._send, kind, next(self._ids)))
+            return [item.result() for item in waiting]
+
+    def _send(self, kind: Stream, number: int) -> SentStream:
+        instances = self.site.instances
+        instance = instances[number % len(instances)]
+        request_id = f'd{number:015x}'
+        parts = (*kind.make_parts(number), request_id)
+        headers = {
+            'Host': HOST,
+            'X-Kelproad-Request-Id': request_id,
+            'X-Kelproad-Deadline-Ms': str(int(_DEADLINE * 1000)),
+            'X-Api-Key': kind.key,
+            'X-Kelproad-Token-Count': '100,50',
+            'X-Kelproad-Prompt-Prefix': ','.join(
+                f'{part}:20' for part in parts
+            ),
+        }
+        sent_at = time.monotonic()
+        connection = client.HTTPConnection(instance.caller, timeout=_DEADLINE)
+        status, whole, retry_after = 0, False, ''
+        with contextlib.suppress(OSError, client.HTTPException):
+            connection.request('POST', kind.path, b'prompt', headers)
+            response = connection.getresponse()
+            status = response.status
+            retry_after = response.headers.get('Retry-After', '')
+            response.read()
+            whole = True
+        connection.close()
+        return SentStream(
+            kind,
+            request_id,
+            instance.name,
+            sent_at,
+            time.monotonic(),
+            status,
+            whole,
+            retry_after,
+        )
+
+    def _list_running(self) -> list[str]:
+        return [
+            name
+            for name in self.site.endpoints
+            if name.startswith(_SERVICE) and name not in self._down
+        ]
+
+    def _start_engine(self, address: str = '') -> None:
+        """Start an engine under a new id, at a new address or that of another.
+
+        It gets calls only once it has its faults.
+        """
+        life = next(self._lives)
+        name = f'{_SERVICE}-{life}'
+        if address:
+            self.site.endpoints[name] = address
+            self.site.restart_endpoint(name)
+        else:
+            self.site.start_endpoint(name, _SERVICE)
+        self._logs.append(self.site.endpoint_processes[name].log)
+        self.site.set_endpoint_faults(name, **self.faults)
+        call_control(
+            self.site.endpoints[name], 'PUT', '/control/born', {'born': life}
+        )
+        self.site.put_endpoint_row(name, _SERVICE, born=life)
+
+    def _restart_crashed(self) -> None:
+        while not self._stopped.wait(_POLL_SECONDS):
+            for name in self._list_running():
+                if self._is_down(name):
+                    self._down[name] = time.monotonic() + _RESTART_SECONDS
+            for name, due_at in list(self._down.items()):
+                if due_at <= time.monotonic():
+                    self._replace(name)
+
+    def _is_down(self, name: str) -> bool:
+        process = self.site.endpoint_processes[name]
+        return not process.running or b'"crashed"' in process.log.read_bytes()
+
+    def _replace(self, name: str) -> None:
+        """Replace an engine by one with a new id at the same address."""
+        self.site.endpoint_processes[name].kill()
+        self.site.delete_endpoint_row(name)
+        address = self.site.endpoints.pop(name)
+        self._start_engine(address)
+        self._down.pop(name)
+
+
+@contextlib.contextmanager
+def start_crashing_site(
+    directory: pathlib.Path, zones: str, engines: int
+) -> Iterator[CrashingSite]:
+    """Run a site with an instance for each letter, which names its zone."""
+    with start_routed_site(directory, 0) as site:
+        for name in ('engine-1', 'engine-2', 'engine-3'):
+            site.endpoint_processes[name].kill()
+            site.delete_endpoint_row(name)
+            site.endpoints.pop(name)
+        crashing = CrashingSite(site)
+        crashing.start(engines)
+        try:
+            for number, zone in enumerate(zones, start=1):
+                site.start_instance(f'edge-{number}', f'zone-{zone}')
+            yield crashing
+        finally:
+            crashing.stop()
--- a/testbed/routed.py
+++ b/testbed/routed.py
@@ -129,6 +129,7 @@
         service: str,
         state: str = 'ready',
         zone: str = 'zone-a',
+        born: int = 1,
     ) -> None:
         """Write the store row of an endpoint, as the endpoint would."""
         self.put_row(
@@ -145,7 +146,7 @@
                 'state': state,
                 'warmup_left_ms': 0,
                 'sequence': next(self._sequences),
-                'born': 1,
+                'born': born,
             },
         )
 
