--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -7,7 +7,7 @@
 import aiohttp
 import attrs
 
-from ...state.counters import Counters
+from ...state.counters import Counters, QuarantineMetrics
 from ...state.directpaths import DirectPaths
 from ...state.endpointtable import EndpointTable
 from ...state.observations import EngineObservations
@@ -20,12 +20,14 @@
 from .admission.stopping import StopGuard
 from .limiting.gate import StartGate
 from .membership.exchange import WorkExchange
+from .membership.peering import Peering
 from .membership.queries import PeerQueries
 from .membership.reachability import ZoneReachability
 from .membership.spillover import ZoneSpillover
 from .placing.choosing import Chooser
 from .placing.memory import MemoryReserver
 from .placing.watching import EngineSpeedMonitor
+from .quarantine.guard import PromptGuard
 from .retrying.dispatching import Dispatcher
 from .retrying.retries import RetryBudgets
 from .retrying.verdicts import AttemptEvaluator
@@ -80,20 +82,37 @@
 
 @attrs.frozen
 class CallPipeline:
-    """The handler of calls, and the memory that it reserves at engines."""
+    """The handler of calls, and what it uses at engines.
+
+    Attributes
+    ----------
+    memory
+        Memory that it reserves.
+    guard
+        Guard of engines against requests that crash them.
+    """
 
     handler: CallHandler
     memory: MemoryReserver
+    guard: PromptGuard
 
     @classmethod
     def from_state(
         cls,
         shared: SharedState,
-        exchange: WorkExchange,
+        peering: Peering,
         session: aiohttp.ClientSession,
     ) -> Self:
         """Build the components; calls to endpoints use the session."""
+        exchange = peering.exchange
         orders = shared.dialect.open_orders(session)
+        guard = peering.prompts.create_guard(
+            orders,
+            shared.table,
+            shared.paths,
+            QuarantineMetrics(shared.counters.registry),
+            shared.generator,
+        )
         memory = MemoryReserver(orders, shared.read_bounds, shared.gate.charge)
         speed_monitor = EngineSpeedMonitor(
             shared.instance,
@@ -129,10 +148,11 @@
                 memory,
                 speed_monitor,
                 stop_guard,
+                guard,
             ),
             shared.counters,
         )
-        return cls(handler, memory)
+        return cls(handler, memory, guard)
 
 
 def _create_dispatcher(
@@ -142,6 +162,7 @@
     memory: MemoryReserver,
     speed_monitor: EngineSpeedMonitor,
     stop_guard: StopGuard,
+    guard: PromptGuard,
 ) -> Dispatcher:
     retries = RetryBudgets(
         shared.read_bounds,
@@ -172,7 +193,7 @@
     silence_monitor = SilenceMonitor(
         shared.ledger, retries, speed_monitor, shared.paths
     )
-    sender = Sender(client, memory, silence_monitor)
+    sender = Sender(client, memory, silence_monitor, guard.record_outlived)
     return Dispatcher(
         chooser,
         sender,
@@ -189,5 +210,6 @@
         shared.ledger,
         stop_guard,
         shared.gate,
+        guard,
         shared.counters,
     )
--- a/src/kelproad/coordination/ingress/membership/peering.py
+++ b/src/kelproad/coordination/ingress/membership/peering.py
@@ -21,6 +21,7 @@
 from ..limiting.gate import StartGate
 from ..limiting.granting import StartGranter
 from ..limiting.observing import LimitObserver
+from ..quarantine.assembly import PromptQuarantine
 from ..settings import NodeSettings
 from ..tables.followed import FollowedTables
 from ..tables.following import PeerTable
@@ -32,10 +33,13 @@
 from .exchange import WorkExchange
 from .queries import (
     PeerQueries,
+    PromptNotice,
     Query,
     Reply,
     StartQuery,
     TablesReply,
+    TrialEnd,
+    TrialQuery,
     WorkQuery,
 )
 from .reachability import ZoneReachability
@@ -61,6 +65,8 @@
         Direct connections to endpoints, as they succeed and fail.
     gate
         Gate before endpoints that limit their requests.
+    prompts
+        What is known of parts of prompts on which engines crash.
     """
 
     def __init__(
@@ -131,6 +137,15 @@
             generator,
         )
 
+        self.prompts = PromptQuarantine.from_peers(
+            table,
+            self.queries,
+            self.exchange.peers,
+            selector,
+            self.exchange.describe_self(),
+            store.roster.write,
+        )
+
     def list_services(self) -> list[Service]:
         """List the services to be started, in this order."""
         return [
@@ -138,6 +153,7 @@
             self.tables.endpoints,
             self.exchange,
             self.queries,
+            self.prompts.notices,
         ]
 
     def _open_peer_table(self, name: str) -> PeerTable:
@@ -160,6 +176,8 @@
         """Answer a query that another instance sent by datagram."""
         if isinstance(query, StartQuery):
             return self._granter.answer(query, self.queries)
+        if isinstance(query, PromptNotice | TrialQuery | TrialEnd):
+            return self.prompts.answer(query)
         if isinstance(query, WorkQuery):
             return answer_work_query(
                 query,
--- a/src/kelproad/coordination/ingress/membership/peers.py
+++ b/src/kelproad/coordination/ingress/membership/peers.py
@@ -3,7 +3,7 @@
 import collections
 import logging
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 import attrs
 
@@ -72,6 +72,9 @@
         #: The reader of each other zone and the monotonic time of the report
         #: of an instance there that named it.
         self._zone_readers: dict[str, tuple[Reader, float]] = {}
+        #: Gets the IP number of each peer that is heard for the first time, or
+        #: again after a silence.
+        self.on_heard: Callable[[str], None] | None = None
 
     def add(self, instance: str, host: str, zone: str = '') -> None:
         """Add an instance to those that datagrams are sent to."""
@@ -115,6 +118,8 @@
             record(
                 _logger, 'peer_heard', peer=update.instance, zone=update.zone
             )
+        if silent and self.on_heard is not None:
+            self.on_heard(update.host)
         peer.received_at = float('-inf') if update.leaving else now
         if peer.zone != update.zone:
             peer.zone = update.zone
@@ -170,6 +175,10 @@
         _, remote = self.part()
         return sum(map(len, remote.values())) <= MAX_FULL_MESH_PEERS
 
+    def list_hosts(self) -> list[str]:
+        """List the IP numbers of all peers, live or not."""
+        return [peer.address.host for peer in self._peers.values()]
+
     def list_remote_hosts(self) -> dict[str, list[str]]:
         """List the IP numbers of the instances of other zones, by zone."""
         _, remote = self.part()
--- a/src/kelproad/coordination/ingress/membership/queries.py
+++ b/src/kelproad/coordination/ingress/membership/queries.py
@@ -23,11 +23,16 @@
 __all__ = [
     'Reply',
     'PeerQueries',
+    'PromptNotice',
     'Query',
+    'ReportedEnd',
     'StartQuery',
     'StartReply',
     'TablesReply',
     'TablesQuery',
+    'TrialEnd',
+    'TrialQuery',
+    'TrialReply',
     'WorkReply',
     'WorkQuery',
 ]
@@ -98,8 +103,79 @@
     limit: ReportedLimit
 
 
-Query = TablesQuery | WorkQuery | StartQuery
-Reply = TablesReply | WorkReply | StartReply
+class ReportedEnd(msgspec.Struct, array_like=True):
+    """A call whose engine ended, with the fields of ``EndedCall``.
+
+    Times are in seconds before the report.
+    """
+
+    service: str
+    engine: str
+    parts: list[str]
+    workspaces: list[str]
+    sent_age: float
+    ended_age: float
+    confirmed: bool
+
+
+class PromptNotice(msgspec.Struct, array_like=True, tag=6):
+    """What the sender observed of parts of prompts; needs no reply.
+
+    ``harmless`` has the seconds since an answer that shows it, by service and
+    part.  ``alive`` names the engines, by service and life, that were reported
+    to have ended and have not.
+    """
+
+    token: int
+    host: str
+    zone: str
+    ends: list[ReportedEnd] = []
+    harmless: list[tuple[str, str, float]] = []
+    alive: list[tuple[str, str]] = []
+
+
+class TrialQuery(msgspec.Struct, array_like=True, tag=7):
+    """Query whether a call may try parts that are suspect at an engine.
+
+    ``relayed`` queries are not relayed again.
+    """
+
+    token: int
+    host: str
+    zone: str
+    service: str
+    parts: list[str]
+    engine: str
+    relayed: bool = False
+
+
+class TrialReply(msgspec.Struct, array_like=True, tag=8):
+    """Whether the call may be sent: no other one tries any of the parts.
+
+    ``engines`` are those at which others try parts; an engine that ends there
+    should accuse only one of them.
+    """
+
+    token: int
+    granted: bool
+    engines: list[str]
+
+
+class TrialEnd(msgspec.Struct, array_like=True, tag=9):
+    """Notice that a trial is over; needs no reply."""
+
+    token: int
+    host: str
+    zone: str
+    service: str
+    parts: list[str]
+    relayed: bool = False
+
+
+Query = (
+    TablesQuery | WorkQuery | StartQuery | PromptNotice | TrialQuery | TrialEnd
+)
+Reply = TablesReply | WorkReply | StartReply | TrialReply
 Message = Query | Reply
 
 _encode = msgspec.msgpack.Encoder().encode
--- a/src/kelproad/coordination/ingress/membership/rostering.py
+++ b/src/kelproad/coordination/ingress/membership/rostering.py
@@ -63,13 +63,18 @@
         settings: NodeSettings,
         store: RosterStore,
         exchange: WorkExchange,
+        adopt_other: Callable[[StoredRow], bool],
         generator: random.Random,
     ) -> None:
-        """Add discovered instances to the peers of an exchange."""
+        """Add discovered instances to the peers of an exchange.
+
+        ``adopt_other`` adopts rows of the table that are no instances.
+        """
         super().__init__()
         self._settings = settings
         self._store = store
         self._exchange = exchange
+        self._adopt_other = adopt_other
         self._generator = generator
         #: IP numbers of the instances that have rows.
         self._hosts: frozenset[str] = frozenset()
@@ -124,7 +129,9 @@
                 'cannot read the rows of instances: %s', found.failure().message
             )
             return False
-        rows = found.unwrap().rows
+        rows = [
+            row for row in found.unwrap().rows if not self._adopt_other(row)
+        ]
         added = [self._add(row) for row in rows]
         self._hosts = frozenset(host for host in added if host)
         self._exchange.peers.drop_unlisted(
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -117,6 +117,7 @@
             self._settings,
             store.roster,
             self._exchange,
+            self._peering.prompts.rows.adopt,
             self._generator,
         )
         self._tunnels = self._create_tunnel_server(roster)
@@ -220,7 +221,7 @@
         )
         return CallPipeline.from_state(
             shared,
-            self._exchange,
+            self._peering,
             self._sessions.open_single_use(self._connector.connect),
         )
 
@@ -297,4 +298,5 @@
             'tunnels': self._tunnels.unfinished,
             'direct_paths': self._peering.paths.describe(now),
             'request_limits': self._peering.gate.describe(),
+            'suspect_parts': self._pipeline.guard.describe(),
         }
--- a/src/kelproad/coordination/ingress/placing/eligibility.py
+++ b/src/kelproad/coordination/ingress/placing/eligibility.py
@@ -9,6 +9,7 @@
 from .placement import Candidate, NoPlacementError
 
 __all__ = [
+    'exclude_avoided',
     'exclude_limited',
     'is_eligible',
     'is_healthy',
@@ -50,6 +51,18 @@
     ]
 
 
+def exclude_avoided(endpoints: list[Endpoint], call: Call) -> list[Endpoint]:
+    """Exclude endpoints that a call should avoid, unless it has no others."""
+    if not call.avoided_endpoints:
+        return endpoints
+    others = [
+        endpoint
+        for endpoint in endpoints
+        if endpoint.name not in call.avoided_endpoints
+    ]
+    return others or endpoints
+
+
 def exclude_limited(
     candidates: list[Candidate],
     call: Call,
--- a/src/kelproad/coordination/ingress/placing/filtering.py
+++ b/src/kelproad/coordination/ingress/placing/filtering.py
@@ -11,7 +11,7 @@
 from ..membership.reachability import ZoneReachability
 from ..streams.progress import Progress
 from .connectable import add_trials, refuse_unreachable, select_connectable
-from .eligibility import is_healthy, list_untried
+from .eligibility import exclude_avoided, is_healthy, list_untried
 
 __all__ = ['EndpointFilter']
 
@@ -43,7 +43,7 @@
         NoPlacementError
             When nobody could connect to any.
         """
-        untried = list_untried(endpoints, progress, now)
+        untried = exclude_avoided(list_untried(endpoints, progress, now), call)
         unreachable = self._paths.unreachable
         usable = select_connectable(untried, unreachable, now)
         if may_try and len(usable) < len(untried):
--- a/src/kelproad/coordination/ingress/placing/memory.py
+++ b/src/kelproad/coordination/ingress/placing/memory.py
@@ -47,11 +47,15 @@
     read_slowdown
         Query an engine by address for the factor by which it takes longer than
         published; an engine that is alive answers within 0.3 s.
+    read_incarnation
+        Query an engine by address for its incarnation, empty when its report
+        doesn't state it.
     """
 
     reserve: Callable[[str, str, int, float], Awaitable[Result[None, str]]]
     release: Callable[[str, str], Awaitable[Result[None, str]]]
     read_slowdown: Callable[[str], Awaitable[Result[float, str]]]
+    read_incarnation: Callable[[str], Awaitable[Result[str, str]]]
 
 
 @attrs.frozen
--- a/src/kelproad/coordination/ingress/placing/placement.py
+++ b/src/kelproad/coordination/ingress/placing/placement.py
@@ -7,6 +7,7 @@
 import attrs
 
 from ....state.endpoints import Endpoint
+from ....state.refusals import RefusalCode
 from ....state.work import EndpointWork
 
 __all__ = [
@@ -155,6 +156,8 @@
         Seconds after which the caller is to come back, where known.
     waits
         Seconds until the next starts at endpoints whose limits were the reason.
+    code
+        Code of the refusal.
     """
 
     def __init__(
@@ -163,6 +166,7 @@
         worth_waiting: bool,
         retry_after: float | None = None,
         waits: Mapping[str, float] = _NO_WAITS,
+        code: RefusalCode = RefusalCode.NO_CAPACITY,
     ) -> None:
         """Give the reason for the refusal and the log."""
         super().__init__(reason)
@@ -170,3 +174,4 @@
         self.worth_waiting = worth_waiting
         self.retry_after = retry_after
         self.waits = waits
+        self.code = code
--- /dev/null
+++ b/src/kelproad/coordination/ingress/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash engines: evidence, trials one at a time, quarantine."""
--- /dev/null
+++ b/src/kelproad/coordination/ingress/quarantine/ends.py
@@ -0,0 +1,155 @@
+"""Ends of engines, as the attempts that they break off show them.
+
+An attempt breaks off when its engine ends, and also when the engine breaks off
+one answer, or the connection is lost.  The engine's report decides: a new
+incarnation, or that nobody connects to it, shows an end.
+"""
+
+import asyncio
+import enum
+import logging
+
+import attrs
+from returns.result import Failure
+
+from ....state.calls import Call
+from ....state.counters import QuarantineMetrics
+from ....state.directpaths import DirectPaths
+from ....state.endpoints import Endpoint
+from ....state.endpointtable import EndpointTable
+from ....state.quarantine import EndedCall, PartQuarantine
+from ....state.records import record
+from ....state.refusals import Ran
+from ....transport.deadlines import monotonic
+from ..placing.memory import EngineOperations
+from ..streams.answers import AttemptFailure
+from .notices import PromptNotices, record_quarantined
+from .rows import QuarantineRows
+
+__all__ = ['EndObserver', 'may_have_ended']
+
+_logger = logging.getLogger(__name__)
+#: Queries to an engine that may have ended, and seconds between two.
+_MAX_QUERIES = 3
+_QUERY_PERIOD = 0.2
+
+
+class _State(enum.StrEnum):
+    """What the report of an engine, or its absence, shows."""
+
+    ALIVE = 'alive'
+    ENDED = 'ended'
+    UNKNOWN = 'unknown'
+
+
+def may_have_ended(failure: AttemptFailure) -> bool:
+    """Return whether the end of the engine explains a failure."""
+    return (
+        failure.arrived
+        and failure.ran is not Ran.NO
+        and failure.answer is None
+        and not failure.blameless
+    )
+
+
+@attrs.define
+class EndObserver:
+    """Finds out whether the engines of failed attempts have ended."""
+
+    _quarantine: PartQuarantine
+    _notices: PromptNotices
+    _rows: QuarantineRows
+    _operations: EngineOperations
+    _table: EndpointTable
+    _paths: DirectPaths
+    _metrics: QuarantineMetrics
+    #: Checks in progress, by the life of the engine.
+    _checks: dict[str, asyncio.Task[_State]] = attrs.field(factory=dict)
+
+    async def observe(
+        self, call: Call, endpoint: Endpoint, sent_at: float
+    ) -> None:
+        """Record a failed attempt, and find out whether its engine ended.
+
+        Until that is known its unproven parts are suspect.
+        """
+        now = monotonic()
+        parts = self._quarantine.select_unproven(
+            call.service, call.head.shared_parts, now
+        )
+        ended = EndedCall(
+            call.service,
+            _name_life(endpoint),
+            parts,
+            frozenset((call.workspace_name,)),
+            sent_at,
+            now,
+        )
+        self._quarantine.record_end(ended, now)
+        if not parts:
+            return
+        self._notices.announce_end(ended)
+        state = await self._check_once(endpoint)
+        record(
+            _logger,
+            'engine_end_checked',
+            request=call.request_id,
+            endpoint=endpoint.name,
+            incarnation=endpoint.declaration.incarnation,
+            state=state.value,
+            parts=sorted(parts),
+        )
+        self._metrics.engine_ends.inc({'state': state.value})
+        if state is _State.ALIVE:
+            self._quarantine.withdraw(ended.service, ended.engine)
+            self._notices.announce_alive(ended.service, ended.engine)
+        elif state is _State.ENDED:
+            self._confirm(attrs.evolve(ended, confirmed=True))
+
+    def _confirm(self, ended: EndedCall) -> None:
+        quarantined = self._quarantine.record_end(ended, monotonic())
+        record_quarantined(ended, quarantined)
+        self._notices.announce_end(ended)
+        self._rows.keep(ended.service, ended.parts)
+
+    async def _check_once(self, endpoint: Endpoint) -> _State:
+        """Check an engine, once for all of its attempts."""
+        life = _name_life(endpoint)
+        check = self._checks.get(life)
+        if check is None:
+            check = asyncio.create_task(self._check(endpoint))
+            self._checks[life] = check
+            check.add_done_callback(lambda _: self._checks.pop(life, None))
+        return await asyncio.shield(check)
+
+    async def _check(self, endpoint: Endpoint) -> _State:
+        for query in range(_MAX_QUERIES):
+            if query:
+                await asyncio.sleep(_QUERY_PERIOD)
+            state = await self._check_now(endpoint)
+            if state is not _State.UNKNOWN:
+                return state
+        now = monotonic()
+        if self._paths.in_outage or self._paths.is_mute(now):
+            return _State.UNKNOWN
+        return _State.ENDED
+
+    async def _check_now(self, endpoint: Endpoint) -> _State:
+        declaration = endpoint.declaration
+        answered = await self._operations.read_incarnation(declaration.address)
+        if not isinstance(answered, Failure):
+            incarnation = answered.unwrap()
+            is_other = incarnation not in {'', declaration.incarnation}
+            return _State.ENDED if is_other else _State.ALIVE
+        if self._table.get(endpoint.name) is not endpoint:
+            return _State.ENDED
+        unreachable = self._paths.unreachable
+        is_down = unreachable.includes(declaration.address, monotonic())
+        if is_down and not self._paths.in_outage:
+            return _State.ENDED
+        return _State.UNKNOWN
+
+
+def _name_life(endpoint: Endpoint) -> str:
+    """Name one life of an engine."""
+    return f'{endpoint.name} {endpoint.declaration.incarnation}'
--- /dev/null
+++ b/src/kelproad/coordination/ingress/quarantine/guard.py
@@ -0,0 +1,238 @@
+"""Guard of engines against requests that crash them."""
+
+import asyncio
+import logging
+import math
+import random
+from collections.abc import Mapping
+
+import attrs
+
+from ....state.calls import Call
+from ....state.counters import QuarantineMetrics
+from ....state.endpoints import Endpoint
+from ....state.quarantine import (
+    Judgement,
+    PartQuarantine,
+    PartState,
+    Suspicion,
+)
+from ....state.records import record
+from ....state.refusals import RefusalCode
+from ....transport.deadlines import monotonic
+from ..placing.placement import NoPlacementError
+from ..streams.answers import AttemptFailure
+from .ends import EndObserver, may_have_ended
+from .notices import PromptNotices
+from .rows import QuarantineRows
+from .trials import TrialCoordinator
+
+__all__ = ['PromptGuard']
+
+_logger = logging.getLogger(__name__)
+#: Seconds between two requests of a call for a trial.
+_TRIAL_PERIOD = 0.04
+#: Seconds that a call waits for a trial at least, and the share of its time
+#: that it waits at most.
+_MIN_WAIT = 1.0
+_MAX_WAIT_SHARE = 0.3
+#: Bounds of the seconds after which a call that waited in vain comes back; at
+#: random, so that those refused together don't return together.
+_RETURNS = (0.5, 1.5)
+#: Bounds of the seconds after which one with a quarantined part does, and the
+#: share that is added at random.
+_MIN_RETURN = 5.0
+_MAX_RETURN = 600.0
+_RETURN_SPREAD = 0.5
+
+
+@attrs.define
+class PromptGuard:
+    """Lets calls with suspect parts pass one at a time, or not at all."""
+
+    _quarantine: PartQuarantine
+    _trials: TrialCoordinator
+    _observer: EndObserver
+    _notices: PromptNotices
+    _rows: QuarantineRows
+    _metrics: QuarantineMetrics
+    _generator: random.Random
+    #: Checks of engines whose calls are not retried.
+    _background: set[asyncio.Task[None]] = attrs.field(factory=set)
+
+    def check(self, call: Call) -> Judgement:
+        """Judge a call before it is sent.
+
+        Raises
+        ------
+        NoPlacementError
+            When it has a quarantined part.
+        """
+        judgement = self._quarantine.judge(
+            call.service,
+            call.head.shared_parts,
+            call.workspace_name,
+            monotonic(),
+        )
+        if judgement.state is PartState.QUARANTINED:
+            raise self._refuse_quarantined(call, judgement)
+        return judgement
+
+    async def admit(self, call: Call, endpoint: Endpoint) -> None:
+        """Let a call pass to an endpoint, alone with its suspect parts.
+
+        Raises
+        ------
+        NoPlacementError
+            When it has a quarantined part, or another call tries one of its
+            suspect parts.
+        """
+        judgement = self.check(call)
+        if judgement.state is PartState.HARMLESS:
+            return
+        permission = await self._trials.request(
+            call.service, judgement.parts, endpoint.name
+        )
+        call.avoided_endpoints = permission.engines
+        if permission.granted:
+            call.trial = judgement.parts
+            self._check_trial(call)
+            return
+        await asyncio.sleep(_TRIAL_PERIOD)
+        raise self._refuse_waiting(call)
+
+    def release(self, call: Call) -> None:
+        """End the trial of a call, if it is one."""
+        if call.trial:
+            self._trials.finish(call.service, call.trial)
+            call.trial = ()
+
+    def record_outlived(self, call: Call, resumed: bool) -> None:
+        """Record that an engine outlived an answer to a call, or most of it.
+
+        An answer that was resumed may have passed the point at which an engine
+        crashes, and shows nothing.
+        """
+        if not resumed:
+            cleared = self._quarantine.record_harmless(
+                call.service, call.head.shared_parts, monotonic()
+            )
+            if cleared:
+                self._announce_cleared(call, cleared)
+        self.release(call)
+
+    async def record_failure(
+        self,
+        call: Call,
+        endpoint: Endpoint,
+        failure: AttemptFailure,
+        sent_at: float,
+    ) -> None:
+        """Record a failed attempt, and find out whether its engine has ended.
+
+        A call that may be sent again waits for that, which takes milliseconds
+        if the engine has ended, and no time if no part is suspect.
+        """
+        if not may_have_ended(failure):
+            self.release(call)
+            return
+        observing = asyncio.create_task(self._observe(call, endpoint, sent_at))
+        self._background.add(observing)
+        observing.add_done_callback(self._background.discard)
+        if call.kind.repeatable:
+            await asyncio.shield(observing)
+
+    def describe(self) -> list[dict[str, object]]:
+        """Describe the suspect and quarantined parts for operators."""
+        now = monotonic()
+        return [
+            {
+                'service': service,
+                'part': part,
+                'trials': suspicion.trials,
+                'quarantined': bool(suspicion.quarantined_after),
+                'engines': list(suspicion.ends),
+                'retrial_in': _describe_seconds(suspicion.retrial_at - now),
+            }
+            for (
+                service,
+                part,
+            ), suspicion in self._quarantine.list_suspicions().items()
+        ]
+
+    async def _observe(
+        self, call: Call, endpoint: Endpoint, sent_at: float
+    ) -> None:
+        try:
+            await self._observer.observe(call, endpoint, sent_at)
+        finally:
+            self.release(call)
+
+    def _check_trial(self, call: Call) -> None:
+        """Judge a call again, as more may be known than when it asked."""
+        try:
+            self.check(call)
+        except NoPlacementError:
+            self.release(call)
+            raise
+
+    def _announce_cleared(
+        self, call: Call, cleared: Mapping[str, Suspicion]
+    ) -> None:
+        self._notices.announce_harmless(call.service, cleared)
+        for part, suspicion in cleared.items():
+            record(
+                _logger,
+                'part_cleared',
+                request=call.request_id,
+                service=call.service,
+                part=part,
+                trials=suspicion.trials,
+            )
+            if suspicion.quarantined_after:
+                self._rows.keep_cleared(call.service, part)
+
+    def _refuse_waiting(self, call: Call) -> NoPlacementError:
+        """Build the refusal of a call while another one tries its parts."""
+        now = monotonic()
+        if call.trial_wanted_at is None:
+            call.trial_wanted_at = now
+        longest = min(
+            max(_MIN_WAIT, call.route.objective),
+            call.remaining(now) * _MAX_WAIT_SHARE,
+        )
+        return NoPlacementError(
+            'another call tries a suspect part of the prompt',
+            worth_waiting=now - call.trial_wanted_at < longest,
+            retry_after=self._generator.uniform(*_RETURNS),
+        )
+
+    def _refuse_quarantined(
+        self, call: Call, judgement: Judgement
+    ) -> NoPlacementError:
+        """Build the refusal of a call that would crash its engine."""
+        part = judgement.parts[0]
+        self._metrics.refused.inc({'service': call.service})
+        suspicion = self._quarantine.get(call.service, part)
+        record(
+            _logger,
+            'refused_for_part',
+            request=call.request_id,
+            service=call.service,
+            part=part,
+            trials=suspicion.trials,
+            engines=list(suspicion.ends),
+        )
+        seconds = min(max(judgement.retrial_in, _MIN_RETURN), _MAX_RETURN)
+        spread = self._generator.uniform(1, 1 + _RETURN_SPREAD)
+        return NoPlacementError(
+            f'engines crash on part {part} of the prompt',
+            worth_waiting=False,
+            retry_after=seconds * spread,
+            code=RefusalCode.QUARANTINED,
+        )
+
+
+def _describe_seconds(seconds: float) -> float | None:
+    """Round seconds for operators; ``None`` for never."""
+    return round(seconds, 1) if math.isfinite(seconds) else None
--- /dev/null
+++ b/src/kelproad/coordination/ingress/quarantine/notices.py
@@ -0,0 +1,174 @@
+"""What instances tell each other of parts of prompts.
+
+Notices are sent to all instances at once when an engine has ended, and nothing
+is sent while none ends.
+"""
+
+import asyncio
+import functools
+import logging
+from collections.abc import Iterable
+
+from mode import Service
+
+from ....state.quarantine import EndedCall, PartQuarantine
+from ....state.records import record
+from ....transport.deadlines import monotonic
+from ....transport.services import BackgroundService
+from ..membership.peers import PeerRegister
+from ..membership.queries import PeerQueries, PromptNotice, ReportedEnd
+
+__all__ = ['PromptNotices', 'pack_end', 'unpack_end']
+
+_logger = logging.getLogger(__name__)
+#: Seconds between two repetitions of the own observations, as datagrams get
+#: lost, and for how long they are repeated.
+_REPEAT_PERIOD = 0.5
+_REPEAT_SECONDS = 5.0
+#: Most own observations that are repeated, and most ends in one datagram.
+_MAX_REPEATED = 64
+_MAX_ENDS = 8
+
+
+class PromptNotices(BackgroundService):
+    """Sends own observations to the other instances, and takes theirs."""
+
+    abstract = False
+
+    def __init__(
+        self,
+        quarantine: PartQuarantine,
+        queries: PeerQueries,
+        peers: PeerRegister,
+    ) -> None:
+        """Report to all peers, and record what they report."""
+        super().__init__()
+        self._quarantine = quarantine
+        self._queries = queries
+        self._peers = peers
+        self._own_ends: list[EndedCall] = []
+
+    def announce_end(self, ended: EndedCall) -> None:
+        """Tell all instances of a call whose engine ended here."""
+        self._own_ends = [*self._own_ends, ended][-_MAX_REPEATED:]
+        self._announce([ended])
+
+    def announce_alive(self, service: str, engine: str) -> None:
+        """Tell all instances that an engine has not ended."""
+        self._own_ends = [
+            ended for ended in self._own_ends if ended.engine != engine
+        ]
+        self._send_to_all(
+            functools.partial(PromptNotice, alive=[(service, engine)])
+        )
+
+    def announce_harmless(self, service: str, parts: Iterable[str]) -> None:
+        """Tell all instances that an engine outlived an answer on parts."""
+        harmless = [(service, part, float(0)) for part in parts]
+        self._send_to_all(functools.partial(PromptNotice, harmless=harmless))
+
+    def accept(self, notice: PromptNotice) -> None:
+        """Record what another instance observed."""
+        now = monotonic()
+        for service, part, age in notice.harmless:
+            self._quarantine.record_harmless(service, [part], now - age)
+        for service, engine in notice.alive:
+            self._quarantine.withdraw(service, engine)
+        harmless = [
+            known
+            for reported in notice.ends
+            for known in self._accept_end(reported, now)
+        ]
+        if harmless and notice.host:
+            reply = functools.partial(PromptNotice, harmless=harmless)
+            self._queries.announce(reply, notice.host)
+
+    def greet(self, host: str) -> None:
+        """Tell an instance that is heard anew all that is known here."""
+        now = monotonic()
+        ends = [
+            pack_end(ended, now)
+            for ended in self._quarantine.list_ends()
+            if ended.confirmed
+        ]
+        for start in range(0, len(ends), _MAX_ENDS):
+            notice = functools.partial(
+                PromptNotice, ends=ends[start : start + _MAX_ENDS]
+            )
+            self._queries.announce(notice, host)
+
+    def _accept_end(
+        self, reported: ReportedEnd, now: float
+    ) -> list[tuple[str, str, float]]:
+        """Record a reported end; return the parts that are harmless here."""
+        ended = unpack_end(reported, now)
+        record_quarantined(ended, self._quarantine.record_end(ended, now))
+        unproven = self._quarantine.select_unproven(
+            ended.service, ended.parts, ended.ended_at
+        )
+        return [
+            (
+                ended.service,
+                part,
+                now - self._quarantine.find_harmless_at(ended.service, part),
+            )
+            for part in sorted(ended.parts - unproven)
+        ]
+
+    @Service.task
+    async def _repeat(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(_REPEAT_PERIOD)
+            oldest = monotonic() - _REPEAT_SECONDS
+            self._own_ends = [
+                ended for ended in self._own_ends if ended.ended_at > oldest
+            ]
+            for start in range(0, len(self._own_ends), _MAX_ENDS):
+                self._announce(self._own_ends[start : start + _MAX_ENDS])
+
+    def _announce(self, ends: Iterable[EndedCall]) -> None:
+        now = monotonic()
+        packed = [pack_end(ended, now) for ended in ends]
+        self._send_to_all(functools.partial(PromptNotice, ends=packed))
+
+    def _send_to_all(self, notice: functools.partial[PromptNotice]) -> None:
+        for host in self._peers.list_hosts():
+            self._queries.announce(notice, host)
+
+
+def record_quarantined(ended: EndedCall, parts: Iterable[str]) -> None:
+    """Log the parts that an end quarantined."""
+    for part in parts:
+        record(
+            _logger,
+            'part_quarantined',
+            service=ended.service,
+            part=part,
+            engine=ended.engine,
+        )
+
+
+def pack_end(ended: EndedCall, now: float) -> ReportedEnd:
+    """Convert an end to its form in datagrams and rows, with ages."""
+    return ReportedEnd(
+        ended.service,
+        ended.engine,
+        sorted(ended.parts),
+        sorted(ended.workspaces),
+        round(now - ended.sent_at, 4),
+        round(now - ended.ended_at, 4),
+        ended.confirmed,
+    )
+
+
+def unpack_end(reported: ReportedEnd, now: float) -> EndedCall:
+    """Convert an end from its form in datagrams and rows."""
+    return EndedCall(
+        reported.service,
+        reported.engine,
+        frozenset(reported.parts),
+        frozenset(reported.workspaces),
+        now - reported.sent_age,
+        now - reported.ended_age,
+        reported.confirmed,
+    )
--- a/src/kelproad/coordination/ingress/retrying/dispatching.py
+++ b/src/kelproad/coordination/ingress/retrying/dispatching.py
@@ -16,7 +16,7 @@
 from ....state.calls import Call, CallEnd
 from ....state.counters import Counters
 from ....state.records import record
-from ....state.refusals import Refusal, RefusalCode, Step
+from ....state.refusals import Refusal, Step
 from ....state.work import WorkLedger
 from ....transport.deadlines import monotonic
 from ...drain import StopEndedError
@@ -25,6 +25,7 @@
 from ..limiting.waits import choose_longest_wait
 from ..placing.choosing import Chooser
 from ..placing.placement import NoPlacementError, Placement
+from ..quarantine.guard import PromptGuard
 from ..streams.accounting import AttemptAccount
 from ..streams.answers import AttemptFailure
 from ..streams.delivery import StreamDelivery
@@ -54,6 +55,7 @@
         ledger: WorkLedger,
         stop_guard: StopGuard,
         gate: StartGate,
+        guard: PromptGuard,
         counters: Counters,
     ) -> None:
         """Combine the choice, the sending and the evaluation of attempts."""
@@ -64,6 +66,7 @@
         self._ledger = ledger
         self._stop_guard = stop_guard
         self._gate = gate
+        self._guard = guard
         self._counters = counters
 
     async def answer(
@@ -133,18 +136,39 @@
         """Choose endpoints, waiting for free ones while there is time."""
         while delivery.begun or self._stop_guard.may_begin_answer(call):
             try:
-                placement = await self._chooser.choose(call, progress)
-                await self._await_start(call, placement, delivery)
+                return Success(await self._place_now(call, progress, delivery))
             except NoPlacementError as error:
                 late = call.remaining(monotonic()) < ANSWER_MARGIN
                 if late or not error.worth_waiting:
                     record_limits(call, error)
                     return Failure(_refuse_unplaced(error))
-            else:
-                return Success(placement)
             await asyncio.sleep(_PLACEMENT_PERIOD)
         return Failure(refuse_stopping())
 
+    async def _place_now(
+        self,
+        call: Call,
+        progress: Progress,
+        delivery: StreamDelivery,
+    ) -> Placement:
+        """Choose endpoints, and get what the call needs to be sent there.
+
+        Raises
+        ------
+        NoPlacementError
+            When it can't be sent now.
+        """
+        self._guard.check(call)
+        placement = await self._chooser.choose(call, progress)
+        await self._guard.admit(call, placement.primary)
+        try:
+            await self._await_start(call, placement, delivery)
+            self._guard.check(call)
+        except BaseException:
+            self._guard.release(call)
+            raise
+        return placement
+
     async def _await_start(
         self,
         call: Call,
@@ -188,6 +212,7 @@
         call.attempts += 1
         record_placement(call, placement, self._gate.find_rate(endpoint))
         endpoint.own_requests += 1
+        sent_at = monotonic()
         try:
             with AttemptAccount(self._ledger, call, placement) as account:
                 outcome = await self._sender.send(
@@ -197,10 +222,17 @@
                     received,
                     account,
                 )
+        except BaseException:
+            self._guard.release(call)
+            raise
         finally:
             endpoint.own_requests -= 1
         failure = outcome.failure() if isinstance(outcome, Failure) else None
         self._evaluator.note(call, placement, failure)
+        if failure is None:
+            self._guard.release(call)
+        else:
+            await self._guard.record_failure(call, endpoint, failure, sent_at)
         return outcome
 
 
@@ -250,7 +282,7 @@
 
 def _refuse_unplaced(error: NoPlacementError) -> Refusal:
     return Refusal(
-        RefusalCode.NO_CAPACITY,
+        error.code,
         error.reason,
         Step.ROUTE,
         retry_after=error.retry_after,
--- a/src/kelproad/coordination/ingress/streams/sending.py
+++ b/src/kelproad/coordination/ingress/streams/sending.py
@@ -20,6 +20,7 @@
 from .answers import AttemptFailure, OpenAnswer, collect
 from .attempts import EndpointClient
 from .delivery import StreamDelivery
+from .endurance import Endurance
 from .opening import await_head
 from .silence import SilenceMonitor
 from .timeouts import choose_fault_threshold
@@ -62,7 +63,7 @@
         return Forwarding(
             endpoint=self.placement.primary.name,
             time_left=call.remaining(monotonic()),
-            workspace=call.workspace.name if call.workspace else '',
+            workspace=call.workspace_name,
             helpers=tuple(
                 (helper.declaration.address, tickets.get(helper.name, ''))
                 for helper in self.placement.helpers
@@ -80,14 +81,18 @@
         client: EndpointClient,
         reserver: MemoryReserver,
         silence_monitor: SilenceMonitor,
+        record_outlived: Callable[[Call, bool], None],
     ) -> None:
         """Send with a client, and reserve memory where a placement needs it.
 
-        ``silence_monitor`` decides how long an attempt may bring nothing.
+        ``silence_monitor`` decides how long an attempt may bring nothing;
+        ``record_outlived`` gets each call whose answer goes on or ends, and
+        whether it was resumed.
         """
         self._client = client
         self._reserver = reserver
         self._silence_monitor = silence_monitor
+        self._record_outlived = record_outlived
 
     async def send(
         self,
@@ -177,8 +182,17 @@
                 is_stalled = self._silence_monitor.build_stall_check(
                     call, attempt.placement
                 )
-                return await _forward_stream(attempt, answer, is_stalled)
+                endurance = Endurance(
+                    call,
+                    attempt.delivery.cutter.last_number is not None,
+                    self._record_outlived,
+                )
+                return await _forward_stream(
+                    attempt, answer, is_stalled, endurance
+                )
             collected = await collect(answer, call.deadline)
+            if not isinstance(collected, Failure):
+                self._record_outlived(call, False)
             return collected.map(lambda whole: whole.build_response())
         finally:
             answer.close()
@@ -217,6 +231,7 @@
     attempt: _Attempt,
     answer: OpenAnswer,
     is_stalled: Callable[[float], bool] | None,
+    endurance: Endurance,
 ) -> _SendResult:
     """Forward a stream event by event until it ends."""
     call, delivery = attempt.call, attempt.delivery
@@ -224,9 +239,13 @@
     try:
         async with asyncio.timeout(call.remaining(monotonic())):
             async for chunk in answer.read_chunks(is_stalled):
-                if await delivery.relay(answer, chunk):
+                events = await delivery.relay(answer, chunk)
+                if events:
                     attempt.account.end_prefill()
-            return Success(await delivery.finish(answer))
+                    endurance.count(events)
+            response = await delivery.finish(answer)
+            endurance.finish()
+            return Success(response)
     except asyncio.TimeoutError:
         late = call.remaining(monotonic()) <= 0
         return Failure(
--- a/src/kelproad/platform/engines.py
+++ b/src/kelproad/platform/engines.py
@@ -47,6 +47,8 @@
     """
 
     pace: float = 1
+    #: Unix millisecond of the engine's start, 0 when not stated.
+    born: int = 0
 
 
 _decode_report = msgspec.json.Decoder(_Report).decode
@@ -79,13 +81,25 @@
         It is 1 when the report doesn't state it; an engine that doesn't
         answer is a failure.
         """
+        report = await self._read_report(address)
+        return report.map(lambda read: read.pace)
+
+    async def read_incarnation(self, address: str) -> Result[str, str]:
+        """Read the incarnation of an engine, as its entry would have it.
+
+        It is empty when the report doesn't state it.
+        """
+        report = await self._read_report(address)
+        return report.map(lambda read: str(read.born) if read.born else '')
+
+    async def _read_report(self, address: str) -> Result[_Report, str]:
         answered = await exchange(
             self._session,
             'GET',
             f'http://{address}/-/report',
             _ORDER_TIMEOUT,
         )
-        return answered.alt(lambda failure: failure.reason).map(_read_report)
+        return answered.alt(lambda failure: failure.reason).map(_decode_reply)
 
     async def _send_order(
         self,
@@ -103,13 +117,13 @@
         return answered.alt(lambda failure: failure.reason).bind(_check_reply)
 
 
-def _read_report(reply: Reply) -> float:
-    """Read the pace; an unreadable report still shows a live engine."""
+def _decode_reply(reply: Reply) -> _Report:
+    """Decode a report; an unreadable one still shows a live engine."""
     try:
-        return _decode_report(reply.body).pace
+        return _decode_report(reply.body)
     except msgspec.DecodeError as error:
         record(_logger, 'engine_report_unreadable', reason=str(error))
-        return 1
+        return _Report()
 
 
 def _check_reply(reply: Reply) -> Result[None, str]:
--- a/src/kelproad/platform/node.py
+++ b/src/kelproad/platform/node.py
@@ -45,7 +45,10 @@
 def _create_operations(session: aiohttp.ClientSession) -> EngineOperations:
     client = OrderClient(session)
     return EngineOperations(
-        client.reserve, client.release, client.read_slowdown
+        client.reserve,
+        client.release,
+        client.read_slowdown,
+        client.read_incarnation,
     )
 
 
--- a/src/kelproad/state/calls.py
+++ b/src/kelproad/state/calls.py
@@ -87,6 +87,12 @@
     avoids_direct
         Whether a direct attempt brought no answer, so that the next one is
         sent through another instance if possible.
+    trial
+        Suspect parts of the prompt that it alone may try at present.
+    avoided_endpoints
+        Endpoints that it should not be sent to if there are others.
+    trial_wanted_at
+        Monotonic time from which it has waited to try them.
     """
 
     head: CallHead
@@ -100,6 +106,9 @@
     end: CallEnd = CallEnd.ANSWERED
     via: str = ''
     avoids_direct: bool = False
+    trial: tuple[str, ...] = ()
+    avoided_endpoints: frozenset[str] = frozenset()
+    trial_wanted_at: float | None = None
 
     @property
     def request_id(self) -> str:
@@ -121,6 +130,11 @@
             return self.workspace.priority
         return self.route.priority
 
+    @property
+    def workspace_name(self) -> str:
+        """Name of the caller's workspace, empty for none."""
+        return self.workspace.name if self.workspace else ''
+
     def record_via(self, instance: str) -> None:
         """Record the instance through which the last attempt is sent."""
         self.via = instance
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -5,7 +5,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
-__all__ = ['Counters', 'Latencies', 'LimitMetrics']
+__all__ = ['Counters', 'Latencies', 'LimitMetrics', 'QuarantineMetrics']
 
 #: Upper bounds of the histograms in seconds: the objectives of the sites are
 #: between 0.2 and 3, deadlines 10 and 15.
@@ -48,6 +48,23 @@
         )
 
 
+class QuarantineMetrics:
+    """Metrics of requests that crash engines."""
+
+    def __init__(self, registry: Registry) -> None:
+        """Register the metrics."""
+        self.engine_ends = Counter(
+            'kelproad_engine_ends_total',
+            'Engines checked after attempts broke off, by what was found.',
+            registry=registry,
+        )
+        self.refused = Counter(
+            'kelproad_quarantined_requests_total',
+            'Requests refused for a part on which engines crash.',
+            registry=registry,
+        )
+
+
 class Counters:
     """Every counter and gauge that the process publishes."""
 
--- /dev/null
+++ b/src/kelproad/state/quarantine.py
@@ -0,0 +1,405 @@
+"""Parts of prompts that are suspected to crash engines.
+
+A request may crash each engine that begins to answer it, because of one part of
+its prompt.  The end of an engine alone doesn't show that: an engine crashes by
+itself as well, and all requests on it end together.  So each end makes the
+parts suspect that were being answered there and are not known to be harmless.
+An answer that an engine outlives shows its parts to be harmless.  While a part
+is suspect, one request with it is tried at a time; what several trials in a row
+end with is quarantined.
+"""
+
+import collections
+import enum
+import math
+from collections.abc import Callable, Collection, Iterable, Mapping
+
+import attrs
+
+__all__ = [
+    'EndedCall',
+    'EngineEnd',
+    'Judgement',
+    'PartQuarantine',
+    'PartState',
+    'Suspicion',
+]
+
+#: Seconds before the end of an engine in which an answer elsewhere shows a part
+#: to be harmless.
+_HARMLESS_SECONDS = 5.0
+#: Seconds for which a part stays suspect because of an end that is not
+#: confirmed.
+_UNCONFIRMED_SECONDS = 2.0
+#: Ends in a row that quarantine a part: if only few engines end by themselves,
+#: and at most.
+_MIN_TRIALS = 3
+_MAX_TRIALS = 5
+#: Largest probability that a harmless part has met that many ends by chance.
+_MAX_CHANCE = 1e-3
+#: Seconds in which the other ends are counted that give this probability, and
+#: seconds that a trial takes.
+_BACKGROUND_SECONDS = 10.0
+_TRIAL_SECONDS = 0.5
+#: Seconds after the last end after which a quarantined part is tried again,
+#: once for each.
+_RETRIAL_DELAYS = (30.0, 120.0, 480.0)
+#: Seconds without a request after which a suspicion is forgotten.
+_FORGET_SECONDS = 86_400.0
+#: Seconds by which times that another instance states may be off.
+_TOLERANCE = 0.05
+#: Most harmless and most suspect parts that are remembered, and most ends of
+#: each suspect one.
+_MAX_HARMLESS = 4096
+_MAX_SUSPECTS = 1024
+_MAX_ENDS = 12
+
+_Key = tuple[str, str]
+
+
+class PartState(enum.StrEnum):
+    """What is known of the parts of a prompt."""
+
+    #: Nothing is known against any of them.
+    HARMLESS = 'harmless'
+    SUSPECT = 'suspect'
+    QUARANTINED = 'quarantined'
+
+
+@attrs.frozen
+class EndedCall:
+    """A call whose engine ended while it answered.
+
+    Attributes
+    ----------
+    engine
+        One life of the engine: its name and incarnation.
+    parts
+        Shared parts of the prompt that are not known to be harmless.
+    workspaces
+        Workspace of the caller; empty text for none.
+    sent_at, ended_at
+        Monotonic times at which the call was sent there and broke off.
+    confirmed
+        Whether the engine is known to have ended.
+    """
+
+    service: str
+    engine: str
+    parts: frozenset[str]
+    workspaces: frozenset[str]
+    sent_at: float
+    ended_at: float
+    confirmed: bool = False
+
+
+@attrs.define
+class EngineEnd:
+    """The end of one engine that answered calls with a part."""
+
+    sent_at: float
+    ended_at: float
+    workspaces: frozenset[str]
+    confirmed: bool = False
+    counted: bool = False
+
+
+@attrs.define
+class Suspicion:
+    """The evidence against a part.
+
+    Attributes
+    ----------
+    trials
+        Ends in a row, each of an engine that was sent the part after the one
+        before had ended.
+    quarantined_after
+        Number of trials after which it was quarantined; 0 when it is not.
+    last_end_at
+        Monotonic time of the last of these ends.
+    touched_at
+        Monotonic time of the last call with the part.
+    """
+
+    touched_at: float
+    trials: int = 0
+    quarantined_after: int = 0
+    last_end_at: float = -math.inf
+    ends: dict[str, EngineEnd] = attrs.field(factory=dict)
+
+    @property
+    def retrial_at(self) -> float:
+        """Monotonic time from which a quarantined part may be tried again."""
+        failed = self.trials - self.quarantined_after
+        if failed >= len(_RETRIAL_DELAYS):
+            return math.inf
+        return self.last_end_at + _RETRIAL_DELAYS[failed]
+
+    def add(self, ended: EndedCall) -> None:
+        """Add a call; an end counts once, however many calls it broke off."""
+        end = self.ends.get(ended.engine)
+        if end is None:
+            end = EngineEnd(ended.sent_at, ended.ended_at, ended.workspaces)
+            self.ends[ended.engine] = end
+        end.sent_at = max(end.sent_at, ended.sent_at)
+        end.workspaces |= ended.workspaces
+        end.confirmed = end.confirmed or ended.confirmed
+        follows = end.sent_at >= self.last_end_at - _TOLERANCE
+        if end.confirmed and follows and not end.counted:
+            end.counted = True
+            self.trials += 1
+            self.last_end_at = max(self.last_end_at, end.ended_at)
+        if len(self.ends) > _MAX_ENDS:
+            self.ends.pop(next(iter(self.ends)))
+
+    def list_counted(self) -> dict[str, EngineEnd]:
+        """List the ends in a row that are remembered, by engine."""
+        return {engine: end for engine, end in self.ends.items() if end.counted}
+
+    def is_current(self, now: float) -> bool:
+        """Return whether an end is confirmed, or may still be."""
+        return any(
+            end.confirmed or now - end.ended_at < _UNCONFIRMED_SECONDS
+            for end in self.ends.values()
+        )
+
+
+@attrs.frozen
+class Judgement:
+    """What is known of a prompt.
+
+    Attributes
+    ----------
+    parts
+        The suspect parts; the quarantined one alone if there is one.
+    retrial_in
+        Seconds until a quarantined part may be tried again.
+    """
+
+    state: PartState
+    parts: tuple[str, ...] = ()
+    retrial_in: float = 0
+
+
+_HARMLESS = Judgement(PartState.HARMLESS)
+
+
+class PartQuarantine:
+    """What is known of the parts of prompts, by service and part."""
+
+    def __init__(self, count_engines: Callable[[str], int]) -> None:
+        """Suspect nothing; ``count_engines`` counts those of a service."""
+        self._count_engines = count_engines
+        #: Monotonic times of the last answers, the oldest first.
+        self._harmless: collections.OrderedDict[_Key, float] = (
+            collections.OrderedDict()
+        )
+        self._suspicions: dict[_Key, Suspicion] = {}
+        #: Monotonic times at which engines ended lately, by service and life.
+        self._ends: dict[_Key, float] = {}
+
+    def record_harmless(
+        self, service: str, parts: Iterable[str], at: float
+    ) -> dict[str, Suspicion]:
+        """Record an answer that its engine outlived.
+
+        Returns
+        -------
+        dict of str to Suspicion
+            The parts that were suspect until now, and the evidence.
+        """
+        cleared = {}
+        for part in parts:
+            key = (service, part)
+            self._harmless[key] = max(at, self._harmless.get(key, at))
+            self._harmless.move_to_end(key)
+            suspicion = self._suspicions.pop(key, None)
+            if suspicion is not None:
+                cleared[part] = suspicion
+        while len(self._harmless) > _MAX_HARMLESS:
+            self._harmless.popitem(last=False)
+        return cleared
+
+    def select_unproven(
+        self, service: str, parts: Iterable[str], now: float
+    ) -> frozenset[str]:
+        """Select the parts that no recent answer shows to be harmless."""
+        oldest = now - _HARMLESS_SECONDS
+        return frozenset(
+            part
+            for part in parts
+            if self.find_harmless_at(service, part) < oldest
+        )
+
+    def record_end(self, ended: EndedCall, now: float) -> list[str]:
+        """Record a call whose engine ended; return the parts quarantined."""
+        self._record_engine_end(ended, now)
+        unproven = self.select_unproven(
+            ended.service, ended.parts, ended.ended_at
+        )
+        ended = attrs.evolve(ended, parts=unproven)
+        quarantined = []
+        for part in sorted(unproven):
+            suspicion = self._find_or_add((ended.service, part), now)
+            suspicion.add(ended)
+            if suspicion.quarantined_after:
+                continue
+            if suspicion.trials >= self._choose_trials(ended.service, part):
+                suspicion.quarantined_after = suspicion.trials
+                quarantined.append(part)
+        return quarantined
+
+    def withdraw(self, service: str, engine: str) -> None:
+        """Withdraw an end: the engine is alive."""
+        self._ends.pop((service, engine), None)
+        for key, suspicion in list(self._suspicions.items()):
+            end = suspicion.ends.get(engine)
+            if end is None or end.confirmed:
+                continue
+            suspicion.ends.pop(engine)
+            if not suspicion.ends:
+                self._suspicions.pop(key)
+
+    def judge(
+        self, service: str, parts: Iterable[str], workspace: str, now: float
+    ) -> Judgement:
+        """Judge a prompt by its parts."""
+        if not self._suspicions:
+            return _HARMLESS
+        suspect = {
+            part: suspicion
+            for part in parts
+            if (suspicion := self._find_current((service, part), now))
+        }
+        if not suspect:
+            return _HARMLESS
+        for part, suspicion in suspect.items():
+            suspicion.touched_at = now
+            if self._is_proven(service, part, workspace, suspect):
+                if now < suspicion.retrial_at:
+                    return Judgement(
+                        PartState.QUARANTINED,
+                        (part,),
+                        suspicion.retrial_at - now,
+                    )
+        return Judgement(PartState.SUSPECT, tuple(suspect))
+
+    def get(self, service: str, part: str) -> Suspicion | None:
+        """Return the evidence against a part, if there is any."""
+        return self._suspicions.get((service, part))
+
+    def find_harmless_at(self, service: str, part: str) -> float:
+        """Return the monotonic time of the last answer that shows it."""
+        return self._harmless.get((service, part), -math.inf)
+
+    def list_ends(self) -> list[EndedCall]:
+        """List the evidence, each end of an engine for each of its parts."""
+        return [
+            EndedCall(
+                service,
+                engine,
+                frozenset((part,)),
+                end.workspaces,
+                end.sent_at,
+                end.ended_at,
+                end.confirmed,
+            )
+            for (service, part), suspicion in self._suspicions.items()
+            for engine, end in suspicion.ends.items()
+        ]
+
+    def list_suspicions(self) -> dict[_Key, Suspicion]:
+        """List the evidence by service and part."""
+        return dict(self._suspicions)
+
+    def _is_proven(
+        self,
+        service: str,
+        part: str,
+        workspace: str,
+        present: Mapping[str, Suspicion],
+    ) -> bool:
+        """Return whether a quarantined part is what crashes engines.
+
+        It may have met another one each time, and be proven only for prompts
+        with both until an engine ends without the other.  What one workspace
+        sent alone proves nothing for others.
+        """
+        suspicion = present[part]
+        if not suspicion.quarantined_after:
+            return False
+        counted = suspicion.list_counted()
+        workspaces = frozenset.union(
+            *(end.workspaces for end in counted.values())
+        )
+        if workspaces == {workspace} or len(workspaces) > 1:
+            explained = self._find_explained(service, present, set(counted))
+            return explained != counted.keys()
+        return False
+
+    def _find_explained(
+        self, service: str, present: Collection[str], engines: set[str]
+    ) -> set[str]:
+        """Find the engines that a part which is not present may have crashed.
+
+        It is one in quarantine, or one that was at all of them.
+        """
+        explained: set[str] = set()
+        for (of_service, part), other in self._suspicions.items():
+            if of_service != service or part in present:
+                continue
+            common = engines.intersection(other.ends)
+            if other.quarantined_after or common == engines:
+                explained |= common
+        return explained
+
+    def _record_engine_end(self, ended: EndedCall, now: float) -> None:
+        oldest = now - _BACKGROUND_SECONDS
+        self._ends = {key: at for key, at in self._ends.items() if at > oldest}
+        self._ends.setdefault((ended.service, ended.engine), ended.ended_at)
+
+    def _choose_trials(self, service: str, part: str) -> int:
+        """Choose the ends in a row that quarantine a part.
+
+        The more engines end without the part, the likelier it is that some
+        trials end by chance.
+        """
+        related = self._suspicions[service, part].ends
+        others = sum(
+            of_service == service and engine not in related
+            for of_service, engine in self._ends
+        )
+        engines = max(1, self._count_engines(service))
+        chance = others / engines / _BACKGROUND_SECONDS * _TRIAL_SECONDS
+        trials = _MIN_TRIALS
+        while trials < _MAX_TRIALS and chance ** (trials - 1) > _MAX_CHANCE:
+            trials += 1
+        return trials
+
+    def _find_or_add(self, key: _Key, now: float) -> Suspicion:
+        suspicion = self._suspicions.get(key)
+        if suspicion is None:
+            if len(self._suspicions) >= _MAX_SUSPECTS:
+                self._drop_one(now)
+            suspicion = Suspicion(now)
+            self._suspicions[key] = suspicion
+        return suspicion
+
+    def _find_current(self, key: _Key, now: float) -> Suspicion | None:
+        suspicion = self._suspicions.get(key)
+        if suspicion is None:
+            return None
+        is_forgotten = now - suspicion.touched_at > _FORGET_SECONDS
+        if is_forgotten or not suspicion.is_current(now):
+            self._suspicions.pop(key)
+            return None
+        return suspicion
+
+    def _drop_one(self, now: float) -> None:
+        """Drop the suspicion with the least evidence, the oldest of these."""
+
+        def rank(key: _Key) -> tuple[bool, int, float]:  # noqa: WPS430  closure
+            known = self._suspicions[key]
+            return known.is_current(now), known.trials, known.touched_at
+
+        self._suspicions.pop(min(self._suspicions, key=rank))
--- a/src/kelproad/state/refusals.py
+++ b/src/kelproad/state/refusals.py
@@ -51,6 +51,7 @@
     LIMIT_EXCEEDED = 'limit_exceeded'
     NO_CAPACITY = 'no_capacity'
     NOT_READY = 'not_ready'
+    QUARANTINED = 'quarantined'
     CLAIM_UNRECORDED = 'claim_unrecorded'
     KEY_IN_PROGRESS = 'key_in_progress'
     KEY_REUSED = 'key_reused'
@@ -79,6 +80,7 @@
         RefusalCode.LIMIT_EXCEEDED: 429,
         RefusalCode.NO_CAPACITY: 503,
         RefusalCode.NOT_READY: 503,
+        RefusalCode.QUARANTINED: 503,
         RefusalCode.CLAIM_UNRECORDED: 503,
         RefusalCode.KEY_IN_PROGRESS: 409,
         RefusalCode.KEY_REUSED: 422,
