--- a/testbed/crashes.py
+++ b/testbed/crashes.py
@@ -37,7 +37,6 @@
     path: str
     make_parts: Callable[[int], tuple[str, ...]]
     rate: float
-    poisoned: bool = False
     key: str = KEY
 
 
