Tell trials by their calls; soak: engines crash on a part of some prompts

By reading: a caller that left while its trial was being permitted kept the part for 4 s, and the end of a trial could end that of another call; an instance that was frozen for less than 3 s missed what had been told meanwhile; ends that prove nothing could displace those that do.

--- a/src/kelproad/coordination/ingress/membership/queries.py
+++ b/src/kelproad/coordination/ingress/membership/queries.py
@@ -137,7 +137,7 @@
 class TrialQuery(msgspec.Struct, array_like=True, tag=7):
     """Query whether a call may try parts that are suspect at an engine.
 
-    ``relayed`` queries are not relayed again.
+    ``call`` is its request id; ``relayed`` queries are not relayed again.
     """
 
     token: int
@@ -145,6 +145,7 @@
     zone: str
     service: str
     parts: list[str]
+    call: str
     engine: str
     relayed: bool = False
 
@@ -162,13 +163,14 @@
 
 
 class TrialEnd(msgspec.Struct, array_like=True, tag=9):
-    """Notice that a trial is over; needs no reply."""
+    """Notice that the trial of a call is over; needs no reply."""
 
     token: int
     host: str
     zone: str
     service: str
     parts: list[str]
+    call: str
     relayed: bool = False
 
 
@@ -199,7 +201,7 @@
         super().__init__()
         self._settings = settings
         self._answer = answer
-        self._socket = DatagramSocket(self.receive)
+        self._socket = DatagramSocket(self.receive, self.receive_outdated)
         self._tokens = itertools.count(1)
         #: Replies that are waited for, by the token of their query.
         self._waiting: dict[int, asyncio.Future[Reply]] = {}
@@ -251,20 +253,45 @@
 
     def receive(self, datagram: bytes) -> None:
         """Reply to a query, or resolve the query that a reply belongs to."""
-        try:
-            message = _decode(datagram)
-        except msgspec.DecodeError as error:
-            record(_logger, 'query_unreadable', reason=str(error))
-            return
+        message = _decode_message(datagram)
         if isinstance(message, Query):
             reply = self._answer(message)
             if reply is not None:
                 self._send(reply, message.host)
-            return
-        waiting = self._waiting.get(message.token)
-        if waiting is not None and not waiting.done():
-            waiting.set_result(message)
+        elif message is not None:
+            waiting = self._waiting.get(message.token)
+            if waiting is not None and not waiting.done():
+                waiting.set_result(message)
+
+    def receive_outdated(self, datagram: bytes, waited: float) -> None:
+        """Take a notice that has waited for ``waited`` seconds at most.
+
+        Nobody waits for the reply to a query any more.
+        """
+        message = _decode_message(datagram)
+        if isinstance(message, PromptNotice):
+            add_notice_age(message, waited)
+            self._answer(message)
 
     def _send(self, message: Message, host: str) -> None:
         address = Address(host, self._settings.query_port)
         self._socket.send(_encode(message), address)
+
+
+def _decode_message(datagram: bytes) -> Message | None:
+    """Decode a datagram; ``None`` for one that is unreadable."""
+    try:
+        return _decode(datagram)
+    except msgspec.DecodeError as error:
+        record(_logger, 'query_unreadable', reason=str(error))
+        return None
+
+
+def add_notice_age(notice: PromptNotice, seconds: float) -> None:
+    """Add the seconds that a notice has waited to the ages in it."""
+    for end in notice.ends:
+        end.sent_age += seconds
+        end.ended_age += seconds
+    notice.harmless = [
+        (service, part, age + seconds) for service, part, age in notice.harmless
+    ]
--- a/src/kelproad/coordination/ingress/quarantine/guard.py
+++ b/src/kelproad/coordination/ingress/quarantine/guard.py
@@ -91,7 +91,7 @@
         if judgement.state is PartState.HARMLESS:
             return
         permission = await self._trials.request(
-            call.service, judgement.parts, endpoint.name
+            call, judgement.parts, endpoint.name
         )
         call.avoided_endpoints = permission.engines
         if permission.granted:
@@ -104,7 +104,7 @@
     def release(self, call: Call) -> None:
         """End the trial of a call, if it is one."""
         if call.trial:
-            self._trials.finish(call.service, call.trial)
+            self._trials.finish(call, call.trial)
             call.trial = ()
 
     def record_outlived(self, call: Call, resumed: bool) -> None:
--- a/src/kelproad/state/quarantine.py
+++ b/src/kelproad/state/quarantine.py
@@ -150,7 +150,7 @@
             self.trials += 1
             self.last_end_at = max(self.last_end_at, end.ended_at)
         if len(self.ends) > _MAX_ENDS:
-            self.ends.pop(next(iter(self.ends)))
+            self._drop_oldest_end()
 
     def list_counted(self) -> dict[str, EngineEnd]:
         """List the ends in a row that are remembered, by engine."""
@@ -163,6 +163,13 @@
             for end in self.ends.values()
         )
 
+    def _drop_oldest_end(self) -> None:
+        """Drop an end, one that was not counted if there is one."""
+        uncounted = (
+            engine for engine, end in self.ends.items() if not end.counted
+        )
+        self.ends.pop(next(uncounted, None) or next(iter(self.ends)))
+
 
 @attrs.frozen
 class Judgement:
--- a/testbed/crashes.py
+++ b/testbed/crashes.py
@@ -75,18 +75,11 @@
 
 
 class CrashingSite:
-    """A site with engines that are restarted after they crash.
-
-    Attributes
-    ----------
-    faults
-        Faults that each engine has from its start.
-    """
+    """A site with engines that are restarted after they crash."""
 
     def __init__(self, site: RoutedSite) -> None:
         """Watch the engines of a site; ``start`` begins with that."""
         self.site = site
-        self.faults: dict[str, object] = {}
         self._lives = itertools.count(1)
         self._ids = itertools.count(1)
         self._stopped = threading.Event()
@@ -94,6 +87,8 @@
         self._logs: list[pathlib.Path] = []
         #: Engines that are down, and the monotonic times of their restarts.
         self._down: dict[str, float] = {}
+        #: Engines that have started, those that are down included.
+        self._serving: list[str] = []
 
     def start(self, engines: int) -> None:
         """Start engines, and restart them after crashes from now on."""
@@ -108,9 +103,9 @@
 
     def apply_faults(self, **faults: object) -> None:
         """Set the faults of all engines, of later ones too."""
-        self.faults = faults
+        self.site.lasting_faults = faults
         for name in self._list_running():
-            self.site.set_endpoint_faults(name, **faults)
+            self.site.set_endpoint_faults(name)
 
     def kill_engine(self, generator: random.Random) -> None:
         """Kill an engine, as one that crashes by itself."""
@@ -205,11 +200,7 @@
         )
 
     def _list_running(self) -> list[str]:
-        return [
-            name
-            for name in self.site.endpoints
-            if name.startswith(_SERVICE) and name not in self._down
-        ]
+        return [name for name in self._serving if name not in self._down]
 
     def _start_engine(self, address: str = '') -> None:
         """Start an engine under a new id, at a new address or that of another.
@@ -224,11 +215,12 @@
         else:
             self.site.start_endpoint(name, _SERVICE)
         self._logs.append(self.site.endpoint_processes[name].log)
-        self.site.set_endpoint_faults(name, **self.faults)
+        self.site.set_endpoint_faults(name)
         call_control(
             self.site.endpoints[name], 'PUT', '/control/born', {'born': life}
         )
         self.site.put_endpoint_row(name, _SERVICE, born=life)
+        self._serving.append(name)
 
     def _restart_crashed(self) -> None:
         while not self._stopped.wait(_POLL_SECONDS):
@@ -245,6 +237,7 @@
 
     def _replace(self, name: str) -> None:
         """Replace an engine by one with a new id at the same address."""
+        self._serving.remove(name)
         self.site.endpoint_processes[name].kill()
         self.site.delete_endpoint_row(name)
         address = self.site.endpoints.pop(name)
--- a/testbed/routed.py
+++ b/testbed/routed.py
@@ -86,6 +86,8 @@
     limits: dict[str, object] = attrs.field(
         factory=lambda: {'max_body_bytes': 65_536},
     )
+    #: Faults that endpoints have in addition to those that are set.
+    lasting_faults: dict[str, object] = attrs.field(factory=dict)
     _sequences: itertools.count = attrs.field(
         factory=lambda: itertools.count(1),
     )
@@ -159,8 +161,9 @@
         call_control(self.store, 'PUT', '/control/faults', faults)
 
     def set_endpoint_faults(self, name: str, **faults: object) -> None:
-        """Set the faults of an endpoint; none ends them."""
+        """Set the faults of an endpoint; none ends all but lasting ones."""
         address = self.endpoints[name]
+        faults = {**self.lasting_faults, **faults}
         call_control(address, 'PUT', '/control/faults', faults)
 
     def set_request_limit(self, name: str, limit: str) -> None:
--- a/testbed/soak/routed.py
+++ b/testbed/soak/routed.py
@@ -22,6 +22,7 @@
 from .links import Link
 from .routed_callers import CallRecord, RoutedCallers
 from .routed_checks import check_calls, check_recovery
+from .routed_crashes import CrashingRequests, check_crashes
 from .routed_cuts import is_cut_by_end, is_unanswered
 from .routed_faults import RoutedFaults, wait_for_all
 from .routed_limits import StatedLimit, StatedLimits, check_limits
@@ -44,12 +45,14 @@
     only_stops: bool = False,
     with_cuts: bool = False,
     with_mute: bool = False,
+    with_crashes: bool = False,
 ) -> list[str]:
     """Run callers and faults together, end all faults, then check.
 
     With ``only_stops`` planned stops are the only faults; ``with_cuts``
     instances are also cut from all endpoints, ``with_mute`` so that connections
-    are made and bring nothing, too.
+    are made and bring nothing, too; ``with_crashes`` engines crash on a part of
+    some prompts.
 
     Returns
     -------
@@ -64,11 +67,13 @@
         faults = RoutedFaults(site, links, callers, seed, only_stops)
         limits = StatedLimits(site, seed)
         cuts = InstanceCuts(site, links, seed, with_mute)
+        crashing = CrashingRequests(site, callers)
         await asyncio.gather(
             callers.run(seconds),
             faults.run(seconds),
             limits.run(seconds),
             cuts.run(seconds if with_cuts or with_mute else 0, faults.spans),
+            crashing.run(seconds if with_crashes else 0, faults.spans),
         )
         await asyncio.to_thread(wait_for_all, site)
         await asyncio.sleep(_RECOVERY_SECONDS)
@@ -81,6 +86,7 @@
             site,
             callers.records,
             faults,
+            [sent.request_id for sent in crashing.sent],
         )
         exceeded = await asyncio.to_thread(
             check_limits,
@@ -89,7 +95,8 @@
             faults,
             limits.limits,
         )
-    return calls + recovery + exceeded
+        crashes = await asyncio.to_thread(check_crashes, crashing, faults)
+    return calls + recovery + exceeded + crashes
 
 
 @contextlib.asynccontextmanager
@@ -185,6 +192,11 @@
         action='store_true',
         help='Cut instances, also so that connections bring nothing.',
     )
+    parser.add_argument(
+        '--crashes',
+        action='store_true',
+        help='Also send requests on a part of which engines crash.',
+    )
     options = parser.parse_args()
     directory = pathlib.Path(tempfile.mkdtemp(prefix='kelproad-soak-'))
     with start_routed_site(directory, 0) as site:
@@ -196,6 +208,7 @@
                 options.stops,
                 options.cuts,
                 options.mute,
+                options.crashes,
             ),
         )
     for line in broken:
--- a/testbed/soak/routed_callers.py
+++ b/testbed/soak/routed_callers.py
@@ -36,6 +36,8 @@
 #: answers exceed 2.3 times the estimate; the maximum permitted is 3 times it.
 _HINT_SPREAD = 0.5
 _MAX_HINTS = 3
+#: Parts of which each prompt has one beside its own.
+_SHARED_PARTS = 3
 
 
 @attrs.frozen
@@ -239,6 +241,12 @@
             'X-Kelproad-Deadline-Ms': str(int(record.deadline * 1000)),
             'X-Api-Key': record.key,
         }
+        if kind.streams:
+            # Most requests share parts of their prompts.
+            part = len(self.records) % _SHARED_PARTS
+            headers['X-Kelproad-Prompt-Prefix'] = (
+                f'system-{part}:20,{record.request_id}:10'
+            )
         if kind.long:
             return headers | self._build_estimate_headers(
                 record.events * _STRIDE
--- a/testbed/soak/routed_checks.py
+++ b/testbed/soak/routed_checks.py
@@ -1,6 +1,7 @@
 """Checks of a routed site's guarantees after a run with faults."""
 
 import math
+from collections.abc import Iterable
 
 from testbed.calls import CallError
 from testbed.routed import RoutedSite, wait_for
@@ -36,10 +37,14 @@
     site: RoutedSite,
     records: list[CallRecord],
     faults: RoutedFaults,
+    others: Iterable[str] = (),
 ) -> list[str]:
-    """Return a line for each guarantee to callers that was violated."""
+    """Return a line for each guarantee to callers that was violated.
+
+    ``others`` are the ids of requests that were sent beside the records.
+    """
     runs = _list_runs(site, faults)
-    known = {item.request_id for item in records}
+    known = {item.request_id for item in records} | set(others)
     broken = [
         f'{request_id}: ran, but no caller sent it'
         for request_id in runs
--- a/testbed/soak/routed_faults.py
+++ b/testbed/soak/routed_faults.py
@@ -193,7 +193,11 @@
         with self._reserve(list(self._site.endpoints)) as name:
             if not name:
                 return ''
-            state = await asyncio.to_thread(self._site.show_endpoint, name)
+            try:
+                state = await asyncio.to_thread(self._site.show_endpoint, name)
+            except OSError:
+                # It has crashed meanwhile, and is restarted.
+                return ''
             self.lost_runs.setdefault(name, []).extend(state['runs'])
             self._site.endpoint_processes[name].kill()
             await asyncio.sleep(duration)
@@ -215,11 +219,13 @@
         with self._reserve(list(self._site.endpoints)) as name:
             if not name:
                 return ''
-            await asyncio.to_thread(
-                self._site.set_endpoint_faults, name, **fault
-            )
-            await asyncio.sleep(duration)
-            await asyncio.to_thread(self._site.set_endpoint_faults, name)
+            with contextlib.suppress(OSError):
+                # One that has crashed meanwhile is restarted without faults.
+                await asyncio.to_thread(
+                    self._site.set_endpoint_faults, name, **fault
+                )
+                await asyncio.sleep(duration)
+                await asyncio.to_thread(self._site.set_endpoint_faults, name)
             return f'{name}: {fault}'
 
     async def _disturb_store(self, duration: float) -> str:
