Take no empty body without a length for whole at once

An engine whose process ends after the head of its answer closes the connection like one that has sent all: the caller of a stream got a complete answer without any event, and that of a plain call an empty one. A stream without a length ends before its first event: broken off, resumed elsewhere. A plain answer is tried at another endpoint if it may be repeated, and forwarded as it is if that one says the same. What is not mended: a stream without a length that ends between two events can't be told from a whole one, as nothing on the pages marks a last event.

--- a/src/kelproad/coordination/ingress/streams/answers.py
+++ b/src/kelproad/coordination/ingress/streams/answers.py
@@ -14,7 +14,7 @@
 from ....state.calls import AnswerHead
 from ....state.refusals import Ran
 from ....transport.deadlines import monotonic, within
-from ....transport.http import ConnectionLostError
+from ....transport.http import ConnectionLostError, is_framed
 
 __all__ = [
     'AttemptFailure',
@@ -93,6 +93,18 @@
     response: aiohttp.ClientResponse
     ended_properly: Callable[[], bool]
 
+    @property
+    def may_lack_its_body(self) -> bool:
+        """Whether an empty body may be one that was cut off.
+
+        A process that ends closes its connections like one that has sent all.
+        """
+        bodiless = (
+            self.head.status in _BODILESS_STATUSES
+            or self.response.method == 'HEAD'
+        )
+        return not (bodiless or is_framed(self.response))
+
     async def read_chunks(
         self,
         is_stalled: Callable[[float], bool] | None = None,
@@ -164,7 +176,17 @@
         return _fail_executed(f'the body was truncated: {error!r}')
     finally:
         answer.close()
-    return Success(CompleteAnswer(answer.head, bytes(received)))
+    complete = CompleteAnswer(answer.head, bytes(received))
+    if answer.may_lack_its_body and not received:
+        return Failure(
+            AttemptFailure(
+                'the answer is empty, without a length',
+                Ran.YES,
+                blameless=True,
+                answer=complete,
+            )
+        )
+    return Success(complete)
 
 
 def _fail_executed(reason: str) -> Result[CompleteAnswer, AttemptFailure]:
--- a/src/kelproad/coordination/ingress/streams/delivery.py
+++ b/src/kelproad/coordination/ingress/streams/delivery.py
@@ -74,6 +74,8 @@
         """End the answer to the caller after the end of the endpoint's body."""
         if self.cutter.has_partial_event:
             raise SequenceError('the stream ends within an event')
+        if self.cutter.last_number is None and answer.may_lack_its_body:
+            raise SequenceError('the stream ends before its first event')
         try:
             if self._response is None:
                 await self._prepare(answer.head)
--- a/src/kelproad/transport/http.py
+++ b/src/kelproad/transport/http.py
@@ -16,6 +16,7 @@
     'create_single_use_session',
     'create_session',
     'create_end_check',
+    'is_framed',
 ]
 
 #: Seconds for which an idle connection is kept open.
@@ -99,6 +100,15 @@
         raise ConnectionLostError(repr(error)) from error
 
 
+def is_framed(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a body has a length or chunks, and so an end of its own.
+
+    Any other body ends with its connection.
+    """
+    encoding = response.headers.get('Transfer-Encoding', '')
+    return response.content_length is not None or 'chunked' in encoding.lower()
+
+
 def create_end_check(response: aiohttp.ClientResponse) -> Callable[[], bool]:
     """Create a check of whether a body is complete.
 
@@ -112,10 +122,7 @@
     Callable
         Returns, once the body has been read, whether it is complete.
     """
-    framed = (
-        response.content_length is not None
-        or 'chunked' in response.headers.get('Transfer-Encoding', '').lower()
-    )
+    framed = is_framed(response)
     connection = response.connection
     protocol = connection.protocol if connection else None
 
--- a/tests/ingress/test_attempts.py
+++ b/tests/ingress/test_attempts.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 import struct
+import types
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import attrs
@@ -25,6 +26,7 @@
     collect,
 )
 from kelproad.coordination.ingress.streams.attempts import EndpointClient
+from kelproad.coordination.ingress.streams.delivery import StreamDelivery
 from kelproad.coordination.ingress.streams.opening import abandon, await_head
 from kelproad.coordination.ingress.streams.progress import Progress
 from kelproad.platform.headers import (
@@ -37,6 +39,7 @@
     ConnectionProgress,
     build_connection_trace,
 )
+from kelproad.protocol.events import SequenceError
 from kelproad.state.calls import Call, CallHead, Forwarding
 from kelproad.state.counters import Counters
 from kelproad.state.declarations import (
@@ -204,6 +207,46 @@
     assert outcome.unwrap().body == b'whole'
 
 
+async def close_without_body(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Send a head without a length, and close the connection."""
+    await reader.readuntil(b'\r\n\r\n')
+    writer.write(f'{HEAD}Connection: close\r\n\r\n'.encode())
+    writer.close()
+
+
+async def test_an_empty_answer_without_length_is_sent_elsewhere(
+    client: EndpointClient,
+) -> None:
+    """An endpoint that ends after the head seems to have answered."""
+    async with serve(close_without_body) as endpoint:
+        outcome = await send(client, endpoint)
+    progress = Progress()
+    progress.note(outcome.failure(), endpoint.name, endpoint.name)
+    assert progress.ran is Ran.YES
+    assert progress.may_forward_error(build_call())
+    assert progress.fallback.body == b''
+
+
+@pytest.mark.parametrize('resume_after', [None, 4])
+async def test_a_stream_without_length_or_event_is_not_whole(
+    client: EndpointClient, resume_after: int | None
+) -> None:
+    """An engine that ends after the head seems to have nothing to say."""
+    call = build_call(CallKind.RESUMABLE_STREAM)
+    call.head = attrs.evolve(call.head, resume_after=resume_after)
+    delivery = StreamDelivery(types.SimpleNamespace(), call)
+    async with serve(close_without_body) as endpoint:
+        answer = (await open_answer(client, endpoint, call)).unwrap()
+        chunks = [chunk async for chunk in answer.read_chunks()]
+        # A caller that has all events gets no further one, which is whole.
+        expected = SequenceError if resume_after is None else AttributeError
+        with pytest.raises(expected):
+            await delivery.finish(answer)
+    assert not b''.join(chunks)
+
+
 async def test_an_answer_to_another_call_is_not_forwarded(
     client: EndpointClient,
 ) -> None:
