--- a/src/kelproad/standins/routed.py
+++ b/src/kelproad/standins/routed.py
@@ -206,6 +206,8 @@
                 status=_FULL,
                 headers={**_NOT_EXECUTED, **self._state_limit()},
             )
+        if self._is_poisoned(http_request):
+            _print_event('ran', http_request)
         body = await http_request.read()
         self._runs.append(
             {
--- a/testbed/routed.py
+++ b/testbed/routed.py
@@ -198,6 +198,8 @@
             self.directory,
         )
         wait_until_answering(f'http://{address}/control/runs')
+        if self.lasting_faults:
+            self.set_endpoint_faults(name)
 
     def start_instance(
         self,
--- a/testbed/soak/routed.py
+++ b/testbed/soak/routed.py
@@ -67,14 +67,16 @@
         faults = RoutedFaults(site, links, callers, seed, only_stops)
         limits = StatedLimits(site, seed)
         cuts = InstanceCuts(site, links, seed, with_mute)
-        crashing = CrashingRequests(site, callers)
+        crashing = CrashingRequests(site, callers, faults)
         await asyncio.gather(
             callers.run(seconds),
             faults.run(seconds),
             limits.run(seconds),
             cuts.run(seconds if with_cuts or with_mute else 0, faults.spans),
-            crashing.run(seconds if with_crashes else 0, faults.spans),
+            crashing.run(seconds if with_crashes else 0),
         )
+        if with_crashes:
+            await crashing.finish()
         await asyncio.to_thread(wait_for_all, site)
         await asyncio.sleep(_RECOVERY_SECONDS)
         final_calls = await callers.call_once()
--- a/testbed/soak/routed_crashes.py
+++ b/testbed/soak/routed_crashes.py
@@ -46,32 +46,47 @@
 class CrashingRequests:
     """Sends such requests, and restarts the engines that crash."""
 
-    def __init__(self, site: RoutedSite, callers: RoutedCallers) -> None:
-        """Send with the key that the callers have at the time."""
+    def __init__(
+        self, site: RoutedSite, callers: RoutedCallers, faults: RoutedFaults
+    ) -> None:
+        """Send with the key that the callers have at the time.
+
+        An engine that one of the ``faults`` has killed is restarted by that.
+        """
         self._site = site
         self._callers = callers
+        self._faults = faults
         self._ids = itertools.count(1)
         self._engines = [name for name in site.endpoints if 'engine' in name]
         #: Crashes after which each engine was restarted.
         self._restarts: collections.Counter[str] = collections.Counter()
         self.sent: list[_Sent] = []
 
-    async def run(self, seconds: float, spans: list[Span]) -> None:
-        """Send for ``seconds``; afterwards no engine crashes any more."""
+    async def run(self, seconds: float) -> None:
+        """Send for ``seconds``, and wait for the answers."""
         if not seconds:
             return
         end = time.monotonic() + seconds
         self._site.lasting_faults = {'crash_parts': [_PART]}
         for name in self._engines:
             await self._prepare(name)
-        restarting = asyncio.create_task(self._restart_crashed(end, spans))
+        restarting = asyncio.create_task(self._restart_crashed())
         async with aiohttp.ClientSession() as session:
             calls = []
             while time.monotonic() < end:
                 calls.append(asyncio.create_task(self._send(session)))
                 await asyncio.sleep(_PERIOD)
             await asyncio.gather(*calls)
-        await restarting
+        restarting.cancel()
+        await asyncio.wait((restarting,))
+
+    async def finish(self) -> None:
+        """Let no engine crash any more; call it once all faults have ended."""
+        self._site.lasting_faults = {}
+        for name in self._engines:
+            if not self._site.endpoint_processes[name].running:
+                await asyncio.to_thread(self._site.restart_endpoint, name)
+            await self._prepare(name)
 
     def read_events(self, event: str) -> list[tuple[float, str]]:
         """Read the times and requests of an event from the engines' logs."""
@@ -95,30 +110,28 @@
     async def _prepare(self, name: str) -> None:
         await asyncio.to_thread(self._site.set_endpoint_faults, name)
 
-    async def _restart_crashed(self, end: float, spans: list[Span]) -> None:
-        """Restart engines that have crashed, until none may crash."""
-        while time.monotonic() < end + _DEADLINE:
+    async def _restart_crashed(self) -> None:
+        """Restart engines that have crashed, until it is cancelled."""
+        while True:
+            await asyncio.sleep(_POLL_SECONDS)
             for name in self._engines:
                 crashes = self._read(name, 'crashed')
                 if len(crashes) > self._restarts[name]:
+                    crashed_at, _ = crashes[-1]
                     self._restarts[name] = len(crashes)
                     await self._restart(name)
-                    crashed_at, _ = crashes[-1]
-                    spans.append(
-                        Span(
-                            'endpoint killed',
-                            name,
-                            crashed_at,
-                            time.monotonic(),
-                        )
+                    now = time.monotonic()
+                    self._faults.spans.append(
+                        Span('endpoint killed', name, crashed_at, now)
                     )
-            await asyncio.sleep(_POLL_SECONDS)
 
     async def _restart(self, name: str) -> None:
-        await asyncio.sleep(_RESTART_SECONDS)
-        if not self._site.endpoint_processes[name].running:
-            await asyncio.to_thread(self._site.restart_endpoint, name)
-        await self._prepare(name)
+        with self._faults.reserve([name]) as reserved:
+            if not reserved:
+                return
+            await asyncio.sleep(_RESTART_SECONDS)
+            if not self._site.endpoint_processes[name].running:
+                await asyncio.to_thread(self._site.restart_endpoint, name)
 
     async def _send(self, session: aiohttp.ClientSession) -> None:
         number = next(self._ids)
@@ -156,12 +169,12 @@
     """Return a line for each guarantee that was violated."""
     crashes = [at for at, _ in requests.read_events('crashed')]
     arrivals = requests.read_events('poisoned')
-    arrived = {request for _, request in arrivals}
+    ran = {request for _, request in requests.read_events('ran')}
     senders = {sent.request_id: sent.instance for sent in requests.sent}
     broken = [
         f'{sent.request_id} answered with {sent.status}, but it ran'
         for sent in requests.sent
-        if sent.status == _NOT_RUN and sent.request_id in arrived
+        if sent.status == _NOT_RUN and sent.request_id in ran
     ]
     if len(crashes) < _KNOWN_CRASHES:
         return broken
--- a/testbed/soak/routed_faults.py
+++ b/testbed/soak/routed_faults.py
@@ -100,17 +100,8 @@
             *(self._inject_repeatedly(end) for _ in range(self._concurrency))
         )
 
-    async def _inject_repeatedly(self, end: float) -> None:
-        while time.monotonic() < end:
-            name = self._random.choice(list(self._kinds))
-            began = time.monotonic()
-            duration = self._random.uniform(_MIN_SECONDS, _MAX_SECONDS)
-            subject = await self._kinds[name](duration)
-            self.spans.append(Span(name, subject, began, time.monotonic()))
-            await asyncio.sleep(self._random.uniform(0, _MAX_PAUSE_SECONDS))
-
     @contextlib.contextmanager
-    def _reserve(self, names: list[str]) -> object:
+    def reserve(self, names: list[str]) -> object:
         """Reserve a random name that no other fault uses; empty if none."""
         free = sorted(set(names) - self._busy)
         name = self._random.choice(free) if free else ''
@@ -120,6 +111,15 @@
         finally:
             self._busy.discard(name)
 
+    async def _inject_repeatedly(self, end: float) -> None:
+        while time.monotonic() < end:
+            name = self._random.choice(list(self._kinds))
+            began = time.monotonic()
+            duration = self._random.uniform(_MIN_SECONDS, _MAX_SECONDS)
+            subject = await self._kinds[name](duration)
+            self.spans.append(Span(name, subject, began, time.monotonic()))
+            await asyncio.sleep(self._random.uniform(0, _MAX_PAUSE_SECONDS))
+
     # Instances
 
     async def _kill(self, duration: float) -> str:
@@ -178,7 +178,7 @@
     @contextlib.contextmanager
     def _reserve_instance(self) -> object:
         names = [instance.name for instance in self._site.instances]
-        with self._reserve(names) as name:
+        with self.reserve(names) as name:
             yield self._find_instance(name)
 
     def _find_instance(self, name: str) -> RoutedInstance | None:
@@ -190,7 +190,7 @@
     # Endpoints, store, links
 
     async def _kill_endpoint(self, duration: float) -> str:
-        with self._reserve(list(self._site.endpoints)) as name:
+        with self.reserve(list(self._site.endpoints)) as name:
             if not name:
                 return ''
             try:
@@ -216,7 +216,7 @@
                 {'pace': _MAX_DELAY},
             ),
         )
-        with self._reserve(list(self._site.endpoints)) as name:
+        with self.reserve(list(self._site.endpoints)) as name:
             if not name:
                 return ''
             with contextlib.suppress(OSError):
@@ -238,7 +238,7 @@
                 {'lose_answers': 3},
             ),
         )
-        with self._reserve(['store']) as name:
+        with self.reserve(['store']) as name:
             if not name:
                 return ''
             await asyncio.to_thread(self._site.set_store_faults, **fault)
@@ -248,7 +248,7 @@
 
     async def _disturb_link(self, duration: float) -> str:
         harm = self._random.choice(list(LinkFault))
-        with self._reserve(list(self._links)) as name:
+        with self.reserve(list(self._links)) as name:
             if not name:
                 return ''
             self._links[name].harm(harm, self._random.uniform(0, _MAX_DELAY))
@@ -260,7 +260,7 @@
 
     async def _replace_key(self, _duration: float) -> str:
         """Revoke the key that callers use, and issue another one."""
-        with self._reserve(['operator']) as name:
+        with self.reserve(['operator']) as name:
             if not name:
                 return ''
             old = self._callers.key
@@ -272,7 +272,7 @@
             return old
 
     async def _change_configuration(self, _duration: float) -> str:
-        with self._reserve(['operator']) as name:
+        with self.reserve(['operator']) as name:
             if not name:
                 return ''
             number = self._random.randrange(100)
