--- a/testbed/soak/routed_crashes.py
+++ b/testbed/soak/routed_crashes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import itertools
 import json
 import time
@@ -108,7 +109,9 @@
         ]
 
     async def _prepare(self, name: str) -> None:
-        await asyncio.to_thread(self._site.set_endpoint_faults, name)
+        # An engine that is down gets its lasting faults when it is restarted.
+        with contextlib.suppress(OSError):
+            await asyncio.to_thread(self._site.set_endpoint_faults, name)
 
     async def _restart_crashed(self) -> None:
         """Restart engines that have crashed, until it is cancelled."""
@@ -126,12 +129,14 @@
                     )
 
     async def _restart(self, name: str) -> None:
-        with self._faults.reserve([name]) as reserved:
-            if not reserved:
-                return
-            await asyncio.sleep(_RESTART_SECONDS)
-            if not self._site.endpoint_processes[name].running:
-                await asyncio.to_thread(self._site.restart_endpoint, name)
+        """Restart an engine, once no other fault uses it."""
+        await asyncio.sleep(_RESTART_SECONDS)
+        while not self._site.endpoint_processes[name].running:
+            with self._faults.reserve([name]) as reserved:
+                if reserved:
+                    await asyncio.to_thread(self._site.restart_endpoint, name)
+                    return
+            await asyncio.sleep(_POLL_SECONDS)
 
     async def _send(self, session: aiohttp.ClientSession) -> None:
         number = next(self._ids)
