Serve tables to instances of the site only

Anybody who reached the port of the peers' server got the whole configuration, the callers' keys in it, by GET /tables/op, and all endpoints. Now the sender must have the address of an instance that the store lists, as for tunnels; the list is read again for an unknown one, once for all that ask meanwhile. An instance that could never read it knows the seeds of its settings.

--- a/src/kelproad/coordination/ingress/membership/rostering.py
+++ b/src/kelproad/coordination/ingress/membership/rostering.py
@@ -34,7 +34,7 @@
 _SMALL_SITE = 8
 _RETRY_PERIOD = 0.5
 #: Seconds between two reads for the sake of unknown IP numbers.
-_CONFIRM_PERIOD = 1.0
+_CONFIRM_PERIOD = 0.5
 
 
 class _Row(msgspec.Struct):
@@ -79,20 +79,25 @@
         #: IP numbers of the instances that have rows.
         self._hosts: frozenset[str] = frozenset()
         self._confirmed_at = -math.inf
+        self._confirming: asyncio.Task[bool] | None = None
 
     async def is_instance(self, host: str) -> bool:
         """Return whether an IP number is that of an instance with a row.
 
-        The rows are read again for an unknown one, which may have just started.
+        The rows are read again for an unknown one, which may have just started;
+        all that ask meanwhile wait for the same read.  An instance that could
+        never read them knows the seeds of its settings.
         """
+        if host in self._hosts:
+            return True
         now = monotonic()
-        if (
-            host not in self._hosts
-            and now - self._confirmed_at > _CONFIRM_PERIOD
-        ):
+        if now - self._confirmed_at > _CONFIRM_PERIOD:
             self._confirmed_at = now
-            await self._read()
-        return host in self._hosts
+            self._confirming = asyncio.create_task(self._read())
+        await asyncio.shield(self._confirming)
+        if self._hosts:
+            return host in self._hosts
+        return host in self._settings.seed_hosts
 
     @Service.task
     async def _maintain(self) -> None:
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -113,18 +113,18 @@
             self._exchange.peers,
             self._read_bounds,
         )
-        roster = Roster(
+        self._roster = Roster(
             self._settings,
             store.roster,
             self._exchange,
             self._peering.prompts.rows.adopt,
             self._generator,
         )
-        self._tunnels = self._create_tunnel_server(roster)
+        self._tunnels = self._create_tunnel_server()
         self._pipeline = self._create_pipeline()
         for service in (
             *self._peering.list_services(),
-            roster,
+            self._roster,
             self._tunnels,
             SettingsWatch(self._settings_holder),
         ):
@@ -165,11 +165,8 @@
             Calls that were cut off, which is 0 unless the time ran out.
         """
         await self._drain.started.wait()
-        record(
-            _logger,
-            'instance_stopping',
-            unfinished=self._pipeline.handler.unfinished,
-        )
+        unfinished = self._pipeline.handler.unfinished
+        record(_logger, 'instance_stopping', unfinished=unfinished)
         closing = asyncio.create_task(self._close_idle())
         await self._drain.finish()
         interrupted = self._drain.interrupt_calls()
@@ -179,18 +176,17 @@
         # Answers that callers read slowly are cut off when servers close.
         left = max(interrupted, self._pipeline.handler.unfinished)
         closing.cancel()
-        await self._pipeline.memory.finish(
-            self._drain.bound_shutdown_step(_RELEASE_SECONDS),
-        )
+        seconds = self._drain.bound_shutdown_step(_RELEASE_SECONDS)
+        await self._pipeline.memory.finish(seconds)
         self._record_stop('instance_stopped', unfinished=left)
         return left
 
     # Composition
 
-    def _create_tunnel_server(self, roster: Roster) -> TunnelServer:
+    def _create_tunnel_server(self) -> TunnelServer:
         return TunnelServer(
             Address(self._settings.ip, self._settings.tunnel_port),
-            roster.is_instance,
+            self._roster.is_instance,
             self._table.serves_at,
             self._connector.connect_directly,
             lambda outcome: self._counters.tunnels.inc(
@@ -236,6 +232,7 @@
             self._describe,
             self._tables.list_changes_for_peer,
             self._holder.read_limits,
+            self._roster.is_instance,
         )
         self._caller_server = servers.create_caller_server()
         for server in (
--- a/src/kelproad/coordination/ingress/servers.py
+++ b/src/kelproad/coordination/ingress/servers.py
@@ -1,5 +1,6 @@
 """HTTP servers of an instance: for callers, balancer, operators and peers."""
 
+import logging
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -8,6 +9,7 @@
 
 from ...state.counters import Counters
 from ...state.endpointtable import EndpointTable
+from ...state.records import record
 from ...state.routes import IngressLimits
 from ...state.work import WorkLedger
 from ...transport.addresses import Address
@@ -21,6 +23,7 @@
 
 __all__ = ['NodeServers', 'describe_endpoints', 'describe_work']
 
+_logger = logging.getLogger(__name__)
 #: Largest header field in bytes that is read at all; operators limit the size
 #: of all headers, to 16 KiB at present, in the configuration.
 _HEADER_BYTES = 65_536
@@ -29,6 +32,7 @@
 _SHUTDOWN_SECONDS = 0.1
 _READY = 200
 _UNREADY = 503
+_FORBIDDEN = 403
 #: Port of the metrics and the dump, on the IP number of the instance.
 METRICS_PORT = 9464
 
@@ -48,6 +52,7 @@
     _describe: Callable[[], dict[str, object]]
     _list_changes: Callable[[str, int | None, bool], TableState | None]
     _read_limits: Callable[[], IngressLimits]
+    _is_instance: Callable[[str], Awaitable[bool]]
 
     def create_caller_server(self) -> HttpServer:
         """Create the server for calls."""
@@ -110,6 +115,12 @@
 
     async def _serve_table(self, http_request: web.Request) -> web.Response:
         table = http_request.match_info['table']
+        # Tables hold the keys of callers.
+        if not await self._is_instance(http_request.remote or ''):
+            record(
+                _logger, 'table_refused', host=http_request.remote, table=table
+            )
+            return web.Response(status=_FORBIDDEN)
         within_zone = read_zone(http_request) == self._settings.zone
         return build_answer(
             self._list_changes(table, read_after(http_request), within_zone),
