--- a/bench/crashing.py
+++ b/bench/crashing.py
@@ -11,7 +11,8 @@
 
 import attrs
 
-from kelproad.state.quarantine import EndedCall, PartQuarantine, PartState
+from kelproad.state.quarantine import PartQuarantine
+from kelproad.state.suspicions import EndedCall, PartState
 
 _SECONDS = 60.0
 _SERVICE = 'writer'
--- a/src/kelproad/coordination/ingress/membership/rostering.py
+++ b/src/kelproad/coordination/ingress/membership/rostering.py
@@ -91,10 +91,12 @@
         if host in self._hosts:
             return True
         now = monotonic()
-        if now - self._confirmed_at > _CONFIRM_PERIOD:
+        confirming = self._confirming
+        if confirming is None or now - self._confirmed_at > _CONFIRM_PERIOD:
             self._confirmed_at = now
-            self._confirming = asyncio.create_task(self._read())
-        await asyncio.shield(self._confirming)
+            confirming = asyncio.create_task(self._read())
+            self._confirming = confirming
+        await asyncio.shield(confirming)
         if self._hosts:
             return host in self._hosts
         return host in self._settings.seed_hosts
--- a/src/kelproad/coordination/ingress/quarantine/ends.py
+++ b/src/kelproad/coordination/ingress/quarantine/ends.py
@@ -17,9 +17,10 @@
 from ....state.directpaths import DirectPaths
 from ....state.endpoints import Endpoint
 from ....state.endpointtable import EndpointTable
-from ....state.quarantine import EndedCall, PartQuarantine
+from ....state.quarantine import PartQuarantine
 from ....state.records import record
 from ....state.refusals import Ran
+from ....state.suspicions import EndedCall
 from ....transport.deadlines import monotonic
 from ..placing.memory import EngineOperations
 from ..streams.answers import AttemptFailure
--- a/src/kelproad/coordination/ingress/quarantine/guard.py
+++ b/src/kelproad/coordination/ingress/quarantine/guard.py
@@ -11,14 +11,10 @@
 from ....state.calls import Call
 from ....state.counters import QuarantineMetrics
 from ....state.endpoints import Endpoint
-from ....state.quarantine import (
-    Judgement,
-    PartQuarantine,
-    PartState,
-    Suspicion,
-)
+from ....state.quarantine import PartQuarantine
 from ....state.records import record
 from ....state.refusals import RefusalCode
+from ....state.suspicions import Judgement, PartState, Suspicion
 from ....transport.deadlines import monotonic
 from ..placing.placement import NoPlacementError
 from ..streams.answers import AttemptFailure
@@ -36,6 +32,8 @@
 #: that it waits at most.
 _MIN_WAIT = 1.0
 _MAX_WAIT_SHARE = 0.3
+#: Seconds that a call waits for what is found of its engine at most.
+_CHECK_SECONDS = 0.35
 #: Bounds of the seconds after which a call that waited in vain comes back; at
 #: random, so that those refused together don't return together.
 _RETURNS = (0.5, 1.5)
@@ -57,7 +55,7 @@
     _rows: QuarantineRows
     _metrics: QuarantineMetrics
     _generator: random.Random
-    #: Checks of engines whose calls are not retried.
+    #: Checks of engines that are in progress.
     _background: set[asyncio.Task[None]] = attrs.field(factory=set)
 
     def check(self, call: Call) -> Judgement:
@@ -130,8 +128,9 @@
     ) -> None:
         """Record a failed attempt, and find out whether its engine has ended.
 
-        A call that may be sent again waits for that, which takes milliseconds
-        if the engine has ended, and no time if no part is suspect.
+        A call that may be sent again waits for that a little.  It takes
+        milliseconds if the engine resets connections, and no time if no part
+        is suspect.
         """
         if not may_have_ended(failure):
             self.release(call)
@@ -140,7 +139,7 @@
         self._background.add(observing)
         observing.add_done_callback(self._background.discard)
         if call.kind.repeatable:
-            await asyncio.shield(observing)
+            await asyncio.wait((observing,), timeout=_CHECK_SECONDS)
 
     def describe(self) -> list[dict[str, object]]:
         """Describe the suspect and quarantined parts for operators."""
@@ -213,15 +212,13 @@
         """Build the refusal of a call that would crash its engine."""
         part = judgement.parts[0]
         self._metrics.refused.inc({'service': call.service})
-        suspicion = self._quarantine.get(call.service, part)
         record(
             _logger,
             'refused_for_part',
             request=call.request_id,
             service=call.service,
             part=part,
-            trials=suspicion.trials,
-            engines=list(suspicion.ends),
+            engines=judgement.engines,
         )
         seconds = min(max(judgement.retrial_in, _MIN_RETURN), _MAX_RETURN)
         spread = self._generator.uniform(1, 1 + _RETURN_SPREAD)
--- a/src/kelproad/coordination/ingress/quarantine/notices.py
+++ b/src/kelproad/coordination/ingress/quarantine/notices.py
@@ -11,8 +11,9 @@
 
 from mode import Service
 
-from ....state.quarantine import EndedCall, PartQuarantine
+from ....state.quarantine import PartQuarantine
 from ....state.records import record
+from ....state.suspicions import EndedCall
 from ....transport.deadlines import monotonic
 from ....transport.services import BackgroundService
 from ..membership.peers import PeerRegister
--- a/src/kelproad/coordination/ingress/quarantine/rows.py
+++ b/src/kelproad/coordination/ingress/quarantine/rows.py
@@ -15,8 +15,9 @@
 import msgspec
 from returns.result import Failure, Result
 
-from ....state.quarantine import EndedCall, PartQuarantine
+from ....state.quarantine import PartQuarantine
 from ....state.records import record
+from ....state.suspicions import EndedCall
 from ....transport.deadlines import monotonic
 from ..membership.queries import ReportedEnd
 from ..tables.tablestates import StoredRow, StoreProblem
@@ -96,6 +97,11 @@
             previous.cancel()
         task = asyncio.create_task(self._write_row(key, service, part))
         self._tasks[key] = task
+        task.add_done_callback(lambda done: self._forget(key, done))
+
+    def _forget(self, key: str, done: asyncio.Task[None]) -> None:
+        if self._tasks.get(key) is done:
+            self._tasks.pop(key)
 
     async def _write_row(self, key: str, service: str, part: str) -> None:
         for _ in range(_MAX_TRIES):
--- a/src/kelproad/state/quarantine.py
+++ b/src/kelproad/state/quarantine.py
@@ -10,27 +10,18 @@
 """
 
 import collections
-import enum
 import math
 from collections.abc import Callable, Collection, Iterable, Mapping
 
 import attrs
 
-__all__ = [
-    'EndedCall',
-    'EngineEnd',
-    'Judgement',
-    'PartQuarantine',
-    'PartState',
-    'Suspicion',
-]
+from .suspicions import EndedCall, Judgement, PartState, Suspicion
+
+__all__ = ['PartQuarantine']
 
 #: Seconds before the end of an engine in which an answer elsewhere shows a part
 #: to be harmless.
 _HARMLESS_SECONDS = 5.0
-#: Seconds for which a part stays suspect because of an end that is not
-#: confirmed.
-_UNCONFIRMED_SECONDS = 2.0
 #: Ends in a row that quarantine a part: if only few engines end by themselves,
 #: and at most.
 _MIN_TRIALS = 3
@@ -41,153 +32,15 @@
 #: seconds that a trial takes.
 _BACKGROUND_SECONDS = 10.0
 _TRIAL_SECONDS = 0.5
-#: Seconds after the last end after which a quarantined part is tried again,
-#: once for each.
-_RETRIAL_DELAYS = (30.0, 120.0, 480.0)
 #: Seconds without a request after which a suspicion is forgotten.
 _FORGET_SECONDS = 86_400.0
-#: Seconds by which times that another instance states may be off.
-_TOLERANCE = 0.05
-#: Most harmless and most suspect parts that are remembered, and most ends of
-#: each suspect one.
+#: Most harmless and most suspect parts that are remembered.
 _MAX_HARMLESS = 4096
 _MAX_SUSPECTS = 1024
-_MAX_ENDS = 12
 
 _Key = tuple[str, str]
 
 
-class PartState(enum.StrEnum):
-    """What is known of the parts of a prompt."""
-
-    #: Nothing is known against any of them.
-    HARMLESS = 'harmless'
-    SUSPECT = 'suspect'
-    QUARANTINED = 'quarantined'
-
-
-@attrs.frozen
-class EndedCall:
-    """A call whose engine ended while it answered.
-
-    Attributes
-    ----------
-    engine
-        One life of the engine: its name and incarnation.
-    parts
-        Shared parts of the prompt that are not known to be harmless.
-    workspaces
-        Workspace of the caller; empty text for none.
-    sent_at, ended_at
-        Monotonic times at which the call was sent there and broke off.
-    confirmed
-        Whether the engine is known to have ended.
-    """
-
-    service: str
-    engine: str
-    parts: frozenset[str]
-    workspaces: frozenset[str]
-    sent_at: float
-    ended_at: float
-    confirmed: bool = False
-
-
-@attrs.define
-class EngineEnd:
-    """The end of one engine that answered calls with a part."""
-
-    sent_at: float
-    ended_at: float
-    workspaces: frozenset[str]
-    confirmed: bool = False
-    counted: bool = False
-
-
-@attrs.define
-class Suspicion:
-    """The evidence against a part.
-
-    Attributes
-    ----------
-    trials
-        Ends in a row, each of an engine that was sent the part after the one
-        before had ended.
-    quarantined_after
-        Number of trials after which it was quarantined; 0 when it is not.
-    last_end_at
-        Monotonic time of the last of these ends.
-    touched_at
-        Monotonic time of the last call with the part.
-    """
-
-    touched_at: float
-    trials: int = 0
-    quarantined_after: int = 0
-    last_end_at: float = -math.inf
-    ends: dict[str, EngineEnd] = attrs.field(factory=dict)
-
-    @property
-    def retrial_at(self) -> float:
-        """Monotonic time from which a quarantined part may be tried again."""
-        failed = self.trials - self.quarantined_after
-        if failed >= len(_RETRIAL_DELAYS):
-            return math.inf
-        return self.last_end_at + _RETRIAL_DELAYS[failed]
-
-    def add(self, ended: EndedCall) -> None:
-        """Add a call; an end counts once, however many calls it broke off."""
-        end = self.ends.get(ended.engine)
-        if end is None:
-            end = EngineEnd(ended.sent_at, ended.ended_at, ended.workspaces)
-            self.ends[ended.engine] = end
-        end.sent_at = max(end.sent_at, ended.sent_at)
-        end.workspaces |= ended.workspaces
-        end.confirmed = end.confirmed or ended.confirmed
-        follows = end.sent_at >= self.last_end_at - _TOLERANCE
-        if end.confirmed and follows and not end.counted:
-            end.counted = True
-            self.trials += 1
-            self.last_end_at = max(self.last_end_at, end.ended_at)
-        if len(self.ends) > _MAX_ENDS:
-            self._drop_oldest_end()
-
-    def list_counted(self) -> dict[str, EngineEnd]:
-        """List the ends in a row that are remembered, by engine."""
-        return {engine: end for engine, end in self.ends.items() if end.counted}
-
-    def is_current(self, now: float) -> bool:
-        """Return whether an end is confirmed, or may still be."""
-        return any(
-            end.confirmed or now - end.ended_at < _UNCONFIRMED_SECONDS
-            for end in self.ends.values()
-        )
-
-    def _drop_oldest_end(self) -> None:
-        """Drop an end, one that was not counted if there is one."""
-        uncounted = (
-            engine for engine, end in self.ends.items() if not end.counted
-        )
-        self.ends.pop(next(uncounted, None) or next(iter(self.ends)))
-
-
-@attrs.frozen
-class Judgement:
-    """What is known of a prompt.
-
-    Attributes
-    ----------
-    parts
-        The suspect parts; the quarantined one alone if there is one.
-    retrial_in
-        Seconds until a quarantined part may be tried again.
-    """
-
-    state: PartState
-    parts: tuple[str, ...] = ()
-    retrial_in: float = 0
-
-
 _HARMLESS = Judgement(PartState.HARMLESS)
 
 
@@ -220,9 +73,11 @@
             key = (service, part)
             self._harmless[key] = max(at, self._harmless.get(key, at))
             self._harmless.move_to_end(key)
-            suspicion = self._suspicions.pop(key, None)
-            if suspicion is not None:
-                cleared[part] = suspicion
+            suspicion = self._suspicions.get(key)
+            # A late report of an answer says nothing on engines that ended
+            # long after it.
+            if suspicion and suspicion.last_end_at < at + _HARMLESS_SECONDS:
+                cleared[part] = self._suspicions.pop(key)
         while len(self._harmless) > _MAX_HARMLESS:
             self._harmless.popitem(last=False)
         return cleared
@@ -288,6 +143,7 @@
                         PartState.QUARANTINED,
                         (part,),
                         suspicion.retrial_at - now,
+                        tuple(suspicion.ends),
                     )
         return Judgement(PartState.SUSPECT, tuple(suspect))
 
--- a/testbed/soak/routed.py
+++ b/testbed/soak/routed.py
@@ -77,6 +77,7 @@
         )
         if with_crashes:
             await crashing.finish()
+            faults.spans.extend(crashing.list_spans())
         await asyncio.to_thread(wait_for_all, site)
         await asyncio.sleep(_RECOVERY_SECONDS)
         final_calls = await callers.call_once()
--- a/testbed/soak/routed_crashes.py
+++ b/testbed/soak/routed_crashes.py
@@ -18,9 +18,11 @@
 __all__ = ['CrashingRequests', 'check_crashes']
 
 _PART = 'poison'
-#: Seconds between two such requests, and until an engine is back.
+#: Seconds between two such requests, and until an engine is back, at least and
+#: at most.
 _PERIOD = 0.4
 _RESTART_SECONDS = 2.0
+_LONGEST_RESTART = 6.0
 _POLL_SECONDS = 0.1
 _DEADLINE = 4.0
 _NOT_RUN = 503
@@ -61,6 +63,7 @@
         self._engines = [name for name in site.endpoints if 'engine' in name]
         #: Crashes after which each engine was restarted.
         self._restarts: collections.Counter[str] = collections.Counter()
+        self._restarting: asyncio.Task[None] | None = None
         self.sent: list[_Sent] = []
 
     async def run(self, seconds: float) -> None:
@@ -71,24 +74,32 @@
         self._site.lasting_faults = {'crash_parts': [_PART]}
         for name in self._engines:
             await self._prepare(name)
-        restarting = asyncio.create_task(self._restart_crashed())
+        self._restarting = asyncio.create_task(self._restart_crashed())
         async with aiohttp.ClientSession() as session:
             calls = []
             while time.monotonic() < end:
                 calls.append(asyncio.create_task(self._send(session)))
                 await asyncio.sleep(_PERIOD)
             await asyncio.gather(*calls)
-        restarting.cancel()
-        await asyncio.wait((restarting,))
 
     async def finish(self) -> None:
         """Let no engine crash any more; call it once all faults have ended."""
+        self._restarting.cancel()
+        await asyncio.wait((self._restarting,))
         self._site.lasting_faults = {}
         for name in self._engines:
             if not self._site.endpoint_processes[name].running:
                 await asyncio.to_thread(self._site.restart_endpoint, name)
             await self._prepare(name)
 
+    def list_spans(self) -> list[Span]:
+        """List the crashes as faults, until their engines are back at last."""
+        return [
+            Span('endpoint killed', name, at, at + _LONGEST_RESTART)
+            for name in self._engines
+            for at, _ in self._read(name, 'crashed')
+        ]
+
     def read_events(self, event: str) -> list[tuple[float, str]]:
         """Read the times and requests of an event from the engines' logs."""
         return sorted(
@@ -120,13 +131,8 @@
             for name in self._engines:
                 crashes = self._read(name, 'crashed')
                 if len(crashes) > self._restarts[name]:
-                    crashed_at, _ = crashes[-1]
                     self._restarts[name] = len(crashes)
                     await self._restart(name)
-                    now = time.monotonic()
-                    self._faults.spans.append(
-                        Span('endpoint killed', name, crashed_at, now)
-                    )
 
     async def _restart(self, name: str) -> None:
         """Restart an engine, once no other fault uses it."""
--- a/tests/ingress/test_quarantine.py
+++ b/tests/ingress/test_quarantine.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from kelproad.state.quarantine import EndedCall, PartQuarantine, PartState
+from kelproad.state.quarantine import PartQuarantine
+from kelproad.state.suspicions import EndedCall, PartState
 
 SERVICE = 'writer'
 WORKSPACE = 'crews'
