--- a/src/kelproad/coordination/ingress/quarantine/guard.py
+++ b/src/kelproad/coordination/ingress/quarantine/guard.py
@@ -135,7 +135,11 @@
         if not may_have_ended(failure):
             self.release(call)
             return
-        observing = asyncio.create_task(self._observe(call, endpoint, sent_at))
+        tried = call.trial
+        call.trial = ()
+        observing = asyncio.create_task(
+            self._observe(call, endpoint, sent_at, tried)
+        )
         self._background.add(observing)
         observing.add_done_callback(self._background.discard)
         if call.kind.repeatable:
@@ -144,28 +148,28 @@
     def describe(self) -> list[dict[str, object]]:
         """Describe the suspect and quarantined parts for operators."""
         now = monotonic()
+        suspicions = self._quarantine.list_suspicions()
         return [
-            {
-                'service': service,
-                'part': part,
-                'trials': suspicion.trials,
-                'quarantined': bool(suspicion.quarantined_after),
-                'engines': list(suspicion.ends),
-                'retrial_in': _describe_seconds(suspicion.retrial_at - now),
-            }
-            for (
-                service,
-                part,
-            ), suspicion in self._quarantine.list_suspicions().items()
+            {'service': service, 'part': part, **_describe(suspicion, now)}
+            for (service, part), suspicion in suspicions.items()
         ]
 
     async def _observe(
-        self, call: Call, endpoint: Endpoint, sent_at: float
+        self,
+        call: Call,
+        endpoint: Endpoint,
+        sent_at: float,
+        tried: tuple[str, ...],
     ) -> None:
+        """Find out whether an engine has ended, then end the trial there.
+
+        Meanwhile the call may have begun another trial, which goes on.
+        """
         try:
             await self._observer.observe(call, endpoint, sent_at)
         finally:
-            self.release(call)
+            if tried and not call.trial:
+                self._trials.finish(call, tried)
 
     def _check_trial(self, call: Call) -> None:
         """Judge a call again, as more may be known than when it asked."""
@@ -230,6 +234,12 @@
         )
 
 
-def _describe_seconds(seconds: float) -> float | None:
-    """Round seconds for operators; ``None`` for never."""
-    return round(seconds, 1) if math.isfinite(seconds) else None
+def _describe(suspicion: Suspicion, now: float) -> dict[str, object]:
+    """Describe the evidence; ``retrial_in`` is ``None`` for never."""
+    seconds = suspicion.retrial_at - now
+    return {
+        'trials': suspicion.trials,
+        'quarantined': bool(suspicion.quarantined_after),
+        'engines': list(suspicion.ends),
+        'retrial_in': round(seconds, 1) if math.isfinite(seconds) else None,
+    }
