Confirm the end of an engine only while another one answers

All instances had been cut from all engines again and again, and two of them took silence for ends: the state of their paths had just lapsed, or one address alone had failed. So three ends in a row that were none quarantined a sound part for 30 s. Now an engine that is silent, or to which nobody connects, counts as ended only if another engine of its service answers a query; a new incarnation and an entry that is gone count as before.

--- a/src/kelproad/coordination/ingress/quarantine/assembly.py
+++ b/src/kelproad/coordination/ingress/quarantine/assembly.py
@@ -97,6 +97,7 @@
             table,
             paths,
             metrics,
+            generator,
         )
         return PromptGuard(
             self.parts,
--- a/src/kelproad/coordination/ingress/quarantine/ends.py
+++ b/src/kelproad/coordination/ingress/quarantine/ends.py
@@ -2,12 +2,13 @@
 
 An attempt breaks off when its engine ends, and also when the engine breaks off
 one answer, or the connection is lost.  The engine's report decides: a new
-incarnation, or that nobody connects to it, shows an end.
+incarnation shows an end, and so does silence while another engine answers.
 """
 
 import asyncio
 import enum
 import logging
+import random
 
 import attrs
 from returns.result import Failure
@@ -33,6 +34,8 @@
 #: Queries to an engine that may have ended, and seconds between two.
 _MAX_QUERIES = 3
 _QUERY_PERIOD = 0.2
+#: Other engines that are queried to tell a silent engine from a lost path.
+_MAX_CONTROLS = 4
 
 
 class _State(enum.StrEnum):
@@ -64,6 +67,7 @@
     _table: EndpointTable
     _paths: DirectPaths
     _metrics: QuarantineMetrics
+    _generator: random.Random
     #: Checks in progress, by the life of the engine.
     _checks: dict[str, asyncio.Task[_State]] = attrs.field(factory=dict)
 
@@ -130,10 +134,12 @@
             state = await self._check_now(endpoint)
             if state is not _State.UNKNOWN:
                 return state
-        now = monotonic()
-        if self._paths.in_outage or self._paths.is_mute(now):
-            return _State.UNKNOWN
-        return _State.ENDED
+            if self._is_unreachable(endpoint):
+                break
+        # An instance that is cut off reaches no engine at all.
+        if await self._reaches_another(endpoint):
+            return _State.ENDED
+        return _State.UNKNOWN
 
     async def _check_now(self, endpoint: Endpoint) -> _State:
         declaration = endpoint.declaration
@@ -144,12 +150,26 @@
             return _State.ENDED if is_other else _State.ALIVE
         if self._table.get(endpoint.name) is not endpoint:
             return _State.ENDED
-        unreachable = self._paths.unreachable
-        is_down = unreachable.includes(declaration.address, monotonic())
-        if is_down and not self._paths.in_outage:
-            return _State.ENDED
         return _State.UNKNOWN
 
+    def _is_unreachable(self, endpoint: Endpoint) -> bool:
+        """Return whether neither this instance nor a peer could connect."""
+        address = endpoint.declaration.address
+        return self._paths.unreachable.includes(address, monotonic())
+
+    async def _reaches_another(self, endpoint: Endpoint) -> bool:
+        """Return whether another engine of the service answers a query."""
+        others = [
+            other.declaration.address
+            for other in self._table.in_group(endpoint.group.name)
+            if other is not endpoint and not other.leaving
+        ]
+        self._generator.shuffle(others)
+        answers = await asyncio.gather(
+            *map(self._operations.read_incarnation, others[:_MAX_CONTROLS])
+        )
+        return any(not isinstance(answer, Failure) for answer in answers)
+
 
 def _name_life(endpoint: Endpoint) -> str:
     """Name one life of an engine."""
--- a/tests/ingress/test_guard.py
+++ b/tests/ingress/test_guard.py
@@ -4,9 +4,22 @@
 import random
 import types
 
+import attrs
+import pytest
+from returns.result import Failure, Result, Success
+
+from kelproad.coordination.ingress.quarantine.ends import EndObserver
 from kelproad.coordination.ingress.quarantine.guard import PromptGuard
 from kelproad.coordination.ingress.streams.answers import AttemptFailure
 from kelproad.state.calls import Call, CallHead
+from kelproad.state.counters import Counters, QuarantineMetrics
+from kelproad.state.declarations import (
+    EndpointDeclaration,
+    EndpointGroup,
+    EndpointKind,
+)
+from kelproad.state.directpaths import DirectPaths
+from kelproad.state.endpointtable import EndpointTable
 from kelproad.state.quarantine import PartQuarantine
 from kelproad.state.refusals import Ran
 from kelproad.state.routes import CallKind, Route, WeightedService
@@ -62,3 +75,38 @@
     assert not finished
     guard.release(call)
     assert finished == [('part',)]
+
+
+@pytest.mark.parametrize('others_answer', [True, False])
+async def test_a_cut_off_instance_proves_no_end(others_answer: bool) -> None:
+    """Parts of sound prompts came into quarantine while engines were alive."""
+    declarations = [
+        EndpointDeclaration(f'i-{number}', 'a', f'10.0.0.{number}:80')
+        for number in range(3)
+    ]
+    table = EndpointTable()
+    table.replace_groups(
+        [EndpointGroup('writer', EndpointKind.ENGINE, declarations)]
+    )
+    endpoint = table.get('i-0')
+
+    async def read_incarnation(address: str) -> Result[str, str]:
+        await asyncio.sleep(0)
+        is_other = address != endpoint.declaration.address
+        return Success('') if is_other and others_answer else Failure('lost')
+
+    observer = EndObserver(
+        PartQuarantine(lambda _service: 3),
+        types.SimpleNamespace(announce_end=lambda _ended: None),
+        types.SimpleNamespace(keep=lambda *_parts: None),
+        types.SimpleNamespace(read_incarnation=read_incarnation),
+        table,
+        DirectPaths(),
+        QuarantineMetrics(Counters().registry),
+        random.Random(1),
+    )
+    call = build_call()
+    call.head = attrs.evolve(call.head, shared_parts=('part',))
+    await observer.observe(call, endpoint, monotonic())
+    evidence = observer._quarantine.get('writer', 'part')
+    assert evidence.trials == int(others_answer)
