Read and log what endpoints state about leaving and pausing

Nothing recorded what an instance knows of an engine that leaves, so that logs could not tell a word that is never read from one that is read and lost, or one that calls chosen before it go past. Answers to calls and replies to reports and orders are decoded into statements; each endpoint's are kept by incarnation and logged once (endpoint_leaves, endpoint_pauses), counted, shown in /dump, and each placed line says for how long its endpoint has been known to leave. No decision uses any of it yet. Stand-ins of endpoints can state both.

--- a/src/kelproad/coordination/ingress/admission/dialect.py
+++ b/src/kelproad/coordination/ingress/admission/dialect.py
@@ -14,6 +14,7 @@
 
 from ....state.calls import AnswerHead, Call, CallHead, Forwarding
 from ....state.refusals import Refusal
+from ....state.statements import EndpointStatements
 from ..placing.memory import EngineOperations
 
 __all__ = ['Dialect']
@@ -34,7 +35,8 @@
     build_refusal
         Build the answer to a refused call, from refusal and request id.
     open_orders
-        Build the client for orders to engines, over a session.
+        Build the client for orders to engines, over a session; a function gets
+        the address and the statements of each reply.
     ready_path
         Path of the balancer's readiness checks.
     """
@@ -46,5 +48,8 @@
     ]
     read_answer_head: Callable[[aiohttp.ClientResponse, str], AnswerHead]
     build_refusal: Callable[[Refusal, str], web.Response]
-    open_orders: Callable[[aiohttp.ClientSession], EngineOperations]
+    open_orders: Callable[
+        [aiohttp.ClientSession, Callable[[str, EndpointStatements], None]],
+        EngineOperations,
+    ]
     ready_path: str
--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -33,7 +33,7 @@
 from .retrying.verdicts import AttemptEvaluator
 from .settings import Bounds
 from .streams.attempts import EndpointClient
-from .streams.observing import build_answer_observer
+from .streams.observing import AnswerObserver
 from .streams.sending import Sender
 from .streams.silence import SilenceMonitor
 from .tables.holder import ConfigurationHolder
@@ -105,7 +105,10 @@
     ) -> Self:
         """Build the components; calls to endpoints use the session."""
         exchange = peering.exchange
-        orders = shared.dialect.open_orders(session)
+        observer = AnswerObserver(
+            shared.table, shared.gate.observer, peering.withdrawal_observer
+        )
+        orders = shared.dialect.open_orders(session, observer.observe_reply)
         guard = peering.prompts.create_guard(
             orders,
             shared.table,
@@ -143,7 +146,7 @@
                 EndpointClient(
                     session,
                     shared.dialect,
-                    build_answer_observer(shared.gate.observer),
+                    observer.observe_answer,
                 ),
                 memory,
                 speed_monitor,
--- a/src/kelproad/coordination/ingress/limiting/observing.py
+++ b/src/kelproad/coordination/ingress/limiting/observing.py
@@ -34,17 +34,19 @@
         """Record what an answer of an endpoint states about its limit."""
         if head.outcome in _FOREIGN:
             return
-        if head.unreadable_limit:
+        if head.statements.unreadable_limit:
             record(
                 _logger,
                 'request_limit_unreadable',
                 endpoint=endpoint.name,
-                stated=head.unreadable_limit,
+                stated=head.statements.unreadable_limit,
             )
-        if head.request_limit is None and not _ends_limit(head):
+        if head.statements.request_limit is None and not _ends_limit(head):
             return
         incarnation = endpoint.declaration.incarnation
-        notice = LimitNotice(head.request_limit, incarnation, monotonic())
+        notice = LimitNotice(
+            head.statements.request_limit, incarnation, monotonic()
+        )
         self.accept(endpoint.name, notice)
 
     def accept_all(self, notices: Mapping[str, LimitNotice]) -> None:
@@ -105,4 +107,7 @@
 
     A refusal or an error may say less than an answer.
     """
-    return head.outcome is Outcome.ANSWERED and not head.unreadable_limit
+    return (
+        head.outcome is Outcome.ANSWERED
+        and not head.statements.unreadable_limit
+    )
--- a/src/kelproad/coordination/ingress/membership/peering.py
+++ b/src/kelproad/coordination/ingress/membership/peering.py
@@ -10,7 +10,7 @@
 import aiohttp
 from mode import Service
 
-from ....state.counters import Counters, LimitMetrics
+from ....state.counters import Counters, LimitMetrics, WithdrawalMetrics
 from ....state.directpaths import DirectPaths
 from ....state.endpointtable import EndpointTable
 from ....state.observations import EngineObservations
@@ -30,6 +30,7 @@
 from ..tables.readers import ReaderSelector
 from ..tables.relaying import TableRelay
 from ..tables.store import NodeStore
+from ..withdrawing.observing import WithdrawalObserver
 from .exchange import WorkExchange
 from .queries import (
     PeerQueries,
@@ -61,6 +62,8 @@
         Queries to other instances, and replies to theirs.
     limit_observer
         Request limits that endpoints stated, to this instance or to others.
+    withdrawal_observer
+        Endpoints that stated that they leave or pause.
     paths
         Direct connections to endpoints, as they succeed and fail.
     gate
@@ -93,6 +96,9 @@
         self.limit_observer = LimitObserver(
             RequestLimits(), LimitMetrics(counters.registry), table
         )
+        self.withdrawal_observer = WithdrawalObserver(
+            table, WithdrawalMetrics(counters.registry)
+        )
         self.paths = DirectPaths()
         self._session = session
         self._counters = counters
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -32,6 +32,7 @@
 from .tunnels.connecting import EndpointConnector
 from .tunnels.peerchoice import TunnelPeers
 from .tunnels.serving import TunnelServer
+from .withdrawing.observing import describe_withdrawals
 
 __all__ = ['Node']
 
@@ -295,5 +296,6 @@
             'tunnels': self._tunnels.unfinished,
             'direct_paths': self._peering.paths.describe(now),
             'request_limits': self._peering.gate.describe(),
+            'withdrawals': describe_withdrawals(self._table, now),
             'suspect_parts': self._pipeline.guard.describe(),
         }
--- a/src/kelproad/coordination/ingress/retrying/events.py
+++ b/src/kelproad/coordination/ingress/retrying/events.py
@@ -1,6 +1,7 @@
 """Log lines and metrics of a call's way to its endpoint."""
 
 import logging
+import math
 
 from ....state.calls import Call
 from ....state.counters import Counters
@@ -35,6 +36,7 @@
         considered=placement.considered,
         attempt=call.attempts,
         request_limit=request_limit,
+        leaving_for=_measure_leaving(placement),
         waited=round(monotonic() - call.arrived, _DIGITS),
     )
 
@@ -79,3 +81,9 @@
         longest_gap=round(delivery.longest_gap, _DIGITS),
         gap_ended=round(delivery.gap_ended_at - call.arrived, _DIGITS),
     )
+
+
+def _measure_leaving(placement: Placement) -> float | None:
+    """Return for how long the endpoint has been known to leave, if it is."""
+    seconds = monotonic() - placement.primary.withdrawal.left_at
+    return round(seconds, _DIGITS) if math.isfinite(seconds) else None
--- a/src/kelproad/coordination/ingress/streams/observing.py
+++ b/src/kelproad/coordination/ingress/streams/observing.py
@@ -1,23 +1,57 @@
-"""What the heads of endpoints' answers tell beside the answer itself."""
+"""Where what endpoints state about themselves becomes state.
 
-from collections.abc import Callable
+Each reader of a statement has a line here, for answers to calls and for replies
+to reports and orders.
+"""
 
-from ....state.calls import AnswerHead
+import logging
+
+import attrs
+
+from ....state.calls import AnswerHead, Outcome
 from ....state.endpoints import Endpoint
+from ....state.endpointtable import EndpointTable
+from ....state.statements import EndpointStatements
 from ..limiting.observing import LimitObserver
+from ..withdrawing.observing import WithdrawalObserver
 from .unknownfields import UnknownFields
 
-__all__ = ['build_answer_observer']
+__all__ = ['AnswerObserver']
+
+_logger = logging.getLogger(__name__)
+
 
+@attrs.frozen
+class AnswerObserver:
+    """Hands what answers and replies state to what keeps it."""
 
-def build_answer_observer(
-    limit_observer: LimitObserver,
-) -> Callable[[Endpoint, AnswerHead], None]:
-    """Build the function that gets the head of each endpoint's answer."""
-    unknown_fields = UnknownFields()
+    _table: EndpointTable
+    _limits: LimitObserver
+    _withdrawals: WithdrawalObserver
+    _unknown_fields: UnknownFields = attrs.field(factory=UnknownFields)
 
-    def observe(endpoint: Endpoint, head: AnswerHead) -> None:
-        limit_observer.observe_answer(endpoint, head)
-        unknown_fields.record(endpoint, head)
+    def observe_answer(self, endpoint: Endpoint, head: AnswerHead) -> None:
+        """Record the statements of an endpoint's answer to a call."""
+        self._limits.observe_answer(endpoint, head)
+        self._unknown_fields.record(endpoint, head)
+        # Another endpoint answered, which must not speak for this one.
+        if head.outcome is not Outcome.MISDIRECTED:
+            self._withdrawals.observe(
+                endpoint.name,
+                endpoint.declaration.incarnation,
+                head.statements,
+            )
 
-    return observe
+    def observe_reply(
+        self, address: str, statements: EndpointStatements
+    ) -> None:
+        """Record the statements of a reply to a report or an order."""
+        if not (statements.declines_calls or statements.unreadable):
+            return
+        endpoint = self._table.find_at(address)
+        if endpoint is None:
+            _logger.debug('statements of an unlisted endpoint at %s', address)
+            return
+        self._withdrawals.observe(
+            endpoint.name, endpoint.declaration.incarnation, statements
+        )
--- /dev/null
+++ b/src/kelproad/coordination/ingress/withdrawing/observing.py
@@ -0,0 +1,99 @@
+"""Observation of endpoints that state that they leave, or pause.
+
+Endpoints state it in any answer, also while the store that lists them is down.
+"""
+
+import logging
+
+import attrs
+
+from ....state.counters import WithdrawalMetrics
+from ....state.endpointtable import EndpointTable
+from ....state.records import record
+from ....state.statements import EndpointStatements
+from ....state.withdrawals import Withdrawal
+from ....transport.deadlines import monotonic
+
+__all__ = ['WithdrawalObserver', 'describe_withdrawals']
+
+_logger = logging.getLogger(__name__)
+#: Digits of the seconds in the log.
+_DIGITS = 3
+#: Unreadable statements that are logged at most, each once.
+_MAX_UNREADABLE = 100
+
+
+@attrs.define
+class WithdrawalObserver:
+    """Keeps what endpoints state about leaving and pausing, and logs it."""
+
+    _table: EndpointTable
+    _metrics: WithdrawalMetrics
+    _unreadable: set[tuple[str, str]] = attrs.field(factory=set)
+
+    def observe(
+        self, endpoint: str, incarnation: str, statements: EndpointStatements
+    ) -> None:
+        """Record the statements of an incarnation to this instance."""
+        for field, text in statements.unreadable:
+            self._record_unreadable(endpoint, field, text)
+        if not statements.declines_calls:
+            return
+        now = monotonic()
+        withdrawal = self._table.keep_withdrawal(endpoint, incarnation, now)
+        if statements.leaves and withdrawal.state_leaving(now):
+            self._metrics.withdrawals.inc({'kind': 'leaving'})
+            record(
+                _logger,
+                'endpoint_leaves',
+                endpoint=endpoint,
+                incarnation=incarnation,
+                source='own answer',
+            )
+        if statements.pause:
+            self._pause(endpoint, withdrawal, statements.pause, now)
+
+    def _pause(
+        self, endpoint: str, withdrawal: Withdrawal, seconds: float, now: float
+    ) -> None:
+        was_paused = withdrawal.is_paused(now)
+        is_longer = withdrawal.pause(now + seconds)
+        if was_paused or not is_longer:
+            return
+        self._metrics.withdrawals.inc({'kind': 'pause'})
+        record(
+            _logger,
+            'endpoint_pauses',
+            endpoint=endpoint,
+            seconds=round(seconds, _DIGITS),
+        )
+
+    def _record_unreadable(self, endpoint: str, field: str, text: str) -> None:
+        """Log an unreadable statement, once for each endpoint and field."""
+        key = (endpoint, field)
+        if key in self._unreadable or len(self._unreadable) >= _MAX_UNREADABLE:
+            return
+        self._unreadable.add(key)
+        record(
+            _logger,
+            'endpoint_statement_unreadable',
+            endpoint=endpoint,
+            field=field,
+            stated=text,
+        )
+
+
+def describe_withdrawals(
+    table: EndpointTable, now: float
+) -> list[dict[str, object]]:
+    """Describe the endpoints that want no more calls, for operators."""
+    return [
+        {
+            'endpoint': endpoint,
+            'incarnation': incarnation,
+            'leaves': known.leaves,
+            'stated_here': known.stated_here_at <= now,
+            'paused_for': round(max(0, known.paused_until - now), _DIGITS),
+        }
+        for (endpoint, incarnation), known in table.withdrawals.all().items()
+    ]
--- a/src/kelproad/platform/engines.py
+++ b/src/kelproad/platform/engines.py
@@ -1,6 +1,8 @@
 """Orders to engines that reserve and release memory."""
 
 import logging
+import types
+from collections.abc import Callable, Mapping
 
 import aiohttp
 import attrs
@@ -8,7 +10,9 @@
 from returns.result import Failure, Result, Success
 
 from ..state.records import record
-from ..transport.exchanges import Reply, exchange
+from ..state.statements import EndpointStatements
+from ..transport.exchanges import ExchangeFailure, Reply, exchange
+from .statements import read_statements
 
 __all__ = ['OrderClient']
 
@@ -17,6 +21,10 @@
 #: prompt that waits for memory can wait some seconds.
 _ORDER_TIMEOUT = 0.3
 _OK = 200
+_NO_FIELDS: Mapping[str, str] = types.MappingProxyType({})
+_JSON_FIELDS: Mapping[str, str] = types.MappingProxyType(
+    {'Content-Type': 'application/json'}
+)
 #: Bytes of an engine's refusal that are logged.
 _MAX_SHOWN = 100
 
@@ -56,9 +64,13 @@
 
 @attrs.frozen
 class OrderClient:
-    """Client of engines; sends each order on a new connection."""
+    """Client of engines; sends each order on a new connection.
+
+    ``_observe`` gets the address and the statements of each reply.
+    """
 
     _session: aiohttp.ClientSession
+    _observe: Callable[[str, EndpointStatements], None]
 
     async def reserve(
         self,
@@ -93,12 +105,7 @@
         return report.map(lambda read: str(read.born) if read.born else '')
 
     async def _read_report(self, address: str) -> Result[_Report, str]:
-        answered = await exchange(
-            self._session,
-            'GET',
-            f'http://{address}/-/report',
-            _ORDER_TIMEOUT,
-        )
+        answered = await self._exchange(address, 'GET', 'report')
         return answered.alt(lambda failure: failure.reason).map(_decode_reply)
 
     async def _send_order(
@@ -106,15 +113,33 @@
         address: str,
         order: msgspec.Struct,
     ) -> Result[None, str]:
+        answered = await self._exchange(
+            address, 'POST', 'order', msgspec.json.encode(order), _JSON_FIELDS
+        )
+        return answered.alt(lambda failure: failure.reason).bind(_check_reply)
+
+    async def _exchange(
+        self,
+        address: str,
+        method: str,
+        operation: str,
+        body: bytes | None = None,
+        headers: Mapping[str, str] = _NO_FIELDS,
+    ) -> Result[Reply, ExchangeFailure]:
+        """Send a request to an engine, and hand on what its reply states."""
         answered = await exchange(
             self._session,
-            'POST',
-            f'http://{address}/-/order',
+            method,
+            f'http://{address}/-/{operation}',
             _ORDER_TIMEOUT,
-            msgspec.json.encode(order),
-            headers={'Content-Type': 'application/json'},
+            body,
+            headers=headers,
         )
-        return answered.alt(lambda failure: failure.reason).bind(_check_reply)
+        if not isinstance(answered, Failure):
+            reply = answered.unwrap()
+            statements = read_statements(reply.status, reply.headers)
+            self._observe(address, statements)
+        return answered
 
 
 def _decode_reply(reply: Reply) -> _Report:
--- a/src/kelproad/platform/headers.py
+++ b/src/kelproad/platform/headers.py
@@ -10,6 +10,7 @@
 from ..protocol.plain import filter_headers
 from ..state.calls import AnswerHead, Call, CallHead, Forwarding, Outcome
 from ..state.refusals import NOT_RUN_STATUSES, Ran, Refusal, RefusalCode, Step
+from .statements import STATEMENT_FIELDS, read_statements
 
 __all__ = [
     'build_refusal',
@@ -41,8 +42,6 @@
 #: Address of the engine whose fault made another engine refuse.
 _AT_FAULT = 'At-Server'
 _RETRY_AFTER = 'Retry-After'
-#: Requests per second that the endpoint accepts from all instances together.
-_REQUEST_LIMIT = 'Server-Limit'
 
 _MILLISECONDS = 1000.0
 #: Longest deadline that a caller may request, in milliseconds: a day.  An
@@ -75,8 +74,7 @@
         _NOT_EXECUTED,
         _STAMP,
         _AT_FAULT,
-        _RETRY_AFTER,
-        _REQUEST_LIMIT,
+        *STATEMENT_FIELDS,
         'X-Kelproad-Instance-Id',
         'X-Kelproad-Weight-Versions',
         'Cache-Control',
@@ -97,10 +95,7 @@
     )
 )
 _NUMBER = re.compile('[0-9]{1,15}')
-_DECIMAL = re.compile(r'[0-9]{1,15}(\.[0-9]{0,15})?|\.[0-9]{1,15}')
 _MISDIRECTED = 421
-#: Characters of an unreadable field that are shown.
-_MAX_SHOWN = 40
 _MIN_ERROR_STATUS = 500
 
 
@@ -170,16 +165,13 @@
 ) -> AnswerHead:
     """Decode the head of an endpoint's answer."""
     headers = response.headers
-    limits, unreadable = _parse_limits(headers.getall(_REQUEST_LIMIT, []))
     return AnswerHead(
         outcome=_classify_answer(response, request_id),
         status=response.status,
         headers=tuple(filter_headers(headers, _NO_FIELDS).items()),
         at_fault=headers.get(_AT_FAULT, ''),
         length=response.content_length,
-        # Of several limits the lowest one satisfies all.
-        request_limit=min(limits, default=None),
-        unreadable_limit=', '.join(unreadable),
+        statements=read_statements(response.status, headers),
         unknown_fields=frozenset(map(str.lower, headers))
         - _KNOWN_ANSWER_FIELDS,
     )
@@ -244,19 +236,6 @@
     return tuple(dict.fromkeys(filter(None, ids)))[:_MAX_PARTS]
 
 
-def _parse_limits(fields: list[str]) -> tuple[list[float], list[str]]:
-    """Parse the limits of one or more fields; return unreadable ones too."""
-    limits: list[float] = []
-    unreadable: list[str] = []
-    for text in ','.join(fields).split(',') if fields else ():
-        text = text.strip()
-        if _DECIMAL.fullmatch(text):
-            limits.append(float(text))
-        else:
-            unreadable.append(repr(text[:_MAX_SHOWN]))
-    return limits, unreadable
-
-
 def _parse_count(text: str) -> int | None:
     text = text.strip()
     return int(text) if _NUMBER.fullmatch(text) else None
--- a/src/kelproad/platform/node.py
+++ b/src/kelproad/platform/node.py
@@ -13,6 +13,7 @@
 from ..coordination.ingress.tables.following import TableSource
 from ..coordination.ingress.tables.store import NodeStore
 from ..state.counters import Counters
+from ..state.statements import EndpointStatements
 from ..transport.addresses import Address
 from . import headers, rows
 from .engines import OrderClient
@@ -42,8 +43,11 @@
     return Node(settings, dialect, open_store)
 
 
-def _create_operations(session: aiohttp.ClientSession) -> EngineOperations:
-    client = OrderClient(session)
+def _create_operations(
+    session: aiohttp.ClientSession,
+    observe: Callable[[str, EndpointStatements], None],
+) -> EngineOperations:
+    client = OrderClient(session, observe)
     return EngineOperations(
         client.reserve,
         client.release,
--- /dev/null
+++ b/src/kelproad/platform/statements.py
@@ -0,0 +1,113 @@
+"""Decoding of what endpoints state about themselves in header fields."""
+
+import datetime
+import re
+import time
+from email.utils import parsedate_to_datetime
+
+from multidict import CIMultiDictProxy
+
+from ..state.statements import EndpointStatements
+
+__all__ = ['STATEMENT_FIELDS', 'read_statements']
+
+#: Requests per second that the endpoint accepts from all instances together.
+_REQUEST_LIMIT = 'Server-Limit'
+#: Whether the endpoint leaves: 1, or 0.
+_LEAVING = 'Server-Leaving'
+#: Seconds, or a date, until which the endpoint wants nothing more.
+_RETRY_AFTER = 'Retry-After'
+STATEMENT_FIELDS = (_REQUEST_LIMIT, _LEAVING, _RETRY_AFTER)
+
+_DECIMAL = re.compile(r'[0-9]{1,15}(\.[0-9]{0,15})?|\.[0-9]{1,15}')
+_LEAVES = '1'
+_STAYS = '0'
+#: Statuses of endpoints that turn a request away.
+_TURNED_AWAY = frozenset((429, 503))
+#: Longest pause in seconds: an absurd one must not last forever.
+_MAX_PAUSE = 3600.0
+#: Characters of an unreadable field that are shown.
+_MAX_SHOWN = 40
+
+_Unreadable = list[tuple[str, str]]
+
+
+def read_statements(
+    status: int, headers: CIMultiDictProxy[str]
+) -> EndpointStatements:
+    """Decode the statements of an answer with a status."""
+    unreadable: _Unreadable = []
+    limits, bad_limits = _parse_limits(headers.getall(_REQUEST_LIMIT, []))
+    pause = float(0)
+    if status in _TURNED_AWAY:
+        pause = _parse_pause(headers.getall(_RETRY_AFTER, []), unreadable)
+    return EndpointStatements(
+        # Of several limits the lowest one satisfies all.
+        request_limit=min(limits, default=None),
+        unreadable_limit=', '.join(bad_limits),
+        leaves=_parse_leaving(headers.getall(_LEAVING, []), unreadable),
+        pause=pause,
+        unreadable=tuple(unreadable),
+    )
+
+
+def _parse_limits(fields: list[str]) -> tuple[list[float], list[str]]:
+    """Parse the limits of one or more fields; return unreadable ones too."""
+    limits: list[float] = []
+    unreadable: list[str] = []
+    for text in _split(fields):
+        if _DECIMAL.fullmatch(text):
+            limits.append(float(text))
+        else:
+            unreadable.append(_shorten(text))
+    return limits, unreadable
+
+
+def _parse_leaving(fields: list[str], unreadable: _Unreadable) -> bool:
+    """Return whether any of the values states that the endpoint leaves."""
+    texts = _split(fields)
+    unreadable.extend(
+        (_LEAVING, _shorten(text))
+        for text in texts
+        if text not in {_LEAVES, _STAYS}
+    )
+    return _LEAVES in texts
+
+
+def _parse_pause(fields: list[str], unreadable: _Unreadable) -> float:
+    """Return the longest pause of several, in seconds.
+
+    A date has a comma in it, so that several values are several fields.
+    """
+    longest = float(0)
+    for field in fields:
+        seconds = _parse_seconds(field.strip())
+        if seconds is None:
+            unreadable.append((_RETRY_AFTER, _shorten(field)))
+        else:
+            longest = max(longest, min(seconds, _MAX_PAUSE))
+    return longest
+
+
+def _parse_seconds(text: str) -> float | None:
+    """Return the seconds that a number or a date states, negative for past."""
+    if _DECIMAL.fullmatch(text):
+        return float(text)
+    try:
+        parsed = parsedate_to_datetime(text)
+    except (ValueError, OverflowError):
+        return None
+    if parsed.tzinfo is None:
+        parsed = parsed.replace(tzinfo=datetime.UTC)
+    return parsed.timestamp() - time.time()
+
+
+def _split(fields: list[str]) -> list[str]:
+    """Split fields into their comma-separated values."""
+    return (
+        [text.strip() for text in ','.join(fields).split(',')] if fields else []
+    )
+
+
+def _shorten(text: str) -> str:
+    return repr(text[:_MAX_SHOWN])
--- a/src/kelproad/standins/routed.py
+++ b/src/kelproad/standins/routed.py
@@ -12,11 +12,13 @@
 import json
 import os
 import types
+from collections.abc import Mapping
 
 import attrs
 from aiohttp import web
 
 from ..transport.deadlines import monotonic
+from .statements import Statements
 
 __all__ = ['RoutedEndpointStandIn']
 
@@ -30,6 +32,8 @@
 _CONFLICT = 409
 _ERROR = 500
 _FULL = 503
+_OK = 200
+_NO_FIELDS: Mapping[str, str] = types.MappingProxyType({})
 
 
 @attrs.define
@@ -94,9 +98,7 @@
         self._tickets: dict[str, _Ticket] = {}
         self._faults = EndpointFaults()
         self._runs: list[dict[str, str]] = []
-        #: Requests per second that every answer states as the most from all
-        #: instances together; empty for no limit.
-        self._request_limit = ''
+        self._statements = Statements()
         #: Monotonic time and id of each request, rejected ones included.
         self._arrivals: list[dict[str, float | str]] = []
         self._disconnected: list[str] = []
@@ -113,6 +115,7 @@
             [
                 web.put('/control/faults', self._put_faults),
                 web.put('/control/limit', self._put_limit),
+                web.put('/control/statements', self._put_statements),
                 web.put('/control/born', self._put_born),
                 web.get('/control/runs', self._show_runs),
                 web.post('/-/order', self._handle_order),
@@ -130,7 +133,12 @@
 
     async def _put_limit(self, http_request: web.Request) -> web.Response:
         stated = await http_request.json()
-        self._request_limit = stated['limit']
+        self._statements.limit = stated['limit']
+        return web.json_response({})
+
+    async def _put_statements(self, http_request: web.Request) -> web.Response:
+        stated = await http_request.json()
+        self._statements = Statements(limit=self._statements.limit, **stated)
         return web.json_response({})
 
     async def _put_born(self, http_request: web.Request) -> web.Response:
@@ -157,20 +165,41 @@
         self._drop_expired()
         if order['operation'] == 'release':
             self._tickets.pop(order['id'], None)
-            return web.json_response({'free': self._count_free()})
+            return self._reply({'free': self._count_free()})
+        if self._statements.turn_away_replies:
+            return self._turn_reply_away()
         renewed = self._tickets.get(order['id'])
         held = renewed.tokens if renewed else 0
         if order['token_count'] > self._count_free() + held:
-            return web.json_response({'free': 0}, status=_CONFLICT)
+            return self._reply({'free': 0}, _CONFLICT)
         self._tickets[order['id']] = _Ticket(
             order['token_count'],
             monotonic() + order['hold_ms'] / _MILLISECONDS,
         )
-        return web.json_response({'free': self._count_free()})
+        return self._reply({'free': self._count_free()})
 
     async def _report(self, _http_request: web.Request) -> web.Response:
         await self._hang_if_silent()
-        return web.json_response({'kv_total': self._memory, 'born': self._born})
+        self._orders['report'] += 1
+        if self._statements.turn_away_replies:
+            return self._turn_reply_away()
+        return self._reply({'kv_total': self._memory, 'born': self._born})
+
+    def _turn_reply_away(self) -> web.Response:
+        fields = self._statements.build_pause_fields()
+        return self._reply({}, _FULL, fields)
+
+    def _reply(
+        self,
+        document: dict[str, object],
+        status: int = _OK,
+        fields: Mapping[str, str] = _NO_FIELDS,
+    ) -> web.Response:
+        """Build the reply to a report or an order."""
+        stated = self._statements.build_reply_fields()
+        return web.json_response(
+            document, status=status, headers={**stated, **fields}
+        )
 
     def _drop_expired(self) -> None:
         now = monotonic()
@@ -198,13 +227,17 @@
         )
         expected = http_request.headers.get(_EXPECTED, self._name)
         if expected != self._name:
-            return web.Response(status=_MISDIRECTED)
+            return web.Response(
+                status=_MISDIRECTED, headers=self._build_statements()
+            )
         if self._is_poisoned(http_request):
             _print_event('poisoned', http_request)
-        if self._faults.shed:
+        turned_away = self._statements.turns_away()
+        if self._faults.shed or turned_away:
+            pause = self._statements.build_pause_fields()
             return web.Response(
                 status=_FULL,
-                headers={**_NOT_EXECUTED, **self._state_limit()},
+                headers={**_NOT_EXECUTED, **self._build_statements(), **pause},
             )
         if self._is_poisoned(http_request):
             _print_event('ran', http_request)
@@ -291,12 +324,11 @@
         return {
             _REQUEST_ID: 'ffff' if self._faults.crossed else request_id,
             'X-Kelproad-Server-Stamp': f'stamp.{self._name}.{request_id}',
-            **self._state_limit(),
+            **self._build_statements(),
         }
 
-    def _state_limit(self) -> dict[str, str]:
-        limit = self._request_limit
-        return {'Server-Limit': limit} if limit else {}
+    def _build_statements(self) -> dict[str, str]:
+        return self._statements.build_answer_fields()
 
 
 def _print_event(event: str, http_request: web.Request) -> None:
--- a/src/kelproad/state/calls.py
+++ b/src/kelproad/state/calls.py
@@ -5,6 +5,7 @@
 import attrs
 
 from .routes import CallKind, Route, RoutedWorkspace
+from .statements import EndpointStatements
 
 __all__ = [
     'AnswerHead',
@@ -199,11 +200,8 @@
         Headers for the caller, without those of one connection only.
     length
         Size of the body in bytes, ``None`` when not given.
-    request_limit
-        Requests per second that the endpoint accepts from all instances
-        together, ``None`` when it states no limit.
-    unreadable_limit
-        Stated limits that are no numbers; empty for none.
+    statements
+        What the endpoint states about itself.
     unknown_fields
         Names of fields, in lower case, that no decision can use.
     """
@@ -213,6 +211,5 @@
     headers: tuple[tuple[str, str], ...]
     at_fault: str = ''
     length: int | None = None
-    request_limit: float | None = None
-    unreadable_limit: str = ''
+    statements: EndpointStatements = EndpointStatements()
     unknown_fields: frozenset[str] = frozenset()
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -5,7 +5,13 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
-__all__ = ['Counters', 'Latencies', 'LimitMetrics', 'QuarantineMetrics']
+__all__ = [
+    'Counters',
+    'Latencies',
+    'LimitMetrics',
+    'QuarantineMetrics',
+    'WithdrawalMetrics',
+]
 
 #: Upper bounds of the histograms in seconds: the objectives of the sites are
 #: between 0.2 and 3, deadlines 10 and 15.
@@ -65,6 +71,18 @@
         )
 
 
+class WithdrawalMetrics:
+    """Metrics of endpoints that want no more calls."""
+
+    def __init__(self, registry: Registry) -> None:
+        """Register the metrics."""
+        self.withdrawals = Counter(
+            'kelproad_endpoint_withdrawals_total',
+            'Endpoints that stated that they leave or pause, by kind.',
+            registry=registry,
+        )
+
+
 class Counters:
     """Every counter and gauge that the process publishes."""
 
--- a/src/kelproad/state/endpoints.py
+++ b/src/kelproad/state/endpoints.py
@@ -9,6 +9,7 @@
 from .lengths import LengthClass, classify_length
 from .members import EndpointReport
 from .rates import FailureShare, LearnedRate
+from .withdrawals import Withdrawal
 
 __all__ = ['Endpoint']
 
@@ -54,6 +55,8 @@
     misdirected_until
         Monotonic time until which it gets no calls, because another endpoint
         answered at its address.
+    withdrawal
+        What its incarnation stated about leaving and pausing.
     """
 
     declaration: EndpointDeclaration
@@ -78,6 +81,7 @@
     ejections: int = 0
     failures: FailureShare = attrs.field(factory=FailureShare)
     misdirected_until: float = float('-inf')
+    withdrawal: Withdrawal = attrs.field(factory=Withdrawal)
     _unreported: collections.deque[tuple[float, int]] = attrs.field(
         factory=collections.deque,
     )
--- a/src/kelproad/state/endpointtable.py
+++ b/src/kelproad/state/endpointtable.py
@@ -10,6 +10,7 @@
 from .lengths import LengthClass, classify_length
 from .prefixes import PrefixHistory
 from .rates import LearnedRate
+from .withdrawals import Withdrawal, Withdrawals
 
 __all__ = ['Contention', 'EndpointTable']
 
@@ -52,6 +53,9 @@
         Ratio of observed to predicted time to first token, by length class;
         no prediction includes the prompts that arrive later with a higher
         priority.
+    withdrawals
+        What endpoints stated about leaving and pausing; it outlasts their
+        absence from the table.
     """
 
     def __init__(self) -> None:
@@ -67,6 +71,7 @@
         self.prefixes = PrefixHistory()
         self.sent_by_class = [float(0) for _ in LengthClass]
         self.instances = 1
+        self.withdrawals = Withdrawals()
         self.first_token_ratios = [LearnedRate() for _ in LengthClass]
         self._contention: dict[LengthClass, Contention] = {}
 
@@ -141,6 +146,25 @@
         """Find an endpoint by its name."""
         return self._endpoints.get(name)
 
+    def keep_withdrawal(
+        self, name: str, incarnation: str, now: float
+    ) -> Withdrawal:
+        """Return what an incarnation stated, to be added to."""
+        withdrawal = self.withdrawals.keep(name, incarnation, now)
+        endpoint = self._endpoints.get(name)
+        if endpoint and endpoint.declaration.incarnation == incarnation:
+            endpoint.withdrawal = withdrawal
+        return withdrawal
+
+    def find_at(self, address: str) -> Endpoint | None:
+        """Find the endpoint at an address, of several the one born last."""
+        there = [
+            endpoint
+            for endpoint in self._endpoints.values()
+            if endpoint.declaration.address == address
+        ]
+        return max(there, key=_get_birth, default=None)
+
     def serves_at(self, address: str) -> bool:
         """Return whether an endpoint at an address may get calls."""
         return any(
@@ -173,10 +197,24 @@
         ):
             # A restarted endpoint has none of the work that was counted.
             rate = self._group_rates.setdefault(group.name, LearnedRate())
-            return Endpoint(declaration, group, group_rate=rate)
+            known = self.withdrawals.find(
+                declaration.name, declaration.incarnation
+            )
+            return Endpoint(
+                declaration,
+                group,
+                group_rate=rate,
+                withdrawal=known or Withdrawal(),
+            )
         if declaration.address != endpoint.declaration.address:
             # Another endpoint answered at the former address, not at this.
             endpoint.misdirected_until = float('-inf')
         endpoint.declaration = declaration
         endpoint.group = group
         return endpoint
+
+
+def _get_birth(endpoint: Endpoint) -> tuple[int, str]:
+    """Return a key that orders incarnations, numbers by their value."""
+    incarnation = endpoint.declaration.incarnation
+    return len(incarnation), incarnation
--- a/src/kelproad/transport/exchanges.py
+++ b/src/kelproad/transport/exchanges.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import attrs
+from multidict import CIMultiDict, CIMultiDictProxy
 from returns.result import Failure, Result, Success
 
 from .deadlines import monotonic, within
@@ -13,6 +14,7 @@
 __all__ = ['ExchangeFailure', 'Reply', 'exchange']
 
 _NO_HEADERS: Mapping[str, str] = types.MappingProxyType({})
+_NO_FIELDS: CIMultiDictProxy[str] = CIMultiDictProxy(CIMultiDict())
 
 
 @attrs.frozen
@@ -21,6 +23,7 @@
 
     status: int
     body: bytes
+    headers: CIMultiDictProxy[str] = _NO_FIELDS
 
 
 @attrs.frozen
@@ -63,7 +66,8 @@
                 allow_redirects=False,
             ) as response,
         ):
-            return Success(Reply(response.status, await response.read()))
+            body = await response.read()
+            return Success(Reply(response.status, body, response.headers))
     except aiohttp.ClientConnectorError as error:
         return Failure(ExchangeFailure(str(error), sent=False))
     except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
--- a/testbed/routed.py
+++ b/testbed/routed.py
@@ -171,6 +171,11 @@
         address = self.endpoints[name]
         call_control(address, 'PUT', '/control/limit', {'limit': limit})
 
+    def set_statements(self, name: str, **statements: object) -> None:
+        """Set what an endpoint states beside its limit; none ends it."""
+        address = self.endpoints[name]
+        call_control(address, 'PUT', '/control/statements', statements)
+
     def show_endpoint(self, name: str) -> dict[str, object]:
         """Return the runs and reservations of an endpoint."""
         return call_control(self.endpoints[name], 'GET', '/control/runs')
--- a/tests/ingress/test_request_limits.py
+++ b/tests/ingress/test_request_limits.py
@@ -19,6 +19,7 @@
     LimitNotice,
     RequestLimits,
 )
+from kelproad.state.statements import EndpointStatements
 from tests.ingress.limits import build_observer
 
 NOW = 1000.0
@@ -40,7 +41,7 @@
     assert [
         text for name, text in head.headers if name == 'Server-Limit'
     ] == list(stated)
-    return head.request_limit, head.unreadable_limit
+    return head.statements.request_limit, head.statements.unreadable_limit
 
 
 @pytest.mark.parametrize(
@@ -177,10 +178,17 @@
     """A refusal, an error or another endpoint's answer may say less."""
     observer = build_observer()
     endpoint = build_endpoint()
-    stating = AnswerHead(Outcome.NOT_RUN, 503, (), request_limit=2)
+    stating = AnswerHead(
+        Outcome.NOT_RUN, 503, (), statements=EndpointStatements(request_limit=2)
+    )
     observer.observe_answer(endpoint, stating)
     assert observer.limits.find('i', '1').rate == 2
-    unreadable = AnswerHead(Outcome.ANSWERED, 200, (), unreadable_limit='x')
+    unreadable = AnswerHead(
+        Outcome.ANSWERED,
+        200,
+        (),
+        statements=EndpointStatements(unreadable_limit='x'),
+    )
     observer.observe_answer(endpoint, unreadable)
     assert observer.limits.find('i', '1')
     observer.observe_answer(endpoint, AnswerHead(outcome, 200, ()))
