Failing tests: calls go on to endpoints that leave or pause

An endpoint that states in its answers that it leaves, or turns calls away with a time to return, gets calls as before: nothing reads either.

--- a/testbed/routed.py
+++ b/testbed/routed.py
@@ -88,6 +88,9 @@
     )
     #: Faults that endpoints have in addition to those that are set.
     lasting_faults: dict[str, object] = attrs.field(factory=dict)
+    #: Incarnations of endpoints that were renewed, by name.
+    born: dict[str, int] = attrs.field(factory=dict)
+    _services: dict[str, str] = attrs.field(factory=dict)
     _sequences: itertools.count = attrs.field(
         factory=lambda: itertools.count(1),
     )
@@ -152,6 +155,13 @@
             },
         )
 
+    def renew_endpoint(self, name: str, born: int) -> None:
+        """Let an endpoint state and register another incarnation."""
+        address = self.endpoints[name]
+        call_control(address, 'PUT', '/control/born', {'born': born})
+        self.born[name] = born
+        self.put_endpoint_row(name, self._services[name], born=born)
+
     def delete_endpoint_row(self, name: str) -> None:
         """Delete the store row of an endpoint."""
         call_control(self.store, 'DELETE', f'/control/rows/servers/{name}')
@@ -191,6 +201,7 @@
     def start_endpoint(self, name: str, service: str) -> None:
         """Start an endpoint and write its store row."""
         self.endpoints[name] = find_free_address()
+        self._services[name] = service
         self.restart_endpoint(name)
         self.put_endpoint_row(name, service)
 
