Send no calls to endpoints that stated in an answer that they leave

What callers saw: calls went on to an engine up to 6.3 s after its answers had said that it leaves, and some broke off with it. Cause: only the store's row was believed, which says nothing while the store is down; the field in answers went on to callers unread.

Now an answer of any status, a reply to a report or an order makes its incarnation leave, whatever rows say later; it is remembered for 60 s without a row. What was chosen before is looked at again right before it is sent, tunnels of peers included. Where nothing else can serve a call, such an endpoint is used for 0.8 s more (0.4 of what the platform permits), before one that is ejected; then calls are refused at once, with returns at random. Its politeness is no failure, and its exit accuses no part of a prompt.

An endpoint of which only every fifth answer says so still gets calls from instances that have not heard it: next.

--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -196,7 +196,13 @@
     silence_monitor = SilenceMonitor(
         shared.ledger, retries, speed_monitor, shared.paths
     )
-    sender = Sender(client, memory, silence_monitor, guard.record_outlived)
+    sender = Sender(
+        client,
+        memory,
+        silence_monitor,
+        guard.record_outlived,
+        chooser.find_unusable,
+    )
     return Dispatcher(
         chooser,
         sender,
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -11,6 +11,7 @@
 from ...state.endpointtable import EndpointTable
 from ...state.observations import EngineObservations
 from ...state.records import record
+from ...state.withdrawals import USABLE_SHARE
 from ...state.work import WorkLedger
 from ...transport.addresses import Address
 from ...transport.deadlines import monotonic
@@ -71,6 +72,9 @@
         self._counters = Counters()
         self._holder = ConfigurationHolder()
         self._table = EndpointTable()
+        self._table.withdrawals.usable_seconds = (
+            settings.bounds.leave_endpoint * USABLE_SHARE
+        )
         self._ledger = WorkLedger()
         self._reachability = ZoneReachability()
         self._observations = EngineObservations()
@@ -257,6 +261,7 @@
             await asyncio.sleep(_LAPSE_PERIOD)
             self._tables.registry.publish_expired()
             self._peering.gate.forget_unlisted()
+            self._table.forget_withdrawals(monotonic())
 
     # Stop and reporting
 
--- a/src/kelproad/coordination/ingress/placing/choosing.py
+++ b/src/kelproad/coordination/ingress/placing/choosing.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+from collections.abc import Iterator
 
 import attrs
 
@@ -20,8 +21,10 @@
 from .eligibility import (
     exclude_limited,
     is_eligible,
+    is_last_resort,
     is_trusted,
     refuse_for_limits,
+    refuse_leaving,
 )
 from .filtering import EndpointFilter
 from .placement import CallRequirements, Candidate, NoPlacementError, Placement
@@ -38,6 +41,18 @@
 _PLAIN_WORK_SHARE = 0.2
 
 
+@attrs.frozen
+class _Tier:
+    """Endpoints to choose from, and the names of those that may answer.
+
+    ``uses_leaving`` says whether endpoints that leave are among them.
+    """
+
+    endpoints: list[Endpoint]
+    answering: set[str]
+    uses_leaving: bool = False
+
+
 class Chooser:
     """Selector of the endpoints that calls are sent to."""
 
@@ -113,21 +128,85 @@
         NoPlacementError
             When no endpoint can accept the call now.
         """
+        refusal: NoPlacementError | None = None
+        tiers = self._iterate_tiers(
+            endpoints, call, progress, now, healthy_only
+        )
+        for tier in tiers:
+            try:
+                placement = self._choose_in(tier, call, progress, now)
+            except NoPlacementError as error:
+                if error.worth_waiting:
+                    raise
+                refusal = refusal or error
+            else:
+                return attrs.evolve(placement, uses_leaving=tier.uses_leaving)
+        raise self._explain(refusal, endpoints, call, now)
+
+    def find_unusable(self, placement: Placement) -> Endpoint | None:
+        """Find a chosen endpoint that may not get a call any more."""
+        now = monotonic()
+        for endpoint in placement.endpoints:
+            may_get_calls = is_eligible(endpoint, now) or (
+                placement.uses_leaving and is_last_resort(endpoint, now)
+            )
+            if self._table.get(endpoint.name) is not endpoint:
+                return endpoint
+            if not may_get_calls:
+                return endpoint
+        return None
+
+    def is_usable(self, placement: Placement) -> bool:
+        """Return whether the chosen endpoints may still get a call."""
+        return self.find_unusable(placement) is None
+
+    def _iterate_tiers(
+        self,
+        endpoints: list[Endpoint],
+        call: Call,
+        progress: Progress,
+        now: float,
+        healthy_only: bool,
+    ) -> Iterator[_Tier]:
+        """Iterate over sets of endpoints to choose from, the best one first.
+
+        One that leaves and works is better than one that fails.
+        """
         usable = self._filter.list_usable(
             endpoints, call, progress, now, may_try=not healthy_only
         )
         healthy = self._filter.list_healthy(usable, call, now)
         trusted = {one.name for one in healthy if is_trusted(one, call)}
-        left = healthy if trusted or healthy_only else usable
+        if trusted or healthy_only:
+            yield _Tier(healthy, trusted)
+        if healthy_only:
+            return
+        leaving = self._filter.list_last_resorts(endpoints, call, progress, now)
+        if leaving:
+            names = {endpoint.name for endpoint in leaving}
+            yield _Tier(healthy + leaving, trusted | names, uses_leaving=True)
+        if not (trusted or _all_leave(endpoints)):
+            yield _Tier(usable, {endpoint.name for endpoint in usable})
+
+    def _choose_in(
+        self, tier: _Tier, call: Call, progress: Progress, now: float
+    ) -> Placement:
+        """Choose for a call among the endpoints of a tier.
+
+        Raises
+        ------
+        NoPlacementError
+            When none of them can accept the call now.
+        """
         max_endpoints = call.route.max_endpoints
         candidates = [
             self._describe(
                 endpoint,
-                (endpoint.name in trusted or left is usable)
+                endpoint.name in tier.answering
                 and progress.may_answer(endpoint.name, max_endpoints),
                 now,
             )
-            for endpoint in self._sample(left)
+            for endpoint in self._sample(tier.endpoints)
         ]
         permitted = exclude_limited(candidates, call, now, self._generator)
         try:
@@ -141,14 +220,17 @@
         ]
         raise refuse_for_limits(delayed, call, now, self._generator)
 
-    def is_usable(self, placement: Placement) -> bool:
-        """Return whether the chosen endpoints may still get a call."""
-        now = monotonic()
-        return all(
-            self._table.get(endpoint.name) is endpoint
-            and is_eligible(endpoint, now)
-            for endpoint in placement.endpoints
-        )
+    def _explain(
+        self,
+        refusal: NoPlacementError | None,
+        endpoints: list[Endpoint],
+        call: Call,
+        now: float,
+    ) -> NoPlacementError:
+        """Return why no tier served a call, and when it is worth returning."""
+        if refusal is None or _all_leave(endpoints):
+            return refuse_leaving(call, now, self._generator)
+        return refusal
 
     def _score(
         self,
@@ -248,3 +330,8 @@
             start_wait is not None,
             start_wait or 0,
         )
+
+
+def _all_leave(endpoints: list[Endpoint]) -> bool:
+    """Return whether there are endpoints, all of which leave."""
+    return bool(endpoints) and all(endpoint.leaving for endpoint in endpoints)
--- a/src/kelproad/coordination/ingress/placing/eligibility.py
+++ b/src/kelproad/coordination/ingress/placing/eligibility.py
@@ -13,17 +13,35 @@
     'exclude_limited',
     'is_eligible',
     'is_healthy',
+    'is_last_resort',
     'is_trusted',
     'list_untried',
     'refuse_for_limits',
+    'refuse_leaving',
 ]
 
+#: Seconds after which another endpoint may be listed in place of one that
+#: leaves.
+_REPLACEMENT_SECONDS = 1.0
+
 
 def is_eligible(endpoint: Endpoint, now: float) -> bool:
     """Return whether an endpoint may get calls at all, healthy or not."""
     return not endpoint.leaving and endpoint.misdirected_until <= now
 
 
+def is_last_resort(endpoint: Endpoint, now: float) -> bool:
+    """Return whether an endpoint may get calls that no other can serve.
+
+    It has stated lately that it leaves, and goes on for a while.
+    """
+    return (
+        endpoint.withdrawal.is_last_resort(now)
+        and not endpoint.listed_as_leaving
+        and endpoint.misdirected_until <= now
+    )
+
+
 def is_healthy(endpoint: Endpoint, now: float) -> bool:
     """Return whether an endpoint may be used, one on probation for one call."""
     if endpoint.ejected_until > now:
@@ -100,3 +118,14 @@
         retry_after=choose_return(call, next_wait, now, generator),
         waits={item.endpoint.name: item.start_wait for item in delayed},
     )
+
+
+def refuse_leaving(
+    call: Call, now: float, generator: random.Random
+) -> NoPlacementError:
+    """Build the refusal of a call all of whose endpoints leave."""
+    return NoPlacementError(
+        'all endpoints leave',
+        worth_waiting=False,
+        retry_after=choose_return(call, _REPLACEMENT_SECONDS, now, generator),
+    )
--- a/src/kelproad/coordination/ingress/placing/filtering.py
+++ b/src/kelproad/coordination/ingress/placing/filtering.py
@@ -11,7 +11,12 @@
 from ..membership.reachability import ZoneReachability
 from ..streams.progress import Progress
 from .connectable import add_trials, refuse_unreachable, select_connectable
-from .eligibility import exclude_avoided, is_healthy, list_untried
+from .eligibility import (
+    exclude_avoided,
+    is_healthy,
+    is_last_resort,
+    list_untried,
+)
 
 __all__ = ['EndpointFilter']
 
@@ -68,6 +73,22 @@
             and is_healthy(endpoint, now)
         ]
 
+    def list_last_resorts(
+        self,
+        endpoints: list[Endpoint],
+        call: Call,
+        progress: Progress,
+        now: float,
+    ) -> list[Endpoint]:
+        """List the endpoints that leave, for what no other can serve."""
+        leaving = [
+            endpoint
+            for endpoint in endpoints
+            if is_last_resort(endpoint, now)
+            and endpoint.name not in progress.tried
+        ]
+        return self.list_healthy(leaving, call, now)
+
     def _list_suspect_zones(
         self,
         usable: list[Endpoint],
--- a/src/kelproad/coordination/ingress/placing/placement.py
+++ b/src/kelproad/coordination/ingress/placing/placement.py
@@ -129,6 +129,8 @@
         Number of candidates that were scored.
     gap_tolerant
         Whether its stream tolerates gaps as long as the prefill of a part.
+    uses_leaving
+        Whether endpoints that leave were permitted, as no other could serve.
     """
 
     primary: Endpoint
@@ -138,6 +140,7 @@
     predicted: float = 0
     considered: int = 0
     gap_tolerant: bool = False
+    uses_leaving: bool = False
 
     @property
     def endpoints(self) -> tuple[Endpoint, ...]:
--- a/src/kelproad/coordination/ingress/quarantine/ends.py
+++ b/src/kelproad/coordination/ingress/quarantine/ends.py
@@ -76,8 +76,12 @@
     ) -> None:
         """Record a failed attempt, and find out whether its engine ended.
 
-        Until that is known its unproven parts are suspect.
+        Until that is known its unproven parts are suspect.  An engine that
+        leaves ends in any case, and accuses none.
         """
+        if endpoint.leaving:
+            record(_logger, 'engine_left', endpoint=endpoint.name)
+            return
         now = monotonic()
         parts = self._quarantine.select_unproven(
             call.service, call.head.shared_parts, now
--- a/src/kelproad/coordination/ingress/retrying/dispatching.py
+++ b/src/kelproad/coordination/ingress/retrying/dispatching.py
@@ -190,9 +190,11 @@
                 'the request limit of an endpoint is reached',
                 worth_waiting=True,
             )
-        if monotonic() - started_at < _PLACEMENT_PERIOD:
-            return
-        may_begin = delivery.begun or self._stop_guard.may_begin_answer(call)
+        may_begin = (
+            monotonic() - started_at < _PLACEMENT_PERIOD
+            or delivery.begun
+            or self._stop_guard.may_begin_answer(call)
+        )
         if not (may_begin and self._chooser.is_usable(placement)):
             raise NoPlacementError(
                 'an endpoint was lost before the start', worth_waiting=True
--- a/src/kelproad/coordination/ingress/retrying/verdicts.py
+++ b/src/kelproad/coordination/ingress/retrying/verdicts.py
@@ -164,6 +164,8 @@
             # Another endpoint answered: no evidence on the health of this one.
             endpoint.misdirected_until = now + _MISDIRECTED_SECONDS
             return
+        if endpoint.leaving:
+            return
         record_outcome(
             self._table,
             endpoint,
--- a/src/kelproad/coordination/ingress/streams/attempts.py
+++ b/src/kelproad/coordination/ingress/streams/attempts.py
@@ -78,7 +78,7 @@
         head = self._dialect.read_answer_head(response, call.request_id)
         self._observe_answer(endpoint, head)
         answer = OpenAnswer(head, response, create_end_check(response))
-        return await self._classify(answer, deadline)
+        return await self._classify(answer, endpoint, deadline)
 
     async def _send(
         self,
@@ -104,6 +104,7 @@
     async def _classify(
         self,
         answer: OpenAnswer,
+        endpoint: Endpoint,
         deadline: float,
     ) -> Result[OpenAnswer, AttemptFailure]:
         """Separate answers to forward from failures."""
@@ -122,11 +123,20 @@
                 f'not run: status {head.status}',
                 Ran.NO,
                 fault=head.at_fault,
+                blameless=_is_polite(answer, endpoint),
                 misdirected=head.outcome is Outcome.MISDIRECTED,
             ),
         )
 
 
+def _is_polite(answer: OpenAnswer, endpoint: Endpoint) -> bool:
+    """Return whether an endpoint turned a call away for itself, unharmed."""
+    head = answer.head
+    if head.at_fault not in {'', endpoint.declaration.address}:
+        return False
+    return head.statements.declines_calls
+
+
 async def _collect_error(
     answer: OpenAnswer,
     deadline: float,
--- a/src/kelproad/coordination/ingress/streams/sending.py
+++ b/src/kelproad/coordination/ingress/streams/sending.py
@@ -12,6 +12,7 @@
 from ....protocol.connections import ConnectionProgress
 from ....protocol.events import SequenceError
 from ....state.calls import Call, Forwarding
+from ....state.endpoints import Endpoint
 from ....state.refusals import Ran
 from ....transport.deadlines import monotonic
 from ..placing.memory import MemoryReserver, Reservation
@@ -82,17 +83,20 @@
         reserver: MemoryReserver,
         silence_monitor: SilenceMonitor,
         record_outlived: Callable[[Call, bool], None],
+        find_unusable: Callable[[Placement], Endpoint | None],
     ) -> None:
         """Send with a client, and reserve memory where a placement needs it.
 
         ``silence_monitor`` decides how long an attempt may bring nothing;
         ``record_outlived`` gets each call whose answer goes on or ends, and
-        whether it was resumed.
+        whether it was resumed; ``find_unusable`` finds a chosen endpoint that
+        may not get a call any more.
         """
         self._client = client
         self._reserver = reserver
         self._silence_monitor = silence_monitor
         self._record_outlived = record_outlived
+        self._find_unusable = find_unusable
 
     async def send(
         self,
@@ -172,6 +176,9 @@
 
     async def _exchange(self, attempt: _Attempt) -> _SendResult:
         call = attempt.call
+        withdrawn = self._find_unusable(attempt.placement)
+        if withdrawn is not None:
+            return Failure(_fail_withdrawn(withdrawn))
         opened = await self._open(attempt)
         if isinstance(opened, Failure):
             return opened
@@ -227,6 +234,17 @@
         )
 
 
+def _fail_withdrawn(endpoint: Endpoint) -> AttemptFailure:
+    """Build the failure of an attempt that was not sent after all."""
+    return AttemptFailure(
+        'an endpoint was lost before the call was sent',
+        Ran.NO,
+        arrived=False,
+        blameless=True,
+        exclude=endpoint.name,
+    )
+
+
 async def _forward_stream(
     attempt: _Attempt,
     answer: OpenAnswer,
--- a/src/kelproad/state/endpoints.py
+++ b/src/kelproad/state/endpoints.py
@@ -94,6 +94,11 @@
     @property
     def leaving(self) -> bool:
         """Whether any source reports that it must get no new work."""
+        return self.withdrawal.leaves or self.listed_as_leaving
+
+    @property
+    def listed_as_leaving(self) -> bool:
+        """Whether any source but its own answers reports that."""
         reported = self.report is not None and self.report.leaving
         return (
             self.declaration.leaving
--- a/src/kelproad/state/endpointtable.py
+++ b/src/kelproad/state/endpointtable.py
@@ -151,11 +151,14 @@
     ) -> Withdrawal:
         """Return what an incarnation stated, to be added to."""
         withdrawal = self.withdrawals.keep(name, incarnation, now)
-        endpoint = self._endpoints.get(name)
-        if endpoint and endpoint.declaration.incarnation == incarnation:
-            endpoint.withdrawal = withdrawal
+        if self._is_listed(name, incarnation):
+            self._endpoints[name].withdrawal = withdrawal
         return withdrawal
 
+    def forget_withdrawals(self, now: float) -> None:
+        """Forget what incarnations stated that are long gone."""
+        self.withdrawals.forget_unlisted(self._is_listed, now)
+
     def find_at(self, address: str) -> Endpoint | None:
         """Find the endpoint at an address, of several the one born last."""
         there = [
@@ -186,6 +189,12 @@
         for name, endpoint in self._endpoints.items():
             endpoint.withheld = name in names
 
+    def _is_listed(self, name: str, incarnation: str) -> bool:
+        endpoint = self._endpoints.get(name)
+        if endpoint is None:
+            return False
+        return endpoint.declaration.incarnation == incarnation
+
     def _declare(
         self,
         declaration: EndpointDeclaration,
--- a/src/kelproad/state/withdrawals.py
+++ b/src/kelproad/state/withdrawals.py
@@ -6,14 +6,19 @@
 """
 
 import math
+from collections.abc import Callable
 
 import attrs
 
-__all__ = ['Withdrawal', 'Withdrawals']
+__all__ = ['USABLE_SHARE', 'Withdrawal', 'Withdrawals']
 
 #: Seconds for which the withdrawal of an incarnation that is not listed is
 #: kept: its entry may lapse while the store is down, and come back.
 _UNLISTED_SECONDS = 60.0
+#: Seconds for which an endpoint that leaves is used where nothing else can be:
+#: by default, and as a share of the time that the platform permits.
+_USABLE_SECONDS = 0.8
+USABLE_SHARE = 0.4
 
 
 @attrs.define
@@ -33,6 +38,9 @@
         Monotonic time until which it wants no requests from this instance.
     leaves
         Whether it stated to this instance or to another one that it leaves.
+    usable_seconds
+        Seconds after that for which calls that nothing else can serve may
+        still be sent to it.
     """
 
     stated_here_at: float = math.inf
@@ -40,6 +48,7 @@
     reported_until: float = -math.inf
     paused_until: float = -math.inf
     leaves: bool = False
+    usable_seconds: float = _USABLE_SECONDS
     #: Monotonic time at which it was last listed.
     listed_at: float = -math.inf
 
@@ -48,6 +57,10 @@
         """Monotonic time at which it first stated that it leaves."""
         return min(self.stated_here_at, self.reported_at)
 
+    def is_last_resort(self, now: float) -> bool:
+        """Return whether it leaves, but may get what nothing else serves."""
+        return self.leaves and now - self.left_at < self.usable_seconds
+
     def is_paused(self, now: float) -> bool:
         """Return whether it wants no requests from this instance now."""
         return self.paused_until > now
@@ -68,17 +81,31 @@
 
 @attrs.define
 class Withdrawals:
-    """Withdrawals by the name and incarnation of endpoints."""
+    """Withdrawals by the name and incarnation of endpoints.
+
+    ``usable_seconds`` is that of new ones.
+    """
 
+    usable_seconds: float = _USABLE_SECONDS
     _known: dict[tuple[str, str], Withdrawal] = attrs.field(factory=dict)
 
     def find(self, endpoint: str, incarnation: str) -> Withdrawal | None:
         """Return the withdrawal of an incarnation, if it stated anything."""
         return self._known.get((endpoint, incarnation))
 
+    def forget_unlisted(
+        self, is_listed: Callable[[str, str], bool], now: float
+    ) -> None:
+        """Forget incarnations that have not been listed for a long time."""
+        for key, withdrawal in list(self._known.items()):
+            if is_listed(*key):
+                withdrawal.listed_at = now
+            elif now - withdrawal.listed_at > _UNLISTED_SECONDS:
+                self._known.pop(key)
+
     def keep(self, endpoint: str, incarnation: str, now: float) -> Withdrawal:
         """Return the withdrawal of an incarnation, a new one if it has none."""
-        fresh = Withdrawal(listed_at=now)
+        fresh = Withdrawal(usable_seconds=self.usable_seconds, listed_at=now)
         return self._known.setdefault((endpoint, incarnation), fresh)
 
     def all(self) -> dict[tuple[str, str], Withdrawal]:
--- a/tests/ingress/test_guard.py
+++ b/tests/ingress/test_guard.py
@@ -110,3 +110,29 @@
     await observer.observe(call, endpoint, monotonic())
     evidence = observer._quarantine.get('writer', 'part')
     assert evidence.trials == int(others_answer)
+
+
+async def test_an_engine_that_leaves_accuses_no_part() -> None:
+    """It breaks off what still runs there when it exits."""
+    declaration = EndpointDeclaration('i-0', 'a', '10.0.0.0:80')
+    table = EndpointTable()
+    table.replace_groups(
+        [EndpointGroup('writer', EndpointKind.ENGINE, [declaration])]
+    )
+    endpoint = table.get('i-0')
+    table.keep_withdrawal('i-0', '', 0).state_leaving(0)
+    quarantine = PartQuarantine(lambda _service: 3)
+    observer = EndObserver(
+        quarantine,
+        types.SimpleNamespace(announce_end=lambda _ended: None),
+        None,
+        None,
+        table,
+        DirectPaths(),
+        QuarantineMetrics(Counters().registry),
+        random.Random(1),
+    )
+    call = build_call()
+    call.head = attrs.evolve(call.head, shared_parts=('part',))
+    await observer.observe(call, endpoint, monotonic())
+    assert quarantine.get('writer', 'part') is None
--- /dev/null
+++ b/tests/ingress/test_withdrawals.py
@@ -0,0 +1,254 @@
+"""Endpoints that leave or pause: what is read, kept and decided."""
+
+import time
+from email.utils import formatdate
+
+import pytest
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from kelproad.coordination.ingress.placing.placement import NoPlacementError
+from kelproad.coordination.ingress.streams.observing import AnswerObserver
+from kelproad.coordination.ingress.withdrawing.observing import (
+    WithdrawalObserver,
+)
+from kelproad.platform.statements import read_statements
+from kelproad.state.calls import AnswerHead, Outcome
+from kelproad.state.counters import Counters, WithdrawalMetrics
+from kelproad.state.declarations import (
+    EndpointDeclaration,
+    EndpointGroup,
+    EndpointKind,
+)
+from kelproad.state.endpointtable import EndpointTable
+from kelproad.state.routes import CallKind
+from kelproad.state.statements import EndpointStatements
+from kelproad.transport.deadlines import monotonic
+from tests.ingress.limits import build_observer
+from tests.ingress.test_limited_placement import ENGINES, Site
+
+LEAVES = EndpointStatements(leaves=True)
+ADDRESS = '10.0.0.1:80'
+
+
+def read(status: int, *fields: tuple[str, str]) -> EndpointStatements:
+    """Decode the statements of an answer with these header fields."""
+    return read_statements(status, CIMultiDictProxy(CIMultiDict(fields)))
+
+
+def build_table(incarnation: str = '1', name: str = 'i-1') -> EndpointTable:
+    """Build a table with one endpoint."""
+    table = EndpointTable()
+    list_endpoint(table, incarnation, name)
+    return table
+
+
+def list_endpoint(
+    table: EndpointTable, incarnation: str, name: str = 'i-1'
+) -> None:
+    """Build the table anew with one endpoint."""
+    declaration = EndpointDeclaration(
+        name, 'a', ADDRESS, incarnation=incarnation
+    )
+    group = EndpointGroup('book', EndpointKind.PLAIN, [declaration])
+    table.replace_groups([group])
+
+
+def build_withdrawal_observer(table: EndpointTable) -> WithdrawalObserver:
+    """Build the observer of an instance without peers."""
+    metrics = WithdrawalMetrics(Counters().registry)
+    return WithdrawalObserver(table, metrics)
+
+
+@pytest.mark.parametrize('status', [200, 421, 429, 500, 503, 504])
+def test_any_answer_may_state_that_its_endpoint_leaves(status: int) -> None:
+    """Only the row in the store was read."""
+    assert read(status, ('Server-Leaving', '1')).leaves
+
+
+@pytest.mark.parametrize(
+    ('stated', 'leaves', 'readable'),
+    [
+        (['1'], True, True),
+        ([' 1 '], True, True),
+        (['0'], False, True),
+        (['0', '1'], True, True),
+        (['1, 1'], True, True),
+        ([''], False, False),
+        (['yes'], False, False),
+        (['11'], False, False),
+        (['x' * 9000], False, False),
+    ],
+)
+def test_only_a_readable_statement_counts(
+    stated: list[str], leaves: bool, readable: bool
+) -> None:
+    """Junk would take an endpoint out for good."""
+    statements = read(200, *(('Server-Leaving', text) for text in stated))
+    assert statements.leaves is leaves
+    assert bool(statements.unreadable) is not readable
+
+
+@pytest.mark.parametrize(
+    ('status', 'stated', 'seconds'),
+    [
+        (503, ['3'], 3),
+        (503, ['0.25'], 0.25),
+        (429, ['2'], 2),
+        (503, ['2', '5', '1'], 5),
+        (503, ['0'], 0),
+        (503, ['-4'], 0),
+        (503, ['soon'], 0),
+        (503, [''], 0),
+        (503, ['9' * 15], 3600),
+        (503, ['9' * 400], 0),
+        (503, ['Wed, 21 Oct 2015 07:28:00 GMT'], 0),
+        (200, ['3'], 0),
+        (500, ['3'], 0),
+    ],
+)
+def test_a_pause_is_read(
+    status: int, stated: list[str], seconds: float
+) -> None:
+    """Nothing read it, and the endpoint got more calls meanwhile."""
+    statements = read(status, *(('Retry-After', text) for text in stated))
+    assert statements.pause == seconds
+
+
+def test_a_pause_may_end_at_a_date() -> None:
+    """A date is as good as a number of seconds."""
+    date = formatdate(time.time() + 30, usegmt=True)
+    assert 28 < read(503, ('Retry-After', date)).pause <= 30
+
+
+def test_a_statement_outlasts_all_but_its_incarnation() -> None:
+    """A table built anew from old rows took it back."""
+    table = build_table()
+    observer = build_withdrawal_observer(table)
+    observer.observe('i-1', '1', LEAVES)
+    observer.observe('i-1', '1', EndpointStatements())
+    list_endpoint(table, '1')
+    assert table.get('i-1').leaving
+    table.replace_groups([])
+    table.forget_withdrawals(monotonic())
+    list_endpoint(table, '1')
+    assert table.get('i-1').leaving
+    list_endpoint(table, '2')
+    assert not table.get('i-1').leaving
+    list_endpoint(table, '1', 'i-2')
+    assert not table.get('i-2').leaving
+
+
+def test_an_answer_speaks_for_the_incarnation_that_it_was_sent_to() -> None:
+    """A late answer of the former one took its successor out."""
+    table = build_table('1')
+    former = table.get('i-1')
+    list_endpoint(table, '2')
+    answers = AnswerObserver(
+        table, build_observer(table), build_withdrawal_observer(table)
+    )
+    head = AnswerHead(Outcome.NOT_RUN, 503, (), statements=LEAVES)
+    answers.observe_answer(former, head)
+    assert not table.get('i-1').leaving
+    answers.observe_answer(table.get('i-1'), head)
+    assert table.get('i-1').leaving
+
+
+def test_another_endpoint_at_the_address_speaks_for_itself() -> None:
+    """A sound endpoint would get no more calls."""
+    table = build_table()
+    answers = AnswerObserver(
+        table, build_observer(table), build_withdrawal_observer(table)
+    )
+    head = AnswerHead(Outcome.MISDIRECTED, 421, (), statements=LEAVES)
+    answers.observe_answer(table.get('i-1'), head)
+    assert not table.get('i-1').leaving
+
+
+def test_a_reply_to_a_report_or_order_counts() -> None:
+    """An engine that only helps states it nowhere else."""
+    table = build_table()
+    answers = AnswerObserver(
+        table, build_observer(table), build_withdrawal_observer(table)
+    )
+    answers.observe_reply('10.0.0.9:80', LEAVES)
+    assert not table.get('i-1').leaving
+    answers.observe_reply(ADDRESS, LEAVES)
+    assert table.get('i-1').leaving
+
+
+def test_memory_of_endpoints_that_are_gone_is_bounded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each release of a service would leave something behind."""
+    table = build_table()
+    build_withdrawal_observer(table).observe('i-1', '1', LEAVES)
+    now = monotonic()
+    table.replace_groups([])
+    table.forget_withdrawals(now + 30)
+    assert table.withdrawals.all()
+    table.forget_withdrawals(now + 100)
+    assert not table.withdrawals.all()
+
+
+# Placement
+
+
+def withdraw(site: Site, name: str, ago: float = 0) -> None:
+    """Let an engine state that it leaves, some seconds ago."""
+    withdrawal = site.table.keep_withdrawal(name, '', monotonic())
+    withdrawal.state_leaving(monotonic() - ago)
+
+
+async def test_an_engine_that_leaves_is_used_where_no_other_can_be() -> None:
+    """Calls were refused while it would have served them."""
+    site = Site()
+    withdraw(site, 'i-1')
+    chosen = {(await site.place()).primary.name for _ in range(20)}
+    assert chosen == {'i-2', 'i-3'}
+    withdraw(site, 'i-2')
+    withdraw(site, 'i-3')
+    placement = await site.place(kind=CallKind.STREAM)
+    assert placement.uses_leaving
+    assert site.chooser.is_usable(placement)
+
+
+async def test_an_engine_that_leaves_is_better_than_one_that_fails() -> None:
+    """A call that may run once would be lost with one that fails."""
+    site = Site()
+    withdraw(site, 'i-1')
+    for failing in ENGINES[1:]:
+        site.table.get(failing).ejected_until = monotonic() + 5
+    assert (await site.place(kind=CallKind.STREAM)).primary.name == 'i-1'
+
+
+async def test_all_that_left_long_ago_are_refused_at_once() -> None:
+    """A call waited for engines of which none may get it."""
+    site = Site()
+    for name in ENGINES:
+        withdraw(site, name, ago=1)
+    returns = set()
+    for _ in range(9):
+        with pytest.raises(NoPlacementError) as raised:
+            await site.place()
+        assert not raised.value.worth_waiting
+        returns.add(raised.value.retry_after)
+    assert len(returns) == 9
+
+
+async def test_what_was_chosen_before_a_statement_is_looked_at_again() -> None:
+    """A call that waited for a start, memory or a trial went there."""
+    site = Site()
+    placement = await site.place()
+    withdraw(site, placement.primary.name)
+    assert site.chooser.find_unusable(placement) is placement.primary
+    long = await site.place(150_000)
+    withdraw(site, long.helpers[0].name)
+    assert site.chooser.find_unusable(long) is long.helpers[0]
+
+
+def test_a_tunnel_is_opened_to_no_endpoint_that_leaves() -> None:
+    """Calls of other instances reached it from here."""
+    table = build_table()
+    assert table.serves_at(ADDRESS)
+    build_withdrawal_observer(table).observe('i-1', '1', LEAVES)
+    assert not table.serves_at(ADDRESS)
