Tell all instances at once of an endpoint that leaves

Instances that an engine had not told yet went on sending to it, each until its own first answer: with every fifth answer saying so, up to 2.3 s after the first was told. The first instance that is told now sends a notice to all others, repeated for a second; it says nothing while none leaves. Only first-hand words are sent, only those of instances that the store lists are believed, from the address that they name, and for 60 to 90 s; after that one call asks the engine again. An instance that is heard anew gets all that is known first-hand.

The streams case states it on the engine in use, as calls are packed on one. Messages between instances get a module of their own; datagram sockets hand on the sender's number.

--- a/src/kelproad/coordination/ingress/limiting/gate.py
+++ b/src/kelproad/coordination/ingress/limiting/gate.py
@@ -21,8 +21,9 @@
     choose_spacing,
 )
 from ....transport.deadlines import monotonic
+from ..membership.messages import StartQuery, StartReply
 from ..membership.peers import PeerRegister
-from ..membership.queries import PeerQueries, StartQuery, StartReply
+from ..membership.queries import PeerQueries
 from ..membership.updates import pack_limits, unpack_limits
 from .coordinators import Coordinator, CoordinatorSelector
 from .granting import StartGranter
--- a/src/kelproad/coordination/ingress/limiting/granting.py
+++ b/src/kelproad/coordination/ingress/limiting/granting.py
@@ -10,7 +10,8 @@
     choose_spacing,
 )
 from ....transport.deadlines import monotonic
-from ..membership.queries import PeerQueries, StartQuery, StartReply
+from ..membership.messages import StartQuery, StartReply
+from ..membership.queries import PeerQueries
 from ..membership.updates import pack_limits, unpack_limits
 from .coordinators import CoordinatorSelector
 from .observing import LimitObserver
--- a/src/kelproad/coordination/ingress/membership/exchange.py
+++ b/src/kelproad/coordination/ingress/membership/exchange.py
@@ -97,7 +97,10 @@
         self._read_provenance = read_provenance
         self._find_zone = find_zone
         self._paths = paths
-        self._socket = DatagramSocket(self.receive, self.receive)
+        self._socket = DatagramSocket(
+            lambda datagram, _host: self.receive(datagram),
+            lambda datagram, _host, waited: self.receive(datagram, waited),
+        )
         self.peers = PeerRegister(settings, reachability)
         self._sequence = 0
         self._local_report = LastReport()
--- /dev/null
+++ b/src/kelproad/coordination/ingress/membership/messages.py
@@ -0,0 +1,220 @@
+"""Queries, notices and replies between instances, as datagrams."""
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..tables.followed import TableFreshness
+from .updates import ReportedLimit, ReportedWork
+
+__all__ = [
+    'LeavingNotice',
+    'Message',
+    'PromptNotice',
+    'Query',
+    'Reply',
+    'ReportedEnd',
+    'ReportedLeaving',
+    'StartQuery',
+    'StartReply',
+    'TablesQuery',
+    'TablesReply',
+    'TrialEnd',
+    'TrialQuery',
+    'TrialReply',
+    'WorkQuery',
+    'WorkReply',
+    'add_notice_age',
+    'decode_message',
+    'encode_message',
+]
+
+
+class TablesQuery(msgspec.Struct, array_like=True, tag=0):
+    """Query for the freshness of the store's tables at another instance."""
+
+    token: int
+    host: str
+    zone: str
+
+
+class TablesReply(msgspec.Struct, array_like=True, tag=1):
+    """Freshness of the tables that may be relayed to the sender, by name."""
+
+    token: int
+    tables: dict[str, TableFreshness]
+
+
+class WorkQuery(msgspec.Struct, array_like=True, tag=2):
+    """Query for the work in flight at the engines of another zone."""
+
+    token: int
+    host: str
+    zone: str
+
+
+class WorkReply(msgspec.Struct, array_like=True, tag=3):
+    """Work in flight at the engines of a zone.
+
+    Work that instances of the querying zone sent there is excluded, as the
+    sender receives it from them.
+    """
+
+    token: int
+    work: list[ReportedWork]
+    refusing: list[str]
+    slow: dict[str, float]
+    limits: list[ReportedLimit] = []
+
+
+class StartQuery(msgspec.Struct, array_like=True, tag=4):
+    """Query whether a request may start at an endpoint that limits them.
+
+    ``limit`` is what the sender knows of its limit.  A start more than
+    ``longest_wait`` seconds away is useless to the sender; infinity announces
+    a start that nothing can delay.  ``relayed`` queries are not relayed again.
+    """
+
+    token: int
+    host: str
+    zone: str
+    limit: ReportedLimit
+    longest_wait: float
+    relayed: bool = False
+
+
+class StartReply(msgspec.Struct, array_like=True, tag=5):
+    """Whether a start is reserved, with the fields of ``StartGrant``."""
+
+    token: int
+    granted: bool
+    wait: float
+    next_wait: float
+    limit: ReportedLimit
+
+
+class ReportedEnd(msgspec.Struct, array_like=True):
+    """A call whose engine ended, with the fields of ``EndedCall``.
+
+    Times are in seconds before the report.
+    """
+
+    service: str
+    engine: str
+    parts: list[str]
+    workspaces: list[str]
+    sent_age: float
+    ended_age: float
+    confirmed: bool
+
+
+class PromptNotice(msgspec.Struct, array_like=True, tag=6):
+    """What the sender observed of parts of prompts; needs no reply.
+
+    ``harmless`` has the seconds since an answer that shows it, by service and
+    part.  ``alive`` names the engines, by service and life, that were reported
+    to have ended and have not.
+    """
+
+    token: int
+    host: str
+    zone: str
+    ends: list[ReportedEnd] = []
+    harmless: list[tuple[str, str, float]] = []
+    alive: list[tuple[str, str]] = []
+
+
+class TrialQuery(msgspec.Struct, array_like=True, tag=7):
+    """Query whether a call may try parts that are suspect at an engine.
+
+    ``call`` is its request id; ``relayed`` queries are not relayed again.
+    """
+
+    token: int
+    host: str
+    zone: str
+    service: str
+    parts: list[str]
+    call: str
+    engine: str
+    relayed: bool = False
+
+
+class TrialReply(msgspec.Struct, array_like=True, tag=8):
+    """Whether the call may be sent: no other one tries any of the parts.
+
+    ``engines`` are those at which others try parts; an engine that ends there
+    should accuse only one of them.
+    """
+
+    token: int
+    granted: bool
+    engines: list[str]
+
+
+class TrialEnd(msgspec.Struct, array_like=True, tag=9):
+    """Notice that the trial of a call is over; needs no reply."""
+
+    token: int
+    host: str
+    zone: str
+    service: str
+    parts: list[str]
+    call: str
+    relayed: bool = False
+
+
+class ReportedLeaving(msgspec.Struct, array_like=True):
+    """An incarnation that stated that it leaves, ``age`` seconds ago."""
+
+    endpoint: str
+    incarnation: str
+    age: float
+
+
+class LeavingNotice(msgspec.Struct, array_like=True, tag=10):
+    """Endpoints that told the sender that they leave; needs no reply."""
+
+    token: int
+    host: str
+    zone: str
+    leaving: list[ReportedLeaving]
+
+
+Query = (
+    TablesQuery
+    | WorkQuery
+    | StartQuery
+    | PromptNotice
+    | TrialQuery
+    | TrialEnd
+    | LeavingNotice
+)
+Reply = TablesReply | WorkReply | StartReply | TrialReply
+Message = Query | Reply
+
+encode_message = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(Message).decode
+
+
+def decode_message(datagram: bytes) -> Result[Message, str]:
+    """Decode a datagram, or return why it is unreadable."""
+    try:
+        return Success(_decode(datagram))
+    except msgspec.DecodeError as error:
+        return Failure(str(error))
+
+
+def add_notice_age(
+    notice: PromptNotice | LeavingNotice, seconds: float
+) -> None:
+    """Add the seconds that a notice has waited to the ages in it."""
+    if isinstance(notice, LeavingNotice):
+        for reported in notice.leaving:
+            reported.age += seconds
+        return
+    for end in notice.ends:
+        end.sent_age += seconds
+        end.ended_age += seconds
+    notice.harmless = [
+        (service, part, age + seconds) for service, part, age in notice.harmless
+    ]
--- a/src/kelproad/coordination/ingress/membership/peering.py
+++ b/src/kelproad/coordination/ingress/membership/peering.py
@@ -30,10 +30,11 @@
 from ..tables.readers import ReaderSelector
 from ..tables.relaying import TableRelay
 from ..tables.store import NodeStore
+from ..withdrawing.notices import LeavingNotices
 from ..withdrawing.observing import WithdrawalObserver
 from .exchange import WorkExchange
-from .queries import (
-    PeerQueries,
+from .messages import (
+    LeavingNotice,
     PromptNotice,
     Query,
     Reply,
@@ -43,7 +44,9 @@
     TrialQuery,
     WorkQuery,
 )
+from .queries import PeerQueries
 from .reachability import ZoneReachability
+from .rostering import Roster
 from .spillover import answer_work_query
 
 __all__ = ['Peering']
@@ -68,6 +71,8 @@
         Direct connections to endpoints, as they succeed and fail.
     gate
         Gate before endpoints that limit their requests.
+    roster
+        The instances that the store lists.
     prompts
         What is known of parts of prompts on which engines crash.
     """
@@ -96,9 +101,6 @@
         self.limit_observer = LimitObserver(
             RequestLimits(), LimitMetrics(counters.registry), table
         )
-        self.withdrawal_observer = WithdrawalObserver(
-            table, WithdrawalMetrics(counters.registry)
-        )
         self.paths = DirectPaths()
         self._session = session
         self._counters = counters
@@ -151,6 +153,26 @@
             self.exchange.describe_self(),
             store.roster.write,
         )
+        self.roster = Roster(
+            settings,
+            store.roster,
+            self.exchange,
+            self.prompts.rows.adopt,
+            generator,
+        )
+        self._leaving_notices = LeavingNotices(
+            table,
+            self.queries,
+            self.exchange.peers,
+            self.roster.is_instance,
+            generator,
+        )
+        self.exchange.peers.on_heard.append(self._leaving_notices.greet)
+        self.withdrawal_observer = WithdrawalObserver(
+            table,
+            WithdrawalMetrics(counters.registry),
+            self._leaving_notices.announce,
+        )
 
     def list_services(self) -> list[Service]:
         """List the services to be started, in this order."""
@@ -160,6 +182,8 @@
             self.exchange,
             self.queries,
             self.prompts.notices,
+            self._leaving_notices,
+            self.roster,
         ]
 
     def _open_peer_table(self, name: str) -> PeerTable:
@@ -184,6 +208,8 @@
             return self._granter.answer(query, self.queries)
         if isinstance(query, PromptNotice | TrialQuery | TrialEnd):
             return self.prompts.answer(query)
+        if isinstance(query, LeavingNotice):
+            return self._leaving_notices.accept(query)
         if isinstance(query, WorkQuery):
             return answer_work_query(
                 query,
--- a/src/kelproad/coordination/ingress/membership/peers.py
+++ b/src/kelproad/coordination/ingress/membership/peers.py
@@ -72,9 +72,9 @@
         #: The reader of each other zone and the monotonic time of the report
         #: of an instance there that named it.
         self._zone_readers: dict[str, tuple[Reader, float]] = {}
-        #: Gets the IP number of each peer that is heard for the first time, or
-        #: again after a silence.
-        self.on_heard: Callable[[str], None] | None = None
+        #: Each gets the IP number of a peer that is heard for the first time,
+        #: or again after a silence.
+        self.on_heard: list[Callable[[str], None]] = []
 
     def add(self, instance: str, host: str, zone: str = '') -> None:
         """Add an instance to those that datagrams are sent to."""
@@ -118,8 +118,8 @@
             record(
                 _logger, 'peer_heard', peer=update.instance, zone=update.zone
             )
-        if silent and self.on_heard is not None:
-            self.on_heard(update.host)
+        for greet in self.on_heard if silent else ():
+            greet(update.host)
         peer.received_at = float('-inf') if update.leaving else now
         if peer.zone != update.zone:
             peer.zone = update.zone
--- a/src/kelproad/coordination/ingress/membership/spillover.py
+++ b/src/kelproad/coordination/ingress/membership/spillover.py
@@ -16,8 +16,9 @@
 from ....state.work import WorkLedger
 from ....transport.deadlines import monotonic
 from ..limiting.observing import LimitObserver
+from .messages import WorkQuery, WorkReply
 from .peers import PeerRegister
-from .queries import PeerQueries, WorkQuery, WorkReply
+from .queries import PeerQueries
 from .reachability import ZoneReachability
 from .updates import pack_limits, pack_work, unpack_limits, unpack_work
 
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -22,7 +22,6 @@
 from .assembly import CallPipeline, SharedState
 from .membership.peering import Peering
 from .membership.reachability import ZoneReachability
-from .membership.rostering import Roster
 from .readiness import Readiness
 from .reloading import SettingsHolder, SettingsWatch
 from .servers import NodeServers, describe_endpoints, describe_work
@@ -118,18 +117,11 @@
             self._exchange.peers,
             self._read_bounds,
         )
-        self._roster = Roster(
-            self._settings,
-            store.roster,
-            self._exchange,
-            self._peering.prompts.rows.adopt,
-            self._generator,
-        )
+        self._roster = self._peering.roster
         self._tunnels = self._create_tunnel_server()
         self._pipeline = self._create_pipeline()
         for service in (
             *self._peering.list_services(),
-            self._roster,
             self._tunnels,
             SettingsWatch(self._settings_holder),
         ):
--- a/src/kelproad/coordination/ingress/quarantine/assembly.py
+++ b/src/kelproad/coordination/ingress/quarantine/assembly.py
@@ -12,14 +12,14 @@
 from ....state.endpointtable import EndpointTable
 from ....state.quarantine import PartQuarantine
 from ..limiting.coordinators import CoordinatorSelector
-from ..membership.peers import PeerRegister
-from ..membership.queries import (
-    PeerQueries,
+from ..membership.messages import (
     PromptNotice,
     TrialEnd,
     TrialQuery,
     TrialReply,
 )
+from ..membership.peers import PeerRegister
+from ..membership.queries import PeerQueries
 from ..placing.memory import EngineOperations
 from ..tables.readers import Reader
 from ..tables.tablestates import StoreProblem
@@ -72,7 +72,7 @@
         """
         parts = PartQuarantine(lambda service: len(table.in_group(service)))
         notices = PromptNotices(parts, queries, peers)
-        peers.on_heard = notices.greet
+        peers.on_heard.append(notices.greet)
         return cls(
             parts,
             notices,
--- a/src/kelproad/coordination/ingress/quarantine/notices.py
+++ b/src/kelproad/coordination/ingress/quarantine/notices.py
@@ -16,8 +16,9 @@
 from ....state.suspicions import EndedCall
 from ....transport.deadlines import monotonic
 from ....transport.services import BackgroundService
+from ..membership.messages import PromptNotice, ReportedEnd
 from ..membership.peers import PeerRegister
-from ..membership.queries import PeerQueries, PromptNotice, ReportedEnd
+from ..membership.queries import PeerQueries
 
 __all__ = ['PromptNotices', 'pack_end', 'unpack_end']
 
--- a/src/kelproad/coordination/ingress/quarantine/rows.py
+++ b/src/kelproad/coordination/ingress/quarantine/rows.py
@@ -19,7 +19,7 @@
 from ....state.records import record
 from ....state.suspicions import EndedCall
 from ....transport.deadlines import monotonic
-from ..membership.queries import ReportedEnd
+from ..membership.messages import ReportedEnd
 from ..tables.tablestates import StoredRow, StoreProblem
 from .notices import pack_end, unpack_end
 
--- a/src/kelproad/coordination/ingress/quarantine/trials.py
+++ b/src/kelproad/coordination/ingress/quarantine/trials.py
@@ -17,13 +17,13 @@
 from ....state.calls import Call
 from ....transport.deadlines import monotonic
 from ..limiting.coordinators import Coordinator, CoordinatorSelector
-from ..membership.peers import PeerRegister
-from ..membership.queries import (
-    PeerQueries,
+from ..membership.messages import (
     TrialEnd,
     TrialQuery,
     TrialReply,
 )
+from ..membership.peers import PeerRegister
+from ..membership.queries import PeerQueries
 from ..tables.readers import Reader
 
 __all__ = ['Permission', 'TrialCoordinator']
--- a/src/kelproad/coordination/ingress/tables/probing.py
+++ b/src/kelproad/coordination/ingress/tables/probing.py
@@ -11,7 +11,8 @@
 import attrs
 
 from ....transport.deadlines import read_boottime
-from ..membership.queries import PeerQueries, TablesQuery, TablesReply
+from ..membership.messages import TablesQuery, TablesReply
+from ..membership.queries import PeerQueries
 from .followed import TableFreshness
 from .readers import Reader
 
--- a/src/kelproad/coordination/ingress/withdrawing/observing.py
+++ b/src/kelproad/coordination/ingress/withdrawing/observing.py
@@ -4,6 +4,7 @@
 """
 
 import logging
+from collections.abc import Callable
 
 import attrs
 
@@ -25,10 +26,15 @@
 
 @attrs.define
 class WithdrawalObserver:
-    """Keeps what endpoints state about leaving and pausing, and logs it."""
+    """Keeps what endpoints state about leaving and pausing, and logs it.
+
+    ``_announce`` gets the name and incarnation of an endpoint that leaves and
+    is not known to do so.
+    """
 
     _table: EndpointTable
     _metrics: WithdrawalMetrics
+    _announce: Callable[[str, str], None]
     _unreadable: set[tuple[str, str]] = attrs.field(factory=set)
 
     def observe(
@@ -41,18 +47,24 @@
             return
         now = monotonic()
         withdrawal = self._table.keep_withdrawal(endpoint, incarnation, now)
+        was_known = withdrawal.leaves
         if statements.leaves and withdrawal.state_leaving(now):
-            self._metrics.withdrawals.inc({'kind': 'leaving'})
-            record(
-                _logger,
-                'endpoint_leaves',
-                endpoint=endpoint,
-                incarnation=incarnation,
-                source='own answer',
-            )
+            self._record_leaving(endpoint, incarnation)
+            if not was_known:
+                self._announce(endpoint, incarnation)
         if statements.pause:
             self._pause(endpoint, withdrawal, statements.pause, now)
 
+    def _record_leaving(self, endpoint: str, incarnation: str) -> None:
+        self._metrics.withdrawals.inc({'kind': 'leaving'})
+        record(
+            _logger,
+            'endpoint_leaves',
+            endpoint=endpoint,
+            incarnation=incarnation,
+            source='own answer',
+        )
+
     def _pause(
         self, endpoint: str, withdrawal: Withdrawal, seconds: float, now: float
     ) -> None:
--- a/src/kelproad/state/withdrawals.py
+++ b/src/kelproad/state/withdrawals.py
@@ -72,6 +72,18 @@
         self.leaves = True
         return is_first
 
+    def report_leaving(self, stated_at: float, until: float) -> None:
+        """Record another instance's report, which holds until a time."""
+        self.reported_at = min(self.reported_at, stated_at)
+        self.reported_until = max(self.reported_until, until)
+        self.leaves = True
+
+    def expire(self, now: float) -> None:
+        """Forget reports of other instances that hold no longer."""
+        if self.reported_until <= now:
+            self.reported_at = math.inf
+            self.leaves = math.isfinite(self.stated_here_at)
+
     def pause(self, until: float) -> bool:
         """Record a pause; return whether it is longer than any before."""
         is_longer = until > self.paused_until
@@ -96,8 +108,9 @@
     def forget_unlisted(
         self, is_listed: Callable[[str, str], bool], now: float
     ) -> None:
-        """Forget incarnations that have not been listed for a long time."""
+        """Forget what has expired, and incarnations long not listed."""
         for key, withdrawal in list(self._known.items()):
+            withdrawal.expire(now)
             if is_listed(*key):
                 withdrawal.listed_at = now
             elif now - withdrawal.listed_at > _UNLISTED_SECONDS:
--- a/src/kelproad/transport/datagrams.py
+++ b/src/kelproad/transport/datagrams.py
@@ -35,13 +35,14 @@
 
     def __init__(
         self,
-        receive: Callable[[bytes], None],
-        receive_outdated: Callable[[bytes, float], None] | None = None,
+        receive: Callable[[bytes, str], None],
+        receive_outdated: Callable[[bytes, str, float], None] | None = None,
     ) -> None:
         """Set the functions that get each datagram; open no socket yet.
 
-        ``receive_outdated`` also gets the seconds for which it waited at most;
-        without it, outdated datagrams are discarded.
+        Both get the sender's IP number.  ``receive_outdated`` also gets the
+        seconds for which the datagram waited at most; without it, outdated
+        datagrams are discarded.
         """
         self._receive = receive
         self._receive_outdated = receive_outdated
@@ -81,10 +82,10 @@
         """Forward a datagram to the receiver, unless it is outdated."""
         frozen_for = monotonic() - self._running_at
         if frozen_for < _FROZEN_SECONDS:
-            self._receive(data)
+            self._receive(data, addr[0])
             return
         self._running_at = monotonic()
-        outdated = [data, *self._list_waiting()]
+        outdated = [(data, addr[0]), *self._list_waiting()]
         record(
             _logger,
             'datagrams_outdated',
@@ -93,8 +94,8 @@
         )
         if self._receive_outdated is None:
             return
-        for datagram in outdated:
-            self._receive_outdated(datagram, frozen_for)
+        for datagram, host in outdated:
+            self._receive_outdated(datagram, host, frozen_for)
 
     def error_received(self, exc: Exception) -> None:
         """Log that a peer's host reported a closed port or a similar error."""
@@ -107,16 +108,18 @@
             _RUNNING_PERIOD, self._record_running
         )
 
-    def _list_waiting(self) -> list[bytes]:
-        """List the datagrams that have arrived."""
-        waiting: list[bytes] = []
+    def _list_waiting(self) -> list[tuple[bytes, str]]:
+        """List the datagrams that have arrived, and their senders."""
+        waiting: list[tuple[bytes, str]] = []
         for _ in range(_MAX_WAITING):
             try:
-                waiting.append(self._socket.recv(_MAX_BYTES))
+                datagram, address = self._socket.recvfrom(_MAX_BYTES)
             except BlockingIOError:
                 break
             except OSError as error:
                 self.error_received(error)
+            else:
+                waiting.append((datagram, address[0]))
         return waiting
 
 
--- a/tests/ingress/limits.py
+++ b/tests/ingress/limits.py
@@ -14,8 +14,8 @@
 from kelproad.coordination.ingress.limiting.gate import StartGate
 from kelproad.coordination.ingress.limiting.granting import StartGranter
 from kelproad.coordination.ingress.limiting.observing import LimitObserver
+from kelproad.coordination.ingress.membership.messages import Query, Reply
 from kelproad.coordination.ingress.membership.peers import PeerRegister
-from kelproad.coordination.ingress.membership.queries import Query, Reply
 from kelproad.coordination.ingress.membership.reachability import (
     ZoneReachability,
 )
--- a/tests/ingress/test_probing.py
+++ b/tests/ingress/test_probing.py
@@ -4,10 +4,8 @@
 
 import pytest
 
-from kelproad.coordination.ingress.membership.queries import (
-    PeerQueries,
-    TablesReply,
-)
+from kelproad.coordination.ingress.membership.messages import TablesReply
+from kelproad.coordination.ingress.membership.queries import PeerQueries
 from kelproad.coordination.ingress.settings import NodeSettings
 from kelproad.coordination.ingress.tables import probing as probing_module
 from kelproad.coordination.ingress.tables import relaying as relaying_module
@@ -60,7 +58,9 @@
         self.sent += 1
         queries = self.queries.get(address.host)
         if queries is not None and self.sent not in self.lost:
-            asyncio.get_running_loop().call_soon(queries.receive, datagram)
+            asyncio.get_running_loop().call_soon(
+                queries.receive, datagram, '10.0.0.9'
+            )
 
 
 def describe(host: str, zone: str) -> Reader:
@@ -156,5 +156,5 @@
     """The port accepts datagrams from any sender."""
     network = Network()
     network.join('10.0.0.1', 'zone-a')
-    network.queries['10.0.0.1'].receive(datagram)
+    network.queries['10.0.0.1'].receive(datagram, '10.0.0.9')
     assert not network.sent
--- a/tests/ingress/test_spillover.py
+++ b/tests/ingress/test_spillover.py
@@ -9,14 +9,14 @@
 from kelproad.coordination.ingress.membership import (
     spillover as spillover_module,
 )
+from kelproad.coordination.ingress.membership.messages import (
+    WorkQuery,
+    WorkReply,
+)
 from kelproad.coordination.ingress.membership.peers import (
     MAX_FULL_MESH_PEERS,
     PeerRegister,
 )
-from kelproad.coordination.ingress.membership.queries import (
-    WorkQuery,
-    WorkReply,
-)
 from kelproad.coordination.ingress.membership.reachability import (
     ZoneReachability,
 )
--- a/tests/ingress/test_withdrawals.py
+++ b/tests/ingress/test_withdrawals.py
@@ -1,13 +1,24 @@
 """Endpoints that leave or pause: what is read, kept and decided."""
 
+import asyncio
+import random
 import time
+import types
+from collections.abc import Callable
 from email.utils import formatdate
 
 import pytest
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from kelproad.coordination.ingress.membership.messages import (
+    LeavingNotice,
+    ReportedLeaving,
+    encode_message,
+)
+from kelproad.coordination.ingress.membership.queries import PeerQueries
 from kelproad.coordination.ingress.placing.placement import NoPlacementError
 from kelproad.coordination.ingress.streams.observing import AnswerObserver
+from kelproad.coordination.ingress.withdrawing.notices import LeavingNotices
 from kelproad.coordination.ingress.withdrawing.observing import (
     WithdrawalObserver,
 )
@@ -56,7 +67,7 @@
 def build_withdrawal_observer(table: EndpointTable) -> WithdrawalObserver:
     """Build the observer of an instance without peers."""
     metrics = WithdrawalMetrics(Counters().registry)
-    return WithdrawalObserver(table, metrics)
+    return WithdrawalObserver(table, metrics, lambda *_endpoint: None)
 
 
 @pytest.mark.parametrize('status', [200, 421, 429, 500, 503, 504])
@@ -190,6 +201,104 @@
     assert not table.withdrawals.all()
 
 
+# Notices of peers
+
+
+class Peer:
+    """The notices of an instance, whose datagrams a test delivers."""
+
+    def __init__(self, host: str, instances: set[str]) -> None:
+        """Believe the instances."""
+        self.table = build_table()
+        self.sent: list[LeavingNotice] = []
+        self.lookups = 0
+
+        async def is_instance(named: str) -> bool:
+            self.lookups += 1
+            await asyncio.sleep(0)
+            return named in instances
+
+        def announce(kind: Callable[..., LeavingNotice], to: str) -> None:
+            self.sent.append(kind(0, host, 'a'))
+
+        self.notices = LeavingNotices(
+            self.table,
+            types.SimpleNamespace(announce=announce),
+            types.SimpleNamespace(list_hosts=lambda: ['10.0.0.8']),
+            is_instance,
+            random.Random(1),
+        )
+        self.observer = WithdrawalObserver(
+            self.table,
+            WithdrawalMetrics(Counters().registry),
+            self.notices.announce,
+        )
+
+    async def hear(self, notice: LeavingNotice) -> None:
+        """Take a notice of another instance."""
+        self.notices.accept(notice)
+        await asyncio.gather(*self.notices._waiting)
+
+
+async def test_the_first_that_is_told_tells_the_others() -> None:
+    """Each instance went on until it was told itself."""
+    first, second = Peer('10.0.0.1', set()), Peer('10.0.0.2', {'10.0.0.1'})
+    first.observer.observe('i-1', '1', LEAVES)
+    first.observer.observe('i-1', '1', LEAVES)
+    assert len(first.sent) == 1
+    await second.hear(first.sent[0])
+    assert second.table.get('i-1').leaving
+    second.observer.observe('i-1', '1', LEAVES)
+    assert not second.sent
+    second.notices.greet('10.0.0.3')
+    assert second.sent[0].leaving[0].endpoint == 'i-1'
+
+
+async def test_what_was_only_heard_is_not_passed_on() -> None:
+    """Two instances could keep a false notice alive for ever."""
+    second = Peer('10.0.0.2', {'10.0.0.1'})
+    await second.hear(build_notice('10.0.0.1'))
+    second.notices.greet('10.0.0.3')
+    assert not second.sent
+
+
+async def test_a_stranger_takes_no_endpoint_out() -> None:
+    """Anybody could take all endpoints out with a datagram."""
+    here = Peer('10.0.0.2', {'10.0.0.1'})
+    await here.hear(build_notice('10.0.0.9'))
+    assert not here.table.get('i-1').leaving
+    encoded = encode_message(build_notice('10.0.0.1'))
+    queries = PeerQueries(None, lambda query: pytest.fail(f'taken: {query}'))
+    queries.receive(encoded, '10.0.0.9')
+    queries.receive_outdated(encoded, '10.0.0.9', 2)
+
+
+async def test_a_flood_of_notices_is_bounded() -> None:
+    """Each would wait for the store."""
+    here = Peer('10.0.0.2', {'10.0.0.1'})
+    for _ in range(1000):
+        here.notices.accept(build_notice('10.0.0.9'))
+    assert len(here.notices._waiting) < 100
+    await asyncio.gather(*here.notices._waiting)
+
+
+async def test_a_notice_holds_for_its_incarnation_and_for_a_time() -> None:
+    """A false one would take an endpoint out for good."""
+    here = Peer('10.0.0.2', {'10.0.0.1'})
+    await here.hear(build_notice('10.0.0.1', incarnation='0'))
+    assert not here.table.get('i-1').leaving
+    await here.hear(build_notice('10.0.0.1'))
+    here.table.forget_withdrawals(monotonic() + 30)
+    assert here.table.get('i-1').leaving
+    here.table.forget_withdrawals(monotonic() + 100)
+    assert not here.table.get('i-1').leaving
+
+
+def build_notice(host: str, incarnation: str = '1') -> LeavingNotice:
+    """Build the notice of an instance that an endpoint leaves."""
+    return LeavingNotice(0, host, 'a', [ReportedLeaving('i-1', incarnation, 0)])
+
+
 # Placement
 
 
--- a/tests/ingress/test_withdrawals_site.py
+++ b/tests/ingress/test_withdrawals_site.py
@@ -123,21 +123,23 @@
     ]
 
 
-def find_told(sent: list[Sent], name: str) -> dict[str, float]:
-    """Find when each instance was told that an endpoint leaves."""
-    told: dict[str, float] = {}
-    for item in sent:
-        headers = item.answer.headers
-        stamp = headers.get('X-Kelproad-Server-Stamp', '')
-        if f'.{name}.' in stamp and headers.get('Server-Leaving') == '1':
-            before = told.get(item.instance, item.answered_at)
-            told[item.instance] = min(before, item.answered_at)
-    return told
+def find_told(site: RoutedSite, name: str, since: float) -> dict[str, float]:
+    """Find when each instance was told by an endpoint that it leaves."""
+    offset = time.time() - time.monotonic()
+    return {
+        instance.name: line['time'] - offset
+        for instance in site.instances
+        for line in instance.log_lines
+        if line['event'] == 'endpoint_leaves'
+        and line['endpoint'] == name
+        and line['source'] == 'own answer'
+        and line['time'] - offset > since
+    }
 
 
 def check_left_alone(site: RoutedSite, name: str, sent: list[Sent]) -> None:
     """Check that nothing arrived once the instances were told."""
-    told = find_told(sent, name)
+    told = find_told(site, name, sent[0].sent_at)
     assert told
     first = min(told.values())
     late = [
@@ -157,14 +159,16 @@
 
 
 @pytest.mark.parametrize(
-    ('path', 'name', 'every'),
-    [(REPORTS, 'engine-1', 1), (LOOKUPS, 'book-1', 1), (LOOKUPS, 'book-2', 5)],
+    ('path', 'names', 'every'),
+    [(REPORTS, ENGINES, 1), (LOOKUPS, BOOKS, 1), (LOOKUPS, BOOKS, 5)],
     ids=('streams', 'plain', 'every-fifth-answer'),
 )
 def test_an_endpoint_that_stated_that_it_leaves_gets_no_more_calls(
-    site: RoutedSite, path: str, name: str, every: int
+    site: RoutedSite, path: str, names: tuple[str, ...], every: int
 ) -> None:
     """Only the store was believed: calls went on until its row changed."""
+    _, before = apply_load(site, path, {}, STATED_AFTER)
+    name = max(names, key=lambda one: len(list_arrivals(site, one, before)))
     stated = {'leaving': '1', 'leaving_every': every}
     _, sent = apply_load(site, path, {name: stated})
     check_served(sent)
@@ -196,7 +200,7 @@
     leaving = {name: {'leaving': '1'} for name in names}
     stated_at, sent = apply_load(site, path, leaving)
     for name in names:
-        first = min(find_told(sent, name).values())
+        first = min(find_told(site, name, stated_at).values())
         arrivals = list_arrivals(site, name, sent)
         assert not any(at > first + SPREAD_SECONDS for at, _ in arrivals)
     after = [
