Leave endpoints alone for the time that they name when turning a call away

What an engine meant for callers it told in vain: 503 with Retry-After was read by nobody, so that it got calls until it was ejected as if it had failed, and callers were refused with the same 0.50 s. A 503 or 429 with seconds or a date now keeps this instance from that incarnation until then; the longest of several counts, an hour at most. Nothing else is inferred: it is no failure for ejection, peers are not told, reports are not asked for. A retry after it still draws on the budget, as operators count every arrival.

Where only endpoints that pause could serve a call, it waits for the first end by the rule for request limits, or is refused at once with a return at random after that end. Refusals without a better time are spread over 0.25 to 0.75 s.

--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -184,7 +184,7 @@
         return TunnelServer(
             Address(self._settings.ip, self._settings.tunnel_port),
             self._roster.is_instance,
-            self._table.serves_at,
+            lambda address: self._table.serves_at(address, monotonic()),
             self._connector.connect_directly,
             lambda outcome: self._counters.tunnels.inc(
                 {'side': 'opened', 'outcome': outcome}
--- a/src/kelproad/coordination/ingress/placing/choosing.py
+++ b/src/kelproad/coordination/ingress/placing/choosing.py
@@ -23,8 +23,9 @@
     is_eligible,
     is_last_resort,
     is_trusted,
+    is_withdrawn,
     refuse_for_limits,
-    refuse_leaving,
+    refuse_withdrawn,
 )
 from .filtering import EndpointFilter
 from .placement import CallRequirements, Candidate, NoPlacementError, Placement
@@ -39,6 +40,9 @@
 #: Share of its objective that the work of a call to a plain service is assumed
 #: to take.
 _PLAIN_WORK_SHARE = 0.2
+#: Bounds of the seconds after which a refused call comes back where nothing
+#: better is known: about as long as an engine takes for a few short streams.
+_RETURNS = (0.25, 0.75)
 
 
 @attrs.frozen
@@ -141,7 +145,7 @@
                 refusal = refusal or error
             else:
                 return attrs.evolve(placement, uses_leaving=tier.uses_leaving)
-        raise self._explain(refusal, endpoints, call, now)
+        raise self._explain(refusal, endpoints, call, progress, now)
 
     def find_unusable(self, placement: Placement) -> Endpoint | None:
         """Find a chosen endpoint that may not get a call any more."""
@@ -156,6 +160,16 @@
                 return endpoint
         return None
 
+    def choose_return(self, call: Call) -> float:
+        """Choose the seconds after which a refused call is to come back."""
+        now = monotonic()
+        endpoints = self._table.in_group(call.service)
+        if not _are_withdrawn(endpoints, now):
+            return self._generator.uniform(*_RETURNS)
+        return refuse_withdrawn(
+            endpoints, None, call, now, self._generator
+        ).retry_after
+
     def is_usable(self, placement: Placement) -> bool:
         """Return whether the chosen endpoints may still get a call."""
         return self.find_unusable(placement) is None
@@ -185,7 +199,7 @@
         if leaving:
             names = {endpoint.name for endpoint in leaving}
             yield _Tier(healthy + leaving, trusted | names, uses_leaving=True)
-        if not (trusted or _all_leave(endpoints)):
+        if not (trusted or _are_withdrawn(endpoints, now)):
             yield _Tier(usable, {endpoint.name for endpoint in usable})
 
     def _choose_in(
@@ -225,12 +239,20 @@
         refusal: NoPlacementError | None,
         endpoints: list[Endpoint],
         call: Call,
+        progress: Progress,
         now: float,
     ) -> NoPlacementError:
         """Return why no tier served a call, and when it is worth returning."""
-        if refusal is None or _all_leave(endpoints):
-            return refuse_leaving(call, now, self._generator)
-        return refusal
+        withdrawn = [
+            endpoint
+            for endpoint in endpoints
+            if is_withdrawn(endpoint, now)
+            and endpoint.name not in progress.tried
+        ]
+        pausing = any(not endpoint.leaving for endpoint in withdrawn)
+        if refusal is not None and not pausing:
+            return refusal
+        return refuse_withdrawn(withdrawn, refusal, call, now, self._generator)
 
     def _score(
         self,
@@ -332,6 +354,8 @@
         )
 
 
-def _all_leave(endpoints: list[Endpoint]) -> bool:
-    """Return whether there are endpoints, all of which leave."""
-    return bool(endpoints) and all(endpoint.leaving for endpoint in endpoints)
+def _are_withdrawn(endpoints: list[Endpoint], now: float) -> bool:
+    """Return whether there are endpoints, none of which wants calls."""
+    return bool(endpoints) and all(
+        is_withdrawn(endpoint, now) for endpoint in endpoints
+    )
--- a/src/kelproad/coordination/ingress/placing/eligibility.py
+++ b/src/kelproad/coordination/ingress/placing/eligibility.py
@@ -15,9 +15,10 @@
     'is_healthy',
     'is_last_resort',
     'is_trusted',
+    'is_withdrawn',
     'list_untried',
     'refuse_for_limits',
-    'refuse_leaving',
+    'refuse_withdrawn',
 ]
 
 #: Seconds after which another endpoint may be listed in place of one that
@@ -27,7 +28,12 @@
 
 def is_eligible(endpoint: Endpoint, now: float) -> bool:
     """Return whether an endpoint may get calls at all, healthy or not."""
-    return not endpoint.leaving and endpoint.misdirected_until <= now
+    return not is_withdrawn(endpoint, now) and endpoint.misdirected_until <= now
+
+
+def is_withdrawn(endpoint: Endpoint, now: float) -> bool:
+    """Return whether an endpoint wants no calls: it leaves, or pauses."""
+    return endpoint.leaving or endpoint.withdrawal.is_paused(now)
 
 
 def is_last_resort(endpoint: Endpoint, now: float) -> bool:
@@ -37,6 +43,7 @@
     """
     return (
         endpoint.withdrawal.is_last_resort(now)
+        and not endpoint.withdrawal.is_paused(now)
         and not endpoint.listed_as_leaving
         and endpoint.misdirected_until <= now
     )
@@ -120,12 +127,30 @@
     )
 
 
-def refuse_leaving(
-    call: Call, now: float, generator: random.Random
+def refuse_withdrawn(
+    endpoints: list[Endpoint],
+    refusal: NoPlacementError | None,
+    call: Call,
+    now: float,
+    generator: random.Random,
 ) -> NoPlacementError:
-    """Build the refusal of a call all of whose endpoints leave."""
+    """Build the refusal of a call that endpoints which pause could serve.
+
+    It waits for the end of a pause if it could still be served then.
+    ``refusal`` says why others don't serve it, ``None`` without any.
+    """
+    waits = {
+        endpoint.name: endpoint.withdrawal.paused_until - now
+        for endpoint in endpoints
+        if endpoint.withdrawal.is_paused(now) and not endpoint.leaving
+    }
+    if refusal is not None:
+        waits |= refusal.waits
+    next_wait = min(waits.values(), default=_REPLACEMENT_SECONDS)
     return NoPlacementError(
-        'all endpoints leave',
-        worth_waiting=False,
-        retry_after=choose_return(call, _REPLACEMENT_SECONDS, now, generator),
+        'all endpoints leave or pause' if refusal is None else refusal.reason,
+        worth_waiting=bool(waits)
+        and next_wait <= choose_longest_wait(call, now),
+        retry_after=choose_return(call, next_wait, now, generator),
+        waits=waits,
     )
--- a/src/kelproad/coordination/ingress/placing/watching.py
+++ b/src/kelproad/coordination/ingress/placing/watching.py
@@ -99,7 +99,7 @@
         """Query an engine until it is as fast as published again."""
         unanswered = 0
         try:
-            while unanswered < _MAX_QUERIES:
+            while unanswered < _MAX_QUERIES and not _pauses(endpoint):
                 self._charge(endpoint)
                 answered = await self._read_slowdown(
                     endpoint.declaration.address,
@@ -146,3 +146,8 @@
                 endpoint=endpoint.name,
                 slowdown=round(slowdown, 2),
             )
+
+
+def _pauses(endpoint: Endpoint) -> bool:
+    """Return whether an engine wants no requests from this instance."""
+    return endpoint.withdrawal.is_paused(monotonic())
--- a/src/kelproad/coordination/ingress/quarantine/ends.py
+++ b/src/kelproad/coordination/ingress/quarantine/ends.py
@@ -23,6 +23,7 @@
 from ....state.refusals import Ran
 from ....state.suspicions import EndedCall
 from ....transport.deadlines import monotonic
+from ..placing.eligibility import is_withdrawn
 from ..placing.memory import EngineOperations
 from ..streams.answers import AttemptFailure
 from .notices import PromptNotices, record_quarantined
@@ -163,10 +164,11 @@
 
     async def _reaches_another(self, endpoint: Endpoint) -> bool:
         """Return whether another engine of the service answers a query."""
+        now = monotonic()
         others = [
             other.declaration.address
             for other in self._table.in_group(endpoint.group.name)
-            if other is not endpoint and not other.leaving
+            if other is not endpoint and not is_withdrawn(other, now)
         ]
         self._generator.shuffle(others)
         answers = await asyncio.gather(
--- a/src/kelproad/coordination/ingress/retrying/dispatching.py
+++ b/src/kelproad/coordination/ingress/retrying/dispatching.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 
+import attrs
 from aiohttp import web
 from multidict import CIMultiDict
 from returns.result import Failure, Result, Success
@@ -109,7 +110,7 @@
         while True:
             placed = await self._place(call, progress, delivery)
             if isinstance(placed, Failure):
-                return _give_up(call, progress, delivery, placed.failure())
+                return self._refuse(call, progress, delivery, placed.failure())
             outcome = await self._attempt(
                 call,
                 placed.unwrap(),
@@ -123,10 +124,24 @@
             _record_failure(call, progress, placed.unwrap(), outcome.failure())
             stop = self._evaluator.check_retry(call, progress)
             if stop is not None:
-                return _give_up(call, progress, delivery, stop)
+                return self._refuse(call, progress, delivery, stop)
             if delivery.begun:
                 self._counters.streams_resumed.inc({'way': 'endpoint'})
 
+    def _refuse(
+        self,
+        call: Call,
+        progress: Progress,
+        delivery: StreamDelivery,
+        refusal: Refusal,
+    ) -> Result[web.StreamResponse, Refusal]:
+        """End a call without an answer, and say when to come back."""
+        retry_after = refusal.retry_after
+        if retry_after is None:
+            retry_after = self._chooser.choose_return(call)
+        refusal = attrs.evolve(refusal, retry_after=retry_after)
+        return _give_up(call, progress, delivery, refusal)
+
     async def _place(
         self,
         call: Call,
--- a/src/kelproad/coordination/ingress/streams/attempts.py
+++ b/src/kelproad/coordination/ingress/streams/attempts.py
@@ -148,5 +148,6 @@
     return AttemptFailure(
         f'status {answer.head.status}',
         Ran.YES,
+        blameless=answer.head.statements.pause > 0,
         answer=collected.unwrap(),
     )
--- a/src/kelproad/state/endpointtable.py
+++ b/src/kelproad/state/endpointtable.py
@@ -168,10 +168,12 @@
         ]
         return max(there, key=_get_birth, default=None)
 
-    def serves_at(self, address: str) -> bool:
+    def serves_at(self, address: str, now: float) -> bool:
         """Return whether an endpoint at an address may get calls."""
         return any(
-            endpoint.declaration.address == address and not endpoint.leaving
+            endpoint.declaration.address == address
+            and not endpoint.leaving
+            and not endpoint.withdrawal.is_paused(now)
             for endpoint in self._endpoints.values()
         )
 
--- a/tests/ingress/test_withdrawals.py
+++ b/tests/ingress/test_withdrawals.py
@@ -358,6 +358,84 @@
 def test_a_tunnel_is_opened_to_no_endpoint_that_leaves() -> None:
     """Calls of other instances reached it from here."""
     table = build_table()
-    assert table.serves_at(ADDRESS)
+    assert table.serves_at(ADDRESS, monotonic())
     build_withdrawal_observer(table).observe('i-1', '1', LEAVES)
-    assert not table.serves_at(ADDRESS)
+    assert not table.serves_at(ADDRESS, monotonic())
+    list_endpoint(table, '2')
+    table.keep_withdrawal('i-1', '2', 0).pause(monotonic() + 9)
+    assert not table.serves_at(ADDRESS, monotonic())
+
+
+# Pauses
+
+
+def pause(site: Site, name: str, seconds: float) -> None:
+    """Let an engine want nothing for some seconds."""
+    withdrawal = site.table.keep_withdrawal(name, '', monotonic())
+    withdrawal.pause(monotonic() + seconds)
+
+
+def test_a_pause_ends_with_its_time_or_incarnation() -> None:
+    """A later, shorter one took it back, or its successor had it, too."""
+    table = build_table()
+    observer = build_withdrawal_observer(table)
+    observer.observe('i-1', '1', EndpointStatements(pause=5))
+    observer.observe('i-1', '1', EndpointStatements(pause=1))
+    observer.observe('i-1', '1', EndpointStatements())
+    now = monotonic()
+    withdrawal = table.get('i-1').withdrawal
+    assert withdrawal.is_paused(now + 4)
+    assert not withdrawal.is_paused(now + 6)
+    assert not table.get('i-1').leaving
+    list_endpoint(table, '2')
+    assert not table.get('i-1').withdrawal.is_paused(now)
+
+
+async def test_others_get_what_a_pausing_engine_would() -> None:
+    """It got calls that it had asked to be spared."""
+    site = Site()
+    pause(site, 'i-1', 30)
+    for tokens in (500, 150_000):
+        for _ in range(20):
+            placement = await site.place(tokens)
+            assert 'i-1' not in {one.name for one in placement.endpoints}
+
+
+async def test_a_call_waits_for_the_end_of_a_pause_if_there_is_time() -> None:
+    """It was refused a moment before it could have been served."""
+    site = Site()
+    for name, seconds in zip(ENGINES, (30, 0.2, 30), strict=True):
+        pause(site, name, seconds)
+    with pytest.raises(NoPlacementError) as raised:
+        await site.place()
+    assert raised.value.worth_waiting
+    await asyncio.sleep(0.2)
+    assert (await site.place()).primary.name == 'i-2'
+
+
+@pytest.mark.parametrize('tokens', [500, 240_000])
+async def test_a_call_that_cannot_wait_for_a_pause_is_told_when(
+    tokens: int,
+) -> None:
+    """It was held for half of its objective, and all were told 0.5 s."""
+    site = Site()
+    for name in ENGINES if tokens == 500 else ENGINES[1:]:
+        pause(site, name, 30)
+    returns = set()
+    for _ in range(9):
+        with pytest.raises(NoPlacementError) as raised:
+            await site.place(tokens)
+        assert not raised.value.worth_waiting
+        returns.add(raised.value.retry_after)
+    assert len(returns) == 9
+    assert min(returns) > 20
+
+
+async def test_a_limit_that_ends_before_a_pause_counts() -> None:
+    """A call was told the time of the pause though a limit permits it soon."""
+    site = Site()
+    pause(site, 'i-1', 30)
+    site.waits = {'i-2': 4, 'i-3': 4}
+    with pytest.raises(NoPlacementError) as raised:
+        await site.place()
+    assert raised.value.retry_after < 10
