Own interface: leave engines alone for the time that they name when turning away

An engine of the own interface that answers 503 with Retry-After got the next request at once and was ejected after three. Its refusal now carries the time, read by the same code as on the platform; until then the engine gets no requests, and nothing counts as a failure. That it leaves is in its load report as before. test_an_engine_that_turns_away_is_left_alone_until_its_time fails without it (the refusal had no such field).

--- a/src/kelproad/coordination/attempts.py
+++ b/src/kelproad/coordination/attempts.py
@@ -301,7 +301,10 @@
         choice = placement.choice
         refusal = outcome.swap().value_or(None)
         stalled = now - choice.chosen_at > _STALL_SECONDS
-        if refusal is None or placement.first_token or not stalled:
+        if refusal is not None and refusal.pause:
+            # It turned the attempt away for a time, and has not failed.
+            placement.endpoint.withdrawal.pause(now + refusal.pause)
+        elif refusal is None or placement.first_token or not stalled:
             endpoint = placement.endpoint
             counters = self._counters
             record_outcome(self._table, endpoint, refusal, now, counters)
--- a/src/kelproad/coordination/candidates.py
+++ b/src/kelproad/coordination/candidates.py
@@ -50,6 +50,8 @@
             return False
         if endpoint.ejected_until > self.now:
             return False
+        if endpoint.withdrawal.is_paused(self.now):
+            return False
         if endpoint.on_probation and endpoint.own_requests:
             # On probation, one request at a time probes the endpoint.
             return False
--- a/src/kelproad/platform/statements.py
+++ b/src/kelproad/platform/statements.py
@@ -1,12 +1,8 @@
 """Decoding of what endpoints state about themselves in header fields."""
 
-import datetime
-import re
-import time
-from email.utils import parsedate_to_datetime
-
 from multidict import CIMultiDictProxy
 
+from ..protocol.pauses import DECIMAL, RETRY_AFTER, parse_pause
 from ..state.statements import EndpointStatements
 
 __all__ = ['STATEMENT_FIELDS', 'read_statements']
@@ -15,17 +11,12 @@
 _REQUEST_LIMIT = 'Server-Limit'
 #: Whether the endpoint leaves: 1, or 0.
 _LEAVING = 'Server-Leaving'
-#: Seconds, or a date, until which the endpoint wants nothing more.
-_RETRY_AFTER = 'Retry-After'
-STATEMENT_FIELDS = (_REQUEST_LIMIT, _LEAVING, _RETRY_AFTER)
+STATEMENT_FIELDS = (_REQUEST_LIMIT, _LEAVING, RETRY_AFTER)
 
-_DECIMAL = re.compile(r'[0-9]{1,15}(\.[0-9]{0,15})?|\.[0-9]{1,15}')
 _LEAVES = '1'
 _STAYS = '0'
 #: Statuses of endpoints that turn a request away.
 _TURNED_AWAY = frozenset((429, 503))
-#: Longest pause in seconds: an absurd one must not last forever.
-_MAX_PAUSE = 3600.0
 #: Characters of an unreadable field that are shown.
 _MAX_SHOWN = 40
 
@@ -40,7 +31,7 @@
     limits, bad_limits = _parse_limits(headers.getall(_REQUEST_LIMIT, []))
     pause = float(0)
     if status in _TURNED_AWAY:
-        pause = _parse_pause(headers.getall(_RETRY_AFTER, []), unreadable)
+        pause = _parse_pause(headers.getall(RETRY_AFTER, []), unreadable)
     return EndpointStatements(
         # Of several limits the lowest one satisfies all.
         request_limit=min(limits, default=None),
@@ -56,7 +47,7 @@
     limits: list[float] = []
     unreadable: list[str] = []
     for text in _split(fields):
-        if _DECIMAL.fullmatch(text):
+        if DECIMAL.fullmatch(text):
             limits.append(float(text))
         else:
             unreadable.append(_shorten(text))
@@ -81,27 +72,14 @@
     """
     longest = float(0)
     for field in fields:
-        seconds = _parse_seconds(field.strip())
+        seconds = parse_pause(field)
         if seconds is None:
-            unreadable.append((_RETRY_AFTER, _shorten(field)))
+            unreadable.append((RETRY_AFTER, _shorten(field)))
         else:
-            longest = max(longest, min(seconds, _MAX_PAUSE))
+            longest = max(longest, seconds)
     return longest
 
 
-def _parse_seconds(text: str) -> float | None:
-    """Return the seconds that a number or a date states, negative for past."""
-    if _DECIMAL.fullmatch(text):
-        return float(text)
-    try:
-        parsed = parsedate_to_datetime(text)
-    except (ValueError, OverflowError):
-        return None
-    if parsed.tzinfo is None:
-        parsed = parsed.replace(tzinfo=datetime.UTC)
-    return parsed.timestamp() - time.time()
-
-
 def _split(fields: list[str]) -> list[str]:
     """Split fields into their comma-separated values."""
     return (
--- a/src/kelproad/state/refusals.py
+++ b/src/kelproad/state/refusals.py
@@ -112,6 +112,9 @@
         Name or address of the remote side, empty when there was none.
     ran
         Whether the request's work was executed.
+    pause
+        Seconds for which the peer wants no requests from this instance; 0 when
+        it states none.
     retry_after
         Seconds after which a retry may succeed; ``None`` when none can.
     """
@@ -122,3 +125,4 @@
     peer: str = ''
     ran: Ran = Ran.NO
     retry_after: float | None = None
+    pause: float = 0
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -1,15 +1,21 @@
 """Retry budgets, and ejection and return of failing endpoints."""
 
+import types
+
+import aiohttp
 import attrs
+from aiohttp import test_utils, web
 
 from kelproad.coordination import routing
 from kelproad.coordination.attempts import Attempts
+from kelproad.coordination.candidates import Search
 from kelproad.coordination.ejection import record_outcome, record_stall
 from kelproad.coordination.retries import Retries
+from kelproad.protocol.engines import EngineClient
 from kelproad.state.budgets import RetryBudget
 from kelproad.state.counters import Counters
 from kelproad.state.identity import Identity
-from kelproad.state.refusals import Refusal, RefusalCode, Step
+from kelproad.state.refusals import Ran, Refusal, RefusalCode, Step
 from kelproad.state.requests import Decision
 from kelproad.transport.deadlines import monotonic
 from tests.test_routing import NOW, SHORT, Fleet
@@ -211,3 +217,45 @@
             record_stall(fleet.table, chosen, SHORT, now, Counters())
         assert (endpoint.ejected_until > now) is silent
         assert (endpoint.tokens_per_second < 1_000) is not silent
+
+
+async def test_an_engine_that_turns_away_is_left_alone_until_its_time() -> None:
+    """It was sent the next request at once, and ejected as if it failed."""
+
+    async def turn_away(_request: web.Request) -> web.Response:
+        return web.json_response(
+            {'ran': 'no'}, status=503, headers={'Retry-After': '3'}
+        )
+
+    application = web.Application()
+    application.add_routes([web.post('/x', turn_away)])
+    async with (
+        test_utils.TestServer(application) as server,
+        aiohttp.ClientSession() as session,
+    ):
+        url = str(server.make_url('')).rstrip('/')
+        attempt = types.SimpleNamespace(headers=dict, deadline=monotonic() + 5)
+        until = monotonic() + 5
+        opened = await EngineClient(session).open_stream(
+            url, '/x', attempt, b'', until
+        )
+    refusal = opened.failure()
+    assert (refusal.ran, refusal.pause) == (Ran.NO, 3)
+    fleet = Fleet()
+    endpoint = fleet.table.get(fleet.choose(fleet.request(SHORT)))
+    attempts = Attempts(
+        Identity.from_start('i', 'z'), fleet.table, None, None, Counters(), None
+    )
+    placement = types.SimpleNamespace(
+        choice=types.SimpleNamespace(chosen_at=monotonic()),
+        endpoint=endpoint,
+        first_token=False,
+    )
+    for _ in range(9):
+        attempts._record_outcome(None, placement, opened)
+    now = monotonic()
+    assert not endpoint.on_probation
+    search = Search(None, fleet.table, 'z', now, None, frozenset())
+    assert not search.is_usable(endpoint)
+    assert endpoint.withdrawal.is_paused(now + 2)
+    assert not endpoint.withdrawal.is_paused(now + 4)
