--- a/src/kelproad/standins/routed.py
+++ b/src/kelproad/standins/routed.py
@@ -99,8 +99,9 @@
         self._faults = EndpointFaults()
         self._runs: list[dict[str, str]] = []
         self._statements = Statements()
-        #: Monotonic time and id of each request, rejected ones included.
-        self._arrivals: list[dict[str, float | str]] = []
+        #: Monotonic time and id of each request, rejected ones included, and
+        #: whether it was turned away.
+        self._arrivals: list[dict[str, object]] = []
         self._disconnected: list[str] = []
         #: Whether it has fallen silent.
         self._silent = False
@@ -219,10 +220,12 @@
 
     async def _answer(self, http_request: web.Request) -> web.StreamResponse:
         await self._hang_if_silent()
+        turned_away = self._statements.turns_away()
         self._arrivals.append(
             {
                 'at': monotonic(),
                 'request': http_request.headers.get(_REQUEST_ID, ''),
+                'turned_away': turned_away,
             },
         )
         expected = http_request.headers.get(_EXPECTED, self._name)
@@ -232,7 +235,6 @@
             )
         if self._is_poisoned(http_request):
             _print_event('poisoned', http_request)
-        turned_away = self._statements.turns_away()
         if self._faults.shed or turned_away:
             pause = self._statements.build_pause_fields()
             return web.Response(
--- a/testbed/routed.py
+++ b/testbed/routed.py
@@ -157,9 +157,8 @@
 
     def renew_endpoint(self, name: str, born: int) -> None:
         """Let an endpoint state and register another incarnation."""
-        address = self.endpoints[name]
-        call_control(address, 'PUT', '/control/born', {'born': born})
         self.born[name] = born
+        self._set_born(name)
         self.put_endpoint_row(name, self._services[name], born=born)
 
     def delete_endpoint_row(self, name: str) -> None:
@@ -214,6 +213,8 @@
             self.directory,
         )
         wait_until_answering(f'http://{address}/control/runs')
+        if name in self.born:
+            self._set_born(name)
         if self.lasting_faults:
             self.set_endpoint_faults(name)
 
@@ -269,6 +270,11 @@
             process.kill()
         self.store_process.kill()
 
+    def _set_born(self, name: str) -> None:
+        address = self.endpoints[name]
+        born = {'born': self.born[name]}
+        call_control(address, 'PUT', '/control/born', born)
+
     def _start_process(self, name: str, settings: pathlib.Path) -> Process:
         return Process(
             name,
--- a/testbed/soak/routed.py
+++ b/testbed/soak/routed.py
@@ -10,6 +10,8 @@
 import asyncio
 import collections
 import contextlib
+import functools
+import itertools
 import json
 import pathlib
 import shutil
@@ -28,6 +30,7 @@
 from .routed_limits import StatedLimit, StatedLimits, check_limits
 from .routed_partitions import InstanceCuts
 from .routed_stops import PlannedStop
+from .routed_withdrawals import StatedWithdrawals, check_withdrawals
 
 __all__ = ['main', 'soak']
 
@@ -46,13 +49,14 @@
     with_cuts: bool = False,
     with_mute: bool = False,
     with_crashes: bool = False,
+    with_withdrawals: bool = False,
 ) -> list[str]:
     """Run callers and faults together, end all faults, then check.
 
     With ``only_stops`` planned stops are the only faults; ``with_cuts``
     instances are also cut from all endpoints, ``with_mute`` so that connections
     are made and bring nothing, too; ``with_crashes`` engines crash on a part of
-    some prompts.
+    some prompts; ``with_withdrawals`` endpoints state that they leave or pause.
 
     Returns
     -------
@@ -68,12 +72,14 @@
         limits = StatedLimits(site, seed)
         cuts = InstanceCuts(site, links, seed, with_mute)
         crashing = CrashingRequests(site, callers, faults)
+        withdrawals = StatedWithdrawals(site, faults, seed)
         await asyncio.gather(
             callers.run(seconds),
             faults.run(seconds),
             limits.run(seconds),
             cuts.run(seconds if with_cuts or with_mute else 0, faults.spans),
             crashing.run(seconds if with_crashes else 0),
+            withdrawals.run(seconds if with_withdrawals else 0),
         )
         if with_crashes:
             await crashing.finish()
@@ -83,23 +89,25 @@
         final_calls = await callers.call_once()
         _print_summary(callers, faults, limits.limits)
         await asyncio.to_thread(_write_dumps, site)
-        recovery = await asyncio.to_thread(check_recovery, site, final_calls)
-        calls = await asyncio.to_thread(
-            check_calls,
-            site,
-            callers.records,
-            faults,
-            [sent.request_id for sent in crashing.sent],
-        )
-        exceeded = await asyncio.to_thread(
-            check_limits,
-            site,
-            callers.records,
-            faults,
-            limits.limits,
+        checks = (
+            functools.partial(
+                check_calls,
+                site,
+                callers.records,
+                faults,
+                [sent.request_id for sent in crashing.sent],
+            ),
+            functools.partial(check_recovery, site, final_calls),
+            functools.partial(
+                check_limits, site, callers.records, faults, limits.limits
+            ),
+            functools.partial(check_crashes, crashing, faults),
+            functools.partial(
+                check_withdrawals, callers.records, faults, withdrawals.done
+            ),
         )
-        crashes = await asyncio.to_thread(check_crashes, crashing, faults)
-    return calls + recovery + exceeded + crashes
+        broken = [await asyncio.to_thread(check) for check in checks]
+    return list(itertools.chain.from_iterable(broken))
 
 
 @contextlib.asynccontextmanager
@@ -200,6 +208,11 @@
         action='store_true',
         help='Also send requests on a part of which engines crash.',
     )
+    parser.add_argument(
+        '--withdrawals',
+        action='store_true',
+        help='Also let endpoints state that they leave or pause.',
+    )
     options = parser.parse_args()
     directory = pathlib.Path(tempfile.mkdtemp(prefix='kelproad-soak-'))
     with start_routed_site(directory, 0) as site:
@@ -212,6 +225,7 @@
                 options.cuts,
                 options.mute,
                 options.crashes,
+                options.withdrawals,
             ),
         )
     for line in broken:
--- a/testbed/soak/routed_callers.py
+++ b/testbed/soak/routed_callers.py
@@ -84,6 +84,9 @@
     refused
         Whether the connection was refused, so that no instance has accepted
         the call.
+    told_leaving_at
+        Monotonic time of an answer's head which states that its endpoint
+        leaves; 0 without one.
     """
 
     request_id: str
@@ -101,6 +104,7 @@
     whole: bool = False
     refused: bool = False
     reason: str = ''
+    told_leaving_at: float = 0
 
     @property
     def answered(self) -> bool:
@@ -206,6 +210,8 @@
                 timeout=aiohttp.ClientTimeout(total=2 * kind.deadline),
             ) as response:
                 record.status = response.status
+                if response.headers.get('Server-Leaving') == '1':
+                    record.told_leaving_at = time.monotonic()
                 record.stamp = response.headers.get(
                     'X-Kelproad-Server-Stamp', ''
                 )
--- a/tests/ingress/test_soak.py
+++ b/tests/ingress/test_soak.py
@@ -15,6 +15,10 @@
 #: seconds, and seeds of such runs; 1012 failed in the link itself.
 CUT_SECONDS = 15.0
 CUT_SEEDS = (1, 1012)
+#: Duration of a run in which endpoints state that they leave or pause, in
+#: seconds, and seeds of such runs; 903 finds it if nothing reads that.
+WITHDRAWAL_SECONDS = 15.0
+WITHDRAWAL_SEEDS = (903,)
 #: Duration of a run with planned stops only, in seconds.
 STOP_SECONDS = 12.0
 #: Seeds of runs in which planned stops are the only failures.
@@ -59,3 +63,15 @@
     """
     with start_routed_site(tmp_path, 0) as site:
         assert not await soak(site, STOP_SECONDS, seed, only_stops=True)
+
+
+@pytest.mark.parametrize('seed', WITHDRAWAL_SEEDS)
+async def test_promises_hold_while_endpoints_leave_and_pause(
+    seed: int,
+    tmp_path: pathlib.Path,
+) -> None:
+    """Endpoints that stated that they leave, or pause, got more calls."""
+    with start_routed_site(tmp_path, 0) as site:
+        assert not await soak(
+            site, WITHDRAWAL_SECONDS, seed, with_withdrawals=True
+        )
