Load no policies of the other interface at the start of a routed instance

The site test of streams states that the engine leaves which is busiest at that moment: one chosen before got no call at times, and told nobody.

--- a/src/kelproad/coordination/attempts.py
+++ b/src/kelproad/coordination/attempts.py
@@ -25,10 +25,11 @@
 from ..transport.deadlines import monotonic
 from . import routing
 from .answers import Answer, CallerDisconnectedError, DeliveryError, Sink
-from .ejection import record_outcome, record_stall
+from .ejection import record_outcome
 from .reclamation import Canceller
 from .relays import EventTimeouts, Relay
 from .retries import Retries
+from .stalling import record_stall
 
 __all__ = ['Attempts', 'CallerDisconnectedError']
 
--- a/src/kelproad/coordination/ejection.py
+++ b/src/kelproad/coordination/ejection.py
@@ -12,11 +12,8 @@
 from ..state.endpoints import Endpoint
 from ..state.endpointtable import EndpointTable
 from ..state.refusals import Refusal, RefusalCode
-from .candidates import REPORT_TIMEOUT
-from .policies import Choice
-from .prediction import learn_rate
 
-__all__ = ['record_outcome', 'record_stall']
+__all__ = ['record_failure', 'record_outcome']
 
 #: Consecutive failures after which an endpoint is ejected.
 _FAILURES_TO_EJECT = 3
@@ -44,27 +41,7 @@
         _record_success(endpoint, now)
     elif refusal.code is RefusalCode.ENDPOINT_FAILED:
         endpoint.failures.observe(failed=True, now=now)
-        _record_failure(table, endpoint, now, counters)
-
-
-def record_stall(
-    table: EndpointTable,
-    choice: Choice,
-    prompt_tokens: int,
-    now: float,
-    counters: Counters,
-) -> None:
-    """Record that an attempt was abandoned before its first token.
-
-    Under overload every engine is slower than predicted.  Counting that as a
-    failure would eject engines and overload the rest, so an engine that still
-    reports is considered slow, and the elapsed time updates its learned rate.
-    """
-    endpoint = choice.endpoint
-    if now - endpoint.reported_at > REPORT_TIMEOUT:
-        _record_failure(table, endpoint, now, counters)
-    else:
-        learn_rate(choice.best, prompt_tokens, now - choice.chosen_at)
+        record_failure(table, endpoint, now, counters)
 
 
 def _record_success(endpoint: Endpoint, now: float) -> None:
@@ -77,12 +54,13 @@
         endpoint.ejections = 0
 
 
-def _record_failure(
+def record_failure(
     table: EndpointTable,
     endpoint: Endpoint,
     now: float,
     counters: Counters,
 ) -> None:
+    """Record a failure, and eject the endpoint if it fails often."""
     endpoint.consecutive_failures += 1
     failed_often = endpoint.consecutive_failures >= _FAILURES_TO_EJECT
     if endpoint.ejected_until > now:
--- a/tests/ingress/test_withdrawals_site.py
+++ b/tests/ingress/test_withdrawals_site.py
@@ -2,7 +2,7 @@
 
 import itertools
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 
 import attrs
@@ -84,10 +84,13 @@
 def apply_load(
     site: RoutedSite,
     path: str,
-    statements: dict[str, dict[str, object]],
+    statements: dict[str, dict[str, object]] | Callable[[float], None],
     seconds: float = LOAD_SECONDS,
 ) -> tuple[float, list[Sent]]:
-    """Send calls to all instances in turn; return when statements began."""
+    """Send calls to all instances in turn; return when statements began.
+
+    These are set by endpoint, or by a function that gets the load's begin.
+    """
     began = time.monotonic()
     send = stream if path.startswith('/reports') else call
     stated_at = float(0)
@@ -104,13 +107,38 @@
             due = number / RATE
             time.sleep(max(0, began + due - time.monotonic()))
             if due >= STATED_AFTER and not stated_at:
-                for name, stated in statements.items():
-                    site.set_statements(name, **stated)
+                set_all(site, statements, began)
                 stated_at = time.monotonic()
             waiting.append(pool.submit(send_one, number))
         return stated_at, [item.result() for item in waiting]
 
 
+def set_all(
+    site: RoutedSite,
+    statements: dict[str, dict[str, object]] | Callable[[float], None],
+    began: float,
+) -> None:
+    """Set what endpoints state, by name or by a function."""
+    if callable(statements):
+        statements(began)
+        return
+    for name, stated in statements.items():
+        site.set_statements(name, **stated)
+
+
+def find_busiest(site: RoutedSite, names: tuple[str, ...], since: float) -> str:
+    """Find the endpoint that got most calls, as streams are packed on few."""
+    arrivals = {
+        name: [
+            arrival['at']
+            for arrival in site.show_endpoint(name)['arrivals']
+            if arrival['at'] > since
+        ]
+        for name in names
+    }
+    return max(names, key=lambda name: len(arrivals[name]))
+
+
 def list_arrivals(
     site: RoutedSite, name: str, sent: list[Sent]
 ) -> list[tuple[float, str]]:
@@ -167,12 +195,16 @@
     site: RoutedSite, path: str, names: tuple[str, ...], every: int
 ) -> None:
     """Only the store was believed: calls went on until its row changed."""
-    _, before = apply_load(site, path, {}, STATED_AFTER)
-    name = max(names, key=lambda one: len(list_arrivals(site, one, before)))
     stated = {'leaving': '1', 'leaving_every': every}
-    _, sent = apply_load(site, path, {name: stated})
+    busiest: list[str] = []
+
+    def state_at_busiest(began: float) -> None:
+        busiest.append(find_busiest(site, names, began))
+        site.set_statements(busiest[0], **stated)
+
+    _, sent = apply_load(site, path, state_at_busiest)
     check_served(sent)
-    check_left_alone(site, name, sent)
+    check_left_alone(site, busiest[0], sent)
 
 
 def test_a_statement_holds_while_the_store_is_down_and_when_it_is_back(
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -9,8 +9,9 @@
 from kelproad.coordination import routing
 from kelproad.coordination.attempts import Attempts
 from kelproad.coordination.candidates import Search
-from kelproad.coordination.ejection import record_outcome, record_stall
+from kelproad.coordination.ejection import record_outcome
 from kelproad.coordination.retries import Retries
+from kelproad.coordination.stalling import record_stall
 from kelproad.protocol.engines import EngineClient
 from kelproad.state.budgets import RetryBudget
 from kelproad.state.counters import Counters
