Count an engine's silence only between answers of another engine

Checks by instances whose cut had just begun or ended said that engines had ended that were alive: the queries fell into the cut, the one control after them did not.

--- a/src/kelproad/coordination/ingress/quarantine/ends.py
+++ b/src/kelproad/coordination/ingress/quarantine/ends.py
@@ -133,18 +133,22 @@
         return await asyncio.shield(check)
 
     async def _check(self, endpoint: Endpoint) -> _State:
+        # An instance that is cut off reaches no engine at all.  A cut may begin
+        # or end between two queries, so each silence counts only if another
+        # engine answers before and after it.
+        is_path_sound = await self._reaches_another(endpoint)
         for query in range(_MAX_QUERIES):
             if query:
                 await asyncio.sleep(_QUERY_PERIOD)
             state = await self._check_now(endpoint)
             if state is not _State.UNKNOWN:
                 return state
+            is_path_sound = is_path_sound and (
+                await self._reaches_another(endpoint)
+            )
             if self._is_unreachable(endpoint):
                 break
-        # An instance that is cut off reaches no engine at all.
-        if await self._reaches_another(endpoint):
-            return _State.ENDED
-        return _State.UNKNOWN
+        return _State.ENDED if is_path_sound else _State.UNKNOWN
 
     async def _check_now(self, endpoint: Endpoint) -> _State:
         declaration = endpoint.declaration
@@ -171,10 +175,11 @@
             if other is not endpoint and not is_withdrawn(other, now)
         ]
         self._generator.shuffle(others)
-        answers = await asyncio.gather(
-            *map(self._operations.read_incarnation, others[:_MAX_CONTROLS])
-        )
-        return any(not isinstance(answer, Failure) for answer in answers)
+        queries = map(self._operations.read_incarnation, others[:_MAX_CONTROLS])
+        for answered in asyncio.as_completed(queries):
+            if not isinstance(await answered, Failure):
+                return True
+        return False
 
 
 def _name_life(endpoint: Endpoint) -> str:
--- a/tests/ingress/test_guard.py
+++ b/tests/ingress/test_guard.py
@@ -136,3 +136,43 @@
     call.head = attrs.evolve(call.head, shared_parts=('part',))
     await observer.observe(call, endpoint, monotonic())
     assert quarantine.get('writer', 'part') is None
+
+
+@pytest.mark.parametrize('lost', [0, 1, 2, 3])
+async def test_a_cut_that_begins_or_ends_during_a_check_proves_no_end(
+    lost: int,
+) -> None:
+    """Other engines answered again after the one that was asked did not."""
+    declarations = [
+        EndpointDeclaration(f'i-{number}', 'a', f'10.0.0.{number}:80')
+        for number in range(2)
+    ]
+    table = EndpointTable()
+    table.replace_groups(
+        [EndpointGroup('writer', EndpointKind.ENGINE, declarations)]
+    )
+    endpoint = table.get('i-0')
+    controls = 0
+
+    async def read_incarnation(address: str) -> Result[str, str]:
+        nonlocal controls  # noqa: WPS420  counts over the calls
+        await asyncio.sleep(0)
+        if address == endpoint.declaration.address:
+            return Failure('lost')
+        controls += 1
+        return Failure('lost') if controls == lost + 1 else Success('')
+
+    observer = EndObserver(
+        PartQuarantine(lambda _service: 2),
+        types.SimpleNamespace(announce_end=lambda _ended: None),
+        types.SimpleNamespace(keep=lambda *_parts: None),
+        types.SimpleNamespace(read_incarnation=read_incarnation),
+        table,
+        DirectPaths(),
+        QuarantineMetrics(Counters().registry),
+        random.Random(1),
+    )
+    call = build_call()
+    call.head = attrs.evolve(call.head, shared_parts=('part',))
+    await observer.observe(call, endpoint, monotonic())
+    assert observer._quarantine.get('writer', 'part').trials == 0
