Take datagrams only from the instance that they speak for

Anybody could say that a real instance leaves, holds work or reads for its zone, and have replies sent to a third party: the sender's address was not looked at. An update now comes from the number that it names; a query from the one that gets the reply, or relayed by an instance known here. What is refused is logged once for each host.

test_nobody_reports_for_another_instance and test_a_reply_goes_only_to_who_asked fail without it. Events that others may cause at will are logged by one recorder, each key once, a hundred at most; three places had such sets or none.

--- a/src/kelproad/coordination/ingress/membership/exchange.py
+++ b/src/kelproad/coordination/ingress/membership/exchange.py
@@ -24,7 +24,7 @@
 
 from ....state.directpaths import DirectPaths
 from ....state.observations import EngineObservations
-from ....state.records import record
+from ....state.records import OnceRecorder, record
 from ....state.work import WorkLedger
 from ....transport.addresses import Address
 from ....transport.datagrams import DatagramSocket
@@ -97,10 +97,8 @@
         self._read_provenance = read_provenance
         self._find_zone = find_zone
         self._paths = paths
-        self._socket = DatagramSocket(
-            lambda datagram, _host: self.receive(datagram),
-            lambda datagram, _host, waited: self.receive(datagram, waited),
-        )
+        self._recorder = OnceRecorder(_logger)
+        self._socket = DatagramSocket(self.receive, self.receive)
         self.peers = PeerRegister(settings, reachability)
         self._sequence = 0
         self._local_report = LastReport()
@@ -133,10 +131,12 @@
             self._read_provenance(),
         )
 
-    def receive(self, datagram: bytes, waited: float = 0) -> None:
+    def receive(self, datagram: bytes, host: str, waited: float = 0) -> None:
         """Record a peer's report, unless it is unreadable or replaced.
 
-        What it says is up to ``waited`` seconds older than it states.
+        It must come from the IP number that it names, as nobody reports for
+        another instance.  What it says is up to ``waited`` seconds older than
+        it states.
         """
         decoded = decode_update(datagram)
         if isinstance(decoded, Failure):
@@ -145,6 +145,11 @@
         update = decoded.unwrap()
         if update.instance == self._settings.instance:
             return
+        if update.host != host:
+            self._recorder.record(
+                host, 'peer_update_refused', host=host, named=update.host
+            )
+            return
         add_age(update, waited)
         now = monotonic()
         if not self.peers.accept(update, now):
--- a/src/kelproad/coordination/ingress/membership/messages.py
+++ b/src/kelproad/coordination/ingress/membership/messages.py
@@ -1,5 +1,7 @@
 """Queries, notices and replies between instances, as datagrams."""
 
+from typing import ClassVar
+
 import msgspec
 from returns.result import Failure, Result, Success
 
@@ -29,7 +31,16 @@
 ]
 
 
-class TablesQuery(msgspec.Struct, array_like=True, tag=0):
+class _Sent(msgspec.Struct, array_like=True):
+    """A query or notice of an instance, which other instances may relay.
+
+    ``relayed`` ones are not relayed again.
+    """
+
+    relayed: ClassVar[bool] = False
+
+
+class TablesQuery(_Sent, tag=0):
     """Query for the freshness of the store's tables at another instance."""
 
     token: int
@@ -44,7 +55,7 @@
     tables: dict[str, TableFreshness]
 
 
-class WorkQuery(msgspec.Struct, array_like=True, tag=2):
+class WorkQuery(_Sent, tag=2):
     """Query for the work in flight at the engines of another zone."""
 
     token: int
@@ -107,7 +118,7 @@
     confirmed: bool
 
 
-class PromptNotice(msgspec.Struct, array_like=True, tag=6):
+class PromptNotice(_Sent, tag=6):
     """What the sender observed of parts of prompts; needs no reply.
 
     ``harmless`` has the seconds since an answer that shows it, by service and
@@ -171,7 +182,7 @@
     age: float
 
 
-class LeavingNotice(msgspec.Struct, array_like=True, tag=10):
+class LeavingNotice(_Sent, tag=10):
     """Endpoints that told the sender that they leave; needs no reply."""
 
     token: int
--- a/src/kelproad/coordination/ingress/membership/peering.py
+++ b/src/kelproad/coordination/ingress/membership/peering.py
@@ -104,7 +104,12 @@
         self.paths = DirectPaths()
         self._session = session
         self._counters = counters
-        self.queries = PeerQueries(settings, self._answer)
+        self.queries = PeerQueries(
+            settings,
+            self._answer,
+            # The exchange is built later, as it reports on the tables.
+            lambda host: self.exchange.peers.includes_host(host),
+        )
         self._probe = TableProbe(self.queries)
         self._selector = ReaderSelector(
             # The exchange is built last, as it reports on the tables.
--- a/src/kelproad/coordination/ingress/membership/peers.py
+++ b/src/kelproad/coordination/ingress/membership/peers.py
@@ -175,6 +175,10 @@
         _, remote = self.part()
         return sum(map(len, remote.values())) <= MAX_FULL_MESH_PEERS
 
+    def includes_host(self, host: str) -> bool:
+        """Return whether an IP number is that of a peer, live or not."""
+        return any(peer.address.host == host for peer in self._peers.values())
+
     def list_hosts(self) -> list[str]:
         """List the IP numbers of all peers, live or not."""
         return [peer.address.host for peer in self._peers.values()]
--- a/src/kelproad/coordination/ingress/membership/queries.py
+++ b/src/kelproad/coordination/ingress/membership/queries.py
@@ -12,7 +12,7 @@
 
 from returns.result import Failure
 
-from ....state.records import record
+from ....state.records import OnceRecorder, record
 from ....transport.addresses import Address
 from ....transport.datagrams import DatagramSocket
 from ....transport.services import BackgroundService
@@ -42,14 +42,18 @@
         self,
         settings: NodeSettings,
         answer: Callable[[Query], Reply | None],
+        is_peer: Callable[[str], bool],
     ) -> None:
         """Reply to received queries with the result of ``answer``.
 
-        ``None`` sends no reply, because another instance does.
+        ``None`` sends no reply, because another instance does.  ``is_peer``
+        returns whether an IP number is that of an instance known here.
         """
         super().__init__()
         self._settings = settings
         self._answer = answer
+        self._is_peer = is_peer
+        self._recorder = OnceRecorder(_logger)
         self._socket = DatagramSocket(self.receive, self.receive_outdated)
         self._tokens = itertools.count(1)
         #: Replies that are waited for, by the token of their query.
@@ -102,7 +106,7 @@
 
     def receive(self, datagram: bytes, host: str) -> None:
         """Reply to a query, or resolve the query that a reply belongs to."""
-        message = _decode(datagram, host)
+        message = self._decode(datagram, host)
         if isinstance(message, Query):
             reply = self._answer(message)
             if reply is not None:
@@ -119,27 +123,30 @@
 
         Nobody waits for the reply to a query any more.
         """
-        message = _decode(datagram, host)
+        message = self._decode(datagram, host)
         if isinstance(message, PromptNotice | LeavingNotice):
             add_notice_age(message, waited)
             self._answer(message)
 
+    def _decode(self, datagram: bytes, host: str) -> Message | None:
+        """Decode a datagram; ``None`` for one that is refused, with a log.
+
+        A query must come from the instance that gets the reply, or from one
+        that relays it.
+        """
+        decoded = decode_message(datagram)
+        if isinstance(decoded, Failure):
+            record(_logger, 'query_unreadable', reason=decoded.failure())
+            return None
+        message = decoded.unwrap()
+        if isinstance(message, Query) and message.host != host:
+            if not (message.relayed and self._is_peer(host)):
+                self._recorder.record(
+                    host, 'query_refused', host=host, named=message.host
+                )
+                return None
+        return message
+
     def _send(self, message: Message, host: str) -> None:
         address = Address(host, self._settings.query_port)
         self._socket.send(encode_message(message), address)
-
-
-def _decode(datagram: bytes, host: str) -> Message | None:
-    """Decode a datagram; ``None`` for one that is refused, with a log.
-
-    A notice that engines leave must come from the instance that it names.
-    """
-    decoded = decode_message(datagram)
-    if isinstance(decoded, Failure):
-        record(_logger, 'query_unreadable', reason=decoded.failure())
-        return None
-    message = decoded.unwrap()
-    if isinstance(message, LeavingNotice) and message.host != host:
-        record(_logger, 'notice_refused', host=host, named=message.host)
-        return None
-    return message
--- a/src/kelproad/coordination/ingress/withdrawing/notices.py
+++ b/src/kelproad/coordination/ingress/withdrawing/notices.py
@@ -14,7 +14,7 @@
 from mode import Service
 
 from ....state.endpointtable import EndpointTable
-from ....state.records import record
+from ....state.records import OnceRecorder, record
 from ....transport.deadlines import monotonic
 from ....transport.services import BackgroundService
 from ..membership.messages import LeavingNotice, ReportedLeaving
@@ -57,6 +57,7 @@
         self._peers = peers
         self._is_instance = is_instance
         self._generator = generator
+        self._recorder = OnceRecorder(_logger)
         #: What is still repeated, and the monotonic time until which it is.
         self._repeated: dict[tuple[str, str], float] = {}
         self._waiting: set[asyncio.Task[None]] = set()
@@ -89,7 +90,9 @@
 
     async def _accept(self, notice: LeavingNotice, received_at: float) -> None:
         if not await self._is_instance(notice.host):
-            record(_logger, 'notice_refused', host=notice.host)
+            self._recorder.record(
+                notice.host, 'notice_refused', host=notice.host
+            )
             return
         until = received_at + self._generator.uniform(*_REPORT_SECONDS)
         for reported in notice.leaving:
--- a/src/kelproad/coordination/ingress/withdrawing/observing.py
+++ b/src/kelproad/coordination/ingress/withdrawing/observing.py
@@ -10,7 +10,7 @@
 
 from ....state.counters import WithdrawalMetrics
 from ....state.endpointtable import EndpointTable
-from ....state.records import record
+from ....state.records import OnceRecorder, record
 from ....state.statements import EndpointStatements
 from ....state.withdrawals import Withdrawal
 from ....transport.deadlines import monotonic
@@ -20,8 +20,6 @@
 _logger = logging.getLogger(__name__)
 #: Digits of the seconds in the log.
 _DIGITS = 3
-#: Unreadable statements that are logged at most, each once.
-_MAX_UNREADABLE = 100
 
 
 @attrs.define
@@ -35,14 +33,20 @@
     _table: EndpointTable
     _metrics: WithdrawalMetrics
     _announce: Callable[[str, str], None]
-    _unreadable: set[tuple[str, str]] = attrs.field(factory=set)
+    _recorder: OnceRecorder = attrs.field(factory=lambda: OnceRecorder(_logger))
 
     def observe(
         self, endpoint: str, incarnation: str, statements: EndpointStatements
     ) -> None:
         """Record the statements of an incarnation to this instance."""
         for field, text in statements.unreadable:
-            self._record_unreadable(endpoint, field, text)
+            self._recorder.record(
+                (endpoint, field),
+                'endpoint_statement_unreadable',
+                endpoint=endpoint,
+                field=field,
+                stated=text,
+            )
         if not statements.declines_calls:
             return
         now = monotonic()
@@ -80,20 +84,6 @@
             seconds=round(seconds, _DIGITS),
         )
 
-    def _record_unreadable(self, endpoint: str, field: str, text: str) -> None:
-        """Log an unreadable statement, once for each endpoint and field."""
-        key = (endpoint, field)
-        if key in self._unreadable or len(self._unreadable) >= _MAX_UNREADABLE:
-            return
-        self._unreadable.add(key)
-        record(
-            _logger,
-            'endpoint_statement_unreadable',
-            endpoint=endpoint,
-            field=field,
-            stated=text,
-        )
-
 
 def describe_withdrawals(
     table: EndpointTable, now: float
--- a/src/kelproad/state/records.py
+++ b/src/kelproad/state/records.py
@@ -5,11 +5,16 @@
 """
 
 import logging
+from collections.abc import Hashable
 
-__all__ = ['EVENT_FIELDS', 'record']
+import attrs
+
+__all__ = ['EVENT_FIELDS', 'OnceRecorder', 'record']
 
 #: Attribute of a log record that holds the fields of its event.
 EVENT_FIELDS = 'event_fields'
+#: Keys of which a recorder records each once, at most.
+_MAX_KEYS = 100
 
 
 def record(logger: logging.Logger, event: str, /, **fields: object) -> None:
@@ -25,3 +30,21 @@
         Inputs and outcome, which must be JSON-serializable.
     """
     logger.info(event, extra={EVENT_FIELDS: fields})
+
+
+@attrs.define
+class OnceRecorder:
+    """Recorder of events that others may cause any number of times.
+
+    Each key is recorded once, and ``_MAX_KEYS`` keys at most.
+    """
+
+    _logger: logging.Logger
+    _keys: set[Hashable] = attrs.field(factory=set)
+
+    def record(self, key: Hashable, event: str, **fields: object) -> None:
+        """Record an event unless one with its key was recorded before."""
+        if key in self._keys or len(self._keys) >= _MAX_KEYS:
+            return
+        self._keys.add(key)
+        record(self._logger, event, **fields)
--- a/tests/ingress/test_exchange.py
+++ b/tests/ingress/test_exchange.py
@@ -95,6 +95,12 @@
         self.socket = RecordingSocket()
         self.exchange._socket = self.socket
 
+    def hear(self, datagram: bytes, waited: float = 0) -> None:
+        """Receive a datagram from the address that it names."""
+        update = decode_update(datagram)
+        host = update.map(lambda decoded: decoded.host).value_or('10.0.0.9')
+        self.exchange.receive(datagram, host, waited)
+
     def build_report(self) -> bytes:
         """Return the next datagram that it would send."""
         self.exchange.peers.add('somebody', '10.9.9.9')
@@ -120,10 +126,10 @@
 
 def test_work_of_a_peer_counts(here: Instance, there: Instance) -> None:
     """Work that a peer sent to an engine is counted until it ends."""
-    here.exchange.receive(there.build_report())
+    here.hear(there.build_report())
     assert here.ledger.sum_at('i-1', 1000).context_tokens == 5000
     there.ledger.end('i-1', EndpointWork(1, 5000, 0.25, 1))
-    here.exchange.receive(there.build_report())
+    here.hear(there.build_report())
     assert here.ledger.sum_at('i-1', 1000).idle
 
 
@@ -135,14 +141,14 @@
     """A report on the way for long must not undo a newer answer."""
     there.observer.accept('i-1', LimitNotice(2, '1', 999))
     late = there.build_report()
-    here.exchange.receive(late)
+    here.hear(late)
     assert here.observer.limits.find('i-1', '1').rate == 2
     assert here.observer.limits.find('i-1', '1').source == 'bb'
     assert not here.observer.limits.list_reported(1000)
     clock.now = 1001
     there.observer.accept('i-1', LimitNotice(None, '1', 1001))
-    here.exchange.receive(there.build_report())
-    here.exchange.receive(late)
+    here.hear(there.build_report())
+    here.hear(late)
     assert here.observer.limits.find('i-1', '1') is None
 
 
@@ -157,7 +163,7 @@
     clock.now = 1003
     here.observer.accept('i-1', LimitNotice(2, '1', 999))
     here.observer.accept('i-1', LimitNotice(None, '1', 1001))
-    here.exchange.receive(waiting, waited=3)
+    here.hear(waiting, waited=3)
     assert here.observer.limits.find('i-1', '1') is None
     assert here.exchange.peers.count_live(clock.now) == 2
 
@@ -169,8 +175,8 @@
     """A datagram arrives late; the work that it reports has ended."""
     older = there.build_report()
     there.ledger.end('i-1', EndpointWork(1, 5000, 0.25, 1))
-    here.exchange.receive(there.build_report())
-    here.exchange.receive(older)
+    here.hear(there.build_report())
+    here.hear(older)
     assert here.ledger.sum_at('i-1', 1000).idle
 
 
@@ -179,7 +185,7 @@
     there: Instance,
 ) -> None:
     """A peer exits; its calls end with it and must not occupy engines."""
-    here.exchange.receive(there.build_report())
+    here.hear(there.build_report())
     assert here.ledger.sum_at('i-1', 1000 + FORGET_AFTER).idle
 
 
@@ -190,7 +196,7 @@
 ) -> None:
     """A draining engine must not have to refuse each instance in turn."""
     there.observations.record_refusal('i-1', clock.now)
-    here.exchange.receive(there.build_report())
+    here.hear(there.build_report())
     assert here.observations.refuses_help('i-1', clock.now)
     assert not here.observations.refuses_help('i-2', clock.now)
     assert not here.observations.refuses_help('i-1', clock.now + 2)
@@ -199,7 +205,7 @@
 def test_invalid_datagrams_are_ignored(here: Instance) -> None:
     """The port accepts datagrams from any sender."""
     for datagram in (b'', b'\xc1', b'\x93\x01\x02\x03', b'x' * 2000):
-        here.exchange.receive(datagram)
+        here.hear(datagram)
     assert here.exchange.peers.count_live(1000) == 1
 
 
@@ -213,7 +219,7 @@
     that is never made.  If only its instances have exited, its endpoints answer
     and are used again.  A failed connection makes the zone suspect again.
     """
-    here.exchange.receive(there.build_report())
+    here.hear(there.build_report())
     assert not here.reachability.is_suspect('zone-b', 1000)
     later = 1000 + SILENT_SECONDS
     assert here.reachability.is_suspect('zone-b', later)
@@ -238,11 +244,11 @@
 ) -> None:
     """One instance lost the store; a peer may still reach it."""
     assert not here.exchange.peers.is_confirmed_elsewhere(clock.now)
-    here.exchange.receive(there.build_report())
+    here.hear(there.build_report())
     assert here.exchange.peers.is_confirmed_elsewhere(clock.now)
     there.age = 5
     clock.now += 1
-    here.exchange.receive(there.build_report())
+    here.hear(there.build_report())
     assert not here.exchange.peers.is_confirmed_elsewhere(clock.now)
     # No peer is received any more: this instance is the one cut off.
     assert here.exchange.peers.is_confirmed_elsewhere(clock.now + 10)
@@ -258,14 +264,14 @@
     Its callers would otherwise wait and miss their deadlines.
     """
     neighbour = Instance('aaa', 'zone-a')
-    here.exchange.receive(neighbour.build_report())
-    here.exchange.receive(there.build_report())
+    here.hear(neighbour.build_report())
+    here.hear(there.build_report())
     clock.now += SILENT_SECONDS
     neighbour.age = 5
-    here.exchange.receive(neighbour.build_report())
+    here.hear(neighbour.build_report())
     assert here.exchange.peers.is_confirmed_elsewhere(clock.now)
     there.age = 5
-    here.exchange.receive(there.build_report())
+    here.hear(there.build_report())
     assert not here.exchange.peers.is_confirmed_elsewhere(clock.now)
 
 
@@ -280,11 +286,11 @@
     still be accepted, or its work would never be counted again.
     """
     there.exchange._started_at = 500
-    here.exchange.receive(there.build_report())
+    here.hear(there.build_report())
     there.exchange._started_at = 400
     there.exchange._sequence = 0
     clock.now += 5
-    here.exchange.receive(there.build_report())
+    here.hear(there.build_report())
     assert not here.ledger.sum_at('i-1', clock.now).idle
 
 
@@ -496,7 +502,7 @@
     reader.provenance = Provenance.STORE
     clock.now += 5
     reader.received_at = clock.now
-    large.exchange.receive(there.build_report())
+    large.hear(there.build_report())
     known = {
         reader.instance: reader.provenance
         for reader in large.exchange.peers.list_live(clock.now)
@@ -520,3 +526,12 @@
         large.exchange.peers.count_live(clock.now)
         == local_zone + PEERS_PER_ZONE
     )
+
+
+def test_nobody_reports_for_another_instance(
+    here: Instance, there: Instance
+) -> None:
+    """Anybody could say that an instance leaves or that engines are slow."""
+    here.exchange.receive(there.build_report(), '10.0.0.9')
+    assert here.exchange.peers.count_live(1000) == 1
+    assert here.ledger.sum_at('i-1', 1000).idle
--- a/tests/ingress/test_fuzz.py
+++ b/tests/ingress/test_fuzz.py
@@ -84,7 +84,7 @@
     """The port of the instances accepts datagrams from any sender."""
     here = Instance('a', 'zone-a')
     for datagram in datagrams:
-        here.exchange.receive(datagram)
+        here.hear(datagram)
     assert here.exchange.peers.count_live(0) == 1
 
 
--- a/tests/ingress/test_probing.py
+++ b/tests/ingress/test_probing.py
@@ -1,11 +1,19 @@
 """Queries by datagram whether tables have changed."""
 
 import asyncio
+import functools
+import types
 
 import pytest
 
-from kelproad.coordination.ingress.membership.messages import TablesReply
+from kelproad.coordination.ingress.membership.messages import (
+    StartQuery,
+    TablesQuery,
+    TablesReply,
+    encode_message,
+)
 from kelproad.coordination.ingress.membership.queries import PeerQueries
+from kelproad.coordination.ingress.membership.updates import ReportedLimit
 from kelproad.coordination.ingress.settings import NodeSettings
 from kelproad.coordination.ingress.tables import probing as probing_module
 from kelproad.coordination.ingress.tables import relaying as relaying_module
@@ -48,18 +56,21 @@
                 query.token,
                 {TABLE: FRESH} if query.zone == zone else {},
             ),
+            self.queries.__contains__,
+        )
+        queries._socket = types.SimpleNamespace(
+            send=functools.partial(self.send, host)
         )
-        queries._socket = self
         self.queries[host] = queries
         return TableProbe(queries)
 
-    def send(self, datagram: bytes, address: Address) -> None:
+    def send(self, sender: str, datagram: bytes, address: Address) -> None:
         """Deliver a datagram, unless its number is in ``lost``."""
         self.sent += 1
         queries = self.queries.get(address.host)
         if queries is not None and self.sent not in self.lost:
             asyncio.get_running_loop().call_soon(
-                queries.receive, datagram, '10.0.0.9'
+                queries.receive, datagram, sender
             )
 
 
@@ -158,3 +169,21 @@
     network.join('10.0.0.1', 'zone-a')
     network.queries['10.0.0.1'].receive(datagram, '10.0.0.9')
     assert not network.sent
+
+
+async def test_a_reply_goes_only_to_who_asked() -> None:
+    """Traffic could be turned on a third party, and starts be used up."""
+    network = Network()
+    network.join('10.0.0.1', 'zone-a')
+    network.join('10.0.0.2', 'zone-a')
+    queries = network.queries['10.0.0.1']
+    asked = encode_message(TablesQuery(1, '10.0.0.2', 'zone-a'))
+    queries.receive(asked, '10.0.0.9')
+    assert not network.sent
+    limit = ReportedLimit('i-1', '1', 1, 0)
+    relayed = StartQuery(1, '10.0.0.3', 'zone-b', limit, 0, relayed=True)
+    queries.receive(encode_message(relayed), '10.0.0.9')
+    assert not network.sent
+    queries.receive(asked, '10.0.0.2')
+    queries.receive(encode_message(relayed), '10.0.0.2')
+    assert network.sent == 2
--- a/tests/ingress/test_withdrawals.py
+++ b/tests/ingress/test_withdrawals.py
@@ -268,7 +268,11 @@
     await here.hear(build_notice('10.0.0.9'))
     assert not here.table.get('i-1').leaving
     encoded = encode_message(build_notice('10.0.0.1'))
-    queries = PeerQueries(None, lambda query: pytest.fail(f'taken: {query}'))
+    queries = PeerQueries(
+        None,
+        lambda query: pytest.fail(f'taken: {query}'),
+        lambda _host: True,
+    )
     queries.receive(encoded, '10.0.0.9')
     queries.receive_outdated(encoded, '10.0.0.9', 2)
 
