Name few of many pausing endpoints in a refusal

Before thousands of engines that pause, each refused call would log a line with all their names; it has the eight that pause shortest. test_a_refusal_names_few_of_many_pausing_engines fails without it.

--- a/src/kelproad/coordination/ingress/placing/eligibility.py
+++ b/src/kelproad/coordination/ingress/placing/eligibility.py
@@ -1,5 +1,6 @@
 """Which endpoints may get a call, before they are scored."""
 
+import heapq
 import random
 
 from ....state.calls import Call
@@ -24,6 +25,8 @@
 #: Seconds after which another endpoint may be listed in place of one that
 #: leaves.
 _REPLACEMENT_SECONDS = 1.0
+#: Pausing endpoints that a refusal names in the log, those that pause shortest.
+_MAX_NAMED = 8
 
 
 def is_eligible(endpoint: Endpoint, now: float) -> bool:
@@ -139,11 +142,12 @@
     It waits for the end of a pause if it could still be served then.
     ``refusal`` says why others don't serve it, ``None`` without any.
     """
-    waits = {
-        endpoint.name: endpoint.withdrawal.paused_until - now
+    pauses = (
+        (endpoint.withdrawal.paused_until - now, endpoint.name)
         for endpoint in endpoints
         if endpoint.withdrawal.is_paused(now) and not endpoint.leaving
-    }
+    )
+    waits = {name: wait for wait, name in heapq.nsmallest(_MAX_NAMED, pauses)}
     if refusal is not None:
         waits |= refusal.waits
     next_wait = min(waits.values(), default=_REPLACEMENT_SECONDS)
--- a/tests/ingress/test_withdrawals.py
+++ b/tests/ingress/test_withdrawals.py
@@ -443,3 +443,19 @@
     with pytest.raises(NoPlacementError) as raised:
         await site.place()
     assert raised.value.retry_after < 10
+
+
+async def test_a_refusal_names_few_of_many_pausing_engines() -> None:
+    """Each refused call logged a line of thousands of names."""
+    site = Site()
+    names = [f'e-{number}' for number in range(1000)]
+    declarations = [
+        EndpointDeclaration(name, 'a', ADDRESS, slots=8) for name in names
+    ]
+    group = EndpointGroup('book', EndpointKind.ENGINE, declarations)
+    site.table.replace_groups([group])
+    for number, name in enumerate(names):
+        pause(site, name, 1000 - number)
+    with pytest.raises(NoPlacementError) as raised:
+        await site.place()
+    assert set(raised.value.waits) == set(names[-8:])
