Postmortem of engines that leave; limits stated in replies count too

A reply to a report or an order that states a request limit was decoded for what it says of leaving, and its limit dropped: the same class.

--- a/src/kelproad/coordination/ingress/limiting/observing.py
+++ b/src/kelproad/coordination/ingress/limiting/observing.py
@@ -11,6 +11,7 @@
 from ....state.endpointtable import EndpointTable
 from ....state.records import record
 from ....state.requestlimits import LimitChange, LimitNotice, RequestLimits
+from ....state.statements import EndpointStatements
 from ....transport.deadlines import monotonic
 
 __all__ = ['LimitObserver']
@@ -43,11 +44,17 @@
             )
         if head.statements.request_limit is None and not _ends_limit(head):
             return
-        incarnation = endpoint.declaration.incarnation
-        notice = LimitNotice(
-            head.statements.request_limit, incarnation, monotonic()
-        )
-        self.accept(endpoint.name, notice)
+        self._accept_stated(endpoint, head.statements.request_limit)
+
+    def observe_reply(
+        self, endpoint: Endpoint, statements: EndpointStatements
+    ) -> None:
+        """Record the limit that a reply to a report or an order states.
+
+        One without a limit may say less than an answer, and ends none.
+        """
+        if statements.request_limit is not None:
+            self._accept_stated(endpoint, statements.request_limit)
 
     def accept_all(self, notices: Mapping[str, LimitNotice]) -> None:
         """Record the notices that a peer reported, by endpoint."""
@@ -97,6 +104,12 @@
             for name, notice in self.limits.list_limited().items()
         }
 
+    def _accept_stated(self, endpoint: Endpoint, limit: float | None) -> None:
+        """Record what an endpoint stated to this instance now."""
+        incarnation = endpoint.declaration.incarnation
+        notice = LimitNotice(limit, incarnation, monotonic())
+        self.accept(endpoint.name, notice)
+
     def _publish(self, endpoint: str, rate: float | None) -> None:
         stated = -1 if rate is None else rate
         self.metrics.limits.set({'endpoint': endpoint}, stated)
--- a/src/kelproad/coordination/ingress/streams/observing.py
+++ b/src/kelproad/coordination/ingress/streams/observing.py
@@ -46,12 +46,13 @@
         self, address: str, statements: EndpointStatements
     ) -> None:
         """Record the statements of a reply to a report or an order."""
-        if not (statements.declines_calls or statements.unreadable):
+        if not statements.any_stated:
             return
         endpoint = self._table.find_at(address)
         if endpoint is None:
             _logger.debug('statements of an unlisted endpoint at %s', address)
             return
+        self._limits.observe_reply(endpoint, statements)
         self._withdrawals.observe(
             endpoint.name, endpoint.declaration.incarnation, statements
         )
--- a/src/kelproad/state/statements.py
+++ b/src/kelproad/state/statements.py
@@ -35,7 +35,15 @@
     pause: float = 0
     unreadable: tuple[tuple[str, str], ...] = ()
 
+    @property
+    def any_stated(self) -> bool:
+        """Whether the endpoint stated anything, if only unreadably."""
+        return self != _NOTHING
+
     @property
     def declines_calls(self) -> bool:
         """Whether the endpoint wants no more calls, for good or for a time."""
         return self.leaves or self.pause > 0
+
+
+_NOTHING = EndpointStatements()
--- a/tests/ingress/test_withdrawals.py
+++ b/tests/ingress/test_withdrawals.py
@@ -183,8 +183,10 @@
     )
     answers.observe_reply('10.0.0.9:80', LEAVES)
     assert not table.get('i-1').leaving
+    answers.observe_reply(ADDRESS, EndpointStatements(request_limit=2))
     answers.observe_reply(ADDRESS, LEAVES)
     assert table.get('i-1').leaving
+    assert answers._limits.limits.find('i-1', '1').rate == 2
 
 
 def test_memory_of_endpoints_that_are_gone_is_bounded(
