Pauses of the own interface for 429 and 503 only; ages of notices never negative

Found in reading the diff: an engine's 500 with Retry-After kept work from it; a notice with a negative age would have made its endpoint a last resort for longer; a call that may run once could go to a leaving endpoint on probation. The base of messages without a relay is called that.

--- a/src/kelproad/coordination/ingress/membership/messages.py
+++ b/src/kelproad/coordination/ingress/membership/messages.py
@@ -31,16 +31,13 @@
 ]
 
 
-class _Sent(msgspec.Struct, array_like=True):
-    """A query or notice of an instance, which other instances may relay.
-
-    ``relayed`` ones are not relayed again.
-    """
+class _Unrelayed(msgspec.Struct, array_like=True):
+    """A query or notice that goes to its receiver without a relay."""
 
     relayed: ClassVar[bool] = False
 
 
-class TablesQuery(_Sent, tag=0):
+class TablesQuery(_Unrelayed, tag=0):
     """Query for the freshness of the store's tables at another instance."""
 
     token: int
@@ -55,7 +52,7 @@
     tables: dict[str, TableFreshness]
 
 
-class WorkQuery(_Sent, tag=2):
+class WorkQuery(_Unrelayed, tag=2):
     """Query for the work in flight at the engines of another zone."""
 
     token: int
@@ -118,7 +115,7 @@
     confirmed: bool
 
 
-class PromptNotice(_Sent, tag=6):
+class PromptNotice(_Unrelayed, tag=6):
     """What the sender observed of parts of prompts; needs no reply.
 
     ``harmless`` has the seconds since an answer that shows it, by service and
@@ -182,7 +179,7 @@
     age: float
 
 
-class LeavingNotice(_Sent, tag=10):
+class LeavingNotice(_Unrelayed, tag=10):
     """Endpoints that told the sender that they leave; needs no reply."""
 
     token: int
--- a/src/kelproad/coordination/ingress/placing/choosing.py
+++ b/src/kelproad/coordination/ingress/placing/choosing.py
@@ -197,7 +197,7 @@
             return
         leaving = self._filter.list_last_resorts(endpoints, call, progress, now)
         if leaving:
-            names = {endpoint.name for endpoint in leaving}
+            names = {one.name for one in leaving if is_trusted(one, call)}
             yield _Tier(healthy + leaving, trusted | names, uses_leaving=True)
         if not (trusted or _are_withdrawn(endpoints, now)):
             yield _Tier(usable, {endpoint.name for endpoint in usable})
--- a/src/kelproad/coordination/ingress/withdrawing/notices.py
+++ b/src/kelproad/coordination/ingress/withdrawing/notices.py
@@ -100,7 +100,8 @@
                 reported.endpoint, reported.incarnation, received_at
             )
             was_known = withdrawal.leaves
-            withdrawal.report_leaving(received_at - reported.age, until)
+            stated_at = received_at - max(0, reported.age)
+            withdrawal.report_leaving(stated_at, until)
             if not was_known:
                 record(
                     _logger,
--- a/src/kelproad/platform/statements.py
+++ b/src/kelproad/platform/statements.py
@@ -2,7 +2,12 @@
 
 from multidict import CIMultiDictProxy
 
-from ..protocol.pauses import DECIMAL, RETRY_AFTER, parse_pause
+from ..protocol.pauses import (
+    DECIMAL,
+    RETRY_AFTER,
+    TURNED_AWAY,
+    parse_pause,
+)
 from ..state.statements import EndpointStatements
 
 __all__ = ['STATEMENT_FIELDS', 'read_statements']
@@ -15,8 +20,6 @@
 
 _LEAVES = '1'
 _STAYS = '0'
-#: Statuses of endpoints that turn a request away.
-_TURNED_AWAY = frozenset((429, 503))
 #: Characters of an unreadable field that are shown.
 _MAX_SHOWN = 40
 
@@ -30,7 +33,7 @@
     unreadable: _Unreadable = []
     limits, bad_limits = _parse_limits(headers.getall(_REQUEST_LIMIT, []))
     pause = float(0)
-    if status in _TURNED_AWAY:
+    if status in TURNED_AWAY:
         pause = _parse_pause(headers.getall(RETRY_AFTER, []), unreadable)
     return EndpointStatements(
         # Of several limits the lowest one satisfies all.
--- a/src/kelproad/protocol/engines.py
+++ b/src/kelproad/protocol/engines.py
@@ -24,7 +24,7 @@
     ConnectionProgress,
     build_connect_timeout,
 )
-from .pauses import RETRY_AFTER, parse_pause
+from .pauses import RETRY_AFTER, TURNED_AWAY, parse_pause
 
 __all__ = [
     'Attempt',
@@ -324,12 +324,12 @@
     finally:
         response.close()
     ran = Ran.NO if reported.get('ran') == 'no' else Ran.UNKNOWN
-    stated = response.headers.get(RETRY_AFTER, '')
+    pause = parse_pause(response.headers.get(RETRY_AFTER, '')) or 0
     return Refusal(
         _CALLER_FAULTS.get(reported.get('code'), RefusalCode.ENDPOINT_FAILED),
         f'the engine answered {response.status}: {reported.get("message", "")}',
         Step.DISPATCH,
         peer=url,
         ran=ran,
-        pause=parse_pause(stated) or 0,
+        pause=pause if response.status in TURNED_AWAY else 0,
     )
--- a/src/kelproad/protocol/pauses.py
+++ b/src/kelproad/protocol/pauses.py
@@ -5,9 +5,11 @@
 import time
 from email.utils import parsedate_to_datetime
 
-__all__ = ['DECIMAL', 'RETRY_AFTER', 'parse_pause']
+__all__ = ['DECIMAL', 'RETRY_AFTER', 'TURNED_AWAY', 'parse_pause']
 
 RETRY_AFTER = 'Retry-After'
+#: Statuses of endpoints that turn a request away.
+TURNED_AWAY = frozenset((429, 503))
 DECIMAL = re.compile(r'[0-9]{1,15}(\.[0-9]{0,15})?|\.[0-9]{1,15}')
 #: Longest pause in seconds: an absurd one must not last forever.
 _MAX_PAUSE = 3600.0
