--- a/testbed/soak/routed_faults.py
+++ b/testbed/soak/routed_faults.py
@@ -18,7 +18,7 @@
 from .routed_callers import RoutedCallers
 from .routed_stops import PlannedStop, PlannedStops
 
-__all__ = ['RoutedFaults', 'Span']
+__all__ = ['RoutedFaults', 'Span', 'list_interruptions']
 
 _MIN_SECONDS = 0.5
 _MAX_SECONDS = 4.0
@@ -31,6 +31,8 @@
 #: Seconds between two stops of a series: at once, or as in a rolling restart.
 _SERIES_PERIODS = (0, 1.0, 1.5, 2.0)
 _MAX_DELAY = 0.4
+#: Faults of an instance after which it knows little of what was before.
+_INTERRUPTIONS = frozenset(('instance killed', 'instance frozen'))
 
 
 @attrs.frozen
@@ -286,6 +288,23 @@
             return str(number)
 
 
+def list_interruptions(
+    faults: RoutedFaults, instance: str
+) -> list[tuple[float, float]]:
+    """List when an instance was killed, frozen or stopped."""
+    spans = [
+        (span.began, span.ended)
+        for span in faults.spans
+        if span.subject == instance and span.name in _INTERRUPTIONS
+    ]
+    spans += [
+        (stop.terminated_at, stop.ready_again_at)
+        for stop in faults.stops
+        if stop.instance == instance
+    ]
+    return spans
+
+
 def wait_for_all(site: RoutedSite) -> None:
     """Wait until every instance and endpoint answers."""
     for instance in site.instances:
--- a/testbed/soak/routed_limits.py
+++ b/testbed/soak/routed_limits.py
@@ -11,7 +11,7 @@
 from testbed.routed import RoutedSite
 
 from .routed_callers import CallRecord
-from .routed_faults import RoutedFaults
+from .routed_faults import RoutedFaults, list_interruptions
 
 __all__ = ['StatedLimit', 'StatedLimits', 'check_limits']
 
@@ -30,8 +30,6 @@
 _WINDOW = 4.0
 _ALLOWED_FACTOR = 1.5
 _ALLOWED_MORE = 5
-#: Faults of an instance that excuse what it sends soon after.
-_EXCUSING_FAULTS = frozenset(('instance killed', 'instance frozen'))
 
 
 @attrs.frozen
@@ -155,16 +153,7 @@
     """Return whether its instance was killed, frozen or stopped just before."""
     if item is None:
         return False
-    spans = [
-        (span.began, span.ended)
-        for span in faults.spans
-        if span.subject == item.instance and span.name in _EXCUSING_FAULTS
-    ]
-    spans += [
-        (stop.terminated_at, stop.ready_again_at)
-        for stop in faults.stops
-        if stop.instance == item.instance
-    ]
     return any(
-        began <= at <= ended + _SETTLING_SECONDS for began, ended in spans
+        began <= at <= ended + _SETTLING_SECONDS
+        for began, ended in list_interruptions(faults, item.instance)
     )
--- a/testbed/soak/routed_withdrawals.py
+++ b/testbed/soak/routed_withdrawals.py
@@ -11,7 +11,7 @@
 from testbed.routed import RoutedSite
 
 from .routed_callers import CallRecord
-from .routed_faults import RoutedFaults
+from .routed_faults import RoutedFaults, list_interruptions
 
 __all__ = ['StatedWithdrawals', 'Withdrawal', 'check_withdrawals']
 
@@ -28,8 +28,6 @@
 #: calls at most, until the end of the pause.
 _NOTICE_SECONDS = 0.5
 _MAX_DURING_PAUSE = 2
-#: Faults of an instance after which it need not know what it was told.
-_EXCUSING_FAULTS = frozenset(('instance killed', 'instance frozen'))
 
 
 @attrs.frozen
@@ -185,14 +183,7 @@
     instance: str, since: float, until: float, faults: RoutedFaults
 ) -> bool:
     """Return whether an instance was frozen or started again meanwhile."""
-    spans = [
-        (span.began, span.ended)
-        for span in faults.spans
-        if span.subject == instance and span.name in _EXCUSING_FAULTS
-    ]
-    spans += [
-        (stop.terminated_at, stop.ready_again_at)
-        for stop in faults.stops
-        if stop.instance == instance
-    ]
-    return any(began <= until and ended >= since for began, ended in spans)
+    return any(
+        began <= until and ended >= since
+        for began, ended in list_interruptions(faults, instance)
+    )
