--- a/src/kelproad/coordination/ingress/placing/choosing.py
+++ b/src/kelproad/coordination/ingress/placing/choosing.py
@@ -2,7 +2,6 @@
 
 import logging
 import random
-from collections.abc import Iterator
 
 import attrs
 
@@ -19,10 +18,10 @@
 from ..streams.progress import Progress
 from ..tables.holder import ConfigurationHolder
 from .eligibility import (
+    are_withdrawn,
     exclude_limited,
     is_eligible,
     is_last_resort,
-    is_trusted,
     is_withdrawn,
     refuse_for_limits,
     refuse_withdrawn,
@@ -30,6 +29,7 @@
 from .filtering import EndpointFilter
 from .placement import CallRequirements, Candidate, NoPlacementError, Placement
 from .selection import choose_engines, choose_plain
+from .tiers import Tier, iterate_tiers
 
 __all__ = ['Chooser']
 
@@ -45,18 +45,6 @@
 _RETURNS = (0.25, 0.75)
 
 
-@attrs.frozen
-class _Tier:
-    """Endpoints to choose from, and the names of those that may answer.
-
-    ``uses_leaving`` says whether endpoints that leave are among them.
-    """
-
-    endpoints: list[Endpoint]
-    answering: set[str]
-    uses_leaving: bool = False
-
-
 class Chooser:
     """Selector of the endpoints that calls are sent to."""
 
@@ -133,8 +121,8 @@
             When no endpoint can accept the call now.
         """
         refusal: NoPlacementError | None = None
-        tiers = self._iterate_tiers(
-            endpoints, call, progress, now, healthy_only
+        tiers = iterate_tiers(
+            self._filter, endpoints, call, progress, now, healthy_only
         )
         for tier in tiers:
             try:
@@ -164,7 +152,7 @@
         """Choose the seconds after which a refused call is to come back."""
         now = monotonic()
         endpoints = self._table.in_group(call.service)
-        if not _are_withdrawn(endpoints, now):
+        if not are_withdrawn(endpoints, now):
             return self._generator.uniform(*_RETURNS)
         return refuse_withdrawn(
             endpoints, None, call, now, self._generator
@@ -174,36 +162,8 @@
         """Return whether the chosen endpoints may still get a call."""
         return self.find_unusable(placement) is None
 
-    def _iterate_tiers(
-        self,
-        endpoints: list[Endpoint],
-        call: Call,
-        progress: Progress,
-        now: float,
-        healthy_only: bool,
-    ) -> Iterator[_Tier]:
-        """Iterate over sets of endpoints to choose from, the best one first.
-
-        One that leaves and works is better than one that fails.
-        """
-        usable = self._filter.list_usable(
-            endpoints, call, progress, now, may_try=not healthy_only
-        )
-        healthy = self._filter.list_healthy(usable, call, now)
-        trusted = {one.name for one in healthy if is_trusted(one, call)}
-        if trusted or healthy_only:
-            yield _Tier(healthy, trusted)
-        if healthy_only:
-            return
-        leaving = self._filter.list_last_resorts(endpoints, call, progress, now)
-        if leaving:
-            names = {one.name for one in leaving if is_trusted(one, call)}
-            yield _Tier(healthy + leaving, trusted | names, uses_leaving=True)
-        if not (trusted or _are_withdrawn(endpoints, now)):
-            yield _Tier(usable, {endpoint.name for endpoint in usable})
-
     def _choose_in(
-        self, tier: _Tier, call: Call, progress: Progress, now: float
+        self, tier: Tier, call: Call, progress: Progress, now: float
     ) -> Placement:
         """Choose for a call among the endpoints of a tier.
 
@@ -352,10 +312,3 @@
             start_wait is not None,
             start_wait or 0,
         )
-
-
-def _are_withdrawn(endpoints: list[Endpoint], now: float) -> bool:
-    """Return whether there are endpoints, none of which wants calls."""
-    return bool(endpoints) and all(
-        is_withdrawn(endpoint, now) for endpoint in endpoints
-    )
--- a/src/kelproad/coordination/ingress/placing/eligibility.py
+++ b/src/kelproad/coordination/ingress/placing/eligibility.py
@@ -10,6 +10,7 @@
 from .placement import Candidate, NoPlacementError
 
 __all__ = [
+    'are_withdrawn',
     'exclude_avoided',
     'exclude_limited',
     'is_eligible',
@@ -39,6 +40,13 @@
     return endpoint.leaving or endpoint.withdrawal.is_paused(now)
 
 
+def are_withdrawn(endpoints: list[Endpoint], now: float) -> bool:
+    """Return whether there are endpoints, none of which wants calls."""
+    return bool(endpoints) and all(
+        is_withdrawn(endpoint, now) for endpoint in endpoints
+    )
+
+
 def is_last_resort(endpoint: Endpoint, now: float) -> bool:
     """Return whether an endpoint may get calls that no other can serve.
 
