Tests of the look before sending and of polite refusals; two texts

A failure's text says that an endpoint left or paused, and the design page tells no history of a value.

--- a/src/kelproad/coordination/ingress/streams/sending.py
+++ b/src/kelproad/coordination/ingress/streams/sending.py
@@ -237,7 +237,7 @@
 def _fail_withdrawn(endpoint: Endpoint) -> AttemptFailure:
     """Build the failure of an attempt that was not sent after all."""
     return AttemptFailure(
-        'an endpoint was lost before the call was sent',
+        'an endpoint left or paused before the call was sent',
         Ran.NO,
         arrived=False,
         blameless=True,
--- a/tests/ingress/test_attempts.py
+++ b/tests/ingress/test_attempts.py
@@ -482,3 +482,29 @@
         evaluator.note(call, Placement(endpoint), failure)
     assert call.avoids_direct
     assert not evaluator._paths.is_mute(monotonic())
+
+
+@pytest.mark.parametrize(
+    ('stated', 'polite'),
+    [('Retry-After: 2', True), ('Server-Leaving: 1', True), ('X: 1', False)],
+)
+async def test_an_endpoint_that_turns_away_politely_has_not_failed(
+    client: EndpointClient, stated: str, polite: bool
+) -> None:
+    """It was ejected, and got nothing for seconds after its pause."""
+
+    async def turn_away(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        head = HEAD.replace('200 OK', '503 Full')
+        writer.write(
+            f'{head}X-Kelproad-Not-Executed: 1\r\n{stated}\r\n'
+            'Content-Length: 0\r\n\r\n'.encode()
+        )
+        writer.close()
+
+    async with serve(turn_away) as endpoint:
+        failure = (await send(client, endpoint)).failure()
+    assert failure.ran is Ran.NO
+    assert failure.blameless is polite
--- a/tests/ingress/test_withdrawals.py
+++ b/tests/ingress/test_withdrawals.py
@@ -16,8 +16,12 @@
     encode_message,
 )
 from kelproad.coordination.ingress.membership.queries import PeerQueries
-from kelproad.coordination.ingress.placing.placement import NoPlacementError
+from kelproad.coordination.ingress.placing.placement import (
+    NoPlacementError,
+    Placement,
+)
 from kelproad.coordination.ingress.streams.observing import AnswerObserver
+from kelproad.coordination.ingress.streams.sending import Sender
 from kelproad.coordination.ingress.withdrawing.notices import LeavingNotices
 from kelproad.coordination.ingress.withdrawing.observing import (
     WithdrawalObserver,
@@ -31,10 +35,12 @@
     EndpointKind,
 )
 from kelproad.state.endpointtable import EndpointTable
+from kelproad.state.refusals import Ran
 from kelproad.state.routes import CallKind
 from kelproad.state.statements import EndpointStatements
 from kelproad.transport.deadlines import monotonic
 from tests.ingress.limits import build_observer
+from tests.ingress.test_attempts import build_call
 from tests.ingress.test_limited_placement import ENGINES, Site
 
 LEAVES = EndpointStatements(leaves=True)
@@ -461,3 +467,15 @@
     with pytest.raises(NoPlacementError) as raised:
         await site.place()
     assert set(raised.value.waits) == set(names[-8:])
+
+
+async def test_an_endpoint_is_looked_at_again_right_before_sending() -> None:
+    """A call went there after it had waited for memory elsewhere."""
+    endpoint = build_table().get('i-1')
+    sender = Sender(None, None, None, None, lambda placed: placed.primary)
+    sent = await sender.send(
+        build_call(), Placement(endpoint), None, CIMultiDict(), None
+    )
+    failure = sent.failure()
+    assert (failure.ran, failure.arrived) == (Ran.NO, False)
+    assert (failure.blameless, failure.exclude) == (True, 'i-1')
