Log the eras of the store, and answers of tables that are discarded

- Store-Era is decoded from every answer of the store, and a change logged with the answer that told it (store_era_changed).
- The first of several answers in a row that the follower of a table discards as older is logged (table_answer_outdated), and each reading of a whole table (table_read_whole) with versions and source.
- /dump has era, and version, source and age of each table.

No decision changes.

--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -286,6 +286,7 @@
             'version': configuration.version if configuration else None,
             'age': self._tables.configuration.measure_age(),
             'endpoint_age': self._tables.endpoints.measure_age(),
+            'tables': self._tables.describe(),
             'live_instances': self._exchange.peers.count_live(now),
             'unfinished': self._pipeline.handler.unfinished,
             'own_work': describe_work(self._ledger),
--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -156,6 +156,14 @@
         ]
         return min(known) if len(known) == len(followers) else None
 
+    def describe(self) -> dict[str, object]:
+        """Describe the tables and the era of the store for operators."""
+        tables = {
+            name: followed.follower.describe()
+            for name, followed in self._followed.items()
+        }
+        return {'era': self._store.eras.current, **tables}
+
     def list_changes_for_peer(
         self,
         name: str,
--- a/src/kelproad/coordination/ingress/tables/following.py
+++ b/src/kelproad/coordination/ingress/tables/following.py
@@ -131,6 +131,8 @@
         self._store_due: float | None = None
         self._version: int | None = None
         self._failures = 0
+        #: Answers in a row that were discarded, as they are outdated.
+        self._outdated_answers = 0
         self.provenance: Provenance | None = None
         self.confirmed_at = float('-inf')
         self.recovered_at = float('-inf')
@@ -148,6 +150,16 @@
         """Whether the store has failed since the last valid answer."""
         return bool(self._failures)
 
+    def describe(self) -> dict[str, object]:
+        """Describe the state of the table for operators."""
+        return {
+            'version': self._version,
+            'provenance': self.provenance and self.provenance.name.lower(),
+            'age': self.measure_age(),
+            'failures': self._failures,
+            'outdated_answers': self._outdated_answers,
+        }
+
     @Service.task
     async def _follow(self) -> None:
         while not self.should_stop:
@@ -231,11 +243,39 @@
         # stale reader, and adopting it would lose no change but repeat old
         # ones over newer ones.
         if self._version is not None and state.version < self._version:
+            self._record_outdated(state)
             return
+        self._outdated_answers = 0
+        if state.whole:
+            self._record_read(state)
         self._version = state.version
         self._adopt(state)
         self.confirmed_at = max(self.confirmed_at, sent_at - state.age)
 
+    def _record_outdated(self, state: TableState) -> None:
+        """Log the first of several answers in a row that are discarded."""
+        self._outdated_answers += 1
+        if self._outdated_answers == 1:
+            record(
+                _logger,
+                'table_answer_outdated',
+                table=self._source.name,
+                provenance=state.provenance.name.lower(),
+                version=state.version,
+                known=self._version,
+            )
+
+    def _record_read(self, state: TableState) -> None:
+        record(
+            _logger,
+            'table_read_whole',
+            table=self._source.name,
+            provenance=state.provenance.name.lower(),
+            version=state.version,
+            known=self._version,
+            rows=len(state.rows),
+        )
+
     def _record_provenance(self, provenance: Provenance) -> None:
         if provenance is not self.provenance:
             direct = provenance is Provenance.STORE
--- a/src/kelproad/coordination/ingress/tables/store.py
+++ b/src/kelproad/coordination/ingress/tables/store.py
@@ -10,6 +10,7 @@
 from ....state.routes import RoutingConfiguration
 from ..membership.rostering import RosterStore
 from .endpoints import ListedEndpoint
+from .eras import StoreEras
 from .following import TableSource
 from .tablestates import StoredRow
 
@@ -22,10 +23,13 @@
 
     Attributes
     ----------
+    eras
+        The eras that the store states in its answers.
     configuration_key
         Key of the row that holds the configuration.
     """
 
+    eras: StoreEras
     configuration: TableSource
     configuration_key: str
     decode_configuration: Callable[
--- a/src/kelproad/platform/node.py
+++ b/src/kelproad/platform/node.py
@@ -10,6 +10,7 @@
 from ..coordination.ingress.node import Node
 from ..coordination.ingress.placing.memory import EngineOperations
 from ..coordination.ingress.reloading import SettingsHolder
+from ..coordination.ingress.tables.eras import StoreEras
 from ..coordination.ingress.tables.following import TableSource
 from ..coordination.ingress.tables.store import NodeStore
 from ..state.counters import Counters
@@ -61,8 +62,10 @@
     session: aiohttp.ClientSession,
     counters: Counters,
 ) -> NodeStore:
-    client = StoreClient(read_address, session, counters)
+    eras = StoreEras()
+    client = StoreClient(read_address, session, counters, eras)
     return NodeStore(
+        eras=eras,
         configuration=_create_table_source(client, rows.CONFIGURATION_TABLE),
         configuration_key=rows.CONFIGURATION_KEY,
         decode_configuration=rows.decode_configuration,
--- a/src/kelproad/platform/store.py
+++ b/src/kelproad/platform/store.py
@@ -7,6 +7,7 @@
 
 import base64
 import binascii
+import logging
 import types
 from collections.abc import Callable
 
@@ -15,6 +16,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from ..coordination.ingress.tables.eras import StoreEras
 from ..coordination.ingress.tables.tablestates import (
     StoredRow,
     StoreProblem,
@@ -22,11 +24,13 @@
     TableState,
 )
 from ..state.counters import Counters
+from ..state.records import record
 from ..transport.addresses import Address
 from ..transport.exchanges import ExchangeFailure, Reply, exchange
 
 __all__ = ['StoreClient']
 
+_logger = logging.getLogger(__name__)
 #: Seconds for a call that does not wait for changes.  The store takes some
 #: 4 ms, and up to 60 times as long when it is slow.
 _CALL_TIMEOUT = 1.0
@@ -35,6 +39,10 @@
 _HISTORY_LOST = 410
 _CONDITION_FAILED = 412
 _OK = 200
+#: Header field of all answers: a count of the store's restorations from a copy.
+_ERA = 'Store-Era'
+#: Characters of an unreadable era that are logged.
+_MAX_SHOWN = 40
 
 
 class _WireRow(msgspec.Struct):
@@ -66,6 +74,7 @@
     _read_address: Callable[[], Address]
     _session: aiohttp.ClientSession
     _counters: Counters
+    _eras: StoreEras
 
     async def read_table(self, table: str) -> Result[TableState, StoreProblem]:
         """Read all rows of a table, page by page.
@@ -168,6 +177,7 @@
             query,
             {'Content-Type': 'application/json'} if body else {},
         )
+        answered.map(lambda reply: self._observe_era(reply, name))
         checked = answered.alt(_convert_failure).bind(_check_reply)
         outcome = 'ok'
         if isinstance(checked, Failure):
@@ -175,6 +185,9 @@
         self._counters.store_calls.inc({'operation': name, 'outcome': outcome})
         return checked
 
+    def _observe_era(self, reply: Reply, name: str) -> None:
+        self._eras.observe(_parse_era(reply), f'{name} {reply.status}')
+
 
 _KINDS_BY_STATUS = types.MappingProxyType(
     {
@@ -196,6 +209,16 @@
     return Failure(StoreProblem(kind, f'status {reply.status}'))
 
 
+def _parse_era(reply: Reply) -> int:
+    """Parse the era of an answer; 0 if it states none that can be read."""
+    stated = reply.headers.get(_ERA, '')
+    if stated.isascii() and stated.isdecimal():
+        return int(stated)
+    if stated:
+        record(_logger, 'store_era_unreadable', stated=stated[:_MAX_SHOWN])
+    return 0
+
+
 def _decode_page(received: bytes) -> Result[_WireRows, StoreProblem]:
     try:
         return Success(_decode_rows(received))
--- a/tests/ingress/test_tables.py
+++ b/tests/ingress/test_tables.py
@@ -8,6 +8,7 @@
 
 from kelproad.coordination.ingress.settings import Bounds
 from kelproad.coordination.ingress.tables.endpoints import ListedEndpoint
+from kelproad.coordination.ingress.tables.eras import StoreEras
 from kelproad.coordination.ingress.tables.followed import FollowedTables
 from kelproad.coordination.ingress.tables.following import (
     PeerTable,
@@ -67,6 +68,7 @@
         *(Success(TableState(row.version, [row], False)) for row in rows[1:]),
     )
     store = NodeStore(
+        StoreEras(),
         TableSource('op', script.read, script.await_changes),
         'config',
         decode_configuration,
