Failing test: news after the store returned from a copy never arrives

The stand-in of the row store states an era, can be copied and return to the copy (/control/copy, /control/restore): rows and versions of the copy, the next era, 410 for versions that it doesn't have.

Five cases on a site of three instances in two zones: a configuration and six reports each are lost and written again; news (a route, an endpoint that leaves) comes while versions are still behind (by all, 7, 2), or before they have passed the lost ones (by 0, 3).

--- a/src/kelproad/standins/rowstore.py
+++ b/src/kelproad/standins/rowstore.py
@@ -1,13 +1,12 @@
 """Stand-in for the platform's row store: rows, transactions, changes.
 
 It implements the published protocol for rows; paths under ``/control`` inject
-outages, delays, lost answers and lost history.
+outages, delays, lost answers, lost history, and the return from a copy.
 """
 
 import asyncio
 import base64
 import collections
-import itertools
 
 import attrs
 import msgspec
@@ -23,6 +22,7 @@
 #: Rows of one answer.
 _MAX_ROWS = 500
 _MILLISECONDS = 1000
+_ERA = 'Store-Era'
 #: Tables that transactions may not write.
 _PROTECTED = frozenset(('op', 'servers'))
 
@@ -64,6 +64,16 @@
     lose_answers: int = 0
 
 
+@attrs.frozen
+class _Copy:
+    """What the store held when it was copied."""
+
+    rows: dict[RowId, _Row]
+    history: list[_Row]
+    oldest_revision: int
+    version: int
+
+
 class RowStoreStandIn:
     """Rows in tables that share one version counter."""
 
@@ -72,8 +82,11 @@
         self._rows: dict[RowId, _Row] = {}
         self._history: list[_Row] = []
         self._oldest_revision = 0
-        self._versions = itertools.count(1)
         self._version = 0
+        self._copy = _Copy({}, [], 0, 0)
+        self._era = 1
+        #: What is stated in place of the era; ``None`` for the era itself.
+        self._stated_era: str | None = None
         self._changed = asyncio.Condition()
         self._faults = StoreFaults()
         self._calls: collections.Counter[str] = collections.Counter()
@@ -81,6 +94,7 @@
     def create_application(self) -> web.Application:
         """Build the application with its control paths."""
         application = web.Application(middlewares=[self._apply_faults])
+        application.on_response_prepare.append(self._state_era)
         application.add_routes(
             [
                 web.post('/-/rows-tx', self._transact),
@@ -91,6 +105,9 @@
                 web.put('/control/faults', self._put_faults),
                 web.post('/control/forget', self._forget_history),
                 web.get('/control/calls', self._show_calls),
+                web.post('/control/copy', self._take_copy),
+                web.post('/control/restore', self._restore),
+                web.put('/control/era', self._put_era),
             ],
         )
         return application
@@ -152,7 +169,7 @@
         while True:
             if self._faults.status:
                 return web.Response(status=self._faults.status)
-            if after < self._oldest_revision:
+            if not self._oldest_revision <= after <= self._version:
                 return web.Response(status=410)
             found = [
                 row
@@ -194,12 +211,46 @@
         self,
         _http_request: web.Request,
     ) -> web.Response:
-        self._oldest_revision = self._version + 1
-        self._version = next(self._versions)
+        self._version += 1
+        self._oldest_revision = self._version
         self._history = []
         await self._notify()
         return web.json_response({})
 
+    async def _take_copy(self, _http_request: web.Request) -> web.Response:
+        self._copy = _Copy(
+            dict(self._rows),
+            list(self._history),
+            self._oldest_revision,
+            self._version,
+        )
+        return web.json_response({'version': self._version})
+
+    async def _restore(self, _http_request: web.Request) -> web.Response:
+        """Return to the copy, in a new era."""
+        lost = self._version
+        self._rows = dict(self._copy.rows)
+        self._history = list(self._copy.history)
+        self._oldest_revision = self._copy.oldest_revision
+        self._version = self._copy.version
+        self._era += 1
+        await self._notify()
+        return web.json_response({'version': self._version, 'lost': lost})
+
+    async def _put_era(self, http_request: web.Request) -> web.Response:
+        """Set what is stated in place of the era; empty for no field."""
+        self._stated_era = (await http_request.json())['stated']
+        return web.json_response({})
+
+    async def _state_era(
+        self, _http_request: web.Request, response: web.StreamResponse
+    ) -> None:
+        stated = self._stated_era
+        if stated is None:
+            stated = str(self._era)
+        if stated:
+            response.headers[_ERA] = stated
+
     async def _show_calls(self, _http_request: web.Request) -> web.Response:
         return web.json_response(self._calls)
 
@@ -210,7 +261,7 @@
         return self._rows.get((row.table, row.part, row.key), absent)
 
     async def _write(self, puts: list[_Row], removed: list[_Row]) -> None:
-        self._version = next(self._versions)
+        self._version += 1
         for row in puts:
             row.row_version = self._version
             self._rows[row.table, row.part, row.key] = row
--- a/testbed/routed.py
+++ b/testbed/routed.py
@@ -155,6 +155,10 @@
             },
         )
 
+    def report_endpoint(self, name: str) -> None:
+        """Let an endpoint write its next report."""
+        self.put_endpoint_row(name, self._services[name])
+
     def renew_endpoint(self, name: str, born: int) -> None:
         """Let an endpoint state and register another incarnation."""
         self.born[name] = born
@@ -169,6 +173,14 @@
         """Set the faults of the store; none ends them."""
         call_control(self.store, 'PUT', '/control/faults', faults)
 
+    def copy_store(self) -> None:
+        """Copy the store, to be restored later."""
+        call_control(self.store, 'POST', '/control/copy')
+
+    def restore_store(self) -> dict[str, int]:
+        """Return the store to its copy; return its version, and the lost."""
+        return call_control(self.store, 'POST', '/control/restore')
+
     def set_endpoint_faults(self, name: str, **faults: object) -> None:
         """Set the faults of an endpoint; none ends all but lasting ones."""
         address = self.endpoints[name]
--- /dev/null
+++ b/tests/ingress/test_restored_store_site.py
@@ -0,0 +1,152 @@
+"""The store returns from a copy: what it acknowledged since is gone."""
+
+import time
+import types
+from collections.abc import Iterator
+
+import pytest
+
+from testbed.routed import (
+    KEY,
+    RoutedInstance,
+    RoutedSite,
+    start_routed_site,
+    wait_for,
+)
+from tests.ingress.callers import call
+
+#: Seconds within which news must be in force, and a leaving endpoint get no
+#: more calls.
+NEWS_SECONDS = 2.0
+#: Seconds for which the store is away.
+AWAY_SECONDS = 0.7
+ZONES = types.MappingProxyType(
+    {'edge-1': 'zone-a', 'edge-2': 'zone-a', 'edge-3': 'zone-b'}
+)
+READY = ('engine-1', 'engine-2', 'engine-3', 'book-1', 'book-2')
+#: Number of rows that are written again, and of those that are news.
+REWRITTEN = len(READY) + 1
+NEWS = 2
+ADDED = types.MappingProxyType({'service': 'book', 'anonymous': True})
+
+
+@pytest.fixture
+def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[RoutedSite]:
+    """Run a site of three instances in two zones."""
+    with start_routed_site(tmp_path_factory.mktemp('site'), 0) as running:
+        for name, zone in ZONES.items():
+            running.start_instance(name, zone)
+        wait_for(
+            lambda: all(
+                instance.dump()['live_instances'] == len(ZONES)
+                for instance in running.instances
+            ),
+            'the instances know each other',
+        )
+        yield running
+
+
+def write_again(site: RoutedSite) -> None:
+    """Write again what operators and endpoints wrote."""
+    site.version -= 1
+    site.put_configuration()
+    for name in READY:
+        site.report_endpoint(name)
+
+
+def lose_writes(site: RoutedSite) -> int:
+    """Let the store return from a copy; return how far its versions go back."""
+    site.copy_store()
+    for _ in range(10):
+        for name in READY:
+            site.report_endpoint(name)
+    site.put_configuration()
+    wait_for(
+        lambda: all(
+            instance.dump()['version'] == site.version
+            for instance in site.instances
+        ),
+        'the configuration that is lost',
+    )
+    site.set_store_faults(status=503)
+    restored = site.restore_store()
+    return restored['lost'] - restored['version']
+
+
+def write_others(site: RoutedSite, count: int) -> None:
+    """Write rows that no instance reads."""
+    for _ in range(count):
+        site.put_row('others', 'row', {})
+
+
+def return_store(site: RoutedSite) -> None:
+    """Let the store answer again."""
+    time.sleep(AWAY_SECONDS)
+    site.set_store_faults()
+
+
+def lists_leaving(instance: RoutedInstance, name: str) -> bool:
+    """Return whether an instance knows that an endpoint leaves."""
+    return instance.dump()['endpoints'][name]['leaving']
+
+
+def write_news(site: RoutedSite) -> None:
+    """Add a route, and let an endpoint leave."""
+    site.put_configuration(added=ADDED)
+    site.put_endpoint_row('book-1', 'book', state='draining')
+
+
+def wait_for_news(site: RoutedSite) -> None:
+    """Wait until all instances have the news in force."""
+    began = time.monotonic()
+    wait_for(
+        lambda: all(
+            instance.dump()['version'] == site.version
+            and lists_leaving(instance, 'book-1')
+            and call(instance, '/added/x').status == 200
+            for instance in site.instances
+        ),
+        'the news is in force',
+    )
+    assert time.monotonic() - began < NEWS_SECONDS
+
+
+def wait_until_serving(site: RoutedSite) -> None:
+    """Wait until all instances are ready and answer calls with a key."""
+    wait_for(
+        lambda: all(
+            not instance.dump()['unready']
+            and call(instance, '/lookups/x', X_Api_Key=KEY).status == 200
+            for instance in site.instances
+        ),
+        'the instances serve',
+    )
+
+
+@pytest.mark.parametrize('behind', [None, 7, 2])
+def test_news_is_in_force_while_versions_are_behind(
+    site: RoutedSite, behind: int | None
+) -> None:
+    """Guards against dropping news, as its version is below one of before."""
+    lost = lose_writes(site)
+    write_again(site)
+    if behind is not None:
+        write_others(site, lost - REWRITTEN - behind)
+    return_store(site)
+    wait_until_serving(site)
+    write_news(site)
+    wait_for_news(site)
+
+
+@pytest.mark.parametrize('ahead', [0, 3])
+def test_news_is_in_force_once_versions_are_ahead(
+    site: RoutedSite, ahead: int
+) -> None:
+    """Guards against asking for changes since a version of before."""
+    lost = lose_writes(site)
+    write_again(site)
+    write_news(site)
+    write_others(site, lost - REWRITTEN - NEWS + ahead)
+    return_store(site)
+    wait_for_news(site)
+    wait_until_serving(site)
