--- a/src/kelproad/coordination/ingress/membership/peering.py
+++ b/src/kelproad/coordination/ingress/membership/peering.py
@@ -104,6 +104,7 @@
         self.paths = DirectPaths()
         self._session = session
         self._counters = counters
+        self._eras = store.eras
         self.queries = PeerQueries(
             settings,
             self._answer,
@@ -132,7 +133,7 @@
             reachability,
             observations,
             self.limit_observer,
-            self.tables.configuration.measure_age,
+            self.tables.confirmation.measure_age,
             lambda: self.tables.provenance,
             table.find_zone,
             self.paths,
@@ -201,6 +202,7 @@
             self._session,
             self._settings.peer_port,
             self._counters,
+            self._eras,
         )
         return PeerTable(
             relay.query,
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -208,7 +208,7 @@
             self._generator,
             self._peering.queries,
             self._peering.gate,
-            self._tables.configuration.measure_age,
+            self._tables.confirmation.measure_age,
             lambda: self._tables.configuration.failing,
             self._read_bounds,
         )
@@ -284,7 +284,7 @@
             'zone': self._settings.zone,
             'unready': self._readiness.explain_unready(),
             'version': configuration.version if configuration else None,
-            'age': self._tables.configuration.measure_age(),
+            'age': self._tables.confirmation.measure_age(),
             'endpoint_age': self._tables.endpoints.measure_age(),
             'tables': self._tables.describe(),
             'live_instances': self._exchange.peers.count_live(now),
--- a/src/kelproad/coordination/ingress/servers.py
+++ b/src/kelproad/coordination/ingress/servers.py
@@ -19,7 +19,7 @@
 from .admission.dialect import Dialect
 from .settings import NodeSettings
 from .tables.relaying import TABLE_PATH, build_answer, read_after, read_zone
-from .tables.tablestates import TableState
+from .tables.tablestates import Revision, TableState
 
 __all__ = ['NodeServers', 'describe_endpoints', 'describe_work']
 
@@ -50,7 +50,7 @@
     _drain: Drain
     _counters: Counters
     _describe: Callable[[], dict[str, object]]
-    _list_changes: Callable[[str, int | None, bool], TableState | None]
+    _list_changes: Callable[[str, Revision | None, bool], TableState | None]
     _read_limits: Callable[[], IngressLimits]
     _is_instance: Callable[[str], Awaitable[bool]]
 
--- a/src/kelproad/coordination/ingress/tables/caching.py
+++ b/src/kelproad/coordination/ingress/tables/caching.py
@@ -1,6 +1,6 @@
 """Local copy of a table of the store, to be relayed to peers.
 
-Peers query what changed since a version, as they would query the store.  A
+Peers query what changed since a revision, as they would query the store.  A
 change without new information, such as the next report of an endpoint whose
 state is unchanged, is excluded: endpoints report every second or so, and
 relaying each report would make up nearly all of the traffic.
@@ -10,7 +10,7 @@
 from typing import Generic
 
 from .decoding import DecodedRow, DecodedState, Payload
-from .tablestates import TableState
+from .tablestates import Revision, TableState
 
 __all__ = ['TableCache']
 
@@ -18,10 +18,11 @@
 #: Endpoints come and go by tens a minute; a peer queries several times a
 #: second.
 _MAX_DROPPED = 1_000
+_NEVER = Revision(0, 0)
 
 
 class TableCache(Generic[Payload]):
-    """Rows of one table, and which of them changed since a version."""
+    """Rows of one table, and which of them changed since a revision."""
 
     def __init__(
         self, is_equivalent: Callable[[Payload, Payload], bool]
@@ -33,50 +34,50 @@
         """
         self._is_equivalent = is_equivalent
         self._rows: dict[str, DecodedRow[Payload]] = {}
-        self._version: int | None = None
-        #: Version of the newest change with new information.
-        self.changed_at = 0
-        #: Version after which all changes are known.
-        self._complete_since = 0
+        self._revision: Revision | None = None
+        #: Revision of the newest change with new information.
+        self.changed_at = _NEVER
+        #: Revision after which all changes are known.
+        self._complete_since = _NEVER
 
     def update(self, state: DecodedState[Payload]) -> None:
         """Store all rows that were read, or those that changed."""
         if state.whole:
             self._rows = {}
-            self._complete_since = state.version
-            # Rows that have disappeared have no version of their own.
-            self.changed_at = state.version
+            self._complete_since = state.revision
+            # Rows that have disappeared have no revision of their own.
+            self.changed_at = state.revision
         for decoded in state.rows:
             known = self._rows.get(decoded.row.key)
             if known is None or not self._is_unchanged(known, decoded):
                 self._rows[decoded.row.key] = decoded
-                self.changed_at = max(self.changed_at, decoded.row.version)
-        self._version = state.version
-        self._forget_dropped()
+                self.changed_at = max(self.changed_at, decoded.row.revision)
+        self._revision = state.revision
+        self._forget_dropped(state.revision)
 
     @property
-    def version(self) -> int | None:
-        """Newest version of the store that was read, if any was."""
-        return self._version
+    def revision(self) -> Revision | None:
+        """Newest revision of the store that was read, if any was."""
+        return self._revision
 
-    def list_changes(self, after: int | None) -> TableState | None:
-        """List what changed since a version, or all rows.
+    def list_changes(self, after: Revision | None) -> TableState | None:
+        """List what changed since a revision, or all rows.
 
         Returns
         -------
         TableState | None
             Nothing while no state of the table is known.
         """
-        if self._version is None:
+        if self._revision is None:
             return None
         rows = [known.row for known in self._rows.values()]
         if after is None or after < self._complete_since:
             # A row with empty bytes is unreadable, but it exists; without it
             # the peer would take it for dropped, and keep it for a while.
             present = [row for row in rows if row.encoded is not None]
-            return TableState(self._version, present, whole=True)
-        rows = [row for row in rows if row.version > after]
-        return TableState(self._version, rows, whole=False)
+            return TableState(self._revision, present, whole=True)
+        rows = [row for row in rows if row.revision > after]
+        return TableState(self._revision, rows, whole=False)
 
     def _is_unchanged(
         self,
@@ -87,7 +88,7 @@
             return False
         return self._is_equivalent(known.payload, decoded.payload)
 
-    def _forget_dropped(self) -> None:
+    def _forget_dropped(self, revision: Revision) -> None:
         dropped = [
             key
             for key, known in self._rows.items()
@@ -97,4 +98,4 @@
             return
         for key in dropped:
             self._rows.pop(key)
-        self._complete_since = self._version
+        self._complete_since = revision
--- /dev/null
+++ b/src/kelproad/coordination/ingress/tables/confirming.py
@@ -0,0 +1,63 @@
+"""When the configuration in force was last confirmed, also by a restored store.
+
+The copy from which a store was restored does not know what was accepted after
+it was taken, such as the revocation of a key.  Its answers confirm nothing
+until operators have written again, or have had time for it.
+"""
+
+from collections.abc import Callable
+
+from ....transport.deadlines import monotonic, read_boottime
+
+__all__ = ['Confirmation']
+
+
+class Confirmation:
+    """Age of the last confirmation of the configuration in force."""
+
+    def __init__(
+        self,
+        measure_age: Callable[[], float],
+        settle_seconds: float,
+    ) -> None:
+        """Confirm by the answers of the store.
+
+        Parameters
+        ----------
+        measure_age
+            Returns how many seconds old the configuration may be, by the last
+            answer of the store.
+        settle_seconds
+            Seconds after a restoration for which operators may have more to
+            write again.
+        """
+        self._measure_follower_age = measure_age
+        self._settle_seconds = settle_seconds
+        #: Boot time up to which the configuration is confirmed while answers
+        #: confirm nothing.
+        self._confirmed_until = float('-inf')
+        #: Monotonic time from which answers confirm again.
+        self._settled_at = float('-inf')
+
+    def measure_age(self) -> float:
+        """Return the seconds since the configuration was confirmed."""
+        if self.is_settled:
+            return self._measure_follower_age()
+        return read_boottime() - self._confirmed_until
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether answers of the store confirm."""
+        return monotonic() >= self._settled_at
+
+    def suspend(self, recovered_at: float) -> None:
+        """Stop to confirm by answers, as the store was restored.
+
+        ``recovered_at`` is the monotonic time at which it was back.
+        """
+        self._confirmed_until = read_boottime() - self.measure_age()
+        self._settled_at = recovered_at + self._settle_seconds
+
+    def resume(self) -> None:
+        """Confirm by answers again, as operators have written again."""
+        self._settled_at = float('-inf')
--- a/src/kelproad/coordination/ingress/tables/decoding.py
+++ b/src/kelproad/coordination/ingress/tables/decoding.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from .tablestates import StoredRow, TableState
+from .tablestates import Revision, StoredRow, TableState
 
 __all__ = ['DecodedRow', 'DecodedState']
 
@@ -31,13 +31,13 @@
 
     Attributes
     ----------
-    version
-        Newest version of the store when it answered.
+    revision
+        Newest revision of the store when it answered.
     whole
         Whether these are all rows, or those that changed.
     """
 
-    version: int
+    revision: Revision
     rows: list[DecodedRow[Payload]]
     whole: bool
 
@@ -49,4 +49,4 @@
     ) -> 'DecodedState[Payload]':
         """Decode each row of a state."""
         rows = [DecodedRow(row, decode(row)) for row in state.rows]
-        return cls(state.version, rows, state.whole)
+        return cls(state.revision, rows, state.whole)
--- a/src/kelproad/coordination/ingress/tables/endpoints.py
+++ b/src/kelproad/coordination/ingress/tables/endpoints.py
@@ -133,7 +133,10 @@
         self._publish()
 
     def adopt(self, state: _Entries) -> None:
-        """Store all entries that were read, or those that changed."""
+        """Store all entries that were read, or those that changed.
+
+        None is older than what is known of its endpoint.
+        """
         self._record_missing(self._list_vanished(state))
         for decoded in state.rows:
             if decoded.row.encoded is not None:
@@ -176,11 +179,6 @@
             self._changed = True
             return
         entry = payload.unwrap()
-        if known is not None and entry.report_order < known.report_order:
-            # A report that was delayed while a newer one was written; it must
-            # not undo that the endpoint is leaving.
-            record(_logger, 'endpoint_entry_outdated', endpoint=name)
-            return
         self._missing.pop(name, None)
         self._listed[name] = entry
         if known is None or not entry.is_same_endpoint(known):
--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -5,7 +5,6 @@
 """
 
 import math
-import operator
 import random
 from collections.abc import Callable
 
@@ -14,15 +13,23 @@
 from returns.result import Failure, Result
 
 from ....state.endpointtable import EndpointTable
+from ....state.routes import RoutingConfiguration
 from ..settings import Bounds
 from .caching import TableCache
+from .confirming import Confirmation
 from .decoding import DecodedState, Payload
-from .endpoints import EndpointRegistry, ListedEndpoint
+from .endpoints import EndpointRegistry
 from .following import PeerTable, TableFollower, TableSource
 from .holder import ConfigurationHolder
+from .merging import RowMerger, RowOrder
 from .readers import MAX_RELAYED_AGE
+from .roworders import (
+    CONFIGURATION_ORDER,
+    ENDPOINT_ORDER,
+    ReadConfiguration,
+)
 from .store import NodeStore
-from .tablestates import Provenance, StoredRow, TableState
+from .tablestates import Provenance, Revision, StoredRow, TableState
 
 __all__ = ['FollowedTables', 'TableFreshness']
 
@@ -38,6 +45,9 @@
 #: endpoint get no more calls, for which calls to the store wait or pause.
 _WAIT_SHARE = 0.2
 _PAUSE_SHARE = 0.2
+#: Share of the time in which a revoked key must stop working for which a
+#: restored store confirms nothing.
+_SETTLE_SHARE = 0.2
 
 
 class TableFreshness(msgspec.Struct, array_like=True):
@@ -53,12 +63,25 @@
         Seconds since the store confirmed it.
     recovered_for
         Seconds since the store recovered, ``None`` if it never failed.
+    era
+        Era of the versions; 0 from an instance that knows none.
     """
 
     version: int
     changed_at: int
     age: float
     recovered_for: float | None
+    era: int = 0
+
+    @property
+    def revision(self) -> Revision:
+        """Newest revision of the store when it was read."""
+        return Revision(self.era, self.version)
+
+    @property
+    def changed_revision(self) -> Revision:
+        """Revision at which the table last changed."""
+        return Revision(self.era, self.changed_at)
 
 
 @attrs.frozen
@@ -84,10 +107,11 @@
         """Describe the freshness as of now, for peers."""
         recovered_for = self.follower.measure_since_recovery()
         return TableFreshness(
-            self.cache.version,
-            self.cache.changed_at,
+            self.cache.revision.version,
+            self.cache.changed_at.version,
             self.follower.measure_age(),
             recovered_for if math.isfinite(recovered_for) else None,
+            self.cache.revision.era,
         )
 
 
@@ -100,6 +124,8 @@
         The followers, to be started as services.
     registry
         The endpoints that list themselves.
+    confirmation
+        When the configuration in force was last confirmed.
     """
 
     def __init__(
@@ -131,6 +157,12 @@
             store.endpoints.name: self._follow_endpoints(bounds),
         }
 
+        self.confirmation = Confirmation(
+            self.configuration.measure_age,
+            bounds.revoke_key * _SETTLE_SHARE,
+        )
+        self.configuration.on_restored = self.confirmation.suspend
+
     @property
     def configuration(self) -> TableFollower:
         """Follower of the configuration."""
@@ -167,10 +199,10 @@
     def list_changes_for_peer(
         self,
         name: str,
-        after: int | None,
+        after: Revision | None,
         within_zone: bool,
     ) -> TableState | None:
-        """List for a peer what changed in a table since a version.
+        """List for a peer what changed in a table since a revision.
 
         Returns
         -------
@@ -198,7 +230,7 @@
             name: followed.describe_freshness()
             for name, followed in self._followed.items()
             if followed.may_relay(within_zone)
-            and followed.cache.version is not None
+            and followed.cache.revision is not None
         }
 
     def _follow_configuration(self, bounds: Bounds) -> _FollowedTable:
@@ -208,8 +240,8 @@
         )
         return self._follow(
             self._store.configuration,
-            _read_text,
-            TableCache(operator.eq),
+            self._read_configuration,
+            CONFIGURATION_ORDER,
             self._adopt_configuration,
             wait_seconds,
             0,
@@ -220,7 +252,7 @@
         return self._follow(
             self._store.endpoints,
             self._store.decode_endpoint,
-            TableCache(_is_same_entry),
+            ENDPOINT_ORDER,
             self.registry.adopt,
             _ENDPOINT_WAIT,
             pause,
@@ -230,18 +262,22 @@
         self,
         source: TableSource,
         decode: Callable[[StoredRow], Payload],
-        cache: TableCache[Payload],
+        order: RowOrder[Payload],
         adopt: Callable[[DecodedState[Payload]], None],
         wait_seconds: float,
         pause: float,
     ) -> _FollowedTable:
+        cache = TableCache(order.is_equivalent)
+        merger = RowMerger(source.name, order)
+
         def update(state: TableState) -> None:  # noqa: WPS430  closure
-            decoded = DecodedState.from_state(state, decode)
-            cache.update(decoded)
-            adopt(decoded)
+            merged = merger.merge(DecodedState.from_state(state, decode))
+            cache.update(merged)
+            adopt(merged)
 
         follower = TableFollower(
             source,
+            self._store.eras,
             update,
             wait_seconds,
             pause,
@@ -250,24 +286,20 @@
         )
         return _FollowedTable(follower, cache)
 
-    def _adopt_configuration(self, state: DecodedState[bytes | None]) -> None:
-        for decoded in state.rows:
-            row = decoded.row
-            if row.key != self._store.configuration_key:
+    def _read_configuration(self, row: StoredRow) -> ReadConfiguration:
+        decoded: Result[RoutingConfiguration, str] = Failure('another row')
+        if row.key == self._store.configuration_key:
+            decoded = self._store.decode_configuration(row)
+        return ReadConfiguration(row.encoded, decoded)
+
+    def _adopt_configuration(
+        self, state: DecodedState[ReadConfiguration]
+    ) -> None:
+        for read in state.rows:
+            if read.row.key != self._store.configuration_key:
                 continue
-            if self._holder.offer(self._store.decode_configuration(row)):
+            if self._holder.offer(read.payload.decoded, read.row.encoded):
                 self.registry.adopt_configuration(self._holder.current)
-
-
-def _read_text(row: StoredRow) -> bytes | None:
-    return row.encoded
-
-
-def _is_same_entry(
-    known: Result[ListedEndpoint, str],
-    entry: Result[ListedEndpoint, str],
-) -> bool:
-    """Return whether two reports differ only in what each report changes."""
-    if isinstance(known, Failure) or isinstance(entry, Failure):
-        return False
-    return entry.unwrap().is_same_endpoint(known.unwrap())
+            if not state.whole:
+                # Written since the store was restored, if it was.
+                self.confirmation.resume()
--- a/src/kelproad/coordination/ingress/tables/following.py
+++ b/src/kelproad/coordination/ingress/tables/following.py
@@ -4,6 +4,9 @@
 also shows how fresh the table is here, on which it depends whether an API key
 may be trusted, or an endpoint removed for good.  Another instance may be
 queried in place of the store; when none can answer, the store is.
+
+Once the store is known to have been restored from a copy, by an answer about
+any table, the whole table is read again.
 """
 
 import asyncio
@@ -18,8 +21,10 @@
 from ....state.records import record
 from ....transport.deadlines import monotonic, read_boottime
 from ....transport.services import BackgroundService
+from .eras import StoreEras
 from .tablestates import (
     Provenance,
+    Revision,
     StoreProblem,
     StoreProblemKind,
     TableState,
@@ -43,6 +48,9 @@
 #: Seconds between two looks for another instance that has the table, while the
 #: store sends all of it.
 _FIRST_QUERY_PERIOD = 0.02
+#: Seconds for which only outdated answers of the current era come, after which
+#: their versions are believed.
+_MAX_OUTDATED_SECONDS = 2.0
 
 
 @attrs.frozen
@@ -52,7 +60,7 @@
     name: str
     read: Callable[[], Awaitable[Result[TableState, StoreProblem]]]
     await_changes: Callable[
-        [int, float],
+        [Revision, float],
         Awaitable[Result[TableState, StoreProblem]],
     ]
 
@@ -64,14 +72,14 @@
     Attributes
     ----------
     query
-        Queries what changed since a version, or all rows; ``None`` when no
+        Queries what changed since a revision, or all rows; ``None`` when no
         instance can answer.
     measure_backoff
         Returns the maximum seconds to wait for another instance to find the
         store first: 0 if others are served by this one, or there are none.
     """
 
-    query: Callable[[int | None], Awaitable[TableState | None]]
+    query: Callable[[Revision | None], Awaitable[TableState | None]]
     measure_backoff: Callable[[], float]
 
 
@@ -86,9 +94,13 @@
         it stands still while a machine is suspended, and old data would then
         pass for fresh.
     recovered_at
-        Monotonic time of the first valid answer after a failure.
+        Monotonic time of the first valid answer after a failure, or in a new
+        era of the store.
     provenance
         Source of the last valid answer, ``None`` before the first.
+    on_restored
+        Called before the first state of a new era is adopted, with the
+        monotonic time at which the store was back.
     """
 
     abstract = False
@@ -96,6 +108,7 @@
     def __init__(
         self,
         source: TableSource,
+        eras: StoreEras,
         adopt: Callable[[TableState], None],
         wait_seconds: float,
         pause: float,
@@ -108,6 +121,8 @@
         ----------
         source
             The table.
+        eras
+            The eras of the store that all tables know.
         adopt
             Receives each state that was read.
         wait_seconds
@@ -122,6 +137,7 @@
         """
         super().__init__()
         self._source = source
+        self._eras = eras
         self._adopt = adopt
         self._wait_seconds = wait_seconds
         self._pause = pause
@@ -129,10 +145,16 @@
         self._peers = peers
         #: Monotonic time of the next call to the store, ``None`` until chosen.
         self._store_due: float | None = None
-        self._version: int | None = None
+        #: Revision of the last state that was adopted.
+        self._revision: Revision | None = None
+        #: Whether changes were missed, so that the whole table is needed.
+        self._misses_changes = True
         self._failures = 0
         #: Answers in a row that were discarded, as they are outdated.
         self._outdated_answers = 0
+        #: Monotonic time of the first of them.
+        self._outdated_since = float('inf')
+        self.on_restored: Callable[[float], None] = _ignore_restoration
         self.provenance: Provenance | None = None
         self.confirmed_at = float('-inf')
         self.recovered_at = float('-inf')
@@ -153,18 +175,30 @@
     def describe(self) -> dict[str, object]:
         """Describe the state of the table for operators."""
         return {
-            'version': self._version,
+            'revision': self._describe_revision(),
             'provenance': self.provenance and self.provenance.name.lower(),
             'age': self.measure_age(),
             'failures': self._failures,
             'outdated_answers': self._outdated_answers,
         }
 
+    @property
+    def _base(self) -> Revision | None:
+        """Revision after which changes are needed; ``None`` for all rows.
+
+        Changes are missed when the store was restored: those after a version
+        of the era before are others in the new one.
+        """
+        known = self._revision
+        if known is None or self._misses_changes:
+            return None
+        return known if known.era == self._eras.current else None
+
     @Service.task
     async def _follow(self) -> None:
         while not self.should_stop:
             sent_at = read_boottime()
-            relayed = await self._peers.query(self._version)
+            relayed = await self._peers.query(self._base)
             if relayed is not None:
                 self._accept(relayed, sent_at)
                 await asyncio.sleep(_PEER_QUERY_PERIOD)
@@ -177,8 +211,12 @@
             if isinstance(answered, Failure):
                 self._record_failure(answered.failure())
                 continue
-            self._accept(answered.unwrap(), sent_at)
-            await asyncio.sleep(self._pause)
+            accepted = self._accept(answered.unwrap(), sent_at)
+            await asyncio.sleep(
+                self._pause
+                if accepted
+                else _choose_delay(self._outdated_answers - 1)
+            )
 
     def _schedule_store(self) -> float:
         """Choose when to query the store, if that is not chosen yet.
@@ -188,13 +226,14 @@
         serves the others, so that they don't all query it together.
         """
         if self._store_due is None:
-            known = self._version is not None
+            known = self._revision is not None
             longest = self._peers.measure_backoff() if known else 0
             self._store_due = monotonic() + self._generator.uniform(0, longest)
         return self._store_due
 
     async def _query_store(self) -> Result[TableState, StoreProblem]:
-        if self._version is None:
+        base = self._base
+        if base is None:
             return await self._read_whole()
         # After a failure the answer is needed at once, not at the next change,
         # to know whether the store is back; likewise when another instance has
@@ -202,7 +241,7 @@
         direct = self.provenance is Provenance.STORE
         waits = direct and not self._failures
         wait_seconds = self._wait_seconds if waits else 0
-        return await self._source.await_changes(self._version, wait_seconds)
+        return await self._source.await_changes(base, wait_seconds)
 
     async def _read_whole(self) -> Result[TableState, StoreProblem]:
         """Read the table from the store, or from whoever has it sooner.
@@ -223,47 +262,91 @@
         finally:
             reading.cancel()
 
-    def _accept(self, state: TableState, sent_at: float) -> None:
+    def _accept(self, state: TableState, sent_at: float) -> bool:
+        """Adopt a state; return false if it is outdated."""
+        self._eras.observe(
+            state.revision.era,
+            f'{self._source.name} from {state.provenance.name.lower()}',
+        )
+        if self._is_outdated(state):
+            self._record_outdated(state)
+            return False
         if self._failures:
-            self.recovered_at = monotonic()
-            record(
-                _logger,
-                'store_regained',
-                table=self._source.name,
-                failures=self._failures,
-                age=round(self.measure_age(), 3),
-            )
+            self._record_recovery()
         self._failures = 0
+        self._outdated_answers = 0
+        self._outdated_since = float('inf')
         self._store_due = None
         self.recovered_at = max(
             self.recovered_at, monotonic() - state.recovered_for
         )
         self._record_provenance(state.provenance)
-        # The store's counter never decreases; a lower version comes from a
-        # stale reader, and adopting it would lose no change but repeat old
-        # ones over newer ones.
-        if self._version is not None and state.version < self._version:
-            self._record_outdated(state)
-            return
-        self._outdated_answers = 0
         if state.whole:
             self._record_read(state)
-        self._version = state.version
+        if self._is_restored(state):
+            self._begin_era(state)
+        self._revision = state.revision
+        self._misses_changes = False
         self._adopt(state)
         self.confirmed_at = max(self.confirmed_at, sent_at - state.age)
+        return True
+
+    def _is_outdated(self, state: TableState) -> bool:
+        """Return whether a state shows less than what is known here.
+
+        Within an era the store's counter never decreases; a lower version comes
+        from a stale reader, and adopting it would lose no change but repeat old
+        ones over newer ones.
+        """
+        base = self._base
+        if base is None:
+            return state.revision.era < self._eras.current or not state.whole
+        return state.revision < base
+
+    def _is_restored(self, state: TableState) -> bool:
+        """Return whether a state is the first one since a restoration.
+
+        A store that states no eras shows it by a lower version.
+        """
+        known = self._revision
+        if known is None:
+            return False
+        if state.provenance is Provenance.STORE and state.revision < known:
+            return True
+        return known.era < state.revision.era
+
+    def _begin_era(self, state: TableState) -> None:
+        """Count the return of the store from a copy as a recovery."""
+        if state.provenance is Provenance.STORE:
+            self.recovered_at = monotonic()
+        self.on_restored(self.recovered_at)
+
+    def _record_recovery(self) -> None:
+        self.recovered_at = monotonic()
+        record(
+            _logger,
+            'store_regained',
+            table=self._source.name,
+            failures=self._failures,
+            age=round(self.measure_age(), 3),
+        )
 
     def _record_outdated(self, state: TableState) -> None:
         """Log the first of several answers in a row that are discarded."""
+        now = monotonic()
         self._outdated_answers += 1
         if self._outdated_answers == 1:
+            self._outdated_since = now
             record(
                 _logger,
                 'table_answer_outdated',
                 table=self._source.name,
                 provenance=state.provenance.name.lower(),
-                version=state.version,
-                known=self._version,
+                **state.revision.describe(),
+                known=self._describe_revision(),
             )
+        if now - self._outdated_since > _MAX_OUTDATED_SECONDS:
+            self._misses_changes = True
 
     def _record_read(self, state: TableState) -> None:
         record(
@@ -271,11 +354,14 @@
             'table_read_whole',
             table=self._source.name,
             provenance=state.provenance.name.lower(),
-            version=state.version,
-            known=self._version,
+            **state.revision.describe(),
+            known=self._describe_revision(),
             rows=len(state.rows),
         )
 
+    def _describe_revision(self) -> dict[str, int] | None:
+        return self._revision.describe() if self._revision else None
+
     def _record_provenance(self, provenance: Provenance) -> None:
         if provenance is not self.provenance:
             direct = provenance is Provenance.STORE
@@ -291,7 +377,7 @@
         """Record a failure, and schedule the next query to the store."""
         if problem.kind is StoreProblemKind.HISTORY_LOST:
             # Changes were missed; only the complete table shows what is valid.
-            self._version = None
+            self._misses_changes = True
             record(_logger, 'store_history_lost', table=self._source.name)
             return
         self._failures += 1
@@ -303,9 +389,15 @@
                 problem=problem.kind.value,
                 message=problem.message,
             )
-        bound = self._peers.measure_backoff() or min(
-            _MIN_RETRY_DELAY * 2**self._failures,
-            _MAX_RETRY_DELAY,
-        )
+        bound = self._peers.measure_backoff() or _choose_delay(self._failures)
         pause = self._generator.uniform(_MIN_RETRY_DELAY, bound)
         self._store_due = monotonic() + pause
+
+
+def _choose_delay(failures: int) -> float:
+    """Choose the delay in seconds after some failures in a row."""
+    return min(_MIN_RETRY_DELAY * 2**failures, _MAX_RETRY_DELAY)
+
+
+def _ignore_restoration(_recovered_at: float) -> None:
+    """Do nothing when the store was restored."""
--- a/src/kelproad/coordination/ingress/tables/holder.py
+++ b/src/kelproad/coordination/ingress/tables/holder.py
@@ -20,6 +20,8 @@
     def __init__(self) -> None:
         """Start without a configuration."""
         self.current: RoutingConfiguration | None = None
+        #: Bytes of the current one, as it was written.
+        self._encoded: bytes | None = None
         self._adopted = asyncio.Event()
 
     def read_limits(self) -> IngressLimits:
@@ -36,11 +38,14 @@
     def offer(
         self,
         decoded: Result[RoutingConfiguration, str],
+        encoded: bytes | None,
     ) -> bool:
         """Put a configuration in force if it is newer; return whether it was.
 
-        A delayed answer of the store may hold an older version; going back to
-        it would undo changes that operators have made since.
+        A delayed answer of the store, or a store that was restored from a copy,
+        may hold an older version; going back to it would undo changes that
+        operators have made since.  Of two with one version, which only a
+        restored store can have, the one offered later holds.
         """
         if isinstance(decoded, Failure):
             record(
@@ -51,9 +56,10 @@
             return False
         offered = decoded.unwrap()
         held = self.current.version if self.current else -1
-        if offered.version <= held:
+        if offered.version < held or encoded == self._encoded:
             return False
         self.current = offered
+        self._encoded = encoded
         self._adopted.set()
         record(
             _logger,
--- a/src/kelproad/coordination/ingress/tables/relaying.py
+++ b/src/kelproad/coordination/ingress/tables/relaying.py
@@ -23,9 +23,10 @@
 from ....transport.addresses import Address
 from ....transport.deadlines import monotonic, read_boottime
 from ....transport.exchanges import Reply, exchange
+from .eras import StoreEras
 from .probing import Freshness
 from .readers import MAX_RELAYED_AGE, Reader, ReaderSelector
-from .tablestates import Provenance, StoredRow, TableState
+from .tablestates import Provenance, Revision, StoredRow, TableState
 
 __all__ = [
     'TABLE_PATH',
@@ -39,6 +40,7 @@
 #: Path under which an instance serves a table to peers, before its name.
 TABLE_PATH = '/tables/'
 _AFTER = 'after'
+_ERA = 'era'
 _ZONE = 'zone'
 #: Seconds for a query: the network takes 0.2 ms within a zone, and an instance
 #: that has a burst of calls may be some 0.1 s behind.
@@ -52,7 +54,7 @@
 
     ``age`` is the time in seconds since the sender's own read,
     ``recovered_for`` that since the store recovered there, ``None`` when it
-    never failed.
+    never failed.  Versions are those of ``era``.
     """
 
     version: int
@@ -60,6 +62,7 @@
     recovered_for: float | None
     whole: bool
     packed_rows: bytes
+    era: int = 0
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -82,9 +85,10 @@
     _session: aiohttp.ClientSession
     _port: int
     _counters: Counters
+    _eras: StoreEras
 
-    async def query(self, after: int | None) -> TableState | None:
-        """Query what changed since a version, or all rows.
+    async def query(self, after: Revision | None) -> TableState | None:
+        """Query what changed since a revision, or all rows.
 
         Returns
         -------
@@ -123,9 +127,13 @@
     async def _query(
         self,
         reader: Reader,
-        after: int | None,
+        after: Revision | None,
     ) -> Result[TableState, str]:
-        """Fetch what changed, if anything did."""
+        """Fetch what changed, if anything did.
+
+        Nothing is taken from a reader whose table is of an earlier era than
+        the store is known to be in.
+        """
         queried_at = read_boottime()
         freshness = await self._probe(reader)
         if freshness is None:
@@ -135,11 +143,14 @@
         if table is None:
             self._selector.record_refusal(reader, monotonic())
             return Failure('the reader does not relay this table')
-        if after is None or after < table.changed_at:
+        if table.era < self._eras.current:
+            self._selector.record_refusal(reader, monotonic())
+            return Failure('the reader is at an earlier era of the store')
+        if after is None or after < table.changed_revision:
             return await self._fetch(reader, after)
         return Success(
             TableState(
-                table.version,
+                table.revision,
                 [],
                 whole=False,
                 # An answer that the query for another table brought is older
@@ -152,11 +163,12 @@
     async def _fetch(
         self,
         reader: Reader,
-        after: int | None,
+        after: Revision | None,
     ) -> Result[TableState, str]:
         query = {_ZONE: self._zone}
         if after is not None:
-            query[_AFTER] = str(after)
+            query[_AFTER] = str(after.version)
+            query[_ERA] = str(after.era)
         address = Address(reader.host, self._port)
         answered = await exchange(
             self._session,
@@ -191,16 +203,24 @@
     return web.Response(
         body=_encode(
             _TableReply(
-                state.version, state.age, recovered_for, state.whole, packed
+                state.revision.version,
+                state.age,
+                recovered_for,
+                state.whole,
+                packed,
+                state.revision.era,
             ),
         ),
     )
 
 
-def read_after(http_request: web.Request) -> int | None:
-    """Return the version that a peer has; ``None`` if it needs all rows."""
-    text = http_request.query.get(_AFTER, '')
-    return int(text) if text.isdecimal() else None
+def read_after(http_request: web.Request) -> Revision | None:
+    """Return the revision that a peer has; ``None`` if it needs all rows."""
+    version = http_request.query.get(_AFTER, '')
+    era = http_request.query.get(_ERA, '0')
+    if version.isdecimal() and era.isdecimal():
+        return Revision(int(era), int(version))
+    return None
 
 
 def read_zone(http_request: web.Request) -> str:
@@ -211,7 +231,9 @@
 @functools.lru_cache(maxsize=4)
 def _pack_rows(rows: tuple[StoredRow, ...]) -> bytes:
     """Pack rows once for all peers that query the same."""
-    encoded = _encode([(row.key, row.encoded, row.version) for row in rows])
+    encoded = _encode(
+        [(row.key, row.encoded, row.revision.version) for row in rows]
+    )
     return zlib.compress(encoded, _COMPRESSION)
 
 
@@ -229,8 +251,11 @@
         return Failure(f'unreadable: {error}')
     return Success(
         TableState(
-            reply.version,
-            [StoredRow(*row) for row in rows],
+            Revision(reply.era, reply.version),
+            [
+                StoredRow(key, encoded, Revision(reply.era, version))
+                for key, encoded, version in rows
+            ],
             reply.whole,
             reply.age,
             _decode_recovered_for(reply.recovered_for),
--- a/src/kelproad/coordination/ingress/tables/tablestates.py
+++ b/src/kelproad/coordination/ingress/tables/tablestates.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     'Provenance',
+    'Revision',
     'StoreProblem',
     'StoreProblemKind',
     'StoredRow',
@@ -22,6 +23,22 @@
     STORE = 2
 
 
+@attrs.frozen(order=True)
+class Revision:
+    """Position in the changes of the store.
+
+    Versions count up within an era.  A restored store begins another era and
+    assigns versions again, so that a version alone orders nothing.
+    """
+
+    era: int
+    version: int
+
+    def describe(self) -> dict[str, int]:
+        """Describe it for logs and operators."""
+        return {'era': self.era, 'version': self.version}
+
+
 class StoreProblemKind(enum.StrEnum):
     """Why a call to the store failed."""
 
@@ -47,7 +64,7 @@
 
     key: str
     encoded: bytes | None
-    version: int
+    revision: Revision
 
 
 @attrs.frozen
@@ -56,8 +73,8 @@
 
     Attributes
     ----------
-    version
-        Newest version of the store when it answered; changes follow it.
+    revision
+        Newest revision of the store when it answered; changes follow it.
     whole
         Whether these are all rows, or those that changed.
     age
@@ -68,7 +85,7 @@
         Whether it comes from the store, or an instance of which zone.
     """
 
-    version: int
+    revision: Revision
     rows: list[StoredRow]
     whole: bool
     age: float = 0
--- a/src/kelproad/platform/store.py
+++ b/src/kelproad/platform/store.py
@@ -8,6 +8,7 @@
 import base64
 import binascii
 import logging
+import re
 import types
 from collections.abc import Callable
 
@@ -18,13 +19,14 @@
 
 from ..coordination.ingress.tables.eras import StoreEras
 from ..coordination.ingress.tables.tablestates import (
+    Revision,
     StoredRow,
     StoreProblem,
     StoreProblemKind,
     TableState,
 )
 from ..state.counters import Counters
-from ..state.records import record
+from ..state.records import OnceRecorder
 from ..transport.addresses import Address
 from ..transport.exchanges import ExchangeFailure, Reply, exchange
 
@@ -41,6 +43,7 @@
 _OK = 200
 #: Header field of all answers: a count of the store's restorations from a copy.
 _ERA = 'Store-Era'
+_ERA_FORMAT = re.compile('[0-9]{1,18}')
 #: Characters of an unreadable era that are logged.
 _MAX_SHOWN = 40
 
@@ -67,6 +70,15 @@
 _decode_rows = msgspec.json.Decoder(_WireRows).decode
 
 
+@attrs.frozen
+class _Page:
+    """Rows of one answer, and the newest revision when it was sent."""
+
+    revision: Revision
+    rows: list[StoredRow]
+    has_more: bool
+
+
 @attrs.frozen
 class StoreClient:
     """Calls to the store over one session; counts them by outcome."""
@@ -75,25 +87,30 @@
     _session: aiohttp.ClientSession
     _counters: Counters
     _eras: StoreEras
+    _recorder: OnceRecorder = attrs.field(
+        factory=lambda: OnceRecorder(_logger),
+    )
 
     async def read_table(self, table: str) -> Result[TableState, StoreProblem]:
         """Read all rows of a table, page by page.
 
-        The state gets the version of the first page, so that a change between
+        The state gets the revision of the first page, so that a change between
         two pages is received again with the changes that follow.
         """
         rows: list[StoredRow] = []
-        version = None
+        revision = None
         query = {'table': table, 'part': '', 'limit': str(_MAX_ROWS_PER_PAGE)}
         while True:
             page = await self._get('rows-get', query, _CALL_TIMEOUT)
             if isinstance(page, Failure):
                 return page
             answered = page.unwrap()
-            version = answered.row_version if version is None else version
-            rows.extend(map(_decode_row, answered.rows))
+            revision = revision or answered.revision
+            if answered.revision.era != revision.era:
+                return Failure(_RESTORED_MEANWHILE)
+            rows.extend(answered.rows)
             if not answered.has_more or not answered.rows:
-                return Success(TableState(version, rows, whole=True))
+                return Success(TableState(revision, rows, whole=True))
             # ``from`` is inclusive; the smallest key above the last one read
             # is that key with a zero byte appended.
             query['from'] = f'{answered.rows[-1].key}\0'
@@ -101,13 +118,17 @@
     async def await_changes(
         self,
         table: str,
-        version: int,
+        after: Revision,
         wait_seconds: float,
     ) -> Result[TableState, StoreProblem]:
-        """Wait ``wait_seconds`` at most for rows changed since a version."""
+        """Wait ``wait_seconds`` at most for rows changed since a revision.
+
+        The changes are those since its version in the era of the answer, which
+        may be a later one.
+        """
         query = {
             'table': table,
-            'after_revision': str(version),
+            'after_revision': str(after.version),
             'wait_ms': str(int(wait_seconds * 1000)),
         }
         answered = await self._get(
@@ -116,11 +137,7 @@
             wait_seconds + _CALL_TIMEOUT,
         )
         return answered.map(
-            lambda found: TableState(
-                found.row_version,
-                [_decode_row(row) for row in found.rows],
-                whole=False,
-            ),
+            lambda page: TableState(page.revision, page.rows, whole=False),
         )
 
     async def put_row(
@@ -156,9 +173,11 @@
         name: str,
         query: dict[str, str],
         seconds: float,
-    ) -> Result[_WireRows, StoreProblem]:
+    ) -> Result[_Page, StoreProblem]:
         answered = await self._call('GET', name, query, None, seconds)
-        return answered.bind(_decode_page)
+        return answered.bind(
+            lambda reply: _decode_page(reply.body, self._find_era(reply, name)),
+        )
 
     async def _call(
         self,
@@ -167,7 +186,7 @@
         query: dict[str, str],
         body: bytes | None,
         seconds: float,
-    ) -> Result[bytes, StoreProblem]:
+    ) -> Result[Reply, StoreProblem]:
         answered = await exchange(
             self._session,
             method,
@@ -177,7 +196,7 @@
             query,
             {'Content-Type': 'application/json'} if body else {},
         )
-        answered.map(lambda reply: self._observe_era(reply, name))
+        answered.map(lambda reply: self._find_era(reply, name))
         checked = answered.alt(_convert_failure).bind(_check_reply)
         outcome = 'ok'
         if isinstance(checked, Failure):
@@ -185,10 +204,20 @@
         self._counters.store_calls.inc({'operation': name, 'outcome': outcome})
         return checked
 
-    def _observe_era(self, reply: Reply, name: str) -> None:
-        self._eras.observe(_parse_era(reply), f'{name} {reply.status}')
+    def _find_era(self, reply: Reply, name: str) -> int:
+        """Return the era of an answer, of whatever status."""
+        stated = reply.headers.get(_ERA, '')
+        era = _parse_era(stated)
+        if stated and era is None:
+            self._recorder.record(
+                stated, 'store_era_unreadable', stated=stated[:_MAX_SHOWN]
+            )
+        return self._eras.observe(era, f'{name} {reply.status}')
 
 
+_RESTORED_MEANWHILE = StoreProblem(
+    StoreProblemKind.HISTORY_LOST, 'restored between two pages'
+)
 _KINDS_BY_STATUS = types.MappingProxyType(
     {
         _HISTORY_LOST: StoreProblemKind.HISTORY_LOST,
@@ -202,36 +231,33 @@
     return StoreProblem(StoreProblemKind.UNREACHABLE, failure.reason)
 
 
-def _check_reply(reply: Reply) -> Result[bytes, StoreProblem]:
+def _check_reply(reply: Reply) -> Result[Reply, StoreProblem]:
     if reply.status == _OK:
-        return Success(reply.body)
+        return Success(reply)
     kind = _KINDS_BY_STATUS.get(reply.status, StoreProblemKind.REFUSED)
     return Failure(StoreProblem(kind, f'status {reply.status}'))
 
 
-def _parse_era(reply: Reply) -> int:
-    """Parse the era of an answer; 0 if it states none that can be read."""
-    stated = reply.headers.get(_ERA, '')
-    if stated.isascii() and stated.isdecimal():
-        return int(stated)
-    if stated:
-        record(_logger, 'store_era_unreadable', stated=stated[:_MAX_SHOWN])
-    return 0
+def _parse_era(stated: str) -> int | None:
+    return int(stated) if _ERA_FORMAT.fullmatch(stated) else None
 
 
-def _decode_page(received: bytes) -> Result[_WireRows, StoreProblem]:
+def _decode_page(received: bytes, era: int) -> Result[_Page, StoreProblem]:
     try:
-        return Success(_decode_rows(received))
+        page = _decode_rows(received)
     except msgspec.DecodeError as error:
         return Failure(StoreProblem(StoreProblemKind.UNREADABLE, str(error)))
+    rows = [_decode_row(row, era) for row in page.rows]
+    return Success(_Page(Revision(era, page.row_version), rows, page.has_more))
 
 
-def _decode_row(row: _WireRow) -> StoredRow:
+def _decode_row(row: _WireRow, era: int) -> StoredRow:
     """Decode one row; a value that is not base64 becomes empty bytes."""
+    revision = Revision(era, row.row_version)
     if row.deleted:
-        return StoredRow(row.key, None, row.row_version)
+        return StoredRow(row.key, None, revision)
     try:
         encoded = base64.b64decode(row.value, validate=True)
     except (binascii.Error, ValueError):
         encoded = b''
-    return StoredRow(row.key, encoded, row.row_version)
+    return StoredRow(row.key, encoded, revision)
--- a/tests/ingress/test_admitting.py
+++ b/tests/ingress/test_admitting.py
@@ -54,7 +54,7 @@
     await asyncio.sleep(ARRIVES_AFTER)
     assert not call.done()
     configuration = RoutingConfiguration(1, {}, {}, {}, IngressLimits())
-    assert holder.offer(Success(configuration))
+    assert holder.offer(Success(configuration), b'as written')
     refused = (await call).failure()
     assert refused.code is RefusalCode.NOT_FOUND
 
--- a/tests/ingress/test_endpoints.py
+++ b/tests/ingress/test_endpoints.py
@@ -13,7 +13,10 @@
     RECOVERY_GRACE_SECONDS,
     EndpointRegistry,
 )
+from kelproad.coordination.ingress.tables.merging import RowMerger
+from kelproad.coordination.ingress.tables.roworders import ENDPOINT_ORDER
 from kelproad.coordination.ingress.tables.tablestates import (
+    Revision,
     StoredRow,
     TableState,
 )
@@ -61,9 +64,17 @@
 
 
 @pytest.fixture
-def registry(clock: Clock, table: EndpointTable) -> EndpointRegistry:
-    """Create a registry whose configuration has one service."""
+def registry(
+    clock: Clock, table: EndpointTable, monkeypatch: pytest.MonkeyPatch
+) -> EndpointRegistry:
+    """Create a registry whose configuration has one service.
+
+    It gets its entries as an instance does, merged with what is known.
+    """
     made = EndpointRegistry(table, lambda: clock.recovered_at, 2)
+    merger = RowMerger('servers', ENDPOINT_ORDER)
+    adopt = made.adopt
+    monkeypatch.setattr(made, 'adopt', lambda state: adopt(merger.merge(state)))
     made.adopt_configuration(
         RoutingConfiguration.from_declarations(
             1,
@@ -88,7 +99,7 @@
         'born': 5,
         **fields,
     }
-    return StoredRow(name, msgspec.json.encode(entry), 1)
+    return StoredRow(name, msgspec.json.encode(entry), Revision(0, 1))
 
 
 def decode(state: TableState) -> DecodedState:
@@ -98,12 +109,12 @@
 
 def change(*rows: StoredRow) -> DecodedState:
     """Build a partial update of the table."""
-    return decode(TableState(1, list(rows), whole=False))
+    return decode(TableState(Revision(0, 1), list(rows), whole=False))
 
 
 def drop(name: str) -> StoredRow:
     """Build the removal of a row."""
-    return StoredRow(name, None, 2)
+    return StoredRow(name, None, Revision(0, 2))
 
 
 def test_a_removed_endpoint_gets_no_calls(
@@ -128,7 +139,7 @@
     """
     registry.adopt(change(write('i-1'), write('i-2')))
     clock.recovered_at = clock.now
-    registry.adopt(decode(TableState(9, [], whole=True)))
+    registry.adopt(decode(TableState(Revision(0, 9), [], whole=True)))
     assert set(table.all()) == {'i-1', 'i-2'}
     clock.now += 1
     registry.adopt(change(write('i-1', sequence=2)))
@@ -200,7 +211,7 @@
     registry.adopt(change(write('i-1'), write('i-2')))
     registry.adopt(change(write('i-1', **{'sequence': 2, **fields})))
     assert set(table.all()) == {'i-2'}
-    registry.adopt(change(StoredRow('i-9', b'\xff\x00', 3)))
+    registry.adopt(change(StoredRow('i-9', b'\xff\x00', Revision(0, 3))))
     assert set(table.all()) == {'i-2'}
 
 
@@ -222,9 +233,15 @@
     registry.adopt(first)
     cache = TableCache(operator.eq)
     cache.update(first)
-    corrupt = TableState(2, [StoredRow('i-1', b'', 2)], whole=False)
+    corrupt = TableState(
+        Revision(0, 2),
+        [StoredRow('i-1', b'', Revision(0, 2))],
+        whole=False,
+    )
     cache.update(decode(corrupt))
-    registry.adopt(decode(cache.list_changes(None if whole else 1)))
+    registry.adopt(
+        decode(cache.list_changes(None if whole else Revision(0, 1)))
+    )
     assert set(table.all()) == {'i-2'}
 
 
--- a/tests/ingress/test_following.py
+++ b/tests/ingress/test_following.py
@@ -2,17 +2,20 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import pytest
 from returns.result import Failure, Result, Success
 
 from kelproad.coordination.ingress.tables import following as following_module
+from kelproad.coordination.ingress.tables.eras import StoreEras
 from kelproad.coordination.ingress.tables.following import (
     PeerTable,
     TableFollower,
     TableSource,
 )
 from kelproad.coordination.ingress.tables.tablestates import (
+    Revision,
     StoredRow,
     StoreProblem,
     StoreProblemKind,
@@ -30,9 +33,11 @@
         self.follower: TableFollower | None = None
         self.adopted: list[TableState] = []
         self.told: list[TableState] = []
+        self.eras = StoreEras()
         self.backoff = 0
+        self.on_failure: Callable[[], object] = lambda: None
 
-    async def ask_peer(self, _version: int | None) -> TableState | None:
+    async def ask_peer(self, _after: Revision | None) -> TableState | None:
         """Answer as another instance, or return ``None`` for no answer."""
         return self.told.pop(0) if self.told else None
 
@@ -42,11 +47,11 @@
 
     async def await_changes(
         self,
-        version: int,
+        after: Revision,
         wait_seconds: float,
     ) -> Result[TableState, StoreProblem]:
         """Answer a query that waits for changes."""
-        return self._next(version, wait_seconds)
+        return self._next(after.version, wait_seconds)
 
     def _next(
         self,
@@ -55,6 +60,8 @@
     ) -> Result[TableState, StoreProblem]:
         self.asked.append((version, wait_seconds))
         answer = self.answers.pop(0)
+        if isinstance(answer, Failure):
+            self.on_failure()
         if not self.answers:
             self.follower._stopped.set()
         return answer
@@ -64,6 +71,7 @@
     """Create a follower whose store and peers are a script."""
     return TableFollower(
         TableSource('op', script.read, script.await_changes),
+        script.eras,
         script.adopted.append,
         0.8,
         0,
@@ -80,10 +88,13 @@
     return follower
 
 
-def state(version: int, *names: str, whole: bool = False) -> object:
+def state(
+    version: int, *names: str, whole: bool = False, era: int = 0
+) -> object:
     """Build a valid answer with rows of these names."""
-    rows = [StoredRow(name, b'{}', version) for name in names]
-    return Success(TableState(version, rows, whole))
+    revision = Revision(era, version)
+    rows = [StoredRow(name, b'{}', revision) for name in names]
+    return Success(TableState(revision, rows, whole))
 
 
 def fail(kind: StoreProblemKind) -> object:
@@ -190,7 +201,7 @@
         self.questions = 0
         self.abandoned = False
 
-    async def ask_peer(self, _version: int | None) -> TableState | None:
+    async def ask_peer(self, _after: Revision | None) -> TableState | None:
         """Answer once the peer has the table, and end the test."""
         self.questions += 1
         if self.questions < 3:
@@ -213,5 +224,5 @@
     async with asyncio.timeout(1):
         await follow(script)
         await asyncio.sleep(0)
-    assert [adopted.version for adopted in script.adopted] == [5]
+    assert [adopted.revision.version for adopted in script.adopted] == [5]
     assert script.abandoned
--- a/tests/ingress/test_fuzz.py
+++ b/tests/ingress/test_fuzz.py
@@ -10,7 +10,7 @@
 from multidict import CIMultiDict
 from returns.result import Failure, Success
 
-from kelproad.coordination.ingress.tables.tablestates import StoredRow
+from kelproad.coordination.ingress.tables.tablestates import Revision, StoredRow
 from kelproad.platform.headers import read_call_head
 from kelproad.platform.rows import decode_configuration, decode_endpoint
 from kelproad.platform.settings import parse_node_settings
@@ -62,7 +62,7 @@
 @given(st.binary() | JSON.map(repr).map(str.encode))
 def test_rows_of_any_bytes_are_read_or_refused(encoded: bytes) -> None:
     """Other writers may store arbitrary values."""
-    row = StoredRow('config', encoded, 1)
+    row = StoredRow('config', encoded, Revision(0, 1))
     assert isinstance(decode_configuration(row), Failure)
     assert isinstance(decode_endpoint(row), Failure)
 
@@ -73,9 +73,11 @@
     endpoint: dict[str, object],
 ) -> None:
     """Fields may be missing or of a wrong type."""
-    row = StoredRow('config', msgspec.json.encode(configuration), 1)
+    row = StoredRow(
+        'config', msgspec.json.encode(configuration), Revision(0, 1)
+    )
     assert isinstance(decode_configuration(row), Success | Failure)
-    row = StoredRow('i-1', msgspec.json.encode(endpoint), 1)
+    row = StoredRow('i-1', msgspec.json.encode(endpoint), Revision(0, 1))
     assert isinstance(decode_endpoint(row), Success | Failure)
 
 
--- a/tests/ingress/test_misdirected.py
+++ b/tests/ingress/test_misdirected.py
@@ -21,6 +21,7 @@
 from kelproad.coordination.ingress.tables.endpoints import EndpointRegistry
 from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
 from kelproad.coordination.ingress.tables.tablestates import (
+    Revision,
     StoredRow,
     TableState,
 )
@@ -105,8 +106,8 @@
             'sequence': sequence,
             'born': born,
         }
-        row = StoredRow(name, msgspec.json.encode(entry), sequence)
-        changed = TableState(sequence, [row], whole=False)
+        row = StoredRow(name, msgspec.json.encode(entry), Revision(0, sequence))
+        changed = TableState(Revision(0, sequence), [row], whole=False)
         self.registry.adopt(DecodedState.from_state(changed, decode_endpoint))
 
     def misdirect(self, name: str) -> None:
--- a/tests/ingress/test_probing.py
+++ b/tests/ingress/test_probing.py
@@ -17,11 +17,15 @@
 from kelproad.coordination.ingress.settings import NodeSettings
 from kelproad.coordination.ingress.tables import probing as probing_module
 from kelproad.coordination.ingress.tables import relaying as relaying_module
+from kelproad.coordination.ingress.tables.eras import StoreEras
 from kelproad.coordination.ingress.tables.followed import TableFreshness
 from kelproad.coordination.ingress.tables.probing import TableProbe
 from kelproad.coordination.ingress.tables.readers import Reader, ReaderSelector
 from kelproad.coordination.ingress.tables.relaying import TableRelay
-from kelproad.coordination.ingress.tables.tablestates import Provenance
+from kelproad.coordination.ingress.tables.tablestates import (
+    Provenance,
+    Revision,
+)
 from kelproad.state.counters import Counters
 from kelproad.transport.addresses import Address
 from kelproad.transport.deadlines import monotonic
@@ -92,6 +96,7 @@
         session=None,
         port=7340,
         counters=Counters(),
+        eras=StoreEras(),
     )
 
 
@@ -106,8 +111,8 @@
     network = Network()
     network.join('10.0.0.1', 'zone-a')
     relay = build_relay(network.join('10.0.0.2', 'zone-a'), build_selector())
-    state = await relay.query(7)
-    assert (state.version, state.rows, state.whole) == (9, [], False)
+    state = await relay.query(Revision(0, 7))
+    assert (state.revision.version, state.rows, state.whole) == (9, [], False)
     assert state.provenance is Provenance.SAME_ZONE
     assert state.age >= FRESH.age
     assert network.sent == 2
@@ -127,9 +132,9 @@
     network = Network()
     network.join('10.0.0.1', 'zone-a')
     relay = build_relay(network.join('10.0.0.2', 'zone-a'), build_selector())
-    await relay.query(7)
+    await relay.query(Revision(0, 7))
     clock[0] += 0.05
-    state = await relay.query(7)
+    state = await relay.query(Revision(0, 7))
     assert network.sent == 2
     assert state.age == pytest.approx(FRESH.age + 0.05)
 
@@ -148,7 +153,7 @@
     network = Network()
     selector = build_selector()
     relay = build_relay(network.join('10.0.0.2', 'zone-a'), selector)
-    assert await relay.query(7) is None
+    assert await relay.query(Revision(0, 7)) is None
     assert selector.choose(monotonic()) is None
 
 
--- a/tests/ingress/test_relaying.py
+++ b/tests/ingress/test_relaying.py
@@ -22,6 +22,7 @@
 from kelproad.coordination.ingress.tables.relaying import build_answer
 from kelproad.coordination.ingress.tables.tablestates import (
     Provenance,
+    Revision,
     StoredRow,
     TableState,
 )
@@ -38,13 +39,13 @@
 
 def row(key: str, version: int, text: bytes | None = b'as ever') -> StoredRow:
     """Build a row; None as its text stands for a dropped one."""
-    return StoredRow(key, text, version)
+    return StoredRow(key, text, Revision(0, version))
 
 
 def build_cache(*rows: StoredRow, version: int) -> TableCache:
     """Build a cache that holds these rows."""
     built = TableCache(operator.eq)
-    built.update(read(TableState(version, list(rows), whole=True)))
+    built.update(read(TableState(Revision(0, version), list(rows), whole=True)))
     return built
 
 
@@ -68,18 +69,22 @@
     """
     table_cache = build_cache(row('i-1', 1), row('i-2', 2), version=5)
     changed = [row('i-1', 7), row('i-2', 8, b'leaves')]
-    table_cache.update(read(TableState(8, changed, whole=False)))
-    changes = table_cache.list_changes(5)
+    table_cache.update(read(TableState(Revision(0, 8), changed, whole=False)))
+    changes = table_cache.list_changes(Revision(0, 5))
     assert list_keys(changes) == ['i-2']
-    assert changes.version == 8
+    assert changes.revision.version == 8
     assert not changes.whole
 
 
 def test_a_dropped_row_is_reported() -> None:
     """An endpoint is removed: instances that query later must learn of it."""
     table_cache = build_cache(row('i-1', 1), version=5)
-    table_cache.update(read(TableState(6, [row('i-1', 6, None)], whole=False)))
-    assert table_cache.list_changes(5).rows == [row('i-1', 6, None)]
+    table_cache.update(
+        read(TableState(Revision(0, 6), [row('i-1', 6, None)], whole=False))
+    )
+    assert table_cache.list_changes(Revision(0, 5)).rows == [
+        row('i-1', 6, None)
+    ]
     assert not table_cache.list_changes(None).rows
 
 
@@ -92,15 +97,15 @@
     """
     table_cache = build_cache(row('i-1', 1), version=5)
     corrupt = row('i-1', 6, b'')
-    table_cache.update(read(TableState(6, [corrupt], whole=False)))
-    assert table_cache.list_changes(5).rows == [corrupt]
+    table_cache.update(read(TableState(Revision(0, 6), [corrupt], whole=False)))
+    assert table_cache.list_changes(Revision(0, 5)).rows == [corrupt]
     assert table_cache.list_changes(None).rows == [corrupt]
 
 
 def test_an_instance_far_behind_gets_the_full_table() -> None:
     """The cache knows no changes from before it was filled."""
     table_cache = build_cache(row('i-1', 1), version=5)
-    changes = table_cache.list_changes(4)
+    changes = table_cache.list_changes(Revision(0, 4))
     assert changes.whole
     assert list_keys(changes) == ['i-1']
 
@@ -108,9 +113,13 @@
 def test_a_restored_row_is_reported() -> None:
     """An entry lapses and comes back with the same text."""
     table_cache = build_cache(row('i-1', 1), version=5)
-    table_cache.update(read(TableState(6, [row('i-1', 6, None)], whole=False)))
-    table_cache.update(read(TableState(7, [row('i-1', 7)], whole=False)))
-    assert table_cache.list_changes(6).rows == [row('i-1', 7)]
+    table_cache.update(
+        read(TableState(Revision(0, 6), [row('i-1', 6, None)], whole=False))
+    )
+    table_cache.update(
+        read(TableState(Revision(0, 7), [row('i-1', 7)], whole=False))
+    )
+    assert table_cache.list_changes(Revision(0, 6)).rows == [row('i-1', 7)]
 
 
 # Which instance is queried
@@ -275,23 +284,25 @@
     monkeypatch.setattr(following_module, 'read_boottime', lambda: 100)
     script = Script(state(9, whole=True))
     script.told = [
-        TableState(5, [], True, age=2, provenance=Provenance.SAME_ZONE),
+        TableState(
+            Revision(0, 5), [], True, age=2, provenance=Provenance.SAME_ZONE
+        ),
     ]
     follower = await follow(script)
     assert script.asked == [(5, 0)]
     assert follower.confirmed_at == 100
-    assert script.adopted[0].version == 5
+    assert script.adopted[0].revision.version == 5
 
 
 async def test_a_peer_that_is_behind_undoes_nothing() -> None:
     """The peer queried second has an older version than the first."""
     script = Script(state(9))
     script.told = [
-        TableState(7, [row('a', 7)], whole=True),
-        TableState(6, [row('a', 4)], whole=True),
+        TableState(Revision(0, 7), [row('a', 7)], whole=True),
+        TableState(Revision(0, 6), [row('a', 4)], whole=True),
     ]
     await follow(script)
-    assert [adopted.version for adopted in script.adopted] == [7, 9]
+    assert [adopted.revision.version for adopted in script.adopted] == [7, 9]
 
 
 @pytest.mark.parametrize(
@@ -310,11 +321,13 @@
 def test_tables_of_a_stale_reader_are_discarded() -> None:
     """The store refuses only the reader, and serves all others."""
     old = relaying_module._decode_reply(
-        build_answer(TableState(1, [], whole=True, age=2.1)).body,
+        build_answer(TableState(Revision(0, 1), [], whole=True, age=2.1)).body,
     )
     assert relaying_module._discard_stale(old.unwrap()) is None
     fresh = relaying_module._decode_reply(
-        build_answer(TableState(1, [row('a', 1)], whole=True, age=1.9)).body,
+        build_answer(
+            TableState(Revision(0, 1), [row('a', 1)], whole=True, age=1.9)
+        ).body,
     )
     kept = relaying_module._discard_stale(fresh.unwrap())
     assert kept.rows == [row('a', 1)]
--- /dev/null
+++ b/tests/ingress/test_restored_store.py
@@ -0,0 +1,182 @@
+"""Tables of a store that returns from a copy, without processes."""
+
+import msgspec
+import pytest
+
+from kelproad.coordination.ingress.tables import confirming as confirming_module
+from kelproad.coordination.ingress.tables.confirming import Confirmation
+from kelproad.coordination.ingress.tables.decoding import DecodedState
+from kelproad.coordination.ingress.tables.eras import StoreEras
+from kelproad.coordination.ingress.tables.merging import RowMerger
+from kelproad.coordination.ingress.tables.roworders import ENDPOINT_ORDER
+from kelproad.coordination.ingress.tables.tablestates import (
+    Revision,
+    StoredRow,
+    StoreProblemKind,
+    TableState,
+)
+from kelproad.platform.rows import decode_endpoint
+from tests.ingress.test_following import Script, fail, follow, state
+
+COPY = Revision(2, 5)
+
+
+async def test_changes_of_a_new_era_are_not_adopted_as_all() -> None:
+    """Guards against a call that waits across the return of the store."""
+    script = Script(
+        state(9, 'a', whole=True, era=1),
+        state(9, 'b', era=2),
+        state(7, 'c', whole=True, era=2),
+        state(8, 'd', era=2),
+    )
+    await follow(script)
+    assert [version for version, _ in script.asked] == [None, 9, None, 7]
+    assert [adopted.revision for adopted in script.adopted] == [
+        Revision(1, 9),
+        Revision(2, 7),
+        Revision(2, 8),
+    ]
+
+
+async def test_an_era_noticed_elsewhere_needs_the_whole_table() -> None:
+    """Guards against a table that goes on in the era before."""
+    script = Script(
+        state(9, whole=True, era=1),
+        fail(StoreProblemKind.REFUSED),
+        state(6, whole=True, era=2),
+    )
+    script.on_failure = lambda: script.eras.observe(2, 'another table')
+    await follow(script)
+    assert [version for version, _ in script.asked] == [None, 9, None]
+
+
+async def test_a_late_answer_of_the_era_before_confirms_nothing() -> None:
+    """Guards against old rows that are taken for new as their version is."""
+    script = Script(
+        state(5, whole=True, era=2),
+        state(99, 'late', era=1),
+        state(99, 'late', whole=True, era=1),
+    )
+    follower = await follow(script)
+    confirmed_at = follower.confirmed_at
+    assert [adopted.revision for adopted in script.adopted] == [COPY]
+    assert follower.describe()['outdated_answers'] == 2
+    assert follower.confirmed_at == confirmed_at
+
+
+async def test_a_return_within_one_answer_counts_as_recovery() -> None:
+    """Guards against dropping endpoints that joined since the copy."""
+    script = Script(state(9, whole=True, era=1), state(7, whole=True, era=2))
+    script.eras.observe(1, 'start')
+    follower = await follow(script)
+    assert follower.measure_since_recovery() < 1
+
+
+async def test_lower_versions_are_believed_in_the_end() -> None:
+    """Guards against a store without eras that silently goes back."""
+    script = Script(
+        state(9, whole=True),
+        *(state(3) for _ in range(9)),
+        state(3, 'a', whole=True),
+    )
+    follower = await follow(script)
+    assert script.asked[-1][0] is None
+    assert follower.describe()['revision'] == {'era': 0, 'version': 3}
+
+
+def test_eras_only_rise() -> None:
+    """Guards against an era that a late or odd answer sets back."""
+    eras = StoreEras()
+    restored = []
+    eras.on_restored.append(lambda: restored.append(eras.current))
+    assert [
+        eras.observe(stated, 'answer') for stated in (None, 4, None, 5, 4, 7)
+    ] == [0, 4, 4, 5, 4, 7]
+    assert restored == [5, 7]
+
+
+# Rows that are older than what is known
+
+
+def write(name: str, revision: Revision, **fields: object) -> StoredRow:
+    """Build the row of an endpoint."""
+    entry = {
+        'service': 'book',
+        'address': '10.0.0.1:80',
+        'zone': 'a',
+        'state': 'ready',
+        'sequence': 1,
+        'born': 5,
+        **fields,
+    }
+    return StoredRow(name, msgspec.json.encode(entry), revision)
+
+
+def decode(revision: Revision, *rows: StoredRow, whole: bool) -> DecodedState:
+    """Decode a state of the table of endpoints."""
+    return DecodedState.from_state(
+        TableState(revision, list(rows), whole), decode_endpoint
+    )
+
+
+def read_states(merged: DecodedState) -> dict[str, bool]:
+    """Return which endpoints are present, and whether each leaves."""
+    return {
+        decoded.row.key: decoded.payload.unwrap().leaving
+        for decoded in merged.rows
+    }
+
+
+@pytest.fixture
+def merger() -> RowMerger:
+    """Create a merger that knows of an endpoint of each fate."""
+    made = RowMerger('servers', ENDPOINT_ORDER)
+    before = Revision(1, 9)
+    rows = [write(name, before, sequence=7) for name in ('stays', 'went')]
+    rows.append(write('leaves', before, state='draining', sequence=7))
+    made.merge(decode(before, *rows, whole=True))
+    gone = StoredRow('went', None, Revision(1, 10))
+    made.merge(decode(Revision(1, 10), gone, whole=False))
+    return made
+
+
+def test_a_copy_undoes_nothing_that_endpoints_said(merger: RowMerger) -> None:
+    """Guards against calls to endpoints that leave or have left."""
+    copied = [
+        write(name, COPY, sequence=sequence)
+        for name, sequence in (('stays', 6), ('went', 7), ('leaves', 6))
+    ]
+    merged = merger.merge(decode(COPY, *copied, whole=True))
+    assert read_states(merged) == {'stays': False, 'leaves': True}
+    assert {decoded.row.revision for decoded in merged.rows} == {COPY}
+
+
+def test_an_endpoint_that_reports_again_is_believed(merger: RowMerger) -> None:
+    """Guards against endpoints that stay out after the store's return."""
+    merger.merge(decode(COPY, write('went', COPY, sequence=7), whole=True))
+    later = Revision(2, 6)
+    report = write('went', later, sequence=8)
+    merged = merger.merge(decode(later, report, whole=False))
+    assert read_states(merged) == {'went': False}
+
+
+# What confirms keys
+
+
+def test_a_copy_confirms_nothing_until_written_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a key that was revoked in the seconds that are lost."""
+    now = 100.0
+    monkeypatch.setattr(confirming_module, 'monotonic', lambda: now)
+    monkeypatch.setattr(confirming_module, 'read_boottime', lambda: now)
+    confirmed_at = 97.0
+    confirmation = Confirmation(lambda: now - confirmed_at, 1.0)
+    confirmation.suspend(recovered_at=now)
+    now, confirmed_at = 100.5, 100.5
+    assert confirmation.measure_age() == pytest.approx(3.5)
+    confirmation.suspend(recovered_at=now)
+    now, confirmed_at = 101.2, 101.2
+    assert confirmation.measure_age() == pytest.approx(4.2)
+    confirmation.resume()
+    assert not confirmation.measure_age()
--- a/tests/ingress/test_tables.py
+++ b/tests/ingress/test_tables.py
@@ -18,6 +18,7 @@
 from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
 from kelproad.coordination.ingress.tables.store import NodeStore
 from kelproad.coordination.ingress.tables.tablestates import (
+    Revision,
     StoredRow,
     TableState,
 )
@@ -28,7 +29,7 @@
 ENDPOINTS = 'servers'
 
 
-async def query_no_peer(_version: int | None) -> None:
+async def query_no_peer(_after: Revision | None) -> None:
     """Return no reply, as there are no peers."""
 
 
@@ -46,7 +47,7 @@
         'state': state,
         'sequence': version,
     }
-    return StoredRow('i-1', msgspec.json.encode(entry), version)
+    return StoredRow('i-1', msgspec.json.encode(entry), Revision(0, version))
 
 
 async def test_a_report_is_decoded_once() -> None:
@@ -59,13 +60,13 @@
     decoded = collections.Counter()
 
     def decode(row: StoredRow) -> Result[ListedEndpoint, str]:
-        decoded[row.version] += 1
+        decoded[row.revision.version] += 1
         return decode_endpoint(row)
 
     rows = [report(1), report(2), report(3, 'draining')]
     script = Script(
-        Success(TableState(1, rows[:1], whole=True)),
-        *(Success(TableState(row.version, [row], False)) for row in rows[1:]),
+        Success(TableState(rows[0].revision, rows[:1], whole=True)),
+        *(Success(TableState(row.revision, [row], False)) for row in rows[1:]),
     )
     store = NodeStore(
         StoreEras(),
@@ -88,7 +89,9 @@
     await TableFollower._follow.fun(tables.endpoints)
     assert decoded == {1: 1, 2: 1, 3: 1}
     assert (
-        tables.list_changes_for_peer(ENDPOINTS, 1, within_zone=True).rows
+        tables.list_changes_for_peer(
+            ENDPOINTS, Revision(0, 1), within_zone=True
+        ).rows
         == rows[2:]
     )
     assert (
