Start of a routed instance: three modules of the other interface fewer

The routed interface imported members, limits and configuration of the own interface only for the types of two arguments.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -25,8 +25,10 @@
     ServiceKind,
     Workspace,
 )
-from kelproad.state.endpoints import EndpointTable  # noqa: E402
-from kelproad.state.members import EndpointReport  # noqa: E402
+from kelproad.state.endpoints import (
+    EndpointReport,  # noqa: E402
+    EndpointTable,  # noqa: E402
+)
 from kelproad.state.prefixes import digest_prefix  # noqa: E402
 from kelproad.state.requests import Request  # noqa: E402
 
@@ -88,7 +90,7 @@
     applied = AppliedFile('all', 1, 1, '', '', content)
     snapshot = Snapshot.from_files(1, {'all': applied})
     table = EndpointTable()
-    table.apply_snapshot(snapshot)
+    table.replace_groups(snapshot.groups.values())
     for number, endpoint in enumerate(table.all().values()):
         report = EndpointReport(
             endpoint.name,
--- a/bench/slopes_gossip.py
+++ b/bench/slopes_gossip.py
@@ -9,7 +9,8 @@
 
 from kelproad.coordination.gossip import PERIOD, Gossiper
 from kelproad.coordination.gossippeers import Location
-from kelproad.state.members import EndpointReport, Member, MemberTable
+from kelproad.state.endpoints import EndpointReport
+from kelproad.state.members import Member, MemberTable
 
 from .slopes_usage import Row
 
--- a/bench/slopes_members.py
+++ b/bench/slopes_members.py
@@ -24,9 +24,9 @@
     EndpointKind,
     FileContent,
 )
-from kelproad.state.endpoints import EndpointTable
+from kelproad.state.endpoints import EndpointReport, EndpointTable
 from kelproad.state.identity import Identity
-from kelproad.state.members import EndpointReport, MemberTable
+from kelproad.state.members import MemberTable
 from kelproad.transport.deadlines import monotonic
 from testbed.processes import find_free_address
 
@@ -77,7 +77,7 @@
         platform = _FixedPlatform(listing)
         holder = SnapshotHolder()
         holder.adopt(_declare(len(listing.instances)))
-        self.table.apply_snapshot(holder.current)
+        self.table.replace_groups(holder.current.groups.values())
         follower = ConfigurationFollower(
             settings,
             holder,
--- a/bench/slopes_tables.py
+++ b/bench/slopes_tables.py
@@ -23,8 +23,7 @@
     ServiceKind,
     Workspace,
 )
-from kelproad.state.endpoints import EndpointTable
-from kelproad.state.members import EndpointReport
+from kelproad.state.endpoints import EndpointReport, EndpointTable
 from kelproad.state.requests import Request
 
 from .slopes_usage import Row
@@ -151,7 +150,7 @@
 
 def _fill_table(snapshot: Snapshot) -> EndpointTable:
     table = EndpointTable()
-    table.apply_snapshot(snapshot)
+    table.replace_groups(snapshot.groups.values())
     for model in range(_MODELS):
         for endpoint in table.in_group(f'group-{model}'):
             report = EndpointReport(
--- a/src/kelproad/cli/logs.py
+++ b/src/kelproad/cli/logs.py
@@ -4,7 +4,7 @@
 import logging
 
 from ..protocol.settings import LogFormat, Settings
-from ..state.context import current_request
+from ..state.records import current_request
 
 __all__ = ['configure_logging']
 
--- a/src/kelproad/cli/structured.py
+++ b/src/kelproad/cli/structured.py
@@ -13,8 +13,7 @@
 
 import msgspec
 
-from ..state.context import current_request
-from ..state.records import EVENT_FIELDS
+from ..state.records import EVENT_FIELDS, current_request
 
 __all__ = ['configure_structured_logging']
 
--- a/src/kelproad/coordination/configuration.py
+++ b/src/kelproad/coordination/configuration.py
@@ -286,7 +286,7 @@
         previous = self._holder.current
         if not self._holder.adopt(snapshot):
             return
-        self._table.apply_snapshot(snapshot)
+        self._table.replace_groups(snapshot.groups.values())
         self._counters.adoptions.inc({'source': source, 'outcome': 'adopted'})
         self.log.info(
             'configuration revision %d in force, was %d, from %s',
--- a/src/kelproad/coordination/entry.py
+++ b/src/kelproad/coordination/entry.py
@@ -16,8 +16,8 @@
 from ..protocol.plain import PlainCall
 from ..state.claims import RecordedAnswer
 from ..state.configuration import SnapshotHolder
-from ..state.context import current_request
 from ..state.identity import Identity
+from ..state.records import current_request
 from ..state.refusals import Refusal
 from ..state.requests import Phase, Request
 from ..transport.deadlines import monotonic
--- a/src/kelproad/coordination/ingress/admission/entrance.py
+++ b/src/kelproad/coordination/ingress/admission/entrance.py
@@ -9,9 +9,8 @@
 from returns.result import Failure
 
 from ....state.calls import Call, CallEnd
-from ....state.context import current_request
 from ....state.counters import Counters
-from ....state.records import record
+from ....state.records import current_request, record
 from ....state.refusals import Refusal
 from ....transport.deadlines import monotonic
 from ....transport.servers import send_answer
--- a/src/kelproad/coordination/ingress/tunnels/opening.py
+++ b/src/kelproad/coordination/ingress/tunnels/opening.py
@@ -4,7 +4,7 @@
 import socket
 
 from ....protocol.tunnels import TunnelReply, TunnelRequest, encode_request
-from ....state.context import current_request
+from ....state.records import current_request
 from ....transport.addresses import Address
 from ....transport.sockets import connect_socket
 
--- a/src/kelproad/protocol/engines.py
+++ b/src/kelproad/protocol/engines.py
@@ -15,8 +15,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from ..state.endpoints import EndpointReport
 from ..state.holdings import HeldItem
-from ..state.members import EndpointReport
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
 from ..transport.deadlines import monotonic, within
 from .connections import (
--- a/src/kelproad/protocol/messages.py
+++ b/src/kelproad/protocol/messages.py
@@ -15,7 +15,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from ..state.members import EndpointReport, Member
+from ..state.endpoints import EndpointReport
+from ..state.members import Member
 from ..transport.peers import MAX_MESSAGE_BYTES
 
 __all__ = [
--- a/src/kelproad/state/endpoints.py
+++ b/src/kelproad/state/endpoints.py
@@ -7,11 +7,10 @@
 from . import invariants
 from .declarations import EndpointDeclaration, EndpointGroup
 from .lengths import LengthClass, classify_length
-from .members import EndpointReport
 from .rates import FailureShare, LearnedRate
 from .withdrawals import Withdrawal
 
-__all__ = ['Endpoint']
+__all__ = ['Endpoint', 'EndpointReport']
 
 #: Seconds by which the state in a report may be older than its reading.
 REPORT_LAG = 0.5
@@ -21,6 +20,32 @@
     return [0 for _ in LengthClass]
 
 
+@attrs.frozen
+class EndpointReport:
+    """The state that a watcher last read from an engine, and its age.
+
+    Attributes
+    ----------
+    incarnation
+        Changes when the engine restarts.
+    waiting_tokens
+        Prompt tokens that the engine has yet to prefill.
+    used_tokens
+        Tokens of KV cache in use.
+    age
+        Seconds since the watcher read it, at the time of sending.
+    """
+
+    endpoint: str
+    incarnation: str
+    waiting_tokens: int = 0
+    running: int = 0
+    used_tokens: int = 0
+    leaving: bool = False
+    models: list[str] = attrs.field(factory=list)
+    age: float = 0
+
+
 @attrs.define
 class Endpoint:
     """One back end with the state that routing uses.
--- a/src/kelproad/state/endpointtable.py
+++ b/src/kelproad/state/endpointtable.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-from .configuration import Snapshot
 from .declarations import EndpointDeclaration, EndpointGroup
 from .endpoints import Endpoint
 from .lengths import LengthClass, classify_length
@@ -75,16 +74,12 @@
         self.first_token_ratios = [LearnedRate() for _ in LengthClass]
         self._contention: dict[LengthClass, Contention] = {}
 
-    def apply_snapshot(self, snapshot: Snapshot) -> None:
-        """Add, update and remove endpoints as a new snapshot declares.
+    def replace_groups(self, groups: Iterable[EndpointGroup]) -> None:
+        """Set the endpoints to exactly those of the groups.
 
         Counts of work in flight survive a changed declaration, because the
         work goes on.
         """
-        self.replace_groups(snapshot.groups.values())
-
-    def replace_groups(self, groups: Iterable[EndpointGroup]) -> None:
-        """Set the endpoints to exactly those of the groups."""
         kept: dict[str, Endpoint] = {}
         self._by_group = {}
         self._by_zone = {}
--- a/src/kelproad/state/members.py
+++ b/src/kelproad/state/members.py
@@ -5,9 +5,10 @@
 
 import attrs
 
+from .endpoints import EndpointReport
 from .limits import Demand
 
-__all__ = ['EndpointReport', 'Member', 'MemberTable']
+__all__ = ['Member', 'MemberTable']
 
 #: Seconds without a new record after which a member is suspected and queried
 #: directly.
@@ -23,32 +24,6 @@
 _SMALL_ZONE = 8
 
 
-@attrs.frozen
-class EndpointReport:
-    """The state that a watcher last read from an engine, and its age.
-
-    Attributes
-    ----------
-    incarnation
-        Changes when the engine restarts.
-    waiting_tokens
-        Prompt tokens that the engine has yet to prefill.
-    used_tokens
-        Tokens of KV cache in use.
-    age
-        Seconds since the watcher read it, at the time of sending.
-    """
-
-    endpoint: str
-    incarnation: str
-    waiting_tokens: int = 0
-    running: int = 0
-    used_tokens: int = 0
-    leaving: bool = False
-    models: list[str] = attrs.field(factory=list)
-    age: float = 0
-
-
 @attrs.frozen
 class Member:
     """The record of an instance about itself.
--- a/src/kelproad/state/records.py
+++ b/src/kelproad/state/records.py
@@ -4,15 +4,22 @@
 inputs, their age or version, and the outcome.
 """
 
+import contextvars
 import logging
 from collections.abc import Hashable
 
 import attrs
 
-__all__ = ['EVENT_FIELDS', 'OnceRecorder', 'record']
+__all__ = ['EVENT_FIELDS', 'OnceRecorder', 'current_request', 'record']
 
 #: Attribute of a log record that holds the fields of its event.
 EVENT_FIELDS = 'event_fields'
+#: Id of the request whose task is running, empty outside of one.  A task
+#: inherits it from the task that starts it.
+current_request: contextvars.ContextVar[str] = contextvars.ContextVar(
+    'current_request',
+    default='',
+)
 #: Keys of which a recorder records each once, at most.
 _MAX_KEYS = 100
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -7,7 +7,7 @@
 
 from kelproad.cli.logs import configure_logging
 from kelproad.protocol.settings import LogFormat, Settings
-from kelproad.state.context import current_request
+from kelproad.state.records import current_request
 
 
 def create_settings(log_format: LogFormat) -> Settings:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -20,9 +20,10 @@
     EndpointKind,
     FileContent,
 )
+from kelproad.state.endpoints import EndpointReport
 from kelproad.state.endpointtable import EndpointTable
 from kelproad.state.identity import Identity
-from kelproad.state.members import EndpointReport, Member, MemberTable
+from kelproad.state.members import Member, MemberTable
 
 KEY = b'a-shared-key-of-the-test'
 _small = st.integers(0, 3)
@@ -110,7 +111,9 @@
     content = FileContent('file', endpoint_groups=[group])
     applied = AppliedFile('file', 1, 1, 'digest', '', content)
     table = EndpointTable()
-    table.apply_snapshot(Snapshot.from_files(1, {'file': applied}))
+    table.replace_groups(
+        Snapshot.from_files(1, {'file': applied}).groups.values()
+    )
     return table
 
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -21,9 +21,8 @@
     ServiceKind,
     Workspace,
 )
-from kelproad.state.endpoints import Endpoint
+from kelproad.state.endpoints import Endpoint, EndpointReport
 from kelproad.state.endpointtable import EndpointTable
-from kelproad.state.members import EndpointReport
 from kelproad.state.prefixes import digest_prefix
 from kelproad.state.refusals import Ran
 from kelproad.state.requests import Request
@@ -63,7 +62,7 @@
         applied = AppliedFile('all', 1, 1, '', '', content)
         self.snapshot = Snapshot.from_files(1, {'all': applied})
         self.table = EndpointTable()
-        self.table.apply_snapshot(self.snapshot)
+        self.table.replace_groups(self.snapshot.groups.values())
         self.random = random.Random(7)
         for endpoint in self.table.all().values():
             self.report(endpoint, 0, NOW - 0.1)
