Know what a copy lacks: instances that start or stay behind, own rows

What callers saw, on a site of stand-ins: an instance that starts after the store came back from a copy served by the copy's configuration, the revoked key among it; instances that had started since the copy were not listed any more, for good.

Cause: the copy was all that a starting instance asked, and each instance wrote its row once. Nothing but the store's versions showed that an instance is behind, whatever the cause.

Change: - Each instance reports the version in force with the datagrams that go anyway; one that is behind for half of config_apply_ms, or at once after a restoration or a start, fetches the configuration from a listed instance that is ahead (ConfigurationCatchUp), and is not ready while that fails for longer than config_apply_ms. Claims of hosts that are not listed, or that turn out wrong, are ignored. - A starting instance trusts keys once its table came from another, or another was heard that is not ahead, or none is listed; after 1 s in any case. Instances greet those that they hear for the first time. - After a restoration each instance writes its row again within 2 s, at random, and one of each zone the quarantined parts. Until then live instances that were listed before count as listed, and a row of an earlier incarnation does not replace a live instance.

Two faults in one commit, as the same composition carries both. Considered and left out: a peer's word alone raises no era, as anybody could send it.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -25,10 +25,8 @@
     ServiceKind,
     Workspace,
 )
-from kelproad.state.endpoints import (
-    EndpointReport,  # noqa: E402
-    EndpointTable,  # noqa: E402
-)
+from kelproad.state.endpoints import EndpointReport  # noqa: E402
+from kelproad.state.endpointtable import EndpointTable  # noqa: E402
 from kelproad.state.prefixes import digest_prefix  # noqa: E402
 from kelproad.state.requests import Request  # noqa: E402
 
--- a/src/kelproad/coordination/ingress/membership/exchange.py
+++ b/src/kelproad/coordination/ingress/membership/exchange.py
@@ -19,6 +19,7 @@
 import math
 from collections.abc import Callable, Iterable
 
+import attrs
 from mode import Service
 from returns.result import Failure
 
@@ -56,11 +57,30 @@
     unpack_work,
 )
 
-__all__ = ['WorkExchange']
+__all__ = ['TableGauges', 'WorkExchange']
 
 _logger = logging.getLogger(__name__)
 
 
+@attrs.frozen
+class TableGauges:
+    """How the state of the tables here is read, to be reported.
+
+    Attributes
+    ----------
+    measure_age
+        Returns how many seconds ago the configuration was confirmed.
+    read_provenance
+        Returns the source of the tables.
+    read_configuration
+        Returns the version of the configuration in force.
+    """
+
+    measure_age: Callable[[], float]
+    read_provenance: Callable[[], Provenance | None]
+    read_configuration: Callable[[], int | None]
+
+
 class WorkExchange(BackgroundService):
     """Reports local work to peers, and receives theirs."""
 
@@ -74,17 +94,14 @@
         reachability: ZoneReachability,
         observations: EngineObservations,
         limit_observer: LimitObserver,
-        measure_age: Callable[[], float],
-        read_provenance: Callable[[], Provenance | None],
+        tables: TableGauges,
         find_zone: Callable[[str], str],
         paths: DirectPaths,
     ) -> None:
         """Report a ledger's local work; record the reports of peers.
 
-        ``measure_age`` returns how many seconds ago the configuration here was
-        confirmed, ``read_provenance`` the source of the tables, ``find_zone``
-        the zone in which an endpoint is located; ``paths`` knows which
-        endpoints this instance can't connect to.
+        ``find_zone`` returns the zone in which an endpoint is located;
+        ``paths`` knows which endpoints this instance can't connect to.
         """
         super().__init__()
         self._settings = settings
@@ -93,13 +110,13 @@
         self._reachability = reachability
         self._observations = observations
         self._limit_observer = limit_observer
-        self._measure_age = measure_age
-        self._read_provenance = read_provenance
+        self._tables = tables
         self._find_zone = find_zone
         self._paths = paths
         self._recorder = OnceRecorder(_logger)
         self._socket = DatagramSocket(self.receive, self.receive)
         self.peers = PeerRegister(settings, reachability)
+        self.peers.on_heard.append(self._greet)
         self._sequence = 0
         self._local_report = LastReport()
         self._remote_report = LastReport()
@@ -128,7 +145,7 @@
             self._settings.instance,
             self._settings.ip,
             self._settings.zone,
-            self._read_provenance(),
+            self._tables.read_provenance(),
         )
 
     def receive(self, datagram: bytes, host: str, waited: float = 0) -> None:
@@ -166,6 +183,18 @@
             unpack_limits(update.limits, update.instance, now)
         )
 
+    def report_soon(self) -> None:
+        """Report to all peers at once, as many of them are new."""
+        self._local_report = LastReport()
+        self._remote_report = LastReport()
+        self._zone_reports.clear()
+        self._changed.set()
+
+    def _greet(self, host: str) -> None:
+        """Report to a peer that is heard for the first time."""
+        works = pack_work(self._ledger.local)
+        self._send([Peer(Address(host, self._settings.peer_port))], works)
+
     @Service.task
     async def _report_changes(self) -> None:
         while not self.should_stop:
@@ -173,7 +202,7 @@
             self._changed.clear()
             changes = (
                 self._ledger.changes,
-                self._read_provenance(),
+                self._tables.read_provenance(),
                 bool(self._paths.count_lost(monotonic())),
             )
             all_sent = self._send_due_reports(changes, monotonic())
@@ -250,7 +279,7 @@
         reader: ZoneReader | None = None,
     ) -> PeerUpdate:
         now = monotonic()
-        age = self._measure_age()
+        age = self._tables.measure_age()
         return PeerUpdate(
             self._settings.instance,
             self._settings.ip,
@@ -262,10 +291,11 @@
             works,
             self._observations.list_refusing(now),
             self._observations.list_slow(now),
-            self._read_provenance(),
+            self._tables.read_provenance(),
             reader,
             pack_limits(self._limit_observer.limits.list_reported(now), now),
             self._paths.count_lost(now),
+            self._tables.read_configuration(),
         )
 
     def _find_zone_reader(self, now: float) -> ZoneReader | None:
--- a/src/kelproad/coordination/ingress/membership/peering.py
+++ b/src/kelproad/coordination/ingress/membership/peering.py
@@ -32,7 +32,8 @@
 from ..tables.store import NodeStore
 from ..withdrawing.notices import LeavingNotices
 from ..withdrawing.observing import WithdrawalObserver
-from .exchange import WorkExchange
+from .catchup import ConfigurationCatchUp
+from .exchange import TableGauges, WorkExchange
 from .messages import (
     LeavingNotice,
     PromptNotice,
@@ -73,6 +74,8 @@
         Gate before endpoints that limit their requests.
     roster
         The instances that the store lists.
+    catch_up
+        Comparison of the configuration in force with other instances.
     prompts
         What is known of parts of prompts on which engines crash.
     """
@@ -133,8 +136,11 @@
             reachability,
             observations,
             self.limit_observer,
-            self.tables.confirmation.measure_age,
-            lambda: self.tables.provenance,
+            TableGauges(
+                self.tables.confirmation.measure_age,
+                lambda: self.tables.provenance,
+                lambda: holder.version,
+            ),
             table.find_zone,
             self.paths,
         )
@@ -164,8 +170,21 @@
             store.roster,
             self.exchange,
             self.prompts.rows.adopt,
+            self.tables.confirmation.mark_compared,
             generator,
         )
+        self.catch_up = ConfigurationCatchUp(
+            self.tables,
+            holder,
+            self.exchange.peers,
+            self.roster.is_instance,
+            session,
+            settings.bounds,
+            generator,
+        )
+        store.eras.on_restored.extend(
+            (self.roster.restore, self._keep_quarantine)
+        )
         self._leaving_notices = LeavingNotices(
             table,
             self.queries,
@@ -190,8 +209,18 @@
             self.prompts.notices,
             self._leaving_notices,
             self.roster,
+            self.catch_up,
         ]
 
+    def _keep_quarantine(self) -> None:
+        """Write the quarantined parts again, as the store may have lost them.
+
+        One instance of each zone does, as they all know them.
+        """
+        rank, _ = self.exchange.peers.rank_self(monotonic())
+        if not rank:
+            self.prompts.rows.keep_all()
+
     def _open_peer_table(self, name: str) -> PeerTable:
         """Build the way to query other instances for a table."""
         relay = TableRelay(
--- a/src/kelproad/coordination/ingress/membership/peers.py
+++ b/src/kelproad/coordination/ingress/membership/peers.py
@@ -37,7 +37,8 @@
     ``order`` is that of the last datagram accepted, as datagrams may overtake
     each other; ``confirmed_at`` is when its configuration was last confirmed.
     ``zone`` is empty until the instance, or its row in the store, states it.
-    ``lost_paths`` is the number of endpoints that it can't connect to.
+    ``lost_paths`` is the number of endpoints that it can't connect to,
+    ``configuration`` the version that it has in force.
     """
 
     address: Address
@@ -47,6 +48,7 @@
     confirmed_at: float = float('-inf')
     provenance: Provenance | None = None
     lost_paths: int = 0
+    configuration: int | None = None
 
     def is_live(self, now: float) -> bool:
         """Return whether a datagram from it was received lately."""
@@ -86,6 +88,23 @@
             self._peers[instance] = Peer(address, zone=zone)
             self._by_zone = None
 
+    def add_listed(
+        self, instance: str, host: str, zone: str, started_at: int, now: float
+    ) -> None:
+        """Add an instance that the store lists.
+
+        One that is live and started later than the listed incarnation is left
+        as it is: the row is back with a copy of the store.
+        """
+        known = self._peers.get(instance)
+        if (
+            known is not None
+            and known.is_live(now)
+            and known.order[0] > started_at
+        ):
+            return
+        self.add(instance, host, zone)
+
     def drop_unlisted(self, instances: set[str], now: float) -> None:
         """Drop silent peers that the store doesn't list."""
         for name in self._peers.keys() - instances:
@@ -126,6 +145,7 @@
             self._by_zone = None
         peer.provenance = update.provenance
         peer.lost_paths = update.lost_paths
+        peer.configuration = update.configuration
         if update.unconfirmed_for is not None:
             peer.confirmed_at = now - update.unconfirmed_for
         if update.zone_reader is not None:
@@ -175,6 +195,20 @@
         _, remote = self.part()
         return sum(map(len, remote.values())) <= MAX_FULL_MESH_PEERS
 
+    def list_ahead(self, version: int, now: float) -> list[Peer]:
+        """List the live peers that have a newer configuration in force."""
+        return [
+            peer
+            for _, peer in self.iterate_live(now)
+            if peer.configuration is not None and peer.configuration > version
+        ]
+
+    def includes_live_host(self, host: str, now: float) -> bool:
+        """Return whether an IP number is that of a live peer."""
+        return any(
+            peer.address.host == host for _, peer in self.iterate_live(now)
+        )
+
     def includes_host(self, host: str) -> bool:
         """Return whether an IP number is that of a peer, live or not."""
         return any(peer.address.host == host for peer in self._peers.values())
--- a/src/kelproad/coordination/ingress/membership/rostering.py
+++ b/src/kelproad/coordination/ingress/membership/rostering.py
@@ -2,6 +2,9 @@
 
 Each instance writes one row when it starts and reads all rows at long
 intervals; in between, a datagram from an instance is enough to discover it.
+
+A store that was restored from a copy may have lost rows, so that each instance
+writes its row again.  Until then those that are live count as listed.
 """
 
 import asyncio
@@ -33,6 +36,9 @@
 _READ_PERIODS = (8.0, 12.0)
 _SMALL_SITE = 8
 _RETRY_PERIOD = 0.5
+#: Longest seconds until the own row is written again after the store was
+#: restored, chosen at random, so that not all instances write together.
+_REWRITE_SECONDS = 2.0
 #: Seconds between two reads for the sake of unknown IP numbers.
 _CONFIRM_PERIOD = 0.5
 
@@ -64,20 +70,26 @@
         store: RosterStore,
         exchange: WorkExchange,
         adopt_other: Callable[[StoredRow], bool],
+        note_alone: Callable[[], None],
         generator: random.Random,
     ) -> None:
         """Add discovered instances to the peers of an exchange.
 
-        ``adopt_other`` adopts rows of the table that are no instances.
+        ``adopt_other`` adopts rows of the table that are no instances,
+        ``note_alone`` is called when no other instance is listed.
         """
         super().__init__()
         self._settings = settings
         self._store = store
         self._exchange = exchange
         self._adopt_other = adopt_other
+        self._note_alone = note_alone
         self._generator = generator
         #: IP numbers of the instances that have rows.
         self._hosts: frozenset[str] = frozenset()
+        #: IP numbers of those that had rows before the store was restored.
+        self._lost_hosts: frozenset[str] = frozenset()
+        self._restored = asyncio.Event()
         self._confirmed_at = -math.inf
         self._confirming: asyncio.Task[bool] | None = None
 
@@ -88,9 +100,9 @@
         all that ask meanwhile wait for the same read.  An instance that could
         never read them knows the seeds of its settings.
         """
-        if host in self._hosts:
-            return True
         now = monotonic()
+        if host in self._hosts or self._is_lost(host, now):
+            return True
         confirming = self._confirming
         if confirming is None or now - self._confirmed_at > _CONFIRM_PERIOD:
             self._confirmed_at = now
@@ -101,6 +113,28 @@
             return host in self._hosts
         return host in self._settings.seed_hosts
 
+    def restore(self) -> None:
+        """Write the own row again, as the store may have lost it."""
+        self._lost_hosts |= self._hosts
+        self._restored.set()
+
+    def _is_lost(self, host: str, now: float) -> bool:
+        """Return whether an IP number is that of a live instance without a row.
+
+        It had one before the store was restored.
+        """
+        return host in self._lost_hosts and (
+            self._exchange.peers.includes_live_host(host, now)
+        )
+
+    @Service.task
+    async def _register_again(self) -> None:
+        while not self.should_stop:
+            await self._restored.wait()
+            await asyncio.sleep(self._generator.uniform(0, _REWRITE_SECONDS))
+            self._restored.clear()
+            await self._register()
+
     @Service.task
     async def _maintain(self) -> None:
         await self._register()
@@ -108,6 +142,7 @@
         # after the other has written discovers it, and sends it a datagram.
         while not (self.should_stop or await self._read()):
             await asyncio.sleep(_RETRY_PERIOD)
+        self._exchange.report_soon()
         while not self.should_stop:
             # Chosen at random, so that the instances don't all read at once.
             live = self._exchange.peers.count_live(monotonic())
@@ -141,9 +176,10 @@
         ]
         added = [self._add(row) for row in rows]
         self._hosts = frozenset(host for host in added if host)
-        self._exchange.peers.drop_unlisted(
-            {row.key for row in rows}, monotonic()
-        )
+        listed = {row.key for row in rows}
+        self._exchange.peers.drop_unlisted(listed, monotonic())
+        if listed <= {self._settings.instance}:
+            self._note_alone()
         return True
 
     def _add(self, row: StoredRow) -> str:
@@ -158,5 +194,11 @@
                 reason=str(error),
             )
             return ''
-        self._exchange.peers.add(row.key, decoded.host, decoded.zone)
+        self._exchange.peers.add_listed(
+            row.key,
+            decoded.host,
+            decoded.zone,
+            decoded.started_at,
+            monotonic(),
+        )
         return decoded.host
--- a/src/kelproad/coordination/ingress/membership/updates.py
+++ b/src/kelproad/coordination/ingress/membership/updates.py
@@ -71,7 +71,8 @@
     too old to be relayed.  ``zone_reader`` is the instance that serves tables
     to the sender's zone.  ``limits`` are the request limits that endpoints
     stated to the sender.  ``lost_paths`` is the number of endpoints that the
-    sender can't connect to, although peers can.
+    sender can't connect to, although peers can.  ``configuration`` is the
+    version that the sender has in force.
     """
 
     instance: str
@@ -88,6 +89,7 @@
     zone_reader: ZoneReader | None = None
     limits: list[ReportedLimit] = []
     lost_paths: int = 0
+    configuration: int | None = None
 
 
 encode_update = msgspec.msgpack.Encoder().encode
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -115,6 +115,7 @@
             self._holder,
             self._tables,
             self._exchange.peers,
+            self._peering.catch_up,
             self._read_bounds,
         )
         self._roster = self._peering.roster
@@ -230,6 +231,7 @@
             self._tables.list_changes_for_peer,
             self._holder.read_limits,
             self._roster.is_instance,
+            lambda: self._holder.encoded,
         )
         self._caller_server = servers.create_caller_server()
         for server in (
--- a/src/kelproad/coordination/ingress/quarantine/rows.py
+++ b/src/kelproad/coordination/ingress/quarantine/rows.py
@@ -63,6 +63,11 @@
             if suspicion is not None and suspicion.quarantined_after:
                 self._start_writing(service, part)
 
+    def keep_all(self) -> None:
+        """Write the rows of all quarantined parts."""
+        for service, part in self._quarantine.list_suspicions():
+            self.keep(service, [part])
+
     def keep_cleared(self, service: str, part: str) -> None:
         """Write that a part was found to be harmless."""
         self._start_writing(service, part)
--- a/src/kelproad/coordination/ingress/readiness.py
+++ b/src/kelproad/coordination/ingress/readiness.py
@@ -6,6 +6,7 @@
 
 from ...transport.deadlines import monotonic
 from ..drain import Drain, DrainPhase
+from .membership.catchup import ConfigurationCatchUp
 from .membership.peers import CONFIRMED_SECONDS, PeerRegister
 from .settings import Bounds
 from .tables.followed import FollowedTables
@@ -26,6 +27,7 @@
     _holder: ConfigurationHolder
     _tables: FollowedTables
     _peers: PeerRegister
+    _catch_up: ConfigurationCatchUp
     _read_bounds: Callable[[], Bounds]
 
     def explain_unready(self) -> str:
@@ -36,6 +38,14 @@
             return 'no configuration'
         if not len(self._tables.registry):
             return 'no endpoints'
+        return self._explain_outdated()
+
+    def _explain_outdated(self) -> str:
+        """Return why the configuration may be outdated; empty if it is not."""
+        if not self._tables.confirmation.is_compared:
+            return 'configuration not compared with other instances'
+        if self._catch_up.is_behind:
+            return 'other instances have a newer configuration'
         age = self._tables.configuration.measure_age()
         if age > CONFIRMED_SECONDS and (
             self._peers.is_confirmed_elsewhere(monotonic())
--- a/src/kelproad/coordination/ingress/servers.py
+++ b/src/kelproad/coordination/ingress/servers.py
@@ -17,6 +17,7 @@
 from ...transport.servers import HttpServer
 from ..drain import Drain, DrainPhase
 from .admission.dialect import Dialect
+from .membership.catchup import CONFIGURATION_PATH
 from .settings import NodeSettings
 from .tables.relaying import TABLE_PATH, build_answer, read_after, read_zone
 from .tables.tablestates import Revision, TableState
@@ -33,6 +34,7 @@
 _READY = 200
 _UNREADY = 503
 _FORBIDDEN = 403
+_NOT_FOUND = 404
 #: Port of the metrics and the dump, on the IP number of the instance.
 METRICS_PORT = 9464
 
@@ -53,6 +55,7 @@
     _list_changes: Callable[[str, Revision | None, bool], TableState | None]
     _read_limits: Callable[[], IngressLimits]
     _is_instance: Callable[[str], Awaitable[bool]]
+    _read_configuration: Callable[[], bytes | None]
 
     def create_caller_server(self) -> HttpServer:
         """Create the server for calls."""
@@ -87,9 +90,14 @@
         return HttpServer(metrics, Address(self._settings.ip, METRICS_PORT))
 
     def create_peer_server(self) -> HttpServer:
-        """Create the server that relays tables to other instances."""
+        """Create the server of tables for other instances."""
         peers = web.Application()
-        peers.add_routes([web.get(f'{TABLE_PATH}{{table}}', self._serve_table)])
+        peers.add_routes(
+            [
+                web.get(f'{TABLE_PATH}{{table}}', self._serve_table),
+                web.get(CONFIGURATION_PATH, self._serve_configuration),
+            ]
+        )
         address = Address(self._settings.ip, self._settings.peer_port)
         return HttpServer(peers, address)
 
@@ -115,17 +123,35 @@
 
     async def _serve_table(self, http_request: web.Request) -> web.Response:
         table = http_request.match_info['table']
-        # Tables hold the keys of callers.
-        if not await self._is_instance(http_request.remote or ''):
-            record(
-                _logger, 'table_refused', host=http_request.remote, table=table
-            )
+        if not await self._is_permitted(http_request):
             return web.Response(status=_FORBIDDEN)
         within_zone = read_zone(http_request) == self._settings.zone
         return build_answer(
             self._list_changes(table, read_after(http_request), within_zone),
         )
 
+    async def _serve_configuration(
+        self, http_request: web.Request
+    ) -> web.Response:
+        if not await self._is_permitted(http_request):
+            return web.Response(status=_FORBIDDEN)
+        held = self._read_configuration()
+        if held is None:
+            return web.Response(status=_NOT_FOUND)
+        return web.Response(body=held)
+
+    async def _is_permitted(self, http_request: web.Request) -> bool:
+        """Return whether an instance asks, as tables hold callers' keys."""
+        if await self._is_instance(http_request.remote or ''):
+            return True
+        record(
+            _logger,
+            'table_refused',
+            host=http_request.remote,
+            path=http_request.path,
+        )
+        return False
+
     async def _serve_ready(self, _http_request: web.Request) -> web.Response:
         reason = self._explain_unready()
         return web.Response(
--- a/src/kelproad/coordination/ingress/tables/confirming.py
+++ b/src/kelproad/coordination/ingress/tables/confirming.py
@@ -2,7 +2,8 @@
 
 The copy from which a store was restored does not know what was accepted after
 it was taken, such as the revocation of a key.  Its answers confirm nothing
-until operators have written again, or have had time for it.
+until operators have written again, or have had time for it.  An instance that
+has just started can't know whether it reads such a copy; other instances do.
 """
 
 from collections.abc import Callable
@@ -38,9 +39,13 @@
         self._confirmed_until = float('-inf')
         #: Monotonic time from which answers confirm again.
         self._settled_at = float('-inf')
+        #: Monotonic time from which the first answer counts as compared.
+        self._compared_at = float('inf')
 
     def measure_age(self) -> float:
         """Return the seconds since the configuration was confirmed."""
+        if not self.is_compared:
+            return float('inf')
         if self.is_settled:
             return self._measure_follower_age()
         return read_boottime() - self._confirmed_until
@@ -50,6 +55,24 @@
         """Whether answers of the store confirm."""
         return monotonic() >= self._settled_at
 
+    @property
+    def is_compared(self) -> bool:
+        """Whether the first configuration is as new as that of others."""
+        return monotonic() >= self._compared_at
+
+    def begin(self, direct: bool) -> None:
+        """Wait for other instances after the first configuration.
+
+        ``direct`` tells whether it comes from the store, not from another
+        instance.
+        """
+        wait = self._settle_seconds if direct else 0
+        self._compared_at = min(self._compared_at, monotonic() + wait)
+
+    def mark_compared(self) -> None:
+        """Record that other instances know nothing newer, or are none."""
+        self._compared_at = float('-inf')
+
     def suspend(self, recovered_at: float) -> None:
         """Stop to confirm by answers, as the store was restored.
 
--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -17,7 +17,7 @@
 from ..settings import Bounds
 from .caching import TableCache
 from .confirming import Confirmation
-from .decoding import DecodedState, Payload
+from .decoding import DecodedRow, DecodedState, Payload
 from .endpoints import EndpointRegistry
 from .following import PeerTable, TableFollower, TableSource
 from .holder import ConfigurationHolder
@@ -90,6 +90,7 @@
 
     follower: TableFollower
     cache: TableCache
+    merger: RowMerger
 
     def may_relay(self, within_zone: bool) -> bool:
         """Return whether it may be relayed to peers of this zone, or another.
@@ -103,6 +104,12 @@
         least = Provenance.OTHER_ZONE if within_zone else Provenance.STORE
         return provenance >= least
 
+    def merge(self, state: DecodedState) -> DecodedState:
+        """Merge a state into what is known, and relay the outcome."""
+        merged = self.merger.merge(state)
+        self.cache.update(merged)
+        return merged
+
     def describe_freshness(self) -> TableFreshness:
         """Describe the freshness as of now, for peers."""
         recovered_for = self.follower.measure_since_recovery()
@@ -221,6 +228,23 @@
             recovered_for=followed.follower.measure_since_recovery(),
         )
 
+    def adopt_held(self, encoded: bytes) -> bool:
+        """Adopt what another instance has in force; return whether it is newer.
+
+        It confirms nothing, and no freshness comes with it.
+        """
+        followed = self._followed[self._store.configuration.name]
+        revision = followed.cache.revision
+        if revision is None or self._holder.current is None:
+            return False
+        row = StoredRow(self._store.configuration_key, encoded, revision)
+        read = self._read_configuration(row)
+        held = self._holder.current.version
+        if read.decoded.map(lambda found: found.version).value_or(held) <= held:
+            return False
+        state = DecodedState(revision, [DecodedRow(row, read)], whole=False)
+        return self._adopt_configuration(followed.merge(state))
+
     def describe_freshness(
         self,
         within_zone: bool,
@@ -242,7 +266,7 @@
             self._store.configuration,
             self._read_configuration,
             CONFIGURATION_ORDER,
-            self._adopt_configuration,
+            self._adopt_configuration_table,
             wait_seconds,
             0,
         )
@@ -267,13 +291,8 @@
         wait_seconds: float,
         pause: float,
     ) -> _FollowedTable:
-        cache = TableCache(order.is_equivalent)
-        merger = RowMerger(source.name, order)
-
         def update(state: TableState) -> None:  # noqa: WPS430  closure
-            merged = merger.merge(DecodedState.from_state(state, decode))
-            cache.update(merged)
-            adopt(merged)
+            adopt(followed.merge(DecodedState.from_state(state, decode)))
 
         follower = TableFollower(
             source,
@@ -284,7 +303,12 @@
             self._generator,
             self._open_peer_table(source.name),
         )
-        return _FollowedTable(follower, cache)
+        followed = _FollowedTable(
+            follower,
+            TableCache(order.is_equivalent),
+            RowMerger(source.name, order),
+        )
+        return followed
 
     def _read_configuration(self, row: StoredRow) -> ReadConfiguration:
         decoded: Result[RoutingConfiguration, str] = Failure('another row')
@@ -292,14 +316,29 @@
             decoded = self._store.decode_configuration(row)
         return ReadConfiguration(row.encoded, decoded)
 
-    def _adopt_configuration(
+    def _adopt_configuration_table(
         self, state: DecodedState[ReadConfiguration]
     ) -> None:
-        for read in state.rows:
-            if read.row.key != self._store.configuration_key:
-                continue
-            if self._holder.offer(read.payload.decoded, read.row.encoded):
-                self.registry.adopt_configuration(self._holder.current)
-            if not state.whole:
-                # Written since the store was restored, if it was.
-                self.confirmation.resume()
+        provenance = self.configuration.provenance
+        self.confirmation.begin(direct=provenance is Provenance.STORE)
+        if self._adopt_configuration(state) and not state.whole:
+            # Written since the store was restored, if it was.
+            self.confirmation.resume()
+
+    def _adopt_configuration(
+        self, state: DecodedState[ReadConfiguration]
+    ) -> bool:
+        """Put the configuration in force; return whether there is a row."""
+        read = next(
+            (
+                decoded
+                for decoded in state.rows
+                if decoded.row.key == self._store.configuration_key
+            ),
+            None,
+        )
+        if read is None:
+            return False
+        if self._holder.offer(read.payload.decoded, read.row.encoded):
+            self.registry.adopt_configuration(self._holder.current)
+        return True
--- a/src/kelproad/coordination/ingress/tables/holder.py
+++ b/src/kelproad/coordination/ingress/tables/holder.py
@@ -24,6 +24,16 @@
         self._encoded: bytes | None = None
         self._adopted = asyncio.Event()
 
+    @property
+    def version(self) -> int | None:
+        """Version of the configuration in force, if there is one."""
+        return self.current.version if self.current else None
+
+    @property
+    def encoded(self) -> bytes | None:
+        """The configuration in force as it was written."""
+        return self._encoded
+
     def read_limits(self) -> IngressLimits:
         """Return the limits for callers, the defaults without any in force."""
         return self.current.limits if self.current else IngressLimits()
--- a/testbed/routed.py
+++ b/testbed/routed.py
@@ -181,6 +181,12 @@
         """Return the store to its copy; return its version, and the lost."""
         return call_control(self.store, 'POST', '/control/restore')
 
+    def list_rows(self, table: str) -> list[str]:
+        """List the keys of the rows of a table of the store."""
+        path = f'/-/rows-get?table={table}'
+        found = call_control(self.store, 'GET', path)
+        return [row['key'] for row in found['rows']]
+
     def set_endpoint_faults(self, name: str, **faults: object) -> None:
         """Set the faults of an endpoint; none ends all but lasting ones."""
         address = self.endpoints[name]
--- a/tests/ingress/test_exchange.py
+++ b/tests/ingress/test_exchange.py
@@ -5,7 +5,10 @@
 import pytest
 
 from kelproad.coordination.ingress.membership import exchange as exchange_module
-from kelproad.coordination.ingress.membership.exchange import WorkExchange
+from kelproad.coordination.ingress.membership.exchange import (
+    TableGauges,
+    WorkExchange,
+)
 from kelproad.coordination.ingress.membership.peers import MAX_FULL_MESH_PEERS
 from kelproad.coordination.ingress.membership.periods import (
     SEND_PERIOD,
@@ -87,8 +90,7 @@
             self.reachability,
             self.observations,
             self.observer,
-            lambda: self.age,
-            lambda: None,
+            TableGauges(lambda: self.age, lambda: None, lambda: None),
             lambda endpoint: self.zones.get(endpoint, ''),
             DirectPaths(),
         )
--- a/tests/ingress/test_relaying.py
+++ b/tests/ingress/test_relaying.py
@@ -261,6 +261,7 @@
             _FollowedTable(
                 types.SimpleNamespace(provenance=provenance),
                 cache=None,
+                merger=None,
             ).may_relay(within_zone)
             for within_zone in (True, False)
         ]
--- a/tests/ingress/test_restored_store.py
+++ b/tests/ingress/test_restored_store.py
@@ -172,6 +172,7 @@
     monkeypatch.setattr(confirming_module, 'read_boottime', lambda: now)
     confirmed_at = 97.0
     confirmation = Confirmation(lambda: now - confirmed_at, 1.0)
+    confirmation.mark_compared()
     confirmation.suspend(recovered_at=now)
     now, confirmed_at = 100.5, 100.5
     assert confirmation.measure_age() == pytest.approx(3.5)
--- a/tests/ingress/test_restored_store_site.py
+++ b/tests/ingress/test_restored_store_site.py
@@ -150,3 +150,82 @@
     return_store(site)
     wait_for_news(site)
     wait_until_serving(site)
+
+
+def refuses_key(instance: RoutedInstance) -> bool:
+    """Return whether an instance refuses the key as unknown or unconfirmed."""
+    return call(instance, '/lookups/x', X_Api_Key=KEY).status in {401, 503}
+
+
+def test_a_new_instance_knows_what_the_copy_lacks(site: RoutedSite) -> None:
+    """Guards against a revoked key that works at an instance that starts."""
+    site.copy_store()
+    site.put_configuration(keys=('another',), added=ADDED)
+    wait_for(
+        lambda: all(map(refuses_key, site.instances)), 'the key is revoked'
+    )
+    site.set_store_faults(status=503)
+    site.restore_store()
+    return_store(site)
+    site.start_instance('edge-4')
+    started = site.instances[-1]
+    assert started.dump()['version'] == site.version
+    limit = time.monotonic() + 1
+    while time.monotonic() < limit:
+        assert all(map(refuses_key, site.instances))
+    assert call(started, '/added/x').status == 200
+
+
+def test_rows_of_instances_are_written_again(site: RoutedSite) -> None:
+    """Guards against instances that the restored store does not list."""
+    site.copy_store()
+    site.start_instance('edge-4')
+    site.restore_store()
+    wait_for(
+        lambda: (
+            {instance.name for instance in site.instances}
+            <= set(site.list_rows('kelproad_instances'))
+        ),
+        'all instances are listed',
+    )
+
+
+def test_an_outage_without_failed_calls_keeps_endpoints(
+    site: RoutedSite,
+) -> None:
+    """Guards against dropping an endpoint that joined since the copy."""
+    site.copy_store()
+    site.start_endpoint('book-3', 'book')
+    wait_for(
+        lambda: all(
+            'book-3' in instance.dump()['endpoints']
+            for instance in site.instances
+        ),
+        'the endpoint is known',
+    )
+    site.restore_store()
+    limit = time.monotonic() + 1.5
+    while time.monotonic() < limit:
+        assert 'book-3' in site.instances[0].dump()['endpoints']
+    site.report_endpoint('book-3')
+    time.sleep(2)
+    assert all(
+        'book-3' in instance.dump()['endpoints'] for instance in site.instances
+    )
+
+
+@pytest.mark.parametrize('drills', [1, 2])
+def test_sound_calls_are_served_through_a_restoration(
+    site: RoutedSite, drills: int
+) -> None:
+    """Guards against keys that are not confirmed although nothing is lost."""
+    for _ in range(drills):
+        lose_writes(site)
+        return_store(site)
+        limit = time.monotonic() + 2
+        while time.monotonic() < limit:
+            for instance in site.instances:
+                assert call(instance, '/lookups/x').status == 200
+    write_again(site)
+    write_news(site)
+    wait_for_news(site)
