Soak: the store returns from copies, beside all other faults

--restores: a copy, up to three reports of each endpoint and whatever else is lost, 503 for up to 1.5 s, then configuration or news and all reports written again, before or after the store answers, with versions that stay behind or get past the lost ones. After all faults once more, with news that all instances must have in 2 s.

--- a/testbed/routed.py
+++ b/testbed/routed.py
@@ -18,7 +18,14 @@
 from .calls import call_control
 from .processes import Process, find_free_address, wait_until_answering
 
-__all__ = ['KEY', 'RoutedInstance', 'RoutedSite', 'start_routed_site']
+__all__ = [
+    'KEY',
+    'RoutedInstance',
+    'RoutedSite',
+    'list_rows',
+    'start_routed_site',
+    'wait_for',
+]
 
 KEY = 'key-of-crews'
 HOST = 'reports.example'
@@ -82,6 +89,8 @@
     endpoint_processes: dict[str, Process] = attrs.field(factory=dict)
     instances: list[RoutedInstance] = attrs.field(factory=list)
     version: int = 0
+    #: The newest configuration as it was written.
+    configuration: dict[str, object] = attrs.field(factory=dict)
     #: Limits for callers, in the configurations that are written.
     limits: dict[str, object] = attrs.field(
         factory=lambda: {'max_body_bytes': 65_536},
@@ -120,9 +129,14 @@
             'limits': dict(self.limits),
             'tenants': [{'name': 'crews', 'api_keys': list(keys)}],
         }
-        self.put_row('op', 'config', document)
+        self.configuration = document
+        self.write_configuration_again()
         return self.version
 
+    def write_configuration_again(self) -> None:
+        """Write the newest configuration as the operator did."""
+        self.put_row('op', 'config', self.configuration)
+
     def put_row(self, table: str, key: str, document: object) -> None:
         """Insert or replace a row of the store."""
         path = f'/control/rows/{table}/{key}'
@@ -181,12 +195,6 @@
         """Return the store to its copy; return its version, and the lost."""
         return call_control(self.store, 'POST', '/control/restore')
 
-    def list_rows(self, table: str) -> list[str]:
-        """List the keys of the rows of a table of the store."""
-        path = f'/-/rows-get?table={table}'
-        found = call_control(self.store, 'GET', path)
-        return [row['key'] for row in found['rows']]
-
     def set_endpoint_faults(self, name: str, **faults: object) -> None:
         """Set the faults of an endpoint; none ends all but lasting ones."""
         address = self.endpoints[name]
@@ -396,3 +404,9 @@
         if time.monotonic() > limit:
             raise TimeoutError(what)
         time.sleep(_POLL_PERIOD)
+
+
+def list_rows(site: RoutedSite, table: str) -> list[str]:
+    """List the keys of the rows of a table of the store."""
+    found = call_control(site.store, 'GET', f'/-/rows-get?table={table}')
+    return [row['key'] for row in found['rows']]
--- a/testbed/soak/routed.py
+++ b/testbed/soak/routed.py
@@ -29,6 +29,7 @@
 from .routed_faults import RoutedFaults, wait_for_all
 from .routed_limits import StatedLimit, StatedLimits, check_limits
 from .routed_partitions import InstanceCuts
+from .routed_restores import StoreRestorations, check_restorations
 from .routed_stops import PlannedStop
 from .routed_withdrawals import StatedWithdrawals, check_withdrawals
 
@@ -50,13 +51,15 @@
     with_mute: bool = False,
     with_crashes: bool = False,
     with_withdrawals: bool = False,
+    with_restores: bool = False,
 ) -> list[str]:
     """Run callers and faults together, end all faults, then check.
 
     With ``only_stops`` planned stops are the only faults; ``with_cuts``
     instances are also cut from all endpoints, ``with_mute`` so that connections
     are made and bring nothing, too; ``with_crashes`` engines crash on a part of
-    some prompts; ``with_withdrawals`` endpoints state that they leave or pause.
+    some prompts; ``with_withdrawals`` endpoints state that they leave or pause;
+    ``with_restores`` the store returns from copies of itself.
 
     Returns
     -------
@@ -73,6 +76,7 @@
         cuts = InstanceCuts(site, links, seed, with_mute)
         crashing = CrashingRequests(site, callers, faults)
         withdrawals = StatedWithdrawals(site, faults, seed)
+        restorations = StoreRestorations(site, faults, callers, seed)
         await asyncio.gather(
             callers.run(seconds),
             faults.run(seconds),
@@ -80,12 +84,15 @@
             cuts.run(seconds if with_cuts or with_mute else 0, faults.spans),
             crashing.run(seconds if with_crashes else 0),
             withdrawals.run(seconds if with_withdrawals else 0),
+            restorations.run(seconds if with_restores else 0),
         )
         if with_crashes:
             await crashing.finish()
             faults.spans.extend(crashing.list_spans())
         await asyncio.to_thread(wait_for_all, site)
         await asyncio.sleep(_RECOVERY_SECONDS)
+        if with_restores:
+            await restorations.finish()
         final_calls = await callers.call_once()
         _print_summary(callers, faults, limits.limits)
         await asyncio.to_thread(_write_dumps, site)
@@ -105,6 +112,7 @@
             functools.partial(
                 check_withdrawals, callers.records, faults, withdrawals.done
             ),
+            functools.partial(check_restorations, site, restorations),
         )
         broken = [await asyncio.to_thread(check) for check in checks]
     return list(itertools.chain.from_iterable(broken))
@@ -213,6 +221,11 @@
         action='store_true',
         help='Also let endpoints state that they leave or pause.',
     )
+    parser.add_argument(
+        '--restores',
+        action='store_true',
+        help='Also let the store return from copies of itself.',
+    )
     options = parser.parse_args()
     directory = pathlib.Path(tempfile.mkdtemp(prefix='kelproad-soak-'))
     with start_routed_site(directory, 0) as site:
@@ -226,6 +239,7 @@
                 options.mute,
                 options.crashes,
                 options.withdrawals,
+                options.restores,
             ),
         )
     for line in broken:
--- a/tests/ingress/test_restored_store_site.py
+++ b/tests/ingress/test_restored_store_site.py
@@ -10,6 +10,7 @@
     KEY,
     RoutedInstance,
     RoutedSite,
+    list_rows,
     start_routed_site,
     wait_for,
 )
@@ -48,8 +49,7 @@
 
 def write_again(site: RoutedSite) -> None:
     """Write again what operators and endpoints wrote."""
-    site.version -= 1
-    site.put_configuration()
+    site.write_configuration_again()
     for name in READY:
         site.report_endpoint(name)
 
@@ -184,7 +184,7 @@
     wait_for(
         lambda: (
             {instance.name for instance in site.instances}
-            <= set(site.list_rows('kelproad_instances'))
+            <= set(list_rows(site, 'kelproad_instances'))
         ),
         'all instances are listed',
     )
--- a/tests/ingress/test_soak.py
+++ b/tests/ingress/test_soak.py
@@ -18,6 +18,8 @@
 #: Duration of a run in which endpoints state that they leave or pause, in
 #: seconds, and seeds of such runs; 903 finds it if nothing reads that.
 WITHDRAWAL_SECONDS = 15.0
+RESTORE_SECONDS = 10.0
+RESTORE_SEEDS = (1, 3)
 WITHDRAWAL_SEEDS = (903,)
 #: Duration of a run with planned stops only, in seconds.
 STOP_SECONDS = 12.0
@@ -75,3 +77,13 @@
         assert not await soak(
             site, WITHDRAWAL_SECONDS, seed, with_withdrawals=True
         )
+
+
+@pytest.mark.parametrize('seed', RESTORE_SEEDS)
+async def test_promises_hold_while_the_store_returns_from_copies(
+    seed: int,
+    tmp_path: pathlib.Path,
+) -> None:
+    """Instances stayed at a configuration of before, without an error."""
+    with start_routed_site(tmp_path, 0) as site:
+        assert not await soak(site, RESTORE_SECONDS, seed, with_restores=True)
