Several changes of a row in one answer: the last one holds

After an outage one answer of the store held versions 15 to 23; the first one was put in force, not the last. b-2, c-1 and c-2 had 15 until they fetched 23 from others at 5.53 to 5.55, 1.4 s later: the catch-up with other instances works. Found by reading beside it: one outdated change of a row dropped all changes of the row in that answer.

Ruled out: stale answers of the store; peers that asked the same reader at 4.3 got 23 from its cache.

--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -328,17 +328,16 @@
     def _adopt_configuration(
         self, state: DecodedState[ReadConfiguration]
     ) -> bool:
-        """Put the configuration in force; return whether there is a row."""
-        read = next(
-            (
-                decoded
-                for decoded in state.rows
-                if decoded.row.key == self._store.configuration_key
-            ),
-            None,
-        )
-        if read is None:
-            return False
-        if self._holder.offer(read.payload.decoded, read.row.encoded):
-            self.registry.adopt_configuration(self._holder.current)
-        return True
+        """Put the newest configuration in force; return whether there is one.
+
+        There may be several, in the order of their writing.
+        """
+        offered = [
+            decoded
+            for decoded in state.rows
+            if decoded.row.key == self._store.configuration_key
+        ]
+        for read in offered:
+            if self._holder.offer(read.payload.decoded, read.row.encoded):
+                self.registry.adopt_configuration(self._holder.current)
+        return bool(offered)
--- a/src/kelproad/coordination/ingress/tables/merging.py
+++ b/src/kelproad/coordination/ingress/tables/merging.py
@@ -57,30 +57,36 @@
 
     def merge(self, state: DecodedState[Payload]) -> DecodedState[Payload]:
         """Return a state in which nothing is older than what is known."""
-        merged = self._merge_whole(state) if state.whole else self._merge(state)
-        for decoded in merged:
+        if not state.whole:
+            return attrs.evolve(state, rows=self._merge_changes(state))
+        merged = self._merge_whole(state)
+        for key in self._present.keys() - merged.keys():
+            self._delete(key)
+        for decoded in merged.values():
             self._store(decoded)
-        if state.whole:
-            keys = {decoded.row.key for decoded in merged}
-            for key in self._present.keys() - keys:
-                self._delete(key)
-        return attrs.evolve(state, rows=merged)
-
-    def _merge(self, state: DecodedState[Payload]) -> list[DecodedRow[Payload]]:
-        """Select the changed rows that are not older than what is known."""
-        outdated = [
-            decoded.row.key
-            for decoded in state.rows
-            if self._is_outdated(decoded)
-        ]
+        return attrs.evolve(state, rows=list(merged.values()))
+
+    def _merge_changes(
+        self, state: DecodedState[Payload]
+    ) -> list[DecodedRow[Payload]]:
+        """Select the changes that are not older than what is known.
+
+        There may be several of one row, in the order of their writing.
+        """
+        merged: list[DecodedRow[Payload]] = []
+        outdated: list[str] = []
+        for decoded in state.rows:
+            if self._is_outdated(decoded):
+                outdated.append(decoded.row.key)
+            else:
+                self._store(decoded)
+                merged.append(decoded)
         self._record('rows_outdated', outdated, state)
-        return [
-            decoded for decoded in state.rows if decoded.row.key not in outdated
-        ]
+        return merged
 
     def _merge_whole(
         self, state: DecodedState[Payload]
-    ) -> list[DecodedRow[Payload]]:
+    ) -> dict[str, DecodedRow[Payload]]:
         """Replace the rows that are older than what is known."""
         kept = []
         merged = {
@@ -104,7 +110,7 @@
             row = attrs.evolve(known.row, revision=state.revision)
             merged[key] = attrs.evolve(known, row=row)
         self._record('rows_kept', kept, state)
-        return list(merged.values())
+        return merged
 
     def _is_outdated(self, decoded: DecodedRow[Payload]) -> bool:
         key = decoded.row.key
--- a/tests/ingress/test_restored_store.py
+++ b/tests/ingress/test_restored_store.py
@@ -160,6 +160,18 @@
     assert read_states(merged) == {'went': False}
 
 
+def test_of_several_changes_of_a_row_only_older_ones_are_dropped(
+    merger: RowMerger,
+) -> None:
+    """Guards against news that is lost beside a delayed write."""
+    later = Revision(1, 11)
+    rows = [write('stays', later, sequence=number) for number in (6, 9, 8)]
+    rows.append(write('stays', later, state='draining', sequence=10))
+    merged = merger.merge(decode(later, *rows, whole=False))
+    sequences = [row.payload.unwrap().sequence for row in merged.rows]
+    assert sequences == [9, 10]
+
+
 # What confirms keys
 
 
--- a/tests/ingress/test_restored_store_site.py
+++ b/tests/ingress/test_restored_store_site.py
@@ -1,11 +1,13 @@
 """The store returns from a copy: what it acknowledged since is gone."""
 
+import signal
 import time
 import types
 from collections.abc import Iterator
 
 import pytest
 
+from testbed.calls import call_control
 from testbed.routed import (
     KEY,
     RoutedInstance,
@@ -229,3 +231,54 @@
     write_again(site)
     write_news(site)
     wait_for_news(site)
+
+
+def test_the_reader_stops_while_the_store_is_away(site: RoutedSite) -> None:
+    """Guards against waiting for the instance that had read for all."""
+    lose_writes(site)
+    site.instances[0].process.send_signal(signal.SIGTERM)
+    write_again(site)
+    return_store(site)
+    site.instances[0].process.kill()
+    stopped = site.instances.pop(0)
+    wait_until_serving(site)
+    write_news(site)
+    wait_for_news(site)
+    site.restart_instance(stopped)
+    site.instances.append(stopped)
+    wait_for_news(site)
+
+
+def test_all_start_again_while_the_store_is_away(site: RoutedSite) -> None:
+    """Guards against a site that does not start on the copy alone."""
+    lose_writes(site)
+    for instance in site.instances:
+        instance.process.kill()
+    site.set_store_faults()
+    for instance in site.instances:
+        site.restart_instance(instance)
+    wait_until_serving(site)
+    write_again(site)
+    write_news(site)
+    wait_for_news(site)
+
+
+@pytest.mark.parametrize('stated', ['', 'x', '-1'])
+def test_a_store_that_states_no_era_is_followed(
+    site: RoutedSite, stated: str
+) -> None:
+    """Guards against a field without sense that keeps instances behind."""
+    call_control(site.store, 'PUT', '/control/era', {'stated': stated})
+    write_news(site)
+    wait_for_news(site)
+    lose_writes(site)
+    write_again(site)
+    return_store(site)
+    site.put_configuration(added=ADDED, more=ADDED)
+    wait_for(
+        lambda: all(
+            instance.dump()['version'] == site.version
+            for instance in site.instances
+        ),
+        'the news although versions went back',
+    )
--- a/tests/ingress/test_tables.py
+++ b/tests/ingress/test_tables.py
@@ -2,6 +2,7 @@
 
 import collections
 import random
+from collections.abc import Callable
 
 import msgspec
 from returns.result import Result, Success
@@ -50,6 +51,31 @@
     return StoredRow('i-1', msgspec.json.encode(entry), Revision(0, version))
 
 
+def create_tables(
+    script: Script,
+    holder: ConfigurationHolder,
+    decode: Callable[[StoredRow], Result[ListedEndpoint, str]],
+) -> FollowedTables:
+    """Create the tables of an instance whose store is a script."""
+    store = NodeStore(
+        StoreEras(),
+        TableSource('op', script.read, script.await_changes),
+        'config',
+        decode_configuration,
+        TableSource(ENDPOINTS, script.read, script.await_changes),
+        decode,
+        roster=None,
+    )
+    return FollowedTables(
+        Bounds(),
+        store,
+        holder,
+        EndpointTable(),
+        lambda _table: PeerTable(query_no_peer, never_back_off),
+        random.Random(1),
+    )
+
+
 async def test_a_report_is_decoded_once() -> None:
     """An endpoint repeats its report, and then reports that it is draining.
 
@@ -68,23 +94,7 @@
         Success(TableState(rows[0].revision, rows[:1], whole=True)),
         *(Success(TableState(row.revision, [row], False)) for row in rows[1:]),
     )
-    store = NodeStore(
-        StoreEras(),
-        TableSource('op', script.read, script.await_changes),
-        'config',
-        decode_configuration,
-        TableSource(ENDPOINTS, script.read, script.await_changes),
-        decode,
-        roster=None,
-    )
-    tables = FollowedTables(
-        Bounds(),
-        store,
-        ConfigurationHolder(),
-        EndpointTable(),
-        lambda _table: PeerTable(query_no_peer, never_back_off),
-        random.Random(1),
-    )
+    tables = create_tables(script, ConfigurationHolder(), decode)
     script.follower = tables.endpoints
     await TableFollower._follow.fun(tables.endpoints)
     assert decoded == {1: 1, 2: 1, 3: 1}
@@ -98,3 +108,24 @@
         tables.list_changes_for_peer(ENDPOINTS, None, within_zone=True).rows
         == rows[2:]
     )
+
+
+def configure(version: int) -> StoredRow:
+    """Build the row of a configuration."""
+    document = {'version': version, 'routes': [], 'services': []}
+    encoded = msgspec.json.encode(document)
+    return StoredRow('config', encoded, Revision(0, version))
+
+
+async def test_the_last_of_several_changes_is_in_force() -> None:
+    """Guards against an answer whose first change hides the newest one."""
+    rows = [configure(version) for version in (5, 6, 9)]
+    script = Script(
+        Success(TableState(Revision(0, 4), [configure(4)], whole=True)),
+        Success(TableState(Revision(0, 9), rows, whole=False)),
+    )
+    holder = ConfigurationHolder()
+    tables = create_tables(script, holder, decode_endpoint)
+    script.follower = tables.configuration
+    await TableFollower._follow.fun(tables.configuration)
+    assert holder.version == 9
