Believe endpoints that start again under their name with an earlier clock

An endpoint whose row had lapsed and whose clock was set back would have stayed out for good. The test fails before.

--- a/src/kelproad/coordination/ingress/tables/merging.py
+++ b/src/kelproad/coordination/ingress/tables/merging.py
@@ -114,7 +114,7 @@
 
     def _is_outdated(self, decoded: DecodedRow[Payload]) -> bool:
         key = decoded.row.key
-        known = self._present.get(key) or self._deleted.get(key)
+        known = self._present.get(key)
         if known is None or decoded.row.encoded is None:
             return False
         return self._order.is_older(decoded.payload, known.payload)
--- a/tests/ingress/test_restored_store.py
+++ b/tests/ingress/test_restored_store.py
@@ -160,6 +160,16 @@
     assert read_states(merged) == {'went': False}
 
 
+def test_a_deleted_endpoint_may_start_with_an_earlier_clock(
+    merger: RowMerger,
+) -> None:
+    """Guards against endpoints that stay out as their clock was set back."""
+    later = Revision(1, 11)
+    report = write('went', later, born=3)
+    merged = merger.merge(decode(later, report, whole=False))
+    assert read_states(merged) == {'went': False}
+
+
 def test_of_several_changes_of_a_row_only_older_ones_are_dropped(
     merger: RowMerger,
 ) -> None:
