--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -47,7 +47,7 @@
 _PAUSE_SHARE = 0.2
 #: Share of the time in which a revoked key must stop working for which a
 #: restored store confirms nothing.
-_SETTLE_SHARE = 0.2
+_SETTLE_SHARE = 0.1
 
 
 class TableFreshness(msgspec.Struct, array_like=True):
