Calls to an engine that has ended accuse no parts of prompts

Cause, as traced before: a crashed engine is listed until its row goes, and its proxy accepts calls; each that broke off counted as the engine's end again, and accused its own parts. A call that was sent after the confirmed end of an incarnation can't have caused it: it is not recorded, nor told to others. Calls that were on the engine when it ended accuse as before (test beside it, which passes before, too).

The testbed restarted endpoints as the same incarnation, which real ones never do: a restart is now another one, which states and registers it.

test_calls_to_an_engine_that_has_ended_accuse_nothing fails before.

--- a/src/kelproad/coordination/ingress/quarantine/ends.py
+++ b/src/kelproad/coordination/ingress/quarantine/ends.py
@@ -83,13 +83,16 @@
         if endpoint.leaving:
             record(_logger, 'engine_left', endpoint=endpoint.name)
             return
+        life = _name_life(endpoint)
+        if self._quarantine.has_ended_before(call.service, life, sent_at):
+            return
         now = monotonic()
         parts = self._quarantine.select_unproven(
             call.service, call.head.shared_parts, now
         )
         ended = EndedCall(
             call.service,
-            _name_life(endpoint),
+            life,
             parts,
             frozenset((call.workspace_name,)),
             sent_at,
--- a/src/kelproad/state/quarantine.py
+++ b/src/kelproad/state/quarantine.py
@@ -31,6 +31,9 @@
 #: Seconds in which the other ends are counted that give this probability, and
 #: seconds that a trial takes.
 _BACKGROUND_SECONDS = 10.0
+#: Seconds for which calls may be sent to an engine that has ended, as its entry
+#: is still listed.
+_ENDED_SECONDS = 30.0
 _TRIAL_SECONDS = 0.5
 #: Seconds without a request after which a suspicion is forgotten.
 _FORGET_SECONDS = 86_400.0
@@ -57,6 +60,8 @@
         self._suspicions: dict[_Key, Suspicion] = {}
         #: Monotonic times at which engines ended lately, by service and life.
         self._ends: dict[_Key, float] = {}
+        #: The same for ends that were confirmed, also longer ago.
+        self._confirmed_ends: dict[_Key, float] = {}
 
     def record_harmless(
         self, service: str, parts: Iterable[str], at: float
@@ -94,7 +99,12 @@
         )
 
     def record_end(self, ended: EndedCall, now: float) -> list[str]:
-        """Record a call whose engine ended; return the parts quarantined."""
+        """Record a call whose engine ended; return the parts quarantined.
+
+        A call that was sent to an engine which had ended shows nothing.
+        """
+        if self.has_ended_before(ended.service, ended.engine, ended.sent_at):
+            return []
         self._record_engine_end(ended, now)
         unproven = self.select_unproven(
             ended.service, ended.parts, ended.ended_at
@@ -111,6 +121,10 @@
                 quarantined.append(part)
         return quarantined
 
+    def has_ended_before(self, service: str, engine: str, at: float) -> bool:
+        """Return whether an engine is confirmed to have ended before a time."""
+        return self._confirmed_ends.get((service, engine), math.inf) < at
+
     def withdraw(self, service: str, engine: str) -> None:
         """Withdraw an end: the engine is alive."""
         self._ends.pop((service, engine), None)
@@ -219,7 +233,15 @@
     def _record_engine_end(self, ended: EndedCall, now: float) -> None:
         oldest = now - _BACKGROUND_SECONDS
         self._ends = {key: at for key, at in self._ends.items() if at > oldest}
-        self._ends.setdefault((ended.service, ended.engine), ended.ended_at)
+        key = (ended.service, ended.engine)
+        self._ends.setdefault(key, ended.ended_at)
+        if ended.confirmed:
+            self._confirmed_ends = {
+                life: at
+                for life, at in self._confirmed_ends.items()
+                if at > now - _ENDED_SECONDS
+            }
+            self._confirmed_ends.setdefault(key, ended.ended_at)
 
     def _choose_trials(self, service: str, part: str) -> int:
         """Choose the ends in a row that quarantine a part.
--- a/testbed/routed.py
+++ b/testbed/routed.py
@@ -148,9 +148,12 @@
         service: str,
         state: str = 'ready',
         zone: str = 'zone-a',
-        born: int = 1,
+        born: int | None = None,
     ) -> None:
-        """Write the store row of an endpoint, as the endpoint would."""
+        """Write the store row of an endpoint, as the endpoint would.
+
+        ``born`` is that of its present incarnation unless it is given.
+        """
         self.put_row(
             'servers',
             name,
@@ -165,7 +168,7 @@
                 'state': state,
                 'warmup_left_ms': 0,
                 'sequence': next(self._sequences),
-                'born': born,
+                'born': self.born.get(name, 1) if born is None else born,
             },
         )
 
@@ -174,10 +177,13 @@
         self.put_endpoint_row(name, self._services[name])
 
     def renew_endpoint(self, name: str, born: int) -> None:
-        """Let an endpoint state and register another incarnation."""
-        self.born[name] = born
+        """Let an endpoint state and register a later incarnation.
+
+        ``born`` is its start unless a later one was stated before.
+        """
+        self.born[name] = max(born, self.born.get(name, 1) + 1)
         self._set_born(name)
-        self.put_endpoint_row(name, self._services[name], born=born)
+        self.put_endpoint_row(name, self._services[name])
 
     def delete_endpoint_row(self, name: str) -> None:
         """Delete the store row of an endpoint."""
@@ -231,16 +237,20 @@
         self.put_endpoint_row(name, service)
 
     def restart_endpoint(self, name: str) -> None:
-        """Start the process of an endpoint with empty state."""
+        """Start the process of an endpoint with empty state.
+
+        If it ran before, this is another incarnation of it.
+        """
         address = self.endpoints[name]
+        ran_before = name in self.endpoint_processes
         self.endpoint_processes[name] = Process(
             name,
             ['stand-in', 'endpoint', '--address', address, '--name', name],
             self.directory,
         )
         wait_until_answering(f'http://{address}/control/runs')
-        if name in self.born:
-            self._set_born(name)
+        if ran_before:
+            self.renew_endpoint(name, 1)
         if self.lasting_faults:
             self.set_endpoint_faults(name)
 
--- a/tests/ingress/test_quarantine.py
+++ b/tests/ingress/test_quarantine.py
@@ -60,6 +60,27 @@
     return Evidence()
 
 
+def test_calls_to_an_engine_that_has_ended_accuse_nothing(
+    evidence: Evidence,
+) -> None:
+    """Guards against sound parts in quarantine while engines are down."""
+    for number in range(3):
+        evidence.end(('poison',), engine=f'engine-{number}')
+        evidence.end(('sound',), engine=f'engine-{number}')
+    assert evidence.judge('poison') is PartState.QUARANTINED
+    assert evidence.judge('sound') is PartState.HARMLESS
+
+
+def test_calls_that_an_engine_ended_under_all_accuse(
+    evidence: Evidence,
+) -> None:
+    """Guards against a crash that only the first of its calls accuses."""
+    for number in range(3):
+        evidence.end(('other', f'seen-{number}'), ('poison',))
+    assert len(evidence.parts.get(SERVICE, 'poison').ends) == 3
+    assert len(evidence.parts.get(SERVICE, 'other').ends) == 3
+
+
 def test_three_ends_in_a_row_quarantine_a_part(evidence: Evidence) -> None:
     """Engine after engine ended under one part."""
     assert not evidence.end(('poison', 'seen-1'))
