The return of the store counts from its notice where a reader is new

Found by reading the diff: an instance that takes the table of a new era from one that started since is told of no recovery, so that the copy confirmed at once and endpoints that joined got no time to report. Its test fails before.

--- a/src/kelproad/coordination/ingress/tables/following.py
+++ b/src/kelproad/coordination/ingress/tables/following.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -316,8 +317,11 @@
         return known.era < state.revision.era
 
     def _begin_era(self, state: TableState) -> None:
-        """Count the return of the store from a copy as a recovery."""
-        if state.provenance is Provenance.STORE:
+        """Count the return of the store from a copy as a recovery.
+
+        An instance that started after it does not know when it was.
+        """
+        if math.isinf(state.recovered_for):
             self.recovered_at = monotonic()
         self.on_restored(self.recovered_at)
 
--- a/tests/ingress/test_restored_store.py
+++ b/tests/ingress/test_restored_store.py
@@ -1,5 +1,6 @@
 """Tables of a store that returns from a copy, without processes."""
 
+import attrs
 import msgspec
 import pytest
 
@@ -7,16 +8,24 @@
 from kelproad.coordination.ingress.tables.confirming import Confirmation
 from kelproad.coordination.ingress.tables.decoding import DecodedState
 from kelproad.coordination.ingress.tables.eras import StoreEras
+from kelproad.coordination.ingress.tables.following import TableFollower
 from kelproad.coordination.ingress.tables.merging import RowMerger
 from kelproad.coordination.ingress.tables.roworders import ENDPOINT_ORDER
 from kelproad.coordination.ingress.tables.tablestates import (
+    Provenance,
     Revision,
     StoredRow,
     StoreProblemKind,
     TableState,
 )
 from kelproad.platform.rows import decode_endpoint
-from tests.ingress.test_following import Script, fail, follow, state
+from tests.ingress.test_following import (
+    Script,
+    create_follower,
+    fail,
+    follow,
+    state,
+)
 
 COPY = Revision(2, 5)
 
@@ -72,6 +81,24 @@
     assert follower.measure_since_recovery() < 1
 
 
+async def test_a_reader_that_started_since_does_not_hide_a_return() -> None:
+    """Guards against confirming at once what a new instance read."""
+    script = Script(
+        state(9, whole=True, era=1), state(9, era=2), state(8, era=2)
+    )
+    told = attrs.evolve(
+        state(7, whole=True, era=2).unwrap(), provenance=Provenance.SAME_ZONE
+    )
+    script.told = [None, None, told]
+    follower = create_follower(script)
+    script.follower = follower
+    restored = []
+    follower.on_restored = restored.append
+    await TableFollower._follow.fun(follower)
+    assert len(restored) == 1
+    assert follower.measure_since_recovery() < 1
+
+
 async def test_lower_versions_are_believed_in_the_end() -> None:
     """Guards against a store without eras that silently goes back."""
     script = Script(
