--- a/src/kelproad/coordination/ingress/membership/messages.py
+++ b/src/kelproad/coordination/ingress/membership/messages.py
@@ -5,7 +5,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from ..tables.followed import TableFreshness
+from ..tables.tablestates import TableFreshness
 from .updates import ReportedLimit, ReportedWork
 
 __all__ = [
--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 
 import attrs
-import msgspec
 from returns.result import Failure, Result
 
 from ....state.endpointtable import EndpointTable
@@ -29,9 +28,15 @@
     ReadConfiguration,
 )
 from .store import NodeStore
-from .tablestates import Provenance, Revision, StoredRow, TableState
+from .tablestates import (
+    Provenance,
+    Revision,
+    StoredRow,
+    TableFreshness,
+    TableState,
+)
 
-__all__ = ['FollowedTables', 'TableFreshness']
+__all__ = ['FollowedTables']
 
 #: Seconds that a call to the store waits for a configuration.  Instances that
 #: it is relayed to are twice that behind, which must stay below the time from
@@ -50,40 +55,6 @@
 _SETTLE_SHARE = 0.1
 
 
-class TableFreshness(msgspec.Struct, array_like=True):
-    """How fresh a table is at an instance.
-
-    Attributes
-    ----------
-    version
-        Newest version of the store when it was read.
-    changed_at
-        Version at which the table last changed.
-    age
-        Seconds since the store confirmed it.
-    recovered_for
-        Seconds since the store recovered, ``None`` if it never failed.
-    era
-        Era of the versions; 0 from an instance that knows none.
-    """
-
-    version: int
-    changed_at: int
-    age: float
-    recovered_for: float | None
-    era: int = 0
-
-    @property
-    def revision(self) -> Revision:
-        """Newest revision of the store when it was read."""
-        return Revision(self.era, self.version)
-
-    @property
-    def changed_revision(self) -> Revision:
-        """Revision at which the table last changed."""
-        return Revision(self.era, self.changed_at)
-
-
 @attrs.frozen
 class _FollowedTable:
     """A table that is kept current here, and relayed to peers."""
--- a/src/kelproad/coordination/ingress/tables/following.py
+++ b/src/kelproad/coordination/ingress/tables/following.py
@@ -22,7 +22,7 @@
 from ....state.records import record
 from ....transport.deadlines import monotonic, read_boottime
 from ....transport.services import BackgroundService
-from .eras import StoreEras
+from .positions import StoreEras, TablePosition
 from .tablestates import (
     Provenance,
     Revision,
@@ -49,9 +49,6 @@
 #: Seconds between two looks for another instance that has the table, while the
 #: store sends all of it.
 _FIRST_QUERY_PERIOD = 0.02
-#: Seconds for which only outdated answers of the current era come, after which
-#: their versions are believed.
-_MAX_OUTDATED_SECONDS = 2.0
 
 
 @attrs.frozen
@@ -138,7 +135,6 @@
         """
         super().__init__()
         self._source = source
-        self._eras = eras
         self._adopt = adopt
         self._wait_seconds = wait_seconds
         self._pause = pause
@@ -146,15 +142,8 @@
         self._peers = peers
         #: Monotonic time of the next call to the store, ``None`` until chosen.
         self._store_due: float | None = None
-        #: Revision of the last state that was adopted.
-        self._revision: Revision | None = None
-        #: Whether changes were missed, so that the whole table is needed.
-        self._misses_changes = True
+        self._position = TablePosition(source.name, eras)
         self._failures = 0
-        #: Answers in a row that were discarded, as they are outdated.
-        self._outdated_answers = 0
-        #: Monotonic time of the first of them.
-        self._outdated_since = float('inf')
         self.on_restored: Callable[[float], None] = _ignore_restoration
         self.provenance: Provenance | None = None
         self.confirmed_at = float('-inf')
@@ -176,30 +165,17 @@
     def describe(self) -> dict[str, object]:
         """Describe the state of the table for operators."""
         return {
-            'revision': self._describe_revision(),
+            **self._position.describe(),
             'provenance': self.provenance and self.provenance.name.lower(),
             'age': self.measure_age(),
             'failures': self._failures,
-            'outdated_answers': self._outdated_answers,
         }
 
-    @property
-    def _base(self) -> Revision | None:
-        """Revision after which changes are needed; ``None`` for all rows.
-
-        Changes are missed when the store was restored: those after a version
-        of the era before are others in the new one.
-        """
-        known = self._revision
-        if known is None or self._misses_changes:
-            return None
-        return known if known.era == self._eras.current else None
-
     @Service.task
     async def _follow(self) -> None:
         while not self.should_stop:
             sent_at = read_boottime()
-            relayed = await self._peers.query(self._base)
+            relayed = await self._peers.query(self._position.base)
             if relayed is not None:
                 self._accept(relayed, sent_at)
                 await asyncio.sleep(_PEER_QUERY_PERIOD)
@@ -216,7 +192,7 @@
             await asyncio.sleep(
                 self._pause
                 if accepted
-                else _choose_delay(self._outdated_answers - 1)
+                else _choose_delay(self._position.outdated_answers - 1)
             )
 
     def _schedule_store(self) -> float:
@@ -227,13 +203,13 @@
         serves the others, so that they don't all query it together.
         """
         if self._store_due is None:
-            known = self._revision is not None
+            known = self._position.revision is not None
             longest = self._peers.measure_backoff() if known else 0
             self._store_due = monotonic() + self._generator.uniform(0, longest)
         return self._store_due
 
     async def _query_store(self) -> Result[TableState, StoreProblem]:
-        base = self._base
+        base = self._position.base
         if base is None:
             return await self._read_whole()
         # After a failure the answer is needed at once, not at the next change,
@@ -265,57 +241,23 @@
 
     def _accept(self, state: TableState, sent_at: float) -> bool:
         """Adopt a state; return false if it is outdated."""
-        self._eras.observe(
-            state.revision.era,
-            f'{self._source.name} from {state.provenance.name.lower()}',
-        )
-        if self._is_outdated(state):
-            self._record_outdated(state)
+        is_restored = self._position.is_restored(state)
+        if not self._position.advance(state):
             return False
         if self._failures:
             self._record_recovery()
         self._failures = 0
-        self._outdated_answers = 0
-        self._outdated_since = float('inf')
         self._store_due = None
         self.recovered_at = max(
             self.recovered_at, monotonic() - state.recovered_for
         )
         self._record_provenance(state.provenance)
-        if state.whole:
-            self._record_read(state)
-        if self._is_restored(state):
+        if is_restored:
             self._begin_era(state)
-        self._revision = state.revision
-        self._misses_changes = False
         self._adopt(state)
         self.confirmed_at = max(self.confirmed_at, sent_at - state.age)
         return True
 
-    def _is_outdated(self, state: TableState) -> bool:
-        """Return whether a state shows less than what is known here.
-
-        Within an era the store's counter never decreases; a lower version comes
-        from a stale reader, and adopting it would lose no change but repeat old
-        ones over newer ones.
-        """
-        base = self._base
-        if base is None:
-            return state.revision.era < self._eras.current or not state.whole
-        return state.revision < base
-
-    def _is_restored(self, state: TableState) -> bool:
-        """Return whether a state is the first one since a restoration.
-
-        A store that states no eras shows it by a lower version.
-        """
-        known = self._revision
-        if known is None:
-            return False
-        if state.provenance is Provenance.STORE and state.revision < known:
-            return True
-        return known.era < state.revision.era
-
     def _begin_era(self, state: TableState) -> None:
         """Count the return of the store from a copy as a recovery.
 
@@ -335,37 +277,6 @@
             age=round(self.measure_age(), 3),
         )
 
-    def _record_outdated(self, state: TableState) -> None:
-        """Log the first of several answers in a row that are discarded."""
-        now = monotonic()
-        self._outdated_answers += 1
-        if self._outdated_answers == 1:
-            self._outdated_since = now
-            record(
-                _logger,
-                'table_answer_outdated',
-                table=self._source.name,
-                provenance=state.provenance.name.lower(),
-                **state.revision.describe(),
-                known=self._describe_revision(),
-            )
-        if now - self._outdated_since > _MAX_OUTDATED_SECONDS:
-            self._misses_changes = True
-
-    def _record_read(self, state: TableState) -> None:
-        record(
-            _logger,
-            'table_read_whole',
-            table=self._source.name,
-            provenance=state.provenance.name.lower(),
-            **state.revision.describe(),
-            known=self._describe_revision(),
-            rows=len(state.rows),
-        )
-
-    def _describe_revision(self) -> dict[str, int] | None:
-        return self._revision.describe() if self._revision else None
-
     def _record_provenance(self, provenance: Provenance) -> None:
         if provenance is not self.provenance:
             direct = provenance is Provenance.STORE
@@ -381,7 +292,7 @@
         """Record a failure, and schedule the next query to the store."""
         if problem.kind is StoreProblemKind.HISTORY_LOST:
             # Changes were missed; only the complete table shows what is valid.
-            self._misses_changes = True
+            self._position.lose_changes()
             record(_logger, 'store_history_lost', table=self._source.name)
             return
         self._failures += 1
--- a/src/kelproad/coordination/ingress/tables/probing.py
+++ b/src/kelproad/coordination/ingress/tables/probing.py
@@ -13,8 +13,8 @@
 from ....transport.deadlines import read_boottime
 from ..membership.messages import TablesQuery, TablesReply
 from ..membership.queries import PeerQueries
-from .followed import TableFreshness
 from .readers import Reader
+from .tablestates import TableFreshness
 
 __all__ = ['Freshness', 'TableProbe']
 
--- a/src/kelproad/coordination/ingress/tables/relaying.py
+++ b/src/kelproad/coordination/ingress/tables/relaying.py
@@ -23,7 +23,7 @@
 from ....transport.addresses import Address
 from ....transport.deadlines import monotonic, read_boottime
 from ....transport.exchanges import Reply, exchange
-from .eras import StoreEras
+from .positions import StoreEras
 from .probing import Freshness
 from .readers import MAX_RELAYED_AGE, Reader, ReaderSelector
 from .tablestates import Provenance, Revision, StoredRow, TableState
--- a/src/kelproad/coordination/ingress/tables/store.py
+++ b/src/kelproad/coordination/ingress/tables/store.py
@@ -10,8 +10,8 @@
 from ....state.routes import RoutingConfiguration
 from ..membership.rostering import RosterStore
 from .endpoints import ListedEndpoint
-from .eras import StoreEras
 from .following import TableSource
+from .positions import StoreEras
 from .tablestates import StoredRow
 
 __all__ = ['NodeStore', 'OpenStore']
--- a/src/kelproad/coordination/ingress/tables/tablestates.py
+++ b/src/kelproad/coordination/ingress/tables/tablestates.py
@@ -4,6 +4,7 @@
 import math
 
 import attrs
+import msgspec
 
 __all__ = [
     'Provenance',
@@ -11,6 +12,7 @@
     'StoreProblem',
     'StoreProblemKind',
     'StoredRow',
+    'TableFreshness',
     'TableState',
 ]
 
@@ -91,3 +93,37 @@
     age: float = 0
     recovered_for: float = math.inf
     provenance: Provenance = Provenance.STORE
+
+
+class TableFreshness(msgspec.Struct, array_like=True):
+    """How fresh a table is at an instance.
+
+    Attributes
+    ----------
+    version
+        Newest version of the store when it was read.
+    changed_at
+        Version at which the table last changed.
+    age
+        Seconds since the store confirmed it.
+    recovered_for
+        Seconds since the store recovered, ``None`` if it never failed.
+    era
+        Era of the versions; 0 from an instance that knows none.
+    """
+
+    version: int
+    changed_at: int
+    age: float
+    recovered_for: float | None
+    era: int = 0
+
+    @property
+    def revision(self) -> Revision:
+        """Newest revision of the store when it was read."""
+        return Revision(self.era, self.version)
+
+    @property
+    def changed_revision(self) -> Revision:
+        """Revision at which the table last changed."""
+        return Revision(self.era, self.changed_at)
--- a/src/kelproad/platform/node.py
+++ b/src/kelproad/platform/node.py
@@ -10,8 +10,8 @@
 from ..coordination.ingress.node import Node
 from ..coordination.ingress.placing.memory import EngineOperations
 from ..coordination.ingress.reloading import SettingsHolder
-from ..coordination.ingress.tables.eras import StoreEras
 from ..coordination.ingress.tables.following import TableSource
+from ..coordination.ingress.tables.positions import StoreEras
 from ..coordination.ingress.tables.store import NodeStore
 from ..state.counters import Counters
 from ..state.statements import EndpointStatements
--- a/src/kelproad/platform/store.py
+++ b/src/kelproad/platform/store.py
@@ -17,7 +17,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from ..coordination.ingress.tables.eras import StoreEras
+from ..coordination.ingress.tables.positions import StoreEras
 from ..coordination.ingress.tables.tablestates import (
     Revision,
     StoredRow,
--- a/tests/ingress/test_probing.py
+++ b/tests/ingress/test_probing.py
@@ -17,14 +17,14 @@
 from kelproad.coordination.ingress.settings import NodeSettings
 from kelproad.coordination.ingress.tables import probing as probing_module
 from kelproad.coordination.ingress.tables import relaying as relaying_module
-from kelproad.coordination.ingress.tables.eras import StoreEras
-from kelproad.coordination.ingress.tables.followed import TableFreshness
+from kelproad.coordination.ingress.tables.positions import StoreEras
 from kelproad.coordination.ingress.tables.probing import TableProbe
 from kelproad.coordination.ingress.tables.readers import Reader, ReaderSelector
 from kelproad.coordination.ingress.tables.relaying import TableRelay
 from kelproad.coordination.ingress.tables.tablestates import (
     Provenance,
     Revision,
+    TableFreshness,
 )
 from kelproad.state.counters import Counters
 from kelproad.transport.addresses import Address
--- a/tests/ingress/test_restored_store.py
+++ b/tests/ingress/test_restored_store.py
@@ -7,9 +7,9 @@
 from kelproad.coordination.ingress.tables import confirming as confirming_module
 from kelproad.coordination.ingress.tables.confirming import Confirmation
 from kelproad.coordination.ingress.tables.decoding import DecodedState
-from kelproad.coordination.ingress.tables.eras import StoreEras
 from kelproad.coordination.ingress.tables.following import TableFollower
 from kelproad.coordination.ingress.tables.merging import RowMerger
+from kelproad.coordination.ingress.tables.positions import StoreEras
 from kelproad.coordination.ingress.tables.roworders import ENDPOINT_ORDER
 from kelproad.coordination.ingress.tables.tablestates import (
     Provenance,
--- a/tests/ingress/test_tables.py
+++ b/tests/ingress/test_tables.py
@@ -9,7 +9,6 @@
 
 from kelproad.coordination.ingress.settings import Bounds
 from kelproad.coordination.ingress.tables.endpoints import ListedEndpoint
-from kelproad.coordination.ingress.tables.eras import StoreEras
 from kelproad.coordination.ingress.tables.followed import FollowedTables
 from kelproad.coordination.ingress.tables.following import (
     PeerTable,
@@ -17,6 +16,7 @@
     TableSource,
 )
 from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
+from kelproad.coordination.ingress.tables.positions import StoreEras
 from kelproad.coordination.ingress.tables.store import NodeStore
 from kelproad.coordination.ingress.tables.tablestates import (
     Revision,
