No final refusal while a restored store lacks what was accepted

Trace: the key was accepted at 3528.42, read by no instance (two were stopping, the reader was frozen), lost with the store's return at 3528.86 and written again at 3530.9; from 0.5 s after the return on the copy counted as confirmed.

Keys that are in force may be trusted then, but what is not configured may be missing because it was lost: for revoke_ms after a return, or until a configuration is written, it is refused with 503, not 401 or 404.

--- a/src/kelproad/coordination/ingress/admission/admitting.py
+++ b/src/kelproad/coordination/ingress/admission/admitting.py
@@ -49,6 +49,7 @@
         self,
         holder: ConfigurationHolder,
         measure_age: Callable[[], float],
+        is_complete: Callable[[], bool],
         is_confirmed_elsewhere: Callable[[float], bool],
         is_store_failing: Callable[[], bool],
         stop_guard: StopGuard,
@@ -57,12 +58,14 @@
     ) -> None:
         """Admit by the configuration in force.
 
-        ``measure_age`` returns its possible age in seconds,
+        ``measure_age`` returns its possible age in seconds, ``is_complete``
+        whether nothing is missing in it that a restored store has lost,
         ``is_confirmed_elsewhere`` whether another instance has a current one,
         and ``is_store_failing`` whether the last attempt to read it failed.
         """
         self._holder = holder
         self._measure_age = measure_age
+        self._is_complete = is_complete
         self._is_confirmed_elsewhere = is_confirmed_elsewhere
         self._is_store_failing = is_store_failing
         self._stop_guard = stop_guard
@@ -145,10 +148,12 @@
         """Refuse a route or key that the configuration doesn't have.
 
         A newer configuration may have it, so the refusal is final only if the
-        configuration was confirmed lately.
+        configuration was confirmed lately, and not by a store that lacks what
+        operators have yet to write again.
         """
         age = self._measure_age()
-        if age > self._read_bounds().apply_configuration:
+        is_current = age <= self._read_bounds().apply_configuration
+        if not (is_current and self._is_complete()):
             return self._refuse_unconfirmed(
                 'the configuration is not confirmed'
             )
--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -54,6 +54,8 @@
         Availability zone of the instance.
     measure_age
         Returns how many seconds old the configuration may be.
+    is_configuration_complete
+        Returns whether nothing is missing in it that a restored store lost.
     is_store_failing
         Returns whether the last call to the store for it failed.
     read_bounds
@@ -76,6 +78,7 @@
     queries: PeerQueries
     gate: StartGate
     measure_age: Callable[[], float]
+    is_configuration_complete: Callable[[], bool]
     is_store_failing: Callable[[], bool]
     read_bounds: Callable[[], Bounds]
 
@@ -129,6 +132,7 @@
         admitter = Admitter(
             shared.holder,
             shared.measure_age,
+            shared.is_configuration_complete,
             exchange.peers.is_confirmed_elsewhere,
             shared.is_store_failing,
             stop_guard,
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -210,6 +210,7 @@
             self._peering.queries,
             self._peering.gate,
             self._tables.confirmation.measure_age,
+            lambda: self._tables.confirmation.is_complete,
             lambda: self._tables.configuration.failing,
             self._read_bounds,
         )
--- a/src/kelproad/coordination/ingress/tables/confirming.py
+++ b/src/kelproad/coordination/ingress/tables/confirming.py
@@ -20,6 +20,7 @@
         self,
         measure_age: Callable[[], float],
         settle_seconds: float,
+        rewrite_seconds: float,
     ) -> None:
         """Confirm by the answers of the store.
 
@@ -29,16 +30,21 @@
             Returns how many seconds old the configuration may be, by the last
             answer of the store.
         settle_seconds
+            Seconds after a restoration for which answers confirm nothing.
+        rewrite_seconds
             Seconds after a restoration for which operators may have more to
             write again.
         """
         self._measure_follower_age = measure_age
         self._settle_seconds = settle_seconds
+        self._rewrite_seconds = rewrite_seconds
         #: Boot time up to which the configuration is confirmed while answers
         #: confirm nothing.
         self._confirmed_until = float('-inf')
         #: Monotonic time from which answers confirm again.
         self._settled_at = float('-inf')
+        #: Monotonic time from which nothing is missing that was accepted.
+        self._complete_at = float('-inf')
         #: Monotonic time from which the first answer counts as compared.
         self._compared_at = float('inf')
 
@@ -55,6 +61,14 @@
         """Whether answers of the store confirm."""
         return monotonic() >= self._settled_at
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether all that was accepted should be written again.
+
+        Until then, what is not configured may be missing for that reason.
+        """
+        return monotonic() >= self._complete_at
+
     @property
     def is_compared(self) -> bool:
         """Whether the first configuration is as new as that of others."""
@@ -80,7 +94,9 @@
         """
         self._confirmed_until = read_boottime() - self.measure_age()
         self._settled_at = recovered_at + self._settle_seconds
+        self._complete_at = recovered_at + self._rewrite_seconds
 
     def resume(self) -> None:
         """Confirm by answers again, as operators have written again."""
         self._settled_at = float('-inf')
+        self._complete_at = float('-inf')
--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -138,6 +138,7 @@
         self.confirmation = Confirmation(
             self.configuration.measure_age,
             bounds.revoke_key * _SETTLE_SHARE,
+            bounds.revoke_key,
         )
         self.configuration.on_restored = self.confirmation.suspend
 
--- a/tests/ingress/test_admitting.py
+++ b/tests/ingress/test_admitting.py
@@ -29,12 +29,15 @@
 
 
 def create_admitter(
-    holder: ConfigurationHolder, store_failing: bool = False
+    holder: ConfigurationHolder,
+    store_failing: bool = False,
+    complete: bool = True,
 ) -> Admitter:
     """Build the admitter of an instance whose configuration is fresh."""
     return Admitter(
         holder,
         int,
+        lambda: complete,
         lambda _now: False,
         lambda: store_failing,
         StopGuard(Drain(int, lambda: plan_stop(8))),
@@ -69,6 +72,23 @@
     assert waited >= admitting_module._FIRST_CONFIGURATION_WAIT
 
 
+@pytest.mark.parametrize(
+    ('complete', 'code'),
+    [(True, RefusalCode.NOT_FOUND), (False, RefusalCode.NOT_READY)],
+)
+async def test_no_refusal_is_final_while_a_restored_store_lacks_writes(
+    complete: bool, code: RefusalCode
+) -> None:
+    """Guards against final refusals of keys and routes that were accepted."""
+    holder = ConfigurationHolder()
+    configuration = RoutingConfiguration.from_declarations(
+        1, [], [], {}, IngressLimits(), {}
+    )
+    assert holder.offer(Success(configuration), b'as written')
+    refused = await admit(create_admitter(holder, complete=complete))
+    assert refused.failure().code is code
+
+
 async def test_a_call_is_refused_at_once_while_the_store_fails() -> None:
     """Guards against holding a call although the store is known to be down."""
     admitter = create_admitter(ConfigurationHolder(), store_failing=True)
--- a/tests/ingress/test_restored_store.py
+++ b/tests/ingress/test_restored_store.py
@@ -220,7 +220,7 @@
     monkeypatch.setattr(confirming_module, 'monotonic', lambda: now)
     monkeypatch.setattr(confirming_module, 'read_boottime', lambda: now)
     confirmed_at = 97.0
-    confirmation = Confirmation(lambda: now - confirmed_at, 1.0)
+    confirmation = Confirmation(lambda: now - confirmed_at, 1.0, 5.0)
     confirmation.mark_compared()
     confirmation.suspend(recovered_at=now)
     now, confirmed_at = 100.5, 100.5
@@ -228,5 +228,8 @@
     confirmation.suspend(recovered_at=now)
     now, confirmed_at = 101.2, 101.2
     assert confirmation.measure_age() == pytest.approx(4.2)
-    confirmation.resume()
+    now, confirmed_at = 102.0, 102.0
     assert not confirmation.measure_age()
+    assert not confirmation.is_complete
+    confirmation.resume()
+    assert confirmation.is_complete
