--- a/tests/ingress/test_restored_store.py
+++ b/tests/ingress/test_restored_store.py
@@ -1,9 +1,13 @@
 """Tables of a store that returns from a copy, without processes."""
 
+import asyncio
+
 import attrs
 import msgspec
 import pytest
+from returns.result import Result, Success
 
+from kelproad.coordination.ingress.quarantine.rows import QuarantineRows
 from kelproad.coordination.ingress.tables import confirming as confirming_module
 from kelproad.coordination.ingress.tables.confirming import Confirmation
 from kelproad.coordination.ingress.tables.decoding import DecodedState
@@ -19,6 +23,8 @@
     TableState,
 )
 from kelproad.platform.rows import decode_endpoint
+from kelproad.state.quarantine import PartQuarantine
+from kelproad.state.suspicions import EndedCall
 from tests.ingress.test_following import (
     Script,
     create_follower,
@@ -233,3 +239,31 @@
     assert not confirmation.is_complete
     confirmation.resume()
     assert confirmation.is_complete
+
+
+# Our own rows
+
+
+async def test_quarantined_parts_are_written_again() -> None:
+    """Guards against engines that crash anew once all instances restart."""
+    parts = PartQuarantine(lambda _service: 24)
+    for number in range(3):
+        ended = EndedCall(
+            'writer',
+            f'engine-{number}',
+            frozenset(('poison', f'seen-{number}')),
+            frozenset(('crews',)),
+            number + 0.5,
+            number + 1,
+            confirmed=True,
+        )
+        parts.record_end(ended, number + 1)
+    written: list[bytes] = []
+
+    async def write(_key: str, encoded: bytes) -> Result:  # noqa: WPS430
+        written.append(encoded)
+        return Success(None)
+
+    QuarantineRows(parts, write).keep_all()
+    await asyncio.sleep(0)
+    assert [msgspec.json.decode(row)['part'] for row in written] == ['poison']
