Record what a stream that is broken off had left, and the event loop's delay

Callers get streams that end early.

No decision is changed. stream_broken_off now names the endpoints reached and permitted, the last event, the seconds of silence, the time left and the version that admitted the call. RunningClock counts only the time in which the event loop ran; event_loop_late, a histogram and stood_still in /dump show when it did not.

--- a/src/kelproad/coordination/ingress/admission/admitting.py
+++ b/src/kelproad/coordination/ingress/admission/admitting.py
@@ -119,6 +119,7 @@
                 received,
                 arrived,
                 deadline,
+                configuration.version,
             ),
         )
 
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -14,7 +14,7 @@
 from ...state.withdrawals import USABLE_SHARE
 from ...state.work import WorkLedger
 from ...transport.addresses import Address
-from ...transport.deadlines import monotonic
+from ...transport.deadlines import RunningClock, monotonic
 from ...transport.services import BackgroundService
 from ..drain import Drain
 from .admission.dialect import Dialect
@@ -45,6 +45,8 @@
 _ANSWER_SECONDS = 0.2
 #: Seconds for releasing memory at the end.
 _RELEASE_SECONDS = 0.3
+#: Seconds of a delay of the event loop from which on it is logged.
+_LOGGED_DELAY = 0.2
 
 
 class Node(BackgroundService):
@@ -69,6 +71,7 @@
             f'{settings.instance}:{time.time_ns()}',
         )
         self._counters = Counters()
+        self._running_clock = RunningClock(self._record_loop_delay)
         self._holder = ConfigurationHolder()
         self._table = EndpointTable()
         self._table.withdrawals.usable_seconds = (
@@ -258,8 +261,17 @@
             self._peering.gate.forget_unlisted()
             self._table.forget_withdrawals(monotonic())
 
+    @Service.task
+    async def _keep_clock(self) -> None:
+        await self._running_clock.keep_beating()
+
     # Stop and reporting
 
+    def _record_loop_delay(self, seconds: float) -> None:
+        self._counters.latencies.loop_delays.observe({}, seconds)
+        if seconds >= _LOGGED_DELAY:
+            record(_logger, 'event_loop_late', seconds=round(seconds, 3))
+
     async def _close_idle(self) -> None:
         """Close kept connections without a call while the instance stops.
 
@@ -292,6 +304,7 @@
             'tables': self._tables.describe(),
             'live_instances': self._exchange.peers.count_live(now),
             'unfinished': self._pipeline.handler.unfinished,
+            'stood_still': round(self._running_clock.stood_still, 3),
             'own_work': describe_work(self._ledger),
             'endpoints': describe_endpoints(self._table, now),
             'tunnels': self._tunnels.unfinished,
--- a/src/kelproad/coordination/ingress/retrying/dispatching.py
+++ b/src/kelproad/coordination/ingress/retrying/dispatching.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import logging
 
 import attrs
 from aiohttp import web
@@ -16,7 +15,6 @@
 
 from ....state.calls import Call, CallEnd
 from ....state.counters import Counters
-from ....state.records import record
 from ....state.refusals import Refusal, Step
 from ....state.work import WorkLedger
 from ....transport.deadlines import monotonic
@@ -32,13 +30,17 @@
 from ..streams.delivery import StreamDelivery
 from ..streams.progress import Progress
 from ..streams.sending import Sender
-from .events import record_limits, record_placement, record_stream
+from .events import (
+    record_broken_off,
+    record_limits,
+    record_placement,
+    record_stream,
+)
 from .retries import RetryBudgets
 from .verdicts import ANSWER_MARGIN, AttemptEvaluator, find_faulty_endpoint
 
 __all__ = ['Dispatcher']
 
-_logger = logging.getLogger(__name__)
 #: Seconds between two placement attempts of a call that waits for engines: a
 #: fifth of the shortest pass.
 _PLACEMENT_PERIOD = 0.01
@@ -267,13 +269,7 @@
     """
     if delivery.begun:
         call.end = end
-        record(
-            _logger,
-            'stream_broken_off',
-            request=call.request_id,
-            reason=refusal.message,
-            elapsed=round(monotonic() - call.arrived, 4),
-        )
+        record_broken_off(call, progress, delivery, refusal.message)
         return Success(delivery.abort())
     if progress.may_forward_error(call):
         return Success(progress.fallback.build_response())
--- a/src/kelproad/coordination/ingress/retrying/events.py
+++ b/src/kelproad/coordination/ingress/retrying/events.py
@@ -9,8 +9,14 @@
 from ....transport.deadlines import monotonic
 from ..placing.placement import NoPlacementError, Placement
 from ..streams.delivery import StreamDelivery
+from ..streams.progress import Progress
 
-__all__ = ['record_limits', 'record_placement', 'record_stream']
+__all__ = [
+    'record_broken_off',
+    'record_limits',
+    'record_placement',
+    'record_stream',
+]
 
 _logger = logging.getLogger(__name__)
 #: Digits of seconds in the log.
@@ -83,6 +89,27 @@
     )
 
 
+def record_broken_off(
+    call: Call, progress: Progress, delivery: StreamDelivery, reason: str
+) -> None:
+    """Record why a stream that had begun ends early, and what it had left."""
+    now = monotonic()
+    record(
+        _logger,
+        'stream_broken_off',
+        request=call.request_id,
+        reason=reason,
+        attempts=call.attempts,
+        reached=sorted(progress.reached),
+        max_endpoints=call.route.max_endpoints,
+        last_event=delivery.cutter.last_number,
+        silent_for=round(delivery.measure_silence(now), _DIGITS),
+        left=round(call.remaining(now), _DIGITS),
+        version=call.version,
+        elapsed=round(now - call.arrived, _DIGITS),
+    )
+
+
 def _measure_leaving(placement: Placement) -> float | None:
     """Return for how long the endpoint has been known to leave, if it is."""
     seconds = monotonic() - placement.primary.withdrawal.left_at
--- a/src/kelproad/coordination/ingress/streams/delivery.py
+++ b/src/kelproad/coordination/ingress/streams/delivery.py
@@ -46,6 +46,10 @@
         """Whether the answer has begun, so that no other one may follow."""
         return self._response is not None
 
+    def measure_silence(self, now: float) -> float:
+        """Measure the seconds since the last event, 0 before the first."""
+        return 0 if self.first_at is None else now - self._last_at
+
     async def relay(self, answer: OpenAnswer, chunk: bytes) -> int:
         """Forward the events that ``chunk`` completes; return their number.
 
--- a/src/kelproad/state/calls.py
+++ b/src/kelproad/state/calls.py
@@ -79,6 +79,8 @@
         Name of the service that answers it.
     arrived, deadline
         Monotonic times of its arrival and by which it must be answered.
+    version
+        Version of the configuration that admitted it.
     attempts
         Number of endpoints to which it was sent so far.
     end
@@ -103,6 +105,7 @@
     body: bytes
     arrived: float
     deadline: float
+    version: int = 0
     attempts: int = 0
     end: CallEnd = CallEnd.ANSWERED
     via: str = ''
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -16,6 +16,7 @@
 #: Upper bounds of the histograms in seconds: the objectives of the sites are
 #: between 0.2 and 3, deadlines 10 and 15.
 _BUCKETS = (0.05, 0.1, 0.2, 0.3, 0.5, 1, 1.5, 2.5, 5, 10, 15)
+_DELAY_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5)
 
 
 class Latencies:
@@ -35,6 +36,12 @@
             registry=registry,
             buckets=_BUCKETS,
         )
+        self.loop_delays = Histogram(
+            'kelproad_event_loop_delay_seconds',
+            'Seconds by which the event loop ran a timer late.',
+            registry=registry,
+            buckets=_DELAY_BUCKETS,
+        )
 
 
 class LimitMetrics:
--- a/src/kelproad/transport/deadlines.py
+++ b/src/kelproad/transport/deadlines.py
@@ -1,10 +1,22 @@
-"""Bounds on waits by deadlines on the monotonic clock."""
+"""Clocks, and bounds on waits by deadlines on the monotonic clock.
+
+A process that is stopped, or whose event loop is held, finds all its timers
+expired afterwards, before it has read what has arrived meanwhile.  By the
+running clock no time has passed then, so that the silence of others isn't
+overestimated.
+"""
 
 import asyncio
 import time
+from collections.abc import Callable
 
-__all__ = ['monotonic', 'read_boottime', 'within']
+__all__ = ['RunningClock', 'monotonic', 'read_boottime', 'within']
 
+#: Seconds between two beats of the event loop.
+_BEAT_SECONDS = 0.1
+#: Seconds by which a beat may be late before the loop counts as having stood
+#: still: garbage collection and large configurations take less.
+_TOLERANCE_SECONDS = 0.1
 #: The clock of all deadlines; unaffected by changes of the wall clock.
 monotonic = time.monotonic
 
@@ -29,3 +41,53 @@
     """
     loop = asyncio.get_running_loop()
     return asyncio.timeout_at(loop.time() + max(0, deadline - monotonic()))
+
+
+def _ignore(_seconds: float) -> None:
+    """Ignore by how much a beat was late."""
+
+
+class RunningClock:
+    """Monotonic seconds in which the event loop of this process ran.
+
+    Attributes
+    ----------
+    stood_still
+        Seconds in which it did not.
+    """
+
+    def __init__(
+        self,
+        record_delay: Callable[[float], None] = _ignore,
+        read_time: Callable[[], float] = monotonic,
+    ) -> None:
+        """Start the clock; ``record_delay`` gets the delay of each beat."""
+        self.stood_still = float(0)
+        self._record_delay = record_delay
+        self._read_time = read_time
+        self._read_at: float | None = None
+
+    def read(self) -> float:
+        """Read the clock, in seconds.
+
+        While nobody keeps it beating it is the monotonic clock.
+        """
+        now = self._read_time()
+        if self._read_at is not None:
+            late = now - self._read_at - _BEAT_SECONDS
+            if late > _TOLERANCE_SECONDS:
+                self.stood_still += late
+            self._read_at = now
+        return now - self.stood_still
+
+    async def keep_beating(self) -> None:
+        """Read the clock regularly, so that each standstill shows."""
+        self._read_at = self._read_time()
+        try:
+            while True:
+                due = self._read_time() + _BEAT_SECONDS
+                await asyncio.sleep(_BEAT_SECONDS)
+                self._record_delay(max(0, self._read_time() - due))
+                self.read()
+        finally:
+            self._read_at = None
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -14,7 +14,7 @@
 from kelproad.coordination.sending import SEND_MARGIN, send_response
 from kelproad.transport import servers as http_servers
 from kelproad.transport.addresses import Address
-from kelproad.transport.deadlines import monotonic
+from kelproad.transport.deadlines import RunningClock, monotonic
 from testbed.processes import find_free_address
 from testbed.site import Site, SitePlan, start_site
 from tests.clients import Answer, book, complete
@@ -177,3 +177,13 @@
     assert b'slow but heard' in await ordinary_reader.read()
     slow.close()
     ordinary.close()
+
+
+def test_a_standstill_of_the_process_is_no_time_of_others() -> None:
+    """Engines were accused of the seconds in which the process stood still."""
+    times = iter((0, 0.1, 0.25, 2.0, 2.1))
+    clock = RunningClock(read_time=lambda: next(times))
+    clock._read_at = next(times)
+    read = [clock.read() for _ in range(4)]
+    assert read == pytest.approx([0.1, 0.25, 0.35, 0.45])
+    assert clock.stood_still == pytest.approx(1.65)
