Stand-in endpoint: silences after which it goes on with all that it held

Tests could let an endpoint hang, crash or slow down, but not pause: say nothing for a while and then go on, as engines of the incident did (docs/incidents/stream-cut-for-silence.md).

PUT /control/silence sets one: from now on once, or in each answer before the head, an event, or the last event; for all calls or some; with and without replies to reports and orders. Events that came due meanwhile follow at once. A query "marked" adds to each event the run that it is of, so that a test sees where two runs are joined.

--- a/src/kelproad/standins/routed.py
+++ b/src/kelproad/standins/routed.py
@@ -18,6 +18,7 @@
 from aiohttp import web
 
 from ..transport.deadlines import monotonic
+from .silences import Silences
 from .statements import Statements
 
 __all__ = ['RoutedEndpointStandIn']
@@ -99,6 +100,7 @@
         self._faults = EndpointFaults()
         self._runs: list[dict[str, str]] = []
         self._statements = Statements()
+        self._silences = Silences()
         #: Monotonic time and id of each request, rejected ones included, and
         #: whether it was turned away.
         self._arrivals: list[dict[str, object]] = []
@@ -118,12 +120,14 @@
                 web.put('/control/limit', self._put_limit),
                 web.put('/control/statements', self._put_statements),
                 web.put('/control/born', self._put_born),
+                web.put('/control/silence', self._silences.handle_put),
                 web.get('/control/runs', self._show_runs),
                 web.post('/-/order', self._handle_order),
                 web.get('/-/report', self._report),
                 web.route('*', '/{path:.*}', self._answer),
             ],
         )
+        application.on_response_prepare.append(self._silences.hold_head)
         return application
 
     # Control paths
@@ -292,21 +296,30 @@
         await response.prepare(http_request)
         last = int(http_request.headers.get('Last-Event-Id', 0))
         events = int(http_request.query.get('events', self._faults.events))
+        mark = self._build_mark(http_request, last)
         requested_pace = float(http_request.query.get('pace', 0))
         crashes = self._is_poisoned(http_request)
         for number in range(last + 1, events + 1):
             if crashes and number - last > self._faults.crash_after:
                 await self._crash(http_request)
             await self._hang_if_silent()
+            await self._silences.hold_event(http_request, number, events)
             if number - last == self._faults.break_after + 1:
                 await response.write(f'id: {number}\ndata: bro'.encode())
                 http_request.transport.close()
                 return response
-            event = f'id: {number}\ndata: piece {number}\n\n'
+            event = f'id: {number}\ndata: piece {number}{mark}\n\n'
             await response.write(event.encode())
-            await asyncio.sleep(max(self._faults.pace, requested_pace))
+            pace = max(self._faults.pace, requested_pace)
+            await self._silences.pace(http_request, pace)
         return response
 
+    def _build_mark(self, http_request: web.Request, last: int) -> str:
+        """Build what marks the events of a run, if the query asks for it."""
+        if 'marked' not in http_request.query:
+            return ''
+        return f' of {self._name}/{len(self._runs)}/{last}'
+
     def _is_poisoned(self, http_request: web.Request) -> bool:
         parts = {
             entry.partition(':')[0]
