End each call that reached its handler in an answer or a line that names it

Callers got silent ends: a connection that closes without a status, or aiohttp's own 500 and 504 without the request's id. Operators found no line at all for a call whose caller left while its body arrived, 'caller left' for calls that the end of a stop or a cancelled part of the instance itself had ended, and 'answered' for answers of which the caller got a part.

Cause: only a call that was admitted, and cancelled while it was dispatched, had its end recorded; its end was recorded before its answer was sent; everything else was left to aiohttp.

CallHandler now ends each call in one place. A cancellation that nobody asked for (Task.cancelling) and any other error are a 500 of ours with the request's id and call_failed with the traceback; after the first byte the connection is aborted, with a reset where the answer would end with its connection (HTTP/1.0, where half a stream looked complete). ended says 'cut by the stop' once the stop has ended, and 'failed here'; ended_unadmitted is new; answer_not_taken has the outcome. The id is read before the rest of the head, so that a call with an unreadable deadline keeps its id in answer and log. 'ended' comes after the last byte, so the test of cuts waits for the line, and checks the same. kelproad_streams_ended_early_total counts by reason: caller left, cut by the stop, deadline, broken off, failed here.

A caller that closes one direction only still counts as one that left: the end of what it sends looks the same as that of a closed connection, and GONE wants its engine released.

--- a/src/kelproad/coordination/drain.py
+++ b/src/kelproad/coordination/drain.py
@@ -102,6 +102,11 @@
         left = self.seconds_until_kill() - _CLOSING_SECONDS
         return max(0, min(seconds, left))
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the calls in progress have been interrupted."""
+        return self._has_ended
+
     @property
     def has_grace_ended(self) -> bool:
         """Whether the grace for lagging balancers has passed.
--- a/src/kelproad/coordination/ingress/admission/dialect.py
+++ b/src/kelproad/coordination/ingress/admission/dialect.py
@@ -9,7 +9,7 @@
 import aiohttp
 import attrs
 from aiohttp import web
-from multidict import CIMultiDict
+from multidict import CIMultiDict, MultiMapping
 from returns.result import Result
 
 from ....state.calls import AnswerHead, Call, CallHead, Forwarding
@@ -26,6 +26,8 @@
 
     Attributes
     ----------
+    read_request_id
+        Return the id of a request, empty where it has none or several.
     read_call_head
         Decode the head of a caller's request.
     encode_call
@@ -41,6 +43,7 @@
         Path of the balancer's readiness checks.
     """
 
+    read_request_id: Callable[[MultiMapping[str]], str]
     read_call_head: Callable[[web.BaseRequest], Result[CallHead, Refusal]]
     encode_call: Callable[
         [Call, CIMultiDict[str], Forwarding],
--- a/src/kelproad/coordination/ingress/admission/entrance.py
+++ b/src/kelproad/coordination/ingress/admission/entrance.py
@@ -1,19 +1,25 @@
-"""Handling calls: admitted or refused, answered, counted and logged."""
+"""Handling calls: admitted or refused, answered, counted and logged.
+
+Each call that has reached its handler ends in an answer, or in a log line with
+its id that says who ended it.
+"""
 
 import asyncio
 import logging
 import math
 from collections.abc import Callable
 
+import attrs
 from aiohttp import web
 from returns.result import Failure
 
 from ....state.calls import Call, CallEnd
-from ....state.counters import Counters
-from ....state.records import current_request, record
-from ....state.refusals import Refusal
+from ....state.counters import Counters, StreamMetrics
+from ....state.records import EVENT_FIELDS, current_request, record
+from ....state.refusals import Ran, Refusal, RefusalCode, Step
 from ....transport.deadlines import monotonic
-from ....transport.servers import send_answer
+from ....transport.servers import abort_answer, send_answer
+from ...drain import Drain
 from ..retrying.dispatching import Dispatcher
 from ..streams.delivery import CallerDisconnectedError
 from ..tables.holder import ConfigurationHolder
@@ -23,6 +29,40 @@
 __all__ = ['CallHandler']
 
 _logger = logging.getLogger(__name__)
+#: Digits of seconds in the log.
+_DIGITS = 4
+#: Seconds before its deadline from which on a stream that breaks off has used
+#: up its time.
+_DEADLINE_TOLERANCE = 0.05
+
+
+@attrs.define
+class _Handling:
+    """How far the handling of a call has come.
+
+    Attributes
+    ----------
+    arrived
+        Monotonic time of its arrival.
+    call
+        The call, once it is admitted.
+    has_answer
+        Whether its answer or refusal has been decided.
+    is_refused
+        Whether that is a refusal.
+    """
+
+    http_request: web.Request
+    request_id: str
+    arrived: float
+    call: Call | None = None
+    has_answer: bool = False
+    is_refused: bool = False
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the caller may have received a part of the answer."""
+        return self.http_request.writer.output_size > 0
 
 
 class CallHandler:
@@ -36,6 +76,7 @@
         admitter: Admitter,
         dispatcher: Dispatcher,
         counters: Counters,
+        drain: Drain,
     ) -> None:
         """Dispatch the calls that are admitted, refuse the rest.
 
@@ -47,51 +88,99 @@
         self._admitter = admitter
         self._dispatcher = dispatcher
         self._counters = counters
+        self._stream_metrics = StreamMetrics(counters.registry)
+        self._drain = drain
         #: Calls whose answer has not been sent to its last byte.
         self.unfinished = 0
 
     async def answer(self, http_request: web.Request) -> web.StreamResponse:
         """Handle one call, and count it as unfinished meanwhile."""
-        arrived = monotonic()
+        handling = _Handling(
+            http_request,
+            self._dialect.read_request_id(http_request.headers),
+            monotonic(),
+        )
+        current_request.set(handling.request_id)
         self.unfinished += 1
         try:
-            response = await self._answer(http_request, arrived)
-            await _send(http_request, response)
+            return await self._handle(handling)
         finally:
             self.unfinished -= 1
+
+    async def _handle(self, handling: _Handling) -> web.StreamResponse:
+        """Answer a call, whatever happens, or record who ended it."""
+        try:
+            return await self._answer(handling)
+        except CallerDisconnectedError as left:
+            self._record_interruption(handling, left)
+            return _abort(handling.http_request)
+        except asyncio.CancelledError as cancelled:
+            # A part of this instance that was cancelled says nothing of the
+            # caller, who still waits.
+            if not asyncio.current_task().cancelling():
+                return await self._fail(handling, cancelled)
+            self._record_interruption(handling, cancelled)
+            raise
+        except Exception as error:
+            return await self._fail(handling, error)
+
+    async def _answer(self, handling: _Handling) -> web.StreamResponse:
+        """Answer a call to the last byte, and record its end."""
+        response = await self._respond(handling)
+        handling.has_answer = True
+        await _send(handling.http_request, response)
+        if not handling.is_refused:
+            self._record_end(handling)
         return response
 
-    async def _answer(
-        self,
-        http_request: web.Request,
-        arrived: float,
-    ) -> web.StreamResponse:
-        read = self._dialect.read_call_head(http_request)
+    async def _respond(self, handling: _Handling) -> web.StreamResponse:
+        """Return the answer to a call; that of a stream has been sent."""
+        read = self._dialect.read_call_head(handling.http_request)
         if isinstance(read, Failure):
-            return self._refuse(read.failure(), '', arrived)
-        head = read.unwrap()
-        current_request.set(head.request_id)
-        admitted = await self._admitter.admit(head, http_request, arrived)
+            return self._refuse(handling, read.failure())
+        admitted = await self._admitter.admit(
+            read.unwrap(), handling.http_request, handling.arrived
+        )
         if isinstance(admitted, Failure):
-            return self._refuse(admitted.failure(), head.request_id, arrived)
-        call = admitted.unwrap()
-        try:
-            answered = await self._dispatcher.answer(call, http_request)
-        except (CallerDisconnectedError, asyncio.CancelledError):
-            call.end = CallEnd.CALLER_DISCONNECTED
-            self._record_end(call)
-            raise
+            return self._refuse(handling, admitted.failure())
+        handling.call = admitted.unwrap()
+        answered = await self._dispatcher.answer(
+            handling.call, handling.http_request
+        )
         if isinstance(answered, Failure):
-            return self._refuse(answered.failure(), head.request_id, arrived)
-        self._record_end(call)
+            return self._refuse(handling, answered.failure())
         return answered.unwrap()
 
-    def _refuse(
-        self,
-        refusal: Refusal,
-        request_id: str,
-        arrived: float,
-    ) -> web.Response:
+    async def _fail(
+        self, handling: _Handling, error: BaseException
+    ) -> web.StreamResponse:
+        """End a call after an error that nobody has handled."""
+        fields = {'request': handling.request_id, 'error': repr(error)}
+        _logger.error(
+            'call_failed', extra={EVENT_FIELDS: fields}, exc_info=error
+        )
+        if handling.has_begun:
+            if handling.call is not None:
+                handling.call.end = CallEnd.FAILED
+                self._record_end(handling)
+            return _abort(handling.http_request)
+        # The answer that could not be sent may have been one in chunks.
+        handling.http_request.writer.chunked = False
+        call = handling.call
+        response = self._refuse(
+            handling,
+            Refusal(
+                RefusalCode.INTERNAL,
+                'an error of this instance',
+                Step.DISPATCH if call else Step.RECEIVE,
+                ran=Ran.UNKNOWN if call and call.attempts else Ran.NO,
+            ),
+        )
+        response.force_close()
+        return response
+
+    def _refuse(self, handling: _Handling, refusal: Refusal) -> web.Response:
+        handling.is_refused = True
         self._counters.refusals.inc(
             {
                 'step': refusal.step.value,
@@ -103,25 +192,54 @@
         record(
             _logger,
             'refused',
-            request=request_id,
+            request=handling.request_id,
             code=refusal.code.value,
             message=refusal.message,
             ran=refusal.ran.value,
             retry_after=refusal.retry_after,
             version=configuration.version if configuration else None,
             age=_round_age(self._measure_age()),
-            elapsed=round(monotonic() - arrived, 4),
+            elapsed=round(monotonic() - handling.arrived, _DIGITS),
         )
-        return self._dialect.build_refusal(refusal, request_id)
+        return self._dialect.build_refusal(refusal, handling.request_id)
+
+    def _record_interruption(
+        self, handling: _Handling, error: BaseException
+    ) -> None:
+        """Record who ended a call before the last byte of its answer."""
+        end = CallEnd.CALLER_DISCONNECTED
+        if self._drain.has_ended:
+            end = CallEnd.ABORTED_BY_STOP
+        if handling.has_answer:
+            record(
+                _logger,
+                'answer_not_taken',
+                request=handling.request_id,
+                outcome=end.value,
+                reason=repr(error.__cause__ or error),
+            )
+        if handling.call is None and not handling.is_refused:
+            record(
+                _logger,
+                'ended_unadmitted',
+                request=handling.request_id,
+                outcome=end.value,
+                elapsed=round(monotonic() - handling.arrived, _DIGITS),
+            )
+        elif not handling.is_refused:
+            handling.call.end = end
+            self._record_end(handling)
 
-    def _record_end(self, call: Call) -> None:
+    def _record_end(self, handling: _Handling) -> None:
+        call = handling.call
         now = monotonic()
+        if handling.has_begun and call.kind.streams:
+            self._count_early_end(call, now)
         self._counters.requests.inc(
-            {'service': call.service, 'outcome': call.end.value},
+            {'service': call.service, 'outcome': call.end.value}
         )
         self._counters.latencies.answers.observe(
-            {'service': call.service},
-            now - call.arrived,
+            {'service': call.service}, now - call.arrived
         )
         record(
             _logger,
@@ -132,9 +250,20 @@
             outcome=call.end.value,
             attempts=call.attempts,
             via=call.via,
-            elapsed=round(now - call.arrived, 4),
+            version=call.version,
+            elapsed=round(now - call.arrived, _DIGITS),
         )
 
+    def _count_early_end(self, call: Call, now: float) -> None:
+        """Count a stream that began and didn't end, by a fixed reason."""
+        if call.end is CallEnd.ANSWERED:
+            return
+        is_late = call.remaining(now) <= _DEADLINE_TOLERANCE
+        reason = call.end.value
+        if call.end is CallEnd.TRUNCATED and is_late:
+            reason = 'deadline'
+        self._stream_metrics.ended_early.inc({'reason': reason})
+
 
 async def _send(
     http_request: web.Request,
@@ -144,16 +273,25 @@
 
     A stop that saw no call in progress would close the connection before a
     slow caller has read the answer: one received 4.9 of 6 MB.
+
+    Raises
+    ------
+    CallerDisconnectedError
+        When the connection has been closed.
     """
     try:
         await send_answer(http_request, response)
     except ConnectionError as error:
-        record(
-            _logger,
-            'answer_not_taken',
-            request=current_request.get(),
-            reason=repr(error),
-        )
+        raise CallerDisconnectedError from error
+
+
+def _abort(http_request: web.Request) -> web.StreamResponse:
+    """Abort a connection, so that the answer can't look complete.
+
+    The response is one for aiohttp, which can't send it any more.
+    """
+    abort_answer(http_request)
+    return web.Response()
 
 
 def _round_age(seconds: float) -> float | None:
--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -158,6 +158,7 @@
                 guard,
             ),
             shared.counters,
+            shared.drain,
         )
         return cls(handler, memory, guard)
 
--- a/src/kelproad/platform/headers.py
+++ b/src/kelproad/platform/headers.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 from aiohttp import web
-from multidict import CIMultiDict
+from multidict import CIMultiDict, MultiMapping
 from returns.result import Failure, Result, Success
 
 from ..protocol.plain import filter_headers
@@ -17,6 +17,7 @@
     'encode_call',
     'read_answer_head',
     'read_call_head',
+    'read_request_id',
 ]
 
 _REQUEST_ID = 'X-Kelproad-Request-Id'
@@ -99,13 +100,19 @@
 _MIN_ERROR_STATUS = 500
 
 
+def read_request_id(headers: MultiMapping[str]) -> str:
+    """Return the id of a request, empty where it has none or several."""
+    request_ids = headers.getall(_REQUEST_ID, [])
+    return request_ids[0] if len(request_ids) == 1 else ''
+
+
 def read_call_head(
     http_request: web.BaseRequest,
 ) -> Result[CallHead, Refusal]:
     """Decode the head of a caller's call."""
     headers = http_request.headers
-    request_ids = headers.getall(_REQUEST_ID, [])
-    if len(request_ids) != 1 or not request_ids[0]:
+    request_id = read_request_id(headers)
+    if not request_id:
         return Failure(_refuse(f'{_REQUEST_ID}: must be present exactly once'))
     allowed = headers.get(_DEADLINE)
     if allowed is not None and not _NUMBER.fullmatch(allowed.strip()):
@@ -115,7 +122,7 @@
     prompt, answer = _parse_token_counts(headers.get(_TOKEN_COUNT, ''))
     return Success(
         CallHead(
-            request_id=request_ids[0],
+            request_id=request_id,
             method=http_request.method,
             host=headers.get('Host', ''),
             target=http_request.raw_path,
--- a/src/kelproad/platform/node.py
+++ b/src/kelproad/platform/node.py
@@ -30,6 +30,7 @@
 def create_node(settings: SettingsHolder) -> Node:
     """Create an instance, which follows changes of its store's address."""
     dialect = Dialect(
+        read_request_id=headers.read_request_id,
         read_call_head=headers.read_call_head,
         encode_call=headers.encode_call,
         read_answer_head=headers.read_answer_head,
--- a/src/kelproad/state/calls.py
+++ b/src/kelproad/state/calls.py
@@ -24,6 +24,7 @@
     TRUNCATED = 'broken off'
     ABORTED_BY_STOP = 'cut by the stop'
     CALLER_DISCONNECTED = 'caller left'
+    FAILED = 'failed here'
 
 
 @attrs.frozen
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -10,6 +10,7 @@
     'Latencies',
     'LimitMetrics',
     'QuarantineMetrics',
+    'StreamMetrics',
     'WithdrawalMetrics',
 ]
 
@@ -78,6 +79,18 @@
         )
 
 
+class StreamMetrics:
+    """Metrics of streams to callers."""
+
+    def __init__(self, registry: Registry) -> None:
+        """Register the metrics."""
+        self.ended_early = Counter(
+            'kelproad_streams_ended_early_total',
+            'Streams that had begun and ended without their end, by reason.',
+            registry=registry,
+        )
+
+
 class WithdrawalMetrics:
     """Metrics of endpoints that want no more calls."""
 
--- a/src/kelproad/transport/servers.py
+++ b/src/kelproad/transport/servers.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
@@ -14,6 +15,7 @@
 
 __all__ = [
     'HttpServer',
+    'abort_answer',
     'finish_answer',
     'send_answer',
     'wait_for_last_byte',
@@ -29,6 +31,8 @@
 _LONGEST_IDLE_SECONDS = 3600.0
 _MALFORMED = (HttpProcessingError, web.RequestPayloadError)
 _BACKLOG = 1024
+#: Option by which closing a socket resets its connection.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -214,6 +218,22 @@
         transport.set_write_buffer_limits(high=0)
 
 
+def abort_answer(http_request: web.BaseRequest) -> None:
+    """Abort a connection, so that its answer can't look complete.
+
+    An answer in chunks lacks the last one then.  Any other one may end with its
+    connection, so that only a reset tells its caller that a part is missing.
+    """
+    transport = http_request.transport
+    if transport is None:
+        return
+    if not http_request.writer.chunked:
+        transport.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+        )
+    transport.abort()
+
+
 def _create_listener(address: Address) -> socket.socket:
     family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
     listener = socket.socket(family, socket.SOCK_STREAM)
--- a/tests/ingress/test_attempts.py
+++ b/tests/ingress/test_attempts.py
@@ -34,6 +34,7 @@
     encode_call,
     read_answer_head,
     read_call_head,
+    read_request_id,
 )
 from kelproad.protocol.connections import (
     ConnectionProgress,
@@ -107,6 +108,7 @@
 async def client() -> AsyncIterator[EndpointClient]:
     """Open a client with the session settings of an instance."""
     dialect = Dialect(
+        read_request_id,
         read_call_head,
         encode_call,
         read_answer_head,
--- a/tests/ingress/test_cuts_site.py
+++ b/tests/ingress/test_cuts_site.py
@@ -199,12 +199,16 @@
         for endpoint in state['endpoints'].values():
             assert endpoint['ejected_for'] == 0
     answer = call(site.site.instances[0], '/brisk/x')
-    ended = [
-        line['via']
-        for line in site.site.instances[0].log_lines
-        if line['event'] == 'ended' and line['request'] == answer.request_id
-    ]
-    assert ended == ['']
+
+    def list_vias() -> list[str]:
+        return [
+            line['via']
+            for line in site.site.instances[0].log_lines
+            if line['event'] == 'ended' and line['request'] == answer.request_id
+        ]
+
+    wait_for(list_vias, 'the end is logged')
+    assert list_vias() == ['']
 
 
 def test_no_booking_runs_twice_while_a_helping_instance_is_killed(
