Abort no new connection whose first call has been read

Idle connections are given some iterations for that already; new ones were not. They are now. Ruled out for idle ones: their timers run after the socket is read, and their close waits for the handlers.

--- a/src/kelproad/transport/callerconnections.py
+++ b/src/kelproad/transport/callerconnections.py
@@ -1,7 +1,7 @@
 """Connections of callers: which have a call, and when idle ones are closed."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 
 import attrs
 from aiohttp import web
@@ -104,19 +104,31 @@
         what comes on a connection that is marked as closed.  Only a call that
         arrives during the close is lost, unread.
         """
-        for connection in idle:
-            # aiohttp lists a connection that its caller has just closed until
-            # its task has ended.
-            if connection.transport is not None:
-                connection.transport.pause_reading()
-        for _ in range(_READING_ITERATIONS):
-            await asyncio.sleep(0)
+        await _let_calls_begin(idle)
         for connection in idle:
             self._close_unless_busy(connection)
 
+    async def _abort(self, connection: web.RequestHandler) -> None:
+        """Abort a connection whose first headers are late.
+
+        They may have been read in this iteration: after a standstill of the
+        process the time has run out although they came in time.
+        """
+        await _let_calls_begin([connection])
+        transport = connection.transport
+        if connection in self._awaiting_first:
+            self._awaiting_first.discard(connection)
+            if transport is not None:
+                transport.abort()
+        elif transport is not None:
+            transport.resume_reading()
+
     def _start_close(self, connection: web.RequestHandler) -> None:
         self._idle.pop(connection, None)
-        task = asyncio.create_task(self._close([connection]))
+        self._start(self._close([connection]))
+
+    def _start(self, closing: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(closing)
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
 
@@ -132,10 +144,8 @@
         transport.close()
 
     def _abort_unless_used(self, connection: web.RequestHandler) -> None:
-        is_awaiting = connection in self._awaiting_first
-        self._awaiting_first.discard(connection)
-        if is_awaiting and connection.transport is not None:
-            connection.transport.abort()
+        if connection in self._awaiting_first:
+            self._start(self._abort(connection))
 
     def _forget_closed(self) -> None:
         """Forget closed connections once they are as many as the open ones."""
@@ -146,3 +156,14 @@
     def _forget(self, closed: Iterable[web.RequestHandler]) -> None:
         for connection in closed:
             self._idle.pop(connection).cancel()
+
+
+async def _let_calls_begin(connections: list[web.RequestHandler]) -> None:
+    """Pause reading, and let calls that have been read reach handlers."""
+    for connection in connections:
+        # aiohttp lists a connection that its caller has just closed until its
+        # task has ended.
+        if connection.transport is not None:
+            connection.transport.pause_reading()
+    for _ in range(_READING_ITERATIONS):
+        await asyncio.sleep(0)
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 from collections.abc import AsyncIterator, Callable
 
 import attrs
@@ -208,3 +209,55 @@
     writer.close()
     await server.stop()
     assert limits[0] == limits[1]
+
+
+@pytest.mark.parametrize('turns', TURNS)
+async def test_a_first_call_at_the_end_of_its_time_is_answered(
+    turns: int,
+) -> None:
+    """Guards against a connection that is aborted under a call that was read.
+
+    The time for the first headers ends when they have been read, and their
+    call has not reached its handler yet.
+    """
+    async with keep_connections() as kept:
+        host, port = kept.server.list_connections()[0].transport.get_extra_info(
+            'sockname'
+        )
+        before = kept.handled
+        opened = [
+            await asyncio.open_connection(host, port)
+            for _ in range(CONNECTIONS)
+        ]
+        await asyncio.sleep(CLOSE_NOTICED_SECONDS)
+        waiting = kept.server.list_connections()[-CONNECTIONS:]
+        for _, writer in opened:
+            writer.write(CALL)
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        for connection in waiting:
+            kept.server._connections._abort_unless_used(connection)
+        answers = [await read_rest(reader) for reader, _ in opened]
+        for _, writer in opened:
+            writer.close()
+        answered = sum(answer.endswith(b'answer') for answer in answers)
+        assert answered == kept.handled - before
+
+
+async def test_a_first_call_that_waited_for_this_process_is_answered() -> None:
+    """Guards against a standstill of the process taken for slow callers.
+
+    After it, the time for the first headers has run out, and the headers have
+    been in the socket for long.
+    """
+    timeouts = ConnectionTimeouts(head=0.3, idle=30)
+    async with keep_connections(lambda: timeouts) as kept:
+        host, port = kept.server.list_connections()[0].transport.get_extra_info(
+            'sockname'
+        )
+        reader, writer = await asyncio.open_connection(host, port)
+        await asyncio.sleep(CLOSE_NOTICED_SECONDS)
+        writer.write(CALL)
+        time.sleep(2 * timeouts.head)
+        assert (await read_rest(reader)).endswith(b'answer')
+        writer.close()
