Tell calls that are read and dropped with their connection

A caller that sends its next call before it has the answer, or just as a stop closes the connection after that answer, got no status, and no line named the call: aiohttp reads it, keeps it and forgets it.

Each connection is now observed: when it ends, the calls that aiohttp has read and handed to nobody are logged as call_dropped, with their ids and who ended the connection (caller, instance). Nothing else changes; pipelined calls are answered in order as before (a test).

Ruled out: a call that comes together with the end of what its caller sends reaches its handler, whose cancellation is logged (a test).

--- a/src/kelproad/coordination/ingress/servers.py
+++ b/src/kelproad/coordination/ingress/servers.py
@@ -6,6 +6,7 @@
 import attrs
 from aiohttp import web
 from aioprometheus import render
+from multidict import MultiMapping
 
 from ...state.counters import Counters
 from ...state.endpointtable import EndpointTable
@@ -70,6 +71,7 @@
             decode_bodies=False,
             shutdown_timeout=_SHUTDOWN_SECONDS,
             header_bytes=_HEADER_BYTES,
+            on_unhandled=self._record_unhandled,
         )
 
     def create_ready_server(self) -> HttpServer:
@@ -107,6 +109,15 @@
     ) -> web.StreamResponse:
         return await self._answer(http_request)
 
+    def _record_unhandled(self, headers: MultiMapping[str], by: str) -> None:
+        """Record a call that was read and ends without an answer."""
+        record(
+            _logger,
+            'call_dropped',
+            request=self._dialect.read_request_id(headers),
+            by=by,
+        )
+
     def _read_timeouts(self) -> ConnectionTimeouts:
         limits = self._read_limits()
         return ConnectionTimeouts(limits.header_timeout, limits.idle_timeout)
--- a/src/kelproad/transport/callerconnections.py
+++ b/src/kelproad/transport/callerconnections.py
@@ -1,12 +1,17 @@
-"""Connections of callers: which have a call, and when idle ones are closed."""
+"""Connections of callers: which have a call, and when idle ones are closed.
+
+Calls that were read and never reach a handler are told: those behind the last
+answer on a connection, or behind a call whose caller leaves.
+"""
 
 import asyncio
 from collections.abc import Callable, Coroutine, Iterable
 
 import attrs
 from aiohttp import web
+from multidict import MultiMapping
 
-__all__ = ['CallerConnections', 'ConnectionTimeouts']
+__all__ = ['CallerConnections', 'ConnectionTimeouts', 'ObservedConnection']
 
 #: Iterations of the event loop in which a call that has been read reaches its
 #: handler: aiohttp resumes the connection's task, which starts another one.
@@ -33,6 +38,52 @@
     idle: float
 
 
+class ObservedConnection(asyncio.Protocol):
+    """aiohttp's protocol of a connection, and who ended the connection."""
+
+    def __init__(
+        self,
+        connection: web.RequestHandler,
+        record_end: Callable[[web.RequestHandler, str], None],
+    ) -> None:
+        """Pass everything on; ``record_end`` gets who ended it.
+
+        That is ``caller`` or ``instance``.
+        """
+        self._connection = connection
+        self._record_end = record_end
+        self._has_caller_left = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Pass on that the connection is open."""
+        self._connection.connection_made(transport)
+
+    def data_received(self, received: bytes) -> None:
+        """Pass on bytes."""
+        self._connection.data_received(received)
+
+    def eof_received(self) -> bool | None:
+        """Record that the caller has closed its direction."""
+        self._has_caller_left = True
+        return self._connection.eof_received()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Record the end before aiohttp forgets what it has read."""
+        has_caller_left = self._has_caller_left or error is not None
+        self._record_end(
+            self._connection, 'caller' if has_caller_left else 'instance'
+        )
+        self._connection.connection_lost(error)
+
+    def pause_writing(self) -> None:
+        """Pass on that the write buffer is full."""
+        self._connection.pause_writing()
+
+    def resume_writing(self) -> None:
+        """Pass on that the write buffer has room."""
+        self._connection.resume_writing()
+
+
 class CallerConnections:
     """The connections of a server.
 
@@ -45,10 +96,16 @@
         self,
         list_open: Callable[[], list[web.RequestHandler]],
         read_timeouts: Callable[[], ConnectionTimeouts],
+        on_unhandled: Callable[[MultiMapping[str], str], None],
     ) -> None:
-        """Track connections; ``list_open`` lists those that are open."""
+        """Track connections; ``list_open`` lists those that are open.
+
+        ``on_unhandled`` gets the headers of each call that was read and reached
+        no handler, and who ended its connection.
+        """
         self._list_open = list_open
         self._read_timeouts = read_timeouts
+        self._on_unhandled = on_unhandled
         self._awaiting_first: set[web.RequestHandler] = set()
         self._busy: set[web.RequestHandler] = set()
         #: Timers of the idle connections that have had a call.
@@ -62,6 +119,13 @@
             self._read_timeouts().head, self._abort_unless_used, connection
         )
 
+    def record_end(self, connection: web.RequestHandler, by: str) -> None:
+        """Tell the calls that were read and are dropped with a connection."""
+        # What aiohttp has read and drops is to be found nowhere else.
+        for message, _ in connection._messages:  # noqa: WPS437
+            if hasattr(message, 'headers'):
+                self._on_unhandled(message.headers, by)
+
     def begin_call(self, connection: web.RequestHandler) -> None:
         """Record that a call has begun."""
         self._awaiting_first.discard(connection)
--- a/src/kelproad/transport/servers.py
+++ b/src/kelproad/transport/servers.py
@@ -8,9 +8,14 @@
 
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
+from multidict import MultiMapping
 
 from .addresses import Address
-from .callerconnections import CallerConnections, ConnectionTimeouts
+from .callerconnections import (
+    CallerConnections,
+    ConnectionTimeouts,
+    ObservedConnection,
+)
 from .services import BackgroundService
 
 __all__ = [
@@ -42,6 +47,10 @@
     """Ignore malformed input."""
 
 
+def _ignore_unhandled(_headers: MultiMapping[str], _by: str) -> None:
+    """Ignore calls that were read and not handled."""
+
+
 def _choose_timeouts() -> ConnectionTimeouts:
     return ConnectionTimeouts(HEAD_TIMEOUT, _KEEPALIVE_SECONDS)
 
@@ -60,6 +69,9 @@
         decode_bodies: bool = True,
         shutdown_timeout: float = 1.0,
         header_bytes: int = MAX_HEADER_BYTES,
+        on_unhandled: Callable[
+            [MultiMapping[str], str], None
+        ] = _ignore_unhandled,
     ) -> None:
         """Prepare to serve an application; it listens once it is started.
 
@@ -81,6 +93,10 @@
             closes.
         header_bytes
             Maximum size of the request line and of each header field.
+        on_unhandled
+            Called with the headers of a call that was read and reached no
+            handler, and with who ended its connection: ``caller`` or
+            ``instance``.
         """
         super().__init__()
         self._application = application
@@ -89,7 +105,7 @@
         self._runner: web.AppRunner | None = None
         self._listener: asyncio.Server | None = None
         self._connections = CallerConnections(
-            self.list_connections, read_timeouts
+            self.list_connections, read_timeouts, on_unhandled
         )
         self._decode_bodies = decode_bodies
         self._shutdown_timeout = shutdown_timeout
@@ -140,7 +156,7 @@
         """Serve a connection, with a time-out for its first request."""
         connection = self._runner.server()
         self._connections.begin(connection)
-        return connection
+        return ObservedConnection(connection, self._connections.record_end)
 
     @web.middleware
     async def _track_call(
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -261,3 +261,112 @@
         time.sleep(2 * timeouts.head)
         assert (await read_rest(reader)).endswith(b'answer')
         writer.close()
+
+
+@attrs.define
+class PipeliningServer:
+    """A server, and what it told of calls that it did not handle."""
+
+    address: Address
+    server: HttpServer
+    unhandled: list[tuple[str, str]] = attrs.field(factory=list)
+    begun: list[str] = attrs.field(factory=list)
+
+    async def send(
+        self, count: int
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Send numbered calls at once."""
+        reader, writer = await asyncio.open_connection(
+            self.address.host, self.address.port
+        )
+        await asyncio.sleep(CLOSE_NOTICED_SECONDS)
+        writer.write(
+            b''.join(
+                CALL.replace(b'Host: x', b'Host: x%d' % number)
+                for number in range(count)
+            )
+        )
+        return reader, writer
+
+
+@contextlib.asynccontextmanager
+async def serve_pipelined(
+    keeps_alive: bool = False, seconds: float = 0.05
+) -> AsyncIterator[PipeliningServer]:
+    """Run a server that closes connections after one answer, or keeps them."""
+    address = Address.from_text(find_free_address())
+
+    async def answer(http_request: web.Request) -> web.Response:
+        served.begun.append(http_request.host)
+        await asyncio.sleep(seconds)
+        response = web.Response(text='answer')
+        if not keeps_alive:
+            response.force_close()
+        return response
+
+    application = web.Application()
+    application.add_routes([web.get('/x', answer)])
+    server = HttpServer(
+        application,
+        address,
+        on_unhandled=lambda headers, by: served.unhandled.append(
+            (headers['Host'], by)
+        ),
+    )
+    served = PipeliningServer(address, server)
+    await server.start()
+    try:
+        yield served
+    finally:
+        await server.stop()
+
+
+async def test_a_call_behind_a_last_answer_is_told() -> None:
+    """Guards against calls that are read, and dropped without any line."""
+    async with serve_pipelined() as served:
+        reader, writer = await served.send(3)
+        received = await reader.read()
+        assert received.count(b'answer') == 1
+        await asyncio.sleep(CLOSE_NOTICED_SECONDS)
+        assert served.unhandled == [('x1', 'instance'), ('x2', 'instance')]
+        writer.close()
+
+
+async def test_pipelined_calls_are_answered_in_order() -> None:
+    """Guards against a connection that handles one call only."""
+    async with serve_pipelined(keeps_alive=True) as served:
+        reader, writer = await served.send(3)
+        received = b''
+        while received.count(b'answer') < 3:
+            received += await asyncio.wait_for(reader.read(PAGE), CLOSED_WITHIN)
+        assert not served.unhandled
+        writer.close()
+
+
+@pytest.mark.parametrize('aborts', [True, False])
+async def test_a_call_whose_caller_leaves_with_it_reaches_its_handler(
+    aborts: bool,
+) -> None:
+    """Guards against calls that are read, and dropped without any line.
+
+    The handler that is cancelled tells of it.
+    """
+    async with serve_pipelined() as served:
+        _, writer = await served.send(1)
+        if aborts:
+            writer.transport.abort()
+        else:
+            writer.write_eof()
+        await asyncio.sleep(CLOSE_NOTICED_SECONDS)
+        assert served.begun == ['x0']
+        assert not served.unhandled
+
+
+async def test_calls_behind_one_whose_caller_leaves_are_told() -> None:
+    """Guards against calls that are read, and dropped without any line."""
+    async with serve_pipelined(seconds=1) as served:
+        _, writer = await served.send(2)
+        await asyncio.sleep(CLOSE_NOTICED_SECONDS)
+        writer.close()
+        await asyncio.sleep(CLOSE_NOTICED_SECONDS)
+        assert served.unhandled == [('x1', 'caller')]
