--- a/src/kelproad/coordination/ingress/admission/entrance.py
+++ b/src/kelproad/coordination/ingress/admission/entrance.py
@@ -18,7 +18,7 @@
 from ....state.records import EVENT_FIELDS, current_request, record
 from ....state.refusals import Ran, Refusal, RefusalCode, Step
 from ....transport.deadlines import monotonic
-from ....transport.servers import abort_answer, send_answer
+from ....transport.servers import abort_answer, discard_answer, send_answer
 from ...drain import Drain
 from ..retrying.dispatching import Dispatcher
 from ..streams.delivery import CallerDisconnectedError
@@ -117,7 +117,8 @@
         except asyncio.CancelledError as cancelled:
             # A part of this instance that was cancelled says nothing of the
             # caller, who still waits.
-            if not asyncio.current_task().cancelling():
+            task = asyncio.current_task()
+            if task is not None and not task.cancelling():
                 return await self._fail(handling, cancelled)
             self._record_interruption(handling, cancelled)
             raise
@@ -129,8 +130,8 @@
         response = await self._respond(handling)
         handling.has_answer = True
         await _send(handling.http_request, response)
-        if not handling.is_refused:
-            self._record_end(handling)
+        if handling.call is not None and not handling.is_refused:
+            self._record_end(handling, handling.call)
         return response
 
     async def _respond(self, handling: _Handling) -> web.StreamResponse:
@@ -159,14 +160,13 @@
         _logger.error(
             'call_failed', extra={EVENT_FIELDS: fields}, exc_info=error
         )
+        call = handling.call
         if handling.has_begun:
-            if handling.call is not None:
-                handling.call.end = CallEnd.FAILED
-                self._record_end(handling)
+            if call is not None:
+                call.end = CallEnd.FAILED
+                self._record_end(handling, call)
             return _abort(handling.http_request)
-        # The answer that could not be sent may have been one in chunks.
-        handling.http_request.writer.chunked = False
-        call = handling.call
+        discard_answer(handling.http_request)
         response = self._refuse(
             handling,
             Refusal(
@@ -218,7 +218,9 @@
                 outcome=end.value,
                 reason=repr(error.__cause__ or error),
             )
-        if handling.call is None and not handling.is_refused:
+        if handling.is_refused:
+            return
+        if handling.call is None:
             record(
                 _logger,
                 'ended_unadmitted',
@@ -226,12 +228,11 @@
                 outcome=end.value,
                 elapsed=round(monotonic() - handling.arrived, _DIGITS),
             )
-        elif not handling.is_refused:
-            handling.call.end = end
-            self._record_end(handling)
+            return
+        handling.call.end = end
+        self._record_end(handling, handling.call)
 
-    def _record_end(self, handling: _Handling) -> None:
-        call = handling.call
+    def _record_end(self, handling: _Handling, call: Call) -> None:
         now = monotonic()
         if handling.has_begun and call.kind.streams:
             self._count_early_end(call, now)
--- a/src/kelproad/transport/callerconnections.py
+++ b/src/kelproad/transport/callerconnections.py
@@ -62,10 +62,13 @@
         """Pass on bytes."""
         self._connection.data_received(received)
 
-    def eof_received(self) -> bool | None:
-        """Record that the caller has closed its direction."""
+    def eof_received(self) -> None:
+        """Record that the caller has closed its direction.
+
+        The transport closes the connection then.
+        """
         self._has_caller_left = True
-        return self._connection.eof_received()
+        self._connection.eof_received()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Record the end before aiohttp forgets what it has read."""
--- a/src/kelproad/transport/servers.py
+++ b/src/kelproad/transport/servers.py
@@ -5,8 +5,10 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
+from typing import cast
 
 from aiohttp import web
+from aiohttp.http import StreamWriter
 from aiohttp.http_exceptions import HttpProcessingError
 from multidict import MultiMapping
 
@@ -21,6 +23,7 @@
 __all__ = [
     'HttpServer',
     'abort_answer',
+    'discard_answer',
     'finish_answer',
     'send_answer',
     'wait_for_last_byte',
@@ -243,13 +246,21 @@
     transport = http_request.transport
     if transport is None:
         return
-    if not http_request.writer.chunked:
+    if not cast(StreamWriter, http_request.writer).chunked:
         transport.get_extra_info('socket').setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
         )
     transport.abort()
 
 
+def discard_answer(http_request: web.BaseRequest) -> None:
+    """Forget an answer of which nothing was sent, before another one is.
+
+    Otherwise that would be encoded in chunks because the first one was.
+    """
+    cast(StreamWriter, http_request.writer).chunked = False
+
+
 def _create_listener(address: Address) -> socket.socket:
     family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
     listener = socket.socket(family, socket.SOCK_STREAM)
