--- a/src/kelproad/cli/operators.py
+++ b/src/kelproad/cli/operators.py
@@ -66,6 +66,12 @@
         list[pathlib.Path] | None,
         typer.Option(help='Log of an instance; may be given several times.'),
     ] = None,
+    around: Annotated[
+        bool,
+        typer.Option(
+            help='With --log, show what its instances told of themselves too.'
+        ),
+    ] = False,
 ) -> None:
     """Explain why a request went where it went, or was refused.
 
@@ -73,7 +79,7 @@
     has exited too; without it, an instance is queried.
     """
     if log:
-        _explain_by_logs(request_id, log)
+        _explain_by_logs(request_id, log, around)
         return
     decision = call_instance(
         server, token, 'GET', f'/operator/explain/{request_id}'
@@ -81,8 +87,10 @@
     typer.echo(json.dumps(decision, indent=2))
 
 
-def _explain_by_logs(request_id: str, paths: list[pathlib.Path]) -> None:
-    lines = read_request_events(request_id, paths)
+def _explain_by_logs(
+    request_id: str, paths: list[pathlib.Path], around: bool
+) -> None:
+    lines = read_request_events(request_id, paths, around)
     if not lines:
         typer.echo(f'no line about {request_id}', err=True)
         raise typer.Exit(1)
