--- a/tests/ingress/test_entrance.py
+++ b/tests/ingress/test_entrance.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import attrs
@@ -11,8 +12,13 @@
 from returns.result import Failure, Result, Success
 
 from kelproad.coordination.drain import Drain
+from kelproad.coordination.ingress.admission.admitting import Admitter
 from kelproad.coordination.ingress.admission.entrance import CallHandler
-from kelproad.coordination.ingress.admission.stopping import plan_stop
+from kelproad.coordination.ingress.admission.stopping import (
+    StopGuard,
+    plan_stop,
+)
+from kelproad.coordination.ingress.settings import Bounds
 from kelproad.coordination.ingress.streams.delivery import (
     CallerDisconnectedError,
 )
@@ -26,7 +32,13 @@
 from kelproad.state.counters import Counters
 from kelproad.state.records import EVENT_FIELDS
 from kelproad.state.refusals import Refusal, RefusalCode, Step
-from kelproad.state.routes import CallKind, Route, WeightedService
+from kelproad.state.routes import (
+    CallKind,
+    IngressLimits,
+    Route,
+    RoutingConfiguration,
+    WeightedService,
+)
 from kelproad.transport.addresses import Address
 from kelproad.transport.deadlines import monotonic
 from kelproad.transport.servers import HttpServer
@@ -42,6 +54,8 @@
 HUGE = 16_000_000
 #: Seconds within which something immediate must be seen.
 SOON = 2.0
+#: Seconds that a call may take whose body arrives slowly.
+SLOW_SECONDS = 0.5
 ROUTE = Route(
     'r', 'h', '/r/', CallKind.RESUMABLE_STREAM, (WeightedService('s', 1),), 5, 1
 )
@@ -469,3 +483,51 @@
         reader, _ = await entrance.connect()
         await read_all(reader)
         assert entrance.count_early_ends() == {reason: 1}
+
+
+# Bodies that arrive slowly
+
+
+def build_admitter(drain: Drain) -> Admitter:
+    """Build an admitter that reads the bodies of calls itself."""
+    holder = ConfigurationHolder()
+    configuration = RoutingConfiguration.from_declarations(
+        1,
+        [attrs.evolve(ROUTE, timeout=SLOW_SECONDS)],
+        [],
+        {},
+        IngressLimits(),
+        {},
+    )
+    assert holder.offer(Success(configuration), b'as written')
+    return Admitter(
+        holder,
+        float,
+        lambda: True,
+        lambda _now: False,
+        lambda: False,
+        StopGuard(drain),
+        Bounds,
+        random.Random(1),
+    )
+
+
+@pytest.mark.parametrize('stops', [True, False])
+async def test_a_body_that_does_not_arrive_is_answered(
+    stops: bool, lines: Callable[[], list[tuple]]
+) -> None:
+    """Guards against slow callers that get no status, and no line."""
+    async with serve(wait_forever) as entrance:
+        entrance.handler._admitter = build_admitter(entrance.drain)
+        reader, writer = await entrance.connect(CALL[:-1])
+        await asyncio.sleep(SLOW_SECONDS / 5)
+        if stops:
+            entrance.drain.start()
+            entrance.drain.interrupt_calls()
+        async with asyncio.timeout(SOON):
+            received = await reader.read(PAGE)
+        assert received.startswith(b'HTTP/1.1 503 ')
+        refused = await find_line(lines, 'refused')
+        assert refused['ran'] == 'no'
+        assert ('stops' in refused['message']) is stops
+        writer.close()
