Refuse nothing for good in an instance's first seconds

Cause: the store had returned from a copy without the key, the only instance that had it stopped, and an instance that starts can't know of a return just before: it took the copy for complete. So would one that has the copy from another such instance.

Confirmation now counts the time in which operators write again (revoke_ms, as after a return that is noticed) from the first configuration on, from whoever it comes; a configuration written meanwhile ends it at once. Until then, unknown keys and routes get a 503 that invites callers back, to other instances where they are confirmed.

--- a/src/kelproad/coordination/ingress/tables/confirming.py
+++ b/src/kelproad/coordination/ingress/tables/confirming.py
@@ -45,6 +45,8 @@
         self._settled_at = float('-inf')
         #: Monotonic time from which nothing is missing that was accepted.
         self._complete_at = float('-inf')
+        #: Whether there has been a first configuration.
+        self._has_begun = False
         #: Monotonic time from which the first answer counts as compared.
         self._compared_at = float('inf')
 
@@ -77,9 +79,16 @@
     def begin(self, direct: bool) -> None:
         """Wait for other instances after the first configuration.
 
+        The store may have returned from a copy just before, so that operators
+        may have more to write again.
+
         ``direct`` tells whether it comes from the store, not from another
         instance.
         """
+        if not self._has_begun:
+            self._has_begun = True
+            rewritten_at = monotonic() + self._rewrite_seconds
+            self._complete_at = max(self._complete_at, rewritten_at)
         wait = self._settle_seconds if direct else 0
         self._compared_at = min(self._compared_at, monotonic() + wait)
 
--- a/tests/ingress/test_calls_site.py
+++ b/tests/ingress/test_calls_site.py
@@ -102,6 +102,8 @@
 def test_unconfigured_calls_are_refused(site: RoutedSite) -> None:
     """Unknown paths and hosts, and wrong or missing keys, are refused."""
     instance = site.instances[0]
+    # Nothing is refused for good in an instance's first seconds.
+    wait_for(lambda: call(instance, '/nowhere/x').status != 503, 'the end')
     assert call(instance, '/nowhere/x').status == 404
     assert call(instance, '/lookups/x', Host='other.example').status == 404
     assert call(instance, '/lookups/x', X_Api_Key='wrong').status == 401
--- a/tests/ingress/test_restored_store.py
+++ b/tests/ingress/test_restored_store.py
@@ -241,6 +241,43 @@
     assert confirmation.is_complete
 
 
+@pytest.mark.parametrize('direct', [True, False])
+def test_a_first_configuration_may_be_that_of_a_copy(
+    direct: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against final refusals of keys that a copy lacks.
+
+    An instance that has just started can't know of the return, nor can another
+    one that it has the configuration from.
+    """
+    now = 100.0
+    monkeypatch.setattr(confirming_module, 'monotonic', lambda: now)
+    confirmation = Confirmation(float, 1.0, 5.0)
+    confirmation.begin(direct)
+    confirmation.mark_compared()
+    assert not confirmation.measure_age()
+    now = 104.9
+    confirmation.begin(direct)
+    assert not confirmation.is_complete
+    now = 105.0
+    assert confirmation.is_complete
+
+
+def test_what_is_written_after_the_start_is_complete(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against refusals that invite callers back for longer than needed.
+
+    Operators write all of a configuration, and no copy has what comes later.
+    """
+    monkeypatch.setattr(confirming_module, 'monotonic', lambda: 100.0)
+    confirmation = Confirmation(float, 1.0, 5.0)
+    confirmation.begin(direct=True)
+    confirmation.resume()
+    confirmation.begin(direct=True)
+    assert confirmation.is_complete
+
+
 # Our own rows
 
 
--- a/tests/ingress/test_restored_store_site.py
+++ b/tests/ingress/test_restored_store_site.py
@@ -178,6 +178,27 @@
     assert call(started, '/added/x').status == 200
 
 
+def test_a_new_instance_refuses_nothing_for_good_that_the_copy_lacks(
+    site: RoutedSite,
+) -> None:
+    """Guards against a final 401 for a key that was accepted and is lost."""
+    site.copy_store()
+    site.set_store_faults(status=503)
+    site.put_configuration(keys=(KEY, 'fresh'))
+    site.restore_store()
+    return_store(site)
+    site.start_instance('edge-4')
+    started = site.instances[-1]
+
+    def call_with_key() -> int:
+        return call(started, '/lookups/x', X_Api_Key='fresh').status
+
+    assert call_with_key() == 503
+    site.write_configuration_again()
+    wait_for(lambda: call_with_key() == 200, 'the key is in force')
+    assert call(started, '/lookups/x', X_Api_Key='wrong').status == 401
+
+
 def test_rows_of_instances_are_written_again(site: RoutedSite) -> None:
     """Guards against instances that the restored store does not list."""
     site.copy_store()
