--- a/tests/ingress/test_entrance.py
+++ b/tests/ingress/test_entrance.py
@@ -505,7 +505,7 @@
         float,
         lambda: True,
         lambda _now: False,
-        lambda: False,
+        bool,
         StopGuard(drain),
         Bounds,
         random.Random(1),
