Keep services that a configuration drops for the calls in progress there

A configuration that drops or renames a service took its endpoints out of the table at once. A call in progress went on at the endpoint it had, but had none left for its next attempt: a stream whose engine broke off was broken off, a lookup whose endpoint answered with an error got that error, and a call that waited for an engine would have been refused.

The cause is that the registry groups the endpoints by the services of the newest configuration, and calls look their service up there. The holder of the configuration now keeps up to 1,000 services that were dropped last beside those in force. No route leads to them, so nothing new starts there; an endpoint that leaves the store leaves the table as before.

--- a/src/kelproad/coordination/ingress/tables/holder.py
+++ b/src/kelproad/coordination/ingress/tables/holder.py
@@ -2,20 +2,33 @@
 
 import asyncio
 import contextlib
+import itertools
 import logging
 
+import attrs
 from returns.result import Failure, Result
 
 from ....state.records import record
-from ....state.routes import IngressLimits, RoutingConfiguration
+from ....state.routes import (
+    IngressLimits,
+    RoutedService,
+    RoutingConfiguration,
+)
 
 __all__ = ['ConfigurationHolder']
 
 _logger = logging.getLogger(__name__)
+#: Services that are known though the configuration in force has them no more,
+#: those that were dropped last.
+_MAX_DROPPED = 1_000
 
 
 class ConfigurationHolder:
-    """The newest configuration that this process has received."""
+    """The newest configuration that this process has received.
+
+    Services that it drops stay known beside its own.  No route leads to them,
+    but calls in progress may need another endpoint there.
+    """
 
     def __init__(self) -> None:
         """Start without a configuration."""
@@ -68,7 +81,7 @@
         held = self.current.version if self.current else -1
         if offered.version < held or encoded == self._encoded:
             return False
-        self.current = offered
+        self.current = _keep_dropped(self.current, offered)
         self._encoded = encoded
         self._adopted.set()
         record(
@@ -80,3 +93,19 @@
             keys=len(offered.workspaces_by_key),
         )
         return True
+
+
+def _keep_dropped(
+    held: RoutingConfiguration | None, offered: RoutingConfiguration
+) -> RoutingConfiguration:
+    """Add the services that a configuration drops to those that it has."""
+    if held is None:
+        return offered
+    dropped: dict[str, RoutedService] = {
+        name: service
+        for name, service in held.services.items()
+        if name not in offered.services
+    }
+    excess = max(0, len(dropped) - _MAX_DROPPED)
+    kept = dict(itertools.islice(dropped.items(), excess, None))
+    return attrs.evolve(offered, services=kept | offered.services)
