Place a call by the engine profile that it began with

A stream whose engine broke off, after a configuration had published smaller engines for its service, was not resumed but broken off: its prompt was weighed against the newest profile, for which it was too large. So would be a call that waits for an engine. The new case of the test of calls in progress ("another profile": 1 slot and 1 token of memory) failed before, for the stream.

The chooser read the profile anew at each attempt. The call now keeps the one that admitted it; for a service that had no engines then, the newest holds as before. It was ruled out that the engines' entries or the ledger change with the profile: endpoints keep their state while their incarnation is the same.

The check of slow engines (`check_stall`) still reads the newest profile by the name of the service, as its caller is rewritten at present; since the services that were dropped stay known, it has one in any case.

After: the 35 tests of the file pass, and those of placing, admission, attempts.

--- a/src/kelproad/coordination/ingress/admission/admitting.py
+++ b/src/kelproad/coordination/ingress/admission/admitting.py
@@ -120,6 +120,7 @@
                 arrived,
                 deadline,
                 configuration.version,
+                profile,
             ),
         )
 
--- a/src/kelproad/coordination/ingress/placing/choosing.py
+++ b/src/kelproad/coordination/ingress/placing/choosing.py
@@ -9,6 +9,7 @@
 from ....state.directpaths import DirectPaths
 from ....state.endpoints import Endpoint
 from ....state.endpointtable import EndpointTable
+from ....state.engines import EngineProfile
 from ....state.observations import EngineObservations
 from ....state.work import WorkLedger
 from ....transport.deadlines import monotonic
@@ -221,7 +222,7 @@
         now: float,
     ) -> Placement:
         """Choose the best of the candidates."""
-        profile = self._holder.current.find_profile(call.service)
+        profile = self._find_profile(call)
         if profile is None:
             work_seconds = call.route.objective * _PLAIN_WORK_SHARE
             return choose_plain(candidates, self._generator, work_seconds)
@@ -274,7 +275,11 @@
         ]
 
     def _is_engine_call(self, call: Call) -> bool:
-        return self._holder.current.find_profile(call.service) is not None
+        return self._find_profile(call) is not None
+
+    def _find_profile(self, call: Call) -> EngineProfile | None:
+        """Find the profile of the engines, the one that a call began with."""
+        return call.profile or self._holder.current.find_profile(call.service)
 
     def _sample(self, endpoints: list[Endpoint]) -> list[Endpoint]:
         """Sample from many endpoints, those of the local zone first."""
--- a/src/kelproad/state/calls.py
+++ b/src/kelproad/state/calls.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from .engines import EngineProfile
 from .routes import CallKind, Route, RoutedWorkspace
 from .statements import EndpointStatements
 
@@ -81,6 +82,8 @@
         Monotonic times of its arrival and by which it must be answered.
     version
         Version of the configuration that admitted it.
+    profile
+        Engine profile of the service in that version, ``None`` for a plain one.
     attempts
         Number of endpoints to which it was sent so far.
     end
@@ -106,6 +109,7 @@
     arrived: float
     deadline: float
     version: int = 0
+    profile: EngineProfile | None = None
     attempts: int = 0
     end: CallEnd = CallEnd.ANSWERED
     via: str = ''
--- a/tests/ingress/test_configuration_in_force.py
+++ b/tests/ingress/test_configuration_in_force.py
@@ -152,6 +152,7 @@
         'services dropped': drop_services,
         'services renamed': rename_services,
         'weights moved': move_weights,
+        'another profile': replace_profile,
         'profile dropped': drop_profile,
         'limits shortened': shorten_limits,
         'many routes': add_routes,
