Change the share of retries with the settings

Operators see that a changed `bounds.retry_budget_ratio` has no effect at a running instance, on services that it has had calls for: their budgets kept the share that held at the first call. `retry_slack` was read anew at each call, the ratio only once. A lowered ratio was exceeded until the restart.

The new test, with the ratio changed from 1 to 0 and from 0 to 1, failed in both directions, and passes now; so do the tests of attempts and retries. No call in progress is touched by it but for the credit of its next retry.

--- a/src/kelproad/coordination/ingress/retrying/retries.py
+++ b/src/kelproad/coordination/ingress/retrying/retries.py
@@ -48,10 +48,11 @@
         instances = max(_MIN_INSTANCES, self._count_live())
         bounds = self._read_bounds()
         burst = bounds.retry_slack * _USED_SHARE / instances
+        percent = 100 * bounds.retry_ratio * _USED_SHARE
         budget = self._budgets.get(service)
         if budget is None:
-            percent = 100 * bounds.retry_ratio * _USED_SHARE
             budget = RetryBudget(percent, burst)
             self._budgets[service] = budget
         budget.burst = burst
+        budget.percent = percent
         return budget
--- a/tests/ingress/test_configuration_in_force.py
+++ b/tests/ingress/test_configuration_in_force.py
@@ -10,6 +10,8 @@
 import pytest
 from returns.result import Success
 
+from kelproad.coordination.ingress.retrying.retries import RetryBudgets
+from kelproad.coordination.ingress.settings import Bounds
 from kelproad.coordination.ingress.tables import holder as holder_module
 from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
 from kelproad.state.engines import EngineProfile
@@ -308,6 +310,20 @@
     assert set(holder.current.services) == {'b', 'd'}
 
 
+@pytest.mark.parametrize('ratio', [0, 1])
+def test_reloaded_settings_change_the_retry_budget(ratio: float) -> None:
+    """Guards against retries by the share that held when a service was new."""
+    bounds = [Bounds(retry_ratio=1 - ratio, retry_slack=10)]
+    budgets = RetryBudgets(lambda: bounds[-1], lambda: 1)
+    budgets.count_call('book', 0)
+    while budgets.affords('book'):
+        budgets.spend('book')
+    bounds.append(Bounds(retry_ratio=ratio, retry_slack=10))
+    for _ in range(10):
+        budgets.count_call('book', 0)
+    assert budgets.affords('book') is bool(ratio)
+
+
 def test_a_body_that_arrives_is_received_by_the_former_limits(
     site: RoutedSite,
 ) -> None:
