Build only the routes that a configuration changes

While a configuration of 10,000 routes (3 MB, 2,100 workspaces) is decoded, the event loop stands still: no event of a stream is forwarded, no call admitted. Nearly all of that is building a route object for each, also for those that the version before had, and the collections of garbage that this sets off.

Each route is now decoded by itself, and one whose text the configuration decoded last had already is taken from there. The versions before that are not kept.

The test compares the identity of routes over three versions, one of them invalid; it failed before.

--- a/src/kelproad/platform/rows.py
+++ b/src/kelproad/platform/rows.py
@@ -122,7 +122,8 @@
 
 class _Configuration(msgspec.Struct):
     version: int
-    routes: list[_Route]
+    #: Decoded one by one, as most are those of the version before.
+    routes: list[msgspec.Raw]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
     tenants: list[_Tenant] = []
@@ -144,8 +145,34 @@
     born: int = 0
 
 
+class _RouteDecoder:
+    """Decodes the routes of a configuration.
+
+    A change leaves most routes as they are.  To build thousands anew would hold
+    the event loop for longer than many gaps between two events last.
+    """
+
+    def __init__(self) -> None:
+        """Start without routes."""
+        #: Routes of the configuration decoded last, by their text.
+        self._known: dict[bytes, Route] = {}
+
+    def decode(self, encoded: list[msgspec.Raw]) -> list[Route]:
+        """Decode routes; raise ``msgspec.DecodeError`` for an invalid one."""
+        texts = [bytes(one) for one in encoded]
+        known = self._known
+        routes = [
+            known.get(text) or _build_route(_routes.decode(text))
+            for text in texts
+        ]
+        self._known = dict(zip(texts, routes, strict=True))
+        return routes
+
+
 _configurations = msgspec.json.Decoder(_Configuration)
+_routes = msgspec.json.Decoder(_Route)
 _servers = msgspec.json.Decoder(_Server)
+_route_decoder = _RouteDecoder()
 
 
 def decode_configuration(
@@ -156,12 +183,13 @@
         return Failure('the configuration was deleted')
     try:
         decoded = _configurations.decode(row.encoded)
+        routes = _route_decoder.decode(decoded.routes)
     except msgspec.DecodeError as error:
         return Failure(str(error))
     return Success(
         RoutingConfiguration.from_declarations(
             decoded.version,
-            map(_build_route, decoded.routes),
+            routes,
             map(_build_service, decoded.services),
             {
                 key: RoutedWorkspace(tenant.name, tenant.priority)
--- a/tests/ingress/test_configuration_in_force.py
+++ b/tests/ingress/test_configuration_in_force.py
@@ -7,13 +7,19 @@
 import types
 from collections.abc import Callable, Iterator
 
+import msgspec
 import pytest
-from returns.result import Success
+from returns.result import Failure, Success
 
 from kelproad.coordination.ingress.retrying.retries import RetryBudgets
 from kelproad.coordination.ingress.settings import Bounds
 from kelproad.coordination.ingress.tables import holder as holder_module
 from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
+from kelproad.coordination.ingress.tables.tablestates import (
+    Revision,
+    StoredRow,
+)
+from kelproad.platform.rows import decode_configuration
 from kelproad.state.engines import EngineProfile
 from kelproad.state.routes import (
     IngressLimits,
@@ -282,6 +288,38 @@
     )
 
 
+def build_row(version: int, *prefixes: str) -> StoredRow:
+    """Build the row of a configuration with a route of each prefix."""
+    routes = [
+        {
+            'name': f'route-{number}',
+            'host': 'h.example',
+            'path_prefix': prefix,
+            'route_type': 'idempotent',
+            'timeout_ms': 1000,
+            'service': 'book',
+        }
+        for number, prefix in enumerate(prefixes)
+    ]
+    document = {'version': version, 'routes': routes, 'services': []}
+    return StoredRow(
+        'config', msgspec.json.encode(document), Revision(0, version)
+    )
+
+
+def test_only_changed_routes_are_built_anew() -> None:
+    """Guards against an event loop that is held by thousands of routes."""
+    first = decode_configuration(build_row(1, '/a/', '/b/', '/c/')).unwrap()
+    assert isinstance(decode_configuration(build_row(2, '/a/', None)), Failure)
+    following = decode_configuration(build_row(3, '/a/', '/d/', '/c/')).unwrap()
+    former = {route.prefix: route for route in first.routes['h.example']}
+    present = {route.prefix: route for route in following.routes['h.example']}
+    assert set(present) == {'/a/', '/c/', '/d/'}
+    assert present['/a/'] is former['/a/']
+    assert present['/c/'] is former['/c/']
+    assert present['/d/'].name == 'route-1'
+
+
 def test_dropped_services_stay_known(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against calls that lose their service, and against a leak."""
     monkeypatch.setattr(holder_module, '_MAX_DROPPED', 2)
