Require keys as long as a workspace is declared

A configuration that took the last key away opened every route that needs one: calls with the revoked key, with any other and without one were passed on to endpoints, without a workspace's name. The platform's protocol asks for a key if the configuration contains workspaces; the admission looked whether it contains keys.

The configuration now says whether keys are required, and does so for one workspace without any. Without a workspace calls need no key, as before.

The new test failed with 200 in place of 401, and passes.

--- a/src/kelproad/coordination/ingress/admission/admitting.py
+++ b/src/kelproad/coordination/ingress/admission/admitting.py
@@ -137,7 +137,7 @@
         head: CallHead,
     ) -> Result[RoutedWorkspace | None, Refusal]:
         """Find the workspace that holds the call's key."""
-        if route.anonymous or not configuration.workspaces_by_key:
+        if route.anonymous or not configuration.requires_keys:
             return Success(None)
         if not self.trusted:
             return Failure(self._refuse_unconfirmed('keys are not confirmed'))
--- a/src/kelproad/platform/rows.py
+++ b/src/kelproad/platform/rows.py
@@ -198,6 +198,7 @@
             },
             _build_limits(decoded.limits),
             _collect_delays(decoded.services),
+            requires_keys=bool(decoded.tenants),
         ),
     )
 
--- a/src/kelproad/state/routes.py
+++ b/src/kelproad/state/routes.py
@@ -144,6 +144,8 @@
     zone_delays
         One-way delay in seconds between two availability zones, the same in
         both directions.
+    requires_keys
+        Whether calls need an API key, also while no workspace has one.
     """
 
     version: int
@@ -152,6 +154,7 @@
     workspaces_by_key: dict[str, RoutedWorkspace]
     limits: IngressLimits = attrs.field(factory=IngressLimits)
     zone_delays: dict[frozenset[str], float] = attrs.field(factory=dict)
+    requires_keys: bool = False
 
     @classmethod
     def from_declarations(
@@ -162,6 +165,7 @@
         workspaces_by_key: dict[str, RoutedWorkspace],
         limits: IngressLimits,
         zone_delays: dict[frozenset[str], float],
+        requires_keys: bool = False,
     ) -> Self:
         """Index routes by host, the longest prefix of each first."""
         by_host: dict[str, list[Route]] = {}
@@ -185,6 +189,7 @@
             workspaces_by_key,
             limits,
             zone_delays,
+            requires_keys or bool(workspaces_by_key),
         )
 
     def find_delay(self, zone: str, other: str) -> float:
--- a/tests/ingress/test_configuration_in_force.py
+++ b/tests/ingress/test_configuration_in_force.py
@@ -109,6 +109,16 @@
     document['tenants'] = [{'name': 'crews', 'api_keys': ['another']}]
 
 
+def take_all_keys_away(document: Document) -> None:
+    """Leave the workspace without a key."""
+    document['tenants'] = [{'name': 'crews', 'api_keys': []}]
+
+
+def forget_workspaces(document: Document) -> None:
+    """Declare no workspace, so that calls need no key."""
+    document.pop('tenants')
+
+
 def drop_workspaces(document: Document) -> None:
     """Leave another workspace only."""
     document['tenants'] = [{'name': 'rest', 'api_keys': ['another']}]
@@ -407,6 +417,17 @@
     assert answers[0].seconds < SHORT_TIMEOUT + TOLERANCE
 
 
+def test_workspaces_without_keys_admit_nobody(site: RoutedSite) -> None:
+    """Guards against routes that the last key taken away opens to everybody."""
+    instance = site.instances[0]
+    apply(site, take_all_keys_away)
+    assert call(instance, '/lookups/x').status == 401
+    assert call(instance, '/lookups/x', X_Api_Key='').status == 401
+    assert call(instance, '/open/x', X_Api_Key='').status == 200
+    apply(site, forget_workspaces)
+    assert call(instance, '/lookups/x', X_Api_Key='').status == 200
+
+
 def test_a_key_that_was_taken_away_starts_nothing_new(
     site: RoutedSite,
 ) -> None:
