Let a longer idle time hold for connections that are idle already

The platform's callers reuse a connection that has been idle for up to four fifths of the newest limit. After a configuration had lengthened it, connections that were idle then were still closed by the time in force when their last call ended, which callers' next calls may cross. The timer now looks again before it closes. A shorter time still holds only from the next call on, as callers may go by the former one.

The new test failed before.

--- a/src/kelproad/transport/callerconnections.py
+++ b/src/kelproad/transport/callerconnections.py
@@ -73,11 +73,7 @@
     def end_call(self, connection: web.RequestHandler) -> None:
         """Record that a call has ended; from now on the connection is idle."""
         self._busy.discard(connection)
-        self._idle[connection] = asyncio.get_running_loop().call_later(
-            max(_MIN_IDLE_SECONDS, self._read_timeouts().idle),
-            self._start_close,
-            connection,
-        )
+        self._await_expiry(connection, asyncio.get_running_loop().time())
         self._forget_closed()
 
     async def close_idle(self) -> None:
@@ -114,6 +110,37 @@
         for connection in idle:
             self._close_unless_busy(connection)
 
+    def _await_expiry(
+        self, connection: web.RequestHandler, idle_since: float
+    ) -> None:
+        """Close a connection once its idle time has passed.
+
+        ``idle_since`` is a time of the event loop, in seconds.
+        """
+        self._idle[connection] = asyncio.get_running_loop().call_at(
+            idle_since + self._choose_idle_seconds(),
+            self._expire,
+            connection,
+            idle_since,
+        )
+
+    def _expire(
+        self, connection: web.RequestHandler, idle_since: float
+    ) -> None:
+        """Close a connection, unless it may be idle for longer meanwhile.
+
+        Its caller knows the time in force, and may send a call until then,
+        which would cross the close.
+        """
+        idle_for = asyncio.get_running_loop().time() - idle_since
+        if idle_for < self._choose_idle_seconds():
+            self._await_expiry(connection, idle_since)
+        else:
+            self._start_close(connection)
+
+    def _choose_idle_seconds(self) -> float:
+        return max(_MIN_IDLE_SECONDS, self._read_timeouts().idle)
+
     def _start_close(self, connection: web.RequestHandler) -> None:
         self._idle.pop(connection, None)
         task = asyncio.create_task(self._close([connection]))
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -96,6 +96,21 @@
         assert not any(other.at_eof() for other, _ in kept.connections[1:])
 
 
+async def test_a_longer_idle_time_holds_for_idle_connections_too() -> None:
+    """Guards against calls that cross a close by the former idle time."""
+    timeouts = ConnectionTimeouts(head=10, idle=1)
+    async with keep_connections(lambda: timeouts) as kept:
+        timeouts = ConnectionTimeouts(head=10, idle=1.8)
+        await asyncio.sleep(1.3)
+        assert not any(reader.at_eof() for reader, _ in kept.connections)
+        reader, writer = kept.connections[0]
+        assert b'answer' in await call_on(reader, writer)
+        await asyncio.sleep(0.8)
+        assert all(other.at_eof() for other, _ in kept.connections[1:])
+        assert not reader.at_eof()
+        assert not await asyncio.wait_for(reader.read(), CLOSED_WITHIN)
+
+
 async def test_a_call_at_the_end_of_the_idle_time_is_answered() -> None:
     """A call that has been read would be lost with its connection."""
     timeouts = ConnectionTimeouts(head=10, idle=1)
