Refuse calls on a route whose services all have weight 0

Such calls got 500 without the request's id, "Server got itself in trouble": the draw of a service raises when all weights are 0, and nobody caught it. They are now refused like those for a service without endpoints, 503 with a time to come back. A service with weight 0 beside others got no call before either.

The new test failed with 500, and passes.

--- a/src/kelproad/coordination/ingress/admission/admitting.py
+++ b/src/kelproad/coordination/ingress/admission/admitting.py
@@ -176,10 +176,15 @@
         )
 
     def _choose_service(self, route: Route) -> str:
-        """Choose a service at random, by the weights of the route."""
+        """Choose a service at random, by the weights of the route.
+
+        The name is empty, like that of no service, if none is to get calls.
+        """
+        weighted = [item for item in route.services if item.weight > 0]
+        if not weighted:
+            return ''
         chosen = self._generator.choices(
-            route.services,
-            weights=[service.weight for service in route.services],
+            weighted, weights=[service.weight for service in weighted]
         )
         return chosen[0].name
 
--- a/tests/ingress/test_configuration_in_force.py
+++ b/tests/ingress/test_configuration_in_force.py
@@ -428,6 +428,15 @@
     assert call(instance, '/lookups/x', X_Api_Key='').status == 200
 
 
+def test_a_route_whose_services_get_nothing_refuses(site: RoutedSite) -> None:
+    """Guards against calls that end in an error nobody foresaw."""
+    weights = [{'service': 'book', 'weight': 0}]
+    apply(site, set_on_routes(weighted_services=weights))
+    answer = call(site.instances[0], '/lookups/x')
+    assert answer.status == 503
+    assert answer.headers['X-Kelproad-Request-Id'] == answer.request_id
+
+
 def test_a_key_that_was_taken_away_starts_nothing_new(
     site: RoutedSite,
 ) -> None:
