--- a/src/kelproad/coordination/ingress/retrying/dispatching.py
+++ b/src/kelproad/coordination/ingress/retrying/dispatching.py
@@ -31,12 +31,11 @@
 from ..streams.progress import Attempt, Progress
 from ..streams.sending import Sender
 from ..streams.silence import SilenceMonitor
+from .attempting import AttemptRunner, AttemptStarter
 from .events import record_broken_off, record_stream
 from .hedging import Hedger
 from .racing import AttemptOutcome, AttemptRace
 from .retries import RetryBudgets
-from .running import AttemptRunner
-from .starting import AttemptStarter
 from .verdicts import AttemptEvaluator, find_faulty_endpoint
 
 __all__ = ['Dispatcher']
--- a/tests/ingress/test_limited_placement.py
+++ b/tests/ingress/test_limited_placement.py
@@ -20,7 +20,7 @@
     NoPlacementError,
     Placement,
 )
-from kelproad.coordination.ingress.retrying.starting import AttemptStarter
+from kelproad.coordination.ingress.retrying.attempting import AttemptStarter
 from kelproad.coordination.ingress.streams.progress import Progress
 from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
 from kelproad.state.declarations import (
