--- a/src/kelproad/coordination/ingress/streams/delivery.py
+++ b/src/kelproad/coordination/ingress/streams/delivery.py
@@ -7,7 +7,7 @@
 from ....protocol.eventstreams import EventSplitter, NumberedEvent
 from ....state.calls import AnswerHead, Call
 from ....transport.deadlines import monotonic
-from ....transport.servers import finish_answer
+from ....transport.servers import abort_answer, finish_answer
 from .answers import OpenAnswer
 
 __all__ = ['CallerDisconnectedError', 'StreamDelivery']
@@ -99,9 +99,7 @@
 
     def abort(self) -> web.StreamResponse:
         """Abort the connection, so that the answer can't look complete."""
-        transport = self._http_request.transport
-        if transport is not None:
-            transport.abort()
+        abort_answer(self._http_request)
         return self._response
 
     def _record_event(self, now: float) -> None:
