Put off time-outs of exchanges while the process itself stands still

Seen from outside: after a pause of its own (SIGSTOP, or an event loop that is held) an instance takes engines for silent, peers that serve tables for lost, and the store for unreachable, though their answers lie in its sockets: two queries of a speed check ("engine_silent"), of a reservation's keeper ("memory_user_gone", which ends the stream), of a check whether an engine has ended (which quarantines parts of prompts), and one of a table (its peer is avoided for 3 s).

Cause: `asyncio.timeout` cancels the waiting task in the turn of the loop in which the answer is read; the cancellation wins over the future that the reader has just resolved.

Ruled out: callbacks of protocols (`call_later` beside `data_received`).

Change: `within_running` puts a time-out off by a standstill (0.1 s late and more) that it meets in its last 0.1 s or beyond, by its own length in all at most. It costs two timers, no beat. `exchange` uses it; ages of tables and keys count real time as before.

Measured: an answer after 0.1 s, loop held from 0.05 to 0.55 s, time-out 0.3 s: Failure(TimeoutError) before, the answer after; a loop that is always held ends the wait too.

--- a/src/kelproad/transport/deadlines.py
+++ b/src/kelproad/transport/deadlines.py
@@ -7,16 +7,26 @@
 """
 
 import asyncio
+import contextlib
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
-__all__ = ['RunningClock', 'monotonic', 'read_boottime', 'within']
+__all__ = [
+    'RunningClock',
+    'monotonic',
+    'read_boottime',
+    'within',
+    'within_running',
+]
 
 #: Seconds between two beats of the event loop.
 _BEAT_SECONDS = 0.1
 #: Seconds by which a beat may be late before the loop counts as having stood
 #: still: garbage collection and large configurations take less.
 _TOLERANCE_SECONDS = 0.1
+#: Seconds before a time-out in which a standstill also puts it off: enough to
+#: read what has arrived.
+_READING_SECONDS = 0.1
 #: The clock of all deadlines; unaffected by changes of the wall clock.
 monotonic = time.monotonic
 
@@ -43,6 +53,62 @@
     return asyncio.timeout_at(loop.time() + max(0, deadline - monotonic()))
 
 
+@contextlib.asynccontextmanager
+async def within_running(seconds: float) -> AsyncIterator[None]:
+    """Bound the waits for the answer of another process.
+
+    A standstill of this process shortly before the time-out, or beyond it, puts
+    it off by as much, and by ``seconds`` in all at most.  The answer may lie in
+    the socket: ``asyncio.timeout`` would cancel its reader, which the event
+    loop runs only after all timers that are due.
+
+    Parameters
+    ----------
+    seconds
+        Seconds after which the block is interrupted with ``TimeoutError``.
+    """
+    async with asyncio.timeout(None) as bound:
+        timer = _RunningTimer(seconds, bound)
+        try:
+            yield
+        finally:
+            timer.cancel()
+
+
+class _RunningTimer:
+    """Makes a time-out due; a late call shows that the event loop was held."""
+
+    def __init__(self, seconds: float, bound: asyncio.Timeout) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._seconds = seconds
+        self._bound = bound
+        self._put_off = float(0)
+        reading = min(seconds, _READING_SECONDS)
+        self._arm(seconds - reading, lambda: self._arm(reading, self._end))
+
+    def cancel(self) -> None:
+        """Let the block go on without a bound."""
+        self._timer.cancel()
+
+    def _arm(self, seconds: float, proceed: Callable[[], None]) -> None:
+        due = self._loop.time() + seconds
+        self._timer = self._loop.call_at(due, self._check, due, proceed)
+
+    def _check(self, due: float, proceed: Callable[[], None]) -> None:
+        """Proceed, or first wait again for as long as the loop was held."""
+        late = self._loop.time() - due
+        longest = self._seconds - self._put_off
+        if late < _TOLERANCE_SECONDS or longest <= 0:
+            proceed()
+            return
+        longer = min(late, longest)
+        self._put_off += longer
+        self._arm(longer, proceed)
+
+    def _end(self) -> None:
+        self._bound.reschedule(self._loop.time())
+
+
 def _ignore(_seconds: float) -> None:
     """Ignore by how much a beat was late."""
 
--- a/src/kelproad/transport/exchanges.py
+++ b/src/kelproad/transport/exchanges.py
@@ -9,7 +9,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 from returns.result import Failure, Result, Success
 
-from .deadlines import monotonic, within
+from .deadlines import within_running
 
 __all__ = ['ExchangeFailure', 'Reply', 'exchange']
 
@@ -52,11 +52,11 @@
 ) -> Result[Reply, ExchangeFailure]:
     """Send a request and read its complete answer within a time-out.
 
-    Redirects are not followed.
+    It is put off while this process stands still.  Redirects are not followed.
     """
     try:
         async with (
-            within(monotonic() + seconds),
+            within_running(seconds),
             session.request(
                 method,
                 url,
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -4,17 +4,25 @@
 import contextlib
 import pathlib
 import socket
+import threading
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 
+import aiohttp
 import pytest
 from aiohttp import web
+from returns.result import Failure
 
 from kelproad.coordination.reception import Call
 from kelproad.coordination.sending import SEND_MARGIN, send_response
 from kelproad.transport import servers as http_servers
 from kelproad.transport.addresses import Address
-from kelproad.transport.deadlines import RunningClock, monotonic
+from kelproad.transport.deadlines import (
+    RunningClock,
+    monotonic,
+    within_running,
+)
+from kelproad.transport.exchanges import exchange
 from testbed.processes import find_free_address
 from testbed.site import Site, SitePlan, start_site
 from tests.clients import Answer, book, complete
@@ -187,3 +195,73 @@
     read = [clock.read() for _ in range(4)]
     assert read == pytest.approx([0.1, 0.25, 0.35, 0.45])
     assert clock.stood_still == pytest.approx(1.65)
+
+
+@contextlib.contextmanager
+def answer_in_thread(delay: float) -> Iterator[int]:
+    """Answer one request on a port, also while the event loop stands still."""
+    with socket.create_server(('127.0.0.1', 0)) as listening:
+
+        def answer() -> None:
+            accepted, _ = listening.accept()
+            with accepted:
+                accepted.recv(65_536)
+                time.sleep(delay)
+                accepted.sendall(
+                    b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+                )
+
+        thread = threading.Thread(target=answer)
+        thread.start()
+        yield listening.getsockname()[1]
+        thread.join()
+
+
+async def test_an_answer_that_waits_in_the_socket_is_in_time() -> None:
+    """All that was queried seemed silent after a standstill of the process."""
+    loop = asyncio.get_running_loop()
+    with answer_in_thread(0.1) as port:
+        # The engine has the request when the event loop is held, until after
+        # the time-out.
+        loop.call_later(0.05, time.sleep, 0.5)
+        async with aiohttp.ClientSession() as session:
+            answered = await exchange(
+                session, 'GET', f'http://127.0.0.1:{port}/', 0.3
+            )
+    assert not isinstance(answered, Failure)
+
+
+async def test_a_standstill_that_ends_before_the_time_out_leaves_time() -> None:
+    """A connection was made in a pause, but the request came too late."""
+    loop = asyncio.get_running_loop()
+    loop.call_later(0.05, time.sleep, 0.24)
+    async with within_running(0.3):
+        await asyncio.sleep(0.01)
+        await asyncio.sleep(0.34)
+
+
+@pytest.mark.parametrize('seconds', [0.05, 0.3])
+async def test_a_silence_while_the_process_runs_ends_in_time(
+    seconds: float,
+) -> None:
+    """Waits without a standstill must not get longer."""
+    started = monotonic()
+    with pytest.raises(asyncio.TimeoutError):
+        async with within_running(seconds):
+            await asyncio.sleep(5)
+    assert seconds <= monotonic() - started < seconds + MARGIN
+
+
+async def test_a_process_that_always_stands_still_gives_up_at_last() -> None:
+    """A wait must not go on for ever on a machine that is overloaded."""
+    loop = asyncio.get_running_loop()
+
+    def stand_still() -> None:
+        time.sleep(0.25)
+        held.append(loop.call_soon(stand_still))
+
+    held = [loop.call_soon(stand_still)]
+    with pytest.raises(asyncio.TimeoutError):
+        async with within_running(0.3):
+            await asyncio.sleep(5)
+    held[-1].cancel()
