Put off the time-out of queries to peers while the process stands still

Seen from outside: after a pause of its own of 0.1 to 1 s an instance takes a peer that replied for silent: for 0.5 s it grants trials of suspect parts itself (two at once, beside the coordinator), takes equal parts of request limits, and for 3 s reads the store itself instead of its reader.

Not changed: replies that waited for more than 1 s are discarded, as before, since what they say of ages counts from the receipt; the query then goes unanswered.

--- a/src/kelproad/coordination/ingress/membership/queries.py
+++ b/src/kelproad/coordination/ingress/membership/queries.py
@@ -15,6 +15,7 @@
 from ....state.records import OnceRecorder, record
 from ....transport.addresses import Address
 from ....transport.datagrams import DatagramSocket
+from ....transport.deadlines import within_running
 from ....transport.services import BackgroundService
 from ..settings import NodeSettings
 from .messages import (
@@ -86,7 +87,7 @@
         self._send(query, host)
         try:
             with contextlib.suppress(asyncio.TimeoutError):
-                async with asyncio.timeout(seconds):
+                async with within_running(seconds):
                     return await reply
         finally:
             self._waiting.pop(token, None)
--- a/tests/ingress/test_probing.py
+++ b/tests/ingress/test_probing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import time
 import types
 
 import pytest
@@ -192,3 +193,18 @@
     queries.receive(asked, '10.0.0.2')
     queries.receive(encode_message(relayed), '10.0.0.2')
     assert network.sent == 2
+
+
+async def test_a_reply_that_waits_in_the_socket_is_in_time() -> None:
+    """Coordinators and readers seemed silent after a pause of this process."""
+    network = Network()
+    network.join('10.0.0.1', 'zone-a')
+    probe = network.join('10.0.0.2', 'zone-a')
+    loop = asyncio.get_running_loop()
+    receive = network.queries['10.0.0.2'].receive
+    network.queries['10.0.0.2'].receive = functools.partial(
+        loop.call_later, 0.05, receive
+    )
+    loop.call_later(0.02, time.sleep, 0.5)
+    assert await probe.query(READER) is not None
+    assert network.sent == 2
