Put off the time-outs of connections and tunnels in a standstill

Seen from outside: an instance that stood still for 0.15 s and more while two connections were being made logs `direct_paths_lost`, has all its calls begin with tunnels, and ranks the peers last that had opened one ("no reply"); a connection given up at 0.25 s accuses the zone and ejects the endpoint. For the check of an engine's end such an address counts as unreachable, after which one query without an answer is enough.

Connections are made by the kernel meanwhile; the waiting coroutine is cancelled in the turn in which it would learn so.

Change: direct connections, tunnels at both ends and the whole of them are bounded by `within_running`. What starts a tunnel beside a direct connection after 0.05 s is left: it costs a connection and accuses nobody.

Measured by tests, loop held for 0.5 s: ConnectionError/TimeoutError and TunnelError before; connected, and no path lost, after.

--- a/src/kelproad/coordination/ingress/tunnels/connecting.py
+++ b/src/kelproad/coordination/ingress/tunnels/connecting.py
@@ -19,7 +19,7 @@
 from ....state.directpaths import DirectPaths, PathChange
 from ....state.records import record
 from ....transport.addresses import Address
-from ....transport.deadlines import monotonic
+from ....transport.deadlines import monotonic, within_running
 from ....transport.sockets import connect_socket
 from .opening import TunnelError, open_tunnel
 from .peerchoice import TunnelPeer, TunnelPeers
@@ -224,7 +224,7 @@
         """Connect directly, and record the outcome."""
         address = endpoint.authority
         try:
-            async with asyncio.timeout(_DIRECT_TIMEOUT):
+            async with within_running(_DIRECT_TIMEOUT):
                 connected = await connect_socket(endpoint, self._origin)
         except OSError:
             self._log(self._paths.record_failed(address, monotonic()))
--- a/src/kelproad/coordination/ingress/tunnels/opening.py
+++ b/src/kelproad/coordination/ingress/tunnels/opening.py
@@ -6,6 +6,7 @@
 from ....protocol.tunnels import TunnelReply, TunnelRequest, encode_request
 from ....state.records import current_request
 from ....transport.addresses import Address
+from ....transport.deadlines import within_running
 from ....transport.sockets import connect_socket
 
 __all__ = ['TunnelError', 'open_tunnel']
@@ -45,7 +46,7 @@
     """
     opened: socket.socket | None = None
     try:
-        async with asyncio.timeout(_TUNNEL_TIMEOUT):
+        async with within_running(_TUNNEL_TIMEOUT):
             opened = await connect_socket(peer, origin)
             reply = await _request(opened, endpoint)
     except OSError as error:
--- a/src/kelproad/coordination/ingress/tunnels/serving.py
+++ b/src/kelproad/coordination/ingress/tunnels/serving.py
@@ -19,6 +19,7 @@
 )
 from ....state.records import record
 from ....transport.addresses import Address
+from ....transport.deadlines import within_running
 from ....transport.services import BackgroundService
 from ....transport.sockets import OpenSocket, close_when_dead, reset_on_close
 from ....transport.splicing import splice
@@ -151,7 +152,7 @@
         return not (self.leaving or full) and self._is_permitted(address)
 
     async def _connect(self, address: str) -> asyncio.Transport:
-        async with asyncio.timeout(_CONNECT_TIMEOUT):
+        async with within_running(_CONNECT_TIMEOUT):
             connected = await self._connect_directly(Address.from_text(address))
         loop = asyncio.get_running_loop()
         transport, _ = await loop.create_connection(
--- a/src/kelproad/transport/sockets.py
+++ b/src/kelproad/transport/sockets.py
@@ -10,6 +10,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from .addresses import Address
+from .deadlines import within_running
 
 __all__ = [
     'OpenSocket',
@@ -94,8 +95,13 @@
         timeout: aiohttp.ClientTimeout,
     ) -> ResponseHandler:
         address = Address(req.url.host, req.url.port)
+        bound = (
+            contextlib.nullcontext()
+            if timeout.sock_connect is None
+            else within_running(timeout.sock_connect)
+        )
         try:
-            async with asyncio.timeout(timeout.sock_connect):
+            async with bound:
                 opened = await self._open_socket(address)
         except asyncio.TimeoutError:
             raise
--- a/tests/ingress/test_tunnels.py
+++ b/tests/ingress/test_tunnels.py
@@ -6,6 +6,8 @@
 import random
 import secrets
 import socket
+import threading
+import time
 from collections.abc import AsyncIterator, Callable
 
 import pytest
@@ -22,6 +24,7 @@
 )
 from kelproad.coordination.ingress.tunnels import serving as serving_module
 from kelproad.coordination.ingress.tunnels.connecting import EndpointConnector
+from kelproad.coordination.ingress.tunnels.opening import open_tunnel
 from kelproad.coordination.ingress.tunnels.peerchoice import TunnelPeers
 from kelproad.coordination.ingress.tunnels.serving import TunnelServer
 from kelproad.protocol.connections import ConnectionProgress, current_progress
@@ -410,3 +413,35 @@
     site.here.chooser.record_failure('far', now)
     names = [peer.instance for peer in site.here.chooser.choose(now)]
     assert names == ['near', 'far']
+
+
+async def test_a_standstill_of_the_instance_is_no_lost_path(
+    site: Site,
+) -> None:
+    """After a pause an instance took all of its direct paths for lost."""
+    connecting = asyncio.create_task(
+        site.here.connector.connect_directly(site.address)
+    )
+    asyncio.get_running_loop().call_soon(time.sleep, 0.5)
+    (await connecting).close()
+    assert not site.here.paths.count_lost(monotonic())
+
+
+async def test_a_standstill_of_the_instance_is_no_silence_of_a_peer() -> None:
+    """After a pause peers that had opened tunnels counted as failed."""
+    loop = asyncio.get_running_loop()
+    with socket.create_server(('127.0.0.1', 0)) as listening:
+
+        def reply() -> None:
+            accepted, _ = listening.accept()
+            with accepted:
+                accepted.recv(1024)
+                time.sleep(0.1)
+                accepted.sendall(TunnelReply.OPEN.value)
+
+        peer = threading.Thread(target=reply)
+        peer.start()
+        loop.call_later(0.05, time.sleep, 0.5)
+        address = Address('127.0.0.1', listening.getsockname()[1])
+        (await open_tunnel(address, NOBODY, '127.0.0.1')).close()
+        peer.join()
