Withdraw the end of an engine that had only paused

Seen from outside: an engine that stands still for some three seconds (its answers and its report are silent, another engine of the service answers) counts as ended for good. All parts of prompts that it was answering are accused by that; three pauses in a row, or two beside a crash or a kill, quarantine a sound part: 503 for 30 s at all instances, more after a restart by the row in the store.

Cause: silence confirms an end after three queries in 1.3 s, and nothing withdraws a confirmed one: `alive` notices withdraw unconfirmed ends only.

Ruled out: to confirm nothing by silence. An engine that loses power resets nothing and would crash by the dozen (`test_engines_that_fall_silent_are_ends_too`).

Change: the instance that confirmed an end asks that engine again after 0.5, 1, 2, 4 and 8 s more, until it answers. Its own incarnation shows that it had not ended: the end, its trial and what it quarantined are withdrawn here and, by a new field of the notice, everywhere; what others repeat of it afterwards is not counted again. An older build ignores the field. Costs five queries for an engine that is gone.

Measured by the tests only, which fail before: a part quarantined by two ends and a pause is suspect again and not refused.

--- a/src/kelproad/coordination/ingress/membership/messages.py
+++ b/src/kelproad/coordination/ingress/membership/messages.py
@@ -120,7 +120,8 @@
 
     ``harmless`` has the seconds since an answer that shows it, by service and
     part.  ``alive`` names the engines, by service and life, that were reported
-    to have ended and have not.
+    to have ended and have not; ``revived`` those that were confirmed to have,
+    and the seconds since they answered.
     """
 
     token: int
@@ -129,6 +130,7 @@
     ends: list[ReportedEnd] = []
     harmless: list[tuple[str, str, float]] = []
     alive: list[tuple[str, str]] = []
+    revived: list[tuple[str, str, float]] = []
 
 
 class TrialQuery(msgspec.Struct, array_like=True, tag=7):
@@ -226,3 +228,7 @@
     notice.harmless = [
         (service, part, age + seconds) for service, part, age in notice.harmless
     ]
+    notice.revived = [
+        (service, engine, age + seconds)
+        for service, engine, age in notice.revived
+    ]
--- a/src/kelproad/coordination/ingress/quarantine/ends.py
+++ b/src/kelproad/coordination/ingress/quarantine/ends.py
@@ -2,7 +2,8 @@
 
 An attempt breaks off when its engine ends, and also when the engine breaks off
 one answer, or the connection is lost.  The engine's report decides: a new
-incarnation shows an end, and so does silence while another engine answers.
+incarnation shows an end, and so does silence while another engine answers.  One
+that answers again after such a silence had only paused.
 """
 
 import asyncio
@@ -15,6 +16,7 @@
 
 from ....state.calls import Call
 from ....state.counters import QuarantineMetrics
+from ....state.declarations import EndpointDeclaration
 from ....state.directpaths import DirectPaths
 from ....state.endpoints import Endpoint
 from ....state.endpointtable import EndpointTable
@@ -26,7 +28,7 @@
 from ..placing.eligibility import is_withdrawn
 from ..placing.memory import EngineOperations
 from ..streams.answers import AttemptFailure
-from .notices import PromptNotices, record_quarantined
+from .notices import PromptNotices, record_quarantined, record_withdrawn
 from .rows import QuarantineRows
 
 __all__ = ['EndObserver', 'may_have_ended']
@@ -37,6 +39,9 @@
 _QUERY_PERIOD = 0.2
 #: Other engines that are queried to tell a silent engine from a lost path.
 _MAX_CONTROLS = 4
+#: Seconds until each query whether an engine that ended by its silence answers
+#: again.
+_REVIVAL_DELAYS = (0.5, 1.0, 2.0, 4.0, 8.0)
 
 
 class _State(enum.StrEnum):
@@ -71,6 +76,8 @@
     _generator: random.Random
     #: Checks in progress, by the life of the engine.
     _checks: dict[str, asyncio.Task[_State]] = attrs.field(factory=dict)
+    #: Queries to engines that have ended, by the life of the engine.
+    _watches: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
 
     async def observe(
         self, call: Call, endpoint: Endpoint, sent_at: float
@@ -118,6 +125,7 @@
             self._notices.announce_alive(ended.service, ended.engine)
         elif state is _State.ENDED:
             self._confirm(attrs.evolve(ended, confirmed=True))
+            self._watch_once(call.service, endpoint)
 
     def _confirm(self, ended: EndedCall) -> None:
         quarantined = self._quarantine.record_end(ended, monotonic())
@@ -125,6 +133,46 @@
         self._notices.announce_end(ended)
         self._rows.keep(ended.service, ended.parts)
 
+    def _watch_once(self, service: str, endpoint: Endpoint) -> None:
+        """Watch an engine that has ended, once for all of its attempts."""
+        life = _name_life(endpoint)
+        if life in self._watches:
+            return
+        watch = asyncio.create_task(
+            self._watch(service, endpoint, endpoint.declaration)
+        )
+        self._watches[life] = watch
+        watch.add_done_callback(lambda _: self._watches.pop(life, None))
+
+    async def _watch(
+        self, service: str, endpoint: Endpoint, ended: EndpointDeclaration
+    ) -> None:
+        """Withdraw an end if the same life of the engine answers again."""
+        for delay in _REVIVAL_DELAYS:
+            await asyncio.sleep(delay)
+            queried_at = monotonic()
+            answered = await self._operations.read_incarnation(ended.address)
+            if isinstance(answered, Failure):
+                continue
+            if ended.incarnation and answered.unwrap() == ended.incarnation:
+                self._revive(service, endpoint.name, ended, queried_at)
+            return
+
+    def _revive(
+        self,
+        service: str,
+        name: str,
+        ended: EndpointDeclaration,
+        answered_at: float,
+    ) -> None:
+        life = f'{name} {ended.incarnation}'
+        released = self._quarantine.revive(service, life, answered_at)
+        record_withdrawn(life, released)
+        age = monotonic() - answered_at
+        self._notices.announce_revived(service, life, age)
+        for part in released:
+            self._rows.keep_cleared(service, part)
+
     async def _check_once(self, endpoint: Endpoint) -> _State:
         """Check an engine, once for all of its attempts."""
         life = _name_life(endpoint)
--- a/src/kelproad/coordination/ingress/quarantine/notices.py
+++ b/src/kelproad/coordination/ingress/quarantine/notices.py
@@ -64,6 +64,15 @@
             functools.partial(PromptNotice, alive=[(service, engine)])
         )
 
+    def announce_revived(self, service: str, engine: str, age: float) -> None:
+        """Tell all that an engine answered ``age`` seconds ago after its end.
+
+        All instances may have confirmed that end.
+        """
+        self._forget_own(engine, monotonic() - age)
+        revived = [(service, engine, round(age, 4))]
+        self._send_to_all(functools.partial(PromptNotice, revived=revived))
+
     def announce_harmless(self, service: str, parts: Iterable[str]) -> None:
         """Tell all instances that an engine outlived an answer on parts."""
         harmless = [(service, part, float(0)) for part in parts]
@@ -76,6 +85,10 @@
             self._quarantine.record_harmless(service, [part], now - age)
         for service, engine in notice.alive:
             self._quarantine.withdraw(service, engine)
+        for service, engine, age in notice.revived:
+            self._forget_own(engine, now - age)
+            released = self._quarantine.revive(service, engine, now - age)
+            record_withdrawn(engine, released)
         harmless = [
             known
             for reported in notice.ends
@@ -99,6 +112,14 @@
             )
             self._queries.announce(notice, host)
 
+    def _forget_own(self, engine: str, before: float) -> None:
+        """Repeat no more that a life has ended, by calls that ended before."""
+        self._own_ends = [
+            ended
+            for ended in self._own_ends
+            if ended.engine != engine or ended.ended_at >= before
+        ]
+
     def _accept_end(
         self, reported: ReportedEnd, now: float
     ) -> list[tuple[str, str, float]]:
@@ -150,6 +171,16 @@
         )
 
 
+def record_withdrawn(engine: str, released: Iterable[str]) -> None:
+    """Log that an end was none, and the parts that it had quarantined."""
+    record(
+        _logger,
+        'engine_end_withdrawn',
+        engine=engine,
+        released=sorted(released),
+    )
+
+
 def pack_end(ended: EndedCall, now: float) -> ReportedEnd:
     """Convert an end to its form in datagrams and rows, with ages."""
     return ReportedEnd(
--- a/src/kelproad/state/quarantine.py
+++ b/src/kelproad/state/quarantine.py
@@ -62,6 +62,8 @@
         self._ends: dict[_Key, float] = {}
         #: The same for ends that were confirmed, also longer ago.
         self._confirmed_ends: dict[_Key, float] = {}
+        #: Monotonic times at which lives that had seemed to end answered.
+        self._revived_at: dict[_Key, float] = {}
 
     def record_harmless(
         self, service: str, parts: Iterable[str], at: float
@@ -101,10 +103,14 @@
     def record_end(self, ended: EndedCall, now: float) -> list[str]:
         """Record a call whose engine ended; return the parts quarantined.
 
-        A call that was sent to an engine which had ended shows nothing.
+        A call that was sent to an engine which had ended shows nothing, and no
+        engine ended before it answered again.
         """
         if self.has_ended_before(ended.service, ended.engine, ended.sent_at):
             return []
+        key = (ended.service, ended.engine)
+        if ended.ended_at < self._revived_at.get(key, -math.inf):
+            return []
         self._record_engine_end(ended, now)
         unproven = self.select_unproven(
             ended.service, ended.parts, ended.ended_at
@@ -136,6 +142,36 @@
             if not suspicion.ends:
                 self._suspicions.pop(key)
 
+    def revive(self, service: str, engine: str, at: float) -> list[str]:
+        """Withdraw the ends of a life that answered later, confirmed ones too.
+
+        Returns
+        -------
+        list of str
+            The parts that are in quarantine no longer.
+        """
+        life = (service, engine)
+        oldest = at - _ENDED_SECONDS
+        self._revived_at = {
+            key: last for key, last in self._revived_at.items() if last > oldest
+        }
+        self._revived_at[life] = max(at, self._revived_at.get(life, at))
+        for ends in (self._ends, self._confirmed_ends):
+            if ends.get(life, math.inf) < at:
+                ends.pop(life)
+        released = []
+        for key, suspicion in list(self._suspicions.items()):
+            end = suspicion.ends.get(engine)
+            if key[0] != service or end is None or end.ended_at >= at:
+                continue
+            was_quarantined = suspicion.quarantined_after
+            suspicion.remove(engine)
+            if was_quarantined and not suspicion.quarantined_after:
+                released.append(key[1])
+            if not suspicion.ends:
+                self._suspicions.pop(key)
+        return released
+
     def judge(
         self, service: str, parts: Iterable[str], workspace: str, now: float
     ) -> Judgement:
--- a/src/kelproad/state/suspicions.py
+++ b/src/kelproad/state/suspicions.py
@@ -117,6 +117,18 @@
         if len(self.ends) > _MAX_ENDS:
             self._drop_oldest_end()
 
+    def remove(self, engine: str) -> None:
+        """Remove an end that was none, and what was concluded from it."""
+        if not self.ends.pop(engine).counted:
+            return
+        self.trials -= 1
+        if self.trials < self.quarantined_after:
+            self.quarantined_after = 0
+        self.last_end_at = max(
+            (end.ended_at for end in self.list_counted().values()),
+            default=-math.inf,
+        )
+
     def list_counted(self) -> dict[str, EngineEnd]:
         """List the ends in a row that are remembered, by engine."""
         return {engine: end for engine, end in self.ends.items() if end.counted}
--- a/tests/ingress/test_guard.py
+++ b/tests/ingress/test_guard.py
@@ -8,6 +8,7 @@
 import pytest
 from returns.result import Failure, Result, Success
 
+from kelproad.coordination.ingress.quarantine import ends as ends_module
 from kelproad.coordination.ingress.quarantine.ends import EndObserver
 from kelproad.coordination.ingress.quarantine.guard import PromptGuard
 from kelproad.coordination.ingress.streams.answers import AttemptFailure
@@ -176,3 +177,57 @@
     call.head = attrs.evolve(call.head, shared_parts=('part',))
     await observer.observe(call, endpoint, monotonic())
     assert observer._quarantine.get('writer', 'part').trials == 0
+
+
+@pytest.mark.parametrize('incarnation', ['born', 'again', ''])
+async def test_an_engine_that_paused_accuses_no_part_for_long(
+    incarnation: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An engine that stood still for some seconds counted as ended for good."""
+    monkeypatch.setattr(ends_module, '_QUERY_PERIOD', 0)
+    monkeypatch.setattr(ends_module, '_REVIVAL_DELAYS', (0.01, 0.01, 0.01))
+    declarations = [
+        EndpointDeclaration(
+            f'i-{number}', 'a', f'10.0.0.{number}:80', incarnation='born'
+        )
+        for number in range(2)
+    ]
+    table = EndpointTable()
+    table.replace_groups(
+        [EndpointGroup('writer', EndpointKind.ENGINE, declarations)]
+    )
+    queries = 0
+
+    async def read_incarnation(address: str) -> Result[str, str]:
+        nonlocal queries  # noqa: WPS420  counts over the calls
+        await asyncio.sleep(0)
+        if address != declarations[0].address:
+            return Success('born')
+        queries += 1
+        return Success(incarnation) if queries > 4 else Failure('silent')
+
+    revived: list[str] = []
+    observer = EndObserver(
+        PartQuarantine(lambda _service: 2),
+        types.SimpleNamespace(
+            announce_end=lambda _ended: None,
+            announce_revived=lambda _service, engine, _age: revived.append(
+                engine
+            ),
+        ),
+        types.SimpleNamespace(keep=lambda *_parts: None),
+        types.SimpleNamespace(read_incarnation=read_incarnation),
+        table,
+        DirectPaths(),
+        QuarantineMetrics(Counters().registry),
+        random.Random(1),
+    )
+    call = build_call()
+    call.head = attrs.evolve(call.head, shared_parts=('part',))
+    await observer.observe(call, table.get('i-0'), monotonic())
+    assert observer._quarantine.get('writer', 'part').trials == 1
+    await asyncio.wait(list(observer._watches.values()))
+    is_alive = incarnation == 'born'
+    assert bool(revived) is is_alive
+    assert (observer._quarantine.get('writer', 'part') is None) is is_alive
+    assert queries == 5
--- a/tests/ingress/test_quarantine.py
+++ b/tests/ingress/test_quarantine.py
@@ -223,3 +223,44 @@
     assert len(evidence.parts.list_suspicions()) <= 1024
     assert len(evidence.parts._harmless) <= 4096
     assert evidence.parts.get(SERVICE, 'poison').quarantined_after
+
+
+def test_an_engine_that_answers_again_has_not_ended(
+    evidence: Evidence,
+) -> None:
+    """Pauses of engines brought sound parts into quarantine for 30 s."""
+    for _ in range(2):
+        evidence.end(('shared',))
+    assert evidence.end(('shared',), engine='engine-x') == ['shared']
+    released = evidence.parts.revive(SERVICE, 'engine-x', evidence.now + 1)
+    assert released == ['shared']
+    assert evidence.judge('shared') is PartState.SUSPECT
+    assert evidence.parts.get(SERVICE, 'shared').trials == 2
+    # Other instances repeat what they knew before.
+    evidence.now -= 1
+    assert not evidence.end(('shared',), engine='engine-x')
+    assert evidence.parts.get(SERVICE, 'shared').trials == 2
+
+
+def test_an_engine_that_ends_after_an_answer_has_ended(
+    evidence: Evidence,
+) -> None:
+    """The report of an answer comes later than that of the end."""
+    answered_at = evidence.now
+    evidence.end(('shared',), engine='engine-x')
+    evidence.parts.revive(SERVICE, 'engine-x', answered_at)
+    assert evidence.parts.get(SERVICE, 'shared').trials == 1
+
+
+def test_a_failed_trial_of_a_quarantined_part_may_be_withdrawn(
+    evidence: Evidence,
+) -> None:
+    """A pause during the retrial doubled the time until the next one."""
+    for _ in range(3):
+        evidence.end(('poison',))
+    before = evidence.parts.get(SERVICE, 'poison').retrial_at
+    evidence.end(('poison',), engine='engine-x')
+    released = evidence.parts.revive(SERVICE, 'engine-x', evidence.now + 1)
+    assert not released
+    assert evidence.judge('poison') is PartState.QUARANTINED
+    assert evidence.parts.get(SERVICE, 'poison').retrial_at == before
