Drop no endpoint entries right after a standstill, unread

Seen from outside: the store's entries of a service lapse and return within two seconds; an instance that stands still meanwhile drops them all when it goes on ("endpoint_gone"), refuses calls for lack of endpoints, and lists them anew a moment later, without their ejections and learned speeds.

Cause: the check for lapsed entries runs a turn of the loop after its timer; the answer of the store, which lies in the socket, takes several.

Change: the first check after a gap of 0.5 s and more (they come every 0.25 s) drops nothing, once in a row. The bound is unchanged for a process that runs; one that stood still drops up to 0.25 s later. Entries that an answer of the store shows to be missing are dropped as before.

Measured by the test: both entries gone in the first check before, kept until the second one after.

--- a/src/kelproad/coordination/ingress/tables/endpoints.py
+++ b/src/kelproad/coordination/ingress/tables/endpoints.py
@@ -9,6 +9,7 @@
 
 import collections
 import logging
+import math
 import operator
 from collections.abc import Callable, Iterable
 
@@ -43,6 +44,9 @@
 #: Seconds after the store's recovery for which a lapsed entry is kept.
 #: According to the platform, live endpoints are back after about two.
 RECOVERY_GRACE_SECONDS = 2.3
+#: Seconds between two checks for entries to drop, which come every 0.25 s, from
+#: which on the process must have stood still.
+_STANDSTILL_SECONDS = 0.5
 
 
 @attrs.frozen
@@ -118,6 +122,9 @@
         self._listed: dict[str, ListedEndpoint] = {}
         #: Monotonic time until which each missing entry is kept.
         self._missing: dict[str, float] = {}
+        #: Monotonic time of the last check of these, and whether it came late.
+        self._checked_at = math.inf
+        self._was_late = False
         self._configuration: RoutingConfiguration | None = None
         #: Whether the published table lacks something.
         self._changed = False
@@ -160,8 +167,16 @@
             record(_logger, 'endpoint_gone', endpoint=name)
 
     def publish_expired(self) -> None:
-        """Drop entries missing for too long, and publish the rest."""
-        if self._missing:
+        """Drop entries missing for too long, and publish the rest.
+
+        Not in the first check after a standstill of this process: what it has
+        not read yet may contain them again.
+        """
+        now = monotonic()
+        is_late = now - self._checked_at > _STANDSTILL_SECONDS
+        self._was_late = is_late and not self._was_late
+        self._checked_at = now
+        if self._missing and not self._was_late:
             self.drop_expired()
             self._publish()
 
--- a/tests/ingress/test_endpoints.py
+++ b/tests/ingress/test_endpoints.py
@@ -167,6 +167,23 @@
     assert not table.all()
 
 
+def test_a_standstill_of_the_process_drops_no_entry_unread(
+    registry: EndpointRegistry,
+    table: EndpointTable,
+    clock: Clock,
+) -> None:
+    """The entries were back in what the process had not read yet."""
+    registry.adopt(change(write('i-1'), write('i-2')))
+    registry.publish_expired()
+    registry.adopt(change(drop('i-1'), drop('i-2')))
+    clock.now += MASS_LAPSE_SECONDS + 1
+    registry.publish_expired()
+    assert set(table.all()) == {'i-1', 'i-2'}
+    clock.now += 1
+    registry.publish_expired()
+    assert not table.all()
+
+
 def test_an_outdated_report_is_ignored(
     registry: EndpointRegistry,
     table: EndpointTable,
