Give others running time to object to a first configuration

Seen from outside: an instance that starts while the store is back from a copy, and stands still for a second just after it has read it, confirms its configuration without having heard any other instance; a key may run that the others know to be revoked.

Cause: the wait for what other instances have in force counted the monotonic clock; their reports lay in the socket when it had passed.

Change: that wait counts the running clock. Ages by which keys are trusted, and the time that operators get after a restoration, go on counting real time.

Measured by the test: confirmed at once after a pause of 3 s before; after 1 s of running now.

--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -102,6 +102,7 @@
             self._generator,
         )
         self._tables = self._peering.tables
+        self._tables.confirmation.read_clock = self._running_clock.read
         self._exchange = self._peering.exchange
         self._tunnel_peers = TunnelPeers(
             self._settings, self._exchange.peers, self._generator
--- a/src/kelproad/coordination/ingress/tables/confirming.py
+++ b/src/kelproad/coordination/ingress/tables/confirming.py
@@ -14,7 +14,14 @@
 
 
 class Confirmation:
-    """Age of the last confirmation of the configuration in force."""
+    """Age of the last confirmation of the configuration in force.
+
+    Attributes
+    ----------
+    read_clock
+        Reads the clock by which others get the time to object; it should stand
+        still while this process does.
+    """
 
     def __init__(
         self,
@@ -35,6 +42,7 @@
             Seconds after a restoration for which operators may have more to
             write again.
         """
+        self.read_clock = monotonic
         self._measure_follower_age = measure_age
         self._settle_seconds = settle_seconds
         self._rewrite_seconds = rewrite_seconds
@@ -45,7 +53,8 @@
         self._settled_at = float('-inf')
         #: Monotonic time from which nothing is missing that was accepted.
         self._complete_at = float('-inf')
-        #: Monotonic time from which the first answer counts as compared.
+        #: Time by ``read_clock`` from which the first answer counts as
+        #: compared.
         self._compared_at = float('inf')
 
     def measure_age(self) -> float:
@@ -72,7 +81,7 @@
     @property
     def is_compared(self) -> bool:
         """Whether the first configuration is as new as that of others."""
-        return monotonic() >= self._compared_at
+        return self.read_clock() >= self._compared_at
 
     def begin(self, direct: bool) -> None:
         """Wait for other instances after the first configuration.
@@ -81,7 +90,7 @@
         instance.
         """
         wait = self._settle_seconds if direct else 0
-        self._compared_at = min(self._compared_at, monotonic() + wait)
+        self._compared_at = min(self._compared_at, self.read_clock() + wait)
 
     def mark_compared(self) -> None:
         """Record that other instances know nothing newer, or are none."""
--- a/tests/ingress/test_restored_store.py
+++ b/tests/ingress/test_restored_store.py
@@ -1,6 +1,7 @@
 """Tables of a store that returns from a copy, without processes."""
 
 import asyncio
+import math
 
 import attrs
 import msgspec
@@ -25,6 +26,7 @@
 from kelproad.platform.rows import decode_endpoint
 from kelproad.state.quarantine import PartQuarantine
 from kelproad.state.suspicions import EndedCall
+from kelproad.transport.deadlines import RunningClock
 from tests.ingress.test_following import (
     Script,
     create_follower,
@@ -241,6 +243,25 @@
     assert confirmation.is_complete
 
 
+def test_a_standstill_is_no_time_for_others_to_object() -> None:
+    """Guards against a key that a copy of the store has, and others know not.
+
+    An instance that has just started waits for what others have in force.
+    """
+    now = 100.0
+    clock = RunningClock(read_time=lambda: now)
+    clock._read_at = now
+    confirmation = Confirmation(float, 1.0, 5.0)
+    confirmation.read_clock = clock.read
+    confirmation.begin(direct=True)
+    now = 103.0
+    assert math.isinf(confirmation.measure_age())
+    for _ in range(11):
+        now += 0.1
+        clock.read()
+    assert not confirmation.measure_age()
+
+
 # Our own rows
 
 
