Read a head that came during a standstill before its connection ends

Seen from outside: a caller that had connected sends its request while the instance stands still beyond the time for the first headers; its connection is reset though the whole request lay in the socket.

Cause: the time-out is due in the turn of the loop in which the head is read, and the call is recorded some turns later, in its handler.

Change: the abort waits for as many turns as the close of idle connections does. A caller that sends byte by byte is cut off as before (its test stands).

Measured by the test: empty answer before; the answer after. Time for the first headers 0.3 s, loop held for 0.5 s.

--- a/src/kelproad/transport/callerconnections.py
+++ b/src/kelproad/transport/callerconnections.py
@@ -1,7 +1,7 @@
 """Connections of callers: which have a call, and when idle ones are closed."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 
 import attrs
 from aiohttp import web
@@ -59,7 +59,7 @@
         """Wait for the first headers of a new connection."""
         self._awaiting_first.add(connection)
         asyncio.get_running_loop().call_later(
-            self._read_timeouts().head, self._abort_unless_used, connection
+            self._read_timeouts().head, self._start_abort, connection
         )
 
     def begin_call(self, connection: web.RequestHandler) -> None:
@@ -116,7 +116,14 @@
 
     def _start_close(self, connection: web.RequestHandler) -> None:
         self._idle.pop(connection, None)
-        task = asyncio.create_task(self._close([connection]))
+        self._run(self._close([connection]))
+
+    def _start_abort(self, connection: web.RequestHandler) -> None:
+        if connection in self._awaiting_first:
+            self._run(self._abort_unless_used(connection))
+
+    def _run(self, closing: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(closing)
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
 
@@ -131,7 +138,15 @@
         connection.close()
         transport.close()
 
-    def _abort_unless_used(self, connection: web.RequestHandler) -> None:
+    async def _abort_unless_used(self, connection: web.RequestHandler) -> None:
+        """Abort a connection without a call.
+
+        One that arrived while this process stood still is read in the turn of
+        the event loop in which the time-out is due, and reaches its handler
+        some turns later.
+        """
+        for _ in range(_READING_ITERATIONS):
+            await asyncio.sleep(0)
         is_awaiting = connection in self._awaiting_first
         self._awaiting_first.discard(connection)
         if is_awaiting and connection.transport is not None:
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -187,6 +187,25 @@
     ordinary.close()
 
 
+async def test_a_head_that_came_during_a_standstill_is_read(
+    start_server: Callable[[Serve], Awaitable[int]],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A whole request lay in the socket when its connection was aborted."""
+    monkeypatch.setattr(http_servers, 'HEAD_TIMEOUT', 0.3)
+
+    async def answer(_http_request: web.Request) -> web.Response:
+        return web.Response(text='heard')
+
+    port = await start_server(answer)
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    await asyncio.sleep(0.1)
+    writer.write(b'GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n')
+    time.sleep(0.5)
+    assert b'heard' in await reader.read()
+    writer.close()
+
+
 def test_a_standstill_of_the_process_is_no_time_of_others() -> None:
     """Engines were accused of the seconds in which the process stood still."""
     times = iter((0, 0.1, 0.25, 2.0, 2.1))
