Tell an instance that starts whose row says that it leaves

Seen from outside: an instance that starts while the store is back from a copy, in which an endpoint had not begun to leave, sends it calls until the endpoint says so itself; plain ones say it in some answers only. All the other instances had read the row.

Cause: instances heard anew are told what endpoints stated to the sender in answers, not what the sender read of them in the store.

Change: both. As nobody is told for how long such an endpoint has left, it is nobody's last resort.

Measured by the unit test (fails before).

--- a/src/kelproad/coordination/ingress/withdrawing/notices.py
+++ b/src/kelproad/coordination/ingress/withdrawing/notices.py
@@ -1,8 +1,9 @@
 """What instances tell each other of endpoints that leave.
 
 The first instance that an endpoint tells sends a notice to all others at once,
-and nothing is sent while none leaves.  Notices are first-hand only, and only
-those of instances that the store lists are believed.
+and nothing is sent while none leaves.  Notices are first-hand only, from the
+endpoint or from its row in the store, and only those of instances that the
+store lists are believed.
 """
 
 import asyncio
@@ -28,6 +29,9 @@
 #: how long it is repeated.
 _REPEAT_PERIOD = 0.4
 _REPEAT_SECONDS = 1.0
+#: Seconds for which an endpoint is reported to have left whose row says so:
+#: long enough that it is nobody's last resort.
+_LISTED_AGE = 60.0
 #: Most endpoints in one datagram.
 _MAX_REPORTED = 32
 #: Bounds of the seconds for which a notice holds; at random, so that one
@@ -66,17 +70,27 @@
         """Tell all instances of an endpoint that told this one."""
         key = (endpoint, incarnation)
         self._repeated[key] = monotonic() + _REPEAT_SECONDS
-        self._send([key], self._peers.list_hosts())
+        self._send(self._report([key]), self._peers.list_hosts())
 
     def greet(self, host: str) -> None:
-        """Tell an instance that is heard anew what endpoints told this one."""
+        """Tell an instance that is heard anew which endpoints leave.
+
+        The store that it reads may be down, or a copy from before that.
+        """
         now = monotonic()
-        known = [
+        stated = [
             key
             for key, withdrawal in self._table.withdrawals.all().items()
             if withdrawal.stated_here_at <= now
         ]
-        self._send(known, [host])
+        listed = [
+            ReportedLeaving(
+                endpoint.name, endpoint.declaration.incarnation, _LISTED_AGE
+            )
+            for endpoint in self._table.all().values()
+            if endpoint.declaration.leaving
+        ]
+        self._send([*self._report(stated), *listed], [host])
 
     def accept(self, notice: LeavingNotice) -> None:
         """Record a notice once its sender is known to be an instance."""
@@ -121,18 +135,21 @@
                 for key, until in self._repeated.items()
                 if until > now
             }
-            self._send(self._repeated, self._peers.list_hosts())
+            self._send(self._report(self._repeated), self._peers.list_hosts())
 
-    def _send(
-        self, keys: Iterable[tuple[str, str]], hosts: Iterable[str]
-    ) -> None:
-        """Send what endpoints told this instance, in datagrams of some each."""
+    def _report(self, keys: Iterable[tuple[str, str]]) -> list[ReportedLeaving]:
+        """Report what endpoints told this instance."""
         now = monotonic()
-        leaving = [
+        return [
             ReportedLeaving(*key, round(now - withdrawal.stated_here_at, 3))
             for key in keys
             if (withdrawal := self._table.withdrawals.find(*key)) is not None
         ]
+
+    def _send(
+        self, leaving: list[ReportedLeaving], hosts: Iterable[str]
+    ) -> None:
+        """Send reports, in datagrams of some each."""
         for start in range(0, len(leaving), _MAX_REPORTED):
             notice = functools.partial(
                 LeavingNotice, leaving=leaving[start : start + _MAX_REPORTED]
--- a/tests/ingress/test_withdrawals.py
+++ b/tests/ingress/test_withdrawals.py
@@ -60,11 +60,14 @@
 
 
 def list_endpoint(
-    table: EndpointTable, incarnation: str, name: str = 'i-1'
+    table: EndpointTable,
+    incarnation: str,
+    name: str = 'i-1',
+    leaving: bool = False,
 ) -> None:
     """Build the table anew with one endpoint."""
     declaration = EndpointDeclaration(
-        name, 'a', ADDRESS, incarnation=incarnation
+        name, 'a', ADDRESS, leaving=leaving, incarnation=incarnation
     )
     group = EndpointGroup('book', EndpointKind.PLAIN, [declaration])
     table.replace_groups([group])
@@ -262,6 +265,21 @@
     assert second.sent[0].leaving[0].endpoint == 'i-1'
 
 
+async def test_an_instance_that_starts_learns_which_rows_were_leaving() -> None:
+    """It read a copy of the store in which the endpoint had not left yet."""
+    first, second = Peer('10.0.0.1', set()), Peer('10.0.0.2', {'10.0.0.1'})
+    list_endpoint(first.table, '1', leaving=True)
+    first.notices.greet('10.0.0.2')
+    assert len(first.sent) == 1
+    await second.hear(first.sent[0])
+    endpoint = second.table.get('i-1')
+    assert endpoint.leaving
+    # It has been told for how long by nobody: nothing may be its last resort.
+    assert not endpoint.withdrawal.is_last_resort(monotonic())
+    list_endpoint(second.table, '2')
+    assert not second.table.get('i-1').leaving
+
+
 async def test_what_was_only_heard_is_not_passed_on() -> None:
     """Two instances could keep a false notice alive for ever."""
     second = Peer('10.0.0.2', {'10.0.0.1'})
