Date the end of an engine by the first call that failed there

No other engine is left to answer, so that no check confirms an end. 3.8 s later engine-1 is back at its address, its new row not read yet; a call with `system-1` sent to the former life is refused there, and now the report of the new life confirms the end, dated by this call: a trial of `system-1`. So does the next one at engine-3, dead for 1.8 s, as engine-1 now answers as control. With one real end that is three in a row.

Ruled out: a standstill of the accusing instance (its loop was not late), and pauses of engines: all three had crashed.

Change: after a check that can't tell, the engine is asked again for 15 s. Meanwhile calls sent there after the first that failed accuse nothing; another incarnation confirms the end by the calls that failed first; its own ends the doubt. As an end is now told after later ones, it counts in its turn (`Suspicion`): in a row are ends of which each came before the other's calls were sent.

--- a/src/kelproad/coordination/ingress/quarantine/ends.py
+++ b/src/kelproad/coordination/ingress/quarantine/ends.py
@@ -4,6 +4,9 @@
 one answer, or the connection is lost.  The engine's report decides: a new
 incarnation shows an end, and so does silence while another engine answers.  One
 that answers again after such a silence had only paused.
+
+While no engine answers, an end can't be told.  It is found out later, and
+calls sent to that engine meanwhile may have been sent after its end.
 """
 
 import asyncio
@@ -39,8 +42,8 @@
 _QUERY_PERIOD = 0.2
 #: Other engines that are queried to tell a silent engine from a lost path.
 _MAX_CONTROLS = 4
-#: Seconds until each query whether an engine that ended by its silence answers
-#: again.
+#: Seconds until each query whether an engine that has ended, or may have,
+#: answers again.
 _REVIVAL_DELAYS = (0.5, 1.0, 2.0, 4.0, 8.0)
 
 
@@ -76,8 +79,11 @@
     _generator: random.Random
     #: Checks in progress, by the life of the engine.
     _checks: dict[str, asyncio.Task[_State]] = attrs.field(factory=dict)
-    #: Queries to engines that have ended, by the life of the engine.
+    #: Queries to engines that have ended, or may have, by the life.
     _watches: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
+    #: Calls under which an engine may have ended, the first failure at the
+    #: beginning, by the life.
+    _doubted: dict[str, list[EndedCall]] = attrs.field(factory=dict)
 
     async def observe(
         self, call: Call, endpoint: Endpoint, sent_at: float
@@ -93,6 +99,8 @@
         life = _name_life(endpoint)
         if self._quarantine.has_ended_before(call.service, life, sent_at):
             return
+        if self._may_have_ended_before(life, sent_at):
+            return
         now = monotonic()
         parts = self._quarantine.select_unproven(
             call.service, call.head.shared_parts, now
@@ -126,6 +134,19 @@
         elif state is _State.ENDED:
             self._confirm(attrs.evolve(ended, confirmed=True))
             self._watch_once(call.service, endpoint)
+        else:
+            self._doubt(ended)
+            self._watch_once(call.service, endpoint)
+
+    def _may_have_ended_before(self, life: str, at: float) -> bool:
+        """Return whether a call failed there before, and no more is known."""
+        doubted = self._doubted.get(life)
+        return doubted is not None and doubted[0].ended_at < at
+
+    def _doubt(self, ended: EndedCall) -> None:
+        """Remember a call under which its engine may have ended."""
+        if not self._may_have_ended_before(ended.engine, ended.sent_at):
+            self._doubted.setdefault(ended.engine, []).append(ended)
 
     def _confirm(self, ended: EndedCall) -> None:
         quarantined = self._quarantine.record_end(ended, monotonic())
@@ -134,7 +155,7 @@
         self._rows.keep(ended.service, ended.parts)
 
     def _watch_once(self, service: str, endpoint: Endpoint) -> None:
-        """Watch an engine that has ended, once for all of its attempts."""
+        """Watch an engine that seems to have ended, once for all attempts."""
         life = _name_life(endpoint)
         if life in self._watches:
             return
@@ -142,30 +163,39 @@
             self._watch(service, endpoint, endpoint.declaration)
         )
         self._watches[life] = watch
-        watch.add_done_callback(lambda _: self._watches.pop(life, None))
+        watch.add_done_callback(lambda _: self._end_watch(life))
+
+    def _end_watch(self, life: str) -> None:
+        """Forget what was not found out; the next call checks anew."""
+        self._watches.pop(life, None)
+        self._doubted.pop(life, None)
 
     async def _watch(
         self, service: str, endpoint: Endpoint, ended: EndpointDeclaration
     ) -> None:
-        """Withdraw an end if the same life of the engine answers again."""
+        """Withdraw an end if the same life of the engine answers again.
+
+        Another life confirms the end, by the calls that failed first.
+        """
+        life = _name_life(endpoint)
         for delay in _REVIVAL_DELAYS:
             await asyncio.sleep(delay)
             queried_at = monotonic()
             answered = await self._operations.read_incarnation(ended.address)
             if isinstance(answered, Failure):
                 continue
-            if ended.incarnation and answered.unwrap() == ended.incarnation:
-                self._revive(service, endpoint.name, ended, queried_at)
+            if answered.unwrap() not in {'', ended.incarnation}:
+                for call in self._doubted.get(life, ()):
+                    self._confirm(attrs.evolve(call, confirmed=True))
+            elif answered.unwrap():
+                self._revive(service, life, queried_at)
             return
 
-    def _revive(
-        self,
-        service: str,
-        name: str,
-        ended: EndpointDeclaration,
-        answered_at: float,
-    ) -> None:
-        life = f'{name} {ended.incarnation}'
+    def _revive(self, service: str, life: str, answered_at: float) -> None:
+        """Withdraw the ends of a life, here and, if confirmed, everywhere."""
+        if not self._quarantine.has_ended_before(service, life, answered_at):
+            self._quarantine.withdraw(service, life)
+            return
         released = self._quarantine.revive(service, life, answered_at)
         record_withdrawn(life, released)
         age = monotonic() - answered_at
--- a/src/kelproad/state/suspicions.py
+++ b/src/kelproad/state/suspicions.py
@@ -65,6 +65,10 @@
     confirmed: bool = False
     counted: bool = False
 
+    def precedes(self, other: 'EngineEnd') -> bool:
+        """Return whether another engine was sent its calls after this end."""
+        return other.sent_at >= self.ended_at - _TOLERANCE
+
 
 @attrs.define
 class Suspicion:
@@ -109,8 +113,7 @@
         end.sent_at = max(end.sent_at, end.ended_at - lasted)
         end.workspaces |= ended.workspaces
         end.confirmed = end.confirmed or ended.confirmed
-        follows = end.sent_at >= self.last_end_at - _TOLERANCE
-        if end.confirmed and follows and not end.counted:
+        if end.confirmed and not end.counted and self._is_in_a_row(end):
             end.counted = True
             self.trials += 1
             self.last_end_at = max(self.last_end_at, end.ended_at)
@@ -140,6 +143,18 @@
             for end in self.ends.values()
         )
 
+    def _is_in_a_row(self, end: EngineEnd) -> bool:
+        """Return whether no call with the part was under way at two ends.
+
+        An end may be told later than those that came after it.
+        """
+        if end.sent_at >= self.last_end_at - _TOLERANCE:
+            return True
+        counted = self.list_counted().values()
+        return len(counted) == self.trials and all(
+            other.precedes(end) or end.precedes(other) for other in counted
+        )
+
     def _drop_oldest_end(self) -> None:
         """Drop an end, one that was not counted if there is one."""
         uncounted = (
--- a/tests/ingress/test_guard.py
+++ b/tests/ingress/test_guard.py
@@ -231,3 +231,56 @@
     assert bool(revived) is is_alive
     assert (observer._quarantine.get('writer', 'part') is None) is is_alive
     assert queries == 5
+
+
+@pytest.mark.parametrize('returns', ['again', 'born', ''])
+async def test_calls_to_an_engine_that_may_have_ended_accuse_nothing(
+    returns: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """All engines were down; calls sent to one afterwards dated its end anew.
+
+    A sound part came into quarantine by ends that were long past.
+    """
+    monkeypatch.setattr(ends_module, '_QUERY_PERIOD', 0)
+    monkeypatch.setattr(ends_module, '_REVIVAL_DELAYS', (0.05, 0.05))
+    declarations = [
+        EndpointDeclaration(
+            f'i-{number}', 'a', f'10.0.0.{number}:80', incarnation='born'
+        )
+        for number in range(2)
+    ]
+    table = EndpointTable()
+    table.replace_groups(
+        [EndpointGroup('writer', EndpointKind.ENGINE, declarations)]
+    )
+    answers: dict[str, str] = {}
+
+    async def read_incarnation(address: str) -> Result[str, str]:
+        await asyncio.sleep(0)
+        known = answers.get(address)
+        return Success(known) if known else Failure('down')
+
+    observer = EndObserver(
+        PartQuarantine(lambda _service: 2),
+        types.SimpleNamespace(announce_end=lambda _ended: None),
+        types.SimpleNamespace(keep=lambda *_parts: None),
+        types.SimpleNamespace(read_incarnation=read_incarnation),
+        table,
+        DirectPaths(),
+        QuarantineMetrics(Counters().registry),
+        random.Random(1),
+    )
+    for part in ('poison', 'sound'):
+        call = build_call()
+        call.head = attrs.evolve(call.head, shared_parts=(part,))
+        await observer.observe(call, table.get('i-0'), monotonic())
+        answers[declarations[1].address] = 'born'
+        if returns:
+            answers[declarations[0].address] = returns
+    assert observer._quarantine.get('writer', 'sound') is None
+    await asyncio.wait(list(observer._watches.values()))
+    await asyncio.sleep(0)
+    poison = observer._quarantine.get('writer', 'poison')
+    trials = poison.trials if poison else 0
+    assert trials == int(returns == 'again')
+    assert not observer._doubted
--- a/tests/ingress/test_quarantine.py
+++ b/tests/ingress/test_quarantine.py
@@ -225,6 +225,23 @@
     assert evidence.parts.get(SERVICE, 'poison').quarantined_after
 
 
+def test_an_end_that_is_told_late_counts_in_its_turn(
+    evidence: Evidence,
+) -> None:
+    """No engine was left to confirm it when it happened."""
+    sent_at = evidence.now
+    evidence.end(('poison',), engine='engine-x', confirmed=False)
+    evidence.now += 1
+    evidence.end(('poison',))
+    evidence.now = sent_at
+    evidence.end(('poison',), engine='engine-x', sent_at=sent_at)
+    assert evidence.parts.get(SERVICE, 'poison').trials == 2
+    # Another one that was under way with it does not.
+    evidence.now = sent_at
+    evidence.end(('poison',), engine='engine-y', sent_at=sent_at)
+    assert evidence.parts.get(SERVICE, 'poison').trials == 2
+
+
 def test_an_engine_that_answers_again_has_not_ended(
     evidence: Evidence,
 ) -> None:
