--- a/src/kelproad/transport/callerconnections.py
+++ b/src/kelproad/transport/callerconnections.py
@@ -1,12 +1,17 @@
-"""Connections of callers: which have a call, and when idle ones are closed."""
+"""Connections of callers: which have a call, and when idle ones are closed.
+
+Calls that were read and never reach a handler are told: those behind the last
+answer on a connection, or behind a call whose caller leaves.
+"""
 
 import asyncio
 from collections.abc import Callable, Coroutine, Iterable
 
 import attrs
 from aiohttp import web
+from multidict import MultiMapping
 
-__all__ = ['CallerConnections', 'ConnectionTimeouts']
+__all__ = ['CallerConnections', 'ConnectionTimeouts', 'ObservedConnection']
 
 #: Iterations of the event loop in which a call that has been read reaches its
 #: handler: aiohttp resumes the connection's task, which starts another one.
@@ -33,6 +38,55 @@
     idle: float
 
 
+class ObservedConnection(asyncio.Protocol):
+    """aiohttp's protocol of a connection, and who ended the connection."""
+
+    def __init__(
+        self,
+        connection: web.RequestHandler,
+        record_end: Callable[[web.RequestHandler, str], None],
+    ) -> None:
+        """Pass everything on; ``record_end`` gets who ended it.
+
+        That is ``caller`` or ``instance``.
+        """
+        self._connection = connection
+        self._record_end = record_end
+        self._has_caller_left = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Pass on that the connection is open."""
+        self._connection.connection_made(transport)
+
+    def data_received(self, received: bytes) -> None:
+        """Pass on bytes."""
+        self._connection.data_received(received)
+
+    def eof_received(self) -> None:
+        """Record that the caller has closed its direction.
+
+        The transport closes the connection then.
+        """
+        self._has_caller_left = True
+        self._connection.eof_received()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Record the end before aiohttp forgets what it has read."""
+        has_caller_left = self._has_caller_left or error is not None
+        self._record_end(
+            self._connection, 'caller' if has_caller_left else 'instance'
+        )
+        self._connection.connection_lost(error)
+
+    def pause_writing(self) -> None:
+        """Pass on that the write buffer is full."""
+        self._connection.pause_writing()
+
+    def resume_writing(self) -> None:
+        """Pass on that the write buffer has room."""
+        self._connection.resume_writing()
+
+
 class CallerConnections:
     """The connections of a server.
 
@@ -45,10 +99,16 @@
         self,
         list_open: Callable[[], list[web.RequestHandler]],
         read_timeouts: Callable[[], ConnectionTimeouts],
+        on_unhandled: Callable[[MultiMapping[str], str], None],
     ) -> None:
-        """Track connections; ``list_open`` lists those that are open."""
+        """Track connections; ``list_open`` lists those that are open.
+
+        ``on_unhandled`` gets the headers of each call that was read and reached
+        no handler, and who ended its connection.
+        """
         self._list_open = list_open
         self._read_timeouts = read_timeouts
+        self._on_unhandled = on_unhandled
         self._awaiting_first: set[web.RequestHandler] = set()
         self._busy: set[web.RequestHandler] = set()
         #: Timers of the idle connections that have had a call.
@@ -59,9 +119,16 @@
         """Wait for the first headers of a new connection."""
         self._awaiting_first.add(connection)
         asyncio.get_running_loop().call_later(
-            self._read_timeouts().head, self._start_abort, connection
+            self._read_timeouts().head, self._abort_unless_used, connection
         )
 
+    def record_end(self, connection: web.RequestHandler, by: str) -> None:
+        """Tell the calls that were read and are dropped with a connection."""
+        # What aiohttp has read and drops is to be found nowhere else.
+        for message, _ in connection._messages:  # noqa: WPS437
+            if hasattr(message, 'headers'):
+                self._on_unhandled(message.headers, by)
+
     def begin_call(self, connection: web.RequestHandler) -> None:
         """Record that a call has begun."""
         self._awaiting_first.discard(connection)
@@ -104,25 +171,30 @@
         what comes on a connection that is marked as closed.  Only a call that
         arrives during the close is lost, unread.
         """
-        for connection in idle:
-            # aiohttp lists a connection that its caller has just closed until
-            # its task has ended.
-            if connection.transport is not None:
-                connection.transport.pause_reading()
-        for _ in range(_READING_ITERATIONS):
-            await asyncio.sleep(0)
+        await _let_calls_begin(idle)
         for connection in idle:
             self._close_unless_busy(connection)
 
-    def _start_close(self, connection: web.RequestHandler) -> None:
-        self._idle.pop(connection, None)
-        self._run(self._close([connection]))
+    async def _abort(self, connection: web.RequestHandler) -> None:
+        """Abort a connection whose first headers are late.
 
-    def _start_abort(self, connection: web.RequestHandler) -> None:
+        They may have been read in this iteration: after a standstill of the
+        process the time has run out although they came in time.
+        """
+        await _let_calls_begin([connection])
+        transport = connection.transport
         if connection in self._awaiting_first:
-            self._run(self._abort_unless_used(connection))
+            self._awaiting_first.discard(connection)
+            if transport is not None:
+                transport.abort()
+        elif transport is not None:
+            transport.resume_reading()
 
-    def _run(self, closing: Coroutine[None, None, None]) -> None:
+    def _start_close(self, connection: web.RequestHandler) -> None:
+        self._idle.pop(connection, None)
+        self._start(self._close([connection]))
+
+    def _start(self, closing: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(closing)
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
@@ -138,19 +210,9 @@
         connection.close()
         transport.close()
 
-    async def _abort_unless_used(self, connection: web.RequestHandler) -> None:
-        """Abort a connection without a call.
-
-        One that arrived while this process stood still is read in the turn of
-        the event loop in which the time-out is due, and reaches its handler
-        some turns later.
-        """
-        for _ in range(_READING_ITERATIONS):
-            await asyncio.sleep(0)
-        is_awaiting = connection in self._awaiting_first
-        self._awaiting_first.discard(connection)
-        if is_awaiting and connection.transport is not None:
-            connection.transport.abort()
+    def _abort_unless_used(self, connection: web.RequestHandler) -> None:
+        if connection in self._awaiting_first:
+            self._start(self._abort(connection))
 
     def _forget_closed(self) -> None:
         """Forget closed connections once they are as many as the open ones."""
@@ -161,3 +223,14 @@
     def _forget(self, closed: Iterable[web.RequestHandler]) -> None:
         for connection in closed:
             self._idle.pop(connection).cancel()
+
+
+async def _let_calls_begin(connections: list[web.RequestHandler]) -> None:
+    """Pause reading, and let calls that have been read reach handlers."""
+    for connection in connections:
+        # aiohttp lists a connection that its caller has just closed until its
+        # task has ended.
+        if connection.transport is not None:
+            connection.transport.pause_reading()
+    for _ in range(_READING_ITERATIONS):
+        await asyncio.sleep(0)
