Hedges: counted, searched for less often, none while events come

An engine that answers no query counted as silent even while its events came, which cost a retry and a second prefill (test_events_speak_for_an_engine_that_answers_no_query failed). A search each 0.1 s for each silent call scores up to 96 endpoints each time; now each 0.3 s. kelproad_retries_total counts attempts beside silent ones, kelproad_attempts_total those that were closed.

--- a/src/kelproad/coordination/ingress/retrying/hedging.py
+++ b/src/kelproad/coordination/ingress/retrying/hedging.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from ....state.counters import Counters
 from ....state.refusals import Ran, Refusal
 from ....transport.deadlines import monotonic
 from ..admission.stopping import refuse_stopping
@@ -25,6 +26,8 @@
 #: Seconds for which a further attempt waits for the request limits of its
 #: endpoints; it is looked for again soon.
 _LIMIT_WAIT = 0.05
+#: Seconds between two searches for one beside the same silent attempt.
+_SEARCH_PERIOD = 0.3
 
 
 @attrs.frozen
@@ -36,6 +39,7 @@
     _evaluator: AttemptEvaluator
     _retry_budgets: RetryBudgets
     _guard: PromptGuard
+    _counters: Counters
 
     async def check(self, race: AttemptRace) -> Refusal | None:
         """Look whether the open attempts of a call are silent.
@@ -53,7 +57,7 @@
                 self._trust(race, attempt)
             elif not self._starter.may_begin(race.call, race.delivery):
                 return refuse_stopping()
-            elif len(attempts) == 1:
+            elif len(attempts) == 1 and _is_due(attempt):
                 await race.wait_beside(self._hedge(race, attempt, silence))
         return None
 
@@ -66,6 +70,9 @@
         for attempt in closed:
             self._silence_monitor.end_silence(attempt)
             race.progress.drop(attempt)
+            self._counters.attempts.inc(
+                {'group': race.call.service, 'outcome': 'closed'}
+            )
         record_lead(leader, closed)
 
     def forget(self, attempt: Attempt) -> None:
@@ -76,6 +83,7 @@
         self, race: AttemptRace, silent: Attempt, silence: Silence
     ) -> None:
         """Start an attempt beside a silent one, if that may bring more."""
+        silent.searched_at = monotonic()
         if not silent.is_silent:
             await self._suspect(race, silent, silence)
         if not self._may_bring_more(race, silence):
@@ -85,6 +93,7 @@
             return
         is_silent = self._silence_monitor.find_silence(silent) is not None
         if is_silent and self._retry_budgets.spend(race.call.service):
+            self._counters.retries.inc({'outcome': 'beside a silent one'})
             race.start(another)
         else:
             self._guard.release(race.call)
@@ -147,3 +156,8 @@
         if attempt.is_silent:
             self._silence_monitor.end_silence(attempt)
             race.progress.trust(attempt)
+
+
+def _is_due(silent: Attempt) -> bool:
+    """Return whether to look again for an attempt beside a silent one."""
+    return monotonic() - silent.searched_at >= _SEARCH_PERIOD
--- a/src/kelproad/coordination/ingress/streams/progress.py
+++ b/src/kelproad/coordination/ingress/streams/progress.py
@@ -1,5 +1,6 @@
 """State of one call over its attempts, and of one attempt."""
 
+import math
 from collections.abc import Callable
 
 import attrs
@@ -46,6 +47,9 @@
     is_silent, accuses_endpoint
         Whether its silence has been recorded, and lasts, and whether it is that
         of the endpoint and not of the path.
+    searched_at
+        Monotonic time at which another one to begin beside it was last looked
+        for.
     via
         Instance through which it was sent; empty if directly.
     take_lead
@@ -64,6 +68,7 @@
     is_helpless: bool = False
     is_silent: bool = False
     accuses_endpoint: bool = False
+    searched_at: float = -math.inf
     via: str = ''
     take_lead: Callable[['Attempt'], None] = _ignore
 
--- a/src/kelproad/coordination/ingress/streams/silence.py
+++ b/src/kelproad/coordination/ingress/streams/silence.py
@@ -46,6 +46,9 @@
 
 #: Seconds of silence from which on an attempt may have lost its path.
 _LOST_SILENCE = 0.4
+#: Seconds without a byte from which on an attempt at an engine that answers no
+#: query is silent.
+_UNANSWERED_SILENCE = 0.1
 #: Seconds between two attempts through peers while none is known to help.
 _PROBE_PERIOD = 0.25
 
@@ -159,7 +162,10 @@
             predicted = attempt.placement.predicted
             self._speed_monitor.check_wait(endpoint, waited, predicted)
             timeout = choose_first_event_timeout(attempt.placement)
-        if attempt.is_helpless or self._speed_monitor.is_silent(endpoint):
+        answers_none = attempt.is_helpless or self._speed_monitor.is_silent(
+            endpoint
+        )
+        if answers_none and waited >= _UNANSWERED_SILENCE:
             return Silence.ENGINE
         if waited < timeout:
             return None
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -175,7 +175,7 @@
         )
         self.retries = self._counter(
             'kelproad_retries_total',
-            'Failed attempts that might be repeated, by what was decided.',
+            'Failed or silent attempts that might be repeated, by the decision.',
         )
         self.ejections = self._counter(
             'kelproad_ejections_total',
--- a/tests/ingress/test_hedging.py
+++ b/tests/ingress/test_hedging.py
@@ -169,15 +169,23 @@
             note_silence=lambda attempt, failure: None,
             check_retry=self._check_retry,
         )
+        counters = Counters()
         dispatcher = Dispatcher(
             types.SimpleNamespace(choose_return=lambda call: 1),
             self.endpoints,
             self.endpoints,
-            Hedger(self.monitor, self.endpoints, evaluator, budgets, guard),
+            Hedger(
+                self.monitor,
+                self.endpoints,
+                evaluator,
+                budgets,
+                guard,
+                counters,
+            ),
             evaluator,
             budgets,
             types.SimpleNamespace(until_end=lambda: asyncio.timeout(None)),
-            Counters(),
+            counters,
         )
         return await dispatcher.answer(call, web.Request.__new__(_Request))
 
@@ -355,3 +363,19 @@
     monitor.record_answer(attempt)
     assert monitor.may_help(Silence.PATH)
     assert monitor.may_help(Silence.PATH)
+
+
+def test_events_speak_for_an_engine_that_answers_no_query() -> None:
+    """A stream that went on was begun a second time, at the cost of a retry."""
+    times = Times()
+    monitor, attempt = build_waiting(times)
+    attempt.call.route = attrs.evolve(
+        attempt.call.route, kind=CallKind.RESUMABLE_STREAM
+    )
+    monitor._speed_monitor = types.SimpleNamespace(
+        check_wait=lambda *_wait: None, is_silent=lambda _endpoint: True
+    )
+    times.now += 0.05
+    assert monitor.find_silence(attempt) is None
+    times.now += 0.06
+    assert monitor.find_silence(attempt) is Silence.ENGINE
