--- a/src/kelproad/coordination/ingress/quarantine/guard.py
+++ b/src/kelproad/coordination/ingress/quarantine/guard.py
@@ -131,6 +131,7 @@
         """
         if not may_have_ended(failure):
             if attempt.trial:
+                attempt.trial = ()
                 self.release(attempt.call)
             return
         observing = asyncio.create_task(
--- a/src/kelproad/coordination/ingress/retrying/dispatching.py
+++ b/src/kelproad/coordination/ingress/retrying/dispatching.py
@@ -34,7 +34,7 @@
 from .attempting import AttemptRunner, AttemptStarter
 from .events import record_broken_off, record_stream
 from .hedging import Hedger
-from .racing import AttemptOutcome, AttemptRace
+from .racing import AttemptRace, AttemptTask
 from .retries import RetryBudgets
 from .verdicts import AttemptEvaluator, find_faulty_endpoint
 
@@ -166,10 +166,17 @@
                 return answered
 
     def _conclude(
-        self, race: AttemptRace, attempt: Attempt, outcome: AttemptOutcome
+        self, race: AttemptRace, attempt: Attempt, ended: AttemptTask
     ) -> Result[web.StreamResponse, Refusal] | None:
-        """Conclude from the end of an attempt; ``None`` lets the call go on."""
+        """Conclude from the end of an attempt; ``None`` lets the call go on.
+
+        Raises
+        ------
+        CallerDisconnectedError
+            When the caller has disconnected.
+        """
         self._hedger.forget(attempt)
+        outcome = ended.result()
         if not isinstance(outcome, Failure):
             record_stream(
                 race.call, attempt.placement, race.delivery, self._counters
--- a/src/kelproad/coordination/ingress/retrying/hedging.py
+++ b/src/kelproad/coordination/ingress/retrying/hedging.py
@@ -50,15 +50,20 @@
             Why not to wait any longer: the stream has not begun, and would be
             cut by the stop of this instance.  Others can serve the caller.
         """
-        attempts = race.open_attempts
-        for attempt in attempts:
-            silence = self._silence_monitor.find_silence(attempt)
+        silences = [
+            (attempt, self._silence_monitor.find_silence(attempt))
+            for attempt in race.open_attempts
+        ]
+        for attempt, silence in silences:
             if silence is None:
                 self._trust(race, attempt)
-            elif not self._starter.may_begin(race.call, race.delivery):
-                return refuse_stopping()
-            elif len(attempts) == 1 and _is_due(attempt):
-                await race.wait_beside(self._hedge(race, attempt, silence))
+        if any(silence is None for _, silence in silences):
+            return None
+        if not self._starter.may_begin(race.call, race.delivery):
+            return refuse_stopping()
+        latest, silence = silences[-1]
+        if _is_due(latest):
+            await race.wait_beside(self._hedge(race, latest, silence))
         return None
 
     def record_lead(
@@ -133,8 +138,8 @@
         is_last = progress.is_last_chance(
             attempt.endpoint, call.route.max_endpoints
         )
-        if not (attempt.via and is_last):
-            progress.suspect(attempt)
+        # The endpoint behind the tunnel may well be sound.
+        progress.suspect(attempt, is_excluded=not (attempt.via and is_last))
         record_silence(
             attempt,
             silence,
--- a/src/kelproad/coordination/ingress/retrying/racing.py
+++ b/src/kelproad/coordination/ingress/retrying/racing.py
@@ -1,6 +1,7 @@
 """Attempts of one call that are open side by side: the first to go on wins."""
 
 import asyncio
+import logging
 from collections.abc import Callable, Coroutine
 
 import attrs
@@ -12,13 +13,14 @@
 from ..streams.delivery import StreamDelivery
 from ..streams.progress import Attempt, Progress
 
-__all__ = ['AttemptOutcome', 'AttemptRace']
+__all__ = ['AttemptRace', 'AttemptTask']
 
+_logger = logging.getLogger(__name__)
 #: Seconds between two looks at attempts that bring nothing.
 _CHECK_PERIOD = 0.1
 
 AttemptOutcome = Result[web.StreamResponse, AttemptFailure]
-_AttemptTask = asyncio.Task[AttemptOutcome]
+AttemptTask = asyncio.Task[AttemptOutcome]
 
 
 @attrs.define
@@ -41,9 +43,9 @@
     _run: Callable[[Attempt], Coroutine[None, None, AttemptOutcome]]
     _record_lead: Callable[['AttemptRace', Attempt, list[Attempt]], None]
     progress: Progress = attrs.field(factory=Progress)
-    _tasks: dict[_AttemptTask, Attempt] = attrs.field(factory=dict)
+    _tasks: dict[AttemptTask, Attempt] = attrs.field(factory=dict)
     #: Tasks of attempts that were closed, until they have ended.
-    _closing: set[_AttemptTask] = attrs.field(factory=set)
+    _closing: set[AttemptTask] = attrs.field(factory=set)
 
     @property
     def open_attempts(self) -> list[Attempt]:
@@ -58,19 +60,14 @@
         self.progress.begin()
         self._tasks[asyncio.create_task(self._run(attempt))] = attempt
 
-    async def wait(self) -> tuple[Attempt, AttemptOutcome] | None:
+    async def wait(self) -> tuple[Attempt, AttemptTask] | None:
         """Wait for the end of an attempt.
 
         Returns
         -------
         tuple or None
-            The attempt and its outcome; ``None`` when none has ended for a
-            while, and something else could be tried beside it.
-
-        Raises
-        ------
-        CallerDisconnectedError
-            When the caller has disconnected.
+            The attempt and its task, which has ended; ``None`` when none has
+            for a while, and something else could be tried beside it.
         """
         done, _ = await asyncio.wait(
             self._tasks,
@@ -81,7 +78,7 @@
         ended = next((task for task in self._tasks if task in done), None)
         if ended is None:
             return None
-        return self._tasks.pop(ended), ended.result()
+        return self._tasks.pop(ended), ended
 
     async def wait_beside(self, search: Coroutine[None, None, None]) -> None:
         """Run a search for another attempt until it, or an attempt, ends."""
@@ -94,8 +91,12 @@
         finally:
             searching.cancel()
         await asyncio.wait((searching,))
-        if not searching.cancelled():
-            searching.result()
+        if not searching.cancelled() and searching.exception() is not None:
+            # What is open must not end for it.
+            _logger.error(
+                'the search for another attempt failed',
+                exc_info=searching.exception(),
+            )
 
     async def close(self) -> None:
         """Close all attempts that are open, and wait until they have ended."""
--- a/src/kelproad/coordination/ingress/retrying/verdicts.py
+++ b/src/kelproad/coordination/ingress/retrying/verdicts.py
@@ -105,8 +105,11 @@
     ) -> None:
         """Record whose fault it is that an attempt failed, or is silent."""
         self._record_path(attempt, failure, now)
-        if failure.blameless or self._is_explained(attempt, failure):
+        if failure.blameless or attempt.is_blamed:
             return
+        if self._is_explained(attempt, failure):
+            return
+        attempt.is_blamed = True
         if not failure.arrived:
             zone = attempt.placement.primary.declaration.zone
             self._reachability.record_connect_failure(zone, now)
--- a/src/kelproad/coordination/ingress/streams/delivery.py
+++ b/src/kelproad/coordination/ingress/streams/delivery.py
@@ -77,18 +77,25 @@
         except ConnectionError as error:
             raise CallerDisconnectedError from error
 
-    async def finish(self, answer: OpenAnswer) -> web.StreamResponse:
-        """End the answer to the caller after the end of the endpoint's body.
+    def check_end(self, answer: OpenAnswer) -> None:
+        """Check that the end of an endpoint's body may be that of the stream.
 
         Raises
         ------
         SequenceError
             When no event has come, and one may be missing.
-        CallerDisconnectedError
-            When the caller has disconnected.
         """
         if self.last_number is None and answer.may_lack_its_body:
             raise SequenceError('the stream ends before its first event')
+
+    async def finish(self, answer: OpenAnswer) -> web.StreamResponse:
+        """End the answer to the caller after the end of the endpoint's body.
+
+        Raises
+        ------
+        CallerDisconnectedError
+            When the caller has disconnected.
+        """
         try:
             if self._response is None:
                 await self._prepare(answer.head)
--- a/src/kelproad/coordination/ingress/streams/progress.py
+++ b/src/kelproad/coordination/ingress/streams/progress.py
@@ -47,6 +47,8 @@
     is_silent, accuses_endpoint
         Whether its silence has been recorded, and lasts, and whether it is that
         of the endpoint and not of the path.
+    is_blamed
+        Whether its endpoint has been found at fault for it.
     searched_at
         Monotonic time at which another one to begin beside it was last looked
         for.
@@ -68,6 +70,7 @@
     is_helpless: bool = False
     is_silent: bool = False
     accuses_endpoint: bool = False
+    is_blamed: bool = False
     searched_at: float = -math.inf
     via: str = ''
     take_lead: Callable[['Attempt'], None] = _ignore
@@ -127,9 +130,13 @@
         """Record that an attempt starts."""
         self.open_attempts += 1
 
-    def suspect(self, attempt: Attempt) -> None:
-        """Exclude the endpoint of an open attempt from further ones."""
-        self.tried.add(attempt.endpoint)
+    def suspect(self, attempt: Attempt, is_excluded: bool = True) -> None:
+        """Count the endpoint of an open attempt that is silent.
+
+        ``is_excluded`` is whether no further attempt may go there.
+        """
+        if is_excluded:
+            self.tried.add(attempt.endpoint)
         if attempt.arrived:
             self.reached.add(attempt.endpoint)
 
--- a/src/kelproad/coordination/ingress/streams/sending.py
+++ b/src/kelproad/coordination/ingress/streams/sending.py
@@ -191,6 +191,7 @@
         try:
             async with within(attempt.call.deadline):
                 await self._forward_events(exchange, answer)
+                delivery.check_end(answer)
                 attempt.take_lead(attempt)
                 return Success(await delivery.finish(answer))
         except asyncio.TimeoutError:
--- a/src/kelproad/coordination/ingress/streams/silence.py
+++ b/src/kelproad/coordination/ingress/streams/silence.py
@@ -91,9 +91,12 @@
     def find_silence(self, attempt: Attempt) -> Silence | None:
         """Find out whether, and how, an attempt that may be repeated is silent.
 
-        Only the wait for the endpoint counts, not that for the caller.
+        Only the wait for an endpoint that has the call counts, not that for a
+        connection or for the caller.
         """
-        if attempt.waits_since is None or not attempt.call.kind.repeatable:
+        if attempt.waits_since is None or not attempt.arrived:
+            return None
+        if not attempt.call.kind.repeatable:
             return None
         waited = self._clock.read() - attempt.waits_since
         if self._is_path_lost(attempt, waited):
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -175,7 +175,7 @@
         )
         self.retries = self._counter(
             'kelproad_retries_total',
-            'Failed or silent attempts that might be repeated, by the decision.',
+            'Attempts that failed or are silent, by what was decided.',
         )
         self.ejections = self._counter(
             'kelproad_ejections_total',
--- a/tests/ingress/test_attempts.py
+++ b/tests/ingress/test_attempts.py
@@ -246,6 +246,7 @@
         # A caller that has all events gets no further one, which is whole.
         expected = SequenceError if resume_after is None else AttributeError
         with pytest.raises(expected):
+            delivery.check_end(answer)
             await delivery.finish(answer)
     assert not b''.join(chunks)
 
--- a/tests/ingress/test_hedging.py
+++ b/tests/ingress/test_hedging.py
@@ -327,6 +327,7 @@
     monitor = SilenceMonitor(None, None, DirectPaths(), clock)
     attempt = Attempt(build_call(), build_placement('i-1'))
     attempt.call.route = attrs.evolve(attempt.call.route, objective=1)
+    attempt.connection = types.SimpleNamespace(connected=True)
     monitor.begin_wait(attempt)
     return monitor, attempt
 
@@ -379,3 +380,13 @@
     assert monitor.find_silence(attempt) is None
     times.now += 0.06
     assert monitor.find_silence(attempt) is Silence.ENGINE
+
+
+def test_each_of_many_instances_may_retry_sometimes() -> None:
+    """With hundreds of instances the part of each was too small for a retry."""
+    budget = RetryBudget(percent=14, burst=0.17)
+    assert not budget.affords_one
+    for _ in range(8):
+        budget.earn(0)
+    assert budget.spend()
+    assert not budget.affords_one
