A retry now and then for each of hundreds of instances

What calls earn may now be saved up to one retry; the initial credit is as before, so that all together begin with no more than the allowance. test_each_of_many_instances_may_retry_sometimes failed.

--- a/src/kelproad/state/budgets.py
+++ b/src/kelproad/state/budgets.py
@@ -14,7 +14,7 @@
     percent
         Retries earned per hundred requests.
     burst
-        Maximum credit, which is also the initial credit.
+        Initial credit, and the maximum one unless that is less than a retry.
     per_second
         Retries earned per second, so that a service with few requests has some
         too.
@@ -35,7 +35,7 @@
         since = 0 if self._earned_at is None else now - self._earned_at
         self._earned_at = now
         earned = max(self.percent / 100, since * self.per_second)
-        self._credit = min(self.burst, self._credit + earned)
+        self._credit = min(max(1, self.burst), self._credit + earned)
 
     @property
     def affords_one(self) -> bool:
