--- a/src/kelproad/coordination/ingress/retrying/starting.py
+++ b/src/kelproad/coordination/ingress/retrying/attempting.py
@@ -1,12 +1,15 @@
-"""Preparation of attempts: endpoints, and a permit to send there."""
+"""Attempts: endpoints for them, a permit to send there, their execution."""
 
 import asyncio
 
 import attrs
+from aiohttp import web
+from multidict import CIMultiDict
 from returns.result import Failure, Result, Success
 
 from ....state.calls import Call
 from ....state.refusals import Refusal, Step
+from ....state.work import WorkLedger
 from ....transport.deadlines import monotonic
 from ..admission.stopping import StopGuard, refuse_stopping
 from ..limiting.gate import StartGate
@@ -14,12 +17,15 @@
 from ..placing.choosing import Chooser
 from ..placing.placement import NoPlacementError, Placement
 from ..quarantine.guard import PromptGuard
+from ..streams.accounting import AttemptAccount
+from ..streams.answers import AttemptFailure
 from ..streams.delivery import StreamDelivery
 from ..streams.progress import Attempt, Progress
-from .events import record_limits
-from .verdicts import ANSWER_MARGIN
+from ..streams.sending import Sender
+from .events import record_limits, record_placement
+from .verdicts import ANSWER_MARGIN, AttemptEvaluator
 
-__all__ = ['AttemptStarter']
+__all__ = ['AttemptRunner', 'AttemptStarter']
 
 #: Seconds between two placement attempts of a call that waits for engines: a
 #: fifth of the shortest pass.
@@ -120,6 +126,46 @@
             )
 
 
+@attrs.frozen
+class AttemptRunner:
+    """Executes attempts and evaluates what they show of their endpoints."""
+
+    _sender: Sender
+    _evaluator: AttemptEvaluator
+    _ledger: WorkLedger
+    _gate: StartGate
+    _guard: PromptGuard
+
+    async def run(
+        self,
+        attempt: Attempt,
+        delivery: StreamDelivery,
+        received: CIMultiDict[str],
+    ) -> Result[web.StreamResponse, AttemptFailure]:
+        """Send a call to one endpoint and forward its answer."""
+        call, placement = attempt.call, attempt.placement
+        record_placement(attempt, self._gate.find_rate(placement.primary))
+        placement.primary.own_requests += 1
+        try:
+            with AttemptAccount(self._ledger, call, placement) as account:
+                outcome = await self._sender.send(
+                    attempt, delivery, received, account
+                )
+        finally:
+            placement.primary.own_requests -= 1
+        failure = outcome.failure() if isinstance(outcome, Failure) else None
+        self._evaluator.note(attempt, failure)
+        if failure is None:
+            self._guard.release(call)
+        else:
+            await self._guard.record_failure(attempt, failure)
+        return outcome
+
+    def finish(self, call: Call) -> None:
+        """End the trial of a call that has ended, or is not sent after all."""
+        self._guard.release(call)
+
+
 def _refuse_unplaced(error: NoPlacementError) -> Refusal:
     return Refusal(
         error.code,
--- a/src/kelproad/coordination/ingress/retrying/hedging.py
+++ b/src/kelproad/coordination/ingress/retrying/hedging.py
@@ -14,10 +14,10 @@
 from ..streams.answers import AttemptFailure
 from ..streams.progress import Attempt
 from ..streams.silence import Silence, SilenceMonitor
+from .attempting import AttemptStarter
 from .events import record_lead, record_silence
 from .racing import AttemptRace
 from .retries import RetryBudgets
-from .starting import AttemptStarter
 from .verdicts import ANSWER_MARGIN, AttemptEvaluator
 
 __all__ = ['Hedger']
