Routed soak: endpoints that pause, and a check that begun answers are whole

Streams were ended for a silence after which their engines went on, and no soak could show it: its endpoints hang, fail or end, but never pause, and any fault of an endpoint, a frozen instance or any killed engine excused a loss.

Its check: what an endpoint has begun is lost if it ended early, or got a 5xx of an instance, half a second and more before its deadline. Excused are the end of its instance (stop, kill, cut) and of the endpoint that sent the last event, which events now name, and answers whose own engine could not have ended them in the time left (its silences, slowness and missing events counted). The budget, another endpoint's fault and SIGSTOP excuse nothing. All soaks now also ask that events of two runs are joined only where one resumes the other.

A loss may be counted by two checks.

--- a/testbed/pauses.py
+++ b/testbed/pauses.py
@@ -14,6 +14,7 @@
 import attrs
 
 from .calls import call_control
+from .marks import MARKED_QUERY, MarkedEvent, find_misjoined
 from .routed import (
     HOST,
     KEY,
@@ -91,8 +92,6 @@
         Seconds from the begin of the load.
     arrivals
         Monotonic times of the events.
-    marks
-        Number of each event, and name, run and resumed event of its run.
     """
 
     request_id: str
@@ -104,7 +103,7 @@
     reason: str = ''
     ended_at: float = 0
     arrivals: list[float] = attrs.field(factory=list)
-    marks: list[tuple[int, str]] = attrs.field(factory=list)
+    events: list[MarkedEvent] = attrs.field(factory=list)
 
     @property
     def is_stream(self) -> bool:
@@ -116,24 +115,19 @@
         """Query that sets what an engine sends."""
         if not self.is_stream:
             return ''
-        return f'?events={EVENTS}&pace={PACE}&marked=1'
+        return f'?events={EVENTS}&pace={PACE}&{MARKED_QUERY}'
 
     def find_defect(self) -> str:
         """Return what is wrong with a whole stream; empty if nothing."""
-        numbers = [number for number, _ in self.marks]
+        numbers = [event.number for event in self.events]
         if numbers != list(range(1, EVENTS + 1)):
             return f'events {numbers}'
-        for mark, events in itertools.groupby(self.marks, lambda item: item[1]):
-            first = next(events)[0]
-            if int(mark.rpartition('/')[2]) != first - 1:
-                return f'event {first} joined within the run {mark}'
-        marks = [mark for mark, _ in itertools.groupby(self.marks, _get_mark)]
-        return '' if len(marks) == len(set(marks)) else f'runs {marks}'
+        return find_misjoined(self.events)
 
     def is_resumed_from(self, engine: str) -> bool:
         """Return whether an engine began it and another went on."""
-        names = [mark.split('/')[0] for _, mark in self.marks]
-        return names[0] == engine and names[-1] != engine
+        began, ended = self.events[0].endpoint, self.events[-1].endpoint
+        return began == engine and ended != engine
 
     def find_longest_gap(self) -> float:
         """Return the seconds of the longest gap between two events."""
@@ -304,17 +298,12 @@
 
 
 def _read_line(sent: PausedCall, line: str) -> None:
-    name, _, text = line.partition(': ')
-    if name == 'data':
-        _, number, _, mark = text.split()
-        sent.marks.append((int(number), mark))
+    event = MarkedEvent.from_line(line)
+    if event:
+        sent.events.append(event)
         sent.arrivals.append(time.monotonic())
 
 
-def _get_mark(item: tuple[int, str]) -> str:
-    return item[1]
-
-
 async def _act_at(moment: float, action: Callable[[], None]) -> None:
     await asyncio.sleep(max(0, moment - time.monotonic()))
     await asyncio.to_thread(action)
--- a/testbed/soak/routed.py
+++ b/testbed/soak/routed.py
@@ -26,9 +26,10 @@
 from .routed_checks import check_calls, check_recovery
 from .routed_crashes import CrashingRequests, check_crashes
 from .routed_cuts import is_cut_by_end, is_unanswered
-from .routed_faults import RoutedFaults, wait_for_all
+from .routed_faults import Base, RoutedFaults, wait_for_all
 from .routed_limits import StatedLimit, StatedLimits, check_limits
 from .routed_partitions import InstanceCuts
+from .routed_pauses import EndpointPauses, check_pauses
 from .routed_restores import StoreRestorations, check_restorations
 from .routed_stops import PlannedStop
 from .routed_withdrawals import StatedWithdrawals, check_withdrawals
@@ -41,25 +42,39 @@
 #: reach all instances.
 _RECOVERY_SECONDS = 7.0
 
+#: Options of the command line that choose faults, and what these do.
+_FLAGS = (
+    ('stops', 'Inject no faults but planned stops.'),
+    ('cuts', 'Also cut instances from all endpoints.'),
+    ('mute', 'Cut instances, also so that connections bring nothing.'),
+    ('crashes', 'Also send requests on a part of which engines crash.'),
+    ('withdrawals', 'Also let endpoints state that they leave or pause.'),
+    ('restores', 'Also let the store return from copies of itself.'),
+    ('pauses', 'Also let endpoints pause and go on, beside changes of routes.'),
+    ('calm', 'Inject no faults but suspended instances and configurations.'),
+)
+
 
 async def soak(
     site: RoutedSite,
     seconds: float,
     seed: int,
-    only_stops: bool = False,
+    base: Base = Base.ALL,
     with_cuts: bool = False,
     with_mute: bool = False,
     with_crashes: bool = False,
     with_withdrawals: bool = False,
     with_restores: bool = False,
+    with_pauses: bool = False,
 ) -> list[str]:
     """Run callers and faults together, end all faults, then check.
 
-    With ``only_stops`` planned stops are the only faults; ``with_cuts``
+    ``base`` limits the faults that are always injected; ``with_cuts``
     instances are also cut from all endpoints, ``with_mute`` so that connections
     are made and bring nothing, too; ``with_crashes`` engines crash on a part of
     some prompts; ``with_withdrawals`` endpoints state that they leave or pause;
-    ``with_restores`` the store returns from copies of itself.
+    ``with_restores`` the store returns from copies of itself; ``with_pauses``
+    endpoints pause beside changes of the routes.
 
     Returns
     -------
@@ -71,12 +86,13 @@
         callers.key = 'first-key'
         await asyncio.to_thread(site.put_configuration, ('first-key',))
         await asyncio.sleep(1)
-        faults = RoutedFaults(site, links, callers, seed, only_stops)
+        faults = RoutedFaults(site, links, callers, seed, base)
         limits = StatedLimits(site, seed)
         cuts = InstanceCuts(site, links, seed, with_mute)
         crashing = CrashingRequests(site, callers, faults)
         withdrawals = StatedWithdrawals(site, faults, seed)
         restorations = StoreRestorations(site, faults, callers, seed)
+        pauses = EndpointPauses(site, faults, callers, seed)
         await asyncio.gather(
             callers.run(seconds),
             faults.run(seconds),
@@ -85,6 +101,7 @@
             crashing.run(seconds if with_crashes else 0),
             withdrawals.run(seconds if with_withdrawals else 0),
             restorations.run(seconds if with_restores else 0),
+            pauses.run(seconds if with_pauses else 0),
         )
         if with_crashes:
             await crashing.finish()
@@ -113,6 +130,13 @@
                 check_withdrawals, callers.records, faults, withdrawals.done
             ),
             functools.partial(check_restorations, site, restorations),
+            functools.partial(
+                check_pauses,
+                site,
+                callers.records if with_pauses else [],
+                faults,
+                pauses.done,
+            ),
         )
         broken = [await asyncio.to_thread(check) for check in checks]
     return list(itertools.chain.from_iterable(broken))
@@ -191,41 +215,19 @@
     )
 
 
+def _choose_base(options: argparse.Namespace) -> Base:
+    if options.stops:
+        return Base.STOPS
+    return Base.CALM if options.calm else Base.ALL
+
+
 def main() -> int:
     """Run with the options of the command line; return the exit code."""
     parser = argparse.ArgumentParser()
     parser.add_argument('--seconds', type=float, default=_SECONDS)
     parser.add_argument('--seed', type=int, default=1)
-    parser.add_argument(
-        '--stops',
-        action='store_true',
-        help='Inject no faults but planned stops.',
-    )
-    parser.add_argument(
-        '--cuts',
-        action='store_true',
-        help='Also cut instances from all endpoints.',
-    )
-    parser.add_argument(
-        '--mute',
-        action='store_true',
-        help='Cut instances, also so that connections bring nothing.',
-    )
-    parser.add_argument(
-        '--crashes',
-        action='store_true',
-        help='Also send requests on a part of which engines crash.',
-    )
-    parser.add_argument(
-        '--withdrawals',
-        action='store_true',
-        help='Also let endpoints state that they leave or pause.',
-    )
-    parser.add_argument(
-        '--restores',
-        action='store_true',
-        help='Also let the store return from copies of itself.',
-    )
+    for flag, told in _FLAGS:
+        parser.add_argument(f'--{flag}', action='store_true', help=told)
     options = parser.parse_args()
     directory = pathlib.Path(tempfile.mkdtemp(prefix='kelproad-soak-'))
     with start_routed_site(directory, 0) as site:
@@ -234,12 +236,13 @@
                 site,
                 options.seconds,
                 options.seed,
-                options.stops,
+                _choose_base(options),
                 options.cuts,
                 options.mute,
                 options.crashes,
                 options.withdrawals,
                 options.restores,
+                options.pauses,
             ),
         )
     for line in broken:
--- a/testbed/soak/routed_callers.py
+++ b/testbed/soak/routed_callers.py
@@ -9,6 +9,7 @@
 import aiohttp
 import attrs
 
+from testbed.marks import MARKED_QUERY, MarkedEvent, find_misjoined
 from testbed.routed import HOST, RoutedInstance, RoutedSite
 
 __all__ = ['RoutedCallers', 'CallRecord']
@@ -69,8 +70,9 @@
 
     Attributes
     ----------
-    sent_at, ended_at
-        Monotonic times.
+    sent_at, heard_at, ended_at
+        Monotonic times; ``heard_at`` is that of the last bytes of the answer, 0
+        without any.
     deadline
         Seconds from ``sent_at`` after which an answer is late.
     events
@@ -97,6 +99,7 @@
     deadline: float = 4.0
     events: int = 0
     fresh: bool = False
+    heard_at: float = 0
     ended_at: float = 0
     status: int = 0
     stamp: str = ''
@@ -111,6 +114,11 @@
         """Whether the answer is complete and successful."""
         return self.whole and self.status == _OK
 
+    @property
+    def marked_events(self) -> list[MarkedEvent]:
+        """Events that have come, with the runs that sent them."""
+        return MarkedEvent.list_from_body(self.body)
+
     @property
     def connection(self) -> str:
         """Kind of connection that it was sent on, for reports."""
@@ -129,8 +137,9 @@
             for line in self.body.splitlines()
             if line.startswith('id:')
         ]
-        expected = list(range(1, self.events + 1))
-        return '' if numbers == expected else f'events {numbers}'
+        if numbers != list(range(1, self.events + 1)):
+            return f'events {numbers}'
+        return find_misjoined(self.marked_events)
 
 
 class RoutedCallers:
@@ -215,7 +224,9 @@
                 record.stamp = response.headers.get(
                     'X-Kelproad-Server-Stamp', ''
                 )
-                record.body = (await response.read()).decode()
+                async for chunk in response.content.iter_any():
+                    record.body += chunk.decode()
+                    record.heard_at = time.monotonic()
             record.whole = True
         except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
             record.reason = repr(error)
@@ -238,7 +249,7 @@
         if not kind.streams:
             return url
         pace = _PASS_SECONDS if kind.long else _PACE
-        return f'{url}?events={told.events}&pace={pace}'
+        return f'{url}?events={told.events}&pace={pace}&{MARKED_QUERY}'
 
     def _build_headers(self, kind: _Kind, record: CallRecord) -> dict[str, str]:
         headers = {
--- a/testbed/soak/routed_checks.py
+++ b/testbed/soak/routed_checks.py
@@ -14,7 +14,7 @@
 )
 from .routed_faults import RoutedFaults, Span
 
-__all__ = ['check_calls', 'check_recovery']
+__all__ = ['check_calls', 'check_recovery', 'list_runs']
 
 #: Statuses that guarantee that the call has not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -43,7 +43,7 @@
 
     ``others`` are the ids of requests that were sent beside the records.
     """
-    runs = _list_runs(site, faults)
+    runs = list_runs(site, faults)
     known = {item.request_id for item in records} | set(others)
     broken = [
         f'{request_id}: ran, but no caller sent it'
@@ -61,7 +61,7 @@
     return broken
 
 
-def _list_runs(site: RoutedSite, faults: RoutedFaults) -> dict[str, list[str]]:
+def list_runs(site: RoutedSite, faults: RoutedFaults) -> dict[str, list[str]]:
     """Return the endpoints of each request, one entry per run."""
     runs: dict[str, list[str]] = {}
     for name in site.endpoints:
--- a/testbed/soak/routed_faults.py
+++ b/testbed/soak/routed_faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import enum
 import math
 import random
 import secrets
@@ -18,7 +19,7 @@
 from .routed_callers import RoutedCallers
 from .routed_stops import PlannedStop, PlannedStops
 
-__all__ = ['RoutedFaults', 'Span', 'list_interruptions']
+__all__ = ['Base', 'RoutedFaults', 'Span', 'list_interruptions']
 
 _MIN_SECONDS = 0.5
 _MAX_SECONDS = 4.0
@@ -31,6 +32,7 @@
 #: Seconds between two stops of a series: at once, or as in a rolling restart.
 _SERIES_PERIODS = (0, 1.0, 1.5, 2.0)
 _MAX_DELAY = 0.4
+_CALM_KINDS = ('instance frozen', 'keys replaced', 'configuration changed')
 #: Faults of an instance after which it knows little of what was before.
 _INTERRUPTIONS = frozenset(('instance killed', 'instance frozen'))
 
@@ -45,6 +47,15 @@
     ended: float
 
 
+class Base(enum.Enum):
+    """Kinds of faults that are injected beside those of other modules."""
+
+    ALL = enum.auto()
+    STOPS = enum.auto()
+    #: Suspended instances, and what operators change.
+    CALM = enum.auto()
+
+
 class RoutedFaults:
     """Injects several faults at a time and ends each."""
 
@@ -54,12 +65,9 @@
         links: dict[str, Link],
         callers: RoutedCallers,
         seed: int,
-        only_stops: bool = False,
+        base: Base = Base.ALL,
     ) -> None:
-        """Choose faults from a seed; links lead to endpoints and store.
-
-        With ``only_stops`` planned stops are the only faults.
-        """
+        """Choose faults from a seed; links lead to endpoints and store."""
         self._site = site
         self._links = links
         self._callers = callers
@@ -79,9 +87,12 @@
             'configuration changed': self._change_configuration,
         }
         self._concurrency = _CONCURRENT_FAULTS
-        if only_stops:
+        if base is Base.STOPS:
             self._kinds = {_SERIES: self._stop_series}
             self._concurrency = _CONCURRENT_SERIES
+        elif base is Base.CALM:
+            self._kinds = {name: self._kinds[name] for name in _CALM_KINDS}
+            self._concurrency = 1
         self._busy: set[str] = set()
         self.spans: list[Span] = []
         #: Run records that endpoints lost when they were killed, by name.
--- a/tests/ingress/test_soak.py
+++ b/tests/ingress/test_soak.py
@@ -6,6 +6,7 @@
 
 from testbed.routed import start_routed_site
 from testbed.soak.routed import soak
+from testbed.soak.routed_faults import Base
 
 #: Seeds of runs with all kinds of failures, and their durations in seconds.
 #: Seeds that failed stay: 101 for a prompt that needed limited engines, 320 for
@@ -21,6 +22,10 @@
 RESTORE_SECONDS = 10.0
 RESTORE_SEEDS = (1, 3)
 WITHDRAWAL_SEEDS = (903,)
+#: Duration of a run in which endpoints pause, with no other faults than
+#: suspended instances, in seconds, and seeds of such runs.
+PAUSE_SECONDS = 15.0
+PAUSE_SEEDS = (1,)
 #: Duration of a run with planned stops only, in seconds.
 STOP_SECONDS = 12.0
 #: Seeds of runs in which planned stops are the only failures.
@@ -64,7 +69,7 @@
     at its exit, though it could have refused them as not run.
     """
     with start_routed_site(tmp_path, 0) as site:
-        assert not await soak(site, STOP_SECONDS, seed, only_stops=True)
+        assert not await soak(site, STOP_SECONDS, seed, base=Base.STOPS)
 
 
 @pytest.mark.parametrize('seed', WITHDRAWAL_SEEDS)
@@ -87,3 +92,15 @@
     """Instances stayed at a configuration of before, without an error."""
     with start_routed_site(tmp_path, 0) as site:
         assert not await soak(site, RESTORE_SECONDS, seed, with_restores=True)
+
+
+@pytest.mark.parametrize('seed', PAUSE_SEEDS)
+async def test_answers_are_whole_while_endpoints_pause(
+    seed: int,
+    tmp_path: pathlib.Path,
+) -> None:
+    """Instances ended answers for a silence, with nobody to go on."""
+    with start_routed_site(tmp_path, 0) as site:
+        assert not await soak(
+            site, PAUSE_SECONDS, seed, base=Base.CALM, with_pauses=True
+        )
--- a/tests/ingress/test_soak_checks.py
+++ b/tests/ingress/test_soak_checks.py
@@ -5,10 +5,12 @@
 import attrs
 import pytest
 
+from testbed.pauses import Silence
 from testbed.soak.routed_callers import CallRecord
 from testbed.soak.routed_checks import check_calls
 from testbed.soak.routed_faults import Span
 from testbed.soak.routed_limits import StatedLimit, check_limits
+from testbed.soak.routed_pauses import Pause, check_pauses
 from testbed.soak.routed_stops import PlannedStop
 
 #: Time of SIGTERM.
@@ -297,3 +299,94 @@
     assert not check_arrivals(repeat(8), killed)
     assert check_arrivals(repeat(9.1), killed)
     assert check_arrivals(repeat(8), Span('instance killed', 'edge-2', 5, 6))
+
+
+def check_lost(
+    *spans: Span,
+    pauses: tuple[Pause, ...] = (),
+    stops: tuple[PlannedStop, ...] = (),
+    ran_at: str = 'engine-1',
+    **outcome: object,
+) -> list[str]:
+    """Check a stream of 10 events, lost at 3 s of 10 s after event 2."""
+    fields = {
+        'events': 10,
+        'status': 200,
+        'stamp': 'stamp.engine-1.a',
+        'body': (
+            'id: 1\ndata: piece 1 of engine-1/1/0\n\n'
+            'id: 2\ndata: piece 2 of engine-1/1/0\n\n'
+        ),
+        'heard_at': 1.0,
+        'ended_at': 3.0,
+        'deadline': 10,
+        **outcome,
+    }
+    record = CallRecord('a', 'reports', 'key', 'edge-1', 0, **fields)
+    faults = Faults(spans=list(spans), stops=list(stops))
+    return check_pauses(Site(ran_at), [record], faults, list(pauses))
+
+
+def pause(
+    seconds: float, began: float = 1, positions: tuple[int, ...] = ()
+) -> Pause:
+    """Build a pause of the engine that serves the stream, of 2 s at least."""
+    silence = Silence(seconds, positions)
+    names = frozenset(('engine-1',))
+    return Pause(names, silence, began, began + max(2, seconds))
+
+
+def test_a_stream_lost_in_a_pause_is_found() -> None:
+    """A spent retry budget, or a suspended instance, excused the loss."""
+    assert check_lost()
+    assert check_lost(pauses=(pause(4),))
+    assert check_lost(pauses=(pause(1.6, positions=(3, 6)),))
+    assert check_lost(Span('instance frozen', 'edge-1', 1, 3))
+    assert not check_lost(whole=True)
+
+
+def test_an_error_after_an_endpoint_had_begun_is_found() -> None:
+    """An instance gives up an endpoint that would have answered in time."""
+    error = {'status': 502, 'whole': True, 'stamp': '', 'body': ''}
+    assert check_lost(**error)
+    assert not check_lost(ran_at='', **error)
+    assert not check_lost(**{**error, 'stamp': 'stamp.engine-1.a'})
+
+
+@pytest.mark.parametrize(
+    ('name', 'subject'),
+    [
+        ('endpoint killed', 'engine-1'),
+        ('endpoint fails', "engine-1: {'break_after': 2}"),
+        ('link harmed', 'engine-1: reset'),
+        ('instance killed', 'edge-1'),
+        ('instance cut', 'edge-1'),
+    ],
+)
+def test_the_end_of_what_served_a_stream_explains_its_loss(
+    name: str, subject: str
+) -> None:
+    """The same at another engine or instance explains nothing."""
+    assert not check_lost(Span(name, subject, 2, 4))
+    assert check_lost(Span(name, subject, 3.1, 4))
+    elsewhere = subject.replace('-1', '-2', 1)
+    assert check_lost(Span(name, elsewhere, 2, 4), ran_at='engine-2')
+
+
+def test_a_stop_explains_a_loss_only_at_its_instance() -> None:
+    """It may abort what comes to no end in its time."""
+    stop = attrs.evolve(STOP, terminated_at=1, ended_at=3, ready_again_at=4)
+    assert not check_lost(stops=(stop,))
+    assert check_lost(stops=(attrs.evolve(stop, instance='edge-2'),))
+
+
+def test_a_stream_that_no_engine_could_end_in_time_is_not_lost() -> None:
+    """The engine that serves it is silent, or slow, until its deadline."""
+    assert not check_lost(pauses=(pause(8.5),))
+    assert not check_lost(pauses=(pause(3.8, positions=(3, -1, 6)),))
+    assert check_lost(pauses=(pause(3.8, positions=(1, 2, 3)),))
+    assert not check_lost(events=130)
+    slow = Span('endpoint fails', "engine-1: {'pace': 0.4}", 2, 4)
+    assert not check_lost(slow, events=16)
+    assert check_lost(events=16)
+    assert not check_lost(ended_at=9.2)
