--- a/src/kelproad/transport/servers.py
+++ b/src/kelproad/transport/servers.py
@@ -3,17 +3,27 @@
 import asyncio
 import logging
 import socket
+import struct
 from collections.abc import Awaitable, Callable
+from typing import cast
 
 from aiohttp import web
+from aiohttp.http import StreamWriter
 from aiohttp.http_exceptions import HttpProcessingError
+from multidict import MultiMapping
 
 from .addresses import Address
-from .callerconnections import CallerConnections, ConnectionTimeouts
+from .callerconnections import (
+    CallerConnections,
+    ConnectionTimeouts,
+    ObservedConnection,
+)
 from .services import BackgroundService
 
 __all__ = [
     'HttpServer',
+    'abort_answer',
+    'discard_answer',
     'finish_answer',
     'send_answer',
     'wait_for_last_byte',
@@ -29,6 +39,8 @@
 _LONGEST_IDLE_SECONDS = 3600.0
 _MALFORMED = (HttpProcessingError, web.RequestPayloadError)
 _BACKLOG = 1024
+#: Option by which closing a socket resets its connection.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -38,6 +50,10 @@
     """Ignore malformed input."""
 
 
+def _ignore_unhandled(_headers: MultiMapping[str], _by: str) -> None:
+    """Ignore calls that were read and not handled."""
+
+
 def _choose_timeouts() -> ConnectionTimeouts:
     return ConnectionTimeouts(HEAD_TIMEOUT, _KEEPALIVE_SECONDS)
 
@@ -56,6 +72,9 @@
         decode_bodies: bool = True,
         shutdown_timeout: float = 1.0,
         header_bytes: int = MAX_HEADER_BYTES,
+        on_unhandled: Callable[
+            [MultiMapping[str], str], None
+        ] = _ignore_unhandled,
     ) -> None:
         """Prepare to serve an application; it listens once it is started.
 
@@ -77,6 +96,10 @@
             closes.
         header_bytes
             Maximum size of the request line and of each header field.
+        on_unhandled
+            Called with the headers of a call that was read and reached no
+            handler, and with who ended its connection: ``caller`` or
+            ``instance``.
         """
         super().__init__()
         self._application = application
@@ -85,7 +108,7 @@
         self._runner: web.AppRunner | None = None
         self._listener: asyncio.Server | None = None
         self._connections = CallerConnections(
-            self.list_connections, read_timeouts
+            self.list_connections, read_timeouts, on_unhandled
         )
         self._decode_bodies = decode_bodies
         self._shutdown_timeout = shutdown_timeout
@@ -136,7 +159,7 @@
         """Serve a connection, with a time-out for its first request."""
         connection = self._runner.server()
         self._connections.begin(connection)
-        return connection
+        return ObservedConnection(connection, self._connections.record_end)
 
     @web.middleware
     async def _track_call(
@@ -214,6 +237,30 @@
         transport.set_write_buffer_limits(high=0)
 
 
+def abort_answer(http_request: web.BaseRequest) -> None:
+    """Abort a connection, so that its answer can't look complete.
+
+    An answer in chunks lacks the last one then.  Any other one may end with its
+    connection, so that only a reset tells its caller that a part is missing.
+    """
+    transport = http_request.transport
+    if transport is None:
+        return
+    if not cast(StreamWriter, http_request.writer).chunked:
+        transport.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+        )
+    transport.abort()
+
+
+def discard_answer(http_request: web.BaseRequest) -> None:
+    """Forget an answer of which nothing was sent, before another one is.
+
+    Otherwise that would be encoded in chunks because the first one was.
+    """
+    cast(StreamWriter, http_request.writer).chunked = False
+
+
 def _create_listener(address: Address) -> socket.socket:
     family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
     listener = socket.socket(family, socket.SOCK_STREAM)
