--- a/src/kelproad/coordination/ingress/admission/admitting.py
+++ b/src/kelproad/coordination/ingress/admission/admitting.py
@@ -120,6 +120,7 @@
                 arrived,
                 deadline,
                 configuration.version,
+                profile,
             ),
         )
 
@@ -136,7 +137,7 @@
         head: CallHead,
     ) -> Result[RoutedWorkspace | None, Refusal]:
         """Find the workspace that holds the call's key."""
-        if route.anonymous or not configuration.workspaces_by_key:
+        if route.anonymous or not configuration.requires_keys:
             return Success(None)
         if not self.trusted:
             return Failure(self._refuse_unconfirmed('keys are not confirmed'))
@@ -175,10 +176,15 @@
         )
 
     def _choose_service(self, route: Route) -> str:
-        """Choose a service at random, by the weights of the route."""
+        """Choose a service at random, by the weights of the route.
+
+        The name is empty, like that of no service, if none is to get calls.
+        """
+        weighted = [item for item in route.services if item.weight > 0]
+        if not weighted:
+            return ''
         chosen = self._generator.choices(
-            route.services,
-            weights=[service.weight for service in route.services],
+            weighted, weights=[service.weight for service in weighted]
         )
         return chosen[0].name
 
--- a/src/kelproad/coordination/ingress/tables/confirming.py
+++ b/src/kelproad/coordination/ingress/tables/confirming.py
@@ -14,7 +14,14 @@
 
 
 class Confirmation:
-    """Age of the last confirmation of the configuration in force."""
+    """Age of the last confirmation of the configuration in force.
+
+    Attributes
+    ----------
+    read_clock
+        Reads the clock by which others get the time to object; it should stand
+        still while this process does.
+    """
 
     def __init__(
         self,
@@ -35,6 +42,7 @@
             Seconds after a restoration for which operators may have more to
             write again.
         """
+        self.read_clock = monotonic
         self._measure_follower_age = measure_age
         self._settle_seconds = settle_seconds
         self._rewrite_seconds = rewrite_seconds
@@ -47,7 +55,8 @@
         self._complete_at = float('-inf')
         #: Whether there has been a first configuration.
         self._has_begun = False
-        #: Monotonic time from which the first answer counts as compared.
+        #: Time by ``read_clock`` from which the first answer counts as
+        #: compared.
         self._compared_at = float('inf')
 
     def measure_age(self) -> float:
@@ -74,7 +83,7 @@
     @property
     def is_compared(self) -> bool:
         """Whether the first configuration is as new as that of others."""
-        return monotonic() >= self._compared_at
+        return self.read_clock() >= self._compared_at
 
     def begin(self, direct: bool) -> None:
         """Wait for other instances after the first configuration.
@@ -90,7 +99,7 @@
             rewritten_at = monotonic() + self._rewrite_seconds
             self._complete_at = max(self._complete_at, rewritten_at)
         wait = self._settle_seconds if direct else 0
-        self._compared_at = min(self._compared_at, monotonic() + wait)
+        self._compared_at = min(self._compared_at, self.read_clock() + wait)
 
     def mark_compared(self) -> None:
         """Record that other instances know nothing newer, or are none."""
