--- a/src/kelproad/coordination/ingress/retrying/dispatching.py
+++ b/src/kelproad/coordination/ingress/retrying/dispatching.py
@@ -128,7 +128,7 @@
             call,
             delivery,
             lambda attempt: self._runner.run(attempt, delivery, received),
-            self._hedger.record_lead,
+            self._hedger.keep,
         )
 
     async def _run(
@@ -225,12 +225,7 @@
 def _note_failure(
     progress: Progress, attempt: Attempt, failure: AttemptFailure
 ) -> None:
-    at_fault = find_faulty_endpoint(attempt.placement, failure)
-    is_tunnel_broken = attempt.via and failure.arrived and not failure.answered
-    if is_tunnel_broken and progress.is_last_chance(
-        attempt.endpoint, attempt.call.route.max_endpoints
-    ):
-        # The endpoint behind the tunnel may well be sound.
-        progress.note(failure, attempt.endpoint, '')
-        return
-    progress.note(failure, attempt.endpoint, at_fault.name)
+    at_fault = find_faulty_endpoint(attempt.placement, failure).name
+    if failure.arrived and not failure.answered and progress.spares(attempt):
+        at_fault = ''
+    progress.note(failure, attempt.endpoint, at_fault)
--- a/src/kelproad/coordination/ingress/retrying/hedging.py
+++ b/src/kelproad/coordination/ingress/retrying/hedging.py
@@ -66,10 +66,10 @@
             await race.wait_beside(self._hedge(race, latest, silence))
         return None
 
-    def record_lead(
+    def keep(
         self, race: AttemptRace, leader: Attempt, closed: list[Attempt]
     ) -> None:
-        """Record that an attempt goes on, and which ones are closed for it."""
+        """Keep an attempt that goes on; others are closed for it."""
         self._silence_monitor.record_answer(leader)
         self._trust(race, leader)
         for attempt in closed:
@@ -135,11 +135,7 @@
         """Record that an attempt is silent, and what that says of whom."""
         call, progress = race.call, race.progress
         self._silence_monitor.begin_silence(attempt, silence)
-        is_last = progress.is_last_chance(
-            attempt.endpoint, call.route.max_endpoints
-        )
-        # The endpoint behind the tunnel may well be sound.
-        progress.suspect(attempt, is_excluded=not (attempt.via and is_last))
+        progress.suspect(attempt)
         record_silence(
             attempt,
             silence,
--- a/src/kelproad/coordination/ingress/retrying/racing.py
+++ b/src/kelproad/coordination/ingress/retrying/racing.py
@@ -27,8 +27,8 @@
 class AttemptRace:
     """One call while it is dispatched, with its open attempts.
 
-    ``_run`` executes an attempt; ``_record_lead`` gets the race, the attempt
-    that goes on after a silence, and those that are closed for it.
+    ``_run`` executes an attempt; ``_keep`` gets the race, the attempt that goes
+    on after a silence, and those that are closed for it.
 
     Attributes
     ----------
@@ -41,7 +41,7 @@
     call: Call
     delivery: StreamDelivery
     _run: Callable[[Attempt], Coroutine[None, None, AttemptOutcome]]
-    _record_lead: Callable[['AttemptRace', Attempt, list[Attempt]], None]
+    _keep: Callable[['AttemptRace', Attempt, list[Attempt]], None]
     progress: Progress = attrs.field(factory=Progress)
     _tasks: dict[AttemptTask, Attempt] = attrs.field(factory=dict)
     #: Tasks of attempts that were closed, until they have ended.
@@ -119,4 +119,4 @@
             task.cancel()
             self._closing.add(task)
             task.add_done_callback(self._closing.discard)
-        self._record_lead(self, leader, list(others.values()))
+        self._keep(self, leader, list(others.values()))
--- a/src/kelproad/coordination/ingress/retrying/verdicts.py
+++ b/src/kelproad/coordination/ingress/retrying/verdicts.py
@@ -19,7 +19,7 @@
 from ..placing.placement import Placement
 from ..streams.answers import AttemptFailure
 from ..streams.progress import Attempt, Progress
-from ..streams.silence import record_answer, record_no_answer
+from ..streams.silence import record_path_answered, record_path_unanswered
 from .retries import RetryBudgets
 
 __all__ = ['AttemptEvaluator', 'find_faulty_endpoint']
@@ -121,7 +121,7 @@
         """Record whether a connection that was made brought an answer."""
         if failure is None or failure.answered:
             if not attempt.via:
-                record_answer(self._paths)
+                record_path_answered(self._paths)
         elif failure.arrived:
             self._record_unanswered(attempt, failure, now)
 
@@ -136,7 +136,7 @@
         attempt.call.avoids_direct = not self._paths.answered_lately(now)
         if failure.ran is Ran.UNKNOWN and not failure.blameless:
             address = attempt.placement.primary.declaration.address
-            record_no_answer(self._paths, address)
+            record_path_unanswered(self._paths, address)
 
     def _is_explained(self, attempt: Attempt, failure: AttemptFailure) -> bool:
         """Return whether the path, not the endpoint, explains a failure.
--- a/src/kelproad/coordination/ingress/streams/progress.py
+++ b/src/kelproad/coordination/ingress/streams/progress.py
@@ -130,12 +130,9 @@
         """Record that an attempt starts."""
         self.open_attempts += 1
 
-    def suspect(self, attempt: Attempt, is_excluded: bool = True) -> None:
-        """Count the endpoint of an open attempt that is silent.
-
-        ``is_excluded`` is whether no further attempt may go there.
-        """
-        if is_excluded:
+    def suspect(self, attempt: Attempt) -> None:
+        """Exclude the endpoint of an open attempt that is silent."""
+        if not self.spares(attempt):
             self.tried.add(attempt.endpoint)
         if attempt.arrived:
             self.reached.add(attempt.endpoint)
@@ -191,6 +188,17 @@
         """Return whether the call may be sent to no endpoint any more."""
         return len(self.reached) >= max_endpoints and self.reached <= self.tried
 
+    def spares(self, attempt: Attempt) -> bool:
+        """Return whether the endpoint of a failed attempt may be tried again.
+
+        It was sent through a peer, which may be at fault, and there would be no
+        other endpoint.
+        """
+        max_endpoints = attempt.call.route.max_endpoints
+        return bool(attempt.via) and self.is_last_chance(
+            attempt.endpoint, max_endpoints
+        )
+
     def is_last_chance(self, endpoint: str, max_endpoints: int) -> bool:
         """Return whether a first failure there leaves no other endpoint."""
         if endpoint in self.reached:
--- a/src/kelproad/coordination/ingress/streams/silence.py
+++ b/src/kelproad/coordination/ingress/streams/silence.py
@@ -25,8 +25,8 @@
     'Silence',
     'SilenceMonitor',
     'choose_fault_threshold',
-    'record_answer',
-    'record_no_answer',
+    'record_path_answered',
+    'record_path_unanswered',
 ]
 
 _logger = logging.getLogger(__name__)
@@ -111,7 +111,7 @@
         if attempt.via:
             self._paths.record_helped(monotonic())
         else:
-            record_answer(self._paths)
+            record_path_answered(self._paths)
 
     def begin_silence(self, attempt: Attempt, silence: Silence) -> None:
         """Record that an attempt has fallen silent."""
@@ -188,13 +188,13 @@
         return self._paths.is_doubtful(address, now) or self._paths.is_mute(now)
 
 
-def record_answer(paths: DirectPaths) -> None:
+def record_path_answered(paths: DirectPaths) -> None:
     """Record that a direct connection has brought an answer, or its begin."""
     if paths.record_answered(monotonic()):
         record(_logger, 'direct_paths_answered')
 
 
-def record_no_answer(paths: DirectPaths, address: str) -> None:
+def record_path_unanswered(paths: DirectPaths, address: str) -> None:
     """Record that a direct connection to an address has brought no answer."""
     if paths.record_unanswered(address, monotonic()):
         record(_logger, 'direct_paths_mute', last=address)
