--- a/src/kelproad/coordination/ingress/retrying/dispatching.py
+++ b/src/kelproad/coordination/ingress/retrying/dispatching.py
@@ -7,7 +7,7 @@
 
 An attempt that is silent is not ended: what it would still bring is lost then,
 and nothing may be left to bring it instead.  Another one begins beside it where
-that is permitted, and the first of the two to go on is kept.
+that is permitted, and the first to go on is kept.
 """
 
 from typing import Self
--- a/src/kelproad/coordination/ingress/retrying/hedging.py
+++ b/src/kelproad/coordination/ingress/retrying/hedging.py
@@ -32,7 +32,7 @@
 
 @attrs.frozen
 class Hedger:
-    """Starts one more attempt where the only one of a call is silent."""
+    """Starts one more attempt where all open ones of a call are silent."""
 
     _silence_monitor: SilenceMonitor
     _starter: AttemptStarter
--- a/src/kelproad/coordination/ingress/streams/silence.py
+++ b/src/kelproad/coordination/ingress/streams/silence.py
@@ -1,7 +1,7 @@
 """Attempts that bring nothing: which ones, and what that says of whom.
 
 Silence ends no attempt.  It is the reason to try another one beside it, and the
-first of the two that goes on is kept.
+first that goes on is kept.
 """
 
 import collections
