Evacuated zones: operators' orders that a zone get no calls are obeyed

Change: the rows come with the table that is followed anyway, so without a further call or message. ZoneEvacuations keeps which orders hold, also through lost history and a store that returns from a copy; eligibility excludes the endpoints of these zones everywhere (choices, the look before sending, last resorts, tunnels for others). A row of the operators' table is ordered by what it is: a configuration by its version, an order by its revision; only configurations outlast a copy without them.

--- a/src/kelproad/coordination/ingress/membership/peering.py
+++ b/src/kelproad/coordination/ingress/membership/peering.py
@@ -10,7 +10,12 @@
 import aiohttp
 from mode import Service
 
-from ....state.counters import Counters, LimitMetrics, WithdrawalMetrics
+from ....state.counters import (
+    Counters,
+    EvacuationMetrics,
+    LimitMetrics,
+    WithdrawalMetrics,
+)
 from ....state.directpaths import DirectPaths
 from ....state.endpointtable import EndpointTable
 from ....state.observations import EngineObservations
@@ -23,6 +28,7 @@
 from ..limiting.observing import LimitObserver
 from ..quarantine.assembly import PromptQuarantine
 from ..settings import NodeSettings
+from ..tables.evacuations import ZoneEvacuations
 from ..tables.followed import FollowedTables
 from ..tables.following import PeerTable
 from ..tables.holder import ConfigurationHolder
@@ -125,6 +131,11 @@
             store,
             holder,
             table,
+            ZoneEvacuations(
+                table,
+                EvacuationMetrics(counters.registry),
+                ledger.count_local,
+            ),
             self._open_peer_table,
             generator,
         )
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -260,6 +260,7 @@
         while not self.should_stop:
             await asyncio.sleep(_LAPSE_PERIOD)
             self._tables.registry.publish_expired()
+            self._tables.evacuations.expire()
             self._peering.gate.forget_unlisted()
             self._table.forget_withdrawals(monotonic())
 
@@ -312,6 +313,7 @@
             'tunnels': self._tunnels.unfinished,
             'direct_paths': self._peering.paths.describe(now),
             'request_limits': self._peering.gate.describe(),
+            'evacuations': self._tables.evacuations.describe(),
             'withdrawals': describe_withdrawals(self._table, now),
             'suspect_parts': self._pipeline.guard.describe(),
         }
--- a/src/kelproad/coordination/ingress/placing/choosing.py
+++ b/src/kelproad/coordination/ingress/placing/choosing.py
@@ -210,7 +210,11 @@
             if is_withdrawn(endpoint, now)
             and endpoint.name not in progress.tried
         ]
-        pausing = any(not endpoint.leaving for endpoint in withdrawn)
+        pausing = any(
+            endpoint.withdrawal.is_paused(now)
+            and not (endpoint.leaving or endpoint.evacuated)
+            for endpoint in withdrawn
+        )
         if refusal is not None and not pausing:
             return refusal
         return refuse_withdrawn(withdrawn, refusal, call, now, self._generator)
--- a/src/kelproad/coordination/ingress/placing/eligibility.py
+++ b/src/kelproad/coordination/ingress/placing/eligibility.py
@@ -36,12 +36,19 @@
 
 
 def is_withdrawn(endpoint: Endpoint, now: float) -> bool:
-    """Return whether an endpoint wants no calls: it leaves, or pauses."""
-    return endpoint.leaving or endpoint.withdrawal.is_paused(now)
+    """Return whether an endpoint must get no calls at present.
+
+    It leaves, it pauses, or its zone is evacuated.
+    """
+    return (
+        endpoint.leaving
+        or endpoint.evacuated
+        or endpoint.withdrawal.is_paused(now)
+    )
 
 
 def are_withdrawn(endpoints: list[Endpoint], now: float) -> bool:
-    """Return whether there are endpoints, none of which wants calls."""
+    """Return whether there are endpoints, none of which may get calls."""
     return bool(endpoints) and all(
         is_withdrawn(endpoint, now) for endpoint in endpoints
     )
@@ -55,7 +62,7 @@
     return (
         endpoint.withdrawal.is_last_resort(now)
         and not endpoint.withdrawal.is_paused(now)
-        and not endpoint.listed_as_leaving
+        and not (endpoint.listed_as_leaving or endpoint.evacuated)
         and endpoint.misdirected_until <= now
     )
 
@@ -153,14 +160,17 @@
     pauses = (
         (endpoint.withdrawal.paused_until - now, endpoint.name)
         for endpoint in endpoints
-        if endpoint.withdrawal.is_paused(now) and not endpoint.leaving
+        if endpoint.withdrawal.is_paused(now)
+        and not (endpoint.leaving or endpoint.evacuated)
     )
     waits = {name: wait for wait, name in heapq.nsmallest(_MAX_NAMED, pauses)}
     if refusal is not None:
         waits |= refusal.waits
     next_wait = min(waits.values(), default=_REPLACEMENT_SECONDS)
     return NoPlacementError(
-        'all endpoints leave or pause' if refusal is None else refusal.reason,
+        'all endpoints leave or pause, or their zones are evacuated'
+        if refusal is None
+        else refusal.reason,
         worth_waiting=bool(waits)
         and next_wait <= choose_longest_wait(call, now),
         retry_after=choose_return(call, next_wait, now, generator),
--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -9,23 +9,22 @@
 from collections.abc import Callable
 
 import attrs
-from returns.result import Failure, Result
 
 from ....state.endpointtable import EndpointTable
-from ....state.routes import RoutingConfiguration
 from ..settings import Bounds
 from .caching import TableCache
 from .confirming import Confirmation
 from .decoding import DecodedRow, DecodedState, Payload
 from .endpoints import EndpointRegistry
+from .evacuations import ZoneEvacuations
 from .following import PeerTable, TableFollower, TableSource
 from .holder import ConfigurationHolder
 from .merging import RowMerger, RowOrder
 from .readers import MAX_RELAYED_AGE
 from .roworders import (
-    CONFIGURATION_ORDER,
     ENDPOINT_ORDER,
-    ReadConfiguration,
+    OPERATOR_ORDER,
+    OperatorRow,
 )
 from .store import NodeStore
 from .tablestates import (
@@ -102,6 +101,8 @@
         The followers, to be started as services.
     registry
         The endpoints that list themselves.
+    evacuations
+        Zones that operators have evacuated.
     confirmation
         When the configuration in force was last confirmed.
     """
@@ -112,6 +113,7 @@
         store: NodeStore,
         holder: ConfigurationHolder,
         table: EndpointTable,
+        evacuations: ZoneEvacuations,
         open_peer_table: Callable[[str], PeerTable],
         generator: random.Random,
     ) -> None:
@@ -122,6 +124,7 @@
         """
         self._store = store
         self._holder = holder
+        self.evacuations = evacuations
         self._open_peer_table = open_peer_table
         self._generator = generator
         self.registry = EndpointRegistry(
@@ -210,9 +213,10 @@
         if revision is None or self._holder.current is None:
             return False
         row = StoredRow(self._store.configuration_key, encoded, revision)
-        read = self._read_configuration(row)
+        read = self._read_operator_row(row)
         held = self._holder.current.version
-        if read.decoded.map(lambda found: found.version).value_or(held) <= held:
+        offered = read.configuration.map(lambda found: found.version)
+        if offered.value_or(held) <= held:
             return False
         state = DecodedState(revision, [DecodedRow(row, read)], whole=False)
         return self._adopt_configuration(followed.merge(state))
@@ -236,8 +240,8 @@
         )
         return self._follow(
             self._store.configuration,
-            self._read_configuration,
-            CONFIGURATION_ORDER,
+            self._read_operator_row,
+            OPERATOR_ORDER,
             self._adopt_configuration_table,
             wait_seconds,
             0,
@@ -282,24 +286,28 @@
         )
         return followed
 
-    def _read_configuration(self, row: StoredRow) -> ReadConfiguration:
-        decoded: Result[RoutingConfiguration, str] = Failure('another row')
+    def _read_operator_row(self, row: StoredRow) -> OperatorRow:
         if row.key == self._store.configuration_key:
             decoded = self._store.decode_configuration(row)
-        return ReadConfiguration(row.encoded, decoded)
+            return OperatorRow(row.encoded, row.revision, decoded)
+        return OperatorRow(
+            row.encoded,
+            row.revision,
+            evacuation=self._store.decode_evacuation(row),
+        )
 
     def _adopt_configuration_table(
-        self, state: DecodedState[ReadConfiguration]
+        self, state: DecodedState[OperatorRow]
     ) -> None:
+        # First, as with a configuration calls are sent.
+        self.evacuations.adopt(state)
         provenance = self.configuration.provenance
         self.confirmation.begin(direct=provenance is Provenance.STORE)
         if self._adopt_configuration(state) and not state.whole:
             # Written since the store was restored, if it was.
             self.confirmation.resume()
 
-    def _adopt_configuration(
-        self, state: DecodedState[ReadConfiguration]
-    ) -> bool:
+    def _adopt_configuration(self, state: DecodedState[OperatorRow]) -> bool:
         """Put the newest configuration in force; return whether there is one.
 
         There may be several, in the order of their writing.
@@ -310,6 +318,7 @@
             if decoded.row.key == self._store.configuration_key
         ]
         for read in offered:
-            if self._holder.offer(read.payload.decoded, read.row.encoded):
+            configuration = read.payload.configuration
+            if self._holder.offer(configuration, read.row.encoded):
                 self.registry.adopt_configuration(self._holder.current)
         return bool(offered)
--- a/src/kelproad/coordination/ingress/tables/merging.py
+++ b/src/kelproad/coordination/ingress/tables/merging.py
@@ -24,6 +24,11 @@
 _MAX_SHOWN = 10
 
 
+def _lasts_not(_content: object) -> bool:
+    """Return that a content may be deleted."""
+    return False
+
+
 @attrs.frozen
 class RowOrder(Generic[Payload]):
     """How the contents of a row are compared.
@@ -36,12 +41,13 @@
         Whether one content was written before another; false where that is not
         known.
     outlasts_copies
-        Whether a row is never deleted, so that a copy without it is too old.
+        Whether a content is never deleted, so that a copy without it is too
+        old.
     """
 
     is_equivalent: Callable[[Payload, Payload], bool]
     is_older: Callable[[Payload, Payload], bool]
-    outlasts_copies: bool = False
+    outlasts_copies: Callable[[Payload], bool] = _lasts_not
 
 
 class RowMerger(Generic[Payload]):
@@ -97,7 +103,7 @@
         for key, known in self._present.items():
             offered = merged.get(key)
             is_kept = (
-                self._order.outlasts_copies
+                self._order.outlasts_copies(known.payload)
                 if offered is None
                 else self._order.is_older(offered.payload, known.payload)
             )
--- a/src/kelproad/coordination/ingress/tables/roworders.py
+++ b/src/kelproad/coordination/ingress/tables/roworders.py
@@ -8,26 +8,64 @@
 from ....state.routes import RoutingConfiguration
 from .endpoints import ListedEndpoint
 from .merging import RowOrder
+from .tablestates import Revision
 
-__all__ = ['CONFIGURATION_ORDER', 'ENDPOINT_ORDER', 'ReadConfiguration']
+__all__ = [
+    'ENDPOINT_ORDER',
+    'OPERATOR_ORDER',
+    'EvacuationOrder',
+    'OperatorRow',
+]
 
 
 @attrs.frozen
-class ReadConfiguration:
-    """A row of the table of configurations; equal if its text is."""
+class EvacuationOrder:
+    """An order that a zone get no calls; ``problem`` says why it is none."""
+
+    zone: str
+    problem: str = ''
+
+
+@attrs.frozen
+class OperatorRow:
+    """A row of the operators' table; equal if its text is.
+
+    Attributes
+    ----------
+    configuration
+        Decoded, ``None`` in other rows.
+    evacuation
+        The order to evacuate a zone, ``None`` in other rows.
+    """
 
     encoded: bytes | None
-    decoded: Result[RoutingConfiguration, str] = attrs.field(eq=False)
+    revision: Revision = attrs.field(eq=False)
+    configuration: Result[RoutingConfiguration, str] | None = attrs.field(
+        default=None, eq=False
+    )
+    evacuation: EvacuationOrder | None = attrs.field(default=None, eq=False)
 
 
-def _is_older_configuration(
-    offered: ReadConfiguration, known: ReadConfiguration
-) -> bool:
-    if isinstance(offered.decoded, Failure):
+def _is_older_row(offered: OperatorRow, known: OperatorRow) -> bool:
+    """Return whether a row was written before what is known of it.
+
+    An order has no version of its own.  Versions of the store order it within
+    an era; across eras, an unchanged one shows that it was not written since.
+    """
+    if offered.configuration is None or known.configuration is None:
+        if offered.revision.era == known.revision.era:
+            return offered.revision < known.revision
+        return offered.revision.version != known.revision.version
+    if isinstance(offered.configuration, Failure):
         return False
-    if isinstance(known.decoded, Failure):
+    if isinstance(known.configuration, Failure):
         return False
-    return offered.decoded.unwrap().version < known.decoded.unwrap().version
+    offered_version = offered.configuration.unwrap().version
+    return offered_version < known.configuration.unwrap().version
+
+
+def _is_configuration(row: OperatorRow) -> bool:
+    return row.configuration is not None
 
 
 def _is_same_entry(
@@ -49,8 +87,8 @@
     return offered.unwrap().report_order < known.unwrap().report_order
 
 
-CONFIGURATION_ORDER: RowOrder[ReadConfiguration] = RowOrder(
-    operator.eq, _is_older_configuration, outlasts_copies=True
+OPERATOR_ORDER: RowOrder[OperatorRow] = RowOrder(
+    operator.eq, _is_older_row, outlasts_copies=_is_configuration
 )
 ENDPOINT_ORDER: RowOrder[Result[ListedEndpoint, str]] = RowOrder(
     _is_same_entry, _is_older_entry
--- a/src/kelproad/coordination/ingress/tables/store.py
+++ b/src/kelproad/coordination/ingress/tables/store.py
@@ -12,6 +12,7 @@
 from .endpoints import ListedEndpoint
 from .following import TableSource
 from .positions import StoreEras
+from .roworders import EvacuationOrder
 from .tablestates import StoredRow
 
 __all__ = ['NodeStore', 'OpenStore']
@@ -25,8 +26,13 @@
     ----------
     eras
         The eras that the store states in its answers.
+    configuration
+        Table that operators write.
     configuration_key
         Key of the row that holds the configuration.
+    decode_evacuation
+        Decodes the order to evacuate a zone in another row of this table;
+        ``None`` if it is no such row.
     """
 
     eras: StoreEras
@@ -36,6 +42,7 @@
         [StoredRow],
         Result[RoutingConfiguration, str],
     ]
+    decode_evacuation: Callable[[StoredRow], EvacuationOrder | None]
     endpoints: TableSource
     decode_endpoint: Callable[[StoredRow], Result[ListedEndpoint, str]]
     roster: RosterStore
--- a/src/kelproad/platform/node.py
+++ b/src/kelproad/platform/node.py
@@ -70,6 +70,7 @@
         configuration=_create_table_source(client, rows.CONFIGURATION_TABLE),
         configuration_key=rows.CONFIGURATION_KEY,
         decode_configuration=rows.decode_configuration,
+        decode_evacuation=rows.decode_evacuation,
         endpoints=_create_table_source(client, rows.ENDPOINT_TABLE),
         decode_endpoint=rows.decode_endpoint,
         roster=RosterStore(
--- a/src/kelproad/platform/rows.py
+++ b/src/kelproad/platform/rows.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from ..coordination.ingress.tables.endpoints import ListedEndpoint
+from ..coordination.ingress.tables.roworders import EvacuationOrder
 from ..coordination.ingress.tables.tablestates import StoredRow
 from ..state.engines import EngineProfile
 from ..state.routes import (
@@ -25,11 +26,14 @@
     'ENDPOINT_TABLE',
     'decode_configuration',
     'decode_endpoint',
+    'decode_evacuation',
 ]
 
 #: Table that operators write, and the key of the configuration in it.
 CONFIGURATION_TABLE = 'op'
 CONFIGURATION_KEY = 'config'
+#: Keys of the rows in it that evacuate a zone begin with this.
+_EVACUATION_PREFIX = 'evacuate/'
 #: Table in which engines register themselves, each under its id.
 ENDPOINT_TABLE = 'servers'
 
@@ -203,6 +207,24 @@
     )
 
 
+def decode_evacuation(row: StoredRow) -> EvacuationOrder | None:
+    """Decode an order to evacuate a zone; ``None`` for another row.
+
+    Its content says nothing, but has to be an object.
+    """
+    if not row.key.startswith(_EVACUATION_PREFIX):
+        return None
+    zone = row.key.removeprefix(_EVACUATION_PREFIX)
+    if not zone:
+        return EvacuationOrder(zone, 'names no zone')
+    if row.encoded is not None:
+        try:
+            msgspec.json.decode(row.encoded, type=dict)
+        except msgspec.DecodeError as error:
+            return EvacuationOrder(zone, str(error))
+    return EvacuationOrder(zone)
+
+
 def decode_endpoint(row: StoredRow) -> Result[ListedEndpoint, str]:
     """Decode the row of one engine.
 
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     'Counters',
+    'EvacuationMetrics',
     'Latencies',
     'LimitMetrics',
     'QuarantineMetrics',
@@ -45,6 +46,18 @@
         )
 
 
+class EvacuationMetrics:
+    """Metrics of zones that operators have evacuated."""
+
+    def __init__(self, registry: Registry) -> None:
+        """Register the metrics."""
+        self.evacuated = Gauge(
+            'kelproad_zone_evacuated',
+            'Whether operators have ordered that a zone get no calls.',
+            registry=registry,
+        )
+
+
 class LimitMetrics:
     """Metrics of the request limits that endpoints set."""
 
--- a/src/kelproad/state/endpoints.py
+++ b/src/kelproad/state/endpoints.py
@@ -82,6 +82,8 @@
         answered at its address.
     withdrawal
         What its incarnation stated about leaving and pausing.
+    evacuated
+        Whether operators have ordered that its zone get no calls.
     """
 
     declaration: EndpointDeclaration
@@ -107,6 +109,7 @@
     failures: FailureShare = attrs.field(factory=FailureShare)
     misdirected_until: float = float('-inf')
     withdrawal: Withdrawal = attrs.field(factory=Withdrawal)
+    evacuated: bool = False
     _unreported: collections.deque[tuple[float, int]] = attrs.field(
         factory=collections.deque,
     )
--- a/src/kelproad/state/endpointtable.py
+++ b/src/kelproad/state/endpointtable.py
@@ -55,6 +55,8 @@
     withdrawals
         What endpoints stated about leaving and pausing; it outlasts their
         absence from the table.
+    evacuated_zones
+        Zones whose endpoints must get no calls.
     """
 
     def __init__(self) -> None:
@@ -71,6 +73,7 @@
         self.sent_by_class = [float(0) for _ in LengthClass]
         self.instances = 1
         self.withdrawals = Withdrawals()
+        self.evacuated_zones: frozenset[str] = frozenset()
         self.first_token_ratios = [LearnedRate() for _ in LengthClass]
         self._contention: dict[LengthClass, Contention] = {}
 
@@ -91,6 +94,7 @@
                 self._by_zone.setdefault(location, []).append(member)
             kept.update({member.name: member for member in members})
         self._endpoints = kept
+        self.evacuate(self.evacuated_zones)
 
     def in_group(self, group: str) -> list[Endpoint]:
         """List the endpoints of a group."""
@@ -167,7 +171,7 @@
         """Return whether an endpoint at an address may get calls."""
         return any(
             endpoint.declaration.address == address
-            and not endpoint.leaving
+            and not (endpoint.leaving or endpoint.evacuated)
             and not endpoint.withdrawal.is_paused(now)
             for endpoint in self._endpoints.values()
         )
@@ -177,6 +181,14 @@
         endpoint = self._endpoints.get(name)
         return endpoint.declaration.zone if endpoint else ''
 
+    def list_names_in(self, zone: str) -> frozenset[str]:
+        """List the names of the endpoints that run in a zone."""
+        return frozenset(
+            name
+            for name, endpoint in self._endpoints.items()
+            if endpoint.declaration.zone == zone
+        )
+
     def all(self) -> Mapping[str, Endpoint]:
         """Return every endpoint by name."""
         return self._endpoints
@@ -186,6 +198,12 @@
         for name, endpoint in self._endpoints.items():
             endpoint.withheld = name in names
 
+    def evacuate(self, zones: frozenset[str]) -> None:
+        """Exclude exactly the endpoints of these zones from new requests."""
+        self.evacuated_zones = zones
+        for endpoint in self._endpoints.values():
+            endpoint.evacuated = endpoint.declaration.zone in zones
+
     def _is_listed(self, name: str, incarnation: str) -> bool:
         endpoint = self._endpoints.get(name)
         if endpoint is None:
--- a/src/kelproad/state/work.py
+++ b/src/kelproad/state/work.py
@@ -6,7 +6,7 @@
 
 import collections
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import attrs
 
@@ -109,6 +109,14 @@
             self.local.pop(endpoint)
         self._notify_change()
 
+    def count_local(self, endpoints: Collection[str]) -> int:
+        """Count this instance's calls in flight at the given endpoints."""
+        return sum(
+            work.calls
+            for endpoint, work in self.local.items()
+            if endpoint in endpoints
+        )
+
     def accept_peer(
         self,
         instance: str,
--- a/testbed/routed.py
+++ b/testbed/routed.py
@@ -396,6 +396,17 @@
         site.stop()
 
 
+def evacuate_zone(site: RoutedSite, zone: str) -> None:
+    """Order that the endpoints of a zone get no calls."""
+    site.put_row('op', f'evacuate/{zone}', {})
+
+
+def end_evacuation(site: RoutedSite, zone: str) -> None:
+    """Take the order to evacuate a zone back."""
+    path = f'/control/rows/op/evacuate/{zone}'
+    call_control(site.store, 'DELETE', path)
+
+
 def _choose_byte() -> int:
     """Choose one byte of an address, other than those of 127.0.0.1."""
     return _MIN_BYTE + secrets.randbelow(_BYTE_COUNT)
--- a/tests/ingress/test_tables.py
+++ b/tests/ingress/test_tables.py
@@ -9,6 +9,7 @@
 
 from kelproad.coordination.ingress.settings import Bounds
 from kelproad.coordination.ingress.tables.endpoints import ListedEndpoint
+from kelproad.coordination.ingress.tables.evacuations import ZoneEvacuations
 from kelproad.coordination.ingress.tables.followed import FollowedTables
 from kelproad.coordination.ingress.tables.following import (
     PeerTable,
@@ -23,7 +24,12 @@
     StoredRow,
     TableState,
 )
-from kelproad.platform.rows import decode_configuration, decode_endpoint
+from kelproad.platform.rows import (
+    decode_configuration,
+    decode_endpoint,
+    decode_evacuation,
+)
+from kelproad.state.counters import Counters, EvacuationMetrics
 from kelproad.state.endpointtable import EndpointTable
 from tests.ingress.test_following import Script
 
@@ -62,15 +68,20 @@
         TableSource('op', script.read, script.await_changes),
         'config',
         decode_configuration,
+        decode_evacuation,
         TableSource(ENDPOINTS, script.read, script.await_changes),
         decode,
         roster=None,
     )
+    table = EndpointTable()
     return FollowedTables(
         Bounds(),
         store,
         holder,
-        EndpointTable(),
+        table,
+        ZoneEvacuations(
+            table, EvacuationMetrics(Counters().registry), lambda _names: 0
+        ),
         lambda _table: PeerTable(query_no_peer, never_back_off),
         random.Random(1),
     )
