Engines that warm up get no more requests than they bear

Cause: nothing read warmup_s and warmup_per_s of services nor X-Kelproad-Warmup-Ms, and warmup_left_ms of entries was decoded and used by nothing; each instance decides for itself, so that nothing bounded what all together send to a cold engine.

Ruled out: counts from reported work (late, unknown between zones), equal shares (0.2 starts a second for each of 83 instances), a second limiter (docs/design/warm-up.md).

Change: the gate of stated request limits keeps this limit too, the lower of both binds; a query for a start carries the rate, so that the coordinator need not know of the warm-up. Known by entry, own answer, a start that this instance sees, and the end of an evacuation. Short prompts are not packed at such engines; refusals and the metric name the reason.

--- a/src/kelproad/coordination/ingress/limiting/gate.py
+++ b/src/kelproad/coordination/ingress/limiting/gate.py
@@ -10,15 +10,17 @@
 import logging
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from ....state.endpoints import Endpoint
 from ....state.records import record
 from ....state.requestlimits import LimitNotice
 from ....state.startschedules import (
+    LimitReason,
     StartGrant,
+    StartLimit,
     StartSchedule,
-    choose_spacing,
+    choose_limit,
 )
 from ....transport.deadlines import monotonic
 from ..membership.messages import StartQuery, StartReply
@@ -52,14 +54,20 @@
         queries: PeerQueries,
         peers: PeerRegister,
         generator: random.Random,
+        find_warm_up_rate: Callable[[Endpoint, float], float | None],
     ) -> None:
-        """Grant starts that this instance coordinates, query others."""
+        """Grant starts that this instance coordinates, query others.
+
+        ``find_warm_up_rate`` returns the requests per second that an endpoint
+        bears while it warms up, ``None`` at other times.
+        """
         self.observer = observer
         self._granter = granter
         self._selector = selector
         self._queries = queries
         self._peers = peers
         self._generator = generator
+        self._find_warm_up_rate = find_warm_up_rate
         #: Monotonic times before which no start is expected, by endpoint.
         self._expected_at: dict[str, float] = {}
         #: Monotonic times until which coordinators are not queried, by host.
@@ -72,14 +80,14 @@
 
         ``None`` means that the endpoint does not limit its requests.
         """
-        if self._find_notice(endpoint) is None:
+        if self._find_limit(endpoint) is None:
             return None
         return max(0, self._expected_at.get(endpoint.name, now) - now)
 
     def find_rate(self, endpoint: Endpoint) -> float | None:
         """Return an endpoint's limit in requests per second, if it has one."""
-        notice = self._find_notice(endpoint)
-        return notice.rate if notice else None
+        limit = self._find_limit(endpoint)
+        return limit.rate if limit else None
 
     async def admit(
         self,
@@ -91,9 +99,9 @@
         A refused start raises the prediction for its endpoint.
         """
         requests = [
-            self._request_one(endpoint, notice, longest_wait)
+            self._request_one(endpoint, limit, longest_wait)
             for endpoint in endpoints
-            if (notice := self._find_notice(endpoint)) is not None
+            if (limit := self._find_limit(endpoint)) is not None
         ]
         if not requests:
             return True
@@ -107,16 +115,16 @@
 
     def charge(self, endpoint: Endpoint) -> None:
         """Count a request to an endpoint that nothing may delay."""
-        notice = self._find_notice(endpoint)
-        if notice is None:
+        limit = self._find_limit(endpoint)
+        if limit is None:
             return
         coordinator = self._select(endpoint)
         if coordinator.host:
-            query = self._build_query(endpoint, notice, math.inf)
+            query = self._build_query(endpoint, limit, math.inf)
             self._queries.announce(query, coordinator.host)
         else:
             self._granter.grant(
-                endpoint.name, notice.permitted, coordinator.share, math.inf
+                endpoint.name, limit, coordinator.share, math.inf
             )
 
     def forget_unlisted(self) -> None:
@@ -134,10 +142,15 @@
             for name, limit in self.observer.describe().items()
         }
 
-    def _find_notice(self, endpoint: Endpoint) -> LimitNotice | None:
-        return self.observer.limits.find(
+    def _find_limit(self, endpoint: Endpoint) -> StartLimit | None:
+        """Find the limit that binds at an endpoint now, if there is one."""
+        notice = self.observer.limits.find(
             endpoint.name, endpoint.declaration.incarnation
         )
+        return choose_limit(
+            notice.rate if notice else None,
+            self._find_warm_up_rate(endpoint, monotonic()),
+        )
 
     def _select(self, endpoint: Endpoint) -> Coordinator:
         return self._selector.select(
@@ -147,40 +160,42 @@
     async def _request_one(
         self,
         endpoint: Endpoint,
-        notice: LimitNotice,
+        limit: StartLimit,
         longest_wait: float,
     ) -> StartGrant:
         """Request a start, and keep what the reply says of the next one."""
         predicted = self.predict_wait(endpoint, monotonic()) or 0
         longest = min(longest_wait, predicted + _SURPRISE_SECONDS)
-        grant = await self._request(endpoint, notice, longest)
+        grant = await self._request(endpoint, limit, longest)
         self._expected_at[endpoint.name] = monotonic() + grant.next_wait
         outcome = 'granted' if grant.granted else 'denied'
-        self.observer.metrics.starts.inc({'outcome': outcome})
+        self.observer.metrics.starts.inc(
+            {'outcome': outcome, 'reason': limit.reason.value}
+        )
         return grant
 
     async def _request(
         self,
         endpoint: Endpoint,
-        notice: LimitNotice,
+        limit: StartLimit,
         longest_wait: float,
     ) -> StartGrant:
         """Request a start from the coordinator."""
         coordinator = self._select(endpoint)
         if not coordinator.host:
             return self._granter.grant(
-                endpoint.name, notice.permitted, coordinator.share, longest_wait
+                endpoint.name, limit, coordinator.share, longest_wait
             )
         if self._silent_until.get(coordinator.host, 0) > monotonic():
-            return self._take_own_part(endpoint, notice, longest_wait)
+            return self._take_own_part(endpoint, limit, longest_wait)
         reply = await self._queries.query(
-            self._build_query(endpoint, notice, longest_wait),
+            self._build_query(endpoint, limit, longest_wait),
             coordinator.host,
             _REPLY_TIMEOUT,
         )
         if not isinstance(reply, StartReply):
-            self._record_silence(endpoint, coordinator)
-            return self._take_own_part(endpoint, notice, longest_wait)
+            self._record_silence(endpoint, limit, coordinator)
+            return self._take_own_part(endpoint, limit, longest_wait)
         self.observer.accept_all(
             unpack_limits([reply.limit], coordinator.host, monotonic())
         )
@@ -190,7 +205,7 @@
     def _take_own_part(
         self,
         endpoint: Endpoint,
-        notice: LimitNotice,
+        limit: StartLimit,
         longest_wait: float,
     ) -> StartGrant:
         """Take a start from an equal part of the limit.
@@ -200,36 +215,49 @@
         """
         now = monotonic()
         instances = self._peers.count_live(now)
-        spacing = choose_spacing(notice.permitted) * instances
+        spacing = limit.spacing * instances
         schedule = self._own_parts.get(endpoint.name)
         if schedule is None:
             # At random, as the instances would otherwise all start at once.
             first_at = now + self._generator.uniform(0, spacing)
             schedule = StartSchedule(spacing, first_at)
             self._own_parts[endpoint.name] = schedule
-        return schedule.reserve(spacing, longest_wait, now)
+        return schedule.reserve(spacing, longest_wait, now, limit.burst_seconds)
 
     def _record_silence(
         self,
         endpoint: Endpoint,
+        limit: StartLimit,
         coordinator: Coordinator,
     ) -> None:
         record(
             _logger,
             'start_unanswered',
             endpoint=endpoint.name,
+            reason=limit.reason.value,
             coordinator=coordinator.host,
         )
-        self.observer.metrics.starts.inc({'outcome': 'unanswered'})
+        self.observer.metrics.starts.inc(
+            {'outcome': 'unanswered', 'reason': limit.reason.value}
+        )
         self._silent_until[coordinator.host] = monotonic() + _SILENT_SECONDS
 
     def _build_query(
         self,
         endpoint: Endpoint,
-        notice: LimitNotice,
+        limit: StartLimit,
         longest_wait: float,
     ) -> functools.partial[StartQuery]:
-        limit = pack_limits({endpoint.name: notice}, monotonic())[0]
+        """Build the query for a start, with all that is known of the limits."""
+        name, incarnation = endpoint.name, endpoint.declaration.incarnation
+        notice = self.observer.limits.find(name, incarnation)
+        if notice is None:
+            # Older than any, so that it ends no limit that others know.
+            notice = LimitNotice(None, incarnation, -math.inf)
+        is_warm_up = limit.reason is LimitReason.WARM_UP
         return functools.partial(
-            StartQuery, limit=limit, longest_wait=longest_wait
+            StartQuery,
+            limit=pack_limits({name: notice}, monotonic())[0],
+            longest_wait=longest_wait,
+            warm_up=limit.rate if is_warm_up else None,
         )
--- a/src/kelproad/coordination/ingress/limiting/granting.py
+++ b/src/kelproad/coordination/ingress/limiting/granting.py
@@ -6,8 +6,9 @@
 from ....state.endpointtable import EndpointTable
 from ....state.startschedules import (
     StartGrant,
+    StartLimit,
     StartSchedule,
-    choose_spacing,
+    choose_limit,
 )
 from ....transport.deadlines import monotonic
 from ..membership.messages import StartQuery, StartReply
@@ -31,18 +32,18 @@
     def grant(
         self,
         endpoint: str,
-        rate: float,
+        limit: StartLimit,
         share: float,
         longest_wait: float,
     ) -> StartGrant:
         """Grant a start by the schedule of an endpoint."""
         now = monotonic()
-        spacing = choose_spacing(rate) / share
+        spacing = limit.spacing / share
         schedule = self._schedules.get(endpoint)
         if schedule is None:
             schedule = StartSchedule(spacing, now)
             self._schedules[endpoint] = schedule
-        return schedule.reserve(spacing, longest_wait, now)
+        return schedule.reserve(spacing, longest_wait, now, limit.burst_seconds)
 
     def answer(
         self,
@@ -81,12 +82,13 @@
         """Grant or deny a start by what is known of the limit here."""
         name = query.limit.endpoint
         known = self._observer.limits.get(name)
-        limit = query.limit
+        reported = query.limit
         if known is not None:
-            limit = pack_limits({name: known}, monotonic())[0]
-        if limit.rate is None:
-            return StartReply(query.token, True, 0, 0, limit)
-        grant = self.grant(name, limit.rate, share, query.longest_wait)
+            reported = pack_limits({name: known}, monotonic())[0]
+        limit = choose_limit(reported.rate, query.warm_up)
+        if limit is None:
+            return StartReply(query.token, True, 0, 0, reported)
+        grant = self.grant(name, limit, share, query.longest_wait)
         return StartReply(
-            query.token, grant.granted, grant.wait, grant.next_wait, limit
+            query.token, grant.granted, grant.wait, grant.next_wait, reported
         )
--- a/src/kelproad/coordination/ingress/membership/messages.py
+++ b/src/kelproad/coordination/ingress/membership/messages.py
@@ -80,6 +80,8 @@
     ``limit`` is what the sender knows of its limit.  A start more than
     ``longest_wait`` seconds away is useless to the sender; infinity announces
     a start that nothing can delay.  ``relayed`` queries are not relayed again.
+    ``warm_up`` is the rate that the endpoint bears while it warms up, ``None``
+    when it does not.
     """
 
     token: int
@@ -88,6 +90,7 @@
     limit: ReportedLimit
     longest_wait: float
     relayed: bool = False
+    warm_up: float | None = None
 
 
 class StartReply(msgspec.Struct, array_like=True, tag=5):
--- a/src/kelproad/coordination/ingress/membership/peering.py
+++ b/src/kelproad/coordination/ingress/membership/peering.py
@@ -17,6 +17,7 @@
     WithdrawalMetrics,
 )
 from ....state.directpaths import DirectPaths
+from ....state.endpoints import Endpoint
 from ....state.endpointtable import EndpointTable
 from ....state.observations import EngineObservations
 from ....state.requestlimits import RequestLimits
@@ -104,6 +105,7 @@
         ``session`` is used for HTTP requests to other instances.
         """
         self._settings = settings
+        self._holder = holder
         self._table = table
         self._ledger = ledger
         self._observations = observations
@@ -166,6 +168,7 @@
             self.queries,
             self.exchange.peers,
             generator,
+            self._find_warm_up_rate,
         )
 
         self.prompts = PromptQuarantine.from_peers(
@@ -223,6 +226,17 @@
             self.catch_up,
         ]
 
+    def _find_warm_up_rate(
+        self, endpoint: Endpoint, now: float
+    ) -> float | None:
+        """Find the rate that binds while an endpoint warms up, if any does."""
+        configuration = self._holder.current
+        incarnation = endpoint.declaration.incarnation
+        is_cold = self._table.warm_ups.includes(endpoint.name, incarnation, now)
+        if not is_cold or configuration is None:
+            return None
+        return configuration.find_warm_up(endpoint.group.name).rate or None
+
     def _keep_quarantine(self) -> None:
         """Write the quarantined parts again, as the store may have lost them.
 
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -263,6 +263,7 @@
             self._tables.evacuations.expire()
             self._peering.gate.forget_unlisted()
             self._table.forget_withdrawals(monotonic())
+            self._table.warm_ups.forget_expired(monotonic())
 
     @Service.task
     async def _keep_clock(self) -> None:
@@ -314,6 +315,7 @@
             'direct_paths': self._peering.paths.describe(now),
             'request_limits': self._peering.gate.describe(),
             'evacuations': self._tables.evacuations.describe(),
+            'warm_ups': self._table.warm_ups.describe(now),
             'withdrawals': describe_withdrawals(self._table, now),
             'suspect_parts': self._pipeline.guard.describe(),
         }
--- a/src/kelproad/coordination/ingress/placing/choosing.py
+++ b/src/kelproad/coordination/ingress/placing/choosing.py
@@ -320,4 +320,8 @@
             self._observations.find_slowdown(endpoint.name, now),
             start_wait is not None,
             start_wait or 0,
+            start_wait is not None
+            and self._table.warm_ups.includes(
+                endpoint.name, endpoint.declaration.incarnation, now
+            ),
         )
--- a/src/kelproad/coordination/ingress/placing/eligibility.py
+++ b/src/kelproad/coordination/ingress/placing/eligibility.py
@@ -137,8 +137,11 @@
 ) -> NoPlacementError:
     """Build the refusal of a call that needs endpoints with limits."""
     next_wait = min(candidate.start_wait for candidate in delayed)
+    reason = 'all endpoints have reached their request limits'
+    if all(candidate.warming_up for candidate in delayed):
+        reason = 'all endpoints warm up, and bear no more requests now'
     return NoPlacementError(
-        'all endpoints have reached their request limits',
+        reason,
         worth_waiting=False,
         retry_after=choose_return(call, next_wait, now, generator),
         waits={item.endpoint.name: item.start_wait for item in delayed},
--- a/src/kelproad/coordination/ingress/placing/packing.py
+++ b/src/kelproad/coordination/ingress/placing/packing.py
@@ -55,12 +55,14 @@
     """Choose the fullest of the decoding engines that meet the objective.
 
     The nearest ones are preferred, as a stream across zones breaks when the
-    network between them is partitioned.
+    network between them is partitioned.  Prompts are not gathered at engines
+    that warm up.
     """
     decoding = [
         candidate
         for candidate in able
         if candidate.work.calls
+        and not candidate.warming_up
         and count_free_slots(candidate, profile) > PACK_SPARE_SLOTS
         and score_candidate(candidate)
         <= requirements.objective * PACK_SHARE - requirements.waited
--- a/src/kelproad/coordination/ingress/placing/placement.py
+++ b/src/kelproad/coordination/ingress/placing/placement.py
@@ -43,6 +43,8 @@
         Factor by which it takes longer than published, at present.
     limited
         Whether it limits its requests.
+    warming_up
+        Whether it does so because it warms up.
     start_wait
         Predicted seconds until its limit permits another request.
     """
@@ -56,6 +58,7 @@
     slowdown: float = 1
     limited: bool = False
     start_wait: float = 0
+    warming_up: bool = False
 
 
 @attrs.frozen
--- a/src/kelproad/coordination/ingress/streams/observing.py
+++ b/src/kelproad/coordination/ingress/streams/observing.py
@@ -11,8 +11,9 @@
 from ....state.calls import AnswerHead, Outcome
 from ....state.endpoints import Endpoint
 from ....state.endpointtable import EndpointTable
-from ....state.records import OnceRecorder
+from ....state.records import OnceRecorder, record
 from ....state.statements import EndpointStatements
+from ....transport.deadlines import monotonic
 from ..limiting.observing import LimitObserver
 from ..withdrawing.observing import WithdrawalObserver
 
@@ -62,6 +63,7 @@
                 endpoint.declaration.incarnation,
                 head.statements,
             )
+            self._observe_warm_up(endpoint, head.statements)
 
     def observe_reply(
         self, address: str, statements: EndpointStatements
@@ -77,3 +79,20 @@
         self._withdrawals.observe(
             endpoint.name, endpoint.declaration.incarnation, statements
         )
+        self._observe_warm_up(endpoint, statements)
+
+    def _observe_warm_up(
+        self, endpoint: Endpoint, statements: EndpointStatements
+    ) -> None:
+        if statements.warm_up is None:
+            return
+        name, incarnation = endpoint.name, endpoint.declaration.incarnation
+        seconds = statements.warm_up
+        if self._table.warm_ups.state(name, incarnation, seconds, monotonic()):
+            record(
+                _logger,
+                'engine_warms_up',
+                endpoint=name,
+                seconds=seconds,
+                source='own answer',
+            )
--- a/src/kelproad/coordination/ingress/tables/endpoints.py
+++ b/src/kelproad/coordination/ingress/tables/endpoints.py
@@ -60,7 +60,7 @@
     slots
         Maximum number of calls in progress at a time.
     slow_for
-        Seconds for which it stays slow after its start.
+        Seconds for which it goes on warming up.
     born
         Unix time of its start in milliseconds; 0 when not stated.
     sequence
@@ -77,11 +77,26 @@
     born: int
     sequence: int
 
+    @property
+    def incarnation(self) -> str:
+        """Name of its incarnation, as in its declaration."""
+        return str(self.born)
+
     @property
     def report_order(self) -> tuple[int, int]:
         """Order of its reports, across incarnations."""
         return self.born, self.sequence
 
+    def warms_up_longer(self, other: 'ListedEndpoint') -> bool:
+        """Return whether it states a warm-up that another report did not.
+
+        The time left runs down from one report to the next; its end is stated
+        too, so that the next warm-up is no shorter one.
+        """
+        return self.slow_for > other.slow_for or (
+            other.slow_for > 0 and not self.slow_for
+        )
+
     def is_same_endpoint(self, other: 'ListedEndpoint') -> bool:
         """Return whether the two differ only in what each report changes."""
         return _read_description(self) == _read_description(other)
@@ -128,6 +143,8 @@
         self._configuration: RoutingConfiguration | None = None
         #: Whether the published table lacks something.
         self._changed = False
+        #: Whether the entries were read once, so that new ones are new starts.
+        self._was_read = False
 
     def __len__(self) -> int:
         """Return the number of entries, missing ones included."""
@@ -148,9 +165,16 @@
         for decoded in state.rows:
             if decoded.row.encoded is not None:
                 self._update(decoded.row.key, decoded.payload)
+        self._was_read = True
         self.drop_expired()
         self._publish()
 
+    def assume_cold(self, zones: frozenset[str]) -> None:
+        """Assume that the endpoints of some zones warm up from now on."""
+        for entry in self._listed.values():
+            if entry.zone in zones:
+                self._assume_cold(entry)
+
     def drop_expired(self) -> None:
         """Drop entries that have been missing for too long.
 
@@ -199,6 +223,35 @@
         if known is None or not entry.is_same_endpoint(known):
             self._changed = True
         _record_change(known, entry)
+        self._record_warm_up(known, entry)
+
+    def _record_warm_up(
+        self, known: ListedEndpoint | None, entry: ListedEndpoint
+    ) -> None:
+        """Record what an entry says, or its newness shows, of a warm-up."""
+        is_new = known is None or known.born != entry.born
+        if is_new and self._was_read:
+            self._assume_cold(entry)
+        begins = self._table.warm_ups.state(
+            entry.name, entry.incarnation, entry.slow_for, monotonic()
+        )
+        if begins:
+            record(
+                _logger,
+                'engine_warms_up',
+                endpoint=entry.name,
+                seconds=entry.slow_for,
+                source='entry',
+            )
+
+    def _assume_cold(self, entry: ListedEndpoint) -> None:
+        if self._configuration is None:
+            return
+        seconds = self._configuration.find_warm_up(entry.service).seconds
+        if seconds:
+            self._table.warm_ups.assume(
+                entry.name, entry.incarnation, seconds, monotonic()
+            )
 
     def _list_vanished(self, state: _Entries) -> set[str]:
         """List known entries that a state of the table no longer has."""
@@ -303,6 +356,6 @@
         zone=entry.zone,
         address=entry.address,
         leaving=entry.leaving,
-        incarnation=str(entry.born),
+        incarnation=entry.incarnation,
         slots=entry.slots,
     )
--- a/src/kelproad/coordination/ingress/tables/evacuations.py
+++ b/src/kelproad/coordination/ingress/tables/evacuations.py
@@ -45,16 +45,26 @@
     lapses_at: float | None = None
 
 
+def _ignore(_zones: frozenset[str]) -> None:
+    """Ignore that the endpoints of zones may get calls again."""
+
+
 @attrs.define
 class ZoneEvacuations:
     """The orders that hold, published to the table that routing reads.
 
     ``_count_calls`` counts the calls of this instance at endpoints.
+
+    Attributes
+    ----------
+    on_ended
+        Gets the zones whose endpoints may get calls again.
     """
 
     _table: EndpointTable
     _metrics: EvacuationMetrics
     _count_calls: Callable[[Collection[str]], int]
+    on_ended: Callable[[frozenset[str]], None] = _ignore
     _holding: dict[str, _Evacuation] = attrs.field(factory=dict)
     _recorder: OnceRecorder = attrs.field(factory=lambda: OnceRecorder(_logger))
 
@@ -157,6 +167,10 @@
 
     def _publish(self) -> None:
         """Publish the evacuated zones, if they are others than before."""
+        before = self._table.evacuated_zones
         zones = frozenset(self._holding)
-        if zones != self._table.evacuated_zones:
-            self._table.evacuate(zones)
+        if zones == before:
+            return
+        if before - zones:
+            self.on_ended(before - zones)
+        self._table.evacuate(zones)
--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -133,6 +133,8 @@
             lambda: self.endpoints.recovered_at,
             bounds.leave_endpoint,
         )
+        # Endpoints that had nothing to do for a while have become cold.
+        self.evacuations.on_ended = self.registry.assume_cold
         self._followed = {
             store.configuration.name: self._follow_configuration(bounds),
             store.endpoints.name: self._follow_endpoints(bounds),
--- a/src/kelproad/coordination/ingress/tables/roworders.py
+++ b/src/kelproad/coordination/ingress/tables/roworders.py
@@ -75,7 +75,10 @@
     """Return whether two reports differ only in what each report changes."""
     if isinstance(known, Failure) or isinstance(entry, Failure):
         return False
-    return entry.unwrap().is_same_endpoint(known.unwrap())
+    reported, before = entry.unwrap(), known.unwrap()
+    return reported.is_same_endpoint(before) and not (
+        reported.warms_up_longer(before)
+    )
 
 
 def _is_older_entry(
--- a/src/kelproad/platform/rows.py
+++ b/src/kelproad/platform/rows.py
@@ -18,6 +18,7 @@
     RoutingConfiguration,
     WeightedService,
 )
+from ..state.warmups import WarmUp
 from ..transport.addresses import Address, AddressError
 
 __all__ = [
@@ -107,6 +108,9 @@
     name: str
     #: Set for services of model engines only.
     engine: _Engine | None = None
+    warmup_s: float = 0
+    #: Requests from all instances that a cold engine bears; 0 for no limit.
+    warmup_per_s: float = 0
 
 
 class _Limits(msgspec.Struct):
@@ -298,11 +302,13 @@
 
 def _build_service(service: _Service) -> RoutedService:
     engine = service.engine
+    warm_up = WarmUp(service.warmup_s, service.warmup_per_s)
     if engine is None:
-        return RoutedService(service.name)
+        return RoutedService(service.name, warm_up=warm_up)
     return RoutedService(
         service.name,
-        EngineProfile(
+        warm_up=warm_up,
+        engine=EngineProfile(
             slots=engine.slots,
             memory_tokens=engine.kv_capacity,
             stride=engine.stride,
--- a/src/kelproad/platform/statements.py
+++ b/src/kelproad/platform/statements.py
@@ -16,7 +16,10 @@
 _REQUEST_LIMIT = 'Server-Limit'
 #: Whether the endpoint leaves: 1, or 0.
 _LEAVING = 'Server-Leaving'
-STATEMENT_FIELDS = (_REQUEST_LIMIT, _LEAVING, RETRY_AFTER)
+#: Milliseconds for which the endpoint goes on warming up.
+_WARM_UP = 'X-Kelproad-Warmup-Ms'
+STATEMENT_FIELDS = (_REQUEST_LIMIT, _LEAVING, _WARM_UP, RETRY_AFTER)
+_MILLISECONDS = 1000.0
 
 _LEAVES = '1'
 _STAYS = '0'
@@ -41,6 +44,7 @@
         unreadable_limit=', '.join(bad_limits),
         leaves=_parse_leaving(headers.getall(_LEAVING, []), unreadable),
         pause=pause,
+        warm_up=_parse_warm_up(headers.getall(_WARM_UP, []), unreadable),
         unreadable=tuple(unreadable),
     )
 
@@ -83,6 +87,18 @@
     return longest
 
 
+def _parse_warm_up(fields: list[str], unreadable: _Unreadable) -> float | None:
+    """Return the longest warm-up of several, in seconds."""
+    texts = _split(fields)
+    unreadable.extend(
+        (_WARM_UP, _shorten(text))
+        for text in texts
+        if not DECIMAL.fullmatch(text)
+    )
+    stated = [float(text) for text in texts if DECIMAL.fullmatch(text)]
+    return max(stated) / _MILLISECONDS if stated else None
+
+
 def _split(fields: list[str]) -> list[str]:
     """Split fields into their comma-separated values."""
     return (
--- a/src/kelproad/state/endpointtable.py
+++ b/src/kelproad/state/endpointtable.py
@@ -9,6 +9,7 @@
 from .lengths import LengthClass, classify_length
 from .prefixes import PrefixHistory
 from .rates import LearnedRate
+from .warmups import WarmUps
 from .withdrawals import Withdrawal, Withdrawals
 
 __all__ = ['Contention', 'EndpointTable']
@@ -57,6 +58,8 @@
         absence from the table.
     evacuated_zones
         Zones whose endpoints must get no calls.
+    warm_ups
+        Engines that warm up.
     """
 
     def __init__(self) -> None:
@@ -74,6 +77,7 @@
         self.instances = 1
         self.withdrawals = Withdrawals()
         self.evacuated_zones: frozenset[str] = frozenset()
+        self.warm_ups = WarmUps()
         self.first_token_ratios = [LearnedRate() for _ in LengthClass]
         self._contention: dict[LengthClass, Contention] = {}
 
--- a/src/kelproad/state/routes.py
+++ b/src/kelproad/state/routes.py
@@ -14,6 +14,7 @@
 
 from .engines import EngineProfile
 from .stalls import StallLimits
+from .warmups import WarmUp
 
 __all__ = [
     'CallKind',
@@ -109,10 +110,13 @@
     ----------
     engine
         Published speeds of its engines; ``None`` for a plain service.
+    warm_up
+        How its endpoints warm up.
     """
 
     name: str
     engine: EngineProfile | None = None
+    warm_up: WarmUp = WarmUp()
 
 
 @attrs.frozen
@@ -205,6 +209,11 @@
         found = self.services.get(service)
         return found.engine if found else None
 
+    def find_warm_up(self, service: str) -> WarmUp:
+        """Return how the endpoints of a service warm up."""
+        found = self.services.get(service)
+        return found.warm_up if found else WarmUp()
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest matching prefix."""
         name, _, _ = host.lower().partition(':')
--- a/src/kelproad/state/startschedules.py
+++ b/src/kelproad/state/startschedules.py
@@ -6,13 +6,23 @@
 """
 
 import collections
+import enum
 
 import attrs
 
-__all__ = ['StartGrant', 'StartSchedule', 'choose_spacing']
-
-#: Seconds whose unused starts may be made up for at once.
+__all__ = [
+    'LimitReason',
+    'StartGrant',
+    'StartLimit',
+    'StartSchedule',
+    'choose_limit',
+    'choose_spacing',
+]
+
+#: Seconds whose unused starts may be made up for at once, and the same at an
+#: engine that warms up, which too many requests within one second would harm.
 _BURST_SECONDS = 1.0
+_WARM_UP_BURST_SECONDS = 0.25
 #: Least and most seconds between two starts, however high or low the limit:
 #: only an answer to a request shows that a limit has ended.
 _MIN_SPACING = 0.000001
@@ -23,6 +33,39 @@
 _USE_SECONDS = 4.0
 
 
+class LimitReason(enum.StrEnum):
+    """Why the starts at an endpoint are limited."""
+
+    STATED = 'stated'
+    WARM_UP = 'warm_up'
+
+
+@attrs.frozen
+class StartLimit:
+    """Limit of the starts at one endpoint, for all instances together.
+
+    Attributes
+    ----------
+    rate
+        Starts per second.
+    """
+
+    rate: float
+    reason: LimitReason = LimitReason.STATED
+
+    @property
+    def spacing(self) -> float:
+        """Seconds between two starts."""
+        return choose_spacing(self.rate)
+
+    @property
+    def burst_seconds(self) -> float:
+        """Seconds whose unused starts may be made up for at once."""
+        if self.reason is LimitReason.WARM_UP:
+            return _WARM_UP_BURST_SECONDS
+        return _BURST_SECONDS
+
+
 @attrs.frozen
 class StartGrant:
     """The reply to a wish to start a request.
@@ -62,6 +105,7 @@
         spacing: float,
         longest_wait: float,
         now: float,
+        burst_seconds: float = _BURST_SECONDS,
     ) -> StartGrant:
         """Reserve the next start unless it is more than a wait away.
 
@@ -73,12 +117,14 @@
             Seconds; infinity reserves in any case.
         now
             Monotonic time in seconds.
+        burst_seconds
+            Seconds whose unused starts may be made up for at once.
         """
         self._adapt(spacing, now)
         wait = self._measure_wait(now)
         if wait > longest_wait:
             return StartGrant(granted=False, wait=0, next_wait=wait)
-        earliest = now - max(0, _BURST_SECONDS - spacing)
+        earliest = now - max(0, burst_seconds - spacing)
         self._next_at = max(self._next_at, earliest) + spacing
         self._starts.append(now + wait)
         self._drop_old(now)
@@ -112,6 +158,15 @@
             self._starts.popleft()
 
 
+def choose_limit(
+    stated: float | None, warm_up: float | None
+) -> StartLimit | None:
+    """Choose the lower of two rates per second, ``None`` if there is none."""
+    if warm_up is not None and (stated is None or warm_up < stated):
+        return StartLimit(warm_up, LimitReason.WARM_UP)
+    return None if stated is None else StartLimit(stated)
+
+
 def choose_spacing(rate: float) -> float:
     """Return the seconds between two starts at a rate per second."""
     if not rate > 0:
--- a/src/kelproad/state/statements.py
+++ b/src/kelproad/state/statements.py
@@ -25,6 +25,9 @@
     pause
         Seconds for which the endpoint wants no requests from this instance; 0
         when it states none.
+    warm_up
+        Seconds for which the endpoint goes on warming up; ``None`` when it
+        states none.
     unreadable
         Other statements that could not be read, by field name.
     """
@@ -33,6 +36,7 @@
     unreadable_limit: str = ''
     leaves: bool = False
     pause: float = 0
+    warm_up: float | None = None
     unreadable: tuple[tuple[str, str], ...] = ()
 
     @property
--- a/tests/ingress/limits.py
+++ b/tests/ingress/limits.py
@@ -54,6 +54,9 @@
         The time of all instances, in seconds.
     silent
         Hosts that don't answer.
+    warm_up_rate
+        Starts per second that the endpoints bear while they warm up, ``None``
+        when they don't.
     """
 
     def __init__(
@@ -76,6 +79,7 @@
         self.table = EndpointTable()
         self.table.replace_groups([group])
         self.silent: set[str] = set()
+        self.warm_up_rate: float | None = None
         self.instances = {
             f'10.0.{index}.{number}': Instance(
                 self, zone, f'10.0.{index}.{number}'
@@ -141,6 +145,7 @@
             self,
             self.peers,
             random.Random(host),
+            lambda _endpoint, _now: fleet.warm_up_rate,
         )
         self.selector = selector
         self._reply: Reply | None = None
@@ -207,4 +212,12 @@
 
 def build_open_gate() -> StartGate:
     """Build the gate of an instance that knows no limit."""
-    return StartGate(build_observer(), None, None, None, None, random.Random(1))
+    return StartGate(
+        build_observer(),
+        None,
+        None,
+        None,
+        None,
+        random.Random(1),
+        lambda *_endpoint: None,
+    )
