Permitted regions of routes and workspaces bind endpoints and tunnels

Cause: allowed_regions of routes and tenants was not read; a call could be served, or its body forwarded, in any region.

Ruled out: own-region peers for a tunnel (the region of a caller can't be known, as callers are sent to other zones when theirs has no instance).

Change: routes and workspaces have permitted regions, both bind; RegionFilter excludes endpoints before all else that chooses among them, and peers that would forward a body. The region of each zone comes from the settings; an unlisted zone is not permitted.

--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -19,7 +19,7 @@
 from ..drain import Drain
 from .admission.dialect import Dialect
 from .admission.stopping import plan_stop
-from .assembly import CallPipeline, SharedState
+from .assembly import CallPipeline
 from .membership.peering import Peering
 from .membership.reachability import ZoneReachability
 from .readiness import Readiness
@@ -27,6 +27,7 @@
 from .servers import NodeServers, describe_endpoints, describe_work
 from .sessions import NodeSessions
 from .settings import Bounds
+from .sharing import SharedState
 from .tables.holder import ConfigurationHolder
 from .tables.store import OpenStore
 from .tunnels.connecting import EndpointConnector
@@ -218,6 +219,7 @@
             lambda: self._tables.confirmation.is_complete,
             lambda: self._tables.configuration.failing,
             self._read_bounds,
+            lambda zone: self._settings_holder.current.find_region(zone),
         )
         return CallPipeline.from_state(
             shared,
--- a/src/kelproad/coordination/ingress/placing/choosing.py
+++ b/src/kelproad/coordination/ingress/placing/choosing.py
@@ -6,7 +6,6 @@
 import attrs
 
 from ....state.calls import Call
-from ....state.directpaths import DirectPaths
 from ....state.endpoints import Endpoint
 from ....state.endpointtable import EndpointTable
 from ....state.engines import EngineProfile
@@ -59,7 +58,7 @@
         observations: EngineObservations,
         spillover: ZoneSpillover,
         gate: StartGate,
-        paths: DirectPaths,
+        endpoint_filter: EndpointFilter,
         generator: random.Random,
     ) -> None:
         """Select endpoints for an instance that runs in ``zone``."""
@@ -71,7 +70,7 @@
         self._observations = observations
         self._spillover = spillover
         self._gate = gate
-        self._filter = EndpointFilter(reach, observations, paths, generator)
+        self._filter = endpoint_filter
         self._generator = generator
 
     async def choose(self, call: Call, progress: Progress) -> Placement:
@@ -121,6 +120,7 @@
         NoPlacementError
             When no endpoint can accept the call now.
         """
+        endpoints = self._filter.select_permitted(endpoints, call)
         refusal: NoPlacementError | None = None
         tiers = iterate_tiers(
             self._filter, endpoints, call, progress, now, healthy_only
--- a/src/kelproad/coordination/ingress/placing/filtering.py
+++ b/src/kelproad/coordination/ingress/placing/filtering.py
@@ -17,19 +17,33 @@
     is_last_resort,
     list_untried,
 )
+from .regions import RegionFilter
 
 __all__ = ['EndpointFilter']
 
 
 @attrs.frozen
 class EndpointFilter:
-    """Filters endpoints by what this instance observed of them."""
+    """Filters endpoints by what a call may use and this instance observed."""
 
     _reachability: ZoneReachability
     _observations: EngineObservations
     _paths: DirectPaths
+    _regions: RegionFilter
     _generator: random.Random
 
+    def select_permitted(
+        self, endpoints: list[Endpoint], call: Call
+    ) -> list[Endpoint]:
+        """Select the endpoints in regions that a call may use.
+
+        Raises
+        ------
+        NoPlacementError
+            When there are endpoints, but none in a permitted region.
+        """
+        return self._regions.select(endpoints, call)
+
     def list_usable(
         self,
         endpoints: list[Endpoint],
--- a/src/kelproad/coordination/ingress/settings.py
+++ b/src/kelproad/coordination/ingress/settings.py
@@ -1,5 +1,7 @@
 """Settings of an instance that serves the routed interface."""
 
+from collections.abc import Mapping
+
 import attrs
 
 from ...transport.addresses import Address
@@ -55,6 +57,8 @@
         Address of the platform's store.
     seed_hosts
         IP numbers of a few instances, which may be stale or down.
+    regions
+        Region of each zone that the platform lists.
     """
 
     instance: str
@@ -66,6 +70,11 @@
     store_address: Address
     seed_hosts: tuple[str, ...] = ()
     bounds: Bounds = attrs.field(factory=Bounds)
+    regions: Mapping[str, str] = attrs.field(factory=dict)
+
+    def find_region(self, zone: str) -> str:
+        """Return the region of a zone; empty for one that is not listed."""
+        return self.regions.get(zone, '')
 
     @property
     def query_port(self) -> int:
--- a/src/kelproad/coordination/ingress/streams/sending.py
+++ b/src/kelproad/coordination/ingress/streams/sending.py
@@ -1,6 +1,7 @@
 """Execution of one attempt, from reserving memory to the last event."""
 
 import asyncio
+import functools
 from collections.abc import Callable
 
 import aiohttp
@@ -87,19 +88,22 @@
         silence_monitor: SilenceMonitor,
         record_outlived: Callable[[Call, bool], None],
         find_unusable: Callable[[Placement], Endpoint | None],
+        permits_zone: Callable[[Call, str], bool],
     ) -> None:
         """Send with a client, and reserve memory where a placement needs it.
 
         ``silence_monitor`` is told what attempts wait for and what they bring;
         ``record_outlived`` gets each call whose answer goes on or ends, and
         whether it was resumed; ``find_unusable`` finds a chosen endpoint that
-        may not get a call any more.
+        may not get a call any more; ``permits_zone`` says whether a call may
+        pass through a zone.
         """
         self._client = client
         self._reserver = reserver
         self._silence_monitor = silence_monitor
         self._record_outlived = record_outlived
         self._find_unusable = find_unusable
+        self._permits_zone = permits_zone
 
     async def send(
         self,
@@ -171,6 +175,7 @@
             record_via=attempt.record_via,
             may_probe=call.kind.repeatable,
             avoids_direct=call.avoids_direct,
+            permits_zone=functools.partial(self._permits_zone, call),
         )
         self._silence_monitor.begin_wait(attempt)
         return await self._client.open(
--- a/src/kelproad/coordination/ingress/tunnels/connecting.py
+++ b/src/kelproad/coordination/ingress/tunnels/connecting.py
@@ -152,12 +152,17 @@
                 return race.used
             for task in done:
                 self._record_failure(race.tasks[task], task.exception())
-        if race.has_tried_peers or not self._peers.choose(monotonic()):
+        if race.has_tried_peers or not self._has_peers():
             self._paths.unreachable.record_failed(
                 endpoint.authority, monotonic()
             )
         raise OSError(f'no connection to {endpoint.authority}')
 
+    def _has_peers(self) -> bool:
+        """Return whether there are peers for the connection being made."""
+        progress = current_progress.get() or ConnectionProgress()
+        return bool(self._peers.choose(monotonic(), progress.permits_zone))
+
     def _choose_delay(
         self, race: _Race, started: _SocketTask | None, endpoint: Address
     ) -> float | None:
@@ -187,7 +192,8 @@
                 return
         if not avoids_direct:
             yield _Entrant()
-        for peer in self._peers.choose(monotonic())[:_MAX_PEERS]:
+        peers = self._peers.choose(monotonic(), progress.permits_zone)
+        for peer in peers[:_MAX_PEERS]:
             yield _Entrant(peer)
         if avoids_direct:
             yield _Entrant()
--- a/src/kelproad/coordination/ingress/tunnels/peerchoice.py
+++ b/src/kelproad/coordination/ingress/tunnels/peerchoice.py
@@ -1,6 +1,7 @@
 """Choice of the peers that are asked for tunnels."""
 
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -37,13 +38,19 @@
         self._generator = generator
         self._failed_at: dict[str, float] = {}
 
-    def choose(self, now: float) -> list[TunnelPeer]:
-        """List the live peers, the best first, equal ones in random order.
+    def choose(
+        self, now: float, permits_zone: Callable[[str], bool]
+    ) -> list[TunnelPeer]:
+        """List the live peers of permitted zones, the best first.
 
-        Peers that connect to all endpoints come before others, and those of the
-        own zone before those of other zones.
+        Peers that connect to all endpoints come before others, those of the
+        own zone before those of other zones, and equal ones in random order.
         """
-        live = list(self._peers.iterate_live(now))
+        live = [
+            (name, peer)
+            for name, peer in self._peers.iterate_live(now)
+            if permits_zone(peer.zone)
+        ]
         self._generator.shuffle(live)
         live.sort(key=lambda item: self._rank(*item, now))
         return [
--- a/src/kelproad/platform/rows.py
+++ b/src/kelproad/platform/rows.py
@@ -74,6 +74,8 @@
     max_attempts: int = 1
     anonymous: bool = False
     stream_resume: bool = False
+    #: None or an empty list for all regions.
+    allowed_regions: list[str] | None = None
 
 
 class _Delay(msgspec.Struct, rename={'origin': 'from'}):
@@ -126,6 +128,8 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    #: None or an empty list for all regions.
+    allowed_regions: list[str] | None = None
 
 
 class _Configuration(msgspec.Struct):
@@ -199,11 +203,7 @@
             decoded.version,
             routes,
             map(_build_service, decoded.services),
-            {
-                key: RoutedWorkspace(tenant.name, tenant.priority)
-                for tenant in decoded.tenants
-                for key in tenant.api_keys
-            },
+            _collect_workspaces(decoded.tenants),
             _build_limits(decoded.limits),
             _collect_delays(decoded.services),
             requires_keys=bool(decoded.tenants),
@@ -277,9 +277,28 @@
         priority=route.priority,
         max_endpoints=max(1, route.max_attempts),
         anonymous=route.anonymous,
+        permitted_regions=_build_regions(route.allowed_regions),
     )
 
 
+def _collect_workspaces(tenants: list[_Tenant]) -> dict[str, RoutedWorkspace]:
+    """Collect the workspaces by API key."""
+    by_key: dict[str, RoutedWorkspace] = {}
+    for tenant in tenants:
+        by_key.update(dict.fromkeys(tenant.api_keys, _build_workspace(tenant)))
+    return by_key
+
+
+def _build_workspace(tenant: _Tenant) -> RoutedWorkspace:
+    return RoutedWorkspace(
+        tenant.name, tenant.priority, _build_regions(tenant.allowed_regions)
+    )
+
+
+def _build_regions(allowed: list[str] | None) -> frozenset[str] | None:
+    return frozenset(allowed) if allowed else None
+
+
 def _compute_silence_timeout(route: _Route) -> float:
     """Return the seconds without an event after which clients leave."""
     milliseconds = max(
--- a/src/kelproad/platform/settings.py
+++ b/src/kelproad/platform/settings.py
@@ -83,6 +83,15 @@
         except AddressError as error:
             raise _FieldError(f'{name}: {error}') from error
 
+    def table(self, name: str) -> dict[str, str]:
+        """Return the fields below a name, by the rest of their own."""
+        prefix = f'{name}.'
+        return {
+            field.removeprefix(prefix): text
+            for field, text in self.values.items()
+            if field.startswith(prefix)
+        }
+
 
 def load_node_settings(
     path: pathlib.Path,
@@ -127,9 +136,17 @@
         # enough to find it.
         seed_hosts=tuple(seed.host for seed in fields.addresses('seeds')),
         bounds=_decode_bounds(fields),
+        regions=_decode_regions(fields),
     )
 
 
+def _decode_regions(fields: _Fields) -> dict[str, str]:
+    """Decode the region of each zone, that of the own one included."""
+    regions = fields.table('zones')
+    own = fields.values.get('region', '')
+    return {fields.text('zone'): own, **regions} if own else regions
+
+
 def _decode_bounds(fields: _Fields) -> Bounds:
     """Decode the limits; one that is missing has its default."""
     defaults = Bounds()
--- a/src/kelproad/protocol/connections.py
+++ b/src/kelproad/protocol/connections.py
@@ -30,6 +30,11 @@
     """Ignore through which instance a connection was made."""
 
 
+def _permit(_zone: str) -> bool:
+    """Permit connections through the instances of any zone."""
+    return True
+
+
 @attrs.define
 class ConnectionProgress:
     """Progress of a request, which shows whether its work may have run.
@@ -45,12 +50,15 @@
         Whether the request may be lost on a connection that is in doubt.
     avoids_direct
         Whether a connection through an instance is tried before a direct one.
+    permits_zone
+        Returns whether it may be made through an instance of a zone.
     """
 
     connected: bool = False
     record_via: Callable[[str], None] = _ignore
     may_probe: bool = False
     avoids_direct: bool = False
+    permits_zone: Callable[[str], bool] = _permit
 
 
 #: Progress of the request for which a connection is being made.
--- a/src/kelproad/state/calls.py
+++ b/src/kelproad/state/calls.py
@@ -139,6 +139,19 @@
             return self.workspace.priority
         return self.route.priority
 
+    @property
+    def permitted_regions(self) -> frozenset[str] | None:
+        """Regions in which it may be served, ``None`` for all.
+
+        Both its route and its workspace may restrict them.
+        """
+        by_route = self.route.permitted_regions
+        workspace = self.workspace
+        by_workspace = workspace.permitted_regions if workspace else None
+        if by_route is None or by_workspace is None:
+            return by_workspace if by_route is None else by_route
+        return by_route & by_workspace
+
     @property
     def workspace_name(self) -> str:
         """Name of the caller's workspace, empty for none."""
--- a/src/kelproad/state/routes.py
+++ b/src/kelproad/state/routes.py
@@ -86,6 +86,8 @@
         Maximum number of endpoints to which one call may be sent.
     anonymous
         Whether calls need no API key.
+    permitted_regions
+        Regions in which calls may be served; ``None`` for all.
     """
 
     name: str
@@ -100,6 +102,7 @@
     priority: int | None = None
     max_endpoints: int = 1
     anonymous: bool = False
+    permitted_regions: frozenset[str] | None = None
 
 
 @attrs.frozen
@@ -121,10 +124,17 @@
 
 @attrs.frozen
 class RoutedWorkspace:
-    """A customer, identified by its API keys."""
+    """A customer, identified by its API keys.
+
+    Attributes
+    ----------
+    permitted_regions
+        Regions in which its calls may be served; ``None`` for all.
+    """
 
     name: str
     priority: int | None = None
+    permitted_regions: frozenset[str] | None = None
 
 
 @attrs.frozen
--- a/tests/ingress/limits.py
+++ b/tests/ingress/limits.py
@@ -1,7 +1,7 @@
 """Parts of instances that share request limits, on a clock set by tests."""
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import pytest
 
@@ -23,6 +23,8 @@
     PeerUpdate,
     ZoneReader,
 )
+from kelproad.coordination.ingress.placing.filtering import EndpointFilter
+from kelproad.coordination.ingress.placing.regions import RegionFilter
 from kelproad.coordination.ingress.settings import NodeSettings
 from kelproad.coordination.ingress.tables.readers import Reader
 from kelproad.state.counters import Counters, LimitMetrics
@@ -31,8 +33,10 @@
     EndpointGroup,
     EndpointKind,
 )
+from kelproad.state.directpaths import DirectPaths
 from kelproad.state.endpoints import Endpoint
 from kelproad.state.endpointtable import EndpointTable
+from kelproad.state.observations import EngineObservations
 from kelproad.state.requestlimits import LimitNotice, RequestLimits
 from kelproad.transport.addresses import Address
 
@@ -210,6 +214,22 @@
             self.fleet.instances[query.host]._reply = reply
 
 
+def build_filter(
+    reach: ZoneReachability | None = None,
+    regions: Mapping[str, str] | None = None,
+) -> EndpointFilter:
+    """Build the filter of an instance that observed nothing."""
+    find_region = (regions or {}).get
+    generator = random.Random(1)
+    return EndpointFilter(
+        reach or ZoneReachability(),
+        EngineObservations(),
+        DirectPaths(),
+        RegionFilter(lambda zone: find_region(zone, ''), generator),
+        generator,
+    )
+
+
 def build_open_gate() -> StartGate:
     """Build the gate of an instance that knows no limit."""
     return StartGate(
--- a/tests/ingress/test_attempts.py
+++ b/tests/ingress/test_attempts.py
@@ -452,7 +452,9 @@
         client, observe_answer=lambda endpoint, head: sending.cancel()
     )
     monitor = SilenceMonitor(None, None, DirectPaths(), RunningClock())
-    sender = Sender(leaving, None, monitor, None, lambda placed: None)
+    sender = Sender(
+        leaving, None, monitor, None, lambda placed: None, lambda *_zone: True
+    )
     call = build_call()
     async with serve(answer) as endpoint:
         attempt = Attempt(call, Placement(endpoint))
--- a/tests/ingress/test_hedging_faults.py
+++ b/tests/ingress/test_hedging_faults.py
@@ -219,6 +219,7 @@
         SilenceMonitor(None, None, DirectPaths(), RunningClock()),
         lambda call, resumed: None,
         lambda placement: None,
+        lambda *_zone: True,
     )
     delivery = types.SimpleNamespace(
         last_number=None,
--- a/tests/ingress/test_limited_placement.py
+++ b/tests/ingress/test_limited_placement.py
@@ -4,6 +4,7 @@
 import math
 import random
 import types
+from collections.abc import Mapping
 
 import attrs
 import pytest
@@ -28,13 +29,13 @@
     EndpointGroup,
     EndpointKind,
 )
-from kelproad.state.directpaths import DirectPaths
 from kelproad.state.endpoints import Endpoint
 from kelproad.state.endpointtable import EndpointTable
 from kelproad.state.observations import EngineObservations
 from kelproad.state.refusals import Ran
 from kelproad.state.routes import CallKind
 from kelproad.state.work import WorkLedger
+from tests.ingress.limits import build_filter
 from tests.ingress.test_attempts import build_call
 from tests.ingress.test_placing import PROFILE
 
@@ -50,8 +51,8 @@
 class Site:
     """A chooser over three engines whose limits are set by the test."""
 
-    def __init__(self) -> None:
-        """Start without limits."""
+    def __init__(self, regions: Mapping[str, str] | None = None) -> None:
+        """Start without limits; all regions are permitted by default."""
         self.waits: dict[str, float] = {}
         self.table = EndpointTable()
         declarations = [
@@ -74,7 +75,7 @@
             EngineObservations(),
             types.SimpleNamespace(is_needed=False),
             types.SimpleNamespace(predict_wait=self.predict_wait),
-            DirectPaths(),
+            build_filter(regions=regions),
             random.Random(1),
         )
 
--- a/tests/ingress/test_misdirected.py
+++ b/tests/ingress/test_misdirected.py
@@ -37,7 +37,7 @@
     RoutingConfiguration,
 )
 from kelproad.state.work import WorkLedger
-from tests.ingress.limits import build_open_gate
+from tests.ingress.limits import build_filter, build_open_gate
 from tests.ingress.test_attempts import build_call
 
 #: Monotonic time of the 421.
@@ -84,7 +84,7 @@
             EngineObservations(),
             None,
             build_open_gate(),
-            DirectPaths(),
+            build_filter(reachability),
             random.Random(1),
         )
         self.report('i-1', 1)
--- a/tests/ingress/test_spillover.py
+++ b/tests/ingress/test_spillover.py
@@ -35,14 +35,13 @@
     EndpointGroup,
     EndpointKind,
 )
-from kelproad.state.directpaths import DirectPaths
 from kelproad.state.endpointtable import EndpointTable
 from kelproad.state.observations import EngineObservations
 from kelproad.state.requestlimits import LimitNotice, RequestLimits
 from kelproad.state.routes import CallKind, Route, WeightedService
 from kelproad.state.work import EndpointWork, WorkLedger
 from kelproad.transport.addresses import Address
-from tests.ingress.limits import build_observer, build_open_gate
+from tests.ingress.limits import build_filter, build_observer, build_open_gate
 from tests.ingress.test_placing import PROFILE
 
 NOW = 1000.0
@@ -233,7 +232,7 @@
             EngineObservations(),
             self.here.spillover,
             build_open_gate(),
-            DirectPaths(),
+            build_filter(),
             random.Random(1),
         )
 
--- a/tests/ingress/test_tunnels.py
+++ b/tests/ingress/test_tunnels.py
@@ -26,7 +26,10 @@
 from kelproad.coordination.ingress.tunnels import serving as serving_module
 from kelproad.coordination.ingress.tunnels.connecting import EndpointConnector
 from kelproad.coordination.ingress.tunnels.opening import open_tunnel
-from kelproad.coordination.ingress.tunnels.peerchoice import TunnelPeers
+from kelproad.coordination.ingress.tunnels.peerchoice import (
+    TunnelPeer,
+    TunnelPeers,
+)
 from kelproad.coordination.ingress.tunnels.serving import TunnelServer
 from kelproad.protocol.connections import ConnectionProgress, current_progress
 from kelproad.protocol.tunnels import (
@@ -81,6 +84,10 @@
             self.outcomes.append,
         )
 
+    def choose_peers(self, now: float) -> list[TunnelPeer]:
+        """Choose peers of any zone for a tunnel."""
+        return self.chooser.choose(now, lambda _zone: True)
+
     async def is_instance(self, host: str) -> bool:
         """Return whether an IP number is that of a known instance."""
         await asyncio.sleep(self.delay)
@@ -403,15 +410,15 @@
 def test_peers_without_losses_come_first(site: Site) -> None:
     """A cut instance would ask others that are cut off as well."""
     now = monotonic()
-    names = [peer.instance for peer in site.here.chooser.choose(now)]
+    names = [peer.instance for peer in site.here.choose_peers(now)]
     assert names == ['near', 'far']
     update = PeerUpdate('near', site.near.host, 'a', 1, 2, False, None, [])
     update.lost_paths = 3
     site.here.peers.accept(update, now)
-    names = [peer.instance for peer in site.here.chooser.choose(now)]
+    names = [peer.instance for peer in site.here.choose_peers(now)]
     assert names == ['far', 'near']
     site.here.chooser.record_failure('far', now)
-    names = [peer.instance for peer in site.here.chooser.choose(now)]
+    names = [peer.instance for peer in site.here.choose_peers(now)]
     assert names == ['near', 'far']
 
 
--- a/tests/ingress/test_unreachable.py
+++ b/tests/ingress/test_unreachable.py
@@ -13,6 +13,7 @@
 )
 from kelproad.coordination.ingress.placing.filtering import EndpointFilter
 from kelproad.coordination.ingress.placing.placement import NoPlacementError
+from kelproad.coordination.ingress.placing.regions import RegionFilter
 from kelproad.coordination.ingress.streams.progress import Progress
 from kelproad.state.declarations import (
     EndpointDeclaration,
@@ -146,7 +147,11 @@
     for endpoint in endpoints:
         paths.unreachable.record_failed(endpoint.declaration.address, NOW)
     endpoint_filter = EndpointFilter(
-        ZoneReachability(), EngineObservations(), paths, random.Random(1)
+        ZoneReachability(),
+        EngineObservations(),
+        paths,
+        RegionFilter(lambda _zone: '', random.Random(1)),
+        random.Random(1),
     )
     call = build_call()
     with pytest.raises(NoPlacementError) as raised:
--- a/tests/ingress/test_withdrawals.py
+++ b/tests/ingress/test_withdrawals.py
@@ -491,7 +491,7 @@
 async def test_an_endpoint_is_looked_at_again_right_before_sending() -> None:
     """A call went there after it had waited for memory elsewhere."""
     endpoint = build_table().get('i-1')
-    sender = Sender(None, None, None, None, lambda placed: placed.primary)
+    sender = Sender(None, None, None, None, lambda placed: placed.primary, None)
     attempt = Attempt(build_call(), Placement(endpoint))
     sent = await sender.send(attempt, None, CIMultiDict(), None)
     failure = sent.failure()
