An endpoint that came and went within one answer of the store is gone

Cause: the registry looked for vanished rows among the listed ones before it listed those of the same answer. Traced by the instance's log: endpoint_listed for the three, no endpoint_gone after it.

Change: rows are listed first. The new test fails on the code before (i-2 stays).

--- a/src/kelproad/coordination/ingress/tables/endpoints.py
+++ b/src/kelproad/coordination/ingress/tables/endpoints.py
@@ -161,10 +161,11 @@
 
         None is older than what is known of its endpoint.
         """
-        self._record_missing(self._list_vanished(state))
         for decoded in state.rows:
             if decoded.row.encoded is not None:
                 self._update(decoded.row.key, decoded.payload)
+        # One of several changes of a row may be its first.
+        self._record_missing(self._list_vanished(state))
         self._was_read = True
         self.drop_expired()
         self._publish()
--- a/tests/ingress/test_endpoints.py
+++ b/tests/ingress/test_endpoints.py
@@ -292,3 +292,17 @@
     endpoint = table.get('i-1')
     assert endpoint.declaration.slots == 0
     assert endpoint.declaration.incarnation == '6'
+
+
+def test_an_endpoint_that_came_and_went_within_one_answer_is_gone(
+    registry: EndpointRegistry, table: EndpointTable, clock: Clock
+) -> None:
+    """Guards against calls to an endpoint whose removal was read too early."""
+    registry.adopt(change(write('i-1')))
+    registry.adopt(change(write('i-2'), drop('i-2')))
+    registry.publish_expired()
+    assert list(table.all()) == ['i-1']
+    registry.adopt(change(drop('i-1'), write('i-1', sequence=2)))
+    clock.now += MASS_LAPSE_SECONDS
+    registry.publish_expired()
+    assert list(table.all()) == ['i-1']
