Bodies for which an instance has no room are refused

Cause: nothing bounded what slow callers make an instance hold; 40 bodies of 4 MiB fill the memory of the smallest instances (152 MB), which ends the process and all its calls.

Change: HeldBytes counts bodies and collected answers that are being sent; a call whose body has no room within a fifth of the memory is refused before it is read, with a time of return.

After: 80 callers at once who never send the last byte of 1 MB, at an instance of 152 MB: over a third is refused at once, the rest goes on, a sound call takes under 0.5 s and the memory grows by less than 0.4 of the whole; with and without a declared length.

--- a/src/kelproad/coordination/ingress/admission/admitting.py
+++ b/src/kelproad/coordination/ingress/admission/admitting.py
@@ -12,6 +12,7 @@
 
 from ....protocol.callers import read_body
 from ....state.calls import Call, CallHead
+from ....state.heldbytes import CallBytes
 from ....state.refusals import Refusal, RefusalCode, Step
 from ....state.routes import Route, RoutedWorkspace, RoutingConfiguration
 from ....transport.deadlines import monotonic, within
@@ -87,8 +88,12 @@
         head: CallHead,
         http_request: web.Request,
         arrived: float,
+        held: CallBytes,
     ) -> Result[Call, Refusal]:
-        """Find route and workspace, check the time left and read the body."""
+        """Find route and workspace, check the time left and read the body.
+
+        ``held`` counts the bytes of the body, for which there must be room.
+        """
         configuration = self._holder.current or await self._await_first()
         if configuration is None:
             return Failure(self._refuse_unconfirmed('no configuration yet'))
@@ -107,7 +112,9 @@
             return Failure(refuse_stopping())
         try:
             async with self._stop_guard.until_end():
-                body = await _receive(http_request, configuration, deadline)
+                body = await _receive(
+                    http_request, configuration, deadline, held
+                )
         except StopEndedError:
             return Failure(refuse_stopping())
         return body.map(
@@ -218,12 +225,15 @@
     http_request: web.Request,
     configuration: RoutingConfiguration,
     deadline: float,
+    held: CallBytes,
 ) -> Result[bytes, Refusal]:
     """Read the complete body, before anything is forwarded."""
     limit = configuration.limits.max_body_bytes
     try:
         async with within(deadline):
-            return await read_body(http_request, limit, text=False)
+            return await read_body(
+                http_request, limit, text=False, has_room=held.try_add
+            )
     except asyncio.TimeoutError:
         return Failure(
             Refusal(
--- a/src/kelproad/coordination/ingress/admission/entrance.py
+++ b/src/kelproad/coordination/ingress/admission/entrance.py
@@ -15,6 +15,7 @@
 
 from ....state.calls import Call, CallEnd
 from ....state.counters import Counters, StreamMetrics
+from ....state.heldbytes import CallBytes, HeldBytes
 from ....state.records import EVENT_FIELDS, current_request, record
 from ....state.refusals import Ran, Refusal, RefusalCode, Step
 from ....transport.deadlines import monotonic
@@ -44,6 +45,8 @@
     ----------
     arrived
         Monotonic time of its arrival.
+    held
+        Bytes that are held for it.
     call
         The call, once it is admitted.
     has_answer
@@ -55,6 +58,7 @@
     http_request: web.Request
     request_id: str
     arrived: float
+    held: CallBytes
     call: Call | None = None
     has_answer: bool = False
     is_refused: bool = False
@@ -77,10 +81,12 @@
         dispatcher: Dispatcher,
         counters: Counters,
         drain: Drain,
+        held: HeldBytes,
     ) -> None:
         """Dispatch the calls that are admitted, refuse the rest.
 
-        ``measure_age`` returns how many seconds old the configuration may be.
+        ``measure_age`` returns how many seconds old the configuration may be;
+        ``held`` counts what is held for callers.
         """
         self._dialect = dialect
         self._holder = holder
@@ -90,6 +96,7 @@
         self._counters = counters
         self._stream_metrics = StreamMetrics(counters.registry)
         self._drain = drain
+        self._held = held
         #: Calls whose answer has not been sent to its last byte.
         self.unfinished = 0
 
@@ -99,6 +106,7 @@
             http_request,
             self._dialect.read_request_id(http_request.headers),
             monotonic(),
+            self._held.begin(),
         )
         current_request.set(handling.request_id)
         self.unfinished += 1
@@ -106,6 +114,7 @@
             return await self._handle(handling)
         finally:
             self.unfinished -= 1
+            handling.held.release()
 
     async def _handle(self, handling: _Handling) -> web.StreamResponse:
         """Answer a call, whatever happens, or record who ended it."""
@@ -129,6 +138,8 @@
         """Answer a call to the last byte, and record its end."""
         response = await self._respond(handling)
         handling.has_answer = True
+        if isinstance(response, web.Response):
+            handling.held.add(response.content_length or 0)
         await _send(handling.http_request, response)
         if handling.call is not None and not handling.is_refused:
             self._record_end(handling, handling.call)
@@ -140,7 +151,10 @@
         if isinstance(read, Failure):
             return self._refuse(handling, read.failure())
         admitted = await self._admitter.admit(
-            read.unwrap(), handling.http_request, handling.arrived
+            read.unwrap(),
+            handling.http_request,
+            handling.arrived,
+            handling.held,
         )
         if isinstance(admitted, Failure):
             return self._refuse(handling, admitted.failure())
--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -102,6 +102,7 @@
             ),
             shared.counters,
             shared.drain,
+            shared.held,
         )
         return cls(handler, memory, guard)
 
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -9,6 +9,7 @@
 
 from ...state.counters import Counters
 from ...state.endpointtable import EndpointTable
+from ...state.heldbytes import HeldBytes
 from ...state.observations import EngineObservations
 from ...state.records import record
 from ...state.withdrawals import USABLE_SHARE
@@ -80,6 +81,7 @@
         )
         self._ledger = WorkLedger()
         self._reachability = ZoneReachability()
+        self._held = HeldBytes.from_memory(settings.memory_bytes)
         self._observations = EngineObservations()
         self._sessions = NodeSessions(settings.caller_address)
         self._drain = Drain(
@@ -202,6 +204,7 @@
             self._settings.instance,
             self._settings.zone,
             self._settings.memory_bytes,
+            self._held,
             self._dialect,
             self._holder,
             self._table,
@@ -312,6 +315,7 @@
             'live_instances': self._exchange.peers.count_live(now),
             'unfinished': self._pipeline.handler.unfinished,
             'stood_still': round(self._running_clock.stood_still, 3),
+            'held_bytes': self._held.held,
             'own_work': describe_work(self._ledger),
             'endpoints': describe_endpoints(self._table, now),
             'tunnels': self._tunnels.unfinished,
--- a/src/kelproad/coordination/ingress/sharing.py
+++ b/src/kelproad/coordination/ingress/sharing.py
@@ -8,6 +8,7 @@
 from ...state.counters import Counters
 from ...state.directpaths import DirectPaths
 from ...state.endpointtable import EndpointTable
+from ...state.heldbytes import HeldBytes
 from ...state.observations import EngineObservations
 from ...state.work import WorkLedger
 from ...transport.deadlines import RunningClock
@@ -35,6 +36,8 @@
         Availability zone of the instance.
     memory_bytes
         Memory of the instance, 0 when it is not stated.
+    held
+        Bytes that it holds for callers.
     measure_age
         Returns how many seconds old the configuration may be.
     is_configuration_complete
@@ -50,6 +53,7 @@
     instance: str
     zone: str
     memory_bytes: float
+    held: HeldBytes
     dialect: Dialect
     holder: ConfigurationHolder
     table: EndpointTable
--- a/tests/ingress/test_admitting.py
+++ b/tests/ingress/test_admitting.py
@@ -18,6 +18,7 @@
 )
 from kelproad.coordination.ingress.settings import Bounds
 from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
+from kelproad.state.heldbytes import HeldBytes
 from kelproad.state.refusals import Refusal, RefusalCode
 from kelproad.state.routes import IngressLimits, RoutingConfiguration
 from kelproad.transport.deadlines import monotonic
@@ -47,7 +48,9 @@
 
 
 async def admit(admitter: Admitter) -> Result[object, Refusal]:
-    return await admitter.admit(HEAD, REQUEST, monotonic())
+    return await admitter.admit(
+        HEAD, REQUEST, monotonic(), HeldBytes(1_000_000).begin()
+    )
 
 
 async def test_a_call_waits_for_the_first_configuration() -> None:
--- a/tests/ingress/test_entrance.py
+++ b/tests/ingress/test_entrance.py
@@ -30,6 +30,7 @@
 )
 from kelproad.state.calls import Call, CallEnd
 from kelproad.state.counters import Counters
+from kelproad.state.heldbytes import CallBytes, HeldBytes
 from kelproad.state.records import EVENT_FIELDS
 from kelproad.state.refusals import Refusal, RefusalCode, Step
 from kelproad.state.routes import (
@@ -78,7 +79,11 @@
     began: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     async def admit(
-        self, head: object, http_request: web.Request, arrived: float
+        self,
+        head: object,
+        http_request: web.Request,
+        arrived: float,
+        _held: CallBytes,
     ) -> Result[Call, Refusal]:
         """Admit each call once its body has arrived."""
         body = await http_request.read()
@@ -134,6 +139,7 @@
         entrance,
         entrance.counters,
         drain,
+        HeldBytes.from_memory(0),
     )
     application = web.Application()
     application.add_routes(
--- /dev/null
+++ b/tests/ingress/test_held_bytes.py
@@ -0,0 +1,130 @@
+"""What an instance holds for callers who send or read slowly."""
+
+import contextlib
+import pathlib
+import socket
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from kelproad.state.heldbytes import HeldBytes
+from testbed.routed import HOST, KEY, RoutedSite, start_routed_site, wait_for
+from tests.ingress.callers import call, next_id
+
+MEMORY_MB = 152
+BODY_BYTES = 1_000_000
+SLOW_CALLERS = 80
+#: Bytes by which the memory of an instance may grow: a fifth for bodies, and as
+#: much again for what the program needs to receive and refuse.
+MOST_GROWTH = MEMORY_MB * 1_048_576 * 0.4
+ANSWER_SECONDS = 0.5
+
+
+def test_calls_are_received_while_there_is_room() -> None:
+    """Guards against counts that drift, and a body that never fits."""
+    held = HeldBytes(100)
+    first, second = held.begin(), held.begin()
+    assert first.try_add(900)
+    assert not second.try_add(1)
+    first.release()
+    assert second.try_add(60)
+    assert second.try_add(40)
+    assert not held.begin().try_add(1)
+    second.add(50)
+    assert held.held == 150
+    second.release()
+    second.release()
+    first.release()
+    assert held.held == 0
+
+
+def test_the_limit_follows_the_memory() -> None:
+    """Guards against a limit that small instances can't bear."""
+    assert HeldBytes.from_memory(152 * 2**20).limit < 32 * 2**20
+    assert HeldBytes.from_memory(0).limit
+
+
+@pytest.fixture
+def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[RoutedSite]:
+    """Run one instance with little memory."""
+    with start_routed_site(tmp_path_factory.mktemp('site'), 0) as running:
+        running.limits['max_body_bytes'] = 4_194_304
+        running.put_configuration()
+        running.start_instance('edge-1')
+        instance = running.instances[0]
+        with instance.settings.open('a') as settings:
+            settings.write(f'\nlimits.memory_mb={MEMORY_MB}\n')
+        instance.process.kill()
+        running.restart_instance(instance)
+        wait_for(
+            lambda: instance.dump()['version'] == running.version, 'the routes'
+        )
+        yield running
+
+
+def send_slowly(site: RoutedSite, chunked: bool) -> socket.socket:
+    """Send a call whose last byte is missing."""
+    host, port = site.instances[0].caller.split(':')
+    length = f'Content-Length: {BODY_BYTES}'
+    if chunked:
+        length = 'Transfer-Encoding: chunked'
+    head = '\r\n'.join(
+        (
+            'POST /lookups/x HTTP/1.1',
+            f'Host: {HOST}',
+            f'X-Api-Key: {KEY}',
+            f'X-Kelproad-Request-Id: {next_id()}',
+            length,
+        )
+    )
+    body = b'x' * (BODY_BYTES - 1)
+    if chunked:
+        body = b'%x\r\n%s\r\n' % (len(body), body)
+    opened = socket.create_connection((host, int(port)), timeout=2)
+    with contextlib.suppress(OSError):
+        opened.sendall(b'%s\r\n\r\n%s' % (head.encode(), body))
+    return opened
+
+
+def read_memory(site: RoutedSite) -> int:
+    """Read the peak of an instance's memory, in bytes."""
+    path = pathlib.Path(f'/proc/{site.instances[0].process.pid}/status')
+    _, _, rest = path.read_text().partition('VmHWM:')
+    return int(rest.split()[0]) * 1024
+
+
+@pytest.mark.parametrize('chunked', [False, True])
+def test_slow_callers_do_not_fill_the_memory(
+    site: RoutedSite, chunked: bool
+) -> None:
+    """Guards against an instance that ends for want of memory."""
+    instance = site.instances[0]
+    call(instance, '/lookups/x')
+    before = read_memory(site)
+    with ThreadPoolExecutor(SLOW_CALLERS) as pool:
+        opened = list(
+            pool.map(
+                lambda _number: send_slowly(site, chunked),
+                range(SLOW_CALLERS),
+            )
+        )
+    refused = []
+    for connection in opened:
+        connection.settimeout(0.01)
+        with contextlib.suppress(OSError):
+            refused.append(connection.recv(4096))
+    assert len([one for one in refused if one]) > SLOW_CALLERS / 3
+    for answer in refused:
+        assert not answer or answer.startswith(b'HTTP/1.1 503')
+        assert not answer or b'Retry-After' in answer
+    sound = call(instance, '/lookups/x', request_id=next_id())
+    assert sound.seconds < ANSWER_SECONDS
+    assert sound.status == 200
+    assert read_memory(site) - before < MOST_GROWTH
+    for connection in opened:
+        connection.close()
+    time.sleep(ANSWER_SECONDS)
+    wait_for(lambda: not instance.dump()['held_bytes'], 'nothing held')
+    assert instance.process.running
