--- a/src/kelproad/coordination/ingress/admission/admitting.py
+++ b/src/kelproad/coordination/ingress/admission/admitting.py
@@ -11,8 +11,8 @@
 from returns.result import Failure, Result, Success
 
 from ....protocol.callers import read_body
+from ....state.budgets import CallBytes
 from ....state.calls import Call, CallHead
-from ....state.heldbytes import CallBytes
 from ....state.refusals import Refusal, RefusalCode, Step
 from ....state.routes import Route, RoutedWorkspace, RoutingConfiguration
 from ....transport.deadlines import monotonic, within
--- a/src/kelproad/coordination/ingress/admission/entrance.py
+++ b/src/kelproad/coordination/ingress/admission/entrance.py
@@ -13,9 +13,9 @@
 from aiohttp import web
 from returns.result import Failure
 
+from ....state.budgets import CallBytes, HeldBytes
 from ....state.calls import Call, CallEnd
 from ....state.counters import Counters, StreamMetrics
-from ....state.heldbytes import CallBytes, HeldBytes
 from ....state.records import EVENT_FIELDS, current_request, record
 from ....state.refusals import Ran, Refusal, RefusalCode, Step
 from ....transport.deadlines import monotonic
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -7,9 +7,9 @@
 
 from mode import Service
 
+from ...state.budgets import HeldBytes
 from ...state.counters import Counters
 from ...state.endpointtable import EndpointTable
-from ...state.heldbytes import HeldBytes
 from ...state.observations import EngineObservations
 from ...state.records import record
 from ...state.withdrawals import USABLE_SHARE
--- a/src/kelproad/coordination/ingress/placing/filtering.py
+++ b/src/kelproad/coordination/ingress/placing/filtering.py
@@ -1,6 +1,8 @@
 """Endpoints that a call may be sent to, and those of them that are healthy."""
 
+import logging
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -8,6 +10,7 @@
 from ....state.directpaths import DirectPaths
 from ....state.endpoints import Endpoint
 from ....state.observations import EngineObservations
+from ....state.records import OnceRecorder
 from ..membership.reachability import ZoneReachability
 from ..streams.progress import Progress
 from .connectable import add_trials, refuse_unreachable, select_connectable
@@ -17,9 +20,60 @@
     is_last_resort,
     list_untried,
 )
-from .regions import RegionFilter
+from .placement import NoPlacementError
 
-__all__ = ['EndpointFilter']
+__all__ = ['EndpointFilter', 'RegionFilter']
+
+_logger = logging.getLogger(__name__)
+#: Bounds of the seconds after which callers retry when no endpoint is in a
+#: permitted region; at random, so that they don't all come at once.
+_RETRIES = (1.0, 3.0)
+
+
+@attrs.frozen
+class RegionFilter:
+    """Excludes zones whose region a call may not use.
+
+    ``_find_region`` returns the region of a zone, empty when it is unknown.
+    """
+
+    _find_region: Callable[[str], str]
+    _generator: random.Random
+    _recorder: OnceRecorder = attrs.field(factory=lambda: OnceRecorder(_logger))
+
+    def permits(self, call: Call, zone: str) -> bool:
+        """Return whether a call may be sent to or through a zone."""
+        permitted = call.permitted_regions
+        if permitted is None:
+            return True
+        region = self._find_region(zone)
+        if not region:
+            self._recorder.record(zone, 'zone_without_region', zone=zone)
+        return region in permitted
+
+    def select(self, endpoints: list[Endpoint], call: Call) -> list[Endpoint]:
+        """Select the endpoints that a call may be sent to.
+
+        Raises
+        ------
+        NoPlacementError
+            When there are endpoints, but none in a permitted region.
+        """
+        if call.permitted_regions is None:
+            return endpoints
+        zones = {endpoint.declaration.zone for endpoint in endpoints}
+        permitted = {zone for zone in zones if self.permits(call, zone)}
+        if zones and not permitted:
+            raise NoPlacementError(
+                'no endpoint is in a region that the call may use',
+                worth_waiting=False,
+                retry_after=self._generator.uniform(*_RETRIES),
+            )
+        return [
+            endpoint
+            for endpoint in endpoints
+            if endpoint.declaration.zone in permitted
+        ]
 
 
 @attrs.frozen
--- a/src/kelproad/coordination/ingress/sharing.py
+++ b/src/kelproad/coordination/ingress/sharing.py
@@ -5,10 +5,10 @@
 
 import attrs
 
+from ...state.budgets import HeldBytes
 from ...state.counters import Counters
 from ...state.directpaths import DirectPaths
 from ...state.endpointtable import EndpointTable
-from ...state.heldbytes import HeldBytes
 from ...state.observations import EngineObservations
 from ...state.work import WorkLedger
 from ...transport.deadlines import RunningClock
--- a/src/kelproad/coordination/ingress/streams/sending.py
+++ b/src/kelproad/coordination/ingress/streams/sending.py
@@ -21,8 +21,7 @@
 from .accounting import AttemptAccount
 from .answers import AttemptFailure, OpenAnswer, collect
 from .attempts import EndpointClient
-from .delivery import StreamDelivery
-from .endurance import Endurance
+from .delivery import Endurance, StreamDelivery
 from .progress import Attempt
 from .silence import SilenceMonitor, choose_fault_threshold
 
--- a/src/kelproad/coordination/ingress/tables/caching.py
+++ b/src/kelproad/coordination/ingress/tables/caching.py
@@ -9,8 +9,7 @@
 from collections.abc import Callable
 from typing import Generic
 
-from .decoding import DecodedRow, DecodedState, Payload
-from .tablestates import Revision, TableState
+from .tablestates import DecodedRow, DecodedState, Payload, Revision, TableState
 
 __all__ = ['TableCache']
 
--- a/src/kelproad/coordination/ingress/tables/endpoints.py
+++ b/src/kelproad/coordination/ingress/tables/endpoints.py
@@ -25,7 +25,7 @@
 from ....state.records import record
 from ....state.routes import RoutingConfiguration
 from ....transport.deadlines import monotonic
-from .decoding import DecodedState
+from .tablestates import DecodedState
 
 __all__ = ['EndpointRegistry', 'ListedEndpoint']
 
--- a/src/kelproad/coordination/ingress/tables/evacuations.py
+++ b/src/kelproad/coordination/ingress/tables/evacuations.py
@@ -12,9 +12,8 @@
 from ....state.endpointtable import EndpointTable
 from ....state.records import OnceRecorder, record
 from ....transport.deadlines import monotonic
-from .decoding import DecodedRow, DecodedState
 from .roworders import OperatorRow
-from .tablestates import Revision
+from .tablestates import DecodedRow, DecodedState, Revision
 
 __all__ = ['ZoneEvacuations']
 
--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -14,7 +14,6 @@
 from ..settings import Bounds
 from .caching import TableCache
 from .confirming import Confirmation
-from .decoding import DecodedRow, DecodedState, Payload
 from .endpoints import EndpointRegistry
 from .evacuations import ZoneEvacuations
 from .following import PeerTable, TableFollower, TableSource
@@ -28,6 +27,9 @@
 )
 from .store import NodeStore
 from .tablestates import (
+    DecodedRow,
+    DecodedState,
+    Payload,
     Provenance,
     Revision,
     StoredRow,
--- a/src/kelproad/coordination/ingress/tables/merging.py
+++ b/src/kelproad/coordination/ingress/tables/merging.py
@@ -12,7 +12,7 @@
 import attrs
 
 from ....state.records import record
-from .decoding import DecodedRow, DecodedState, Payload
+from .tablestates import DecodedRow, DecodedState, Payload
 
 __all__ = ['RowMerger', 'RowOrder']
 
--- a/src/kelproad/coordination/ingress/tables/tablestates.py
+++ b/src/kelproad/coordination/ingress/tables/tablestates.py
@@ -1,12 +1,23 @@
-"""States of a table of the store: rows, freshness, or the failed call."""
+"""States of a table of the store: rows, freshness, or the failed call.
+
+Rows are decoded once for all users: a reader of the store compares each report
+of an endpoint with the last one that held new information, and registers it.
+At large sites that is many reports a second, and decoding makes up half of the
+cost of each.
+"""
 
 import enum
 import math
+from collections.abc import Callable
+from typing import Generic, TypeVar
 
 import attrs
 import msgspec
 
 __all__ = [
+    'DecodedRow',
+    'DecodedState',
+    'Payload',
     'Provenance',
     'Revision',
     'StoreProblem',
@@ -16,6 +27,8 @@
     'TableState',
 ]
 
+Payload = TypeVar('Payload')
+
 
 class Provenance(enum.IntEnum):
     """Source of a state of a table, the least direct one first."""
@@ -127,3 +140,38 @@
     def changed_revision(self) -> Revision:
         """Revision at which the table last changed."""
         return Revision(self.era, self.changed_at)
+
+
+@attrs.frozen
+class DecodedRow(Generic[Payload]):
+    """A row of the store with its decoded content."""
+
+    row: StoredRow
+    payload: Payload
+
+
+@attrs.frozen
+class DecodedState(Generic[Payload]):
+    """Rows of a table with their decoded content.
+
+    Attributes
+    ----------
+    revision
+        Newest revision of the store when it answered.
+    whole
+        Whether these are all rows, or those that changed.
+    """
+
+    revision: Revision
+    rows: list[DecodedRow[Payload]]
+    whole: bool
+
+    @classmethod
+    def from_state(
+        cls,
+        state: TableState,
+        decode: Callable[[StoredRow], Payload],
+    ) -> 'DecodedState[Payload]':
+        """Decode each row of a state."""
+        rows = [DecodedRow(row, decode(row)) for row in state.rows]
+        return cls(state.revision, rows, state.whole)
--- a/src/kelproad/platform/rows.py
+++ b/src/kelproad/platform/rows.py
@@ -9,6 +9,7 @@
 from ..coordination.ingress.tables.roworders import EvacuationOrder
 from ..coordination.ingress.tables.tablestates import StoredRow
 from ..state.engines import EngineProfile
+from ..state.requestlimits import WarmUp
 from ..state.routes import (
     CallKind,
     IngressLimits,
@@ -18,7 +19,6 @@
     RoutingConfiguration,
     WeightedService,
 )
-from ..state.warmups import WarmUp
 from ..transport.addresses import Address, AddressError
 
 __all__ = [
--- a/src/kelproad/protocol/eventstreams.py
+++ b/src/kelproad/protocol/eventstreams.py
@@ -70,7 +70,7 @@
         """
         buffered = self._buffer + received
         accepted: list[NumberedEvent] = []
-        start = self._skip_blank(buffered, 0, accepted)
+        start = self._skip_idle(buffered, accepted)
         end = buffered.find(_SEPARATOR, start)
         while end >= 0:
             event = self._accept(buffered[start:end])
@@ -84,6 +84,26 @@
             raise SequenceError('an event is too large')
         return accepted
 
+    def _skip_idle(self, buffered: bytes, accepted: list[NumberedEvent]) -> int:
+        """Accept all complete blocks at once if none is an event.
+
+        Returns
+        -------
+        int
+            Their end.
+        """
+        has_events = _ID_FIELD in buffered or (
+            self.last_number is None and _DATA_FIELD in buffered
+        )
+        if has_events:
+            return self._skip_blank(buffered, 0, accepted)
+        end = buffered.rfind(_SEPARATOR) + len(_SEPARATOR)
+        if end < len(_SEPARATOR):
+            return 0
+        self._count_idle(end)
+        accepted.append(NumberedEvent(None, buffered[:end]))
+        return end
+
     def _skip_blank(
         self, buffered: bytes, start: int, accepted: list[NumberedEvent]
     ) -> int:
--- a/src/kelproad/state/budgets.py
+++ b/src/kelproad/state/budgets.py
@@ -1,8 +1,14 @@
-"""Budgets that bound the share of requests that are retried."""
+"""Budgets: of retries, and of the bytes that are held for callers."""
 
 import attrs
 
-__all__ = ['RetryBudget']
+__all__ = ['CallBytes', 'HeldBytes', 'RetryBudget']
+
+#: Share of an instance's memory for what callers send and have not read yet;
+#: the program itself takes up to half of the smallest instances.
+_MEMORY_SHARE = 0.2
+#: Bytes where the memory is not stated.
+_DEFAULT_BYTES = 67_108_864
 
 
 @attrs.define
@@ -48,3 +54,60 @@
             return False
         self._credit -= 1
         return True
+
+
+@attrs.define
+class HeldBytes:
+    """Bodies of calls, and answers that their callers have not read.
+
+    Attributes
+    ----------
+    limit
+        Bytes beyond which no more calls are received.
+    held
+        Bytes that are held now.
+    """
+
+    limit: float
+    held: int = 0
+
+    @classmethod
+    def from_memory(cls, memory_bytes: float) -> 'HeldBytes':
+        """Choose the limit by the memory of the instance, 0 if unknown."""
+        return cls(memory_bytes * _MEMORY_SHARE or _DEFAULT_BYTES)
+
+    def begin(self) -> 'CallBytes':
+        """Begin to count the bytes of a call."""
+        return CallBytes(self)
+
+    def permits(self, size: int) -> bool:
+        """Return whether there is room for so many more bytes.
+
+        A call that is alone has room, whatever its size.
+        """
+        return not self.held or self.held + size <= self.limit
+
+
+@attrs.define
+class CallBytes:
+    """The bytes that are held for one call."""
+
+    _total: HeldBytes
+    _count: int = 0
+
+    def try_add(self, size: int) -> bool:
+        """Count more bytes, if there is room for them."""
+        if not self._total.permits(size):
+            return False
+        self.add(size)
+        return True
+
+    def add(self, size: int) -> None:
+        """Count more bytes, whether there is room or not."""
+        self._count += size
+        self._total.held += size
+
+    def release(self) -> None:
+        """End the call: nothing is held for it any more."""
+        self._total.held -= self._count
+        self._count = 0
--- a/src/kelproad/state/endpointtable.py
+++ b/src/kelproad/state/endpointtable.py
@@ -9,7 +9,7 @@
 from .lengths import LengthClass, classify_length
 from .prefixes import PrefixHistory
 from .rates import LearnedRate
-from .warmups import WarmUps
+from .requestlimits import WarmUps
 from .withdrawals import Withdrawal, Withdrawals
 
 __all__ = ['Contention', 'EndpointTable']
--- a/src/kelproad/state/routes.py
+++ b/src/kelproad/state/routes.py
@@ -13,8 +13,8 @@
 import attrs
 
 from .engines import EngineProfile
+from .requestlimits import WarmUp
 from .stalls import StallLimits
-from .warmups import WarmUp
 
 __all__ = [
     'CallKind',
--- a/testbed/routed.py
+++ b/testbed/routed.py
@@ -99,6 +99,8 @@
     lasting_faults: dict[str, object] = attrs.field(factory=dict)
     #: Incarnations of endpoints that were renewed, by name.
     born: dict[str, int] = attrs.field(factory=dict)
+    #: Zones of endpoints that are not in the first one, by name.
+    zones: dict[str, str] = attrs.field(factory=dict)
     _services: dict[str, str] = attrs.field(factory=dict)
     _sequences: itertools.count = attrs.field(
         factory=lambda: itertools.count(1),
@@ -147,12 +149,12 @@
         name: str,
         service: str,
         state: str = 'ready',
-        zone: str = 'zone-a',
+        zone: str | None = None,
         born: int | None = None,
     ) -> None:
         """Write the store row of an endpoint, as the endpoint would.
 
-        ``born`` is that of its present incarnation unless it is given.
+        ``zone`` and ``born`` are its own unless they are given.
         """
         self.put_row(
             'servers',
@@ -162,7 +164,7 @@
                 'address': self.advertised_addresses.get(
                     name, self.endpoints[name]
                 ),
-                'zone': zone,
+                'zone': zone or self.zones.get(name, 'zone-a'),
                 'version': 'v1',
                 'slots': 8,
                 'state': state,
--- a/testbed/soak/routed.py
+++ b/testbed/soak/routed.py
@@ -17,7 +17,7 @@
 import shutil
 import sys
 import tempfile
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Collection
 
 from testbed.routed import RoutedSite, start_routed_site
 
@@ -26,6 +26,7 @@
 from .routed_checks import check_calls, check_recovery
 from .routed_crashes import CrashingRequests, check_crashes
 from .routed_cuts import is_cut_by_end, is_unanswered
+from .routed_evacuations import EvacuationOrders, check_evacuations
 from .routed_faults import Base, RoutedFaults, wait_for_all
 from .routed_limits import StatedLimit, StatedLimits, check_limits
 from .routed_partitions import InstanceCuts
@@ -51,6 +52,7 @@
     ('withdrawals', 'Also let endpoints state that they leave or pause.'),
     ('restores', 'Also let the store return from copies of itself.'),
     ('pauses', 'Also let endpoints pause and go on, beside changes of routes.'),
+    ('evacuations', 'Also let operators evacuate a zone of endpoints.'),
     ('calm', 'Inject no faults but suspended instances and configurations.'),
 )
 
@@ -60,21 +62,12 @@
     seconds: float,
     seed: int,
     base: Base = Base.ALL,
-    with_cuts: bool = False,
-    with_mute: bool = False,
-    with_crashes: bool = False,
-    with_withdrawals: bool = False,
-    with_restores: bool = False,
-    with_pauses: bool = False,
+    kinds: Collection[str] = (),
 ) -> list[str]:
     """Run callers and faults together, end all faults, then check.
 
-    ``base`` limits the faults that are always injected; ``with_cuts``
-    instances are also cut from all endpoints, ``with_mute`` so that connections
-    are made and bring nothing, too; ``with_crashes`` engines crash on a part of
-    some prompts; ``with_withdrawals`` endpoints state that they leave or pause;
-    ``with_restores`` the store returns from copies of itself; ``with_pauses``
-    endpoints pause beside changes of the routes.
+    ``base`` limits the faults that are always injected; ``kinds`` names those
+    that are injected beside them, as the options of the command line do.
 
     Returns
     -------
@@ -88,27 +81,31 @@
         await asyncio.sleep(1)
         faults = RoutedFaults(site, links, callers, seed, base)
         limits = StatedLimits(site, seed)
-        cuts = InstanceCuts(site, links, seed, with_mute)
+        cuts = InstanceCuts(site, links, seed, 'mute' in kinds)
         crashing = CrashingRequests(site, callers, faults)
         withdrawals = StatedWithdrawals(site, faults, seed)
         restorations = StoreRestorations(site, faults, callers, seed)
         pauses = EndpointPauses(site, faults, callers, seed)
+        evacuations = EvacuationOrders(site, seed)
         await asyncio.gather(
             callers.run(seconds),
             faults.run(seconds),
             limits.run(seconds),
-            cuts.run(seconds if with_cuts or with_mute else 0, faults.spans),
-            crashing.run(seconds if with_crashes else 0),
-            withdrawals.run(seconds if with_withdrawals else 0),
-            restorations.run(seconds if with_restores else 0),
-            pauses.run(seconds if with_pauses else 0),
+            cuts.run(
+                seconds if {'cuts', 'mute'} & set(kinds) else 0, faults.spans
+            ),
+            crashing.run(seconds if 'crashes' in kinds else 0),
+            withdrawals.run(seconds if 'withdrawals' in kinds else 0),
+            restorations.run(seconds if 'restores' in kinds else 0),
+            pauses.run(seconds if 'pauses' in kinds else 0),
+            evacuations.run(seconds if 'evacuations' in kinds else 0),
         )
-        if with_crashes:
+        if 'crashes' in kinds:
             await crashing.finish()
             faults.spans.extend(crashing.list_spans())
         await asyncio.to_thread(wait_for_all, site)
         await asyncio.sleep(_RECOVERY_SECONDS)
-        if with_restores:
+        if 'restores' in kinds:
             await restorations.finish()
         final_calls = await callers.call_once()
         _print_summary(callers, faults, limits.limits)
@@ -129,17 +126,23 @@
             functools.partial(
                 check_withdrawals, callers.records, faults, withdrawals.done
             ),
+            functools.partial(
+                check_evacuations, callers.records, faults, evacuations.done
+            ),
             functools.partial(check_restorations, site, restorations),
             functools.partial(
                 check_pauses,
                 site,
-                callers.records if with_pauses else [],
+                callers.records if 'pauses' in kinds else [],
                 faults,
                 pauses.done,
             ),
         )
-        broken = [await asyncio.to_thread(check) for check in checks]
-    return list(itertools.chain.from_iterable(broken))
+        return list(
+            itertools.chain.from_iterable(
+                [await asyncio.to_thread(check) for check in checks]
+            )
+        )
 
 
 @contextlib.asynccontextmanager
@@ -237,12 +240,7 @@
                 options.seconds,
                 options.seed,
                 _choose_base(options),
-                options.cuts,
-                options.mute,
-                options.crashes,
-                options.withdrawals,
-                options.restores,
-                options.pauses,
+                [flag for flag, _ in _FLAGS if getattr(options, flag)],
             ),
         )
     for line in broken:
--- a/tests/ingress/limits.py
+++ b/tests/ingress/limits.py
@@ -23,8 +23,10 @@
     PeerUpdate,
     ZoneReader,
 )
-from kelproad.coordination.ingress.placing.filtering import EndpointFilter
-from kelproad.coordination.ingress.placing.regions import RegionFilter
+from kelproad.coordination.ingress.placing.filtering import (
+    EndpointFilter,
+    RegionFilter,
+)
 from kelproad.coordination.ingress.settings import NodeSettings
 from kelproad.coordination.ingress.tables.readers import Reader
 from kelproad.state.counters import Counters, LimitMetrics
--- a/tests/ingress/test_admitting.py
+++ b/tests/ingress/test_admitting.py
@@ -18,7 +18,7 @@
 )
 from kelproad.coordination.ingress.settings import Bounds
 from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
-from kelproad.state.heldbytes import HeldBytes
+from kelproad.state.budgets import HeldBytes
 from kelproad.state.refusals import Refusal, RefusalCode
 from kelproad.state.routes import IngressLimits, RoutingConfiguration
 from kelproad.transport.deadlines import monotonic
--- a/tests/ingress/test_endless.py
+++ b/tests/ingress/test_endless.py
@@ -12,8 +12,11 @@
 from kelproad.protocol.eventstreams import EventSplitter
 from kelproad.transport.deadlines import monotonic
 from kelproad.transport.exchanges import exchange
-from kelproad.transport.framing import EndlessAnswerError
-from kelproad.transport.http import create_session, create_single_use_session
+from kelproad.transport.http import (
+    EndlessAnswerError,
+    create_session,
+    create_single_use_session,
+)
 
 #: Seconds within which an endless answer is given up, far from any deadline.
 GIVE_UP_SECONDS = 1.0
--- a/tests/ingress/test_endpoints.py
+++ b/tests/ingress/test_endpoints.py
@@ -7,7 +7,6 @@
 
 from kelproad.coordination.ingress.tables import endpoints as registry_module
 from kelproad.coordination.ingress.tables.caching import TableCache
-from kelproad.coordination.ingress.tables.decoding import DecodedState
 from kelproad.coordination.ingress.tables.endpoints import (
     MASS_LAPSE_SECONDS,
     RECOVERY_GRACE_SECONDS,
@@ -16,6 +15,7 @@
 from kelproad.coordination.ingress.tables.merging import RowMerger
 from kelproad.coordination.ingress.tables.roworders import ENDPOINT_ORDER
 from kelproad.coordination.ingress.tables.tablestates import (
+    DecodedState,
     Revision,
     StoredRow,
     TableState,
--- a/tests/ingress/test_entrance.py
+++ b/tests/ingress/test_entrance.py
@@ -28,9 +28,9 @@
     read_call_head,
     read_request_id,
 )
+from kelproad.state.budgets import CallBytes, HeldBytes
 from kelproad.state.calls import Call, CallEnd
 from kelproad.state.counters import Counters
-from kelproad.state.heldbytes import CallBytes, HeldBytes
 from kelproad.state.records import EVENT_FIELDS
 from kelproad.state.refusals import Refusal, RefusalCode, Step
 from kelproad.state.routes import (
--- a/tests/ingress/test_evacuations.py
+++ b/tests/ingress/test_evacuations.py
@@ -5,7 +5,6 @@
 from kelproad.coordination.ingress.placing.placement import NoPlacementError
 from kelproad.coordination.ingress.streams.progress import Progress
 from kelproad.coordination.ingress.tables import evacuations as module
-from kelproad.coordination.ingress.tables.decoding import DecodedState
 from kelproad.coordination.ingress.tables.evacuations import ZoneEvacuations
 from kelproad.coordination.ingress.tables.merging import RowMerger
 from kelproad.coordination.ingress.tables.roworders import (
@@ -13,6 +12,7 @@
     OperatorRow,
 )
 from kelproad.coordination.ingress.tables.tablestates import (
+    DecodedState,
     Revision,
     StoredRow,
     TableState,
--- a/tests/ingress/test_held_bytes.py
+++ b/tests/ingress/test_held_bytes.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from kelproad.state.heldbytes import HeldBytes
+from kelproad.state.budgets import HeldBytes
 from testbed.routed import HOST, KEY, RoutedSite, start_routed_site, wait_for
 from tests.ingress.callers import call, next_id
 
--- a/tests/ingress/test_misdirected.py
+++ b/tests/ingress/test_misdirected.py
@@ -17,10 +17,10 @@
 from kelproad.coordination.ingress.settings import Bounds
 from kelproad.coordination.ingress.streams.answers import AttemptFailure
 from kelproad.coordination.ingress.streams.progress import Attempt, Progress
-from kelproad.coordination.ingress.tables.decoding import DecodedState
 from kelproad.coordination.ingress.tables.endpoints import EndpointRegistry
 from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
 from kelproad.coordination.ingress.tables.tablestates import (
+    DecodedState,
     Revision,
     StoredRow,
     TableState,
--- a/tests/ingress/test_regions.py
+++ b/tests/ingress/test_regions.py
@@ -8,8 +8,8 @@
 import msgspec
 import pytest
 
+from kelproad.coordination.ingress.placing.filtering import RegionFilter
 from kelproad.coordination.ingress.placing.placement import NoPlacementError
-from kelproad.coordination.ingress.placing.regions import RegionFilter
 from kelproad.coordination.ingress.streams.progress import Progress
 from kelproad.coordination.ingress.tables.tablestates import (
     Revision,
--- a/tests/ingress/test_relaying.py
+++ b/tests/ingress/test_relaying.py
@@ -16,11 +16,11 @@
 from kelproad.coordination.ingress.tables import following as following_module
 from kelproad.coordination.ingress.tables import relaying as relaying_module
 from kelproad.coordination.ingress.tables.caching import TableCache
-from kelproad.coordination.ingress.tables.decoding import DecodedState
 from kelproad.coordination.ingress.tables.followed import _FollowedTable
 from kelproad.coordination.ingress.tables.readers import Reader, ReaderSelector
 from kelproad.coordination.ingress.tables.relaying import build_answer
 from kelproad.coordination.ingress.tables.tablestates import (
+    DecodedState,
     Provenance,
     Revision,
     StoredRow,
--- a/tests/ingress/test_restored_store.py
+++ b/tests/ingress/test_restored_store.py
@@ -11,12 +11,12 @@
 from kelproad.coordination.ingress.quarantine.rows import QuarantineRows
 from kelproad.coordination.ingress.tables import confirming as confirming_module
 from kelproad.coordination.ingress.tables.confirming import Confirmation
-from kelproad.coordination.ingress.tables.decoding import DecodedState
 from kelproad.coordination.ingress.tables.following import TableFollower
 from kelproad.coordination.ingress.tables.merging import RowMerger
 from kelproad.coordination.ingress.tables.positions import StoreEras
 from kelproad.coordination.ingress.tables.roworders import ENDPOINT_ORDER
 from kelproad.coordination.ingress.tables.tablestates import (
+    DecodedState,
     Provenance,
     Revision,
     StoredRow,
--- a/tests/ingress/test_soak.py
+++ b/tests/ingress/test_soak.py
@@ -26,6 +26,10 @@
 #: suspended instances, in seconds, and seeds of such runs.
 PAUSE_SECONDS = 15.0
 PAUSE_SEEDS = (1,)
+#: Duration of a run in which operators evacuate a zone, in seconds, and seeds
+#: of such runs.
+EVACUATION_SECONDS = 12.0
+EVACUATION_SEEDS = (1,)
 #: Duration of a run with planned stops only, in seconds.
 STOP_SECONDS = 12.0
 #: Seeds of runs in which planned stops are the only failures.
@@ -54,7 +58,7 @@
 ) -> None:
     """Calls run twice, or are lost, as they go through other instances."""
     with start_routed_site(tmp_path, 0) as site:
-        assert not await soak(site, CUT_SECONDS, seed, with_cuts=True)
+        assert not await soak(site, CUT_SECONDS, seed, kinds=('cuts',))
 
 
 @pytest.mark.parametrize('seed', STOP_SEEDS)
@@ -80,7 +84,7 @@
     """Endpoints that stated that they leave, or pause, got more calls."""
     with start_routed_site(tmp_path, 0) as site:
         assert not await soak(
-            site, WITHDRAWAL_SECONDS, seed, with_withdrawals=True
+            site, WITHDRAWAL_SECONDS, seed, kinds=('withdrawals',)
         )
 
 
@@ -91,7 +95,23 @@
 ) -> None:
     """Instances stayed at a configuration of before, without an error."""
     with start_routed_site(tmp_path, 0) as site:
-        assert not await soak(site, RESTORE_SECONDS, seed, with_restores=True)
+        assert not await soak(site, RESTORE_SECONDS, seed, kinds=('restores',))
+
+
+@pytest.mark.parametrize('seed', EVACUATION_SEEDS)
+async def test_an_evacuated_zone_gets_no_calls(
+    seed: int,
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against calls to a zone that operators have evacuated."""
+    with start_routed_site(tmp_path, 0) as site:
+        assert not await soak(
+            site,
+            EVACUATION_SECONDS,
+            seed,
+            base=Base.CALM,
+            kinds=('evacuations',),
+        )
 
 
 @pytest.mark.parametrize('seed', PAUSE_SEEDS)
@@ -102,5 +122,5 @@
     """Instances ended answers for a silence, with nobody to go on."""
     with start_routed_site(tmp_path, 0) as site:
         assert not await soak(
-            site, PAUSE_SECONDS, seed, base=Base.CALM, with_pauses=True
+            site, PAUSE_SECONDS, seed, base=Base.CALM, kinds=('pauses',)
         )
--- a/tests/ingress/test_soak_crashes.py
+++ b/tests/ingress/test_soak_crashes.py
@@ -22,7 +22,7 @@
 ) -> None:
     """A part that crashes engines is sent again once instances have failed."""
     with start_routed_site(tmp_path, 0) as site:
-        assert not await soak(site, SECONDS, seed, with_crashes=True)
+        assert not await soak(site, SECONDS, seed, kinds=('crashes',))
 
 
 @pytest.mark.parametrize('seed', CUT_SEEDS)
@@ -33,5 +33,5 @@
     """Engines that instances are cut from count as ended, again and again."""
     with start_routed_site(tmp_path, 0) as site:
         assert not await soak(
-            site, CUT_SECONDS, seed, with_cuts=True, with_crashes=True
+            site, CUT_SECONDS, seed, kinds=('cuts', 'crashes')
         )
--- a/tests/ingress/test_unreachable.py
+++ b/tests/ingress/test_unreachable.py
@@ -11,9 +11,11 @@
     add_trials,
     select_connectable,
 )
-from kelproad.coordination.ingress.placing.filtering import EndpointFilter
+from kelproad.coordination.ingress.placing.filtering import (
+    EndpointFilter,
+    RegionFilter,
+)
 from kelproad.coordination.ingress.placing.placement import NoPlacementError
-from kelproad.coordination.ingress.placing.regions import RegionFilter
 from kelproad.coordination.ingress.streams.progress import Progress
 from kelproad.state.declarations import (
     EndpointDeclaration,
--- a/tests/ingress/test_warm_ups.py
+++ b/tests/ingress/test_warm_ups.py
@@ -5,10 +5,10 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from kelproad.coordination.ingress.streams.observing import AnswerObserver
-from kelproad.coordination.ingress.tables.decoding import DecodedState
 from kelproad.coordination.ingress.tables.endpoints import EndpointRegistry
 from kelproad.coordination.ingress.tables.roworders import ENDPOINT_ORDER
 from kelproad.coordination.ingress.tables.tablestates import (
+    DecodedState,
     Revision,
     StoredRow,
     TableState,
@@ -17,7 +17,7 @@
 from kelproad.platform.statements import read_statements
 from kelproad.state.calls import AnswerHead, Outcome
 from kelproad.state.endpointtable import EndpointTable
-from kelproad.state.warmups import WarmUps
+from kelproad.state.requestlimits import WarmUps
 from kelproad.transport.deadlines import monotonic
 from tests.ingress.limits import NOW, Fleet, build_observer
 from tests.ingress.test_limit_sharing import count_most, start_calls
