--- a/src/kelproad/coordination/ingress/streams/answers.py
+++ b/src/kelproad/coordination/ingress/streams/answers.py
@@ -99,8 +99,9 @@
 
     @property
     def is_too_long(self) -> bool:
-        """Whether its stated length is beyond what can be collected."""
-        return (self.response.content_length or 0) > MAX_ANSWER_BYTES
+        """Whether the stated length of its body can't be collected."""
+        length = self.response.content_length or 0
+        return length > MAX_ANSWER_BYTES and self.response.method != 'HEAD'
 
     @property
     def may_lack_its_body(self) -> bool:
--- a/src/kelproad/coordination/ingress/tables/merging.py
+++ b/src/kelproad/coordination/ingress/tables/merging.py
@@ -24,8 +24,8 @@
 _MAX_SHOWN = 10
 
 
-def _lasts_not(_content: object) -> bool:
-    """Return that a content may be deleted."""
+def _outlasts_no_copy(_content: object) -> bool:
+    """Return that a content may be deleted, so that a copy may lack it."""
     return False
 
 
@@ -47,7 +47,7 @@
 
     is_equivalent: Callable[[Payload, Payload], bool]
     is_older: Callable[[Payload, Payload], bool]
-    outlasts_copies: Callable[[Payload], bool] = _lasts_not
+    outlasts_copies: Callable[[Payload], bool] = _outlasts_no_copy
 
 
 class RowMerger(Generic[Payload]):
