test_grouping: the hanging store's first transaction counts from its own start

Cause: the test slept 1.1 s from the task's creation; the writer counts the store's silence from the start of the transaction. If the loop is held for more than 0.1 s before it (a loaded machine), the second write still finds a store that counts as up and is sent. Ruled out: a fault of the writer, whose rule (one transaction at a time after SILENT_AFTER of silence) holds. Now the test waits for that state itself; what it asserts is unchanged.

--- a/tests/test_grouping.py
+++ b/tests/test_grouping.py
@@ -161,7 +161,8 @@
     writes = GroupedWrites(store.client)
     store.platform.faults = Faults(hang=True)
     first = start_write(writes, 'a')
-    await asyncio.sleep(SILENT_AFTER + 0.1)
+    while writes.silent_seconds <= SILENT_AFTER:
+        await asyncio.sleep(0.05)
     for key in ('b', 'c', 'd'):
         refused = await start_write(writes, key)
         assert refused.failure().kind is StoreErrorKind.UNAVAILABLE
