--- a/src/kelproad/protocol/eventstreams.py
+++ b/src/kelproad/protocol/eventstreams.py
@@ -5,13 +5,15 @@
 resume the stream after the last one.
 """
 
+import re
+
 import attrs
 
 from .events import MAX_EVENT_BYTES, SequenceError
 
 __all__ = ['EventSplitter', 'NumberedEvent']
 
-_LINE_END = b'\n'
+_BLANK_LINES = re.compile(rb'\n+')
 _SEPARATOR = b'\n\n'
 _ID_FIELD = b'id:'
 _DATA_FIELD = b'data'
@@ -68,7 +70,12 @@
         SequenceError
             When an event is missing or too large, or none comes any more.
         """
+        # What was buffered before has no separator, but may end within one.
+        is_partial = _SEPARATOR not in self._buffer[-1:] + received
         buffered = self._buffer + received
+        if is_partial:
+            self._keep_partial(buffered)
+            return []
         accepted: list[NumberedEvent] = []
         start = self._skip_idle(buffered, accepted)
         end = buffered.find(_SEPARATOR, start)
@@ -79,11 +86,21 @@
             start = end + len(_SEPARATOR)
             start = self._skip_blank(buffered, start, accepted)
             end = buffered.find(_SEPARATOR, start)
-        self._buffer = buffered[start:]
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise SequenceError('an event is too large')
+        self._keep_partial(buffered[start:])
         return accepted
 
+    def _keep_partial(self, partial: bytes) -> None:
+        """Keep an event that is not complete yet.
+
+        Raises
+        ------
+        SequenceError
+            When it is too large.
+        """
+        self._buffer = partial
+        if len(partial) > MAX_EVENT_BYTES:
+            raise SequenceError('an event is too large')
+
     def _skip_idle(self, buffered: bytes, accepted: list[NumberedEvent]) -> int:
         """Accept all complete blocks at once if none is an event.
 
@@ -108,13 +125,12 @@
         self, buffered: bytes, start: int, accepted: list[NumberedEvent]
     ) -> int:
         """Accept all blank lines at a position at once; return their end."""
-        if not buffered.startswith(_LINE_END, start):
+        blank = _BLANK_LINES.match(buffered, start)
+        if blank is None:
             return start
-        blank = len(buffered) - start - len(buffered[start:].lstrip(_LINE_END))
-        self._count_idle(blank)
-        end = start + blank
-        accepted.append(NumberedEvent(None, buffered[start:end]))
-        return end
+        self._count_idle(len(blank.group()))
+        accepted.append(NumberedEvent(None, blank.group()))
+        return blank.end()
 
     def _accept(self, block: bytes) -> NumberedEvent | None:
         number = _read_number(block)
--- a/tests/ingress/test_endless.py
+++ b/tests/ingress/test_endless.py
@@ -189,3 +189,13 @@
     unnumbered = EventSplitter()
     for _ in itertools.repeat(None, 100):
         assert len(unnumbered.feed(b'data: x\n\n' * 1000)) == 1000
+
+
+def test_blank_lines_between_events_take_linear_time() -> None:
+    """Guards against an engine whose spaced events hold the event loop."""
+    splitter = EventSplitter()
+    events = b''.join(b'id: %d\n\n\n' % number for number in range(60_000))
+    began = monotonic()
+    accepted = splitter.feed(events)
+    assert monotonic() - began < GIVE_UP_SECONDS * 3
+    assert b''.join(event.encoded for event in accepted) == events
