--- a/src/kelproad/coordination/ingress/admission/admitting.py
+++ b/src/kelproad/coordination/ingress/admission/admitting.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import functools
 import random
 from collections.abc import Callable
 
@@ -36,6 +37,9 @@
 #: Seconds after which a caller should retry while no instance has a current
 #: configuration: most outages of the store last some seconds.
 _UNCONFIRMED_RETRY = 1.0
+#: Bounds of the seconds after which callers return for whose bodies there is no
+#: room; at random, so that they don't all come at once.
+_ROOM_RETRIES = (0.5, 1.5)
 #: Seconds that a call waits for the first configuration of an instance that has
 #: just started: sent back, most callers would meet others that start as well.
 _FIRST_CONFIGURATION_WAIT = 0.25
@@ -113,7 +117,10 @@
         try:
             async with self._stop_guard.until_end():
                 body = await _receive(
-                    http_request, configuration, deadline, held
+                    http_request,
+                    configuration,
+                    deadline,
+                    functools.partial(self._take_room, held),
                 )
         except StopEndedError:
             return Failure(refuse_stopping())
@@ -182,6 +189,17 @@
             retry_after=ELSEWHERE_RETRY if elsewhere else _UNCONFIRMED_RETRY,
         )
 
+    def _take_room(self, held: CallBytes, size: int) -> Refusal | None:
+        """Count bytes of a body, or refuse its call if there is no room."""
+        if held.try_add(size):
+            return None
+        return Refusal(
+            RefusalCode.NO_CAPACITY,
+            'too much is held for slow callers',
+            Step.RECEIVE,
+            retry_after=self._generator.uniform(*_ROOM_RETRIES),
+        )
+
     def _choose_service(self, route: Route) -> str:
         """Choose a service at random, by the weights of the route.
 
@@ -225,14 +243,14 @@
     http_request: web.Request,
     configuration: RoutingConfiguration,
     deadline: float,
-    held: CallBytes,
+    take_room: Callable[[int], Refusal | None],
 ) -> Result[bytes, Refusal]:
     """Read the complete body, before anything is forwarded."""
     limit = configuration.limits.max_body_bytes
     try:
         async with within(deadline):
             return await read_body(
-                http_request, limit, text=False, has_room=held.try_add
+                http_request, limit, text=False, take_room=take_room
             )
     except asyncio.TimeoutError:
         return Failure(
--- a/src/kelproad/protocol/callers.py
+++ b/src/kelproad/protocol/callers.py
@@ -42,8 +42,6 @@
 REPLAYED_HEADER = 'Idempotency-Replayed'
 SEGMENTS_HEADER = 'X-Segments'
 MAX_KEY_LENGTH = 255
-#: Seconds after which a caller is to return when too much is held for others.
-_ROOM_RETRY = 1.0
 _DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 
 RawFields = dict[str, msgspec.Raw]
@@ -116,29 +114,30 @@
 _RAW_FALSE = msgspec.Raw(b'false')
 
 
-def _has_room(_size: int) -> bool:
+def _refuse_nothing(_size: int) -> Refusal | None:
     """Receive bodies whatever else is held."""
-    return True
 
 
 async def read_body(
     http_request: web.BaseRequest,
     limit: int,
     text: bool = True,
-    has_room: Callable[[int], bool] = _has_room,
+    take_room: Callable[[int], Refusal | None] = _refuse_nothing,
 ) -> Result[bytes, Refusal]:
     """Read a body of at most ``limit`` bytes.
 
     A declared length over the limit is refused before anything is read.  If
     ``text`` is set, the body must be UTF-8; it is checked chunk by chunk, so
-    that no second copy of it is made.  ``has_room`` gets the declared length,
-    or that of each chunk of a body without one, and returns whether to go on.
+    that no second copy of it is made.  ``take_room`` gets the declared length,
+    or that of each chunk of a body without one, and returns the refusal of a
+    call for which there is no room.
     """
     declared = http_request.content_length
     if declared is not None and declared > limit:
         return Failure(_refuse_too_large(limit))
-    if not has_room(declared or 0):
-        return Failure(_refuse_without_room())
+    refusal = take_room(declared or 0)
+    if refusal is not None:
+        return Failure(refusal)
     check_text = codecs.getincrementaldecoder('utf-8')()
     received = bytearray()
     try:
@@ -146,8 +145,9 @@
             received += chunk
             if len(received) > limit:
                 return Failure(_refuse_too_large(limit))
-            if declared is None and not has_room(len(chunk)):
-                return Failure(_refuse_without_room())
+            refusal = take_room(len(chunk)) if declared is None else None
+            if refusal is not None:
+                return Failure(refusal)
             check_text.decode(chunk if text else b'')
         check_text.decode(b'', final=True)
     except UnicodeDecodeError:
@@ -160,16 +160,6 @@
     return Success(bytes(received))
 
 
-def _refuse_without_room() -> Refusal:
-    """Refuse a call while too much is held for others."""
-    return Refusal(
-        RefusalCode.NO_CAPACITY,
-        'too much is held for slow callers',
-        Step.RECEIVE,
-        retry_after=_ROOM_RETRY,
-    )
-
-
 def parse_deadline(
     text: str | None,
     default: float,
--- a/tests/ingress/test_held_bytes.py
+++ b/tests/ingress/test_held_bytes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import pathlib
+import re
 import socket
 import time
 from collections.abc import Iterator
@@ -119,6 +120,8 @@
     for answer in refused:
         assert not answer or answer.startswith(b'HTTP/1.1 503')
         assert not answer or b'Retry-After' in answer
+    returns = set(re.findall(rb'Retry-After: (\S+)', b''.join(refused)))
+    assert len(returns) > 1
     sound = call(instance, '/lookups/x', request_id=next_id())
     assert sound.seconds < ANSWER_SECONDS
     assert sound.status == 200
