Warm-ups: schedules end with their endpoints; a negative rate limits nothing

Cause: schedules were forgotten with the stated limits that lapsed, and a warm-up is none of these: each engine that ever was cold left a schedule. Now all but listed endpoints and those with a limit are forgotten. A negative warmup_per_s counted as a limit of the smallest rate.

--- a/src/kelproad/coordination/ingress/limiting/gate.py
+++ b/src/kelproad/coordination/ingress/limiting/gate.py
@@ -129,10 +129,11 @@
 
     def forget_unlisted(self) -> None:
         """Forget what is known of endpoints that have long been gone."""
-        for name in self.observer.forget_unlisted():
-            self._granter.forget(name)
-            self._expected_at.pop(name, None)
-            self._own_parts.pop(name, None)
+        known = self.observer.forget_unlisted()
+        self._granter.forget_others(known)
+        for kept in (self._expected_at, self._own_parts):
+            for name in kept.keys() - known:
+                kept.pop(name)
 
     def describe(self) -> dict[str, object]:
         """Describe the limits and their use for operators, by endpoint."""
--- a/src/kelproad/coordination/ingress/limiting/granting.py
+++ b/src/kelproad/coordination/ingress/limiting/granting.py
@@ -66,9 +66,10 @@
             return None
         return self._reply(query, coordinator.share)
 
-    def forget(self, endpoint: str) -> None:
-        """Forget the schedule of an endpoint."""
-        self._schedules.pop(endpoint, None)
+    def forget_others(self, known: frozenset[str]) -> None:
+        """Forget the schedules of all but the known endpoints."""
+        for endpoint in self._schedules.keys() - known:
+            self._schedules.pop(endpoint)
 
     def measure_use(self) -> dict[str, float]:
         """Return the starts per second that were granted, by endpoint."""
--- a/src/kelproad/coordination/ingress/limiting/observing.py
+++ b/src/kelproad/coordination/ingress/limiting/observing.py
@@ -78,8 +78,14 @@
         )
         self._publish(endpoint, notice.rate)
 
-    def forget_unlisted(self) -> list[str]:
-        """Forget endpoints that have long been gone; return their names."""
+    def forget_unlisted(self) -> frozenset[str]:
+        """Forget endpoints that have long been gone.
+
+        Returns
+        -------
+        frozenset of str
+            The endpoints that are listed, or whose limit is still kept.
+        """
         listed = frozenset(self._table.all())
         forgotten = self.limits.forget_unlisted(listed, monotonic())
         for name in forgotten:
@@ -90,7 +96,7 @@
                 source='no longer listed',
             )
             self._publish(name, None)
-        return forgotten
+        return listed | self.limits.list_limited().keys()
 
     def describe(self) -> dict[str, dict[str, object]]:
         """Describe the limits for operators, by endpoint."""
--- a/src/kelproad/coordination/ingress/membership/peering.py
+++ b/src/kelproad/coordination/ingress/membership/peering.py
@@ -235,7 +235,7 @@
         is_cold = self._table.warm_ups.includes(endpoint.name, incarnation, now)
         if not is_cold or configuration is None:
             return None
-        return configuration.find_warm_up(endpoint.group.name).rate or None
+        return configuration.find_warm_up(endpoint.group.name).limit
 
     def _keep_quarantine(self) -> None:
         """Write the quarantined parts again, as the store may have lost them.
--- a/src/kelproad/state/requestlimits.py
+++ b/src/kelproad/state/requestlimits.py
@@ -173,6 +173,11 @@
     seconds: float = 0
     rate: float = 0
 
+    @property
+    def limit(self) -> float | None:
+        """The rate, ``None`` for no limit."""
+        return self.rate if self.rate > 0 else None
+
 
 @attrs.define
 class _End:
--- a/tests/ingress/test_warm_ups.py
+++ b/tests/ingress/test_warm_ups.py
@@ -17,7 +17,7 @@
 from kelproad.platform.statements import read_statements
 from kelproad.state.calls import AnswerHead, Outcome
 from kelproad.state.endpointtable import EndpointTable
-from kelproad.state.requestlimits import WarmUps
+from kelproad.state.requestlimits import WarmUp, WarmUps
 from kelproad.transport.deadlines import monotonic
 from tests.ingress.limits import NOW, Fleet, build_observer
 from tests.ingress.test_limit_sharing import count_most, start_calls
@@ -261,3 +261,26 @@
     warm = [build('warm', 5, 25_000, delay=0.0045)]
     assert choose(cold + warm, SUMMARY).primary.name == 'warm'
     assert choose(cold, SUMMARY).primary.name.startswith('cold')
+
+
+def test_a_rate_that_is_none_limits_nothing() -> None:
+    """Guards against a negative rate that nearly closes an engine."""
+    assert WarmUp(3, RATE).limit == RATE
+    assert WarmUp(3, 0).limit is None
+    assert WarmUp(3, -1).limit is None
+
+
+async def test_schedules_end_with_their_endpoints(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a schedule for each engine that ever was cold."""
+    fleet = Fleet(monkeypatch, {'a': 3})
+    fleet.warm_up_rate = RATE
+    await start_calls(fleet, ('a',), 1.0)
+    instances = fleet.instances.values()
+    assert any(instance.granter.measure_use() for instance in instances)
+    fleet.table.replace_groups([])
+    for instance in instances:
+        instance.gate.forget_unlisted()
+        assert not instance.granter.measure_use()
+        assert not instance.gate._expected_at
