Large answers: memory reserved by size, collected without copies

Bodies are now collected as parts, from 64 KiB on in reserved memory, and a connection receives 64 KiB a turn. Now a stated length reserves itself, in turn. Both tests of test_attempts.py failed first.

--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -1,6 +1,5 @@
 """Composition of the components that handle calls, from server to sender."""
 
-import asyncio
 from typing import Self
 
 import aiohttp
@@ -23,6 +22,7 @@
 from .retrying.retries import RetryBudgets
 from .retrying.verdicts import AttemptEvaluator
 from .sharing import SharedState
+from .streams.answers import LargeAnswers
 from .streams.attempts import EndpointClient
 from .streams.observing import AnswerObserver
 from .streams.sending import Sender
@@ -30,9 +30,6 @@
 
 __all__ = ['CallPipeline']
 
-#: Bytes of the instance's memory for each large answer that is collected.
-_MEMORY_PER_LARGE_ANSWER = 268_435_456
-
 
 @attrs.frozen
 class CallPipeline:
@@ -102,7 +99,7 @@
                     session,
                     shared.dialect,
                     observer.observe_answer,
-                    _create_permits(shared.memory_bytes),
+                    LargeAnswers.from_memory(shared.memory_bytes),
                 ),
                 memory,
                 speed_monitor,
@@ -192,10 +189,3 @@
         silence_monitor,
         shared.counters,
     )
-
-
-def _create_permits(memory_bytes: float) -> asyncio.Semaphore:
-    """Create the permits for large answers, one at least."""
-    return asyncio.Semaphore(
-        max(1, int(memory_bytes // _MEMORY_PER_LARGE_ANSWER))
-    )
--- a/src/kelproad/coordination/ingress/streams/answers.py
+++ b/src/kelproad/coordination/ingress/streams/answers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Callable
+from typing import Self
 
 import aiohttp
 import attrs
@@ -20,14 +21,17 @@
 __all__ = [
     'AttemptFailure',
     'CompleteAnswer',
+    'LargeAnswers',
     'OpenAnswer',
     'collect',
     'fail_unanswered',
 ]
 
 _BODILESS_STATUSES = frozenset((204, 304))
-#: Bytes of a body beyond which only a few are collected at a time.
-_LARGE_BYTES = 262_144
+#: Bytes of a body beyond which memory is reserved to collect it.
+_LARGE_BYTES = 65_536
+#: Share of an instance's memory for such bodies.
+_LARGE_SHARE = 0.06
 
 
 @attrs.frozen
@@ -85,6 +89,39 @@
         )
 
 
+class _TooLongError(Exception):
+    """A body is longer than what is forwarded."""
+
+
+@attrs.define
+class LargeAnswers:
+    """Memory in which large bodies are collected, reserved in turn."""
+
+    _capacity: float = MAX_ANSWER_BYTES
+    _reserved: int = 0
+    _turn: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+    _freed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    @classmethod
+    def from_memory(cls, memory_bytes: float) -> Self:
+        """Reserve a share of an instance's memory, enough for any one body."""
+        return cls(max(MAX_ANSWER_BYTES, memory_bytes * _LARGE_SHARE))
+
+    @contextlib.asynccontextmanager
+    async def reserve(self, size: int) -> AsyncIterator[None]:
+        """Hold a reservation; a body larger than all memory is held alone."""
+        async with self._turn:
+            while self._reserved and self._reserved + size > self._capacity:
+                self._freed.clear()
+                await self._freed.wait()
+            self._reserved += size
+        try:
+            yield
+        finally:
+            self._reserved -= size
+            self._freed.set()
+
+
 @attrs.frozen
 class OpenAnswer:
     """An answer whose head has been read and whose body has not."""
@@ -92,10 +129,7 @@
     head: AnswerHead
     response: aiohttp.ClientResponse
     ended_properly: Callable[[], bool]
-    #: Permits for large bodies that are collected.
-    large_answers: asyncio.Semaphore = attrs.field(
-        factory=lambda: asyncio.Semaphore(1)
-    )
+    large_answers: LargeAnswers = attrs.field(factory=LargeAnswers)
 
     @property
     def is_too_long(self) -> bool:
@@ -150,37 +184,26 @@
     """Read the complete body of an answer, and close the answer.
 
     ``record_part`` is called whenever a part of it has arrived.  A large body
-    is read on once it has a permit, so that a few hold the most memory.
+    is read on once memory is reserved for its stated length, or for the longest
+    one.
     """
-    received = bytearray()
-    if answer.is_too_long:
-        answer.close()
-        return _fail_executed('the answer is too long')
     try:
-        async with within(deadline), contextlib.AsyncExitStack() as permits:
-            async for chunk in answer.read_chunks():
-                record_part()
-                is_large = len(received) > _LARGE_BYTES
-                received += chunk
-                if len(received) > MAX_ANSWER_BYTES:
-                    return _fail_executed('the answer is too long')
-                if not is_large and len(received) > _LARGE_BYTES:
-                    await permits.enter_async_context(answer.large_answers)
+        async with within(deadline):
+            body = await _read_body(answer, record_part)
+    except _TooLongError:
+        return _fail_executed('the answer is too long')
     except asyncio.TimeoutError:
-        # The traceback would keep it until garbage is collected.
-        received.clear()
         return Failure(
             AttemptFailure(
                 'the body did not arrive in time', Ran.UNKNOWN, blameless=True
             )
         )
     except (aiohttp.ClientError, OSError) as error:
-        received.clear()
         return _fail_executed(f'the body was truncated: {error!r}')
     finally:
         answer.close()
-    complete = CompleteAnswer(answer.head, bytes(received))
-    if answer.may_lack_its_body and not received:
+    complete = CompleteAnswer(answer.head, body)
+    if answer.may_lack_its_body and not body:
         return Failure(
             AttemptFailure(
                 'the answer is empty, without a length',
@@ -192,6 +215,42 @@
     return Success(complete)
 
 
+async def _read_body(
+    answer: OpenAnswer, record_part: Callable[[], None]
+) -> bytes:
+    """Read a body to its end, a large one in reserved memory.
+
+    Raises
+    ------
+    _TooLongError
+        When it is longer than what is forwarded.
+    aiohttp.ClientError
+        When the connection broke before the end.
+    """
+    if answer.is_too_long:
+        raise _TooLongError
+    # One growing buffer would at times be copied, and take twice the memory.
+    parts: list[bytes] = []
+    length = 0
+    try:
+        async with contextlib.AsyncExitStack() as held:
+            async for part in answer.read_chunks():
+                record_part()
+                was_large = length > _LARGE_BYTES
+                parts.append(part)
+                length += len(part)
+                if length > MAX_ANSWER_BYTES:
+                    raise _TooLongError
+                if length > _LARGE_BYTES and not was_large:
+                    size = answer.response.content_length or MAX_ANSWER_BYTES
+                    reserved = answer.large_answers.reserve(size)
+                    await held.enter_async_context(reserved)
+            return b''.join(parts)
+    finally:
+        # The traceback of an error may keep this frame for a while.
+        parts.clear()
+
+
 def _fail_executed(reason: str) -> Result[CompleteAnswer, AttemptFailure]:
     return Failure(AttemptFailure(reason, Ran.YES))
 
--- a/src/kelproad/coordination/ingress/streams/attempts.py
+++ b/src/kelproad/coordination/ingress/streams/attempts.py
@@ -25,7 +25,13 @@
 from ....transport.deadlines import monotonic, within
 from ....transport.http import create_end_check
 from ..admission.dialect import Dialect
-from .answers import AttemptFailure, OpenAnswer, collect, fail_unanswered
+from .answers import (
+    AttemptFailure,
+    LargeAnswers,
+    OpenAnswer,
+    collect,
+    fail_unanswered,
+)
 
 __all__ = ['EndpointClient']
 
@@ -37,15 +43,13 @@
 class EndpointClient:
     """Sends calls to endpoints, without retries.
 
-    ``_large_answers`` permits large bodies that are collected.
+    ``_large_answers`` has the memory for large bodies.
     """
 
     _session: aiohttp.ClientSession
     _dialect: Dialect
     _observe_answer: Callable[[Endpoint, AnswerHead], None]
-    _large_answers: asyncio.Semaphore = attrs.field(
-        factory=lambda: asyncio.Semaphore(1)
-    )
+    _large_answers: LargeAnswers = attrs.field(factory=LargeAnswers)
 
     async def open(
         self,
--- a/src/kelproad/transport/http.py
+++ b/src/kelproad/transport/http.py
@@ -32,8 +32,8 @@
 #: chunks may be as small as one byte.
 _MAX_FRAMING_BYTES = 65_536
 _FRAMING_PER_BYTE = 16
-#: Bytes that are parsed before the bound is checked again.
-_PIECE_BYTES = 16_384
+#: Bytes that are received in one turn of the event loop.
+_PIECE_BYTES = 65_536
 
 
 class ConnectionLostError(aiohttp.ClientError):
@@ -53,6 +53,11 @@
         self._received_bytes = 0
         self._is_endless = False
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Receive little at a time: it is held until its reader takes it."""
+        transport.max_size = _PIECE_BYTES
+        super().connection_made(transport)
+
     def set_response_params(self, **options: object) -> None:
         """Begin to receive an answer."""
         self._received_bytes = 0
@@ -60,10 +65,6 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what was received, until it is too much beside content."""
-        if len(data) > _PIECE_BYTES:
-            for start in range(0, len(data), _PIECE_BYTES):
-                self.data_received(data[start : start + _PIECE_BYTES])
-            return
         if self._is_endless:
             return
         super().data_received(data)
--- a/tests/ingress/test_attempts.py
+++ b/tests/ingress/test_attempts.py
@@ -22,6 +22,7 @@
 from kelproad.coordination.ingress.settings import Bounds
 from kelproad.coordination.ingress.streams.answers import (
     AttemptFailure,
+    LargeAnswers,
     OpenAnswer,
     collect,
 )
@@ -525,3 +526,68 @@
         failure = (await send(client, endpoint)).failure()
     assert failure.ran is Ran.NO
     assert failure.blameless is polite
+
+
+async def test_a_large_answer_does_not_wait_for_one_that_hangs(
+    client: EndpointClient,
+) -> None:
+    """Guards against an engine that holds up the large answers of others."""
+    stated = 1_000_000
+
+    async def hang(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(f'{HEAD}Content-Length: {stated}\r\n\r\n'.encode())
+        writer.write(b'x' * (stated - 1))
+        await reader.read()
+        writer.close()
+
+    async def finish(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(f'{HEAD}Content-Length: {stated}\r\n\r\n'.encode())
+        writer.write(b'x' * stated)
+        await writer.drain()
+        writer.close()
+
+    async with serve(hang) as hanging, serve(finish) as sound:
+        waiting = asyncio.create_task(send(client, hanging))
+        await asyncio.sleep(0.2)
+        async with asyncio.timeout(1):
+            answer = await send(client, sound)
+        assert len(answer.unwrap().body) == stated
+        waiting.cancel()
+
+
+async def test_large_answers_hold_no_more_than_their_share() -> None:
+    """Guards against a reservation that is lost, or served out of turn."""
+    space = LargeAnswers(100)
+    order = []
+
+    async def hold(size: int, freed: asyncio.Event) -> None:
+        async with space.reserve(size):
+            order.append(size)
+            await freed.wait()
+
+    events = [asyncio.Event() for _ in range(4)]
+    sizes = (60, 40, 500, 10)
+    tasks = [
+        asyncio.create_task(hold(size, freed))
+        for size, freed in zip(sizes, events, strict=True)
+    ]
+    await asyncio.sleep(0.01)
+    assert order == [60, 40]
+    tasks[0].cancel()
+    await asyncio.sleep(0.01)
+    assert order == [60, 40]
+    events[1].set()
+    await asyncio.sleep(0.01)
+    assert order == [60, 40, 500]
+    tasks[3].cancel()
+    events[2].set()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    async with asyncio.timeout(1), space.reserve(100):
+        order.append(100)
+    assert order == [60, 40, 500, 100]
