--- a/src/kelproad/coordination/ingress/tables/endpoints.py
+++ b/src/kelproad/coordination/ingress/tables/endpoints.py
@@ -59,7 +59,7 @@
         ``IP:port``.
     slots
         Maximum number of calls in progress at a time.
-    slow_for
+    warm_up_left
         Seconds for which it goes on warming up.
     born
         Unix time of its start in milliseconds; 0 when not stated.
@@ -73,7 +73,7 @@
     zone: str
     slots: int
     leaving: bool
-    slow_for: float
+    warm_up_left: float
     born: int
     sequence: int
 
@@ -93,8 +93,8 @@
         The time left runs down from one report to the next; its end is stated
         too, so that the next warm-up is no shorter one.
         """
-        return self.slow_for > other.slow_for or (
-            other.slow_for > 0 and not self.slow_for
+        return self.warm_up_left > other.warm_up_left or (
+            other.warm_up_left > 0 and not self.warm_up_left
         )
 
     def is_same_endpoint(self, other: 'ListedEndpoint') -> bool:
@@ -164,7 +164,7 @@
         for decoded in state.rows:
             if decoded.row.encoded is not None:
                 self._update(decoded.row.key, decoded.payload)
-        # One of several changes of a row may be its first.
+        # An endpoint may come and go within one answer.
         self._record_missing(self._list_vanished(state))
         self._was_read = True
         self.drop_expired()
@@ -234,14 +234,14 @@
         if is_new and self._was_read:
             self._assume_cold(entry)
         begins = self._table.warm_ups.state(
-            entry.name, entry.incarnation, entry.slow_for, monotonic()
+            entry.name, entry.incarnation, entry.warm_up_left, monotonic()
         )
         if begins:
             record(
                 _logger,
                 'engine_warms_up',
                 endpoint=entry.name,
-                seconds=entry.slow_for,
+                seconds=entry.warm_up_left,
                 source='entry',
             )
 
--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -303,7 +303,7 @@
     def _adopt_configuration_table(
         self, state: DecodedState[OperatorRow]
     ) -> None:
-        # First, as with a configuration calls are sent.
+        # Once there is a configuration, calls are sent.
         self.evacuations.adopt(state)
         provenance = self.configuration.provenance
         self.confirmation.begin(direct=provenance is Provenance.STORE)
--- a/src/kelproad/platform/rows.py
+++ b/src/kelproad/platform/rows.py
@@ -252,7 +252,7 @@
             zone=server.zone,
             slots=server.slots,
             leaving=server.state == _DRAINING_STATE,
-            slow_for=server.warmup_left_ms / _MILLISECONDS,
+            warm_up_left=server.warmup_left_ms / _MILLISECONDS,
             born=server.born,
             sequence=server.sequence,
         ),
