Endless bytes: framing of callers' bodies, peers of tunnels, replies

Cause: a caller that sends a chunk's size or extension without end was read at full speed, also after its refusal: 1.0 to 2.0 GB in 6 s, one processor whole, until it stopped by itself. Now callers' framing has the bound of servers' (3 MB sent, connection aborted). Replies of up to 32 MiB are collected without copies. The peer side of a tunnel is bounded already; it has a test.

--- a/src/kelproad/transport/callerconnections.py
+++ b/src/kelproad/transport/callerconnections.py
@@ -5,14 +5,19 @@
 """
 
 import asyncio
+import logging
 from collections.abc import Callable, Coroutine, Iterable
 
+import aiohttp
 import attrs
 from aiohttp import web
 from multidict import MultiMapping
 
+from .http import is_endless
+
 __all__ = ['CallerConnections', 'ConnectionTimeouts', 'ObservedConnection']
 
+_logger = logging.getLogger(__name__)
 #: Iterations of the event loop in which a call that has been read reaches its
 #: handler: aiohttp resumes the connection's task, which starts another one.
 _READING_ITERATIONS = 5
@@ -39,7 +44,10 @@
 
 
 class ObservedConnection(asyncio.Protocol):
-    """aiohttp's protocol of a connection, and who ended the connection."""
+    """aiohttp's protocol of a connection, and who ended the connection.
+
+    What callers send beside the content of their bodies is bounded.
+    """
 
     def __init__(
         self,
@@ -53,14 +61,29 @@
         self._connection = connection
         self._record_end = record_end
         self._has_caller_left = False
+        #: The body that arrives, and the bytes that were received for it.
+        self._body: aiohttp.StreamReader | None = None
+        self._received_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Pass on that the connection is open."""
         self._connection.connection_made(transport)
 
     def data_received(self, received: bytes) -> None:
-        """Pass on bytes."""
+        """Pass on bytes, unless the body's framing goes on without end."""
         self._connection.data_received(received)
+        if self._body is None:
+            self._body = self._find_body()
+        if self._body is None or self._body.is_eof():
+            self._body = None
+            self._received_bytes = 0
+            return
+        self._received_bytes += len(received)
+        transport = self._connection.transport
+        content = self._body.total_bytes
+        if transport and is_endless(self._received_bytes, content):
+            _logger.info('a body without end: %r', transport)
+            transport.abort()
 
     def eof_received(self) -> None:
         """Record that the caller has closed its direction.
@@ -86,6 +109,11 @@
         """Pass on that the write buffer has room."""
         self._connection.resume_writing()
 
+    def _find_body(self) -> aiohttp.StreamReader | None:
+        """Find the body of the call in progress."""
+        call = self._connection._current_request  # noqa: WPS437
+        return None if call is None else call.content
+
 
 class CallerConnections:
     """The connections of a server.
--- a/src/kelproad/transport/exchanges.py
+++ b/src/kelproad/transport/exchanges.py
@@ -73,14 +73,16 @@
                 allow_redirects=False,
             ) as response,
         ):
-            received = bytearray()
+            # One growing buffer would at times be copied.
+            pieces: list[bytes] = []
+            length = 0
             async for piece in response.content.iter_any():
-                received += piece
-                if len(received) > max_bytes:
+                pieces.append(piece)
+                length += len(piece)
+                if length > max_bytes:
                     return Failure(_TOO_LONG)
-            return Success(
-                Reply(response.status, bytes(received), response.headers)
-            )
+            body = b''.join(pieces)
+            return Success(Reply(response.status, body, response.headers))
     except aiohttp.ClientConnectorError as error:
         return Failure(ExchangeFailure(str(error), sent=False))
     except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
--- a/tests/ingress/test_endless.py
+++ b/tests/ingress/test_endless.py
@@ -2,14 +2,20 @@
 
 import asyncio
 import itertools
+import socket
+import tracemalloc
 import types
 from collections.abc import AsyncIterator, Callable
 
+import aiohttp
 import pytest
 from returns.result import Failure
 
+from kelproad.coordination.ingress.tunnels.opening import open_tunnel
 from kelproad.protocol.events import SequenceError
 from kelproad.protocol.eventstreams import EventSplitter
+from kelproad.protocol.tunnels import TunnelReply
+from kelproad.transport.addresses import Address
 from kelproad.transport.deadlines import monotonic
 from kelproad.transport.exchanges import exchange
 from kelproad.transport.http import (
@@ -23,6 +29,7 @@
 #: Bytes that an endless server sends at most, and of a large sound answer.
 MOST_BYTES = 100_000_000
 LARGE_BYTES = 8_000_000
+MOST_REPLY_BYTES = 33_554_432
 OK = b'HTTP/1.1 200 OK\r\n'
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 FRAMING = types.MappingProxyType(
@@ -47,6 +54,7 @@
         """Listen nowhere yet."""
         self.beginning = beginning
         self.pieces = pieces * (65_536 // len(pieces) + 1)
+        self.request_end = b'\r\n\r\n'
         self.sent_bytes = 0
         self.ended = asyncio.Event()
 
@@ -54,7 +62,8 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Send until the caller closes the connection."""
-        await reader.readuntil(b'\r\n\r\n')
+        if self.request_end:
+            await reader.readuntil(self.request_end)
         try:
             writer.write(self.beginning)
             while self.sent_bytes < MOST_BYTES:
@@ -95,8 +104,41 @@
 async def test_an_endless_reply_is_given_up() -> None:
     """Guards against the report of an engine that fills the memory."""
     server = EndlessServer(b'%s\r\n' % OK, b'x' * 1000)
+    tracemalloc.start()
     outcome = await ask(server, single_use=False)
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
     assert 'too long' in outcome.failure().reason
+    assert peak < MOST_REPLY_BYTES * 1.1
+
+
+async def ask_through(peer: EndlessServer) -> aiohttp.ClientResponse:
+    """Send a request to an endpoint by a tunnel through a peer."""
+
+    async def open_socket(endpoint: Address) -> socket.socket:
+        return await open_tunnel(Address(host, port), endpoint, host)
+
+    listening = await asyncio.start_server(peer.handle, '127.0.0.1', 0)
+    host, port = listening.sockets[0].getsockname()
+    async with (
+        listening,
+        create_single_use_session(open_socket=open_socket) as session,
+        asyncio.timeout(GIVE_UP_SECONDS),
+    ):
+        try:
+            return await session.get('http://127.0.0.1:9/')
+        finally:
+            await peer.ended.wait()
+
+
+@pytest.mark.parametrize('reply', [b'x', TunnelReply.OPEN.value])
+async def test_endless_bytes_of_a_peer_are_given_up(reply: bytes) -> None:
+    """Guards against a peer that sends no reply, or framing without end."""
+    peer = EndlessServer(reply + OK, b'X-A: b\r\n')
+    peer.request_end = b''
+    with pytest.raises(aiohttp.ClientError):
+        await ask_through(peer)
+    assert peer.sent_bytes < LARGE_BYTES
 
 
 @pytest.fixture
--- a/tests/ingress/test_endless_site.py
+++ b/tests/ingress/test_endless_site.py
@@ -13,7 +13,7 @@
 
 from testbed.processes import find_free_address
 from testbed.routed import RoutedSite, start_routed_site, wait_for
-from tests.ingress.callers import Answer, call, next_id, stream
+from tests.ingress.callers import Answer, call, make_headers, next_id, stream
 from tests.ingress.test_endless import CHUNKED, FRAMING, OK
 
 CALLS = 8
@@ -209,3 +209,24 @@
     assert peak - before <= MOST_MEMORY
     assert any(endpoint.calls for endpoint in endpoints)
     assert not still_sending
+
+
+@pytest.mark.parametrize('beginning', [b'', b'1;', b'1\r\nx\r\n0\r\nX-A: '])
+def test_endless_framing_of_callers_is_given_up(
+    site: RoutedSite, beginning: bytes
+) -> None:
+    """Guards against a caller that keeps an instance busy past its deadline."""
+    host, port = site.instances[0].caller.split(':')
+    fields = make_headers(next_id(), Transfer_Encoding='chunked')
+    lines = [f'{name}: {text}' for name, text in fields.items()]
+    head = '\r\n'.join(['POST /sound/x HTTP/1.1', *lines, '', ''])
+    began = time.monotonic()
+    with (
+        socket.create_connection((host, int(port)), SEND_SECONDS) as opened,
+        pytest.raises(ConnectionError),
+    ):
+        opened.sendall(head.encode() + beginning)
+        while time.monotonic() - began < CLOSE_SECONDS:
+            opened.sendall(b'0' * 65_536)
+    assert time.monotonic() - began < CLOSE_SECONDS
+    assert call(site.instances[0], '/sound/x').status == 200
