--- a/src/kelproad/coordination/ingress/streams/answers.py
+++ b/src/kelproad/coordination/ingress/streams/answers.py
@@ -178,12 +178,14 @@
         """Keep only the length of the body, which has arrived."""
         if self.is_reserved:
             self._memory.keep(self._arriving, length)
-            self._arriving, self._unread = 0, length
+            self._arriving = 0
+            self._unread = length
 
     def release(self) -> None:
         """Free the memory."""
         self._memory.free(self._arriving, self._unread)
-        self._arriving = self._unread = 0
+        self._arriving = 0
+        self._unread = 0
 
 
 @attrs.frozen
--- a/tests/ingress/test_attempts.py
+++ b/tests/ingress/test_attempts.py
@@ -4,7 +4,6 @@
 import contextlib
 import socket
 import struct
-import tracemalloc
 import types
 from collections.abc import AsyncIterator, Awaitable, Callable
 
@@ -610,25 +609,3 @@
     async with asyncio.timeout(1):
         await waiting
         await space.reserve(50)
-
-
-async def test_a_body_for_a_slow_engine_is_held_once(
-    client: EndpointClient,
-) -> None:
-    """Guards against a copy of each body that waits in its connection."""
-    call = build_call()
-    call.body = b'x' * 8_000_000
-
-    async def stall(
-        _reader: asyncio.StreamReader, _writer: asyncio.StreamWriter
-    ) -> None:
-        await asyncio.sleep(call.deadline - monotonic())
-
-    async with serve(stall) as endpoint:
-        tracemalloc.start()
-        sending = asyncio.create_task(open_answer(client, endpoint, call))
-        await asyncio.sleep(0.5)
-        held, _ = tracemalloc.get_traced_memory()
-        tracemalloc.stop()
-        sending.cancel()
-    assert held < 1_000_000
--- a/tests/ingress/test_held_bytes.py
+++ b/tests/ingress/test_held_bytes.py
@@ -5,21 +5,23 @@
 import re
 import socket
 import time
+import tracemalloc
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
-
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
+from kelproad.coordination.ingress.streams.attempts import EndpointClient
 from kelproad.coordination.ingress.streams.delivery import StreamDelivery
 from kelproad.protocol.eventstreams import NumberedEvent
 from kelproad.state.budgets import HeldBytes
 from kelproad.state.calls import AnswerHead, Outcome
+from kelproad.transport.deadlines import monotonic
 from testbed.routed import HOST, KEY, RoutedSite, start_routed_site, wait_for
+from tests.ingress import test_attempts as attempts
 from tests.ingress.callers import call, next_id
-from tests.ingress.test_attempts import build_call
 from tests.ingress.test_endless_site import read_memory
 
 MEMORY_MB = 152
@@ -30,6 +32,7 @@
 MOST_GROWTH = MEMORY_MB * 1_048_576 * 0.4
 ANSWER_SECONDS = 0.5
 HEAD = AnswerHead(Outcome.ANSWERED, 200, ())
+endpoint_client = attempts.client
 
 
 def test_calls_are_received_while_there_is_room() -> None:
@@ -61,7 +64,7 @@
     forwarded = []
 
     async def answer(http_request: web.Request) -> web.StreamResponse:
-        running = build_call()
+        running = attempts.build_call()
         running.held = held.begin()
         delivery = StreamDelivery(http_request, running)
         for number in range(events):
@@ -99,6 +102,30 @@
     assert held.held <= 4_194_304
 
 
+async def test_a_body_for_a_slow_engine_is_held_once(
+    endpoint_client: EndpointClient,
+) -> None:
+    """Guards against a copy of each body that waits in its connection."""
+    call = attempts.build_call()
+    call.body = b'x' * 8_000_000
+
+    async def stall(
+        _reader: asyncio.StreamReader, _writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.sleep(call.deadline - monotonic())
+
+    async with attempts.serve(stall) as endpoint:
+        tracemalloc.start()
+        sending = asyncio.create_task(
+            attempts.open_answer(endpoint_client, endpoint, call)
+        )
+        await asyncio.sleep(0.5)
+        held, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        sending.cancel()
+    assert held < 1_000_000
+
+
 @pytest.fixture
 def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[RoutedSite]:
     """Run one instance with little memory."""
