--- a/src/kelproad/state/routes.py
+++ b/src/kelproad/state/routes.py
@@ -12,9 +12,8 @@
 
 import attrs
 
-from .engines import EngineProfile
+from .engines import EngineProfile, StallLimits
 from .requestlimits import WarmUp
-from .stalls import StallLimits
 
 __all__ = [
     'CallKind',
--- a/tests/ingress/test_placing.py
+++ b/tests/ingress/test_placing.py
@@ -31,8 +31,7 @@
     EndpointKind,
 )
 from kelproad.state.endpoints import Endpoint
-from kelproad.state.engines import EngineProfile
-from kelproad.state.stalls import StallLimits
+from kelproad.state.engines import EngineProfile, StallLimits
 from kelproad.state.work import EndpointWork, WorkLedger
 
 #: Engine figures as current sites publish them.
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -2,7 +2,7 @@
 
 import math
 
-from kelproad.state.stalls import StallLimits
+from kelproad.state.engines import StallLimits
 
 
 def test_the_shortest_gap_bounds_stalls_of_any_stream() -> None:
