A zone of engines that falls silent at once is learned once

Cause: silence was learned engine by engine and by each instance for itself (0.7 s each).

Without a network: 3 to 137 instances of a zone. Ruled out: sharing each silent engine.

--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -75,6 +75,7 @@
             shared.observations,
             orders.read_slowdown,
             shared.gate.charge,
+            peering.silence_notices.announce,
         )
         stop_guard = StopGuard(shared.drain)
         admitter = Admitter(
@@ -158,7 +159,11 @@
         shared.generator,
     )
     silence_monitor = SilenceMonitor(
-        shared.ledger, speed_monitor, shared.paths, shared.running_clock
+        shared.ledger,
+        speed_monitor,
+        shared.paths,
+        shared.running_clock,
+        groups=shared.observations.silent_groups,
     )
     evaluator = AttemptEvaluator(
         shared.table,
--- a/src/kelproad/coordination/ingress/membership/messages.py
+++ b/src/kelproad/coordination/ingress/membership/messages.py
@@ -16,6 +16,7 @@
     'Reply',
     'ReportedEnd',
     'ReportedLeaving',
+    'SilenceNotice',
     'StartQuery',
     'StartReply',
     'TablesQuery',
@@ -193,6 +194,18 @@
     leaving: list[ReportedLeaving]
 
 
+class SilenceNotice(_Unrelayed, tag=11):
+    """Engines that left a query unanswered; needs no reply.
+
+    ``silent`` has the seconds since the query, by engine.
+    """
+
+    token: int
+    host: str
+    zone: str
+    silent: dict[str, float]
+
+
 Query = (
     TablesQuery
     | WorkQuery
@@ -201,6 +214,7 @@
     | TrialQuery
     | TrialEnd
     | LeavingNotice
+    | SilenceNotice
 )
 Reply = TablesReply | WorkReply | StartReply | TrialReply
 Message = Query | Reply
@@ -218,9 +232,14 @@
 
 
 def add_notice_age(
-    notice: PromptNotice | LeavingNotice, seconds: float
+    notice: PromptNotice | LeavingNotice | SilenceNotice, seconds: float
 ) -> None:
     """Add the seconds that a notice has waited to the ages in it."""
+    if isinstance(notice, SilenceNotice):
+        notice.silent = {
+            endpoint: age + seconds for endpoint, age in notice.silent.items()
+        }
+        return
     if isinstance(notice, LeavingNotice):
         for reported in notice.leaving:
             reported.age += seconds
--- a/src/kelproad/coordination/ingress/membership/peering.py
+++ b/src/kelproad/coordination/ingress/membership/peering.py
@@ -27,6 +27,7 @@
 from ..limiting.gate import StartGate
 from ..limiting.granting import StartGranter
 from ..limiting.observing import LimitObserver
+from ..placing.watching import SilenceNotices
 from ..quarantine.assembly import PromptQuarantine
 from ..settings import NodeSettings
 from ..tables.evacuations import ZoneEvacuations
@@ -46,6 +47,7 @@
     PromptNotice,
     Query,
     Reply,
+    SilenceNotice,
     StartQuery,
     TablesReply,
     TrialEnd,
@@ -207,6 +209,12 @@
             generator,
         )
         self.exchange.peers.on_heard.append(self._leaving_notices.greet)
+        self.silence_notices = SilenceNotices(
+            table,
+            observations.silent_groups,
+            self.queries,
+            self.exchange.peers,
+        )
         self.withdrawal_observer = WithdrawalObserver(
             table,
             WithdrawalMetrics(counters.registry),
@@ -271,6 +279,8 @@
             return self.prompts.answer(query)
         if isinstance(query, LeavingNotice):
             return self._leaving_notices.accept(query)
+        if isinstance(query, SilenceNotice):
+            return self.silence_notices.accept(query)
         if isinstance(query, WorkQuery):
             return answer_work_query(
                 query,
--- a/src/kelproad/coordination/ingress/membership/queries.py
+++ b/src/kelproad/coordination/ingress/membership/queries.py
@@ -24,6 +24,7 @@
     PromptNotice,
     Query,
     Reply,
+    SilenceNotice,
     add_notice_age,
     decode_message,
     encode_message,
@@ -125,7 +126,7 @@
         Nobody waits for the reply to a query any more.
         """
         message = self._decode(datagram, host)
-        if isinstance(message, PromptNotice | LeavingNotice):
+        if isinstance(message, PromptNotice | LeavingNotice | SilenceNotice):
             add_notice_age(message, waited)
             self._answer(message)
 
--- a/src/kelproad/coordination/ingress/placing/filtering.py
+++ b/src/kelproad/coordination/ingress/placing/filtering.py
@@ -138,6 +138,7 @@
             for endpoint in usable
             if endpoint.declaration.zone not in excluded_zones
             and not self._observations.is_silent(endpoint.name, now)
+            and not self._observations.silent_groups.includes(endpoint, now)
             and is_healthy(endpoint, now)
         ]
 
--- a/src/kelproad/coordination/ingress/placing/watching.py
+++ b/src/kelproad/coordination/ingress/placing/watching.py
@@ -3,24 +3,31 @@
 Engines are not queried while their events come as predicted.  One that falls
 far behind is queried, and again every second until it has recovered.  The
 result is reported to the other instances, so that one of them is enough to
-query it.
+query it.  One that doesn't answer is told to the other instances of the zone,
+as its neighbours may be silent too.
 """
 
 import asyncio
+import functools
 import logging
 from collections.abc import Awaitable, Callable
 
 from returns.result import Failure, Result
 
 from ....state.endpoints import Endpoint
+from ....state.endpointtable import EndpointTable
 from ....state.observations import EngineObservations
 from ....state.records import record
+from ....state.silentgroups import SilentGroups
 from ....state.work import WorkLedger
 from ....transport.deadlines import monotonic
+from ..membership.messages import SilenceNotice
+from ..membership.peers import PeerRegister
+from ..membership.queries import PeerQueries
 from ..tables.holder import ConfigurationHolder
 from .predictions import predict_pass
 
-__all__ = ['EngineSpeedMonitor']
+__all__ = ['EngineSpeedMonitor', 'SilenceNotices']
 
 _logger = logging.getLogger(__name__)
 #: Multiple of its prediction, and seconds beyond that, after which a pass makes
@@ -35,6 +42,63 @@
 #: after which it is no longer queried.
 _SILENT_QUERIES = 2
 _MAX_QUERIES = 8
+#: How this instance names itself among those that asked an engine.
+_SELF = ''
+
+
+def _tell_nobody(_endpoint: Endpoint, _asked_at: float) -> None:
+    """Keep the silence of an engine to this instance."""
+
+
+class SilenceNotices:
+    """Tells the instances of a zone which engines left queries unanswered."""
+
+    def __init__(
+        self,
+        table: EndpointTable,
+        groups: SilentGroups,
+        queries: PeerQueries,
+        peers: PeerRegister,
+    ) -> None:
+        """Collect the evidence of this instance and its peers in ``groups``."""
+        self._table = table
+        self._groups = groups
+        self._queries = queries
+        self._peers = peers
+
+    def announce(self, endpoint: Endpoint, asked_at: float) -> None:
+        """Record a silent engine, and tell peers unless enough know it."""
+        now = monotonic()
+        is_told = self._groups.is_told(endpoint, now)
+        self._record(endpoint, _SELF, asked_at, now)
+        if is_told:
+            return
+        notice = functools.partial(
+            SilenceNotice, silent={endpoint.name: round(now - asked_at, 3)}
+        )
+        for peer in self._peers.list_zone_peers(now):
+            self._queries.announce(notice, peer.host)
+
+    def accept(self, notice: SilenceNotice) -> None:
+        """Record what a peer of this zone tells."""
+        now = monotonic()
+        hosts = {peer.host for peer in self._peers.list_zone_peers(now)}
+        if notice.host not in hosts:
+            return
+        for name, age in notice.silent.items():
+            endpoint = self._table.get(name)
+            if endpoint is not None:
+                self._record(endpoint, notice.host, now - max(0, age), now)
+
+    def _record(
+        self, endpoint: Endpoint, instance: str, asked_at: float, now: float
+    ) -> None:
+        service, zone = endpoint.group.name, endpoint.declaration.zone
+        size = len(self._table.in_zone(service, zone))
+        if self._groups.record_unanswered(
+            endpoint, size, instance, asked_at, now
+        ):
+            record(_logger, 'engines_silent', service=service, zone=zone)
 
 
 class EngineSpeedMonitor:
@@ -48,12 +112,14 @@
         observations: EngineObservations,
         read_slowdown: Callable[[str], Awaitable[Result[float, str]]],
         charge: Callable[[Endpoint], None],
+        tell_silence: Callable[[Endpoint, float], None] = _tell_nobody,
     ) -> None:
         """Record the slowdowns of engines in ``observations``.
 
         ``read_slowdown`` queries the engine at an address for the factor by
         which it takes longer than published; ``charge`` counts such a query
-        against its request limit.
+        against its request limit; ``tell_silence`` gets an engine that did
+        not answer, and when it was asked.
         """
         self._instance = instance
         self._holder = holder
@@ -61,6 +127,7 @@
         self._observations = observations
         self._read_slowdown = read_slowdown
         self._charge = charge
+        self._tell_silence = tell_silence
         self._polls: dict[str, asyncio.Task[None]] = {}
 
     def check_stall(
@@ -93,7 +160,10 @@
 
     def is_silent(self, endpoint: Endpoint) -> bool:
         """Return whether an engine did not answer lately."""
-        return self._observations.is_silent(endpoint.name, monotonic())
+        now = monotonic()
+        return self._observations.is_silent(
+            endpoint.name, now
+        ) or self._observations.silent_groups.includes(endpoint, now)
 
     async def _poll(self, endpoint: Endpoint) -> None:
         """Query an engine until it is as fast as published again."""
@@ -101,15 +171,20 @@
         try:
             while unanswered < _MAX_QUERIES and not _pauses(endpoint):
                 self._charge(endpoint)
+                asked_at = monotonic()
                 answered = await self._read_slowdown(
                     endpoint.declaration.address,
                 )
                 if isinstance(answered, Failure):
                     unanswered += 1
+                    self._tell_silence(endpoint, asked_at)
                     self._record_silence(endpoint, unanswered)
                     continue
                 unanswered = 0
                 self._observations.record_answer(endpoint.name)
+                self._observations.silent_groups.record_answer(
+                    endpoint, monotonic()
+                )
                 self._record_slowdown(endpoint, answered.unwrap())
                 await asyncio.sleep(_QUERY_PERIOD)
                 if answered.unwrap() < _SLOW_FACTOR or self._is_polled_by_peer(
--- a/src/kelproad/coordination/ingress/streams/sending.py
+++ b/src/kelproad/coordination/ingress/streams/sending.py
@@ -224,7 +224,7 @@
         is_resumed = delivery.last_number is not None
         endurance = Endurance(attempt.call, is_resumed, self._record_outlived)
         async for chunk in answer.read_chunks():
-            attempt.waits_since = None
+            self._silence_monitor.record_progress(attempt)
             events = splitter.feed(chunk)
             if events:
                 attempt.take_lead(attempt)
--- a/src/kelproad/coordination/ingress/streams/silence.py
+++ b/src/kelproad/coordination/ingress/streams/silence.py
@@ -15,6 +15,7 @@
 from ....state.directpaths import DirectPaths
 from ....state.records import record
 from ....state.routes import CallKind
+from ....state.silentgroups import SilentGroups
 from ....state.work import EndpointWork, WorkLedger
 from ....transport.deadlines import RunningClock, monotonic
 from ..placing.placement import Placement
@@ -74,6 +75,7 @@
     The ledger holds the work of engines; ``_speed_monitor`` gets slow answers
     and stalls, and ``_paths`` knows which endpoints this instance is cut off
     from.  Silence counts by ``_clock``, which stands still with this process.
+    ``_groups`` has the engines that are silent together.
     """
 
     _ledger: WorkLedger
@@ -83,11 +85,24 @@
     #: Number of silent attempts at each endpoint whose path is not in doubt.
     _silent: collections.Counter[str] = attrs.field(factory=collections.Counter)
     _probed_at: float = -math.inf
+    _groups: SilentGroups = attrs.field(factory=SilentGroups)
 
     def begin_wait(self, attempt: Attempt) -> None:
         """Begin to wait for the endpoint of an attempt."""
         attempt.waits_since = self._clock.read()
 
+    def record_progress(self, attempt: Attempt) -> None:
+        """Record that more of an answer has come, which is now forwarded."""
+        attempt.waits_since = None
+        endpoint = attempt.placement.primary
+        if self._groups.record_answer(endpoint, monotonic()):
+            record(
+                _logger,
+                'engines_answer',
+                service=endpoint.group.name,
+                zone=endpoint.declaration.zone,
+            )
+
     def find_silence(self, attempt: Attempt) -> Silence | None:
         """Find out whether, and how, an attempt that may be repeated is silent.
 
--- a/src/kelproad/state/observations.py
+++ b/src/kelproad/state/observations.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from .silentgroups import SilentGroups
+
 __all__ = ['EngineObservations']
 
 #: Seconds for which an engine that refused to help gets no request for help.
@@ -39,8 +41,15 @@
 
 @attrs.define
 class EngineObservations:
-    """Observations of this instance, and those that peers report."""
+    """Observations of this instance, and those that peers report.
+
+    Attributes
+    ----------
+    silent_groups
+        Engines that are silent together.
+    """
 
+    silent_groups: SilentGroups = attrs.field(factory=SilentGroups)
     _refused_until: dict[str, float] = attrs.field(factory=dict)
     _peer_refused_until: dict[str, float] = attrs.field(factory=dict)
     _silent_until: dict[str, float] = attrs.field(factory=dict)
--- /dev/null
+++ b/src/kelproad/state/silentgroups.py
@@ -0,0 +1,150 @@
+"""Engines of one service in one zone that fall silent together.
+
+What befalls a zone befalls all its engines.  When some of them have left the
+queries of several instances unanswered, and none has answered since, the others
+are silent too, though nobody has asked them yet.
+"""
+
+import math
+
+import attrs
+
+from .endpoints import Endpoint
+
+__all__ = ['SilentGroups']
+
+#: Seconds for which an unanswered query is evidence.
+_EVIDENCE_SECONDS = 1.0
+#: Instances that must have asked; one alone may be cut off itself.
+_MIN_INSTANCES = 2
+#: Engines that must be silent: some, and a share of those of the zone.
+_MIN_ENGINES = 3
+_MIN_SHARE = 0.15
+
+
+@attrs.frozen
+class _Unanswered:
+    """A query that an engine left unanswered."""
+
+    endpoint: str
+    instance: str
+
+
+@attrs.define
+class _Group:
+    """What is known of the engines of one service in one zone.
+
+    Attributes
+    ----------
+    asked_at
+        Monotonic times of the latest queries that were not answered.
+    answered_at
+        Monotonic time of the latest answer of any of its engines.
+    silent_until
+        Monotonic time until which all its engines count as silent.
+    """
+
+    asked_at: dict[_Unanswered, float] = attrs.field(factory=dict)
+    answered_at: float = -math.inf
+    silent_until: float = -math.inf
+
+
+@attrs.define
+class SilentGroups:
+    """Evidence of the instances of a zone, and what follows from it.
+
+    Only instances of the same zone share it: others may reach what these are
+    cut off from.
+    """
+
+    _groups: dict[tuple[str, str], _Group] = attrs.field(factory=dict)
+
+    def record_unanswered(
+        self,
+        endpoint: Endpoint,
+        size: int,
+        instance: str,
+        asked_at: float,
+        now: float,
+    ) -> bool:
+        """Record a query that an engine left unanswered.
+
+        Parameters
+        ----------
+        endpoint
+            The engine.
+        size
+            Number of engines of its group.
+        instance
+            Name or IP number of the instance that asked.
+        asked_at
+            Monotonic time at which it did.
+        now
+            Monotonic time, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the whole group counts as silent from now on.
+        """
+        group = self._groups.setdefault(_get_key(endpoint), _Group())
+        group.asked_at[_Unanswered(endpoint.name, instance)] = asked_at
+        oldest = max(group.answered_at, now - _EVIDENCE_SECONDS)
+        group.asked_at = {
+            query: at for query, at in group.asked_at.items() if at > oldest
+        }
+        if not _is_silent(group, size):
+            return False
+        was_silent = group.silent_until > now
+        group.silent_until = now + _EVIDENCE_SECONDS
+        return not was_silent
+
+    def record_answer(self, endpoint: Endpoint, now: float) -> bool:
+        """Record that an engine has sent something.
+
+        Returns
+        -------
+        bool
+            Whether its group counted as silent until now.
+        """
+        group = self._groups.setdefault(_get_key(endpoint), _Group())
+        was_silent = group.silent_until > now
+        group.answered_at = now
+        group.silent_until = -math.inf
+        return was_silent
+
+    def includes(self, endpoint: Endpoint, now: float) -> bool:
+        """Return whether an engine is silent as its whole group is."""
+        group = self._groups.get(_get_key(endpoint))
+        return group is not None and group.silent_until > now
+
+    def is_told(self, endpoint: Endpoint, now: float) -> bool:
+        """Return whether enough instances have told that an engine is silent."""
+        group = self._groups.get(_get_key(endpoint), _Group())
+        told = [
+            query
+            for query, asked_at in group.asked_at.items()
+            if query.endpoint == endpoint.name
+            and asked_at > now - _EVIDENCE_SECONDS / 2
+        ]
+        return len(told) >= _MIN_INSTANCES
+
+    def list_silent(self, now: float) -> list[tuple[str, str]]:
+        """List the groups that count as silent, as service and zone."""
+        return [
+            key
+            for key, group in self._groups.items()
+            if group.silent_until > now
+        ]
+
+
+def _is_silent(group: _Group, size: int) -> bool:
+    """Return whether the evidence is enough to judge a whole group."""
+    engines = {query.endpoint for query in group.asked_at}
+    instances = {query.instance for query in group.asked_at}
+    enough = max(_MIN_ENGINES, size * _MIN_SHARE)
+    return len(engines) >= enough and len(instances) >= _MIN_INSTANCES
+
+
+def _get_key(endpoint: Endpoint) -> tuple[str, str]:
+    return endpoint.group.name, endpoint.declaration.zone
--- /dev/null
+++ b/tests/ingress/test_silent_groups.py
@@ -0,0 +1,215 @@
+"""Engines of a zone that fall silent at once, without a network."""
+
+import functools
+import heapq
+import random
+
+import pytest
+
+from kelproad.coordination.ingress.membership.messages import (
+    SilenceNotice,
+    add_notice_age,
+)
+from kelproad.coordination.ingress.placing import watching as watching_module
+from kelproad.coordination.ingress.placing.watching import SilenceNotices
+from kelproad.coordination.ingress.tables.readers import Reader
+from kelproad.state.declarations import (
+    EndpointDeclaration,
+    EndpointGroup,
+    EndpointKind,
+)
+from kelproad.state.endpoints import Endpoint
+from kelproad.state.endpointtable import EndpointTable
+from kelproad.state.silentgroups import SilentGroups
+
+NOW = 1000.0
+ENGINES = 18
+ZONES = ('a', 'b', 'c')
+#: Seconds until a query counts as unanswered, and the most in a row.
+QUERY_SECONDS = 0.3
+MOST_QUERIES = 8
+#: Calls per second to each engine, and seconds of the silence.
+CALL_RATE = 1.0
+SILENT_SECONDS = 2.5
+#: Share of the engines that may get calls until the rest is avoided, and the
+#: notices from each instance to each other.
+EVIDENCE_SHARE = 0.3
+MOST_NOTICES = 20
+
+
+def build_table(engines: int = ENGINES) -> EndpointTable:
+    """Build a table with so many engines in each zone."""
+    table = EndpointTable()
+    declarations = [
+        EndpointDeclaration(f'{zone}-{number}', zone, f'10.0.0.{number}:80')
+        for zone in ZONES
+        for number in range(engines)
+    ]
+    table.replace_groups(
+        [EndpointGroup('writer', EndpointKind.ENGINE, declarations)]
+    )
+    return table
+
+
+def tell(
+    groups: SilentGroups, table: EndpointTable, *told: tuple[str, str]
+) -> bool:
+    """Record engines, each with the instance that found it silent."""
+    size = len(table.in_zone('writer', 'a'))
+    results = [
+        groups.record_unanswered(table.get(engine), size, instance, NOW, NOW)
+        for engine, instance in told
+    ]
+    return results[-1]
+
+
+def test_some_silent_engines_show_that_their_group_is() -> None:
+    """Guards against a zone that is learned engine by engine."""
+    table, groups = build_table(), SilentGroups()
+    assert not tell(groups, table, ('a-0', 'x'), ('a-1', 'y'))
+    assert tell(groups, table, ('a-2', 'x'))
+    assert groups.includes(table.get('a-9'), NOW)
+    assert not groups.includes(table.get('b-9'), NOW)
+    assert groups.list_silent(NOW) == [('writer', 'a')]
+
+
+@pytest.mark.parametrize(
+    ('engines', 'told'),
+    [
+        # One instance alone may be cut off itself.
+        (ENGINES, [('a-0', 'x'), ('a-1', 'x'), ('a-2', 'x'), ('a-3', 'x')]),
+        # One engine that pauses.
+        (ENGINES, [('a-0', 'x'), ('a-0', 'y'), ('a-0', 'z')]),
+        # Some of very many.
+        (60, [('a-0', 'x'), ('a-1', 'y'), ('a-2', 'z'), ('a-3', 'z')]),
+    ],
+)
+def test_less_shows_nothing_of_the_others(
+    engines: int, told: list[tuple[str, str]]
+) -> None:
+    """Guards against sound engines that get no calls."""
+    table, groups = build_table(engines), SilentGroups()
+    assert not tell(groups, table, *told)
+    assert not groups.includes(table.get('a-9'), NOW)
+
+
+def test_an_answer_ends_the_silence_of_a_group() -> None:
+    """Guards against a zone that stays empty after it is back."""
+    table, groups = build_table(), SilentGroups()
+    told = [('a-0', 'x'), ('a-1', 'y'), ('a-2', 'z')]
+    tell(groups, table, *told)
+    assert groups.record_answer(table.get('a-7'), NOW + 0.1)
+    assert not groups.includes(table.get('a-0'), NOW + 0.1)
+    assert not tell(groups, table, *told)
+    assert not groups.record_answer(table.get('a-7'), NOW + 0.2)
+
+
+def test_old_evidence_lapses() -> None:
+    """Guards against a zone that is avoided though nobody finds it silent."""
+    table, groups = build_table(), SilentGroups()
+    tell(groups, table, ('a-0', 'x'), ('a-1', 'y'), ('a-2', 'z'))
+    assert not groups.includes(table.get('a-0'), NOW + 1.01)
+    engine = table.get('a-3')
+    late = NOW + 1.01
+    assert not groups.record_unanswered(engine, ENGINES, 'x', late, late)
+
+
+def test_a_notice_that_has_waited_is_older() -> None:
+    """Guards against evidence that a standstill has made out of date."""
+    notice = SilenceNotice(0, 'h', 'a', {'a-0': 0.3})
+    add_notice_age(notice, 2)
+    assert notice.silent == {'a-0': 2.3}
+
+
+class Zone:
+    """The instances of one zone, before another one that is silent.
+
+    Attributes
+    ----------
+    now
+        The time of all instances, in seconds.
+    calls_at
+        Times of the calls to silent engines.
+    notices_sent
+        Number of notices from one instance to another.
+    """
+
+    def __init__(self, instances: int, engines: int, seed: int) -> None:
+        """Let all instances know the same engines."""
+        self.now = NOW
+        self.calls_at: list[float] = []
+        self.notices_sent = 0
+        self.hosts = [f'10.1.0.{number}' for number in range(instances)]
+        self._generator = random.Random(seed)
+        self._table = build_table(engines)
+        self._groups = {host: SilentGroups() for host in self.hosts}
+        self._notices = {host: self._build(host) for host in self.hosts}
+        self._events: list[tuple[float, str, str, int]] = []
+
+    def send(self, host: str, notice: SilenceNotice) -> None:
+        """Deliver a notice at once."""
+        self.notices_sent += 1
+        self._notices[host].accept(notice)
+
+    def play(self, seconds: float) -> None:
+        """Send calls, and query the engines that do not answer."""
+        engines = self._table.in_zone('writer', 'a')
+        interval = 1 / (CALL_RATE * len(engines))
+        for number in range(int(seconds / interval)):
+            self._plan(NOW + number * interval, engines)
+        while self._events:
+            self.now, host, engine, queries = heapq.heappop(self._events)
+            if queries:
+                asked_at = self.now - QUERY_SECONDS
+                endpoint = self._table.get(engine)
+                self._notices[host].announce(endpoint, asked_at)
+            elif self._groups[host].includes(self._table.get(engine), self.now):
+                continue
+            else:
+                self.calls_at.append(self.now)
+            if queries < MOST_QUERIES:
+                at = self.now + QUERY_SECONDS
+                heapq.heappush(self._events, (at, host, engine, queries + 1))
+
+    def _plan(self, at: float, engines: list[Endpoint]) -> None:
+        engine = self._generator.choice(engines).name
+        host = self._generator.choice(self.hosts)
+        heapq.heappush(self._events, (at, host, engine, 0))
+
+    def _build(self, host: str) -> SilenceNotices:
+        queries = _Queries(self, host)
+        return SilenceNotices(self._table, self._groups[host], queries, queries)
+
+
+class _Queries:
+    """Knows the other instances of a zone, and sends them notices."""
+
+    def __init__(self, zone: Zone, host: str) -> None:
+        self._zone = zone
+        self._host = host
+
+    def list_zone_peers(self, _now: float) -> list[Reader]:
+        """List the others."""
+        hosts = set(self._zone.hosts) - {self._host}
+        return [Reader(host, host, 'a', None) for host in hosts]
+
+    def announce(self, kind: functools.partial, host: str) -> None:
+        """Send a notice."""
+        self._zone.send(host, kind(0, self._host, 'a'))
+
+
+@pytest.mark.parametrize(
+    ('instances', 'engines'), [(3, 4), (28, 18), (37, 20), (137, 82)]
+)
+def test_no_call_goes_to_a_silent_zone_for_long(
+    monkeypatch: pytest.MonkeyPatch, instances: int, engines: int
+) -> None:
+    """Guards against each instance that learns for itself, at any size."""
+    zone = Zone(instances, engines, seed=instances)
+    monkeypatch.setattr(watching_module, 'monotonic', lambda: zone.now)
+    zone.play(SILENT_SECONDS)
+    enough = max(5, round(engines * EVIDENCE_SHARE))
+    known_at = zone.calls_at[:enough][-1] + QUERY_SECONDS
+    assert zone.calls_at[-1] <= known_at
+    sent_by_each = zone.notices_sent / len(zone.hosts)
+    assert sent_by_each < MOST_NOTICES * len(zone.hosts)
