Cold engines: instances cut apart share the rate

Cause: each side of a cut has a coordinator, and an instance that hears nobody is its own: each granted the whole rate of an engine that warms up, and such an engine is harmed by more. A coordinator now grants the part that its live instances are of all known ones; stated limits as before. 12 instances in 2 and 12 groups: more than 30 starts in a second before, the bound kept now.

--- a/src/kelproad/coordination/ingress/limiting/coordinators.py
+++ b/src/kelproad/coordination/ingress/limiting/coordinators.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from ....state.startschedules import LimitReason, StartLimit
 from ..membership.peers import PeerRegister
 from ..tables.readers import Reader
 
@@ -33,10 +34,23 @@
         Its IP number; empty for this instance.
     share
         Share of the endpoint's limit that it may grant.
+    live_part
+        Part of the known instances that are live.
     """
 
     host: str
     share: float = 1
+    live_part: float = 1
+
+    def find_share(self, limit: StartLimit) -> float:
+        """Return the share of a limit that it may grant.
+
+        Instances that are cut off from each other have a coordinator each, and
+        an engine that warms up is harmed by more than its rate.
+        """
+        if limit.reason is LimitReason.WARM_UP:
+            return self.share * self.live_part
+        return self.share
 
 
 @attrs.define
@@ -79,7 +93,9 @@
             candidates, key=lambda reader: _rank(reader.instance, endpoint)
         )
         is_self = chosen.instance == own.instance
-        return Coordinator('' if is_self else chosen.host, share)
+        known = len(self._peers.list_hosts()) + 1
+        live_part = self._peers.count_live(now) / known
+        return Coordinator('' if is_self else chosen.host, share, live_part)
 
 
 def _rank(instance: str, endpoint: str) -> tuple[int, str]:
--- a/src/kelproad/coordination/ingress/limiting/gate.py
+++ b/src/kelproad/coordination/ingress/limiting/gate.py
@@ -124,7 +124,7 @@
             self._queries.announce(query, coordinator.host)
         else:
             self._granter.grant(
-                endpoint.name, limit, coordinator.share, math.inf
+                endpoint.name, limit, coordinator.find_share(limit), math.inf
             )
 
     def forget_unlisted(self) -> None:
@@ -185,7 +185,10 @@
         coordinator = self._select(endpoint)
         if not coordinator.host:
             return self._granter.grant(
-                endpoint.name, limit, coordinator.share, longest_wait
+                endpoint.name,
+                limit,
+                coordinator.find_share(limit),
+                longest_wait,
             )
         if self._silent_until.get(coordinator.host, 0) > monotonic():
             return self._take_own_part(endpoint, limit, longest_wait)
--- a/src/kelproad/coordination/ingress/limiting/granting.py
+++ b/src/kelproad/coordination/ingress/limiting/granting.py
@@ -14,7 +14,7 @@
 from ..membership.messages import StartQuery, StartReply
 from ..membership.queries import PeerQueries
 from ..membership.updates import pack_limits, unpack_limits
-from .coordinators import CoordinatorSelector
+from .coordinators import Coordinator, CoordinatorSelector
 from .observing import LimitObserver
 
 __all__ = ['StartGranter']
@@ -64,7 +64,7 @@
             relayed = msgspec.structs.replace(query, relayed=True)
             queries.relay(relayed, coordinator.host)
             return None
-        return self._reply(query, coordinator.share)
+        return self._reply(query, coordinator)
 
     def forget_others(self, known: frozenset[str]) -> None:
         """Forget the schedules of all but the known endpoints."""
@@ -79,7 +79,7 @@
             for name, schedule in self._schedules.items()
         }
 
-    def _reply(self, query: StartQuery, share: float) -> StartReply:
+    def _reply(self, query: StartQuery, coordinator: Coordinator) -> StartReply:
         """Grant or deny a start by what is known of the limit here."""
         name = query.limit.endpoint
         known = self._observer.limits.get(name)
@@ -89,6 +89,7 @@
         limit = choose_limit(reported.rate, query.warm_up)
         if limit is None:
             return StartReply(query.token, True, 0, 0, reported)
+        share = coordinator.find_share(limit)
         grant = self.grant(name, limit, share, query.longest_wait)
         return StartReply(
             query.token, grant.granted, grant.wait, grant.next_wait, reported
--- a/tests/ingress/test_warm_ups.py
+++ b/tests/ingress/test_warm_ups.py
@@ -30,6 +30,8 @@
 RATE = 17
 MOST = 1.5 * RATE + 5
 USED_SHARE = 0.9
+#: Seconds after which peers that are not heard count as lost.
+LONG_SECONDS = 4.0
 SECONDS = 6.0
 WARM_UP_SECONDS = 3
 #: Seconds that an entry states, and that may pass until they are compared.
@@ -95,6 +97,27 @@
     assert len(starts) >= RATE * SECONDS / 2
 
 
+@pytest.mark.parametrize('groups', [2, 12])
+async def test_instances_that_are_cut_apart_keep_to_the_rate(
+    monkeypatch: pytest.MonkeyPatch, groups: int
+) -> None:
+    """Guards against a cold engine that gets the rate from each side."""
+    fleet = Fleet(monkeypatch, {'b': 12})
+    fleet.warm_up_rate = RATE
+    every = dict(fleet.instances)
+    fleet.now += LONG_SECONDS
+    starts = []
+    for number in range(groups):
+        hosts = list(every)[number::groups]
+        fleet.instances = {host: every[host] for host in hosts}
+        began = fleet.now
+        fleet.introduce()
+        starts += await start_calls(fleet, ('b',), SECONDS, seed=number)
+        fleet.now = began
+    assert count_most(sorted(starts), 1.0) <= MOST
+    assert len(starts) >= RATE * SECONDS / 2
+
+
 async def test_an_idle_engine_makes_up_for_little(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
