--- a/src/kelproad/coordination/ingress/membership/messages.py
+++ b/src/kelproad/coordination/ingress/membership/messages.py
@@ -32,6 +32,9 @@
 ]
 
 
+_SILENCE_TAG = 11
+
+
 class _Unrelayed(msgspec.Struct, array_like=True):
     """A query or notice that goes to its receiver without a relay."""
 
@@ -194,7 +197,7 @@
     leaving: list[ReportedLeaving]
 
 
-class SilenceNotice(_Unrelayed, tag=11):
+class SilenceNotice(_Unrelayed, tag=_SILENCE_TAG):
     """Engines that left a query unanswered; needs no reply.
 
     ``silent`` has the seconds since the query, by engine.
--- a/src/kelproad/coordination/ingress/membership/peering.py
+++ b/src/kelproad/coordination/ingress/membership/peering.py
@@ -214,6 +214,7 @@
             observations.silent_groups,
             self.queries,
             self.exchange.peers,
+            settings.zone,
         )
         self.withdrawal_observer = WithdrawalObserver(
             table,
--- a/src/kelproad/coordination/ingress/placing/watching.py
+++ b/src/kelproad/coordination/ingress/placing/watching.py
@@ -59,12 +59,14 @@
         groups: SilentGroups,
         queries: PeerQueries,
         peers: PeerRegister,
+        zone: str,
     ) -> None:
-        """Collect the evidence of this instance and its peers in ``groups``."""
+        """Collect the evidence of the instances of ``zone`` in ``groups``."""
         self._table = table
         self._groups = groups
         self._queries = queries
         self._peers = peers
+        self._zone = zone
 
     def announce(self, endpoint: Endpoint, asked_at: float) -> None:
         """Record a silent engine, and tell peers unless enough know it."""
@@ -82,8 +84,8 @@
     def accept(self, notice: SilenceNotice) -> None:
         """Record what a peer of this zone tells."""
         now = monotonic()
-        hosts = {peer.host for peer in self._peers.list_zone_peers(now)}
-        if notice.host not in hosts:
+        is_near = notice.zone == self._zone
+        if not (is_near and self._peers.includes_live_host(notice.host, now)):
             return
         for name, age in notice.silent.items():
             endpoint = self._table.get(name)
--- a/src/kelproad/state/silentgroups.py
+++ b/src/kelproad/state/silentgroups.py
@@ -119,7 +119,7 @@
         return group is not None and group.silent_until > now
 
     def is_told(self, endpoint: Endpoint, now: float) -> bool:
-        """Return whether enough instances have told that an engine is silent."""
+        """Return whether enough instances have found an engine silent."""
         group = self._groups.get(_get_key(endpoint), _Group())
         told = [
             query
--- a/tests/ingress/test_silent_groups.py
+++ b/tests/ingress/test_silent_groups.py
@@ -158,7 +158,8 @@
         for number in range(int(seconds / interval)):
             self._plan(NOW + number * interval, engines)
         while self._events:
-            self.now, host, engine, queries = heapq.heappop(self._events)
+            at, host, engine, queries = heapq.heappop(self._events)
+            self.now = at
             if queries:
                 asked_at = self.now - QUERY_SECONDS
                 endpoint = self._table.get(engine)
@@ -168,8 +169,8 @@
             else:
                 self.calls_at.append(self.now)
             if queries < MOST_QUERIES:
-                at = self.now + QUERY_SECONDS
-                heapq.heappush(self._events, (at, host, engine, queries + 1))
+                again = (at + QUERY_SECONDS, host, engine, queries + 1)
+                heapq.heappush(self._events, again)
 
     def _plan(self, at: float, engines: list[Endpoint]) -> None:
         engine = self._generator.choice(engines).name
@@ -178,7 +179,9 @@
 
     def _build(self, host: str) -> SilenceNotices:
         queries = _Queries(self, host)
-        return SilenceNotices(self._table, self._groups[host], queries, queries)
+        return SilenceNotices(
+            self._table, self._groups[host], queries, queries, 'a'
+        )
 
 
 class _Queries:
@@ -187,11 +190,19 @@
     def __init__(self, zone: Zone, host: str) -> None:
         self._zone = zone
         self._host = host
+        self._others = [
+            Reader(other, other, 'a', None)
+            for other in zone.hosts
+            if other != host
+        ]
 
     def list_zone_peers(self, _now: float) -> list[Reader]:
         """List the others."""
-        hosts = set(self._zone.hosts) - {self._host}
-        return [Reader(host, host, 'a', None) for host in hosts]
+        return self._others
+
+    def includes_live_host(self, _host: str, _now: float) -> bool:
+        """Return whether an instance is known, as all are."""
+        return True
 
     def announce(self, kind: functools.partial, host: str) -> None:
         """Send a notice."""
