Silent groups: refused connections are no silence, answers are told

Causes, found in reading: a crashed engine refuses queries at once, so three that crash together would have let all their neighbours be avoided; and an instance that has just had nothing from a zone believed the silence of some of its engines though others had answers. Queries refused within 0.2 s don't count; who has had an answer since tells the zone. With both conditions taken out of the code, the two new tests fail.

--- a/src/kelproad/coordination/ingress/membership/messages.py
+++ b/src/kelproad/coordination/ingress/membership/messages.py
@@ -198,15 +198,17 @@
 
 
 class SilenceNotice(_Unrelayed, tag=_SILENCE_TAG):
-    """Engines that left a query unanswered; needs no reply.
+    """Engines that left a query unanswered, or answer; needs no reply.
 
-    ``silent`` has the seconds since the query, by engine.
+    ``silent`` has the seconds since the query, by engine, and ``answering``
+    those since the answer.
     """
 
     token: int
     host: str
     zone: str
-    silent: dict[str, float]
+    silent: dict[str, float] = {}
+    answering: dict[str, float] = {}
 
 
 Query = (
@@ -239,9 +241,9 @@
 ) -> None:
     """Add the seconds that a notice has waited to the ages in it."""
     if isinstance(notice, SilenceNotice):
-        notice.silent = {
-            endpoint: age + seconds for endpoint, age in notice.silent.items()
-        }
+        for ages in (notice.silent, notice.answering):
+            for endpoint in ages:
+                ages[endpoint] += seconds
         return
     if isinstance(notice, LeavingNotice):
         for reported in notice.leaving:
--- a/src/kelproad/coordination/ingress/placing/watching.py
+++ b/src/kelproad/coordination/ingress/placing/watching.py
@@ -10,6 +10,7 @@
 import asyncio
 import functools
 import logging
+import math
 from collections.abc import Awaitable, Callable
 
 from returns.result import Failure, Result
@@ -42,6 +43,11 @@
 #: after which it is no longer queried.
 _SILENT_QUERIES = 2
 _MAX_QUERIES = 8
+#: Seconds without a reply from which on an engine counts as silent; one that is
+#: down refuses connections at once, which says nothing of its neighbours.
+_MUTE_SECONDS = 0.2
+#: Seconds between two notices that a group of engines answers.
+_ANSWERING_PERIOD = 0.3
 #: How this instance names itself among those that asked an engine.
 _SELF = ''
 
@@ -67,19 +73,19 @@
         self._queries = queries
         self._peers = peers
         self._zone = zone
+        #: Monotonic time of the last notice that an engine answers, sent or
+        #: received.
+        self._answering_at = -math.inf
 
     def announce(self, endpoint: Endpoint, asked_at: float) -> None:
         """Record a silent engine, and tell peers unless enough know it."""
         now = monotonic()
+        if now - asked_at < _MUTE_SECONDS:
+            return
         is_told = self._groups.is_told(endpoint, now)
         self._record(endpoint, _SELF, asked_at, now)
-        if is_told:
-            return
-        notice = functools.partial(
-            SilenceNotice, silent={endpoint.name: round(now - asked_at, 3)}
-        )
-        for peer in self._peers.list_zone_peers(now):
-            self._queries.announce(notice, peer.host)
+        if not is_told:
+            self._send(now, silent={endpoint.name: round(now - asked_at, 3)})
 
     def accept(self, notice: SilenceNotice) -> None:
         """Record what a peer of this zone tells."""
@@ -90,7 +96,31 @@
         for name, age in notice.silent.items():
             endpoint = self._table.get(name)
             if endpoint is not None:
-                self._record(endpoint, notice.host, now - max(0, age), now)
+                asked_at = now - max(0, age)
+                self._record(endpoint, notice.host, asked_at, now)
+                self._contradict(endpoint, asked_at, now)
+        for name, age in notice.answering.items():
+            endpoint = self._table.get(name)
+            self._answering_at = now
+            if endpoint is not None:
+                self._groups.record_answer(endpoint, now - max(0, age), now)
+
+    def _contradict(
+        self, endpoint: Endpoint, asked_at: float, now: float
+    ) -> None:
+        """Tell the peers if an engine of a group has answered here since."""
+        answer = self._groups.find_answer(endpoint, asked_at)
+        if answer is None or now - self._answering_at < _ANSWERING_PERIOD:
+            return
+        self._answering_at = now
+        engine, answered_at = answer
+        self._send(now, answering={engine: round(now - answered_at, 3)})
+
+    def _send(self, now: float, **told: dict[str, float]) -> None:
+        """Send a notice to the instances of the zone."""
+        notice = functools.partial(SilenceNotice, **told)
+        for peer in self._peers.list_zone_peers(now):
+            self._queries.announce(notice, peer.host)
 
     def _record(
         self, endpoint: Endpoint, instance: str, asked_at: float, now: float
@@ -184,8 +214,9 @@
                     continue
                 unanswered = 0
                 self._observations.record_answer(endpoint.name)
+                now = monotonic()
                 self._observations.silent_groups.record_answer(
-                    endpoint, monotonic()
+                    endpoint, now, now
                 )
                 self._record_slowdown(endpoint, answered.unwrap())
                 await asyncio.sleep(_QUERY_PERIOD)
--- a/src/kelproad/coordination/ingress/streams/silence.py
+++ b/src/kelproad/coordination/ingress/streams/silence.py
@@ -95,7 +95,8 @@
         """Record that more of an answer has come, which is now forwarded."""
         attempt.waits_since = None
         endpoint = attempt.placement.primary
-        if self._groups.record_answer(endpoint, monotonic()):
+        now = monotonic()
+        if self._groups.record_answer(endpoint, now, now):
             record(
                 _logger,
                 'engines_answer',
--- a/src/kelproad/state/silentgroups.py
+++ b/src/kelproad/state/silentgroups.py
@@ -1,8 +1,8 @@
 """Engines of one service in one zone that fall silent together.
 
 What befalls a zone befalls all its engines.  When some of them have left the
-queries of several instances unanswered, and none has answered since, the others
-are silent too, though nobody has asked them yet.
+queries of several instances unanswered, and none has answered anybody since,
+the others are silent too, though nobody has asked them yet.
 """
 
 import math
@@ -38,16 +38,35 @@
     ----------
     asked_at
         Monotonic times of the latest queries that were not answered.
-    answered_at
-        Monotonic time of the latest answer of any of its engines.
+    size
+        Number of its engines.
+    answered_by, answered_at
+        Engine that answered last, and monotonic time of that.
     silent_until
         Monotonic time until which all its engines count as silent.
     """
 
     asked_at: dict[_Unanswered, float] = attrs.field(factory=dict)
+    size: int = 0
+    answered_by: str = ''
     answered_at: float = -math.inf
     silent_until: float = -math.inf
 
+    def has_enough_evidence(self) -> bool:
+        """Return whether the unanswered queries tell of all its engines."""
+        engines = {query.endpoint for query in self.asked_at}
+        instances = {query.instance for query in self.asked_at}
+        enough = max(_MIN_ENGINES, self.size * _MIN_SHARE)
+        return len(engines) >= enough and len(instances) >= _MIN_INSTANCES
+
+    def forget_before(self, at: float) -> None:
+        """Forget the queries that are older."""
+        self.asked_at = {
+            query: asked_at
+            for query, asked_at in self.asked_at.items()
+            if asked_at > at
+        }
+
 
 @attrs.define
 class SilentGroups:
@@ -87,31 +106,54 @@
         bool
             Whether the whole group counts as silent from now on.
         """
-        group = self._groups.setdefault(_get_key(endpoint), _Group())
+        group = self._keep(endpoint)
+        group.size = size
         group.asked_at[_Unanswered(endpoint.name, instance)] = asked_at
-        oldest = max(group.answered_at, now - _EVIDENCE_SECONDS)
-        group.asked_at = {
-            query: at for query, at in group.asked_at.items() if at > oldest
-        }
-        if not _is_silent(group, size):
+        group.forget_before(max(group.answered_at, now - _EVIDENCE_SECONDS))
+        if not group.has_enough_evidence():
             return False
         was_silent = group.silent_until > now
         group.silent_until = now + _EVIDENCE_SECONDS
         return not was_silent
 
-    def record_answer(self, endpoint: Endpoint, now: float) -> bool:
-        """Record that an engine has sent something.
+    def record_answer(
+        self, endpoint: Endpoint, answered_at: float, now: float
+    ) -> bool:
+        """Record that an engine sent something, here or to a peer.
 
         Returns
         -------
         bool
-            Whether its group counted as silent until now.
+            Whether its group counts as silent no more.
         """
-        group = self._groups.setdefault(_get_key(endpoint), _Group())
-        was_silent = group.silent_until > now
-        group.answered_at = now
+        group = self._keep(endpoint)
+        if answered_at <= group.answered_at:
+            return False
+        group.answered_by = endpoint.name
+        group.answered_at = answered_at
+        if not group.asked_at:
+            return False
+        group.forget_before(answered_at)
+        if group.silent_until <= now or group.has_enough_evidence():
+            return False
         group.silent_until = -math.inf
-        return was_silent
+        return True
+
+    def find_answer(
+        self, endpoint: Endpoint, since: float
+    ) -> tuple[str, float] | None:
+        """Find what shows that an engine's group is not silent.
+
+        Returns
+        -------
+        tuple of str and float, or None
+            The engine of the group that answered last, and when; ``None`` if
+            none has since a time.
+        """
+        group = self._groups.get(_get_key(endpoint))
+        if group is None or group.answered_at <= since:
+            return None
+        return group.answered_by, group.answered_at
 
     def includes(self, endpoint: Endpoint, now: float) -> bool:
         """Return whether an engine is silent as its whole group is."""
@@ -137,13 +179,12 @@
             if group.silent_until > now
         ]
 
-
-def _is_silent(group: _Group, size: int) -> bool:
-    """Return whether the evidence is enough to judge a whole group."""
-    engines = {query.endpoint for query in group.asked_at}
-    instances = {query.instance for query in group.asked_at}
-    enough = max(_MIN_ENGINES, size * _MIN_SHARE)
-    return len(engines) >= enough and len(instances) >= _MIN_INSTANCES
+    def _keep(self, endpoint: Endpoint) -> _Group:
+        """Return what is known of an engine's group, to be added to."""
+        key = _get_key(endpoint)
+        if key not in self._groups:
+            self._groups[key] = _Group()
+        return self._groups[key]
 
 
 def _get_key(endpoint: Endpoint) -> tuple[str, str]:
--- a/tests/ingress/test_silent_groups.py
+++ b/tests/ingress/test_silent_groups.py
@@ -98,10 +98,10 @@
     table, groups = build_table(), SilentGroups()
     told = [('a-0', 'x'), ('a-1', 'y'), ('a-2', 'z')]
     tell(groups, table, *told)
-    assert groups.record_answer(table.get('a-7'), NOW + 0.1)
+    assert groups.record_answer(table.get('a-7'), NOW + 0.1, NOW + 0.1)
     assert not groups.includes(table.get('a-0'), NOW + 0.1)
     assert not tell(groups, table, *told)
-    assert not groups.record_answer(table.get('a-7'), NOW + 0.2)
+    assert not groups.record_answer(table.get('a-7'), NOW + 0.2, NOW + 0.2)
 
 
 def test_old_evidence_lapses() -> None:
@@ -116,9 +116,10 @@
 
 def test_a_notice_that_has_waited_is_older() -> None:
     """Guards against evidence that a standstill has made out of date."""
-    notice = SilenceNotice(0, 'h', 'a', {'a-0': 0.3})
+    notice = SilenceNotice(0, 'h', 'a', {'a-0': 0.3}, {'a-1': 0.1})
     add_notice_age(notice, 2)
     assert notice.silent == {'a-0': 2.3}
+    assert notice.answering == {'a-1': 2.1}
 
 
 class Zone:
@@ -151,6 +152,22 @@
         self.notices_sent += 1
         self._notices[host].accept(notice)
 
+    def announce(
+        self, host: str, engine: str, asked_for: float = QUERY_SECONDS
+    ) -> None:
+        """Let an instance find an engine silent."""
+        endpoint = self._table.get(engine)
+        self._notices[host].announce(endpoint, self.now - asked_for)
+
+    def hear_answer(self, host: str, engine: str, at: float) -> None:
+        """Let an engine answer an instance."""
+        endpoint = self._table.get(engine)
+        self._groups[host].record_answer(endpoint, at, at)
+
+    def avoids(self, host: str, engine: str) -> bool:
+        """Return whether an instance sends no calls to an engine."""
+        return self._groups[host].includes(self._table.get(engine), self.now)
+
     def play(self, seconds: float) -> None:
         """Send calls, and query the engines that do not answer."""
         engines = self._table.in_zone('writer', 'a')
@@ -161,10 +178,8 @@
             at, host, engine, queries = heapq.heappop(self._events)
             self.now = at
             if queries:
-                asked_at = self.now - QUERY_SECONDS
-                endpoint = self._table.get(engine)
-                self._notices[host].announce(endpoint, asked_at)
-            elif self._groups[host].includes(self._table.get(engine), self.now):
+                self.announce(host, engine)
+            elif self.avoids(host, engine):
                 continue
             else:
                 self.calls_at.append(self.now)
@@ -184,6 +199,35 @@
         )
 
 
+def test_engines_that_answer_one_instance_are_not_silent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a zone that is avoided as some of its engines crash."""
+    zone = Zone(6, ENGINES, seed=1)
+    monkeypatch.setattr(watching_module, 'monotonic', lambda: zone.now)
+    zone.hear_answer(zone.hosts[5], 'a-9', NOW + 0.1)
+    for number in range(4):
+        zone.now = NOW + QUERY_SECONDS
+        zone.announce(zone.hosts[number], f'a-{number}')
+    assert not any(zone.avoids(host, 'a-4') for host in zone.hosts)
+    # What it answered before the queries shows nothing.
+    for number in range(4):
+        zone.now = NOW + 3 * QUERY_SECONDS
+        zone.announce(zone.hosts[number], f'a-{number}')
+    assert all(zone.avoids(host, 'a-4') for host in zone.hosts)
+
+
+def test_an_engine_that_refuses_shows_nothing_of_its_neighbours(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a zone that is avoided as some of its engines are down."""
+    zone = Zone(6, ENGINES, seed=1)
+    monkeypatch.setattr(watching_module, 'monotonic', lambda: zone.now)
+    for number in range(6):
+        zone.announce(zone.hosts[number], f'a-{number}', asked_for=0.01)
+    assert not any(zone.avoids(host, 'a-9') for host in zone.hosts)
+
+
 class _Queries:
     """Knows the other instances of a zone, and sends them notices."""
 
