--- a/tests/ingress/test_regions_site.py
+++ b/tests/ingress/test_regions_site.py
@@ -23,7 +23,7 @@
 REFUSAL_SECONDS = 0.5
 
 
-@pytest.fixture
+@pytest.fixture(scope='module')
 def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[RoutedSite]:
     """Run an instance in each of two regions, both with endpoints."""
     with start_routed_site(tmp_path_factory.mktemp('site'), 0) as running:
