--- a/src/kelproad/coordination/ingress/membership/peering.py
+++ b/src/kelproad/coordination/ingress/membership/peering.py
@@ -14,6 +14,7 @@
     Counters,
     EvacuationMetrics,
     LimitMetrics,
+    SilenceMetrics,
     WithdrawalMetrics,
 )
 from ....state.directpaths import DirectPaths
@@ -215,6 +216,7 @@
             self.queries,
             self.exchange.peers,
             settings.zone,
+            SilenceMetrics(counters.registry),
         )
         self.withdrawal_observer = WithdrawalObserver(
             table,
--- a/src/kelproad/coordination/ingress/placing/watching.py
+++ b/src/kelproad/coordination/ingress/placing/watching.py
@@ -15,6 +15,7 @@
 
 from returns.result import Failure, Result
 
+from ....state.counters import SilenceMetrics
 from ....state.endpoints import Endpoint
 from ....state.endpointtable import EndpointTable
 from ....state.observations import EngineObservations
@@ -66,6 +67,7 @@
         queries: PeerQueries,
         peers: PeerRegister,
         zone: str,
+        metrics: SilenceMetrics,
     ) -> None:
         """Collect the evidence of the instances of ``zone`` in ``groups``."""
         self._table = table
@@ -73,6 +75,7 @@
         self._queries = queries
         self._peers = peers
         self._zone = zone
+        self._metrics = metrics
         #: Monotonic time of the last notice that an engine answers, sent or
         #: received.
         self._answering_at = -math.inf
@@ -130,7 +133,9 @@
         if self._groups.record_unanswered(
             endpoint, size, instance, asked_at, now
         ):
-            record(_logger, 'engines_silent', service=service, zone=zone)
+            labels = {'service': service, 'zone': zone}
+            self._metrics.silences.inc(labels)
+            record(_logger, 'engines_silent', **labels)
 
 
 class EngineSpeedMonitor:
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -58,6 +58,18 @@
         )
 
 
+class SilenceMetrics:
+    """Metrics of engines that fall silent together."""
+
+    def __init__(self, registry: Registry) -> None:
+        """Register the metrics."""
+        self.silences = Counter(
+            'kelproad_silent_groups_total',
+            'Times that all engines of a service in a zone counted as silent.',
+            registry=registry,
+        )
+
+
 class LimitMetrics:
     """Metrics of the request limits that endpoints set."""
 
--- a/tests/ingress/test_silent_groups.py
+++ b/tests/ingress/test_silent_groups.py
@@ -13,6 +13,7 @@
 from kelproad.coordination.ingress.placing import watching as watching_module
 from kelproad.coordination.ingress.placing.watching import SilenceNotices
 from kelproad.coordination.ingress.tables.readers import Reader
+from kelproad.state.counters import Counters, SilenceMetrics
 from kelproad.state.declarations import (
     EndpointDeclaration,
     EndpointGroup,
@@ -23,6 +24,7 @@
 from kelproad.state.silentgroups import SilentGroups
 
 NOW = 1000.0
+METRICS = SilenceMetrics(Counters().registry)
 ENGINES = 18
 ZONES = ('a', 'b', 'c')
 #: Seconds until a query counts as unanswered, and the most in a row.
@@ -195,7 +197,7 @@
     def _build(self, host: str) -> SilenceNotices:
         queries = _Queries(self, host)
         return SilenceNotices(
-            self._table, self._groups[host], queries, queries, 'a'
+            self._table, self._groups[host], queries, queries, 'a', METRICS
         )
 
 
