A call no longer waits for memory that it holds itself

Cause: the body of a large failure kept its reserved memory to the end of the call, and the call's next attempt waited for as much until its deadline; two calls could wait for each other's. Only answers for the caller keep it now. The test failed first (the second attempt timed out).

--- a/src/kelproad/coordination/ingress/streams/answers.py
+++ b/src/kelproad/coordination/ingress/streams/answers.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Callable
-from typing import Self
 
 import aiohttp
 import attrs
@@ -14,15 +13,15 @@
 from ....protocol.connections import ConnectionProgress
 from ....protocol.plain import MAX_ANSWER_BYTES
 from ....state.budgets import CallBytes
-from ....state.calls import AnswerHead
+from ....state.calls import AnswerHead, Outcome
 from ....state.refusals import Ran
 from ....transport.deadlines import within
 from ....transport.http import ConnectionLostError, is_framed
+from .largeanswers import LargeAnswers
 
 __all__ = [
     'AttemptFailure',
     'CompleteAnswer',
-    'LargeAnswers',
     'OpenAnswer',
     'collect',
     'fail_unanswered',
@@ -31,12 +30,6 @@
 _BODILESS_STATUSES = frozenset((204, 304))
 #: Bytes of a body beyond which memory is reserved to collect it.
 _LARGE_BYTES = 65_536
-#: Shares of an instance's memory for such bodies: while they arrive, and with
-#: those that their callers have not read.
-_ARRIVING_SHARE = 0.06
-_LARGE_SHARE = 0.15
-#: Bytes for both where the memory is not stated.
-_DEFAULT_LARGE_BYTES = 67_108_864
 
 
 @attrs.frozen
@@ -98,96 +91,6 @@
     """A body is longer than what is forwarded."""
 
 
-@attrs.define
-class LargeAnswers:
-    """Memory for large bodies, reserved in turn.
-
-    A body keeps its memory until its caller has read it.
-    """
-
-    _arriving_limit: float = MAX_ANSWER_BYTES
-    _limit: float = _DEFAULT_LARGE_BYTES
-    _arriving: int = 0
-    _unread: int = 0
-    _turn: asyncio.Lock = attrs.field(factory=asyncio.Lock)
-    _freed: asyncio.Event = attrs.field(factory=asyncio.Event)
-
-    @classmethod
-    def from_memory(cls, memory_bytes: float) -> Self:
-        """Reserve shares of an instance's memory, enough for any one body."""
-        return cls(
-            max(MAX_ANSWER_BYTES, memory_bytes * _ARRIVING_SHARE),
-            max(
-                MAX_ANSWER_BYTES,
-                memory_bytes * _LARGE_SHARE or _DEFAULT_LARGE_BYTES,
-            ),
-        )
-
-    def begin(self) -> 'LargeAnswer':
-        """Begin to read a body, of which nothing is reserved yet."""
-        return LargeAnswer(self)
-
-    async def reserve(self, size: int) -> None:
-        """Reserve memory for a body that arrives."""
-        async with self._turn:
-            while not self._has_room(size):
-                self._freed.clear()
-                await self._freed.wait()
-            self._arriving += size
-
-    def keep(self, reserved: int, length: int) -> None:
-        """Keep only the length of a body that has arrived."""
-        self._arriving -= reserved
-        self._unread += length
-        self._freed.set()
-
-    def free(self, arriving: int, unread: int) -> None:
-        """Free what was reserved for a body."""
-        self._arriving -= arriving
-        self._unread -= unread
-        self._freed.set()
-
-    def _has_room(self, size: int) -> bool:
-        """Return whether there is room; a body that is alone has it."""
-        arriving = self._arriving + size
-        if self._arriving and arriving > self._arriving_limit:
-            return False
-        held = self._arriving + self._unread
-        return not held or held + size <= self._limit
-
-
-@attrs.define
-class LargeAnswer:
-    """Memory that is reserved for one body; none for a small one."""
-
-    _memory: LargeAnswers
-    _arriving: int = 0
-    _unread: int = 0
-
-    @property
-    def is_reserved(self) -> bool:
-        """Whether memory is reserved."""
-        return bool(self._arriving)
-
-    async def reserve(self, size: int) -> None:
-        """Wait for memory for the whole body."""
-        await self._memory.reserve(size)
-        self._arriving = size
-
-    def keep(self, length: int) -> None:
-        """Keep only the length of the body, which has arrived."""
-        if self.is_reserved:
-            self._memory.keep(self._arriving, length)
-            self._arriving = 0
-            self._unread = length
-
-    def release(self) -> None:
-        """Free the memory."""
-        self._memory.free(self._arriving, self._unread)
-        self._arriving = 0
-        self._unread = 0
-
-
 @attrs.frozen
 class OpenAnswer:
     """An answer whose head has been read and whose body has not."""
@@ -285,7 +188,10 @@
 async def _read_body(
     answer: OpenAnswer, record_part: Callable[[], None]
 ) -> bytes:
-    """Read a body to its end, a large one in memory reserved for the call.
+    """Read a body to its end, a large one in reserved memory.
+
+    That of an answer for the caller stays reserved to the end of the call.
+    That of a failure does not, as the call may wait for memory once more.
 
     Raises
     ------
@@ -301,8 +207,8 @@
     length = 0
     memory = answer.large_answers.begin()
     try:
-        with contextlib.ExitStack() as failing:
-            failing.callback(memory.release)
+        with contextlib.ExitStack() as reserved:
+            reserved.callback(memory.release)
             async for part in answer.read_chunks():
                 record_part()
                 parts.append(part)
@@ -312,9 +218,11 @@
                 if length > _LARGE_BYTES and not memory.is_reserved:
                     size = answer.response.content_length or MAX_ANSWER_BYTES
                     await memory.reserve(size)
-            memory.keep(length)
-            answer.held.call_at_release(failing.pop_all().close)
-            return b''.join(parts)
+            body = b''.join(parts)
+            if answer.head.outcome is Outcome.ANSWERED:
+                memory.keep(length)
+                answer.held.call_at_release(reserved.pop_all().close)
+            return body
     finally:
         # The traceback of an error may keep this frame for a while.
         parts.clear()
--- a/tests/ingress/test_attempts.py
+++ b/tests/ingress/test_attempts.py
@@ -22,12 +22,12 @@
 from kelproad.coordination.ingress.settings import Bounds
 from kelproad.coordination.ingress.streams.answers import (
     AttemptFailure,
-    LargeAnswers,
     OpenAnswer,
     collect,
 )
 from kelproad.coordination.ingress.streams.attempts import EndpointClient
 from kelproad.coordination.ingress.streams.delivery import StreamDelivery
+from kelproad.coordination.ingress.streams.largeanswers import LargeAnswers
 from kelproad.coordination.ingress.streams.progress import Attempt, Progress
 from kelproad.coordination.ingress.streams.sending import Sender
 from kelproad.coordination.ingress.streams.silence import SilenceMonitor
@@ -67,6 +67,7 @@
 #: Silence timeout of an attempt in seconds; exceeding it is a fault of the
 #: endpoint.
 SILENCE = 1.0
+LARGE_BYTES = 1_000_000
 REQUEST_ID = 'a1b2'
 HEAD = f'HTTP/1.1 200 OK\r\nX-Kelproad-Request-Id: {REQUEST_ID}\r\n'
 Handler = Callable[
@@ -609,3 +610,28 @@
     async with asyncio.timeout(1):
         await waiting
         await space.reserve(50)
+
+
+async def test_a_large_failure_leaves_room_for_the_next_answer(
+    client: EndpointClient,
+) -> None:
+    """Guards against a call that waits for memory that it holds itself."""
+    space = LargeAnswers(LARGE_BYTES, LARGE_BYTES)
+    limited = attrs.evolve(client, large_answers=space)
+    call = build_call()
+
+    async def fail(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        head = HEAD.replace('200 OK', '500 No')
+        writer.write(f'{head}Content-Length: {LARGE_BYTES}\r\n\r\n'.encode())
+        writer.write(b'x' * LARGE_BYTES)
+        await writer.drain()
+        writer.close()
+
+    async with serve(fail) as failing:
+        for _ in range(2):
+            async with asyncio.timeout(1):
+                opened = await open_answer(limited, failing, call)
+            assert len(opened.failure().answer.body) == LARGE_BYTES
