Cold engines: own parts, too, are parts of what is live

Cause: instances that are cut apart and whose coordinators are silent took equal parts of the whole rate on each side.

--- a/src/kelproad/coordination/ingress/limiting/coordinators.py
+++ b/src/kelproad/coordination/ingress/limiting/coordinators.py
@@ -43,14 +43,16 @@
     live_part: float = 1
 
     def find_share(self, limit: StartLimit) -> float:
-        """Return the share of a limit that it may grant.
+        """Return the share of a limit that it may grant."""
+        return self.share * self.find_live_part(limit)
+
+    def find_live_part(self, limit: StartLimit) -> float:
+        """Return the part of a limit that all live instances may use.
 
         Instances that are cut off from each other have a coordinator each, and
         an engine that warms up is harmed by more than its rate.
         """
-        if limit.reason is LimitReason.WARM_UP:
-            return self.share * self.live_part
-        return self.share
+        return self.live_part if limit.reason is LimitReason.WARM_UP else 1
 
 
 @attrs.define
--- a/src/kelproad/coordination/ingress/limiting/gate.py
+++ b/src/kelproad/coordination/ingress/limiting/gate.py
@@ -190,8 +190,9 @@
                 coordinator.find_share(limit),
                 longest_wait,
             )
+        live_part = coordinator.find_live_part(limit)
         if self._silent_until.get(coordinator.host, 0) > monotonic():
-            return self._take_own_part(endpoint, limit, longest_wait)
+            return self._take_own_part(endpoint, limit, live_part, longest_wait)
         reply = await self._queries.query(
             self._build_query(endpoint, limit, longest_wait),
             coordinator.host,
@@ -199,7 +200,7 @@
         )
         if not isinstance(reply, StartReply):
             self._record_silence(endpoint, limit, coordinator)
-            return self._take_own_part(endpoint, limit, longest_wait)
+            return self._take_own_part(endpoint, limit, live_part, longest_wait)
         self.observer.accept_all(
             unpack_limits([reply.limit], coordinator.host, monotonic())
         )
@@ -210,16 +211,17 @@
         self,
         endpoint: Endpoint,
         limit: StartLimit,
+        live_part: float,
         longest_wait: float,
     ) -> StartGrant:
         """Take a start from an equal part of the limit.
 
-        The parts of all live instances are no more than the limit, and none
-        needs another instance.
+        The parts of all live instances are no more than ``live_part`` of the
+        limit, and none needs another instance.
         """
         now = monotonic()
         instances = self._peers.count_live(now)
-        spacing = limit.spacing * instances
+        spacing = limit.spacing * instances / live_part
         schedule = self._own_parts.get(endpoint.name)
         if schedule is None:
             # At random, as the instances would otherwise all start at once.
