Silent groups: only listed instances are believed

Cause: any sender of a report counts as a live peer, so two strangers could have let a zone be avoided. Notices are taken from IP numbers that the store lists; nothing is read for others. The test failed first. Answers of one group no longer hide those of another for 0.3 s.

--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -22,8 +22,8 @@
 from .retrying.retries import RetryBudgets
 from .retrying.verdicts import AttemptEvaluator
 from .sharing import SharedState
-from .streams.answers import LargeAnswers
 from .streams.attempts import EndpointClient
+from .streams.largeanswers import LargeAnswers
 from .streams.observing import AnswerObserver
 from .streams.sending import Sender
 from .streams.silence import SilenceMonitor
--- a/src/kelproad/coordination/ingress/membership/peering.py
+++ b/src/kelproad/coordination/ingress/membership/peering.py
@@ -216,6 +216,7 @@
             self.queries,
             self.exchange.peers,
             settings.zone,
+            self.roster.includes,
             SilenceMetrics(counters.registry),
         )
         self.withdrawal_observer = WithdrawalObserver(
--- a/src/kelproad/coordination/ingress/membership/rostering.py
+++ b/src/kelproad/coordination/ingress/membership/rostering.py
@@ -101,7 +101,7 @@
         never read them knows the seeds of its settings.
         """
         now = monotonic()
-        if host in self._hosts or self._is_lost(host, now):
+        if self.includes(host):
             return True
         confirming = self._confirming
         if confirming is None or now - self._confirmed_at > _CONFIRM_PERIOD:
@@ -113,6 +113,13 @@
             return host in self._hosts
         return host in self._settings.seed_hosts
 
+    def includes(self, host: str) -> bool:
+        """Return whether an IP number is that of an instance known to be listed.
+
+        Nothing is read for an unknown one.
+        """
+        return host in self._hosts or self._is_lost(host, monotonic())
+
     def restore(self) -> None:
         """Write the own row again, as the store may have lost it."""
         self._lost_hosts |= self._hosts
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -322,9 +322,7 @@
             'direct_paths': self._peering.paths.describe(now),
             'request_limits': self._peering.gate.describe(),
             'evacuations': self._tables.evacuations.describe(),
-            'silent_groups': self._observations.silent_groups.list_silent(
-                monotonic()
-            ),
+            'silent_groups': self._observations.silent_groups.list_silent(now),
             'warm_ups': self._table.warm_ups.describe(now),
             'withdrawals': describe_withdrawals(self._table, now),
             'suspect_parts': self._pipeline.guard.describe(),
--- a/src/kelproad/coordination/ingress/placing/choosing.py
+++ b/src/kelproad/coordination/ingress/placing/choosing.py
@@ -26,10 +26,9 @@
     refuse_for_limits,
     refuse_withdrawn,
 )
-from .filtering import EndpointFilter
+from .filtering import EndpointFilter, Tier, iterate_tiers
 from .placement import CallRequirements, Candidate, NoPlacementError, Placement
 from .selection import choose_engines, choose_plain
-from .tiers import Tier, iterate_tiers
 
 __all__ = ['Chooser']
 
--- a/src/kelproad/coordination/ingress/placing/filtering.py
+++ b/src/kelproad/coordination/ingress/placing/filtering.py
@@ -1,8 +1,8 @@
-"""Endpoints that a call may be sent to, and those of them that are healthy."""
+"""Endpoints that a call may be sent to, the healthy ones first."""
 
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -15,14 +15,16 @@
 from ..streams.progress import Progress
 from .connectable import add_trials, refuse_unreachable, select_connectable
 from .eligibility import (
+    are_withdrawn,
     exclude_avoided,
     is_healthy,
     is_last_resort,
+    is_trusted,
     list_untried,
 )
 from .placement import NoPlacementError
 
-__all__ = ['EndpointFilter', 'RegionFilter']
+__all__ = ['EndpointFilter', 'RegionFilter', 'Tier', 'iterate_tiers']
 
 _logger = logging.getLogger(__name__)
 #: Bounds of the seconds after which callers retry when no endpoint is in a
@@ -176,3 +178,50 @@
             for zone in suspect
             if not self._reachability.take_probe(zone, now)
         }
+
+
+@attrs.frozen
+class Tier:
+    """Endpoints to choose from, and the names of those that may answer.
+
+    ``uses_leaving`` says whether endpoints that leave are among them.
+    """
+
+    endpoints: list[Endpoint]
+    answering: set[str]
+    uses_leaving: bool = False
+
+
+def iterate_tiers(
+    endpoint_filter: EndpointFilter,
+    endpoints: list[Endpoint],
+    call: Call,
+    progress: Progress,
+    now: float,
+    healthy_only: bool,
+) -> Iterator[Tier]:
+    """Iterate over the tiers of a call's endpoints.
+
+    First those that are healthy, then those that leave and work beside them,
+    which are better than those that fail.
+
+    Raises
+    ------
+    NoPlacementError
+        When nobody could connect to any endpoint.
+    """
+    usable = endpoint_filter.list_usable(
+        endpoints, call, progress, now, may_try=not healthy_only
+    )
+    healthy = endpoint_filter.list_healthy(usable, call, now)
+    trusted = {one.name for one in healthy if is_trusted(one, call)}
+    if trusted or healthy_only:
+        yield Tier(healthy, trusted)
+    if healthy_only:
+        return
+    leaving = endpoint_filter.list_last_resorts(endpoints, call, progress, now)
+    if leaving:
+        names = {one.name for one in leaving if is_trusted(one, call)}
+        yield Tier(healthy + leaving, trusted | names, uses_leaving=True)
+    if not (trusted or are_withdrawn(endpoints, now)):
+        yield Tier(usable, {endpoint.name for endpoint in usable})
--- a/src/kelproad/coordination/ingress/placing/watching.py
+++ b/src/kelproad/coordination/ingress/placing/watching.py
@@ -20,7 +20,7 @@
 from ....state.endpointtable import EndpointTable
 from ....state.observations import EngineObservations
 from ....state.records import record
-from ....state.silentgroups import SilentGroups
+from ....state.silentgroups import SilentGroups, find_group
 from ....state.work import WorkLedger
 from ....transport.deadlines import monotonic
 from ..membership.messages import SilenceNotice
@@ -67,18 +67,24 @@
         queries: PeerQueries,
         peers: PeerRegister,
         zone: str,
+        is_instance: Callable[[str], bool],
         metrics: SilenceMetrics,
     ) -> None:
-        """Collect the evidence of the instances of ``zone`` in ``groups``."""
+        """Collect the evidence of the instances of ``zone`` in ``groups``.
+
+        ``is_instance`` returns whether an IP number is that of an instance that
+        the store lists: others are not believed.
+        """
         self._table = table
         self._groups = groups
         self._queries = queries
         self._peers = peers
         self._zone = zone
+        self._is_instance = is_instance
         self._metrics = metrics
-        #: Monotonic time of the last notice that an engine answers, sent or
-        #: received.
-        self._answering_at = -math.inf
+        #: Monotonic times of the last notices that an engine answers, sent or
+        #: received, by service and zone.
+        self._answering_at: dict[tuple[str, str], float] = {}
 
     def announce(self, endpoint: Endpoint, asked_at: float) -> None:
         """Record a silent engine, and tell peers unless enough know it."""
@@ -93,8 +99,7 @@
     def accept(self, notice: SilenceNotice) -> None:
         """Record what a peer of this zone tells."""
         now = monotonic()
-        is_near = notice.zone == self._zone
-        if not (is_near and self._peers.includes_live_host(notice.host, now)):
+        if notice.zone != self._zone or not self._is_instance(notice.host):
             return
         for name, age in notice.silent.items():
             endpoint = self._table.get(name)
@@ -104,8 +109,8 @@
                 self._contradict(endpoint, asked_at, now)
         for name, age in notice.answering.items():
             endpoint = self._table.get(name)
-            self._answering_at = now
             if endpoint is not None:
+                self._answering_at[find_group(endpoint)] = now
                 self._groups.record_answer(endpoint, now - max(0, age), now)
 
     def _contradict(
@@ -113,9 +118,11 @@
     ) -> None:
         """Tell the peers if an engine of a group has answered here since."""
         answer = self._groups.find_answer(endpoint, asked_at)
-        if answer is None or now - self._answering_at < _ANSWERING_PERIOD:
+        key = find_group(endpoint)
+        told_at = self._answering_at.get(key, -math.inf)
+        if answer is None or now - told_at < _ANSWERING_PERIOD:
             return
-        self._answering_at = now
+        self._answering_at[key] = now
         engine, answered_at = answer
         self._send(now, answering={engine: round(now - answered_at, 3)})
 
@@ -128,7 +135,7 @@
     def _record(
         self, endpoint: Endpoint, instance: str, asked_at: float, now: float
     ) -> None:
-        service, zone = endpoint.group.name, endpoint.declaration.zone
+        service, zone = find_group(endpoint)
         size = len(self._table.in_zone(service, zone))
         if self._groups.record_unanswered(
             endpoint, size, instance, asked_at, now
--- a/src/kelproad/coordination/ingress/streams/attempts.py
+++ b/src/kelproad/coordination/ingress/streams/attempts.py
@@ -25,13 +25,8 @@
 from ....transport.deadlines import monotonic, within
 from ....transport.http import create_end_check, wrap_body
 from ..admission.dialect import Dialect
-from .answers import (
-    AttemptFailure,
-    LargeAnswers,
-    OpenAnswer,
-    collect,
-    fail_unanswered,
-)
+from .answers import AttemptFailure, OpenAnswer, collect, fail_unanswered
+from .largeanswers import LargeAnswers
 
 __all__ = ['EndpointClient']
 
--- a/src/kelproad/state/silentgroups.py
+++ b/src/kelproad/state/silentgroups.py
@@ -11,7 +11,7 @@
 
 from .endpoints import Endpoint
 
-__all__ = ['SilentGroups']
+__all__ = ['SilentGroups', 'find_group']
 
 #: Seconds for which an unanswered query is evidence.
 _EVIDENCE_SECONDS = 1.0
@@ -150,19 +150,19 @@
             The engine of the group that answered last, and when; ``None`` if
             none has since a time.
         """
-        group = self._groups.get(_get_key(endpoint))
+        group = self._groups.get(find_group(endpoint))
         if group is None or group.answered_at <= since:
             return None
         return group.answered_by, group.answered_at
 
     def includes(self, endpoint: Endpoint, now: float) -> bool:
         """Return whether an engine is silent as its whole group is."""
-        group = self._groups.get(_get_key(endpoint))
+        group = self._groups.get(find_group(endpoint))
         return group is not None and group.silent_until > now
 
     def is_told(self, endpoint: Endpoint, now: float) -> bool:
         """Return whether enough instances have found an engine silent."""
-        group = self._groups.get(_get_key(endpoint), _Group())
+        group = self._groups.get(find_group(endpoint), _Group())
         told = [
             query
             for query, asked_at in group.asked_at.items()
@@ -181,11 +181,12 @@
 
     def _keep(self, endpoint: Endpoint) -> _Group:
         """Return what is known of an engine's group, to be added to."""
-        key = _get_key(endpoint)
+        key = find_group(endpoint)
         if key not in self._groups:
             self._groups[key] = _Group()
         return self._groups[key]
 
 
-def _get_key(endpoint: Endpoint) -> tuple[str, str]:
+def find_group(endpoint: Endpoint) -> tuple[str, str]:
+    """Return the service and the zone of an engine."""
     return endpoint.group.name, endpoint.declaration.zone
--- a/tests/ingress/test_silent_groups.py
+++ b/tests/ingress/test_silent_groups.py
@@ -197,7 +197,13 @@
     def _build(self, host: str) -> SilenceNotices:
         queries = _Queries(self, host)
         return SilenceNotices(
-            self._table, self._groups[host], queries, queries, 'a', METRICS
+            self._table,
+            self._groups[host],
+            queries,
+            queries,
+            'a',
+            self.hosts.__contains__,
+            METRICS,
         )
 
 
@@ -230,6 +236,16 @@
     assert not any(zone.avoids(host, 'a-9') for host in zone.hosts)
 
 
+def test_a_stranger_is_not_believed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a zone that anybody on the network can empty."""
+    zone = Zone(6, ENGINES, seed=1)
+    monkeypatch.setattr(watching_module, 'monotonic', lambda: zone.now)
+    for host in ('10.9.0.1', '10.9.0.2'):
+        told = {f'a-{number}': QUERY_SECONDS for number in range(ENGINES)}
+        zone.send(zone.hosts[0], SilenceNotice(0, host, 'a', told))
+    assert not zone.avoids(zone.hosts[0], 'a-4')
+
+
 class _Queries:
     """Knows the other instances of a zone, and sends them notices."""
 
@@ -246,10 +262,6 @@
         """List the others."""
         return self._others
 
-    def includes_live_host(self, _host: str, _now: float) -> bool:
-        """Return whether an instance is known, as all are."""
-        return True
-
     def announce(self, kind: functools.partial, host: str) -> None:
         """Send a notice."""
         self._zone.send(host, kind(0, self._host, 'a'))
