--- a/src/kelproad/coordination/ingress/membership/rostering.py
+++ b/src/kelproad/coordination/ingress/membership/rostering.py
@@ -114,7 +114,7 @@
         return host in self._settings.seed_hosts
 
     def includes(self, host: str) -> bool:
-        """Return whether an IP number is that of an instance known to be listed.
+        """Return whether an IP number is that of a listed instance.
 
         Nothing is read for an unknown one.
         """
--- a/tests/ingress/test_attempts.py
+++ b/tests/ingress/test_attempts.py
@@ -27,7 +27,6 @@
 )
 from kelproad.coordination.ingress.streams.attempts import EndpointClient
 from kelproad.coordination.ingress.streams.delivery import StreamDelivery
-from kelproad.coordination.ingress.streams.largeanswers import LargeAnswers
 from kelproad.coordination.ingress.streams.progress import Attempt, Progress
 from kelproad.coordination.ingress.streams.sending import Sender
 from kelproad.coordination.ingress.streams.silence import SilenceMonitor
@@ -67,7 +66,6 @@
 #: Silence timeout of an attempt in seconds; exceeding it is a fault of the
 #: endpoint.
 SILENCE = 1.0
-LARGE_BYTES = 1_000_000
 REQUEST_ID = 'a1b2'
 HEAD = f'HTTP/1.1 200 OK\r\nX-Kelproad-Request-Id: {REQUEST_ID}\r\n'
 Handler = Callable[
@@ -560,78 +558,3 @@
             answer = await send(client, sound)
         assert len(answer.unwrap().body) == stated
         waiting.cancel()
-
-
-async def test_large_answers_hold_no_more_than_their_share() -> None:
-    """Guards against a reservation that is lost, or served out of turn."""
-    space = LargeAnswers(100)
-    order = []
-
-    async def hold(size: int, freed: asyncio.Event) -> None:
-        memory = space.begin()
-        with contextlib.closing(types.SimpleNamespace(close=memory.release)):
-            await memory.reserve(size)
-            order.append(size)
-            await freed.wait()
-
-    events = [asyncio.Event() for _ in range(4)]
-    sizes = (60, 40, 500, 10)
-    tasks = [
-        asyncio.create_task(hold(size, freed))
-        for size, freed in zip(sizes, events, strict=True)
-    ]
-    await asyncio.sleep(0.01)
-    assert order == [60, 40]
-    tasks[0].cancel()
-    await asyncio.sleep(0.01)
-    assert order == [60, 40]
-    events[1].set()
-    await asyncio.sleep(0.01)
-    assert order == [60, 40, 500]
-    tasks[3].cancel()
-    events[2].set()
-    await asyncio.gather(*tasks, return_exceptions=True)
-    async with asyncio.timeout(1):
-        await space.reserve(100)
-    assert order == [60, 40, 500]
-
-
-async def test_answers_keep_their_memory_until_they_are_read() -> None:
-    """Guards against callers that read slowly and fill the memory."""
-    space = LargeAnswers(100, 150)
-    unread = [space.begin() for _ in range(2)]
-    for memory in unread:
-        await memory.reserve(80)
-        memory.keep(70)
-    waiting = asyncio.create_task(space.reserve(30))
-    await asyncio.sleep(0.01)
-    assert not waiting.done()
-    unread[0].release()
-    async with asyncio.timeout(1):
-        await waiting
-        await space.reserve(50)
-
-
-async def test_a_large_failure_leaves_room_for_the_next_answer(
-    client: EndpointClient,
-) -> None:
-    """Guards against a call that waits for memory that it holds itself."""
-    space = LargeAnswers(LARGE_BYTES, LARGE_BYTES)
-    limited = attrs.evolve(client, large_answers=space)
-    call = build_call()
-
-    async def fail(
-        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        await reader.readuntil(b'\r\n\r\n')
-        head = HEAD.replace('200 OK', '500 No')
-        writer.write(f'{head}Content-Length: {LARGE_BYTES}\r\n\r\n'.encode())
-        writer.write(b'x' * LARGE_BYTES)
-        await writer.drain()
-        writer.close()
-
-    async with serve(fail) as failing:
-        for _ in range(2):
-            async with asyncio.timeout(1):
-                opened = await open_answer(limited, failing, call)
-            assert len(opened.failure().answer.body) == LARGE_BYTES
--- a/tests/ingress/test_held_bytes.py
+++ b/tests/ingress/test_held_bytes.py
@@ -6,15 +6,18 @@
 import socket
 import time
 import tracemalloc
+import types
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 
+import attrs
 import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
 from kelproad.coordination.ingress.streams.attempts import EndpointClient
 from kelproad.coordination.ingress.streams.delivery import StreamDelivery
+from kelproad.coordination.ingress.streams.largeanswers import LargeAnswers
 from kelproad.protocol.eventstreams import NumberedEvent
 from kelproad.state.budgets import HeldBytes
 from kelproad.state.calls import AnswerHead, Outcome
@@ -26,6 +29,7 @@
 
 MEMORY_MB = 152
 BODY_BYTES = 1_000_000
+LARGE_BYTES = 1_000_000
 SLOW_CALLERS = 80
 #: Bytes by which the memory of an instance may grow: a fifth for bodies, and as
 #: much again for what the program needs to receive and refuse.
@@ -126,6 +130,81 @@
     assert held < 1_000_000
 
 
+async def test_large_answers_hold_no_more_than_their_share() -> None:
+    """Guards against a reservation that is lost, or served out of turn."""
+    space = LargeAnswers(100)
+    order = []
+
+    async def hold(size: int, freed: asyncio.Event) -> None:
+        memory = space.begin()
+        with contextlib.closing(types.SimpleNamespace(close=memory.release)):
+            await memory.reserve(size)
+            order.append(size)
+            await freed.wait()
+
+    events = [asyncio.Event() for _ in range(4)]
+    sizes = (60, 40, 500, 10)
+    tasks = [
+        asyncio.create_task(hold(size, freed))
+        for size, freed in zip(sizes, events, strict=True)
+    ]
+    await asyncio.sleep(0.01)
+    assert order == [60, 40]
+    tasks[0].cancel()
+    await asyncio.sleep(0.01)
+    assert order == [60, 40]
+    events[1].set()
+    await asyncio.sleep(0.01)
+    assert order == [60, 40, 500]
+    tasks[3].cancel()
+    events[2].set()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    async with asyncio.timeout(1):
+        await space.reserve(100)
+    assert order == [60, 40, 500]
+
+
+async def test_answers_keep_their_memory_until_they_are_read() -> None:
+    """Guards against callers that read slowly and fill the memory."""
+    space = LargeAnswers(100, 150)
+    unread = [space.begin() for _ in range(2)]
+    for memory in unread:
+        await memory.reserve(80)
+        memory.keep(70)
+    waiting = asyncio.create_task(space.reserve(30))
+    await asyncio.sleep(0.01)
+    assert not waiting.done()
+    unread[0].release()
+    async with asyncio.timeout(1):
+        await waiting
+        await space.reserve(50)
+
+
+async def test_a_large_failure_leaves_room_for_the_next_answer(
+    endpoint_client: EndpointClient,
+) -> None:
+    """Guards against a call that waits for memory that it holds itself."""
+    space = LargeAnswers(LARGE_BYTES, LARGE_BYTES)
+    limited = attrs.evolve(endpoint_client, large_answers=space)
+    call = attempts.build_call()
+
+    async def fail(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        head = attempts.HEAD.replace('200 OK', '500 No')
+        writer.write(f'{head}Content-Length: {LARGE_BYTES}\r\n\r\n'.encode())
+        writer.write(b'x' * LARGE_BYTES)
+        await writer.drain()
+        writer.close()
+
+    async with attempts.serve(fail) as failing:
+        for _ in range(2):
+            async with asyncio.timeout(1):
+                opened = await attempts.open_answer(limited, failing, call)
+            assert len(opened.failure().answer.body) == LARGE_BYTES
+
+
 @pytest.fixture
 def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[RoutedSite]:
     """Run one instance with little memory."""
