Interim answers: few are parsed in one turn of the event loop

A received piece of 64 KiB holds 2,500 interim answers, each parsed as a message of its own: 11 ms for one connection, and eight calls with two endpoints read theirs in the same turns. Ruled out: bytes; the bound of 65,536 held. Change: before an answer's head 4 KiB are parsed at a time, and more than 64 interim answers end the call. Conclusion: the work before a head is bounded by what an answer is, not only by its bytes.

--- a/src/kelproad/transport/http.py
+++ b/src/kelproad/transport/http.py
@@ -14,7 +14,9 @@
 import aiohttp
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
 from aiohttp.payload import BytesPayload
+from aiohttp.streams import StreamReader
 
 from .addresses import Address
 from .sockets import OpenSocket, SocketConnector
@@ -38,6 +40,15 @@
 _FRAMING_PER_BYTE = 16
 #: Bytes that are received, or written, in one turn of the event loop.
 _PIECE_BYTES = 65_536
+#: The same before an answer, as each interim answer costs as much time as a
+#: whole one; and how many of these come before an answer.
+_HEAD_PIECE_BYTES = 4096
+_MAX_INTERIM_ANSWERS = 64
+_FIRST_FINAL_STATUS = 200
+
+
+#: The head of an answer, and its body.
+_Received = tuple[RawResponseMessage, StreamReader]
 
 
 class ConnectionLostError(aiohttp.ClientError):
@@ -61,6 +72,8 @@
         """Start before the first answer."""
         super().__init__(loop)
         self._received_bytes = 0
+        self._interim_answers = 0
+        self._has_head = False
         self._is_endless = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -71,16 +84,39 @@
     def set_response_params(self, **options: object) -> None:
         """Begin to receive an answer."""
         self._received_bytes = 0
+        self._interim_answers = 0
+        self._has_head = False
         super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
-        """Parse what was received, until it is too much beside content."""
-        if self._is_endless:
-            return
-        super().data_received(data)
-        self._received_bytes += len(data)
+        """Parse what was received, until it is too much beside content.
+
+        Without data, the parser goes on with what it has.
+        """
+        while not self._is_endless:
+            piece = data if self._has_head else data[:_HEAD_PIECE_BYTES]
+            data = data[len(piece) :]
+            self._receive(piece)
+            if not data:
+                return
+
+    def feed_data(self, data: _Received, size: int = 0) -> None:
+        """Count a head that was parsed."""
+        head, _ = data
+        if head.code >= _FIRST_FINAL_STATUS:
+            self._has_head = True
+        else:
+            self._interim_answers += 1
+        super().feed_data(data, size)
+
+    def _receive(self, piece: bytes) -> None:
+        super().data_received(piece)
+        self._received_bytes += len(piece)
         content = self._payload.total_bytes if self._payload else 0
-        if is_endless(self._received_bytes, content):
+        if (
+            is_endless(self._received_bytes, content)
+            or self._interim_answers > _MAX_INTERIM_ANSWERS
+        ):
             self._fail()
 
     def _fail(self) -> None:
--- a/tests/ingress/test_endless.py
+++ b/tests/ingress/test_endless.py
@@ -30,6 +30,8 @@
 MOST_BYTES = 100_000_000
 LARGE_BYTES = 8_000_000
 MOST_REPLY_BYTES = 33_554_432
+#: Interim answers that arrive at once.
+MANY_ANSWERS = 2_500
 OK = b'HTTP/1.1 200 OK\r\n'
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 FRAMING = types.MappingProxyType(
@@ -101,6 +103,19 @@
     assert server.sent_bytes < LARGE_BYTES
 
 
+async def test_few_interim_answers_are_parsed_at_once() -> None:
+    """Guards against an event loop that is held by answers without content."""
+    received = FRAMING['interim answers'][1] * MANY_ANSWERS
+    async with create_session() as session:
+        handler = session.connector._factory()  # noqa: SLF001
+        handler.set_response_params()
+        handler.data_received(received)
+    assert len(handler) < MANY_ANSWERS // 10
+    with pytest.raises(EndlessAnswerError):
+        for _ in range(MANY_ANSWERS):
+            await handler.read()
+
+
 async def test_an_endless_reply_is_given_up() -> None:
     """Guards against the report of an engine that fills the memory."""
     server = EndlessServer(b'%s\r\n' % OK, b'x' * 1000)
