Placing: a late prompt keeps no engine for seconds

Change: a prompt that is late is placed like one that has just come, on engines without streams; parts may be longer only where as many engines as possible would not be in time either. Near the caller's timeout what was first now comes last.

--- a/src/kelproad/coordination/ingress/placing/placement.py
+++ b/src/kelproad/coordination/ingress/placing/placement.py
@@ -98,6 +98,14 @@
         """Use the silence timeout in place of an objective that is missed."""
         return attrs.evolve(self, objective=self.silence_timeout)
 
+    def begin_anew(self, objective: float) -> 'CallRequirements':
+        """Use another objective from now on, in place of one that is missed.
+
+        The first token is to come before the caller disconnects all the same.
+        """
+        left = self.silence_timeout - self.waited
+        return attrs.evolve(self, objective=min(objective, left), waited=0)
+
     @property
     def left(self) -> float:
         """Remaining seconds of the objective, at least a tenth of it."""
--- a/src/kelproad/coordination/ingress/placing/selection.py
+++ b/src/kelproad/coordination/ingress/placing/selection.py
@@ -26,6 +26,7 @@
 from ....state.engines import EngineProfile
 from .packing import place_unsplit
 from .parts import (
+    MAX_PARTS,
     choose_least_disruptive,
     choose_non_disruptive,
     place_parts,
@@ -47,6 +48,9 @@
 #: one keeps the engine free for other prompts, the last one leaves little time
 #: for delays that were not predicted.
 PREFILL_SHARES = (0.3, 0.6, 0.85)
+#: How much longer the parts of a very large prompt that is late may be than at
+#: as many engines as possible.
+LATE_PART_RATIO = 2.0
 
 
 def choose_plain(
@@ -175,16 +179,9 @@
     NoPlacementError
         When it is to wait, or can't be served in time.
     """
-    chosen: list[Candidate] = []
-    for share in PREFILL_SHARES:
-        chosen = chosen or choose_non_disruptive(
-            helpers,
-            requirements,
-            share,
-            profile,
-        )
-    if not chosen:
-        chosen = _choose_disruptive(helpers, requirements, profile)
+    chosen = _choose_undisturbed(
+        helpers, requirements, profile
+    ) or _choose_disruptive(helpers, requirements, profile)
     return place_parts(
         chosen,
         able,
@@ -195,6 +192,41 @@
     )
 
 
+def _choose_undisturbed(
+    helpers: list[Candidate],
+    requirements: CallRequirements,
+    profile: EngineProfile,
+) -> list[Candidate]:
+    """Choose the fewest engines for the shortest parts that need no others."""
+    for share in PREFILL_SHARES:
+        chosen = choose_non_disruptive(helpers, requirements, share, profile)
+        if chosen:
+            return chosen
+    return []
+
+
+def _choose_late(
+    helpers: list[Candidate],
+    requirements: CallRequirements,
+    profile: EngineProfile,
+) -> list[Candidate]:
+    """Choose engines for a prompt that misses its objective.
+
+    Parts that are as long as its caller endures would keep the few engines that
+    are free for seconds, and all else that is sent there meanwhile.  They are
+    no longer than those of a prompt in time, unless it is so large that twice
+    as long as at all engines is more.
+    """
+    parts = min(MAX_PARTS, max(1, len(helpers)))
+    shortest = profile.predict_prefill(requirements.prompt_tokens) / parts
+    objective = max(
+        requirements.objective, LATE_PART_RATIO * shortest / PREFILL_SHARES[-1]
+    )
+    return _choose_undisturbed(
+        helpers, requirements.begin_anew(objective), profile
+    )
+
+
 def _choose_disruptive(
     helpers: list[Candidate],
     requirements: CallRequirements,
@@ -216,22 +248,19 @@
         raise NoPlacementError(
             'engines are too busy for the prefill', worth_waiting=True
         )
-    late = requirements.with_silence_timeout()
     chosen = choose_least_disruptive(
         helpers, requirements, profile
-    ) or choose_non_disruptive(
-        helpers,
-        late,
-        PREFILL_SHARES[-1],
-        profile,
-    )
+    ) or _choose_late(helpers, requirements, profile)
     if chosen:
         return chosen
     if requirements.may_wait_past_objective:
         raise NoPlacementError(
             'engines are too busy for the prefill', worth_waiting=True
         )
-    chosen = choose_least_disruptive(helpers, late, profile)
+    late = requirements.with_silence_timeout()
+    chosen = choose_non_disruptive(
+        helpers, late, PREFILL_SHARES[-1], profile
+    ) or choose_least_disruptive(helpers, late, profile)
     if chosen:
         return chosen
     raise NoPlacementError(
--- a/tests/ingress/test_placing.py
+++ b/tests/ingress/test_placing.py
@@ -506,3 +506,26 @@
     placement = choose(engines, need)
     used = [placement.primary, *placement.helpers]
     assert all(endpoint.name.startswith('idle') for endpoint in used)
+
+
+def test_a_late_prompt_keeps_no_engine_for_seconds() -> None:
+    """Guards against engines that one late prompt takes from all others."""
+    late = CallRequirements(
+        384_000, 385_000, objective=2.5, waited=3.2, silence_timeout=15
+    )
+    idle = [build(f'idle-{number}') for number in range(12)]
+    busy = [build(f'busy-{number}', 6, 30_000) for number in range(12)]
+    with pytest.raises(NoPlacementError) as unplaced:
+        choose(idle[:2] + busy, late)
+    assert unplaced.value.worth_waiting
+    assert choose(idle + busy, late).part_seconds < late.objective
+
+
+def test_a_prompt_too_large_to_be_in_time_is_not_kept_waiting() -> None:
+    """Guards against waiting for parts as short as no number of engines has."""
+    huge = CallRequirements(
+        1_000_000, 1_001_000, objective=2.5, waited=1.3, silence_timeout=15
+    )
+    idle = [build(f'idle-{number}') for number in range(MAX_PARTS)]
+    placement = choose(idle, huge)
+    assert len(placement.endpoints) > MAX_PARTS / 2
