--- a/src/kelproad/transport/http.py
+++ b/src/kelproad/transport/http.py
@@ -96,7 +96,8 @@
         while not self._is_endless:
             piece = data if self._has_head else data[:_HEAD_PIECE_BYTES]
             data = data[len(piece) :]
-            self._receive(piece)
+            super().data_received(piece)
+            self._check_bounds(len(piece))
             if not data:
                 return
 
@@ -109,9 +110,8 @@
             self._interim_answers += 1
         super().feed_data(data, size)
 
-    def _receive(self, piece: bytes) -> None:
-        super().data_received(piece)
-        self._received_bytes += len(piece)
+    def _check_bounds(self, received_bytes: int) -> None:
+        self._received_bytes += received_bytes
         content = self._payload.total_bytes if self._payload else 0
         if (
             is_endless(self._received_bytes, content)
