Placing: memory is claimed where a large prompt is to be answered

Ruled out: the engine's speed; other work there. Change: a prompt that takes half of an engine's memory claims it there by one order that lapses after 0.15 s. An instance that is refused leaves the engine out for 0.2 s and chooses again. Before: test_a_large_prompt_goes_where_its_memory_is_free failed; after: passes.

--- a/src/kelproad/coordination/ingress/placing/choosing.py
+++ b/src/kelproad/coordination/ingress/placing/choosing.py
@@ -27,6 +27,7 @@
     refuse_withdrawn,
 )
 from .filtering import EndpointFilter, Tier, iterate_tiers
+from .parts import claim_memory
 from .placement import CallRequirements, Candidate, NoPlacementError, Placement
 from .selection import choose_engines, choose_plain
 
@@ -236,8 +237,10 @@
             waited=now - call.arrived,
             silence_timeout=call.route.silence_timeout,
         )
-        placement = choose_engines(
-            candidates, requirements, profile, self._generator
+        placement = claim_memory(
+            choose_engines(candidates, requirements, profile, self._generator),
+            requirements,
+            profile,
         )
         gap_tolerant = profile.stall_limits.is_gap_tolerant(
             call.route.gap_objective
--- a/src/kelproad/coordination/ingress/placing/memory.py
+++ b/src/kelproad/coordination/ingress/placing/memory.py
@@ -27,6 +27,9 @@
 #: Share of a reservation's time after which it is renewed: two renewals in a
 #: row may be lost.
 _RENEW_SHARE = 0.3
+#: Seconds for which memory is claimed for a call that is sent meanwhile: all
+#: instances know of it after that, which takes 0.1 s at most.
+_CLAIM_SECONDS = 0.15
 #: Queries in a row without an answer after which the engine that a prompt was
 #: sent to counts as lost: one lost packet must not end a stream.
 _MAX_UNANSWERED = 2
@@ -42,6 +45,8 @@
     ----------
     reserve
         Reserve tokens under an id for some seconds, or renew a reservation.
+    claim
+        Do so once; returns false only if the engine lacks the memory.
     release
         Release the reservation under an id.
     read_slowdown
@@ -53,6 +58,7 @@
     """
 
     reserve: Callable[[str, str, int, float], Awaitable[Result[None, str]]]
+    claim: Callable[[str, str, int, float], Awaitable[bool]]
     release: Callable[[str, str], Awaitable[Result[None, str]]]
     read_slowdown: Callable[[str], Awaitable[Result[float, str]]]
     read_incarnation: Callable[[str], Awaitable[Result[str, str]]]
@@ -126,6 +132,35 @@
                 return Failure(reservation.endpoint)
         return Success(wanted)
 
+    async def claim(self, attempt_id: str, share: MemoryShare) -> bool:
+        """Claim memory of the engine that is to answer a call.
+
+        Instances that choose at the same moment don't know of each other, and
+        two large prompts may meet at one engine, where one waits until the
+        other has ended.  The engine gives its memory to one of them.  The claim
+        lapses by itself, and the call, which is there by then, takes its place.
+
+        Returns
+        -------
+        bool
+            Whether the call may be sent there.
+        """
+        self._charge(share.endpoint)
+        is_granted = await self._operations.claim(
+            share.endpoint.declaration.address,
+            f'{attempt_id}.claim',
+            share.tokens,
+            _CLAIM_SECONDS,
+        )
+        if not is_granted:
+            record(
+                _logger,
+                'memory_claimed_by_another',
+                endpoint=share.endpoint.name,
+                tokens=share.tokens,
+            )
+        return is_granted
+
     async def keep(
         self,
         reservations: tuple[Reservation, ...],
--- a/src/kelproad/coordination/ingress/placing/parts.py
+++ b/src/kelproad/coordination/ingress/placing/parts.py
@@ -29,6 +29,7 @@
 __all__ = [
     'choose_least_disruptive',
     'choose_non_disruptive',
+    'claim_memory',
     'place_parts',
     'require_memory',
 ]
@@ -252,6 +253,20 @@
     )
 
 
+def claim_memory(
+    placement: Placement,
+    requirements: CallRequirements,
+    profile: EngineProfile,
+) -> Placement:
+    """Let a prompt of which no engine can hold two claim its memory there."""
+    held = requirements.prompt_tokens - sum(
+        share.tokens for share in placement.shares
+    )
+    if held < profile.memory_tokens / 2:
+        return placement
+    return attrs.evolve(placement, claim=MemoryShare(placement.primary, held))
+
+
 def require_memory(
     candidates: list[Candidate],
     requirements: CallRequirements,
--- a/src/kelproad/coordination/ingress/placing/placement.py
+++ b/src/kelproad/coordination/ingress/placing/placement.py
@@ -132,6 +132,8 @@
         Helper engines, which prefill parts of the prompt.
     shares
         Memory to reserve at helpers, where the primary has too little.
+    claim
+        Memory to claim at the primary, for a prompt of which it can't hold two.
     part_seconds
         Predicted seconds of prefill at each engine.
     predicted
@@ -147,6 +149,7 @@
     primary: Endpoint
     helpers: tuple[Endpoint, ...] = ()
     shares: tuple[MemoryShare, ...] = ()
+    claim: MemoryShare | None = None
     part_seconds: float = 0
     predicted: float = 0
     considered: int = 0
--- a/src/kelproad/coordination/ingress/streams/answers.py
+++ b/src/kelproad/coordination/ingress/streams/answers.py
@@ -49,6 +49,8 @@
         expired deadline.
     exclude
         Name of another endpoint to exclude from the next attempt.
+    is_full
+        Whether the endpoint lacks the memory now, and may have it in a moment.
     misdirected
         Whether another endpoint has the address now.
     answer
@@ -61,6 +63,7 @@
     fault: str = ''
     blameless: bool = False
     exclude: str = ''
+    is_full: bool = False
     misdirected: bool = False
     answer: 'CompleteAnswer | None' = None
 
--- a/src/kelproad/coordination/ingress/streams/progress.py
+++ b/src/kelproad/coordination/ingress/streams/progress.py
@@ -17,6 +17,9 @@
 #: Seconds after which a refused caller should retry if nothing better is known:
 #: about as long as an engine takes for a few short streams.
 RETRY_AFTER = 0.5
+#: Seconds for which an endpoint that lacks memory is left out: a stream ends
+#: there meanwhile, or the work that takes it is known.
+_FULL_SECONDS = 0.2
 
 
 def _ignore(_attempt: 'Attempt') -> None:
@@ -125,6 +128,8 @@
     fallback: CompleteAnswer | None = None
     last: AttemptFailure | None = None
     open_attempts: int = 0
+    #: Monotonic times until which endpoints lack memory, by name.
+    _full_until: dict[str, float] = attrs.field(factory=dict)
 
     def begin(self) -> None:
         """Record that an attempt starts."""
@@ -167,7 +172,9 @@
         self.last = failure
         self.open_attempts = max(0, self.open_attempts - 1)
         excluded = failure.exclude or at_fault
-        if excluded:
+        if failure.is_full:
+            self._full_until[primary] = monotonic() + _FULL_SECONDS
+        elif excluded:
             self.tried.add(excluded)
         if failure.arrived:
             self.reached.add(primary)
@@ -182,6 +189,8 @@
 
     def may_answer(self, endpoint: str, max_endpoints: int) -> bool:
         """Return whether the next attempt may be sent to an endpoint."""
+        if self._full_until.get(endpoint, 0) > monotonic():
+            return False
         return endpoint in self.reached or len(self.reached) < max_endpoints
 
     def is_exhausted(self, max_endpoints: int) -> bool:
--- a/src/kelproad/coordination/ingress/streams/sending.py
+++ b/src/kelproad/coordination/ingress/streams/sending.py
@@ -28,6 +28,13 @@
 __all__ = ['Sender']
 
 _SendResult = Result[web.StreamResponse, AttemptFailure]
+_MEMORY_CLAIMED = AttemptFailure(
+    'other calls have taken the memory',
+    Ran.NO,
+    arrived=False,
+    blameless=True,
+    is_full=True,
+)
 
 
 @attrs.frozen
@@ -113,12 +120,11 @@
     ) -> _SendResult:
         """Send a call and forward its answer, until its deadline."""
         exchange = _Exchange(attempt, delivery, received, account)
+        attempt_id = f'{attempt.call.request_id}-{attempt.number}'
         shares = attempt.placement.shares
         if not shares:
-            return await self._run(exchange)
-        reserved = await self._reserver.reserve(
-            f'{attempt.call.request_id}-{attempt.number}', shares
-        )
+            return await self._claim_and_run(attempt_id, exchange)
+        reserved = await self._reserver.reserve(attempt_id, shares)
         if isinstance(reserved, Failure):
             return Failure(_fail_unreserved(reserved.failure()))
         reservations = reserved.unwrap()
@@ -130,13 +136,21 @@
             ),
         )
         try:
-            return await self._run(
-                attrs.evolve(exchange, reservations=reservations)
+            return await self._claim_and_run(
+                attempt_id, attrs.evolve(exchange, reservations=reservations)
             )
         finally:
             renewal.cancel()
             self._reserver.release(reservations)
 
+    async def _claim_and_run(
+        self, attempt_id: str, exchange: _Exchange
+    ) -> _SendResult:
+        claim = exchange.attempt.placement.claim
+        if claim and not await self._reserver.claim(attempt_id, claim):
+            return Failure(_MEMORY_CLAIMED)
+        return await self._run(exchange)
+
     async def _run(self, exchange: _Exchange) -> _SendResult:
         attempt, call = exchange.attempt, exchange.call
         withdrawn = self._find_unusable(attempt.placement)
--- a/src/kelproad/platform/engines.py
+++ b/src/kelproad/platform/engines.py
@@ -21,6 +21,7 @@
 #: prompt that waits for memory can wait some seconds.
 _ORDER_TIMEOUT = 0.3
 _OK = 200
+_CONFLICT = 409
 _NO_FIELDS: Mapping[str, str] = types.MappingProxyType({})
 _JSON_FIELDS: Mapping[str, str] = types.MappingProxyType(
     {'Content-Type': 'application/json'}
@@ -85,6 +86,22 @@
         order = _Reserve(ticket, tokens, int(seconds * 1000))
         return await self._send_order(address, order)
 
+    async def claim(
+        self,
+        address: str,
+        ticket: str,
+        tokens: int,
+        seconds: float,
+    ) -> bool:
+        """Reserve memory; return whether the engine may have it.
+
+        One that does not answer, or answers something else, may.
+        """
+        order = _Reserve(ticket, tokens, int(seconds * 1000))
+        answered = await self._post_order(address, order)
+        refused = answered.map(lambda reply: reply.status == _CONFLICT)
+        return not refused.value_or(False)
+
     async def release(self, address: str, ticket: str) -> Result[None, str]:
         """End the reservation that the ticket identifies."""
         return await self._send_order(address, _Release(ticket))
@@ -115,10 +132,15 @@
         address: str,
         order: msgspec.Struct,
     ) -> Result[None, str]:
-        answered = await self._exchange(
+        answered = await self._post_order(address, order)
+        return answered.alt(lambda failure: failure.reason).bind(_check_reply)
+
+    async def _post_order(
+        self, address: str, order: msgspec.Struct
+    ) -> Result[Reply, ExchangeFailure]:
+        return await self._exchange(
             address, 'POST', 'order', msgspec.json.encode(order), _JSON_FIELDS
         )
-        return answered.alt(lambda failure: failure.reason).bind(_check_reply)
 
     async def _exchange(
         self,
--- a/src/kelproad/platform/node.py
+++ b/src/kelproad/platform/node.py
@@ -52,6 +52,7 @@
     client = OrderClient(session, observe)
     return EngineOperations(
         client.reserve,
+        client.claim,
         client.release,
         client.read_slowdown,
         client.read_incarnation,
--- a/tests/ingress/test_memory.py
+++ b/tests/ingress/test_memory.py
@@ -52,8 +52,11 @@
     async def read_slowdown(_address: str) -> Result[float, str]:
         return Success(1)
 
+    async def claim(*_claimed: object) -> bool:
+        return True
+
     reserver = MemoryReserver(
-        EngineOperations(reserve, release, read_slowdown, read_slowdown),
+        EngineOperations(reserve, claim, release, read_slowdown, read_slowdown),
         Bounds,
         lambda endpoint: None,
     )
--- a/tests/ingress/test_memory_site.py
+++ b/tests/ingress/test_memory_site.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from testbed.calls import call_control
 from testbed.routed import (
     RoutedInstance,
     RoutedSite,
@@ -22,7 +23,11 @@
 FREE_SECONDS = 4.0
 #: Token counts of a prompt that needs several engines, but not all memory.
 LARGE = '400000,50'
+#: Those of a prompt of which one engine can't hold two.
+HALF = '150000,50'
 ROUNDS = 3
+#: Seconds for which all engines lack memory, less than a prompt may wait.
+BRIEFLY_TAKEN = 0.4
 #: Seconds for a release to be carried out; well below the duration of a lease.
 RELEASED_SECONDS = 0.5
 
@@ -52,6 +57,17 @@
     ]
 
 
+def take_memory(site: RoutedSite, name: str, seconds: float) -> None:
+    """Take most of an engine's memory, as an unknown instance might."""
+    order = {
+        'operation': 'reserve',
+        'id': 'of another',
+        'token_count': 200_000,
+        'hold_ms': int(seconds * 1000),
+    }
+    call_control(site.endpoints[name], 'POST', '/-/order', order)
+
+
 def list_called_engines(site: RoutedSite) -> list[str]:
     """List the engines that have run a call."""
     return [name for name in ENGINES if site.show_endpoint(name)['runs']]
@@ -153,3 +169,30 @@
         assert held or not thread.is_alive()
     assert list_event_ids(results[0]) == [1, 2, 3, 4, 5]
     wait_for(lambda: not list_tickets(site), 'memory is free')
+
+
+def test_a_large_prompt_goes_where_its_memory_is_free(
+    site: RoutedSite,
+) -> None:
+    """Guards against large prompts that meet at one engine and wait there."""
+    for name in ENGINES:
+        site.set_endpoint_faults(name)
+    for name in ENGINES[:2]:
+        take_memory(site, name, FREE_SECONDS)
+    for _ in range(ROUNDS):
+        answer = stream(site.instances[0], tokens=HALF)
+        assert list_event_ids(answer) == [1, 2, 3, 4, 5]
+    assert list_called_engines(site) == [ENGINES[2]]
+
+
+def test_memory_that_all_engines_lack_is_waited_for_and_found(
+    site: RoutedSite,
+) -> None:
+    """Guards against a large prompt that is refused in a full moment."""
+    for name in ENGINES:
+        site.set_endpoint_faults(name)
+        take_memory(site, name, BRIEFLY_TAKEN)
+    answer = stream(
+        site.instances[0], tokens=HALF, X_Kelproad_Deadline_Ms='9000'
+    )
+    assert list_event_ids(answer) == [1, 2, 3, 4, 5]
--- a/tests/ingress/test_placing.py
+++ b/tests/ingress/test_placing.py
@@ -10,6 +10,7 @@
     MAX_PARTS,
     SPARE_TOKENS,
     TOKENS_PER_STREAM,
+    claim_memory,
 )
 from kelproad.coordination.ingress.placing.placement import (
     CallRequirements,
@@ -529,3 +530,21 @@
     idle = [build(f'idle-{number}') for number in range(MAX_PARTS)]
     placement = choose(idle, huge)
     assert len(placement.endpoints) > MAX_PARTS / 2
+
+
+@pytest.mark.parametrize(
+    ('tokens', 'claimed'), [(90_000, False), (150_000, True), (300_000, True)]
+)
+def test_only_prompts_that_exclude_each_other_claim_memory(
+    tokens: int, claimed: bool
+) -> None:
+    """Guards against orders to engines for prompts that have room anyway."""
+    need = CallRequirements(tokens, tokens + 1_000, objective=9)
+    idle = [build(f'idle-{number}') for number in range(6)]
+    placement = claim_memory(choose(idle, need), need, PROFILE)
+    claim = placement.claim
+    assert bool(claim) is claimed
+    if claim:
+        assert claim.endpoint is placement.primary
+        reserved = sum(share.tokens for share in placement.shares)
+        assert claim.tokens == tokens - reserved
