Hedging: a call that waits for a slot is tried elsewhere

Change: what all instances have sent there shows more calls than slots; a call that has not begun by then is tried elsewhere beside it. Before: no such judgement (the test has none to call); after: the test passes.

--- a/src/kelproad/coordination/ingress/retrying/hedging.py
+++ b/src/kelproad/coordination/ingress/retrying/hedging.py
@@ -147,7 +147,7 @@
             silence.value,
             Ran.UNKNOWN if attempt.arrived else Ran.NO,
             arrived=attempt.arrived,
-            blameless=silence is Silence.HEAD and call.kind.streams,
+            blameless=silence.is_of_load and call.kind.streams,
         )
         self._evaluator.note_silence(attempt, failure)
         await self._guard.record_failure(attempt, failure)
--- a/src/kelproad/coordination/ingress/streams/silence.py
+++ b/src/kelproad/coordination/ingress/streams/silence.py
@@ -41,6 +41,10 @@
 #: the predicted time added to them, before the call is sent elsewhere.
 _FIRST_EVENT_SECONDS = 1.0
 _FIRST_EVENT_RATIO = 4.0
+#: Multiple of the predicted time, and seconds beyond that, after which a call
+#: has not begun at an engine that has more calls than slots.
+_BEGIN_RATIO = 1.3
+_BEGIN_SECONDS = 0.03
 #: Multiple of the objective for which a plain endpoint may stay silent before
 #: it counts as failing, and a repeatable call is sent elsewhere.
 _PLAIN_TIMEOUT_RATIO = 1.5
@@ -59,6 +63,7 @@
 
     PATH = 'the path to the endpoint is in doubt'
     ENGINE = 'the engine does not respond'
+    SLOT = 'the engine has more calls than slots'
     HEAD = 'no answer in time'
     EVENT = 'the stream stalled'
 
@@ -67,6 +72,11 @@
         """Whether the path explains it, so that the endpoint may be sound."""
         return self is Silence.PATH
 
+    @property
+    def is_of_load(self) -> bool:
+        """Whether the endpoint may be sound, and has too much to do."""
+        return self in {Silence.SLOT, Silence.HEAD}
+
 
 @attrs.define
 class SilenceMonitor:
@@ -181,6 +191,8 @@
             predicted = attempt.placement.predicted
             self._speed_monitor.check_wait(endpoint, waited, predicted)
             timeout = choose_first_event_timeout(attempt.placement)
+            if self._lacks_slot(attempt, waited):
+                return Silence.SLOT
         answers_none = attempt.is_helpless or self._speed_monitor.is_silent(
             endpoint
         )
@@ -190,6 +202,22 @@
             return None
         return Silence.EVENT if attempt.answered else Silence.HEAD
 
+    def _lacks_slot(self, attempt: Attempt, waited: float) -> bool:
+        """Return whether a call probably waits until another one ends.
+
+        Instances that choose at the same moment don't know of each other, and
+        may send more calls to an engine than it has slots.
+        """
+        endpoint, profile = attempt.placement.primary, attempt.call.profile
+        predicted = attempt.placement.predicted
+        if (
+            profile is None
+            or waited < _BEGIN_RATIO * predicted + _BEGIN_SECONDS
+        ):
+            return False
+        slots = endpoint.declaration.slots or profile.slots
+        return self._ledger.sum_at(endpoint.name, monotonic()).calls > slots
+
     def _is_path_lost(self, attempt: Attempt, waited: float) -> bool:
         """Return whether a direct attempt is silent as its path was lost.
 
--- a/tests/ingress/test_hedging.py
+++ b/tests/ingress/test_hedging.py
@@ -25,8 +25,10 @@
 from kelproad.state.calls import Call, CallHead
 from kelproad.state.counters import Counters
 from kelproad.state.directpaths import DirectPaths
+from kelproad.state.engines import EngineProfile
 from kelproad.state.refusals import Ran, Refusal, RefusalCode, Step
 from kelproad.state.routes import CallKind, Route, WeightedService
+from kelproad.state.work import EndpointWork, WorkLedger
 from kelproad.transport.deadlines import RunningClock, monotonic
 
 #: Seconds in which a plain endpoint has to answer, a third of them less in
@@ -382,6 +384,29 @@
     assert monitor.find_silence(attempt) is Silence.ENGINE
 
 
+@pytest.mark.parametrize(('calls', 'lacks_slot'), [(3, True), (2, False)])
+def test_a_call_that_waits_for_a_slot_is_tried_elsewhere(
+    calls: int, lacks_slot: bool
+) -> None:
+    """Guards against short prompts that wait until another's stream ends."""
+    times = Times()
+    monitor, attempt = build_waiting(times)
+    attempt.call.route = attrs.evolve(
+        attempt.call.route, kind=CallKind.RESUMABLE_STREAM
+    )
+    attempt.call.profile = EngineProfile(slots=2)
+    attempt.placement.primary.declaration.slots = 0
+    monitor._speed_monitor = types.SimpleNamespace(
+        check_wait=lambda *_wait: None, is_silent=lambda _endpoint: False
+    )
+    monitor._ledger = WorkLedger()
+    monitor._ledger.begin('i-1', EndpointWork(calls=calls))
+    assert monitor.find_silence(attempt) is None
+    times.now += 0.05
+    found = monitor.find_silence(attempt)
+    assert found is (Silence.SLOT if lacks_slot else None)
+
+
 def test_each_of_many_instances_may_retry_sometimes() -> None:
     """With hundreds of instances the part of each was too small for a retry."""
     budget = RetryBudget(percent=14, burst=0.17)
