--- a/tests/ingress/test_hedging.py
+++ b/tests/ingress/test_hedging.py
@@ -384,7 +384,7 @@
     assert monitor.find_silence(attempt) is Silence.ENGINE
 
 
-@pytest.mark.parametrize(('calls', 'lacks_slot'), [(3, True), (2, False)])
+@pytest.mark.parametrize(('calls', 'silence'), [(3, Silence.SLOT), (2, None)])
 def test_a_call_that_waits_for_a_slot_is_tried_elsewhere(
     calls: int, silence: Silence | None
 ) -> None:
