--- a/testbed/crashes.py
+++ b/testbed/crashes.py
@@ -14,7 +14,14 @@
 import attrs
 
 from testbed.calls import call_control
-from testbed.routed import HOST, KEY, RoutedSite, start_routed_site
+from testbed.routed import (
+    HOST,
+    KEY,
+    RoutedSite,
+    name_instances,
+    start_instances,
+    start_routed_site,
+)
 
 __all__ = ['CrashingSite', 'Crashes', 'Stream', 'start_crashing_site']
 
@@ -258,8 +265,7 @@
         crashing = CrashingSite(site)
         crashing.start(engines)
         try:
-            for number, zone in enumerate(zones, start=1):
-                site.start_instance(f'edge-{number}', f'zone-{zone}')
+            start_instances(site, name_instances(zones))
             yield crashing
         finally:
             crashing.stop()
--- a/testbed/cuts.py
+++ b/testbed/cuts.py
@@ -17,6 +17,8 @@
     KEY,
     RoutedInstance,
     RoutedSite,
+    name_instances,
+    start_instances,
     start_routed_site,
 )
 from testbed.soak.links import Cut, Link
@@ -215,8 +217,7 @@
         cuttable = CuttableSite(site)
         try:
             cuttable.open_links()
-            for number, zone in enumerate(zones, start=1):
-                site.start_instance(f'edge-{number}', f'zone-{zone}')
+            start_instances(site, name_instances(zones))
             yield cuttable
         finally:
             cuttable.close()
--- a/testbed/pauses.py
+++ b/testbed/pauses.py
@@ -19,6 +19,9 @@
     HOST,
     KEY,
     RoutedSite,
+    name_instances,
+    start_endpoints,
+    start_instances,
     start_routed_site,
 )
 
@@ -331,16 +334,12 @@
 ) -> Iterator[PausableSite]:
     """Run a site with an instance for each letter, which names its zone."""
     with start_routed_site(directory, 0) as site:
-        named = [
-            *(
-                (f'engine-{number}', 'writer')
-                for number in range(4, _ENGINES + 1)
-            ),
-            *((f'book-{number}', 'book') for number in range(3, _BOOKS + 1)),
-        ]
-        with ThreadPoolExecutor(len(named)) as pool:
-            list(pool.map(lambda item: site.start_endpoint(*item), named))
+        engines = [f'engine-{number}' for number in range(4, _ENGINES + 1)]
+        books = [f'book-{number}' for number in range(3, _BOOKS + 1)]
+        start_endpoints(
+            site,
+            dict.fromkeys(engines, 'writer') | dict.fromkeys(books, 'book'),
+        )
         pausable = PausableSite(site)
-        for number, zone in enumerate(zones, start=1):
-            site.start_instance(f'edge-{number}', f'zone-{zone}')
+        start_instances(site, name_instances(zones))
         yield pausable
--- a/testbed/routed.py
+++ b/testbed/routed.py
@@ -11,7 +11,7 @@
 import secrets
 import time
 import types
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 
 import attrs
 
@@ -23,6 +23,9 @@
     'RoutedInstance',
     'RoutedSite',
     'list_rows',
+    'name_instances',
+    'start_endpoints',
+    'start_instances',
     'start_routed_site',
     'wait_for',
 ]
@@ -39,6 +42,16 @@
         'pairs_per_m': 0.0138,
     },
 )
+#: Endpoints of each site, with their services.
+_ENDPOINTS: types.MappingProxyType[str, str] = types.MappingProxyType(
+    {
+        'engine-1': 'writer',
+        'engine-2': 'writer',
+        'engine-3': 'writer',
+        'book-1': 'book',
+        'book-2': 'book',
+    }
+)
 _BOUNDS = (
     'bounds.grace_s=8',
     'bounds.drain_ms=2000',
@@ -101,7 +114,8 @@
     born: dict[str, int] = attrs.field(factory=dict)
     #: Zones of endpoints that are not in the first one, by name.
     zones: dict[str, str] = attrs.field(factory=dict)
-    _services: dict[str, str] = attrs.field(factory=dict)
+    #: Services of endpoints, by name.
+    services: dict[str, str] = attrs.field(factory=dict)
     _sequences: itertools.count = attrs.field(
         factory=lambda: itertools.count(1),
     )
@@ -176,7 +190,7 @@
 
     def report_endpoint(self, name: str) -> None:
         """Let an endpoint write its next report."""
-        self.put_endpoint_row(name, self._services[name])
+        self.put_endpoint_row(name, self.services[name])
 
     def renew_endpoint(self, name: str, born: int) -> None:
         """Let an endpoint state and register a later incarnation.
@@ -185,7 +199,7 @@
         """
         self.born[name] = max(born, self.born.get(name, 1) + 1)
         self._set_born(name)
-        self.put_endpoint_row(name, self._services[name])
+        self.put_endpoint_row(name, self.services[name])
 
     def delete_endpoint_row(self, name: str) -> None:
         """Delete the store row of an endpoint."""
@@ -233,28 +247,18 @@
 
     def start_endpoint(self, name: str, service: str) -> None:
         """Start an endpoint and write its store row."""
-        self.endpoints[name] = find_free_address()
-        self._services[name] = service
-        self.restart_endpoint(name)
-        self.put_endpoint_row(name, service)
+        start_endpoints(self, {name: service})
 
     def restart_endpoint(self, name: str) -> None:
         """Start the process of an endpoint with empty state.
 
         If it ran before, this is another incarnation of it.
         """
-        address = self.endpoints[name]
         ran_before = name in self.endpoint_processes
-        self.endpoint_processes[name] = Process(
-            name,
-            ['stand-in', 'endpoint', '--address', address, '--name', name],
-            self.directory,
-        )
-        wait_until_answering(f'http://{address}/control/runs')
+        _launch_endpoint(self, name)
+        _await_endpoint(self, name)
         if ran_before:
             self.renew_endpoint(name, 1)
-        if self.lasting_faults:
-            self.set_endpoint_faults(name)
 
     def start_instance(
         self,
@@ -266,38 +270,12 @@
 
         ``store`` is the address of a proxy to the store, if there is one.
         """
-        host = '.'.join(('127', *(str(_choose_byte()) for _ in range(3))))
-        caller = find_free_address(host)
-        ready = find_free_address(host)
-        settings = self.directory / f'{name}.settings'
-        settings.write_text(
-            '\n'.join(
-                (
-                    f'node_name={name}',
-                    f'zone={zone}',
-                    f'ip={host}',
-                    f'listen.frontend={caller}',
-                    f'listen.ready={ready}',
-                    'internal_port_range=7340,7355',
-                    f'platform.address={store or self.store}',
-                    *_BOUNDS,
-                ),
-            ),
-        )
-        instance = RoutedInstance(
-            name,
-            caller,
-            ready,
-            f'{host}:9464',
-            settings,
-            self._start_process(name, settings),
-        )
-        self.instances.append(instance)
-        wait_until_answering(f'http://{ready}/-/readyz')
+        instance = _launch_instance(self, name, zone, store or self.store)
+        wait_until_answering(f'http://{instance.ready}/-/readyz')
 
     def restart_instance(self, instance: RoutedInstance) -> None:
         """Start an instance that has exited again."""
-        instance.process = self._start_process(instance.name, instance.settings)
+        instance.process = self.start_process(instance.name, instance.settings)
         wait_until_answering(f'http://{instance.ready}/-/readyz')
 
     def stop(self) -> None:
@@ -308,18 +286,19 @@
             process.kill()
         self.store_process.kill()
 
-    def _set_born(self, name: str) -> None:
-        address = self.endpoints[name]
-        born = {'born': self.born[name]}
-        call_control(address, 'PUT', '/control/born', born)
-
-    def _start_process(self, name: str, settings: pathlib.Path) -> Process:
+    def start_process(self, name: str, settings: pathlib.Path) -> Process:
+        """Start the process of an instance with its settings."""
         return Process(
             name,
             ['serve', '--platform', '--settings', str(settings)],
             self.directory,
         )
 
+    def _set_born(self, name: str) -> None:
+        address = self.endpoints[name]
+        born = {'born': self.born[name]}
+        call_control(address, 'PUT', '/control/born', born)
+
 
 #: Routes of every configuration, with the fields that differ from the defaults.
 _ROUTES: types.MappingProxyType[str, dict[str, object]] = (
@@ -371,6 +350,78 @@
     }
 
 
+def start_endpoints(site: RoutedSite, services: Mapping[str, str]) -> None:
+    """Start endpoints, side by side, and write their store rows.
+
+    ``services`` has the service of each by its name.
+    """
+    for name, service in services.items():
+        site.endpoints[name] = find_free_address()
+        site.services[name] = service
+        _launch_endpoint(site, name)
+    for name, service in services.items():
+        _await_endpoint(site, name)
+        site.put_endpoint_row(name, service)
+
+
+def start_instances(site: RoutedSite, zones: Mapping[str, str]) -> None:
+    """Start instances side by side, each with a zone by its name."""
+    launched = [
+        _launch_instance(site, name, zone, site.store)
+        for name, zone in zones.items()
+    ]
+    for instance in launched:
+        wait_until_answering(f'http://{instance.ready}/-/readyz')
+
+
+def _launch_endpoint(site: RoutedSite, name: str) -> None:
+    address = site.endpoints[name]
+    site.endpoint_processes[name] = Process(
+        name,
+        ['stand-in', 'endpoint', '--address', address, '--name', name],
+        site.directory,
+    )
+
+
+def _await_endpoint(site: RoutedSite, name: str) -> None:
+    wait_until_answering(f'http://{site.endpoints[name]}/control/runs')
+    if site.lasting_faults:
+        site.set_endpoint_faults(name)
+
+
+def _launch_instance(
+    site: RoutedSite, name: str, zone: str, store: str
+) -> RoutedInstance:
+    host = '.'.join(('127', *(str(_choose_byte()) for _ in range(3))))
+    caller = find_free_address(host)
+    ready = find_free_address(host)
+    settings = site.directory / f'{name}.settings'
+    settings.write_text(
+        '\n'.join(
+            (
+                f'node_name={name}',
+                f'zone={zone}',
+                f'ip={host}',
+                f'listen.frontend={caller}',
+                f'listen.ready={ready}',
+                'internal_port_range=7340,7355',
+                f'platform.address={store}',
+                *_BOUNDS,
+            ),
+        ),
+    )
+    instance = RoutedInstance(
+        name,
+        caller,
+        ready,
+        f'{host}:9464',
+        settings,
+        site.start_process(name, settings),
+    )
+    site.instances.append(instance)
+    return instance
+
+
 @contextlib.contextmanager
 def start_routed_site(
     directory: pathlib.Path,
@@ -387,17 +438,22 @@
     try:
         wait_until_answering(f'http://{store}/control/calls')
         site.put_configuration()
-        for name in ('engine-1', 'engine-2', 'engine-3'):
-            site.start_endpoint(name, 'writer')
-        for name in ('book-1', 'book-2'):
-            site.start_endpoint(name, 'book')
-        for number in range(instances):
-            site.start_instance(f'edge-{number + 1}')
+        start_endpoints(site, _ENDPOINTS)
+        names = [f'edge-{number + 1}' for number in range(instances)]
+        start_instances(site, dict.fromkeys(names, 'zone-a'))
         yield site
     finally:
         site.stop()
 
 
+def name_instances(zones: str) -> dict[str, str]:
+    """Name an instance for each letter, which names its zone."""
+    return {
+        f'edge-{number}': f'zone-{zone}'
+        for number, zone in enumerate(zones, start=1)
+    }
+
+
 def evacuate_zone(site: RoutedSite, zone: str) -> None:
     """Order that the endpoints of a zone get no calls."""
     site.put_row('op', f'evacuate/{zone}', {})
--- a/tests/ingress/test_evacuations_site.py
+++ b/tests/ingress/test_evacuations_site.py
@@ -12,6 +12,7 @@
     RoutedSite,
     end_evacuation,
     evacuate_zone,
+    start_instances,
     start_routed_site,
     wait_for,
 )
@@ -36,8 +37,13 @@
     with start_routed_site(tmp_path_factory.mktemp('site'), 0) as running:
         for name, service in EVACUATED.items():
             running.put_endpoint_row(name, service, zone=ZONE)
-        for number in range(4):
-            running.start_instance(f'edge-{number}', f'zone-{"ab"[number % 2]}')
+        start_instances(
+            running,
+            {
+                f'edge-{number}': f'zone-{"ab"[number % 2]}'
+                for number in range(4)
+            },
+        )
         yield running
 
 
--- a/tests/ingress/test_request_limits_site.py
+++ b/tests/ingress/test_request_limits_site.py
@@ -7,7 +7,7 @@
 import attrs
 import pytest
 
-from testbed.routed import RoutedSite, start_routed_site
+from testbed.routed import RoutedSite, start_instances, start_routed_site
 from tests.ingress.callers import Answer, call, stream
 
 INSTANCES = 4
@@ -35,8 +35,13 @@
 def running(tmp_path_factory: pytest.TempPathFactory) -> Iterator[RoutedSite]:
     """Start instances in two zones for the tests of this module."""
     with start_routed_site(tmp_path_factory.mktemp('site'), 0) as site:
-        for number in range(INSTANCES):
-            site.start_instance(f'edge-{number}', f'zone-{"ab"[number % 2]}')
+        start_instances(
+            site,
+            {
+                f'edge-{number}': f'zone-{"ab"[number % 2]}'
+                for number in range(INSTANCES)
+            },
+        )
         yield site
 
 
--- a/tests/ingress/test_restored_store_site.py
+++ b/tests/ingress/test_restored_store_site.py
@@ -13,6 +13,7 @@
     RoutedInstance,
     RoutedSite,
     list_rows,
+    start_instances,
     start_routed_site,
     wait_for,
 )
@@ -37,8 +38,7 @@
 def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[RoutedSite]:
     """Run a site of three instances in two zones."""
     with start_routed_site(tmp_path_factory.mktemp('site'), 0) as running:
-        for name, zone in ZONES.items():
-            running.start_instance(name, zone)
+        start_instances(running, ZONES)
         wait_for(
             lambda: all(
                 instance.dump()['live_instances'] == len(ZONES)
--- a/tests/ingress/test_warm_ups_site.py
+++ b/tests/ingress/test_warm_ups_site.py
@@ -6,7 +6,12 @@
 
 import pytest
 
-from testbed.routed import RoutedSite, start_routed_site, wait_for
+from testbed.routed import (
+    RoutedSite,
+    start_instances,
+    start_routed_site,
+    wait_for,
+)
 from tests.ingress.callers import Answer, call, next_id
 from tests.ingress.test_limit_sharing import count_most
 
@@ -26,8 +31,13 @@
 def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[RoutedSite]:
     """Run four instances in two zones."""
     with start_routed_site(tmp_path_factory.mktemp('site'), 0) as running:
-        for number in range(4):
-            running.start_instance(f'edge-{number}', f'zone-{"ab"[number % 2]}')
+        start_instances(
+            running,
+            {
+                f'edge-{number}': f'zone-{"ab"[number % 2]}'
+                for number in range(4)
+            },
+        )
         yield running
 
 
--- a/tests/ingress/test_withdrawals_site.py
+++ b/tests/ingress/test_withdrawals_site.py
@@ -8,7 +8,12 @@
 import attrs
 import pytest
 
-from testbed.routed import RoutedSite, start_routed_site, wait_for
+from testbed.routed import (
+    RoutedSite,
+    start_instances,
+    start_routed_site,
+    wait_for,
+)
 from tests.ingress.callers import Answer, call, next_id, stream
 
 INSTANCES = 4
@@ -49,8 +54,13 @@
 def running(tmp_path_factory: pytest.TempPathFactory) -> Iterator[RoutedSite]:
     """Start instances in two zones for the tests of this module."""
     with start_routed_site(tmp_path_factory.mktemp('site'), 0) as site:
-        for number in range(INSTANCES):
-            site.start_instance(f'edge-{number}', f'zone-{"ab"[number % 2]}')
+        start_instances(
+            site,
+            {
+                f'edge-{number}': f'zone-{"ab"[number % 2]}'
+                for number in range(INSTANCES)
+            },
+        )
         yield site
 
 
