--- a/src/kelproad/coordination/ingress/placing/memory.py
+++ b/src/kelproad/coordination/ingress/placing/memory.py
@@ -146,20 +146,12 @@
             Whether the call may be sent there.
         """
         self._charge(share.endpoint)
-        is_granted = await self._operations.claim(
+        return await self._operations.claim(
             share.endpoint.declaration.address,
             f'{attempt_id}.claim',
             share.tokens,
             _CLAIM_SECONDS,
         )
-        if not is_granted:
-            record(
-                _logger,
-                'memory_claimed_by_another',
-                endpoint=share.endpoint.name,
-                tokens=share.tokens,
-            )
-        return is_granted
 
     async def keep(
         self,
--- a/src/kelproad/coordination/ingress/streams/sending.py
+++ b/src/kelproad/coordination/ingress/streams/sending.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import logging
 from collections.abc import Callable
 
 import aiohttp
@@ -14,6 +15,7 @@
 from ....protocol.events import SequenceError
 from ....state.calls import Call, Forwarding
 from ....state.endpoints import Endpoint
+from ....state.records import record
 from ....state.refusals import Ran
 from ....transport.deadlines import monotonic, within
 from ..placing.memory import MemoryReserver, Reservation
@@ -27,6 +29,7 @@
 
 __all__ = ['Sender']
 
+_logger = logging.getLogger(__name__)
 _SendResult = Result[web.StreamResponse, AttemptFailure]
 _MEMORY_CLAIMED = AttemptFailure(
     'other calls have taken the memory',
@@ -148,6 +151,13 @@
     ) -> _SendResult:
         claim = exchange.attempt.placement.claim
         if claim and not await self._reserver.claim(attempt_id, claim):
+            record(
+                _logger,
+                'memory_claimed_by_another',
+                request=exchange.call.request_id,
+                endpoint=claim.endpoint.name,
+                tokens=claim.tokens,
+            )
             return Failure(_MEMORY_CLAIMED)
         return await self._run(exchange)
 
