Hedging: a silent engine is named first, and divided prompts are not doubled

Read through: a call at an engine that answers no query was judged by its slots, so nobody was told that the engine is silent; and a large prompt whose prefill takes longer than predicted would have been prefilled a second time. The client also parsed on after an answer it could not read.

--- a/src/kelproad/coordination/ingress/streams/silence.py
+++ b/src/kelproad/coordination/ingress/streams/silence.py
@@ -191,13 +191,13 @@
             predicted = attempt.placement.predicted
             self._speed_monitor.check_wait(endpoint, waited, predicted)
             timeout = choose_first_event_timeout(attempt.placement)
-            if self._lacks_slot(attempt, waited):
-                return Silence.SLOT
         answers_none = attempt.is_helpless or self._speed_monitor.is_silent(
             endpoint
         )
         if answers_none and waited >= _UNANSWERED_SILENCE:
             return Silence.ENGINE
+        if not attempt.answered and self._lacks_slot(attempt, waited):
+            return Silence.SLOT
         if waited < timeout:
             return None
         return Silence.EVENT if attempt.answered else Silence.HEAD
@@ -206,15 +206,15 @@
         """Return whether a call probably waits until another one ends.
 
         Instances that choose at the same moment don't know of each other, and
-        may send more calls to an engine than it has slots.
+        may send more calls to an engine than it has slots.  A prompt that
+        several engines prefill may have begun, and costs too much to do twice.
         """
-        endpoint, profile = attempt.placement.primary, attempt.call.profile
-        predicted = attempt.placement.predicted
-        if (
-            profile is None
-            or waited < _BEGIN_RATIO * predicted + _BEGIN_SECONDS
-        ):
+        placement, profile = attempt.placement, attempt.call.profile
+        if profile is None or placement.helpers:
             return False
+        if waited < _BEGIN_RATIO * placement.predicted + _BEGIN_SECONDS:
+            return False
+        endpoint = placement.primary
         slots = endpoint.declaration.slots or profile.slots
         return self._ledger.sum_at(endpoint.name, monotonic()).calls > slots
 
--- a/src/kelproad/transport/http.py
+++ b/src/kelproad/transport/http.py
@@ -46,7 +46,6 @@
 _MAX_INTERIM_ANSWERS = 64
 _FIRST_FINAL_STATUS = 200
 
-
 #: The head of an answer, and its body.
 _Received = tuple[RawResponseMessage, StreamReader]
 
@@ -98,7 +97,7 @@
             data = data[len(piece) :]
             super().data_received(piece)
             self._check_bounds(len(piece))
-            if not data:
+            if not data or self.exception() is not None:
                 return
 
     def feed_data(self, data: _Received, size: int = 0) -> None:
