Read through: a large prompt waits while engines lack its memory

Found by reading the whole change: past half of its objective, a prompt whose claim every engine refused was refused at once, though its caller would have waited and memory is free once a stream ends (the new test of 1.5 s failed before: no answer); and while memory was short it asked all engines again each 0.2 s. Now it waits for 0.7 of its caller's timeout and asks three of them in each 0.2 s at most. Also: a misspelt kind of faults made a soak inject nothing, since kinds are names and no longer arguments; it is refused now. A property that nothing called any more is gone, and some names and comments say what they mean.

--- a/src/kelproad/coordination/ingress/placing/choosing.py
+++ b/src/kelproad/coordination/ingress/placing/choosing.py
@@ -24,6 +24,7 @@
     is_last_resort,
     is_withdrawn,
     refuse_for_limits,
+    refuse_for_memory,
     refuse_withdrawn,
 )
 from .filtering import EndpointFilter, Tier, iterate_tiers
@@ -204,6 +205,8 @@
         now: float,
     ) -> NoPlacementError:
         """Return why no tier served a call, and when it is worth returning."""
+        if progress.lacks_memory:
+            return refuse_for_memory(call, now)
         withdrawn = [
             endpoint
             for endpoint in endpoints
--- a/src/kelproad/coordination/ingress/placing/eligibility.py
+++ b/src/kelproad/coordination/ingress/placing/eligibility.py
@@ -7,7 +7,7 @@
 from ....state.endpoints import Endpoint
 from ..limiting.waits import choose_longest_wait, choose_return
 from ..streams.progress import Progress
-from .placement import Candidate, NoPlacementError
+from .placement import LATE_WAIT_SHARE, Candidate, NoPlacementError
 
 __all__ = [
     'are_withdrawn',
@@ -20,6 +20,7 @@
     'is_withdrawn',
     'list_untried',
     'refuse_for_limits',
+    'refuse_for_memory',
     'refuse_withdrawn',
 ]
 
@@ -148,6 +149,18 @@
     )
 
 
+def refuse_for_memory(call: Call, now: float) -> NoPlacementError:
+    """Build the refusal of a call whose memory engines gave to other calls.
+
+    It waits beyond its objective, as memory is free again once a stream ends.
+    """
+    longest = call.route.silence_timeout * LATE_WAIT_SHARE
+    return NoPlacementError(
+        'other calls have taken the memory',
+        worth_waiting=now - call.arrived < longest,
+    )
+
+
 def refuse_withdrawn(
     endpoints: list[Endpoint],
     refusal: NoPlacementError | None,
--- a/src/kelproad/coordination/ingress/placing/memory.py
+++ b/src/kelproad/coordination/ingress/placing/memory.py
@@ -1,4 +1,7 @@
-"""Reservation of memory at several engines for a prompt too large for one.
+"""Memory of engines for large prompts.
+
+A prompt too large for one engine reserves memory at several.  One of which no
+engine can hold two claims its memory where it is to be answered.
 
 A reservation is short and renewed while it is in use, so that the memory that a
 crashed instance reserved is free again soon.  It ends in any case: it is
@@ -46,7 +49,8 @@
     reserve
         Reserve tokens under an id for some seconds, or renew a reservation.
     claim
-        Do so once; returns false only if the engine lacks the memory.
+        Reserve tokens for a moment, never to be renewed; returns false only if
+        the engine lacks the memory.
     release
         Release the reservation under an id.
     read_slowdown
--- a/src/kelproad/coordination/ingress/placing/selection.py
+++ b/src/kelproad/coordination/ingress/placing/selection.py
@@ -48,8 +48,8 @@
 #: one keeps the engine free for other prompts, the last one leaves little time
 #: for delays that were not predicted.
 PREFILL_SHARES = (0.3, 0.6, 0.85)
-#: How much longer the parts of a very large prompt that is late may be than at
-#: as many engines as possible.
+#: Ratio of the parts that a very large prompt may have when it is late to those
+#: that it would have at as many engines as possible.
 LATE_PART_RATIO = 2.0
 
 
@@ -179,7 +179,7 @@
     NoPlacementError
         When it is to wait, or can't be served in time.
     """
-    chosen = _choose_undisturbed(
+    chosen = _choose_by_shares(
         helpers, requirements, profile
     ) or _choose_disruptive(helpers, requirements, profile)
     return place_parts(
@@ -192,12 +192,15 @@
     )
 
 
-def _choose_undisturbed(
+def _choose_by_shares(
     helpers: list[Candidate],
     requirements: CallRequirements,
     profile: EngineProfile,
 ) -> list[Candidate]:
-    """Choose the fewest engines for the shortest parts that need no others."""
+    """Choose engines that prefill without disruption, or none.
+
+    The share of the objective that they may take is as small as possible.
+    """
     for share in PREFILL_SHARES:
         chosen = choose_non_disruptive(helpers, requirements, share, profile)
         if chosen:
@@ -212,17 +215,17 @@
 ) -> list[Candidate]:
     """Choose engines for a prompt that misses its objective.
 
-    Parts that are as long as its caller endures would keep the few engines that
-    are free for seconds, and all else that is sent there meanwhile.  They are
-    no longer than those of a prompt in time, unless it is so large that twice
-    as long as at all engines is more.
+    Parts that are as long as its caller endures would block the few engines
+    that are free, and all other calls there, for seconds.  So they are as short
+    as if it had just arrived.  A very large prompt may have longer ones, up to
+    ``LATE_PART_RATIO`` times those that as many engines as possible would get.
     """
     parts = min(MAX_PARTS, max(1, len(helpers)))
     shortest = profile.predict_prefill(requirements.prompt_tokens) / parts
     objective = max(
         requirements.objective, LATE_PART_RATIO * shortest / PREFILL_SHARES[-1]
     )
-    return _choose_undisturbed(
+    return _choose_by_shares(
         helpers, requirements.begin_anew(objective), profile
     )
 
--- a/src/kelproad/coordination/ingress/streams/progress.py
+++ b/src/kelproad/coordination/ingress/streams/progress.py
@@ -20,6 +20,9 @@
 #: Seconds for which an endpoint that lacks memory is left out: a stream ends
 #: there meanwhile, or the work that takes it is known.
 _FULL_SECONDS = 0.2
+#: Endpoints that lack memory at a time after which no other one is asked: a
+#: call that finds no room would ask all of them again and again.
+_MAX_FULL = 3
 
 
 def _ignore(_attempt: 'Attempt') -> None:
@@ -183,13 +186,19 @@
         if failure.answer is not None:
             self.fallback = failure.answer
 
+    @property
+    def lacks_memory(self) -> bool:
+        """Whether an endpoint that it was to go to lacked memory just now."""
+        return bool(self._list_full())
+
     def excludes(self, endpoint: str) -> bool:
         """Return whether the next attempt may not go to an endpoint."""
         return endpoint in self.tried or endpoint in self.silent
 
     def may_answer(self, endpoint: str, max_endpoints: int) -> bool:
         """Return whether the next attempt may be sent to an endpoint."""
-        if self._full_until.get(endpoint, 0) > monotonic():
+        full = self._list_full()
+        if endpoint in full or len(full) >= _MAX_FULL:
             return False
         return endpoint in self.reached or len(self.reached) < max_endpoints
 
@@ -240,6 +249,11 @@
             code = RefusalCode.ENDPOINT_FAILED
         return attrs.evolve(refusal, code=code, ran=ran, retry_after=None)
 
+    def _list_full(self) -> list[str]:
+        """List the endpoints that lack memory at present."""
+        now = monotonic()
+        return [name for name, until in self._full_until.items() if until > now]
+
 
 def _promise_not_run(refusal: Refusal) -> Refusal:
     """Make a refusal promise that the call has not run, with a retry time."""
--- a/src/kelproad/state/requestlimits.py
+++ b/src/kelproad/state/requestlimits.py
@@ -65,11 +65,6 @@
     observed_at: float
     source: str = ''
 
-    @property
-    def permitted(self) -> float:
-        """Requests per second, infinity without a limit."""
-        return math.inf if self.rate is None else self.rate
-
 
 class RequestLimits:
     """The latest notice of each endpoint that stated a limit."""
--- a/testbed/soak/routed.py
+++ b/testbed/soak/routed.py
@@ -73,7 +73,13 @@
     -------
     list of str
         A line for each violated guarantee.
+
+    Raises
+    ------
+    ValueError
+        When there is no such kind.
     """
+    _check_kinds(kinds)
     async with _open_links(site) as links:
         callers = RoutedCallers(site, seed)
         callers.key = 'first-key'
@@ -201,6 +207,19 @@
         _print_stop(stop, callers.records)
 
 
+def _check_kinds(kinds: Collection[str]) -> None:
+    """Refuse to run without faults that were meant to be injected.
+
+    Raises
+    ------
+    ValueError
+        When there is no such kind.
+    """
+    unknown = set(kinds) - {flag for flag, _ in _FLAGS}
+    if unknown:
+        raise ValueError(f'no kinds of faults: {unknown}')
+
+
 def _print_stop(stop: PlannedStop, records: list[CallRecord]) -> None:
     """Print a stop, with the calls that it truncated or left unanswered."""
     cut = sum(is_cut_by_end(item, stop) for item in records)
--- a/tests/ingress/test_memory_site.py
+++ b/tests/ingress/test_memory_site.py
@@ -26,8 +26,8 @@
 #: Those of a prompt of which one engine can't hold two.
 HALF = '150000,50'
 ROUNDS = 3
-#: Seconds for which all engines lack memory, less than a prompt may wait.
-BRIEFLY_TAKEN = 0.4
+#: Seconds for which all engines lack memory: less than the objective, and more.
+TAKEN_SECONDS = (0.4, 1.5)
 #: Seconds for a release to be carried out; well below the duration of a lease.
 RELEASED_SECONDS = 0.5
 
@@ -185,13 +185,14 @@
     assert list_called_engines(site) == [ENGINES[2]]
 
 
+@pytest.mark.parametrize('seconds', TAKEN_SECONDS)
 def test_memory_that_all_engines_lack_is_waited_for_and_found(
-    site: RoutedSite,
+    site: RoutedSite, seconds: float
 ) -> None:
     """Guards against a large prompt that is refused in a full moment."""
     for name in ENGINES:
         site.set_endpoint_faults(name)
-        take_memory(site, name, BRIEFLY_TAKEN)
+        take_memory(site, name, seconds)
     answer = stream(
         site.instances[0], tokens=HALF, X_Kelproad_Deadline_Ms='9000'
     )
--- a/tests/ingress/test_progress.py
+++ b/tests/ingress/test_progress.py
@@ -52,3 +52,17 @@
     assert not progress.is_last_chance('second', max_endpoints=2)
     progress.note(broken, 'second', 'second')
     assert progress.is_exhausted(max_endpoints=2)
+
+
+def test_a_call_asks_few_engines_that_lack_memory() -> None:
+    """Guards against a flood of orders while all engines are full."""
+    claimed = AttemptFailure('claimed', Ran.NO, arrived=False, is_full=True)
+    progress = Progress()
+    for name in ('first', 'second'):
+        progress.note(claimed, name, name)
+        assert not progress.may_answer(name, max_endpoints=2)
+    assert progress.may_answer('fourth', max_endpoints=2)
+    progress.note(claimed, 'third', 'third')
+    assert not progress.may_answer('fourth', max_endpoints=2)
+    assert progress.lacks_memory
+    assert not progress.tried
