Observability: stale relayed tables, and where a configuration came from

No decision is changed. A relayed state that was too old was discarded without a line; relayed_table_stale names its reader and age. configuration_source says who told a configuration, and how old the table before was, which tells the three hypotheses apart: one reader lost for all (large ages everywhere at once), a fetch that takes too long (reader_avoided at single instances), an instance that returns.

--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -4,6 +4,7 @@
 relayed to peers.
 """
 
+import logging
 import math
 import random
 from collections.abc import Callable
@@ -11,6 +12,7 @@
 import attrs
 
 from ....state.endpointtable import EndpointTable
+from ....state.records import record
 from ..settings import Bounds
 from .caching import TableCache
 from .confirming import Confirmation
@@ -39,6 +41,7 @@
 
 __all__ = ['FollowedTables']
 
+_logger = logging.getLogger(__name__)
 #: Seconds that a call to the store waits for a configuration.  Instances that
 #: it is relayed to are twice that behind, which must stay below the time from
 #: which an instance counts as cut off from the store.
@@ -324,5 +327,21 @@
         for read in offered:
             configuration = read.payload.configuration
             if self._holder.offer(configuration, read.row.encoded):
+                self._record_adopted()
                 self.registry.adopt_configuration(self._holder.current)
         return bool(offered)
+
+    def _record_adopted(self) -> None:
+        """Log where a configuration came from, and how old the one before was.
+
+        That age bounds the time for which it had been accepted.
+        """
+        provenance = self.configuration.provenance
+        age = self.configuration.measure_age()
+        record(
+            _logger,
+            'configuration_source',
+            version=self._holder.version,
+            provenance=provenance and provenance.name.lower(),
+            age_before=round(age, 3) if math.isfinite(age) else None,
+        )
--- a/src/kelproad/coordination/ingress/tables/relaying.py
+++ b/src/kelproad/coordination/ingress/tables/relaying.py
@@ -113,16 +113,22 @@
             )
             return None
         within_zone = reader.zone == self._zone
-        return _discard_stale(
-            attrs.evolve(
-                replied.unwrap(),
-                provenance=(
-                    Provenance.SAME_ZONE
-                    if within_zone
-                    else Provenance.OTHER_ZONE
-                ),
+        state = attrs.evolve(
+            replied.unwrap(),
+            provenance=(
+                Provenance.SAME_ZONE if within_zone else Provenance.OTHER_ZONE
             ),
         )
+        fresh = _discard_stale(state)
+        if fresh is None:
+            record(
+                _logger,
+                'relayed_table_stale',
+                table=self._table,
+                reader=reader.instance,
+                age=round(state.age, 3),
+            )
+        return fresh
 
     async def _query(
         self,
