--- a/testbed/cuts.py
+++ b/testbed/cuts.py
@@ -21,7 +21,7 @@
     start_instances,
     start_routed_site,
 )
-from testbed.soak.links import Cut, Link
+from testbed.soak.links import Cut, Link, LinkFault
 
 __all__ = ['CuttableSite', 'Load', 'SentCall', 'start_cuttable_site']
 
@@ -92,6 +92,8 @@
         """Run the links in a thread of their own."""
         self.site = site
         self._links: dict[str, Link] = {}
+        #: Links to the store, by instance.
+        self._store_links: dict[str, Link] = {}
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever)
         self._thread.start()
@@ -107,9 +109,22 @@
             service = 'book' if name.startswith('book') else 'writer'
             self.site.put_endpoint_row(name, service)
 
+    def open_store_links(self, instances: Iterable[str]) -> dict[str, str]:
+        """Open a link to the store for each instance; return the addresses."""
+        for name in instances:
+            link = Link(f'store of {name}', self.site.store)
+            asyncio.run_coroutine_threadsafe(link.open(), self._loop).result()
+            self._store_links[name] = link
+        return {name: link.address for name, link in self._store_links.items()}
+
+    def harm_store_link(self, instance: str, harm: LinkFault) -> None:
+        """Set the fault of the link between an instance and the store."""
+        self._run(lambda: self._store_links[instance].harm(harm))
+
     def close(self) -> None:
         """Close the links and end their thread."""
-        self._run(lambda: [link.close() for link in self._links.values()])
+        links = [*self._links.values(), *self._store_links.values()]
+        self._run(lambda: [link.close() for link in links])
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
         self._loop.close()
@@ -217,7 +232,9 @@
         cuttable = CuttableSite(site)
         try:
             cuttable.open_links()
-            start_instances(site, name_instances(zones))
+            names = name_instances(zones)
+            stores = cuttable.open_store_links(names)
+            start_instances(site, names, stores)
             yield cuttable
         finally:
             cuttable.close()
--- a/testbed/routed.py
+++ b/testbed/routed.py
@@ -364,10 +364,17 @@
         site.put_endpoint_row(name, service)
 
 
-def start_instances(site: RoutedSite, zones: Mapping[str, str]) -> None:
-    """Start instances side by side, each with a zone by its name."""
+def start_instances(
+    site: RoutedSite,
+    zones: Mapping[str, str],
+    stores: Mapping[str, str] | None = None,
+) -> None:
+    """Start instances side by side, each with a zone by its name.
+
+    ``stores`` has addresses of proxies to the store, by instance.
+    """
     launched = [
-        _launch_instance(site, name, zone, site.store)
+        _launch_instance(site, name, zone, (stores or {}).get(name, site.store))
         for name, zone in zones.items()
     ]
     for instance in launched:
--- /dev/null
+++ b/tests/ingress/test_reader_cut_site.py
@@ -0,0 +1,72 @@
+"""Configurations that are accepted as a reader of the store is cut from it."""
+
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from testbed.cuts import CuttableSite, start_cuttable_site
+from testbed.routed import RoutedInstance, wait_for
+from testbed.soak.links import LinkFault
+
+#: Zones of the instances, several in each.
+ZONES = 'aaaaabbbbb'
+#: Seconds in which a configuration must be in force, from the settings.
+APPLY_SECONDS = 2.0
+#: Cuts of one reader after another.
+CUTS = 3
+
+
+@pytest.fixture(scope='module')
+def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[CuttableSite]:
+    """Run instances in two zones, with a link from each to the store."""
+    directory = tmp_path_factory.mktemp('site')
+    with start_cuttable_site(directory, ZONES) as running:
+        yield running
+
+
+def find_readers(site: CuttableSite) -> list[RoutedInstance]:
+    """Find the instances that read the configuration from the store."""
+    return [
+        instance
+        for instance in site.site.instances
+        if instance.dump()['tables']['op']['provenance'] == 'store'
+    ]
+
+
+def await_one_reader(site: CuttableSite) -> RoutedInstance:
+    """Wait until one instance reads the configuration for all."""
+    wait_for(lambda: len(find_readers(site)) == 1, 'one reader for all')
+    return find_readers(site)[0]
+
+
+def await_version(site: CuttableSite, instances: list[RoutedInstance]) -> None:
+    """Wait until instances have the newest configuration in force."""
+    wait_for(
+        lambda: all(
+            instance.dump()['version'] == site.site.version
+            for instance in instances
+        ),
+        'the newest configuration is in force',
+    )
+
+
+@pytest.mark.parametrize(
+    'harm',
+    [LinkFault.SILENT, LinkFault.ONE_WAY, LinkFault.RESET],
+)
+def test_news_arrive_in_time_as_their_reader_is_cut_from_the_store(
+    site: CuttableSite, harm: LinkFault
+) -> None:
+    """Guards against a reader that relays old tables though it is cut off."""
+    for _ in range(CUTS):
+        reader = await_one_reader(site)
+        others = [item for item in site.site.instances if item is not reader]
+        site.harm_store_link(reader.name, harm)
+        began = time.monotonic()
+        site.site.put_configuration()
+        await_version(site, others)
+        elapsed = time.monotonic() - began
+        site.harm_store_link(reader.name, LinkFault.NONE)
+        assert elapsed < APPLY_SECONDS
+        await_version(site, site.site.instances)
