Tables: a reader that may have lost the store relays nothing

Callers saw calls handled by an older configuration than the one accepted, longer after it than a change may take.

Cause: one instance reads the store for all, and its loss was known only by the age of what it told, 2 s on every site, whatever time a change has. It went on telling that nothing had changed until its own call timed out. Then each instance waited for up to 0.25 s for each of its zone before it tried the store, a zone's own reader too, and had to find the store for each table by itself. Ruled out: a fetch that takes too long (no reader_avoided in these spans), instances that return (all were behind).

An instance now relays a table only while it is as new as its reading makes it: waiting time and pause, a fifth of the time that a change has for a slower store, and a hop's time if it is told itself. The first try of the store comes within a fifth of the former delay, and one table that was found has the others looked for at once.

--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -21,7 +21,7 @@
 from .following import PeerTable, TableFollower, TableSource
 from .holder import ConfigurationHolder
 from .merging import RowMerger, RowOrder
-from .readers import MAX_RELAYED_AGE
+from .readers import choose_longest_relayed
 from .roworders import (
     ENDPOINT_ORDER,
     OPERATOR_ORDER,
@@ -54,6 +54,9 @@
 #: endpoint get no more calls, for which calls to the store wait or pause.
 _WAIT_SHARE = 0.2
 _PAUSE_SHARE = 0.2
+#: Share of the same time for which the store may be slower than usual before
+#: its reader no longer relays the table.
+_SLACK_SHARE = 0.2
 #: Share of the time in which a revoked key must stop working for which a
 #: restored store confirms nothing.
 _SETTLE_SHARE = 0.1
@@ -66,6 +69,18 @@
     follower: TableFollower
     cache: TableCache
     merger: RowMerger
+    slack: float
+
+    @property
+    def is_current(self) -> bool:
+        """Whether it is known to be as new as whoever it came from has it."""
+        provenance = self.follower.provenance
+        if provenance is None:
+            return False
+        longest = choose_longest_relayed(
+            provenance, self.follower.healthy_age, self.slack
+        )
+        return self.follower.measure_age() <= longest
 
     def may_relay(self, within_zone: bool) -> bool:
         """Return whether it may be relayed to peers of this zone, or another.
@@ -77,7 +92,7 @@
         if provenance is None:
             return False
         least = Provenance.OTHER_ZONE if within_zone else Provenance.STORE
-        return provenance >= least
+        return provenance >= least and self.is_current
 
     def merge(self, state: DecodedState) -> DecodedState:
         """Merge a state into what is known, and relay the outcome."""
@@ -168,14 +183,10 @@
 
         ``None`` while one of them is too old to be relayed.
         """
-        followers = [followed.follower for followed in self._followed.values()]
-        known = [
-            follower.provenance
-            for follower in followers
-            if follower.provenance is not None
-            and follower.measure_age() <= MAX_RELAYED_AGE
-        ]
-        return min(known) if len(known) == len(followers) else None
+        followed = self._followed.values()
+        if not all(table.is_current for table in followed):
+            return None
+        return min(table.follower.provenance for table in followed)
 
     def describe(self) -> dict[str, object]:
         """Describe the tables and the era of the store for operators."""
@@ -252,6 +263,7 @@
             self._adopt_configuration_table,
             wait_seconds,
             0,
+            bounds.apply_configuration * _SLACK_SHARE,
         )
 
     def _follow_endpoints(self, bounds: Bounds) -> _FollowedTable:
@@ -263,6 +275,7 @@
             self.registry.adopt,
             _ENDPOINT_WAIT,
             pause,
+            bounds.leave_endpoint * _SLACK_SHARE,
         )
 
     def _follow(
@@ -273,6 +286,7 @@
         adopt: Callable[[DecodedState[Payload]], None],
         wait_seconds: float,
         pause: float,
+        slack: float,
     ) -> _FollowedTable:
         def update(state: TableState) -> None:  # noqa: WPS430  closure
             adopt(followed.merge(DecodedState.from_state(state, decode)))
@@ -290,9 +304,19 @@
             follower,
             TableCache(order.is_equivalent),
             RowMerger(source.name, order),
+            slack,
         )
+        follower.on_read_directly = self._hasten
         return followed
 
+    def _hasten(self) -> None:
+        """Have all tables read, as the store has answered for one of them.
+
+        Others are served by this instance only once it has all of them.
+        """
+        for followed in self._followed.values():
+            followed.follower.hasten()
+
     def _read_operator_row(self, row: StoredRow) -> OperatorRow:
         if row.key == self._store.configuration_key:
             decoded = self._store.decode_configuration(row)
--- a/src/kelproad/coordination/ingress/tables/following.py
+++ b/src/kelproad/coordination/ingress/tables/following.py
@@ -46,6 +46,9 @@
 #: Seconds between two queries to another instance: short, as they don't load
 #: the store, and tables relayed to this instance are older by this interval.
 _PEER_QUERY_PERIOD = 0.2
+#: Share of the usual delay after which an instance without a reader queries the
+#: store for the first time.
+_FIRST_TRY_SHARE = 0.2
 #: Seconds between two looks for another instance that has the table, while the
 #: store sends all of it.
 _FIRST_QUERY_PERIOD = 0.02
@@ -99,6 +102,9 @@
     on_restored
         Called before the first state of a new era is adopted, with the
         monotonic time at which the store was back.
+    on_read_directly
+        Called when the store has answered after other instances, or nobody,
+        had before.
     """
 
     abstract = False
@@ -145,10 +151,21 @@
         self._position = TablePosition(source.name, eras)
         self._failures = 0
         self.on_restored: Callable[[float], None] = _ignore_restoration
+        self.on_read_directly: Callable[[], None] = _ignore_reading
         self.provenance: Provenance | None = None
         self.confirmed_at = float('-inf')
         self.recovered_at = float('-inf')
 
+    @property
+    def healthy_age(self) -> float:
+        """Age in seconds that it reaches while the store answers at once."""
+        return self._wait_seconds + self._pause
+
+    def hasten(self) -> None:
+        """Query the store now, if that is due later."""
+        if self._store_due is not None:
+            self._store_due = monotonic()
+
     def measure_age(self) -> float:
         """Return how many seconds old the table may be."""
         return read_boottime() - self.confirmed_at
@@ -200,12 +217,15 @@
 
         An instance without any state queries it at once.  Of those that were
         served by another instance until now, the first to find the store
-        serves the others, so that they don't all query it together.
+        serves the others, so that they don't all query it together.  They
+        hurry once, as only their reader may have lost it.
         """
         if self._store_due is None:
             known = self._position.revision is not None
             longest = self._peers.measure_backoff() if known else 0
-            self._store_due = monotonic() + self._generator.uniform(0, longest)
+            self._store_due = monotonic() + self._generator.uniform(
+                0, longest * _FIRST_TRY_SHARE
+            )
         return self._store_due
 
     async def _query_store(self) -> Result[TableState, StoreProblem]:
@@ -286,7 +306,9 @@
                 table=self._source.name,
                 provenance=provenance.name.lower(),
             )
-        self.provenance = provenance
+            self.provenance = provenance
+            if direct:
+                self.on_read_directly()
 
     def _record_failure(self, problem: StoreProblem) -> None:
         """Record a failure, and schedule the next query to the store."""
@@ -316,3 +338,7 @@
 
 def _ignore_restoration(_recovered_at: float) -> None:
     """Do nothing when the store was restored."""
+
+
+def _ignore_reading() -> None:
+    """Do nothing when the store has answered."""
--- a/src/kelproad/coordination/ingress/tables/readers.py
+++ b/src/kelproad/coordination/ingress/tables/readers.py
@@ -14,12 +14,20 @@
 
 from .tablestates import Provenance
 
-__all__ = ['MAX_RELAYED_AGE', 'Reader', 'ReaderSelector']
-
-#: Seconds of age from which a table is not relayed: the reader of a healthy
+__all__ = [
+    'MAX_RELAYED_AGE',
+    'Reader',
+    'ReaderSelector',
+    'choose_longest_relayed',
+]
+
+#: Seconds of age from which nothing relayed is taken: the reader of a healthy
 #: store and two relays after it are at most 1.6 s behind, and keys are trusted
 #: for 3.5 s.
 MAX_RELAYED_AGE = 2.0
+#: Seconds by which a table from another instance is older than there: one
+#: period of queries, one lost datagram and the network.
+_HOP_SECONDS = 0.4
 #: Seconds for which an instance that did not answer is not queried again.
 _AVOIDED_SECONDS = 3.0
 #: The same for one that refused, having no table to serve: it may have begun
@@ -30,6 +38,29 @@
 _BACKOFF_SECONDS = 0.25
 
 
+def choose_longest_relayed(
+    provenance: Provenance, healthy_age: float, slack: float
+) -> float:
+    """Choose the age from which an instance doesn't relay a table, in seconds.
+
+    One that can't reach the store knows nothing of a change, and neither do all
+    that it serves.  It ends that itself, as they can't tell its silence from a
+    table without changes.
+
+    Parameters
+    ----------
+    provenance
+        Source of the table.
+    healthy_age
+        Age in seconds that the table reaches while the store answers at once.
+    slack
+        Seconds for which the store may take longer.
+    """
+    hops = Provenance.STORE - provenance
+    longest = healthy_age + slack + hops * _HOP_SECONDS
+    return min(longest, MAX_RELAYED_AGE)
+
+
 @attrs.frozen
 class Reader:
     """A live instance that tables may be queried from.
--- a/tests/ingress/test_relaying.py
+++ b/tests/ingress/test_relaying.py
@@ -254,15 +254,19 @@
 # Which tables are relayed
 
 
+def build_followed(provenance: Provenance | None, age: float) -> _FollowedTable:
+    """Build a table of some age that is 0.8 s old at most while all is well."""
+    follower = types.SimpleNamespace(
+        provenance=provenance, healthy_age=0.8, measure_age=lambda: age
+    )
+    return _FollowedTable(follower, cache=None, merger=None, slack=0.4)
+
+
 def test_tables_from_the_zone_are_not_relayed() -> None:
     """Two instances that query each other would take old tables for fresh."""
     may_relay = {
         provenance: [
-            _FollowedTable(
-                types.SimpleNamespace(provenance=provenance),
-                cache=None,
-                merger=None,
-            ).may_relay(within_zone)
+            build_followed(provenance, 0).may_relay(within_zone)
             for within_zone in (True, False)
         ]
         for provenance in (*Provenance, None)
@@ -275,6 +279,19 @@
     }
 
 
+@pytest.mark.parametrize(
+    ('provenance', 'longest'),
+    [(Provenance.STORE, 1.2), (Provenance.OTHER_ZONE, 1.6)],
+)
+def test_a_reader_that_lost_the_store_relays_nothing(
+    provenance: Provenance, longest: float
+) -> None:
+    """Guards against a zone that learns of no change from its reader."""
+    assert build_followed(provenance, longest - 0.01).may_relay(True)
+    assert not build_followed(provenance, longest + 0.01).may_relay(True)
+    assert not build_followed(provenance, longest + 0.01).is_current
+
+
 # How old the tables are
 
 
