--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -56,7 +56,7 @@
 _PAUSE_SHARE = 0.2
 #: Share of the same time for which the store may be slower than usual before
 #: its reader no longer relays the table.
-_SLACK_SHARE = 0.2
+_SLACK_SHARE = 0.3
 #: Share of the time in which a revoked key must stop working for which a
 #: restored store confirms nothing.
 _SETTLE_SHARE = 0.1
