Observability: which calls ask for the same

No decision is changed. attempt_failed named the shared parts of a prompt, neither the last one nor anything of a call without a prompt, so that a request repeated by its caller could not be told from others. It now has a fingerprint of service, workspace, method, target, all parts and body, made once a call has failed at an endpoint.

--- a/src/kelproad/coordination/ingress/retrying/verdicts.py
+++ b/src/kelproad/coordination/ingress/retrying/verdicts.py
@@ -199,6 +199,7 @@
         incarnation=endpoint.declaration.incarnation,
         attempt=attempt.number,
         parts=call.head.shared_parts,
+        fingerprint=call.fingerprint if failure.arrived else '',
         reason=failure.reason,
         ran=failure.ran.value,
         arrived=failure.arrived,
--- a/src/kelproad/platform/headers.py
+++ b/src/kelproad/platform/headers.py
@@ -120,6 +120,7 @@
             _refuse(f'{_DEADLINE}: not a whole number of milliseconds')
         )
     prompt, answer = _parse_token_counts(headers.get(_TOKEN_COUNT, ''))
+    *shared_parts, own_part = _parse_parts(headers.getall(_PROMPT_PARTS, []))
     return Success(
         CallHead(
             request_id=request_id,
@@ -132,7 +133,8 @@
             answer_tokens=answer,
             answer_hint=_parse_count(headers.get(_LENGTH_HINT, '')) or 0,
             resume_after=_parse_count(headers.get(_LAST_EVENT, '')),
-            shared_parts=_parse_shared_parts(headers.getall(_PROMPT_PARTS, [])),
+            shared_parts=_select_parts(shared_parts),
+            own_part=own_part,
         ),
     )
 
@@ -234,12 +236,16 @@
     return _parse_count(prompt) or 0, _parse_count(answer) or 0
 
 
-def _parse_shared_parts(fields: list[str]) -> tuple[str, ...]:
-    """Parse the ids of all parts but the last, which is the call's own."""
-    ids = [
+def _parse_parts(fields: list[str]) -> list[str]:
+    """Parse the ids of all parts; the last one is empty without any."""
+    return [
         entry.partition(':')[0].strip()[:_MAX_PART_LENGTH]
-        for entry in ','.join(fields).split(',')[:-1]
+        for entry in ','.join(fields).split(',')
     ]
+
+
+def _select_parts(ids: list[str]) -> tuple[str, ...]:
+    """Select the parts that are kept, each once."""
     return tuple(dict.fromkeys(filter(None, ids)))[:_MAX_PARTS]
 
 
--- a/src/kelproad/standins/routed.py
+++ b/src/kelproad/standins/routed.py
@@ -62,6 +62,8 @@
         Number of events of a stream, unless the query says otherwise.
     crash_parts
         Parts of prompts on which the engine crashes once it answers.
+    crash_targets
+        Texts in the targets of requests on which it does.
     crash_after
         Number of events of the answer after which it crashes.
     crash_silently
@@ -77,6 +79,7 @@
     pace: float = 0.01
     events: int = 5
     crash_parts: list[str] = attrs.field(factory=list)
+    crash_targets: list[str] = attrs.field(factory=list)
     crash_after: int = 0
     crash_silently: bool = False
 
@@ -277,6 +280,9 @@
             )
         if 'X-Kelproad-Token-Count' in http_request.headers:
             return await self._write_events(http_request)
+        if self._is_poisoned(http_request):
+            await self._crash(http_request)
+            await self._hang_if_silent()
         length = int(http_request.query.get('bytes', 0))
         return web.Response(
             headers=self._build_headers(http_request),
@@ -325,7 +331,9 @@
             entry.partition(':')[0]
             for entry in http_request.headers.get(_PROMPT_PARTS, '').split(',')
         }
-        return not parts.isdisjoint(self._faults.crash_parts)
+        return not parts.isdisjoint(self._faults.crash_parts) or any(
+            text in http_request.raw_path for text in self._faults.crash_targets
+        )
 
     async def _crash(self, http_request: web.Request) -> None:
         """End this process, or let it fall silent; tell of it before."""
--- a/src/kelproad/state/calls.py
+++ b/src/kelproad/state/calls.py
@@ -1,6 +1,7 @@
 """Calls through routes: callers' requests and endpoints' answers."""
 
 import enum
+import hashlib
 
 import attrs
 
@@ -19,6 +20,9 @@
 ]
 
 
+_FINGERPRINT_BYTES = 12
+
+
 class CallEnd(enum.StrEnum):
     """The end of a call that was not refused."""
 
@@ -51,6 +55,8 @@
         none.
     shared_parts
         Ids of the parts of the prompt that other calls may share, in order.
+    own_part
+        Id of its last part, which the call or its session has alone.
     """
 
     request_id: str
@@ -64,6 +70,7 @@
     answer_hint: int = 0
     resume_after: int | None = None
     shared_parts: tuple[str, ...] = ()
+    own_part: str = ''
 
     @property
     def path(self) -> str:
@@ -122,6 +129,32 @@
     avoided_endpoints: frozenset[str] = frozenset()
     trial_wanted_at: float | None = None
     held: CallBytes = attrs.field(factory=CallBytes)
+    _fingerprint: str = ''
+
+    @property
+    def fingerprint(self) -> str:
+        """Digest of what it asks for, the same when its caller repeats it.
+
+        A caller's repetition has another id, and may come to another instance
+        or resume a stream.  It takes time for each byte of the body, so it is
+        made only when it is needed.
+        """
+        if not self._fingerprint:
+            head = self.head
+            asked = (
+                self.service,
+                self.workspace_name,
+                head.method,
+                head.target,
+                *head.shared_parts,
+                head.own_part,
+            )
+            digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+            digest.update('\n'.join(asked).encode(errors='replace'))
+            digest.update(b'\n')
+            digest.update(self.body)
+            self._fingerprint = digest.hexdigest()
+        return self._fingerprint
 
     @property
     def request_id(self) -> str:
