--- a/testbed/crashes.py
+++ b/testbed/crashes.py
@@ -7,6 +7,7 @@
 import random
 import threading
 import time
+import urllib.error
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from http import client
@@ -38,20 +39,27 @@
 class Stream:
     """A kind of streams: the path, and the shared parts of each prompt.
 
-    ``make_parts`` gets a number that is different for each call.
+    ``make_parts`` gets a number that is different for each request; one without
+    it has no prompt.  Callers send a request ``tries`` times, each at once
+    after the one before failed, with an id of its own.
     """
 
     path: str
-    make_parts: Callable[[int], tuple[str, ...]]
+    make_parts: Callable[[int], tuple[str, ...]] | None
     rate: float
     key: str = KEY
+    tries: int = 1
 
 
 @attrs.frozen
 class SentStream:
-    """One stream and its end, at monotonic times; 0 for no status."""
+    """One try of a stream and its end, at monotonic times; 0 for no status.
+
+    ``number`` is that of the request.
+    """
 
     kind: Stream
+    number: int
     request_id: str
     instance: str
     at: float
@@ -112,7 +120,9 @@
         """Set the faults of all engines, of later ones too."""
         self.site.lasting_faults = faults
         for name in self._list_running():
-            self.site.set_endpoint_faults(name)
+            # One that has just crashed gets them as it is restarted.
+            with contextlib.suppress(urllib.error.URLError):
+                self.site.set_endpoint_faults(name)
 
     def kill_engine(self, generator: random.Random) -> None:
         """Kill an engine, as one that crashes by itself."""
@@ -166,29 +176,34 @@
                 while pending and pending[0][0] <= at:
                     pool.submit(pending.pop(0)[1])
                 time.sleep(max(0, began + at - time.monotonic()))
-                waiting.append(pool.submit(self._send, kind, next(self._ids)))
-            return [item.result() for item in waiting]
-
-    def _send(self, kind: Stream, number: int) -> SentStream:
+                request = next(self._ids)
+                waiting.append(pool.submit(self._send_all, kind, request))
+            return [sent for item in waiting for sent in item.result()]
+
+    def _send_all(self, kind: Stream, number: int) -> list[SentStream]:
+        """Send a request again until it is served, or all tries are used."""
+        sent: list[SentStream] = []
+        while len(sent) < kind.tries and not (sent and sent[-1].served):
+            sent.append(self._send(kind, number, len(sent)))
+        return sent
+
+    def _send(self, kind: Stream, number: int, attempt: int) -> SentStream:
         instances = self.site.instances
-        instance = instances[number % len(instances)]
-        request_id = f'd{number:015x}'
-        parts = (*kind.make_parts(number), request_id)
+        instance = instances[(number + attempt) % len(instances)]
+        request_id = f'd{attempt:03x}{number:012x}'
         headers = {
             'Host': HOST,
             'X-Kelproad-Request-Id': request_id,
             'X-Kelproad-Deadline-Ms': str(int(_DEADLINE * 1000)),
             'X-Api-Key': kind.key,
-            'X-Kelproad-Token-Count': '100,50',
-            'X-Kelproad-Prompt-Prefix': ','.join(
-                f'{part}:20' for part in parts
-            ),
+            **_build_prompt_fields(kind, number),
         }
         sent_at = time.monotonic()
         connection = client.HTTPConnection(instance.caller, timeout=_DEADLINE)
         status, whole, retry_after = 0, False, ''
+        body = f'prompt {number}'.encode()
         with contextlib.suppress(OSError, client.HTTPException):
-            connection.request('POST', kind.path, b'prompt', headers)
+            connection.request('POST', kind.path, body, headers)
             response = connection.getresponse()
             status = response.status
             retry_after = response.headers.get('Retry-After', '')
@@ -197,6 +212,7 @@
         connection.close()
         return SentStream(
             kind,
+            number,
             request_id,
             instance.name,
             sent_at,
@@ -252,6 +268,18 @@
         self._down.pop(name)
 
 
+def _build_prompt_fields(kind: Stream, number: int) -> dict[str, str]:
+    """Build the fields of a prompt, whose last part only its request has."""
+    if kind.make_parts is None:
+        return {}
+    parts = (*kind.make_parts(number), f'own-{number}')
+    listed = ','.join(f'{part}:20' for part in parts)
+    return {
+        'X-Kelproad-Token-Count': '100,50',
+        'X-Kelproad-Prompt-Prefix': listed,
+    }
+
+
 @contextlib.contextmanager
 def start_crashing_site(
     directory: pathlib.Path, zones: str, engines: int
--- a/testbed/routed.py
+++ b/testbed/routed.py
@@ -321,6 +321,7 @@
                 'service': 'book',
                 'target_latency_ms': 250,
             },
+            'notes': {'route_type': 'idempotent'},
             'reports': {'route_type': 'streaming', 'stream_resume': True},
             'fragile': {'route_type': 'streaming'},
             'long-reports': {
--- /dev/null
+++ b/tests/ingress/test_repeated_requests.py
@@ -0,0 +1,88 @@
+"""Requests on which engines crash, and whose callers repeat them."""
+
+import collections
+import time
+import types
+from collections.abc import Iterator
+
+import pytest
+
+from testbed.crashes import (
+    Crashes,
+    CrashingSite,
+    SentStream,
+    Stream,
+    start_crashing_site,
+)
+from tests.ingress.crashes import (
+    SOUND,
+    TOLERANCE,
+    make_sound_parts,
+    measure_served,
+)
+
+ZONES = 'aaaabbbb'
+ENGINES = 12
+#: Engines that may crash under one request.
+MAX_CRASHES = 3
+#: Seconds of a load.
+LOAD_SECONDS = 7.0
+#: Lethal requests a second, and how often their callers send each.
+RATE = 0.6
+TRIES = 4
+
+KINDS = types.MappingProxyType(
+    {
+        'prompt': Stream(
+            '/reports/x?events=8&lethal', make_sound_parts, RATE, tries=TRIES
+        ),
+        'prompt-not-resumed': Stream(
+            '/fragile/x?events=8&lethal', make_sound_parts, RATE, tries=TRIES
+        ),
+        'no-prompt': Stream('/notes/lethal', None, RATE, tries=TRIES),
+    }
+)
+
+
+@pytest.fixture(scope='module')
+def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[CrashingSite]:
+    """Start instances in two zones for the tests of this module."""
+    directory = tmp_path_factory.mktemp('site')
+    with start_crashing_site(directory, ZONES, ENGINES) as started:
+        yield started
+
+
+def group_arrivals(
+    crashes: Crashes, sent: list[SentStream]
+) -> dict[int, list[float]]:
+    """Group the times at which engines got lethal requests, by request."""
+    numbers = {call.request_id: call.number for call in sent}
+    grouped: dict[int, list[float]] = collections.defaultdict(list)
+    for at, request in crashes.arrivals:
+        grouped[numbers[request]].append(at)
+    return grouped
+
+
+@pytest.mark.parametrize(
+    ('name', 'faults'),
+    [
+        ('prompt', {}),
+        ('prompt', {'crash_after': 1, 'crash_silently': True}),
+        ('prompt-not-resumed', {'crash_after': 1}),
+        ('no-prompt', {}),
+        ('no-prompt', {'crash_silently': True}),
+    ],
+)
+def test_a_repeated_request_ends_three_engines_at_most(
+    site: CrashingSite, name: str, faults: dict[str, object]
+) -> None:
+    """Guards against a request that ends engines anew each time it is sent."""
+    kind = KINDS[name]
+    site.apply_faults(crash_targets=['lethal'], **faults)
+    began = time.monotonic()
+    sent = site.apply_load(LOAD_SECONDS, (SOUND, kind))
+    site.await_all()
+    grouped = group_arrivals(site.read_crashes(began), sent)
+    assert grouped
+    assert max(map(len, grouped.values())) <= MAX_CRASHES
+    assert measure_served(sent, SOUND, began) >= 1 - TOLERANCE
