--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -326,4 +326,5 @@
             'warm_ups': self._table.warm_ups.describe(now),
             'withdrawals': describe_withdrawals(self._table, now),
             'suspect_parts': self._pipeline.guard.describe(),
+            'barred_requests': self._pipeline.guard.describe_requests(),
         }
--- a/src/kelproad/coordination/ingress/quarantine/assembly.py
+++ b/src/kelproad/coordination/ingress/quarantine/assembly.py
@@ -26,6 +26,7 @@
 from .ends import EndObserver
 from .guard import PromptGuard
 from .notices import PromptNotices
+from .refusing import RefusalBuilder
 from .rows import QuarantineRows
 from .trials import TrialCoordinator
 
@@ -105,8 +106,7 @@
             observer,
             self.notices,
             self.rows,
-            metrics,
-            generator,
+            RefusalBuilder(metrics, generator),
         )
 
     def answer(
--- a/src/kelproad/coordination/ingress/quarantine/guard.py
+++ b/src/kelproad/coordination/ingress/quarantine/guard.py
@@ -3,18 +3,15 @@
 import asyncio
 import logging
 import math
-import random
 from collections.abc import Mapping
 
 import attrs
 
 from ....state.calls import Call
-from ....state.counters import QuarantineMetrics
 from ....state.endpoints import Endpoint
 from ....state.quarantine import PartQuarantine
 from ....state.records import record
-from ....state.refusals import RefusalCode
-from ....state.requestends import RequestState, RequestVerdict
+from ....state.requestends import RequestState
 from ....state.suspicions import EndedCall, Judgement, PartState, Suspicion
 from ....transport.deadlines import monotonic
 from ..placing.placement import NoPlacementError
@@ -22,6 +19,7 @@
 from ..streams.progress import Attempt
 from .ends import EndObserver, may_have_ended
 from .notices import PromptNotices
+from .refusing import RefusalBuilder
 from .rows import QuarantineRows
 from .trials import TrialCoordinator
 
@@ -32,20 +30,8 @@
 _logger = logging.getLogger(__name__)
 #: Seconds between two requests of a call for a trial.
 _TRIAL_PERIOD = 0.04
-#: Seconds that a call waits for a trial at least, and the share of its time
-#: that it waits at most.
-_MIN_WAIT = 1.0
-_MAX_WAIT_SHARE = 0.3
 #: Seconds that a call waits for what is found of its engine at most.
 _CHECK_SECONDS = 0.35
-#: Bounds of the seconds after which a call that waited in vain comes back; at
-#: random, so that those refused together don't return together.
-_RETURNS = (0.5, 1.5)
-#: Bounds of the seconds after which one with a quarantined part does, and the
-#: share that is added at random.
-_MIN_RETURN = 5.0
-_MAX_RETURN = 600.0
-_RETURN_SPREAD = 0.5
 
 
 @attrs.define
@@ -57,8 +43,7 @@
     _observer: EndObserver
     _notices: PromptNotices
     _rows: QuarantineRows
-    _metrics: QuarantineMetrics
-    _generator: random.Random
+    _refusals: RefusalBuilder
     #: Checks of engines that are in progress.
     _background: set[asyncio.Task[None]] = attrs.field(factory=set)
 
@@ -78,7 +63,7 @@
             lambda: call.fingerprint,
         )
         if judgement.state is PartState.QUARANTINED:
-            raise self._refuse_quarantined(call, judgement)
+            raise self._refusals.build_quarantined(call, judgement)
         if self._quarantine.requests.is_empty(monotonic()):
             return judgement
         return self._check_request(call, judgement)
@@ -104,7 +89,7 @@
             self._check_trial(call)
             return
         await asyncio.sleep(_TRIAL_PERIOD)
-        raise self._refuse_waiting(call)
+        raise self._refusals.build_waiting(call)
 
     def release(self, call: Call) -> None:
         """End the trial of a call, if it is one."""
@@ -168,6 +153,19 @@
             for (service, part), suspicion in suspicions.items()
         ]
 
+    def describe_requests(self) -> list[dict[str, object]]:
+        """Describe the requests that no engine gets, for operators."""
+        barred = self._quarantine.requests.list_barred(monotonic())
+        return [
+            {
+                'service': service,
+                'fingerprint': fingerprint,
+                'engines': list(verdict.engines),
+                'retrial_in': round(verdict.retrial_in, 1),
+            }
+            for (service, fingerprint), verdict in barred
+        ]
+
     def _end_trial(self, attempt: Attempt) -> tuple[str, ...]:
         """Detach the trial of an attempt from its call; return its parts.
 
@@ -240,9 +238,9 @@
             call.service, call.fingerprint, monotonic()
         )
         if verdict.state is RequestState.BARRED:
-            raise self._refuse_barred(call, verdict)
+            raise self._refusals.build_barred(call, verdict)
         if verdict.state is RequestState.CHECKED:
-            raise self._refuse_waiting(call)
+            raise self._refusals.build_waiting(call)
         if verdict.state is RequestState.ALONE:
             parts = (*judgement.parts, call.fingerprint)
             return Judgement(PartState.SUSPECT, parts)
@@ -272,67 +270,6 @@
             if suspicion.quarantined_after:
                 self._rows.keep_cleared(call.service, part)
 
-    def _refuse_waiting(self, call: Call) -> NoPlacementError:
-        """Build the refusal of a call while another one tries its parts."""
-        now = monotonic()
-        if call.trial_wanted_at is None:
-            call.trial_wanted_at = now
-        longest = min(
-            max(_MIN_WAIT, call.route.objective),
-            call.remaining(now) * _MAX_WAIT_SHARE,
-        )
-        return NoPlacementError(
-            'another call tries a suspect part of the prompt, or the same',
-            worth_waiting=now - call.trial_wanted_at < longest,
-            retry_after=self._generator.uniform(*_RETURNS),
-        )
-
-    def _refuse_quarantined(
-        self, call: Call, judgement: Judgement
-    ) -> NoPlacementError:
-        """Build the refusal of a call that would crash its engine."""
-        part = judgement.parts[0]
-        self._metrics.refused.inc({'service': call.service})
-        record(
-            _logger,
-            'refused_for_part',
-            request=call.request_id,
-            service=call.service,
-            part=part,
-            engines=judgement.engines,
-        )
-        return self._refuse_until(
-            f'engines crash on part {part} of the prompt', judgement.retrial_in
-        )
-
-    def _refuse_barred(
-        self, call: Call, verdict: RequestVerdict
-    ) -> NoPlacementError:
-        """Build the refusal of a call under which engines ended."""
-        self._metrics.refused.inc({'service': call.service})
-        record(
-            _logger,
-            'refused_for_request',
-            request=call.request_id,
-            service=call.service,
-            fingerprint=call.fingerprint,
-            engines=verdict.engines,
-        )
-        return self._refuse_until(
-            'engines crashed each time this was requested', verdict.retrial_in
-        )
-
-    def _refuse_until(self, reason: str, retrial_in: float) -> NoPlacementError:
-        """Build a refusal with a return after the next trial, or spread."""
-        seconds = min(max(retrial_in, _MIN_RETURN), _MAX_RETURN)
-        spread = self._generator.uniform(1, 1 + _RETURN_SPREAD)
-        return NoPlacementError(
-            reason,
-            worth_waiting=False,
-            retry_after=seconds * spread,
-            code=RefusalCode.QUARANTINED,
-        )
-
 
 def _describe(suspicion: Suspicion, now: float) -> dict[str, object]:
     """Describe the evidence; ``retrial_in`` is ``None`` for never."""
--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -72,15 +72,15 @@
     slack: float
 
     @property
-    def is_current(self) -> bool:
-        """Whether it is known to be as new as whoever it came from has it."""
+    def source(self) -> Provenance | None:
+        """Source of the table, ``None`` while it is too old to be relayed."""
         provenance = self.follower.provenance
         if provenance is None:
-            return False
+            return None
         longest = choose_longest_relayed(
             provenance, self.follower.healthy_age, self.slack
         )
-        return self.follower.measure_age() <= longest
+        return provenance if self.follower.measure_age() <= longest else None
 
     def may_relay(self, within_zone: bool) -> bool:
         """Return whether it may be relayed to peers of this zone, or another.
@@ -88,11 +88,9 @@
         A table from the local zone is relayed to nobody, one from another zone
         only to the local one, lest two instances query each other.
         """
-        provenance = self.follower.provenance
-        if provenance is None:
-            return False
+        source = self.source
         least = Provenance.OTHER_ZONE if within_zone else Provenance.STORE
-        return provenance >= least and self.is_current
+        return source is not None and source >= least
 
     def merge(self, state: DecodedState) -> DecodedState:
         """Merge a state into what is known, and relay the outcome."""
@@ -183,10 +181,9 @@
 
         ``None`` while one of them is too old to be relayed.
         """
-        followed = self._followed.values()
-        if not all(table.is_current for table in followed):
-            return None
-        return min(table.follower.provenance for table in followed)
+        sources = [followed.source for followed in self._followed.values()]
+        known = [source for source in sources if source is not None]
+        return min(known) if len(known) == len(sources) else None
 
     def describe(self) -> dict[str, object]:
         """Describe the tables and the era of the store for operators."""
--- a/src/kelproad/state/requestends.py
+++ b/src/kelproad/state/requestends.py
@@ -198,6 +198,13 @@
         record = self._records.get((service, fingerprint))
         return record.count(now) if record else 0
 
+    def list_barred(self, now: float) -> Iterator[tuple[_Key, RequestVerdict]]:
+        """Iterate over the requests that no engine gets."""
+        for key in self._records:
+            verdict = self.judge(*key, now)
+            if verdict.state is RequestState.BARRED:
+                yield key, verdict
+
     def list_repeated(self) -> Iterator[EndedCall]:
         """Iterate over the confirmed ends of requests that met several."""
         for record in self._records.values():
--- a/tests/ingress/test_guard.py
+++ b/tests/ingress/test_guard.py
@@ -12,6 +12,7 @@
 from kelproad.coordination.ingress.quarantine import ends as ends_module
 from kelproad.coordination.ingress.quarantine.ends import EndObserver
 from kelproad.coordination.ingress.quarantine.guard import PromptGuard
+from kelproad.coordination.ingress.quarantine.refusing import RefusalBuilder
 from kelproad.coordination.ingress.streams.answers import AttemptFailure
 from kelproad.coordination.ingress.streams.progress import Attempt
 from kelproad.state.calls import Call, CallHead
@@ -88,8 +89,7 @@
         types.SimpleNamespace(suspect=build_ended, check=check),
         None,
         None,
-        None,
-        random.Random(1),
+        RefusalBuilder(None, random.Random(1)),
     )
     call = build_call()
     failure = AttemptFailure('silent', Ran.UNKNOWN)
--- a/tests/ingress/test_hedging_faults.py
+++ b/tests/ingress/test_hedging_faults.py
@@ -16,6 +16,7 @@
     Placement,
 )
 from kelproad.coordination.ingress.quarantine.guard import PromptGuard
+from kelproad.coordination.ingress.quarantine.refusing import RefusalBuilder
 from kelproad.coordination.ingress.retrying.retries import RetryBudgets
 from kelproad.coordination.ingress.retrying.verdicts import AttemptEvaluator
 from kelproad.coordination.ingress.settings import Bounds
@@ -252,8 +253,7 @@
         types.SimpleNamespace(suspect=build_ended, check=check),
         None,
         None,
-        None,
-        random.Random(1),
+        RefusalBuilder(None, random.Random(1)),
     )
     call = build_call(CallKind.RESUMABLE_STREAM)
     call.trial = ('p',)
--- a/tests/ingress/test_relaying.py
+++ b/tests/ingress/test_relaying.py
@@ -289,7 +289,7 @@
     """Guards against a zone that learns of no change from its reader."""
     assert build_followed(provenance, longest - 0.01).may_relay(True)
     assert not build_followed(provenance, longest + 0.01).may_relay(True)
-    assert not build_followed(provenance, longest + 0.01).is_current
+    assert build_followed(provenance, longest + 0.01).source is None
 
 
 # How old the tables are
