--- a/src/kelproad/coordination/ingress/retrying/dispatching.py
+++ b/src/kelproad/coordination/ingress/retrying/dispatching.py
@@ -114,8 +114,7 @@
         self._retry_budgets.count_call(call.service, monotonic())
         race = self._open_race(call, http_request)
         try:
-            async with self._stop_guard.until_end() as complete:
-                race.delivery.on_complete = complete
+            async with self._stop_guard.until_end():
                 return await self._run(race)
         except StopEndedError:
             return _give_up(race, refuse_stopping(), CallEnd.ABORTED_BY_STOP)
