Stops: a stream whose end is being written was not cut

Cause, by reading: at its end a stop interrupts each call that is not done. One whose last event and end are on their way, only not yet written to the socket, counted too, and its caller had the whole answer. It is exempt once nothing but its end is left to write; one that comes to that point after the stop has ended counts as interrupted, as its caller sees it cut.

--- a/src/kelproad/coordination/drain.py
+++ b/src/kelproad/coordination/drain.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import enum
+import functools
 import math
 from collections.abc import AsyncIterator, Callable, Iterator
 
@@ -145,9 +146,12 @@
             await asyncio.sleep(min(_CHECK_PERIOD, left))
 
     @contextlib.asynccontextmanager
-    async def until_end(self) -> AsyncIterator[None]:
+    async def until_end(self) -> AsyncIterator[Callable[[], None]]:
         """Run a call until it is done or the stop has ended.
 
+        Yields a function to be called once nothing but the end of its answer
+        is left to write, which is no longer interrupted then.
+
         Raises
         ------
         StopEndedError
@@ -158,7 +162,7 @@
         try:
             async with asyncio.timeout(None) as timeout:
                 with self._register(timeout):
-                    yield
+                    yield functools.partial(self._complete, timeout)
         except asyncio.TimeoutError:
             if timeout.expired():
                 raise StopEndedError from None
@@ -183,6 +187,18 @@
             timeout.reschedule(now)
         return len(self._timeouts)
 
+    def _complete(self, timeout: asyncio.Timeout) -> None:
+        """Exempt a call whose complete answer is about to be written.
+
+        Raises
+        ------
+        StopEndedError
+            When the stop has ended, so that it counts as interrupted.
+        """
+        if self._has_ended:
+            raise StopEndedError
+        self._timeouts.discard(timeout)
+
     @contextlib.contextmanager
     def _register(self, timeout: asyncio.Timeout) -> Iterator[None]:
         self._timeouts.add(timeout)
--- a/src/kelproad/coordination/ingress/admission/stopping.py
+++ b/src/kelproad/coordination/ingress/admission/stopping.py
@@ -9,6 +9,7 @@
 import contextlib
 import logging
 import math
+from collections.abc import Callable
 
 from ....state.calls import Call, CallHead
 from ....state.engines import EngineProfile
@@ -126,9 +127,13 @@
             return True
         return call.remaining(monotonic()) <= self._drain.seconds_until_end()
 
-    def until_end(self) -> contextlib.AbstractAsyncContextManager[None]:
+    def until_end(
+        self,
+    ) -> contextlib.AbstractAsyncContextManager[Callable[[], None]]:
         """Run a call until it is done, or the stop has ended.
 
+        Yields a function to be called before the end of its answer is written.
+
         Raises
         ------
         StopEndedError
--- a/src/kelproad/coordination/ingress/retrying/dispatching.py
+++ b/src/kelproad/coordination/ingress/retrying/dispatching.py
@@ -114,7 +114,8 @@
         self._retry_budgets.count_call(call.service, monotonic())
         race = self._open_race(call, http_request)
         try:
-            async with self._stop_guard.until_end():
+            async with self._stop_guard.until_end() as complete:
+                race.delivery.on_complete = complete
                 return await self._run(race)
         except StopEndedError:
             return _give_up(race, refuse_stopping(), CallEnd.ABORTED_BY_STOP)
--- a/src/kelproad/coordination/ingress/streams/delivery.py
+++ b/src/kelproad/coordination/ingress/streams/delivery.py
@@ -28,6 +28,10 @@
 _MAX_BUFFER_BYTES = 4_194_304
 
 
+def _ignore() -> None:
+    """Ignore that an answer is complete."""
+
+
 class CallerDisconnectedError(Exception):
     """The caller has closed its connection."""
 
@@ -65,6 +69,8 @@
     longest_gap, gap_ended_at
         Seconds of the longest gap between events, and monotonic time of its
         end.
+    on_complete
+        Called before the end of the answer is written.
     """
 
     def __init__(self, http_request: web.BaseRequest, call: Call) -> None:
@@ -77,6 +83,7 @@
         self.longest_gap = float(0)
         self.gap_ended_at = float(0)
         self._last_at = float(0)
+        self.on_complete: Callable[[], None] = _ignore
 
     @property
     def begun(self) -> bool:
@@ -134,10 +141,13 @@
         ------
         CallerDisconnectedError
             When the caller has disconnected.
+        StopEndedError
+            When a stop has ended before.
         """
         try:
             if self._response is None:
                 await self._prepare(answer.head)
+            self.on_complete()
             await finish_answer(self._http_request, self._response)
         except ConnectionError as error:
             raise CallerDisconnectedError from error
--- a/src/kelproad/coordination/ingress/streams/sending.py
+++ b/src/kelproad/coordination/ingress/streams/sending.py
@@ -18,6 +18,7 @@
 from ....state.records import record
 from ....state.refusals import Ran
 from ....transport.deadlines import monotonic, within
+from ...drain import StopEndedError
 from ..placing.memory import MemoryReserver, Reservation
 from ..placing.placement import Placement
 from .accounting import AttemptAccount
@@ -226,6 +227,10 @@
             return Failure(
                 AttemptFailure('no end in time', Ran.UNKNOWN, blameless=True),
             )
+        except StopEndedError:
+            return Failure(
+                AttemptFailure('the stop has ended', Ran.YES, blameless=True)
+            )
         except (aiohttp.ClientError, OSError, SequenceError) as error:
             return Failure(
                 AttemptFailure(
--- a/tests/ingress/test_stops.py
+++ b/tests/ingress/test_stops.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import time
+import types
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from http import client
@@ -10,10 +11,12 @@
 import pytest
 
 from kelproad.coordination import drain as drain_module
-from kelproad.coordination.drain import Drain, StopTimes
+from kelproad.coordination.drain import Drain, StopEndedError, StopTimes
 from kelproad.coordination.ingress.admission.stopping import plan_stop
+from kelproad.coordination.ingress.streams.delivery import StreamDelivery
 from testbed.routed import RoutedInstance, RoutedSite, start_routed_site
 from tests.ingress.callers import call, stream
+from tests.ingress.test_hedging import build_call
 
 #: Seconds from SIGTERM to the kill.
 GRACE = 8.0
@@ -77,6 +80,33 @@
     assert instance.process.wait(GRACE) == int(answer.broken)
 
 
+async def test_a_stream_whose_end_is_being_written_was_not_cut() -> None:
+    """Guards against an exit code that reports a cut which no caller has seen.
+
+    Its last event and its end are on their way when the stop ends.
+    """
+    drain = Drain(lambda: 1, lambda: StopTimes(grace=0, limit=1))
+    transport = types.SimpleNamespace(set_write_buffer_limits=lambda **_: None)
+    written = asyncio.Event()
+    delivery = StreamDelivery(
+        types.SimpleNamespace(transport=transport), build_call()
+    )
+    delivery._response = types.SimpleNamespace(write_eof=written.wait)
+
+    async def finish() -> object:
+        async with drain.until_end() as complete:
+            delivery.on_complete = complete
+            return await delivery.finish(None)
+
+    finishing = asyncio.create_task(finish())
+    await asyncio.sleep(0)
+    assert not drain.interrupt_calls()
+    written.set()
+    assert await finishing is delivery._response
+    with pytest.raises(StopEndedError):
+        delivery.on_complete()
+
+
 async def test_the_grace_ends_by_the_clock() -> None:
     """A stream is accepted late in a stop, and cut at its end.
 
