--- a/src/kelproad/coordination/ingress/membership/messages.py
+++ b/src/kelproad/coordination/ingress/membership/messages.py
@@ -121,16 +121,15 @@
     ended_age: float
     confirmed: bool
     fingerprint: str = ''
-    is_common: bool = False
 
 
 class PromptNotice(_Unrelayed, tag=6):
     """What the sender observed of prompts and requests; needs no reply.
 
     ``harmless`` has the seconds since an answer that shows it, by service and
-    part.  ``alive`` names the engines, by service and life, that were reported
-    to have ended and have not; ``revived`` those that were confirmed to have,
-    and the seconds since they answered.
+    part or fingerprint.  ``alive`` names the engines, by service and life,
+    that were reported to have ended and have not; ``revived`` those that were
+    confirmed to have, and the seconds since they answered.
     """
 
     token: int
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -26,9 +26,8 @@
 from .readiness import Readiness
 from .reloading import SettingsHolder, SettingsWatch
 from .servers import NodeServers, describe_endpoints, describe_work
-from .sessions import NodeSessions
 from .settings import Bounds
-from .sharing import SharedState
+from .sharing import NodeSessions, SharedState
 from .tables.holder import ConfigurationHolder
 from .tables.store import OpenStore
 from .tunnels.connecting import EndpointConnector
--- a/src/kelproad/coordination/ingress/placing/filtering.py
+++ b/src/kelproad/coordination/ingress/placing/filtering.py
@@ -1,6 +1,7 @@
 """Endpoints that a call may be sent to, the healthy ones first."""
 
 import logging
+import math
 import random
 from collections.abc import Callable, Iterator
 
@@ -11,9 +12,9 @@
 from ....state.endpoints import Endpoint
 from ....state.observations import EngineObservations
 from ....state.records import OnceRecorder
+from ....state.unreachable import UnreachableAddresses
 from ..membership.reachability import ZoneReachability
 from ..streams.progress import Progress
-from .connectable import add_trials, refuse_unreachable, select_connectable
 from .eligibility import (
     are_withdrawn,
     exclude_avoided,
@@ -24,12 +25,21 @@
 )
 from .placement import NoPlacementError
 
-__all__ = ['EndpointFilter', 'RegionFilter', 'Tier', 'iterate_tiers']
+__all__ = [
+    'EndpointFilter',
+    'RegionFilter',
+    'Tier',
+    'add_trials',
+    'iterate_tiers',
+    'select_connectable',
+]
 
 _logger = logging.getLogger(__name__)
 #: Bounds of the seconds after which callers retry when no endpoint is in a
 #: permitted region; at random, so that they don't all come at once.
 _RETRIES = (1.0, 3.0)
+#: The same when no endpoint can be connected to.
+_CONNECT_RETRIES = (0.5, 1.5)
 
 
 @attrs.frozen
@@ -225,3 +235,57 @@
         yield Tier(healthy + leaving, trusted | names, uses_leaving=True)
     if not (trusted or are_withdrawn(endpoints, now)):
         yield Tier(usable, {endpoint.name for endpoint in usable})
+
+
+def select_connectable(
+    endpoints: list[Endpoint], unreachable: UnreachableAddresses, now: float
+) -> list[Endpoint]:
+    """Select the endpoints that are not known to be unreachable."""
+    if not unreachable.is_current(now):
+        return endpoints
+    return [
+        endpoint
+        for endpoint in endpoints
+        if not unreachable.includes(endpoint.declaration.address, now)
+    ]
+
+
+def add_trials(
+    connectable: list[Endpoint],
+    endpoints: list[Endpoint],
+    service: str,
+    unreachable: UnreachableAddresses,
+    now: float,
+) -> list[Endpoint]:
+    """Add unreachable endpoints if a call may try those again.
+
+    If there are others to choose from, those that have just failed are left
+    out.  Otherwise the half whose failures are oldest is added, so that in the
+    end each is tried.
+    """
+    failed = [
+        endpoint
+        for endpoint in endpoints
+        if unreachable.includes(endpoint.declaration.address, now)
+    ]
+    if connectable:
+        failed = [
+            endpoint
+            for endpoint in failed
+            if not unreachable.is_avoided(endpoint.declaration.address, now)
+        ]
+    if not failed or not unreachable.take_trial(service, now):
+        return connectable
+    failed.sort(
+        key=lambda item: unreachable.find_failure(item.declaration.address),
+    )
+    return connectable + failed[: math.ceil(len(failed) / 2)]
+
+
+def refuse_unreachable(generator: random.Random) -> NoPlacementError:
+    """Build the refusal of a call while another one tries the endpoints."""
+    return NoPlacementError(
+        'no endpoint can be connected to',
+        worth_waiting=False,
+        retry_after=generator.uniform(*_CONNECT_RETRIES),
+    )
--- a/src/kelproad/coordination/ingress/quarantine/ends.py
+++ b/src/kelproad/coordination/ingress/quarantine/ends.py
@@ -120,7 +120,6 @@
             sent_at,
             now,
             fingerprint=call.fingerprint,
-            is_common=call.is_common,
         )
         self._quarantine.record_end(ended, now)
         self._notices.announce_end(ended)
--- a/src/kelproad/coordination/ingress/quarantine/guard.py
+++ b/src/kelproad/coordination/ingress/quarantine/guard.py
@@ -139,9 +139,12 @@
 
         One that was resumed may have passed what ends its engines.
         """
-        requests = self._quarantine.requests
-        if not (resumed or requests.is_empty(monotonic())):
-            requests.clear(call.service, call.fingerprint)
+        requests, now = self._quarantine.requests, monotonic()
+        may_clear = not (resumed or requests.is_empty(now))
+        if may_clear and requests.count(call.service, call.fingerprint, now):
+            fingerprints = (call.fingerprint,)
+            self._quarantine.record_harmless(call.service, fingerprints, now)
+            self._notices.announce_harmless(call.service, fingerprints)
         self.release(call)
 
     def describe(self) -> list[dict[str, object]]:
--- a/src/kelproad/coordination/ingress/quarantine/notices.py
+++ b/src/kelproad/coordination/ingress/quarantine/notices.py
@@ -223,7 +223,6 @@
         round(now - ended.ended_at, 4),
         ended.confirmed,
         ended.fingerprint,
-        ended.is_common,
     )
 
 
@@ -238,5 +237,4 @@
         now - reported.ended_age,
         reported.confirmed,
         reported.fingerprint,
-        reported.is_common,
     )
--- a/src/kelproad/coordination/ingress/sharing.py
+++ b/src/kelproad/coordination/ingress/sharing.py
@@ -1,17 +1,22 @@
-"""State and functions that the components of an instance share."""
+"""State and client sessions that the components of an instance share."""
 
 import random
 from collections.abc import Callable
 
+import aiohttp
 import attrs
 
+from ...protocol.connections import build_connection_trace
 from ...state.budgets import HeldBytes
 from ...state.counters import Counters
 from ...state.directpaths import DirectPaths
 from ...state.endpointtable import EndpointTable
 from ...state.observations import EngineObservations
 from ...state.work import WorkLedger
+from ...transport.addresses import Address
 from ...transport.deadlines import RunningClock
+from ...transport.http import create_session, create_single_use_session
+from ...transport.sockets import OpenSocket
 from ..drain import Drain
 from .admission.dialect import Dialect
 from .limiting.gate import StartGate
@@ -21,7 +26,7 @@
 from .tables.holder import ConfigurationHolder
 from .tunnels.peerchoice import TunnelPeers
 
-__all__ = ['SharedState']
+__all__ = ['NodeSessions', 'SharedState']
 
 
 @attrs.frozen
@@ -73,3 +78,32 @@
     is_store_failing: Callable[[], bool]
     read_bounds: Callable[[], Bounds]
     find_region: Callable[[str], str]
+
+
+class NodeSessions:
+    """Opens sessions and closes them together."""
+
+    def __init__(self, origin: Address) -> None:
+        """Connect from the IP number of ``origin``, except to endpoints."""
+        self._origin = origin
+        self._opened: list[aiohttp.ClientSession] = []
+
+    def open_pooled(self) -> aiohttp.ClientSession:
+        """Open a session that keeps connections."""
+        session = create_session(self._origin)
+        self._opened.append(session)
+        return session
+
+    def open_single_use(self, open_socket: OpenSocket) -> aiohttp.ClientSession:
+        """Open a session for calls to endpoints, a connection for each."""
+        session = create_single_use_session(
+            open_socket=open_socket,
+            trace_configs=[build_connection_trace()],
+        )
+        self._opened.append(session)
+        return session
+
+    async def close(self) -> None:
+        """Close all sessions."""
+        for session in self._opened:
+            await session.close()
--- a/src/kelproad/state/calls.py
+++ b/src/kelproad/state/calls.py
@@ -156,11 +156,6 @@
             self._fingerprint = digest.hexdigest()
         return self._fingerprint
 
-    @property
-    def is_common(self) -> bool:
-        """Whether nothing tells it from calls of others to the same target."""
-        return not (self.body or self.head.own_part)
-
     @property
     def request_id(self) -> str:
         """Id that the caller chose."""
--- a/src/kelproad/state/quarantine.py
+++ b/src/kelproad/state/quarantine.py
@@ -78,6 +78,9 @@
     ) -> dict[str, Suspicion]:
         """Record an answer that its engine outlived.
 
+        ``parts`` may have the fingerprint of a request that was answered
+        whole.
+
         Returns
         -------
         dict of str to Suspicion
@@ -86,6 +89,7 @@
         cleared = {}
         for part in parts:
             key = (service, part)
+            self.requests.clear(service, part, at)
             self._harmless[key] = max(at, self._harmless.get(key, at))
             self._harmless.move_to_end(key)
             suspicion = self._suspicions.get(key)
@@ -120,7 +124,9 @@
         if ended.ended_at < self._revived_at.get(key, -math.inf):
             return []
         self._record_engine_end(ended, now)
-        if ended.fingerprint:
+        if self.select_unproven(
+            ended.service, filter(None, (ended.fingerprint,)), ended.ended_at
+        ):
             is_confirmed = key in self._confirmed_ends
             self.requests.add(attrs.evolve(ended, confirmed=is_confirmed), now)
         unproven = self.select_unproven(
--- a/src/kelproad/state/requestends.py
+++ b/src/kelproad/state/requestends.py
@@ -96,15 +96,13 @@
         delay = _RETRIAL_SECONDS * _RETRIAL_FACTOR**later
         return self.last_end_at + min(delay, _MAX_RETRIAL_SECONDS)
 
-    def meets(self, ended: EndedCall) -> bool:
-        """Return whether an end says more than those that are known.
+    def is_followed_by(self, ended: EndedCall) -> bool:
+        """Return whether an end is that of a call sent after the last end.
 
         When several engines end at once, so do sound calls that ask for the
         same.
         """
-        if not (ended.is_common and self.ends):
-            return True
-        return ended.sent_at >= self.last_end_at - _TOLERANCE
+        return not self.ends or ended.sent_at >= self.last_end_at - _TOLERANCE
 
     def count(self, now: float) -> int:
         """Count the engines that have ended, or may have."""
@@ -137,7 +135,7 @@
             record = _Record()
             self._records[key] = record
         known = record.ends.get(ended.engine)
-        if known is None and not record.meets(ended):
+        if known is None and not record.is_followed_by(ended):
             return
         if known is None:
             record.ends[ended.engine] = ended
@@ -153,9 +151,19 @@
             if of_service == service and end is not None:
                 known.ends[engine] = attrs.evolve(end, confirmed=True)
 
-    def clear(self, service: str, fingerprint: str) -> None:
-        """Forget a request, as it was answered whole."""
-        self._records.pop((service, fingerprint), None)
+    def clear(self, service: str, fingerprint: str, at: float) -> bool:
+        """Forget a request that was answered whole at a time.
+
+        Returns
+        -------
+        bool
+            Whether an end was known of it.
+        """
+        known = self._records.get((service, fingerprint))
+        if known is None or known.last_end_at > at + _TOLERANCE:
+            return False
+        self._records.pop((service, fingerprint))
+        return True
 
     def withdraw(self, service: str, engine: str) -> None:
         """Withdraw an end that is not confirmed: the engine is alive."""
--- a/src/kelproad/state/suspicions.py
+++ b/src/kelproad/state/suspicions.py
@@ -46,8 +46,6 @@
         Whether the engine is known to have ended.
     fingerprint
         Digest of what the call asked for.
-    is_common
-        Whether sound calls of others may ask for the same.
     """
 
     service: str
@@ -58,7 +56,6 @@
     ended_at: float
     confirmed: bool = False
     fingerprint: str = ''
-    is_common: bool = False
 
 
 @attrs.define
--- a/tests/ingress/test_request_ends.py
+++ b/tests/ingress/test_request_ends.py
@@ -88,13 +88,15 @@
 def test_a_request_that_was_answered_is_forgotten() -> None:
     """Guards against sound requests that met engines which fail alone."""
     quarantine = build(*map(end, range(3)))
-    quarantine.requests.clear('writer', 'lethal')
+    quarantine.record_harmless('writer', ['lethal'], LATER)
     assert judge(quarantine) is RequestState.FREE
+    quarantine.record_end(end(4), LATER)
+    assert not quarantine.requests.count('writer', 'lethal', LATER)
 
 
-def test_engines_that_end_at_once_bar_no_common_request() -> None:
-    """Guards against a lookup of many callers, barred as its service fails."""
-    ends = [end(number, is_common=True, ended_at=LATER) for number in range(3)]
+def test_engines_that_end_at_once_bar_no_request() -> None:
+    """Guards against a request of many callers, barred as its zone fails."""
+    ends = [end(number, ended_at=LATER) for number in range(3)]
     assert judge(build(*ends), 2 * LATER) is RequestState.FREE
 
 
--- a/tests/ingress/test_unreachable.py
+++ b/tests/ingress/test_unreachable.py
@@ -7,13 +7,11 @@
 from kelproad.coordination.ingress.membership.reachability import (
     ZoneReachability,
 )
-from kelproad.coordination.ingress.placing.connectable import (
-    add_trials,
-    select_connectable,
-)
 from kelproad.coordination.ingress.placing.filtering import (
     EndpointFilter,
     RegionFilter,
+    add_trials,
+    select_connectable,
 )
 from kelproad.coordination.ingress.placing.placement import NoPlacementError
 from kelproad.coordination.ingress.streams.progress import Progress
