Quarantine: ends of a request count in whatever order they are told

Trace: the end of writer-1 was confirmed at edge-7 after 2.1 s, that of writer-7 0.7 s later; edge-8, edge-1 and edge-2 knew of writer-7, writer-3 and writer-14 only. An end told after a later one was refused, as its call was not sent after the last known end. Not shown: what delayed the first notices there. An end counts now if it precedes or follows each known one. test_ends_count_in_whatever_order_they_are_told failed before.

--- a/src/kelproad/state/requestends.py
+++ b/src/kelproad/state/requestends.py
@@ -96,13 +96,16 @@
         delay = _RETRIAL_SECONDS * _RETRIAL_FACTOR**later
         return self.last_end_at + min(delay, _MAX_RETRIAL_SECONDS)
 
-    def is_followed_by(self, ended: EndedCall) -> bool:
-        """Return whether an end is that of a call sent after the last end.
+    def is_in_a_row(self, ended: EndedCall) -> bool:
+        """Return whether no call was under way at an end and at another one.
 
         When several engines end at once, so do sound calls that ask for the
-        same.
+        same.  An end may be told later than those that came after it.
         """
-        return not self.ends or ended.sent_at >= self.last_end_at - _TOLERANCE
+        return all(
+            _precedes(known, ended) or _precedes(ended, known)
+            for known in self.ends.values()
+        )
 
     def count(self, now: float) -> int:
         """Count the engines that have ended, or may have."""
@@ -135,7 +138,7 @@
             record = _Record()
             self._records[key] = record
         known = record.ends.get(ended.engine)
-        if known is None and not record.is_followed_by(ended):
+        if known is None and not record.is_in_a_row(ended):
             return
         if known is None:
             record.ends[ended.engine] = ended
@@ -255,3 +258,8 @@
             for key, known in self._records.items()
             if known.is_current(now)
         }
+
+
+def _precedes(first: EndedCall, second: EndedCall) -> bool:
+    """Return whether a call was sent after the engine of another had ended."""
+    return second.sent_at >= first.ended_at - _TOLERANCE
--- a/tests/ingress/test_request_ends.py
+++ b/tests/ingress/test_request_ends.py
@@ -60,6 +60,11 @@
     assert judge(build(*map(end, range(ends)))) is state
 
 
+def test_ends_count_in_whatever_order_they_are_told() -> None:
+    """Guards against a fourth end, as a notice of the first came late."""
+    assert judge(build(end(1), end(0), end(2))) is RequestState.BARRED
+
+
 def test_a_request_waits_for_ends_that_are_checked() -> None:
     """Guards against a repetition that comes before its third end is known."""
     quarantine = build(end(0), end(1), end(2, confirmed=False))
