--- a/tests/ingress/test_request_ends.py
+++ b/tests/ingress/test_request_ends.py
@@ -83,6 +83,16 @@
     )
 
 
+def test_an_end_that_was_not_confirmed_holds_up_no_later_one() -> None:
+    """Guards against a fourth end, as a lost connection was taken for one."""
+    lost = end(0, confirmed=False, ended_at=3.0)
+    quarantine = build(lost, end(29, ended_at=6.0), end(61), end(62))
+    assert judge(quarantine, 7.0) is RequestState.BARRED
+    # It was an end after all, at which another call was under way.
+    quarantine.record_end(end(0, 'sound', ended_at=3.0), 7.0)
+    assert quarantine.requests.count('writer', 'lethal', 7.0) == 3
+
+
 def test_an_engine_that_had_paused_is_no_end() -> None:
     """Guards against requests barred for engines that answer again."""
     quarantine = build(*map(end, range(3)))
