Quarantine: an end that was not confirmed holds up no later one

Cause: a record kept ends that were never confirmed, and took them for calls under way at the time of later ends, which were then not counted: a request could end more than three engines. Ruled out: forgetting them after 2 s, as another instance's check may still confirm them. Change: an end is compared with those alone that count now, again when it is confirmed.

--- a/src/kelproad/state/quarantine.py
+++ b/src/kelproad/state/quarantine.py
@@ -304,7 +304,7 @@
         key = (ended.service, ended.engine)
         self._ends.setdefault(key, ended.ended_at)
         if ended.confirmed and key not in self._confirmed_ends:
-            self.requests.confirm(*key)
+            self.requests.confirm(*key, now)
         if ended.confirmed:
             self._confirmed_ends = {
                 life: at
--- a/src/kelproad/state/requestends.py
+++ b/src/kelproad/state/requestends.py
@@ -79,6 +79,15 @@
 
     ends: dict[str, EndedCall] = attrs.field(factory=dict)
 
+    def add(self, ended: EndedCall, now: float) -> None:
+        """Add an end, or confirm one that is known."""
+        known = self.ends.get(ended.engine, ended)
+        confirmed = known.confirmed or ended.confirmed
+        if self._is_in_a_row(known, now):
+            self.ends[ended.engine] = attrs.evolve(known, confirmed=confirmed)
+        else:
+            self.ends.pop(ended.engine, None)
+
     @property
     def last_end_at(self) -> float:
         """Monotonic time of the last end."""
@@ -96,23 +105,9 @@
         delay = _RETRIAL_SECONDS * _RETRIAL_FACTOR**later
         return self.last_end_at + min(delay, _MAX_RETRIAL_SECONDS)
 
-    def is_in_a_row(self, ended: EndedCall) -> bool:
-        """Return whether no call was under way at an end and at another one.
-
-        When several engines end at once, so do sound calls that ask for the
-        same.  An end may be told later than those that came after it.
-        """
-        return all(
-            _precedes(known, ended) or _precedes(ended, known)
-            for known in self.ends.values()
-        )
-
     def count(self, now: float) -> int:
         """Count the engines that have ended, or may have."""
-        return sum(
-            end.confirmed or now - end.ended_at < _UNCONFIRMED_SECONDS
-            for end in self.ends.values()
-        )
+        return sum(_counts(end, now) for end in self.ends.values())
 
     def is_current(self, now: float) -> bool:
         """Return whether it still bears on what may be sent."""
@@ -120,6 +115,18 @@
         seconds = _FORGET_BARRED_SECONDS if barred else _FORGET_SECONDS
         return now - self.last_end_at < seconds
 
+    def _is_in_a_row(self, ended: EndedCall, now: float) -> bool:
+        """Return whether no call was under way at an end and at another one.
+
+        When several engines end at once, so do sound calls that ask for the
+        same.  An end may be told later than those that came after it.
+        """
+        return all(
+            _precedes(other, ended) or _precedes(ended, other)
+            for other in self.ends.values()
+            if other.engine != ended.engine and _counts(other, now)
+        )
+
 
 class RequestEnds:
     """What is known of requests under which engines ended."""
@@ -137,22 +144,16 @@
         if record is None or not record.is_current(now):
             record = _Record()
             self._records[key] = record
-        known = record.ends.get(ended.engine)
-        if known is None and not record.is_in_a_row(ended):
-            return
-        if known is None:
-            record.ends[ended.engine] = ended
-        elif ended.confirmed and not known.confirmed:
-            record.ends[ended.engine] = attrs.evolve(known, confirmed=True)
+        record.add(ended, now)
         if len(self._records) > _MAX_REQUESTS:
             self._drop_some(now)
 
-    def confirm(self, service: str, engine: str) -> None:
+    def confirm(self, service: str, engine: str, now: float) -> None:
         """Confirm an end under all requests: it is one, whoever found it."""
         for (of_service, _), known in self._records.items():
             end = known.ends.get(engine)
             if of_service == service and end is not None:
-                known.ends[engine] = attrs.evolve(end, confirmed=True)
+                known.add(attrs.evolve(end, confirmed=True), now)
 
     def clear(self, service: str, fingerprint: str, at: float) -> bool:
         """Forget a request that was answered whole at a time.
@@ -260,6 +261,11 @@
         }
 
 
+def _counts(ended: EndedCall, now: float) -> bool:
+    """Return whether an end is confirmed, or may still be."""
+    return ended.confirmed or now - ended.ended_at < _UNCONFIRMED_SECONDS
+
+
 def _precedes(first: EndedCall, second: EndedCall) -> bool:
     """Return whether a call was sent after the engine of another had ended."""
     return second.sent_at >= first.ended_at - _TOLERANCE
