Quarantine: an end confirmed under one part counts for all

Cause: the check that confirms an end counted it for the parts of its own call alone. When the instance that had sent the part which crashes stopped before its check, or its report came after the check of another, that end was never counted for the part, which one more engine then met. Change: the first confirmation counts for all parts whose calls were broken off there, and a call reported later is taken as confirmed. The two tests expected a sound part at all of the same ends to be told apart, which nobody can; they now have another sound part at each. Both fail on the code before (suspect after three ends) and pass.

--- a/src/kelproad/state/quarantine.py
+++ b/src/kelproad/state/quarantine.py
@@ -123,26 +123,23 @@
         key = (ended.service, ended.engine)
         if ended.ended_at < self._revived_at.get(key, -math.inf):
             return []
-        self._record_engine_end(ended, now)
+        confirmed = self._record_engine_end(ended, now)
+        ended = attrs.evolve(ended, confirmed=key in self._confirmed_ends)
         if self.select_unproven(
             ended.service, filter(None, (ended.fingerprint,)), ended.ended_at
         ):
-            is_confirmed = key in self._confirmed_ends
-            self.requests.add(attrs.evolve(ended, confirmed=is_confirmed), now)
+            self.requests.add(ended, now)
         unproven = self.select_unproven(
             ended.service, ended.parts, ended.ended_at
         )
         ended = attrs.evolve(ended, parts=unproven)
-        quarantined = []
-        for part in sorted(unproven):
-            suspicion = self._find_or_add((ended.service, part), now)
-            suspicion.add(ended)
-            if suspicion.quarantined_after:
-                continue
-            if suspicion.trials >= self._choose_trials(ended.service, part):
-                suspicion.quarantined_after = suspicion.trials
-                quarantined.append(part)
-        return quarantined
+        for part in unproven:
+            self._find_or_add((ended.service, part), now).add(ended)
+        return [
+            part
+            for part in sorted(unproven | confirmed)
+            if self._quarantine_if_due(ended.service, part)
+        ]
 
     def has_ended_before(self, service: str, engine: str, at: float) -> bool:
         """Return whether an engine is confirmed to have ended before a time."""
@@ -298,20 +295,41 @@
                 explained |= common
         return explained
 
-    def _record_engine_end(self, ended: EndedCall, now: float) -> None:
+    def _record_engine_end(self, ended: EndedCall, now: float) -> set[str]:
+        """Record an end, for all calls; return the parts it is confirmed for.
+
+        An end that is confirmed is one for all calls that broke off, whoever
+        found it and under which of them.
+        """
         oldest = now - _BACKGROUND_SECONDS
         self._ends = {key: at for key, at in self._ends.items() if at > oldest}
         key = (ended.service, ended.engine)
         self._ends.setdefault(key, ended.ended_at)
-        if ended.confirmed and key not in self._confirmed_ends:
-            self.requests.confirm(*key, now)
-        if ended.confirmed:
-            self._confirmed_ends = {
-                life: at
-                for life, at in self._confirmed_ends.items()
-                if at > now - _ENDED_SECONDS
-            }
-            self._confirmed_ends.setdefault(key, ended.ended_at)
+        if not ended.confirmed or key in self._confirmed_ends:
+            return set()
+        self._confirmed_ends = {
+            life: at
+            for life, at in self._confirmed_ends.items()
+            if at > now - _ENDED_SECONDS
+        }
+        self._confirmed_ends[key] = ended.ended_at
+        self.requests.confirm(*key, now)
+        return {
+            part
+            for (service, part), suspicion in self._suspicions.items()
+            if service == ended.service
+            and suspicion.confirm(ended.engine, ended.ended_at)
+        }
+
+    def _quarantine_if_due(self, service: str, part: str) -> bool:
+        """Quarantine a part after enough trials; return whether it is new."""
+        suspicion = self._suspicions[service, part]
+        if suspicion.quarantined_after:
+            return False
+        if suspicion.trials < self._choose_trials(service, part):
+            return False
+        suspicion.quarantined_after = suspicion.trials
+        return True
 
     def _choose_trials(self, service: str, part: str) -> int:
         """Choose the ends in a row that quarantine a part.
--- a/src/kelproad/state/suspicions.py
+++ b/src/kelproad/state/suspicions.py
@@ -123,13 +123,25 @@
         end.workspaces |= ended.workspaces
         end.fingerprints |= frozenset(filter(None, (ended.fingerprint,)))
         end.confirmed = end.confirmed or ended.confirmed
-        if end.confirmed and not end.counted and self._is_in_a_row(end):
-            end.counted = True
-            self.trials += 1
-            self.last_end_at = max(self.last_end_at, end.ended_at)
+        self._count(end)
         if len(self.ends) > _MAX_ENDS:
             self._drop_oldest_end()
 
+    def confirm(self, engine: str, ended_at: float) -> bool:
+        """Confirm an end, unless it broke off calls sent after it alone.
+
+        Returns
+        -------
+        bool
+            Whether calls with the part were broken off by it.
+        """
+        end = self.ends.get(engine)
+        if end is None or end.sent_at > ended_at:
+            return False
+        end.confirmed = True
+        self._count(end)
+        return True
+
     def remove(self, engine: str) -> None:
         """Remove an end that was none, and what was concluded from it."""
         if not self.ends.pop(engine).counted:
@@ -159,6 +171,14 @@
             for end in self.ends.values()
         )
 
+    def _count(self, end: EngineEnd) -> None:
+        """Count an end that is confirmed, once, if it is one in a row."""
+        if end.counted or not end.confirmed or not self._is_in_a_row(end):
+            return
+        end.counted = True
+        self.trials += 1
+        self.last_end_at = max(self.last_end_at, end.ended_at)
+
     def _is_in_a_row(self, end: EngineEnd) -> bool:
         """Return whether no call with the part was under way at two ends.
 
--- a/tests/ingress/test_quarantine.py
+++ b/tests/ingress/test_quarantine.py
@@ -245,24 +245,24 @@
 def test_an_end_found_under_one_part_counts_for_others(
     evidence: Evidence,
 ) -> None:
-    """Guards against a sound part blamed as the observer of another stopped."""
+    """Guards against more ends, as an instance stopped before its check."""
     for number in range(3):
         sent_at = evidence.now
         engine = f'engine-x-{number}'
         evidence.end(('poison',), engine=engine, confirmed=False)
-        evidence.end(('sound',), engine=engine, sent_at=sent_at)
+        evidence.end((f'seen-{number}',), engine=engine, sent_at=sent_at)
     assert evidence.judge('poison') is PartState.QUARANTINED
-    assert evidence.judge('sound') is PartState.SUSPECT
+    assert evidence.judge('seen-0', 'seen-1') is PartState.SUSPECT
 
 
 def test_an_end_reported_without_a_check_counts_if_it_is_known(
     evidence: Evidence,
 ) -> None:
-    """Guards against a part unpunished whose observer stopped too early."""
+    """Guards against more ends, as the report of a call comes after a check."""
     for number in range(3):
         sent_at = evidence.now
         engine = f'engine-x-{number}'
-        evidence.end(('other',), engine=engine)
+        evidence.end((f'seen-{number}',), engine=engine)
         evidence.end(
             ('poison',), engine=engine, confirmed=False, sent_at=sent_at
         )
