Quarantine: what clears a part and what clears a request are told apart

No decision changed: a request that was answered is recorded by a method of its own, and the result of clearing it, which nobody read, is gone.

--- a/src/kelproad/coordination/ingress/quarantine/guard.py
+++ b/src/kelproad/coordination/ingress/quarantine/guard.py
@@ -142,9 +142,10 @@
         requests, now = self._quarantine.requests, monotonic()
         may_clear = not (resumed or requests.is_empty(now))
         if may_clear and requests.count(call.service, call.fingerprint, now):
-            fingerprints = (call.fingerprint,)
-            self._quarantine.record_harmless(call.service, fingerprints, now)
-            self._notices.announce_harmless(call.service, fingerprints)
+            self._quarantine.record_answered(
+                call.service, call.fingerprint, now
+            )
+            self._notices.announce_harmless(call.service, (call.fingerprint,))
         self.release(call)
 
     def describe(self) -> list[dict[str, object]]:
--- a/src/kelproad/coordination/ingress/quarantine/notices.py
+++ b/src/kelproad/coordination/ingress/quarantine/notices.py
@@ -88,15 +88,17 @@
         self._send_to_all(functools.partial(PromptNotice, revived=revived))
 
     def announce_harmless(self, service: str, parts: Iterable[str]) -> None:
-        """Tell all instances that an engine outlived an answer on parts."""
+        """Tell all that an engine outlived an answer on parts, or requests."""
         harmless = [(service, part, float(0)) for part in parts]
         self._send_to_all(functools.partial(PromptNotice, harmless=harmless))
 
     def accept(self, notice: PromptNotice) -> None:
         """Record what another instance observed."""
         now = monotonic()
-        for service, part, age in notice.harmless:
-            self._quarantine.record_harmless(service, [part], now - age)
+        for service, known, age in notice.harmless:
+            # It is a part, or the fingerprint of a request.
+            self._quarantine.record_harmless(service, [known], now - age)
+            self._quarantine.record_answered(service, known, now - age)
         for service, engine in notice.alive:
             self._quarantine.withdraw(service, engine)
         for service, engine, age in notice.revived:
--- a/src/kelproad/state/quarantine.py
+++ b/src/kelproad/state/quarantine.py
@@ -78,9 +78,6 @@
     ) -> dict[str, Suspicion]:
         """Record an answer that its engine outlived.
 
-        ``parts`` may have the fingerprint of a request that was answered
-        whole.
-
         Returns
         -------
         dict of str to Suspicion
@@ -89,18 +86,21 @@
         cleared = {}
         for part in parts:
             key = (service, part)
-            self.requests.clear(service, part, at)
-            self._harmless[key] = max(at, self._harmless.get(key, at))
-            self._harmless.move_to_end(key)
+            self._remember_harmless(key, at)
             suspicion = self._suspicions.get(key)
             # A late report of an answer says nothing on engines that ended
             # long after it.
             if suspicion and suspicion.last_end_at < at + _HARMLESS_SECONDS:
                 cleared[part] = self._suspicions.pop(key)
-        while len(self._harmless) > _MAX_HARMLESS:
-            self._harmless.popitem(last=False)
         return cleared
 
+    def record_answered(
+        self, service: str, fingerprint: str, at: float
+    ) -> None:
+        """Record that a request was answered whole: it ends no engine."""
+        self.requests.clear(service, fingerprint, at)
+        self._remember_harmless((service, fingerprint), at)
+
     def select_unproven(
         self, service: str, parts: Iterable[str], now: float
     ) -> frozenset[str]:
@@ -254,6 +254,13 @@
         """List the evidence by service and part."""
         return dict(self._suspicions)
 
+    def _remember_harmless(self, key: _Key, at: float) -> None:
+        """Remember when a part or a request did no harm."""
+        self._harmless[key] = max(at, self._harmless.get(key, at))
+        self._harmless.move_to_end(key)
+        if len(self._harmless) > _MAX_HARMLESS:
+            self._harmless.popitem(last=False)
+
     def _is_proven(
         self,
         service: str,
--- a/src/kelproad/state/requestends.py
+++ b/src/kelproad/state/requestends.py
@@ -155,19 +155,11 @@
             if of_service == service and end is not None:
                 known.add(attrs.evolve(end, confirmed=True), now)
 
-    def clear(self, service: str, fingerprint: str, at: float) -> bool:
-        """Forget a request that was answered whole at a time.
-
-        Returns
-        -------
-        bool
-            Whether an end was known of it.
-        """
+    def clear(self, service: str, fingerprint: str, at: float) -> None:
+        """Forget a request that was answered whole after all of its ends."""
         known = self._records.get((service, fingerprint))
-        if known is None or known.last_end_at > at + _TOLERANCE:
-            return False
-        self._records.pop((service, fingerprint))
-        return True
+        if known and known.last_end_at <= at + _TOLERANCE:
+            self._records.pop((service, fingerprint))
 
     def withdraw(self, service: str, engine: str) -> None:
         """Withdraw an end that is not confirmed: the engine is alive."""
--- a/tests/ingress/test_request_ends.py
+++ b/tests/ingress/test_request_ends.py
@@ -103,7 +103,7 @@
 def test_a_request_that_was_answered_is_forgotten() -> None:
     """Guards against sound requests that met engines which fail alone."""
     quarantine = build(*map(end, range(3)))
-    quarantine.record_harmless('writer', ['lethal'], LATER)
+    quarantine.record_answered('writer', 'lethal', LATER)
     assert judge(quarantine) is RequestState.FREE
     quarantine.record_end(end(4), LATER)
     assert not quarantine.requests.count('writer', 'lethal', LATER)
