--- a/src/kelproad/state/quarantine.py
+++ b/src/kelproad/state/quarantine.py
@@ -16,7 +16,14 @@
 import attrs
 
 from .requestends import RequestEnds
-from .suspicions import EndedCall, Judgement, PartState, Suspicion
+from .suspicions import (
+    BACKGROUND_SECONDS,
+    EndedCall,
+    EndedLives,
+    Judgement,
+    PartState,
+    Suspicion,
+)
 
 __all__ = ['PartQuarantine']
 
@@ -29,12 +36,7 @@
 _MAX_TRIALS = 5
 #: Largest probability that a harmless part has met that many ends by chance.
 _MAX_CHANCE = 1e-3
-#: Seconds in which the other ends are counted that give this probability, and
-#: seconds that a trial takes.
-_BACKGROUND_SECONDS = 10.0
-#: Seconds for which calls may be sent to an engine that has ended, as its entry
-#: is still listed.
-_ENDED_SECONDS = 30.0
+#: Seconds that a trial takes.
 _TRIAL_SECONDS = 0.5
 #: Seconds without a request after which a suspicion is forgotten.
 _FORGET_SECONDS = 86_400.0
@@ -66,12 +68,7 @@
         )
         self._suspicions: dict[_Key, Suspicion] = {}
         self.requests = RequestEnds()
-        #: Monotonic times at which engines ended lately, by service and life.
-        self._ends: dict[_Key, float] = {}
-        #: The same for ends that were confirmed, also longer ago.
-        self._confirmed_ends: dict[_Key, float] = {}
-        #: Monotonic times at which lives that had seemed to end answered.
-        self._revived_at: dict[_Key, float] = {}
+        self._lives = EndedLives()
 
     def record_harmless(
         self, service: str, parts: Iterable[str], at: float
@@ -120,11 +117,13 @@
         """
         if self.has_ended_before(ended.service, ended.engine, ended.sent_at):
             return []
-        key = (ended.service, ended.engine)
-        if ended.ended_at < self._revived_at.get(key, -math.inf):
+        if self._lives.has_answered_after(ended):
             return []
-        confirmed = self._record_engine_end(ended, now)
-        ended = attrs.evolve(ended, confirmed=key in self._confirmed_ends)
+        confirmed = set()
+        if self._lives.record(ended, now):
+            self.requests.confirm(ended.service, ended.engine, now)
+            confirmed = self._confirm_parts(ended)
+        ended = attrs.evolve(ended, confirmed=self._lives.is_confirmed(ended))
         if self.select_unproven(
             ended.service, filter(None, (ended.fingerprint,)), ended.ended_at
         ):
@@ -143,11 +142,11 @@
 
     def has_ended_before(self, service: str, engine: str, at: float) -> bool:
         """Return whether an engine is confirmed to have ended before a time."""
-        return self._confirmed_ends.get((service, engine), math.inf) < at
+        return self._lives.has_ended_before(service, engine, at)
 
     def withdraw(self, service: str, engine: str) -> None:
         """Withdraw an end: the engine is alive."""
-        self._ends.pop((service, engine), None)
+        self._lives.withdraw(service, engine)
         self.requests.withdraw(service, engine)
         for key, suspicion in list(self._suspicions.items()):
             end = suspicion.ends.get(engine)
@@ -166,15 +165,7 @@
             The parts that are in quarantine no longer.
         """
         self.requests.revive(service, engine, at)
-        life = (service, engine)
-        oldest = at - _ENDED_SECONDS
-        self._revived_at = {
-            key: last for key, last in self._revived_at.items() if last > oldest
-        }
-        self._revived_at[life] = max(at, self._revived_at.get(life, at))
-        for ends in (self._ends, self._confirmed_ends):
-            if ends.get(life, math.inf) < at:
-                ends.pop(life)
+        self._lives.revive(service, engine, at)
         released = []
         for key, suspicion in list(self._suspicions.items()):
             end = suspicion.ends.get(engine)
@@ -302,25 +293,11 @@
                 explained |= common
         return explained
 
-    def _record_engine_end(self, ended: EndedCall, now: float) -> set[str]:
-        """Record an end, for all calls; return the parts it is confirmed for.
+    def _confirm_parts(self, ended: EndedCall) -> set[str]:
+        """Confirm an end for all calls that it broke off; return their parts.
 
-        An end that is confirmed is one for all calls that broke off, whoever
-        found it and under which of them.
+        It is one for all, whoever found it and under which of them.
         """
-        oldest = now - _BACKGROUND_SECONDS
-        self._ends = {key: at for key, at in self._ends.items() if at > oldest}
-        key = (ended.service, ended.engine)
-        self._ends.setdefault(key, ended.ended_at)
-        if not ended.confirmed or key in self._confirmed_ends:
-            return set()
-        self._confirmed_ends = {
-            life: at
-            for life, at in self._confirmed_ends.items()
-            if at > now - _ENDED_SECONDS
-        }
-        self._confirmed_ends[key] = ended.ended_at
-        self.requests.confirm(*key, now)
         return {
             part
             for (service, part), suspicion in self._suspicions.items()
@@ -345,12 +322,9 @@
         trials end by chance.
         """
         related = self._suspicions[service, part].ends
-        others = sum(
-            of_service == service and engine not in related
-            for of_service, engine in self._ends
-        )
+        others = self._lives.count_others(service, related)
         engines = max(1, self._count_engines(service))
-        chance = others / engines / _BACKGROUND_SECONDS * _TRIAL_SECONDS
+        chance = others / engines / BACKGROUND_SECONDS * _TRIAL_SECONDS
         trials = _MIN_TRIALS
         while trials < _MAX_TRIALS and chance ** (trials - 1) > _MAX_CHANCE:
             trials += 1
--- a/src/kelproad/state/suspicions.py
+++ b/src/kelproad/state/suspicions.py
@@ -1,11 +1,26 @@
-"""Evidence against a part of prompts: engines that ended while answering it."""
+"""Evidence against parts of prompts: lives of engines that ended on them.
+
+A life of an engine is its name and incarnation.
+"""
 
 import enum
 import math
+from collections.abc import Container, Mapping
 
 import attrs
 
-__all__ = ['EndedCall', 'EngineEnd', 'Judgement', 'PartState', 'Suspicion']
+__all__ = [
+    'BACKGROUND_SECONDS',
+    'EndedCall',
+    'EndedLives',
+    'EngineEnd',
+    'Judgement',
+    'PartState',
+    'Suspicion',
+]
+
+#: Seconds in which ends are counted as the usual ones of a service.
+BACKGROUND_SECONDS = 10.0
 
 #: Seconds for which a part stays suspect because of an end that is not
 #: confirmed.
@@ -17,6 +32,10 @@
 _TOLERANCE = 0.05
 #: Most ends that are remembered of a part.
 _MAX_ENDS = 12
+#: Seconds for which calls may be sent to an engine that has ended, as its entry
+#: is still listed.
+_LISTED_SECONDS = 30.0
+_Life = tuple[str, str]
 
 
 class PartState(enum.StrEnum):
@@ -199,6 +218,63 @@
         self.ends.pop(next(uncounted, None) or next(iter(self.ends)))
 
 
+class EndedLives:
+    """Lives of engines that have ended, or may have, by service."""
+
+    def __init__(self) -> None:
+        """Know of no end."""
+        #: Monotonic times of ends lately, confirmed or not.
+        self._ends: dict[_Life, float] = {}
+        #: The same for ends that were confirmed, also longer ago.
+        self._confirmed: dict[_Life, float] = {}
+        #: Monotonic times at which lives that had seemed to end answered.
+        self._revived_at: dict[_Life, float] = {}
+
+    def record(self, ended: EndedCall, now: float) -> bool:
+        """Record an end; return whether it is confirmed for the first time."""
+        life = (ended.service, ended.engine)
+        self._ends = _select_after(self._ends, now - BACKGROUND_SECONDS)
+        self._ends.setdefault(life, ended.ended_at)
+        if not ended.confirmed or life in self._confirmed:
+            return False
+        self._confirmed = _select_after(self._confirmed, now - _LISTED_SECONDS)
+        self._confirmed[life] = ended.ended_at
+        return True
+
+    def is_confirmed(self, ended: EndedCall) -> bool:
+        """Return whether the end of a call's engine is confirmed."""
+        return (ended.service, ended.engine) in self._confirmed
+
+    def has_ended_before(self, service: str, engine: str, at: float) -> bool:
+        """Return whether a life is confirmed to have ended before a time."""
+        return self._confirmed.get((service, engine), math.inf) < at
+
+    def has_answered_after(self, ended: EndedCall) -> bool:
+        """Return whether the engine of a call has answered since."""
+        life = (ended.service, ended.engine)
+        return ended.ended_at < self._revived_at.get(life, -math.inf)
+
+    def withdraw(self, service: str, engine: str) -> None:
+        """Withdraw an end that is not confirmed."""
+        self._ends.pop((service, engine), None)
+
+    def revive(self, service: str, engine: str, at: float) -> None:
+        """Withdraw the ends of a life that answered later."""
+        life = (service, engine)
+        self._revived_at = _select_after(self._revived_at, at - _LISTED_SECONDS)
+        self._revived_at[life] = max(at, self._revived_at.get(life, at))
+        for ends in (self._ends, self._confirmed):
+            if ends.get(life, math.inf) < at:
+                ends.pop(life)
+
+    def count_others(self, service: str, engines: Container[str]) -> int:
+        """Count the lives of a service that ended lately, without some."""
+        return sum(
+            of_service == service and engine not in engines
+            for of_service, engine in self._ends
+        )
+
+
 @attrs.frozen
 class Judgement:
     """What is known of a prompt.
@@ -217,3 +293,10 @@
     parts: tuple[str, ...] = ()
     retrial_in: float = 0
     engines: tuple[str, ...] = ()
+
+
+def _select_after(
+    times: Mapping[_Life, float], oldest: float
+) -> dict[_Life, float]:
+    """Select what happened after a time."""
+    return {life: at for life, at in times.items() if at > oldest}
