--- a/src/kelproad/coordination/ingress/tables/caching.py
+++ b/src/kelproad/coordination/ingress/tables/caching.py
@@ -1,4 +1,4 @@
-"""Local copy of a table of the store, to be relayed to peers.
+"""Local copy of a table of the store, and when it may be relayed to peers.
 
 Peers query what changed since a revision, as they would query the store.  A
 change without new information, such as the next report of an endpoint whose
@@ -6,12 +6,26 @@
 relaying each report would make up nearly all of the traffic.
 """
 
+import math
 from collections.abc import Callable
 from typing import Generic
 
-from .tablestates import DecodedRow, DecodedState, Payload, Revision, TableState
+import attrs
 
-__all__ = ['TableCache']
+from .following import TableFollower
+from .merging import RowMerger
+from .readers import choose_longest_relayed
+from .tablestates import (
+    DecodedRow,
+    DecodedState,
+    Payload,
+    Provenance,
+    Revision,
+    TableFreshness,
+    TableState,
+)
+
+__all__ = ['RelayedTable', 'TableCache']
 
 #: Dropped rows that are remembered, so that peers learn of the deletion.
 #: Endpoints come and go by tens a minute; a peer queries several times a
@@ -98,3 +112,75 @@
         for key in dropped:
             self._rows.pop(key)
         self._complete_since = revision
+
+
+@attrs.frozen
+class RelayedTable:
+    """A table that is kept current here, and relayed to peers.
+
+    Attributes
+    ----------
+    follower
+        Keeps it current.
+    cache
+        What peers are told of it.
+    merger
+        Merges what is read into what is known.
+    slack
+        Seconds for which the store may take longer than usual before the table
+        is too old to be relayed.
+    """
+
+    follower: TableFollower
+    cache: TableCache
+    merger: RowMerger
+    slack: float
+
+    @property
+    def source(self) -> Provenance | None:
+        """Source of the table, ``None`` while it is too old to be relayed."""
+        provenance = self.follower.provenance
+        if provenance is None:
+            return None
+        longest = choose_longest_relayed(
+            provenance, self.follower.healthy_age, self.slack
+        )
+        return provenance if self.follower.measure_age() <= longest else None
+
+    def may_relay(self, within_zone: bool) -> bool:
+        """Return whether it may be relayed to peers of this zone, or another.
+
+        A table from the local zone is relayed to nobody, one from another zone
+        only to the local one, lest two instances query each other.
+        """
+        source = self.source
+        least = Provenance.OTHER_ZONE if within_zone else Provenance.STORE
+        return source is not None and source >= least
+
+    def merge(self, state: DecodedState) -> DecodedState:
+        """Merge a state into what is known, and relay the outcome."""
+        merged = self.merger.merge(state)
+        self.cache.update(merged)
+        return merged
+
+    def list_changes(self, after: Revision | None) -> TableState | None:
+        """List what changed since a revision, and how current that is."""
+        changes = self.cache.list_changes(after)
+        if changes is None:
+            return None
+        return attrs.evolve(
+            changes,
+            age=self.follower.measure_age(),
+            recovered_for=self.follower.measure_since_recovery(),
+        )
+
+    def describe_freshness(self) -> TableFreshness:
+        """Describe the freshness as of now, for peers."""
+        recovered_for = self.follower.measure_since_recovery()
+        return TableFreshness(
+            self.cache.revision.version,
+            self.cache.changed_at.version,
+            self.follower.measure_age(),
+            recovered_for if math.isfinite(recovered_for) else None,
+            self.cache.revision.era,
+        )
--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -1,7 +1,6 @@
 """The tables of the store that an instance follows: configuration, endpoints.
 
-Each has a follower, which keeps it current here, and a cache, from which it is
-relayed to peers.
+Each has a follower, which keeps it current here, and is relayed to peers.
 """
 
 import logging
@@ -9,19 +8,16 @@
 import random
 from collections.abc import Callable
 
-import attrs
-
 from ....state.endpointtable import EndpointTable
 from ....state.records import record
 from ..settings import Bounds
-from .caching import TableCache
+from .caching import RelayedTable, TableCache
 from .confirming import Confirmation
 from .endpoints import EndpointRegistry
 from .evacuations import ZoneEvacuations
 from .following import PeerTable, TableFollower, TableSource
 from .holder import ConfigurationHolder
 from .merging import RowMerger, RowOrder
-from .readers import choose_longest_relayed
 from .roworders import (
     ENDPOINT_ORDER,
     OPERATOR_ORDER,
@@ -62,54 +58,6 @@
 _SETTLE_SHARE = 0.1
 
 
-@attrs.frozen
-class _FollowedTable:
-    """A table that is kept current here, and relayed to peers."""
-
-    follower: TableFollower
-    cache: TableCache
-    merger: RowMerger
-    slack: float
-
-    @property
-    def source(self) -> Provenance | None:
-        """Source of the table, ``None`` while it is too old to be relayed."""
-        provenance = self.follower.provenance
-        if provenance is None:
-            return None
-        longest = choose_longest_relayed(
-            provenance, self.follower.healthy_age, self.slack
-        )
-        return provenance if self.follower.measure_age() <= longest else None
-
-    def may_relay(self, within_zone: bool) -> bool:
-        """Return whether it may be relayed to peers of this zone, or another.
-
-        A table from the local zone is relayed to nobody, one from another zone
-        only to the local one, lest two instances query each other.
-        """
-        source = self.source
-        least = Provenance.OTHER_ZONE if within_zone else Provenance.STORE
-        return source is not None and source >= least
-
-    def merge(self, state: DecodedState) -> DecodedState:
-        """Merge a state into what is known, and relay the outcome."""
-        merged = self.merger.merge(state)
-        self.cache.update(merged)
-        return merged
-
-    def describe_freshness(self) -> TableFreshness:
-        """Describe the freshness as of now, for peers."""
-        recovered_for = self.follower.measure_since_recovery()
-        return TableFreshness(
-            self.cache.revision.version,
-            self.cache.changed_at.version,
-            self.follower.measure_age(),
-            recovered_for if math.isfinite(recovered_for) else None,
-            self.cache.revision.era,
-        )
-
-
 class FollowedTables:
     """Keeps configuration and endpoints current, and relays them to peers.
 
@@ -209,14 +157,7 @@
         followed = self._followed.get(name)
         if followed is None or not followed.may_relay(within_zone):
             return None
-        changes = followed.cache.list_changes(after)
-        if changes is None:
-            return None
-        return attrs.evolve(
-            changes,
-            age=followed.follower.measure_age(),
-            recovered_for=followed.follower.measure_since_recovery(),
-        )
+        return followed.list_changes(after)
 
     def adopt_held(self, encoded: bytes) -> bool:
         """Adopt what another instance has in force; return whether it is newer.
@@ -248,7 +189,7 @@
             and followed.cache.revision is not None
         }
 
-    def _follow_configuration(self, bounds: Bounds) -> _FollowedTable:
+    def _follow_configuration(self, bounds: Bounds) -> RelayedTable:
         wait_seconds = min(
             _CONFIGURATION_WAIT,
             bounds.apply_configuration * _WAIT_SHARE,
@@ -263,7 +204,7 @@
             bounds.apply_configuration * _SLACK_SHARE,
         )
 
-    def _follow_endpoints(self, bounds: Bounds) -> _FollowedTable:
+    def _follow_endpoints(self, bounds: Bounds) -> RelayedTable:
         pause = min(_ENDPOINT_PAUSE, bounds.leave_endpoint * _PAUSE_SHARE)
         return self._follow(
             self._store.endpoints,
@@ -284,7 +225,7 @@
         wait_seconds: float,
         pause: float,
         slack: float,
-    ) -> _FollowedTable:
+    ) -> RelayedTable:
         def update(state: TableState) -> None:  # noqa: WPS430  closure
             adopt(followed.merge(DecodedState.from_state(state, decode)))
 
@@ -297,7 +238,7 @@
             self._generator,
             self._open_peer_table(source.name),
         )
-        followed = _FollowedTable(
+        followed = RelayedTable(
             follower,
             TableCache(order.is_equivalent),
             RowMerger(source.name, order),
--- a/tests/ingress/test_relaying.py
+++ b/tests/ingress/test_relaying.py
@@ -15,8 +15,10 @@
 
 from kelproad.coordination.ingress.tables import following as following_module
 from kelproad.coordination.ingress.tables import relaying as relaying_module
-from kelproad.coordination.ingress.tables.caching import TableCache
-from kelproad.coordination.ingress.tables.followed import _FollowedTable
+from kelproad.coordination.ingress.tables.caching import (
+    RelayedTable,
+    TableCache,
+)
 from kelproad.coordination.ingress.tables.readers import Reader, ReaderSelector
 from kelproad.coordination.ingress.tables.relaying import build_answer
 from kelproad.coordination.ingress.tables.tablestates import (
@@ -254,12 +256,12 @@
 # Which tables are relayed
 
 
-def build_followed(provenance: Provenance | None, age: float) -> _FollowedTable:
+def build_followed(provenance: Provenance | None, age: float) -> RelayedTable:
     """Build a table of some age that is 0.8 s old at most while all is well."""
     follower = types.SimpleNamespace(
         provenance=provenance, healthy_age=0.8, measure_age=lambda: age
     )
-    return _FollowedTable(follower, cache=None, merger=None, slack=0.4)
+    return RelayedTable(follower, cache=None, merger=None, slack=0.4)
 
 
 def test_tables_from_the_zone_are_not_relayed() -> None:
