Tests: requests whose callers leave end engine after engine, failing

Eight instances of stand-ins, twelve engines that fall silent; callers leave after 0.3 s and send the request again under another id, ten times.

--- a/testbed/crashes.py
+++ b/testbed/crashes.py
@@ -41,7 +41,8 @@
 
     ``make_parts`` gets a number that is different for each request; one without
     it has no prompt.  Callers send a request ``tries`` times, each at once
-    after the one before failed, with an id of its own.
+    after the one before failed, with an id of its own; they leave when nothing
+    comes for ``patience`` seconds.
     """
 
     path: str
@@ -49,6 +50,7 @@
     rate: float
     key: str = KEY
     tries: int = 1
+    patience: float = _DEADLINE
 
 
 @attrs.frozen
@@ -199,7 +201,9 @@
             **_build_prompt_fields(kind, number),
         }
         sent_at = time.monotonic()
-        connection = client.HTTPConnection(instance.caller, timeout=_DEADLINE)
+        connection = client.HTTPConnection(
+            instance.caller, timeout=kind.patience
+        )
         status, whole, retry_after = 0, False, ''
         body = f'prompt {number}'.encode()
         with contextlib.suppress(OSError, client.HTTPException):
--- a/tests/ingress/test_repeated_requests.py
+++ b/tests/ingress/test_repeated_requests.py
@@ -31,6 +31,12 @@
 #: Lethal requests a second, and how often their callers send each.
 RATE = 0.3
 TRIES = 4
+#: Seconds after which impatient callers send a request again, less than it
+#: takes to tell a silent engine from a busy one, and how often they do.
+PATIENCE = 0.3
+IMPATIENT_TRIES = 10
+#: Seconds after a caller left in which all instances know of the end.
+KNOWN_SECONDS = 0.3
 
 KINDS = types.MappingProxyType(
     {
@@ -41,6 +47,20 @@
             '/fragile/x?events=8&lethal', make_sound_parts, RATE, tries=TRIES
         ),
         'no-prompt': Stream('/notes/lethal', None, RATE, tries=TRIES),
+        'prompt-left': Stream(
+            '/reports/x?events=8&lethal',
+            make_sound_parts,
+            RATE,
+            tries=IMPATIENT_TRIES,
+            patience=PATIENCE,
+        ),
+        'no-prompt-left': Stream(
+            '/notes/lethal',
+            None,
+            RATE,
+            tries=IMPATIENT_TRIES,
+            patience=PATIENCE,
+        ),
     }
 )
 
@@ -89,6 +109,7 @@
         ('prompt', {'crash_after': 1, 'crash_silently': True}),
         ('prompt-not-resumed', {'crash_after': 1}),
         ('no-prompt', {}),
+        ('prompt-not-resumed', {'crash_after': 1, 'crash_silently': True}),
         ('no-prompt', {'crash_silently': True}),
     ],
 )
@@ -111,3 +132,23 @@
     # Engines that fall silent hold sound calls too, until that is noticed.
     if 'crash_silently' not in faults:
         assert measure_served(sent, SOUND, began) >= 1 - TOLERANCE
+
+
+@pytest.mark.parametrize('name', ['prompt-left', 'no-prompt-left'])
+def test_a_request_whose_caller_leaves_ends_no_engine_after_engine(
+    site: CrashingSite, name: str
+) -> None:
+    """Guards against ends that are not seen, as the caller left before."""
+    site.apply_faults(crash_targets=['lethal'], crash_silently=True)
+    began = time.monotonic()
+    sent = site.apply_load(LOAD_SECONDS, (SOUND, KINDS[name]))
+    site.await_all()
+    grouped = group_arrivals(site.read_crashes(began), sent)
+    assert grouped
+    for arrivals in grouped.values():
+        third = arrivals[:MAX_CRASHES][-1]
+        assert arrivals[-1] <= third + PATIENCE + KNOWN_SECONDS
+    sound = [call for call in sent if call.kind is SOUND]
+    assert not list_refused(site).intersection(
+        map(operator.attrgetter('request_id'), sound)
+    )
