--- a/src/kelproad/coordination/ingress/tables/endpoints.py
+++ b/src/kelproad/coordination/ingress/tables/endpoints.py
@@ -10,10 +10,8 @@
 import collections
 import logging
 import math
-import operator
 from collections.abc import Callable, Iterable
 
-import attrs
 from returns.result import Failure, Result
 
 from ....state.declarations import (
@@ -25,9 +23,10 @@
 from ....state.records import record
 from ....state.routes import RoutingConfiguration
 from ....transport.deadlines import monotonic
+from .roworders import ListedEndpoint
 from .tablestates import DecodedState
 
-__all__ = ['EndpointRegistry', 'ListedEndpoint']
+__all__ = ['EndpointRegistry']
 
 _logger = logging.getLogger(__name__)
 #: Seconds for which entries are kept when most of a service's vanish at once,
@@ -49,62 +48,6 @@
 _STANDSTILL_SECONDS = 0.5
 
 
-@attrs.frozen
-class ListedEndpoint:
-    """An endpoint's own entry in the store.
-
-    Attributes
-    ----------
-    address
-        ``IP:port``.
-    slots
-        Maximum number of calls in progress at a time.
-    warm_up_left
-        Seconds for which it goes on warming up.
-    born
-        Unix time of its start in milliseconds; 0 when not stated.
-    sequence
-        Count of its reports in this incarnation.
-    """
-
-    name: str
-    service: str
-    address: str
-    zone: str
-    slots: int
-    leaving: bool
-    warm_up_left: float
-    born: int
-    sequence: int
-
-    @property
-    def incarnation(self) -> str:
-        """Name of its incarnation, as in its declaration."""
-        return str(self.born)
-
-    @property
-    def report_order(self) -> tuple[int, int]:
-        """Order of its reports, across incarnations."""
-        return self.born, self.sequence
-
-    def warms_up_longer(self, other: 'ListedEndpoint') -> bool:
-        """Return whether it states a warm-up that another report did not.
-
-        The time left runs down from one report to the next; its end is stated
-        too, so that the next warm-up is no shorter one.
-        """
-        return self.warm_up_left > other.warm_up_left or (
-            other.warm_up_left > 0 and not self.warm_up_left
-        )
-
-    def is_same_endpoint(self, other: 'ListedEndpoint') -> bool:
-        """Return whether the two differ only in what each report changes."""
-        return _read_description(self) == _read_description(other)
-
-
-_read_description = operator.attrgetter(
-    'name', 'service', 'address', 'zone', 'slots', 'leaving', 'born'
-)
 _Entries = DecodedState[Result[ListedEndpoint, str]]
 
 
--- a/src/kelproad/coordination/ingress/tables/roworders.py
+++ b/src/kelproad/coordination/ingress/tables/roworders.py
@@ -1,4 +1,4 @@
-"""How the rows of each followed table are compared."""
+"""Decoded rows of each followed table, and how they are compared."""
 
 import operator
 
@@ -6,7 +6,6 @@
 from returns.result import Failure, Result
 
 from ....state.routes import RoutingConfiguration
-from .endpoints import ListedEndpoint
 from .merging import RowOrder
 from .tablestates import Revision
 
@@ -14,6 +13,7 @@
     'ENDPOINT_ORDER',
     'OPERATOR_ORDER',
     'EvacuationOrder',
+    'ListedEndpoint',
     'OperatorRow',
 ]
 
@@ -46,6 +46,64 @@
     evacuation: EvacuationOrder | None = attrs.field(default=None, eq=False)
 
 
+@attrs.frozen
+class ListedEndpoint:
+    """An endpoint's own entry in the store.
+
+    Attributes
+    ----------
+    address
+        ``IP:port``.
+    slots
+        Maximum number of calls in progress at a time.
+    warm_up_left
+        Seconds for which it goes on warming up.
+    born
+        Unix time of its start in milliseconds; 0 when not stated.
+    sequence
+        Count of its reports in this incarnation.
+    """
+
+    name: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    leaving: bool
+    warm_up_left: float
+    born: int
+    sequence: int
+
+    @property
+    def incarnation(self) -> str:
+        """Name of its incarnation, as in its declaration."""
+        return str(self.born)
+
+    @property
+    def report_order(self) -> tuple[int, int]:
+        """Order of its reports, across incarnations."""
+        return self.born, self.sequence
+
+    def warms_up_longer(self, other: 'ListedEndpoint') -> bool:
+        """Return whether it states a warm-up that another report did not.
+
+        The time left runs down from one report to the next; its end is stated
+        too, so that the next warm-up is no shorter one.
+        """
+        return self.warm_up_left > other.warm_up_left or (
+            other.warm_up_left > 0 and not self.warm_up_left
+        )
+
+    def is_same_endpoint(self, other: 'ListedEndpoint') -> bool:
+        """Return whether the two differ only in what each report changes."""
+        return _read_description(self) == _read_description(other)
+
+
+_read_description = operator.attrgetter(
+    'name', 'service', 'address', 'zone', 'slots', 'leaving', 'born'
+)
+
+
 def _is_older_row(offered: OperatorRow, known: OperatorRow) -> bool:
     """Return whether a row was written before what is known of it.
 
--- a/src/kelproad/platform/rows.py
+++ b/src/kelproad/platform/rows.py
@@ -5,8 +5,10 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from ..coordination.ingress.tables.endpoints import ListedEndpoint
-from ..coordination.ingress.tables.roworders import EvacuationOrder
+from ..coordination.ingress.tables.roworders import (
+    EvacuationOrder,
+    ListedEndpoint,
+)
 from ..coordination.ingress.tables.tablestates import StoredRow
 from ..state.engines import EngineProfile
 from ..state.requestlimits import WarmUp
--- a/tests/ingress/test_tables.py
+++ b/tests/ingress/test_tables.py
@@ -8,7 +8,6 @@
 from returns.result import Result, Success
 
 from kelproad.coordination.ingress.settings import Bounds
-from kelproad.coordination.ingress.tables.endpoints import ListedEndpoint
 from kelproad.coordination.ingress.tables.evacuations import ZoneEvacuations
 from kelproad.coordination.ingress.tables.followed import FollowedTables
 from kelproad.coordination.ingress.tables.following import (
@@ -18,6 +17,7 @@
 )
 from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
 from kelproad.coordination.ingress.tables.positions import StoreEras
+from kelproad.coordination.ingress.tables.roworders import ListedEndpoint
 from kelproad.coordination.ingress.tables.store import NodeStore
 from kelproad.coordination.ingress.tables.tablestates import (
     Revision,
