Tests: a request that others get answered is barred as engines are lost, failing

Traced: all bookings ask for the same; the harness kills book-1 and book-2, the lives book-2 1, book-1 2 and book-2 2 end in a row, and the request is barred for 30 s. The same was answered whole 0.02 s before the first of these and 0.1 s before the second, by other instances, which had no end of it in mind and told nobody.

--- a/src/kelproad/state/suspicions.py
+++ b/src/kelproad/state/suspicions.py
@@ -1,7 +1,4 @@
-"""Evidence against parts of prompts: lives of engines that ended on them.
-
-A life of an engine is its name and incarnation.
-"""
+"""Evidence against parts of prompts: lives of engines that ended on them."""
 
 import enum
 import math
@@ -21,7 +18,6 @@
 
 #: Seconds in which ends are counted as the usual ones of a service.
 BACKGROUND_SECONDS = 10.0
-
 #: Seconds for which a part stays suspect because of an end that is not
 #: confirmed.
 _UNCONFIRMED_SECONDS = 2.0
--- a/tests/ingress/test_guard.py
+++ b/tests/ingress/test_guard.py
@@ -28,6 +28,7 @@
 from kelproad.state.quarantine import PartQuarantine
 from kelproad.state.refusals import Ran
 from kelproad.state.routes import CallKind, Route, WeightedService
+from kelproad.state.suspicions import EndedCall
 from kelproad.transport.deadlines import monotonic
 from tests.ingress.crashes import build_ended
 
@@ -103,6 +104,25 @@
     assert finished == [('part',)]
 
 
+def test_answers_are_remembered_while_engines_end() -> None:
+    """Guards against a request barred that other callers get answered."""
+    quarantine = PartQuarantine(lambda _service: 3)
+    now = monotonic()
+    quarantine.record_end(
+        EndedCall(
+            'writer', 'i-1', frozenset(), frozenset(), now, now, True, 'other'
+        ),
+        now,
+    )
+    guard = PromptGuard(quarantine, *(None for _ in range(5)))
+    call = attrs.evolve(build_call(), trial=())
+    guard.record_answered(call, resumed=True)
+    unproven = quarantine.select_unproven('writer', [call.fingerprint], now)
+    assert unproven
+    guard.record_answered(call, resumed=False)
+    assert not quarantine.select_unproven('writer', unproven, now)
+
+
 @pytest.mark.parametrize('others_answer', [True, False])
 async def test_a_cut_off_instance_proves_no_end(others_answer: bool) -> None:
     """Parts of sound prompts came into quarantine while engines were alive."""
--- a/tests/ingress/test_request_ends.py
+++ b/tests/ingress/test_request_ends.py
@@ -1,10 +1,19 @@
 """Ends of engines by what calls ask for, without a network."""
 
+import types
+
+import attrs
 import pytest
 
+from kelproad.coordination.ingress.membership.messages import PromptNotice
+from kelproad.coordination.ingress.quarantine.notices import (
+    PromptNotices,
+    pack_end,
+)
 from kelproad.state.quarantine import PartQuarantine
 from kelproad.state.requestends import RequestState
 from kelproad.state.suspicions import EndedCall, PartState
+from kelproad.transport.deadlines import monotonic
 
 #: Seconds after the first end at which the request is judged.
 LATER = 1.0
@@ -109,6 +118,33 @@
     assert not quarantine.requests.count('writer', 'lethal', LATER)
 
 
+def test_an_answer_just_before_the_ends_shows_a_request_to_be_sound() -> None:
+    """Guards against a request of many callers, barred as engines are lost."""
+    quarantine = build(*map(end, range(3)))
+    quarantine.record_answered('writer', 'lethal', -1.0)
+    assert judge(quarantine) is RequestState.FREE
+
+
+def test_an_end_after_an_answer_elsewhere_is_withdrawn() -> None:
+    """Guards against ends that the instance of the answer knows better."""
+    replies: list[PromptNotice] = []
+    now = monotonic()
+    knowing = PartQuarantine(lambda _service: 30)
+    knowing.record_answered('writer', 'lethal', now)
+    notices = PromptNotices(
+        knowing,
+        types.SimpleNamespace(
+            announce=lambda notice, _host: replies.append(notice(0, '', ''))
+        ),
+        None,
+    )
+    told = attrs.evolve(end(0), sent_at=now, ended_at=now)
+    notices.accept(PromptNotice(0, 'h', 'a', ends=[pack_end(told, now)]))
+    assert not knowing.requests.count('writer', 'lethal', now)
+    harmless = [known[:2] for reply in replies for known in reply.harmless]
+    assert ('writer', 'lethal') in harmless
+
+
 def test_engines_that_end_at_once_bar_no_request() -> None:
     """Guards against a request of many callers, barred as its zone fails."""
     ends = [end(number, ended_at=LATER) for number in range(3)]
