Quarantine: what a request's answer shows is known as that of a part is

An instance remembered an answer to a request only if it knew of an end under that request, and one that did told no reporter; and an answer cleared only ends before it, so the report of an end that came a moment later counted against a request which others had just been answered. Ruled out: to ask for more ends, as the rule is three; to leave out ends that other requests met too, as a lethal request beside one that many send would never be barred. Change: while any request is remembered each whole answer is, for 5 s as for parts; an end that is reported is replied to with it, and an answer clears the ends up to 5 s after it. While no engine ends nothing is computed, as before.

--- a/src/kelproad/coordination/ingress/quarantine/guard.py
+++ b/src/kelproad/coordination/ingress/quarantine/guard.py
@@ -158,12 +158,15 @@
         One that was resumed may have passed what ends its engines.
         """
         requests, now = self._quarantine.requests, monotonic()
-        may_clear = not (resumed or requests.is_empty(now))
-        if may_clear and requests.count(call.service, call.fingerprint, now):
+        if not (resumed or requests.is_empty(now)):
+            ends = requests.count(call.service, call.fingerprint, now)
             self._quarantine.record_answered(
                 call.service, call.fingerprint, now
             )
-            self._notices.announce_harmless(call.service, (call.fingerprint,))
+            if ends:
+                self._notices.announce_harmless(
+                    call.service, (call.fingerprint,)
+                )
         self.release(call)
 
     def describe(self) -> list[dict[str, object]]:
--- a/src/kelproad/coordination/ingress/quarantine/notices.py
+++ b/src/kelproad/coordination/ingress/quarantine/notices.py
@@ -144,19 +144,20 @@
     def _accept_end(
         self, reported: ReportedEnd, now: float
     ) -> list[tuple[str, str, float]]:
-        """Record a reported end; return the parts that are harmless here."""
+        """Record a reported end; return what of its call is harmless here."""
         ended = unpack_end(reported, now)
         record_quarantined(ended, self._quarantine.record_end(ended, now))
+        accused = ended.parts | {ended.fingerprint}
         unproven = self._quarantine.select_unproven(
-            ended.service, ended.parts, ended.ended_at
+            ended.service, accused, ended.ended_at
         )
         return [
             (
                 ended.service,
-                part,
-                now - self._quarantine.find_harmless_at(ended.service, part),
+                known,
+                now - self._quarantine.find_harmless_at(ended.service, known),
             )
-            for part in sorted(ended.parts - unproven)
+            for known in sorted(accused - unproven)
         ]
 
     @Service.task
--- a/src/kelproad/state/requestends.py
+++ b/src/kelproad/state/requestends.py
@@ -155,10 +155,10 @@
             if of_service == service and end is not None:
                 known.add(attrs.evolve(end, confirmed=True), now)
 
-    def clear(self, service: str, fingerprint: str, at: float) -> None:
-        """Forget a request that was answered whole after all of its ends."""
+    def clear(self, service: str, fingerprint: str, until: float) -> None:
+        """Forget a request whose ends all came before a time."""
         known = self._records.get((service, fingerprint))
-        if known and known.last_end_at <= at + _TOLERANCE:
+        if known and known.last_end_at <= until:
             self._records.pop((service, fingerprint))
 
     def withdraw(self, service: str, engine: str) -> None:
