Quarantine: a report of an end that came late is put right by the next

Cause: the times of an end are taken from the first report that arrives, and are later than they were by its delay. A call sent right after that end seems to have been under way at it, so its own end is not counted in a row. Ruled out: a larger tolerance, which would count calls that end together. Change: of all reports of an end the earliest holds.

--- a/src/kelproad/state/requestends.py
+++ b/src/kelproad/state/requestends.py
@@ -9,6 +9,7 @@
 """
 
 import enum
+import operator
 from collections.abc import Iterator
 
 import attrs
@@ -80,11 +81,17 @@
     ends: dict[str, EndedCall] = attrs.field(factory=dict)
 
     def add(self, ended: EndedCall, now: float) -> None:
-        """Add an end, or confirm one that is known."""
+        """Add an end, or confirm one that is known.
+
+        Reports come with delays; the one with the least states its times best.
+        """
         known = self.ends.get(ended.engine, ended)
+        earliest = min(known, ended, key=operator.attrgetter('ended_at'))
         confirmed = known.confirmed or ended.confirmed
-        if self._is_in_a_row(known, now):
-            self.ends[ended.engine] = attrs.evolve(known, confirmed=confirmed)
+        if self._is_in_a_row(earliest, now):
+            self.ends[ended.engine] = attrs.evolve(
+                earliest, confirmed=confirmed
+            )
         else:
             self.ends.pop(ended.engine, None)
 
--- a/tests/ingress/test_request_ends.py
+++ b/tests/ingress/test_request_ends.py
@@ -102,6 +102,14 @@
     assert quarantine.requests.count('writer', 'lethal', 7.0) == 3
 
 
+def test_a_report_that_was_delayed_is_put_right_by_the_next() -> None:
+    """Guards against a fourth end, as times that come late seem to overlap."""
+    first = end(0, ended_at=0.1)
+    delayed = attrs.evolve(first, sent_at=0.08, ended_at=0.18)
+    quarantine = build(delayed, end(1), first, end(1), end(2))
+    assert judge(quarantine) is RequestState.BARRED
+
+
 def test_an_engine_that_had_paused_is_no_end() -> None:
     """Guards against requests barred for engines that answer again."""
     quarantine = build(*map(end, range(3)))
