Quarantine: an end is recorded though its parts are dropped for want of memory

Found by reading the whole change: looks at all parts that an end is confirmed for after it has added those of the call, which may have dropped one of them; a KeyError ended the record of the end. The test fails before (KeyError) and passes.

--- a/src/kelproad/state/quarantine.py
+++ b/src/kelproad/state/quarantine.py
@@ -307,8 +307,9 @@
 
     def _quarantine_if_due(self, service: str, part: str) -> bool:
         """Quarantine a part after enough trials; return whether it is new."""
-        suspicion = self._suspicions[service, part]
-        if suspicion.quarantined_after:
+        suspicion = self._suspicions.get((service, part))
+        # It may have been dropped for others.
+        if suspicion is None or suspicion.quarantined_after:
             return False
         if suspicion.trials < self._choose_trials(service, part):
             return False
--- a/tests/ingress/test_quarantine.py
+++ b/tests/ingress/test_quarantine.py
@@ -225,6 +225,23 @@
     assert evidence.parts.get(SERVICE, 'poison').quarantined_after
 
 
+def test_an_end_confirmed_for_more_parts_than_are_remembered(
+    evidence: Evidence,
+) -> None:
+    """Guards against an end that is lost as memory runs out under it."""
+    sent_at = evidence.now
+    for number in range(1024):
+        evidence.end(
+            (f'seen-{number}',),
+            engine='engine-x',
+            confirmed=False,
+            sent_at=sent_at,
+        )
+    evidence.now = sent_at
+    evidence.end(('poison',), engine='engine-x', sent_at=sent_at)
+    assert evidence.parts.get(SERVICE, 'poison').trials == 1
+
+
 def test_an_end_that_is_told_late_counts_in_its_turn(
     evidence: Evidence,
 ) -> None:
