Quarantine: a part quarantined under the end of another is kept in the store

Found by reading the whole change: since the end of one call may quarantine parts of others, and only those of the call were written. When all instances start again they would not know of it. The test fails before and passes.

--- a/src/kelproad/coordination/ingress/quarantine/ends.py
+++ b/src/kelproad/coordination/ingress/quarantine/ends.py
@@ -199,7 +199,7 @@
         quarantined = self._quarantine.record_end(ended, monotonic())
         record_quarantined(ended, quarantined)
         self._notices.announce_end(ended)
-        self._rows.keep(ended.service, ended.parts)
+        self._rows.keep(ended.service, ended.parts.union(quarantined))
 
     def _watch_once(self, service: str, endpoint: Endpoint) -> None:
         """Watch an engine that seems to have ended, once for all attempts."""
--- a/tests/ingress/test_guard.py
+++ b/tests/ingress/test_guard.py
@@ -217,6 +217,30 @@
     assert (len(queried), len(told)) == (queries, announced)
 
 
+async def test_parts_quarantined_under_another_are_kept() -> None:
+    """Guards against a part forgotten when all instances start again."""
+    kept: set[str] = set()
+    quarantine = PartQuarantine(lambda _service: 3)
+    call, endpoint, now = build_call(), build_endpoint(), monotonic()
+    for number in range(3):
+        ended = build_ended(
+            call, endpoint, now + number, now + number, ('part',)
+        )
+        quarantine.record_end(
+            attrs.evolve(ended, engine=f'i-{number} 1', confirmed=number < 2),
+            now + number,
+        )
+    observer = EndObserver(
+        quarantine,
+        types.SimpleNamespace(announce_end=lambda _ended: None),
+        types.SimpleNamespace(keep=lambda _service, parts: kept.update(parts)),
+        *(None for _ in range(5)),
+    )
+    last = build_ended(call, endpoint, now + 2, now + 2, ('other',))
+    observer._confirm(attrs.evolve(last, engine='i-2 1', confirmed=True))
+    assert kept == {'part', 'other'}
+
+
 async def test_an_engine_that_leaves_accuses_no_part() -> None:
     """It breaks off what still runs there when it exits."""
     declaration = EndpointDeclaration('i-0', 'a', '10.0.0.0:80')
