--- a/src/kelproad/transport/callerconnections.py
+++ b/src/kelproad/transport/callerconnections.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import logging
-import select
 from collections.abc import Callable, Coroutine, Iterable
 
 import aiohttp
@@ -194,8 +193,7 @@
         to reach its handler; then connections without a call are closed.  To
         close at once would lose a call that has been read, and aiohttp ignores
         what comes on a connection that is marked as closed.  Only a call that
-        arrives in the moment of the close is lost, unread: the iterations may
-        take long, and what arrived meanwhile is read after all.
+        arrives during the close is lost, unread.
         """
         await _let_calls_begin(idle)
         for connection in idle:
@@ -230,13 +228,6 @@
             idle_since,
         )
 
-    def _restart_expiry(self, connection: web.RequestHandler) -> None:
-        """Begin the idle time of a connection anew."""
-        timer = self._idle.pop(connection, None)
-        if timer is not None:
-            timer.cancel()
-        self._await_expiry(connection, asyncio.get_running_loop().time())
-
     def _expire(
         self, connection: web.RequestHandler, idle_since: float
     ) -> None:
@@ -271,10 +262,6 @@
         if connection in self._busy:
             transport.resume_reading()
             return
-        if _has_unread(transport):
-            transport.resume_reading()
-            self._restart_expiry(connection)
-            return
         connection.close()
         transport.close()
 
@@ -302,10 +289,3 @@
             connection.transport.pause_reading()
     for _ in range(_READING_ITERATIONS):
         await asyncio.sleep(0)
-
-
-def _has_unread(transport: asyncio.Transport) -> bool:
-    """Return whether something has arrived that was not read."""
-    poll = select.poll()
-    poll.register(transport.get_extra_info('socket'), select.POLLIN)
-    return bool(poll.poll(0))
