--- a/src/kelproad/coordination/ingress/quarantine/ends.py
+++ b/src/kelproad/coordination/ingress/quarantine/ends.py
@@ -164,27 +164,18 @@
         """Find out whether an engine ended under a call that was closed.
 
         Most are well and were only slow, so one is suspected only when it does
-        not answer a query either, or at once if another one has ended under the
-        same request: its caller may be sending it again.
+        not answer a query either.
         """
         now = monotonic()
         address = endpoint.declaration.address
         if self._paths.is_mute(now) or self._paths.is_doubtful(address, now):
             return
-        if not self._has_ended_others(call, now):
-            if await self._look_once(endpoint) is _State.ALIVE:
-                return
+        if await self._look_once(endpoint) is _State.ALIVE:
+            return
         ended = self.suspect(call, endpoint, sent_at, closed_at, parts)
         if ended is not None:
             await self.check(call, endpoint, ended)
 
-    def _has_ended_others(self, call: Call, now: float) -> bool:
-        """Return whether engines may have ended under the same request."""
-        requests = self._quarantine.requests
-        if requests.is_empty(now):
-            return False
-        return requests.count(call.service, call.fingerprint, now) > 0
-
     def _may_have_ended_before(self, life: str, at: float) -> bool:
         """Return whether a call failed there before, and no more is known."""
         doubted = self._doubted.get(life)
