--- a/src/kelproad/coordination/ingress/quarantine/ends.py
+++ b/src/kelproad/coordination/ingress/quarantine/ends.py
@@ -13,7 +13,7 @@
 import enum
 import logging
 import random
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Iterable
 
 import attrs
 from returns.result import Failure
@@ -80,8 +80,6 @@
     _generator: random.Random
     #: Checks in progress, by the life of the engine.
     _checks: dict[str, asyncio.Task[_State]] = attrs.field(factory=dict)
-    #: Single queries in progress, by the life.
-    _looks: dict[str, asyncio.Task[_State]] = attrs.field(factory=dict)
     #: Queries to engines that have ended, or may have, by the life.
     _watches: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     #: Calls under which an engine may have ended, the first failure at the
@@ -93,10 +91,9 @@
         call: Call,
         endpoint: Endpoint,
         sent_at: float,
-        ended_at: float,
         parts: Iterable[str],
     ) -> EndedCall | None:
-        """Record an attempt that broke off, as its engine may have ended.
+        """Record a failed attempt whose engine may have ended.
 
         Until that is known its unproven parts are suspect.  An engine that
         leaves ends in any case, and accuses none.
@@ -114,16 +111,17 @@
             return None
         if self._may_have_ended_before(life, sent_at):
             return None
+        now = monotonic()
         ended = EndedCall(
             call.service,
             life,
-            self._quarantine.select_unproven(call.service, parts, ended_at),
+            self._quarantine.select_unproven(call.service, parts, now),
             frozenset((call.workspace_name,)),
             sent_at,
-            ended_at,
+            now,
             fingerprint=call.fingerprint,
         )
-        self._quarantine.record_end(ended, monotonic())
+        self._quarantine.record_end(ended, now)
         self._notices.announce_end(ended)
         return ended
 
@@ -153,29 +151,6 @@
             self._doubt(ended)
             self._watch_once(call.service, endpoint)
 
-    async def check_unheard(
-        self,
-        call: Call,
-        endpoint: Endpoint,
-        sent_at: float,
-        closed_at: float,
-        parts: Iterable[str],
-    ) -> None:
-        """Find out whether an engine ended under a call that was closed.
-
-        Most are well and were only slow, so one is suspected only when it does
-        not answer a query either.
-        """
-        now = monotonic()
-        address = endpoint.declaration.address
-        if self._paths.is_mute(now) or self._paths.is_doubtful(address, now):
-            return
-        if await self._look_once(endpoint) is _State.ALIVE:
-            return
-        ended = self.suspect(call, endpoint, sent_at, closed_at, parts)
-        if ended is not None:
-            await self.check(call, endpoint, ended)
-
     def _may_have_ended_before(self, life: str, at: float) -> bool:
         """Return whether a call failed there before, and no more is known."""
         doubted = self._doubted.get(life)
@@ -243,11 +218,13 @@
 
     async def _check_once(self, endpoint: Endpoint) -> _State:
         """Check an engine, once for all of its attempts."""
-        return await _run_once(self._checks, endpoint, self._check)
-
-    async def _look_once(self, endpoint: Endpoint) -> _State:
-        """Query an engine, once for all attempts that were closed there."""
-        return await _run_once(self._looks, endpoint, self._check_now)
+        life = _name_life(endpoint)
+        check = self._checks.get(life)
+        if check is None:
+            check = asyncio.create_task(self._check(endpoint))
+            self._checks[life] = check
+            check.add_done_callback(lambda _: self._checks.pop(life, None))
+        return await asyncio.shield(check)
 
     async def _check(self, endpoint: Endpoint) -> _State:
         # An instance that is cut off reaches no engine at all.  A cut may begin
@@ -307,21 +284,6 @@
         return False
 
 
-async def _run_once(
-    running: dict[str, asyncio.Task[_State]],
-    endpoint: Endpoint,
-    check: Callable[[Endpoint], Coroutine[None, None, _State]],
-) -> _State:
-    """Check an engine, or wait for the same check that is in progress."""
-    life = _name_life(endpoint)
-    task = running.get(life)
-    if task is None:
-        task = asyncio.create_task(check(endpoint))
-        running[life] = task
-        task.add_done_callback(lambda _: running.pop(life, None))
-    return await asyncio.shield(task)
-
-
 def _name_life(endpoint: Endpoint) -> str:
     """Name one life of an engine."""
     return f'{endpoint.name} {endpoint.declaration.incarnation}'
--- a/src/kelproad/coordination/ingress/quarantine/guard.py
+++ b/src/kelproad/coordination/ingress/quarantine/guard.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import math
-from collections.abc import Awaitable, Iterable, Mapping
+from collections.abc import Mapping
 
 import attrs
 
@@ -126,32 +126,14 @@
                 self.release(attempt.call)
             return
         suspected = self._suspect_all(attempt, failure)
-        observing = self._observe(
-            attempt,
-            *(
-                self._observer.check(attempt.call, endpoint, ended)
-                for endpoint, ended in suspected
-            ),
+        observing = asyncio.create_task(
+            self._observe(attempt.call, suspected, self._end_trial(attempt))
         )
+        self._background.add(observing)
+        observing.add_done_callback(self._background.discard)
         if attempt.call.kind.repeatable and self._awaits_checks(suspected):
             await asyncio.wait((observing,), timeout=_CHECK_SECONDS)
 
-    def record_closed(self, attempt: Attempt) -> None:
-        """Record an attempt that was closed while its engine was silent.
-
-        That its caller left, or its time was up, does not tell whether the
-        engine has ended.
-        """
-        call = attempt.call
-        check = self._observer.check_unheard(
-            call,
-            attempt.placement.primary,
-            attempt.sent_at,
-            monotonic(),
-            call.head.shared_parts,
-        )
-        self._observe(attempt, check)
-
     def record_answered(self, call: Call, resumed: bool) -> None:
         """Record that a call was answered whole.
 
@@ -202,30 +184,20 @@
             attempt.call.trial = ()
         return tried
 
-    def _observe(
-        self, attempt: Attempt, *checks: Awaitable[None]
-    ) -> asyncio.Task[None]:
-        """Begin to find out whether engines of an attempt have ended."""
-        tried = self._end_trial(attempt)
-        observing = asyncio.create_task(
-            self._await_checks(attempt.call, checks, tried)
-        )
-        self._background.add(observing)
-        observing.add_done_callback(self._background.discard)
-        return observing
-
-    async def _await_checks(
-        self,
-        call: Call,
-        checks: Iterable[Awaitable[None]],
-        tried: tuple[str, ...],
+    async def _observe(
+        self, call: Call, suspected: list[_Suspected], tried: tuple[str, ...]
     ) -> None:
-        """Wait for checks of engines, then end the trial there.
+        """Find out whether engines have ended, then end the trial there.
 
         Meanwhile the call may have begun another trial, which goes on.
         """
         try:
-            await asyncio.gather(*checks)
+            await asyncio.gather(
+                *(
+                    self._observer.check(call, endpoint, ended)
+                    for endpoint, ended in suspected
+                )
+            )
         finally:
             if tried and not call.trial:
                 self._trials.finish(call, tried)
@@ -246,7 +218,7 @@
                 continue
             parts = call.head.shared_parts if is_primary else ()
             ended = self._observer.suspect(
-                call, endpoint, attempt.sent_at, monotonic(), parts
+                call, endpoint, attempt.sent_at, parts
             )
             if ended is not None:
                 suspected.append((endpoint, ended))
--- a/src/kelproad/coordination/ingress/retrying/dispatching.py
+++ b/src/kelproad/coordination/ingress/retrying/dispatching.py
@@ -84,9 +84,7 @@
         return cls(
             chooser,
             starter,
-            AttemptRunner(
-                sender, evaluator, ledger, gate, guard, silence_monitor
-            ),
+            AttemptRunner(sender, evaluator, ledger, gate, guard),
             Hedger(
                 silence_monitor,
                 starter,
