Quarantine: an answer clears the ends before it, also if others came since

Found by reading the whole change. A sound request that many callers make is barred by three ends; an answer showed it to be sound after two of them, but its report came after the third, and cleared nothing unless it was later than all. The new test fails before (3 ends count, 1 should) and passes.

--- a/src/kelproad/state/requestends.py
+++ b/src/kelproad/state/requestends.py
@@ -163,9 +163,16 @@
                 known.add(attrs.evolve(end, confirmed=True), now)
 
     def clear(self, service: str, fingerprint: str, until: float) -> None:
-        """Forget a request whose ends all came before a time."""
-        known = self._records.get((service, fingerprint))
-        if known and known.last_end_at <= until:
+        """Forget the ends of a request that came before a time."""
+        record = self._records.get((service, fingerprint))
+        if record is None:
+            return
+        record.ends = {
+            engine: end
+            for engine, end in record.ends.items()
+            if end.ended_at > until
+        }
+        if not record.ends:
             self._records.pop((service, fingerprint))
 
     def withdraw(self, service: str, engine: str) -> None:
--- a/tests/ingress/test_request_ends.py
+++ b/tests/ingress/test_request_ends.py
@@ -133,6 +133,13 @@
     assert judge(quarantine) is RequestState.FREE
 
 
+def test_an_answer_told_late_clears_the_ends_before_it() -> None:
+    """Guards against a sound request barred by ends that an answer explains."""
+    quarantine = build(end(0), end(1), end(100))
+    quarantine.record_answered('writer', 'lethal', 1.0)
+    assert quarantine.requests.count('writer', 'lethal', 11.0) == 1
+
+
 def test_an_end_after_an_answer_elsewhere_is_withdrawn() -> None:
     """Guards against ends that the instance of the answer knows better."""
     replies: list[PromptNotice] = []
