Quarantine: an end is not forgotten as only its own report is put right

Found by reading the whole change. When the reports of two ends come late by the same delay and that of the second is put right first, it seems to overlap the first, and forgot it until the next report, 0.5 s later; a request had one engine more meanwhile. Change: the report known before holds then. The new test fails before (free after two ends, alone is right) and passes.

--- a/src/kelproad/state/requestends.py
+++ b/src/kelproad/state/requestends.py
@@ -83,17 +83,15 @@
     def add(self, ended: EndedCall, now: float) -> None:
         """Add an end, or confirm one that is known.
 
-        Reports come with delays; the one with the least states its times best.
+        Reports come with delays; the one with the least states its times best,
+        unless those of other ends are still to be put right.
         """
-        known = self.ends.get(ended.engine, ended)
-        earliest = min(known, ended, key=operator.attrgetter('ended_at'))
+        known = self.ends.pop(ended.engine, ended)
         confirmed = known.confirmed or ended.confirmed
-        if self._is_in_a_row(earliest, now):
-            self.ends[ended.engine] = attrs.evolve(
-                earliest, confirmed=confirmed
-            )
-        else:
-            self.ends.pop(ended.engine, None)
+        for end in sorted((known, ended), key=operator.attrgetter('ended_at')):
+            if self._is_in_a_row(end, now):
+                self.ends[ended.engine] = attrs.evolve(end, confirmed=confirmed)
+                return
 
     @property
     def last_end_at(self) -> float:
@@ -131,7 +129,7 @@
         return all(
             _precedes(other, ended) or _precedes(ended, other)
             for other in self.ends.values()
-            if other.engine != ended.engine and _counts(other, now)
+            if _counts(other, now)
         )
 
 
--- a/tests/ingress/test_request_ends.py
+++ b/tests/ingress/test_request_ends.py
@@ -110,6 +110,19 @@
     assert judge(quarantine) is RequestState.BARRED
 
 
+def test_an_end_stays_while_only_its_report_is_put_right() -> None:
+    """Guards against a fourth end, as reports of one delay come in turn."""
+    first, second = end(0, ended_at=0.1), end(1, ended_at=0.2)
+    delayed = [
+        attrs.evolve(
+            one, sent_at=one.sent_at + 0.08, ended_at=one.ended_at + 0.08
+        )
+        for one in (first, second)
+    ]
+    quarantine = build(*delayed, second)
+    assert judge(quarantine) is RequestState.ALONE
+
+
 def test_an_engine_that_had_paused_is_no_end() -> None:
     """Guards against requests barred for engines that answer again."""
     quarantine = build(*map(end, range(3)))
