--- a/src/kelproad/state/requestends.py
+++ b/src/kelproad/state/requestends.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from .suspicions import EndedCall
+from .suspicions import EndedCall, are_in_a_row, may_count
 
 __all__ = ['RequestEnds', 'RequestState', 'RequestVerdict']
 
@@ -22,8 +22,6 @@
 _MAX_ENDS = 3
 #: Ends from which on only one call with the request is tried at a time.
 _TRIED_ALONE_ENDS = 2
-#: Seconds for which an end counts that is not confirmed.
-_UNCONFIRMED_SECONDS = 2.0
 #: Seconds after the last end until a request is tried again, its factor for
 #: each end beyond those that barred it, and the maximum.
 _RETRIAL_SECONDS = 30.0
@@ -35,8 +33,6 @@
 _FORGET_BARRED_SECONDS = 3600.0
 #: Seconds between two looks for outdated requests.
 _FORGET_PERIOD = 5.0
-#: Seconds by which times that another instance states may be off.
-_TOLERANCE = 0.05
 #: Most requests that are remembered.
 _MAX_REQUESTS = 4096
 
@@ -112,7 +108,7 @@
 
     def count(self, now: float) -> int:
         """Count the engines that have ended, or may have."""
-        return sum(_counts(end, now) for end in self.ends.values())
+        return sum(may_count(end, now) for end in self.ends.values())
 
     def is_current(self, now: float) -> bool:
         """Return whether it still bears on what may be sent."""
@@ -127,9 +123,9 @@
         same.  An end may be told later than those that came after it.
         """
         return all(
-            _precedes(other, ended) or _precedes(ended, other)
+            are_in_a_row(other, ended)
             for other in self.ends.values()
-            if _counts(other, now)
+            if may_count(other, now)
         )
 
 
@@ -263,13 +259,3 @@
             for key, known in self._records.items()
             if known.is_current(now)
         }
-
-
-def _counts(ended: EndedCall, now: float) -> bool:
-    """Return whether an end is confirmed, or may still be."""
-    return ended.confirmed or now - ended.ended_at < _UNCONFIRMED_SECONDS
-
-
-def _precedes(first: EndedCall, second: EndedCall) -> bool:
-    """Return whether a call was sent after the engine of another had ended."""
-    return second.sent_at >= first.ended_at - _TOLERANCE
--- a/src/kelproad/state/suspicions.py
+++ b/src/kelproad/state/suspicions.py
@@ -14,12 +14,13 @@
     'Judgement',
     'PartState',
     'Suspicion',
+    'are_in_a_row',
+    'may_count',
 ]
 
 #: Seconds in which ends are counted as the usual ones of a service.
 BACKGROUND_SECONDS = 10.0
-#: Seconds for which a part stays suspect because of an end that is not
-#: confirmed.
+#: Seconds for which an end counts that is not confirmed.
 _UNCONFIRMED_SECONDS = 2.0
 #: Seconds after the last end after which a quarantined part is tried again,
 #: once for each.
@@ -84,10 +85,6 @@
     confirmed: bool = False
     counted: bool = False
 
-    def precedes(self, other: 'EngineEnd') -> bool:
-        """Return whether another engine was sent its calls after this end."""
-        return other.sent_at >= self.ended_at - _TOLERANCE
-
 
 @attrs.define
 class Suspicion:
@@ -181,10 +178,7 @@
 
     def is_current(self, now: float) -> bool:
         """Return whether an end is confirmed, or may still be."""
-        return any(
-            end.confirmed or now - end.ended_at < _UNCONFIRMED_SECONDS
-            for end in self.ends.values()
-        )
+        return any(may_count(end, now) for end in self.ends.values())
 
     def _count(self, end: EngineEnd) -> None:
         """Count an end that is confirmed, once, if it is one in a row."""
@@ -203,7 +197,7 @@
             return True
         counted = self.list_counted().values()
         return len(counted) == self.trials and all(
-            other.precedes(end) or end.precedes(other) for other in counted
+            are_in_a_row(end, other) for other in counted
         )
 
     def _drop_oldest_end(self) -> None:
@@ -291,6 +285,24 @@
     engines: tuple[str, ...] = ()
 
 
+def may_count(end: EndedCall | EngineEnd, now: float) -> bool:
+    """Return whether an end is confirmed, or may still be."""
+    return end.confirmed or now - end.ended_at < _UNCONFIRMED_SECONDS
+
+
+def are_in_a_row(
+    first: EndedCall | EngineEnd, second: EndedCall | EngineEnd
+) -> bool:
+    """Return whether calls were sent to one engine after the other had ended.
+
+    It does not matter to which one.
+    """
+    return (
+        second.sent_at >= first.ended_at - _TOLERANCE
+        or first.sent_at >= second.ended_at - _TOLERANCE
+    )
+
+
 def _select_after(
     times: Mapping[_Life, float], oldest: float
 ) -> dict[_Life, float]:
