--- a/src/kelproad/coordination/ingress/quarantine/refusing.py
+++ b/src/kelproad/coordination/ingress/quarantine/refusing.py
@@ -39,7 +39,7 @@
     _generator: random.Random
 
     def build_waiting(self, call: Call) -> NoPlacementError:
-        """Build the refusal of a call while another one tries its parts."""
+        """Build the refusal of a call while another tries its parts, or it."""
         now = monotonic()
         if call.trial_wanted_at is None:
             call.trial_wanted_at = now
@@ -48,7 +48,7 @@
             call.remaining(now) * _MAX_WAIT_SHARE,
         )
         return NoPlacementError(
-            'another call tries a suspect part of the prompt, or the same',
+            'another call tries the same request, or a suspect part of it',
             worth_waiting=now - call.trial_wanted_at < longest,
             retry_after=self._generator.uniform(*_RETURNS),
         )
