Decoding: what others wrote is unreadable, whatever error shows it

What callers saw: after one odd entry among those of the engines, or one odd order to evacuate a zone, no change of the configuration was in force any more, engines that joined got nothing and those that left got calls; the process served on by what it knew. Cause: the decoders promise a result for what can't be read, and expected their library's own error alone. A document that is nested deeply raises RecursionError, even in a field that nobody reads; a port of 5,000 digits raises ValueError. Either ended the task that follows the table, and with it all that its process follows. Evidence: a stand-in site of two instances on, one such row, a configuration 1.2 s later: 'Crashed reason=RecursionError' once at each instance, version 1 in force for good. Ruled out: to catch the two errors at the entries of engines alone; twenty places decode what others wrote. Change: one list of the errors that show unreadable input, state/decoding.py, which each decoder expects (a test refuses others); counts of an entry within 64 bits and not negative; an address's port of five digits at most and no scope, which names an interface of another machine; errors show 80 characters. Class: one writer's odd row costs a table, as the reader knows one kind of error.

--- a/src/kelproad/coordination/fileapi.py
+++ b/src/kelproad/coordination/fileapi.py
@@ -8,6 +8,7 @@
 from ..protocol import callers
 from ..protocol.store import StoreError
 from ..state.configuration import SnapshotHolder
+from ..state.decoding import UNREADABLE_ERRORS
 from ..state.problems import Problem
 from ..state.refusals import Refusal, RefusalCode, Step
 from .acceptance import ConfigurationWriter, Submission
@@ -55,7 +56,7 @@
                 await http_request.read(),
                 type=_ApplyBody,
             )
-        except msgspec.DecodeError as error:
+        except UNREADABLE_ERRORS as error:
             return _answer_refusal(RefusalCode.BAD_REQUEST, str(error))
         submission = Submission(
             body.text,
--- a/src/kelproad/coordination/history.py
+++ b/src/kelproad/coordination/history.py
@@ -14,6 +14,7 @@
 
 from ..protocol.platform import PlatformClient
 from ..protocol.store import ABSENT, Row, StoreError, StoreErrorKind, Write
+from ..state.decoding import UNREADABLE_ERRORS
 
 T = TypeVar('T')
 
@@ -256,7 +257,7 @@
     """Decode a row; an exception would end the task that reads the store."""
     try:
         return Success(msgspec.json.decode(row.body, type=kind))
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         return Failure(_damage(table, f'row {row.key}: {error}'))
 
 
--- a/src/kelproad/coordination/ingress/membership/messages.py
+++ b/src/kelproad/coordination/ingress/membership/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from ....state.decoding import UNREADABLE_ERRORS
 from ..tables.tablestates import TableFreshness
 from .updates import ReportedLimit, ReportedWork
 
@@ -233,7 +234,7 @@
     """Decode a datagram, or return why it is unreadable."""
     try:
         return Success(_decode(datagram))
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         return Failure(str(error))
 
 
--- a/src/kelproad/coordination/ingress/membership/rostering.py
+++ b/src/kelproad/coordination/ingress/membership/rostering.py
@@ -19,6 +19,7 @@
 from mode import Service
 from returns.result import Failure, Result
 
+from ....state.decoding import UNREADABLE_ERRORS
 from ....state.records import record
 from ....transport.deadlines import monotonic
 from ....transport.services import BackgroundService
@@ -193,7 +194,7 @@
         """Add the instance of a row; return its IP number if it is readable."""
         try:
             decoded = msgspec.json.decode(row.encoded or b'', type=_Row)
-        except msgspec.DecodeError as error:
+        except UNREADABLE_ERRORS as error:
             record(
                 _logger,
                 'instance_unreadable',
--- a/src/kelproad/coordination/ingress/membership/updates.py
+++ b/src/kelproad/coordination/ingress/membership/updates.py
@@ -5,6 +5,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from ....state.decoding import UNREADABLE_ERRORS
 from ....state.requestlimits import LimitNotice
 from ....state.work import EndpointWork
 from ..tables.tablestates import Provenance
@@ -100,7 +101,7 @@
     """Decode a datagram, or return why it is unreadable."""
     try:
         return Success(_decode(datagram))
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         return Failure(str(error))
 
 
--- a/src/kelproad/coordination/ingress/quarantine/rows.py
+++ b/src/kelproad/coordination/ingress/quarantine/rows.py
@@ -15,6 +15,7 @@
 import msgspec
 from returns.result import Failure, Result
 
+from ....state.decoding import UNREADABLE_ERRORS
 from ....state.quarantine import PartQuarantine
 from ....state.records import record
 from ....state.suspicions import EndedCall
@@ -78,7 +79,7 @@
             return False
         try:
             decoded = msgspec.json.decode(row.encoded or b'', type=_Row)
-        except msgspec.DecodeError as error:
+        except UNREADABLE_ERRORS as error:
             record(
                 _logger,
                 'quarantine_unreadable',
--- a/src/kelproad/coordination/ingress/tables/relaying.py
+++ b/src/kelproad/coordination/ingress/tables/relaying.py
@@ -19,6 +19,7 @@
 from returns.result import Failure, Result, Success
 
 from ....state.counters import Counters
+from ....state.decoding import UNREADABLE_ERRORS
 from ....state.records import record
 from ....transport.addresses import Address
 from ....transport.deadlines import monotonic, read_boottime
@@ -70,6 +71,8 @@
 _decode_rows = msgspec.msgpack.Decoder(
     list[tuple[str, bytes | None, int]],
 ).decode
+#: Errors of a reply that can't be decoded.
+_REPLY_ERRORS = (*UNREADABLE_ERRORS, zlib.error)
 #: Level of compression, the fastest: a reader sends each change to many peers.
 _COMPRESSION = 1
 
@@ -253,7 +256,7 @@
     try:
         reply = _decode(received)
         rows = _decode_rows(zlib.decompress(reply.packed_rows))
-    except (msgspec.DecodeError, zlib.error) as error:
+    except _REPLY_ERRORS as error:
         return Failure(f'unreadable: {error}')
     return Success(
         TableState(
--- a/src/kelproad/coordination/leases.py
+++ b/src/kelproad/coordination/leases.py
@@ -16,6 +16,7 @@
 
 from ..protocol.platform import PlatformClient
 from ..protocol.store import ABSENT, Row, StoreError, StoreErrorKind, Write
+from ..state.decoding import UNREADABLE_ERRORS
 from ..transport.deadlines import monotonic
 
 __all__ = ['LEASE_SECONDS', 'Lease', 'LeaseBody']
@@ -269,7 +270,7 @@
         return Success(LeaseBody('', 0))
     try:
         return Success(msgspec.json.decode(row.body, type=LeaseBody))
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         return Failure(
             StoreError(
                 StoreErrorKind.DAMAGED,
--- a/src/kelproad/coordination/segments.py
+++ b/src/kelproad/coordination/segments.py
@@ -15,6 +15,7 @@
 from ..protocol.callers import CompletionBody
 from ..state.buffers import BufferBudget
 from ..state.declarations import Segmenting, Service
+from ..state.decoding import UNREADABLE_ERRORS
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
 from ..state.requests import Decision, Request, SplitPrompt
 from .answers import Sink
@@ -83,7 +84,7 @@
     """Cut the prompt of a completion call into parts."""
     try:
         prompt = msgspec.json.decode(body.prompt, type=str)
-    except msgspec.DecodeError:
+    except UNREADABLE_ERRORS:
         return Failure(_refuse_prompt_type())
     return split_prompt(prompt, service.segments, service.bytes_per_token)
 
--- a/src/kelproad/platform/engines.py
+++ b/src/kelproad/platform/engines.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from ..state.decoding import UNREADABLE_ERRORS
 from ..state.records import record
 from ..state.statements import EndpointStatements
 from ..transport.exchanges import ExchangeFailure, Reply, exchange
@@ -171,7 +172,7 @@
     """Decode a report; an unreadable one still shows a live engine."""
     try:
         return _decode_report(reply.body)
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         record(_logger, 'engine_report_unreadable', reason=str(error))
         return _Report()
 
--- a/src/kelproad/platform/rows.py
+++ b/src/kelproad/platform/rows.py
@@ -1,6 +1,8 @@
 """Decoding of the store's rows that operators and engines write."""
 
 import math
+import sys
+from typing import Annotated
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -10,6 +12,7 @@
     ListedEndpoint,
 )
 from ..coordination.ingress.tables.tablestates import StoredRow
+from ..state.decoding import UNREADABLE_ERRORS
 from ..state.engines import EngineProfile
 from ..state.requestlimits import WarmUp
 from ..state.routes import (
@@ -21,7 +24,7 @@
     RoutingConfiguration,
     WeightedService,
 )
-from ..transport.addresses import Address, AddressError
+from ..transport.addresses import Address
 
 __all__ = [
     'CONFIGURATION_KEY',
@@ -143,6 +146,12 @@
     tenants: list[_Tenant] = []
 
 
+_MAX_COUNT = sys.maxsize
+#: A count or a time in an entry of any writer, which is computed with and told
+#: to peers.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+
+
 class _Server(msgspec.Struct):
     """An engine's own entry in the table of endpoints."""
 
@@ -151,12 +160,12 @@
     zone: str
     state: str
     #: Count of its reports; grows within one incarnation.
-    sequence: int
-    slots: int = 0
+    sequence: _Count
+    slots: _Count = 0
     #: Remaining time for which the engine is slow after its start.
     warmup_left_ms: float = 0
     #: Unix time of its start in milliseconds, which identifies its incarnation.
-    born: int = 0
+    born: _Count = 0
 
 
 class _RouteDecoder:
@@ -172,7 +181,7 @@
         self._known: dict[bytes, Route] = {}
 
     def decode(self, encoded: list[msgspec.Raw]) -> list[Route]:
-        """Decode routes; raise ``msgspec.DecodeError`` for an invalid one."""
+        """Decode routes; raise one of ``UNREADABLE_ERRORS`` for a bad one."""
         texts = [bytes(one) for one in encoded]
         known = self._known
         routes = [
@@ -198,7 +207,7 @@
     try:
         decoded = _configurations.decode(row.encoded)
         routes = _route_decoder.decode(decoded.routes)
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         return Failure(str(error))
     return Success(
         RoutingConfiguration.from_declarations(
@@ -226,7 +235,7 @@
     if row.encoded is not None:
         try:
             msgspec.json.decode(row.encoded, type=dict)
-        except msgspec.DecodeError as error:
+        except UNREADABLE_ERRORS as error:
             return EvacuationOrder(zone, str(error))
     return EvacuationOrder(zone)
 
@@ -242,7 +251,7 @@
     try:
         server = _servers.decode(row.encoded)
         address = Address.from_text(server.address)
-    except (msgspec.DecodeError, AddressError) as error:
+    except UNREADABLE_ERRORS as error:
         return Failure(str(error))
     if server.state not in _STATES:
         return Failure(f'unknown state {server.state!r}')
--- a/src/kelproad/platform/store.py
+++ b/src/kelproad/platform/store.py
@@ -26,6 +26,7 @@
     TableState,
 )
 from ..state.counters import Counters
+from ..state.decoding import UNREADABLE_ERRORS
 from ..state.records import OnceRecorder
 from ..transport.addresses import Address
 from ..transport.exchanges import ExchangeFailure, Reply, exchange
@@ -245,7 +246,7 @@
 def _decode_page(received: bytes, era: int) -> Result[_Page, StoreProblem]:
     try:
         page = _decode_rows(received)
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         return Failure(StoreProblem(StoreProblemKind.UNREADABLE, str(error)))
     rows = [_decode_row(row, era) for row in page.rows]
     return Success(_Page(Revision(era, page.row_version), rows, page.has_more))
--- a/src/kelproad/protocol/callers.py
+++ b/src/kelproad/protocol/callers.py
@@ -18,6 +18,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from returns.result import Failure, Result, Success
 
+from ..state.decoding import UNREADABLE_ERRORS
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
 
 __all__ = [
@@ -81,12 +82,7 @@
             prompt = memoryview(fields[field])
         except KeyError as missing:
             return _fail_bad_request(f'the body has no field {missing}')
-        except (
-            msgspec.DecodeError,
-            UnicodeDecodeError,
-            # A deeply nested body, such as nothing but opening brackets.
-            RecursionError,
-        ) as error:
+        except UNREADABLE_ERRORS as error:
             return _fail_bad_request(f'malformed body: {error}')
         return Success(cls(fields, model, bool(stream), prompt))
 
--- a/src/kelproad/protocol/completions.py
+++ b/src/kelproad/protocol/completions.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ..state.decoding import UNREADABLE_ERRORS
 from .events import DONE
 
 __all__ = [
@@ -30,7 +31,12 @@
 
 
 #: Exceptions raised in joining by a payload that is no part of a completion.
-_MALFORMED_ERRORS = (msgspec.DecodeError, AttributeError, KeyError, TypeError)
+_MALFORMED_ERRORS = (
+    *UNREADABLE_ERRORS,
+    AttributeError,
+    KeyError,
+    TypeError,
+)
 
 
 def encode_events(payloads: Iterable[bytes]) -> bytes:
--- a/src/kelproad/protocol/continuations.py
+++ b/src/kelproad/protocol/continuations.py
@@ -12,6 +12,7 @@
 import attrs
 import msgspec
 
+from ..state.decoding import UNREADABLE_ERRORS
 from .callers import CompletionBody
 
 __all__ = [
@@ -111,7 +112,7 @@
         """
         try:
             fields = msgspec.json.decode(payload, type=dict[str, msgspec.Raw])
-        except msgspec.DecodeError as error:
+        except UNREADABLE_ERRORS as error:
             raise ContinuationError(str(error)) from error
         name = 'system_fingerprint'
         if fields.get(name) != self.first.get(name):
@@ -148,7 +149,7 @@
     for payload in payloads:
         try:
             chunk = msgspec.json.decode(payload, type=_Chunk)
-        except msgspec.DecodeError:
+        except UNREADABLE_ERRORS:
             return None
         texts = [choice.read_text() for choice in chunk.choices]
         if None in texts:
--- a/src/kelproad/protocol/engines.py
+++ b/src/kelproad/protocol/engines.py
@@ -14,6 +14,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from ..state.decoding import UNREADABLE_ERRORS
 from ..state.endpoints import EndpointReport
 from ..state.holdings import HeldItem
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
@@ -44,6 +45,13 @@
     }
 )
 
+#: Errors of an engine's refusal that can't be read.
+_REFUSAL_ERRORS = (
+    asyncio.TimeoutError,
+    aiohttp.ClientError,
+    *UNREADABLE_ERRORS,
+)
+
 
 @attrs.frozen
 class Attempt:
@@ -203,7 +211,7 @@
                 {**fields, 'endpoint': endpoint},
                 type=EndpointReport,
             )
-        except (msgspec.DecodeError, msgspec.ValidationError):
+        except UNREADABLE_ERRORS:
             return None
 
     async def list_held(
@@ -217,7 +225,7 @@
             return None
         try:
             return msgspec.json.decode(body, type=_HeldItems).held
-        except msgspec.DecodeError:
+        except UNREADABLE_ERRORS:
             return None
 
     async def _fetch(
@@ -302,11 +310,7 @@
         async with within(deadline):
             body = await response.content.read(_READ_SIZE)
         reported = msgspec.json.decode(body, type=dict[str, object])
-    except (
-        asyncio.TimeoutError,
-        aiohttp.ClientError,
-        msgspec.DecodeError,
-    ):
+    except _REFUSAL_ERRORS:
         reported = {}
     finally:
         response.close()
--- a/src/kelproad/protocol/orders.py
+++ b/src/kelproad/protocol/orders.py
@@ -6,6 +6,7 @@
 import aiohttp
 import msgspec
 
+from ..state.decoding import UNREADABLE_ERRORS
 from ..state.orders import EngineState, Order
 from ..transport.deadlines import monotonic, within
 
@@ -54,7 +55,7 @@
             return None
         try:
             return msgspec.json.decode(body, type=EngineState)
-        except msgspec.DecodeError:
+        except UNREADABLE_ERRORS:
             return None
 
     async def send(self, url: str, order: Order) -> OrderOutcome:
--- a/src/kelproad/protocol/platform.py
+++ b/src/kelproad/protocol/platform.py
@@ -16,6 +16,7 @@
 from returns.result import Failure, Result, Success
 
 from ..state.counters import Counters
+from ..state.decoding import UNREADABLE_ERRORS
 from ..transport.addresses import Address
 from ..transport.exchanges import Reply, exchange
 from .store import Listing, Row, StoreError, StoreErrorKind, Write
@@ -210,7 +211,7 @@
     def _decode(self, body: bytes, kind: type[T]) -> Result[T, StoreError]:
         try:
             return Success(msgspec.json.decode(body, type=kind))
-        except msgspec.DecodeError as error:
+        except UNREADABLE_ERRORS as error:
             return self._fail(
                 StoreErrorKind.UNAVAILABLE,
                 'decode',
@@ -253,5 +254,5 @@
 def _read_conflicts(body: bytes) -> list[str]:
     try:
         return msgspec.json.decode(body, type=_Conflicts).conflicts
-    except msgspec.DecodeError:
+    except UNREADABLE_ERRORS:
         return []
--- a/src/kelproad/protocol/tunnels.py
+++ b/src/kelproad/protocol/tunnels.py
@@ -5,6 +5,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from ..state.decoding import UNREADABLE_ERRORS
+
 __all__ = [
     'MAX_REQUEST_BYTES',
     'TunnelReply',
@@ -61,5 +63,5 @@
     """Decode a whole request, or return why it is unreadable."""
     try:
         return Success(_decode(received[_LENGTH_BYTES:]))
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         return Failure(str(error))
--- a/src/kelproad/transport/addresses.py
+++ b/src/kelproad/transport/addresses.py
@@ -5,6 +5,7 @@
 """
 
 import ipaddress
+import re
 from typing import Self
 
 import attrs
@@ -12,6 +13,9 @@
 __all__ = ['Address', 'AddressError']
 
 _HIGHEST_PORT = 65535
+_PORT_FORMAT = re.compile('[0-9]{1,5}')
+#: Characters of an invalid text that an error shows.
+_MAX_SHOWN = 80
 
 
 class AddressError(ValueError):
@@ -34,16 +38,20 @@
         AddressError
             When the host is not an IP address or the port not in 1 to 65535.
         """
-        host, separator, port = text.rpartition(':')
+        shown = repr(text[:_MAX_SHOWN])
+        host, _, port = text.rpartition(':')
         host = host.removeprefix('[').removesuffix(']')
-        if not separator or not port.isascii() or not port.isdigit():
-            raise AddressError(f'{text!r} is not IP:port')
+        if not _PORT_FORMAT.fullmatch(port):
+            raise AddressError(f'{shown} is not IP:port')
         if not 1 <= int(port) <= _HIGHEST_PORT:
-            raise AddressError(f'{text!r} has a port outside 1 to 65535')
+            raise AddressError(f'{shown} has a port outside 1 to 65535')
+        # A scope names an interface of the machine that wrote the address.
+        if '%' in host:
+            raise AddressError(f'{shown} has a scope')
         try:
             ipaddress.ip_address(host)
         except ValueError:
-            raise AddressError(f'{text!r} does not start with an IP address')
+            raise AddressError(f'{shown} does not start with an IP address')
         return cls(host=host, port=int(port))
 
     @property
--- a/testbed/calls.py
+++ b/testbed/calls.py
@@ -28,14 +28,17 @@
 ) -> dict[str, object]:
     """Make a call with the operator token and decode the JSON response.
 
+    A body of bytes is sent as it is, any other as JSON.
+
     Raises
     ------
     CallError
         If the response has an error status.
     """
+    is_encoded = body is None or isinstance(body, bytes)
     call = request.Request(
         f'http://{address}{path}',
-        data=None if body is None else json.dumps(body).encode(),
+        data=body if is_encoded else json.dumps(body).encode(),
         headers={'Authorization': f'Bearer {OPERATOR_TOKEN}'},
         method=method,
     )
--- a/testbed/routed.py
+++ b/testbed/routed.py
@@ -154,7 +154,7 @@
         self.put_row('op', 'config', self.configuration)
 
     def put_row(self, table: str, key: str, document: object) -> None:
-        """Insert or replace a row of the store."""
+        """Insert or replace a row of the store; bytes are its content."""
         path = f'/control/rows/{table}/{key}'
         call_control(self.store, 'PUT', path, document)
 
