Tasks: one that an error ends begins anew, and others go on

Cause, second part: the mode library marks every service of the process as crashed when one task ends by an error, so all tasks that run until a stop end, without a line of their own; nothing showed it on the metrics address, in readiness or in a dump. It begins anew after 0.1 to 2 s; each failure has a line task_failed with its trace, a counter, and from the third in a row on a reason why the instance is not ready. A table whose change could not be adopted is read whole again, since the change would be missing for good. Weighed: to end the process, so that the platform starts it. An entry that is met at each start would end it again and again, which other operators report; anew in the task, calls go on meanwhile, and what ages is refused and shown as for a store out of reach. The errors of input stand with state/problems.py, as a start may import 600 modules.

--- a/src/kelproad/coordination/configuration.py
+++ b/src/kelproad/coordination/configuration.py
@@ -12,7 +12,6 @@
 from collections.abc import Callable
 
 import attrs
-from mode import Service
 from returns.result import Result, Success
 
 from ..protocol.messages import (
@@ -36,7 +35,7 @@
 from ..state.members import Member, MemberTable
 from ..state.placement import choose_owners
 from ..transport.deadlines import monotonic
-from ..transport.services import BackgroundService
+from ..transport.services import BackgroundService, restarted_task
 from .loading import build_file, read_all, read_changes
 
 __all__ = ['ConfigurationFollower', 'is_reader', 'list_changes']
@@ -218,7 +217,7 @@
             return 'it has not answered yet'
         return 'nothing was accepted there yet'
 
-    @Service.task
+    @restarted_task
     async def _poll_store(self) -> None:
         while not self.should_stop:
             if self._is_due(monotonic()):
--- a/src/kelproad/coordination/fileapi.py
+++ b/src/kelproad/coordination/fileapi.py
@@ -8,8 +8,7 @@
 from ..protocol import callers
 from ..protocol.store import StoreError
 from ..state.configuration import SnapshotHolder
-from ..state.decoding import UNREADABLE_ERRORS
-from ..state.problems import Problem
+from ..state.problems import UNREADABLE_ERRORS, Problem
 from ..state.refusals import Refusal, RefusalCode, Step
 from .acceptance import ConfigurationWriter, Submission
 from .conflicts import EditConflict
--- a/src/kelproad/coordination/ingress/membership/catchup.py
+++ b/src/kelproad/coordination/ingress/membership/catchup.py
@@ -15,13 +15,12 @@
 from collections.abc import Awaitable, Callable
 
 import aiohttp
-from mode import Service
 from returns.result import Failure
 
 from ....state.records import record
 from ....transport.deadlines import monotonic
 from ....transport.exchanges import exchange
-from ....transport.services import BackgroundService
+from ....transport.services import BackgroundService, restarted_task
 from ..settings import Bounds
 from ..tables.followed import FollowedTables
 from ..tables.holder import ConfigurationHolder
@@ -93,7 +92,7 @@
         if now - self._behind_since >= self._choose_patience():
             await self._fetch(self._generator.choice(ahead), version)
 
-    @Service.task
+    @restarted_task
     async def _compare(self) -> None:
         while not self.should_stop:
             compared = self._tables.confirmation.is_compared
--- a/src/kelproad/coordination/ingress/membership/exchange.py
+++ b/src/kelproad/coordination/ingress/membership/exchange.py
@@ -20,7 +20,6 @@
 from collections.abc import Callable, Iterable
 
 import attrs
-from mode import Service
 from returns.result import Failure
 
 from ....state.directpaths import DirectPaths
@@ -30,7 +29,7 @@
 from ....transport.addresses import Address
 from ....transport.datagrams import DatagramSocket
 from ....transport.deadlines import monotonic
-from ....transport.services import BackgroundService
+from ....transport.services import BackgroundService, restarted_task
 from ..limiting.observing import LimitObserver
 from ..settings import NodeSettings
 from ..tables.readers import Reader
@@ -195,7 +194,7 @@
         works = pack_work(self._ledger.local)
         self._send([Peer(Address(host, self._settings.peer_port))], works)
 
-    @Service.task
+    @restarted_task
     async def _report_changes(self) -> None:
         while not self.should_stop:
             # Before the changes are read, so that none after that is missed.
--- a/src/kelproad/coordination/ingress/membership/messages.py
+++ b/src/kelproad/coordination/ingress/membership/messages.py
@@ -5,7 +5,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from ....state.decoding import UNREADABLE_ERRORS
+from ....state.problems import UNREADABLE_ERRORS
 from ..tables.tablestates import TableFreshness
 from .updates import ReportedLimit, ReportedWork
 
--- a/src/kelproad/coordination/ingress/membership/rostering.py
+++ b/src/kelproad/coordination/ingress/membership/rostering.py
@@ -16,13 +16,12 @@
 
 import attrs
 import msgspec
-from mode import Service
 from returns.result import Failure, Result
 
-from ....state.decoding import UNREADABLE_ERRORS
+from ....state.problems import UNREADABLE_ERRORS
 from ....state.records import record
 from ....transport.deadlines import monotonic
-from ....transport.services import BackgroundService
+from ....transport.services import BackgroundService, restarted_task
 from ..settings import NodeSettings
 from ..tables.tablestates import StoredRow, StoreProblem, TableState
 from .exchange import WorkExchange
@@ -135,7 +134,7 @@
             self._exchange.peers.includes_live_host(host, now)
         )
 
-    @Service.task
+    @restarted_task
     async def _register_again(self) -> None:
         while not self.should_stop:
             await self._restored.wait()
@@ -143,7 +142,7 @@
             self._restored.clear()
             await self._register()
 
-    @Service.task
+    @restarted_task
     async def _maintain(self) -> None:
         await self._register()
         # Of two instances that start together, at least the one that reads
--- a/src/kelproad/coordination/ingress/membership/updates.py
+++ b/src/kelproad/coordination/ingress/membership/updates.py
@@ -5,7 +5,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from ....state.decoding import UNREADABLE_ERRORS
+from ....state.problems import UNREADABLE_ERRORS
 from ....state.requestlimits import LimitNotice
 from ....state.work import EndpointWork
 from ..tables.tablestates import Provenance
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -5,10 +5,8 @@
 import random
 import time
 
-from mode import Service
-
 from ...state.budgets import HeldBytes
-from ...state.counters import Counters
+from ...state.counters import Counters, TaskMetrics
 from ...state.endpointtable import EndpointTable
 from ...state.observations import EngineObservations
 from ...state.records import record
@@ -16,7 +14,7 @@
 from ...state.work import WorkLedger
 from ...transport.addresses import Address
 from ...transport.deadlines import RunningClock, monotonic
-from ...transport.services import BackgroundService
+from ...transport.services import BackgroundService, restarted_task
 from ..drain import Drain
 from .admission.dialect import Dialect
 from .admission.stopping import plan_stop
@@ -123,15 +121,20 @@
             self._exchange.peers,
             self._peering.catch_up,
             self._read_bounds,
+            self._list_failing_tasks,
         )
         self._roster = self._peering.roster
         self._tunnels = self._create_tunnel_server()
         self._pipeline = self._create_pipeline()
-        for service in (
+        self._background = (
             *self._peering.list_services(),
             self._tunnels,
             SettingsWatch(self._settings_holder),
-        ):
+        )
+        task_metrics = TaskMetrics(self._counters.registry)
+        for service in (self, *self._background):
+            service.on_task_failed = task_metrics.count_failure
+        for service in self._background:
             await self.add_runtime_dependency(service)
         await self._serve()
         record(
@@ -260,7 +263,7 @@
     def _read_bounds(self) -> Bounds:
         return self._settings_holder.current.bounds
 
-    @Service.task
+    @restarted_task
     async def _drop_lapsed(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(_LAPSE_PERIOD)
@@ -270,12 +273,20 @@
             self._table.forget_withdrawals(monotonic())
             self._table.warm_ups.forget_expired(monotonic())
 
-    @Service.task
+    @restarted_task
     async def _keep_clock(self) -> None:
         await self._running_clock.keep_beating()
 
     # Stop and reporting
 
+    def _list_failing_tasks(self) -> list[str]:
+        """List the tasks that fail each time they begin anew."""
+        return [
+            task
+            for service in (self, *self._background)
+            for task in service.list_failing_tasks()
+        ]
+
     def _record_loop_delay(self, seconds: float) -> None:
         self._counters.latencies.loop_delays.observe({}, seconds)
         if seconds >= _LOGGED_DELAY:
@@ -307,6 +318,7 @@
             'instance': self._settings.instance,
             'zone': self._settings.zone,
             'unready': self._readiness.explain_unready(),
+            'failing_tasks': self._list_failing_tasks(),
             'version': configuration.version if configuration else None,
             'age': self._tables.confirmation.measure_age(),
             'endpoint_age': self._tables.endpoints.measure_age(),
--- a/src/kelproad/coordination/ingress/quarantine/notices.py
+++ b/src/kelproad/coordination/ingress/quarantine/notices.py
@@ -11,13 +11,11 @@
 import logging
 from collections.abc import Iterable
 
-from mode import Service
-
 from ....state.quarantine import PartQuarantine
 from ....state.records import record
 from ....state.suspicions import EndedCall
 from ....transport.deadlines import monotonic
-from ....transport.services import BackgroundService
+from ....transport.services import BackgroundService, restarted_task
 from ..membership.messages import PromptNotice, ReportedEnd
 from ..membership.peers import PeerRegister
 from ..membership.queries import PeerQueries
@@ -160,7 +158,7 @@
             for known in sorted(accused - unproven)
         ]
 
-    @Service.task
+    @restarted_task
     async def _repeat(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(_REPEAT_PERIOD)
--- a/src/kelproad/coordination/ingress/quarantine/rows.py
+++ b/src/kelproad/coordination/ingress/quarantine/rows.py
@@ -15,7 +15,7 @@
 import msgspec
 from returns.result import Failure, Result
 
-from ....state.decoding import UNREADABLE_ERRORS
+from ....state.problems import UNREADABLE_ERRORS
 from ....state.quarantine import PartQuarantine
 from ....state.records import record
 from ....state.suspicions import EndedCall
--- a/src/kelproad/coordination/ingress/readiness.py
+++ b/src/kelproad/coordination/ingress/readiness.py
@@ -29,6 +29,7 @@
     _peers: PeerRegister
     _catch_up: ConfigurationCatchUp
     _read_bounds: Callable[[], Bounds]
+    _list_failing_tasks: Callable[[], list[str]]
 
     def explain_unready(self) -> str:
         """Return why no calls should be sent here; empty if they should."""
@@ -38,6 +39,9 @@
             return 'no configuration'
         if not len(self._tables.registry):
             return 'no endpoints'
+        failing = self._list_failing_tasks()
+        if failing:
+            return f'failing: {", ".join(failing)}'
         return self._explain_outdated()
 
     def _explain_outdated(self) -> str:
--- a/src/kelproad/coordination/ingress/reloading.py
+++ b/src/kelproad/coordination/ingress/reloading.py
@@ -9,12 +9,11 @@
 from collections.abc import Callable
 
 import attrs
-from mode import Service
 from returns.result import Failure, Result
 
 from ...state.problems import Problem
 from ...state.records import record
-from ...transport.services import BackgroundService
+from ...transport.services import BackgroundService, restarted_task
 from .settings import NodeSettings
 
 __all__ = ['SettingsHolder', 'SettingsWatch']
@@ -90,7 +89,7 @@
         super().__init__()
         self._holder = holder
 
-    @Service.task
+    @restarted_task
     async def _watch(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(_RELOAD_PERIOD)
--- a/src/kelproad/coordination/ingress/tables/following.py
+++ b/src/kelproad/coordination/ingress/tables/following.py
@@ -16,12 +16,11 @@
 from collections.abc import Awaitable, Callable
 
 import attrs
-from mode import Service
 from returns.result import Failure, Result, Success
 
 from ....state.records import record
 from ....transport.deadlines import monotonic, read_boottime
-from ....transport.services import BackgroundService
+from ....transport.services import BackgroundService, restarted_task
 from .positions import StoreEras, TablePosition
 from .tablestates import (
     Provenance,
@@ -188,7 +187,7 @@
             'failures': self._failures,
         }
 
-    @Service.task
+    @restarted_task
     async def _follow(self) -> None:
         while not self.should_stop:
             sent_at = read_boottime()
@@ -274,10 +273,18 @@
         self._record_provenance(state.provenance)
         if is_restored:
             self._begin_era(state)
-        self._adopt(state)
+        self._adopt_or_reread(state)
         self.confirmed_at = max(self.confirmed_at, sent_at - state.age)
         return True
 
+    def _adopt_or_reread(self, state: TableState) -> None:
+        """Adopt a state; after an error the whole table is read again."""
+        try:
+            self._adopt(state)
+        except Exception:
+            self._position.lose_changes()
+            raise
+
     def _begin_era(self, state: TableState) -> None:
         """Count the return of the store from a copy as a recovery.
 
--- a/src/kelproad/coordination/ingress/tables/relaying.py
+++ b/src/kelproad/coordination/ingress/tables/relaying.py
@@ -19,7 +19,7 @@
 from returns.result import Failure, Result, Success
 
 from ....state.counters import Counters
-from ....state.decoding import UNREADABLE_ERRORS
+from ....state.problems import UNREADABLE_ERRORS
 from ....state.records import record
 from ....transport.addresses import Address
 from ....transport.deadlines import monotonic, read_boottime
--- a/src/kelproad/coordination/ingress/withdrawing/notices.py
+++ b/src/kelproad/coordination/ingress/withdrawing/notices.py
@@ -12,12 +12,10 @@
 import random
 from collections.abc import Awaitable, Callable, Iterable
 
-from mode import Service
-
 from ....state.endpointtable import EndpointTable
 from ....state.records import OnceRecorder, record
 from ....transport.deadlines import monotonic
-from ....transport.services import BackgroundService
+from ....transport.services import BackgroundService, restarted_task
 from ..membership.messages import LeavingNotice, ReportedLeaving
 from ..membership.peers import PeerRegister
 from ..membership.queries import PeerQueries
@@ -125,7 +123,7 @@
                     source=notice.host,
                 )
 
-    @Service.task
+    @restarted_task
     async def _repeat(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(_REPEAT_PERIOD)
--- a/src/kelproad/coordination/instance.py
+++ b/src/kelproad/coordination/instance.py
@@ -13,7 +13,7 @@
 from ..protocol.settings import Settings
 from ..state import invariants
 from ..state.configuration import SnapshotHolder
-from ..state.counters import Counters
+from ..state.counters import Counters, TaskMetrics
 from ..state.endpointtable import EndpointTable
 from ..state.identity import Identity
 from ..state.members import MemberTable
@@ -83,6 +83,7 @@
         self._open_clients()
         self._create_control()
         self._create_entry()
+        task_metrics = TaskMetrics(self._counters.registry)
         for service in (
             self._canceller,
             self._follower,
@@ -92,6 +93,7 @@
             self._create_orphan_watch(),
             self._entry,
         ):
+            service.on_task_failed = task_metrics.count_failure
             await self.add_runtime_dependency(service)
         await self._serve(self._create_operator_api())
 
--- a/src/kelproad/coordination/leases.py
+++ b/src/kelproad/coordination/leases.py
@@ -16,7 +16,7 @@
 
 from ..protocol.platform import PlatformClient
 from ..protocol.store import ABSENT, Row, StoreError, StoreErrorKind, Write
-from ..state.decoding import UNREADABLE_ERRORS
+from ..state.problems import UNREADABLE_ERRORS
 from ..transport.deadlines import monotonic
 
 __all__ = ['LEASE_SECONDS', 'Lease', 'LeaseBody']
--- a/src/kelproad/coordination/membership.py
+++ b/src/kelproad/coordination/membership.py
@@ -10,7 +10,6 @@
 import random
 from collections.abc import Callable
 
-from mode import Service
 from returns.result import Failure
 
 from ..protocol.messages import (
@@ -31,7 +30,7 @@
 from ..transport.addresses import Address
 from ..transport.deadlines import monotonic
 from ..transport.peers import PeerLink, PeerListener
-from ..transport.services import BackgroundService
+from ..transport.services import BackgroundService, restarted_task
 from .configuration import ConfigurationFollower, list_changes
 from .gossip import PERIOD, Gossiper
 from .gossippeers import Location
@@ -167,13 +166,13 @@
         listed = self._list_addresses(now)
         self._send_records(self._gossiper.peers.choose(now, listed))
 
-    @Service.task
+    @restarted_task
     async def _announce_periodically(self) -> None:
         while not self.should_stop:
             self.announce()
             await self.sleep(PERIOD)
 
-    @Service.task
+    @restarted_task
     async def _follow_listing(self) -> None:
         while not self.should_stop:
             await self._read_listing()
--- a/src/kelproad/coordination/orders.py
+++ b/src/kelproad/coordination/orders.py
@@ -8,7 +8,6 @@
 import asyncio
 
 import attrs
-from mode import Service
 from returns.result import Failure
 
 from ..protocol.orders import ORDER_TIMEOUT, OrderClient, OrderOutcome
@@ -30,7 +29,7 @@
 from ..state.placement import choose_owners
 from ..transport.addresses import Address
 from ..transport.deadlines import monotonic
-from ..transport.services import BackgroundService
+from ..transport.services import BackgroundService, restarted_task
 from .configuration import ConfigurationFollower
 from .failures import LoadFailures
 from .leases import Lease
@@ -126,13 +125,13 @@
             'stopped': [attrs.asdict(item) for item in self._failures.stopped],
         }
 
-    @Service.task
+    @restarted_task
     async def _reconcile_periodically(self) -> None:
         while not self.should_stop:
             await self.reconcile()
             await self.sleep(_PERIOD)
 
-    @Service.task
+    @restarted_task
     async def _renew_periodically(self) -> None:
         """Renew the lease independently of reconciliations.
 
--- a/src/kelproad/coordination/orphans.py
+++ b/src/kelproad/coordination/orphans.py
@@ -10,7 +10,6 @@
 import enum
 
 import attrs
-from mode import Service
 
 from ..protocol.engines import EngineClient
 from ..state.configuration import SnapshotHolder
@@ -22,7 +21,7 @@
 from ..state.members import MemberTable
 from ..transport.addresses import Address
 from ..transport.deadlines import monotonic
-from ..transport.services import BackgroundService
+from ..transport.services import BackgroundService, restarted_task
 from .watch import list_watched
 
 __all__ = ['Evidence', 'OrphanWatch', 'OwnershipState', 'find_orphan_evidence']
@@ -121,7 +120,7 @@
         self._forgotten_after = forgotten_after
         self._started_at = monotonic()
 
-    @Service.task
+    @restarted_task
     async def _check_periodically(self) -> None:
         while not self.should_stop:
             await self.sleep(_PERIOD)
--- a/src/kelproad/coordination/segments.py
+++ b/src/kelproad/coordination/segments.py
@@ -15,7 +15,7 @@
 from ..protocol.callers import CompletionBody
 from ..state.buffers import BufferBudget
 from ..state.declarations import Segmenting, Service
-from ..state.decoding import UNREADABLE_ERRORS
+from ..state.problems import UNREADABLE_ERRORS
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
 from ..state.requests import Decision, Request, SplitPrompt
 from .answers import Sink
--- a/src/kelproad/coordination/watch.py
+++ b/src/kelproad/coordination/watch.py
@@ -10,8 +10,6 @@
 import functools
 from collections.abc import Iterator
 
-from mode import Service
-
 from ..protocol.engines import EngineClient
 from ..state.declarations import EndpointKind
 from ..state.endpoints import Endpoint
@@ -21,7 +19,7 @@
 from ..state.placement import choose_owners
 from ..transport.addresses import Address
 from ..transport.deadlines import monotonic
-from ..transport.services import BackgroundService
+from ..transport.services import BackgroundService, restarted_task
 
 __all__ = ['Watch', 'list_due', 'list_watched']
 
@@ -57,7 +55,7 @@
         self._members = members
         self._engines = engines
 
-    @Service.task
+    @restarted_task
     async def _read_periodically(self) -> None:
         while not self.should_stop:
             due = list_due(
--- a/src/kelproad/platform/engines.py
+++ b/src/kelproad/platform/engines.py
@@ -9,7 +9,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from ..state.decoding import UNREADABLE_ERRORS
+from ..state.problems import UNREADABLE_ERRORS
 from ..state.records import record
 from ..state.statements import EndpointStatements
 from ..transport.exchanges import ExchangeFailure, Reply, exchange
--- a/src/kelproad/platform/rows.py
+++ b/src/kelproad/platform/rows.py
@@ -12,8 +12,8 @@
     ListedEndpoint,
 )
 from ..coordination.ingress.tables.tablestates import StoredRow
-from ..state.decoding import UNREADABLE_ERRORS
 from ..state.engines import EngineProfile
+from ..state.problems import UNREADABLE_ERRORS
 from ..state.requestlimits import WarmUp
 from ..state.routes import (
     CallKind,
--- a/src/kelproad/platform/store.py
+++ b/src/kelproad/platform/store.py
@@ -26,7 +26,7 @@
     TableState,
 )
 from ..state.counters import Counters
-from ..state.decoding import UNREADABLE_ERRORS
+from ..state.problems import UNREADABLE_ERRORS
 from ..state.records import OnceRecorder
 from ..transport.addresses import Address
 from ..transport.exchanges import ExchangeFailure, Reply, exchange
--- a/src/kelproad/protocol/callers.py
+++ b/src/kelproad/protocol/callers.py
@@ -18,7 +18,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from returns.result import Failure, Result, Success
 
-from ..state.decoding import UNREADABLE_ERRORS
+from ..state.problems import UNREADABLE_ERRORS
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
 
 __all__ = [
--- a/src/kelproad/protocol/completions.py
+++ b/src/kelproad/protocol/completions.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ..state.decoding import UNREADABLE_ERRORS
+from ..state.problems import UNREADABLE_ERRORS
 from .events import DONE
 
 __all__ = [
--- a/src/kelproad/protocol/continuations.py
+++ b/src/kelproad/protocol/continuations.py
@@ -12,7 +12,7 @@
 import attrs
 import msgspec
 
-from ..state.decoding import UNREADABLE_ERRORS
+from ..state.problems import UNREADABLE_ERRORS
 from .callers import CompletionBody
 
 __all__ = [
--- a/src/kelproad/protocol/engines.py
+++ b/src/kelproad/protocol/engines.py
@@ -14,9 +14,9 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from ..state.decoding import UNREADABLE_ERRORS
 from ..state.endpoints import EndpointReport
 from ..state.holdings import HeldItem
+from ..state.problems import UNREADABLE_ERRORS
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
 from ..transport.deadlines import monotonic, within
 from ..transport.http import wrap_body
--- a/src/kelproad/protocol/orders.py
+++ b/src/kelproad/protocol/orders.py
@@ -6,8 +6,8 @@
 import aiohttp
 import msgspec
 
-from ..state.decoding import UNREADABLE_ERRORS
 from ..state.orders import EngineState, Order
+from ..state.problems import UNREADABLE_ERRORS
 from ..transport.deadlines import monotonic, within
 
 __all__ = ['ORDER_TIMEOUT', 'OrderClient', 'OrderOutcome']
--- a/src/kelproad/protocol/platform.py
+++ b/src/kelproad/protocol/platform.py
@@ -16,7 +16,7 @@
 from returns.result import Failure, Result, Success
 
 from ..state.counters import Counters
-from ..state.decoding import UNREADABLE_ERRORS
+from ..state.problems import UNREADABLE_ERRORS
 from ..transport.addresses import Address
 from ..transport.exchanges import Reply, exchange
 from .store import Listing, Row, StoreError, StoreErrorKind, Write
--- a/src/kelproad/protocol/tunnels.py
+++ b/src/kelproad/protocol/tunnels.py
@@ -5,7 +5,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from ..state.decoding import UNREADABLE_ERRORS
+from ..state.problems import UNREADABLE_ERRORS
 
 __all__ = [
     'MAX_REQUEST_BYTES',
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -12,6 +12,7 @@
     'LimitMetrics',
     'QuarantineMetrics',
     'StreamMetrics',
+    'TaskMetrics',
     'WithdrawalMetrics',
 ]
 
@@ -116,6 +117,22 @@
         )
 
 
+class TaskMetrics:
+    """Metrics of the tasks of a process."""
+
+    def __init__(self, registry: Registry) -> None:
+        """Register the metrics."""
+        self.failures = Counter(
+            'kelproad_task_failures_total',
+            'Errors that ended a task of the process, which began anew.',
+            registry=registry,
+        )
+
+    def count_failure(self, task: str) -> None:
+        """Count an error that ended a task."""
+        self.failures.inc({'task': task})
+
+
 class WithdrawalMetrics:
     """Metrics of endpoints that want no more calls."""
 
--- a/src/kelproad/state/problems.py
+++ b/src/kelproad/state/problems.py
@@ -1,8 +1,20 @@
-"""Errors in settings files and in operators' files."""
+"""Errors in what others wrote: files, rows, messages."""
+
+from typing import Final
 
 import attrs
+import msgspec
+
+__all__ = ['UNREADABLE_ERRORS', 'Problem']
 
-__all__ = ['Problem']
+#: All errors that a decoder raises for its input: its own, one for deep nesting
+#: even in fields that nobody reads, and those for numbers of many digits.
+UNREADABLE_ERRORS: Final[tuple[type[Exception], ...]] = (
+    msgspec.DecodeError,
+    RecursionError,
+    ValueError,
+    OverflowError,
+)
 
 
 @attrs.frozen
--- a/src/kelproad/transport/peers.py
+++ b/src/kelproad/transport/peers.py
@@ -10,10 +10,9 @@
 from collections.abc import Awaitable, Callable
 
 import pynng
-from mode import Service
 
 from .addresses import Address
-from .services import BackgroundService
+from .services import BackgroundService, restarted_task
 
 __all__ = ['PeerLink', 'PeerListener']
 
@@ -49,7 +48,7 @@
         """Close the socket."""
         self._socket.close()
 
-    @Service.task
+    @restarted_task
     async def _read(self) -> None:
         while not self.should_stop:
             try:
--- a/tests/ingress/test_decoding.py
+++ b/tests/ingress/test_decoding.py
@@ -19,7 +19,7 @@
 from kelproad.platform.store import _decode_page
 from kelproad.protocol.callers import CompletionBody
 from kelproad.protocol.tunnels import decode_request
-from kelproad.state.decoding import UNREADABLE_ERRORS
+from kelproad.state.problems import UNREADABLE_ERRORS
 from kelproad.transport.addresses import Address, AddressError
 
 SOURCE = pathlib.Path(kelproad.__file__).parent
--- a/tests/ingress/test_following.py
+++ b/tests/ingress/test_following.py
@@ -114,6 +114,28 @@
     assert script.adopted[-1].whole
 
 
+async def test_a_change_that_was_not_adopted_is_read_again() -> None:
+    """Guards against a change that is missing for good after an error."""
+    script = Script(
+        state(5, 'a', whole=True),
+        state(6, 'b'),
+        state(6, 'a', 'b', whole=True),
+    )
+    follower = create_follower(script)
+    script.follower = follower
+    adopt = follower._adopt
+
+    def fail_once(state_read: TableState) -> None:
+        if not state_read.whole:
+            raise ArithmeticError
+        adopt(state_read)
+
+    follower._adopt = fail_once
+    await TableFollower._follow.fun(follower)
+    assert [version for version, _ in script.asked] == [None, 5, None]
+    assert [row.key for row in script.adopted[-1].rows] == ['a', 'b']
+
+
 async def test_a_query_after_a_failure_does_not_wait_for_changes() -> None:
     """The age of the table would grow while it waits."""
     script = Script(
