Store and peers: each call has a connection of its own

Cause: calls to the store and fetches from other instances went over kept connections. One that has gone silent takes a call's whole timeout to show, 0.3 s for a fetch and 1.0 to 1.4 s for the store; the next one may be silent as well, and the times add up along the way: reader, zone, instance. Ruled out: shorter timeouts (a loaded store takes longer), a shorter life of idle connections (a connection in use goes silent as well). Change: sessions of an instance make a connection for each call, as those to endpoints do. Left: the product's own interface keeps connections to its platform.

--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -88,7 +88,7 @@
 
     async def on_first_start(self) -> None:
         """Build the components, start them, and listen last of all."""
-        store = self._open_store(self._sessions.open_pooled(), self._counters)
+        store = self._open_store(self._sessions.open_control(), self._counters)
         self._peering = Peering(
             self._settings,
             store,
@@ -97,7 +97,7 @@
             self._ledger,
             self._reachability,
             self._observations,
-            self._sessions.open_pooled(),
+            self._sessions.open_control(),
             self._counters,
             self._generator,
         )
@@ -230,7 +230,7 @@
         return CallPipeline.from_state(
             shared,
             self._peering,
-            self._sessions.open_single_use(self._connector.connect),
+            self._sessions.open_calls(self._connector.connect),
         )
 
     async def _serve(self) -> None:
--- a/src/kelproad/coordination/ingress/sharing.py
+++ b/src/kelproad/coordination/ingress/sharing.py
@@ -15,7 +15,7 @@
 from ...state.work import WorkLedger
 from ...transport.addresses import Address
 from ...transport.deadlines import RunningClock
-from ...transport.http import create_session, create_single_use_session
+from ...transport.http import create_single_use_session
 from ...transport.sockets import OpenSocket
 from ..drain import Drain
 from .admission.dialect import Dialect
@@ -88,13 +88,18 @@
         self._origin = origin
         self._opened: list[aiohttp.ClientSession] = []
 
-    def open_pooled(self) -> aiohttp.ClientSession:
-        """Open a session that keeps connections."""
-        session = create_session(self._origin)
+    def open_control(self) -> aiohttp.ClientSession:
+        """Open a session for the store and other instances.
+
+        It makes a connection for each call.  One that was kept may have gone
+        silent, which takes the whole timeout of a call to show, and so may the
+        next one.
+        """
+        session = create_single_use_session(self._origin)
         self._opened.append(session)
         return session
 
-    def open_single_use(self, open_socket: OpenSocket) -> aiohttp.ClientSession:
+    def open_calls(self, open_socket: OpenSocket) -> aiohttp.ClientSession:
         """Open a session for calls to endpoints, a connection for each."""
         session = create_single_use_session(
             open_socket=open_socket,
--- a/testbed/soak/links.py
+++ b/testbed/soak/links.py
@@ -50,6 +50,8 @@
     DELAYED = 'delayed'
     #: Bytes are dropped in both directions, without any error.
     SILENT = 'silent'
+    #: The same, but only on connections that are open when it begins.
+    OPEN_SILENT = 'open silent'
     #: Requests are forwarded, responses are dropped.
     ONE_WAY = 'one way'
     #: Open connections and new ones are reset.
@@ -71,6 +73,8 @@
         self._writers: set[asyncio.StreamWriter] = set()
         #: Writers to the hosts that connected, by writer.
         self._sources: dict[asyncio.StreamWriter, str] = {}
+        #: Those of the hosts whose open connections have been silenced.
+        self._silenced: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
 
@@ -88,11 +92,16 @@
         self._abort_connections()
 
     def harm(self, harm: LinkFault, delay: float = 0) -> None:
-        """Set the fault of all connections, open and new ones."""
+        """Set the fault of all connections, open and new ones.
+
+        Open connections that are silenced stay silent.
+        """
         self._fault = harm
         self._delay = delay
         if harm is LinkFault.RESET:
             self._abort_connections()
+        if harm is LinkFault.OPEN_SILENT:
+            self._silenced.update(self._sources)
 
     def cut_from(self, hosts: frozenset[str], cut: Cut) -> None:
         """Cut the link for connections from some hosts."""
@@ -150,10 +159,10 @@
         self._sources[writer] = source
         tasks = (
             asyncio.create_task(
-                self._forward(reader, target_writer, source, is_request=True)
+                self._forward(reader, target_writer, writer, is_request=True)
             ),
             asyncio.create_task(
-                self._forward(target_reader, writer, source, is_request=False)
+                self._forward(target_reader, writer, writer, is_request=False)
             ),
         )
         self._tasks.update(tasks)
@@ -163,20 +172,24 @@
         self._tasks.difference_update(tasks)
         self._writers -= {writer, target_writer}
         self._sources.pop(writer, None)
+        self._silenced.discard(writer)
 
     async def _forward(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        source: str,
+        accepted: asyncio.StreamWriter,
         is_request: bool,
     ) -> None:
-        """Forward bytes in one direction until the end of the stream."""
+        """Forward bytes in one direction until the end of the stream.
+
+        ``accepted`` writes to the host that connected.
+        """
         is_dropping = False
         try:
             while chunk := await reader.read(_CHUNK):
                 # A connection that has lost bytes can't be resumed.
-                is_dropping = is_dropping or self._drops(source, is_request)
+                is_dropping = is_dropping or self._drops(accepted, is_request)
                 if is_dropping:
                     continue
                 if self._fault is LinkFault.DELAYED:
@@ -188,7 +201,10 @@
         finally:
             writer.close()
 
-    def _drops(self, source: str, is_request: bool) -> bool:
+    def _drops(self, accepted: asyncio.StreamWriter, is_request: bool) -> bool:
+        if accepted in self._silenced:
+            return True
+        source = self._sources.get(accepted)
         if self._cut in _DROPPING_CUTS and source in self._cut_hosts:
             return True
         if self._fault is LinkFault.SILENT:
--- a/tests/ingress/test_reader_cut_site.py
+++ b/tests/ingress/test_reader_cut_site.py
@@ -51,6 +51,20 @@
     )
 
 
+def test_news_arrive_in_time_though_all_open_connections_are_silent(
+    site: CuttableSite,
+) -> None:
+    """Guards against one call after another on kept silent connections."""
+    for _ in range(CUTS):
+        await_one_reader(site)
+        for instance in site.site.instances:
+            site.harm_store_link(instance.name, LinkFault.OPEN_SILENT)
+        began = time.monotonic()
+        site.site.put_configuration()
+        await_version(site, site.site.instances)
+        assert time.monotonic() - began < APPLY_SECONDS
+
+
 @pytest.mark.parametrize(
     'harm',
     [LinkFault.SILENT, LinkFault.ONE_WAY, LinkFault.RESET],
