--- a/tests/test_half_heads.py
+++ b/tests/test_half_heads.py
@@ -14,6 +14,8 @@
     b'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n'
     b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 12\r\n\r\n'
 )
+#: Bytes of the begins of a head that are sent.
+LENGTHS = range(len(HEAD))
 #: Socket option value with which closing resets the connection.
 RESET = struct.pack('ii', 1, 0)
 
@@ -46,7 +48,7 @@
 ) -> None:
     """Guards against a 200 made of half a head, with an empty body."""
     session = create()
-    for length in range(len(HEAD)):
+    for length in LENGTHS:
         server, url = await start_server(HEAD[:length], is_reset)
         with pytest.raises(aiohttp.ClientError):
             async with session.get(url):
