Quarantine: an engine is asked after a call that was given up while it was silent

What callers saw: a request under which engines fall silent ended one more for each time its caller left or came to its deadline and sent it again: 4 or 5 engines, up to 1.8 s after its third end. Cause: an end was looked into only if the attempt itself failed. A caller that leaves cancels it, a deadline is no fault of the engine, and an attempt of a stream that another one is begun beside may have been slow only. Ruled out: to suspect at once for all calls, as most engines are only slow.

--- a/src/kelproad/coordination/ingress/quarantine/ends.py
+++ b/src/kelproad/coordination/ingress/quarantine/ends.py
@@ -10,10 +10,11 @@
 """
 
 import asyncio
+import contextlib
 import enum
 import logging
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Coroutine, Iterable
 
 import attrs
 from returns.result import Failure
@@ -28,7 +29,7 @@
 from ....state.records import record
 from ....state.refusals import Ran
 from ....state.suspicions import EndedCall
-from ....transport.deadlines import monotonic
+from ....transport.deadlines import monotonic, within_running
 from ..placing.eligibility import is_withdrawn
 from ..placing.memory import EngineOperations
 from ..streams.answers import AttemptFailure
@@ -41,6 +42,9 @@
 #: Queries to an engine that may have ended, and seconds between two.
 _MAX_QUERIES = 3
 _QUERY_PERIOD = 0.2
+#: Seconds in which an engine that is well answers a query; its report takes
+#: milliseconds.  One that takes longer is checked.
+_LOOK_SECONDS = 0.1
 #: Other engines that are queried to tell a silent engine from a lost path.
 _MAX_CONTROLS = 4
 #: Seconds until each query whether an engine that has ended, or may have,
@@ -80,6 +84,8 @@
     _generator: random.Random
     #: Checks in progress, by the life of the engine.
     _checks: dict[str, asyncio.Task[_State]] = attrs.field(factory=dict)
+    #: Single queries in progress, by the life.
+    _looks: dict[str, asyncio.Task[_State]] = attrs.field(factory=dict)
     #: Queries to engines that have ended, or may have, by the life.
     _watches: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     #: Calls under which an engine may have ended, the first failure at the
@@ -91,9 +97,10 @@
         call: Call,
         endpoint: Endpoint,
         sent_at: float,
+        ended_at: float,
         parts: Iterable[str],
     ) -> EndedCall | None:
-        """Record a failed attempt whose engine may have ended.
+        """Record an attempt that broke off, as its engine may have ended.
 
         Until that is known its unproven parts are suspect.  An engine that
         leaves ends in any case, and accuses none.
@@ -111,17 +118,16 @@
             return None
         if self._may_have_ended_before(life, sent_at):
             return None
-        now = monotonic()
         ended = EndedCall(
             call.service,
             life,
-            self._quarantine.select_unproven(call.service, parts, now),
+            self._quarantine.select_unproven(call.service, parts, ended_at),
             frozenset((call.workspace_name,)),
             sent_at,
-            now,
+            ended_at,
             fingerprint=call.fingerprint,
         )
-        self._quarantine.record_end(ended, now)
+        self._quarantine.record_end(ended, monotonic())
         self._notices.announce_end(ended)
         return ended
 
@@ -151,6 +157,45 @@
             self._doubt(ended)
             self._watch_once(call.service, endpoint)
 
+    async def check_unheard(
+        self,
+        call: Call,
+        endpoint: Endpoint,
+        sent_at: float,
+        given_up_at: float,
+    ) -> None:
+        """Find out whether an engine ended under a call that was given up.
+
+        Most are well and were only slow, so one is suspected only when it does
+        not answer a query either, or at once if another one has ended under the
+        same request: its caller may be sending it again.  The end accuses the
+        request alone, since sound calls share its parts.
+        """
+        now = monotonic()
+        address = endpoint.declaration.address
+        if self._paths.is_mute(now) or self._paths.is_doubtful(address, now):
+            return
+        is_repeated = self._has_ended_others(call, now)
+        if not is_repeated and await self._answers_at_once(endpoint):
+            return
+        ended = self.suspect(call, endpoint, sent_at, given_up_at, parts=())
+        if ended is not None:
+            await self.check(call, endpoint, ended)
+
+    async def _answers_at_once(self, endpoint: Endpoint) -> bool:
+        """Return whether an engine answers a query as one that is well does."""
+        with contextlib.suppress(asyncio.TimeoutError):
+            async with within_running(_LOOK_SECONDS):
+                return await self._look_once(endpoint) is _State.ALIVE
+        return False
+
+    def _has_ended_others(self, call: Call, now: float) -> bool:
+        """Return whether engines may have ended under the same request."""
+        requests = self._quarantine.requests
+        if requests.is_empty(now):
+            return False
+        return requests.count(call.service, call.fingerprint, now) > 0
+
     def _may_have_ended_before(self, life: str, at: float) -> bool:
         """Return whether a call failed there before, and no more is known."""
         doubted = self._doubted.get(life)
@@ -218,13 +263,11 @@
 
     async def _check_once(self, endpoint: Endpoint) -> _State:
         """Check an engine, once for all of its attempts."""
-        life = _name_life(endpoint)
-        check = self._checks.get(life)
-        if check is None:
-            check = asyncio.create_task(self._check(endpoint))
-            self._checks[life] = check
-            check.add_done_callback(lambda _: self._checks.pop(life, None))
-        return await asyncio.shield(check)
+        return await _run_once(self._checks, endpoint, self._check)
+
+    async def _look_once(self, endpoint: Endpoint) -> _State:
+        """Query an engine, once for all attempts that were closed there."""
+        return await _run_once(self._looks, endpoint, self._check_now)
 
     async def _check(self, endpoint: Endpoint) -> _State:
         # An instance that is cut off reaches no engine at all.  A cut may begin
@@ -284,6 +327,21 @@
         return False
 
 
+async def _run_once(
+    running: dict[str, asyncio.Task[_State]],
+    endpoint: Endpoint,
+    check: Callable[[Endpoint], Coroutine[None, None, _State]],
+) -> _State:
+    """Check an engine, or wait for the same check that is in progress."""
+    life = _name_life(endpoint)
+    task = running.get(life)
+    if task is None:
+        task = asyncio.create_task(check(endpoint))
+        running[life] = task
+        task.add_done_callback(lambda _: running.pop(life, None))
+    return await asyncio.shield(task)
+
+
 def _name_life(endpoint: Endpoint) -> str:
     """Name one life of an engine."""
     return f'{endpoint.name} {endpoint.declaration.incarnation}'
--- a/src/kelproad/coordination/ingress/quarantine/guard.py
+++ b/src/kelproad/coordination/ingress/quarantine/guard.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import math
-from collections.abc import Mapping
+from collections.abc import Coroutine, Mapping
 
 import attrs
 
@@ -126,14 +126,27 @@
                 self.release(attempt.call)
             return
         suspected = self._suspect_all(attempt, failure)
-        observing = asyncio.create_task(
+        observing = self._start(
             self._observe(attempt.call, suspected, self._end_trial(attempt))
         )
-        self._background.add(observing)
-        observing.add_done_callback(self._background.discard)
         if attempt.call.kind.repeatable and self._awaits_checks(suspected):
             await asyncio.wait((observing,), timeout=_CHECK_SECONDS)
 
+    def record_unheard(self, attempt: Attempt) -> None:
+        """Record an attempt that was given up while its engine was silent.
+
+        That its caller left, its time was up, or another engine was tried does
+        not tell whether this one has ended.  It is found out afterwards, and
+        holds up nothing.
+        """
+        check = self._observer.check_unheard(
+            attempt.call,
+            attempt.placement.primary,
+            attempt.sent_at,
+            monotonic(),
+        )
+        self._start(check)
+
     def record_answered(self, call: Call, resumed: bool) -> None:
         """Record that a call was answered whole.
 
@@ -173,6 +186,13 @@
             for (service, fingerprint), verdict in barred
         ]
 
+    def _start(self, check: Coroutine[None, None, None]) -> asyncio.Task[None]:
+        """Start to find out whether engines have ended."""
+        task = asyncio.create_task(check)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+        return task
+
     def _end_trial(self, attempt: Attempt) -> tuple[str, ...]:
         """Detach the trial of an attempt from its call; return its parts.
 
@@ -218,7 +238,7 @@
                 continue
             parts = call.head.shared_parts if is_primary else ()
             ended = self._observer.suspect(
-                call, endpoint, attempt.sent_at, parts
+                call, endpoint, attempt.sent_at, monotonic(), parts
             )
             if ended is not None:
                 suspected.append((endpoint, ended))
--- a/src/kelproad/coordination/ingress/retrying/attempting.py
+++ b/src/kelproad/coordination/ingress/retrying/attempting.py
@@ -22,6 +22,7 @@
 from ..streams.delivery import StreamDelivery
 from ..streams.progress import Attempt, Progress
 from ..streams.sending import Sender
+from ..streams.silence import SilenceMonitor
 from .events import record_limits, record_placement
 from .verdicts import ANSWER_MARGIN, AttemptEvaluator
 
@@ -135,6 +136,7 @@
     _ledger: WorkLedger
     _gate: StartGate
     _guard: PromptGuard
+    _silence_monitor: SilenceMonitor
 
     async def run(
         self,
@@ -152,12 +154,20 @@
                 outcome = await self._sender.send(
                     attempt, delivery, received, account
                 )
+        except asyncio.CancelledError:
+            if self._silence_monitor.is_unheard(attempt):
+                self._guard.record_unheard(attempt)
+            raise
         finally:
             placement.primary.own_requests -= 1
         failure = outcome.failure() if isinstance(outcome, Failure) else None
         self._evaluator.note(attempt, failure)
         if failure is None:
             self._guard.record_answered(call, resumed)
+        elif failure.is_inconclusive and self._silence_monitor.is_unheard(
+            attempt
+        ):
+            self._guard.record_unheard(attempt)
         else:
             await self._guard.record_failure(attempt, failure)
         return outcome
--- a/src/kelproad/coordination/ingress/retrying/dispatching.py
+++ b/src/kelproad/coordination/ingress/retrying/dispatching.py
@@ -84,7 +84,9 @@
         return cls(
             chooser,
             starter,
-            AttemptRunner(sender, evaluator, ledger, gate, guard),
+            AttemptRunner(
+                sender, evaluator, ledger, gate, guard, silence_monitor
+            ),
             Hedger(
                 silence_monitor,
                 starter,
--- a/src/kelproad/coordination/ingress/retrying/hedging.py
+++ b/src/kelproad/coordination/ingress/retrying/hedging.py
@@ -151,6 +151,8 @@
         )
         self._evaluator.note_silence(attempt, failure)
         await self._guard.record_failure(attempt, failure)
+        if failure.is_inconclusive:
+            self._guard.record_unheard(attempt)
 
     def _trust(self, race: AttemptRace, attempt: Attempt) -> None:
         """Record that an attempt is not silent, or not any more."""
--- a/src/kelproad/coordination/ingress/streams/answers.py
+++ b/src/kelproad/coordination/ingress/streams/answers.py
@@ -67,6 +67,12 @@
     misdirected: bool = False
     answer: 'CompleteAnswer | None' = None
 
+    @property
+    def is_inconclusive(self) -> bool:
+        """Whether it does not tell if the endpoint is well: time was up."""
+        may_run = self.arrived and self.ran is Ran.UNKNOWN
+        return may_run and self.blameless and self.answer is None
+
     @property
     def answered(self) -> bool:
         """Whether the endpoint sent an answer, if only a refusal."""
--- a/src/kelproad/coordination/ingress/streams/silence.py
+++ b/src/kelproad/coordination/ingress/streams/silence.py
@@ -54,6 +54,9 @@
 #: Seconds without a byte from which on an attempt at an engine that answers no
 #: query is silent.
 _UNANSWERED_SILENCE = 0.1
+#: Seconds without a byte after which an attempt that is closed leaves open
+#: whether its endpoint is well.
+_UNHEARD_SECONDS = 0.1
 #: Seconds between two attempts through peers while none is known to help.
 _PROBE_PERIOD = 0.25
 
@@ -132,6 +135,12 @@
         is_late = waited >= choose_plain_timeout(attempt.call)
         return Silence.HEAD if is_late else None
 
+    def is_unheard(self, attempt: Attempt) -> bool:
+        """Return whether nothing has come for a while of an attempt."""
+        if attempt.waits_since is None or not attempt.arrived:
+            return False
+        return self._clock.read() - attempt.waits_since >= _UNHEARD_SECONDS
+
     def record_answer(self, attempt: Attempt) -> None:
         """Record that an attempt brings something, so its path is not mute."""
         if attempt.via:
--- a/testbed/crashes.py
+++ b/testbed/crashes.py
@@ -42,7 +42,7 @@
     ``make_parts`` gets a number that is different for each request; one without
     it has no prompt.  Callers send a request ``tries`` times, each at once
     after the one before failed, with an id of its own; they leave when nothing
-    comes for ``patience`` seconds.
+    comes for ``patience`` seconds, and wait for ``deadline`` seconds in all.
     """
 
     path: str
@@ -51,6 +51,7 @@
     key: str = KEY
     tries: int = 1
     patience: float = _DEADLINE
+    deadline: float = _DEADLINE
 
 
 @attrs.frozen
@@ -196,7 +197,7 @@
         headers = {
             'Host': HOST,
             'X-Kelproad-Request-Id': request_id,
-            'X-Kelproad-Deadline-Ms': str(int(_DEADLINE * 1000)),
+            'X-Kelproad-Deadline-Ms': str(int(kind.deadline * 1000)),
             'X-Api-Key': kind.key,
             **_build_prompt_fields(kind, number),
         }
--- a/tests/ingress/crashes.py
+++ b/tests/ingress/crashes.py
@@ -3,7 +3,6 @@
 from kelproad.state.calls import Call
 from kelproad.state.endpoints import Endpoint
 from kelproad.state.suspicions import EndedCall
-from kelproad.transport.deadlines import monotonic
 from testbed.crashes import CrashingSite, SentStream, Stream
 
 #: Sound and poisoned requests per second.
@@ -53,7 +52,11 @@
 
 
 def build_ended(
-    call: Call, endpoint: Endpoint, sent_at: float, parts: tuple[str, ...]
+    call: Call,
+    endpoint: Endpoint,
+    sent_at: float,
+    ended_at: float,
+    parts: tuple[str, ...],
 ) -> EndedCall:
     """Build the end of an engine under a call."""
     return EndedCall(
@@ -62,5 +65,5 @@
         frozenset(parts),
         frozenset(),
         sent_at,
-        monotonic(),
+        ended_at,
     )
--- a/tests/ingress/test_guard.py
+++ b/tests/ingress/test_guard.py
@@ -69,7 +69,7 @@
 ) -> None:
     """Have a failed attempt recorded, and its engine checked."""
     parts = call.head.shared_parts
-    ended = observer.suspect(call, endpoint, monotonic(), parts)
+    ended = observer.suspect(call, endpoint, monotonic(), monotonic(), parts)
     if ended is not None:
         await observer.check(call, endpoint, ended)
 
@@ -158,15 +158,71 @@
     assert evidence.trials == int(others_answer)
 
 
+@pytest.mark.parametrize(
+    ('is_cut_off', 'answers', 'is_repeated', 'queries', 'announced'),
+    [
+        (False, True, False, 1, 0),
+        (False, True, True, 1, 1),
+        (True, False, True, 0, 0),
+        (False, False, False, 4, 1),
+    ],
+)
+async def test_a_call_that_was_closed_accuses_only_engines_that_are_silent(
+    is_cut_off: bool,
+    answers: bool,
+    is_repeated: bool,
+    queries: int,
+    announced: int,
+) -> None:
+    """Guards against sound requests held back as their callers leave."""
+    endpoint = build_endpoint()
+    queried: list[str] = []
+    told: list[object] = []
+
+    async def read_incarnation(address: str) -> Result[str, str]:
+        queried.append(address)
+        await asyncio.sleep(0)
+        return Success('') if answers else Failure('lost')
+
+    table = EndpointTable()
+    table.replace_groups(
+        [EndpointGroup('writer', EndpointKind.ENGINE, [endpoint.declaration])]
+    )
+    paths = DirectPaths()
+    for number in range(8 * is_cut_off):
+        paths.record_unanswered(f'10.0.0.{number}:80', monotonic())
+    call, now = build_call(), monotonic()
+    quarantine = PartQuarantine(lambda _service: 3)
+    if is_repeated:
+        other = build_ended(call, endpoint, now - 1, now - 1, ())
+        quarantine.record_end(
+            attrs.evolve(other, engine='i-9 1', fingerprint=call.fingerprint),
+            now,
+        )
+    observer = EndObserver(
+        quarantine,
+        types.SimpleNamespace(
+            announce_end=told.append, announce_alive=lambda *_engine: None
+        ),
+        None,
+        types.SimpleNamespace(read_incarnation=read_incarnation),
+        table,
+        paths,
+        QuarantineMetrics(Counters().registry),
+        random.Random(1),
+    )
+    await observer.check_unheard(call, table.get('i-0'), now, now)
+    assert (len(queried), len(told)) == (queries, announced)
+
+
 async def test_parts_quarantined_under_another_are_kept() -> None:
     """Guards against a part forgotten when all instances start again."""
     kept: set[str] = set()
     quarantine = PartQuarantine(lambda _service: 3)
     call, endpoint, now = build_call(), build_endpoint(), monotonic()
     for number in range(3):
-        ended = attrs.evolve(
-            build_ended(call, endpoint, now + number, ('part',)),
-            ended_at=now + number,
+        ended = build_ended(
+            call, endpoint, now + number, now + number, ('part',)
         )
         quarantine.record_end(
             attrs.evolve(ended, engine=f'i-{number} 1', confirmed=number < 2),
@@ -178,9 +234,7 @@
         types.SimpleNamespace(keep=lambda _service, parts: kept.update(parts)),
         *(None for _ in range(5)),
     )
-    last = attrs.evolve(
-        build_ended(call, endpoint, now + 2, ('other',)), ended_at=now + 2
-    )
+    last = build_ended(call, endpoint, now + 2, now + 2, ('other',))
     observer._confirm(attrs.evolve(last, engine='i-2 1', confirmed=True))
     assert kept == {'part', 'other'}
 
--- a/tests/ingress/test_repeated_requests.py
+++ b/tests/ingress/test_repeated_requests.py
@@ -31,6 +31,9 @@
 #: Lethal requests a second, and how often their callers send each.
 RATE = 0.3
 TRIES = 4
+#: Seconds that callers wait, in which a second engine does not yet show as
+#: silent.
+DEADLINE = 2.0
 #: Seconds after which impatient callers send a request again, less than it
 #: takes to tell a silent engine from a busy one, and how often they do.
 PATIENCE = 0.3
@@ -43,6 +46,13 @@
         'prompt': Stream(
             '/reports/x?events=8&lethal', make_sound_parts, RATE, tries=TRIES
         ),
+        'prompt-late': Stream(
+            '/reports/x?events=8&lethal',
+            make_sound_parts,
+            RATE,
+            tries=TRIES,
+            deadline=DEADLINE,
+        ),
         'prompt-not-resumed': Stream(
             '/fragile/x?events=8&lethal', make_sound_parts, RATE, tries=TRIES
         ),
@@ -107,6 +117,7 @@
     [
         ('prompt', {}),
         ('prompt', {'crash_after': 1, 'crash_silently': True}),
+        ('prompt-late', {'crash_silently': True}),
         ('prompt-not-resumed', {'crash_after': 1}),
         ('no-prompt', {}),
         ('prompt-not-resumed', {'crash_after': 1, 'crash_silently': True}),
