--- a/src/kelproad/coordination/ingress/membership/messages.py
+++ b/src/kelproad/coordination/ingress/membership/messages.py
@@ -3,9 +3,9 @@
 from typing import ClassVar
 
 import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
-from ....state.problems import UNREADABLE_ERRORS
+from ....state.problems import try_decode
 from ..tables.tablestates import TableFreshness
 from .updates import ReportedLimit, ReportedWork
 
@@ -232,10 +232,7 @@
 
 def decode_message(datagram: bytes) -> Result[Message, str]:
     """Decode a datagram, or return why it is unreadable."""
-    try:
-        return Success(_decode(datagram))
-    except UNREADABLE_ERRORS as error:
-        return Failure(str(error))
+    return try_decode(_decode, datagram)
 
 
 def add_notice_age(
--- a/src/kelproad/coordination/ingress/membership/peering.py
+++ b/src/kelproad/coordination/ingress/membership/peering.py
@@ -8,7 +8,6 @@
 import time
 
 import aiohttp
-from mode import Service
 
 from ....state.counters import (
     Counters,
@@ -24,6 +23,7 @@
 from ....state.requestlimits import RequestLimits
 from ....state.work import WorkLedger
 from ....transport.deadlines import monotonic
+from ....transport.services import BackgroundService
 from ..limiting.coordinators import CoordinatorSelector
 from ..limiting.gate import StartGate
 from ..limiting.granting import StartGranter
@@ -225,7 +225,7 @@
             self._leaving_notices.announce,
         )
 
-    def list_services(self) -> list[Service]:
+    def list_services(self) -> list[BackgroundService]:
         """List the services to be started, in this order."""
         return [
             self.tables.configuration,
--- a/src/kelproad/coordination/ingress/membership/updates.py
+++ b/src/kelproad/coordination/ingress/membership/updates.py
@@ -3,9 +3,9 @@
 from collections.abc import Mapping
 
 import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
-from ....state.problems import UNREADABLE_ERRORS
+from ....state.problems import try_decode
 from ....state.requestlimits import LimitNotice
 from ....state.work import EndpointWork
 from ..tables.tablestates import Provenance
@@ -99,10 +99,7 @@
 
 def decode_update(datagram: bytes) -> Result[PeerUpdate, str]:
     """Decode a datagram, or return why it is unreadable."""
-    try:
-        return Success(_decode(datagram))
-    except UNREADABLE_ERRORS as error:
-        return Failure(str(error))
+    return try_decode(_decode, datagram)
 
 
 def add_age(update: PeerUpdate, seconds: float) -> None:
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -126,7 +126,7 @@
         self._roster = self._peering.roster
         self._tunnels = self._create_tunnel_server()
         self._pipeline = self._create_pipeline()
-        self._background = (
+        self._background: tuple[BackgroundService, ...] = (
             *self._peering.list_services(),
             self._tunnels,
             SettingsWatch(self._settings_holder),
--- a/src/kelproad/coordination/ingress/tables/relaying.py
+++ b/src/kelproad/coordination/ingress/tables/relaying.py
@@ -72,7 +72,7 @@
     list[tuple[str, bytes | None, int]],
 ).decode
 #: Errors of a reply that can't be decoded.
-_REPLY_ERRORS = (*UNREADABLE_ERRORS, zlib.error)
+_REPLY_ERRORS: tuple[type[Exception], ...] = (*UNREADABLE_ERRORS, zlib.error)
 #: Level of compression, the fastest: a reader sends each change to many peers.
 _COMPRESSION = 1
 
--- a/src/kelproad/protocol/completions.py
+++ b/src/kelproad/protocol/completions.py
@@ -31,7 +31,7 @@
 
 
 #: Exceptions raised in joining by a payload that is no part of a completion.
-_MALFORMED_ERRORS = (
+_MALFORMED_ERRORS: tuple[type[Exception], ...] = (
     *UNREADABLE_ERRORS,
     AttributeError,
     KeyError,
--- a/src/kelproad/protocol/engines.py
+++ b/src/kelproad/protocol/engines.py
@@ -46,7 +46,7 @@
 )
 
 #: Errors of an engine's refusal that can't be read.
-_REFUSAL_ERRORS = (
+_REFUSAL_ERRORS: tuple[type[Exception], ...] = (
     asyncio.TimeoutError,
     aiohttp.ClientError,
     *UNREADABLE_ERRORS,
--- a/src/kelproad/protocol/tunnels.py
+++ b/src/kelproad/protocol/tunnels.py
@@ -3,9 +3,9 @@
 import enum
 
 import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
-from ..state.problems import UNREADABLE_ERRORS
+from ..state.problems import try_decode
 
 __all__ = [
     'MAX_REQUEST_BYTES',
@@ -61,7 +61,4 @@
 
 def decode_request(received: bytes) -> Result[TunnelRequest, str]:
     """Decode a whole request, or return why it is unreadable."""
-    try:
-        return Success(_decode(received[_LENGTH_BYTES:]))
-    except UNREADABLE_ERRORS as error:
-        return Failure(str(error))
+    return try_decode(_decode, received[_LENGTH_BYTES:])
--- a/src/kelproad/state/problems.py
+++ b/src/kelproad/state/problems.py
@@ -1,11 +1,15 @@
 """Errors in what others wrote: files, rows, messages."""
 
-from typing import Final
+from collections.abc import Callable
+from typing import Final, TypeVar
 
 import attrs
 import msgspec
+from returns.result import Failure, Result, Success
 
-__all__ = ['UNREADABLE_ERRORS', 'Problem']
+__all__ = ['UNREADABLE_ERRORS', 'Problem', 'try_decode']
+
+T = TypeVar('T')
 
 #: All errors that a decoder raises for its input: its own, one for deep nesting
 #: even in fields that nobody reads, and those for numbers of many digits.
@@ -29,3 +33,11 @@
     def __str__(self) -> str:
         """Format like a compiler error: file, line, path, message."""
         return f'{self.source}:{self.line}: {self.path}: {self.message}'
+
+
+def try_decode(decode: Callable[[bytes], T], encoded: bytes) -> Result[T, str]:
+    """Decode what others wrote, or return why it is unreadable."""
+    try:
+        return Success(decode(encoded))
+    except UNREADABLE_ERRORS as error:
+        return Failure(str(error))
