--- a/testbed/soak/routed.py
+++ b/testbed/soak/routed.py
@@ -32,6 +32,7 @@
 from .routed_partitions import InstanceCuts
 from .routed_pauses import EndpointPauses, check_pauses
 from .routed_restores import StoreRestorations, check_restorations
+from .routed_rows import OddWrites, check_followers
 from .routed_stops import PlannedStop
 from .routed_withdrawals import StatedWithdrawals, check_withdrawals
 
@@ -53,6 +54,7 @@
     ('restores', 'Also let the store return from copies of itself.'),
     ('pauses', 'Also let endpoints pause and go on, beside changes of routes.'),
     ('evacuations', 'Also let operators evacuate a zone of endpoints.'),
+    ('rows', 'Also write odd rows, and silence connections to the store.'),
     ('calm', 'Inject no faults but suspended instances and configurations.'),
 )
 
@@ -105,6 +107,7 @@
             restorations.run(seconds if 'restores' in kinds else 0),
             pauses.run(seconds if 'pauses' in kinds else 0),
             evacuations.run(seconds if 'evacuations' in kinds else 0),
+            OddWrites(site, links, seed).run(seconds if 'rows' in kinds else 0),
         )
         if 'crashes' in kinds:
             await crashing.finish()
@@ -136,6 +139,7 @@
                 check_evacuations, callers.records, faults, evacuations.done
             ),
             functools.partial(check_restorations, site, restorations),
+            functools.partial(check_followers, site),
             functools.partial(
                 check_pauses,
                 site,
--- a/testbed/soak/routed_faults.py
+++ b/testbed/soak/routed_faults.py
@@ -32,6 +32,10 @@
 #: Seconds between two stops of a series: at once, or as in a rolling restart.
 _SERIES_PERIODS = (0, 1.0, 1.5, 2.0)
 _MAX_DELAY = 0.4
+#: Faults of a link; those of open connections alone are injected elsewhere.
+_LINK_FAULTS = tuple(
+    fault for fault in LinkFault if fault is not LinkFault.OPEN_SILENT
+)
 _CALM_KINDS = ('instance frozen', 'keys replaced', 'configuration changed')
 #: Faults of an instance after which it knows little of what was before.
 _INTERRUPTIONS = frozenset(('instance killed', 'instance frozen'))
@@ -260,7 +264,7 @@
             return str(fault)
 
     async def _disturb_link(self, duration: float) -> str:
-        harm = self._random.choice(list(LinkFault))
+        harm = self._random.choice(_LINK_FAULTS)
         with self.reserve(list(self._links)) as name:
             if not name:
                 return ''
--- a/tests/ingress/test_soak.py
+++ b/tests/ingress/test_soak.py
@@ -30,6 +30,10 @@
 #: of such runs.
 EVACUATION_SECONDS = 12.0
 EVACUATION_SEEDS = (1,)
+#: Duration of a run beside odd rows and silent connections to the store, in
+#: seconds, and seeds of such runs.
+ROW_SECONDS = 12.0
+ROW_SEEDS = (1,)
 #: Duration of a run with planned stops only, in seconds.
 STOP_SECONDS = 12.0
 #: Seeds of runs in which planned stops are the only failures.
@@ -124,3 +128,15 @@
         assert not await soak(
             site, PAUSE_SECONDS, seed, base=Base.CALM, kinds=('pauses',)
         )
+
+
+@pytest.mark.parametrize('seed', ROW_SEEDS)
+async def test_promises_hold_beside_odd_rows_and_silent_connections(
+    seed: int,
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against what others write, or lose, ending what is followed."""
+    with start_routed_site(tmp_path, 0) as site:
+        assert not await soak(
+            site, ROW_SECONDS, seed, base=Base.CALM, kinds=('rows',)
+        )
