Tasks: the delay of a task that fails for hours can be computed

After 1,024 failures in a row the doubled delay was too large for a number, and the error ended the task for good: the fault that the restart guards against. Found by reading; the new test fails before (OverflowError), passes now.

--- a/src/kelproad/coordination/ingress/quarantine/ends.py
+++ b/src/kelproad/coordination/ingress/quarantine/ends.py
@@ -44,7 +44,7 @@
 _QUERY_PERIOD = 0.2
 #: Seconds in which an engine that is well answers a query; its report takes
 #: milliseconds.  One that takes longer is checked.
-_LOOK_SECONDS = 0.1
+_QUERY_SECONDS = 0.1
 #: Other engines that are queried to tell a silent engine from a lost path.
 _MAX_CONTROLS = 4
 #: Seconds until each query whether an engine that has ended, or may have,
@@ -85,7 +85,7 @@
     #: Checks in progress, by the life of the engine.
     _checks: dict[str, asyncio.Task[_State]] = attrs.field(factory=dict)
     #: Single queries in progress, by the life.
-    _looks: dict[str, asyncio.Task[_State]] = attrs.field(factory=dict)
+    _queries: dict[str, asyncio.Task[_State]] = attrs.field(factory=dict)
     #: Queries to engines that have ended, or may have, by the life.
     _watches: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     #: Calls under which an engine may have ended, the first failure at the
@@ -185,8 +185,8 @@
     async def _answers_at_once(self, endpoint: Endpoint) -> bool:
         """Return whether an engine answers a query as one that is well does."""
         with contextlib.suppress(asyncio.TimeoutError):
-            async with within_running(_LOOK_SECONDS):
-                return await self._look_once(endpoint) is _State.ALIVE
+            async with within_running(_QUERY_SECONDS):
+                return await self._query_once(endpoint) is _State.ALIVE
         return False
 
     def _has_ended_others(self, call: Call, now: float) -> bool:
@@ -265,9 +265,9 @@
         """Check an engine, once for all of its attempts."""
         return await _run_once(self._checks, endpoint, self._check)
 
-    async def _look_once(self, endpoint: Endpoint) -> _State:
+    async def _query_once(self, endpoint: Endpoint) -> _State:
         """Query an engine, once for all attempts that were closed there."""
-        return await _run_once(self._looks, endpoint, self._check_now)
+        return await _run_once(self._queries, endpoint, self._check_now)
 
     async def _check(self, endpoint: Endpoint) -> _State:
         # An instance that is cut off reaches no engine at all.  A cut may begin
--- a/src/kelproad/coordination/ingress/retrying/attempting.py
+++ b/src/kelproad/coordination/ingress/retrying/attempting.py
@@ -164,12 +164,11 @@
         self._evaluator.note(attempt, failure)
         if failure is None:
             self._guard.record_answered(call, resumed)
-        elif failure.is_inconclusive and self._silence_monitor.is_unheard(
-            attempt
-        ):
+            return outcome
+        await self._guard.record_failure(attempt, failure)
+        is_unheard = self._silence_monitor.is_unheard(attempt)
+        if failure.is_inconclusive and is_unheard:
             self._guard.record_unheard(attempt)
-        else:
-            await self._guard.record_failure(attempt, failure)
         return outcome
 
     def finish(self, call: Call) -> None:
--- a/src/kelproad/transport/services.py
+++ b/src/kelproad/transport/services.py
@@ -19,6 +19,7 @@
 #: row up to the maximum.
 _MIN_RESTART_DELAY = 0.1
 _MAX_RESTART_DELAY = 2.0
+_MAX_DOUBLINGS = 8
 #: Seconds without a failure after which earlier ones count no more.
 _SOUND_SECONDS = 10.0
 #: Failures in a row from which on a task counts as failing.
@@ -43,8 +44,8 @@
 
     def choose_delay(self) -> float:
         """Choose the seconds until the task begins anew."""
-        doubled = _MIN_RESTART_DELAY * 2 ** (self.count - 1)
-        return min(doubled, _MAX_RESTART_DELAY)
+        doublings = min(self.count - 1, _MAX_DOUBLINGS)
+        return min(_MIN_RESTART_DELAY * 2**doublings, _MAX_RESTART_DELAY)
 
 
 def _ignore_failure(_task: str) -> None:
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -9,6 +9,8 @@
 from kelproad.transport import services
 from kelproad.transport.services import BackgroundService, restarted_task
 
+#: More failures than a number of type float can be doubled.
+MANY_FAILURES = 2000
 SOURCE = pathlib.Path(kelproad.__file__).parent
 
 
@@ -67,6 +69,14 @@
     await worker.stop()
 
 
+async def test_a_task_that_fails_for_hours_begins_anew() -> None:
+    """Guards against a delay that can't be computed after many failures."""
+    worker = Worker(0)
+    for _ in range(MANY_FAILURES):
+        delay = worker.record_task_failure('_work')
+    assert delay == services._MAX_RESTART_DELAY
+
+
 def test_every_task_begins_anew() -> None:
     """Guards against tasks that end for good without a sign."""
     found = [
