Decoding: numbers that others wrote in digits are numbers of 64 bits or none

Found by reading the whole change: the same class as the port of 5,000 digits, at places that parse numbers by themselves. What callers saw, or would have: a port of 5,000 digits, or of a character that counts as a digit, in a changed settings file raised an error in the task that watches it, and in the handler of SIGTERM, so that a planned stop never began and the instance was killed with its calls; an event of an engine with such a number raised past the code that resumes streams; one such owner of an item at an engine would have ended each check of the items there. Change: parse_digits, used in settings, both event streams, a peer's revision, continuations, owners of items. Evidence: the new cases of test_settings, test_events, test_decoding (ValueError each) and test_a_stop_begins_beside_settings_that_cannot_be_read (still running after 15 s) fail before, pass now; the case of owners was not run before.

--- a/src/kelproad/coordination/ingress/tables/relaying.py
+++ b/src/kelproad/coordination/ingress/tables/relaying.py
@@ -19,7 +19,7 @@
 from returns.result import Failure, Result, Success
 
 from ....state.counters import Counters
-from ....state.problems import UNREADABLE_ERRORS
+from ....state.problems import UNREADABLE_ERRORS, parse_digits
 from ....state.records import record
 from ....transport.addresses import Address
 from ....transport.deadlines import monotonic, read_boottime
@@ -225,11 +225,11 @@
 
 def read_after(http_request: web.Request) -> Revision | None:
     """Return the revision that a peer has; ``None`` if it needs all rows."""
-    version = http_request.query.get(_AFTER, '')
-    era = http_request.query.get(_ERA, '0')
-    if version.isdecimal() and era.isdecimal():
-        return Revision(int(era), int(version))
-    return None
+    version = parse_digits(http_request.query.get(_AFTER, ''))
+    era = parse_digits(http_request.query.get(_ERA, '0'))
+    if version is None or era is None:
+        return None
+    return Revision(era, version)
 
 
 def read_zone(http_request: web.Request) -> str:
--- a/src/kelproad/coordination/orphans.py
+++ b/src/kelproad/coordination/orphans.py
@@ -19,6 +19,7 @@
 from ..state.holdings import STREAM, HeldItem, HoldingTable
 from ..state.identity import Identity
 from ..state.members import MemberTable
+from ..state.problems import parse_digits
 from ..transport.addresses import Address
 from ..transport.deadlines import monotonic
 from ..transport.services import BackgroundService, restarted_task
@@ -204,12 +205,13 @@
     otherwise it may just be cut off.
     """
     instance, _, text = item.owner.rpartition(':')
-    if not instance or not text.isdecimal():
+    incarnation = parse_digits(text)
+    if not instance or incarnation is None:
         # The owner is not an instance: another client uses the engine too.
         return None
     if item.remaining < -DEADLINE_MARGIN:
         return Evidence.PAST_DEADLINE
-    replaced = int(text) < ownership.incarnations.get(instance, 0)
+    replaced = incarnation < ownership.incarnations.get(instance, 0)
     if replaced and not item.attached:
         return Evidence.REPLACED
     if item.owner == ownership.local_owner:
--- a/src/kelproad/platform/settings.py
+++ b/src/kelproad/platform/settings.py
@@ -12,7 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from ..coordination.ingress.settings import Bounds, NodeSettings
-from ..state.problems import Problem
+from ..state.problems import Problem, parse_digits
 from ..transport.addresses import Address, AddressError
 
 __all__ = ['SETTINGS_VARIABLE', 'load_node_settings', 'parse_node_settings']
@@ -122,8 +122,9 @@
 
 
 def _decode_settings(fields: _Fields) -> NodeSettings:
-    ports = fields.text('internal_port_range').split(',')
-    if not ports[0].isdigit():
+    first_port, _, _ = fields.text('internal_port_range').partition(',')
+    peer_port = parse_digits(first_port)
+    if peer_port is None:
         raise _FieldError('internal_port_range: does not begin with a port')
     return NodeSettings(
         instance=fields.text('node_name'),
@@ -131,7 +132,7 @@
         ip=fields.text('ip'),
         caller_address=fields.address('listen.frontend'),
         ready_address=fields.address('listen.ready'),
-        peer_port=int(ports[0]),
+        peer_port=peer_port,
         store_address=fields.address('platform.address'),
         # Every instance uses the same port for its peers, so a seed's host is
         # enough to find it.
--- a/src/kelproad/protocol/engines.py
+++ b/src/kelproad/protocol/engines.py
@@ -16,7 +16,7 @@
 
 from ..state.endpoints import EndpointReport
 from ..state.holdings import HeldItem
-from ..state.problems import UNREADABLE_ERRORS
+from ..state.problems import UNREADABLE_ERRORS, parse_digits
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
 from ..transport.deadlines import monotonic, within
 from ..transport.http import wrap_body
@@ -105,7 +105,7 @@
         self._response = response
         self.incarnation = response.headers.get(_INCARNATION, '')
         confirmed = response.headers.get(_CONTINUED, '')
-        self.continued_bytes = int(confirmed) if confirmed.isdecimal() else 0
+        self.continued_bytes = parse_digits(confirmed) or 0
 
     async def read(self) -> AsyncIterator[bytes]:
         """Yield bytes as they arrive until the end of the body."""
--- a/src/kelproad/protocol/events.py
+++ b/src/kelproad/protocol/events.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from ..state.problems import parse_digits
+
 __all__ = ['DONE', 'Event', 'EventSequence', 'SequenceError']
 
 #: Data of the terminal event.  Only this ends a stream.
@@ -91,9 +93,9 @@
             return self._drop_crossed(block)
         head, separator, payload = block.partition(_DATA)
         digits = head[len(self._prefix) :]
-        if not separator or not digits.isdigit():
+        number = parse_digits(digits.decode(errors='replace'))
+        if not separator or number is None:
             raise SequenceError(f'not an event: {block[:_MAX_SHOWN]!r}')
-        number = int(digits)
         if number < self.next_number or self.ended:
             self.repeated += 1
             return None
--- a/src/kelproad/protocol/eventstreams.py
+++ b/src/kelproad/protocol/eventstreams.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from ..state.problems import parse_digits
 from .events import MAX_EVENT_BYTES, SequenceError
 
 __all__ = ['EventSplitter', 'NumberedEvent']
@@ -194,10 +195,20 @@
 
 
 def _read_number(block: bytes) -> int | None:
+    """Return the number of an event, ``None`` for a block without one.
+
+    Raises
+    ------
+    SequenceError
+        When it has too many digits.
+    """
     if _ID_FIELD not in block:
         return None
     for line in block.split(b'\n'):
         if line.startswith(_ID_FIELD):
             digits = line[len(_ID_FIELD) :].strip()
-            return int(digits) if digits.isdigit() else None
+            number = parse_digits(digits.decode(errors='replace'))
+            if number is None and digits.isdigit():
+                raise SequenceError('an event has a number of too many digits')
+            return number
     return None
--- a/tests/ingress/test_decoding.py
+++ b/tests/ingress/test_decoding.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import re
+import types
 from collections.abc import Callable
 
 import msgspec
@@ -11,6 +12,7 @@
 import kelproad
 from kelproad.coordination.ingress.membership.messages import decode_message
 from kelproad.coordination.ingress.membership.updates import decode_update
+from kelproad.coordination.ingress.tables.relaying import read_after
 from kelproad.coordination.ingress.tables.tablestates import (
     Revision,
     StoredRow,
@@ -81,6 +83,13 @@
         Address.from_text(text)
 
 
+def test_a_peer_that_states_no_revision_gets_all_rows() -> None:
+    """Guards against a query whose revision can't be computed with."""
+    for text in ('9' * 5000, '\u00b2', '-1', ''):
+        query = {'after': text, 'era': '0'}
+        assert read_after(types.SimpleNamespace(query=query)) is None
+
+
 def test_every_decoder_expects_all_that_input_can_raise() -> None:
     """Guards against decoders that expect only the errors of their library."""
     caught = re.compile(r'^ *except[^:]*msgspec\.', re.MULTILINE)
--- a/tests/ingress/test_settings.py
+++ b/tests/ingress/test_settings.py
@@ -48,6 +48,10 @@
         assert name in str(problems[0])
     wrong = TEXT.replace('bounds.grace_s=8', 'bounds.grace_s=soon')
     assert 'bounds.grace_s' in str(parse_node_settings(wrong, 'f').failure()[0])
+    for port in ('9' * 5000, '\u00b2'):
+        wrong = TEXT.replace('7340,7355', f'{port},7355')
+        problems = parse_node_settings(wrong, 'f').failure()
+        assert 'internal_port_range' in str(problems[0])
     wrong = TEXT.replace('10.200.1.7:8223', 'store:8223')
     problems = parse_node_settings(wrong, 'f').failure()
     assert 'platform.address' in str(problems[0])
--- a/tests/ingress/test_store_site.py
+++ b/tests/ingress/test_store_site.py
@@ -233,6 +233,19 @@
     assert call(instance, '/lookups/x').status == 200
 
 
+def test_a_stop_begins_beside_settings_that_cannot_be_read(
+    site: RoutedSite,
+) -> None:
+    """Guards against a SIGTERM that an odd settings file makes ineffective."""
+    instance = site.instances[0]
+    text = instance.settings.read_text()
+    odd = text.replace('7340,7355', f'{"9" * 5000},7355')
+    instance.settings.write_text(odd)
+    instance.process.send_signal(signal.SIGTERM)
+    wait_for(lambda: not instance.process.running, 'the instance has stopped')
+    assert instance.process.wait(0) == 0
+
+
 def test_an_instance_that_was_killed_serves_again(site: RoutedSite) -> None:
     """After a kill and a restart an instance needs only the store."""
     instance = site.instances[0]
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from kelproad.protocol.events import EventSequence, SequenceError
+from kelproad.protocol.eventstreams import EventSplitter
 
 ATTEMPT = 'a-1:1f:7-1'
 
@@ -54,6 +55,15 @@
         sequence.feed(encode(ATTEMPT, 2, b'y'))
 
 
+def test_a_number_of_any_length_is_an_event_or_an_error() -> None:
+    """Guards against an engine whose event number can't be computed with."""
+    sent = b'id: %b.%b\ndata: x\n\n' % (ATTEMPT.encode(), b'9' * 5000)
+    with pytest.raises(SequenceError):
+        EventSequence(ATTEMPT).feed(sent)
+    with pytest.raises(SequenceError):
+        EventSplitter().feed(b'id: %b\ndata: x\n\n' % (b'9' * 5000))
+
+
 @given(st.binary(max_size=200))
 def test_any_bytes_are_events_or_an_error(received: bytes) -> None:
     try:
--- a/tests/test_reclamation.py
+++ b/tests/test_reclamation.py
@@ -306,6 +306,7 @@
         ('unheard:1', {}, None),
         ('stranger:1', {}, Evidence.FORGOTTEN),
         ('somebody', {'remaining': -100}, None),
+        (f'other:{"9" * 5000}', {'remaining': -100}, None),
         ('me:5', {'item_id': 'recorded'}, None),
         ('me:5', {'item_id': 'lost'}, Evidence.UNRECORDED),
         ('me:5', {'item_id': 'lost', 'kind': 'pin'}, None),
