Stops: a SIGTERM begins a stop, whatever the settings file does

The handler reads the settings file first, so that a stop keeps the times that were written last. An error there left the stop unbegun, and the instance was killed with its calls when the grace was over. The new test fails before, passes now.

--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -159,9 +159,12 @@
 
         It may have been written since the last check.
         """
-        self.reload()
-        self._drain.start()
-        self._tunnels.leaving = True
+        try:
+            self.reload()
+        finally:
+            # A signal that is ignored would end in a kill.
+            self._drain.start()
+            self._tunnels.leaving = True
 
     async def run_until_drained(self) -> int:
         """Serve until a planned stop has been requested and is done.
--- a/src/kelproad/coordination/ingress/streams/answers.py
+++ b/src/kelproad/coordination/ingress/streams/answers.py
@@ -69,7 +69,7 @@
 
     @property
     def is_inconclusive(self) -> bool:
-        """Whether it does not tell if the endpoint is well: time was up."""
+        """Whether it does not tell if the endpoint is well or has ended."""
         may_run = self.arrived and self.ran is Ran.UNKNOWN
         return may_run and self.blameless and self.answer is None
 
--- a/tests/ingress/test_settings.py
+++ b/tests/ingress/test_settings.py
@@ -2,10 +2,12 @@
 
 import logging
 import pathlib
+import types
 
 import pytest
 from returns.result import Failure
 
+from kelproad.coordination.ingress.node import Node
 from kelproad.coordination.ingress.reloading import SettingsHolder
 from kelproad.coordination.ingress.settings import Bounds
 from kelproad.platform.settings import load_node_settings, parse_node_settings
@@ -108,3 +110,21 @@
         if record.getMessage() == 'settings_reloaded'
     ]
     assert reloaded == [{'bounds.stop_grace': [8, 4]}]
+
+
+def test_a_stop_begins_though_the_settings_cannot_be_reloaded() -> None:
+    """Guards against a SIGTERM without effect, after any error."""
+    begun: list[bool] = []
+
+    def fail() -> None:
+        raise ArithmeticError
+
+    node = types.SimpleNamespace(
+        reload=fail,
+        _drain=types.SimpleNamespace(start=lambda: begun.append(True)),
+        _tunnels=types.SimpleNamespace(leaving=False),
+    )
+    with pytest.raises(ArithmeticError):
+        Node.start_drain(node)
+    assert begun
+    assert node._tunnels.leaving
