Quarantine: who was told of an end is told what others know to be harmless

Cause: instances select what an end accuses by their own answers of the last 5 s. One that knows a part to be harmless replied so to the instance that reported the end, and to nobody else. All others that were told of the end and had no such answer kept the suspicion, three of them quarantined the part, and nobody cleared it: it was suspect nowhere else, and an answer to a part that is not suspect is not told. The numbers of the calls fit: edge-4 and edge-5 are those whose last answer on topic-0 was the longest ago, about 5 s. The reply, and the notice that clears a part, were also sent once only, where ends are told again for 5 s, as datagrams get lost.

Change: an instance that is told that something it accused is harmless accuses it no more and tells all; such notices are repeated as ends are. Cost: for an end whose part is known to be harmless elsewhere one datagram for each instance and reporter, and one each half second for some seconds.

Evidence: two tests without processes failed before (the third instance has the part in quarantine) and pass.

--- a/src/kelproad/coordination/ingress/quarantine/notices.py
+++ b/src/kelproad/coordination/ingress/quarantine/notices.py
@@ -9,7 +9,9 @@
 import functools
 import itertools
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+
+import attrs
 
 from ....state.quarantine import PartQuarantine
 from ....state.records import record
@@ -27,7 +29,7 @@
 #: lost, and for how long they are repeated.
 _REPEAT_PERIOD = 0.5
 _REPEAT_SECONDS = 5.0
-#: Most own observations that are repeated, and most ends in one datagram.
+#: Most own observations of a kind that are repeated, and most in one datagram.
 _MAX_REPEATED = 64
 _MAX_ENDS = 8
 #: Most ends of repeated requests that an instance is told which is heard anew.
@@ -36,6 +38,8 @@
 #: datagram tells several.
 _MIN_PERIOD = 0.01
 
+_Key = tuple[str, str]
+
 
 class PromptNotices(BackgroundService):
     """Sends own observations to the other instances, and takes theirs."""
@@ -54,6 +58,9 @@
         self._queries = queries
         self._peers = peers
         self._own_ends: list[EndedCall] = []
+        #: Parts and requests of such calls that are harmless, by service, and
+        #: the monotonic times of the answers that show it.
+        self._harmless: dict[_Key, float] = {}
         #: Ends that the next datagram tells, and the timer that sends it.
         self._unsent: collections.deque[EndedCall] = collections.deque(
             maxlen=_MAX_REPEATED
@@ -87,16 +94,16 @@
 
     def announce_harmless(self, service: str, parts: Iterable[str]) -> None:
         """Tell all that an engine outlived an answer on parts, or requests."""
-        harmless = [(service, part, float(0)) for part in parts]
-        self._send_to_all(functools.partial(PromptNotice, harmless=harmless))
+        now = monotonic()
+        for part in parts:
+            self._withdraw_accusations(service, part)
+            self._announce_harmless(service, part, now)
 
     def accept(self, notice: PromptNotice) -> None:
         """Record what another instance observed."""
         now = monotonic()
         for service, known, age in notice.harmless:
-            # It is a part, or the fingerprint of a request.
-            self._quarantine.record_harmless(service, [known], now - age)
-            self._quarantine.record_answered(service, known, now - age)
+            self._accept_harmless(service, known, now - age)
         for service, engine in notice.alive:
             self._quarantine.withdraw(service, engine)
         for service, engine, age in notice.revived:
@@ -139,6 +146,40 @@
             if ended.engine != engine or ended.ended_at >= before
         ]
 
+    def _accept_harmless(self, service: str, known: str, at: float) -> None:
+        """Record that a part, or a request by its fingerprint, is harmless.
+
+        Whoever was told here that an engine ended under it is told that too.
+        """
+        self._quarantine.record_harmless(service, [known], at)
+        self._quarantine.record_answered(service, known, at)
+        if self._withdraw_accusations(service, known):
+            self._announce_harmless(service, known, at)
+
+    def _withdraw_accusations(self, service: str, known: str) -> bool:
+        """Accuse no more of own ends what an answer shows to be harmless.
+
+        Returns
+        -------
+        bool
+            Whether it was accused.
+        """
+        ends = [
+            _acquit(ended, known)
+            if ended.service == service and self._is_proven(ended, known)
+            else ended
+            for ended in self._own_ends
+        ]
+        is_withdrawn = ends != self._own_ends
+        self._own_ends = ends
+        return is_withdrawn
+
+    def _is_proven(self, ended: EndedCall, known: str) -> bool:
+        """Return whether an answer shows that something ended no engine."""
+        return not self._quarantine.select_unproven(
+            ended.service, [known], ended.ended_at
+        )
+
     def _accept_end(
         self, reported: ReportedEnd, now: float
     ) -> list[tuple[str, str, float]]:
@@ -168,6 +209,12 @@
             ]
             for start in range(0, len(self._own_ends), _MAX_ENDS):
                 self._announce(self._own_ends[start : start + _MAX_ENDS])
+            # An answer bears on ends that come later, and as long.
+            oldest -= _REPEAT_SECONDS
+            self._harmless = {
+                key: at for key, at in self._harmless.items() if at > oldest
+            }
+            self._send_harmless(self._harmless)
 
     def _send_unsent(self) -> None:
         """Tell of ends at once, and of those that follow a moment later."""
@@ -186,11 +233,39 @@
         packed = [pack_end(ended, now) for ended in ends]
         self._send_to_all(functools.partial(PromptNotice, ends=packed))
 
+    def _announce_harmless(self, service: str, known: str, at: float) -> None:
+        """Tell all instances now, and again for some seconds."""
+        key = (service, known)
+        self._harmless.pop(key, None)
+        if len(self._harmless) >= _MAX_REPEATED:
+            self._harmless.pop(next(iter(self._harmless)))
+        self._harmless[key] = at
+        self._send_harmless({key: at})
+
+    def _send_harmless(self, answered_at: Mapping[_Key, float]) -> None:
+        """Tell all instances when answers showed what to be harmless."""
+        now = monotonic()
+        harmless = [
+            (service, known, round(now - at, 4))
+            for (service, known), at in answered_at.items()
+        ]
+        for start in range(0, len(harmless), _MAX_ENDS):
+            told = harmless[start : start + _MAX_ENDS]
+            self._send_to_all(functools.partial(PromptNotice, harmless=told))
+
     def _send_to_all(self, notice: functools.partial[PromptNotice]) -> None:
         for host in self._peers.list_hosts():
             self._queries.announce(notice, host)
 
 
+def _acquit(ended: EndedCall, known: str) -> EndedCall:
+    """Return the end of an engine under a call without one that it accuses."""
+    fingerprint = '' if ended.fingerprint == known else ended.fingerprint
+    return attrs.evolve(
+        ended, parts=ended.parts - {known}, fingerprint=fingerprint
+    )
+
+
 def record_quarantined(ended: EndedCall, parts: Iterable[str]) -> None:
     """Log the parts that an end quarantined."""
     for part in parts:
--- /dev/null
+++ b/tests/ingress/test_prompt_notices.py
@@ -0,0 +1,97 @@
+"""What instances tell each other of parts, each with what it knows itself."""
+
+import asyncio
+
+from kelproad.coordination.ingress.quarantine.notices import PromptNotices
+from kelproad.state.quarantine import PartQuarantine
+from kelproad.state.suspicions import EndedCall, PartState
+from kelproad.transport.deadlines import monotonic
+
+SERVICE = 'writer'
+PART = 'system-1'
+#: Seconds in which all ends are told.
+LATER = 0.05
+#: Seconds in which all is told again.
+REPEATED = 0.7
+HOSTS = ('10.0.0.1', '10.0.0.2', '10.0.0.3')
+
+
+class Peer:
+    """An instance with peers, whose notices reach them at once."""
+
+    def __init__(self, host: str, peers: dict[str, 'Peer']) -> None:
+        """Join the peers."""
+        self.host = host
+        self.peers = peers
+        self.is_cut_off = False
+        self.parts = PartQuarantine(lambda _service: 30)
+        self.notices = PromptNotices(self.parts, self, self)
+        peers[host] = self
+
+    def list_hosts(self) -> list[str]:
+        """List the addresses of the other instances."""
+        return [host for host in self.peers if host != self.host]
+
+    def announce(self, notice: object, host: str) -> None:
+        """Send a notice to one of them."""
+        peer = self.peers.get(host)
+        if peer is not None and not peer.is_cut_off:
+            peer.notices.accept(notice(0, self.host, 'a'))
+
+    def end(self, number: int, at: float) -> None:
+        """Find that an engine ended under a call of its own."""
+        ended = EndedCall(
+            SERVICE,
+            f'i-{number} 1',
+            frozenset((PART,)),
+            frozenset(('crews',)),
+            at,
+            at,
+            confirmed=True,
+            fingerprint=f'request-{number}',
+        )
+        self.parts.record_end(ended, at)
+        self.notices.announce_end(ended)
+
+    def judge(self, now: float) -> PartState:
+        """Judge another request with the part."""
+        judgement = self.parts.judge(
+            SERVICE, [PART], 'crews', now, lambda: 'another'
+        )
+        return judgement.state
+
+
+def start_peers() -> list[Peer]:
+    """Start instances that know of nothing."""
+    peers: dict[str, Peer] = {}
+    return [Peer(host, peers) for host in HOSTS]
+
+
+async def test_what_one_instance_knows_to_be_sound_is_so_for_all() -> None:
+    """Guards against sound calls refused where nobody had an answer lately."""
+    reporting, knowing, third = start_peers()
+    now = monotonic()
+    knowing.parts.record_harmless(SERVICE, [PART], now)
+    for number in range(3):
+        reporting.end(number, now + number / 10)
+    await asyncio.sleep(LATER)
+    assert knowing.judge(now + 1) is PartState.HARMLESS
+    assert reporting.judge(now + 1) is PartState.HARMLESS
+    assert third.judge(now + 1) is PartState.HARMLESS
+
+
+async def test_an_answer_is_told_again_to_those_who_missed_it() -> None:
+    """Guards against sound calls refused where one datagram was lost."""
+    answering, reporting, third = start_peers()
+    now = monotonic()
+    for number in range(3):
+        reporting.end(number, now + number / 10)
+    await asyncio.sleep(LATER)
+    assert third.judge(now + 1) is PartState.QUARANTINED
+    third.is_cut_off = True
+    answering.parts.record_harmless(SERVICE, [PART], now + 1)
+    answering.notices.announce_harmless(SERVICE, [PART])
+    third.is_cut_off = False
+    async with answering.notices, reporting.notices:
+        await asyncio.sleep(REPEATED)
+    assert third.judge(now + 1) is PartState.HARMLESS
