Quarantine: an end is looked for also where engines fell silent in a row

Cause, traced: the first engine's end was not looked for. Two engines had fallen silent within 0.6 s, so the paths of the instance counted as mute for 0.7 s, and in that time a call that is given up accused nobody.

Ruled out: a lost notice (the instance logged no check of that engine at all).

Change: on mute paths the engine is looked at if another one answers. Nothing is concluded, as before, where none does, where an outage of connections is seen, or where only peers reach the engine.

Evidence: the new test failed before (nothing told) and passes.

--- a/src/kelproad/coordination/ingress/quarantine/ends.py
+++ b/src/kelproad/coordination/ingress/quarantine/ends.py
@@ -172,8 +172,11 @@
         request alone, since sound calls share its parts.
         """
         now = monotonic()
-        address = endpoint.declaration.address
-        if self._paths.is_mute(now) or self._paths.is_doubtful(address, now):
+        if self._paths.is_doubtful(endpoint.declaration.address, now):
+            return
+        # Engines that fall silent one after the other look like mute paths.
+        is_mute = self._paths.is_mute(now)
+        if is_mute and not await self._reaches_another(endpoint):
             return
         is_repeated = self._has_ended_others(call, now)
         if not is_repeated and await self._answers_at_once(endpoint):
--- a/tests/ingress/test_guard.py
+++ b/tests/ingress/test_guard.py
@@ -64,6 +64,19 @@
     return table.get('i-0')
 
 
+def build_table(engines: int) -> EndpointTable:
+    """Build a table of engines."""
+    declarations = [
+        EndpointDeclaration(f'i-{number}', 'a', f'10.0.0.{number}:80')
+        for number in range(engines)
+    ]
+    table = EndpointTable()
+    table.replace_groups(
+        [EndpointGroup('writer', EndpointKind.ENGINE, declarations)]
+    )
+    return table
+
+
 async def observe(
     observer: EndObserver, call: Call, endpoint: Endpoint
 ) -> None:
@@ -126,14 +139,7 @@
 @pytest.mark.parametrize('others_answer', [True, False])
 async def test_a_cut_off_instance_proves_no_end(others_answer: bool) -> None:
     """Parts of sound prompts came into quarantine while engines were alive."""
-    declarations = [
-        EndpointDeclaration(f'i-{number}', 'a', f'10.0.0.{number}:80')
-        for number in range(3)
-    ]
-    table = EndpointTable()
-    table.replace_groups(
-        [EndpointGroup('writer', EndpointKind.ENGINE, declarations)]
-    )
+    table = build_table(3)
     endpoint = table.get('i-0')
 
     async def read_incarnation(address: str) -> Result[str, str]:
@@ -215,6 +221,33 @@
     assert (len(queried), len(told)) == (queries, announced)
 
 
+async def test_an_end_is_found_while_other_engines_fell_silent() -> None:
+    """Guards against a fourth end, as the first was taken for a mute path."""
+    told: list[object] = []
+    table = build_table(3)
+    paths = DirectPaths()
+    for number in range(2):
+        paths.record_unanswered(f'10.0.0.{number}:80', monotonic())
+
+    async def read_incarnation(address: str) -> Result[str, str]:
+        await asyncio.sleep(0)
+        return Success('') if address == '10.0.0.2:80' else Failure('lost')
+
+    observer = EndObserver(
+        PartQuarantine(lambda _service: 3),
+        types.SimpleNamespace(announce_end=told.append),
+        types.SimpleNamespace(keep=lambda *_parts: None),
+        types.SimpleNamespace(read_incarnation=read_incarnation),
+        table,
+        paths,
+        QuarantineMetrics(Counters().registry),
+        random.Random(1),
+    )
+    now = monotonic()
+    await observer.check_unheard(build_call(), table.get('i-0'), now, now)
+    assert [ended.confirmed for ended in told] == [False, True]
+
+
 async def test_parts_quarantined_under_another_are_kept() -> None:
     """Guards against a part forgotten when all instances start again."""
     kept: set[str] = set()
