Quarantine: a request is tried alone until its silent engine was looked at

Cause: after two ends a request is tried by one call at a time. When that call was given up while its engine was silent, its trial ended at once, and the suspicion of the engine was on its way to the instance that the caller came back to. That one saw two ends and no trial.

Change: the trial of the request, not those of its parts, goes on until the engine was looked at, which takes milliseconds for one that is well.

Evidence: the new test failed before (the fingerprint is released with the part) and passes.

--- a/src/kelproad/coordination/ingress/quarantine/guard.py
+++ b/src/kelproad/coordination/ingress/quarantine/guard.py
@@ -137,15 +137,10 @@
 
         That its caller left, its time was up, or another engine was tried does
         not tell whether this one has ended.  It is found out afterwards, and
-        holds up nothing.
+        holds up nothing but the same request while it is tried alone.
         """
-        check = self._observer.check_unheard(
-            attempt.call,
-            attempt.placement.primary,
-            attempt.sent_at,
-            monotonic(),
-        )
-        self._start(check)
+        held = self._hold_request(attempt)
+        self._start(self._observe_unheard(attempt, monotonic(), held))
 
     def record_answered(self, call: Call, resumed: bool) -> None:
         """Record that a call was answered whole.
@@ -204,6 +199,35 @@
             attempt.call.trial = ()
         return tried
 
+    def _hold_request(self, attempt: Attempt) -> tuple[str, ...]:
+        """Detach the trial of a request from its call, without its parts.
+
+        Returns
+        -------
+        tuple of str
+            Its fingerprint, if the attempt tries it.
+        """
+        call = attempt.call
+        if not attempt.trial or call.fingerprint not in attempt.trial:
+            return ()
+        held = (call.fingerprint,)
+        attempt.trial = _without(attempt.trial, held)
+        call.trial = _without(call.trial, held)
+        return held
+
+    async def _observe_unheard(
+        self, attempt: Attempt, given_up_at: float, held: tuple[str, ...]
+    ) -> None:
+        """Find out whether a silent engine has ended, then end the trial."""
+        call = attempt.call
+        try:
+            await self._observer.check_unheard(
+                call, attempt.placement.primary, attempt.sent_at, given_up_at
+            )
+        finally:
+            if held and call.fingerprint not in call.trial:
+                self._trials.finish(call, held)
+
     async def _observe(
         self, call: Call, suspected: list[_Suspected], tried: tuple[str, ...]
     ) -> None:
@@ -298,6 +322,11 @@
                 self._rows.keep_cleared(call.service, part)
 
 
+def _without(tried: tuple[str, ...], held: tuple[str, ...]) -> tuple[str, ...]:
+    """Return what is tried without what is held."""
+    return tuple(part for part in tried if part not in held)
+
+
 def _describe(suspicion: Suspicion, now: float) -> dict[str, object]:
     """Describe the evidence; ``retrial_in`` is ``None`` for never."""
     seconds = suspicion.retrial_at - now
--- a/src/kelproad/coordination/ingress/retrying/attempting.py
+++ b/src/kelproad/coordination/ingress/retrying/attempting.py
@@ -165,10 +165,10 @@
         if failure is None:
             self._guard.record_answered(call, resumed)
             return outcome
-        await self._guard.record_failure(attempt, failure)
         is_unheard = self._silence_monitor.is_unheard(attempt)
         if failure.is_inconclusive and is_unheard:
             self._guard.record_unheard(attempt)
+        await self._guard.record_failure(attempt, failure)
         return outcome
 
     def finish(self, call: Call) -> None:
--- a/src/kelproad/coordination/ingress/retrying/hedging.py
+++ b/src/kelproad/coordination/ingress/retrying/hedging.py
@@ -150,9 +150,9 @@
             blameless=silence.is_of_load and call.kind.streams,
         )
         self._evaluator.note_silence(attempt, failure)
-        await self._guard.record_failure(attempt, failure)
         if failure.is_inconclusive:
             self._guard.record_unheard(attempt)
+        await self._guard.record_failure(attempt, failure)
 
     def _trust(self, race: AttemptRace, attempt: Attempt) -> None:
         """Record that an attempt is not silent, or not any more."""
--- a/tests/ingress/test_guard.py
+++ b/tests/ingress/test_guard.py
@@ -117,6 +117,35 @@
     assert finished == [('part',)]
 
 
+async def test_a_request_is_tried_alone_until_its_engine_is_looked_at() -> None:
+    """Guards against a fourth end, as a caller is back after its deadline."""
+    finished: list[tuple[str, ...]] = []
+    checked = asyncio.Event()
+
+    async def check_unheard(*_given_up: object) -> None:
+        await checked.wait()
+
+    guard = PromptGuard(
+        PartQuarantine(lambda _service: 1),
+        types.SimpleNamespace(
+            finish=lambda _call, parts: finished.append(parts)
+        ),
+        types.SimpleNamespace(check_unheard=check_unheard),
+        *(None for _ in range(3)),
+    )
+    call = build_call()
+    call.trial = ('part', call.fingerprint)
+    attempt = Attempt(call, Placement(build_endpoint()), trial=call.trial)
+    guard.record_unheard(attempt)
+    failure = AttemptFailure('late', Ran.UNKNOWN, blameless=True)
+    await guard.record_failure(attempt, failure)
+    guard.release(call)
+    assert finished == [('part',)]
+    checked.set()
+    await asyncio.wait(guard._background)
+    assert finished == [('part',), (call.fingerprint,)]
+
+
 def test_answers_are_remembered_while_engines_end() -> None:
     """Guards against a request barred that other callers get answered."""
     quarantine = PartQuarantine(lambda _service: 3)
