Quarantine: the row of a part tells which request ended the engines under it

Callers would see: sound calls refused for 30 s and more by an instance that starts, or reads the table anew, after one request ended three engines.

Cause: one request that ended all of the engines proves nothing against others that share its parts, so only that request is refused. Rows of parts told the ends without what was asked for, so whoever read a row refused every call with the part. Notices to instances that are heard anew told it, by the ends of requests, not by those of parts.

Change: ends of parts are listed with the requests that may be the cause of all of them.

Evidence: the new test failed before (quarantined for another request) and passes; 63 tests of parts, requests and restored stores pass.

--- a/src/kelproad/state/quarantine.py
+++ b/src/kelproad/state/quarantine.py
@@ -226,19 +226,14 @@
         return self._harmless.get((service, part), -math.inf)
 
     def list_ends(self) -> list[EndedCall]:
-        """List the evidence, each end of an engine for each of its parts."""
+        """List the evidence, each end of an engine for each of its parts.
+
+        What was asked for is told of those requests that one cause may be.
+        """
         return [
-            EndedCall(
-                service,
-                engine,
-                frozenset((part,)),
-                end.workspaces,
-                end.sent_at,
-                end.ended_at,
-                end.confirmed,
-            )
+            ended
             for (service, part), suspicion in self._suspicions.items()
-            for engine, end in suspicion.ends.items()
+            for ended in _list_ends_of(service, part, suspicion)
         ]
 
     def list_suspicions(self) -> dict[_Key, Suspicion]:
@@ -358,3 +353,23 @@
             return known.is_current(now), known.trials, known.touched_at
 
         self._suspicions.pop(min(self._suspicions, key=rank))
+
+
+def _list_ends_of(
+    service: str, part: str, suspicion: Suspicion
+) -> list[EndedCall]:
+    """List the evidence against one part."""
+    return [
+        EndedCall(
+            service,
+            engine,
+            frozenset((part,)),
+            end.workspaces,
+            end.sent_at,
+            end.ended_at,
+            end.confirmed,
+            fingerprint,
+        )
+        for engine, end in suspicion.ends.items()
+        for fingerprint in suspicion.list_causes(end)
+    ]
--- a/src/kelproad/state/suspicions.py
+++ b/src/kelproad/state/suspicions.py
@@ -172,6 +172,19 @@
         ends = self.list_counted().values()
         return frozenset.intersection(*(end.fingerprints for end in ends))
 
+    def list_causes(self, end: EngineEnd) -> frozenset[str]:
+        """List the requests that may be the cause of an end and all others.
+
+        Returns
+        -------
+        frozenset of str
+            Their fingerprints; just the empty text if there is none.
+        """
+        causes = end.fingerprints
+        for other in self.list_counted().values():
+            causes &= other.fingerprints
+        return causes or frozenset(('',))
+
     def list_counted(self) -> dict[str, EngineEnd]:
         """List the ends in a row that are remembered, by engine."""
         return {engine: end for engine, end in self.ends.items() if end.counted}
--- a/tests/ingress/test_prompt_notices.py
+++ b/tests/ingress/test_prompt_notices.py
@@ -2,7 +2,11 @@
 
 import asyncio
 
+from returns.result import Result, Success
+
 from kelproad.coordination.ingress.quarantine.notices import PromptNotices
+from kelproad.coordination.ingress.quarantine.rows import QuarantineRows
+from kelproad.coordination.ingress.tables.tablestates import StoredRow
 from kelproad.state.quarantine import PartQuarantine
 from kelproad.state.suspicions import EndedCall, PartState
 from kelproad.transport.deadlines import monotonic
@@ -38,7 +42,7 @@
         if peer is not None and not peer.is_cut_off:
             peer.notices.accept(notice(0, self.host, 'a'))
 
-    def end(self, number: int, at: float) -> None:
+    def end(self, number: int, at: float, request: str = '') -> None:
         """Find that an engine ended under a call of its own."""
         ended = EndedCall(
             SERVICE,
@@ -48,15 +52,15 @@
             at,
             at,
             confirmed=True,
-            fingerprint=f'request-{number}',
+            fingerprint=request or f'request-{number}',
         )
         self.parts.record_end(ended, at)
         self.notices.announce_end(ended)
 
-    def judge(self, now: float) -> PartState:
-        """Judge another request with the part."""
+    def judge(self, now: float, request: str = 'another') -> PartState:
+        """Judge a request with the part."""
         judgement = self.parts.judge(
-            SERVICE, [PART], 'crews', now, lambda: 'another'
+            SERVICE, [PART], 'crews', now, lambda: request
         )
         return judgement.state
 
@@ -95,3 +99,23 @@
     async with answering.notices, reporting.notices:
         await asyncio.sleep(REPEATED)
     assert third.judge(now + 1) is PartState.HARMLESS
+
+
+async def test_a_new_instance_knows_which_request_ended_the_engines() -> None:
+    """Guards against a shared part refused for what one request asks for."""
+    reporting = start_peers()[0]
+    now = monotonic()
+    for number in range(3):
+        reporting.end(number, now + number / 10, 'lethal')
+    reporting.end(1, now + 1 / 10, 'beside')
+    written: asyncio.Queue[tuple[str, bytes]] = asyncio.Queue()
+
+    async def write(key: str, encoded: bytes) -> Result[None, str]:
+        await written.put((key, encoded))
+        return Success(None)
+
+    QuarantineRows(reporting.parts, write).keep(SERVICE, [PART])
+    new = Peer('10.0.0.4', {})
+    QuarantineRows(new.parts, write).adopt(StoredRow(*await written.get(), 1))
+    assert new.judge(now + 1, 'lethal') is PartState.QUARANTINED
+    assert new.judge(now + 1) is PartState.SUSPECT
