Quarantine: an answer that is told late explains the ends before it

Callers would see: a sound part refused at the instances that were told of an answer after one more end, while those that were told in time answer it.

Cause: an answer cleared a part wholly or, if an engine had ended more than 5 s after it, not at all. Ends before the answer went on to count there, three in quarantine; elsewhere one counted.

Change: the ends up to 5 s after the answer are removed, later ones stay, as where the answer was known first.

Evidence: the new test failed before (quarantined) and passes; 86 tests of parts, requests, notices and restored stores pass. Found by reading beside; not seen with processes.

--- a/src/kelproad/state/quarantine.py
+++ b/src/kelproad/state/quarantine.py
@@ -75,6 +75,9 @@
     ) -> dict[str, Suspicion]:
         """Record an answer that its engine outlived.
 
+        A late report of an answer says nothing on engines that ended long
+        after it.
+
         Returns
         -------
         dict of str to Suspicion
@@ -85,10 +88,12 @@
             key = (service, part)
             self._remember_harmless(key, at)
             suspicion = self._suspicions.get(key)
-            # A late report of an answer says nothing on engines that ended
-            # long after it.
-            if suspicion and suspicion.last_end_at < at + _HARMLESS_SECONDS:
+            if suspicion is None:
+                continue
+            if suspicion.last_end_at < at + _HARMLESS_SECONDS:
                 cleared[part] = self._suspicions.pop(key)
+            else:
+                suspicion.remove_before(at + _HARMLESS_SECONDS)
         return cleared
 
     def record_answered(
--- a/src/kelproad/state/suspicions.py
+++ b/src/kelproad/state/suspicions.py
@@ -166,6 +166,12 @@
             default=-math.inf,
         )
 
+    def remove_before(self, at: float) -> None:
+        """Remove the ends before a time, as an answer explains them."""
+        for engine, end in list(self.ends.items()):
+            if end.ended_at < at:
+                self.remove(engine)
+
     @property
     def common_fingerprints(self) -> frozenset[str]:
         """Fingerprints of what was asked for at all ends in a row."""
--- a/tests/ingress/test_quarantine.py
+++ b/tests/ingress/test_quarantine.py
@@ -325,3 +325,18 @@
     assert not released
     assert evidence.judge('poison') is PartState.QUARANTINED
     assert evidence.parts.get(SERVICE, 'poison').retrial_at == before
+
+
+def test_an_answer_told_late_explains_the_ends_before_it(
+    evidence: Evidence,
+) -> None:
+    """Guards against a sound part refused where an answer is told last."""
+    for _ in range(3):
+        evidence.end(('part',))
+    answered_at = evidence.now
+    evidence.now += 10
+    evidence.end(('part',))
+    assert evidence.judge('part') is PartState.QUARANTINED
+    evidence.parts.record_harmless(SERVICE, ['part'], answered_at)
+    assert evidence.judge('part') is PartState.SUSPECT
+    assert evidence.parts.get(SERVICE, 'part').trials == 1
