Peers: one that has started anew is told what is known, however soon it is back

Here: a request without a prompt that is barred after three ends reaches two more engines at each instance that is killed and started again within 3 s; nine ends in all as eight instances are restarted in a row.

Cause: an instance tells a peer all that it knows when that is heard for the first time or after 3 s of silence. One that is killed and back in 2 s was never silent for its peers, so nobody told it of requests that are barred, nor of parts, nor of engines that leave. Parts in quarantine have rows in the store; requests have none.

Why tests missed it: they stop instances in an orderly way, which tells peers so, or restart them while no request is barred.

Change: a report of a later start counts as heard anew, for all that is told then.

--- a/src/kelproad/coordination/ingress/membership/peers.py
+++ b/src/kelproad/coordination/ingress/membership/peers.py
@@ -75,7 +75,7 @@
         #: of an instance there that named it.
         self._zone_readers: dict[str, tuple[Reader, float]] = {}
         #: Each gets the IP number of a peer that is heard for the first time,
-        #: or again after a silence.
+        #: or again after a silence or a restart.
         self.on_heard: list[Callable[[str], None]] = []
 
     def add(self, instance: str, host: str, zone: str = '') -> None:
@@ -132,12 +132,14 @@
         silent = not peer.is_live(now)
         if order <= peer.order and not silent:
             return False
+        # One that has started anew knows nothing, however soon it is back.
+        heard_anew = silent or update.started_at > peer.order[0]
         peer.order = order
-        if silent and self._reports_regularly(update.zone):
+        if heard_anew and self._reports_regularly(update.zone):
             record(
                 _logger, 'peer_heard', peer=update.instance, zone=update.zone
             )
-        for greet in self.on_heard if silent else ():
+        for greet in self.on_heard if heard_anew else ():
             greet(update.host)
         peer.received_at = float('-inf') if update.leaving else now
         if peer.zone != update.zone:
--- a/testbed/crashes.py
+++ b/testbed/crashes.py
@@ -183,14 +183,8 @@
                 waiting.append(pool.submit(self._send_all, kind, request))
             return [sent for item in waiting for sent in item.result()]
 
-    def _send_all(self, kind: Stream, number: int) -> list[SentStream]:
-        """Send a request again until it is served, or all tries are used."""
-        sent: list[SentStream] = []
-        while len(sent) < kind.tries and not (sent and sent[-1].served):
-            sent.append(self._send(kind, number, len(sent)))
-        return sent
-
-    def _send(self, kind: Stream, number: int, attempt: int) -> SentStream:
+    def send(self, kind: Stream, number: int, attempt: int) -> SentStream:
+        """Send a request to an instance, the next one with each attempt."""
         instances = self.site.instances
         instance = instances[(number + attempt) % len(instances)]
         request_id = f'd{attempt:03x}{number:012x}'
@@ -227,6 +221,13 @@
             retry_after,
         )
 
+    def _send_all(self, kind: Stream, number: int) -> list[SentStream]:
+        """Send a request again until it is served, or all tries are used."""
+        sent: list[SentStream] = []
+        while len(sent) < kind.tries and not (sent and sent[-1].served):
+            sent.append(self.send(kind, number, len(sent)))
+        return sent
+
     def _list_running(self) -> list[str]:
         return [name for name in self._serving if name not in self._down]
 
--- a/tests/ingress/test_repeated_requests.py
+++ b/tests/ingress/test_repeated_requests.py
@@ -38,6 +38,9 @@
 #: takes to tell a silent engine from a busy one, and how often they do.
 PATIENCE = 0.3
 IMPATIENT_TRIES = 10
+#: Number of a request that no load sends; its attempts begin at the first
+#: instance.
+FIRST_NUMBER = 80_000
 #: Seconds after a caller left in which all instances know of the end.
 KNOWN_SECONDS = 0.3
 
@@ -163,3 +166,21 @@
     assert not list_refused(site).intersection(
         map(operator.attrgetter('request_id'), sound)
     )
+
+
+@pytest.mark.parametrize('name', ['prompt-not-resumed', 'no-prompt'])
+def test_an_instance_that_starts_knows_the_requests_that_are_barred(
+    site: CrashingSite, name: str
+) -> None:
+    """Guards against a request that ends engines anew as instances restart."""
+    site.apply_faults(crash_targets=['lethal'])
+    began = time.monotonic()
+    number = FIRST_NUMBER
+    for attempt in range(TRIES):
+        site.send(KINDS[name], number, attempt)
+    for attempt, instance in enumerate(site.site.instances, len(ZONES)):
+        instance.process.kill()
+        site.site.restart_instance(instance)
+        assert site.send(KINDS[name], number, attempt).status == 503
+    site.await_all()
+    assert len(site.read_crashes(began).arrivals) == MAX_CRASHES
