Quarantine: a barred request has a row, so that it outlasts all instances

Callers saw: a request without a prompt that was barred after three ends reaches more engines once all instances were killed at one moment and started again; the same where the zone that its caller goes to next is cut from the one that knows.

Cause: what is known of requests is told by notices only. Parts in quarantine have rows in the table of instances, requests had none.

Change: the end that bars a request writes a row with its ends, an answer after the trial writes that it is harmless. There may be many more requests than parts, and rows are not deleted, so requests share 64 rows; of two in one row the later is kept. Rows tell ends without parts, which have rows of their own.

Ruled out: a row for each request (no bound), and more than 64 (each start reads them all).

Evidence: the new test with processes failed before (502 by the first instance that was back) and passes; 70 tests of parts, requests, notices and the guard pass. A zone that is cut off was not played.

--- a/src/kelproad/coordination/ingress/quarantine/ends.py
+++ b/src/kelproad/coordination/ingress/quarantine/ends.py
@@ -213,7 +213,10 @@
         quarantined = self._quarantine.record_end(ended, monotonic())
         record_quarantined(ended, quarantined)
         self._notices.announce_end(ended)
-        self._rows.keep(ended.service, ended.parts.union(quarantined))
+        barred = self._quarantine.requests.list_barred_by(
+            ended.service, ended.engine
+        )
+        self._rows.keep(ended.service, ended.parts.union(quarantined, barred))
 
     def _watch_once(self, service: str, endpoint: Endpoint) -> None:
         """Watch an engine that seems to have ended, once for all attempts."""
--- a/src/kelproad/coordination/ingress/quarantine/guard.py
+++ b/src/kelproad/coordination/ingress/quarantine/guard.py
@@ -149,14 +149,16 @@
         """
         requests, now = self._quarantine.requests, monotonic()
         if not (resumed or requests.is_empty(now)):
-            ends = requests.count(call.service, call.fingerprint, now)
-            self._quarantine.record_answered(
-                call.service, call.fingerprint, now
-            )
+            answered = (call.service, call.fingerprint)
+            ends = requests.count(*answered, now)
+            was_barred = requests.is_barred(*answered)
+            self._quarantine.record_answered(*answered, now)
             if ends:
                 self._notices.announce_harmless(
                     call.service, (call.fingerprint,)
                 )
+            if was_barred:
+                self._rows.keep_answered(*answered)
         self.release(call)
 
     def describe(self) -> list[dict[str, object]]:
--- a/src/kelproad/coordination/ingress/quarantine/rows.py
+++ b/src/kelproad/coordination/ingress/quarantine/rows.py
@@ -1,8 +1,9 @@
-"""Quarantined parts in the store, so that they outlast all instances.
+"""Quarantined parts and barred requests in the store, to outlast all instances.
 
 A part has a row in the table of instances, which every instance reads when it
 starts.  A row is written when the part is quarantined, and when a later trial
-of it fails.
+of it fails.  Requests share a fixed number of rows, as there may be many more
+of them and no row is deleted: the last one is kept.
 """
 
 import asyncio
@@ -29,6 +30,8 @@
 _logger = logging.getLogger(__name__)
 _KEY_PREFIX = 'quarantine '
 _DIGEST_BYTES = 16
+#: Rows of requests.
+_REQUEST_ROWS = 64
 #: Seconds after which a row is outdated.
 _MAX_AGE = 86_400.0
 #: Seconds between two tries to write a row, and tries at most.
@@ -37,10 +40,10 @@
 
 
 class _Row(msgspec.Struct):
-    """A quarantined part, as stored in JSON.
+    """A quarantined part or a barred request, as stored in JSON.
 
-    ``written_at`` is Unix time; the ages of the ends refer to it.  Without
-    ends, the part was found to be harmless.
+    ``part`` is the fingerprint of a request.  ``written_at`` is Unix time; the
+    ages of the ends refer to it.  Without ends, it was found to be harmless.
     """
 
     service: str
@@ -49,29 +52,58 @@
     ends: list[ReportedEnd]
 
 
+@attrs.frozen
+class _Subject:
+    """What a row tells of: a part, or a request by its fingerprint."""
+
+    service: str
+    name: str
+    is_request: bool = False
+
+    @property
+    def key(self) -> str:
+        """Key of bounded length; callers choose the ids of parts."""
+        digest = hashlib.blake2b(
+            f'{self.service}\n{self.name}'.encode(), digest_size=_DIGEST_BYTES
+        )
+        if self.is_request:
+            slot = int.from_bytes(digest.digest()) % _REQUEST_ROWS
+            return f'{_KEY_PREFIX}request {slot}'
+        return f'{_KEY_PREFIX}{digest.hexdigest()}'
+
+
 @attrs.define
 class QuarantineRows:
-    """Writes the rows of quarantined parts, and reads them."""
+    """Writes the rows of quarantined parts and requests, and reads them."""
 
     _quarantine: PartQuarantine
     _write: Callable[[str, bytes], Awaitable[Result[None, StoreProblem]]]
     _tasks: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
 
-    def keep(self, service: str, parts: Iterable[str]) -> None:
-        """Write the rows of those parts that are quarantined."""
-        for part in parts:
-            suspicion = self._quarantine.get(service, part)
+    def keep(self, service: str, names: Iterable[str]) -> None:
+        """Write the rows of those parts and requests that are refused."""
+        for name in names:
+            suspicion = self._quarantine.get(service, name)
             if suspicion is not None and suspicion.quarantined_after:
-                self._start_writing(service, part)
+                self._start_writing(_Subject(service, name))
+            if self._quarantine.requests.is_barred(service, name):
+                self._start_writing(_Subject(service, name, is_request=True))
 
     def keep_all(self) -> None:
-        """Write the rows of all quarantined parts."""
+        """Write the rows of all that is refused."""
         for service, part in self._quarantine.list_suspicions():
             self.keep(service, [part])
+        barred = self._quarantine.requests.list_barred(monotonic())
+        for (service, fingerprint), _ in barred:
+            self.keep(service, [fingerprint])
 
     def keep_cleared(self, service: str, part: str) -> None:
         """Write that a part was found to be harmless."""
-        self._start_writing(service, part)
+        self._start_writing(_Subject(service, part))
+
+    def keep_answered(self, service: str, fingerprint: str) -> None:
+        """Write that a request that was barred was answered."""
+        self._start_writing(_Subject(service, fingerprint, is_request=True))
 
     def adopt(self, row: StoredRow) -> bool:
         """Adopt a row; return false if it is not one of a part."""
@@ -96,12 +128,12 @@
                 )
         return True
 
-    def _start_writing(self, service: str, part: str) -> None:
-        key = _make_key(service, part)
+    def _start_writing(self, subject: _Subject) -> None:
+        key = subject.key
         previous = self._tasks.pop(key, None)
         if previous is not None:
             previous.cancel()
-        task = asyncio.create_task(self._write_row(key, service, part))
+        task = asyncio.create_task(self._write_row(key, subject))
         self._tasks[key] = task
         task.add_done_callback(lambda done: self._forget(key, done))
 
@@ -109,37 +141,34 @@
         if self._tasks.get(key) is done:
             self._tasks.pop(key)
 
-    async def _write_row(self, key: str, service: str, part: str) -> None:
+    async def _write_row(self, key: str, subject: _Subject) -> None:
         for _ in range(_MAX_TRIES):
-            written = await self._write(key, self._encode(service, part))
+            written = await self._write(key, self._encode(subject))
             if not isinstance(written, Failure):
                 return
             await asyncio.sleep(_RETRY_PERIOD)
         record(
             _logger,
             'quarantine_not_written',
-            part=part,
+            part=subject.name,
             reason=written.failure().message,
         )
 
-    def _encode(self, service: str, part: str) -> bytes:
+    def _encode(self, subject: _Subject) -> bytes:
         now = monotonic()
-        ends = [
-            pack_end(ended, now) for ended in self._list_ends(service, part)
-        ]
-        return msgspec.json.encode(_Row(service, part, time.time(), ends))
+        ends = [pack_end(ended, now) for ended in self._list_ends(subject)]
+        return msgspec.json.encode(
+            _Row(subject.service, subject.name, time.time(), ends)
+        )
 
-    def _list_ends(self, service: str, part: str) -> list[EndedCall]:
+    def _list_ends(self, subject: _Subject) -> list[EndedCall]:
+        if subject.is_request:
+            return self._quarantine.requests.list_ends(
+                subject.service, subject.name
+            )
         return [
             ended
             for ended in self._quarantine.list_ends()
-            if ended.service == service and ended.parts == {part}
+            if ended.service == subject.service
+            and ended.parts == {subject.name}
         ]
-
-
-def _make_key(service: str, part: str) -> str:
-    """Make a key of bounded length; callers choose the ids of parts."""
-    digest = hashlib.blake2b(
-        f'{service}\n{part}'.encode(), digest_size=_DIGEST_BYTES
-    )
-    return f'{_KEY_PREFIX}{digest.hexdigest()}'
--- a/src/kelproad/state/requestends.py
+++ b/src/kelproad/state/requestends.py
@@ -210,6 +210,11 @@
         record = self._records.get((service, fingerprint))
         return record.count(now) if record else 0
 
+    def is_barred(self, service: str, fingerprint: str) -> bool:
+        """Return whether a request is barred, or waits to be tried again."""
+        record = self._records.get((service, fingerprint))
+        return record is not None and record.confirmed >= _MAX_ENDS
+
     def list_barred(self, now: float) -> Iterator[tuple[_Key, RequestVerdict]]:
         """Iterate over the requests that no engine gets."""
         for key in self._records:
@@ -217,6 +222,25 @@
             if verdict.state is RequestState.BARRED:
                 yield key, verdict
 
+    def list_barred_by(self, service: str, engine: str) -> list[str]:
+        """List the requests that the end of an engine helps to bar."""
+        return [
+            fingerprint
+            for (of_service, fingerprint), known in self._records.items()
+            if of_service == service
+            and engine in known.ends
+            and self.is_barred(service, fingerprint)
+        ]
+
+    def list_ends(self, service: str, fingerprint: str) -> list[EndedCall]:
+        """List the confirmed ends under a request, without parts."""
+        record = self._records.get((service, fingerprint), _Record())
+        return [
+            attrs.evolve(end, parts=frozenset())
+            for end in record.ends.values()
+            if end.confirmed
+        ]
+
     def list_repeated(self) -> Iterator[EndedCall]:
         """Iterate over the confirmed ends of requests that met several."""
         for record in self._records.values():
--- a/tests/ingress/test_prompt_notices.py
+++ b/tests/ingress/test_prompt_notices.py
@@ -119,3 +119,32 @@
     QuarantineRows(new.parts, write).adopt(StoredRow(*await written.get(), 1))
     assert new.judge(now + 1, 'lethal') is PartState.QUARANTINED
     assert new.judge(now + 1) is PartState.SUSPECT
+
+
+async def test_a_request_stays_barred_when_all_instances_start_anew() -> None:
+    """Guards against three more ends once nobody is left who knew of them."""
+    reporting = start_peers()[0]
+    now = monotonic()
+    for number in range(3):
+        reporting.end(number, now + number / 10, 'lethal')
+    written: asyncio.Queue[tuple[str, bytes]] = asyncio.Queue()
+
+    async def write(key: str, encoded: bytes) -> Result[None, str]:
+        await written.put((key, encoded))
+        return Success(None)
+
+    rows = QuarantineRows(reporting.parts, write)
+    rows.keep(
+        SERVICE, reporting.parts.requests.list_barred_by(SERVICE, 'i-0 1')
+    )
+    row = StoredRow(*await written.get(), 1)
+    new = Peer('10.0.0.4', {})
+    QuarantineRows(new.parts, write).adopt(row)
+    assert new.parts.requests.is_barred(SERVICE, 'lethal')
+    assert new.judge(now + 1) is PartState.HARMLESS
+    reporting.parts.record_answered(SERVICE, 'lethal', now + 1)
+    rows.keep_answered(SERVICE, 'lethal')
+    row = StoredRow(*await written.get(), 2)
+    newer = Peer('10.0.0.5', {})
+    QuarantineRows(newer.parts, write).adopt(row)
+    assert not newer.parts.requests.is_barred(SERVICE, 'lethal')
--- a/tests/ingress/test_repeated_requests.py
+++ b/tests/ingress/test_repeated_requests.py
@@ -184,3 +184,22 @@
         assert site.send(KINDS[name], number, attempt).status == 503
     site.await_all()
     assert len(site.read_crashes(began).arrivals) == MAX_CRASHES
+
+
+def test_a_request_is_barred_when_all_instances_have_started_anew(
+    site: CrashingSite,
+) -> None:
+    """Guards against three more ends once nobody is left who knew of them."""
+    site.apply_faults(crash_targets=['lethal'])
+    began = time.monotonic()
+    number = FIRST_NUMBER + len(ZONES)
+    for attempt in range(TRIES):
+        site.send(KINDS['no-prompt'], number, attempt)
+    time.sleep(KNOWN_SECONDS)
+    for instance in site.site.instances:
+        instance.process.kill()
+    for attempt, instance in enumerate(site.site.instances, len(ZONES)):
+        site.site.restart_instance(instance)
+        assert site.send(KINDS['no-prompt'], number, attempt).status == 503
+    site.await_all()
+    assert len(site.read_crashes(began).arrivals) == MAX_CRASHES
