Quarantine: a request is the same at whatever service its route leads to

Here: a request barred after three ends is sent to an engine of another service as soon as a configuration moves its route; where the route is split, its repetitions go to either service, so that three engines of each may end.

Cause: the digest of what a call asks for had the service in it, and ends were counted by service and digest. The service is our choice, not the caller's.

Change: neither has it any more; an end still names the service of its engine.

Ruled out: a count by service and one over all of them, which is barred by the second anyway.

Evidence: the test with processes failed before (200 from the other service, 503 expected) and passes, as do 71 tests of parts, requests and notices and the restarts of instances. Not played: split routes with two kinds of engines that both end.

--- a/src/kelproad/coordination/ingress/quarantine/ends.py
+++ b/src/kelproad/coordination/ingress/quarantine/ends.py
@@ -197,7 +197,7 @@
         requests = self._quarantine.requests
         if requests.is_empty(now):
             return False
-        return requests.count(call.service, call.fingerprint, now) > 0
+        return requests.count(call.fingerprint, now) > 0
 
     def _may_have_ended_before(self, life: str, at: float) -> bool:
         """Return whether a call failed there before, and no more is known."""
--- a/src/kelproad/coordination/ingress/quarantine/guard.py
+++ b/src/kelproad/coordination/ingress/quarantine/guard.py
@@ -149,16 +149,17 @@
         """
         requests, now = self._quarantine.requests, monotonic()
         if not (resumed or requests.is_empty(now)):
-            answered = (call.service, call.fingerprint)
-            ends = requests.count(*answered, now)
-            was_barred = requests.is_barred(*answered)
-            self._quarantine.record_answered(*answered, now)
+            ends = requests.count(call.fingerprint, now)
+            was_barred = requests.is_barred(call.fingerprint)
+            self._quarantine.record_answered(
+                call.service, call.fingerprint, now
+            )
             if ends:
                 self._notices.announce_harmless(
                     call.service, (call.fingerprint,)
                 )
             if was_barred:
-                self._rows.keep_answered(*answered)
+                self._rows.keep_answered(call.fingerprint)
         self.release(call)
 
     def describe(self) -> list[dict[str, object]]:
@@ -175,12 +176,11 @@
         barred = self._quarantine.requests.list_barred(monotonic())
         return [
             {
-                'service': service,
                 'fingerprint': fingerprint,
                 'engines': list(verdict.engines),
                 'retrial_in': round(verdict.retrial_in, 1),
             }
-            for (service, fingerprint), verdict in barred
+            for fingerprint, verdict in barred
         ]
 
     def _start(self, check: Coroutine[None, None, None]) -> asyncio.Task[None]:
@@ -274,8 +274,7 @@
         """Return whether the next attempt depends on what is found."""
         requests, now = self._quarantine.requests, monotonic()
         return any(
-            ended.parts
-            or requests.count(ended.service, ended.fingerprint, now) > 1
+            ended.parts or requests.count(ended.fingerprint, now) > 1
             for _, ended in suspected
         )
 
@@ -287,9 +286,7 @@
         NoPlacementError
             When engines ended under it, or may have.
         """
-        verdict = self._quarantine.requests.judge(
-            call.service, call.fingerprint, monotonic()
-        )
+        verdict = self._quarantine.requests.judge(call.fingerprint, monotonic())
         if verdict.state is RequestState.BARRED:
             raise self._refusals.build_barred(call, verdict)
         if verdict.state is RequestState.CHECKED:
--- a/src/kelproad/coordination/ingress/quarantine/rows.py
+++ b/src/kelproad/coordination/ingress/quarantine/rows.py
@@ -54,7 +54,10 @@
 
 @attrs.frozen
 class _Subject:
-    """What a row tells of: a part, or a request by its fingerprint."""
+    """What a row tells of: a part, or a request by its fingerprint.
+
+    A request is the same at all services.
+    """
 
     service: str
     name: str
@@ -86,24 +89,25 @@
             suspicion = self._quarantine.get(service, name)
             if suspicion is not None and suspicion.quarantined_after:
                 self._start_writing(_Subject(service, name))
-            if self._quarantine.requests.is_barred(service, name):
-                self._start_writing(_Subject(service, name, is_request=True))
+            if self._quarantine.requests.is_barred(name):
+                self._start_writing(_Subject('', name, is_request=True))
 
     def keep_all(self) -> None:
         """Write the rows of all that is refused."""
         for service, part in self._quarantine.list_suspicions():
             self.keep(service, [part])
-        barred = self._quarantine.requests.list_barred(monotonic())
-        for (service, fingerprint), _ in barred:
-            self.keep(service, [fingerprint])
+        for fingerprint, _ in self._quarantine.requests.list_barred(
+            monotonic()
+        ):
+            self.keep('', [fingerprint])
 
     def keep_cleared(self, service: str, part: str) -> None:
         """Write that a part was found to be harmless."""
         self._start_writing(_Subject(service, part))
 
-    def keep_answered(self, service: str, fingerprint: str) -> None:
+    def keep_answered(self, fingerprint: str) -> None:
         """Write that a request that was barred was answered."""
-        self._start_writing(_Subject(service, fingerprint, is_request=True))
+        self._start_writing(_Subject('', fingerprint, is_request=True))
 
     def adopt(self, row: StoredRow) -> bool:
         """Adopt a row; return false if it is not one of a part."""
@@ -163,9 +167,7 @@
 
     def _list_ends(self, subject: _Subject) -> list[EndedCall]:
         if subject.is_request:
-            return self._quarantine.requests.list_ends(
-                subject.service, subject.name
-            )
+            return self._quarantine.requests.list_ends(subject.name)
         return [
             ended
             for ended in self._quarantine.list_ends()
--- a/src/kelproad/state/calls.py
+++ b/src/kelproad/state/calls.py
@@ -142,7 +142,6 @@
         if not self._fingerprint:
             head = self.head
             asked = (
-                self.service,
                 self.workspace_name,
                 head.method,
                 head.target,
--- a/src/kelproad/state/quarantine.py
+++ b/src/kelproad/state/quarantine.py
@@ -100,7 +100,7 @@
         self, service: str, fingerprint: str, at: float
     ) -> None:
         """Record that a request was answered whole: it ends no engine."""
-        self.requests.clear(service, fingerprint, at + _HARMLESS_SECONDS)
+        self.requests.clear(fingerprint, at + _HARMLESS_SECONDS)
         self._remember_harmless((service, fingerprint), at)
 
     def select_unproven(
--- a/src/kelproad/state/requestends.py
+++ b/src/kelproad/state/requestends.py
@@ -2,7 +2,8 @@
 
 A request may crash each engine that runs it, by what it alone asks for.  One
 call reaches few engines, but its caller may repeat it under new ids and at
-other instances.  So the ends of engines are counted by what calls ask for.
+other instances, and routes may lead it to other services.  So the ends of
+engines are counted by what calls ask for.
 
 All calls on an engine end together, and only one of them may be the cause.
 That is told apart by number: no request is held back for its first end.
@@ -36,8 +37,6 @@
 #: Most requests that are remembered.
 _MAX_REQUESTS = 4096
 
-_Key = tuple[str, str]
-
 
 class RequestState(enum.StrEnum):
     """Whether a request may be sent to an engine."""
@@ -89,6 +88,11 @@
                 self.ends[ended.engine] = attrs.evolve(end, confirmed=confirmed)
                 return
 
+    def find(self, service: str, engine: str) -> EndedCall | None:
+        """Find the end of an engine of a service."""
+        end = self.ends.get(engine)
+        return end if end is not None and end.service == service else None
+
     @property
     def last_end_at(self) -> float:
         """Monotonic time of the last end."""
@@ -134,31 +138,30 @@
 
     def __init__(self) -> None:
         """Know of no end."""
-        self._records: dict[_Key, _Record] = {}
+        self._records: dict[str, _Record] = {}
         #: Monotonic time of the next look for outdated requests.
         self._forget_at = float('-inf')
 
     def add(self, ended: EndedCall, now: float) -> None:
         """Add the end of an engine under a call; it counts once."""
-        key = (ended.service, ended.fingerprint)
-        record = self._records.get(key)
+        record = self._records.get(ended.fingerprint)
         if record is None or not record.is_current(now):
             record = _Record()
-            self._records[key] = record
+            self._records[ended.fingerprint] = record
         record.add(ended, now)
         if len(self._records) > _MAX_REQUESTS:
             self._drop_some(now)
 
     def confirm(self, service: str, engine: str, now: float) -> None:
         """Confirm an end under all requests: it is one, whoever found it."""
-        for (of_service, _), known in self._records.items():
-            end = known.ends.get(engine)
-            if of_service == service and end is not None:
+        for known in self._records.values():
+            end = known.find(service, engine)
+            if end is not None:
                 known.add(attrs.evolve(end, confirmed=True), now)
 
-    def clear(self, service: str, fingerprint: str, until: float) -> None:
+    def clear(self, fingerprint: str, until: float) -> None:
         """Forget the ends of a request that came before a time."""
-        record = self._records.get((service, fingerprint))
+        record = self._records.get(fingerprint)
         if record is None:
             return
         record.ends = {
@@ -167,7 +170,7 @@
             if end.ended_at > until
         }
         if not record.ends:
-            self._records.pop((service, fingerprint))
+            self._records.pop(fingerprint)
 
     def withdraw(self, service: str, engine: str) -> None:
         """Withdraw an end that is not confirmed: the engine is alive."""
@@ -184,11 +187,9 @@
             self._records = self._list_current(now)
         return not self._records
 
-    def judge(
-        self, service: str, fingerprint: str, now: float
-    ) -> RequestVerdict:
+    def judge(self, fingerprint: str, now: float) -> RequestVerdict:
         """Judge a request before it is sent."""
-        record = self._records.get((service, fingerprint))
+        record = self._records.get(fingerprint)
         if record is None or not record.is_current(now):
             return _FREE
         engines = tuple(record.ends)
@@ -205,36 +206,34 @@
             return RequestVerdict(RequestState.ALONE, engines=engines)
         return _FREE
 
-    def count(self, service: str, fingerprint: str, now: float) -> int:
+    def count(self, fingerprint: str, now: float) -> int:
         """Count the engines that have ended under a request, or may have."""
-        record = self._records.get((service, fingerprint))
+        record = self._records.get(fingerprint)
         return record.count(now) if record else 0
 
-    def is_barred(self, service: str, fingerprint: str) -> bool:
+    def is_barred(self, fingerprint: str) -> bool:
         """Return whether a request is barred, or waits to be tried again."""
-        record = self._records.get((service, fingerprint))
+        record = self._records.get(fingerprint)
         return record is not None and record.confirmed >= _MAX_ENDS
 
-    def list_barred(self, now: float) -> Iterator[tuple[_Key, RequestVerdict]]:
+    def list_barred(self, now: float) -> Iterator[tuple[str, RequestVerdict]]:
         """Iterate over the requests that no engine gets."""
-        for key in self._records:
-            verdict = self.judge(*key, now)
+        for fingerprint in self._records:
+            verdict = self.judge(fingerprint, now)
             if verdict.state is RequestState.BARRED:
-                yield key, verdict
+                yield fingerprint, verdict
 
     def list_barred_by(self, service: str, engine: str) -> list[str]:
         """List the requests that the end of an engine helps to bar."""
         return [
             fingerprint
-            for (of_service, fingerprint), known in self._records.items()
-            if of_service == service
-            and engine in known.ends
-            and self.is_barred(service, fingerprint)
+            for fingerprint, known in self._records.items()
+            if known.find(service, engine) and self.is_barred(fingerprint)
         ]
 
-    def list_ends(self, service: str, fingerprint: str) -> list[EndedCall]:
+    def list_ends(self, fingerprint: str) -> list[EndedCall]:
         """List the confirmed ends under a request, without parts."""
-        record = self._records.get((service, fingerprint), _Record())
+        record = self._records.get(fingerprint, _Record())
         return [
             attrs.evolve(end, parts=frozenset())
             for end in record.ends.values()
@@ -253,14 +252,14 @@
         self, service: str, engine: str, before: float, confirmed: bool
     ) -> None:
         """Remove the ends of an engine before a time."""
-        for key, record in list(self._records.items()):
-            end = record.ends.get(engine)
-            if key[0] != service or end is None or end.ended_at >= before:
+        for fingerprint, record in list(self._records.items()):
+            end = record.find(service, engine)
+            if end is None or end.ended_at >= before:
                 continue
             if confirmed or not end.confirmed:
                 record.ends.pop(engine)
             if not record.ends:
-                self._records.pop(key)
+                self._records.pop(fingerprint)
 
     def _drop_some(self, now: float) -> None:
         """Drop outdated requests, or the one with the least evidence."""
@@ -277,7 +276,7 @@
             )
         self._records = current
 
-    def _list_current(self, now: float) -> dict[_Key, _Record]:
+    def _list_current(self, now: float) -> dict[str, _Record]:
         return {
             key: known
             for key, known in self._records.items()
--- a/tests/ingress/test_repeated_requests.py
+++ b/tests/ingress/test_repeated_requests.py
@@ -15,6 +15,7 @@
     Stream,
     start_crashing_site,
 )
+from testbed.routed import wait_for
 from tests.ingress.crashes import (
     SOUND,
     TOLERANCE,
@@ -97,6 +98,20 @@
     return grouped
 
 
+def apply_configuration(
+    site: CrashingSite, **routes: dict[str, object]
+) -> None:
+    """Put a configuration, and wait until it is in force everywhere."""
+    version = site.site.put_configuration(**routes)
+    wait_for(
+        lambda: all(
+            instance.dump()['version'] == version
+            for instance in site.site.instances
+        ),
+        'the configuration is in force',
+    )
+
+
 def list_lines(site: CrashingSite, event: str) -> list[dict[str, object]]:
     """List the log lines of all instances that tell of an event."""
     return [
@@ -186,6 +201,23 @@
     assert len(site.read_crashes(began).arrivals) == MAX_CRASHES
 
 
+def test_a_request_that_is_barred_stays_so_at_another_service(
+    site: CrashingSite,
+) -> None:
+    """Guards against three more ends as its route is led elsewhere."""
+    site.apply_faults(crash_targets=['lethal'])
+    began = time.monotonic()
+    number = FIRST_NUMBER + 2 * len(ZONES)
+    for attempt in range(TRIES):
+        site.send(KINDS['no-prompt'], number, attempt)
+    apply_configuration(site, notes={'service': 'book'})
+    for attempt in range(len(ZONES), 2 * len(ZONES)):
+        assert site.send(KINDS['no-prompt'], number, attempt).status == 503
+    apply_configuration(site)
+    site.await_all()
+    assert len(site.read_crashes(began).arrivals) == MAX_CRASHES
+
+
 def test_a_request_is_barred_when_all_instances_have_started_anew(
     site: CrashingSite,
 ) -> None:
--- a/tests/ingress/test_request_ends.py
+++ b/tests/ingress/test_request_ends.py
@@ -10,6 +10,7 @@
     PromptNotices,
     pack_end,
 )
+from kelproad.state.calls import Call, CallHead
 from kelproad.state.quarantine import PartQuarantine
 from kelproad.state.requestends import RequestState
 from kelproad.state.suspicions import EndedCall, PartState
@@ -51,7 +52,7 @@
 
 def judge(quarantine: PartQuarantine, at: float = LATER) -> RequestState:
     """Judge the lethal request."""
-    return quarantine.requests.judge('writer', 'lethal', at).state
+    return quarantine.requests.judge('lethal', at).state
 
 
 @pytest.mark.parametrize(
@@ -74,6 +75,23 @@
     assert judge(build(end(1), end(0), end(2))) is RequestState.BARRED
 
 
+def test_ends_count_at_whatever_service_they_come() -> None:
+    """Guards against three more ends as a route is split, or moved."""
+    elsewhere = attrs.evolve(end(1), service='book')
+    assert judge(build(end(0), elsewhere, end(2))) is RequestState.BARRED
+    call = Call(
+        CallHead('a1', 'POST', 'h.example', '/r/x', 'key'),
+        None,
+        'writer',
+        None,
+        b'',
+        0,
+        1,
+    )
+    moved = attrs.evolve(call, service='book')
+    assert moved.fingerprint == call.fingerprint
+
+
 def test_a_request_waits_for_ends_that_are_checked() -> None:
     """Guards against a repetition that comes before its third end is known."""
     quarantine = build(end(0), end(1), end(2, confirmed=False))
@@ -86,10 +104,7 @@
     """Guards against an end that no check under the request itself confirms."""
     quarantine = build(end(0), end(1), end(2, confirmed=False), end(2, 'sound'))
     assert judge(quarantine) is RequestState.BARRED
-    assert (
-        quarantine.requests.judge('writer', 'sound', LATER).state
-        is RequestState.FREE
-    )
+    assert quarantine.requests.judge('sound', LATER).state is RequestState.FREE
 
 
 def test_an_end_that_was_not_confirmed_holds_up_no_later_one() -> None:
@@ -99,7 +114,7 @@
     assert judge(quarantine, 7.0) is RequestState.BARRED
     # It was an end after all, at which another call was under way.
     quarantine.record_end(end(0, 'sound', ended_at=3.0), 7.0)
-    assert quarantine.requests.count('writer', 'lethal', 7.0) == 3
+    assert quarantine.requests.count('lethal', 7.0) == 3
 
 
 def test_a_report_that_was_delayed_is_put_right_by_the_next() -> None:
@@ -136,7 +151,7 @@
     quarantine.record_answered('writer', 'lethal', LATER)
     assert judge(quarantine) is RequestState.FREE
     quarantine.record_end(end(4), LATER)
-    assert not quarantine.requests.count('writer', 'lethal', LATER)
+    assert not quarantine.requests.count('lethal', LATER)
 
 
 def test_an_answer_just_before_the_ends_shows_a_request_to_be_sound() -> None:
@@ -150,7 +165,7 @@
     """Guards against a sound request barred by ends that an answer explains."""
     quarantine = build(end(0), end(1), end(100))
     quarantine.record_answered('writer', 'lethal', 1.0)
-    assert quarantine.requests.count('writer', 'lethal', 11.0) == 1
+    assert quarantine.requests.count('lethal', 11.0) == 1
 
 
 def test_an_end_after_an_answer_elsewhere_is_withdrawn() -> None:
@@ -168,7 +183,7 @@
     )
     told = attrs.evolve(end(0), sent_at=now, ended_at=now)
     notices.accept(PromptNotice(0, 'h', 'a', ends=[pack_end(told, now)]))
-    assert not knowing.requests.count('writer', 'lethal', now)
+    assert not knowing.requests.count('lethal', now)
     harmless = [known[:2] for reply in replies for known in reply.harmless]
     assert ('writer', 'lethal') in harmless
 
