Configuration: after a pause calls wait a moment for what came into force

Here: an instance is suspended for 2.6 to 3.5 s, or stands still for as long, while a version is written; the calls that wait in its sockets are handled by the version before, 2.5 to 3.4 s after the acknowledgement, 2 s asked: 23 to 36 calls of 29 to 38 in four of six pauses.

Cause: an instance serves by what it knows until it is too old for keys, 4.5 s, as one that is cut off should. One that goes on after a pause is not cut off: what came into force reaches it milliseconds later, but the calls that waited are handled first.

Class: the age of what is known was looked at for refusals and keys only, not before a call is routed.

Change: a call that finds the configuration older than a change may take waits for the confirmation, all together 0.25 s at most; an instance that gets none then serves by what it knows, as before, and waits again only after it was confirmed once.

Ruled out: to wait while the store has not failed (queries under way during a pause fail as it ends), and to refuse (another instance is asked at the cost of the caller's objective).

--- a/src/kelproad/coordination/ingress/admission/admitting.py
+++ b/src/kelproad/coordination/ingress/admission/admitting.py
@@ -19,6 +19,7 @@
 from ....transport.deadlines import monotonic, within
 from ...drain import StopEndedError
 from ..settings import Bounds
+from ..tables.confirming import ConfirmationWait
 from ..tables.holder import ConfigurationHolder
 from .stopping import ELSEWHERE_RETRY, StopGuard, refuse_stopping
 
@@ -76,6 +77,9 @@
         self._stop_guard = stop_guard
         self._read_bounds = read_bounds
         self._generator = generator
+        self._confirmation_wait = ConfirmationWait(
+            measure_age, lambda: read_bounds().apply_configuration
+        )
 
     @property
     def trusted(self) -> bool:
@@ -98,6 +102,8 @@
 
         ``held`` counts the bytes of the body, for which there must be room.
         """
+        if self._holder.current is not None:
+            await self._confirmation_wait.wait()
         configuration = self._holder.current or await self._await_first()
         if configuration is None:
             return Failure(self._refuse_unconfirmed('no configuration yet'))
--- a/src/kelproad/coordination/ingress/tables/confirming.py
+++ b/src/kelproad/coordination/ingress/tables/confirming.py
@@ -6,11 +6,19 @@
 has just started can't know whether it reads such a copy; other instances do.
 """
 
+import asyncio
 from collections.abc import Callable
 
+import attrs
+
 from ....transport.deadlines import monotonic, read_boottime
 
-__all__ = ['Confirmation']
+__all__ = ['Confirmation', 'ConfirmationWait']
+
+#: Seconds that calls wait once for a confirmation that is overdue, and seconds
+#: between two looks for it.
+_OVERDUE_WAIT = 0.25
+_LOOK_PERIOD = 0.01
 
 
 class Confirmation:
@@ -118,3 +126,30 @@
         """Confirm by answers again, as operators have written again."""
         self._settled_at = float('-inf')
         self._complete_at = float('-inf')
+
+
+@attrs.define
+class ConfirmationWait:
+    """Waits a moment for the confirmation of an instance that stood still.
+
+    What came into force meanwhile is known as soon as it asks.  One that is cut
+    off waits once, and then serves by what it knows.
+    """
+
+    _measure_age: Callable[[], float]
+    _read_longest_age: Callable[[], float]
+    #: Monotonic time until which calls wait, ``None`` while none is overdue.
+    _until: float | None = None
+
+    async def wait(self) -> None:
+        """Wait until the configuration is confirmed, or none is expected."""
+        while self._is_expected():
+            await asyncio.sleep(_LOOK_PERIOD)
+
+    def _is_expected(self) -> bool:
+        if self._measure_age() <= self._read_longest_age():
+            self._until = None
+            return False
+        if self._until is None:
+            self._until = monotonic() + _OVERDUE_WAIT
+        return monotonic() < self._until
--- a/tests/ingress/test_admitting.py
+++ b/tests/ingress/test_admitting.py
@@ -1,6 +1,7 @@
 """Calls that arrive at an instance before its first configuration."""
 
 import asyncio
+import math
 import random
 import types
 
@@ -17,6 +18,7 @@
     plan_stop,
 )
 from kelproad.coordination.ingress.settings import Bounds
+from kelproad.coordination.ingress.tables.confirming import ConfirmationWait
 from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
 from kelproad.state.budgets import HeldBytes
 from kelproad.state.refusals import Refusal, RefusalCode
@@ -111,3 +113,23 @@
     admitter._measure_age = lambda: age
     admitter._read_bounds = lambda: Bounds(revoke_key=5)
     assert admitter.trusted is trusted
+
+
+@pytest.mark.parametrize(
+    ('confirmed_after', 'waited'), [(0.05, 0.05), (math.inf, 0.25)]
+)
+async def test_calls_wait_once_for_a_confirmation_that_is_overdue(
+    confirmed_after: float, waited: float
+) -> None:
+    """Guards against an old version after a pause, and late calls in a cut."""
+    began = monotonic()
+
+    def measure_age() -> float:
+        return 3.0 * (monotonic() < began + confirmed_after)
+
+    wait = ConfirmationWait(measure_age, lambda: 2.0)
+    await asyncio.gather(*(wait.wait() for _ in range(3)))
+    assert waited <= monotonic() - began < waited + ARRIVES_AFTER
+    again = monotonic()
+    await wait.wait()
+    assert monotonic() - again < ARRIVES_AFTER
--- a/tests/ingress/test_pauses_site.py
+++ b/tests/ingress/test_pauses_site.py
@@ -2,6 +2,7 @@
 
 import functools
 import logging
+import time
 from collections.abc import Callable, Iterator
 
 import pytest
@@ -14,7 +15,9 @@
     Silence,
     start_pausable_site,
 )
+from testbed.routed import RoutedInstance
 from testbed.soak.links import Cut
+from tests.ingress.callers import Answer, call, run_in_thread
 
 #: Zones of the instances edge-1 to edge-4.
 ZONES = 'abab'
@@ -31,6 +34,12 @@
 RESUMED_WITHIN = 1.3 + PACE + 0.1
 #: Share of the streams that may take longer on a busy machine.
 LATE_SHARE = 0.1
+#: Seconds of a pause, more than a version may take to come into force and less
+#: than a key may work that was revoked; calls that wait meanwhile, and for how
+#: many seconds.
+SUSPENDED_SECONDS = 2.6
+WAITING_CALLS = 8
+HEAD_START = 0.1
 GOOD = 1e6
 CHANGE_PERIOD = 0.3
 ACCUSATIONS = frozenset(
@@ -151,6 +160,46 @@
     assert not accusations
 
 
+def call_suspended(site: PausableSite, instance: RoutedInstance) -> set[object]:
+    """Change the configuration meanwhile; return the versions that count."""
+    answers: list[Answer] = []
+    lookup = functools.partial(call, instance, '/lookups/x')
+    instance.process.freeze()
+    try:
+        site.site.put_configuration()
+        time.sleep(SUSPENDED_SECONDS)
+        threads = [run_in_thread(lookup, answers) for _ in range(WAITING_CALLS)]
+        time.sleep(HEAD_START)
+    finally:
+        instance.process.resume()
+    for thread in threads:
+        thread.join()
+    assert {answer.status for answer in answers} == {200}
+    return find_versions(instance, answers)
+
+
+def test_calls_that_waited_at_a_suspended_instance_meet_the_newest_version(
+    site: PausableSite,
+) -> None:
+    """Guards against an old version, as an instance goes on after a pause."""
+    for instance in site.site.instances:
+        assert call_suspended(site, instance) == {site.site.version}
+
+
+def find_versions(
+    instance: RoutedInstance, answers: list[Answer]
+) -> set[object]:
+    """Find the versions by which an instance placed some calls."""
+    ids = {answer.request_id for answer in answers}
+    ended = [
+        line
+        for line in instance.log_lines
+        if line['event'] == 'ended' and line['request'] in ids
+    ]
+    assert ended
+    return {line['version'] for line in ended}
+
+
 @pytest.mark.parametrize('paused', [False, True])
 async def test_changed_configurations_end_nothing(
     site: PausableSite, paused: bool
