Readiness: an instance gets calls once it has read what others wrote

Cause, traced: the instance was ready 0.08 s after its peers' first reports. Neither the notices of ends, which peers send once they hear it, nor the rows of barred requests had been read; 0.08 s later they were.

Change: an instance is not ready before it has read the table of instances once, unless the store fails; what peers tell is then all that there is.

Ruled out: a missing row (the instances restarted before were told in time).

--- a/src/kelproad/coordination/ingress/membership/rostering.py
+++ b/src/kelproad/coordination/ingress/membership/rostering.py
@@ -60,7 +60,13 @@
 
 
 class Roster(BackgroundService):
-    """Registers this instance and discovers the others."""
+    """Registers this instance and discovers the others.
+
+    Attributes
+    ----------
+    is_read
+        Whether it has read what the others, and earlier ones, have written.
+    """
 
     abstract = False
 
@@ -85,6 +91,7 @@
         self._adopt_other = adopt_other
         self._note_alone = note_alone
         self._generator = generator
+        self.is_read = False
         #: IP numbers of the instances that have rows.
         self._hosts: frozenset[str] = frozenset()
         #: IP numbers of those that had rows before the store was restored.
@@ -183,6 +190,7 @@
         ]
         added = [self._add(row) for row in rows]
         self._hosts = frozenset(host for host in added if host)
+        self.is_read = True
         listed = {row.key for row in rows}
         self._exchange.peers.drop_unlisted(listed, monotonic())
         if listed <= {self._settings.instance}:
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -120,6 +120,7 @@
             self._tables,
             self._exchange.peers,
             self._peering.catch_up,
+            self._peering.roster,
             self._read_bounds,
             self._list_failing_tasks,
         )
--- a/src/kelproad/coordination/ingress/readiness.py
+++ b/src/kelproad/coordination/ingress/readiness.py
@@ -8,6 +8,7 @@
 from ..drain import Drain, DrainPhase
 from .membership.catchup import ConfigurationCatchUp
 from .membership.peers import CONFIRMED_SECONDS, PeerRegister
+from .membership.rostering import Roster
 from .settings import Bounds
 from .tables.followed import FollowedTables
 from .tables.holder import ConfigurationHolder
@@ -28,6 +29,7 @@
     _tables: FollowedTables
     _peers: PeerRegister
     _catch_up: ConfigurationCatchUp
+    _roster: Roster
     _read_bounds: Callable[[], Bounds]
     _list_failing_tasks: Callable[[], list[str]]
 
@@ -39,6 +41,8 @@
             return 'no configuration'
         if not len(self._tables.registry):
             return 'no endpoints'
+        if not (self._roster.is_read or self._tables.configuration.failing):
+            return 'what other instances have written is not read'
         failing = self._list_failing_tasks()
         if failing:
             return f'failing: {", ".join(failing)}'
