Readiness: an instance gets calls though the store takes no rows

Callers would see: an instance that starts while the store refuses writes, or just the table of instances, is never ready, though it has the configuration.

Cause: waits for the first read of that table, which comes after the own row is written, and looked at the followers of the other tables for a store that fails. Found by reading that change.

Change: the first call to that table that fails ends the wait.

Evidence: the new test fails with the code before (its attribute is false until a read succeeds) and passes. Not played with processes.

--- a/src/kelproad/coordination/ingress/membership/rostering.py
+++ b/src/kelproad/coordination/ingress/membership/rostering.py
@@ -64,8 +64,9 @@
 
     Attributes
     ----------
-    is_read
-        Whether it has read what the others, and earlier ones, have written.
+    is_starting
+        Whether it is still to read what other instances have written, with no
+        call to the store that failed.
     """
 
     abstract = False
@@ -91,7 +92,7 @@
         self._adopt_other = adopt_other
         self._note_alone = note_alone
         self._generator = generator
-        self.is_read = False
+        self.is_starting = True
         #: IP numbers of the instances that have rows.
         self._hosts: frozenset[str] = frozenset()
         #: IP numbers of those that had rows before the store was restored.
@@ -174,6 +175,7 @@
             if not isinstance(written, Failure):
                 record(_logger, 'instance_entered', host=row.host)
                 return
+            self.is_starting = False
             await asyncio.sleep(_RETRY_PERIOD)
 
     async def _read(self) -> bool:
@@ -184,13 +186,14 @@
             _logger.debug(
                 'cannot read the rows of instances: %s', found.failure().message
             )
+            self.is_starting = False
             return False
         rows = [
             row for row in found.unwrap().rows if not self._adopt_other(row)
         ]
         added = [self._add(row) for row in rows]
         self._hosts = frozenset(host for host in added if host)
-        self.is_read = True
+        self.is_starting = False
         listed = {row.key for row in rows}
         self._exchange.peers.drop_unlisted(listed, monotonic())
         if listed <= {self._settings.instance}:
--- a/src/kelproad/coordination/ingress/readiness.py
+++ b/src/kelproad/coordination/ingress/readiness.py
@@ -41,7 +41,7 @@
             return 'no configuration'
         if not len(self._tables.registry):
             return 'no endpoints'
-        if not (self._roster.is_read or self._tables.configuration.failing):
+        if self._roster.is_starting and not self._tables.configuration.failing:
             return 'what other instances have written is not read'
         failing = self._list_failing_tasks()
         if failing:
