Stops: no signal ends a process that has stopped

Cause, read and shown without the load: before a signal was ignored its handler was removed from the event loop, which restores the default action. A SIGHUP between the two, or while a busy machine holds the process there, ends it.

Change: the loop restores no default actions, neither then nor as it is closed, so signals are just ignored.

--- a/src/kelproad/cli/processes.py
+++ b/src/kelproad/cli/processes.py
@@ -6,7 +6,7 @@
 import os
 import signal
 import sys
-from collections.abc import Sequence
+from collections.abc import Coroutine, Sequence
 from typing import NoReturn
 
 from returns.result import Failure, Result
@@ -17,6 +17,7 @@
     'require_settings',
     'run_instance',
     'run_node',
+    'run_until_ended',
 ]
 
 #: Exit code for settings or options that cannot be served by.
@@ -34,6 +35,23 @@
     return loaded.unwrap()
 
 
+class _SignalKeepingLoop(asyncio.SelectorEventLoop):
+    """An event loop that restores no default actions of signals.
+
+    The first signal after that would end the process.
+    """
+
+    def remove_signal_handler(self, sig: int) -> bool:
+        """Leave the action of a signal as it is."""
+        return False
+
+
+def run_until_ended(main: Coroutine[None, None, int]) -> int:
+    """Run an instance in an event loop; return what it returns."""
+    with asyncio.Runner(loop_factory=_SignalKeepingLoop) as runner:
+        return runner.run(main)
+
+
 async def run_instance(instance: object) -> int:
     """Run an instance until SIGTERM; return the calls that were cut off."""
     # What was imported lasts as long as the process.  Each full collection
@@ -47,7 +65,7 @@
         return await instance.run_until_drained()
     finally:
         await instance.stop()
-        _ignore_signals(loop)
+        _ignore_signals()
 
 
 async def run_node(node: object) -> int:
@@ -70,13 +88,11 @@
     os._exit(status)  # noqa: WPS437  skips finalization of the interpreter
 
 
-def _ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+def _ignore_signals() -> None:
     """Ignore further signals until the process ends.
 
-    Closing the loop restores their default actions, so a SIGTERM or SIGHUP
-    repeated in the last 0.05 to 0.15 s of a stop would end the process with
-    exit code -15 or -1, and a clean stop would look like a crash.
+    Their default actions would end the process with exit code -15 or -1, and a
+    clean stop would look like a crash.
     """
     for number in _SIGNALS:
-        loop.remove_signal_handler(number)
         signal.signal(number, signal.SIG_IGN)
--- a/src/kelproad/cli/routed.py
+++ b/src/kelproad/cli/routed.py
@@ -5,7 +5,6 @@
 command line or the other interface needs.
 """
 
-import asyncio
 import os
 import pathlib
 import signal
@@ -13,7 +12,7 @@
 from ..coordination.ingress.reloading import SettingsHolder
 from ..platform.node import create_node
 from ..platform.settings import SETTINGS_VARIABLE, load_node_settings
-from .processes import require_settings, run_node
+from .processes import require_settings, run_node, run_until_ended
 from .structured import configure_structured_logging
 
 __all__ = ['serve_routed']
@@ -37,6 +36,6 @@
     holder = SettingsHolder(loaded, lambda: load_node_settings(path))
     log_writer = configure_structured_logging(loaded.instance)
     try:
-        return asyncio.run(run_node(create_node(holder)))
+        return run_until_ended(run_node(create_node(holder)))
     finally:
         log_writer.stop()
--- a/src/kelproad/cli/serve.py
+++ b/src/kelproad/cli/serve.py
@@ -1,6 +1,5 @@
 """``kelproad serve``: run one instance until it is signalled to stop."""
 
-import asyncio
 import os
 import pathlib
 from typing import Annotated
@@ -12,6 +11,7 @@
     end_process,
     require_settings,
     run_instance,
+    run_until_ended,
 )
 
 __all__ = ['serve']
@@ -47,4 +47,4 @@
 
     loaded = require_settings(load_settings(settings, os.environ))
     configure_logging(loaded)
-    return asyncio.run(run_instance(Instance(loaded)))
+    return run_until_ended(run_instance(Instance(loaded)))
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -3,6 +3,7 @@
 import os
 import pathlib
 import shutil
+import signal
 import subprocess  # noqa: S404  starts the program under test
 import sys
 
@@ -78,6 +79,31 @@
     assert int(frozen) > 50 * int(remaining)
 
 
+def test_a_signal_never_ends_a_process_that_has_stopped() -> None:
+    """Guards against a clean stop that ends by a signal, with exit code -1."""
+    script = """
+import signal, kelproad.cli.routed
+from kelproad.cli.processes import run_instance, run_until_ended
+
+class Instance:
+    async def start(self): pass
+    def start_drain(self): pass
+    async def run_until_drained(self):
+        signal.signal = set_watched
+        return 0
+    async def stop(self): pass
+
+set_signal = signal.signal
+def set_watched(number, handler):
+    print(handler)
+    return set_signal(number, handler)
+
+run_until_ended(run_instance(Instance()))
+"""
+    handlers = run_python('-c', script).stdout.split()
+    assert set(handlers) == {str(signal.SIG_IGN)}
+
+
 def test_deployed_program_reports_missing_settings(
     tmp_path: pathlib.Path,
 ) -> None:
