--- a/tests/ingress/test_pauses_site.py
+++ b/tests/ingress/test_pauses_site.py
@@ -166,7 +166,7 @@
     lookup = functools.partial(call, instance, '/lookups/x')
     instance.process.freeze()
     try:
-        site.site.put_configuration()
+        site.configure()
         time.sleep(SUSPENDED_SECONDS)
         threads = [run_in_thread(lookup, answers) for _ in range(WAITING_CALLS)]
         time.sleep(HEAD_START)
