Configuration: one look for a confirmation serves all calls that wait

Callers would see: a thousand calls that waited during a pause keep the event loop busy just as the instance goes on, each looking every 10 ms.

Found by reading. Change: the calls wait for one task that looks.

--- a/src/kelproad/coordination/ingress/tables/confirming.py
+++ b/src/kelproad/coordination/ingress/tables/confirming.py
@@ -140,9 +140,18 @@
     _read_longest_age: Callable[[], float]
     #: Monotonic time until which calls wait, ``None`` while none is overdue.
     _until: float | None = None
+    #: Looks for it, for all calls that wait.
+    _looking: asyncio.Task[None] | None = None
 
     async def wait(self) -> None:
         """Wait until the configuration is confirmed, or none is expected."""
+        if not self._is_expected():
+            return
+        if self._looking is None or self._looking.done():
+            self._looking = asyncio.create_task(self._look())
+        await asyncio.shield(self._looking)
+
+    async def _look(self) -> None:
         while self._is_expected():
             await asyncio.sleep(_LOOK_PERIOD)
 
--- a/tests/ingress/test_admitting.py
+++ b/tests/ingress/test_admitting.py
@@ -115,6 +115,22 @@
     assert admitter.trusted is trusted
 
 
+async def test_many_calls_that_wait_for_a_confirmation_look_for_it_once() -> (
+    None
+):
+    """Guards against a loop that a thousand waiting calls keep busy."""
+    looks: list[None] = []
+
+    def measure_age() -> float:
+        looks.append(None)
+        return 3.0
+
+    wait = ConfirmationWait(measure_age, lambda: 2.0)
+    calls = 500
+    await asyncio.gather(*(wait.wait() for _ in range(calls)))
+    assert len(looks) < 2 * calls
+
+
 @pytest.mark.parametrize(
     ('confirmed_after', 'waited'), [(0.05, 0.05), (math.inf, 0.25)]
 )
