Quarantine: on mute paths another engine is looked for once at a time

Callers would see: nothing; engines and a cut instance would: each call that is given up on mute paths queried up to four other engines, a hundred callers who leave four hundred at once, just when nothing answers.

Found by reading. Change: attempts at the same silent engine share the look.

--- a/src/kelproad/coordination/ingress/quarantine/ends.py
+++ b/src/kelproad/coordination/ingress/quarantine/ends.py
@@ -15,6 +15,7 @@
 import logging
 import random
 from collections.abc import Callable, Coroutine, Iterable
+from typing import TypeVar
 
 import attrs
 from returns.result import Failure
@@ -38,6 +39,8 @@
 
 __all__ = ['EndObserver', 'may_have_ended']
 
+T = TypeVar('T')
+
 _logger = logging.getLogger(__name__)
 #: Queries to an engine that may have ended, and seconds between two.
 _MAX_QUERIES = 3
@@ -86,6 +89,8 @@
     _checks: dict[str, asyncio.Task[_State]] = attrs.field(factory=dict)
     #: Single queries in progress, by the life.
     _queries: dict[str, asyncio.Task[_State]] = attrs.field(factory=dict)
+    #: Looks for another engine that answers, by the life of the silent one.
+    _path_checks: dict[str, asyncio.Task[bool]] = attrs.field(factory=dict)
     #: Queries to engines that have ended, or may have, by the life.
     _watches: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     #: Calls under which an engine may have ended, the first failure at the
@@ -176,7 +181,7 @@
             return
         # Engines that fall silent one after the other look like mute paths.
         is_mute = self._paths.is_mute(now)
-        if is_mute and not await self._reaches_another(endpoint):
+        if is_mute and not await self._reaches_another_once(endpoint):
             return
         is_repeated = self._has_ended_others(call, now)
         if not is_repeated and await self._answers_at_once(endpoint):
@@ -275,6 +280,12 @@
         """Query an engine, once for all attempts that were closed there."""
         return await _run_once(self._queries, endpoint, self._check_now)
 
+    async def _reaches_another_once(self, endpoint: Endpoint) -> bool:
+        """Look for another engine that answers, once for all attempts."""
+        return await _run_once(
+            self._path_checks, endpoint, self._reaches_another
+        )
+
     async def _check(self, endpoint: Endpoint) -> _State:
         # An instance that is cut off reaches no engine at all.  A cut may begin
         # or end between two queries, so each silence counts only if another
@@ -334,10 +345,10 @@
 
 
 async def _run_once(
-    running: dict[str, asyncio.Task[_State]],
+    running: dict[str, asyncio.Task[T]],
     endpoint: Endpoint,
-    check: Callable[[Endpoint], Coroutine[None, None, _State]],
-) -> _State:
+    check: Callable[[Endpoint], Coroutine[None, None, T]],
+) -> T:
     """Check an engine, or wait for the same check that is in progress."""
     life = _name_life(endpoint)
     task = running.get(life)
