Quarantine: ends of requests are told without the parts of their prompts

Callers would see: sound calls that share a part with a request which ended engines wait for one another at each instance that restarts, for up to an hour, though the part was found to be harmless long before.

Cause: a peer that is heard anew is told the ends of barred requests with the parts of those calls. Since that is each restart.

Found by reading. Change: they are told by what was asked for alone, as in rows; parts that are still suspect are told apart, as before.

Evidence: the new test failed before (suspect) and passes. The tests of rows share a store in memory now; no assertion changed.

--- a/src/kelproad/state/requestends.py
+++ b/src/kelproad/state/requestends.py
@@ -24,7 +24,7 @@
 #: Ends from which on only one call with the request is tried at a time.
 _TRIED_ALONE_ENDS = 2
 #: Seconds for which an end counts that is checked: longer than it takes to
-#: find that an engine is silent.  The check withdraws those of others sooner.
+#: find that an engine is silent.
 _CHECK_SECONDS = 4.0
 #: Seconds after the last end until a request is tried again, its factor for
 #: each end beyond those that barred it, and the maximum.
@@ -230,7 +230,7 @@
                 yield fingerprint, verdict
 
     def list_barred_by(self, service: str, engine: str) -> list[str]:
-        """List the requests that the end of an engine helps to bar."""
+        """List the barred requests under which an engine ended."""
         return [
             fingerprint
             for fingerprint, known in self._records.items()
@@ -238,7 +238,10 @@
         ]
 
     def list_ends(self, fingerprint: str) -> list[EndedCall]:
-        """List the confirmed ends under a request, without parts."""
+        """List the confirmed ends under a request.
+
+        Without parts, which may have been found to be harmless since.
+        """
         record = self._records.get(fingerprint, _Record())
         return [
             attrs.evolve(end, parts=frozenset())
@@ -248,11 +251,9 @@
 
     def list_repeated(self) -> Iterator[EndedCall]:
         """Iterate over the confirmed ends of requests that met several."""
-        for record in self._records.values():
+        for fingerprint, record in self._records.items():
             if record.confirmed >= _TRIED_ALONE_ENDS:
-                yield from (
-                    end for end in record.ends.values() if end.confirmed
-                )
+                yield from self.list_ends(fingerprint)
 
     def _remove(
         self, service: str, engine: str, before: float, confirmed: bool
--- a/tests/ingress/test_prompt_notices.py
+++ b/tests/ingress/test_prompt_notices.py
@@ -101,50 +101,68 @@
     assert third.judge(now + 1) is PartState.HARMLESS
 
 
+class Store:
+    """Rows that instances write, the newest of each key."""
+
+    def __init__(self) -> None:
+        """Hold no rows."""
+        self.rows: dict[str, StoredRow] = {}
+
+    async def write(self, key: str, encoded: bytes) -> Result[None, str]:
+        """Write a row."""
+        self.rows[key] = StoredRow(key, encoded, 1)
+        return Success(None)
+
+    async def start_peer(self) -> Peer:
+        """Start an instance that knows what is written."""
+        await asyncio.sleep(LATER)
+        peer = Peer('10.0.0.4', {})
+        rows = QuarantineRows(peer.parts, self.write)
+        for row in self.rows.values():
+            assert rows.adopt(row)
+        return peer
+
+
 async def test_a_new_instance_knows_which_request_ended_the_engines() -> None:
     """Guards against a shared part refused for what one request asks for."""
-    reporting = start_peers()[0]
+    reporting, store = start_peers()[0], Store()
     now = monotonic()
     for number in range(3):
         reporting.end(number, now + number / 10, 'lethal')
     reporting.end(1, now + 1 / 10, 'beside')
-    written: asyncio.Queue[tuple[str, bytes]] = asyncio.Queue()
-
-    async def write(key: str, encoded: bytes) -> Result[None, str]:
-        await written.put((key, encoded))
-        return Success(None)
-
-    QuarantineRows(reporting.parts, write).keep(SERVICE, [PART])
-    new = Peer('10.0.0.4', {})
-    QuarantineRows(new.parts, write).adopt(StoredRow(*await written.get(), 1))
+    QuarantineRows(reporting.parts, store.write).keep(SERVICE, [PART])
+    new = await store.start_peer()
     assert new.judge(now + 1, 'lethal') is PartState.QUARANTINED
     assert new.judge(now + 1) is PartState.SUSPECT
 
 
 async def test_a_request_stays_barred_when_all_instances_start_anew() -> None:
     """Guards against three more ends once nobody is left who knew of them."""
-    reporting = start_peers()[0]
+    reporting, store = start_peers()[0], Store()
     now = monotonic()
     for number in range(3):
         reporting.end(number, now + number / 10, 'lethal')
-    written: asyncio.Queue[tuple[str, bytes]] = asyncio.Queue()
-
-    async def write(key: str, encoded: bytes) -> Result[None, str]:
-        await written.put((key, encoded))
-        return Success(None)
-
-    rows = QuarantineRows(reporting.parts, write)
-    rows.keep(
-        SERVICE, reporting.parts.requests.list_barred_by(SERVICE, 'i-0 1')
-    )
-    row = StoredRow(*await written.get(), 1)
-    new = Peer('10.0.0.4', {})
-    QuarantineRows(new.parts, write).adopt(row)
+    rows = QuarantineRows(reporting.parts, store.write)
+    rows.keep(SERVICE, ['lethal'])
+    new = await store.start_peer()
     assert new.parts.requests.is_barred('lethal')
     assert new.judge(now + 1) is PartState.HARMLESS
     reporting.parts.record_answered(SERVICE, 'lethal', now + 1)
     rows.keep_answered('lethal')
-    row = StoredRow(*await written.get(), 2)
-    newer = Peer('10.0.0.5', {})
-    QuarantineRows(newer.parts, write).adopt(row)
+    newer = await store.start_peer()
     assert not newer.parts.requests.is_barred('lethal')
+
+
+async def test_an_instance_heard_anew_suspects_no_part_that_was_cleared() -> (
+    None
+):
+    """Guards against sound calls that wait as an instance restarts."""
+    reporting = start_peers()[0]
+    now = monotonic()
+    for number in range(3):
+        reporting.end(number, now + number / 10, 'lethal')
+    reporting.parts.record_harmless(SERVICE, [PART], now + 1)
+    new = Peer('10.0.0.4', reporting.peers)
+    reporting.notices.greet(new.host)
+    assert new.parts.requests.is_barred('lethal')
+    assert new.judge(now + 2) is PartState.HARMLESS
