Quarantine: the row of a request is put right when an engine had only paused

Callers would see: a request that is barred by no end any more refused by each instance that starts, or reads the rows anew, as one of its three engines had paused and answered again. Parts had this already, requests since not.

With it: a row is written by the instance whose own call the end broke off, not by all that had calls on the engine, which would write one row at one moment.

Found by reading. Change: an engine that answers again has the rows of the requests written anew that its end had barred.

Evidence: the new test failed before (no row) and passes, as do those of rows.

--- a/src/kelproad/coordination/ingress/quarantine/ends.py
+++ b/src/kelproad/coordination/ingress/quarantine/ends.py
@@ -218,10 +218,9 @@
         quarantined = self._quarantine.record_end(ended, monotonic())
         record_quarantined(ended, quarantined)
         self._notices.announce_end(ended)
-        barred = self._quarantine.requests.list_barred_by(
-            ended.service, ended.engine
-        )
-        self._rows.keep(ended.service, ended.parts.union(quarantined, barred))
+        requests = filter(None, (ended.fingerprint,))
+        accused = ended.parts.union(quarantined, requests)
+        self._rows.keep(ended.service, accused)
 
     def _watch_once(self, service: str, endpoint: Endpoint) -> None:
         """Watch an engine that seems to have ended, once for all attempts."""
@@ -265,12 +264,15 @@
         if not self._quarantine.has_ended_before(service, life, answered_at):
             self._quarantine.withdraw(service, life)
             return
+        barred = self._quarantine.requests.list_barred_by(service, life)
         released = self._quarantine.revive(service, life, answered_at)
         record_withdrawn(life, released)
         age = monotonic() - answered_at
         self._notices.announce_revived(service, life, age)
         for part in released:
             self._rows.keep_cleared(service, part)
+        for fingerprint in barred:
+            self._rows.keep_request(fingerprint)
 
     async def _check_once(self, endpoint: Endpoint) -> _State:
         """Check an engine, once for all of its attempts."""
--- a/src/kelproad/coordination/ingress/quarantine/guard.py
+++ b/src/kelproad/coordination/ingress/quarantine/guard.py
@@ -159,7 +159,7 @@
                     call.service, (call.fingerprint,)
                 )
             if was_barred:
-                self._rows.keep_answered(call.fingerprint)
+                self._rows.keep_request(call.fingerprint)
         self.release(call)
 
     def describe(self) -> list[dict[str, object]]:
--- a/src/kelproad/coordination/ingress/quarantine/rows.py
+++ b/src/kelproad/coordination/ingress/quarantine/rows.py
@@ -105,8 +105,8 @@
         """Write that a part was found to be harmless."""
         self._start_writing(_Subject(service, part))
 
-    def keep_answered(self, fingerprint: str) -> None:
-        """Write that a request that was barred was answered."""
+    def keep_request(self, fingerprint: str) -> None:
+        """Write which ends are left of a request that was barred, if any."""
         self._start_writing(_Subject('', fingerprint, is_request=True))
 
     def adopt(self, row: StoredRow) -> bool:
--- a/tests/ingress/test_guard.py
+++ b/tests/ingress/test_guard.py
@@ -309,6 +309,35 @@
     assert len(queried) == 4
 
 
+async def test_a_request_whose_engine_answers_again_is_barred_in_no_row() -> (
+    None
+):
+    """Guards against requests barred anew by whoever reads what was untrue."""
+    kept: list[str] = []
+    quarantine = PartQuarantine(lambda _service: 3)
+    call, endpoint, now = build_call(), build_endpoint(), monotonic()
+    for number in range(3):
+        at = now + number
+        ended = build_ended(call, endpoint, at, at, ())
+        quarantine.record_end(
+            attrs.evolve(
+                ended,
+                engine=f'i-{number} 1',
+                confirmed=True,
+                fingerprint='lethal',
+            ),
+            at,
+        )
+    observer = EndObserver(
+        quarantine,
+        types.SimpleNamespace(announce_revived=lambda *_engine: None),
+        types.SimpleNamespace(keep_request=kept.append),
+        *(None for _ in range(5)),
+    )
+    observer._revive('writer', 'i-1 1', now + 5)
+    assert kept == ['lethal']
+
+
 async def test_parts_quarantined_under_another_are_kept() -> None:
     """Guards against a part forgotten when all instances start again."""
     kept: set[str] = set()
--- a/tests/ingress/test_prompt_notices.py
+++ b/tests/ingress/test_prompt_notices.py
@@ -148,7 +148,7 @@
     assert new.parts.requests.is_barred('lethal')
     assert new.judge(now + 1) is PartState.HARMLESS
     reporting.parts.record_answered(SERVICE, 'lethal', now + 1)
-    rows.keep_answered('lethal')
+    rows.keep_request('lethal')
     newer = await store.start_peer()
     assert not newer.parts.requests.is_barred('lethal')
 
