--- a/src/kelproad/state/requestends.py
+++ b/src/kelproad/state/requestends.py
@@ -116,8 +116,7 @@
     def count(self, now: float) -> int:
         """Count the engines that have ended, or may have."""
         return sum(
-            end.confirmed or now - end.ended_at < _CHECK_SECONDS
-            for end in self.ends.values()
+            may_count(end, now, _CHECK_SECONDS) for end in self.ends.values()
         )
 
     def is_current(self, now: float) -> bool:
--- a/src/kelproad/state/suspicions.py
+++ b/src/kelproad/state/suspicions.py
@@ -304,9 +304,13 @@
     engines: tuple[str, ...] = ()
 
 
-def may_count(end: EndedCall | EngineEnd, now: float) -> bool:
-    """Return whether an end is confirmed, or may still be."""
-    return end.confirmed or now - end.ended_at < _UNCONFIRMED_SECONDS
+def may_count(
+    end: EndedCall | EngineEnd,
+    now: float,
+    seconds: float = _UNCONFIRMED_SECONDS,
+) -> bool:
+    """Return whether an end is confirmed, or may be some seconds after it."""
+    return end.confirmed or now - end.ended_at < seconds
 
 
 def are_in_a_row(
