Testbed: an engine that starts again never states the life before

The process that took its place at the same address stated the start 1, which every stand-in had until it was told its own, and 1 is what that life had stated. An instance that looked in these milliseconds withdrew the end everywhere (engine_end_withdrawn, "writer-1 1"), rightly by what it was told, and the request had two ends again.

Ruled out by the trace: a check that stays unknown (607 of 607 were told as ended), ends that overlap, notices that are lost. Not a fault of kelproad: the platform says that the start is stated always, and a later process starts later. The soaks restart engines the same way, so their engines may have seemed to answer again too.

Change: the start is given to the stand-in as it is launched. The new test fails before (1 stated, 2 expected) and passes; the bound of three engines is as it was. The tests of repeated requests, crashes, withdrawals and stops pass.

--- a/src/kelproad/cli/standins.py
+++ b/src/kelproad/cli/standins.py
@@ -66,11 +66,14 @@
 def endpoint(
     address: AddressOption,
     name: Annotated[str, typer.Option(help='Id it lists itself with.')],
+    born: Annotated[
+        int, typer.Option(help='Unix millisecond of its start that it states.')
+    ] = 1,
 ) -> None:
     """Stand in for an endpoint behind routes, engine or plain service."""
     from ..standins.routed import RoutedEndpointStandIn
 
-    application = RoutedEndpointStandIn(name).create_application()
+    application = RoutedEndpointStandIn(name, born).create_application()
     _run(application, address, decode_bodies=False)
 
 
--- a/src/kelproad/standins/routed.py
+++ b/src/kelproad/standins/routed.py
@@ -95,8 +95,13 @@
 class RoutedEndpointStandIn:
     """One endpoint; ``name`` is the id that it is listed with."""
 
-    def __init__(self, name: str, memory_tokens: int = 232_000) -> None:
-        """Start without faults and with all memory free."""
+    def __init__(
+        self, name: str, born: int = 1, memory_tokens: int = 232_000
+    ) -> None:
+        """Start without faults and with all memory free.
+
+        ``born`` is the Unix time of the start in milliseconds that it states.
+        """
         self._name = name
         self._memory = memory_tokens
         self._tickets: dict[str, _Ticket] = {}
@@ -110,8 +115,7 @@
         self._disconnected: list[str] = []
         #: Whether it has fallen silent.
         self._silent = False
-        #: Unix time of its start in milliseconds, as in its entry.
-        self._born = 1
+        self._born = born
         self._orders: collections.Counter[str] = collections.Counter()
 
     def create_application(self) -> web.Application:
--- a/testbed/crashes.py
+++ b/testbed/crashes.py
@@ -14,7 +14,6 @@
 
 import attrs
 
-from testbed.calls import call_control
 from testbed.routed import (
     HOST,
     KEY,
@@ -238,6 +237,7 @@
         """
         life = next(self._lives)
         name = f'{_SERVICE}-{life}'
+        self.site.born[name] = life
         if address:
             self.site.endpoints[name] = address
             self.site.restart_endpoint(name)
@@ -245,10 +245,7 @@
             self.site.start_endpoint(name, _SERVICE)
         self._logs.append(self.site.endpoint_processes[name].log)
         self.site.set_endpoint_faults(name)
-        call_control(
-            self.site.endpoints[name], 'PUT', '/control/born', {'born': life}
-        )
-        self.site.put_endpoint_row(name, _SERVICE, born=life)
+        self.site.put_endpoint_row(name, _SERVICE)
         self._serving.append(name)
 
     def _restart_crashed(self) -> None:
--- a/testbed/routed.py
+++ b/testbed/routed.py
@@ -110,7 +110,7 @@
     )
     #: Faults that endpoints have in addition to those that are set.
     lasting_faults: dict[str, object] = attrs.field(factory=dict)
-    #: Incarnations of endpoints that were renewed, by name.
+    #: Starts of endpoints, other than the first incarnation's, by name.
     born: dict[str, int] = attrs.field(factory=dict)
     #: Zones of endpoints that are not in the first one, by name.
     zones: dict[str, str] = attrs.field(factory=dict)
@@ -197,8 +197,9 @@
 
         ``born`` is its start unless a later one was stated before.
         """
-        self.born[name] = max(born, self.born.get(name, 1) + 1)
-        self._set_born(name)
+        self._begin_life(name, born)
+        address = self.endpoints[name]
+        call_control(address, 'PUT', '/control/born', {'born': self.born[name]})
         self.put_endpoint_row(name, self.services[name])
 
     def delete_endpoint_row(self, name: str) -> None:
@@ -255,10 +256,12 @@
         If it ran before, this is another incarnation of it.
         """
         ran_before = name in self.endpoint_processes
+        if ran_before:
+            self._begin_life(name, 1)
         _launch_endpoint(self, name)
         _await_endpoint(self, name)
         if ran_before:
-            self.renew_endpoint(name, 1)
+            self.put_endpoint_row(name, self.services[name])
 
     def start_instance(
         self,
@@ -294,10 +297,9 @@
             self.directory,
         )
 
-    def _set_born(self, name: str) -> None:
-        address = self.endpoints[name]
-        born = {'born': self.born[name]}
-        call_control(address, 'PUT', '/control/born', born)
+    def _begin_life(self, name: str, born: int) -> None:
+        """Choose the start of the next incarnation, later than any before."""
+        self.born[name] = max(born, self.born.get(name, 1) + 1)
 
 
 #: Routes of every configuration, with the fields that differ from the defaults.
@@ -383,10 +385,15 @@
 
 
 def _launch_endpoint(site: RoutedSite, name: str) -> None:
-    address = site.endpoints[name]
+    # A report that comes before its start was set would name another life.
+    options = {
+        '--address': site.endpoints[name],
+        '--name': name,
+        '--born': str(site.born.get(name, 1)),
+    }
     site.endpoint_processes[name] = Process(
         name,
-        ['stand-in', 'endpoint', '--address', address, '--name', name],
+        ['stand-in', 'endpoint', *itertools.chain(*options.items())],
         site.directory,
     )
 
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -1,12 +1,16 @@
 """Stand-ins behave like the real components where tests rely on it."""
 
 import asyncio
+import pathlib
 import time
 
+import pytest
 from aiohttp.test_utils import TestClient, TestServer
 
 from kelproad.standins.engine import EngineSettings, EngineStandIn
 from kelproad.standins.rowstore import RowStoreStandIn
+from testbed import routed
+from testbed.calls import call_control
 
 EVENT_LAG = 1.0
 #: Rows that are written while their changes are followed, and the seconds for
@@ -97,3 +101,22 @@
             await asyncio.sleep(0.001)
         seen = await following
     assert seen == [str(number) for number in range(ROWS)]
+
+
+def test_an_engine_that_starts_again_never_states_its_earlier_life(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an ended engine that seems to answer again."""
+    first_reports: list[object] = []
+
+    def read_report(site: routed.RoutedSite, name: str) -> None:
+        await_endpoint(site, name)
+        address = site.endpoints[name]
+        first_reports.append(call_control(address, 'GET', '/-/report')['born'])
+
+    await_endpoint = routed._await_endpoint
+    with routed.start_routed_site(tmp_path, 0) as site:
+        monkeypatch.setattr(routed, '_await_endpoint', read_report)
+        site.endpoint_processes['engine-1'].kill()
+        site.restart_endpoint('engine-1')
+    assert first_reports == [2]
