--- a/src/kelproad/coordination/feasibility.py
+++ b/src/kelproad/coordination/feasibility.py
@@ -7,7 +7,7 @@
 """
 
 from ..state.endpointtable import EndpointTable
-from ..state.lengths import classify_length
+from ..state.engines import classify_length
 from ..state.refusals import Refusal, RefusalCode, Step
 from ..state.requests import Request
 from .policies import Choice
--- a/src/kelproad/coordination/peerwork.py
+++ b/src/kelproad/coordination/peerwork.py
@@ -3,7 +3,7 @@
 import collections
 
 from ..state.endpointtable import EndpointTable
-from ..state.lengths import LengthClass
+from ..state.engines import LengthClass
 from ..state.members import Member
 
 __all__ = ['PeerWork']
--- a/src/kelproad/coordination/prediction.py
+++ b/src/kelproad/coordination/prediction.py
@@ -10,7 +10,7 @@
 
 from ..state.declarations import EndpointKind, Objective
 from ..state.endpoints import Endpoint
-from ..state.lengths import LengthClass, classify_length
+from ..state.engines import LengthClass, classify_length
 from ..state.requests import Request
 from .candidates import REPORT_TIMEOUT, Search
 
--- a/src/kelproad/coordination/routing.py
+++ b/src/kelproad/coordination/routing.py
@@ -13,7 +13,7 @@
 from ..state.declarations import Policy
 from ..state.endpoints import Endpoint
 from ..state.endpointtable import EndpointTable
-from ..state.lengths import LengthClass, classify_length
+from ..state.engines import LengthClass, classify_length
 from ..state.refusals import Refusal, RefusalCode, Step
 from ..state.requests import Request
 from .candidates import Search, sample_usable
--- a/src/kelproad/state/endpoints.py
+++ b/src/kelproad/state/endpoints.py
@@ -6,7 +6,7 @@
 
 from . import invariants
 from .declarations import EndpointDeclaration, EndpointGroup
-from .lengths import LengthClass, classify_length
+from .engines import LengthClass, classify_length
 from .rates import FailureShare, LearnedRate
 from .withdrawals import Withdrawal
 
--- a/src/kelproad/state/endpointtable.py
+++ b/src/kelproad/state/endpointtable.py
@@ -6,7 +6,7 @@
 
 from .declarations import EndpointDeclaration, EndpointGroup
 from .endpoints import Endpoint
-from .lengths import LengthClass, classify_length
+from .engines import LengthClass, classify_length
 from .prefixes import PrefixHistory
 from .rates import LearnedRate
 from .requestlimits import WarmUps
--- a/src/kelproad/state/engines.py
+++ b/src/kelproad/state/engines.py
@@ -9,13 +9,14 @@
 events than the strictest route of the service; the others are gap-sensitive.
 """
 
+import enum
 import math
 from collections.abc import Iterable
 from typing import Self
 
 import attrs
 
-__all__ = ['EngineProfile', 'StallLimits']
+__all__ = ['EngineProfile', 'LengthClass', 'StallLimits', 'classify_length']
 
 #: Number of token pairs to which ``pair_seconds`` refers.
 _PAIRS_PER_UNIT = 1_000_000
@@ -27,6 +28,26 @@
 #: Ratio to the shortest gap objective from which on the streams of a route
 #: count as gap-tolerant.
 _TOLERANT_RATIO = 2.0
+#: Lower bounds of the middle and the long class of prompt length, in tokens.
+_SHORT_LIMIT = 10_000
+_MIDDLE_LIMIT = 100_000
+
+
+class LengthClass(enum.IntEnum):
+    """Classes of prompt length; the value is the priority at the engine."""
+
+    SHORT = 0
+    MIDDLE = 1
+    LONG = 2
+
+
+def classify_length(prompt_tokens: int) -> LengthClass:
+    """Return the length class of a prompt."""
+    if prompt_tokens < _SHORT_LIMIT:
+        return LengthClass.SHORT
+    if prompt_tokens < _MIDDLE_LIMIT:
+        return LengthClass.MIDDLE
+    return LengthClass.LONG
 
 
 @attrs.frozen
