Quarantine: ends that a barred request explains prove nothing against a part

Cause, traced: two ends came under a lethal request with the part. A sound call that tried the part alone stood on an engine that another lethal request, without the part, ended: three in a row, the part is quarantined. Then the first request ended its third engine, which counted as a failed trial of the part, so that the next one would come only after 120 s. By then both requests were barred and explained each of the ends. "One request proves nothing against a part" was only asked of all ends together.

Change: ends at which a barred request without the part ended the engine too are left out. If fewer than three are left, or one request is common to those, the part is refused for that request alone, and others try it one at a time. Not from the second end of a request on: calls that are sent once reach two engines, and lethal parts met together would explain each other.

What proves a part is a module of its own.

--- a/src/kelproad/state/quarantine.py
+++ b/src/kelproad/state/quarantine.py
@@ -11,10 +11,11 @@
 
 import collections
 import math
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Iterable
 
 import attrs
 
+from .partevidence import MIN_TRIALS, Key, PartEvidence
 from .requestends import RequestEnds
 from .suspicions import (
     BACKGROUND_SECONDS,
@@ -30,9 +31,8 @@
 #: Seconds before the end of an engine in which an answer elsewhere shows a part
 #: to be harmless.
 _HARMLESS_SECONDS = 5.0
-#: Ends in a row that quarantine a part: if only few engines end by themselves,
-#: and at most.
-_MIN_TRIALS = 3
+#: Most ends in a row that it takes to quarantine a part, when many engines end
+#: by themselves.
 _MAX_TRIALS = 5
 #: Largest probability that a harmless part has met that many ends by chance.
 _MAX_CHANCE = 1e-3
@@ -44,9 +44,6 @@
 _MAX_HARMLESS = 4096
 _MAX_SUSPECTS = 1024
 
-_Key = tuple[str, str]
-
-
 _HARMLESS = Judgement(PartState.HARMLESS)
 
 
@@ -63,11 +60,12 @@
         """Suspect nothing; ``count_engines`` counts those of a service."""
         self._count_engines = count_engines
         #: Monotonic times of the last answers, the oldest first.
-        self._harmless: collections.OrderedDict[_Key, float] = (
+        self._harmless: collections.OrderedDict[Key, float] = (
             collections.OrderedDict()
         )
-        self._suspicions: dict[_Key, Suspicion] = {}
+        self._suspicions: dict[Key, Suspicion] = {}
         self.requests = RequestEnds()
+        self._evidence = PartEvidence(self._suspicions, self.requests)
         self._lives = EndedLives()
 
     def record_harmless(
@@ -207,19 +205,19 @@
             return _HARMLESS
         for part, suspicion in suspect.items():
             suspicion.touched_at = now
-            if now < suspicion.retrial_at and self._is_proven(
-                service, part, workspace, suspect
+            if (
+                now < suspicion.retrial_at
+                and self._evidence.is_proven_for(
+                    service, part, workspace, suspect
+                )
+                and self._evidence.is_proven_by(service, part, identify)
             ):
-                common = suspicion.common_fingerprints
-                # One request that ended all of the engines proves nothing
-                # against others that share the part.
-                if not common or identify() in common:
-                    return Judgement(
-                        PartState.QUARANTINED,
-                        (part,),
-                        suspicion.retrial_at - now,
-                        tuple(suspicion.ends),
-                    )
+                return Judgement(
+                    PartState.QUARANTINED,
+                    (part,),
+                    suspicion.retrial_at - now,
+                    tuple(suspicion.ends),
+                )
         return Judgement(PartState.SUSPECT, tuple(suspect))
 
     def get(self, service: str, part: str) -> Suspicion | None:
@@ -241,58 +239,17 @@
             for ended in _list_ends_of(service, part, suspicion)
         ]
 
-    def list_suspicions(self) -> dict[_Key, Suspicion]:
+    def list_suspicions(self) -> dict[Key, Suspicion]:
         """List the evidence by service and part."""
         return dict(self._suspicions)
 
-    def _remember_harmless(self, key: _Key, at: float) -> None:
+    def _remember_harmless(self, key: Key, at: float) -> None:
         """Remember when a part or a request did no harm."""
         self._harmless[key] = max(at, self._harmless.get(key, at))
         self._harmless.move_to_end(key)
         if len(self._harmless) > _MAX_HARMLESS:
             self._harmless.popitem(last=False)
 
-    def _is_proven(
-        self,
-        service: str,
-        part: str,
-        workspace: str,
-        present: Mapping[str, Suspicion],
-    ) -> bool:
-        """Return whether a quarantined part is what crashes engines.
-
-        It may have met another one each time, and be proven only for prompts
-        with both until an engine ends without the other.  What one workspace
-        sent alone proves nothing for others.
-        """
-        suspicion = present[part]
-        if not suspicion.quarantined_after:
-            return False
-        counted = suspicion.list_counted()
-        workspaces = frozenset.union(
-            *(end.workspaces for end in counted.values())
-        )
-        if workspaces == {workspace} or len(workspaces) > 1:
-            explained = self._find_explained(service, present, set(counted))
-            return explained != counted.keys()
-        return False
-
-    def _find_explained(
-        self, service: str, present: Collection[str], engines: set[str]
-    ) -> set[str]:
-        """Find the engines that a part which is not present may have crashed.
-
-        It is one in quarantine, or one that was at all of them.
-        """
-        explained: set[str] = set()
-        for (of_service, part), other in self._suspicions.items():
-            if of_service != service or part in present:
-                continue
-            common = engines.intersection(other.ends)
-            if other.quarantined_after or common == engines:
-                explained |= common
-        return explained
-
     def _confirm_parts(self, ended: EndedCall) -> set[str]:
         """Confirm an end for all calls that it broke off; return their parts.
 
@@ -326,12 +283,12 @@
         others = self._lives.count_others(service, related)
         engines = max(1, self._count_engines(service))
         chance = others / engines / BACKGROUND_SECONDS * _TRIAL_SECONDS
-        trials = _MIN_TRIALS
+        trials = MIN_TRIALS
         while trials < _MAX_TRIALS and chance ** (trials - 1) > _MAX_CHANCE:
             trials += 1
         return trials
 
-    def _find_or_add(self, key: _Key, now: float) -> Suspicion:
+    def _find_or_add(self, key: Key, now: float) -> Suspicion:
         suspicion = self._suspicions.get(key)
         if suspicion is None:
             if len(self._suspicions) >= _MAX_SUSPECTS:
@@ -340,7 +297,7 @@
             self._suspicions[key] = suspicion
         return suspicion
 
-    def _find_current(self, key: _Key, now: float) -> Suspicion | None:
+    def _find_current(self, key: Key, now: float) -> Suspicion | None:
         suspicion = self._suspicions.get(key)
         if suspicion is None:
             return None
@@ -353,7 +310,7 @@
     def _drop_one(self, now: float) -> None:
         """Drop the suspicion with the least evidence, the oldest of these."""
 
-        def rank(key: _Key) -> tuple[bool, int, float]:  # noqa: WPS430  closure
+        def rank(key: Key) -> tuple[bool, int, float]:  # noqa: WPS430  closure
             known = self._suspicions[key]
             return known.is_current(now), known.trials, known.touched_at
 
--- a/src/kelproad/state/suspicions.py
+++ b/src/kelproad/state/suspicions.py
@@ -172,12 +172,6 @@
             if end.ended_at < at:
                 self.remove(engine)
 
-    @property
-    def common_fingerprints(self) -> frozenset[str]:
-        """Fingerprints of what was asked for at all ends in a row."""
-        ends = self.list_counted().values()
-        return frozenset.intersection(*(end.fingerprints for end in ends))
-
     def list_causes(self, end: EngineEnd) -> frozenset[str]:
         """List the requests that may be the cause of an end and all others.
 
--- a/tests/ingress/test_request_ends.py
+++ b/tests/ingress/test_request_ends.py
@@ -55,6 +55,13 @@
     return quarantine.requests.judge('lethal', at).state
 
 
+def judge_part(quarantine: PartQuarantine, request: str) -> PartState:
+    """Judge the part for a request."""
+    return quarantine.judge(
+        'writer', ['part'], 'crews', LATER, lambda: request
+    ).state
+
+
 @pytest.mark.parametrize(
     ('ends', 'state'),
     [
@@ -213,17 +220,33 @@
 def test_one_request_quarantines_no_part_for_others() -> None:
     """Guards against a shared part refused for what one request asks for."""
     quarantine = build(*map(end, range(3)))
+    assert judge_part(quarantine, 'sound') is PartState.SUSPECT
+    assert judge_part(quarantine, 'lethal') is PartState.QUARANTINED
+    quarantine.record_end(end(3, 'another'), LATER)
+    assert judge_part(quarantine, 'sound') is PartState.QUARANTINED
+
+
+def test_requests_that_explain_its_ends_quarantine_no_part() -> None:
+    """Guards against a sound part refused, as it met two lethal requests."""
+    # The part is that of one; a call with it was beside the other one once.
+    quarantine = build(*map(end, (0, 1, 3)))
+    met = attrs.evolve(end(2), fingerprint='met')
+    quarantine.record_end(met, met.ended_at)
+    states = []
+    for number in (2, 4, 5):
+        ended = attrs.evolve(end(number, 'other'), parts=frozenset())
+        quarantine.record_end(ended, ended.ended_at)
+        states.append(judge_part(quarantine, 'sound'))
+    refused, tried = PartState.QUARANTINED, PartState.SUSPECT
+    assert states == [refused, refused, tried]
+    assert judge_part(quarantine, 'lethal') is refused
 
-    def find_state(request: str) -> PartState:
-        judged = quarantine.judge(
-            'writer', ['part'], 'crews', LATER, lambda: request
-        )
-        return judged.state
 
-    assert find_state('sound') is PartState.SUSPECT
-    assert find_state('lethal') is PartState.QUARANTINED
-    quarantine.record_end(end(3, 'another'), LATER)
-    assert find_state('sound') is PartState.QUARANTINED
+def test_a_request_with_the_part_explains_no_end_of_it() -> None:
+    """Guards against a lethal part that is tried for each of its requests."""
+    requests = ('a', 'a', 'a', 'b', 'b', 'b')
+    quarantine = build(*(end(*asked) for asked in enumerate(requests)))
+    assert judge_part(quarantine, 'c') is PartState.QUARANTINED
 
 
 def test_requests_are_remembered_within_bounds() -> None:
