Quarantine: a part's ends that were told later are explained by no request

Found by reading. An instance that starts, or is heard anew, is told of a part's ends only those requests that may be the cause of all of them. There, a barred request that had the part looked like one without it, and a part that ends engines would have been tried again, once at each such instance.

Change: an end of which no request is known is not explained by any, as before. What proves a part is one question now, and its two halves are named by what else might explain the ends.

Evidence: test_a_lethal_part_stays_quarantined_where_its_ends_are_told failed before (suspect, not quarantined) and passes; 90 tests of quarantine, guard, notices, crashing prompts and start pass.

--- a/src/kelproad/state/partevidence.py
+++ b/src/kelproad/state/partevidence.py
@@ -10,7 +10,7 @@
 import attrs
 
 from .requestends import RequestEnds
-from .suspicions import Suspicion
+from .suspicions import EngineEnd, Suspicion
 
 __all__ = ['MIN_TRIALS', 'Key', 'PartEvidence']
 
@@ -28,27 +28,45 @@
     _suspicions: Mapping[Key, Suspicion]
     _requests: RequestEnds
 
-    def is_proven_for(
+    def is_proven(
         self,
         service: str,
         part: str,
         workspace: str,
         present: Mapping[str, Suspicion],
+        identify: Callable[[], str],
     ) -> bool:
-        """Return whether a part crashes engines, and not another one.
-
-        It may have met another one each time, and be proven only for prompts
-        with both until an engine ends without the other.  What one workspace
-        sent alone proves nothing for others.
+        """Return whether a part crashes engines, and nothing else explains it.
 
         Parameters
         ----------
+        workspace
+            Workspace of the call.
         present
-            The evidence against the suspect parts of the prompt.
+            The evidence against the suspect parts of its prompt.
+        identify
+            Returns the fingerprint of the call.
         """
         suspicion = present[part]
         if not suspicion.quarantined_after:
             return False
+        return self._is_proven_beside_parts(
+            service, suspicion, workspace, present
+        ) and self._is_proven_beside_requests(service, suspicion, identify)
+
+    def _is_proven_beside_parts(
+        self,
+        service: str,
+        suspicion: Suspicion,
+        workspace: str,
+        present: Collection[str],
+    ) -> bool:
+        """Return whether no other part explains the ends, nor a workspace.
+
+        It may have met another part each time, and be proven only for prompts
+        with both until an engine ends without the other.  What one workspace
+        sent alone proves nothing for others.
+        """
         counted = suspicion.list_counted()
         workspaces = frozenset.union(
             *(end.workspaces for end in counted.values())
@@ -58,33 +76,35 @@
             return explained != counted.keys()
         return False
 
-    def is_proven_by(
-        self, service: str, part: str, identify: Callable[[], str]
+    def _is_proven_beside_requests(
+        self, service: str, suspicion: Suspicion, identify: Callable[[], str]
     ) -> bool:
-        """Return whether a part crashes engines, whatever calls ask for.
-
-        Calls with it may have met requests without it that do.  One request
-        that ended all other engines proves nothing against those that share
-        the part.
+        """Return whether no other requests explain the ends.
 
-        Parameters
-        ----------
-        identify
-            Returns the fingerprint of the call.
+        Calls with the part may have met barred requests without it.  One
+        request that ended all other engines proves nothing against those that
+        share the part.
         """
-        counted = self._suspicions[service, part].list_counted()
-        fingerprints = [
+        unexplained = [
             end.fingerprints
-            for engine, end in counted.items()
-            if end.fingerprints.issuperset(
-                self._requests.list_barred_by(service, engine)
-            )
+            for engine, end in suspicion.list_counted().items()
+            if not self._is_explained(service, engine, end)
         ]
-        if len(fingerprints) < MIN_TRIALS:
+        if len(unexplained) < MIN_TRIALS:
             return False
-        common = frozenset.intersection(*fingerprints)
+        common = frozenset.intersection(*unexplained)
         return not common or identify() in common
 
+    def _is_explained(self, service: str, engine: str, end: EngineEnd) -> bool:
+        """Return whether a barred request without the part explains an end.
+
+        Ends that were told later lack the requests that had the part.
+        """
+        if not end.fingerprints:
+            return False
+        barred = self._requests.list_barred_by(service, engine)
+        return not end.fingerprints.issuperset(barred)
+
     def _find_explained(
         self, service: str, present: Collection[str], engines: set[str]
     ) -> set[str]:
--- a/src/kelproad/state/quarantine.py
+++ b/src/kelproad/state/quarantine.py
@@ -205,12 +205,8 @@
             return _HARMLESS
         for part, suspicion in suspect.items():
             suspicion.touched_at = now
-            if (
-                now < suspicion.retrial_at
-                and self._evidence.is_proven_for(
-                    service, part, workspace, suspect
-                )
-                and self._evidence.is_proven_by(service, part, identify)
+            if now < suspicion.retrial_at and self._evidence.is_proven(
+                service, part, workspace, suspect, identify
             ):
                 return Judgement(
                     PartState.QUARANTINED,
--- a/tests/ingress/test_request_ends.py
+++ b/tests/ingress/test_request_ends.py
@@ -249,6 +249,14 @@
     assert judge_part(quarantine, 'c') is PartState.QUARANTINED
 
 
+def test_a_lethal_part_stays_quarantined_where_its_ends_are_told() -> None:
+    """Guards against a lethal part that each instance which starts tries."""
+    requests = ('a', 'a', 'a', 'b', 'b', 'b')
+    known = build(*(end(*asked) for asked in enumerate(requests)))
+    told = build(*known.list_ends(), *known.requests.list_repeated())
+    assert judge_part(told, 'c') is PartState.QUARANTINED
+
+
 def test_requests_are_remembered_within_bounds() -> None:
     """Guards against memory that a flood of such requests takes."""
     quarantine = build(*map(end, range(3)))
