Tests: versions of calls are compared once all of them are logged

Cause, traced in the log that pytest kept: the lines are there, 0.02 s after the call was placed, with the newest version. A caller has its answer before the instance has logged the end, and the test read the log at once.

--- a/tests/ingress/test_pauses_site.py
+++ b/tests/ingress/test_pauses_site.py
@@ -15,7 +15,7 @@
     Silence,
     start_pausable_site,
 )
-from testbed.routed import RoutedInstance
+from testbed.routed import RoutedInstance, wait_for
 from testbed.soak.links import Cut
 from tests.ingress.callers import Answer, call, run_in_thread
 
@@ -190,14 +190,20 @@
     instance: RoutedInstance, answers: list[Answer]
 ) -> set[object]:
     """Find the versions by which an instance placed some calls."""
+    versions: dict[object, object] = {}
     ids = {answer.request_id for answer in answers}
-    ended = [
-        line
-        for line in instance.log_lines
-        if line['event'] == 'ended' and line['request'] in ids
-    ]
-    assert ended
-    return {line['version'] for line in ended}
+
+    def have_all_ended() -> bool:
+        versions.update(
+            (line['request'], line['version'])
+            for line in instance.log_lines
+            if line['event'] == 'ended'
+        )
+        return ids <= versions.keys()
+
+    # Callers have their answers before the instance has logged the ends.
+    wait_for(have_all_ended, 'the instance has logged the ends of all calls')
+    return {versions[request_id] for request_id in ids}
 
 
 @pytest.mark.parametrize('paused', [False, True])
