Quarantine: an answer to many parts takes few datagrams again

Found by reading the whole change: since an answer that cleared several parts, or a notice that did, sent a datagram for each part to every instance, up to 64 for one prompt, where one notice had told them before.

Change: what is found to be harmless at one moment is told together, eight a datagram, as ends are.

Evidence: test_an_answer_to_many_parts_takes_few_datagrams failed before (40 datagrams to two instances for 20 parts, 6 expected) and passes; 111 tests of notices, guard, quarantine, requests, crashes and start pass, linter clean.

--- a/src/kelproad/coordination/ingress/quarantine/notices.py
+++ b/src/kelproad/coordination/ingress/quarantine/notices.py
@@ -95,15 +95,20 @@
     def announce_harmless(self, service: str, parts: Iterable[str]) -> None:
         """Tell all that an engine outlived an answer on parts, or requests."""
         now = monotonic()
-        for part in parts:
-            self._withdraw_accusations(service, part)
-            self._announce_harmless(service, part, now)
+        answered_at = {(service, part): now for part in parts}
+        for key in answered_at:
+            self._withdraw_accusations(*key)
+        self._announce_harmless(answered_at)
 
     def accept(self, notice: PromptNotice) -> None:
         """Record what another instance observed."""
         now = monotonic()
-        for service, known, age in notice.harmless:
-            self._accept_harmless(service, known, now - age)
+        self._accept_harmless(
+            {
+                (service, known): now - age
+                for service, known, age in notice.harmless
+            }
+        )
         for service, engine in notice.alive:
             self._quarantine.withdraw(service, engine)
         for service, engine, age in notice.revived:
@@ -146,15 +151,18 @@
             if ended.engine != engine or ended.ended_at >= before
         ]
 
-    def _accept_harmless(self, service: str, known: str, at: float) -> None:
-        """Record that a part, or a request by its fingerprint, is harmless.
+    def _accept_harmless(self, answered_at: Mapping[_Key, float]) -> None:
+        """Record that parts, or requests by fingerprint, are harmless.
 
-        Whoever was told here that an engine ended under it is told that too.
+        Whoever was told here that an engine ended under one is told that too.
         """
-        self._quarantine.record_harmless(service, [known], at)
-        self._quarantine.record_answered(service, known, at)
-        if self._withdraw_accusations(service, known):
-            self._announce_harmless(service, known, at)
+        accused = {}
+        for (service, known), at in answered_at.items():
+            self._quarantine.record_harmless(service, [known], at)
+            self._quarantine.record_answered(service, known, at)
+            if self._withdraw_accusations(service, known):
+                accused[service, known] = at
+        self._announce_harmless(accused)
 
     def _withdraw_accusations(self, service: str, known: str) -> bool:
         """Accuse no more of own ends what an answer shows to be harmless.
@@ -233,14 +241,14 @@
         packed = [pack_end(ended, now) for ended in ends]
         self._send_to_all(functools.partial(PromptNotice, ends=packed))
 
-    def _announce_harmless(self, service: str, known: str, at: float) -> None:
+    def _announce_harmless(self, answered_at: Mapping[_Key, float]) -> None:
         """Tell all instances now, and again for some seconds."""
-        key = (service, known)
-        self._harmless.pop(key, None)
-        if len(self._harmless) >= _MAX_REPEATED:
-            self._harmless.pop(next(iter(self._harmless)))
-        self._harmless[key] = at
-        self._send_harmless({key: at})
+        for key, at in answered_at.items():
+            self._harmless.pop(key, None)
+            if len(self._harmless) >= _MAX_REPEATED:
+                self._harmless.pop(next(iter(self._harmless)))
+            self._harmless[key] = at
+        self._send_harmless(answered_at)
 
     def _send_harmless(self, answered_at: Mapping[_Key, float]) -> None:
         """Tell all instances when answers showed what to be harmless."""
--- a/tests/ingress/test_prompt_notices.py
+++ b/tests/ingress/test_prompt_notices.py
@@ -17,6 +17,9 @@
 LATER = 0.05
 #: Seconds in which all is told again.
 REPEATED = 0.7
+#: Parts of an answer, and the datagrams that tell an instance of all.
+PARTS = 20
+DATAGRAMS = 3
 HOSTS = ('10.0.0.1', '10.0.0.2', '10.0.0.3')
 
 
@@ -28,6 +31,7 @@
         self.host = host
         self.peers = peers
         self.is_cut_off = False
+        self.sent = 0
         self.parts = PartQuarantine(lambda _service: 30)
         self.notices = PromptNotices(self.parts, self, self)
         peers[host] = self
@@ -38,6 +42,7 @@
 
     def announce(self, notice: object, host: str) -> None:
         """Send a notice to one of them."""
+        self.sent += 1
         peer = self.peers.get(host)
         if peer is not None and not peer.is_cut_off:
             peer.notices.accept(notice(0, self.host, 'a'))
@@ -101,6 +106,15 @@
     assert third.judge(now + 1) is PartState.HARMLESS
 
 
+async def test_an_answer_to_many_parts_takes_few_datagrams() -> None:
+    """Guards against a datagram to each instance for each part of an answer."""
+    answering = start_peers()[0]
+    answering.notices.announce_harmless(
+        SERVICE, [f'part-{number}' for number in range(PARTS)]
+    )
+    assert answering.sent == DATAGRAMS * (len(HOSTS) - 1)
+
+
 class Store:
     """Rows that instances write, the newest of each key."""
 
