Tests: a slow store, failing

What callers see: while the store answers each call more than a second late, or sends a large configuration slowly, no instance confirms keys from 4.5 s on, and all calls with a key are refused. After a silent store is back, one instance serves and others refuse, telling to come back in 0.02 s. The stand-in of the store sends answers at a rate.

--- a/src/kelproad/standins/rowstore.py
+++ b/src/kelproad/standins/rowstore.py
@@ -14,7 +14,7 @@
 from aiohttp import web
 
 from ..transport.deadlines import monotonic
-from .storefaults import Handler, delay_call
+from .storefaults import Handler, delay_call, send_slowly
 
 __all__ = ['RowStoreStandIn']
 
@@ -55,6 +55,8 @@
         No call is answered.
     delay
         Seconds by which every call is delayed.
+    bytes_per_second
+        Rate at which the body of each answer is sent; 0 for all at once.
     lose_answers
         Number of further writes that take effect but are not answered.
     """
@@ -62,6 +64,7 @@
     status: int = 0
     hang: bool = False
     delay: float = 0
+    bytes_per_second: float = 0
     lose_answers: int = 0
 
 
@@ -125,7 +128,12 @@
         await delay_call(self._faults.hang, self._faults.delay)
         if self._faults.status:
             return web.Response(status=self._faults.status)
-        return await handler(http_request)
+        response = await handler(http_request)
+        if self._faults.bytes_per_second:
+            return await send_slowly(
+                http_request, response, self._faults.bytes_per_second
+            )
+        return response
 
     # The protocol
 
