Exchanges: an answer that goes on arriving is not given up

Cause: the time-out of an exchange covers all of it, so a large answer on a slow way is given up however well it comes in, and begun anew. Ruled out: a longer time-out for all, since a connection that has fallen silent would show as late. Change: within_running takes the seconds for which progress puts its time-out off, exchange the same, and a function that learns of progress. Nobody uses it yet.

--- a/src/kelproad/transport/deadlines.py
+++ b/src/kelproad/transport/deadlines.py
@@ -54,7 +54,9 @@
 
 
 @contextlib.asynccontextmanager
-async def within_running(seconds: float) -> AsyncIterator[None]:
+async def within_running(
+    seconds: float, longest: float | None = None
+) -> AsyncIterator[Callable[[], None]]:
     """Bound the waits for the answer of another process.
 
     A standstill of this process shortly before the time-out, or beyond it, puts
@@ -66,11 +68,19 @@
     ----------
     seconds
         Seconds after which the block is interrupted with ``TimeoutError``.
+    longest
+        Seconds for which progress puts that off; none without it.
+
+    Yields
+    ------
+    Callable[[], None]
+        Records progress, from which the seconds are counted anew.
     """
     async with asyncio.timeout(None) as bound:
-        timer = _RunningTimer(seconds, bound)
+        timer = _RunningTimer(seconds, seconds if longest is None else longest)
+        timer.start(bound)
         try:
-            yield
+            yield timer.record_progress
         finally:
             timer.cancel()
 
@@ -78,18 +88,34 @@
 class _RunningTimer:
     """Makes a time-out due; a late call shows that the event loop was held."""
 
-    def __init__(self, seconds: float, bound: asyncio.Timeout) -> None:
+    def __init__(self, seconds: float, longest: float) -> None:
         self._loop = asyncio.get_running_loop()
         self._seconds = seconds
-        self._bound = bound
+        #: Loop time up to which progress puts the time-out off.
+        self._latest = self._loop.time() + longest
+        self._is_extended = longest > seconds
         self._put_off = float(0)
-        reading = min(seconds, _READING_SECONDS)
-        self._arm(seconds - reading, lambda: self._arm(reading, self._end))
+
+    def start(self, bound: asyncio.Timeout) -> None:
+        """Begin to count for a block."""
+        self._bound = bound
+        self._count(self._seconds)
+
+    def record_progress(self) -> None:
+        """Count the seconds anew, within the longest time."""
+        if self._is_extended:
+            self.cancel()
+            left = self._latest - self._loop.time()
+            self._count(min(self._seconds, max(0, left)))
 
     def cancel(self) -> None:
         """Let the block go on without a bound."""
         self._timer.cancel()
 
+    def _count(self, seconds: float) -> None:
+        reading = min(seconds, _READING_SECONDS)
+        self._arm(seconds - reading, lambda: self._arm(reading, self._end))
+
     def _arm(self, seconds: float, proceed: Callable[[], None]) -> None:
         due = self._loop.time() + seconds
         self._timer = self._loop.call_at(due, self._check, due, proceed)
--- a/src/kelproad/transport/exchanges.py
+++ b/src/kelproad/transport/exchanges.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import types
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import aiohttp
 import attrs
@@ -43,6 +43,10 @@
     sent: bool
 
 
+def _ignore_progress() -> None:
+    """Do nothing when bytes have arrived."""
+
+
 _TOO_LONG = ExchangeFailure('the answer is too long', sent=True)
 
 
@@ -55,15 +59,19 @@
     query: Mapping[str, str] | None = None,
     headers: Mapping[str, str] = _NO_HEADERS,
     max_bytes: int = _MAX_BYTES,
+    longest: float | None = None,
+    on_progress: Callable[[], None] = _ignore_progress,
 ) -> Result[Reply, ExchangeFailure]:
     """Send a request and read its complete answer within a time-out.
 
-    It is put off while this process stands still.  Redirects are not followed.
-    An answer of more than ``max_bytes`` is a failure.
+    It is put off while this process stands still, and with ``longest`` also
+    while bytes arrive, for as many seconds in all.  Redirects are not followed.
+    An answer of more than ``max_bytes`` is a failure.  ``on_progress`` is
+    called as pieces of the answer arrive.
     """
     try:
         async with (
-            within_running(seconds),
+            within_running(seconds, longest) as extend,
             session.request(
                 method,
                 url,
@@ -78,6 +86,8 @@
             length = 0
             async for piece in response.content.iter_any():
                 pieces.append(piece)
+                extend()
+                on_progress()
                 length += len(piece)
                 if length > max_bytes:
                     return Failure(_TOO_LONG)
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -284,3 +284,33 @@
         async with within_running(0.3):
             await asyncio.sleep(5)
     held[-1].cancel()
+
+
+async def test_an_answer_that_goes_on_arriving_is_not_given_up() -> None:
+    """Guards against a large answer that is begun anew for ever."""
+    async with within_running(0.2, longest=2) as record_progress:
+        for _ in range(6):
+            await asyncio.sleep(0.1)
+            record_progress()
+
+
+async def test_an_answer_that_arrives_for_too_long_is_given_up() -> None:
+    """Guards against an answer of single bytes without end."""
+    started = monotonic()
+    with pytest.raises(asyncio.TimeoutError):
+        async with within_running(0.2, longest=0.5) as record_progress:
+            while True:
+                await asyncio.sleep(0.05)
+                record_progress()
+    assert monotonic() - started < 0.5 + MARGIN
+
+
+async def test_an_answer_that_stops_arriving_is_given_up() -> None:
+    """Guards against a connection that falls silent in an answer."""
+    started = monotonic()
+    with pytest.raises(asyncio.TimeoutError):
+        async with within_running(0.2, longest=5) as record_progress:
+            await asyncio.sleep(0.1)
+            record_progress()
+            await asyncio.sleep(5)
+    assert monotonic() - started < 0.3 + MARGIN
