--- a/src/kelproad/coordination/ingress/retrying/attempting.py
+++ b/src/kelproad/coordination/ingress/retrying/attempting.py
@@ -15,9 +15,8 @@
 from ..limiting.gate import StartGate
 from ..limiting.waits import choose_longest_wait
 from ..placing.choosing import Chooser
-from ..placing.placement import NoPlacementError, Placement
+from ..placing.placement import AttemptAccount, NoPlacementError, Placement
 from ..quarantine.guard import PromptGuard
-from ..streams.accounting import AttemptAccount
 from ..streams.answers import AttemptFailure
 from ..streams.delivery import StreamDelivery
 from ..streams.progress import Attempt, Progress
--- a/src/kelproad/coordination/ingress/streams/sending.py
+++ b/src/kelproad/coordination/ingress/streams/sending.py
@@ -20,8 +20,7 @@
 from ....transport.deadlines import monotonic, within
 from ...drain import StopEndedError
 from ..placing.memory import MemoryReserver, Reservation
-from ..placing.placement import Placement
-from .accounting import AttemptAccount
+from ..placing.placement import AttemptAccount, Placement
 from .answers import AttemptFailure, OpenAnswer, collect
 from .attempts import EndpointClient
 from .delivery import Endurance, StreamDelivery
