Tables: a store that takes seconds for an answer still confirms its tables

What callers saw: while the store answers each call more than 1 s late, every call with a key is refused as "keys are not confirmed" from 4.5 s on, at all instances, for as long as it lasts; the same while a large configuration takes longer than the bound of one call. Cause: a call to the store ended after 1 s whatever it was doing, and was made again from the start, one after the other. Slow was taken for gone. Class: a fixed bound on a whole exchange. Ruled out: a longer bound alone (a connection that has fallen silent would hold up all news), and calls that begin with the answer of the one before (a store that takes 3 s confirms ages of 6 s). Change: a query without a byte for 1 s has another one sent beside it, four at most; the first answer counts, with the age of its own sending, and ends those before it. None is sent beside an answer whose bytes arrive. A query ends after 4 s without a byte, an answer after 15 s in all. What the store took last time tells when it counts as lost, so that a slow one is not lost with each answer. The delay between failures was computed with a power of two without bound, and overflowed after a thousand in a row (a test fails before); the task then began anew each time.

--- a/src/kelproad/coordination/ingress/tables/following.py
+++ b/src/kelproad/coordination/ingress/tables/following.py
@@ -9,18 +9,18 @@
 any table, the whole table is read again.
 """
 
-import asyncio
 import logging
 import math
 import random
 from collections.abc import Awaitable, Callable
 
 import attrs
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
 from ....state.records import record
 from ....transport.deadlines import monotonic, read_boottime
 from ....transport.services import BackgroundService, restarted_task
+from .openqueries import OpenQueries
 from .positions import StoreEras, TablePosition
 from .tablestates import (
     Provenance,
@@ -42,6 +42,7 @@
 #: retry together.
 _MIN_RETRY_DELAY = 0.05
 _MAX_RETRY_DELAY = 0.5
+_MAX_DOUBLINGS = 8
 #: Seconds between two queries to another instance: short, as they don't load
 #: the store, and tables relayed to this instance are older by this interval.
 _PEER_QUERY_PERIOD = 0.2
@@ -51,11 +52,18 @@
 #: Seconds between two looks for another instance that has the table, while the
 #: store sends all of it.
 _FIRST_QUERY_PERIOD = 0.02
+_OVERDUE = StoreProblem(StoreProblemKind.UNREACHABLE, 'no answer yet')
 
 
 @attrs.frozen
 class TableSource:
-    """How to read a table and to wait for its changes."""
+    """How to read a table and to wait for its changes.
+
+    Attributes
+    ----------
+    read_received_at
+        Returns the monotonic time at which bytes of an answer arrived last.
+    """
 
     name: str
     read: Callable[[], Awaitable[Result[TableState, StoreProblem]]]
@@ -63,6 +71,7 @@
         [Revision, float],
         Awaitable[Result[TableState, StoreProblem]],
     ]
+    read_received_at: Callable[[], float] = lambda: -math.inf
 
 
 @attrs.frozen
@@ -147,6 +156,7 @@
         self._peers = peers
         #: Monotonic time of the next call to the store, ``None`` until chosen.
         self._store_due: float | None = None
+        self._queries = OpenQueries(source.read_received_at)
         self._position = TablePosition(source.name, eras)
         self._failures = 0
         self.on_restored: Callable[[float], None] = _ignore_restoration
@@ -164,6 +174,11 @@
         """Query the store now, if that is due later."""
         if self._store_due is not None:
             self._store_due = monotonic()
+            self.wake()
+
+    def wake(self) -> None:
+        """Query another instance now, as one may have the table."""
+        self._queries.wake()
 
     def measure_age(self) -> float:
         """Return how many seconds old the table may be."""
@@ -189,28 +204,63 @@
 
     @restarted_task
     async def _follow(self) -> None:
-        while not self.should_stop:
-            sent_at = read_boottime()
-            relayed = await self._peers.query(self._position.base)
-            if relayed is not None:
-                self._accept(relayed, sent_at)
-                await asyncio.sleep(_PEER_QUERY_PERIOD)
-                continue
-            until_due = self._schedule_store() - monotonic()
-            if until_due > 0:
-                await asyncio.sleep(min(until_due, _PEER_QUERY_PERIOD))
-                continue
-            answered = await self._query_store()
-            if isinstance(answered, Failure):
-                self._record_failure(answered.failure())
-                continue
-            accepted = self._accept(answered.unwrap(), sent_at)
-            await asyncio.sleep(
+        try:
+            while not self.should_stop:
+                turned_at = read_boottime()
+                if not await self._follow_peer(turned_at):
+                    await self._follow_store(turned_at)
+        finally:
+            self._queries.discard()
+
+    async def _follow_peer(self, sent_at: float) -> bool:
+        """Take the table from another instance; return whether one had it.
+
+        ``sent_at`` is a boot time before the query, from which its age counts.
+        """
+        relayed = await self._peers.query(self._position.base)
+        if relayed is None:
+            return False
+        self._queries.discard()
+        self._accept(relayed, sent_at)
+        await self._queries.rest(_PEER_QUERY_PERIOD)
+        return True
+
+    async def _follow_store(self, sent_at: float) -> None:
+        """Query the store if that is due, and take what it has answered."""
+        until_due = max(
+            self._schedule_store() - monotonic(),
+            self._queries.measure_until_next(),
+        )
+        if until_due <= 0:
+            if self._queries.is_overdue:
+                # The next one is sent beside it, without a pause.
+                self._count_failure(_OVERDUE)
+            self._send_query(sent_at)
+            until_due = self._queries.measure_until_next()
+        answered = await self._queries.take(self._bound_wait(until_due))
+        if answered is None:
+            return
+        if isinstance(answered.outcome, Failure):
+            self._record_failure(answered.outcome.failure())
+        else:
+            accepted = self._accept(answered.outcome.unwrap(), answered.sent_at)
+            await self._queries.rest(
                 self._pause
                 if accepted
                 else _choose_delay(self._position.outdated_answers - 1)
             )
 
+    def _bound_wait(self, seconds: float) -> float:
+        """Bound the seconds until other instances are queried again.
+
+        One that has just started needs a table from whoever has it sooner: the
+        store sends it uncompressed, which may take half a second.
+        """
+        if self._position.base is None:
+            return min(seconds, _FIRST_QUERY_PERIOD)
+        is_reader = self.provenance is Provenance.STORE and not self._failures
+        return seconds if is_reader else min(seconds, _PEER_QUERY_PERIOD)
+
     def _schedule_store(self) -> float:
         """Choose when to query the store, if that is not chosen yet.
 
@@ -227,36 +277,19 @@
             )
         return self._store_due
 
-    async def _query_store(self) -> Result[TableState, StoreProblem]:
+    def _send_query(self, sent_at: float) -> None:
         base = self._position.base
         if base is None:
-            return await self._read_whole()
+            self._queries.send(self._source.read(), sent_at, 0)
+            return
         # After a failure the answer is needed at once, not at the next change,
         # to know whether the store is back; likewise when another instance has
-        # just failed to answer.
+        # just failed to answer, or the store is slow.
         direct = self.provenance is Provenance.STORE
-        waits = direct and not self._failures
+        waits = direct and not self._failures and self._queries.is_prompt
         wait_seconds = self._wait_seconds if waits else 0
-        return await self._source.await_changes(base, wait_seconds)
-
-    async def _read_whole(self) -> Result[TableState, StoreProblem]:
-        """Read the table from the store, or from whoever has it sooner.
-
-        The store sends it uncompressed.  A large one may take half a second, in
-        which an instance that has just started can serve nobody.
-        """
-        reading = asyncio.create_task(self._source.read())
-        try:
-            while not reading.done():
-                await asyncio.wait((reading,), timeout=_FIRST_QUERY_PERIOD)
-                relayed = (
-                    None if reading.done() else await self._peers.query(None)
-                )
-                if relayed is not None:
-                    return Success(relayed)
-            return reading.result()
-        finally:
-            reading.cancel()
+        query = self._source.await_changes(base, wait_seconds)
+        self._queries.send(query, sent_at, wait_seconds)
 
     def _accept(self, state: TableState, sent_at: float) -> bool:
         """Adopt a state; return false if it is outdated."""
@@ -322,8 +355,15 @@
         if problem.kind is StoreProblemKind.HISTORY_LOST:
             # Changes were missed; only the complete table shows what is valid.
             self._position.lose_changes()
+            self._queries.discard()
             record(_logger, 'store_history_lost', table=self._source.name)
             return
+        self._count_failure(problem)
+        bound = self._peers.measure_backoff() or _choose_delay(self._failures)
+        pause = self._generator.uniform(_MIN_RETRY_DELAY, bound)
+        self._store_due = monotonic() + pause
+
+    def _count_failure(self, problem: StoreProblem) -> None:
         self._failures += 1
         if self._failures == 1:
             record(
@@ -333,14 +373,12 @@
                 problem=problem.kind.value,
                 message=problem.message,
             )
-        bound = self._peers.measure_backoff() or _choose_delay(self._failures)
-        pause = self._generator.uniform(_MIN_RETRY_DELAY, bound)
-        self._store_due = monotonic() + pause
 
 
 def _choose_delay(failures: int) -> float:
     """Choose the delay in seconds after some failures in a row."""
-    return min(_MIN_RETRY_DELAY * 2**failures, _MAX_RETRY_DELAY)
+    doublings = min(failures, _MAX_DOUBLINGS)
+    return min(_MIN_RETRY_DELAY * 2**doublings, _MAX_RETRY_DELAY)
 
 
 def _ignore_restoration(_recovered_at: float) -> None:
--- a/src/kelproad/platform/node.py
+++ b/src/kelproad/platform/node.py
@@ -86,4 +86,5 @@
         table,
         functools.partial(client.read_table, table),
         functools.partial(client.await_changes, table),
+        functools.partial(client.read_received_at, table),
     )
--- a/src/kelproad/platform/store.py
+++ b/src/kelproad/platform/store.py
@@ -8,6 +8,7 @@
 import base64
 import binascii
 import logging
+import math
 import re
 import types
 from collections.abc import Callable
@@ -29,14 +30,17 @@
 from ..state.problems import UNREADABLE_ERRORS
 from ..state.records import OnceRecorder
 from ..transport.addresses import Address
+from ..transport.deadlines import monotonic
 from ..transport.exchanges import ExchangeFailure, Reply, exchange
 
 __all__ = ['StoreClient']
 
 _logger = logging.getLogger(__name__)
-#: Seconds for a call that does not wait for changes.  The store takes some
-#: 4 ms, and up to 60 times as long when it is slow.
-_CALL_TIMEOUT = 1.0
+#: Seconds without a byte of an answer that does not wait for changes.  Later
+#: answers confirm no keys any more.
+_SILENCE_TIMEOUT = 4.0
+#: Seconds for an answer that goes on arriving.
+_LONGEST_ANSWER = 15.0
 _MAX_ROWS_PER_PAGE = 500
 _TOO_MANY_CALLS = 429
 _HISTORY_LOST = 410
@@ -91,6 +95,12 @@
     _recorder: OnceRecorder = attrs.field(
         factory=lambda: OnceRecorder(_logger),
     )
+    #: Monotonic times at which bytes of an answer arrived last, by table.
+    _received_at: dict[str, float] = attrs.field(factory=dict)
+
+    def read_received_at(self, table: str) -> float:
+        """Return the monotonic time of the last byte about a table."""
+        return self._received_at.get(table, -math.inf)
 
     async def read_table(self, table: str) -> Result[TableState, StoreProblem]:
         """Read all rows of a table, page by page.
@@ -102,7 +112,7 @@
         revision = None
         query = {'table': table, 'part': '', 'limit': str(_MAX_ROWS_PER_PAGE)}
         while True:
-            page = await self._get('rows-get', query, _CALL_TIMEOUT)
+            page = await self._get('rows-get', query, _SILENCE_TIMEOUT)
             if isinstance(page, Failure):
                 return page
             answered = page.unwrap()
@@ -135,7 +145,7 @@
         answered = await self._get(
             'rows-feed',
             query,
-            wait_seconds + _CALL_TIMEOUT,
+            wait_seconds + _SILENCE_TIMEOUT,
         )
         return answered.map(
             lambda page: TableState(page.revision, page.rows, whole=False),
@@ -165,7 +175,7 @@
             'rows-tx',
             {},
             msgspec.json.encode(body),
-            _CALL_TIMEOUT,
+            _SILENCE_TIMEOUT,
         )
         return answered.map(lambda _: None)
 
@@ -188,6 +198,9 @@
         body: bytes | None,
         seconds: float,
     ) -> Result[Reply, StoreProblem]:
+        def record_progress() -> None:  # noqa: WPS430  closure
+            self._received_at[query.get('table', '')] = monotonic()
+
         answered = await exchange(
             self._session,
             method,
@@ -196,6 +209,8 @@
             body,
             query,
             {'Content-Type': 'application/json'} if body else {},
+            longest=seconds + _LONGEST_ANSWER,
+            on_progress=record_progress,
         )
         answered.map(lambda reply: self._find_era(reply, name))
         checked = answered.alt(_convert_failure).bind(_check_reply)
--- a/tests/ingress/test_following.py
+++ b/tests/ingress/test_following.py
@@ -248,3 +248,21 @@
         await asyncio.sleep(0)
     assert [adopted.revision.version for adopted in script.adopted] == [5]
     assert script.abandoned
+
+
+async def test_an_outage_of_any_length_is_followed() -> None:
+    """Guards against a delay that overflows after a thousand failures."""
+    failed = fail(StoreProblemKind.UNREACHABLE)
+    script = Script(state(5, whole=True), failed, state(5), state(5))
+    follower = create_follower(script)
+    script.follower = follower
+
+    def fail_for_hours() -> None:
+        follower._failures = 2_000
+
+    script.on_failure = fail_for_hours
+    failed_tasks: list[str] = []
+    follower.on_task_failed = failed_tasks.append
+    await TableFollower._follow.fun(follower)
+    assert not follower.failing
+    assert failed_tasks == []
--- a/tests/ingress/test_slow_store_site.py
+++ b/tests/ingress/test_slow_store_site.py
@@ -48,7 +48,7 @@
     return sum(not sent.served for sent in load.calls)
 
 
-@pytest.mark.parametrize('delay', [1.1, 2.0, 3.0])
+@pytest.mark.parametrize('delay', [1.1, 2.0, 2.5, 3.0])
 def test_keys_hold_while_the_store_answers_late(
     site: CuttableSite, delay: float
 ) -> None:
