Refusals: callers are sent on at once only where most others serve

Cause: is_confirmed_elsewhere was a bare yes. With no live peer at all it said yes because some had been heard once, and one confirmed instance of eight was enough for it. So all instances of a site sent callers on after 0.02 s while none, or one, could serve; each return was one more refused request.

Change: PeerRegister.judge_confirmed returns what is known (ConfirmedElsewhere: widely, partly, presumably, nowhere), decided by a pure function of the reported ages. The admitter tells 0.02 s only if at least half of the live peers reported a confirmation in the last 2 s; 0.2 s if fewer did, or if it is only a guess that this instance or its zone is cut off; 1 s if nobody is confirmed. Readiness goes by the same and behaves as before. Reports age by the boot clock, as own tables do: after a suspension of all machines each took the others' old reports for fresh. A peer that starts anew and states no age counts as unconfirmed; before, the report of its ended process went on counting.

Tests: those of test_exchange.py now assert the exact answer where they asserted yes or no.

--- a/src/kelproad/coordination/ingress/admission/admitting.py
+++ b/src/kelproad/coordination/ingress/admission/admitting.py
@@ -7,6 +7,7 @@
 import functools
 import random
 from collections.abc import Callable
+from types import MappingProxyType
 
 from aiohttp import web
 from returns.result import Failure, Result, Success
@@ -16,8 +17,9 @@
 from ....state.calls import Call, CallHead
 from ....state.refusals import Refusal, RefusalCode, Step
 from ....state.routes import Route, RoutedWorkspace, RoutingConfiguration
-from ....transport.deadlines import monotonic, within
+from ....transport.deadlines import within
 from ...drain import StopEndedError
+from ..membership.confirmed import ConfirmedElsewhere
 from ..settings import Bounds
 from ..tables.confirming import ConfirmationWait
 from ..tables.holder import ConfigurationHolder
@@ -35,9 +37,18 @@
 #: from the sending of the query, and the bound from the sending of the call, so
 #: that no delay makes either shorter.
 _TRUSTED_SHARE = 0.9
-#: Seconds after which a caller should retry while no instance has a current
-#: configuration: most outages of the store last some seconds.
-_UNCONFIRMED_RETRY = 1.0
+#: Seconds after which a caller should retry, by where the configuration is
+#: current: at once if the next instance probably serves it; most outages of the
+#: store last some seconds.  What is only presumed may be wrong, and then each
+#: return is in vain.
+_RETRIES = MappingProxyType(
+    {
+        ConfirmedElsewhere.WIDELY: ELSEWHERE_RETRY,
+        ConfirmedElsewhere.PARTLY: 0.2,
+        ConfirmedElsewhere.PRESUMABLY: 0.2,
+        ConfirmedElsewhere.NOWHERE: 1.0,
+    }
+)
 #: Bounds of the seconds after which callers return for whose bodies there is no
 #: room; at random, so that they don't all come at once.
 _ROOM_RETRIES = (0.5, 1.5)
@@ -56,7 +67,7 @@
         holder: ConfigurationHolder,
         measure_age: Callable[[], float],
         is_complete: Callable[[], bool],
-        is_confirmed_elsewhere: Callable[[float], bool],
+        judge_confirmed: Callable[[], ConfirmedElsewhere],
         is_store_failing: Callable[[], bool],
         stop_guard: StopGuard,
         read_bounds: Callable[[], Bounds],
@@ -66,13 +77,13 @@
 
         ``measure_age`` returns its possible age in seconds, ``is_complete``
         whether nothing is missing in it that a restored store has lost,
-        ``is_confirmed_elsewhere`` whether another instance has a current one,
-        and ``is_store_failing`` whether the last attempt to read it failed.
+        ``judge_confirmed`` whether other instances have a current one, and
+        ``is_store_failing`` whether the last attempt to read it failed.
         """
         self._holder = holder
         self._measure_age = measure_age
         self._is_complete = is_complete
-        self._is_confirmed_elsewhere = is_confirmed_elsewhere
+        self._judge_confirmed = judge_confirmed
         self._is_store_failing = is_store_failing
         self._stop_guard = stop_guard
         self._read_bounds = read_bounds
@@ -185,15 +196,14 @@
     def _refuse_unconfirmed(self, message: str) -> Refusal:
         """Refuse because there is no current configuration.
 
-        Callers retry at another instance, so if one has a current configuration
-        they should do so at once, within their objective.
+        Callers retry at another instance, so if most have a current
+        configuration they should do so at once, within their objective.
         """
-        elsewhere = self._is_confirmed_elsewhere(monotonic())
         return Refusal(
             RefusalCode.NOT_READY,
             message,
             Step.CONFIGURE,
-            retry_after=ELSEWHERE_RETRY if elsewhere else _UNCONFIRMED_RETRY,
+            retry_after=_RETRIES[self._judge_confirmed()],
         )
 
     def _take_room(self, held: CallBytes, size: int) -> Refusal | None:
--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -82,7 +82,7 @@
             shared.holder,
             shared.measure_age,
             shared.is_configuration_complete,
-            exchange.peers.is_confirmed_elsewhere,
+            lambda: exchange.peers.judge_confirmed(monotonic()),
             shared.is_store_failing,
             stop_guard,
             shared.read_bounds,
--- a/src/kelproad/coordination/ingress/membership/peers.py
+++ b/src/kelproad/coordination/ingress/membership/peers.py
@@ -9,13 +9,15 @@
 
 from ....state.records import record
 from ....transport.addresses import Address
+from ....transport.deadlines import read_boottime
 from ..settings import NodeSettings
-from ..tables.readers import MAX_RELAYED_AGE, Reader
+from ..tables.readers import Reader
 from ..tables.tablestates import Provenance
+from .confirmed import ConfirmedElsewhere, judge_confirmed
 from .reachability import ZoneReachability
 from .updates import PeerUpdate
 
-__all__ = ['CONFIRMED_SECONDS', 'MAX_FULL_MESH_PEERS', 'Peer', 'PeerRegister']
+__all__ = ['MAX_FULL_MESH_PEERS', 'Peer', 'PeerRegister']
 
 _logger = logging.getLogger(__name__)
 #: Number of instances of other zones up to which each of them is sent
@@ -23,9 +25,6 @@
 MAX_FULL_MESH_PEERS = 20
 #: Seconds without a datagram after which a peer no longer counts as live.
 _LIVE_SECONDS = 3.0
-#: Seconds after its confirmation for which the configuration of an instance
-#: counts as known: as long as it may be relayed.
-CONFIRMED_SECONDS = MAX_RELAYED_AGE
 #: Seconds after which a silent peer that the store doesn't list is dropped.
 _DROP_SECONDS = 30.0
 
@@ -35,7 +34,8 @@
     """An instance that datagrams are sent to.
 
     ``order`` is that of the last datagram accepted, as datagrams may overtake
-    each other; ``confirmed_at`` is when its configuration was last confirmed.
+    each other; ``confirmed_at`` is the boot time at which its configuration was
+    last confirmed, as it ages while all machines are suspended, too.
     ``zone`` is empty until the instance, or its row in the store, states it.
     ``lost_paths`` is the number of endpoints that it can't connect to,
     ``configuration`` the version that it has in force.
@@ -148,8 +148,7 @@
         peer.provenance = update.provenance
         peer.lost_paths = update.lost_paths
         peer.configuration = update.configuration
-        if update.unconfirmed_for is not None:
-            peer.confirmed_at = now - update.unconfirmed_for
+        peer.confirmed_at = _find_confirmed_at(update)
         if update.zone_reader is not None:
             reader = Reader(
                 update.zone_reader.instance,
@@ -262,11 +261,11 @@
         )
         return 1 + live + reachable
 
-    def is_confirmed_elsewhere(self, now: float) -> bool:
-        """Return whether another instance probably has a fresh configuration.
+    def judge_confirmed(self, now: float) -> ConfirmedElsewhere:
+        """Judge whether other instances have a fresh configuration.
 
-        Either one reports so, or no other zone is received from any more, so
-        that it is this instance, or its zone, that is cut off.
+        If no other zone, or no peer at all, is received from any more, it is
+        probably this instance, or its zone, that is cut off.
         """
         received = [
             peer
@@ -274,12 +273,12 @@
             if math.isfinite(peer.received_at)
         ]
         live = [peer for peer in received if peer.is_live(now)]
-        if not live:
-            return bool(received)
-        newest = max(peer.confirmed_at for peer in live)
-        if now - newest < CONFIRMED_SECONDS:
-            return True
-        return self._is_zone_isolated(received, now)
+        is_alone = bool(received) and not live
+        boot_now = read_boottime()
+        return judge_confirmed(
+            [boot_now - peer.confirmed_at for peer in live],
+            is_alone or self._is_zone_isolated(received, now),
+        )
 
     def list_live(self, now: float) -> list[Reader]:
         """List the live instances, and the readers of zones named lately."""
@@ -305,3 +304,10 @@
         return bool(others) and all(
             self._reachability.is_suspect(zone, now) for zone in others
         )
+
+
+def _find_confirmed_at(update: PeerUpdate) -> float:
+    """Find the boot time at which a peer's configuration was confirmed."""
+    if update.unconfirmed_for is None:
+        return float('-inf')
+    return read_boottime() - update.unconfirmed_for
--- a/src/kelproad/coordination/ingress/readiness.py
+++ b/src/kelproad/coordination/ingress/readiness.py
@@ -7,7 +7,8 @@
 from ...transport.deadlines import monotonic
 from ..drain import Drain, DrainPhase
 from .membership.catchup import ConfigurationCatchUp
-from .membership.peers import CONFIRMED_SECONDS, PeerRegister
+from .membership.confirmed import CONFIRMED_SECONDS, ConfirmedElsewhere
+from .membership.peers import PeerRegister
 from .membership.rostering import Roster
 from .settings import Bounds
 from .tables.followed import FollowedTables
@@ -55,10 +56,10 @@
         if self._catch_up.is_behind:
             return 'other instances have a newer configuration'
         age = self._tables.configuration.measure_age()
-        if age > CONFIRMED_SECONDS and (
-            self._peers.is_confirmed_elsewhere(monotonic())
-        ):
-            return 'other instances reach the store'
+        if age > CONFIRMED_SECONDS:
+            elsewhere = self._peers.judge_confirmed(monotonic())
+            if elsewhere is not ConfirmedElsewhere.NOWHERE:
+                return 'other instances reach the store'
         if age > self._read_bounds().revoke_key * _UNREADY_SHARE:
             return 'the store is out of reach'
         return ''
--- a/tests/ingress/test_admitting.py
+++ b/tests/ingress/test_admitting.py
@@ -17,6 +17,9 @@
     StopGuard,
     plan_stop,
 )
+from kelproad.coordination.ingress.membership.confirmed import (
+    ConfirmedElsewhere,
+)
 from kelproad.coordination.ingress.settings import Bounds
 from kelproad.coordination.ingress.tables.confirming import ConfirmationWait
 from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
@@ -35,13 +38,14 @@
     holder: ConfigurationHolder,
     store_failing: bool = False,
     complete: bool = True,
+    elsewhere: ConfirmedElsewhere = ConfirmedElsewhere.NOWHERE,
 ) -> Admitter:
     """Build the admitter of an instance whose configuration is fresh."""
     return Admitter(
         holder,
         int,
         lambda: complete,
-        lambda _now: False,
+        lambda: elsewhere,
         lambda: store_failing,
         StopGuard(Drain(int, lambda: plan_stop(8))),
         lambda: types.SimpleNamespace(apply_configuration=3),
@@ -149,3 +153,23 @@
     again = monotonic()
     await wait.wait()
     assert monotonic() - again < ARRIVES_AFTER
+
+
+@pytest.mark.parametrize(
+    ('elsewhere', 'retry_after'),
+    [
+        (ConfirmedElsewhere.WIDELY, 0.02),
+        (ConfirmedElsewhere.PARTLY, 0.2),
+        (ConfirmedElsewhere.PRESUMABLY, 0.2),
+        (ConfirmedElsewhere.NOWHERE, 1.0),
+    ],
+)
+async def test_callers_are_sent_on_at_once_only_to_instances_that_serve(
+    elsewhere: ConfirmedElsewhere, retry_after: float
+) -> None:
+    """Guards against callers who come back fifty times a second in vain."""
+    admitter = create_admitter(
+        ConfigurationHolder(), store_failing=True, elsewhere=elsewhere
+    )
+    refused = await admit(admitter)
+    assert refused.failure().retry_after == retry_after
--- a/tests/ingress/test_exchange.py
+++ b/tests/ingress/test_exchange.py
@@ -5,6 +5,10 @@
 import pytest
 
 from kelproad.coordination.ingress.membership import exchange as exchange_module
+from kelproad.coordination.ingress.membership import peers as peers_module
+from kelproad.coordination.ingress.membership.confirmed import (
+    ConfirmedElsewhere,
+)
 from kelproad.coordination.ingress.membership.exchange import (
     TableGauges,
     WorkExchange,
@@ -56,9 +60,10 @@
 
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
-    """Replace the clock of the exchange."""
+    """Replace the clocks of the exchange."""
     fake = Clock()
     monkeypatch.setattr(exchange_module, 'monotonic', lambda: fake.now)
+    monkeypatch.setattr(peers_module, 'read_boottime', lambda: fake.now)
     return fake
 
 
@@ -245,15 +250,16 @@
     clock: Clock,
 ) -> None:
     """One instance lost the store; a peer may still reach it."""
-    assert not here.exchange.peers.is_confirmed_elsewhere(clock.now)
+    judge = here.exchange.peers.judge_confirmed
+    assert judge(clock.now) is ConfirmedElsewhere.NOWHERE
     here.hear(there.build_report())
-    assert here.exchange.peers.is_confirmed_elsewhere(clock.now)
+    assert judge(clock.now) is ConfirmedElsewhere.WIDELY
     there.age = 5
     clock.now += 1
     here.hear(there.build_report())
-    assert not here.exchange.peers.is_confirmed_elsewhere(clock.now)
+    assert judge(clock.now) is ConfirmedElsewhere.NOWHERE
     # No peer is received any more: this instance is the one cut off.
-    assert here.exchange.peers.is_confirmed_elsewhere(clock.now + 10)
+    assert judge(clock.now + 10) is ConfirmedElsewhere.PRESUMABLY
 
 
 def test_a_partitioned_zone_sends_callers_to_other_zones(
@@ -271,10 +277,14 @@
     clock.now += SILENT_SECONDS
     neighbour.age = 5
     here.hear(neighbour.build_report())
-    assert here.exchange.peers.is_confirmed_elsewhere(clock.now)
+    judge = here.exchange.peers.judge_confirmed
+    # The other zone reported to be confirmed, and then, too long ago.
+    assert judge(clock.now) is ConfirmedElsewhere.WIDELY
+    clock.now += 1.5
+    assert judge(clock.now) is ConfirmedElsewhere.PRESUMABLY
     there.age = 5
     here.hear(there.build_report())
-    assert not here.exchange.peers.is_confirmed_elsewhere(clock.now)
+    assert judge(clock.now) is ConfirmedElsewhere.NOWHERE
 
 
 def test_reports_are_accepted_after_a_clock_is_set_back(
--- a/tests/ingress/test_peer_register.py
+++ b/tests/ingress/test_peer_register.py
@@ -2,6 +2,11 @@
 
 import pytest
 
+from kelproad.coordination.ingress.membership import peers as peers_module
+from kelproad.coordination.ingress.membership.confirmed import (
+    ConfirmedElsewhere,
+    judge_confirmed,
+)
 from kelproad.coordination.ingress.membership.peers import PeerRegister
 from kelproad.coordination.ingress.membership.reachability import (
     ZoneReachability,
@@ -37,11 +42,25 @@
 
 
 def hear(
-    peers: PeerRegister, now: float, sequence: int, started_at: int = 1
+    peers: PeerRegister,
+    now: float,
+    sequence: int,
+    started_at: int = 1,
+    unconfirmed_for: float | None = 0,
 ) -> None:
     """Receive a report of the peer."""
     peers.accept(
-        PeerUpdate('there', PEER, 'a', started_at, sequence, False, 0, []), now
+        PeerUpdate(
+            'there',
+            PEER,
+            'a',
+            started_at,
+            sequence,
+            False,
+            unconfirmed_for,
+            [],
+        ),
+        now,
     )
 
 
@@ -59,3 +78,43 @@
     assert greeted == [PEER, PEER]
     hear(peers, 20.0, 3, started_at=2)
     assert greeted == [PEER, PEER, PEER]
+
+
+@pytest.mark.parametrize(
+    ('ages', 'is_cut_off', 'judged'),
+    [
+        ((0.3, 1.9, 9.0), False, ConfirmedElsewhere.WIDELY),
+        ((0.3, 9.0), True, ConfirmedElsewhere.WIDELY),
+        ((0.1, 2.1, 9.0), False, ConfirmedElsewhere.PARTLY),
+        ((2.1, 9.0), True, ConfirmedElsewhere.PRESUMABLY),
+        ((), True, ConfirmedElsewhere.PRESUMABLY),
+        ((2.1, float('inf')), False, ConfirmedElsewhere.NOWHERE),
+        ((), False, ConfirmedElsewhere.NOWHERE),
+    ],
+)
+def test_what_is_known_of_other_instances_is_told_apart(
+    ages: tuple[float, ...], is_cut_off: bool, judged: ConfirmedElsewhere
+) -> None:
+    """Guards against callers sent on to instances that can't serve either."""
+    assert judge_confirmed(ages, is_cut_off) is judged
+
+
+def test_reports_age_while_all_machines_are_suspended(
+    peers: PeerRegister, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against old confirmations that pass for fresh after a pause."""
+    boot_now = 500.0
+    monkeypatch.setattr(peers_module, 'read_boottime', lambda: boot_now)
+    hear(peers, 10.0, 1)
+    assert peers.judge_confirmed(10.1) is ConfirmedElsewhere.WIDELY
+    boot_now = 560.0
+    assert peers.judge_confirmed(10.2) is ConfirmedElsewhere.NOWHERE
+
+
+def test_a_peer_that_starts_anew_has_confirmed_nothing(
+    peers: PeerRegister,
+) -> None:
+    """Guards against confirmations of a process that has ended."""
+    hear(peers, 10.0, 1)
+    hear(peers, 10.1, 1, started_at=2, unconfirmed_for=None)
+    assert peers.judge_confirmed(10.1) is ConfirmedElsewhere.NOWHERE
