Admission: a call waits where its confirmation is near

Cause: an instance whose keys were unconfirmed while another was confirmed would be confirmed itself some tenths of a second later, and yet sent its callers on, who met others that were no further. The wait for an overdue confirmation was once an outage, so it had passed long before the store was back.

Change: a call that would be refused for lack of a confirmation waits for it while it is expected: a live peer reports one, or this instance or its machine stood still for a second or more up to a second ago (by the boot clock). It waits until 0.3 s after its arrival, or 0.3 of the caller's time, and is told 1 s if in vain. Where nobody is confirmed it is refused at once. One look-out serves all that wait.

The keys' bound is as before: whether they are trusted is judged after the wait.

Tests: the builder of the admitter uses Bounds with the same time in place of a namespace; what calls do is asserted by time and Retry-After.

--- a/src/kelproad/coordination/ingress/admission/admitting.py
+++ b/src/kelproad/coordination/ingress/admission/admitting.py
@@ -8,7 +8,9 @@
 import random
 from collections.abc import Callable
 from types import MappingProxyType
+from typing import TypeAlias
 
+import attrs
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
@@ -22,6 +24,7 @@
 from ..membership.confirmed import ConfirmedElsewhere
 from ..settings import Bounds
 from ..tables.confirming import ConfirmationWait
+from ..tables.expecting import ExpectedConfirmation
 from ..tables.holder import ConfigurationHolder
 from .stopping import ELSEWHERE_RETRY, StopGuard, refuse_stopping
 
@@ -55,8 +58,19 @@
 #: Seconds that a call waits for the first configuration of an instance that has
 #: just started: sent back, most callers would meet others that start as well.
 _FIRST_CONFIGURATION_WAIT = 0.25
+#: Seconds after its arrival until which a call waits for a confirmation that
+#: is expected, and the largest share of the caller's time for that.  Instances
+#: hear of the store soon after each other, and callers abandon an attempt that
+#: is not read within a third of their time.
+_EXPECTED_WAIT = 0.3
+_EXPECTED_WAIT_SHARE = 0.3
+#: Seconds after a standstill in which a store that is well has answered.
+_RESUMED_SECONDS = 1.0
 #: Bytes of a header field in addition to name and text: separators, line end.
 _FIELD_BYTES = 4
+_Identified: TypeAlias = tuple[
+    RoutingConfiguration, Route, RoutedWorkspace | None
+]
 
 
 class Admitter:
@@ -69,6 +83,7 @@
         is_complete: Callable[[], bool],
         judge_confirmed: Callable[[], ConfirmedElsewhere],
         is_store_failing: Callable[[], bool],
+        measure_since_standstill: Callable[[], float],
         stop_guard: StopGuard,
         read_bounds: Callable[[], Bounds],
         generator: random.Random,
@@ -77,8 +92,10 @@
 
         ``measure_age`` returns its possible age in seconds, ``is_complete``
         whether nothing is missing in it that a restored store has lost,
-        ``judge_confirmed`` whether other instances have a current one, and
-        ``is_store_failing`` whether the last attempt to read it failed.
+        ``judge_confirmed`` whether other instances have a current one,
+        ``is_store_failing`` whether the last attempt to read it failed, and
+        ``measure_since_standstill`` the seconds since this process stood still
+        for long.
         """
         self._holder = holder
         self._measure_age = measure_age
@@ -88,9 +105,13 @@
         self._stop_guard = stop_guard
         self._read_bounds = read_bounds
         self._generator = generator
+        self._measure_since_standstill = measure_since_standstill
         self._confirmation_wait = ConfirmationWait(
             measure_age, lambda: read_bounds().apply_configuration
         )
+        self._expected = ExpectedConfirmation(
+            measure_age, self._choose_longest_age, self._is_confirmation_near
+        )
 
     @property
     def trusted(self) -> bool:
@@ -99,8 +120,7 @@
         A revoked key must not work anywhere after a bounded time, even where
         the store cannot be reached.
         """
-        trusted_for = self._read_bounds().revoke_key * _TRUSTED_SHARE
-        return self._measure_age() < trusted_for
+        return self._measure_age() < self._read_trusted_age()
 
     async def admit(
         self,
@@ -113,19 +133,10 @@
 
         ``held`` counts the bytes of the body, for which there must be room.
         """
-        if self._holder.current is not None:
-            await self._confirmation_wait.wait()
-        configuration = self._holder.current or await self._await_first()
-        if configuration is None:
-            return Failure(self._refuse_unconfirmed('no configuration yet'))
-        if _measure_head(http_request) > configuration.limits.max_header_bytes:
-            return Failure(_refuse_long_head())
-        route = configuration.find_route(head.host, head.path)
-        if route is None:
-            return Failure(self._refuse_unknown(RefusalCode.NOT_FOUND))
-        identified = self._find_workspace(configuration, route, head)
+        identified = await self._identify(head, http_request, arrived)
         if isinstance(identified, Failure):
             return identified
+        configuration, route, workspace = identified.unwrap()
         service = self._choose_service(route)
         profile = configuration.find_profile(service)
         deadline = _choose_deadline(route, head, arrived)
@@ -146,7 +157,7 @@
                 head,
                 route,
                 service,
-                identified.unwrap(),
+                workspace,
                 received,
                 arrived,
                 deadline,
@@ -156,11 +167,44 @@
             ),
         )
 
-    async def _await_first(self) -> RoutingConfiguration | None:
+    async def _identify(
+        self, head: CallHead, http_request: web.Request, arrived: float
+    ) -> Result[_Identified, Refusal]:
+        """Find route and workspace, waiting for a confirmation that is near."""
+        if self._holder.current is None:
+            await self._await_first()
+        else:
+            await self._confirmation_wait.wait()
+        identified = self._look_up(head, http_request)
+        is_unconfirmed = isinstance(identified, Failure) and (
+            identified.failure().code is RefusalCode.NOT_READY
+        )
+        if not (is_unconfirmed and self._expected.is_expected):
+            return identified
+        came = await self._expected.wait(_choose_wait_end(head, arrived))
+        identified = self._look_up(head, http_request)
+        return identified if came else identified.alt(_send_away)
+
+    async def _await_first(self) -> None:
         """Wait for the first configuration, unless the store has failed."""
-        if self._is_store_failing():
-            return None
-        return await self._holder.await_first(_FIRST_CONFIGURATION_WAIT)
+        if not self._is_store_failing():
+            await self._holder.await_first(_FIRST_CONFIGURATION_WAIT)
+
+    def _look_up(
+        self, head: CallHead, http_request: web.Request
+    ) -> Result[_Identified, Refusal]:
+        """Find route and workspace in the configuration in force."""
+        configuration = self._holder.current
+        if configuration is None:
+            return Failure(self._refuse_unconfirmed('no configuration yet'))
+        if _measure_head(http_request) > configuration.limits.max_header_bytes:
+            return Failure(_refuse_long_head())
+        route = configuration.find_route(head.host, head.path)
+        if route is None:
+            return Failure(self._refuse_unknown(RefusalCode.NOT_FOUND))
+        return self._find_workspace(configuration, route, head).map(
+            lambda workspace: (configuration, route, workspace)
+        )
 
     def _find_workspace(
         self,
@@ -206,6 +250,22 @@
             retry_after=_RETRIES[self._judge_confirmed()],
         )
 
+    def _read_trusted_age(self) -> float:
+        """Read the age up to which keys are trusted, in seconds."""
+        return self._read_bounds().revoke_key * _TRUSTED_SHARE
+
+    def _choose_longest_age(self) -> float:
+        """Choose the age up to which no call is refused for it."""
+        longest = self._read_bounds().apply_configuration
+        return min(longest, self._read_trusted_age())
+
+    def _is_confirmation_near(self) -> bool:
+        """Return whether a confirmation will probably come within a moment."""
+        return (
+            self._judge_confirmed().is_reported
+            or self._measure_since_standstill() < _RESUMED_SECONDS
+        )
+
     def _take_room(self, held: CallBytes, size: int) -> Refusal | None:
         """Count bytes of a body, or refuse its call if there is no room."""
         if held.try_add(size):
@@ -248,6 +308,21 @@
     )
 
 
+def _choose_wait_end(head: CallHead, arrived: float) -> float:
+    """Choose the time until which a call waits for a confirmation."""
+    if head.time_allowed is None:
+        return arrived + _EXPECTED_WAIT
+    longest = head.time_allowed * _EXPECTED_WAIT_SHARE
+    return arrived + min(longest, _EXPECTED_WAIT)
+
+
+def _send_away(refusal: Refusal) -> Refusal:
+    """Have a caller return later, as waiting was in vain."""
+    return attrs.evolve(
+        refusal, retry_after=_RETRIES[ConfirmedElsewhere.NOWHERE]
+    )
+
+
 def _choose_deadline(route: Route, head: CallHead, arrived: float) -> float:
     allowed = head.time_allowed
     longest = route.timeout or _DEFAULT_SECONDS
--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -84,6 +84,7 @@
             shared.is_configuration_complete,
             lambda: exchange.peers.judge_confirmed(monotonic()),
             shared.is_store_failing,
+            shared.running_clock.measure_since_standstill,
             stop_guard,
             shared.read_bounds,
             shared.generator,
--- a/src/kelproad/coordination/ingress/tables/confirming.py
+++ b/src/kelproad/coordination/ingress/tables/confirming.py
@@ -6,19 +6,17 @@
 has just started can't know whether it reads such a copy; other instances do.
 """
 
-import asyncio
 from collections.abc import Callable
 
 import attrs
 
 from ....transport.deadlines import monotonic, read_boottime
+from .lookouts import LookOut
 
 __all__ = ['Confirmation', 'ConfirmationWait']
 
-#: Seconds that calls wait once for a confirmation that is overdue, and seconds
-#: between two looks for it.
+#: Seconds that calls wait once for a confirmation that is overdue.
 _OVERDUE_WAIT = 0.25
-_LOOK_PERIOD = 0.01
 
 
 class Confirmation:
@@ -140,20 +138,15 @@
     _read_longest_age: Callable[[], float]
     #: Monotonic time until which calls wait, ``None`` while none is overdue.
     _until: float | None = None
-    #: Looks for it, for all calls that wait.
-    _looking: asyncio.Task[None] | None = None
+    _look_out: LookOut = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Look out for all calls together."""
+        self._look_out = LookOut(self._is_expected)
 
     async def wait(self) -> None:
         """Wait until the configuration is confirmed, or none is expected."""
-        if not self._is_expected():
-            return
-        if self._looking is None or self._looking.done():
-            self._looking = asyncio.create_task(self._look())
-        await asyncio.shield(self._looking)
-
-    async def _look(self) -> None:
-        while self._is_expected():
-            await asyncio.sleep(_LOOK_PERIOD)
+        await self._look_out.wait()
 
     def _is_expected(self) -> bool:
         if self._measure_age() <= self._read_longest_age():
--- a/src/kelproad/transport/deadlines.py
+++ b/src/kelproad/transport/deadlines.py
@@ -24,6 +24,8 @@
 #: Seconds by which a beat may be late before the loop counts as having stood
 #: still: garbage collection and large configurations take less.
 _TOLERANCE_SECONDS = 0.1
+#: Seconds of a long standstill, in which much may have changed elsewhere.
+_LONG_SECONDS = 1.0
 #: Seconds before a time-out in which a standstill also puts it off: enough to
 #: read what has arrived.
 _READING_SECONDS = 0.1
@@ -158,6 +160,18 @@
         self._record_delay = record_delay
         self._read_time = read_time
         self._read_at: float | None = None
+        #: Boot times of the last reading, and of the first one after the last
+        #: long standstill.
+        self._boot_read_at = float('inf')
+        self._resumed_at = float('-inf')
+
+    def measure_since_standstill(self) -> float:
+        """Return the seconds since this process, or its machine, went on.
+
+        Only long standstills count, of a second and more.
+        """
+        self.read()
+        return read_boottime() - self._resumed_at
 
     def read(self) -> float:
         """Read the clock, in seconds.
@@ -170,6 +184,7 @@
             if late > _TOLERANCE_SECONDS:
                 self.stood_still += late
             self._read_at = now
+            self._note_resumption()
         return now - self.stood_still
 
     async def keep_beating(self) -> None:
@@ -183,3 +198,11 @@
                 self.read()
         finally:
             self._read_at = None
+            self._boot_read_at = float('inf')
+
+    def _note_resumption(self) -> None:
+        """Record that the process goes on after a long standstill."""
+        boot_now = read_boottime()
+        if boot_now - self._boot_read_at >= _LONG_SECONDS:
+            self._resumed_at = boot_now
+        self._boot_read_at = boot_now
--- a/tests/ingress/test_admitting.py
+++ b/tests/ingress/test_admitting.py
@@ -4,6 +4,7 @@
 import math
 import random
 import types
+from collections.abc import Callable
 
 import pytest
 from returns.result import Failure, Result, Success
@@ -21,7 +22,13 @@
     ConfirmedElsewhere,
 )
 from kelproad.coordination.ingress.settings import Bounds
+from kelproad.coordination.ingress.tables import (
+    expecting as expecting_module,
+)
 from kelproad.coordination.ingress.tables.confirming import ConfirmationWait
+from kelproad.coordination.ingress.tables.expecting import (
+    ExpectedConfirmation,
+)
 from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
 from kelproad.state.budgets import HeldBytes
 from kelproad.state.refusals import Refusal, RefusalCode
@@ -30,7 +37,9 @@
 
 #: Seconds after which the configuration arrives.
 ARRIVES_AFTER = 0.05
-HEAD = types.SimpleNamespace(host='example', path='/unknown/')
+HEAD = types.SimpleNamespace(
+    host='example', path='/unknown/', time_allowed=None
+)
 REQUEST = types.SimpleNamespace(raw_headers=(), raw_path='/unknown/')
 
 
@@ -39,26 +48,44 @@
     store_failing: bool = False,
     complete: bool = True,
     elsewhere: ConfirmedElsewhere = ConfirmedElsewhere.NOWHERE,
+    since_standstill: float = math.inf,
+    measure_age: Callable[[], float] = int,
 ) -> Admitter:
     """Build the admitter of an instance whose configuration is fresh."""
     return Admitter(
         holder,
-        int,
+        measure_age,
         lambda: complete,
         lambda: elsewhere,
         lambda: store_failing,
+        lambda: since_standstill,
         StopGuard(Drain(int, lambda: plan_stop(8))),
-        lambda: types.SimpleNamespace(apply_configuration=3),
+        lambda: Bounds(apply_configuration=3),
         random.Random(1),
     )
 
 
-async def admit(admitter: Admitter) -> Result[object, Refusal]:
+async def admit(
+    admitter: Admitter, head: types.SimpleNamespace = HEAD
+) -> Result[object, Refusal]:
     return await admitter.admit(
-        HEAD, REQUEST, monotonic(), HeldBytes(1_000_000).begin()
+        head, REQUEST, monotonic(), HeldBytes(1_000_000).begin()
     )
 
 
+def hold_empty_configuration() -> ConfigurationHolder:
+    """Build a holder of a configuration without any route."""
+    holder = ConfigurationHolder()
+    configuration = RoutingConfiguration(1, {}, {}, {}, IngressLimits())
+    assert holder.offer(Success(configuration), b'as written')
+    return holder
+
+
+def lose_store(admitter: Admitter) -> None:
+    """Let the calls that wait once for the store have waited."""
+    admitter._confirmation_wait._until = -math.inf
+
+
 async def test_a_call_waits_for_the_first_configuration() -> None:
     """Guards against sending callers from one starting instance to the next."""
     holder = ConfigurationHolder()
@@ -164,12 +191,114 @@
         (ConfirmedElsewhere.NOWHERE, 1.0),
     ],
 )
-async def test_callers_are_sent_on_at_once_only_to_instances_that_serve(
+def test_callers_are_sent_on_at_once_only_to_instances_that_serve(
     elsewhere: ConfirmedElsewhere, retry_after: float
 ) -> None:
     """Guards against callers who come back fifty times a second in vain."""
+    admitter = create_admitter(ConfigurationHolder(), elsewhere=elsewhere)
+    assert admitter._refuse_unconfirmed('').retry_after == retry_after
+
+
+@pytest.mark.parametrize(
+    ('elsewhere', 'since_standstill'),
+    [
+        (ConfirmedElsewhere.WIDELY, math.inf),
+        (ConfirmedElsewhere.PARTLY, math.inf),
+        (ConfirmedElsewhere.NOWHERE, 0.1),
+    ],
+)
+async def test_a_call_waits_for_a_confirmation_that_is_expected(
+    elsewhere: ConfirmedElsewhere, since_standstill: float
+) -> None:
+    """Guards against refusals by an instance that will serve within a moment.
+
+    It is served when the confirmation comes, and else refused in time.
+    """
+    began = monotonic()
+    confirmed_at = math.inf
+    admitter = create_admitter(
+        hold_empty_configuration(),
+        elsewhere=elsewhere,
+        since_standstill=since_standstill,
+        measure_age=lambda: 5.0 * (monotonic() < confirmed_at),
+    )
+    lose_store(admitter)
+    refused = (await admit(admitter)).failure()
+    assert refused.code is RefusalCode.NOT_READY
+    assert refused.retry_after == 1
+    waited = admitting_module._EXPECTED_WAIT
+    assert waited <= monotonic() - began < waited + ARRIVES_AFTER
+    began = monotonic()
+    confirmed_at = began + ARRIVES_AFTER
+    served = (await admit(admitter)).failure()
+    assert served.code is RefusalCode.NOT_FOUND
+    assert monotonic() - began < 2 * ARRIVES_AFTER
+
+
+@pytest.mark.parametrize(
+    'elsewhere', [ConfirmedElsewhere.PRESUMABLY, ConfirmedElsewhere.NOWHERE]
+)
+async def test_a_call_is_refused_at_once_while_no_confirmation_is_expected(
+    elsewhere: ConfirmedElsewhere,
+) -> None:
+    """Guards against calls that are held though nobody can confirm."""
+    admitter = create_admitter(
+        hold_empty_configuration(), elsewhere=elsewhere, measure_age=lambda: 5.0
+    )
+    lose_store(admitter)
+    began = monotonic()
+    refused = (await admit(admitter)).failure()
+    assert refused.code is RefusalCode.NOT_READY
+    assert monotonic() - began < ARRIVES_AFTER
+
+
+async def test_a_call_waits_for_a_share_of_its_time_only() -> None:
+    """Guards against a caller in a hurry whose time passes here."""
     admitter = create_admitter(
-        ConfigurationHolder(), store_failing=True, elsewhere=elsewhere
+        hold_empty_configuration(),
+        elsewhere=ConfirmedElsewhere.WIDELY,
+        measure_age=lambda: 5.0,
     )
-    refused = await admit(admitter)
-    assert refused.failure().retry_after == retry_after
+    lose_store(admitter)
+    head = types.SimpleNamespace(
+        host='example', path='/unknown/', time_allowed=0.3
+    )
+    began = monotonic()
+    await admit(admitter, head)
+    share = head.time_allowed * admitting_module._EXPECTED_WAIT_SHARE
+    assert share <= monotonic() - began < share + ARRIVES_AFTER
+
+
+async def test_calls_that_expect_a_confirmation_look_for_it_once() -> None:
+    """Guards against a loop that a thousand waiting calls keep busy."""
+    looks: list[None] = []
+
+    def measure_age() -> float:
+        looks.append(None)
+        return 3.0
+
+    expected = ExpectedConfirmation(measure_age, lambda: 2.0, lambda: True)
+    calls = 500
+    end = monotonic() + 0.25
+    await asyncio.gather(*(expected.wait(end) for _ in range(calls)))
+    # One each before and after it, and those of the look-out.
+    assert len(looks) < 2 * calls + 50
+
+
+def test_a_confirmation_that_does_not_come_is_expected_no_longer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an instance cut off from peers that holds calls."""
+    now = 100.0
+    monkeypatch.setattr(expecting_module, 'monotonic', lambda: now)
+    is_near = True
+    expected = ExpectedConfirmation(lambda: 9.0, lambda: 2.0, lambda: is_near)
+    assert expected.is_expected
+    now += 1.9
+    assert expected.is_expected
+    now += 0.2
+    assert not expected.is_expected
+    is_near = False
+    assert not expected.is_expected
+    is_near = True
+    assert expected.is_expected
--- a/tests/ingress/test_entrance.py
+++ b/tests/ingress/test_entrance.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 
@@ -18,6 +19,9 @@
     StopGuard,
     plan_stop,
 )
+from kelproad.coordination.ingress.membership.confirmed import (
+    ConfirmedElsewhere,
+)
 from kelproad.coordination.ingress.settings import Bounds
 from kelproad.coordination.ingress.streams.delivery import (
     CallerDisconnectedError,
@@ -510,8 +514,9 @@
         holder,
         float,
         lambda: True,
-        lambda _now: False,
+        lambda: ConfirmedElsewhere.NOWHERE,
         bool,
+        lambda: math.inf,
         StopGuard(drain),
         Bounds,
         random.Random(1),
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import pathlib
 import socket
 import threading
@@ -15,6 +16,7 @@
 
 from kelproad.coordination.reception import Call
 from kelproad.coordination.sending import SEND_MARGIN, send_response
+from kelproad.transport import deadlines
 from kelproad.transport import servers as http_servers
 from kelproad.transport.addresses import Address
 from kelproad.transport.deadlines import (
@@ -216,6 +218,23 @@
     assert clock.stood_still == pytest.approx(1.65)
 
 
+def test_a_long_standstill_is_known_at_once_also_of_the_machine(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against calls refused by an instance that is about to ask."""
+    boot_now = 50.0
+    monkeypatch.setattr(deadlines, 'read_boottime', lambda: boot_now)
+    clock = RunningClock(read_time=lambda: 7.0)
+    clock._read_at = 7.0
+    assert math.isinf(clock.measure_since_standstill())
+    boot_now += 0.5
+    assert math.isinf(clock.measure_since_standstill())
+    boot_now += 9
+    assert clock.measure_since_standstill() == 0
+    boot_now += 0.1
+    assert clock.measure_since_standstill() == pytest.approx(0.1)
+
+
 @contextlib.contextmanager
 def answer_in_thread(delay: float) -> Iterator[int]:
     """Answer one request on a port, also while the event loop stands still."""
