--- a/tests/ingress/test_following.py
+++ b/tests/ingress/test_following.py
@@ -266,3 +266,60 @@
     await TableFollower._follow.fun(follower)
     assert not follower.failing
     assert failed_tasks == []
+
+
+class SilentStore(SlowStore):
+    """A store that answered once, and then never, beside a peer."""
+
+    def __init__(self) -> None:
+        """Let the peer have nothing at first."""
+        super().__init__()
+        self.is_known = False
+
+    async def read(self) -> Result[TableState, StoreProblem]:
+        """Answer the first query."""
+        return state(5, 'a', whole=True)
+
+    async def await_changes(
+        self, after: Revision, wait_seconds: float
+    ) -> Result[TableState, StoreProblem]:
+        """Send nothing."""
+        return await SlowStore.read(self)
+
+    async def ask_peer(self, _after: Revision | None) -> TableState | None:
+        """Answer once the peer has the table, and end the test."""
+        self.questions += 1
+        if not self.is_known:
+            return None
+        self.follower._stopped.set()
+        return state(6, 'b').unwrap()
+
+
+async def test_a_follower_that_is_woken_asks_beside_a_silent_store() -> None:
+    """Guards against a query that was sent before the store was back."""
+    script = SilentStore()
+    following = asyncio.create_task(follow(script))
+    await asyncio.sleep(0.05)
+    script.follower.wake()
+    await asyncio.sleep(0.05)
+    script.is_known = True
+    script.follower.wake()
+    await asyncio.sleep(0.05)
+    following.cancel()
+    assert [adopted.revision.version for adopted in script.adopted] == [5, 6]
+    assert script.abandoned
+
+
+async def test_a_follower_that_is_woken_asks_before_its_turn() -> None:
+    """Guards against a table that stays old though a peer has it."""
+    script = Script()
+    script.told = [state(5, 'a', whole=True).unwrap()]
+    follower = create_follower(script)
+    script.follower = follower
+    following = asyncio.create_task(TableFollower._follow.fun(follower))
+    await asyncio.sleep(0.05)
+    script.told = [state(6, 'b').unwrap()]
+    follower.wake()
+    await asyncio.sleep(0.05)
+    following.cancel()
+    assert [adopted.revision.version for adopted in script.adopted] == [5, 6]
