Tables: who hears the store first tells the others at once

Cause: an instance reported that it can serve tables again with its next report, up to 0.25 s later and more to other zones of a large fleet; who heard it asked at its next turn; and an instance that had one table of two again served nobody, while its other follower waited for a query that was sent while the store was silent.

Change: a table that was too old to be relayed and is read again wakes the followers of the others here and the exchange, which reports at once: to all instances of all zones, once, where it reads the store itself. PeerRegister tells when a peer can serve tables that could not; the followers of what is too old here are woken then.

--- a/src/kelproad/coordination/ingress/membership/exchange.py
+++ b/src/kelproad/coordination/ingress/membership/exchange.py
@@ -120,6 +120,10 @@
         self._local_report = LastReport()
         self._remote_report = LastReport()
         self._zone_reports: dict[str, LastReport] = {}
+        #: Source of the tables as last reported.
+        self._reported_source: Provenance | None = None
+        #: Whether all instances of other zones are to be told at once.
+        self._is_news = False
         self._changed = asyncio.Event()
         ledger.on_change = self._changed.set
         self.leaving = False
@@ -189,6 +193,16 @@
         self._zone_reports.clear()
         self._changed.set()
 
+    def report_tables(self) -> None:
+        """Report to all peers at once if tables can be served here again."""
+        source = self._tables.read_provenance()
+        if source is None or source is self._reported_source:
+            return
+        self._remote_report.at = float('-inf')
+        # Other zones are served by readers of the store only.
+        self._is_news = source is Provenance.STORE
+        self._changed.set()
+
     def _greet(self, host: str) -> None:
         """Report to a peer that is heard for the first time."""
         works = pack_work(self._ledger.local)
@@ -199,9 +213,10 @@
         while not self.should_stop:
             # Before the changes are read, so that none after that is missed.
             self._changed.clear()
+            self._reported_source = self._tables.read_provenance()
             changes = (
                 self._ledger.changes,
-                self._tables.read_provenance(),
+                self._reported_source,
                 bool(self._paths.count_lost(monotonic())),
             )
             all_sent = self._send_due_reports(changes, monotonic())
@@ -239,14 +254,18 @@
     ) -> None:
         """Report to each zone the work at its engines, or a keep-alive."""
         reader = self._find_zone_reader(now)
+        is_news = self._is_news
+        self._is_news = False
+        repeat = 0 if is_news else MIN_REPEAT_PERIOD
         for zone, members in remote.items():
             reported = [
                 work for work in works if self._find_zone(work.endpoint) == zone
             ]
             last = self._zone_reports.setdefault(zone, LastReport([]))
-            # The end of all work is reported to each of them as well.
-            concerned = bool(reported or last.changes)
-            if not last.mark_if_due(reported, now, 0, MIN_REPEAT_PERIOD):
+            # The end of all work is reported to each of them as well, and that
+            # the store is read here again.
+            concerned = is_news or bool(reported or last.changes)
+            if not last.mark_if_due(reported, now, 0, repeat):
                 continue
             if not concerned:
                 # The live instances here divide those of the other zone among
--- a/src/kelproad/coordination/ingress/membership/peering.py
+++ b/src/kelproad/coordination/ingress/membership/peering.py
@@ -160,6 +160,8 @@
             table.find_zone,
             self.paths,
         )
+        self.tables.on_regained = self.exchange.report_tables
+        self.exchange.peers.on_able.append(self.tables.wake_stale)
         selector = CoordinatorSelector(
             self.exchange.describe_self, self.exchange.peers
         )
--- a/src/kelproad/coordination/ingress/membership/peers.py
+++ b/src/kelproad/coordination/ingress/membership/peers.py
@@ -54,6 +54,10 @@
         """Return whether a datagram from it was received lately."""
         return now - self.received_at < _LIVE_SECONDS
 
+    def is_able(self, now: float) -> bool:
+        """Return whether it is live and may serve tables to others."""
+        return self.is_live(now) and self.describe('').serves_zone
+
     def describe(self, name: str) -> Reader:
         """Describe it as an instance that tables may be queried from."""
         return Reader(name, self.address.host, self.zone, self.provenance)
@@ -74,6 +78,9 @@
         #: The reader of each other zone and the monotonic time of the report
         #: of an instance there that named it.
         self._zone_readers: dict[str, tuple[Reader, float]] = {}
+        #: Each is called when an instance can serve tables that could not, or
+        #: was not known to.
+        self.on_able: list[Callable[[], None]] = []
         #: Each gets the IP number of a peer that is heard for the first time,
         #: or again after a silence or a restart.
         self.on_heard: list[Callable[[str], None]] = []
@@ -141,6 +148,7 @@
             )
         for greet in self.on_heard if heard_anew else ():
             greet(update.host)
+        was_able = peer.is_able(now)
         peer.received_at = float('-inf') if update.leaving else now
         if peer.zone != update.zone:
             peer.zone = update.zone
@@ -149,14 +157,10 @@
         peer.lost_paths = update.lost_paths
         peer.configuration = update.configuration
         peer.confirmed_at = _find_confirmed_at(update)
-        if update.zone_reader is not None:
-            reader = Reader(
-                update.zone_reader.instance,
-                update.zone_reader.host,
-                update.zone,
-                update.zone_reader.provenance,
-            )
-            self._zone_readers[update.zone] = (reader, now)
+        is_named_anew = self._accept_reader(update, now)
+        if is_named_anew or (peer.is_able(now) and not was_able):
+            for act in self.on_able:
+                act()
         return True
 
     def part(self) -> tuple[list[Peer], dict[str, list[Peer]]]:
@@ -294,6 +298,22 @@
         }
         return list((named | live).values())
 
+    def _accept_reader(self, update: PeerUpdate, now: float) -> bool:
+        """Record the reader that a report names; return whether it is news."""
+        if update.zone_reader is None:
+            return False
+        reader = Reader(
+            update.zone_reader.instance,
+            update.zone_reader.host,
+            update.zone,
+            update.zone_reader.provenance,
+        )
+        known, known_at = self._zone_readers.get(
+            update.zone, (None, float('-inf'))
+        )
+        self._zone_readers[update.zone] = (reader, now)
+        return reader != known or now - known_at >= _LIVE_SECONDS
+
     def _reports_regularly(self, zone: str) -> bool:
         """Return whether each instance of a zone is expected to report."""
         return zone == self._settings.zone or self.is_full_mesh
--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -3,6 +3,7 @@
 Each has a follower, which keeps it current here, and is relayed to peers.
 """
 
+import asyncio
 import logging
 import math
 import random
@@ -71,6 +72,8 @@
         Zones that operators have evacuated.
     confirmation
         When the configuration in force was last confirmed.
+    on_regained
+        Called when a table that was too old to be relayed is so no longer.
     """
 
     def __init__(
@@ -99,6 +102,7 @@
             lambda: self.endpoints.recovered_at,
             bounds.leave_endpoint,
         )
+        self.on_regained: Callable[[], None] = _ignore_regained
         # Endpoints that had nothing to do for a while have become cold.
         self.evacuations.on_ended = self.registry.assume_cold
         self._followed = {
@@ -141,6 +145,11 @@
         }
         return {'era': self._store.eras.current, **tables}
 
+    def wake_stale(self) -> None:
+        """Query now for tables that are too old, as somebody has them."""
+        for followed in self._list_stale():
+            followed.follower.wake()
+
     def list_changes_for_peer(
         self,
         name: str,
@@ -227,7 +236,13 @@
         slack: float,
     ) -> RelayedTable:
         def update(state: TableState) -> None:  # noqa: WPS430  closure
+            was_stale = followed.source is None
             adopt(followed.merge(DecodedState.from_state(state, decode)))
+            if was_stale:
+                # The follower counts it as confirmed right after this.
+                asyncio.get_running_loop().call_soon(
+                    self._spread_regained, followed
+                )
 
         follower = TableFollower(
             source,
@@ -247,6 +262,31 @@
         follower.on_read_directly = self._hasten
         return followed
 
+    def _spread_regained(self, regained: RelayedTable) -> None:
+        """Have the other tables read, and tell others, as one is known again.
+
+        Others are served by this instance only once it has all of them.
+        """
+        if regained.source is None:
+            return
+        if regained.source is Provenance.STORE:
+            self._hasten_stale()
+        self.wake_stale()
+        self.on_regained()
+
+    def _hasten_stale(self) -> None:
+        """Have the store queried for the tables that are too old."""
+        for followed in self._list_stale():
+            followed.follower.hasten()
+
+    def _list_stale(self) -> list[RelayedTable]:
+        """List the tables that are too old to be relayed."""
+        return [
+            followed
+            for followed in self._followed.values()
+            if followed.source is None
+        ]
+
     def _hasten(self) -> None:
         """Have all tables read, as the store has answered for one of them.
 
@@ -307,3 +347,7 @@
             provenance=provenance and provenance.name.lower(),
             age_before=round(age, 3) if math.isfinite(age) else None,
         )
+
+
+def _ignore_regained() -> None:
+    """Do nothing when a table is known again."""
--- a/tests/ingress/test_exchange.py
+++ b/tests/ingress/test_exchange.py
@@ -1,6 +1,7 @@
 """Reports between instances, and the effects of silent peers and zones."""
 
 import asyncio
+import types
 
 import pytest
 
@@ -77,6 +78,7 @@
         self.observations = EngineObservations()
         self.observer = build_observer()
         self.age = age
+        self.provenance: Provenance | None = None
         self.zones: dict[str, str] = {}
         number = len(name)
         settings = NodeSettings(
@@ -95,7 +97,9 @@
             self.reachability,
             self.observations,
             self.observer,
-            TableGauges(lambda: self.age, lambda: None, lambda: None),
+            TableGauges(
+                lambda: self.age, lambda: self.provenance, lambda: None
+            ),
             lambda endpoint: self.zones.get(endpoint, ''),
             DirectPaths(),
         )
@@ -547,3 +551,49 @@
     here.exchange.receive(there.build_report(), '10.0.0.9')
     assert here.exchange.peers.count_live(1000) == 1
     assert here.ledger.sum_at('i-1', 1000).idle
+
+
+async def test_regained_tables_are_reported_at_once() -> None:
+    """Guards against callers refused where peers could be told of the store."""
+    instance = Instance('a', 'zone-a')
+    sent = UpdatesByHost().sent
+    instance.exchange._socket = types.SimpleNamespace(
+        send=lambda datagram, address: sent.setdefault(address.host, []).append(
+            decode_update(datagram).unwrap().provenance
+        )
+    )
+    instance.exchange.peers.add('bb', '10.0.0.2', 'zone-a')
+    instance.exchange.peers.add('ccc', '10.0.0.3', 'zone-b')
+    reporting = asyncio.create_task(
+        WorkExchange._report_changes.fun(instance.exchange)
+    )
+    await asyncio.sleep(0.1)
+    instance.provenance = Provenance.STORE
+    instance.exchange.report_tables()
+    await asyncio.sleep(0.03)
+    # There is nothing new in them any more.
+    instance.exchange.report_tables()
+    await asyncio.sleep(0.03)
+    reporting.cancel()
+    told = {host: reports[1:] for host, reports in sent.items()}
+    assert told == {
+        '10.0.0.2': [Provenance.STORE],
+        '10.0.0.3': [Provenance.STORE],
+    }
+
+
+def test_all_of_a_large_fleet_hear_once_who_reads_the_store_again(
+    large: Instance, clock: Clock
+) -> None:
+    """Guards against zones that hear it from one sender after another."""
+    send_reports_for(large, clock, SEND_PERIOD)
+    large.provenance = Provenance.STORE
+    large.exchange.report_tables()
+    told = send_reports_for(large, clock, SEND_PERIOD / 2).sent
+    remote = [host for host in told if not host.startswith('10.0.')]
+    assert len(remote) == (ZONES - 1) * PEERS_PER_ZONE
+    for host in remote:
+        readers = [update.zone_reader.provenance for update in told[host]]
+        assert readers == [Provenance.STORE]
+    again = send_reports_for(large, clock, SEND_PERIOD / 2).sent
+    assert not set(remote) & set(again)
--- a/tests/ingress/test_peer_register.py
+++ b/tests/ingress/test_peer_register.py
@@ -11,8 +11,12 @@
 from kelproad.coordination.ingress.membership.reachability import (
     ZoneReachability,
 )
-from kelproad.coordination.ingress.membership.updates import PeerUpdate
+from kelproad.coordination.ingress.membership.updates import (
+    PeerUpdate,
+    ZoneReader,
+)
 from kelproad.coordination.ingress.settings import NodeSettings
+from kelproad.coordination.ingress.tables.tablestates import Provenance
 from kelproad.transport.addresses import Address
 
 PEER = '10.0.0.2'
@@ -47,6 +51,8 @@
     sequence: int,
     started_at: int = 1,
     unconfirmed_for: float | None = 0,
+    provenance: Provenance | None = None,
+    zone_reader: ZoneReader | None = None,
 ) -> None:
     """Receive a report of the peer."""
     peers.accept(
@@ -59,6 +65,8 @@
             False,
             unconfirmed_for,
             [],
+            provenance=provenance,
+            zone_reader=zone_reader,
         ),
         now,
     )
@@ -118,3 +126,37 @@
     hear(peers, 10.0, 1)
     hear(peers, 10.1, 1, started_at=2, unconfirmed_for=None)
     assert peers.judge_confirmed(10.1) is ConfirmedElsewhere.NOWHERE
+
+
+def test_it_is_told_once_that_a_peer_can_serve_tables(
+    peers: PeerRegister,
+) -> None:
+    """Guards against waiting for a turn while a peer has heard the store."""
+    told: list[None] = []
+    peers.on_able.append(lambda: told.append(None))
+    hear(peers, 10.0, 1)
+    hear(peers, 10.1, 2, provenance=Provenance.SAME_ZONE)
+    assert not told
+    hear(peers, 10.2, 3, provenance=Provenance.STORE)
+    hear(peers, 10.3, 4, provenance=Provenance.STORE)
+    assert len(told) == 1
+    hear(peers, 10.4, 5)
+    hear(peers, 10.5, 6, provenance=Provenance.OTHER_ZONE)
+    assert len(told) == 2
+    hear(peers, 20.0, 7, provenance=Provenance.OTHER_ZONE)
+    assert len(told) == 3
+
+
+def test_it_is_told_once_who_reads_the_store_in_another_zone(
+    peers: PeerRegister,
+) -> None:
+    """Guards against zones of large fleets that hear of a reader late."""
+    told: list[None] = []
+    peers.on_able.append(lambda: told.append(None))
+    reader = ZoneReader('reader', '10.0.0.3', Provenance.STORE)
+    hear(peers, 10.0, 1, zone_reader=reader)
+    hear(peers, 10.1, 2, zone_reader=reader)
+    assert len(told) == 1
+    other = ZoneReader('other', '10.0.0.4', Provenance.STORE)
+    hear(peers, 10.2, 3, zone_reader=other)
+    assert len(told) == 2
--- a/tests/ingress/test_tables.py
+++ b/tests/ingress/test_tables.py
@@ -1,5 +1,6 @@
 """Tables of the store, as followed for routing and for peers."""
 
+import asyncio
 import collections
 import random
 from collections.abc import Callable
@@ -140,3 +141,22 @@
     script.follower = tables.configuration
     await TableFollower._follow.fun(tables.configuration)
     assert holder.version == 9
+
+
+async def test_a_regained_table_has_the_others_read_and_peers_told() -> None:
+    """Guards against a store that is heard by one table's follower alone."""
+    rows = [configure(4)]
+    script = Script(Success(TableState(Revision(0, 4), rows, whole=True)))
+    tables = create_tables(script, ConfigurationHolder(), decode_endpoint)
+    told: list[None] = []
+    tables.on_regained = lambda: told.append(None)
+    script.follower = tables.configuration
+    await TableFollower._follow.fun(tables.configuration)
+    await asyncio.sleep(0)
+    assert len(told) == 1
+    assert tables.endpoints._queries._woken.is_set()
+    script.answers = [Success(TableState(Revision(0, 4), [], whole=False))]
+    tables.configuration._stopped.clear()
+    await TableFollower._follow.fun(tables.configuration)
+    await asyncio.sleep(0)
+    assert len(told) == 1
