Refusals: a caller whose route is not known yet returns after 0.25 s

Cause: for an instance's first seconds, and after a restored store, an unknown route or key is refused for the time being, with the Retry-After of a configuration that is not confirmed: 0.02 s. A caller on a route that has just been added came back fifty times a second, each time as a refused request, though others have the same news at about the same time.

Change: where the configuration is current but may lack what was accepted, 0.25 s, whatever is known of others, and a message of its own ("the configuration may lack what was accepted"). Where it isn't current the rest holds as before.

Tests: the case of the restored store asserts the Retry-After too, for each answer about other instances.

--- a/src/kelproad/coordination/ingress/admission/admitting.py
+++ b/src/kelproad/coordination/ingress/admission/admitting.py
@@ -52,6 +52,10 @@
         ConfirmedElsewhere.NOWHERE: 1.0,
     }
 )
+#: Seconds after which a caller should retry whose route or key is not known in
+#: a current configuration: news takes about as long, and comes to all instances
+#: at about the same time.
+_NEWS_RETRY = 0.25
 #: Bounds of the seconds after which callers return for whose bodies there is no
 #: room; at random, so that they don't all come at once.
 _ROOM_RETRIES = (0.5, 1.5)
@@ -229,12 +233,17 @@
         configuration was confirmed lately, and not by a store that lacks what
         operators have yet to write again.
         """
-        age = self._measure_age()
-        is_current = age <= self._read_bounds().apply_configuration
-        if not (is_current and self._is_complete()):
+        if self._measure_age() > self._read_bounds().apply_configuration:
             return self._refuse_unconfirmed(
                 'the configuration is not confirmed'
             )
+        if not self._is_complete():
+            return Refusal(
+                RefusalCode.NOT_READY,
+                'the configuration may lack what was accepted',
+                Step.CONFIGURE,
+                retry_after=_NEWS_RETRY,
+            )
         return Refusal(code, 'not configured', Step.AUTHENTICATE)
 
     def _refuse_unconfirmed(self, message: str) -> Refusal:
--- a/tests/ingress/test_admitting.py
+++ b/tests/ingress/test_admitting.py
@@ -108,21 +108,30 @@
     assert waited >= admitting_module._FIRST_CONFIGURATION_WAIT
 
 
+@pytest.mark.parametrize('elsewhere', list(ConfirmedElsewhere))
 @pytest.mark.parametrize(
-    ('complete', 'code'),
-    [(True, RefusalCode.NOT_FOUND), (False, RefusalCode.NOT_READY)],
+    ('complete', 'code', 'retry_after'),
+    [
+        (True, RefusalCode.NOT_FOUND, None),
+        (False, RefusalCode.NOT_READY, 0.25),
+    ],
 )
 async def test_no_refusal_is_final_while_a_restored_store_lacks_writes(
-    complete: bool, code: RefusalCode
+    complete: bool,
+    code: RefusalCode,
+    retry_after: float | None,
+    elsewhere: ConfirmedElsewhere,
 ) -> None:
-    """Guards against final refusals of keys and routes that were accepted."""
-    holder = ConfigurationHolder()
-    configuration = RoutingConfiguration.from_declarations(
-        1, [], [], {}, IngressLimits(), {}
+    """Guards against final refusals of keys and routes that were accepted.
+
+    Their callers come back when the news may have arrived, not at once.
+    """
+    admitter = create_admitter(
+        hold_empty_configuration(), complete=complete, elsewhere=elsewhere
     )
-    assert holder.offer(Success(configuration), b'as written')
-    refused = await admit(create_admitter(holder, complete=complete))
-    assert refused.failure().code is code
+    refused = (await admit(admitter)).failure()
+    assert refused.code is code
+    assert refused.retry_after == retry_after
 
 
 async def test_a_call_is_refused_at_once_while_the_store_fails() -> None:
