Tables: what calls wait for, and what is confirmed here and elsewhere, in two modules

A start may import 600 modules; these had four, and unreachable addresses one beside that of direct paths, whose figures they share. Moved, nothing changed.

--- a/src/kelproad/coordination/ingress/admission/admitting.py
+++ b/src/kelproad/coordination/ingress/admission/admitting.py
@@ -21,10 +21,9 @@
 from ....state.routes import Route, RoutedWorkspace, RoutingConfiguration
 from ....transport.deadlines import within
 from ...drain import StopEndedError
-from ..membership.confirmed import ConfirmedElsewhere
 from ..settings import Bounds
-from ..tables.confirming import ConfirmationWait
-from ..tables.expecting import ExpectedConfirmation
+from ..tables.confirming import ConfirmedElsewhere
+from ..tables.expecting import ConfirmationWait, ExpectedConfirmation
 from ..tables.holder import ConfigurationHolder
 from .stopping import ELSEWHERE_RETRY, StopGuard, refuse_stopping
 
--- a/src/kelproad/coordination/ingress/membership/peers.py
+++ b/src/kelproad/coordination/ingress/membership/peers.py
@@ -11,9 +11,9 @@
 from ....transport.addresses import Address
 from ....transport.deadlines import read_boottime
 from ..settings import NodeSettings
+from ..tables.confirming import ConfirmedElsewhere, judge_confirmed
 from ..tables.readers import Reader
 from ..tables.tablestates import Provenance
-from .confirmed import ConfirmedElsewhere, judge_confirmed
 from .reachability import ZoneReachability
 from .updates import PeerUpdate
 
--- a/src/kelproad/coordination/ingress/placing/filtering.py
+++ b/src/kelproad/coordination/ingress/placing/filtering.py
@@ -8,11 +8,10 @@
 import attrs
 
 from ....state.calls import Call
-from ....state.directpaths import DirectPaths
+from ....state.directpaths import DirectPaths, UnreachableAddresses
 from ....state.endpoints import Endpoint
 from ....state.observations import EngineObservations
 from ....state.records import OnceRecorder
-from ....state.unreachable import UnreachableAddresses
 from ..membership.reachability import ZoneReachability
 from ..streams.progress import Progress
 from .eligibility import (
--- a/src/kelproad/coordination/ingress/readiness.py
+++ b/src/kelproad/coordination/ingress/readiness.py
@@ -7,10 +7,10 @@
 from ...transport.deadlines import monotonic
 from ..drain import Drain, DrainPhase
 from .membership.catchup import ConfigurationCatchUp
-from .membership.confirmed import CONFIRMED_SECONDS, ConfirmedElsewhere
 from .membership.peers import PeerRegister
 from .membership.rostering import Roster
 from .settings import Bounds
+from .tables.confirming import CONFIRMED_SECONDS, ConfirmedElsewhere
 from .tables.followed import FollowedTables
 from .tables.holder import ConfigurationHolder
 
--- a/src/kelproad/coordination/ingress/tables/confirming.py
+++ b/src/kelproad/coordination/ingress/tables/confirming.py
@@ -1,4 +1,4 @@
-"""When the configuration in force was last confirmed, also by a restored store.
+"""When the configuration in force was last confirmed, here and elsewhere.
 
 The copy from which a store was restored does not know what was accepted after
 it was taken, such as the revocation of a key.  Its answers confirm nothing
@@ -6,17 +6,25 @@
 has just started can't know whether it reads such a copy; other instances do.
 """
 
-from collections.abc import Callable
-
-import attrs
+import enum
+from collections.abc import Callable, Sequence
 
 from ....transport.deadlines import monotonic, read_boottime
-from .lookouts import LookOut
+from .readers import MAX_RELAYED_AGE
 
-__all__ = ['Confirmation', 'ConfirmationWait']
+__all__ = [
+    'CONFIRMED_SECONDS',
+    'Confirmation',
+    'ConfirmedElsewhere',
+    'judge_confirmed',
+]
 
-#: Seconds that calls wait once for a confirmation that is overdue.
-_OVERDUE_WAIT = 0.25
+#: Seconds after its confirmation for which the configuration of an instance
+#: counts as known: as long as it may be relayed.
+CONFIRMED_SECONDS = MAX_RELAYED_AGE
+#: Share of the live peers from which a caller that goes to any of them probably
+#: meets one with a fresh configuration.
+_WIDE_SHARE = 0.5
 
 
 class Confirmation:
@@ -126,32 +134,43 @@
         self._complete_at = float('-inf')
 
 
-@attrs.define
-class ConfirmationWait:
-    """Waits a moment for the confirmation of an instance that stood still.
+class ConfirmedElsewhere(enum.Enum):
+    """Whether other instances have a fresh configuration."""
 
-    What came into force meanwhile is known as soon as it asks.  One that is cut
-    off waits once, and then serves by what it knows.
-    """
+    #: So many of the live peers report it that the next one probably has it.
+    WIDELY = enum.auto()
+    #: Some of the live peers report it.
+    PARTLY = enum.auto()
+    #: Nobody reports it, but this instance or its zone seems to be cut off.
+    PRESUMABLY = enum.auto()
+    #: Nobody has one, as far as is known.
+    NOWHERE = enum.auto()
+
+    @property
+    def is_reported(self) -> bool:
+        """Whether a live peer reports one."""
+        return self in {self.WIDELY, self.PARTLY}
 
-    _measure_age: Callable[[], float]
-    _read_longest_age: Callable[[], float]
-    #: Monotonic time until which calls wait, ``None`` while none is overdue.
-    _until: float | None = None
-    _look_out: LookOut = attrs.field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        """Look out for all calls together."""
-        self._look_out = LookOut(self._is_expected)
-
-    async def wait(self) -> None:
-        """Wait until the configuration is confirmed, or none is expected."""
-        await self._look_out.wait()
-
-    def _is_expected(self) -> bool:
-        if self._measure_age() <= self._read_longest_age():
-            self._until = None
-            return False
-        if self._until is None:
-            self._until = monotonic() + _OVERDUE_WAIT
-        return monotonic() < self._until
+
+def judge_confirmed(
+    ages: Sequence[float], is_cut_off: bool
+) -> ConfirmedElsewhere:
+    """Judge where the configuration is fresh.
+
+    Parameters
+    ----------
+    ages
+        Seconds since the confirmation at each live peer, by its own report.
+    is_cut_off
+        Whether this instance, or its zone, seems to be cut off from others.
+    """
+    confirmed = sum(age < CONFIRMED_SECONDS for age in ages)
+    if not confirmed:
+        return (
+            ConfirmedElsewhere.PRESUMABLY
+            if is_cut_off
+            else ConfirmedElsewhere.NOWHERE
+        )
+    if confirmed < len(ages) * _WIDE_SHARE:
+        return ConfirmedElsewhere.PARTLY
+    return ConfirmedElsewhere.WIDELY
--- a/tests/ingress/test_admitting.py
+++ b/tests/ingress/test_admitting.py
@@ -18,15 +18,15 @@
     StopGuard,
     plan_stop,
 )
-from kelproad.coordination.ingress.membership.confirmed import (
-    ConfirmedElsewhere,
-)
 from kelproad.coordination.ingress.settings import Bounds
 from kelproad.coordination.ingress.tables import (
     expecting as expecting_module,
 )
-from kelproad.coordination.ingress.tables.confirming import ConfirmationWait
+from kelproad.coordination.ingress.tables.confirming import (
+    ConfirmedElsewhere,
+)
 from kelproad.coordination.ingress.tables.expecting import (
+    ConfirmationWait,
     ExpectedConfirmation,
 )
 from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
--- a/tests/ingress/test_entrance.py
+++ b/tests/ingress/test_entrance.py
@@ -19,13 +19,13 @@
     StopGuard,
     plan_stop,
 )
-from kelproad.coordination.ingress.membership.confirmed import (
-    ConfirmedElsewhere,
-)
 from kelproad.coordination.ingress.settings import Bounds
 from kelproad.coordination.ingress.streams.delivery import (
     CallerDisconnectedError,
 )
+from kelproad.coordination.ingress.tables.confirming import (
+    ConfirmedElsewhere,
+)
 from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
 from kelproad.platform.headers import (
     build_refusal,
--- a/tests/ingress/test_exchange.py
+++ b/tests/ingress/test_exchange.py
@@ -7,9 +7,6 @@
 
 from kelproad.coordination.ingress.membership import exchange as exchange_module
 from kelproad.coordination.ingress.membership import peers as peers_module
-from kelproad.coordination.ingress.membership.confirmed import (
-    ConfirmedElsewhere,
-)
 from kelproad.coordination.ingress.membership.exchange import (
     TableGauges,
     WorkExchange,
@@ -30,6 +27,9 @@
     pack_work,
 )
 from kelproad.coordination.ingress.settings import NodeSettings
+from kelproad.coordination.ingress.tables.confirming import (
+    ConfirmedElsewhere,
+)
 from kelproad.coordination.ingress.tables.tablestates import Provenance
 from kelproad.state.directpaths import DirectPaths
 from kelproad.state.observations import EngineObservations
--- a/tests/ingress/test_peer_register.py
+++ b/tests/ingress/test_peer_register.py
@@ -3,10 +3,6 @@
 import pytest
 
 from kelproad.coordination.ingress.membership import peers as peers_module
-from kelproad.coordination.ingress.membership.confirmed import (
-    ConfirmedElsewhere,
-    judge_confirmed,
-)
 from kelproad.coordination.ingress.membership.peers import PeerRegister
 from kelproad.coordination.ingress.membership.reachability import (
     ZoneReachability,
@@ -16,6 +12,10 @@
     ZoneReader,
 )
 from kelproad.coordination.ingress.settings import NodeSettings
+from kelproad.coordination.ingress.tables.confirming import (
+    ConfirmedElsewhere,
+    judge_confirmed,
+)
 from kelproad.coordination.ingress.tables.tablestates import Provenance
 from kelproad.transport.addresses import Address
 
