Admission: a refusal tells early why nothing is confirmed, and so does the log without one

Cause: the users' record cuts lines after some 200 characters, and keeps few of a kind. A refusal had version and age at its end, and nothing said why the configuration was not confirmed; only retry_after was left to go by.

Change: `refused` has code, cause, age and version before request and message (the formatter puts the request where the event has it). A cause is judged by a pure module from what the follower, the peers and the running clock know; a watch logs each change of it (configuration_unconfirmed, configuration_confirmed), two lines a second at the most, and publishes the age and the refusals by cause. No decision depends on it.

Left open: whether a silent store sends bytes, or answers late, only the follower knows; QueryProgress has these facts with defaults, so that both are store_silent until then.

--- a/src/kelproad/cli/requestlog.py
+++ b/src/kelproad/cli/requestlog.py
@@ -21,6 +21,8 @@
 _SURROUNDING_EVENTS = frozenset(
     (
         'configuration_adopted',
+        'configuration_confirmed',
+        'configuration_unconfirmed',
         'direct_paths_answered',
         'direct_paths_lost',
         'direct_paths_mute',
--- a/src/kelproad/cli/structured.py
+++ b/src/kelproad/cli/structured.py
@@ -27,7 +27,8 @@
 class _EventFormatter(logging.Formatter):
     """Formatter that writes one JSON object per line.
 
-    Time, level, instance, event and request precede the event's fields.
+    Time, level, instance, event and request precede the event's fields; an
+    event that has the request among its fields says itself where it stands.
     """
 
     def __init__(self, instance: str) -> None:
@@ -43,9 +44,10 @@
             'instance': self._instance,
             'event': record.getMessage(),
         }
-        if current_request.get():
+        told = getattr(record, EVENT_FIELDS, {})
+        if current_request.get() and 'request' not in told:
             fields['request'] = current_request.get()
-        fields.update(getattr(record, EVENT_FIELDS, {}))
+        fields.update(told)
         if record.exc_info:
             fields['exception'] = self.formatException(record.exc_info)
         return msgspec.json.encode(fields).decode()
--- a/src/kelproad/coordination/ingress/admission/entrance.py
+++ b/src/kelproad/coordination/ingress/admission/entrance.py
@@ -6,8 +6,6 @@
 
 import asyncio
 import logging
-import math
-from collections.abc import Callable
 
 import attrs
 from aiohttp import web
@@ -26,6 +24,7 @@
 from ..tables.holder import ConfigurationHolder
 from .admitting import Admitter
 from .dialect import Dialect
+from .unconfirmed import ConfirmationWatch, round_age
 
 __all__ = ['CallHandler']
 
@@ -76,7 +75,7 @@
         self,
         dialect: Dialect,
         holder: ConfigurationHolder,
-        measure_age: Callable[[], float],
+        confirmations: ConfirmationWatch,
         admitter: Admitter,
         dispatcher: Dispatcher,
         counters: Counters,
@@ -85,12 +84,12 @@
     ) -> None:
         """Dispatch the calls that are admitted, refuse the rest.
 
-        ``measure_age`` returns how many seconds old the configuration may be;
+        ``confirmations`` tells why the configuration is not confirmed;
         ``held`` counts what is held for callers.
         """
         self._dialect = dialect
         self._holder = holder
-        self._measure_age = measure_age
+        self._confirmations = confirmations
         self._admitter = admitter
         self._dispatcher = dispatcher
         self._counters = counters
@@ -202,21 +201,28 @@
                 'ran': refusal.ran.value,
             },
         )
-        configuration = self._holder.current
+        # Logs are cut after some 200 characters: what decides comes first.
         record(
             _logger,
             'refused',
-            request=handling.request_id,
             code=refusal.code.value,
+            **self._explain_confirmation(refusal),
+            version=self._holder.version,
+            request=handling.request_id,
             message=refusal.message,
             ran=refusal.ran.value,
             retry_after=refusal.retry_after,
-            version=configuration.version if configuration else None,
-            age=_round_age(self._measure_age()),
             elapsed=round(monotonic() - handling.arrived, _DIGITS),
         )
         return self._dialect.build_refusal(refusal, handling.request_id)
 
+    def _explain_confirmation(self, refusal: Refusal) -> dict[str, object]:
+        """Return the age of the configuration, and why it is unconfirmed."""
+        if refusal.step is not Step.CONFIGURE:
+            return {'age': round_age(self._confirmations.measure_age())}
+        cause, age = self._confirmations.explain_refusal()
+        return {'cause': cause, 'age': round_age(age)}
+
     def _record_interruption(
         self, handling: _Handling, error: BaseException
     ) -> None:
@@ -307,8 +313,3 @@
     """
     abort_answer(http_request)
     return web.Response()
-
-
-def _round_age(seconds: float) -> float | None:
-    """Round an age for the log; ``None`` before the first confirmation."""
-    return round(seconds, 3) if math.isfinite(seconds) else None
--- /dev/null
+++ b/src/kelproad/coordination/ingress/admission/unconfirmed.py
@@ -0,0 +1,155 @@
+"""What operators are told while the configuration is not confirmed.
+
+A line for each change of the cause, without any request, and metrics.
+"""
+
+import asyncio
+import logging
+import math
+from collections.abc import Callable
+
+import attrs
+
+from ....state.counters import ConfirmationMetrics
+from ....state.records import record
+from ....transport.deadlines import monotonic
+from ....transport.services import BackgroundService, restarted_task
+from ..tables.causes import ConfirmationState, UnconfirmedCause, judge_cause
+
+__all__ = ['ConfirmationWatch', 'describe_state', 'round_age']
+
+_logger = logging.getLogger(__name__)
+#: Seconds between two looks.
+_LOOK_PERIOD = 0.1
+#: Seconds between two lines of one time without a confirmation, as causes may
+#: alternate.
+_LINE_PERIOD = 0.5
+
+
+@attrs.define
+class _Unconfirmed:
+    """A time without a confirmation.
+
+    Attributes
+    ----------
+    since
+        Monotonic time of its begin.
+    recorded
+        The cause of the last line, and ``recorded_at`` its monotonic time.
+    refusals
+        Calls refused meanwhile for want of a confirmation.
+    """
+
+    since: float
+    recorded: UnconfirmedCause | None = None
+    recorded_at: float = float('-inf')
+    refusals: int = 0
+
+
+class ConfirmationWatch(BackgroundService):
+    """Watches whether the configuration in force is confirmed."""
+
+    abstract = False
+
+    def __init__(
+        self,
+        observe: Callable[[], ConfirmationState],
+        metrics: ConfirmationMetrics,
+    ) -> None:
+        """Watch what ``observe`` returns."""
+        super().__init__()
+        self._observe = observe
+        self._metrics = metrics
+        self._unconfirmed: _Unconfirmed | None = None
+
+    def measure_age(self) -> float:
+        """Return how many seconds old the configuration may be."""
+        return self._observe().age
+
+    def explain_refusal(self) -> tuple[UnconfirmedCause | None, float]:
+        """Return the cause of a refusal, which is counted, and the age."""
+        state = self._observe()
+        cause = judge_cause(state)
+        self._record(state, cause)
+        self._metrics.refusals.inc({'cause': cause or 'unknown'})
+        if self._unconfirmed is not None:
+            self._unconfirmed.refusals += 1
+        return cause, state.age
+
+    def look(self) -> None:
+        """Record what has changed since the last look."""
+        state = self._observe()
+        self._metrics.age.set({}, state.age)
+        self._record(state, judge_cause(state))
+
+    def describe(self) -> dict[str, object]:
+        """Describe the state for operators."""
+        state = self._observe()
+        return {'cause': judge_cause(state), **describe_state(state)}
+
+    @restarted_task
+    async def _watch(self) -> None:
+        while not self.should_stop:
+            self.look()
+            await asyncio.sleep(_LOOK_PERIOD)
+
+    def _record(
+        self, state: ConfirmationState, cause: UnconfirmedCause | None
+    ) -> None:
+        if state.is_confirmed:
+            self._record_end(state)
+            return
+        now = monotonic()
+        if self._unconfirmed is None:
+            self._unconfirmed = _Unconfirmed(now)
+        known = self._unconfirmed
+        if cause is known.recorded or now - known.recorded_at < _LINE_PERIOD:
+            return
+        known.recorded = cause
+        known.recorded_at = now
+        record(
+            _logger,
+            'configuration_unconfirmed',
+            cause=cause,
+            **describe_state(state),
+        )
+
+    def _record_end(self, state: ConfirmationState) -> None:
+        if self._unconfirmed is None:
+            return
+        ended = self._unconfirmed
+        self._unconfirmed = None
+        record(
+            _logger,
+            'configuration_confirmed',
+            cause=ended.recorded,
+            seconds=round(monotonic() - ended.since, 3),
+            refusals=ended.refusals,
+            age=round_age(state.age),
+            version=state.version,
+        )
+
+
+def describe_state(state: ConfirmationState) -> dict[str, object]:
+    """Describe for operators what a cause is judged by."""
+    problem = state.progress.problem
+    provenance = state.provenance
+    return {
+        'age': round_age(state.age),
+        'live_peers': state.live_peers,
+        'confirmed_peers': state.confirmed_peers,
+        'provenance': None if provenance is None else provenance.name.lower(),
+        'failures': state.progress.failures,
+        'version': state.version,
+        'answer_age': round_age(state.answer_age),
+        'stood_still': round(state.stood_still, 3),
+        'unanswered_for': round(state.progress.unanswered_for, 3),
+        'received': state.progress.received,
+        'problem': problem and problem.value,
+        'failing_tasks': list(state.failing_tasks),
+    }
+
+
+def round_age(seconds: float) -> float | None:
+    """Round an age for the log; ``None`` before the first confirmation."""
+    return round(seconds, 3) if math.isfinite(seconds) else None
--- a/src/kelproad/coordination/ingress/assembly.py
+++ b/src/kelproad/coordination/ingress/assembly.py
@@ -10,6 +10,7 @@
 from .admission.admitting import Admitter
 from .admission.entrance import CallHandler
 from .admission.stopping import StopGuard
+from .admission.unconfirmed import ConfirmationWatch
 from .membership.exchange import WorkExchange
 from .membership.peering import Peering
 from .membership.spillover import ZoneSpillover
@@ -52,6 +53,7 @@
         cls,
         shared: SharedState,
         peering: Peering,
+        confirmations: ConfirmationWatch,
         session: aiohttp.ClientSession,
     ) -> Self:
         """Build the components; calls to endpoints use the session."""
@@ -92,7 +94,7 @@
         handler = CallHandler(
             shared.dialect,
             shared.holder,
-            shared.measure_age,
+            confirmations,
             admitter,
             _create_dispatcher(
                 shared,
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -6,7 +6,7 @@
 import time
 
 from ...state.budgets import HeldBytes
-from ...state.counters import Counters, TaskMetrics
+from ...state.counters import ConfirmationMetrics, Counters, TaskMetrics
 from ...state.endpointtable import EndpointTable
 from ...state.observations import EngineObservations
 from ...state.records import record
@@ -18,7 +18,9 @@
 from ..drain import Drain
 from .admission.dialect import Dialect
 from .admission.stopping import plan_stop
+from .admission.unconfirmed import ConfirmationWatch
 from .assembly import CallPipeline
+from .confirmations import ConfirmationObserver
 from .membership.peering import Peering
 from .membership.reachability import ZoneReachability
 from .readiness import Readiness
@@ -126,9 +128,20 @@
         )
         self._roster = self._peering.roster
         self._tunnels = self._create_tunnel_server()
+        self._confirmations = ConfirmationWatch(
+            ConfirmationObserver(
+                self._tables,
+                self._holder,
+                self._exchange.peers,
+                self._running_clock,
+                self._read_bounds,
+            ).observe,
+            ConfirmationMetrics(self._counters.registry),
+        )
         self._pipeline = self._create_pipeline()
         self._background: tuple[BackgroundService, ...] = (
             *self._peering.list_services(),
+            self._confirmations,
             self._tunnels,
             SettingsWatch(self._settings_holder),
         )
@@ -234,6 +247,7 @@
         return CallPipeline.from_state(
             shared,
             self._peering,
+            self._confirmations,
             self._sessions.open_calls(self._connector.connect),
         )
 
@@ -325,6 +339,7 @@
             'failing_tasks': self._list_failing_tasks(),
             'version': configuration.version if configuration else None,
             'age': self._tables.confirmation.measure_age(),
+            'confirmation': self._confirmations.describe(),
             'endpoint_age': self._tables.endpoints.measure_age(),
             'tables': self._tables.describe(),
             'live_instances': self._exchange.peers.count_live(now),
--- a/src/kelproad/coordination/ingress/tables/confirming.py
+++ b/src/kelproad/coordination/ingress/tables/confirming.py
@@ -35,6 +35,8 @@
     read_clock
         Reads the clock by which others get the time to object; it should stand
         still while this process does.
+    is_restored
+        Whether the store was restored, and nothing was written since.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
             write again.
         """
         self.read_clock = monotonic
+        self.is_restored = False
         self._measure_follower_age = measure_age
         self._settle_seconds = settle_seconds
         self._rewrite_seconds = rewrite_seconds
@@ -124,12 +127,14 @@
 
         ``recovered_at`` is the monotonic time at which it was back.
         """
+        self.is_restored = True
         self._confirmed_until = read_boottime() - self.measure_age()
         self._settled_at = recovered_at + self._settle_seconds
         self._complete_at = recovered_at + self._rewrite_seconds
 
     def resume(self) -> None:
         """Confirm by answers again, as operators have written again."""
+        self.is_restored = False
         self._settled_at = float('-inf')
         self._complete_at = float('-inf')
 
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -6,6 +6,7 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
 __all__ = [
+    'ConfirmationMetrics',
     'Counters',
     'EvacuationMetrics',
     'Latencies',
@@ -47,6 +48,23 @@
         )
 
 
+class ConfirmationMetrics:
+    """Metrics of the confirmation of the configuration in force."""
+
+    def __init__(self, registry: Registry) -> None:
+        """Register the metrics."""
+        self.age = Gauge(
+            'kelproad_configuration_age_seconds',
+            'Seconds since the configuration was confirmed; +Inf if never.',
+            registry=registry,
+        )
+        self.refusals = Counter(
+            'kelproad_unconfirmed_refusals_total',
+            'Requests refused as the configuration is unconfirmed, by cause.',
+            registry=registry,
+        )
+
+
 class EvacuationMetrics:
     """Metrics of zones that operators have evacuated."""
 
--- a/tests/ingress/test_entrance.py
+++ b/tests/ingress/test_entrance.py
@@ -19,10 +19,14 @@
     StopGuard,
     plan_stop,
 )
+from kelproad.coordination.ingress.admission.unconfirmed import (
+    ConfirmationWatch,
+)
 from kelproad.coordination.ingress.settings import Bounds
 from kelproad.coordination.ingress.streams.delivery import (
     CallerDisconnectedError,
 )
+from kelproad.coordination.ingress.tables.causes import ConfirmationState
 from kelproad.coordination.ingress.tables.confirming import (
     ConfirmedElsewhere,
 )
@@ -34,7 +38,7 @@
 )
 from kelproad.state.budgets import CallBytes, HeldBytes
 from kelproad.state.calls import Call, CallEnd
-from kelproad.state.counters import Counters
+from kelproad.state.counters import ConfirmationMetrics, Counters
 from kelproad.state.records import EVENT_FIELDS
 from kelproad.state.refusals import Refusal, RefusalCode, Step
 from kelproad.state.routes import (
@@ -138,7 +142,10 @@
     entrance.handler = CallHandler(
         dialect,
         ConfigurationHolder(),
-        float,
+        ConfirmationWatch(
+            lambda: ConfirmationState(0, 0, 2, version=1),
+            ConfirmationMetrics(entrance.counters.registry),
+        ),
         entrance,
         entrance,
         entrance.counters,
