Datagrams: no text in a row, and no error in a handler, ends what instances hear

Cause, found by asking what ends the talk between instances at all of them at once: each instance sends datagrams to the host of each row of the instances' table. A host with a null character ends asyncio's transport for good ("Fatal write error"): from then on the instance neither sends nor hears, at every instance that read the row, and its reporting task fails each time. A name in place of an IP number is resolved in the event loop, at every send. An empty host is this machine. An error in a handler was only printed by asyncio's default handler, not counted; of what had waited during a standstill the rest was lost with it.

That the users' stores held such a row is not shown.

--- a/src/kelproad/coordination/ingress/membership/exchange.py
+++ b/src/kelproad/coordination/ingress/membership/exchange.py
@@ -113,7 +113,9 @@
         self._find_zone = find_zone
         self._paths = paths
         self._recorder = OnceRecorder(_logger)
-        self._socket = DatagramSocket(self.receive, self.receive)
+        self._socket = DatagramSocket(
+            self.receive, self.receive, self.count_datagram_failure
+        )
         self.peers = PeerRegister(settings, reachability)
         self.peers.on_heard.append(self._greet)
         self._sequence = 0
--- a/src/kelproad/coordination/ingress/membership/queries.py
+++ b/src/kelproad/coordination/ingress/membership/queries.py
@@ -56,7 +56,9 @@
         self._answer = answer
         self._is_peer = is_peer
         self._recorder = OnceRecorder(_logger)
-        self._socket = DatagramSocket(self.receive, self.receive_outdated)
+        self._socket = DatagramSocket(
+            self.receive, self.receive_outdated, self.count_datagram_failure
+        )
         self._tokens = itertools.count(1)
         #: Replies that are waited for, by the token of their query.
         self._waiting: dict[int, asyncio.Future[Reply]] = {}
--- a/src/kelproad/coordination/ingress/membership/rostering.py
+++ b/src/kelproad/coordination/ingress/membership/rostering.py
@@ -20,6 +20,7 @@
 
 from ....state.problems import UNREADABLE_ERRORS
 from ....state.records import record
+from ....transport.addresses import is_ip_number
 from ....transport.deadlines import monotonic
 from ....transport.services import BackgroundService, restarted_task
 from ..settings import NodeSettings
@@ -205,12 +206,10 @@
         try:
             decoded = msgspec.json.decode(row.encoded or b'', type=_Row)
         except UNREADABLE_ERRORS as error:
-            record(
-                _logger,
-                'instance_unreadable',
-                instance=row.key,
-                reason=str(error),
-            )
+            _record_unreadable(row.key, str(error))
+            return ''
+        if not is_ip_number(decoded.host):
+            _record_unreadable(row.key, 'its host is no IP number')
             return ''
         self._exchange.peers.add_listed(
             row.key,
@@ -220,3 +219,7 @@
             monotonic(),
         )
         return decoded.host
+
+
+def _record_unreadable(instance: str, reason: str) -> None:
+    record(_logger, 'instance_unreadable', instance=instance, reason=reason)
--- a/src/kelproad/state/counters.py
+++ b/src/kelproad/state/counters.py
@@ -142,7 +142,7 @@
         """Register the metrics."""
         self.failures = Counter(
             'kelproad_task_failures_total',
-            'Errors that ended a task of the process, which began anew.',
+            'Errors that ended a task, or the handling of a datagram.',
             registry=registry,
         )
 
--- a/src/kelproad/transport/addresses.py
+++ b/src/kelproad/transport/addresses.py
@@ -4,18 +4,21 @@
 site do not depend on a name resolver.
 """
 
+import functools
 import ipaddress
 import re
 from typing import Self
 
 import attrs
 
-__all__ = ['Address', 'AddressError']
+__all__ = ['Address', 'AddressError', 'is_ip_number']
 
 _HIGHEST_PORT = 65535
 _PORT_FORMAT = re.compile('[0-9]{1,5}')
 #: Characters of an invalid text that an error shows.
 _MAX_SHOWN = 80
+#: Texts whose judgement is remembered, as each datagram is sent to one.
+_MAX_JUDGED = 4_096
 
 
 class AddressError(ValueError):
@@ -48,9 +51,7 @@
         # A scope names an interface of the machine that wrote the address.
         if '%' in host:
             raise AddressError(f'{shown} has a scope')
-        try:
-            ipaddress.ip_address(host)
-        except ValueError:
+        if not is_ip_number(host):
             raise AddressError(f'{shown} does not start with an IP address')
         return cls(host=host, port=int(port))
 
@@ -64,3 +65,15 @@
     def url(self) -> str:
         """The address as the base of an HTTP URL."""
         return f'http://{self.authority}'
+
+
+@functools.lru_cache(_MAX_JUDGED)
+def is_ip_number(host: str) -> bool:
+    """Return whether a text is an IP number of any machine, not a name."""
+    if '%' in host:
+        return False
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
--- a/src/kelproad/transport/services.py
+++ b/src/kelproad/transport/services.py
@@ -58,7 +58,8 @@
     Attributes
     ----------
     on_task_failed
-        Called with the name of a task that an error has ended.
+        Called with the name of a task that an error has ended, or of the
+        handling of datagrams after an error.
     """
 
     abstract = True
@@ -79,6 +80,10 @@
             if failures.count >= _MAX_FAILURES and not failures.is_over(now)
         ]
 
+    def count_datagram_failure(self) -> None:
+        """Count an error in the handling of a datagram."""
+        self.on_task_failed(f'{type(self).__name__}.receive')
+
     def record_task_failure(self, task: str) -> float:
         """Record the error that ended a task, while it is handled.
 
