Membership: a version, or a name, silences no instance

Cause, found by fuzzing what rows and reports may hold with values of the right type. A configuration with a version beyond 64 bits is adopted, and no report can be encoded from then on: OverflowError in the task that reports, each time, at all instances at once, which count as silent after 3 s. An instance whose name is its IP number is taken for a seed and dropped by each of its own reports: KeyError, so that nobody hears it. The same for a second instance at the own IP number.

Ruled out by 3,000 examples of reports and 3,000 of configurations and entries: other errors in the receipt of reports, in the adoption of rows, in relaying and reporting them.

Change: such a version is unreadable, as such a count in an entry is; a name that is the host is no seed's; reports from the own IP number are refused with a line.

--- a/src/kelproad/coordination/ingress/membership/exchange.py
+++ b/src/kelproad/coordination/ingress/membership/exchange.py
@@ -157,8 +157,8 @@
         """Record a peer's report, unless it is unreadable or replaced.
 
         It must come from the IP number that it names, as nobody reports for
-        another instance.  What it says is up to ``waited`` seconds older than
-        it states.
+        another instance, nor from the own one.  What it says is up to
+        ``waited`` seconds older than it states.
         """
         decoded = decode_update(datagram)
         if isinstance(decoded, Failure):
@@ -167,7 +167,7 @@
         update = decoded.unwrap()
         if update.instance == self._settings.instance:
             return
-        if update.host != host:
+        if update.host != host or host == self._settings.ip:
             self._recorder.record(
                 host, 'peer_update_refused', host=host, named=update.host
             )
--- a/src/kelproad/coordination/ingress/membership/peers.py
+++ b/src/kelproad/coordination/ingress/membership/peers.py
@@ -129,7 +129,8 @@
         """
         self.add(update.instance, update.host)
         # A seed is known by its host until its first report names it.
-        if self._peers.pop(update.host, None):
+        is_renamed = update.host != update.instance
+        if is_renamed and self._peers.pop(update.host, None):
             self._by_zone = None
         peer = self._peers[update.instance]
         order = (update.started_at, update.sequence)
--- a/src/kelproad/platform/rows.py
+++ b/src/kelproad/platform/rows.py
@@ -137,8 +137,13 @@
     allowed_regions: list[str] | None = None
 
 
+_MAX_COUNT = sys.maxsize
+#: A version of the configuration, which is told to peers.
+_Version = Annotated[int, msgspec.Meta(ge=-_MAX_COUNT - 1, le=_MAX_COUNT)]
+
+
 class _Configuration(msgspec.Struct):
-    version: int
+    version: _Version
     #: Decoded one by one, as most are those of the version before.
     routes: list[msgspec.Raw]
     services: list[_Service]
@@ -146,7 +151,6 @@
     tenants: list[_Tenant] = []
 
 
-_MAX_COUNT = sys.maxsize
 #: A count or a time in an entry of any writer, which is computed with and told
 #: to peers.
 _Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
