Tables: an error in the adoption of one row holds up no other

Cause: whatever a row makes raise, each time, in decoding, listing, grouping or evacuating ended the adoption of its whole table; the follower read it again and again and never confirmed it, at all instances that read the row, and keys were refused for good. So did the row of an instance or of a quarantined part: `_hosts` stayed empty, the instance was never ready and served no tables.

Change: errors that concern one row are recorded (row_failed, with the traceback) and the others go on; groups of endpoints are replaced together. Not isolated on purpose: decoding and offering the configuration itself, as it may revoke keys, which must not be confirmed without it.

--- a/src/kelproad/coordination/ingress/membership/rostering.py
+++ b/src/kelproad/coordination/ingress/membership/rostering.py
@@ -24,6 +24,7 @@
 from ....transport.deadlines import monotonic
 from ....transport.services import BackgroundService, restarted_task
 from ..settings import NodeSettings
+from ..tables.isolating import isolate_row
 from ..tables.tablestates import StoredRow, StoreProblem, TableState
 from .exchange import WorkExchange
 
@@ -42,6 +43,8 @@
 _REWRITE_SECONDS = 2.0
 #: Seconds between two reads for the sake of unknown IP numbers.
 _CONFIRM_PERIOD = 0.5
+#: What the log calls the table.
+_TABLE = 'instances'
 
 
 class _Row(msgspec.Struct):
@@ -189,10 +192,8 @@
             )
             self.is_starting = False
             return False
-        rows = [
-            row for row in found.unwrap().rows if not self._adopt_other(row)
-        ]
-        added = [self._add(row) for row in rows]
+        rows = [row for row in found.unwrap().rows if self._is_own_kind(row)]
+        added = [self._add_apart(row) for row in rows]
         self._hosts = frozenset(host for host in added if host)
         self.is_starting = False
         listed = {row.key for row in rows}
@@ -201,6 +202,18 @@
             self._note_alone()
         return True
 
+    def _is_own_kind(self, row: StoredRow) -> bool:
+        """Return whether a row is one of an instance; adopt any other."""
+        with isolate_row(_TABLE, row.key):
+            return not self._adopt_other(row)
+        return False
+
+    def _add_apart(self, row: StoredRow) -> str:
+        """Add an instance; an error concerns no other one."""
+        with isolate_row(_TABLE, row.key):
+            return self._add(row)
+        return ''
+
     def _add(self, row: StoredRow) -> str:
         """Add the instance of a row; return its IP number if it is readable."""
         try:
--- a/src/kelproad/coordination/ingress/tables/endpoints.py
+++ b/src/kelproad/coordination/ingress/tables/endpoints.py
@@ -23,6 +23,7 @@
 from ....state.records import record
 from ....state.routes import RoutingConfiguration
 from ....transport.deadlines import monotonic
+from .isolating import isolate_row
 from .roworders import ListedEndpoint
 from .tablestates import DecodedState
 
@@ -46,6 +47,8 @@
 #: Seconds between two checks for entries to drop, which come every 0.25 s, from
 #: which on the process must have stood still.
 _STANDSTILL_SECONDS = 0.5
+#: What the log calls the table.
+_TABLE = 'endpoints'
 
 
 _Entries = DecodedState[Result[ListedEndpoint, str]]
@@ -106,7 +109,8 @@
         """
         for decoded in state.rows:
             if decoded.row.encoded is not None:
-                self._update(decoded.row.key, decoded.payload)
+                with isolate_row(_TABLE, decoded.row.key):
+                    self._update(decoded.row.key, decoded.payload)
         # An endpoint may come and go within one answer.
         self._record_missing(self._list_vanished(state))
         self._was_read = True
@@ -269,7 +273,8 @@
     """Group entries by service; those of unknown services are excluded."""
     members: dict[str, list[EndpointDeclaration]] = {}
     for entry in entries:
-        members.setdefault(entry.service, []).append(_declare(entry))
+        with isolate_row(_TABLE, entry.name):
+            members.setdefault(entry.service, []).append(_declare(entry))
     return [
         _build_group(configuration, name, endpoints)
         for name, endpoints in members.items()
--- a/src/kelproad/coordination/ingress/tables/evacuations.py
+++ b/src/kelproad/coordination/ingress/tables/evacuations.py
@@ -12,6 +12,7 @@
 from ....state.endpointtable import EndpointTable
 from ....state.records import OnceRecorder, record
 from ....transport.deadlines import monotonic
+from .isolating import isolate_row
 from .roworders import OperatorRow
 from .tablestates import DecodedRow, DecodedState, Revision
 
@@ -74,7 +75,8 @@
             self._end_missing(state, now)
         for decoded in state.rows:
             if decoded.payload.evacuation is not None:
-                self._adopt_row(decoded, now)
+                with isolate_row('orders', decoded.row.key):
+                    self._adopt_row(decoded, now)
         self._publish()
 
     def expire(self) -> None:
--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -8,6 +8,9 @@
 import math
 import random
 from collections.abc import Callable
+from contextlib import AbstractContextManager
+
+from returns.result import Failure, Result
 
 from ....state.endpointtable import EndpointTable
 from ....state.records import record
@@ -18,10 +21,12 @@
 from .evacuations import ZoneEvacuations
 from .following import PeerTable, TableFollower, TableSource
 from .holder import ConfigurationHolder
+from .isolating import isolate_row
 from .merging import RowMerger, RowOrder
 from .roworders import (
     ENDPOINT_ORDER,
     OPERATOR_ORDER,
+    ListedEndpoint,
     OperatorRow,
 )
 from .store import NodeStore
@@ -217,7 +222,7 @@
         pause = min(_ENDPOINT_PAUSE, bounds.leave_endpoint * _PAUSE_SHARE)
         return self._follow(
             self._store.endpoints,
-            self._store.decode_endpoint,
+            self._decode_endpoint,
             ENDPOINT_ORDER,
             self.registry.adopt,
             _ENDPOINT_WAIT,
@@ -299,17 +304,30 @@
         if row.key == self._store.configuration_key:
             decoded = self._store.decode_configuration(row)
             return OperatorRow(row.encoded, row.revision, decoded)
-        return OperatorRow(
-            row.encoded,
-            row.revision,
-            evacuation=self._store.decode_evacuation(row),
-        )
+        order = None
+        with self._isolate(row.key):
+            order = self._store.decode_evacuation(row)
+        return OperatorRow(row.encoded, row.revision, evacuation=order)
+
+    def _decode_endpoint(self, row: StoredRow) -> Result[ListedEndpoint, str]:
+        with isolate_row(self._store.endpoints.name, row.key):
+            return self._store.decode_endpoint(row)
+        return Failure('an error of this program')
+
+    def _isolate(self, row: str) -> AbstractContextManager[None]:
+        """Isolate errors that concern a row of the operators' table.
+
+        Those in the reading of the configuration itself are not: it may revoke
+        keys, which must not be confirmed without it.
+        """
+        return isolate_row(self._store.configuration.name, row)
 
     def _adopt_configuration_table(
         self, state: DecodedState[OperatorRow]
     ) -> None:
         # Once there is a configuration, calls are sent.
-        self.evacuations.adopt(state)
+        with self._isolate('evacuate'):
+            self.evacuations.adopt(state)
         provenance = self.configuration.provenance
         self.confirmation.begin(direct=provenance is Provenance.STORE)
         if self._adopt_configuration(state) and not state.whole:
@@ -330,7 +348,8 @@
             configuration = read.payload.configuration
             if self._holder.offer(configuration, read.row.encoded):
                 self._record_adopted()
-                self.registry.adopt_configuration(self._holder.current)
+                with self._isolate(read.row.key):
+                    self.registry.adopt_configuration(self._holder.current)
         return bool(offered)
 
     def _record_adopted(self) -> None:
--- a/src/kelproad/state/endpointtable.py
+++ b/src/kelproad/state/endpointtable.py
@@ -88,15 +88,18 @@
         work goes on.
         """
         kept: dict[str, Endpoint] = {}
-        self._by_group = {}
-        self._by_zone = {}
+        by_group: dict[str, list[Endpoint]] = {}
+        by_zone: dict[tuple[str, str], list[Endpoint]] = {}
         for group in groups:
             members = [self._declare(item, group) for item in group.endpoints]
-            self._by_group[group.name] = members
+            by_group[group.name] = members
             for member in members:
                 location = (group.name, member.declaration.zone)
-                self._by_zone.setdefault(location, []).append(member)
+                by_zone.setdefault(location, []).append(member)
             kept.update({member.name: member for member in members})
+        # Replaced together, so that an error leaves no half of them.
+        self._by_group = by_group
+        self._by_zone = by_zone
         self._endpoints = kept
         self.evacuate(self.evacuated_zones)
 
