Services: a task that was not cancelled itself begins anew; a follower that hangs shows

Cause, asked after "a task that neither ends nor goes on": a task that awaits something that somebody else cancelled gets CancelledError, which restarted_task passed on; the services' library then ends it as if it had been cancelled, at level INFO of its own logger, which we switch off. Nothing follows the table from then on, and no line says so. And a follower whose await never returns failed in no way: not in readiness, not in /dump.

Change: only its own cancellation ends a task; any other is an error like others. A task may tell its turns; followers do, by their question to other instances, with which each turn begins. One without a turn for 10 s counts as failing: not ready, `failing_tasks`, cause follower_failing. A standstill of the process comes before it among the causes.

Not covered: a read of a whole table that never ends, as the follower goes on asking peers meanwhile (each of its calls has a bound; a store that pages forever has none).

--- a/src/kelproad/coordination/ingress/tables/causes.py
+++ b/src/kelproad/coordination/ingress/tables/causes.py
@@ -90,7 +90,8 @@
     is_restored
         Whether the store was restored while this instance ran.
     failing_tasks
-        Tasks that keep tables current and fail each time they begin anew.
+        Tasks that keep tables current and fail each time they begin anew, or
+        hang.
     provenance
         Source of the table, ``None`` before the first answer.
     live_peers, confirmed_peers
@@ -129,12 +130,14 @@
     """
     if state.is_confirmed and state.is_complete:
         return None
+    is_answered = state.answer_age <= state.longest_age
+    running_age = state.answer_age - state.stood_still
+    if running_age <= state.longest_age and not is_answered:
+        return UnconfirmedCause.STOOD_STILL
     if state.failing_tasks:
         return UnconfirmedCause.FOLLOWER_FAILING
-    if state.answer_age <= state.longest_age:
+    if is_answered:
         return _judge_answered(state)
-    if state.answer_age - state.stood_still <= state.longest_age:
-        return UnconfirmedCause.STOOD_STILL
     return _judge_store(state) or _judge_sources(state)
 
 
--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -249,6 +249,12 @@
                     self._spread_regained, followed
                 )
 
+        async def query(after: Revision | None) -> TableState | None:
+            # Each turn of the follower begins with it.
+            follower.mark_turn('_follow')
+            return await peers.query(after)
+
+        peers = self._open_peer_table(source.name)
         follower = TableFollower(
             source,
             self._store.eras,
@@ -256,7 +262,7 @@
             wait_seconds,
             pause,
             self._generator,
-            self._open_peer_table(source.name),
+            PeerTable(query, peers.measure_backoff),
         )
         followed = RelayedTable(
             follower,
--- a/src/kelproad/transport/services.py
+++ b/src/kelproad/transport/services.py
@@ -1,5 +1,6 @@
 """Base class of the services that run inside an instance, and their tasks."""
 
+import asyncio
 import functools
 import logging
 from collections.abc import Awaitable, Callable
@@ -24,6 +25,9 @@
 _SOUND_SECONDS = 10.0
 #: Failures in a row from which on a task counts as failing.
 _MAX_FAILURES = 3
+#: Seconds without a turn after which a task that tells its turns counts as
+#: failing: several times what any of its waits may take.
+_MAX_TURN_SECONDS = 10.0
 
 
 @attrs.define
@@ -70,15 +74,27 @@
         super().__post_init__()
         self.on_task_failed: Callable[[str], None] = _ignore_failure
         self._task_failures: dict[str, _TaskFailures] = {}
+        #: Monotonic time of the last turn of each task that tells them.
+        self._turns: dict[str, float] = {}
+
+    def mark_turn(self, task: str) -> None:
+        """Record that a task goes on."""
+        self._turns[self._name_task(task)] = monotonic()
 
     def list_failing_tasks(self) -> list[str]:
-        """List the tasks that fail each time they begin anew."""
+        """List the tasks that fail each time they begin anew, or hang."""
         now = monotonic()
-        return [
+        failing = {
             name
             for name, failures in self._task_failures.items()
             if failures.count >= _MAX_FAILURES and not failures.is_over(now)
-        ]
+        }
+        hanging = {
+            name
+            for name, turned_at in self._turns.items()
+            if now - turned_at > _MAX_TURN_SECONDS
+        }
+        return sorted(failing | hanging)
 
     def count_datagram_failure(self) -> None:
         """Count an error in the handling of a datagram."""
@@ -92,7 +108,7 @@
         float
             Seconds until the task is to begin anew.
         """
-        name = f'{type(self).__name__}.{task}'
+        name = self._name_task(task)
         failures = self._task_failures.setdefault(name, _TaskFailures())
         failures.add(monotonic())
         delay = failures.choose_delay()
@@ -109,6 +125,9 @@
         self.on_task_failed(name)
         return delay
 
+    def _name_task(self, task: str) -> str:
+        return f'{type(self).__name__}.{task}'
+
 
 _Owner = TypeVar('_Owner', bound=BackgroundService)
 
@@ -117,7 +136,8 @@
     """Make a method a task of its service that begins anew after an error.
 
     An error that nobody expected would otherwise end all tasks of the process,
-    which would go on serving by what it knew then.
+    which would go on serving by what it knew then.  So does a cancellation of
+    something that it awaits: only its own ends it.
     """
 
     @functools.wraps(run)
@@ -125,8 +145,18 @@
         while not service.should_stop:
             try:
                 return await run(service)
+            except asyncio.CancelledError:
+                if _is_cancelled():
+                    raise
+                delay = service.record_task_failure(run.__name__)
             except Exception:
                 delay = service.record_task_failure(run.__name__)
             await service.sleep(delay)
 
     return Service.task(keep_running)
+
+
+def _is_cancelled() -> bool:
+    """Return whether the running task itself is to end."""
+    task = asyncio.current_task()
+    return task is not None and bool(task.cancelling())
--- a/tests/ingress/test_tables.py
+++ b/tests/ingress/test_tables.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 import msgspec
+import pytest
 from returns.result import Result, Success
 
 from kelproad.coordination.ingress.settings import Bounds
@@ -32,6 +33,7 @@
 )
 from kelproad.state.counters import Counters, EvacuationMetrics
 from kelproad.state.endpointtable import EndpointTable
+from kelproad.transport import services
 from tests.ingress.test_following import Script
 
 ENDPOINTS = 'servers'
@@ -122,6 +124,31 @@
     )
 
 
+@pytest.mark.parametrize('told', ['configuration', 'endpoints'])
+async def test_a_follower_that_hangs_counts_as_failing(
+    told: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a store, or a peer, that is awaited without an end."""
+    now = 100.0
+    monkeypatch.setattr(services, 'monotonic', lambda: now)
+    script = Script(Success(TableState(Revision(0, 1), [], whole=True)), None)
+
+    async def hang(*_asked: object) -> None:
+        await asyncio.Event().wait()
+
+    script.await_changes = hang
+    tables = create_tables(script, ConfigurationHolder(), decode_endpoint)
+    follower = getattr(tables, told)
+    following = asyncio.create_task(TableFollower._follow.fun(follower))
+    await asyncio.sleep(0.8)
+    now += 9
+    assert follower.list_failing_tasks() == []
+    now += 2
+    assert not following.done()
+    following.cancel()
+    assert follower.list_failing_tasks() == ['TableFollower._follow']
+
+
 def configure(version: int) -> StoredRow:
     """Build the row of a configuration."""
     document = {'version': version, 'routes': [], 'services': []}
--- a/tests/ingress/test_unconfirmed.py
+++ b/tests/ingress/test_unconfirmed.py
@@ -97,6 +97,10 @@
             UnconfirmedCause.FOLLOWER_FAILING,
         ),
         (attrs.evolve(fail(OLD), stood_still=4), UnconfirmedCause.STOOD_STILL),
+        (
+            attrs.evolve(OLD, stood_still=4, failing_tasks=('F._follow',)),
+            UnconfirmedCause.STOOD_STILL,
+        ),
         (attrs.evolve(fail(OLD), stood_still=1), UnconfirmedCause.STORE_SILENT),
         (fail(READER), UnconfirmedCause.STORE_SILENT),
         (fail(READER, answered_for=0.7), UnconfirmedCause.STORE_SLOW),
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -69,6 +69,53 @@
     await worker.stop()
 
 
+class Cancelled(Worker):
+    """A service whose task awaits what somebody else cancelled."""
+
+    abstract = False
+
+    @restarted_task
+    async def _work(self) -> None:
+        if self.failures:
+            self.failures -= 1
+            other = asyncio.get_running_loop().create_future()
+            other.cancel()
+            await other
+        self.recovered.set()
+        await asyncio.sleep(60)
+
+
+async def test_a_task_that_nobody_cancelled_begins_anew() -> None:
+    """Guards against a task that ends without a line by another one's end."""
+    worker = Cancelled(2)
+    told: list[str] = []
+    worker.on_task_failed = told.append
+    await worker.start()
+    async with asyncio.timeout(5):
+        await worker.recovered.wait()
+    assert len(told) == 2
+    async with asyncio.timeout(2):
+        await worker.stop()
+    assert len(told) == 2
+
+
+async def test_a_task_that_takes_no_turn_counts_as_failing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a task that hangs while nothing shows it."""
+    now = 100.0
+    monkeypatch.setattr(services, 'monotonic', lambda: now)
+    worker = Worker(0)
+    assert worker.list_failing_tasks() == []
+    worker.mark_turn('_work')
+    now += 9
+    assert worker.list_failing_tasks() == []
+    now += 2
+    assert worker.list_failing_tasks() == ['Worker._work']
+    worker.mark_turn('_work')
+    assert worker.list_failing_tasks() == []
+
+
 async def test_a_task_that_fails_for_hours_begins_anew() -> None:
     """Guards against a delay that can't be computed after many failures."""
     worker = Worker(0)
