Services: errors of detached tasks and of callbacks are lines of ours, and counted

Cause: some 20 places create tasks that nobody awaits (notices, rows of quarantined parts, checks of engines, releases, tunnels, closings), and a few callbacks run by timers. An error there was only printed by asyncio's default handler, as a line whose event is a sentence, and counted by nothing.

Looked through for the class (grep create_task, call_later): none of them keeps tables or reports current; each is referenced until it ends; a timer that repeats itself sends datagrams again with the next end. So nothing else is changed.

Change: the node has the event loop's handler record error_unhandled with origin and traceback, and count it by origin. Evidence: test_unhandled.py (a task, a callback, a timer) passes, with test_documents; no site was run with it yet.

--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -15,6 +15,7 @@
 from ...transport.addresses import Address
 from ...transport.deadlines import RunningClock, monotonic
 from ...transport.services import BackgroundService, restarted_task
+from ...transport.unhandled import record_unhandled_errors
 from ..drain import Drain
 from .admission.dialect import Dialect
 from .admission.stopping import plan_stop
@@ -146,6 +147,7 @@
             SettingsWatch(self._settings_holder),
         )
         task_metrics = TaskMetrics(self._counters.registry)
+        record_unhandled_errors(task_metrics.count_failure)
         for service in (self, *self._background):
             service.on_task_failed = task_metrics.count_failure
         for service in self._background:
