Modules: tunnels are opened where their messages stand, pauses are read among statements

Moved, nothing changed: opening.py to protocol/tunnels.py, pauses.py to state/statements.py, what a refusal's cause is judged by to admission/unconfirmed.py, errors of one row to state/records.py, errors that nobody handles to transport/services.py. The follower tells its turns, so that one that hangs shows. Peers' confirmations age by boot time there too.

--- a/src/kelproad/coordination/ingress/admission/unconfirmed.py
+++ b/src/kelproad/coordination/ingress/admission/unconfirmed.py
@@ -12,11 +12,21 @@
 
 from ....state.counters import ConfirmationMetrics
 from ....state.records import record
-from ....transport.deadlines import monotonic
+from ....transport.deadlines import RunningClock, monotonic, read_boottime
 from ....transport.services import BackgroundService, restarted_task
+from ..membership.peers import PeerRegister
+from ..settings import Bounds
 from ..tables.causes import ConfirmationState, UnconfirmedCause, judge_cause
+from ..tables.confirming import CONFIRMED_SECONDS
+from ..tables.followed import FollowedTables
+from ..tables.holder import ConfigurationHolder
 
-__all__ = ['ConfirmationWatch', 'describe_state', 'round_age']
+__all__ = [
+    'ConfirmationObserver',
+    'ConfirmationWatch',
+    'describe_state',
+    'round_age',
+]
 
 _logger = logging.getLogger(__name__)
 #: Seconds between two looks.
@@ -26,6 +36,56 @@
 _LINE_PERIOD = 0.5
 
 
+@attrs.define
+class ConfirmationObserver:
+    """Collects what the cause of a missing confirmation is judged by."""
+
+    _tables: FollowedTables
+    _holder: ConfigurationHolder
+    _peers: PeerRegister
+    _running_clock: RunningClock
+    _read_bounds: Callable[[], Bounds]
+    #: Seconds in which this process did not run, up to the last confirmation.
+    _stood_before: float | None = None
+
+    def observe(self) -> ConfirmationState:
+        """Return the state at present."""
+        follower = self._tables.configuration
+        confirmation = self._tables.confirmation
+        boot_now = read_boottime()
+        live = [peer for _, peer in self._peers.iterate_live(monotonic())]
+        stood_still = self._measure_standstill()
+        if self._stood_before is None:
+            self._stood_before = stood_still
+        state = ConfirmationState(
+            confirmation.measure_age(),
+            follower.measure_age(),
+            self._read_bounds().apply_configuration,
+            max(0, stood_still - self._stood_before),
+            self._holder.version,
+            confirmation.is_compared,
+            confirmation.is_settled,
+            confirmation.is_complete,
+            confirmation.is_restored,
+            tuple(follower.list_failing_tasks()),
+            follower.provenance,
+            len(live),
+            sum(
+                boot_now - peer.confirmed_at < CONFIRMED_SECONDS
+                for peer in live
+            ),
+            follower.query_progress,
+        )
+        if state.is_confirmed:
+            self._stood_before = stood_still
+        return state
+
+    def _measure_standstill(self) -> float:
+        """Measure the seconds in which this process, or its machine, stood."""
+        suspended = read_boottime() - monotonic()
+        return self._running_clock.stood_still + suspended
+
+
 @attrs.define
 class _Unconfirmed:
     """A time without a confirmation.
@@ -144,7 +204,7 @@
         'answer_age': round_age(state.answer_age),
         'stood_still': round(state.stood_still, 3),
         'unanswered_for': round(state.progress.unanswered_for, 3),
-        'received': state.progress.received,
+        'is_arriving': state.progress.is_arriving,
         'problem': problem and problem.value,
         'failing_tasks': list(state.failing_tasks),
     }
--- a/src/kelproad/coordination/ingress/membership/rostering.py
+++ b/src/kelproad/coordination/ingress/membership/rostering.py
@@ -19,12 +19,11 @@
 from returns.result import Failure, Result
 
 from ....state.problems import UNREADABLE_ERRORS
-from ....state.records import record
+from ....state.records import isolate_row, record
 from ....transport.addresses import is_ip_number
 from ....transport.deadlines import monotonic
 from ....transport.services import BackgroundService, restarted_task
 from ..settings import NodeSettings
-from ..tables.isolating import isolate_row
 from ..tables.tablestates import StoredRow, StoreProblem, TableState
 from .exchange import WorkExchange
 
--- a/src/kelproad/coordination/ingress/node.py
+++ b/src/kelproad/coordination/ingress/node.py
@@ -14,14 +14,16 @@
 from ...state.work import WorkLedger
 from ...transport.addresses import Address
 from ...transport.deadlines import RunningClock, monotonic
-from ...transport.services import BackgroundService, restarted_task
-from ...transport.unhandled import record_unhandled_errors
+from ...transport.services import (
+    BackgroundService,
+    record_unhandled_errors,
+    restarted_task,
+)
 from ..drain import Drain
 from .admission.dialect import Dialect
 from .admission.stopping import plan_stop
-from .admission.unconfirmed import ConfirmationWatch
+from .admission.unconfirmed import ConfirmationObserver, ConfirmationWatch
 from .assembly import CallPipeline
-from .confirmations import ConfirmationObserver
 from .membership.peering import Peering
 from .membership.reachability import ZoneReachability
 from .readiness import Readiness
--- a/src/kelproad/coordination/ingress/tables/causes.py
+++ b/src/kelproad/coordination/ingress/tables/causes.py
@@ -51,8 +51,8 @@
         Why the last one failed, ``None`` if it didn't.
     unanswered_for
         Seconds since the query under way was sent, 0 if there is none.
-    received
-        Bytes of its answer that have arrived.
+    is_arriving
+        Whether bytes of an answer have arrived lately.
     answered_for
         Seconds since the last query was answered, however late or badly.
     """
@@ -60,7 +60,7 @@
     failures: int = 0
     problem: StoreProblemKind | None = None
     unanswered_for: float = 0
-    received: int = 0
+    is_arriving: bool = False
     answered_for: float = float('inf')
 
 
@@ -154,7 +154,7 @@
     """Judge the store by the queries of this instance, if there are any."""
     progress = state.progress
     answers = progress.answered_for <= _RECENT_SECONDS
-    if progress.received:
+    if progress.is_arriving:
         return UnconfirmedCause.TABLE_ARRIVING
     if progress.problem in _STATED_PROBLEMS:
         return UnconfirmedCause.STORE_REFUSES
--- a/src/kelproad/coordination/ingress/tables/endpoints.py
+++ b/src/kelproad/coordination/ingress/tables/endpoints.py
@@ -20,10 +20,9 @@
     EndpointKind,
 )
 from ....state.endpointtable import EndpointTable
-from ....state.records import record
+from ....state.records import isolate_row, record
 from ....state.routes import RoutingConfiguration
 from ....transport.deadlines import monotonic
-from .isolating import isolate_row
 from .roworders import ListedEndpoint
 from .tablestates import DecodedState
 
--- a/src/kelproad/coordination/ingress/tables/evacuations.py
+++ b/src/kelproad/coordination/ingress/tables/evacuations.py
@@ -10,9 +10,8 @@
 
 from ....state.counters import EvacuationMetrics
 from ....state.endpointtable import EndpointTable
-from ....state.records import OnceRecorder, record
+from ....state.records import OnceRecorder, isolate_row, record
 from ....transport.deadlines import monotonic
-from .isolating import isolate_row
 from .roworders import OperatorRow
 from .tablestates import DecodedRow, DecodedState, Revision
 
--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -13,7 +13,7 @@
 from returns.result import Failure, Result
 
 from ....state.endpointtable import EndpointTable
-from ....state.records import record
+from ....state.records import isolate_row, record
 from ..settings import Bounds
 from .caching import RelayedTable, TableCache
 from .confirming import Confirmation
@@ -21,7 +21,6 @@
 from .evacuations import ZoneEvacuations
 from .following import PeerTable, TableFollower, TableSource
 from .holder import ConfigurationHolder
-from .isolating import isolate_row
 from .merging import RowMerger, RowOrder
 from .roworders import (
     ENDPOINT_ORDER,
--- a/src/kelproad/coordination/ingress/tables/following.py
+++ b/src/kelproad/coordination/ingress/tables/following.py
@@ -20,6 +20,7 @@
 from ....state.records import record
 from ....transport.deadlines import monotonic, read_boottime
 from ....transport.services import BackgroundService, restarted_task
+from .causes import QueryProgress
 from .openqueries import OpenQueries
 from .positions import StoreEras, TablePosition
 from .tablestates import (
@@ -159,6 +160,7 @@
         self._queries = OpenQueries(source.read_received_at)
         self._position = TablePosition(source.name, eras)
         self._failures = 0
+        self._problem: StoreProblemKind | None = None
         self.on_restored: Callable[[float], None] = _ignore_restoration
         self.on_read_directly: Callable[[], None] = _ignore_reading
         self.provenance: Provenance | None = None
@@ -193,6 +195,11 @@
         """Whether the store has failed since the last valid answer."""
         return bool(self._failures)
 
+    @property
+    def query_progress(self) -> QueryProgress:
+        """How the queries of the store fare."""
+        return self._queries.describe_progress(self._failures, self._problem)
+
     def describe(self) -> dict[str, object]:
         """Describe the state of the table for operators."""
         return {
@@ -206,6 +213,7 @@
     async def _follow(self) -> None:
         try:
             while not self.should_stop:
+                self.mark_turn('_follow')
                 turned_at = read_boottime()
                 if not await self._follow_peer(turned_at):
                     await self._follow_store(turned_at)
@@ -299,6 +307,7 @@
         if self._failures:
             self._record_recovery()
         self._failures = 0
+        self._problem = None
         self._store_due = None
         self.recovered_at = max(
             self.recovered_at, monotonic() - state.recovered_for
@@ -365,6 +374,7 @@
 
     def _count_failure(self, problem: StoreProblem) -> None:
         self._failures += 1
+        self._problem = problem.kind
         if self._failures == 1:
             record(
                 _logger,
--- a/src/kelproad/coordination/ingress/tables/openqueries.py
+++ b/src/kelproad/coordination/ingress/tables/openqueries.py
@@ -15,7 +15,8 @@
 from returns.result import Result, Success
 
 from ....transport.deadlines import monotonic, within_running
-from .tablestates import StoreProblem, TableState
+from .causes import QueryProgress
+from .tablestates import StoreProblem, StoreProblemKind, TableState
 
 __all__ = ['Answered', 'OpenQueries']
 
@@ -110,6 +111,26 @@
         task = asyncio.create_task(query)
         self._open.append(_OpenQuery(sent_at, expected_at, task))
 
+    def describe_progress(
+        self, failures: int, problem: StoreProblemKind | None
+    ) -> QueryProgress:
+        """Describe for operators how the queries fare.
+
+        ``failures`` is the number of those that failed since the last valid
+        answer, ``problem`` the last of them.
+        """
+        now = monotonic()
+        unanswered_for = float(0)
+        if self._open:
+            unanswered_for = max(0, now - self._open[0].expected_at)
+        return QueryProgress(
+            failures,
+            problem,
+            unanswered_for,
+            now - self._read_arriving_at() < _PATIENCE,
+            now - self._taken_at,
+        )
+
     async def take(self, seconds: float) -> Answered | None:
         """Wait for an answer, and end the queries sent before its own.
 
--- a/src/kelproad/coordination/ingress/tunnels/connecting.py
+++ b/src/kelproad/coordination/ingress/tunnels/connecting.py
@@ -15,13 +15,13 @@
 import attrs
 
 from ....protocol.connections import ConnectionProgress, current_progress
+from ....protocol.tunnels import TunnelError, open_tunnel
 from ....state.counters import Counters
 from ....state.directpaths import DirectPaths, PathChange
 from ....state.records import record
 from ....transport.addresses import Address
 from ....transport.deadlines import monotonic, within_running
 from ....transport.sockets import connect_socket
-from .opening import TunnelError, open_tunnel
 from .peerchoice import TunnelPeer, TunnelPeers
 
 __all__ = ['EndpointConnector']
--- a/src/kelproad/platform/statements.py
+++ b/src/kelproad/platform/statements.py
@@ -2,13 +2,13 @@
 
 from multidict import CIMultiDictProxy
 
-from ..protocol.pauses import (
+from ..state.statements import (
     DECIMAL,
     RETRY_AFTER,
     TURNED_AWAY,
+    EndpointStatements,
     parse_pause,
 )
-from ..state.statements import EndpointStatements
 
 __all__ = ['STATEMENT_FIELDS', 'read_statements']
 
--- a/src/kelproad/protocol/engines.py
+++ b/src/kelproad/protocol/engines.py
@@ -18,6 +18,7 @@
 from ..state.holdings import HeldItem
 from ..state.problems import UNREADABLE_ERRORS, parse_digits
 from ..state.refusals import Ran, Refusal, RefusalCode, Step
+from ..state.statements import RETRY_AFTER, TURNED_AWAY, parse_pause
 from ..transport.deadlines import monotonic, within
 from ..transport.http import wrap_body
 from .connections import (
@@ -25,7 +26,6 @@
     ConnectionProgress,
     build_connect_timeout,
 )
-from .pauses import RETRY_AFTER, TURNED_AWAY, parse_pause
 
 __all__ = [
     'Attempt',
--- a/src/kelproad/state/records.py
+++ b/src/kelproad/state/records.py
@@ -4,13 +4,22 @@
 inputs, their age or version, and the outcome.
 """
 
+import contextlib
 import contextvars
 import logging
-from collections.abc import Hashable
+from collections.abc import Hashable, Iterator
 
 import attrs
 
-__all__ = ['EVENT_FIELDS', 'OnceRecorder', 'current_request', 'record']
+__all__ = [
+    'EVENT_FIELDS',
+    'OnceRecorder',
+    'current_request',
+    'isolate_row',
+    'record',
+]
+
+_logger = logging.getLogger(__name__)
 
 #: Attribute of a log record that holds the fields of its event.
 EVENT_FIELDS = 'event_fields'
@@ -39,6 +48,28 @@
     logger.info(event, extra={EVENT_FIELDS: fields})
 
 
+@contextlib.contextmanager
+def isolate_row(table: str, row: str) -> Iterator[None]:
+    """Record an error in the block with its traceback, and go on after it.
+
+    A table whose adoption fails is read again and confirms nothing; if one row
+    made it fail each time, an instance would soon refuse all keys.
+
+    Parameters
+    ----------
+    table
+        Name of a table.
+    row
+        Key of the row that the block concerns.
+    """
+    try:
+        yield
+    except Exception:
+        _logger.exception(
+            'row_failed', extra={EVENT_FIELDS: {'table': table, 'row': row}}
+        )
+
+
 @attrs.define
 class OnceRecorder:
     """Recorder of events that others may cause any number of times.
--- a/src/kelproad/transport/services.py
+++ b/src/kelproad/transport/services.py
@@ -1,9 +1,13 @@
-"""Base class of the services that run inside an instance, and their tasks."""
+"""Base class of the services that run inside an instance, and their tasks.
+
+Errors of detached tasks and of callbacks, which the event loop would only
+print, are recorded like those of its tasks.
+"""
 
 import asyncio
 import functools
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import TypeVar
 
 import attrs
@@ -13,7 +17,11 @@
 from ..state.records import EVENT_FIELDS
 from .deadlines import monotonic
 
-__all__ = ['BackgroundService', 'restarted_task']
+__all__ = [
+    'BackgroundService',
+    'record_unhandled_errors',
+    'restarted_task',
+]
 
 _logger = logging.getLogger(__name__)
 #: Seconds until a task that failed begins anew, doubled for each failure in a
@@ -28,6 +36,10 @@
 #: Seconds without a turn after which a task that tells its turns counts as
 #: failing: several times what any of its waits may take.
 _MAX_TURN_SECONDS = 10.0
+#: What an event loop may say of the origin of an error, in this order.
+_ORIGINS = ('task', 'future', 'handle', 'transport', 'protocol')
+#: Characters of an origin that are logged.
+_MAX_SHOWN = 200
 
 
 @attrs.define
@@ -160,3 +172,42 @@
     """Return whether the running task itself is to end."""
     task = asyncio.current_task()
     return task is not None and bool(task.cancelling())
+
+
+def record_unhandled_errors(count: Callable[[str], None]) -> None:
+    """Record the errors that the running event loop is told, and count them.
+
+    ``count`` gets what the name of the failed part is, as far as it is known.
+    """
+
+    def handle(  # noqa: WPS430  closure
+        _loop: asyncio.AbstractEventLoop, context: Mapping[str, object]
+    ) -> None:
+        origin = _find_origin(context)
+        error = context.get('exception')
+        _logger.error(
+            'error_unhandled',
+            extra={
+                EVENT_FIELDS: {
+                    'origin': _name_origin(origin),
+                    'reason': context.get('message'),
+                    'where': repr(origin)[:_MAX_SHOWN],
+                }
+            },
+            exc_info=error if isinstance(error, Exception) else None,
+        )
+        count(_name_origin(origin))
+
+    asyncio.get_running_loop().set_exception_handler(handle)
+
+
+def _find_origin(context: Mapping[str, object]) -> object:
+    found = (context.get(name) for name in _ORIGINS)
+    return next((origin for origin in found if origin is not None), None)
+
+
+def _name_origin(origin: object) -> str:
+    """Name a part by its code, which bounds the number of names."""
+    if isinstance(origin, asyncio.Task):
+        return getattr(origin.get_coro(), '__qualname__', 'task')
+    return type(origin).__name__
--- a/tests/ingress/test_endless.py
+++ b/tests/ingress/test_endless.py
@@ -11,10 +11,9 @@
 import pytest
 from returns.result import Failure
 
-from kelproad.coordination.ingress.tunnels.opening import open_tunnel
 from kelproad.protocol.events import SequenceError
 from kelproad.protocol.eventstreams import EventSplitter
-from kelproad.protocol.tunnels import TunnelReply
+from kelproad.protocol.tunnels import TunnelReply, open_tunnel
 from kelproad.transport.addresses import Address
 from kelproad.transport.deadlines import monotonic
 from kelproad.transport.exchanges import exchange
--- a/tests/ingress/test_tunnels.py
+++ b/tests/ingress/test_tunnels.py
@@ -25,7 +25,6 @@
 )
 from kelproad.coordination.ingress.tunnels import serving as serving_module
 from kelproad.coordination.ingress.tunnels.connecting import EndpointConnector
-from kelproad.coordination.ingress.tunnels.opening import open_tunnel
 from kelproad.coordination.ingress.tunnels.peerchoice import (
     TunnelPeer,
     TunnelPeers,
@@ -36,6 +35,7 @@
     TunnelReply,
     TunnelRequest,
     encode_request,
+    open_tunnel,
 )
 from kelproad.state.counters import Counters
 from kelproad.state.directpaths import DirectPaths
--- a/tests/ingress/test_typed_fuzz.py
+++ b/tests/ingress/test_typed_fuzz.py
@@ -1,5 +1,6 @@
 """Bounded fuzzing with values of the right types: rows, reports of peers."""
 
+import asyncio
 import json
 import types
 import typing
@@ -14,7 +15,9 @@
     PeerUpdate,
     encode_update,
 )
-from kelproad.coordination.ingress.tables import isolating
+from kelproad.coordination.ingress.tables.confirming import (
+    ConfirmedElsewhere,
+)
 from kelproad.coordination.ingress.tables.followed import FollowedTables
 from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
 from kelproad.coordination.ingress.tables.tablestates import (
@@ -23,6 +26,7 @@
     TableState,
 )
 from kelproad.platform import rows
+from kelproad.state import records
 from tests.ingress.test_exchange import Instance
 from tests.ingress.test_following import Script
 from tests.ingress.test_tables import create_tables
@@ -99,8 +103,12 @@
         revision,
     )
     follower = tables._followed[table].follower
-    with mock.patch.object(isolating, '_logger') as logger:
+
+    async def accept() -> None:
         follower._accept(TableState(revision, [stored], version == 1), 0)
+
+    with mock.patch.object(records, '_logger') as logger:
+        asyncio.run(accept())
     logger.exception.assert_not_called()
     assert follower._position.base == revision
     tables.list_changes_for_peer(table, None, within_zone=True)
@@ -144,7 +152,7 @@
         here.hear(encode_update(update), waited)
         assert here.build_report()
         peers = here.exchange.peers
-        assert peers.is_confirmed_elsewhere(0) in {True, False}
+        assert peers.judge_confirmed(0) in ConfirmedElsewhere
         assert peers.count_live(0) >= 1
         peers.list_ahead(1, 0)
         peers.rank_self(0)
--- a/tests/ingress/test_unconfirmed.py
+++ b/tests/ingress/test_unconfirmed.py
@@ -18,9 +18,9 @@
 )
 from kelproad.coordination.ingress.admission.stopping import plan_stop
 from kelproad.coordination.ingress.admission.unconfirmed import (
+    ConfirmationObserver,
     ConfirmationWatch,
 )
-from kelproad.coordination.ingress.confirmations import ConfirmationObserver
 from kelproad.coordination.ingress.settings import Bounds
 from kelproad.coordination.ingress.tables.causes import (
     ConfirmationState,
@@ -72,7 +72,7 @@
             UnconfirmedCause.STARTING,
         ),
         (
-            attrs.evolve(NEW, progress=QueryProgress(received=9_000)),
+            attrs.evolve(NEW, progress=QueryProgress(is_arriving=True)),
             UnconfirmedCause.TABLE_ARRIVING,
         ),
         (fail(NEW), UnconfirmedCause.STORE_SILENT),
@@ -108,7 +108,7 @@
             attrs.evolve(READER, progress=QueryProgress(unanswered_for=4)),
             UnconfirmedCause.STORE_SILENT,
         ),
-        (fail(READER, received=9_000), UnconfirmedCause.TABLE_ARRIVING),
+        (fail(READER, is_arriving=True), UnconfirmedCause.TABLE_ARRIVING),
         (
             fail(READER, problem=StoreProblemKind.TOO_MANY_CALLS),
             UnconfirmedCause.STORE_REFUSES,
@@ -319,7 +319,7 @@
             measure_age=lambda: self.age,
             provenance=Provenance.STORE,
             list_failing_tasks=list,
-            describe=lambda: {'failures': 0},
+            query_progress=QueryProgress(),
         )
         self.clock = RunningClock(read_time=lambda: self.now)
         self.observer = ConfirmationObserver(
--- a/tests/test_unhandled.py
+++ b/tests/test_unhandled.py
@@ -7,7 +7,7 @@
 import pytest
 
 from kelproad.state.records import EVENT_FIELDS
-from kelproad.transport.unhandled import record_unhandled_errors
+from kelproad.transport.services import record_unhandled_errors
 
 
 async def fail() -> None:
