Tables: a slow store, a large table and a refusal are told apart from silence

Cause: a silent store, one that answers late, one that sends a large table slowly and one that refuses were all store_silent, as only the queries themselves know.

Change: the source of the configuration is watched from outside of its follower: since when a query is overdue, whether bytes arrive, by how much the last answer was late, why the latest query failed. A time without a confirmation ends once there was one for 1 s, as an age about its bound made five lines in 8 s at each instance.

--- a/src/kelproad/coordination/ingress/admission/unconfirmed.py
+++ b/src/kelproad/coordination/ingress/admission/unconfirmed.py
@@ -34,6 +34,9 @@
 #: Seconds between two lines of one time without a confirmation, as causes may
 #: alternate.
 _LINE_PERIOD = 0.5
+#: Seconds with a confirmation after which that time has ended: the age may be
+#: about its bound for long.
+_CALM_SECONDS = 1.0
 
 
 @attrs.define
@@ -98,12 +101,15 @@
         The cause of the last line, and ``recorded_at`` its monotonic time.
     refusals
         Calls refused meanwhile for want of a confirmation.
+    confirmed_at
+        Monotonic time since which there is one again.
     """
 
     since: float
     recorded: UnconfirmedCause | None = None
     recorded_at: float = float('-inf')
     refusals: int = 0
+    confirmed_at: float | None = None
 
 
 class ConfirmationWatch(BackgroundService):
@@ -163,6 +169,7 @@
         if self._unconfirmed is None:
             self._unconfirmed = _Unconfirmed(now)
         known = self._unconfirmed
+        known.confirmed_at = None
         if cause is known.recorded or now - known.recorded_at < _LINE_PERIOD:
             return
         known.recorded = cause
@@ -178,12 +185,17 @@
         if self._unconfirmed is None:
             return
         ended = self._unconfirmed
+        now = monotonic()
+        if ended.confirmed_at is None:
+            ended.confirmed_at = now
+        if now - ended.confirmed_at < _CALM_SECONDS:
+            return
         self._unconfirmed = None
         record(
             _logger,
             'configuration_confirmed',
             cause=ended.recorded,
-            seconds=round(monotonic() - ended.since, 3),
+            seconds=round(ended.confirmed_at - ended.since, 3),
             refusals=ended.refusals,
             age=round_age(state.age),
             version=state.version,
@@ -204,7 +216,8 @@
         'answer_age': round_age(state.answer_age),
         'stood_still': round(state.stood_still, 3),
         'unanswered_for': round(state.progress.unanswered_for, 3),
-        'is_arriving': state.progress.is_arriving,
+        'arriving': state.progress.is_arriving,
+        'late_by': round(state.progress.late_by, 3),
         'problem': problem and problem.value,
         'failing_tasks': list(state.failing_tasks),
     }
--- a/src/kelproad/coordination/ingress/membership/peers.py
+++ b/src/kelproad/coordination/ingress/membership/peers.py
@@ -143,21 +143,14 @@
         # One that has started anew knows nothing, however soon it is back.
         heard_anew = silent or update.started_at > peer.order[0]
         peer.order = order
-        if heard_anew and self._reports_regularly(update.zone):
-            record(
-                _logger, 'peer_heard', peer=update.instance, zone=update.zone
-            )
-        for greet in self.on_heard if heard_anew else ():
-            greet(update.host)
+        if heard_anew:
+            self._greet(update)
         was_able = peer.is_able(now)
         peer.received_at = float('-inf') if update.leaving else now
         if peer.zone != update.zone:
             peer.zone = update.zone
             self._by_zone = None
-        peer.provenance = update.provenance
-        peer.lost_paths = update.lost_paths
-        peer.configuration = update.configuration
-        peer.confirmed_at = _find_confirmed_at(update)
+        _copy_state(update, peer)
         is_named_anew = self._accept_reader(update, now)
         if is_named_anew or (peer.is_able(now) and not was_able):
             for act in self.on_able:
@@ -299,6 +292,15 @@
         }
         return list((named | live).values())
 
+    def _greet(self, update: PeerUpdate) -> None:
+        """Have a peer told that is heard for the first time, or again."""
+        if self._reports_regularly(update.zone):
+            record(
+                _logger, 'peer_heard', peer=update.instance, zone=update.zone
+            )
+        for greet in self.on_heard:
+            greet(update.host)
+
     def _accept_reader(self, update: PeerUpdate, now: float) -> bool:
         """Record the reader that a report names; return whether it is news."""
         if update.zone_reader is None:
@@ -327,6 +329,13 @@
         )
 
 
+def _copy_state(update: PeerUpdate, peer: Peer) -> None:
+    peer.provenance = update.provenance
+    peer.lost_paths = update.lost_paths
+    peer.configuration = update.configuration
+    peer.confirmed_at = _find_confirmed_at(update)
+
+
 def _find_confirmed_at(update: PeerUpdate) -> float:
     """Find the boot time at which a peer's configuration was confirmed."""
     if update.unconfirmed_for is None:
--- a/src/kelproad/coordination/ingress/tables/causes.py
+++ b/src/kelproad/coordination/ingress/tables/causes.py
@@ -16,11 +16,19 @@
     'judge_cause',
 ]
 
-#: Seconds for which the end of an answer of the store, or a problem that it
-#: stated, still says how it is.
+#: Seconds for which an answer of the store still says how it is.
 _RECENT_SECONDS = 5.0
+#: Seconds from which on an answer is late, or a query counts as unanswered: the
+#: store takes some 4 ms, and up to 60 times as long when it is slow.
+_LATE_SECONDS = 1.0
 #: Problems that the store states itself, rather than by its silence.
-_STATED_PROBLEMS = frozenset(StoreProblemKind) - {StoreProblemKind.UNREACHABLE}
+_STATED_PROBLEMS = frozenset(
+    (
+        StoreProblemKind.REFUSED,
+        StoreProblemKind.TOO_MANY_CALLS,
+        StoreProblemKind.UNREADABLE,
+    )
+)
 
 
 class UnconfirmedCause(enum.StrEnum):
@@ -41,20 +49,24 @@
 
 @attrs.frozen
 class QueryProgress:
-    """The query of the store under way, and how the last ones ended.
+    """The queries of the store under way, and how the last ones ended.
 
     Attributes
     ----------
     failures
-        Queries that failed since the last valid answer.
+        Failures since the last valid answer.
     problem
-        Why the last one failed, ``None`` if it didn't.
+        Why the last query that ended failed, ``None`` if it didn't.  Another
+        instance may have told the table since.
     unanswered_for
-        Seconds since the query under way was sent, 0 if there is none.
+        Seconds since the oldest query under way should have been answered, 0 if
+        there is none.
     is_arriving
-        Whether bytes of an answer have arrived lately.
+        Whether bytes of an answer that is not complete have arrived lately.
     answered_for
-        Seconds since the last query was answered, however late or badly.
+        Seconds since a query was answered last.
+    late_by
+        Seconds by which that answer came later than at once.
     """
 
     failures: int = 0
@@ -62,6 +74,18 @@
     unanswered_for: float = 0
     is_arriving: bool = False
     answered_for: float = float('inf')
+    late_by: float = 0
+
+    @property
+    def is_late(self) -> bool:
+        """Whether the store answers, but late."""
+        is_recent = self.answered_for <= _RECENT_SECONDS
+        return is_recent and self.late_by >= _LATE_SECONDS
+
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether queries fail, or are without an answer for long."""
+        return bool(self.failures) or self.unanswered_for >= _LATE_SECONDS
 
 
 @attrs.frozen
@@ -153,18 +177,13 @@
 def _judge_store(state: ConfirmationState) -> UnconfirmedCause | None:
     """Judge the store by the queries of this instance, if there are any."""
     progress = state.progress
-    answers = progress.answered_for <= _RECENT_SECONDS
+    if progress.failures and progress.problem in _STATED_PROBLEMS:
+        return UnconfirmedCause.STORE_REFUSES
     if progress.is_arriving:
         return UnconfirmedCause.TABLE_ARRIVING
-    if progress.problem in _STATED_PROBLEMS:
-        return UnconfirmedCause.STORE_REFUSES
-    if not (progress.failures or progress.unanswered_for):
-        return None
-    if answers:
+    if progress.is_late:
         return UnconfirmedCause.STORE_SLOW
-    if state.version is None and not progress.failures:
-        return UnconfirmedCause.STARTING
-    return UnconfirmedCause.STORE_SILENT
+    return UnconfirmedCause.STORE_SILENT if progress.is_unanswered else None
 
 
 def _judge_sources(state: ConfirmationState) -> UnconfirmedCause:
@@ -172,7 +191,7 @@
     if state.provenance is None:
         return UnconfirmedCause.STARTING
     if state.provenance is Provenance.STORE:
-        return UnconfirmedCause.STORE_SLOW
+        return UnconfirmedCause.STORE_SILENT
     if state.live_peers:
         return UnconfirmedCause.PEERS_OUTDATED
     return UnconfirmedCause.PEERS_SILENT
--- a/src/kelproad/coordination/ingress/tables/openqueries.py
+++ b/src/kelproad/coordination/ingress/tables/openqueries.py
@@ -129,6 +129,7 @@
             unanswered_for,
             now - self._read_arriving_at() < _PATIENCE,
             now - self._taken_at,
+            self._usual_delay,
         )
 
     async def take(self, seconds: float) -> Answered | None:
--- a/tests/ingress/test_open_queries.py
+++ b/tests/ingress/test_open_queries.py
@@ -116,3 +116,30 @@
     async with asyncio.timeout(0.5):
         assert await queries.take(1) is None
     queries.discard()
+
+
+@pytest.mark.parametrize(('wait', 'is_late'), [(0, True), (0.2, False)])
+async def test_a_late_answer_is_told_from_one_that_waits_for_changes(
+    wait: float, is_late: bool
+) -> None:
+    """Guards against a sound store that counts as a slow one."""
+    queries = open_queries()
+    queries.send(answer(0.2), 1, wait)
+    await queries.take(1)
+    late_by = queries.describe_progress(0, None).late_by
+    assert (late_by >= PATIENCE) is is_late
+
+
+async def test_a_large_answer_is_told_from_silence() -> None:
+    """Guards against an answer on its way that counts as none."""
+    received_at = monotonic()
+    queries = open_queries(received_at)
+    queries.send(answer(0.01), 1, 0)
+    assert queries.describe_progress(0, None).is_arriving
+    await queries.take(1)
+    queries.send(answer(1), 2, 0)
+    progress = queries.describe_progress(0, None)
+    assert not progress.is_arriving
+    assert progress.answered_for < PATIENCE
+    queries.discard()
+    assert not queries.describe_progress(0, None).unanswered_for
