--- a/src/kelproad/coordination/ingress/membership/peers.py
+++ b/src/kelproad/coordination/ingress/membership/peers.py
@@ -294,7 +294,10 @@
 
     def _greet(self, update: PeerUpdate) -> None:
         """Have a peer told that is heard for the first time, or again."""
-        if self._reports_regularly(update.zone):
+        reports_regularly = (
+            update.zone == self._settings.zone or self.is_full_mesh
+        )
+        if reports_regularly:
             record(
                 _logger, 'peer_heard', peer=update.instance, zone=update.zone
             )
@@ -317,10 +320,6 @@
         self._zone_readers[update.zone] = (reader, now)
         return reader != known or now - known_at >= _LIVE_SECONDS
 
-    def _reports_regularly(self, zone: str) -> bool:
-        """Return whether each instance of a zone is expected to report."""
-        return zone == self._settings.zone or self.is_full_mesh
-
     def _is_zone_isolated(self, received: Iterable[Peer], now: float) -> bool:
         """Return whether all other zones have fallen silent."""
         others = {peer.zone for peer in received} - {'', self._settings.zone}
