Soak: a store that answers late, slowly or not at all, beside large configurations

The soak asks the store for the newest configuration four times a second. A call with a valid key that is refused as unconfirmed breaks a promise if the store answered all that was asked in the five seconds before within three, and its instance was neither suspended, started, stopped nor cut from the store meanwhile. Silenced connections to the store are recorded, and a late store may hide an order to evacuate, as one that fails does.

--- a/testbed/soak/routed.py
+++ b/testbed/soak/routed.py
@@ -24,10 +24,12 @@
 from .links import Link
 from .routed_callers import CallRecord, RoutedCallers
 from .routed_checks import check_calls, check_recovery
+from .routed_confirmed import check_confirmed
 from .routed_crashes import CrashingRequests, check_crashes
 from .routed_cuts import is_cut_by_end, is_unanswered
 from .routed_evacuations import EvacuationOrders, check_evacuations
 from .routed_faults import Base, RoutedFaults, wait_for_all
+from .routed_late import StoreLateness
 from .routed_limits import StatedLimit, StatedLimits, check_limits
 from .routed_partitions import InstanceCuts
 from .routed_pauses import EndpointPauses, check_pauses
@@ -52,6 +54,7 @@
     ('crashes', 'Also send requests on a part of which engines crash.'),
     ('withdrawals', 'Also let endpoints state that they leave or pause.'),
     ('restores', 'Also let the store return from copies of itself.'),
+    ('late', 'Also let the store answer late, and write many routes.'),
     ('pauses', 'Also let endpoints pause and go on, beside changes of routes.'),
     ('evacuations', 'Also let operators evacuate a zone of endpoints.'),
     ('rows', 'Also write odd rows, and silence connections to the store.'),
@@ -89,25 +92,28 @@
         await asyncio.sleep(1)
         faults = RoutedFaults(site, links, callers, seed, base)
         limits = StatedLimits(site, seed)
-        cuts = InstanceCuts(site, links, seed, 'mute' in kinds)
         crashing = CrashingRequests(site, callers, faults)
         withdrawals = StatedWithdrawals(site, faults, seed)
         restorations = StoreRestorations(site, faults, callers, seed)
+        lateness = StoreLateness(site, faults, callers, seed)
         pauses = EndpointPauses(site, faults, callers, seed)
         evacuations = EvacuationOrders(site, seed)
         await asyncio.gather(
             callers.run(seconds),
             faults.run(seconds),
             limits.run(seconds),
-            cuts.run(
+            InstanceCuts(site, links, seed, 'mute' in kinds).run(
                 seconds if {'cuts', 'mute'} & set(kinds) else 0, faults.spans
             ),
             crashing.run(seconds if 'crashes' in kinds else 0),
             withdrawals.run(seconds if 'withdrawals' in kinds else 0),
             restorations.run(seconds if 'restores' in kinds else 0),
+            lateness.run(seconds if 'late' in kinds else 0),
             pauses.run(seconds if 'pauses' in kinds else 0),
             evacuations.run(seconds if 'evacuations' in kinds else 0),
-            OddWrites(site, links, seed).run(seconds if 'rows' in kinds else 0),
+            OddWrites(site, links, seed).run(
+                seconds if 'rows' in kinds else 0, faults.spans
+            ),
         )
         if 'crashes' in kinds:
             await crashing.finish()
@@ -140,6 +146,9 @@
             ),
             functools.partial(check_restorations, site, restorations),
             functools.partial(check_followers, site),
+            functools.partial(
+                check_confirmed, callers.records, faults, lateness.watch.queries
+            ),
             functools.partial(
                 check_pauses,
                 site,
--- a/testbed/soak/routed_evacuations.py
+++ b/testbed/soak/routed_evacuations.py
@@ -12,6 +12,7 @@
 
 from .routed_callers import CallRecord
 from .routed_faults import RoutedFaults, list_interruptions
+from .routed_late import STORE_LATE
 
 __all__ = ['EvacuationOrders', 'check_evacuations']
 
@@ -24,7 +25,9 @@
 #: Seconds after an order, or after a fault that hides it, from which on no call
 #: of a caller may arrive.
 _OBEYED_SECONDS = 2.0
-_HIDING_FAULTS = frozenset(('store fails', 'link harmed', 'store restored'))
+_HIDING_FAULTS = frozenset(
+    ('store fails', 'link harmed', 'store restored', STORE_LATE)
+)
 
 
 @attrs.frozen
--- a/testbed/soak/routed_faults.py
+++ b/testbed/soak/routed_faults.py
@@ -128,6 +128,19 @@
         finally:
             self._busy.discard(name)
 
+    async def write_other_key(self, **routes: dict[str, object]) -> str:
+        """Write a configuration with another key; return the revoked one.
+
+        The operator must be reserved.
+        """
+        old = self._callers.key
+        self._callers.key = secrets.token_hex(8)
+        keys = (self._callers.key,)
+        await asyncio.to_thread(self._site.put_configuration, keys, **routes)
+        self.revoked_at[old] = time.monotonic()
+        self.issued_at[self._callers.key] = time.monotonic()
+        return old
+
     async def _inject_repeatedly(self, end: float) -> None:
         while time.monotonic() < end:
             name = self._random.choice(list(self._kinds))
@@ -280,13 +293,7 @@
         with self.reserve(['operator']) as name:
             if not name:
                 return ''
-            old = self._callers.key
-            self._callers.key = secrets.token_hex(8)
-            keys = (self._callers.key,)
-            await asyncio.to_thread(self._site.put_configuration, keys)
-            self.revoked_at[old] = time.monotonic()
-            self.issued_at[self._callers.key] = time.monotonic()
-            return old
+            return await self.write_other_key()
 
     async def _change_configuration(self, _duration: float) -> str:
         with self.reserve(['operator']) as name:
--- a/testbed/soak/routed_rows.py
+++ b/testbed/soak/routed_rows.py
@@ -8,8 +8,11 @@
 from testbed.routed import RoutedSite
 
 from .links import Link, LinkFault
+from .routed_faults import Span
 
-__all__ = ['OddWrites', 'check_followers']
+__all__ = ['CONNECTIONS_SILENCED', 'OddWrites', 'check_followers']
+
+CONNECTIONS_SILENCED = 'store connections silenced'
 
 _DEPTH = 50_000
 _NESTED = b''.join((b'[' * _DEPTH, b']' * _DEPTH))
@@ -48,8 +51,8 @@
         ]
         self._random = random.Random(seed)
 
-    async def run(self, seconds: float) -> None:
-        """Write and silence for ``seconds``, in turn at random."""
+    async def run(self, seconds: float, spans: list[Span]) -> None:
+        """Write and silence for ``seconds``, and record the silences."""
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             if self._random.randrange(2):
@@ -59,6 +62,8 @@
                 for link in self._links:
                     link.harm(LinkFault.OPEN_SILENT)
                     link.heal()
+                now = time.monotonic()
+                spans.append(Span(CONNECTIONS_SILENCED, 'all', now, now))
             await asyncio.sleep(self._random.uniform(*_GAP_SECONDS))
 
 
--- a/tests/ingress/test_soak.py
+++ b/tests/ingress/test_soak.py
@@ -30,6 +30,10 @@
 #: of such runs.
 EVACUATION_SECONDS = 12.0
 EVACUATION_SEEDS = (1,)
+#: Duration of a run in which the store answers late or slowly beside suspended
+#: instances, in seconds, and seeds of such runs.
+LATE_SECONDS = 15.0
+LATE_SEEDS = (12,)
 #: Duration of a run beside odd rows and silent connections to the store, in
 #: seconds, and seeds of such runs.
 ROW_SECONDS = 12.0
@@ -140,3 +144,15 @@
         assert not await soak(
             site, ROW_SECONDS, seed, base=Base.CALM, kinds=('rows',)
         )
+
+
+@pytest.mark.parametrize('seed', LATE_SEEDS)
+async def test_keys_are_confirmed_while_the_store_answers_late(
+    seed: int,
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a slow store that counts as one that is away."""
+    with start_routed_site(tmp_path, 0) as site:
+        assert not await soak(
+            site, LATE_SECONDS, seed, base=Base.CALM, kinds=('late',)
+        )
