Tables: one regained table is reported, too, and needs no event loop

Cause: an instance told others of its tables only once it had all of them again. The news went out by the event loop after the adoption, which tests of single rows run without.

Change: each regained table wakes the report, which goes out after the adoption as another task sends it; whether other zones hear it all is decided then. A report that is hastened no longer forgets what work a zone of a large fleet was told last, so that its end is told to all of it.

--- a/src/kelproad/coordination/ingress/membership/exchange.py
+++ b/src/kelproad/coordination/ingress/membership/exchange.py
@@ -122,9 +122,7 @@
         self._local_report = LastReport()
         self._remote_report = LastReport()
         self._zone_reports: dict[str, LastReport] = {}
-        #: Source of the tables as last reported.
-        self._reported_source: Provenance | None = None
-        #: Whether all instances of other zones are to be told at once.
+        #: Whether a table has become known here since the last report.
         self._is_news = False
         self._changed = asyncio.Event()
         ledger.on_change = self._changed.set
@@ -189,21 +187,18 @@
         )
 
     def report_soon(self) -> None:
-        """Report to all peers at once, as many of them are new."""
+        """Report to all peers at once."""
         self._local_report = LastReport()
         self._remote_report = LastReport()
-        self._zone_reports.clear()
+        # What they were told last is kept, so that its end is told as well.
+        for last in self._zone_reports.values():
+            last.at = float('-inf')
         self._changed.set()
 
     def report_tables(self) -> None:
-        """Report to all peers at once if tables can be served here again."""
-        source = self._tables.read_provenance()
-        if source is None or source is self._reported_source:
-            return
-        self._remote_report.at = float('-inf')
-        # Other zones are served by readers of the store only.
-        self._is_news = source is Provenance.STORE
-        self._changed.set()
+        """Report to all peers at once, as a table is known here again."""
+        self._is_news = True
+        self.report_soon()
 
     def _greet(self, host: str) -> None:
         """Report to a peer that is heard for the first time."""
@@ -215,10 +210,9 @@
         while not self.should_stop:
             # Before the changes are read, so that none after that is missed.
             self._changed.clear()
-            self._reported_source = self._tables.read_provenance()
             changes = (
                 self._ledger.changes,
-                self._reported_source,
+                self._tables.read_provenance(),
                 bool(self._paths.count_lost(monotonic())),
             )
             all_sent = self._send_due_reports(changes, monotonic())
@@ -256,9 +250,10 @@
     ) -> None:
         """Report to each zone the work at its engines, or a keep-alive."""
         reader = self._find_zone_reader(now)
-        is_news = self._is_news
+        # Other zones are served by readers of the store only.
+        source = self._tables.read_provenance()
+        is_news = self._is_news and source is Provenance.STORE
         self._is_news = False
-        repeat = 0 if is_news else MIN_REPEAT_PERIOD
         for zone, members in remote.items():
             reported = [
                 work for work in works if self._find_zone(work.endpoint) == zone
@@ -267,7 +262,7 @@
             # The end of all work is reported to each of them as well, and that
             # the store is read here again.
             concerned = is_news or bool(reported or last.changes)
-            if not last.mark_if_due(reported, now, 0, repeat):
+            if not last.mark_if_due(reported, now, 0, MIN_REPEAT_PERIOD):
                 continue
             if not concerned:
                 # The live instances here divide those of the other zone among
--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -3,7 +3,6 @@
 Each has a follower, which keeps it current here, and is relayed to peers.
 """
 
-import asyncio
 import logging
 import math
 import random
@@ -77,7 +76,8 @@
     confirmation
         When the configuration in force was last confirmed.
     on_regained
-        Called when a table that was too old to be relayed is so no longer.
+        Called when a table that was too old to be relayed is read again, just
+        before it counts as confirmed.
     """
 
     def __init__(
@@ -243,10 +243,7 @@
             was_stale = followed.source is None
             adopt(followed.merge(DecodedState.from_state(state, decode)))
             if was_stale:
-                # The follower counts it as confirmed right after this.
-                asyncio.get_running_loop().call_soon(
-                    self._spread_regained, followed
-                )
+                self._spread_regained(followed)
 
         async def query(after: Revision | None) -> TableState | None:
             # Each turn of the follower begins with it.
@@ -275,20 +272,17 @@
     def _spread_regained(self, regained: RelayedTable) -> None:
         """Have the other tables read, and tell others, as one is known again.
 
-        Others are served by this instance only once it has all of them.
+        Others are served by this instance only once it has all of them.  Its
+        follower counts it as confirmed right after this, before anybody acts.
         """
-        if regained.source is None:
-            return
-        if regained.source is Provenance.STORE:
-            self._hasten_stale()
-        self.wake_stale()
+        is_direct = regained.follower.provenance is Provenance.STORE
+        for other in self._list_stale():
+            if other is not regained:
+                if is_direct:
+                    other.follower.hasten()
+                other.follower.wake()
         self.on_regained()
 
-    def _hasten_stale(self) -> None:
-        """Have the store queried for the tables that are too old."""
-        for followed in self._list_stale():
-            followed.follower.hasten()
-
     def _list_stale(self) -> list[RelayedTable]:
         """List the tables that are too old to be relayed."""
         return [
--- a/tests/ingress/test_exchange.py
+++ b/tests/ingress/test_exchange.py
@@ -555,11 +555,11 @@
 
 async def test_regained_tables_are_reported_at_once() -> None:
     """Guards against callers refused where peers could be told of the store."""
-    instance = Instance('a', 'zone-a')
+    instance = Instance('a', 'zone-a', age=9)
     sent = UpdatesByHost().sent
     instance.exchange._socket = types.SimpleNamespace(
         send=lambda datagram, address: sent.setdefault(address.host, []).append(
-            decode_update(datagram).unwrap().provenance
+            decode_update(datagram).unwrap()
         )
     )
     instance.exchange.peers.add('bb', '10.0.0.2', 'zone-a')
@@ -568,18 +568,22 @@
         WorkExchange._report_changes.fun(instance.exchange)
     )
     await asyncio.sleep(0.1)
-    instance.provenance = Provenance.STORE
+    # One of two tables is known again, then the other one.
+    instance.age = 0.4
     instance.exchange.report_tables()
     await asyncio.sleep(0.03)
-    # There is nothing new in them any more.
+    instance.provenance = Provenance.STORE
     instance.exchange.report_tables()
     await asyncio.sleep(0.03)
     reporting.cancel()
-    told = {host: reports[1:] for host, reports in sent.items()}
-    assert told == {
-        '10.0.0.2': [Provenance.STORE],
-        '10.0.0.3': [Provenance.STORE],
+    told = {
+        host: [
+            (update.unconfirmed_for, update.provenance) for update in updates
+        ]
+        for host, updates in sent.items()
     }
+    reports = [(9, None), (0.4, None), (0.4, Provenance.STORE)]
+    assert told == {'10.0.0.2': reports, '10.0.0.3': reports}
 
 
 def test_all_of_a_large_fleet_hear_once_who_reads_the_store_again(
--- a/tests/ingress/test_tables.py
+++ b/tests/ingress/test_tables.py
@@ -1,6 +1,5 @@
 """Tables of the store, as followed for routing and for peers."""
 
-import asyncio
 import collections
 import random
 from collections.abc import Callable
@@ -179,11 +178,9 @@
     tables.on_regained = lambda: told.append(None)
     script.follower = tables.configuration
     await TableFollower._follow.fun(tables.configuration)
-    await asyncio.sleep(0)
     assert len(told) == 1
     assert tables.endpoints._queries._woken.is_set()
     script.answers = [Success(TableState(Revision(0, 4), [], whole=False))]
     tables.configuration._stopped.clear()
     await TableFollower._follow.fun(tables.configuration)
-    await asyncio.sleep(0)
     assert len(told) == 1
