Tables: queries that never end are given up for others

A query of a whole table has a bound for each page and none for all; four that never end would have kept others from being sent for good. Test: test_queries_that_never_end_are_given_up, failed before.

--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -245,12 +245,6 @@
             if was_stale:
                 self._spread_regained(followed)
 
-        async def query(after: Revision | None) -> TableState | None:
-            # Each turn of the follower begins with it.
-            follower.mark_turn('_follow')
-            return await peers.query(after)
-
-        peers = self._open_peer_table(source.name)
         follower = TableFollower(
             source,
             self._store.eras,
@@ -258,7 +252,7 @@
             wait_seconds,
             pause,
             self._generator,
-            PeerTable(query, peers.measure_backoff),
+            self._open_peer_table(source.name),
         )
         followed = RelayedTable(
             follower,
--- a/src/kelproad/coordination/ingress/tables/openqueries.py
+++ b/src/kelproad/coordination/ingress/tables/openqueries.py
@@ -25,6 +25,9 @@
 _PATIENCE = 1.0
 #: Queries of one table that are open at most.
 _MAX_OPEN = 4
+#: Seconds after which one of so many is given up for another: longer than any
+#: answer may take.
+_MAX_OPEN_SECONDS = 30.0
 #: Share of the last answer's time within which the next one is expected.
 _EXPECTED_SHARE = 1.5
 
@@ -93,7 +96,8 @@
         if not self._open:
             return 0
         if len(self._open) >= _MAX_OPEN:
-            return _PATIENCE
+            given_up_at = self._open[0].expected_at + _MAX_OPEN_SECONDS
+            return max(0, given_up_at - monotonic())
         latest = max(self._open[-1].expected_at, self._read_arriving_at())
         return max(0, latest + _PATIENCE - monotonic())
 
@@ -107,6 +111,8 @@
 
         The store waits ``wait_seconds`` for a change before it answers.
         """
+        if len(self._open) >= _MAX_OPEN:
+            self._open.pop(0).task.cancel()
         expected_at = monotonic() + wait_seconds
         task = asyncio.create_task(query)
         self._open.append(_OpenQuery(sent_at, expected_at, task))
--- a/tests/ingress/test_open_queries.py
+++ b/tests/ingress/test_open_queries.py
@@ -108,6 +108,23 @@
     queries.discard()
 
 
+async def test_queries_that_never_end_are_given_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against queries without end that keep others from being sent."""
+    monkeypatch.setattr(openqueries, '_MAX_OPEN_SECONDS', 0.2)
+    queries = open_queries()
+    for sent_at in range(4):
+        queries.send(answer(5), sent_at, 0)
+    assert await queries.take(queries.measure_until_next()) is None
+    assert not queries.measure_until_next()
+    queries.send(answer(0), 4, 0)
+    answered = await queries.take(1)
+    assert answered is not None
+    assert answered.sent_at == 4
+    queries.discard()
+
+
 async def test_a_wait_ends_as_another_instance_has_the_table() -> None:
     """Guards against news that are asked for at the next turn only."""
     queries = open_queries()
--- a/tests/ingress/test_tables.py
+++ b/tests/ingress/test_tables.py
@@ -1,5 +1,6 @@
 """Tables of the store, as followed for routing and for peers."""
 
+import asyncio
 import collections
 import random
 from collections.abc import Callable
--- a/tests/ingress/test_typed_fuzz.py
+++ b/tests/ingress/test_typed_fuzz.py
@@ -1,6 +1,5 @@
 """Bounded fuzzing with values of the right types: rows, reports of peers."""
 
-import asyncio
 import json
 import types
 import typing
@@ -103,12 +102,8 @@
         revision,
     )
     follower = tables._followed[table].follower
-
-    async def accept() -> None:
-        follower._accept(TableState(revision, [stored], version == 1), 0)
-
     with mock.patch.object(records, '_logger') as logger:
-        asyncio.run(accept())
+        follower._accept(TableState(revision, [stored], version == 1), 0)
     logger.exception.assert_not_called()
     assert follower._position.base == revision
     tables.list_changes_for_peer(table, None, within_zone=True)
