Ejection: the duration has a bound before it is computed

An endpoint that is ejected a thousand times in a row, some 17 hours, made the power of two overflow: the call that found it failing got a 500, OverflowError.

--- a/src/kelproad/coordination/ejection.py
+++ b/src/kelproad/coordination/ejection.py
@@ -20,6 +20,7 @@
 #: Seconds of the first ejection, and of the longest.
 _FIRST_SECONDS = 5.0
 _LONGEST_SECONDS = 60.0
+_MAX_DOUBLINGS = 8
 #: Largest fraction of a group that is ejected at a time.
 _MAX_EJECTED_FRACTION = 0.5
 
@@ -70,7 +71,8 @@
     if not _may_eject(table, endpoint, now):
         counters.ejections.inc({'outcome': 'too many out'})
         return
-    seconds = min(_FIRST_SECONDS * 2**endpoint.ejections, _LONGEST_SECONDS)
+    doublings = min(endpoint.ejections, _MAX_DOUBLINGS)
+    seconds = min(_FIRST_SECONDS * 2**doublings, _LONGEST_SECONDS)
     endpoint.ejections += 1
     endpoint.consecutive_failures = 0
     endpoint.ejected_until = now + seconds
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -111,6 +111,14 @@
     assert fleet.table.get('e0').ejected_until - NOW - 50 >= 2 * first
 
 
+def test_an_endpoint_that_fails_for_days_is_ejected_again() -> None:
+    """Guards against a duration that overflows after a thousand ejections."""
+    fleet = Fleet()
+    fleet.table.get('e0').ejections = 2_000
+    fail(fleet, 'e0', 3)
+    assert fleet.table.get('e0').ejected_until > NOW
+
+
 def test_restored_endpoint_starts_slowly() -> None:
     fleet = Fleet()
     fail(fleet, 'e0', 3)
