Tables: endpoints whose publication failed are published again

What callers would see: a new service without endpoints until some entry changes, after one error while it was published: the table counted as published before it was. Found by a review; no input is known that does it. test_endpoints_whose_publication_failed_are_published_again failed before.

--- a/src/kelproad/coordination/ingress/tables/endpoints.py
+++ b/src/kelproad/coordination/ingress/tables/endpoints.py
@@ -239,10 +239,11 @@
         """
         if self._configuration is None or not self._changed:
             return
-        self._changed = False
         self._table.replace_groups(
             _build_groups(self._configuration, self._listed.values()),
         )
+        # Last, so that what failed is published with the next state.
+        self._changed = False
 
 
 def _record_change(
--- a/tests/ingress/test_endpoints.py
+++ b/tests/ingress/test_endpoints.py
@@ -306,3 +306,17 @@
     clock.now += MASS_LAPSE_SECONDS
     registry.publish_expired()
     assert list(table.all()) == ['i-1']
+
+
+def test_endpoints_whose_publication_failed_are_published_again(
+    registry: EndpointRegistry,
+    table: EndpointTable,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a new service without endpoints after one error."""
+    with monkeypatch.context() as failing:
+        failing.setattr(table, 'replace_groups', lambda _groups: [].pop())
+        with pytest.raises(IndexError):
+            registry.adopt(change(write('a')))
+    registry.adopt(decode(TableState(Revision(0, 1), [write('a')], whole=True)))
+    assert set(table.all()) == {'a'}
