--- a/src/kelproad/coordination/ingress/membership/catchup.py
+++ b/src/kelproad/coordination/ingress/membership/catchup.py
@@ -39,6 +39,8 @@
 _PATIENCE_SHARE = 0.5
 #: Seconds for a fetch.
 _FETCH_TIMEOUT = 0.5
+#: Seconds for one that goes on arriving.
+_LONGEST_FETCH = 4.0
 #: Seconds for which a peer that turned out to have nothing newer is ignored.
 _IGNORED_SECONDS = 10.0
 _OK = 200
@@ -129,6 +131,7 @@
             'GET',
             f'{peer.address.url}{CONFIGURATION_PATH}',
             _FETCH_TIMEOUT,
+            longest=_LONGEST_FETCH,
         )
         if isinstance(answered, Failure) or answered.unwrap().status != _OK:
             record(_logger, 'configuration_not_fetched', host=host)
--- a/src/kelproad/coordination/ingress/tables/relaying.py
+++ b/src/kelproad/coordination/ingress/tables/relaying.py
@@ -46,6 +46,8 @@
 #: Seconds for a fetch.  The reader has just answered a query; all those of a
 #: zone fetch a change at once, and a large configuration fills its link.
 _FETCH_TIMEOUT = 0.6
+#: Seconds for one that goes on arriving.
+_LONGEST_FETCH = 4.0
 _OK = 200
 _CONFLICT = 409
 
@@ -185,6 +187,7 @@
             f'{address.url}{TABLE_PATH}{self._table}',
             _FETCH_TIMEOUT,
             query=query,
+            longest=_LONGEST_FETCH,
         )
         replied = answered.alt(lambda failure: failure.reason).bind(_read_reply)
         if isinstance(replied, Failure):
