Roster: a read that ends late replaces no newer one

With a slow store several reads of the rows are under way, and the older one may end last; the instance that had written its row meanwhile was forgotten. Found by a review, by its snippet; no test of its own.

--- a/src/kelproad/coordination/ingress/membership/rostering.py
+++ b/src/kelproad/coordination/ingress/membership/rostering.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import itertools
 import logging
 import math
 import random
@@ -101,6 +102,10 @@
         #: IP numbers of those that had rows before the store was restored.
         self._lost_hosts: frozenset[str] = frozenset()
         self._restored = asyncio.Event()
+        #: Numbers of the reads, and the newest one that was adopted: with a
+        #: slow store they may end in another order.
+        self._read_numbers = itertools.count()
+        self._newest_read = -1
         self._confirmed_at = -math.inf
         self._confirming: asyncio.Task[bool] | None = None
 
@@ -183,6 +188,7 @@
 
     async def _read(self) -> bool:
         """Add the instances that have rows; return whether the read worked."""
+        number = next(self._read_numbers)
         found = await self._store.read()
         if isinstance(found, Failure):
             # The followers of the tables log that the store is unreachable.
@@ -191,6 +197,9 @@
             )
             self.is_starting = False
             return False
+        if number < self._newest_read:
+            return True
+        self._newest_read = number
         rows = [row for row in found.unwrap().rows if self._is_own_kind(row)]
         added = [self._add_apart(row) for row in rows]
         self._hosts = frozenset(host for host in added if host)
