Tables: a slow store at a large zone, one without history, and four open queries

Found by a review, by models with fake sources. (1) A store that is 3 s late makes no table that may be relayed, and every instance drew its next query from up to a fifth of a quarter second for each other one of the zone: ages of 5.0 and 7.1 s with 20 and 81 others. While the store is slow, each queries it without that delay, once a second. (2) 410 to each query was answered without a pause: some 400 calls a second of one instance; the second one in a row waits now (test_a_store_without_history_is_not_flooded, failed before). (3) A reader with several open queries asks other instances meanwhile. (4) An error of one query no longer hides the answer of another.

--- a/src/kelproad/coordination/ingress/tables/following.py
+++ b/src/kelproad/coordination/ingress/tables/following.py
@@ -162,6 +162,8 @@
         self._position = TablePosition(source.name, eras)
         self._failures = 0
         self._problem: StoreProblemKind | None = None
+        #: Losses of history since changes were last read.
+        self._history_losses = 0
         self.on_restored: Callable[[float], None] = _ignore_restoration
         self.on_read_directly: Callable[[], None] = _ignore_reading
         self.provenance: Provenance | None = None
@@ -268,7 +270,9 @@
         if self._position.base is None:
             return min(seconds, _FIRST_QUERY_PERIOD)
         is_reader = self.provenance is Provenance.STORE and not self._failures
-        return seconds if is_reader else min(seconds, _PEER_QUERY_PERIOD)
+        if is_reader and len(self._queries) <= 1:
+            return seconds
+        return min(seconds, _PEER_QUERY_PERIOD)
 
     def _schedule_store(self) -> float:
         """Choose when to query the store, if that is not chosen yet.
@@ -276,11 +280,13 @@
         An instance without any state queries it at once.  Of those that were
         served by another instance until now, the first to find the store
         serves the others, so that they don't all query it together.  They
-        hurry once, as only their reader may have lost it.
+        hurry once, as only their reader may have lost it.  A slow store makes
+        no table that may be relayed, so that each queries it for itself.
         """
         if self._store_due is None:
             known = self._position.revision is not None
-            longest = self._peers.measure_backoff() if known else 0
+            may_wait = known and not self._queries.is_slow
+            longest = self._peers.measure_backoff() if may_wait else 0
             self._store_due = monotonic() + self._generator.uniform(
                 0, longest * _FIRST_TRY_SHARE
             )
@@ -309,6 +315,8 @@
             self._record_recovery()
         self._failures = 0
         self._problem = None
+        if not state.whole:
+            self._history_losses = 0
         self._store_due = None
         self.recovered_at = max(
             self.recovered_at, monotonic() - state.recovered_for
@@ -367,6 +375,10 @@
             self._position.lose_changes()
             self._queries.discard()
             record(_logger, 'store_history_lost', table=self._source.name)
+            if self._history_losses:
+                delay = _choose_delay(self._history_losses)
+                self._store_due = monotonic() + delay
+            self._history_losses += 1
             return
         self._count_failure(problem)
         bound = self._peers.measure_backoff() or _choose_delay(self._failures)
--- a/src/kelproad/coordination/ingress/tables/openqueries.py
+++ b/src/kelproad/coordination/ingress/tables/openqueries.py
@@ -81,7 +81,12 @@
     @property
     def is_prompt(self) -> bool:
         """Whether the store answered the last query at once."""
-        return not self._open and self._usual_delay < _PATIENCE / 2
+        return not (self._open or self.is_slow)
+
+    @property
+    def is_slow(self) -> bool:
+        """Whether the last answer came too late to be relayed to others."""
+        return self._usual_delay >= _PATIENCE / 2
 
     @property
     def is_overdue(self) -> bool:
@@ -151,9 +156,8 @@
         await self._wait(seconds)
         done = [query for query in self._open if query.task.done()]
         for query in reversed(done):
-            if query.task.exception() or isinstance(
-                query.task.result(), Success
-            ):
+            is_error = query.task.exception() is not None
+            if not is_error and isinstance(query.task.result(), Success):
                 return self._accept(query)
         for failed in done:
             self._open.remove(failed)
--- a/tests/ingress/test_following.py
+++ b/tests/ingress/test_following.py
@@ -1,6 +1,7 @@
 """Following a table: fresh, outdated and failed answers."""
 
 import asyncio
+import itertools
 import random
 from collections.abc import Callable
 
@@ -265,6 +266,17 @@
     assert script.abandoned
 
 
+async def test_a_store_without_history_is_not_flooded() -> None:
+    """Guards against whole tables that are read without a pause."""
+    lost = fail(StoreProblemKind.HISTORY_LOST)
+    whole = state(5, whole=True)
+    script = Script(*itertools.islice(itertools.cycle((whole, lost)), 1_000))
+    following = asyncio.create_task(follow(script))
+    await asyncio.sleep(1)
+    following.cancel()
+    assert len(script.asked) < 20
+
+
 async def test_an_outage_of_any_length_is_followed() -> None:
     """Guards against a delay that overflows after a thousand failures."""
     failed = fail(StoreProblemKind.UNREACHABLE)
