Tests: instances that all stood still take nobody for confirmed

The case asserts that nobody is told 0.02 s, and that all calls sent 0.7 s after the end or later are served.

--- a/tests/ingress/test_slow_store_site.py
+++ b/tests/ingress/test_slow_store_site.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from kelproad.coordination.ingress.admission.stopping import ELSEWHERE_RETRY
 from testbed.cuts import LOOKUP, CuttableSite, Load, start_cuttable_site
 from testbed.routed import wait_for
 
@@ -19,6 +20,9 @@
 MANY_ROUTES = 3_000
 #: Seconds after the first instance that serves again in which all others do.
 SPREAD_SECONDS = 0.15
+#: Seconds after all instances stood still in which they read the store again,
+#: beyond those for which a call waits, also on a busy machine.
+SERVED_SECONDS = 0.7
 
 
 @pytest.fixture(scope='module')
@@ -93,3 +97,29 @@
     first = min(sent.at for sent in after if sent.served)
     late = load.select(names, first + SPREAD_SECONDS, float('inf'))
     assert count_unserved(Load(late)) == 0
+
+
+def test_all_instances_serve_after_all_stood_still(site: CuttableSite) -> None:
+    """Guards against instances that take each other for confirmed."""
+    processes = [instance.process for instance in site.site.instances]
+    back_at = SILENT_SECONDS
+    load = site.apply_load(
+        back_at + 2,
+        RATE,
+        (LOOKUP,),
+        {
+            0: lambda: [process.freeze() for process in processes],
+            back_at: lambda: [process.resume() for process in processes],
+        },
+    )
+    names = [instance.name for instance in site.site.instances]
+    after = load.select(names, back_at + SERVED_SECONDS, float('inf'))
+    assert count_unserved(Load(after)) == 0
+    requests = {sent.request_id for sent in load.calls}
+    told = [
+        line['retry_after']
+        for instance in site.site.instances
+        for line in instance.log_lines
+        if line['event'] == 'refused' and line['request'] in requests
+    ]
+    assert ELSEWHERE_RETRY not in told
