Tables: a store that others are told by is not taken for slow

After a slow time the next loss of a reader would have had all instances of a zone query the store at once, without the delay at random. Found by reading.

--- a/src/kelproad/coordination/ingress/tables/openqueries.py
+++ b/src/kelproad/coordination/ingress/tables/openqueries.py
@@ -185,10 +185,14 @@
         self._woken.set()
 
     def discard(self) -> None:
-        """End all queries, as their answers are not needed."""
+        """End all queries, as their answers are not needed.
+
+        Whoever has told the table instead has it from a store that is not slow.
+        """
         for query in self._open:
             query.task.cancel()
         self._open = []
+        self._usual_delay = 0
 
     def _accept(self, query: _OpenQuery) -> Answered:
         index = self._open.index(query)
