--- a/src/kelproad/coordination/ingress/tables/openqueries.py
+++ b/src/kelproad/coordination/ingress/tables/openqueries.py
@@ -9,14 +9,19 @@
 import asyncio
 import contextlib
 import math
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 
 import attrs
 from returns.result import Result, Success
 
 from ....transport.deadlines import monotonic, within_running
 from .causes import QueryProgress
-from .tablestates import StoreProblem, StoreProblemKind, TableState
+from .tablestates import (
+    StoreProblem,
+    StoreProblemKind,
+    TableQuery,
+    TableState,
+)
 
 __all__ = ['Answered', 'OpenQueries']
 
@@ -112,7 +117,7 @@
 
     def send(
         self,
-        query: Coroutine[None, None, QueryResult],
+        query: TableQuery,
         sent_at: float,
         wait_seconds: float,
     ) -> None:
--- a/src/kelproad/coordination/ingress/tables/tablestates.py
+++ b/src/kelproad/coordination/ingress/tables/tablestates.py
@@ -10,7 +10,7 @@
 
 import enum
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Generic, TypeVar
 
 import attrs
@@ -28,6 +28,7 @@
     'StoreProblemKind',
     'StoredRow',
     'TableFreshness',
+    'TableQuery',
     'TableSource',
     'TableState',
     'name_provenance',
@@ -188,6 +189,10 @@
         return cls(state.revision, rows, state.whole)
 
 
+#: A query of a table, which is sent once it is awaited.
+TableQuery = Coroutine[None, None, Result[TableState, StoreProblem]]
+
+
 @attrs.frozen
 class TableSource:
     """How to read a table and to wait for its changes.
@@ -199,11 +204,8 @@
     """
 
     name: str
-    read: Callable[[], Awaitable[Result[TableState, StoreProblem]]]
-    await_changes: Callable[
-        [Revision, float],
-        Awaitable[Result[TableState, StoreProblem]],
-    ]
+    read: Callable[[], TableQuery]
+    await_changes: Callable[[Revision, float], TableQuery]
     read_received_at: Callable[[], float] = lambda: -math.inf
 
 
--- a/src/kelproad/standins/rowstore.py
+++ b/src/kelproad/standins/rowstore.py
@@ -129,10 +129,9 @@
         if self._faults.status:
             return web.Response(status=self._faults.status)
         response = await handler(http_request)
-        if self._faults.bytes_per_second:
-            return await send_slowly(
-                http_request, response, self._faults.bytes_per_second
-            )
+        rate = self._faults.bytes_per_second
+        if rate and isinstance(response, web.Response):
+            return await send_slowly(http_request, response, rate)
         return response
 
     # The protocol
--- a/src/kelproad/standins/storefaults.py
+++ b/src/kelproad/standins/storefaults.py
@@ -28,7 +28,9 @@
     bytes_per_second: float,
 ) -> web.StreamResponse:
     """Send an answer whose body takes its time."""
-    body = response.body or b''
+    body = response.body
+    if not isinstance(body, bytes):
+        return response
     slow = web.StreamResponse(status=response.status)
     slow.content_type = response.content_type
     slow.content_length = len(body)
--- a/tests/ingress/test_catchup.py
+++ b/tests/ingress/test_catchup.py
@@ -90,7 +90,7 @@
             await self.catch_up.check(self.tables.version)
             self.now += 0.2
 
-    async def fetch(self, *_arguments: object) -> Success:
+    async def fetch(self, *_arguments: object, **_more: object) -> Success:
         """Serve the configuration of the peer."""
         self.fetched += 1
         return Success(Reply(200, self.served))
@@ -149,7 +149,9 @@
 ) -> None:
     """Guards against calls that are sent where the configuration is old."""
 
-    async def fail(*_arguments: object) -> Success:  # noqa: WPS430  closure
+    async def fail(  # noqa: WPS430  closure
+        *_arguments: object, **_more: object
+    ) -> Success:
         return Success(Reply(500, b''))
 
     catchup_module.exchange = fail
