--- a/src/kelproad/coordination/ingress/membership/peers.py
+++ b/src/kelproad/coordination/ingress/membership/peers.py
@@ -130,7 +130,8 @@
         self.add(update.instance, update.host)
         # A seed is known by its host until its first report names it.
         is_renamed = update.host != update.instance
-        if is_renamed and self._peers.pop(update.host, None):
+        if is_renamed and update.host in self._peers:
+            self._peers.pop(update.host)
             self._by_zone = None
         peer = self._peers[update.instance]
         order = (update.started_at, update.sequence)
--- a/src/kelproad/transport/datagrams.py
+++ b/src/kelproad/transport/datagrams.py
@@ -134,22 +134,22 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Open the socket again, unless it was closed here."""
-        if self._transport is None:
+        if self._transport is None or self._address is None:
             return
         self._transport = None
         record(_logger, 'datagram_socket_lost', reason=repr(exc))
-        self._reopening = asyncio.create_task(self._reopen())
+        self._reopening = asyncio.create_task(self._reopen(self._address))
 
     async def _bind(self, address: Address) -> None:
         self._socket = _bind_socket(address)
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self, sock=self._socket)
 
-    async def _reopen(self) -> None:
+    async def _reopen(self, address: Address) -> None:
         while self._transport is None:
             await asyncio.sleep(_REOPEN_SECONDS)
             try:
-                await self._bind(self._address)
+                await self._bind(address)
             except OSError as error:
                 self._record_failure('datagram_socket_unopened', error=error)
         record(_logger, 'datagram_socket_opened')
