Admission: a caller that waited in vain goes on to an instance that serves

What callers saw: at an instance that lags behind others, a call that had waited 0.3 s was told to come back in 1 s, also while most others served: a booking, which has a second in all, was lost. Found by reading the change once more. Change: it is told 0.2 s if a live peer is confirmed, and 1 s only if none is; not 0.02 s, as others may lag too. The cases WIDELY and PARTLY of test_a_call_waits_for_a_confirmation_that_is_expected failed before.

--- a/src/kelproad/coordination/ingress/admission/admitting.py
+++ b/src/kelproad/coordination/ingress/admission/admitting.py
@@ -325,10 +325,10 @@
 
 
 def _send_away(refusal: Refusal) -> Refusal:
-    """Have a caller return later, as waiting was in vain."""
-    return attrs.evolve(
-        refusal, retry_after=_RETRIES[ConfirmedElsewhere.NOWHERE]
-    )
+    """Have a caller return elsewhere, but not at once: it waited in vain."""
+    told = refusal.retry_after or 0
+    least = _RETRIES[ConfirmedElsewhere.PARTLY]
+    return attrs.evolve(refusal, retry_after=max(told, least))
 
 
 def _choose_deadline(route: Route, head: CallHead, arrived: float) -> float:
--- a/src/kelproad/coordination/ingress/tables/expecting.py
+++ b/src/kelproad/coordination/ingress/tables/expecting.py
@@ -1,8 +1,8 @@
 """Waiting for a confirmation that is overdue, or will come within a moment.
 
 Another instance has heard the store, which then tells this one, or this one
-stood still and asks again.  A caller that were sent on would meet others that
-are no further.
+stood still and asks again.  A caller who is sent on would meet others that are
+no further.
 """
 
 import asyncio
