--- a/src/kelproad/coordination/ingress/membership/catchup.py
+++ b/src/kelproad/coordination/ingress/membership/catchup.py
@@ -37,9 +37,8 @@
 #: Share of the time in which a configuration must be in force after which an
 #: instance that is behind fetches it: it usually comes with the table sooner.
 _PATIENCE_SHARE = 0.5
-#: Seconds for a fetch.
+#: Seconds of a fetch without a byte, and in all.
 _FETCH_TIMEOUT = 0.5
-#: Seconds for one that goes on arriving.
 _LONGEST_FETCH = 4.0
 #: Seconds for which a peer that turned out to have nothing newer is ignored.
 _IGNORED_SECONDS = 10.0
--- a/src/kelproad/coordination/ingress/tables/relaying.py
+++ b/src/kelproad/coordination/ingress/tables/relaying.py
@@ -46,7 +46,7 @@
 #: Seconds for a fetch.  The reader has just answered a query; all those of a
 #: zone fetch a change at once, and a large configuration fills its link.
 _FETCH_TIMEOUT = 0.6
-#: Seconds for one that goes on arriving.
+#: Seconds in all for one that goes on arriving.
 _LONGEST_FETCH = 4.0
 _OK = 200
 _CONFLICT = 409
--- a/tests/ingress/test_odd_instances.py
+++ b/tests/ingress/test_odd_instances.py
@@ -1,5 +1,6 @@
 """Instances whose rows, names or reports are odd, beside sound ones."""
 
+import asyncio
 import json
 import random
 import sys
@@ -116,3 +117,29 @@
     here.exchange._tables = TableGauges(float, lambda: None, lambda: found)
     sent = decode_update(here.build_report())
     assert sent.unwrap().configuration == held
+
+
+async def test_a_read_that_ends_late_replaces_no_newer_one(
+    here: Instance,
+) -> None:
+    """Guards against an instance that is forgotten as the store is slow."""
+    answers = [asyncio.get_running_loop().create_future() for _ in range(2)]
+    waiting = iter(answers)
+    roster = Roster(
+        here.exchange._settings,
+        types.SimpleNamespace(read=lambda: next(waiting)),
+        here.exchange,
+        lambda _row: False,
+        lambda: None,
+        random.Random(1),
+    )
+    reads = [asyncio.create_task(roster._read()) for _ in answers]
+    await asyncio.sleep(0)
+    old, new = write_row('old', '10.0.0.2'), write_row('new', '10.0.0.3')
+    for answer, rows in zip(
+        reversed(answers), ([old, new], [old]), strict=True
+    ):
+        answer.set_result(Success(TableState(Revision(0, 1), rows, whole=True)))
+        await asyncio.sleep(0.01)
+    await asyncio.gather(*reads)
+    assert roster._hosts == {'10.0.0.2', '10.0.0.3'}
--- a/tests/ingress/test_relaying.py
+++ b/tests/ingress/test_relaying.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import math
 import operator
 import signal
 import time
@@ -327,13 +328,24 @@
     assert script.adopted[0].revision.version == 5
 
 
-async def test_a_table_is_fetched_from_a_reader_whose_link_is_busy() -> None:
+@pytest.mark.parametrize('pieces', [1, 3])
+async def test_a_table_is_fetched_from_a_reader_whose_link_is_busy(
+    pieces: int,
+) -> None:
     """Guards against a large change that each instance gives up fetching."""
     held = TableState(Revision(0, 7), [row('config', 7)], whole=False)
 
-    async def serve(_request: web.BaseRequest) -> web.Response:
+    async def serve(http_request: web.BaseRequest) -> web.StreamResponse:
+        body = build_answer(held).body
+        response = web.StreamResponse()
+        response.content_length = len(body)
         await asyncio.sleep(BUSY_SECONDS)
-        return build_answer(held)
+        await response.prepare(http_request)
+        size = math.ceil(len(body) / pieces)
+        for begin in range(0, len(body), size):
+            await response.write(body[begin : begin + size])
+            await asyncio.sleep(BUSY_SECONDS if pieces > 1 else 0)
+        return response
 
     server = test_utils.RawTestServer(serve)
     await server.start_server()
