Tables: a slow store is asked once a second, as was meant

Cause: a table that is still too old after an answer counted as regained, so that each answer hastened the other table's queries and a report to all peers; and every change, however small, let the next query go at once. Endpoints report every second, so four queries were always open. Change: a table is news once it may be relayed again, judged after it is confirmed; only changes of 64 KB and more let the next query go at once.

--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -3,6 +3,7 @@
 Each has a follower, which keeps it current here, and is relayed to peers.
 """
 
+import functools
 import logging
 import math
 import random
@@ -79,8 +80,7 @@
     confirmation
         When the configuration in force was last confirmed.
     on_regained
-        Called when a table that was too old to be relayed is read again, just
-        before it counts as confirmed.
+        Called when a table that was too old to be relayed is so no longer.
     """
 
     def __init__(
@@ -110,6 +110,9 @@
             bounds.leave_endpoint,
         )
         self.on_regained: Callable[[], None] = _ignore_regained
+        #: Followers of the tables that were too old to be relayed before they
+        #: were last answered.
+        self._stale: set[TableFollower] = set()
         # Endpoints that had nothing to do for a while have become cold.
         self.evacuations.on_ended = self.registry.assume_cold
         self._followed = {
@@ -243,10 +246,9 @@
         slack: float,
     ) -> RelayedTable:
         def update(state: TableState) -> None:  # noqa: WPS430  closure
-            was_stale = followed.source is None
+            if followed.source is None:
+                self._stale.add(follower)
             adopt(followed.merge(DecodedState.from_state(state, decode)))
-            if was_stale:
-                self._spread_regained(followed)
 
         follower = TableFollower(
             source,
@@ -264,13 +266,22 @@
             slack,
         )
         follower.on_read_directly = self._hasten
+        follower.on_confirmed = functools.partial(
+            self._note_confirmed, followed
+        )
         return followed
 
+    def _note_confirmed(self, confirmed: RelayedTable) -> None:
+        """Spread a table that was too old to be relayed, and is so no more."""
+        is_fresh = confirmed.source is not None
+        if is_fresh and confirmed.follower in self._stale:
+            self._stale.discard(confirmed.follower)
+            self._spread_regained(confirmed)
+
     def _spread_regained(self, regained: RelayedTable) -> None:
         """Have the other tables read, and tell others, as one is known again.
 
-        Others are served by this instance only once it has all of them.  Its
-        follower counts it as confirmed right after this, before anybody acts.
+        Others are served by this instance only once it has all of them.
         """
         is_direct = regained.follower.provenance is Provenance.STORE
         for other in self._list_stale():
--- a/src/kelproad/coordination/ingress/tables/following.py
+++ b/src/kelproad/coordination/ingress/tables/following.py
@@ -50,6 +50,8 @@
 #: Seconds between two looks for another instance that has the table, while the
 #: store sends all of it.
 _FIRST_QUERY_PERIOD = 0.02
+#: Bytes of changes that may take long to arrive.
+_LARGE_BYTES = 65_536
 _OVERDUE = StoreProblem(StoreProblemKind.UNREACHABLE, 'no answer yet')
 
 
@@ -74,6 +76,8 @@
     on_read_directly
         Called when the store has answered after other instances, or nobody,
         had before.
+    on_confirmed
+        Called after each valid answer was adopted.
     """
 
     abstract = False
@@ -124,7 +128,8 @@
         #: Losses of history since changes were last read.
         self._history_losses = 0
         self.on_restored: Callable[[float], None] = _ignore_restoration
-        self.on_read_directly: Callable[[], None] = _ignore_reading
+        self.on_read_directly: Callable[[], None] = _ignore_event
+        self.on_confirmed: Callable[[], None] = _ignore_event
         self.provenance: Provenance | None = None
         self.confirmed_at = float('-inf')
         self.recovered_at = float('-inf')
@@ -284,11 +289,12 @@
         self._record_provenance(state.provenance)
         if is_restored:
             self._begin_era(state)
-        if state.rows:
-            # Those that are open bring these changes again, however large.
+        if _count_bytes(state) >= _LARGE_BYTES:
+            # The queries that are open bring these changes once more.
             self._queries.hurry()
         self._adopt_or_reread(state)
         self.confirmed_at = max(self.confirmed_at, sent_at - state.age)
+        self.on_confirmed()
         return True
 
     def _adopt_or_reread(self, state: TableState) -> None:
@@ -361,6 +367,10 @@
             )
 
 
+def _count_bytes(state: TableState) -> int:
+    return sum(len(row.encoded or b'') for row in state.rows)
+
+
 def _choose_delay(failures: int) -> float:
     """Choose the delay in seconds after some failures in a row."""
     doublings = min(failures, _MAX_DOUBLINGS)
@@ -371,5 +381,5 @@
     """Do nothing when the store was restored."""
 
 
-def _ignore_reading() -> None:
-    """Do nothing when the store has answered."""
+def _ignore_event() -> None:
+    """Do nothing when the store, or another instance, has answered."""
--- a/tests/ingress/test_following.py
+++ b/tests/ingress/test_following.py
@@ -348,3 +348,14 @@
     await asyncio.sleep(0.05)
     following.cancel()
     assert [adopted.revision.version for adopted in script.adopted] == [5, 6]
+
+
+@pytest.mark.parametrize(('size', 'hurries'), [(100, False), (100_000, True)])
+async def test_only_large_changes_are_asked_for_at_once(
+    size: int, hurries: bool
+) -> None:
+    """Guards against a slow store that is asked once more with each answer."""
+    rows = [StoredRow('a', b'x' * size, Revision(0, 5))]
+    script = Script(Success(TableState(Revision(0, 5), rows, whole=True)))
+    follower = await follow(script)
+    assert follower._queries._is_hurried is hurries
--- a/tests/ingress/test_tables.py
+++ b/tests/ingress/test_tables.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable
 
+import attrs
 import msgspec
 import pytest
 from returns.result import Result, Success
@@ -183,3 +184,15 @@
     tables.configuration._stopped.clear()
     await TableFollower._follow.fun(tables.configuration)
     assert len(told) == 1
+
+
+async def test_a_table_that_stays_too_old_is_no_news() -> None:
+    """Guards against a slow store whose every answer brings on more queries."""
+    late = TableState(Revision(0, 4), [configure(4)], whole=True, age=4)
+    script = Script(Success(late), Success(attrs.evolve(late, whole=False)))
+    tables = create_tables(script, ConfigurationHolder(), decode_endpoint)
+    told: list[None] = []
+    tables.on_regained = lambda: told.append(None)
+    script.follower = tables.configuration
+    await TableFollower._follow.fun(tables.configuration)
+    assert told == []
