Tables: an entry that vanishes is logged, with how long it is kept and why

Whether calm instances learn late that an entry was removed, or know it and keep it, could not be told from the logs. No decision is changed.

--- a/src/kelproad/coordination/ingress/tables/endpoints.py
+++ b/src/kelproad/coordination/ingress/tables/endpoints.py
@@ -229,7 +229,27 @@
                 vanished[service] > totals[service] * _MASS_LAPSE_SHARE
             )
             grace = self._mass_lapse_seconds if is_mass_lapse else 0
-            self._missing.setdefault(name, now + grace)
+            if name not in self._missing:
+                self._missing[name] = now + grace
+                self._log_missing(name, now)
+
+    def _log_missing(self, name: str, now: float) -> None:
+        since_recovery = now - self._read_recovered_at()
+        grace = max(
+            self._missing[name] - now,
+            RECOVERY_GRACE_SECONDS - since_recovery,
+        )
+        record(
+            _logger,
+            'endpoint_missing',
+            endpoint=name,
+            kept_for=round(max(0, grace), 3),
+            since_recovery=(
+                round(since_recovery, 3)
+                if math.isfinite(since_recovery)
+                else None
+            ),
+        )
 
     def _publish(self) -> None:
         """Publish the entries, unless they are what the table has already.
