Tables: an instance's own loss of the store is not told as one of the store

What callers saw: calls, bookings too, went to an engine up to 3.9 s after its entry was removed, from instances with which nothing was wrong (2 s are allowed).

Cause: tables that are told carry how long ago their teller had the store back, and whoever was told kept vanished entries for 2.3 s after that, as after an outage. Ruled out: calm instances that lose the store themselves (no store_lost), a removal that is told late (known after 0.1 to 0.3 s).

Change: a told recovery counts where nothing confirmed the table for 2 s, or with a new era; own failures count as before. No entry can lapse by an outage that is shorter: it takes three heartbeats of silence.

--- a/src/kelproad/coordination/ingress/tables/following.py
+++ b/src/kelproad/coordination/ingress/tables/following.py
@@ -22,6 +22,7 @@
 from .causes import QueryProgress
 from .openqueries import OpenQueries
 from .positions import StoreEras, TablePosition
+from .readers import MAX_RELAYED_AGE
 from .tablestates import (
     PeerTable,
     Provenance,
@@ -66,8 +67,8 @@
         it stands still while a machine is suspended, and old data would then
         pass for fresh.
     recovered_at
-        Monotonic time of the first valid answer after a failure, or in a new
-        era of the store.
+        Monotonic time at which the store was last back, as far as it was lost
+        here; or of the first valid answer in a new era of the store.
     provenance
         Source of the last valid answer, ``None`` before the first.
     on_restored
@@ -274,6 +275,7 @@
     def _accept(self, state: TableState, sent_at: float) -> bool:
         """Adopt a state; return false if it is outdated."""
         is_restored = self._position.is_restored(state)
+        was_lost = self.measure_age() > MAX_RELAYED_AGE
         if not self._position.advance(state):
             return False
         if self._failures:
@@ -283,9 +285,12 @@
         if not state.whole:
             self._history_losses = 0
         self._store_due = None
-        self.recovered_at = max(
-            self.recovered_at, monotonic() - state.recovered_for
-        )
+        # What another instance could not do tells nothing about the store while
+        # the table went on being confirmed here.
+        if was_lost or is_restored:
+            self.recovered_at = max(
+                self.recovered_at, monotonic() - state.recovered_for
+            )
         self._record_provenance(state.provenance)
         if is_restored:
             self._begin_era(state)
--- a/tests/ingress/test_following.py
+++ b/tests/ingress/test_following.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable
 
+import attrs
 import pytest
 from returns.result import Failure, Result, Success
 
@@ -202,6 +203,27 @@
     assert follower.measure_age() == 60
 
 
+@pytest.mark.parametrize(
+    ('age_before', 'is_believed'), [(0.5, False), (1.9, False), (2.1, True)]
+)
+async def test_a_recovery_elsewhere_counts_only_where_the_table_was_lost(
+    monkeypatch: pytest.MonkeyPatch, age_before: float, is_believed: bool
+) -> None:
+    """Guards against departed engines kept for a failure of their reader."""
+    follower = create_follower(Script())
+    told = TableState(
+        Revision(0, 1), [], whole=True, provenance=Provenance.SAME_ZONE
+    )
+    monkeypatch.setattr(
+        following_module, 'read_boottime', lambda: 100 + age_before
+    )
+    assert follower._accept(told, 100)
+    assert follower._accept(
+        attrs.evolve(told, recovered_for=0.1), 100 + age_before
+    )
+    assert (follower.measure_since_recovery() < 1) is is_believed
+
+
 @pytest.mark.parametrize(('backoff', 'max_queries'), [(0, 10), (10, 2)])
 async def test_a_failed_store_is_not_flooded(
     backoff: float,
--- a/tests/ingress/test_reader_cut_site.py
+++ b/tests/ingress/test_reader_cut_site.py
@@ -1,5 +1,6 @@
-"""Configurations that are accepted as a reader of the store is cut from it."""
+"""Configurations and removals as a reader of the store is cut from it."""
 
+import threading
 import time
 from collections.abc import Iterator
 
@@ -15,6 +16,14 @@
 APPLY_SECONDS = 2.0
 #: Cuts of one reader after another.
 CUTS = 3
+#: Seconds after which a departed endpoint gets no more calls, from the
+#: settings.
+DEPART_SECONDS = 2.0
+#: Seconds of a cut that meets a query, and between two of them.
+BRIEF_SECONDS = 0.5
+PAUSE_SECONDS = 1.2
+#: Seconds after which an endpoint that is silent lapses.
+LAPSE_SECONDS = 3.6
 
 
 @pytest.fixture(scope='module')
@@ -84,3 +93,71 @@
         site.harm_store_link(reader.name, LinkFault.NONE)
         assert elapsed < APPLY_SECONDS
         await_version(site, site.site.instances)
+
+
+def list_endpoints(instance: RoutedInstance) -> set[str]:
+    """List the endpoints that an instance may use."""
+    return set(instance.dump()['endpoints'])
+
+
+def cut_briefly(site: CuttableSite, instance: RoutedInstance) -> None:
+    """Reset the connections between an instance and the store for a moment."""
+    site.harm_store_link(instance.name, LinkFault.RESET)
+    time.sleep(BRIEF_SECONDS)
+    site.harm_store_link(instance.name, LinkFault.NONE)
+
+
+def test_a_departed_endpoint_is_dropped_in_time_while_its_reader_falters(
+    site: CuttableSite,
+) -> None:
+    """Guards against engines kept by all for what one instance could not do."""
+    reader = await_one_reader(site)
+    others = [item for item in site.site.instances if item is not reader]
+    cut_briefly(site, reader)
+    time.sleep(BRIEF_SECONDS)
+    site.site.delete_endpoint_row('book-1')
+    removed_at = time.monotonic()
+    stop = threading.Event()
+
+    def falter() -> None:
+        while not stop.wait(PAUSE_SECONDS):
+            cut_briefly(site, reader)
+
+    faltering = threading.Thread(target=falter)
+    faltering.start()
+    try:
+        wait_for(
+            lambda: (
+                not any('book-1' in list_endpoints(item) for item in others)
+            ),
+            'no calm instance may use the endpoint',
+        )
+        elapsed = time.monotonic() - removed_at
+    finally:
+        stop.set()
+        faltering.join()
+        site.site.report_endpoint('book-1')
+    assert elapsed < DEPART_SECONDS
+
+
+def test_endpoints_that_lapse_as_all_lose_the_store_are_kept(
+    site: CuttableSite,
+) -> None:
+    """Guards against dropping live engines after an outage of the store."""
+    instances = site.site.instances
+    wait_for(
+        lambda: all('book-1' in list_endpoints(item) for item in instances),
+        'all may use the endpoint',
+    )
+    for instance in instances:
+        site.harm_store_link(instance.name, LinkFault.RESET)
+    time.sleep(LAPSE_SECONDS)
+    site.site.delete_endpoint_row('book-1')
+    for instance in instances:
+        site.harm_store_link(instance.name, LinkFault.NONE)
+    returned_at = time.monotonic()
+    while time.monotonic() - returned_at < PAUSE_SECONDS:
+        assert all('book-1' in list_endpoints(item) for item in instances)
+    site.site.report_endpoint('book-1')
+    while time.monotonic() - returned_at < LAPSE_SECONDS:
+        assert all('book-1' in list_endpoints(item) for item in instances)
