Tables: failures one after another don't prolong how long vanished entries are kept

Cause: each recovery began the 2.3 s anew for all entries that were kept. Ruled out by the logs of the incident: that the entry was found missing late.

Change: an entry is kept for 2.3 s of the time in which the store answered, counted from when it vanished; an outage amid that time doesn't count, so live engines have their two seconds after a second outage, too. The state of outages has a module of its own.

Tests: failures in a row keep no departed entry (failed before), an outage amid the grace doesn't use it up (passed before, as the time began anew).

--- a/src/kelproad/coordination/ingress/tables/endpoints.py
+++ b/src/kelproad/coordination/ingress/tables/endpoints.py
@@ -12,6 +12,7 @@
 import math
 from collections.abc import Callable, Iterable
 
+import attrs
 from returns.result import Failure, Result
 
 from ....state.declarations import (
@@ -23,6 +24,7 @@
 from ....state.records import isolate_row, record
 from ....state.routes import RoutingConfiguration
 from ....transport.deadlines import monotonic
+from .outages import StoreOutages
 from .roworders import ListedEndpoint
 from .tablestates import DecodedState
 
@@ -53,13 +55,30 @@
 _Entries = DecodedState[Result[ListedEndpoint, str]]
 
 
+@attrs.frozen
+class _Absence:
+    """How long an entry that vanished is kept.
+
+    Attributes
+    ----------
+    until
+        Monotonic time until which it is kept though no outage was noticed.
+    latest
+        Time by the clock that stands still during outages from which it is
+        kept no longer, whatever fails.
+    """
+
+    until: float
+    latest: float
+
+
 class EndpointRegistry:
     """Entries of endpoints, published to the table that routing reads."""
 
     def __init__(
         self,
         table: EndpointTable,
-        read_recovered_at: Callable[[], float],
+        read_outages: Callable[[], StoreOutages],
         removal_limit: float,
     ) -> None:
         """Keep a table current.
@@ -68,20 +87,19 @@
         ----------
         table
             Endpoints that calls may be sent to.
-        read_recovered_at
-            Returns the monotonic time of the store's last recovery.
+        read_outages
+            Returns the outages of the store.
         removal_limit
             Seconds after which a departed endpoint must get no calls.
         """
         self._table = table
-        self._read_recovered_at = read_recovered_at
+        self._read_outages = read_outages
         self._mass_lapse_seconds = min(
             MASS_LAPSE_SECONDS,
             removal_limit * _MAX_MASS_LAPSE_SHARE,
         )
         self._listed: dict[str, ListedEndpoint] = {}
-        #: Monotonic time until which each missing entry is kept.
-        self._missing: dict[str, float] = {}
+        self._missing: dict[str, _Absence] = {}
         #: Monotonic time of the last check of these, and whether it came late.
         self._checked_at = math.inf
         self._was_late = False
@@ -125,12 +143,19 @@
     def drop_expired(self) -> None:
         """Drop entries that have been missing for too long.
 
-        None is dropped until the store has been back for some time.
+        None is dropped until the store has been back for some time.  A failure
+        after that time has begun prolongs it by no more than its own length.
         """
         now = monotonic()
-        if now - self._read_recovered_at() < RECOVERY_GRACE_SECONDS:
-            return
-        due = [name for name, until in self._missing.items() if until <= now]
+        outages = self._read_outages()
+        answered = outages.read_answered_clock()
+        is_grace = outages.measure_since_recovery() < RECOVERY_GRACE_SECONDS
+        due = [
+            name
+            for name, absence in self._missing.items()
+            if absence.latest <= answered
+            or not (is_grace or now < absence.until)
+        ]
         for name in due:
             self._changed = True
             self._missing.pop(name)
@@ -230,13 +255,17 @@
             )
             grace = self._mass_lapse_seconds if is_mass_lapse else 0
             if name not in self._missing:
-                self._missing[name] = now + grace
+                self._missing[name] = _Absence(
+                    now + grace,
+                    self._read_outages().read_answered_clock()
+                    + RECOVERY_GRACE_SECONDS,
+                )
                 self._log_missing(name, now)
 
     def _log_missing(self, name: str, now: float) -> None:
-        since_recovery = now - self._read_recovered_at()
+        since_recovery = self._read_outages().measure_since_recovery()
         grace = max(
-            self._missing[name] - now,
+            self._missing[name].until - now,
             RECOVERY_GRACE_SECONDS - since_recovery,
         )
         record(
--- a/src/kelproad/coordination/ingress/tables/followed.py
+++ b/src/kelproad/coordination/ingress/tables/followed.py
@@ -106,7 +106,7 @@
         self.registry = EndpointRegistry(
             table,
             # The follower is built later, as it fills the registry.
-            lambda: self.endpoints.recovered_at,
+            lambda: self.endpoints.outages,
             bounds.leave_endpoint,
         )
         self.on_regained: Callable[[], None] = _ignore_regained
--- a/src/kelproad/coordination/ingress/tables/following.py
+++ b/src/kelproad/coordination/ingress/tables/following.py
@@ -21,6 +21,7 @@
 from ....transport.services import BackgroundService, restarted_task
 from .causes import QueryProgress
 from .openqueries import OpenQueries
+from .outages import StoreOutages
 from .positions import StoreEras, TablePosition
 from .readers import MAX_RELAYED_AGE
 from .tablestates import (
@@ -66,9 +67,9 @@
         all changes up to then are known here.  The monotonic clock won't do, as
         it stands still while a machine is suspended, and old data would then
         pass for fresh.
-    recovered_at
-        Monotonic time at which the store was last back, as far as it was lost
-        here; or of the first valid answer in a new era of the store.
+    outages
+        Outages of the store, as far as the table was lost here; a new era of
+        the store counts as one.
     provenance
         Source of the last valid answer, ``None`` before the first.
     on_restored
@@ -133,7 +134,7 @@
         self.on_confirmed: Callable[[], None] = _ignore_event
         self.provenance: Provenance | None = None
         self.confirmed_at = float('-inf')
-        self.recovered_at = float('-inf')
+        self.outages = StoreOutages()
 
     @property
     def healthy_age(self) -> float:
@@ -157,7 +158,7 @@
 
     def measure_since_recovery(self) -> float:
         """Return the seconds since the store recovered; infinite if never."""
-        return monotonic() - self.recovered_at
+        return self.outages.measure_since_recovery()
 
     @property
     def failing(self) -> bool:
@@ -288,9 +289,7 @@
         # What another instance could not do tells nothing about the store while
         # the table went on being confirmed here.
         if was_lost or is_restored:
-            self.recovered_at = max(
-                self.recovered_at, monotonic() - state.recovered_for
-            )
+            self.outages.adopt_recovery(state.recovered_for)
         self._record_provenance(state.provenance)
         if is_restored:
             self._begin_era(state)
@@ -316,11 +315,11 @@
         An instance that started after it does not know when it was.
         """
         if math.isinf(state.recovered_for):
-            self.recovered_at = monotonic()
-        self.on_restored(self.recovered_at)
+            self.outages.end()
+        self.on_restored(self.outages.recovered_at)
 
     def _record_recovery(self) -> None:
-        self.recovered_at = monotonic()
+        self.outages.end()
         record(
             _logger,
             'store_regained',
@@ -361,6 +360,7 @@
 
     def _count_failure(self, problem: StoreProblem) -> None:
         self._failures += 1
+        self.outages.begin()
         self._problem = problem.kind
         if self._failures == 1:
             record(
--- a/tests/ingress/test_endpoints.py
+++ b/tests/ingress/test_endpoints.py
@@ -6,6 +6,7 @@
 import pytest
 
 from kelproad.coordination.ingress.tables import endpoints as registry_module
+from kelproad.coordination.ingress.tables import outages as outages_module
 from kelproad.coordination.ingress.tables.caching import TableCache
 from kelproad.coordination.ingress.tables.endpoints import (
     MASS_LAPSE_SECONDS,
@@ -13,6 +14,7 @@
     EndpointRegistry,
 )
 from kelproad.coordination.ingress.tables.merging import RowMerger
+from kelproad.coordination.ingress.tables.outages import StoreOutages
 from kelproad.coordination.ingress.tables.roworders import ENDPOINT_ORDER
 from kelproad.coordination.ingress.tables.tablestates import (
     DecodedState,
@@ -37,16 +39,15 @@
     ({'sequence': 6, 'slots': 3, 'state': 'draining'}, False),
     ({'sequence': 1, 'born': 6}, True),
 )
-LONG_AGO = float('-inf')
 
 
 class Clock:
-    """A clock set by tests, with the time of the store's recovery."""
+    """A clock set by tests, with the outages of the store."""
 
     def __init__(self) -> None:
         """Start at 1000 s; the store has not failed."""
-        self.now = 1000
-        self.recovered_at = LONG_AGO
+        self.now = float(1000)
+        self.outages = StoreOutages()
 
 
 @pytest.fixture
@@ -54,6 +55,7 @@
     """Replace the clock of the registry."""
     fake = Clock()
     monkeypatch.setattr(registry_module, 'monotonic', lambda: fake.now)
+    monkeypatch.setattr(outages_module, 'monotonic', lambda: fake.now)
     return fake
 
 
@@ -71,7 +73,7 @@
 
     It gets its entries as an instance does, merged with what is known.
     """
-    made = EndpointRegistry(table, lambda: clock.recovered_at, 2)
+    made = EndpointRegistry(table, lambda: clock.outages, 2)
     merger = RowMerger('servers', ENDPOINT_ORDER)
     adopt = made.adopt
     monkeypatch.setattr(made, 'adopt', lambda state: adopt(merger.merge(state)))
@@ -138,7 +140,7 @@
     still missing then has departed.
     """
     registry.adopt(change(write('i-1'), write('i-2')))
-    clock.recovered_at = clock.now
+    clock.outages.end()
     registry.adopt(decode(TableState(Revision(0, 9), [], whole=True)))
     assert set(table.all()) == {'i-1', 'i-2'}
     clock.now += 1
@@ -148,6 +150,47 @@
     assert set(table.all()) == {'i-1'}
 
 
+def test_failures_one_after_another_keep_no_departed_endpoint(
+    registry: EndpointRegistry,
+    table: EndpointTable,
+    clock: Clock,
+) -> None:
+    """Guards against a grace period that each failure begins anew."""
+    registry.adopt(change(write('i-1'), write('i-2')))
+    clock.outages.end()
+    registry.adopt(change(drop('i-1')))
+    answered = float(0)
+    while answered < RECOVERY_GRACE_SECONDS:
+        assert 'i-1' in table.all()
+        clock.outages.begin()
+        clock.now += 0.5
+        clock.outages.end()
+        clock.now += 1
+        answered += 1
+        registry.publish_expired()
+        registry.publish_expired()
+    assert set(table.all()) == {'i-2'}
+
+
+def test_an_outage_amid_the_grace_period_does_not_count(
+    registry: EndpointRegistry,
+    table: EndpointTable,
+    clock: Clock,
+) -> None:
+    """Guards against dropping live endpoints after two outages in a row."""
+    registry.adopt(change(write('i-1'), write('i-2')))
+    clock.outages.end()
+    registry.adopt(change(drop('i-1')))
+    clock.now += 1
+    clock.outages.begin()
+    clock.now += RECOVERY_GRACE_SECONDS
+    clock.outages.end()
+    clock.now += RECOVERY_GRACE_SECONDS - 1.1
+    registry.publish_expired()
+    registry.publish_expired()
+    assert 'i-1' in table.all()
+
+
 def test_removal_of_all_entries_counts_as_a_lapse(
     registry: EndpointRegistry,
     table: EndpointTable,
@@ -245,7 +288,7 @@
     to another.  A removed entry would be kept for the grace period; a corrupt
     one exists, so both must exclude its endpoint at once.
     """
-    clock.recovered_at = clock.now
+    clock.outages.end()
     first = change(write('i-1'), write('i-2'))
     registry.adopt(first)
     cache = TableCache(operator.eq)
--- a/tests/ingress/test_misdirected.py
+++ b/tests/ingress/test_misdirected.py
@@ -19,6 +19,7 @@
 from kelproad.coordination.ingress.streams.progress import Attempt, Progress
 from kelproad.coordination.ingress.tables.endpoints import EndpointRegistry
 from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
+from kelproad.coordination.ingress.tables.outages import StoreOutages
 from kelproad.coordination.ingress.tables.tablestates import (
     DecodedState,
     Revision,
@@ -44,7 +45,6 @@
 NOW = 1000.0
 #: Seconds after which a live endpoint is used again.
 SOON = 6.0
-LONG_AGO = float('-inf')
 
 
 class Instance:
@@ -64,7 +64,7 @@
         holder.current = configuration
         self.table = EndpointTable()
         reachability = ZoneReachability()
-        self.registry = EndpointRegistry(self.table, lambda: LONG_AGO, 2)
+        self.registry = EndpointRegistry(self.table, StoreOutages, 2)
         self.registry.adopt_configuration(configuration)
         self.evaluator = AttemptEvaluator(
             self.table,
--- a/tests/ingress/test_warm_ups.py
+++ b/tests/ingress/test_warm_ups.py
@@ -6,6 +6,7 @@
 
 from kelproad.coordination.ingress.streams.observing import AnswerObserver
 from kelproad.coordination.ingress.tables.endpoints import EndpointRegistry
+from kelproad.coordination.ingress.tables.outages import StoreOutages
 from kelproad.coordination.ingress.tables.roworders import ENDPOINT_ORDER
 from kelproad.coordination.ingress.tables.tablestates import (
     DecodedState,
@@ -178,7 +179,7 @@
 
 def build_registry(table: EndpointTable) -> EndpointRegistry:
     """Build the registry of an instance with a configuration."""
-    registry = EndpointRegistry(table, lambda: float('-inf'), 2)
+    registry = EndpointRegistry(table, StoreOutages, 2)
     configuration = StoredRow('config', CONFIGURATION, Revision(0, 1))
     registry.adopt_configuration(decode_configuration(configuration).unwrap())
     return registry
