Stops: late plain calls are weighed by how long answers of their route take

What callers saw: bookings and lookups sent later than 3 s after SIGTERM were taken, passed on and answered 502 (may have run) at the end of the stop, where endpoints take seconds: 7 bookings and 8 lookups with 2 to 5 s (measured from outside).

Cause: plain calls were weighed by twice the objective of their route, whatever answers took; and only streams were looked at again before they were sent. Ruled out: calls that are cut without an answer (all are answered, test_stops_site.py). Weighed and not taken: refusal by the deadline, which sends callers of short answers away.

Test: calls that take 3.5 s, sent 3.9 s after SIGTERM: 502, 502 before; 503 as not run, at once, now. Existing test of a short call late in a stop passes, as before.

--- a/src/kelproad/coordination/ingress/admission/stopping.py
+++ b/src/kelproad/coordination/ingress/admission/stopping.py
@@ -18,6 +18,7 @@
 from ....state.routes import Route
 from ....transport.deadlines import monotonic
 from ...drain import Drain, StopTimes
+from .durations import SlowestAnswers
 
 __all__ = [
     'ELSEWHERE_RETRY',
@@ -50,6 +51,8 @@
 #: slowest in a hundred takes five times the mean, which is a sixth of the
 #: objective.
 _PLAIN_OBJECTIVE_FACTOR = 2.0
+#: Factor by which an answer may take longer than the slowest of its route.
+_SLOWEST_FACTOR = 1.5
 #: Seconds after which a caller should retry at another instance: at once, but
 #: not before this answer has reached it.
 ELSEWHERE_RETRY = 0.02
@@ -68,13 +71,20 @@
     one that was expected to take 1.1 s took 4.5 s on a slow engine, and was cut
     3.8 s after it arrived.  By its deadline every stream has ended, so none
     that is accepted can be cut.  Answers that are not streamed are evaluated by
-    their probable duration, since a call without an answer can still be
-    refused.
+    their probable duration, as most are short, however long callers would wait;
+    but by no less than what the slowest ones took lately.
     """
 
     def __init__(self, drain: Drain) -> None:
         """Evaluate calls by the phases and times of one planned stop."""
         self._drain = drain
+        self._slowest = SlowestAnswers()
+
+    def observe_answer(self, call: Call) -> None:
+        """Record how long a call took that has just been answered."""
+        if not call.kind.streams:
+            seconds = monotonic() - call.arrived
+            self._slowest.observe(call.route.name, seconds)
 
     def permits(
         self,
@@ -100,10 +110,9 @@
         if math.isinf(left):
             return True
         has_grace_ended = self._drain.has_grace_ended
-        if has_grace_ended and route.kind.streams:
-            needed = deadline - monotonic()
-        else:
-            needed = predict_seconds(head, route, profile)
+        needed = predict_seconds(head, route, profile)
+        if has_grace_ended:
+            needed = self._bound_late(route, needed, deadline - monotonic())
         record(
             _logger,
             'weighed_while_stopping',
@@ -121,11 +130,12 @@
 
         A call that was accepted early in a stop may be sent late in it: it
         waited for an engine, its body arrived slowly, or an endpoint did not
-        respond.  Its stream would be cut like that of a late call.
+        respond.  It would be cut like a late call.
         """
-        if not (self._drain.has_grace_ended and call.kind.streams):
+        if not self._drain.has_grace_ended:
             return True
-        return call.remaining(monotonic()) <= self._drain.seconds_until_end()
+        needed = self._bound_late(call.route, 0, call.remaining(monotonic()))
+        return needed <= self._drain.seconds_until_end()
 
     def until_end(
         self,
@@ -141,6 +151,17 @@
         """
         return self._drain.until_end()
 
+    def _bound_late(self, route: Route, predicted: float, left: float) -> float:
+        """Return the seconds that a late call may take to its end.
+
+        ``predicted`` are those that it probably takes, ``left`` those until its
+        deadline.
+        """
+        if route.kind.streams:
+            return left
+        slowest = self._slowest.find(route.name) * _SLOWEST_FACTOR
+        return max(predicted, min(slowest, left))
+
 
 def plan_stop(kill_after: float) -> StopTimes:
     """Plan the phases of a stop, given the seconds until the kill."""
--- a/src/kelproad/coordination/ingress/retrying/dispatching.py
+++ b/src/kelproad/coordination/ingress/retrying/dispatching.py
@@ -184,6 +184,7 @@
             record_stream(
                 race.call, attempt.placement, race.delivery, self._counters
             )
+            self._stop_guard.observe_answer(race.call)
             return outcome
         _note_failure(race.progress, attempt, outcome.failure())
         if race.open_attempts:
--- a/tests/ingress/test_hedging.py
+++ b/tests/ingress/test_hedging.py
@@ -186,7 +186,10 @@
             ),
             evaluator,
             budgets,
-            types.SimpleNamespace(until_end=lambda: asyncio.timeout(None)),
+            types.SimpleNamespace(
+                until_end=lambda: asyncio.timeout(None),
+                observe_answer=lambda call: None,
+            ),
             counters,
         )
         return await dispatcher.answer(call, web.Request.__new__(_Request))
--- a/tests/ingress/test_stops_site.py
+++ b/tests/ingress/test_stops_site.py
@@ -7,6 +7,7 @@
 import threading
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -29,6 +30,7 @@
 )
 
 ENGINES = ('engine-1', 'engine-2', 'engine-3')
+BOOKS = ('book-1', 'book-2')
 #: Seconds within which a refusal must arrive.
 SLACK = 0.2
 #: Size in bytes of a small receive buffer.
@@ -155,6 +157,37 @@
     assert instance.process.wait(8) == 0
 
 
+def test_a_stop_accepts_no_late_call_that_takes_longer_here(
+    site: RoutedSite,
+) -> None:
+    """Guards against bookings that a stop cuts after they may have run."""
+    instance = site.instances[0]
+    for name in BOOKS:
+        site.set_endpoint_faults(name, pace=3.5)
+    paths = {'/bookings/x': 'POST', '/lookups/x': 'GET'}
+    with ThreadPoolExecutor() as callers:
+
+        def call_all() -> list[Answer]:
+            sent = [
+                callers.submit(
+                    call, instance, path, method, X_Kelproad_Deadline_Ms='9000'
+                )
+                for path, method in paths.items()
+            ]
+            return [one.result() for one in sent]
+
+        assert [answer.status for answer in call_all()] == [200, 200]
+        results: list[Answer] = []
+        thread = begin_stop(site, instance, results)
+        time.sleep(3.9)
+        late = call_all()
+    assert [answer.status for answer in late] == [503, 503]
+    assert all(answer.seconds < SLACK for answer in late)
+    assert not any(site.count_runs(answer.request_id) for answer in late)
+    thread.join()
+    assert instance.process.wait(8) == 0
+
+
 def test_a_stop_answers_calls_that_it_cannot_finish(site: RoutedSite) -> None:
     """Calls without a first byte of their answer are in flight at a stop's end.
 
