Tests: eighty answers without end at once end no instance

Another operator's report: an engine's bytes without end, in a head or a body, were all kept by the machine that had called it, which ran out of memory. It can't happen here: what is no content is bounded by connection, collected answers by reservations (docs/design/bounded-reading.md). The tests that show so had eight calls at once; now also eighty, in a head, in trailers, in a body and in that of a failure, from engines and plain endpoints, whose reports are endless as well: the process stays below the 300 MB of a machine, all connections are closed, other services are answered.

--- a/tests/ingress/test_endless_site.py
+++ b/tests/ingress/test_endless_site.py
@@ -28,6 +28,9 @@
 #: Seconds in which connections are closed after the last answer.
 CLOSE_SECONDS = 0.5
 MOST_MEMORY = 30_000_000
+#: Calls of many callers at once, and the memory of the machine that has them.
+MANY_CALLS = 80
+MACHINE_MEMORY = 300_000_000
 SEND_SECONDS = 15.0
 BODIES = types.MappingProxyType(
     {
@@ -234,6 +237,39 @@
     assert not lasting
 
 
+@pytest.mark.parametrize('service', ['writer', 'book'])
+@pytest.mark.parametrize(
+    'kind', ['one header', 'trailers', 'chunked body', 'body of a failure']
+)
+def test_many_endless_answers_at_once_end_no_instance(
+    site: RoutedSite, kind: str, service: str
+) -> None:
+    """Guards against answers without end that fill an instance's memory."""
+    endpoints = [EndlessEndpoint(kind) for _ in range(2)]
+    with (
+        list_only(site, service, endpoints),
+        ThreadPoolExecutor(MANY_CALLS + 1) as pool,
+    ):
+        reset_peak(site)
+        calls = [
+            pool.submit(call_endless, site, service) for _ in range(MANY_CALLS)
+        ]
+        sound = pool.submit(
+            call_sound, site, lambda: all(one.done() for one in calls)
+        )
+        answers = [one.result() for one in calls]
+        answered_at = time.monotonic()
+        sound.result()
+        peak = read_memory(site, 'VmHWM')
+        time.sleep(CLOSE_SECONDS)
+        lasting = sum(one.count_lasting(answered_at) for one in endpoints)
+    for endpoint in endpoints:
+        endpoint.close()
+    assert all(answer.broken or answer.status >= 500 for answer in answers)
+    assert peak <= MACHINE_MEMORY
+    assert not lasting
+
+
 @pytest.mark.parametrize('beginning', [b'', b'1;', b'1\r\nx\r\n0\r\nX-A: '])
 def test_endless_framing_of_callers_is_given_up(
     site: RoutedSite, beginning: bytes
