Servers: a call that arrives as a process exits is answered

Cause, by reading and a test: as aiohttp's server ends it marks all connections as closed first, and ignores what it reads from then on. Change: once nothing is accepted any more, reading of all connections without a call is paused, calls that were read go on, what has arrived unread is read and answered, the rest is closed. One round; more for 0.05 s while calls keep arriving.

--- a/src/kelproad/transport/callerconnections.py
+++ b/src/kelproad/transport/callerconnections.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+import select
 from collections.abc import Callable, Coroutine, Iterable
 
 import aiohttp
@@ -13,6 +14,7 @@
 from aiohttp import web
 from multidict import MultiMapping
 
+from .deadlines import monotonic
 from .http import is_endless
 
 __all__ = ['CallerConnections', 'ConnectionTimeouts', 'ObservedConnection']
@@ -21,6 +23,9 @@
 #: Iterations of the event loop in which a call that has been read reaches its
 #: handler: aiohttp resumes the connection's task, which starts another one.
 _READING_ITERATIONS = 5
+#: Seconds in which the last connections are closed while calls keep arriving;
+#: one round is made in any case.
+_LAST_SECONDS = 0.05
 #: Closed connections that may be remembered before they are removed.
 _CLEANUP_SLACK = 64
 #: Least seconds for which a connection may stay idle.
@@ -180,12 +185,34 @@
         open_now = self._list_open()
         await self._close([one for one in open_now if one in self._idle])
 
+    async def close_unused(self) -> None:
+        """Close all connections without a call, once nothing more is accepted.
+
+        A call that has arrived on one of them is read and answered first:
+        aiohttp would read and ignore it as the server ends.
+        """
+        ends_at = monotonic() + _LAST_SECONDS
+        unused = self._list_unused()
+        while unused:
+            await _let_calls_begin(unused)
+            for connection in unused:
+                if _has_unread(connection):
+                    connection.transport.resume_reading()
+                else:
+                    self._close_unless_busy(connection)
+            # What was left unread is read now.
+            await asyncio.sleep(0)
+            unused = self._list_unused() if monotonic() < ends_at else []
+
     def end(self) -> None:
         """Cancel all timers."""
         for timer in self._idle.values():
             timer.cancel()
         self._idle.clear()
 
+    def _list_unused(self) -> list[web.RequestHandler]:
+        return [one for one in self._list_open() if one not in self._busy]
+
     async def _close(self, idle: list[web.RequestHandler]) -> None:
         """Close idle connections without losing a call.
 
@@ -289,3 +316,14 @@
             connection.transport.pause_reading()
     for _ in range(_READING_ITERATIONS):
         await asyncio.sleep(0)
+
+
+def _has_unread(connection: web.RequestHandler) -> bool:
+    """Return whether something has arrived that was not read."""
+    if connection.transport is None:
+        return False
+    arrived = select.poll()
+    arrived.register(
+        connection.transport.get_extra_info('socket'), select.POLLIN
+    )
+    return bool(arrived.poll(0))
--- a/src/kelproad/transport/servers.py
+++ b/src/kelproad/transport/servers.py
@@ -141,6 +141,7 @@
         """Close the listening socket and the connections."""
         if self._listener is not None:
             self._listener.close()
+        await self._connections.close_unused()
         if self._runner is not None:
             await self._runner.cleanup()
         self._connections.end()
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -190,6 +190,34 @@
         assert answered == kept.handled - before
 
 
+@pytest.mark.parametrize('kept_open', [True, False])
+@pytest.mark.parametrize('turns', TURNS)
+async def test_a_call_that_arrives_as_the_server_stops_is_answered(
+    turns: int, kept_open: bool
+) -> None:
+    """Guards against calls that are read and ignored as a process exits."""
+    async with keep_connections() as kept:
+        connections = kept.connections
+        if not kept_open:
+            address = kept.server.list_connections()[
+                0
+            ].transport.get_extra_info('sockname')
+            connections = [
+                await asyncio.open_connection(*address)
+                for _ in range(CONNECTIONS)
+            ]
+            await asyncio.sleep(CLOSE_NOTICED_SECONDS)
+        for _, writer in connections:
+            writer.write(CALL)
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        await kept.server.stop()
+        answers = [await read_rest(reader) for reader, _ in connections]
+        assert all(answer.endswith(b'answer') for answer in answers)
+        for _, writer in connections:
+            writer.close()
+
+
 async def read_rest(reader: asyncio.StreamReader) -> bytes:
     """Read an answer, or nothing where the connection was closed."""
     try:
