Stops: a call that comes while its idle connection is closed is answered

Change: a connection on which something has arrived meanwhile is read on.

test_a_call_that_comes_during_a_close_is_answered failed before and passes.

--- a/src/kelproad/transport/callerconnections.py
+++ b/src/kelproad/transport/callerconnections.py
@@ -196,10 +196,7 @@
         while unused:
             await _let_calls_begin(unused)
             for connection in unused:
-                if _has_unread(connection):
-                    connection.transport.resume_reading()
-                else:
-                    self._close_unless_busy(connection)
+                self._close_unless_used(connection)
             # What was left unread is read now.
             await asyncio.sleep(0)
             unused = self._list_unused() if monotonic() < ends_at else []
@@ -219,12 +216,12 @@
         First, reading is paused; then a call that was being read gets the time
         to reach its handler; then connections without a call are closed.  To
         close at once would lose a call that has been read, and aiohttp ignores
-        what comes on a connection that is marked as closed.  Only a call that
-        arrives during the close is lost, unread.
+        what comes on a connection that is marked as closed.  The time may be
+        long on a busy machine, so what arrived meanwhile is read after all.
         """
         await _let_calls_begin(idle)
         for connection in idle:
-            self._close_unless_busy(connection)
+            self._close_unless_used(connection)
 
     async def _abort(self, connection: web.RequestHandler) -> None:
         """Abort a connection whose first headers are late.
@@ -255,6 +252,15 @@
             idle_since,
         )
 
+    def _restart_expiry(self, connection: web.RequestHandler) -> None:
+        """Let the idle time of a connection that has had a call begin anew."""
+        if connection in self._awaiting_first:
+            return
+        timer = self._idle.pop(connection, None)
+        if timer is not None:
+            timer.cancel()
+        self._await_expiry(connection, asyncio.get_running_loop().time())
+
     def _expire(
         self, connection: web.RequestHandler, idle_since: float
     ) -> None:
@@ -281,14 +287,18 @@
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
 
-    def _close_unless_busy(self, connection: web.RequestHandler) -> None:
-        """Close a connection unless it has a call meanwhile."""
+    def _close_unless_used(self, connection: web.RequestHandler) -> None:
+        """Close a connection unless a call has come or arrives meanwhile."""
         transport = connection.transport
         if transport is None:
             return
         if connection in self._busy:
             transport.resume_reading()
             return
+        if _has_unread(connection):
+            self._restart_expiry(connection)
+            transport.resume_reading()
+            return
         connection.close()
         transport.close()
 
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -190,6 +190,16 @@
         assert answered == kept.handled - before
 
 
+async def test_a_call_that_comes_during_a_close_is_answered() -> None:
+    """Guards against calls lost in a close that takes long beside a load."""
+    async with keep_connections() as kept:
+        for _, writer in kept.connections:
+            asyncio.get_running_loop().call_soon(writer.write, CALL)
+        await kept.server.close_idle()
+        answers = [await read_rest(reader) for reader, _ in kept.connections]
+        assert all(answer.endswith(b'answer') for answer in answers)
+
+
 @pytest.mark.parametrize('kept_open', [True, False])
 @pytest.mark.parametrize('turns', TURNS)
 async def test_a_call_that_arrives_as_the_server_stops_is_answered(
