--- a/src/kelproad/coordination/ingress/admission/stopping.py
+++ b/src/kelproad/coordination/ingress/admission/stopping.py
@@ -18,7 +18,6 @@
 from ....state.routes import Route
 from ....transport.deadlines import monotonic
 from ...drain import Drain, StopTimes
-from .durations import SlowestAnswers
 
 __all__ = [
     'ELSEWHERE_RETRY',
@@ -53,11 +52,43 @@
 _PLAIN_OBJECTIVE_FACTOR = 2.0
 #: Factor by which an answer may take longer than the slowest of its route.
 _SLOWEST_FACTOR = 1.5
+#: Seconds of a span; answers of the present and the last one count.
+_SPAN_SECONDS = 30.0
 #: Seconds after which a caller should retry at another instance: at once, but
 #: not before this answer has reached it.
 ELSEWHERE_RETRY = 0.02
 
 
+class SlowestAnswers:
+    """The longest time that an answer on each route took lately."""
+
+    def __init__(self) -> None:
+        """Start without any answer."""
+        #: Longest seconds by route, in the present span and the one before.
+        self._present: dict[str, float] = {}
+        self._last: dict[str, float] = {}
+        self._ends_at = monotonic() + _SPAN_SECONDS
+
+    def observe(self, route: str, seconds: float) -> None:
+        """Record how many seconds an answer took."""
+        self._move_on()
+        self._present[route] = max(seconds, self._present.get(route, 0))
+
+    def find(self, route: str) -> float:
+        """Return the longest seconds of a route, 0 if none is known."""
+        self._move_on()
+        return max(self._present.get(route, 0), self._last.get(route, 0))
+
+    def _move_on(self) -> None:
+        now = monotonic()
+        if now < self._ends_at:
+            return
+        is_recent = now < self._ends_at + _SPAN_SECONDS
+        self._last = self._present if is_recent else {}
+        self._present = {}
+        self._ends_at = now + _SPAN_SECONDS
+
+
 class StopGuard:
     """Decides which calls to accept in the time that a stop leaves.
 
--- a/src/kelproad/coordination/ingress/tables/endpoints.py
+++ b/src/kelproad/coordination/ingress/tables/endpoints.py
@@ -24,7 +24,7 @@
 from ....state.records import isolate_row, record
 from ....state.routes import RoutingConfiguration
 from ....transport.deadlines import monotonic
-from .outages import StoreOutages
+from .positions import StoreOutages
 from .roworders import ListedEndpoint
 from .tablestates import DecodedState
 
--- a/src/kelproad/coordination/ingress/tables/following.py
+++ b/src/kelproad/coordination/ingress/tables/following.py
@@ -21,8 +21,7 @@
 from ....transport.services import BackgroundService, restarted_task
 from .causes import QueryProgress
 from .openqueries import OpenQueries
-from .outages import StoreOutages
-from .positions import StoreEras, TablePosition
+from .positions import StoreEras, StoreOutages, TablePosition
 from .readers import MAX_RELAYED_AGE
 from .tablestates import (
     PeerTable,
--- a/tests/ingress/test_endpoints.py
+++ b/tests/ingress/test_endpoints.py
@@ -6,7 +6,7 @@
 import pytest
 
 from kelproad.coordination.ingress.tables import endpoints as registry_module
-from kelproad.coordination.ingress.tables import outages as outages_module
+from kelproad.coordination.ingress.tables import positions as positions_module
 from kelproad.coordination.ingress.tables.caching import TableCache
 from kelproad.coordination.ingress.tables.endpoints import (
     MASS_LAPSE_SECONDS,
@@ -14,7 +14,7 @@
     EndpointRegistry,
 )
 from kelproad.coordination.ingress.tables.merging import RowMerger
-from kelproad.coordination.ingress.tables.outages import StoreOutages
+from kelproad.coordination.ingress.tables.positions import StoreOutages
 from kelproad.coordination.ingress.tables.roworders import ENDPOINT_ORDER
 from kelproad.coordination.ingress.tables.tablestates import (
     DecodedState,
@@ -55,7 +55,7 @@
     """Replace the clock of the registry."""
     fake = Clock()
     monkeypatch.setattr(registry_module, 'monotonic', lambda: fake.now)
-    monkeypatch.setattr(outages_module, 'monotonic', lambda: fake.now)
+    monkeypatch.setattr(positions_module, 'monotonic', lambda: fake.now)
     return fake
 
 
--- a/tests/ingress/test_misdirected.py
+++ b/tests/ingress/test_misdirected.py
@@ -19,7 +19,7 @@
 from kelproad.coordination.ingress.streams.progress import Attempt, Progress
 from kelproad.coordination.ingress.tables.endpoints import EndpointRegistry
 from kelproad.coordination.ingress.tables.holder import ConfigurationHolder
-from kelproad.coordination.ingress.tables.outages import StoreOutages
+from kelproad.coordination.ingress.tables.positions import StoreOutages
 from kelproad.coordination.ingress.tables.tablestates import (
     DecodedState,
     Revision,
--- a/tests/ingress/test_warm_ups.py
+++ b/tests/ingress/test_warm_ups.py
@@ -6,7 +6,7 @@
 
 from kelproad.coordination.ingress.streams.observing import AnswerObserver
 from kelproad.coordination.ingress.tables.endpoints import EndpointRegistry
-from kelproad.coordination.ingress.tables.outages import StoreOutages
+from kelproad.coordination.ingress.tables.positions import StoreOutages
 from kelproad.coordination.ingress.tables.roworders import ENDPOINT_ORDER
 from kelproad.coordination.ingress.tables.tablestates import (
     DecodedState,
