--- a/tests/ingress/test_stops.py
+++ b/tests/ingress/test_stops.py
@@ -12,7 +12,10 @@
 
 from kelproad.coordination import drain as drain_module
 from kelproad.coordination.drain import Drain, StopEndedError, StopTimes
-from kelproad.coordination.ingress.admission.stopping import plan_stop
+from kelproad.coordination.ingress.admission.stopping import (
+    StopGuard,
+    plan_stop,
+)
 from kelproad.coordination.ingress.streams.delivery import StreamDelivery
 from testbed.routed import RoutedInstance, RoutedSite, start_routed_site
 from tests.ingress.callers import call, stream
@@ -122,6 +125,25 @@
     finishing.cancel()
 
 
+@pytest.mark.parametrize(
+    ('took', 'may_begin'), [(0, True), (0.5, True), (0.8, False)]
+)
+def test_a_call_that_waited_is_not_sent_where_answers_take_longer(
+    took: float, may_begin: bool
+) -> None:
+    """Guards against calls that wait until they can only be cut."""
+    drain = Drain(lambda: 1, lambda: StopTimes(grace=0, limit=1))
+    guard = StopGuard(drain)
+    call_that_waits = build_call()
+    if took:
+        answered = build_call()
+        answered.arrived = time.monotonic() - took
+        guard.observe_answer(answered)
+    assert guard.may_begin_answer(call_that_waits)
+    drain.start()
+    assert guard.may_begin_answer(call_that_waits) is may_begin
+
+
 def test_the_grace_ends_before_cuts_are_forbidden() -> None:
     """A stream sent 3.0 s after SIGTERM is accepted by an estimate, and cut.
 
