Stops: a plain call that is open is not given up because its route is slow

Bookings weren't touched: calls that may run once are not searched.

Change: only streams that have not begun are given up there, as before; a plain call that may have run goes on to its next attempt, since a refusal could not say that it has not run.

Test: such a lookup, sent 1.5 s after SIGTERM: 502 before, 200 now.

--- a/src/kelproad/coordination/ingress/retrying/attempting.py
+++ b/src/kelproad/coordination/ingress/retrying/attempting.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from ....state.calls import Call
-from ....state.refusals import Refusal, Step
+from ....state.refusals import Ran, Refusal, Step
 from ....state.work import WorkLedger
 from ....transport.deadlines import monotonic
 from ..admission.stopping import StopGuard, refuse_stopping
@@ -49,7 +49,7 @@
         self, call: Call, progress: Progress, delivery: StreamDelivery
     ) -> Result[Attempt, Refusal]:
         """Prepare an attempt, waiting for endpoints while there is time."""
-        while self.may_begin(call, delivery):
+        while self._may_send(call, progress, delivery):
             try:
                 return Success(
                     await self.prepare_now(
@@ -125,6 +125,18 @@
                 'an endpoint was lost before the start', worth_waiting=True
             )
 
+    def _may_send(
+        self, call: Call, progress: Progress, delivery: StreamDelivery
+    ) -> bool:
+        """Return whether a call may be sent despite a stop.
+
+        A plain call that may have run can't be refused as not run any more, so
+        that it can only gain by another attempt.
+        """
+        if not call.kind.streams and progress.ran is not Ran.NO:
+            return True
+        return self.may_begin(call, delivery)
+
 
 @attrs.frozen
 class AttemptRunner:
--- a/src/kelproad/coordination/ingress/retrying/hedging.py
+++ b/src/kelproad/coordination/ingress/retrying/hedging.py
@@ -59,7 +59,9 @@
                 self._trust(race, attempt)
         if any(silence is None for _, silence in silences):
             return None
-        if not self._starter.may_begin(race.call, race.delivery):
+        if race.call.kind.streams and not self._starter.may_begin(
+            race.call, race.delivery
+        ):
             return refuse_stopping()
         latest, silence = silences[-1]
         if _is_due(latest):
--- a/tests/ingress/test_stops_site.py
+++ b/tests/ingress/test_stops_site.py
@@ -188,6 +188,23 @@
     assert instance.process.wait(8) == 0
 
 
+def test_a_stop_does_not_give_up_a_slow_call_that_it_can_finish(
+    site: RoutedSite,
+) -> None:
+    """Guards against lookups that are broken off as their route is slow."""
+    site.put_configuration(slow={'service': 'book', 'timeout_ms': 20_000})
+    instance = site.instances[0]
+    wait_for(lambda: call(instance, '/slow/x').status == 200, 'the route')
+    for name in BOOKS:
+        site.set_endpoint_faults(name, pace=3.5)
+    deadline = {'X_Kelproad_Deadline_Ms': '15000'}
+    assert call(instance, '/slow/x', **deadline).status == 200
+    instance.process.send_signal(signal.SIGTERM)
+    time.sleep(1.5)
+    assert call(instance, '/slow/x', **deadline).status == 200
+    assert instance.process.wait(8) == 0
+
+
 def test_a_stop_answers_calls_that_it_cannot_finish(site: RoutedSite) -> None:
     """Calls without a first byte of their answer are in flight at a stop's end.
 
