Servers: a connection that is closing is left alone as the last ones are closed

By reading: the last round polled the sockets of connections that are closing; a socket that is closed already raises ValueError there, and the rest of the server would not be cleaned up. A sentence of StoreOutages says when else it is used.

--- a/src/kelproad/coordination/ingress/tables/positions.py
+++ b/src/kelproad/coordination/ingress/tables/positions.py
@@ -93,7 +93,7 @@
             self._lost_at = monotonic()
 
     def end(self) -> None:
-        """Record a valid answer after failed calls."""
+        """Record that the store is back, after failures or a restoration."""
         now = monotonic()
         if self._lost_at is not None:
             self._lost_seconds += now - self._lost_at
--- a/src/kelproad/transport/callerconnections.py
+++ b/src/kelproad/transport/callerconnections.py
@@ -290,7 +290,7 @@
     def _close_unless_used(self, connection: web.RequestHandler) -> None:
         """Close a connection unless a call has come or arrives meanwhile."""
         transport = connection.transport
-        if transport is None:
+        if transport is None or transport.is_closing():
             return
         if connection in self._busy:
             transport.resume_reading()
