Stops: how long answers take is counted from their dispatch on

Found by reading the diff: a body that its caller sends slowly counted as a slow answer of its route, and late callers of that route were refused for it. test_the_time_of_an_upload_is_not_that_of_an_answer: failed with the time of arrival, passes.

--- a/src/kelproad/coordination/ingress/admission/stopping.py
+++ b/src/kelproad/coordination/ingress/admission/stopping.py
@@ -111,11 +111,13 @@
         self._drain = drain
         self._slowest = SlowestAnswers()
 
-    def observe_answer(self, call: Call) -> None:
-        """Record how long a call took that has just been answered."""
-        if not call.kind.streams:
-            seconds = monotonic() - call.arrived
-            self._slowest.observe(call.route.name, seconds)
+    def observe_answer(self, route: Route, seconds: float) -> None:
+        """Record how long a call to a route took from its dispatch on.
+
+        The time before that is its caller's, whose body may arrive slowly.
+        """
+        if not route.kind.streams:
+            self._slowest.observe(route.name, seconds)
 
     def permits(
         self,
--- a/src/kelproad/coordination/ingress/retrying/dispatching.py
+++ b/src/kelproad/coordination/ingress/retrying/dispatching.py
@@ -184,7 +184,9 @@
             record_stream(
                 race.call, attempt.placement, race.delivery, self._counters
             )
-            self._stop_guard.observe_answer(race.call)
+            self._stop_guard.observe_answer(
+                race.call.route, monotonic() - race.began_at
+            )
             return outcome
         _note_failure(race.progress, attempt, outcome.failure())
         if race.open_attempts:
--- a/src/kelproad/coordination/ingress/retrying/racing.py
+++ b/src/kelproad/coordination/ingress/retrying/racing.py
@@ -9,6 +9,7 @@
 from returns.result import Result
 
 from ....state.calls import Call
+from ....transport.deadlines import monotonic
 from ..streams.answers import AttemptFailure
 from ..streams.delivery import StreamDelivery
 from ..streams.progress import Attempt, Progress
@@ -36,6 +37,8 @@
         State over its attempts so far.
     delivery
         Forwards a stream to the caller.
+    began_at
+        Monotonic time at which its dispatch began.
     """
 
     call: Call
@@ -43,6 +46,7 @@
     _run: Callable[[Attempt], Coroutine[None, None, AttemptOutcome]]
     _keep: Callable[['AttemptRace', Attempt, list[Attempt]], None]
     progress: Progress = attrs.field(factory=Progress)
+    began_at: float = attrs.field(factory=monotonic)
     _tasks: dict[AttemptTask, Attempt] = attrs.field(factory=dict)
     #: Tasks of attempts that were closed, until they have ended.
     _closing: set[AttemptTask] = attrs.field(factory=set)
--- a/tests/ingress/test_hedging.py
+++ b/tests/ingress/test_hedging.py
@@ -148,6 +148,8 @@
     endpoints: Endpoints
     budget: RetryBudget
     monitor: SilenceMonitor
+    #: Seconds that answered calls took, as the instance has observed them.
+    observed: list[float] = attrs.field(factory=list)
 
     @classmethod
     def from_scripts(cls, retries: int = 9, **scripts: Script) -> 'Instance':
@@ -188,7 +190,9 @@
             budgets,
             types.SimpleNamespace(
                 until_end=lambda: asyncio.timeout(None),
-                observe_answer=lambda call: None,
+                observe_answer=lambda route, seconds: self.observed.append(
+                    seconds
+                ),
             ),
             counters,
         )
@@ -223,6 +227,15 @@
     assert instance.endpoints.started == ['first']
 
 
+async def test_the_time_of_an_upload_is_not_that_of_an_answer() -> None:
+    """Guards against slow callers for whom a stop refuses others."""
+    instance = Instance.from_scripts(first=answer_after(0))
+    call = build_call()
+    call.arrived -= LATE
+    assert (await instance.answer(call)).unwrap().text == 'first'
+    assert instance.observed[0] < LATE
+
+
 async def test_a_silent_attempt_goes_on_if_no_endpoint_is_left() -> None:
     """Calls were refused while their only engine was at work on them."""
     instance = Instance.from_scripts(first=answer_after(LATE))
--- a/tests/ingress/test_stops.py
+++ b/tests/ingress/test_stops.py
@@ -136,9 +136,7 @@
     guard = StopGuard(drain)
     call_that_waits = build_call()
     if took:
-        answered = build_call()
-        answered.arrived = time.monotonic() - took
-        guard.observe_answer(answered)
+        guard.observe_answer(call_that_waits.route, took)
     assert guard.may_begin_answer(call_that_waits)
     drain.start()
     assert guard.may_begin_answer(call_that_waits) is may_begin
