Answers: a status that HTTP doesn't have is no answer

What callers saw: an engine's status of 000 came to them as an answer ("HTTP/1.1 0", which http.client can't read); 099, 101, 600 and 999 too.

Cause: the parser takes any three digits. Nothing after it looked at the range: 000 and 099 are below the errors, so they counted as sound answers; 600 and 999 were kept as errors of the engine and passed on when nothing else was left. 101 accepts an upgrade, which is never requested.

Change: the start line of each head, interim ones included, is checked before the parser reads it: 100 to 599 without 101. The connection is aborted, the attempt fails as one without an answer: lookups go to another endpoint, bookings get 502.

Ruled out: a check in the routed interface only; three other clients read such answers.

--- a/src/kelproad/transport/http.py
+++ b/src/kelproad/transport/http.py
@@ -4,11 +4,13 @@
 are followed, and no proxy is taken from the environment.  A server in trouble
 may send interim answers, header lines, sizes and extensions of chunks or
 trailers without end; none of these makes an answer advance, so what comes
-beside content is bounded, whatever it is.
+beside content is bounded, whatever it is.  Heads are checked before the parser
+reads them, as it accepts what other recipients refuse or read differently.
 """
 
 import asyncio
 import functools
+import re
 from collections.abc import Callable
 
 import aiohttp
@@ -24,6 +26,7 @@
 __all__ = [
     'ConnectionLostError',
     'EndlessAnswerError',
+    'InvalidAnswerError',
     'create_single_use_session',
     'create_session',
     'create_end_check',
@@ -45,6 +48,11 @@
 _HEAD_PIECE_BYTES = 4096
 _MAX_INTERIM_ANSWERS = 64
 _FIRST_FINAL_STATUS = 200
+#: An upgrade, which the status 101 would accept, is never requested.
+_START_LINE = re.compile(rb'[!-~]+ (?!101)[1-5][0-9]{2}(?: .*)?')
+_INTERIM = re.compile(rb'[!-~]+ 1')
+#: Bytes of an invalid line that are shown.
+_MAX_SHOWN = 100
 
 #: The head of an answer, and its body.
 _Received = tuple[RawResponseMessage, StreamReader]
@@ -58,12 +66,62 @@
     """A server sent too many bytes beside content."""
 
 
+class InvalidAnswerError(aiohttp.ClientError):
+    """A server sent what is no answer."""
+
+
 def is_endless(received_bytes: int, content_bytes: int) -> bool:
     """Return whether too much of what was received is no content."""
     permitted = _MAX_FRAMING_BYTES + content_bytes * _FRAMING_PER_BYTE
     return received_bytes - content_bytes > permitted
 
 
+class _AnswerHeads:
+    """The head of one answer, and interim ones before it, line by line."""
+
+    def __init__(self) -> None:
+        """Expect a start line."""
+        self._partial_line = b''
+        self._start_line = b''
+        self._is_complete = False
+
+    def feed(self, received: bytes) -> None:
+        """Check the lines that are complete; what follows a head is ignored.
+
+        Raises
+        ------
+        InvalidAnswerError
+            When a line is invalid.
+        """
+        if self._is_complete:
+            return
+        lines = (self._partial_line + received).split(b'\n')
+        self._partial_line = lines.pop()
+        for line in lines:
+            self._check_line(line.removesuffix(b'\r'))
+            if self._is_complete:
+                self._partial_line = b''
+                return
+
+    def _check_line(self, line: bytes) -> None:
+        if not line:
+            self._end_head()
+        elif not self._start_line:
+            _check(_START_LINE, line)
+            self._start_line = line
+
+    def _end_head(self) -> None:
+        """Expect another head after an interim one, or after blank lines."""
+        is_interim = _INTERIM.match(self._start_line)
+        self._is_complete = bool(self._start_line) and not is_interim
+        self._start_line = b''
+
+
+def _check(expected: re.Pattern[bytes], line: bytes) -> None:
+    if not expected.fullmatch(line):
+        raise InvalidAnswerError(f'invalid line: {line[:_MAX_SHOWN]!r}')
+
+
 class _BoundedHandler(ResponseHandler):
     """Protocol of a connection whose answers have a bound."""
 
@@ -73,7 +131,8 @@
         self._received_bytes = 0
         self._interim_answers = 0
         self._has_head = False
-        self._is_endless = False
+        self._has_failed = False
+        self._heads = _AnswerHeads()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Receive little at a time: it is held until its reader takes it."""
@@ -85,16 +144,22 @@
         self._received_bytes = 0
         self._interim_answers = 0
         self._has_head = False
+        self._heads = _AnswerHeads()
         super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
-        """Parse what was received, until it is too much beside content.
+        """Parse what was received, until it is invalid or endless.
 
         Without data, the parser goes on with what it has.
         """
-        while not self._is_endless:
+        while not self._has_failed:
             piece = data if self._has_head else data[:_HEAD_PIECE_BYTES]
             data = data[len(piece) :]
+            try:
+                self._heads.feed(piece)
+            except InvalidAnswerError as error:
+                self._fail(error)
+                return
             super().data_received(piece)
             self._check_bounds(len(piece))
             if not data or self.exception() is not None:
@@ -116,11 +181,10 @@
             is_endless(self._received_bytes, content)
             or self._interim_answers > _MAX_INTERIM_ANSWERS
         ):
-            self._fail()
+            self._fail(EndlessAnswerError('too many bytes beside content'))
 
-    def _fail(self) -> None:
-        self._is_endless = True
-        error = EndlessAnswerError('too many bytes beside content')
+    def _fail(self, error: aiohttp.ClientError) -> None:
+        self._has_failed = True
         payload, transport = self._payload, self.transport
         self.set_exception(error)
         if payload is not None:
--- /dev/null
+++ b/tests/ingress/test_broken_answers.py
@@ -0,0 +1,147 @@
+"""Endpoints whose answers are broken, as each client in the product reads."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import aiohttp
+import attrs
+import pytest
+from multidict import CIMultiDict
+
+from kelproad.coordination.ingress.streams.answers import collect
+from kelproad.coordination.ingress.streams.attempts import EndpointClient
+from kelproad.protocol.engines import Attempt, EngineClient
+from kelproad.protocol.plain import PlainCall, PlainClient
+from kelproad.state.endpoints import Endpoint
+from kelproad.transport.deadlines import monotonic
+from kelproad.transport.exchanges import exchange
+from kelproad.transport.http import create_session, create_single_use_session
+from kelproad.transport.sockets import reset_on_close
+from tests.ingress.test_attempts import (
+    REQUEST_ID,
+    build_call,
+    client,
+    open_answer,
+    serve,
+)
+
+__all__ = ['client']
+
+#: Seconds between two parts of an answer, so that each is received by itself.
+PAUSE = 0.02
+SECONDS = 5.0
+ID = f'X-Kelproad-Request-Id: {REQUEST_ID}\r\n'.encode()
+OK = b'HTTP/1.1 200 OK\r\n'
+LENGTH = b'Content-Length: 5\r\n'
+BODY = b'whole'
+#: Reads an answer to its end; returns its body, or ``None`` for a failure.
+Reader = Callable[[Endpoint, bytes], Awaitable[bytes | None]]
+
+
+@attrs.frozen
+class RawEndpoint:
+    """An endpoint that sends parts of an answer, and closes or resets."""
+
+    parts: tuple[bytes, ...]
+    resets: bool = False
+    ended: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    async def handle(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer one call as soon as its head has arrived."""
+        await reader.readuntil(b'\r\n\r\n')
+        writer.transport.pause_reading()
+        for part in self.parts:
+            writer.write(part)
+            await asyncio.sleep(PAUSE)
+        if self.resets:
+            reset_on_close(writer.transport)
+        writer.close()
+        self.ended.set()
+
+
+def read_routed(client: EndpointClient) -> Reader:
+    """Read answers as the routed interface does, whole."""
+
+    async def read(endpoint: Endpoint, upload: bytes) -> bytes | None:
+        call = build_call()
+        call.body = upload
+        opened = await open_answer(client, endpoint, call)
+        answer = opened.value_or(None)
+        if answer is None:
+            return None
+        collected = await collect(answer, call.deadline)
+        return collected.map(lambda complete: complete.body).value_or(None)
+
+    return read
+
+
+async def read_plain(endpoint: Endpoint, upload: bytes) -> bytes | None:
+    """Read an answer of a plain service, as the own interface does."""
+    call = PlainCall('POST', '/x', CIMultiDict(), upload, monotonic() + SECONDS)
+    async with create_single_use_session() as session:
+        url = f'http://{endpoint.declaration.address}'
+        answered = await PlainClient(session).call(url, call)
+    return answered.map(lambda answer: answer.body).value_or(None)
+
+
+async def read_engine(endpoint: Endpoint, upload: bytes) -> bytes | None:
+    """Read a stream of an engine, as the own interface does."""
+    url = f'http://{endpoint.declaration.address}'
+    attempt = Attempt('a', 'o', 1, monotonic() + SECONDS)
+    async with create_single_use_session() as session:
+        opened = await EngineClient(session).open_stream(
+            url, '/x', attempt, upload, attempt.deadline
+        )
+        stream = opened.value_or(None)
+        if stream is None:
+            return None
+        try:
+            return b''.join([part async for part in stream.read()])
+        except aiohttp.ClientError:
+            return None
+        finally:
+            stream.close()
+
+
+async def read_exchange(endpoint: Endpoint, upload: bytes) -> bytes | None:
+    """Read a reply of the store, of an engine to an order, or of a peer."""
+    async with create_session() as session:
+        url = f'http://{endpoint.declaration.address}/x'
+        replied = await exchange(session, 'POST', url, SECONDS, upload)
+    return replied.map(lambda reply: reply.body).value_or(None)
+
+
+@pytest.fixture(params=['routed', 'plain', 'engine', 'exchange'])
+async def read(
+    request: pytest.FixtureRequest, client: EndpointClient
+) -> AsyncIterator[Reader]:
+    """Yield each way in which the product reads answers."""
+    readers = {
+        'routed': read_routed(client),
+        'plain': read_plain,
+        'engine': read_engine,
+        'exchange': read_exchange,
+    }
+    yield readers[request.param]
+
+
+async def ask(
+    read: Reader, *parts: bytes, resets: bool = False, upload: bytes = b''
+) -> bytes | None:
+    """Read an answer in parts; return its body, or ``None`` for a failure."""
+    endpoint = RawEndpoint(parts, resets)
+    async with serve(endpoint.handle) as listening:
+        received = await read(listening, upload)
+        await endpoint.ended.wait()
+    return received
+
+
+@pytest.mark.parametrize('status', ['000', '099', '101', '600', '999'])
+async def test_an_answer_with_no_status_of_http_is_none(
+    read: Reader, status: str
+) -> None:
+    """Guards against an engine's invalid status that is forwarded."""
+    start = f'HTTP/1.1 {status} Odd\r\n'.encode()
+    assert await ask(read, b''.join((start, ID, LENGTH, b'\r\n')), BODY) is None
--- /dev/null
+++ b/tests/ingress/test_broken_answers_site.py
@@ -0,0 +1,101 @@
+"""Endpoints whose answers are broken, before a real instance."""
+
+import contextlib
+import socket
+import threading
+import time
+import types
+from collections.abc import Iterator
+from http.client import HTTPException
+
+import pytest
+
+from testbed.processes import find_free_address
+from testbed.routed import RoutedSite, start_routed_site
+from tests.ingress.callers import Answer, call, next_id, stream
+from tests.ingress.test_endless_site import list_only
+
+#: Seconds between two parts of an answer, so that each is received by itself.
+PAUSE = 0.05
+BODY = b'id: 1\ndata: x\n\n'
+LENGTH = b'Content-Length: %d\r\n\r\n' % len(BODY)
+KINDS = types.MappingProxyType(
+    {
+        'status': (b'HTTP/1.1 000 Odd\r\n%s' % LENGTH, BODY),
+    }
+)
+
+
+class BrokenEndpoint:
+    """An endpoint that echoes the id of a call and sends parts, then closes."""
+
+    def __init__(self, kind: str) -> None:
+        """Send what ``KINDS`` has, on a free address."""
+        self.address = find_free_address()
+        self.calls = 0
+        self._parts = KINDS[kind]
+        host, port = self.address.split(':')
+        self._listener = socket.create_server((host, int(port)))
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        """Accept no more calls."""
+        self._listener.close()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            for accepted, _ in iter(self._listener.accept, None):
+                threading.Thread(
+                    target=self._answer, args=(accepted,), daemon=True
+                ).start()
+
+    def _answer(self, accepted: socket.socket) -> None:
+        with contextlib.suppress(OSError), accepted:
+            head = accepted.recv(4096).decode('latin-1').lower()
+            _, name, rest = head.partition('x-kelproad-request-id:')
+            self.calls += bool(name)
+            request_id, _, _ = rest.strip().partition('\r\n')
+            field = f'\r\nX-Kelproad-Request-Id: {request_id}\r\n'.encode()
+            beginning, *others = self._parts
+            accepted.sendall(beginning.replace(b'\r\n', field, 1))
+            for part in others:
+                time.sleep(PAUSE)
+                accepted.sendall(part)
+            time.sleep(PAUSE)
+
+
+@pytest.fixture(scope='module')
+def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[RoutedSite]:
+    """Run one instance."""
+    with start_routed_site(tmp_path_factory.mktemp('site')) as running:
+        running.put_configuration()
+        yield running
+
+
+def ask(site: RoutedSite, route: str) -> Answer | None:
+    """Send a call on a route; return ``None`` for what is no HTTP."""
+    instance, path = site.instances[0], f'/{route}/x'
+    try:
+        if route == 'reports':
+            return stream(instance, path, request_id=next_id())
+        return call(instance, path, 'POST', b'x', request_id=next_id())
+    except HTTPException:
+        return None
+
+
+@pytest.mark.parametrize('route', ['lookups', 'bookings', 'reports'])
+@pytest.mark.parametrize('kind', list(KINDS))
+def test_broken_answers_reach_no_caller(
+    site: RoutedSite, kind: str, route: str
+) -> None:
+    """Guards against a broken answer that a caller gets as a sound one."""
+    service = 'writer' if route == 'reports' else 'book'
+    endpoints = [BrokenEndpoint(kind) for _ in range(2)]
+    with list_only(site, service, endpoints):
+        answer = ask(site, route)
+    for endpoint in endpoints:
+        endpoint.close()
+    assert any(endpoint.calls for endpoint in endpoints)
+    assert answer is not None
+    assert answer.broken or 500 <= answer.status < 600
+    assert BODY not in answer.body
