Answers: a name with a blank or a control byte makes a head invalid

What callers saw: an engine's "Content-Length : 5" gave them an answer without a body; of "Transfer-Encoding : chunked" they got the line, and at times the body by it; with "Connection : close", "Upgrade : x" or a line that begins with a blank they got the answer, the line amid it read in another way or joined to the one before.

Cause: the parser is lenient with answers. It accepts a blank before the colon after the names that it knows, and applies the field; a blank before the first name, which it drops; and lines that go on with the one before. What it returns shows only the first.

Change: each line of a head is checked as it arrives, by the tokens of HTTP and so without a blank; also those of interim answers. Lines that go on with the one before are refused with it: HTTP lets intermediaries discard such an answer, senders must not send it, and a stamp that is joined to something is not the engine's.

Ruled out: only looking at the parsed names, which lack blanks before them; the strict mode of the parser, which is for a whole process, for one of its two versions, and refuses bare line feeds.

The message of the refusal names no byte of the line, as callers get it.

--- a/src/kelproad/transport/http.py
+++ b/src/kelproad/transport/http.py
@@ -51,8 +51,8 @@
 #: An upgrade, which the status 101 would accept, is never requested.
 _START_LINE = re.compile(rb'[!-~]+ (?!101)[1-5][0-9]{2}(?: .*)?')
 _INTERIM = re.compile(rb'[!-~]+ 1')
-#: Bytes of an invalid line that are shown.
-_MAX_SHOWN = 100
+#: A line that begins with a blank would go on with the one before.
+_FIELD_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:.*")
 
 #: The head of an answer, and its body.
 _Received = tuple[RawResponseMessage, StreamReader]
@@ -107,8 +107,10 @@
         if not line:
             self._end_head()
         elif not self._start_line:
-            _check(_START_LINE, line)
+            _check(_START_LINE, line, 'start line')
             self._start_line = line
+        else:
+            _check(_FIELD_LINE, line, 'header line')
 
     def _end_head(self) -> None:
         """Expect another head after an interim one, or after blank lines."""
@@ -117,9 +119,10 @@
         self._start_line = b''
 
 
-def _check(expected: re.Pattern[bytes], line: bytes) -> None:
+def _check(expected: re.Pattern[bytes], line: bytes, name: str) -> None:
+    """Raise an error that callers may see, without the line."""
     if not expected.fullmatch(line):
-        raise InvalidAnswerError(f'invalid line: {line[:_MAX_SHOWN]!r}')
+        raise InvalidAnswerError(f'invalid {name} of an answer')
 
 
 class _BoundedHandler(ResponseHandler):
--- a/tests/ingress/test_broken_answers.py
+++ b/tests/ingress/test_broken_answers.py
@@ -32,8 +32,28 @@
 SECONDS = 5.0
 ID = f'X-Kelproad-Request-Id: {REQUEST_ID}\r\n'.encode()
 OK = b'HTTP/1.1 200 OK\r\n'
+INTERIM = b'HTTP/1.1 103 Early\r\n'
 LENGTH = b'Content-Length: 5\r\n'
 BODY = b'whole'
+#: Lines whose names hold a blank or a control byte, or that have none.
+ODD_NAMES = (
+    b'Content-Length : 5',
+    b'Transfer-Encoding : chunked',
+    b'Connection : close',
+    b'Proxy-Connection : close',
+    b'Upgrade : x',
+    b'X-A : b',
+    b'X-A\t: b',
+    b'X A: b',
+    b' X-A: b',
+    b'\tX-A: b',
+    b'X\x01A: b',
+    b'X-A\x00: b',
+    b'X\x7fA: b',
+    b'X\rA: b',
+    b'X-A',
+    b': b',
+)
 #: Reads an answer to its end; returns its body, or ``None`` for a failure.
 Reader = Callable[[Endpoint, bytes], Awaitable[bytes | None]]
 
@@ -145,3 +165,33 @@
     """Guards against an engine's invalid status that is forwarded."""
     start = f'HTTP/1.1 {status} Odd\r\n'.encode()
     assert await ask(read, b''.join((start, ID, LENGTH, b'\r\n')), BODY) is None
+
+
+async def ask_with(line: bytes, place: str, read: Reader) -> bytes | None:
+    """Read an answer with a further line somewhere in its heads."""
+    heads = {
+        'first': (OK, line, b'\r\n', ID, LENGTH),
+        'amid': (OK, ID, line, b'\r\n', LENGTH),
+        'without a length': (OK, ID, line, b'\r\n'),
+        'interim': (INTERIM, line, b'\r\n\r\n', OK, ID, LENGTH),
+    }
+    return await ask(read, b''.join((*heads[place], b'\r\n')), BODY)
+
+
+@pytest.mark.parametrize('line', ODD_NAMES)
+@pytest.mark.parametrize(
+    'place', ['first', 'amid', 'without a length', 'interim']
+)
+async def test_an_answer_with_an_odd_field_name_is_none(
+    line: bytes, place: str
+) -> None:
+    """Guards against names that the parser accepts and others don't."""
+    assert await ask_with(line, place, read_exchange) is None
+
+
+@pytest.mark.parametrize('line', ODD_NAMES[:5])
+async def test_no_client_takes_an_odd_field_name(
+    read: Reader, line: bytes
+) -> None:
+    """Guards against a body that is cut or read by an odd field."""
+    assert await ask_with(line, 'without a length', read) is None
--- a/tests/ingress/test_broken_answers_site.py
+++ b/tests/ingress/test_broken_answers_site.py
@@ -18,10 +18,24 @@
 #: Seconds between two parts of an answer, so that each is received by itself.
 PAUSE = 0.05
 BODY = b'id: 1\ndata: x\n\n'
+CHUNKS = b'%x\r\n%s\r\n0\r\n\r\n' % (len(BODY), BODY)
+OK = b'HTTP/1.1 200 OK\r\n'
 LENGTH = b'Content-Length: %d\r\n\r\n' % len(BODY)
 KINDS = types.MappingProxyType(
     {
         'status': (b'HTTP/1.1 000 Odd\r\n%s' % LENGTH, BODY),
+        'name of a length': (b'%sContent-Length : 5\r\n\r\n' % OK, BODY),
+        'name of a coding': (
+            b'%sTransfer-Encoding : chunked\r\n\r\n' % OK,
+            CHUNKS,
+        ),
+        'name of a connection': (
+            b'%sConnection : close\r\n%s' % (OK, LENGTH),
+            BODY,
+        ),
+        'blank before a name': (b'%s X-A: b\r\n%s' % (OK, LENGTH), BODY),
+        'fold': (b'%sX-A: b\r\n X-B: c\r\n%s' % (OK, LENGTH), BODY),
+        'control byte': (b'%sX\x01A: b\r\n%s' % (OK, LENGTH), BODY),
     }
 )
 
@@ -55,9 +69,9 @@
             _, name, rest = head.partition('x-kelproad-request-id:')
             self.calls += bool(name)
             request_id, _, _ = rest.strip().partition('\r\n')
-            field = f'\r\nX-Kelproad-Request-Id: {request_id}\r\n'.encode()
+            field = f'\r\nX-Kelproad-Request-Id: {request_id}\r\n\r\n'.encode()
             beginning, *others = self._parts
-            accepted.sendall(beginning.replace(b'\r\n', field, 1))
+            accepted.sendall(beginning.replace(b'\r\n\r\n', field, 1))
             for part in others:
                 time.sleep(PAUSE)
                 accepted.sendall(part)
@@ -74,11 +88,13 @@
 
 def ask(site: RoutedSite, route: str) -> Answer | None:
     """Send a call on a route; return ``None`` for what is no HTTP."""
-    instance, path = site.instances[0], f'/{route}/x'
+    instance, request_id = site.instances[0], next_id()
+    # Another target each time, or the request would be suspected after a while.
+    path = f'/{route}/{request_id}'
     try:
         if route == 'reports':
-            return stream(instance, path, request_id=next_id())
-        return call(instance, path, 'POST', b'x', request_id=next_id())
+            return stream(instance, path, request_id=request_id)
+        return call(instance, path, 'POST', b'x', request_id=request_id)
     except HTTPException:
         return None
 
