Tests: one reading finds the one reader

Between the two the instances may change it, as the test before ends with a cut, and then there is none for a moment.

Change: the reader is the one that was found as there was just one. The check is as strict as before: still exactly one, within the same time.

--- a/tests/ingress/test_reader_cut_site.py
+++ b/tests/ingress/test_reader_cut_site.py
@@ -45,8 +45,15 @@
 
 def await_one_reader(site: CuttableSite) -> RoutedInstance:
     """Wait until one instance reads the configuration for all."""
-    wait_for(lambda: len(find_readers(site)) == 1, 'one reader for all')
-    return find_readers(site)[0]
+    found: list[RoutedInstance] = []
+
+    def is_one() -> bool:
+        found.clear()
+        found.extend(find_readers(site))
+        return len(found) == 1
+
+    wait_for(is_one, 'one reader for all')
+    return found[0]
 
 
 def await_version(site: CuttableSite, instances: list[RoutedInstance]) -> None:
