Answers: only an orderly end ends a body without a length

What callers saw: an endpoint answers a long upload at once without a length, sends a part and resets the connection while the upload is being written; they got that part as a complete answer. The same of an endpoint that closes before the upload is written. At the project's own interface any reset ended such a body, without an upload too.

Cause: the parser takes any end of a connection for the end of a body without a length. The routed interface looked at the connection's error afterwards. That error is deleted when the connection is given back, which happens at the end of the body and, while an upload is being written, once its writer has ended: before the reader looks, if it was busy with the bytes before, as with a caller that takes its time. The three other clients didn't look.

Evidence: test_broken_answers.py. A half close of a whole answer with a length amid an upload, read slowly: passes before and after.

Change: the connection's protocol itself fails a body that hasn't ended when it is lost by an error, or closed by the other end while bytes of the request wait to be written. What looked at it afterwards is gone. A whole answer with a length or in chunks that comes amid an upload is one as before.

Ruled out: keeping the error for the later check; three readers would need the check.

--- a/src/kelproad/coordination/ingress/streams/answers.py
+++ b/src/kelproad/coordination/ingress/streams/answers.py
@@ -16,7 +16,7 @@
 from ....state.calls import AnswerHead, Outcome
 from ....state.refusals import Ran
 from ....transport.deadlines import within
-from ....transport.http import ConnectionLostError, is_framed
+from ....transport.http import is_framed
 from .largeanswers import LargeAnswers
 
 __all__ = [
@@ -106,7 +106,6 @@
 
     head: AnswerHead
     response: aiohttp.ClientResponse
-    ended_properly: Callable[[], bool]
     large_answers: LargeAnswers = attrs.field(factory=LargeAnswers)
     held: CallBytes = attrs.field(factory=CallBytes)
 
@@ -141,10 +140,6 @@
             if not chunk and self.response.content.at_eof():
                 break
             yield chunk
-        if not self.ended_properly():
-            raise ConnectionLostError(
-                'connection reset before the end of the body'
-            )
 
     def close(self) -> None:
         """Close the connection, on which the endpoint aborts the work."""
--- a/src/kelproad/coordination/ingress/streams/attempts.py
+++ b/src/kelproad/coordination/ingress/streams/attempts.py
@@ -23,7 +23,7 @@
 from ....state.endpoints import Endpoint
 from ....state.refusals import Ran
 from ....transport.deadlines import monotonic, within
-from ....transport.http import create_end_check, wrap_body
+from ....transport.http import wrap_body
 from ..admission.dialect import Dialect
 from .answers import AttemptFailure, OpenAnswer, collect, fail_unanswered
 from .largeanswers import LargeAnswers
@@ -85,7 +85,6 @@
         answer = OpenAnswer(
             head,
             response,
-            create_end_check(response),
             self._large_answers,
             call.held,
         )
--- a/src/kelproad/transport/http.py
+++ b/src/kelproad/transport/http.py
@@ -11,7 +11,6 @@
 import asyncio
 import functools
 import re
-from collections.abc import Callable
 
 import aiohttp
 from aiohttp.abc import AbstractStreamWriter
@@ -29,7 +28,6 @@
     'InvalidAnswerError',
     'create_single_use_session',
     'create_session',
-    'create_end_check',
     'is_endless',
     'is_framed',
     'wrap_body',
@@ -168,6 +166,23 @@
             if not data or self.exception() is not None:
                 return
 
+    def eof_received(self) -> None:
+        """Give up an answer that ends before the request is written."""
+        transport = self.transport
+        if transport is not None and transport.get_write_buffer_size():
+            self._fail_unfinished_body()
+            transport.abort()
+        super().eof_received()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Let only an orderly end of the connection end a body.
+
+        The parser accepts any end for a body without a length.
+        """
+        if exc is not None:
+            self._fail_unfinished_body()
+        super().connection_lost(exc)
+
     def feed_data(self, data: _Received, size: int = 0) -> None:
         """Count a head that was parsed."""
         head, _ = data
@@ -177,6 +192,13 @@
             self._interim_answers += 1
         super().feed_data(data, size)
 
+    def _fail_unfinished_body(self) -> None:
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(
+                ConnectionLostError('connection lost before the end of a body')
+            )
+
     def _check_bounds(self, received_bytes: int) -> None:
         self._received_bytes += received_bytes
         content = self._payload.total_bytes if self._payload else 0
@@ -287,36 +309,6 @@
     return response.content_length is not None or 'chunked' in encoding.lower()
 
 
-def create_end_check(response: aiohttp.ClientResponse) -> Callable[[], bool]:
-    """Create a check of whether a body is complete.
-
-    A body without a length ends with its connection, and aiohttp accepts a
-    reset as that end: the caller would get a truncated answer that looks
-    complete.  Only the connection shows how it ended, and only until it is
-    released, so call this as soon as the head of the answer is read.
-
-    Returns
-    -------
-    Callable
-        Returns, once the body has been read, whether it is complete.
-    """
-    framed = is_framed(response)
-    connection = response.connection
-    protocol = connection.protocol if connection else None
-
-    def is_complete() -> bool:
-        if framed:
-            return True
-        if protocol is None:
-            # Without the connection, a reset is not distinguishable from an
-            # orderly end.
-            return False
-        was_reset = isinstance(protocol.exception(), aiohttp.ClientOSError)
-        return not was_reset
-
-    return is_complete
-
-
 class _PiecewiseBody(BytesPayload):
     """A body that is written once, in pieces.
 
