Answers: only chunks may be taken off a body

What callers saw: of an answer with "Transfer-Encoding: gzip", "chunked, gzip" or a misspelt coding they got the encoded bytes, sizes of chunks and all, as the body; of "gzip, chunked" what is in the chunks, still encoded; of chunks within chunks the outer layer's content. The field itself concerns one connection and isn't passed on, so that nobody after could tell.

Cause: the parser takes off chunks if they are the last coding, and reads all else to the end of the connection. Nothing looked at what was left.

Sound spellings of "chunked" are read before and after.

Change: a head with a coding other than chunks, or with two, is refused as invalid. A value that the parser does not take for chunks, such as one with a tab at its end, too.

Found while the places that read answers were checked; nobody reported it.

--- a/src/kelproad/transport/http.py
+++ b/src/kelproad/transport/http.py
@@ -51,6 +51,9 @@
 _INTERIM = re.compile(rb'[!-~]+ 1')
 #: A line that begins with a blank would go on with the one before.
 _FIELD_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:.*")
+_CODING_NAME = re.compile(b'transfer-encoding:', re.IGNORECASE)
+#: The one coding that the parser takes off, as it knows it.
+_CHUNKED = re.compile(rb'[^:]+:[ \t]*chunked *', re.IGNORECASE)
 
 #: The head of an answer, and its body.
 _Received = tuple[RawResponseMessage, StreamReader]
@@ -81,6 +84,7 @@
         """Expect a start line."""
         self._partial_line = b''
         self._start_line = b''
+        self._has_coding = False
         self._is_complete = False
 
     def feed(self, received: bytes) -> None:
@@ -108,13 +112,22 @@
             _check(_START_LINE, line, 'start line')
             self._start_line = line
         else:
-            _check(_FIELD_LINE, line, 'header line')
+            self._check_field(line)
+
+    def _check_field(self, line: bytes) -> None:
+        _check(_FIELD_LINE, line, 'header line')
+        if _CODING_NAME.match(line):
+            _check(_CHUNKED, line, 'transfer coding')
+            if self._has_coding:
+                raise InvalidAnswerError('two transfer codings of an answer')
+            self._has_coding = True
 
     def _end_head(self) -> None:
         """Expect another head after an interim one, or after blank lines."""
         is_interim = _INTERIM.match(self._start_line)
         self._is_complete = bool(self._start_line) and not is_interim
         self._start_line = b''
+        self._has_coding = False
 
 
 def _check(expected: re.Pattern[bytes], line: bytes, name: str) -> None:
--- a/tests/ingress/test_broken_answers.py
+++ b/tests/ingress/test_broken_answers.py
@@ -36,6 +36,7 @@
 INTERIM = b'HTTP/1.1 103 Early\r\n'
 LENGTH = b'Content-Length: 5\r\n'
 BODY = b'whole'
+CHUNKS = b'5\r\nwhole\r\n0\r\n\r\n'
 #: More than all buffers on its way hold.
 UPLOAD = bytes(16_000_000)
 #: Lines whose names hold a blank or a control byte, or that have none.
@@ -268,3 +269,33 @@
     """Guards against whole answers that are refused with their uploads."""
     head = b''.join((OK, ID, LENGTH, b'\r\n'))
     assert await ask(read, head, BODY, ending=ending, upload=UPLOAD) == BODY
+
+
+@pytest.mark.parametrize(
+    'codings',
+    [
+        (b'gzip',),
+        (b'gzip, chunked',),
+        (b'chunked, gzip',),
+        (b'chunked, chunked',),
+        (b'chunked', b'chunked'),
+        (b'xchunked',),
+        (b'chunked;q=1',),
+        (b'chunked\t',),
+        (b'',),
+    ],
+)
+async def test_an_answer_in_an_unknown_coding_is_none(
+    read: Reader, codings: tuple[bytes, ...]
+) -> None:
+    """Guards against a body whose coding nobody has taken off."""
+    lines = [b'Transfer-Encoding: %s\r\n' % coding for coding in codings]
+    head = b''.join((OK, ID, *lines, b'\r\n'))
+    assert await ask(read, head, CHUNKS) is None
+
+
+@pytest.mark.parametrize('coding', [b' chunked', b'Chunked', b'\tCHUNKED '])
+async def test_an_answer_in_chunks_is_read(read: Reader, coding: bytes) -> None:
+    """Guards against sound answers that are refused."""
+    line = b'TRANSFER-Encoding:%s\r\n' % coding
+    assert await ask(read, b''.join((OK, line, ID, b'\r\n')), CHUNKS) == BODY
