Answers: what another protocol says of itself is no answer

What callers saw: a start line of "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "RTSP/1.0" or "ICE/1.0" came to them as an answer of HTTP/1.1.

Cause: the parser knows these and treats them all alike.

HTTP/1.0 and lines without a reason are read before and after.

Change: the check of start lines asks for HTTP/1.0 or HTTP/1.1.

--- a/src/kelproad/transport/http.py
+++ b/src/kelproad/transport/http.py
@@ -47,8 +47,8 @@
 _MAX_INTERIM_ANSWERS = 64
 _FIRST_FINAL_STATUS = 200
 #: An upgrade, which the status 101 would accept, is never requested.
-_START_LINE = re.compile(rb'[!-~]+ (?!101)[1-5][0-9]{2}(?: .*)?')
-_INTERIM = re.compile(rb'[!-~]+ 1')
+_START_LINE = re.compile(rb'HTTP/1\.[01] (?!101)[1-5][0-9]{2}(?: .*)?')
+_INTERIM = re.compile(rb'\S+ 1')
 #: A line that begins with a blank would go on with the one before.
 _FIELD_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:.*")
 _CODING_NAME = re.compile(b'transfer-encoding:', re.IGNORECASE)
--- a/tests/ingress/test_broken_answers.py
+++ b/tests/ingress/test_broken_answers.py
@@ -299,3 +299,37 @@
     """Guards against sound answers that are refused."""
     line = b'TRANSFER-Encoding:%s\r\n' % coding
     assert await ask(read, b''.join((OK, line, ID, b'\r\n')), CHUNKS) == BODY
+
+
+@pytest.mark.parametrize(
+    'start',
+    [
+        b'HTTP/0.9 200 OK',
+        b'HTTP/2.0 200 OK',
+        b'HTTP/9.9 200 OK',
+        b'RTSP/1.0 200 OK',
+        b'ICE/1.0 200 OK',
+        b'HTTP/1.1  200 OK',
+        b'HTTP/1.1 200\tOK',
+        b'HTTP/1.1 2000 OK',
+        b'HTTP/1.1 20 OK',
+        b'HTTP/1.1 +20 OK',
+        b'HTTP/1.1',
+        b'http/1.1 200 OK',
+    ],
+)
+async def test_an_answer_of_another_protocol_is_none(
+    read: Reader, start: bytes
+) -> None:
+    """Guards against what is read as HTTP though it says otherwise."""
+    head = b''.join((start, b'\r\n', ID, LENGTH, b'\r\n'))
+    assert await ask(read, head, BODY) is None
+
+
+@pytest.mark.parametrize(
+    'start', [b'HTTP/1.0 200 OK', b'HTTP/1.1 200 ', b'HTTP/1.1 200']
+)
+async def test_sound_start_lines_are_read(read: Reader, start: bytes) -> None:
+    """Guards against sound answers that are refused."""
+    head = b''.join((start, b'\r\n', ID, LENGTH, b'\r\n'))
+    assert await ask(read, head, BODY) == BODY
