Answers: a control byte in a value makes a head invalid

What callers saw: 500 of this instance ("an error of this instance") for an engine's "X-A: a<control byte>b", also where another endpoint would have answered; nothing was noted of the engine. At the project's own interface the same by reading; not run.

Cause: the parser is lenient with values of answers, and refuses three bytes of 32 only, the zero byte and those of line ends. The server refuses all of them when the answer is passed on, where no error is expected any more.

Tabs and bytes above 127 are read before and after.

Change: the check of header lines refuses control bytes in values too, so that the attempt fails like any other without an answer.

--- a/src/kelproad/transport/http.py
+++ b/src/kelproad/transport/http.py
@@ -50,7 +50,9 @@
 _START_LINE = re.compile(rb'HTTP/1\.[01] (?!101)[1-5][0-9]{2}(?: .*)?')
 _INTERIM = re.compile(rb'\S+ 1')
 #: A line that begins with a blank would go on with the one before.
-_FIELD_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:.*")
+_FIELD_LINE = re.compile(
+    rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\x00-\x08\x0a-\x1f\x7f]*"
+)
 _CODING_NAME = re.compile(b'transfer-encoding:', re.IGNORECASE)
 #: The one coding that the parser takes off, as it knows it.
 _CHUNKED = re.compile(rb'[^:]+:[ \t]*chunked *', re.IGNORECASE)
--- a/tests/ingress/test_broken_answers.py
+++ b/tests/ingress/test_broken_answers.py
@@ -333,3 +333,21 @@
     """Guards against sound answers that are refused."""
     head = b''.join((start, b'\r\n', ID, LENGTH, b'\r\n'))
     assert await ask(read, head, BODY) == BODY
+
+
+@pytest.mark.parametrize('byte', [*range(9), *range(10, 32), 127])
+async def test_an_answer_with_a_control_byte_is_none(byte: int) -> None:
+    """Guards against a control byte in a value that is passed on."""
+    line = b'X-A: a%cb' % byte
+    assert await ask_with(line, 'amid', read_exchange) is None
+
+
+async def test_no_client_takes_a_control_byte(read: Reader) -> None:
+    """Guards against a client whose answers are not checked."""
+    assert await ask_with(b'X-A: a\x01b', 'amid', read) is None
+
+
+@pytest.mark.parametrize('line', [b'X-A:', b'X-A: a\tb', b'X-A: \xc3\xa9 \xff'])
+async def test_sound_values_are_read(read: Reader, line: bytes) -> None:
+    """Guards against sound answers that are refused."""
+    assert await ask_with(line, 'amid', read) == BODY
