--- a/tests/ingress/test_broken_answers_site.py
+++ b/tests/ingress/test_broken_answers_site.py
@@ -54,15 +54,41 @@
     }
 )
 
+SOUND = types.MappingProxyType(
+    {
+        'no reason': (b'HTTP/1.1 200\r\n%s' % LENGTH, BODY),
+        'empty reason': (b'HTTP/1.1 200 \r\n%s' % LENGTH, BODY),
+        'other status': (b'HTTP/1.1 299 Odd\r\n%s' % LENGTH, BODY),
+        'interim': (
+            b'HTTP/1.1 103 Early\r\nX-A: b\r\n\r\n',
+            b'%s%s' % (OK, LENGTH),
+            BODY,
+        ),
+        'values': (
+            b'%sX-A: a\tb\r\nX-B:\r\nX-C: \xc3\xa9\xff\r\n%s' % (OK, LENGTH),
+            BODY,
+        ),
+        'name': (b"%s!#$%%&'*+-.^_`|~09Az: b\r\n%s" % (OK, LENGTH), BODY),
+        'extension': (
+            b'%sTransfer-Encoding: chunked\r\n\r\n' % OK,
+            b'000%x;a=b\r\n%s\r\n0\r\n\r\n' % (len(BODY), BODY),
+        ),
+        'to the end': (b'%s\r\n' % OK, BODY),
+    }
+)
+SOUND_STATUS = types.MappingProxyType({'other status': 299})
+
 
 class BrokenEndpoint:
     """An endpoint that echoes the id of a call, sends parts and ends."""
 
+    kinds = KINDS
+
     def __init__(self, kind: str) -> None:
-        """Send what ``KINDS`` has, on a free address."""
+        """Send what ``kinds`` has, on a free address."""
         self.address = find_free_address()
         self.calls = 0
-        self._parts = KINDS[kind]
+        self._parts = self.kinds[kind]
         self._ending = struct.pack('ii', int(kind == RESET), 0)
         host, port = self.address.split(':')
         self._listener = socket.create_server((host, int(port)))
@@ -86,12 +112,11 @@
             self.calls += bool(name)
             request_id, _, _ = rest.strip().partition('\r\n')
             field = f'\r\nX-Kelproad-Request-Id: {request_id}\r\n\r\n'.encode()
-            beginning, *others = self._parts
-            accepted.sendall(beginning.replace(b'\r\n\r\n', field, 1))
-            for part in others:
-                time.sleep(PAUSE)
+            for part in self._parts:
+                if part.startswith(b'HTTP/'):
+                    part = part.replace(b'\r\n\r\n', field, 1)
                 accepted.sendall(part)
-            time.sleep(PAUSE)
+                time.sleep(PAUSE)
             accepted.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, self._ending
             )
@@ -143,3 +168,25 @@
     assert answer.broken or answer.status == 502
     assert answer.broken or BODY not in answer.body
     assert answer.broken or len(answer.body) < SHORT
+
+
+class SoundEndpoint(BrokenEndpoint):
+    """An endpoint whose answers look odd and are sound."""
+
+    kinds = SOUND
+
+
+@pytest.mark.parametrize('route', ['bookings', 'fragile'])
+@pytest.mark.parametrize('kind', list(SOUND))
+def test_odd_sound_answers_are_served_by_one_run(
+    site: RoutedSite, kind: str, route: str
+) -> None:
+    """Guards against sound answers that are refused, or run again."""
+    service = 'writer' if route == 'fragile' else 'book'
+    endpoints = [SoundEndpoint(kind) for _ in range(2)]
+    with list_only(site, service, endpoints):
+        answer = ask(site, route, b'x')
+    for endpoint in endpoints:
+        endpoint.close()
+    assert (answer.status, answer.body) == (SOUND_STATUS.get(kind, 200), BODY)
+    assert sum(one.calls for one in endpoints) == 1
