Answers: an invalid one is the fault of its endpoint

What callers saw: nothing yet. Since an invalid answer counts as a connection without an answer. Two endpoints that send such answers would have put this instance's path in doubt and calls on ways through peers; sent through a peer, they would have counted against that peer, and the endpoint would have gone without blame. For what the parser itself refuses it was so before.

Cause: what shows that a path works is a refusal or an answer; an attempt that failed otherwise says nothing of where it failed.

Change: such a failure says so, and counts as heard of the endpoint: its path works, it is recorded as failing. Whether the call ran stays unknown.

--- a/src/kelproad/coordination/ingress/streams/answers.py
+++ b/src/kelproad/coordination/ingress/streams/answers.py
@@ -53,6 +53,8 @@
         Whether the endpoint lacks the memory now, and may have it in a moment.
     misdirected
         Whether another endpoint has the address now.
+    invalid
+        Whether the endpoint sent something that is no answer.
     answer
         The error that the endpoint answered with.
     """
@@ -65,6 +67,7 @@
     exclude: str = ''
     is_full: bool = False
     misdirected: bool = False
+    invalid: bool = False
     answer: 'CompleteAnswer | None' = None
 
     @property
@@ -75,9 +78,9 @@
 
     @property
     def answered(self) -> bool:
-        """Whether the endpoint sent an answer, if only a refusal."""
+        """Whether the endpoint was heard, if only by a refusal."""
         refused = self.arrived and self.ran is Ran.NO
-        return refused or self.answer is not None
+        return refused or self.invalid or self.answer is not None
 
 
 @attrs.frozen
--- a/src/kelproad/coordination/ingress/streams/attempts.py
+++ b/src/kelproad/coordination/ingress/streams/attempts.py
@@ -23,7 +23,7 @@
 from ....state.endpoints import Endpoint
 from ....state.refusals import Ran
 from ....transport.deadlines import monotonic, within
-from ....transport.http import wrap_body
+from ....transport.http import InvalidAnswerError, wrap_body
 from ..admission.dialect import Dialect
 from .answers import AttemptFailure, OpenAnswer, collect, fail_unanswered
 from .largeanswers import LargeAnswers
@@ -78,6 +78,10 @@
             return Failure(
                 fail_unanswered(progress, 'no answer in time', blameless)
             )
+        except InvalidAnswerError as error:
+            return Failure(
+                AttemptFailure(str(error), Ran.UNKNOWN, invalid=True)
+            )
         except (aiohttp.ClientError, OSError) as error:
             return Failure(fail_unanswered(progress, repr(error)))
         head = self._dialect.read_answer_head(response, call.request_id)
--- a/tests/ingress/test_broken_answers.py
+++ b/tests/ingress/test_broken_answers.py
@@ -9,11 +9,18 @@
 import pytest
 from multidict import CIMultiDict
 
+from kelproad.coordination.ingress.placing.placement import Placement
+from kelproad.coordination.ingress.retrying.verdicts import AttemptEvaluator
 from kelproad.coordination.ingress.streams.answers import collect
 from kelproad.coordination.ingress.streams.attempts import EndpointClient
+from kelproad.coordination.ingress.streams.progress import (
+    Attempt as RoutedAttempt,
+)
+from kelproad.protocol.connections import ConnectionProgress
 from kelproad.protocol.engines import Attempt, EngineClient
 from kelproad.protocol.plain import PlainCall, PlainClient
 from kelproad.state.endpoints import Endpoint
+from kelproad.state.refusals import Ran
 from kelproad.transport.deadlines import monotonic
 from kelproad.transport.exchanges import exchange
 from kelproad.transport.http import create_session, create_single_use_session
@@ -22,11 +29,12 @@
     REQUEST_ID,
     build_call,
     client,
+    evaluator,
     open_answer,
     serve,
 )
 
-__all__ = ['client']
+__all__ = ['client', 'evaluator']
 
 #: Seconds between two parts of an answer, so that each is received by itself.
 PAUSE = 0.02
@@ -58,6 +66,12 @@
     b'X-A',
     b': b',
 )
+INVALID_HEADS = (
+    b'HTTP/1.1 000 Odd\r\n%s%s\r\n' % (ID, LENGTH),
+    b'%s%sX-A : b\r\n%s\r\n' % (OK, ID, LENGTH),
+    b'%s%sContent-Length: 5x\r\n\r\n' % (OK, ID),
+    b'no answer\r\n\r\n',
+)
 #: Reads an answer to its end; returns its body, or ``None`` for a failure.
 Reader = Callable[[Endpoint, bytes], Awaitable[bytes | None]]
 
@@ -366,3 +380,30 @@
     reason = opened.failure().reason
     assert len(reason) < 100
     assert endpoint.declaration.address not in reason
+
+
+@pytest.mark.parametrize('head', INVALID_HEADS)
+@pytest.mark.parametrize('via', ['', 'edge-2'])
+async def test_an_invalid_answer_is_the_fault_of_its_endpoint(
+    client: EndpointClient,
+    evaluator: AttemptEvaluator,
+    head: bytes,
+    via: str,
+) -> None:
+    """Guards against blaming a path, or an instance on it, that is well."""
+    blamed: list[str] = []
+    evaluator = attrs.evolve(
+        evaluator, record_peer_failure=lambda peer, now: blamed.append(peer)
+    )
+    async with serve(RawEndpoint((head, BODY)).handle) as endpoint:
+        for _ in range(2):
+            call = build_call()
+            opened = await open_answer(client, endpoint, call)
+            attempt = RoutedAttempt(call, Placement(endpoint))
+            attempt.connection = ConnectionProgress(connected=True)
+            attempt.record_via(via)
+            evaluator.note(attempt, opened.failure())
+    assert opened.failure().ran is Ran.UNKNOWN
+    assert not blamed
+    assert not call.avoids_direct
+    assert endpoint.consecutive_failures == 2
