Answers: a malformed chunk ends a body at once

What callers saw: an endpoint whose chunks turn malformed amid its answer kept their call to its deadline: 504, no other endpoint was asked. A reader that was busy when it came got an error that nobody expects ("Connection closed."), by reading a 500.

Cause: the parser's error fails what awaits heads, and closes the connection; a body that has begun isn't told, and waits for more.

Change: the connection's protocol fails the body with the same error.

A test of answers through tunnels' connections is in here too; it passed before.

--- a/src/kelproad/transport/http.py
+++ b/src/kelproad/transport/http.py
@@ -132,6 +132,10 @@
         self._has_coding = False
 
 
+def _build_loss_error() -> ConnectionLostError:
+    return ConnectionLostError('connection lost before the end of a body')
+
+
 def _check(expected: re.Pattern[bytes], line: bytes, name: str) -> None:
     """Raise an error that callers may see, without the line."""
     if not expected.fullmatch(line):
@@ -185,7 +189,7 @@
         """Give up an answer that ends before the request is written."""
         transport = self.transport
         if transport is not None and transport.get_write_buffer_size():
-            self._fail_unfinished_body()
+            self._fail_unfinished_body(_build_loss_error())
             transport.abort()
         super().eof_received()
 
@@ -195,7 +199,7 @@
         The parser accepts any end for a body without a length.
         """
         if exc is not None:
-            self._fail_unfinished_body()
+            self._fail_unfinished_body(_build_loss_error())
         super().connection_lost(exc)
 
     def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
@@ -209,6 +213,8 @@
             exc = InvalidAnswerError(
                 f'malformed answer: {type(origin).__name__}'
             )
+            # The parser may leave it waiting for more.
+            self._fail_unfinished_body(exc)
         super().set_exception(exc, *cause)
 
     def feed_data(self, data: _Received, size: int = 0) -> None:
@@ -220,12 +226,10 @@
             self._interim_answers += 1
         super().feed_data(data, size)
 
-    def _fail_unfinished_body(self) -> None:
+    def _fail_unfinished_body(self, error: aiohttp.ClientError) -> None:
         payload = self._payload
         if payload is not None and not payload.is_eof():
-            payload.set_exception(
-                ConnectionLostError('connection lost before the end of a body')
-            )
+            payload.set_exception(error)
 
     def _check_bounds(self, received_bytes: int) -> None:
         self._received_bytes += received_bytes
--- a/tests/ingress/test_broken_answers.py
+++ b/tests/ingress/test_broken_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import aiohttp
@@ -21,10 +22,11 @@
 from kelproad.protocol.plain import PlainCall, PlainClient
 from kelproad.state.endpoints import Endpoint
 from kelproad.state.refusals import Ran
+from kelproad.transport.addresses import Address
 from kelproad.transport.deadlines import monotonic
 from kelproad.transport.exchanges import exchange
 from kelproad.transport.http import create_session, create_single_use_session
-from kelproad.transport.sockets import reset_on_close
+from kelproad.transport.sockets import connect_socket, reset_on_close
 from tests.ingress.test_attempts import (
     REQUEST_ID,
     build_call,
@@ -368,13 +370,17 @@
 
 
 @pytest.mark.parametrize(
-    'line', [b'Content-Length: 5%s' % (b'x' * 8000), b'X-A: %s' % bytes(9000)]
+    'lines',
+    [
+        b'Content-Length: 5%s\r\n\r\n' % (b'x' * 8000),
+        b'X-A: %s\r\n\r\n' % bytes(9000),
+    ],
 )
 async def test_the_reason_for_a_refusal_is_short(
-    client: EndpointClient, line: bytes
+    client: EndpointClient, lines: bytes
 ) -> None:
     """Guards against callers who get our own headers and an engine's bytes."""
-    head = b''.join((OK, ID, line, b'\r\n\r\n'))
+    head = b''.join((OK, ID, lines))
     async with serve(RawEndpoint((head,)).handle) as endpoint:
         opened = await open_answer(client, endpoint, build_call())
     reason = opened.failure().reason
@@ -407,3 +413,36 @@
     assert not blamed
     assert not call.avoids_direct
     assert endpoint.consecutive_failures == 2
+
+
+@pytest.mark.parametrize('head', INVALID_HEADS)
+async def test_an_answer_through_a_tunnel_is_checked(head: bytes) -> None:
+    """Guards against connections that are made in another way."""
+
+    async def open_socket(address: Address) -> socket.socket:
+        return await connect_socket(address, '127.0.0.1')
+
+    async with (
+        serve(RawEndpoint((head, BODY)).handle) as endpoint,
+        create_single_use_session(open_socket=open_socket) as session,
+    ):
+        url = f'http://{endpoint.declaration.address}/x'
+        replied = await exchange(session, 'GET', url, SECONDS)
+    assert 'InvalidAnswerError' in replied.failure().reason
+
+
+@pytest.mark.parametrize(
+    'parts',
+    [
+        (b'5\r\nwhole\r\n', b'no size\r\n'),
+        (b'5\r\nwholex', b'\r\n0\r\n\r\n'),
+        (b'5\r\nwhole\r\n0\r\n', b'X A: b\r\n\r\n'),
+    ],
+)
+async def test_malformed_chunks_fail_at_once(
+    read: Reader, parts: tuple[bytes, ...]
+) -> None:
+    """Guards against calls that wait for the rest until their deadline."""
+    head = b''.join((OK, ID, b'Transfer-Encoding: chunked\r\n\r\n'))
+    async with asyncio.timeout(SECONDS / 2):
+        assert await ask(read, head, *parts) is None
