Answers: a head that is cut off is not told to callers

What callers saw: 502 whose text had the head so far of an endpoint that closed amid it, with all header lines, up to 10,000 bytes; the log had the same.

Cause: the HTTP library attaches what it has parsed to its error of a closed connection, and reasons are the errors' representations.

Evidence: test_broken_answers.py, a reason of 10,335 bytes; now 87.

Change: the connection's protocol gives that error a text. Its type stays, by which a request that may have been sent isn't sent again.

--- a/src/kelproad/transport/http.py
+++ b/src/kelproad/transport/http.py
@@ -57,6 +57,9 @@
 #: The one coding that the parser takes off, as it knows it.
 _CHUNKED = re.compile(rb'[^:]+:[ \t]*chunked *', re.IGNORECASE)
 
+#: Shown in place of the head so far, where a server closes amid one.
+_CUT_HEAD = 'disconnected before the end of a head'
+
 #: The head of an answer, and its body.
 _Received = tuple[RawResponseMessage, StreamReader]
 
@@ -215,6 +218,8 @@
             )
             # The parser may leave it waiting for more.
             self._fail_unfinished_body(exc)
+        if isinstance(exc, aiohttp.ServerDisconnectedError):
+            exc = aiohttp.ServerDisconnectedError(_CUT_HEAD)
         super().set_exception(exc, *cause)
 
     def feed_data(self, data: _Received, size: int = 0) -> None:
--- a/tests/ingress/test_broken_answers.py
+++ b/tests/ingress/test_broken_answers.py
@@ -374,6 +374,7 @@
     [
         b'Content-Length: 5%s\r\n\r\n' % (b'x' * 8000),
         b'X-A: %s\r\n\r\n' % bytes(9000),
+        b'X-A: %s\r\n' % (b'b' * 5000),
     ],
 )
 async def test_the_reason_for_a_refusal_is_short(
