Review: end the processes of a case however it ends

A case that is terminated, or whose instances do not get ready, left them running. They are ended at the exit of the script; checked with SIGTERM.

--- a/review/world_2.py
+++ b/review/world_2.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import atexit
 import base64
 import contextlib
 import json
@@ -28,6 +29,8 @@
 HEARTBEAT_SECONDS = 1.2
 SILENT_BEATS = 3
 NOT_EXECUTED = {'X-Kelproad-Not-Executed': '1'}
+#: Deployments whose processes are ended with this one.
+WORLDS = []
 
 
 def now():
@@ -656,6 +659,7 @@
         self.engines = []
         self.by_address = {}
         self.instances = []
+        WORLDS.append(self)
         self.events = 16
         self.event_seconds = 0.05
         self._ids = 0
@@ -804,6 +808,8 @@
     returns the lines that say how the rule was broken.
     """
     record = Record(pathlib.Path(folder) / 'record.txt')
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    atexit.register(lambda: [world.stop() for world in WORLDS])
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
     record(f'trouble: {has_trouble}')
     with tempfile.TemporaryDirectory(prefix='kelproad-review-') as temporary:
