--- a/review/glass_2.py
+++ b/review/glass_2.py
@@ -1,11 +1,10 @@
 """The studio deployment of the pages (ramkissoon-glass) on loopback.
 
-Sixteen model engines in three zones, three instances, ordinary short requests
-and large prompts that need the memory of several engines.
+Its zones, the speeds and bounds of its sheet, its configuration, and ordinary
+short requests.
 """
 
 import asyncio
-import contextlib
 
 import world_2 as w
 
@@ -37,10 +36,6 @@
     'free_ms': 4000,
     'idle_max_ms': 9000,
 }
-#: Longest gap after which clients leave: four times the objective of 3 s.
-SILENCE_SECONDS = 12.0
-DEADLINE_MS = 15_000
-LARGE_TOKENS = 520_000
 
 
 def build_configuration():
@@ -97,23 +92,6 @@
     }
 
 
-async def start_world(record, folder):
-    """Start store, engines and instances."""
-    world = w.World(record, folder, ZONES, BOUNDS)
-    await world.store.start()
-    await world.store.put('op', 'config', build_configuration())
-    for zone, count in zip(ZONES, ENGINES, strict=True):
-        for number in range(count):
-            engine = w.Engine(
-                world, f'i-{zone[-1]}{number}', zone, PROFILE, 'kiln-voice'
-            )
-            world.engines.append(engine)
-            await engine.start()
-            world.by_address[engine.address] = engine
-    await world.start_instances(3)
-    return world
-
-
 async def chat(world):
     """Send ordinary short requests, three a second, until cancelled."""
     sent = set()
@@ -129,50 +107,3 @@
     finally:
         for task in list(sent):
             task.cancel()
-
-
-def arm(engines, trouble):
-    """Let the engine that gets the next large prompt meet the trouble, once."""
-    armed = [True]
-
-    def choose(received):
-        tokens = int(received.headers['x-kelproad-token-count'].split(',')[0])
-        if tokens == LARGE_TOKENS and armed:
-            armed.clear()
-            return trouble
-        return ''
-
-    for engine in engines:
-        engine.choose_trouble = choose
-
-
-async def play_large(record, folder, trouble):
-    """Send three large prompts; the first engine of each meets the trouble.
-
-    Returns the world, with all reservations that its engines had.
-    """
-    world = await start_world(record, folder)
-    beating = asyncio.create_task(world.keep_beating())
-    chatting = asyncio.create_task(chat(world))
-    try:
-        await asyncio.sleep(3)
-        for instance in world.instances:
-            if trouble:
-                arm(world.engines, trouble)
-            await w.stream(
-                world,
-                instance,
-                '/digest/2f',
-                LARGE_TOKENS,
-                DEADLINE_MS,
-                SILENCE_SECONDS,
-            )
-            await asyncio.sleep(4)
-        await asyncio.sleep(3)
-    finally:
-        for task in (beating, chatting):
-            task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
-        world.stop()
-    return world
